Lay the ground: build, checks, base types and the messages between routers

Why: every part that follows goes on side by side, so the seams come first: the clock type, names and identifiers, errors with step and peer, stable hashes, the messages of claims, admission, membership and documents, and the HTTP interfaces (docs/INTERFACES.md).

--- /dev/null
+++ b/cmake/Component.cmake
@@ -0,0 +1,35 @@
+# sequoiausher_component(NAME [DEPS target...] [TEST_DEPS target...])
+#
+# One component: NAME.h, NAME.cpp (optional) and NAMEtest.cpp (optional), side by side in the calling folder.
+# Builds the library target NAME and, where there is a test, the test program NAMEtest, known to CTest by
+# that name. DEPS are the components and libraries that NAME's header or source includes; nothing else is seen.
+function(sequoiausher_component NAME)
+    cmake_parse_arguments(ARG "" "" "DEPS;TEST_DEPS" ${ARGN})
+    if(EXISTS ${CMAKE_CURRENT_SOURCE_DIR}/${NAME}.cpp)
+        add_library(${NAME} STATIC ${NAME}.cpp)
+        set(SCOPE PUBLIC)
+    else()
+        add_library(${NAME} INTERFACE)
+        set(SCOPE INTERFACE)
+    endif()
+    target_include_directories(${NAME} ${SCOPE} ${PROJECT_SOURCE_DIR})
+    target_link_libraries(${NAME} ${SCOPE} ${ARG_DEPS})
+    if(SEQUOIAUSHER_BUILD_TESTS AND EXISTS ${CMAKE_CURRENT_SOURCE_DIR}/${NAME}test.cpp)
+        sequoiausher_test(${NAME}test DEPS ${NAME} ${ARG_TEST_DEPS})
+    endif()
+endfunction()
+
+# sequoiausher_test(NAME [DEPS target...])
+#
+# A test program from NAME.cpp with doctest's main, for tests that cover several components together.
+function(sequoiausher_test NAME)
+    cmake_parse_arguments(ARG "" "" "DEPS" ${ARGN})
+    if(NOT SEQUOIAUSHER_BUILD_TESTS)
+        return()
+    endif()
+    add_executable(${NAME} ${NAME}.cpp)
+    target_include_directories(${NAME} PRIVATE ${PROJECT_SOURCE_DIR})
+    target_link_libraries(${NAME} PRIVATE testmain ${ARG_DEPS})
+    add_test(NAME ${NAME} COMMAND ${NAME})
+    set_tests_properties(${NAME} PROPERTIES TIMEOUT 120)
+endfunction()
--- /dev/null
+++ b/sequoiausher/coordination/messages/membershipmessages.h
@@ -0,0 +1,84 @@
+#pragma once
+
+// Messages by which routers learn of each other's lives, of targets that leave, and of how loaded the shards are.
+
+#include "sequoiausher/base/identifiers.h"
+#include "sequoiausher/state/targets/lifestate.h"
+
+#include <vector>
+
+namespace Sequoiausher {
+
+/** What is said of one router. */
+struct InstanceNews
+{
+    InstanceId instance;
+    LifeNews life;
+
+    bool operator==(const InstanceNews &) const = default;
+};
+
+/** What is said of one target. */
+struct TargetNews
+{
+    TargetId target;
+    LifeNews life;
+
+    bool operator==(const TargetNews &) const = default;
+};
+
+/** What the owner of a shard counts in it. */
+struct ShardSum
+{
+    PoolId pool;
+    std::uint32_t shard = 0;
+    std::uint32_t inFlight = 0;
+    std::uint32_t targets = 0;
+
+    bool operator==(const ShardSum &) const = default;
+};
+
+/** What rides on every probe and every answer to one. */
+struct Gossip
+{
+    std::vector<InstanceNews> instances;
+    std::vector<TargetNews> targets;
+    std::vector<ShardSum> sums;
+    /** Hash over the names and revisions of all documents known. */
+    std::uint64_t documentsDigest = 0;
+    /** Highest revision among them. */
+    Revision highestRevision = 0;
+
+    bool operator==(const Gossip &) const = default;
+};
+
+/** Are you there? */
+struct Probe
+{
+    std::uint64_t sequence = 0;
+    Gossip gossip;
+
+    bool operator==(const Probe &) const = default;
+};
+
+/** I am; also the answer that a relay of an indirect probe passes back. */
+struct ProbeReply
+{
+    std::uint64_t sequence = 0;
+    /** Who answered; differs from the sender where the probe was indirect. */
+    InstanceId about;
+    Gossip gossip;
+
+    bool operator==(const ProbeReply &) const = default;
+};
+
+/** Probe suspect for me: my own probe went unanswered. */
+struct IndirectProbe
+{
+    std::uint64_t sequence = 0;
+    InstanceId suspect;
+
+    bool operator==(const IndirectProbe &) const = default;
+};
+
+} // namespace Sequoiausher
--- /dev/null
+++ b/sequoiausher/coordination/messages/peermessage.h
@@ -0,0 +1,53 @@
+#pragma once
+
+// Every message between two routers, and the outbox through which the decisions hand messages to whoever carries
+// them.
+//
+//     Outbox outbox;
+//     witness.receive(now, from, claimRequest, outbox);
+//     for (const Outgoing &out : outbox) { links.send(out.to, out.message); }
+
+#include "sequoiausher/coordination/messages/admissionmessages.h"
+#include "sequoiausher/coordination/messages/attachmessages.h"
+#include "sequoiausher/coordination/messages/claimmessages.h"
+#include "sequoiausher/coordination/messages/documentmessages.h"
+#include "sequoiausher/coordination/messages/membershipmessages.h"
+
+#include <variant>
+#include <vector>
+
+namespace Sequoiausher {
+
+using PeerMessage = std::variant<ClaimRequest,
+                                 ClaimVote,
+                                 ClaimWithdraw,
+                                 ClaimPull,
+                                 ClaimPage,
+                                 ReserveRequest,
+                                 ReserveReply,
+                                 Release,
+                                 HoldingsReport,
+                                 Probe,
+                                 ProbeReply,
+                                 IndirectProbe,
+                                 DocumentPush,
+                                 DocumentDigest,
+                                 DocumentPull,
+                                 AttachRequest,
+                                 AttachReply,
+                                 AttachChunk,
+                                 AttachEnd,
+                                 AttachCancel>;
+
+/** A message on its way to one router. */
+struct Outgoing
+{
+    InstanceId to;
+    PeerMessage message;
+
+    bool operator==(const Outgoing &) const = default;
+};
+
+using Outbox = std::vector<Outgoing>;
+
+} // namespace Sequoiausher
--- /dev/null
+++ b/sequoiausher/state/documents/document.h
@@ -0,0 +1,35 @@
+#pragma once
+
+// A configuration document: a small INI text with a name and a revision that only grows. Rules, organisations, the
+// list of instances and the lists of targets all travel as documents.
+//
+//     const Document rules{"rules/fleet", 17, "[rule default]\n...", false};
+
+#include "sequoiausher/base/identifiers.h"
+
+#include <string>
+
+namespace Sequoiausher {
+
+/** One revision of a document, as the platform's service published it. */
+struct Document
+{
+    std::string name;
+    Revision revision = 0;
+    std::string body;
+    /** The document was taken away at this revision; body is empty. */
+    bool deleted = false;
+
+    bool operator==(const Document &) const = default;
+};
+
+/** Name and revision of a document, without its body. */
+struct DocumentVersion
+{
+    std::string name;
+    Revision revision = 0;
+
+    bool operator==(const DocumentVersion &) const = default;
+};
+
+} // namespace Sequoiausher
