Decide one request's life in a state machine of its own

Why: what may be sent again, and what a client may be told, must not depend on which callback fires first. The flow takes events with the time and gives actions; claim and reservation run side by side, so that admission costs one round trip.

Ruled out: claim first and reserve after (two round trips before each dispatch); callbacks that act at once (re-entrant when the claim is answered by this very router).

A first draft let a second, certain failure hide an earlier uncertain one of an idempotent request ('not run' for what may have run).

--- /dev/null
+++ b/sequoiausher/coordination/flow/requestflow.cpp
@@ -0,0 +1,338 @@
+#include "sequoiausher/coordination/flow/requestflow.h"
+
+namespace Sequoiausher {
+
+namespace {
+
+constexpr int statusConflict = 409;
+constexpr int statusUnprocessable = 422;
+constexpr int statusClientClosed = 499;
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+constexpr int statusTimeout = 504;
+
+enum class Stage {
+    /** Waiting for the claim, the reservation or both. */
+    Admitting,
+    /** Sent to a target; no answer yet. */
+    Dispatched,
+    /** The answer is being relayed from a target. */
+    Relaying,
+    /** The answer comes from another router. */
+    Attached,
+    Done,
+};
+
+enum class Part {
+    NotNeeded,
+    Awaited,
+    Held,
+};
+
+} // namespace
+
+class RequestFlow::Private
+{
+public:
+    explicit Private(const FlowFacts &theFacts) : facts(theFacts)
+    {
+    }
+
+    void giveBack(FlowActions &actions);
+    void finishWith(FlowActions &actions, const FlowAction &last);
+    void refuseNotRun(FlowActions &actions, int status, Refusal reason, Millis retryAfter);
+    void endUnknown(FlowActions &actions, int status, Refusal reason);
+    void dispatchIfReady(FlowActions &actions);
+    bool tryNextTarget(FlowActions &actions);
+    bool tryResume(FlowActions &actions);
+
+    FlowFacts facts;
+    Stage stage = Stage::Admitting;
+    Part claim = Part::NotNeeded;
+    Part reservation = Part::Awaited;
+    TargetId target;
+    std::vector<TargetId> excluded;
+    int dispatches = 0;
+    int resumes = 0;
+    /** The dispatch in progress, or an earlier one, may have run. */
+    bool possiblyRun = false;
+    /** An earlier dispatch of this idempotent request may have run. */
+    bool earlierMayHaveRun = false;
+    bool headRelayed = false;
+};
+
+// Gives back whatever is still held: the reservation always, the claim only where the request surely was not sent.
+// Withdrawing the claim of a request that may have run would let a retry run it a second time.
+void RequestFlow::Private::giveBack(FlowActions &actions)
+{
+    if (this->reservation != Part::NotNeeded) {
+        actions.emplace_back(ReleaseReservation{});
+        this->reservation = Part::NotNeeded;
+    }
+    if (this->claim != Part::NotNeeded && !this->possiblyRun) {
+        actions.emplace_back(WithdrawClaim{});
+    }
+    this->claim = Part::NotNeeded;
+}
+
+void RequestFlow::Private::finishWith(FlowActions &actions, const FlowAction &last)
+{
+    this->giveBack(actions);
+    actions.push_back(last);
+    this->stage = Stage::Done;
+}
+
+void RequestFlow::Private::refuseNotRun(FlowActions &actions, int status, Refusal reason, Millis retryAfter)
+{
+    this->finishWith(actions, Refuse{status, Ran::No, reason, retryAfter});
+}
+
+void RequestFlow::Private::endUnknown(FlowActions &actions, int status, Refusal reason)
+{
+    if (this->headRelayed) {
+        this->finishWith(actions, BreakOff{reason});
+    } else {
+        this->finishWith(actions, Refuse{status, Ran::Unknown, reason, Millis{0}});
+    }
+}
+
+void RequestFlow::Private::dispatchIfReady(FlowActions &actions)
+{
+    if (this->claim == Part::Awaited || this->reservation != Part::Held) {
+        return;
+    }
+    this->stage = Stage::Dispatched;
+    this->dispatches += 1;
+    this->possiblyRun = true;
+    actions.emplace_back(Dispatch{this->target, !this->facts.idempotent});
+}
+
+// Sends the request to another target. Only for requests that surely did not run, or may run twice.
+bool RequestFlow::Private::tryNextTarget(FlowActions &actions)
+{
+    if (this->dispatches >= this->facts.maxDispatches) {
+        return false;
+    }
+    this->earlierMayHaveRun = this->possiblyRun;
+    this->excluded.push_back(this->target);
+    actions.emplace_back(ReleaseReservation{});
+    actions.emplace_back(Reserve{this->excluded});
+    this->reservation = Part::Awaited;
+    this->stage = Stage::Admitting;
+    return true;
+}
+
+bool RequestFlow::Private::tryResume(FlowActions &actions)
+{
+    if (!this->facts.resumable || this->resumes >= this->facts.maxResumes) {
+        return false;
+    }
+    this->resumes += 1;
+    actions.emplace_back(ResumeStream{this->target});
+    return true;
+}
+
+RequestFlow::RequestFlow(const FlowFacts &facts) : d(std::make_unique<Private>(facts))
+{
+}
+
+RequestFlow::~RequestFlow() = default;
+
+FlowActions RequestFlow::start(Millis now)
+{
+    FlowActions actions;
+    if (now >= this->d->facts.deadline) {
+        this->d->reservation = Part::NotNeeded;
+        this->d->refuseNotRun(actions, statusTimeout, Refusal::DeadlinePassed, this->d->facts.retryAfter);
+        return actions;
+    }
+    if (this->d->facts.claims) {
+        this->d->claim = Part::Awaited;
+        actions.emplace_back(StartClaim{});
+    }
+    actions.emplace_back(Reserve{});
+    return actions;
+}
+
+FlowActions RequestFlow::claimed(Millis now, const ClaimFinding &finding)
+{
+    FlowActions actions = this->tick(now);
+    if (this->d->stage != Stage::Admitting || this->d->claim != Part::Awaited) {
+        return actions;
+    }
+    // Only an acquired claim is ours to withdraw later.
+    this->d->claim = finding.result == ClaimResult::Acquired ? Part::Held : Part::NotNeeded;
+    switch (finding.result) {
+    case ClaimResult::Acquired:
+        this->d->dispatchIfReady(actions);
+        break;
+    case ClaimResult::HeldByOther:
+        this->d->giveBack(actions);
+        this->d->stage = Stage::Attached;
+        actions.emplace_back(AttachToHolder{finding.holder, finding.heldBy});
+        break;
+    case ClaimResult::BodyDiffers:
+        this->d->refuseNotRun(actions, statusUnprocessable, Refusal::KeyReused, Millis{0});
+        break;
+    case ClaimResult::NoQuorum:
+        this->d->refuseNotRun(actions, statusUnavailable, Refusal::NoQuorum, finding.retryAfter);
+        break;
+    }
+    return actions;
+}
+
+FlowActions RequestFlow::reserved(Millis now, const ReserveReply &reply)
+{
+    FlowActions actions = this->tick(now);
+    if (this->d->stage != Stage::Admitting || this->d->reservation != Part::Awaited) {
+        // The request ended or attached elsewhere meanwhile; a place granted now must not leak.
+        if (reply.verdict == ReserveVerdict::Granted && this->d->reservation != Part::Held) {
+            actions.emplace_back(ReleaseReservation{});
+        }
+        return actions;
+    }
+    if (reply.verdict == ReserveVerdict::Granted) {
+        this->d->reservation = Part::Held;
+        this->d->target = reply.target;
+        this->d->dispatchIfReady(actions);
+        return actions;
+    }
+    this->d->reservation = Part::NotNeeded;
+    const Millis retryAfter = reply.retryAfter > Millis{0} ? reply.retryAfter : this->d->facts.retryAfter;
+    const Refusal reason = reply.verdict == ReserveVerdict::Full ? Refusal::PoolFull : Refusal::NoTarget;
+    if (this->d->possiblyRun) {
+        // A second dispatch of an idempotent request found no place; the first may have run.
+        this->d->endUnknown(actions, statusBadGateway, reason);
+    } else {
+        this->d->refuseNotRun(actions, statusUnavailable, reason, retryAfter);
+    }
+    return actions;
+}
+
+FlowActions RequestFlow::dispatchTooLate(Millis now)
+{
+    FlowActions actions;
+    if (this->d->stage != Stage::Dispatched) {
+        return actions;
+    }
+    (void)now;
+    this->d->possiblyRun = this->d->earlierMayHaveRun;
+    if (this->d->possiblyRun) {
+        this->d->endUnknown(actions, statusBadGateway, Refusal::WokeLate);
+    } else {
+        this->d->refuseNotRun(actions, statusUnavailable, Refusal::WokeLate, this->d->facts.retryAfter);
+    }
+    return actions;
+}
+
+FlowActions RequestFlow::headArrived(Millis now)
+{
+    FlowActions actions = this->tick(now);
+    if (this->d->stage == Stage::Dispatched) {
+        this->d->stage = Stage::Relaying;
+    }
+    const bool relays = this->d->stage == Stage::Relaying || this->d->stage == Stage::Attached;
+    if (relays && !this->d->headRelayed) {
+        this->d->headRelayed = true;
+        actions.emplace_back(RelayHead{});
+    }
+    return actions;
+}
+
+FlowActions RequestFlow::answerComplete(Millis now)
+{
+    FlowActions actions;
+    (void)now;
+    if (this->d->stage == Stage::Relaying || this->d->stage == Stage::Attached) {
+        this->d->finishWith(actions, RelayEnd{});
+    }
+    return actions;
+}
+
+FlowActions RequestFlow::targetFailed(Millis now, TargetFailure failure)
+{
+    FlowActions actions = this->tick(now);
+    if (this->d->stage != Stage::Dispatched && this->d->stage != Stage::Relaying) {
+        return actions;
+    }
+    const bool surelyNotRun = failure == TargetFailure::NeverSent || failure == TargetFailure::RefusedByTarget;
+    if (surelyNotRun) {
+        this->d->possiblyRun = this->d->earlierMayHaveRun;
+    }
+    const bool mayResume = !surelyNotRun && failure != TargetFailure::CannotResume;
+    const bool mayResend = surelyNotRun || (this->d->facts.idempotent && !this->d->headRelayed);
+    if ((mayResume && this->d->tryResume(actions)) || (mayResend && this->d->tryNextTarget(actions))) {
+        return actions;
+    }
+    if (!this->d->possiblyRun) {
+        this->d->refuseNotRun(actions, statusUnavailable, Refusal::TargetUnreachable, this->d->facts.retryAfter);
+        return actions;
+    }
+    actions.emplace_back(CancelAtTarget{this->d->target});
+    this->d->endUnknown(actions, statusBadGateway, Refusal::OutcomeUnknown);
+    return actions;
+}
+
+FlowActions RequestFlow::attachFailed(Millis now, Ran ran)
+{
+    FlowActions actions = this->tick(now);
+    if (this->d->stage != Stage::Attached) {
+        return actions;
+    }
+    if (ran == Ran::No && !this->d->headRelayed) {
+        this->d->refuseNotRun(actions, statusUnavailable, Refusal::TargetUnreachable, this->d->facts.retryAfter);
+    } else {
+        this->d->endUnknown(actions, statusConflict, Refusal::OutcomeUnknown);
+    }
+    return actions;
+}
+
+FlowActions RequestFlow::clientGone(Millis now)
+{
+    FlowActions actions;
+    (void)now;
+    const bool sent = this->d->stage == Stage::Dispatched || this->d->stage == Stage::Relaying;
+    if (this->d->stage == Stage::Done || (sent && this->d->facts.claims)) {
+        return actions;
+    }
+    if (sent) {
+        actions.emplace_back(CancelAtTarget{this->d->target});
+    }
+    const Ran ran = this->d->possiblyRun ? Ran::Unknown : Ran::No;
+    this->d->finishWith(actions, Refuse{statusClientClosed, ran, Refusal::ClientGone, Millis{0}});
+    return actions;
+}
+
+FlowActions RequestFlow::tick(Millis now)
+{
+    FlowActions actions;
+    if (this->d->stage == Stage::Done || now < this->d->facts.deadline) {
+        return actions;
+    }
+    if (this->d->stage == Stage::Dispatched || this->d->stage == Stage::Relaying) {
+        actions.emplace_back(CancelAtTarget{this->d->target});
+        this->d->endUnknown(actions, statusTimeout, Refusal::DeadlinePassed);
+    } else if (this->d->stage == Stage::Attached || this->d->possiblyRun) {
+        this->d->endUnknown(actions, statusTimeout, Refusal::DeadlinePassed);
+    } else {
+        this->d->refuseNotRun(actions, statusTimeout, Refusal::DeadlinePassed, this->d->facts.retryAfter);
+    }
+    return actions;
+}
+
+Millis RequestFlow::nextDeadline() const
+{
+    return this->isDone() ? Millis::never() : this->d->facts.deadline;
+}
+
+bool RequestFlow::isDone() const
+{
+    return this->d->stage == Stage::Done;
+}
+
+bool RequestFlow::mayHaveRun() const
+{
+    return this->d->possiblyRun;
+}
+
+} // namespace Sequoiausher
