--- /dev/null
+++ b/sequoiausher/protocol/clientapi/answercheck.cpp
@@ -0,0 +1,89 @@
+#include "sequoiausher/protocol/clientapi/answercheck.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+
+namespace Sequoiausher {
+
+namespace {
+
+constexpr std::string_view endMark = "[DONE]";
+
+std::uint64_t countIn(const QJsonObject &object, const char *name)
+{
+    return static_cast<std::uint64_t>(object.value(QLatin1String(name)).toInteger());
+}
+
+TokenUsage readUsage(const QJsonObject &usage)
+{
+    const QJsonObject details = usage.value(QLatin1String("prompt_tokens_details")).toObject();
+    return TokenUsage{
+        countIn(usage, "prompt_tokens"), countIn(details, "cached_tokens"), countIn(usage, "completion_tokens")};
+}
+
+bool hasFinishReason(const QJsonObject &chunk)
+{
+    const QJsonObject choice = chunk.value(QLatin1String("choices")).toArray().first().toObject();
+    return choice.value(QLatin1String("finish_reason")).isString();
+}
+
+} // namespace
+
+AnswerCheck::AnswerCheck(const RequestId &theRequest) : request(theRequest)
+{
+}
+
+ChunkVerdict AnswerCheck::accept(std::string_view data)
+{
+    if (this->complete) {
+        return ChunkVerdict::Foreign;
+    }
+    if (data == endMark) {
+        // Without a finish reason the last chunks were lost, and the answer would pass as whole.
+        if (!this->finished) {
+            return ChunkVerdict::Gap;
+        }
+        this->complete = true;
+        return ChunkVerdict::Pass;
+    }
+    const QByteArray bytes = QByteArray::fromRawData(data.data(), static_cast<qsizetype>(data.size()));
+    const QJsonObject chunk = QJsonDocument::fromJson(bytes).object();
+    const QString expected = QStringLiteral("chatcmpl-") + QString::fromStdString(this->request.toHex());
+    if (chunk.value(QLatin1String("id")).toString() != expected) {
+        return ChunkVerdict::Foreign;
+    }
+    // Engines that number no chunks cannot be resumed; their chunks are counted as they come.
+    const QJsonValue offset = chunk.value(QLatin1String("offset"));
+    const std::uint64_t at = offset.isDouble() ? static_cast<std::uint64_t>(offset.toInteger()) : this->next;
+    if (at < this->next) {
+        return ChunkVerdict::Repeated;
+    }
+    if (at > this->next) {
+        return ChunkVerdict::Gap;
+    }
+    this->next += 1;
+    this->finished = this->finished || hasFinishReason(chunk);
+    const QJsonValue usage = chunk.value(QLatin1String("usage"));
+    if (usage.isObject()) {
+        this->counted = readUsage(usage.toObject());
+    }
+    return ChunkVerdict::Pass;
+}
+
+bool AnswerCheck::isComplete() const
+{
+    return this->complete;
+}
+
+std::uint64_t AnswerCheck::nextOffset() const
+{
+    return this->next;
+}
+
+const TokenUsage &AnswerCheck::usage() const
+{
+    return this->counted;
+}
+
+} // namespace Sequoiausher
