--- a/sequoiausher/coordination/flow/flowaction.h
+++ b/sequoiausher/coordination/flow/flowaction.h
@@ -76,7 +76,7 @@
 };
 
 /** Why a request ends without an answer from a target. */
-enum class Refusal {
+enum class RefusalReason {
     ShedByLimit,
     NoTarget,
     PoolFull,
@@ -91,18 +91,18 @@
 };
 
 template<>
-inline constexpr auto nameTable<Refusal> = std::to_array<NameEntry<Refusal>>({
-    {Refusal::ShedByLimit, "rate_limited"},
-    {Refusal::NoTarget, "no_target"},
-    {Refusal::PoolFull, "pool_full"},
-    {Refusal::NoQuorum, "claim_no_quorum"},
-    {Refusal::KeyReused, "idempotency_key_reused"},
-    {Refusal::DeadlinePassed, "deadline_passed"},
-    {Refusal::WokeLate, "router_paused"},
-    {Refusal::TargetUnreachable, "target_unreachable"},
-    {Refusal::OutcomeUnknown, "outcome_unknown"},
-    {Refusal::ClientGone, "client_gone"},
-    {Refusal::Stopping, "stopping"},
+inline constexpr auto nameTable<RefusalReason> = std::to_array<NameEntry<RefusalReason>>({
+    {RefusalReason::ShedByLimit, "rate_limited"},
+    {RefusalReason::NoTarget, "no_target"},
+    {RefusalReason::PoolFull, "pool_full"},
+    {RefusalReason::NoQuorum, "claim_no_quorum"},
+    {RefusalReason::KeyReused, "idempotency_key_reused"},
+    {RefusalReason::DeadlinePassed, "deadline_passed"},
+    {RefusalReason::WokeLate, "router_paused"},
+    {RefusalReason::TargetUnreachable, "target_unreachable"},
+    {RefusalReason::OutcomeUnknown, "outcome_unknown"},
+    {RefusalReason::ClientGone, "client_gone"},
+    {RefusalReason::Stopping, "stopping"},
 });
 
 /** Claim the request's idempotency key. */
@@ -168,7 +168,7 @@
 {
     int status = 0;
     Ran ran = Ran::No;
-    Refusal reason = Refusal::NoTarget;
+    RefusalReason reason = RefusalReason::NoTarget;
     /** Zero: trying again is of no use. */
     Millis retryAfter;
 };
@@ -176,7 +176,7 @@
 /** The answer began and cannot be completed: an explicit error event, or a broken body. */
 struct BreakOff
 {
-    Refusal reason = Refusal::OutcomeUnknown;
+    RefusalReason reason = RefusalReason::OutcomeUnknown;
 };
 
 using FlowAction = std::variant<StartClaim,
--- a/sequoiausher/coordination/flow/requestflow.cpp
+++ b/sequoiausher/coordination/flow/requestflow.cpp
@@ -40,8 +40,8 @@
 
     void giveBack(FlowActions &actions);
     void finishWith(FlowActions &actions, const FlowAction &last);
-    void refuseNotRun(FlowActions &actions, int status, Refusal reason, Millis retryAfter);
-    void endUnknown(FlowActions &actions, int status, Refusal reason);
+    void refuseNotRun(FlowActions &actions, int status, RefusalReason reason, Millis retryAfter);
+    void endUnknown(FlowActions &actions, int status, RefusalReason reason);
     void dispatchIfReady(FlowActions &actions);
     bool tryNextTarget(FlowActions &actions);
     bool tryResume(FlowActions &actions);
@@ -82,12 +82,12 @@
     this->stage = Stage::Done;
 }
 
-void RequestFlow::Private::refuseNotRun(FlowActions &actions, int status, Refusal reason, Millis retryAfter)
+void RequestFlow::Private::refuseNotRun(FlowActions &actions, int status, RefusalReason reason, Millis retryAfter)
 {
     this->finishWith(actions, Refuse{status, Ran::No, reason, retryAfter});
 }
 
-void RequestFlow::Private::endUnknown(FlowActions &actions, int status, Refusal reason)
+void RequestFlow::Private::endUnknown(FlowActions &actions, int status, RefusalReason reason)
 {
     if (this->headRelayed) {
         this->finishWith(actions, BreakOff{reason});
@@ -143,7 +143,7 @@
     FlowActions actions;
     if (now >= this->d->facts.deadline) {
         this->d->reservation = Part::NotNeeded;
-        this->d->refuseNotRun(actions, statusTimeout, Refusal::DeadlinePassed, this->d->facts.retryAfter);
+        this->d->refuseNotRun(actions, statusTimeout, RefusalReason::DeadlinePassed, this->d->facts.retryAfter);
         return actions;
     }
     if (this->d->facts.claims) {
@@ -172,10 +172,10 @@
         actions.emplace_back(AttachToHolder{finding.holder, finding.heldBy});
         break;
     case ClaimResult::BodyDiffers:
-        this->d->refuseNotRun(actions, statusUnprocessable, Refusal::KeyReused, Millis{0});
+        this->d->refuseNotRun(actions, statusUnprocessable, RefusalReason::KeyReused, Millis{0});
         break;
     case ClaimResult::NoQuorum:
-        this->d->refuseNotRun(actions, statusUnavailable, Refusal::NoQuorum, finding.retryAfter);
+        this->d->refuseNotRun(actions, statusUnavailable, RefusalReason::NoQuorum, finding.retryAfter);
         break;
     }
     return actions;
@@ -199,7 +199,8 @@
     }
     this->d->reservation = Part::NotNeeded;
     const Millis retryAfter = reply.retryAfter > Millis{0} ? reply.retryAfter : this->d->facts.retryAfter;
-    const Refusal reason = reply.verdict == ReserveVerdict::Full ? Refusal::PoolFull : Refusal::NoTarget;
+    const RefusalReason reason
+        = reply.verdict == ReserveVerdict::Full ? RefusalReason::PoolFull : RefusalReason::NoTarget;
     if (this->d->possiblyRun) {
         // A second dispatch of an idempotent request found no place; the first may have run.
         this->d->endUnknown(actions, statusBadGateway, reason);
@@ -218,9 +219,9 @@
     (void)now;
     this->d->possiblyRun = this->d->earlierMayHaveRun;
     if (this->d->possiblyRun) {
-        this->d->endUnknown(actions, statusBadGateway, Refusal::WokeLate);
+        this->d->endUnknown(actions, statusBadGateway, RefusalReason::WokeLate);
     } else {
-        this->d->refuseNotRun(actions, statusUnavailable, Refusal::WokeLate, this->d->facts.retryAfter);
+        this->d->refuseNotRun(actions, statusUnavailable, RefusalReason::WokeLate, this->d->facts.retryAfter);
     }
     return actions;
 }
@@ -265,11 +266,11 @@
         return actions;
     }
     if (!this->d->possiblyRun) {
-        this->d->refuseNotRun(actions, statusUnavailable, Refusal::TargetUnreachable, this->d->facts.retryAfter);
+        this->d->refuseNotRun(actions, statusUnavailable, RefusalReason::TargetUnreachable, this->d->facts.retryAfter);
         return actions;
     }
     actions.emplace_back(CancelAtTarget{this->d->target});
-    this->d->endUnknown(actions, statusBadGateway, Refusal::OutcomeUnknown);
+    this->d->endUnknown(actions, statusBadGateway, RefusalReason::OutcomeUnknown);
     return actions;
 }
 
@@ -280,9 +281,9 @@
         return actions;
     }
     if (ran == Ran::No && !this->d->headRelayed) {
-        this->d->refuseNotRun(actions, statusUnavailable, Refusal::TargetUnreachable, this->d->facts.retryAfter);
+        this->d->refuseNotRun(actions, statusUnavailable, RefusalReason::TargetUnreachable, this->d->facts.retryAfter);
     } else {
-        this->d->endUnknown(actions, statusConflict, Refusal::OutcomeUnknown);
+        this->d->endUnknown(actions, statusConflict, RefusalReason::OutcomeUnknown);
     }
     return actions;
 }
@@ -299,7 +300,7 @@
         actions.emplace_back(CancelAtTarget{this->d->target});
     }
     const Ran ran = this->d->possiblyRun ? Ran::Unknown : Ran::No;
-    this->d->finishWith(actions, Refuse{statusClientClosed, ran, Refusal::ClientGone, Millis{0}});
+    this->d->finishWith(actions, Refuse{statusClientClosed, ran, RefusalReason::ClientGone, Millis{0}});
     return actions;
 }
 
@@ -311,11 +312,11 @@
     }
     if (this->d->stage == Stage::Dispatched || this->d->stage == Stage::Relaying) {
         actions.emplace_back(CancelAtTarget{this->d->target});
-        this->d->endUnknown(actions, statusTimeout, Refusal::DeadlinePassed);
+        this->d->endUnknown(actions, statusTimeout, RefusalReason::DeadlinePassed);
     } else if (this->d->stage == Stage::Attached || this->d->possiblyRun) {
-        this->d->endUnknown(actions, statusTimeout, Refusal::DeadlinePassed);
+        this->d->endUnknown(actions, statusTimeout, RefusalReason::DeadlinePassed);
     } else {
-        this->d->refuseNotRun(actions, statusTimeout, Refusal::DeadlinePassed, this->d->facts.retryAfter);
+        this->d->refuseNotRun(actions, statusTimeout, RefusalReason::DeadlinePassed, this->d->facts.retryAfter);
     }
     return actions;
 }
--- a/sequoiausher/coordination/flow/requestflowtest.cpp
+++ b/sequoiausher/coordination/flow/requestflowtest.cpp
@@ -206,7 +206,7 @@
     const FlowActions actions = flow->dispatchTooLate(start + Millis{4000});
     REQUIRE(has<Refuse>(actions));
     CHECK(find<Refuse>(actions)->ran == Ran::No);
-    CHECK(find<Refuse>(actions)->reason == Refusal::WokeLate);
+    CHECK(find<Refuse>(actions)->reason == RefusalReason::WokeLate);
     CHECK(has<WithdrawClaim>(actions));
 }
 
--- a/sequoiausher/protocol/clientapi/clientrequest.h
+++ b/sequoiausher/protocol/clientapi/clientrequest.h
@@ -7,7 +7,7 @@
 //     request.requestClass;    // RequestClass::Urgent
 
 #include "sequoiausher/base/millis.h"
-#include "sequoiausher/base/nametable.h"
+#include "sequoiausher/base/requestclass.h"
 #include "sequoiausher/protocol/clientapi/apierror.h"
 
 #include <functional>
@@ -18,20 +18,6 @@
 
 namespace Sequoiausher {
 
-/** How urgent a request is, most urgent first. */
-enum class RequestClass {
-    Urgent,
-    Interactive,
-    Background,
-};
-
-template<>
-inline constexpr auto nameTable<RequestClass> = std::to_array<NameEntry<RequestClass>>({
-    {RequestClass::Urgent, "urgent"},
-    {RequestClass::Interactive, "interactive"},
-    {RequestClass::Background, "background"},
-});
-
 /** The request cannot be served as it is; error says which header or field is at fault. */
 class BadRequest : public std::runtime_error
 {
