Count reservations exactly at the owner of a shard

Late reports and a router's own sliver of the traffic cannot keep an engine below a multiple of the mean; one counter can. Counts are soft state that reports replace, releases are remembered for a while so that a reservation arriving after its release is not counted, and while counts may be too low a target counts as the larger of count and report. Always taking the larger was ruled out: a report that lags would hold back targets that are free already.

--- /dev/null
+++ b/sequoiausher/coordination/admission/shardowner.h
@@ -0,0 +1,86 @@
+#pragma once
+
+// The one router that counts what is in flight on the targets of a shard, and chooses targets by these counts.
+//
+//     ShardOwner owner(shard, OwnerSettings{}, seed, now);
+//     owner.setTargets(now, map.targetsOf(shard));
+//     owner.setEntries(map.instances());
+//     owner.receive(now, from, reserveRequest, outbox);   // outbox: ReserveReply
+//
+// Whatever the policy, a settled owner grants a target only while its count stays within loadBound() of the shard.
+// Counts are soft state: each entry reports what it holds, and the report replaces what was counted for it. While
+// counts may be too low (new owner, entry lost, work that others placed), a target counts as the larger of the count
+// and its own reported load.
+
+#include "sequoiausher/coordination/admission/shardmap.h"
+#include "sequoiausher/coordination/messages/peermessage.h"
+
+namespace Sequoiausher {
+
+struct OwnerSettings
+{
+    /** An entry that holds something and says nothing for this long is taken for dead. Three report intervals. */
+    Millis entrySilence{15000};
+    /** A new owner trusts its counts after this long, though not every entry has reported. */
+    Millis settleTime{10000};
+    /** How long a target's own report counts after holdings on it were dropped or foreign work was seen. */
+    Millis doubtTime{5000};
+    /** Reported loads older than this say nothing. */
+    Millis reportLife{3000};
+    /** A grant younger than this survives a report without it: the report may have been sent before. */
+    Millis reportGrace{2000};
+    /** How long a release is remembered for a reservation that arrives after it. */
+    Millis releaseMemory{30000};
+    /** What a full shard tells the entry. */
+    Millis retryAfter{1000};
+
+    bool operator==(const OwnerSettings &) const = default;
+};
+
+/** The counter of one shard. */
+class ShardOwner
+{
+public:
+    ShardOwner(const ShardId &shard, const OwnerSettings &settings, std::uint64_t seed, Millis now);
+    ~ShardOwner();
+    ShardOwner(const ShardOwner &) = delete;
+    ShardOwner &operator=(const ShardOwner &) = delete;
+
+    /** The shard's targets; those that are leaving get nothing new but are counted until they are empty. */
+    void setTargets(Millis now, const std::vector<TargetView> &targets);
+
+    /** The live routers. The owner is unsettled until each of those given first has reported or left the list. */
+    void setEntries(const std::vector<InstanceId> &entries);
+
+    /** The entry is known to have died: what it held is no longer counted. */
+    void dropEntry(Millis now, const InstanceId &entry);
+
+    /** What a target said of its load, measured at measuredAt by this process's clock. */
+    void reportLoad(Millis now, const TargetId &target, std::uint32_t load, Millis measuredAt);
+
+    /** Answers with a ReserveReply, but for a reservation that was released before it arrived. */
+    void receive(Millis now, const InstanceId &from, const ReserveRequest &message, Outbox &outbox);
+    void receive(Millis now, const InstanceId &from, const Release &message);
+    void receive(Millis now, const InstanceId &from, const HoldingsReport &message);
+
+    /** Drops silent entries and old memories. Call about once a second. */
+    void tick(Millis now);
+
+    /** Whether the counts are complete as far as the owner can know. */
+    bool settled(Millis now) const;
+
+    /** For heartbeats: what counts on the live targets. */
+    ShardSum sum(Millis now) const;
+
+    /** Reservations counted on the target, whatever the target reports. */
+    std::uint32_t counted(const TargetId &target) const;
+
+    /** All reservations counted. */
+    std::size_t holdings() const;
+
+private:
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace Sequoiausher
