--- a/sequoiausher/coordination/messages/membershipmessages.h
+++ b/sequoiausher/coordination/messages/membershipmessages.h
@@ -3,6 +3,7 @@
 // Messages by which routers learn of each other's lives, of targets that leave, and of how loaded the shards are.
 
 #include "sequoiausher/base/identifiers.h"
+#include "sequoiausher/base/millis.h"
 #include "sequoiausher/state/targets/lifestate.h"
 
 #include <vector>
@@ -27,6 +28,20 @@
     bool operator==(const TargetNews &) const = default;
 };
 
+/**
+ * Whether one router answers probes. Merges by (incarnation, refutation, suspected): a suspected router that hears of
+ * it raises its refutation by one, which beats the suspicion everywhere. Saves time only and decides no safety.
+ */
+struct ReachNews
+{
+    InstanceId instance;
+    Incarnation incarnation = 0;
+    std::uint32_t refutation = 0;
+    bool suspected = false;
+
+    bool operator==(const ReachNews &) const = default;
+};
+
 /** What the owner of a shard counts in it. */
 struct ShardSum
 {
@@ -34,6 +49,8 @@
     std::uint32_t shard = 0;
     std::uint32_t inFlight = 0;
     std::uint32_t targets = 0;
+    /** How long ago the owner counted, as far as the routers on the way know; the younger sum replaces the older. */
+    Millis age;
 
     bool operator==(const ShardSum &) const = default;
 };
@@ -44,10 +61,13 @@
     std::vector<InstanceNews> instances;
     std::vector<TargetNews> targets;
     std::vector<ShardSum> sums;
+    std::vector<ReachNews> reach;
     /** Hash over the names and revisions of all documents known. */
     std::uint64_t documentsDigest = 0;
     /** Highest revision among them. */
     Revision highestRevision = 0;
+    /** How long ago some router last had an answer from the configuration service, as far as the sender knows. */
+    Millis serviceAge;
 
     bool operator==(const Gossip &) const = default;
 };
@@ -55,6 +75,7 @@
 /** Are you there? */
 struct Probe
 {
+    /** 0: no answer is wanted, the message only carries news. */
     std::uint64_t sequence = 0;
     Gossip gossip;
 
