Add membership and the spread of documents as state machines

Cause: routers must learn of each other, of leaving targets and of new configuration without a store, within a budget of bytes that does not grow with the fleet.

Change: Membership probes one router a period, tells bounded news on probes and answers, pushes leaving targets at once, and discards suspicions after its own pause. Spread chooses readers by rendezvous, pushes bodies down one tree and announcements down another, and repairs by bucketed digests.

Ruled out: trees rooted at the reader (three readers would send three copies to all; a dead reader cuts the tree), so the root is nobody; ages without an allowance per hop, which never grow between two routers that echo them.

--- /dev/null
+++ b/sequoiausher/coordination/membership/membership.cpp
@@ -0,0 +1,381 @@
+#include "sequoiausher/coordination/membership/membership.h"
+
+#include "sequoiausher/coordination/membership/lifetable.h"
+#include "sequoiausher/coordination/membership/prober.h"
+#include "sequoiausher/coordination/membership/reachability.h"
+#include "sequoiausher/coordination/membership/sumtable.h"
+
+#include <algorithm>
+#include <bit>
+#include <map>
+#include <random>
+#include <utility>
+
+namespace Sequoiausher {
+
+namespace {
+
+constexpr std::int64_t wholePercent = 100;
+
+/** A probe that this router passed on for another. */
+struct RelayedProbe
+{
+    InstanceId asker;
+    std::uint64_t sequence = 0;
+    Millis until;
+};
+
+} // namespace
+
+class Membership::Private
+{
+public:
+    Private(OwnInstance own, std::uint64_t seed, const MembershipSettings &given)
+        : self(std::move(own))
+        , settings(given)
+        , random(seed)
+        , reachability(self.instance, self.incarnation, given.suspectFor)
+        , prober({given.probeTimeout,
+                  given.indirectTimeout,
+                  given.indirectProbes,
+                  given.ownDataCentrePercent,
+                  given.unreachableEvery})
+        , sums(given.sumLifetime)
+    {
+        this->instances.lives[this->self.instance] = {this->self.incarnation, LifeState::Live};
+    }
+
+    OwnInstance self;
+    MembershipSettings settings;
+    std::mt19937_64 random;
+    Reachability reachability;
+    Prober prober;
+    SumTable sums;
+    LifeTable<InstanceId> instances;
+    LifeTable<TargetId> targets;
+    std::vector<ListedInstance> platformList;
+    std::map<std::uint64_t, RelayedProbe> relayed;
+    std::vector<MembershipEvent> events;
+    DocumentState documents;
+    std::uint64_t lastSequence = 0;
+    std::optional<Millis> lastTick;
+    Millis nextProbe;
+
+    std::uint32_t sendLimit() const;
+    bool isGone(const InstanceId &instance) const;
+    std::vector<InstanceId> peersToTell();
+    Gossip gossipWithoutNews() const;
+    Gossip gossipFor(Millis now, const InstanceId &to);
+    void merge(Millis now, const Gossip &gossip);
+    void noteTarget(const TargetNews &news);
+    void noteInstance(const InstanceNews &news);
+    void noteReachability();
+    void probeNext(Millis now, Outbox &outbox);
+    void pushUrgent(Outbox &outbox);
+    void announce(LifeState state, Outbox &outbox);
+};
+
+std::uint32_t Membership::Private::sendLimit() const
+{
+    const auto logarithm = static_cast<std::uint32_t>(std::bit_width(this->platformList.size() + 1));
+    return this->settings.sendsPerLog * logarithm;
+}
+
+bool Membership::Private::isGone(const InstanceId &instance) const
+{
+    const auto life = this->instances.find(instance);
+    return life && life->state == LifeState::Gone;
+}
+
+std::vector<InstanceId> Membership::Private::peersToTell()
+{
+    std::vector<InstanceId> peers;
+    for (const ListedInstance &row : this->platformList) {
+        if (row.instance != this->self.instance && this->reachability.isReachable(row.instance)
+            && !this->isGone(row.instance)) {
+            peers.push_back(row.instance);
+        }
+    }
+    const std::size_t count = std::min(this->settings.urgentFanOut, peers.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        std::swap(peers[i], peers[i + this->random() % (peers.size() - i)]);
+    }
+    peers.resize(count);
+    return peers;
+}
+
+Gossip Membership::Private::gossipWithoutNews() const
+{
+    Gossip gossip;
+    gossip.instances.push_back({this->self.instance, this->instances.lives.at(this->self.instance)});
+    gossip.documentsDigest = this->documents.digest;
+    gossip.highestRevision = this->documents.highestRevision;
+    gossip.serviceAge = this->documents.serviceAge;
+    return gossip;
+}
+
+Gossip Membership::Private::gossipFor(Millis now, const InstanceId &to)
+{
+    Gossip gossip = this->gossipWithoutNews();
+    for (const InstanceId &id : this->instances.queue.take(this->settings.instancesPerMessage, this->sendLimit())) {
+        gossip.instances.push_back({id, this->instances.lives.at(id)});
+    }
+    for (const TargetId &id : this->targets.queue.take(this->settings.targetsPerMessage, this->sendLimit())) {
+        gossip.targets.push_back({id, this->targets.lives.at(id)});
+    }
+    gossip.sums = this->sums.takeNews(now, this->settings.sumsPerMessage, this->sendLimit());
+    gossip.reach = this->reachability.takeNews(this->settings.reachPerMessage, this->sendLimit());
+    if (const auto suspicion = this->reachability.suspicionOf(to)) {
+        gossip.reach.push_back(*suspicion);
+    }
+    return gossip;
+}
+
+void Membership::Private::merge(Millis now, const Gossip &gossip)
+{
+    for (const InstanceNews &news : gossip.instances) {
+        this->noteInstance(news);
+    }
+    for (const TargetNews &news : gossip.targets) {
+        this->noteTarget(news);
+    }
+    for (const ShardSum &sum : gossip.sums) {
+        this->sums.merge(now, sum);
+    }
+    for (const ReachNews &news : gossip.reach) {
+        this->reachability.merge(now, news);
+    }
+    this->noteReachability();
+}
+
+void Membership::Private::noteTarget(const TargetNews &news)
+{
+    if (this->targets.merge(news.target, news.life)) {
+        this->events.push_back({MembershipEventKind::TargetChanged, {}, news.target, news.life});
+    }
+}
+
+void Membership::Private::noteInstance(const InstanceNews &news)
+{
+    // Only this router itself says what becomes of it.
+    if (news.instance != this->self.instance && this->instances.merge(news.instance, news.life)) {
+        this->reachability.noteLife(news.instance, news.life.incarnation);
+        this->events.push_back({MembershipEventKind::InstanceChanged, news.instance, {}, news.life});
+    }
+}
+
+void Membership::Private::noteReachability()
+{
+    for (const InstanceId &instance : this->reachability.takeChanged()) {
+        this->events.push_back({MembershipEventKind::ReachabilityChanged, instance, {}, {}});
+    }
+}
+
+void Membership::Private::probeNext(Millis now, Outbox &outbox)
+{
+    const std::int64_t jitter = this->settings.period.count * this->settings.jitterPercent / wholePercent;
+    const auto span = static_cast<std::uint64_t>(2 * jitter + 1);
+    this->nextProbe = now + this->settings.period + Millis{static_cast<std::int64_t>(this->random() % span) - jitter};
+    const auto peer = this->prober.next(this->random, this->reachability.unreachable());
+    if (!peer) {
+        return;
+    }
+    const std::uint64_t sequence = ++this->lastSequence;
+    this->prober.sent(now, sequence, *peer);
+    outbox.push_back({*peer, Probe{sequence, this->gossipFor(now, *peer)}});
+}
+
+/**
+ * Who has just heard that a target leaves tells a few others at once, and these do the same. With plain gossip alone
+ * the news would take a period per step, and new work would go to a leaving target for seconds.
+ */
+void Membership::Private::pushUrgent(Outbox &outbox)
+{
+    while (!this->targets.urgent.empty() || !this->instances.urgent.empty()) {
+        Gossip gossip = this->gossipWithoutNews();
+        const auto room = [&] { return gossip.targets.size() < this->settings.urgentPerMessage; };
+        while (!this->targets.urgent.empty() && room()) {
+            const TargetId id = *this->targets.urgent.begin();
+            gossip.targets.push_back({id, this->targets.lives.at(id)});
+            this->targets.urgent.erase(id);
+        }
+        while (!this->instances.urgent.empty() && gossip.instances.size() < this->settings.urgentPerMessage) {
+            const InstanceId id = *this->instances.urgent.begin();
+            gossip.instances.push_back({id, this->instances.lives.at(id)});
+            this->instances.urgent.erase(id);
+        }
+        for (const InstanceId &peer : this->peersToTell()) {
+            outbox.push_back({peer, Probe{0, gossip}});
+        }
+    }
+}
+
+void Membership::Private::announce(LifeState state, Outbox &outbox)
+{
+    if (this->instances.merge(this->self.instance, {this->self.incarnation, state})) {
+        this->pushUrgent(outbox);
+    }
+}
+
+Membership::Membership(OwnInstance self, std::uint64_t seed, const MembershipSettings &settings)
+    : d(std::make_unique<Private>(std::move(self), seed, settings))
+{
+}
+Membership::~Membership() = default;
+
+void Membership::setListed(const std::vector<ListedInstance> &listed)
+{
+    this->d->platformList = listed;
+    std::vector<InstanceId> near;
+    std::vector<InstanceId> far;
+    for (const ListedInstance &row : listed) {
+        if (row.instance != this->d->self.instance) {
+            (row.dataCentre == this->d->self.dataCentre ? near : far).push_back(row.instance);
+        }
+    }
+    this->d->prober.setPeers(std::move(near), std::move(far));
+    this->d->reachability.setListed(this->listed());
+}
+
+void Membership::tick(Millis now, Outbox &outbox)
+{
+    const bool slept = this->d->lastTick && now - *this->d->lastTick > this->d->settings.pauseLimit;
+    this->d->lastTick = now;
+    if (slept) {
+        // Every probe of before the pause looks unanswered now. Acting on that, the process that slept would declare
+        // the whole fleet unreachable; it shows as all peers lost at once right after a pause.
+        this->d->prober.discardOpen();
+        this->d->reachability.discardSuspicions();
+        this->d->relayed.clear();
+        this->d->events.push_back({MembershipEventKind::WokeLate, {}, {}, {}});
+    }
+    for (const InstanceId &silent : this->d->prober.tick(now, this->d->random, outbox)) {
+        this->d->reachability.suspect(now, silent);
+    }
+    this->d->reachability.tick(now);
+    this->d->noteReachability();
+    this->d->sums.dropOld(now);
+    std::erase_if(this->d->relayed, [now](const auto &entry) { return now >= entry.second.until; });
+    this->d->pushUrgent(outbox);
+    if (now >= this->d->nextProbe) {
+        this->d->probeNext(now, outbox);
+    }
+}
+
+void Membership::receive(Millis now, const InstanceId &from, const Probe &probe, Outbox &outbox)
+{
+    this->heardFrom(from);
+    this->d->merge(now, probe.gossip);
+    if (probe.sequence != 0) {
+        outbox.push_back({from, ProbeReply{probe.sequence, this->d->self.instance, this->d->gossipFor(now, from)}});
+    }
+}
+
+void Membership::receive(Millis now, const InstanceId &from, const ProbeReply &reply, Outbox &outbox)
+{
+    this->heardFrom(from);
+    this->d->merge(now, reply.gossip);
+    this->d->prober.answered(reply.sequence);
+    const auto relayed = this->d->relayed.find(reply.sequence);
+    if (relayed != this->d->relayed.end()) {
+        const RelayedProbe &asked = relayed->second;
+        outbox.push_back({asked.asker, ProbeReply{asked.sequence, reply.about, this->d->gossipFor(now, asked.asker)}});
+        this->d->relayed.erase(relayed);
+    }
+}
+
+void Membership::receive(Millis now, const InstanceId &from, const IndirectProbe &probe, Outbox &outbox)
+{
+    this->heardFrom(from);
+    const std::uint64_t sequence = ++this->d->lastSequence;
+    this->d->relayed[sequence] = {from, probe.sequence, now + this->d->settings.indirectTimeout};
+    outbox.push_back({probe.suspect, Probe{sequence, this->d->gossipFor(now, probe.suspect)}});
+}
+
+void Membership::heardFrom(const InstanceId &from)
+{
+    this->d->reachability.heardFrom(from);
+    this->d->noteReachability();
+}
+
+void Membership::announceLeaving(Outbox &outbox)
+{
+    this->d->announce(LifeState::Leaving, outbox);
+}
+
+void Membership::announceGone(Outbox &outbox)
+{
+    this->d->announce(LifeState::Gone, outbox);
+}
+
+void Membership::targetNews(const TargetNews &news)
+{
+    this->d->noteTarget(news);
+}
+
+std::optional<LifeNews> Membership::target(const TargetId &target) const
+{
+    return this->d->targets.find(target);
+}
+
+std::optional<LifeNews> Membership::instance(const InstanceId &instance) const
+{
+    return this->d->instances.find(instance);
+}
+
+void Membership::setSums(Millis now, const std::vector<ShardSum> &sums)
+{
+    this->d->sums.setOwn(now, sums);
+}
+
+std::vector<ShardSum> Membership::sums(Millis now) const
+{
+    return this->d->sums.all(now);
+}
+
+void Membership::setDocuments(const DocumentState &state)
+{
+    this->d->documents = state;
+}
+
+std::vector<InstanceId> Membership::listed() const
+{
+    std::vector<InstanceId> instances;
+    for (const ListedInstance &row : this->d->platformList) {
+        instances.push_back(row.instance);
+    }
+    return instances;
+}
+
+std::vector<InstanceId> Membership::reachable() const
+{
+    std::vector<InstanceId> instances{this->d->self.instance};
+    for (const ListedInstance &row : this->d->platformList) {
+        if (row.instance != this->d->self.instance && this->isReachable(row.instance)) {
+            instances.push_back(row.instance);
+        }
+    }
+    return instances;
+}
+
+std::vector<InstanceId> Membership::live() const
+{
+    std::vector<InstanceId> instances = this->reachable();
+    std::erase_if(instances, [this](const InstanceId &id) {
+        const auto life = this->instance(id);
+        return life && life->state != LifeState::Live;
+    });
+    return instances;
+}
+
+bool Membership::isReachable(const InstanceId &instance) const
+{
+    return this->d->reachability.isReachable(instance) && !this->d->isGone(instance);
+}
+
+std::vector<MembershipEvent> Membership::takeEvents()
+{
+    return std::exchange(this->d->events, {});
+}
+
+} // namespace Sequoiausher
--- a/sequoiausher/coordination/messages/documentmessages.h
+++ b/sequoiausher/coordination/messages/documentmessages.h
@@ -13,7 +13,7 @@
 struct DocumentPush
 {
     std::vector<Document> documents;
-    /** How often these were passed on already; bounds the spread. */
+    /** How often these were passed on already, which bounds the spread; 0 in the answer to a pull and in a repair. */
     std::uint32_t hops = 0;
 
     bool operator==(const DocumentPush &) const = default;
--- a/sequoiausher/coordination/messages/membershipmessages.h
+++ b/sequoiausher/coordination/messages/membershipmessages.h
@@ -66,8 +66,9 @@
     std::uint64_t documentsDigest = 0;
     /** Highest revision among them. */
     Revision highestRevision = 0;
-    /** How long ago some router last had an answer from the configuration service, as far as the sender knows. */
-    Millis serviceAge;
+    /** How long ago some router last had an answer from the configuration service, as far as the sender knows;
+     *  negative where it knows of no answer. */
+    Millis serviceAge{-1};
 
     bool operator==(const Gossip &) const = default;
 };
--- /dev/null
+++ b/sequoiausher/coordination/spread/spread.cpp
@@ -0,0 +1,461 @@
+#include "sequoiausher/coordination/spread/spread.h"
+
+#include "sequoiausher/base/hashing.h"
+#include "sequoiausher/coordination/spread/digestexchange.h"
+#include "sequoiausher/coordination/spread/relaytree.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+
+namespace Sequoiausher {
+
+namespace {
+
+/** More than a message takes between two routers. */
+constexpr Millis hopAllowance{500};
+constexpr std::string_view readersKey = "configuration readers";
+/** Apart from the tree of bodies, so that one dead router does not cut the same peers off from both. */
+constexpr std::uint64_t announceSeed = 1;
+
+std::uint64_t treeKey(const Document &document, std::uint64_t seed)
+{
+    return hash64(document.name, document.revision * 2 + seed);
+}
+
+bool contains(const std::vector<InstanceId> &members, const InstanceId &id)
+{
+    return std::find(members.begin(), members.end(), id) != members.end();
+}
+
+/** An announced document that has not arrived yet. */
+struct Awaited
+{
+    Revision revision = 0;
+    InstanceId announcer;
+    Millis pullAt;
+};
+
+} // namespace
+
+class Spread::Private
+{
+public:
+    Private(InstanceId ownName, std::uint64_t seed, const SpreadSettings &given)
+        : self(std::move(ownName))
+        , settings(given)
+        , random(seed)
+        , exchange(settings.pushBytes)
+    {
+    }
+
+    InstanceId self;
+    SpreadSettings settings;
+    std::mt19937_64 random;
+    DocumentTable table;
+    DigestExchange exchange;
+
+    RelayTree tree;
+    std::set<InstanceId> reachable;
+    std::vector<InstanceId> peers;
+    /** Place of this router among the readers of either list. */
+    std::size_t readerRank = 0;
+
+    bool ready = false;
+    std::set<InstanceId> syncedWith;
+    std::map<std::string, Awaited> awaited;
+    /** Until when another pull of a name waits for the running one. */
+    std::map<std::string, Millis> pulling;
+    std::optional<Millis> refreshUntil;
+    std::optional<Millis> differsSince;
+    Millis changedAt;
+    Millis nextSync;
+    Millis nextCompare;
+    Millis lastService;
+    bool serviceSeen = false;
+    std::optional<Millis> startedAt;
+    std::optional<Millis> aloneSince;
+    Millis ownDelay;
+
+    std::size_t rankIn(const std::vector<InstanceId> &members) const;
+    std::size_t allowedReaders(Millis now) const;
+    std::size_t syncTarget() const;
+    void start(Millis now);
+    void noteService(Millis at);
+    bool store(Millis now, const Document &document);
+    void pass(const std::vector<Document> &documents, std::uint32_t hops, bool atRoot, Outbox &outbox);
+    void pull(Millis now, const InstanceId &from, const std::vector<DocumentVersion> &versions, Outbox &outbox);
+    void compareWith(const InstanceId &peer, Outbox &outbox);
+    void compareWithSome(Millis now, Outbox &outbox);
+    void noteSynced(const InstanceId &peer);
+    void pullOverdue(Millis now, Outbox &outbox);
+};
+
+std::size_t Spread::Private::rankIn(const std::vector<InstanceId> &members) const
+{
+    const auto order = rendezvousTop(members, hash64(readersKey), this->settings.maxReaders);
+    return static_cast<std::size_t>(std::find(order.begin(), order.end(), this->self) - order.begin());
+}
+
+/**
+ * While no router has an answer, the readers may be the ones that are cut off from the service rather than the
+ * service being down; that would show as a serviceAge that grows while other routers could read. So the number of
+ * readers doubles with each further silent span, up to a limit that keeps the read budget.
+ */
+std::size_t Spread::Private::allowedReaders(Millis now) const
+{
+    std::size_t allowed = this->settings.readers;
+    Millis silent = now - this->lastService;
+    while (this->serviceSeen && silent >= this->settings.serviceSilent && allowed < this->settings.maxReaders) {
+        allowed = std::min(allowed * 2, this->settings.maxReaders);
+        silent = silent - this->settings.serviceSilent;
+    }
+    return allowed;
+}
+
+std::size_t Spread::Private::syncTarget() const
+{
+    return std::min(this->settings.syncPeers, this->peers.size());
+}
+
+void Spread::Private::start(Millis now)
+{
+    if (this->startedAt) {
+        return;
+    }
+    this->startedAt = now;
+    this->aloneSince = now;
+    this->lastService = now;
+    const auto span = static_cast<std::uint64_t>(std::max<std::int64_t>(this->settings.backOff.count, 1));
+    this->ownDelay = Millis{static_cast<std::int64_t>(this->random() % span)};
+}
+
+void Spread::Private::noteService(Millis at)
+{
+    this->lastService = std::max(this->lastService, at);
+    this->serviceSeen = true;
+}
+
+bool Spread::Private::store(Millis now, const Document &document)
+{
+    if (!this->table.learn(document)) {
+        return false;
+    }
+    this->changedAt = now;
+    this->pulling.erase(document.name);
+    const auto waited = this->awaited.find(document.name);
+    if (waited != this->awaited.end() && waited->second.revision <= document.revision) {
+        this->awaited.erase(waited);
+    }
+    this->exchange.learnt(document);
+    return true;
+}
+
+/**
+ * Bodies go to the children in one tree, bare announcements to those in another. A peer whose parent in the first tree
+ * died or lost the push hears of the document from the second and pulls it within announceDelay; without the second
+ * it would run the old configuration until a digest differs, which would show as stragglers of seconds.
+ */
+void Spread::Private::pass(const std::vector<Document> &documents, std::uint32_t hops, bool atRoot, Outbox &outbox)
+{
+    // A router that is still catching up passes on what came down a tree, but not the many old documents it pulls.
+    const bool fromTree = hops > 1;
+    if ((!this->ready && !fromTree) || hops > this->settings.maxHops) {
+        return;
+    }
+    const ReachableTest isReachable = [this](const InstanceId &id) { return this->reachable.count(id) > 0; };
+    std::map<InstanceId, std::vector<Document>> bodies;
+    std::map<InstanceId, std::vector<DocumentVersion>> announcements;
+    for (const Document &document : documents) {
+        for (const InstanceId &start : atRoot ? std::vector{InstanceId{}, this->self} : std::vector{this->self}) {
+            for (const auto &child :
+                 this->tree.children(start, treeKey(document, 0), this->settings.fanOut, isReachable)) {
+                bodies[child].push_back(document);
+            }
+            for (const auto &child :
+                 this->tree.children(start, treeKey(document, announceSeed), this->settings.fanOut, isReachable)) {
+                announcements[child].push_back({document.name, document.revision});
+            }
+        }
+    }
+    bodies.erase(this->self);
+    announcements.erase(this->self);
+    for (const auto &[child, batch] : bodies) {
+        addPushes(child, batch, hops, this->settings.pushBytes, outbox);
+    }
+    for (auto &[child, versions] : announcements) {
+        DocumentDigest announcement;
+        announcement.versions = std::move(versions);
+        outbox.push_back({child, std::move(announcement)});
+    }
+}
+
+void Spread::Private::pull(Millis now,
+                           const InstanceId &from,
+                           const std::vector<DocumentVersion> &versions,
+                           Outbox &outbox)
+{
+    DocumentPull wanted;
+    for (const DocumentVersion &version : versions) {
+        const auto running = this->pulling.find(version.name);
+        const bool waits = running != this->pulling.end() && now < running->second;
+        if (waits || this->table.revisionOf(version.name) >= version.revision) {
+            continue;
+        }
+        this->pulling[version.name] = now + this->settings.pullTimeout;
+        wanted.names.push_back(version.name);
+    }
+    if (!wanted.names.empty()) {
+        outbox.push_back({from, std::move(wanted)});
+    }
+}
+
+void Spread::Private::compareWith(const InstanceId &peer, Outbox &outbox)
+{
+    outbox.push_back({peer, this->exchange.request(peer, this->random(), this->table)});
+}
+
+void Spread::Private::compareWithSome(Millis now, Outbox &outbox)
+{
+    this->nextSync = now + this->settings.syncInterval;
+    std::vector<InstanceId> others;
+    std::copy_if(this->peers.begin(), this->peers.end(), std::back_inserter(others), [this](const InstanceId &peer) {
+        return this->syncedWith.count(peer) == 0;
+    });
+    for (std::size_t i = 0; i < this->settings.syncPeers && !others.empty(); ++i) {
+        const std::size_t chosen = this->random() % others.size();
+        this->compareWith(others[chosen], outbox);
+        others.erase(others.begin() + static_cast<std::ptrdiff_t>(chosen));
+    }
+}
+
+void Spread::Private::noteSynced(const InstanceId &peer)
+{
+    this->syncedWith.insert(peer);
+    this->refreshUntil.reset();
+    if (this->syncTarget() > 0 && this->syncedWith.size() >= this->syncTarget()) {
+        this->ready = true;
+    }
+}
+
+void Spread::Private::pullOverdue(Millis now, Outbox &outbox)
+{
+    std::map<InstanceId, std::vector<DocumentVersion>> overdue;
+    for (auto &[name, entry] : this->awaited) {
+        if (now >= entry.pullAt) {
+            overdue[entry.announcer].push_back({name, entry.revision});
+        }
+    }
+    for (const auto &[announcer, versions] : overdue) {
+        this->pull(now, announcer, versions, outbox);
+        for (const DocumentVersion &version : versions) {
+            this->awaited.erase(version.name);
+        }
+    }
+}
+
+Spread::Spread(InstanceId self, std::uint64_t seed, const SpreadSettings &settings)
+    : d(std::make_unique<Private>(std::move(self), seed, settings))
+{
+}
+Spread::~Spread() = default;
+
+void Spread::setFleet(Millis now, const FleetView &view)
+{
+    this->d->start(now);
+    if (this->d->tree.members() != view.listed) {
+        this->d->tree = RelayTree(view.listed);
+    }
+    this->d->reachable = {view.reachable.begin(), view.reachable.end()};
+    this->d->peers.clear();
+    for (const InstanceId &peer : view.reachable) {
+        if (peer != this->d->self) {
+            this->d->peers.push_back(peer);
+        }
+    }
+    this->d->readerRank = std::min(this->d->rankIn(view.listed), this->d->rankIn(view.reachable));
+    if (!contains(view.listed, this->d->self)) {
+        this->d->readerRank = this->d->settings.maxReaders;
+    }
+    if (!this->d->peers.empty()) {
+        this->d->aloneSince.reset();
+    } else if (!this->d->aloneSince) {
+        this->d->aloneSince = now;
+    }
+}
+
+bool Spread::isReader(Millis now) const
+{
+    return this->d->readerRank < this->d->allowedReaders(now);
+}
+
+ReadPlan Spread::readPlan(Millis now) const
+{
+    if (!this->d->startedAt) {
+        return ReadPlan::Nothing;
+    }
+    const bool knowsList = !this->d->tree.members().empty();
+    if (knowsList && this->isReader(now)) {
+        return ReadPlan::Watch;
+    }
+    if (!this->d->aloneSince) {
+        return ReadPlan::Nothing;
+    }
+    const Millis alone = now - *this->d->aloneSince;
+    if (alone >= this->d->settings.aloneAfter + this->d->ownDelay) {
+        return ReadPlan::Watch;
+    }
+    return !knowsList && alone >= this->d->ownDelay ? ReadPlan::Instances : ReadPlan::Nothing;
+}
+
+std::vector<std::string> Spread::wanted(const std::vector<DocumentVersion> &listed) const
+{
+    std::vector<std::string> names;
+    for (const DocumentVersion &version : listed) {
+        if (this->d->table.revisionOf(version.name) < version.revision) {
+            names.push_back(version.name);
+        }
+    }
+    return names;
+}
+
+void Spread::serviceAnswered(Millis now)
+{
+    this->d->noteService(now);
+}
+
+void Spread::learnt(Millis now, const std::vector<Document> &documents, bool whole, Outbox &outbox)
+{
+    this->d->noteService(now);
+    std::vector<Document> fresh;
+    for (const Document &document : documents) {
+        if (this->d->store(now, document)) {
+            fresh.push_back(document);
+        }
+    }
+    this->d->pass(fresh, 1, true, outbox);
+    this->d->ready = this->d->ready || whole;
+    if (whole) {
+        this->d->refreshUntil.reset();
+    }
+}
+
+void Spread::receive(Millis now, const InstanceId &from, const DocumentPush &push, Outbox &outbox)
+{
+    std::vector<Document> fresh;
+    for (const Document &document : push.documents) {
+        if (this->d->store(now, document)) {
+            fresh.push_back(document);
+        }
+    }
+    this->d->pass(fresh, push.hops + 1, false, outbox);
+    if (this->d->exchange.isSatisfied(from)) {
+        this->d->noteSynced(from);
+    }
+}
+
+void Spread::receive(Millis now, const InstanceId &from, const DocumentDigest &digest, Outbox &outbox)
+{
+    if (digest.wantsAnswer) {
+        outbox.push_back({from, this->d->exchange.answer(digest, this->d->table, this->d->ready)});
+        return;
+    }
+    if (digest.exchange == 0) {
+        for (const DocumentVersion &version : digest.versions) {
+            const bool known = this->d->table.revisionOf(version.name) >= version.revision;
+            const auto waited = this->d->awaited.find(version.name);
+            if (!known && (waited == this->d->awaited.end() || waited->second.revision < version.revision)) {
+                this->d->awaited[version.name] = {version.revision, from, now + this->d->settings.announceDelay};
+            }
+        }
+        return;
+    }
+    if (!this->d->exchange.accept(from, digest, this->d->table)) {
+        return;
+    }
+    this->d->pull(now, from, digest.versions, outbox);
+    const auto newer = this->d->exchange.newerThan(digest, this->d->table);
+    if (!newer.empty()) {
+        addPushes(from, newer, 0, this->d->settings.pushBytes, outbox);
+    }
+    if (this->d->exchange.isSatisfied(from)) {
+        this->d->noteSynced(from);
+    }
+}
+
+void Spread::receive(Millis now, const InstanceId &from, const DocumentPull &pull, Outbox &outbox)
+{
+    static_cast<void>(now);
+    std::vector<Document> found;
+    for (const std::string &name : pull.names) {
+        if (const DocumentPointer document = this->d->table.find(name)) {
+            found.push_back(*document);
+        }
+    }
+    addPushes(from, found, 0, this->d->settings.pushBytes, outbox);
+}
+
+void Spread::heard(Millis now, const InstanceId &from, const Gossip &gossip, Outbox &outbox)
+{
+    if (gossip.serviceAge.count >= 0) {
+        // Without the allowance, an age that two routers tell each other would never grow: each hop would lose the
+        // time the message took, and a silent service would not be noticed.
+        this->d->noteService(now - gossip.serviceAge - hopAllowance);
+    }
+    if (gossip.documentsDigest == this->d->table.digest()) {
+        this->d->differsSince.reset();
+        return;
+    }
+    if (!this->d->differsSince) {
+        this->d->differsSince = now;
+    }
+    if (now < this->d->nextCompare) {
+        return;
+    }
+    const bool settled = now - this->d->changedAt >= this->d->settings.settle;
+    if (settled || now - *this->d->differsSince >= this->d->settings.mismatchLimit) {
+        this->d->differsSince.reset();
+        this->d->nextCompare = now + this->d->settings.compareInterval;
+        this->d->compareWith(from, outbox);
+    }
+}
+
+void Spread::tick(Millis now, Outbox &outbox)
+{
+    this->d->start(now);
+    this->d->pullOverdue(now, outbox);
+    const bool refreshing = this->d->refreshUntil && now < *this->d->refreshUntil;
+    if ((!this->d->ready || refreshing) && now >= this->d->nextSync) {
+        this->d->compareWithSome(now, outbox);
+    }
+}
+
+void Spread::wokeLate(Millis now, Outbox &outbox)
+{
+    this->d->refreshUntil = now + this->d->settings.refreshLimit;
+    this->d->awaited.clear();
+    this->d->pulling.clear();
+    this->d->syncedWith.clear();
+    this->d->exchange.clear();
+    this->d->compareWithSome(now, outbox);
+}
+
+bool Spread::isReady(Millis now) const
+{
+    return this->d->ready && !(this->d->refreshUntil && now < *this->d->refreshUntil);
+}
+
+const DocumentTable &Spread::documents() const
+{
+    return this->d->table;
+}
+
+DocumentSummary Spread::summary(Millis now) const
+{
+    const Millis age = this->d->serviceSeen ? now - this->d->lastService : Millis{-1};
+    return {this->d->table.digest(), this->d->table.highestRevision(), age};
+}
+
+} // namespace Sequoiausher
