Read settings and documents strictly, with every mistake in its place

Cause: the daemon needs its settings and the platform's documents, and an operator needs to see each mistake with file, line, column, what was found and what is expected. Ruled out: Boost.PropertyTree's ini_parser, which forgets lines after parsing and stops at the first mistake, and QSettings, which sorts keys and forgives.

--- /dev/null
+++ b/sequoiausher/protocol/settings/routersettings.h
@@ -0,0 +1,164 @@
+#pragma once
+
+// The settings of one router, read from its INI file at start. Every key, its unit, default and range stands in
+// docs/CONFIGURATION.md; the defaults below are the ones in force.
+//
+//     const RouterSettings settings = parseRouterSettings(text, "router.ini");   // throws ProblemsError
+
+#include "sequoiausher/base/identifiers.h"
+#include "sequoiausher/base/ini/problem.h"
+#include "sequoiausher/base/millis.h"
+#include "sequoiausher/base/nametable.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Sequoiausher {
+
+/** From which weight on a log line is written. */
+enum class LogLevel {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+template<>
+inline constexpr auto nameTable<LogLevel> = std::to_array<NameEntry<LogLevel>>({
+    {LogLevel::Debug, "debug"},
+    {LogLevel::Info, "info"},
+    {LogLevel::Warning, "warning"},
+    {LogLevel::Error, "error"},
+});
+
+/** How a log line is written. */
+enum class LogFormat {
+    Text,
+    Json,
+};
+
+template<>
+inline constexpr auto nameTable<LogFormat> = std::to_array<NameEntry<LogFormat>>({
+    {LogFormat::Text, "text"},
+    {LogFormat::Json, "json"},
+});
+
+/** [platform]: where the configuration service listens, and how it is read. */
+struct PlatformSettings
+{
+    std::vector<std::string> addresses;
+    /** How long one watch waits at the service. */
+    Millis watchTimeout{20000};
+    /** How long a call may take before it counts as failed, beyond what a watch waits. */
+    Millis callTimeout{2000};
+    /** How many instances read the service; all others learn from them. */
+    std::uint32_t readers = 3;
+};
+
+/** A router to speak to before the list of instances is known. */
+struct PeerSeed
+{
+    InstanceId instance;
+    /** IP number and port of its listener for routers. */
+    std::string address;
+
+    bool operator==(const PeerSeed &) const = default;
+};
+
+/** [peers]: how routers keep in touch. */
+struct PeerSettings
+{
+    std::vector<PeerSeed> seeds;
+    Millis probeInterval{1000};
+    Millis probeTimeout{500};
+    Millis connectTimeout{1000};
+};
+
+/** [claims]: at most once. */
+struct ClaimSettings
+{
+    std::uint32_t witnesses = 5;
+    std::uint32_t quorum = 4;
+    /** How long a witness remembers. */
+    Millis lifetime{600000};
+    /** How long after its votes a claim may still be acted on. */
+    Millis dispatchWindow{2000};
+    /** How long to wait for votes. */
+    Millis voteTimeout{250};
+};
+
+/** [admission]: the bound on a target's load. */
+struct AdmissionSettings
+{
+    /** The set multiple of the mean where no rule says another, in percent. */
+    std::uint32_t boundPercent = 125;
+    Millis reserveTimeout{100};
+    /** How often an entry tells owners what it holds. */
+    Millis holdingsInterval{2000};
+};
+
+/** [limits]: what one router takes on. */
+struct LimitSettings
+{
+    std::uint64_t maxBodyBytes = 4UL * 1024 * 1024;
+    std::uint32_t maxHeaderBytes = 32UL * 1024;
+    std::uint32_t maxConnections = 10000;
+    /** Requests that wait, over all organisations. */
+    std::uint32_t queueLength = 2000;
+    Millis queueTime{2000};
+    /** A request's time where neither caller nor rule says one. */
+    Millis defaultDeadline{120000};
+    /** How long a target may take until the first byte of an answer. */
+    Millis firstByteTimeout{10000};
+    /** How long a finished answer is kept for retries. */
+    Millis keptAnswer{60000};
+    std::uint64_t keptAnswerBytes = 64UL * 1024 * 1024;
+};
+
+/** [log] */
+struct LogSettings
+{
+    LogLevel level = LogLevel::Info;
+    LogFormat format = LogFormat::Text;
+    /** How often the same line may be repeated; what was left out is counted. */
+    Millis repeatInterval{5000};
+};
+
+/** [drain]: a planned stop. */
+struct DrainSettings
+{
+    /** How long requests in progress may take to end. */
+    Millis grace{600000};
+    /** How long the router says that it leaves before it refuses new requests. */
+    Millis notice{2000};
+};
+
+/** All settings of a router. */
+struct RouterSettings
+{
+    InstanceId name;
+    DataCentreId dataCentre;
+    /** IP number and port for callers. */
+    std::string address;
+    /** IP number and port for other routers. */
+    std::string peerAddress;
+    std::uint32_t workers = 4;
+    PlatformSettings platform;
+    PeerSettings peers;
+    ClaimSettings claims;
+    AdmissionSettings admission;
+    LimitSettings limits;
+    LogSettings log;
+    DrainSettings drain;
+};
+
+/** Reads text, appending everything that is wrong to problems; complete only where none is an error. */
+RouterSettings parseRouterSettings(std::string_view text, const std::string &file, Problems &problems);
+
+/** @throws ProblemsError with every problem, its step Settings and its peer the file. */
+RouterSettings parseRouterSettings(std::string_view text, const std::string &file);
+
+} // namespace Sequoiausher
