--- /dev/null
+++ b/sequoiausher/transport/http/httpclient.cpp
@@ -0,0 +1,400 @@
+#include "sequoiausher/transport/http/httpclient.h"
+
+#include "sequoiausher/transport/http/lanepool.h"
+#include "sequoiausher/transport/http/onlyoncebody.h"
+
+#include <QNetworkAccessManager>
+#include <QNetworkProxy>
+#include <QNetworkReply>
+#include <QNetworkRequest>
+#include <QPointer>
+#include <QTimer>
+#include <QUrl>
+
+#include <algorithm>
+#include <array>
+#include <unordered_map>
+#include <utility>
+
+namespace Sequoiausher {
+
+namespace {
+
+constexpr int firstErrorStatus = 400;
+
+QByteArray toQt(std::string_view text)
+{
+    return {text.data(), static_cast<qsizetype>(text.size())};
+}
+
+std::string toStd(const QByteArray &bytes)
+{
+    return {bytes.constData(), static_cast<std::size_t>(bytes.size())};
+}
+
+/** The fields that belong to one connection or that the client writes itself. */
+bool isConnectionHeader(std::string_view name)
+{
+    constexpr std::array<std::string_view, 9> names{"Connection",
+                                                    "Host",
+                                                    "Content-Length",
+                                                    "Transfer-Encoding",
+                                                    "Accept-Encoding",
+                                                    "Expect",
+                                                    "TE",
+                                                    "Upgrade",
+                                                    "Keep-Alive"};
+    return std::any_of(names.begin(), names.end(), [name](std::string_view own) { return sameHeaderName(name, own); });
+}
+
+HttpHeaders headersOf(const QNetworkReply &reply)
+{
+    HttpHeaders headers;
+    for (const auto &[name, value] : reply.rawHeaderPairs()) {
+        headers.add(toStd(name), toStd(value));
+    }
+    return headers;
+}
+
+QNetworkRequest makeRequest(const HttpRequest &asked, const QUrl &url, const Lane &lane)
+{
+    QNetworkRequest request(url);
+    request.setPeerVerifyName(QString::number(lane.number));
+    request.setAttribute(QNetworkRequest::Http2AllowedAttribute, false);
+    request.setAttribute(QNetworkRequest::HttpPipeliningAllowedAttribute, false);
+    request.setAttribute(QNetworkRequest::RedirectPolicyAttribute, QNetworkRequest::ManualRedirectPolicy);
+    request.setAttribute(QNetworkRequest::CacheLoadControlAttribute, QNetworkRequest::AlwaysNetwork);
+    request.setAttribute(QNetworkRequest::CacheSaveControlAttribute, false);
+    request.setAttribute(QNetworkRequest::CookieLoadControlAttribute, QNetworkRequest::Manual);
+    request.setAttribute(QNetworkRequest::CookieSaveControlAttribute, QNetworkRequest::Manual);
+    request.setAttribute(QNetworkRequest::AuthenticationReuseAttribute, QNetworkRequest::Manual);
+    request.setRawHeader("User-Agent", "sequoiausher");
+    // Naming an encoding also keeps Qt from unpacking an answer: the caller gets the bytes that the target sent.
+    request.setRawHeader("Accept-Encoding", "identity");
+    request.setRawHeader("Content-Type", "application/octet-stream");
+    for (const HttpHeader &header : asked.headers.entries) {
+        if (isWritableHeader(header) && !isConnectionHeader(header.name)) {
+            request.setRawHeader(toQt(header.name), toQt(header.value));
+        }
+    }
+    if (lane.surplus) {
+        request.setRawHeader("Connection", "close");
+    }
+    return request;
+}
+
+/** Whether error only says that the answer's status is 4xx or 5xx, and the answer is whole. */
+bool isStatusError(QNetworkReply::NetworkError error, int status)
+{
+    return status >= firstErrorStatus && error >= QNetworkReply::ContentAccessDenied
+        && error != QNetworkReply::ContentReSendError;
+}
+
+/** Whether no connection was made, so that nothing was written. */
+bool isConnectFailure(QNetworkReply::NetworkError error)
+{
+    return error == QNetworkReply::ConnectionRefusedError || error == QNetworkReply::HostNotFoundError;
+}
+
+} // namespace
+
+/** The state of a call. */
+class HttpCall::Private
+{
+public:
+    explicit Private(HttpCallbacks given) : callbacks(std::move(given))
+    {
+    }
+
+    /** Whether the target cannot have had the whole request, as far as error tells. */
+    bool isSurelyNotSent(QNetworkReply::NetworkError error) const
+    {
+        if (this->headSeen || this->body->wasResendRefused() || this->body->wasRead()) {
+            return false;
+        }
+        return this->body->size() > 0 || isConnectFailure(error);
+    }
+
+    void reportHead()
+    {
+        if (this->headSeen || this->reply.isNull()) {
+            return;
+        }
+        this->status = this->reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+        if (this->status == 0) {
+            return;
+        }
+        this->headSeen = true;
+        this->timer.start(
+            static_cast<int>(std::max<std::int64_t>(0, (this->deadlineAt - Millis::monotonicNow()).count)));
+        if (this->callbacks.onHead) {
+            const auto callback = this->callbacks.onHead;
+            callback(this->status, headersOf(*this->reply));
+        }
+    }
+
+    void reportData()
+    {
+        if (this->paused || this->reply.isNull()) {
+            return;
+        }
+        const QByteArray bytes = this->reply->readAll();
+        if (!bytes.isEmpty() && this->callbacks.onData) {
+            const auto callback = this->callbacks.onData;
+            callback({bytes.constData(), static_cast<std::size_t>(bytes.size())});
+        }
+    }
+
+    HttpCallbacks callbacks;
+    QPointer<QNetworkReply> reply;
+    std::unique_ptr<OnlyOnceBody> body;
+    QTimer timer;
+    Millis deadlineAt;
+    std::function<void(const std::shared_ptr<HttpCall> &, bool reusable)> release;
+    std::weak_ptr<HttpCall> self;
+    std::string target;
+    std::uint64_t lane = 0;
+    int status = 0;
+    bool laneMayReturn = false;
+    bool headSeen = false;
+    bool paused = false;
+    bool replyFinished = false;
+    bool ended = false;
+
+    // Each of these holds the call by a shared pointer while callbacks run, since they may let go of it.
+    void handleFinished();
+    void handleTimeout();
+    void end(bool reusable);
+    void fail(ClientError error);
+};
+
+void HttpCall::Private::end(bool reusable)
+{
+    if (this->ended) {
+        return;
+    }
+    this->ended = true;
+    this->timer.stop();
+    if (!this->reply.isNull()) {
+        // Cleared first: abort() signals at once, and the call has ended.
+        QNetworkReply *last = this->reply;
+        this->reply.clear();
+        if (!reusable) {
+            last->abort();
+        }
+        // The body must outlive the reply, which may read from it until it is gone.
+        this->body.release()->setParent(last);
+        last->deleteLater();
+    }
+    if (this->release) {
+        const auto give = std::exchange(this->release, nullptr);
+        give(this->self.lock(), reusable);
+    }
+}
+
+void HttpCall::Private::fail(ClientError error)
+{
+    if (this->ended) {
+        return;
+    }
+    const HttpCallbacks last = std::exchange(this->callbacks, {});
+    this->end(false);
+    if (last.onError) {
+        last.onError(error);
+    }
+}
+
+void HttpCall::Private::handleTimeout()
+{
+    const std::shared_ptr<HttpCall> keep = this->self.lock();
+    const bool deadline = this->headSeen || Millis::monotonicNow() >= this->deadlineAt;
+    ClientError error;
+    error.kind = deadline ? ClientErrorKind::TimedOutDeadline : ClientErrorKind::TimedOutFirstByte;
+    error.surelyNotSent = this->isSurelyNotSent(QNetworkReply::TimeoutError);
+    error.reason = deadline ? "the deadline passed" : "no answer within the first-byte timeout";
+    this->fail(std::move(error));
+}
+
+void HttpCall::Private::handleFinished()
+{
+    const std::shared_ptr<HttpCall> keep = this->self.lock();
+    if (this->ended || this->reply.isNull()) {
+        return;
+    }
+    this->replyFinished = true;
+    this->reportHead();
+    if (this->paused || this->ended) {
+        return;
+    }
+    this->reportData();
+    if (this->paused || this->ended) {
+        return;
+    }
+    const QNetworkReply::NetworkError error = this->reply->error();
+    if (this->headSeen && (error == QNetworkReply::NoError || isStatusError(error, this->status))) {
+        const HttpCallbacks last = std::exchange(this->callbacks, {});
+        this->end(true);
+        if (last.onEnd) {
+            last.onEnd();
+        }
+        return;
+    }
+    ClientError failure;
+    failure.surelyNotSent = this->isSurelyNotSent(error);
+    failure.kind = this->headSeen ? ClientErrorKind::BrokenBody
+        : failure.surelyNotSent   ? ClientErrorKind::RefusedBeforeSend
+                                  : ClientErrorKind::MayHaveRun;
+    failure.reason = this->reply->errorString().toStdString();
+    this->fail(std::move(failure));
+}
+
+HttpCall::HttpCall(std::unique_ptr<Private> priv) : d(std::move(priv))
+{
+}
+
+HttpCall::~HttpCall() = default;
+
+void HttpCall::cancel()
+{
+    const std::shared_ptr<HttpCall> keep = this->d->self.lock();
+    const HttpCallbacks dropped = std::exchange(this->d->callbacks, {});
+    this->d->end(false);
+}
+
+void HttpCall::pause()
+{
+    this->d->paused = true;
+}
+
+void HttpCall::resume()
+{
+    if (!this->d->paused || this->d->ended) {
+        this->d->paused = false;
+        return;
+    }
+    const std::shared_ptr<HttpCall> keep = this->d->self.lock();
+    this->d->paused = false;
+    if (this->d->replyFinished) {
+        this->d->handleFinished();
+        return;
+    }
+    this->d->reportData();
+}
+
+bool HttpCall::isFinished() const
+{
+    return this->d->ended;
+}
+
+/** The manager, the lanes and the calls in progress. */
+class HttpClient::Private
+{
+public:
+    explicit Private(HttpClientOptions given)
+        : options(given)
+        , lanes({given.maximumIdleAge, given.justUsedAge, given.maximumIdlePerTarget})
+    {
+        this->manager.setProxy(QNetworkProxy(QNetworkProxy::NoProxy));
+        this->manager.setAutoDeleteReplies(false);
+    }
+
+    void connectReply(const std::shared_ptr<HttpCall> &call)
+    {
+        HttpCall::Private *state = call->d.get();
+        QNetworkReply *reply = state->reply;
+        const std::weak_ptr<HttpCall> weak = call;
+        QObject::connect(reply, &QNetworkReply::metaDataChanged, reply, [weak] {
+            if (const auto held = weak.lock()) {
+                held->d->reportHead();
+            }
+        });
+        QObject::connect(reply, &QNetworkReply::readyRead, reply, [weak] {
+            if (const auto held = weak.lock()) {
+                held->d->reportHead();
+                held->d->reportData();
+            }
+        });
+        QObject::connect(reply, &QNetworkReply::finished, reply, [weak] {
+            if (const auto held = weak.lock()) {
+                held->d->handleFinished();
+            }
+        });
+        QObject::connect(&state->timer, &QTimer::timeout, &state->timer, [weak] {
+            if (const auto held = weak.lock()) {
+                held->d->handleTimeout();
+            }
+        });
+    }
+
+    HttpClientOptions options;
+    QNetworkAccessManager manager;
+    LanePool lanes;
+    std::unordered_map<HttpCall *, std::shared_ptr<HttpCall>> calls;
+};
+
+HttpClient::HttpClient(HttpClientOptions options) : d(std::make_unique<Private>(options))
+{
+}
+
+HttpClient::~HttpClient()
+{
+    const auto open = std::exchange(this->d->calls, {});
+    for (const auto &[key, call] : open) {
+        call->d->release = nullptr;
+        call->cancel();
+    }
+}
+
+std::shared_ptr<HttpCall>
+HttpClient::send(const HttpRequest &request, const RequestOptions &options, HttpCallbacks callbacks)
+{
+    const Millis now = Millis::monotonicNow();
+    const QUrl url(QString::fromStdString(request.url), QUrl::StrictMode);
+    auto priv = std::make_unique<HttpCall::Private>(std::move(callbacks));
+    priv->target = url.authority().toStdString();
+    const Lane lane = this->d->lanes.lease(priv->target, options.freshOnly, now);
+    priv->lane = lane.number;
+    priv->laneMayReturn = !lane.surplus;
+    priv->body = std::make_unique<OnlyOnceBody>(toQt(request.body));
+    priv->deadlineAt = now + options.deadline;
+    priv->reply
+        = this->d->manager.sendCustomRequest(makeRequest(request, url, lane), toQt(request.method), priv->body.get());
+    priv->reply->setReadBufferSize(static_cast<qint64>(this->d->options.readBufferBytes));
+    priv->timer.setSingleShot(true);
+    priv->timer.start(static_cast<int>(std::min(options.firstByteTimeout, options.deadline).count));
+    priv->release = [this](const std::shared_ptr<HttpCall> &call, bool reusable) {
+        if (reusable && call->d->laneMayReturn) {
+            this->d->lanes.giveBack(call->d->target, call->d->lane, Millis::monotonicNow());
+        }
+        this->d->calls.erase(call.get());
+    };
+    const std::shared_ptr<HttpCall> call(new HttpCall(std::move(priv)));
+    call->d->self = call;
+    this->d->calls.emplace(call.get(), call);
+    this->d->connectReply(call);
+    return call;
+}
+
+void HttpClient::cancelAll()
+{
+    const auto open = this->d->calls;
+    for (const auto &[key, call] : open) {
+        ClientError error;
+        error.kind = ClientErrorKind::Cancelled;
+        error.surelyNotSent = !call->d->ended && call->d->isSurelyNotSent(QNetworkReply::OperationCanceledError);
+        error.reason = "cancelled";
+        call->d->fail(std::move(error));
+    }
+}
+
+std::size_t HttpClient::openCalls() const
+{
+    return this->d->calls.size();
+}
+
+std::size_t HttpClient::idleLanes() const
+{
+    return this->d->lanes.idleCount();
+}
+
+} // namespace Sequoiausher
