Add the log, the metrics, the answer table and the order of locks

The daemon needs somewhere to speak, to count, and to keep the answers that a retry under the same key is given.

- base/log: sentences with a fixed prefix for each part, fields as key=value or JSON, repeats held back and counted.
Boost.Log carries the lines; its one core for the process needs a filter for each log, or two logs would each write every line.
- base/metrics: histograms by organisation and class and by experiment arm.
Quantile estimators of Boost.Accumulators (extended_p_square) were ruled out, since their markers do not merge across workers and routers; counts in fixed buckets do, within 9% of a value.
Moments come from Boost.Accumulators and merge by the formula of Chan, Golub and LeVeque.
The page shows the 20 busiest organisations and sums the rest.
- base/requestclass: urgent, interactive, background.
- state/answers: running and kept answers, followed from any offset, bounded in bytes, oldest ended first.
- state/lockorder: the order of all locks, checked at each lock by the thread that takes it.

Tests with threads stand in transport, as the layers below start none.

--- /dev/null
+++ b/sequoiausher/base/metrics/intervals.h
@@ -0,0 +1,54 @@
+#pragma once
+
+// Intervals for comparing the arms of an experiment: a difference counts only where its interval leaves out zero.
+//
+//     const Interval difference = differenceOfShares(refusedA, allA, refusedB, allB);
+//     if (difference.excludesZero()) { ... }
+
+#include <cstdint>
+
+namespace Sequoiausher {
+
+/** An interval that holds the true value in confidence of the cases. */
+struct Interval
+{
+    double low = 0;
+    double high = 0;
+
+    bool excludesZero() const
+    {
+        return this->low > 0 || this->high < 0;
+    }
+};
+
+/** The normal deviate of a two-sided confidence of 95%. */
+inline constexpr double deviate95 = 1.959963984540054;
+
+/**
+ * The interval of a share. Source: Wilson, "Probable inference, the law of succession, and statistical inference",
+ * 1927. From 0 to 1 where total is 0.
+ */
+Interval wilsonInterval(std::uint64_t hits, std::uint64_t total, double deviate = deviate95);
+
+/**
+ * The interval of share A less share B. Source: Newcombe, "Interval estimation for the difference between independent
+ * proportions", 1998, method 10 (from two Wilson intervals).
+ */
+Interval differenceOfShares(std::uint64_t hitsA,
+                            std::uint64_t totalA,
+                            std::uint64_t hitsB,
+                            std::uint64_t totalB,
+                            double deviate = deviate95);
+
+/** Mean, sample variance and count of one arm. */
+struct SampleSummary
+{
+    double mean = 0;
+    double variance = 0;
+    std::uint64_t count = 0;
+};
+
+/** The normal interval of mean A less mean B; everything where an arm has fewer than two values. */
+Interval differenceOfMeans(const SampleSummary &a, const SampleSummary &b, double deviate = deviate95);
+
+} // namespace Sequoiausher
--- /dev/null
+++ b/sequoiausher/base/metrics/intervalstest.cpp
@@ -0,0 +1,33 @@
+#include "sequoiausher/base/metrics/intervals.h"
+
+#include <doctest/doctest.h>
+
+using namespace Sequoiausher;
+
+TEST_CASE("Wilson's interval agrees with published values")
+{
+    // Newcombe, 1998, table I: 81 of 263 gives 0.2553 to 0.3662; 0 of 20 gives 0 to 0.1611.
+    CHECK(wilsonInterval(81, 263).low == doctest::Approx(0.2553).epsilon(0.001));
+    CHECK(wilsonInterval(81, 263).high == doctest::Approx(0.3662).epsilon(0.001));
+    CHECK(wilsonInterval(0, 20).low == 0);
+    CHECK(wilsonInterval(0, 20).high == doctest::Approx(0.1611).epsilon(0.001));
+    CHECK(wilsonInterval(0, 0).high == 1);
+}
+
+TEST_CASE("the difference of two shares agrees with published values")
+{
+    // Newcombe, 1998, table II: 56 of 70 less 48 of 80 gives 0.0524 to 0.3339.
+    const Interval difference = differenceOfShares(56, 70, 48, 80);
+    CHECK(difference.low == doctest::Approx(0.0524).epsilon(0.002));
+    CHECK(difference.high == doctest::Approx(0.3339).epsilon(0.002));
+    CHECK(difference.excludesZero());
+    CHECK(!differenceOfShares(5, 10, 5, 10).excludesZero());
+    CHECK(!differenceOfShares(0, 0, 5, 10).excludesZero());
+}
+
+TEST_CASE("the difference of two means")
+{
+    CHECK(differenceOfMeans({10, 4, 100}, {9, 4, 100}).excludesZero());
+    CHECK(!differenceOfMeans({10, 4, 5}, {9, 4, 5}).excludesZero());
+    CHECK(!differenceOfMeans({10, 0, 1}, {1, 0, 100}).excludesZero());
+}
--- /dev/null
+++ b/sequoiausher/state/answers/answertable.cpp
@@ -0,0 +1,344 @@
+#include "sequoiausher/state/answers/answertable.h"
+
+#include "sequoiausher/state/lockorder.h"
+
+#include <algorithm>
+#include <list>
+#include <mutex>
+#include <stdexcept>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace Sequoiausher {
+
+namespace {
+
+/** One answer. Readers share it, so an answer dropped from the table ends their reading in order. */
+struct Answer
+{
+    RequestId request;
+    std::optional<ClaimKey> key;
+    std::uint64_t bodyDigest = 0;
+    AnswerState state = AnswerState::Running;
+    bool replayable = true;
+    std::optional<AnswerHead> head;
+    std::string body;
+    std::string reason;
+    Millis endedAt;
+    std::size_t countedBytes = 0;
+    /** The readers to wake, by their number. */
+    std::unordered_map<std::uint64_t, AnswerTable::Wake> readers;
+};
+
+using AnswerPointer = std::shared_ptr<Answer>;
+using Wakes = std::vector<AnswerTable::Wake>;
+
+void callAll(const Wakes &wakes)
+{
+    for (const AnswerTable::Wake &wake : wakes) {
+        wake();
+    }
+}
+
+} // namespace
+
+class AnswerTable::Private
+{
+public:
+    explicit Private(const AnswerSettings &bounds) : settings(bounds)
+    {
+    }
+
+    AnswerPointer lookUp(const RequestId &request) const
+    {
+        const auto found = this->answers.find(request);
+        return found == this->answers.end() ? nullptr : found->second;
+    }
+
+    AnswerPointer lookUp(const ClaimKey &key) const
+    {
+        const auto found = this->byKey.find(key);
+        return found == this->byKey.end() ? nullptr : this->lookUp(found->second);
+    }
+
+    static Wakes wakesOf(const Answer &answer)
+    {
+        Wakes wakes;
+        for (const auto &reader : answer.readers) {
+            if (reader.second) {
+                wakes.push_back(reader.second);
+            }
+        }
+        return wakes;
+    }
+
+    /** Counts what the answer takes now. */
+    void recount(Answer &answer)
+    {
+        const std::size_t bytes = answerOverheadBytes + answer.body.capacity() + answer.reason.capacity();
+        this->used += bytes;
+        this->used -= answer.countedBytes;
+        answer.countedBytes = bytes;
+    }
+
+    /** Drops the bytes of an answer but keeps its record, so that a retry is still told that it ran here. */
+    void stopReplay(Answer &answer)
+    {
+        answer.replayable = false;
+        std::string().swap(answer.body);
+        this->recount(answer);
+    }
+
+    /** Drops ended answers, oldest first, until wanted more bytes fit. False where they do not. */
+    bool makeRoom(std::size_t wanted, Wakes &wakes)
+    {
+        while (this->used + wanted > this->settings.totalBytes && !this->ended.empty()) {
+            this->drop(this->ended.front(), wakes);
+            this->ended.pop_front();
+        }
+        return this->used + wanted <= this->settings.totalBytes;
+    }
+
+    /** Takes an answer out of the table. The caller takes it out of ended. */
+    void drop(const AnswerPointer &answer, Wakes &wakes)
+    {
+        this->freeKey(*answer);
+        this->used -= answer->countedBytes;
+        answer->countedBytes = 0;
+        answer->replayable = false;
+        std::string().swap(answer->body);
+        const Wakes told = wakesOf(*answer);
+        wakes.insert(wakes.end(), told.begin(), told.end());
+        this->answers.erase(answer->request);
+    }
+
+    void freeKey(const Answer &answer)
+    {
+        if (!answer.key) {
+            return;
+        }
+        const auto found = this->byKey.find(*answer.key);
+        if (found != this->byKey.end() && found->second == answer.request) {
+            this->byKey.erase(found);
+        }
+    }
+
+    std::optional<AnswerCursor> follow(const AnswerPointer &answer, Wake wake)
+    {
+        if (!answer) {
+            return std::nullopt;
+        }
+        const std::uint64_t reader = ++this->lastReader;
+        answer->readers.emplace(reader, std::move(wake));
+        this->readers.emplace(reader, answer);
+        return AnswerCursor{reader, 0};
+    }
+
+    const AnswerSettings settings;
+    mutable OrderedMutex mutex{LockRank::Answers};
+    std::unordered_map<RequestId, AnswerPointer> answers;
+    std::unordered_map<ClaimKey, RequestId> byKey;
+    std::unordered_map<std::uint64_t, AnswerPointer> readers;
+    /** Ended answers, oldest first. */
+    std::list<AnswerPointer> ended;
+    std::uint64_t lastReader = 0;
+    std::size_t used = 0;
+};
+
+AnswerTable::AnswerTable(const AnswerSettings &settings) : d(std::make_unique<Private>(settings))
+{
+}
+
+AnswerTable::~AnswerTable() = default;
+
+StartResult AnswerTable::start([[maybe_unused]] Millis now,
+                               const RequestId &request,
+                               const std::optional<ClaimKey> &key,
+                               std::uint64_t bodyDigest)
+{
+    Wakes wakes;
+    {
+        const std::scoped_lock lock(this->d->mutex);
+        if (this->d->lookUp(request)) {
+            throw std::invalid_argument("request " + request.toHex() + " was started before");
+        }
+        const AnswerPointer first = key ? this->d->lookUp(*key) : nullptr;
+        if (first) {
+            const bool same = first->bodyDigest == bodyDigest;
+            return {same ? StartVerdict::Joined : StartVerdict::BodyDiffers, first->request};
+        }
+        auto answer = std::make_shared<Answer>();
+        answer->request = request;
+        answer->key = key;
+        answer->bodyDigest = bodyDigest;
+        answer->replayable = this->d->makeRoom(answerOverheadBytes, wakes);
+        this->d->recount(*answer);
+        this->d->answers.emplace(request, answer);
+        if (key) {
+            this->d->byKey.emplace(*key, request);
+        }
+    }
+    callAll(wakes);
+    return {StartVerdict::Started, request};
+}
+
+void AnswerTable::setHead(const RequestId &request, const AnswerHead &head)
+{
+    Wakes wakes;
+    {
+        const std::scoped_lock lock(this->d->mutex);
+        const AnswerPointer answer = this->d->lookUp(request);
+        if (!answer || answer->state != AnswerState::Running) {
+            return;
+        }
+        answer->head = head;
+        wakes = Private::wakesOf(*answer);
+    }
+    callAll(wakes);
+}
+
+bool AnswerTable::append(const RequestId &request, std::string_view bytes)
+{
+    Wakes wakes;
+    bool kept = false;
+    {
+        const std::scoped_lock lock(this->d->mutex);
+        const AnswerPointer answer = this->d->lookUp(request);
+        if (!answer || answer->state != AnswerState::Running || !answer->replayable) {
+            return false;
+        }
+        const std::size_t size = answer->body.size() + bytes.size();
+        std::size_t capacity = answer->body.capacity();
+        if (size > capacity) {
+            // Doubling, so that a long stream of small chunks is not copied for each of them.
+            capacity = std::min(std::max(size, capacity * 2), std::max(size, this->d->settings.bytesPerAnswer));
+        }
+        kept = size <= this->d->settings.bytesPerAnswer && this->d->makeRoom(capacity - answer->body.capacity(), wakes);
+        if (kept) {
+            answer->body.reserve(capacity);
+            answer->body.append(bytes);
+            this->d->recount(*answer);
+        } else {
+            this->d->stopReplay(*answer);
+        }
+        const Wakes readers = Private::wakesOf(*answer);
+        wakes.insert(wakes.end(), readers.begin(), readers.end());
+    }
+    callAll(wakes);
+    return kept;
+}
+
+void AnswerTable::finish(Millis now, const RequestId &request, AnswerState state, const std::string &reason)
+{
+    Wakes wakes;
+    {
+        const std::scoped_lock lock(this->d->mutex);
+        const AnswerPointer answer = this->d->lookUp(request);
+        if (!answer || answer->state != AnswerState::Running) {
+            return;
+        }
+        answer->state = state;
+        answer->reason = reason;
+        answer->endedAt = now;
+        answer->body.shrink_to_fit();
+        this->d->recount(*answer);
+        if (state == AnswerState::NotRun) {
+            this->d->drop(answer, wakes);
+        } else {
+            this->d->ended.push_back(answer);
+            wakes = Private::wakesOf(*answer);
+        }
+    }
+    callAll(wakes);
+}
+
+std::optional<RequestId> AnswerTable::find(const ClaimKey &key) const
+{
+    const std::scoped_lock lock(this->d->mutex);
+    const AnswerPointer answer = this->d->lookUp(key);
+    return answer ? std::optional(answer->request) : std::nullopt;
+}
+
+std::optional<AnswerCursor> AnswerTable::attach(const RequestId &request, Wake wake)
+{
+    const std::scoped_lock lock(this->d->mutex);
+    return this->d->follow(this->d->lookUp(request), std::move(wake));
+}
+
+std::optional<AnswerCursor> AnswerTable::attach(const ClaimKey &key, Wake wake)
+{
+    const std::scoped_lock lock(this->d->mutex);
+    return this->d->follow(this->d->lookUp(key), std::move(wake));
+}
+
+AnswerPart AnswerTable::read(AnswerCursor &cursor, std::size_t maxBytes)
+{
+    const std::scoped_lock lock(this->d->mutex);
+    AnswerPart part;
+    part.offset = cursor.offset;
+    const auto found = this->d->readers.find(cursor.reader);
+    if (found == this->d->readers.end()) {
+        return part;
+    }
+    const Answer &answer = *found->second;
+    part.head = answer.head;
+    if (answer.state == AnswerState::NotRun) {
+        part.state = AnswerState::NotRun;
+        return part;
+    }
+    if (!answer.replayable || cursor.offset > answer.body.size()) {
+        return part;
+    }
+    part.bytes = answer.body.substr(cursor.offset, maxBytes);
+    cursor.offset += part.bytes.size();
+    const bool atEnd = cursor.offset == answer.body.size();
+    part.state = atEnd ? answer.state : AnswerState::Running;
+    part.reason = atEnd ? answer.reason : std::string();
+    return part;
+}
+
+void AnswerTable::detach(const AnswerCursor &cursor)
+{
+    const std::scoped_lock lock(this->d->mutex);
+    const auto found = this->d->readers.find(cursor.reader);
+    if (found == this->d->readers.end()) {
+        return;
+    }
+    found->second->readers.erase(cursor.reader);
+    this->d->readers.erase(found);
+}
+
+void AnswerTable::tick(Millis now)
+{
+    Wakes wakes;
+    {
+        const std::scoped_lock lock(this->d->mutex);
+        auto &ended = this->d->ended;
+        while (!ended.empty() && now - ended.front()->endedAt >= this->d->settings.keepFor) {
+            this->d->drop(ended.front(), wakes);
+            ended.pop_front();
+        }
+    }
+    callAll(wakes);
+}
+
+Millis AnswerTable::nextDeadline() const
+{
+    const std::scoped_lock lock(this->d->mutex);
+    return this->d->ended.empty() ? Millis::never() : this->d->ended.front()->endedAt + this->d->settings.keepFor;
+}
+
+std::size_t AnswerTable::usedBytes() const
+{
+    const std::scoped_lock lock(this->d->mutex);
+    return this->d->used;
+}
+
+std::size_t AnswerTable::count() const
+{
+    const std::scoped_lock lock(this->d->mutex);
+    return this->d->answers.size();
+}
+
+} // namespace Sequoiausher
