Add limits, the fair queue, retry budgets and target health

A few organisations surge while the rest stay quiet, and each router sees only a sliver of it. What decides who goes on, who waits and who is refused stands in coordination/limits, as state machines without clock or sockets:

- admissionqueue: urgent, interactive, background in this order, with at least one interactive in 8 and one background in 33 dispatches where such wait.
Strict priority was ruled out: an urgent flood would starve the rest.
Within a class start-time fair queueing between organisations (fairflows), so that a surge lines up behind itself.
Shed order: background first, urgent last; within a class the organisation with most work waiting.
A deadline that cannot be met is refused on arrival, or on the first check after others came before.
- fifoqueue: the naive queue behind the same interface, for comparison.
- ratelimit: a limit of the fleet as shares, static without traffic, by demand where sums are known.
Asking an owner for each request was ruled out: a round trip before each, and an outage of the owner stops an organisation.
- retrybudget, targethealth: bounds on load, never a ground for what may run.

--- /dev/null
+++ b/sequoiausher/coordination/limits/admissionqueuetest.cpp
@@ -0,0 +1,245 @@
+#include "sequoiausher/coordination/limits/admissionqueue.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <set>
+#include <string>
+
+using namespace Sequoiausher;
+
+namespace {
+
+QueueEntry entryOf(std::uint64_t id,
+                   const std::string &organisation,
+                   RequestClass requestClass = RequestClass::Interactive,
+                   Millis by = Millis::never())
+{
+    return {RequestId{0, id}, OrganisationId{organisation}, requestClass, by, 1};
+}
+
+/** One slot and four places to wait, with the slot taken by request 1000. */
+struct Busy
+{
+    explicit Busy(std::size_t maxWaiting = 4) : queue({1, maxWaiting, Millis{50}, Millis{1000}, Millis{30000}})
+    {
+        this->queue.offer(Millis{0}, entryOf(1000, "first"), this->actions);
+    }
+
+    /** Ends what is in flight and says what goes on in its place. */
+    QueueEntry next(Millis now)
+    {
+        std::vector<QueueAction> dispatched;
+        this->queue.finish(now, this->flying, dispatched);
+        REQUIRE(dispatched.size() == 1);
+        this->flying = dispatched.front().entry.request;
+        return dispatched.front().entry;
+    }
+
+    AdmissionQueue queue;
+    std::vector<QueueAction> actions;
+    RequestId flying{0, 1000};
+};
+
+} // namespace
+
+TEST_CASE("shed order: background first, urgent last, within a class the organisation with most waiting")
+{
+    struct Row
+    {
+        const char *what;
+        std::vector<std::pair<const char *, RequestClass>> waiting;
+        std::pair<const char *, RequestClass> arriving;
+        /** The place of the one shed; -1: the arriving one. */
+        int shed;
+    };
+    constexpr auto urgent = RequestClass::Urgent;
+    constexpr auto normal = RequestClass::Interactive;
+    constexpr auto low = RequestClass::Background;
+    const std::vector<Row> rows{
+        {"background goes for urgent", {{"a", urgent}, {"b", normal}, {"c", low}, {"d", urgent}}, {"e", urgent}, 2},
+        {"interactive goes for urgent", {{"a", urgent}, {"b", normal}, {"c", urgent}, {"d", urgent}}, {"e", urgent}, 1},
+        {"background goes for interactive", {{"a", low}, {"a", low}, {"b", low}, {"c", normal}}, {"b", normal}, 1},
+        {"arriving background goes", {{"a", urgent}, {"a", urgent}, {"a", urgent}, {"a", normal}}, {"b", low}, -1},
+        {"the surging one loses its newest",
+         {{"a", normal}, {"a", normal}, {"a", normal}, {"b", normal}},
+         {"c", normal},
+         2},
+        {"the surging one's own is refused",
+         {{"a", normal}, {"a", normal}, {"a", normal}, {"b", normal}},
+         {"a", normal},
+         -1},
+        {"urgent goes for nobody else", {{"a", urgent}, {"a", urgent}, {"b", urgent}, {"c", urgent}}, {"d", urgent}, 1},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.what);
+        Busy busy;
+        std::uint64_t id = 0;
+        for (const auto &waiting : row.waiting) {
+            const QueueEntry entry = entryOf(id++, waiting.first, waiting.second);
+            REQUIRE(busy.queue.offer(Millis{1}, entry, busy.actions).verdict == QueueVerdict::Queue);
+        }
+        const QueueEntry arriving = entryOf(99, row.arriving.first, row.arriving.second);
+        const QueueDecision decision = busy.queue.offer(Millis{1}, arriving, busy.actions);
+        CHECK((decision.verdict == QueueVerdict::Refuse) == (row.shed < 0));
+        CHECK(busy.actions.size() == (row.shed < 0 ? 0U : 1U));
+        if (row.shed >= 0 && !busy.actions.empty()) {
+            CHECK(busy.actions.front().entry.request.low == static_cast<std::uint64_t>(row.shed));
+            CHECK(busy.actions.front().decision.reason == RefuseReason::Full);
+            CHECK(busy.actions.front().decision.retryAfter >= Millis{1000});
+        }
+    }
+}
+
+// Symptom: a garage clerk's check is never answered on a review day. Sequence: urgent requests arrive faster than they
+// are served. Cause: strict priority.
+TEST_CASE("an urgent flood starves neither interactive nor background beyond the stated bounds")
+{
+    Busy busy(1000);
+    std::uint64_t id = 0;
+    for (int i = 0; i < 300; ++i) {
+        busy.queue.offer(Millis{1}, entryOf(++id, "u", RequestClass::Urgent), busy.actions);
+    }
+    for (int i = 0; i < 60; ++i) {
+        busy.queue.offer(Millis{1}, entryOf(++id, "i"), busy.actions);
+        busy.queue.offer(Millis{1}, entryOf(++id, "b", RequestClass::Background), busy.actions);
+    }
+    std::map<RequestClass, std::uint32_t> since;
+    std::map<RequestClass, int> served;
+    for (int i = 0; i < 300; ++i) {
+        const RequestClass requestClass = busy.next(Millis{i + 2}).requestClass;
+        for (const auto &entry : nameTable<RequestClass>) {
+            since[entry.value] = entry.value == requestClass ? 0 : since[entry.value] + 1;
+        }
+        ++served[requestClass];
+        CHECK(since[RequestClass::Interactive] < interactiveEvery);
+        CHECK(since[RequestClass::Background] < backgroundEvery);
+    }
+    CHECK(served[RequestClass::Urgent] > 300 * 8 / 10);
+}
+
+TEST_CASE("organisations alternate however many requests one has waiting, and by work, not number")
+{
+    Busy busy(1000);
+    for (std::uint64_t i = 1; i <= 100; ++i) {
+        busy.queue.offer(Millis{1}, entryOf(i, "surging"), busy.actions);
+    }
+    QueueEntry heavy = entryOf(201, "heavy");
+    heavy.cost = 10;
+    busy.queue.offer(Millis{1}, heavy, busy.actions);
+    heavy.request.low = 202;
+    busy.queue.offer(Millis{1}, heavy, busy.actions);
+    std::vector<std::string> order;
+    for (int i = 0; i < 14; ++i) {
+        order.push_back(busy.next(Millis{i + 2}).organisation.value);
+    }
+    CHECK(std::count(order.begin(), order.begin() + 2, "heavy") == 1);
+    CHECK(std::count(order.begin(), order.end(), "heavy") == 2);
+    CHECK(std::count(order.begin(), order.begin() + 10, "heavy") == 1);
+}
+
+// Symptom: a caller waits for most of its deadline, then hears that there is no room, too late to go elsewhere.
+// Sequence: it is queued behind more work than fits before its deadline. Cause: deadlines are looked at only when due.
+TEST_CASE("a deadline that cannot be met is refused at once, and on the first check after others overtook")
+{
+    Busy busy(100);
+    for (std::uint64_t i = 1; i <= 20; ++i) {
+        busy.queue.offer(Millis{1}, entryOf(i, "a"), busy.actions);
+    }
+    busy.next(Millis{100}); // one service takes 100 ms, 19 wait
+    const QueueDecision decision
+        = busy.queue.offer(Millis{100}, entryOf(50, "a", RequestClass::Interactive, Millis{1600}), busy.actions);
+    CHECK(decision.verdict == QueueVerdict::Refuse);
+    CHECK(decision.reason == RefuseReason::Deadline);
+    CHECK(decision.retryAfter >= Millis{2000});
+    CHECK(decision.retryAfter <= Millis{2500});
+    const QueueEntry other = entryOf(51, "b", RequestClass::Interactive, Millis{900});
+    CHECK(busy.queue.offer(Millis{100}, other, busy.actions).verdict == QueueVerdict::Queue);
+    for (std::uint64_t i = 60; i < 90; ++i) {
+        busy.queue.offer(Millis{101}, entryOf(i, "c", RequestClass::Urgent), busy.actions);
+    }
+    busy.actions.clear();
+    CHECK(busy.queue.nextDeadline() <= Millis{151});
+    busy.queue.tick(Millis{151}, busy.actions);
+    REQUIRE(busy.actions.size() == 1);
+    CHECK(busy.actions.front().entry.request.low == 51);
+}
+
+TEST_CASE("a pool without room: the request keeps its place, the slots shrink and grow again")
+{
+    AdmissionQueue queue({4, 10, Millis{50}, Millis{1000}, Millis{30000}});
+    std::vector<QueueAction> actions;
+    for (std::uint64_t i = 1; i <= 6; ++i) {
+        queue.offer(Millis{0}, entryOf(i, "a"), actions);
+    }
+    queue.putBack(Millis{1}, {0, 4}, Millis{200}, actions);
+    CHECK(queue.slots() == 3);
+    queue.finish(Millis{10}, {0, 1}, actions);
+    CHECK(actions.empty());
+    CHECK(queue.nextDeadline() <= Millis{201});
+    queue.tick(Millis{201}, actions);
+    REQUIRE(!actions.empty());
+    CHECK(actions.front().entry.request.low == 4);
+    for (std::uint64_t i = 2; i <= 6; ++i) {
+        queue.finish(Millis{300}, {0, i}, actions);
+    }
+    CHECK(queue.slots() == 4);
+    CHECK(queue.inFlight() == 0);
+    CHECK(queue.nextDeadline() == Millis::never());
+}
+
+TEST_CASE("whatever comes: bounds hold, everybody hears exactly once, organisation and class are first in first out")
+{
+    CHECK(rc::check([] {
+        AdmissionQueue queue({3, 12, Millis{50}, Millis{1000}, Millis{30000}});
+        std::vector<QueueAction> actions;
+        std::set<RequestId> flying;
+        std::map<RequestId, QueueEntry> waiting;
+        std::map<std::pair<std::string, RequestClass>, std::uint64_t> lastDispatched;
+        std::uint64_t id = 0;
+        Millis now{0};
+        for (int step = 0; step < 300; ++step) {
+            now += Millis{*rc::gen::inRange(0, 30)};
+            const int what = *rc::gen::inRange(0, 10);
+            if (what < 5) {
+                const std::string name(1, static_cast<char>('a' + *rc::gen::inRange(0, 4)));
+                const auto requestClass = static_cast<RequestClass>(*rc::gen::inRange(0, 3));
+                const Millis by = what == 0 ? now + Millis{*rc::gen::inRange(1, 300)} : Millis::never();
+                const QueueEntry entry = entryOf(++id, name, requestClass, by);
+                const QueueDecision decision = queue.offer(now, entry, actions);
+                if (decision.verdict == QueueVerdict::Dispatch) {
+                    flying.insert(entry.request);
+                } else if (decision.verdict == QueueVerdict::Queue) {
+                    waiting.emplace(entry.request, entry);
+                }
+            } else if (what < 8 && !flying.empty()) {
+                const RequestId done = *flying.begin();
+                flying.erase(done);
+                queue.finish(now, done, actions);
+            } else if (what == 8 && !waiting.empty()) {
+                queue.cancel(waiting.begin()->first);
+                waiting.erase(waiting.begin());
+            } else {
+                queue.tick(now, actions);
+            }
+            for (const QueueAction &action : actions) {
+                RC_ASSERT(waiting.erase(action.entry.request) == 1U);
+                if (action.decision.verdict == QueueVerdict::Dispatch) {
+                    flying.insert(action.entry.request);
+                    auto &last = lastDispatched[{action.entry.organisation.value, action.entry.requestClass}];
+                    RC_ASSERT(action.entry.request.low > last);
+                    last = action.entry.request.low;
+                } else {
+                    RC_ASSERT(action.decision.retryAfter >= Millis{1000});
+                }
+            }
+            actions.clear();
+            RC_ASSERT(queue.waiting() == waiting.size());
+            RC_ASSERT(queue.waiting() <= 12U);
+            RC_ASSERT(queue.inFlight() == flying.size());
+            RC_ASSERT(flying.size() <= 3U);
+            RC_ASSERT(waiting.empty() || flying.size() == 3U);
+        }
+    }));
+}
--- /dev/null
+++ b/sequoiausher/coordination/limits/ratelimittest.cpp
@@ -0,0 +1,150 @@
+#include "sequoiausher/coordination/limits/ratelimit.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+using namespace Sequoiausher;
+
+namespace {
+
+const OrganisationId acme{"acme"};
+constexpr auto urgent = RequestClass::Urgent;
+constexpr auto low = RequestClass::Background;
+
+/** How many of the requests, sent to one limiter at an even interval, are allowed. */
+int allowedOf(RateLimiter &limiter, Millis from, Millis to, Millis every)
+{
+    int allowed = 0;
+    for (Millis now = from; now < to; now += every) {
+        allowed += limiter.take(now, acme, urgent, 1).allowed ? 1 : 0;
+    }
+    return allowed;
+}
+
+} // namespace
+
+TEST_CASE("no limits, no refusals")
+{
+    RateLimiter limiter;
+    CHECK(limiter.take(Millis{0}, acme, urgent, 1e9).allowed);
+    limiter.setLimits(acme, {});
+    CHECK(limiter.take(Millis{0}, acme, urgent, 1e9).allowed);
+}
+
+TEST_CASE("one router: burst, then the rate; the refused one may come when it is told")
+{
+    RateLimiter limiter;
+    limiter.setLimits(acme, {10, 2, {}});
+    CHECK(allowedOf(limiter, Millis{0}, Millis{1}, Millis{1}) == 1);
+    CHECK(allowedOf(limiter, Millis{1}, Millis{10001}, Millis{10}) <= 20 + 100);
+    LimitDecision refused = limiter.take(Millis{10001}, acme, urgent, 1);
+    if (refused.allowed) {
+        refused = limiter.take(Millis{10001}, acme, urgent, 1);
+    }
+    REQUIRE(!refused.allowed);
+    CHECK(refused.retryAfter <= Millis{100});
+    CHECK(limiter.take(Millis{10001} + refused.retryAfter, acme, urgent, 1).allowed);
+}
+
+TEST_CASE("urgent may use what background leaves, never the other way round")
+{
+    RateLimiter limiter;
+    limiter.setLimits(acme, {100, 1, {5, 5, 5}});
+    int allowed = 0;
+    for (int i = 0; i < 30; ++i) {
+        allowed += limiter.take(Millis{0}, acme, low, 1).allowed ? 1 : 0;
+    }
+    CHECK(allowed == 5);
+    allowed = 0;
+    for (int i = 0; i < 30; ++i) {
+        allowed += limiter.take(Millis{0}, acme, urgent, 1).allowed ? 1 : 0;
+    }
+    CHECK(allowed == 10);
+}
+
+// Symptom: an organisation is refused though the fleet as a whole sees less than its limit. Sequence: its clients keep
+// their connections, so three of ten routers see all of it. Cause: every router keeps an even share.
+TEST_CASE("uneven traffic within the limit is let through once the fleet's demand is known, and not lifted above")
+{
+    struct Row
+    {
+        const char *what;
+        double demand;
+        bool known;
+        double least;
+        double most;
+    };
+    const std::vector<Row> rows{
+        {"static: only the even shares", 90, false, 0, 45},
+        {"known: nearly all", 90, true, 80, 90},
+        {"known, demand at three times the limit", 300, true, 80, 105},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.what);
+        std::vector<RateLimiter> routers(10);
+        for (RateLimiter &router : routers) {
+            router.setLimits(acme, {100, 2, {}});
+            router.setLiveRouters(routers.size());
+        }
+        int allowed = 0;
+        double credit = 0;
+        constexpr std::int64_t warm = 20000;
+        constexpr std::int64_t end = 60000;
+        for (std::int64_t now = 0; now < end; ++now) {
+            if (row.known && now % 2000 == 0) {
+                double fleet = 0;
+                for (RateLimiter &router : routers) {
+                    for (const OrganisationDemand &demand : router.reports(Millis{now})) {
+                        fleet += demand.perSecond;
+                    }
+                }
+                for (RateLimiter &router : routers) {
+                    router.setFleetDemand(Millis{now}, {acme, fleet});
+                }
+            }
+            for (credit += row.demand / 1000; credit >= 1; credit -= 1) {
+                RateLimiter &router = routers[static_cast<std::size_t>(now % 3)];
+                allowed += router.take(Millis{now}, acme, urgent, 1).allowed && now >= warm ? 1 : 0;
+            }
+        }
+        const double perSecond = allowed * 1000.0 / static_cast<double>(end - warm);
+        CHECK(perSecond >= row.least);
+        CHECK(perSecond <= row.most);
+    }
+}
+
+TEST_CASE("an old sum is not used")
+{
+    RateLimiter limiter;
+    limiter.setLimits(acme, {100, 2, {}});
+    limiter.setLiveRouters(10);
+    limiter.take(Millis{0}, acme, urgent, 1);
+    limiter.setFleetDemand(Millis{0}, {acme, 0.2});
+    CHECK(limiter.share(Millis{0}, acme) > 10);
+    CHECK(limiter.share(demandFreshFor, acme) == doctest::Approx(10));
+}
+
+TEST_CASE("whatever comes, a router lets through no more than burst and rate of its largest share")
+{
+    CHECK(rc::check([] {
+        RateLimiter limiter;
+        const double limit = *rc::gen::inRange(1, 200);
+        const auto routers = *rc::gen::inRange<std::size_t>(1, 50);
+        limiter.setLimits(acme, {limit, 2, {}});
+        limiter.setLiveRouters(routers);
+        const double largest = std::min(limit, maxShareOverEven * limit / static_cast<double>(routers));
+        Millis now{0};
+        double allowed = 0;
+        for (int step = 0; step < 300; ++step) {
+            now += Millis{*rc::gen::inRange(0, 50)};
+            if (*rc::gen::inRange(0, 10) == 0) {
+                limiter.setFleetDemand(now, {acme, static_cast<double>(*rc::gen::inRange(0, 300))});
+            }
+            allowed += limiter.take(now, acme, RequestClass::Interactive, 1).allowed ? 1 : 0;
+            const double seconds = static_cast<double>(now.count) / 1000;
+            RC_ASSERT(allowed <= std::max(minimumBurst, largest * 2) + largest * seconds + 1e-6);
+        }
+    }));
+}
--- /dev/null
+++ b/sequoiausher/coordination/limits/retrybudget.cpp
@@ -0,0 +1,38 @@
+#include "sequoiausher/coordination/limits/retrybudget.h"
+
+#include <algorithm>
+
+namespace Sequoiausher {
+
+RetryBudget::RetryBudget(const RetryBudgetSettings &budget) : settings(budget), tokens(budget.saved)
+{
+}
+
+void RetryBudget::countRequest(Millis now)
+{
+    constexpr double whole = 100;
+    this->fill(now, this->settings.percent / whole);
+}
+
+bool RetryBudget::tryRetry(Millis now)
+{
+    this->fill(now, 0);
+    // Hundredths added up ten times may come to a little less than one.
+    constexpr double rounding = 1e-9;
+    if (this->tokens + rounding < 1) {
+        return false;
+    }
+    this->tokens -= 1;
+    return true;
+}
+
+void RetryBudget::fill(Millis now, double earned)
+{
+    constexpr double msPerSecond = 1000;
+    const Millis passed = std::max(Millis{0}, now - this->filledAt);
+    const double byTime = static_cast<double>(passed.count) * this->settings.perSecond / msPerSecond;
+    this->tokens = std::min(this->settings.saved, this->tokens + earned + byTime);
+    this->filledAt = std::max(this->filledAt, now);
+}
+
+} // namespace Sequoiausher
--- /dev/null
+++ b/sequoiausher/coordination/limits/targethealth.cpp
@@ -0,0 +1,107 @@
+#include "sequoiausher/coordination/limits/targethealth.h"
+
+#include <algorithm>
+#include <optional>
+#include <unordered_map>
+
+namespace Sequoiausher {
+
+namespace {
+
+struct Failures
+{
+    std::uint32_t inARow = 0;
+    /** 0 until the first pause. */
+    Millis pause;
+    Millis pausedUntil;
+    /** While a probe is under way: when it is given up. */
+    std::optional<Millis> probeUntil;
+};
+
+} // namespace
+
+class TargetHealth::Private
+{
+public:
+    explicit Private(const TargetHealthSettings &healthSettings) : settings(healthSettings)
+    {
+    }
+
+    bool isPaused(Millis now, const Failures &failures) const
+    {
+        if (failures.pause == Millis{0}) {
+            return false;
+        }
+        return now < failures.pausedUntil || (failures.probeUntil && now < *failures.probeUntil);
+    }
+
+    void startPause(Millis now, Failures &failures) const
+    {
+        const bool again = failures.pause > Millis{0};
+        const Millis next = again ? failures.pause * 2 : this->settings.firstPause;
+        failures.pause = std::min(next, this->settings.longestPause);
+        failures.pausedUntil = now + failures.pause;
+        failures.probeUntil.reset();
+    }
+
+    const TargetHealthSettings settings;
+    std::unordered_map<TargetId, Failures> targets;
+};
+
+TargetHealth::TargetHealth(const TargetHealthSettings &settings) : d(std::make_unique<Private>(settings))
+{
+}
+
+TargetHealth::~TargetHealth() = default;
+TargetHealth::TargetHealth(TargetHealth &&) noexcept = default;
+TargetHealth &TargetHealth::operator=(TargetHealth &&) noexcept = default;
+
+bool TargetHealth::mayTry(Millis now, const TargetId &target)
+{
+    const auto found = this->d->targets.find(target);
+    if (found == this->d->targets.end()) {
+        return true;
+    }
+    Failures &failures = found->second;
+    if (this->d->isPaused(now, failures)) {
+        return false;
+    }
+    if (failures.pause > Millis{0}) {
+        failures.probeUntil = now + this->d->settings.probeLimit;
+    }
+    return true;
+}
+
+bool TargetHealth::isPaused(Millis now, const TargetId &target) const
+{
+    const auto found = this->d->targets.find(target);
+    return found != this->d->targets.end() && this->d->isPaused(now, found->second);
+}
+
+void TargetHealth::succeeded(const TargetId &target)
+{
+    this->d->targets.erase(target);
+}
+
+void TargetHealth::failed(Millis now, const TargetId &target)
+{
+    Failures &failures = this->d->targets[target];
+    ++failures.inARow;
+    // Requests sent before the pause fail late: they must not double it, or one bad moment pauses for minutes.
+    const bool lateNews = failures.pause > Millis{0} && now < failures.pausedUntil;
+    if (!lateNews && failures.inARow >= this->d->settings.failuresToPause) {
+        this->d->startPause(now, failures);
+    }
+}
+
+void TargetHealth::forget(const TargetId &target)
+{
+    this->d->targets.erase(target);
+}
+
+std::size_t TargetHealth::count() const
+{
+    return this->d->targets.size();
+}
+
+} // namespace Sequoiausher
--- /dev/null
+++ b/sequoiausher/coordination/limits/targethealthtest.cpp
@@ -0,0 +1,85 @@
+#include "sequoiausher/coordination/limits/targethealth.h"
+
+#include <doctest/doctest.h>
+
+using namespace Sequoiausher;
+
+namespace {
+
+const TargetId plate{"plate-1"};
+
+/** A target paused at 0 for 500 ms. */
+TargetHealth paused()
+{
+    TargetHealth health({3, Millis{500}, Millis{1500}, Millis{10000}});
+    for (int i = 0; i < 3; ++i) {
+        health.failed(Millis{0}, plate);
+    }
+    return health;
+}
+
+} // namespace
+
+TEST_CASE("single failures do not pause, three in a row do")
+{
+    TargetHealth health({});
+    for (int i = 0; i < 10; ++i) {
+        health.failed(Millis{0}, plate);
+        health.failed(Millis{0}, plate);
+        health.succeeded(plate);
+    }
+    CHECK(health.mayTry(Millis{0}, plate));
+    CHECK(health.count() == 0);
+    TargetHealth other = paused();
+    CHECK(!other.mayTry(Millis{499}, plate));
+    CHECK(other.isPaused(Millis{499}, plate));
+    CHECK(!other.isPaused(Millis{500}, plate));
+}
+
+TEST_CASE("after the pause one probe at a time: success ends it, failure doubles it up to the longest")
+{
+    TargetHealth health = paused();
+    CHECK(health.mayTry(Millis{500}, plate));
+    CHECK(!health.mayTry(Millis{501}, plate));
+    SUBCASE("success")
+    {
+        health.succeeded(plate);
+        CHECK(health.mayTry(Millis{501}, plate));
+        CHECK(health.mayTry(Millis{501}, plate));
+    }
+    SUBCASE("failure")
+    {
+        health.failed(Millis{600}, plate);
+        CHECK(!health.mayTry(Millis{1599}, plate));
+        CHECK(health.mayTry(Millis{1600}, plate));
+        health.failed(Millis{1700}, plate);
+        CHECK(!health.mayTry(Millis{3199}, plate));
+        CHECK(health.mayTry(Millis{3200}, plate));
+    }
+    SUBCASE("forgotten with its target")
+    {
+        health.forget(plate);
+        CHECK(health.mayTry(Millis{501}, plate));
+    }
+}
+
+// Symptom: a target that is well again gets no traffic for minutes. Sequence: the probe's connection goes silent, and
+// its result never comes. Cause: the probe holds its place for ever.
+TEST_CASE("a probe without result is given up")
+{
+    TargetHealth health = paused();
+    CHECK(health.mayTry(Millis{500}, plate));
+    CHECK(!health.mayTry(Millis{10499}, plate));
+    CHECK(health.mayTry(Millis{10500}, plate));
+}
+
+// Symptom: one lost second pauses a target for half a minute. Sequence: thirty requests in flight fail together.
+// Cause: each of them doubles the pause.
+TEST_CASE("failures that come in late do not lengthen the pause")
+{
+    TargetHealth health = paused();
+    for (int i = 0; i < 30; ++i) {
+        health.failed(Millis{10}, plate);
+    }
+    CHECK(health.mayTry(Millis{500}, plate));
+}
