Claim idempotency keys at a quorum of witnesses

Cause: a client's retry may reach any router while the first call runs at another, and a doubled job must not happen. Witnesses by rendezvous over the platform's list vote once per key; a claimant may dispatch only with a quorum, within a short window of its own monotonic clock. Fresh witnesses abstain until hand-over or until every older claim is forgotten. Ruled out: a single owner (forgets with its process), consensus (needs stored state).

--- /dev/null
+++ b/sequoiausher/coordination/claims/claimant.cpp
@@ -0,0 +1,443 @@
+#include "sequoiausher/coordination/claims/claimant.h"
+
+#include "sequoiausher/base/error.h"
+#include "sequoiausher/coordination/claims/ballot.h"
+
+#include <algorithm>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace Sequoiausher {
+
+namespace {
+
+/** How often an attempt asks anew after it gave way to a smaller one. */
+constexpr std::uint32_t maxRounds = 4;
+/** How often the smaller attempt asks again while a larger one does not give way. */
+constexpr int maxStays = 8;
+/** How often a withdrawal is repeated, since it is not acknowledged. */
+constexpr int withdrawalRepeats = 3;
+/** Renewals of a running claim within one lifetime. */
+constexpr std::int64_t renewalsPerLifetime = 4;
+
+enum class Phase {
+    Asking,
+    /** Withdrawn in favour of a smaller attempt; the next round begins at the timer. */
+    BackingOff,
+    Acquired,
+    Dispatched,
+    /** Surely not dispatched, ever; kept to answer late grants. */
+    Withdrawn,
+};
+
+struct Attempt
+{
+    Claim claim;
+    Phase phase = Phase::Asking;
+    std::uint32_t round = 1;
+    Ballot ballot;
+    Millis dispatchBy;
+    Millis giveUpAt;
+    Millis timer;
+    Millis withdrawnAt;
+    int stays = 0;
+    int repeats = 0;
+};
+
+struct Timer
+{
+    Millis at;
+    RequestId attempt;
+
+    auto operator<=>(const Timer &) const = default;
+};
+
+bool isActive(Phase phase)
+{
+    return phase != Phase::Withdrawn;
+}
+
+} // namespace
+
+class Claimant::Private
+{
+public:
+    Private(const InstanceId &ownName, const ClaimParameters &settings) : self(ownName), parameters(settings)
+    {
+    }
+
+    void setTimer(Attempt &attempt, Millis at)
+    {
+        this->timers.erase(Timer{attempt.timer, attempt.claim.attempt});
+        attempt.timer = at;
+        this->timers.insert(Timer{at, attempt.claim.attempt});
+    }
+
+    void enter(Attempt &attempt, Phase phase)
+    {
+        if (isActive(attempt.phase) && !isActive(phase)) {
+            this->release(attempt.claim.key);
+        }
+        attempt.phase = phase;
+    }
+
+    void release(const ClaimKey &key)
+    {
+        const auto found = this->running.find(key);
+        if (found != this->running.end() && --found->second == 0) {
+            this->running.erase(found);
+        }
+    }
+
+    void ask(const Attempt &attempt, const std::vector<InstanceId> &witnesses, Outbox &outbox) const
+    {
+        const Claim &claim = attempt.claim;
+        for (const InstanceId &witness : witnesses) {
+            outbox.push_back(
+                Outgoing{witness, ClaimRequest{claim.key, claim.attempt, attempt.round, claim.bodyDigest}});
+        }
+    }
+
+    void sendWithdrawal(const Attempt &attempt, const std::vector<InstanceId> &witnesses, Outbox &outbox) const
+    {
+        for (const InstanceId &witness : witnesses) {
+            outbox.push_back(Outgoing{witness, ClaimWithdraw{attempt.claim.key, attempt.claim.attempt, attempt.round}});
+        }
+    }
+
+    void startRound(Millis now, Attempt &attempt, Outbox &outbox)
+    {
+        this->enter(attempt, Phase::Asking);
+        attempt.ballot.clear();
+        attempt.stays = 0;
+        // Counted from before the questions leave: every vote of this round is younger.
+        attempt.dispatchBy = now + this->parameters.dispatchWindow;
+        this->ask(attempt, attempt.ballot.witnesses(), outbox);
+        this->setTimer(attempt, std::min(now + this->parameters.retryDelay, attempt.giveUpAt));
+    }
+
+    void evaluate(Millis now, Attempt &attempt, Outbox &outbox)
+    {
+        const VoteCount count = attempt.ballot.count();
+        if (count.granted >= attempt.ballot.quorum()) {
+            this->acquire(now, attempt, outbox);
+        } else if (now >= attempt.giveUpAt) {
+            this->conclude(now, attempt, count, outbox);
+        } else if (count.granted + count.open < attempt.ballot.quorum()) {
+            this->resolve(now, attempt, count, outbox);
+        }
+    }
+
+    void acquire(Millis now, Attempt &attempt, Outbox &outbox)
+    {
+        // A process that paused while the votes came in must not act on them: the witnesses may forget them before
+        // it has dispatched. One would notice two runs of one key, minutes apart.
+        if (now >= attempt.dispatchBy) {
+            this->giveBack(now, attempt, attempt.ballot.witnesses(), outbox);
+            this->refuse(attempt, false);
+            return;
+        }
+        this->enter(attempt, Phase::Acquired);
+        this->setTimer(attempt, attempt.dispatchBy);
+        ClaimOutcome outcome = this->outcomeOf(attempt, ClaimOutcomeKind::Acquired);
+        outcome.dispatchBy = attempt.dispatchBy;
+        this->outcomes.push_back(std::move(outcome));
+    }
+
+    /** The quorum is out of reach as the votes stand. */
+    void resolve(Millis now, Attempt &attempt, const VoteCount &count, Outbox &outbox)
+    {
+        const bool isCertain = !count.rivals.empty() && count.rivals.front().votes >= attempt.ballot.quorum();
+        if (isCertain || count.rivals.empty() || !attempt.ballot.isReachable(count)) {
+            this->conclude(now, attempt, count, outbox);
+        } else if (this->hasSmallerRival(attempt, count)) {
+            this->backOff(now, attempt, count, outbox);
+        } else if (attempt.stays >= maxStays) {
+            this->conclude(now, attempt, count, outbox);
+        } else {
+            const Millis askAgain = now + this->parameters.contentionDelay;
+            this->setTimer(attempt, std::min({askAgain, attempt.timer, attempt.giveUpAt}));
+        }
+    }
+
+    bool hasSmallerRival(const Attempt &attempt, const VoteCount &count) const
+    {
+        return std::any_of(count.rivals.begin(), count.rivals.end(), [&](const Rival &rival) {
+            return rival.attempt < attempt.claim.attempt;
+        });
+    }
+
+    void backOff(Millis now, Attempt &attempt, const VoteCount &count, Outbox &outbox)
+    {
+        if (attempt.round >= maxRounds) {
+            this->conclude(now, attempt, count, outbox);
+            return;
+        }
+        this->sendWithdrawal(attempt, attempt.ballot.mayHaveRecorded(), outbox);
+        this->enter(attempt, Phase::BackingOff);
+        const std::int64_t delay = this->parameters.contentionDelay.count;
+        const auto spread = static_cast<std::int64_t>(attempt.claim.attempt.low % static_cast<std::uint64_t>(delay));
+        const Millis wait{delay * (attempt.round + 1) + spread};
+        this->setTimer(attempt, std::min(now + wait, attempt.giveUpAt));
+    }
+
+    void conclude(Millis now, Attempt &attempt, const VoteCount &count, Outbox &outbox)
+    {
+        this->giveBack(now, attempt, attempt.ballot.mayHaveRecorded(), outbox);
+        if (count.rivals.empty()) {
+            this->refuse(attempt, true);
+            return;
+        }
+        const Rival &rival = count.rivals.front();
+        const auto kind = rival.bodyDiffers ? ClaimOutcomeKind::BodyDiffers : ClaimOutcomeKind::HeldBy;
+        ClaimOutcome outcome = this->outcomeOf(attempt, kind);
+        outcome.holder = rival.holder;
+        outcome.heldBy = rival.attempt;
+        this->outcomes.push_back(std::move(outcome));
+    }
+
+    void refuse(const Attempt &attempt, bool keyMayHaveRun)
+    {
+        ClaimOutcome outcome = this->outcomeOf(attempt, ClaimOutcomeKind::NoQuorum);
+        outcome.retryAfter = std::max(this->parameters.retryAfter, attempt.ballot.retryAfter());
+        outcome.keyMayHaveRun = keyMayHaveRun;
+        this->outcomes.push_back(std::move(outcome));
+    }
+
+    ClaimOutcome outcomeOf(const Attempt &attempt, ClaimOutcomeKind kind) const
+    {
+        ClaimOutcome outcome;
+        outcome.kind = kind;
+        outcome.key = attempt.claim.key;
+        outcome.attempt = attempt.claim.attempt;
+        return outcome;
+    }
+
+    void giveBack(Millis now, Attempt &attempt, const std::vector<InstanceId> &witnesses, Outbox &outbox)
+    {
+        this->sendWithdrawal(attempt, witnesses, outbox);
+        this->enter(attempt, Phase::Withdrawn);
+        attempt.withdrawnAt = now;
+        attempt.repeats = witnesses.empty() ? withdrawalRepeats : 0;
+        this->setTimer(attempt, now + this->parameters.retryDelay);
+    }
+
+    void onTimer(Millis now, Attempt &attempt, Outbox &outbox)
+    {
+        switch (attempt.phase) {
+        case Phase::Asking:
+            this->askAgain(now, attempt, outbox);
+            break;
+        case Phase::BackingOff:
+            this->nextRound(now, attempt, outbox);
+            break;
+        case Phase::Acquired:
+            // Not dispatched in time: mayDispatch refuses it from now on, so the key can be given back.
+            this->giveBack(now, attempt, attempt.ballot.witnesses(), outbox);
+            break;
+        case Phase::Dispatched:
+            this->renew(now, attempt, outbox);
+            break;
+        case Phase::Withdrawn:
+            this->repeatOrForget(now, attempt, outbox);
+            break;
+        }
+    }
+
+    void askAgain(Millis now, Attempt &attempt, Outbox &outbox)
+    {
+        const VoteCount count = attempt.ballot.count();
+        if (now >= attempt.giveUpAt) {
+            this->evaluate(now, attempt, outbox);
+            return;
+        }
+        // Who is silent for a whole retry delay counts as dead here: two attempts that each wait for a dead witness
+        // would otherwise block each other until both time out.
+        if (this->hasSmallerRival(attempt, count)) {
+            this->backOff(now, attempt, count, outbox);
+            return;
+        }
+        Millis next = now + this->parameters.retryDelay;
+        if (!count.rivals.empty()) {
+            ++attempt.stays;
+            next = now + this->parameters.contentionDelay;
+            if (attempt.stays <= maxStays) {
+                attempt.ballot.reopenHeld();
+            }
+        }
+        this->ask(attempt, attempt.ballot.notGranted(), outbox);
+        this->setTimer(attempt, std::min(next, attempt.giveUpAt));
+    }
+
+    void nextRound(Millis now, Attempt &attempt, Outbox &outbox)
+    {
+        if (now >= attempt.giveUpAt) {
+            this->conclude(now, attempt, attempt.ballot.count(), outbox);
+            return;
+        }
+        ++attempt.round;
+        this->startRound(now, attempt, outbox);
+    }
+
+    void renew(Millis now, Attempt &attempt, Outbox &outbox)
+    {
+        const std::size_t witnesses = this->parameters.quorumFor(this->list.names.size()).witnesses;
+        this->ask(attempt, this->list.first(attempt.claim.key, witnesses), outbox);
+        this->setTimer(attempt, now + this->parameters.lifetime / renewalsPerLifetime);
+    }
+
+    void repeatOrForget(Millis now, Attempt &attempt, Outbox &outbox)
+    {
+        if (attempt.repeats < withdrawalRepeats) {
+            ++attempt.repeats;
+            this->sendWithdrawal(attempt, attempt.ballot.witnesses(), outbox);
+            const std::int64_t factor = std::int64_t{1} << (2 * attempt.repeats);
+            this->setTimer(attempt, now + this->parameters.retryDelay * factor);
+            return;
+        }
+        const Millis forgetAt = attempt.withdrawnAt + this->parameters.tombstoneLifetime;
+        if (now < forgetAt) {
+            this->setTimer(attempt, forgetAt);
+            return;
+        }
+        this->forget(attempt);
+    }
+
+    void forget(const Attempt &attempt)
+    {
+        const RequestId id = attempt.claim.attempt;
+        this->timers.erase(Timer{attempt.timer, id});
+        this->attempts.erase(id);
+    }
+
+    Attempt *find(const RequestId &id)
+    {
+        const auto found = this->attempts.find(id);
+        return found == this->attempts.end() ? nullptr : &found->second;
+    }
+
+    InstanceId self;
+    ClaimParameters parameters;
+    InstanceList list;
+    std::unordered_map<RequestId, Attempt> attempts;
+    std::unordered_map<ClaimKey, int> running;
+    std::set<Timer> timers;
+    std::vector<ClaimOutcome> outcomes;
+};
+
+Claimant::Claimant(const InstanceId &self, const ClaimParameters &parameters)
+    : d(std::make_unique<Private>(self, parameters))
+{
+}
+
+Claimant::~Claimant() = default;
+
+void Claimant::setInstances(const InstanceList &list)
+{
+    this->d->list = list;
+}
+
+void Claimant::begin(Millis now, const Claim &claim, Outbox &outbox)
+{
+    if (this->d->attempts.contains(claim.attempt)) {
+        throw Error(Step::Claim, this->d->self.value, "attempt " + claim.attempt.toHex() + " began already");
+    }
+    const WitnessQuorum quorum = this->d->parameters.quorumFor(this->d->list.names.size());
+    Attempt &attempt = this->d->attempts[claim.attempt];
+    attempt.claim = claim;
+    attempt.ballot = Ballot(this->d->list.first(claim.key, quorum.witnesses), quorum.quorum);
+    attempt.giveUpAt = now + this->d->parameters.claimTimeout;
+    ++this->d->running[claim.key];
+    this->d->startRound(now, attempt, outbox);
+    this->d->evaluate(now, attempt, outbox);
+}
+
+void Claimant::receive(Millis now, const InstanceId &from, const ClaimVote &vote, Outbox &outbox)
+{
+    Attempt *attempt = this->d->find(vote.attempt);
+    if (attempt == nullptr || attempt->claim.key != vote.key) {
+        return;
+    }
+    const bool isPast = vote.round < attempt->round || attempt->phase == Phase::BackingOff;
+    if (attempt->phase == Phase::Withdrawn || (isPast && vote.round <= attempt->round)) {
+        // The withdrawal was lost or overtaken: without another the key would stay blocked until it expires.
+        if (vote.verdict == ClaimVerdict::Granted) {
+            outbox.push_back(Outgoing{from, ClaimWithdraw{vote.key, vote.attempt, vote.round}});
+        }
+        return;
+    }
+    if (attempt->phase == Phase::Asking && vote.round == attempt->round && attempt->ballot.record(from, vote)) {
+        this->d->evaluate(now, *attempt, outbox);
+    }
+}
+
+void Claimant::tick(Millis now, Outbox &outbox)
+{
+    while (!this->d->timers.empty() && this->d->timers.begin()->at <= now) {
+        this->d->onTimer(now, *this->d->find(this->d->timers.begin()->attempt), outbox);
+    }
+}
+
+Millis Claimant::nextDeadline() const
+{
+    return this->d->timers.empty() ? Millis::never() : this->d->timers.begin()->at;
+}
+
+std::vector<ClaimOutcome> Claimant::takeOutcomes()
+{
+    return std::exchange(this->d->outcomes, {});
+}
+
+bool Claimant::mayDispatch(const RequestId &id, Millis now)
+{
+    Attempt *attempt = this->d->find(id);
+    if (attempt == nullptr || attempt->phase != Phase::Acquired || now >= attempt->dispatchBy) {
+        return false;
+    }
+    this->d->enter(*attempt, Phase::Dispatched);
+    this->d->setTimer(*attempt, now + this->d->parameters.lifetime / renewalsPerLifetime);
+    return true;
+}
+
+void Claimant::withdraw(Millis now, const RequestId &id, Outbox &outbox)
+{
+    Attempt *attempt = this->d->find(id);
+    if (attempt != nullptr && isActive(attempt->phase)) {
+        this->d->giveBack(now, *attempt, attempt->ballot.witnesses(), outbox);
+    }
+}
+
+bool Claimant::repeatWithdrawal([[maybe_unused]] Millis now, const RequestId &id, Outbox &outbox)
+{
+    const Attempt *attempt = this->d->find(id);
+    if (attempt == nullptr || attempt->phase != Phase::Withdrawn) {
+        return false;
+    }
+    this->d->sendWithdrawal(*attempt, attempt->ballot.witnesses(), outbox);
+    return true;
+}
+
+void Claimant::finished(Millis now, const RequestId &id, Outbox &outbox)
+{
+    Attempt *attempt = this->d->find(id);
+    if (attempt == nullptr || attempt->phase != Phase::Dispatched) {
+        return;
+    }
+    // Remembered for a whole lifetime from the end on, so that the kept answer is found and not made again.
+    this->d->renew(now, *attempt, outbox);
+    this->d->release(attempt->claim.key);
+    this->d->forget(*attempt);
+}
+
+bool Claimant::isRunning(const ClaimKey &key) const
+{
+    return this->d->running.contains(key);
+}
+
+std::size_t Claimant::size() const
+{
+    return this->d->attempts.size();
+}
+
+} // namespace Sequoiausher
--- /dev/null
+++ b/sequoiausher/coordination/claims/handover.cpp
@@ -0,0 +1,262 @@
+#include "sequoiausher/coordination/claims/handover.h"
+
+#include <algorithm>
+#include <map>
+
+namespace Sequoiausher {
+
+namespace {
+
+/** A list that was replaced; the empty one stands for the time before the start. */
+struct Gap
+{
+    InstanceList list;
+    Millis since;
+};
+
+/** How far one instance has handed over. */
+struct Giver
+{
+    ClaimKey next;
+    Millis askedAt;
+    bool asked = false;
+    /** Questions since it last helped; each doubles the wait for the next. */
+    int vain = 0;
+    bool answered = false;
+    /** It answered while it had no gaps itself. */
+    bool settled = false;
+};
+
+bool isSubset(const InstanceList &part, const InstanceList &whole)
+{
+    return std::includes(whole.names.begin(), whole.names.end(), part.names.begin(), part.names.end());
+}
+
+} // namespace
+
+class Handover::Private
+{
+public:
+    bool isOpen(const Gap &gap, Millis now) const
+    {
+        return now < gap.since + this->parameters.memory();
+    }
+
+    bool isKnownFrom(const InstanceId &instance, bool fresh) const
+    {
+        const auto giver = this->givers.find(instance);
+        return giver != this->givers.end() && (fresh ? giver->second.settled : giver->second.answered);
+    }
+
+    /** Whether all of witnesses but mayMiss have handed over; fresh: nothing is known of an earlier life. */
+    bool isLearnt(const std::vector<InstanceId> &witnesses, const WitnessQuorum &quorum, bool fresh) const
+    {
+        const WitnessQuorum::Handover handover = quorum.handover();
+        // Under a list by which it was no witness, the whole quorum was others, so that any quorum can be asked.
+        if (fresh && !handover.possible) {
+            return false;
+        }
+        const auto isMissing
+            = [&](const InstanceId &witness) { return witness != this->self && !this->isKnownFrom(witness, fresh); };
+        const auto missing = std::count_if(witnesses.begin(), witnesses.end(), isMissing);
+        return static_cast<std::size_t>(missing) <= handover.mayMiss;
+    }
+
+    bool isClosedFor(const Gap &gap, const ClaimKey &key) const
+    {
+        const bool fresh = gap.list.names.empty();
+        const InstanceList &base = fresh ? this->list : gap.list;
+        const WitnessQuorum quorum = this->parameters.quorumFor(base.names.size());
+        const std::vector<InstanceId> witnesses = base.first(key, quorum.witnesses);
+        const bool wasWitness = std::find(witnesses.begin(), witnesses.end(), this->self) != witnesses.end();
+        return (!fresh && wasWitness) || this->isLearnt(witnesses, quorum, fresh);
+    }
+
+    /** Drops the gaps that are closed for every key. */
+    void dropClosed(Millis now)
+    {
+        std::erase_if(this->gaps, [&](const Gap &gap) {
+            const bool fresh = gap.list.names.empty();
+            const InstanceList &base = fresh ? this->list : gap.list;
+            return !this->isOpen(gap, now)
+                || (!base.names.empty()
+                    && this->isLearnt(base.names, this->parameters.quorumFor(base.names.size()), fresh));
+        });
+        if (this->gaps.empty()) {
+            this->givers.clear();
+        }
+    }
+
+    void restart(Millis now)
+    {
+        ++this->pull;
+        this->startsAt = now + this->parameters.settleTime;
+        this->givers.clear();
+        std::vector<InstanceId> names = this->list.names;
+        for (const Gap &gap : this->gaps) {
+            names.insert(names.end(), gap.list.names.begin(), gap.list.names.end());
+        }
+        for (const InstanceId &name : names) {
+            if (name != this->self) {
+                this->givers[name].next = ClaimKey{};
+            }
+        }
+    }
+
+    /** Doubles with each question in vain, so that a fleet that knows nothing does not ask itself busy. */
+    Millis dueAt(const Giver &giver) const
+    {
+        constexpr std::int64_t firstRetry = 4;
+        constexpr int doublings = 4;
+        const std::int64_t factor = firstRetry << std::clamp(giver.vain - 1, 0, doublings);
+        return giver.asked ? giver.askedAt + this->parameters.retryDelay * factor : this->startsAt;
+    }
+
+    InstanceId self;
+    ClaimParameters parameters;
+    InstanceList list;
+    std::vector<Gap> gaps;
+    std::map<InstanceId, Giver> givers;
+    std::uint64_t pull = 0;
+    Millis startsAt;
+};
+
+Handover::Handover(const InstanceId &self, const ClaimParameters &parameters, Millis startedAt)
+    : d(std::make_unique<Private>())
+{
+    this->d->self = self;
+    this->d->parameters = parameters;
+    this->d->gaps.push_back(Gap{InstanceList{}, startedAt});
+    // Pull numbers of an earlier life are smaller, so that its late pages are told apart.
+    constexpr int pullsPerMilli = 10;
+    this->d->pull = static_cast<std::uint64_t>(startedAt.count) << pullsPerMilli;
+    this->d->startsAt = startedAt + parameters.settleTime;
+}
+
+Handover::~Handover() = default;
+
+void Handover::setInstances(Millis now, const InstanceList &list)
+{
+    if (list == this->d->list) {
+        return;
+    }
+    this->d->dropClosed(now);
+    const InstanceList old = this->d->list;
+    this->d->list = list;
+    // Where instances were only added, whoever is a key's witness now was one before.
+    const bool onlyAdded = old.contains(this->d->self) && isSubset(old, list);
+    if (!old.names.empty() && !onlyAdded) {
+        this->d->gaps.push_back(Gap{old, now});
+    }
+    if (!this->d->gaps.empty()) {
+        this->d->restart(now);
+    }
+}
+
+const InstanceList &Handover::instances() const
+{
+    return this->d->list;
+}
+
+bool Handover::mayVote(Millis now, const ClaimKey &key) const
+{
+    const std::size_t witnesses = this->d->parameters.quorumFor(this->d->list.names.size()).witnesses;
+    if (!this->d->list.isAmongFirst(this->d->self, key, witnesses)) {
+        return false;
+    }
+    return std::all_of(this->d->gaps.begin(), this->d->gaps.end(), [&](const Gap &gap) {
+        return !this->d->isOpen(gap, now) || this->d->isClosedFor(gap, key);
+    });
+}
+
+Millis Handover::retryAfter(Millis now, const ClaimKey &key) const
+{
+    Millis wait = this->d->parameters.retryAfter;
+    const Millis handoverBy = this->d->startsAt + this->d->parameters.settleTime;
+    const bool alone = this->d->list.names.size() <= 1;
+    for (const Gap &gap : this->d->gaps) {
+        if (this->d->isOpen(gap, now) && !this->d->isClosedFor(gap, key)) {
+            const Millis forgotten = gap.since + this->d->parameters.memory();
+            const bool mayStillLearn = now < handoverBy && !alone;
+            wait = std::max(wait, (mayStillLearn ? handoverBy : forgotten) - now);
+        }
+    }
+    return wait;
+}
+
+bool Handover::isFresh(Millis now) const
+{
+    return std::any_of(this->d->gaps.begin(), this->d->gaps.end(), [&](const Gap &gap) {
+        return gap.list.names.empty() && this->d->isOpen(gap, now);
+    });
+}
+
+bool Handover::isLearning(Millis now) const
+{
+    return std::any_of(
+        this->d->gaps.begin(), this->d->gaps.end(), [&](const Gap &gap) { return this->d->isOpen(gap, now); });
+}
+
+void Handover::closeStart()
+{
+    std::erase_if(this->d->gaps, [](const Gap &gap) { return gap.list.names.empty(); });
+}
+
+std::vector<PullDue> Handover::due(Millis now)
+{
+    this->d->dropClosed(now);
+    std::vector<PullDue> pulls;
+    if (now < this->d->startsAt) {
+        return pulls;
+    }
+    const bool fresh = this->isFresh(now);
+    for (auto &[instance, giver] : this->d->givers) {
+        if (!this->d->isKnownFrom(instance, fresh) && now >= this->d->dueAt(giver)) {
+            giver.asked = true;
+            ++giver.vain;
+            giver.askedAt = now;
+            pulls.push_back(PullDue{instance, ClaimPull{this->d->pull, giver.next}});
+        }
+    }
+    return pulls;
+}
+
+Millis Handover::nextDeadline(Millis now) const
+{
+    Millis deadline = Millis::never();
+    const bool fresh = this->isFresh(now);
+    for (const auto &[instance, giver] : this->d->givers) {
+        if (!this->d->isKnownFrom(instance, fresh)) {
+            deadline = std::min(deadline, std::max(this->d->startsAt, this->d->dueAt(giver)));
+        }
+    }
+    for (const Gap &gap : this->d->gaps) {
+        deadline = std::min(deadline, gap.since + this->d->parameters.memory());
+    }
+    return deadline;
+}
+
+bool Handover::pageArrived(Millis now, const InstanceId &from, const ClaimPage &page, bool kept)
+{
+    const auto found = this->d->givers.find(from);
+    if (page.pull != this->d->pull || found == this->d->givers.end() || !found->second.asked) {
+        return false;
+    }
+    Giver &giver = found->second;
+    if (!kept || page.giverAbstains) {
+        return true;
+    }
+    if (!page.last) {
+        giver.next = std::max(giver.next, page.next);
+        giver.asked = false;
+        giver.vain = 0;
+        return true;
+    }
+    giver.answered = true;
+    giver.settled = giver.settled || !page.giverLearns;
+    giver.next = ClaimKey{};
+    this->d->dropClosed(now);
+    return true;
+}
+
+} // namespace Sequoiausher
--- /dev/null
+++ b/sequoiausher/coordination/claims/witness.cpp
@@ -0,0 +1,190 @@
+#include "sequoiausher/coordination/claims/witness.h"
+
+#include "sequoiausher/coordination/claims/claimstore.h"
+#include "sequoiausher/coordination/claims/handover.h"
+
+#include <algorithm>
+#include <map>
+
+namespace Sequoiausher {
+
+class Witness::Private
+{
+public:
+    Private(const InstanceId &ownName, const ClaimParameters &settings, Millis startedAt)
+        : self(ownName)
+        , parameters(settings)
+        , store(settings.maxRecords, settings.memory(), settings.tombstoneLifetime)
+        , handover(ownName, settings, startedAt)
+    {
+    }
+
+    void abstain(Millis now, ClaimVote &vote) const
+    {
+        vote.verdict = ClaimVerdict::Abstains;
+        vote.retryAfter = this->handover.retryAfter(now, vote.key);
+    }
+
+    /** Fills the vote where another attempt holds the key. */
+    static bool isHeldByAnother(const std::vector<ClaimRecord> &claims, const ClaimRequest &request, ClaimVote &vote)
+    {
+        const auto isOther = [&](const ClaimRecord &claim) { return claim.attempt != request.attempt; };
+        const auto other = std::find_if(claims.begin(), claims.end(), isOther);
+        if (other == claims.end()) {
+            return false;
+        }
+        vote.verdict = other->bodyDigest == request.bodyDigest ? ClaimVerdict::Held : ClaimVerdict::BodyDiffers;
+        vote.holder = other->holder;
+        vote.heldBy = other->attempt;
+        return true;
+    }
+
+    void decide(Millis now, const InstanceId &from, const ClaimRequest &request, ClaimVote &vote)
+    {
+        const std::vector<ClaimRecord> claims = this->store.claimsOf(now, request.key);
+        if (isHeldByAnother(claims, request, vote)) {
+            return;
+        }
+        // Remembered even where the vote is withheld, so that claims renewed by their holders teach a new witness.
+        const ClaimRecord record{request.key, request.attempt, request.round, request.bodyDigest, from, Millis{0}};
+        const bool stored = this->store.add(now, record) == StoreResult::Stored;
+        if (stored && this->handover.mayVote(now, request.key)) {
+            vote.verdict = ClaimVerdict::Granted;
+        } else {
+            this->abstain(now, vote);
+        }
+    }
+
+    void sendDue(Millis now, Outbox &outbox)
+    {
+        for (const PullDue &due : this->handover.due(now)) {
+            outbox.push_back(Outgoing{due.to, due.pull});
+        }
+    }
+
+    InstanceId self;
+    ClaimParameters parameters;
+    ClaimStore store;
+    Handover handover;
+};
+
+Witness::Witness(const InstanceId &self, const ClaimParameters &parameters, Millis startedAt)
+    : d(std::make_unique<Private>(self, parameters, startedAt))
+{
+}
+
+Witness::~Witness() = default;
+
+void Witness::setInstances(Millis now, const InstanceList &list)
+{
+    this->d->handover.setInstances(now, list);
+}
+
+void Witness::receive(Millis now, const InstanceId &from, const ClaimRequest &request, Outbox &outbox)
+{
+    ClaimVote vote;
+    vote.key = request.key;
+    vote.attempt = request.attempt;
+    vote.round = request.round;
+    this->d->decide(now, from, request, vote);
+    outbox.push_back(Outgoing{from, vote});
+}
+
+void Witness::receive(Millis now,
+                      [[maybe_unused]] const InstanceId &from,
+                      const ClaimWithdraw &withdrawal,
+                      [[maybe_unused]] Outbox &outbox)
+{
+    this->d->store.withdraw(now, withdrawal.key, withdrawal.attempt, withdrawal.round);
+}
+
+void Witness::receive(Millis now, const InstanceId &from, const ClaimPull &pull, Outbox &outbox)
+{
+    const InstanceList &list = this->d->handover.instances();
+    const std::size_t ranks = this->d->parameters.witnesses + this->d->parameters.tolerated();
+    const bool known = list.contains(from);
+    // Ranks beyond the witnesses, since the other's list may lack instances that are on this one.
+    const auto wanted = [&](const ClaimKey &key) { return !known || list.isAmongFirst(from, key, ranks); };
+    ClaimStore::Page found = this->d->store.page(now, pull.from, this->d->parameters.pageRecords, wanted);
+    ClaimPage page;
+    page.pull = pull.pull;
+    page.giverAbstains = this->d->handover.isFresh(now);
+    page.giverLearns = this->d->handover.isLearning(now);
+    page.last = found.last;
+    page.next = found.next;
+    page.records = std::move(found.records);
+    outbox.push_back(Outgoing{from, std::move(page)});
+}
+
+void Witness::receive(Millis now, const InstanceId &from, const ClaimPage &page, Outbox &outbox)
+{
+    bool kept = true;
+    for (const ClaimRecord &record : page.records) {
+        kept = this->d->store.add(now, record) != StoreResult::Full && kept;
+    }
+    if (this->d->handover.pageArrived(now, from, page, kept)) {
+        this->d->sendDue(now, outbox);
+    }
+}
+
+void Witness::tick(Millis now, Outbox &outbox)
+{
+    this->d->store.expire(now);
+    this->d->sendDue(now, outbox);
+}
+
+Millis Witness::nextDeadline(Millis now) const
+{
+    return std::min(this->d->store.nextExpiry(), this->d->handover.nextDeadline(now));
+}
+
+void Witness::leave(Millis now, Outbox &outbox)
+{
+    std::vector<InstanceId> names = this->d->handover.instances().names;
+    std::erase(names, this->d->self);
+    const InstanceList after = makeInstanceList(std::move(names));
+    const std::size_t count = this->d->parameters.quorumFor(after.names.size()).witnesses;
+    const std::size_t everything = this->d->store.size();
+    const auto all = [](const ClaimKey &) { return true; };
+    std::map<InstanceId, ClaimPage> pages;
+    for (const ClaimRecord &record : this->d->store.page(now, ClaimKey{}, everything, all).records) {
+        const std::vector<InstanceId> witnesses = after.first(record.key, count);
+        if (witnesses.size() < this->d->parameters.witnesses) {
+            continue; // Everyone else is a witness already.
+        }
+        ClaimPage &page = pages[witnesses.back()];
+        page.records.push_back(record);
+        if (page.records.size() >= this->d->parameters.pageRecords) {
+            outbox.push_back(Outgoing{witnesses.back(), std::move(page)});
+            page = ClaimPage{};
+        }
+    }
+    for (auto &[instance, page] : pages) {
+        if (!page.records.empty()) {
+            page.last = true;
+            outbox.push_back(Outgoing{instance, std::move(page)});
+        }
+    }
+}
+
+void Witness::foundEmpty()
+{
+    this->d->handover.closeStart();
+}
+
+bool Witness::mayVote(Millis now, const ClaimKey &key) const
+{
+    return this->d->handover.mayVote(now, key);
+}
+
+bool Witness::isFresh(Millis now) const
+{
+    return this->d->handover.isFresh(now);
+}
+
+std::size_t Witness::size() const
+{
+    return this->d->store.size();
+}
+
+} // namespace Sequoiausher
--- a/sequoiausher/coordination/messages/claimmessages.h
+++ b/sequoiausher/coordination/messages/claimmessages.h
@@ -55,6 +55,8 @@
     /** With Held and BodyDiffers: the instance and the attempt that hold the key. */
     InstanceId holder;
     RequestId heldBy;
+    /** With Abstains: when the witness expects to vote for this key; zero where it does not know. */
+    Millis retryAfter;
 
     bool operator==(const ClaimVote &) const = default;
 };
@@ -100,6 +102,8 @@
     std::uint64_t pull = 0;
     /** The giver may itself have forgotten claims, so its pages do not count towards a hand-over. */
     bool giverAbstains = false;
+    /** The giver still learns keys that a change of the list made it a witness of; a fresh witness asks it again. */
+    bool giverLearns = false;
     /** No page follows. */
     bool last = false;
     /** Where not last: the key from which the next page starts. */
