Reserve on the entry's side, alone within a share while the owner is unreachable

An entry must neither wait for a dead owner nor place what it likes. It asks the owner, asks again after a time-out or where lists disagree, and then acts within its share of the places left below a stricter bound: whole places go to the first routers of a target's rendezvous order, since a plain division by the number of routers gives nobody a place as soon as there are more routers than places. Each try has an id of its own on the wire, so that a late release of one target cannot undo the reservation of the next; a new message field was ruled out, as this needs none.

--- /dev/null
+++ b/sequoiausher/coordination/admission/localplacement.cpp
@@ -0,0 +1,145 @@
+#include "sequoiausher/coordination/admission/localplacement.h"
+
+#include "sequoiausher/coordination/admission/localshare.h"
+#include "sequoiausher/coordination/policies/policy.h"
+
+#include <algorithm>
+#include <map>
+
+namespace Sequoiausher {
+
+namespace {
+
+std::uint32_t countOf(const TargetCounts &counts, const TargetId &target)
+{
+    const auto entry = counts.find(target);
+    return entry == counts.end() ? 0 : entry->second;
+}
+
+} // namespace
+
+void countDown(TargetCounts &counts, const TargetId &target)
+{
+    const auto entry = counts.find(target);
+    entry->second -= 1;
+    if (entry->second == 0) {
+        counts.erase(entry);
+    }
+}
+
+class LocalPlacement::Private
+{
+public:
+    const ReportedLoad *freshLoad(Millis now, const TargetView &target) const;
+    PoolLoad loadOf(Millis now, const std::vector<TargetView> &live, const TargetCounts &own) const;
+    std::uint64_t placesOn(const TargetView &target,
+                           const TargetLoad &seen,
+                           const PoolLoad &load,
+                           std::uint32_t boundPercent,
+                           const std::vector<InstanceId> &routers) const;
+
+    InstanceId self;
+    Millis loadLife;
+    std::uint64_t seed = 0;
+    std::unordered_map<TargetId, ReportedLoad> loads;
+    TargetCounts local;
+    std::map<PolicyKind, std::unique_ptr<Policy>> policies;
+};
+
+const ReportedLoad *LocalPlacement::Private::freshLoad(Millis now, const TargetView &target) const
+{
+    const auto entry = this->loads.find(target.description.target);
+    if (entry == this->loads.end() || entry->second.incarnation != target.description.life.incarnation) {
+        return nullptr;
+    }
+    return now <= entry->second.measuredAt + this->loadLife ? &entry->second : nullptr;
+}
+
+PoolLoad LocalPlacement::Private::loadOf(Millis now, const std::vector<TargetView> &live, const TargetCounts &own) const
+{
+    PoolLoad load;
+    for (const TargetView &target : live) {
+        const TargetId &name = target.description.target;
+        const ReportedLoad *reported = this->freshLoad(now, target);
+        // Where nothing is known but this router's own, the total comes out too low, and with it the bound.
+        const std::uint32_t carried = std::max(countOf(own, name), reported == nullptr ? 0 : reported->load);
+        load.targets.push_back(TargetLoad{name, target.hash, carried, carried, reported != nullptr});
+        load.total += carried;
+    }
+    load.counted = live.size();
+    return load;
+}
+
+std::uint64_t LocalPlacement::Private::placesOn(const TargetView &target,
+                                                const TargetLoad &seen,
+                                                const PoolLoad &load,
+                                                std::uint32_t boundPercent,
+                                                const std::vector<InstanceId> &routers) const
+{
+    const LocalKnowledge known{boundPercent, load.total, load.counted, seen.inFlight, target.description.capacity};
+    const std::size_t rank = routerRank(routers, this->self, target.hash);
+    const std::uint64_t share = localShare(localHeadroom(known), rank, routers.size());
+    // Placed ones count in full although the report may show some of them already: it lags, and which is not known.
+    const std::uint64_t used = countOf(this->local, seen.target);
+    return share > used ? share - used : 0;
+}
+
+LocalPlacement::LocalPlacement(InstanceId self, Millis loadLife, std::uint64_t seed) : d(std::make_unique<Private>())
+{
+    this->d->self = std::move(self);
+    this->d->loadLife = loadLife;
+    this->d->seed = seed;
+}
+
+LocalPlacement::~LocalPlacement() = default;
+
+void LocalPlacement::noteLoad(const TargetId &target, const ReportedLoad &load)
+{
+    const auto [entry, fresh] = this->d->loads.try_emplace(target, load);
+    if (!fresh && (load.measuredAt > entry->second.measuredAt || load.incarnation > entry->second.incarnation)) {
+        entry->second = load;
+    }
+}
+
+void LocalPlacement::placed(const TargetId &target)
+{
+    this->d->local[target] += 1;
+}
+
+void LocalPlacement::removed(const TargetId &target)
+{
+    countDown(this->d->local, target);
+}
+
+std::optional<TargetId> LocalPlacement::choose(Millis now,
+                                               const Wanted &wanted,
+                                               const std::vector<TargetView> &targets,
+                                               const std::vector<InstanceId> &routers,
+                                               const TargetCounts &own)
+{
+    std::vector<TargetView> live;
+    std::copy_if(targets.begin(), targets.end(), std::back_inserter(live), [](const TargetView &target) {
+        return target.description.life.state == LifeState::Live;
+    });
+    PoolLoad load = this->d->loadOf(now, live, own);
+    for (std::size_t i = 0; i < live.size(); ++i) {
+        TargetLoad &seen = load.targets[i];
+        const auto &excluded = wanted.excluded;
+        const bool isExcluded = std::find(excluded.begin(), excluded.end(), seen.target) != excluded.end();
+        seen.usable
+            = seen.usable && !isExcluded && this->d->placesOn(live[i], seen, load, wanted.boundPercent, routers) > 0;
+    }
+    std::unique_ptr<Policy> &policy = this->d->policies[wanted.policy];
+    if (!policy) {
+        policy = makePolicy(wanted.policy, this->d->seed);
+    }
+    const std::optional<std::size_t> chosen = policy->choose(load, Choice{wanted.chatHash, wanted.boundPercent});
+    return chosen ? std::optional(load.targets[*chosen].target) : std::nullopt;
+}
+
+void LocalPlacement::forget(Millis now)
+{
+    std::erase_if(this->d->loads, [&](const auto &entry) { return now > entry.second.measuredAt + this->d->loadLife; });
+}
+
+} // namespace Sequoiausher
--- /dev/null
+++ b/sequoiausher/coordination/admission/reserver.cpp
@@ -0,0 +1,429 @@
+#include "sequoiausher/coordination/admission/reserver.h"
+
+#include "sequoiausher/coordination/admission/localplacement.h"
+#include "sequoiausher/coordination/admission/localshare.h"
+
+#include <algorithm>
+#include <map>
+#include <unordered_map>
+#include <utility>
+
+namespace Sequoiausher {
+
+namespace {
+
+constexpr int incarnationShift = 20;
+// A router further back in a target's order has no place on it while fewer than this many are free.
+constexpr std::size_t askedRanks = 16;
+
+/** A reservation asked for and not answered. */
+struct Pending
+{
+    Wanted wanted;
+    RequestId reservation;
+    ShardRoute route;
+    Millis deadline;
+    std::uint32_t tries = 0;
+    /** The owner answered NotOwner, so this waits for lists to agree. */
+    bool refusedByOwner = false;
+};
+
+/** A reservation that was granted. */
+struct Kept
+{
+    RequestId reservation;
+    PoolId pool;
+    TargetId target;
+    InstanceId grantedBy;
+    bool isLocal = false;
+};
+
+} // namespace
+
+class Reserver::Private
+{
+public:
+    Private(InstanceId name, const ReserverSettings &given, std::uint64_t seed, const ShardMap &shards)
+        : self(name)
+        , settings(given)
+        , map(shards)
+        , placement(std::move(name), given.loadLife, seed)
+    {
+    }
+
+    void ask(Millis now, Pending &pending, Outbox &outbox);
+    void askAnew(Millis now, Pending &pending, Outbox &outbox);
+    void giveUp(Pending &pending, Outbox &outbox) const;
+    void grant(const Pending &pending, const TargetId &target, bool isLocal);
+    void refuse(const RequestId &request, ReserveOutcome outcome, Millis retryAfter);
+    void decideAlone(Millis now, const RequestId &request);
+    void expire(Millis now, const RequestId &request, Outbox &outbox);
+    void report(const ShardId &shard, Outbox &outbox);
+    bool isUnreachable(Millis now, const InstanceId &owner) const;
+    ShardId shardOf(const Kept &kept) const;
+    void sendRelease(const InstanceId &to, const RequestId &reservation, const ShardId &shard, Outbox &outbox) const;
+    void letGo(const Kept &kept, Outbox &outbox);
+
+    InstanceId self;
+    ReserverSettings settings;
+    const ShardMap &map;
+    LocalPlacement placement;
+    std::uint64_t sequence = 0;
+    std::uint64_t reservations = 0;
+    std::unordered_map<RequestId, Pending> pending;
+    std::unordered_map<RequestId, Kept> kept;
+    /** From the ids on the wire back to the requests. */
+    std::unordered_map<RequestId, RequestId> requestOf;
+    /** Held by this router on each target. */
+    TargetCounts own;
+    std::map<InstanceId, Millis> unreachableUntil;
+    std::map<ShardId, InstanceId> owners;
+    /**
+     * Shards that the next round of reports goes to: those asked since the last one, or where that named something. A
+     * grant whose answer and release were both lost is undone by it, also where this router holds nothing now.
+     */
+    std::map<ShardId, bool> reportDue;
+    Millis nextReport;
+    std::vector<ReserveResult> results;
+};
+
+bool Reserver::Private::isUnreachable(Millis now, const InstanceId &owner) const
+{
+    const auto entry = this->unreachableUntil.find(owner);
+    return owner.empty() || (entry != this->unreachableUntil.end() && now < entry->second);
+}
+
+ShardId Reserver::Private::shardOf(const Kept &keptOne) const
+{
+    return ShardId{keptOne.pool, this->map.shardOfTarget(keptOne.pool, keptOne.target)};
+}
+
+void Reserver::Private::sendRelease(const InstanceId &to,
+                                    const RequestId &reservation,
+                                    const ShardId &shard,
+                                    Outbox &outbox) const
+{
+    if (!to.empty()) {
+        outbox.push_back({to, Release{reservation, shard.pool, shard.shard}});
+    }
+}
+
+void Reserver::Private::refuse(const RequestId &request, ReserveOutcome outcome, Millis retryAfter)
+{
+    this->results.push_back(ReserveResult{request, outcome, TargetId{}, retryAfter});
+    const auto refused = this->pending.find(request);
+    this->requestOf.erase(refused->second.reservation);
+    this->pending.erase(refused);
+}
+
+void Reserver::Private::grant(const Pending &pendingOne, const TargetId &target, bool isLocal)
+{
+    const RequestId &request = pendingOne.wanted.request;
+    const InstanceId grantedBy = isLocal ? InstanceId{} : pendingOne.route.owner;
+    this->kept[request] = Kept{pendingOne.reservation, pendingOne.wanted.pool, target, grantedBy, isLocal};
+    this->own[target] += 1;
+    if (isLocal) {
+        this->placement.placed(target);
+    }
+    const ReserveOutcome outcome = isLocal ? ReserveOutcome::GrantedLocally : ReserveOutcome::Granted;
+    this->results.push_back(ReserveResult{request, outcome, target, Millis{}});
+}
+
+void Reserver::Private::letGo(const Kept &keptOne, Outbox &outbox)
+{
+    countDown(this->own, keptOne.target);
+    if (keptOne.isLocal) {
+        this->placement.removed(keptOne.target);
+    }
+    const ShardId shard = this->shardOf(keptOne);
+    const InstanceId owner = this->map.ownerOf(shard);
+    this->sendRelease(owner, keptOne.reservation, shard, outbox);
+    if (keptOne.grantedBy != owner) {
+        // The router that granted it may still believe that it owns the shard.
+        this->sendRelease(keptOne.grantedBy, keptOne.reservation, shard, outbox);
+    }
+    this->requestOf.erase(keptOne.reservation);
+}
+
+void Reserver::Private::ask(Millis now, Pending &pendingOne, Outbox &outbox)
+{
+    const Wanted &wanted = pendingOne.wanted;
+    pendingOne.tries += 1;
+    this->reportDue[pendingOne.route.shard] = true;
+    pendingOne.refusedByOwner = false;
+    pendingOne.deadline = now + this->settings.replyTimeout;
+    outbox.push_back({pendingOne.route.owner,
+                      ReserveRequest{pendingOne.reservation,
+                                     wanted.pool,
+                                     pendingOne.route.shard.shard,
+                                     wanted.chatHash,
+                                     wanted.policy,
+                                     wanted.boundPercent,
+                                     wanted.excluded}});
+}
+
+void Reserver::Private::giveUp(Pending &pendingOne, Outbox &outbox) const
+{
+    // The owner may have granted it, with the answer lost or late.
+    this->sendRelease(pendingOne.route.owner, pendingOne.reservation, pendingOne.route.shard, outbox);
+}
+
+void Reserver::Private::askAnew(Millis now, Pending &pendingOne, Outbox &outbox)
+{
+    const std::optional<ShardRoute> route = this->map.routeOf(pendingOne.wanted.pool, pendingOne.wanted.chatHash);
+    const RequestId request = pendingOne.wanted.request;
+    if (!route) {
+        this->refuse(request, ReserveOutcome::NoTarget, this->settings.retryAfter);
+        return;
+    }
+    // A new id for each shard and owner asked, so that the release of the one cannot touch the other.
+    constexpr std::uint64_t spread = 0x9e3779b97f4a7c15ULL;
+    this->requestOf.erase(pendingOne.reservation);
+    pendingOne.route = *route;
+    this->reservations += 1;
+    pendingOne.reservation = RequestId{request.high, request.low ^ (this->reservations * spread)};
+    this->requestOf[pendingOne.reservation] = request;
+    if (this->isUnreachable(now, route->owner)) {
+        this->decideAlone(now, request);
+        return;
+    }
+    this->ask(now, pendingOne, outbox);
+}
+
+void Reserver::Private::decideAlone(Millis now, const RequestId &request)
+{
+    const Pending &alone = this->pending.at(request);
+    const std::vector<TargetView> targets = this->map.targetsOf(alone.route.shard);
+    const std::optional<TargetId> target
+        = this->placement.choose(now, alone.wanted, targets, this->map.instances(), this->own);
+    if (target) {
+        this->grant(alone, *target, true);
+        this->pending.erase(request);
+        return;
+    }
+    this->refuse(request, ReserveOutcome::Unreachable, this->settings.retryAfter);
+}
+
+void Reserver::Private::expire(Millis now, const RequestId &request, Outbox &outbox)
+{
+    Pending &expired = this->pending.at(request);
+    const bool sameOwner = this->map.ownerOf(expired.route.shard) == expired.route.owner;
+    if (expired.tries < this->settings.tries) {
+        if (sameOwner && !this->isUnreachable(now, expired.route.owner)) {
+            this->ask(now, expired, outbox);
+            return;
+        }
+        this->giveUp(expired, outbox);
+        this->askAnew(now, expired, outbox);
+        return;
+    }
+    if (!expired.refusedByOwner) {
+        this->unreachableUntil[expired.route.owner] = now + this->settings.unreachableTime;
+    }
+    this->giveUp(expired, outbox);
+    this->decideAlone(now, request);
+}
+
+void Reserver::Private::report(const ShardId &shard, Outbox &outbox)
+{
+    const InstanceId owner = this->map.ownerOf(shard);
+    if (owner.empty()) {
+        return;
+    }
+    HoldingsReport message{shard.pool, shard.shard, ++this->sequence, {}};
+    for (const auto &entry : this->kept) {
+        if (this->shardOf(entry.second) == shard) {
+            message.holdings.push_back(Holding{entry.second.reservation, entry.second.target});
+        }
+    }
+    for (const auto &entry : this->pending) {
+        if (entry.second.route.shard == shard) {
+            message.holdings.push_back(Holding{entry.second.reservation, TargetId{}});
+        }
+    }
+    this->reportDue[shard] = !message.holdings.empty();
+    outbox.push_back({owner, std::move(message)});
+}
+
+Reserver::Reserver(InstanceId self,
+                   Incarnation incarnation,
+                   const ReserverSettings &settings,
+                   std::uint64_t seed,
+                   const ShardMap &map)
+    : d(std::make_unique<Private>(std::move(self), settings, seed, map))
+{
+    this->d->sequence = incarnation << incarnationShift;
+}
+
+Reserver::~Reserver() = default;
+
+void Reserver::reserve(Millis now, const Wanted &wanted, Outbox &outbox)
+{
+    this->release(now, wanted.request, outbox);
+    Pending &pending = this->d->pending[wanted.request];
+    pending.wanted = wanted;
+    this->d->askAnew(now, pending, outbox);
+}
+
+void Reserver::release(Millis /*now*/, const RequestId &request, Outbox &outbox)
+{
+    const auto pending = this->d->pending.find(request);
+    if (pending != this->d->pending.end()) {
+        this->d->giveUp(pending->second, outbox);
+        this->d->requestOf.erase(pending->second.reservation);
+        this->d->pending.erase(pending);
+    }
+    const auto kept = this->d->kept.find(request);
+    if (kept != this->d->kept.end()) {
+        this->d->letGo(kept->second, outbox);
+        this->d->kept.erase(kept);
+    }
+}
+
+void Reserver::receive(Millis now, const InstanceId &from, const ReserveReply &message)
+{
+    this->d->unreachableUntil.erase(from);
+    const auto known = this->d->requestOf.find(message.request);
+    const auto found
+        = known == this->d->requestOf.end() ? this->d->pending.end() : this->d->pending.find(known->second);
+    // A late or repeated answer is of no use. If it granted something, the release sent when this router gave up, or
+    // else the next report, undoes it.
+    if (found == this->d->pending.end() || found->second.route.owner != from) {
+        return;
+    }
+    const RequestId request = found->first;
+    Pending &pending = found->second;
+    switch (message.verdict) {
+    case ReserveVerdict::Granted:
+        this->d->grant(pending, message.target, false);
+        this->d->pending.erase(found);
+        return;
+    case ReserveVerdict::Full:
+        this->d->refuse(request, ReserveOutcome::Full, message.retryAfter);
+        return;
+    case ReserveVerdict::NoTarget:
+        this->d->refuse(request, ReserveOutcome::NoTarget, message.retryAfter);
+        return;
+    case ReserveVerdict::NotOwner:
+        pending.refusedByOwner = true;
+        pending.deadline = now + this->d->settings.notOwnerDelay;
+        return;
+    }
+}
+
+void Reserver::listsChanged(Millis now, Outbox &outbox)
+{
+    std::map<ShardId, InstanceId> owners;
+    for (const ShardId &shard : this->d->map.shards()) {
+        owners[shard] = this->d->map.ownerOf(shard);
+    }
+    std::vector<RequestId> moved;
+    for (const auto &entry : this->d->pending) {
+        const auto owner = owners.find(entry.second.route.shard);
+        if (owner == owners.end() || owner->second != entry.second.route.owner) {
+            moved.push_back(entry.first);
+        }
+    }
+    for (const RequestId &request : moved) {
+        Pending &pending = this->d->pending.at(request);
+        this->d->giveUp(pending, outbox);
+        this->d->askAnew(now, pending, outbox);
+    }
+    for (const auto &entry : owners) {
+        const auto before = this->d->owners.find(entry.first);
+        if (before == this->d->owners.end() || before->second != entry.second) {
+            this->d->report(entry.first, outbox);
+        }
+    }
+    this->d->owners = std::move(owners);
+}
+
+void Reserver::peerUnreachable(Millis now, const InstanceId &peer, Outbox &outbox)
+{
+    this->d->unreachableUntil[peer] = now + this->d->settings.unreachableTime;
+    std::vector<RequestId> waiting;
+    for (const auto &entry : this->d->pending) {
+        if (entry.second.route.owner == peer) {
+            waiting.push_back(entry.first);
+        }
+    }
+    for (const RequestId &request : waiting) {
+        Pending &pending = this->d->pending.at(request);
+        this->d->giveUp(pending, outbox);
+        this->d->askAnew(now, pending, outbox);
+    }
+}
+
+void Reserver::noteLoad(const TargetId &target, const ReportedLoad &load)
+{
+    this->d->placement.noteLoad(target, load);
+}
+
+std::vector<TargetView> Reserver::wantsLoads(Millis now) const
+{
+    std::vector<TargetView> wanted;
+    for (const auto &entry : this->d->owners) {
+        if (!this->d->isUnreachable(now, entry.second)) {
+            continue;
+        }
+        for (const TargetView &target : this->d->map.targetsOf(entry.first)) {
+            if (routerRank(this->d->map.instances(), this->d->self, target.hash) < askedRanks) {
+                wanted.push_back(target);
+            }
+        }
+    }
+    return wanted;
+}
+
+void Reserver::tick(Millis now, Outbox &outbox)
+{
+    std::vector<RequestId> expired;
+    for (const auto &entry : this->d->pending) {
+        if (now >= entry.second.deadline) {
+            expired.push_back(entry.first);
+        }
+    }
+    for (const RequestId &request : expired) {
+        this->d->expire(now, request, outbox);
+    }
+    if (now < this->d->nextReport) {
+        return;
+    }
+    this->d->nextReport = now + this->d->settings.reportInterval;
+    for (const auto &entry : this->d->kept) {
+        this->d->reportDue[this->d->shardOf(entry.second)] = true;
+    }
+    std::vector<ShardId> due;
+    for (const auto &entry : this->d->reportDue) {
+        if (entry.second) {
+            due.push_back(entry.first);
+        }
+    }
+    this->d->reportDue.clear();
+    for (const ShardId &shard : due) {
+        this->d->report(shard, outbox);
+    }
+    std::erase_if(this->d->unreachableUntil, [now](const auto &entry) { return now >= entry.second; });
+    this->d->placement.forget(now);
+}
+
+Millis Reserver::nextDeadline() const
+{
+    Millis next = this->d->nextReport;
+    for (const auto &entry : this->d->pending) {
+        next = std::min(next, entry.second.deadline);
+    }
+    return next;
+}
+
+std::vector<ReserveResult> Reserver::takeResults()
+{
+    return std::exchange(this->d->results, {});
+}
+
+std::size_t Reserver::held() const
+{
+    return this->d->kept.size();
+}
+
+} // namespace Sequoiausher
--- /dev/null
+++ b/sequoiausher/coordination/admission/wanted.h
@@ -0,0 +1,23 @@
+#pragma once
+
+// What a request asks of admission.
+//
+//     const Wanted wanted{request, PoolId{"plates"}, chatHash, PolicyKind::BoundedRendezvous, 125, {}};
+
+#include "sequoiausher/coordination/messages/admissionmessages.h"
+
+namespace Sequoiausher {
+
+/** A request that wants a target. */
+struct Wanted
+{
+    RequestId request;
+    PoolId pool;
+    std::uint64_t chatHash = 0;
+    PolicyKind policy = PolicyKind::BoundedRendezvous;
+    std::uint32_t boundPercent = 125;
+    /** Targets found unusable for this request. */
+    std::vector<TargetId> excluded;
+};
+
+} // namespace Sequoiausher
