Decide by ordered rules, the first match, checked whole

Cause: operators change routing by publishing rules, so a set must be judged the same way on every router, and a bad one refused with its place. Ruled out: judging documents against each other for errors. One organisation's mistake would then hold up all others, and the verdict would hang on the order in which documents arrive; only the fleet's document may therefore set shards. Change: coordination/rules with conditions, actions, the compiled set, decide and explain; unreachable rules and unknown names are reported. The first error always finds room among gathered problems, so warnings cannot crowd it out.

--- a/sequoiausher/base/ini/inidocument.cpp
+++ b/sequoiausher/base/ini/inidocument.cpp
@@ -64,12 +64,9 @@
 private:
     void report(std::size_t column, const std::string &key, const std::string &found, const std::string &expected)
     {
-        if (this->problems.size() >= maximumProblems) {
-            return;
-        }
         const std::string section = this->document.sections.empty() ? "" : this->document.sections.back().name;
-        this->problems.push_back(
-            {Severity::Error, this->document.file, this->lineNumber, column, section, key, found, expected, ""});
+        addProblem(this->problems,
+                   {Severity::Error, this->document.file, this->lineNumber, column, section, key, found, expected, ""});
     }
 
     static std::size_t columnOf(std::string_view line, std::string_view part)
@@ -139,15 +136,16 @@
 IniDocument parseIni(std::string_view text, const std::string &file, Problems &problems)
 {
     if (text.size() > maximumIniBytes) {
-        problems.push_back({Severity::Error,
-                            file,
-                            0,
-                            0,
-                            "",
-                            "",
-                            std::to_string(text.size()) + " bytes",
-                            "at most " + std::to_string(maximumIniBytes) + " bytes",
-                            ""});
+        addProblem(problems,
+                   {Severity::Error,
+                    file,
+                    0,
+                    0,
+                    "",
+                    "",
+                    std::to_string(text.size()) + " bytes",
+                    "at most " + std::to_string(maximumIniBytes) + " bytes",
+                    ""});
         return {file, {}};
     }
     IniParser parser(file, problems);
--- a/sequoiausher/base/ini/inireader.cpp
+++ b/sequoiausher/base/ini/inireader.cpp
@@ -60,13 +60,6 @@
     return nearestName(name.substr(0, name.find(' ')), kinds);
 }
 
-void add(Problems &problems, Problem problem)
-{
-    if (problems.size() < maximumProblems) {
-        problems.push_back(std::move(problem));
-    }
-}
-
 } // namespace
 
 std::optional<std::int64_t> parseInteger(std::string_view text, const IntegerRange &range)
@@ -250,78 +243,78 @@
 void SectionReader::require(std::string_view key, std::string_view expected)
 {
     if (this->entry(key) == nullptr) {
-        add(this->d->problems,
-            {Severity::Error,
-             this->d->document.file,
-             this->d->section.line,
-             0,
-             this->d->section.name,
-             std::string(key),
-             "no such key",
-             std::string(expected),
-             ""});
+        addProblem(this->d->problems,
+                   {Severity::Error,
+                    this->d->document.file,
+                    this->d->section.line,
+                    0,
+                    this->d->section.name,
+                    std::string(key),
+                    "no such key",
+                    std::string(expected),
+                    ""});
     }
 }
 
 void SectionReader::report(const IniEntry &entry, const std::string &expected)
 {
-    add(this->d->problems,
-        {Severity::Error,
-         this->d->document.file,
-         entry.line,
-         entry.column,
-         this->d->section.name,
-         entry.key,
-         foundText(entry.value),
-         expected,
-         ""});
+    addProblem(this->d->problems,
+               {Severity::Error,
+                this->d->document.file,
+                entry.line,
+                entry.column,
+                this->d->section.name,
+                entry.key,
+                foundText(entry.value),
+                expected,
+                ""});
 }
 
 void SectionReader::reportUnknownName(const IniEntry &entry, const std::vector<std::string> &known)
 {
-    add(this->d->problems,
-        {Severity::Error,
-         this->d->document.file,
-         entry.line,
-         entry.column,
-         this->d->section.name,
-         entry.key,
-         foundText(entry.value),
-         "one of " + joined(known),
-         nearestName(entry.value, known)});
+    addProblem(this->d->problems,
+               {Severity::Error,
+                this->d->document.file,
+                entry.line,
+                entry.column,
+                this->d->section.name,
+                entry.key,
+                foundText(entry.value),
+                "one of " + joined(known),
+                nearestName(entry.value, known)});
 }
 
 void SectionReader::report(const std::string &found, const std::string &expected)
 {
-    add(this->d->problems,
-        {Severity::Error,
-         this->d->document.file,
-         this->d->section.line,
-         0,
-         this->d->section.name,
-         "",
-         found,
-         expected,
-         ""});
+    addProblem(this->d->problems,
+               {Severity::Error,
+                this->d->document.file,
+                this->d->section.line,
+                0,
+                this->d->section.name,
+                "",
+                found,
+                expected,
+                ""});
 }
 
 void SectionReader::finish()
 {
     const std::unordered_set<std::string> asked(this->d->known.begin(), this->d->known.end());
     for (const IniEntry &entry : this->d->section.entries) {
-        if (asked.contains(entry.key)) {
+        if (asked.contains(entry.key) || !hasRoom(this->d->problems, Severity::Error)) {
             continue;
         }
-        add(this->d->problems,
-            {Severity::Error,
-             this->d->document.file,
-             entry.line,
-             1,
-             this->d->section.name,
-             entry.key,
-             "an unknown key",
-             "one of the keys in docs/CONFIGURATION.md",
-             nearestName(entry.key, this->d->known)});
+        addProblem(this->d->problems,
+                   {Severity::Error,
+                    this->d->document.file,
+                    entry.line,
+                    1,
+                    this->d->section.name,
+                    entry.key,
+                    "an unknown key",
+                    "one of the keys in docs/CONFIGURATION.md",
+                    nearestName(entry.key, this->d->known)});
     }
 }
 
@@ -361,16 +354,16 @@
 {
     std::optional<SectionReader> found = this->section(name);
     if (!found) {
-        add(this->d->problems,
-            {Severity::Error,
-             this->d->document.file,
-             0,
-             0,
-             std::string(name),
-             "",
-             "no such section",
-             "it in this file",
-             ""});
+        addProblem(this->d->problems,
+                   {Severity::Error,
+                    this->d->document.file,
+                    0,
+                    0,
+                    std::string(name),
+                    "",
+                    "no such section",
+                    "it in this file",
+                    ""});
     }
     return found;
 }
@@ -399,19 +392,19 @@
 void IniReader::finish()
 {
     for (const IniSection &section : this->d->document.sections) {
-        if (this->d->asked.contains(&section)) {
+        if (this->d->asked.contains(&section) || !hasRoom(this->d->problems, Severity::Error)) {
             continue;
         }
-        add(this->d->problems,
-            {Severity::Error,
-             this->d->document.file,
-             section.line,
-             1,
-             section.name,
-             "",
-             "an unknown section",
-             "one of [" + joined(this->d->known) + "]",
-             nearestSection(section.name, this->d->known)});
+        addProblem(this->d->problems,
+                   {Severity::Error,
+                    this->d->document.file,
+                    section.line,
+                    1,
+                    section.name,
+                    "",
+                    "an unknown section",
+                    "one of [" + joined(this->d->known) + "]",
+                    nearestSection(section.name, this->d->known)});
     }
 }
 
--- a/sequoiausher/base/ini/problem.cpp
+++ b/sequoiausher/base/ini/problem.cpp
@@ -70,6 +70,22 @@
         problems.begin(), problems.end(), [](const Problem &problem) { return problem.severity == Severity::Error; });
 }
 
+bool hasRoom(const Problems &problems, Severity severity)
+{
+    return problems.size() < maximumProblems || (severity == Severity::Error && !hasErrors(problems));
+}
+
+void addProblem(Problems &problems, Problem problem)
+{
+    if (!hasRoom(problems, problem.severity)) {
+        return;
+    }
+    if (problems.size() >= maximumProblems) {
+        problems.pop_back();
+    }
+    problems.push_back(std::move(problem));
+}
+
 ProblemsError::ProblemsError(Step step, const std::string &file, Problems found)
     : Error(step, file, allLines(found))
     , all(std::move(found))
--- a/sequoiausher/base/ini/problem.h
+++ b/sequoiausher/base/ini/problem.h
@@ -62,6 +62,15 @@
 /** Whether any of problems is an error. */
 bool hasErrors(const Problems &problems);
 
+/**
+ * Whether addProblem() would take one more of that severity. The first error always finds room: were it dropped behind
+ * a hundred warnings, a bad document would pass as good.
+ */
+bool hasRoom(const Problems &problems, Severity severity);
+
+/** Appends problem where there is room; the first error takes the place of the last warning where need be. */
+void addProblem(Problems &problems, Problem problem);
+
 /** An error with every problem that led to it; its reason is their lines. */
 class ProblemsError : public Error
 {
--- /dev/null
+++ b/sequoiausher/coordination/rules/ruleaction.cpp
@@ -0,0 +1,132 @@
+#include "sequoiausher/coordination/rules/ruleaction.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Sequoiausher {
+
+namespace {
+
+constexpr std::int64_t hourMs = 3600000;
+constexpr std::int64_t daySeconds = 86400;
+constexpr std::int64_t millionRequests = 1000000;
+constexpr std::int64_t statusForbidden = 403;
+constexpr std::int64_t statusNotFound = 404;
+constexpr std::int64_t statusTooMany = 429;
+constexpr std::int64_t statusUnavailable = 503;
+
+std::optional<std::uint32_t> number(SectionReader &section, std::string_view key, const IntegerRange &range)
+{
+    const std::optional<std::int64_t> value = section.integer(key, range);
+    return value ? std::optional(static_cast<std::uint32_t>(*value)) : std::nullopt;
+}
+
+void readRouting(SectionReader &section, DocumentScope scope, RuleAction &action)
+{
+    Decision &decision = action.decision;
+    decision.pool.value = section.plainName("then.pool").value_or("");
+    decision.policy = section.name<PolicyKind>("then.policy").value_or(decision.policy);
+    decision.boundPercent = number(section, "then.bound_percent", {101, 1000, "percent of the mean load"});
+    action.shards = number(section, "then.shards", {1, 1024, "shards"});
+    if (scope == DocumentScope::Organisation && section.entry("then.shards") != nullptr) {
+        section.report(*section.entry("then.shards"), "no shards but in rules/fleet: all routers must agree on them");
+    }
+    action.priority = number(section, "then.priority", {0, 9, "0 first to 9 last"});
+    decision.deadline = section.duration("then.deadline_ms", {1, hourMs, ""});
+    decision.retry = section.name<RetryMode>("then.retry").value_or(decision.retry);
+    decision.retryBudgetPercent = number(section, "then.retry_budget_percent", {0, 100, "percent of requests"})
+                                      .value_or(decision.retryBudgetPercent);
+    decision.claim = section.name<ClaimMode>("then.claim").value_or(decision.claim);
+    decision.experiment = section.plainName("then.experiment").value_or("");
+    decision.arm = section.plainName("then.arm").value_or("");
+}
+
+void readLimits(SectionReader &section, RuleLimits &limits)
+{
+    limits.ratePerSecond = number(section, "then.rate_per_second", {1, millionRequests, "requests a second"});
+    limits.burst = number(section, "then.burst", {1, millionRequests, "requests"});
+    limits.inFlight = number(section, "then.in_flight", {1, millionRequests, "requests"});
+    limits.queueLength = number(section, "then.queue_length", {0, millionRequests, "requests"});
+    limits.queueTime = section.duration("then.queue_time_ms", {0, hourMs, ""});
+}
+
+std::optional<Refusal> readRefusal(SectionReader &section)
+{
+    Refusal refusal;
+    refusal.text = section.text("then.refuse_text").value_or("refused by a rule of the operator");
+    refusal.retryAfterSeconds = number(section, "then.retry_after_s", {1, daySeconds, "seconds"});
+    const IniEntry *entry = section.entry("then.refuse");
+    if (entry == nullptr) {
+        return std::nullopt;
+    }
+    const std::int64_t status = parseInteger(entry->value, {statusForbidden, statusUnavailable, ""}).value_or(0);
+    const bool mayRetry = status == statusTooMany || status == statusUnavailable;
+    if (!mayRetry && status != statusForbidden && status != statusNotFound) {
+        section.report(*entry, "a status: 403, 404, 429 or 503");
+        return refusal;
+    }
+    refusal.status = static_cast<std::uint32_t>(status);
+    if (mayRetry && !section.entry("then.retry_after_s")) {
+        section.report(*entry, "then.retry_after_s beside it: a refusal that may be tried again says when");
+    }
+    if (!mayRetry && section.entry("then.retry_after_s")) {
+        section.report(*section.entry("then.retry_after_s"), "none with 403 and 404: trying again is of no use");
+    }
+    return refusal;
+}
+
+/** A rule that refuses has no use for anything else; one that routes has none for the refusal's keys. */
+void checkRefusalAlone(SectionReader &section, bool refuses)
+{
+    constexpr std::array<std::string_view, 3> refusalKeys{"then.refuse", "then.refuse_text", "then.retry_after_s"};
+    for (const IniEntry &entry : section.section().entries) {
+        const bool isRefusal = std::find(refusalKeys.begin(), refusalKeys.end(), entry.key) != refusalKeys.end();
+        const bool isTrial = entry.key == "then.experiment" || entry.key == "then.arm";
+        if (refuses && entry.key.starts_with("then.") && !isRefusal && !isTrial) {
+            section.report(entry, "no such key beside then.refuse");
+        }
+        if (!refuses && isRefusal) {
+            section.report(entry, "then.refuse beside it");
+        }
+    }
+}
+
+void checkTogether(SectionReader &section, const RuleAction &action)
+{
+    const Decision &decision = action.decision;
+    const IniEntry *retry = section.entry("then.retry");
+    // A resend after "may have run" would run a claimed request twice.
+    if (retry != nullptr && decision.retry == RetryMode::Idempotent && decision.claim == ClaimMode::Required) {
+        section.report(*retry, "none or safe, since then.claim = required runs each request at most once");
+    }
+    const IniEntry *experiment = section.entry("then.experiment");
+    const IniEntry *arm = section.entry("then.arm");
+    if (experiment != nullptr && arm == nullptr) {
+        section.report(*experiment, "then.arm beside it");
+    }
+    if (arm != nullptr && experiment == nullptr) {
+        section.report(*arm, "then.experiment beside it");
+    }
+    const IniEntry *burst = section.entry("then.burst");
+    if (burst != nullptr && section.entry("then.rate_per_second") == nullptr) {
+        section.report(*burst, "then.rate_per_second beside it");
+    }
+}
+
+} // namespace
+
+RuleAction parseAction(SectionReader &section, DocumentScope scope)
+{
+    RuleAction action;
+    readRouting(section, scope, action);
+    readLimits(section, action.decision.limits);
+    action.decision.refusal = readRefusal(section);
+    checkRefusalAlone(section, action.decision.refusal.has_value());
+    checkTogether(section, action);
+    if (!action.decision.refusal && section.entry("then.pool") == nullptr) {
+        section.report("neither then.pool nor then.refuse", "one of them");
+    }
+    return action;
+}
+
+} // namespace Sequoiausher
--- a/sequoiausher/protocol/settings/pooldocument.cpp
+++ b/sequoiausher/protocol/settings/pooldocument.cpp
@@ -36,8 +36,9 @@
     const std::int64_t incarnation
         = section.integer("incarnation", {0, std::numeric_limits<std::int64_t>::max(), ""}).value_or(0);
     target.life.incarnation = static_cast<Incarnation>(incarnation);
-    target.capacity
-        = static_cast<std::uint32_t>(section.integer("capacity", {1, 1000000, "requests at a time"}).value_or(0));
+    if (const auto capacity = section.integer("capacity", {1, 1000000, "requests at a time"})) {
+        target.capacity = static_cast<std::uint32_t>(*capacity);
+    }
     section.finish();
     return target;
 }
--- a/sequoiausher/state/targets/pooldescription.h
+++ b/sequoiausher/state/targets/pooldescription.h
@@ -1,14 +1,15 @@
 #pragma once
 
-// A pool and its targets as the platform's document `targets/POOL` lists them.
+// What the platform publishes of one pool, as parsed from the document targets/POOL.
 //
-//     const PoolDescription pool{PoolId{"plate-model"}, PoolKind::Engine, "plate-model", {}};
+//     const PoolDescription pool{PoolId{"plates"}, PoolKind::Engine, "plate-7b",
+//                                {{TargetId{"p1"}, "10.0.0.1:8000", DataCentreId{"nl-a"}, {1, LifeState::Live}, 32}}};
 
-#include "sequoiausher/base/identifiers.h"
 #include "sequoiausher/base/nametable.h"
 #include "sequoiausher/state/targets/lifestate.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,9 +17,7 @@
 
 /** What stands behind a pool. */
 enum class PoolKind {
-    /** Model engines: streams of tokens, prefix caches, priorities. */
     Engine,
-    /** Plain services: any method under their own paths. */
     Service,
 };
 
@@ -28,7 +27,7 @@
     {PoolKind::Service, "service"},
 });
 
-/** One target of a pool. */
+/** One target as published. */
 struct TargetDescription
 {
     TargetId target;
@@ -36,18 +35,18 @@
     std::string address;
     DataCentreId dataCentre;
     LifeNews life;
-    /** The most requests that it takes at a time; 0 where the document does not say. */
-    std::uint32_t capacity = 0;
+    /** How many requests the target takes at a time; none where it does not say. */
+    std::optional<std::uint32_t> capacity;
 
     bool operator==(const TargetDescription &) const = default;
 };
 
-/** One pool. */
+/** One pool as published. */
 struct PoolDescription
 {
     PoolId pool;
     PoolKind kind = PoolKind::Engine;
-    /** The model that its engines serve; empty for services. */
+    /** Empty for plain services. */
     std::string model;
     std::vector<TargetDescription> targets;
 
