--- a/sequoiausher/coordination/membership/membership.cpp
+++ b/sequoiausher/coordination/membership/membership.cpp
@@ -58,6 +58,7 @@
     std::vector<MembershipEvent> events;
     DocumentState documents;
     std::uint64_t lastSequence = 0;
+    std::uint64_t viewVersion = 0;
     std::optional<Millis> lastTick;
     Millis nextProbe;
 
@@ -158,7 +159,10 @@
 void Membership::Private::noteInstance(const InstanceNews &news)
 {
     // Only this router itself says what becomes of it.
+    const auto before = this->instances.find(news.instance);
     if (news.instance != this->self.instance && this->instances.merge(news.instance, news.life)) {
+        const LifeState stateBefore = before ? before->state : LifeState::Live;
+        this->viewVersion += stateBefore != news.life.state ? 1 : 0;
         this->reachability.noteLife(news.instance, news.life.incarnation);
         this->events.push_back({MembershipEventKind::InstanceChanged, news.instance, {}, news.life});
     }
@@ -167,6 +171,7 @@
 void Membership::Private::noteReachability()
 {
     for (const InstanceId &instance : this->reachability.takeChanged()) {
+        ++this->viewVersion;
         this->events.push_back({MembershipEventKind::ReachabilityChanged, instance, {}, {}});
     }
 }
@@ -213,6 +218,7 @@
 void Membership::Private::announce(LifeState state, Outbox &outbox)
 {
     if (this->instances.merge(this->self.instance, {this->self.incarnation, state})) {
+        ++this->viewVersion;
         this->pushUrgent(outbox);
     }
 }
@@ -225,6 +231,7 @@
 
 void Membership::setListed(const std::vector<ListedInstance> &listed)
 {
+    ++this->d->viewVersion;
     this->d->platformList = listed;
     std::vector<InstanceId> near;
     std::vector<InstanceId> far;
@@ -266,6 +273,7 @@
 {
     this->heardFrom(from);
     this->d->merge(now, probe.gossip);
+    this->d->pushUrgent(outbox);
     if (probe.sequence != 0) {
         outbox.push_back({from, ProbeReply{probe.sequence, this->d->self.instance, this->d->gossipFor(now, from)}});
     }
@@ -275,6 +283,7 @@
 {
     this->heardFrom(from);
     this->d->merge(now, reply.gossip);
+    this->d->pushUrgent(outbox);
     this->d->prober.answered(reply.sequence);
     const auto relayed = this->d->relayed.find(reply.sequence);
     if (relayed != this->d->relayed.end()) {
@@ -373,6 +382,11 @@
     return this->d->reachability.isReachable(instance) && !this->d->isGone(instance);
 }
 
+std::uint64_t Membership::viewVersion() const
+{
+    return this->d->viewVersion;
+}
+
 std::vector<MembershipEvent> Membership::takeEvents()
 {
     return std::exchange(this->d->events, {});
--- a/sequoiausher/coordination/membership/membership.h
+++ b/sequoiausher/coordination/membership/membership.h
@@ -118,8 +118,8 @@
     /** The platform's list as it now is. Routers in it count as reachable until they fail to answer. */
     void setListed(const std::vector<ListedInstance> &listed);
 
-    /** Call about ten times a period; urgent news leaves with the next call. A gap above pauseLimit gives WokeLate and
-     * drops all suspicions. */
+    /** Call about ten times a period; news given by targetNews() leaves with the next call. A gap above pauseLimit
+     * gives WokeLate and drops all suspicions. */
     void tick(Millis now, Outbox &outbox);
 
     void receive(Millis now, const InstanceId &from, const Probe &probe, Outbox &outbox);
@@ -157,6 +157,9 @@
     std::vector<InstanceId> live() const;
     bool isReachable(const InstanceId &instance) const;
 
+    /** Changes whenever listed(), reachable() or live() may have; these cost time in proportion to the fleet. */
+    std::uint64_t viewVersion() const;
+
     /** The events since the last call, in order. */
     std::vector<MembershipEvent> takeEvents();
 
