--- a/sequoiausher/coordination/membership/membership.cpp
+++ b/sequoiausher/coordination/membership/membership.cpp
@@ -72,6 +72,8 @@
     void noteInstance(const InstanceNews &news);
     void noteReachability();
     void probeNext(Millis now, Outbox &outbox);
+    void sendProbe(Millis now, const InstanceId &peer, Outbox &outbox);
+    void askSuspected(Millis now, const InstanceId &peer, Outbox &outbox);
     void pushUrgent(Outbox &outbox);
     void announce(LifeState state, Outbox &outbox);
 };
@@ -182,12 +184,27 @@
     const auto span = static_cast<std::uint64_t>(2 * jitter + 1);
     this->nextProbe = now + this->settings.period + Millis{static_cast<std::int64_t>(this->random() % span) - jitter};
     const auto peer = this->prober.next(this->random, this->reachability.unreachable());
-    if (!peer) {
-        return;
+    if (peer) {
+        this->sendProbe(now, *peer, outbox);
     }
+}
+
+void Membership::Private::sendProbe(Millis now, const InstanceId &peer, Outbox &outbox)
+{
     const std::uint64_t sequence = ++this->lastSequence;
-    this->prober.sent(now, sequence, *peer);
-    outbox.push_back({*peer, Probe{sequence, this->gossipFor(now, *peer)}});
+    this->prober.sent(now, sequence, peer);
+    outbox.push_back({peer, Probe{sequence, this->gossipFor(now, peer)}});
+}
+
+/**
+ * Lost messages make a living router suspected now and then. Gossip alone takes longer to reach it and come back than a
+ * suspicion lasts, so it would be unreachable for some; asking it again tells it of the suspicion, which it refutes.
+ */
+void Membership::Private::askSuspected(Millis now, const InstanceId &peer, Outbox &outbox)
+{
+    if (this->reachability.isReachable(peer)) {
+        this->sendProbe(now, peer, outbox);
+    }
 }
 
 /**
@@ -258,6 +275,7 @@
     }
     for (const InstanceId &silent : this->d->prober.tick(now, this->d->random, outbox)) {
         this->d->reachability.suspect(now, silent);
+        this->d->askSuspected(now, silent, outbox);
     }
     this->d->reachability.tick(now);
     this->d->noteReachability();
--- a/sequoiausher/coordination/membership/sumtable.cpp
+++ b/sequoiausher/coordination/membership/sumtable.cpp
@@ -1,7 +1,6 @@
 #include "sequoiausher/coordination/membership/sumtable.h"
 
-#include "sequoiausher/coordination/membership/newsqueue.h"
-
+#include <algorithm>
 #include <map>
 
 namespace Sequoiausher {
@@ -23,6 +22,10 @@
 {
     ShardSum sum;
     Millis countedAt;
+    /** Since this sum replaced its predecessor. */
+    std::uint32_t sends = 0;
+    /** Counts the sends of the table; 0 for a shard that was never sent. */
+    std::uint64_t lastSend = 0;
 };
 
 ShardSum withAge(const KnownSum &known, Millis now)
@@ -39,21 +42,21 @@
 public:
     Millis lifetime;
     std::map<ShardKey, KnownSum> sums;
-    NewsQueue<ShardKey> queue;
+    std::uint64_t sendClock = 0;
 
     void keep(const ShardSum &sum, Millis countedAt)
     {
         const ShardKey key{sum.pool, sum.shard};
-        const auto known = this->sums.find(key);
-        if (known != this->sums.end() && known->second.countedAt >= countedAt) {
-            return;
+        KnownSum &known = this->sums.try_emplace(key, KnownSum{sum, countedAt, 0, 0}).first->second;
+        if (countedAt > known.countedAt) {
+            known.sum = sum;
+            known.countedAt = countedAt;
+            known.sends = 0;
         }
-        this->sums[key] = KnownSum{sum, countedAt};
-        this->queue.add(key);
     }
 };
 
-SumTable::SumTable(Millis lifetime) : d(new Private{lifetime, {}, {}})
+SumTable::SumTable(Millis lifetime) : d(new Private{lifetime, {}, 0})
 {
 }
 SumTable::~SumTable() = default;
@@ -86,9 +89,22 @@
 
 std::vector<ShardSum> SumTable::takeNews(Millis now, std::size_t count, std::uint32_t sendLimit)
 {
+    std::vector<KnownSum *> order;
+    for (auto &[key, known] : this->d->sums) {
+        if (known.sends < sendLimit) {
+            order.push_back(&known);
+        }
+    }
+    const std::size_t taken = std::min(count, order.size());
+    std::partial_sort(order.begin(),
+                      order.begin() + static_cast<std::ptrdiff_t>(taken),
+                      order.end(),
+                      [](const KnownSum *a, const KnownSum *b) { return a->lastSend < b->lastSend; });
     std::vector<ShardSum> sums;
-    for (const ShardKey &key : this->d->queue.take(count, sendLimit)) {
-        sums.push_back(withAge(this->d->sums.at(key), now));
+    for (std::size_t i = 0; i < taken; ++i) {
+        order[i]->sends += 1;
+        order[i]->lastSend = ++this->d->sendClock;
+        sums.push_back(withAge(*order[i], now));
     }
     return sums;
 }
@@ -97,7 +113,6 @@
 {
     for (auto at = this->d->sums.begin(); at != this->d->sums.end();) {
         if (now - at->second.countedAt >= this->d->lifetime) {
-            this->d->queue.remove(at->first);
             at = this->d->sums.erase(at);
         } else {
             ++at;
--- a/sequoiausher/coordination/membership/sumtable.h
+++ b/sequoiausher/coordination/membership/sumtable.h
@@ -17,7 +17,8 @@
 /**
  * Sums carry ages rather than times, so no two clocks are compared. Each hop adds an allowance that is longer than a
  * message takes: without it a sum that two routers tell each other would grow younger with each echo and might replace
- * the owner's next one, which would show as pool totals that stand still. Not thread-safe.
+ * the owner's next one, which would show as pool totals that stand still. Every owner counts anew all the time, so the
+ * shard not sent for longest goes first: with the newest first, a few shards would take every message. Not thread-safe.
  */
 class SumTable
 {
