Carry the news of reach, ages and digest buckets in peer frames

Cause: membership and the spread of documents have added fields to their messages, which the frames would have lost without a sign.

Change: the new fields travel; what only a refusing vote says moved to a vector of its own, with room for the time to come back.

--- a/lab/bench/codecbench.cpp
+++ b/lab/bench/codecbench.cpp
@@ -30,7 +30,7 @@
         const std::string suffix = std::to_string(i);
         gossip.instances.push_back({InstanceId{instance.value + suffix}, {1700000000000, LifeState::Leaving}});
         gossip.targets.push_back({TargetId{target.value + suffix}, {1700000000000, LifeState::Live}});
-        gossip.sums.push_back({pool, static_cast<std::uint32_t>(i), 100, 12});
+        gossip.sums.push_back({pool, static_cast<std::uint32_t>(i), 100, 12, Millis{500}});
     }
     return gossip;
 }
@@ -53,7 +53,7 @@
             ProbeReply{1, instance, ordinaryGossip()},
             IndirectProbe{1, instance},
             DocumentPush{{Document{documentName, 7, std::string(1024, 'x'), false}}, 1},
-            DocumentDigest{std::vector(held, DocumentVersion{documentName, 7}), true},
+            DocumentDigest{std::vector(held, DocumentVersion{documentName, 7}), true, 1, {}, {}, true},
             DocumentPull{{documentName}},
             AttachRequest{request, key, request},
             AttachReply{request, AttachVerdict::Follows, 200, "text/event-stream"},
--- a/sequoiausher/protocol/codec/framereader.cpp
+++ b/sequoiausher/protocol/codec/framereader.cpp
@@ -58,6 +58,12 @@
     return items != nullptr ? items->size() : 0;
 }
 
+template<typename Item>
+std::vector<Item> scalarsOf(const flatbuffers::Vector<Item> *items)
+{
+    return items != nullptr ? std::vector<Item>(items->begin(), items->end()) : std::vector<Item>();
+}
+
 } // namespace
 
 class FrameReader::Private
@@ -110,7 +116,7 @@
     std::vector<std::string_view> names;
     std::array<std::size_t, messageKindLimit> taken{};
     std::size_t position = 0;
-    std::size_t heldByTaken = 0;
+    std::size_t refusalsTaken = 0;
     std::size_t excludedTaken = 0;
 };
 
@@ -245,12 +251,12 @@
     vote.attempt = numberOf<RequestId>(m->attempt());
     vote.round = m->round();
     vote.holder.value = this->name(m->holder());
-    if (m->has_held_by()) {
-        if (this->heldByTaken >= sizeOf(this->frame.held_by())) {
-            this->refuse("a holding attempt is missing");
+    if (m->refuses()) {
+        if (this->refusalsTaken >= sizeOf(this->frame.refusals())) {
+            this->refuse("a refusal is missing");
         }
-        const auto *held = this->frame.held_by()->Get(static_cast<flatbuffers::uoffset_t>(this->heldByTaken++));
-        vote.heldBy = numberOf<RequestId>(held);
+        const auto *refusal = this->frame.refusals()->Get(static_cast<flatbuffers::uoffset_t>(this->refusalsTaken++));
+        vote.heldBy = numberOf<RequestId>(refusal->held_by());
     }
     const auto verdict = enumOf<ClaimVerdict>(m->verdict());
     if (!verdict.has_value()) {
@@ -374,8 +380,15 @@
     }
     for (std::size_t i = 0; i < sizeOf(wire->sums()); ++i) {
         const auto *sum = wire->sums()->Get(static_cast<flatbuffers::uoffset_t>(i));
-        gossip.sums.push_back({PoolId{this->name(sum->pool())}, sum->shard(), sum->in_flight(), sum->targets()});
+        gossip.sums.push_back(
+            {PoolId{this->name(sum->pool())}, sum->shard(), sum->in_flight(), sum->targets(), spanOf(sum->age())});
+    }
+    for (std::size_t i = 0; i < sizeOf(wire->reach()); ++i) {
+        const auto *news = wire->reach()->Get(static_cast<flatbuffers::uoffset_t>(i));
+        gossip.reach.push_back(
+            {InstanceId{this->name(news->name())}, news->incarnation(), news->refutation(), news->suspected()});
     }
+    gossip.serviceAge = spanOf(wire->service_age());
     gossip.documentsDigest = wire->documents_digest();
     gossip.highestRevision = wire->highest_revision();
     return gossip;
@@ -422,6 +435,10 @@
     const auto *m = this->take(MessageKind::DocumentDigest, this->frame.document_digests());
     DocumentDigest digest;
     digest.wantsAnswer = m->wants_answer();
+    digest.exchange = m->exchange();
+    digest.buckets = scalarsOf(m->buckets());
+    digest.covered = scalarsOf(m->covered());
+    digest.complete = m->complete();
     for (std::size_t i = 0; i < sizeOf(m->versions()); ++i) {
         const auto *version = m->versions()->Get(static_cast<flatbuffers::uoffset_t>(i));
         digest.versions.push_back({textOf(version->name()), version->revision()});
--- a/sequoiausher/protocol/codec/framewriter.cpp
+++ b/sequoiausher/protocol/codec/framewriter.cpp
@@ -87,7 +87,7 @@
     std::unordered_map<std::string, std::uint16_t> indexes;
     std::string names;
     std::vector<std::uint8_t> nameLengths;
-    std::vector<Wire::Id> heldBy;
+    std::vector<Wire::Refusal> refusals;
     std::vector<std::uint16_t> excluded;
     std::vector<Wire::ClaimRequest> claimRequests;
     std::vector<Wire::ClaimVote> claimVotes;
@@ -165,11 +165,11 @@
 
 void FrameWriter::Private::add(const ClaimVote &m)
 {
-    const bool named = m.heldBy != RequestId{};
+    const bool refuses = m.heldBy != RequestId{};
     this->claimVotes.emplace_back(
-        wireId(m.key), wireId(m.attempt), m.round, this->index(m.holder.value), wireEnum(m.verdict), named);
-    if (named) {
-        this->heldBy.push_back(wireId(m.heldBy));
+        wireId(m.key), wireId(m.attempt), m.round, this->index(m.holder.value), wireEnum(m.verdict), refuses);
+    if (refuses) {
+        this->refusals.emplace_back(wireId(m.heldBy), 0);
     }
 }
 
@@ -193,7 +193,7 @@
     }
     const Wire::Id next = wireId(m.next);
     this->claimPages.push_back(
-        Wire::CreateClaimPage(this->builder, m.pull, m.giverAbstains, m.last, &next, this->structs(records)));
+        Wire::CreateClaimPage(this->builder, m.pull, m.giverAbstains, false, m.last, &next, this->structs(records)));
 }
 
 void FrameWriter::Private::add(const ReserveRequest &m)
@@ -251,13 +251,24 @@
     }
     std::vector<Wire::ShardSum> sums;
     for (const ShardSum &sum : gossip.sums) {
-        sums.emplace_back(sum.shard, sum.inFlight, sum.targets, this->index(sum.pool.value));
+        sums.emplace_back(sum.shard, sum.inFlight, sum.targets, wireSpan(sum.age), this->index(sum.pool.value));
+    }
+    std::vector<Wire::ReachNews> reach;
+    for (const ReachNews &news : gossip.reach) {
+        reach.emplace_back(news.incarnation, news.refutation, this->index(news.instance.value), news.suspected);
     }
     const auto instancesAt = this->structs(instances);
     const auto targetsAt = this->structs(targets);
     const auto sumsAt = this->structs(sums);
-    return Wire::CreateGossip(
-        this->builder, instancesAt, targetsAt, sumsAt, gossip.documentsDigest, gossip.highestRevision);
+    const auto reachAt = this->structs(reach);
+    return Wire::CreateGossip(this->builder,
+                              instancesAt,
+                              targetsAt,
+                              sumsAt,
+                              reachAt,
+                              gossip.documentsDigest,
+                              gossip.highestRevision,
+                              wireSpan(gossip.serviceAge));
 }
 
 void FrameWriter::Private::add(const Probe &m)
@@ -298,7 +309,10 @@
         versions.push_back(Wire::CreateDocumentVersion(this->builder, name, version.revision));
     }
     const auto versionsAt = this->tables(versions);
-    this->documentDigests.push_back(Wire::CreateDocumentDigest(this->builder, versionsAt, m.wantsAnswer));
+    const auto bucketsAt = this->scalars(m.buckets);
+    const auto coveredAt = this->scalars(m.covered);
+    this->documentDigests.push_back(Wire::CreateDocumentDigest(
+        this->builder, versionsAt, m.wantsAnswer, m.exchange, bucketsAt, coveredAt, m.complete));
 }
 
 void FrameWriter::Private::add(const DocumentPull &m)
@@ -351,7 +365,7 @@
     const auto namesAt = this->bytes(this->names);
     const auto nameLengthsAt = this->scalars(this->nameLengths);
     const auto orderAt = mixed ? this->scalars(this->order) : 0;
-    const auto heldByAt = this->structs(this->heldBy);
+    const auto refusalsAt = this->structs(this->refusals);
     const auto excludedAt = this->scalars(this->excluded);
     const auto claimWithdrawsAt = this->structs(this->claimWithdraws);
     const auto probesAt = this->tables(this->probes);
@@ -377,7 +391,7 @@
                                            namesAt,
                                            nameLengthsAt,
                                            orderAt,
-                                           heldByAt,
+                                           refusalsAt,
                                            excludedAt,
                                            claimWithdrawsAt,
                                            probesAt,
--- a/sequoiausher/protocol/codec/messagegenerators.h
+++ b/sequoiausher/protocol/codec/messagegenerators.h
@@ -74,13 +74,21 @@
                        SEQUOIAUSHER_FIELD(pool),
                        SEQUOIAUSHER_FIELD(shard),
                        SEQUOIAUSHER_FIELD(inFlight),
-                       SEQUOIAUSHER_FIELD(targets));
+                       SEQUOIAUSHER_FIELD(targets),
+                       SEQUOIAUSHER_FIELD(age));
+SEQUOIAUSHER_ARBITRARY(ReachNews,
+                       SEQUOIAUSHER_FIELD(instance),
+                       SEQUOIAUSHER_FIELD(incarnation),
+                       SEQUOIAUSHER_FIELD(refutation),
+                       SEQUOIAUSHER_FIELD(suspected));
 SEQUOIAUSHER_ARBITRARY(Gossip,
                        SEQUOIAUSHER_FIELD(instances),
                        SEQUOIAUSHER_FIELD(targets),
                        SEQUOIAUSHER_FIELD(sums),
                        SEQUOIAUSHER_FIELD(documentsDigest),
-                       SEQUOIAUSHER_FIELD(highestRevision));
+                       SEQUOIAUSHER_FIELD(highestRevision),
+                       SEQUOIAUSHER_FIELD(reach),
+                       SEQUOIAUSHER_FIELD(serviceAge));
 SEQUOIAUSHER_ARBITRARY(Holding, SEQUOIAUSHER_FIELD(request), SEQUOIAUSHER_FIELD(target));
 SEQUOIAUSHER_ARBITRARY(ClaimRecord,
                        SEQUOIAUSHER_FIELD(key),
@@ -138,7 +146,13 @@
 SEQUOIAUSHER_ARBITRARY(ProbeReply, SEQUOIAUSHER_FIELD(sequence), SEQUOIAUSHER_FIELD(about), SEQUOIAUSHER_FIELD(gossip));
 SEQUOIAUSHER_ARBITRARY(IndirectProbe, SEQUOIAUSHER_FIELD(sequence), SEQUOIAUSHER_FIELD(suspect));
 SEQUOIAUSHER_ARBITRARY(DocumentPush, SEQUOIAUSHER_FIELD(documents), SEQUOIAUSHER_FIELD(hops));
-SEQUOIAUSHER_ARBITRARY(DocumentDigest, SEQUOIAUSHER_FIELD(versions), SEQUOIAUSHER_FIELD(wantsAnswer));
+SEQUOIAUSHER_ARBITRARY(DocumentDigest,
+                       SEQUOIAUSHER_FIELD(versions),
+                       SEQUOIAUSHER_FIELD(wantsAnswer),
+                       SEQUOIAUSHER_FIELD(exchange),
+                       SEQUOIAUSHER_FIELD(buckets),
+                       SEQUOIAUSHER_FIELD(covered),
+                       SEQUOIAUSHER_FIELD(complete));
 SEQUOIAUSHER_ARBITRARY(DocumentPull, SEQUOIAUSHER_FIELD(names));
 SEQUOIAUSHER_ARBITRARY(AttachRequest,
                        SEQUOIAUSHER_FIELD(attachment),
--- a/sequoiausher/protocol/codec/messagekind.cpp
+++ b/sequoiausher/protocol/codec/messagekind.cpp
@@ -121,6 +121,11 @@
     return sizeof(std::uint32_t) * 3 + sum.pool.value.size();
 }
 
+std::size_t sizeOf(const ReachNews &news)
+{
+    return sizeof(LifeNews) + news.instance.value.size();
+}
+
 std::size_t sizeOf(const ClaimRecord &record)
 {
     return sizeof(ClaimKey) * 3 + record.holder.value.size();
@@ -148,7 +153,7 @@
 
 std::size_t sizeOf(const Gossip &gossip)
 {
-    return sizeOfAll(gossip.instances) + sizeOfAll(gossip.targets) + sizeOfAll(gossip.sums);
+    return sizeOfAll(gossip.instances) + sizeOfAll(gossip.targets) + sizeOfAll(gossip.sums) + sizeOfAll(gossip.reach);
 }
 
 // What a message carries beyond its fixed fields.
@@ -197,7 +202,8 @@
     }
     std::size_t operator()(const DocumentDigest &message) const
     {
-        return sizeOfAll(message.versions);
+        return sizeOfAll(message.versions) + message.buckets.size() * sizeof(std::uint64_t)
+            + message.covered.size() * sizeof(std::uint32_t);
     }
     std::size_t operator()(const DocumentPull &message) const
     {
--- a/sequoiausher/protocol/codec/peercodectest.cpp
+++ b/sequoiausher/protocol/codec/peercodectest.cpp
@@ -96,17 +96,17 @@
     flatbuffers::FlatBufferBuilder builder;
     const std::vector<Wire::ClaimVote> votes{Wire::ClaimVote({1, 2}, {3, 4}, 5, 0, laterVerdict, true),
                                              Wire::ClaimVote({1, 2}, {3, 4}, 6, 0, 0, true)};
-    const std::vector<Wire::Id> heldBy{Wire::Id(7, 7), Wire::Id(8, 8)};
+    const std::vector<Wire::Refusal> refusals{Wire::Refusal({7, 7}, 0), Wire::Refusal({8, 8}, 0)};
     const std::vector<std::uint8_t> order{laterKind,
                                           static_cast<std::uint8_t>(MessageKind::ClaimVote),
                                           0,
                                           static_cast<std::uint8_t>(MessageKind::ClaimVote)};
     const auto votesAt = builder.CreateVectorOfStructs(votes);
-    const auto heldByAt = builder.CreateVectorOfStructs(heldBy);
+    const auto refusalsAt = builder.CreateVectorOfStructs(refusals);
     const auto orderAt = builder.CreateVector(order);
     Wire::FrameBuilder frame(builder);
     frame.add_claim_votes(votesAt);
-    frame.add_held_by(heldByAt);
+    frame.add_refusals(refusalsAt);
     frame.add_order(orderAt);
     const DecodedFrame decoded = decodeFrame(frameOf(builder, frame.Finish()), "r1");
     CHECK(decoded.skipped == 3);
@@ -123,18 +123,18 @@
         std::vector<std::uint8_t> order;
         std::vector<std::uint8_t> nameLengths;
         std::uint16_t holder;
-        bool hasHeldBy;
+        bool refuses;
     };
     const auto vote = static_cast<std::uint8_t>(MessageKind::ClaimVote);
     const std::vector<Case> cases{{"more announced than present", {vote, vote}, {}, 0, false},
                                   {"another kind than present", {vote - 1}, {}, 0, false},
                                   {"a name that is missing", {vote}, {}, 1, false},
                                   {"names past their end", {vote}, {3}, 0, false},
-                                  {"no holding attempt", {vote}, {}, 0, true}};
+                                  {"no refusal", {vote}, {}, 0, true}};
     for (const Case &c : cases) {
         CAPTURE(c.what);
         flatbuffers::FlatBufferBuilder builder;
-        const std::vector<Wire::ClaimVote> votes{Wire::ClaimVote({1, 2}, {3, 4}, 5, c.holder, 0, c.hasHeldBy)};
+        const std::vector<Wire::ClaimVote> votes{Wire::ClaimVote({1, 2}, {3, 4}, 5, c.holder, 0, c.refuses)};
         const auto votesAt = builder.CreateVectorOfStructs(votes);
         const auto lengthsAt = builder.CreateVector(c.nameLengths);
         const auto orderAt = builder.CreateVector(c.order);
