Add the links between routers: framing, dialled and accepted connections, mesh

Cause: claims, reservations, probes and documents need a carrier that survives restarts, reused addresses, connections that go silent and bytes that are no frames.

Ruled out: one connection for both directions, since two routers that dial at once need a tie-break that both compute alike, and a restart in the middle of it leaves each waiting for the other; a full mesh, since 1,300 links a router are wanted only by those that talk.

Change: each side sends on the link that it dialled, on demand; the answering side's name, version and life are checked before the first message; what is sent must be followed by a sign of life, or the connection is given up and the next message dials anew; queues are bounded in bytes and in time; bytes are counted by kind.

--- /dev/null
+++ b/sequoiausher/transport/peers/acceptedlink.cpp
@@ -0,0 +1,193 @@
+#include "sequoiausher/transport/peers/acceptedlink.h"
+
+#include "sequoiausher/base/error.h"
+#include "sequoiausher/protocol/codec/peercodec.h"
+#include "sequoiausher/transport/peers/framing.h"
+
+#include <QHostAddress>
+#include <QTcpSocket>
+#include <QTimer>
+
+#include <numeric>
+#include <utility>
+
+namespace Sequoiausher {
+
+namespace {
+
+// Answers that the peer has not read yet, in bytes.
+constexpr std::size_t mostUnread = 4096;
+
+} // namespace
+
+class AcceptedLink::Private : public QObject
+{
+public:
+    Private(AcceptedLink &link,
+            const PeerSettings &with,
+            std::unique_ptr<QTcpSocket> accepted,
+            PeerCounters &counting,
+            AcceptedLinkListener &listening);
+    ~Private() override;
+
+    void end();
+
+    Hello hello;
+
+private:
+    void onReadyRead();
+    void take(const std::string &body);
+    void greet(const std::string &body);
+    void count(const std::vector<PeerMessage> &messages, std::size_t bytes);
+    void write(const std::string &body);
+
+    AcceptedLink &self;
+    const PeerSettings &settings;
+    std::unique_ptr<QTcpSocket> socket;
+    PeerCounters &counters;
+    AcceptedLinkListener &listener;
+    FrameAssembler assembler;
+    QTimer quiet;
+    bool over = false;
+};
+
+AcceptedLink::Private::Private(AcceptedLink &link,
+                               const PeerSettings &with,
+                               std::unique_ptr<QTcpSocket> accepted,
+                               PeerCounters &counting,
+                               AcceptedLinkListener &listening)
+    : self(link)
+    , settings(with)
+    , socket(std::move(accepted))
+    , counters(counting)
+    , listener(listening)
+    , assembler(this->socket->peerAddress().toString().toStdString(), largestFrame)
+{
+    this->socket->setParent(nullptr);
+    this->socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    QObject::connect(this->socket.get(), &QTcpSocket::readyRead, this, [this] { this->onReadyRead(); });
+    QObject::connect(this->socket.get(), &QTcpSocket::disconnected, this, [this] { this->end(); });
+    // A peer that died without a word leaves its connection open for good, and with 1,300 peers that are replaced every
+    // day the open files run out. The dialling side closes an idle link by itself, so one quiet for longer is dead; one
+    // that never said who it is is closed sooner.
+    QObject::connect(&this->quiet, &QTimer::timeout, this, [this] { this->end(); });
+    this->quiet.setSingleShot(true);
+    this->quiet.start(static_cast<int>(with.silence.count));
+}
+
+AcceptedLink::Private::~Private()
+{
+    this->socket->disconnect(this);
+    this->socket->abort();
+    this->socket.release()->deleteLater();
+}
+
+void AcceptedLink::Private::onReadyRead()
+{
+    if (this->over) {
+        return;
+    }
+    const QByteArray bytes = this->socket->readAll();
+    this->counters.totalReceived += static_cast<std::uint64_t>(bytes.size());
+    try {
+        this->assembler.feed({bytes.constData(), static_cast<std::size_t>(bytes.size())});
+        while (!this->over) {
+            const auto body = this->assembler.next();
+            if (!body.has_value()) {
+                break;
+            }
+            this->take(*body);
+        }
+    } catch (const Error &) {
+        ++this->counters.refusedLinks;
+        this->end();
+        return;
+    }
+    if (!this->over && !this->hello.instance.empty()) {
+        this->quiet.start(static_cast<int>(this->settings.idleClose.count * 2));
+    }
+}
+
+void AcceptedLink::Private::take(const std::string &body)
+{
+    if (this->hello.instance.empty()) {
+        this->greet(body);
+        return;
+    }
+    if (body.empty()) {
+        if (static_cast<std::size_t>(this->socket->bytesToWrite()) > mostUnread) {
+            throw Error(Step::Write, this->hello.instance.value, "it asks for signs of life and reads none");
+        }
+        this->write({});
+        return;
+    }
+    DecodedFrame decoded = decodeFrame(body, this->hello.instance.value);
+    this->counters.skipped += decoded.skipped;
+    this->count(decoded.messages, body.size());
+    for (PeerMessage &message : decoded.messages) {
+        this->listener.arrived(this->hello, std::move(message));
+    }
+}
+
+void AcceptedLink::Private::greet(const std::string &body)
+{
+    const Hello said = decodeHello(body, this->socket->peerAddress().toString().toStdString());
+    // The answer goes out even to a peer that is refused, so that it sees with whom or with which version it talks.
+    this->write(
+        encodeHello({protocolVersion, this->settings.self, this->settings.incarnation, this->settings.dataCentre, {}}));
+    this->socket->flush();
+    if (said.wanted != this->settings.self || said.version != protocolVersion
+        || !this->listener.greeted(this->self, said)) {
+        throw Error(Step::Connect, said.instance.value, "refused");
+    }
+    this->hello = said;
+}
+
+void AcceptedLink::Private::count(const std::vector<PeerMessage> &messages, std::size_t bytes)
+{
+    const std::size_t rough
+        = std::transform_reduce(messages.begin(), messages.end(), std::size_t{0}, std::plus<>{}, roughSize);
+    for (const PeerMessage &message : messages) {
+        const auto kind = static_cast<std::size_t>(kindOf(message));
+        ++this->counters.messagesReceived.at(kind);
+        this->counters.bytesReceived.at(kind) += bytes * roughSize(message) / rough;
+    }
+}
+
+void AcceptedLink::Private::write(const std::string &body)
+{
+    const std::string frame = framed(body);
+    this->counters.totalSent += frame.size();
+    this->socket->write(frame.data(), static_cast<qint64>(frame.size()));
+}
+
+void AcceptedLink::Private::end()
+{
+    if (!std::exchange(this->over, true)) {
+        this->quiet.stop();
+        this->socket->disconnectFromHost();
+        this->listener.ended(this->self);
+    }
+}
+
+AcceptedLink::AcceptedLink(const PeerSettings &settings,
+                           std::unique_ptr<QTcpSocket> socket,
+                           PeerCounters &counters,
+                           AcceptedLinkListener &listener)
+    : d(std::make_unique<Private>(*this, settings, std::move(socket), counters, listener))
+{
+}
+
+AcceptedLink::~AcceptedLink() = default;
+
+void AcceptedLink::close()
+{
+    this->d->end();
+}
+
+const Hello &AcceptedLink::hello() const
+{
+    return this->d->hello;
+}
+
+} // namespace Sequoiausher
--- /dev/null
+++ b/sequoiausher/transport/peers/framingtest.cpp
@@ -0,0 +1,42 @@
+#include "sequoiausher/transport/peers/framing.h"
+
+#include "sequoiausher/base/error.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+using namespace Sequoiausher;
+
+TEST_CASE("frames come out whole however the bytes are cut")
+{
+    const std::vector<std::string> bodies{"", "a", std::string(300, 'b'), "", "c"};
+    std::string stream;
+    for (const std::string &body : bodies) {
+        stream += framed(body);
+    }
+    for (std::size_t step = 1; step <= stream.size(); ++step) {
+        FrameAssembler assembler("r1", 300);
+        std::vector<std::string> seen;
+        for (std::size_t at = 0; at < stream.size(); at += step) {
+            assembler.feed(std::string_view(stream).substr(at, step));
+            while (auto body = assembler.next()) {
+                seen.push_back(*body);
+            }
+        }
+        CHECK(seen == bodies);
+    }
+}
+
+// Symptom: a router's memory grows while one peer slowly sends a frame of four gigabytes.
+// Events: a stray program writes text to the peer port; its first four bytes are read as a length.
+// Cause: a reader that waits for whatever length is announced.
+TEST_CASE("a frame above the bound is refused as soon as it is announced")
+{
+    FrameAssembler assembler("r1", 300);
+    assembler.feed("GET ");
+    CHECK_THROWS_AS(assembler.next(), Error);
+    FrameAssembler byOne("r1", 300);
+    byOne.feed(framed(std::string(301, 'x')).substr(0, 4));
+    CHECK_THROWS_AS(byOne.next(), Error);
+}
--- /dev/null
+++ b/sequoiausher/transport/peers/peerlink.cpp
@@ -0,0 +1,362 @@
+#include "sequoiausher/transport/peers/peerlink.h"
+
+#include "sequoiausher/base/error.h"
+#include "sequoiausher/protocol/codec/hellocodec.h"
+#include "sequoiausher/protocol/codec/peercodec.h"
+#include "sequoiausher/transport/peers/framing.h"
+
+#include <QHostAddress>
+#include <QTcpSocket>
+#include <QTimer>
+
+#include <algorithm>
+#include <deque>
+#include <numeric>
+#include <random>
+#include <utility>
+
+namespace Sequoiausher {
+
+namespace {
+
+// The peer answers with its hello and signs of life only.
+constexpr std::size_t largestAnswer = 4096;
+constexpr int looksPerSilence = 4;
+constexpr int looksPerIdleClose = 4;
+
+struct Queued
+{
+    PeerMessage message;
+    std::size_t size;
+    Millis since;
+};
+
+} // namespace
+
+class PeerLink::Private : public QObject
+{
+public:
+    Private(const PeerSettings &with, InstanceId to, PeerAddress at, PeerCounters &counting, Changed onChange);
+    ~Private() override;
+
+    bool send(PeerMessage message);
+
+    const PeerSettings &settings;
+    InstanceId peer;
+    PeerAddress address;
+    bool up = false;
+
+private:
+    void dial();
+    void hangUp();
+    void fail();
+    void onConnected();
+    void onReadyRead();
+    void takeHello(const std::string &body);
+    void look();
+    void lookIdle();
+    void flushSoon();
+    void flush();
+    void dropOld();
+    std::vector<PeerMessage> takeBatch();
+    void writeBatch(const std::vector<PeerMessage> &batch);
+    void count(const std::vector<PeerMessage> &batch, std::size_t bytes);
+    void write(const std::string &body);
+
+    PeerCounters &counters;
+    Changed changed;
+    std::unique_ptr<QTcpSocket> socket;
+    std::unique_ptr<FrameAssembler> assembler;
+    /** Runs only while something is unanswered: at a thousand links an idle timer each would cost a core's percents. */
+    QTimer lookTimer;
+    QTimer idleTimer;
+    QTimer redialTimer;
+    std::mt19937_64 generator;
+    std::deque<Queued> queue;
+    std::size_t queuedBytes = 0;
+    bool flushPlanned = false;
+    Incarnation incarnation = 0;
+    Millis redialWait;
+    Millis lastSend;
+    /** The earliest sending that nothing was heard after; never() where all is answered. */
+    Millis unansweredSince = Millis::never();
+    bool signAsked = false;
+};
+
+PeerLink::Private::Private(const PeerSettings &with,
+                           InstanceId to,
+                           PeerAddress at,
+                           PeerCounters &counting,
+                           Changed onChange)
+    : settings(with)
+    , peer(std::move(to))
+    , address(std::move(at))
+    , counters(counting)
+    , changed(std::move(onChange))
+    , generator(with.seed ^ std::hash<InstanceId>{}(this->peer))
+    , redialWait(with.redialFirst)
+{
+    this->redialTimer.setSingleShot(true);
+    QObject::connect(&this->redialTimer, &QTimer::timeout, this, [this] { this->dial(); });
+    QObject::connect(&this->lookTimer, &QTimer::timeout, this, [this] { this->look(); });
+    QObject::connect(&this->idleTimer, &QTimer::timeout, this, [this] { this->lookIdle(); });
+    this->lookTimer.setInterval(static_cast<int>(with.silence.count / looksPerSilence));
+    this->idleTimer.setInterval(static_cast<int>(with.idleClose.count / looksPerIdleClose));
+}
+
+PeerLink::Private::~Private()
+{
+    this->hangUp();
+}
+
+bool PeerLink::Private::send(PeerMessage message)
+{
+    const std::size_t size = roughSize(message);
+    const std::size_t inSocket = this->socket ? static_cast<std::size_t>(this->socket->bytesToWrite()) : 0;
+    if (this->queuedBytes + inSocket + size > this->settings.queueBytes) {
+        ++this->counters.droppedFull;
+        return false;
+    }
+    this->lastSend = Millis::monotonicNow();
+    this->queue.push_back({std::move(message), size, this->lastSend});
+    this->queuedBytes += size;
+    if (this->up) {
+        this->flushSoon();
+    } else if (!this->socket && !this->redialTimer.isActive()) {
+        this->dial();
+    }
+    return true;
+}
+
+void PeerLink::Private::dial()
+{
+    ++this->counters.dials;
+    this->socket = std::make_unique<QTcpSocket>();
+    this->assembler = std::make_unique<FrameAssembler>(this->peer.value, largestAnswer);
+    this->unansweredSince = Millis::monotonicNow();
+    QTcpSocket *fresh = this->socket.get();
+    QObject::connect(fresh, &QTcpSocket::connected, this, [this] { this->onConnected(); });
+    QObject::connect(fresh, &QTcpSocket::readyRead, this, [this] { this->onReadyRead(); });
+    // Queued, since the socket must not be destroyed inside its own signal.
+    const auto lost = [this, fresh] {
+        if (this->socket.get() == fresh) {
+            this->fail();
+        }
+    };
+    QObject::connect(fresh, &QTcpSocket::disconnected, this, lost, Qt::QueuedConnection);
+    QObject::connect(fresh, &QTcpSocket::errorOccurred, this, lost, Qt::QueuedConnection);
+    fresh->connectToHost(QHostAddress(QString::fromStdString(this->address.host)), this->address.port);
+    this->lookTimer.start();
+    this->idleTimer.start();
+}
+
+void PeerLink::Private::hangUp()
+{
+    this->lookTimer.stop();
+    this->idleTimer.stop();
+    if (!this->socket) {
+        return;
+    }
+    this->socket->disconnect(this);
+    this->socket->abort();
+    this->socket.release()->deleteLater();
+    this->unansweredSince = Millis::never();
+    this->signAsked = false;
+    if (std::exchange(this->up, false)) {
+        this->changed(this->peer, this->incarnation, false);
+    }
+}
+
+void PeerLink::Private::fail()
+{
+    this->hangUp();
+    this->dropOld();
+    if (this->queue.empty()) {
+        return;
+    }
+    std::uniform_int_distribution<std::int64_t> upperHalf(this->redialWait.count / 2, this->redialWait.count);
+    this->redialTimer.start(static_cast<int>(upperHalf(this->generator)));
+    this->redialWait = std::min(this->redialWait * 2, this->settings.redialMost);
+}
+
+void PeerLink::Private::onConnected()
+{
+    this->socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    this->write(encodeHello(
+        {protocolVersion, this->settings.self, this->settings.incarnation, this->settings.dataCentre, this->peer}));
+}
+
+void PeerLink::Private::onReadyRead()
+{
+    const QByteArray bytes = this->socket->readAll();
+    this->counters.totalReceived += static_cast<std::uint64_t>(bytes.size());
+    this->unansweredSince = Millis::never();
+    this->signAsked = false;
+    try {
+        this->assembler->feed({bytes.constData(), static_cast<std::size_t>(bytes.size())});
+        while (const auto body = this->assembler->next()) {
+            if (!body->empty() && !this->up) {
+                this->takeHello(*body);
+            }
+        }
+    } catch (const Error &) {
+        ++this->counters.refusedLinks;
+        this->fail();
+    }
+}
+
+void PeerLink::Private::takeHello(const std::string &body)
+{
+    const Hello hello = decodeHello(body, this->peer.value);
+    // After churn another router may listen where the wanted one did. Were it not checked, claims would be counted
+    // at a router that is no witness of them, and one would notice votes from a router that was never asked.
+    if (hello.instance != this->peer) {
+        throw Error(Step::Connect, this->peer.value, hello.instance.value + " answers at its address");
+    }
+    if (hello.version != protocolVersion) {
+        throw Error(Step::Connect, this->peer.value, "it speaks version " + std::to_string(hello.version));
+    }
+    this->incarnation = hello.incarnation;
+    this->up = true;
+    this->redialWait = this->settings.redialFirst;
+    this->changed(this->peer, this->incarnation, true);
+    this->flushSoon();
+}
+
+// What goes wrong: something between the two ends loses track of a connection, and what is written on it vanishes
+// without an error for many minutes, while a new connection would work. It shows as one peer that never answers. So
+// whatever is sent must be followed by a sign of life, and a connection without one is given up.
+void PeerLink::Private::look()
+{
+    if (this->unansweredSince == Millis::never()) {
+        this->lookTimer.stop();
+        return;
+    }
+    if (Millis::monotonicNow() - this->unansweredSince >= this->settings.silence) {
+        ++this->counters.silentLinks;
+        this->fail();
+        return;
+    }
+    if (this->up && !this->signAsked) {
+        this->signAsked = true;
+        this->write({});
+    }
+}
+
+void PeerLink::Private::lookIdle()
+{
+    if (Millis::monotonicNow() - this->lastSend >= this->settings.idleClose) {
+        this->hangUp();
+    }
+}
+
+void PeerLink::Private::flushSoon()
+{
+    if (std::exchange(this->flushPlanned, true)) {
+        return;
+    }
+    const auto planned = [this] {
+        this->flushPlanned = false;
+        this->flush();
+    };
+    QMetaObject::invokeMethod(this, planned, Qt::QueuedConnection);
+}
+
+void PeerLink::Private::flush()
+{
+    if (!this->up) {
+        return;
+    }
+    this->dropOld();
+    while (!this->queue.empty()) {
+        this->writeBatch(this->takeBatch());
+    }
+}
+
+void PeerLink::Private::dropOld()
+{
+    const Millis now = Millis::monotonicNow();
+    while (!this->queue.empty() && now - this->queue.front().since >= this->settings.messageLife) {
+        this->queuedBytes -= this->queue.front().size;
+        this->queue.pop_front();
+        ++this->counters.droppedOld;
+    }
+}
+
+std::vector<PeerMessage> PeerLink::Private::takeBatch()
+{
+    constexpr std::size_t fullBatch = 64 * 1024;
+    constexpr std::size_t mostInBatch = 512;
+    std::vector<PeerMessage> batch;
+    std::size_t bytes = 0;
+    while (!this->queue.empty() && batch.size() < mostInBatch && bytes < fullBatch) {
+        Queued &first = this->queue.front();
+        bytes += first.size;
+        this->queuedBytes -= first.size;
+        batch.push_back(std::move(first.message));
+        this->queue.pop_front();
+    }
+    return batch;
+}
+
+void PeerLink::Private::writeBatch(const std::vector<PeerMessage> &batch)
+{
+    try {
+        const std::string body = encodeFrame(batch);
+        this->write(body);
+        this->count(batch, body.size());
+    } catch (const Error &) {
+        // A message that no frame can hold takes its batch along; both ends go on without it as after any loss.
+        this->counters.droppedFull += batch.size();
+    }
+}
+
+void PeerLink::Private::count(const std::vector<PeerMessage> &batch, std::size_t bytes)
+{
+    const std::size_t rough
+        = std::transform_reduce(batch.begin(), batch.end(), std::size_t{0}, std::plus<>{}, roughSize);
+    for (const PeerMessage &message : batch) {
+        const auto kind = static_cast<std::size_t>(kindOf(message));
+        ++this->counters.messagesSent.at(kind);
+        this->counters.bytesSent.at(kind) += bytes * roughSize(message) / rough;
+    }
+}
+
+void PeerLink::Private::write(const std::string &body)
+{
+    const std::string frame = framed(body);
+    this->counters.totalSent += frame.size();
+    this->socket->write(frame.data(), static_cast<qint64>(frame.size()));
+    if (this->unansweredSince == Millis::never()) {
+        this->unansweredSince = Millis::monotonicNow();
+        this->lookTimer.start();
+    }
+}
+
+PeerLink::PeerLink(const PeerSettings &settings,
+                   InstanceId peer,
+                   PeerAddress address,
+                   PeerCounters &counters,
+                   Changed changed)
+    : d(std::make_unique<Private>(settings, std::move(peer), std::move(address), counters, std::move(changed)))
+{
+}
+
+PeerLink::~PeerLink() = default;
+
+bool PeerLink::send(PeerMessage message)
+{
+    return this->d->send(std::move(message));
+}
+
+const PeerAddress &PeerLink::address() const
+{
+    return this->d->address;
+}
+
+bool PeerLink::isUp() const
+{
+    return this->d->up;
+}
+
+} // namespace Sequoiausher
--- /dev/null
+++ b/sequoiausher/transport/peers/peermeshtest.cpp
@@ -0,0 +1,309 @@
+#include "sequoiausher/transport/peers/peermesh.h"
+
+#include "sequoiausher/protocol/codec/hellocodec.h"
+#include "sequoiausher/transport/peers/framing.h"
+
+#include <QCoreApplication>
+#include <QElapsedTimer>
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <thread>
+
+using namespace Sequoiausher;
+
+namespace {
+
+void ensureApplication()
+{
+    static int argumentCount = 1;
+    static char name[] = "peermeshtest";
+    static char *arguments[] = {name, nullptr};
+    static const QCoreApplication application(argumentCount, arguments);
+}
+
+bool waitUntil(const std::function<bool()> &holds, Millis atMost = Millis{5000})
+{
+    QElapsedTimer timer;
+    timer.start();
+    while (!holds() && timer.elapsed() < atMost.count) {
+        QCoreApplication::processEvents(QEventLoop::AllEvents, 10);
+        QCoreApplication::sendPostedEvents(nullptr, QEvent::DeferredDelete);
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    return holds();
+}
+
+void letPass(Millis span)
+{
+    waitUntil([] { return false; }, span);
+}
+
+/** One router's links, and what they told. */
+class Router : public PeerListener
+{
+public:
+    Router(const std::string &name, Incarnation incarnation, std::uint16_t onPort = 0)
+        : mesh(settingsOf(name, incarnation), *this)
+    {
+        this->mesh.listen({"127.0.0.1", onPort});
+    }
+
+    static PeerSettings settingsOf(const std::string &name, Incarnation incarnation)
+    {
+        PeerSettings settings{InstanceId{name}, incarnation, DataCentreId{"brest-1"}};
+        settings.silence = Millis{300};
+        settings.idleClose = Millis{1500};
+        settings.redialFirst = Millis{20};
+        settings.redialMost = Millis{100};
+        settings.queueBytes = 20000;
+        return settings;
+    }
+
+    void received(const InstanceId &from, Incarnation incarnation, PeerMessage message) override
+    {
+        this->senders.emplace_back(from.value, incarnation);
+        this->messages.push_back(std::move(message));
+    }
+    void linkChanged(const InstanceId &peer, Incarnation incarnation, bool up) override
+    {
+        this->changes.push_back(peer.value + " " + std::to_string(incarnation) + (up ? " up" : " down"));
+    }
+    void knows(const std::string &name, std::uint16_t port)
+    {
+        this->mesh.setPeers({{InstanceId{name}, PeerAddress{"127.0.0.1", port}}});
+    }
+    bool say(const std::string &to, std::uint64_t number)
+    {
+        return this->mesh.send(InstanceId{to}, IndirectProbe{number, {}});
+    }
+
+    std::vector<std::pair<std::string, Incarnation>> senders;
+    std::vector<PeerMessage> messages;
+    std::vector<std::string> changes;
+    PeerMesh mesh;
+};
+
+std::size_t countOf(const std::vector<std::string> &lines, const std::string &line)
+{
+    return static_cast<std::size_t>(std::count(lines.begin(), lines.end(), line));
+}
+
+} // namespace
+
+TEST_CASE("messages arrive in order, with the sender's name and life, and one turn's travel in one frame")
+{
+    ensureApplication();
+    Router a("a", 11);
+    Router b("b", 22);
+    a.knows("b", b.mesh.port());
+    b.knows("a", a.mesh.port());
+    constexpr std::uint64_t count = 50;
+    for (std::uint64_t i = 0; i < count; ++i) {
+        CHECK(a.say("b", i));
+    }
+    REQUIRE(waitUntil([&] { return b.messages.size() == count; }));
+    for (std::uint64_t i = 0; i < count; ++i) {
+        CHECK(b.messages.at(i) == PeerMessage{IndirectProbe{i, {}}});
+    }
+    CHECK(b.senders.front() == std::pair<std::string, Incarnation>("a", 11));
+    CHECK(a.changes == std::vector<std::string>{"b 22 up"});
+    const auto kind = static_cast<std::size_t>(MessageKind::IndirectProbe);
+    CHECK(a.mesh.counters().messagesSent.at(kind) == count);
+    CHECK(a.mesh.counters().bytesSent.at(kind) < count * 20);
+    CHECK(b.mesh.counters().messagesReceived.at(kind) == count);
+    CHECK(b.say("a", 1));
+    CHECK(waitUntil([&] { return a.messages.size() == 1; }));
+    CHECK(!a.say("stranger", 1));
+    CHECK(a.mesh.counters().droppedUnknown == 1);
+}
+
+TEST_CASE("another thread posts")
+{
+    ensureApplication();
+    Router a("a", 1);
+    Router b("b", 1);
+    a.knows("b", b.mesh.port());
+    std::thread poster([&a] {
+        for (std::uint64_t i = 0; i < 20; ++i) {
+            a.mesh.post({{InstanceId{"b"}, IndirectProbe{i, {}}}});
+        }
+    });
+    CHECK(waitUntil([&] { return b.messages.size() == 20; }));
+    poster.join();
+}
+
+// Symptom: a restarted router hears nothing from its peers, or its messages count as those of its earlier life.
+// Events: a router stops, another process with the same name and a later incarnation takes its place.
+// Cause: a link that neither redials nor asks again who answers.
+TEST_CASE("a peer that restarts is reached again in its new life")
+{
+    ensureApplication();
+    Router a("a", 1);
+    auto b = std::make_unique<Router>("b", 5);
+    const std::uint16_t port = b->mesh.port();
+    a.knows("b", port);
+    a.say("b", 1);
+    REQUIRE(waitUntil([&] { return b->messages.size() == 1; }));
+    b.reset();
+    REQUIRE(waitUntil([&] { return countOf(a.changes, "b 5 down") == 1; }));
+    a.say("b", 2);
+    letPass(Millis{100});
+    Router again("b", 6, port);
+    REQUIRE(waitUntil([&] { return again.messages.size() == 1; }));
+    CHECK(again.messages.front() == PeerMessage{IndirectProbe{2, {}}});
+    CHECK(countOf(a.changes, "b 6 up") == 1);
+}
+
+// Symptom: a router takes another for the one it means.
+// Events: b is replaced; its address is given to c before a's list says so.
+// Cause: trusting an address to name a router.
+TEST_CASE("a router that answers at another's address gets no message")
+{
+    ensureApplication();
+    Router a("a", 1);
+    Router c("c", 1);
+    a.knows("b", c.mesh.port());
+    a.say("b", 1);
+    REQUIRE(waitUntil([&] { return a.mesh.counters().refusedLinks >= 2; }));
+    CHECK(c.messages.empty());
+    CHECK(a.changes.empty());
+}
+
+// Symptom: messages of a router's earlier life are taken for news after its present life spoke.
+// Events: a process slept or its connection hung while its successor started; then it wakes and dials.
+// Cause: a receiver that does not compare lives.
+TEST_CASE("an earlier life is refused while the present one is connected")
+{
+    ensureApplication();
+    Router b("b", 1);
+    Router present("a", 9);
+    Router earlier("a", 8);
+    present.knows("b", b.mesh.port());
+    earlier.knows("b", b.mesh.port());
+    present.say("b", 1);
+    REQUIRE(waitUntil([&] { return b.messages.size() == 1; }));
+    earlier.say("b", 2);
+    REQUIRE(waitUntil([&] { return b.mesh.counters().refusedLinks >= 1; }));
+    letPass(Millis{100});
+    CHECK(b.messages.size() == 1);
+}
+
+// Symptom: one peer never hears this router any more, though it runs and others reach it.
+// Events: something between the two loses track of the connection; what is written on it vanishes without an error.
+// Cause: a sender that takes "no error" for "connected".
+TEST_CASE("a connection that swallows everything is given up and dialled again")
+{
+    ensureApplication();
+    QTcpServer swallower;
+    REQUIRE(swallower.listen(QHostAddress::LocalHost, 0));
+    int accepted = 0;
+    bool greets = false;
+    QObject::connect(&swallower, &QTcpServer::newConnection, [&] {
+        QTcpSocket *socket = swallower.nextPendingConnection();
+        ++accepted;
+        if (greets) {
+            const std::string hello = framed(encodeHello({protocolVersion, InstanceId{"b"}, 3, {}, {}}));
+            socket->write(hello.data(), static_cast<qint64>(hello.size()));
+        }
+    });
+    Router a("a", 1);
+    a.knows("b", swallower.serverPort());
+
+    SUBCASE("before the hello")
+    {
+        a.say("b", 1);
+        REQUIRE(waitUntil([&] { return a.mesh.counters().silentLinks == 1; }));
+    }
+    SUBCASE("after the hello")
+    {
+        greets = true;
+        a.say("b", 1);
+        REQUIRE(waitUntil([&] { return countOf(a.changes, "b 3 down") == 1; }));
+        CHECK(a.mesh.counters().silentLinks == 1);
+    }
+    a.say("b", 2);
+    CHECK(waitUntil([&] { return accepted >= 2; }));
+}
+
+TEST_CASE("a link in use for longer than the silence limit stays up, and an idle one is closed")
+{
+    ensureApplication();
+    Router a("a", 1);
+    Router b("b", 1);
+    a.knows("b", b.mesh.port());
+    for (std::uint64_t i = 0; i < 8; ++i) {
+        a.say("b", i);
+        letPass(Millis{100});
+    }
+    CHECK(a.changes == std::vector<std::string>{"b 1 up"});
+    CHECK(waitUntil([&] { return countOf(a.changes, "b 1 down") == 1; }));
+    CHECK(a.mesh.counters().silentLinks == 0);
+    CHECK(a.mesh.counters().dials == 1);
+    a.say("b", 9);
+    CHECK(waitUntil([&] { return b.messages.size() == 9; }));
+}
+
+// Symptom: a router crashes or grows when something that is no router talks to its peer port.
+// Events: a port scan, a browser, a peer gone wrong.
+// Cause: trusting what arrives.
+TEST_CASE("garbage closes the connection and nothing else")
+{
+    ensureApplication();
+    const std::string hello = framed(encodeHello({protocolVersion, InstanceId{"x"}, 1, {}, InstanceId{"b"}}));
+    const std::string otherVersion = framed(encodeHello({99, InstanceId{"x"}, 1, {}, InstanceId{"b"}}));
+    const std::string otherWanted = framed(encodeHello({protocolVersion, InstanceId{"x"}, 1, {}, InstanceId{"c"}}));
+    struct Case
+    {
+        const char *what;
+        std::string bytes;
+    };
+    const std::vector<Case> cases{{"text in place of a length", "GET / HTTP/1.1\r\n\r\n"},
+                                  {"no hello", framed("no hello at all")},
+                                  {"another version", otherVersion},
+                                  {"another name wanted", otherWanted},
+                                  {"no frame after the hello", hello + framed("no frame of messages")},
+                                  {"an oversize frame announced", hello + std::string("\x7f\0\0\0", 4)}};
+    Router b("b", 1);
+    for (const Case &c : cases) {
+        CAPTURE(c.what);
+        const std::uint64_t before = b.mesh.counters().refusedLinks;
+        QTcpSocket socket;
+        socket.connectToHost(QHostAddress::LocalHost, b.mesh.port());
+        REQUIRE(waitUntil([&] { return socket.state() == QAbstractSocket::ConnectedState; }));
+        socket.write(c.bytes.data(), static_cast<qint64>(c.bytes.size()));
+        CHECK(waitUntil([&] { return socket.state() == QAbstractSocket::UnconnectedState; }));
+        CHECK(b.mesh.counters().refusedLinks == before + 1);
+    }
+    CHECK(b.messages.empty());
+    Router a("a", 1);
+    a.knows("b", b.mesh.port());
+    a.say("b", 1);
+    CHECK(waitUntil([&] { return b.messages.size() == 1; }));
+}
+
+// Symptom: a router's memory grows while a peer is away.
+// Events: a peer goes away or stalls; the others go on sending to it.
+// Cause: a queue without a bound, or one that keeps what nobody waits for.
+TEST_CASE("a queue for an absent peer is bounded in bytes and in time")
+{
+    ensureApplication();
+    QTcpServer absent;
+    REQUIRE(absent.listen(QHostAddress::LocalHost, 0));
+    const std::uint16_t port = absent.serverPort();
+    absent.close();
+    Router a("a", 1);
+    a.knows("b", port);
+    int taken = 0;
+    while (taken < 10000 && a.say("b", 1)) {
+        ++taken;
+    }
+    CHECK(taken > 100);
+    CHECK(taken < 1000);
+    CHECK(a.mesh.counters().droppedFull == 1);
+    REQUIRE(waitUntil([&] { return a.mesh.counters().droppedOld == static_cast<std::uint64_t>(taken); }));
+    CHECK(a.say("b", 1));
+}
