--- a/lab/bench/codecbench.cpp
+++ b/lab/bench/codecbench.cpp
@@ -44,7 +44,7 @@
             ClaimVote{key, request, 1, ClaimVerdict::Granted, {}, {}},
             ClaimWithdraw{key, request, 1},
             ClaimPull{1, key},
-            ClaimPage{1, false, false, key, std::vector(held, ClaimRecord{key, request, 1, 5, instance, Millis{9}})},
+            ClaimPage{1, false, false, false, key, std::vector(held, ClaimRecord{key, request, 1, 5, instance, Millis{9}})},
             ReserveRequest{request, pool, 1, 2, PolicyKind::BoundedRendezvous, 125, {}},
             ReserveReply{request, ReserveVerdict::Granted, target, Millis{}},
             Release{request, pool, 1},
--- a/sequoiausher/protocol/codec/framewriter.cpp
+++ b/sequoiausher/protocol/codec/framewriter.cpp
@@ -193,7 +193,7 @@
     }
     const Wire::Id next = wireId(m.next);
     this->claimPages.push_back(
-        Wire::CreateClaimPage(this->builder, m.pull, m.giverAbstains, false, m.last, &next, this->structs(records)));
+        Wire::CreateClaimPage(this->builder, m.pull, m.giverAbstains, m.giverLearns, m.last, &next, this->structs(records)));
 }
 
 void FrameWriter::Private::add(const ReserveRequest &m)
--- a/sequoiausher/protocol/codec/messagegenerators.h
+++ b/sequoiausher/protocol/codec/messagegenerators.h
@@ -120,6 +120,7 @@
 SEQUOIAUSHER_ARBITRARY(ClaimPage,
                        SEQUOIAUSHER_FIELD(pull),
                        SEQUOIAUSHER_FIELD(giverAbstains),
+                       SEQUOIAUSHER_FIELD(giverLearns),
                        SEQUOIAUSHER_FIELD(last),
                        SEQUOIAUSHER_FIELD(next),
                        SEQUOIAUSHER_FIELD(records));
--- /dev/null
+++ b/sequoiausher/transport/platform/platformreader.cpp
@@ -0,0 +1,272 @@
+#include "sequoiausher/transport/platform/platformreader.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <QUrl>
+
+#include <algorithm>
+#include <optional>
+#include <random>
+
+namespace Sequoiausher {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusNotFound = 404;
+/** Bodies asked for at the same time. */
+constexpr std::size_t maximumParallelReads = 8;
+const std::string instancesDocument = "instances";
+
+struct DocumentList
+{
+    Revision revision = 0;
+    std::vector<DocumentVersion> versions;
+    std::vector<Document> deleted;
+};
+
+std::optional<DocumentList> parseList(const std::string &body)
+{
+    const QJsonDocument json = QJsonDocument::fromJson(QByteArray::fromStdString(body));
+    if (!json.isObject() || !json.object().value(QLatin1String("documents")).isArray()) {
+        return std::nullopt;
+    }
+    DocumentList list;
+    list.revision = static_cast<Revision>(json.object().value(QLatin1String("revision")).toInteger());
+    for (const auto &entry : json.object().value(QLatin1String("documents")).toArray()) {
+        const QJsonObject object = entry.toObject();
+        const std::string name = object.value(QLatin1String("name")).toString().toStdString();
+        const auto revision = static_cast<Revision>(object.value(QLatin1String("revision")).toInteger());
+        if (object.value(QLatin1String("deleted")).toBool()) {
+            list.deleted.push_back(Document{name, revision, {}, true});
+        } else {
+            list.versions.push_back(DocumentVersion{name, revision});
+        }
+    }
+    return list;
+}
+
+} // namespace
+
+/** One answer of the service, whole. */
+struct ServiceAnswer
+{
+    int status = 0;
+    Revision revision = 0;
+    std::string body;
+};
+
+class PlatformReader::Private
+{
+public:
+    Private(HttpClient &theClient, const PlatformReaderOptions &theOptions, PlatformListener &theListener)
+        : client(theClient)
+        , options(theOptions)
+        , listener(theListener)
+        , random(theOptions.seed)
+    {
+    }
+
+    using OnAnswer = std::function<void(const ServiceAnswer &)>;
+
+    void call(const std::string &path, Millis timeout, OnAnswer onAnswer);
+    void failed(const std::string &reason);
+    void succeeded();
+    void readList(bool whole);
+    void takeList(const std::string &body, bool whole);
+    void readBodies();
+    void takeBody(const std::string &name, const ServiceAnswer &answer);
+    void finishRound();
+    void readInstances();
+
+    HttpClient &client;
+    PlatformReaderOptions options;
+    PlatformListener &listener;
+    std::mt19937_64 random;
+    std::size_t address = 0;
+    std::uint64_t callCount = 0;
+    Millis lastPoke;
+    Millis quietUntil;
+    Millis backOff{0};
+    Millis wholeListAt{0};
+    bool busy = false;
+    /** Every revision up to this one has been read. */
+    Revision seenUpTo = 0;
+    // The round in progress: a list, then the bodies that it named.
+    Revision roundRevision = 0;
+    bool roundWhole = false;
+    bool roundFailed = false;
+    std::vector<std::string> toRead;
+    std::size_t reading = 0;
+    std::vector<Document> read;
+};
+
+void PlatformReader::Private::call(const std::string &path, Millis timeout, OnAnswer onAnswer)
+{
+    this->callCount += 1;
+    this->busy = true;
+    auto answer = std::make_shared<ServiceAnswer>();
+    HttpCallbacks callbacks;
+    callbacks.onHead = [answer](int status, const HttpHeaders &headers) {
+        answer->status = status;
+        const std::string revision(headers.value("X-Revision"));
+        answer->revision = std::strtoull(revision.c_str(), nullptr, 10);
+    };
+    callbacks.onData = [answer](std::string_view bytes) { answer->body.append(bytes); };
+    callbacks.onEnd = [answer, onAnswer = std::move(onAnswer)] { onAnswer(*answer); };
+    callbacks.onError = [this](const ClientError &error) { this->failed(error.reason); };
+    const std::string url = "http://" + this->options.addresses[this->address] + path;
+    const RequestOptions limits{timeout, timeout, false};
+    this->client.send(HttpRequest{"GET", url, {}, {}}, limits, std::move(callbacks));
+}
+
+// Goes on with the next address after a pause. Without the random part, readers that lost the service together would
+// come back together.
+void PlatformReader::Private::failed(const std::string &reason)
+{
+    this->listener.serviceFailed(this->options.addresses[this->address], reason);
+    this->address = (this->address + 1) % this->options.addresses.size();
+    const Millis doubled = this->backOff * 2;
+    this->backOff = std::clamp(doubled, this->options.firstBackOff, this->options.longestBackOff);
+    std::uniform_int_distribution<std::int64_t> jitter(this->backOff.count / 2, this->backOff.count);
+    this->quietUntil = this->lastPoke + Millis{jitter(this->random)};
+    this->roundFailed = true;
+    if (this->reading > 0) {
+        this->reading -= 1;
+    }
+    if (this->reading == 0) {
+        this->finishRound();
+    }
+}
+
+void PlatformReader::Private::succeeded()
+{
+    this->backOff = Millis{0};
+    this->listener.serviceAnswered();
+}
+
+void PlatformReader::Private::readList(bool whole)
+{
+    this->roundFailed = false;
+    this->roundWhole = whole;
+    const std::string path = whole ? "/v1/documents"
+                                   : "/v1/watch?after=" + std::to_string(this->seenUpTo)
+            + "&timeout_ms=" + std::to_string(this->options.watchTimeout.count);
+    const Millis timeout = whole ? this->options.callTimeout : this->options.watchTimeout + this->options.callTimeout;
+    this->call(path, timeout, [this, whole](const ServiceAnswer &answer) {
+        if (answer.status != statusOk) {
+            this->failed("status " + std::to_string(answer.status));
+            return;
+        }
+        this->takeList(answer.body, whole);
+    });
+}
+
+void PlatformReader::Private::takeList(const std::string &body, bool whole)
+{
+    const std::optional<DocumentList> list = parseList(body);
+    if (!list) {
+        this->failed("the list of documents is not readable");
+        return;
+    }
+    this->succeeded();
+    if (whole) {
+        this->wholeListAt = this->lastPoke + this->options.wholeListEvery;
+    }
+    this->roundRevision = list->revision;
+    this->read = list->deleted;
+    this->toRead = this->listener.wanted(list->versions);
+    this->readBodies();
+}
+
+void PlatformReader::Private::readBodies()
+{
+    while (!this->toRead.empty() && this->reading < maximumParallelReads && !this->roundFailed) {
+        const std::string name = this->toRead.back();
+        this->toRead.pop_back();
+        this->reading += 1;
+        const std::string encoded = QUrl::toPercentEncoding(QString::fromStdString(name), "/").toStdString();
+        this->call("/v1/documents/" + encoded, this->options.callTimeout, [this, name](const ServiceAnswer &answer) {
+            this->takeBody(name, answer);
+        });
+    }
+    if (this->reading == 0) {
+        this->finishRound();
+    }
+}
+
+void PlatformReader::Private::takeBody(const std::string &name, const ServiceAnswer &answer)
+{
+    if (answer.status == statusOk && answer.revision > 0) {
+        this->read.push_back(Document{name, answer.revision, answer.body, false});
+    } else if (answer.status != statusNotFound) {
+        // Counts this call out itself.
+        this->failed("document " + name + ": status " + std::to_string(answer.status));
+        return;
+    }
+    // Not found: deleted between list and read; the next list says so.
+    this->reading -= 1;
+    this->readBodies();
+}
+
+void PlatformReader::Private::finishRound()
+{
+    this->busy = false;
+    this->toRead.clear();
+    const bool whole = this->roundWhole && !this->roundFailed;
+    if (!this->read.empty() || whole) {
+        std::vector<Document> documents;
+        documents.swap(this->read);
+        this->listener.learnt(documents, whole);
+    }
+    if (!this->roundFailed) {
+        this->seenUpTo = std::max(this->seenUpTo, this->roundRevision);
+    }
+}
+
+void PlatformReader::Private::readInstances()
+{
+    this->roundFailed = false;
+    this->roundWhole = false;
+    this->roundRevision = 0;
+    this->reading += 1;
+    this->call("/v1/documents/" + instancesDocument, this->options.callTimeout, [this](const ServiceAnswer &answer) {
+        if (answer.status == statusOk) {
+            this->succeeded();
+        }
+        this->takeBody(instancesDocument, answer);
+    });
+}
+
+PlatformReader::PlatformReader(HttpClient &client, const PlatformReaderOptions &options, PlatformListener &listener)
+    : d(std::make_unique<Private>(client, options, listener))
+{
+}
+
+PlatformReader::~PlatformReader() = default;
+
+void PlatformReader::poke(Millis now)
+{
+    this->d->lastPoke = now;
+    if (this->d->busy || now < this->d->quietUntil) {
+        return;
+    }
+    switch (this->d->listener.readPlan()) {
+    case ReadPlan::Nothing:
+        return;
+    case ReadPlan::Instances:
+        this->d->readInstances();
+        return;
+    case ReadPlan::Watch:
+        this->d->readList(this->d->seenUpTo == 0 || now >= this->d->wholeListAt);
+        return;
+    }
+}
+
+std::uint64_t PlatformReader::calls() const
+{
+    return this->d->callCount;
+}
+
+} // namespace Sequoiausher
