--- a/sequoiausher/coordination/claims/claimant.cpp
+++ b/sequoiausher/coordination/claims/claimant.cpp
@@ -429,14 +429,12 @@
     return true;
 }
 
-void Claimant::finished(Millis now, const RequestId &id, Outbox &outbox)
+void Claimant::finished(const RequestId &id)
 {
     Attempt *attempt = this->d->find(id);
     if (attempt == nullptr || attempt->phase != Phase::Dispatched) {
         return;
     }
-    // Remembered for a whole lifetime from the end on, so that the kept answer is found and not made again.
-    this->d->renew(now, *attempt, outbox);
     this->d->release(attempt->claim.key);
     this->d->forget(*attempt);
 }
--- a/sequoiausher/coordination/claims/claimant.h
+++ b/sequoiausher/coordination/claims/claimant.h
@@ -121,8 +121,12 @@
      */
     bool repeatWithdrawal(Millis now, const RequestId &attempt, Outbox &outbox);
 
-    /** The dispatched attempt's answer ended. Until then its claim is renewed, so it may run longer than lifetime. */
-    void finished(Millis now, const RequestId &attempt, Outbox &outbox);
+    /**
+     * The dispatched attempt's answer ended. Until then its claim is renewed four times in a lifetime, so that it may
+     * run longer than that; the key stays claimed for lifetime from the dispatch on, and for at least three quarters
+     * of lifetime from the end on. No message is sent for it: most answers end long before a renewal would.
+     */
+    void finished(const RequestId &attempt);
 
     /** Whether an attempt of key is claimed, acquired or dispatched here; its retry joins it without a claim. */
     bool isRunning(const ClaimKey &key) const;
--- a/sequoiausher/coordination/claims/claimnetwork.cpp
+++ b/sequoiausher/coordination/claims/claimnetwork.cpp
@@ -214,11 +214,8 @@
 
     void finishLater(std::size_t router, const RequestId &attempt)
     {
-        this->inProcess(router, this->now + this->settings.runTime, [this, router, attempt](Node &node) {
-            Outbox outbox;
-            node.claimant->finished(this->now, attempt, outbox);
-            this->send(router, outbox);
-        });
+        this->inProcess(
+            router, this->now + this->settings.runTime, [attempt](Node &node) { node.claimant->finished(attempt); });
     }
 
     bool ranLately(const ClaimKey &key) const
@@ -266,13 +263,16 @@
 
 ClaimNetwork::ClaimNetwork(const NetworkSettings &settings) : d(std::make_unique<Private>(settings))
 {
+    const std::size_t listed = settings.listed == 0 ? settings.routers : settings.listed;
     std::vector<InstanceId> names;
     for (std::size_t i = 0; i < settings.routers; ++i) {
-        names.push_back(nameOfRouter(i));
-        this->d->numbers[names.back()] = i;
+        this->d->nodes[i].name = nameOfRouter(i);
+        this->d->numbers[nameOfRouter(i)] = i;
+        if (i < listed) {
+            names.push_back(nameOfRouter(i));
+        }
     }
-    for (std::size_t i = 0; i < settings.routers; ++i) {
-        this->d->nodes[i].name = names[i];
+    for (std::size_t i = 0; i < listed; ++i) {
         this->d->nodes[i].list = makeInstanceList(names);
         this->d->start(i, true);
     }
--- a/sequoiausher/coordination/claims/claimnetwork.h
+++ b/sequoiausher/coordination/claims/claimnetwork.h
@@ -21,6 +21,8 @@
 struct NetworkSettings
 {
     std::size_t routers = 7;
+    /** How many of them are on the first list and run; the others wait for restart. 0: all. */
+    std::size_t listed = 0;
     std::uint64_t seed = 1;
     ClaimParameters parameters;
     Millis delayMin{1};
