Ask nobody in a large fleet, and see cheaply which keys a departure made one's own

Cause: at 1,300 instances each departure made every other witness ask all the others for all shared claims, a second of processor time for each giver and asker (11.4 us for each of some 86,000 records), and each vote ordered the whole list once for every list of the last ten minutes. Beyond handover_instances gaps now close by time, and a vote compares only with those that departed. Ruled out: pulls that name who departed; the giver would still order the list for each of its records.

--- a/sequoiausher/coordination/claims/claimparameters.cpp
+++ b/sequoiausher/coordination/claims/claimparameters.cpp
@@ -32,6 +32,7 @@
         {"quorum", &ClaimParameters::quorum},
         {"max_records", &ClaimParameters::maxRecords},
         {"page_records", &ClaimParameters::pageRecords},
+        {"handover_instances", &ClaimParameters::handoverInstances},
     };
     return table;
 }
--- a/sequoiausher/coordination/claims/claimparameters.h
+++ b/sequoiausher/coordination/claims/claimparameters.h
@@ -67,6 +67,8 @@
     std::size_t maxRecords = 400000;
     /** Records in one page of a hand-over. */
     std::size_t pageRecords = 256;
+    /** Where there are more instances to ask, a witness waits for memory() in place of asking. */
+    std::size_t handoverInstances = 64;
 
     bool operator==(const ClaimParameters &) const = default;
 
@@ -88,8 +90,8 @@
 void checkClaimParameters(const ClaimParameters &parameters);
 
 /**
- * Reads settings by name, over the defaults: witnesses, quorum, max_records, page_records, and in milliseconds
- * lifetime_ms, dispatch_window_ms, claim_timeout_ms, retry_delay_ms, contention_delay_ms, settle_time_ms,
+ * Reads settings by name, over the defaults: witnesses, quorum, max_records, page_records, handover_instances, and in
+ * milliseconds lifetime_ms, dispatch_window_ms, claim_timeout_ms, retry_delay_ms, contention_delay_ms, settle_time_ms,
  * tombstone_lifetime_ms, retry_after_ms.
  * @throws Error (Step::Settings) for an unknown name, a value that is no positive whole number, or a failed check.
  */
--- a/sequoiausher/coordination/claims/handover.cpp
+++ b/sequoiausher/coordination/claims/handover.cpp
@@ -12,6 +12,10 @@
 {
     InstanceList list;
     Millis since;
+    /** The witness was on that list. */
+    bool hadSelf = false;
+    /** Hashes of those that were on that list and are not on the present one. */
+    std::vector<std::uint64_t> departed;
 };
 
 /** How far one instance has handed over. */
@@ -62,8 +66,25 @@
         return static_cast<std::size_t>(missing) <= handover.mayMiss;
     }
 
+    /**
+     * Whether the witness, which is one of key's by the present list, surely was one by the gap's list: nobody who
+     * departed since came before it. Spares the order of a whole list for each gap and vote.
+     */
+    bool surelyWasWitness(const Gap &gap, const ClaimKey &key) const
+    {
+        const std::uint64_t keyHash = witnessHash(key);
+        const std::uint64_t own = rendezvousWeight(hash64(this->self.value), keyHash);
+        return gap.hadSelf && std::all_of(gap.departed.begin(), gap.departed.end(), [&](std::uint64_t member) {
+                   return rendezvousWeight(member, keyHash) < own;
+               });
+    }
+
+    /** For a key that the present list makes the witness's own. */
     bool isClosedFor(const Gap &gap, const ClaimKey &key) const
     {
+        if (this->surelyWasWitness(gap, key)) {
+            return true;
+        }
         const bool fresh = gap.list.names.empty();
         const InstanceList &base = fresh ? this->list : gap.list;
         const WitnessQuorum quorum = this->parameters.quorumFor(base.names.size());
@@ -87,8 +108,29 @@
         }
     }
 
+    /** Renews what is kept of each gap about the present list. */
+    void compareGaps()
+    {
+        for (Gap &gap : this->gaps) {
+            gap.hadSelf = gap.list.contains(this->self);
+            gap.departed.clear();
+            for (std::size_t i = 0; i < gap.list.names.size(); ++i) {
+                if (!this->list.contains(gap.list.names[i])) {
+                    gap.departed.push_back(gap.list.hashes[i]);
+                }
+            }
+        }
+    }
+
+    /** Hand-overs of a large fleet cost more than they spare. */
+    bool mayAsk() const
+    {
+        return this->givers.size() <= this->parameters.handoverInstances;
+    }
+
     void restart(Millis now)
     {
+        this->compareGaps();
         ++this->pull;
         this->startsAt = now + this->parameters.settleTime;
         this->givers.clear();
@@ -126,7 +168,7 @@
 {
     this->d->self = self;
     this->d->parameters = parameters;
-    this->d->gaps.push_back(Gap{InstanceList{}, startedAt});
+    this->d->gaps.push_back(Gap{InstanceList{}, startedAt, false, {}});
     // Pull numbers of an earlier life are smaller, so that its late pages are told apart.
     constexpr int pullsPerMilli = 10;
     this->d->pull = static_cast<std::uint64_t>(startedAt.count) << pullsPerMilli;
@@ -146,7 +188,7 @@
     // Where instances were only added, whoever is a key's witness now was one before.
     const bool onlyAdded = old.contains(this->d->self) && isSubset(old, list);
     if (!old.names.empty() && !onlyAdded) {
-        this->d->gaps.push_back(Gap{old, now});
+        this->d->gaps.push_back(Gap{old, now, false, {}});
     }
     if (!this->d->gaps.empty()) {
         this->d->restart(now);
@@ -173,11 +215,11 @@
 {
     Millis wait = this->d->parameters.retryAfter;
     const Millis handoverBy = this->d->startsAt + this->d->parameters.settleTime;
-    const bool alone = this->d->list.names.size() <= 1;
+    const bool asks = this->d->list.names.size() > 1 && this->d->mayAsk();
     for (const Gap &gap : this->d->gaps) {
         if (this->d->isOpen(gap, now) && !this->d->isClosedFor(gap, key)) {
             const Millis forgotten = gap.since + this->d->parameters.memory();
-            const bool mayStillLearn = now < handoverBy && !alone;
+            const bool mayStillLearn = now < handoverBy && asks;
             wait = std::max(wait, (mayStillLearn ? handoverBy : forgotten) - now);
         }
     }
@@ -206,7 +248,7 @@
 {
     this->d->dropClosed(now);
     std::vector<PullDue> pulls;
-    if (now < this->d->startsAt) {
+    if (now < this->d->startsAt || !this->d->mayAsk()) {
         return pulls;
     }
     const bool fresh = this->isFresh(now);
@@ -226,7 +268,7 @@
     Millis deadline = Millis::never();
     const bool fresh = this->isFresh(now);
     for (const auto &[instance, giver] : this->d->givers) {
-        if (!this->d->isKnownFrom(instance, fresh)) {
+        if (this->d->mayAsk() && !this->d->isKnownFrom(instance, fresh)) {
             deadline = std::min(deadline, std::max(this->d->startsAt, this->d->dueAt(giver)));
         }
     }
--- a/sequoiausher/coordination/claims/handover.h
+++ b/sequoiausher/coordination/claims/handover.h
@@ -18,6 +18,9 @@
 // Why settleTime: an attempt that counted a vote from before the gap is dispatched at most dispatchWindow after that
 // vote, and by then its whole quorum has recorded it. Whoever is asked later than that gives it.
 //
+// In a fleet of more than handoverInstances nobody is asked, and gaps close by time: each witness then has thousands of
+// claims with each of a thousand others, and asking for them takes longer than waiting.
+//
 // What may be missing (WitnessQuorum::handover): with the shipped 5 and 4, one witness of a key, while one of them
 // differs from those that the claim was made with. So one dead instance does not stop a hand-over. Where two of a
 // key's other witnesses cannot be asked, the learner abstains for that key for memory(); its others still vote.
--- a/sequoiausher/coordination/claims/instancelist.cpp
+++ b/sequoiausher/coordination/claims/instancelist.cpp
@@ -4,6 +4,11 @@
 
 namespace Sequoiausher {
 
+std::uint64_t witnessHash(const ClaimKey &key)
+{
+    return key.high ^ key.low;
+}
+
 bool InstanceList::contains(const InstanceId &instance) const
 {
     return std::binary_search(this->names.begin(), this->names.end(), instance);
@@ -12,7 +17,7 @@
 std::vector<InstanceId> InstanceList::first(const ClaimKey &key, std::size_t count) const
 {
     std::vector<InstanceId> members;
-    for (const std::size_t index : rendezvousOrder(this->hashes, key.high ^ key.low, count)) {
+    for (const std::size_t index : rendezvousOrder(this->hashes, witnessHash(key), count)) {
         members.push_back(this->names[index]);
     }
     return members;
@@ -20,7 +25,7 @@
 
 bool InstanceList::isAmongFirst(const InstanceId &instance, const ClaimKey &key, std::size_t count) const
 {
-    const auto order = rendezvousOrder(this->hashes, key.high ^ key.low, count);
+    const auto order = rendezvousOrder(this->hashes, witnessHash(key), count);
     return std::any_of(order.begin(), order.end(), [&](std::size_t index) { return this->names[index] == instance; });
 }
 
--- a/sequoiausher/coordination/claims/instancelist.h
+++ b/sequoiausher/coordination/claims/instancelist.h
@@ -28,6 +28,9 @@
     bool isAmongFirst(const InstanceId &instance, const ClaimKey &key, std::size_t count) const;
 };
 
+/** The hash by which a key's witnesses are ordered, for rendezvousWeight. */
+std::uint64_t witnessHash(const ClaimKey &key);
+
 /** Sorts names, drops duplicates, and hashes them. */
 InstanceList makeInstanceList(std::vector<InstanceId> names);
 
--- a/sequoiausher/coordination/claims/witnesstest.cpp
+++ b/sequoiausher/coordination/claims/witnesstest.cpp
@@ -193,6 +193,28 @@
     CHECK(own > 25); // A witness of five in six keys; the departed r2 is the one that may be missing.
 }
 
+TEST_CASE("a witness of a large fleet asks nobody, and abstains only for the keys that a departure made its own")
+{
+    ClaimParameters parameters;
+    parameters.handoverInstances = 3;
+    Fixture f(parameters, {"r1", "r2", "r3", "r4", "r5", "r6", "r7"});
+    f.witness.foundEmpty();
+    const InstanceList before = routers({"r1", "r2", "r3", "r4", "r5", "r6", "r7"});
+    const InstanceList after = routers({"r1", "r2", "r3", "r4", "r5", "r6"});
+    const Millis changed{10000};
+    f.witness.setInstances(changed, after);
+    Outbox outbox;
+    f.witness.tick(changed + parameters.settleTime, outbox);
+    CHECK(outbox.empty());
+    for (std::uint64_t i = 0; i < 100; ++i) {
+        const ClaimKey one{i, 0};
+        const bool was = before.isAmongFirst(self, one, parameters.witnesses);
+        const bool is = after.isAmongFirst(self, one, parameters.witnesses);
+        CHECK(f.witness.mayVote(changed, one) == (was && is));
+        CHECK(f.witness.mayVote(changed + parameters.memory(), one) == is);
+    }
+}
+
 TEST_CASE("a full witness abstains for new keys and forgets none")
 {
     ClaimParameters parameters;
