--- a/sequoiausher/coordination/claims/claimnetwork.cpp
+++ b/sequoiausher/coordination/claims/claimnetwork.cpp
@@ -185,7 +185,7 @@
                 break;
             case ClaimOutcomeKind::NoQuorum:
                 ++this->report.noQuorum;
-                this->refused(outcome.key, outcome.attempt, outcome.keyMayHaveRun);
+                this->refused(outcome.key, outcome.attempt, false);
                 break;
             }
         }
@@ -200,13 +200,13 @@
             Outbox outbox;
             if (this->chance(this->settings.admissionRefusesPerMille)) {
                 // Told to the client at once, before the key is given back.
-                this->refused(outcome.key, outcome.attempt, false);
+                this->refused(outcome.key, outcome.attempt, node.claimant->isKeyUnrun(outcome.attempt, this->now));
                 node.claimant->withdraw(this->now, outcome.attempt, outbox);
             } else if (node.claimant->mayDispatch(outcome.attempt, this->now)) {
                 this->dispatch(outcome.key, outcome.attempt);
                 this->finishLater(router, outcome.attempt);
             } else {
-                this->refused(outcome.key, outcome.attempt, true);
+                this->refused(outcome.key, outcome.attempt, false);
             }
             this->send(router, outbox);
         });
@@ -214,11 +214,8 @@
 
     void finishLater(std::size_t router, const RequestId &attempt)
     {
-        this->inProcess(router, this->now + this->settings.runTime, [this, router, attempt](Node &node) {
-            Outbox outbox;
-            node.claimant->finished(this->now, attempt, outbox);
-            this->send(router, outbox);
-        });
+        this->inProcess(
+            router, this->now + this->settings.runTime, [attempt](Node &node) { node.claimant->finished(attempt); });
     }
 
     bool ranLately(const ClaimKey &key) const
@@ -240,11 +237,11 @@
         }
     }
 
-    void refused(const ClaimKey &key, const RequestId &attempt, bool keyMayHaveRun)
+    void refused(const ClaimKey &key, const RequestId &attempt, bool saysKeyUnrun)
     {
         ++this->report.refused;
         this->refusedAttempts.insert(attempt);
-        if (this->dispatchedAttempts.contains(attempt) || (!keyMayHaveRun && this->ranLately(key))) {
+        if (this->dispatchedAttempts.contains(attempt) || (saysKeyUnrun && this->ranLately(key))) {
             ++this->report.falseNotRun;
         }
     }
@@ -266,13 +263,16 @@
 
 ClaimNetwork::ClaimNetwork(const NetworkSettings &settings) : d(std::make_unique<Private>(settings))
 {
+    const std::size_t listed = settings.listed == 0 ? settings.routers : settings.listed;
     std::vector<InstanceId> names;
     for (std::size_t i = 0; i < settings.routers; ++i) {
-        names.push_back(nameOfRouter(i));
-        this->d->numbers[names.back()] = i;
+        this->d->nodes[i].name = nameOfRouter(i);
+        this->d->numbers[nameOfRouter(i)] = i;
+        if (i < listed) {
+            names.push_back(nameOfRouter(i));
+        }
     }
-    for (std::size_t i = 0; i < settings.routers; ++i) {
-        this->d->nodes[i].name = names[i];
+    for (std::size_t i = 0; i < listed; ++i) {
         this->d->nodes[i].list = makeInstanceList(names);
         this->d->start(i, true);
     }
--- a/sequoiausher/coordination/claims/claimnetwork.h
+++ b/sequoiausher/coordination/claims/claimnetwork.h
@@ -21,6 +21,8 @@
 struct NetworkSettings
 {
     std::size_t routers = 7;
+    /** How many of them are on the first list and run; the others wait for restart. 0: all. */
+    std::size_t listed = 0;
     std::uint64_t seed = 1;
     ClaimParameters parameters;
     Millis delayMin{1};
@@ -49,7 +51,7 @@
     std::size_t dispatched = 0;
     /** Dispatches of a key within lifetime of another dispatch of it. */
     std::size_t doubleRuns = 0;
-    /** Refusals that said 'not run' of a key that had been dispatched within lifetime before, or of a call that was. */
+    /** Refusals that said 'not run' of a call that was dispatched, or of a key that was within lifetime before. */
     std::size_t falseNotRun = 0;
     std::size_t held = 0;
     std::size_t bodyDiffers = 0;
