--- a/sequoiausher/coordination/admission/reservertest.cpp
+++ b/sequoiausher/coordination/admission/reservertest.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <utility>
+
 using namespace Sequoiausher;
 
 namespace {
