--- /dev/null
+++ b/lab/bench/skewbench.cpp
@@ -0,0 +1,68 @@
+// Load of the fullest engine over the mean, by who chooses: skewbench [seed]
+
+#include "lab/bench/balancefleet.h"
+
+#include <cstdio>
+#include <cstdlib>
+
+using namespace Sequoiausher;
+
+namespace {
+
+void print(const char *name, double value, const char *unit)
+{
+    std::printf("figure %s %.4f %s\n", name, value, unit);
+}
+
+BalanceSettings largeFleet()
+{
+    BalanceSettings settings;
+    settings.routers = 100;
+    settings.engines = 1000;
+    settings.length = Millis{60000};
+    settings.warmUp = Millis{20000};
+    settings.engineChurn = Millis{1000};
+    settings.routerKills = Millis{10000};
+    settings.workload.chats = 200000;
+    settings.workload.requestsPerSecond = 2500;
+    return settings;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const std::uint64_t seed = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
+    const BalanceSettings today;
+    const BalanceFigures bounded = runBalance(today, Chooser::Admission, seed);
+    const BalanceFigures naive = runBalance(today, Chooser::Naive, seed);
+    const BalanceFigures rendezvous = runBalance(today, Chooser::Rendezvous, seed);
+    const BalanceFigures twoChoices = runBalance(today, Chooser::TwoChoices, seed);
+    const BalanceFigures large = runBalance(largeFleet(), Chooser::Admission, seed);
+    for (const BalanceFigures *each : {&bounded, &naive, &rendezvous, &twoChoices, &large}) {
+        if (each->admitted < 1000 || each->maxOverMean <= 0) {
+            std::fprintf(stderr, "skewbench: too few admissions to measure\n");
+            return 1;
+        }
+    }
+    print("bound", static_cast<double>(today.boundPercent) / 100, "ratio");
+    print("max_over_mean_bounded", bounded.maxOverMean, "ratio");
+    print("max_over_mean_naive", naive.maxOverMean, "ratio");
+    print("max_over_mean_rendezvous", rendezvous.maxOverMean, "ratio");
+    print("max_over_mean_two_choices", twoChoices.maxOverMean, "ratio");
+    print("max_over_mean_bounded_unrounded", bounded.maxOverMeanUnrounded, "ratio");
+    print("above_bound_bounded", bounded.aboveBound, "share");
+    print("above_bound_naive", naive.aboveBound, "share");
+    print("above_bound_two_choices", twoChoices.aboveBound, "share");
+    print("admitted", static_cast<double>(bounded.admitted), "requests");
+    print("refused", static_cast<double>(bounded.refused), "requests");
+    print("admitted_locally", static_cast<double>(bounded.admittedLocally), "requests");
+    print("control_bytes_per_request", bounded.controlBytesPerRequest, "bytes");
+    print("max_over_mean_bounded_large", large.maxOverMean, "ratio");
+    print("above_bound_large", large.aboveBound, "share");
+    print("refused_large", static_cast<double>(large.refused), "requests");
+    print("admitted_large", static_cast<double>(large.admitted), "requests");
+    print("admitted_locally_large", static_cast<double>(large.admittedLocally), "requests");
+    print("control_bytes_per_request_large", large.controlBytesPerRequest, "bytes");
+    return 0;
+}
--- a/sequoiausher/coordination/admission/admissionpropertytest.cpp
+++ b/sequoiausher/coordination/admission/admissionpropertytest.cpp
@@ -90,7 +90,7 @@
         router.map.setPool(this->view);
         router.owned.update(this->now, router.map);
         for (const InstanceId &lost : this->dead) {
-            router.owned.instanceGone(this->now, lost);
+            router.owned.instanceGone(lost);
         }
         router.reserver.listsChanged(this->now, outbox);
         this->collect(name);
@@ -112,7 +112,8 @@
     {
         const InstanceId name = this->anyRouter();
         Outbox outbox;
-        const Wanted wanted{RequestId{1, ++this->lastRequest}, pool, this->random(), {}, percent, {}};
+        const Wanted wanted{
+            RequestId{1, ++this->lastRequest}, pool, this->random(), PolicyKind::BoundedRendezvous, percent, {}};
         this->routers.at(name)->reserver.reserve(this->now, wanted, outbox);
         this->collect(name);
         this->carry(name, outbox);
--- a/sequoiausher/coordination/admission/localsharetest.cpp
+++ b/sequoiausher/coordination/admission/localsharetest.cpp
@@ -84,7 +84,12 @@
                 placement.noteLoad(targets[i].description.target, ReportedLoad{1, each.loads[i], Millis{0}});
             }
             for (std::uint64_t chat = 0; chat < 200; ++chat) {
-                const Wanted wanted{RequestId{0, chat}, PoolId{"p"}, hash64(std::to_string(chat)), {}, 125, {}};
+                const Wanted wanted{RequestId{0, chat},
+                                    PoolId{"p"},
+                                    hash64(std::to_string(chat)),
+                                    PolicyKind::BoundedRendezvous,
+                                    125,
+                                    {}};
                 const auto target = placement.choose(Millis{100}, wanted, targets, routers, {});
                 if (target) {
                     placement.placed(*target);
@@ -93,7 +98,7 @@
                     CHECK(carried[*target] <= loadBound(125, total, targets.size()));
                 }
             }
-            const Wanted late{RequestId{1, 1}, PoolId{"p"}, 1, {}, 125, {}};
+            const Wanted late{RequestId{1, 1}, PoolId{"p"}, 1, PolicyKind::BoundedRendezvous, 125, {}};
             CHECK_FALSE(placement.choose(Millis{9000}, late, targets, routers, {}).has_value());
         }
         CHECK(placed > 0);
--- a/sequoiausher/coordination/admission/ownedshards.cpp
+++ b/sequoiausher/coordination/admission/ownedshards.cpp
@@ -115,17 +115,17 @@
     this->d->shards = std::move(kept);
 }
 
-void OwnedShards::instanceGone(Millis now, const InstanceId &instance)
+void OwnedShards::instanceGone(const InstanceId &instance)
 {
     for (const auto &entry : this->d->shards) {
-        entry.second.owner->dropEntry(now, instance);
+        entry.second.owner->dropEntry(instance);
     }
 }
 
-void OwnedShards::reportLoad(Millis now, const TargetId &target, std::uint32_t load, Millis measuredAt)
+void OwnedShards::reportLoad(const TargetId &target, std::uint32_t load, Millis measuredAt)
 {
     for (const auto &entry : this->d->shards) {
-        entry.second.owner->reportLoad(now, target, load, measuredAt);
+        entry.second.owner->reportLoad(target, load, measuredAt);
     }
 }
 
--- a/sequoiausher/coordination/admission/ownedshards.h
+++ b/sequoiausher/coordination/admission/ownedshards.h
@@ -23,10 +23,10 @@
     void update(Millis now, const ShardMap &map);
 
     /** The router is known to have died; not for one that is leaving, which still holds its streams. */
-    void instanceGone(Millis now, const InstanceId &instance);
+    void instanceGone(const InstanceId &instance);
 
     /** What a target said of its load; ignored for targets of other owners. */
-    void reportLoad(Millis now, const TargetId &target, std::uint32_t load, Millis measuredAt);
+    void reportLoad(const TargetId &target, std::uint32_t load, Millis measuredAt);
 
     /** Answers NotOwner for a shard of another router. */
     void receive(Millis now, const InstanceId &from, const ReserveRequest &message, Outbox &outbox);
--- a/sequoiausher/coordination/admission/reservertest.cpp
+++ b/sequoiausher/coordination/admission/reservertest.cpp
@@ -46,7 +46,10 @@
 
     void reserve(Millis now, std::uint64_t request, std::vector<TargetId> excluded = {})
     {
-        this->reserver.reserve(now, {RequestId{1, request}, pool, 3, {}, 125, std::move(excluded)}, this->outbox);
+        this->reserver.reserve(
+            now,
+            {RequestId{1, request}, pool, 3, PolicyKind::BoundedRendezvous, 125, std::move(excluded)},
+            this->outbox);
     }
 
     /** Takes the messages of one kind out of the outbox, which is emptied. */
--- a/sequoiausher/coordination/admission/shardowner.cpp
+++ b/sequoiausher/coordination/admission/shardowner.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-// Peaks are kept for this long at least, to be compared with a report that lags.
-constexpr Millis peakSpan{1000};
+// Counts are remembered for this long, to be compared with a report that lags.
+constexpr Millis historySpan{3000};
 
 struct Held
 {
@@ -31,20 +31,24 @@
     std::unordered_set<RequestId> held;
 };
 
+struct PastCount
+{
+    Millis since;
+    std::int64_t counted;
+};
+
 struct Cell
 {
     TargetId target;
     LifeState state = LifeState::Live;
     std::optional<std::uint32_t> capacity;
     std::uint32_t counted = 0;
-    /** The highest counts in this span and in the one before. */
-    std::uint32_t peakNow = 0;
-    std::uint32_t peakBefore = 0;
-    Millis peakSince;
+    /** The counts of the last seconds, oldest first. */
+    std::deque<PastCount> history;
     std::uint32_t reported = 0;
     std::optional<Millis> reportedAt;
-    std::uint32_t grantedSinceReport = 0;
-    Millis doubtUntil;
+    /** What the last report had more than was counted at the moment it was measured. */
+    std::int64_t uncounted = 0;
 };
 
 } // namespace
@@ -53,13 +57,14 @@
 {
 public:
     Cell *find(const TargetId &target);
-    std::uint32_t effective(const Cell &cell, Millis now) const;
+    std::int64_t estimate(const Cell &cell, Millis now) const;
     void refreshLoad(Millis now);
     void applyLimits(const ReserveRequest &message);
     bool mayBeUsed(const Cell &cell, const ReserveRequest &message) const;
     void hold(Millis now, const RequestId &request, const InstanceId &entry, const TargetId &target);
-    bool letGo(const RequestId &request);
-    void rollPeak(Millis now, Cell &cell) const;
+    TargetId letGo(const RequestId &request);
+    void change(Millis now, const TargetId &target, int by);
+    void learn(const TargetId &target, int by);
     bool settled(Millis now) const;
     ReserveReply decide(Millis now, const InstanceId &from, const ReserveRequest &message);
     Policy &policy(PolicyKind kind);
@@ -72,6 +77,8 @@
     std::unordered_map<TargetId, std::size_t> cellOf;
     /** Parallel to cells; filled anew for each choice, kept to spare the allocations. */
     PoolLoad load;
+    /** The sum of what each live target may carry at most, where load.total is the likely one. */
+    std::uint64_t highTotal = 0;
     std::unordered_map<RequestId, Held> held;
     std::map<InstanceId, EntryState> entries;
     std::vector<InstanceId> awaited;
@@ -92,27 +99,27 @@
     return now >= this->createdAt + this->settings.settleTime || (this->entriesKnown && this->awaited.empty());
 }
 
-std::uint32_t ShardOwner::Private::effective(const Cell &cell, Millis now) const
+std::int64_t ShardOwner::Private::estimate(const Cell &cell, Millis now) const
 {
-    const bool doubted = now < cell.doubtUntil || !this->settled(now);
     const bool fresh = cell.reportedAt && now <= *cell.reportedAt + this->settings.reportLife;
-    if (!doubted || !fresh) {
-        return cell.counted;
-    }
-    return std::max(cell.counted, cell.reported + cell.grantedSinceReport);
+    return std::max(cell.counted + (fresh ? cell.uncounted : 0), std::int64_t{0});
 }
 
 void ShardOwner::Private::refreshLoad(Millis now)
 {
     this->load.total = 0;
+    this->highTotal = 0;
     this->load.counted = 0;
     for (std::size_t i = 0; i < this->cells.size(); ++i) {
         const Cell &cell = this->cells[i];
         TargetLoad &seen = this->load.targets[i];
-        seen.inFlight = this->effective(cell, now);
+        const auto estimated = static_cast<std::uint32_t>(this->estimate(cell, now));
+        // What is counted may be on its way to the target, so a lower report takes nothing off.
+        seen.inFlight = std::max(cell.counted, estimated);
         seen.reported = cell.reportedAt ? cell.reported : cell.counted;
         if (cell.state == LifeState::Live) {
-            this->load.total += seen.inFlight;
+            this->load.total += estimated;
+            this->highTotal += seen.inFlight;
             this->load.counted += 1;
         }
     }
@@ -126,7 +133,9 @@
 
 void ShardOwner::Private::applyLimits(const ReserveRequest &message)
 {
-    const std::uint64_t bound = loadBound(message.boundPercent, this->load.total, this->load.counted);
+    // Never below the mean of the high counts, so that some target has room whatever the reports say.
+    const std::uint64_t bound = std::max(loadBound(message.boundPercent, this->load.total, this->load.counted),
+                                         loadBound(minimumBoundPercent, this->highTotal, this->load.counted));
     for (std::size_t i = 0; i < this->cells.size(); ++i) {
         const Cell &cell = this->cells[i];
         TargetLoad &seen = this->load.targets[i];
@@ -135,38 +144,51 @@
     }
 }
 
-void ShardOwner::Private::rollPeak(Millis now, Cell &cell) const
+/** The load of the target changes now: a grant or a release. */
+void ShardOwner::Private::change(Millis now, const TargetId &target, int by)
 {
-    if (now >= cell.peakSince + peakSpan) {
-        cell.peakBefore = cell.peakNow;
-        cell.peakNow = cell.counted;
-        cell.peakSince = now;
+    Cell *cell = this->find(target);
+    if (cell == nullptr) {
+        return;
+    }
+    cell->counted = static_cast<std::uint32_t>(static_cast<int>(cell->counted) + by);
+    cell->history.push_back(PastCount{now, cell->counted});
+    while (cell->history.size() > 1 && cell->history[1].since + historySpan <= now) {
+        cell->history.pop_front();
+    }
+}
+
+/** What is known of the target changes, not its load: work that ran before is counted now, or no longer. */
+void ShardOwner::Private::learn(const TargetId &target, int by)
+{
+    Cell *cell = this->find(target);
+    if (cell == nullptr) {
+        return;
+    }
+    cell->counted = static_cast<std::uint32_t>(static_cast<int>(cell->counted) + by);
+    cell->uncounted -= by;
+    for (PastCount &past : cell->history) {
+        past.counted += by;
     }
-    cell.peakNow = std::max(cell.peakNow, cell.counted);
 }
 
 void ShardOwner::Private::hold(Millis now, const RequestId &request, const InstanceId &entry, const TargetId &target)
 {
     this->held[request] = Held{entry, target, now};
     this->entries[entry].held.insert(request);
-    if (Cell *cell = this->find(target)) {
-        cell->counted += 1;
-        this->rollPeak(now, *cell);
-    }
 }
 
-bool ShardOwner::Private::letGo(const RequestId &request)
+/** @return the target that the request was on, empty where it is not held. */
+TargetId ShardOwner::Private::letGo(const RequestId &request)
 {
     const auto entry = this->held.find(request);
     if (entry == this->held.end()) {
-        return false;
-    }
-    if (Cell *cell = this->find(entry->second.target)) {
-        cell->counted -= 1;
+        return TargetId{};
     }
+    TargetId target = entry->second.target;
     this->entries[entry->second.entry].held.erase(request);
     this->held.erase(entry);
-    return true;
+    return target;
 }
 
 Policy &ShardOwner::Private::policy(PolicyKind kind)
@@ -191,10 +213,10 @@
     if (!chosen) {
         return ReserveReply{message.request, ReserveVerdict::Full, TargetId{}, this->settings.retryAfter};
     }
-    Cell &cell = this->cells[*chosen];
-    cell.grantedSinceReport += 1;
-    this->hold(now, message.request, from, cell.target);
-    return ReserveReply{message.request, ReserveVerdict::Granted, cell.target, Millis{}};
+    const TargetId &target = this->cells[*chosen].target;
+    this->hold(now, message.request, from, target);
+    this->change(now, target, 1);
+    return ReserveReply{message.request, ReserveVerdict::Granted, target, Millis{}};
 }
 
 ShardOwner::ShardOwner(const ShardId &shard, const OwnerSettings &settings, std::uint64_t seed, Millis now)
@@ -222,20 +244,19 @@
         if (known != indexBefore.end()) {
             cell = before[known->second];
         } else {
-            // It may come from another shard, with work on it that the entries have yet to report here.
-            cell.doubtUntil = now + this->d->settings.doubtTime;
+            cell.history.push_back(PastCount{now, 0});
         }
         cell.target = name;
         cell.state = target.description.life.state;
         cell.capacity = target.description.capacity;
-        cell.counted = 0;
         this->d->cellOf[name] = this->d->cells.size();
         this->d->cells.push_back(cell);
         this->d->load.targets.push_back(TargetLoad{name, target.hash, 0, 0, true});
     }
     for (const auto &entry : this->d->held) {
-        if (Cell *cell = this->d->find(entry.second.target)) {
-            cell->counted += 1;
+        // Held already on a target that comes back to this shard.
+        if (!indexBefore.contains(entry.second.target)) {
+            this->d->learn(entry.second.target, 1);
         }
     }
 }
@@ -254,7 +275,7 @@
     this->d->entriesKnown = true;
 }
 
-void ShardOwner::dropEntry(Millis now, const InstanceId &entry)
+void ShardOwner::dropEntry(const InstanceId &entry)
 {
     const auto known = this->d->entries.find(entry);
     if (known == this->d->entries.end()) {
@@ -262,31 +283,28 @@
     }
     const std::vector<RequestId> lost(known->second.held.begin(), known->second.held.end());
     for (const RequestId &request : lost) {
-        // Goes wrong otherwise: a target may run the dead entry's streams until it notices the broken connections,
-        // and would be given others on top. Its reported load shows them.
-        if (Cell *cell = this->d->find(this->d->held.at(request).target)) {
-            cell->doubtUntil = now + this->d->settings.doubtTime;
-        }
-        this->d->letGo(request);
+        // Goes wrong if this counted as a release: a target may run the dead entry's streams until it notices the
+        // broken connections, and would be given others on top. Its next report tells.
+        this->d->learn(this->d->letGo(request), -1);
     }
     this->d->entries.erase(entry);
 }
 
-void ShardOwner::reportLoad(Millis now, const TargetId &target, std::uint32_t load, Millis measuredAt)
+void ShardOwner::reportLoad(const TargetId &target, std::uint32_t load, Millis measuredAt)
 {
     Cell *cell = this->d->find(target);
     if (cell == nullptr || (cell->reportedAt && *cell->reportedAt >= measuredAt)) {
         return;
     }
-    this->d->rollPeak(now, *cell);
-    if (load > std::max(cell->peakNow, cell->peakBefore)) {
-        // More runs there than was ever counted here: in a partition, or while lists disagree, another router owns
-        // the shard too and grants on its own. Nothing else would show it.
-        cell->doubtUntil = now + this->d->settings.doubtTime;
+    std::int64_t countedThen = cell->history.front().counted;
+    for (const PastCount &past : cell->history) {
+        if (past.since <= measuredAt) {
+            countedThen = past.counted;
+        }
     }
     cell->reported = load;
     cell->reportedAt = measuredAt;
-    cell->grantedSinceReport = 0;
+    cell->uncounted = std::int64_t{load} - countedThen;
 }
 
 void ShardOwner::receive(Millis now, const InstanceId &from, const ReserveRequest &message, Outbox &outbox)
@@ -307,7 +325,7 @@
 void ShardOwner::receive(Millis now, const InstanceId &from, const Release &message)
 {
     this->d->entries[from].heardAt = now;
-    this->d->letGo(message.request);
+    this->d->change(now, this->d->letGo(message.request), -1);
     if (this->d->released.insert(message.request).second) {
         this->d->releasedOrder.emplace_back(now, message.request);
     }
@@ -331,7 +349,7 @@
     for (const RequestId &request : before) {
         const bool young = now < this->d->held.at(request).since + this->d->settings.reportGrace;
         if (!named.contains(request) && !young) {
-            this->d->letGo(request);
+            this->d->learn(this->d->letGo(request), -1);
         }
     }
     for (const Holding &holding : message.holdings) {
@@ -339,6 +357,7 @@
         const bool isCountable = !holding.target.empty() && !this->d->released.contains(holding.request);
         if (isCountable && !this->d->held.contains(holding.request)) {
             this->d->hold(now, holding.request, from, holding.target);
+            this->d->learn(holding.target, 1);
         }
     }
 }
@@ -352,7 +371,7 @@
         }
     }
     for (const InstanceId &entry : silent) {
-        this->dropEntry(now, entry);
+        this->dropEntry(entry);
     }
     std::deque<std::pair<Millis, RequestId>> &order = this->d->releasedOrder;
     while (!order.empty() && now >= order.front().first + this->d->settings.releaseMemory) {
@@ -371,7 +390,7 @@
     ShardSum sum{this->d->shard.pool, this->d->shard.shard, 0, 0};
     for (const Cell &cell : this->d->cells) {
         if (cell.state == LifeState::Live) {
-            sum.inFlight += this->d->effective(cell, now);
+            sum.inFlight += static_cast<std::uint32_t>(this->d->estimate(cell, now));
             sum.targets += 1;
         }
     }
--- a/sequoiausher/coordination/admission/shardowner.h
+++ b/sequoiausher/coordination/admission/shardowner.h
@@ -8,9 +8,12 @@
 //     owner.receive(now, from, reserveRequest, outbox);   // outbox: ReserveReply
 //
 // Whatever the policy, a settled owner grants a target only while its count stays within loadBound() of the shard.
-// Counts are soft state: each entry reports what it holds, and the report replaces what was counted for it. While
-// counts may be too low (new owner, entry lost, work that others placed), a target counts as the larger of the count
-// and its own reported load.
+// Counts are soft state: each entry reports what it holds, and the report replaces what was counted for it.
+//
+// A target's own report corrects the counts. It lags, so it is compared with what was counted when it was measured:
+// the difference is work that the owner does not know of (a new owner before the entries have spoken, streams of a dead
+// entry, another owner in a partition) or counts too much (a dead entry not yet noticed), and is carried on until the
+// next report. A target's bound goes by the larger of count and corrected count, the mean by the corrected ones.
 
 #include "sequoiausher/coordination/admission/shardmap.h"
 #include "sequoiausher/coordination/messages/peermessage.h"
@@ -23,8 +26,6 @@
     Millis entrySilence{15000};
     /** A new owner trusts its counts after this long, though not every entry has reported. */
     Millis settleTime{10000};
-    /** How long a target's own report counts after holdings on it were dropped or foreign work was seen. */
-    Millis doubtTime{5000};
     /** Reported loads older than this say nothing. */
     Millis reportLife{3000};
     /** A grant younger than this survives a report without it: the report may have been sent before. */
@@ -53,10 +54,10 @@
     void setEntries(const std::vector<InstanceId> &entries);
 
     /** The entry is known to have died: what it held is no longer counted. */
-    void dropEntry(Millis now, const InstanceId &entry);
+    void dropEntry(const InstanceId &entry);
 
     /** What a target said of its load, measured at measuredAt by this process's clock. */
-    void reportLoad(Millis now, const TargetId &target, std::uint32_t load, Millis measuredAt);
+    void reportLoad(const TargetId &target, std::uint32_t load, Millis measuredAt);
 
     /** Answers with a ReserveReply, but for a reservation that was released before it arrived. */
     void receive(Millis now, const InstanceId &from, const ReserveRequest &message, Outbox &outbox);
--- a/sequoiausher/coordination/admission/shardownertest.cpp
+++ b/sequoiausher/coordination/admission/shardownertest.cpp
@@ -105,9 +105,9 @@
     for (int i = 0; i < 10; ++i) {
         this->grant(Millis{0});
     }
-    this->owner.reportLoad(Millis{100}, TargetId{"a"}, this->owner.counted(TargetId{"a"}), Millis{100});
+    this->owner.reportLoad(TargetId{"a"}, this->owner.counted(TargetId{"a"}), Millis{100});
     const std::uint32_t reported = this->owner.counted(TargetId{"a"});
-    this->owner.dropEntry(Millis{200}, entry);
+    this->owner.dropEntry(entry);
     CHECK(this->owner.holdings() == 0);
     CHECK(this->owner.sum(Millis{200}).inFlight == reported);
     CHECK(this->grant(Millis{200}) == TargetId{"b"});
@@ -127,7 +127,7 @@
 TEST_CASE_FIXTURE(OwnerFixture, "work that nobody reserved here counts: another router owns the shard too")
 {
     // Symptom: in a partition both sides fill the same engine to the bound. Each side's owner sees only its own.
-    this->owner.reportLoad(Millis{20000}, TargetId{"a"}, 6, Millis{19900});
+    this->owner.reportLoad(TargetId{"a"}, 6, Millis{19900});
     CHECK(this->owner.sum(Millis{20000}).inFlight == 6);
     // 7 is within ceil(1.25 * (total + 1) / 2) from a total of 9 on.
     for (int i = 0; i < 3; ++i) {
@@ -141,7 +141,7 @@
     ShardOwner owner{{pool, 0}, OwnerSettings{}, 1, Millis{0}};
     owner.setTargets(Millis{0}, {targetOf("a")});
     owner.setEntries({entry, other});
-    owner.reportLoad(Millis{10}, TargetId{"a"}, 8, Millis{5});
+    owner.reportLoad(TargetId{"a"}, 8, Millis{5});
     owner.receive(Millis{11}, entry, HoldingsReport{pool, 0, 1, {{RequestId{0, 1}, TargetId{"a"}}}});
     CHECK_FALSE(owner.settled(Millis{11}));
     CHECK(owner.sum(Millis{11}).inFlight == 8);
