Check settings and documents, and explain a decision, from the command line

Cause: an operator wants to know before publishing whether a change is good, and which rule would decide. The function that quotes text was named like std::quoted, which won by argument-dependent lookup where <iomanip> was seen: renamed.

--- a/sequoiausher/base/ini/inidocument.cpp
+++ b/sequoiausher/base/ini/inidocument.cpp
@@ -79,7 +79,7 @@
         const std::size_t column = columnOf(line, content);
         this->keyLines.clear();
         if (content.back() != ']') {
-            this->report(column, "", quoted(content), "']' at the end of the section's name");
+            this->report(column, "", inQuotes(content), "']' at the end of the section's name");
         }
         content.remove_prefix(1);
         if (!content.empty() && content.back() == ']') {
@@ -100,7 +100,7 @@
     {
         const std::size_t equals = content.find('=');
         if (equals == std::string_view::npos) {
-            this->report(columnOf(line, content), "", quoted(content), "'key = value' or '[section]'");
+            this->report(columnOf(line, content), "", inQuotes(content), "'key = value' or '[section]'");
             return;
         }
         const std::string key{trimmed(content.substr(0, equals))};
--- a/sequoiausher/base/ini/inireader.cpp
+++ b/sequoiausher/base/ini/inireader.cpp
@@ -47,7 +47,7 @@
 
 std::string foundText(std::string_view value)
 {
-    return value.empty() ? "an empty value" : quoted(value);
+    return value.empty() ? "an empty value" : inQuotes(value);
 }
 
 /** Compares the kinds alone: of `[rul default]` only the first word can be misspelt. */
@@ -382,7 +382,7 @@
         if (isPlainName(nameOfSection(section))) {
             readers.push_back(std::move(reader));
         } else {
-            reader.report("the name " + quoted(nameOfSection(section)),
+            reader.report("the name " + inQuotes(nameOfSection(section)),
                           "[" + prefix + "NAME] with NAME of 1 to 64 letters, digits, '.', '_' or '-'");
         }
     }
--- a/sequoiausher/base/ini/problem.cpp
+++ b/sequoiausher/base/ini/problem.cpp
@@ -118,7 +118,7 @@
     return nearest;
 }
 
-std::string quoted(std::string_view text)
+std::string inQuotes(std::string_view text)
 {
     constexpr std::size_t longestShown = 80;
     constexpr unsigned char firstPrintable = 0x20;
--- a/sequoiausher/base/ini/problem.h
+++ b/sequoiausher/base/ini/problem.h
@@ -93,6 +93,6 @@
 std::string nearestName(std::string_view name, const std::vector<std::string> &known);
 
 /** Text in quotes, shortened and with control characters replaced, so that a log line stays one line. */
-std::string quoted(std::string_view text);
+std::string inQuotes(std::string_view text);
 
 } // namespace Sequoiausher
--- /dev/null
+++ b/sequoiausher/cli/commandstest.cpp
@@ -0,0 +1,138 @@
+#include "sequoiausher/cli/checkcommand.h"
+#include "sequoiausher/cli/commandline.h"
+#include "sequoiausher/cli/explaincommand.h"
+
+#include <doctest/doctest.h>
+
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+using namespace Sequoiausher;
+
+namespace {
+
+/** A folder with documents that goes away with the test. */
+class Folder
+{
+public:
+    Folder() : path(std::filesystem::temp_directory_path() / ("commandstest-" + std::to_string(getpid())))
+    {
+        std::filesystem::create_directories(this->path / "rules");
+        std::filesystem::create_directories(this->path / "targets");
+        this->write("targets/plates.ini", "[pool]\nkind = engine\nmodel = m\n");
+        this->write("rules/fleet.ini",
+                    "[rule plates]\nwhen.model = m\nwhen.time_of_day = 08:00-18:00\nthen.pool = plates\n");
+    }
+    Folder(const Folder &) = delete;
+    Folder &operator=(const Folder &) = delete;
+    ~Folder()
+    {
+        std::filesystem::remove_all(this->path);
+    }
+
+    void write(const std::string &name, const std::string &text) const
+    {
+        std::ofstream(this->path / name) << text;
+    }
+
+    std::filesystem::path path;
+};
+
+struct Outcome
+{
+    ExitCode code = ExitCode::Ok;
+    std::string out;
+    std::string err;
+};
+
+Outcome run(const std::vector<std::string> &arguments)
+{
+    CommandLine line;
+    line.add(std::make_unique<CheckCommand>());
+    line.add(std::make_unique<ExplainCommand>());
+    std::ostringstream out;
+    std::ostringstream err;
+    const ExitCode code = line.run(arguments, out, err);
+    return {code, out.str(), err.str()};
+}
+
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("a wrong command line ends with 2 and says what is expected")
+{
+    struct BadLine
+    {
+        std::vector<std::string> arguments;
+        std::string error;
+    };
+    const BadLine cases[] = {
+        {{"chek"}, "found the unknown command 'chek'; did you mean 'check'?"},
+        {{"check"}, "check: found neither --settings nor --documents"},
+        {{"check", "--setings", "x"}, "see sequoiausher check --help"},
+        {{"check", "--settings"}, "see sequoiausher check --help"},
+        {{"check", "word"}, "found the word 'word', expected options alone"},
+        {{"check", "--settings", "/nowhere/r.ini"}, "check: settings /nowhere/r.ini: the file cannot be read"},
+        {{"check", "--documents", "/nowhere"}, "check: settings /nowhere: no such folder"},
+        {{"explain"}, "explain: found no --documents"},
+        {{"explain", "--documents", "/nowhere"}, "explain: settings /nowhere: no such folder"},
+        {{"explain", "--prompt-bytes", "many"}, "see sequoiausher explain --help"},
+    };
+    for (const BadLine &bad : cases) {
+        CAPTURE(bad.error);
+        const Outcome outcome = run(bad.arguments);
+        CHECK(outcome.code == ExitCode::BadInput);
+        CHECK(contains(outcome.err, bad.error));
+        CHECK(outcome.out.empty());
+    }
+}
+
+TEST_CASE("help names commands, examples and exit codes")
+{
+    CHECK(contains(run({"--help"}).out, "  explain   "));
+    CHECK(contains(run({"check", "--help"}).out, "sequoiausher check --settings etc/router.ini"));
+    CHECK(contains(run({"check", "--help"}).out, "2  wrong command line, settings or documents"));
+}
+
+TEST_CASE("check ends with 0 for good documents, and with 2 and every place for bad ones")
+{
+    const Folder folder;
+    const std::string path = folder.path.string();
+    CHECK(run({"check", "--documents", path}).code == ExitCode::Ok);
+    folder.write("rules/fleet.ini", "[rule a]\nthen.pool = plate\n[rule b]\nthen.pool = plates\nthen.priority = x\n");
+    const Outcome text = run({"check", "--documents", path});
+    CHECK(text.code == ExitCode::BadInput);
+    CHECK(contains(text.out, path + "/rules/fleet.ini:1: [rule a] then.pool: found the unknown pool 'plate'"));
+    CHECK(contains(text.out, path + "/rules/fleet.ini:5:17: [rule b] then.priority: found 'x'"));
+    CHECK(contains(text.out, "check: 2 files, 2 errors, 1 warning"));
+    const Outcome json = run({"check", "--documents", path, "--json"});
+    CHECK(json.code == ExitCode::BadInput);
+    CHECK(contains(json.out, "\"good\":false"));
+    CHECK(contains(json.out, "\"nearest\":\"plates\""));
+}
+
+TEST_CASE("explain says which rule decides, and why the others do not")
+{
+    const Folder folder;
+    const std::vector<std::string> request{"explain", "--documents", folder.path.string(), "--model", "m", "--time"};
+    const auto at = [&](const std::string &time) {
+        std::vector<std::string> arguments = request;
+        arguments.push_back(time);
+        return run(arguments);
+    };
+    CHECK(at("08:00").code == ExitCode::Ok);
+    CHECK(contains(at("08:00").out, "rules/fleet [rule plates]: decides"));
+    CHECK(at("18:00").code == ExitCode::Failed);
+    CHECK(contains(at("18:00").out, "no: when.time_of_day = 08:00-18:00, the request has 18:00"));
+    CHECK(at("noon").code == ExitCode::BadInput);
+    folder.write("rules/fleet.ini", "[rule a]\n");
+    CHECK(at("08:00").code == ExitCode::BadInput);
+    CHECK(contains(at("08:00").err, "/rules/fleet.ini:1: [rule a]: found neither then.pool nor then.refuse"));
+}
--- a/sequoiausher/coordination/rules/condition.cpp
+++ b/sequoiausher/coordination/rules/condition.cpp
@@ -413,7 +413,7 @@
 {
     if (isText(condition.kind)) {
         const std::optional<std::string_view> text = viewOf(condition, facts);
-        return text ? quoted(*text) : "none";
+        return text ? inQuotes(*text) : "none";
     }
     const std::int64_t number = numberOf(condition, facts);
     if (condition.kind != ConditionKind::TimeOfDay) {
--- a/sequoiausher/coordination/rules/ruleset.cpp
+++ b/sequoiausher/coordination/rules/ruleset.cpp
@@ -213,7 +213,7 @@
         Problem problem = problemOf(list, rule == nullptr ? Rule{} : *rule, this->names.severity);
         problem.section = rule == nullptr ? "" : problem.section;
         problem.key = key;
-        problem.found = "the unknown " + what + " " + quoted(name);
+        problem.found = "the unknown " + what + " " + inQuotes(name);
         problem.expected
             = what == "pool" ? "a pool with a document targets/POOL" : "one in the document 'organisations'";
         problem.nearest = nearestName(name, known);
--- a/sequoiausher/protocol/settings/documentstest.cpp
+++ b/sequoiausher/protocol/settings/documentstest.cpp
@@ -1,3 +1,4 @@
+#include "sequoiausher/protocol/settings/fleetdocuments.h"
 #include "sequoiausher/protocol/settings/instancesdocument.h"
 #include "sequoiausher/protocol/settings/organisationsdocument.h"
 #include "sequoiausher/protocol/settings/pooldocument.h"
@@ -116,3 +117,27 @@
         CHECK((problems.empty() ? std::string{} : toText(problems[0])) == test.problem);
     }
 }
+
+TEST_CASE("a set of documents is refused with every problem, and the first bad document's name")
+{
+    const auto document = [](const std::string &name, const std::string &body) {
+        return std::pair(name, std::make_shared<const Document>(Document{name, 1, body, false}));
+    };
+    DocumentSet set{document("targets/p", "[pool]\nkind = service\n"),
+                    document("rules/fleet", "[rule r]\nthen.pool = q\n"),
+                    document("rules/fleat", "")};
+    Problems problems;
+    const FleetDocuments fleet = parseFleetDocuments(set, Severity::Warning, problems);
+    CHECK(fleet.rules);
+    CHECK(fleet.pools.size() == 1);
+    REQUIRE(problems.size() == 2);
+    CHECK(toText(problems[0])
+          == "rules/fleat: warning: found a document that the fleet does not use, expected instances, organisations, "
+             "targets/POOL, rules/fleet or rules/organisation/NAME; did you mean 'rules/fleet'?");
+    CHECK_FALSE(FleetDocumentChecker{}.check(set));
+    set.insert(document("instances", "[instance r1]\n"));
+    const auto error = FleetDocumentChecker{}.check(set);
+    REQUIRE(error);
+    CHECK(error->peer() == "instances");
+    CHECK(error->step() == Step::Rules);
+}
