--- a/sequoiausher/coordination/membership/membership.cpp
+++ b/sequoiausher/coordination/membership/membership.cpp
@@ -58,6 +58,7 @@
     std::vector<MembershipEvent> events;
     DocumentState documents;
     std::uint64_t lastSequence = 0;
+    std::uint64_t viewVersion = 0;
     std::optional<Millis> lastTick;
     Millis nextProbe;
 
@@ -71,6 +72,8 @@
     void noteInstance(const InstanceNews &news);
     void noteReachability();
     void probeNext(Millis now, Outbox &outbox);
+    void sendProbe(Millis now, const InstanceId &peer, Outbox &outbox);
+    void askSuspected(Millis now, const InstanceId &peer, Outbox &outbox);
     void pushUrgent(Outbox &outbox);
     void announce(LifeState state, Outbox &outbox);
 };
@@ -158,7 +161,10 @@
 void Membership::Private::noteInstance(const InstanceNews &news)
 {
     // Only this router itself says what becomes of it.
+    const auto before = this->instances.find(news.instance);
     if (news.instance != this->self.instance && this->instances.merge(news.instance, news.life)) {
+        const LifeState stateBefore = before ? before->state : LifeState::Live;
+        this->viewVersion += stateBefore != news.life.state ? 1 : 0;
         this->reachability.noteLife(news.instance, news.life.incarnation);
         this->events.push_back({MembershipEventKind::InstanceChanged, news.instance, {}, news.life});
     }
@@ -167,6 +173,7 @@
 void Membership::Private::noteReachability()
 {
     for (const InstanceId &instance : this->reachability.takeChanged()) {
+        ++this->viewVersion;
         this->events.push_back({MembershipEventKind::ReachabilityChanged, instance, {}, {}});
     }
 }
@@ -177,12 +184,27 @@
     const auto span = static_cast<std::uint64_t>(2 * jitter + 1);
     this->nextProbe = now + this->settings.period + Millis{static_cast<std::int64_t>(this->random() % span) - jitter};
     const auto peer = this->prober.next(this->random, this->reachability.unreachable());
-    if (!peer) {
-        return;
+    if (peer) {
+        this->sendProbe(now, *peer, outbox);
     }
+}
+
+void Membership::Private::sendProbe(Millis now, const InstanceId &peer, Outbox &outbox)
+{
     const std::uint64_t sequence = ++this->lastSequence;
-    this->prober.sent(now, sequence, *peer);
-    outbox.push_back({*peer, Probe{sequence, this->gossipFor(now, *peer)}});
+    this->prober.sent(now, sequence, peer);
+    outbox.push_back({peer, Probe{sequence, this->gossipFor(now, peer)}});
+}
+
+/**
+ * Lost messages make a living router suspected now and then. Gossip alone takes longer to reach it and come back than a
+ * suspicion lasts, so it would be unreachable for some; asking it again tells it of the suspicion, which it refutes.
+ */
+void Membership::Private::askSuspected(Millis now, const InstanceId &peer, Outbox &outbox)
+{
+    if (this->reachability.isReachable(peer)) {
+        this->sendProbe(now, peer, outbox);
+    }
 }
 
 /**
@@ -213,6 +235,7 @@
 void Membership::Private::announce(LifeState state, Outbox &outbox)
 {
     if (this->instances.merge(this->self.instance, {this->self.incarnation, state})) {
+        ++this->viewVersion;
         this->pushUrgent(outbox);
     }
 }
@@ -225,6 +248,7 @@
 
 void Membership::setListed(const std::vector<ListedInstance> &listed)
 {
+    ++this->d->viewVersion;
     this->d->platformList = listed;
     std::vector<InstanceId> near;
     std::vector<InstanceId> far;
@@ -251,6 +275,7 @@
     }
     for (const InstanceId &silent : this->d->prober.tick(now, this->d->random, outbox)) {
         this->d->reachability.suspect(now, silent);
+        this->d->askSuspected(now, silent, outbox);
     }
     this->d->reachability.tick(now);
     this->d->noteReachability();
@@ -266,6 +291,7 @@
 {
     this->heardFrom(from);
     this->d->merge(now, probe.gossip);
+    this->d->pushUrgent(outbox);
     if (probe.sequence != 0) {
         outbox.push_back({from, ProbeReply{probe.sequence, this->d->self.instance, this->d->gossipFor(now, from)}});
     }
@@ -275,6 +301,7 @@
 {
     this->heardFrom(from);
     this->d->merge(now, reply.gossip);
+    this->d->pushUrgent(outbox);
     this->d->prober.answered(reply.sequence);
     const auto relayed = this->d->relayed.find(reply.sequence);
     if (relayed != this->d->relayed.end()) {
@@ -373,6 +400,11 @@
     return this->d->reachability.isReachable(instance) && !this->d->isGone(instance);
 }
 
+std::uint64_t Membership::viewVersion() const
+{
+    return this->d->viewVersion;
+}
+
 std::vector<MembershipEvent> Membership::takeEvents()
 {
     return std::exchange(this->d->events, {});
