Describe every key, take the log's and the claims' own settings, and bound the work of checking rules

Ruled out: a faster comparison with sorted lists, which leaves lists of prefixes slow; leaving out the search for unreachable rules when it grows long, which would make the warning depend on size.

--- a/sequoiausher/coordination/rules/condition.cpp
+++ b/sequoiausher/coordination/rules/condition.cpp
@@ -16,8 +16,6 @@
 constexpr std::int64_t minutesPerHour = 60;
 constexpr std::int64_t minutesPerDay = 24 * minutesPerHour;
 constexpr std::int64_t msPerMinute = 60000;
-// Rules are compared in pairs to find unreachable ones, so an unbounded list in a document of a megabyte would keep
-// every router busy for minutes; one would notice by heartbeats that stop when rules are published.
 constexpr std::size_t maximumAlternatives = 256;
 
 constexpr std::string_view whenPrefix = "when.";
--- a/sequoiausher/coordination/rules/decision.h
+++ b/sequoiausher/coordination/rules/decision.h
@@ -88,8 +88,6 @@
     PolicyKind policy = PolicyKind::BoundedRendezvous;
     /** Percent of the mean load; absent: as the router's settings say. */
     std::optional<std::uint32_t> boundPercent;
-    /** Into how many shards the pool is split. One number for each pool, so that all entries count in the same ones. */
-    std::uint32_t shards = 1;
     /** 0 first to 9 last. */
     std::uint32_t priority = 0;
     RuleLimits limits;
--- a/sequoiausher/coordination/rules/ruleaction.cpp
+++ b/sequoiausher/coordination/rules/ruleaction.cpp
@@ -21,16 +21,12 @@
     return value ? std::optional(static_cast<std::uint32_t>(*value)) : std::nullopt;
 }
 
-void readRouting(SectionReader &section, DocumentScope scope, RuleAction &action)
+void readRouting(SectionReader &section, RuleAction &action)
 {
     Decision &decision = action.decision;
     decision.pool.value = section.plainName("then.pool").value_or("");
     decision.policy = section.name<PolicyKind>("then.policy").value_or(decision.policy);
     decision.boundPercent = number(section, "then.bound_percent", {101, 1000, "percent of the mean load"});
-    action.shards = number(section, "then.shards", {1, 1024, "shards"});
-    if (scope == DocumentScope::Organisation && section.entry("then.shards") != nullptr) {
-        section.report(*section.entry("then.shards"), "no shards but in rules/fleet: all routers must agree on them");
-    }
     action.priority = number(section, "then.priority", {0, 9, "0 first to 9 last"});
     decision.deadline = section.duration("then.deadline_ms", {1, hourMs, ""});
     decision.retry = section.name<RetryMode>("then.retry").value_or(decision.retry);
@@ -115,10 +111,10 @@
 
 } // namespace
 
-RuleAction parseAction(SectionReader &section, DocumentScope scope)
+RuleAction parseAction(SectionReader &section)
 {
     RuleAction action;
-    readRouting(section, scope, action);
+    readRouting(section, action);
     readLimits(section, action.decision.limits);
     action.decision.refusal = readRefusal(section);
     checkRefusalAlone(section, action.decision.refusal.has_value());
--- a/sequoiausher/coordination/rules/ruleset.cpp
+++ b/sequoiausher/coordination/rules/ruleset.cpp
@@ -6,7 +6,6 @@
 #include "sequoiausher/coordination/rules/ruleaction.h"
 
 #include <algorithm>
-#include <map>
 #include <unordered_map>
 #include <utility>
 
@@ -14,8 +13,11 @@
 
 namespace {
 
-/** The most keys in one rule; each is compared with those of other rules. */
 constexpr std::size_t maximumKeys = 64;
+// Unreachable rules are found by comparing every alternative of a rule with those of each later rule: at most half the
+// square of this number of comparisons. Without the bound, a document of 750 kB kept a router busy for half a minute:
+// its heartbeats would stop whenever such rules were published.
+constexpr std::size_t maximumAlternatives = 10000;
 
 /** One rule with its place. */
 struct Rule
@@ -80,7 +82,7 @@
     }
 }
 
-Rule readRule(SectionReader &section, DocumentScope scope)
+Rule readRule(SectionReader &section, bool ofOrganisation)
 {
     Rule rule;
     rule.name = nameOfSection(section.section());
@@ -90,36 +92,39 @@
                        "at most " + std::to_string(maximumKeys));
         return rule;
     }
-    rule.action = parseAction(section, scope);
+    rule.action = parseAction(section);
     // Shares of different experiments must not depend on each other, so each salts them by its own name.
     rule.conditions = parseConditions(section, rule.action.decision.experiment);
     const IniEntry *organisation = section.entry("when.organisation");
-    if (scope == DocumentScope::Organisation && organisation != nullptr) {
+    if (ofOrganisation && organisation != nullptr) {
         section.report(*organisation, "no when.organisation, since the document is one organisation's");
     }
     section.finish();
     return rule;
 }
 
-/** All entries must count a pool in the same shards, or its load is counted twice and the bound is lost. */
-void checkShards(const RuleList &list, Problems &problems)
+std::size_t alternativesOf(const RuleList &list)
 {
-    std::map<PoolId, const Rule *> first;
+    std::size_t alternatives = 0;
     for (const Rule &rule : list.rules) {
-        if (!rule.action.shards) {
-            continue;
-        }
-        const auto [known, isNew] = first.try_emplace(rule.action.decision.pool, &rule);
-        if (isNew || known->second->action.shards == rule.action.shards) {
-            continue;
+        for (const Condition &condition : rule.conditions) {
+            alternatives += condition.patterns.size() + condition.ranges.size();
         }
-        Problem problem = problemOf(list, rule, Severity::Error);
-        problem.key = "then.shards";
-        problem.found = std::to_string(*rule.action.shards);
-        problem.expected = std::to_string(*known->second->action.shards) + " for pool '" + known->first.value
-            + "', as in [rule " + known->second->name + "]";
-        addProblem(problems, std::move(problem));
     }
+    return alternatives;
+}
+
+void reportTooMany(const RuleList &list,
+                   std::size_t count,
+                   std::size_t most,
+                   const std::string &what,
+                   Problems &problems)
+{
+    Problem problem;
+    problem.file = list.document;
+    problem.found = std::to_string(count) + " " + what;
+    problem.expected = "at most " + std::to_string(most);
+    addProblem(problems, std::move(problem));
 }
 
 RuleList readRules(const Document &document, Problems &problems)
@@ -134,28 +139,21 @@
                 {Severity::Error, document.name, 0, 0, "", "", "the document's name", "rules/organisation/NAME", ""});
         }
     }
-    const DocumentScope scope = list.organisation.empty() ? DocumentScope::Fleet : DocumentScope::Organisation;
     const IniDocument ini = parseIni(document.body, document.name, problems);
     IniReader reader(ini, problems);
     std::vector<SectionReader> sections = reader.sectionsOf("rule");
     reader.finish();
     if (sections.size() > maximumRules) {
-        addProblem(problems,
-                   {Severity::Error,
-                    document.name,
-                    0,
-                    0,
-                    "",
-                    "",
-                    std::to_string(sections.size()) + " rules",
-                    "at most " + std::to_string(maximumRules),
-                    ""});
+        reportTooMany(list, sections.size(), maximumRules, "rules", problems);
         return list;
     }
     for (SectionReader &section : sections) {
-        list.rules.push_back(readRule(section, scope));
+        list.rules.push_back(readRule(section, !list.organisation.empty()));
+    }
+    if (alternativesOf(list) > maximumAlternatives) {
+        reportTooMany(list, alternativesOf(list), maximumAlternatives, "alternatives over all rules", problems);
+        return list;
     }
-    checkShards(list, problems);
     warnOfHidden(list, problems);
     return list;
 }
@@ -281,16 +279,9 @@
         decision.document = list.document;
         decision.rule = rule.name;
         decision.priority = rule.action.priority.value_or(defaultPriority(facts.requestClass));
-        decision.shards = this->shardsOf(decision.pool);
         return decision;
     }
 
-    std::uint32_t shardsOf(const PoolId &pool) const
-    {
-        const auto found = this->shards.find(pool);
-        return found == this->shards.end() ? 1 : found->second;
-    }
-
     /** A rule of the fleet for one organisation whose own document takes every request is never reached. */
     void warnOfHiddenByOrganisation(Problems &problems) const
     {
@@ -310,7 +301,6 @@
 
     RuleList fleet;
     std::unordered_map<OrganisationId, RuleList> organisations;
-    std::unordered_map<PoolId, std::uint32_t> shards;
 
 private:
     bool takesAll(const std::vector<std::string> &names) const
@@ -367,11 +357,6 @@
     return rules;
 }
 
-std::uint32_t RuleSet::shardsOf(const PoolId &pool) const
-{
-    return this->d->shardsOf(pool);
-}
-
 bool isRulesDocument(std::string_view name)
 {
     return name == fleetRulesDocument || name.starts_with(organisationRulesPrefix);
@@ -397,11 +382,6 @@
             compiled->organisations.insert_or_assign(organisation, std::move(list));
         }
     }
-    for (const Rule &rule : compiled->fleet.rules) {
-        if (rule.action.shards) {
-            compiled->shards.try_emplace(rule.action.decision.pool, *rule.action.shards);
-        }
-    }
     compiled->warnOfHiddenByOrganisation(found);
     problems.insert(problems.end(), found.begin(), found.end());
     if (hasErrors(found)) {
--- a/sequoiausher/coordination/rules/ruleset.h
+++ b/sequoiausher/coordination/rules/ruleset.h
@@ -94,9 +94,6 @@
     /** How many rules it has over all documents. */
     std::size_t size() const;
 
-    /** Into how many shards the fleet's rules split pool. */
-    std::uint32_t shardsOf(const PoolId &pool) const;
-
 private:
     class Private;
     explicit RuleSet(std::unique_ptr<Private> compiled);
--- a/sequoiausher/protocol/settings/routersettings.cpp
+++ b/sequoiausher/protocol/settings/routersettings.cpp
@@ -82,24 +82,20 @@
     }
 }
 
-void readClaims(SectionReader &section, ClaimSettings &settings)
+void readClaims(SectionReader &section, ClaimParameters &parameters)
 {
-    readInteger(section, "witnesses", {1, 15, "instances"}, settings.witnesses);
-    readInteger(section, "quorum", {1, 15, "instances"}, settings.quorum);
-    readDuration(section, "lifetime_ms", {10 * secondMs, 24 * hourMs, ""}, settings.lifetime);
-    readDuration(section, "dispatch_window_ms", {50, minuteMs, ""}, settings.dispatchWindow);
-    readDuration(section, "vote_timeout_ms", {10, 10 * secondMs, ""}, settings.voteTimeout);
-    // Two quorums that need not meet in a witness would let both copies of a request run.
-    if (settings.quorum * 2 <= settings.witnesses || settings.quorum > settings.witnesses) {
-        section.report("quorum " + std::to_string(settings.quorum) + " of " + std::to_string(settings.witnesses)
-                           + " witnesses",
-                       "a quorum of more than half of the witnesses, and of no more than all");
-    }
-    // A claim acted on when its witnesses may have forgotten it guards nothing.
-    constexpr std::int64_t shareOfLifetime = 10;
-    if (settings.dispatchWindow * shareOfLifetime > settings.lifetime) {
-        section.report("dispatch_window_ms " + std::to_string(settings.dispatchWindow.count),
-                       "at most a tenth of lifetime_ms, " + std::to_string(settings.lifetime.count));
+    readInteger(section, "witnesses", {1, 15, "instances"}, parameters.witnesses);
+    readInteger(section, "quorum", {1, 15, "instances"}, parameters.quorum);
+    readInteger(section, "max_records", {1000, 100000000, "claims"}, parameters.maxRecords);
+    readDuration(section, "lifetime_ms", {10 * secondMs, 24 * hourMs, ""}, parameters.lifetime);
+    readDuration(section, "dispatch_window_ms", {50, minuteMs, ""}, parameters.dispatchWindow);
+    readDuration(section, "claim_timeout_ms", {10, minuteMs, ""}, parameters.claimTimeout);
+    readDuration(section, "retry_delay_ms", {5, 10 * secondMs, ""}, parameters.retryDelay);
+    readDuration(section, "settle_time_ms", {50, 2 * minuteMs, ""}, parameters.settleTime);
+    try {
+        checkClaimParameters(parameters);
+    } catch (const Error &error) {
+        section.report("values that contradict each other", error.reason());
     }
 }
 
@@ -125,9 +121,10 @@
 
 void readLog(SectionReader &section, LogSettings &settings)
 {
-    settings.level = section.name<LogLevel>("level").value_or(settings.level);
+    settings.lowest = section.name<LogLevel>("level").value_or(settings.lowest);
     settings.format = section.name<LogFormat>("format").value_or(settings.format);
-    readDuration(section, "repeat_interval_ms", {0, hourMs, ""}, settings.repeatInterval);
+    readInteger(section, "repeats_per_interval", {0, 1000000, "lines"}, settings.repeatsPerInterval);
+    readDuration(section, "repeat_interval_ms", {100, hourMs, ""}, settings.repeatInterval);
 }
 
 void readDrain(SectionReader &section, DrainSettings &settings)
--- a/sequoiausher/protocol/settings/routersettings.h
+++ b/sequoiausher/protocol/settings/routersettings.h
@@ -7,10 +7,10 @@
 
 #include "sequoiausher/base/identifiers.h"
 #include "sequoiausher/base/ini/problem.h"
+#include "sequoiausher/base/log/log.h"
 #include "sequoiausher/base/millis.h"
-#include "sequoiausher/base/nametable.h"
+#include "sequoiausher/coordination/claims/claimparameters.h"
 
-#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -18,34 +18,6 @@
 
 namespace Sequoiausher {
 
-/** From which weight on a log line is written. */
-enum class LogLevel {
-    Debug,
-    Info,
-    Warning,
-    Error,
-};
-
-template<>
-inline constexpr auto nameTable<LogLevel> = std::to_array<NameEntry<LogLevel>>({
-    {LogLevel::Debug, "debug"},
-    {LogLevel::Info, "info"},
-    {LogLevel::Warning, "warning"},
-    {LogLevel::Error, "error"},
-});
-
-/** How a log line is written. */
-enum class LogFormat {
-    Text,
-    Json,
-};
-
-template<>
-inline constexpr auto nameTable<LogFormat> = std::to_array<NameEntry<LogFormat>>({
-    {LogFormat::Text, "text"},
-    {LogFormat::Json, "json"},
-});
-
 /** [platform]: where the configuration service listens, and how it is read. */
 struct PlatformSettings
 {
@@ -73,31 +45,19 @@
 {
     std::vector<PeerSeed> seeds;
     Millis probeInterval{1000};
-    Millis probeTimeout{500};
+    Millis probeTimeout{300};
     Millis connectTimeout{1000};
 };
 
-/** [claims]: at most once. */
-struct ClaimSettings
-{
-    std::uint32_t witnesses = 5;
-    std::uint32_t quorum = 4;
-    /** How long a witness remembers. */
-    Millis lifetime{600000};
-    /** How long after its votes a claim may still be acted on. */
-    Millis dispatchWindow{2000};
-    /** How long to wait for votes. */
-    Millis voteTimeout{250};
-};
-
 /** [admission]: the bound on a target's load. */
 struct AdmissionSettings
 {
     /** The set multiple of the mean where no rule says another, in percent. */
     std::uint32_t boundPercent = 125;
-    Millis reserveTimeout{100};
+    /** How long the owner of a target may take to answer. */
+    Millis reserveTimeout{250};
     /** How often an entry tells owners what it holds. */
-    Millis holdingsInterval{2000};
+    Millis holdingsInterval{5000};
 };
 
 /** [limits]: what one router takes on. */
@@ -114,19 +74,10 @@
     /** How long a target may take until the first byte of an answer. */
     Millis firstByteTimeout{10000};
     /** How long a finished answer is kept for retries. */
-    Millis keptAnswer{60000};
+    Millis keptAnswer{300000};
     std::uint64_t keptAnswerBytes = 64UL * 1024 * 1024;
 };
 
-/** [log] */
-struct LogSettings
-{
-    LogLevel level = LogLevel::Info;
-    LogFormat format = LogFormat::Text;
-    /** How often the same line may be repeated; what was left out is counted. */
-    Millis repeatInterval{5000};
-};
-
 /** [drain]: a planned stop. */
 struct DrainSettings
 {
@@ -148,7 +99,8 @@
     std::uint32_t workers = 4;
     PlatformSettings platform;
     PeerSettings peers;
-    ClaimSettings claims;
+    /** [claims]: at most once. */
+    ClaimParameters claims;
     AdmissionSettings admission;
     LimitSettings limits;
     LogSettings log;
