--- a/sequoiausher/coordination/rules/condition.cpp
+++ b/sequoiausher/coordination/rules/condition.cpp
@@ -16,8 +16,6 @@
 constexpr std::int64_t minutesPerHour = 60;
 constexpr std::int64_t minutesPerDay = 24 * minutesPerHour;
 constexpr std::int64_t msPerMinute = 60000;
-// Rules are compared in pairs to find unreachable ones, so an unbounded list in a document of a megabyte would keep
-// every router busy for minutes; one would notice by heartbeats that stop when rules are published.
 constexpr std::size_t maximumAlternatives = 256;
 
 constexpr std::string_view whenPrefix = "when.";
@@ -413,7 +411,7 @@
 {
     if (isText(condition.kind)) {
         const std::optional<std::string_view> text = viewOf(condition, facts);
-        return text ? quoted(*text) : "none";
+        return text ? inQuotes(*text) : "none";
     }
     const std::int64_t number = numberOf(condition, facts);
     if (condition.kind != ConditionKind::TimeOfDay) {
