--- a/sequoiausher/coordination/limits/fifoqueue.cpp
+++ b/sequoiausher/coordination/limits/fifoqueue.cpp
@@ -15,6 +15,7 @@
 public:
     void pump(Millis now, std::vector<QueueAction> &actions)
     {
+        this->paused = now < this->pausedUntil;
         while (!this->line.empty() && this->flying.size() < this->slots && now >= this->pausedUntil) {
             const QueueEntry entry = this->line.front();
             this->line.pop_front();
@@ -32,6 +33,7 @@
     std::deque<QueueEntry> line;
     std::unordered_map<RequestId, QueueEntry> flying;
     Millis pausedUntil;
+    bool paused = false;
 };
 
 FifoQueue::FifoQueue(std::size_t slots, std::size_t maxWaiting) : d(std::make_unique<Private>())
@@ -73,6 +75,7 @@
     this->d->line.push_front(found->second);
     this->d->flying.erase(found);
     this->d->pausedUntil = now + retryAfter;
+    this->d->paused = true;
 }
 
 void FifoQueue::cancel(const RequestId &request)
@@ -87,7 +90,8 @@
 
 Millis FifoQueue::nextDeadline() const
 {
-    return this->d->line.empty() ? Millis::never() : this->d->pausedUntil;
+    // But for the end of a pause, only the end of a request lets anybody go on.
+    return this->d->line.empty() || !this->d->paused ? Millis::never() : this->d->pausedUntil;
 }
 
 std::size_t FifoQueue::waiting() const
