--- a/lab/engine/enginemodel.cpp
+++ b/lab/engine/enginemodel.cpp
@@ -100,6 +100,7 @@
     const RunNumber run = this->d->records.size();
     RunRecord record;
     record.request = request.request;
+    record.model = request.model;
     record.idempotencyKey = request.idempotencyKey;
     record.chat = request.chat;
     record.nonce = request.nonce;
--- a/lab/engine/enginemodel.h
+++ b/lab/engine/enginemodel.h
@@ -55,6 +55,7 @@
 struct EngineRequest
 {
     RequestId request;
+    std::string model;
     std::string idempotencyKey;
     std::string chat;
     /** 0 first to 9 last. */
@@ -70,6 +71,7 @@
 struct RunRecord
 {
     RequestId request;
+    std::string model;
     std::string idempotencyKey;
     std::string chat;
     std::string nonce;
--- a/lab/support/labprogram.cpp
+++ b/lab/support/labprogram.cpp
@@ -21,8 +21,6 @@
     [[maybe_unused]] const ssize_t written = ::write(signalPipe[1], &byte, 1);
 }
 
-} // namespace
-
 void stopOnSignals(QCoreApplication &app)
 {
     if (::pipe(signalPipe.data()) != 0) {
@@ -50,6 +48,56 @@
     });
 }
 
+} // namespace
+
+int runProgram(int argc, char **argv, cxxopts::Options options, const RunFunction &run)
+{
+    QCoreApplication app(argc, argv);
+    options.add_options()("h,help", "Show this");
+    options.add_options()("stop-with-stdin", "Stop when standard input closes");
+    try {
+        const cxxopts::ParseResult parsed = options.parse(argc, argv);
+        if (parsed.count("help") > 0) {
+            std::printf("%s\n", options.help().c_str());
+            return 0;
+        }
+        stopOnSignals(app);
+        if (parsed.count("stop-with-stdin") > 0) {
+            stopWithStdin(app);
+        }
+        return run(app, parsed);
+    } catch (const std::exception &error) {
+        std::fprintf(stderr, "%s: %s\n", options.program().c_str(), error.what());
+        return 1;
+    }
+}
+
+void addTextOption(cxxopts::Options &options,
+                   const std::string &name,
+                   const std::string &help,
+                   const std::string &fallback)
+{
+    options.add_options()(name, help, cxxopts::value<std::string>()->default_value(fallback));
+}
+
+void addIntegerOption(cxxopts::Options &options,
+                      const std::string &name,
+                      const std::string &help,
+                      std::int64_t fallback)
+{
+    options.add_options()(name, help, cxxopts::value<std::int64_t>()->default_value(std::to_string(fallback)));
+}
+
+std::int64_t integerOption(const cxxopts::ParseResult &parsed, const std::string &name)
+{
+    return parsed[name].as<std::int64_t>();
+}
+
+std::string textOption(const cxxopts::ParseResult &parsed, const std::string &name)
+{
+    return parsed[name].as<std::string>();
+}
+
 void announceReady(std::string_view name, std::uint16_t port)
 {
     std::printf("ready %.*s %u\n", static_cast<int>(name.size()), name.data(), static_cast<unsigned>(port));
