--- a/lab/engine/engineprotocol.cpp
+++ b/lab/engine/engineprotocol.cpp
@@ -26,7 +26,7 @@
         return content.toString().toStdString();
     }
     std::string text;
-    for (const QJsonValue &part : content.toArray()) {
+    for (const QJsonValue part : content.toArray()) {
         text += part.toObject().value("text").toString().toStdString() + " ";
     }
     return text;
@@ -79,7 +79,7 @@
     call.stream = json.value("stream").toBool();
     const qint64 wanted = json.value("max_tokens").toInteger(defaultMaxTokens);
     call.request.maxTokens = static_cast<std::size_t>(std::clamp<qint64>(wanted, 1, highestMaxTokens));
-    for (const QJsonValue &value : messages) {
+    for (const QJsonValue value : messages) {
         const QJsonObject message = value.toObject();
         const std::string content = contentOf(message);
         const std::string_view lastWord = addWords(content, call.request.promptTokens);
