--- a/lab/support/labcall.cpp
+++ b/lab/support/labcall.cpp
@@ -65,7 +65,7 @@
     RequestOptions options;
     options.firstByteTimeout = limit;
     options.deadline = limit;
-    this->d->client->send(std::move(request), options, std::move(callbacks));
+    this->d->client->send(request, options, std::move(callbacks));
     return answer;
 }
 
