Name the documents of a relative folder by their place in it

Seen by hand with curl.

Change: the folder is made absolute first; a test starts from a relative one.

--- a/lab/platform/platformserver.cpp
+++ b/lab/platform/platformserver.cpp
@@ -78,7 +78,8 @@
 
 void PlatformServer::load(const std::string &folder)
 {
-    const QDir root(QString::fromStdString(folder));
+    // Made absolute: relativeFilePath() takes a relative path as one below root and would keep the folder's name.
+    const QDir root(QDir(QString::fromStdString(folder)).absolutePath());
     if (!root.exists()) {
         throw Error(Step::Platform, folder, "no such folder");
     }
--- a/lab/platform/platformservertest.cpp
+++ b/lab/platform/platformservertest.cpp
@@ -62,6 +62,23 @@
     CHECK(reads.value("watches").toInteger() == 2);
 }
 
+// Symptom: lab-platform --documents docs listed docs/rules/fleet. The folder was given relative to the current one;
+// the names were made relative to the folder from paths that were relative too, which kept the folder's own name.
+TEST_CASE("a folder given relative to the current one names its documents as well")
+{
+    const QTemporaryDir folder;
+    QDir(folder.path()).mkdir("documents");
+    QFile file(folder.filePath("documents/organisations.ini"));
+    REQUIRE(file.open(QIODevice::WriteOnly));
+    file.close();
+    const QString before = QDir::currentPath();
+    REQUIRE(QDir::setCurrent(folder.path()));
+    Bench bench;
+    bench.platform.load("documents");
+    QDir::setCurrent(before);
+    CHECK(bench.caller.call("GET", "/v1/documents/organisations").status == 200);
+}
+
 TEST_CASE("a down service closes calls and watches, while the lab's own calls work")
 {
     Bench bench;
