--- /dev/null
+++ b/lab/bench/configbench.cpp
@@ -0,0 +1,243 @@
+// Measures how a change of configuration spreads, in discrete time over the state machines: time until it is in force
+// on a router (99th percentile over routers and changes), with the service up and down, reads of the service, and
+// estimated bytes; against the baseline in which every router watches the service, and for several fan-outs.
+//
+//     configbench            # 7, 100 and 1,300 routers
+//     configbench 100        # one size
+
+#include "lab/bench/estimatedsize.h"
+#include "sequoiausher/coordination/spread/testfleet.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <random>
+#include <string>
+
+using namespace Sequoiausher;
+
+namespace {
+
+constexpr Millis second{1000};
+constexpr std::size_t bodyBytes = 1500;
+constexpr std::size_t documentCount = 60;
+/** 98,000 changes a day. */
+constexpr double changesPerSecond = 98000.0 / 86400.0;
+constexpr int measuredSeconds = 20;
+/** Until the fleet has learnt the first documents. */
+constexpr Millis warmUp{40000};
+/** After the last change, for stragglers. */
+constexpr Millis settle{10000};
+
+struct Scenario
+{
+    std::size_t routers = 7;
+    std::size_t fanOut = 8;
+    bool serviceDown = false;
+    bool everyoneReads = false;
+    /** Of the routers, killed just before the measured changes, so that nobody knows yet. */
+    std::size_t killedPercent = 0;
+};
+
+struct Result
+{
+    std::vector<std::int64_t> delays;
+    std::size_t missing = 0;
+    std::size_t expected = 0;
+    std::uint64_t reversions = 0;
+    double readsPerSecond = 0;
+    double bodyCopies = 0;
+    double documentBytesPerSecond = 0;
+};
+
+std::int64_t percentile(std::vector<std::int64_t> values, double share)
+{
+    std::sort(values.begin(), values.end());
+    const auto last = static_cast<double>(values.size() - 1);
+    return values[static_cast<std::size_t>(share * last)];
+}
+
+TestFleetSettings settingsOf(const Scenario &scenario)
+{
+    constexpr std::size_t manyRouters = 100;
+    TestFleetSettings settings;
+    settings.routers = scenario.routers;
+    settings.dataCentres = scenario.routers >= manyRouters ? 11 : 4;
+    settings.regions = scenario.routers >= manyRouters ? 4 : 1;
+    settings.spread.fanOut = scenario.fanOut;
+    settings.everyoneReads = scenario.everyoneReads;
+    settings.jitter = Millis{2};
+    return settings;
+}
+
+std::string nameOfDocument(std::size_t number)
+{
+    return "rules/organisation/" + std::to_string(number);
+}
+
+/** Tells when each router learns each revision, and what the documents cost. */
+class Meter
+{
+public:
+    explicit Meter(TestFleet &measured) : fleet(measured)
+    {
+        this->fleet.onLearnt = [this](std::size_t, const Document &document) {
+            const auto published = this->publishedAt.find(document.revision);
+            if (published != this->publishedAt.end()) {
+                this->delays.push_back((this->fleet.now() - published->second).count);
+            }
+        };
+        this->fleet.onSent = [this](std::size_t, const PeerMessage &message) { this->count(message); };
+    }
+
+    void published(Revision revision)
+    {
+        this->publishedAt[revision] = this->fleet.now();
+    }
+
+    std::vector<std::int64_t> delays;
+    std::uint64_t bodies = 0;
+    std::uint64_t documentBytes = 0;
+
+private:
+    TestFleet &fleet;
+    std::map<Revision, Millis> publishedAt;
+
+    void count(const PeerMessage &message)
+    {
+        if (const auto *push = std::get_if<DocumentPush>(&message)) {
+            this->bodies += push->documents.size();
+        } else if (!std::holds_alternative<DocumentDigest>(message) && !std::holds_alternative<DocumentPull>(message)) {
+            return;
+        }
+        this->documentBytes += estimatedSize(message);
+    }
+};
+
+void publishChanges(TestFleet &fleet, Meter &meter, const Scenario &scenario, std::size_t &changes)
+{
+    std::mt19937_64 random(7);
+    double due = 0;
+    for (int tenth = 0; tenth < measuredSeconds * 10; ++tenth) {
+        for (due += changesPerSecond / 10; due >= 1; due -= 1) {
+            // A name of its own for each change, so that none is overtaken by the next before it is counted.
+            const std::string name = nameOfDocument(changes % documentCount);
+            const Document document{name, fleet.publish(name, std::string(bodyBytes, 'x')), "y", false};
+            meter.published(document.revision);
+            ++changes;
+            if (scenario.serviceDown) {
+                // One router read it just before the service went down.
+                std::size_t knows = random() % fleet.size();
+                while (!fleet.isAlive(knows)) {
+                    knows = random() % fleet.size();
+                }
+                fleet.learnFromService(knows, {name, document.revision, std::string(bodyBytes, 'x'), false});
+            }
+        }
+        fleet.run(second / 10);
+    }
+}
+
+Result measure(const Scenario &scenario)
+{
+    TestFleet fleet(settingsOf(scenario));
+    for (std::size_t i = 0; i < documentCount; ++i) {
+        fleet.publish(nameOfDocument(i), std::string(bodyBytes, 'x'));
+    }
+    fleet.run(warmUp);
+    fleet.setServiceDown(scenario.serviceDown);
+    std::size_t alive = fleet.size();
+    for (std::size_t i = 0; i < fleet.size() * scenario.killedPercent / 100; ++i) {
+        fleet.kill(i * 100 / scenario.killedPercent);
+        --alive;
+    }
+    Meter meter(fleet);
+    const std::uint64_t readsBefore = fleet.counts().serviceReads;
+    const Millis started = fleet.now();
+    std::size_t changes = 0;
+    publishChanges(fleet, meter, scenario, changes);
+    fleet.run(settle);
+    Result result;
+    const auto seconds = static_cast<double>((fleet.now() - started).count) / 1000;
+    result.delays = meter.delays;
+    result.expected = changes * alive;
+    result.missing = result.expected - std::min(result.expected, meter.delays.size());
+    result.reversions = fleet.counts().reversions;
+    result.readsPerSecond = static_cast<double>(fleet.counts().serviceReads - readsBefore) / seconds;
+    result.bodyCopies = static_cast<double>(meter.bodies) / static_cast<double>(result.expected);
+    result.documentBytesPerSecond = static_cast<double>(meter.documentBytes) / static_cast<double>(alive) / seconds;
+    return result;
+}
+
+void print(const std::string &name, double value, const char *unit)
+{
+    std::printf("figure %s %.2f %s\n", name.c_str(), value, unit);
+    std::fflush(stdout);
+}
+
+/** Measures one scenario, prints its figures and says whether every router learnt every change. */
+bool report(const Scenario &scenario, const std::string &suffix, const std::string &latencyName)
+{
+    const Result result = measure(scenario);
+    if (result.delays.empty() || result.missing > 0) {
+        std::cerr << "configbench: " << latencyName << suffix << ": " << result.missing << " of " << result.expected
+                  << " were not in force in time\n";
+        return false;
+    }
+    print(latencyName + suffix, static_cast<double>(percentile(result.delays, 0.99)), "ms");
+    print(latencyName + "_max" + suffix, static_cast<double>(percentile(result.delays, 1)), "ms");
+    if (!scenario.serviceDown) {
+        const std::string prefix = scenario.everyoneReads ? "naive_" : "";
+        print(prefix + "service_reads_per_s" + suffix, result.readsPerSecond, "1/s");
+    }
+    if (!scenario.everyoneReads) {
+        print(latencyName + "_reversions" + suffix, static_cast<double>(result.reversions), "1");
+        print(latencyName + "_body_copies" + suffix, result.bodyCopies, "per_router");
+        print(latencyName + "_document_bytes" + suffix, result.documentBytesPerSecond, "estimated_bytes/s/router");
+    }
+    return result.reversions == 0;
+}
+
+bool reportSize(std::size_t routers)
+{
+    const std::string suffix = "_" + std::to_string(routers);
+    Scenario scenario;
+    scenario.routers = routers;
+    bool good = report(scenario, suffix, "in_force_p99");
+    scenario.serviceDown = true;
+    good = report(scenario, suffix, "in_force_p99_service_down") && good;
+    scenario.serviceDown = false;
+    scenario.everyoneReads = true;
+    good = report(scenario, suffix, "naive_in_force_p99") && good;
+    return good;
+}
+
+bool reportFanOuts()
+{
+    bool good = true;
+    for (const std::size_t fanOut : {std::size_t{2}, std::size_t{4}, std::size_t{8}, std::size_t{16}}) {
+        Scenario scenario;
+        scenario.routers = 100;
+        scenario.fanOut = fanOut;
+        scenario.killedPercent = 10;
+        good = report(scenario, "_100_fan_" + std::to_string(fanOut), "in_force_p99_tenth_dead") && good;
+    }
+    return good;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    if (argc > 1) {
+        return reportSize(static_cast<std::size_t>(std::strtoul(argv[1], nullptr, 10))) ? 0 : 1;
+    }
+    bool good = true;
+    for (const std::size_t routers : {std::size_t{7}, std::size_t{100}, std::size_t{1300}}) {
+        good = reportSize(routers) && good;
+    }
+    good = reportFanOuts() && good;
+    return good ? 0 : 1;
+}
--- /dev/null
+++ b/lab/bench/controlbench.cpp
@@ -0,0 +1,102 @@
+// Measures the control traffic of a router: estimated bytes of membership messages sent per second, at today's size
+// and as routers and targets grow. Runs in discrete time over the state machines.
+//
+//     controlbench
+
+#include "lab/bench/estimatedsize.h"
+#include "sequoiausher/coordination/spread/testfleet.h"
+
+#include <cstdio>
+#include <string>
+
+using namespace Sequoiausher;
+
+namespace {
+
+constexpr Millis second{1000};
+constexpr int warmUpSeconds = 30;
+constexpr int measuredSeconds = 30;
+/** Targets that one shard's owner counts. */
+constexpr std::size_t targetsPerShard = 32;
+
+struct Load
+{
+    std::size_t routers = 7;
+    std::size_t targets = 24;
+};
+
+struct Traffic
+{
+    double bytesPerSecond = 0;
+    double messagesPerSecond = 0;
+};
+
+/** Each shard's owner counts anew each second; one target in a thousand comes or goes per minute. */
+void layLoad(TestFleet &fleet, const Load &load, int step)
+{
+    const std::size_t shards = (load.targets + targetsPerShard - 1) / targetsPerShard;
+    for (std::size_t shard = 0; shard < shards; ++shard) {
+        ShardSum sum{{"plate-model"}, static_cast<std::uint32_t>(shard), static_cast<std::uint32_t>(step), 32, {}};
+        fleet.membership(shard % fleet.size()).setSums(fleet.now(), {sum});
+    }
+    constexpr std::size_t secondsPerChange = 60000;
+    const std::size_t before = static_cast<std::size_t>(step) * load.targets / secondsPerChange;
+    const std::size_t after = static_cast<std::size_t>(step + 1) * load.targets / secondsPerChange;
+    for (std::size_t change = before; change < after; ++change) {
+        const TargetId target{"plate-" + std::to_string(change)};
+        fleet.membership(change % fleet.size()).targetNews({target, {2, LifeState::Leaving}});
+    }
+}
+
+Traffic measure(const Load &load)
+{
+    TestFleetSettings settings;
+    settings.routers = load.routers;
+    TestFleet fleet(settings);
+    fleet.publish("rules/fleet", "body");
+    int step = 0;
+    for (; step < warmUpSeconds; ++step) {
+        layLoad(fleet, load, step);
+        fleet.run(second);
+    }
+    std::size_t bytes = 0;
+    std::size_t messages = 0;
+    fleet.onSent = [&](std::size_t, const PeerMessage &message) {
+        bytes += estimatedSize(message);
+        ++messages;
+    };
+    for (; step < warmUpSeconds + measuredSeconds; ++step) {
+        layLoad(fleet, load, step);
+        fleet.run(second);
+    }
+    const double share = 1.0 / (static_cast<double>(load.routers) * measuredSeconds);
+    return {static_cast<double>(bytes) * share, static_cast<double>(messages) * share};
+}
+
+void print(const std::string &name, double value, const char *unit)
+{
+    std::printf("figure %s %.3f %s\n", name.c_str(), value, unit);
+    std::fflush(stdout);
+}
+
+} // namespace
+
+int main()
+{
+    const Traffic today = measure({7, 24});
+    const Traffic moreRouters = measure({200, 24});
+    const Traffic moreTargets = measure({7, 1000});
+    const Traffic many = measure({1300, 10000});
+    if (today.messagesPerSecond <= 0 || many.messagesPerSecond <= 0) {
+        std::fprintf(stderr, "controlbench: no messages were sent\n");
+        return 1;
+    }
+    const char *unit = "estimated_bytes/s";
+    print("control_bytes_per_s_per_router", today.bytesPerSecond, unit);
+    print("control_messages_per_s_per_router", today.messagesPerSecond, "1/s");
+    print("slope_per_router", (moreRouters.bytesPerSecond - today.bytesPerSecond) / (200 - 7), unit);
+    print("slope_per_target", (moreTargets.bytesPerSecond - today.bytesPerSecond) / (1000 - 24), unit);
+    print("control_bytes_per_s_per_router_200", moreRouters.bytesPerSecond, unit);
+    print("control_bytes_per_s_per_router_1300_10000", many.bytesPerSecond, unit);
+    return 0;
+}
--- a/sequoiausher/coordination/membership/membershiptest.cpp
+++ b/sequoiausher/coordination/membership/membershiptest.cpp
@@ -215,10 +215,10 @@
 TEST_CASE("a sum that echoes between two routers never replaces the owner's next one")
 {
     Membership first({{"a"}, {"dc"}, 1}, 1, {});
-    Membership second({{"b"}, {"dc"}, 1}, 2, {});
+    Membership other({{"b"}, {"dc"}, 1}, 2, {});
     const std::vector<ListedInstance> list{{{"a"}, {"dc"}}, {{"b"}, {"dc"}}};
     first.setListed(list);
-    second.setListed(list);
+    other.setListed(list);
     Outbox outbox;
     Gossip old;
     old.sums.push_back({{"plates"}, 0, 5, 3, Millis{0}});
@@ -229,9 +229,9 @@
     for (int echo = 0; echo < 50; ++echo) {
         Gossip there;
         there.sums = first.sums(Millis{echo * 40});
-        second.receive(Millis{echo * 40 + 20}, {"a"}, Probe{0, there}, outbox);
+        other.receive(Millis{echo * 40 + 20}, {"a"}, Probe{0, there}, outbox);
         Gossip back;
-        back.sums = second.sums(Millis{echo * 40 + 20});
+        back.sums = other.sums(Millis{echo * 40 + 20});
         first.receive(Millis{echo * 40 + 40}, {"b"}, Probe{0, back}, outbox);
     }
     first.receive(Millis{1500}, {"owner"}, Probe{0, next}, outbox);
