Make a start of the whole fleet fast, and the tree cheap

Cause: configbench showed 1,300 routers started together not all ready after 25 s, since each had to find two ready peers; and half its time went into sorting for routers that feed nobody (perf: 48.7 % in rendezvousOrder).

Change: three peers are asked at each interval, and after 3 s one ready peer is enough; a router that slept does not pass for ready even before its next tick; leaves of the tree are told by counting.

Conclusion: tests of spread and membership pass; the baseline of configbench at 1,300 is still to be understood.

--- a/sequoiausher/coordination/membership/newsqueue.h
+++ b/sequoiausher/coordination/membership/newsqueue.h
@@ -7,7 +7,7 @@
 //     queue.add(target);                              // new, or changed: starts over
 //     for (const TargetId &id : queue.take(16, limit)) { ... }
 
-#include <algorithm>
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -26,35 +26,32 @@
     /** There is news about key; what was sent about it before no longer counts. */
     void add(const Key &key)
     {
-        this->entries[key] = Entry{0, ++this->clock};
+        this->remove(key);
+        this->insert(key, Rank{0, --this->clock});
     }
 
     void remove(const Key &key)
     {
-        this->entries.erase(key);
+        const auto found = this->ranks.find(key);
+        if (found != this->ranks.end()) {
+            this->order.erase(found->second);
+            this->ranks.erase(found);
+        }
     }
 
     /** At most count keys for one message; each is counted as sent, and dropped once sent sendLimit times. */
     std::vector<Key> take(std::size_t count, std::uint32_t sendLimit)
     {
-        std::vector<typename Entries::iterator> order;
-        order.reserve(this->entries.size());
-        for (auto at = this->entries.begin(); at != this->entries.end(); ++at) {
-            order.push_back(at);
-        }
-        const std::size_t taken = std::min(count, order.size());
-        std::partial_sort(order.begin(),
-                          order.begin() + static_cast<std::ptrdiff_t>(taken),
-                          order.end(),
-                          [](const auto &a, const auto &b) {
-                              return a->second.sends != b->second.sends ? a->second.sends < b->second.sends
-                                                                        : a->second.addedAt > b->second.addedAt;
-                          });
         std::vector<Key> keys;
-        for (std::size_t i = 0; i < taken; ++i) {
-            keys.push_back(order[i]->first);
-            if (++order[i]->second.sends >= sendLimit) {
-                this->entries.erase(order[i]);
+        std::vector<Rank> taken;
+        for (auto at = this->order.begin(); at != this->order.end() && keys.size() < count; ++at) {
+            taken.push_back(at->first);
+            keys.push_back(at->second);
+        }
+        for (std::size_t i = 0; i < keys.size(); ++i) {
+            this->remove(keys[i]);
+            if (taken[i].sends + 1 < sendLimit) {
+                this->insert(keys[i], Rank{taken[i].sends + 1, taken[i].recency});
             }
         }
         return keys;
@@ -62,19 +59,29 @@
 
     std::size_t size() const
     {
-        return this->entries.size();
+        return this->ranks.size();
     }
 
 private:
-    struct Entry
+    /** Where a key stands; the lowest is sent next. */
+    struct Rank
     {
         std::uint32_t sends = 0;
-        std::uint64_t addedAt = 0;
+        /** Falls with each addition, and is unique. */
+        std::int64_t recency = 0;
+
+        auto operator<=>(const Rank &) const = default;
     };
-    using Entries = std::map<Key, Entry>;
 
-    Entries entries;
-    std::uint64_t clock = 0;
+    std::map<Rank, Key> order;
+    std::map<Key, Rank> ranks;
+    std::int64_t clock = 0;
+
+    void insert(const Key &key, const Rank &rank)
+    {
+        this->order.emplace(rank, key);
+        this->ranks.emplace(key, rank);
+    }
 };
 
 } // namespace Sequoiausher
--- a/sequoiausher/coordination/membership/reachability.cpp
+++ b/sequoiausher/coordination/membership/reachability.cpp
@@ -2,6 +2,7 @@
 
 #include "sequoiausher/coordination/membership/newsqueue.h"
 
+#include <algorithm>
 #include <map>
 #include <tuple>
 #include <utility>
@@ -33,6 +34,14 @@
     std::map<InstanceId, Peer> peers;
     NewsQueue<InstanceId> queue;
     std::vector<InstanceId> changed;
+    /** No suspicion expires before. */
+    Millis nextExpiry = Millis::never();
+
+    void startSuspicion(Peer &peer, Millis now)
+    {
+        peer.suspectedAt = now;
+        this->nextExpiry = std::min(this->nextExpiry, now + this->suspectFor);
+    }
 
     void setUnreachable(const InstanceId &instance, Peer &peer, bool unreachable)
     {
@@ -61,7 +70,7 @@
 };
 
 Reachability::Reachability(const InstanceId &self, Incarnation incarnation, Millis suspectFor)
-    : d(new Private{{self, incarnation, 0, false}, suspectFor, {}, {}, {}})
+    : d(new Private{{self, incarnation, 0, false}, suspectFor, {}, {}, {}, Millis::never()})
 {
 }
 Reachability::~Reachability() = default;
@@ -99,7 +108,7 @@
     if (found == this->d->peers.end() || found->second.unreachable || found->second.suspectedAt) {
         return;
     }
-    found->second.suspectedAt = now;
+    this->d->startSuspicion(found->second, now);
     found->second.news.suspected = true;
     this->d->queue.add(instance);
 }
@@ -128,16 +137,22 @@
     if (!news.suspected) {
         this->d->clear(news.instance, peer);
     } else if (!peer.unreachable && !peer.suspectedAt) {
-        peer.suspectedAt = now;
+        this->d->startSuspicion(peer, now);
     }
 }
 
 void Reachability::tick(Millis now)
 {
+    if (now < this->d->nextExpiry) {
+        return;
+    }
+    this->d->nextExpiry = Millis::never();
     for (auto &[instance, peer] : this->d->peers) {
         if (peer.suspectedAt && now - *peer.suspectedAt >= this->d->suspectFor) {
             peer.suspectedAt.reset();
             this->d->setUnreachable(instance, peer, true);
+        } else if (peer.suspectedAt) {
+            this->d->nextExpiry = std::min(this->d->nextExpiry, *peer.suspectedAt + this->d->suspectFor);
         }
     }
 }
--- a/sequoiausher/coordination/spread/relaytree.cpp
+++ b/sequoiausher/coordination/spread/relaytree.cpp
@@ -8,10 +8,11 @@
 
 namespace {
 
-/** Adds the children of place (0 is the root, member i stands at place i + 1), stepping over unreachable ones. */
+/** Adds the children of place (0 is the root, order[i] stands at place i + 1), stepping over unreachable ones. */
 void addChildren(std::size_t place,
                  std::size_t fanOut,
-                 const std::vector<InstanceId> &inOrder,
+                 const std::vector<std::size_t> &order,
+                 const std::vector<InstanceId> &members,
                  const ReachableTest &isReachable,
                  std::vector<InstanceId> &children)
 {
@@ -21,11 +22,12 @@
         places.pop_back();
         for (std::size_t i = 1; i <= fanOut; ++i) {
             const std::size_t child = parent * fanOut + i;
-            if (child > inOrder.size()) {
+            if (child > order.size()) {
                 break;
             }
-            if (isReachable(inOrder[child - 1])) {
-                children.push_back(inOrder[child - 1]);
+            const InstanceId &member = members[order[child - 1]];
+            if (isReachable(member)) {
+                children.push_back(member);
             } else {
                 places.push_back(child);
             }
@@ -40,6 +42,18 @@
 public:
     std::vector<InstanceId> members;
     std::vector<std::uint64_t> hashes;
+
+    /** Where a member stands in rendezvous order, from 1. Most have no children, which this tells without sorting. */
+    std::size_t placeOf(std::size_t member, std::uint64_t key) const
+    {
+        const std::uint64_t hash = this->hashes[member];
+        const std::uint64_t weight = rendezvousWeight(hash, key);
+        const auto before = std::count_if(this->hashes.begin(), this->hashes.end(), [=](std::uint64_t other) {
+            const std::uint64_t otherWeight = rendezvousWeight(other, key);
+            return otherWeight != weight ? otherWeight > weight : other > hash;
+        });
+        return static_cast<std::size_t>(before) + 1;
+    }
 };
 
 RelayTree::RelayTree(std::vector<InstanceId> members) : d(new Private{std::move(members), {}})
@@ -64,21 +78,21 @@
                                             std::size_t fanOut,
                                             const ReachableTest &isReachable) const
 {
-    std::vector<InstanceId> inOrder;
-    inOrder.reserve(this->d->members.size());
-    for (const std::size_t index : rendezvousOrder(this->d->hashes, key, this->d->members.size())) {
-        inOrder.push_back(this->d->members[index]);
-    }
+    const std::vector<InstanceId> &members = this->d->members;
     std::size_t place = 0;
     if (!self.empty()) {
-        const auto found = std::find(inOrder.begin(), inOrder.end(), self);
-        if (found == inOrder.end()) {
+        const auto found = std::find(members.begin(), members.end(), self);
+        if (found == members.end()) {
             return {};
         }
-        place = static_cast<std::size_t>(found - inOrder.begin()) + 1;
+        place = this->d->placeOf(static_cast<std::size_t>(found - members.begin()), key);
+    }
+    if (place * fanOut + 1 > members.size()) {
+        return {};
     }
+    const auto order = rendezvousOrder(this->d->hashes, key, members.size());
     std::vector<InstanceId> children;
-    addChildren(place, fanOut, inOrder, isReachable, children);
+    addChildren(place, fanOut, order, members, isReachable, children);
     return children;
 }
 
--- a/sequoiausher/coordination/spread/spread.cpp
+++ b/sequoiausher/coordination/spread/spread.cpp
@@ -76,12 +76,14 @@
     Millis lastService;
     bool serviceSeen = false;
     std::optional<Millis> startedAt;
+    std::optional<Millis> lastTick;
     std::optional<Millis> aloneSince;
     Millis ownDelay;
 
     std::size_t rankIn(const std::vector<InstanceId> &members) const;
     std::size_t allowedReaders(Millis now) const;
-    std::size_t syncTarget() const;
+    std::size_t syncTarget(Millis now) const;
+    bool isReady(Millis now) const;
     void start(Millis now);
     void noteService(Millis at);
     bool store(Millis now, const Document &document);
@@ -89,7 +91,7 @@
     void pull(Millis now, const InstanceId &from, const std::vector<DocumentVersion> &versions, Outbox &outbox);
     void compareWith(const InstanceId &peer, Outbox &outbox);
     void compareWithSome(Millis now, Outbox &outbox);
-    void noteSynced(const InstanceId &peer);
+    void noteSynced(Millis now, const InstanceId &peer);
     void pullOverdue(Millis now, Outbox &outbox);
 };
 
@@ -115,9 +117,21 @@
     return allowed;
 }
 
-std::size_t Spread::Private::syncTarget() const
+std::size_t Spread::Private::syncTarget(Millis now) const
 {
-    return std::min(this->settings.syncPeers, this->peers.size());
+    const bool patient = this->startedAt && now - *this->startedAt < this->settings.syncPatience;
+    return patient ? std::min(this->settings.syncPeers, this->peers.size()) : 1;
+}
+
+/**
+ * A process that has just woken handles messages before its next tick tells it that it slept. If it passed for ready
+ * then, a fresh router that asked it would start with what was true before the pause.
+ */
+bool Spread::Private::isReady(Millis now) const
+{
+    const bool slept = this->lastTick && now - *this->lastTick > this->settings.pauseLimit;
+    const bool refreshing = this->refreshUntil && now < *this->refreshUntil;
+    return this->ready && !slept && !refreshing;
 }
 
 void Spread::Private::start(Millis now)
@@ -224,20 +238,18 @@
     std::copy_if(this->peers.begin(), this->peers.end(), std::back_inserter(others), [this](const InstanceId &peer) {
         return this->syncedWith.count(peer) == 0;
     });
-    for (std::size_t i = 0; i < this->settings.syncPeers && !others.empty(); ++i) {
+    for (std::size_t i = 0; i < this->settings.askedPeers && !others.empty(); ++i) {
         const std::size_t chosen = this->random() % others.size();
         this->compareWith(others[chosen], outbox);
         others.erase(others.begin() + static_cast<std::ptrdiff_t>(chosen));
     }
 }
 
-void Spread::Private::noteSynced(const InstanceId &peer)
+void Spread::Private::noteSynced(Millis now, const InstanceId &peer)
 {
     this->syncedWith.insert(peer);
     this->refreshUntil.reset();
-    if (this->syncTarget() > 0 && this->syncedWith.size() >= this->syncTarget()) {
-        this->ready = true;
-    }
+    this->ready = this->ready || this->syncedWith.size() >= this->syncTarget(now);
 }
 
 void Spread::Private::pullOverdue(Millis now, Outbox &outbox)
@@ -352,14 +364,14 @@
     }
     this->d->pass(fresh, push.hops + 1, false, outbox);
     if (this->d->exchange.isSatisfied(from)) {
-        this->d->noteSynced(from);
+        this->d->noteSynced(now, from);
     }
 }
 
 void Spread::receive(Millis now, const InstanceId &from, const DocumentDigest &digest, Outbox &outbox)
 {
     if (digest.wantsAnswer) {
-        outbox.push_back({from, this->d->exchange.answer(digest, this->d->table, this->d->ready)});
+        outbox.push_back({from, this->d->exchange.answer(digest, this->d->table, this->d->isReady(now))});
         return;
     }
     if (digest.exchange == 0) {
@@ -381,7 +393,7 @@
         addPushes(from, newer, 0, this->d->settings.pushBytes, outbox);
     }
     if (this->d->exchange.isSatisfied(from)) {
-        this->d->noteSynced(from);
+        this->d->noteSynced(now, from);
     }
 }
 
@@ -426,8 +438,8 @@
 {
     this->d->start(now);
     this->d->pullOverdue(now, outbox);
-    const bool refreshing = this->d->refreshUntil && now < *this->d->refreshUntil;
-    if ((!this->d->ready || refreshing) && now >= this->d->nextSync) {
+    this->d->lastTick = now;
+    if (!this->d->isReady(now) && now >= this->d->nextSync) {
         this->d->compareWithSome(now, outbox);
     }
 }
@@ -444,7 +456,7 @@
 
 bool Spread::isReady(Millis now) const
 {
-    return this->d->ready && !(this->d->refreshUntil && now < *this->d->refreshUntil);
+    return this->d->isReady(now);
 }
 
 const DocumentTable &Spread::documents() const
--- a/sequoiausher/coordination/spread/spread.h
+++ b/sequoiausher/coordination/spread/spread.h
@@ -61,6 +61,10 @@
     Millis pullTimeout{2000};
     /** Ready peers with which a fresh router compares all it knows before it is ready itself. */
     std::size_t syncPeers = 2;
+    /** Peers that it asks at each interval. */
+    std::size_t askedPeers = 3;
+    /** After so long one ready peer is enough: when all start anew, two would be rare for long. */
+    Millis syncPatience{3000};
     Millis syncInterval{1000};
     /** How long without any reachable peer until a router reads the service itself. */
     Millis aloneAfter{5000};
@@ -71,6 +75,8 @@
     Millis serviceSilent{30000};
     /** A router that woke late is unready until a peer confirmed what it knows, for at most this long. */
     Millis refreshLimit{2000};
+    /** A longer time without a tick means that this process slept, though it may not have noticed yet. */
+    Millis pauseLimit{2000};
 };
 
 /** The routers as this one sees them; both lists hold this router itself. */
--- a/sequoiausher/coordination/spread/testfleet.cpp
+++ b/sequoiausher/coordination/spread/testfleet.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::uint64_t wholePercent = 100;
+constexpr std::int64_t microsPerMilli = 1000;
+constexpr std::int64_t microsPerSecond = 1000000;
 constexpr Millis watchTimeout{20000};
 
 /** A message on its way. */
@@ -29,6 +31,21 @@
     }
 };
 
+/** What the service gives a router: a part of its history. */
+struct Answer
+{
+    Millis at;
+    std::uint64_t order = 0;
+    std::size_t router = 0;
+    std::size_t first = 0;
+    std::size_t end = 0;
+
+    bool operator>(const Answer &other) const
+    {
+        return std::tuple(this->at, this->order) > std::tuple(other.at, other.order);
+    }
+};
+
 struct Router
 {
     std::unique_ptr<Membership> membership;
@@ -43,6 +60,7 @@
     /** How much of the service's history the running watch has seen, and when it answers with nothing. */
     std::size_t watched = 0;
     Millis watchEnds;
+    bool reading = false;
     std::map<std::string, Revision> seen;
     std::map<std::string, Revision> naive;
 };
@@ -64,7 +82,9 @@
     std::map<InstanceId, std::size_t> numbers;
     std::vector<ListedInstance> list;
     std::priority_queue<Flight, std::vector<Flight>, std::greater<>> flights;
+    std::priority_queue<Answer, std::vector<Answer>, std::greater<>> answers;
     std::uint64_t flightCount = 0;
+    std::int64_t serviceFreeAt = 0;
     std::vector<Document> history;
     DocumentTable published;
     bool serviceDown = false;
@@ -123,6 +143,7 @@
         router.naive.clear();
         router.watched = 0;
         router.watchEnds = Millis{};
+        router.reading = false;
         router.waiting.clear();
         router.view = 0;
         const ListedInstance &row = this->list[number];
@@ -169,31 +190,50 @@
         }
     }
 
-    /** One watch at a time: it answers at once with what is new, or at its time-out. */
+    bool watches(std::size_t number) const
+    {
+        const Router &router = this->routers[number];
+        const bool runs = router.alive && this->now >= router.pausedUntil && !router.reading;
+        return runs && !this->serviceDown
+            && (this->settings.everyoneReads || router.spread->readPlan(this->now) == ReadPlan::Watch);
+    }
+
+    /**
+     * One watch at a time: it answers at once with what is new, or at its time-out. Each call takes its share of the
+     * service's rate, so that many readers wait for each other.
+     */
     void readService(std::size_t number)
     {
         Router &router = this->routers[number];
-        const bool watches = this->settings.everyoneReads || router.spread->readPlan(this->now) == ReadPlan::Watch;
-        if (!watches || this->serviceDown) {
+        const std::size_t shown = this->history.size() - std::min(router.stale, this->history.size());
+        const std::size_t first = router.stale > 0 ? 0 : std::min(router.watched, shown);
+        if (!this->watches(number) || (first == shown && this->now < router.watchEnds)) {
             return;
         }
-        const std::size_t shown = this->history.size() - std::min(router.stale, this->history.size());
-        if (router.stale > 0 || router.watched < shown) {
-            const std::vector<Document> all(this->history.begin(),
-                                            this->history.begin() + static_cast<std::ptrdiff_t>(shown));
-            const auto first
-                = router.stale > 0 ? all.begin() : all.begin() + static_cast<std::ptrdiff_t>(router.watched);
-            std::vector<Document> fresh(first, all.end());
-            this->counts.serviceReads += 1 + fresh.size();
-            router.watched = std::max(router.watched, shown);
-            router.watchEnds = this->now + watchTimeout;
-            this->learn(number, fresh, true);
-        } else if (this->now >= router.watchEnds) {
-            this->counts.serviceReads += 1;
-            router.watchEnds = this->now + watchTimeout;
-            Outbox outbox;
-            router.spread->learnt(this->now, {}, true, outbox);
+        const std::uint64_t calls = 1 + shown - first;
+        this->counts.serviceReads += calls;
+        const std::int64_t microsNow = this->now.count * microsPerMilli;
+        this->serviceFreeAt = std::max(this->serviceFreeAt, microsNow)
+            + static_cast<std::int64_t>(calls) * microsPerSecond / this->settings.serviceReadsPerSecond;
+        const Millis done{this->serviceFreeAt / microsPerMilli};
+        router.reading = true;
+        this->answers.push({done + this->settings.serviceDelay * 2, ++this->flightCount, number, first, shown});
+    }
+
+    void answer(const Answer &answer)
+    {
+        Router &router = this->routers[answer.router];
+        router.reading = false;
+        if (!router.alive || this->now < router.pausedUntil || this->serviceDown) {
+            return;
         }
+        router.watched = std::max(router.watched, answer.end);
+        router.watchEnds = this->now + watchTimeout;
+        const auto begin = this->history.begin();
+        this->learn(
+            answer.router,
+            {begin + static_cast<std::ptrdiff_t>(answer.first), begin + static_cast<std::ptrdiff_t>(answer.end)},
+            true);
     }
 
     void tick(std::size_t number)
@@ -296,6 +336,11 @@
             this->d->flights.pop();
             this->d->deliver(flight);
         }
+        while (!this->d->answers.empty() && this->d->answers.top().at <= this->d->now) {
+            const Answer answer = this->d->answers.top();
+            this->d->answers.pop();
+            this->d->answer(answer);
+        }
         // Routers tick one after another, spread over the interval.
         const auto interval = static_cast<std::size_t>(this->d->settings.tickInterval.count);
         for (std::size_t i = static_cast<std::size_t>(this->d->now.count) % interval; i < this->size(); i += interval) {
@@ -309,6 +354,9 @@
     const Document document{name, this->d->history.size() + 1, deleted ? "" : body, deleted};
     this->d->history.push_back(document);
     this->d->published.learn(document);
+    for (std::size_t i = 0; i < this->size(); ++i) {
+        this->d->readService(i);
+    }
     return document.revision;
 }
 
--- a/sequoiausher/coordination/spread/testfleet.h
+++ b/sequoiausher/coordination/spread/testfleet.h
@@ -27,7 +27,10 @@
     /** Up to this is added to each delay at random, which reorders. */
     Millis jitter{0};
     Millis tickInterval{100};
+    /** One call of the service; a change takes a watch and a read. */
     Millis serviceDelay{2};
+    /** Calls that the service answers; more wait for each other. */
+    std::int64_t serviceReadsPerSecond = 2000;
     SpreadSettings spread;
     MembershipSettings membership;
     /** Every router watches the service and none relays: the baseline. */
