--- a/sequoiausher/coordination/spread/testfleet.cpp
+++ b/sequoiausher/coordination/spread/testfleet.cpp
@@ -242,6 +242,10 @@
         if (!router.alive || this->now < router.pausedUntil) {
             return;
         }
+        if (this->settings.everyoneReads) {
+            this->readService(number);
+            return;
+        }
         Outbox outbox;
         for (const Flight &flight : std::exchange(router.waiting, {})) {
             this->handle(flight);
