Refuse a waiting request whose time has passed before a slot goes to it

Waiting requests are checked every 50 ms. Between two checks a time could pass, and the freed slot went to a caller that had given up: the engine computed for nobody. The queue now looks at the time itself before it dispatches; checking the whole estimate there was ruled out, since just after a slot is freed it is one service time too high and would refuse the one about to go.

--- a/sequoiausher/coordination/limits/admissionqueue.cpp
+++ b/sequoiausher/coordination/limits/admissionqueue.cpp
@@ -71,6 +71,8 @@
 
     void pump(Millis now, std::vector<QueueAction> &actions)
     {
+        // Between two checks a time may pass unseen; the target would then work for a caller that has given up.
+        this->refuseLate(now, false, actions);
         while (this->hasRoom(now) && this->waiting() > 0) {
             const std::size_t index = this->nextClass();
             for (std::size_t other = 0; other < requestClassCount; ++other) {
@@ -152,11 +154,17 @@
     void check(Millis now, std::vector<QueueAction> &actions)
     {
         this->lastCheck = now;
+        this->refuseLate(now, true, actions);
+    }
+
+    /** Refuses those whose time is up or, by the estimate, will be. */
+    void refuseLate(Millis now, bool byEstimate, std::vector<QueueAction> &actions)
+    {
         std::vector<QueueAction> late;
         for (std::size_t index = 0; index < requestClassCount; ++index) {
             this->classes[index].forEach([&](const QueueEntry &entry, std::size_t ahead) {
                 const Millis estimated = this->wait(now, index, ahead);
-                if (now + estimated > entry.dispatchBy) {
+                if (now + (byEstimate ? estimated : Millis{0}) > entry.dispatchBy) {
                     late.push_back({entry, this->refusal(entry, RefuseReason::Deadline, estimated)});
                 }
             });
--- a/sequoiausher/coordination/limits/admissionqueuetest.cpp
+++ b/sequoiausher/coordination/limits/admissionqueuetest.cpp
@@ -166,6 +166,19 @@
     CHECK(busy.actions.front().entry.request.low == 51);
 }
 
+// Symptom: an engine computes for a caller that has hung up. Sequence: a request's time passes between two checks, then
+// a slot is freed. Cause: the time is not looked at when it goes on.
+TEST_CASE("a request whose time has passed does not go on")
+{
+    Busy busy;
+    const QueueEntry entry = entryOf(1, "a", RequestClass::Urgent, Millis{30});
+    REQUIRE(busy.queue.offer(Millis{1}, entry, busy.actions).verdict == QueueVerdict::Queue);
+    busy.queue.finish(Millis{31}, busy.flying, busy.actions);
+    REQUIRE(busy.actions.size() == 1);
+    CHECK(busy.actions.front().decision.reason == RefuseReason::Deadline);
+    CHECK(busy.queue.inFlight() == 0);
+}
+
 TEST_CASE("a pool without room: the request keeps its place, the slots shrink and grow again")
 {
     AdmissionQueue queue({4, 10, Millis{50}, Millis{1000}, Millis{30000}});
