Correct the stated error of the fleet-wide limits

The note said 18% for a demand that doubles in 10 s and is known 2.5 s late. Worked out again, 1 - 2^-0.25 = 0.16, and 0.2 + 0.8 / 0.84 = 1.15. This is arithmetic, not a measurement.

--- a/sequoiausher/coordination/limits/ratelimit.h
+++ b/sequoiausher/coordination/limits/ratelimit.h
@@ -19,8 +19,8 @@
 // of the owner would stop an organisation or lift its limit.
 //
 // The error. With an exact demand the shares add up to L. Where the fleet's demand is known too low by a factor
-// (1 - e), they add up to at most L x (f + (1 - f) / (1 - e)): 18% above L for e = 0.18, the growth of a demand that
-// doubles in 10 s, over reports 2.5 s old. Each bucket adds burstSeconds x its share, once. A router's share is bounded
+// (1 - e), they add up to at most L x (f + (1 - f) / (1 - e)): 15% above L for e = 0.16, as when a demand that
+// doubles in 10 s is known 2.5 s late. Each bucket adds burstSeconds x its share, once. A router's share is bounded
 // to maxShareOverEven times the even one, so that a wrong sum cannot lift a limit altogether. In a partition whose
 // sides keep an old list, N counts all routers: a side admits at most its part by the static share. Once the list
 // shrinks to the side each side admits L.
