Let a closing connection finish as long as its caller reads

A connection that was to close was cut off two seconds later, even with an answer still on its way to a slow caller: a graceful stop must cut off nobody. The limit now counts 30 s from the last bytes taken. A test holds 24 MiB back for 2.5 s during a stop and reads them whole.

--- a/sequoiausher/transport/http/httpserver.h
+++ b/sequoiausher/transport/http/httpserver.h
@@ -70,7 +70,8 @@
 
     /**
      * First step of a graceful stop: takes the connections that wait in the accept queue, closes the listener, and
-     * answers each further request with "Connection: close". Exchanges in progress go on.
+     * answers each further request with "Connection: close". Exchanges in progress go on. The stop is over when, after
+     * openExchanges() is 0 and closeIdleConnections(), openConnections() is 0: until then bytes of answers may wait.
      */
     void stopAccepting();
     /** Closes the connections that have no exchange and no partly read request. For the end of a graceful stop. */
--- a/sequoiausher/transport/http/httpservertest.cpp
+++ b/sequoiausher/transport/http/httpservertest.cpp
@@ -267,6 +267,33 @@
     CHECK(!late.waitForConnected(1000));
 }
 
+TEST_CASE("a slow caller gets its answer whole during a graceful stop")
+{
+    // Symptom: answers are cut short whenever routers are replaced. The stream had ended, the connection was told to
+    // close, and it was cut off after a fixed time although the caller was still reading.
+    constexpr std::size_t bytes = std::size_t{24} << 20U;
+    Bench bench;
+    bench.socket.setReadBufferSize(1024);
+    const auto exchange = bench.ask(get);
+    bench.server.stopAccepting();
+    exchange->startStream(200, {});
+    exchange->writeChunk(std::string(bytes, 'x'));
+    exchange->endStream();
+    runFor(2500);
+    CHECK(bench.server.openExchanges() == 0);
+    CHECK(bench.server.openConnections() == 1);
+    bench.socket.setReadBufferSize(0);
+    std::string all;
+    CHECK(runUntil([&] {
+        all += bench.socket.readAll().toStdString();
+        return bench.socket.state() == QAbstractSocket::UnconnectedState;
+    }));
+    all += bench.socket.readAll().toStdString();
+    CHECK(all.size() > bytes);
+    CHECK(all.substr(all.size() - 5) == "0\r\n\r\n");
+    CHECK(runUntil([&bench] { return bench.server.openConnections() == 0; }));
+}
+
 TEST_CASE("two servers share a port only where both ask for it")
 {
     testApplication();
--- a/sequoiausher/transport/http/serversocket.cpp
+++ b/sequoiausher/transport/http/serversocket.cpp
@@ -10,8 +10,10 @@
 
 namespace {
 
-/** How long a connection that we close may take to read what was written last. */
-constexpr int closingGraceMs = 2000;
+/** How long a connection whose request was refused is read on, so that its caller can read the refusal. */
+constexpr int refusedGraceMs = 2000;
+/** A closing connection whose caller takes nothing for so long is cut off. */
+constexpr int stalledAfterMs = 30000;
 
 } // namespace
 
@@ -46,7 +48,11 @@
         return;
     }
     this->closing = true;
-    QTimer::singleShot(closingGraceMs, this, [this] { this->abort(); });
+    // Counted from the last progress: a slow caller must get its answer whole, also during a graceful stop.
+    auto *stalled = new QTimer(this);
+    QObject::connect(stalled, &QTimer::timeout, this, [this] { this->abort(); });
+    QObject::connect(this, &QTcpSocket::bytesWritten, stalled, [stalled] { stalled->start(stalledAfterMs); });
+    stalled->start(stalledAfterMs);
     this->disconnectFromHost();
 }
 
@@ -81,7 +87,7 @@
     }
     // Closing with bytes unread resets the connection, and the caller may lose the answer: read on for a while.
     this->closing = true;
-    QTimer::singleShot(closingGraceMs, this, [this] { this->abort(); });
+    QTimer::singleShot(refusedGraceMs, this, [this] { this->abort(); });
 }
 
 void ServerSocket::clientGone()
--- a/sequoiausher/transport/http/serversocket.h
+++ b/sequoiausher/transport/http/serversocket.h
@@ -50,7 +50,7 @@
      * cut, since QHttpServer frees its request object by one of its own.
      */
     void silence();
-    /** Sends what was written and closes; a caller that does not read it in time is cut off. */
+    /** Sends what was written and closes; a caller that takes nothing of it for long is cut off. */
     void closeGracefully();
     /** A whole request has been read: the next byte belongs to another one. */
     void requestComplete()
