--- a/sequoiausher/coordination/admission/ownedshards.h
+++ b/sequoiausher/coordination/admission/ownedshards.h
@@ -22,11 +22,14 @@
     /** Takes up what map now gives to this router, drops what it gives to others, and renews targets and entries. */
     void update(Millis now, const ShardMap &map);
 
+    /** Takes over the sums that map heard on heartbeats; call after each heartbeat or about twice a second. */
+    void noteSums(const ShardMap &map);
+
     /** The router is known to have died; not for one that is leaving, which still holds its streams. */
-    void instanceGone(Millis now, const InstanceId &instance);
+    void instanceGone(const InstanceId &instance);
 
     /** What a target said of its load; ignored for targets of other owners. */
-    void reportLoad(Millis now, const TargetId &target, std::uint32_t load, Millis measuredAt);
+    void reportLoad(const TargetId &target, std::uint32_t load, Millis measuredAt);
 
     /** Answers NotOwner for a shard of another router. */
     void receive(Millis now, const InstanceId &from, const ReserveRequest &message, Outbox &outbox);
