Carry requests: the node, its workers and the daemon

Why: the decisions stood alone; a request now goes from a client through one of several router processes to an engine process and back, claimed, reserved and checked at each hop.

A refusal of a keyed request says 'not run' only where its key was found free: before that an earlier attempt may be running.

Ruled out: refusing a keyed retry as 'not run' when the pool is full before its claim is answered (a first attempt may be stamping the plate), and claiming after reserving (a second round trip).

--- a/sequoiausher/cli/main.cpp
+++ b/sequoiausher/cli/main.cpp
@@ -1,6 +1,7 @@
 #include "sequoiausher/cli/checkcommand.h"
 #include "sequoiausher/cli/commandline.h"
 #include "sequoiausher/cli/explaincommand.h"
+#include "sequoiausher/cli/routercommand.h"
 
 #include <exception>
 #include <iostream>
@@ -12,6 +13,7 @@
         CommandLine line;
         line.add(std::make_unique<CheckCommand>());
         line.add(std::make_unique<ExplainCommand>());
+        line.add(std::make_unique<RouterCommand>());
         return toStatus(line.run({argv + 1, argv + argc}, std::cout, std::cerr));
     } catch (const std::exception &error) {
         std::cerr << "sequoiausher: " << error.what() << "\n";
--- a/sequoiausher/coordination/flow/flowaction.h
+++ b/sequoiausher/coordination/flow/flowaction.h
@@ -121,6 +121,12 @@
     std::vector<TargetId> excluded;
 };
 
+/** No target has room: wait in the queue, then go on with RequestFlow::requeued(). */
+struct Requeue
+{
+    Millis retryAfter;
+};
+
 /** Give the reservation back. */
 struct ReleaseReservation
 {
@@ -182,6 +188,7 @@
 using FlowAction = std::variant<StartClaim,
                                 WithdrawClaim,
                                 Reserve,
+                                Requeue,
                                 ReleaseReservation,
                                 Dispatch,
                                 ResumeStream,
--- a/sequoiausher/coordination/flow/requestflow.cpp
+++ b/sequoiausher/coordination/flow/requestflow.cpp
@@ -1,5 +1,7 @@
 #include "sequoiausher/coordination/flow/requestflow.h"
 
+#include <optional>
+
 namespace Sequoiausher {
 
 namespace {
@@ -52,6 +54,10 @@
     Part reservation = Part::Awaited;
     TargetId target;
     std::vector<TargetId> excluded;
+    /** Set where no target can be had, until the claim says whether an earlier attempt has the key. */
+    std::optional<Refuse> afterClaim;
+    /** The claim showed that no other attempt of the key ran, so that 'not run' is the truth. */
+    bool keyIsOurs = false;
     int dispatches = 0;
     int resumes = 0;
     /** The dispatch in progress, or an earlier one, may have run. */
@@ -82,9 +88,11 @@
     this->stage = Stage::Done;
 }
 
+// This call was not run. Whether the request was is known only where it has no key, or the key was found free.
 void RequestFlow::Private::refuseNotRun(FlowActions &actions, int status, RefusalReason reason, Millis retryAfter)
 {
-    this->finishWith(actions, Refuse{status, Ran::No, reason, retryAfter});
+    const Ran ran = this->facts.claims && !this->keyIsOurs ? Ran::Unknown : Ran::No;
+    this->finishWith(actions, Refuse{status, ran, reason, retryAfter});
 }
 
 void RequestFlow::Private::endUnknown(FlowActions &actions, int status, RefusalReason reason)
@@ -164,7 +172,13 @@
     this->d->claim = finding.result == ClaimResult::Acquired ? Part::Held : Part::NotNeeded;
     switch (finding.result) {
     case ClaimResult::Acquired:
-        this->d->dispatchIfReady(actions);
+        this->d->keyIsOurs = true;
+        if (this->d->afterClaim) {
+            const Refuse refuse = *this->d->afterClaim;
+            this->d->refuseNotRun(actions, refuse.status, refuse.reason, refuse.retryAfter);
+        } else {
+            this->d->dispatchIfReady(actions);
+        }
         break;
     case ClaimResult::HeldByOther:
         this->d->giveBack(actions);
@@ -204,12 +218,35 @@
     if (this->d->possiblyRun) {
         // A second dispatch of an idempotent request found no place; the first may have run.
         this->d->endUnknown(actions, statusBadGateway, reason);
+    } else if (this->d->claim == Part::Awaited) {
+        this->d->afterClaim = Refuse{statusUnavailable, Ran::No, reason, retryAfter};
+    } else if (reason == RefusalReason::PoolFull && !this->d->facts.claims) {
+        actions.emplace_back(Requeue{retryAfter});
     } else {
         this->d->refuseNotRun(actions, statusUnavailable, reason, retryAfter);
     }
     return actions;
 }
 
+FlowActions RequestFlow::requeued(Millis now)
+{
+    FlowActions actions = this->tick(now);
+    if (this->d->stage == Stage::Admitting && this->d->reservation == Part::NotNeeded) {
+        this->d->reservation = Part::Awaited;
+        actions.emplace_back(Reserve{this->d->excluded});
+    }
+    return actions;
+}
+
+FlowActions RequestFlow::shed(Millis now, Millis retryAfter)
+{
+    FlowActions actions = this->tick(now);
+    if (this->d->stage == Stage::Admitting) {
+        this->d->refuseNotRun(actions, statusUnavailable, RefusalReason::PoolFull, retryAfter);
+    }
+    return actions;
+}
+
 FlowActions RequestFlow::dispatchTooLate(Millis now)
 {
     FlowActions actions;
@@ -218,6 +255,8 @@
     }
     (void)now;
     this->d->possiblyRun = this->d->earlierMayHaveRun;
+    // While this router slept, the witnesses may have forgotten the claim and let another attempt run.
+    this->d->keyIsOurs = false;
     if (this->d->possiblyRun) {
         this->d->endUnknown(actions, statusBadGateway, RefusalReason::WokeLate);
     } else {
--- a/sequoiausher/coordination/flow/requestflow.h
+++ b/sequoiausher/coordination/flow/requestflow.h
@@ -21,7 +21,11 @@
 /** What the flow must know of its request. */
 struct FlowFacts
 {
-    /** The request carries an idempotency key, so it is claimed before dispatch. */
+    /**
+     * The request carries an idempotency key, so it is claimed before dispatch. Until the claim is answered nothing
+     * is known of earlier attempts, so an end before that says 'unknown' and not 'not run': the request is the key's,
+     * and a first attempt may be running elsewhere.
+     */
     bool claims = false;
     /** Running it twice does no harm: it may be sent again after it may have run. */
     bool idempotent = false;
@@ -55,6 +59,12 @@
     /** The reservation was answered. An answer that arrives when none is awaited gives the place back. */
     FlowActions reserved(Millis now, const ReserveReply &reply);
 
+    /** The queue let the request go on after Requeue. */
+    FlowActions requeued(Millis now);
+
+    /** The queue gave the request up after Requeue; nothing was sent. */
+    FlowActions shed(Millis now, Millis retryAfter);
+
     /** The claim's time for dispatch had passed when Dispatch was carried out; nothing was sent. */
     FlowActions dispatchTooLate(Millis now);
 
--- a/sequoiausher/protocol/codec/framereader.cpp
+++ b/sequoiausher/protocol/codec/framereader.cpp
@@ -257,6 +257,7 @@
         }
         const auto *refusal = this->frame.refusals()->Get(static_cast<flatbuffers::uoffset_t>(this->refusalsTaken++));
         vote.heldBy = numberOf<RequestId>(refusal->held_by());
+        vote.retryAfter = spanOf(refusal->retry_after());
     }
     const auto verdict = enumOf<ClaimVerdict>(m->verdict());
     if (!verdict.has_value()) {
--- a/sequoiausher/protocol/settings/instancesdocument.cpp
+++ b/sequoiausher/protocol/settings/instancesdocument.cpp
@@ -3,6 +3,7 @@
 #include "sequoiausher/base/ini/inidocument.h"
 #include "sequoiausher/base/ini/inireader.h"
 
+#include <limits>
 #include <unordered_set>
 
 namespace Sequoiausher {
@@ -20,6 +21,10 @@
     instance.peerAddress = section.address("peer_address").value_or("");
     instance.dataCentre.value = section.plainName("data_centre").value_or("");
     instance.state = section.name<LifeState>("state").value_or(instance.state);
+    constexpr std::int64_t anyIncarnation = std::numeric_limits<std::int64_t>::max();
+    if (const auto incarnation = section.integer("first_start", {1, anyIncarnation, "incarnation"})) {
+        instance.firstStart = static_cast<Incarnation>(*incarnation);
+    }
     section.finish();
     return instance;
 }
--- a/sequoiausher/protocol/settings/instancesdocument.h
+++ b/sequoiausher/protocol/settings/instancesdocument.h
@@ -9,6 +9,7 @@
 #include "sequoiausher/base/ini/problem.h"
 #include "sequoiausher/state/targets/lifestate.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,6 +26,11 @@
     std::string peerAddress;
     DataCentreId dataCentre;
     LifeState state = LifeState::Live;
+    /**
+     * The operators' word that this incarnation starts a fleet that never ran: its witness votes at once. A restart
+     * has another incarnation, so the word does not free it.
+     */
+    std::optional<Incarnation> firstStart;
 
     bool operator==(const InstanceDescription &) const = default;
 };
--- a/sequoiausher/transport/peers/acceptedlink.cpp
+++ b/sequoiausher/transport/peers/acceptedlink.cpp
@@ -24,7 +24,7 @@
 {
 public:
     Private(AcceptedLink &link,
-            const PeerSettings &with,
+            const LinkSettings &with,
             std::unique_ptr<QTcpSocket> accepted,
             PeerCounters &counting,
             AcceptedLinkListener &listening);
@@ -42,7 +42,7 @@
     void write(const std::string &body);
 
     AcceptedLink &self;
-    const PeerSettings &settings;
+    const LinkSettings &settings;
     std::unique_ptr<QTcpSocket> socket;
     PeerCounters &counters;
     AcceptedLinkListener &listener;
@@ -52,7 +52,7 @@
 };
 
 AcceptedLink::Private::Private(AcceptedLink &link,
-                               const PeerSettings &with,
+                               const LinkSettings &with,
                                std::unique_ptr<QTcpSocket> accepted,
                                PeerCounters &counting,
                                AcceptedLinkListener &listening)
@@ -170,7 +170,7 @@
     }
 }
 
-AcceptedLink::AcceptedLink(const PeerSettings &settings,
+AcceptedLink::AcceptedLink(const LinkSettings &settings,
                            std::unique_ptr<QTcpSocket> socket,
                            PeerCounters &counters,
                            AcceptedLinkListener &listener)
--- a/sequoiausher/transport/peers/acceptedlink.h
+++ b/sequoiausher/transport/peers/acceptedlink.h
@@ -6,8 +6,8 @@
 //     AcceptedLink link(settings, socket, counters, listener);
 
 #include "sequoiausher/protocol/codec/hellocodec.h"
+#include "sequoiausher/transport/peers/linksettings.h"
 #include "sequoiausher/transport/peers/peercounters.h"
-#include "sequoiausher/transport/peers/peersettings.h"
 
 #include "sequoiausher/coordination/messages/peermessage.h"
 
@@ -38,7 +38,7 @@
 {
 public:
     /** Takes the socket over. All references outlive the link. */
-    AcceptedLink(const PeerSettings &settings,
+    AcceptedLink(const LinkSettings &settings,
                  std::unique_ptr<QTcpSocket> socket,
                  PeerCounters &counters,
                  AcceptedLinkListener &listener);
--- a/sequoiausher/transport/peers/peersettings.h
+++ b/sequoiausher/transport/peers/linksettings.h
@@ -2,7 +2,7 @@
 
 // Who this router is to its peers, and the limits of its links. The defaults fit peers within a region.
 //
-//     PeerSettings settings{InstanceId{"r1"}, incarnation, DataCentreId{"brest-1"}};
+//     LinkSettings settings{InstanceId{"r1"}, incarnation, DataCentreId{"brest-1"}};
 
 #include "sequoiausher/base/identifiers.h"
 #include "sequoiausher/base/millis.h"
@@ -12,7 +12,7 @@
 namespace Sequoiausher {
 
 /** What every link of one router shares. */
-struct PeerSettings
+struct LinkSettings
 {
     InstanceId self;
     Incarnation incarnation = 0;
--- a/sequoiausher/transport/peers/peerlink.cpp
+++ b/sequoiausher/transport/peers/peerlink.cpp
@@ -36,12 +36,12 @@
 class PeerLink::Private : public QObject
 {
 public:
-    Private(const PeerSettings &with, InstanceId to, PeerAddress at, PeerCounters &counting, Changed onChange);
+    Private(const LinkSettings &with, InstanceId to, PeerAddress at, PeerCounters &counting, Changed onChange);
     ~Private() override;
 
     bool send(PeerMessage message);
 
-    const PeerSettings &settings;
+    const LinkSettings &settings;
     InstanceId peer;
     PeerAddress address;
     bool up = false;
@@ -83,7 +83,7 @@
     bool signAsked = false;
 };
 
-PeerLink::Private::Private(const PeerSettings &with,
+PeerLink::Private::Private(const LinkSettings &with,
                            InstanceId to,
                            PeerAddress at,
                            PeerCounters &counting,
@@ -333,7 +333,7 @@
     }
 }
 
-PeerLink::PeerLink(const PeerSettings &settings,
+PeerLink::PeerLink(const LinkSettings &settings,
                    InstanceId peer,
                    PeerAddress address,
                    PeerCounters &counters,
--- a/sequoiausher/transport/peers/peerlink.h
+++ b/sequoiausher/transport/peers/peerlink.h
@@ -9,9 +9,9 @@
 
 #include "sequoiausher/base/identifiers.h"
 #include "sequoiausher/coordination/messages/peermessage.h"
+#include "sequoiausher/transport/peers/linksettings.h"
 #include "sequoiausher/transport/peers/peeraddress.h"
 #include "sequoiausher/transport/peers/peercounters.h"
-#include "sequoiausher/transport/peers/peersettings.h"
 
 #include <functional>
 #include <memory>
@@ -26,7 +26,7 @@
     using Changed = std::function<void(const InstanceId &peer, Incarnation incarnation, bool up)>;
 
     /** settings and counters outlive the link. Dials nothing yet. */
-    PeerLink(const PeerSettings &settings,
+    PeerLink(const LinkSettings &settings,
              InstanceId peer,
              PeerAddress address,
              PeerCounters &counters,
--- a/sequoiausher/transport/peers/peermesh.cpp
+++ b/sequoiausher/transport/peers/peermesh.cpp
@@ -18,7 +18,7 @@
 class PeerMesh::Private : public QObject, public AcceptedLinkListener
 {
 public:
-    Private(PeerSettings with, PeerListener &listening) : settings(std::move(with)), listener(listening)
+    Private(LinkSettings with, PeerListener &listening) : settings(std::move(with)), listener(listening)
     {
         QObject::connect(&this->server, &QTcpServer::newConnection, this, [this] { this->accept(); });
     }
@@ -33,7 +33,7 @@
     void closeLater(AcceptedLink &link);
     std::unique_ptr<PeerLink> makeLink(const InstanceId &peer, const PeerAddress &address);
 
-    PeerSettings settings;
+    LinkSettings settings;
     PeerListener &listener;
     PeerCounters counters;
     QTcpServer server;
@@ -131,7 +131,7 @@
     }
 }
 
-PeerMesh::PeerMesh(PeerSettings settings, PeerListener &listener)
+PeerMesh::PeerMesh(LinkSettings settings, PeerListener &listener)
     : d(std::make_unique<Private>(std::move(settings), listener))
 {
 }
--- a/sequoiausher/transport/peers/peermesh.h
+++ b/sequoiausher/transport/peers/peermesh.h
@@ -9,9 +9,9 @@
 //     mesh.send(InstanceId{"r2"}, probe);
 
 #include "sequoiausher/coordination/messages/peermessage.h"
+#include "sequoiausher/transport/peers/linksettings.h"
 #include "sequoiausher/transport/peers/peeraddress.h"
 #include "sequoiausher/transport/peers/peercounters.h"
-#include "sequoiausher/transport/peers/peersettings.h"
 
 #include <map>
 #include <memory>
@@ -39,7 +39,7 @@
 {
 public:
     /** listener outlives the mesh. */
-    PeerMesh(PeerSettings settings, PeerListener &listener);
+    PeerMesh(LinkSettings settings, PeerListener &listener);
     ~PeerMesh();
 
     /** Listens; port 0 takes a free one. Throws Error(Step::Listen, address, ...). */
--- a/sequoiausher/transport/peers/peermeshtest.cpp
+++ b/sequoiausher/transport/peers/peermeshtest.cpp
@@ -52,9 +52,9 @@
         this->mesh.listen({"127.0.0.1", onPort});
     }
 
-    static PeerSettings settingsOf(const std::string &name, Incarnation incarnation)
+    static LinkSettings settingsOf(const std::string &name, Incarnation incarnation)
     {
-        PeerSettings settings{InstanceId{name}, incarnation, DataCentreId{"brest-1"}};
+        LinkSettings settings{InstanceId{name}, incarnation, DataCentreId{"brest-1"}};
         settings.silence = Millis{300};
         settings.idleClose = Millis{1500};
         settings.redialFirst = Millis{20};
--- /dev/null
+++ b/sequoiausher/transport/router/node.h
@@ -0,0 +1,122 @@
+#pragma once
+
+// One router's part in the fleet: it joins the decisions (membership, spread of configuration, claims, admission,
+// limits) to the links between routers, to the platform's service and to the workers that carry requests.
+//
+//     Node node(settings, incarnation, log, metrics);
+//     node.start();                                 // on the control thread
+//     node.claim(claim);                            // from any worker; the result comes to the request's RequestEar
+//
+// Locks follow LockRank (state/lockorder.h). Each decision is locked, asked, and unlocked; the messages and results
+// that come out are carried on without a lock. Messages of this router to itself come back as if from the wire.
+
+#include "sequoiausher/base/log/log.h"
+#include "sequoiausher/base/metrics/metrics.h"
+#include "sequoiausher/coordination/admission/reserver.h"
+#include "sequoiausher/coordination/claims/claimant.h"
+#include "sequoiausher/coordination/limits/dispatchqueue.h"
+#include "sequoiausher/coordination/limits/ratelimit.h"
+#include "sequoiausher/protocol/settings/fleetconfiguration.h"
+#include "sequoiausher/protocol/settings/routersettings.h"
+#include "sequoiausher/state/answers/answertable.h"
+#include "sequoiausher/state/targets/targettable.h"
+#include "sequoiausher/transport/peers/peercounters.h"
+#include "sequoiausher/transport/router/requestregistry.h"
+
+#include <memory>
+#include <string>
+
+namespace Sequoiausher {
+
+/** What an operator sees of one router; filled by Node::status(). */
+struct NodeStatus
+{
+    InstanceId instance;
+    Incarnation incarnation = 0;
+    bool ready = false;
+    bool leaving = false;
+    Revision highestRevision = 0;
+    std::uint64_t digest = 0;
+    std::string refusal;
+    std::vector<InstanceId> listed;
+    std::vector<InstanceId> reachable;
+    std::vector<InstanceId> live;
+    std::vector<ShardSum> sums;
+    std::vector<std::shared_ptr<const PoolView>> pools;
+    std::vector<ShardId> ownedShards;
+    PeerCounters counters;
+    std::uint64_t platformCalls = 0;
+    std::size_t claims = 0;
+    bool mayVote = false;
+    std::size_t requests = 0;
+    std::size_t held = 0;
+    std::size_t waiting = 0;
+};
+
+/** See above. Functions may be called from any thread, unless they say otherwise. */
+class Node
+{
+public:
+    /** Made on the control thread, where its event loop runs. @param log and metrics outlive it. */
+    Node(const RouterSettings &settings, Incarnation incarnation, const Log &log, Metrics &metrics);
+    ~Node();
+    Node(const Node &) = delete;
+    Node &operator=(const Node &) = delete;
+
+    /** Listens for peers and begins to read the configuration. Control thread. @throws Error (Step::Listen). */
+    void start();
+
+    const RouterSettings &settings() const;
+    const InstanceId &self() const;
+    /** The configuration in force; null before the first. */
+    std::shared_ptr<const FleetConfiguration> configuration() const;
+    /** Whether requests may be taken: a configuration is in force and was not slept over, and no stop is planned. */
+    bool isReady() const;
+    /** The same, but also true during a planned stop, in which what still arrives is served. */
+    bool mayServe() const;
+
+    RequestRegistry &requests();
+    AnswerTable &answers();
+
+    /** Starts the claim of a request's key; ends in claimEnded. */
+    void claim(const Claim &claim);
+    /** See Claimant. */
+    bool mayDispatch(const RequestId &attempt);
+    bool isKeyUnrun(const RequestId &attempt) const;
+    void withdraw(const RequestId &attempt);
+    void finished(const RequestId &attempt);
+
+    /** Starts a reservation; ends in reservationEnded. */
+    void reserve(const Wanted &wanted);
+    void release(const RequestId &request);
+
+    /** Whether the organisation may have one request more now. */
+    LimitDecision takeRate(const OrganisationId &organisation, RequestClass requestClass, const RuleLimits &limits);
+    /** Queues a request before its pool; Queue ends in queueDecided. */
+    QueueDecision enqueue(const PoolId &pool, const QueueEntry &entry);
+    void requeue(const PoolId &pool, const RequestId &request, Millis retryAfter);
+    void dequeue(const PoolId &pool, const RequestId &request);
+
+    /** Sends a message about an attached answer to another router. */
+    void send(const InstanceId &to, PeerMessage message);
+
+    /** The target, with its newest life; null where it is not known (any more). */
+    std::optional<TargetView> target(const PoolId &pool, const TargetId &target) const;
+    /** What rules may ask about pools. */
+    std::shared_ptr<const std::vector<PoolState>> poolStates() const;
+
+    /** A planned stop: tells the peers, hands over claims, refuses new requests. Control thread. */
+    void beginLeaving();
+    /** The last words before the process ends. Control thread. */
+    void endLeaving();
+    bool isLeaving() const;
+
+    /** Control thread. */
+    NodeStatus status() const;
+
+private:
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace Sequoiausher
