--- a/sequoiausher/coordination/claims/claimant.cpp
+++ b/sequoiausher/coordination/claims/claimant.cpp
@@ -1,7 +1,7 @@
 #include "sequoiausher/coordination/claims/claimant.h"
 
 #include "sequoiausher/base/error.h"
-#include "sequoiausher/coordination/claims/ballot.h"
+#include "sequoiausher/coordination/claims/claimattempt.h"
 
 #include <algorithm>
 #include <set>
@@ -10,6 +10,8 @@
 
 namespace Sequoiausher {
 
+using namespace Internal;
+
 namespace {
 
 /** How often an attempt asks anew after it gave way to a smaller one. */
@@ -21,43 +23,6 @@
 /** Renewals of a running claim within one lifetime. */
 constexpr std::int64_t renewalsPerLifetime = 4;
 
-enum class Phase {
-    Asking,
-    /** Withdrawn in favour of a smaller attempt; the next round begins at the timer. */
-    BackingOff,
-    Acquired,
-    Dispatched,
-    /** Surely not dispatched, ever; kept to answer late grants. */
-    Withdrawn,
-};
-
-struct Attempt
-{
-    Claim claim;
-    Phase phase = Phase::Asking;
-    std::uint32_t round = 1;
-    Ballot ballot;
-    Millis dispatchBy;
-    Millis giveUpAt;
-    Millis timer;
-    Millis withdrawnAt;
-    int stays = 0;
-    int repeats = 0;
-};
-
-struct Timer
-{
-    Millis at;
-    RequestId attempt;
-
-    auto operator<=>(const Timer &) const = default;
-};
-
-bool isActive(Phase phase)
-{
-    return phase != Phase::Withdrawn;
-}
-
 } // namespace
 
 class Claimant::Private
