--- a/sequoiausher/coordination/admission/shardowner.cpp
+++ b/sequoiausher/coordination/admission/shardowner.cpp
@@ -1,6 +1,7 @@
 #include "sequoiausher/coordination/admission/shardowner.h"
 
 #include "sequoiausher/coordination/admission/recentchats.h"
+#include "sequoiausher/coordination/admission/targetcount.h"
 #include "sequoiausher/coordination/policies/loadbound.h"
 #include "sequoiausher/coordination/policies/policy.h"
 
@@ -14,8 +15,6 @@
 
 namespace {
 
-// Counts are remembered for this long, to be compared with a report that lags.
-constexpr Millis historySpan{3000};
 // 17 million chats on 625 shards are 27,000 for each.
 constexpr std::size_t chatsRemembered = 32768;
 
@@ -34,24 +33,12 @@
     std::unordered_set<RequestId> held;
 };
 
-struct PastCount
-{
-    Millis since;
-    std::int64_t counted;
-};
-
 struct Cell
 {
     TargetId target;
     LifeState state = LifeState::Live;
     std::optional<std::uint32_t> capacity;
-    std::uint32_t counted = 0;
-    /** The counts of the last seconds, oldest first. */
-    std::deque<PastCount> history;
-    std::uint32_t reported = 0;
-    std::optional<Millis> reportedAt;
-    /** What the last report had more than was counted at the moment it was measured. */
-    std::int64_t uncounted = 0;
+    TargetCount count;
 };
 
 } // namespace
@@ -60,15 +47,14 @@
 {
 public:
     Cell *find(const TargetId &target);
-    std::int64_t estimate(const Cell &cell, Millis now) const;
+    std::uint32_t estimate(const Cell &cell, Millis now) const;
     void refreshLoad(Millis now);
     std::uint64_t bound(std::uint32_t percent) const;
     void applyLimits(const ReserveRequest &message);
     bool mayBeUsed(const Cell &cell, const ReserveRequest &message) const;
     void hold(Millis now, const RequestId &request, const InstanceId &entry, const TargetId &target);
     TargetId letGo(const RequestId &request);
-    void change(Millis now, const TargetId &target, int by);
-    void learn(const TargetId &target, int by);
+    void forget(const RequestId &request);
     bool settled(Millis now) const;
     ReserveReply decide(Millis now, const InstanceId &from, const ReserveRequest &message);
     Policy &policy(PolicyKind kind);
@@ -107,13 +93,12 @@
     return now >= this->createdAt + this->settings.settleTime || (this->entriesKnown && this->awaited.empty());
 }
 
-std::int64_t ShardOwner::Private::estimate(const Cell &cell, Millis now) const
+std::uint32_t ShardOwner::Private::estimate(const Cell &cell, Millis now) const
 {
     // Measured before this router took over, a report cannot be told apart from what ended or began since; once all
     // entries have spoken, the counts alone are better.
-    const bool comparable = cell.reportedAt && (*cell.reportedAt >= this->createdAt || !this->settled(now));
-    const bool fresh = comparable && now <= *cell.reportedAt + this->settings.reportLife;
-    return std::max(cell.counted + (fresh ? cell.uncounted : 0), std::int64_t{0});
+    const Millis oldest = now - this->settings.reportLife;
+    return cell.count.estimate(this->settled(now) ? std::max(oldest, this->createdAt) : oldest);
 }
 
 void ShardOwner::Private::refreshLoad(Millis now)
@@ -124,10 +109,10 @@
     for (std::size_t i = 0; i < this->cells.size(); ++i) {
         const Cell &cell = this->cells[i];
         TargetLoad &seen = this->load.targets[i];
-        const auto estimated = static_cast<std::uint32_t>(this->estimate(cell, now));
+        const std::uint32_t estimated = this->estimate(cell, now);
         // What is counted may be on its way to the target, so a lower report takes nothing off.
-        seen.inFlight = std::max(cell.counted, estimated);
-        seen.reported = cell.reportedAt ? cell.reported : cell.counted;
+        seen.inFlight = std::max(cell.count.counted(), estimated);
+        seen.reported = cell.count.reported();
         if (cell.state == LifeState::Live) {
             this->load.total += estimated;
             this->highTotal += seen.inFlight;
@@ -164,34 +149,6 @@
     }
 }
 
-/** The load of the target changes now: a grant or a release. */
-void ShardOwner::Private::change(Millis now, const TargetId &target, int by)
-{
-    Cell *cell = this->find(target);
-    if (cell == nullptr) {
-        return;
-    }
-    cell->counted = static_cast<std::uint32_t>(static_cast<int>(cell->counted) + by);
-    cell->history.push_back(PastCount{now, cell->counted});
-    while (cell->history.size() > 1 && cell->history[1].since + historySpan <= now) {
-        cell->history.pop_front();
-    }
-}
-
-/** What is known of the target changes, not its load: work that ran before is counted now, or no longer. */
-void ShardOwner::Private::learn(const TargetId &target, int by)
-{
-    Cell *cell = this->find(target);
-    if (cell == nullptr) {
-        return;
-    }
-    cell->counted = static_cast<std::uint32_t>(static_cast<int>(cell->counted) + by);
-    cell->uncounted -= by;
-    for (PastCount &past : cell->history) {
-        past.counted += by;
-    }
-}
-
 void ShardOwner::Private::hold(Millis now, const RequestId &request, const InstanceId &entry, const TargetId &target)
 {
     this->held[request] = Held{entry, target, now};
@@ -211,6 +168,14 @@
     return target;
 }
 
+/** No longer counts a request that this owner should not have counted, or no longer can. */
+void ShardOwner::Private::forget(const RequestId &request)
+{
+    if (Cell *cell = this->find(this->letGo(request))) {
+        cell->count.learn(-1);
+    }
+}
+
 Policy &ShardOwner::Private::policy(PolicyKind kind)
 {
     std::unique_ptr<Policy> &known = this->policies[kind];
@@ -241,7 +206,7 @@
     }
     const TargetId &target = this->cells[*chosen].target;
     this->hold(now, message.request, from, target);
-    this->change(now, target, 1);
+    this->cells[*chosen].count.change(now, 1);
     this->chats.placed(message.chatHash, target);
     return ReserveReply{message.request, ReserveVerdict::Granted, target, Millis{}};
 }
@@ -271,7 +236,7 @@
         if (known != indexBefore.end()) {
             cell = before[known->second];
         } else {
-            cell.history.push_back(PastCount{now, 0});
+            cell.count = TargetCount(now);
         }
         cell.target = name;
         cell.state = target.description.life.state;
@@ -282,8 +247,9 @@
     }
     for (const auto &entry : this->d->held) {
         // Held already on a target that comes back to this shard.
-        if (!indexBefore.contains(entry.second.target)) {
-            this->d->learn(entry.second.target, 1);
+        Cell *cell = this->d->find(entry.second.target);
+        if (cell != nullptr && !indexBefore.contains(entry.second.target)) {
+            cell->count.learn(1);
         }
     }
 }
@@ -318,26 +284,16 @@
     for (const RequestId &request : lost) {
         // Goes wrong if this counted as a release: a target may run the dead entry's streams until it notices the
         // broken connections, and would be given others on top. Its next report tells.
-        this->d->learn(this->d->letGo(request), -1);
+        this->d->forget(request);
     }
     this->d->entries.erase(entry);
 }
 
 void ShardOwner::reportLoad(const TargetId &target, std::uint32_t load, Millis measuredAt)
 {
-    Cell *cell = this->d->find(target);
-    if (cell == nullptr || (cell->reportedAt && *cell->reportedAt >= measuredAt)) {
-        return;
+    if (Cell *cell = this->d->find(target)) {
+        cell->count.report(load, measuredAt);
     }
-    std::int64_t countedThen = cell->history.front().counted;
-    for (const PastCount &past : cell->history) {
-        if (past.since <= measuredAt) {
-            countedThen = past.counted;
-        }
-    }
-    cell->reported = load;
-    cell->reportedAt = measuredAt;
-    cell->uncounted = std::int64_t{load} - countedThen;
 }
 
 void ShardOwner::receive(Millis now, const InstanceId &from, const ReserveRequest &message, Outbox &outbox)
@@ -358,7 +314,9 @@
 void ShardOwner::receive(Millis now, const InstanceId &from, const Release &message)
 {
     this->d->entries[from].heardAt = now;
-    this->d->change(now, this->d->letGo(message.request), -1);
+    if (Cell *cell = this->d->find(this->d->letGo(message.request))) {
+        cell->count.change(now, -1);
+    }
     if (this->d->released.insert(message.request).second) {
         this->d->releasedOrder.emplace_back(now, message.request);
     }
@@ -382,7 +340,7 @@
     for (const RequestId &request : before) {
         const bool young = now < this->d->held.at(request).since + this->d->settings.reportGrace;
         if (!named.contains(request) && !young) {
-            this->d->learn(this->d->letGo(request), -1);
+            this->d->forget(request);
         }
     }
     for (const Holding &holding : message.holdings) {
@@ -390,7 +348,9 @@
         const bool isCountable = !holding.target.empty() && !this->d->released.contains(holding.request);
         if (isCountable && !this->d->held.contains(holding.request)) {
             this->d->hold(now, holding.request, from, holding.target);
-            this->d->learn(holding.target, 1);
+            if (Cell *cell = this->d->find(holding.target)) {
+                cell->count.learn(1);
+            }
         }
     }
 }
@@ -423,7 +383,7 @@
     ShardSum sum{this->d->shard.pool, this->d->shard.shard, 0, 0};
     for (const Cell &cell : this->d->cells) {
         if (cell.state == LifeState::Live) {
-            sum.inFlight += static_cast<std::uint32_t>(this->d->estimate(cell, now));
+            sum.inFlight += this->d->estimate(cell, now);
             sum.targets += 1;
         }
     }
@@ -433,7 +393,7 @@
 std::uint32_t ShardOwner::counted(const TargetId &target) const
 {
     const Cell *cell = this->d->find(target);
-    return cell == nullptr ? 0 : cell->counted;
+    return cell == nullptr ? 0 : cell->count.counted();
 }
 
 std::size_t ShardOwner::holdings() const
--- /dev/null
+++ b/sequoiausher/coordination/admission/targetcount.cpp
@@ -0,0 +1,69 @@
+#include "sequoiausher/coordination/admission/targetcount.h"
+
+#include <algorithm>
+
+namespace Sequoiausher {
+
+namespace {
+
+// Counts are remembered for this long, to be compared with a report that lags.
+constexpr Millis historySpan{3000};
+
+} // namespace
+
+TargetCount::TargetCount(Millis now)
+{
+    this->history.push_back(Past{now, 0});
+}
+
+void TargetCount::change(Millis now, int by)
+{
+    this->current += by;
+    this->history.push_back(Past{now, this->current});
+    while (this->history.size() > 1 && this->history[1].since + historySpan <= now) {
+        this->history.pop_front();
+    }
+}
+
+void TargetCount::learn(int by)
+{
+    this->current += by;
+    this->uncounted -= by;
+    for (Past &past : this->history) {
+        past.counted += by;
+    }
+}
+
+void TargetCount::report(std::uint32_t load, Millis measuredAt)
+{
+    if (this->reportedAt && *this->reportedAt >= measuredAt) {
+        return;
+    }
+    std::int64_t countedThen = this->history.front().counted;
+    for (const Past &past : this->history) {
+        if (past.since <= measuredAt) {
+            countedThen = past.counted;
+        }
+    }
+    this->lastLoad = load;
+    this->reportedAt = measuredAt;
+    this->uncounted = std::int64_t{load} - countedThen;
+}
+
+std::uint32_t TargetCount::counted() const
+{
+    return static_cast<std::uint32_t>(this->current);
+}
+
+std::uint32_t TargetCount::reported() const
+{
+    return this->reportedAt ? this->lastLoad : this->counted();
+}
+
+std::uint32_t TargetCount::estimate(Millis oldest) const
+{
+    const bool fresh = this->reportedAt && *this->reportedAt >= oldest;
+    return static_cast<std::uint32_t>(std::max(this->current + (fresh ? this->uncounted : 0), std::int64_t{0}));
+}
+
+} // namespace Sequoiausher
--- /dev/null
+++ b/sequoiausher/coordination/admission/targetcounttest.cpp
@@ -0,0 +1,38 @@
+#include "sequoiausher/coordination/admission/targetcount.h"
+
+#include <doctest/doctest.h>
+
+using namespace Sequoiausher;
+
+TEST_CASE("a late report is compared with the count of its own moment")
+{
+    TargetCount count(Millis{0});
+    count.change(Millis{100}, 1);
+    count.change(Millis{200}, 1);
+    count.change(Millis{700}, 1);
+    count.report(2, Millis{200});
+    CHECK(count.estimate(Millis{0}) == 3);
+    count.report(7, Millis{300});
+    CHECK(count.estimate(Millis{0}) == 8);
+    count.report(0, Millis{250});
+    CHECK(count.reported() == 7);
+    CHECK(count.estimate(Millis{400}) == 3);
+    CHECK(count.counted() == 3);
+}
+
+TEST_CASE("what entries announce, or a dead one held, changes the count and not the estimate until the next report")
+{
+    TargetCount count(Millis{0});
+    count.report(5, Millis{10});
+    count.learn(1);
+    count.learn(1);
+    CHECK(count.counted() == 2);
+    CHECK(count.estimate(Millis{0}) == 5);
+    count.report(4, Millis{20});
+    CHECK(count.estimate(Millis{0}) == 4);
+    count.learn(-2);
+    CHECK(count.counted() == 0);
+    CHECK(count.estimate(Millis{0}) == 4);
+    count.report(0, Millis{30});
+    CHECK(count.estimate(Millis{0}) == 0);
+}
