--- a/sequoiausher/coordination/membership/reachability.cpp
+++ b/sequoiausher/coordination/membership/reachability.cpp
@@ -36,6 +36,7 @@
     std::vector<InstanceId> changed;
     /** No suspicion expires before. */
     Millis nextExpiry = Millis::never();
+    std::ptrdiff_t unreachableCount = 0;
 
     void startSuspicion(Peer &peer, Millis now)
     {
@@ -47,6 +48,7 @@
     {
         if (peer.unreachable != unreachable) {
             peer.unreachable = unreachable;
+            this->unreachableCount += unreachable ? 1 : -1;
             this->changed.push_back(instance);
         }
     }
@@ -70,7 +72,7 @@
 };
 
 Reachability::Reachability(const InstanceId &self, Incarnation incarnation, Millis suspectFor)
-    : d(new Private{{self, incarnation, 0, false}, suspectFor, {}, {}, {}, Millis::never()})
+    : d(new Private{{self, incarnation, 0, false}, suspectFor, {}, {}, {}, Millis::never(), 0})
 {
 }
 Reachability::~Reachability() = default;
@@ -87,6 +89,7 @@
     }
     for (const auto &[instance, peer] : this->d->peers) {
         if (kept.count(instance) == 0) {
+            this->d->unreachableCount -= peer.unreachable ? 1 : 0;
             this->d->queue.remove(instance);
         }
     }
@@ -176,6 +179,9 @@
 std::vector<InstanceId> Reachability::unreachable() const
 {
     std::vector<InstanceId> instances;
+    if (this->d->unreachableCount == 0) {
+        return instances;
+    }
     for (const auto &[instance, peer] : this->d->peers) {
         if (peer.unreachable) {
             instances.push_back(instance);
--- a/sequoiausher/coordination/membership/sumtable.cpp
+++ b/sequoiausher/coordination/membership/sumtable.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr Millis hopAllowance{100};
+constexpr Millis dropInterval{1000};
 
 /** A shard of a pool. */
 struct ShardKey
@@ -43,6 +44,7 @@
     Millis lifetime;
     std::map<ShardKey, KnownSum> sums;
     std::uint64_t sendClock = 0;
+    Millis nextDrop;
 
     void keep(const ShardSum &sum, Millis countedAt)
     {
@@ -56,7 +58,7 @@
     }
 };
 
-SumTable::SumTable(Millis lifetime) : d(new Private{lifetime, {}, 0})
+SumTable::SumTable(Millis lifetime) : d(new Private{lifetime, {}, 0, {}})
 {
 }
 SumTable::~SumTable() = default;
@@ -111,6 +113,10 @@
 
 void SumTable::dropOld(Millis now)
 {
+    if (now < this->d->nextDrop) {
+        return;
+    }
+    this->d->nextDrop = now + dropInterval;
     for (auto at = this->d->sums.begin(); at != this->d->sums.end();) {
         if (now - at->second.countedAt >= this->d->lifetime) {
             at = this->d->sums.erase(at);
