--- a/sequoiausher/coordination/spread/relaytree.cpp
+++ b/sequoiausher/coordination/spread/relaytree.cpp
@@ -81,11 +81,12 @@
     const std::vector<InstanceId> &members = this->d->members;
     std::size_t place = 0;
     if (!self.empty()) {
-        const auto found = std::find(members.begin(), members.end(), self);
-        if (found == members.end()) {
+        const auto &hashes = this->d->hashes;
+        const auto found = std::find(hashes.begin(), hashes.end(), hash64(self.value));
+        if (found == hashes.end()) {
             return {};
         }
-        place = this->d->placeOf(static_cast<std::size_t>(found - members.begin()), key);
+        place = this->d->placeOf(static_cast<std::size_t>(found - hashes.begin()), key);
     }
     if (place * fanOut + 1 > members.size()) {
         return {};
