--- a/lab/bench/codecbench.cpp
+++ b/lab/bench/codecbench.cpp
@@ -40,26 +40,27 @@
     const ClaimKey key{1, 2};
     const RequestId request{3, 4};
     constexpr std::size_t held = 100;
-    return {ClaimRequest{key, request, 1, 5},
-            ClaimVote{key, request, 1, ClaimVerdict::Granted, {}, {}},
-            ClaimWithdraw{key, request, 1},
-            ClaimPull{1, key},
-            ClaimPage{1, false, false, false, key, std::vector(held, ClaimRecord{key, request, 1, 5, instance, Millis{9}})},
-            ReserveRequest{request, pool, 1, 2, PolicyKind::BoundedRendezvous, 125, {}},
-            ReserveReply{request, ReserveVerdict::Granted, target, Millis{}},
-            Release{request, pool, 1},
-            HoldingsReport{pool, 1, 2, std::vector(held, Holding{request, target})},
-            Probe{1, ordinaryGossip()},
-            ProbeReply{1, instance, ordinaryGossip()},
-            IndirectProbe{1, instance},
-            DocumentPush{{Document{documentName, 7, std::string(1024, 'x'), false}}, 1},
-            DocumentDigest{std::vector(held, DocumentVersion{documentName, 7}), true, 1, {}, {}, true},
-            DocumentPull{{documentName}},
-            AttachRequest{request, key, request},
-            AttachReply{request, AttachVerdict::Follows, 200, "text/event-stream"},
-            AttachChunk{request, 0, std::string(256, 'x')},
-            AttachEnd{request, true, ""},
-            AttachCancel{request}};
+    return {
+        ClaimRequest{key, request, 1, 5},
+        ClaimVote{key, request, 1, ClaimVerdict::Granted, {}, {}},
+        ClaimWithdraw{key, request, 1},
+        ClaimPull{1, key},
+        ClaimPage{1, false, false, false, key, std::vector(held, ClaimRecord{key, request, 1, 5, instance, Millis{9}})},
+        ReserveRequest{request, pool, 1, 2, PolicyKind::BoundedRendezvous, 125, {}},
+        ReserveReply{request, ReserveVerdict::Granted, target, Millis{}},
+        Release{request, pool, 1},
+        HoldingsReport{pool, 1, 2, std::vector(held, Holding{request, target})},
+        Probe{1, ordinaryGossip()},
+        ProbeReply{1, instance, ordinaryGossip()},
+        IndirectProbe{1, instance},
+        DocumentPush{{Document{documentName, 7, std::string(1024, 'x'), false}}, 1},
+        DocumentDigest{std::vector(held, DocumentVersion{documentName, 7}), true, 1, {}, {}, true},
+        DocumentPull{{documentName}},
+        AttachRequest{request, key, request},
+        AttachReply{request, AttachVerdict::Follows, 200, "text/event-stream"},
+        AttachChunk{request, 0, std::string(256, 'x')},
+        AttachEnd{request, true, ""},
+        AttachCancel{request}};
 }
 
 std::size_t frameBytes(const PeerMessage &message, std::size_t count)
--- a/lab/bench/configbench.cpp
+++ b/lab/bench/configbench.cpp
@@ -1,11 +1,11 @@
 // Measures how a change of configuration spreads, in discrete time over the state machines: time until it is in force
 // on a router (99th percentile over routers and changes), with the service up and down, reads of the service, and
-// estimated bytes; against the baseline in which every router watches the service, and for several fan-outs.
+// bytes on the wire; against the baseline in which every router watches the service, and for several fan-outs.
 //
 //     configbench            # 7, 100 and 1,300 routers
 //     configbench 100        # one size
 
-#include "lab/bench/estimatedsize.h"
+#include "lab/bench/wiresize.h"
 #include "sequoiausher/coordination/spread/testfleet.h"
 
 #include <algorithm>
@@ -119,7 +119,7 @@
         } else if (!std::holds_alternative<DocumentDigest>(message) && !std::holds_alternative<DocumentPull>(message)) {
             return;
         }
-        this->documentBytes += estimatedSize(message);
+        this->documentBytes += wireSize(message);
     }
 };
 
@@ -225,7 +225,7 @@
     }
     if (!scenario.everyoneReads) {
         print(latencyName + "_body_copies" + suffix, result.bodyCopies, "per_router");
-        print(latencyName + "_document_bytes" + suffix, result.documentBytesPerSecond, "estimated_bytes/s/router");
+        print(latencyName + "_document_bytes" + suffix, result.documentBytesPerSecond, "bytes/s/router");
     }
     reversions += result.reversions;
     return true;
--- a/lab/bench/controlbench.cpp
+++ b/lab/bench/controlbench.cpp
@@ -1,9 +1,9 @@
-// Measures the control traffic of a router: estimated bytes of membership messages sent per second, at today's size
+// Measures the control traffic of a router: bytes on the wire of membership messages sent per second, at today's size
 // and as routers and targets grow. Runs in discrete time over the state machines.
 //
 //     controlbench
 
-#include "lab/bench/estimatedsize.h"
+#include "lab/bench/wiresize.h"
 #include "sequoiausher/coordination/spread/testfleet.h"
 
 #include <cstdio>
@@ -84,7 +84,7 @@
     std::size_t bytes = 0;
     std::size_t messages = 0;
     fleet.onSent = [&](std::size_t, const PeerMessage &message) {
-        bytes += estimatedSize(message);
+        bytes += wireSize(message);
         ++messages;
     };
     for (; step < warmUpSeconds + measuredSeconds; ++step) {
@@ -115,7 +115,7 @@
         std::fprintf(stderr, "controlbench: no messages were sent\n");
         return 1;
     }
-    const char *unit = "estimated_bytes/s";
+    const char *unit = "bytes/s";
     print("control_bytes_per_s_per_router", today.bytesPerSecond, unit);
     print("control_messages_per_s_per_router", today.messagesPerSecond, "1/s");
     print("slope_per_router", (moreRouters.bytesPerSecond - today.bytesPerSecond) / (200 - 7), unit);
--- a/sequoiausher/protocol/codec/framewriter.cpp
+++ b/sequoiausher/protocol/codec/framewriter.cpp
@@ -192,8 +192,8 @@
             wireId(r.key), wireId(r.attempt), r.bodyDigest, r.round, wireSpan(r.age), this->index(r.holder.value));
     }
     const Wire::Id next = wireId(m.next);
-    this->claimPages.push_back(
-        Wire::CreateClaimPage(this->builder, m.pull, m.giverAbstains, m.giverLearns, m.last, &next, this->structs(records)));
+    this->claimPages.push_back(Wire::CreateClaimPage(
+        this->builder, m.pull, m.giverAbstains, m.giverLearns, m.last, &next, this->structs(records)));
 }
 
 void FrameWriter::Private::add(const ReserveRequest &m)
