--- a/lab/bench/configbench.cpp
+++ b/lab/bench/configbench.cpp
@@ -165,9 +165,12 @@
 Result measure(const Scenario &scenario)
 {
     TestFleet fleet(settingsOf(scenario));
+    // Down until all are published, so that the readers find the whole list as they would in life.
+    fleet.setServiceDown(true);
     for (std::size_t i = 0; i < documentCount; ++i) {
         fleet.publish(nameOfDocument(i), std::string(bodyBytes, 'x'));
     }
+    fleet.setServiceDown(false);
     Result result;
     result.allReady = runUntilReady(fleet, scenario);
     fleet.run(Millis{2000});
--- a/sequoiausher/base/hashing.cpp
+++ b/sequoiausher/base/hashing.cpp
@@ -45,7 +45,11 @@
     const auto before = [&](std::size_t a, std::size_t b) {
         return weights[a] != weights[b] ? weights[a] > weights[b] : memberHashes[a] > memberHashes[b];
     };
-    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(kept), order.end(), before);
+    if (kept == order.size()) {
+        std::sort(order.begin(), order.end(), before);
+    } else {
+        std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(kept), order.end(), before);
+    }
     order.resize(kept);
     return order;
 }
--- a/sequoiausher/coordination/membership/membership.h
+++ b/sequoiausher/coordination/membership/membership.h
@@ -45,7 +45,7 @@
     std::size_t instancesPerMessage = 8;
     std::size_t targetsPerMessage = 12;
     std::size_t reachPerMessage = 8;
-    std::size_t sumsPerMessage = 64;
+    std::size_t sumsPerMessage = 128;
     /** News is sent this often times log2 of the fleet's size. */
     std::uint32_t sendsPerLog = 3;
     /** A sum older than this is forgotten. */
