--- a/sequoiausher/transport/router/answerwriter.cpp
+++ b/sequoiausher/transport/router/answerwriter.cpp
@@ -60,6 +60,11 @@
     return common;
 }
 
+void AnswerWriter::attachedTo(const RequestId &attempt)
+{
+    this->request = attempt;
+}
+
 void AnswerWriter::head(int answerStatus,
                         const std::string &contentType,
                         bool streamed,
--- a/sequoiausher/transport/router/answerwriter.h
+++ b/sequoiausher/transport/router/answerwriter.h
@@ -20,6 +20,8 @@
 public:
     AnswerWriter(std::shared_ptr<HttpExchange> exchange, const RequestId &request, const InstanceId &router);
 
+    /** The answer is that of an earlier attempt: it carries that attempt's id, as its chunks do. */
+    void attachedTo(const RequestId &attempt);
     /** Begins the answer. With streamed parts go out as they come; else they are gathered until the end. */
     void head(int status, const std::string &contentType, bool streamed, Ran ran, const TargetId &target);
     void part(std::string_view bytes);
--- a/sequoiausher/transport/router/requestsession.cpp
+++ b/sequoiausher/transport/router/requestsession.cpp
@@ -202,6 +202,7 @@
         this->refuseAtOnce(Refuse{statusConflict, Ran::Unknown, RefusalReason::OutcomeUnknown, Millis{0}});
         return true;
     }
+    this->writer.attachedTo(result.attempt);
     this->pumpJoined();
     return true;
 }
@@ -316,6 +317,7 @@
         this->call.cancel(this->addressOf(cancel->target));
     } else if (const auto *attach = std::get_if<AttachToHolder>(&action)) {
         this->attachedTo = attach->holder;
+        this->writer.attachedTo(attach->heldBy);
         node.send(attach->holder, AttachRequest{request, this->key, attach->heldBy});
     } else if (std::holds_alternative<RelayHead>(action)) {
         const bool failed = this->status >= 500;
