Let a keyed request go on to another target when the first surely never had it

Cause: mayDispatch says yes once; after a refused connection the second target was asked for under the same claim, and the answer was 'too late', so a keyed call was refused with free targets at hand. Found by reading the claims against the session.

Ruled out: asking mayDispatch twice (its once guards against two sends) and no check at all (a pause between the two targets must still stop the second). Change: mayRedispatch, under the first dispatch's own deadline; a refusal after it says 'not run' only while that deadline holds.

--- a/sequoiausher/coordination/claims/claimant.cpp
+++ b/sequoiausher/coordination/claims/claimant.cpp
@@ -370,6 +370,12 @@
     return true;
 }
 
+bool Claimant::mayRedispatch(const RequestId &id, Millis now) const
+{
+    const Attempt *attempt = this->d->find(id);
+    return attempt != nullptr && attempt->phase == Phase::Dispatched && now < attempt->dispatchBy;
+}
+
 bool Claimant::isKeyUnrun(const RequestId &id, Millis now) const
 {
     const Attempt *attempt = this->d->find(id);
--- a/sequoiausher/coordination/claims/claimant.h
+++ b/sequoiausher/coordination/claims/claimant.h
@@ -104,6 +104,12 @@
      */
     bool mayDispatch(const RequestId &attempt, Millis now);
 
+    /**
+     * Whether an attempt that mayDispatch let go, and that surely never reached its target, may be sent to another
+     * one at now: under the same deadline, for the same reason. Changes nothing.
+     */
+    bool mayRedispatch(const RequestId &attempt, Millis now) const;
+
     /**
      * Whether no attempt of the key was dispatched within lifetime: true while this one is acquired and in time. A
      * refusal decided now, say by admission, may then say 'not run' of the key and not only of this call.
--- a/sequoiausher/coordination/claims/claimanttest.cpp
+++ b/sequoiausher/coordination/claims/claimanttest.cpp
@@ -226,3 +226,16 @@
     Fixture f;
     CHECK_THROWS_AS(f.claimant.begin(start, Claim{key, mine, 1}, f.outbox), Error);
 }
+
+TEST_CASE("an attempt that never reached its target may go to another, under the same deadline")
+{
+    // Symptom: a keyed call is refused although other targets are free. Sequence: the first target refuses the
+    // connection; the entry asks whether it may dispatch again. Cause: one dispatch was taken for the only one, though
+    // nothing had been sent. A pause in between must still stop it: the witnesses may have forgotten.
+    Fixture f;
+    f.grant(4, start + Millis{2});
+    CHECK_FALSE(f.claimant.mayRedispatch(mine, start + Millis{3}));
+    CHECK(f.claimant.mayDispatch(mine, start + Millis{4}));
+    CHECK(f.claimant.mayRedispatch(mine, start + Millis{5}));
+    CHECK_FALSE(f.claimant.mayRedispatch(mine, start + ClaimParameters{}.dispatchWindow));
+}
--- a/sequoiausher/transport/router/node.cpp
+++ b/sequoiausher/transport/router/node.cpp
@@ -100,6 +100,7 @@
     void serviceAnswered() override;
     void serviceFailed(const std::string &address, const std::string &reason) override;
 
+    class Receiver;
     void dispatch(const InstanceId &from, const PeerMessage &message, Outbox &outbox);
     void deliver(Outbox outbox);
     void tick();
@@ -273,140 +274,155 @@
 }
 
 // One message to the decision that it is for. Exactly one lock is held at a time.
-void Node::Private::dispatch(const InstanceId &from, const PeerMessage &message, Outbox &outbox)
+class Node::Private::Receiver
 {
-    const Millis now = Millis::monotonicNow();
-    const auto withMembership = [&](const auto &m) {
-        const std::scoped_lock lock(this->membershipMutex);
-        this->membership.receive(now, from, m, outbox);
-    };
-    const auto withGossip = [&](const auto &m) {
-        withMembership(m);
-        const std::scoped_lock lock(this->documentsMutex);
-        this->spread.heard(now, from, m.gossip, outbox);
-    };
-    const auto withDocuments = [&](const auto &m) {
-        const std::scoped_lock lock(this->documentsMutex);
-        this->spread.receive(now, from, m, outbox);
-    };
-    const auto withWitness = [&](const auto &m) {
-        const std::scoped_lock lock(this->claimsMutex);
-        this->witness.receive(now, from, m, outbox);
-    };
-    struct Visitor
-    {
-        Private &self;
-        const InstanceId &from;
-        Millis now;
-        Outbox &outbox;
-        const decltype(withMembership) &membership;
-        const decltype(withGossip) &gossip;
-        const decltype(withDocuments) &documents;
-        const decltype(withWitness) &witness;
-
-        void operator()(const ClaimRequest &m) const
-        {
-            this->witness(m);
-        }
-        void operator()(const ClaimWithdraw &m) const
-        {
-            this->witness(m);
-        }
-        void operator()(const ClaimPull &m) const
-        {
-            this->witness(m);
-        }
-        void operator()(const ClaimPage &m) const
-        {
-            this->witness(m);
-        }
-        void operator()(const ClaimVote &m) const
-        {
-            std::vector<ClaimOutcome> outcomes;
-            {
-                const std::scoped_lock lock(this->self.claimsMutex);
-                this->self.claimant.receive(this->now, this->from, m, this->outbox);
-                outcomes = this->self.claimant.takeOutcomes();
-            }
-            this->self.tellClaims(outcomes);
-        }
-        void operator()(const ReserveRequest &m) const
-        {
-            const std::scoped_lock lock(this->self.admissionMutex);
-            this->self.owned.receive(this->now, this->from, m, this->outbox);
-        }
-        void operator()(const Release &m) const
+public:
+    Receiver(Private &node, const InstanceId &sender, Outbox &answers)
+        : self(node)
+        , from(sender)
+        , now(Millis::monotonicNow())
+        , outbox(answers)
+    {
+    }
+
+    void operator()(const ClaimRequest &m) const
+    {
+        this->toWitness(m);
+    }
+    void operator()(const ClaimWithdraw &m) const
+    {
+        this->toWitness(m);
+    }
+    void operator()(const ClaimPull &m) const
+    {
+        this->toWitness(m);
+    }
+    void operator()(const ClaimPage &m) const
+    {
+        this->toWitness(m);
+    }
+    void operator()(const ClaimVote &m) const
+    {
+        std::vector<ClaimOutcome> outcomes;
         {
-            const std::scoped_lock lock(this->self.admissionMutex);
-            this->self.owned.receive(this->now, this->from, m);
+            const std::scoped_lock lock(this->self.claimsMutex);
+            this->self.claimant.receive(this->now, this->from, m, this->outbox);
+            outcomes = this->self.claimant.takeOutcomes();
         }
-        void operator()(const HoldingsReport &m) const
+        this->self.tellClaims(outcomes);
+    }
+    void operator()(const ReserveRequest &m) const
+    {
+        const std::scoped_lock lock(this->self.admissionMutex);
+        this->self.owned.receive(this->now, this->from, m, this->outbox);
+    }
+    void operator()(const Release &m) const
+    {
+        const std::scoped_lock lock(this->self.admissionMutex);
+        this->self.owned.receive(this->now, this->from, m);
+    }
+    void operator()(const HoldingsReport &m) const
+    {
+        const std::scoped_lock lock(this->self.admissionMutex);
+        this->self.owned.receive(this->now, this->from, m);
+    }
+    void operator()(const ReserveReply &m) const
+    {
+        std::vector<ReserveResult> results;
         {
             const std::scoped_lock lock(this->self.admissionMutex);
-            this->self.owned.receive(this->now, this->from, m);
-        }
-        void operator()(const ReserveReply &m) const
-        {
-            std::vector<ReserveResult> results;
-            {
-                const std::scoped_lock lock(this->self.admissionMutex);
-                this->self.reserver.receive(this->now, this->from, m);
-                results = this->self.reserver.takeResults();
-            }
-            this->self.tellReservations(results);
+            this->self.reserver.receive(this->now, this->from, m);
+            results = this->self.reserver.takeResults();
         }
-        void operator()(const Probe &m) const
-        {
-            this->gossip(m);
-        }
-        void operator()(const ProbeReply &m) const
-        {
-            this->gossip(m);
-        }
-        void operator()(const IndirectProbe &m) const
-        {
-            this->membership(m);
-        }
-        void operator()(const DocumentPush &m) const
-        {
-            this->documents(m);
-            this->self.documentsChanged(this->now);
-        }
-        void operator()(const DocumentDigest &m) const
-        {
-            this->documents(m);
-        }
-        void operator()(const DocumentPull &m) const
-        {
-            this->documents(m);
-        }
-        void operator()(const AttachRequest &m) const
-        {
-            {
-                // A retry that asks for a withdrawn attempt met a witness that missed the withdrawal.
-                const std::scoped_lock lock(this->self.claimsMutex);
-                this->self.claimant.repeatWithdrawal(this->now, m.attempt, this->outbox);
-            }
-            this->self.answerServer.attach(this->from, m);
-        }
-        void operator()(const AttachCancel &m) const
-        {
-            this->self.answerServer.cancel(this->from, m);
-        }
-        void operator()(const AttachReply &m) const
-        {
-            this->self.registry.tell(m.attachment, [m](RequestEar &ear) { ear.attachReplied(m); });
-        }
-        void operator()(const AttachChunk &m) const
-        {
-            this->self.registry.tell(m.attachment, [m](RequestEar &ear) { ear.attachChunk(m); });
-        }
-        void operator()(const AttachEnd &m) const
+        this->self.tellReservations(results);
+    }
+    void operator()(const Probe &m) const
+    {
+        this->toMembership(m);
+        this->heardGossip(m.gossip);
+    }
+    void operator()(const ProbeReply &m) const
+    {
+        this->toMembership(m);
+        this->heardGossip(m.gossip);
+    }
+    void operator()(const IndirectProbe &m) const
+    {
+        this->toMembership(m);
+    }
+    void operator()(const DocumentPush &m) const
+    {
+        this->toSpread(m);
+        this->self.documentsChanged(this->now);
+    }
+    void operator()(const DocumentDigest &m) const
+    {
+        this->toSpread(m);
+    }
+    void operator()(const DocumentPull &m) const
+    {
+        this->toSpread(m);
+    }
+    void operator()(const AttachRequest &m) const
+    {
         {
-            this->self.registry.tell(m.attachment, [m](RequestEar &ear) { ear.attachEnded(m); });
+            // A retry that asks for a withdrawn attempt met a witness that missed the withdrawal.
+            const std::scoped_lock lock(this->self.claimsMutex);
+            this->self.claimant.repeatWithdrawal(this->now, m.attempt, this->outbox);
         }
-    };
-    std::visit(Visitor{*this, from, now, outbox, withMembership, withGossip, withDocuments, withWitness}, message);
+        this->self.answerServer.attach(this->from, m);
+    }
+    void operator()(const AttachCancel &m) const
+    {
+        this->self.answerServer.cancel(this->from, m);
+    }
+    void operator()(const AttachReply &m) const
+    {
+        this->self.registry.tell(m.attachment, [m](RequestEar &ear) { ear.attachReplied(m); });
+    }
+    void operator()(const AttachChunk &m) const
+    {
+        this->self.registry.tell(m.attachment, [m](RequestEar &ear) { ear.attachChunk(m); });
+    }
+    void operator()(const AttachEnd &m) const
+    {
+        this->self.registry.tell(m.attachment, [m](RequestEar &ear) { ear.attachEnded(m); });
+    }
+
+private:
+    template<typename Message>
+    void toWitness(const Message &message) const
+    {
+        const std::scoped_lock lock(this->self.claimsMutex);
+        this->self.witness.receive(this->now, this->from, message, this->outbox);
+    }
+    template<typename Message>
+    void toMembership(const Message &message) const
+    {
+        const std::scoped_lock lock(this->self.membershipMutex);
+        this->self.membership.receive(this->now, this->from, message, this->outbox);
+    }
+    template<typename Message>
+    void toSpread(const Message &message) const
+    {
+        const std::scoped_lock lock(this->self.documentsMutex);
+        this->self.spread.receive(this->now, this->from, message, this->outbox);
+    }
+    void heardGossip(const Gossip &gossip) const
+    {
+        const std::scoped_lock lock(this->self.documentsMutex);
+        this->self.spread.heard(this->now, this->from, gossip, this->outbox);
+    }
+
+    Private &self;
+    const InstanceId &from;
+    Millis now;
+    Outbox &outbox;
+};
+
+void Node::Private::dispatch(const InstanceId &from, const PeerMessage &message, Outbox &outbox)
+{
+    std::visit(Receiver(*this, from, outbox), message);
 }
 
 // Sends what is for others, and gives back what is for this router itself until nothing comes of it any more.
@@ -815,6 +831,12 @@
     return this->d->claimant.mayDispatch(attempt, Millis::monotonicNow());
 }
 
+bool Node::mayRedispatch(const RequestId &attempt) const
+{
+    const std::scoped_lock lock(this->d->claimsMutex);
+    return this->d->claimant.mayRedispatch(attempt, Millis::monotonicNow());
+}
+
 bool Node::isKeyUnrun(const RequestId &attempt) const
 {
     const std::scoped_lock lock(this->d->claimsMutex);
--- a/sequoiausher/transport/router/node.h
+++ b/sequoiausher/transport/router/node.h
@@ -82,6 +82,7 @@
     void claim(const Claim &claim);
     /** See Claimant. */
     bool mayDispatch(const RequestId &attempt);
+    bool mayRedispatch(const RequestId &attempt) const;
     bool isKeyUnrun(const RequestId &attempt) const;
     void withdraw(const RequestId &attempt);
     void finished(const RequestId &attempt);
--- a/sequoiausher/transport/router/requestsession.cpp
+++ b/sequoiausher/transport/router/requestsession.cpp
@@ -126,6 +126,8 @@
     bool queued = false;
     bool inTable = false;
     bool keyUnrun = false;
+    /** mayDispatch was asked and said yes: a further target is under its deadline. */
+    bool wasDispatched = false;
     bool counted = false;
     bool done = false;
     TargetId target;
@@ -299,7 +301,7 @@
         node.claim(Claim{this->key, request, this->bodyDigest});
     } else if (std::holds_alternative<WithdrawClaim>(action)) {
         // After a pause the witnesses may have let another attempt run; then 'not run' is said of this call alone.
-        this->keyUnrun = node.isKeyUnrun(request);
+        this->keyUnrun = this->wasDispatched ? node.mayRedispatch(request) : node.isKeyUnrun(request);
         node.withdraw(request);
     } else if (const auto *reserve = std::get_if<Reserve>(&action)) {
         const Decision &decision = this->order.decision;
@@ -342,10 +344,14 @@
 void RequestSession::Private::dispatch(const Dispatch &action)
 {
     // The last moment at which a claim can be found too old: from here on the target may have the request.
-    if (this->claims && !this->context.node.mayDispatch(this->order.request)) {
+    Node &node = this->context.node;
+    const RequestId &request = this->order.request;
+    const bool again = this->wasDispatched;
+    if (this->claims && !(again ? node.mayRedispatch(request) : node.mayDispatch(request))) {
         this->run(this->flow.dispatchTooLate(Millis::monotonicNow()));
         return;
     }
+    this->wasDispatched = true;
     this->target = action.target;
     const std::string address = this->addressOf(action.target);
     if (address.empty()) {
