Apply a new list of instances outside of the link that brought it

Cause: a pushed document can change the list of instances, which replaces the mesh's peers; the mesh forbids that while it hands over a message, since the link being read may be the one that closes. Found by reading the mesh's contract against its user. A target's error status is no longer called 'ran: yes'.

--- a/sequoiausher/transport/router/node.cpp
+++ b/sequoiausher/transport/router/node.cpp
@@ -12,6 +12,7 @@
 #include "sequoiausher/transport/router/answerserver.h"
 #include "sequoiausher/transport/router/loadpoller.h"
 
+#include <QMetaObject>
 #include <QTimer>
 
 #include <algorithm>
@@ -109,6 +110,7 @@
     void tellReservations(const std::vector<ReserveResult> &results);
     void tellQueue(const std::vector<QueueAction> &actions);
     void documentsChanged(Millis now);
+    void documentsChangedSoon();
     void apply(Millis now, const std::shared_ptr<const FleetConfiguration> &fleet);
     void applyInstances(Millis now, const FleetConfiguration &fleet);
     void applyPools(Millis now, const FleetConfiguration &fleet);
@@ -353,7 +355,7 @@
     void operator()(const DocumentPush &m) const
     {
         this->toSpread(m);
-        this->self.documentsChanged(this->now);
+        this->self.documentsChangedSoon();
     }
     void operator()(const DocumentDigest &m) const
     {
@@ -618,6 +620,14 @@
     this->tellReservations(results);
 }
 
+// From a message: a new list of instances changes the peers of the mesh, which must not happen while the mesh hands
+// over what one of them sent; the link that is being read would be closed under the reader.
+void Node::Private::documentsChangedSoon()
+{
+    QMetaObject::invokeMethod(
+        &this->timer, [this] { this->documentsChanged(Millis::monotonicNow()); }, Qt::QueuedConnection);
+}
+
 void Node::Private::documentsChanged(Millis now)
 {
     std::shared_ptr<const Configuration> inForce;
--- a/sequoiausher/transport/router/requestsession.cpp
+++ b/sequoiausher/transport/router/requestsession.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr int statusUnavailable = 503;
+constexpr int statusTimeout = 504;
+constexpr int firstErrorStatus = 400;
 constexpr int statusConflict = 409;
 constexpr int statusUnprocessable = 422;
 constexpr std::size_t readBytes = 64 * 1024;
@@ -322,8 +324,8 @@
         this->writer.attachedTo(attach->heldBy);
         node.send(attach->holder, AttachRequest{request, this->key, attach->heldBy});
     } else if (std::holds_alternative<RelayHead>(action)) {
-        const bool failed = this->status >= 500;
-        const Ran ran = failed ? Ran::Unknown : Ran::Yes;
+        // A target that answers with an error does not say whether it ran the request.
+        const Ran ran = this->status < firstErrorStatus ? Ran::Yes : Ran::Unknown;
         this->writer.head(this->status, this->contentType, this->order.parsed.streamed, ran, this->target);
         if (this->inTable) {
             node.answers().setHead(request, AnswerHead{static_cast<std::uint32_t>(this->status), this->contentType});
@@ -503,7 +505,7 @@
     }
     if (now >= this->d->order.deadline && !this->d->started) {
         const Ran ran = this->d->claims ? Ran::Unknown : Ran::No;
-        this->d->refuseAtOnce(Refuse{504, ran, RefusalReason::DeadlinePassed, Millis{1000}});
+        this->d->refuseAtOnce(Refuse{statusTimeout, ran, RefusalReason::DeadlinePassed, Millis{1000}});
         return;
     }
     this->d->call.tick(now);
