Judge documents one by one, and hand over the last good one

Cause: a set was judged whole. One organisation's typing error held up the changes of all others, and while a refused set was the newest, a fresh or restarted router had nothing in force; a restart of the whole fleet left none anywhere.

Ruled out: a new message field for last good bodies (needs a second rule of which is newer); leaving out a refused rules document of which no good revision is known (others' rules might route its requests without a claim).

Change: ConfigurationState judges each document by itself, keeps its last good revision, and gives it out as last-good/NAME, which spreads as any document does; where no good one is known anywhere, refused rules are replaced by a 503 with Retry-After. No message has changed.

--- a/sequoiausher/coordination/spread/configurationstate.cpp
+++ b/sequoiausher/coordination/spread/configurationstate.cpp
@@ -1,49 +1,191 @@
 #include "sequoiausher/coordination/spread/configurationstate.h"
 
+#include <map>
+
 namespace Sequoiausher {
 
+namespace {
+
+constexpr std::string_view lastGoodPrefix = "last-good/";
+
+/** What was found of one revision of a document. */
+struct Verdict
+{
+    Revision revision = 0;
+    std::optional<Error> error;
+};
+
+/** A set to put in force, and what stands in the way. */
+struct Candidate
+{
+    DocumentSet documents;
+    std::vector<DocumentVersion> versions;
+    std::optional<Error> refusal;
+    bool waits = false;
+};
+
+} // namespace
+
+std::string lastGoodName(const std::string &name)
+{
+    return std::string(lastGoodPrefix) + name;
+}
+
+bool isLastGoodName(std::string_view name)
+{
+    return name.starts_with(lastGoodPrefix);
+}
+
 class ConfigurationState::Private
 {
 public:
+    explicit Private(const DocumentChecker &theChecker) : checker(theChecker)
+    {
+    }
+
+    const std::optional<Error> &judge(const DocumentPointer &document);
+    DocumentPointer lastGoodOf(const std::string &name, const DocumentTable &table);
+    void addRefused(const DocumentPointer &document, const DocumentTable &table, Candidate &candidate);
+    Candidate candidateOf(const DocumentTable &table);
+    bool goesBack(const DocumentTable &table) const;
+    bool isNews(const std::optional<Error> &refusal) const;
+
     const DocumentChecker &checker;
     std::shared_ptr<const Configuration> current;
     std::optional<Error> refused;
-    std::uint64_t refusedDigest = 0;
+    std::optional<std::uint64_t> judgedDigest;
+    std::map<std::string, Verdict> verdicts;
+    /** By the name of the refused document. */
+    std::map<std::string, DocumentPointer> kept;
 };
 
-ConfigurationState::ConfigurationState(const DocumentChecker &checker)
-    : d(new Private{checker, nullptr, std::nullopt, 0})
+ConfigurationState::ConfigurationState(const DocumentChecker &checker) : d(std::make_unique<Private>(checker))
 {
 }
 ConfigurationState::~ConfigurationState() = default;
 
+// Documents are judged by themselves, so a verdict holds for as long as the revision does.
+const std::optional<Error> &ConfigurationState::Private::judge(const DocumentPointer &document)
+{
+    Verdict &verdict = this->verdicts[document->name];
+    if (verdict.revision != document->revision) {
+        verdict = {document->revision, this->checker.check(DocumentSet{{document->name, document}})};
+    }
+    return verdict.error;
+}
+
+/** The newest good revision that this router or, by the table, another one had in force; nullptr where none is known.
+ */
+DocumentPointer ConfigurationState::Private::lastGoodOf(const std::string &name, const DocumentTable &table)
+{
+    DocumentPointer best;
+    if (this->current) {
+        const auto own = this->current->documents->find(name);
+        // A stand-in has revision 0.
+        if (own != this->current->documents->end() && own->second->revision > 0) {
+            best = own->second;
+        }
+    }
+    const DocumentPointer handed = table.find(lastGoodName(name));
+    if (!handed || handed->deleted || (best && best->revision >= handed->revision)) {
+        return best;
+    }
+    const auto renamed = std::make_shared<const Document>(Document{name, handed->revision, handed->body, false});
+    return this->checker.check(DocumentSet{{name, renamed}}) ? best : renamed;
+}
+
+void ConfigurationState::Private::addRefused(const DocumentPointer &document,
+                                             const DocumentTable &table,
+                                             Candidate &candidate)
+{
+    const std::string &name = document->name;
+    if (const DocumentPointer good = this->lastGoodOf(name, table)) {
+        this->kept[name] = good;
+        candidate.documents[name] = good;
+        candidate.versions.push_back({name, good->revision});
+        return;
+    }
+    const StandIn standIn = this->checker.standIn(name);
+    candidate.waits = candidate.waits || standIn.kind == StandInKind::WaitForGood;
+    if (standIn.kind == StandInKind::Replace) {
+        candidate.documents[name] = std::make_shared<const Document>(Document{name, 0, standIn.body, false});
+        candidate.versions.push_back({name, 0});
+    }
+}
+
+Candidate ConfigurationState::Private::candidateOf(const DocumentTable &table)
+{
+    Candidate candidate;
+    this->kept.clear();
+    for (const DocumentVersion &version : table.versions()) {
+        const DocumentPointer document = table.find(version.name);
+        if (isLastGoodName(version.name)) {
+            continue;
+        }
+        if (document->deleted) {
+            candidate.versions.push_back(version);
+            continue;
+        }
+        const std::optional<Error> &error = this->judge(document);
+        if (!error) {
+            candidate.documents[version.name] = document;
+            candidate.versions.push_back(version);
+            continue;
+        }
+        if (!candidate.refusal) {
+            candidate.refusal = error;
+        }
+        this->addRefused(document, table, candidate);
+    }
+    return candidate;
+}
+
+// The table never goes back, so this fires only where a caller offers another table than before, as after a rebuilt
+// one. It would show as an old rule in force; the operator sees the result counted.
+bool ConfigurationState::Private::goesBack(const DocumentTable &table) const
+{
+    if (!this->current) {
+        return false;
+    }
+    for (const DocumentVersion &version : this->current->versions) {
+        if (table.revisionOf(version.name) < version.revision) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool ConfigurationState::Private::isNews(const std::optional<Error> &refusal) const
+{
+    return refusal && (!this->refused || std::string(refusal->what()) != this->refused->what());
+}
+
 OfferResult ConfigurationState::offer(const DocumentTable &table)
 {
     const std::uint64_t digest = table.digest();
-    if (this->d->refused && this->d->refusedDigest == digest) {
+    if (this->d->judgedDigest == digest) {
         return OfferResult::Unchanged;
     }
-    if (this->d->current) {
-        if (this->d->current->digest == digest) {
-            return OfferResult::Unchanged;
-        }
-        // The table never goes back, so this fires only where a caller offers another table than before, as after a
-        // rebuilt one. It would show as an old rule in force; the operator sees the result counted.
-        for (const DocumentVersion &version : this->d->current->versions) {
-            if (table.revisionOf(version.name) < version.revision) {
-                return OfferResult::Reverts;
-            }
-        }
+    if (this->d->goesBack(table)) {
+        return OfferResult::Reverts;
     }
-    auto documents = table.snapshot();
-    this->d->refused = this->d->checker.check(*documents);
-    if (this->d->refused) {
-        this->d->refusedDigest = digest;
+    Candidate candidate = this->d->candidateOf(table);
+    this->d->judgedDigest = digest;
+    const bool isNews = this->d->isNews(candidate.refusal);
+    this->d->refused = candidate.refusal;
+    const bool moved = !this->d->current || this->d->current->versions != candidate.versions;
+    if (candidate.waits || (this->d->refused && !moved)) {
+        return isNews ? OfferResult::Refused : OfferResult::Unchanged;
+    }
+    // Only documents that are good by themselves are left, so this refuses what none of them shows alone.
+    if (const auto error = this->d->checker.check(candidate.documents)) {
+        this->d->refused = error;
         return OfferResult::Refused;
     }
+    auto documents = std::make_shared<const DocumentSet>(std::move(candidate.documents));
     this->d->current = std::make_shared<const Configuration>(
-        Configuration{digest, table.highestRevision(), table.versions(), std::move(documents)});
-    return OfferResult::InForce;
+        Configuration{digest, table.highestRevision(), std::move(candidate.versions), std::move(documents)});
+    return moved ? OfferResult::InForce : OfferResult::Unchanged;
 }
 
 std::shared_ptr<const Configuration> ConfigurationState::inForce() const
@@ -56,4 +198,13 @@
     return this->d->refused;
 }
 
+std::vector<Document> ConfigurationState::lastGood() const
+{
+    std::vector<Document> documents;
+    for (const auto &[name, good] : this->d->kept) {
+        documents.push_back(Document{lastGoodName(name), good->revision, good->body, false});
+    }
+    return documents;
+}
+
 } // namespace Sequoiausher
--- a/sequoiausher/coordination/spread/configurationstatetest.cpp
+++ b/sequoiausher/coordination/spread/configurationstatetest.cpp
@@ -18,6 +18,13 @@
         }
         return std::nullopt;
     }
+    StandIn standIn(const std::string &name) const override
+    {
+        if (name == "instances") {
+            return {StandInKind::WaitForGood, ""};
+        }
+        return name == "rules" ? StandIn{StandInKind::Replace, "refuse"} : StandIn{};
+    }
 };
 
 } // namespace
@@ -60,3 +67,88 @@
     CHECK(state.offer(DocumentTable()) == OfferResult::Reverts);
     CHECK(state.inForce()->highestRevision == 5);
 }
+
+TEST_CASE("a refused document stays at its last good revision while the others go on")
+{
+    // Symptom: one organisation's typing error held up every other organisation's changes. Cause: the set was judged
+    // whole, though each document is good or bad by itself.
+    const RefusesBad checker;
+    ConfigurationState state(checker);
+    DocumentTable table;
+    table.learn({"a", 1, "good", false});
+    table.learn({"b", 2, "good", false});
+    REQUIRE(state.offer(table) == OfferResult::InForce);
+    table.learn({"b", 3, "bad", false});
+    CHECK(state.offer(table) == OfferResult::Refused);
+    table.learn({"a", 4, "better", false});
+    CHECK(state.offer(table) == OfferResult::InForce);
+    CHECK(state.inForce()->documents->at("a")->body == "better");
+    CHECK(state.inForce()->documents->at("b")->revision == 2);
+    REQUIRE(state.refusal().has_value());
+    CHECK(state.refusal()->peer() == "b");
+    table.learn({"b", 5, "", true});
+    CHECK(state.offer(table) == OfferResult::InForce);
+    CHECK(state.inForce()->documents->count("b") == 0);
+    CHECK_FALSE(state.refusal().has_value());
+}
+
+TEST_CASE("a router that starts while a refused document is the newest learns the last good one from the others")
+{
+    // Symptom: a replaced instance had no configuration at all until somebody mended a document. Cause: the table holds
+    // the newest revision alone, and the last good one was known only to those that had it in force.
+    const RefusesBad checker;
+    ConfigurationState running(checker);
+    DocumentTable table;
+    table.learn({"a", 1, "good", false});
+    table.learn({"b", 2, "good", false});
+    running.offer(table);
+    table.learn({"b", 3, "bad", false});
+    running.offer(table);
+    REQUIRE(running.lastGood().size() == 1);
+    CHECK(running.lastGood().front() == Document{"last-good/b", 2, "good", false});
+    table.learn(running.lastGood().front());
+    CHECK(running.offer(table) == OfferResult::Unchanged);
+
+    ConfigurationState fresh(checker);
+    CHECK(fresh.offer(table) == OfferResult::InForce);
+    CHECK(fresh.inForce()->documents->at("b")->revision == 2);
+    CHECK(fresh.inForce()->documents->count("last-good/b") == 0);
+    CHECK(fresh.lastGood() == running.lastGood());
+    // A later good one goes before what was kept, and so does a later one that another router had in force.
+    table.learn({"last-good/b", 4, "later", false});
+    table.learn({"b", 5, "bad", false});
+    CHECK(fresh.offer(table) == OfferResult::InForce);
+    CHECK(fresh.inForce()->documents->at("b")->body == "later");
+    table.learn({"b", 6, "good", false});
+    CHECK(fresh.offer(table) == OfferResult::InForce);
+    CHECK(fresh.inForce()->documents->at("b")->revision == 6);
+    CHECK(fresh.lastGood().empty());
+}
+
+TEST_CASE("where nobody knows a good revision, the document's stand-in decides")
+{
+    // Symptom: the whole fleet restarted while a refused document was the newest, and no request was served. Nobody
+    // remembers a last good one then; leaving out an organisation's rules would route its requests by rules that may
+    // not ask for a claim, so a stand-in refuses them.
+    const RefusesBad checker;
+    ConfigurationState state(checker);
+    DocumentTable table;
+    table.learn({"a", 1, "good", false});
+    table.learn({"pool", 2, "bad", false});
+    table.learn({"rules", 3, "bad", false});
+    CHECK(state.offer(table) == OfferResult::InForce);
+    CHECK(state.inForce()->documents->count("pool") == 0);
+    CHECK(state.inForce()->documents->at("rules")->body == "refuse");
+    CHECK(state.refusal().has_value());
+    CHECK(state.lastGood().empty());
+    table.learn({"instances", 4, "bad", false});
+    CHECK(state.offer(table) == OfferResult::Refused);
+    CHECK(state.inForce()->documents->size() == 2);
+    ConfigurationState fresh(checker);
+    CHECK(fresh.offer(table) == OfferResult::Refused);
+    CHECK(fresh.inForce() == nullptr);
+    table.learn({"rules", 5, "good", false});
+    table.learn({"instances", 6, "good", false});
+    CHECK(state.offer(table) == OfferResult::InForce);
+    CHECK(state.inForce()->documents->at("rules")->revision == 5);
+}
--- a/sequoiausher/coordination/spread/spread.cpp
+++ b/sequoiausher/coordination/spread/spread.cpp
@@ -1,6 +1,7 @@
 #include "sequoiausher/coordination/spread/spread.h"
 
 #include "sequoiausher/base/hashing.h"
+#include "sequoiausher/coordination/spread/configurationstate.h"
 #include "sequoiausher/coordination/spread/digestexchange.h"
 #include "sequoiausher/coordination/spread/relaytree.h"
 
@@ -326,7 +327,7 @@
 {
     std::vector<std::string> names;
     for (const DocumentVersion &version : listed) {
-        if (this->d->table.revisionOf(version.name) < version.revision) {
+        if (!isLastGoodName(version.name) && this->d->table.revisionOf(version.name) < version.revision) {
             names.push_back(version.name);
         }
     }
@@ -343,7 +344,7 @@
     this->d->noteService(now);
     std::vector<Document> fresh;
     for (const Document &document : documents) {
-        if (this->d->store(now, document)) {
+        if (!isLastGoodName(document.name) && this->d->store(now, document)) {
             fresh.push_back(document);
         }
     }
@@ -354,6 +355,13 @@
     }
 }
 
+void Spread::keep(Millis now, const std::vector<Document> &lastGood)
+{
+    for (const Document &document : lastGood) {
+        this->d->store(now, document);
+    }
+}
+
 void Spread::receive(Millis now, const InstanceId &from, const DocumentPush &push, Outbox &outbox)
 {
     std::vector<Document> fresh;
--- a/sequoiausher/coordination/spread/spread.h
+++ b/sequoiausher/coordination/spread/spread.h
@@ -130,6 +130,12 @@
      */
     void learnt(Millis now, const std::vector<Document> &documents, bool whole, Outbox &outbox);
 
+    /**
+     * Takes up the last good revisions of refused documents. Each router that has them does the same, and digests bring
+     * them to those that have not.
+     */
+    void keep(Millis now, const std::vector<Document> &lastGood);
+
     void receive(Millis now, const InstanceId &from, const DocumentPush &push, Outbox &outbox);
     void receive(Millis now, const InstanceId &from, const DocumentDigest &digest, Outbox &outbox);
     void receive(Millis now, const InstanceId &from, const DocumentPull &pull, Outbox &outbox);
--- a/sequoiausher/protocol/settings/documentstest.cpp
+++ b/sequoiausher/protocol/settings/documentstest.cpp
@@ -141,3 +141,23 @@
     CHECK(error->peer() == "instances");
     CHECK(error->step() == Step::Rules);
 }
+
+TEST_CASE("what stands in for a refused document of which no good revision is known")
+{
+    const FleetDocumentChecker checker;
+    CHECK(checker.standIn("instances").kind == StandInKind::WaitForGood);
+    CHECK(checker.standIn("organisations").kind == StandInKind::WaitForGood);
+    CHECK(checker.standIn("targets/p").kind == StandInKind::LeaveOut);
+    for (const std::string name : {"rules/fleet", "rules/organisation/lab"}) {
+        const StandIn standIn = checker.standIn(name);
+        REQUIRE(standIn.kind == StandInKind::Replace);
+        const DocumentSet set{{name, std::make_shared<const Document>(Document{name, 0, standIn.body, false})}};
+        CHECK_FALSE(checker.check(set));
+        Problems problems;
+        const auto decision = parseFleetDocuments(set, Severity::Warning, problems).rules->decide(RequestFacts{});
+        if (name == "rules/fleet") {
+            REQUIRE(decision);
+            CHECK(decision->refusal->status == 503);
+        }
+    }
+}
--- a/sequoiausher/protocol/settings/fleetdocuments.cpp
+++ b/sequoiausher/protocol/settings/fleetdocuments.cpp
@@ -48,6 +48,11 @@
     }
 }
 
+constexpr std::string_view refusingRule = "[rule refused-document]\n"
+                                          "then.refuse = 503\n"
+                                          "then.refuse_text = the rules are refused and no earlier ones are known\n"
+                                          "then.retry_after_s = 5\n";
+
 } // namespace
 
 FleetDocuments parseFleetDocuments(const DocumentSet &documents, Severity unknownNames, Problems &problems)
@@ -76,4 +81,15 @@
     return ProblemsError(Step::Rules, firstError->file, problems);
 }
 
+StandIn FleetDocumentChecker::standIn(const std::string &name) const
+{
+    if (name == instancesDocumentName || name == organisationsDocumentName) {
+        return {StandInKind::WaitForGood, {}};
+    }
+    if (isRulesDocument(name)) {
+        return {StandInKind::Replace, std::string(refusingRule)};
+    }
+    return {StandInKind::LeaveOut, {}};
+}
+
 } // namespace Sequoiausher
--- a/sequoiausher/protocol/settings/fleetdocuments.h
+++ b/sequoiausher/protocol/settings/fleetdocuments.h
@@ -53,6 +53,13 @@
 public:
     /** The error's peer is the first document that is wrong; its reason names every problem. */
     std::optional<Error> check(const DocumentSet &candidate) const override;
+
+    /**
+     * Without its rules document an organisation's requests would go by rules that may ask for no claim, and so run
+     * twice: a rule that refuses them takes its place. A pool is left out, so that requests for it find no target.
+     * Without routers or organisations nothing can be decided rightly: a router waits for good ones.
+     */
+    StandIn standIn(const std::string &name) const override;
 };
 
 } // namespace Sequoiausher
--- a/sequoiausher/transport/router/node.cpp
+++ b/sequoiausher/transport/router/node.cpp
@@ -107,6 +107,7 @@
     void tellClaims(const std::vector<ClaimOutcome> &outcomes);
     void tellReservations(const std::vector<ReserveResult> &results);
     void tellQueue(const std::vector<QueueAction> &actions);
+    void tellRefusal();
     void documentsChanged(Millis now);
     void apply(Millis now, const std::shared_ptr<const FleetConfiguration> &fleet);
     void applyInstances(Millis now, const FleetConfiguration &fleet);
@@ -132,6 +133,7 @@
     Spread spread;
     FleetDocumentChecker checker;
     ConfigurationState configurationState;
+    std::string toldRefusal;
 
     TargetTable targets;
 
@@ -602,18 +604,27 @@
     this->tellReservations(results);
 }
 
+// A refusal is told once, though the set in force may move on beside it.
+void Node::Private::tellRefusal()
+{
+    const std::optional<Error> &refusal = this->configurationState.refusal();
+    const std::string reason = refusal ? refusal->what() : "";
+    if (refusal && reason != this->toldRefusal) {
+        this->log.error(
+            LogPart::Config, "a document is refused, the last good one stays in force", {{"reason", reason}});
+        this->metrics.add("configurations_refused_total");
+    }
+    this->toldRefusal = reason;
+}
+
 void Node::Private::documentsChanged(Millis now)
 {
     std::shared_ptr<const Configuration> inForce;
     {
         const std::scoped_lock lock(this->documentsMutex);
         const OfferResult result = this->configurationState.offer(this->spread.documents());
-        if (result == OfferResult::Refused) {
-            this->log.error(LogPart::Config,
-                            "a new configuration is refused, the last good one stays",
-                            {{"reason", this->configurationState.refusal()->what()}});
-            this->metrics.add("configurations_refused_total");
-        }
+        this->spread.keep(now, this->configurationState.lastGood());
+        this->tellRefusal();
         if (result != OfferResult::InForce) {
             return;
         }
