Use what was built for failing targets, resends and rules' limits

Cause: TargetHealth, RetryBudget, then.in_flight and then.queue_length were decided and tested, but nothing called them: a dead target was tried by each request until the lists had dropped it, every failed call was resent without bound, and two rules' rates shared one bucket. Ruled out: a check inside the flow (it would hold shared state); a count of waiting requests beside the pool's queue (it would shed in no stated order). Change: PoolGuard (TargetHealth and a RetryBudget for each pool and percentage) and RuleGates (an AdmissionQueue for each organisation and rule with then.in_flight) in coordination/limits, called by node and session. A resend needs a token; without one the request ends at once with what is known of it. Above then.queue_length the answer is 429. The rate's bucket belongs to organisation and rule.

--- a/sequoiausher/coordination/flow/requestflow.cpp
+++ b/sequoiausher/coordination/flow/requestflow.cpp
@@ -31,6 +31,11 @@
     Held,
 };
 
+bool isSurelyNotRun(TargetFailure failure)
+{
+    return failure == TargetFailure::NeverSent || failure == TargetFailure::RefusedByTarget;
+}
+
 } // namespace
 
 class RequestFlow::Private
@@ -45,8 +50,9 @@
     void refuseNotRun(FlowActions &actions, int status, RefusalReason reason, Millis retryAfter);
     void endUnknown(FlowActions &actions, int status, RefusalReason reason);
     void dispatchIfReady(FlowActions &actions);
-    bool tryNextTarget(FlowActions &actions);
-    bool tryResume(FlowActions &actions);
+    bool canResume(TargetFailure failure) const;
+    bool canResend(TargetFailure failure) const;
+    void tryNextTarget(FlowActions &actions);
 
     FlowFacts facts;
     Stage stage = Stage::Admitting;
@@ -115,29 +121,27 @@
     actions.emplace_back(Dispatch{this->target, !this->facts.idempotent});
 }
 
-// Sends the request to another target. Only for requests that surely did not run, or may run twice.
-bool RequestFlow::Private::tryNextTarget(FlowActions &actions)
+// Only for requests that surely did not run, or may run twice.
+bool RequestFlow::Private::canResend(TargetFailure failure) const
+{
+    const bool mayRunAgain = isSurelyNotRun(failure) || (this->facts.idempotent && !this->headRelayed);
+    return mayRunAgain && this->dispatches < this->facts.maxDispatches;
+}
+
+void RequestFlow::Private::tryNextTarget(FlowActions &actions)
 {
-    if (this->dispatches >= this->facts.maxDispatches) {
-        return false;
-    }
     this->earlierMayHaveRun = this->possiblyRun;
     this->excluded.push_back(this->target);
     actions.emplace_back(ReleaseReservation{});
     actions.emplace_back(Reserve{this->excluded});
     this->reservation = Part::Awaited;
     this->stage = Stage::Admitting;
-    return true;
 }
 
-bool RequestFlow::Private::tryResume(FlowActions &actions)
+bool RequestFlow::Private::canResume(TargetFailure failure) const
 {
-    if (!this->facts.resumable || this->resumes >= this->facts.maxResumes) {
-        return false;
-    }
-    this->resumes += 1;
-    actions.emplace_back(ResumeStream{this->target});
-    return true;
+    const bool mayBeThere = !isSurelyNotRun(failure) && failure != TargetFailure::CannotResume;
+    return mayBeThere && this->facts.resumable && this->resumes < this->facts.maxResumes;
 }
 
 RequestFlow::RequestFlow(const FlowFacts &facts) : d(std::make_unique<Private>(facts))
@@ -289,19 +293,28 @@
     return actions;
 }
 
-FlowActions RequestFlow::targetFailed(Millis now, TargetFailure failure)
+bool RequestFlow::wouldResend(TargetFailure failure) const
+{
+    const bool sent = this->d->stage == Stage::Dispatched || this->d->stage == Stage::Relaying;
+    return sent && !this->d->canResume(failure) && this->d->canResend(failure);
+}
+
+FlowActions RequestFlow::targetFailed(Millis now, TargetFailure failure, bool budgetAllows)
 {
     FlowActions actions = this->tick(now);
     if (this->d->stage != Stage::Dispatched && this->d->stage != Stage::Relaying) {
         return actions;
     }
-    const bool surelyNotRun = failure == TargetFailure::NeverSent || failure == TargetFailure::RefusedByTarget;
-    if (surelyNotRun) {
+    if (isSurelyNotRun(failure)) {
         this->d->possiblyRun = this->d->earlierMayHaveRun;
     }
-    const bool mayResume = !surelyNotRun && failure != TargetFailure::CannotResume;
-    const bool mayResend = surelyNotRun || (this->d->facts.idempotent && !this->d->headRelayed);
-    if ((mayResume && this->d->tryResume(actions)) || (mayResend && this->d->tryNextTarget(actions))) {
+    if (this->d->canResume(failure)) {
+        this->d->resumes += 1;
+        actions.emplace_back(ResumeStream{this->d->target});
+        return actions;
+    }
+    if (budgetAllows && this->d->canResend(failure)) {
+        this->d->tryNextTarget(actions);
         return actions;
     }
     if (!this->d->possiblyRun) {
--- a/sequoiausher/coordination/flow/requestflow.h
+++ b/sequoiausher/coordination/flow/requestflow.h
@@ -74,8 +74,15 @@
     /** The whole answer was relayed. */
     FlowActions answerComplete(Millis now);
 
-    /** The call to the target failed. */
-    FlowActions targetFailed(Millis now, TargetFailure failure);
+    /** Whether targetFailed() would send the request to another target, so that its budget must be asked first. */
+    bool wouldResend(TargetFailure failure) const;
+
+    /**
+     * The call to the target failed.
+     * @param budgetAllows whether the pool's budget has a resend left. Without one the request ends at once, and says
+     *        of itself what is known.
+     */
+    FlowActions targetFailed(Millis now, TargetFailure failure, bool budgetAllows = true);
 
     /** The holder does not give the answer: it never ran there (retry), or nobody knows. */
     FlowActions attachFailed(Millis now, Ran ran);
--- a/sequoiausher/coordination/flow/requestflowtest.cpp
+++ b/sequoiausher/coordination/flow/requestflowtest.cpp
@@ -285,3 +285,36 @@
     claimed->headArrived(start);
     CHECK(has<RelayEnd>(claimed->answerComplete(start)));
 }
+
+// Symptom: a pool in trouble is given a multiple of its load. Sequence: calls fail, each is sent to the next target.
+// Cause: nothing bounded the resends. Without a token the request ends at once, and says what is known of it.
+TEST_CASE("without a resend in the budget the request ends at once and honestly")
+{
+    struct Row
+    {
+        bool idempotent;
+        TargetFailure failure;
+        bool wouldResend;
+        Ran ran;
+    };
+    const std::vector<Row> rows{
+        {false, TargetFailure::NeverSent, true, Ran::No},
+        {false, TargetFailure::RefusedByTarget, true, Ran::No},
+        {false, TargetFailure::NoHead, false, Ran::Unknown},
+        {true, TargetFailure::NoHead, true, Ran::Unknown},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(nameOf(row.failure));
+        FlowFacts facts;
+        facts.idempotent = row.idempotent;
+        const auto flow = dispatched(facts);
+        CHECK(flow->wouldResend(row.failure) == row.wouldResend);
+        const FlowActions actions = flow->targetFailed(start, row.failure, false);
+        CHECK_FALSE(has<Reserve>(actions));
+        CHECK(has<ReleaseReservation>(actions));
+        REQUIRE(has<Refuse>(actions));
+        CHECK(find<Refuse>(actions)->ran == row.ran);
+        CHECK((row.ran == Ran::Unknown || find<Refuse>(actions)->retryAfter > Millis{0}));
+        CHECK(flow->isDone());
+    }
+}
--- a/sequoiausher/coordination/rules/decision.h
+++ b/sequoiausher/coordination/rules/decision.h
@@ -51,13 +51,16 @@
     {ClaimMode::Required, "required"},
 });
 
-/** What an organisation may take of the pool through this rule, in each router; absent means no limit of its own. */
+/** What an organisation may take of the pool through this rule; absent means no limit of its own. */
 struct RuleLimits
 {
+    /** Over the fleet as a whole. */
     std::optional<std::uint32_t> ratePerSecond;
-    /** Requests at once on top of the rate; the rate itself where absent. */
+    /** Requests at once on top of the rate, over the fleet; two seconds' worth where absent. */
     std::optional<std::uint32_t> burst;
+    /** In each router, like the queue before it. */
     std::optional<std::uint32_t> inFlight;
+    /** Those that wait for one of inFlight; of no effect without it. */
     std::optional<std::uint32_t> queueLength;
     std::optional<Millis> queueTime;
 
--- a/sequoiausher/transport/router/entry.cpp
+++ b/sequoiausher/transport/router/entry.cpp
@@ -190,7 +190,7 @@
         this->refuse(exchange, request, error, Ran::No, Millis{0});
         return;
     }
-    const LimitDecision limit = this->context.node.takeRate(*organisation, parsed.requestClass, decision->limits);
+    const LimitDecision limit = this->context.node.takeRate(*organisation, parsed.requestClass, *decision);
     if (!limit.allowed) {
         const ApiError error{statusTooMany, "rate_limited", "The organisation's limit is reached.", ""};
         this->refuse(exchange, request, error, ran, std::max(limit.retryAfter, Millis{1}));
--- a/sequoiausher/transport/router/node.cpp
+++ b/sequoiausher/transport/router/node.cpp
@@ -3,6 +3,7 @@
 #include "sequoiausher/coordination/admission/ownedshards.h"
 #include "sequoiausher/coordination/claims/witness.h"
 #include "sequoiausher/coordination/limits/admissionqueue.h"
+#include "sequoiausher/coordination/limits/poolguard.h"
 #include "sequoiausher/coordination/membership/membership.h"
 #include "sequoiausher/coordination/spread/spread.h"
 #include "sequoiausher/state/lockorder.h"
@@ -147,6 +148,8 @@
     OrderedMutex limitsMutex{LockRank::Limits};
     RateLimiter rates;
     std::map<PoolId, std::unique_ptr<AdmissionQueue>> queues;
+    RuleGates gates;
+    PoolGuard guard;
 
     AnswerTable answers;
     RequestRegistry registry;
@@ -487,6 +490,7 @@
         for (const auto &entry : this->queues) {
             entry.second->tick(now, actions);
         }
+        this->gates.tick(now, actions);
     }
     this->tellQueue(actions);
     this->answers.tick(now);
@@ -550,6 +554,8 @@
             this->documentsReady = false;
         } else if (event.kind == MembershipEventKind::TargetChanged) {
             targetsMoved = this->targets.applyNews(now, event.target, event.life) || targetsMoved;
+            const std::scoped_lock lock(this->limitsMutex);
+            this->guard.forget(event.target);
         } else if (event.kind == MembershipEventKind::InstanceChanged && event.life.state == LifeState::Gone) {
             const std::scoped_lock lock(this->admissionMutex);
             this->owned.instanceGone(event.instance);
@@ -861,9 +867,9 @@
     this->d->deliver(std::move(outbox));
 }
 
-LimitDecision Node::takeRate(const OrganisationId &organisation, RequestClass requestClass, const RuleLimits &limits)
+LimitDecision Node::takeRate(const OrganisationId &organisation, RequestClass requestClass, const Decision &decision)
 {
-    const std::scoped_lock lock(this->d->limitsMutex);
+    const RuleLimits &limits = decision.limits;
     if (!limits.ratePerSecond) {
         return LimitDecision{};
     }
@@ -872,8 +878,73 @@
     if (limits.burst && *limits.ratePerSecond > 0) {
         wanted.burstSeconds = static_cast<double>(*limits.burst) / *limits.ratePerSecond;
     }
-    this->d->rates.setLimits(organisation, wanted);
-    return this->d->rates.take(Millis::monotonicNow(), organisation, requestClass, 1);
+    // Each rule limits by itself: with one bucket for two rules, the looser one would be spent by the stricter one.
+    const OrganisationId byRule{organisation.value + "/" + decision.document + "/" + decision.rule};
+    const std::scoped_lock lock(this->d->limitsMutex);
+    this->d->rates.setLimits(byRule, wanted);
+    return this->d->rates.take(Millis::monotonicNow(), byRule, requestClass, 1);
+}
+
+QueueDecision Node::enqueueByRule(const RuleGate &gate, const QueueEntry &entry)
+{
+    std::vector<QueueAction> actions;
+    QueueDecision decision;
+    {
+        const std::scoped_lock lock(this->d->limitsMutex);
+        decision = this->d->gates.offer(Millis::monotonicNow(), gate, entry, actions);
+    }
+    this->d->tellQueue(actions);
+    return decision;
+}
+
+void Node::dequeueByRule(const RuleGate &gate, const RequestId &request)
+{
+    std::vector<QueueAction> actions;
+    {
+        const std::scoped_lock lock(this->d->limitsMutex);
+        this->d->gates.leave(Millis::monotonicNow(), gate, request, actions);
+    }
+    this->d->tellQueue(actions);
+}
+
+std::vector<TargetId> Node::leftAlone(const PoolId &pool, const std::vector<TargetId> &excluded) const
+{
+    const std::shared_ptr<const PoolView> view = this->d->targets.pool(pool);
+    if (!view) {
+        return {};
+    }
+    const std::scoped_lock lock(this->d->limitsMutex);
+    return this->d->guard.leftAlone(Millis::monotonicNow(), *view, excluded);
+}
+
+void Node::targetTried(const TargetId &target)
+{
+    const std::scoped_lock lock(this->d->limitsMutex);
+    this->d->guard.tried(Millis::monotonicNow(), target);
+}
+
+void Node::targetAnswered(const TargetId &target)
+{
+    const std::scoped_lock lock(this->d->limitsMutex);
+    this->d->guard.answered(target);
+}
+
+void Node::targetFailed(const TargetId &target)
+{
+    const std::scoped_lock lock(this->d->limitsMutex);
+    this->d->guard.failed(Millis::monotonicNow(), target);
+}
+
+void Node::countRequest(const PoolId &pool, std::uint32_t budgetPercent)
+{
+    const std::scoped_lock lock(this->d->limitsMutex);
+    this->d->guard.countRequest(Millis::monotonicNow(), pool, budgetPercent);
+}
+
+bool Node::mayResend(const PoolId &pool, std::uint32_t budgetPercent)
+{
+    const std::scoped_lock lock(this->d->limitsMutex);
+    return this->d->guard.mayResend(Millis::monotonicNow(), pool, budgetPercent);
 }
 
 QueueDecision Node::enqueue(const PoolId &pool, const QueueEntry &entry)
@@ -1013,6 +1084,7 @@
         for (const auto &entry : this->d->queues) {
             status.waiting += entry.second->waiting();
         }
+        status.waiting += this->d->gates.waiting();
     }
     status.requests = this->d->registry.size();
     status.counters = this->d->mesh.counters();
--- a/sequoiausher/transport/router/node.h
+++ b/sequoiausher/transport/router/node.h
@@ -14,8 +14,9 @@
 #include "sequoiausher/base/metrics/metrics.h"
 #include "sequoiausher/coordination/admission/reserver.h"
 #include "sequoiausher/coordination/claims/claimant.h"
-#include "sequoiausher/coordination/limits/dispatchqueue.h"
 #include "sequoiausher/coordination/limits/ratelimit.h"
+#include "sequoiausher/coordination/limits/rulegates.h"
+#include "sequoiausher/coordination/rules/decision.h"
 #include "sequoiausher/protocol/settings/fleetconfiguration.h"
 #include "sequoiausher/protocol/settings/routersettings.h"
 #include "sequoiausher/state/answers/answertable.h"
@@ -90,13 +91,27 @@
     void reserve(const Wanted &wanted);
     void release(const RequestId &request);
 
-    /** Whether the organisation may have one request more now. */
-    LimitDecision takeRate(const OrganisationId &organisation, RequestClass requestClass, const RuleLimits &limits);
+    /** Whether the organisation may have one request more now by the rule that decided; a limit over the fleet. */
+    LimitDecision takeRate(const OrganisationId &organisation, RequestClass requestClass, const Decision &decision);
+    /** Queues a request before what its rule lets the organisation have in flight; Queue ends in queueDecided. */
+    QueueDecision enqueueByRule(const RuleGate &gate, const QueueEntry &entry);
+    void dequeueByRule(const RuleGate &gate, const RequestId &request);
     /** Queues a request before its pool; Queue ends in queueDecided. */
     QueueDecision enqueue(const PoolId &pool, const QueueEntry &entry);
     void requeue(const PoolId &pool, const RequestId &request, Millis retryAfter);
     void dequeue(const PoolId &pool, const RequestId &request);
 
+    /** Targets of the pool that this router leaves alone, beside those excluded; see PoolGuard. */
+    std::vector<TargetId> leftAlone(const PoolId &pool, const std::vector<TargetId> &excluded) const;
+    /** How this router's calls to targets go. */
+    void targetTried(const TargetId &target);
+    void targetAnswered(const TargetId &target);
+    void targetFailed(const TargetId &target);
+    /** Counts a request that is sent to a pool for the first time, for the budget of resends. */
+    void countRequest(const PoolId &pool, std::uint32_t budgetPercent);
+    /** Whether a request may be sent once more; it is then paid for. */
+    bool mayResend(const PoolId &pool, std::uint32_t budgetPercent);
+
     /** Sends a message about an attached answer to another router. */
     void send(const InstanceId &to, PeerMessage message);
 
--- a/sequoiausher/transport/router/requestsession.cpp
+++ b/sequoiausher/transport/router/requestsession.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr int statusUnavailable = 503;
+constexpr int statusTooMany = 429;
 constexpr int statusConflict = 409;
 constexpr int statusUnprocessable = 422;
 constexpr std::size_t readBytes = 64 * 1024;
@@ -99,7 +100,11 @@
     void startFlow();
     bool joinRunning();
     void pumpJoined();
+    void callFailed(TargetFailure failure);
+    void reserve(const std::vector<TargetId> &excluded, bool leaveAlone);
     void enqueue();
+    void enqueueInPool();
+    void queueRefused(Millis retryAfter);
     void refuseAtOnce(Refuse refuse);
     void run(const FlowActions &actions);
     void act(const FlowAction &action);
@@ -124,6 +129,14 @@
     std::uint64_t bodyDigest = 0;
     bool started = false;
     bool queued = false;
+    /** Set where the rule bounds what the organisation has in flight. */
+    std::optional<RuleGate> gate;
+    /** Still before the gate, so the next decision of a queue is the gate's. */
+    bool atGate = false;
+    QueueEntry entry;
+    /** What the last reservation left out for this request's sake, and whether it left out paused targets too. */
+    std::vector<TargetId> excluded;
+    bool leftSomeAlone = false;
     bool inTable = false;
     bool keyUnrun = false;
     bool counted = false;
@@ -146,6 +159,7 @@
 {
     this->status = code;
     this->contentType = type;
+    this->context.node.targetAnswered(this->target);
     this->run(this->flow.headArrived(Millis::monotonicNow()));
 }
 
@@ -171,7 +185,39 @@
                                {"reason", reason},
                                {"request", this->order.request.toHex()}});
     this->context.metrics.add("target_failures_total{failure=\"" + std::string(nameOf(failure)) + "\"}");
-    this->run(this->flow.targetFailed(Millis::monotonicNow(), failure));
+    const bool unreachable
+        = failure == TargetFailure::NeverSent || failure == TargetFailure::NoHead || failure == TargetFailure::BrokeOff;
+    if (unreachable) {
+        this->context.node.targetFailed(this->target);
+    }
+    this->callFailed(failure);
+}
+
+// A resend needs a token: without a budget, a pool that loses half of its targets would be given twice the load.
+void RequestSession::Private::callFailed(TargetFailure failure)
+{
+    const Decision &decision = this->order.decision;
+    const bool allowed
+        = !this->flow.wouldResend(failure) || this->context.node.mayResend(decision.pool, decision.retryBudgetPercent);
+    if (!allowed) {
+        this->context.metrics.add("resends_denied_total");
+    }
+    this->run(this->flow.targetFailed(Millis::monotonicNow(), failure, allowed));
+}
+
+void RequestSession::Private::reserve(const std::vector<TargetId> &unusable, bool leaveAlone)
+{
+    Node &node = this->context.node;
+    const Decision &decision = this->order.decision;
+    this->excluded = unusable;
+    std::vector<TargetId> without = unusable;
+    if (leaveAlone) {
+        const std::vector<TargetId> paused = node.leftAlone(decision.pool, unusable);
+        without.insert(without.end(), paused.begin(), paused.end());
+    }
+    this->leftSomeAlone = without.size() > unusable.size();
+    const std::uint32_t bound = decision.boundPercent.value_or(node.settings().admission.boundPercent);
+    node.reserve(Wanted{this->order.request, decision.pool, this->order.chatHash, decision.policy, bound, without});
 }
 
 // A retry that reached the router where the first attempt runs takes its answer; nothing is claimed or reserved.
@@ -244,21 +290,54 @@
 
 void RequestSession::Private::enqueue()
 {
-    QueueEntry entry;
-    entry.request = this->order.request;
-    entry.organisation = this->order.labels.organisation;
-    entry.requestClass = this->order.parsed.requestClass;
-    const Millis longest
-        = this->order.decision.limits.queueTime.value_or(this->context.node.settings().limits.queueTime);
-    entry.dispatchBy = std::min(this->order.deadline, this->begunAt + longest);
-    entry.cost = static_cast<std::uint32_t>(1 + this->order.parsed.promptLength / bytesPerCost);
+    const Decision &decision = this->order.decision;
+    const RuleLimits &limits = decision.limits;
+    const RouterSettings &settings = this->context.node.settings();
+    this->entry.request = this->order.request;
+    this->entry.organisation = this->order.labels.organisation;
+    this->entry.requestClass = this->order.parsed.requestClass;
+    const Millis longest = limits.queueTime.value_or(settings.limits.queueTime);
+    this->entry.dispatchBy = std::min(this->order.deadline, this->begunAt + longest);
+    this->entry.cost = static_cast<std::uint32_t>(1 + this->order.parsed.promptLength / bytesPerCost);
+    if (!limits.inFlight) {
+        this->enqueueInPool();
+        return;
+    }
+    const auto fleetLength = static_cast<std::uint32_t>(settings.limits.queueLength);
+    this->gate = RuleGate{this->entry.organisation,
+                          decision.document,
+                          decision.rule,
+                          *limits.inFlight,
+                          limits.queueLength.value_or(fleetLength)};
+    this->atGate = true;
+    const QueueDecision decided = this->context.node.enqueueByRule(*this->gate, this->entry);
+    if (decided.verdict == QueueVerdict::Dispatch) {
+        this->enqueueInPool();
+    } else if (decided.verdict == QueueVerdict::Refuse) {
+        this->queueRefused(decided.retryAfter);
+    }
+}
+
+void RequestSession::Private::enqueueInPool()
+{
+    this->atGate = false;
     this->queued = true;
-    const QueueDecision decision = this->context.node.enqueue(this->order.decision.pool, entry);
+    const QueueDecision decision = this->context.node.enqueue(this->order.decision.pool, this->entry);
     if (decision.verdict == QueueVerdict::Dispatch) {
         this->startFlow();
     } else if (decision.verdict == QueueVerdict::Refuse) {
-        const Ran ran = this->claims ? Ran::Unknown : Ran::No;
-        this->refuseAtOnce(Refuse{statusUnavailable, ran, RefusalReason::PoolFull, decision.retryAfter});
+        this->queueRefused(decision.retryAfter);
+    }
+}
+
+// Before the flow began: the rule's own limit says 429, a pool without room 503.
+void RequestSession::Private::queueRefused(Millis retryAfter)
+{
+    const Ran ran = this->claims ? Ran::Unknown : Ran::No;
+    if (this->atGate) {
+        this->refuseAtOnce(Refuse{statusTooMany, ran, RefusalReason::ShedByLimit, retryAfter});
+    } else {
+        this->refuseAtOnce(Refuse{statusUnavailable, ran, RefusalReason::PoolFull, retryAfter});
     }
 }
 
@@ -268,6 +347,7 @@
     const Millis now = Millis::monotonicNow();
     this->context.metrics.observe(
         this->order.labels, Measure::QueueTime, static_cast<double>((now - this->begunAt).count));
+    this->context.node.countRequest(this->order.decision.pool, this->order.decision.retryBudgetPercent);
     this->run(this->flow.start(now));
 }
 
@@ -301,9 +381,7 @@
         this->keyUnrun = node.isKeyUnrun(request);
         node.withdraw(request);
     } else if (const auto *reserve = std::get_if<Reserve>(&action)) {
-        const Decision &decision = this->order.decision;
-        const std::uint32_t bound = decision.boundPercent.value_or(node.settings().admission.boundPercent);
-        node.reserve(Wanted{request, decision.pool, this->order.chatHash, decision.policy, bound, reserve->excluded});
+        this->reserve(reserve->excluded, true);
     } else if (const auto *requeue = std::get_if<Requeue>(&action)) {
         node.requeue(this->order.decision.pool, request, requeue->retryAfter);
     } else if (std::holds_alternative<ReleaseReservation>(action)) {
@@ -347,9 +425,10 @@
     this->target = action.target;
     const std::string address = this->addressOf(action.target);
     if (address.empty()) {
-        this->run(this->flow.targetFailed(Millis::monotonicNow(), TargetFailure::NeverSent));
+        this->callFailed(TargetFailure::NeverSent);
         return;
     }
+    this->context.node.targetTried(action.target);
     this->call.dispatch(address, action.freshConnection);
 }
 
@@ -429,6 +508,10 @@
         this->queued = false;
         this->context.node.dequeue(this->order.decision.pool, this->order.request);
     }
+    if (this->gate) {
+        this->context.node.dequeueByRule(*this->gate, this->order.request);
+        this->gate.reset();
+    }
 }
 
 std::string RequestSession::Private::addressOf(const TargetId &wanted) const
@@ -546,6 +629,11 @@
         reply.verdict = ReserveVerdict::Full;
         break;
     case ReserveOutcome::NoTarget:
+        if (this->d->leftSomeAlone && !this->d->done) {
+            // All targets that this chat's shard has are paused here: one is tried all the same.
+            this->d->reserve(std::vector<TargetId>(this->d->excluded), false);
+            return;
+        }
         reply.verdict = ReserveVerdict::NoTarget;
         break;
     }
@@ -559,7 +647,9 @@
     }
     const Millis now = Millis::monotonicNow();
     if (decision.verdict == QueueVerdict::Dispatch) {
-        if (this->d->started) {
+        if (this->d->atGate) {
+            this->d->enqueueInPool();
+        } else if (this->d->started) {
             this->d->run(this->d->flow.requeued(now));
         } else {
             this->d->startFlow();
@@ -568,8 +658,7 @@
         if (this->d->started) {
             this->d->run(this->d->flow.shed(now, decision.retryAfter));
         } else {
-            const Ran ran = this->d->claims ? Ran::Unknown : Ran::No;
-            this->d->refuseAtOnce(Refuse{statusUnavailable, ran, RefusalReason::PoolFull, decision.retryAfter});
+            this->d->queueRefused(decision.retryAfter);
         }
     }
 }
