--- a/sequoiausher/transport/router/node.cpp
+++ b/sequoiausher/transport/router/node.cpp
@@ -3,6 +3,7 @@
 #include "sequoiausher/coordination/admission/ownedshards.h"
 #include "sequoiausher/coordination/claims/witness.h"
 #include "sequoiausher/coordination/limits/admissionqueue.h"
+#include "sequoiausher/coordination/limits/poolguard.h"
 #include "sequoiausher/coordination/membership/membership.h"
 #include "sequoiausher/coordination/spread/spread.h"
 #include "sequoiausher/state/lockorder.h"
@@ -12,6 +13,7 @@
 #include "sequoiausher/transport/router/answerserver.h"
 #include "sequoiausher/transport/router/loadpoller.h"
 
+#include <QMetaObject>
 #include <QTimer>
 
 #include <algorithm>
@@ -100,6 +102,7 @@
     void serviceAnswered() override;
     void serviceFailed(const std::string &address, const std::string &reason) override;
 
+    class Receiver;
     void dispatch(const InstanceId &from, const PeerMessage &message, Outbox &outbox);
     void deliver(Outbox outbox);
     void tick();
@@ -107,7 +110,9 @@
     void tellClaims(const std::vector<ClaimOutcome> &outcomes);
     void tellReservations(const std::vector<ReserveResult> &results);
     void tellQueue(const std::vector<QueueAction> &actions);
+    void tellRefusal();
     void documentsChanged(Millis now);
+    void documentsChangedSoon();
     void apply(Millis now, const std::shared_ptr<const FleetConfiguration> &fleet);
     void applyInstances(Millis now, const FleetConfiguration &fleet);
     void applyPools(Millis now, const FleetConfiguration &fleet);
@@ -132,6 +137,7 @@
     Spread spread;
     FleetDocumentChecker checker;
     ConfigurationState configurationState;
+    std::string toldRefusal;
 
     TargetTable targets;
 
@@ -147,6 +153,8 @@
     OrderedMutex limitsMutex{LockRank::Limits};
     RateLimiter rates;
     std::map<PoolId, std::unique_ptr<AdmissionQueue>> queues;
+    RuleGates gates;
+    PoolGuard guard;
 
     AnswerTable answers;
     RequestRegistry registry;
@@ -273,140 +281,155 @@
 }
 
 // One message to the decision that it is for. Exactly one lock is held at a time.
-void Node::Private::dispatch(const InstanceId &from, const PeerMessage &message, Outbox &outbox)
+class Node::Private::Receiver
 {
-    const Millis now = Millis::monotonicNow();
-    const auto withMembership = [&](const auto &m) {
-        const std::scoped_lock lock(this->membershipMutex);
-        this->membership.receive(now, from, m, outbox);
-    };
-    const auto withGossip = [&](const auto &m) {
-        withMembership(m);
-        const std::scoped_lock lock(this->documentsMutex);
-        this->spread.heard(now, from, m.gossip, outbox);
-    };
-    const auto withDocuments = [&](const auto &m) {
-        const std::scoped_lock lock(this->documentsMutex);
-        this->spread.receive(now, from, m, outbox);
-    };
-    const auto withWitness = [&](const auto &m) {
-        const std::scoped_lock lock(this->claimsMutex);
-        this->witness.receive(now, from, m, outbox);
-    };
-    struct Visitor
-    {
-        Private &self;
-        const InstanceId &from;
-        Millis now;
-        Outbox &outbox;
-        const decltype(withMembership) &membership;
-        const decltype(withGossip) &gossip;
-        const decltype(withDocuments) &documents;
-        const decltype(withWitness) &witness;
-
-        void operator()(const ClaimRequest &m) const
-        {
-            this->witness(m);
-        }
-        void operator()(const ClaimWithdraw &m) const
-        {
-            this->witness(m);
-        }
-        void operator()(const ClaimPull &m) const
-        {
-            this->witness(m);
-        }
-        void operator()(const ClaimPage &m) const
-        {
-            this->witness(m);
-        }
-        void operator()(const ClaimVote &m) const
-        {
-            std::vector<ClaimOutcome> outcomes;
-            {
-                const std::scoped_lock lock(this->self.claimsMutex);
-                this->self.claimant.receive(this->now, this->from, m, this->outbox);
-                outcomes = this->self.claimant.takeOutcomes();
-            }
-            this->self.tellClaims(outcomes);
-        }
-        void operator()(const ReserveRequest &m) const
-        {
-            const std::scoped_lock lock(this->self.admissionMutex);
-            this->self.owned.receive(this->now, this->from, m, this->outbox);
-        }
-        void operator()(const Release &m) const
+public:
+    Receiver(Private &node, const InstanceId &sender, Outbox &answers)
+        : self(node)
+        , from(sender)
+        , now(Millis::monotonicNow())
+        , outbox(answers)
+    {
+    }
+
+    void operator()(const ClaimRequest &m) const
+    {
+        this->toWitness(m);
+    }
+    void operator()(const ClaimWithdraw &m) const
+    {
+        this->toWitness(m);
+    }
+    void operator()(const ClaimPull &m) const
+    {
+        this->toWitness(m);
+    }
+    void operator()(const ClaimPage &m) const
+    {
+        this->toWitness(m);
+    }
+    void operator()(const ClaimVote &m) const
+    {
+        std::vector<ClaimOutcome> outcomes;
         {
-            const std::scoped_lock lock(this->self.admissionMutex);
-            this->self.owned.receive(this->now, this->from, m);
+            const std::scoped_lock lock(this->self.claimsMutex);
+            this->self.claimant.receive(this->now, this->from, m, this->outbox);
+            outcomes = this->self.claimant.takeOutcomes();
         }
-        void operator()(const HoldingsReport &m) const
+        this->self.tellClaims(outcomes);
+    }
+    void operator()(const ReserveRequest &m) const
+    {
+        const std::scoped_lock lock(this->self.admissionMutex);
+        this->self.owned.receive(this->now, this->from, m, this->outbox);
+    }
+    void operator()(const Release &m) const
+    {
+        const std::scoped_lock lock(this->self.admissionMutex);
+        this->self.owned.receive(this->now, this->from, m);
+    }
+    void operator()(const HoldingsReport &m) const
+    {
+        const std::scoped_lock lock(this->self.admissionMutex);
+        this->self.owned.receive(this->now, this->from, m);
+    }
+    void operator()(const ReserveReply &m) const
+    {
+        std::vector<ReserveResult> results;
         {
             const std::scoped_lock lock(this->self.admissionMutex);
-            this->self.owned.receive(this->now, this->from, m);
-        }
-        void operator()(const ReserveReply &m) const
-        {
-            std::vector<ReserveResult> results;
-            {
-                const std::scoped_lock lock(this->self.admissionMutex);
-                this->self.reserver.receive(this->now, this->from, m);
-                results = this->self.reserver.takeResults();
-            }
-            this->self.tellReservations(results);
-        }
-        void operator()(const Probe &m) const
-        {
-            this->gossip(m);
-        }
-        void operator()(const ProbeReply &m) const
-        {
-            this->gossip(m);
-        }
-        void operator()(const IndirectProbe &m) const
-        {
-            this->membership(m);
-        }
-        void operator()(const DocumentPush &m) const
-        {
-            this->documents(m);
-            this->self.documentsChanged(this->now);
-        }
-        void operator()(const DocumentDigest &m) const
-        {
-            this->documents(m);
-        }
-        void operator()(const DocumentPull &m) const
-        {
-            this->documents(m);
-        }
-        void operator()(const AttachRequest &m) const
-        {
-            {
-                // A retry that asks for a withdrawn attempt met a witness that missed the withdrawal.
-                const std::scoped_lock lock(this->self.claimsMutex);
-                this->self.claimant.repeatWithdrawal(this->now, m.attempt, this->outbox);
-            }
-            this->self.answerServer.attach(this->from, m);
-        }
-        void operator()(const AttachCancel &m) const
-        {
-            this->self.answerServer.cancel(this->from, m);
-        }
-        void operator()(const AttachReply &m) const
-        {
-            this->self.registry.tell(m.attachment, [m](RequestEar &ear) { ear.attachReplied(m); });
-        }
-        void operator()(const AttachChunk &m) const
-        {
-            this->self.registry.tell(m.attachment, [m](RequestEar &ear) { ear.attachChunk(m); });
+            this->self.reserver.receive(this->now, this->from, m);
+            results = this->self.reserver.takeResults();
         }
-        void operator()(const AttachEnd &m) const
+        this->self.tellReservations(results);
+    }
+    void operator()(const Probe &m) const
+    {
+        this->toMembership(m);
+        this->heardGossip(m.gossip);
+    }
+    void operator()(const ProbeReply &m) const
+    {
+        this->toMembership(m);
+        this->heardGossip(m.gossip);
+    }
+    void operator()(const IndirectProbe &m) const
+    {
+        this->toMembership(m);
+    }
+    void operator()(const DocumentPush &m) const
+    {
+        this->toSpread(m);
+        this->self.documentsChangedSoon();
+    }
+    void operator()(const DocumentDigest &m) const
+    {
+        this->toSpread(m);
+    }
+    void operator()(const DocumentPull &m) const
+    {
+        this->toSpread(m);
+    }
+    void operator()(const AttachRequest &m) const
+    {
         {
-            this->self.registry.tell(m.attachment, [m](RequestEar &ear) { ear.attachEnded(m); });
+            // A retry that asks for a withdrawn attempt met a witness that missed the withdrawal.
+            const std::scoped_lock lock(this->self.claimsMutex);
+            this->self.claimant.repeatWithdrawal(this->now, m.attempt, this->outbox);
         }
-    };
-    std::visit(Visitor{*this, from, now, outbox, withMembership, withGossip, withDocuments, withWitness}, message);
+        this->self.answerServer.attach(this->from, m);
+    }
+    void operator()(const AttachCancel &m) const
+    {
+        this->self.answerServer.cancel(this->from, m);
+    }
+    void operator()(const AttachReply &m) const
+    {
+        this->self.registry.tell(m.attachment, [m](RequestEar &ear) { ear.attachReplied(m); });
+    }
+    void operator()(const AttachChunk &m) const
+    {
+        this->self.registry.tell(m.attachment, [m](RequestEar &ear) { ear.attachChunk(m); });
+    }
+    void operator()(const AttachEnd &m) const
+    {
+        this->self.registry.tell(m.attachment, [m](RequestEar &ear) { ear.attachEnded(m); });
+    }
+
+private:
+    template<typename Message>
+    void toWitness(const Message &message) const
+    {
+        const std::scoped_lock lock(this->self.claimsMutex);
+        this->self.witness.receive(this->now, this->from, message, this->outbox);
+    }
+    template<typename Message>
+    void toMembership(const Message &message) const
+    {
+        const std::scoped_lock lock(this->self.membershipMutex);
+        this->self.membership.receive(this->now, this->from, message, this->outbox);
+    }
+    template<typename Message>
+    void toSpread(const Message &message) const
+    {
+        const std::scoped_lock lock(this->self.documentsMutex);
+        this->self.spread.receive(this->now, this->from, message, this->outbox);
+    }
+    void heardGossip(const Gossip &gossip) const
+    {
+        const std::scoped_lock lock(this->self.documentsMutex);
+        this->self.spread.heard(this->now, this->from, gossip, this->outbox);
+    }
+
+    Private &self;
+    const InstanceId &from;
+    Millis now;
+    Outbox &outbox;
+};
+
+void Node::Private::dispatch(const InstanceId &from, const PeerMessage &message, Outbox &outbox)
+{
+    std::visit(Receiver(*this, from, outbox), message);
 }
 
 // Sends what is for others, and gives back what is for this router itself until nothing comes of it any more.
@@ -487,6 +510,7 @@
         for (const auto &entry : this->queues) {
             entry.second->tick(now, actions);
         }
+        this->gates.tick(now, actions);
     }
     this->tellQueue(actions);
     this->answers.tick(now);
@@ -550,6 +574,8 @@
             this->documentsReady = false;
         } else if (event.kind == MembershipEventKind::TargetChanged) {
             targetsMoved = this->targets.applyNews(now, event.target, event.life) || targetsMoved;
+            const std::scoped_lock lock(this->limitsMutex);
+            this->guard.forget(event.target);
         } else if (event.kind == MembershipEventKind::InstanceChanged && event.life.state == LifeState::Gone) {
             const std::scoped_lock lock(this->admissionMutex);
             this->owned.instanceGone(event.instance);
@@ -602,18 +628,35 @@
     this->tellReservations(results);
 }
 
+// From a message: a new list of instances changes the peers of the mesh, which must not happen while the mesh hands
+// over what one of them sent; the link that is being read would be closed under the reader.
+void Node::Private::documentsChangedSoon()
+{
+    QMetaObject::invokeMethod(
+        &this->timer, [this] { this->documentsChanged(Millis::monotonicNow()); }, Qt::QueuedConnection);
+}
+
+// A refusal is told once, though the set in force may move on beside it.
+void Node::Private::tellRefusal()
+{
+    const std::optional<Error> &refusal = this->configurationState.refusal();
+    const std::string reason = refusal ? refusal->what() : "";
+    if (refusal && reason != this->toldRefusal) {
+        this->log.error(
+            LogPart::Config, "a document is refused, the last good one stays in force", {{"reason", reason}});
+        this->metrics.add("configurations_refused_total");
+    }
+    this->toldRefusal = reason;
+}
+
 void Node::Private::documentsChanged(Millis now)
 {
     std::shared_ptr<const Configuration> inForce;
     {
         const std::scoped_lock lock(this->documentsMutex);
         const OfferResult result = this->configurationState.offer(this->spread.documents());
-        if (result == OfferResult::Refused) {
-            this->log.error(LogPart::Config,
-                            "a new configuration is refused, the last good one stays",
-                            {{"reason", this->configurationState.refusal()->what()}});
-            this->metrics.add("configurations_refused_total");
-        }
+        this->spread.keep(now, this->configurationState.lastGood());
+        this->tellRefusal();
         if (result != OfferResult::InForce) {
             return;
         }
@@ -815,6 +858,12 @@
     return this->d->claimant.mayDispatch(attempt, Millis::monotonicNow());
 }
 
+bool Node::mayRedispatch(const RequestId &attempt) const
+{
+    const std::scoped_lock lock(this->d->claimsMutex);
+    return this->d->claimant.mayRedispatch(attempt, Millis::monotonicNow());
+}
+
 bool Node::isKeyUnrun(const RequestId &attempt) const
 {
     const std::scoped_lock lock(this->d->claimsMutex);
@@ -861,9 +910,9 @@
     this->d->deliver(std::move(outbox));
 }
 
-LimitDecision Node::takeRate(const OrganisationId &organisation, RequestClass requestClass, const RuleLimits &limits)
+LimitDecision Node::takeRate(const OrganisationId &organisation, RequestClass requestClass, const Decision &decision)
 {
-    const std::scoped_lock lock(this->d->limitsMutex);
+    const RuleLimits &limits = decision.limits;
     if (!limits.ratePerSecond) {
         return LimitDecision{};
     }
@@ -872,8 +921,73 @@
     if (limits.burst && *limits.ratePerSecond > 0) {
         wanted.burstSeconds = static_cast<double>(*limits.burst) / *limits.ratePerSecond;
     }
-    this->d->rates.setLimits(organisation, wanted);
-    return this->d->rates.take(Millis::monotonicNow(), organisation, requestClass, 1);
+    // Each rule limits by itself: with one bucket for two rules, the looser one would be spent by the stricter one.
+    const OrganisationId byRule{organisation.value + "/" + decision.document + "/" + decision.rule};
+    const std::scoped_lock lock(this->d->limitsMutex);
+    this->d->rates.setLimits(byRule, wanted);
+    return this->d->rates.take(Millis::monotonicNow(), byRule, requestClass, 1);
+}
+
+QueueDecision Node::enqueueByRule(const RuleGate &gate, const QueueEntry &entry)
+{
+    std::vector<QueueAction> actions;
+    QueueDecision decision;
+    {
+        const std::scoped_lock lock(this->d->limitsMutex);
+        decision = this->d->gates.offer(Millis::monotonicNow(), gate, entry, actions);
+    }
+    this->d->tellQueue(actions);
+    return decision;
+}
+
+void Node::dequeueByRule(const RuleGate &gate, const RequestId &request)
+{
+    std::vector<QueueAction> actions;
+    {
+        const std::scoped_lock lock(this->d->limitsMutex);
+        this->d->gates.leave(Millis::monotonicNow(), gate, request, actions);
+    }
+    this->d->tellQueue(actions);
+}
+
+std::vector<TargetId> Node::leftAlone(const PoolId &pool, const std::vector<TargetId> &excluded) const
+{
+    const std::shared_ptr<const PoolView> view = this->d->targets.pool(pool);
+    if (!view) {
+        return {};
+    }
+    const std::scoped_lock lock(this->d->limitsMutex);
+    return this->d->guard.leftAlone(Millis::monotonicNow(), *view, excluded);
+}
+
+void Node::targetTried(const TargetId &target)
+{
+    const std::scoped_lock lock(this->d->limitsMutex);
+    this->d->guard.tried(Millis::monotonicNow(), target);
+}
+
+void Node::targetAnswered(const TargetId &target)
+{
+    const std::scoped_lock lock(this->d->limitsMutex);
+    this->d->guard.answered(target);
+}
+
+void Node::targetFailed(const TargetId &target)
+{
+    const std::scoped_lock lock(this->d->limitsMutex);
+    this->d->guard.failed(Millis::monotonicNow(), target);
+}
+
+void Node::countRequest(const PoolId &pool, std::uint32_t budgetPercent)
+{
+    const std::scoped_lock lock(this->d->limitsMutex);
+    this->d->guard.countRequest(Millis::monotonicNow(), pool, budgetPercent);
+}
+
+bool Node::mayResend(const PoolId &pool, std::uint32_t budgetPercent)
+{
+    const std::scoped_lock lock(this->d->limitsMutex);
+    return this->d->guard.mayResend(Millis::monotonicNow(), pool, budgetPercent);
 }
 
 QueueDecision Node::enqueue(const PoolId &pool, const QueueEntry &entry)
@@ -1013,6 +1127,7 @@
         for (const auto &entry : this->d->queues) {
             status.waiting += entry.second->waiting();
         }
+        status.waiting += this->d->gates.waiting();
     }
     status.requests = this->d->registry.size();
     status.counters = this->d->mesh.counters();
