Measure what one message costs on a link that says little

Cause: the bench took the time of a sign of life for that of an idle link, and nowhere counted its bytes. Among 1,300 peers nearly every message is alone on its link and is followed by a question and an answer.

--- a/lab/bench/slopes/linkslopes.cpp
+++ b/lab/bench/slopes/linkslopes.cpp
@@ -164,25 +164,46 @@
     printFigure("link_signs_of_life_bytes_per_frame", received / (rounds * peers * 4), "bytes");
 }
 
-/** A busy link asks for a sign of life as long as something is unanswered: what a link costs that says little. */
-void quietLinks()
+void letPass(int millis)
+{
+    QEventLoop loop;
+    QTimer::singleShot(millis, &loop, &QEventLoop::quit);
+    loop.exec();
+}
+
+/**
+ * One message on each open link, as among a thousand peers: after a while the sender asks for a sign of life, and the
+ * peer answers. Then links on which nobody says anything.
+ */
+void loneMessages()
 {
     constexpr std::size_t peers = 200;
-    constexpr int span = 5000;
+    constexpr int quiet = 4000;
     Star star(peers);
     star.hubSays(smallMessage());
     star.arrived(1);
-    const double before = processorMicros();
+    letPass(quiet);
     const PeerCounters first = star.hub.mesh.counters();
-    QEventLoop loop;
-    QTimer::singleShot(span, &loop, &QEventLoop::quit);
-    loop.exec();
+    double before = processorMicros();
+    star.hubSays(smallMessage());
+    star.arrived(2);
+    letPass(quiet);
+    const PeerCounters second = star.hub.mesh.counters();
+    const double links = peers;
+    printFigure("link_time_per_lone_message_both_ends", (processorMicros() - before) / links, "us");
+    printFigure("link_signs_of_life_per_lone_message",
+                static_cast<double>(second.totalReceived - first.totalReceived) / links,
+                "bytes_back");
+    before = processorMicros();
+    letPass(quiet);
+    constexpr double millisPerSecond = 1000;
+    printFigure(
+        "link_idle_time_per_s_both_ends", (processorMicros() - before) / links * millisPerSecond / quiet, "us/s");
     const PeerCounters &last = star.hub.mesh.counters();
-    const double links = static_cast<double>(peers) * static_cast<double>(span) / 1000;
-    printFigure("link_idle_time_per_s_both_ends", (processorMicros() - before) / links, "us/s");
-    const double bytes
-        = static_cast<double>(last.totalSent + last.totalReceived - first.totalSent - first.totalReceived);
-    printFigure("link_idle_bytes_per_s", bytes / links, "bytes/s");
+    printFigure("link_idle_bytes_per_s",
+                static_cast<double>(last.totalSent + last.totalReceived - second.totalSent - second.totalReceived)
+                    / links * millisPerSecond / quiet,
+                "bytes/s");
 }
 
 } // namespace
@@ -191,7 +212,7 @@
 {
     linkMemory();
     messageTime();
-    quietLinks();
+    loneMessages();
 }
 
 } // namespace Sequoiausher
