Let operators see, compare and drain the fleet from outside

Cause: a router's state was to be had only as raw JSON at the callers' address, a planned stop only by a signal on the machine itself, and the arms of an experiment only as Prometheus text of one router at a time.

Ruled out: asking all routers through one (a frozen router in the middle would hide the others); a store for the figures (each router keeps its own, and histograms of fixed buckets merge exactly); an order to drain at the callers' address (callers must not reach it).

Change: status, watch, drain, report; explain names the target and why. [operators] in the settings opens a listener with /status, /metrics, /report, /documents and /drain, and then the callers' address has none of them. The document 'instances' takes operators_address. Metrics count dispatches by target and arm, retries, and each prompt's cached share. The list of sections that routersettingstest expects has the new one in it, and is as strict as before. The daemon writes the counts of held-back log lines every 3 s.

--- a/sequoiausher/base/metrics/intervals.cpp
+++ b/sequoiausher/base/metrics/intervals.cpp
@@ -50,4 +50,23 @@
     return {difference - deviate * error, difference + deviate * error};
 }
 
+Interval quantileInterval(const HistogramData &data, double share, double deviate)
+{
+    constexpr double none = std::numeric_limits<double>::infinity();
+    if (data.count == 0) {
+        return {0, none};
+    }
+    const double half = deviate * std::sqrt(share * (1 - share) / static_cast<double>(data.count));
+    return {share - half <= 0 ? 0 : data.quantile(share - half),
+            share + half >= 1 ? none : data.quantile(share + half)};
+}
+
+Interval differenceOfEstimates(const Estimate &a, const Estimate &b)
+{
+    const double difference = a.value - b.value;
+    const double below = std::hypot(a.value - a.interval.low, b.interval.high - b.value);
+    const double above = std::hypot(a.interval.high - a.value, b.value - b.interval.low);
+    return {difference - below, difference + above};
+}
+
 } // namespace Sequoiausher
--- a/sequoiausher/base/metrics/intervals.h
+++ b/sequoiausher/base/metrics/intervals.h
@@ -5,6 +5,8 @@
 //     const Interval difference = differenceOfShares(refusedA, allA, refusedB, allB);
 //     if (difference.excludesZero()) { ... }
 
+#include "sequoiausher/base/metrics/histogram.h"
+
 #include <cstdint>
 
 namespace Sequoiausher {
@@ -51,4 +53,24 @@
 /** The normal interval of mean A less mean B; everything where an arm has fewer than two values. */
 Interval differenceOfMeans(const SampleSummary &a, const SampleSummary &b, double deviate = deviate95);
 
+/**
+ * The interval of a quantile, by the order statistics that the binomial distribution of the ranks leaves, in its normal
+ * approximation. Source: Conover, "Practical Nonparametric Statistics", 1999, section 3.2. Its ends lie on buckets, so
+ * within 9%. From 0 upwards, or without an end above (infinity), where there are too few values to bound that side.
+ */
+Interval quantileInterval(const HistogramData &data, double share, double deviate = deviate95);
+
+/** An estimated value with its interval. */
+struct Estimate
+{
+    double value = 0;
+    Interval interval;
+};
+
+/**
+ * The interval of A less B from the intervals of both. Source: Zou and Donner, "Construction of confidence limits about
+ * effect measures: a general approach", 2008 (the method of variance estimates recovery).
+ */
+Interval differenceOfEstimates(const Estimate &a, const Estimate &b);
+
 } // namespace Sequoiausher
--- a/sequoiausher/base/metrics/intervalstest.cpp
+++ b/sequoiausher/base/metrics/intervalstest.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <limits>
+
 using namespace Sequoiausher;
 
 TEST_CASE("Wilson's interval agrees with published values")
@@ -31,3 +33,27 @@
     CHECK(!differenceOfMeans({10, 4, 5}, {9, 4, 5}).excludesZero());
     CHECK(!differenceOfMeans({10, 0, 1}, {1, 0, 100}).excludesZero());
 }
+
+TEST_CASE("the interval of a quantile holds it, and has no end where there are too few values")
+{
+    Histogram histogram;
+    for (int i = 1; i <= 1000; ++i) {
+        histogram.add(i);
+    }
+    const HistogramData data = histogram.data();
+    // By the order statistics: ranks 469 to 531 for the median; the buckets add 9%.
+    const Interval median = quantileInterval(data, 0.5);
+    CHECK(median.low == doctest::Approx(469).epsilon(0.1));
+    CHECK(median.high == doctest::Approx(531).epsilon(0.1));
+    Histogram few;
+    few.add(10);
+    CHECK(quantileInterval(few.data(), 0.99).high == std::numeric_limits<double>::infinity());
+    CHECK(quantileInterval(HistogramData{}, 0.5).low == 0);
+}
+
+TEST_CASE("a difference of estimates adds the distances of their ends by squares")
+{
+    const Interval difference = differenceOfEstimates({10, {7, 14}}, {4, {1, 8}});
+    CHECK(difference.low == doctest::Approx(6 - 5));
+    CHECK(difference.high == doctest::Approx(6 + 5));
+}
--- a/sequoiausher/base/metrics/metrics.cpp
+++ b/sequoiausher/base/metrics/metrics.cpp
@@ -59,6 +59,13 @@
     }
     this->promptTokens += other.promptTokens;
     this->cachedTokens += other.cachedTokens;
+    this->cachedShares += other.cachedShares;
+    this->cachedShareSum += other.cachedShareSum;
+    this->cachedShareSquares += other.cachedShareSquares;
+    this->retries += other.retries;
+    for (const auto &entry : other.dispatches) {
+        this->dispatches[entry.first] += entry.second;
+    }
 }
 
 void MetricsSnapshot::merge(const MetricsSnapshot &other)
@@ -81,6 +88,11 @@
         const SeriesKey key{labels.organisation, labels.requestClass};
         const SeriesKey other{OrganisationId{otherName}, labels.requestClass};
         this->change(this->find(this->series, key, other, this->settings.maxSeries), change);
+        this->updateArm(labels, change);
+    }
+
+    void updateArm(const RequestLabels &labels, const std::function<void(Series &)> &change)
+    {
         if (!labels.experiment.empty()) {
             const ArmKey arm{labels.experiment, labels.arm};
             this->change(this->find(this->arms, arm, {otherName, otherName}, this->settings.maxArms), change);
@@ -169,6 +181,22 @@
     this->d->update(labels, [promptTokens, cachedTokens](Series &series) {
         series.counts.promptTokens += promptTokens;
         series.counts.cachedTokens += cachedTokens;
+        if (promptTokens > 0) {
+            const double share = static_cast<double>(cachedTokens) / static_cast<double>(promptTokens);
+            ++series.counts.cachedShares;
+            series.counts.cachedShareSum += share;
+            series.counts.cachedShareSquares += share * share;
+        }
+    });
+}
+
+void Metrics::countDispatch(const RequestLabels &labels, const std::string &target, bool again)
+{
+    this->d->update(labels, [again](Series &series) { series.counts.retries += again ? 1 : 0; });
+    this->d->updateArm(labels, [this, &target](Series &series) {
+        std::map<std::string, std::uint64_t> &dispatches = series.counts.dispatches;
+        const bool known = dispatches.count(target) > 0 || dispatches.size() < this->d->settings.maxTargets;
+        ++dispatches[known ? target : otherName];
     });
 }
 
--- a/sequoiausher/base/metrics/metrics.h
+++ b/sequoiausher/base/metrics/metrics.h
@@ -96,6 +96,14 @@
     /** Prompt tokens, and how many of them an engine had in its cache. */
     std::uint64_t promptTokens = 0;
     std::uint64_t cachedTokens = 0;
+    /** The cached share of each prompt, from 0 to 1: count, sum and sum of squares. */
+    std::uint64_t cachedShares = 0;
+    double cachedShareSum = 0;
+    double cachedShareSquares = 0;
+    /** Dispatches after a request's first one. */
+    std::uint64_t retries = 0;
+    /** Dispatches by target; kept for arms alone. */
+    std::map<std::string, std::uint64_t> dispatches;
 
     std::uint64_t requests() const;
     void merge(const SeriesData &other);
@@ -138,6 +146,8 @@
     std::size_t maxSeries = 1024;
     std::size_t maxArms = 64;
     std::size_t maxNames = 512;
+    /** Targets told apart in each arm; some 80 bytes each. */
+    std::size_t maxTargets = 2048;
 };
 
 /** The name under which all that is beyond a bound is counted. */
@@ -157,6 +167,9 @@
     /** Counts an engine's report of tokens. */
     void countTokens(const RequestLabels &labels, std::uint64_t promptTokens, std::uint64_t cachedTokens);
 
+    /** Counts that a request goes to a target, and whether it is not the request's first. */
+    void countDispatch(const RequestLabels &labels, const std::string &target, bool again);
+
     /** Adds to a counter. The name may carry Prometheus labels: `refused_total{reason="full"}`. */
     void add(const std::string &counter, std::uint64_t amount = 1);
     /** Sets a gauge. */
--- a/sequoiausher/cli/commandstest.cpp
+++ b/sequoiausher/cli/commandstest.cpp
@@ -1,6 +1,10 @@
 #include "sequoiausher/cli/checkcommand.h"
 #include "sequoiausher/cli/commandline.h"
+#include "sequoiausher/cli/draincommand.h"
 #include "sequoiausher/cli/explaincommand.h"
+#include "sequoiausher/cli/reportcommand.h"
+#include "sequoiausher/cli/statuscommand.h"
+#include "sequoiausher/cli/watchcommand.h"
 
 #include <doctest/doctest.h>
 
@@ -52,7 +56,11 @@
 {
     CommandLine line;
     line.add(std::make_unique<CheckCommand>());
+    line.add(std::make_unique<DrainCommand>());
     line.add(std::make_unique<ExplainCommand>());
+    line.add(std::make_unique<ReportCommand>());
+    line.add(std::make_unique<StatusCommand>());
+    line.add(std::make_unique<WatchCommand>());
     std::ostringstream out;
     std::ostringstream err;
     const ExitCode code = line.run(arguments, out, err);
@@ -83,6 +91,13 @@
         {{"check", "--documents", "/nowhere"}, "check: settings /nowhere: no such folder"},
         {{"explain"}, "explain: found no --documents"},
         {{"explain", "--documents", "/nowhere"}, "explain: settings /nowhere: no such folder"},
+        {{"status"}, "status: settings --router: found neither --router nor --settings"},
+        {{"status", "--router", "here"}, "status: settings --router: found 'here', expected an IP number and a port"},
+        {{"status", "--settings", "/nowhere"}, "status: settings /nowhere: the file cannot be read"},
+        {{"watch", "--router", "127.0.0.1:1", "--interval-ms", "5"}, "--interval-ms: found 5, expected at least 100"},
+        {{"drain", "--router", "127.0.0.1:1", "--router", "127.0.0.1:2"}, "found several routers, expected one"},
+        {{"drain", "--router", "127.0.0.1:1", "--token-file", "/nowhere"}, "/nowhere: the file cannot be read"},
+        {{"report"}, "report: settings --router: found neither --router nor --settings"},
         {{"explain", "--prompt-bytes", "many"}, "see sequoiausher explain --help"},
     };
     for (const BadLine &bad : cases) {
@@ -94,6 +109,17 @@
     }
 }
 
+TEST_CASE("where no router answers, each command ends with 3 and names the step and the peer")
+{
+    for (const char *command : {"status", "watch", "drain", "report", "explain"}) {
+        CAPTURE(command);
+        const Outcome outcome = run({command, "--router", "127.0.0.1:1"});
+        CHECK(outcome.code == ExitCode::Unreachable);
+        CHECK(contains(outcome.err, std::string(command) + ": connect router at 127.0.0.1:1: "));
+        CHECK(outcome.out.empty());
+    }
+}
+
 TEST_CASE("help names commands, examples and exit codes")
 {
     CHECK(contains(run({"--help"}).out, "  explain   "));
@@ -136,3 +162,19 @@
     CHECK(at("08:00").code == ExitCode::BadInput);
     CHECK(contains(at("08:00").err, "/rules/fleet.ini:1: [rule a]: found neither then.pool nor then.refuse"));
 }
+
+TEST_CASE("explain names the target by the chat's order, the bound and the loads")
+{
+    const Folder folder;
+    folder.write("rules/fleet.ini", "[rule plates]\nthen.pool = plates\n");
+    folder.write("targets/plates.ini",
+                 "[pool]\nkind = engine\nmodel = m\n[target a]\naddress = 127.0.0.1:1\ndata_centre = d\n"
+                 "[target b]\naddress = 127.0.0.1:2\ndata_centre = d\nstate = leaving\n");
+    const Outcome text = run({"explain", "--documents", folder.path.string(), "--chat", "42"});
+    CHECK(text.code == ExitCode::Ok);
+    CHECK(contains(text.out, "shard plates/0 of nobody, bound 2, the chat's order:"));
+    CHECK(contains(text.out, "b=0(leaving)"));
+    CHECK(contains(text.out, "explain: target a: "));
+    const Outcome json = run({"explain", "--documents", folder.path.string(), "--chat", "42", "--json"});
+    CHECK(contains(json.out, "\"chosen\":\"a\""));
+}
--- a/sequoiausher/cli/explaincommand.cpp
+++ b/sequoiausher/cli/explaincommand.cpp
@@ -4,7 +4,11 @@
 #include "sequoiausher/base/ini/inireader.h"
 #include "sequoiausher/base/ini/problem.h"
 #include "sequoiausher/cli/documentfolder.h"
+#include "sequoiausher/cli/fleetoptions.h"
+#include "sequoiausher/cli/fleetstatus.h"
+#include "sequoiausher/cli/targetchoice.h"
 #include "sequoiausher/protocol/settings/fleetdocuments.h"
+#include "sequoiausher/protocol/settings/routersettings.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
@@ -12,6 +16,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
 #include <ostream>
 
 namespace Sequoiausher {
@@ -74,15 +79,60 @@
     return Millis{(*hour * minutesPerHour + *minute) * msPerMinute};
 }
 
-/** Live targets as the documents list them, and what is in flight as the options say. */
-std::vector<PoolState> poolStates(const FleetDocuments &fleet, const std::vector<NamedValue> &inFlight)
+/** What running routers said; nothing where none was asked. */
+struct LiveFleet
+{
+    DocumentSet documents;
+    TargetLoads loads;
+    std::map<std::string, std::uint64_t> inFlight;
+    std::uint32_t boundPercent = AdmissionSettings{}.boundPercent;
+};
+
+DocumentSet documentsAt(OperatorClient &client, const std::string &address)
+{
+    const std::string page = client.get(address, "/documents");
+    const QJsonArray documents
+        = QJsonDocument::fromJson(QByteArray::fromStdString(page)).object()["documents"].toArray();
+    DocumentSet set;
+    for (const auto &value : documents) {
+        const QJsonObject object = value.toObject();
+        Document document;
+        document.name = object["name"].toString().toStdString();
+        document.revision = static_cast<Revision>(object["revision"].toInteger());
+        document.body = object["body"].toString().toStdString();
+        set[document.name] = std::make_shared<const Document>(document);
+    }
+    return set;
+}
+
+LiveFleet readLive(const std::vector<std::string> &addresses, bool withDocuments)
+{
+    OperatorClient client;
+    const FleetStatus fleet = readFleet(client, addresses);
+    LiveFleet live;
+    live.boundPercent = fleet.routers.front().boundPercent;
+    for (const PoolStatus &pool : poolStatuses(fleet)) {
+        live.inFlight[pool.pool.name] = pool.total;
+        live.loads.insert(pool.inFlight.begin(), pool.inFlight.end());
+    }
+    if (withDocuments) {
+        live.documents = documentsAt(client, addresses.front());
+    }
+    return live;
+}
+
+/** Live targets as the documents list them, and what is in flight as the fleet and the options say. */
+std::vector<PoolState>
+poolStates(const FleetDocuments &fleet, const LiveFleet &running, const std::vector<NamedValue> &inFlight)
 {
     std::vector<PoolState> states;
     for (const PoolDescription &pool : fleet.pools) {
         const auto live = std::count_if(pool.targets.begin(), pool.targets.end(), [](const TargetDescription &target) {
             return target.life.state == LifeState::Live;
         });
-        states.push_back({pool.pool, static_cast<std::uint32_t>(live), 0});
+        const auto known = running.inFlight.find(pool.pool.value);
+        const std::uint64_t total = known == running.inFlight.end() ? 0 : known->second;
+        states.push_back({pool.pool, static_cast<std::uint32_t>(live), total});
     }
     for (const NamedValue &load : inFlight) {
         const auto state = std::find_if(states.begin(), states.end(), [&](const PoolState &candidate) {
@@ -99,7 +149,7 @@
     return states;
 }
 
-RequestFacts factsOf(const cxxopts::ParseResult &options, const FleetDocuments &fleet)
+RequestFacts factsOf(const cxxopts::ParseResult &options, const FleetDocuments &fleet, const LiveFleet &running)
 {
     RequestFacts facts;
     facts.organisation.value = options["organisation"].as<std::string>();
@@ -113,7 +163,8 @@
     for (const NamedValue &header : namedValues(options, "header")) {
         facts.headers.push_back({lowerCase(header.name), header.value});
     }
-    facts.pools = std::make_shared<const std::vector<PoolState>>(poolStates(fleet, namedValues(options, "in-flight")));
+    facts.pools
+        = std::make_shared<const std::vector<PoolState>>(poolStates(fleet, running, namedValues(options, "in-flight")));
     return facts;
 }
 
@@ -134,7 +185,21 @@
     return text;
 }
 
-void printText(const Explanation &explanation, std::ostream &out)
+void printChoice(const TargetChoice &choice, std::ostream &out)
+{
+    out << "shard " << choice.shard.pool.value << "/" << choice.shard.shard << " of "
+        << (choice.owner.value.empty() ? "nobody" : choice.owner.value) << ", bound " << choice.bound
+        << ", the chat's order:";
+    for (const RankedTarget &target : choice.order) {
+        out << " " << target.name << "=" << target.inFlight;
+        if (target.state != nameOf(LifeState::Live)) {
+            out << "(" << target.state << ")";
+        }
+    }
+    out << "\nexplain: target " << choice.chosen.value_or("open") << ": " << choice.reason << "\n";
+}
+
+void printText(const Explanation &explanation, const std::optional<TargetChoice> &choice, std::ostream &out)
 {
     for (const RuleVerdict &verdict : explanation.verdicts) {
         out << verdict.document << " [rule " << verdict.rule << "]: ";
@@ -149,6 +214,9 @@
     } else {
         out << "explain: no rule decides; the request is answered 404\n";
     }
+    if (choice) {
+        printChoice(*choice, out);
+    }
 }
 
 QJsonObject toJson(const RuleVerdict &verdict)
@@ -184,7 +252,24 @@
     return object;
 }
 
-void printJson(const Explanation &explanation, std::ostream &out)
+QJsonObject toJson(const TargetChoice &choice)
+{
+    QJsonArray order;
+    for (const RankedTarget &target : choice.order) {
+        order.append(QJsonObject{{"name", QString::fromStdString(target.name)},
+                                 {"state", QString::fromStdString(target.state)},
+                                 {"in_flight", static_cast<qint64>(target.inFlight)}});
+    }
+    QJsonObject object{{"shard", static_cast<qint64>(choice.shard.shard)},
+                       {"owner", QString::fromStdString(choice.owner.value)},
+                       {"bound", static_cast<qint64>(choice.bound)},
+                       {"order", order},
+                       {"reason", QString::fromStdString(choice.reason)}};
+    object["chosen"] = choice.chosen ? QJsonValue(QString::fromStdString(*choice.chosen)) : QJsonValue();
+    return object;
+}
+
+void printJson(const Explanation &explanation, const std::optional<TargetChoice> &choice, std::ostream &out)
 {
     QJsonArray verdicts;
     for (const RuleVerdict &verdict : explanation.verdicts) {
@@ -192,6 +277,7 @@
     }
     QJsonObject object{{"rules", verdicts}};
     object["decision"] = explanation.decision ? QJsonValue(toJson(*explanation.decision)) : QJsonValue();
+    object["target"] = choice ? QJsonValue(toJson(*choice)) : QJsonValue();
     out << QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString() << "\n";
 }
 
@@ -200,9 +286,10 @@
 CommandHelp ExplainCommand::help() const
 {
     return {"explain",
-            "Show which rule decides for a request, and why the earlier ones do not",
+            "Show which rule decides for a request and which target it gets, and why not others",
             {"sequoiausher explain --documents etc/documents --organisation kentekenlab --model plate-model --chat 42",
-             "sequoiausher explain --documents etc/documents --path /orders/7 --method GET --header x-trial=on"}};
+             "sequoiausher explain --documents etc/documents --path /orders/7 --method GET --header x-trial=on",
+             "sequoiausher explain --router 127.0.0.1:7401 --organisation kentekenlab --model plate-model --chat 42"}};
 }
 
 void ExplainCommand::addOptions(cxxopts::Options &options) const
@@ -210,7 +297,11 @@
     auto add = options.add_options();
     const auto text
         = [](const std::string &fallback) { return cxxopts::value<std::string>()->default_value(fallback); };
-    add("documents", "A folder with documents", cxxopts::value<std::string>(), "DIR");
+    addFleetOptions(options);
+    add("documents",
+        "A folder with documents; else those in force at the first --router",
+        cxxopts::value<std::string>(),
+        "DIR");
     add("organisation", "Who calls", text(""), "NAME");
     add("class", "urgent, interactive or background", text("interactive"), "CLASS");
     add("model", "The model asked for", text(""), "NAME");
@@ -226,25 +317,34 @@
 
 ExitCode ExplainCommand::run(const cxxopts::ParseResult &options, std::ostream &out, std::ostream &err) const
 {
-    if (options.count("documents") == 0) {
-        err << "explain: found no --documents, expected a folder with documents\n";
+    const bool fromFolder = options.count("documents") > 0;
+    const bool fromFleet = options.count("router") + options.count("settings") > 0;
+    if (!fromFolder && !fromFleet) {
+        err << "explain: found no --documents, expected a folder with documents, or --router\n";
         return ExitCode::BadInput;
     }
-    const std::string folder = options["documents"].as<std::string>();
+    const std::string folder = fromFolder ? options["documents"].as<std::string>() : "";
+    const LiveFleet live = fromFleet ? readLive(fleetAddresses(options), !fromFolder) : LiveFleet{};
     Problems problems;
-    const FleetDocuments fleet = parseFleetDocuments(readDocumentFolder(folder), Severity::Warning, problems);
+    const DocumentSet documents = fromFolder ? readDocumentFolder(folder) : live.documents;
+    const FleetDocuments fleet = parseFleetDocuments(documents, Severity::Warning, problems);
     if (hasErrors(problems)) {
         for (Problem &problem : problems) {
-            problem.file = documentPath(folder, problem.file);
+            problem.file = fromFolder ? documentPath(folder, problem.file) : problem.file;
             err << toText(problem) << "\n";
         }
         return ExitCode::BadInput;
     }
-    const Explanation explanation = fleet.rules->explain(factsOf(options, fleet));
+    const RequestFacts facts = factsOf(options, fleet, live);
+    const Explanation explanation = fleet.rules->explain(facts);
+    std::optional<TargetChoice> choice;
+    if (explanation.decision) {
+        choice = chooseTarget(fleet, *explanation.decision, facts.chatHash, live.loads, live.boundPercent);
+    }
     if (options.count("json") > 0) {
-        printJson(explanation, out);
+        printJson(explanation, choice, out);
     } else {
-        printText(explanation, out);
+        printText(explanation, choice, out);
     }
     return explanation.decision ? ExitCode::Ok : ExitCode::Failed;
 }
--- a/sequoiausher/cli/explaincommand.h
+++ b/sequoiausher/cli/explaincommand.h
@@ -1,7 +1,8 @@
 #pragma once
 
-// `sequoiausher explain`: which rule decides for a request, and why the earlier ones do not. It works on a folder of
-// documents, so that a change can be tried before it is published.
+// `sequoiausher explain`: which rule decides for a request, why the earlier ones do not, and which target it gets. It
+// works on a folder of documents, so that a change can be tried before it is published, or on what is in force at a
+// router; with a router, targets are chosen by the present loads.
 //
 //     sequoiausher explain --documents etc/documents --organisation kentekenlab --model plate-model --chat 42
 
--- /dev/null
+++ b/sequoiausher/cli/statustext.h
@@ -0,0 +1,22 @@
+#pragma once
+
+// The fleet's state as tables for a terminal, and as one JSON object for scripts.
+//
+//     out << statusText(readFleet(client, addresses));
+
+#include "sequoiausher/cli/exitcode.h"
+#include "sequoiausher/cli/fleetstatus.h"
+
+#include <string>
+
+namespace Sequoiausher {
+
+std::string statusText(const FleetStatus &fleet);
+
+/** Routers as their pages are, pools, unreachable routers and warnings. */
+std::string statusJsonOf(const FleetStatus &fleet);
+
+/** Unreachable where a router was not reached, Failed where there is another warning. */
+ExitCode exitCodeOf(const FleetStatus &fleet);
+
+} // namespace Sequoiausher
--- a/sequoiausher/protocol/settings/instancesdocument.cpp
+++ b/sequoiausher/protocol/settings/instancesdocument.cpp
@@ -19,6 +19,7 @@
     instance.instance.value = nameOfSection(section.section());
     instance.address = section.address("address").value_or("");
     instance.peerAddress = section.address("peer_address").value_or("");
+    instance.operatorsAddress = section.address("operators_address").value_or("");
     instance.dataCentre.value = section.plainName("data_centre").value_or("");
     instance.state = section.name<LifeState>("state").value_or(instance.state);
     constexpr std::int64_t anyIncarnation = std::numeric_limits<std::int64_t>::max();
--- a/sequoiausher/protocol/settings/instancesdocument.h
+++ b/sequoiausher/protocol/settings/instancesdocument.h
@@ -24,6 +24,8 @@
     std::string address;
     /** IP number and port for other routers. */
     std::string peerAddress;
+    /** IP number and port for operators; empty where the instance has no listener for them. */
+    std::string operatorsAddress;
     DataCentreId dataCentre;
     LifeState state = LifeState::Live;
     /**
--- a/sequoiausher/protocol/settings/routersettings.cpp
+++ b/sequoiausher/protocol/settings/routersettings.cpp
@@ -133,6 +133,24 @@
     readDuration(section, "notice_ms", {0, minuteMs, ""}, settings.notice);
 }
 
+void readOperators(SectionReader &section, RouterSettings &settings)
+{
+    section.require("address", "IP number and port for operators, as in 127.0.0.1:7401");
+    OperatorSettings &operators = settings.operators;
+    operators.address = section.address("address").value_or("");
+    const bool taken = operators.address == settings.address || operators.address == settings.peerAddress;
+    if (!operators.address.empty() && taken) {
+        section.report(*section.entry("address"), "an address other than those of [router]");
+    }
+    if (const IniEntry *entry = section.entry("token_sha256")) {
+        constexpr std::size_t digits = 64;
+        operators.tokenSha256 = entry->value;
+        if (entry->value.size() != digits || entry->value.find_first_not_of("0123456789abcdef") != std::string::npos) {
+            section.report(*entry, "64 lower-case hexadecimal digits");
+        }
+    }
+}
+
 template<typename Settings>
 void readOptional(IniReader &reader,
                   std::string_view name,
@@ -166,6 +184,7 @@
     readOptional(reader, "limits", readLimits, settings.limits);
     readOptional(reader, "log", readLog, settings.log);
     readOptional(reader, "drain", readDrain, settings.drain);
+    readOptional(reader, "operators", readOperators, settings);
     reader.finish();
     return settings;
 }
--- a/sequoiausher/protocol/settings/routersettings.h
+++ b/sequoiausher/protocol/settings/routersettings.h
@@ -87,6 +87,15 @@
     Millis notice{2000};
 };
 
+/** [operators]: a listener for operators alone. */
+struct OperatorSettings
+{
+    /** IP number and port; empty where there is no such listener. */
+    std::string address;
+    /** SHA-256 of the word that an order to drain must bring, in lower-case hexadecimal digits; empty for none. */
+    std::string tokenSha256;
+};
+
 /** All settings of a router. */
 struct RouterSettings
 {
@@ -105,6 +114,7 @@
     LimitSettings limits;
     LogSettings log;
     DrainSettings drain;
+    OperatorSettings operators;
 };
 
 /** Reads text, appending everything that is wrong to problems; complete only where none is an error. */
--- a/sequoiausher/protocol/settings/routersettingstest.cpp
+++ b/sequoiausher/protocol/settings/routersettingstest.cpp
@@ -65,6 +65,16 @@
 TEST_CASE("each bad setting gives its own clear error")
 {
     const BadCase cases[] = {
+        {"",
+         "[operators]\naddress = 127.0.0.1:7001\n",
+         "r.ini:9:11: [operators] address: found '127.0.0.1:7001', expected an address other than those of [router]"},
+        {"",
+         "[operators]\naddress = 127.0.0.1:7401\ntoken_sha256 = secret\n",
+         "r.ini:10:16: [operators] token_sha256: found 'secret', expected 64 lower-case hexadecimal digits"},
+        {"",
+         "[operators]\n",
+         "r.ini:8: [operators] address: found no such key, expected IP number and port for operators, as in "
+         "127.0.0.1:7401"},
         {"[router]", "[ruter]", "r.ini: [router]: found no such section, expected it in this file"},
         {"[platform]", "[platfrom]", "r.ini: [platform]: found no such section, expected it in this file"},
         {"name = r1\n",
@@ -158,7 +168,8 @@
         {"",
          "[dran]\n",
          "r.ini:8:1: [dran]: found an unknown section, expected one of [router, platform, peers, claims, admission, "
-         "limits, log, drain]; did you mean 'drain'?"},
+         "limits, log, drain, "
+         "operators]; did you mean 'drain'?"},
         {"",
          "[drain]\ngrace_ms =\n",
          "r.ini:9:11: [drain] grace_ms: found an empty value, expected a whole number from 0 to 86400000 (ms)"},
--- a/sequoiausher/transport/router/entry.cpp
+++ b/sequoiausher/transport/router/entry.cpp
@@ -1,9 +1,8 @@
 #include "sequoiausher/transport/router/entry.h"
 
 #include "sequoiausher/base/hashing.h"
-#include "sequoiausher/base/metrics/prometheus.h"
 #include "sequoiausher/transport/router/answerwriter.h"
-#include "sequoiausher/transport/router/statuspage.h"
+#include "sequoiausher/transport/router/operatorpages.h"
 
 #include <QCryptographicHash>
 #include <QJsonArray>
@@ -95,18 +94,12 @@
     } else if (path == "/readyz") {
         const bool ready = this->context.node.isReady();
         exchange.respond(ready ? statusOk : statusUnavailable, {}, ready ? "ready\n" : "not ready\n");
-    } else if (path == "/metrics") {
-        HttpHeaders headers;
-        headers.add("Content-Type", "text/plain; version=0.0.4");
-        exchange.respond(statusOk, headers, toPrometheus(this->context.metrics.snapshot()));
-    } else if (path == "/status") {
-        HttpHeaders headers;
-        headers.add("Content-Type", "application/json");
-        exchange.respond(statusOk, headers, statusJson(this->context.node.status()));
     } else if (path == "/v1/models" && exchange.method() == "GET") {
         this->answerModels(exchange);
     } else {
-        return false;
+        // Where operators have a listener of their own, callers never reach these pages.
+        const bool open = this->context.node.settings().operators.address.empty();
+        return open && answerOperatorPage(exchange, this->context.node, this->context.metrics);
     }
     return true;
 }
--- a/sequoiausher/transport/router/node.cpp
+++ b/sequoiausher/transport/router/node.cpp
@@ -117,6 +117,7 @@
     void seedPeers();
     void updatePoolStates(Millis now);
     AdmissionQueue &queueOf(const PoolId &pool);
+    void addLoads(const ShardId &shard, const ShardOwner &owner, std::vector<TargetLoadStatus> &loads) const;
 
     RouterSettings settings;
     Incarnation incarnation;
@@ -968,6 +969,28 @@
     return this->d->leaving;
 }
 
+std::vector<DocumentPointer> Node::documents() const
+{
+    std::vector<DocumentPointer> documents;
+    const std::scoped_lock lock(this->d->documentsMutex);
+    if (const auto inForce = this->d->configurationState.inForce()) {
+        for (const auto &entry : *inForce->documents) {
+            documents.push_back(entry.second);
+        }
+    }
+    return documents;
+}
+
+void Node::Private::addLoads(const ShardId &shard, const ShardOwner &owner, std::vector<TargetLoadStatus> &loads) const
+{
+    for (const TargetView &target : this->shards.targetsOf(shard)) {
+        const TargetId &name = target.description.target;
+        const std::optional<ReportedLoad> report = this->targets.load(name);
+        const auto reported = report ? std::optional<std::uint32_t>(report->load) : std::nullopt;
+        loads.push_back({name, shard, owner.counted(name), reported});
+    }
+}
+
 NodeStatus Node::status() const
 {
     const Millis now = Millis::monotonicNow();
@@ -997,8 +1020,9 @@
     {
         const std::scoped_lock lock(this->d->admissionMutex);
         for (const ShardId &shard : this->d->shards.shards()) {
-            if (this->d->owned.find(shard) != nullptr) {
+            if (const ShardOwner *owner = this->d->owned.find(shard)) {
                 status.ownedShards.push_back(shard);
+                this->d->addLoads(shard, *owner, status.ownedTargets);
             }
         }
         status.held = this->d->reserver.held();
@@ -1014,6 +1038,10 @@
             status.waiting += entry.second->waiting();
         }
     }
+    if (const auto fleet = this->d->current.load()) {
+        status.instances = fleet->instances;
+    }
+    status.boundPercent = this->d->settings.admission.boundPercent;
     status.requests = this->d->registry.size();
     status.counters = this->d->mesh.counters();
     status.platformCalls = this->d->reader.calls();
--- a/sequoiausher/transport/router/node.h
+++ b/sequoiausher/transport/router/node.h
@@ -28,6 +28,17 @@
 
 namespace Sequoiausher {
 
+/** One target of an owned shard, as its owner counts. */
+struct TargetLoadStatus
+{
+    TargetId target;
+    ShardId shard;
+    /** Reservations on it. */
+    std::uint32_t inFlight = 0;
+    /** What the target last said; none where it says nothing. */
+    std::optional<std::uint32_t> reported;
+};
+
 /** What an operator sees of one router; filled by Node::status(). */
 struct NodeStatus
 {
@@ -44,6 +55,10 @@
     std::vector<ShardSum> sums;
     std::vector<std::shared_ptr<const PoolView>> pools;
     std::vector<ShardId> ownedShards;
+    std::vector<TargetLoadStatus> ownedTargets;
+    /** As the document `instances` in force lists them. */
+    std::vector<InstanceDescription> instances;
+    std::uint32_t boundPercent = 0;
     PeerCounters counters;
     std::uint64_t platformCalls = 0;
     std::size_t claims = 0;
@@ -70,6 +85,8 @@
     const InstanceId &self() const;
     /** The configuration in force; null before the first. */
     std::shared_ptr<const FleetConfiguration> configuration() const;
+    /** The documents that it was made from, for operators; empty before the first. */
+    std::vector<DocumentPointer> documents() const;
     /** Whether requests may be taken: a configuration is in force and was not slept over, and no stop is planned. */
     bool isReady() const;
     /** The same, but also true during a planned stop, in which what still arrives is served. */
--- a/sequoiausher/transport/router/requestsession.cpp
+++ b/sequoiausher/transport/router/requestsession.cpp
@@ -119,6 +119,7 @@
     RequestFlow flow;
     AnswerWriter writer;
     TargetCall call;
+    std::uint32_t dispatches = 0;
     std::weak_ptr<RequestSession> self;
     ClaimKey key;
     std::uint64_t bodyDigest = 0;
@@ -350,6 +351,8 @@
         this->run(this->flow.targetFailed(Millis::monotonicNow(), TargetFailure::NeverSent));
         return;
     }
+    this->context.metrics.countDispatch(this->order.labels, action.target.value, this->dispatches > 0);
+    ++this->dispatches;
     this->call.dispatch(address, action.freshConnection);
 }
 
--- a/sequoiausher/transport/router/router.cpp
+++ b/sequoiausher/transport/router/router.cpp
@@ -3,6 +3,7 @@
 #include "sequoiausher/base/hashing.h"
 #include "sequoiausher/transport/peers/peeraddress.h"
 #include "sequoiausher/transport/router/node.h"
+#include "sequoiausher/transport/router/operatorserver.h"
 #include "sequoiausher/transport/router/worker.h"
 
 #include <QTimer>
@@ -14,6 +15,7 @@
 namespace {
 
 constexpr int drainCheckMillis = 50;
+constexpr int suppressedEveryMillis = 3000;
 /** After the last request, so that the last messages leave and late callers find a closed door, not a reset. */
 constexpr int lastWordsMillis = 300;
 
@@ -47,8 +49,10 @@
     std::function<void()> onStopped;
     Metrics metrics;
     Node node;
+    std::unique_ptr<OperatorServer> operators;
     std::vector<std::unique_ptr<Worker>> workers;
     QTimer timer;
+    QTimer suppressedTimer;
     Millis stopAt = Millis::never();
     bool stopping = false;
 };
@@ -116,6 +120,14 @@
     options.port = address.port;
     options.sharePort = true;
     options.maximumRequestBytes = this->d->settings.limits.maxBodyBytes + this->d->settings.limits.maxHeaderBytes;
+    if (!this->d->settings.operators.address.empty()) {
+        this->d->operators
+            = std::make_unique<OperatorServer>(this->d->node, this->d->metrics, this->d->log, [this] { this->stop(); });
+        this->d->operators->listen();
+    }
+    // A burst of one sentence that stops would else keep its count until the sentence comes again.
+    QObject::connect(&this->d->suppressedTimer, &QTimer::timeout, [this] { this->d->log.writeSuppressed(); });
+    this->d->suppressedTimer.start(suppressedEveryMillis);
     std::random_device entropy;
     for (std::uint32_t i = 0; i < this->d->settings.workers; ++i) {
         const std::uint64_t seed = (std::uint64_t{entropy()} << 32U) | entropy();
--- a/sequoiausher/transport/router/statuspage.cpp
+++ b/sequoiausher/transport/router/statuspage.cpp
@@ -70,6 +70,36 @@
     return array;
 }
 
+QJsonArray ownedTargets(const NodeStatus &status)
+{
+    QJsonArray array;
+    for (const TargetLoadStatus &load : status.ownedTargets) {
+        QJsonObject object{{QStringLiteral("name"), text(load.target.value)},
+                           {QStringLiteral("pool"), text(load.shard.pool.value)},
+                           {QStringLiteral("shard"), number(load.shard.shard)},
+                           {QStringLiteral("in_flight"), number(load.inFlight)}};
+        if (load.reported) {
+            object[QStringLiteral("reported")] = number(*load.reported);
+        }
+        array.append(object);
+    }
+    return array;
+}
+
+QJsonArray instances(const NodeStatus &status)
+{
+    QJsonArray array;
+    for (const InstanceDescription &instance : status.instances) {
+        array.append(QJsonObject{{QStringLiteral("name"), text(instance.instance.value)},
+                                 {QStringLiteral("address"), text(instance.address)},
+                                 {QStringLiteral("peer_address"), text(instance.peerAddress)},
+                                 {QStringLiteral("operators_address"), text(instance.operatorsAddress)},
+                                 {QStringLiteral("data_centre"), text(instance.dataCentre.value)},
+                                 {QStringLiteral("state"), text(nameOf(instance.state))}});
+    }
+    return array;
+}
+
 QJsonObject traffic(const PeerCounters &counters)
 {
     QJsonObject kinds;
@@ -103,6 +133,9 @@
                              {QStringLiteral("live"), names(status.live)},
                              {QStringLiteral("shards"), shards(status)},
                              {QStringLiteral("owned_shards"), ownedShards(status)},
+                             {QStringLiteral("owned_targets"), ownedTargets(status)},
+                             {QStringLiteral("instances"), instances(status)},
+                             {QStringLiteral("bound_percent"), number(status.boundPercent)},
                              {QStringLiteral("pools"), pools(status)},
                              {QStringLiteral("control"), traffic(status.counters)},
                              {QStringLiteral("platform_calls"), number(status.platformCalls)},
@@ -114,4 +147,16 @@
     return QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString();
 }
 
+std::string documentsJson(const std::vector<DocumentPointer> &documents)
+{
+    QJsonArray array;
+    for (const DocumentPointer &document : documents) {
+        array.append(QJsonObject{{QStringLiteral("name"), text(document->name)},
+                                 {QStringLiteral("revision"), number(document->revision)},
+                                 {QStringLiteral("body"), text(document->body)}});
+    }
+    const QJsonObject object{{QStringLiteral("documents"), array}};
+    return QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString();
+}
+
 } // namespace Sequoiausher
--- a/sequoiausher/transport/router/statuspage.h
+++ b/sequoiausher/transport/router/statuspage.h
@@ -13,4 +13,7 @@
 /** The status as one JSON object. */
 std::string statusJson(const NodeStatus &status);
 
+/** The documents in force, with revisions and bodies, as one JSON object. */
+std::string documentsJson(const std::vector<DocumentPointer> &documents);
+
 } // namespace Sequoiausher
