--- a/sequoiausher/transport/router/requestsession.cpp
+++ b/sequoiausher/transport/router/requestsession.cpp
@@ -127,6 +127,8 @@
     bool queued = false;
     bool inTable = false;
     bool keyUnrun = false;
+    /** mayDispatch was asked and said yes: a further target is under its deadline. */
+    bool wasDispatched = false;
     bool counted = false;
     bool done = false;
     TargetId target;
@@ -203,6 +205,7 @@
         this->refuseAtOnce(Refuse{statusConflict, Ran::Unknown, RefusalReason::OutcomeUnknown, Millis{0}});
         return true;
     }
+    this->writer.attachedTo(result.attempt);
     this->pumpJoined();
     return true;
 }
@@ -299,7 +302,7 @@
         node.claim(Claim{this->key, request, this->bodyDigest});
     } else if (std::holds_alternative<WithdrawClaim>(action)) {
         // After a pause the witnesses may have let another attempt run; then 'not run' is said of this call alone.
-        this->keyUnrun = node.isKeyUnrun(request);
+        this->keyUnrun = this->wasDispatched ? node.mayRedispatch(request) : node.isKeyUnrun(request);
         node.withdraw(request);
     } else if (const auto *reserve = std::get_if<Reserve>(&action)) {
         const Decision &decision = this->order.decision;
@@ -317,6 +320,7 @@
         this->call.cancel(this->addressOf(cancel->target));
     } else if (const auto *attach = std::get_if<AttachToHolder>(&action)) {
         this->attachedTo = attach->holder;
+        this->writer.attachedTo(attach->heldBy);
         node.send(attach->holder, AttachRequest{request, this->key, attach->heldBy});
     } else if (std::holds_alternative<RelayHead>(action)) {
         const bool failed = this->status >= 500;
@@ -341,10 +345,14 @@
 void RequestSession::Private::dispatch(const Dispatch &action)
 {
     // The last moment at which a claim can be found too old: from here on the target may have the request.
-    if (this->claims && !this->context.node.mayDispatch(this->order.request)) {
+    Node &node = this->context.node;
+    const RequestId &request = this->order.request;
+    const bool again = this->wasDispatched;
+    if (this->claims && !(again ? node.mayRedispatch(request) : node.mayDispatch(request))) {
         this->run(this->flow.dispatchTooLate(Millis::monotonicNow()));
         return;
     }
+    this->wasDispatched = true;
     this->target = action.target;
     const std::string address = this->addressOf(action.target);
     if (address.empty()) {
