Widen the interval of a quantile by its bucket, and name abstaining witnesses in one line

Cause: the report showed 'between tokens p50: 0 to 0' for arms whose medians fell in one bucket, an interval narrower than what the histogram can tell; and seven lines for seven witnesses that do not vote yet.

--- a/sequoiausher/base/metrics/intervals.cpp
+++ b/sequoiausher/base/metrics/intervals.cpp
@@ -56,9 +56,11 @@
     if (data.count == 0) {
         return {0, none};
     }
+    // A value may lie anywhere in its bucket, half a bucket from what the histogram says.
+    const double halfBucket = std::exp2(0.5 / bucketsPerDoubling);
     const double half = deviate * std::sqrt(share * (1 - share) / static_cast<double>(data.count));
-    return {share - half <= 0 ? 0 : data.quantile(share - half),
-            share + half >= 1 ? none : data.quantile(share + half)};
+    const double low = share - half <= 0 ? 0 : data.quantile(share - half) / halfBucket;
+    return {low, share + half >= 1 ? none : data.quantile(share + half) * halfBucket};
 }
 
 Interval differenceOfEstimates(const Estimate &a, const Estimate &b)
--- a/sequoiausher/base/metrics/intervals.h
+++ b/sequoiausher/base/metrics/intervals.h
@@ -55,8 +55,9 @@
 
 /**
  * The interval of a quantile, by the order statistics that the binomial distribution of the ranks leaves, in its normal
- * approximation. Source: Conover, "Practical Nonparametric Statistics", 1999, section 3.2. Its ends lie on buckets, so
- * within 9%. From 0 upwards, or without an end above (infinity), where there are too few values to bound that side.
+ * approximation. Source: Conover, "Practical Nonparametric Statistics", 1999, section 3.2. It is widened by half a
+ * bucket (9%) at each end. From 0 upwards, or without an end above (infinity), where there are too few values to bound
+ * that side.
  */
 Interval quantileInterval(const HistogramData &data, double share, double deviate = deviate95);
 
--- a/sequoiausher/cli/fleetstatus.cpp
+++ b/sequoiausher/cli/fleetstatus.cpp
@@ -152,6 +152,19 @@
     }
 }
 
+void warnOfVotes(const FleetStatus &fleet, std::vector<std::string> &warnings)
+{
+    std::vector<std::string> abstaining;
+    for (const RouterStatus &router : fleet.routers) {
+        if (!router.mayVote && !router.leaving) {
+            abstaining.push_back(router.name);
+        }
+    }
+    if (!abstaining.empty()) {
+        warnings.push_back("no votes on idempotency keys yet from " + joined(abstaining) + ".");
+    }
+}
+
 void warnOfRouter(const RouterStatus &router, std::vector<std::string> &warnings)
 {
     if (!router.refusal.empty()) {
@@ -162,9 +175,6 @@
     } else if (!router.ready) {
         warnings.push_back(router.name + " is not ready.");
     }
-    if (!router.mayVote && !router.leaving) {
-        warnings.push_back(router.name + " does not vote on idempotency keys yet.");
-    }
     if (router.reachable < router.listed) {
         warnings.push_back(router.name + " hears " + std::to_string(router.reachable) + " of "
                            + std::to_string(router.listed) + " listed routers.");
@@ -304,6 +314,7 @@
     for (const RouterStatus &router : fleet.routers) {
         warnOfRouter(router, warnings);
     }
+    warnOfVotes(fleet, warnings);
     warnOfShards(fleet, warnings);
     return warnings;
 }
--- a/sequoiausher/cli/svgplot.cpp
+++ b/sequoiausher/cli/svgplot.cpp
@@ -27,7 +27,12 @@
 std::string shortNumber(double value)
 {
     std::ostringstream out;
-    out << std::setprecision(3) << value;
+    constexpr double thousand = 1000;
+    if (value >= thousand) {
+        out << std::fixed << std::setprecision(0) << value;
+    } else {
+        out << std::setprecision(3) << value;
+    }
     return out.str();
 }
 
