--- a/sequoiausher/transport/router/node.cpp
+++ b/sequoiausher/transport/router/node.cpp
@@ -12,6 +12,7 @@
 #include "sequoiausher/transport/router/answerserver.h"
 #include "sequoiausher/transport/router/loadpoller.h"
 
+#include <QMetaObject>
 #include <QTimer>
 
 #include <algorithm>
@@ -108,7 +109,9 @@
     void tellClaims(const std::vector<ClaimOutcome> &outcomes);
     void tellReservations(const std::vector<ReserveResult> &results);
     void tellQueue(const std::vector<QueueAction> &actions);
+    void tellRefusal();
     void documentsChanged(Millis now);
+    void documentsChangedSoon();
     void apply(Millis now, const std::shared_ptr<const FleetConfiguration> &fleet);
     void applyInstances(Millis now, const FleetConfiguration &fleet);
     void applyPools(Millis now, const FleetConfiguration &fleet);
@@ -134,6 +137,7 @@
     Spread spread;
     FleetDocumentChecker checker;
     ConfigurationState configurationState;
+    std::string toldRefusal;
 
     TargetTable targets;
 
@@ -354,7 +358,7 @@
     void operator()(const DocumentPush &m) const
     {
         this->toSpread(m);
-        this->self.documentsChanged(this->now);
+        this->self.documentsChangedSoon();
     }
     void operator()(const DocumentDigest &m) const
     {
@@ -619,18 +623,35 @@
     this->tellReservations(results);
 }
 
+// From a message: a new list of instances changes the peers of the mesh, which must not happen while the mesh hands
+// over what one of them sent; the link that is being read would be closed under the reader.
+void Node::Private::documentsChangedSoon()
+{
+    QMetaObject::invokeMethod(
+        &this->timer, [this] { this->documentsChanged(Millis::monotonicNow()); }, Qt::QueuedConnection);
+}
+
+// A refusal is told once, though the set in force may move on beside it.
+void Node::Private::tellRefusal()
+{
+    const std::optional<Error> &refusal = this->configurationState.refusal();
+    const std::string reason = refusal ? refusal->what() : "";
+    if (refusal && reason != this->toldRefusal) {
+        this->log.error(
+            LogPart::Config, "a document is refused, the last good one stays in force", {{"reason", reason}});
+        this->metrics.add("configurations_refused_total");
+    }
+    this->toldRefusal = reason;
+}
+
 void Node::Private::documentsChanged(Millis now)
 {
     std::shared_ptr<const Configuration> inForce;
     {
         const std::scoped_lock lock(this->documentsMutex);
         const OfferResult result = this->configurationState.offer(this->spread.documents());
-        if (result == OfferResult::Refused) {
-            this->log.error(LogPart::Config,
-                            "a new configuration is refused, the last good one stays",
-                            {{"reason", this->configurationState.refusal()->what()}});
-            this->metrics.add("configurations_refused_total");
-        }
+        this->spread.keep(now, this->configurationState.lastGood());
+        this->tellRefusal();
         if (result != OfferResult::InForce) {
             return;
         }
