--- a/sequoiausher/transport/router/requestsession.cpp
+++ b/sequoiausher/transport/router/requestsession.cpp
@@ -126,6 +126,7 @@
     RequestFlow flow;
     AnswerWriter writer;
     TargetCall call;
+    std::uint32_t dispatches = 0;
     std::weak_ptr<RequestSession> self;
     ClaimKey key;
     std::uint64_t bodyDigest = 0;
@@ -439,6 +440,8 @@
         return;
     }
     this->context.node.targetTried(action.target);
+    this->context.metrics.countDispatch(this->order.labels, action.target.value, this->dispatches > 0);
+    ++this->dispatches;
     this->call.dispatch(address, action.freshConnection);
 }
 
