--- a/lab/engine/enginemodel.cpp
+++ b/lab/engine/enginemodel.cpp
@@ -104,6 +104,7 @@
     record.idempotencyKey = request.idempotencyKey;
     record.chat = request.chat;
     record.nonce = request.nonce;
+    record.at = now;
     record.promptTokens = request.promptTokens.size();
     record.maxTokens = std::max<std::size_t>(request.maxTokens, 1);
     this->d->records.push_back(std::move(record));
--- a/lab/engine/enginemodel.h
+++ b/lab/engine/enginemodel.h
@@ -82,6 +82,8 @@
     std::size_t tokens = 0;
     bool finished = false;
     bool cancelled = false;
+    /** When the engine took it, by the clock of the machine. */
+    Millis at;
 };
 
 /** Tokens offset to offset + count - 1 of a run have been generated. */
--- a/lab/engine/engineserver.cpp
+++ b/lab/engine/engineserver.cpp
@@ -37,6 +37,7 @@
             {"chat", QString::fromStdString(record.chat)},
             {"nonce", QString::fromStdString(record.nonce)},
             {"tokens", static_cast<qint64>(record.tokens)},
+            {"at_ms", static_cast<qint64>(record.at.count)},
             {"finished", record.finished},
             {"cancelled", record.cancelled},
             {"cached_tokens", static_cast<qint64>(record.cachedTokens)},
--- a/lab/service/serviceserver.cpp
+++ b/lab/service/serviceserver.cpp
@@ -29,6 +29,7 @@
     std::string method;
     std::string path;
     std::string echo;
+    Millis at;
 };
 
 QString text(const std::string &value)
@@ -43,7 +44,8 @@
             {"idempotency_key", text(run.idempotencyKey)},
             {"method", text(run.method)},
             {"path", text(run.path)},
-            {"echo", text(run.echo)}};
+            {"echo", text(run.echo)},
+            {"at_ms", static_cast<qint64>(run.at.count)}};
 }
 
 QJsonObject answerJson(const ServiceRun &run)
@@ -175,6 +177,7 @@
 {
     ServiceRun made;
     made.number = this->runs.size();
+    made.at = Millis::monotonicNow();
     made.requestId = exchange.headers().value(requestIdHeader);
     made.idempotencyKey = exchange.headers().value("Idempotency-Key");
     made.method = exchange.method();
