Notice a pause and a silent service sooner

Cause, found by reading: workers run before the control thread's first tick after a pause, so for a moment a woken router served by what held before; a retry that reads along had no deadline of its own once the answer had begun; and a watch gone silent was noticed after 22 s only, since it waited for 20 s.

Change: Node::mayServe() looks at the time since the last tick, and a dispatch asks it; leaveJoined() ends such a retry with an error event; a watch waits for 1 s and a call for 1 s (three readers: 3 calls a second, whatever the size of the fleet), and after a failure the service is read over new connections alone.

--- a/sequoiausher/protocol/settings/routersettings.h
+++ b/sequoiausher/protocol/settings/routersettings.h
@@ -23,9 +23,9 @@
 {
     std::vector<std::string> addresses;
     /** How long one watch waits at the service. */
-    Millis watchTimeout{20000};
+    Millis watchTimeout{1000};
     /** How long a call may take before it counts as failed, beyond what a watch waits. */
-    Millis callTimeout{2000};
+    Millis callTimeout{1000};
     /** How many instances read the service; all others learn from them. */
     std::uint32_t readers = 3;
 };
--- a/sequoiausher/transport/platform/platformreader.cpp
+++ b/sequoiausher/transport/platform/platformreader.cpp
@@ -150,7 +150,8 @@
     };
     callbacks.onError = [this](const ClientError &error) { this->failed(error.reason); };
     const std::string url = "http://" + this->options.addresses[this->address] + path;
-    const RequestOptions limits{timeout, timeout, false};
+    // After a failure over new connections alone: the pooled ones may have gone silent together.
+    const RequestOptions limits{timeout, timeout, this->backOff > Millis{0}};
     this->client.send(HttpRequest{"GET", url, {}, {}}, limits, std::move(callbacks));
 }
 
--- a/sequoiausher/transport/platform/platformreader.h
+++ b/sequoiausher/transport/platform/platformreader.h
@@ -39,8 +39,8 @@
 {
     /** IP numbers and ports; on a failure the next is tried. Not empty. */
     std::vector<std::string> addresses;
-    Millis watchTimeout{20000};
-    Millis callTimeout{2000};
+    Millis watchTimeout{1000};
+    Millis callTimeout{1000};
     /** The first wait after a failure; doubles up to the longest, with a random part so that readers spread out. */
     Millis firstBackOff{100};
     Millis longestBackOff{5000};
--- a/sequoiausher/transport/router/node.cpp
+++ b/sequoiausher/transport/router/node.cpp
@@ -27,6 +27,8 @@
 constexpr int tickMillis = 20;
 constexpr std::size_t queueSlots = 512;
 constexpr Millis poolStatesEvery{200};
+/** A longer time without a tick means that this process slept; as for the spread and for membership. */
+constexpr Millis longestTickGap{2000};
 
 std::uint64_t seedFor(const InstanceId &self, Incarnation incarnation)
 {
@@ -158,6 +160,8 @@
     std::atomic<std::shared_ptr<const std::vector<PoolState>>> pools;
     std::atomic<bool> leaving{false};
     std::atomic<bool> documentsReady{false};
+    /** The end of the control thread's last tick, in milliseconds of Millis::monotonicNow(). */
+    std::atomic<std::int64_t> tickedAt{0};
 
     // Used on the control thread alone.
     HttpClient client;
@@ -494,6 +498,7 @@
     this->answers.tick(now);
     this->deliver(std::move(outbox));
     this->reader.poke(now);
+    this->tickedAt = now.count;
     if (now - this->poolStatesAt >= poolStatesEvery) {
         this->poolStatesAt = now;
         this->tickSlowly(now);
@@ -792,9 +797,13 @@
     return this->mayServe() && !this->d->leaving;
 }
 
+// A process that wakes runs its workers before or beside the control thread's first tick, which notices the pause and
+// takes documentsReady back. Without the look at the clock, a request in that moment would be sent by what held before
+// the pause, such as to a target that left meanwhile; it would show as new work at a target long after it left.
 bool Node::mayServe() const
 {
-    return this->d->documentsReady && this->configuration() != nullptr;
+    const Millis sinceTick = Millis::monotonicNow() - Millis{this->d->tickedAt.load()};
+    return this->d->documentsReady && sinceTick < longestTickGap && this->configuration() != nullptr;
 }
 
 RequestRegistry &Node::requests()
--- a/sequoiausher/transport/router/requestsession.cpp
+++ b/sequoiausher/transport/router/requestsession.cpp
@@ -13,6 +13,7 @@
 
 constexpr int statusUnavailable = 503;
 constexpr int statusConflict = 409;
+constexpr int statusTimeout = 504;
 constexpr int statusUnprocessable = 422;
 constexpr std::size_t readBytes = 64 * 1024;
 /** A client that reads slowly: above the first the target is not read on, until the second is reached. */
@@ -99,6 +100,7 @@
     void startFlow();
     bool joinRunning();
     void pumpJoined();
+    void leaveJoined();
     void enqueue();
     void refuseAtOnce(Refuse refuse);
     void run(const FlowActions &actions);
@@ -242,6 +244,22 @@
     }
 }
 
+// The deadline of a retry that reads along. Its answer may have begun: an error in its place would come too late then,
+// and an end without a word would pass for a lost connection.
+void RequestSession::Private::leaveJoined()
+{
+    this->context.node.answers().detach(*this->joined);
+    this->joined.reset();
+    const Refuse late{statusTimeout, Ran::Unknown, RefusalReason::DeadlinePassed, Millis{1000}};
+    if (!this->joinedHead) {
+        this->refuseAtOnce(late);
+        return;
+    }
+    this->writer.breakOff(refusalError(late));
+    this->count(Outcome::Broken);
+    this->done = true;
+}
+
 void RequestSession::Private::enqueue()
 {
     QueueEntry entry;
@@ -339,8 +357,10 @@
 
 void RequestSession::Private::dispatch(const Dispatch &action)
 {
-    // The last moment at which a claim can be found too old: from here on the target may have the request.
-    if (this->claims && !this->context.node.mayDispatch(this->order.request)) {
+    // The last moment at which a claim can be found too old, or a pause noticed in which the target may have left: from
+    // here on the target may have the request.
+    Node &node = this->context.node;
+    if (!node.mayServe() || (this->claims && !node.mayDispatch(this->order.request))) {
         this->run(this->flow.dispatchTooLate(Millis::monotonicNow()));
         return;
     }
@@ -493,9 +513,13 @@
     if (this->d->done) {
         return;
     }
+    if (now >= this->d->order.deadline && this->d->joined) {
+        this->d->leaveJoined();
+        return;
+    }
     if (now >= this->d->order.deadline && !this->d->started) {
         const Ran ran = this->d->claims ? Ran::Unknown : Ran::No;
-        this->d->refuseAtOnce(Refuse{504, ran, RefusalReason::DeadlinePassed, Millis{1000}});
+        this->d->refuseAtOnce(Refuse{statusTimeout, ran, RefusalReason::DeadlinePassed, Millis{1000}});
         return;
     }
     this->d->call.tick(now);
