--- a/sequoiausher/transport/router/requestsession.cpp
+++ b/sequoiausher/transport/router/requestsession.cpp
@@ -12,8 +12,9 @@
 namespace {
 
 constexpr int statusUnavailable = 503;
-constexpr int statusConflict = 409;
 constexpr int statusTimeout = 504;
+constexpr int firstErrorStatus = 400;
+constexpr int statusConflict = 409;
 constexpr int statusUnprocessable = 422;
 constexpr std::size_t readBytes = 64 * 1024;
 /** A client that reads slowly: above the first the target is not read on, until the second is reached. */
@@ -128,6 +129,8 @@
     bool queued = false;
     bool inTable = false;
     bool keyUnrun = false;
+    /** mayDispatch was asked and said yes: a further target is under its deadline. */
+    bool wasDispatched = false;
     bool counted = false;
     bool done = false;
     TargetId target;
@@ -204,6 +207,7 @@
         this->refuseAtOnce(Refuse{statusConflict, Ran::Unknown, RefusalReason::OutcomeUnknown, Millis{0}});
         return true;
     }
+    this->writer.attachedTo(result.attempt);
     this->pumpJoined();
     return true;
 }
@@ -316,7 +320,7 @@
         node.claim(Claim{this->key, request, this->bodyDigest});
     } else if (std::holds_alternative<WithdrawClaim>(action)) {
         // After a pause the witnesses may have let another attempt run; then 'not run' is said of this call alone.
-        this->keyUnrun = node.isKeyUnrun(request);
+        this->keyUnrun = this->wasDispatched ? node.mayRedispatch(request) : node.isKeyUnrun(request);
         node.withdraw(request);
     } else if (const auto *reserve = std::get_if<Reserve>(&action)) {
         const Decision &decision = this->order.decision;
@@ -334,10 +338,11 @@
         this->call.cancel(this->addressOf(cancel->target));
     } else if (const auto *attach = std::get_if<AttachToHolder>(&action)) {
         this->attachedTo = attach->holder;
+        this->writer.attachedTo(attach->heldBy);
         node.send(attach->holder, AttachRequest{request, this->key, attach->heldBy});
     } else if (std::holds_alternative<RelayHead>(action)) {
-        const bool failed = this->status >= 500;
-        const Ran ran = failed ? Ran::Unknown : Ran::Yes;
+        // A target that answers with an error does not say whether it ran the request.
+        const Ran ran = this->status < firstErrorStatus ? Ran::Yes : Ran::Unknown;
         this->writer.head(this->status, this->contentType, this->order.parsed.streamed, ran, this->target);
         if (this->inTable) {
             node.answers().setHead(request, AnswerHead{static_cast<std::uint32_t>(this->status), this->contentType});
@@ -360,10 +365,14 @@
     // The last moment at which a claim can be found too old, or a pause noticed in which the target may have left: from
     // here on the target may have the request.
     Node &node = this->context.node;
-    if (!node.mayServe() || (this->claims && !node.mayDispatch(this->order.request))) {
+    const RequestId &request = this->order.request;
+    const bool again = this->wasDispatched;
+    const bool claimHolds = !this->claims || (again ? node.mayRedispatch(request) : node.mayDispatch(request));
+    if (!node.mayServe() || !claimHolds) {
         this->run(this->flow.dispatchTooLate(Millis::monotonicNow()));
         return;
     }
+    this->wasDispatched = true;
     this->target = action.target;
     const std::string address = this->addressOf(action.target);
     if (address.empty()) {
