Let low load reports not make a pool full

Cause: the owner keeps its bound at or above the mean of what it counted, but the bounded policy took a bound of its own over the totals with the reports' corrections. In a burst the reports are lower than the counts, so no target was below the policy's bound. Ruled out: the queue's slots (raising 512 to 4096 changed nothing), capacity (8192), a slow owner (all answers came). Change: the pool's load carries the lowest bound, which owner and policy share.

--- a/sequoiausher/coordination/admission/shardowner.cpp
+++ b/sequoiausher/coordination/admission/shardowner.cpp
@@ -119,6 +119,8 @@
             this->load.counted += 1;
         }
     }
+    // The mean of the high counts, so that some target has room whatever the reports say.
+    this->load.lowestBound = loadBound(minimumBoundPercent, this->highTotal, this->load.counted);
 }
 
 bool ShardOwner::Private::mayBeUsed(const Cell &cell, const ReserveRequest &message) const
@@ -134,8 +136,7 @@
     if (this->poolTargets > 0) {
         most = std::min(most, loadBound(percent, this->poolTotal, this->poolTargets));
     }
-    // Never below the mean of the high counts, so that some target has room whatever the reports say.
-    return std::max(most, loadBound(minimumBoundPercent, this->highTotal, this->load.counted));
+    return std::max(most, this->load.lowestBound);
 }
 
 void ShardOwner::Private::applyLimits(const ReserveRequest &message)
--- a/sequoiausher/coordination/admission/shardownertest.cpp
+++ b/sequoiausher/coordination/admission/shardownertest.cpp
@@ -166,3 +166,18 @@
         CHECK(owner.settled(Millis{10000}));
     }
 }
+
+TEST_CASE_FIXTURE(OwnerFixture, "low reports do not make a pool full")
+{
+    // Symptom: under a burst the queue of a pool stands still for a second though every target has room. The owner
+    // counted requests that had not reached their targets when these measured their load. Cause: the policy took its
+    // bound over the reported totals alone, so no target was below it, and the owner answered that the pool is full.
+    for (int i = 0; i < 10; ++i) {
+        this->grant(Millis{10});
+    }
+    this->owner.reportLoad(TargetId{"a"}, 0, Millis{11});
+    this->owner.reportLoad(TargetId{"b"}, 0, Millis{11});
+    CHECK(this->ask(Millis{12}, 50).value().verdict == ReserveVerdict::Granted);
+    CHECK(this->owner.counted(TargetId{"a"}) <= 6);
+    CHECK(this->owner.counted(TargetId{"b"}) <= 6);
+}
--- a/sequoiausher/coordination/policies/policy.cpp
+++ b/sequoiausher/coordination/policies/policy.cpp
@@ -3,6 +3,7 @@
 #include "sequoiausher/base/hashing.h"
 #include "sequoiausher/coordination/policies/loadbound.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -66,7 +67,8 @@
 public:
     Index choose(const PoolLoad &load, const Choice &choice) override
     {
-        const std::uint64_t bound = loadBound(choice.boundPercent, load.total, load.counted);
+        const std::uint64_t bound
+            = std::max(loadBound(choice.boundPercent, load.total, load.counted), load.lowestBound);
         if (choice.last && mayTake(load.targets[*choice.last], bound)) {
             return choice.last;
         }
--- a/sequoiausher/coordination/policies/policy.h
+++ b/sequoiausher/coordination/policies/policy.h
@@ -36,6 +36,8 @@
     std::uint64_t total = 0;
     /** How many targets the mean is taken over. */
     std::uint64_t counted = 0;
+    /** No bound is taken below this one: for a total that may lag behind what is in flight on the targets. */
+    std::uint64_t lowestBound = 0;
 };
 
 /** For whom to choose. */
