Let a router carry 4096 requests of a pool at a time

2,000 streams to one target are asked for; 512 slots made the others wait in the queue. Room in the pool is the owner's to give, and the slots shrink when it refuses, so the number only bounds the first moment.

--- a/sequoiausher/transport/router/node.cpp
+++ b/sequoiausher/transport/router/node.cpp
@@ -25,7 +25,11 @@
 namespace {
 
 constexpr int tickMillis = 20;
-constexpr std::size_t queueSlots = 512;
+/**
+ * Requests of one pool in flight at a time on one router, at most. Room in the pool is the owner's to give, and the
+ * slots shrink when it refuses; this only bounds what a router carries before the first refusal.
+ */
+constexpr std::size_t queueSlots = 4096;
 constexpr Millis poolStatesEvery{200};
 
 std::uint64_t seedFor(const InstanceId &self, Incarnation incarnation)
