Make rate limits hold over the fleet, also where routers see uneven traffic

Cause: RuleLimits::ratePerSecond was described as each router's while RateLimiter shares it over the fleet; no message carried the demands, so every share was the even one and an organisation whose callers keep their connections to two of seven routers was refused below its limit. Ruled out: each router's demands on gossip (1,300 x 270 entries); pairwise averaging (lost messages lose demand).

--- a/sequoiausher/coordination/limits/ratelimit.cpp
+++ b/sequoiausher/coordination/limits/ratelimit.cpp
@@ -86,7 +86,7 @@
     double part(Millis now, Organisation &organisation) const
     {
         const double even = 1 / this->liveRouters;
-        const bool fresh = organisation.fleetDemandAt && now - *organisation.fleetDemandAt < demandFreshFor;
+        const bool fresh = organisation.fleetDemandAt && now - *organisation.fleetDemandAt < this->freshFor;
         if (!fresh || organisation.fleetDemand <= 0) {
             return even;
         }
@@ -121,6 +121,7 @@
 
     std::unordered_map<OrganisationId, Organisation> organisations;
     double liveRouters = 1;
+    Millis freshFor = demandFreshFor;
 };
 
 RateLimiter::RateLimiter() : d(std::make_unique<Private>())
@@ -144,6 +145,7 @@
 void RateLimiter::setLiveRouters(std::size_t count)
 {
     this->d->liveRouters = static_cast<double>(std::max<std::size_t>(1, count));
+    this->d->freshFor = std::max(demandFreshFor, demandFreshPerRouter * static_cast<std::int64_t>(count));
 }
 
 void RateLimiter::setFleetDemand(Millis now, const OrganisationDemand &demand)
--- a/sequoiausher/coordination/limits/ratelimit.h
+++ b/sequoiausher/coordination/limits/ratelimit.h
@@ -34,6 +34,7 @@
 #include "sequoiausher/base/identifiers.h"
 #include "sequoiausher/base/millis.h"
 #include "sequoiausher/base/requestclass.h"
+#include "sequoiausher/coordination/messages/membershipmessages.h"
 
 #include <array>
 #include <cstddef>
@@ -63,22 +64,15 @@
     Millis retryAfter;
 };
 
-/** What a router tells the fleet of an organisation. */
-struct OrganisationDemand
-{
-    OrganisationId organisation;
-    double perSecond = 0;
-
-    bool operator==(const OrganisationDemand &) const = default;
-};
-
 /** A bucket holds at least this much, or at 1,300 routers a share below one a second would refuse everything. */
 inline constexpr double minimumBurst = 4;
 /** The part of a limit that is shared evenly, for routers that start to see an organisation. */
 inline constexpr double evenPart = 0.2;
 inline constexpr double maxShareOverEven = 20;
-/** A fleet demand older than this is not used. */
+/** A fleet demand older than this is not used; in large fleets, where demands are told less often, demandFreshPerRouter
+ * for each router where that is longer. */
 inline constexpr Millis demandFreshFor{10000};
+inline constexpr Millis demandFreshPerRouter{30};
 /** The time over which a router's own demand is averaged. */
 inline constexpr Millis demandAveragedOver{5000};
 /** Demand is reported from this part of the even share on: others cannot be near their limit. */
--- /dev/null
+++ b/sequoiausher/coordination/membership/demandtable.cpp
@@ -0,0 +1,199 @@
+#include "sequoiausher/coordination/membership/demandtable.h"
+
+#include "sequoiausher/base/hashing.h"
+
+#include <algorithm>
+#include <map>
+
+namespace Sequoiausher {
+
+namespace {
+
+constexpr Millis shortestInterval{1000};
+constexpr std::int64_t millisPerRouter = 10;
+/** A report counts for this many intervals, and a new collector speaks after as many. */
+constexpr std::int64_t reportsRemembered = 2;
+/** Longer than a message takes, so that a total that two routers tell each other does not stay young. */
+constexpr Millis hopAllowance{100};
+constexpr Millis totalLifetime{60000};
+
+struct Reported
+{
+    double perSecond = 0;
+    Millis at;
+};
+
+/** What this router collects for one organisation. */
+struct Collected
+{
+    Millis since;
+    std::map<InstanceId, Reported> reports;
+};
+
+struct Total
+{
+    double perSecond = 0;
+    Millis at;
+    std::uint64_t lastSend = 0;
+};
+
+} // namespace
+
+Millis demandInterval(std::size_t routers)
+{
+    return std::max(shortestInterval, Millis{static_cast<std::int64_t>(routers) * millisPerRouter});
+}
+
+class DemandTable::Private
+{
+public:
+    InstanceId collectorOf(const OrganisationId &organisation) const;
+    void sumUp(Millis now);
+
+    InstanceId self;
+    std::vector<OrganisationDemand> own;
+    std::vector<InstanceId> live;
+    std::vector<std::uint64_t> liveHashes;
+    Millis interval = shortestInterval;
+    Millis nextReport;
+    std::map<OrganisationId, Collected> collected;
+    std::map<OrganisationId, Total> totals;
+    std::uint64_t sendClock = 0;
+};
+
+InstanceId DemandTable::Private::collectorOf(const OrganisationId &organisation) const
+{
+    const std::vector<std::size_t> order = rendezvousOrder(this->liveHashes, hash64(organisation.value), 1);
+    return order.empty() ? InstanceId{} : this->live[order.front()];
+}
+
+void DemandTable::Private::sumUp(Millis now)
+{
+    const Millis memory = this->interval * reportsRemembered + hopAllowance;
+    for (auto at = this->collected.begin(); at != this->collected.end();) {
+        Collected &each = at->second;
+        std::erase_if(each.reports, [&](const auto &report) { return now - report.second.at > memory; });
+        if (each.reports.empty()) {
+            at = this->collected.erase(at);
+            continue;
+        }
+        // Goes wrong if a new collector speaks at once: with half of the reports its total is too low, and everybody's
+        // share too large.
+        if (now - each.since >= memory && this->collectorOf(at->first) == this->self) {
+            Total &total = this->totals[at->first];
+            total.perSecond = 0;
+            for (const auto &report : each.reports) {
+                total.perSecond += report.second.perSecond;
+            }
+            total.at = now;
+        }
+        ++at;
+    }
+    std::erase_if(this->totals, [now](const auto &total) { return now - total.second.at > totalLifetime; });
+}
+
+DemandTable::DemandTable(InstanceId self) : d(std::make_unique<Private>())
+{
+    this->d->self = std::move(self);
+}
+
+DemandTable::~DemandTable() = default;
+
+void DemandTable::setOwn(std::vector<OrganisationDemand> demands)
+{
+    this->d->own = std::move(demands);
+}
+
+std::vector<DemandReport> DemandTable::due(Millis now, const std::function<std::vector<InstanceId>()> &liveNow)
+{
+    std::vector<DemandReport> reports;
+    if (now < this->d->nextReport) {
+        return reports;
+    }
+    this->d->live = liveNow();
+    std::sort(this->d->live.begin(), this->d->live.end());
+    this->d->liveHashes.clear();
+    for (const InstanceId &instance : this->d->live) {
+        this->d->liveHashes.push_back(hash64(instance.value));
+    }
+    this->d->interval = demandInterval(this->d->live.size());
+    this->d->nextReport = now + this->d->interval;
+    std::vector<OrganisationDemand> own = this->d->own;
+    std::sort(own.begin(), own.end(), [](const OrganisationDemand &a, const OrganisationDemand &b) {
+        return a.perSecond > b.perSecond;
+    });
+    std::map<InstanceId, std::vector<OrganisationDemand>> byCollector;
+    for (const OrganisationDemand &demand : own) {
+        std::vector<OrganisationDemand> &told = byCollector[this->d->collectorOf(demand.organisation)];
+        if (told.size() < demandsPerReport) {
+            told.push_back(demand);
+        }
+    }
+    for (auto &entry : byCollector) {
+        if (entry.first == this->d->self) {
+            this->heard(now, this->d->self, entry.second);
+        } else if (!entry.first.empty()) {
+            reports.push_back(DemandReport{entry.first, std::move(entry.second)});
+        }
+    }
+    this->d->sumUp(now);
+    return reports;
+}
+
+void DemandTable::heard(Millis now, const InstanceId &from, const std::vector<OrganisationDemand> &demands)
+{
+    for (const OrganisationDemand &demand : demands) {
+        const bool isKnown = this->d->collected.contains(demand.organisation);
+        if (isKnown || this->d->collected.size() < mostDemands) {
+            Collected &each = this->d->collected.try_emplace(demand.organisation, Collected{now, {}}).first->second;
+            each.reports[from] = Reported{demand.perSecond, now};
+        }
+    }
+}
+
+void DemandTable::merge(Millis now, const std::vector<OrganisationDemand> &totals)
+{
+    for (const OrganisationDemand &demand : totals) {
+        const Millis at = now - (std::max(demand.age, Millis{0}) + hopAllowance);
+        const auto known = this->d->totals.find(demand.organisation);
+        if (known == this->d->totals.end()) {
+            if (this->d->totals.size() < mostDemands && now - at < totalLifetime) {
+                this->d->totals[demand.organisation] = Total{demand.perSecond, at, 0};
+            }
+        } else if (at > known->second.at) {
+            known->second.perSecond = demand.perSecond;
+            known->second.at = at;
+        }
+    }
+}
+
+std::vector<OrganisationDemand> DemandTable::totals(Millis now) const
+{
+    std::vector<OrganisationDemand> all;
+    for (const auto &entry : this->d->totals) {
+        all.push_back(OrganisationDemand{entry.first, entry.second.perSecond, now - entry.second.at});
+    }
+    return all;
+}
+
+std::vector<OrganisationDemand> DemandTable::takeNews(Millis now, std::size_t count)
+{
+    std::vector<std::pair<const OrganisationId, Total> *> order;
+    for (auto &entry : this->d->totals) {
+        order.push_back(&entry);
+    }
+    const std::size_t taken = std::min(count, order.size());
+    std::partial_sort(order.begin(),
+                      order.begin() + static_cast<std::ptrdiff_t>(taken),
+                      order.end(),
+                      [](const auto *a, const auto *b) { return a->second.lastSend < b->second.lastSend; });
+    std::vector<OrganisationDemand> news;
+    for (std::size_t i = 0; i < taken; ++i) {
+        Total &total = order[i]->second;
+        total.lastSend = ++this->d->sendClock;
+        news.push_back(OrganisationDemand{order[i]->first, total.perSecond, now - total.at});
+    }
+    return news;
+}
+
+} // namespace Sequoiausher
--- a/sequoiausher/coordination/membership/membership.cpp
+++ b/sequoiausher/coordination/membership/membership.cpp
@@ -1,5 +1,6 @@
 #include "sequoiausher/coordination/membership/membership.h"
 
+#include "sequoiausher/coordination/membership/demandtable.h"
 #include "sequoiausher/coordination/membership/lifetable.h"
 #include "sequoiausher/coordination/membership/prober.h"
 #include "sequoiausher/coordination/membership/reachability.h"
@@ -41,6 +42,7 @@
                   given.ownDataCentrePercent,
                   given.unreachableEvery})
         , sums(given.sumLifetime)
+        , demands(self.instance)
     {
         this->instances.lives[this->self.instance] = {this->self.incarnation, LifeState::Live};
     }
@@ -51,6 +53,7 @@
     Reachability reachability;
     Prober prober;
     SumTable sums;
+    DemandTable demands;
     LifeTable<InstanceId> instances;
     LifeTable<TargetId> targets;
     std::vector<ListedInstance> platformList;
@@ -127,6 +130,7 @@
         gossip.targets.push_back({id, this->targets.lives.at(id)});
     }
     gossip.sums = this->sums.takeNews(now, this->settings.sumsPerMessage, this->sendLimit());
+    gossip.fleetDemands = this->demands.takeNews(now, this->settings.demandsPerMessage);
     gossip.reach = this->reachability.takeNews(this->settings.reachPerMessage, this->sendLimit());
     if (const auto suspicion = this->reachability.suspicionOf(to)) {
         gossip.reach.push_back(*suspicion);
@@ -148,6 +152,7 @@
     for (const ReachNews &news : gossip.reach) {
         this->reachability.merge(now, news);
     }
+    this->demands.merge(now, gossip.fleetDemands);
     this->noteReachability();
 }
 
@@ -282,6 +287,11 @@
     this->d->sums.dropOld(now);
     std::erase_if(this->d->relayed, [now](const auto &entry) { return now >= entry.second.until; });
     this->d->pushUrgent(outbox);
+    for (DemandReport &report : this->d->demands.due(now, [this] { return this->live(); })) {
+        Gossip gossip = this->d->gossipWithoutNews();
+        gossip.demands = std::move(report.demands);
+        outbox.push_back({report.collector, Probe{0, std::move(gossip)}});
+    }
     if (now >= this->d->nextProbe) {
         this->d->probeNext(now, outbox);
     }
@@ -291,6 +301,7 @@
 {
     this->heardFrom(from);
     this->d->merge(now, probe.gossip);
+    this->d->demands.heard(now, from, probe.gossip.demands);
     this->d->pushUrgent(outbox);
     if (probe.sequence != 0) {
         outbox.push_back({from, ProbeReply{probe.sequence, this->d->self.instance, this->d->gossipFor(now, from)}});
@@ -360,6 +371,16 @@
     return this->d->sums.all(now);
 }
 
+void Membership::setDemands(std::vector<OrganisationDemand> demands)
+{
+    this->d->demands.setOwn(std::move(demands));
+}
+
+std::vector<OrganisationDemand> Membership::fleetDemands(Millis now) const
+{
+    return this->d->demands.totals(now);
+}
+
 void Membership::setDocuments(const DocumentState &state)
 {
     this->d->documents = state;
--- a/sequoiausher/coordination/membership/membership.h
+++ b/sequoiausher/coordination/membership/membership.h
@@ -46,6 +46,7 @@
     std::size_t targetsPerMessage = 12;
     std::size_t reachPerMessage = 8;
     std::size_t sumsPerMessage = 128;
+    std::size_t demandsPerMessage = 8;
     /** News is sent this often times log2 of the fleet's size. */
     std::uint32_t sendsPerLog = 3;
     /** A sum older than this is forgotten. */
@@ -147,6 +148,11 @@
     /** The youngest known sum of each shard, with its age. */
     std::vector<ShardSum> sums(Millis now) const;
 
+    /** What this router is asked for by organisations that may be near their limits; age is ignored. */
+    void setDemands(std::vector<OrganisationDemand> demands);
+    /** The fleet's demand for each such organisation, with its age. */
+    std::vector<OrganisationDemand> fleetDemands(Millis now) const;
+
     void setDocuments(const DocumentState &state);
 
     /** The platform's list, this router included where it is in it. Witness sets come from it alone. */
--- a/sequoiausher/coordination/messages/membershipmessages.h
+++ b/sequoiausher/coordination/messages/membershipmessages.h
@@ -55,6 +55,17 @@
     bool operator==(const ShardSum &) const = default;
 };
 
+/** How many requests of an organisation with a limit arrive. Where a rule limits it, the rule is in the name. */
+struct OrganisationDemand
+{
+    OrganisationId organisation;
+    double perSecond = 0;
+    /** Of a total: how long ago it was added up, as far as the routers on the way know. */
+    Millis age{};
+
+    bool operator==(const OrganisationDemand &) const = default;
+};
+
 /** What rides on every probe and every answer to one. */
 struct Gossip
 {
@@ -62,6 +73,10 @@
     std::vector<TargetNews> targets;
     std::vector<ShardSum> sums;
     std::vector<ReachNews> reach;
+    /** What the sender sees itself, told to the router that adds it up; bounded by demandsPerReport. */
+    std::vector<OrganisationDemand> demands;
+    /** Totals over all routers, on their way to everybody. */
+    std::vector<OrganisationDemand> fleetDemands;
     /** Hash over the names and revisions of all documents known. */
     std::uint64_t documentsDigest = 0;
     /** Highest revision among them. */
--- a/sequoiausher/protocol/codec/framereader.cpp
+++ b/sequoiausher/protocol/codec/framereader.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <limits>
 #include <string_view>
 #include <utility>
@@ -106,6 +107,8 @@
     /** The next item of a kind's vector. */
     template<typename Item>
     auto take(MessageKind kind, const flatbuffers::Vector<Item> *items);
+    using WireDemands = flatbuffers::Vector<const Wire::OrganisationDemand *>;
+    std::vector<OrganisationDemand> demands(const WireDemands *wire) const;
     std::size_t countOf(MessageKind kind) const;
     std::optional<Gossip> gossip(const Wire::Gossip *wire) const;
     /** std::nullopt where a state is of a later version. */
@@ -357,6 +360,18 @@
     return state.has_value() ? std::optional(LifeNews{news.incarnation(), *state}) : std::nullopt;
 }
 
+std::vector<OrganisationDemand> FrameReader::Private::demands(const WireDemands *wire) const
+{
+    std::vector<OrganisationDemand> demands;
+    for (std::size_t i = 0; i < sizeOf(wire); ++i) {
+        const auto *demand = wire->Get(static_cast<flatbuffers::uoffset_t>(i));
+        // Goes wrong if taken as it comes: a sum that is not a number would stay one, and lift or close a limit.
+        const double perSecond = std::isfinite(demand->per_second()) ? std::max(0.0, demand->per_second()) : 0.0;
+        demands.push_back({OrganisationId{this->name(demand->organisation())}, perSecond, spanOf(demand->age())});
+    }
+    return demands;
+}
+
 std::optional<Gossip> FrameReader::Private::gossip(const Wire::Gossip *wire) const
 {
     Gossip gossip;
@@ -389,6 +404,8 @@
         gossip.reach.push_back(
             {InstanceId{this->name(news->name())}, news->incarnation(), news->refutation(), news->suspected()});
     }
+    gossip.demands = this->demands(wire->demands());
+    gossip.fleetDemands = this->demands(wire->fleet_demands());
     gossip.serviceAge = spanOf(wire->service_age());
     gossip.documentsDigest = wire->documents_digest();
     gossip.highestRevision = wire->highest_revision();
--- a/sequoiausher/protocol/codec/framewriter.cpp
+++ b/sequoiausher/protocol/codec/framewriter.cpp
@@ -74,6 +74,7 @@
 
 private:
     std::uint16_t index(const std::string &name);
+    std::vector<Wire::OrganisationDemand> demands(const std::vector<OrganisationDemand> &given);
     Offset<Wire::Gossip> gossip(const Gossip &gossip);
     template<typename Item>
     Offset<flatbuffers::Vector<const Item *>> structs(const std::vector<Item> &items);
@@ -239,6 +240,15 @@
         this->builder, this->index(m.pool.value), m.shard, m.sequence, requestsAt, targetsAt));
 }
 
+std::vector<Wire::OrganisationDemand> FrameWriter::Private::demands(const std::vector<OrganisationDemand> &given)
+{
+    std::vector<Wire::OrganisationDemand> demands;
+    for (const OrganisationDemand &demand : given) {
+        demands.emplace_back(demand.perSecond, wireSpan(demand.age), this->index(demand.organisation.value));
+    }
+    return demands;
+}
+
 Offset<Wire::Gossip> FrameWriter::Private::gossip(const Gossip &gossip)
 {
     std::vector<Wire::LifeNews> instances;
@@ -257,10 +267,14 @@
     for (const ReachNews &news : gossip.reach) {
         reach.emplace_back(news.incarnation, news.refutation, this->index(news.instance.value), news.suspected);
     }
+    const auto demands = this->demands(gossip.demands);
+    const auto fleetDemands = this->demands(gossip.fleetDemands);
     const auto instancesAt = this->structs(instances);
     const auto targetsAt = this->structs(targets);
     const auto sumsAt = this->structs(sums);
     const auto reachAt = this->structs(reach);
+    const auto demandsAt = this->structs(demands);
+    const auto fleetDemandsAt = this->structs(fleetDemands);
     return Wire::CreateGossip(this->builder,
                               instancesAt,
                               targetsAt,
@@ -268,7 +282,9 @@
                               reachAt,
                               gossip.documentsDigest,
                               gossip.highestRevision,
-                              wireSpan(gossip.serviceAge));
+                              wireSpan(gossip.serviceAge),
+                              demandsAt,
+                              fleetDemandsAt);
 }
 
 void FrameWriter::Private::add(const Probe &m)
--- a/sequoiausher/protocol/codec/messagegenerators.h
+++ b/sequoiausher/protocol/codec/messagegenerators.h
@@ -81,6 +81,17 @@
                        SEQUOIAUSHER_FIELD(incarnation),
                        SEQUOIAUSHER_FIELD(refutation),
                        SEQUOIAUSHER_FIELD(suspected));
+template<>
+struct Arbitrary<Sequoiausher::OrganisationDemand>
+{
+    using Type = Sequoiausher::OrganisationDemand;
+    static Gen<Type> arbitrary()
+    {
+        return gen::build<Type>(SEQUOIAUSHER_FIELD(organisation),
+                                gen::set(&Type::perSecond, gen::cast<double>(gen::arbitrary<std::uint32_t>())),
+                                SEQUOIAUSHER_FIELD(age));
+    }
+};
 SEQUOIAUSHER_ARBITRARY(Gossip,
                        SEQUOIAUSHER_FIELD(instances),
                        SEQUOIAUSHER_FIELD(targets),
@@ -88,6 +99,8 @@
                        SEQUOIAUSHER_FIELD(documentsDigest),
                        SEQUOIAUSHER_FIELD(highestRevision),
                        SEQUOIAUSHER_FIELD(reach),
+                       SEQUOIAUSHER_FIELD(demands),
+                       SEQUOIAUSHER_FIELD(fleetDemands),
                        SEQUOIAUSHER_FIELD(serviceAge));
 SEQUOIAUSHER_ARBITRARY(Holding, SEQUOIAUSHER_FIELD(request), SEQUOIAUSHER_FIELD(target));
 SEQUOIAUSHER_ARBITRARY(ClaimRecord,
--- a/sequoiausher/protocol/codec/messagekind.cpp
+++ b/sequoiausher/protocol/codec/messagekind.cpp
@@ -121,6 +121,11 @@
     return sizeof(std::uint32_t) * 3 + sum.pool.value.size();
 }
 
+std::size_t sizeOf(const OrganisationDemand &demand)
+{
+    return sizeof(double) + sizeof(std::uint32_t) + demand.organisation.value.size();
+}
+
 std::size_t sizeOf(const ReachNews &news)
 {
     return sizeof(LifeNews) + news.instance.value.size();
@@ -153,7 +158,8 @@
 
 std::size_t sizeOf(const Gossip &gossip)
 {
-    return sizeOfAll(gossip.instances) + sizeOfAll(gossip.targets) + sizeOfAll(gossip.sums) + sizeOfAll(gossip.reach);
+    return sizeOfAll(gossip.instances) + sizeOfAll(gossip.targets) + sizeOfAll(gossip.sums) + sizeOfAll(gossip.reach)
+        + sizeOfAll(gossip.demands) + sizeOfAll(gossip.fleetDemands);
 }
 
 // What a message carries beyond its fixed fields.
--- a/sequoiausher/transport/router/node.cpp
+++ b/sequoiausher/transport/router/node.cpp
@@ -518,9 +518,16 @@
         const std::scoped_lock lock(this->documentsMutex);
         summary = this->spread.summary(now);
     }
+    std::vector<OrganisationDemand> demands;
+    {
+        const std::scoped_lock lock(this->limitsMutex);
+        demands = this->rates.reports(now);
+    }
     std::vector<ShardSum> sums;
     {
         const std::scoped_lock lock(this->membershipMutex);
+        this->membership.setDemands(demands);
+        demands = this->membership.fleetDemands(now);
         this->membership.setSums(now, own);
         this->membership.setDocuments(DocumentState{summary.digest, summary.highestRevision, summary.serviceAge});
         sums = this->membership.sums(now);
@@ -532,6 +539,12 @@
         }
         this->owned.noteSums(this->shards);
     }
+    {
+        const std::scoped_lock lock(this->limitsMutex);
+        for (const OrganisationDemand &demand : demands) {
+            this->rates.setFleetDemand(now - demand.age, demand);
+        }
+    }
     this->loadPoller.poll(now, toPoll);
     this->updatePoolStates(now);
 }
