--- a/sequoiausher/transport/router/requestsession.cpp
+++ b/sequoiausher/transport/router/requestsession.cpp
@@ -12,9 +12,9 @@
 namespace {
 
 constexpr int statusUnavailable = 503;
+constexpr int statusTooMany = 429;
 constexpr int statusTimeout = 504;
 constexpr int firstErrorStatus = 400;
-constexpr int statusTooMany = 429;
 constexpr int statusConflict = 409;
 constexpr int statusUnprocessable = 422;
 constexpr std::size_t readBytes = 64 * 1024;
