Keep the workers' loops until all of them have stopped, and publish the counts of control traffic whole

Cause: a review of the life-times in the router. A request that joined a running answer never detached its reader, and the reader's wake holds its worker's loop, which went with that worker's thread: an answer that still streamed on another worker during the stop posted to a destroyed object. The status page, answered by a worker, read the counters of the links while the control thread wrote them. stopAccepting posted to null where the thread had ended.

Ruled out: a lock in each wake (one more lock on the path of every chunk), and asking the control thread for the page (a request would wait on another thread for figures that may as well be 200 ms old).

Change: the loop belongs to the worker and outlives its thread, the router stops all workers before it destroys one, a session detaches its reader, and the control thread publishes a copy of the counters.

--- a/cmake/Component.cmake
+++ b/cmake/Component.cmake
@@ -30,6 +30,18 @@
     add_executable(${NAME} ${NAME}.cpp)
     target_include_directories(${NAME} PRIVATE ${PROJECT_SOURCE_DIR})
     target_link_libraries(${NAME} PRIVATE testmain ${ARG_DEPS})
+    sequoiausher_test_code(${NAME})
     add_test(NAME ${NAME} COMMAND ${NAME})
     set_tests_properties(${NAME} PROPERTIES TIMEOUT 120)
 endfunction()
+
+# sequoiausher_test_code(TARGET)
+#
+# Marks a target whose own code only drives tests. The sanitizers then watch it unoptimised: the templates of
+# doctest and rapidcheck, instrumented and optimised, take g++ 12 minutes and gigabytes for one file, and what is
+# tested stands in other targets.
+function(sequoiausher_test_code TARGET)
+    if(SEQUOIAUSHER_SANITIZE)
+        target_compile_options(${TARGET} PRIVATE -O0 -g0)
+    endif()
+endfunction()
--- a/sequoiausher/transport/router/node.cpp
+++ b/sequoiausher/transport/router/node.cpp
@@ -86,6 +86,13 @@
 
 } // namespace
 
+/** What the links and the reader have counted; see Node::Private::traffic. */
+struct ControlTraffic
+{
+    PeerCounters counters;
+    std::uint64_t platformCalls = 0;
+};
+
 class Node::Private : public PeerListener, public PlatformListener
 {
 public:
@@ -151,9 +158,10 @@
     AnswerTable answers;
     RequestRegistry registry;
 
-    // The two below are replaced whole; readers keep the one that they loaded.
+    // The three below are replaced whole; readers keep the one that they loaded.
     std::atomic<std::shared_ptr<const FleetConfiguration>> current;
     std::atomic<std::shared_ptr<const std::vector<PoolState>>> pools;
+    std::atomic<std::shared_ptr<const ControlTraffic>> traffic;
     std::atomic<bool> leaving{false};
     std::atomic<bool> documentsReady{false};
 
@@ -530,6 +538,7 @@
     }
     this->loadPoller.poll(now, toPoll);
     this->updatePoolStates(now);
+    this->traffic = std::make_shared<ControlTraffic>(ControlTraffic{this->mesh.counters(), this->reader.calls()});
 }
 
 void Node::Private::membershipEvents(Millis now, Outbox &outbox)
@@ -1015,8 +1024,11 @@
         }
     }
     status.requests = this->d->registry.size();
-    status.counters = this->d->mesh.counters();
-    status.platformCalls = this->d->reader.calls();
+    // A copy of a moment ago: mesh and reader count on the control thread, while a worker asks for the status page.
+    if (const std::shared_ptr<const ControlTraffic> traffic = this->d->traffic.load()) {
+        status.counters = traffic->counters;
+        status.platformCalls = traffic->platformCalls;
+    }
     return status;
 }
 
--- a/sequoiausher/transport/router/node.h
+++ b/sequoiausher/transport/router/node.h
@@ -111,7 +111,7 @@
     void endLeaving();
     bool isLeaving() const;
 
-    /** Control thread. */
+    /** From any thread; the counts of control traffic are up to 200 ms old. */
     NodeStatus status() const;
 
 private:
--- a/sequoiausher/transport/router/requestsession.cpp
+++ b/sequoiausher/transport/router/requestsession.cpp
@@ -468,6 +468,10 @@
 
 RequestSession::~RequestSession()
 {
+    if (this->d->joined) {
+        // Else the answer would keep the reader, and its bytes, and wake a loop that may be gone.
+        this->d->context.node.answers().detach(*this->d->joined);
+    }
     this->d->context.node.requests().remove(this->d->order.request);
 }
 
--- a/sequoiausher/transport/router/router.cpp
+++ b/sequoiausher/transport/router/router.cpp
@@ -103,7 +103,10 @@
 
 Router::~Router()
 {
-    // Workers use the node until their threads have ended.
+    // Workers use the node until their threads have ended, and wake each other's requests.
+    for (const auto &worker : this->d->workers) {
+        worker->stop();
+    }
     this->d->workers.clear();
 }
 
--- a/sequoiausher/transport/router/worker.cpp
+++ b/sequoiausher/transport/router/worker.cpp
@@ -30,10 +30,11 @@
         , options(theOptions)
         , seed(s)
     {
+        this->loop.moveToThread(this);
     }
 
     void run() override;
-    void serve(QObject &context);
+    void serve();
 
     Node &node;
     const Log &log;
@@ -41,7 +42,11 @@
     HttpServerOptions options;
     std::uint64_t seed;
     std::promise<std::optional<Error>> listening;
-    std::atomic<QObject *> loop{nullptr};
+    /**
+     * Lives on this thread, and longer than it: another worker that appends to an answer followed here, or the node,
+     * may post to it until all threads have ended. Were it gone by then, the stop of a router would end in a crash.
+     */
+    QObject loop;
     std::atomic<std::size_t> open{0};
     /** Set and used on this thread. */
     HttpServer *server = nullptr;
@@ -49,22 +54,20 @@
 
 void Worker::Private::run()
 {
-    QObject context;
     try {
-        this->serve(context);
+        this->serve();
     } catch (const Error &error) {
         this->listening.set_value(error);
     }
 }
 
-void Worker::Private::serve(QObject &context)
+void Worker::Private::serve()
 {
     HttpClient client{HttpClientOptions{}};
-    Entry entry(SessionContext{this->node, client, context, this->log, this->metrics}, this->seed);
+    Entry entry(SessionContext{this->node, client, this->loop, this->log, this->metrics}, this->seed);
     HttpServer http(entry, this->options);
     http.listen();
     this->server = &http;
-    this->loop = &context;
     QTimer timer;
     QObject::connect(&timer, &QTimer::timeout, &timer, [&] {
         entry.tick(Millis::monotonicNow());
@@ -76,7 +79,6 @@
     timer.start(tickMillis);
     this->listening.set_value(std::nullopt);
     this->exec();
-    this->loop = nullptr;
     this->server = nullptr;
 }
 
@@ -87,8 +89,7 @@
 
 Worker::~Worker()
 {
-    this->d->quit();
-    this->d->wait();
+    this->stop();
 }
 
 void Worker::start()
@@ -102,8 +103,18 @@
 
 void Worker::stopAccepting()
 {
-    QMetaObject::invokeMethod(
-        this->d->loop, [this] { this->d->server->stopAccepting(); }, Qt::QueuedConnection);
+    const auto close = [this] {
+        if (this->d->server != nullptr) {
+            this->d->server->stopAccepting();
+        }
+    };
+    QMetaObject::invokeMethod(&this->d->loop, close, Qt::QueuedConnection);
+}
+
+void Worker::stop()
+{
+    this->d->quit();
+    this->d->wait();
 }
 
 std::size_t Worker::openRequests() const
--- a/sequoiausher/transport/router/worker.h
+++ b/sequoiausher/transport/router/worker.h
@@ -18,7 +18,7 @@
 {
 public:
     Worker(Node &node, const Log &log, Metrics &metrics, const HttpServerOptions &options, std::uint64_t seed);
-    /** Ends the thread; what is in progress is broken off. */
+    /** Stops. Where several workers share a node, stop all of them before the first is destroyed. */
     ~Worker();
     Worker(const Worker &) = delete;
     Worker &operator=(const Worker &) = delete;
@@ -27,6 +27,8 @@
     void start();
     /** Takes no new connections; requests in progress go on. */
     void stopAccepting();
+    /** Ends the thread; what is in progress is broken off. A second call has no effect. */
+    void stop();
     /** Requests that are not over, whether or not their client is still there. */
     std::size_t openRequests() const;
 
