--- a/sequoiausher/transport/router/requestsession.cpp
+++ b/sequoiausher/transport/router/requestsession.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr int statusUnavailable = 503;
+constexpr int statusTimeout = 504;
+constexpr int firstErrorStatus = 400;
 constexpr int statusConflict = 409;
 constexpr int statusUnprocessable = 422;
 constexpr std::size_t readBytes = 64 * 1024;
@@ -126,6 +128,8 @@
     bool queued = false;
     bool inTable = false;
     bool keyUnrun = false;
+    /** mayDispatch was asked and said yes: a further target is under its deadline. */
+    bool wasDispatched = false;
     bool counted = false;
     bool done = false;
     TargetId target;
@@ -202,6 +206,7 @@
         this->refuseAtOnce(Refuse{statusConflict, Ran::Unknown, RefusalReason::OutcomeUnknown, Millis{0}});
         return true;
     }
+    this->writer.attachedTo(result.attempt);
     this->pumpJoined();
     return true;
 }
@@ -298,7 +303,7 @@
         node.claim(Claim{this->key, request, this->bodyDigest});
     } else if (std::holds_alternative<WithdrawClaim>(action)) {
         // After a pause the witnesses may have let another attempt run; then 'not run' is said of this call alone.
-        this->keyUnrun = node.isKeyUnrun(request);
+        this->keyUnrun = this->wasDispatched ? node.mayRedispatch(request) : node.isKeyUnrun(request);
         node.withdraw(request);
     } else if (const auto *reserve = std::get_if<Reserve>(&action)) {
         const Decision &decision = this->order.decision;
@@ -316,10 +321,11 @@
         this->call.cancel(this->addressOf(cancel->target));
     } else if (const auto *attach = std::get_if<AttachToHolder>(&action)) {
         this->attachedTo = attach->holder;
+        this->writer.attachedTo(attach->heldBy);
         node.send(attach->holder, AttachRequest{request, this->key, attach->heldBy});
     } else if (std::holds_alternative<RelayHead>(action)) {
-        const bool failed = this->status >= 500;
-        const Ran ran = failed ? Ran::Unknown : Ran::Yes;
+        // A target that answers with an error does not say whether it ran the request.
+        const Ran ran = this->status < firstErrorStatus ? Ran::Yes : Ran::Unknown;
         this->writer.head(this->status, this->contentType, this->order.parsed.streamed, ran, this->target);
         if (this->inTable) {
             node.answers().setHead(request, AnswerHead{static_cast<std::uint32_t>(this->status), this->contentType});
@@ -340,10 +346,14 @@
 void RequestSession::Private::dispatch(const Dispatch &action)
 {
     // The last moment at which a claim can be found too old: from here on the target may have the request.
-    if (this->claims && !this->context.node.mayDispatch(this->order.request)) {
+    Node &node = this->context.node;
+    const RequestId &request = this->order.request;
+    const bool again = this->wasDispatched;
+    if (this->claims && !(again ? node.mayRedispatch(request) : node.mayDispatch(request))) {
         this->run(this->flow.dispatchTooLate(Millis::monotonicNow()));
         return;
     }
+    this->wasDispatched = true;
     this->target = action.target;
     const std::string address = this->addressOf(action.target);
     if (address.empty()) {
@@ -499,7 +509,7 @@
     }
     if (now >= this->d->order.deadline && !this->d->started) {
         const Ran ran = this->d->claims ? Ran::Unknown : Ran::No;
-        this->d->refuseAtOnce(Refuse{504, ran, RefusalReason::DeadlinePassed, Millis{1000}});
+        this->d->refuseAtOnce(Refuse{statusTimeout, ran, RefusalReason::DeadlinePassed, Millis{1000}});
         return;
     }
     this->d->call.tick(now);
