--- a/sequoiausher/transport/router/node.cpp
+++ b/sequoiausher/transport/router/node.cpp
@@ -27,8 +27,14 @@
 namespace {
 
 constexpr int tickMillis = 20;
-constexpr std::size_t queueSlots = 512;
+/**
+ * Requests of one pool in flight at a time on one router, at most. Room in the pool is the owner's to give, and the
+ * slots shrink when it refuses; this only bounds what a router carries before the first refusal.
+ */
+constexpr std::size_t queueSlots = 4096;
 constexpr Millis poolStatesEvery{200};
+/** A longer time without a tick means that this process slept; as for the spread and for membership. */
+constexpr Millis longestTickGap{2000};
 
 std::uint64_t seedFor(const InstanceId &self, Incarnation incarnation)
 {
@@ -88,6 +94,13 @@
 
 } // namespace
 
+/** What the links and the reader have counted; see Node::Private::traffic. */
+struct ControlTraffic
+{
+    PeerCounters counters;
+    std::uint64_t platformCalls = 0;
+};
+
 class Node::Private : public PeerListener, public PlatformListener
 {
 public:
@@ -122,6 +135,7 @@
     void seedPeers();
     void updatePoolStates(Millis now);
     AdmissionQueue &queueOf(const PoolId &pool);
+    void addLoads(const ShardId &shard, const ShardOwner &owner, std::vector<TargetLoadStatus> &loads) const;
 
     RouterSettings settings;
     Incarnation incarnation;
@@ -159,11 +173,14 @@
     AnswerTable answers;
     RequestRegistry registry;
 
-    // The two below are replaced whole; readers keep the one that they loaded.
+    // The three below are replaced whole; readers keep the one that they loaded.
     std::atomic<std::shared_ptr<const FleetConfiguration>> current;
     std::atomic<std::shared_ptr<const std::vector<PoolState>>> pools;
+    std::atomic<std::shared_ptr<const ControlTraffic>> traffic;
     std::atomic<bool> leaving{false};
     std::atomic<bool> documentsReady{false};
+    /** The end of the control thread's last tick, in milliseconds of Millis::monotonicNow(). */
+    std::atomic<std::int64_t> tickedAt{0};
 
     // Used on the control thread alone.
     HttpClient client;
@@ -516,6 +533,7 @@
     this->answers.tick(now);
     this->deliver(std::move(outbox));
     this->reader.poke(now);
+    this->tickedAt = now.count;
     if (now - this->poolStatesAt >= poolStatesEvery) {
         this->poolStatesAt = now;
         this->tickSlowly(now);
@@ -538,9 +556,16 @@
         const std::scoped_lock lock(this->documentsMutex);
         summary = this->spread.summary(now);
     }
+    std::vector<OrganisationDemand> demands;
+    {
+        const std::scoped_lock lock(this->limitsMutex);
+        demands = this->rates.reports(now);
+    }
     std::vector<ShardSum> sums;
     {
         const std::scoped_lock lock(this->membershipMutex);
+        this->membership.setDemands(demands);
+        demands = this->membership.fleetDemands(now);
         this->membership.setSums(now, own);
         this->membership.setDocuments(DocumentState{summary.digest, summary.highestRevision, summary.serviceAge});
         sums = this->membership.sums(now);
@@ -552,8 +577,15 @@
         }
         this->owned.noteSums(this->shards);
     }
+    {
+        const std::scoped_lock lock(this->limitsMutex);
+        for (const OrganisationDemand &demand : demands) {
+            this->rates.setFleetDemand(now - demand.age, demand);
+        }
+    }
     this->loadPoller.poll(now, toPoll);
     this->updatePoolStates(now);
+    this->traffic = std::make_shared<ControlTraffic>(ControlTraffic{this->mesh.counters(), this->reader.calls()});
 }
 
 void Node::Private::membershipEvents(Millis now, Outbox &outbox)
@@ -824,9 +856,13 @@
     return this->mayServe() && !this->d->leaving;
 }
 
+// A process that wakes runs its workers before or beside the control thread's first tick, which notices the pause and
+// takes documentsReady back. Without the look at the clock, a request in that moment would be sent by what held before
+// the pause, such as to a target that left meanwhile; it would show as new work at a target long after it left.
 bool Node::mayServe() const
 {
-    return this->d->documentsReady && this->configuration() != nullptr;
+    const Millis sinceTick = Millis::monotonicNow() - Millis{this->d->tickedAt.load()};
+    return this->d->documentsReady && sinceTick < longestTickGap && this->configuration() != nullptr;
 }
 
 RequestRegistry &Node::requests()
@@ -1082,6 +1118,28 @@
     return this->d->leaving;
 }
 
+std::vector<DocumentPointer> Node::documents() const
+{
+    std::vector<DocumentPointer> documents;
+    const std::scoped_lock lock(this->d->documentsMutex);
+    if (const auto inForce = this->d->configurationState.inForce()) {
+        for (const auto &entry : *inForce->documents) {
+            documents.push_back(entry.second);
+        }
+    }
+    return documents;
+}
+
+void Node::Private::addLoads(const ShardId &shard, const ShardOwner &owner, std::vector<TargetLoadStatus> &loads) const
+{
+    for (const TargetView &target : this->shards.targetsOf(shard)) {
+        const TargetId &name = target.description.target;
+        const std::optional<ReportedLoad> report = this->targets.load(name);
+        const auto reported = report ? std::optional<std::uint32_t>(report->load) : std::nullopt;
+        loads.push_back({name, shard, owner.counted(name), reported});
+    }
+}
+
 NodeStatus Node::status() const
 {
     const Millis now = Millis::monotonicNow();
@@ -1111,8 +1169,9 @@
     {
         const std::scoped_lock lock(this->d->admissionMutex);
         for (const ShardId &shard : this->d->shards.shards()) {
-            if (this->d->owned.find(shard) != nullptr) {
+            if (const ShardOwner *owner = this->d->owned.find(shard)) {
                 status.ownedShards.push_back(shard);
+                this->d->addLoads(shard, *owner, status.ownedTargets);
             }
         }
         status.held = this->d->reserver.held();
@@ -1129,9 +1188,16 @@
         }
         status.waiting += this->d->gates.waiting();
     }
+    if (const auto fleet = this->d->current.load()) {
+        status.instances = fleet->instances;
+    }
+    status.boundPercent = this->d->settings.admission.boundPercent;
     status.requests = this->d->registry.size();
-    status.counters = this->d->mesh.counters();
-    status.platformCalls = this->d->reader.calls();
+    // A copy of a moment ago: mesh and reader count on the control thread, while a worker asks for the status page.
+    if (const std::shared_ptr<const ControlTraffic> traffic = this->d->traffic.load()) {
+        status.counters = traffic->counters;
+        status.platformCalls = traffic->platformCalls;
+    }
     return status;
 }
 
