--- a/lab/bench/slopes/relayslopes.cpp
+++ b/lab/bench/slopes/relayslopes.cpp
@@ -223,10 +223,25 @@
     printSlope("relay_memory_per_router", perInstance, "bytes");
 }
 
+/** What one organisation's demand takes on a probe. */
+void demandBytes()
+{
+    std::vector<SlopeSample> bytes;
+    for (const std::size_t demands : {0U, 2U, 4U, 8U}) {
+        Probe probe;
+        for (std::size_t i = 0; i < demands; ++i) {
+            probe.gossip.fleetDemands.push_back({OrganisationId{"organisation-" + std::to_string(100 + i)}, 12.5, {}});
+        }
+        bytes.push_back({static_cast<double>(demands), static_cast<double>(wireSize(probe))});
+    }
+    printSlope("relay_bytes_per_demand", bytes, "bytes");
+}
+
 } // namespace
 
 void measureRelay()
 {
+    demandBytes();
     memory();
     byRouters();
     bySums();
