Follow an answer at another router through loss, silence and given-up holders

Duplicates of a key on other routers waited until their deadline, or could take a part for the whole. Three causes, found by the process-level tests under kills, freezes and a split: - Only a link that went down ended the waiting. A holder that was dead, frozen or cut off before it was asked sent nothing for good. A holder whose attempt was withdrawn now says so, and the retry claims the key anew (as the design note says), in a later round of its attempt, at most four times. A retry on the holder's own router does the same where the first attempt was given up. - AttachEnd did not say how long the answer is, so a part lost on a full queue gave a whole answer with a hole. AttachEnd::length tells; what is missing is asked for, what comes twice is skipped.

Ruled out: letting keyed requests wait in the queue where the pool is full.

--- a/sequoiausher/coordination/claims/claimant.cpp
+++ b/sequoiausher/coordination/claims/claimant.cpp
@@ -310,12 +310,16 @@
 
 void Claimant::begin(Millis now, const Claim &claim, Outbox &outbox)
 {
-    if (this->d->attempts.contains(claim.attempt)) {
+    const Attempt *known = this->d->find(claim.attempt);
+    if (known != nullptr && (known->phase != Phase::Withdrawn || known->claim.key != claim.key)) {
         throw Error(Step::Claim, this->d->self.value, "attempt " + claim.attempt.toHex() + " began already");
     }
+    // A later round, so that a withdrawal of the earlier one that is still on its way frees nothing.
+    const std::uint32_t round = known == nullptr ? 1 : known->round + 1;
     const WitnessQuorum quorum = this->d->parameters.quorumFor(this->d->list.names.size());
     Attempt &attempt = this->d->attempts[claim.attempt];
     attempt.claim = claim;
+    attempt.round = round;
     attempt.ballot = Ballot(this->d->list.first(claim.key, quorum.witnesses), quorum.quorum);
     attempt.giveUpAt = now + this->d->parameters.claimTimeout;
     ++this->d->running[claim.key];
--- a/sequoiausher/coordination/claims/claimant.h
+++ b/sequoiausher/coordination/claims/claimant.h
@@ -87,7 +87,10 @@
     /** The platform's list; used by claims begun and renewed from now on. */
     void setInstances(const InstanceList &list);
 
-    /** Begins a claim. @throws Error (Step::Claim) where the attempt is known already. */
+    /**
+     * Begins a claim, or, for an attempt that gave its claim back, another round of it: one that found the key held
+     * by an attempt which then turned out not to have run. @throws Error (Step::Claim) where it is claimed already.
+     */
     void begin(Millis now, const Claim &claim, Outbox &outbox);
     /** A vote; late, doubled and foreign ones do no harm. */
     void receive(Millis now, const InstanceId &from, const ClaimVote &vote, Outbox &outbox);
--- a/sequoiausher/coordination/flow/requestflow.cpp
+++ b/sequoiausher/coordination/flow/requestflow.cpp
@@ -13,6 +13,9 @@
 constexpr int statusUnavailable = 503;
 constexpr int statusTimeout = 504;
 
+/** How often a request claims its key: again where whoever held it turned out not to have run. */
+constexpr int maxBeginnings = 4;
+
 enum class Stage {
     /** Waiting for the claim, the reservation or both. */
     Admitting,
@@ -47,6 +50,7 @@
     void dispatchIfReady(FlowActions &actions);
     bool tryNextTarget(FlowActions &actions);
     bool tryResume(FlowActions &actions);
+    bool beginAgain(FlowActions &actions);
 
     FlowFacts facts;
     Stage stage = Stage::Admitting;
@@ -60,6 +64,7 @@
     bool keyIsOurs = false;
     int dispatches = 0;
     int resumes = 0;
+    int beginnings = 1;
     /** The dispatch in progress, or an earlier one, may have run. */
     bool possiblyRun = false;
     /** An earlier dispatch of this idempotent request may have run. */
@@ -140,6 +145,23 @@
     return true;
 }
 
+// The holder of the key gave its attempt up, so the key is free: this call claims it anew. Without this a duplicate
+// would be refused, though nobody ran the request, each time the first call's router found no place for it.
+bool RequestFlow::Private::beginAgain(FlowActions &actions)
+{
+    if (this->beginnings >= maxBeginnings) {
+        return false;
+    }
+    this->beginnings += 1;
+    this->stage = Stage::Admitting;
+    this->claim = Part::Awaited;
+    this->reservation = Part::Awaited;
+    this->afterClaim.reset();
+    actions.emplace_back(StartClaim{});
+    actions.emplace_back(Reserve{this->excluded});
+    return true;
+}
+
 RequestFlow::RequestFlow(const FlowFacts &facts) : d(std::make_unique<Private>(facts))
 {
 }
@@ -319,6 +341,9 @@
     if (this->d->stage != Stage::Attached) {
         return actions;
     }
+    if (ran == Ran::No && !this->d->headRelayed && this->d->beginAgain(actions)) {
+        return actions;
+    }
     if (ran == Ran::No && !this->d->headRelayed) {
         this->d->refuseNotRun(actions, statusUnavailable, RefusalReason::TargetUnreachable, this->d->facts.retryAfter);
     } else {
--- a/sequoiausher/coordination/messages/attachmessages.h
+++ b/sequoiausher/coordination/messages/attachmessages.h
@@ -17,6 +17,8 @@
     NotRun,
     /** The holder does not know the attempt, having restarted, or no longer keeps its answer. */
     Unknown,
+    /** The attempt is running and has no answer yet; another reply follows. */
+    Waits,
 };
 
 template<>
@@ -24,6 +26,7 @@
     {AttachVerdict::Follows, "follows"},
     {AttachVerdict::NotRun, "not-run"},
     {AttachVerdict::Unknown, "unknown"},
+    {AttachVerdict::Waits, "waits"},
 });
 
 /** Retrying entry to holder: send me the answer of attempt from its start. */
@@ -65,6 +68,8 @@
     /** The whole answer was sent; otherwise it broke off at the holder, and reason says why. */
     bool complete = false;
     std::string reason;
+    /** With complete: the bytes of the body. A part that was lost before the end shows by it. */
+    std::uint64_t length = 0;
 
     bool operator==(const AttachEnd &) const = default;
 };
--- a/sequoiausher/protocol/codec/framereader.cpp
+++ b/sequoiausher/protocol/codec/framereader.cpp
@@ -483,7 +483,7 @@
 std::optional<PeerMessage> FrameReader::Private::attachEnd()
 {
     const auto *m = this->take(MessageKind::AttachEnd, this->frame.attach_ends());
-    return AttachEnd{numberOf<RequestId>(m->attachment()), m->complete(), textOf(m->reason())};
+    return AttachEnd{numberOf<RequestId>(m->attachment()), m->complete(), textOf(m->reason()), m->length()};
 }
 
 std::optional<PeerMessage> FrameReader::Private::attachCancel()
--- a/sequoiausher/protocol/codec/framewriter.cpp
+++ b/sequoiausher/protocol/codec/framewriter.cpp
@@ -345,7 +345,7 @@
 {
     const Wire::Id attachment = wireId(m.attachment);
     const auto reason = this->builder.CreateString(m.reason);
-    this->attachEnds.push_back(Wire::CreateAttachEnd(this->builder, &attachment, m.complete, reason));
+    this->attachEnds.push_back(Wire::CreateAttachEnd(this->builder, &attachment, m.complete, reason, m.length));
 }
 
 void FrameWriter::Private::add(const AttachCancel &m)
--- a/sequoiausher/protocol/codec/messagegenerators.h
+++ b/sequoiausher/protocol/codec/messagegenerators.h
@@ -172,7 +172,8 @@
 SEQUOIAUSHER_ARBITRARY(AttachEnd,
                        SEQUOIAUSHER_FIELD(attachment),
                        SEQUOIAUSHER_FIELD(complete),
-                       SEQUOIAUSHER_FIELD(reason));
+                       SEQUOIAUSHER_FIELD(reason),
+                       SEQUOIAUSHER_FIELD(length));
 SEQUOIAUSHER_ARBITRARY(AttachCancel, SEQUOIAUSHER_FIELD(attachment));
 
 #undef SEQUOIAUSHER_ARBITRARY
--- a/sequoiausher/transport/router/answerserver.cpp
+++ b/sequoiausher/transport/router/answerserver.cpp
@@ -54,6 +54,8 @@
         this->send(from, AttachReply{id, AttachVerdict::Unknown, 0, {}});
         return;
     }
+    // Asked once more, the holder sends all of it again: something was lost on the way.
+    this->end(id);
     this->attachments[id] = Attachment{from, *cursor};
     this->pump(id);
 }
@@ -70,6 +72,8 @@
         const bool notRun = part.state == AnswerState::NotRun;
         this->send(attachment.to, AttachReply{id, notRun ? AttachVerdict::NotRun : AttachVerdict::Unknown, 0, {}});
         this->end(id);
+    } else {
+        this->send(attachment.to, AttachReply{id, AttachVerdict::Waits, 0, {}});
     }
     return false;
 }
@@ -92,7 +96,8 @@
         }
         if (part.state != AnswerState::Running) {
             const bool complete = part.state == AnswerState::Complete;
-            this->send(attachment.to, AttachEnd{id, complete, complete ? "" : std::string(nameOf(part.state))});
+            this->send(attachment.to,
+                       AttachEnd{id, complete, complete ? "" : std::string(nameOf(part.state)), part.offset});
             this->end(id);
         }
         return;
--- a/sequoiausher/transport/router/node.cpp
+++ b/sequoiausher/transport/router/node.cpp
@@ -367,10 +367,17 @@
     }
     void operator()(const AttachRequest &m) const
     {
+        bool isWithdrawn = false;
         {
             // A retry that asks for a withdrawn attempt met a witness that missed the withdrawal.
             const std::scoped_lock lock(this->self.claimsMutex);
-            this->self.claimant.repeatWithdrawal(this->now, m.attempt, this->outbox);
+            isWithdrawn = this->self.claimant.repeatWithdrawal(this->now, m.attempt, this->outbox);
+        }
+        if (isWithdrawn) {
+            // That attempt may follow another one by now. Were its answer followed all the same, two attempts that
+            // took each other for the holder would wait for each other until both their callers give up.
+            this->outbox.push_back(Outgoing{this->from, AttachReply{m.attachment, AttachVerdict::NotRun, 0, {}}});
+            return;
         }
         this->self.answerServer.attach(this->from, m);
     }
--- a/sequoiausher/transport/router/requestsession.cpp
+++ b/sequoiausher/transport/router/requestsession.cpp
@@ -3,6 +3,7 @@
 #include "sequoiausher/base/hashing.h"
 #include "sequoiausher/coordination/flow/requestflow.h"
 #include "sequoiausher/transport/router/answerwriter.h"
+#include "sequoiausher/transport/router/attachedanswer.h"
 
 #include <QMetaObject>
 #include <QObject>
@@ -112,6 +113,8 @@
     void finishAnswer(AnswerState state, const std::string &reason);
     void count(Outcome outcome);
     void leaveQueue();
+    void askHolder();
+    void tickAttached(Millis now);
     void watchClient();
     std::string addressOf(const TargetId &target) const;
 
@@ -133,9 +136,7 @@
     bool counted = false;
     bool done = false;
     TargetId target;
-    InstanceId attachedTo;
-    /** Where the next chunk from the holder must begin: messages between routers may be lost. */
-    std::uint64_t attachedOffset = 0;
+    AttachedAnswer attached;
     int status = 0;
     std::string contentType;
     // Joined to a running answer of this router.
@@ -234,8 +235,13 @@
             this->count(Outcome::Attached);
             this->done = true;
         } else if (part.state == AnswerState::NotRun) {
-            // The first attempt was given up. What it was told of the key holds for this call no longer.
-            this->refuseAtOnce(Refuse{statusUnavailable, Ran::Unknown, RefusalReason::NoTarget, Millis{1000}});
+            // The first attempt was given up before anything was sent; this call takes its place, or follows the one
+            // that already did.
+            this->writer.attachedTo(this->order.request);
+            if (!this->joinRunning()) {
+                this->enqueue();
+            }
+            return;
         } else if (this->joinedHead) {
             this->writer.breakOff(
                 refusalError(Refuse{statusConflict, Ran::Unknown, RefusalReason::OutcomeUnknown, {}}));
@@ -279,6 +285,10 @@
 // An end before the flow began, or beside it.
 void RequestSession::Private::refuseAtOnce(Refuse refusal)
 {
+    if (this->joined) {
+        this->context.node.answers().detach(*this->joined);
+        this->joined.reset();
+    }
     this->refuse(refusal);
     this->leaveQueue();
     this->done = true;
@@ -300,6 +310,8 @@
     Node &node = this->context.node;
     const RequestId &request = this->order.request;
     if (std::holds_alternative<StartClaim>(action)) {
+        this->attached.end();
+        this->writer.attachedTo(request);
         node.claim(Claim{this->key, request, this->bodyDigest});
     } else if (std::holds_alternative<WithdrawClaim>(action)) {
         // After a pause the witnesses may have let another attempt run; then 'not run' is said of this call alone.
@@ -320,9 +332,9 @@
     } else if (const auto *cancel = std::get_if<CancelAtTarget>(&action)) {
         this->call.cancel(this->addressOf(cancel->target));
     } else if (const auto *attach = std::get_if<AttachToHolder>(&action)) {
-        this->attachedTo = attach->holder;
+        this->attached.begin(Millis::monotonicNow(), attach->holder, attach->heldBy);
         this->writer.attachedTo(attach->heldBy);
-        node.send(attach->holder, AttachRequest{request, this->key, attach->heldBy});
+        this->askHolder();
     } else if (std::holds_alternative<RelayHead>(action)) {
         // A target that answers with an error does not say whether it ran the request.
         const Ran ran = this->status < firstErrorStatus ? Ran::Yes : Ran::Unknown;
@@ -333,7 +345,7 @@
     } else if (std::holds_alternative<RelayEnd>(action)) {
         this->writer.end();
         this->finishAnswer(AnswerState::Complete, "");
-        this->count(this->attachedTo.empty() ? Outcome::Complete : Outcome::Attached);
+        this->count(this->attached.isFollowing() ? Outcome::Attached : Outcome::Complete);
     } else if (const auto *refusal = std::get_if<Refuse>(&action)) {
         this->refuse(*refusal);
     } else if (const auto *broken = std::get_if<BreakOff>(&action)) {
@@ -441,6 +453,26 @@
     }
 }
 
+void RequestSession::Private::askHolder()
+{
+    this->context.node.send(this->attached.holder(),
+                            AttachRequest{this->order.request, this->key, this->attached.attempt()});
+}
+
+void RequestSession::Private::tickAttached(Millis now)
+{
+    switch (this->attached.tick(now)) {
+    case AttachStep::Nothing:
+        break;
+    case AttachStep::AskAgain:
+        this->askHolder();
+        break;
+    case AttachStep::GiveUp:
+        this->run(this->flow.attachFailed(now, Ran::Unknown));
+        break;
+    }
+}
+
 std::string RequestSession::Private::addressOf(const TargetId &wanted) const
 {
     const std::optional<TargetView> found = this->context.node.target(this->order.decision.pool, wanted);
@@ -460,8 +492,8 @@
             session.joined.reset();
             session.done = true;
         } else if (session.started) {
-            if (!session.attachedTo.empty()) {
-                session.context.node.send(session.attachedTo, AttachCancel{session.order.request});
+            if (session.attached.isFollowing()) {
+                session.context.node.send(session.attached.holder(), AttachCancel{session.order.request});
             }
             session.run(session.flow.clientGone(Millis::monotonicNow()));
         } else {
@@ -509,6 +541,7 @@
         return;
     }
     this->d->call.tick(now);
+    this->d->tickAttached(now);
     this->d->run(this->d->flow.tick(now));
 }
 
@@ -587,6 +620,13 @@
 void RequestSession::attachReplied(const AttachReply &reply)
 {
     const Millis now = Millis::monotonicNow();
+    if (this->d->done || !this->d->attached.isFollowing()) {
+        return;
+    }
+    this->d->attached.heard(now);
+    if (reply.verdict == AttachVerdict::Waits) {
+        return;
+    }
     if (reply.verdict == AttachVerdict::Follows) {
         this->d->status = static_cast<int>(reply.status);
         this->d->contentType = reply.contentType;
@@ -600,30 +640,31 @@
 
 void RequestSession::attachChunk(const AttachChunk &chunk)
 {
-    if (this->d->done || this->d->attachedTo.empty()) {
+    if (this->d->done || !this->d->attached.isFollowing()) {
         return;
     }
-    if (chunk.offset != this->d->attachedOffset) {
-        this->d->run(this->d->flow.attachFailed(Millis::monotonicNow(), Ran::Unknown));
-        return;
+    const auto fresh = this->d->attached.take(Millis::monotonicNow(), chunk);
+    if (fresh && !fresh->empty()) {
+        this->d->relayPart(*fresh);
     }
-    this->d->attachedOffset += chunk.bytes.size();
-    this->d->relayPart(chunk.bytes);
 }
 
 void RequestSession::attachEnded(const AttachEnd &end)
 {
     const Millis now = Millis::monotonicNow();
-    if (end.complete) {
-        this->d->run(this->d->flow.answerComplete(now));
-    } else {
+    if (this->d->done || !this->d->attached.isFollowing()) {
+        return;
+    }
+    if (!end.complete) {
         this->d->run(this->d->flow.attachFailed(now, Ran::Unknown));
+    } else if (this->d->attached.isWhole(now, end)) {
+        this->d->run(this->d->flow.answerComplete(now));
     }
 }
 
 void RequestSession::peerLost(const InstanceId &peer)
 {
-    if (!this->d->done && this->d->attachedTo == peer) {
+    if (!this->d->done && this->d->attached.holder() == peer) {
         this->d->run(this->d->flow.attachFailed(Millis::monotonicNow(), Ran::Unknown));
     }
 }
