Close idle connections only when the notice of a planned stop is over

A rolling replacement under load cut off a request: an idle connection was closed as soon as the stop began, while a caller that had not yet heard of it was sending its next request. Now they stay open until the router takes no new connections, when the balancer has had the notice time to go elsewhere.

The race of any HTTP/1.1 close with a request on its way is left for callers that ignore the notice.

--- a/sequoiausher/transport/router/worker.cpp
+++ b/sequoiausher/transport/router/worker.cpp
@@ -45,6 +45,7 @@
     std::atomic<std::size_t> open{0};
     /** Set and used on this thread. */
     HttpServer *server = nullptr;
+    bool closesIdle = false;
 };
 
 void Worker::Private::run()
@@ -69,7 +70,9 @@
     QObject::connect(&timer, &QTimer::timeout, &timer, [&] {
         entry.tick(Millis::monotonicNow());
         this->open = std::max(entry.openSessions(), http.openExchanges());
-        if (this->node.isLeaving()) {
+        // Not before the notice is over: a caller that has not yet heard of the stop may be sending its next request
+        // on such a connection, and would see it reset.
+        if (this->closesIdle) {
             http.closeIdleConnections();
         }
     });
@@ -103,7 +106,12 @@
 void Worker::stopAccepting()
 {
     QMetaObject::invokeMethod(
-        this->d->loop, [this] { this->d->server->stopAccepting(); }, Qt::QueuedConnection);
+        this->d->loop,
+        [this] {
+            this->d->server->stopAccepting();
+            this->d->closesIdle = true;
+        },
+        Qt::QueuedConnection);
 }
 
 std::size_t Worker::openRequests() const
