--- a/lab/fleet/fleet.cpp
+++ b/lab/fleet/fleet.cpp
@@ -132,6 +132,8 @@
     , peerPorts(reserve(fleetOptions.routers))
     , relayPorts(reserve(fleetOptions.relays ? fleetOptions.routers : 0))
 {
+    // To look into what a failed test left: its settings and what its processes wrote.
+    this->folder.setAutoRemove(!qEnvironmentVariableIsSet("LAB_FLEET_KEEP"));
     this->makeProcesses();
     this->makeRelays();
     this->makeRouters();
