--- a/sequoiausher/coordination/claims/claimanttest.cpp
+++ b/sequoiausher/coordination/claims/claimanttest.cpp
@@ -221,6 +221,27 @@
     CHECK(f.outbox.front().to.value.size() == 1);
 }
 
+TEST_CASE("an attempt that found the key held begins again in a later round")
+{
+    // Symptom: a retry runs, and its claim is gone. Sequence: its first round ended as held by another, which then
+    // said that it had not run; the retry claims anew, and the withdrawal of its first round arrives after that.
+    // Cause: a withdrawal that does not say of which round it is.
+    Fixture fixture;
+    for (std::size_t i = 0; i < 4; ++i) {
+        fixture.vote(i, ClaimVerdict::Held, start, smaller);
+    }
+    CHECK(fixture.only().kind == ClaimOutcomeKind::HeldBy);
+    fixture.outbox.clear();
+    fixture.claimant.begin(start + Millis{10}, Claim{key, mine, 1}, fixture.outbox);
+    REQUIRE(fixture.sent<ClaimRequest>() == 5);
+    CHECK(std::get<ClaimRequest>(fixture.outbox.front().message).round == 2);
+    for (std::size_t i = 0; i < 4; ++i) {
+        fixture.vote(i, ClaimVerdict::Granted, start + Millis{20}, {}, 2);
+    }
+    CHECK(fixture.only().kind == ClaimOutcomeKind::Acquired);
+    CHECK(fixture.claimant.mayDispatch(mine, start + Millis{30}));
+}
+
 TEST_CASE("an attempt begins once")
 {
     Fixture f;
--- a/sequoiausher/coordination/flow/requestflowtest.cpp
+++ b/sequoiausher/coordination/flow/requestflowtest.cpp
@@ -208,6 +208,33 @@
     CHECK(has<WithdrawClaim>(refused));
 }
 
+TEST_CASE("a retry whose holder turns out not to have run claims the key anew")
+{
+    // Symptom: a retry is refused though nobody ran the request, and two retries that take each other for the holder
+    // wait for each other. Sequence: the first attempt claims, finds no place and withdraws; the retry was told of it
+    // meanwhile. Cause: the holder's 'not run' ended the retry.
+    const ClaimFinding held{ClaimResult::HeldByOther, InstanceId{"r3"}, RequestId{1, 2}, {}};
+    RequestFlow retry(claimedFacts());
+    retry.start(start);
+    retry.claimed(start, held);
+    const FlowActions again = retry.attachFailed(start, Ran::No);
+    CHECK(has<StartClaim>(again));
+    CHECK(has<Reserve>(again));
+    CHECK(!has<Refuse>(again));
+    retry.claimed(start, ClaimFinding{ClaimResult::Acquired, {}, {}, {}});
+    CHECK(has<Dispatch>(retry.reserved(start, granted(firstTarget))));
+
+    RequestFlow unlucky(claimedFacts());
+    unlucky.start(start);
+    FlowActions last;
+    for (int i = 0; i < 4; ++i) {
+        unlucky.claimed(start, held);
+        last = unlucky.attachFailed(start, Ran::No);
+    }
+    REQUIRE(has<Refuse>(last));
+    CHECK(find<Refuse>(last)->ran == Ran::Unknown);
+}
+
 TEST_CASE("a request without a key waits in the queue while the pool is full")
 {
     RequestFlow flow(FlowFacts{});
@@ -285,3 +312,36 @@
     claimed->headArrived(start);
     CHECK(has<RelayEnd>(claimed->answerComplete(start)));
 }
+
+// Symptom: a pool in trouble is given a multiple of its load. Sequence: calls fail, each is sent to the next target.
+// Cause: nothing bounded the resends. Without a token the request ends at once, and says what is known of it.
+TEST_CASE("without a resend in the budget the request ends at once and honestly")
+{
+    struct Row
+    {
+        bool idempotent;
+        TargetFailure failure;
+        bool wouldResend;
+        Ran ran;
+    };
+    const std::vector<Row> rows{
+        {false, TargetFailure::NeverSent, true, Ran::No},
+        {false, TargetFailure::RefusedByTarget, true, Ran::No},
+        {false, TargetFailure::NoHead, false, Ran::Unknown},
+        {true, TargetFailure::NoHead, true, Ran::Unknown},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(nameOf(row.failure));
+        FlowFacts facts;
+        facts.idempotent = row.idempotent;
+        const auto flow = dispatched(facts);
+        CHECK(flow->wouldResend(row.failure) == row.wouldResend);
+        const FlowActions actions = flow->targetFailed(start, row.failure, false);
+        CHECK_FALSE(has<Reserve>(actions));
+        CHECK(has<ReleaseReservation>(actions));
+        REQUIRE(has<Refuse>(actions));
+        CHECK(find<Refuse>(actions)->ran == row.ran);
+        CHECK((row.ran == Ran::Unknown || find<Refuse>(actions)->retryAfter > Millis{0}));
+        CHECK(flow->isDone());
+    }
+}
