Name the time until witnesses vote as soon as most of a cold fleet says that it lacks claims too

Callers of a fleet that started cold were told to come back after 1 to 6 s, again and again, though no witness could vote before its memory of 10 min and 2 s had passed: a fresh witness expected its hand-over until twice the settle time. Once most of those asked have answered that they lack claims themselves, it names the full time.

Ruled out: the codec and the choice among the votes, which carry the time as they should.

--- a/lab/scenarios/oncescenariotest.cpp
+++ b/lab/scenarios/oncescenariotest.cpp
@@ -191,3 +191,27 @@
         checkSafety(judge(load.calls(), fleet.runs()));
     }
 }
+
+TEST_CASE("a fleet that starts cold says when its witnesses will vote, and not to come back at once")
+{
+    // Symptom: callers of a fleet that came back from a power cut knock each second for ten minutes.
+    // Sequence: all routers start without a founding word; nobody has claims to hand over, so all of them abstain.
+    // Cause: a refusal that names the default of a second where its witnesses know better.
+    FleetOptions options;
+    options.engines = 0;
+    options.firstStart = false;
+    Fleet fleet(options);
+    fleet.start();
+    LabCaller::waitFor([] { return false; }, options.settleTime + Millis{1000});
+    for (std::size_t router = 0; router < fleet.routers(); ++router) {
+        OnceLoad load(fleet, byHand());
+        const KeyedCall &call = order(load, "cold-" + std::to_string(router), router);
+        const std::string retryAfter(call.answer->headers.value("Retry-After"));
+        CAPTURE(router);
+        CAPTURE(retryAfter);
+        CHECK(call.answer->status == 503);
+        CHECK(ranOf(call) == "unknown");
+        REQUIRE(!retryAfter.empty());
+        CHECK(std::stoi(retryAfter) >= 10);
+    }
+}
--- a/sequoiausher/coordination/claims/handover.cpp
+++ b/sequoiausher/coordination/claims/handover.cpp
@@ -29,6 +29,8 @@
     bool answered = false;
     /** It answered while it had no gaps itself. */
     bool settled = false;
+    /** Its last answer said that it lacks claims itself. */
+    bool lacks = false;
 };
 
 bool isSubset(const InstanceList &part, const InstanceList &whole)
@@ -128,6 +130,14 @@
         return this->givers.size() <= this->parameters.handoverInstances;
     }
 
+    /** Most of those asked know no more of earlier times than this witness: a fleet that started cold. */
+    bool nobodyKnows() const
+    {
+        const auto ignorant = std::count_if(
+            this->givers.begin(), this->givers.end(), [](const auto &giver) { return giver.second.lacks; });
+        return 2 * static_cast<std::size_t>(ignorant) > this->givers.size();
+    }
+
     void restart(Millis now)
     {
         this->compareGaps();
@@ -219,7 +229,7 @@
     for (const Gap &gap : this->d->gaps) {
         if (this->d->isOpen(gap, now) && !this->d->isClosedFor(gap, key)) {
             const Millis forgotten = gap.since + this->d->parameters.memory();
-            const bool mayStillLearn = now < handoverBy && asks;
+            const bool mayStillLearn = now < handoverBy && asks && !this->d->nobodyKnows();
             wait = std::max(wait, (mayStillLearn ? handoverBy : forgotten) - now);
         }
     }
@@ -285,6 +295,7 @@
         return false;
     }
     Giver &giver = found->second;
+    giver.lacks = page.giverAbstains || page.giverLearns;
     if (!kept || page.giverAbstains) {
         return true;
     }
