--- a/sequoiausher/coordination/flow/requestflowtest.cpp
+++ b/sequoiausher/coordination/flow/requestflowtest.cpp
@@ -208,6 +208,33 @@
     CHECK(has<WithdrawClaim>(refused));
 }
 
+TEST_CASE("a retry whose holder turns out not to have run claims the key anew")
+{
+    // Symptom: a retry is refused though nobody ran the request, and two retries that take each other for the holder
+    // wait for each other. Sequence: the first attempt claims, finds no place and withdraws; the retry was told of it
+    // meanwhile. Cause: the holder's 'not run' ended the retry.
+    const ClaimFinding held{ClaimResult::HeldByOther, InstanceId{"r3"}, RequestId{1, 2}, {}};
+    RequestFlow retry(claimedFacts());
+    retry.start(start);
+    retry.claimed(start, held);
+    const FlowActions again = retry.attachFailed(start, Ran::No);
+    CHECK(has<StartClaim>(again));
+    CHECK(has<Reserve>(again));
+    CHECK(!has<Refuse>(again));
+    retry.claimed(start, ClaimFinding{ClaimResult::Acquired, {}, {}, {}});
+    CHECK(has<Dispatch>(retry.reserved(start, granted(firstTarget))));
+
+    RequestFlow unlucky(claimedFacts());
+    unlucky.start(start);
+    FlowActions last;
+    for (int i = 0; i < 4; ++i) {
+        unlucky.claimed(start, held);
+        last = unlucky.attachFailed(start, Ran::No);
+    }
+    REQUIRE(has<Refuse>(last));
+    CHECK(find<Refuse>(last)->ran == Ran::Unknown);
+}
+
 TEST_CASE("a request without a key waits in the queue while the pool is full")
 {
     RequestFlow flow(FlowFacts{});
--- a/sequoiausher/protocol/codec/messagegenerators.cpp
+++ b/sequoiausher/protocol/codec/messagegenerators.cpp
@@ -128,7 +128,7 @@
 SEQUOIAUSHER_ARBITRARY(AttachRequest, m.attachment, m.key, m.attempt);
 SEQUOIAUSHER_ARBITRARY(AttachReply, m.attachment, m.verdict, m.status, m.contentType);
 SEQUOIAUSHER_ARBITRARY(AttachChunk, m.attachment, m.offset, m.bytes);
-SEQUOIAUSHER_ARBITRARY(AttachEnd, m.attachment, m.complete, m.reason);
+SEQUOIAUSHER_ARBITRARY(AttachEnd, m.attachment, m.complete, m.reason, m.length);
 SEQUOIAUSHER_ARBITRARY(AttachCancel, m.attachment);
 
 #undef SEQUOIAUSHER_ARBITRARY
--- a/sequoiausher/transport/router/worker.cpp
+++ b/sequoiausher/transport/router/worker.cpp
@@ -50,6 +50,7 @@
     std::atomic<std::size_t> open{0};
     /** Set and used on this thread. */
     HttpServer *server = nullptr;
+    bool closesIdle = false;
 };
 
 void Worker::Private::run()
@@ -72,7 +73,9 @@
     QObject::connect(&timer, &QTimer::timeout, &timer, [&] {
         entry.tick(Millis::monotonicNow());
         this->open = std::max(entry.openSessions(), http.openExchanges());
-        if (this->node.isLeaving()) {
+        // Not before the notice is over: a caller that has not yet heard of the stop may be sending its next request
+        // on such a connection, and would see it reset.
+        if (this->closesIdle) {
             http.closeIdleConnections();
         }
     });
@@ -106,6 +109,7 @@
     const auto close = [this] {
         if (this->d->server != nullptr) {
             this->d->server->stopAccepting();
+            this->d->closesIdle = true;
         }
     };
     QMetaObject::invokeMethod(&this->d->loop, close, Qt::QueuedConnection);
