Do not take a stale service's word where ready peers can tell

Cause: having read the whole service made a fresh router ready. Restarted while the service shows an old state, it served the old rules until it had compared itself with a peer: in configurationscenariotest two restarted routers answered by 'old' in place of 'v3', and /status went back 53 times. The list of instances was among what it had just read, so that it did not know yet that there were peers.

Ruled out: waiting for peers always, since when all start at once nobody could ever be ready.

--- a/sequoiausher/coordination/spread/spread.cpp
+++ b/sequoiausher/coordination/spread/spread.cpp
@@ -66,6 +66,11 @@
 
     bool ready = false;
     std::set<InstanceId> syncedWith;
+    /** Peers that answered that they cannot tell everything themselves. */
+    std::set<InstanceId> unreadyPeers;
+    /** The whole list of the service has been learnt. */
+    bool knowsService = false;
+    std::optional<Millis> peersSince;
     std::map<std::string, Awaited> awaited;
     /** Until when another pull of a name waits for the running one. */
     std::map<std::string, Millis> pulling;
@@ -93,6 +98,7 @@
     void compareWith(const InstanceId &peer, Outbox &outbox);
     void compareWithSome(Millis now, Outbox &outbox);
     void noteSynced(Millis now, const InstanceId &peer);
+    bool mayTrustService(Millis now) const;
     void pullOverdue(Millis now, Outbox &outbox);
 };
 
@@ -132,7 +138,7 @@
 {
     const bool slept = this->lastTick && now - *this->lastTick > this->settings.pauseLimit;
     const bool refreshing = this->refreshUntil && now < *this->refreshUntil;
-    return this->ready && !slept && !refreshing;
+    return (this->ready || this->mayTrustService(now)) && !slept && !refreshing;
 }
 
 void Spread::Private::start(Millis now)
@@ -253,6 +259,18 @@
     this->ready = this->ready || this->syncedWith.size() >= this->syncTarget(now);
 }
 
+/**
+ * The service may be stale for long while the peers know better; a fresh router that took its word alone would run old
+ * rules until it had compared itself with somebody. So its word is enough only where no peer can tell: there is none,
+ * those asked are not ready themselves, as when all start at once, or none answers.
+ */
+bool Spread::Private::mayTrustService(Millis now) const
+{
+    const bool patient = this->peersSince && now - *this->peersSince < this->settings.syncPatience;
+    const std::size_t enough = std::min(this->settings.askedPeers, this->peers.size());
+    return this->knowsService && (!patient || this->unreadyPeers.size() >= enough);
+}
+
 void Spread::Private::pullOverdue(Millis now, Outbox &outbox)
 {
     std::map<InstanceId, std::vector<DocumentVersion>> overdue;
@@ -294,6 +312,10 @@
     }
     if (!this->d->peers.empty()) {
         this->d->aloneSince.reset();
+        if (!this->d->peersSince) {
+            this->d->peersSince = now;
+            this->d->nextSync = now;
+        }
     } else if (!this->d->aloneSince) {
         this->d->aloneSince = now;
     }
@@ -349,8 +371,9 @@
         }
     }
     this->d->pass(fresh, 1, true, outbox);
-    this->d->ready = this->d->ready || whole;
     if (whole) {
+        // Not ready for good before the next tick: the list of instances may be among what was read, and name peers.
+        this->d->knowsService = true;
         this->d->refreshUntil.reset();
     }
 }
@@ -395,6 +418,9 @@
     if (!this->d->exchange.accept(from, digest, this->d->table)) {
         return;
     }
+    if (!digest.complete && !this->d->ready) {
+        this->d->unreadyPeers.insert(from);
+    }
     this->d->pull(now, from, digest.versions, outbox);
     const auto newer = this->d->exchange.newerThan(digest, this->d->table);
     if (!newer.empty()) {
@@ -447,6 +473,7 @@
     this->d->start(now);
     this->d->pullOverdue(now, outbox);
     this->d->lastTick = now;
+    this->d->ready = this->d->ready || this->d->mayTrustService(now);
     if (!this->d->isReady(now) && now >= this->d->nextSync) {
         this->d->compareWithSome(now, outbox);
     }
