--- a/lab/fleet/fleet.cpp
+++ b/lab/fleet/fleet.cpp
@@ -174,7 +174,8 @@
         router.dataCentre = dataCentreOf(i);
         router.port = this->routerPorts[i]->number();
         router.peerPort = this->peerPorts[i]->number();
-        router.platformPort = this->platformPort.number();
+        const std::vector<std::uint16_t> &doors = this->options.platformDoors;
+        router.platformPort = i < doors.size() ? doors[i] : this->platformPort.number();
         const std::string settings = this->path(router.name + ".ini");
         QFile file(QString::fromStdString(settings));
         if (!file.open(QIODevice::WriteOnly)) {
--- a/lab/fleet/fleettexts.h
+++ b/lab/fleet/fleettexts.h
@@ -33,6 +33,8 @@
     bool firstStart = true;
     std::string engineStepMs = "3.3";
     int serviceLatencyMs = 5;
+    /** Where router 0, 1, … finds the platform in place of its own port, such as a relay; the others use that. */
+    std::vector<std::uint16_t> platformDoors;
     /** Added to each router's settings; whole sections other than those that routerSettings() writes. */
     std::string moreSettings;
     /** The document rules/fleet; empty for fleetRules(). */
--- /dev/null
+++ b/lab/scenarios/leavingscenariotest.cpp
@@ -0,0 +1,253 @@
+// Targets that leave, die, flap and return, before a fleet of real processes under load.
+
+#include "lab/fleet/reservedport.h"
+#include "lab/relay/relay.h"
+#include "lab/scenarios/fleetprobe.h"
+#include "lab/support/labcall.h"
+
+#include <QtCore/QCoreApplication>
+#include <QtCore/QJsonArray>
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace Sequoiausher;
+using namespace Sequoiausher::Lab;
+
+namespace {
+
+int argc = 0;
+const QCoreApplication app(argc, nullptr);
+
+constexpr Millis leavingLimit{3000};
+constexpr Millis callEvery{25};
+const std::string chatPath = "/v1/chat/completions";
+
+/** Streams a short chat through each router in turn, a different chat each time, for as long as it is run. */
+class Traffic
+{
+public:
+    explicit Traffic(const Fleet &fleet)
+    {
+        for (std::size_t i = 0; i < fleet.routers(); ++i) {
+            this->callers.push_back(std::make_unique<LabCaller>(fleet.routerPort(i)));
+        }
+    }
+
+    void start(int maxTokens)
+    {
+        const std::string prompt = "chat" + std::to_string(this->answers.size());
+        LabCaller &caller = *this->callers[this->answers.size() % this->callers.size()];
+        this->answers.push_back(
+            caller.start("POST", chatPath, Fleet::chatBody(prompt, maxTokens, true), Fleet::headers(), Millis{15000}));
+    }
+
+    void runFor(Millis span)
+    {
+        const Millis end = Millis::monotonicNow() + span;
+        while (Millis::monotonicNow() < end) {
+            this->start(10);
+            LabCaller::waitFor([] { return false; }, callEvery);
+        }
+    }
+
+    void finish()
+    {
+        LabCaller::waitFor(
+            [this] {
+                return std::all_of(this->answers.begin(), this->answers.end(), [](const PendingAnswer &answer) {
+                    return answer->whole || answer->error.has_value();
+                });
+            },
+            Millis{15000});
+    }
+
+    /** Those that did not end as a whole stream. */
+    std::size_t broken() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(this->answers.begin(), this->answers.end(), [](const PendingAnswer &answer) {
+                return answer->status != 200 || !answer->whole || !answer->body.ends_with("data: [DONE]\n\n");
+            }));
+    }
+
+    std::size_t size() const
+    {
+        return this->answers.size();
+    }
+
+private:
+    std::vector<std::unique_ptr<LabCaller>> callers;
+    std::vector<PendingAnswer> answers;
+};
+
+std::int64_t runsAt(std::uint16_t engine)
+{
+    LabCaller caller(engine);
+    return caller.call("GET", "/lab/stats").json().value("runs").toInteger();
+}
+
+std::int64_t unfinishedAt(std::uint16_t engine)
+{
+    LabCaller caller(engine);
+    return caller.call("GET", "/lab/stats").json().value("in_flight").toInteger();
+}
+
+void setTarget(const Fleet &fleet, const std::string &state)
+{
+    LabCaller caller(fleet.platformPort());
+    const std::string body
+        = R"({"pool": ")" + std::string(enginePool) + R"(", "name": "plate-1", "state": ")" + state + R"("})";
+    REQUIRE(caller.call("POST", "/lab/target", body).status == 200);
+}
+
+/** The engines' document with plate-1 in a life. */
+std::string engines(const Fleet &fleet, Incarnation incarnation, const std::string &state)
+{
+    std::string text = engineDocument(fleet.enginePorts());
+    const std::string line = "incarnation = 1\n";
+    return text.replace(
+        text.find(line), line.size(), "incarnation = " + std::to_string(incarnation) + "\nstate = " + state + "\n");
+}
+
+FleetProbe::Condition showsLife(Incarnation incarnation, LifeState state)
+{
+    return [incarnation, state](const RouterSight &sight) {
+        const auto found = sight.targets.find("plate-1");
+        return found != sight.targets.end() && found->second.incarnation == incarnation && found->second.state == state;
+    };
+}
+
+FleetOptions enginesOnly()
+{
+    FleetOptions options;
+    options.services = 0;
+    options.firstStart = false;
+    return options;
+}
+
+} // namespace
+
+TEST_CASE("a leaving target gets no new work after three seconds, on every router, and finishes what it has")
+{
+    // Symptom to be noticed: runs that begin at a target long after the platform said that it leaves, or requests in
+    // progress there that are cut off. Sequence: load on all seven routers; the platform says leaving; three of the
+    // routers hear the platform half a second late. Cause it guards against: a router that waits for its own list.
+    ReservedPort door;
+    FleetOptions options = enginesOnly();
+    options.platformDoors = {door.number(), door.number(), door.number()};
+    Fleet fleet(options);
+    Relay late({"127.0.0.1", door.number()}, {"127.0.0.1", fleet.platformPort()});
+    fleet.start();
+    late.setLink(Link{LinkMode::Delay, Millis{250}});
+    FleetProbe probe(fleet);
+    Traffic traffic(fleet);
+    traffic.runFor(Millis{500});
+    for (int i = 0; i < 28; ++i) {
+        traffic.start(1200);
+    }
+    LabCaller::waitFor([] { return false; }, Millis{300});
+    const std::uint16_t leaving = fleet.enginePorts().front();
+    REQUIRE(unfinishedAt(leaving) > 0);
+    setTarget(fleet, "leaving");
+    const auto times = probe.times(showsLife(1, LifeState::Leaving), leavingLimit);
+    const std::string text = toText(times);
+    MESSAGE("leaving known after: " << text);
+    REQUIRE(longest(times).has_value());
+    const std::int64_t runs = runsAt(leaving);
+    REQUIRE(unfinishedAt(leaving) > 0);
+    const std::int64_t others = runsAt(fleet.enginePorts().back());
+    traffic.runFor(Millis{2500});
+    CHECK(runsAt(leaving) == runs);
+    CHECK(runsAt(fleet.enginePorts().back()) > others);
+    traffic.finish();
+    CHECK(unfinishedAt(leaving) == 0);
+    const std::size_t broken = traffic.broken();
+    MESSAGE("calls: " << traffic.size() << ", not whole: " << broken);
+    CHECK(broken == 0);
+    CHECK(probe.reversions() == 0);
+}
+
+TEST_CASE("with a list that lags, a leaving target still gets no new work three seconds after it says so")
+{
+    Fleet fleet(enginesOnly());
+    fleet.start();
+    FleetProbe probe(fleet);
+    Traffic traffic(fleet);
+    LabCaller platform(fleet.platformPort());
+    REQUIRE(platform.call("POST", "/lab/mode", R"({"list_lag_ms": 1500})").status == 200);
+    setTarget(fleet, "leaving");
+    const Millis said = Millis::monotonicNow();
+    const auto times = probe.times(showsLife(1, LifeState::Leaving), Millis{1500} + leavingLimit);
+    const std::string text = toText(times);
+    MESSAGE("leaving known, with a lag of 1500 ms, after: " << text);
+    REQUIRE(longest(times).has_value());
+    CHECK(Millis::monotonicNow() - said < leavingLimit);
+    const std::int64_t runs = runsAt(fleet.enginePorts().front());
+    traffic.runFor(Millis{1000});
+    traffic.finish();
+    CHECK(runsAt(fleet.enginePorts().front()) == runs);
+    CHECK(traffic.broken() == 0);
+}
+
+TEST_CASE("a target's life never goes back, and only a new incarnation brings it back")
+{
+    // Symptom to be noticed: a target that left gets work again. Sequence: it leaves; the platform's list flaps and
+    // says live; then it comes back as a new incarnation, which leaves at once, and once more. Cause it guards
+    // against: taking the platform's last word for its newest.
+    Fleet fleet(enginesOnly());
+    fleet.start();
+    FleetProbe probe(fleet);
+    Traffic traffic(fleet);
+    setTarget(fleet, "leaving");
+    REQUIRE(probe.allWithin(showsLife(1, LifeState::Leaving), leavingLimit));
+    const std::int64_t runs = runsAt(fleet.enginePorts().front());
+    for (int i = 0; i < 5; ++i) {
+        setTarget(fleet, "live");
+        traffic.runFor(Millis{150});
+        setTarget(fleet, "leaving");
+        probe.look();
+    }
+    setTarget(fleet, "live");
+    traffic.runFor(Millis{700});
+    CHECK(probe.allWithin(showsLife(1, LifeState::Leaving), Millis{1000}));
+    CHECK(runsAt(fleet.enginePorts().front()) == runs);
+
+    for (Incarnation incarnation = 2; incarnation <= 4; ++incarnation) {
+        fleet.publish(std::string("targets/") + enginePool, engines(fleet, incarnation, "live"));
+        probe.look();
+        fleet.publish(std::string("targets/") + enginePool, engines(fleet, incarnation, "leaving"));
+        probe.look();
+    }
+    fleet.publish(std::string("targets/") + enginePool, engines(fleet, 5, "live"));
+    CHECK(probe.allWithin(showsLife(5, LifeState::Live), leavingLimit));
+    traffic.runFor(Millis{1000});
+    CHECK(runsAt(fleet.enginePorts().front()) > runs);
+    // An old life's news comes last.
+    fleet.publish(std::string("targets/") + enginePool, engines(fleet, 3, "leaving"));
+    traffic.runFor(Millis{700});
+    CHECK(probe.allWithin(showsLife(5, LifeState::Live), Millis{1000}));
+    traffic.finish();
+    CHECK(traffic.broken() == 0);
+    CHECK(probe.reversions() == 0);
+}
+
+TEST_CASE("requests that find a dead target go to another one and are answered whole")
+{
+    // Symptom to be noticed: refusals though three engines work. Sequence: a target dies; the platform still lists it.
+    // Cause it guards against: taking a refused connection for the end of the request.
+    Fleet fleet(enginesOnly());
+    fleet.start();
+    const ReservedPort nobody;
+    std::vector<std::uint16_t> ports = fleet.enginePorts();
+    ports.push_back(nobody.number());
+    fleet.publish(std::string("targets/") + enginePool, engineDocument(ports));
+    FleetProbe probe(fleet);
+    REQUIRE(probe.allWithin([](const RouterSight &sight) { return sight.targets.size() == 5; }, leavingLimit));
+    Traffic traffic(fleet);
+    traffic.runFor(Millis{2000});
+    traffic.finish();
+    const std::size_t broken = traffic.broken();
+    MESSAGE("calls with a dead target among five: " << traffic.size() << ", not whole: " << broken);
+    CHECK(broken == 0);
+}
