--- a/sequoiausher/transport/router/node.cpp
+++ b/sequoiausher/transport/router/node.cpp
@@ -3,6 +3,7 @@
 #include "sequoiausher/coordination/admission/ownedshards.h"
 #include "sequoiausher/coordination/claims/witness.h"
 #include "sequoiausher/coordination/limits/admissionqueue.h"
+#include "sequoiausher/coordination/limits/poolguard.h"
 #include "sequoiausher/coordination/membership/membership.h"
 #include "sequoiausher/coordination/spread/spread.h"
 #include "sequoiausher/state/lockorder.h"
@@ -26,7 +27,11 @@
 namespace {
 
 constexpr int tickMillis = 20;
-constexpr std::size_t queueSlots = 512;
+/**
+ * Requests of one pool in flight at a time on one router, at most. Room in the pool is the owner's to give, and the
+ * slots shrink when it refuses; this only bounds what a router carries before the first refusal.
+ */
+constexpr std::size_t queueSlots = 4096;
 constexpr Millis poolStatesEvery{200};
 /** A longer time without a tick means that this process slept; as for the spread and for membership. */
 constexpr Millis longestTickGap{2000};
@@ -89,6 +94,13 @@
 
 } // namespace
 
+/** What the links and the reader have counted; see Node::Private::traffic. */
+struct ControlTraffic
+{
+    PeerCounters counters;
+    std::uint64_t platformCalls = 0;
+};
+
 class Node::Private : public PeerListener, public PlatformListener
 {
 public:
@@ -123,6 +135,7 @@
     void seedPeers();
     void updatePoolStates(Millis now);
     AdmissionQueue &queueOf(const PoolId &pool);
+    void addLoads(const ShardId &shard, const ShardOwner &owner, std::vector<TargetLoadStatus> &loads) const;
 
     RouterSettings settings;
     Incarnation incarnation;
@@ -154,13 +167,16 @@
     OrderedMutex limitsMutex{LockRank::Limits};
     RateLimiter rates;
     std::map<PoolId, std::unique_ptr<AdmissionQueue>> queues;
+    RuleGates gates;
+    PoolGuard guard;
 
     AnswerTable answers;
     RequestRegistry registry;
 
-    // The two below are replaced whole; readers keep the one that they loaded.
+    // The three below are replaced whole; readers keep the one that they loaded.
     std::atomic<std::shared_ptr<const FleetConfiguration>> current;
     std::atomic<std::shared_ptr<const std::vector<PoolState>>> pools;
+    std::atomic<std::shared_ptr<const ControlTraffic>> traffic;
     std::atomic<bool> leaving{false};
     std::atomic<bool> documentsReady{false};
     /** The end of the control thread's last tick, in milliseconds of Millis::monotonicNow(). */
@@ -511,6 +527,7 @@
         for (const auto &entry : this->queues) {
             entry.second->tick(now, actions);
         }
+        this->gates.tick(now, actions);
     }
     this->tellQueue(actions);
     this->answers.tick(now);
@@ -539,9 +556,16 @@
         const std::scoped_lock lock(this->documentsMutex);
         summary = this->spread.summary(now);
     }
+    std::vector<OrganisationDemand> demands;
+    {
+        const std::scoped_lock lock(this->limitsMutex);
+        demands = this->rates.reports(now);
+    }
     std::vector<ShardSum> sums;
     {
         const std::scoped_lock lock(this->membershipMutex);
+        this->membership.setDemands(demands);
+        demands = this->membership.fleetDemands(now);
         this->membership.setSums(now, own);
         this->membership.setDocuments(DocumentState{summary.digest, summary.highestRevision, summary.serviceAge});
         sums = this->membership.sums(now);
@@ -553,8 +577,15 @@
         }
         this->owned.noteSums(this->shards);
     }
+    {
+        const std::scoped_lock lock(this->limitsMutex);
+        for (const OrganisationDemand &demand : demands) {
+            this->rates.setFleetDemand(now - demand.age, demand);
+        }
+    }
     this->loadPoller.poll(now, toPoll);
     this->updatePoolStates(now);
+    this->traffic = std::make_shared<ControlTraffic>(ControlTraffic{this->mesh.counters(), this->reader.calls()});
 }
 
 void Node::Private::membershipEvents(Millis now, Outbox &outbox)
@@ -575,6 +606,8 @@
             this->documentsReady = false;
         } else if (event.kind == MembershipEventKind::TargetChanged) {
             targetsMoved = this->targets.applyNews(now, event.target, event.life) || targetsMoved;
+            const std::scoped_lock lock(this->limitsMutex);
+            this->guard.forget(event.target);
         } else if (event.kind == MembershipEventKind::InstanceChanged && event.life.state == LifeState::Gone) {
             const std::scoped_lock lock(this->admissionMutex);
             this->owned.instanceGone(event.instance);
@@ -627,6 +660,14 @@
     this->tellReservations(results);
 }
 
+// From a message: a new list of instances changes the peers of the mesh, which must not happen while the mesh hands
+// over what one of them sent; the link that is being read would be closed under the reader.
+void Node::Private::documentsChangedSoon()
+{
+    QMetaObject::invokeMethod(
+        &this->timer, [this] { this->documentsChanged(Millis::monotonicNow()); }, Qt::QueuedConnection);
+}
+
 // A refusal is told once, though the set in force may move on beside it.
 void Node::Private::tellRefusal()
 {
@@ -640,14 +681,6 @@
     this->toldRefusal = reason;
 }
 
-// From a message: a new list of instances changes the peers of the mesh, which must not happen while the mesh hands
-// over what one of them sent; the link that is being read would be closed under the reader.
-void Node::Private::documentsChangedSoon()
-{
-    QMetaObject::invokeMethod(
-        &this->timer, [this] { this->documentsChanged(Millis::monotonicNow()); }, Qt::QueuedConnection);
-}
-
 void Node::Private::documentsChanged(Millis now)
 {
     std::shared_ptr<const Configuration> inForce;
@@ -913,9 +946,9 @@
     this->d->deliver(std::move(outbox));
 }
 
-LimitDecision Node::takeRate(const OrganisationId &organisation, RequestClass requestClass, const RuleLimits &limits)
+LimitDecision Node::takeRate(const OrganisationId &organisation, RequestClass requestClass, const Decision &decision)
 {
-    const std::scoped_lock lock(this->d->limitsMutex);
+    const RuleLimits &limits = decision.limits;
     if (!limits.ratePerSecond) {
         return LimitDecision{};
     }
@@ -924,8 +957,73 @@
     if (limits.burst && *limits.ratePerSecond > 0) {
         wanted.burstSeconds = static_cast<double>(*limits.burst) / *limits.ratePerSecond;
     }
-    this->d->rates.setLimits(organisation, wanted);
-    return this->d->rates.take(Millis::monotonicNow(), organisation, requestClass, 1);
+    // Each rule limits by itself: with one bucket for two rules, the looser one would be spent by the stricter one.
+    const OrganisationId byRule{organisation.value + "/" + decision.document + "/" + decision.rule};
+    const std::scoped_lock lock(this->d->limitsMutex);
+    this->d->rates.setLimits(byRule, wanted);
+    return this->d->rates.take(Millis::monotonicNow(), byRule, requestClass, 1);
+}
+
+QueueDecision Node::enqueueByRule(const RuleGate &gate, const QueueEntry &entry)
+{
+    std::vector<QueueAction> actions;
+    QueueDecision decision;
+    {
+        const std::scoped_lock lock(this->d->limitsMutex);
+        decision = this->d->gates.offer(Millis::monotonicNow(), gate, entry, actions);
+    }
+    this->d->tellQueue(actions);
+    return decision;
+}
+
+void Node::dequeueByRule(const RuleGate &gate, const RequestId &request)
+{
+    std::vector<QueueAction> actions;
+    {
+        const std::scoped_lock lock(this->d->limitsMutex);
+        this->d->gates.leave(Millis::monotonicNow(), gate, request, actions);
+    }
+    this->d->tellQueue(actions);
+}
+
+std::vector<TargetId> Node::leftAlone(const PoolId &pool, const std::vector<TargetId> &excluded) const
+{
+    const std::shared_ptr<const PoolView> view = this->d->targets.pool(pool);
+    if (!view) {
+        return {};
+    }
+    const std::scoped_lock lock(this->d->limitsMutex);
+    return this->d->guard.leftAlone(Millis::monotonicNow(), *view, excluded);
+}
+
+void Node::targetTried(const TargetId &target)
+{
+    const std::scoped_lock lock(this->d->limitsMutex);
+    this->d->guard.tried(Millis::monotonicNow(), target);
+}
+
+void Node::targetAnswered(const TargetId &target)
+{
+    const std::scoped_lock lock(this->d->limitsMutex);
+    this->d->guard.answered(target);
+}
+
+void Node::targetFailed(const TargetId &target)
+{
+    const std::scoped_lock lock(this->d->limitsMutex);
+    this->d->guard.failed(Millis::monotonicNow(), target);
+}
+
+void Node::countRequest(const PoolId &pool, std::uint32_t budgetPercent)
+{
+    const std::scoped_lock lock(this->d->limitsMutex);
+    this->d->guard.countRequest(Millis::monotonicNow(), pool, budgetPercent);
+}
+
+bool Node::mayResend(const PoolId &pool, std::uint32_t budgetPercent)
+{
+    const std::scoped_lock lock(this->d->limitsMutex);
+    return this->d->guard.mayResend(Millis::monotonicNow(), pool, budgetPercent);
 }
 
 QueueDecision Node::enqueue(const PoolId &pool, const QueueEntry &entry)
@@ -1020,6 +1118,28 @@
     return this->d->leaving;
 }
 
+std::vector<DocumentPointer> Node::documents() const
+{
+    std::vector<DocumentPointer> documents;
+    const std::scoped_lock lock(this->d->documentsMutex);
+    if (const auto inForce = this->d->configurationState.inForce()) {
+        for (const auto &entry : *inForce->documents) {
+            documents.push_back(entry.second);
+        }
+    }
+    return documents;
+}
+
+void Node::Private::addLoads(const ShardId &shard, const ShardOwner &owner, std::vector<TargetLoadStatus> &loads) const
+{
+    for (const TargetView &target : this->shards.targetsOf(shard)) {
+        const TargetId &name = target.description.target;
+        const std::optional<ReportedLoad> report = this->targets.load(name);
+        const auto reported = report ? std::optional<std::uint32_t>(report->load) : std::nullopt;
+        loads.push_back({name, shard, owner.counted(name), reported});
+    }
+}
+
 NodeStatus Node::status() const
 {
     const Millis now = Millis::monotonicNow();
@@ -1049,8 +1169,9 @@
     {
         const std::scoped_lock lock(this->d->admissionMutex);
         for (const ShardId &shard : this->d->shards.shards()) {
-            if (this->d->owned.find(shard) != nullptr) {
+            if (const ShardOwner *owner = this->d->owned.find(shard)) {
                 status.ownedShards.push_back(shard);
+                this->d->addLoads(shard, *owner, status.ownedTargets);
             }
         }
         status.held = this->d->reserver.held();
@@ -1065,10 +1186,18 @@
         for (const auto &entry : this->d->queues) {
             status.waiting += entry.second->waiting();
         }
+        status.waiting += this->d->gates.waiting();
     }
+    if (const auto fleet = this->d->current.load()) {
+        status.instances = fleet->instances;
+    }
+    status.boundPercent = this->d->settings.admission.boundPercent;
     status.requests = this->d->registry.size();
-    status.counters = this->d->mesh.counters();
-    status.platformCalls = this->d->reader.calls();
+    // A copy of a moment ago: mesh and reader count on the control thread, while a worker asks for the status page.
+    if (const std::shared_ptr<const ControlTraffic> traffic = this->d->traffic.load()) {
+        status.counters = traffic->counters;
+        status.platformCalls = traffic->platformCalls;
+    }
     return status;
 }
 
