--- a/sequoiausher/protocol/clientapi/plainchunktest.cpp
+++ b/sequoiausher/protocol/clientapi/plainchunktest.cpp
@@ -51,8 +51,7 @@
     const std::vector<std::string> others{"",
                                           "[]",
                                           "{}",
-                                          R"({"id":"a"})"
-                                          " x",
+                                          R"({"id":"a"} x)",
                                           R"({"id":"a","id":"b"})",
                                           R"({"id":"a","offset":1,"offset":2})",
                                           R"({"id":"a","offset":-1})",
