Bound how long and how many connections a caller may hold

Cause: max_connections was read and never used, and a caller that sent half a head, or nothing, held a descriptor and memory for good. Change: a request that does not arrive whole within 60 s gets 408, a connection without a request closes after 120 s, counted from the end of its last answer, and beyond max_connections (shared out evenly to the workers) the first request on a connection gets 503, 'not run', Retry-After 1. An exchange under way is never touched. Left: the two times are not settings yet; a body is bounded by the same 60 s as its head.

--- a/sequoiausher/transport/http/httpserver.cpp
+++ b/sequoiausher/transport/http/httpserver.cpp
@@ -7,7 +7,9 @@
 #include <QHostAddress>
 #include <QHttpServer>
 #include <QHttpServerResponder>
+#include <QTimer>
 
+#include <algorithm>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -16,6 +18,8 @@
 
 namespace {
 
+constexpr std::int64_t longestSweepMs = 1000;
+
 std::string toStd(const QByteArray &bytes)
 {
     return {bytes.constData(), static_cast<std::size_t>(bytes.size())};
@@ -63,6 +67,8 @@
     Private(HttpHandler &to, HttpServerOptions given) : handler(to), options(std::move(given))
     {
         this->state->maximumRequestBytes = this->options.maximumRequestBytes;
+        this->state->maximumConnections = this->options.maximumConnections;
+        QObject::connect(&this->sweep, &QTimer::timeout, &this->sweep, [this] { this->endUnused(); });
         // A child of QHttpServer, as bind() makes it later too: it goes with the server.
         this->listener = new Internal::Listener(this->state, &this->server);
         this->server.setMissingHandler([this](const QHttpServerRequest &request, QHttpServerResponder &&responder) {
@@ -91,6 +97,14 @@
         return found;
     }
 
+    void endUnused() const
+    {
+        const Millis now = Millis::monotonicNow();
+        for (Internal::ServerSocket *socket : this->sockets()) {
+            socket->endIfUnused(now, this->options.requestTimeout, this->options.idleTimeout);
+        }
+    }
+
     void take(const QHttpServerRequest &request, QHttpServerResponder &&responder)
     {
         auto *socket = static_cast<Internal::ServerSocket *>(responder.socket());
@@ -129,6 +143,7 @@
     HttpServerOptions options;
     std::shared_ptr<Internal::ServerState> state = std::make_shared<Internal::ServerState>();
     std::uint16_t port = 0;
+    QTimer sweep;
     QHttpServer server;
     Internal::Listener *listener = nullptr;
 };
@@ -149,6 +164,8 @@
     }
     this->d->server.bind(this->d->listener);
     this->d->port = this->d->listener->serverPort();
+    const Millis shortest = std::min(this->d->options.requestTimeout, this->d->options.idleTimeout);
+    this->d->sweep.start(static_cast<int>(std::clamp<std::int64_t>(shortest.count / 4, 1, longestSweepMs)));
 }
 
 std::uint16_t HttpServer::port() const
--- a/sequoiausher/transport/http/httpserver.h
+++ b/sequoiausher/transport/http/httpserver.h
@@ -19,6 +19,7 @@
 // Requests that a caller pipelines behind an unanswered one are not handled; the connection closes after the first
 // answer, so that the caller knows.
 
+#include "sequoiausher/base/millis.h"
 #include "sequoiausher/transport/http/httpexchange.h"
 
 #include <cstddef>
@@ -50,6 +51,12 @@
     int backlog = 4096;
     /** Bytes of one request, head and body; beyond it the caller gets 413 and the connection closes. */
     std::size_t maximumRequestBytes = std::size_t{8} << 20U;
+    /** Connections at a time; on one beyond them the first request gets 503 and is not handled. */
+    std::size_t maximumConnections = 1000000;
+    /** From the first byte of a request to its last; beyond it the caller gets 408 and the connection closes. */
+    Millis requestTimeout{60000};
+    /** How long a connection may be without a request. */
+    Millis idleTimeout{120000};
 };
 
 /** Listens, reads requests and hands them to a handler. */
--- a/sequoiausher/transport/http/httpservertest.cpp
+++ b/sequoiausher/transport/http/httpservertest.cpp
@@ -307,3 +307,47 @@
     HttpServer named(keeper, {.address = "localhost"});
     CHECK_THROWS_AS(named.listen(), Error);
 }
+
+TEST_CASE("a request that does not arrive whole in time is refused")
+{
+    // Symptom: connections grow while requests do not, until nobody can connect. Sequence: callers send the head of a
+    // request byte by byte, or stop in the middle. Cause: nothing bounded how long a request may be on its way.
+    Bench bench(HttpServerOptions{.requestTimeout = Millis{200}});
+    bench.socket.write("POST /x HTTP/1.1\r\nHost: x\r\nContent-Le");
+    const std::string answer = bench.received();
+    CHECK(answer.find("HTTP/1.1 408") == 0);
+    CHECK(answer.find("X-Ran: no") != std::string::npos);
+    CHECK(bench.closes());
+    CHECK(bench.keeper.kept.empty());
+}
+
+TEST_CASE("a connection without a request is closed, one with an exchange is kept")
+{
+    // Symptom: idle connections hold descriptors and memory for good. Cause: nobody closed them.
+    Bench bench(HttpServerOptions{.requestTimeout = Millis{150}, .idleTimeout = Millis{300}});
+    const auto exchange = bench.ask(get);
+    runFor(700);
+    REQUIRE(bench.socket.state() == QAbstractSocket::ConnectedState);
+    exchange->respond(200, {}, "whole");
+    CHECK(bench.received().find("whole") != std::string::npos);
+    // Not at once, though the exchange took longer: the caller's next request may be on its way.
+    runFor(100);
+    CHECK(bench.socket.state() == QAbstractSocket::ConnectedState);
+    CHECK(bench.closes());
+}
+
+TEST_CASE("beyond the most connections a request is refused and not handled")
+{
+    // Symptom: an instance runs out of descriptors and memory, and ends. Cause: nothing bounded the connections.
+    Bench bench(HttpServerOptions{.maximumConnections = 1});
+    bench.ask(get);
+    QTcpSocket second;
+    second.connectToHost(QHostAddress::LocalHost, bench.server.port());
+    second.write(get);
+    REQUIRE(runUntil([&second] { return second.bytesAvailable() > 0; }));
+    const std::string answer = second.readAll().toStdString();
+    CHECK(answer.find("HTTP/1.1 503") == 0);
+    CHECK(answer.find("X-Ran: no") != std::string::npos);
+    CHECK(answer.find("Retry-After: 1") != std::string::npos);
+    CHECK(bench.keeper.kept.size() == 1);
+}
--- a/sequoiausher/transport/http/serversocket.cpp
+++ b/sequoiausher/transport/http/serversocket.cpp
@@ -22,6 +22,7 @@
     , shared(std::move(common))
 {
     ++this->shared->openConnections;
+    this->beyondLimit = this->shared->openConnections > this->shared->maximumConnections;
     this->own = {
         QObject::connect(this, &QTcpSocket::readyRead, this, [this] { this->countRead(); }),
         QObject::connect(this, &QTcpSocket::disconnected, this, [this] { this->clientGone(); }),
@@ -62,27 +63,54 @@
         this->readAll();
         return;
     }
+    if (this->receivedBytes == 0) {
+        this->since = Millis::monotonicNow();
+    }
     this->receivedBytes += static_cast<std::size_t>(this->bytesAvailable());
+    // QHttpServer buffers a request of any length. A caller that sends without end would fill the memory of the
+    // instance; one would notice by its resident size.
     if (this->receivedBytes > this->shared->maximumRequestBytes) {
-        this->refuseOversize();
+        this->refuse("413 Payload Too Large", "too_large", "the request is too large");
+    } else if (this->beyondLimit) {
+        this->refuse("503 Service Unavailable", "too_many_connections", "too many connections are open");
     }
 }
 
-// QHttpServer buffers a request of any length. A caller that sends without end would fill the memory of the instance;
-// one would notice by its resident size. So QHttpServer is cut off from the connection here, what still comes is
-// thrown away, and the caller is told.
-void ServerSocket::refuseOversize()
+// A caller that opens connections and sends nothing, or a byte now and then, would hold descriptors and memory for
+// good; one would notice by connections that grow while requests do not, and in the end nobody could connect.
+void ServerSocket::endIfUnused(Millis now, Millis requestTimeout, Millis idleTimeout)
+{
+    if (!this->current.expired()) {
+        // The time without a request begins at the end of the answer.
+        this->since = now;
+        return;
+    }
+    if (this->closing) {
+        return;
+    }
+    if (this->receivedBytes > 0 && now - this->since >= requestTimeout) {
+        this->refuse("408 Request Timeout", "request_timeout", "the request did not arrive whole in time");
+    } else if (this->receivedBytes == 0 && now - this->since >= idleTimeout) {
+        this->closeGracefully();
+    }
+}
+
+// So QHttpServer is cut off from the connection, what still comes is thrown away, and the caller is told.
+void ServerSocket::refuse(std::string_view status, std::string_view code, std::string_view message)
 {
     QObject::disconnect(this, &QTcpSocket::readyRead, nullptr, nullptr);
     QObject::connect(this, &QTcpSocket::readyRead, this, [this] { this->readAll(); });
-    this->commitTransaction();
+    if (this->isTransactionStarted()) {
+        this->commitTransaction();
+    }
     this->readAll();
     if (this->current.expired()) {
-        constexpr std::string_view text
-            = R"({"error":{"message":"the request is too large","type":"invalid_request_error","code":"too_large","param":null}})";
-        std::string answer = "HTTP/1.1 413 Payload Too Large\r\nConnection: close\r\nX-Ran: no\r\n";
-        answer += "Content-Type: application/json\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n";
-        answer += text;
+        std::string body = R"({"error":{"message":")" + std::string(message);
+        body += R"(","type":"invalid_request_error","code":")" + std::string(code) + R"(","param":null}})";
+        std::string answer = "HTTP/1.1 " + std::string(status) + "\r\nConnection: close\r\nX-Ran: no\r\n";
+        answer += this->beyondLimit ? "Retry-After: 1\r\n" : "";
+        answer += "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+        answer += body;
         this->write(answer.data(), static_cast<qint64>(answer.size()));
     }
     // Closing with bytes unread resets the connection, and the caller may lose the answer: read on for a while.
@@ -109,7 +137,9 @@
 void Listener::incomingConnection(qintptr descriptor)
 {
     auto *socket = new ServerSocket(this->shared, this);
-    if (!socket->setSocketDescriptor(descriptor)) {
+    // Refusals take a while to be read; a flood of them is not answered any more.
+    const bool flooded = this->shared->openConnections / 2 > this->shared->maximumConnections;
+    if (!socket->setSocketDescriptor(descriptor) || flooded) {
         delete socket;
         return;
     }
--- a/sequoiausher/transport/http/serversocket.h
+++ b/sequoiausher/transport/http/serversocket.h
@@ -2,12 +2,15 @@
 
 // A connection of an HttpServer, and the listener that makes them. Internal to the HTTP server.
 
+#include "sequoiausher/base/millis.h"
+
 #include <QTcpServer>
 #include <QTcpSocket>
 
 #include <array>
 #include <cstddef>
 #include <memory>
+#include <string_view>
 
 namespace Sequoiausher::Internal {
 
@@ -18,6 +21,7 @@
     std::size_t openConnections = 0;
     bool stopping = false;
     std::size_t maximumRequestBytes = 0;
+    std::size_t maximumConnections = 0;
 };
 
 /** Who is told about a connection: the exchange that is under way on it. */
@@ -56,8 +60,15 @@
     void requestComplete()
     {
         this->receivedBytes = 0;
+        this->since = Millis::monotonicNow();
     }
 
+    /**
+     * Ends a connection whose caller keeps it without using it: in the middle of a request since requestTimeout, or
+     * without one since idleTimeout. An exchange under way is never touched.
+     */
+    void endIfUnused(Millis now, Millis requestTimeout, Millis idleTimeout);
+
     bool isIdle() const
     {
         return this->current.expired() && this->receivedBytes == 0 && !this->closing;
@@ -69,11 +80,15 @@
 
 private:
     void countRead();
-    void refuseOversize();
+    void refuse(std::string_view status, std::string_view code, std::string_view message);
     void clientGone();
     void written();
 
     std::size_t receivedBytes = 0;
+    /** Since when the connection has been without a request, or the present one has been on its way. */
+    Millis since = Millis::monotonicNow();
+    /** More connections were open than may be: its first request is refused. */
+    bool beyondLimit = false;
     std::array<QMetaObject::Connection, 3> own;
 };
 
--- a/sequoiausher/transport/router/router.cpp
+++ b/sequoiausher/transport/router/router.cpp
@@ -8,6 +8,7 @@
 
 #include <QTimer>
 
+#include <algorithm>
 #include <random>
 
 namespace Sequoiausher {
@@ -131,6 +132,9 @@
     // A burst of one sentence that stops would else keep its count until the sentence comes again.
     QObject::connect(&this->d->suppressedTimer, &QTimer::timeout, [this] { this->d->log.writeSuppressed(); });
     this->d->suppressedTimer.start(suppressedEveryMillis);
+    // Each worker has a listener of its own, over which the kernel spreads the connections.
+    const std::size_t workers = std::max<std::size_t>(this->d->settings.workers, 1);
+    options.maximumConnections = (this->d->settings.limits.maxConnections + workers - 1) / workers;
     std::random_device entropy;
     for (std::uint32_t i = 0; i < this->d->settings.workers; ++i) {
         const std::uint64_t seed = (std::uint64_t{entropy()} << 32U) | entropy();
