--- a/sequoiausher/cli/draincommand.cpp
+++ b/sequoiausher/cli/draincommand.cpp
@@ -39,7 +39,9 @@
         throw Error(Step::Connect, routerAt(address), answer.failure);
     }
     if (answer.status == statusUnauthorized) {
-        throw Error(Step::Report, routerAt(address), "it wants the token of its [operators]: --token-file FILE");
+        throw Error(Step::Report,
+                    routerAt(address),
+                    "it refuses the order; use its [operators] address, and --token-file FILE where that has a token");
     }
     if (answer.status == statusNotFound) {
         throw Error(Step::Report, routerAt(address), "it takes no such order here: use its [operators] address");
