Hold the limit when a surge begins everywhere at once, and refuse nobody below it

Cause, found by surgescenariotest on real processes: each router compared its new demand with the old sum of the fleet, so at a surge's start each took nearly the whole limit (5.8 times the limit in all by arithmetic). And shares by demand alone follow the noise of a sliver: quiet organisations at 75 % of their limit were refused 13 to 14 % of requests. Ruled out: faster sums (they cost messages and still lag); a larger burst (it lets more through at 1,300 routers). Change: a router's own demand in a share is what it told for the sum. While the sum is below the limit the share is the larger of the even one and own demand plus an even part of the slack. Test: demandtabletest, a surge from 14 to 350 a second at seven routers against a limit of 70 (not run against the code before).

--- a/sequoiausher/coordination/limits/ratelimit.cpp
+++ b/sequoiausher/coordination/limits/ratelimit.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <deque>
 #include <optional>
 #include <unordered_map>
 
@@ -62,12 +63,26 @@
     }
 };
 
+/** What this router said of its demand. */
+struct Sample
+{
+    Millis at;
+    double perSecond = 0;
+};
+
+constexpr Millis sampleEvery{500};
+constexpr std::size_t mostSamples = 128;
+/** A report may be this much older than the sum that it is in, in a fleet of today. */
+constexpr Millis reportInSum{2000};
+
 struct Organisation
 {
     OrganisationLimits limits;
     Bucket whole;
     std::array<Bucket, requestClassCount> classes;
     Demand own;
+    /** What was reported, the oldest first. */
+    std::deque<Sample> reported;
     double fleetDemand = 0;
     std::optional<Millis> fleetDemandAt;
 };
@@ -92,11 +107,36 @@
         }
         organisation.own.decay(now);
         // The sum may be older than this router's own surge: it is at least what this router sees itself.
-        const double fleet = std::max(organisation.fleetDemand, organisation.own.perSecond);
-        const double byDemand = organisation.own.perSecond / fleet;
+        const double own = this->ownInSum(organisation);
+        const double fleet = std::max(organisation.fleetDemand, own);
+        const double limit = organisation.limits.perSecond;
+        if (fleet < limit) {
+            // Goes wrong with a share by demand alone: of a quiet organisation's 0.6 requests a second each router's
+            // measure is mostly noise, and the share that follows it refuses far below the limit.
+            const double withSlack = (own + (limit - fleet) / this->liveRouters) / limit;
+            return std::min(std::max(even, withSlack), maxShareOverEven * even);
+        }
+        const double byDemand = own / fleet;
         return std::min(evenPart * even + (1 - evenPart) * byDemand, maxShareOverEven * even);
     }
 
+    /**
+     * What this router's own demand is in the sum, at most. Goes wrong with the present demand: when an organisation
+     * surges at all routers at once, each finds its own demand as large as the old sum of all, and lets nearly the
+     * whole limit through, seven times in all, until the sums catch up.
+     */
+    double ownInSum(const Organisation &organisation) const
+    {
+        double own = organisation.own.perSecond;
+        const Millis oldest = *organisation.fleetDemandAt - std::max(reportInSum, this->freshFor / 3);
+        for (const Sample &sample : organisation.reported) {
+            if (sample.at >= oldest && sample.at <= *organisation.fleetDemandAt) {
+                own = std::min(own, sample.perSecond);
+            }
+        }
+        return own;
+    }
+
     static void fill(Millis now, Organisation &organisation, double part)
     {
         const OrganisationLimits &limits = organisation.limits;
@@ -193,6 +233,12 @@
     for (auto &item : this->d->organisations) {
         Organisation &organisation = item.second;
         organisation.own.decay(now);
+        if (organisation.reported.empty() || now - organisation.reported.back().at >= sampleEvery) {
+            organisation.reported.push_back(Sample{now, organisation.own.perSecond});
+        }
+        if (organisation.reported.size() > mostSamples) {
+            organisation.reported.pop_front();
+        }
         const double even = organisation.limits.perSecond / this->d->liveRouters;
         if (even > 0 && organisation.own.perSecond >= reportedFrom * even) {
             near.push_back({item.first, organisation.own.perSecond});
--- a/sequoiausher/coordination/limits/ratelimit.h
+++ b/sequoiausher/coordination/limits/ratelimit.h
@@ -12,11 +12,17 @@
 //
 //     share = L x (f / N  +  (1 - f) x own demand / demand of the fleet),   f = 0.2,
 //
-// held in a token bucket. The demand of the fleet comes from outside (setFleetDemand), from sums that ride on
-// messages that are sent anyway, and only for organisations near their limit (reports()). Without a fresh one the
-// share is L / N: static, without any traffic, and right where the balancer spreads an organisation's requests evenly.
-// Central counting (asking an owner for each request) was ruled out: a round trip before each request, and an outage
-// of the owner would stop an organisation or lift its limit.
+// held in a token bucket, while the fleet's demand D is at the limit or above it. Below it,
+//
+//     share = max(L / N, own demand + (L - D) / N),
+//
+// since nobody needs to be refused then; these add up to 2 L at most, for as long as it takes a surge to show in the
+// sums. Own demand is what this router told for the sum, not the present one, or all would surge past the old sum. The
+// demand of the fleet comes from outside (setFleetDemand), from sums that ride on messages that are sent anyway, and
+// only for organisations near their limit (reports()). Without a fresh one the share is L / N: static, without any
+// traffic, and right where the balancer spreads an organisation's requests evenly. Central counting (asking an owner
+// for each request) was ruled out: a round trip before each request, and an outage of the owner would stop an
+// organisation or lift its limit.
 //
 // The error. With an exact demand the shares add up to L. Where the fleet's demand is known too low by a factor
 // (1 - e), they add up to at most L x (f + (1 - f) / (1 - e)): 15% above L for e = 0.16, as when a demand that
--- a/sequoiausher/coordination/membership/demandtabletest.cpp
+++ b/sequoiausher/coordination/membership/demandtabletest.cpp
@@ -94,6 +94,28 @@
     CHECK(share < 0.56);
 }
 
+// Symptom: a limit is exceeded several times over at the start of a surge. Sequence: ten times the demand arrives at
+// all routers at once, while the sum is still the old one. Cause: each compared its new demand with the old sum of all.
+TEST_CASE("a surge that begins at all routers at once is held to the limit while the sums are old")
+{
+    Fleet fleet;
+    int allowed = 0;
+    for (std::int64_t second = 1; second <= 26; ++second) {
+        const int step = second <= 20 ? 500 : 20;
+        for (int part = 0; part < 1000; part += step) {
+            const Millis now{second * 1000 + part};
+            for (RateLimiter &limiter : fleet.limiters) {
+                const bool passed = limiter.take(now, large, RequestClass::Interactive, 1).allowed;
+                allowed += second > 20 && passed ? 1 : 0;
+            }
+        }
+        fleet.exchange(Millis{second * 1000 + 999});
+    }
+    // Six seconds of 70, two seconds' worth saved up, and a tenth.
+    CHECK(allowed <= 70 * 6 + 70 * 2 + 42);
+    CHECK(allowed >= 70 * 5);
+}
+
 // Symptom: a limit is exceeded for seconds after a router dies. Sequence: the collector dies, another takes over and
 // hears one router. Cause: it would publish the sum of those few as the fleet's demand.
 TEST_CASE("a new collector says nothing before every router had the time to report")
