Keep a target's last places for the more important classes

Cause, found by surgescenariotest: with the pool full, a place that came free went to whichever router asked first, mostly with background work, while an urgent request waited at another router; and a queue whose pool was full slept a second. Ruled out: a queue at the owner (its death would lose waiting requests, and two queues would disagree). Change: ReserveRequest.requestClass (schema, codec, generators); owners keep capacity/16 from interactive and 3/16 from background requests, nothing on targets without a capacity; a router's queue asks again after at most 50 ms. Cost: a pool with background work alone is used to 13/16 of its capacity.

--- a/sequoiausher/coordination/admission/reserver.cpp
+++ b/sequoiausher/coordination/admission/reserver.cpp
@@ -159,7 +159,8 @@
                                      wanted.chatHash,
                                      wanted.policy,
                                      wanted.boundPercent,
-                                     wanted.excluded}});
+                                     wanted.excluded,
+                                     wanted.requestClass}});
 }
 
 void Reserver::Private::giveUp(Pending &pendingOne, Outbox &outbox) const
--- a/sequoiausher/coordination/admission/shardowner.cpp
+++ b/sequoiausher/coordination/admission/shardowner.cpp
@@ -144,7 +144,9 @@
     for (std::size_t i = 0; i < this->cells.size(); ++i) {
         const Cell &cell = this->cells[i];
         TargetLoad &seen = this->load.targets[i];
-        const bool hasRoom = seen.inFlight < bound && (!cell.capacity || seen.inFlight < *cell.capacity);
+        const bool hasPlace
+            = !cell.capacity || seen.inFlight + keptPlaces(message.requestClass, *cell.capacity) < *cell.capacity;
+        const bool hasRoom = seen.inFlight < bound && hasPlace;
         seen.usable = hasRoom && this->mayBeUsed(cell, message);
     }
 }
@@ -222,6 +224,21 @@
 
 ShardOwner::~ShardOwner() = default;
 
+std::uint32_t ShardOwner::keptPlaces(RequestClass requestClass, std::uint32_t capacity)
+{
+    constexpr std::uint32_t parts = 16;
+    constexpr std::uint32_t fromBackground = 3;
+    switch (requestClass) {
+    case RequestClass::Urgent:
+        return 0;
+    case RequestClass::Interactive:
+        return capacity / parts;
+    case RequestClass::Background:
+        return static_cast<std::uint32_t>(std::uint64_t{capacity} * fromBackground / parts);
+    }
+    return 0;
+}
+
 void ShardOwner::setTargets(Millis now, const std::vector<TargetView> &targets)
 {
     const std::vector<Cell> before = std::move(this->d->cells);
--- a/sequoiausher/coordination/admission/shardowner.h
+++ b/sequoiausher/coordination/admission/shardowner.h
@@ -44,6 +44,14 @@
 class ShardOwner
 {
 public:
+    /**
+     * How many of a target's places are kept for classes more important than this one: none from urgent
+     * ones, a sixteenth from interactive ones, three sixteenths from background ones, rounded down. Without them a
+     * freed place goes to whoever asks first, and an urgent request waits at one router while others send background
+     * work. Source: trunk reservation, as in telephone networks (Akinpelu, 1984).
+     */
+    static std::uint32_t keptPlaces(RequestClass requestClass, std::uint32_t capacity);
+
     ShardOwner(const ShardId &shard, const OwnerSettings &settings, std::uint64_t seed, Millis now);
     ~ShardOwner();
     ShardOwner(const ShardOwner &) = delete;
--- a/sequoiausher/coordination/admission/shardownertest.cpp
+++ b/sequoiausher/coordination/admission/shardownertest.cpp
@@ -53,6 +53,32 @@
 
 } // namespace
 
+// Symptom: an urgent request waits at one router while others send background work. Sequence: the pool is full; each
+// place that comes free goes to whoever asks first. Cause: the owner knew no classes.
+TEST_CASE_FIXTURE(OwnerFixture, "the last places of a target are kept for the more important classes")
+{
+    constexpr std::uint32_t capacity = 16;
+    this->owner.setTargets(Millis{0}, {targetOf("a", LifeState::Live, capacity)});
+    const auto granted = [&](RequestClass requestClass) {
+        std::uint32_t count = 0;
+        for (;;) {
+            Outbox outbox;
+            ReserveRequest message{RequestId{1, ++this->lastRequest}, pool, 0, 7, PolicyKind::LeastLoaded, 125, {}};
+            message.requestClass = requestClass;
+            this->owner.receive(Millis{1}, entry, message, outbox);
+            if (std::get<ReserveReply>(outbox.front().message).verdict != ReserveVerdict::Granted) {
+                return count;
+            }
+            count += 1;
+        }
+    };
+    CHECK(granted(RequestClass::Background) == 13);
+    CHECK(granted(RequestClass::Interactive) == 2);
+    CHECK(granted(RequestClass::Urgent) == 1);
+    // A target with few places keeps none, or nobody else would ever get one.
+    CHECK(ShardOwner::keptPlaces(RequestClass::Background, 1) == 0);
+}
+
 TEST_CASE_FIXTURE(OwnerFixture, "a repeated reservation gets the same target and counts once")
 {
     const auto first = this->ask(Millis{1}, 5);
--- a/sequoiausher/coordination/admission/wanted.h
+++ b/sequoiausher/coordination/admission/wanted.h
@@ -18,6 +18,7 @@
     std::uint32_t boundPercent = 125;
     /** Targets found unusable for this request. */
     std::vector<TargetId> excluded;
+    RequestClass requestClass = RequestClass::Interactive;
 };
 
 } // namespace Sequoiausher
--- a/sequoiausher/coordination/messages/admissionmessages.h
+++ b/sequoiausher/coordination/messages/admissionmessages.h
@@ -9,6 +9,7 @@
 #include "sequoiausher/base/identifiers.h"
 #include "sequoiausher/base/millis.h"
 #include "sequoiausher/base/nametable.h"
+#include "sequoiausher/base/requestclass.h"
 
 #include <vector>
 
@@ -64,6 +65,8 @@
     std::uint32_t boundPercent = 125;
     /** Targets that the entry tried and found unusable for this request. */
     std::vector<TargetId> excluded;
+    /** A target's last places are kept for the more important classes. */
+    RequestClass requestClass = RequestClass::Interactive;
 
     bool operator==(const ReserveRequest &) const = default;
 };
--- a/sequoiausher/protocol/codec/framereader.cpp
+++ b/sequoiausher/protocol/codec/framereader.cpp
@@ -315,10 +315,12 @@
         request.excluded.push_back(TargetId{this->name(this->frame.excluded()->Get(index))});
     }
     const auto policy = enumOf<PolicyKind>(m->policy());
-    if (!policy.has_value()) {
+    const auto requestClass = enumOf<RequestClass>(m->request_class());
+    if (!policy.has_value() || !requestClass.has_value()) {
         return std::nullopt;
     }
     request.policy = *policy;
+    request.requestClass = *requestClass;
     return request;
 }
 
--- a/sequoiausher/protocol/codec/framewriter.cpp
+++ b/sequoiausher/protocol/codec/framewriter.cpp
@@ -208,7 +208,8 @@
                                        m.boundPercent,
                                        this->index(m.pool.value),
                                        static_cast<std::uint16_t>(m.excluded.size()),
-                                       wireEnum(m.policy));
+                                       wireEnum(m.policy),
+                                       wireEnum(m.requestClass));
     for (const TargetId &target : m.excluded) {
         this->excluded.push_back(this->index(target.value));
     }
--- a/sequoiausher/protocol/codec/messagegenerators.h
+++ b/sequoiausher/protocol/codec/messagegenerators.h
@@ -145,7 +145,8 @@
                        SEQUOIAUSHER_FIELD(chatHash),
                        SEQUOIAUSHER_FIELD(policy),
                        SEQUOIAUSHER_FIELD(boundPercent),
-                       SEQUOIAUSHER_FIELD(excluded));
+                       SEQUOIAUSHER_FIELD(excluded),
+                       SEQUOIAUSHER_FIELD(requestClass));
 SEQUOIAUSHER_ARBITRARY(ReserveReply,
                        SEQUOIAUSHER_FIELD(request),
                        SEQUOIAUSHER_FIELD(verdict),
--- a/sequoiausher/transport/router/node.cpp
+++ b/sequoiausher/transport/router/node.cpp
@@ -29,6 +29,8 @@
 constexpr int tickMillis = 20;
 constexpr std::size_t queueSlots = 512;
 constexpr Millis poolStatesEvery{200};
+/** How long a queue whose pool is full waits at most before it asks again; a refused caller waits longer. */
+constexpr Millis longestQueuePause{50};
 
 std::uint64_t seedFor(const InstanceId &self, Incarnation incarnation)
 {
@@ -1020,7 +1022,8 @@
     std::vector<QueueAction> actions;
     {
         const std::scoped_lock lock(this->d->limitsMutex);
-        this->d->queueOf(pool).putBack(Millis::monotonicNow(), request, retryAfter, actions);
+        this->d->queueOf(pool).putBack(
+            Millis::monotonicNow(), request, std::min(retryAfter, longestQueuePause), actions);
     }
     this->d->tellQueue(actions);
 }
--- a/sequoiausher/transport/router/requestsession.cpp
+++ b/sequoiausher/transport/router/requestsession.cpp
@@ -221,7 +221,13 @@
     }
     this->leftSomeAlone = without.size() > unusable.size();
     const std::uint32_t bound = decision.boundPercent.value_or(node.settings().admission.boundPercent);
-    node.reserve(Wanted{this->order.request, decision.pool, this->order.chatHash, decision.policy, bound, without});
+    node.reserve(Wanted{this->order.request,
+                        decision.pool,
+                        this->order.chatHash,
+                        decision.policy,
+                        bound,
+                        std::move(without),
+                        this->order.parsed.requestClass});
 }
 
 // A retry that reached the router where the first attempt runs takes its answer; nothing is claimed or reserved.
