--- a/lab/engine/enginemodel.cpp
+++ b/lab/engine/enginemodel.cpp
@@ -197,6 +197,7 @@
 
 void EngineModel::Private::end(RunNumber run, Millis now)
 {
+    this->records[run].endedAt = now;
     this->keepEnds.push_back({now + this->settings.keep, run});
     this->lostAt.erase(run);
 }
--- a/lab/engine/enginemodel.h
+++ b/lab/engine/enginemodel.h
@@ -84,6 +84,8 @@
     bool cancelled = false;
     /** When the engine took it, by the clock of the machine. */
     Millis at;
+    /** When it finished or was cancelled; 0 while it runs. */
+    Millis endedAt;
 };
 
 /** Tokens offset to offset + count - 1 of a run have been generated. */
--- a/lab/engine/engineserver.cpp
+++ b/lab/engine/engineserver.cpp
@@ -38,6 +38,7 @@
             {"nonce", QString::fromStdString(record.nonce)},
             {"tokens", static_cast<qint64>(record.tokens)},
             {"at_ms", static_cast<qint64>(record.at.count)},
+            {"ended_ms", static_cast<qint64>(record.endedAt.count)},
             {"finished", record.finished},
             {"cancelled", record.cancelled},
             {"cached_tokens", static_cast<qint64>(record.cachedTokens)},
