--- a/sequoiausher/protocol/codec/messagegenerators.cpp
+++ b/sequoiausher/protocol/codec/messagegenerators.cpp
@@ -115,7 +115,8 @@
 SEQUOIAUSHER_ARBITRARY(ClaimWithdraw, m.key, m.attempt, m.round);
 SEQUOIAUSHER_ARBITRARY(ClaimPull, m.pull, m.from);
 SEQUOIAUSHER_ARBITRARY(ClaimPage, m.pull, m.giverAbstains, m.giverLearns, m.last, m.next, m.records);
-SEQUOIAUSHER_ARBITRARY(ReserveRequest, m.request, m.pool, m.shard, m.chatHash, m.policy, m.boundPercent, m.excluded);
+SEQUOIAUSHER_ARBITRARY(ReserveRequest, m.request, m.pool, m.shard, m.chatHash, m.policy, m.boundPercent, m.excluded,
+                       m.requestClass);
 SEQUOIAUSHER_ARBITRARY(ReserveReply, m.request, m.verdict, m.target, m.retryAfter);
 SEQUOIAUSHER_ARBITRARY(Release, m.request, m.pool, m.shard);
 SEQUOIAUSHER_ARBITRARY(HoldingsReport, m.pool, m.shard, m.sequence, m.holdings);
