Read a target's report of its load by a parser of its own that refuses what cannot be true

Cause: a target that reported a negative number counted as four thousand million requests, so as full for good; two large numbers were added unchecked (undefined behaviour), as was an age of INT64_MIN; a report of any length was kept.

Change: protocol/targetapi/targetload with bounds, and tests with altered and random bytes; the same kind of property for SseReader, AnswerCheck and parseClientRequest. The property 'where the bytes are cut makes no difference' ran without its verdict being asked, so it could not fail: it is checked now.

--- a/sequoiausher/protocol/clientapi/answerchecktest.cpp
+++ b/sequoiausher/protocol/clientapi/answerchecktest.cpp
@@ -1,6 +1,7 @@
 #include "sequoiausher/protocol/clientapi/answercheck.h"
 
 #include <doctest/doctest.h>
+#include <rapidcheck.h>
 
 #include <string>
 
@@ -56,3 +57,23 @@
     CHECK(check.usage().cachedTokens == 8);
     CHECK(check.usage().completionTokens == 4);
 }
+
+// No bytes but the request's own chunks in their order may pass, whatever a target or a crossed connection sends.
+TEST_CASE("altered chunks pass only where they still are the next chunk of this answer")
+{
+    const RequestId request{1, 2};
+    const std::string good = R"({"id":"chatcmpl-)" + request.toHex() + R"(","offset":0,"choices":[{"delta":{}}]})";
+    CHECK(rc::check("altered", [&] {
+        std::string chunk = good;
+        chunk.at(*rc::gen::inRange<std::size_t>(0, chunk.size())) = *rc::gen::arbitrary<char>();
+        AnswerCheck check(request);
+        const bool passed = check.accept(chunk) == ChunkVerdict::Pass;
+        RC_ASSERT(check.nextOffset() == (passed ? 1U : 0U));
+        RC_ASSERT(!passed || chunk.find(request.toHex()) != std::string::npos);
+        RC_ASSERT(!check.isComplete());
+    }));
+    CHECK(rc::check("random", [&](const std::string &chunk) {
+        AnswerCheck check(request);
+        RC_ASSERT(check.accept(chunk) != ChunkVerdict::Pass);
+    }));
+}
--- a/sequoiausher/protocol/clientapi/clientrequesttest.cpp
+++ b/sequoiausher/protocol/clientapi/clientrequesttest.cpp
@@ -1,6 +1,7 @@
 #include "sequoiausher/protocol/clientapi/clientrequest.h"
 
 #include <doctest/doctest.h>
+#include <rapidcheck.h>
 
 #include <map>
 
@@ -109,3 +110,31 @@
         errorBody(ApiError{429, "rate_limited", "Come back later.", ""})
         == R"({"error":{"code":"rate_limited","message":"Come back later.","param":null,"type":"rate_limit_error"}})");
 }
+
+TEST_CASE("any headers and body are read or refused by a bad-request error alone")
+{
+    const auto readsOrRefuses = [](const RequestHead &head, const std::string &body) {
+        try {
+            parseClientRequest(head, body);
+        } catch (const BadRequest &bad) {
+            return bad.error().status == 400 || bad.error().status == 401;
+        }
+        return true;
+    };
+    CHECK(rc::check("random headers", [&](const std::string &value, const std::string &body) {
+        for (const char *name : {"Authorization", "X-Class", "X-Chat-Id", "Idempotency-Key", "X-Deadline-Ms"}) {
+            Headers headers = key;
+            headers[name] = value;
+            RC_ASSERT(readsOrRefuses(headWith(headers), body));
+        }
+    }));
+    CHECK(rc::check("altered body", [&] {
+        std::string body = goodBody;
+        for (int i = 0; i < 4; ++i) {
+            body.at(*rc::gen::inRange<std::size_t>(0, body.size())) = *rc::gen::arbitrary<char>();
+        }
+        RC_ASSERT(readsOrRefuses(headWith(key), body));
+    }));
+    const std::string deep(100000, '[');
+    CHECK(readsOrRefuses(headWith(key), R"({"model":"m","messages":)" + deep));
+}
--- a/sequoiausher/protocol/clientapi/ssereadertest.cpp
+++ b/sequoiausher/protocol/clientapi/ssereadertest.cpp
@@ -69,7 +69,7 @@
 
 TEST_CASE("where the bytes are cut makes no difference")
 {
-    rc::check([] {
+    CHECK(rc::check([] {
         const auto pieces = *rc::gen::container<std::vector<std::string>>(rc::gen::element<std::string>(
             "data", ":", " ", "\r", "\n", "\r\n", "\n\n", "id: 1", "event: e", "data: a\n\n", "x"));
         std::string text;
@@ -90,5 +90,23 @@
             byByte.insert(byByte.end(), some.begin(), some.end());
         }
         RC_ASSERT(byByte == inParts);
-    });
+    }));
+}
+
+TEST_CASE("any bytes are read or refused, and no more is held than the bound")
+{
+    CHECK(rc::check([] {
+        constexpr std::size_t bound = 64;
+        SseReader reader(bound);
+        for (const auto &bytes : *rc::gen::arbitrary<std::vector<std::string>>()) {
+            try {
+                for (const SseEvent &event : reader.push(bytes)) {
+                    RC_ASSERT(event.data.size() <= bound);
+                }
+            } catch (const Error &error) {
+                RC_ASSERT(error.step() == Step::Decode);
+                return;
+            }
+        }
+    }));
 }
--- a/sequoiausher/transport/router/loadpoller.cpp
+++ b/sequoiausher/transport/router/loadpoller.cpp
@@ -1,7 +1,6 @@
 #include "sequoiausher/transport/router/loadpoller.h"
 
-#include <QJsonDocument>
-#include <QJsonObject>
+#include "sequoiausher/protocol/targetapi/targetload.h"
 
 #include <unordered_map>
 
@@ -15,21 +14,6 @@
 constexpr Millis rareInterval{30000};
 constexpr Millis callLimit{2000};
 
-std::optional<ReportedLoad> parseLoad(Millis now, const std::string &body)
-{
-    const QJsonDocument json = QJsonDocument::fromJson(QByteArray::fromStdString(body));
-    if (!json.isObject()) {
-        return std::nullopt;
-    }
-    const QJsonObject object = json.object();
-    ReportedLoad load;
-    load.incarnation = static_cast<Incarnation>(object.value(QLatin1String("incarnation")).toInteger());
-    load.load = static_cast<std::uint32_t>(object.value(QLatin1String("in_flight")).toInteger()
-                                           + object.value(QLatin1String("queued")).toInteger());
-    load.measuredAt = now - Millis{object.value(QLatin1String("age_ms")).toInteger()};
-    return load;
-}
-
 } // namespace
 
 class LoadPoller::Private
@@ -52,10 +36,14 @@
     auto body = std::make_shared<std::string>();
     HttpCallbacks callbacks;
     callbacks.onHead = [status](int code, const HttpHeaders &) { *status = code; };
-    callbacks.onData = [body](std::string_view bytes) { body->append(bytes); };
+    callbacks.onData = [body](std::string_view bytes) {
+        // One byte more than a report may have is kept, so that a longer one is refused whole.
+        body->append(bytes.substr(0, maximumLoadBytes + 1 - body->size()));
+    };
     callbacks.onEnd = [this, target, status, body] {
         const Millis answeredAt = Millis::monotonicNow();
-        const std::optional<ReportedLoad> load = *status == statusOk ? parseLoad(answeredAt, *body) : std::nullopt;
+        const std::optional<ReportedLoad> load
+            = *status == statusOk ? parseTargetLoad(answeredAt, *body) : std::nullopt;
         if (load) {
             this->onLoad(target, *load);
         } else {
--- a/sequoiausher/transport/router/worker.cpp
+++ b/sequoiausher/transport/router/worker.cpp
@@ -48,6 +48,7 @@
      */
     QObject loop;
     std::atomic<std::size_t> open{0};
+    std::atomic<std::uint16_t> port{0};
     /** Set and used on this thread. */
     HttpServer *server = nullptr;
 };
@@ -67,6 +68,7 @@
     Entry entry(SessionContext{this->node, client, this->loop, this->log, this->metrics}, this->seed);
     HttpServer http(entry, this->options);
     http.listen();
+    this->port = http.port();
     this->server = &http;
     QTimer timer;
     QObject::connect(&timer, &QTimer::timeout, &timer, [&] {
@@ -101,6 +103,11 @@
     }
 }
 
+std::uint16_t Worker::port() const
+{
+    return this->d->port;
+}
+
 void Worker::stopAccepting()
 {
     const auto close = [this] {
--- a/sequoiausher/transport/router/worker.h
+++ b/sequoiausher/transport/router/worker.h
@@ -25,6 +25,8 @@
 
     /** Starts the thread, and returns when it listens. @throws Error (Step::Listen) */
     void start();
+    /** The port it listens on; known once start() has returned. */
+    std::uint16_t port() const;
     /** Takes no new connections; requests in progress go on. */
     void stopAccepting();
     /** Ends the thread; what is in progress is broken off. A second call has no effect. */
