--- a/sequoiausher/protocol/codec/messagegenerators.cpp
+++ b/sequoiausher/protocol/codec/messagegenerators.cpp
@@ -83,6 +83,19 @@
 SEQUOIAUSHER_ARBITRARY(TargetNews, m.target, m.life);
 SEQUOIAUSHER_ARBITRARY(ShardSum, m.pool, m.shard, m.inFlight, m.targets, m.age);
 SEQUOIAUSHER_ARBITRARY(ReachNews, m.instance, m.incarnation, m.refutation, m.suspected);
+template<>
+struct Arbitrary<Sequoiausher::OrganisationDemand>
+{
+    static Gen<Sequoiausher::OrganisationDemand> arbitrary()
+    {
+        return gen::exec([] {
+            Sequoiausher::OrganisationDemand m;
+            fill(m.organisation, m.age);
+            m.perSecond = static_cast<double>(*gen::arbitrary<std::uint32_t>());
+            return m;
+        });
+    }
+};
 SEQUOIAUSHER_ARBITRARY(Gossip,
                        m.instances,
                        m.targets,
@@ -90,6 +103,8 @@
                        m.documentsDigest,
                        m.highestRevision,
                        m.reach,
+                       m.demands,
+                       m.fleetDemands,
                        m.serviceAge);
 SEQUOIAUSHER_ARBITRARY(Holding, m.request, m.target);
 SEQUOIAUSHER_ARBITRARY(ClaimRecord, m.key, m.attempt, m.round, m.bodyDigest, m.holder, m.age);
