Publish what workers read by a lock, not by an atomic shared pointer

Cause: the thread sanitizer reports Node's std::atomic<std::shared_ptr> (configuration, pools, counts). In libstdc++ 12 load() unlocks with relaxed order after it read the pointer; on processors that reorder, a reader may pair an old count with a new pointer. x86 hides it.

Ruled out: a suppression (the report is true), and a newer library (Debian 12 has none).

Change: base/published, a shared pointer behind a mutex held for its copy.

--- a/sequoiausher/transport/router/node.cpp
+++ b/sequoiausher/transport/router/node.cpp
@@ -1,5 +1,6 @@
 #include "sequoiausher/transport/router/node.h"
 
+#include "sequoiausher/base/published.h"
 #include "sequoiausher/coordination/admission/ownedshards.h"
 #include "sequoiausher/coordination/claims/witness.h"
 #include "sequoiausher/coordination/limits/admissionqueue.h"
@@ -174,9 +175,9 @@
     RequestRegistry registry;
 
     // The three below are replaced whole; readers keep the one that they loaded.
-    std::atomic<std::shared_ptr<const FleetConfiguration>> current;
-    std::atomic<std::shared_ptr<const std::vector<PoolState>>> pools;
-    std::atomic<std::shared_ptr<const ControlTraffic>> traffic;
+    Published<const FleetConfiguration> current;
+    Published<const std::vector<PoolState>> pools;
+    Published<const ControlTraffic> traffic;
     std::atomic<bool> leaving{false};
     std::atomic<bool> documentsReady{false};
     /** The end of the control thread's last tick, in milliseconds of Millis::monotonicNow(). */
