--- a/sequoiausher/base/published.h
+++ b/sequoiausher/base/published.h
@@ -6,9 +6,9 @@
 //     current = compileFleet(...);                                         // any thread
 //     const std::shared_ptr<const FleetConfiguration> fleet = current.load();
 //
-// Not std::atomic<std::shared_ptr>: in libstdc++ 12 its load() unlocks with relaxed order after reading the pointer, so on
-// a processor that reorders (not on x86) a reader may pair an old count with a new pointer, and a value would be freed
-// under it. The thread sanitizer reports that.
+// Not std::atomic<std::shared_ptr>: in libstdc++ 12 its load() unlocks with relaxed order after reading the pointer, so
+// on a processor that reorders (not on x86) a reader may pair an old count with a new pointer, and a value would be
+// freed under it. The thread sanitizer reports that.
 
 #include <memory>
 #include <mutex>
