--- a/sequoiausher/transport/http/httpclient.cpp
+++ b/sequoiausher/transport/http/httpclient.cpp
@@ -187,7 +187,8 @@
         // Cleared first: abort() signals at once, and the call has ended.
         QNetworkReply *last = this->reply;
         this->reply.clear();
-        if (!reusable) {
+        // A reply that has failed already closed its connection; to abort it too is an error that Qt complains of.
+        if (!reusable && !last->isFinished()) {
             last->abort();
         }
         // The body must outlive the reply, which may read from it until it is gone.
--- a/sequoiausher/transport/router/loadpoller.cpp
+++ b/sequoiausher/transport/router/loadpoller.cpp
@@ -1,10 +1,7 @@
 #include "sequoiausher/transport/router/loadpoller.h"
 
-#include <QJsonDocument>
-#include <QJsonObject>
+#include "sequoiausher/protocol/targetapi/targetload.h"
 
-#include <algorithm>
-#include <limits>
 #include <unordered_map>
 
 namespace Sequoiausher {
@@ -18,29 +15,6 @@
 constexpr Millis rareInterval{30000};
 constexpr Millis callLimit{2000};
 
-std::optional<ReportedLoad> parseLoad(Millis now, const std::string &body)
-{
-    const QJsonDocument json = QJsonDocument::fromJson(QByteArray::fromStdString(body));
-    if (!json.isObject()) {
-        return std::nullopt;
-    }
-    const QJsonObject object = json.object();
-    constexpr qint64 invalid = -1;
-    constexpr qint64 highest = std::numeric_limits<std::uint32_t>::max();
-    const qint64 inFlight = object.value(QLatin1String("in_flight")).toInteger(invalid);
-    const qint64 queued = object.value(QLatin1String("queued")).toInteger(0);
-    const qint64 age = object.value(QLatin1String("age_ms")).toInteger(0);
-    // A service may answer every path with some object. Read as a load of nothing, that would draw all requests to it.
-    if (inFlight < 0 || queued < 0 || age < 0 || inFlight > highest - std::min(queued, highest)) {
-        return std::nullopt;
-    }
-    ReportedLoad load;
-    load.incarnation = static_cast<Incarnation>(object.value(QLatin1String("incarnation")).toInteger());
-    load.load = static_cast<std::uint32_t>(inFlight + queued);
-    load.measuredAt = now - Millis{age};
-    return load;
-}
-
 } // namespace
 
 class LoadPoller::Private
@@ -63,10 +37,14 @@
     auto body = std::make_shared<std::string>();
     HttpCallbacks callbacks;
     callbacks.onHead = [status](int code, const HttpHeaders &) { *status = code; };
-    callbacks.onData = [body](std::string_view bytes) { body->append(bytes); };
+    callbacks.onData = [body](std::string_view bytes) {
+        // One byte more than a report may have is kept, so that a longer one is refused whole.
+        body->append(bytes.substr(0, maximumLoadBytes + 1 - body->size()));
+    };
     callbacks.onEnd = [this, target, status, body] {
         const Millis answeredAt = Millis::monotonicNow();
-        const std::optional<ReportedLoad> load = *status == statusOk ? parseLoad(answeredAt, *body) : std::nullopt;
+        const std::optional<ReportedLoad> load
+            = *status == statusOk ? parseTargetLoad(answeredAt, *body) : std::nullopt;
         if (load) {
             this->onLoad(target, *load);
         } else if (*status < firstServerError) {
