--- a/sequoiausher/transport/router/requestsession.cpp
+++ b/sequoiausher/transport/router/requestsession.cpp
@@ -104,6 +104,7 @@
     void pumpJoined();
     void callFailed(TargetFailure failure);
     void reserve(const std::vector<TargetId> &excluded, bool leaveAlone);
+    void leaveJoined();
     void enqueue();
     void enqueueInPool();
     void queueRefused(Millis retryAfter);
@@ -126,6 +127,7 @@
     RequestFlow flow;
     AnswerWriter writer;
     TargetCall call;
+    std::uint32_t dispatches = 0;
     std::weak_ptr<RequestSession> self;
     ClaimKey key;
     std::uint64_t bodyDigest = 0;
@@ -299,6 +301,22 @@
     }
 }
 
+// The deadline of a retry that reads along. Its answer may have begun: an error in its place would come too late then,
+// and an end without a word would pass for a lost connection.
+void RequestSession::Private::leaveJoined()
+{
+    this->context.node.answers().detach(*this->joined);
+    this->joined.reset();
+    const Refuse late{statusTimeout, Ran::Unknown, RefusalReason::DeadlinePassed, Millis{1000}};
+    if (!this->joinedHead) {
+        this->refuseAtOnce(late);
+        return;
+    }
+    this->writer.breakOff(refusalError(late));
+    this->count(Outcome::Broken);
+    this->done = true;
+}
+
 void RequestSession::Private::enqueue()
 {
     const Decision &decision = this->order.decision;
@@ -429,11 +447,13 @@
 
 void RequestSession::Private::dispatch(const Dispatch &action)
 {
-    // The last moment at which a claim can be found too old: from here on the target may have the request.
+    // The last moment at which a claim can be found too old, or a pause noticed in which the target may have left: from
+    // here on the target may have the request.
     Node &node = this->context.node;
     const RequestId &request = this->order.request;
     const bool again = this->wasDispatched;
-    if (this->claims && !(again ? node.mayRedispatch(request) : node.mayDispatch(request))) {
+    const bool claimHolds = !this->claims || (again ? node.mayRedispatch(request) : node.mayDispatch(request));
+    if (!node.mayServe() || !claimHolds) {
         this->run(this->flow.dispatchTooLate(Millis::monotonicNow()));
         return;
     }
@@ -445,6 +465,8 @@
         return;
     }
     this->context.node.targetTried(action.target);
+    this->context.metrics.countDispatch(this->order.labels, action.target.value, this->dispatches > 0);
+    ++this->dispatches;
     this->call.dispatch(address, action.freshConnection);
 }
 
@@ -567,6 +589,10 @@
 
 RequestSession::~RequestSession()
 {
+    if (this->d->joined) {
+        // Else the answer would keep the reader, and its bytes, and wake a loop that may be gone.
+        this->d->context.node.answers().detach(*this->d->joined);
+    }
     this->d->context.node.requests().remove(this->d->order.request);
 }
 
@@ -592,6 +618,10 @@
     if (this->d->done) {
         return;
     }
+    if (now >= this->d->order.deadline && this->d->joined) {
+        this->d->leaveJoined();
+        return;
+    }
     if (now >= this->d->order.deadline && !this->d->started) {
         const Ran ran = this->d->claims ? Ran::Unknown : Ran::No;
         this->d->refuseAtOnce(Refuse{statusTimeout, ran, RefusalReason::DeadlinePassed, Millis{1000}});
