--- a/sequoiausher/protocol/targetapi/targetload.cpp
+++ b/sequoiausher/protocol/targetapi/targetload.cpp
@@ -38,6 +38,10 @@
         return std::nullopt;
     }
     const QJsonObject object = json.object();
+    // A service may answer every path with some object. Read as a load of nothing, that would draw all requests to it.
+    if (!object.contains(QLatin1String("in_flight"))) {
+        return std::nullopt;
+    }
     const auto incarnation = numberOf(object, "incarnation", std::numeric_limits<std::int64_t>::max());
     const auto inFlight = numberOf(object, "in_flight", maximumRequests);
     const auto queued = numberOf(object, "queued", maximumRequests);
--- a/sequoiausher/protocol/targetapi/targetloadtest.cpp
+++ b/sequoiausher/protocol/targetapi/targetloadtest.cpp
@@ -16,7 +16,8 @@
     const auto load = parseTargetLoad(now, R"({"incarnation":7,"in_flight":3,"queued":2,"age_ms":40})");
     REQUIRE(load.has_value());
     CHECK((*load == ReportedLoad{7, 5, Millis{4960}}));
-    CHECK((parseTargetLoad(now, "{}") == ReportedLoad{0, 0, now}));
+    CHECK(!parseTargetLoad(now, "{}").has_value());
+    CHECK((parseTargetLoad(now, R"({"in_flight":0})") == ReportedLoad{0, 0, now}));
 }
 
 // Symptom: a target gets no work any more, or a router stops with an arithmetic fault.
