--- /dev/null
+++ b/sequoiausher/transport/router/nodeprivate.cpp
@@ -0,0 +1,562 @@
+#include "sequoiausher/transport/router/nodeprivate.h"
+
+#include <QMetaObject>
+
+#include <algorithm>
+#include <mutex>
+
+namespace Sequoiausher {
+
+namespace {
+
+/**
+ * Requests of one pool in flight at a time on one router, at most. Room in the pool is the owner's to give, and the
+ * slots shrink when it refuses; this only bounds what a router carries before the first refusal.
+ */
+constexpr std::size_t queueSlots = 4096;
+constexpr Millis poolStatesEvery{200};
+
+std::uint64_t seedFor(const InstanceId &self, Incarnation incarnation)
+{
+    return hash64(self.value, incarnation);
+}
+
+AnswerSettings answerSettings(const RouterSettings &settings)
+{
+    AnswerSettings answers;
+    answers.totalBytes = settings.limits.keptAnswerBytes;
+    answers.keepFor = settings.limits.keptAnswer;
+    return answers;
+}
+
+ReserverSettings reserverSettings(const RouterSettings &settings)
+{
+    ReserverSettings reserver;
+    reserver.replyTimeout = settings.admission.reserveTimeout;
+    reserver.reportInterval = settings.admission.holdingsInterval;
+    return reserver;
+}
+
+MembershipSettings membershipSettings(const RouterSettings &settings)
+{
+    MembershipSettings membership;
+    membership.period = settings.peers.probeInterval;
+    membership.probeTimeout = settings.peers.probeTimeout;
+    return membership;
+}
+
+SpreadSettings spreadSettings(const RouterSettings &settings)
+{
+    SpreadSettings spread;
+    spread.readers = settings.platform.readers;
+    return spread;
+}
+
+PlatformReaderOptions readerOptions(const RouterSettings &settings, std::uint64_t seed)
+{
+    PlatformReaderOptions options;
+    options.addresses = settings.platform.addresses;
+    options.watchTimeout = settings.platform.watchTimeout;
+    options.callTimeout = settings.platform.callTimeout;
+    options.seed = seed;
+    return options;
+}
+
+LinkSettings linkSettings(const RouterSettings &settings, Incarnation incarnation, std::uint64_t seed)
+{
+    LinkSettings link;
+    link.self = settings.name;
+    link.incarnation = incarnation;
+    link.dataCentre = settings.dataCentre;
+    link.seed = seed;
+    return link;
+}
+
+} // namespace
+
+Node::Private::Private(const RouterSettings &theSettings,
+                       Incarnation theIncarnation,
+                       const Log &theLog,
+                       Metrics &theMetrics)
+    : settings(theSettings)
+    , incarnation(theIncarnation)
+    , seed(seedFor(theSettings.name, theIncarnation))
+    , log(theLog)
+    , metrics(theMetrics)
+    , membership(OwnInstance{theSettings.name, theSettings.dataCentre, theIncarnation},
+                 seed,
+                 membershipSettings(theSettings))
+    , spread(theSettings.name, seed + 1, spreadSettings(theSettings))
+    , configurationState(checker)
+    , shards(ShardSettings{})
+    , reserver(theSettings.name, theIncarnation, reserverSettings(theSettings), seed + 2, shards)
+    , owned(theSettings.name, OwnerSettings{}, seed + 3)
+    , claimant(theSettings.name, theSettings.claims)
+    , witness(theSettings.name, theSettings.claims, Millis::monotonicNow())
+    , answers(answerSettings(theSettings))
+    , client(HttpClientOptions{})
+    , mesh(linkSettings(theSettings, theIncarnation, seed + 4), *this)
+    , reader(client, readerOptions(theSettings, seed + 5), *this)
+    , answerServer(answers,
+                   [this](const InstanceId &to, PeerMessage message) {
+                       this->deliver(Outbox{Outgoing{to, std::move(message)}});
+                   })
+    , loadPoller(client, [this](const TargetView &target, const ReportedLoad &load) {
+        this->targets.applyLoad(target.description.target, load);
+        const std::scoped_lock lock(this->admissionMutex);
+        this->owned.reportLoad(target.description.target, load.load, load.measuredAt);
+        this->reserver.noteLoad(target.description.target, load);
+    })
+{
+}
+
+void Node::Private::received(const InstanceId &from, Incarnation senderIncarnation, PeerMessage message)
+{
+    (void)senderIncarnation;
+    {
+        const std::scoped_lock lock(this->membershipMutex);
+        this->membership.heardFrom(from);
+    }
+    Outbox outbox;
+    this->dispatch(from, message, outbox);
+    this->deliver(std::move(outbox));
+}
+
+void Node::Private::linkChanged(const InstanceId &peer, Incarnation peerIncarnation, bool up)
+{
+    (void)peerIncarnation;
+    if (up) {
+        return;
+    }
+    Outbox outbox;
+    std::vector<ReserveResult> results;
+    {
+        const std::scoped_lock lock(this->admissionMutex);
+        this->reserver.peerUnreachable(Millis::monotonicNow(), peer, outbox);
+        results = this->reserver.takeResults();
+    }
+    this->tellReservations(results);
+    this->answerServer.peerLost(peer);
+    this->registry.tellAll([peer](RequestEar &ear) { ear.peerLost(peer); });
+    this->deliver(std::move(outbox));
+}
+
+// One message to the decision that it is for. Exactly one lock is held at a time.
+class Node::Private::Receiver
+{
+public:
+    Receiver(Private &node, const InstanceId &sender, Outbox &answers)
+        : self(node)
+        , from(sender)
+        , now(Millis::monotonicNow())
+        , outbox(answers)
+    {
+    }
+
+    void operator()(const ClaimRequest &m) const
+    {
+        this->toWitness(m);
+    }
+    void operator()(const ClaimWithdraw &m) const
+    {
+        this->toWitness(m);
+    }
+    void operator()(const ClaimPull &m) const
+    {
+        this->toWitness(m);
+    }
+    void operator()(const ClaimPage &m) const
+    {
+        this->toWitness(m);
+    }
+    void operator()(const ClaimVote &m) const
+    {
+        std::vector<ClaimOutcome> outcomes;
+        {
+            const std::scoped_lock lock(this->self.claimsMutex);
+            this->self.claimant.receive(this->now, this->from, m, this->outbox);
+            outcomes = this->self.claimant.takeOutcomes();
+        }
+        this->self.tellClaims(outcomes);
+    }
+    void operator()(const ReserveRequest &m) const
+    {
+        const std::scoped_lock lock(this->self.admissionMutex);
+        this->self.owned.receive(this->now, this->from, m, this->outbox);
+    }
+    void operator()(const Release &m) const
+    {
+        const std::scoped_lock lock(this->self.admissionMutex);
+        this->self.owned.receive(this->now, this->from, m);
+    }
+    void operator()(const HoldingsReport &m) const
+    {
+        const std::scoped_lock lock(this->self.admissionMutex);
+        this->self.owned.receive(this->now, this->from, m);
+    }
+    void operator()(const ReserveReply &m) const
+    {
+        std::vector<ReserveResult> results;
+        {
+            const std::scoped_lock lock(this->self.admissionMutex);
+            this->self.reserver.receive(this->now, this->from, m);
+            results = this->self.reserver.takeResults();
+        }
+        this->self.tellReservations(results);
+    }
+    void operator()(const Probe &m) const
+    {
+        this->toMembership(m);
+        this->heardGossip(m.gossip);
+    }
+    void operator()(const ProbeReply &m) const
+    {
+        this->toMembership(m);
+        this->heardGossip(m.gossip);
+    }
+    void operator()(const IndirectProbe &m) const
+    {
+        this->toMembership(m);
+    }
+    void operator()(const DocumentPush &m) const
+    {
+        this->toSpread(m);
+        this->self.documentsChangedSoon();
+    }
+    void operator()(const DocumentDigest &m) const
+    {
+        this->toSpread(m);
+    }
+    void operator()(const DocumentPull &m) const
+    {
+        this->toSpread(m);
+    }
+    void operator()(const AttachRequest &m) const
+    {
+        bool isWithdrawn = false;
+        {
+            // A retry that asks for a withdrawn attempt met a witness that missed the withdrawal.
+            const std::scoped_lock lock(this->self.claimsMutex);
+            isWithdrawn = this->self.claimant.repeatWithdrawal(this->now, m.attempt, this->outbox);
+        }
+        if (isWithdrawn) {
+            // That attempt may follow another one by now. Were its answer followed all the same, two attempts that
+            // took each other for the holder would wait for each other until both their callers give up.
+            this->outbox.push_back(Outgoing{this->from, AttachReply{m.attachment, AttachVerdict::NotRun, 0, {}}});
+            return;
+        }
+        this->self.answerServer.attach(this->from, m);
+    }
+    void operator()(const AttachCancel &m) const
+    {
+        this->self.answerServer.cancel(this->from, m);
+    }
+    void operator()(const AttachReply &m) const
+    {
+        this->self.registry.tell(m.attachment, [m](RequestEar &ear) { ear.attachReplied(m); });
+    }
+    void operator()(const AttachChunk &m) const
+    {
+        this->self.registry.tell(m.attachment, [m](RequestEar &ear) { ear.attachChunk(m); });
+    }
+    void operator()(const AttachEnd &m) const
+    {
+        this->self.registry.tell(m.attachment, [m](RequestEar &ear) { ear.attachEnded(m); });
+    }
+
+private:
+    template<typename Message>
+    void toWitness(const Message &message) const
+    {
+        const std::scoped_lock lock(this->self.claimsMutex);
+        this->self.witness.receive(this->now, this->from, message, this->outbox);
+    }
+    template<typename Message>
+    void toMembership(const Message &message) const
+    {
+        const std::scoped_lock lock(this->self.membershipMutex);
+        this->self.membership.receive(this->now, this->from, message, this->outbox);
+    }
+    template<typename Message>
+    void toSpread(const Message &message) const
+    {
+        const std::scoped_lock lock(this->self.documentsMutex);
+        this->self.spread.receive(this->now, this->from, message, this->outbox);
+    }
+    void heardGossip(const Gossip &gossip) const
+    {
+        const std::scoped_lock lock(this->self.documentsMutex);
+        this->self.spread.heard(this->now, this->from, gossip, this->outbox);
+    }
+
+    Private &self;
+    const InstanceId &from;
+    Millis now;
+    Outbox &outbox;
+};
+
+void Node::Private::dispatch(const InstanceId &from, const PeerMessage &message, Outbox &outbox)
+{
+    std::visit(Receiver(*this, from, outbox), message);
+}
+
+// Sends what is for others, and gives back what is for this router itself until nothing comes of it any more.
+void Node::Private::deliver(Outbox outbox)
+{
+    Outbox others;
+    while (!outbox.empty()) {
+        Outbox next;
+        for (Outgoing &out : outbox) {
+            if (out.to == this->settings.name) {
+                this->dispatch(this->settings.name, out.message, next);
+            } else {
+                others.push_back(std::move(out));
+            }
+        }
+        outbox = std::move(next);
+    }
+    if (!others.empty()) {
+        this->mesh.post(std::move(others));
+    }
+}
+
+void Node::Private::tellClaims(const std::vector<ClaimOutcome> &outcomes)
+{
+    for (const ClaimOutcome &outcome : outcomes) {
+        this->registry.tell(outcome.attempt, [outcome](RequestEar &ear) { ear.claimEnded(outcome); });
+    }
+}
+
+void Node::Private::tellReservations(const std::vector<ReserveResult> &results)
+{
+    for (const ReserveResult &result : results) {
+        this->registry.tell(result.request, [result](RequestEar &ear) { ear.reservationEnded(result); });
+    }
+}
+
+void Node::Private::tellQueue(const std::vector<QueueAction> &actions)
+{
+    for (const QueueAction &action : actions) {
+        const QueueDecision decision = action.decision;
+        this->registry.tell(action.entry.request, [decision](RequestEar &ear) { ear.queueDecided(decision); });
+    }
+}
+
+void Node::Private::tick()
+{
+    const Millis now = Millis::monotonicNow();
+    Outbox outbox;
+    {
+        const std::scoped_lock lock(this->membershipMutex);
+        this->membership.tick(now, outbox);
+    }
+    this->membershipEvents(now, outbox);
+    {
+        const std::scoped_lock lock(this->documentsMutex);
+        this->spread.tick(now, outbox);
+        this->documentsReady = this->spread.isReady(now);
+    }
+    std::vector<ReserveResult> results;
+    {
+        const std::scoped_lock lock(this->admissionMutex);
+        this->reserver.tick(now, outbox);
+        results = this->reserver.takeResults();
+        this->owned.tick(now);
+    }
+    this->tellReservations(results);
+    std::vector<ClaimOutcome> outcomes;
+    {
+        const std::scoped_lock lock(this->claimsMutex);
+        this->claimant.tick(now, outbox);
+        outcomes = this->claimant.takeOutcomes();
+        this->witness.tick(now, outbox);
+    }
+    this->tellClaims(outcomes);
+    std::vector<QueueAction> actions;
+    {
+        const std::scoped_lock lock(this->limitsMutex);
+        for (const auto &entry : this->queues) {
+            entry.second->tick(now, actions);
+        }
+        this->gates.tick(now, actions);
+    }
+    this->tellQueue(actions);
+    this->answers.tick(now);
+    this->deliver(std::move(outbox));
+    this->reader.poke(now);
+    this->tickedAt = now.count;
+    if (now - this->poolStatesAt >= poolStatesEvery) {
+        this->poolStatesAt = now;
+        this->tickSlowly(now);
+    }
+}
+
+void Node::Private::tickSlowly(Millis now)
+{
+    std::vector<ShardSum> own;
+    std::vector<TargetView> toPoll;
+    {
+        const std::scoped_lock lock(this->admissionMutex);
+        own = this->owned.sums(now);
+        toPoll = this->owned.targets();
+        const std::vector<TargetView> alone = this->reserver.wantsLoads(now);
+        toPoll.insert(toPoll.end(), alone.begin(), alone.end());
+    }
+    DocumentSummary summary;
+    {
+        const std::scoped_lock lock(this->documentsMutex);
+        summary = this->spread.summary(now);
+    }
+    std::vector<OrganisationDemand> demands;
+    {
+        const std::scoped_lock lock(this->limitsMutex);
+        demands = this->rates.reports(now);
+    }
+    std::vector<ShardSum> sums;
+    {
+        const std::scoped_lock lock(this->membershipMutex);
+        this->membership.setDemands(demands);
+        demands = this->membership.fleetDemands(now);
+        this->membership.setSums(now, own);
+        this->membership.setDocuments(DocumentState{summary.digest, summary.highestRevision, summary.serviceAge});
+        sums = this->membership.sums(now);
+    }
+    {
+        const std::scoped_lock lock(this->admissionMutex);
+        for (const ShardSum &sum : sums) {
+            this->shards.noteSum(sum);
+        }
+        this->owned.noteSums(this->shards);
+    }
+    {
+        const std::scoped_lock lock(this->limitsMutex);
+        for (const OrganisationDemand &demand : demands) {
+            this->rates.setFleetDemand(now - demand.age, demand);
+        }
+    }
+    this->loadPoller.poll(now, toPoll);
+    this->updatePoolStates(now);
+    this->traffic = std::make_shared<ControlTraffic>(ControlTraffic{this->mesh.counters(), this->reader.calls()});
+}
+
+void Node::Private::membershipEvents(Millis now, Outbox &outbox)
+{
+    std::vector<MembershipEvent> events;
+    bool viewMoved = false;
+    {
+        const std::scoped_lock lock(this->membershipMutex);
+        events = this->membership.takeEvents();
+        viewMoved = this->membership.viewVersion() != this->viewVersion;
+    }
+    bool targetsMoved = false;
+    for (const MembershipEvent &event : events) {
+        if (event.kind == MembershipEventKind::WokeLate) {
+            this->log.warning(LogPart::Members, "this router slept and learns anew before it acts");
+            const std::scoped_lock lock(this->documentsMutex);
+            this->spread.wokeLate(now, outbox);
+            this->documentsReady = false;
+        } else if (event.kind == MembershipEventKind::TargetChanged) {
+            targetsMoved = this->targets.applyNews(now, event.target, event.life) || targetsMoved;
+            const std::scoped_lock lock(this->limitsMutex);
+            this->guard.forget(event.target);
+        } else if (event.kind == MembershipEventKind::InstanceChanged && event.life.state == LifeState::Gone) {
+            const std::scoped_lock lock(this->admissionMutex);
+            this->owned.instanceGone(event.instance);
+        }
+    }
+    if (viewMoved) {
+        this->viewChanged(now);
+    }
+    if (targetsMoved || viewMoved) {
+        this->poolsChanged(now, outbox);
+    }
+}
+
+// Who answers has changed: the spread's tree, the owners of shards and the even share of limits follow.
+void Node::Private::viewChanged(Millis now)
+{
+    FleetView view;
+    std::vector<InstanceId> live;
+    {
+        const std::scoped_lock lock(this->membershipMutex);
+        view = FleetView{this->membership.listed(), this->membership.reachable()};
+        live = this->membership.live();
+        this->viewVersion = this->membership.viewVersion();
+    }
+    {
+        const std::scoped_lock lock(this->documentsMutex);
+        this->spread.setFleet(now, view);
+    }
+    {
+        const std::scoped_lock lock(this->admissionMutex);
+        this->shards.setInstances(live);
+    }
+    const std::scoped_lock lock(this->limitsMutex);
+    this->rates.setLiveRouters(std::max<std::size_t>(live.size(), 1));
+}
+
+void Node::Private::poolsChanged(Millis now, Outbox &outbox)
+{
+    const auto views = this->targets.pools();
+    std::vector<ReserveResult> results;
+    {
+        const std::scoped_lock lock(this->admissionMutex);
+        for (const auto &view : views) {
+            this->shards.setPool(view);
+        }
+        this->owned.update(now, this->shards);
+        this->reserver.listsChanged(now, outbox);
+        results = this->reserver.takeResults();
+    }
+    this->tellReservations(results);
+}
+
+// Before the list of instances is known, the seeds of the settings are the only peers to learn from.
+void Node::Private::seedPeers()
+{
+    PeerAddresses addresses;
+    std::vector<ListedInstance> listed{{this->settings.name, this->settings.dataCentre}};
+    for (const PeerSeed &peer : this->settings.peers.seeds) {
+        addresses[peer.instance] = parsePeerAddress(peer.address);
+        listed.push_back(ListedInstance{peer.instance, this->settings.dataCentre});
+    }
+    this->mesh.setPeers(addresses);
+    {
+        const std::scoped_lock lock(this->membershipMutex);
+        this->membership.setListed(listed);
+    }
+    this->viewChanged(Millis::monotonicNow());
+}
+
+void Node::Private::updatePoolStates(Millis now)
+{
+    std::map<PoolId, std::uint64_t> inFlight;
+    {
+        const std::scoped_lock lock(this->membershipMutex);
+        for (const ShardSum &sum : this->membership.sums(now)) {
+            inFlight[sum.pool] += sum.inFlight;
+        }
+    }
+    auto states = std::make_shared<std::vector<PoolState>>();
+    for (const auto &view : this->targets.pools()) {
+        const auto live = std::count_if(view->targets.begin(), view->targets.end(), [](const TargetView &target) {
+            return target.description.life.state == LifeState::Live;
+        });
+        states->push_back(PoolState{view->pool, static_cast<std::uint32_t>(live), inFlight[view->pool]});
+    }
+    this->pools = states;
+}
+
+AdmissionQueue &Node::Private::queueOf(const PoolId &pool)
+{
+    std::unique_ptr<AdmissionQueue> &queue = this->queues[pool];
+    if (!queue) {
+        AdmissionQueueSettings queueSettings;
+        queueSettings.slots = queueSlots;
+        queueSettings.maxWaiting = this->settings.limits.queueLength;
+        queue = std::make_unique<AdmissionQueue>(queueSettings);
+    }
+    return *queue;
+}
+
+} // namespace Sequoiausher
--- /dev/null
+++ b/sequoiausher/transport/router/nodeprivate.h
@@ -0,0 +1,129 @@
+#pragma once
+
+// The inside of Node, for its own sources alone: node.cpp has what workers and the daemon call, nodeprivate.cpp the
+// ticks and the messages, nodeconfiguration.cpp how a configuration is read and put in force.
+//
+//     this->d->deliver(std::move(outbox));
+
+#include "sequoiausher/base/published.h"
+#include "sequoiausher/coordination/admission/ownedshards.h"
+#include "sequoiausher/coordination/claims/witness.h"
+#include "sequoiausher/coordination/limits/admissionqueue.h"
+#include "sequoiausher/coordination/limits/poolguard.h"
+#include "sequoiausher/coordination/membership/membership.h"
+#include "sequoiausher/coordination/spread/spread.h"
+#include "sequoiausher/state/lockorder.h"
+#include "sequoiausher/transport/http/httpclient.h"
+#include "sequoiausher/transport/peers/peermesh.h"
+#include "sequoiausher/transport/platform/platformreader.h"
+#include "sequoiausher/transport/router/answerserver.h"
+#include "sequoiausher/transport/router/loadpoller.h"
+#include "sequoiausher/transport/router/node.h"
+
+#include <QTimer>
+
+#include <atomic>
+#include <map>
+
+namespace Sequoiausher {
+
+/** What the links and the reader have counted; see Node::Private::traffic. */
+struct ControlTraffic
+{
+    PeerCounters counters;
+    std::uint64_t platformCalls = 0;
+};
+
+class Node::Private : public PeerListener, public PlatformListener
+{
+public:
+    Private(const RouterSettings &theSettings, Incarnation theIncarnation, const Log &theLog, Metrics &theMetrics);
+
+    // What arrives from the links and from the platform's service.
+    void received(const InstanceId &from, Incarnation senderIncarnation, PeerMessage message) override;
+    void linkChanged(const InstanceId &peer, Incarnation peerIncarnation, bool up) override;
+    ReadPlan readPlan() override;
+    std::vector<std::string> wanted(const std::vector<DocumentVersion> &listed) override;
+    void learnt(const std::vector<Document> &documents, bool whole) override;
+    void serviceAnswered() override;
+    void serviceFailed(const std::string &address, const std::string &reason) override;
+
+    class Receiver;
+    void dispatch(const InstanceId &from, const PeerMessage &message, Outbox &outbox);
+    void deliver(Outbox outbox);
+    void tick();
+    void tickSlowly(Millis now);
+    void tellClaims(const std::vector<ClaimOutcome> &outcomes);
+    void tellReservations(const std::vector<ReserveResult> &results);
+    void tellQueue(const std::vector<QueueAction> &actions);
+    void tellRefusal();
+    void documentsChanged(Millis now);
+    void documentsChangedSoon();
+    void apply(Millis now, const std::shared_ptr<const FleetConfiguration> &fleet);
+    void applyInstances(Millis now, const FleetConfiguration &fleet);
+    void applyPools(Millis now, const FleetConfiguration &fleet);
+    void viewChanged(Millis now);
+    void poolsChanged(Millis now, Outbox &outbox);
+    void membershipEvents(Millis now, Outbox &outbox);
+    void seedPeers();
+    void updatePoolStates(Millis now);
+    AdmissionQueue &queueOf(const PoolId &pool);
+    void addLoads(const ShardId &shard, const ShardOwner &owner, std::vector<TargetLoadStatus> &loads) const;
+
+    RouterSettings settings;
+    Incarnation incarnation;
+    std::uint64_t seed;
+    const Log &log;
+    Metrics &metrics;
+
+    OrderedMutex membershipMutex{LockRank::Membership};
+    Membership membership;
+    std::uint64_t viewVersion = 0;
+
+    OrderedMutex documentsMutex{LockRank::Documents};
+    Spread spread;
+    FleetDocumentChecker checker;
+    ConfigurationState configurationState;
+    std::string toldRefusal;
+
+    TargetTable targets;
+
+    OrderedMutex admissionMutex{LockRank::Admission};
+    ShardMap shards;
+    Reserver reserver;
+    OwnedShards owned;
+
+    OrderedMutex claimsMutex{LockRank::Claims};
+    Claimant claimant;
+    Witness witness;
+
+    OrderedMutex limitsMutex{LockRank::Limits};
+    RateLimiter rates;
+    std::map<PoolId, std::unique_ptr<AdmissionQueue>> queues;
+    RuleGates gates;
+    PoolGuard guard;
+
+    AnswerTable answers;
+    RequestRegistry registry;
+
+    // The three below are replaced whole; readers keep the one that they loaded.
+    Published<const FleetConfiguration> current;
+    Published<const std::vector<PoolState>> pools;
+    Published<const ControlTraffic> traffic;
+    std::atomic<bool> leaving{false};
+    std::atomic<bool> documentsReady{false};
+    /** The end of the control thread's last tick, in milliseconds of Millis::monotonicNow(). */
+    std::atomic<std::int64_t> tickedAt{0};
+
+    // Used on the control thread alone.
+    HttpClient client;
+    PeerMesh mesh;
+    PlatformReader reader;
+    AnswerServer answerServer;
+    LoadPoller loadPoller;
+    QTimer timer;
+    Millis poolStatesAt;
+    bool membersKnown = false;
+};
+
+} // namespace Sequoiausher
