--- a/lab/scenarios/configurationscenariotest.cpp
+++ b/lab/scenarios/configurationscenariotest.cpp
@@ -17,72 +17,37 @@
 constexpr Millis inForceLimit{2000};
 const std::string rulesName = "rules/fleet";
 
-FleetOptions withoutTargets(std::size_t routers)
-{
-    FleetOptions options;
-    options.routers = routers;
-    options.engines = 0;
-    options.services = 0;
-    options.firstStart = false;
-    options.rules = versionedRules("v0");
-    return options;
-}
-
-FleetProbe::Condition from(Revision revision)
-{
-    return [revision](const RouterSight &sight) { return sight.revision >= revision; };
-}
-
-Revision highest(FleetProbe &probe)
-{
-    Revision most = 0;
-    for (const RouterSight &sight : probe.look()) {
-        most = std::max(most, sight.revision);
-    }
-    return most;
-}
-
-bool allHave(const Fleet &fleet, const std::string &version)
-{
-    for (std::size_t i = 0; i < fleet.routers(); ++i) {
-        if (versionAt(fleet, i) != version) {
-            return false;
-        }
-    }
-    return true;
-}
-
 } // namespace
 
 TEST_CASE("a published rule is in force on all seven within two seconds, also with the service down after one read")
 {
     // Symptom to be noticed: a router that still decides by the old rule. Sequence: a rule is published, one router
     // reads it, the service goes down. Cause it guards against: a router that only the service can tell.
-    Fleet fleet(withoutTargets(7));
+    Fleet fleet(fleetWithoutTargets(7));
     fleet.start();
     FleetProbe probe(fleet);
-    Revision revision = highest(probe);
+    Revision revision = highestRevision(probe);
     for (int i = 1; i <= 5; ++i) {
         fleet.publish(rulesName, versionedRules("v" + std::to_string(i)));
-        const auto times = probe.times(from(++revision), inForceLimit);
+        const auto times = probe.times(atRevision(++revision), inForceLimit);
         const std::string text = toText(times);
         MESSAGE("in force after: " << text);
         REQUIRE(longest(times).has_value());
-        CHECK(allHave(fleet, "v" + std::to_string(i)));
+        CHECK(allHaveVersion(fleet, "v" + std::to_string(i)));
     }
     for (int i = 6; i <= 8; ++i) {
         const std::string version = "v" + std::to_string(i);
         fleet.publish(rulesName, versionedRules(version));
         ++revision;
         const Millis limit = Millis::monotonicNow() + inForceLimit;
-        while (highest(probe) < revision && Millis::monotonicNow() < limit) {
+        while (highestRevision(probe) < revision && Millis::monotonicNow() < limit) {
         }
         fleet.setPlatformMode("down");
-        const auto times = probe.times(from(revision), inForceLimit);
+        const auto times = probe.times(atRevision(revision), inForceLimit);
         const std::string text = toText(times);
         MESSAGE("in force after, service down: " << text);
         CHECK(longest(times).has_value());
-        CHECK(allHave(fleet, version));
+        CHECK(allHaveVersion(fleet, version));
         fleet.setPlatformMode("up");
         LabCaller::waitFor([] { return false; }, Millis{600});
     }
@@ -93,14 +58,14 @@
 {
     // Symptom to be noticed: a rule that was accepted is undone on some router. Cause it guards against: taking what
     // came last for what is newest.
-    FleetOptions options = withoutTargets(5);
+    FleetOptions options = fleetWithoutTargets(5);
     options.relays = true;
     Fleet fleet(options);
     fleet.start();
     FleetProbe probe(fleet);
-    const Revision first = highest(probe);
+    const Revision first = highestRevision(probe);
     fleet.publish(rulesName, versionedRules("v1"));
-    REQUIRE(probe.allWithin(from(first + 1), inForceLimit));
+    REQUIRE(probe.allWithin(atRevision(first + 1), inForceLimit));
 
     // The service answers with what was, while a router starts anew.
     fleet.setPlatformMode("stale");
@@ -110,7 +75,7 @@
     REQUIRE(fleet.waitUntilReady(1));
     CHECK(versionAt(fleet, 1) == "v1");
     fleet.setPlatformMode("up");
-    REQUIRE(probe.allWithin(from(first + 2), Millis{3000}));
+    REQUIRE(probe.allWithin(atRevision(first + 2), Millis{3000}));
 
     // All are cut off from each other; a rule is published, and the cuts heal.
     for (std::size_t i = 0; i < fleet.routers(); ++i) {
@@ -124,7 +89,7 @@
     for (std::size_t i = 0; i < fleet.routers(); ++i) {
         fleet.setLink(i, Link{});
     }
-    const auto healed = probe.times(from(first + 3), Millis{6000});
+    const auto healed = probe.times(atRevision(first + 3), Millis{6000});
     const std::string text = toText(healed);
     MESSAGE("in force after the cut healed: " << text);
     CHECK(longest(healed).has_value());
@@ -148,6 +113,6 @@
     while (Millis::monotonicNow() < until) {
         probe.look();
     }
-    CHECK(allHave(fleet, "v3"));
+    CHECK(allHaveVersion(fleet, "v3"));
     CHECK(probe.reversions() == 0);
 }
--- a/lab/scenarios/fleetprobe.cpp
+++ b/lab/scenarios/fleetprobe.cpp
@@ -175,4 +175,39 @@
     return headers;
 }
 
+FleetOptions fleetWithoutTargets(std::size_t routers)
+{
+    FleetOptions options;
+    options.routers = routers;
+    options.engines = 0;
+    options.services = 0;
+    options.firstStart = false;
+    options.rules = versionedRules("v0");
+    return options;
+}
+
+FleetProbe::Condition atRevision(Revision revision)
+{
+    return [revision](const RouterSight &sight) { return sight.revision >= revision; };
+}
+
+Revision highestRevision(FleetProbe &probe)
+{
+    Revision most = 0;
+    for (const RouterSight &sight : probe.look()) {
+        most = std::max(most, sight.revision);
+    }
+    return most;
+}
+
+bool allHaveVersion(const Fleet &fleet, const std::string &version)
+{
+    for (std::size_t i = 0; i < fleet.routers(); ++i) {
+        if (versionAt(fleet, i) != version) {
+            return false;
+        }
+    }
+    return true;
+}
+
 } // namespace Sequoiausher::Lab
--- a/lab/scenarios/fleetprobe.h
+++ b/lab/scenarios/fleetprobe.h
@@ -75,4 +75,13 @@
 /** A chat that gives up after deadline. */
 HttpHeaders headersWithDeadline(Millis deadline, const std::string &idempotencyKey = {});
 
+/** A fleet of routers and the platform alone, with versionedRules("v0"); for tests of configuration. */
+FleetOptions fleetWithoutTargets(std::size_t routers);
+/** Holds of a router that has this revision in force, or a later one. */
+FleetProbe::Condition atRevision(Revision revision);
+/** The highest revision in force on any router. */
+Revision highestRevision(FleetProbe &probe);
+/** Whether every router decides by the rules of this version. */
+bool allHaveVersion(const Fleet &fleet, const std::string &version);
+
 } // namespace Sequoiausher::Lab
--- a/lab/scenarios/refusalscenariotest.cpp
+++ b/lab/scenarios/refusalscenariotest.cpp
@@ -17,41 +17,6 @@
 constexpr Millis inForceLimit{2000};
 const std::string rulesName = "rules/fleet";
 
-FleetOptions withoutTargets(std::size_t routers)
-{
-    FleetOptions options;
-    options.routers = routers;
-    options.engines = 0;
-    options.services = 0;
-    options.firstStart = false;
-    options.rules = versionedRules("v0");
-    return options;
-}
-
-FleetProbe::Condition from(Revision revision)
-{
-    return [revision](const RouterSight &sight) { return sight.revision >= revision; };
-}
-
-Revision highest(FleetProbe &probe)
-{
-    Revision most = 0;
-    for (const RouterSight &sight : probe.look()) {
-        most = std::max(most, sight.revision);
-    }
-    return most;
-}
-
-bool allHave(const Fleet &fleet, const std::string &version)
-{
-    for (std::size_t i = 0; i < fleet.routers(); ++i) {
-        if (versionAt(fleet, i) != version) {
-            return false;
-        }
-    }
-    return true;
-}
-
 std::int64_t totalReads(const Fleet &fleet)
 {
     LabCaller caller(fleet.platformPort());
@@ -61,7 +26,7 @@
 /** Reads of the service in three seconds of a fleet in which one rule is published each second. */
 std::int64_t readsOf(std::size_t routers)
 {
-    Fleet fleet(withoutTargets(routers));
+    Fleet fleet(fleetWithoutTargets(routers));
     fleet.start();
     FleetProbe probe(fleet);
     // The readers' first whole lists are over.
@@ -71,7 +36,7 @@
         fleet.publish(rulesName, versionedRules("n" + std::to_string(i)));
         LabCaller::waitFor([] { return false; }, Millis{1000});
     }
-    CHECK(allHave(fleet, "n2"));
+    CHECK(allHaveVersion(fleet, "n2"));
     return totalReads(fleet) - before;
 }
 
@@ -82,26 +47,26 @@
     // Symptom: a replaced instance had no configuration while a refused one was the newest, and after a restart of the
     // whole fleet there was none anywhere. Cause: the table holds the newest revision alone, and sets were judged
     // whole.
-    Fleet fleet(withoutTargets(3));
+    Fleet fleet(fleetWithoutTargets(3));
     fleet.start();
     FleetProbe probe(fleet);
     const auto isRefused
         = [](const RouterSight &sight) { return sight.refusal.find("rules/fleet:2") != std::string::npos; };
-    const Revision first = highest(probe);
+    const Revision first = highestRevision(probe);
     fleet.publish(rulesName, versionedRules("good"));
-    REQUIRE(probe.allWithin(from(first + 1), inForceLimit));
+    REQUIRE(probe.allWithin(atRevision(first + 1), inForceLimit));
     fleet.publish(rulesName, "[rule broken]\nthen.pol = nowhere\n");
     CHECK(probe.allWithin(isRefused, inForceLimit));
-    CHECK(allHave(fleet, "good"));
+    CHECK(allHaveVersion(fleet, "good"));
     // Another document goes on beside it.
-    const Revision before = highest(probe);
+    const Revision before = highestRevision(probe);
     fleet.publish("rules/organisation/other", "[rule r]\nthen.refuse = 403\n");
-    CHECK(probe.allWithin(from(before + 2), inForceLimit));
+    CHECK(probe.allWithin(atRevision(before + 2), inForceLimit));
 
     fleet.router(1).kill();
     fleet.restartRouter(1);
     REQUIRE(fleet.waitUntilReady(1));
-    CHECK(allHave(fleet, "good"));
+    CHECK(allHaveVersion(fleet, "good"));
     CHECK(probe.allWithin(isRefused, inForceLimit));
 
     // Nobody remembers a good one after this: the stand-in refuses honestly, and says when to come back.
@@ -120,10 +85,10 @@
         CHECK(answer.headers.value("Retry-After") == "5");
     }
     CHECK(probe.allWithin(isRefused, inForceLimit));
-    const Revision mended = highest(probe);
+    const Revision mended = highestRevision(probe);
     fleet.publish(rulesName, versionedRules("mended"));
-    CHECK(probe.allWithin(from(mended + 1), inForceLimit));
-    CHECK(allHave(fleet, "mended"));
+    CHECK(probe.allWithin(atRevision(mended + 1), inForceLimit));
+    CHECK(allHaveVersion(fleet, "mended"));
     CHECK(probe.look()[0].refusal.empty());
 }
 
