Ask the owner that a former owner names, and a router that is back

Cause, by traces of the seven routers in rollingscenariotest (each refusal with the asked owner, the tries and the list): all pool_full refusals of a planned stop were Unreachable, none was Full, and they came in two ways. - A router returns. The shard's owner hears it first and gives the shard up; the others' lists name that owner for 0.7 to 1.5 s more. It answers NotOwner, three answers 50 ms apart used up the tries, and the entry decided alone, where a quiet pool has next to no places. - The stopped process' connection ends and marks its name as unreachable for 1 s. Its successor of the same name owns the shards again within that second and was not asked.

Ruled out: counts that stand double at a fresh owner (no Full verdict among the refusals); the stop itself (routers learnt of each leaving within 20 ms); owners that do not answer (no refusal after a time-out).

Change: NotOwner names the owner by the answerer's list, in the wire's place of the target, so at no bytes and readable by routers without it. The entry asks that one at once. Where that one disagrees too, it asks again each 50 ms for 400 ms at most, below a claim's dispatch window, and is then refused at once with Retry-After as before. A broken connection marks only a live router, and a connection that stands again takes the mark away.

Tests: four cases of reservertest, each seen to fail with its part taken out. messagegenerators makes answers that name an owner or a target, as the wire has one place for both; round trips of both are checked as before.

--- a/lab/bench/balancefleet.cpp
+++ b/lab/bench/balancefleet.cpp
@@ -509,7 +509,7 @@
     } else if (const auto *report = std::get_if<HoldingsReport>(&out.message)) {
         router.owned.receive(this->now, from, *report);
     } else if (const auto *reply = std::get_if<ReserveReply>(&out.message)) {
-        router.reserver.receive(this->now, from, *reply);
+        router.reserver.receive(this->now, from, *reply, outbox);
         this->collect(router);
     }
     this->carry(router, outbox);
--- a/lab/bench/slopes/admissionslopes.cpp
+++ b/lab/bench/slopes/admissionslopes.cpp
@@ -220,7 +220,7 @@
         for (const Outgoing &out : outbox) {
             if (const auto *asked = std::get_if<ReserveRequest>(&out.message)) {
                 const ReserveReply reply{asked->request, ReserveVerdict::Granted, targetView(1).description.target, {}};
-                reserver.receive(Millis{1}, out.to, reply);
+                reserver.receive(Millis{1}, out.to, reply, outbox);
             }
         }
         reserver.takeResults();
--- a/sequoiausher/coordination/admission/admissionpropertytest.cpp
+++ b/sequoiausher/coordination/admission/admissionpropertytest.cpp
@@ -166,7 +166,7 @@
         } else if (const auto *report = std::get_if<HoldingsReport>(&message.out.message)) {
             router.owned.receive(this->now, message.from, *report);
         } else if (const auto *reply = std::get_if<ReserveReply>(&message.out.message)) {
-            router.reserver.receive(this->now, message.from, *reply);
+            router.reserver.receive(this->now, message.from, *reply, outbox);
             this->collect(receiver->first);
         }
         this->carry(receiver->first, outbox);
--- a/sequoiausher/coordination/admission/ownedshards.cpp
+++ b/sequoiausher/coordination/admission/ownedshards.cpp
@@ -42,6 +42,8 @@
     OwnerSettings settings;
     std::uint64_t seed = 0;
     std::map<ShardId, OwnedShard> shards;
+    /** The owners of the shards that are not this router's. */
+    std::map<ShardId, InstanceId> others;
     std::deque<EarlyMessage> early;
     Millis lastTick;
 };
@@ -93,8 +95,11 @@
 void OwnedShards::update(Millis now, const ShardMap &map)
 {
     std::map<ShardId, OwnedShard> kept;
+    this->d->others.clear();
     for (const ShardId &shard : map.shards()) {
-        if (map.ownerOf(shard) != this->d->self) {
+        InstanceId shardOwner = map.ownerOf(shard);
+        if (shardOwner != this->d->self) {
+            this->d->others[shard] = std::move(shardOwner);
             continue;
         }
         OwnedShard &owned = kept[shard];
@@ -154,7 +159,10 @@
         owner->receive(now, from, message, outbox);
         return;
     }
-    outbox.push_back({from, ReserveReply{message.request, ReserveVerdict::NotOwner, TargetId{}, Millis{}}});
+    const auto other = this->d->others.find(ShardId{message.pool, message.shard});
+    InstanceId shardOwner = other == this->d->others.end() ? InstanceId{} : other->second;
+    outbox.push_back(
+        {from, ReserveReply{message.request, ReserveVerdict::NotOwner, TargetId{}, Millis{}, std::move(shardOwner)}});
 }
 
 void OwnedShards::receive(Millis now, const InstanceId &from, const Release &message)
--- a/sequoiausher/coordination/admission/ownedshards.h
+++ b/sequoiausher/coordination/admission/ownedshards.h
@@ -31,7 +31,7 @@
     /** What a target said of its load; ignored for targets of other owners. */
     void reportLoad(const TargetId &target, std::uint32_t load, Millis measuredAt);
 
-    /** Answers NotOwner for a shard of another router. */
+    /** Answers NotOwner for a shard of another router, and names that router. */
     void receive(Millis now, const InstanceId &from, const ReserveRequest &message, Outbox &outbox);
     void receive(Millis now, const InstanceId &from, const Release &message);
     void receive(Millis now, const InstanceId &from, const HoldingsReport &message);
--- a/sequoiausher/coordination/admission/reserver.cpp
+++ b/sequoiausher/coordination/admission/reserver.cpp
@@ -23,9 +23,14 @@
     RequestId reservation;
     ShardRoute route;
     Millis deadline;
+    /** Asked for so often without an answer. */
     std::uint32_t tries = 0;
     /** The owner answered NotOwner, so this waits for lists to agree. */
     bool refusedByOwner = false;
+    /** It was passed on to the router that a NotOwner named. */
+    bool redirected = false;
+    /** Until when it follows an owner that moves; set by the first NotOwner. */
+    Millis followUntil = Millis::never();
 };
 
 /** A reservation that was granted. */
@@ -53,6 +58,8 @@
 
     void ask(Millis now, Pending &pending, Outbox &outbox);
     void askAnew(Millis now, Pending &pending, Outbox &outbox);
+    void askOwner(Millis now, Pending &pending, const ShardRoute &route, Outbox &outbox);
+    void follow(Millis now, Pending &pending, const InstanceId &named, Outbox &outbox);
     void giveUp(Pending &pending, Outbox &outbox) const;
     void grant(const Pending &pending, const TargetId &target, bool isLocal);
     void refuse(const RequestId &request, ReserveOutcome outcome, Millis retryAfter);
@@ -177,20 +184,51 @@
         this->refuse(request, ReserveOutcome::NoTarget, this->settings.retryAfter);
         return;
     }
+    pendingOne.redirected = false;
+    this->askOwner(now, pendingOne, *route, outbox);
+}
+
+void Reserver::Private::askOwner(Millis now, Pending &pendingOne, const ShardRoute &route, Outbox &outbox)
+{
+    const RequestId request = pendingOne.wanted.request;
     // A new id for each shard and owner asked, so that the release of the one cannot touch the other.
     constexpr std::uint64_t spread = 0x9e3779b97f4a7c15ULL;
     this->requestOf.erase(pendingOne.reservation);
-    pendingOne.route = *route;
+    pendingOne.route = route;
     this->reservations += 1;
     pendingOne.reservation = RequestId{request.high, request.low ^ (this->reservations * spread)};
     this->requestOf[pendingOne.reservation] = request;
-    if (this->isUnreachable(now, route->owner)) {
+    if (this->isUnreachable(now, route.owner)) {
         this->decideAlone(now, request);
         return;
     }
     this->ask(now, pendingOne, outbox);
 }
 
+// What goes wrong: a router returns, the shard's owner learns it first and hands out nothing more, and for about a
+// second this router's list still names the former owner. Asking that one alone until the tries are used up refuses
+// requests while every target has room; it shows as pool_full in a planned stop. So the named owner is asked at once,
+// and where the two disagree too, this waits for the lists, for a bounded time.
+void Reserver::Private::follow(Millis now, Pending &moved, const InstanceId &named, Outbox &outbox)
+{
+    if (moved.refusedByOwner) {
+        return;
+    }
+    // It did answer.
+    moved.tries -= 1;
+    if (moved.followUntil == Millis::never()) {
+        moved.followUntil = now + this->settings.ownerMoveLimit;
+    }
+    const bool mayRedirect = !moved.redirected && named != moved.route.owner && !this->isUnreachable(now, named);
+    if (mayRedirect) {
+        moved.redirected = true;
+        this->askOwner(now, moved, ShardRoute{moved.route.shard, named}, outbox);
+        return;
+    }
+    moved.refusedByOwner = true;
+    moved.deadline = now + this->settings.notOwnerDelay;
+}
+
 void Reserver::Private::decideAlone(Millis now, const RequestId &request)
 {
     const Pending &alone = this->pending.at(request);
@@ -209,7 +247,8 @@
 {
     Pending &expired = this->pending.at(request);
     const bool sameOwner = this->map.ownerOf(expired.route.shard) == expired.route.owner;
-    if (expired.tries < this->settings.tries) {
+    const bool mayAsk = expired.refusedByOwner ? now < expired.followUntil : expired.tries < this->settings.tries;
+    if (mayAsk) {
         if (sameOwner && !this->isUnreachable(now, expired.route.owner)) {
             this->ask(now, expired, outbox);
             return;
@@ -281,7 +320,7 @@
     }
 }
 
-void Reserver::receive(Millis now, const InstanceId &from, const ReserveReply &message)
+void Reserver::receive(Millis now, const InstanceId &from, const ReserveReply &message, Outbox &outbox)
 {
     this->d->unreachableUntil.erase(from);
     const auto known = this->d->requestOf.find(message.request);
@@ -306,8 +345,7 @@
         this->d->refuse(request, ReserveOutcome::NoTarget, message.retryAfter);
         return;
     case ReserveVerdict::NotOwner:
-        pending.refusedByOwner = true;
-        pending.deadline = now + this->d->settings.notOwnerDelay;
+        this->d->follow(now, pending, message.owner, outbox);
         return;
     }
 }
@@ -341,7 +379,12 @@
 
 void Reserver::peerUnreachable(Millis now, const InstanceId &peer, Outbox &outbox)
 {
-    this->d->unreachableUntil[peer] = now + this->d->settings.unreachableTime;
+    // What goes wrong if one that left is marked too: a router ends as planned, its successor of the same name takes
+    // its shards back within the second, and is not asked. It shows as refusals just after each return.
+    const std::vector<InstanceId> &live = this->d->map.instances();
+    if (std::binary_search(live.begin(), live.end(), peer)) {
+        this->d->unreachableUntil[peer] = now + this->d->settings.unreachableTime;
+    }
     std::vector<RequestId> waiting;
     for (const auto &entry : this->d->pending) {
         if (entry.second.route.owner == peer) {
@@ -355,6 +398,11 @@
     }
 }
 
+void Reserver::peerReachable(const InstanceId &peer)
+{
+    this->d->unreachableUntil.erase(peer);
+}
+
 void Reserver::noteLoad(const TargetId &target, const ReportedLoad &load)
 {
     this->d->placement.noteLoad(target, load);
--- a/sequoiausher/coordination/admission/reserver.h
+++ b/sequoiausher/coordination/admission/reserver.h
@@ -4,7 +4,7 @@
 // this router holds, and decides alone, within its share, while an owner cannot be reached.
 //
 //     reserver.reserve(now, Wanted{request, pool, chatHash, PolicyKind::BoundedRendezvous, 125, {}}, outbox);
-//     reserver.receive(now, from, reply);
+//     reserver.receive(now, from, reply, outbox);
 //     for (const ReserveResult &result : reserver.takeResults()) { dispatch or refuse }
 //     reserver.release(now, request, outbox);            // at the end, or when the target turned out unusable
 //
@@ -23,7 +23,12 @@
     Millis replyTimeout{250};
     /** How long to wait before asking again where lists disagree about the owner. */
     Millis notOwnerDelay{50};
-    /** How often one reservation is asked for. */
+    /**
+     * How long one reservation follows an owner that moves, before this router decides alone. Shorter than the dispatch
+     * window of a claim, which runs meanwhile.
+     */
+    Millis ownerMoveLimit{400};
+    /** How often one reservation is asked for without an answer. */
     std::uint32_t tries = 3;
     /** How long an owner that did not answer is not asked. */
     Millis unreachableTime{1000};
@@ -93,7 +98,7 @@
     /** Lets the request's target go, or gives up asking. A request that holds nothing is ignored. */
     void release(Millis now, const RequestId &request, Outbox &outbox);
 
-    void receive(Millis now, const InstanceId &from, const ReserveReply &message);
+    void receive(Millis now, const InstanceId &from, const ReserveReply &message, Outbox &outbox);
 
     /** The map changed: new owners are told at once, and what was asked of an owner that is none is asked anew. */
     void listsChanged(Millis now, Outbox &outbox);
@@ -101,6 +106,9 @@
     /** The connection to the router broke and could not be renewed: do not wait for its answers. */
     void peerUnreachable(Millis now, const InstanceId &peer, Outbox &outbox);
 
+    /** A connection to the router stands again: it may be asked. */
+    void peerReachable(const InstanceId &peer);
+
     /** A target's load, needed only for targets in wantsLoads(). */
     void noteLoad(const TargetId &target, const ReportedLoad &load);
 
--- a/sequoiausher/coordination/admission/reservertest.cpp
+++ b/sequoiausher/coordination/admission/reservertest.cpp
@@ -67,7 +67,8 @@
 
     void answer(Millis now, const RequestId &reservation, ReserveVerdict verdict, const TargetId &target = first)
     {
-        this->reserver.receive(now, this->owner(), ReserveReply{reservation, verdict, target, Millis{900}});
+        this->reserver.receive(
+            now, this->owner(), ReserveReply{reservation, verdict, target, Millis{900}, {}}, this->outbox);
     }
 
     ReserveOutcome outcome()
@@ -190,3 +191,75 @@
     this->reserve(Millis{7}, 3);
     CHECK(this->reserver.takeResults().back().outcome == ReserveOutcome::NoTarget);
 }
+
+TEST_CASE_FIXTURE(ReserverFixture, "the owner that a former owner names is asked at once")
+{
+    // Symptom: pool_full in a planned stop, while every target has room. Sequence: a router returns; the shard's owner
+    // learns it and gives the shard up; this router's list names that owner for a second more. Cause: three refusals of
+    // the one known owner counted as an owner that cannot be reached.
+    this->reserve(Millis{0}, 1);
+    const RequestId before = this->sent<ReserveRequest>().at(0).request;
+    const InstanceId returned{"r9"};
+    const ReserveReply moved{before, ReserveVerdict::NotOwner, TargetId{}, Millis{}, returned};
+    this->reserver.receive(Millis{1}, this->owner(), moved, this->outbox);
+    this->reserver.receive(Millis{1}, this->owner(), moved, this->outbox);
+    REQUIRE(this->outbox.size() == 1);
+    CHECK(this->outbox.front().to == returned);
+    const RequestId asked = this->sent<ReserveRequest>().at(0).request;
+    CHECK(asked != before);
+    this->reserver.receive(
+        Millis{2}, returned, ReserveReply{asked, ReserveVerdict::Granted, first, Millis{}, {}}, this->outbox);
+    CHECK(this->outcome() == ReserveOutcome::Granted);
+    // What it granted is released there too, whoever owns the shard by the list.
+    this->reserver.release(Millis{3}, RequestId{1, 1}, this->outbox);
+    CHECK(this->outbox.back().to == returned);
+}
+
+TEST_CASE_FIXTURE(ReserverFixture, "owners that name each other are followed for a bounded time, then done without")
+{
+    this->reserve(Millis{0}, 1);
+    std::size_t asked = 0;
+    Millis now;
+    for (; now < Millis{2000} && this->reserver.nextDeadline() != Millis{5000}; now = now + Millis{1}) {
+        for (const Outgoing &out : std::exchange(this->outbox, {})) {
+            if (const auto *request = std::get_if<ReserveRequest>(&out.message)) {
+                ++asked;
+                const InstanceId other{out.to == InstanceId{"r1"} ? "r2" : "r1"};
+                const ReserveReply reply{request->request, ReserveVerdict::NotOwner, TargetId{}, Millis{}, other};
+                this->reserver.receive(now, out.to, reply, this->outbox);
+            }
+        }
+        this->reserver.tick(now, this->outbox);
+    }
+    CHECK(this->outcome() == ReserveOutcome::Unreachable);
+    CHECK(now >= ReserverSettings{}.ownerMoveLimit);
+    CHECK(now <= ReserverSettings{}.ownerMoveLimit + Millis{100});
+    CHECK(asked <= 20);
+}
+
+TEST_CASE_FIXTURE(ReserverFixture, "a router whose life before ended as planned is asked when it is back")
+{
+    // Symptom: refusals for up to a second after each return. Sequence: a leaving router's process ends and its
+    // connections with it; a new process of the name starts within the second and owns its shards. Cause: the end of
+    // the old connection marked the name as unreachable.
+    const std::vector<InstanceId> all{self, InstanceId{"r1"}, InstanceId{"r2"}};
+    const InstanceId stopped = this->owner();
+    std::vector<InstanceId> rest = all;
+    std::erase(rest, stopped);
+    this->learn(rest);
+    this->reserver.peerUnreachable(Millis{10}, stopped, this->outbox);
+    this->learn(all);
+    this->outbox.clear();
+    this->reserve(Millis{20}, 1);
+    CHECK(this->sent<ReserveRequest>().size() == 1);
+    CHECK(this->reserver.takeResults().empty());
+}
+
+TEST_CASE_FIXTURE(ReserverFixture, "a router that died and is connected again is asked at once")
+{
+    this->reserver.peerUnreachable(Millis{10}, this->owner(), this->outbox);
+    this->reserver.peerReachable(this->owner());
+    this->reserve(Millis{20}, 1);
+    CHECK(this->sent<ReserveRequest>().size() == 1);
+    CHECK(this->reserver.takeResults().empty());
+}
--- a/sequoiausher/coordination/messages/admissionmessages.h
+++ b/sequoiausher/coordination/messages/admissionmessages.h
@@ -76,8 +76,11 @@
 {
     RequestId request;
     ReserveVerdict verdict = ReserveVerdict::NotOwner;
+    /** Set where granted. */
     TargetId target;
     Millis retryAfter;
+    /** With NotOwner alone: the owner by the answerer's list; empty where it does not know the shard. */
+    InstanceId owner;
 
     bool operator==(const ReserveReply &) const = default;
 };
--- a/sequoiausher/protocol/codec/framereader.cpp
+++ b/sequoiausher/protocol/codec/framereader.cpp
@@ -331,8 +331,13 @@
     if (!verdict.has_value()) {
         return std::nullopt;
     }
-    return ReserveReply{
-        numberOf<RequestId>(m->request()), *verdict, TargetId{this->name(m->target())}, spanOf(m->retry_after())};
+    ReserveReply reply{numberOf<RequestId>(m->request()), *verdict, TargetId{}, spanOf(m->retry_after()), InstanceId{}};
+    if (*verdict == ReserveVerdict::NotOwner) {
+        reply.owner = InstanceId{this->name(m->target())};
+    } else {
+        reply.target = TargetId{this->name(m->target())};
+    }
+    return reply;
 }
 
 std::optional<PeerMessage> FrameReader::Private::release()
--- a/sequoiausher/protocol/codec/framewriter.cpp
+++ b/sequoiausher/protocol/codec/framewriter.cpp
@@ -217,8 +217,10 @@
 
 void FrameWriter::Private::add(const ReserveReply &m)
 {
+    // No answer names both, so the owner takes the target's place; routers that know no owner there look away from it.
+    const std::string &name = m.verdict == ReserveVerdict::NotOwner ? m.owner.value : m.target.value;
     this->reserveReplies.emplace_back(
-        wireId(m.request), wireSpan(m.retryAfter), this->index(m.target.value), wireEnum(m.verdict));
+        wireId(m.request), wireSpan(m.retryAfter), this->index(name), wireEnum(m.verdict));
 }
 
 void FrameWriter::Private::add(const Release &m)
--- a/sequoiausher/protocol/codec/messagegenerators.cpp
+++ b/sequoiausher/protocol/codec/messagegenerators.cpp
@@ -124,7 +124,24 @@
                        m.boundPercent,
                        m.excluded,
                        m.requestClass);
-SEQUOIAUSHER_ARBITRARY(ReserveReply, m.request, m.verdict, m.target, m.retryAfter);
+template<>
+struct Arbitrary<Sequoiausher::ReserveReply>
+{
+    static Gen<Sequoiausher::ReserveReply> arbitrary()
+    {
+        return gen::exec([] {
+            Sequoiausher::ReserveReply m;
+            fill(m.request, m.verdict, m.retryAfter);
+            // An answer names an owner or a target, never both.
+            if (m.verdict == Sequoiausher::ReserveVerdict::NotOwner) {
+                fill(m.owner);
+            } else {
+                fill(m.target);
+            }
+            return m;
+        });
+    }
+};
 SEQUOIAUSHER_ARBITRARY(Release, m.request, m.pool, m.shard);
 SEQUOIAUSHER_ARBITRARY(HoldingsReport, m.pool, m.shard, m.sequence, m.holdings);
 SEQUOIAUSHER_ARBITRARY(Probe, m.sequence, m.gossip);
--- a/sequoiausher/transport/router/nodeprivate.cpp
+++ b/sequoiausher/transport/router/nodeprivate.cpp
@@ -126,6 +126,8 @@
 {
     (void)peerIncarnation;
     if (up) {
+        const std::scoped_lock lock(this->admissionMutex);
+        this->reserver.peerReachable(peer);
         return;
     }
     Outbox outbox;
@@ -199,7 +201,7 @@
         std::vector<ReserveResult> results;
         {
             const std::scoped_lock lock(this->self.admissionMutex);
-            this->self.reserver.receive(this->now, this->from, m);
+            this->self.reserver.receive(this->now, this->from, m, this->outbox);
             results = this->self.reserver.takeResults();
         }
         this->self.tellReservations(results);
