Part the request session into components with one job each

Change, without any of behaviour: sessionorder (what a request brings), flowresults (claims, reservations and refusals as flow and metrics take them), keptanswer and joinedanswer (the two sides of the table of answers), requesttimes, queueplace, targetreservation, answerrelay (what the caller gets).

Existing tests are unchanged.

--- a/sequoiausher/transport/router/entry.cpp
+++ b/sequoiausher/transport/router/entry.cpp
@@ -2,6 +2,7 @@
 
 #include "sequoiausher/base/hashing.h"
 #include "sequoiausher/transport/router/answerwriter.h"
+#include "sequoiausher/transport/router/node.h"
 #include "sequoiausher/transport/router/operatorpages.h"
 
 #include <QCryptographicHash>
--- a/sequoiausher/transport/router/requestsession.h
+++ b/sequoiausher/transport/router/requestsession.h
@@ -5,41 +5,14 @@
 //     auto session = std::make_shared<RequestSession>(context, std::move(order));
 //     session->begin();
 
-#include "sequoiausher/base/metrics/metrics.h"
-#include "sequoiausher/coordination/rules/decision.h"
-#include "sequoiausher/protocol/clientapi/clientrequest.h"
-#include "sequoiausher/transport/http/httpserver.h"
-#include "sequoiausher/transport/router/node.h"
-#include "sequoiausher/transport/router/targetcall.h"
+#include "sequoiausher/transport/router/requestregistry.h"
+#include "sequoiausher/transport/router/sessioncontext.h"
+#include "sequoiausher/transport/router/sessionorder.h"
 
 #include <memory>
 
-class QObject;
-
 namespace Sequoiausher {
 
-/** What a worker lends to its requests; outlives them. */
-struct SessionContext
-{
-    Node &node;
-    HttpClient &client;
-    QObject &loop;
-    const Log &log;
-    Metrics &metrics;
-};
-
-/** A request that the rules let through. */
-struct SessionOrder
-{
-    RequestId request;
-    std::shared_ptr<HttpExchange> exchange;
-    ClientRequest parsed;
-    Decision decision;
-    RequestLabels labels;
-    std::uint64_t chatHash = 0;
-    Millis deadline;
-};
-
 /** One request. Belongs to its worker's thread. */
 class RequestSession : public RequestEar, public std::enable_shared_from_this<RequestSession>
 {
--- /dev/null
+++ b/sequoiausher/transport/router/requestsessionprivate.h
@@ -0,0 +1,112 @@
+#pragma once
+
+// The inside of RequestSession: what it holds, and how it carries out what the request's flow says.
+
+#include "sequoiausher/coordination/flow/requestflow.h"
+#include "sequoiausher/transport/router/answerrelay.h"
+#include "sequoiausher/transport/router/attachedanswer.h"
+#include "sequoiausher/transport/router/joinedanswer.h"
+#include "sequoiausher/transport/router/node.h"
+#include "sequoiausher/transport/router/queueplace.h"
+#include "sequoiausher/transport/router/requestsession.h"
+#include "sequoiausher/transport/router/targetcall.h"
+#include "sequoiausher/transport/router/targetreservation.h"
+
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace Sequoiausher {
+
+class RequestSession::Private : public TargetCallListener
+{
+public:
+    Private(const SessionContext &theContext, SessionOrder theOrder)
+        : context(theContext)
+        , order(std::move(theOrder))
+        , claims(claimsKey(this->order))
+        , flow(flowFactsOf(this->order))
+        , place(theContext.node, this->order)
+        , reservation(theContext.node, this->order)
+        , relay(theContext, this->order)
+        , joined(theContext.node.answers(), this->relay)
+        , call(theContext.client,
+               targetRequestOf(this->order, theContext.node.settings().limits.firstByteTimeout),
+               *this)
+    {
+    }
+
+    void targetHead(int status, const std::string &contentType) override;
+    void targetPart(std::string_view bytes) override;
+    void targetComplete(const TokenUsage &usage) override;
+    void targetFailed(TargetFailure failure, const std::string &reason) override;
+
+    void begin();
+    bool joinRunning();
+    AnswerTable::Wake wakeOfJoined() const;
+    void pumpJoined();
+    void joinedEnded(AnswerState state);
+    void joinedLate();
+    void breakOffJoined(const Refuse &refusal);
+
+    void queue();
+    void queueAnswered(const QueueDecision &decision);
+    void queueRefused(Millis retryAfter);
+    void queuedLate();
+    void startFlow();
+
+    void run(const FlowActions &actions);
+    void act(const StartClaim &action);
+    void act(const WithdrawClaim &action);
+    void act(const Reserve &action);
+    void act(const Requeue &action);
+    void act(const ReleaseReservation &action);
+    void act(const Dispatch &action);
+    void act(const ResumeStream &action);
+    void act(const CancelAtTarget &action);
+    void act(const AttachToHolder &action);
+    void act(const RelayHead &action);
+    void act(const RelayEnd &action);
+    void act(const Refuse &action);
+    void act(const BreakOff &action);
+
+    bool claimHolds();
+    void callFailed(TargetFailure failure);
+    void relayPart(std::string_view bytes);
+    void refuseAtOnce(const Refuse &refusal);
+    void end();
+
+    void askHolder();
+    void tickAttached(Millis now);
+    void watchClient();
+    void clientGone();
+    std::string addressOf(const TargetId &target) const;
+
+    SessionContext context;
+    SessionOrder order;
+    bool claims;
+    RequestFlow flow;
+    QueuePlace place;
+    TargetReservation reservation;
+    AnswerRelay relay;
+    /** A running answer of this router that is read along. */
+    JoinedAnswer joined;
+    /** An answer of another router. */
+    AttachedAnswer attached;
+    TargetCall call;
+    std::weak_ptr<RequestSession> self;
+    ClaimKey key;
+    std::uint64_t bodyDigest = 0;
+    /** The flow has begun. */
+    bool started = false;
+    bool keyUnrun = false;
+    /** mayDispatch was asked and said yes: a further target is under its deadline. */
+    bool wasDispatched = false;
+    std::uint32_t dispatches = 0;
+    bool done = false;
+    TargetId target;
+    int status = 0;
+    std::string contentType;
+};
+
+} // namespace Sequoiausher
