Let what a peer sends anyway acknowledge this router's frames

Cause: each message alone on its link was followed by a question and an answer, 112 bytes with headers; among 1,300 routers nearly all are alone, and signs of life were 46.1 of 153.1 KB/s.

Ruled out: a reply as the sign of its request by kinds (replies, releases and reports have none); a field of the frame's table (2 bytes for each of the 25 fields before it); the kernel's count of unacknowledged bytes (the next TCP on the way answers for it, also one that forgot where the connection leads).

Change: the sender numbers its frames, and each frame of the other direction says in the byte beside its length which one it heard last. A receiver that sent nothing for half of the silence limit sends a sign by itself; the sender asks after two thirds, and gives up at the limit as before (3 s). A frame proves only what it acknowledges, so a connection that goes silent is found while the other direction works. Numbers go on over connections. Hello.last_frame says who numbers frames; towards the first version the byte stays 0 and the question as it was.

Tests: those of silent links stand unchanged but for one more case, a silent peer that claims to acknowledge; the check of what an oversize frame announces stands. New: one direction silent in use through a passage that forgets, exchanges without signs, one sign and no question for a lone message, 1,500 frames in one go, both sides against the first version.

--- a/lab/bench/slopes/linkslopes.cpp
+++ b/lab/bench/slopes/linkslopes.cpp
@@ -1,5 +1,7 @@
 #include "lab/bench/slopes/processcost.h"
 #include "lab/bench/slopes/slopes.h"
+#include "sequoiausher/protocol/codec/peercodec.h"
+#include "sequoiausher/transport/peers/framing.h"
 #include "sequoiausher/transport/peers/peermesh.h"
 
 #include <QCoreApplication>
@@ -171,9 +173,49 @@
     loop.exec();
 }
 
+double allBytes(const StandIn &router)
+{
+    const PeerCounters &counters = router.mesh.counters();
+    return static_cast<double>(counters.totalSent + counters.totalReceived);
+}
+
+double smallFrame()
+{
+    return static_cast<double>(framed(encodeFrame({&smallMessage(), 1})).size());
+}
+
+/** How many frames of no bytes passed either way for each of count messages, of which the hub carried all. */
+double signsEach(double bytes, double count)
+{
+    return (bytes / count - smallFrame()) / static_cast<double>(framed({}).size());
+}
+
+/** One message on each link and an answer on the link of the other direction, and then nothing. */
+void answeredMessages()
+{
+    constexpr std::size_t peers = 200;
+    constexpr int quiet = 4000;
+    Star star(peers);
+    const auto exchange = [&star](std::size_t messages) {
+        star.hubSays(smallMessage());
+        star.arrived(messages);
+        for (const auto &peer : star.peers) {
+            peer->mesh.send(InstanceId{"hub"}, smallMessage());
+        }
+        waitFor([&] { return star.hub.messages == peers * messages; }, "answers at the hub");
+        letPass(quiet);
+    };
+    exchange(1);
+    const double before = allBytes(star.hub);
+    const double started = processorMicros();
+    exchange(2);
+    printFigure("link_time_per_answered_message_both_ends", (processorMicros() - started) / peers, "us");
+    printFigure("link_signs_per_answered_message", 2 * signsEach(allBytes(star.hub) - before, 2 * peers), "frames");
+}
+
 /**
- * One message on each open link, as among a thousand peers: after a while the sender asks for a sign of life, and the
- * peer answers. Then links on which nobody says anything.
+ * One message on each open link, as among a thousand peers, and after a while a sign of life. Then links on which
+ * nobody says anything.
  */
 void loneMessages()
 {
@@ -183,7 +225,7 @@
     star.hubSays(smallMessage());
     star.arrived(1);
     letPass(quiet);
-    const PeerCounters first = star.hub.mesh.counters();
+    const double bytesBefore = allBytes(star.hub);
     double before = processorMicros();
     star.hubSays(smallMessage());
     star.arrived(2);
@@ -191,9 +233,7 @@
     const PeerCounters second = star.hub.mesh.counters();
     const double links = peers;
     printFigure("link_time_per_lone_message_both_ends", (processorMicros() - before) / links, "us");
-    printFigure("link_signs_of_life_per_lone_message",
-                static_cast<double>(second.totalReceived - first.totalReceived) / links,
-                "bytes_back");
+    printFigure("link_signs_per_lone_message", signsEach(allBytes(star.hub) - bytesBefore, links), "frames");
     before = processorMicros();
     letPass(quiet);
     constexpr double millisPerSecond = 1000;
@@ -213,6 +253,8 @@
     linkMemory();
     messageTime();
     loneMessages();
+    answeredMessages();
+    measureSigns();
 }
 
 } // namespace Sequoiausher
--- a/lab/bench/slopes/slopes.h
+++ b/lab/bench/slopes/slopes.h
@@ -29,6 +29,8 @@
 void measureConfiguration();
 /** Connections between routers, on loopback. Needs a QCoreApplication. */
 void measureLinks();
+/** Signs of life among routers at the target size, in simulated time; a part of measureLinks(). */
+void measureSigns();
 /** What an entry keeps of answers and reservations. */
 void measureEntry();
 
--- a/sequoiausher/protocol/codec/hellocodec.cpp
+++ b/sequoiausher/protocol/codec/hellocodec.cpp
@@ -27,7 +27,8 @@
     const auto instance = builder.CreateString(hello.instance.value);
     const auto dataCentre = builder.CreateString(hello.dataCentre.value);
     const auto wanted = builder.CreateString(hello.wanted.value);
-    const auto root = Wire::CreateHello(builder, hello.version, instance, hello.incarnation, dataCentre, wanted);
+    const auto root
+        = Wire::CreateHello(builder, hello.version, instance, hello.incarnation, dataCentre, wanted, hello.lastFrame);
     builder.Finish(root, helloIdentifier);
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
 }
@@ -51,6 +52,7 @@
     hello.incarnation = wire->incarnation();
     hello.dataCentre.value = textOf(wire->data_centre());
     hello.wanted.value = textOf(wire->wanted());
+    hello.lastFrame = wire->last_frame();
     if (hello.instance.empty()) {
         throw Error(Step::Decode, peer, "a hello without a name");
     }
--- a/sequoiausher/protocol/codec/hellocodec.h
+++ b/sequoiausher/protocol/codec/hellocodec.h
@@ -26,6 +26,11 @@
     DataCentreId dataCentre;
     /** Whom the dialling side means to reach; empty in the answer. */
     InstanceId wanted;
+    /**
+     * From the dialling side the number of the last frame that it wrote to the other before this connection, and the
+     * same in the answer of a side that acknowledges frames; 0 where none are numbered.
+     */
+    std::uint8_t lastFrame = 0;
 
     bool operator==(const Hello &) const = default;
 };
--- a/sequoiausher/protocol/codec/hellocodectest.cpp
+++ b/sequoiausher/protocol/codec/hellocodectest.cpp
@@ -8,7 +8,7 @@
 
 TEST_CASE("a hello comes back with every field")
 {
-    const Hello hello{7, InstanceId{"r1"}, 1234567890123, DataCentreId{"brest-1"}, InstanceId{"r2"}};
+    const Hello hello{7, InstanceId{"r1"}, 1234567890123, DataCentreId{"brest-1"}, InstanceId{"r2"}, 200};
     CHECK(decodeHello(encodeHello(hello), "r1") == hello);
 }
 
--- a/sequoiausher/transport/peers/acceptedlink.cpp
+++ b/sequoiausher/transport/peers/acceptedlink.cpp
@@ -8,6 +8,7 @@
 #include <QTcpSocket>
 #include <QTimer>
 
+#include <algorithm>
 #include <numeric>
 #include <utility>
 
@@ -38,6 +39,10 @@
     void onReadyRead();
     void take(const std::string &body);
     void greet(const std::string &body);
+    void takeMessages(const std::string &body);
+    void answerQuestion();
+    void planSign();
+    void sign();
     void count(const std::vector<PeerMessage> &messages, std::size_t bytes);
     void write(const std::string &body);
 
@@ -48,6 +53,7 @@
     AcceptedLinkListener &listener;
     FrameAssembler assembler;
     QTimer quiet;
+    QTimer signTimer;
     bool over = false;
 };
 
@@ -72,6 +78,8 @@
     // that never said who it is is closed sooner.
     QObject::connect(&this->quiet, &QTimer::timeout, this, [this] { this->end(); });
     this->quiet.setSingleShot(true);
+    QObject::connect(&this->signTimer, &QTimer::timeout, this, [this] { this->sign(); });
+    this->signTimer.setSingleShot(true);
     this->quiet.start(static_cast<int>(with.silence.count));
 }
 
@@ -114,33 +122,80 @@
         this->greet(body);
         return;
     }
+    if (this->assembler.acknowledged() != noFrame) {
+        this->listener.acknowledged(this->hello, this->assembler.acknowledged());
+    }
     if (body.empty()) {
-        if (static_cast<std::size_t>(this->socket->bytesToWrite()) > mostUnread) {
-            throw Error(Step::Write, this->hello.instance.value, "it asks for signs of life and reads none");
-        }
-        this->write({});
-        return;
+        this->answerQuestion();
+    } else {
+        this->takeMessages(body);
+    }
+}
+
+void AcceptedLink::Private::answerQuestion()
+{
+    if (static_cast<std::size_t>(this->socket->bytesToWrite()) > mostUnread) {
+        throw Error(Step::Write, this->hello.instance.value, "it asks for signs of life and reads none");
     }
+    ++this->counters.signsSent;
+    this->write({});
+}
+
+void AcceptedLink::Private::takeMessages(const std::string &body)
+{
     DecodedFrame decoded = decodeFrame(body, this->hello.instance.value);
     this->counters.skipped += decoded.skipped;
     this->count(decoded.messages, body.size());
+    this->listener.framesOf(this->hello).arrived(Millis::monotonicNow());
+    this->planSign();
     for (PeerMessage &message : decoded.messages) {
         this->listener.arrived(this->hello, std::move(message));
     }
 }
 
+void AcceptedLink::Private::planSign()
+{
+    const Millis due = this->listener.framesOf(this->hello).tellBy(this->settings.silence);
+    const Millis now = Millis::monotonicNow();
+    if (due <= now) {
+        this->sign();
+    } else if (due != Millis::never() && !this->signTimer.isActive()) {
+        this->signTimer.start(static_cast<int>((due - now).count));
+    }
+}
+
+// Goes wrong without it: a peer whose messages need no answer asks for a sign of life after each of them, and among a
+// thousand peers questions and answers are more bytes than the messages.
+void AcceptedLink::Private::sign()
+{
+    if (this->listener.framesOf(this->hello).tellBy(this->settings.silence) > Millis::monotonicNow()) {
+        this->planSign();
+        return;
+    }
+    ++this->counters.signsSent;
+    this->write({});
+}
+
 void AcceptedLink::Private::greet(const std::string &body)
 {
     const Hello said = decodeHello(body, this->socket->peerAddress().toString().toStdString());
     // The answer goes out even to a peer that is refused, so that it sees with whom or with which version it talks.
-    this->write(
-        encodeHello({protocolVersion, this->settings.self, this->settings.incarnation, this->settings.dataCentre, {}}));
+    this->write(encodeHello({protocolVersion,
+                             this->settings.self,
+                             this->settings.incarnation,
+                             this->settings.dataCentre,
+                             {},
+                             said.lastFrame}));
     this->socket->flush();
     if (said.wanted != this->settings.self || said.version != protocolVersion
         || !this->listener.greeted(this->self, said)) {
         throw Error(Step::Connect, said.instance.value, "refused");
     }
     this->hello = said;
+    this->listener.framesOf(said).opened(said.incarnation, said.lastFrame);
+    if (said.lastFrame != noFrame) {
+        this->assembler.expectAcknowledgements();
+    }
 }
 
 void AcceptedLink::Private::count(const std::vector<PeerMessage> &messages, std::size_t bytes)
@@ -156,7 +211,8 @@
 
 void AcceptedLink::Private::write(const std::string &body)
 {
-    const std::string frame = framed(body);
+    const bool isGreeted = !this->hello.instance.empty();
+    const std::string frame = framed(body, isGreeted ? this->listener.framesOf(this->hello).tell() : noFrame);
     this->counters.totalSent += frame.size();
     this->socket->write(frame.data(), static_cast<qint64>(frame.size()));
 }
@@ -165,6 +221,7 @@
 {
     if (!std::exchange(this->over, true)) {
         this->quiet.stop();
+        this->signTimer.stop();
         this->socket->disconnectFromHost();
         this->listener.ended(this->self);
     }
--- a/sequoiausher/transport/peers/acceptedlink.h
+++ b/sequoiausher/transport/peers/acceptedlink.h
@@ -1,13 +1,15 @@
 #pragma once
 
-// A connection that a peer dialled to this router, and on which this router receives. Answers with its hello and, when
-// asked, with signs of life. Lives in the thread that made it.
+// A connection that a peer dialled to this router, and on which this router receives. Answers with its hello,
+// and with a sign of life when asked, or when nothing else went to the peer for a while that acknowledges its frames.
+// Lives in the thread that made it.
 //
 //     AcceptedLink link(settings, socket, counters, listener);
 
 #include "sequoiausher/protocol/codec/hellocodec.h"
 #include "sequoiausher/transport/peers/linksettings.h"
 #include "sequoiausher/transport/peers/peercounters.h"
+#include "sequoiausher/transport/peers/receivedframes.h"
 
 #include "sequoiausher/coordination/messages/peermessage.h"
 
@@ -28,6 +30,10 @@
 
     /** The peer has said who it is; false refuses it. */
     virtual bool greeted(AcceptedLink &link, const Hello &hello) = 0;
+    /** What the peer's frames are counted in; stays in place until the connection is over. */
+    virtual ReceivedFrames &framesOf(const Hello &from) = 0;
+    /** The peer has this router's frames up to number. */
+    virtual void acknowledged(const Hello &from, FrameNumber number) = 0;
     virtual void arrived(const Hello &from, PeerMessage message) = 0;
     /** The connection is over; called once. */
     virtual void ended(AcceptedLink &link) = 0;
--- a/sequoiausher/transport/peers/framing.cpp
+++ b/sequoiausher/transport/peers/framing.cpp
@@ -11,6 +11,8 @@
 
 constexpr std::size_t lengthBytes = 4;
 constexpr unsigned bitsPerByte = 8;
+constexpr unsigned acknowledgedShift = 24;
+constexpr std::uint32_t lengthMask = 0xffffff;
 
 } // namespace
 
@@ -21,11 +23,14 @@
     std::size_t largest;
     std::string bytes;
     std::size_t consumed = 0;
+    bool expectsAcknowledgements = false;
+    FrameNumber acknowledged = noFrame;
 };
 
-std::string framed(std::string_view body)
+std::string framed(std::string_view body, FrameNumber acknowledged)
 {
-    const auto length = static_cast<std::uint32_t>(body.size());
+    const auto length
+        = static_cast<std::uint32_t>(body.size()) | (static_cast<std::uint32_t>(acknowledged) << acknowledgedShift);
     std::string frame;
     frame.reserve(lengthBytes + body.size());
     for (unsigned i = 0; i < lengthBytes; ++i) {
@@ -36,12 +41,17 @@
 }
 
 FrameAssembler::FrameAssembler(std::string peer, std::size_t largest)
-    : d(std::make_unique<Private>(Private{std::move(peer), largest, {}, 0}))
+    : d(std::make_unique<Private>(Private{std::move(peer), largest, {}}))
 {
 }
 
 FrameAssembler::~FrameAssembler() = default;
 
+void FrameAssembler::expectAcknowledgements()
+{
+    this->d->expectsAcknowledgements = true;
+}
+
 void FrameAssembler::feed(std::string_view bytes)
 {
     this->d->bytes.erase(0, this->d->consumed);
@@ -59,6 +69,11 @@
     for (std::size_t i = 0; i < lengthBytes; ++i) {
         length = (length << bitsPerByte) | static_cast<unsigned char>(rest[i]);
     }
+    FrameNumber acknowledged = noFrame;
+    if (this->d->expectsAcknowledgements) {
+        acknowledged = static_cast<FrameNumber>(length >> acknowledgedShift);
+        length &= lengthMask;
+    }
     if (length > this->d->largest) {
         throw Error(Step::Read, this->d->peer, "a frame of " + std::to_string(length) + " bytes is announced");
     }
@@ -66,7 +81,13 @@
         return std::nullopt;
     }
     this->d->consumed += lengthBytes + length;
+    this->d->acknowledged = acknowledged;
     return std::string(rest.substr(lengthBytes, length));
 }
 
+FrameNumber FrameAssembler::acknowledged() const
+{
+    return this->d->acknowledged;
+}
+
 } // namespace Sequoiausher
--- a/sequoiausher/transport/peers/framingtest.cpp
+++ b/sequoiausher/transport/peers/framingtest.cpp
@@ -28,6 +28,28 @@
     }
 }
 
+TEST_CASE("a frame acknowledges another beside its length, once both sides know how")
+{
+    const std::string plain = framed("abc");
+    const std::string acknowledging = framed("abc", 255);
+    CHECK(plain == std::string("\0\0\0\3abc", 7));
+    CHECK(acknowledging.size() == plain.size());
+    FrameAssembler assembler("r1", 300);
+    assembler.feed(plain + acknowledging + framed("", 1) + plain);
+    CHECK(assembler.next() == "abc");
+    assembler.expectAcknowledgements();
+    CHECK(assembler.next() == "abc");
+    CHECK(assembler.acknowledged() == 255);
+    CHECK(assembler.next() == "");
+    CHECK(assembler.acknowledged() == 1);
+    CHECK(assembler.next() == "abc");
+    CHECK(assembler.acknowledged() == noFrame);
+
+    FrameAssembler old("r1", 300);
+    old.feed(acknowledging);
+    CHECK_THROWS_AS(old.next(), Error);
+}
+
 // Symptom: a router's memory grows while one peer slowly sends a frame of four gigabytes.
 // Events: a stray program writes text to the peer port; its first four bytes are read as a length.
 // Cause: a reader that waits for whatever length is announced.
@@ -39,4 +61,8 @@
     FrameAssembler byOne("r1", 300);
     byOne.feed(framed(std::string(301, 'x')).substr(0, 4));
     CHECK_THROWS_AS(byOne.next(), Error);
+    FrameAssembler acknowledging("r1", 300);
+    acknowledging.expectAcknowledgements();
+    acknowledging.feed(framed(std::string(301, 'x'), 7).substr(0, 4));
+    CHECK_THROWS_AS(acknowledging.next(), Error);
 }
--- a/sequoiausher/transport/peers/peercounters.h
+++ b/sequoiausher/transport/peers/peercounters.h
@@ -32,6 +32,8 @@
     /** Messages of later versions passed over. */
     std::uint64_t skipped = 0;
     std::uint64_t dials = 0;
+    /** Signs of life sent, and questions for one. */
+    std::uint64_t signsSent = 0;
     std::uint64_t silentLinks = 0;
     /** Connections closed for what the other side said: another name, version or life, or no frame. */
     std::uint64_t refusedLinks = 0;
--- a/sequoiausher/transport/peers/peerlink.cpp
+++ b/sequoiausher/transport/peers/peerlink.cpp
@@ -4,6 +4,7 @@
 #include "sequoiausher/protocol/codec/hellocodec.h"
 #include "sequoiausher/protocol/codec/peercodec.h"
 #include "sequoiausher/transport/peers/framing.h"
+#include "sequoiausher/transport/peers/sentframes.h"
 
 #include <QHostAddress>
 #include <QTcpSocket>
@@ -21,7 +22,6 @@
 
 // The peer answers with its hello and signs of life only.
 constexpr std::size_t largestAnswer = 4096;
-constexpr int looksPerSilence = 4;
 constexpr int looksPerIdleClose = 4;
 
 struct Queued
@@ -36,10 +36,16 @@
 class PeerLink::Private : public QObject
 {
 public:
-    Private(const LinkSettings &with, InstanceId to, PeerAddress at, PeerCounters &counting, Changed onChange);
+    Private(const LinkSettings &with,
+            InstanceId to,
+            PeerAddress at,
+            PeerCounters &counting,
+            ReceivedFrames &heard,
+            Changed onChange);
     ~Private() override;
 
     bool send(PeerMessage message);
+    void acknowledged(Incarnation by, FrameNumber number);
 
     const LinkSettings &settings;
     InstanceId peer;
@@ -53,6 +59,7 @@
     void onConnected();
     void onReadyRead();
     void takeHello(const std::string &body);
+    void planLook();
     void look();
     void lookIdle();
     void flushSoon();
@@ -62,8 +69,10 @@
     void writeBatch(const std::vector<PeerMessage> &batch);
     void count(const std::vector<PeerMessage> &batch, std::size_t bytes);
     void write(const std::string &body);
+    FrameNumber acknowledgement() const;
 
     PeerCounters &counters;
+    ReceivedFrames &received;
     Changed changed;
     std::unique_ptr<QTcpSocket> socket;
     std::unique_ptr<FrameAssembler> assembler;
@@ -78,29 +87,32 @@
     Incarnation incarnation = 0;
     Millis redialWait;
     Millis lastSend;
-    /** The earliest sending that nothing was heard after; never() where all is answered. */
-    Millis unansweredSince = Millis::never();
-    bool signAsked = false;
+    SentFrames sent;
+    /** The peer understands numbers of frames and tells them. */
+    bool acknowledges = false;
 };
 
 PeerLink::Private::Private(const LinkSettings &with,
                            InstanceId to,
                            PeerAddress at,
                            PeerCounters &counting,
+                           ReceivedFrames &heard,
                            Changed onChange)
     : settings(with)
     , peer(std::move(to))
     , address(std::move(at))
     , counters(counting)
+    , received(heard)
     , changed(std::move(onChange))
     , generator(with.seed ^ std::hash<InstanceId>{}(this->peer))
     , redialWait(with.redialFirst)
+    , sent(with.silence)
 {
     this->redialTimer.setSingleShot(true);
     QObject::connect(&this->redialTimer, &QTimer::timeout, this, [this] { this->dial(); });
     QObject::connect(&this->lookTimer, &QTimer::timeout, this, [this] { this->look(); });
     QObject::connect(&this->idleTimer, &QTimer::timeout, this, [this] { this->lookIdle(); });
-    this->lookTimer.setInterval(static_cast<int>(with.silence.count / looksPerSilence));
+    this->lookTimer.setSingleShot(true);
     this->idleTimer.setInterval(static_cast<int>(with.idleClose.count / looksPerIdleClose));
 }
 
@@ -133,7 +145,8 @@
     ++this->counters.dials;
     this->socket = std::make_unique<QTcpSocket>();
     this->assembler = std::make_unique<FrameAssembler>(this->peer.value, largestAnswer);
-    this->unansweredSince = Millis::monotonicNow();
+    this->acknowledges = false;
+    this->sent.dialled(Millis::monotonicNow());
     QTcpSocket *fresh = this->socket.get();
     QObject::connect(fresh, &QTcpSocket::connected, this, [this] { this->onConnected(); });
     QObject::connect(fresh, &QTcpSocket::readyRead, this, [this] { this->onReadyRead(); });
@@ -146,7 +159,7 @@
     QObject::connect(fresh, &QTcpSocket::disconnected, this, lost, Qt::QueuedConnection);
     QObject::connect(fresh, &QTcpSocket::errorOccurred, this, lost, Qt::QueuedConnection);
     fresh->connectToHost(QHostAddress(QString::fromStdString(this->address.host)), this->address.port);
-    this->lookTimer.start();
+    this->planLook();
     this->idleTimer.start();
 }
 
@@ -160,8 +173,7 @@
     this->socket->disconnect(this);
     this->socket->abort();
     this->socket.release()->deleteLater();
-    this->unansweredSince = Millis::never();
-    this->signAsked = false;
+    this->sent.closed();
     if (std::exchange(this->up, false)) {
         this->changed(this->peer, this->incarnation, false);
     }
@@ -182,19 +194,22 @@
 void PeerLink::Private::onConnected()
 {
     this->socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-    this->write(encodeHello(
-        {protocolVersion, this->settings.self, this->settings.incarnation, this->settings.dataCentre, this->peer}));
+    this->write(encodeHello({protocolVersion,
+                             this->settings.self,
+                             this->settings.incarnation,
+                             this->settings.dataCentre,
+                             this->peer,
+                             this->sent.last()}));
 }
 
 void PeerLink::Private::onReadyRead()
 {
     const QByteArray bytes = this->socket->readAll();
     this->counters.totalReceived += static_cast<std::uint64_t>(bytes.size());
-    this->unansweredSince = Millis::never();
-    this->signAsked = false;
     try {
         this->assembler->feed({bytes.constData(), static_cast<std::size_t>(bytes.size())});
         while (const auto body = this->assembler->next()) {
+            this->sent.answered(Millis::monotonicNow(), this->assembler->acknowledged());
             if (!body->empty() && !this->up) {
                 this->takeHello(*body);
             }
@@ -217,6 +232,10 @@
         throw Error(Step::Connect, this->peer.value, "it speaks version " + std::to_string(hello.version));
     }
     this->incarnation = hello.incarnation;
+    this->acknowledges = hello.lastFrame != noFrame;
+    if (this->acknowledges) {
+        this->assembler->expectAcknowledgements();
+    }
     this->up = true;
     this->redialWait = this->settings.redialFirst;
     this->changed(this->peer, this->incarnation, true);
@@ -228,21 +247,44 @@
 // whatever is sent must be followed by a sign of life, and a connection without one is given up.
 void PeerLink::Private::look()
 {
-    if (this->unansweredSince == Millis::never()) {
-        this->lookTimer.stop();
-        return;
-    }
-    if (Millis::monotonicNow() - this->unansweredSince >= this->settings.silence) {
+    const LinkDue due = this->sent.due(Millis::monotonicNow());
+    if (due == LinkDue::GiveUp) {
         ++this->counters.silentLinks;
         this->fail();
         return;
     }
-    if (this->up && !this->signAsked) {
-        this->signAsked = true;
-        this->write({});
+    if (due == LinkDue::Ask) {
+        this->sent.asked();
+        if (this->up) {
+            ++this->counters.signsSent;
+            this->write({});
+        }
+    }
+    this->planLook();
+}
+
+void PeerLink::Private::planLook()
+{
+    const Millis deadline = this->sent.nextDeadline();
+    if (deadline != Millis::never() && !this->lookTimer.isActive()) {
+        const Millis wait = deadline - Millis::monotonicNow();
+        this->lookTimer.start(static_cast<int>(std::max(wait, Millis{1}).count));
     }
 }
 
+void PeerLink::Private::acknowledged(Incarnation by, FrameNumber number)
+{
+    if (this->up && by == this->incarnation) {
+        this->sent.acknowledged(Millis::monotonicNow(), number);
+    }
+}
+
+FrameNumber PeerLink::Private::acknowledgement() const
+{
+    const bool isSameLife = this->received.incarnation() == this->incarnation;
+    return this->acknowledges && isSameLife ? this->received.tell() : noFrame;
+}
+
 void PeerLink::Private::lookIdle()
 {
     if (Millis::monotonicNow() - this->lastSend >= this->settings.idleClose) {
@@ -303,7 +345,9 @@
 {
     try {
         const std::string body = encodeFrame(batch);
+        this->sent.frame(Millis::monotonicNow());
         this->write(body);
+        this->planLook();
         this->count(batch, body.size());
     } catch (const Error &) {
         // A message that no frame can hold takes its batch along; both ends go on without it as after any loss.
@@ -324,21 +368,23 @@
 
 void PeerLink::Private::write(const std::string &body)
 {
-    const std::string frame = framed(body);
+    const std::string frame = framed(body, this->acknowledgement());
     this->counters.totalSent += frame.size();
     this->socket->write(frame.data(), static_cast<qint64>(frame.size()));
-    if (this->unansweredSince == Millis::never()) {
-        this->unansweredSince = Millis::monotonicNow();
-        this->lookTimer.start();
-    }
 }
 
 PeerLink::PeerLink(const LinkSettings &settings,
                    InstanceId peer,
                    PeerAddress address,
                    PeerCounters &counters,
+                   ReceivedFrames &received,
                    Changed changed)
-    : d(std::make_unique<Private>(settings, std::move(peer), std::move(address), counters, std::move(changed)))
+    : d(std::make_unique<Private>(settings,
+                                  std::move(peer),
+                                  std::move(address),
+                                  counters,
+                                  received,
+                                  std::move(changed)))
 {
 }
 
@@ -349,6 +395,11 @@
     return this->d->send(std::move(message));
 }
 
+void PeerLink::acknowledged(Incarnation incarnation, FrameNumber number)
+{
+    this->d->acknowledged(incarnation, number);
+}
+
 const PeerAddress &PeerLink::address() const
 {
     return this->d->address;
--- a/sequoiausher/transport/peers/peerlink.h
+++ b/sequoiausher/transport/peers/peerlink.h
@@ -12,6 +12,7 @@
 #include "sequoiausher/transport/peers/linksettings.h"
 #include "sequoiausher/transport/peers/peeraddress.h"
 #include "sequoiausher/transport/peers/peercounters.h"
+#include "sequoiausher/transport/peers/receivedframes.h"
 
 #include <functional>
 #include <memory>
@@ -25,17 +26,21 @@
     /** Called with true when the link came up and with false when it went down. Must not destroy the link. */
     using Changed = std::function<void(const InstanceId &peer, Incarnation incarnation, bool up)>;
 
-    /** settings and counters outlive the link. Dials nothing yet. */
+    /** settings, counters and received, which holds what came from the peer, outlive the link. Dials nothing yet. */
     PeerLink(const LinkSettings &settings,
              InstanceId peer,
              PeerAddress address,
              PeerCounters &counters,
+             ReceivedFrames &received,
              Changed changed);
     ~PeerLink();
 
     /** Takes message for sending; false where the queue has no room and message is dropped. Delivery is not certain. */
     bool send(PeerMessage message);
 
+    /** The peer's life incarnation has this link's frames up to number. */
+    void acknowledged(Incarnation incarnation, FrameNumber number);
+
     const PeerAddress &address() const;
 
     /** Whether the peer has answered on the present connection. */
--- a/sequoiausher/transport/peers/peermesh.cpp
+++ b/sequoiausher/transport/peers/peermesh.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <iterator>
 #include <mutex>
+#include <set>
 #include <utility>
 
 namespace Sequoiausher {
@@ -24,6 +25,8 @@
     }
 
     bool greeted(AcceptedLink &link, const Hello &hello) override;
+    ReceivedFrames &framesOf(const Hello &from) override;
+    void acknowledged(const Hello &from, FrameNumber number) override;
     void arrived(const Hello &from, PeerMessage message) override;
     void ended(AcceptedLink &link) override;
 
@@ -31,6 +34,7 @@
     bool send(const InstanceId &peer, PeerMessage message);
     void drainPosted();
     void closeLater(AcceptedLink &link);
+    void forgetStrangers();
     std::unique_ptr<PeerLink> makeLink(const InstanceId &peer, const PeerAddress &address);
 
     LinkSettings settings;
@@ -40,6 +44,8 @@
     /** The mesh is being destroyed: its owner hears no more. */
     bool closing = false;
     PeerAddresses wanted;
+    /** What came from each peer; links hold references to their peer's. */
+    std::map<InstanceId, ReceivedFrames> received;
     std::map<InstanceId, std::unique_ptr<PeerLink>> links;
     std::vector<std::unique_ptr<AcceptedLink>> accepted;
 
@@ -66,6 +72,19 @@
     return true;
 }
 
+ReceivedFrames &PeerMesh::Private::framesOf(const Hello &from)
+{
+    return this->received[from.instance];
+}
+
+void PeerMesh::Private::acknowledged(const Hello &from, FrameNumber number)
+{
+    const auto link = this->links.find(from.instance);
+    if (link != this->links.end() && link->second) {
+        link->second->acknowledged(from.incarnation, number);
+    }
+}
+
 void PeerMesh::Private::arrived(const Hello &from, PeerMessage message)
 {
     this->listener.received(from.instance, from.incarnation, std::move(message));
@@ -93,6 +112,18 @@
     }
 }
 
+// Names come and go for as long as a router runs; without this it would remember each.
+void PeerMesh::Private::forgetStrangers()
+{
+    std::set<InstanceId> connected;
+    for (const auto &link : this->accepted) {
+        connected.insert(link->hello().instance);
+    }
+    std::erase_if(this->received, [&](const auto &entry) {
+        return !this->wanted.contains(entry.first) && !connected.contains(entry.first);
+    });
+}
+
 std::unique_ptr<PeerLink> PeerMesh::Private::makeLink(const InstanceId &peer, const PeerAddress &address)
 {
     const auto changed = [this](const InstanceId &which, Incarnation incarnation, bool up) {
@@ -100,7 +131,7 @@
             this->listener.linkChanged(which, incarnation, up);
         }
     };
-    return std::make_unique<PeerLink>(this->settings, peer, address, this->counters, changed);
+    return std::make_unique<PeerLink>(this->settings, peer, address, this->counters, this->received[peer], changed);
 }
 
 bool PeerMesh::Private::send(const InstanceId &peer, PeerMessage message)
@@ -165,6 +196,8 @@
         }
     }
     std::erase_if(this->d->links, [](const auto &entry) { return entry.second == nullptr; });
+    doomed.clear();
+    this->d->forgetStrangers();
 }
 
 bool PeerMesh::send(const InstanceId &peer, PeerMessage message)
--- a/sequoiausher/transport/peers/peermeshtest.cpp
+++ b/sequoiausher/transport/peers/peermeshtest.cpp
@@ -1,6 +1,7 @@
 #include "sequoiausher/transport/peers/peermesh.h"
 
 #include "sequoiausher/protocol/codec/hellocodec.h"
+#include "sequoiausher/protocol/codec/peercodec.h"
 #include "sequoiausher/transport/peers/framing.h"
 
 #include <QCoreApplication>
@@ -87,6 +88,52 @@
     PeerMesh mesh;
 };
 
+/** Stands between a router that dials and one that is dialled; can lose track of the connections that it carries. */
+class Passage
+{
+public:
+    explicit Passage(std::uint16_t toPort)
+    {
+        this->server.listen(QHostAddress::LocalHost, 0);
+        QObject::connect(&this->server, &QTcpServer::newConnection, [this, toPort] { this->open(toPort); });
+    }
+
+    std::uint16_t port() const
+    {
+        return this->server.serverPort();
+    }
+
+    /** From now on nothing comes through on the connections that are open; new ones work. */
+    void swallow()
+    {
+        ++this->era;
+    }
+
+private:
+    void open(std::uint16_t toPort)
+    {
+        QTcpSocket *near = this->server.nextPendingConnection();
+        auto *far = new QTcpSocket(near);
+        far->connectToHost(QHostAddress::LocalHost, toPort);
+        this->carry(near, far);
+        this->carry(far, near);
+    }
+
+    void carry(QTcpSocket *from, QTcpSocket *to)
+    {
+        const int openedIn = this->era;
+        QObject::connect(from, &QTcpSocket::readyRead, to, [this, from, to, openedIn] {
+            const QByteArray bytes = from->readAll();
+            if (this->era == openedIn) {
+                to->write(bytes);
+            }
+        });
+    }
+
+    QTcpServer server;
+    int era = 0;
+};
+
 std::size_t countOf(const std::vector<std::string> &lines, const std::string &line)
 {
     return static_cast<std::size_t>(std::count(lines.begin(), lines.end(), line));
@@ -202,11 +249,12 @@
     REQUIRE(swallower.listen(QHostAddress::LocalHost, 0));
     int accepted = 0;
     bool greets = false;
+    FrameNumber lastFrame = noFrame;
     QObject::connect(&swallower, &QTcpServer::newConnection, [&] {
         QTcpSocket *socket = swallower.nextPendingConnection();
         ++accepted;
         if (greets) {
-            const std::string hello = framed(encodeHello({protocolVersion, InstanceId{"b"}, 3, {}, {}}));
+            const std::string hello = framed(encodeHello({protocolVersion, InstanceId{"b"}, 3, {}, {}, lastFrame}));
             socket->write(hello.data(), static_cast<qint64>(hello.size()));
         }
     });
@@ -218,6 +266,14 @@
         a.say("b", 1);
         REQUIRE(waitUntil([&] { return a.mesh.counters().silentLinks == 1; }));
     }
+    SUBCASE("after the hello of a peer that acknowledges frames")
+    {
+        greets = true;
+        lastFrame = 1;
+        a.say("b", 1);
+        REQUIRE(waitUntil([&] { return countOf(a.changes, "b 3 down") == 1; }));
+        CHECK(a.mesh.counters().silentLinks == 1);
+    }
     SUBCASE("after the hello")
     {
         greets = true;
@@ -229,6 +285,156 @@
     CHECK(waitUntil([&] { return accepted >= 2; }));
 }
 
+// Symptom: one peer never hears this router any more, though it runs and this router hears it.
+// Events: something loses track of the connection of one direction while the other one goes on to carry messages both
+// ways of which each is taken for a sign. Cause: taking what a peer sends on its own connection for a sign that it
+// hears this router's.
+TEST_CASE("a connection that goes silent in use is found while the other direction works")
+{
+    ensureApplication();
+    Router a("a", 1);
+    Router b("b", 1);
+    Passage passage(b.mesh.port());
+    a.knows("b", passage.port());
+    b.knows("a", a.mesh.port());
+    std::uint64_t number = 0;
+    const auto talkUntil = [&](const std::function<bool()> &holds, Millis atMost) {
+        return waitUntil(
+            [&] {
+                a.say("b", ++number);
+                b.say("a", ++number);
+                letPass(Millis{20});
+                return holds();
+            },
+            atMost);
+    };
+    REQUIRE(talkUntil([&] { return a.messages.size() > 20 && b.messages.size() > 20; }, Millis{5000}));
+    CHECK(a.mesh.counters().silentLinks == 0);
+    passage.swallow();
+    letPass(Millis{50});
+    const std::size_t heard = b.messages.size();
+    a.say("b", ++number);
+    letPass(Millis{50});
+    CHECK(b.messages.size() == heard);
+    CHECK(talkUntil([&] { return a.mesh.counters().silentLinks == 1; }, Millis{1500}));
+    CHECK(talkUntil([&] { return b.messages.size() > heard + 20; }, Millis{5000}));
+    // b's acknowledgements did not ride on anything that a could hear for a while, and its link was not given up.
+    CHECK(b.mesh.counters().silentLinks == 0);
+    CHECK(b.mesh.counters().dials == 1);
+}
+
+TEST_CASE("what comes anyway is the sign of life: an exchange needs none but for its last message")
+{
+    ensureApplication();
+    Router a("a", 1);
+    Router b("b", 1);
+    a.knows("b", b.mesh.port());
+    b.knows("a", a.mesh.port());
+    constexpr std::size_t exchanges = 12;
+    for (std::size_t i = 1; i <= exchanges; ++i) {
+        a.say("b", i);
+        REQUIRE(waitUntil([&] { return b.messages.size() == i; }));
+        b.say("a", i);
+        REQUIRE(waitUntil([&] { return a.messages.size() == i; }));
+        letPass(Millis{40});
+    }
+    letPass(Millis{400});
+    CHECK(a.mesh.counters().signsSent == 1);
+    CHECK(b.mesh.counters().signsSent == 0);
+    CHECK(a.mesh.counters().dials + b.mesh.counters().dials == 2);
+}
+
+TEST_CASE("a message that needs no answer costs one sign of life and no question")
+{
+    ensureApplication();
+    Router a("a", 1);
+    Router b("b", 1);
+    a.knows("b", b.mesh.port());
+    for (std::size_t i = 1; i <= 3; ++i) {
+        a.say("b", i);
+        letPass(Millis{400});
+        CHECK(b.mesh.counters().signsSent == i);
+    }
+    CHECK(a.mesh.counters().signsSent == 0);
+    CHECK(a.mesh.counters().silentLinks == 0);
+}
+
+TEST_CASE("a link used faster than frames have numbers stays up")
+{
+    ensureApplication();
+    Router a("a", 1);
+    Router b("b", 1);
+    a.knows("b", b.mesh.port());
+    constexpr std::size_t frames = 1500;
+    for (std::size_t i = 1; i <= frames; ++i) {
+        a.say("b", i);
+        QCoreApplication::processEvents();
+        QCoreApplication::processEvents();
+    }
+    CHECK(waitUntil([&] { return b.messages.size() == frames; }));
+    letPass(Millis{400});
+    CHECK(a.mesh.counters().silentLinks == 0);
+    CHECK(a.mesh.counters().dials == 1);
+}
+
+TEST_CASE(
+    "a peer of the first version, which knows no acknowledgements, is asked for signs of life and sent none unasked")
+{
+    ensureApplication();
+
+    SUBCASE("as the accepting side")
+    {
+        QTcpServer old;
+        REQUIRE(old.listen(QHostAddress::LocalHost, 0));
+        std::string received;
+        QTcpSocket *socket = nullptr;
+        QObject::connect(&old, &QTcpServer::newConnection, [&] {
+            socket = old.nextPendingConnection();
+            const std::string hello = framed(encodeHello({protocolVersion, InstanceId{"b"}, 3, {}, {}}));
+            socket->write(hello.data(), static_cast<qint64>(hello.size()));
+            QObject::connect(socket, &QTcpSocket::readyRead, [&] { received += socket->readAll().toStdString(); });
+        });
+        Router a("a", 1);
+        a.knows("b", old.serverPort());
+        FrameAssembler frames("a", 4096);
+        std::size_t questions = 0;
+        std::size_t messages = 0;
+        for (std::uint64_t i = 0; i < 4; ++i) {
+            a.say("b", i);
+            letPass(Millis{250});
+            frames.feed(std::exchange(received, {}));
+            while (const auto body = frames.next()) {
+                (body->empty() ? questions : messages) += 1;
+                if (body->empty()) {
+                    socket->write("\0\0\0\0", 4);
+                }
+            }
+        }
+        CHECK(messages == 5);
+        CHECK(questions >= 2);
+        CHECK(a.mesh.counters().silentLinks == 0);
+        CHECK(a.mesh.counters().dials == 1);
+    }
+    SUBCASE("as the dialling side")
+    {
+        Router b("b", 1);
+        QTcpSocket old;
+        old.connectToHost(QHostAddress::LocalHost, b.mesh.port());
+        REQUIRE(waitUntil([&] { return old.state() == QAbstractSocket::ConnectedState; }));
+        const PeerMessage message = IndirectProbe{1, {}};
+        const std::string bytes = framed(encodeHello({protocolVersion, InstanceId{"x"}, 1, {}, InstanceId{"b"}}))
+            + framed(encodeFrame({&message, 1}));
+        old.write(bytes.data(), static_cast<qint64>(bytes.size()));
+        REQUIRE(waitUntil([&] { return b.messages.size() == 1; }));
+        letPass(Millis{400});
+        CHECK(b.mesh.counters().signsSent == 0);
+        old.readAll();
+        old.write("\0\0\0\0", 4);
+        CHECK(waitUntil([&] { return old.bytesAvailable() == 4; }));
+        CHECK(old.readAll() == QByteArray(4, '\0'));
+    }
+}
+
 TEST_CASE("a link in use for longer than the silence limit stays up, and an idle one is closed")
 {
     ensureApplication();
--- a/sequoiausher/transport/router/statuspage.cpp
+++ b/sequoiausher/transport/router/statuspage.cpp
@@ -113,6 +113,7 @@
                        {QStringLiteral("sent_bytes_by_kind"), kinds},
                        {QStringLiteral("dropped_full"), number(counters.droppedFull)},
                        {QStringLiteral("dropped_old"), number(counters.droppedOld)},
+                       {QStringLiteral("signs_of_life"), number(counters.signsSent)},
                        {QStringLiteral("silent_links"), number(counters.silentLinks)},
                        {QStringLiteral("refused_links"), number(counters.refusedLinks)}};
 }
