Give the balance benches prompts that chats share and a cache of both parts

Cause: in the benches each prompt belonged to one chat, so what chats share (the system prompt of an application) cost nothing, and no policy could be weighed by it. Ruled out: a second bench, since its figures would not come from the same fleet, churn and kills. Change: a workload with applications (6 of each of 10 organisations, Zipf, 600 to 9,000 shared tokens, drawn evenly) and an engine cache by parts, where a chat's own part counts only while its shared part is there.

--- a/lab/bench/balancefleet.cpp
+++ b/lab/bench/balancefleet.cpp
@@ -47,6 +47,11 @@
     return packetBytes + frameBytes + idBytes + shard;
 }
 
+double shareOf(std::uint64_t part, std::uint64_t whole)
+{
+    return whole == 0 ? 0 : static_cast<double>(part) / static_cast<double>(whole);
+}
+
 struct SimulatedEngine
 {
     TargetId target;
@@ -161,8 +166,10 @@
     std::uint64_t inMean = 0;
     std::uint64_t enginesInMean = 0;
     std::uint64_t above = 0;
-    std::uint64_t promptTokens = 0;
-    std::uint64_t cachedTokens = 0;
+    std::uint64_t sharedTokens = 0;
+    std::uint64_t ownTokens = 0;
+    std::uint64_t cachedShared = 0;
+    std::uint64_t cachedOwn = 0;
     std::uint64_t measured = 0;
     double controlBytes = 0;
     BalanceFigures figures;
@@ -381,8 +388,8 @@
         if (!engine->isInMean || engine->model.inFlight >= bound) {
             continue;
         }
-        const std::uint32_t cached = engine->model.cached(turn.chat);
-        const std::uint32_t bestCached = best == nullptr ? 0 : best->model.cached(turn.chat);
+        const std::uint32_t cached = engine->model.cached(turn).all();
+        const std::uint32_t bestCached = best == nullptr ? 0 : best->model.cached(turn).all();
         const bool isIdler = best != nullptr && engine->model.inFlight < best->model.inFlight;
         if (best == nullptr || cached > bestCached || (cached == bestCached && isIdler)) {
             best = engine.get();
@@ -414,11 +421,13 @@
     engine.model.inFlight += 1;
     this->inMean += engine.isInMean ? 1 : 0;
     this->measure(engine);
-    const std::uint32_t hit = engine.model.run(started.turn.chat, started.turn.promptTokens, started.turn.tokensAfter);
+    const CachedTokens hit = engine.model.run(started.turn);
     this->figures.admitted += 1;
     if (this->now >= this->settings.warmUp) {
-        this->promptTokens += started.turn.promptTokens;
-        this->cachedTokens += hit;
+        this->sharedTokens += started.turn.sharedTokens;
+        this->ownTokens += started.turn.promptTokens;
+        this->cachedShared += hit.shared;
+        this->cachedOwn += hit.own;
     }
     this->at(this->now + started.turn.run, [this, request] { this->finish(request); });
 }
@@ -456,7 +465,7 @@
         Outbox outbox;
         const std::uint64_t chat = hash64(std::to_string(turn.chat));
         router.reserver.reserve(
-            this->now, {request, pool, chat, PolicyKind::BoundedRendezvous, this->settings.boundPercent, {}}, outbox);
+            this->now, {request, pool, chat, this->settings.policy, this->settings.boundPercent, {}}, outbox);
         this->collect(router);
         this->carry(router, outbox);
     } else {
@@ -594,8 +603,10 @@
         next.what();
     }
     if (this->measured > 0) {
-        this->figures.aboveBound = static_cast<double>(this->above) / static_cast<double>(this->measured);
-        this->figures.reuse = static_cast<double>(this->cachedTokens) / static_cast<double>(this->promptTokens);
+        this->figures.aboveBound = shareOf(this->above, this->measured);
+        this->figures.reuse = shareOf(this->cachedShared + this->cachedOwn, this->sharedTokens + this->ownTokens);
+        this->figures.sharedReuse = shareOf(this->cachedShared, this->sharedTokens);
+        this->figures.ownReuse = shareOf(this->cachedOwn, this->ownTokens);
         this->figures.controlBytesPerRequest = this->controlBytes / static_cast<double>(this->figures.admitted);
     }
     return this->figures;
--- a/lab/bench/balancefleet.h
+++ b/lab/bench/balancefleet.h
@@ -11,6 +11,7 @@
 // every router may know it until it starts to leave.
 
 #include "lab/bench/workload.h"
+#include "sequoiausher/coordination/messages/admissionmessages.h"
 
 namespace Sequoiausher {
 
@@ -24,7 +25,7 @@
     Rendezvous,
     /** Two choices on late reports, all routers seeing the same ones. */
     TwoChoices,
-    /** The engine with most of the chat cached, of those below the bound, by counts and caches that lag nothing. */
+    /** The engine with most of the prompt cached, of those below the bound, by counts and caches that lag nothing. */
     AllSeeing,
 };
 
@@ -33,6 +34,8 @@
     std::uint32_t routers = 7;
     std::uint32_t engines = 12;
     std::uint32_t boundPercent = 125;
+    /** Of Chooser::Admission. */
+    PolicyKind policy = PolicyKind::BoundedRendezvous;
     Millis length{180000};
     /** Not measured, while the fleet fills. */
     Millis warmUp{20000};
@@ -58,6 +61,10 @@
     double aboveBound = 0;
     /** Share of prompt tokens that were cached. */
     double reuse = 0;
+    /** Of the tokens of shared prefixes alone; 0 where nothing is shared. */
+    double sharedReuse = 0;
+    /** Of the tokens of the chats' own parts alone. */
+    double ownReuse = 0;
     /** Estimated bytes of control messages for each admitted request, with 40 bytes of TCP and IP for each. */
     double controlBytesPerRequest = 0;
 };
