Refuse frames whose items are not aligned, and read absent names without touching them

Cause: a fuzzer over decodeFrame with the undefined sanitizer stopped after 16,451 inputs: FlatBuffers' verifier checks where a vector's length stands (a multiple of 4 bytes) and not where its first item does, so that a peer's frame could have structs with fields of 8 bytes read at an odd multiple of 4. That is undefined; it goes unnoticed on x86 and may stop a router on a machine that checks alignment. Reading the same function showed a second case, which the sanitizer confirmed with an input made by hand: lengths of names (of 0) without names called a member of a null vector.

Ruled out: the verifier's own option for alignment, which is on and covers single values and tables alone.

Change: every access to a vector in FrameReader asks sizeOf first, which refuses items that are not aligned; names are read through a view that is empty where there are none. Frames that our writer makes are always aligned.

Tests: 'a frame whose items are not aligned is refused' failed before (0 refused of 1) and passes; 'an empty name of absent names is read without them' fails before only under the undefined sanitizer (member call on null pointer). No existing test changed. peercodectest passes; the fuzzer passes both inputs now.

--- a/sequoiausher/protocol/codec/framereader.cpp
+++ b/sequoiausher/protocol/codec/framereader.cpp
@@ -48,21 +48,34 @@
     return text != nullptr ? text->str() : std::string();
 }
 
+std::string_view viewOf(const flatbuffers::Vector<std::uint8_t> *bytes)
+{
+    return bytes != nullptr ? std::string_view(reinterpret_cast<const char *>(bytes->data()), bytes->size())
+                            : std::string_view();
+}
+
 std::string bytesOf(const flatbuffers::Vector<std::uint8_t> *bytes)
 {
-    return bytes != nullptr ? std::string(reinterpret_cast<const char *>(bytes->data()), bytes->size()) : std::string();
+    return std::string(viewOf(bytes));
 }
 
+/** What a vector of Item holds: a scalar, or the struct that Item points to. */
 template<typename Item>
-std::size_t sizeOf(const flatbuffers::Vector<Item> *items)
+struct StoredAs
 {
-    return items != nullptr ? items->size() : 0;
-}
+    using Type = Item;
+};
+
+template<typename Struct>
+struct StoredAs<const Struct *>
+{
+    using Type = Struct;
+};
 
 template<typename Item>
-std::vector<Item> scalarsOf(const flatbuffers::Vector<Item> *items)
+bool isAligned(const flatbuffers::Vector<Item> *items)
 {
-    return items != nullptr ? std::vector<Item>(items->begin(), items->end()) : std::vector<Item>();
+    return reinterpret_cast<std::uintptr_t>(items->Data()) % alignof(typename StoredAs<Item>::Type) == 0;
 }
 
 } // namespace
@@ -102,6 +115,11 @@
     std::optional<PeerMessage> attachCancel();
 
     [[noreturn]] void refuse(const std::string &reason) const;
+    /** Refuses a vector whose items are not aligned; every other access to a vector comes after this one. */
+    template<typename Item>
+    std::size_t sizeOf(const flatbuffers::Vector<Item> *items) const;
+    template<typename Item>
+    std::vector<Item> scalarsOf(const flatbuffers::Vector<Item> *items) const;
     void indexNames();
     std::string name(std::uint16_t index) const;
     /** The next item of a kind's vector. */
@@ -133,18 +151,37 @@
     throw Error(Step::Decode, this->peer, reason);
 }
 
+template<typename Item>
+std::size_t FrameReader::Private::sizeOf(const flatbuffers::Vector<Item> *items) const
+{
+    if (items == nullptr) {
+        return 0;
+    }
+    // Goes wrong if left out: the verifier checks the place of the length alone, so that a peer could have structs read
+    // at any multiple of 4 bytes, which is undefined, and stops the process on a machine that checks alignment.
+    if (items->size() > 0 && !isAligned(items)) {
+        this->refuse("items are not aligned");
+    }
+    return items->size();
+}
+
+template<typename Item>
+std::vector<Item> FrameReader::Private::scalarsOf(const flatbuffers::Vector<Item> *items) const
+{
+    return this->sizeOf(items) > 0 ? std::vector<Item>(items->begin(), items->end()) : std::vector<Item>();
+}
+
 void FrameReader::Private::indexNames()
 {
-    const auto *bytes = this->frame.names();
-    const std::size_t size = sizeOf(bytes);
+    const std::string_view all = viewOf(this->frame.names());
     std::size_t at = 0;
     this->names.emplace_back();
-    for (std::size_t i = 0; i < sizeOf(this->frame.name_lengths()); ++i) {
+    for (std::size_t i = 0; i < this->sizeOf(this->frame.name_lengths()); ++i) {
         const std::size_t length = this->frame.name_lengths()->Get(static_cast<flatbuffers::uoffset_t>(i));
-        if (length > size - at) {
+        if (length > all.size() - at) {
             this->refuse("the names run past their end");
         }
-        this->names.emplace_back(reinterpret_cast<const char *>(bytes->data()) + at, length);
+        this->names.push_back(all.substr(at, length));
         at += length;
     }
 }
@@ -161,7 +198,7 @@
 auto FrameReader::Private::take(MessageKind kind, const flatbuffers::Vector<Item> *items)
 {
     std::size_t &index = this->taken.at(static_cast<std::size_t>(kind));
-    if (index >= sizeOf(items)) {
+    if (index >= this->sizeOf(items)) {
         this->refuse("fewer messages than announced of kind " + std::string(nameOf(kind)));
     }
     return items->Get(static_cast<flatbuffers::uoffset_t>(index++));
@@ -171,26 +208,26 @@
 {
     const Wire::Frame &f = this->frame;
     const std::array<std::size_t, messageKindLimit> counts{0,
-                                                           sizeOf(f.claim_requests()),
-                                                           sizeOf(f.claim_votes()),
-                                                           sizeOf(f.claim_withdraws()),
-                                                           sizeOf(f.claim_pulls()),
-                                                           sizeOf(f.claim_pages()),
-                                                           sizeOf(f.reserve_requests()),
-                                                           sizeOf(f.reserve_replies()),
-                                                           sizeOf(f.releases()),
-                                                           sizeOf(f.holdings_reports()),
-                                                           sizeOf(f.probes()),
-                                                           sizeOf(f.probe_replies()),
-                                                           sizeOf(f.indirect_probes()),
-                                                           sizeOf(f.document_pushes()),
-                                                           sizeOf(f.document_digests()),
-                                                           sizeOf(f.document_pulls()),
-                                                           sizeOf(f.attach_requests()),
-                                                           sizeOf(f.attach_replies()),
-                                                           sizeOf(f.attach_chunks()),
-                                                           sizeOf(f.attach_ends()),
-                                                           sizeOf(f.attach_cancels())};
+                                                           this->sizeOf(f.claim_requests()),
+                                                           this->sizeOf(f.claim_votes()),
+                                                           this->sizeOf(f.claim_withdraws()),
+                                                           this->sizeOf(f.claim_pulls()),
+                                                           this->sizeOf(f.claim_pages()),
+                                                           this->sizeOf(f.reserve_requests()),
+                                                           this->sizeOf(f.reserve_replies()),
+                                                           this->sizeOf(f.releases()),
+                                                           this->sizeOf(f.holdings_reports()),
+                                                           this->sizeOf(f.probes()),
+                                                           this->sizeOf(f.probe_replies()),
+                                                           this->sizeOf(f.indirect_probes()),
+                                                           this->sizeOf(f.document_pushes()),
+                                                           this->sizeOf(f.document_digests()),
+                                                           this->sizeOf(f.document_pulls()),
+                                                           this->sizeOf(f.attach_requests()),
+                                                           this->sizeOf(f.attach_replies()),
+                                                           this->sizeOf(f.attach_chunks()),
+                                                           this->sizeOf(f.attach_ends()),
+                                                           this->sizeOf(f.attach_cancels())};
     return counts.at(static_cast<std::size_t>(kind));
 }
 
@@ -255,7 +292,7 @@
     vote.round = m->round();
     vote.holder.value = this->name(m->holder());
     if (m->refuses()) {
-        if (this->refusalsTaken >= sizeOf(this->frame.refusals())) {
+        if (this->refusalsTaken >= this->sizeOf(this->frame.refusals())) {
             this->refuse("a refusal is missing");
         }
         const auto *refusal = this->frame.refusals()->Get(static_cast<flatbuffers::uoffset_t>(this->refusalsTaken++));
@@ -286,7 +323,7 @@
 {
     const auto *m = this->take(MessageKind::ClaimPage, this->frame.claim_pages());
     ClaimPage page{m->pull(), m->giver_abstains(), m->giver_learns(), m->last(), numberOf<ClaimKey>(m->next()), {}};
-    for (std::size_t i = 0; i < sizeOf(m->records()); ++i) {
+    for (std::size_t i = 0; i < this->sizeOf(m->records()); ++i) {
         const auto *r = m->records()->Get(static_cast<flatbuffers::uoffset_t>(i));
         page.records.push_back({numberOf<ClaimKey>(r->key()),
                                 numberOf<RequestId>(r->attempt()),
@@ -307,7 +344,7 @@
     request.shard = m->shard();
     request.chatHash = m->chat_hash();
     request.boundPercent = m->bound_percent();
-    if (m->excluded_count() > sizeOf(this->frame.excluded()) - this->excludedTaken) {
+    if (m->excluded_count() > this->sizeOf(this->frame.excluded()) - this->excludedTaken) {
         this->refuse("an excluded target is missing");
     }
     for (std::size_t i = 0; i < m->excluded_count(); ++i) {
@@ -345,10 +382,10 @@
 {
     const auto *m = this->take(MessageKind::HoldingsReport, this->frame.holdings_reports());
     HoldingsReport report{PoolId{this->name(m->pool())}, m->shard(), m->sequence(), {}};
-    if (sizeOf(m->requests()) != sizeOf(m->targets())) {
+    if (this->sizeOf(m->requests()) != this->sizeOf(m->targets())) {
         this->refuse("a report's requests and targets differ in number");
     }
-    for (std::size_t i = 0; i < sizeOf(m->requests()); ++i) {
+    for (std::size_t i = 0; i < this->sizeOf(m->requests()); ++i) {
         const auto index = static_cast<flatbuffers::uoffset_t>(i);
         report.holdings.push_back(
             {numberOf<RequestId>(m->requests()->Get(index)), TargetId{this->name(m->targets()->Get(index))}});
@@ -365,7 +402,7 @@
 std::vector<OrganisationDemand> FrameReader::Private::demands(const WireDemands *wire) const
 {
     std::vector<OrganisationDemand> demands;
-    for (std::size_t i = 0; i < sizeOf(wire); ++i) {
+    for (std::size_t i = 0; i < this->sizeOf(wire); ++i) {
         const auto *demand = wire->Get(static_cast<flatbuffers::uoffset_t>(i));
         // Goes wrong if taken as it comes: a sum that is not a number would stay one, and lift or close a limit.
         const double perSecond = std::isfinite(demand->per_second()) ? std::max(0.0, demand->per_second()) : 0.0;
@@ -380,7 +417,7 @@
     if (wire == nullptr) {
         return gossip;
     }
-    for (std::size_t i = 0; i < sizeOf(wire->instances()); ++i) {
+    for (std::size_t i = 0; i < this->sizeOf(wire->instances()); ++i) {
         const auto *news = wire->instances()->Get(static_cast<flatbuffers::uoffset_t>(i));
         const auto life = this->lifeOf(*news);
         if (!life.has_value()) {
@@ -388,7 +425,7 @@
         }
         gossip.instances.push_back({InstanceId{this->name(news->name())}, *life});
     }
-    for (std::size_t i = 0; i < sizeOf(wire->targets()); ++i) {
+    for (std::size_t i = 0; i < this->sizeOf(wire->targets()); ++i) {
         const auto *news = wire->targets()->Get(static_cast<flatbuffers::uoffset_t>(i));
         const auto life = this->lifeOf(*news);
         if (!life.has_value()) {
@@ -396,12 +433,12 @@
         }
         gossip.targets.push_back({TargetId{this->name(news->name())}, *life});
     }
-    for (std::size_t i = 0; i < sizeOf(wire->sums()); ++i) {
+    for (std::size_t i = 0; i < this->sizeOf(wire->sums()); ++i) {
         const auto *sum = wire->sums()->Get(static_cast<flatbuffers::uoffset_t>(i));
         gossip.sums.push_back(
             {PoolId{this->name(sum->pool())}, sum->shard(), sum->in_flight(), sum->targets(), spanOf(sum->age())});
     }
-    for (std::size_t i = 0; i < sizeOf(wire->reach()); ++i) {
+    for (std::size_t i = 0; i < this->sizeOf(wire->reach()); ++i) {
         const auto *news = wire->reach()->Get(static_cast<flatbuffers::uoffset_t>(i));
         gossip.reach.push_back(
             {InstanceId{this->name(news->name())}, news->incarnation(), news->refutation(), news->suspected()});
@@ -442,7 +479,7 @@
     const auto *m = this->take(MessageKind::DocumentPush, this->frame.document_pushes());
     DocumentPush push;
     push.hops = m->hops();
-    for (std::size_t i = 0; i < sizeOf(m->documents()); ++i) {
+    for (std::size_t i = 0; i < this->sizeOf(m->documents()); ++i) {
         const auto *document = m->documents()->Get(static_cast<flatbuffers::uoffset_t>(i));
         push.documents.push_back(
             {textOf(document->name()), document->revision(), bytesOf(document->body()), document->deleted()});
@@ -456,10 +493,10 @@
     DocumentDigest digest;
     digest.wantsAnswer = m->wants_answer();
     digest.exchange = m->exchange();
-    digest.buckets = scalarsOf(m->buckets());
-    digest.covered = scalarsOf(m->covered());
+    digest.buckets = this->scalarsOf(m->buckets());
+    digest.covered = this->scalarsOf(m->covered());
     digest.complete = m->complete();
-    for (std::size_t i = 0; i < sizeOf(m->versions()); ++i) {
+    for (std::size_t i = 0; i < this->sizeOf(m->versions()); ++i) {
         const auto *version = m->versions()->Get(static_cast<flatbuffers::uoffset_t>(i));
         digest.versions.push_back({textOf(version->name()), version->revision()});
     }
@@ -470,7 +507,7 @@
 {
     const auto *m = this->take(MessageKind::DocumentPull, this->frame.document_pulls());
     DocumentPull pull;
-    for (std::size_t i = 0; i < sizeOf(m->names()); ++i) {
+    for (std::size_t i = 0; i < this->sizeOf(m->names()); ++i) {
         pull.names.push_back(textOf(m->names()->Get(static_cast<flatbuffers::uoffset_t>(i))));
     }
     return pull;
--- a/sequoiausher/protocol/codec/peercodectest.cpp
+++ b/sequoiausher/protocol/codec/peercodectest.cpp
@@ -30,6 +30,22 @@
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
+/** A frame with one claim that starts at a multiple of 4 bytes, and, for one of two numbers of padding, not of 8. */
+std::string frameAlignedToFour(int padding)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    const Wire::ClaimRequest request({1, 2}, {3, 4}, 6, 5);
+    builder.StartVector(sizeof(request), 1);
+    builder.PushBytes(reinterpret_cast<const std::uint8_t *>(&request), sizeof(request));
+    const flatbuffers::Offset<flatbuffers::Vector<const Wire::ClaimRequest *>> requests(builder.EndVector(1));
+    for (int i = 0; i < padding; ++i) {
+        builder.PushElement<std::uint32_t>(0);
+    }
+    Wire::FrameBuilder frame(builder);
+    frame.add_claim_requests(requests);
+    return frameOf(builder, frame.Finish());
+}
+
 } // namespace
 
 TEST_CASE("each kind of message comes back with every field")
@@ -138,6 +154,42 @@
     }
 }
 
+// Symptom: the undefined sanitizer reports a member call on a misaligned address; a machine that checks alignment stops
+// the router.
+// Events: a peer's frame places a vector of structs at a multiple of 4 bytes, where 8 are due.
+// Cause: the verifier checks where a vector's length stands, and not where its first item does.
+TEST_CASE("a frame whose items are not aligned is refused")
+{
+    int refused = 0;
+    for (const int padding : {0, 1}) {
+        try {
+            const DecodedFrame decoded = decodeFrame(frameAlignedToFour(padding), "r1");
+            CHECK(decoded.messages == Batch{ClaimRequest{{1, 2}, {3, 4}, 5, 6}});
+        } catch (const Error &error) {
+            CHECK(error.step() == Step::Decode);
+            ++refused;
+        }
+    }
+    CHECK(refused == 1);
+}
+
+// Symptom: the undefined sanitizer reports a member call on a null pointer.
+// Events: a peer's frame has the lengths of names and no names.
+// Cause: lengths of 0 run past no end, and the absent names were read all the same.
+TEST_CASE("an empty name of absent names is read without them")
+{
+    flatbuffers::FlatBufferBuilder builder;
+    const std::vector<Wire::ClaimVote> votes{Wire::ClaimVote({1, 2}, {3, 4}, 5, 1, 0, false)};
+    const auto votesAt = builder.CreateVectorOfStructs(votes);
+    const auto lengthsAt = builder.CreateVector(std::vector<std::uint8_t>{0});
+    Wire::FrameBuilder frame(builder);
+    frame.add_claim_votes(votesAt);
+    frame.add_name_lengths(lengthsAt);
+    const DecodedFrame decoded = decodeFrame(frameOf(builder, frame.Finish()), "r1");
+    REQUIRE(decoded.messages.size() == 1);
+    CHECK(std::get<ClaimVote>(decoded.messages.front()).holder.empty());
+}
+
 // Symptom: one frame of a few megabytes takes gigabytes of a router's memory.
 // Events: a frame names one large document push a thousand times.
 // Cause: offsets in a buffer may share what they point to, but the messages read from them do not.
