--- a/lab/bench/explorebench.cpp
+++ b/lab/bench/explorebench.cpp
@@ -58,7 +58,9 @@
     figure(one.name + "_states", found.states, "states");
     figure(one.name + "_transitions", found.transitions, "transitions");
     figure(one.name + "_depth", found.depth, "events");
-    figure(one.name + "_schedules", found.schedules, "schedules");
+    if (found.complete) {
+        figure(one.name + "_schedules", found.schedules, "schedules");
+    }
     figure(one.name + "_histories", found.histories, "histories");
     figure(one.name + "_time", took.count(), "s");
     printViolation(found);
