Judge, compile and tell a changed document alone

Cause: each change of any document judged and compiled all of them and told every decision of all targets. The set was read three times over: once to judge the changed document, once to judge the set, once to compile it.

Ruled out: skipping the judgement of the set (it must still be judged whole; now that is its compilation, which costs a look at each document); keeping what was read by revision (a stand-in and a last good revision are made anew for each offer, so it is kept by text); comparing whole sets to find what to tell (parts that say the same keep their pointer).

Change: FleetCompiler is the checker of ConfigurationState. It reads a document once (parseDocument), keeps what it read of each document in force, and compiles a set of shared parts. Names that rules speak of are looked up again where the list or the names changed, rules hidden by an organisation's where a list changed. RuleList is a component of its own. The node tells the list of routers, pools and rows that differ (configurationchanges) and nothing else. compileFleet and FleetDocumentChecker go; parseFleetDocuments, which the commands use, reads a whole set as before and is the naive version of the property test.

A witness is told of a first start only as the list of routers changes, not with any document.

fleetcompilertest: random valid, broken, withdrawn and cross-referencing documents, offered step by step, give the same documents, texts of refusals and warnings, lists and decisions as everything anew; any order of arrival the same end.

Claims: parseClaimParameters read the settings of claims a second time and had no caller but its test. It goes; its cases stand in routersettingstest (texts) and in claimparameterstest (contradictions), with six more.

--- a/lab/bench/slopes/configurationslopes.cpp
+++ b/lab/bench/slopes/configurationslopes.cpp
@@ -5,7 +5,8 @@
 #include "sequoiausher/coordination/claims/witness.h"
 #include "sequoiausher/coordination/membership/membership.h"
 #include "sequoiausher/coordination/spread/spread.h"
-#include "sequoiausher/protocol/settings/fleetconfiguration.h"
+#include "sequoiausher/protocol/settings/configurationchanges.h"
+#include "sequoiausher/protocol/settings/fleetcompiler.h"
 #include "sequoiausher/state/targets/targettable.h"
 
 #include <atomic>
@@ -103,57 +104,68 @@
     return set;
 }
 
-/** What a router does as one organisation's rules change: it judges what is new, and compiles the whole set. */
-struct ChangeCost
+/** The configuration of one router, offered documents as the daemon's node offers them. */
+class Configured
 {
-    double judge = 0;
-    double compile = 0;
+public:
+    explicit Configured(const Scale &scale) : state(this->compiler)
+    {
+        for (const auto &entry : documentsOf(scale)) {
+            this->table.learn(*entry.second);
+        }
+        this->offer();
+    }
+
+    void offer()
+    {
+        if (this->state.offer(this->table) != OfferResult::InForce) {
+            throw std::runtime_error(std::string("the bench's documents are refused: ")
+                                     + (this->state.refusal() ? this->state.refusal()->what() : "nothing is new"));
+        }
+    }
+
+    std::shared_ptr<const FleetConfiguration> fleet() const
+    {
+        return this->compiler.compiled();
+    }
+
+    DocumentTable table;
+    FleetCompiler compiler;
+    ConfigurationState state;
+};
+
+/** What a whole set costs that a router learns at once: the time to judge and compile it, and the memory it holds. */
+struct WholeCost
+{
+    double time = 0;
     double memory = 0;
 };
 
-double judgeTime(const DocumentSet &documents)
+WholeCost costOf(const Scale &scale)
 {
     DocumentTable table;
-    for (const auto &entry : documents) {
+    for (const auto &entry : documentsOf(scale)) {
         table.learn(*entry.second);
     }
-    const FleetDocumentChecker checker;
-    ConfigurationState state(checker);
-    if (state.offer(table) != OfferResult::InForce) {
-        throw std::runtime_error(std::string("the bench's documents are refused: ") + state.refusal()->what());
-    }
-    table.learn({"rules/organisation/org-0", table.highestRevision() + 1, organisationRules(0) + "; new\n", false});
-    const double before = processorMicros();
-    if (state.offer(table) != OfferResult::InForce) {
-        throw std::runtime_error("a changed document is refused");
-    }
-    return processorMicros() - before;
-}
-
-ChangeCost costOf(const Scale &scale)
-{
-    const DocumentSet documents = documentsOf(scale);
-    ChangeCost cost;
-    cost.judge = judgeTime(documents);
+    WholeCost cost;
     const double heapBefore = heapBytes();
     const double before = processorMicros();
-    Problems problems;
-    const auto fleet = compileFleet(documents, problems);
-    cost.compile = processorMicros() - before;
-    if (!fleet) {
-        throw std::runtime_error("the bench's documents do not compile");
+    FleetCompiler compiler;
+    ConfigurationState state(compiler);
+    if (state.offer(table) != OfferResult::InForce) {
+        throw std::runtime_error(std::string("the bench's documents are refused: ") + state.refusal()->what());
     }
-    Problems().swap(problems);
+    cost.time = processorMicros() - before;
     cost.memory = heapBytes() - heapBefore;
     return cost;
 }
 
-/** The decisions of one router, told of a configuration as the daemon's node tells them, whatever has changed. */
+/** The decisions of one router, told of what changed in a configuration as the daemon's node tells them. */
 class Told
 {
 public:
     explicit Told(const FleetConfiguration &fleet)
-        : self(fleet.instances.front().instance)
+        : self(fleet.instances->front().instance)
         , membership({this->self, DataCentreId{"brest-1"}, 1}, 1, {})
         , spread(this->self, 1, {})
         , shards(ShardSettings{})
@@ -162,31 +174,52 @@
     {
     }
 
-    void apply(const FleetConfiguration &fleet)
+    void apply(const FleetConfiguration *previous, const FleetConfiguration &fleet)
+    {
+        const bool newInstances = instancesChanged(previous, fleet);
+        const PoolChanges changes = poolChanges(previous, fleet);
+        if (newInstances) {
+            this->applyInstances(*fleet.instances);
+        }
+        this->applyPools(changes);
+        if (newInstances || !changes.empty()) {
+            this->poolsChanged();
+        }
+    }
+
+private:
+    void applyInstances(const std::vector<InstanceDescription> &instances)
     {
         std::vector<ListedInstance> listed;
         std::vector<InstanceId> names;
-        for (const InstanceDescription &row : fleet.instances) {
+        for (const InstanceDescription &row : instances) {
             listed.push_back({row.instance, row.dataCentre});
             names.push_back(row.instance);
         }
         this->membership.setListed(listed);
         this->witness.setInstances(Millis{1}, makeInstanceList(names));
-        for (const PoolDescription &pool : fleet.pools) {
-            this->targets.applyPool(Millis{1}, pool);
-            for (const TargetDescription &target : pool.targets) {
-                this->membership.targetNews(TargetNews{target.target, target.life});
-            }
-        }
         this->spread.setFleet(Millis{1}, {this->membership.listed(), this->membership.reachable()});
         this->shards.setInstances(this->membership.live());
+    }
+
+    void applyPools(const PoolChanges &changes)
+    {
+        for (const auto &pool : changes.changed) {
+            this->targets.applyPool(Millis{1}, *pool);
+        }
+        for (const TargetDescription &target : changes.targets) {
+            this->membership.targetNews(TargetNews{target.target, target.life});
+        }
+    }
+
+    void poolsChanged()
+    {
         for (const auto &view : this->targets.pools()) {
             this->shards.setPool(view);
         }
         this->owned.update(Millis{1}, this->shards);
     }
 
-private:
     InstanceId self;
     Membership membership;
     Spread spread;
@@ -196,51 +229,82 @@
     Witness witness;
 };
 
-/** The second time, when nothing is new: what each change of any document costs beside its compilation. */
-double applyTime(const Scale &scale)
+/** One document that changes forth and back. */
+struct Change
 {
-    Problems problems;
-    const auto fleet = compileFleet(documentsOf(scale), problems);
-    Told told(*fleet);
-    told.apply(*fleet);
-    constexpr int times = 5;
-    const double before = processorMicros();
+    std::string figure;
+    std::string document;
+    std::string body;
+};
+
+/** What each change costs: the document judged, the set compiled, the decisions told. */
+void changeTime(const Scale &scale, const Change &change)
+{
+    Configured configured(scale);
+    std::shared_ptr<const FleetConfiguration> current = configured.fleet();
+    Told told(*current);
+    told.apply(nullptr, *current);
+    const std::string earlier = configured.table.find(change.document)->body;
+    constexpr int times = 20;
+    double offers = 0;
+    double tells = 0;
     for (int i = 0; i < times; ++i) {
-        told.apply(*fleet);
+        const Revision revision = configured.table.highestRevision() + 1;
+        configured.table.learn({change.document, revision, i % 2 == 0 ? change.body : earlier, false});
+        const double before = processorMicros();
+        configured.offer();
+        const double offered = processorMicros();
+        const std::shared_ptr<const FleetConfiguration> fleet = configured.fleet();
+        told.apply(current.get(), *fleet);
+        current = fleet;
+        tells += processorMicros() - offered;
+        offers += offered - before;
     }
-    return (processorMicros() - before) / times;
+    printFigure(change.figure, (offers + tells) / times, "us");
+    printFigure(change.figure + "_judge_and_compile", offers / times, "us");
+    printFigure(change.figure + "_apply", tells / times, "us");
+}
+
+std::string withOneRowChanged(std::string body)
+{
+    const std::string live = "state = live";
+    return body.replace(body.find(live), live.size(), "state = leaving");
+}
+
+void changeTimes(const std::string &size, const Scale &scale)
+{
+    changeTime(scale,
+               {"configuration_change_time_organisation_" + size, "rules/organisation/org-0", organisationRules(1)});
+    changeTime(scale,
+               {"configuration_change_time_pool_" + size, "targets/model-0", withOneRowChanged(poolBody(scale, 0))});
+    changeTime(scale,
+               {"configuration_change_time_instances_" + size, "instances", withOneRowChanged(instancesBody(scale))});
 }
 
 using Scaled = Scale (*)(std::size_t);
 
 void slopesBy(const std::string &unit, const std::vector<std::size_t> &sizes, Scaled scaled)
 {
-    std::vector<SlopeSample> judge;
-    std::vector<SlopeSample> compile;
+    std::vector<SlopeSample> time;
     std::vector<SlopeSample> memory;
     for (const std::size_t size : sizes) {
-        const ChangeCost cost = costOf(scaled(size));
-        judge.push_back({static_cast<double>(size), cost.judge});
-        compile.push_back({static_cast<double>(size), cost.compile});
+        const WholeCost cost = costOf(scaled(size));
+        time.push_back({static_cast<double>(size), cost.time});
         memory.push_back({static_cast<double>(size), cost.memory});
     }
-    printSlope("configuration_judge_time_per_" + unit, judge, "us");
-    printSlope("configuration_compile_time_per_" + unit, compile, "us");
+    printSlope("configuration_whole_time_per_" + unit, time, "us");
     printSlope("configuration_memory_per_" + unit, memory, "bytes");
 }
 
-void wholeCosts()
+void wholeCosts(const std::string &size, const Scale &scale)
+{
+    const WholeCost cost = costOf(scale);
+    printFigure("configuration_whole_time_" + size, cost.time, "us");
+    printFigure("configuration_memory_" + size, cost.memory, "bytes");
+}
+
+void bodySizes()
 {
-    const ChangeCost target = costOf(Scale{});
-    printFigure("configuration_judge_time_target_size", target.judge, "us");
-    printFigure("configuration_compile_time_target_size", target.compile, "us");
-    printFigure("configuration_memory_target_size", target.memory, "bytes");
-    printFigure("configuration_apply_time_target_size", applyTime(Scale{}), "us");
-    const ChangeCost kentekenlab = costOf({10, 2, 16, 7});
-    printFigure("configuration_judge_time_today", kentekenlab.judge, "us");
-    printFigure("configuration_compile_time_today", kentekenlab.compile, "us");
-    printFigure("configuration_memory_today", kentekenlab.memory, "bytes");
-    printFigure("configuration_apply_time_today", applyTime({10, 2, 16, 7}), "us");
     const DocumentSet documents = documentsOf(Scale{});
     double bytes = 0;
     for (const auto &entry : documents) {
@@ -256,9 +320,8 @@
 
 void swapTime()
 {
-    Problems problems;
-    const auto first = compileFleet(documentsOf({10, 2, 16, 7}), problems);
-    const auto second = compileFleet(documentsOf({10, 2, 16, 7}), problems);
+    const auto first = Configured({10, 2, 16, 7}).fleet();
+    const auto second = Configured({10, 2, 16, 7}).fleet();
     std::atomic<std::shared_ptr<const FleetConfiguration>> current(first);
     constexpr int swaps = 100000;
     const double before = processorMicros();
@@ -275,13 +338,14 @@
     slopesBy("organisation", {10, 90, 180, 270}, [](std::size_t size) { return Scale{size, 9, 16, 7}; });
     slopesBy("target", {16, 1000, 3000, 10000}, [](std::size_t size) { return Scale{10, 9, size, 7}; });
     slopesBy("router", {7, 100, 500, 1300}, [](std::size_t size) { return Scale{10, 9, 16, size}; });
-    wholeCosts();
+    const Scale targetSize;
+    const Scale today{10, 2, 16, 7};
+    wholeCosts("target_size", targetSize);
+    wholeCosts("today", today);
+    changeTimes("target_size", targetSize);
+    changeTimes("today", today);
+    bodySizes();
     swapTime();
-    std::vector<SlopeSample> apply;
-    for (const std::size_t targets : {16U, 1000U, 3000U, 10000U}) {
-        apply.push_back({static_cast<double>(targets), applyTime({10, 9, targets, 1300})});
-    }
-    printSlope("configuration_apply_time_per_target", apply, "us");
 }
 
 } // namespace Sequoiausher
--- a/sequoiausher/base/published.h
+++ b/sequoiausher/base/published.h
@@ -3,7 +3,7 @@
 // A value that one thread replaces whole while others read it: each reader keeps the one that it loaded.
 //
 //     Published<const FleetConfiguration> current;
-//     current = compileFleet(...);                                         // any thread
+//     current = compiler.compiled();                                       // any thread
 //     const std::shared_ptr<const FleetConfiguration> fleet = current.load();
 //
 // Not std::atomic<std::shared_ptr>: in libstdc++ 12 its load() unlocks with relaxed order after reading the pointer, so
--- a/sequoiausher/coordination/claims/claimparameters.cpp
+++ b/sequoiausher/coordination/claims/claimparameters.cpp
@@ -3,7 +3,7 @@
 #include "sequoiausher/base/error.h"
 
 #include <algorithm>
-#include <charconv>
+#include <array>
 
 namespace Sequoiausher {
 
@@ -14,43 +14,14 @@
     throw Error(Step::Settings, "claims", reason);
 }
 
-std::int64_t positive(const std::string &name, const std::string &text)
-{
-    std::int64_t value = 0;
-    const char *end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, value);
-    if (parsed.ec != std::errc{} || parsed.ptr != end || value <= 0) {
-        refuse(name + " must be a positive whole number, not '" + text + "'");
-    }
-    return value;
-}
-
-const std::map<std::string, std::size_t ClaimParameters::*> &counts()
-{
-    static const std::map<std::string, std::size_t ClaimParameters::*> table{
-        {"witnesses", &ClaimParameters::witnesses},
-        {"quorum", &ClaimParameters::quorum},
-        {"max_records", &ClaimParameters::maxRecords},
-        {"page_records", &ClaimParameters::pageRecords},
-        {"handover_instances", &ClaimParameters::handoverInstances},
-    };
-    return table;
-}
-
-const std::map<std::string, Millis ClaimParameters::*> &spans()
-{
-    static const std::map<std::string, Millis ClaimParameters::*> table{
-        {"lifetime_ms", &ClaimParameters::lifetime},
-        {"dispatch_window_ms", &ClaimParameters::dispatchWindow},
-        {"claim_timeout_ms", &ClaimParameters::claimTimeout},
-        {"retry_delay_ms", &ClaimParameters::retryDelay},
-        {"contention_delay_ms", &ClaimParameters::contentionDelay},
-        {"settle_time_ms", &ClaimParameters::settleTime},
-        {"tombstone_lifetime_ms", &ClaimParameters::tombstoneLifetime},
-        {"retry_after_ms", &ClaimParameters::retryAfter},
-    };
-    return table;
-}
+constexpr std::array spans{&ClaimParameters::lifetime,
+                           &ClaimParameters::dispatchWindow,
+                           &ClaimParameters::claimTimeout,
+                           &ClaimParameters::retryDelay,
+                           &ClaimParameters::contentionDelay,
+                           &ClaimParameters::settleTime,
+                           &ClaimParameters::tombstoneLifetime,
+                           &ClaimParameters::retryAfter};
 
 } // namespace
 
@@ -107,28 +78,11 @@
     if (parameters.dispatchWindow * farShorter > parameters.lifetime) {
         refuse("dispatch_window_ms must be at most a tenth of lifetime_ms");
     }
-    const bool positive = std::all_of(
-        spans().begin(), spans().end(), [&](const auto &entry) { return parameters.*entry.second > Millis{0}; });
+    const bool positive
+        = std::all_of(spans.begin(), spans.end(), [&](const auto span) { return parameters.*span > Millis{0}; });
     if (!positive || parameters.maxRecords == 0 || parameters.pageRecords == 0) {
         refuse("every time and bound must be larger than 0");
     }
 }
 
-ClaimParameters parseClaimParameters(const std::map<std::string, std::string> &settings)
-{
-    ClaimParameters parameters;
-    for (const auto &[name, text] : settings) {
-        const std::int64_t value = positive(name, text);
-        if (const auto count = counts().find(name); count != counts().end()) {
-            parameters.*count->second = static_cast<std::size_t>(value);
-        } else if (const auto span = spans().find(name); span != spans().end()) {
-            parameters.*span->second = Millis{value};
-        } else {
-            refuse("unknown setting '" + name + "'");
-        }
-    }
-    checkClaimParameters(parameters);
-    return parameters;
-}
-
 } // namespace Sequoiausher
--- a/sequoiausher/coordination/claims/claimparameters.h
+++ b/sequoiausher/coordination/claims/claimparameters.h
@@ -2,8 +2,9 @@
 
 // The numbers by which idempotency keys are claimed: how many witnesses, which quorum, and how long things last.
 //
-//     const ClaimParameters parameters = parseClaimParameters({{"witnesses", "5"}, {"quorum", "4"}});
-//     parameters.tolerated(); // 2
+//     ClaimParameters parameters;             // parseRouterSettings() fills it from [claims]
+//     checkClaimParameters(parameters);
+//     parameters.tolerated();                 // 2
 //
 // Two attempts of one key can both reach a quorum only if no witness that voted for the first and remembers it is
 // asked by the second. With witness sets that differ in d members and f voting witnesses that forgot, that is ruled
@@ -12,8 +13,6 @@
 #include "sequoiausher/base/millis.h"
 
 #include <cstddef>
-#include <map>
-#include <string>
 
 namespace Sequoiausher {
 
@@ -89,12 +88,4 @@
 /** @throws Error (Step::Settings) where two quorums need not meet, or the times contradict each other. */
 void checkClaimParameters(const ClaimParameters &parameters);
 
-/**
- * Reads settings by name, over the defaults: witnesses, quorum, max_records, page_records, handover_instances, and in
- * milliseconds lifetime_ms, dispatch_window_ms, claim_timeout_ms, retry_delay_ms, contention_delay_ms, settle_time_ms,
- * tombstone_lifetime_ms, retry_after_ms.
- * @throws Error (Step::Settings) for an unknown name, a value that is no positive whole number, or a failed check.
- */
-ClaimParameters parseClaimParameters(const std::map<std::string, std::string> &settings);
-
 } // namespace Sequoiausher
--- a/sequoiausher/coordination/claims/claimparameterstest.cpp
+++ b/sequoiausher/coordination/claims/claimparameterstest.cpp
@@ -27,19 +27,30 @@
 
 TEST_CASE("settings that contradict each other are refused")
 {
-    const std::map<std::string, std::string> bad[] = {
-        {{"quorum", "2"}},
-        {{"quorum", "6"}},
-        {{"quorum", "four"}},
-        {{"quorom", "4"}},
-        {{"settle_time_ms", "1000"}},
-        {{"lifetime_ms", "10000"}},
-        {{"claim_timeout_ms", "3000"}},
-        {{"lifetime_ms", "-1"}},
+    // As texts they stand in routersettingstest, beside the values that are refused by themselves.
+    using Change = void (*)(ClaimParameters &);
+    const Change bad[] = {
+        [](ClaimParameters &p) { p.quorum = 2; },
+        [](ClaimParameters &p) { p.quorum = 6; },
+        [](ClaimParameters &p) { p.witnesses = 0; },
+        [](ClaimParameters &p) { p.settleTime = Millis{1000}; },
+        [](ClaimParameters &p) { p.lifetime = Millis{10000}; },
+        [](ClaimParameters &p) { p.lifetime = Millis{-1}; },
+        [](ClaimParameters &p) { p.claimTimeout = Millis{3000}; },
+        [](ClaimParameters &p) { p.retryDelay = Millis{0}; },
+        [](ClaimParameters &p) { p.contentionDelay = Millis{0}; },
+        [](ClaimParameters &p) { p.tombstoneLifetime = Millis{0}; },
+        [](ClaimParameters &p) { p.retryAfter = Millis{0}; },
+        [](ClaimParameters &p) { p.maxRecords = 0; },
+        [](ClaimParameters &p) { p.pageRecords = 0; },
     };
-    for (const auto &settings : bad) {
-        CAPTURE(settings.begin()->first);
-        CHECK_THROWS_AS(parseClaimParameters(settings), Error);
+    for (std::size_t i = 0; i < std::size(bad); ++i) {
+        CAPTURE(i);
+        ClaimParameters parameters;
+        bad[i](parameters);
+        CHECK_THROWS_AS(checkClaimParameters(parameters), Error);
     }
-    CHECK(parseClaimParameters({{"lifetime_ms", "60000"}}).lifetime == Millis{60000});
+    ClaimParameters shorter;
+    shorter.lifetime = Millis{60000};
+    CHECK_NOTHROW(checkClaimParameters(shorter));
 }
--- a/sequoiausher/coordination/rules/ruleset.h
+++ b/sequoiausher/coordination/rules/ruleset.h
@@ -27,6 +27,7 @@
 #include "sequoiausher/base/ini/problem.h"
 #include "sequoiausher/coordination/rules/decision.h"
 #include "sequoiausher/coordination/rules/requestfacts.h"
+#include "sequoiausher/coordination/rules/rulelist.h"
 #include "sequoiausher/state/documents/document.h"
 
 #include <cstddef>
@@ -38,22 +39,6 @@
 
 namespace Sequoiausher {
 
-/** The fleet's rules document. */
-inline constexpr std::string_view fleetRulesDocument = "rules/fleet";
-/** What the names of the organisations' rules documents start with. */
-inline constexpr std::string_view organisationRulesPrefix = "rules/organisation/";
-/** The most rules in one document: unreachable ones are found by comparing them in pairs. */
-inline constexpr std::size_t maximumRules = 500;
-
-/** The names that rules may speak of, where they are known. */
-struct RuleNames
-{
-    std::vector<std::string> pools;
-    std::vector<std::string> organisations;
-    /** How heavy it is to speak of another. */
-    Severity severity = Severity::Warning;
-};
-
 /** What one rule made of a request. */
 struct RuleVerdict
 {
@@ -99,12 +84,15 @@
     explicit RuleSet(std::unique_ptr<Private> compiled);
     std::unique_ptr<Private> d;
 
-    friend std::shared_ptr<const RuleSet>
-    compileRules(const std::vector<Document> &documents, const std::optional<RuleNames> &names, Problems &problems);
+    friend std::shared_ptr<const RuleSet> makeRuleSet(const std::vector<RuleListPointer> &lists, Problems &problems);
 };
 
-/** Whether a document of that name holds rules. */
-bool isRulesDocument(std::string_view name);
+/**
+ * The set of these lists, none of which holds an error, at most one of each document. They are shared, not copied: a
+ * set in which one list is new costs a look at each list, not at each rule. Appends to problems a warning for each rule
+ * of the fleet that the organisations' own rules hide.
+ */
+std::shared_ptr<const RuleSet> makeRuleSet(const std::vector<RuleListPointer> &lists, Problems &problems);
 
 /**
  * Compiles the rules documents among documents; others and deleted ones are passed over, and their order does not
--- a/sequoiausher/coordination/spread/configurationstate.cpp
+++ b/sequoiausher/coordination/spread/configurationstate.cpp
@@ -39,7 +39,7 @@
 class ConfigurationState::Private
 {
 public:
-    explicit Private(const DocumentChecker &theChecker) : checker(theChecker)
+    explicit Private(DocumentChecker &theChecker) : checker(theChecker)
     {
     }
 
@@ -50,7 +50,7 @@
     bool goesBack(const DocumentTable &table) const;
     bool isNews(const std::optional<Error> &refusal) const;
 
-    const DocumentChecker &checker;
+    DocumentChecker &checker;
     std::shared_ptr<const Configuration> current;
     std::optional<Error> refused;
     std::optional<std::uint64_t> judgedDigest;
@@ -59,7 +59,7 @@
     std::map<std::string, DocumentPointer> kept;
 };
 
-ConfigurationState::ConfigurationState(const DocumentChecker &checker) : d(std::make_unique<Private>(checker))
+ConfigurationState::ConfigurationState(DocumentChecker &checker) : d(std::make_unique<Private>(checker))
 {
 }
 ConfigurationState::~ConfigurationState() = default;
@@ -69,7 +69,7 @@
 {
     Verdict &verdict = this->verdicts[document->name];
     if (verdict.revision != document->revision) {
-        verdict = {document->revision, this->checker.check(DocumentSet{{document->name, document}})};
+        verdict = {document->revision, this->checker.check(document)};
     }
     return verdict.error;
 }
@@ -91,7 +91,7 @@
         return best;
     }
     const auto renamed = std::make_shared<const Document>(Document{name, handed->revision, handed->body, false});
-    return this->checker.check(DocumentSet{{name, renamed}}) ? best : renamed;
+    return this->checker.check(renamed) ? best : renamed;
 }
 
 void ConfigurationState::Private::addRefused(const DocumentPointer &document,
@@ -178,7 +178,7 @@
         return isNews ? OfferResult::Refused : OfferResult::Unchanged;
     }
     // Only documents that are good by themselves are left, so this refuses what none of them shows alone.
-    if (const auto error = this->d->checker.check(candidate.documents)) {
+    if (const auto error = this->d->checker.checkTogether(candidate.documents)) {
         this->d->refused = error;
         return OfferResult::Refused;
     }
--- a/sequoiausher/coordination/spread/configurationstate.h
+++ b/sequoiausher/coordination/spread/configurationstate.h
@@ -42,14 +42,24 @@
     std::string body;
 };
 
-/** Says whether a set of documents may come into force. It must judge the same way on every router. */
+/**
+ * Says whether documents may come into force. It must judge the same way on every router, and so by the texts alone: it
+ * may keep what it read of a document, not let it bear on another's verdict.
+ */
 class DocumentChecker
 {
 public:
     virtual ~DocumentChecker() = default;
 
-    /** std::nullopt where the whole set is good; otherwise an error that names document, line and reason. */
-    virtual std::optional<Error> check(const DocumentSet &candidate) const = 0;
+    /** std::nullopt where the document, taken by itself, is good; else an error that names document, line and reason.
+     */
+    virtual std::optional<Error> check(const DocumentPointer &document) = 0;
+
+    /**
+     * The same for a whole set of documents each of which is good by itself. It is asked at each change, so it should
+     * cost what is new in the set. A set that it finds good comes into force.
+     */
+    virtual std::optional<Error> checkTogether(const DocumentSet &candidate) = 0;
 
     /** What takes the place of a refused document while no good revision of it is known. */
     virtual StandIn standIn(const std::string &name) const
@@ -101,7 +111,7 @@
 {
 public:
     /** @param checker outlives this. */
-    explicit ConfigurationState(const DocumentChecker &checker);
+    explicit ConfigurationState(DocumentChecker &checker);
     ~ConfigurationState();
 
     /** Checks what is new in the table and puts what is good in force at once, or keeps what is. */
--- a/sequoiausher/coordination/spread/configurationstatetest.cpp
+++ b/sequoiausher/coordination/spread/configurationstatetest.cpp
@@ -9,11 +9,16 @@
 class RefusesBad : public DocumentChecker
 {
 public:
-    std::optional<Error> check(const DocumentSet &candidate) const override
+    std::optional<Error> check(const DocumentPointer &document) override
     {
-        for (const auto &[name, document] : candidate) {
-            if (document->body == "bad") {
-                return Error(Step::Rules, name, "line 1: bad");
+        return document->body == "bad" ? std::optional(Error(Step::Rules, document->name, "line 1: bad"))
+                                       : std::nullopt;
+    }
+    std::optional<Error> checkTogether(const DocumentSet &candidate) override
+    {
+        for (const auto &entry : candidate) {
+            if (auto error = this->check(entry.second)) {
+                return error;
             }
         }
         return std::nullopt;
@@ -31,7 +36,7 @@
 
 TEST_CASE("a bad set is refused whole and the last good one stays until it is mended")
 {
-    const RefusesBad checker;
+    RefusesBad checker;
     ConfigurationState state(checker);
     DocumentTable table;
     CHECK(state.inForce() == nullptr);
@@ -56,7 +61,7 @@
 {
     // Symptom: an accepted rule is undone. A caller rebuilds its table from a stale peer and offers it. Cause: only
     // the digest was compared, which tells that sets differ, not which is newer.
-    const RefusesBad checker;
+    RefusesBad checker;
     ConfigurationState state(checker);
     DocumentTable newer;
     newer.learn({"a", 5, "good", false});
@@ -72,7 +77,7 @@
 {
     // Symptom: one organisation's typing error held up every other organisation's changes. Cause: the set was judged
     // whole, though each document is good or bad by itself.
-    const RefusesBad checker;
+    RefusesBad checker;
     ConfigurationState state(checker);
     DocumentTable table;
     table.learn({"a", 1, "good", false});
@@ -96,7 +101,7 @@
 {
     // Symptom: a replaced instance had no configuration at all until somebody mended a document. Cause: the table holds
     // the newest revision alone, and the last good one was known only to those that had it in force.
-    const RefusesBad checker;
+    RefusesBad checker;
     ConfigurationState running(checker);
     DocumentTable table;
     table.learn({"a", 1, "good", false});
@@ -130,7 +135,7 @@
     // Symptom: the whole fleet restarted while a refused document was the newest, and no request was served. Nobody
     // remembers a last good one then; leaving out an organisation's rules would route its requests by rules that may
     // not ask for a claim, so a stand-in refuses them.
-    const RefusesBad checker;
+    RefusesBad checker;
     ConfigurationState state(checker);
     DocumentTable table;
     table.learn({"a", 1, "good", false});
--- a/sequoiausher/protocol/settings/documentstest.cpp
+++ b/sequoiausher/protocol/settings/documentstest.cpp
@@ -1,3 +1,4 @@
+#include "sequoiausher/protocol/settings/fleetcompiler.h"
 #include "sequoiausher/protocol/settings/fleetdocuments.h"
 #include "sequoiausher/protocol/settings/instancesdocument.h"
 #include "sequoiausher/protocol/settings/organisationsdocument.h"
@@ -134,9 +135,10 @@
     CHECK(toText(problems[0])
           == "rules/fleat: warning: found a document that the fleet does not use, expected instances, organisations, "
              "targets/POOL, rules/fleet or rules/organisation/NAME; did you mean 'rules/fleet'?");
-    CHECK_FALSE(FleetDocumentChecker{}.check(set));
+    FleetCompiler compiler;
+    CHECK_FALSE(compiler.checkTogether(set));
     set.insert(document("instances", "[instance r1]\n"));
-    const auto error = FleetDocumentChecker{}.check(set);
+    const auto error = compiler.checkTogether(set);
     REQUIRE(error);
     CHECK(error->peer() == "instances");
     CHECK(error->step() == Step::Rules);
@@ -144,7 +146,7 @@
 
 TEST_CASE("what stands in for a refused document of which no good revision is known")
 {
-    const FleetDocumentChecker checker;
+    FleetCompiler checker;
     CHECK(checker.standIn("instances").kind == StandInKind::WaitForGood);
     CHECK(checker.standIn("organisations").kind == StandInKind::WaitForGood);
     CHECK(checker.standIn("targets/p").kind == StandInKind::LeaveOut);
@@ -152,7 +154,8 @@
         const StandIn standIn = checker.standIn(name);
         REQUIRE(standIn.kind == StandInKind::Replace);
         const DocumentSet set{{name, std::make_shared<const Document>(Document{name, 0, standIn.body, false})}};
-        CHECK_FALSE(checker.check(set));
+        CHECK_FALSE(checker.check(set.begin()->second));
+        CHECK_FALSE(checker.checkTogether(set));
         Problems problems;
         const auto decision = parseFleetDocuments(set, Severity::Warning, problems).rules->decide(RequestFacts{});
         if (name == "rules/fleet") {
--- a/sequoiausher/protocol/settings/routersettingstest.cpp
+++ b/sequoiausher/protocol/settings/routersettingstest.cpp
@@ -53,8 +53,10 @@
 {
     const RouterSettings settings = parseRouterSettings(
         goodText
-            + "readers = 2\n[peers]\nseeds = r2=127.0.0.1:7102, r3=[::1]:7103\n[log]\nformat = json\nlevel = debug\n",
+            + "readers = 2\n[peers]\nseeds = r2=127.0.0.1:7102, r3=[::1]:7103\n[claims]\nlifetime_ms = 60000\n"
+              "[log]\nformat = json\nlevel = debug\n",
         "r.ini");
+    CHECK(settings.claims.lifetime == Millis{60000});
     CHECK(settings.platform.readers == 2);
     REQUIRE(settings.peers.seeds.size() == 2);
     CHECK(settings.peers.seeds[1] == PeerSeed{InstanceId{"r3"}, "[::1]:7103"});
@@ -143,6 +145,24 @@
          "[claims]\nlifetime_ms = 10000\n",
          "r.ini:8: [claims]: found values that contradict each other, expected dispatch_window_ms must be at most a "
          "tenth of lifetime_ms"},
+        {"",
+         "[claims]\nquorum = four\n",
+         "r.ini:9:10: [claims] quorum: found 'four', expected a whole number from 1 to 15 (instances)"},
+        {"",
+         "[claims]\nquorom = 4\n",
+         "r.ini:9:1: [claims] quorom: found an unknown key, expected one of the keys in docs/CONFIGURATION.md; did you "
+         "mean 'quorum'?"},
+        {"",
+         "[claims]\nlifetime_ms = -1\n",
+         "r.ini:9:15: [claims] lifetime_ms: found '-1', expected a whole number from 10000 to 86400000 (ms)"},
+        {"",
+         "[claims]\nsettle_time_ms = 1000\n",
+         "r.ini:8: [claims]: found values that contradict each other, expected settle_time_ms must be longer than "
+         "dispatch_window_ms"},
+        {"",
+         "[claims]\nclaim_timeout_ms = 3000\n",
+         "r.ini:8: [claims]: found values that contradict each other, expected claim_timeout_ms must be shorter than "
+         "dispatch_window_ms"},
         {"",
          "[claims]\nlife_time_ms = 10000\n",
          "r.ini:9:1: [claims] life_time_ms: found an unknown key, expected one of the keys in docs/CONFIGURATION.md; "
--- a/sequoiausher/transport/router/entry.cpp
+++ b/sequoiausher/transport/router/entry.cpp
@@ -109,8 +109,8 @@
     QJsonArray models;
     std::set<std::string> names;
     if (const auto fleet = this->context.node.configuration()) {
-        for (const PoolDescription &pool : fleet->pools) {
-            names.insert(pool.model);
+        for (const auto &pool : fleet->pools) {
+            names.insert(pool->model);
         }
     }
     names.erase("");
--- a/sequoiausher/transport/router/node.cpp
+++ b/sequoiausher/transport/router/node.cpp
@@ -385,7 +385,7 @@
         status.waiting += this->d->gates.waiting();
     }
     if (const auto fleet = this->d->current.load()) {
-        status.instances = fleet->instances;
+        status.instances = *fleet->instances;
     }
     status.boundPercent = this->d->settings.admission.boundPercent;
     status.requests = this->d->registry.size();
--- a/sequoiausher/transport/router/node.h
+++ b/sequoiausher/transport/router/node.h
@@ -20,6 +20,7 @@
 #include "sequoiausher/protocol/settings/fleetconfiguration.h"
 #include "sequoiausher/protocol/settings/routersettings.h"
 #include "sequoiausher/state/answers/answertable.h"
+#include "sequoiausher/state/documents/documenttable.h"
 #include "sequoiausher/state/targets/targettable.h"
 #include "sequoiausher/transport/peers/peercounters.h"
 #include "sequoiausher/transport/router/requestregistry.h"
--- a/sequoiausher/transport/router/nodeconfiguration.cpp
+++ b/sequoiausher/transport/router/nodeconfiguration.cpp
@@ -2,7 +2,6 @@
 
 #include <QMetaObject>
 
-#include <algorithm>
 #include <mutex>
 
 namespace Sequoiausher {
@@ -67,7 +66,9 @@
 
 void Node::Private::documentsChanged(Millis now)
 {
-    std::shared_ptr<const Configuration> inForce;
+    std::shared_ptr<const FleetConfiguration> fleet;
+    Problems warnings;
+    Revision revision = 0;
     {
         const std::scoped_lock lock(this->documentsMutex);
         const OfferResult result = this->configurationState.offer(this->spread.documents());
@@ -76,36 +77,44 @@
         if (result != OfferResult::InForce) {
             return;
         }
-        inForce = this->configurationState.inForce();
+        revision = this->configurationState.inForce()->highestRevision;
+        fleet = this->compiler.compiled();
+        warnings = this->compiler.warnings();
     }
-    Problems problems;
-    const std::shared_ptr<const FleetConfiguration> fleet = compileFleet(*inForce->documents, problems);
-    for (const Problem &problem : problems) {
+    for (const Problem &problem : warnings) {
         this->log.warning(LogPart::Config, "the configuration has a doubtful place", {{"place", toText(problem)}});
     }
+    const std::shared_ptr<const FleetConfiguration> previous = this->current.load();
     this->current = fleet;
-    this->apply(now, fleet);
-    this->log.info(
-        LogPart::Config, "a configuration is in force", {{"revision", std::to_string(inForce->highestRevision)}});
+    this->apply(now, previous.get(), *fleet);
+    this->log.info(LogPart::Config, "a configuration is in force", {{"revision", std::to_string(revision)}});
 }
 
-void Node::Private::apply(Millis now, const std::shared_ptr<const FleetConfiguration> &fleet)
+// Only what differs is told: at 98,000 changes a day, nearly all of them rules, telling every decision of 1,300 routers
+// and 10,000 targets each time held up the control thread for nothing.
+void Node::Private::apply(Millis now, const FleetConfiguration *previous, const FleetConfiguration &fleet)
 {
-    Outbox outbox;
-    this->applyInstances(now, *fleet);
-    this->applyPools(now, *fleet);
-    this->viewChanged(now);
-    this->poolsChanged(now, outbox);
-    this->deliver(std::move(outbox));
+    const bool newInstances = instancesChanged(previous, fleet);
+    const PoolChanges changes = poolChanges(previous, fleet);
+    if (newInstances) {
+        this->applyInstances(now, *fleet.instances);
+        this->viewChanged(now);
+    }
+    this->applyPools(now, changes);
+    if (newInstances || !changes.empty()) {
+        Outbox outbox;
+        this->poolsChanged(now, outbox);
+        this->deliver(std::move(outbox));
+    }
 }
 
-void Node::Private::applyInstances(Millis now, const FleetConfiguration &fleet)
+void Node::Private::applyInstances(Millis now, const std::vector<InstanceDescription> &instances)
 {
     std::vector<ListedInstance> listed;
     std::vector<InstanceId> names;
     PeerAddresses addresses;
     bool first = false;
-    for (const InstanceDescription &row : fleet.instances) {
+    for (const InstanceDescription &row : instances) {
         if (row.state == LifeState::Gone) {
             continue;
         }
@@ -136,23 +145,21 @@
     }
 }
 
-void Node::Private::applyPools(Millis now, const FleetConfiguration &fleet)
+void Node::Private::applyPools(Millis now, const PoolChanges &changes)
 {
-    std::vector<PoolId> named;
-    for (const PoolDescription &pool : fleet.pools) {
-        this->targets.applyPool(now, pool);
-        named.push_back(pool.pool);
+    for (const auto &pool : changes.changed) {
+        this->targets.applyPool(now, *pool);
+    }
+    {
         const std::scoped_lock lock(this->membershipMutex);
-        for (const TargetDescription &target : pool.targets) {
+        for (const TargetDescription &target : changes.targets) {
             this->membership.targetNews(TargetNews{target.target, target.life});
         }
     }
-    for (const auto &view : this->targets.pools()) {
-        if (std::find(named.begin(), named.end(), view->pool) == named.end()) {
-            this->targets.removePool(view->pool);
-            const std::scoped_lock lock(this->admissionMutex);
-            this->shards.removePool(view->pool);
-        }
+    for (const PoolId &pool : changes.removed) {
+        this->targets.removePool(pool);
+        const std::scoped_lock lock(this->admissionMutex);
+        this->shards.removePool(pool);
     }
 }
 
--- a/sequoiausher/transport/router/nodeprivate.cpp
+++ b/sequoiausher/transport/router/nodeprivate.cpp
@@ -87,7 +87,7 @@
                  seed,
                  membershipSettings(theSettings))
     , spread(theSettings.name, seed + 1, spreadSettings(theSettings))
-    , configurationState(checker)
+    , configurationState(compiler)
     , shards(ShardSettings{})
     , reserver(theSettings.name, theIncarnation, reserverSettings(theSettings), seed + 2, shards)
     , owned(theSettings.name, OwnerSettings{}, seed + 3)
--- a/sequoiausher/transport/router/nodeprivate.h
+++ b/sequoiausher/transport/router/nodeprivate.h
@@ -12,6 +12,8 @@
 #include "sequoiausher/coordination/limits/poolguard.h"
 #include "sequoiausher/coordination/membership/membership.h"
 #include "sequoiausher/coordination/spread/spread.h"
+#include "sequoiausher/protocol/settings/configurationchanges.h"
+#include "sequoiausher/protocol/settings/fleetcompiler.h"
 #include "sequoiausher/state/lockorder.h"
 #include "sequoiausher/transport/http/httpclient.h"
 #include "sequoiausher/transport/peers/peermesh.h"
@@ -59,9 +61,9 @@
     void tellRefusal();
     void documentsChanged(Millis now);
     void documentsChangedSoon();
-    void apply(Millis now, const std::shared_ptr<const FleetConfiguration> &fleet);
-    void applyInstances(Millis now, const FleetConfiguration &fleet);
-    void applyPools(Millis now, const FleetConfiguration &fleet);
+    void apply(Millis now, const FleetConfiguration *previous, const FleetConfiguration &fleet);
+    void applyInstances(Millis now, const std::vector<InstanceDescription> &instances);
+    void applyPools(Millis now, const PoolChanges &changes);
     void viewChanged(Millis now);
     void poolsChanged(Millis now, Outbox &outbox);
     void membershipEvents(Millis now, Outbox &outbox);
@@ -82,7 +84,7 @@
 
     OrderedMutex documentsMutex{LockRank::Documents};
     Spread spread;
-    FleetDocumentChecker checker;
+    FleetCompiler compiler;
     ConfigurationState configurationState;
     std::string toldRefusal;
 
