--- a/lab/fuzz/settingsfuzz.cpp
+++ b/lab/fuzz/settingsfuzz.cpp
@@ -2,7 +2,8 @@
 
 #include "lab/fuzz/fuzztargets.h"
 
-#include "sequoiausher/protocol/settings/fleetconfiguration.h"
+#include "sequoiausher/protocol/settings/fleetcompiler.h"
+#include "sequoiausher/protocol/settings/fleetdocuments.h"
 #include "sequoiausher/protocol/settings/routersettings.h"
 
 namespace Sequoiausher {
@@ -65,13 +66,14 @@
     const std::string_view body = bytes.substr(std::min(end + 1, bytes.size()));
     const Document document{std::string(bytes.substr(0, end)), 1, std::string(body), false};
     const DocumentSet set{{document.name, std::make_shared<const Document>(document)}};
-    const FleetDocumentChecker checker;
-    const bool isRefused = checker.check(set).has_value();
+    FleetCompiler compiler;
+    const bool isRefused = compiler.check(set.begin()->second).has_value();
     Problems problems;
-    const auto fleet = compileFleet(set, problems);
+    parseFleetDocuments(set, Severity::Warning, problems);
     checkProblems(problems);
-    if (isRefused == (fleet != nullptr)) {
-        throw FuzzFinding("the check of a document and its compilation disagree");
+    const bool isCompiled = !compiler.checkTogether(set).has_value() && compiler.compiled() != nullptr;
+    if (isRefused != hasErrors(problems) || isRefused == isCompiled) {
+        throw FuzzFinding("the check of a document, its reading and its compilation disagree");
     }
 }
 
