--- a/sequoiausher/protocol/codec/framereader.cpp
+++ b/sequoiausher/protocol/codec/framereader.cpp
@@ -113,6 +113,8 @@
     std::optional<PeerMessage> attachChunk();
     std::optional<PeerMessage> attachEnd();
     std::optional<PeerMessage> attachCancel();
+    std::optional<PeerMessage> holdingsDigest();
+    std::optional<PeerMessage> holdingsAnswer();
 
     [[noreturn]] void refuse(const std::string &reason) const;
     /** Refuses a vector whose items are not aligned; every other access to a vector comes after this one. */
@@ -227,7 +229,9 @@
                                                            this->sizeOf(f.attach_replies()),
                                                            this->sizeOf(f.attach_chunks()),
                                                            this->sizeOf(f.attach_ends()),
-                                                           this->sizeOf(f.attach_cancels())};
+                                                           this->sizeOf(f.attach_cancels()),
+                                                           this->sizeOf(f.holdings_digests()),
+                                                           this->sizeOf(f.holdings_answers())};
     return counts.at(static_cast<std::size_t>(kind));
 }
 
@@ -270,7 +274,9 @@
                                                               &Private::attachReply,
                                                               &Private::attachChunk,
                                                               &Private::attachEnd,
-                                                              &Private::attachCancel};
+                                                              &Private::attachCancel,
+                                                              &Private::holdingsDigest,
+                                                              &Private::holdingsAnswer};
     if (kind >= reads.size() || reads.at(kind) == nullptr) {
         return std::nullopt;
     }
@@ -395,9 +401,22 @@
         report.holdings.push_back(
             {numberOf<RequestId>(m->requests()->Get(index)), TargetId{this->name(m->targets()->Get(index))}});
     }
+    report.wantsAnswer = m->wants_answer();
     return report;
 }
 
+std::optional<PeerMessage> FrameReader::Private::holdingsDigest()
+{
+    const auto *m = this->take(MessageKind::HoldingsDigest, this->frame.holdings_digests());
+    return HoldingsDigest{PoolId{this->name(m->pool())}, m->shard(), m->sequence(), m->count(), m->digest()};
+}
+
+std::optional<PeerMessage> FrameReader::Private::holdingsAnswer()
+{
+    const auto *m = this->take(MessageKind::HoldingsAnswer, this->frame.holdings_answers());
+    return HoldingsAnswer{PoolId{this->name(m->pool())}, m->shard(), m->wants_report()};
+}
+
 std::optional<LifeNews> FrameReader::Private::lifeOf(const Wire::LifeNews &news) const
 {
     const auto state = enumOf<LifeState>(news.state());
--- a/sequoiausher/protocol/codec/messagegenerators.cpp
+++ b/sequoiausher/protocol/codec/messagegenerators.cpp
@@ -143,7 +143,9 @@
     }
 };
 SEQUOIAUSHER_ARBITRARY(Release, m.request, m.pool, m.shard);
-SEQUOIAUSHER_ARBITRARY(HoldingsReport, m.pool, m.shard, m.sequence, m.holdings);
+SEQUOIAUSHER_ARBITRARY(HoldingsReport, m.pool, m.shard, m.sequence, m.holdings, m.wantsAnswer);
+SEQUOIAUSHER_ARBITRARY(HoldingsDigest, m.pool, m.shard, m.sequence, m.count, m.digest);
+SEQUOIAUSHER_ARBITRARY(HoldingsAnswer, m.pool, m.shard, m.wantsReport);
 SEQUOIAUSHER_ARBITRARY(Probe, m.sequence, m.gossip);
 SEQUOIAUSHER_ARBITRARY(ProbeReply, m.sequence, m.about, m.gossip);
 SEQUOIAUSHER_ARBITRARY(IndirectProbe, m.sequence, m.suspect);
