Let a table of answers describe what it keeps and take what another router hands over

Cause: a router's kept answers go with its process. A clerk who retries a plate order after a rolling update then hears that the outcome is unknown.

Change: AnswerTable gives its whole answers of keyed requests, the last ended first, each with a digest over attempt, key, status, type and body (KeptAnswer), and keep() takes such an answer for what is left of its time. It drops one that was cut or mixed up on its way, leaves the key to a request that runs here, and drops no younger answer for an older one. Ended answers stand by the time of their end, since those handed over come out of turn; a list would have cost a walk for each. Copies that a retry read along from another router are marked and not given: no claim names them.

Ruled out: handing copies over as well. A retry asks for the attempt that its claim names, so nobody would find them.

Nothing calls the new functions yet.

--- a/sequoiausher/state/answers/answertable.cpp
+++ b/sequoiausher/state/answers/answertable.cpp
@@ -3,7 +3,7 @@
 #include "sequoiausher/state/lockorder.h"
 
 #include <algorithm>
-#include <list>
+#include <map>
 #include <mutex>
 #include <stdexcept>
 #include <unordered_map>
@@ -22,6 +22,8 @@
     std::uint64_t bodyDigest = 0;
     AnswerState state = AnswerState::Running;
     bool replayable = true;
+    /** Read along from another router; see setCopy(). */
+    bool copy = false;
     std::optional<AnswerHead> head;
     std::string body;
     std::string reason;
@@ -94,8 +96,8 @@
     bool makeRoom(std::size_t wanted, Wakes &wakes)
     {
         while (this->used + wanted > this->settings.totalBytes && !this->ended.empty()) {
-            this->drop(this->ended.front(), wakes);
-            this->ended.pop_front();
+            this->drop(this->ended.begin()->second, wakes);
+            this->ended.erase(this->ended.begin());
         }
         return this->used + wanted <= this->settings.totalBytes;
     }
@@ -135,13 +137,19 @@
         return AnswerCursor{reader, 0};
     }
 
+    /** Whether a retry elsewhere may need the answer once this router is gone. */
+    static bool mayBeHandedOver(const Answer &answer)
+    {
+        return answer.state == AnswerState::Complete && answer.key && answer.head && answer.replayable && !answer.copy;
+    }
+
     const AnswerSettings settings;
     mutable OrderedMutex mutex{LockRank::Answers};
     std::unordered_map<RequestId, AnswerPointer> answers;
     std::unordered_map<ClaimKey, RequestId> byKey;
     std::unordered_map<std::uint64_t, AnswerPointer> readers;
-    /** Ended answers, oldest first. */
-    std::list<AnswerPointer> ended;
+    /** Ended answers by the time of their end: the oldest go first. */
+    std::multimap<Millis, AnswerPointer> ended;
     std::uint64_t lastReader = 0;
     std::size_t used = 0;
 };
@@ -246,7 +254,7 @@
         if (state == AnswerState::NotRun) {
             this->d->drop(answer, wakes);
         } else {
-            this->d->ended.push_back(answer);
+            this->d->ended.emplace(now, answer);
             wakes = Private::wakesOf(*answer);
         }
     }
@@ -309,15 +317,78 @@
     this->d->readers.erase(found);
 }
 
+void AnswerTable::setCopy(const RequestId &request)
+{
+    const std::scoped_lock lock(this->d->mutex);
+    if (const AnswerPointer answer = this->d->lookUp(request)) {
+        answer->copy = true;
+    }
+}
+
+std::vector<KeptAnswer> AnswerTable::kept(Millis now) const
+{
+    std::vector<KeptAnswer> all;
+    const std::scoped_lock lock(this->d->mutex);
+    for (auto each = this->d->ended.rbegin(); each != this->d->ended.rend(); ++each) {
+        const Answer &answer = *each->second;
+        if (Private::mayBeHandedOver(answer)) {
+            all.push_back(describe(answer.request, *answer.key, answer.bodyDigest, *answer.head, answer.body));
+            all.back().age = now - answer.endedAt;
+        }
+    }
+    return all;
+}
+
+std::string AnswerTable::bytesOf(const RequestId &request, std::uint64_t offset, std::size_t maxBytes) const
+{
+    const std::scoped_lock lock(this->d->mutex);
+    const AnswerPointer answer = this->d->lookUp(request);
+    const bool has = answer && Private::mayBeHandedOver(*answer) && offset < answer->body.size();
+    return has ? answer->body.substr(offset, maxBytes) : std::string();
+}
+
+bool AnswerTable::keep(Millis now, const KeptAnswer &kept, std::string body)
+{
+    const bool inTime = kept.age >= Millis{0} && kept.age < this->d->settings.keepFor;
+    if (!inTime || body.size() > this->d->settings.bytesPerAnswer || !isWhole(kept, body)) {
+        return false;
+    }
+    auto answer = std::make_shared<Answer>();
+    answer->request = kept.attempt;
+    answer->key = kept.key;
+    answer->bodyDigest = kept.bodyDigest;
+    answer->state = AnswerState::Complete;
+    answer->head = kept.head;
+    answer->body = std::move(body);
+    answer->endedAt = now - kept.age;
+    Wakes wakes;
+    bool hasRoom = false;
+    {
+        const std::scoped_lock lock(this->d->mutex);
+        if (this->d->lookUp(kept.attempt)) {
+            return true;
+        }
+        this->d->recount(*answer);
+        this->d->answers.emplace(kept.attempt, answer);
+        this->d->byKey.emplace(kept.key, kept.attempt);
+        this->d->ended.emplace(answer->endedAt, answer);
+        // Where it is itself the oldest, it is what goes first.
+        this->d->makeRoom(0, wakes);
+        hasRoom = this->d->lookUp(kept.attempt) != nullptr;
+    }
+    callAll(wakes);
+    return hasRoom;
+}
+
 void AnswerTable::tick(Millis now)
 {
     Wakes wakes;
     {
         const std::scoped_lock lock(this->d->mutex);
         auto &ended = this->d->ended;
-        while (!ended.empty() && now - ended.front()->endedAt >= this->d->settings.keepFor) {
-            this->d->drop(ended.front(), wakes);
-            ended.pop_front();
+        while (!ended.empty() && now - ended.begin()->first >= this->d->settings.keepFor) {
+            this->d->drop(ended.begin()->second, wakes);
+            ended.erase(ended.begin());
         }
     }
     callAll(wakes);
@@ -326,7 +397,7 @@
 Millis AnswerTable::nextDeadline() const
 {
     const std::scoped_lock lock(this->d->mutex);
-    return this->d->ended.empty() ? Millis::never() : this->d->ended.front()->endedAt + this->d->settings.keepFor;
+    return this->d->ended.empty() ? Millis::never() : this->d->ended.begin()->first + this->d->settings.keepFor;
 }
 
 std::size_t AnswerTable::usedBytes() const
--- a/sequoiausher/state/answers/answertable.h
+++ b/sequoiausher/state/answers/answertable.h
@@ -16,6 +16,8 @@
 // This table saves work and serves retries; it does not decide that something may run. What it has dropped is still
 // claimed at the witnesses, so a retry then hears that the outcome is unknown.
 //
+// A planned stop takes kept() answers to other routers, which keep() them; see coordination/answers.
+//
 // Memory: all that is kept counts against totalBytes. The oldest ended answers go first. A running answer that
 // outgrows its own bound, or for which no room can be made, drops its bytes, stops being replayable and says so. Its
 // record stays while it runs, so the table may exceed totalBytes by answerOverheadBytes for each running answer.
@@ -23,6 +25,7 @@
 #include "sequoiausher/base/identifiers.h"
 #include "sequoiausher/base/millis.h"
 #include "sequoiausher/base/nametable.h"
+#include "sequoiausher/state/answers/keptanswer.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -31,6 +34,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Sequoiausher {
 
@@ -73,15 +77,6 @@
     RequestId attempt;
 };
 
-/** Status and type of an answer, known before its body. */
-struct AnswerHead
-{
-    std::uint32_t status = 0;
-    std::string contentType;
-
-    bool operator==(const AnswerHead &) const = default;
-};
-
 /** A reader's place in one answer. */
 struct AnswerCursor
 {
@@ -155,6 +150,22 @@
     /** The reader goes away. */
     void detach(const AnswerCursor &cursor);
 
+    /**
+     * The answer of request is only read along from another router. It is kept for retries that
+     * come here, but not handed over: no claim names it.
+     */
+    void setCopy(const RequestId &request);
+    /** The whole answers of keyed requests that ran here or were handed over, the last ended first. */
+    std::vector<KeptAnswer> kept(Millis now) const;
+    /** Up to maxBytes of a kept answer's body; empty where it is kept no more. */
+    std::string bytesOf(const RequestId &request, std::uint64_t offset, std::size_t maxBytes) const;
+    /**
+     * Keeps an answer that another router hands over, for what is left of its time. False where it is not whole, too
+     * old or too large, or older than all for which there is room. The key stays whose it is here; the answer can then
+     * be asked for by its attempt. An attempt that is known already stays as it is.
+     */
+    bool keep(Millis now, const KeptAnswer &answer, std::string body);
+
     /** Drops what has been kept for its time. */
     void tick(Millis now);
     /** When tick() has something to do next; Millis::never() where nothing is kept. */
