--- a/sequoiausher/protocol/codec/framewriter.cpp
+++ b/sequoiausher/protocol/codec/framewriter.cpp
@@ -69,6 +69,8 @@
     void add(const AttachCancel &m);
     void add(const HoldingsDigest &m);
     void add(const HoldingsAnswer &m);
+    void add(const AnswerPage &m);
+    void add(const AnswerPageAck &m);
 
     std::string finish();
 
@@ -115,6 +117,8 @@
     std::vector<Wire::AttachCancel> attachCancels;
     std::vector<Wire::HoldingsDigest> holdingsDigests;
     std::vector<Wire::HoldingsAnswer> holdingsAnswers;
+    std::vector<Offset<Wire::AnswerPage>> answerPages;
+    std::vector<Wire::AnswerPageAck> answerPageAcks;
 };
 
 std::uint16_t FrameWriter::Private::index(const std::string &name)
@@ -387,13 +391,42 @@
     this->holdingsAnswers.emplace_back(m.shard, this->index(m.pool.value), m.wantsReport);
 }
 
-/** Without the order a reader takes kind by kind; one that does not know a kind could not count it as passed over. */
+void FrameWriter::Private::add(const AnswerPage &m)
+{
+    std::vector<Offset<Wire::AnswerFragment>> fragments;
+    for (const AnswerFragment &fragment : m.fragments) {
+        const KeptAnswer &answer = fragment.answer;
+        const Wire::Id attempt = wireId(answer.attempt);
+        const Wire::Id key = wireId(answer.key);
+        const auto type = this->builder.CreateString(answer.head.contentType);
+        const auto body = this->bytes(fragment.bytes);
+        fragments.push_back(Wire::CreateAnswerFragment(this->builder,
+                                                       &attempt,
+                                                       &key,
+                                                       answer.bodyDigest,
+                                                       answer.head.status,
+                                                       type,
+                                                       answer.length,
+                                                       answer.digest,
+                                                       wireSpan(answer.age),
+                                                       fragment.offset,
+                                                       body));
+    }
+    this->answerPages.push_back(Wire::CreateAnswerPage(this->builder, m.handover, m.sequence, this->tables(fragments)));
+}
+
+void FrameWriter::Private::add(const AnswerPageAck &m)
+{
+    this->answerPageAcks.emplace_back(m.handover, m.sequence);
+}
+
+// Without the order, a router of the first version would not see the messages of a kind that it does not know.
 bool FrameWriter::Private::needsOrder() const
 {
-    constexpr std::uint8_t lastOfFirstVersion = 20;
-    const bool isMixed
+    constexpr auto highestOfFirstVersion = static_cast<std::uint8_t>(MessageKind::AttachCancel);
+    const bool mixed
         = std::adjacent_find(this->order.begin(), this->order.end(), std::not_equal_to<>{}) != this->order.end();
-    return isMixed || (!this->order.empty() && this->order.front() > lastOfFirstVersion);
+    return mixed || (!this->order.empty() && this->order.front() > highestOfFirstVersion);
 }
 
 std::string FrameWriter::Private::finish()
@@ -425,6 +458,8 @@
     const auto claimPagesAt = this->tables(this->claimPages);
     const auto holdingsDigestsAt = this->structs(this->holdingsDigests);
     const auto holdingsAnswersAt = this->structs(this->holdingsAnswers);
+    const auto answerPagesAt = this->tables(this->answerPages);
+    const auto answerPageAcksAt = this->structs(this->answerPageAcks);
     this->builder.Finish(Wire::CreateFrame(this->builder,
                                            claimRequestsAt,
                                            claimVotesAt,
@@ -452,7 +487,9 @@
                                            claimPullsAt,
                                            claimPagesAt,
                                            holdingsDigestsAt,
-                                           holdingsAnswersAt));
+                                           holdingsAnswersAt,
+                                           answerPagesAt,
+                                           answerPageAcksAt));
     const auto *data = reinterpret_cast<const char *>(this->builder.GetBufferPointer());
     return {data, this->builder.GetSize()};
 }
--- a/sequoiausher/protocol/codec/messagekind.h
+++ b/sequoiausher/protocol/codec/messagekind.h
@@ -37,6 +37,8 @@
     AttachCancel = 20,
     HoldingsDigest = 21,
     HoldingsAnswer = 22,
+    AnswerPage = 23,
+    AnswerPageAck = 24,
 };
 
 template<>
@@ -52,10 +54,11 @@
     {MessageKind::AttachReply, "attach-reply"},       {MessageKind::AttachChunk, "attach-chunk"},
     {MessageKind::AttachEnd, "attach-end"},           {MessageKind::AttachCancel, "attach-cancel"},
     {MessageKind::HoldingsDigest, "holdings-digest"}, {MessageKind::HoldingsAnswer, "holdings-answer"},
+    {MessageKind::AnswerPage, "answer-page"},         {MessageKind::AnswerPageAck, "answer-page-ack"},
 });
 
 /** One more than the highest number of a kind: the size of a table indexed by kind. */
-inline constexpr std::size_t messageKindLimit = 23;
+inline constexpr std::size_t messageKindLimit = 25;
 
 /** The kind of message. */
 MessageKind kindOf(const PeerMessage &message);
--- a/sequoiausher/transport/router/keptanswer.h
+++ b/sequoiausher/transport/router/answerkeeper.h
@@ -3,7 +3,7 @@
 // One request's answer in the table of answers, from which a retry under the same key takes it. A request without a
 // key never begins one, and then nothing is kept.
 //
-//     KeptAnswer kept(answers, request);
+//     AnswerKeeper kept(answers, request);
 //     if (kept.start(now, key, bodyDigest).verdict == StartVerdict::Started) { ... run the request ... }
 //     kept.setHead(status, contentType);
 //     kept.append(bytes);
@@ -17,16 +17,18 @@
 namespace Sequoiausher {
 
 /** The answer that one attempt keeps for others. */
-class KeptAnswer
+class AnswerKeeper
 {
 public:
     /** @param table outlives the answer. */
-    KeptAnswer(AnswerTable &table, const RequestId &request);
+    AnswerKeeper(AnswerTable &table, const RequestId &request);
 
     /** Begins to keep, where no other attempt of this router has the key. */
     StartResult start(Millis now, const ClaimKey &key, std::uint64_t bodyDigest);
     void setHead(int status, const std::string &contentType);
     void append(std::string_view bytes);
+    /** The answer was read along from another router: it is kept here, but not handed over. */
+    void setCopy();
     /** @return whether the answer was kept until now. */
     bool finish(Millis now, AnswerState state, const std::string &reason);
 
--- a/sequoiausher/transport/router/keptanswertest.cpp
+++ b/sequoiausher/transport/router/answerkeepertest.cpp
@@ -1,4 +1,4 @@
-#include "sequoiausher/transport/router/keptanswer.h"
+#include "sequoiausher/transport/router/answerkeeper.h"
 
 #include "sequoiausher/base/hashing.h"
 
@@ -34,12 +34,12 @@
 TEST_CASE("the answer of the first attempt is kept, and a second one is told whose the key is")
 {
     AnswerTable table{AnswerSettings{}};
-    KeptAnswer kept(table, first);
+    AnswerKeeper kept(table, first);
     CHECK(kept.start(now, key(), 7).verdict == StartVerdict::Started);
     kept.setHead(200, "text/plain");
     kept.append("whole");
 
-    KeptAnswer retry(table, second);
+    AnswerKeeper retry(table, second);
     const StartResult joined = retry.start(now, key(), 7);
     CHECK(joined.verdict == StartVerdict::Joined);
     CHECK(joined.attempt == first);
@@ -56,7 +56,7 @@
 TEST_CASE("only the first end of an answer counts")
 {
     AnswerTable table{AnswerSettings{}};
-    KeptAnswer kept(table, first);
+    AnswerKeeper kept(table, first);
     kept.start(now, key(), 7);
     CHECK(kept.finish(now, AnswerState::Complete, ""));
     CHECK(!kept.finish(now, AnswerState::Broken, "late"));
@@ -66,7 +66,7 @@
 TEST_CASE("nothing is kept of a request that never claimed a key")
 {
     AnswerTable table{AnswerSettings{}};
-    KeptAnswer kept(table, first);
+    AnswerKeeper kept(table, first);
     kept.setHead(200, "text/plain");
     kept.append("whole");
     CHECK(!kept.finish(now, AnswerState::Complete, ""));
--- a/sequoiausher/transport/router/answerrelay.cpp
+++ b/sequoiausher/transport/router/answerrelay.cpp
@@ -31,7 +31,7 @@
     return this->clock;
 }
 
-KeptAnswer &AnswerRelay::kept()
+AnswerKeeper &AnswerRelay::kept()
 {
     return this->record;
 }
@@ -65,6 +65,10 @@
 void AnswerRelay::complete(Outcome outcome, bool mayHaveRun)
 {
     this->writer.end();
+    if (outcome == Outcome::Attached) {
+        // Not as soon as another attempt is followed: that may turn out not to have run, and this one runs then.
+        this->record.setCopy();
+    }
     this->finishKept(AnswerState::Complete, "", mayHaveRun);
     this->count(outcome);
 }
--- a/sequoiausher/transport/router/answerrelay.h
+++ b/sequoiausher/transport/router/answerrelay.h
@@ -11,7 +11,7 @@
 #include "sequoiausher/coordination/flow/flowaction.h"
 #include "sequoiausher/transport/router/answerwriter.h"
 #include "sequoiausher/transport/router/joinedanswer.h"
-#include "sequoiausher/transport/router/keptanswer.h"
+#include "sequoiausher/transport/router/answerkeeper.h"
 #include "sequoiausher/transport/router/requesttimes.h"
 #include "sequoiausher/transport/router/sessioncontext.h"
 #include "sequoiausher/transport/router/sessionorder.h"
@@ -33,7 +33,7 @@
     AnswerRelay(const SessionContext &context, const SessionOrder &order);
 
     RequestTimes &times();
-    KeptAnswer &kept();
+    AnswerKeeper &kept();
 
     /** The answer is that of another attempt. */
     void attachedTo(const RequestId &attempt);
@@ -42,6 +42,7 @@
     bool part(std::string_view bytes);
     /** Calls back once a caller that lagged has caught up. */
     void whenDrained(std::function<void()> callback);
+    /** The answer is whole. With Outcome::Attached it came from another router, which has it too. */
     void complete(Outcome outcome, bool mayHaveRun);
     /** @param answer whether the caller is told; not where a part of another answer has been told already. */
     void refuse(const Refuse &refusal, bool mayHaveRun, bool answer);
@@ -61,7 +62,7 @@
     SessionContext context;
     const SessionOrder &order;
     AnswerWriter writer;
-    KeptAnswer record;
+    AnswerKeeper record;
     RequestTimes clock;
     bool counted = false;
 };
--- a/sequoiausher/transport/router/requestsession.cpp
+++ b/sequoiausher/transport/router/requestsession.cpp
@@ -80,10 +80,11 @@
     }
 }
 
-void RequestSession::attachReplied(const AttachReply &reply)
+void RequestSession::attachReplied(const InstanceId &from, const AttachReply &reply)
 {
     const Millis now = Millis::monotonicNow();
-    if (this->d->done || !this->d->attached.isFollowing()) {
+    // A late word of one that was asked before says nothing of the one that is asked now.
+    if (this->d->done || this->d->attached.holder() != from) {
         return;
     }
     this->d->attached.heard(now);
@@ -97,8 +98,11 @@
         return;
     }
     // A holder that gave its attempt up says so; this call may simply be tried again.
-    const bool notRun = reply.verdict == AttachVerdict::NotRun;
-    this->d->run(this->d->flow.attachFailed(now, notRun ? Ran::No : Ran::Unknown));
+    if (reply.verdict == AttachVerdict::NotRun && this->d->search.asksHolder()) {
+        this->d->run(this->d->flow.attachFailed(now, Ran::No));
+    } else {
+        this->d->askElsewhere();
+    }
 }
 
 void RequestSession::attachChunk(const AttachChunk &chunk)
@@ -128,7 +132,7 @@
 void RequestSession::peerLost(const InstanceId &peer)
 {
     if (!this->d->done && this->d->attached.holder() == peer) {
-        this->d->run(this->d->flow.attachFailed(Millis::monotonicNow(), Ran::Unknown));
+        this->d->askElsewhere();
     }
 }
 
--- a/sequoiausher/transport/router/requestsessionprivate.cpp
+++ b/sequoiausher/transport/router/requestsessionprivate.cpp
@@ -308,7 +308,8 @@
 
 void RequestSession::Private::act(const AttachToHolder &action)
 {
-    this->attached.begin(Millis::monotonicNow(), action.holder, action.heldBy);
+    this->search = this->context.node.searchFor(this->key, action.holder);
+    this->attached.begin(Millis::monotonicNow(), this->search.next().value_or(action.holder), action.heldBy);
     this->relay.attachedTo(action.heldBy);
     this->askHolder();
 }
@@ -357,6 +358,18 @@
                             AttachRequest{this->order.request, this->key, this->attached.attempt()});
 }
 
+// The one that was asked does not know the answer, or is gone. If the holder stopped as planned, it handed it over.
+void RequestSession::Private::askElsewhere()
+{
+    const Millis now = Millis::monotonicNow();
+    if (const std::optional<InstanceId> next = this->search.next()) {
+        this->attached.redirect(now, *next);
+        this->askHolder();
+    } else {
+        this->run(this->flow.attachFailed(now, Ran::Unknown));
+    }
+}
+
 void RequestSession::Private::tickAttached(Millis now)
 {
     switch (this->attached.tick(now)) {
@@ -366,7 +379,7 @@
         this->askHolder();
         break;
     case AttachStep::GiveUp:
-        this->run(this->flow.attachFailed(now, Ran::Unknown));
+        this->askElsewhere();
         break;
     }
 }
--- a/sequoiausher/transport/router/requestsessionprivate.h
+++ b/sequoiausher/transport/router/requestsessionprivate.h
@@ -2,6 +2,7 @@
 
 // The inside of RequestSession: what it holds, and how it carries out what the request's flow says.
 
+#include "sequoiausher/coordination/answers/holdersearch.h"
 #include "sequoiausher/coordination/flow/requestflow.h"
 #include "sequoiausher/transport/router/answerrelay.h"
 #include "sequoiausher/transport/router/attachedanswer.h"
@@ -77,6 +78,7 @@
     void end();
 
     void askHolder();
+    void askElsewhere();
     void tickAttached(Millis now);
     void watchClient();
     void clientGone();
@@ -93,6 +95,8 @@
     JoinedAnswer joined;
     /** An answer of another router. */
     AttachedAnswer attached;
+    /** Whom to ask for it. */
+    HolderSearch search;
     TargetCall call;
     std::weak_ptr<RequestSession> self;
     ClaimKey key;
