Give a router that starts no shards until it has learnt, and push its return

Cause: a router passed for live from its first message, before it knew a pool, and its return spread with probes alone. In the traced runs of a rolling replacement the shard's owner knew the return at once, the others 0.7 to 1.5 s later; in between the former owner had given the shard up.

Change: until its configuration is in force a router says that the life before it is leaving, which peers of any version understand: they reach and teach it, and give it no shards. Then it says that it is live, and a return is pushed like a leaving: one more push per restart, 4 messages a router, as leaving and going cost already.

Ruled out: a life state of its own for joining; routers without it would drop the whole news.

Some duplicates hear claim_no_quorum when the load is above 25; that is older than this and its cause was not looked for.

--- a/lab/scenarios/onceload.cpp
+++ b/lab/scenarios/onceload.cpp
@@ -266,8 +266,9 @@
     figures.refusedFirst += call.order == CallOrder::First ? 1 : 0;
     const std::string ran(call.answer->headers.value("X-Ran"));
     const QJsonObject error = call.answer->json().value("error").toObject();
-    ++reasons[std::to_string(call.answer->status) + " " + error.value("code").toString().toStdString()
-              + " ran: " + ran];
+    const std::string code = error.value("code").toString().toStdString();
+    figures.poolFull += code == "pool_full" ? 1 : 0;
+    ++reasons[std::to_string(call.answer->status) + " " + code + " ran: " + ran];
     if (ran == "no") {
         judgeNotRun(call, history, figures);
     }
--- a/lab/scenarios/onceload.h
+++ b/lab/scenarios/onceload.h
@@ -117,6 +117,8 @@
     /** First calls, and all calls, that got an answer other than 200. */
     std::size_t refusedFirst = 0;
     std::size_t refused = 0;
+    /** All calls that were refused since no target had room. */
+    std::size_t poolFull = 0;
     /** Calls whose connection ended before the whole answer, which the caller sees; a killed router's, say. */
     std::size_t cutOff = 0;
     /** Calls that had no answer when the caller gave up. */
--- a/lab/scenarios/rollingscenariotest.cpp
+++ b/lab/scenarios/rollingscenariotest.cpp
@@ -121,5 +121,8 @@
     CHECK(figures.doubleRuns == 0);
     CHECK(figures.falseNotRun == 0);
     CHECK(figures.silent == 0);
-    CHECK(figures.refusedFirst * 20 < figures.keys);
+    // Every target has room all the time: a refusal for lack of it is a fault in how owners change.
+    CHECK(figures.poolFull == 0);
+    // Claims that find no quorum in time on a busy machine: 1 of 700 at most was seen.
+    CHECK(figures.refusedFirst <= 3);
 }
--- a/sequoiausher/coordination/membership/lifetable.h
+++ b/sequoiausher/coordination/membership/lifetable.h
@@ -29,9 +29,11 @@
         if (known != this->lives.end() && !isNewer(life, known->second)) {
             return false;
         }
+        // A return is as urgent as a leaving: until all know it, they disagree about what is its work again.
+        const bool isReturn = known != this->lives.end() && known->second.state != LifeState::Live;
         this->lives[name] = life;
         this->queue.add(name);
-        if (life.state != LifeState::Live) {
+        if (life.state != LifeState::Live || isReturn) {
             this->urgent.insert(name);
         }
         return true;
--- a/sequoiausher/coordination/membership/membership.cpp
+++ b/sequoiausher/coordination/membership/membership.cpp
@@ -214,7 +214,8 @@
 
 /**
  * Who has just heard that a target leaves tells a few others at once, and these do the same. With plain gossip alone
- * the news would take a period per step, and new work would go to a leaving target for seconds.
+ * the news would take a period per step, and new work would go to a leaving target for seconds. The same holds for a
+ * return: routers would disagree for about a second about who owns the shards that go back.
  */
 void Membership::Private::pushUrgent(Outbox &outbox)
 {
@@ -336,6 +337,19 @@
     this->d->noteReachability();
 }
 
+void Membership::beginJoining()
+{
+    this->d->instances.lives[this->d->self.instance] = {this->d->self.incarnation - 1, LifeState::Leaving};
+    ++this->d->viewVersion;
+}
+
+void Membership::announceLive()
+{
+    if (this->d->instances.merge(this->d->self.instance, {this->d->self.incarnation, LifeState::Live})) {
+        ++this->d->viewVersion;
+    }
+}
+
 void Membership::announceLeaving(Outbox &outbox)
 {
     this->d->announce(LifeState::Leaving, outbox);
--- a/sequoiausher/coordination/membership/membership.h
+++ b/sequoiausher/coordination/membership/membership.h
@@ -130,6 +130,15 @@
     /** Any message came directly from this router, which proves that it lives. */
     void heardFrom(const InstanceId &from);
 
+    /**
+     * This router starts and has not learnt the configuration: peers reach it and teach it, but give it no work. It
+     * says so as the leaving of the life before, which routers that know no such state understand too. Call before
+     * anything is sent; the incarnation must be greater than 0.
+     */
+    void beginJoining();
+    /** The configuration is learnt: the peers hear with the next tick that this router is live. */
+    void announceLive();
+
     /** A planned stop begins: the peers hear at once that this router leaves. */
     void announceLeaving(Outbox &outbox);
     /** The planned stop ends: nothing will be answered any more. */
--- a/sequoiausher/coordination/membership/membershiptest.cpp
+++ b/sequoiausher/coordination/membership/membershiptest.cpp
@@ -182,6 +182,32 @@
     CHECK(fleet.membership(0).live().size() == 6);
 }
 
+TEST_CASE("a router that starts gets no work until it has learnt, and then all know it at once")
+{
+    // Symptom: refusals for about a second after each return. Sequence: a router that was gone starts anew; it passes
+    // for live from its first message, before it has a configuration; some peers hear of it at once, others with some
+    // later probe. Cause: every start counted as live, and only news of those that leave was pushed.
+    TestFleetSettings settings;
+    settings.routers = 30;
+    TestFleet fleet(settings);
+    fleet.run(second * 3);
+    fleet.kill(1);
+    fleet.run(second * 10);
+    fleet.restart(1);
+    fleet.membership(1).beginJoining();
+    fleet.run(second * 3);
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        CAPTURE(i);
+        CHECK(fleet.membership(i).live().size() == 29);
+    }
+    fleet.membership(1).announceLive();
+    fleet.run(Millis{600});
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        CAPTURE(i);
+        CHECK(fleet.membership(i).live().size() == 30);
+    }
+}
+
 TEST_CASE("messages stay bounded however much there is to tell, and sums come through")
 {
     const MembershipSettings limits;
--- a/sequoiausher/transport/router/nodeprivate.cpp
+++ b/sequoiausher/transport/router/nodeprivate.cpp
@@ -353,11 +353,16 @@
         this->membership.tick(now, outbox);
     }
     this->membershipEvents(now, outbox);
+    bool ready = false;
     {
         const std::scoped_lock lock(this->documentsMutex);
         this->spread.tick(now, outbox);
-        this->documentsReady = this->spread.isReady(now);
+        ready = this->spread.isReady(now);
     }
+    if (ready) {
+        this->joinOnce(now, outbox);
+    }
+    this->documentsReady = ready;
     std::vector<ReserveResult> results;
     {
         const std::scoped_lock lock(this->admissionMutex);
@@ -393,6 +398,22 @@
     }
 }
 
+// What goes wrong if a router passes for live from its first message: it owns shards before it knows a pool, and
+// whoever asks it for a target is refused until it has learnt. It shows as refusals just after each start.
+void Node::Private::joinOnce(Millis now, Outbox &outbox)
+{
+    if (this->joined || this->current.load() == nullptr) {
+        return;
+    }
+    this->joined = true;
+    {
+        const std::scoped_lock lock(this->membershipMutex);
+        this->membership.announceLive();
+    }
+    this->viewChanged(now);
+    this->poolsChanged(now, outbox);
+}
+
 void Node::Private::tickSlowly(Millis now)
 {
     std::vector<ShardSum> own;
@@ -525,6 +546,7 @@
     this->mesh.setPeers(addresses);
     {
         const std::scoped_lock lock(this->membershipMutex);
+        this->membership.beginJoining();
         this->membership.setListed(listed);
     }
     this->viewChanged(Millis::monotonicNow());
--- a/sequoiausher/transport/router/nodeprivate.h
+++ b/sequoiausher/transport/router/nodeprivate.h
@@ -64,6 +64,7 @@
     void applyPools(Millis now, const FleetConfiguration &fleet);
     void viewChanged(Millis now);
     void poolsChanged(Millis now, Outbox &outbox);
+    void joinOnce(Millis now, Outbox &outbox);
     void membershipEvents(Millis now, Outbox &outbox);
     void seedPeers();
     void updatePoolStates(Millis now);
@@ -112,6 +113,8 @@
     Published<const ControlTraffic> traffic;
     std::atomic<bool> leaving{false};
     std::atomic<bool> documentsReady{false};
+    /** The peers were told that this router is live; the control thread alone uses it. */
+    bool joined = false;
     /** The end of the control thread's last tick, in milliseconds of Millis::monotonicNow(). */
     std::atomic<std::int64_t> tickedAt{0};
 
