--- a/lab/scenarios/onceload.cpp
+++ b/lab/scenarios/onceload.cpp
@@ -268,6 +268,7 @@
     const std::string code = call.answer->json().value("error").toObject().value("code").toString().toStdString();
     const bool isLateOfRun = call.order == CallOrder::Late && !history.runs.empty();
     figures.lateUnknown += isLateOfRun && code == "outcome_unknown" ? 1 : 0;
+    figures.poolFull += code == "pool_full" ? 1 : 0;
     ++reasons[std::to_string(call.answer->status) + " " + code + " ran: " + ran];
     if (ran == "no") {
         judgeNotRun(call, history, figures);
--- a/lab/scenarios/rollingscenariotest.cpp
+++ b/lab/scenarios/rollingscenariotest.cpp
@@ -122,7 +122,10 @@
     CHECK(figures.doubleRuns == 0);
     CHECK(figures.falseNotRun == 0);
     CHECK(figures.silent == 0);
-    CHECK(figures.refusedFirst * 20 < figures.keys);
+    // Every target has room all the time: a refusal for lack of it is a fault in how owners change.
+    CHECK(figures.poolFull == 0);
+    // Claims that find no quorum in time on a busy machine: 1 of 700 at most was seen.
+    CHECK(figures.refusedFirst <= 3);
     // Without hand-over of answers about half of the late duplicates are.
     constexpr std::size_t mostUnknownPercent = 1;
     CHECK(figures.lateUnknown * 100 <= figures.keys * mostUnknownPercent);
