Read a token without waking the thread of the connections

One of the wakes of QNetworkAccessManager's thread is our own doing: with a limit on what is read ahead, Qt tells it of each read.

Change: up to half of the limit is read without telling. Qt counts these bytes as unread, so it reads ahead less and the bound holds as before; an answer of the target size, 82 KB, is never told of.

Two tests are new, and were seen to fail where nothing is ever told: a call paused in mid-answer stops the target, and an answer of many small parts goes on beyond the limit.

--- a/sequoiausher/transport/http/httpclient.cpp
+++ b/sequoiausher/transport/http/httpclient.cpp
@@ -8,6 +8,7 @@
 #include <QNetworkReply>
 #include <QNetworkRequest>
 #include <QPointer>
+#include <QSignalBlocker>
 #include <QTimer>
 #include <QUrl>
 
@@ -146,18 +147,22 @@
         if (this->paused || this->reply.isNull()) {
             return;
         }
-        const QByteArray bytes = this->reply->readAll();
+        const QByteArray bytes = this->takeAll();
         if (!bytes.isEmpty() && this->callbacks.onData) {
             const auto callback = this->callbacks.onData;
             callback({bytes.constData(), static_cast<std::size_t>(bytes.size())});
         }
     }
 
+    QByteArray takeAll();
+
     HttpCallbacks callbacks;
     QPointer<QNetworkReply> reply;
     std::unique_ptr<OnlyOnceBody> body;
     QTimer timer;
     Millis deadlineAt;
+    /** How many bytes of the answer Qt's connection thread may still count as unread though they were read. */
+    qint64 untoldBytesLeft = 0;
     std::function<void(const std::shared_ptr<HttpCall> &, bool reusable)> release;
     std::weak_ptr<HttpCall> self;
     std::string target;
@@ -176,6 +181,22 @@
     void fail(const ClientError &error);
 };
 
+// Qt reads ahead no more than the limit of limitReadBuffer(), so each read tells the thread of the connections how much
+// room there is again. For a token that wakes this thread once more, which asks the kernel about every connection: a
+// sixth of what a token costs a router with little load. So the first bytes are read without telling, up to half of the
+// limit. Qt then takes them for unread and reads ahead that much less, so the bound of what is read ahead still holds;
+// whatever comes behind them is told as always, and a long answer never stalls.
+QByteArray HttpCall::Private::takeAll()
+{
+    const qint64 waiting = this->reply->bytesAvailable();
+    if (waiting > this->untoldBytesLeft) {
+        return this->reply->readAll();
+    }
+    this->untoldBytesLeft -= waiting;
+    const QSignalBlocker untold(this->reply);
+    return this->reply->readAll();
+}
+
 void HttpCall::Private::end(bool reusable)
 {
     if (this->ended) {
@@ -366,6 +387,7 @@
     priv->laneMayReturn = !lane.surplus;
     priv->body = std::make_unique<OnlyOnceBody>(toQt(request.body));
     priv->deadlineAt = now + options.deadline;
+    priv->untoldBytesLeft = static_cast<qint64>(this->d->options.readBufferBytes / 2);
     priv->reply
         = this->d->manager.sendCustomRequest(makeRequest(request, url, lane), toQt(request.method), priv->body.get());
     limitReadBuffer(priv->reply, static_cast<qint64>(this->d->options.readBufferBytes));
--- a/sequoiausher/transport/http/httpclienttest.cpp
+++ b/sequoiausher/transport/http/httpclienttest.cpp
@@ -365,6 +365,68 @@
     CHECK(outcome.body.size() == blocks * block.size() + 9);
 }
 
+TEST_CASE("a call that is paused in the middle of its answer stops the target too")
+{
+    // Symptom: a caller that reads slowly fills the router's memory with an answer that it does not take.
+    // Events: the first parts are read, up to what may be read untold, and then the call is paused.
+    // Cause: what was read untold would be added to what is read ahead, in place of being taken off it.
+    testApplication();
+    Streamer streamer;
+    HttpServer server(streamer, {});
+    server.listen();
+    HttpClient client({.readBufferBytes = 65536});
+    Outcome outcome;
+    const std::string url = "http://127.0.0.1:" + std::to_string(server.port()) + "/";
+    const auto call = client.send(post(url), {}, outcome.callbacks());
+    REQUIRE(runUntil([&streamer] { return streamer.open.size() == 1; }));
+    HttpExchange &exchange = *streamer.open.front();
+    const std::string part(8192, 'p');
+    for (std::size_t size = 9; size < 32768; size += part.size()) {
+        exchange.writeChunk(part);
+        REQUIRE(runUntil([&outcome, &part, size] { return outcome.body.size() == size + part.size(); }));
+    }
+    call->pause();
+    const std::size_t read = outcome.body.size();
+    const std::string block(1U << 20U, 'x');
+    const std::size_t blocks = 24;
+    for (std::size_t i = 0; i < blocks; ++i) {
+        exchange.writeChunk(block);
+    }
+    exchange.endStream();
+    runFor(200);
+    CHECK(outcome.body.size() == read);
+    CHECK(exchange.bytesToWrite() > blocks / 2 * block.size());
+    call->resume();
+    REQUIRE(runUntil([&outcome] { return outcome.over(); }));
+    CHECK(outcome.ends == 1);
+    CHECK(outcome.body.size() == read + blocks * block.size());
+}
+
+TEST_CASE("an answer of many small parts goes on beyond what may be read ahead")
+{
+    // Symptom: a long answer stops for good after some hundred tokens, without an error.
+    // Events: tokens come one at a time, and in all they are many times what may be read ahead.
+    // Cause: the thread of the connections was never told that they were read, and waits for room.
+    testApplication();
+    Streamer streamer;
+    HttpServer server(streamer, {});
+    server.listen();
+    HttpClient client({.readBufferBytes = 4096});
+    Outcome outcome;
+    client.send(post("http://127.0.0.1:" + std::to_string(server.port()) + "/"), {}, outcome.callbacks());
+    REQUIRE(runUntil([&streamer] { return streamer.open.size() == 1; }));
+    HttpExchange &exchange = *streamer.open.front();
+    const std::string token(200, 't');
+    constexpr std::size_t tokens = 200;
+    for (std::size_t i = 1; i <= tokens; ++i) {
+        exchange.writeChunk(token);
+        REQUIRE(runUntil([&outcome, &token, i] { return outcome.body.size() == 9 + i * token.size(); }));
+    }
+    exchange.endStream();
+    REQUIRE(runUntil([&outcome] { return outcome.over(); }));
+    CHECK(outcome.ends == 1);
+}
+
 TEST_CASE("many streams to one target are open at once, with no queue between")
 {
     // Symptom: first tokens wait for other requests' last ones, while the target idles. QNetworkAccessManager holds
