--- a/sequoiausher/coordination/admission/admissionpropertytest.cpp
+++ b/sequoiausher/coordination/admission/admissionpropertytest.cpp
@@ -10,6 +10,7 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <array>
 #include <map>
 #include <random>
 
@@ -21,6 +22,20 @@
 constexpr std::uint32_t percent = 125;
 constexpr int routerCount = 5;
 constexpr int targetCount = 6;
+// Some chats have no prefix: 0.
+constexpr std::uint64_t prefixCount = 4;
+
+/** Each schedule is played with each of these. */
+struct Variant
+{
+    PolicyKind policy;
+    bool sendsDigests;
+};
+
+constexpr std::array variants{Variant{PolicyKind::BoundedRendezvous, false},
+                              Variant{PolicyKind::BoundedRendezvous, true},
+                              Variant{PolicyKind::PrefixRendezvous, false},
+                              Variant{PolicyKind::PrefixRendezvous, true}};
 
 struct Router
 {
@@ -45,10 +60,13 @@
 class Fleet
 {
 public:
-    Fleet(std::uint64_t seed, bool isLossy, bool sendsDigests) : random(seed), lossy(isLossy)
+    Fleet(std::uint64_t seed, bool isLossy, const Variant &variant)
+        : random(seed)
+        , lossy(isLossy)
+        , policy(variant.policy)
     {
         ReserverSettings settings;
-        settings.sendsDigests = sendsDigests;
+        settings.sendsDigests = variant.sendsDigests;
         auto made = std::make_shared<PoolView>();
         made->pool = pool;
         for (int i = 0; i < targetCount; ++i) {
@@ -114,8 +132,8 @@
     {
         const InstanceId name = this->anyRouter();
         Outbox outbox;
-        const Wanted wanted{
-            RequestId{1, ++this->lastRequest}, pool, this->random(), PolicyKind::BoundedRendezvous, percent, {}};
+        Wanted wanted{RequestId{1, ++this->lastRequest}, pool, this->random(), this->policy, percent, {}};
+        wanted.prefixHash = wanted.chatHash % prefixCount;
         this->routers.at(name)->reserver.reserve(this->now, wanted, outbox);
         this->collect(name);
         this->carry(name, outbox);
@@ -340,6 +358,7 @@
     std::uint64_t digests = 0;
     std::mt19937_64 random;
     bool lossy;
+    PolicyKind policy;
 };
 
 std::uint64_t run(Fleet &fleet)
@@ -410,22 +429,24 @@
 
 TEST_CASE("without loss, counts equal the true ones and the bound holds at each admission")
 {
-    for (const bool sendsDigests : {false, true}) {
-        CAPTURE(sendsDigests);
-        CHECK(rc::check([sendsDigests](std::uint64_t seed) {
-            Fleet fleet(seed, false, sendsDigests);
+    for (const Variant &variant : variants) {
+        CAPTURE(nameOf(variant.policy));
+        CAPTURE(variant.sendsDigests);
+        CHECK(rc::check([&variant](std::uint64_t seed) {
+            Fleet fleet(seed, false, variant);
             RC_CLASSIFY(run(fleet) > 10, "more than ten admissions");
-            RC_ASSERT((fleet.digests > 0) == sendsDigests);
+            RC_ASSERT((fleet.digests > 0) == variant.sendsDigests);
         }));
     }
 }
 
 TEST_CASE("with loss, the owner keeps its bound and nothing leaks")
 {
-    for (const bool sendsDigests : {false, true}) {
-        CAPTURE(sendsDigests);
-        CHECK(rc::check([sendsDigests](std::uint64_t seed) {
-            Fleet fleet(seed, true, sendsDigests);
+    for (const Variant &variant : variants) {
+        CAPTURE(nameOf(variant.policy));
+        CAPTURE(variant.sendsDigests);
+        CHECK(rc::check([&variant](std::uint64_t seed) {
+            Fleet fleet(seed, true, variant);
             RC_CLASSIFY(run(fleet) > 10, "more than ten admissions");
             RC_CLASSIFY(fleet.digests > 0, "with digests");
         }));
@@ -434,7 +455,10 @@
 
 TEST_CASE("routers that choose by what they alone see break the bound under the same load")
 {
-    for (const PolicyKind kind : {PolicyKind::RoundRobin, PolicyKind::Rendezvous, PolicyKind::BoundedRendezvous}) {
+    for (const PolicyKind kind : {PolicyKind::RoundRobin,
+                                  PolicyKind::Rendezvous,
+                                  PolicyKind::BoundedRendezvous,
+                                  PolicyKind::PrefixRendezvous}) {
         CAPTURE(nameOf(kind));
         CHECK(excessAlone(kind) > 0);
     }
