--- a/lab/bench/slopes/admissionslopes.cpp
+++ b/lab/bench/slopes/admissionslopes.cpp
@@ -328,7 +328,8 @@
     for (const Outgoing &out : std::exchange(outbox, {})) {
         const auto &asked = std::get<ReserveRequest>(out.message);
         const TargetId target = map.targetsOf({pool, asked.shard}).front().description.target;
-        reserver.receive(Millis{1}, out.to, ReserveReply{asked.request, ReserveVerdict::Granted, target, {}});
+        const ReserveReply reply{asked.request, ReserveVerdict::Granted, target, {}, {}};
+        reserver.receive(Millis{1}, out.to, reply, outbox);
     }
     reserver.tick(Millis{5000}, outbox);
     printRound("entry_reports", outbox);
--- a/sequoiausher/coordination/admission/holdingsexchangetest.cpp
+++ b/sequoiausher/coordination/admission/holdingsexchangetest.cpp
@@ -81,7 +81,7 @@
     {
         for (const Outgoing &out : answers) {
             if (const auto *reply = std::get_if<ReserveReply>(&out.message)) {
-                this->entry.receive(this->now, this->owner(), *reply);
+                this->entry.receive(this->now, this->owner(), *reply, this->toOwner);
             } else if (const auto *answer = std::get_if<HoldingsAnswer>(&out.message)) {
                 this->entry.receive(this->owner(), *answer, this->toOwner);
             }
