--- a/lab/bench/slopes/signslopes.cpp
+++ b/lab/bench/slopes/signslopes.cpp
@@ -126,8 +126,7 @@
         for (std::size_t peer = 0; peer < ownersOfShards.size(); ++peer) {
             Pair pair(ratesTo(peer), ratesTo(own), own * ownersOfShards.size() + peer + 1);
             const auto signs = static_cast<double>(pair.run(Millis{seconds * static_cast<int>(millisPerSecond)}));
-            const double perSecond
-                = signs / static_cast<double>(seconds) * ownersOfShards.at(peer) * (routers - 1);
+            const double perSecond = signs / static_cast<double>(seconds) * ownersOfShards.at(peer) * (routers - 1);
             average += perSecond * ownersOfShards.at(own);
             ownerOfOne += own == 1 ? perSecond : 0;
         }
--- a/sequoiausher/coordination/membership/membership.cpp
+++ b/sequoiausher/coordination/membership/membership.cpp
@@ -297,6 +297,11 @@
     }
 }
 
+Millis Membership::nextProbe() const
+{
+    return this->d->nextProbe;
+}
+
 void Membership::receive(Millis now, const InstanceId &from, const Probe &probe, Outbox &outbox)
 {
     this->heardFrom(from);
--- a/sequoiausher/coordination/membership/membership.h
+++ b/sequoiausher/coordination/membership/membership.h
@@ -122,6 +122,8 @@
     /** Call about ten times a period; news given by targetNews() leaves with the next call. A gap above pauseLimit
      * gives WokeLate and drops all suspicions. */
     void tick(Millis now, Outbox &outbox);
+    /** When the next probe goes out. All else that tick() does may be some hundred milliseconds late. */
+    Millis nextProbe() const;
 
     void receive(Millis now, const InstanceId &from, const Probe &probe, Outbox &outbox);
     void receive(Millis now, const InstanceId &from, const ProbeReply &reply, Outbox &outbox);
--- a/sequoiausher/transport/router/node.cpp
+++ b/sequoiausher/transport/router/node.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr int tickMillis = 20;
 /** A longer time without a tick means that this process slept; as for the spread and for membership. */
 constexpr Millis longestTickGap{2000};
 /** How long a queue whose pool is full waits at most before it asks again; a refused caller waits longer. */
@@ -26,9 +25,7 @@
 {
     this->d->mesh.listen(parsePeerAddress(this->d->settings.peerAddress));
     this->d->seedPeers();
-    QObject::connect(&this->d->timer, &QTimer::timeout, &this->d->timer, [this] { this->d->tick(); });
-    this->d->timer.start(tickMillis);
-    this->d->tick();
+    this->d->pacer.start();
 }
 
 const RouterSettings &Node::settings() const
@@ -167,6 +164,7 @@
         const std::scoped_lock lock(this->d->limitsMutex);
         decision = this->d->gates.offer(Millis::monotonicNow(), gate, entry, actions);
     }
+    this->d->pacer.wake();
     this->d->tellQueue(actions);
     return decision;
 }
@@ -229,6 +227,7 @@
         const std::scoped_lock lock(this->d->limitsMutex);
         decision = this->d->queueOf(pool).offer(Millis::monotonicNow(), entry, actions);
     }
+    this->d->pacer.wake();
     this->d->tellQueue(actions);
     return decision;
 }
@@ -241,6 +240,7 @@
         this->d->queueOf(pool).putBack(
             Millis::monotonicNow(), request, std::min(retryAfter, longestQueuePause), actions);
     }
+    this->d->pacer.wake();
     this->d->tellQueue(actions);
 }
 
--- a/sequoiausher/transport/router/nodeconfiguration.cpp
+++ b/sequoiausher/transport/router/nodeconfiguration.cpp
@@ -49,7 +49,7 @@
 void Node::Private::documentsChangedSoon()
 {
     QMetaObject::invokeMethod(
-        &this->timer, [this] { this->documentsChanged(Millis::monotonicNow()); }, Qt::QueuedConnection);
+        &this->context, [this] { this->documentsChanged(Millis::monotonicNow()); }, Qt::QueuedConnection);
 }
 
 // A refusal is told once, though the set in force may move on beside it.
--- a/sequoiausher/transport/router/nodeprivate.cpp
+++ b/sequoiausher/transport/router/nodeprivate.cpp
@@ -16,6 +16,25 @@
 constexpr std::size_t queueSlots = 4096;
 constexpr Millis poolStatesEvery{200};
 
+/** No longer than the shortest wait that a request begins with, so that the next tick sees it in time. */
+Millis longestRest(const RouterSettings &settings)
+{
+    return std::min({TickPacer::restInterval, settings.claims.retryDelay, settings.admission.reserveTimeout});
+}
+
+/**
+ * Whether a decision waits for less than that after message: for lists to agree about an owner, or for a contended
+ * claim.
+ */
+bool bringsDeadline(const PeerMessage &message)
+{
+    if (const auto *reply = std::get_if<ReserveReply>(&message)) {
+        return reply->verdict == ReserveVerdict::NotOwner;
+    }
+    const auto *vote = std::get_if<ClaimVote>(&message);
+    return vote != nullptr && vote->verdict != ClaimVerdict::Granted;
+}
+
 std::uint64_t seedFor(const InstanceId &self, Incarnation incarnation)
 {
     return hash64(self.value, incarnation);
@@ -101,12 +120,19 @@
                    [this](const InstanceId &to, PeerMessage message) {
                        this->deliver(Outbox{Outgoing{to, std::move(message)}});
                    })
-    , loadPoller(client, [this](const TargetView &target, const ReportedLoad &load) {
-        this->targets.applyLoad(target.description.target, load);
-        const std::scoped_lock lock(this->admissionMutex);
-        this->owned.reportLoad(target.description.target, load.load, load.measuredAt);
-        this->reserver.noteLoad(target.description.target, load);
-    })
+    , loadPoller(client,
+                 [this](const TargetView &target, const ReportedLoad &load) {
+                     this->targets.applyLoad(target.description.target, load);
+                     const std::scoped_lock lock(this->admissionMutex);
+                     this->owned.reportLoad(target.description.target, load.load, load.measuredAt);
+                     this->reserver.noteLoad(target.description.target, load);
+                 })
+    , pacer(
+          [this] {
+              this->tick();
+              return this->nextDeadline(Millis::monotonicNow());
+          },
+          longestRest(theSettings))
 {
 }
 
@@ -120,6 +146,9 @@
     Outbox outbox;
     this->dispatch(from, message, outbox);
     this->deliver(std::move(outbox));
+    if (bringsDeadline(message)) {
+        this->pacer.wake();
+    }
 }
 
 void Node::Private::linkChanged(const InstanceId &peer, Incarnation peerIncarnation, bool up)
@@ -401,6 +430,29 @@
     }
 }
 
+Millis Node::Private::nextDeadline(Millis now)
+{
+    Millis next = this->answers.nextDeadline();
+    {
+        const std::scoped_lock lock(this->membershipMutex);
+        next = std::min(next, this->membership.nextProbe());
+    }
+    {
+        const std::scoped_lock lock(this->admissionMutex);
+        next = std::min(next, this->reserver.nextDeadline());
+    }
+    {
+        const std::scoped_lock lock(this->claimsMutex);
+        next = std::min({next, this->claimant.nextDeadline(), this->witness.nextDeadline(now)});
+    }
+    const std::scoped_lock lock(this->limitsMutex);
+    for (const auto &entry : this->queues) {
+        next = std::min(next, entry.second->nextDeadline());
+    }
+    // The gates of rules do not tell: what waits there is looked at each time.
+    return this->gates.waiting() > 0 ? now : next;
+}
+
 void Node::Private::tickSlowly(Millis now)
 {
     std::vector<ShardSum> own;
--- a/sequoiausher/transport/router/nodeprivate.h
+++ b/sequoiausher/transport/router/nodeprivate.h
@@ -19,8 +19,9 @@
 #include "sequoiausher/transport/router/answerserver.h"
 #include "sequoiausher/transport/router/loadpoller.h"
 #include "sequoiausher/transport/router/node.h"
+#include "sequoiausher/transport/router/tickpacer.h"
 
-#include <QTimer>
+#include <QObject>
 
 #include <atomic>
 #include <map>
@@ -53,6 +54,8 @@
     void deliver(Outbox outbox);
     void tick();
     void tickSlowly(Millis now);
+    /** When something is due that a rest of the pacer would make late. */
+    Millis nextDeadline(Millis now);
     void tellClaims(const std::vector<ClaimOutcome> &outcomes);
     void tellReservations(const std::vector<ReserveResult> &results);
     void tellQueue(const std::vector<QueueAction> &actions);
@@ -121,7 +124,10 @@
     PlatformReader reader;
     AnswerServer answerServer;
     LoadPoller loadPoller;
-    QTimer timer;
+    /** Where queued calls to this node belong. */
+    QObject context;
+    /** Its wake() alone may be called on any thread. */
+    TickPacer pacer;
     Millis poolStatesAt;
     bool membersKnown = false;
 };
