--- a/lab/bench/codecbench.cpp
+++ b/lab/bench/codecbench.cpp
@@ -60,7 +60,9 @@
         AttachReply{request, AttachVerdict::Follows, 200, "text/event-stream"},
         AttachChunk{request, 0, std::string(256, 'x')},
         AttachEnd{request, true, ""},
-        AttachCancel{request}};
+        AttachCancel{request},
+        HoldingsDigest{pool, 1, 2, 3, 4},
+        HoldingsAnswer{pool, 1, true}};
 }
 
 std::size_t frameBytes(const PeerMessage &message, std::size_t count)
