--- a/lab/bench/codecbench.cpp
+++ b/lab/bench/codecbench.cpp
@@ -21,6 +21,11 @@
 const PoolId pool{"plate-model"};
 const std::string documentName = "rules/organisation/kentekenlab";
 
+AnswerFragment answerOf(const std::string &body)
+{
+    return {describe(RequestId{1, 2}, ClaimKey{3, 4}, 5, AnswerHead{200, "application/json"}, body), 0, body};
+}
+
 // What rides on a probe on an ordinary day.
 Gossip ordinaryGossip()
 {
@@ -56,6 +61,8 @@
         DocumentPush{{Document{documentName, 7, std::string(1024, 'x'), false}}, 1},
         DocumentDigest{std::vector(held, DocumentVersion{documentName, 7}), true, 1, {}, {}, true},
         DocumentPull{{documentName}},
+        AnswerPage{1, 1, {answerOf(std::string(1024, 'x'))}},
+        AnswerPageAck{1, 1},
         AttachRequest{request, key, request},
         AttachReply{request, AttachVerdict::Follows, 200, "text/event-stream"},
         AttachChunk{request, 0, std::string(256, 'x')},
