Withdraw stray claims wherever they went, so that a retry is sent to the attempt that ran

Change: an attempt that finds the key held by a quorum withdraws where a witness granted it or withheld its vote, and answers such a vote that comes later. A witness passes a withdrawal on to those to whom it gave the claim: the next witness after leave(), and whoever pulled within twice the dispatch window; only where it still had the claim, so that none goes round for ever. A withdrawal frees its attempt's own round and no other, as before.

Seen to fail: the new cases of claimanttest without the change to Claimant, those of witnesstest without each half of the passing on.

--- a/sequoiausher/coordination/claims/ballot.cpp
+++ b/sequoiausher/coordination/claims/ballot.cpp
@@ -90,6 +90,17 @@
     return names;
 }
 
+std::vector<InstanceId> Ballot::haveRecorded() const
+{
+    std::vector<InstanceId> names;
+    for (std::size_t i = 0; i < this->members.size(); ++i) {
+        if (this->votes[i] && !namesRival(*this->votes[i])) {
+            names.push_back(this->members[i]);
+        }
+    }
+    return names;
+}
+
 VoteCount Ballot::count() const
 {
     VoteCount count;
--- a/sequoiausher/coordination/claims/ballot.h
+++ b/sequoiausher/coordination/claims/ballot.h
@@ -54,6 +54,8 @@
     std::vector<InstanceId> notGranted() const;
     /** Witnesses that did not name another attempt: they may have recorded this one. */
     std::vector<InstanceId> mayHaveRecorded() const;
+    /** Those of them that have voted: they granted, or withheld their vote and remember the claim all the same. */
+    std::vector<InstanceId> haveRecorded() const;
 
     VoteCount count() const;
     /** Whether the quorum could be reached if every rival withdrew and every open witness granted. */
--- a/sequoiausher/coordination/claims/claimant.cpp
+++ b/sequoiausher/coordination/claims/claimant.cpp
@@ -153,9 +153,11 @@
 
     void conclude(Millis now, Attempt &attempt, const VoteCount &count, Outbox &outbox)
     {
-        // Who holds the key at a quorum left nothing for this attempt; a stray grant is answered when it comes.
+        // Who holds the key at a quorum left this attempt a stray vote at most. Were it not withdrawn, that witness
+        // would name this attempt to a retry once others are replaced. A vote still to come is answered when it does.
         const bool isCertain = !count.rivals.empty() && count.rivals.front().votes >= attempt.ballot.quorum();
-        this->giveBack(now, attempt, isCertain ? std::vector<InstanceId>{} : attempt.ballot.mayHaveRecorded(), outbox);
+        this->giveBack(
+            now, attempt, isCertain ? attempt.ballot.haveRecorded() : attempt.ballot.mayHaveRecorded(), outbox);
         if (count.rivals.empty()) {
             this->refuse(attempt);
             return;
@@ -335,8 +337,9 @@
     }
     const bool isPast = vote.round < attempt->round || attempt->phase == Phase::BackingOff;
     if (attempt->phase == Phase::Withdrawn || (isPast && vote.round <= attempt->round)) {
-        // The withdrawal was lost or overtaken: without another the key would stay blocked until it expires.
-        if (vote.verdict == ClaimVerdict::Granted) {
+        // The withdrawal was lost or overtaken: without another the key would stay blocked until it expires. A witness
+        // that abstains remembers the claim too, and would later name this attempt as the holder.
+        if (vote.verdict == ClaimVerdict::Granted || vote.verdict == ClaimVerdict::Abstains) {
             outbox.push_back(Outgoing{from, ClaimWithdraw{vote.key, vote.attempt, vote.round}});
         }
         return;
--- a/sequoiausher/coordination/claims/claimanttest.cpp
+++ b/sequoiausher/coordination/claims/claimanttest.cpp
@@ -128,6 +128,39 @@
     CHECK(outcome.holder == InstanceId{"other"});
 }
 
+// Symptom: after a rolling update a retry hears 'unknown', though the key's answer is kept.
+// Events: one of a key's witnesses grants a second attempt, or, having just started, withholds its vote but remembers
+// it. The others name the first attempt, which the second one follows. Once these were replaced, witnesses that learnt
+// from that one name the second attempt as holder. Cause: it did not withdraw, since the first one has a quorum.
+TEST_CASE("an attempt that follows another withdraws where a witness has recorded it")
+{
+    Fixture f;
+    SUBCASE("granted before the others named the holder")
+    {
+        f.vote(4, ClaimVerdict::Granted, start + Millis{1});
+        for (std::size_t i = 0; i < 4; ++i) {
+            f.vote(i, ClaimVerdict::Held, start + Millis{2}, smaller);
+        }
+    }
+    SUBCASE("withheld before that")
+    {
+        f.vote(4, ClaimVerdict::Abstains, start + Millis{1});
+        for (std::size_t i = 0; i < 4; ++i) {
+            f.vote(i, ClaimVerdict::Held, start + Millis{2}, smaller);
+        }
+    }
+    SUBCASE("withheld after that")
+    {
+        for (std::size_t i = 0; i < 4; ++i) {
+            f.vote(i, ClaimVerdict::Held, start + Millis{2}, smaller);
+        }
+        CHECK(f.sent<ClaimWithdraw>() == 0);
+        f.vote(4, ClaimVerdict::Abstains, start + Millis{3});
+    }
+    CHECK(f.outbox == Outbox{Outgoing{f.witnesses.at(4), ClaimWithdraw{key, mine, 1}}});
+    CHECK(f.only().kind == ClaimOutcomeKind::HeldBy);
+}
+
 TEST_CASE("a key used for another body is refused as such")
 {
     Fixture f;
--- a/sequoiausher/coordination/claims/witness.cpp
+++ b/sequoiausher/coordination/claims/witness.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
+#include <set>
 
 namespace Sequoiausher {
 
@@ -62,10 +64,60 @@
         }
     }
 
+    /** Who becomes a witness of the key once this one is off the list; none where all others are witnesses already. */
+    std::optional<InstanceId> nextWitness(const ClaimKey &key) const
+    {
+        const std::size_t count = this->parameters.quorumFor(this->afterLeaving.names.size()).witnesses;
+        std::vector<InstanceId> witnesses = this->afterLeaving.first(key, count);
+        return witnesses.size() < this->parameters.witnesses ? std::nullopt : std::optional(witnesses.back());
+    }
+
+    /** Who was given claims so lately that some of these may still be withdrawn. */
+    std::set<InstanceId> takersOf(Millis now, const ClaimKey &key)
+    {
+        const auto isPast
+            = [&](const auto &entry) { return now >= entry.second + this->parameters.dispatchWindow * 2; };
+        std::erase_if(this->pulledAt, isPast);
+        std::set<InstanceId> takers;
+        for (const auto &entry : this->pulledAt) {
+            takers.insert(entry.first);
+        }
+        if (const std::optional<InstanceId> next = this->nextWitness(key)) {
+            takers.insert(*next);
+        }
+        return takers;
+    }
+
+    /**
+     * A claim that was given to another instance and is withdrawn afterwards: its attempt need not know of that one,
+     * which would hold the claim of an attempt that never ran until it expires, and give it on. A retry would be sent
+     * to that attempt's router and, once that is gone, hear 'unknown' although another attempt's answer is kept. Passed
+     * on only where the claim was still here, so that two instances do not pass it to each other for ever.
+     */
+    void passOn(Millis now, const InstanceId &from, const ClaimWithdraw &withdrawal, Outbox &outbox)
+    {
+        const std::vector<ClaimRecord> claims = this->store.claimsOf(now, withdrawal.key);
+        const bool held = std::any_of(claims.begin(), claims.end(), [&](const ClaimRecord &claim) {
+            return claim.attempt == withdrawal.attempt && claim.round <= withdrawal.round;
+        });
+        if (!held) {
+            return;
+        }
+        for (const InstanceId &taker : this->takersOf(now, withdrawal.key)) {
+            if (taker != from) {
+                outbox.push_back(Outgoing{taker, withdrawal});
+            }
+        }
+    }
+
     InstanceId self;
     ClaimParameters parameters;
     ClaimStore store;
     Handover handover;
+    /** The list without this instance, once it leaves; empty before. */
+    InstanceList afterLeaving;
+    /** When each instance last asked for claims. */
+    std::map<InstanceId, Millis> pulledAt;
 };
 
 Witness::Witness(const InstanceId &self, const ClaimParameters &parameters, Millis startedAt)
@@ -90,11 +142,9 @@
     outbox.push_back(Outgoing{from, vote});
 }
 
-void Witness::receive(Millis now,
-                      [[maybe_unused]] const InstanceId &from,
-                      const ClaimWithdraw &withdrawal,
-                      [[maybe_unused]] Outbox &outbox)
+void Witness::receive(Millis now, const InstanceId &from, const ClaimWithdraw &withdrawal, Outbox &outbox)
 {
+    this->d->passOn(now, from, withdrawal, outbox);
     this->d->store.withdraw(now, withdrawal.key, withdrawal.attempt, withdrawal.round);
 }
 
@@ -105,6 +155,7 @@
     const bool known = list.contains(from);
     // Ranks beyond the witnesses, since the other's list may lack instances that are on this one.
     const auto wanted = [&](const ClaimKey &key) { return !known || list.isAmongFirst(from, key, ranks); };
+    this->d->pulledAt[from] = now;
     ClaimStore::Page found = this->d->store.page(now, pull.from, this->d->parameters.pageRecords, wanted);
     ClaimPage page;
     page.pull = pull.pull;
@@ -142,20 +193,19 @@
 {
     std::vector<InstanceId> names = this->d->handover.instances().names;
     std::erase(names, this->d->self);
-    const InstanceList after = makeInstanceList(std::move(names));
-    const std::size_t count = this->d->parameters.quorumFor(after.names.size()).witnesses;
+    this->d->afterLeaving = makeInstanceList(std::move(names));
     const std::size_t everything = this->d->store.size();
     const auto all = [](const ClaimKey &) { return true; };
     std::map<InstanceId, ClaimPage> pages;
     for (const ClaimRecord &record : this->d->store.page(now, ClaimKey{}, everything, all).records) {
-        const std::vector<InstanceId> witnesses = after.first(record.key, count);
-        if (witnesses.size() < this->d->parameters.witnesses) {
-            continue; // Everyone else is a witness already.
+        const std::optional<InstanceId> next = this->d->nextWitness(record.key);
+        if (!next) {
+            continue;
         }
-        ClaimPage &page = pages[witnesses.back()];
+        ClaimPage &page = pages[*next];
         page.records.push_back(record);
         if (page.records.size() >= this->d->parameters.pageRecords) {
-            outbox.push_back(Outgoing{witnesses.back(), std::move(page)});
+            outbox.push_back(Outgoing{*next, std::move(page)});
             page = ClaimPage{};
         }
     }
--- a/sequoiausher/coordination/claims/witness.h
+++ b/sequoiausher/coordination/claims/witness.h
@@ -38,7 +38,10 @@
 
     /** Votes to from. A claim held already is told even where the witness abstains from granting. */
     void receive(Millis now, const InstanceId &from, const ClaimRequest &request, Outbox &outbox);
-    /** Frees the key if the attempt holds it under this or an earlier round; remembered against a late claim. */
+    /**
+     * Frees the key if the attempt holds it under this or an earlier round; remembered against a late claim. Passed
+     * on to those that were given the claim lately, by leave() or a page.
+     */
     void receive(Millis now, const InstanceId &from, const ClaimWithdraw &withdrawal, Outbox &outbox);
     /** Hands over one page of what from may have to know. */
     void receive(Millis now, const InstanceId &from, const ClaimPull &pull, Outbox &outbox);
--- a/sequoiausher/coordination/claims/witnesstest.cpp
+++ b/sequoiausher/coordination/claims/witnesstest.cpp
@@ -272,3 +272,64 @@
     }
     CHECK(records == keys);
 }
+
+// Symptom: after a rolling update a retry hears 'unknown', though its key never ran, or another attempt's answer is
+// kept. Events: a witness that leaves hands a claim to the key's next witness; then the attempt is refused for want of
+// room and withdraws at the witnesses that it asked. Cause: the next witness is none of them and keeps the claim.
+TEST_CASE("a withdrawal follows a claim that was handed over")
+{
+    Fixture f({}, {"r1", "r2", "r3", "r4", "r5", "r6", "r7"});
+    f.witness.foundEmpty();
+    f.ask(Millis{1}, first, 2);
+    const ClaimWithdraw withdrawal{key, first, 2};
+    Outbox outbox;
+    SUBCASE("handed over")
+    {
+        f.witness.leave(Millis{2}, outbox);
+        REQUIRE(outbox.size() == 1);
+        const Outgoing page = outbox.at(0);
+        outbox.clear();
+        f.witness.receive(Millis{3}, entry, ClaimWithdraw{key, first, 1}, outbox);
+        CHECK(outbox.empty());
+        f.witness.receive(Millis{4}, entry, withdrawal, outbox);
+        CHECK(outbox == Outbox{Outgoing{page.to, withdrawal}});
+        outbox.clear();
+        f.witness.receive(Millis{5}, entry, withdrawal, outbox);
+        CHECK(outbox.empty());
+
+        Witness next(page.to, f.parameters, Millis{0});
+        next.setInstances(Millis{0}, routers({"r1", "r2", "r3", "r4", "r5", "r6", "r7"}));
+        next.foundEmpty();
+        next.receive(Millis{5}, self, std::get<ClaimPage>(page.message), outbox);
+        next.receive(Millis{5}, self, withdrawal, outbox);
+        next.receive(Millis{6}, entry, ClaimRequest{key, second, 1, 1}, outbox);
+        CHECK(std::get<ClaimVote>(outbox.back().message).verdict != ClaimVerdict::Held);
+    }
+    SUBCASE("asked for")
+    {
+        const InstanceId asks{"r6"};
+        f.witness.receive(Millis{2}, asks, ClaimPull{1, {}}, outbox);
+        outbox.clear();
+        SUBCASE("lately")
+        {
+            f.witness.receive(Millis{3}, entry, withdrawal, outbox);
+            CHECK(outbox == Outbox{Outgoing{asks, withdrawal}});
+            outbox.clear();
+            f.witness.receive(Millis{4}, entry, withdrawal, outbox);
+        }
+        SUBCASE("and withdrawn by the same one")
+        {
+            f.witness.receive(Millis{3}, asks, withdrawal, outbox);
+        }
+        SUBCASE("longer ago than an attempt may be withdrawn")
+        {
+            f.witness.receive(Millis{2} + f.parameters.dispatchWindow * 2, entry, withdrawal, outbox);
+        }
+        CHECK(outbox.empty());
+    }
+    SUBCASE("not handed over")
+    {
+        f.witness.receive(Millis{3}, entry, withdrawal, outbox);
+        CHECK(outbox.empty());
+    }
+}
