Carry the hash of a shared prefix beside reservations

Cause: prefix-rendezvous chooses by a hash that the wire did not carry. Ruled out: a field in the reservation's record, which is a struct of fixed size that an earlier version would misread; a new kind of message, as an owner that does not know the hash can do without. Change: Frame.prefix_hashes at the end, one hash for each reservation, left out where none has one; a frame with some but not all is refused. An earlier version's frame has none, which means 0.

Bytes: a reservation without a hash is as small as before (104 in the test, as bound). With one, up to 56 bytes more alone, since the field is the last of a long table, and up to 10 in a batch of 32 (peercodectest). Run: peercodectest, round trips of every kind with the new field included, passes.

--- a/sequoiausher/protocol/codec/framereader.cpp
+++ b/sequoiausher/protocol/codec/framereader.cpp
@@ -110,6 +110,7 @@
     using WireDemands = flatbuffers::Vector<const Wire::OrganisationDemand *>;
     std::vector<OrganisationDemand> demands(const WireDemands *wire) const;
     std::size_t countOf(MessageKind kind) const;
+    std::uint64_t prefixHash() const;
     std::optional<Gossip> gossip(const Wire::Gossip *wire) const;
     /** std::nullopt where a state is of a later version. */
     std::optional<LifeNews> lifeOf(const Wire::LifeNews &news) const;
@@ -298,6 +299,20 @@
     return page;
 }
 
+/** Of the reservation taken last. */
+std::uint64_t FrameReader::Private::prefixHash() const
+{
+    const auto *hashes = this->frame.prefix_hashes();
+    if (sizeOf(hashes) == 0) {
+        return 0;
+    }
+    const std::size_t index = this->taken.at(static_cast<std::size_t>(MessageKind::ReserveRequest)) - 1;
+    if (index >= hashes->size()) {
+        this->refuse("the hash of a prefix is missing");
+    }
+    return hashes->Get(static_cast<flatbuffers::uoffset_t>(index));
+}
+
 std::optional<PeerMessage> FrameReader::Private::reserveRequest()
 {
     const auto *m = this->take(MessageKind::ReserveRequest, this->frame.reserve_requests());
@@ -306,6 +321,7 @@
     request.pool.value = this->name(m->pool());
     request.shard = m->shard();
     request.chatHash = m->chat_hash();
+    request.prefixHash = this->prefixHash();
     request.boundPercent = m->bound_percent();
     if (m->excluded_count() > sizeOf(this->frame.excluded()) - this->excludedTaken) {
         this->refuse("an excluded target is missing");
--- a/sequoiausher/protocol/codec/framewriter.cpp
+++ b/sequoiausher/protocol/codec/framewriter.cpp
@@ -90,6 +90,8 @@
     std::vector<std::uint8_t> nameLengths;
     std::vector<Wire::Refusal> refusals;
     std::vector<std::uint16_t> excluded;
+    /** Parallel to reserveRequests. */
+    std::vector<std::uint64_t> prefixHashes;
     std::vector<Wire::ClaimRequest> claimRequests;
     std::vector<Wire::ClaimVote> claimVotes;
     std::vector<Wire::ClaimWithdraw> claimWithdraws;
@@ -210,6 +212,7 @@
                                        static_cast<std::uint16_t>(m.excluded.size()),
                                        wireEnum(m.policy),
                                        wireEnum(m.requestClass));
+    this->prefixHashes.push_back(m.prefixHash);
     for (const TargetId &target : m.excluded) {
         this->excluded.push_back(this->index(target.value));
     }
@@ -399,6 +402,9 @@
     const auto documentPullsAt = this->tables(this->documentPulls);
     const auto claimPullsAt = this->structs(this->claimPulls);
     const auto claimPagesAt = this->tables(this->claimPages);
+    const bool hasPrefixes = std::any_of(
+        this->prefixHashes.begin(), this->prefixHashes.end(), [](std::uint64_t hash) { return hash != 0; });
+    const auto prefixHashesAt = hasPrefixes ? this->scalars(this->prefixHashes) : 0;
     this->builder.Finish(Wire::CreateFrame(this->builder,
                                            claimRequestsAt,
                                            claimVotesAt,
@@ -424,7 +430,8 @@
                                            documentDigestsAt,
                                            documentPullsAt,
                                            claimPullsAt,
-                                           claimPagesAt));
+                                           claimPagesAt,
+                                           prefixHashesAt));
     const auto *data = reinterpret_cast<const char *>(this->builder.GetBufferPointer());
     return {data, this->builder.GetSize()};
 }
--- a/sequoiausher/protocol/codec/messagegenerators.cpp
+++ b/sequoiausher/protocol/codec/messagegenerators.cpp
@@ -123,7 +123,8 @@
                        m.policy,
                        m.boundPercent,
                        m.excluded,
-                       m.requestClass);
+                       m.requestClass,
+                       m.prefixHash);
 SEQUOIAUSHER_ARBITRARY(ReserveReply, m.request, m.verdict, m.target, m.retryAfter);
 SEQUOIAUSHER_ARBITRARY(Release, m.request, m.pool, m.shard);
 SEQUOIAUSHER_ARBITRARY(HoldingsReport, m.pool, m.shard, m.sequence, m.holdings);
--- a/sequoiausher/protocol/codec/peercodectest.cpp
+++ b/sequoiausher/protocol/codec/peercodectest.cpp
@@ -106,6 +106,48 @@
     CHECK(std::get<ClaimVote>(decoded.messages.front()).heldBy == RequestId{8, 8});
 }
 
+// Symptom: during a rolling upgrade, chats of upgraded entries lose their place. Events: an entry of an earlier
+// version, which knows no prefixes, sends reservations to an owner of this one; or a frame names fewer hashes than
+// reservations.
+TEST_CASE("reservations without hashes of prefixes have none, and a frame has all of them or none")
+{
+    const std::vector<Wire::ReserveRequest> requests{Wire::ReserveRequest({1, 2}, 3, 0, 125, 0, 0, 0, 0),
+                                                     Wire::ReserveRequest({1, 3}, 4, 0, 125, 0, 0, 0, 0)};
+    const auto frameWith = [&requests](const std::vector<std::uint64_t> &hashes) {
+        flatbuffers::FlatBufferBuilder builder;
+        const auto requestsAt = builder.CreateVectorOfStructs(requests);
+        const auto hashesAt = builder.CreateVector(hashes);
+        Wire::FrameBuilder frame(builder);
+        frame.add_reserve_requests(requestsAt);
+        if (!hashes.empty()) {
+            frame.add_prefix_hashes(hashesAt);
+        }
+        return frameOf(builder, frame.Finish());
+    };
+    const DecodedFrame without = decodeFrame(frameWith({}), "r1");
+    REQUIRE(without.messages.size() == 2);
+    CHECK(std::get<ReserveRequest>(without.messages.at(1)).chatHash == 4);
+    CHECK(std::get<ReserveRequest>(without.messages.at(1)).prefixHash == 0);
+    const DecodedFrame with = decodeFrame(frameWith({0, 9}), "r1");
+    CHECK(std::get<ReserveRequest>(with.messages.at(0)).prefixHash == 0);
+    CHECK(std::get<ReserveRequest>(with.messages.at(1)).prefixHash == 9);
+    CHECK_THROWS_AS(decodeFrame(frameWith({9}), "r1"), Error);
+}
+
+TEST_CASE("reservations without hashes of prefixes are as small as before, and in a batch a hash costs little more "
+          "than itself")
+{
+    ReserveRequest request{{1, 2}, PoolId{"plates"}, 1, 7};
+    constexpr std::size_t batchSize = 32;
+    const std::size_t bare = encodeFrame(Batch{request}).size();
+    const std::size_t bareBatch = encodeFrame(Batch(batchSize, request)).size();
+    request.prefixHash = 9;
+    CHECK(bare <= 104);
+    // A field at the end of the frame makes its table of fields longer.
+    CHECK(encodeFrame(Batch{request}).size() <= bare + 56);
+    CHECK(encodeFrame(Batch(batchSize, request)).size() <= bareBatch + batchSize * 10);
+}
+
 TEST_CASE("a frame that contradicts itself is refused")
 {
     struct Case
