--- a/sequoiausher/base/hashing.cpp
+++ b/sequoiausher/base/hashing.cpp
@@ -23,6 +23,14 @@
     return ClaimKey{hash.high64, hash.low64};
 }
 
+std::uint64_t prefixHashOf(const OrganisationId &organisation, std::string_view prefix)
+{
+    if (prefix.empty()) {
+        return 0;
+    }
+    return std::max(hash64(prefix, hash64(organisation.value)), std::uint64_t{1});
+}
+
 std::uint64_t rendezvousWeight(std::uint64_t memberHash, std::uint64_t keyHash)
 {
     // The finaliser of SplitMix64 over both hashes: cheap enough for thousands of members per request.
--- a/sequoiausher/base/hashing.h
+++ b/sequoiausher/base/hashing.h
@@ -20,6 +20,12 @@
 /** The claim key of an organisation's idempotency key: XXH3 with 128 bits over both, unambiguously joined. */
 ClaimKey claimKeyOf(const OrganisationId &organisation, std::string_view idempotencyKey);
 
+/**
+ * The hash of a prompt prefix that an organisation's chats share, by its id or text; never 0. Organisations that give
+ * the same id to different prompts are kept apart. An empty prefix is none: 0.
+ */
+std::uint64_t prefixHashOf(const OrganisationId &organisation, std::string_view prefix);
+
 /**
  * The weight of member for key; the member with the highest weight comes first.
  * Source: Thaler and Ravishankar, "Using name-based mappings to increase hit rates", 1998.
--- a/sequoiausher/base/hashingtest.cpp
+++ b/sequoiausher/base/hashingtest.cpp
@@ -26,6 +26,14 @@
     CHECK(claimKeyOf(OrganisationId{"ab"}, "c") != claimKeyOf(OrganisationId{"a"}, "bc"));
 }
 
+TEST_CASE("a prefix is known by its organisation and its name, and an empty one is none")
+{
+    CHECK(prefixHashOf(OrganisationId{"a"}, "") == 0);
+    CHECK(prefixHashOf(OrganisationId{"a"}, "orders") == prefixHashOf(OrganisationId{"a"}, "orders"));
+    CHECK(prefixHashOf(OrganisationId{"a"}, "orders") != prefixHashOf(OrganisationId{"b"}, "orders"));
+    CHECK(prefixHashOf(OrganisationId{"a"}, "orders") != prefixHashOf(OrganisationId{"a"}, "jobs"));
+}
+
 TEST_CASE("rendezvous order does not depend on the order of the list")
 {
     std::vector<InstanceId> members = instances(20);
--- a/sequoiausher/cli/commandstest.cpp
+++ b/sequoiausher/cli/commandstest.cpp
@@ -178,3 +178,22 @@
     const Outcome json = run({"explain", "--documents", folder.path.string(), "--chat", "42", "--json"});
     CHECK(contains(json.out, "\"chosen\":\"a\""));
 }
+
+TEST_CASE("explain names the target by the prefix's order where the rule goes by it and the request names one")
+{
+    const Folder folder;
+    folder.write("rules/fleet.ini", "[rule plates]\nthen.pool = plates\nthen.policy = prefix-rendezvous\n");
+    folder.write("targets/plates.ini",
+                 "[pool]\nkind = engine\nmodel = m\n[target a]\naddress = 127.0.0.1:1\ndata_centre = d\n"
+                 "[target b]\naddress = 127.0.0.1:2\ndata_centre = d\n");
+    const auto explain = [&folder](const std::string &chat, const std::string &prefix) {
+        std::vector<std::string> words{"explain", "--documents", folder.path.string(), "--chat", chat};
+        if (!prefix.empty()) {
+            words.insert(words.end(), {"--header", "X-Prefix-Id=" + prefix});
+        }
+        return run(words).out;
+    };
+    CHECK(contains(explain("42", ""), "the chat's order:"));
+    CHECK(contains(explain("42", "orders-3"), "the prefix's order:"));
+    CHECK(explain("42", "orders-3") == explain("43", "orders-3"));
+}
--- a/sequoiausher/cli/explaincommand.cpp
+++ b/sequoiausher/cli/explaincommand.cpp
@@ -168,6 +168,18 @@
     return facts;
 }
 
+/** The prefix is known only where the request names it: its first message is not at hand. */
+ChoiceKeys keysOf(const RequestFacts &facts)
+{
+    ChoiceKeys keys{facts.chatHash, 0};
+    for (const RequestHeader &header : facts.headers) {
+        if (header.name == "x-prefix-id") {
+            keys.prefixHash = prefixHashOf(facts.organisation, header.value);
+        }
+    }
+    return keys;
+}
+
 std::string outcomeText(const Decision &decision)
 {
     if (decision.refusal) {
@@ -188,8 +200,8 @@
 void printChoice(const TargetChoice &choice, std::ostream &out)
 {
     out << "shard " << choice.shard.pool.value << "/" << choice.shard.shard << " of "
-        << (choice.owner.value.empty() ? "nobody" : choice.owner.value) << ", bound " << choice.bound
-        << ", the chat's order:";
+        << (choice.owner.value.empty() ? "nobody" : choice.owner.value) << ", bound " << choice.bound << ", the "
+        << (choice.isByPrefix ? "prefix" : "chat") << "'s order:";
     for (const RankedTarget &target : choice.order) {
         out << " " << target.name << "=" << target.inFlight;
         if (target.state != nameOf(LifeState::Live)) {
@@ -339,7 +351,7 @@
     const Explanation explanation = fleet.rules->explain(facts);
     std::optional<TargetChoice> choice;
     if (explanation.decision) {
-        choice = chooseTarget(fleet, *explanation.decision, facts.chatHash, live.loads, live.boundPercent);
+        choice = chooseTarget(fleet, *explanation.decision, keysOf(facts), live.loads, live.boundPercent);
     }
     if (options.count("json") > 0) {
         printJson(explanation, choice, out);
--- a/sequoiausher/cli/targetchoice.cpp
+++ b/sequoiausher/cli/targetchoice.cpp
@@ -27,7 +27,7 @@
     return load;
 }
 
-std::vector<RankedTarget> orderOf(const std::vector<TargetView> &targets, const PoolLoad &load, std::uint64_t chatHash)
+std::vector<RankedTarget> orderOf(const std::vector<TargetView> &targets, const PoolLoad &load, std::uint64_t keyHash)
 {
     std::vector<std::uint64_t> hashes;
     hashes.reserve(targets.size());
@@ -35,7 +35,7 @@
         hashes.push_back(target.hash);
     }
     std::vector<RankedTarget> order;
-    for (const std::size_t index : rendezvousOrder(hashes, chatHash, hashes.size())) {
+    for (const std::size_t index : rendezvousOrder(hashes, keyHash, hashes.size())) {
         const TargetDescription &target = targets[index].description;
         order.push_back({target.target.value, std::string(nameOf(target.life.state)), load.targets[index].inFlight});
     }
@@ -73,6 +73,11 @@
     if (policy == PolicyKind::LeastLoaded) {
         return "the least in flight";
     }
+    if (policy == PolicyKind::PrefixRendezvous) {
+        const std::string owner = choice.isByPrefix ? "prefix" : "chat";
+        return "the least loaded of the first in the " + owner + "'s order, below the bound of "
+            + std::to_string(choice.bound);
+    }
     return policy == PolicyKind::Rendezvous ? "first in the chat's order" : boundedReason(choice);
 }
 
@@ -80,7 +85,7 @@
 
 std::optional<TargetChoice> chooseTarget(const FleetDocuments &fleet,
                                          const Decision &decision,
-                                         std::uint64_t chatHash,
+                                         const ChoiceKeys &keys,
                                          const TargetLoads &loads,
                                          std::uint32_t boundPercent)
 {
@@ -101,7 +106,7 @@
     }
     map.setInstances(live);
     map.setPool(table.pool(pool->pool));
-    const std::optional<ShardRoute> route = map.routeOf(pool->pool, chatHash);
+    const std::optional<ShardRoute> route = map.routeOf(pool->pool, keys.chatHash);
     if (!route) {
         return std::nullopt;
     }
@@ -112,9 +117,11 @@
     choice.shard = route->shard;
     choice.owner = route->owner;
     choice.bound = loadBound(percent, load.total, load.counted);
-    choice.order = orderOf(targets, load, chatHash);
+    choice.isByPrefix = decision.policy == PolicyKind::PrefixRendezvous && keys.prefixHash != 0;
+    choice.order = orderOf(targets, load, choice.isByPrefix ? keys.prefixHash : keys.chatHash);
     if (decision.policy != PolicyKind::RoundRobin && decision.policy != PolicyKind::TwoChoices) {
-        const auto index = makePolicy(decision.policy, 0)->choose(load, Choice{chatHash, percent});
+        const Choice request{keys.chatHash, percent, std::nullopt, false, keys.prefixHash};
+        const auto index = makePolicy(decision.policy, 0)->choose(load, request);
         choice.chosen = index ? std::optional(load.targets[*index].target.value) : std::nullopt;
     }
     choice.reason = reasonOf(choice, decision.policy);
--- a/sequoiausher/protocol/clientapi/clientrequest.cpp
+++ b/sequoiausher/protocol/clientapi/clientrequest.cpp
@@ -16,6 +16,7 @@
 constexpr int statusBadRequest = 400;
 constexpr int statusUnauthorized = 401;
 constexpr std::size_t maxChatLength = 128;
+constexpr std::size_t maxPrefixLength = 128;
 constexpr std::size_t maxKeyLength = 255;
 constexpr std::int64_t maxDeadline = 3600000;
 constexpr qsizetype messagesInChatDigest = 2;
@@ -95,6 +96,16 @@
     return "digest-" + RequestId{0, digest}.toHex().substr(16);
 }
 
+// The first message of an application's chats is its system prompt, the same in all of them. Engines cache it once.
+std::string prefixDigest(const QJsonValue &firstMessage)
+{
+    const QJsonValue content = firstMessage.toObject().value(QLatin1String("content"));
+    const QByteArray text
+        = content.isString() ? content.toString().toUtf8() : QJsonDocument(content.toArray()).toJson();
+    const std::uint64_t digest = hash64(std::string_view(text.constData(), static_cast<std::size_t>(text.size())));
+    return "digest-" + RequestId{0, digest}.toHex().substr(16);
+}
+
 std::size_t lengthOf(const QJsonArray &messages)
 {
     std::size_t length = 0;
@@ -145,6 +156,9 @@
     if (request.chat.empty()) {
         request.chat = chatDigest(messages.toArray());
     }
+    if (request.prefix.empty()) {
+        request.prefix = prefixDigest(messages.toArray().first());
+    }
 }
 
 } // namespace
@@ -157,6 +171,7 @@
     request.apiKey = readApiKey(head);
     request.requestClass = readClass(head);
     request.chat = readToken(head, "X-Chat-Id", maxChatLength);
+    request.prefix = readToken(head, "X-Prefix-Id", maxPrefixLength);
     request.idempotencyKey = readToken(head, "Idempotency-Key", maxKeyLength);
     request.deadline = readDeadline(head);
     if (head.path == chatCompletionsPath) {
--- a/sequoiausher/protocol/clientapi/clientrequest.h
+++ b/sequoiausher/protocol/clientapi/clientrequest.h
@@ -53,6 +53,8 @@
     std::string apiKey;
     RequestClass requestClass = RequestClass::Interactive;
     std::string chat;
+    /** What names the part of the prompt that chats share: the caller's id, or a digest of the first message. */
+    std::string prefix;
     std::string idempotencyKey;
     std::optional<Millis> deadline;
     /** A chat completion: the fields below are set. */
--- a/sequoiausher/protocol/clientapi/clientrequesttest.cpp
+++ b/sequoiausher/protocol/clientapi/clientrequesttest.cpp
@@ -48,6 +48,24 @@
     CHECK(chatOf(first) != chatOf(R"({"role":"user","content":"x"})"));
 }
 
+TEST_CASE("chats that begin with the same message share a prefix, unless the caller names another")
+{
+    const auto prefixOf = [](const Headers &headers, const std::string &rest) {
+        const std::string system = R"({"role":"system","content":"You check plate orders."})";
+        return parseClientRequest(headWith(headers), R"({"model":"m","messages":[)" + system + rest + "]}").prefix;
+    };
+    const std::string question = R"(,{"role":"user","content":"a"})";
+    CHECK(prefixOf(key, question) == prefixOf(key, R"(,{"role":"user","content":"b"})"));
+    Headers named = key;
+    named["X-Prefix-Id"] = "orders-3";
+    CHECK(prefixOf(named, question) == "orders-3");
+    const std::string other = R"({"model":"m","messages":[{"role":"system","content":"You answer dealers."}]})";
+    CHECK(parseClientRequest(headWith(key), other).prefix != prefixOf(key, question));
+    const std::string parts = R"({"model":"m","messages":[{"role":"system","content":[{"type":"text","text":"x"}]}]})";
+    CHECK(parseClientRequest(headWith(key), parts).prefix.substr(0, 7) == "digest-");
+    CHECK(parseClientRequest(headWith(key, "/presses/7/emboss"), "").prefix.empty());
+}
+
 TEST_CASE("a plain service's body is not read")
 {
     const ClientRequest request = parseClientRequest(headWith(key, "/presses/7/emboss"), "not json");
@@ -75,6 +93,7 @@
         {{{"Authorization", "Bearer "}}, goodBody, 401, "Authorization"},
         {with("X-Class", "review"), goodBody, 400, "X-Class"},
         {with("X-Chat-Id", std::string(129, 'c')), goodBody, 400, "X-Chat-Id"},
+        {with("X-Prefix-Id", std::string(129, 'c')), goodBody, 400, "X-Prefix-Id"},
         {with("Idempotency-Key", "two words"), goodBody, 400, "Idempotency-Key"},
         {with("Idempotency-Key", std::string(256, 'k')), goodBody, 400, "Idempotency-Key"},
         {with("X-Deadline-Ms", "0"), goodBody, 400, "X-Deadline-Ms"},
@@ -122,7 +141,8 @@
         return true;
     };
     CHECK(rc::check("random headers", [&](const std::string &value, const std::string &body) {
-        for (const char *name : {"Authorization", "X-Class", "X-Chat-Id", "Idempotency-Key", "X-Deadline-Ms"}) {
+        for (const char *name :
+             {"Authorization", "X-Class", "X-Chat-Id", "X-Prefix-Id", "Idempotency-Key", "X-Deadline-Ms"}) {
             Headers headers = key;
             headers[name] = value;
             RC_ASSERT(readsOrRefuses(headWith(headers), body));
--- a/sequoiausher/transport/router/entry.cpp
+++ b/sequoiausher/transport/router/entry.cpp
@@ -193,7 +193,9 @@
     Millis longest = decision->deadline.value_or(this->context.node.settings().limits.defaultDeadline);
     longest = std::min(longest, parsed.deadline.value_or(longest));
     const RequestLabels labels{*organisation, parsed.requestClass, decision->experiment, decision->arm};
-    this->start(SessionOrder{request, exchange, parsed, *decision, labels, facts.chatHash, now + longest});
+    const bool usesPrefix = decision->policy == PolicyKind::PrefixRendezvous;
+    const std::uint64_t prefixHash = usesPrefix ? prefixHashOf(*organisation, parsed.prefix) : 0;
+    this->start(SessionOrder{request, exchange, parsed, *decision, labels, facts.chatHash, now + longest, prefixHash});
 }
 
 void Entry::Private::start(SessionOrder order)
--- a/sequoiausher/transport/router/requestsession.cpp
+++ b/sequoiausher/transport/router/requestsession.cpp
@@ -230,7 +230,8 @@
                         decision.policy,
                         bound,
                         std::move(without),
-                        this->order.parsed.requestClass});
+                        this->order.parsed.requestClass,
+                        this->order.prefixHash});
 }
 
 // A retry that reached the router where the first attempt runs takes its answer; nothing is claimed or reserved.
--- a/sequoiausher/transport/router/requestsession.h
+++ b/sequoiausher/transport/router/requestsession.h
@@ -38,6 +38,8 @@
     RequestLabels labels;
     std::uint64_t chatHash = 0;
     Millis deadline;
+    /** Of the prompt prefix that chats share; 0 where the rule's policy does not look at it. */
+    std::uint64_t prefixHash = 0;
 };
 
 /** One request. Belongs to its worker's thread. */
