--- a/sequoiausher/protocol/codec/messagegenerators.cpp
+++ b/sequoiausher/protocol/codec/messagegenerators.cpp
@@ -123,7 +123,8 @@
                        m.policy,
                        m.boundPercent,
                        m.excluded,
-                       m.requestClass);
+                       m.requestClass,
+                       m.prefixHash);
 template<>
 struct Arbitrary<Sequoiausher::ReserveReply>
 {
--- a/sequoiausher/transport/router/sessionorder.h
+++ b/sequoiausher/transport/router/sessionorder.h
@@ -28,6 +28,8 @@
     RequestLabels labels;
     std::uint64_t chatHash = 0;
     Millis deadline;
+    /** Of the prompt prefix that chats share; 0 where the rule's policy does not look at it. */
+    std::uint64_t prefixHash = 0;
 };
 
 /** Whether the request's idempotency key is claimed before the request is sent to a target. */
--- a/sequoiausher/transport/router/targetreservation.cpp
+++ b/sequoiausher/transport/router/targetreservation.cpp
@@ -39,7 +39,8 @@
                               decision.policy,
                               bound,
                               std::move(unusable),
-                              this->order.parsed.requestClass});
+                              this->order.parsed.requestClass,
+                              this->order.prefixHash});
 }
 
 } // namespace Sequoiausher
