Tell of a changed pool or list of routers what changed in it

A new life in one pool's document rebuilt the views of all pools, to show it where the target stands in another pool too, and every pool was cut into shards anew, though most had not changed.

Passing lives as news alone: the document is what a router that starts learns.

Change: TargetTable counts in how many rows a target stands and rebuilds other pools only where a changed life shows in them; forgetting unlisted targets goes by the same count. The node cuts only pools whose view is another one. A section's keys are searched in place, without a set made for each section. The bench has the entries report to the owners first: an owner that still awaits 1,300 of them compares each with each, which is the start of a router and not a change.

targettabletest has a case more: a life that one document tells shows in every pool, also after a pool went and came back.

--- a/lab/bench/slopes/configurationslopes.cpp
+++ b/lab/bench/slopes/configurationslopes.cpp
@@ -9,6 +9,7 @@
 #include "sequoiausher/protocol/settings/fleetcompiler.h"
 #include "sequoiausher/state/targets/targettable.h"
 
+#include <algorithm>
 #include <atomic>
 #include <stdexcept>
 
@@ -187,6 +188,19 @@
         }
     }
 
+    /** Every entry reports to the owned shards, as after each change of owners: an owner awaits those that did not. */
+    void hearEntries()
+    {
+        for (const ShardId &shard : this->shards.shards()) {
+            if (this->shards.ownerOf(shard) != this->self) {
+                continue;
+            }
+            for (const InstanceId &entry : this->shards.instances()) {
+                this->owned.receive(Millis{1}, entry, HoldingsReport{shard.pool, shard.shard, 1, {}});
+            }
+        }
+    }
+
 private:
     void applyInstances(const std::vector<InstanceDescription> &instances)
     {
@@ -214,9 +228,13 @@
 
     void poolsChanged()
     {
-        for (const auto &view : this->targets.pools()) {
-            this->shards.setPool(view);
+        std::vector<std::shared_ptr<const PoolView>> views = this->targets.pools();
+        for (const auto &view : views) {
+            if (std::find(this->toldPools.begin(), this->toldPools.end(), view) == this->toldPools.end()) {
+                this->shards.setPool(view);
+            }
         }
+        this->toldPools = std::move(views);
         this->owned.update(Millis{1}, this->shards);
     }
 
@@ -227,6 +245,7 @@
     ShardMap shards;
     OwnedShards owned;
     Witness witness;
+    std::vector<std::shared_ptr<const PoolView>> toldPools;
 };
 
 /** One document that changes forth and back. */
@@ -244,6 +263,7 @@
     std::shared_ptr<const FleetConfiguration> current = configured.fleet();
     Told told(*current);
     told.apply(nullptr, *current);
+    told.hearEntries();
     const std::string earlier = configured.table.find(change.document)->body;
     constexpr int times = 20;
     double offers = 0;
--- a/sequoiausher/base/ini/inireader.cpp
+++ b/sequoiausher/base/ini/inireader.cpp
@@ -300,9 +300,11 @@
 
 void SectionReader::finish()
 {
-    const std::unordered_set<std::string> asked(this->d->known.begin(), this->d->known.end());
+    // A search from end to end: for the few keys of a section, of which a document has a thousand, a set costs more.
+    const std::vector<std::string> &known = this->d->known;
     for (const IniEntry &entry : this->d->section.entries) {
-        if (asked.contains(entry.key) || !hasRoom(this->d->problems, Severity::Error)) {
+        const bool isKnown = std::find(known.begin(), known.end(), entry.key) != known.end();
+        if (isKnown || !hasRoom(this->d->problems, Severity::Error)) {
             continue;
         }
         addProblem(this->d->problems,
--- a/sequoiausher/state/targets/targettable.cpp
+++ b/sequoiausher/state/targets/targettable.cpp
@@ -22,6 +22,8 @@
     LifeNews life;
     std::optional<ReportedLoad> load;
     Millis heardAt;
+    /** How many rows of published pools name it. */
+    std::size_t listings = 0;
 };
 
 } // namespace
@@ -32,6 +34,8 @@
     bool mergeLife(Millis now, const TargetId &target, const LifeNews &life);
     bool rebuild(const PoolDescription &description);
     void rebuildPoolsOf(const TargetId &target);
+    void publish(const PoolDescription &description);
+    void unlist(const PoolId &pool);
     void prune(Millis now);
 
     mutable std::mutex mutex;
@@ -43,7 +47,7 @@
 
 bool TargetTable::Private::mergeLife(Millis now, const TargetId &target, const LifeNews &life)
 {
-    const auto [entry, fresh] = this->known.try_emplace(target, KnownTarget{life, std::nullopt, now});
+    const auto [entry, fresh] = this->known.try_emplace(target, KnownTarget{life, std::nullopt, now, 0});
     entry->second.heardAt = now;
     if (fresh) {
         return true;
@@ -91,23 +95,35 @@
     }
 }
 
-void TargetTable::Private::prune(Millis now)
+/** Every target of description is known already. */
+void TargetTable::Private::publish(const PoolDescription &description)
 {
-    if (this->known.size() <= this->pruneAbove) {
+    this->unlist(description.pool);
+    this->published[description.pool] = description;
+    for (const TargetDescription &target : description.targets) {
+        ++this->known.at(target.target).listings;
+    }
+}
+
+void TargetTable::Private::unlist(const PoolId &pool)
+{
+    const auto earlier = this->published.find(pool);
+    if (earlier == this->published.end()) {
         return;
     }
-    std::unordered_map<TargetId, KnownTarget> kept;
-    for (const auto &entry : this->published) {
-        for (const TargetDescription &target : entry.second.targets) {
-            kept.insert(*this->known.find(target.target));
-        }
+    for (const TargetDescription &target : earlier->second.targets) {
+        --this->known.at(target.target).listings;
     }
-    for (const auto &entry : this->known) {
-        if (now < entry.second.heardAt + unlistedLife) {
-            kept.insert(entry);
-        }
+}
+
+void TargetTable::Private::prune(Millis now)
+{
+    if (this->known.size() <= this->pruneAbove) {
+        return;
     }
-    this->known = std::move(kept);
+    std::erase_if(this->known, [now](const auto &entry) {
+        return entry.second.listings == 0 && now >= entry.second.heardAt + unlistedLife;
+    });
     this->pruneAbove = this->known.size() + pruneStep;
 }
 
@@ -120,13 +136,18 @@
 bool TargetTable::applyPool(Millis now, const PoolDescription &description)
 {
     const std::lock_guard lock(this->d->mutex);
-    this->d->published[description.pool] = description;
-    bool livesChanged = false;
+    std::vector<TargetId> changedLives;
     for (const TargetDescription &target : description.targets) {
-        livesChanged = this->d->mergeLife(now, target.target, target.life) || livesChanged;
+        if (this->d->mergeLife(now, target.target, target.life)) {
+            changedLives.push_back(target.target);
+        }
     }
+    this->d->publish(description);
     const bool changed = this->d->rebuild(description);
-    if (livesChanged) {
+    const bool showElsewhere = std::any_of(changedLives.begin(), changedLives.end(), [this](const TargetId &target) {
+        return this->d->known.at(target).listings > 1;
+    });
+    if (showElsewhere) {
         // A target may stand in several pools; its new life shows in each.
         for (const auto &entry : this->d->published) {
             this->d->rebuild(entry.second);
@@ -139,6 +160,7 @@
 void TargetTable::removePool(const PoolId &pool)
 {
     const std::lock_guard lock(this->d->mutex);
+    this->d->unlist(pool);
     this->d->published.erase(pool);
     this->d->views.erase(pool);
 }
--- a/sequoiausher/state/targets/targettabletest.cpp
+++ b/sequoiausher/state/targets/targettabletest.cpp
@@ -63,6 +63,32 @@
     }
 }
 
+TEST_CASE("a new life that one pool's document tells shows in every pool that lists the target")
+{
+    TargetTable table;
+    const PoolId other{"drafts"};
+    const auto inOther = [&other](LifeNews life) {
+        PoolDescription description = described(life);
+        description.pool = other;
+        return description;
+    };
+    const auto shown
+        = [&table](const PoolId &name) { return table.pool(name)->targets.front().description.life.state; };
+    table.applyPool(Millis{0}, described({1, LifeState::Live}));
+    table.applyPool(Millis{0}, inOther({1, LifeState::Leaving}));
+    CHECK(shown(pool) == LifeState::Leaving);
+    const auto before = table.pool(pool);
+    table.applyPool(Millis{1}, inOther({1, LifeState::Leaving}));
+    CHECK(table.pool(pool) == before);
+    table.applyPool(Millis{2}, inOther({2, LifeState::Live}));
+    CHECK(shown(pool) == LifeState::Live);
+    // Listed once again and twice again: the count of rows follows the documents.
+    table.removePool(other);
+    table.applyPool(Millis{3}, described({2, LifeState::Leaving}));
+    table.applyPool(Millis{4}, inOther({3, LifeState::Live}));
+    CHECK(shown(pool) == LifeState::Live);
+}
+
 TEST_CASE("loads of an earlier life or an earlier moment are dropped")
 {
     TargetTable table;
--- a/sequoiausher/transport/router/nodeprivate.cpp
+++ b/sequoiausher/transport/router/nodeprivate.cpp
@@ -497,13 +497,17 @@
 
 void Node::Private::poolsChanged(Millis now, Outbox &outbox)
 {
-    const auto views = this->targets.pools();
+    std::vector<std::shared_ptr<const PoolView>> views = this->targets.pools();
     std::vector<ReserveResult> results;
     {
         const std::scoped_lock lock(this->admissionMutex);
         for (const auto &view : views) {
-            this->shards.setPool(view);
+            // Cutting a pool into shards takes a look at each of its targets; most pools stay as they were.
+            if (std::find(this->toldPools.begin(), this->toldPools.end(), view) == this->toldPools.end()) {
+                this->shards.setPool(view);
+            }
         }
+        this->toldPools = std::move(views);
         this->owned.update(now, this->shards);
         this->reserver.listsChanged(now, outbox);
         results = this->reserver.takeResults();
--- a/sequoiausher/transport/router/nodeprivate.h
+++ b/sequoiausher/transport/router/nodeprivate.h
@@ -126,6 +126,8 @@
     QTimer timer;
     Millis poolStatesAt;
     bool membersKnown = false;
+    /** The views that shards was last told of. */
+    std::vector<std::shared_ptr<const PoolView>> toldPools;
 };
 
 } // namespace Sequoiausher
