--- a/sequoiausher/transport/router/nodeprivate.h
+++ b/sequoiausher/transport/router/nodeprivate.h
@@ -137,6 +137,8 @@
     TickPacer pacer;
     Millis poolStatesAt;
     bool membersKnown = false;
+    /** The views that shards was last told of. */
+    std::vector<std::shared_ptr<const PoolView>> toldPools;
 };
 
 } // namespace Sequoiausher
