Hold back only the organisation and class that the pool had no room for

Cause: a pool is full for background work before it is for urgent requests, but a router's queue took the owner's "full" for all: nothing went on for 50 ms, and after that no more than the router had in flight at that moment. With a few in flight in each of seven routers, an urgent request waited for one of its own router's to end, hundreds of milliseconds, while the owner kept places for it.

Ruled out: that the owner gives the places to the wrong ones. With the owner as it was, urgent requests keep their time as soon as their router lets them ask.

Change: windows for each organisation and class (askwindows) in place of the one pause and window; the queue hears of grants. The turns of the classes stand in a component of their own (classturns). What a router can count on still shrinks and grows as before, for estimates.

--- a/lab/bench/surgebench.cpp
+++ b/lab/bench/surgebench.cpp
@@ -4,6 +4,7 @@
 // Ratios compare the p95 from arrival to end with the surge to the one without it, over requests that were served;
 // what was refused is given beside them, since a queue that refuses many would look quick.
 
+#include "lab/bench/surgefleet.h"
 #include "lab/bench/surgesimulation.h"
 #include "sequoiausher/coordination/limits/admissionqueue.h"
 #include "sequoiausher/coordination/limits/fifoqueue.h"
@@ -30,6 +31,8 @@
 constexpr auto background = static_cast<std::size_t>(RequestClass::Background);
 
 using MakeQueue = std::function<std::unique_ptr<DispatchQueue>()>;
+/** A run of some load, quiet or surging. */
+using Simulate = std::function<SurgeResult(double surgeFactor, std::uint64_t seed)>;
 /** The values of each figure, one for each seed. */
 using Figures = std::map<std::string, std::vector<double>>;
 
@@ -40,13 +43,33 @@
     return both;
 }
 
-void measure(const MakeQueue &makeQueue, std::uint64_t seed, const std::string &suffix, Figures &figures)
+/** One router and its queue. */
+Simulate alone(const MakeQueue &makeQueue)
 {
-    SurgeSettings settings;
-    settings.seed = seed;
-    const SurgeResult quiet = simulateSurge(*makeQueue(), settings);
-    settings.surgeFactor = surge;
-    const SurgeResult surging = simulateSurge(*makeQueue(), settings);
+    return [makeQueue](double surgeFactor, std::uint64_t seed) {
+        SurgeSettings settings;
+        settings.seed = seed;
+        settings.surgeFactor = surgeFactor;
+        return simulateSurge(*makeQueue(), settings);
+    };
+}
+
+/** Seven routers before two targets; latencies are those of the first token. */
+Simulate inFleet(const MakeQueue &makeQueue)
+{
+    return [makeQueue](double surgeFactor, std::uint64_t seed) {
+        FleetSurgeSettings settings;
+        settings.load.seed = seed;
+        settings.load.surgeFactor = surgeFactor;
+        settings.makeQueue = makeQueue;
+        return simulateFleetSurge(settings);
+    };
+}
+
+void measure(const Simulate &simulate, std::uint64_t seed, const std::string &suffix, Figures &figures)
+{
+    const SurgeResult quiet = simulate(1, seed);
+    const SurgeResult surging = simulate(surge, seed);
     constexpr double tail = 0.95;
     const auto add = [&](const std::string &name, double value) { figures[name + suffix].push_back(value); };
     const GroupResult othersQuiet = joined(quiet.others[urgent], quiet.others[interactive]);
@@ -88,8 +111,10 @@
     const MakeQueue naive = [] { return std::make_unique<FifoQueue>(slots, maxWaiting); };
     Figures figures;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        measure(fair, seed, "", figures);
-        measure(naive, seed, "_naive", figures);
+        measure(alone(fair), seed, "", figures);
+        measure(alone(naive), seed, "_naive", figures);
+        measure(inFleet(fairQueue), seed, "_fleet", figures);
+        measure(inFleet(naiveQueue), seed, "_fleet_naive", figures);
     }
     if (!print(figures)) {
         std::fprintf(stderr, "surgebench: a figure could not be measured\n");
--- a/lab/bench/surgesimulation.cpp
+++ b/lab/bench/surgesimulation.cpp
@@ -12,14 +12,6 @@
 
 namespace {
 
-struct Arrival
-{
-    QueueEntry entry;
-    Millis at;
-    Millis service;
-    bool surging = false;
-};
-
 struct End
 {
     Millis at;
@@ -39,7 +31,7 @@
     return draw < settings.urgentPart + settings.backgroundPart ? RequestClass::Background : RequestClass::Interactive;
 }
 
-std::vector<Arrival> arrivalsOf(int organisation, const SurgeSettings &settings)
+std::vector<SurgeArrival> arrivalsOf(int organisation, const SurgeSettings &settings)
 {
     constexpr double msPerSecond = 1000;
     constexpr std::uint64_t idsPerOrganisation = 1ULL << 32;
@@ -48,13 +40,15 @@
     const double rate = settings.perSecond * (surging ? settings.surgeFactor : 1);
     std::exponential_distribution<double> gaps(rate / msPerSecond);
     std::exponential_distribution<double> extra(1 / settings.meanExtraServiceMs);
+    std::uniform_real_distribution<double> evenExtra(0, 2 * settings.meanExtraServiceMs);
     std::uniform_real_distribution<double> draws(0, 1);
-    std::vector<Arrival> arrivals;
+    std::vector<SurgeArrival> arrivals;
     std::uint64_t id = static_cast<std::uint64_t>(organisation) * idsPerOrganisation;
     for (double at = gaps(random); at < static_cast<double>(settings.duration.count); at += gaps(random)) {
-        Arrival arrival;
+        SurgeArrival arrival;
         arrival.at = Millis{static_cast<std::int64_t>(at)};
-        arrival.service = Millis{std::llround(settings.leastServiceMs + extra(random))};
+        const double extraMs = settings.evenService ? evenExtra(random) : extra(random);
+        arrival.service = Millis{std::llround(settings.leastServiceMs + extraMs)};
         arrival.surging = surging;
         arrival.entry.request = RequestId{0, ++id};
         arrival.entry.organisation = OrganisationId{"organisation-" + std::to_string(organisation)};
@@ -70,9 +64,11 @@
 class Run
 {
 public:
-    Run(DispatchQueue &dispatchQueue, std::vector<Arrival> sorted) : queue(dispatchQueue), arrivals(std::move(sorted))
+    Run(DispatchQueue &dispatchQueue, std::vector<SurgeArrival> sorted)
+        : queue(dispatchQueue)
+        , arrivals(std::move(sorted))
     {
-        for (const Arrival &arrival : this->arrivals) {
+        for (const SurgeArrival &arrival : this->arrivals) {
             this->byRequest.emplace(arrival.entry.request, &arrival);
         }
     }
@@ -104,19 +100,19 @@
     }
 
 private:
-    GroupResult &groupOf(const Arrival &arrival)
+    GroupResult &groupOf(const SurgeArrival &arrival)
     {
         auto &groups = arrival.surging ? this->result.surging : this->result.others;
         return groups[static_cast<std::size_t>(arrival.entry.requestClass)];
     }
 
-    void arrive(const Arrival &arrival)
+    void arrive(const SurgeArrival &arrival)
     {
         ++this->groupOf(arrival).offered;
         this->decide(arrival, this->queue.offer(this->now, arrival.entry, this->actions));
     }
 
-    void decide(const Arrival &arrival, const QueueDecision &decision)
+    void decide(const SurgeArrival &arrival, const QueueDecision &decision)
     {
         if (decision.verdict == QueueVerdict::Dispatch) {
             const Millis end = this->now + arrival.service;
@@ -136,8 +132,8 @@
     }
 
     DispatchQueue &queue;
-    std::vector<Arrival> arrivals;
-    std::unordered_map<RequestId, const Arrival *> byRequest;
+    std::vector<SurgeArrival> arrivals;
+    std::unordered_map<RequestId, const SurgeArrival *> byRequest;
     std::priority_queue<End, std::vector<End>, std::greater<>> ends;
     std::vector<QueueAction> actions;
     SurgeResult result;
@@ -169,15 +165,20 @@
     this->refused += other.refused;
 }
 
-SurgeResult simulateSurge(DispatchQueue &queue, const SurgeSettings &settings)
+std::vector<SurgeArrival> surgeArrivals(const SurgeSettings &settings)
 {
-    std::vector<Arrival> all;
+    std::vector<SurgeArrival> all;
     for (int organisation = 0; organisation < settings.organisations; ++organisation) {
-        const std::vector<Arrival> arrivals = arrivalsOf(organisation, settings);
+        const std::vector<SurgeArrival> arrivals = arrivalsOf(organisation, settings);
         all.insert(all.end(), arrivals.begin(), arrivals.end());
     }
-    std::stable_sort(all.begin(), all.end(), [](const Arrival &a, const Arrival &b) { return a.at < b.at; });
-    return Run(queue, std::move(all)).go();
+    std::stable_sort(all.begin(), all.end(), [](const SurgeArrival &a, const SurgeArrival &b) { return a.at < b.at; });
+    return all;
+}
+
+SurgeResult simulateSurge(DispatchQueue &queue, const SurgeSettings &settings)
+{
+    return Run(queue, surgeArrivals(settings)).go();
 }
 
 } // namespace Sequoiausher
--- a/lab/bench/surgesimulation.h
+++ b/lab/bench/surgesimulation.h
@@ -32,16 +32,31 @@
     /** Mean time in flight, exponential, beyond the least. */
     double leastServiceMs = 100;
     double meanExtraServiceMs = 300;
+    /** The extra time is even between none and twice its mean, as with answers of a bounded length. */
+    bool evenService = false;
     /** The callers' patience by class, in the order of the classes. */
     std::array<Millis, requestClassCount> patience{Millis{20000}, Millis{10000}, Millis{60000}};
     Millis duration{300000};
     std::uint64_t seed = 1;
 };
 
+/** One request of the load. */
+struct SurgeArrival
+{
+    QueueEntry entry;
+    Millis at;
+    Millis service;
+    /** Whether it is of the organisation that surges. */
+    bool surging = false;
+};
+
+/** Every request of the load, by time of arrival. */
+std::vector<SurgeArrival> surgeArrivals(const SurgeSettings &settings);
+
 /** What one group of requests saw. */
 struct GroupResult
 {
-    /** Arrival to end, in milliseconds, of each that was served. */
+    /** Arrival to end, or to the first token where several routers run, in milliseconds, of each that was served. */
     std::vector<double> latenciesMs;
     std::size_t offered = 0;
     std::size_t refused = 0;
--- a/sequoiausher/coordination/limits/admissionqueue.cpp
+++ b/sequoiausher/coordination/limits/admissionqueue.cpp
@@ -1,5 +1,6 @@
 #include "sequoiausher/coordination/limits/admissionqueue.h"
 
+#include "sequoiausher/coordination/limits/askwindows.h"
 #include "sequoiausher/coordination/limits/fairflows.h"
 
 #include <algorithm>
@@ -27,6 +28,8 @@
 {
     QueueEntry entry;
     Millis since;
+    /** The owner has not answered yet, as far as this queue is told. */
+    bool isAsking = true;
 };
 
 } // namespace
@@ -47,42 +50,66 @@
         return count;
     }
 
-    bool hasRoom(Millis now) const
+    bool hasRoom() const
     {
-        return this->flying.size() < static_cast<std::size_t>(this->window) && now >= this->pausedUntil;
+        return this->flying.size() < this->settings.slots;
     }
 
-    /** Which class is served next; at least one must wait. */
-    std::size_t nextClass() const
+    bool isOpen(Millis now, const OrganisationId &organisation, std::size_t index) const
     {
-        if (!this->classes[interactive].empty() && this->passedOver[interactive] + 1 >= interactiveEvery) {
-            return interactive;
-        }
-        // Interactive comes first where both are due, so background is due one dispatch early.
-        if (!this->classes[background].empty() && this->passedOver[background] + 2 >= backgroundEvery) {
-            return background;
-        }
-        std::size_t index = 0;
-        while (this->classes[index].empty()) {
-            ++index;
+        return this->windows.isOpen(now, organisation, static_cast<RequestClass>(index));
+    }
+
+    /** Who of a class goes on next, of those that the owner did not just say full to. */
+    std::optional<OrganisationId> nextOf(Millis now, std::size_t index) const
+    {
+        return this->classes[index].next(
+            [&](const OrganisationId &organisation) { return this->isOpen(now, organisation, index); });
+    }
+
+    void dispatch(Millis now, const QueueEntry &entry)
+    {
+        this->flying.emplace(entry.request, Flying{entry, now});
+        this->windows.asks(entry.organisation, entry.requestClass);
+    }
+
+    /** The request no longer asks. */
+    void answered(Flying &flown)
+    {
+        if (flown.isAsking) {
+            flown.isAsking = false;
+            this->windows.answered(flown.entry.organisation, flown.entry.requestClass);
         }
-        return index;
     }
 
     void pump(Millis now, std::vector<QueueAction> &actions)
     {
         // Between two checks a time may pass unseen; the target would then work for a caller that has given up.
+        this->lastPump = now;
         this->refuseLate(now, false, actions);
-        while (this->hasRoom(now) && this->waiting() > 0) {
-            const std::size_t index = this->nextClass();
-            for (std::size_t other = 0; other < requestClassCount; ++other) {
-                const bool passes = other != index && !this->classes[other].empty();
-                this->passedOver[other] = passes ? this->passedOver[other] + 1 : 0;
-            }
-            const QueueEntry entry = this->classes[index].takeNext();
-            this->flying.emplace(entry.request, Flying{entry, now});
-            actions.push_back({entry, {QueueVerdict::Dispatch, RefuseReason::None, {}}});
+        while (this->hasRoom() && this->dispatchNext(now, actions)) {
+        }
+    }
+
+    bool dispatchNext(Millis now, std::vector<QueueAction> &actions)
+    {
+        std::array<std::optional<OrganisationId>, requestClassCount> heads;
+        ClassFlags waits{};
+        ClassFlags ready{};
+        for (std::size_t index = 0; index < requestClassCount; ++index) {
+            heads[index] = this->nextOf(now, index);
+            ready[index] = heads[index].has_value();
+            waits[index] = !this->classes[index].empty();
+        }
+        if (std::find(ready.begin(), ready.end(), true) == ready.end()) {
+            return false;
         }
+        const std::size_t index = this->turns.next(ready);
+        this->turns.served(index, waits);
+        const QueueEntry entry = this->classes[index].takeFirst(*heads[index]);
+        this->dispatch(now, entry);
+        actions.push_back({entry, {QueueVerdict::Dispatch, RefuseReason::None, {}}});
+        return true;
     }
 
     /** The estimated wait of a request of this class with ahead others of the class before it. */
@@ -178,15 +205,16 @@
 
     const AdmissionQueueSettings settings;
     std::array<FairFlows, requestClassCount> classes;
-    /** How many dispatches in a row passed over a class in which somebody waits. */
-    std::array<std::uint32_t, requestClassCount> passedOver{};
+    ClassTurns turns;
+    AskWindows windows;
     std::unordered_map<RequestId, Flying> flying;
-    /** The present number of slots, with the part of the next one. */
+    /** What this router can count on, with the part of the next place. */
     double window = 1;
     /** Mean time in flight in milliseconds; 0 while nothing has finished: then every wait is taken to be met. */
     double meanService = 0;
     Millis pausedUntil;
     Millis lastCheck;
+    Millis lastPump;
 };
 
 AdmissionQueue::AdmissionQueue(const AdmissionQueueSettings &settings) : d(std::make_unique<Private>(settings))
@@ -197,11 +225,13 @@
 
 QueueDecision AdmissionQueue::offer(Millis now, const QueueEntry &entry, std::vector<QueueAction> &actions)
 {
-    if (this->d->waiting() == 0 && this->d->hasRoom(now)) {
-        this->d->flying.emplace(entry.request, Flying{entry, now});
+    const auto index = static_cast<std::size_t>(entry.requestClass);
+    // With a slot free, whoever waits is held back by what the owner said; the others need not wait for them.
+    const bool isNext = this->d->classes[index].waitingOf(entry.organisation) == 0;
+    if (isNext && this->d->hasRoom() && this->d->isOpen(now, entry.organisation, index)) {
+        this->d->dispatch(now, entry);
         return {QueueVerdict::Dispatch, RefuseReason::None, {}};
     }
-    const auto index = static_cast<std::size_t>(entry.requestClass);
     const std::size_t ahead = this->d->classes[index].aheadOfNew(entry.organisation);
     const Millis estimated = this->d->wait(now, index, ahead);
     if (entry.dispatchBy != Millis::never()) {
@@ -229,12 +259,22 @@
     const double took = static_cast<double>((now - found->second.since).count);
     const bool first = this->d->meanService == 0;
     this->d->meanService = first ? took : this->d->meanService + (took - this->d->meanService) * meanWeight;
+    this->d->answered(found->second);
     this->d->flying.erase(found);
     const double most = static_cast<double>(this->d->settings.slots);
     this->d->window = std::min(most, this->d->window + 1 / this->d->window);
     this->d->pump(now, actions);
 }
 
+void AdmissionQueue::granted(Millis now, const RequestId &request, std::vector<QueueAction> &actions)
+{
+    const auto found = this->d->flying.find(request);
+    if (found != this->d->flying.end()) {
+        this->d->answered(found->second);
+        this->d->pump(now, actions);
+    }
+}
+
 void AdmissionQueue::putBack(Millis now, const RequestId &request, Millis retryAfter, std::vector<QueueAction> &actions)
 {
     const auto found = this->d->flying.find(request);
@@ -242,7 +282,12 @@
         return;
     }
     const QueueEntry entry = found->second.entry;
+    if (!found->second.isAsking) {
+        // It had a place before, and its target failed it.
+        this->d->windows.asks(entry.organisation, entry.requestClass);
+    }
     this->d->flying.erase(found);
+    this->d->windows.full(now + retryAfter, entry.organisation, entry.requestClass);
     this->d->window = std::max(1.0, static_cast<double>(this->d->flying.size()));
     this->d->pausedUntil = std::max(this->d->pausedUntil, now + retryAfter);
     this->d->classes[static_cast<std::size_t>(entry.requestClass)].putBack(entry);
@@ -281,8 +326,7 @@
         return Millis::never();
     }
     const Millis nextCheck = this->d->lastCheck + this->d->settings.checkInterval;
-    const bool paused = this->d->pausedUntil > this->d->lastCheck;
-    return paused ? std::min(nextCheck, this->d->pausedUntil) : nextCheck;
+    return std::min(nextCheck, this->d->windows.nextEnd(this->d->lastPump));
 }
 
 std::size_t AdmissionQueue::waiting() const
@@ -295,6 +339,12 @@
     return this->d->flying.size();
 }
 
+OrganisationId AdmissionQueue::organisationOf(const RequestId &request) const
+{
+    const auto found = this->d->flying.find(request);
+    return found == this->d->flying.end() ? OrganisationId{} : found->second.entry.organisation;
+}
+
 std::size_t AdmissionQueue::slots() const
 {
     return static_cast<std::size_t>(this->d->window);
--- a/sequoiausher/coordination/limits/admissionqueue.h
+++ b/sequoiausher/coordination/limits/admissionqueue.h
@@ -15,10 +15,12 @@
 // and the observed rate. It hears so on arrival, or on the first tick at which others that came before it have made
 // it so; it is never held until its time is up.
 //
-// Slots: how many requests may be in flight. When the owner of the pool says that there is no room, the slots shrink
-// to what is in flight and grow again by one for each round of finished requests, since what the pool gives to one of
-// many routers changes all the time.
+// Slots: how many requests may be in flight. When the owner of the pool says that there is no room, this holds back
+// the request's organisation and class alone (askwindows.h): a pool is full for background work before it is for urgent
+// requests. What the router can count on, for the estimates, shrinks to what is in flight and grows again by one for
+// each round of finished requests, since what the pool gives to one of many routers changes all the time.
 
+#include "sequoiausher/coordination/limits/classturns.h"
 #include "sequoiausher/coordination/limits/dispatchqueue.h"
 
 #include <memory>
@@ -39,10 +41,6 @@
     Millis longestRetryAfter{30000};
 };
 
-/** Of this many dispatches at least one is interactive or background, where such requests wait. */
-inline constexpr std::uint32_t interactiveEvery = 8;
-inline constexpr std::uint32_t backgroundEvery = 33;
-
 class AdmissionQueue : public DispatchQueue
 {
 public:
@@ -51,6 +49,7 @@
 
     QueueDecision offer(Millis now, const QueueEntry &entry, std::vector<QueueAction> &actions) override;
     void finish(Millis now, const RequestId &request, std::vector<QueueAction> &actions) override;
+    void granted(Millis now, const RequestId &request, std::vector<QueueAction> &actions) override;
     void putBack(Millis now, const RequestId &request, Millis retryAfter, std::vector<QueueAction> &actions) override;
     void cancel(const RequestId &request) override;
     void tick(Millis now, std::vector<QueueAction> &actions) override;
@@ -58,7 +57,10 @@
     std::size_t waiting() const override;
     std::size_t inFlight() const override;
 
-    /** The present number of slots. */
+    /** Whose a dispatched request is; empty where it is not in flight. */
+    OrganisationId organisationOf(const RequestId &request) const;
+
+    /** What this router can count on at present, at most its slots. */
     std::size_t slots() const;
 
 private:
--- a/sequoiausher/coordination/limits/admissionqueuetest.cpp
+++ b/sequoiausher/coordination/limits/admissionqueuetest.cpp
@@ -202,6 +202,56 @@
     CHECK(queue.nextDeadline() == Millis::never());
 }
 
+// Symptom: an urgent request waits for hundreds of milliseconds at a router that has few in flight. Sequence: the
+// owner has no room for a background request, or for one more of an organisation that surges. Cause: its answer held
+// back the whole queue until one of the router's own requests was done.
+TEST_CASE("a pool without room for one organisation and class does not hold back the others")
+{
+    struct Row
+    {
+        const char *organisation;
+        RequestClass requestClass;
+        QueueVerdict verdict;
+    };
+    const std::vector<Row> rows{{"a", RequestClass::Interactive, QueueVerdict::Queue},
+                                {"a", RequestClass::Urgent, QueueVerdict::Dispatch},
+                                {"b", RequestClass::Interactive, QueueVerdict::Dispatch},
+                                {"b", RequestClass::Background, QueueVerdict::Dispatch}};
+    for (const Row &row : rows) {
+        CAPTURE(row.organisation);
+        AdmissionQueue queue({64, 10, Millis{50}, Millis{1000}, Millis{30000}});
+        std::vector<QueueAction> actions;
+        queue.offer(Millis{0}, entryOf(1, "a"), actions);
+        queue.putBack(Millis{1}, {0, 1}, Millis{50}, actions);
+        CHECK(queue.offer(Millis{2}, entryOf(2, row.organisation, row.requestClass), actions).verdict == row.verdict);
+        CHECK(actions.empty());
+        queue.tick(Millis{51}, actions);
+        REQUIRE(actions.size() == 1);
+        CHECK(actions.front().entry.request.low == 1);
+    }
+}
+
+TEST_CASE("after a full pool a backlog asks one at a time, and more with each place it gets")
+{
+    AdmissionQueue queue({64, 100, Millis{50}, Millis{1000}, Millis{30000}});
+    std::vector<QueueAction> actions;
+    queue.offer(Millis{0}, entryOf(1, "a"), actions);
+    queue.putBack(Millis{1}, {0, 1}, Millis{50}, actions);
+    for (std::uint64_t i = 2; i <= 20; ++i) {
+        CHECK(queue.offer(Millis{2}, entryOf(i, "a"), actions).verdict == QueueVerdict::Queue);
+    }
+    queue.tick(Millis{51}, actions);
+    REQUIRE(actions.size() == 1);
+    queue.granted(Millis{52}, {0, 1}, actions);
+    CHECK(actions.size() == 3);
+    queue.granted(Millis{53}, {0, 2}, actions);
+    CHECK(actions.size() == 5);
+    queue.granted(Millis{53}, {0, 2}, actions);
+    CHECK(actions.size() == 5);
+    CHECK(queue.organisationOf({0, 3}) == OrganisationId{"a"});
+    CHECK(queue.organisationOf({0, 30}) == OrganisationId{});
+}
+
 TEST_CASE("whatever comes: bounds hold, everybody hears exactly once, organisation and class are first in first out")
 {
     CHECK(rc::check([] {
--- /dev/null
+++ b/sequoiausher/coordination/limits/classturnstest.cpp
@@ -0,0 +1,48 @@
+#include "sequoiausher/coordination/limits/classturns.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+using namespace Sequoiausher;
+
+TEST_CASE("who is served next, by who waits and who is ready")
+{
+    struct Row
+    {
+        const char *what;
+        ClassFlags waiting;
+        ClassFlags ready;
+        /** How many of a hundred are of each class. */
+        std::array<int, requestClassCount> served;
+    };
+    const std::vector<Row> rows{
+        {"all", {true, true, true}, {true, true, true}, {85, 12, 3}},
+        {"urgent alone", {true, false, false}, {true, false, false}, {100, 0, 0}},
+        {"interactive before background", {false, true, true}, {false, true, true}, {0, 97, 3}},
+        {"held back", {true, true, true}, {false, false, true}, {0, 0, 100}},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.what);
+        ClassTurns turns;
+        std::array<int, requestClassCount> served{};
+        for (int i = 0; i < 100; ++i) {
+            const std::size_t index = turns.next(row.ready);
+            served[index] += 1;
+            turns.served(index, row.waiting);
+        }
+        CHECK(served == row.served);
+    }
+}
+
+TEST_CASE("a class that was held back is served first once it is ready")
+{
+    ClassTurns turns;
+    const ClassFlags waiting{true, true, false};
+    for (int i = 0; i < 20; ++i) {
+        turns.served(0, waiting);
+    }
+    CHECK(turns.next({true, true, false}) == 1);
+    turns.served(1, waiting);
+    CHECK(turns.next({true, true, false}) == 0);
+}
--- a/sequoiausher/coordination/limits/dispatchqueue.h
+++ b/sequoiausher/coordination/limits/dispatchqueue.h
@@ -88,9 +88,13 @@
     virtual QueueDecision offer(Millis now, const QueueEntry &entry, std::vector<QueueAction> &actions) = 0;
     /** A dispatched request is done with its target, however it ended. Unknown ids have no effect. */
     virtual void finish(Millis now, const RequestId &request, std::vector<QueueAction> &actions) = 0;
+    /** The owner of the pool gave a dispatched request its place. Unknown ids have no effect. */
+    virtual void granted(Millis /*now*/, const RequestId & /*request*/, std::vector<QueueAction> & /*actions*/)
+    {
+    }
     /**
      * The owner of the pool had no room for a dispatched request: it waits again, first of its organisation and
-     * class, and nothing goes on before retryAfter has passed.
+     * class, and no other of these goes on before retryAfter has passed.
      */
     virtual void putBack(Millis now, const RequestId &request, Millis retryAfter, std::vector<QueueAction> &actions)
         = 0;
--- a/sequoiausher/coordination/limits/fairflows.cpp
+++ b/sequoiausher/coordination/limits/fairflows.cpp
@@ -80,6 +80,12 @@
     return this->d->size == 0;
 }
 
+std::size_t FairFlows::waitingOf(const OrganisationId &organisation) const
+{
+    const auto found = this->d->flows.find(organisation);
+    return found == this->d->flows.end() ? 0 : found->second.entries.size();
+}
+
 void FairFlows::add(const QueueEntry &entry)
 {
     Flow &flow = this->d->flowOf(entry.organisation);
@@ -98,15 +104,31 @@
 }
 
 QueueEntry FairFlows::takeNext()
+{
+    return this->takeFirst(*this->next([](const OrganisationId &) { return true; }));
+}
+
+std::optional<OrganisationId> FairFlows::next(const std::function<bool(const OrganisationId &)> &mayGoOn) const
 {
     auto best = this->d->flows.end();
     for (auto it = this->d->flows.begin(); it != this->d->flows.end(); ++it) {
         const bool waits = !it->second.entries.empty();
-        if (waits && (best == this->d->flows.end() || it->second.tag < best->second.tag)) {
+        const bool isBefore = best == this->d->flows.end() || it->second.tag < best->second.tag;
+        if (waits && isBefore && mayGoOn(it->first)) {
             best = it;
         }
     }
-    Flow &flow = best->second;
+    return best == this->d->flows.end() ? std::nullopt : std::optional(best->first);
+}
+
+const QueueEntry &FairFlows::first(const OrganisationId &organisation) const
+{
+    return this->d->flows.at(organisation).entries.front();
+}
+
+QueueEntry FairFlows::takeFirst(const OrganisationId &organisation)
+{
+    Flow &flow = this->d->flows.at(organisation);
     QueueEntry entry = flow.entries.front();
     flow.entries.pop_front();
     flow.cost -= entry.cost;
--- a/sequoiausher/coordination/limits/fairflows.h
+++ b/sequoiausher/coordination/limits/fairflows.h
@@ -39,8 +39,17 @@
     void add(const QueueEntry &entry);
     /** Adds before those of the same organisation, and takes back what takeNext() charged for it. */
     void putBack(const QueueEntry &entry);
+    /** How many of an organisation wait. */
+    std::size_t waitingOf(const OrganisationId &organisation) const;
+
     /** The next in fair order. Not to be called when empty. */
     QueueEntry takeNext();
+    /** The organisation that comes next of those that mayGoOn accepts; std::nullopt where none of them waits. */
+    std::optional<OrganisationId> next(const std::function<bool(const OrganisationId &)> &mayGoOn) const;
+    /** The first of an organisation that waits; charges it. */
+    QueueEntry takeFirst(const OrganisationId &organisation);
+    /** The first of an organisation that waits. */
+    const QueueEntry &first(const OrganisationId &organisation) const;
     /** Removes one that waits; false where it does not. */
     bool remove(const OrganisationId &organisation, const RequestId &request);
 
--- a/sequoiausher/transport/router/nodeprivate.cpp
+++ b/sequoiausher/transport/router/nodeprivate.cpp
@@ -329,11 +329,29 @@
 
 void Node::Private::tellReservations(const std::vector<ReserveResult> &results)
 {
+    this->queuesGranted(results);
     for (const ReserveResult &result : results) {
         this->registry.tell(result.request, [result](RequestEar &ear) { ear.reservationEnded(result); });
     }
 }
 
+void Node::Private::queuesGranted(const std::vector<ReserveResult> &results)
+{
+    const Millis now = Millis::monotonicNow();
+    std::vector<QueueAction> actions;
+    {
+        const std::scoped_lock lock(this->limitsMutex);
+        for (const ReserveResult &result : results) {
+            for (const auto &entry : this->queues) {
+                if (!result.target.empty()) {
+                    entry.second->granted(now, result.request, actions);
+                }
+            }
+        }
+    }
+    this->tellQueue(actions);
+}
+
 void Node::Private::tellQueue(const std::vector<QueueAction> &actions)
 {
     for (const QueueAction &action : actions) {
--- a/sequoiausher/transport/router/nodeprivate.h
+++ b/sequoiausher/transport/router/nodeprivate.h
@@ -55,6 +55,7 @@
     void tickSlowly(Millis now);
     void tellClaims(const std::vector<ClaimOutcome> &outcomes);
     void tellReservations(const std::vector<ReserveResult> &results);
+    void queuesGranted(const std::vector<ReserveResult> &results);
     void tellQueue(const std::vector<QueueAction> &actions);
     void tellRefusal();
     void documentsChanged(Millis now);
