Let a full pool's owner hand out freed places by class and fair share

A full pool gave each place that came free to whichever router asked first, and knew no organisations: the interactive requests of the surge filled the pool up to the last sixteenth, so others' ones had to wait, and to ask again each 50 ms.

Ruled out: a pushed hint "retry now", which costs two messages more for each place and lets the place be taken meanwhile; more places kept from everybody, which wastes them in every pool that no one surges in.

Change: a reservation that finds no room waits at the owner for up to 100 ms (waitinglist) and is answered when a place comes free: classes by turns, organisations by start-time fair queueing, as in a router's queue. Soft state; nothing of it is counted. An organisation that holds twice an even share (organisationshares) gets interactive places as background does; meanwhile those below an even share may use all places. A reservation is given up at the queue's deadline for its request. An answer of full is remembered, since an entry that asks again meanwhile would otherwise be granted a place that it takes for late: found by admissionpropertytest.

Tests changed: admissionpropertytest sends all classes and three organisations in its old cases too, and checks the bound for each place of a batch of grants at its moment (the same check where there is one); new cases with few places. None is eased.

--- a/lab/bench/surgebench.cpp
+++ b/lab/bench/surgebench.cpp
@@ -55,13 +55,12 @@
 }
 
 /** Seven routers before two targets; latencies are those of the first token. */
-Simulate inFleet(const MakeQueue &makeQueue)
+Simulate inFleet(const FleetSurgeSettings &fleet)
 {
-    return [makeQueue](double surgeFactor, std::uint64_t seed) {
-        FleetSurgeSettings settings;
+    return [fleet](double surgeFactor, std::uint64_t seed) {
+        FleetSurgeSettings settings = fleet;
         settings.load.seed = seed;
         settings.load.surgeFactor = surgeFactor;
-        settings.makeQueue = makeQueue;
         return simulateFleetSurge(settings);
     };
 }
@@ -113,8 +112,14 @@
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
         measure(alone(fair), seed, "", figures);
         measure(alone(naive), seed, "_naive", figures);
-        measure(inFleet(fairQueue), seed, "_fleet", figures);
-        measure(inFleet(naiveQueue), seed, "_fleet_naive", figures);
+        measure(inFleet({}), seed, "_fleet", figures);
+        measure(inFleet({.owner = {}}), seed, "_fleet_no_list", figures);
+        measure(inFleet({.tellsOrganisations = false}), seed, "_fleet_no_shares", figures);
+        measure(inFleet({.owner = {}, .tellsOrganisations = false}), seed, "_fleet_first_asks", figures);
+        measure(inFleet({.owner = {}, .tellsOrganisations = false, .makeQueue = naiveQueue}),
+                seed,
+                "_fleet_naive",
+                figures);
     }
     if (!print(figures)) {
         std::fprintf(stderr, "surgebench: a figure could not be measured\n");
--- a/lab/bench/surgefleet.cpp
+++ b/lab/bench/surgefleet.cpp
@@ -1,6 +1,7 @@
 #include "lab/bench/surgefleet.h"
 
 #include "sequoiausher/base/hashing.h"
+#include "sequoiausher/coordination/admission/organisationshares.h"
 #include "sequoiausher/coordination/admission/ownedshards.h"
 #include "sequoiausher/coordination/admission/reserver.h"
 #include "sequoiausher/coordination/limits/admissionqueue.h"
@@ -179,6 +180,7 @@
         Outbox outbox;
         router->reserver.tick(this->now, outbox);
         router->owned.tick(this->now);
+        router->owned.serveWaiting(this->now, outbox);
         this->collect(*router);
         std::vector<QueueAction> actions;
         router->queue->tick(this->now, actions);
@@ -203,6 +205,8 @@
     Wanted wanted{entry.request, pool, hash64(std::to_string(entry.request.low)), PolicyKind::BoundedRendezvous};
     wanted.boundPercent = boundPercent;
     wanted.requestClass = entry.requestClass;
+    wanted.organisation = this->settings.tellsOrganisations ? organisationHash(entry.organisation.value) : 0;
+    wanted.giveUpAt = entry.dispatchBy;
     Outbox outbox;
     router.reserver.reserve(this->now, wanted, outbox);
     this->carry(router, outbox);
@@ -281,6 +285,7 @@
     } else if (const auto *reply = std::get_if<ReserveReply>(&out.message)) {
         router.reserver.receive(this->now, from, *reply);
     }
+    router.owned.serveWaiting(this->now, outbox);
     this->carry(router, outbox);
     this->collect(router);
 }
--- a/lab/bench/surgefleet.h
+++ b/lab/bench/surgefleet.h
@@ -43,7 +43,10 @@
     /** From grant to first token: even between the two. */
     Millis shortestFirstToken{40};
     Millis longestFirstToken{90};
-    OwnerSettings owner;
+    /** As the node sets it by default. */
+    OwnerSettings owner{.waitingLife = Millis{100}};
+    /** Whether reservations tell whose they are. */
+    bool tellsOrganisations = true;
     /** The queue of each router. */
     std::function<std::unique_ptr<DispatchQueue>()> makeQueue = fairQueue;
 };
--- a/sequoiausher/coordination/admission/admissionpropertytest.cpp
+++ b/sequoiausher/coordination/admission/admissionpropertytest.cpp
@@ -10,6 +10,7 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <map>
 #include <random>
 
@@ -24,8 +25,8 @@
 
 struct Router
 {
-    explicit Router(const InstanceId &name)
-        : owned(name, OwnerSettings{}, 1)
+    Router(const InstanceId &name, const OwnerSettings &settings)
+        : owned(name, settings, 1)
         , reserver(name, 1, ReserverSettings{}, 1, map)
     {
     }
@@ -45,19 +46,25 @@
 class Fleet
 {
 public:
-    Fleet(std::uint64_t seed, bool isLossy) : random(seed), lossy(isLossy)
+    /** @param places of each target; with them, reservations that find none wait at the owner. */
+    Fleet(std::uint64_t seed, bool isLossy, std::optional<std::uint32_t> places = {})
+        : random(seed)
+        , lossy(isLossy)
+        , waits(places.has_value())
     {
+        OwnerSettings settings;
+        settings.waitingLife = this->waits ? Millis{100} : Millis{0};
         auto made = std::make_shared<PoolView>();
         made->pool = pool;
         for (int i = 0; i < targetCount; ++i) {
             const TargetId target{"t" + std::to_string(i)};
-            made->targets.push_back({{target, "", DataCentreId{}, {1, LifeState::Live}, {}}, hash64(target.value)});
+            made->targets.push_back({{target, "", DataCentreId{}, {1, LifeState::Live}, places}, hash64(target.value)});
         }
         this->view = made;
         for (int i = 0; i < routerCount; ++i) {
             const InstanceId name{"r" + std::to_string(i)};
             this->live.push_back(name);
-            this->routers.emplace(name, std::make_unique<Router>(name));
+            this->routers.emplace(name, std::make_unique<Router>(name, settings));
         }
         for (const InstanceId &name : this->live) {
             this->learn(name);
@@ -112,8 +119,10 @@
     {
         const InstanceId name = this->anyRouter();
         Outbox outbox;
-        const Wanted wanted{
+        Wanted wanted{
             RequestId{1, ++this->lastRequest}, pool, this->random(), PolicyKind::BoundedRendezvous, percent, {}};
+        wanted.requestClass = static_cast<RequestClass>(this->lastRequest % requestClassCount);
+        wanted.organisation = static_cast<std::uint32_t>(1 + this->lastRequest % 5 / 2);
         this->routers.at(name)->reserver.reserve(this->now, wanted, outbox);
         this->collect(name);
         this->carry(name, outbox);
@@ -169,9 +178,23 @@
             router.reserver.receive(this->now, message.from, *reply);
             this->collect(receiver->first);
         }
+        this->serveWaiting(router, outbox);
         this->carry(receiver->first, outbox);
     }
 
+    /** As a router does after each message and tick; checks the bound at each admission of a settled owner. */
+    void serveWaiting(Router &router, Outbox &outbox)
+    {
+        const ShardOwner *shard = router.owned.find({pool, 0});
+        const std::uint32_t before = shard == nullptr ? 0 : shard->sum(this->now).inFlight;
+        Outbox served;
+        router.owned.serveWaiting(this->now, served);
+        if (shard != nullptr && shard->settled(this->now)) {
+            this->admissionsOfWaiting += this->checkGrants(*shard, before, served);
+        }
+        outbox.insert(outbox.end(), served.begin(), served.end());
+    }
+
     /** Checks the bound at each admission by a settled owner, by the owner's counts and by the true ones. */
     void deliverRequest(const InstanceId &owner,
                         Router &router,
@@ -187,7 +210,7 @@
             return;
         }
         const TargetId &target = std::get<ReserveReply>(outbox.back().message).target;
-        RC_ASSERT(shard->counted(target) <= loadBound(percent, before, targetCount));
+        this->checkGrants(*shard, before, outbox);
         this->admissions += 1;
         if (!this->lossy && this->listsAgree()) {
             RC_ASSERT(shard->counted(target) >= this->trueCount(target));
@@ -195,6 +218,24 @@
         (void)owner;
     }
 
+    /** Checks each place granted against the bound at that moment. @return how many were. */
+    static std::uint64_t checkGrants(const ShardOwner &shard, std::uint32_t before, const Outbox &outbox)
+    {
+        std::vector<TargetId> granted;
+        for (const Outgoing &out : outbox) {
+            const auto *reply = std::get_if<ReserveReply>(&out.message);
+            if (reply != nullptr && reply->verdict == ReserveVerdict::Granted) {
+                granted.push_back(reply->target);
+            }
+        }
+        for (std::size_t i = 0; i < granted.size(); ++i) {
+            const auto since = granted.begin() + static_cast<std::ptrdiff_t>(i) + 1;
+            const auto later = static_cast<std::uint32_t>(std::count(since, granted.end(), granted[i]));
+            RC_ASSERT(shard.counted(granted[i]) - later <= loadBound(percent, before + i, targetCount));
+        }
+        return granted.size();
+    }
+
     bool listsAgree() const
     {
         return std::all_of(this->live.begin(), this->live.end(), [this](const InstanceId &name) {
@@ -228,6 +269,7 @@
             Router &router = *this->routers.at(name);
             router.reserver.tick(this->now, outbox);
             router.owned.tick(this->now);
+            this->serveWaiting(router, outbox);
             this->collect(name);
             this->carry(name, outbox);
         }
@@ -330,8 +372,10 @@
     Millis now{1};
     std::uint64_t lastRequest = 0;
     std::uint64_t admissions = 0;
+    std::uint64_t admissionsOfWaiting = 0;
     std::mt19937_64 random;
     bool lossy;
+    bool waits;
 };
 
 std::uint64_t run(Fleet &fleet)
@@ -348,6 +392,10 @@
     fleet.releaseAll();
     for (int i = 0; i < 60; ++i) {
         fleet.settle();
+        if (fleet.waits) {
+            // Some got their place only now.
+            fleet.releaseAll();
+        }
     }
     for (const auto &entry : fleet.routers) {
         RC_ASSERT(entry.second->reserver.held() == std::size_t{0});
@@ -416,6 +464,20 @@
     }));
 }
 
+TEST_CASE("with few places, where reservations wait at the owner, counts and bound hold in the same way")
+{
+    for (const bool isLossy : {false, true}) {
+        CAPTURE(isLossy);
+        std::uint64_t waited = 0;
+        CHECK(rc::check([&](std::uint64_t seed) {
+            Fleet fleet(seed, isLossy, 2);
+            run(fleet);
+            waited += fleet.admissionsOfWaiting;
+        }));
+        CHECK(waited > 100);
+    }
+}
+
 TEST_CASE("routers that choose by what they alone see break the bound under the same load")
 {
     for (const PolicyKind kind : {PolicyKind::RoundRobin, PolicyKind::Rendezvous, PolicyKind::BoundedRendezvous}) {
--- /dev/null
+++ b/sequoiausher/coordination/admission/organisationshares.cpp
@@ -0,0 +1,49 @@
+#include "sequoiausher/coordination/admission/organisationshares.h"
+
+#include "sequoiausher/base/hashing.h"
+
+#include <algorithm>
+
+namespace Sequoiausher {
+
+std::uint32_t organisationHash(std::string_view name)
+{
+    return std::max(static_cast<std::uint32_t>(hash64(name)), std::uint32_t{1});
+}
+
+void OrganisationShares::add(std::uint32_t organisation)
+{
+    if (organisation != 0) {
+        this->held[organisation] += 1;
+    }
+}
+
+void OrganisationShares::remove(std::uint32_t organisation)
+{
+    const auto found = this->held.find(organisation);
+    if (found != this->held.end() && --found->second == 0) {
+        this->held.erase(found);
+    }
+}
+
+bool OrganisationShares::isAbove(std::uint32_t organisation, std::uint64_t capacity) const
+{
+    const auto found = this->held.find(organisation);
+    return found != this->held.end() && found->second * this->held.size() >= allowedShares * capacity;
+}
+
+bool OrganisationShares::isAnyAbove(std::uint64_t capacity) const
+{
+    return std::any_of(this->held.begin(), this->held.end(), [this, capacity](const auto &entry) {
+        return entry.second * this->held.size() >= allowedShares * capacity;
+    });
+}
+
+bool OrganisationShares::isBelow(std::uint32_t organisation, std::uint64_t capacity) const
+{
+    const auto found = this->held.find(organisation);
+    const std::size_t own = found == this->held.end() ? 0 : found->second;
+    return organisation != 0 && own * this->held.size() < capacity;
+}
+
+} // namespace Sequoiausher
--- a/sequoiausher/coordination/admission/ownedshards.cpp
+++ b/sequoiausher/coordination/admission/ownedshards.cpp
@@ -167,6 +167,13 @@
     this->d->receive(now, from, message);
 }
 
+void OwnedShards::serveWaiting(Millis now, Outbox &outbox)
+{
+    for (const auto &entry : this->d->shards) {
+        entry.second.owner->serveWaiting(now, outbox);
+    }
+}
+
 void OwnedShards::tick(Millis now)
 {
     this->d->lastTick = now;
--- a/sequoiausher/coordination/admission/ownedshards.h
+++ b/sequoiausher/coordination/admission/ownedshards.h
@@ -36,6 +36,9 @@
     void receive(Millis now, const InstanceId &from, const Release &message);
     void receive(Millis now, const InstanceId &from, const HoldingsReport &message);
 
+    /** Answers the reservations that wait for a place; call after each message and when time has passed. */
+    void serveWaiting(Millis now, Outbox &outbox);
+
     void tick(Millis now);
     /** When tick() has work next. */
     Millis nextDeadline() const;
--- a/sequoiausher/coordination/admission/shardowner.cpp
+++ b/sequoiausher/coordination/admission/shardowner.cpp
@@ -1,7 +1,10 @@
 #include "sequoiausher/coordination/admission/shardowner.h"
 
+#include "sequoiausher/coordination/admission/organisationshares.h"
 #include "sequoiausher/coordination/admission/recentchats.h"
+#include "sequoiausher/coordination/admission/recentrequests.h"
 #include "sequoiausher/coordination/admission/targetcount.h"
+#include "sequoiausher/coordination/admission/waitinglist.h"
 #include "sequoiausher/coordination/policies/loadbound.h"
 #include "sequoiausher/coordination/policies/policy.h"
 
@@ -23,6 +26,7 @@
     InstanceId entry;
     TargetId target;
     Millis since;
+    std::uint32_t organisation = 0;
 };
 
 struct EntryState
@@ -41,18 +45,33 @@
     TargetCount count;
 };
 
+/** What a round over the waiting reservations found to be full: this class and those below it, up to this bound. */
+struct FullFor
+{
+    std::optional<RequestClass> placeClass;
+    std::uint32_t boundPercent = 0;
+};
+
 } // namespace
 
 class ShardOwner::Private
 {
 public:
+    explicit Private(const OwnerSettings &given) : settings(given), waiting(given.mostWaiting)
+    {
+    }
+
     Cell *find(const TargetId &target);
     std::uint32_t estimate(const Cell &cell, Millis now) const;
     void refreshLoad(Millis now);
     std::uint64_t bound(std::uint32_t percent) const;
     void applyLimits(const ReserveRequest &message);
     bool mayBeUsed(const Cell &cell, const ReserveRequest &message) const;
-    void hold(Millis now, const RequestId &request, const InstanceId &entry, const TargetId &target);
+    RequestClass placeClass(const ReserveRequest &message) const;
+    bool isContended() const;
+    bool grantWaiting(Millis now, const WaitingReservation &waitingOne, FullFor &full, Outbox &outbox);
+    void refuseWaiting(Millis now, const WaitingReservation &refused, Millis retryAfter, Outbox &outbox);
+    void hold(const RequestId &request, const Held &holding);
     TargetId letGo(const RequestId &request);
     void forget(const RequestId &request);
     bool settled(Millis now) const;
@@ -79,6 +98,16 @@
     std::unordered_set<RequestId> released;
     std::deque<std::pair<Millis, RequestId>> releasedOrder;
     std::map<PolicyKind, std::unique_ptr<Policy>> policies;
+    WaitingList waiting;
+    /**
+     * Of those that waited. Goes wrong without it: an entry asks again while the answer of full is on its way, the
+     * second is granted, the entry hears full first and takes the grant for a late one; its place leaks until the
+     * entry's next report.
+     */
+    RecentRequests refused;
+    OrganisationShares shares;
+    /** What the live targets take at a time, without those that do not say. */
+    std::uint64_t capacity = 0;
     RecentChats chats{chatsRemembered};
 };
 
@@ -106,6 +135,7 @@
     this->load.total = 0;
     this->highTotal = 0;
     this->load.counted = 0;
+    this->capacity = 0;
     for (std::size_t i = 0; i < this->cells.size(); ++i) {
         const Cell &cell = this->cells[i];
         TargetLoad &seen = this->load.targets[i];
@@ -117,6 +147,7 @@
             this->load.total += estimated;
             this->highTotal += seen.inFlight;
             this->load.counted += 1;
+            this->capacity += cell.capacity.value_or(0);
         }
     }
     // The mean of the high counts, so that some target has room whatever the reports say.
@@ -139,23 +170,44 @@
     return std::max(most, this->load.lowestBound);
 }
 
+/** The class by which places are kept from the request. */
+RequestClass ShardOwner::Private::placeClass(const ReserveRequest &message) const
+{
+    if (message.requestClass != RequestClass::Interactive) {
+        return message.requestClass;
+    }
+    if (this->shares.isAbove(message.organisation, this->capacity)) {
+        return RequestClass::Background;
+    }
+    // What is above is held off by more places than are kept from interactive requests, so those of the quiet ones
+    // need not be held off as well.
+    const bool isQuiet = this->shares.isBelow(message.organisation, this->capacity);
+    return isQuiet && this->shares.isAnyAbove(this->capacity) ? RequestClass::Urgent : RequestClass::Interactive;
+}
+
+bool ShardOwner::Private::isContended() const
+{
+    return this->waiting.size() > 0 || (this->capacity > 0 && 2 * this->highTotal >= this->capacity);
+}
+
 void ShardOwner::Private::applyLimits(const ReserveRequest &message)
 {
+    const RequestClass placeClass = this->placeClass(message);
     const std::uint64_t bound = this->bound(message.boundPercent);
     for (std::size_t i = 0; i < this->cells.size(); ++i) {
         const Cell &cell = this->cells[i];
         TargetLoad &seen = this->load.targets[i];
-        const bool hasPlace
-            = !cell.capacity || seen.inFlight + keptPlaces(message.requestClass, *cell.capacity) < *cell.capacity;
+        const bool hasPlace = !cell.capacity || seen.inFlight + keptPlaces(placeClass, *cell.capacity) < *cell.capacity;
         const bool hasRoom = seen.inFlight < bound && hasPlace;
         seen.usable = hasRoom && this->mayBeUsed(cell, message);
     }
 }
 
-void ShardOwner::Private::hold(Millis now, const RequestId &request, const InstanceId &entry, const TargetId &target)
+void ShardOwner::Private::hold(const RequestId &request, const Held &holding)
 {
-    this->held[request] = Held{entry, target, now};
-    this->entries[entry].held.insert(request);
+    this->held[request] = holding;
+    this->entries[holding.entry].held.insert(request);
+    this->shares.add(holding.organisation);
 }
 
 /** @return the target that the request was on, empty where it is not held. */
@@ -167,6 +219,7 @@
     }
     TargetId target = entry->second.target;
     this->entries[entry->second.entry].held.erase(request);
+    this->shares.remove(entry->second.organisation);
     this->held.erase(entry);
     return target;
 }
@@ -205,20 +258,50 @@
     }
     const std::optional<std::size_t> chosen = this->policy(message.policy).choose(this->load, choice);
     if (!chosen) {
-        return ReserveReply{message.request, ReserveVerdict::Full, TargetId{}, this->settings.retryAfter};
+        return ReserveReply{
+            message.request, ReserveVerdict::Full, TargetId{}, this->settings.retryAfter, this->isContended()};
     }
     const TargetId &target = this->cells[*chosen].target;
-    this->hold(now, message.request, from, target);
+    this->hold(message.request, Held{from, target, now, message.organisation});
     this->cells[*chosen].count.change(now, 1);
     this->chats.placed(message.chatHash, target);
-    return ReserveReply{message.request, ReserveVerdict::Granted, target, Millis{}};
+    return ReserveReply{message.request, ReserveVerdict::Granted, target, Millis{}, this->isContended()};
+}
+
+/** @return whether it was answered. */
+bool ShardOwner::Private::grantWaiting(Millis now, const WaitingReservation &waitingOne, FullFor &full, Outbox &outbox)
+{
+    const ReserveRequest &message = waitingOne.message;
+    const RequestClass placeClass = this->placeClass(message);
+    // Goes wrong otherwise: each release of a full shard would look at all its targets once for each that waits.
+    if (full.placeClass && placeClass >= *full.placeClass && message.boundPercent <= full.boundPercent) {
+        return false;
+    }
+    const ReserveReply reply = this->decide(now, waitingOne.from, message);
+    if (reply.verdict == ReserveVerdict::Full) {
+        if (message.excluded.empty()) {
+            full = FullFor{placeClass, message.boundPercent};
+        }
+        return false;
+    }
+    outbox.push_back({waitingOne.from, reply});
+    return true;
+}
+
+void ShardOwner::Private::refuseWaiting(Millis now,
+                                        const WaitingReservation &refusedOne,
+                                        Millis retryAfter,
+                                        Outbox &outbox)
+{
+    const RequestId &request = refusedOne.message.request;
+    this->refused.add(now, request);
+    outbox.push_back({refusedOne.from, ReserveReply{request, ReserveVerdict::Full, TargetId{}, retryAfter, true}});
 }
 
 ShardOwner::ShardOwner(const ShardId &shard, const OwnerSettings &settings, std::uint64_t seed, Millis now)
-    : d(std::make_unique<Private>())
+    : d(std::make_unique<Private>(settings))
 {
     this->d->shard = shard;
-    this->d->settings = settings;
     this->d->seed = seed;
     this->d->createdAt = now;
 }
@@ -294,6 +377,7 @@
 
 void ShardOwner::dropEntry(const InstanceId &entry)
 {
+    this->d->waiting.dropEntry(entry);
     const auto known = this->d->entries.find(entry);
     if (known == this->d->entries.end()) {
         return;
@@ -326,12 +410,42 @@
         outbox.push_back({from, ReserveReply{message.request, ReserveVerdict::Granted, known->second.target, {}}});
         return;
     }
-    outbox.push_back({from, this->d->decide(now, from, message)});
+    const WaitingReservation waitingOne{from, message, now + this->d->settings.waitingLife};
+    if (this->d->refused.contains(message.request)) {
+        this->d->refuseWaiting(now, waitingOne, this->d->settings.retryAfterWaiting, outbox);
+        return;
+    }
+    if (this->d->waiting.contains(message.request)) {
+        return;
+    }
+    this->serveWaiting(now, outbox);
+    const ReserveReply reply = this->d->decide(now, from, message);
+    if (reply.verdict != ReserveVerdict::Full || this->d->settings.waitingLife == Millis{0}) {
+        outbox.push_back({from, reply});
+        return;
+    }
+    for (const WaitingReservation &shed : this->d->waiting.add(waitingOne)) {
+        this->d->refuseWaiting(now, shed, this->d->settings.retryAfter, outbox);
+    }
+}
+
+void ShardOwner::serveWaiting(Millis now, Outbox &outbox)
+{
+    if (this->d->waiting.size() == 0) {
+        return;
+    }
+    FullFor full;
+    this->d->waiting.serve(
+        [&](const WaitingReservation &waitingOne) { return this->d->grantWaiting(now, waitingOne, full, outbox); });
+    for (const WaitingReservation &late : this->d->waiting.takeExpired(now)) {
+        this->d->refuseWaiting(now, late, this->d->settings.retryAfterWaiting, outbox);
+    }
 }
 
 void ShardOwner::receive(Millis now, const InstanceId &from, const Release &message)
 {
     this->d->entries[from].heardAt = now;
+    this->d->waiting.remove(message.request);
     if (Cell *cell = this->d->find(this->d->letGo(message.request))) {
         cell->count.change(now, -1);
     }
@@ -365,7 +479,7 @@
         // Without a target the entry has asked and waits for the answer: known or not, there is nothing to add.
         const bool isCountable = !holding.target.empty() && !this->d->released.contains(holding.request);
         if (isCountable && !this->d->held.contains(holding.request)) {
-            this->d->hold(now, holding.request, from, holding.target);
+            this->d->hold(holding.request, Held{from, holding.target, now});
             if (Cell *cell = this->d->find(holding.target)) {
                 cell->count.learn(1);
             }
@@ -384,6 +498,7 @@
     for (const InstanceId &entry : silent) {
         this->dropEntry(entry);
     }
+    this->d->refused.forgetUntil(now - this->d->settings.refusalMemory);
     std::deque<std::pair<Millis, RequestId>> &order = this->d->releasedOrder;
     while (!order.empty() && now >= order.front().first + this->d->settings.releaseMemory) {
         this->d->released.erase(order.front().second);
@@ -414,6 +529,11 @@
     return cell == nullptr ? 0 : cell->count.counted();
 }
 
+std::size_t ShardOwner::waiting() const
+{
+    return this->d->waiting.size();
+}
+
 std::size_t ShardOwner::holdings() const
 {
     return this->d->held.size();
--- a/sequoiausher/coordination/admission/shardowner.h
+++ b/sequoiausher/coordination/admission/shardowner.h
@@ -36,6 +36,17 @@
     Millis chatsLearntAfter{60000};
     /** What a full shard tells the entry. */
     Millis retryAfter{1000};
+    /**
+     * How long a reservation that finds no room waits for a place before it hears so; 0: it hears so at once. Well
+     * below the time after which entries ask again.
+     */
+    Millis waitingLife{0};
+    /** At most this many wait. */
+    std::size_t mostWaiting = 256;
+    /** How long an answer of full is remembered and repeated; longer than an entry asks for one reservation. */
+    Millis refusalMemory{5000};
+    /** What is told to one that waited so long: it may ask again at once. */
+    Millis retryAfterWaiting{1};
 
     bool operator==(const OwnerSettings &) const = default;
 };
@@ -48,7 +59,8 @@
      * How many of a target's places are kept for classes more important than this one: none from urgent
      * ones, a sixteenth from interactive ones, three sixteenths from background ones, rounded down. Without them a
      * freed place goes to whoever asks first, and an urgent request waits at one router while others send background
-     * work. Source: trunk reservation, as in telephone networks (Akinpelu, 1984).
+     * work. Source: trunk reservation, as in telephone networks (Akinpelu, 1984). The interactive requests of an
+     * organisation that holds far more than its share count as background here (organisationshares.h).
      */
     static std::uint32_t keptPlaces(RequestClass requestClass, std::uint32_t capacity);
 
@@ -75,11 +87,20 @@
     /** What a target said of its load, measured at measuredAt by this process's clock. */
     void reportLoad(const TargetId &target, std::uint32_t load, Millis measuredAt);
 
-    /** Answers with a ReserveReply, but for a reservation that was released before it arrived. */
+    /**
+     * Answers with a ReserveReply, but for a reservation that was released before it arrived, and one that waits for a
+     * place: serveWaiting() answers that later.
+     */
     void receive(Millis now, const InstanceId &from, const ReserveRequest &message, Outbox &outbox);
     void receive(Millis now, const InstanceId &from, const Release &message);
     void receive(Millis now, const InstanceId &from, const HoldingsReport &message);
 
+    /**
+     * Gives places that came free to those that wait, in the order of waitinglist.h, and answers those that waited for
+     * too long. Call after each message and when time has passed.
+     */
+    void serveWaiting(Millis now, Outbox &outbox);
+
     /** Drops silent entries and old memories. Call about once a second. */
     void tick(Millis now);
 
@@ -92,6 +113,9 @@
     /** Reservations counted on the target, whatever the target reports. */
     std::uint32_t counted(const TargetId &target) const;
 
+    /** How many reservations wait for a place. */
+    std::size_t waiting() const;
+
     /** All reservations counted. */
     std::size_t holdings() const;
 
--- a/sequoiausher/coordination/admission/shardownertest.cpp
+++ b/sequoiausher/coordination/admission/shardownertest.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <utility>
+
 using namespace Sequoiausher;
 
 namespace {
@@ -207,3 +209,148 @@
     CHECK(this->owner.counted(TargetId{"a"}) <= 6);
     CHECK(this->owner.counted(TargetId{"b"}) <= 6);
 }
+
+namespace {
+
+/** An owner of one target with 16 places, where reservations without room wait for 100 ms. */
+struct WaitingFixture
+{
+    static constexpr std::uint32_t places = 16;
+
+    ShardOwner owner{{pool, 0}, OwnerSettings{.waitingLife = Millis{100}}, 1, Millis{0}};
+    Outbox outbox;
+    std::uint64_t lastRequest = 0;
+
+    WaitingFixture()
+    {
+        this->owner.setTargets(Millis{0}, {targetOf("a", LifeState::Live, places)});
+        this->owner.setEntries({});
+    }
+
+    RequestId ask(Millis now, RequestClass requestClass, std::uint32_t organisation, const InstanceId &from = entry)
+    {
+        ReserveRequest message{RequestId{0, ++this->lastRequest}, pool, 0, 7, PolicyKind::LeastLoaded, 125, {}};
+        message.requestClass = requestClass;
+        message.organisation = organisation;
+        this->owner.receive(now, from, message, this->outbox);
+        return message.request;
+    }
+
+    /** What was answered since the last call. */
+    std::vector<ReserveReply> answers()
+    {
+        std::vector<ReserveReply> replies;
+        for (const Outgoing &out : std::exchange(this->outbox, {})) {
+            replies.push_back(std::get<ReserveReply>(out.message));
+        }
+        return replies;
+    }
+
+    void free(Millis now, std::uint64_t request)
+    {
+        this->owner.receive(now, entry, Release{RequestId{0, request}, pool, 0});
+        this->owner.serveWaiting(now, this->outbox);
+    }
+
+    /** Takes all places for urgent requests of ever other organisations; requests 1 to 16. */
+    void fill()
+    {
+        for (std::uint32_t i = 0; i < places; ++i) {
+            this->ask(Millis{1}, RequestClass::Urgent, 100 + i);
+        }
+        CHECK(this->answers().size() == places);
+    }
+};
+
+} // namespace
+
+// Symptom: an urgent request waits while others get the places that come free. Sequence: the pool is full; seven
+// routers ask again each 50 ms. Cause: a freed place went to whoever happened to ask next.
+TEST_CASE_FIXTURE(WaitingFixture, "a place that comes free goes to the most important that waits")
+{
+    this->fill();
+    const RequestId interactive = this->ask(Millis{2}, RequestClass::Interactive, 1);
+    const RequestId urgent = this->ask(Millis{3}, RequestClass::Urgent, 1);
+    CHECK(this->answers().empty());
+    CHECK(this->owner.waiting() == 2);
+    this->free(Millis{10}, 1);
+    std::vector<ReserveReply> answered = this->answers();
+    REQUIRE(answered.size() == 1);
+    CHECK(answered.front().request == urgent);
+    CHECK(answered.front().verdict == ReserveVerdict::Granted);
+    CHECK(answered.front().contended);
+    CHECK(this->owner.counted(TargetId{"a"}) == places);
+    this->free(Millis{11}, 2);
+    this->free(Millis{12}, 3);
+    answered = this->answers();
+    REQUIRE(answered.size() == 1);
+    CHECK(answered.front().request == interactive);
+}
+
+TEST_CASE_FIXTURE(WaitingFixture, "one that finds no place in time hears so, once, and may ask again at once")
+{
+    this->fill();
+    const RequestId late = this->ask(Millis{2}, RequestClass::Urgent, 1);
+    this->owner.serveWaiting(Millis{101}, this->outbox);
+    CHECK(this->answers().empty());
+    this->owner.serveWaiting(Millis{102}, this->outbox);
+    const std::vector<ReserveReply> answered = this->answers();
+    REQUIRE(answered.size() == 1);
+    CHECK(answered.front() == ReserveReply{late, ReserveVerdict::Full, {}, Millis{1}, true});
+    this->free(Millis{103}, 1);
+    CHECK(this->answers().empty());
+    CHECK(this->owner.counted(TargetId{"a"}) == places - 1);
+}
+
+// Symptom: a place is counted that nobody holds. Sequence: a router gives up, or dies, while its request waits; then a
+// place comes free. Cause: the list still named it.
+TEST_CASE_FIXTURE(WaitingFixture, "nothing is granted to one that was given up, or to a dead router")
+{
+    this->fill();
+    const RequestId first = this->ask(Millis{2}, RequestClass::Urgent, 1);
+    this->ask(Millis{2}, RequestClass::Urgent, 1, other);
+    this->owner.receive(Millis{3}, entry, Release{first, pool, 0});
+    this->owner.dropEntry(other);
+    this->free(Millis{4}, 1);
+    CHECK(this->answers().empty());
+    CHECK(this->owner.waiting() == 0);
+    CHECK(this->owner.counted(TargetId{"a"}) == places - 1);
+}
+
+TEST_CASE_FIXTURE(WaitingFixture, "a request that is repeated while it waits is answered once")
+{
+    this->fill();
+    this->ask(Millis{2}, RequestClass::Urgent, 1);
+    this->lastRequest -= 1;
+    this->ask(Millis{3}, RequestClass::Urgent, 1);
+    CHECK(this->owner.waiting() == 1);
+    this->free(Millis{4}, 1);
+    CHECK(this->answers().size() == 1);
+}
+
+// Symptom: nine organisations wait because of a tenth, though each router's queue is fair. Sequence: it sends ten times
+// its rate through all routers and holds nearly all places. Cause: the owner knew no organisations.
+TEST_CASE_FIXTURE(WaitingFixture, "an organisation far above its share leaves the last places to the others")
+{
+    for (std::uint32_t organisation = 2; organisation <= 5; ++organisation) {
+        this->ask(Millis{1}, RequestClass::Interactive, organisation);
+    }
+    for (int i = 0; i < 20; ++i) {
+        this->ask(Millis{1}, RequestClass::Interactive, 1);
+    }
+    CHECK(this->owner.counted(TargetId{"a"}) == 13);
+    for (std::uint32_t organisation = 2; organisation <= 5; ++organisation) {
+        this->ask(Millis{1}, RequestClass::Interactive, organisation);
+    }
+    CHECK(this->owner.counted(TargetId{"a"}) == places);
+    // Alone, or where nobody told its organisation, it may have as many places as before.
+    CHECK(ShardOwner::keptPlaces(RequestClass::Interactive, places) == 1);
+}
+
+TEST_CASE_FIXTURE(WaitingFixture, "an organisation alone in a shard is held back by nothing but its class")
+{
+    for (int i = 0; i < 20; ++i) {
+        this->ask(Millis{1}, RequestClass::Interactive, 1);
+    }
+    CHECK(this->owner.counted(TargetId{"a"}) == 15);
+}
--- a/sequoiausher/coordination/admission/wanted.h
+++ b/sequoiausher/coordination/admission/wanted.h
@@ -4,6 +4,7 @@
 //
 //     const Wanted wanted{request, PoolId{"plates"}, chatHash, PolicyKind::BoundedRendezvous, 125, {}};
 
+#include "sequoiausher/base/millis.h"
 #include "sequoiausher/coordination/messages/admissionmessages.h"
 
 namespace Sequoiausher {
@@ -19,6 +20,10 @@
     /** Targets found unusable for this request. */
     std::vector<TargetId> excluded;
     RequestClass requestClass = RequestClass::Interactive;
+    /** A hash of the organisation; 0 where it is not known. */
+    std::uint32_t organisation = 0;
+    /** After this point in time a place is of no use any more, and the result is ReserveOutcome::Full. */
+    Millis giveUpAt = Millis::never();
 };
 
 } // namespace Sequoiausher
--- a/sequoiausher/coordination/limits/admissionqueue.cpp
+++ b/sequoiausher/coordination/limits/admissionqueue.cpp
@@ -339,10 +339,10 @@
     return this->d->flying.size();
 }
 
-OrganisationId AdmissionQueue::organisationOf(const RequestId &request) const
+std::optional<QueueEntry> AdmissionQueue::dispatched(const RequestId &request) const
 {
     const auto found = this->d->flying.find(request);
-    return found == this->d->flying.end() ? OrganisationId{} : found->second.entry.organisation;
+    return found == this->d->flying.end() ? std::nullopt : std::optional(found->second.entry);
 }
 
 std::size_t AdmissionQueue::slots() const
--- a/sequoiausher/coordination/limits/admissionqueue.h
+++ b/sequoiausher/coordination/limits/admissionqueue.h
@@ -24,6 +24,7 @@
 #include "sequoiausher/coordination/limits/dispatchqueue.h"
 
 #include <memory>
+#include <optional>
 
 namespace Sequoiausher {
 
@@ -57,8 +58,8 @@
     std::size_t waiting() const override;
     std::size_t inFlight() const override;
 
-    /** Whose a dispatched request is; empty where it is not in flight. */
-    OrganisationId organisationOf(const RequestId &request) const;
+    /** The request as it was offered, while it is dispatched and not done; none otherwise. */
+    std::optional<QueueEntry> dispatched(const RequestId &request) const;
 
     /** What this router can count on at present, at most its slots. */
     std::size_t slots() const;
--- a/sequoiausher/coordination/limits/admissionqueuetest.cpp
+++ b/sequoiausher/coordination/limits/admissionqueuetest.cpp
@@ -248,8 +248,8 @@
     CHECK(actions.size() == 5);
     queue.granted(Millis{53}, {0, 2}, actions);
     CHECK(actions.size() == 5);
-    CHECK(queue.organisationOf({0, 3}) == OrganisationId{"a"});
-    CHECK(queue.organisationOf({0, 30}) == OrganisationId{});
+    CHECK(queue.dispatched({0, 3}).value().organisation == OrganisationId{"a"});
+    CHECK(!queue.dispatched({0, 20}));
 }
 
 TEST_CASE("whatever comes: bounds hold, everybody hears exactly once, organisation and class are first in first out")
--- a/sequoiausher/protocol/codec/framereader.cpp
+++ b/sequoiausher/protocol/codec/framereader.cpp
@@ -300,8 +300,12 @@
 
 std::optional<PeerMessage> FrameReader::Private::reserveRequest()
 {
+    const std::size_t place = this->taken.at(static_cast<std::size_t>(MessageKind::ReserveRequest));
     const auto *m = this->take(MessageKind::ReserveRequest, this->frame.reserve_requests());
     ReserveRequest request;
+    if (place < sizeOf(this->frame.reserve_organisations())) {
+        request.organisation = this->frame.reserve_organisations()->Get(static_cast<flatbuffers::uoffset_t>(place));
+    }
     request.request = numberOf<RequestId>(m->request());
     request.pool.value = this->name(m->pool());
     request.shard = m->shard();
@@ -331,8 +335,11 @@
     if (!verdict.has_value()) {
         return std::nullopt;
     }
-    return ReserveReply{
-        numberOf<RequestId>(m->request()), *verdict, TargetId{this->name(m->target())}, spanOf(m->retry_after())};
+    return ReserveReply{numberOf<RequestId>(m->request()),
+                        *verdict,
+                        TargetId{this->name(m->target())},
+                        spanOf(m->retry_after()),
+                        m->contended()};
 }
 
 std::optional<PeerMessage> FrameReader::Private::release()
--- a/sequoiausher/protocol/codec/framewriter.cpp
+++ b/sequoiausher/protocol/codec/framewriter.cpp
@@ -96,6 +96,7 @@
     std::vector<Wire::ClaimPull> claimPulls;
     std::vector<Offset<Wire::ClaimPage>> claimPages;
     std::vector<Wire::ReserveRequest> reserveRequests;
+    std::vector<std::uint32_t> reserveOrganisations;
     std::vector<Wire::ReserveReply> reserveReplies;
     std::vector<Wire::Release> releases;
     std::vector<Offset<Wire::HoldingsReport>> holdingsReports;
@@ -210,6 +211,7 @@
                                        static_cast<std::uint16_t>(m.excluded.size()),
                                        wireEnum(m.policy),
                                        wireEnum(m.requestClass));
+    this->reserveOrganisations.push_back(m.organisation);
     for (const TargetId &target : m.excluded) {
         this->excluded.push_back(this->index(target.value));
     }
@@ -218,7 +220,7 @@
 void FrameWriter::Private::add(const ReserveReply &m)
 {
     this->reserveReplies.emplace_back(
-        wireId(m.request), wireSpan(m.retryAfter), this->index(m.target.value), wireEnum(m.verdict));
+        wireId(m.request), wireSpan(m.retryAfter), this->index(m.target.value), wireEnum(m.verdict), m.contended);
 }
 
 void FrameWriter::Private::add(const Release &m)
@@ -399,6 +401,10 @@
     const auto documentPullsAt = this->tables(this->documentPulls);
     const auto claimPullsAt = this->structs(this->claimPulls);
     const auto claimPagesAt = this->tables(this->claimPages);
+    const auto isTold = [](std::uint32_t organisation) { return organisation != 0; };
+    const bool tellsOrganisations
+        = std::any_of(this->reserveOrganisations.begin(), this->reserveOrganisations.end(), isTold);
+    const auto reserveOrganisationsAt = tellsOrganisations ? this->scalars(this->reserveOrganisations) : 0;
     this->builder.Finish(Wire::CreateFrame(this->builder,
                                            claimRequestsAt,
                                            claimVotesAt,
@@ -424,7 +430,8 @@
                                            documentDigestsAt,
                                            documentPullsAt,
                                            claimPullsAt,
-                                           claimPagesAt));
+                                           claimPagesAt,
+                                           reserveOrganisationsAt));
     const auto *data = reinterpret_cast<const char *>(this->builder.GetBufferPointer());
     return {data, this->builder.GetSize()};
 }
--- a/sequoiausher/transport/router/node.cpp
+++ b/sequoiausher/transport/router/node.cpp
@@ -118,8 +118,10 @@
     this->d->claimant.finished(attempt);
 }
 
-void Node::reserve(const Wanted &wanted)
+void Node::reserve(const Wanted &request)
 {
+    Wanted wanted = request;
+    this->d->addQueueFacts(wanted);
     Outbox outbox;
     std::vector<ReserveResult> results;
     {
--- a/sequoiausher/transport/router/nodeprivate.cpp
+++ b/sequoiausher/transport/router/nodeprivate.cpp
@@ -1,4 +1,5 @@
 #include "sequoiausher/transport/router/nodeprivate.h"
+#include "sequoiausher/coordination/admission/organisationshares.h"
 
 #include <QMetaObject>
 
@@ -29,6 +30,16 @@
     return answers;
 }
 
+OwnerSettings ownerSettings(const RouterSettings &settings)
+{
+    // An entry takes an owner for silent after its time-out; a place or a refusal must have reached it before.
+    constexpr Millis longestWait{100};
+    constexpr std::int64_t partOfTimeout = 2;
+    OwnerSettings owner;
+    owner.waitingLife = std::min(longestWait, settings.admission.reserveTimeout / partOfTimeout);
+    return owner;
+}
+
 ReserverSettings reserverSettings(const RouterSettings &settings)
 {
     ReserverSettings reserver;
@@ -90,7 +101,7 @@
     , configurationState(checker)
     , shards(ShardSettings{})
     , reserver(theSettings.name, theIncarnation, reserverSettings(theSettings), seed + 2, shards)
-    , owned(theSettings.name, OwnerSettings{}, seed + 3)
+    , owned(theSettings.name, ownerSettings(theSettings), seed + 3)
     , claimant(theSettings.name, theSettings.claims)
     , witness(theSettings.name, theSettings.claims, Millis::monotonicNow())
     , answers(answerSettings(theSettings))
@@ -188,11 +199,13 @@
     {
         const std::scoped_lock lock(this->self.admissionMutex);
         this->self.owned.receive(this->now, this->from, m);
+        this->self.owned.serveWaiting(this->now, this->outbox);
     }
     void operator()(const HoldingsReport &m) const
     {
         const std::scoped_lock lock(this->self.admissionMutex);
         this->self.owned.receive(this->now, this->from, m);
+        this->self.owned.serveWaiting(this->now, this->outbox);
     }
     void operator()(const ReserveReply &m) const
     {
@@ -335,6 +348,20 @@
     }
 }
 
+void Node::Private::addQueueFacts(Wanted &wanted)
+{
+    const std::scoped_lock lock(this->limitsMutex);
+    const std::optional<QueueEntry> entry = this->queueOf(wanted.pool).dispatched(wanted.request);
+    if (!entry) {
+        return;
+    }
+    wanted.organisation = organisationHash(entry->organisation.value);
+    // One that is sent again after its target failed it may be late already; it keeps its chance.
+    if (entry->dispatchBy > Millis::monotonicNow()) {
+        wanted.giveUpAt = entry->dispatchBy;
+    }
+}
+
 void Node::Private::queuesGranted(const std::vector<ReserveResult> &results)
 {
     const Millis now = Millis::monotonicNow();
@@ -380,6 +407,7 @@
         this->reserver.tick(now, outbox);
         results = this->reserver.takeResults();
         this->owned.tick(now);
+        this->owned.serveWaiting(now, outbox);
     }
     this->tellReservations(results);
     std::vector<ClaimOutcome> outcomes;
