--- a/lab/bench/surgebench.cpp
+++ b/lab/bench/surgebench.cpp
@@ -4,6 +4,7 @@
 // Ratios compare the p95 from arrival to end with the surge to the one without it, over requests that were served;
 // what was refused is given beside them, since a queue that refuses many would look quick.
 
+#include "lab/bench/surgefleet.h"
 #include "lab/bench/surgesimulation.h"
 #include "sequoiausher/coordination/limits/admissionqueue.h"
 #include "sequoiausher/coordination/limits/fifoqueue.h"
@@ -30,6 +31,8 @@
 constexpr auto background = static_cast<std::size_t>(RequestClass::Background);
 
 using MakeQueue = std::function<std::unique_ptr<DispatchQueue>()>;
+/** A run of some load, quiet or surging. */
+using Simulate = std::function<SurgeResult(double surgeFactor, std::uint64_t seed)>;
 /** The values of each figure, one for each seed. */
 using Figures = std::map<std::string, std::vector<double>>;
 
@@ -40,13 +43,32 @@
     return both;
 }
 
-void measure(const MakeQueue &makeQueue, std::uint64_t seed, const std::string &suffix, Figures &figures)
+/** One router and its queue. */
+Simulate alone(const MakeQueue &makeQueue)
 {
-    SurgeSettings settings;
-    settings.seed = seed;
-    const SurgeResult quiet = simulateSurge(*makeQueue(), settings);
-    settings.surgeFactor = surge;
-    const SurgeResult surging = simulateSurge(*makeQueue(), settings);
+    return [makeQueue](double surgeFactor, std::uint64_t seed) {
+        SurgeSettings settings;
+        settings.seed = seed;
+        settings.surgeFactor = surgeFactor;
+        return simulateSurge(*makeQueue(), settings);
+    };
+}
+
+/** Seven routers before two targets; latencies are those of the first token. */
+Simulate inFleet(const FleetSurgeSettings &fleet)
+{
+    return [fleet](double surgeFactor, std::uint64_t seed) {
+        FleetSurgeSettings settings = fleet;
+        settings.load.seed = seed;
+        settings.load.surgeFactor = surgeFactor;
+        return simulateFleetSurge(settings);
+    };
+}
+
+void measure(const Simulate &simulate, std::uint64_t seed, const std::string &suffix, Figures &figures)
+{
+    const SurgeResult quiet = simulate(1, seed);
+    const SurgeResult surging = simulate(surge, seed);
     constexpr double tail = 0.95;
     const auto add = [&](const std::string &name, double value) { figures[name + suffix].push_back(value); };
     const GroupResult othersQuiet = joined(quiet.others[urgent], quiet.others[interactive]);
@@ -58,6 +80,13 @@
     add("review_day_p95_ratio", reviewSurge.quantile(tail) / reviewQuiet.quantile(tail));
     add("review_day_refused", reviewSurge.refusedShare());
     add("background_shed", joined(surging.others[background], surging.surging[background]).refusedShare());
+    if (surging.asked > 0) {
+        std::size_t offered = 0;
+        for (std::size_t index = 0; index < requestClassCount; ++index) {
+            offered += surging.others[index].offered + surging.surging[index].offered;
+        }
+        add("asked_per_request", static_cast<double>(surging.asked) / static_cast<double>(offered));
+    }
     add("surging_refused", joined(surging.surging[urgent], surging.surging[interactive]).refusedShare());
 }
 
@@ -69,7 +98,9 @@
         std::vector<double> values = figure.second;
         measured = measured && std::all_of(values.begin(), values.end(), [](double v) { return std::isfinite(v); });
         std::sort(values.begin(), values.end());
-        const char *unit = figure.first.find("_ratio") != std::string::npos ? "ratio" : "share";
+        const bool isRatio = figure.first.find("_ratio") != std::string::npos;
+        const bool isCount = figure.first.find("asked") != std::string::npos;
+        const char *unit = isCount ? "count" : isRatio ? "ratio" : "share";
         std::printf("figure %s %.3f %s\n", figure.first.c_str(), values[values.size() / 2], unit);
     }
     return measured;
@@ -88,8 +119,16 @@
     const MakeQueue naive = [] { return std::make_unique<FifoQueue>(slots, maxWaiting); };
     Figures figures;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        measure(fair, seed, "", figures);
-        measure(naive, seed, "_naive", figures);
+        measure(alone(fair), seed, "", figures);
+        measure(alone(naive), seed, "_naive", figures);
+        measure(inFleet({}), seed, "_fleet", figures);
+        measure(inFleet({.owner = {}}), seed, "_fleet_no_list", figures);
+        measure(inFleet({.tellsOrganisations = false}), seed, "_fleet_no_shares", figures);
+        measure(inFleet({.owner = {}, .tellsOrganisations = false}), seed, "_fleet_first_asks", figures);
+        measure(inFleet({.owner = {}, .tellsOrganisations = false, .makeQueue = naiveQueue}),
+                seed,
+                "_fleet_naive",
+                figures);
     }
     if (!print(figures)) {
         std::fprintf(stderr, "surgebench: a figure could not be measured\n");
--- a/sequoiausher/coordination/admission/admissionpropertytest.cpp
+++ b/sequoiausher/coordination/admission/admissionpropertytest.cpp
@@ -10,6 +10,7 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <random>
@@ -39,8 +40,8 @@
 
 struct Router
 {
-    Router(const InstanceId &name, const ReserverSettings &settings)
-        : owned(name, OwnerSettings{}, 1)
+    Router(const InstanceId &name, const OwnerSettings &ownerSettings, const ReserverSettings &settings)
+        : owned(name, ownerSettings, 1)
         , reserver(name, 1, settings, 1, map)
     {
     }
@@ -60,24 +61,28 @@
 class Fleet
 {
 public:
-    Fleet(std::uint64_t seed, bool isLossy, const Variant &variant)
+    /** @param places of each target; with them, reservations that find none wait at the owner. */
+    Fleet(std::uint64_t seed, bool isLossy, const Variant &variant, std::optional<std::uint32_t> places = {})
         : random(seed)
         , lossy(isLossy)
         , policy(variant.policy)
+        , waits(places.has_value())
     {
         ReserverSettings settings;
         settings.sendsDigests = variant.sendsDigests;
+        OwnerSettings ownerSettings;
+        ownerSettings.waitingLife = this->waits ? Millis{100} : Millis{0};
         auto made = std::make_shared<PoolView>();
         made->pool = pool;
         for (int i = 0; i < targetCount; ++i) {
             const TargetId target{"t" + std::to_string(i)};
-            made->targets.push_back({{target, "", DataCentreId{}, {1, LifeState::Live}, {}}, hash64(target.value)});
+            made->targets.push_back({{target, "", DataCentreId{}, {1, LifeState::Live}, places}, hash64(target.value)});
         }
         this->view = made;
         for (int i = 0; i < routerCount; ++i) {
             const InstanceId name{"r" + std::to_string(i)};
             this->live.push_back(name);
-            this->routers.emplace(name, std::make_unique<Router>(name, settings));
+            this->routers.emplace(name, std::make_unique<Router>(name, ownerSettings, settings));
         }
         for (const InstanceId &name : this->live) {
             this->learn(name);
@@ -134,6 +139,8 @@
         Outbox outbox;
         Wanted wanted{RequestId{1, ++this->lastRequest}, pool, this->random(), this->policy, percent, {}};
         wanted.prefixHash = wanted.chatHash % prefixCount;
+        wanted.requestClass = static_cast<RequestClass>(this->lastRequest % requestClassCount);
+        wanted.organisation = static_cast<std::uint16_t>(1 + this->lastRequest % 5 / 2);
         this->routers.at(name)->reserver.reserve(this->now, wanted, outbox);
         this->collect(name);
         this->carry(name, outbox);
@@ -194,9 +201,23 @@
             router.reserver.receive(this->now, message.from, *reply, outbox);
             this->collect(receiver->first);
         }
+        this->serveWaiting(router, outbox);
         this->carry(receiver->first, outbox);
     }
 
+    /** As a router does after each message and tick; checks the bound at each admission of a settled owner. */
+    void serveWaiting(Router &router, Outbox &outbox)
+    {
+        const ShardOwner *shard = router.owned.find({pool, 0});
+        const std::uint32_t before = shard == nullptr ? 0 : shard->sum(this->now).inFlight;
+        Outbox served;
+        router.owned.serveWaiting(this->now, served);
+        if (shard != nullptr && shard->settled(this->now)) {
+            this->admissionsOfWaiting += this->checkGrants(*shard, before, served);
+        }
+        outbox.insert(outbox.end(), served.begin(), served.end());
+    }
+
     /** Checks the bound at each admission by a settled owner, by the owner's counts and by the true ones. */
     void deliverRequest(const InstanceId &owner,
                         Router &router,
@@ -212,7 +233,7 @@
             return;
         }
         const TargetId &target = std::get<ReserveReply>(outbox.back().message).target;
-        RC_ASSERT(shard->counted(target) <= loadBound(percent, before, targetCount));
+        this->checkGrants(*shard, before, outbox);
         this->admissions += 1;
         if (!this->lossy && this->listsAgree()) {
             RC_ASSERT(shard->counted(target) >= this->trueCount(target));
@@ -220,6 +241,24 @@
         (void)owner;
     }
 
+    /** Checks each place granted against the bound at that moment. @return how many were. */
+    static std::uint64_t checkGrants(const ShardOwner &shard, std::uint32_t before, const Outbox &outbox)
+    {
+        std::vector<TargetId> granted;
+        for (const Outgoing &out : outbox) {
+            const auto *reply = std::get_if<ReserveReply>(&out.message);
+            if (reply != nullptr && reply->verdict == ReserveVerdict::Granted) {
+                granted.push_back(reply->target);
+            }
+        }
+        for (std::size_t i = 0; i < granted.size(); ++i) {
+            const auto since = granted.begin() + static_cast<std::ptrdiff_t>(i) + 1;
+            const auto later = static_cast<std::uint32_t>(std::count(since, granted.end(), granted[i]));
+            RC_ASSERT(shard.counted(granted[i]) - later <= loadBound(percent, before + i, targetCount));
+        }
+        return granted.size();
+    }
+
     bool listsAgree() const
     {
         return std::all_of(this->live.begin(), this->live.end(), [this](const InstanceId &name) {
@@ -253,6 +292,7 @@
             Router &router = *this->routers.at(name);
             router.reserver.tick(this->now, outbox);
             router.owned.tick(this->now);
+            this->serveWaiting(router, outbox);
             this->collect(name);
             this->carry(name, outbox);
         }
@@ -356,9 +396,11 @@
     std::uint64_t lastRequest = 0;
     std::uint64_t admissions = 0;
     std::uint64_t digests = 0;
+    std::uint64_t admissionsOfWaiting = 0;
     std::mt19937_64 random;
     bool lossy;
     PolicyKind policy;
+    bool waits;
 };
 
 std::uint64_t run(Fleet &fleet)
@@ -375,6 +417,10 @@
     fleet.releaseAll();
     for (int i = 0; i < 60; ++i) {
         fleet.settle();
+        if (fleet.waits) {
+            // Some got their place only now.
+            fleet.releaseAll();
+        }
     }
     for (const auto &entry : fleet.routers) {
         RC_ASSERT(entry.second->reserver.held() == std::size_t{0});
@@ -453,6 +499,24 @@
     }
 }
 
+TEST_CASE("with few places, where reservations wait at the owner, counts and bound hold in the same way")
+{
+    for (const bool isLossy : {false, true}) {
+        for (const Variant &variant : variants) {
+            CAPTURE(isLossy);
+            CAPTURE(nameOf(variant.policy));
+            CAPTURE(variant.sendsDigests);
+            std::uint64_t waited = 0;
+            CHECK(rc::check([&](std::uint64_t seed) {
+                Fleet fleet(seed, isLossy, variant, 2);
+                run(fleet);
+                waited += fleet.admissionsOfWaiting;
+            }));
+            CHECK(waited > 100);
+        }
+    }
+}
+
 TEST_CASE("routers that choose by what they alone see break the bound under the same load")
 {
     for (const PolicyKind kind : {PolicyKind::RoundRobin,
--- a/sequoiausher/coordination/admission/ownedshards.cpp
+++ b/sequoiausher/coordination/admission/ownedshards.cpp
@@ -195,6 +195,20 @@
     }
 }
 
+void OwnedShards::serveWaiting(Millis now, Outbox &outbox)
+{
+    for (const auto &entry : this->d->shards) {
+        entry.second.owner->serveWaiting(now, outbox);
+    }
+}
+
+bool OwnedShards::hasWaiting() const
+{
+    return std::any_of(this->d->shards.begin(), this->d->shards.end(), [](const auto &entry) {
+        return entry.second.owner->waiting() > 0;
+    });
+}
+
 void OwnedShards::tick(Millis now)
 {
     this->d->lastTick = now;
--- a/sequoiausher/coordination/admission/ownedshards.h
+++ b/sequoiausher/coordination/admission/ownedshards.h
@@ -42,6 +42,11 @@
     /** Asks for the report where it could change something, also for a shard of another router. */
     void receive(Millis now, const InstanceId &from, const HoldingsDigest &message, Outbox &outbox);
 
+    /** Answers the reservations that wait for a place; call after each message and when time has passed. */
+    void serveWaiting(Millis now, Outbox &outbox);
+    /** Whether any reservation waits for a place. */
+    bool hasWaiting() const;
+
     void tick(Millis now);
     /** When tick() has work next. */
     Millis nextDeadline() const;
--- a/sequoiausher/coordination/admission/reserver.cpp
+++ b/sequoiausher/coordination/admission/reserver.cpp
@@ -17,6 +17,8 @@
 constexpr int incarnationShift = 20;
 // A router further back in a target's order has no place on it while fewer than this many are free.
 constexpr std::size_t askedRanks = 16;
+// The queue refuses what is late by itself; it only has to look again.
+constexpr Millis lateRetryAfter{1};
 
 /** A reservation asked for and not answered. */
 struct Pending
@@ -179,7 +181,7 @@
     pendingOne.tries += 1;
     this->reportDue[pendingOne.route.shard] = true;
     pendingOne.refusedByOwner = false;
-    pendingOne.deadline = now + this->settings.replyTimeout;
+    pendingOne.deadline = std::min(now + this->settings.replyTimeout, wanted.giveUpAt);
     outbox.push_back({pendingOne.route.owner,
                       ReserveRequest{pendingOne.reservation,
                                      wanted.pool,
@@ -189,7 +191,8 @@
                                      wanted.boundPercent,
                                      wanted.excluded,
                                      wanted.requestClass,
-                                     wanted.prefixHash}});
+                                     wanted.prefixHash,
+                                     wanted.organisation}});
 }
 
 void Reserver::Private::giveUp(Pending &pendingOne, Outbox &outbox) const
@@ -268,6 +271,11 @@
 void Reserver::Private::expire(Millis now, const RequestId &request, Outbox &outbox)
 {
     Pending &expired = this->pending.at(request);
+    if (now >= expired.wanted.giveUpAt) {
+        this->giveUp(expired, outbox);
+        this->refuse(request, ReserveOutcome::Full, lateRetryAfter);
+        return;
+    }
     const bool sameOwner = this->map.ownerOf(expired.route.shard) == expired.route.owner;
     const bool mayAsk = expired.refusedByOwner ? now < expired.followUntil : expired.tries < this->settings.tries;
     if (mayAsk) {
--- a/sequoiausher/coordination/admission/reservertest.cpp
+++ b/sequoiausher/coordination/admission/reservertest.cpp
@@ -288,3 +288,31 @@
     this->reserver.tick(Millis{750}, this->outbox);
     CHECK(this->outcome() == ReserveOutcome::GrantedLocally);
 }
+
+TEST_CASE_FIXTURE(ReserverFixture, "a reservation tells its class and organisation")
+{
+    Wanted wanted{RequestId{1, 1}, pool, 3};
+    wanted.requestClass = RequestClass::Urgent;
+    wanted.organisation = 77;
+    this->reserver.reserve(Millis{0}, wanted, this->outbox);
+    const ReserveRequest sent = this->sent<ReserveRequest>().at(0);
+    CHECK(sent.requestClass == RequestClass::Urgent);
+    CHECK(sent.organisation == 77);
+}
+
+// Symptom: an engine computes for a caller that has hung up. Sequence: a request waits at the owner; its time passes;
+// then it gets a place. Cause: only those that wait at the router were checked.
+TEST_CASE_FIXTURE(ReserverFixture, "a reservation is given up when its time is over, and its place with it")
+{
+    Wanted wanted{RequestId{1, 1}, pool, 3};
+    wanted.giveUpAt = Millis{60};
+    this->reserver.reserve(Millis{0}, wanted, this->outbox);
+    const RequestId reservation = this->sent<ReserveRequest>().at(0).request;
+    CHECK(this->reserver.nextDeadline() <= Millis{60});
+    this->reserver.tick(Millis{60}, this->outbox);
+    CHECK(this->outcome() == ReserveOutcome::Full);
+    CHECK(this->sent<Release>().at(0).request == reservation);
+    this->answer(Millis{61}, reservation, ReserveVerdict::Granted);
+    CHECK(this->reserver.held() == 0);
+    CHECK(this->reserver.takeResults().empty());
+}
--- a/sequoiausher/coordination/admission/wanted.h
+++ b/sequoiausher/coordination/admission/wanted.h
@@ -4,6 +4,7 @@
 //
 //     const Wanted wanted{request, PoolId{"plates"}, chatHash, PolicyKind::BoundedRendezvous, 125, {}};
 
+#include "sequoiausher/base/millis.h"
 #include "sequoiausher/coordination/messages/admissionmessages.h"
 
 namespace Sequoiausher {
@@ -21,6 +22,10 @@
     RequestClass requestClass = RequestClass::Interactive;
     /** Of the prompt prefix that the chat shares with others; 0 where none is known. */
     std::uint64_t prefixHash = 0;
+    /** A hash of the organisation; 0 where it is not known. */
+    std::uint16_t organisation = 0;
+    /** After this point in time a place is of no use any more, and the result is ReserveOutcome::Full. */
+    Millis giveUpAt = Millis::never();
 };
 
 } // namespace Sequoiausher
--- a/sequoiausher/coordination/messages/admissionmessages.h
+++ b/sequoiausher/coordination/messages/admissionmessages.h
@@ -71,6 +71,8 @@
     RequestClass requestClass = RequestClass::Interactive;
     /** Of the prompt prefix that the chat shares with others; 0 where none is known. */
     std::uint64_t prefixHash = 0;
+    /** A hash of the organisation; 0 where the entry does not tell it. */
+    std::uint16_t organisation = 0;
 
     bool operator==(const ReserveRequest &) const = default;
 };
--- a/sequoiausher/protocol/codec/framereader.cpp
+++ b/sequoiausher/protocol/codec/framereader.cpp
@@ -372,6 +372,7 @@
     request.chatHash = m->chat_hash();
     request.prefixHash = this->prefixHash();
     request.boundPercent = m->bound_percent();
+    request.organisation = m->organisation();
     if (m->excluded_count() > this->sizeOf(this->frame.excluded()) - this->excludedTaken) {
         this->refuse("an excluded target is missing");
     }
--- a/sequoiausher/protocol/codec/framewriter.cpp
+++ b/sequoiausher/protocol/codec/framewriter.cpp
@@ -220,7 +220,8 @@
                                        this->index(m.pool.value),
                                        static_cast<std::uint16_t>(m.excluded.size()),
                                        wireEnum(m.policy),
-                                       wireEnum(m.requestClass));
+                                       wireEnum(m.requestClass),
+                                       m.organisation);
     this->prefixHashes.push_back(m.prefixHash);
     for (const TargetId &target : m.excluded) {
         this->excluded.push_back(this->index(target.value));
--- a/sequoiausher/protocol/codec/messagegenerators.cpp
+++ b/sequoiausher/protocol/codec/messagegenerators.cpp
@@ -124,7 +124,8 @@
                        m.boundPercent,
                        m.excluded,
                        m.requestClass,
-                       m.prefixHash);
+                       m.prefixHash,
+                       m.organisation);
 template<>
 struct Arbitrary<Sequoiausher::ReserveReply>
 {
--- a/sequoiausher/transport/router/answerrelay.h
+++ b/sequoiausher/transport/router/answerrelay.h
@@ -9,9 +9,9 @@
 //     relay.complete(Outcome::Complete, mayHaveRun);
 
 #include "sequoiausher/coordination/flow/flowaction.h"
+#include "sequoiausher/transport/router/answerkeeper.h"
 #include "sequoiausher/transport/router/answerwriter.h"
 #include "sequoiausher/transport/router/joinedanswer.h"
-#include "sequoiausher/transport/router/answerkeeper.h"
 #include "sequoiausher/transport/router/requesttimes.h"
 #include "sequoiausher/transport/router/sessioncontext.h"
 #include "sequoiausher/transport/router/sessionorder.h"
--- a/sequoiausher/transport/router/nodeprivate.cpp
+++ b/sequoiausher/transport/router/nodeprivate.cpp
@@ -1,4 +1,5 @@
 #include "sequoiausher/transport/router/nodeprivate.h"
+#include "sequoiausher/coordination/admission/organisationshares.h"
 
 #include <QMetaObject>
 
@@ -48,6 +49,16 @@
     return answers;
 }
 
+OwnerSettings ownerSettings(const RouterSettings &settings)
+{
+    // An entry takes an owner for silent after its time-out; a place or a refusal must have reached it before.
+    constexpr Millis longestWait{100};
+    constexpr std::int64_t partOfTimeout = 2;
+    OwnerSettings owner;
+    owner.waitingLife = std::min(longestWait, settings.admission.reserveTimeout / partOfTimeout);
+    return owner;
+}
+
 ReserverSettings reserverSettings(const RouterSettings &settings)
 {
     ReserverSettings reserver;
@@ -117,7 +128,7 @@
     , configurationState(compiler)
     , shards(ShardSettings{})
     , reserver(theSettings.name, theIncarnation, reserverSettings(theSettings), seed + 2, shards)
-    , owned(theSettings.name, OwnerSettings{}, seed + 3)
+    , owned(theSettings.name, ownerSettings(theSettings), seed + 3)
     , claimant(theSettings.name, theSettings.claims)
     , witness(theSettings.name, theSettings.claims, Millis::monotonicNow())
     , answers(answerSettings(theSettings))
@@ -226,16 +237,21 @@
     {
         const std::scoped_lock lock(this->self.admissionMutex);
         this->self.owned.receive(this->now, this->from, m, this->outbox);
+        if (this->self.owned.hasWaiting()) {
+            this->self.pacer.wake();
+        }
     }
     void operator()(const Release &m) const
     {
         const std::scoped_lock lock(this->self.admissionMutex);
         this->self.owned.receive(this->now, this->from, m);
+        this->self.owned.serveWaiting(this->now, this->outbox);
     }
     void operator()(const HoldingsReport &m) const
     {
         const std::scoped_lock lock(this->self.admissionMutex);
         this->self.owned.receive(this->now, this->from, m, this->outbox);
+        this->self.owned.serveWaiting(this->now, this->outbox);
     }
     void operator()(const HoldingsDigest &m) const
     {
@@ -391,11 +407,43 @@
 
 void Node::Private::tellReservations(const std::vector<ReserveResult> &results)
 {
+    this->queuesGranted(results);
     for (const ReserveResult &result : results) {
         this->registry.tell(result.request, [result](RequestEar &ear) { ear.reservationEnded(result); });
     }
 }
 
+void Node::Private::addQueueFacts(Wanted &wanted)
+{
+    const std::scoped_lock lock(this->limitsMutex);
+    const std::optional<QueueEntry> entry = this->queueOf(wanted.pool).dispatched(wanted.request);
+    if (!entry) {
+        return;
+    }
+    wanted.organisation = organisationHash(entry->organisation.value);
+    // One that is sent again after its target failed it may be late already; it keeps its chance.
+    if (entry->dispatchBy > Millis::monotonicNow()) {
+        wanted.giveUpAt = entry->dispatchBy;
+    }
+}
+
+void Node::Private::queuesGranted(const std::vector<ReserveResult> &results)
+{
+    const Millis now = Millis::monotonicNow();
+    std::vector<QueueAction> actions;
+    {
+        const std::scoped_lock lock(this->limitsMutex);
+        for (const ReserveResult &result : results) {
+            for (const auto &entry : this->queues) {
+                if (!result.target.empty()) {
+                    entry.second->granted(now, result.request, actions);
+                }
+            }
+        }
+    }
+    this->tellQueue(actions);
+}
+
 void Node::Private::tellQueue(const std::vector<QueueAction> &actions)
 {
     for (const QueueAction &action : actions) {
@@ -429,6 +477,7 @@
         this->reserver.tick(now, outbox);
         results = this->reserver.takeResults();
         this->owned.tick(now);
+        this->owned.serveWaiting(now, outbox);
     }
     this->tellReservations(results);
     std::vector<ClaimOutcome> outcomes;
@@ -484,7 +533,8 @@
     }
     {
         const std::scoped_lock lock(this->admissionMutex);
-        next = std::min(next, this->reserver.nextDeadline());
+        // Who waits for a place is answered in time, though none comes free.
+        next = std::min(next, this->owned.hasWaiting() ? now : this->reserver.nextDeadline());
     }
     {
         const std::scoped_lock lock(this->claimsMutex);
--- a/sequoiausher/transport/router/nodeprivate.h
+++ b/sequoiausher/transport/router/nodeprivate.h
@@ -61,6 +61,9 @@
     Millis nextDeadline(Millis now);
     void tellClaims(const std::vector<ClaimOutcome> &outcomes);
     void tellReservations(const std::vector<ReserveResult> &results);
+    /** What the queue of its pool knows of a request: whose it is, and until when a place is of use. */
+    void addQueueFacts(Wanted &wanted);
+    void queuesGranted(const std::vector<ReserveResult> &results);
     void tellQueue(const std::vector<QueueAction> &actions);
     void tellRefusal();
     void documentsChanged(Millis now);
