--- a/sequoiausher/coordination/admission/ownedshards.cpp
+++ b/sequoiausher/coordination/admission/ownedshards.cpp
@@ -1,5 +1,6 @@
 #include "sequoiausher/coordination/admission/ownedshards.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <variant>
