--- a/lab/bench/slopes/configurationslopes.cpp
+++ b/lab/bench/slopes/configurationslopes.cpp
@@ -191,12 +191,13 @@
     /** Every entry reports to the owned shards, as after each change of owners: an owner awaits those that did not. */
     void hearEntries()
     {
+        Outbox answers;
         for (const ShardId &shard : this->shards.shards()) {
             if (this->shards.ownerOf(shard) != this->self) {
                 continue;
             }
             for (const InstanceId &entry : this->shards.instances()) {
-                this->owned.receive(Millis{1}, entry, HoldingsReport{shard.pool, shard.shard, 1, {}});
+                this->owned.receive(Millis{1}, entry, HoldingsReport{shard.pool, shard.shard, 1, {}}, answers);
             }
         }
     }
