Find the end of an event's line by two searches for one byte

Cause: perf on one worker at its most tokens/s: 1.35 of 25 us a token are the reader of server-sent events, the dearest of the project's own code (the check of a chunk has 0.66, the metrics 0.11). find_first_of() of two characters looks at each byte by a call of its own, and each event was copied.

Change: two searches over at most 256 bytes at a time, so that a stream of carriage returns alone costs no more than before; an event's texts are moved.

A test is new: lines of each length up to 1,099 with each line end.

--- a/sequoiausher/protocol/clientapi/ssereader.cpp
+++ b/sequoiausher/protocol/clientapi/ssereader.cpp
@@ -2,6 +2,7 @@
 
 #include "sequoiausher/base/error.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Sequoiausher {
@@ -10,6 +11,26 @@
 
 constexpr std::string_view byteOrderMark = "\xEF\xBB\xBF";
 
+/** About the length of a token's line. */
+constexpr std::size_t searchedAtOnce = 256;
+
+/**
+ * Where the first line ends. Two searches for one byte each are much cheaper than one for either, and go over a bounded
+ * part at a time: else a stream of carriage returns alone would be searched to its end for each of its lines.
+ */
+std::size_t lineEnd(std::string_view bytes)
+{
+    for (std::size_t begin = 0; begin < bytes.size(); begin += searchedAtOnce) {
+        const std::string_view part = bytes.substr(begin, searchedAtOnce);
+        const std::size_t feed = part.find('\n');
+        const std::size_t first = std::min(feed, part.substr(0, feed).find('\r'));
+        if (first != std::string_view::npos) {
+            return begin + first;
+        }
+    }
+    return std::string_view::npos;
+}
+
 } // namespace
 
 SseReader::SseReader(std::size_t maximumEventBytes) : limit(maximumEventBytes)
@@ -25,7 +46,7 @@
             bytes.remove_prefix(1);
             continue;
         }
-        const std::size_t end = bytes.find_first_of("\r\n");
+        const std::size_t end = lineEnd(bytes);
         const std::string_view part = bytes.substr(0, end);
         this->eventBytes += part.size();
         if (this->eventBytes > this->limit) {
@@ -93,7 +114,8 @@
 {
     this->eventBytes = 0;
     if (std::exchange(this->hasData, false)) {
-        complete.push_back(this->current);
+        // The id stays for the events to come.
+        complete.push_back(SseEvent{std::move(this->current.data), std::move(this->current.event), this->current.id});
     }
     this->current.data.clear();
     this->current.event.clear();
--- a/sequoiausher/protocol/clientapi/ssereadertest.cpp
+++ b/sequoiausher/protocol/clientapi/ssereadertest.cpp
@@ -67,6 +67,25 @@
     }
 }
 
+TEST_CASE("a line of any length ends at its end")
+{
+    for (const std::string end : {"\n", "\r", "\r\n"}) {
+        for (std::size_t length = 1; length < 1100; ++length) {
+            CAPTURE(length);
+            const std::string data(length, 'x');
+            SseReader reader;
+            std::string text = "data:";
+            for (const std::string &part : {data, end, std::string("data:y"), end, end, std::string(":"), end}) {
+                text += part;
+            }
+            const Events events = reader.push(text);
+            REQUIRE(events.size() == 1);
+            CHECK(events.front().data == data + "\ny");
+            CHECK(!reader.hasPartialEvent());
+        }
+    }
+}
+
 TEST_CASE("where the bytes are cut makes no difference")
 {
     CHECK(rc::check([] {
