--- a/cmake/Component.cmake
+++ b/cmake/Component.cmake
@@ -32,7 +32,12 @@
     target_link_libraries(${NAME} PRIVATE testmain ${ARG_DEPS})
     sequoiausher_test_code(${NAME})
     add_test(NAME ${NAME} COMMAND ${NAME})
-    set_tests_properties(${NAME} PROPERTIES TIMEOUT 120)
+    set(LONGEST_SECONDS 120)
+    if(SEQUOIAUSHER_SANITIZE)
+        # Instrumented, the largest take 100 s of processor time, and longer on a machine that builds beside them.
+        set(LONGEST_SECONDS 600)
+    endif()
+    set_tests_properties(${NAME} PROPERTIES TIMEOUT ${LONGEST_SECONDS})
 endfunction()
 
 # sequoiausher_test_code(TARGET)
