--- a/lab/bench/surgefleet.cpp
+++ b/lab/bench/surgefleet.cpp
@@ -282,9 +282,13 @@
     } else if (const auto *release = std::get_if<Release>(&out.message)) {
         router.owned.receive(this->now, from, *release);
     } else if (const auto *report = std::get_if<HoldingsReport>(&out.message)) {
-        router.owned.receive(this->now, from, *report);
+        router.owned.receive(this->now, from, *report, outbox);
+    } else if (const auto *digest = std::get_if<HoldingsDigest>(&out.message)) {
+        router.owned.receive(this->now, from, *digest, outbox);
+    } else if (const auto *answer = std::get_if<HoldingsAnswer>(&out.message)) {
+        router.reserver.receive(from, *answer, outbox);
     } else if (const auto *reply = std::get_if<ReserveReply>(&out.message)) {
-        router.reserver.receive(this->now, from, *reply);
+        router.reserver.receive(this->now, from, *reply, outbox);
     }
     router.owned.serveWaiting(this->now, outbox);
     this->carry(router, outbox);
--- a/sequoiausher/protocol/codec/peercodectest.cpp
+++ b/sequoiausher/protocol/codec/peercodectest.cpp
@@ -143,8 +143,8 @@
 // reservations.
 TEST_CASE("reservations without hashes of prefixes have none, and a frame has all of them or none")
 {
-    const std::vector<Wire::ReserveRequest> requests{Wire::ReserveRequest({1, 2}, 3, 0, 125, 0, 0, 0, 0),
-                                                     Wire::ReserveRequest({1, 3}, 4, 0, 125, 0, 0, 0, 0)};
+    const std::vector<Wire::ReserveRequest> requests{Wire::ReserveRequest({1, 2}, 3, 0, 125, 0, 0, 0, 0, 0),
+                                                     Wire::ReserveRequest({1, 3}, 4, 0, 125, 0, 0, 0, 0, 0)};
     const auto frameWith = [&requests](const std::vector<std::uint64_t> &hashes) {
         flatbuffers::FlatBufferBuilder builder;
         const auto requestsAt = builder.CreateVectorOfStructs(requests);
