--- a/sequoiausher/coordination/admission/reserver.cpp
+++ b/sequoiausher/coordination/admission/reserver.cpp
@@ -247,8 +247,9 @@
     const bool mayRedirect = !moved.redirected && named != moved.route.owner && !this->isUnreachable(now, named);
     if (mayRedirect) {
         moved.redirected = true;
-        // What goes wrong without it: the question was sent twice, the second one finds the shard's owner where the first
-        // did not, and a place is granted that nobody takes. It shows as a target that counts one too many for seconds.
+        // What goes wrong without it: the question was sent twice, the second one finds the shard's owner where the
+        // first did not, and a place is granted that nobody takes. It shows as a target that counts one too many for
+        // seconds.
         this->giveUp(moved, outbox);
         this->askOwner(now, moved, ShardRoute{moved.route.shard, named}, outbox);
         return;
--- a/sequoiausher/transport/router/nodeprivate.h
+++ b/sequoiausher/transport/router/nodeprivate.h
@@ -1,7 +1,8 @@
 #pragma once
 
 // The inside of Node, for its own sources alone: node.cpp has what workers and the daemon call, nodeprivate.cpp the
-// ticks and the messages, nodeconfiguration.cpp how a configuration is read and put in force.
+// ticks, nodemessages.cpp which decision each message is for, nodeconfiguration.cpp how a configuration is read and put
+// in force.
 //
 //     this->d->deliver(std::move(outbox));
 
