Leave the queues' lock to the workers where no reservation was answered

Cause: found on reading the whole change: queuesGranted runs with each tick, nearly always without a result, and took the queues' lock and the clock all the same, which workers take for each request. Change: it returns at once then, and looks at a refused result once, not once for each queue. No behaviour changes.

--- a/sequoiausher/transport/router/nodeprivate.cpp
+++ b/sequoiausher/transport/router/nodeprivate.cpp
@@ -172,17 +172,22 @@
     }
 }
 
+// Each tick comes by here, nearly always without a result: the queues' lock is then left to the workers.
 void Node::Private::queuesGranted(const std::vector<ReserveResult> &results)
 {
+    if (results.empty()) {
+        return;
+    }
     const Millis now = Millis::monotonicNow();
     std::vector<QueueAction> actions;
     {
         const std::scoped_lock lock(this->limitsMutex);
         for (const ReserveResult &result : results) {
+            if (result.target.empty()) {
+                continue;
+            }
             for (const auto &entry : this->queues) {
-                if (!result.target.empty()) {
-                    entry.second->granted(now, result.request, actions);
-                }
+                entry.second->granted(now, result.request, actions);
             }
         }
     }
