--- /dev/null
+++ b/sequoiausher/transport/gateway/gatewaynodetest.cpp
@@ -0,0 +1,351 @@
+#include "sequoiausher/transport/gateway/gatewaynode.h"
+
+#include "sequoiausher/transport/gateway/gatewaytestbed.h"
+
+#include <QTimer>
+
+#include <doctest/doctest.h>
+
+using namespace Sequoiausher;
+
+namespace {
+
+std::string events(int from, int to)
+{
+    std::string text;
+    for (int id = from; id <= to; ++id) {
+        text += "id: " + std::to_string(id) + "\ndata: x\n\n";
+    }
+    return text;
+}
+
+/** Sends events from the one after the request's last on; stops before the end where last is less than whole. */
+void stream(const FakeRequest &request, int last, int whole)
+{
+    const std::string after = request.header("X-After");
+    request.beginEvents();
+    for (int id = after.empty() ? 1 : std::stoi(after) + 1; id <= last; ++id) {
+        request.event(id);
+    }
+    if (last == whole) {
+        request.endEvents();
+    }
+}
+
+struct Bed : GatewayTestbed
+{
+    Bed()
+    {
+        this->publish(configuration());
+    }
+};
+
+} // namespace
+
+TEST_CASE("a request goes to its route's service, with the organisation in place of the key")
+{
+    Bed bed;
+    FakeServer &target = bed.addTarget("t1", "desk");
+    target.answers = [](FakeRequest &request) { request.reply("200 OK", "plate"); };
+    bed.start();
+    const CallerReply reply = bed.call("POST", "/desk/1", "Content-Length: 0\r\n");
+    CHECK(reply.status == 200);
+    CHECK(reply.body == "plate");
+    REQUIRE(target.seen.size() == 1);
+    CHECK(target.seen[0].header("X-Organisation") == "garage");
+    CHECK(target.seen[0].header("X-Target") == "t1");
+    CHECK(target.seen[0].head.headers.has("X-Key") == false);
+    CHECK(bed.logged.str().find("request=id-1 outcome=complete status=200") != std::string::npos);
+}
+
+TEST_CASE("what is not allowed is refused, each in its way, and nothing reaches a target")
+{
+    Bed bed;
+    FakeServer &target = bed.addTarget("t1", "desk");
+    bed.start();
+    CHECK(bed.call("GET", "/nowhere/1").status == 404);
+    FakeCaller stranger(bed.address());
+    stranger.send("GET /desk/1 HTTP/1.1\r\nHost: x\r\nX-Id: i\r\nX-Key: other\r\n\r\n");
+    CHECK(GatewayTestbed::waitFor([&] { return stranger.reply.isWhole; }));
+    CHECK(stranger.reply.status == 401);
+    CHECK(bed.call("GET", "/talk/1").status == 503);
+    FakeCaller smuggler(bed.address());
+    smuggler.send(
+        "POST /desk/1 HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    CHECK(GatewayTestbed::waitFor([&] { return smuggler.reply.hasEnded; }));
+    CHECK(smuggler.reply.status == 400);
+    CHECK(target.seen.empty());
+}
+
+// Symptom: two plates with one registration. Events: a target takes a job and its connection breaks before the answer.
+// Cause: the job was sent again, or its caller was told that it had not run.
+TEST_CASE("a job whose fate is unknown is neither sent again nor called not run")
+{
+    Bed bed;
+    FakeServer &one = bed.addTarget("t1", "desk");
+    FakeServer &two = bed.addTarget("t2", "desk");
+    for (FakeServer *target : {&one, &two}) {
+        target->answers = [](FakeRequest &request) { request.reset(); };
+    }
+    bed.start();
+    CHECK(bed.call("POST", "/pair/1", "Content-Length: 0\r\n").status == 502);
+    CHECK(one.seen.size() + two.seen.size() == 1);
+    SUBCASE("while one that may run twice goes to the other target")
+    {
+        for (FakeServer *target : {&one, &two}) {
+            target->answers = [count = 0, &one, &two](FakeRequest &request) mutable {
+                count += 1;
+                if (one.seen.size() + two.seen.size() == 2) {
+                    request.reset();
+                } else {
+                    request.reply("200 OK", "ok");
+                }
+            };
+        }
+        CHECK(bed.call("GET", "/look/1").status == 200);
+        CHECK(one.seen.size() + two.seen.size() == 3);
+    }
+}
+
+TEST_CASE("a target that says it did not run the job leaves it to another one, as often as the route allows")
+{
+    Bed bed;
+    FakeServer &one = bed.addTarget("t1", "desk");
+    FakeServer &two = bed.addTarget("t2", "desk");
+    for (FakeServer *target : {&one, &two}) {
+        target->answers = [](FakeRequest &request) { request.reply("503 Full", "", "X-Not-Run: 1\r\n"); };
+    }
+    bed.start();
+    const CallerReply reply = bed.call("POST", "/desk/1", "Content-Length: 0\r\n");
+    CHECK(reply.status == 503);
+    CHECK(reply.head.headers.has("Retry-After"));
+    CHECK(one.seen.size() + two.seen.size() == 1);
+    CHECK(bed.call("POST", "/pair/1", "Content-Length: 0\r\n").status == 503);
+    CHECK(one.seen.size() + two.seen.size() == 3);
+}
+
+TEST_CASE("a target's own 503 without that word is not passed on as a promise")
+{
+    Bed bed;
+    bed.addTarget("t1", "desk").answers = [](FakeRequest &request) { request.reply("503 Down", ""); };
+    bed.start();
+    CHECK(bed.call("POST", "/desk/1", "Content-Length: 0\r\n").status == 502);
+}
+
+// Symptom: a caller got another caller's answer. Events: a target answers a request late, and its late answer arrives
+// where the next request on the connection waits. Cause: the first answer on a connection was taken for the one asked
+// for.
+TEST_CASE("an answer to another request reaches nobody")
+{
+    Bed bed;
+    FakeServer &target = bed.addTarget("t1", "desk");
+    target.answers = [](FakeRequest &request) {
+        request.send("HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Signed: yes\r\nContent-Length: 6\r\n\r\nsecret");
+    };
+    bed.start();
+    const CallerReply reply = bed.call("POST", "/desk/1", "Content-Length: 0\r\n");
+    CHECK(reply.status == 502);
+    CHECK(reply.body.find("secret") == std::string::npos);
+    SUBCASE("nor does one that comes unasked: its connection is not used again")
+    {
+        target.answers = [](FakeRequest &request) {
+            request.reply("200 OK", "mine");
+            request.send("HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Signed: yes\r\nContent-Length: 6\r\n\r\nsecret");
+        };
+        CHECK(bed.call("POST", "/desk/1", "Content-Length: 0\r\n").body == "mine");
+        const std::size_t before = target.connections;
+        CHECK(bed.call("POST", "/desk/1", "Content-Length: 0\r\n").body == "mine");
+        CHECK(target.connections == before + 1);
+    }
+}
+
+// Symptom: half a registration was taken for a whole one. Events: a target's answer has no length and ends with its
+// connection, which is reset on the way. Cause: a reset was taken for the end.
+TEST_CASE("an answer without a length is whole only where its connection was closed in order")
+{
+    Bed bed;
+    FakeServer &target = bed.addTarget("t1", "desk");
+    bool resets = false;
+    target.answers = [&resets](FakeRequest &request) {
+        request.send("HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Signed: yes\r\nConnection: close\r\n\r\nhalf");
+        QTimer::singleShot(50, [request, resets] { resets ? request.reset() : request.close(); });
+    };
+    bed.start();
+    CHECK(bed.call("POST", "/desk/1", "Content-Length: 0\r\n").body == "half");
+    resets = true;
+    CHECK(bed.call("POST", "/desk/1", "Content-Length: 0\r\n").status == 502);
+}
+
+// Symptom: a dealer's stream stopped in the middle. Events: the engine dies after event 2, in the middle of event 3.
+// Cause: nobody went on where it stopped.
+TEST_CASE("a stream that may resume goes on at another target within one answer")
+{
+    Bed bed;
+    FakeServer &one = bed.addTarget("t1", "llm");
+    FakeServer &two = bed.addTarget("t2", "llm");
+    for (FakeServer *target : {&one, &two}) {
+        target->answers = [&one, &two](FakeRequest &request) {
+            const bool isFirst = one.seen.size() + two.seen.size() == 1;
+            stream(request, isFirst ? 2 : 5, 5);
+            if (isFirst) {
+                request.send("8\r\nid: 3\nda\r\n");
+                QTimer::singleShot(20, [request] { request.reset(); });
+            }
+        };
+    }
+    bed.start();
+    const CallerReply reply = bed.call("POST", "/talk/1", "Content-Length: 0\r\n");
+    CHECK(reply.status == 200);
+    CHECK(reply.isWhole);
+    CHECK(reply.body == events(1, 5));
+    REQUIRE(one.seen.size() + two.seen.size() == 2);
+    CHECK((one.seen.empty()       ? two.seen.back()
+               : two.seen.empty() ? one.seen.back()
+                                  : two.seen.back())
+              .header("X-Id")
+          == "id-1");
+}
+
+TEST_CASE("a stream that runs at most once is cut off where its target broke, and does not look whole")
+{
+    Bed bed;
+    FakeServer &one = bed.addTarget("t1", "llm");
+    bed.addTarget("t2", "llm").answers = [](FakeRequest &request) { stream(request, 5, 5); };
+    one.answers = [](FakeRequest &request) {
+        stream(request, 2, 5);
+        QTimer::singleShot(20, [request] { request.reset(); });
+    };
+    bed.targets["t2"]->answers = one.answers;
+    bed.start();
+    const CallerReply reply = bed.call("POST", "/once/1", "Content-Length: 0\r\n");
+    CHECK(reply.body == events(1, 2));
+    CHECK_FALSE(reply.isWhole);
+    CHECK(reply.hasEnded);
+    CHECK(one.seen.size() + bed.targets["t2"]->seen.size() == 1);
+}
+
+// Symptom: engines were busy with answers that nobody waited for. Events: a caller leaves in the middle of a stream.
+// Cause: the target was left to finish.
+TEST_CASE("a target stops when its caller leaves")
+{
+    Bed bed;
+    FakeServer &target = bed.addTarget("t1", "llm");
+    target.answers = [](FakeRequest &request) { stream(request, 2, 5); };
+    bed.start();
+    FakeCaller caller(bed.address());
+    caller.send(bed.request("POST", "/talk/1", "Content-Length: 0\r\n"));
+    REQUIRE(GatewayTestbed::waitFor([&] { return caller.reply.body == events(1, 2); }));
+    caller.close();
+    CHECK(GatewayTestbed::waitFor([&] { return target.closed == 1; }, Millis{500}));
+}
+
+TEST_CASE("a request gets its final answer at the route's time, and says what is known")
+{
+    Bed bed;
+    bed.addTarget("t1", "desk").answers = [](FakeRequest & /*request*/) {};
+    bed.start();
+    const Millis begun = Millis::monotonicNow();
+    CHECK(bed.call("POST", "/desk/1", "Content-Length: 0\r\n").status == 504);
+    const Millis taken = Millis::monotonicNow() - begun;
+    CHECK(taken >= Millis{900});
+    CHECK(taken < Millis{1400});
+    CHECK(std::stoi(bed.targets["t1"]->seen[0].header("X-Left")) <= 1000);
+}
+
+// Symptom: a caller waited out its time although another target was free. Events: a target takes the request and is
+// dead. Cause: silence was waited for.
+TEST_CASE("a request that may run twice does not wait for a dead target")
+{
+    Bed bed;
+    FakeServer &one = bed.addTarget("t1", "desk");
+    FakeServer &two = bed.addTarget("t2", "desk");
+    for (FakeServer *target : {&one, &two}) {
+        target->answers = [&one, &two](FakeRequest &request) {
+            if (one.seen.size() + two.seen.size() == 2) {
+                request.reply("200 OK", "ok");
+            }
+        };
+    }
+    bed.start();
+    CHECK(bed.call("GET", "/look/1").body == "ok");
+}
+
+// Symptom: a key that had been taken away opened a route. Events: the store falls silent for one gateway, and keys are
+// taken away meanwhile. Cause: the gateway went on by what it knew, however old.
+TEST_CASE("keys that nobody vouches for any more open nothing")
+{
+    Bed bed;
+    bed.settings.keyFreshness = Millis{600};
+    FakeServer &target = bed.addTarget("t1", "desk");
+    target.answers = [](FakeRequest &request) { request.reply("200 OK", "ok"); };
+    bed.start();
+    CHECK(bed.call("GET", "/look/1").status == 200);
+    bed.isStoreSilent = true;
+    CHECK(GatewayTestbed::waitFor([&] { return !bed.node->isReady(); }));
+    GatewayTestbed::waitFor([] { return false; }, Millis{500});
+    const std::size_t before = target.seen.size();
+    const CallerReply reply = bed.call("GET", "/look/1");
+    CHECK(reply.status == 503);
+    CHECK(reply.head.headers.has("Retry-After"));
+    CHECK(target.seen.size() == before);
+    bed.isStoreSilent = false;
+    CHECK(GatewayTestbed::waitFor([&] { return bed.node->isReady(); }));
+    CHECK(bed.call("GET", "/look/1").status == 200);
+}
+
+TEST_CASE("a newer configuration is in force at once, an older one never again")
+{
+    Bed bed;
+    FakeServer &target = bed.addTarget("t1", "desk");
+    target.answers = [](FakeRequest &request) { request.reply("200 OK", "ok"); };
+    bed.start();
+    bed.publish("5\nroute /look/ idempotent 0 2 1000 desk\nkey garage k2\n");
+    CHECK(GatewayTestbed::waitFor([&] { return bed.call("GET", "/look/1").status == 401; }));
+    bed.publish(GatewayTestbed::configuration(4));
+    GatewayTestbed::waitFor([] { return false; }, Millis{300});
+    CHECK(bed.call("GET", "/look/1").status != 200);
+    bed.publish("9\nnonsense");
+    GatewayTestbed::waitFor([] { return false; }, Millis{300});
+    CHECK(bed.logged.str().find("the last good configuration stays in force") != std::string::npos);
+}
+
+TEST_CASE("a target that left gets nothing more")
+{
+    Bed bed;
+    FakeServer &one = bed.addTarget("t1", "desk");
+    FakeServer &two = bed.addTarget("t2", "desk");
+    one.answers = two.answers = [](FakeRequest &request) { request.reply("200 OK", "ok"); };
+    bed.start();
+    bed.removeTarget("t1");
+    GatewayTestbed::waitFor([] { return false; }, Millis{200});
+    const std::size_t before = one.seen.size();
+    for (int i = 0; i < 20; ++i) {
+        CHECK(bed.call("GET", "/look/1").status == 200);
+    }
+    CHECK(one.seen.size() == before);
+}
+
+// Symptom: callers lost answers at each replacement of a gateway. Events: SIGTERM while a request runs; another one
+// comes on a kept connection. Cause: the process closed its connections and left.
+TEST_CASE("a planned stop answers what was read, takes no new work after it, and ends")
+{
+    Bed bed;
+    FakeServer &target = bed.addTarget("t1", "desk");
+    target.answers
+        = [](FakeRequest &request) { QTimer::singleShot(300, [request] { request.reply("200 OK", "late"); }); };
+    bed.start();
+    FakeCaller running(bed.address());
+    FakeCaller kept(bed.address());
+    kept.send(bed.request("GET", "/nowhere/"));
+    REQUIRE(GatewayTestbed::waitFor([&] { return kept.reply.isWhole; }));
+    running.send(bed.request("POST", "/desk/1", "Content-Length: 0\r\n"));
+    REQUIRE(GatewayTestbed::waitFor([&] { return target.seen.size() == 1; }));
+    bed.node->stop();
+    CHECK_FALSE(bed.node->isReady());
+    kept.send(bed.request("GET", "/look/1"));
+    CHECK(GatewayTestbed::waitFor([&] { return running.reply.isWhole && kept.reply.isWhole; }));
+    CHECK(running.reply.body == "late");
+    CHECK(kept.reply.status == 200);
+    CHECK_FALSE(kept.reply.head.keepAlive);
+    CHECK(GatewayTestbed::waitFor([&] { return bed.isStopped; }));
+}
--- /dev/null
+++ b/sequoiausher/transport/gateway/gatewaytestbed.cpp
@@ -0,0 +1,418 @@
+#include "sequoiausher/transport/gateway/gatewaytestbed.h"
+
+#include "sequoiausher/base/error.h"
+#include "sequoiausher/transport/http/testloop.h"
+
+#include <QTimer>
+
+#include <sys/socket.h>
+
+namespace Sequoiausher {
+
+namespace {
+
+constexpr const char *signatureField = "X-Signed: yes\r\n";
+
+/** A dialect of the test's own: text lines in the store, fields that begin with X-. */
+class TestDialect : public GatewayDialect
+{
+public:
+    CallerRequest readRequest(const HttpHead &head) const override
+    {
+        CallerRequest request;
+        request.host = std::string(head.headers.value("Host"));
+        request.attemptId = std::string(head.headers.value("X-Id"));
+        request.key = std::string(head.headers.value("X-Key"));
+        request.lastEventId = std::string(head.headers.value("X-After"));
+        if (head.headers.has("X-Left")) {
+            request.timeLeft = Millis{std::stoll(std::string(head.headers.value("X-Left")))};
+        }
+        return request;
+    }
+    std::string
+    targetRequestHead(const HttpHead &head, const CallerRequest &request, const TargetOrder &order) const override
+    {
+        return head.method + " " + head.target + " HTTP/1.1\r\nX-Id: " + request.attemptId
+            + "\r\nX-Target: " + order.target.value + "\r\nX-Left: " + std::to_string(order.timeLeft.count)
+            + "\r\nX-Organisation: " + order.organisation.value + "\r\nX-After: " + order.lastEventId
+            + "\r\nContent-Length: " + std::to_string(order.bodyBytes) + "\r\n\r\n";
+    }
+    TargetAnswer readAnswer(const HttpHead &head) const override
+    {
+        TargetAnswer answer;
+        answer.status = head.status;
+        answer.didNotRun = head.headers.has("X-Not-Run");
+        answer.isMisdirected = head.status == 421;
+        answer.isSigned = head.headers.has("X-Signed");
+        answer.attemptId = std::string(head.headers.value("X-Id"));
+        answer.isEventStream = head.headers.value("Content-Type") == "text/event-stream";
+        return answer;
+    }
+    std::string passedOnFields(const HttpHead &answer) const override
+    {
+        return "X-Id: " + std::string(answer.headers.value("X-Id")) + "\r\n" + signatureField;
+    }
+    std::string attemptField(const CallerRequest &request) const override
+    {
+        return "X-Id: " + request.attemptId + "\r\n";
+    }
+    std::string configurationCall() const override
+    {
+        return "/configuration";
+    }
+    StoredConfiguration readConfigurationAnswer(int /*status*/, const std::string &body) const override
+    {
+        std::istringstream lines(body);
+        StoredConfiguration stored;
+        lines >> stored.storeRevision >> stored.changedAt;
+        lines.ignore();
+        stored.raw = std::string(std::istreambuf_iterator<char>(lines), {});
+        return stored;
+    }
+    std::string targetsCall(const std::string & /*next*/) const override
+    {
+        return "/targets";
+    }
+    StoredTargets readTargetsAnswer(const std::string &body) const override
+    {
+        std::istringstream lines(body);
+        StoredTargets stored;
+        lines >> stored.storeRevision;
+        GatewayTarget target;
+        while (lines >> target.id.value >> target.service.value >> target.address) {
+            stored.targets.push_back(target);
+        }
+        return stored;
+    }
+    std::string watchCall(Revision after, Millis /*wait*/) const override
+    {
+        return "/watch/" + std::to_string(after);
+    }
+    StoreEvents readWatchAnswer(const std::string &body) const override
+    {
+        StoreEvents events;
+        events.storeRevision = std::stoull(body);
+        return events;
+    }
+    bool isHistoryGone(int status) const override
+    {
+        return status == 410;
+    }
+    GatewayConfiguration readConfiguration(const std::string &raw) const override
+    {
+        GatewayConfiguration configuration;
+        std::istringstream lines(raw);
+        lines >> configuration.revision;
+        std::string word;
+        while (lines >> word) {
+            if (word == "route") {
+                GatewayRoute route;
+                std::string kind;
+                std::string service;
+                std::int64_t timeout = 0;
+                lines >> route.pathPrefix >> kind >> route.isResumable >> route.mostTargets >> timeout >> service;
+                route.name = route.pathPrefix;
+                route.host = "x";
+                route.kind = parseName<RouteKind>(kind).value_or(RouteKind::AtMostOnce);
+                route.timeout = Millis{timeout};
+                route.latencyAim = Millis{300};
+                route.services = {{PoolId{service}, 1}};
+                configuration.routes.push_back(route);
+            } else if (word == "key") {
+                GatewayOrganisation organisation;
+                organisation.keys.emplace_back();
+                lines >> organisation.name.value >> organisation.keys.back();
+                configuration.organisations.push_back(organisation);
+            } else {
+                throw Error(Step::Decode, "configuration", "unknown word " + word);
+            }
+        }
+        return configuration;
+    }
+    std::string readinessPath() const override
+    {
+        return "/ready";
+    }
+};
+
+} // namespace
+
+std::string FakeRequest::header(const std::string &name) const
+{
+    return std::string(this->head.headers.value(name));
+}
+
+void FakeRequest::send(const std::string &bytes) const
+{
+    this->connection->stream->write(bytes);
+}
+
+void FakeRequest::reply(const std::string &status, const std::string &content, const std::string &fields) const
+{
+    this->send("HTTP/1.1 " + status + "\r\nX-Id: " + this->header("X-Id") + "\r\n" + signatureField + fields
+               + "Content-Length: " + std::to_string(content.size()) + "\r\n\r\n" + content);
+}
+
+void FakeRequest::beginEvents() const
+{
+    this->send("HTTP/1.1 200 OK\r\nX-Id: " + this->header("X-Id") + "\r\n" + signatureField
+               + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+}
+
+void FakeRequest::event(int id) const
+{
+    const std::string event = "id: " + std::to_string(id) + "\ndata: x\n\n";
+    std::ostringstream chunk;
+    chunk << std::hex << event.size() << "\r\n" << event << "\r\n";
+    this->send(chunk.str());
+}
+
+void FakeRequest::endEvents() const
+{
+    this->send("0\r\n\r\n");
+}
+
+void FakeRequest::close() const
+{
+    this->connection->stream->closeGently();
+}
+
+void FakeRequest::reset() const
+{
+    const linger now{1, 0};
+    setsockopt(this->connection->descriptor, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    this->connection->stream->close();
+}
+
+FakeServer::FakeServer()
+    : listener(std::make_unique<StreamListener>("127.0.0.1:0", [this](int descriptor) {
+        this->connections += 1;
+        this->open.push_back(std::make_shared<FakeConnection>(*this, descriptor));
+    }))
+{
+}
+
+FakeServer::~FakeServer()
+{
+    // A test's requests may hold their connections longer than this server lives.
+    for (const auto &connection : this->open) {
+        connection->server = nullptr;
+        connection->stream->forgetUser();
+        connection->stream->close();
+    }
+}
+
+std::string FakeServer::address() const
+{
+    return "127.0.0.1:" + std::to_string(this->listener->port());
+}
+
+FakeConnection::FakeConnection(FakeServer &to, int at)
+    : server(&to)
+    , descriptor(at)
+    , stream(ByteStream::adopt(at, this))
+    , reader(HttpReader::Kind::Request, {})
+{
+}
+
+FakeConnection::~FakeConnection()
+{
+    this->stream->forgetUser();
+}
+
+void FakeConnection::bytesArrived()
+{
+    this->reader.read(this->stream->input());
+    while (this->server != nullptr && this->reader.isComplete()) {
+        for (const auto &held : this->server->open) {
+            if (held.get() == this) {
+                this->server->seen.push_back({held, this->reader.head(), this->reader.takeBody()});
+            }
+        }
+        this->reader.restart();
+        FakeRequest request = this->server->seen.back();
+        if (this->server->answers) {
+            this->server->answers(request);
+        }
+        this->reader.read(this->stream->input());
+    }
+}
+
+void FakeConnection::ended(StreamEnd /*how*/)
+{
+    if (this->server != nullptr) {
+        this->server->closed += 1;
+    }
+}
+
+FakeCaller::FakeCaller(const std::string &address)
+    : stream(ByteStream::dial(address, this))
+    , reader(HttpReader::Kind::Answer, {65536, 1UL << 30U})
+{
+}
+
+FakeCaller::~FakeCaller()
+{
+    this->stream->forgetUser();
+    this->stream->close();
+}
+
+void FakeCaller::send(const std::string &bytes)
+{
+    this->reply = CallerReply();
+    this->reader.restart();
+    this->stream->write(bytes);
+}
+
+void FakeCaller::close()
+{
+    this->stream->forgetUser();
+    this->stream->close();
+}
+
+void FakeCaller::bytesArrived()
+{
+    this->reader.read(this->stream->input());
+    this->reply.body += this->reader.takeBody();
+    this->reply.head = this->reader.head();
+    this->reply.status = this->reader.head().status;
+    this->reply.isWhole = this->reader.isComplete();
+}
+
+void FakeCaller::ended(StreamEnd how)
+{
+    this->reply.end = how;
+    this->reply.hasEnded = true;
+}
+
+GatewayTestbed::GatewayTestbed() : application(Internal::testApplication()), dialect(std::make_unique<TestDialect>())
+{
+    this->settings.name.value = "g1";
+    this->settings.dataCentre.value = "a";
+    this->settings.store.address = this->store.address();
+    this->settings.store.watchTime = Millis{300};
+    this->settings.store.watchDelay = Millis{200};
+    this->settings.store.callTimeout = Millis{200};
+    this->settings.store.proofInterval = Millis{50};
+    this->settings.repeats = {0.2, 100, Millis{10000}};
+    this->settings.stop = {Millis{2000}, Millis{100}};
+    // Ports that are free now: a listener takes one and lets it go.
+    const auto freeAddress = [] {
+        const StreamListener listener("127.0.0.1:0", [](int) {});
+        return "127.0.0.1:" + std::to_string(listener.port());
+    };
+    this->settings.address = freeAddress();
+    this->settings.readyAddress = freeAddress();
+    this->settings.peerAddress = freeAddress();
+    this->store.answers = [this](FakeRequest &request) { this->answerStore(request); };
+    this->log = std::make_unique<Log>(LogSettings(), this->logged, &Millis::wallNow);
+}
+
+GatewayTestbed::~GatewayTestbed()
+{
+    this->node.reset();
+}
+
+std::string GatewayTestbed::configuration(int revision)
+{
+    return std::to_string(revision)
+        + "\nroute /desk/ at-most-once 0 1 1000 desk\nroute /pair/ at-most-once 0 2 1000 desk\n"
+          "route /look/ idempotent 0 2 1000 desk\nroute /talk/ stream 1 2 3000 llm\nroute /once/ stream 0 1 3000 llm\n"
+          "key garage k1\n";
+}
+
+void GatewayTestbed::publish(const std::string &configuration)
+{
+    this->stored = configuration;
+    this->changed();
+}
+
+void GatewayTestbed::changed()
+{
+    this->revision += 1;
+    // The whole list again: a watch whose history is gone is answered so.
+    const auto waiting = std::move(this->watches);
+    this->watches.clear();
+    for (const auto &[after, request] : waiting) {
+        request.reply("410 Gone", "");
+    }
+}
+
+FakeServer &GatewayTestbed::addTarget(const std::string &name, const std::string &service)
+{
+    this->targets[name] = std::make_unique<FakeServer>();
+    this->services[name] = service;
+    this->changed();
+    return *this->targets[name];
+}
+
+void GatewayTestbed::removeTarget(const std::string &name)
+{
+    this->services.erase(name);
+    this->changed();
+}
+
+std::string GatewayTestbed::targetsText() const
+{
+    std::string text = std::to_string(this->revision) + "\n";
+    for (const auto &[name, service] : this->services) {
+        text += name + " " + service + " " + this->targets.at(name)->address() + "\n";
+    }
+    return text;
+}
+
+void GatewayTestbed::answerStore(FakeRequest &request)
+{
+    if (this->isStoreSilent) {
+        return;
+    }
+    if (request.head.target == "/configuration") {
+        const std::string number = std::to_string(this->revision);
+        request.reply(this->stored.empty() ? "404 Not Found" : "200 OK", number + " " + number + "\n" + this->stored);
+    } else if (request.head.target == "/targets") {
+        request.reply("200 OK", this->targetsText());
+    } else {
+        this->watches.emplace_back(this->revision, request);
+        QTimer::singleShot(static_cast<int>(this->settings.store.watchTime.count),
+                           [this, request, at = this->revision] {
+                               if (at == this->revision && !this->isStoreSilent) {
+                                   request.reply("200 OK", std::to_string(at));
+                               }
+                           });
+    }
+}
+
+void GatewayTestbed::start()
+{
+    this->node
+        = std::make_unique<GatewayNode>(*this->dialect, this->settings, *this->log, [this] { this->isStopped = true; });
+    this->node->start();
+    if (!this->stored.empty() && !waitFor([this] { return this->node->isReady(); })) {
+        throw Error(Step::Report, "gateway", "it is not ready:\n" + this->logged.str());
+    }
+}
+
+std::string GatewayTestbed::address() const
+{
+    return this->settings.address;
+}
+
+std::string GatewayTestbed::request(const std::string &method, const std::string &path, const std::string &fields) const
+{
+    return method + " " + path + " HTTP/1.1\r\nHost: x\r\nX-Id: id-1\r\nX-Key: k1\r\n" + fields + "\r\n";
+}
+
+CallerReply GatewayTestbed::call(const std::string &method, const std::string &path, const std::string &fields)
+{
+    FakeCaller caller(this->address());
+    caller.send(this->request(method, path, fields));
+    waitFor([&caller] { return caller.reply.isWhole || caller.reply.hasEnded; });
+    return caller.reply;
+}
+
+bool GatewayTestbed::waitFor(const std::function<bool()> &done, Millis time)
+{
+    return Internal::runUntil(done, static_cast<int>(time.count));
+}
+
+} // namespace Sequoiausher
