--- /dev/null
+++ b/sequoiausher/cli/explainrequestcommand.h
@@ -0,0 +1,18 @@
+#pragma once
+
+// `sequoiausher explain-request ID`: what became of one request, from the log lines on standard input.
+
+#include "sequoiausher/cli/commandline.h"
+
+namespace Sequoiausher {
+
+/** The subcommand. */
+class ExplainRequestCommand : public Command
+{
+public:
+    CommandHelp help() const override;
+    void addOptions(cxxopts::Options &options) const override;
+    ExitCode run(const cxxopts::ParseResult &options, std::ostream &out, std::ostream &err) const override;
+};
+
+} // namespace Sequoiausher
--- a/sequoiausher/cli/main.cpp
+++ b/sequoiausher/cli/main.cpp
@@ -4,6 +4,7 @@
 #include "sequoiausher/cli/commandline.h"
 #include "sequoiausher/cli/draincommand.h"
 #include "sequoiausher/cli/explaincommand.h"
+#include "sequoiausher/cli/explainrequestcommand.h"
 #include "sequoiausher/cli/gatewaycommand.h"
 #include "sequoiausher/cli/reportcommand.h"
 #include "sequoiausher/cli/routercommand.h"
@@ -21,6 +22,7 @@
         line.add(std::make_unique<CheckCommand>());
         line.add(std::make_unique<DrainCommand>());
         line.add(std::make_unique<ExplainCommand>());
+        line.add(std::make_unique<ExplainRequestCommand>());
         line.add(std::make_unique<GatewayCommand>(makePlatformDialect()));
         line.add(std::make_unique<ReportCommand>());
         line.add(std::make_unique<RouterCommand>());
--- a/sequoiausher/coordination/gateway/partdirectory.cpp
+++ b/sequoiausher/coordination/gateway/partdirectory.cpp
@@ -1,7 +1,9 @@
 #include "sequoiausher/coordination/gateway/partdirectory.h"
 
 #include <algorithm>
+#include <deque>
 #include <list>
+#include <map>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -14,6 +16,16 @@
 constexpr std::int64_t retellParts = 4;
 /** The most placements in one report; the rest waits for the next. */
 constexpr std::size_t mostNews = 256;
+/** News that are kept for peers that ask rarely; older ones are told again when they are a quarter of their life old.
+ */
+constexpr std::size_t keptNews = 2048;
+
+struct NewsItem
+{
+    GatewayPlacement placement;
+    InstanceId from;
+    NewsScope scope = NewsScope::Own;
+};
 
 struct Holder
 {
@@ -73,7 +85,20 @@
     /** The part that was asked for last stands first. */
     Order order;
     std::unordered_map<std::uint64_t, Order::iterator> places;
-    std::vector<GatewayPlacement> news;
+    void tell(NewsItem item)
+    {
+        this->news.push_back(std::move(item));
+        if (this->news.size() > keptNews) {
+            this->news.pop_front();
+            this->firstNews += 1;
+        }
+    }
+
+    std::deque<NewsItem> news;
+    /** The number of the oldest item in news. */
+    std::uint64_t firstNews = 0;
+    /** The number of the next item for each peer. */
+    std::map<InstanceId, std::uint64_t> nextFor;
 };
 
 PartDirectory::PartDirectory(const PartDirectorySettings &settings) : d(std::make_unique<Private>())
@@ -90,16 +115,23 @@
     const bool isNews = !holder.toldAt || now - *holder.toldAt > this->d->settings.life / retellParts;
     if (isNews) {
         holder.toldAt = now;
-        this->d->news.push_back({part, target});
+        this->d->tell({{part, target}, {}, NewsScope::Own});
     }
 }
 
-void PartDirectory::heard(std::uint64_t part, const TargetId &target, Millis now)
+void PartDirectory::heard(const InstanceId &peer,
+                          std::uint64_t part,
+                          const TargetId &target,
+                          Millis now,
+                          NewsScope isPassedOn)
 {
     Holder &holder = this->d->holderOf(this->d->touch(part), target, now);
     holder.usedAt = now;
-    // Whoever told this told everybody.
+    // Whoever told this told everybody, or this gateway does.
     holder.toldAt = now;
+    if (isPassedOn != NewsScope::Own) {
+        this->d->tell({{part, target}, peer, isPassedOn});
+    }
 }
 
 void PartDirectory::dropped(std::uint64_t part, const TargetId &target)
@@ -125,16 +157,18 @@
     return targets;
 }
 
-std::vector<GatewayPlacement> PartDirectory::takeNews()
+std::vector<GatewayPlacement> PartDirectory::newsFor(const InstanceId &peer, NewsScope scope)
 {
     std::vector<GatewayPlacement> told;
-    if (this->d->news.size() <= mostNews) {
-        told.swap(this->d->news);
-        return told;
+    std::uint64_t &next = this->d->nextFor[peer];
+    next = std::max(next, this->d->firstNews);
+    while (next < this->d->firstNews + this->d->news.size() && told.size() < mostNews) {
+        const NewsItem &item = this->d->news[next - this->d->firstNews];
+        next += 1;
+        if (item.scope <= scope && item.from != peer) {
+            told.push_back(item.placement);
+        }
     }
-    const auto rest = this->d->news.begin() + mostNews;
-    told.assign(this->d->news.begin(), rest);
-    this->d->news.erase(this->d->news.begin(), rest);
     return told;
 }
 
--- a/sequoiausher/coordination/gateway/partdirectory.h
+++ b/sequoiausher/coordination/gateway/partdirectory.h
@@ -8,7 +8,7 @@
 //     directory.sent(part, target, now);                 // by this gateway
 //     directory.heard(part, target, now);                // by a peer
 //     for (const TargetId &target : directory.holders(part, now)) { ... }
-//     report.placements = directory.takeNews();
+//     report.placements = directory.newsFor(peer, NewsScope::All);
 
 #include "sequoiausher/base/identifiers.h"
 #include "sequoiausher/base/millis.h"
@@ -20,6 +20,16 @@
 
 namespace Sequoiausher {
 
+/** To whom news that was heard goes on. */
+enum class NewsScope {
+    /** To nobody: whoever told it told everybody. */
+    Own,
+    /** A hub tells the other hubs what its own gateways told it. */
+    Group,
+    /** A hub tells its gateways everything. */
+    All,
+};
+
 /** Bounds of the directory. */
 struct PartDirectorySettings
 {
@@ -27,8 +37,8 @@
     Millis life{60000};
     /** Parts that are remembered, some 150 bytes each; beyond them the one asked for longest ago goes. */
     std::size_t mostParts = 20000;
-    /** Targets that are remembered for each part. */
-    std::size_t mostHolders = 4;
+    /** Targets that are remembered for each part: over so many a part in heavy use spreads. */
+    std::size_t mostHolders = 6;
 };
 
 /** The directory. Not thread-safe. */
@@ -40,16 +50,20 @@
 
     /** This gateway sends a request with the part to the target. */
     void sent(std::uint64_t part, const TargetId &target, Millis now);
-    /** A peer did. */
-    void heard(std::uint64_t part, const TargetId &target, Millis now);
+    /** A peer did. @param isPassedOn by hubs: others are told of it too. */
+    void heard(const InstanceId &peer, std::uint64_t part, const TargetId &target, Millis now, NewsScope isPassedOn);
     /** The part could not be read there. */
     void dropped(std::uint64_t part, const TargetId &target);
 
     /** The targets that have it, the first to have it first, so that all gateways prefer the same one. */
     std::vector<TargetId> holders(std::uint64_t part, Millis now) const;
 
-    /** What peers should hear: placements that are new, or that were last told long ago. */
-    std::vector<GatewayPlacement> takeNews();
+    /**
+     * What peer should hear since it was last told: placements that are new, or were last told long ago, none of its
+     * own.
+     * @param scope what of others' news the peer gets; a peer that asks for the first time is told what is still held.
+     */
+    std::vector<GatewayPlacement> newsFor(const InstanceId &peer, NewsScope scope);
     std::size_t size() const;
 
 private:
--- a/sequoiausher/coordination/gateway/partdirectorytest.cpp
+++ b/sequoiausher/coordination/gateway/partdirectorytest.cpp
@@ -8,6 +8,7 @@
 
 const TargetId a{"a"};
 const TargetId b{"b"};
+const InstanceId peer{"p"};
 
 } // namespace
 
@@ -16,7 +17,7 @@
     PartDirectory directory;
     CHECK(directory.holders(1, Millis{0}).empty());
     directory.sent(1, a, Millis{0});
-    directory.heard(1, b, Millis{10});
+    directory.heard(peer, 1, b, Millis{10}, NewsScope::Own);
     directory.sent(1, b, Millis{30000});
     CHECK(directory.holders(1, Millis{50000}) == std::vector{a, b});
     CHECK(directory.holders(1, Millis{61000}) == std::vector{b});
@@ -29,14 +30,28 @@
     PartDirectory directory;
     directory.sent(1, a, Millis{0});
     directory.sent(1, a, Millis{100});
-    CHECK(directory.takeNews() == std::vector{GatewayPlacement{1, a}});
+    CHECK(directory.newsFor(peer, NewsScope::Own) == std::vector{GatewayPlacement{1, a}});
     directory.sent(1, a, Millis{200});
-    CHECK(directory.takeNews().empty());
+    CHECK(directory.newsFor(peer, NewsScope::Own).empty());
     directory.sent(1, a, Millis{15200});
-    CHECK(directory.takeNews().size() == 1);
-    directory.heard(2, a, Millis{15200});
+    CHECK(directory.newsFor(peer, NewsScope::Own).size() == 1);
+    directory.heard(peer, 2, a, Millis{15200}, NewsScope::Own);
     directory.sent(2, a, Millis{15300});
-    CHECK(directory.takeNews().empty());
+    CHECK(directory.newsFor(peer, NewsScope::Own).empty());
+}
+
+TEST_CASE("a hub passes on what it hears: from its gateways to all, from other hubs to its gateways")
+{
+    PartDirectory directory;
+    const InstanceId gateway{"g"};
+    const InstanceId hub{"h"};
+    directory.heard(gateway, 1, a, Millis{0}, NewsScope::Group);
+    directory.heard(hub, 2, b, Millis{0}, NewsScope::All);
+    directory.sent(3, a, Millis{0});
+    CHECK(directory.newsFor(hub, NewsScope::Group) == std::vector{GatewayPlacement{1, a}, GatewayPlacement{3, a}});
+    CHECK(directory.newsFor(gateway, NewsScope::All) == std::vector{GatewayPlacement{2, b}, GatewayPlacement{3, a}});
+    CHECK(directory.newsFor(peer, NewsScope::All).size() == 3);
+    CHECK(directory.newsFor(peer, NewsScope::All).empty());
 }
 
 TEST_CASE("what is remembered is bounded")
@@ -54,5 +69,5 @@
     for (std::uint64_t part = 0; part < 1000; ++part) {
         directory.sent(part, b, Millis{200});
     }
-    CHECK(directory.takeNews().size() == 256);
+    CHECK(directory.newsFor(peer, NewsScope::Own).size() == 256);
 }
--- a/sequoiausher/coordination/gateway/peerbook.cpp
+++ b/sequoiausher/coordination/gateway/peerbook.cpp
@@ -3,6 +3,7 @@
 #include "sequoiausher/base/hashing.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <set>
 #include <utility>
@@ -15,9 +16,13 @@
 constexpr Millis memberLife{5000};
 /** One that was not heard of for so long is forgotten: machines are replaced under other addresses. */
 constexpr Millis memory{60000};
-/** Up to so many peers are told in each round; beyond, each round tells some of them in turn. */
-constexpr std::size_t smallFleet = 8;
-constexpr std::size_t largeFleetFanout = 6;
+/** Up to so many gateways everybody reports to everybody: with more, 200 reports a second would come and go. */
+constexpr std::size_t smallFleet = 10;
+constexpr std::size_t fewestHubs = 4;
+/** A hub that has not answered so many reports in a row is left for the next one. */
+constexpr std::uint32_t mostUnanswered = 2;
+/** For so long the list of hubs is kept: less than a round, so that each round goes by the present one. */
+constexpr Millis hubsLife{250};
 /** What a fleet may have before anything is known of it. */
 constexpr std::size_t unknownFleetSize = 12;
 
@@ -31,16 +36,62 @@
         /** When anybody last heard from it. */
         Millis heardAt;
         Millis newestSentAt;
-        bool hasSpoken = false;
+        bool isHub = false;
     };
 
+    /** The hubs in the order that all share, worked out anew now and then: it takes a sort of all names. */
+    const std::vector<InstanceId> &hubs(Millis now)
+    {
+        if (!this->hubsKnown || now - this->hubsAt >= hubsLife) {
+            this->hubsKnown = true;
+            this->hubsAt = now;
+            this->currentHubs = this->findHubs(now);
+            this->selfIsHub
+                = std::find(this->currentHubs.begin(), this->currentHubs.end(), this->self) != this->currentHubs.end();
+        }
+        return this->currentHubs;
+    }
+
+    std::vector<InstanceId> live(Millis now) const
+    {
+        std::vector<InstanceId> all{this->self};
+        for (const auto &[peer, one] : this->known) {
+            if (now - one.heardAt < memberLife) {
+                all.push_back(peer);
+            }
+        }
+        return all;
+    }
+
+    std::vector<InstanceId> findHubs(Millis now) const
+    {
+        std::vector<InstanceId> all = this->live(now);
+        if (all.size() <= smallFleet) {
+            return {};
+        }
+        // So many that a hub answers about as many gateways as there are hubs, four times over.
+        const auto root = static_cast<std::size_t>(std::lround(std::sqrt(static_cast<double>(all.size())) / 2));
+        const std::size_t count = std::max(fewestHubs, root);
+        std::sort(all.begin(), all.end(), [](const InstanceId &a, const InstanceId &b) {
+            return hash64(a.value) < hash64(b.value);
+        });
+        all.resize(std::min(count, all.size()));
+        return all;
+    }
+
     InstanceId self;
     std::set<InstanceId> seeds;
     std::map<InstanceId, Known> known;
     std::uint64_t seed = 0;
-    std::size_t round = 0;
-    /** Present once a peer has answered, or once there was time enough for it. */
-    Millis firstHeardAt;
+    bool hasHeard = false;
+    /** The hub that this gateway reports to, and how many reports it left unanswered. */
+    InstanceId hub;
+    std::uint32_t unanswered = 0;
+    std::uint64_t changes = 0;
+    std::vector<InstanceId> currentHubs;
+    bool hubsKnown = false;
+    bool selfIsHub = false;
+    Millis hubsAt;
 };
 
 PeerBook::PeerBook(InstanceId self, const std::vector<InstanceId> &seeds, std::uint64_t seed)
@@ -61,40 +112,89 @@
 
 void PeerBook::heardFrom(const InstanceId &peer, const GatewayReport &report, Millis now)
 {
-    if (this->d->firstHeardAt == Millis{0}) {
-        this->d->firstHeardAt = now;
+    this->d->hasHeard = true;
+    if (peer == this->d->hub) {
+        this->d->unanswered = 0;
     }
     Private::Known &known = this->d->known[peer];
     known.heardAt = now;
     known.newestSentAt = report.sentAt;
-    known.hasSpoken = true;
-    for (const InstanceId &member : report.members) {
-        if (member == this->d->self) {
-            continue;
+    known.isHub = report.isHub;
+    for (const GatewayMember &member : report.members) {
+        if (member.instance != this->d->self && member.age < memory) {
+            Private::Known &other = this->d->known[member.instance];
+            other.heardAt = std::max(other.heardAt, now - member.age);
         }
-        // Second hand, so a little older: else two gateways would keep a third alive by each other's word.
-        Private::Known &other = this->d->known[member];
-        other.heardAt = std::max(other.heardAt, now - memberLife);
     }
     std::erase_if(this->d->known, [now](const auto &entry) { return now - entry.second.heardAt > memory; });
 }
 
-std::vector<InstanceId> PeerBook::due(Millis /*now*/)
+std::vector<DueReport> PeerBook::due(Millis now)
 {
-    std::vector<InstanceId> all = this->peers();
-    if (all.size() <= smallFleet) {
-        return all;
+    std::vector<DueReport> reports;
+    std::vector<InstanceId> hubs = this->d->hubs(now);
+    if (hubs.empty()) {
+        for (const InstanceId &peer : this->peers()) {
+            reports.push_back({peer, !this->d->hasHeard});
+        }
+        return reports;
     }
-    // An order of its own for each gateway, so that not all of them tell the same few at once.
-    std::sort(all.begin(), all.end(), [this](const InstanceId &a, const InstanceId &b) {
-        return hash64(a.value, this->d->seed) < hash64(b.value, this->d->seed);
-    });
-    std::vector<InstanceId> some;
-    for (std::size_t i = 0; i < largeFleetFanout; ++i) {
-        some.push_back(all[(this->d->round + i) % all.size()]);
+    if (this->d->selfIsHub) {
+        for (const InstanceId &hub : hubs) {
+            if (hub != this->d->self) {
+                reports.push_back({hub, false});
+            }
+        }
+        return reports;
+    }
+    const bool isGone = std::find(hubs.begin(), hubs.end(), this->d->hub) == hubs.end();
+    if (isGone || this->d->unanswered >= mostUnanswered) {
+        this->d->changes += 1;
+        std::erase(hubs, this->d->hub);
+        const std::uint64_t order = hash64(this->d->self.value, this->d->seed) + this->d->changes;
+        this->d->hub = hubs[order % hubs.size()];
+        this->d->unanswered = 0;
     }
-    this->d->round = (this->d->round + largeFleetFanout) % all.size();
-    return some;
+    this->d->unanswered += 1;
+    return {{this->d->hub, true}};
+}
+
+bool PeerBook::mustReply(const InstanceId &peer, const GatewayReport &report, Millis now) const
+{
+    // Two gateways that take each other for none of the hubs would answer each other's answers without an end.
+    if (report.isReply || report.wantsReply) {
+        return !report.isReply;
+    }
+    const std::vector<InstanceId> &hubs = this->d->hubs(now);
+    return !hubs.empty() && std::find(hubs.begin(), hubs.end(), peer) == hubs.end();
+}
+
+bool PeerBook::hasHubs(Millis now) const
+{
+    return !this->d->hubs(now).empty();
+}
+
+bool PeerBook::isHub(Millis now) const
+{
+    this->d->hubs(now);
+    return this->d->selfIsHub;
+}
+
+bool PeerBook::isHub(const InstanceId &peer) const
+{
+    const auto found = this->d->known.find(peer);
+    return found != this->d->known.end() && found->second.isHub;
+}
+
+std::vector<InstanceId> PeerBook::hubPeers() const
+{
+    std::vector<InstanceId> all;
+    for (const auto &[peer, known] : this->d->known) {
+        if (known.isHub) {
+            all.push_back(peer);
+        }
+    }
+    return all;
 }
 
 std::vector<InstanceId> PeerBook::peers() const
@@ -107,12 +207,12 @@
     return {all.begin(), all.end()};
 }
 
-std::vector<InstanceId> PeerBook::members(Millis now) const
+std::vector<GatewayMember> PeerBook::members(Millis now) const
 {
-    std::vector<InstanceId> all{this->d->self};
+    std::vector<GatewayMember> all;
     for (const auto &[peer, known] : this->d->known) {
-        if (known.hasSpoken && now - known.heardAt < memberLife) {
-            all.push_back(peer);
+        if (now - known.heardAt < memberLife) {
+            all.push_back({peer, now - known.heardAt});
         }
     }
     return all;
@@ -121,7 +221,7 @@
 std::size_t PeerBook::fleetSize(Millis /*now*/) const
 {
     const std::size_t known = this->d->known.size() + 1;
-    return this->d->firstHeardAt == Millis{0} ? std::max(known, unknownFleetSize) : known;
+    return this->d->hasHeard ? known : std::max(known, unknownFleetSize);
 }
 
 Millis PeerBook::newestFrom(const InstanceId &peer) const
--- a/sequoiausher/coordination/gateway/peerbook.h
+++ b/sequoiausher/coordination/gateway/peerbook.h
@@ -1,11 +1,17 @@
 #pragma once
 
-// Which gateways there are. The settings name a few, which may be stale or down; all others are learnt from the reports
-// of those. A gateway is known by the address at which it takes its peers' links.
+// Which gateways there are, and who reports to whom. The settings name a few, which may be stale or down; all others
+// are learnt from reports. A gateway is known by the address at which it takes its peers' links.
+//
+// In a small fleet everybody reports to everybody. In a large one that would cost each gateway hundreds of messages a
+// second, so a few are hubs: each gateway reports to one hub, which answers with what all others said, and the hubs
+// report to each other. Hubs are the first members in the order of a hash that all gateways share; nobody elects them,
+// and whoever is asked for a reply gives one, so a difference between two lists costs a little freshness and nothing
+// else.
 //
 //     PeerBook book(self, seeds, seed);
 //     book.heardFrom(peer, report, now);
-//     for (const InstanceId &peer : book.due(now)) { send(peer, reportFor(peer)); }
+//     for (const DueReport &due : book.due(now)) { send(due.peer, reportFor(due)); }
 
 #include "sequoiausher/base/identifiers.h"
 #include "sequoiausher/base/millis.h"
@@ -20,11 +26,19 @@
 /** How often a round of reports goes out. */
 inline constexpr Millis reportInterval{300};
 
+/** One report of a round. */
+struct DueReport
+{
+    InstanceId peer;
+    /** The peer shall answer at once. */
+    bool wantsReply = false;
+};
+
 /** The known gateways. Not thread-safe. */
 class PeerBook
 {
 public:
-    /** @param seed for the order in which a large fleet is told. */
+    /** @param seed for the order in which this gateway prefers hubs. */
     PeerBook(InstanceId self, const std::vector<InstanceId> &seeds, std::uint64_t seed);
     ~PeerBook();
 
@@ -32,12 +46,26 @@
     /** A report arrived. */
     void heardFrom(const InstanceId &peer, const GatewayReport &report, Millis now);
 
-    /** To whom this round's reports go: all peers of a small fleet, some of a large one, in turn. */
-    std::vector<InstanceId> due(Millis now);
+    /** To whom this round's reports go. */
+    std::vector<DueReport> due(Millis now);
+    /**
+     * Whether the report is to be answered at once: it asks for it, or its sender has not heard of enough gateways to know
+     * how large the fleet is, and so reports to everybody it knows or takes itself for a hub.
+     */
+    bool mustReply(const InstanceId &peer, const GatewayReport &report, Millis now) const;
+    /** Whether there are so many that hubs carry the reports. */
+    bool hasHubs(Millis now) const;
+    /** Whether this gateway is one of them. */
+    bool isHub(Millis now) const;
+    /** Whether peer said that it is one. */
+    bool isHub(const InstanceId &peer) const;
+    /** Those peers that said so. */
+    std::vector<InstanceId> hubPeers() const;
+
     /** Those who may be sent to: seeds and whoever was heard of lately. */
     std::vector<InstanceId> peers() const;
-    /** Those heard from within a few seconds, with this gateway. */
-    std::vector<InstanceId> members(Millis now) const;
+    /** Those heard of within a few seconds, without this gateway. */
+    std::vector<GatewayMember> members(Millis now) const;
     /**
      * How many gateways the fleet has at most, for shares of what all may do together. Those that were heard of within
      * a minute count, since one that is cut off may still be at work; before the first report there may be many.
--- a/sequoiausher/coordination/gateway/peerbooktest.cpp
+++ b/sequoiausher/coordination/gateway/peerbooktest.cpp
@@ -3,6 +3,8 @@
 #include <doctest/doctest.h>
 
 #include <deque>
+#include <functional>
+#include <map>
 #include <set>
 
 using namespace Sequoiausher;
@@ -14,33 +16,145 @@
     return InstanceId{"10.0.0." + std::to_string(i) + ":8229"};
 }
 
-} // namespace
-
-TEST_CASE("all gateways learn of all others from three seeds, of which one is stale")
+/** Gateways that send each other the reports that are due, some of them dead. */
+class Fleet
 {
-    for (const std::size_t size : {7UL, 66UL}) {
+public:
+    explicit Fleet(std::size_t size)
+    {
         const std::vector<InstanceId> seeds{nameOf(0), nameOf(1), nameOf(999)};
-        std::deque<PeerBook> books;
         for (std::size_t i = 0; i < size; ++i) {
-            books.emplace_back(nameOf(i), seeds, i);
-        }
-        for (int round = 0; round < 12; ++round) {
-            const Millis now{1000 + round * 300};
-            for (std::size_t i = 0; i < size; ++i) {
-                GatewayReport report;
-                report.members = books[i].members(now);
-                for (const InstanceId &to : books[i].due(now)) {
-                    for (std::size_t j = 0; j < size; ++j) {
-                        if (to == nameOf(j)) {
-                            books[j].heardFrom(nameOf(i), report, now);
-                        }
-                    }
-                }
+            this->books.emplace_back(nameOf(i), seeds, i);
+            this->indexes[nameOf(i)] = i;
+        }
+    }
+
+    void round(Millis now)
+    {
+        this->sent = 0;
+        for (std::size_t i = 0; i < this->books.size(); ++i) {
+            if (this->dead.contains(i)) {
+                continue;
             }
+            for (const DueReport &due : this->books[i].due(now)) {
+                this->deliver(i, due.peer, due.wantsReply, now);
+            }
+        }
+    }
+
+    void deliver(std::size_t from, const InstanceId &to, bool wantsReply, Millis now, bool isReply = false)
+    {
+        this->sent += 1;
+        const auto index = this->indexes.find(to);
+        if (index == this->indexes.end() || this->dead.contains(index->second)) {
+            return;
+        }
+        GatewayReport report;
+        report.sentAt = now;
+        report.isHub = this->books[from].isHub(now);
+        report.wantsReply = wantsReply;
+        report.isReply = isReply;
+        if (isReply || report.isHub || !this->books[from].hasHubs(now)) {
+            report.members = this->books[from].members(now);
         }
-        for (const PeerBook &book : books) {
-            CHECK(book.fleetSize(Millis{5000}) == size);
+        PeerBook &receiver = this->books[index->second];
+        receiver.heardFrom(nameOf(from), report, now);
+        if (receiver.mustReply(nameOf(from), report, now)) {
+            this->deliver(index->second, nameOf(from), false, now, true);
+        }
+    }
+
+    std::size_t hubCount(Millis now) const
+    {
+        std::size_t count = 0;
+        for (std::size_t i = 0; i < this->books.size(); ++i) {
+            count += !this->dead.contains(i) && this->books[i].isHub(now) ? 1 : 0;
+        }
+        return count;
+    }
+
+    std::deque<PeerBook> books;
+    std::map<InstanceId, std::size_t> indexes;
+    std::set<std::size_t> dead;
+    std::size_t sent = 0;
+};
+
+} // namespace
+
+TEST_CASE("all gateways learn of all others from three seeds, of which one is stale")
+{
+    for (const std::size_t size : {7UL, 66UL, 300UL}) {
+        CAPTURE(size);
+        Fleet fleet(size);
+        for (int round = 1; round <= 12; ++round) {
+            fleet.round(Millis{round * 300});
         }
+        const Millis now{12 * 300};
+        for (const PeerBook &book : fleet.books) {
+            CHECK(book.fleetSize(now) == size);
+        }
+        CHECK(fleet.books[0].hasHubs(now) == (size > 10));
+    }
+}
+
+TEST_CASE("what a large fleet says in a round grows with its size, not with its square")
+{
+    Fleet fleet(300);
+    for (int round = 1; round <= 15; ++round) {
+        fleet.round(Millis{round * 300});
+    }
+    // Each gateway's report and its reply, and those between nine hubs.
+    CHECK(fleet.hubCount(Millis{4500}) == 9);
+    CHECK(fleet.sent < 300 * 2 + 9 * 8);
+}
+
+// Symptom: a tenth of a fleet refused all keyed requests for seconds. Events: a hub dies, and its gateways go on asking
+// it for proofs. Cause: nobody looked for another one.
+TEST_CASE("gateways whose hub is dead report to another one within three rounds")
+{
+    Fleet fleet(66);
+    for (int round = 1; round <= 10; ++round) {
+        fleet.round(Millis{round * 300});
+    }
+    const Millis before{10 * 300};
+    for (std::size_t i = 0; i < 66 && fleet.dead.empty(); ++i) {
+        if (fleet.books[i].isHub(before)) {
+            fleet.dead.insert(i);
+        }
+    }
+    std::vector<Millis> newest(66);
+    for (int round = 11; round <= 30; ++round) {
+        const Millis now{round * 300};
+        fleet.round(now);
+        for (std::size_t i = 0; i < 66; ++i) {
+            for (const InstanceId &hub : fleet.books[i].hubPeers()) {
+                newest[i] = std::max(newest[i], fleet.books[i].newestFrom(hub));
+            }
+            if (!fleet.dead.contains(i)) {
+                CAPTURE(i);
+                CAPTURE(round);
+                CAPTURE(fleet.books[i].isHub(now));
+                CHECK((now - newest[i]).count <= 900);
+            }
+        }
+    }
+    CHECK(fleet.hubCount(Millis{9000}) == 4);
+}
+
+// Symptom: two gateways sent each other thousands of reports a second, and nothing else went on.
+// Events: each of them knows of a large fleet, and takes the other for none of its hubs; one report goes out.
+// Cause: an answer was answered like a report.
+TEST_CASE("an answer is never answered")
+{
+    Fleet fleet(66);
+    for (int round = 1; round <= 12; ++round) {
+        fleet.round(Millis{round * 300});
+        CHECK(fleet.sent < 66 * 20);
+    }
+    GatewayReport report;
+    report.isReply = true;
+    for (const PeerBook &book : fleet.books) {
+        CHECK_FALSE(book.mustReply(nameOf(500), report, Millis{3600}));
     }
 }
 
@@ -52,9 +166,9 @@
     report.sentAt = Millis{77};
     book.heardFrom(nameOf(1), report, Millis{1000});
     book.heardFrom(nameOf(2), report, Millis{1000});
-    CHECK(book.members(Millis{2000}).size() == 3);
+    CHECK(book.members(Millis{2000}).size() == 2);
     CHECK(book.newestFrom(nameOf(2)) == Millis{77});
-    CHECK(book.members(Millis{7000}).size() == 1);
+    CHECK(book.members(Millis{7000}).empty());
     CHECK(book.fleetSize(Millis{7000}) == 3);
     book.heardFrom(nameOf(1), report, Millis{62000});
     CHECK(book.fleetSize(Millis{62000}) == 2);
--- a/sequoiausher/coordination/gateway/targetboard.cpp
+++ b/sequoiausher/coordination/gateway/targetboard.cpp
@@ -31,6 +31,8 @@
     GatewayTarget target;
     std::uint64_t hash = 0;
     std::uint32_t own = 0;
+    /** What the peers said, added up. */
+    std::uint32_t peers = 0;
     /** Sent there by this gateway since its peers last heard of its loads, and so it of theirs. */
     std::uint32_t sinceReports = 0;
     TargetHealthScore health;
@@ -39,15 +41,29 @@
     bool isListed = true;
 };
 
-/** The first of the targets that have the request's part and room for it. */
+/**
+ * One of the targets that have the request's part and room for it, by chance in proportion to the room. A part in heavy
+ * use is held by several: were all gateways to take the first one with room, they would fill it together before any of
+ * them hears of it.
+ */
 std::optional<std::size_t> holderBelowBound(const TargetWish &wish, const PoolLoad &load)
 {
+    std::vector<std::pair<std::size_t, std::uint64_t>> rooms;
+    std::uint64_t total = 0;
     for (const TargetId &holder : wish.holders) {
         const auto found = std::find_if(
             load.targets.begin(), load.targets.end(), [&holder](const TargetLoad &t) { return t.target == holder; });
         if (found != load.targets.end() && found->usable && found->inFlight < load.lowestBound) {
-            return static_cast<std::size_t>(found - load.targets.begin());
+            rooms.emplace_back(found - load.targets.begin(), load.lowestBound - found->inFlight);
+            total += rooms.back().second;
+        }
+    }
+    std::uint64_t place = total > 0 ? wish.requestHash % total : 0;
+    for (const auto &[index, room] : rooms) {
+        if (place < room) {
+            return index;
         }
+        place -= room;
     }
     return std::nullopt;
 }
@@ -63,17 +79,30 @@
 class TargetBoard::Private
 {
 public:
-    std::uint32_t inFlight(const BoardTarget &target, Millis now) const
+    static std::uint32_t inFlight(const BoardTarget &target)
+    {
+        return target.own + target.peers;
+    }
+
+    /** Takes what the peer said out of the sums. */
+    void forget(const PeerLoads &loads)
     {
-        std::uint32_t sum = target.own;
-        for (const auto &[peer, loads] : this->peers) {
-            if (now - loads.at > peerLoadLife) {
-                continue;
+        for (const auto &[id, inFlight] : loads.inFlight) {
+            if (BoardTarget *target = this->find(id)) {
+                target->peers -= std::min(target->peers, inFlight);
             }
-            const auto found = loads.inFlight.find(target.target.id);
-            sum += found != loads.inFlight.end() ? found->second : 0;
         }
-        return sum;
+    }
+
+    void expire(Millis now)
+    {
+        std::erase_if(this->peers, [this, now](const auto &entry) {
+            const bool isOld = now - entry.second.at > peerLoadLife;
+            if (isOld) {
+                this->forget(entry.second);
+            }
+            return isOld;
+        });
     }
 
     /**
@@ -86,7 +115,7 @@
         if (target.sinceReports <= unremarkable) {
             return 0;
         }
-        return static_cast<std::uint32_t>((target.sinceReports - unremarkable) * this->peers.size());
+        return static_cast<std::uint32_t>((target.sinceReports - unremarkable) * this->otherGateways);
     }
 
     BoardTarget *find(const TargetId &id)
@@ -106,7 +135,10 @@
 
     std::uint64_t seed = 0;
     std::map<TargetId, BoardTarget> targets;
+    /** The targets of each service, listed and not leaving. */
+    std::map<PoolId, std::vector<BoardTarget *>> byService;
     std::map<InstanceId, PeerLoads> peers;
+    std::size_t otherGateways = 0;
     std::map<PolicyKind, std::unique_ptr<Policy>> policies;
 };
 
@@ -129,44 +161,65 @@
         held.isListed = true;
     }
     std::erase_if(this->d->targets, [](const auto &entry) { return !entry.second.isListed && entry.second.own == 0; });
+    this->d->byService.clear();
+    for (auto &[id, held] : this->d->targets) {
+        held.peers = 0;
+        if (held.isListed && !held.target.isLeaving) {
+            this->d->byService[held.target.service].push_back(&held);
+        }
+    }
+    for (const auto &[peer, loads] : this->d->peers) {
+        for (const auto &[id, inFlight] : loads.inFlight) {
+            if (BoardTarget *held = this->d->find(id)) {
+                held->peers += inFlight;
+            }
+        }
+    }
 }
 
 void TargetBoard::peerReported(const InstanceId &peer, const std::vector<GatewayLoad> &loads, Millis now)
 {
+    this->d->expire(now);
     PeerLoads &held = this->d->peers[peer];
+    this->d->forget(held);
     held.at = now;
     held.inFlight.clear();
     for (const GatewayLoad &load : loads) {
+        BoardTarget *target = this->d->find(load.target);
         if (load.inFlight > 0) {
             held.inFlight[load.target] = load.inFlight;
+            if (target != nullptr) {
+                target->peers += load.inFlight;
+            }
         }
-        BoardTarget *target = this->d->find(load.target);
         if (load.suspected && target != nullptr) {
             target->health.suspectedByPeer(now);
         }
     }
-    std::erase_if(this->d->peers, [now](const auto &entry) { return now - entry.second.at > peerLoadLife; });
+}
+
+void TargetBoard::setOtherGateways(std::size_t count)
+{
+    this->d->otherGateways = count;
 }
 
 std::optional<ChosenTarget> TargetBoard::choose(const TargetWish &wish, Millis now)
 {
+    this->d->expire(now);
+    const std::vector<BoardTarget *> &candidates = this->d->byService[wish.service];
     PoolLoad load;
-    std::vector<const BoardTarget *> candidates;
+    load.targets.reserve(candidates.size());
     std::size_t avoided = 0;
-    for (const auto &[id, held] : this->d->targets) {
-        const bool wanted = held.isListed && held.target.service == wish.service && !held.target.isLeaving;
-        if (!wanted) {
-            continue;
-        }
-        const std::uint32_t inFlight = this->d->inFlight(held, now);
+    for (const BoardTarget *held : candidates) {
+        const std::uint32_t inFlight = Private::inFlight(*held);
         load.total += inFlight;
         load.counted += 1;
+        const TargetId &id = held->target.id;
         const bool excluded = std::find(wish.excluded.begin(), wish.excluded.end(), id) != wish.excluded.end();
-        const bool isAvoided = held.health.isAvoided(now) || now < held.fullUntil;
+        const bool isAvoided = held->health.isAvoided(now) || now < held->fullUntil;
         avoided += isAvoided ? 1 : 0;
-        const std::uint32_t likely = inFlight + this->d->unheard(held);
-        load.targets.push_back({id, held.hash, likely, inFlight, !excluded && !isAvoided});
-        candidates.push_back(&held);
+        const std::uint32_t likely = inFlight + this->d->unheard(*held);
+        load.targets.push_back({id, held->hash, likely, inFlight, !excluded && !isAvoided});
     }
     // Where most targets fail, the fault is not theirs alone, and keeping away would press the rest: use all of them.
     const bool useAvoided = avoided * 2 > candidates.size();
@@ -239,11 +292,42 @@
     }
 }
 
-std::vector<GatewayLoad> TargetBoard::takeLoads(Millis now)
+void TargetBoard::beginRound()
 {
-    std::vector<GatewayLoad> all;
     for (auto &[id, held] : this->d->targets) {
         held.sinceReports = 0;
+    }
+}
+
+std::vector<GatewayLoad> TargetBoard::loads(const std::vector<InstanceId> &without, Millis now)
+{
+    this->d->expire(now);
+    std::vector<const PeerLoads *> leftOut;
+    for (const InstanceId &peer : without) {
+        const auto found = this->d->peers.find(peer);
+        if (found != this->d->peers.end()) {
+            leftOut.push_back(&found->second);
+        }
+    }
+    std::vector<GatewayLoad> all;
+    for (const auto &[id, held] : this->d->targets) {
+        std::uint32_t sum = Private::inFlight(held);
+        for (const PeerLoads *loads : leftOut) {
+            const auto found = loads->inFlight.find(id);
+            sum -= found != loads->inFlight.end() ? std::min(sum, found->second) : 0;
+        }
+        const bool suspected = held.health.isAvoided(now);
+        if (sum > 0 || suspected) {
+            all.push_back({id, sum, suspected});
+        }
+    }
+    return all;
+}
+
+std::vector<GatewayLoad> TargetBoard::ownLoads(Millis now) const
+{
+    std::vector<GatewayLoad> all;
+    for (const auto &[id, held] : this->d->targets) {
         const bool suspected = held.health.isAvoided(now);
         if (held.own > 0 || suspected) {
             all.push_back({id, held.own, suspected});
@@ -260,17 +344,19 @@
 
 std::size_t TargetBoard::targetCount(const PoolId &service) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(this->d->targets.begin(), this->d->targets.end(), [&service](const auto &entry) {
-            return entry.second.isListed && !entry.second.target.isLeaving && entry.second.target.service == service;
-        }));
+    const auto found = this->d->byService.find(service);
+    return found != this->d->byService.end() ? found->second.size() : 0;
 }
 
 std::uint64_t TargetBoard::inFlight(const PoolId &service, Millis now) const
 {
+    this->d->expire(now);
     std::uint64_t sum = 0;
-    for (const auto &[id, held] : this->d->targets) {
-        sum += held.target.service == service ? this->d->inFlight(held, now) : 0;
+    const auto found = this->d->byService.find(service);
+    if (found != this->d->byService.end()) {
+        for (const BoardTarget *held : found->second) {
+            sum += Private::inFlight(*held);
+        }
     }
     return sum;
 }
@@ -278,9 +364,11 @@
 std::uint64_t TargetBoard::places(const PoolId &service) const
 {
     std::uint64_t sum = 0;
-    for (const auto &[id, held] : this->d->targets) {
-        const bool counts = held.isListed && !held.target.isLeaving && held.target.service == service;
-        sum += counts ? held.target.slots : 0;
+    const auto found = this->d->byService.find(service);
+    if (found != this->d->byService.end()) {
+        for (const BoardTarget *held : found->second) {
+            sum += held->target.slots;
+        }
     }
     return sum;
 }
--- a/sequoiausher/coordination/gateway/targetboard.h
+++ b/sequoiausher/coordination/gateway/targetboard.h
@@ -46,6 +46,8 @@
     std::uint64_t firstPartHash = 0;
     /** Targets that have read that part, the preferred one first. */
     std::vector<TargetId> holders;
+    /** Differs from request to request. */
+    std::uint64_t requestHash = 0;
     /** Where the request was sent before. */
     std::vector<TargetId> excluded;
 };
@@ -72,6 +74,9 @@
     /** What a peer has in flight; replaces what it said before. */
     void peerReported(const InstanceId &peer, const std::vector<GatewayLoad> &loads, Millis now);
 
+    /** How many gateways choose targets beside this one. */
+    void setOtherGateways(std::size_t count);
+
     /** A target for the request; none where the service has none that may be used. */
     std::optional<ChosenTarget> choose(const TargetWish &wish, Millis now);
 
@@ -84,8 +89,12 @@
     /** It is over there. */
     void ended(const TargetId &target, AttemptMark mark, Millis now);
 
-    /** What this gateway has in flight, for its report to all peers, which also begins a new round of counting. */
-    std::vector<GatewayLoad> takeLoads(Millis now);
+    /** A round of reports goes out: counts begin anew of what peers have not heard. */
+    void beginRound();
+    /** What this gateway has in flight. */
+    std::vector<GatewayLoad> ownLoads(Millis now) const;
+    /** The same with what all peers but some have. */
+    std::vector<GatewayLoad> loads(const std::vector<InstanceId> &without, Millis now);
     /** Listed and not leaving. */
     bool isUsable(const TargetId &target) const;
     std::size_t targetCount(const PoolId &service) const;
--- a/sequoiausher/coordination/gateway/targetboardtest.cpp
+++ b/sequoiausher/coordination/gateway/targetboardtest.cpp
@@ -63,6 +63,7 @@
     for (std::uint64_t i = 0; i < gatewayCount; ++i) {
         gateways.push_back(std::make_unique<TargetBoard>(i));
         gateways.back()->setTargets(twelve(), Millis{0});
+        gateways.back()->setOtherGateways(gatewayCount - 1);
     }
     std::map<TargetId, int> held;
     std::deque<std::pair<std::size_t, TargetId>> running;
@@ -91,7 +92,8 @@
         CHECK(std::count(window.begin(), window.end(), true) < 20);
         if (step % reportSteps == 0) {
             for (std::size_t from = 0; from < gatewayCount; ++from) {
-                const std::vector<GatewayLoad> loads = gateways[from]->takeLoads(now);
+                const std::vector<GatewayLoad> loads = gateways[from]->ownLoads(now);
+                gateways[from]->beginRound();
                 for (std::size_t to = 0; to < gatewayCount; ++to) {
                     if (from != to) {
                         gateways[to]->peerReported(InstanceId{std::to_string(from)}, loads, now);
@@ -123,7 +125,7 @@
         board.ended(first, AttemptMark::Lost, Millis{200});
     }
     CHECK(board.choose(wishOf(7), Millis{300})->target.id != first);
-    CHECK(board.takeLoads(Millis{300}).front().suspected);
+    CHECK(board.ownLoads(Millis{300}).front().suspected);
 
     for (GatewayTarget &target : targets) {
         target.isLeaving = target.id != first;
@@ -137,6 +139,22 @@
     CHECK_FALSE(board.choose(wishOf(7), Millis{300}));
 }
 
+TEST_CASE("a hub reports sums, to each without what it said itself")
+{
+    TargetBoard board(1);
+    board.setTargets(twelve(), Millis{0});
+    board.started(TargetId{"i-1"});
+    board.peerReported(InstanceId{"p"}, {{TargetId{"i-1"}, 2, false}}, Millis{0});
+    board.peerReported(InstanceId{"q"}, {{TargetId{"i-1"}, 3, false}, {TargetId{"i-2"}, 1, false}}, Millis{0});
+    board.peerReported(InstanceId{"q"}, {{TargetId{"i-1"}, 4, false}, {TargetId{"i-2"}, 1, false}}, Millis{0});
+    CHECK(board.ownLoads(Millis{0}) == std::vector{GatewayLoad{TargetId{"i-1"}, 1, false}});
+    CHECK(board.loads({InstanceId{"q"}}, Millis{0}) == std::vector{GatewayLoad{TargetId{"i-1"}, 3, false}});
+    CHECK(board.loads({InstanceId{"p"}}, Millis{0})
+          == std::vector{GatewayLoad{TargetId{"i-1"}, 5, false}, GatewayLoad{TargetId{"i-2"}, 1, false}});
+    board.setTargets(twelve(), Millis{0});
+    CHECK(board.inFlight(engines, Millis{0}) == 8);
+}
+
 TEST_CASE("what a dead peer held is forgotten")
 {
     TargetBoard board(1);
--- a/sequoiausher/coordination/messages/gatewaymessages.h
+++ b/sequoiausher/coordination/messages/gatewaymessages.h
@@ -36,6 +36,17 @@
     bool operator==(const GatewayPlacement &) const = default;
 };
 
+/** A gateway that the sender knows of. */
+struct GatewayMember
+{
+    /** Its address for peers. */
+    InstanceId instance;
+    /** How long ago anybody heard from it, as far as the gateways on the way know. */
+    Millis age;
+
+    bool operator==(const GatewayMember &) const = default;
+};
+
 /** What one gateway says to another. */
 struct GatewayReport
 {
@@ -51,13 +62,22 @@
     Millis storeAge = Millis::never();
     /** The store's revision to which the sender's list of targets is up to date. */
     Revision targets = 0;
-    /** The gateways that the sender has heard of lately, by their addresses for peers. */
-    std::vector<InstanceId> members;
+    /** The gateways that the sender has heard of lately. */
+    std::vector<GatewayMember> members;
+    /** What is in flight from the sender and those for whom it speaks, the receiver not among them. */
     std::vector<GatewayLoad> loads;
-    /** Since the last report. */
+    /** Since the last report to the receiver. */
     std::vector<GatewayPlacement> placements;
     /** The sender is stopping. */
     bool leaving = false;
+    /** The receiver shall answer with a report of its own at once. */
+    bool wantsReply = false;
+    /** It is such an answer, which is not answered again. */
+    bool isReply = false;
+    /** The sender does not read the store itself while the receiver vouches for what it knows. */
+    bool isResting = false;
+    /** The sender carries reports for others. */
+    bool isHub = false;
 
     bool operator==(const GatewayReport &) const = default;
 };
--- a/sequoiausher/protocol/codec/framereader.cpp
+++ b/sequoiausher/protocol/codec/framereader.cpp
@@ -636,8 +636,13 @@
     report.storeAge = spanOf(m->store_age());
     report.targets = m->targets();
     report.leaving = m->leaving();
+    report.wantsReply = m->wants_reply();
+    report.isResting = m->resting();
+    report.isHub = m->hub();
+    report.isReply = m->reply();
     for (std::size_t i = 0; i < this->sizeOf(m->members()); ++i) {
-        report.members.push_back(InstanceId{this->name(m->members()->Get(static_cast<flatbuffers::uoffset_t>(i)))});
+        const auto *member = m->members()->Get(static_cast<flatbuffers::uoffset_t>(i));
+        report.members.push_back({InstanceId{this->name(member->instance())}, spanOf(member->age())});
     }
     for (std::size_t i = 0; i < this->sizeOf(m->loads()); ++i) {
         const auto *load = m->loads()->Get(static_cast<flatbuffers::uoffset_t>(i));
--- a/sequoiausher/protocol/codec/framewriter.cpp
+++ b/sequoiausher/protocol/codec/framewriter.cpp
@@ -428,9 +428,9 @@
 
 void FrameWriter::Private::add(const GatewayReport &m)
 {
-    std::vector<std::uint16_t> members;
-    for (const InstanceId &member : m.members) {
-        members.push_back(this->index(member.value));
+    std::vector<Wire::GatewayMember> members;
+    for (const GatewayMember &member : m.members) {
+        members.emplace_back(wireSpan(member.age), this->index(member.instance.value));
     }
     std::vector<Wire::GatewayLoad> loads;
     for (const GatewayLoad &load : m.loads) {
@@ -440,7 +440,7 @@
     for (const GatewayPlacement &placement : m.placements) {
         placements.emplace_back(placement.part, this->index(placement.target.value));
     }
-    const auto membersAt = this->scalars(members);
+    const auto membersAt = this->structs(members);
     const auto placementsAt = this->structs(placements);
     const auto loadsAt = this->structs(loads);
     this->gatewayReports.push_back(Wire::CreateGatewayReport(this->builder,
@@ -453,7 +453,11 @@
                                                              loadsAt,
                                                              m.leaving,
                                                              wireSpan(m.storeAge),
-                                                             placementsAt));
+                                                             placementsAt,
+                                                             m.wantsReply,
+                                                             m.isResting,
+                                                             m.isHub,
+                                                             m.isReply));
 }
 
 // Without the order, a router of the first version would not see the messages of a kind that it does not know.
--- a/sequoiausher/protocol/codec/messagegenerators.cpp
+++ b/sequoiausher/protocol/codec/messagegenerators.cpp
@@ -165,6 +165,7 @@
 SEQUOIAUSHER_ARBITRARY(AnswerPage, m.handover, m.sequence, m.fragments);
 SEQUOIAUSHER_ARBITRARY(AnswerPageAck, m.handover, m.sequence);
 SEQUOIAUSHER_ARBITRARY(GatewayLoad, m.target, m.inFlight, m.suspected);
+SEQUOIAUSHER_ARBITRARY(GatewayMember, m.instance, m.age);
 SEQUOIAUSHER_ARBITRARY(GatewayPlacement, m.part, m.target);
 SEQUOIAUSHER_ARBITRARY(GatewayReport,
                        m.sentAt,
@@ -176,7 +177,11 @@
                        m.members,
                        m.loads,
                        m.placements,
-                       m.leaving);
+                       m.leaving,
+                       m.wantsReply,
+                       m.isResting,
+                       m.isHub,
+                       m.isReply);
 
 #undef SEQUOIAUSHER_ARBITRARY
 
--- a/sequoiausher/protocol/codec/messagekind.cpp
+++ b/sequoiausher/protocol/codec/messagekind.cpp
@@ -166,6 +166,11 @@
     return sizeof(load.inFlight) + load.target.value.size();
 }
 
+std::size_t sizeOf(const GatewayMember &member)
+{
+    return sizeof(std::int32_t) + member.instance.value.size();
+}
+
 std::size_t sizeOf(const GatewayPlacement &placement)
 {
     return sizeof(placement.part) + placement.target.value.size();
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -338,6 +338,7 @@
     if (!this->request.parts.empty()) {
         wish.holders = this->context.parts.holders(this->partHash, now);
     }
+    wish.requestHash = hash64(this->request.attemptId, this->targetsUsed + 1);
     wish.excluded = this->tried;
     return this->context.board.choose(wish, now);
 }
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -162,6 +162,7 @@
 void GatewayNode::Private::tick()
 {
     const Millis now = Millis::monotonicNow();
+    this->watcher->setResting(this->peers.mayRest(now));
     this->watcher->tick(now, this->context.proofAge(now));
     this->peers.tick(now);
     if (this->list.tick(now)) {
@@ -268,6 +269,7 @@
     this->metrics.set("gateway_accepted", static_cast<double>(this->accepted));
     this->metrics.set("gateway_target_connections_opened", static_cast<double>(this->context.pools.dialled()));
     this->metrics.set("gateway_store_calls", static_cast<double>(this->watcher->calls()));
+    this->metrics.set("gateway_resting", this->peers.mayRest(now) ? 1 : 0);
     this->metrics.set("gateway_peer_bytes_sent", static_cast<double>(this->peers.sentBytes()));
     return toPrometheus(this->metrics.snapshot());
 }
@@ -345,8 +347,11 @@
 void GatewayNode::Private::targetsRead(const std::vector<GatewayTarget> &targets, Revision at)
 {
     this->known.storeAnsweredAt = Millis::monotonicNow();
-    this->list.replaceAll(targets, at, Millis::monotonicNow());
-    this->targetsChanged("list");
+    // A peer may have told of later changes already.
+    if (at >= this->list.revision()) {
+        this->list.replaceAll(targets, at, Millis::monotonicNow());
+        this->targetsChanged("list");
+    }
 }
 
 void GatewayNode::Private::targetWritten(const GatewayTarget &target, Revision at)
--- a/sequoiausher/transport/gateway/gatewaynodetest.cpp
+++ b/sequoiausher/transport/gateway/gatewaynodetest.cpp
@@ -93,8 +93,7 @@
     SUBCASE("while one that may run twice goes to the other target")
     {
         for (FakeServer *target : {&one, &two}) {
-            target->answers = [count = 0, &one, &two](FakeRequest &request) mutable {
-                count += 1;
+            target->answers = [&one, &two](FakeRequest &request) {
                 if (one.seen.size() + two.seen.size() == 2) {
                     request.reset();
                 } else {
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -19,6 +19,8 @@
  */
 constexpr Millis storeIsSilent{1500};
 constexpr Millis storeIsThere{1400};
+/** A gateway reads the store itself where no hub has vouched for so long: three rounds, one of which may be lost. */
+constexpr Millis vouchLife{1300};
 /** A link on which nothing is heard for so long has gone silent; reports come several times in it. */
 constexpr Millis linkSilence{1500};
 constexpr Millis longestRedial{800};
@@ -54,6 +56,8 @@
     void receive(const InstanceId &from, const GatewayReport &report);
     void receive(const Document &document, const InstanceId &from);
     void sendReports(Millis now);
+    GatewayReport reportFor(const InstanceId &peer, Millis now);
+    bool mayRest(Millis now) const;
     void pushTo(const InstanceId &peer, const GatewayReport &report, Millis now);
     void push(const InstanceId &peer, Document document, Millis now);
     Millis storeAge(Millis now) const;
@@ -72,6 +76,8 @@
     std::vector<InstanceId> wanted;
     std::map<std::pair<InstanceId, std::string>, Pushed> pushed;
     Millis nextRoundAt;
+    /** When the report was sent that a hub with a fresh word of the store last answered. */
+    Millis hubVouchedAt;
 };
 
 GatewayPeers::GatewayPeers(GatewayContext &context, Incarnation incarnation, FirstHand &known, PeerNews &news)
@@ -110,7 +116,11 @@
     this->wanted = std::move(peers);
     PeerAddresses addresses;
     for (const InstanceId &peer : this->wanted) {
-        addresses.emplace(peer, parsePeerAddress(peer.value));
+        try {
+            addresses.emplace(peer, parsePeerAddress(peer.value));
+        } catch (const Error &error) {
+            this->context.log.warning(LogPart::Peers, "a peer has no address", {{"why", error.what()}});
+        }
     }
     this->mesh.setPeers(addresses);
     this->context.log.info(LogPart::Peers, "peers changed", {{"count", std::to_string(this->wanted.size())}});
@@ -123,20 +133,54 @@
 
 void GatewayPeers::Private::sendReports(Millis now)
 {
+    this->context.board.setOtherGateways(this->context.peers.members(now).size());
+    for (const DueReport &due : this->context.peers.due(now)) {
+        GatewayReport report = this->reportFor(due.peer, now);
+        report.wantsReply = due.wantsReply;
+        this->mesh.send(due.peer, std::move(report));
+    }
+    this->context.board.beginRound();
+}
+
+GatewayReport GatewayPeers::Private::reportFor(const InstanceId &peer, Millis now)
+{
+    const PeerBook &book = this->context.peers;
     GatewayReport report;
     report.sentAt = now;
+    report.echo = book.newestFrom(peer);
     report.configuration = this->context.revision();
     report.proofAge = this->context.proofAge(now);
     report.storeAge = this->storeAge(now);
     report.targets = this->known.targetsRevision;
-    report.members = this->context.peers.members(now);
-    report.loads = this->context.board.takeLoads(now);
-    report.placements = this->context.parts.takeNews();
     report.leaving = this->context.isStopping;
-    for (const InstanceId &peer : this->context.peers.due(now)) {
-        report.echo = this->context.peers.newestFrom(peer);
-        this->mesh.send(peer, report);
+    report.isHub = book.isHub(now);
+    report.isResting = this->mayRest(now);
+    if (!report.isHub) {
+        report.loads = this->context.board.ownLoads(now);
+        report.placements = this->context.parts.newsFor(peer, NewsScope::Own);
+        report.members = book.hasHubs(now) ? std::vector<GatewayMember>() : book.members(now);
+        return report;
     }
+    // Hubs hear of each other's gateways from each other; a gateway hears of all others from its hub.
+    const bool toHub = book.isHub(peer);
+    std::vector<InstanceId> without = toHub ? book.hubPeers() : std::vector<InstanceId>();
+    without.push_back(peer);
+    report.loads = this->context.board.loads(without, now);
+    report.placements = this->context.parts.newsFor(peer, toHub ? NewsScope::Group : NewsScope::All);
+    report.members = book.members(now);
+    return report;
+}
+
+bool GatewayPeers::mayRest(Millis now) const
+{
+    return this->d->mayRest(now);
+}
+
+bool GatewayPeers::Private::mayRest(Millis now) const
+{
+    const PeerBook &book = this->context.peers;
+    return book.hasHubs(now) && !book.isHub(now) && now - this->hubVouchedAt < vouchLife
+        && this->context.proofAge(now) < vouchLife;
 }
 
 void GatewayPeers::Private::received(const InstanceId &from, Incarnation /*incarnation*/, PeerMessage message)
@@ -158,17 +202,24 @@
 void GatewayPeers::Private::receive(const InstanceId &from, const GatewayReport &report)
 {
     const Millis now = Millis::monotonicNow();
-    for (const InstanceId &member : report.members) {
-        // A name that is no address would stop the next round.
-        parsePeerAddress(member.value);
-    }
     this->context.peers.heardFrom(from, report, now);
     this->context.freshness.vouched(report.configuration, report.proofAge, report.echo);
     this->context.board.peerReported(from, report.loads, now);
+    const bool isHub = this->context.peers.isHub(now);
+    const NewsScope scope = !isHub ? NewsScope::Own : report.isHub ? NewsScope::All : NewsScope::Group;
     for (const GatewayPlacement &placement : report.placements) {
-        this->context.parts.heard(placement.part, placement.target, now);
+        this->context.parts.heard(from, placement.part, placement.target, now, scope);
+    }
+    if (report.isHub && report.storeAge < storeIsThere && report.echo > Millis{0}) {
+        this->hubVouchedAt = report.echo;
     }
     this->pushTo(from, report, now);
+    if (this->context.peers.mustReply(from, report, now)) {
+        GatewayReport reply = this->reportFor(from, now);
+        reply.isReply = true;
+        reply.members = this->context.peers.members(now);
+        this->mesh.send(from, std::move(reply));
+    }
 }
 
 void GatewayPeers::Private::pushTo(const InstanceId &peer, const GatewayReport &report, Millis now)
@@ -177,7 +228,8 @@
         this->push(
             peer, {configurationDocument, this->known.configurationRevision, this->known.configuration, false}, now);
     }
-    const bool needsTargets = report.storeAge > storeIsSilent && report.targets < this->known.targetsChangedAt;
+    const bool readsNoStore = report.isResting || report.storeAge > storeIsSilent;
+    const bool needsTargets = readsNoStore && report.targets < this->known.targetsChangedAt;
     if (needsTargets && this->storeAge(now) < storeIsThere) {
         this->push(peer, {targetsDocument, this->known.targetsRevision, toText(this->known.targets), false}, now);
     }
@@ -197,8 +249,7 @@
 {
     if (document.name == configurationDocument && document.revision > this->context.revision()) {
         this->news.configurationOffered(document.body, document.revision);
-    } else if (document.name == targetsDocument && this->storeAge(Millis::monotonicNow()) > storeIsSilent
-               && document.revision > this->known.targetsRevision) {
+    } else if (document.name == targetsDocument && document.revision > this->known.targetsRevision) {
         this->news.targetsOffered(parseTargetsText(document.body, "gateway " + from.value), document.revision);
     }
 }
--- a/sequoiausher/transport/gateway/gatewaypeers.h
+++ b/sequoiausher/transport/gateway/gatewaypeers.h
@@ -51,6 +51,8 @@
     /** Throws Error(Step::Listen, address, ...). */
     void listen();
     void tick(Millis now);
+    /** Whether hubs tell this gateway all that it would read in the store. */
+    bool mayRest(Millis now) const;
     /** Bytes sent to peers so far. */
     std::uint64_t sentBytes() const;
 
--- a/sequoiausher/transport/gateway/gatewayrulestest.cpp
+++ b/sequoiausher/transport/gateway/gatewayrulestest.cpp
@@ -5,15 +5,18 @@
 #include <doctest/doctest.h>
 
 #include <cstdio>
+#include <filesystem>
 #include <fstream>
 
+#include <unistd.h>
+
 using namespace Sequoiausher;
 
 namespace {
 
 std::string fileWith(const std::string &text)
 {
-    const std::string name = std::string(std::tmpnam(nullptr)) + ".ini";
+    std::string name = (std::filesystem::temp_directory_path() / ("gatewayrules" + std::to_string(getpid()))).string();
     std::ofstream(name) << text;
     return name;
 }
--- a/sequoiausher/transport/gateway/gatewaytestbed.cpp
+++ b/sequoiausher/transport/gateway/gatewaytestbed.cpp
@@ -356,7 +356,8 @@
 {
     std::string text = std::to_string(this->revision) + "\n";
     for (const auto &[name, service] : this->services) {
-        text += name + " " + service + " " + this->targets.at(name)->address() + "\n";
+        text.append(name).append(" ").append(service).append(" ");
+        text.append(this->targets.at(name)->address()).append("\n");
     }
     return text;
 }
--- a/sequoiausher/transport/gateway/storewatcher.cpp
+++ b/sequoiausher/transport/gateway/storewatcher.cpp
@@ -14,6 +14,11 @@
 
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
+/**
+ * Changes come in rows, and each answer of a watch is a call more for each gateway that watches: what comes within so
+ * long after a change is heard with the next one. It delays news of a target that leaves by as much.
+ */
+constexpr Millis gatherTime{150};
 /** After a failed call the next one waits for so long; doubled each time up to the most, with jitter. */
 constexpr Millis firstPause{100};
 constexpr Millis longestPause{800};
@@ -69,6 +74,7 @@
     Revision watchedFrom = 0;
     /** A proof is due whatever the age of the last one: the watch has lost its history. */
     bool mustProve = true;
+    bool isResting = false;
     std::vector<GatewayTarget> listed;
     Revision listedFrom = 0;
     bool isLost = false;
@@ -90,6 +96,10 @@
 {
     this->d->proof.calls.tick(now);
     this->d->changes.calls.tick(now);
+    const bool hasRead = !this->d->mustProve && this->d->watchedFrom > 0;
+    if (this->d->isResting && hasRead) {
+        return;
+    }
     if (!this->d->proof.calls.isBusy() && now >= this->d->proof.nextAt) {
         // Peers vouch for each other's proofs, so in a fleet that is in touch a few readings serve all.
         if (this->d->mustProve || proofAge >= this->d->settings.proofInterval) {
@@ -107,6 +117,18 @@
     }
 }
 
+void StoreWatcher::setResting(bool on)
+{
+    if (on == this->d->isResting) {
+        return;
+    }
+    this->d->isResting = on;
+    if (!on) {
+        this->d->watchedFrom = 0;
+        this->d->mustProve = true;
+    }
+}
+
 std::uint64_t StoreWatcher::calls() const
 {
     return this->d->made;
@@ -199,7 +221,9 @@
         }
         this->watchedFrom = this->listedFrom;
         this->listener.targetsRead(this->listed, this->listedFrom);
-        this->watch();
+        if (!this->isResting) {
+            this->watch();
+        }
     } catch (const Error &error) {
         this->failed(this->changes, "list targets", error.what());
     }
@@ -233,7 +257,11 @@
         this->watchedFrom = std::max(this->watchedFrom, events.storeRevision);
         this->listener.storeAnswered();
         this->apply(events);
-        this->watch();
+        if (!events.events.empty()) {
+            this->changes.nextAt = Millis::monotonicNow() + gatherTime;
+        } else if (!this->isResting) {
+            this->watch();
+        }
     } catch (const Error &error) {
         this->failed(this->changes, "watch", error.what());
     }
--- a/sequoiausher/transport/gateway/storewatcher.h
+++ b/sequoiausher/transport/gateway/storewatcher.h
@@ -45,6 +45,11 @@
 
     /** @param proofAge how long ago the configuration in force was proven to be the newest, by whomever. */
     void tick(Millis now, Millis proofAge);
+    /**
+     * Makes no calls while on, but for the first list and configuration: peers tell what the store says. Switched off,
+     * everything is read again, since what changed meanwhile may not be in the store's history.
+     */
+    void setResting(bool on);
     /** Calls made so far. */
     std::uint64_t calls() const;
 
