--- a/sequoiausher/protocol/gateway/targetstext.cpp
+++ b/sequoiausher/protocol/gateway/targetstext.cpp
@@ -12,8 +12,9 @@
 GatewayTarget readTarget(SectionReader &section)
 {
     GatewayTarget target;
-    target.id.value = nameOfSection(section.section());
-    target.service.value = section.plainName("service").value_or("");
+    section.require("id", "the target's id");
+    target.id.value = section.text("id").value_or("");
+    target.service.value = section.text("service").value_or("");
     target.address = section.address("address").value_or("");
     target.dataCentre.value = section.text("data_centre").value_or("");
     target.slots = static_cast<std::uint32_t>(section.integer("slots", {0, mostSlots, "requests"}).value_or(1));
@@ -27,9 +28,15 @@
 std::string toText(const std::vector<GatewayTarget> &targets)
 {
     std::string text;
+    std::size_t number = 0;
     for (const GatewayTarget &target : targets) {
-        text += "[target " + target.id.value + "]\nservice = " + target.service.value;
-        text += "\naddress = " + target.address + "\ndata_centre = " + target.dataCentre.value;
+        number += 1;
+        // Ids are the platform's, and need not be names as sections have them.
+        text += "[target " + std::to_string(number) + "]\nid = " + target.id.value;
+        text += "\nservice = " + target.service.value + "\naddress = " + target.address;
+        if (!target.dataCentre.empty()) {
+            text += "\ndata_centre = " + target.dataCentre.value;
+        }
         text += "\nslots = " + std::to_string(target.slots) + "\nleaving = " + (target.isLeaving ? "1" : "0") + "\n";
     }
     return text;
--- a/sequoiausher/protocol/gateway/targetstexttest.cpp
+++ b/sequoiausher/protocol/gateway/targetstexttest.cpp
@@ -13,5 +13,8 @@
         {TargetId{"i-02d9"}, PoolId{"llm"}, "10.0.0.2:80", DataCentreId{"hall-b"}, 64, true, Millis{0}}};
     CHECK(parseTargetsText(toText(targets), "p") == targets);
     CHECK(parseTargetsText("", "p").empty());
+    const std::vector<GatewayTarget> odd{
+        {TargetId{"an id/with:marks"}, PoolId{"a service"}, "10.0.0.1:80", DataCentreId{}, 6, false, Millis{0}}};
+    CHECK(parseTargetsText(toText(odd), "p") == odd);
     CHECK_THROWS_AS(parseTargetsText("[target a]\naddress = x\n", "p"), ProblemsError);
 }
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -689,7 +689,7 @@
          {"service", this->service.value},
          {"target", this->chosen.target.id.value},
          {"targets_used", std::to_string(this->targetsUsed)},
-         {"part", std::to_string(this->partHash % partNames)},
+         {"prompt_part", std::to_string(this->partHash % partNames)},
          {"target_load", std::to_string(this->chosen.inFlight)},
          {"service_load", std::to_string(this->chosen.total)},
          {"usable", std::to_string(this->chosen.usable)},
--- a/sequoiausher/transport/gateway/gatewaynodetest.cpp
+++ b/sequoiausher/transport/gateway/gatewaynodetest.cpp
@@ -308,6 +308,47 @@
     CHECK(bed.logged.str().find("the last good configuration stays in force") != std::string::npos);
 }
 
+// Symptom: a machine that alone had lost the store refused everything, or went on with keys that were taken away.
+// Events: the store answers one gateway and not the other; a key is taken away; then the store is silent for both.
+// Cause: a gateway believed nobody but the store, or its peers' word without an age.
+TEST_CASE("a gateway that does not reach the store serves by what its peer proves, and no longer")
+{
+    Bed one;
+    one.settings.keyFreshness = Millis{1500};
+    FakeServer &target = one.addTarget("t1", "desk");
+    target.answers = [](FakeRequest &request) { request.reply("200 OK", "ok"); };
+    one.start();
+    Bed two;
+    two.isStoreSilent = true;
+    two.settings.keyFreshness = Millis{1500};
+    two.settings.seeds = {InstanceId{one.settings.peerAddress}};
+    two.start();
+    CHECK(two.call("GET", "/look/1").status == 200);
+    SUBCASE("a key that is taken away opens nothing there either")
+    {
+        one.publish("5\nroute /look/ idempotent 0 2 1000 desk\nkey garage k2\n");
+        CHECK(GatewayTestbed::waitFor([&] { return two.call("GET", "/look/1").status == 401; }, Millis{1500}));
+    }
+    SUBCASE("a target that leaves gets nothing more from it")
+    {
+        one.addTarget("t2", "desk").answers = target.answers;
+        one.removeTarget("t1");
+        CHECK(GatewayTestbed::waitFor(
+            [&] {
+                const std::size_t before = target.seen.size();
+                return two.call("GET", "/look/1").status == 200 && target.seen.size() == before;
+            },
+            Millis{2500}));
+    }
+    SUBCASE("and once nobody proves anything, keys open nothing")
+    {
+        one.isStoreSilent = true;
+        GatewayTestbed::waitFor([] { return false; }, Millis{1700});
+        CHECK(two.call("GET", "/look/1").status == 503);
+        CHECK(one.call("GET", "/look/1").status == 503);
+    }
+}
+
 TEST_CASE("a target that left gets nothing more")
 {
     Bed bed;
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -230,7 +230,9 @@
     }
     const bool readsNoStore = report.isResting || report.storeAge > storeIsSilent;
     const bool needsTargets = readsNoStore && report.targets < this->known.targetsChangedAt;
-    if (needsTargets && this->storeAge(now) < storeIsThere) {
+    // One that starts while the store is away for all has no list at all: an old one is better than none.
+    const bool hasNone = report.targets == 0 && !this->known.targets.empty();
+    if (hasNone || (needsTargets && this->storeAge(now) < storeIsThere)) {
         this->push(peer, {targetsDocument, this->known.targetsRevision, toText(this->known.targets), false}, now);
     }
 }
--- a/sequoiausher/transport/gateway/gatewaytestbed.cpp
+++ b/sequoiausher/transport/gateway/gatewaytestbed.cpp
@@ -6,6 +6,7 @@
 #include <QTimer>
 
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace Sequoiausher {
 
@@ -13,6 +14,27 @@
 
 constexpr const char *signatureField = "X-Signed: yes\r\n";
 
+/**
+ * An address that nobody listens at. Not one that the kernel gives: those it also gives to connections, which may take
+ * it before the gateway does.
+ */
+std::string freeAddress()
+{
+    constexpr int firstPort = 20000;
+    constexpr int portCount = 10000;
+    static int next = getpid() * 16;
+    while (true) {
+        next += 1;
+        const std::string address = "127.0.0.1:" + std::to_string(firstPort + next % portCount);
+        try {
+            const StreamListener listener(address, [](int) {});
+            return address;
+        } catch (const Error &) {
+            continue;
+        }
+    }
+}
+
 /** A dialect of the test's own: text lines in the store, fields that begin with X-. */
 class TestDialect : public GatewayDialect
 {
@@ -296,11 +318,6 @@
     this->settings.store.proofInterval = Millis{50};
     this->settings.repeats = {0.2, 100, Millis{10000}};
     this->settings.stop = {Millis{2000}, Millis{100}};
-    // Ports that are free now: a listener takes one and lets it go.
-    const auto freeAddress = [] {
-        const StreamListener listener("127.0.0.1:0", [](int) {});
-        return "127.0.0.1:" + std::to_string(listener.port());
-    };
     this->settings.address = freeAddress();
     this->settings.readyAddress = freeAddress();
     this->settings.peerAddress = freeAddress();
