Carry large configurations to a large fleet: packed, paced, by the gateways that can

Ruled out: the target list itself (the entry came with the first report that got through). Change: documents are packed for peers; a newer version goes to the same peer every 250 ms at most; of a row of versions only the last is read; a large configuration is read less often as a proof; hubs are the strongest gateways by their part of a core and their link.

--- a/sequoiausher/coordination/gateway/peerbook.cpp
+++ b/sequoiausher/coordination/gateway/peerbook.cpp
@@ -37,8 +37,15 @@
         Millis heardAt;
         Millis newestSentAt;
         bool isHub = false;
+        std::uint16_t strength = 0;
     };
 
+    std::uint16_t strengthOf(const InstanceId &instance) const
+    {
+        const auto found = this->known.find(instance);
+        return found != this->known.end() ? found->second.strength : this->strength;
+    }
+
     /** The hubs in the order that all share, worked out anew now and then: it takes a sort of all names. */
     const std::vector<InstanceId> &hubs(Millis now)
     {
@@ -72,8 +79,10 @@
         // So many that a hub answers about as many gateways as there are hubs, four times over.
         const auto root = static_cast<std::size_t>(std::lround(std::sqrt(static_cast<double>(all.size())) / 2));
         const std::size_t count = std::max(fewestHubs, root);
-        std::sort(all.begin(), all.end(), [](const InstanceId &a, const InstanceId &b) {
-            return hash64(a.value) < hash64(b.value);
+        std::sort(all.begin(), all.end(), [this](const InstanceId &a, const InstanceId &b) {
+            const std::uint16_t strengthA = this->strengthOf(a);
+            const std::uint16_t strengthB = this->strengthOf(b);
+            return strengthA != strengthB ? strengthA > strengthB : hash64(a.value) < hash64(b.value);
         });
         all.resize(std::min(count, all.size()));
         return all;
@@ -83,6 +92,7 @@
     std::set<InstanceId> seeds;
     std::map<InstanceId, Known> known;
     std::uint64_t seed = 0;
+    std::uint16_t strength = 0;
     bool hasHeard = false;
     /** The hub that this gateway reports to, and how many reports it left unanswered. */
     InstanceId hub;
@@ -110,6 +120,11 @@
     this->d->seeds.erase(this->d->self);
 }
 
+void PeerBook::setStrength(std::uint16_t strength)
+{
+    this->d->strength = strength;
+}
+
 void PeerBook::heardFrom(const InstanceId &peer, const GatewayReport &report, Millis now)
 {
     this->d->hasHeard = true;
@@ -120,10 +135,12 @@
     known.heardAt = now;
     known.newestSentAt = report.sentAt;
     known.isHub = report.isHub;
+    known.strength = report.strength;
     for (const GatewayMember &member : report.members) {
         if (member.instance != this->d->self && member.age < memory) {
             Private::Known &other = this->d->known[member.instance];
             other.heardAt = std::max(other.heardAt, now - member.age);
+            other.strength = member.strength;
         }
     }
     std::erase_if(this->d->known, [now](const auto &entry) { return now - entry.second.heardAt > memory; });
@@ -212,7 +229,7 @@
     std::vector<GatewayMember> all;
     for (const auto &[peer, known] : this->d->known) {
         if (now - known.heardAt < memberLife) {
-            all.push_back({peer, now - known.heardAt});
+            all.push_back({peer, now - known.heardAt, known.strength});
         }
     }
     return all;
--- a/sequoiausher/coordination/gateway/peerbook.h
+++ b/sequoiausher/coordination/gateway/peerbook.h
@@ -5,9 +5,9 @@
 //
 // In a small fleet everybody reports to everybody. In a large one that would cost each gateway hundreds of messages a
 // second, so a few are hubs: each gateway reports to one hub, which answers with what all others said, and the hubs
-// report to each other. Hubs are the first members in the order of a hash that all gateways share; nobody elects them,
-// and whoever is asked for a reply gives one, so a difference between two lists costs a little freshness and nothing
-// else.
+// report to each other. Hubs are the strongest members, among equal ones the first in the order of a hash that all
+// gateways share; nobody elects them, and whoever is asked for a reply gives one, so a difference between two lists
+// costs a little freshness and nothing else.
 //
 //     PeerBook book(self, seeds, seed);
 //     book.heardFrom(peer, report, now);
@@ -43,14 +43,16 @@
     ~PeerBook();
 
     void setSeeds(const std::vector<InstanceId> &seeds);
+    /** How much this gateway can carry beside its callers' requests. */
+    void setStrength(std::uint16_t strength);
     /** A report arrived. */
     void heardFrom(const InstanceId &peer, const GatewayReport &report, Millis now);
 
     /** To whom this round's reports go. */
     std::vector<DueReport> due(Millis now);
     /**
-     * Whether the report is to be answered at once: it asks for it, or its sender has not heard of enough gateways to know
-     * how large the fleet is, and so reports to everybody it knows or takes itself for a hub.
+     * Whether the report is to be answered at once: it asks for it, or its sender has not heard of enough gateways to
+     * know how large the fleet is, and so reports to everybody it knows or takes itself for a hub.
      */
     bool mustReply(const InstanceId &peer, const GatewayReport &report, Millis now) const;
     /** Whether there are so many that hubs carry the reports. */
--- a/sequoiausher/coordination/gateway/peerbooktest.cpp
+++ b/sequoiausher/coordination/gateway/peerbooktest.cpp
@@ -25,6 +25,7 @@
         const std::vector<InstanceId> seeds{nameOf(0), nameOf(1), nameOf(999)};
         for (std::size_t i = 0; i < size; ++i) {
             this->books.emplace_back(nameOf(i), seeds, i);
+            this->books.back().setStrength(static_cast<std::uint16_t>(i % 7));
             this->indexes[nameOf(i)] = i;
         }
     }
@@ -52,6 +53,7 @@
         GatewayReport report;
         report.sentAt = now;
         report.isHub = this->books[from].isHub(now);
+        report.strength = static_cast<std::uint16_t>(from % 7);
         report.wantsReply = wantsReply;
         report.isReply = isReply;
         if (isReply || report.isHub || !this->books[from].hasHubs(now)) {
@@ -108,6 +110,19 @@
     CHECK(fleet.sent < 300 * 2 + 9 * 8);
 }
 
+// Symptom: a change of the routes took seconds to reach a part of the fleet. Events: the configuration grows to half a
+// megabyte, and a hub on a slow link passes it on to twenty others. Cause: hubs were chosen whatever they can carry.
+TEST_CASE("hubs are among the strongest")
+{
+    Fleet fleet(66);
+    for (int round = 1; round <= 12; ++round) {
+        fleet.round(Millis{round * 300});
+    }
+    for (std::size_t i = 0; i < 66; ++i) {
+        CHECK((!fleet.books[i].isHub(Millis{3600}) || i % 7 == 6));
+    }
+}
+
 // Symptom: a tenth of a fleet refused all keyed requests for seconds. Events: a hub dies, and its gateways go on asking
 // it for proofs. Cause: nobody looked for another one.
 TEST_CASE("gateways whose hub is dead report to another one within three rounds")
--- a/sequoiausher/coordination/messages/gatewaymessages.h
+++ b/sequoiausher/coordination/messages/gatewaymessages.h
@@ -43,6 +43,8 @@
     InstanceId instance;
     /** How long ago anybody heard from it, as far as the gateways on the way know. */
     Millis age;
+    /** How much it can carry beside its callers' requests; hubs are the strongest. */
+    std::uint16_t strength = 0;
 
     bool operator==(const GatewayMember &) const = default;
 };
@@ -76,6 +78,8 @@
     bool isReply = false;
     /** The sender does not read the store itself while the receiver vouches for what it knows. */
     bool isResting = false;
+    /** The sender's own, as GatewayMember has it. */
+    std::uint16_t strength = 0;
     /** The sender carries reports for others. */
     bool isHub = false;
 
--- a/sequoiausher/protocol/codec/framereader.cpp
+++ b/sequoiausher/protocol/codec/framereader.cpp
@@ -640,9 +640,11 @@
     report.isResting = m->resting();
     report.isHub = m->hub();
     report.isReply = m->reply();
+    report.strength = m->strength();
     for (std::size_t i = 0; i < this->sizeOf(m->members()); ++i) {
         const auto *member = m->members()->Get(static_cast<flatbuffers::uoffset_t>(i));
-        report.members.push_back({InstanceId{this->name(member->instance())}, spanOf(member->age())});
+        report.members.push_back(
+            {InstanceId{this->name(member->instance())}, spanOf(member->age()), member->strength()});
     }
     for (std::size_t i = 0; i < this->sizeOf(m->loads()); ++i) {
         const auto *load = m->loads()->Get(static_cast<flatbuffers::uoffset_t>(i));
--- a/sequoiausher/protocol/codec/framewriter.cpp
+++ b/sequoiausher/protocol/codec/framewriter.cpp
@@ -430,7 +430,7 @@
 {
     std::vector<Wire::GatewayMember> members;
     for (const GatewayMember &member : m.members) {
-        members.emplace_back(wireSpan(member.age), this->index(member.instance.value));
+        members.emplace_back(wireSpan(member.age), this->index(member.instance.value), member.strength);
     }
     std::vector<Wire::GatewayLoad> loads;
     for (const GatewayLoad &load : m.loads) {
@@ -457,7 +457,8 @@
                                                              m.wantsReply,
                                                              m.isResting,
                                                              m.isHub,
-                                                             m.isReply));
+                                                             m.isReply,
+                                                             m.strength));
 }
 
 // Without the order, a router of the first version would not see the messages of a kind that it does not know.
--- a/sequoiausher/protocol/codec/messagegenerators.cpp
+++ b/sequoiausher/protocol/codec/messagegenerators.cpp
@@ -165,7 +165,7 @@
 SEQUOIAUSHER_ARBITRARY(AnswerPage, m.handover, m.sequence, m.fragments);
 SEQUOIAUSHER_ARBITRARY(AnswerPageAck, m.handover, m.sequence);
 SEQUOIAUSHER_ARBITRARY(GatewayLoad, m.target, m.inFlight, m.suspected);
-SEQUOIAUSHER_ARBITRARY(GatewayMember, m.instance, m.age);
+SEQUOIAUSHER_ARBITRARY(GatewayMember, m.instance, m.age, m.strength);
 SEQUOIAUSHER_ARBITRARY(GatewayPlacement, m.part, m.target);
 SEQUOIAUSHER_ARBITRARY(GatewayReport,
                        m.sentAt,
@@ -181,7 +181,8 @@
                        m.wantsReply,
                        m.isResting,
                        m.isHub,
-                       m.isReply);
+                       m.isReply,
+                       m.strength);
 
 #undef SEQUOIAUSHER_ARBITRARY
 
--- a/sequoiausher/protocol/settings/gatewaysettings.cpp
+++ b/sequoiausher/protocol/settings/gatewaysettings.cpp
@@ -71,6 +71,10 @@
     settings.readyAddress = section.address("ready_address").value_or("");
     settings.peerAddress = section.address("peer_address").value_or("");
     readAddress(section, "metrics_address", settings.metricsAddress);
+    constexpr double mostCores = 1024;
+    constexpr double mostMbps = 1000000;
+    readNumber(section, "processor_share", 0, mostCores, settings.processorShare);
+    readNumber(section, "link_mbps", 0, mostMbps, settings.linkMbps);
     if (const IniEntry *rules = filled(section, "rules")) {
         settings.rulesFile = rules->value;
     }
--- a/sequoiausher/protocol/settings/gatewaysettings.h
+++ b/sequoiausher/protocol/settings/gatewaysettings.h
@@ -55,6 +55,9 @@
     std::string peerAddress;
     /** IP number and port of the metrics page; empty for none. */
     std::string metricsAddress;
+    /** The part of a core that the process has, and its link, in Mbit/s: what hubs are chosen by. */
+    double processorShare = 1;
+    double linkMbps = 1000;
     /** The file with the ordered rules; empty for the built-in ones. */
     std::string rulesFile;
     StoreSettings store;
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -4,6 +4,9 @@
 #include "sequoiausher/protocol/gateway/targetstext.h"
 #include "sequoiausher/transport/peers/peermesh.h"
 
+#include <QByteArray>
+
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -15,6 +18,8 @@
 constexpr const char *targetsDocument = "gateway/targets";
 /** A peer that is behind is sent the same revision again only after so long: the first may be on its way. */
 constexpr Millis pushInterval{600};
+/** And a newer one after so long: in a storm of changes the newest is sent, not each. */
+constexpr Millis newerPushInterval{250};
 /** A gateway whose store is silent for so long learns its targets from peers, and one with a younger word gives them.
  */
 constexpr Millis storeIsSilent{1500};
@@ -38,6 +43,37 @@
     return links;
 }
 
+/** How much a gateway can carry for others: a twentieth of a core or ten Mbit/s count one, the scarcer decides. */
+std::uint16_t strengthOf(const GatewaySettings &settings)
+{
+    constexpr double shareUnit = 0.05;
+    constexpr double linkUnit = 10;
+    constexpr double most = 1000;
+    return static_cast<std::uint16_t>(
+        std::clamp(std::min(settings.processorShare / shareUnit, settings.linkMbps / linkUnit), 0.0, most));
+}
+
+/**
+ * Packed for the way to peers: a configuration of half a megabyte is mostly repetition, and would take half a second on
+ * a link of 10 Mbit/s for each gateway that it goes to.
+ */
+std::string packed(const std::string &text)
+{
+    constexpr int fastest = 1;
+    return qCompress(reinterpret_cast<const uchar *>(text.data()), static_cast<qsizetype>(text.size()), fastest)
+        .toStdString();
+}
+
+std::string unpacked(const std::string &bytes, const std::string &from)
+{
+    const QByteArray text
+        = qUncompress(reinterpret_cast<const uchar *>(bytes.data()), static_cast<qsizetype>(bytes.size()));
+    if (text.isEmpty()) {
+        throw Error(Step::Decode, from, "a document cannot be unpacked");
+    }
+    return text.toStdString();
+}
+
 } // namespace
 
 class GatewayPeers::Private : public PeerListener
@@ -49,6 +85,7 @@
         , news(hears)
         , mesh(linkSettings(shared.settings, incarnation), *this)
     {
+        this->context.peers.setStrength(strengthOf(shared.settings));
     }
 
     void received(const InstanceId &from, Incarnation incarnation, PeerMessage message) override;
@@ -75,6 +112,8 @@
     PeerMesh mesh;
     std::vector<InstanceId> wanted;
     std::map<std::pair<InstanceId, std::string>, Pushed> pushed;
+    Revision packedRevision = 0;
+    std::string packedConfiguration;
     Millis nextRoundAt;
     /** When the report was sent that a hub with a fresh word of the store last answered. */
     Millis hubVouchedAt;
@@ -155,6 +194,7 @@
     report.leaving = this->context.isStopping;
     report.isHub = book.isHub(now);
     report.isResting = this->mayRest(now);
+    report.strength = strengthOf(this->context.settings);
     if (!report.isHub) {
         report.loads = this->context.board.ownLoads(now);
         report.placements = this->context.parts.newsFor(peer, NewsScope::Own);
@@ -225,22 +265,27 @@
 void GatewayPeers::Private::pushTo(const InstanceId &peer, const GatewayReport &report, Millis now)
 {
     if (report.configuration < this->known.configurationRevision) {
-        this->push(
-            peer, {configurationDocument, this->known.configurationRevision, this->known.configuration, false}, now);
+        if (this->packedRevision != this->known.configurationRevision) {
+            this->packedRevision = this->known.configurationRevision;
+            this->packedConfiguration = packed(this->known.configuration);
+        }
+        this->push(peer, {configurationDocument, this->packedRevision, this->packedConfiguration, false}, now);
     }
     const bool readsNoStore = report.isResting || report.storeAge > storeIsSilent;
     const bool needsTargets = readsNoStore && report.targets < this->known.targetsChangedAt;
     // One that starts while the store is away for all has no list at all: an old one is better than none.
     const bool hasNone = report.targets == 0 && !this->known.targets.empty();
     if (hasNone || (needsTargets && this->storeAge(now) < storeIsThere)) {
-        this->push(peer, {targetsDocument, this->known.targetsRevision, toText(this->known.targets), false}, now);
+        this->push(
+            peer, {targetsDocument, this->known.targetsRevision, packed(toText(this->known.targets)), false}, now);
     }
 }
 
 void GatewayPeers::Private::push(const InstanceId &peer, Document document, Millis now)
 {
     Pushed &last = this->pushed[{peer, document.name}];
-    if (last.revision == document.revision && now - last.at < pushInterval) {
+    const Millis wait = last.revision == document.revision ? pushInterval : newerPushInterval;
+    if (last.revision != 0 && now - last.at < wait) {
         return;
     }
     last = {document.revision, now};
@@ -250,9 +295,10 @@
 void GatewayPeers::Private::receive(const Document &document, const InstanceId &from)
 {
     if (document.name == configurationDocument && document.revision > this->context.revision()) {
-        this->news.configurationOffered(document.body, document.revision);
+        this->news.configurationOffered(unpacked(document.body, "gateway " + from.value), document.revision);
     } else if (document.name == targetsDocument && document.revision > this->known.targetsRevision) {
-        this->news.targetsOffered(parseTargetsText(document.body, "gateway " + from.value), document.revision);
+        const std::string sender = "gateway " + from.value;
+        this->news.targetsOffered(parseTargetsText(unpacked(document.body, sender), sender), document.revision);
     }
 }
 
--- a/sequoiausher/transport/gateway/storewatcher.cpp
+++ b/sequoiausher/transport/gateway/storewatcher.cpp
@@ -19,6 +19,11 @@
  * long after a change is heard with the next one. It delays news of a target that leaves by as much.
  */
 constexpr Millis gatherTime{150};
+/**
+ * Bytes that a reading of the configuration may take in a millisecond, on the average: half of what a link of 10 Mbit/s
+ * carries. A configuration of a megabyte, read as often as a small one, would leave such a link no room for callers.
+ */
+constexpr std::int64_t slowestLink = 600;
 /** After a failed call the next one waits for so long; doubled each time up to the most, with jitter. */
 constexpr Millis firstPause{100};
 constexpr Millis longestPause{800};
@@ -47,6 +52,7 @@
         , listener(hears)
         , proof(with.address)
         , changes(with.address)
+        , proofInterval(with.proofInterval)
         , random(std::random_device{}())
     {
     }
@@ -74,6 +80,8 @@
     Revision watchedFrom = 0;
     /** A proof is due whatever the age of the last one: the watch has lost its history. */
     bool mustProve = true;
+    /** As the settings say, and longer where the configuration is large. */
+    Millis proofInterval;
     bool isResting = false;
     std::vector<GatewayTarget> listed;
     Revision listedFrom = 0;
@@ -102,7 +110,7 @@
     }
     if (!this->d->proof.calls.isBusy() && now >= this->d->proof.nextAt) {
         // Peers vouch for each other's proofs, so in a fleet that is in touch a few readings serve all.
-        if (this->d->mustProve || proofAge >= this->d->settings.proofInterval) {
+        if (this->d->mustProve || proofAge >= this->d->proofInterval) {
             this->d->prove();
         }
     }
@@ -184,6 +192,8 @@
         try {
             const StoredConfiguration stored = this->dialect.readConfigurationAnswer(a.status, a.body);
             this->mustProve = false;
+            this->proofInterval
+                = this->settings.proofInterval + Millis{static_cast<std::int64_t>(a.body.size()) / slowestLink};
             // Not all at once: whoever is first spares the others theirs.
             std::uniform_int_distribution<std::int64_t> jitter(0, this->settings.proofInterval.count / 2);
             this->proof.nextAt = a.startedAt + Millis{jitter(this->random)};
@@ -272,15 +282,20 @@
     for (const std::string &problem : events.problems) {
         this->log.warning(LogPart::Platform, "an entry cannot be read", {{"why", problem}});
     }
+    const StoredConfiguration *newest = nullptr;
     for (const StoreEvent &event : events.events) {
         if (event.configuration) {
-            this->listener.configurationRead(*event.configuration, std::nullopt);
+            // Reading one takes milliseconds; of several in a row only the last one counts.
+            newest = &*event.configuration;
         } else if (event.target) {
             this->listener.targetWritten(*event.target, events.storeRevision);
         } else if (!event.removedTarget.empty()) {
             this->listener.targetRemoved(event.removedTarget, events.storeRevision);
         }
     }
+    if (newest != nullptr) {
+        this->listener.configurationRead(*newest, std::nullopt);
+    }
 }
 
 } // namespace Sequoiausher
