--- a/sequoiausher/cli/requeststory.cpp
+++ b/sequoiausher/cli/requeststory.cpp
@@ -48,7 +48,8 @@
         } else if (name == "request") {
             request = value;
         } else if (name != "level") {
-            line.fields.push_back(name + "=" + value);
+            line.fields.push_back(name);
+            line.fields.back().append("=").append(value);
         }
     }
     return line;
--- a/sequoiausher/transport/gateway/gatewaytestbed.cpp
+++ b/sequoiausher/transport/gateway/gatewaytestbed.cpp
@@ -25,7 +25,7 @@
     static int next = getpid() * 16;
     while (true) {
         next += 1;
-        const std::string address = "127.0.0.1:" + std::to_string(firstPort + next % portCount);
+        std::string address = "127.0.0.1:" + std::to_string(firstPort + next % portCount);
         try {
             const StreamListener listener(address, [](int) {});
             return address;
