--- a/sequoiausher/base/ini/inireader.h
+++ b/sequoiausher/base/ini/inireader.h
@@ -137,6 +137,19 @@
     std::unique_ptr<Private> d;
 };
 
+/** Reads a section into settings where there is one, and reports what of it read did not ask for. */
+template<typename Settings>
+void readOptionalSection(IniReader &reader,
+                         std::string_view name,
+                         void (*read)(SectionReader &, Settings &),
+                         Settings &settings)
+{
+    if (auto section = reader.section(name)) {
+        read(*section, settings);
+        section->finish();
+    }
+}
+
 /** NAME of a section `[kind NAME]`; empty where the section has no second word. */
 std::string nameOfSection(const IniSection &section);
 
--- a/sequoiausher/coordination/gateway/repeatshare.cpp
+++ b/sequoiausher/coordination/gateway/repeatshare.cpp
@@ -105,9 +105,4 @@
     return true;
 }
 
-void RepeatShare::countRepeat(const PoolId &service, Millis now)
-{
-    this->d->counts[service].repeats.add(this->d->partOf(now));
-}
-
 } // namespace Sequoiausher
--- a/sequoiausher/coordination/gateway/repeatshare.h
+++ b/sequoiausher/coordination/gateway/repeatshare.h
@@ -38,8 +38,6 @@
     void countRequest(const PoolId &service, Millis now);
     /** Whether one more repeat may be sent; it is then counted. @param gateways how many share the slack. */
     bool tryRepeat(const PoolId &service, std::size_t gateways, Millis now);
-    /** Counts a repeat that nobody was asked about: one that a target saw although it was meant as a first. */
-    void countRepeat(const PoolId &service, Millis now);
 
 private:
     class Private;
--- a/sequoiausher/coordination/gateway/targethealthscore.cpp
+++ b/sequoiausher/coordination/gateway/targethealthscore.cpp
@@ -61,14 +61,4 @@
     return now < this->avoidedUntil;
 }
 
-double TargetHealthScore::failureShare() const
-{
-    return this->share;
-}
-
-std::uint32_t TargetHealthScore::failuresInARow() const
-{
-    return this->inARow;
-}
-
 } // namespace Sequoiausher
--- a/sequoiausher/coordination/gateway/targethealthscore.h
+++ b/sequoiausher/coordination/gateway/targethealthscore.h
@@ -32,10 +32,6 @@
 
     /** Whether requests should go elsewhere. */
     bool isAvoided(Millis now) const;
-    /** The share of requests that failed lately, 0 to 1. */
-    double failureShare() const;
-    /** How often in a row requests got no good answer. */
-    std::uint32_t failuresInARow() const;
 
 private:
     void avoid(Millis now);
--- a/sequoiausher/protocol/settings/gatewaysettings.cpp
+++ b/sequoiausher/protocol/settings/gatewaysettings.cpp
@@ -128,18 +128,6 @@
     readMillis(section, "repeat_interval_ms", 100, hourMs, settings.repeatInterval);
 }
 
-template<typename Settings>
-void readOptional(IniReader &reader,
-                  std::string_view name,
-                  void (*read)(SectionReader &, Settings &),
-                  Settings &settings)
-{
-    if (auto section = reader.section(name)) {
-        read(*section, settings);
-        section->finish();
-    }
-}
-
 } // namespace
 
 GatewaySettings parseGatewaySettings(std::string_view text, const std::string &file, Problems &problems)
@@ -155,10 +143,10 @@
         readStore(*section, settings.store);
         section->finish();
     }
-    readOptional(reader, "peers", readPeers, settings.seeds);
-    readOptional(reader, "bounds", readBounds, settings);
-    readOptional(reader, "stop", readStop, settings.stop);
-    readOptional(reader, "log", readLog, settings.log);
+    readOptionalSection(reader, "peers", readPeers, settings.seeds);
+    readOptionalSection(reader, "bounds", readBounds, settings);
+    readOptionalSection(reader, "stop", readStop, settings.stop);
+    readOptionalSection(reader, "log", readLog, settings.log);
     reader.finish();
     return settings;
 }
--- a/sequoiausher/protocol/settings/routersettings.cpp
+++ b/sequoiausher/protocol/settings/routersettings.cpp
@@ -153,18 +153,6 @@
     }
 }
 
-template<typename Settings>
-void readOptional(IniReader &reader,
-                  std::string_view name,
-                  void (*read)(SectionReader &, Settings &),
-                  Settings &settings)
-{
-    if (auto section = reader.section(name)) {
-        read(*section, settings);
-        section->finish();
-    }
-}
-
 } // namespace
 
 RouterSettings parseRouterSettings(std::string_view text, const std::string &file, Problems &problems)
@@ -180,13 +168,13 @@
         readPlatform(*section, settings.platform);
         section->finish();
     }
-    readOptional(reader, "peers", readPeers, settings.peers);
-    readOptional(reader, "claims", readClaims, settings.claims);
-    readOptional(reader, "admission", readAdmission, settings.admission);
-    readOptional(reader, "limits", readLimits, settings.limits);
-    readOptional(reader, "log", readLog, settings.log);
-    readOptional(reader, "drain", readDrain, settings.drain);
-    readOptional(reader, "operators", readOperators, settings);
+    readOptionalSection(reader, "peers", readPeers, settings.peers);
+    readOptionalSection(reader, "claims", readClaims, settings.claims);
+    readOptionalSection(reader, "admission", readAdmission, settings.admission);
+    readOptionalSection(reader, "limits", readLimits, settings.limits);
+    readOptionalSection(reader, "log", readLog, settings.log);
+    readOptionalSection(reader, "drain", readDrain, settings.drain);
+    readOptionalSection(reader, "operators", readOperators, settings);
     reader.finish();
     return settings;
 }
--- a/sequoiausher/transport/gateway/gatewaycall.cpp
+++ b/sequoiausher/transport/gateway/gatewaycall.cpp
@@ -55,10 +55,6 @@
     }
 }
 
-void GatewayCall::opened()
-{
-}
-
 void GatewayCall::answerGrew()
 {
     HttpReader &reader = this->connection->reader();
--- a/sequoiausher/transport/gateway/gatewaycall.h
+++ b/sequoiausher/transport/gateway/gatewaycall.h
@@ -51,7 +51,6 @@
     /** Closes the connection; the target stops. Nothing is told after it. */
     void cancel();
 
-    void opened() override;
     void answerGrew() override;
     void connectionEnded(StreamEnd how) override;
 
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -111,9 +111,9 @@
     void passOnHeld(Millis now);
     void beginStream();
     void giveEvents(const std::string &events, Millis now);
-    void endStream(Millis now);
+    void endStream();
     void answerOwn(int status, const std::string &reason, std::optional<Millis> retryAfter, Outcome outcome);
-    void finish(Outcome outcome, std::string_view how, bool closes);
+    void finish(Outcome outcome, std::string_view how);
     void log(std::string_view outcome, std::string_view how, Millis now) const;
     std::string headLine(const HttpHead &answer) const;
     bool mustClose() const;
@@ -147,7 +147,6 @@
     ChosenTarget chosen;
     std::vector<TargetId> tried;
     Millis sentAt;
-    bool isSent = false;
     std::uint32_t targetsUsed = 0;
     bool mayHaveRun = false;
 
@@ -398,7 +397,6 @@
     }
     std::string bytes = this->context.dialect.targetRequestHead(this->head, this->request, order);
     bytes += this->body;
-    this->isSent = true;
     this->call->send(bytes, this->head.method == "HEAD");
 }
 
@@ -475,7 +473,7 @@
         return;
     case NextStep::CutOff:
         this->caller.cutOff();
-        this->finish(Outcome::Broken, "cut-off", true);
+        this->finish(Outcome::Broken, "cut-off");
         return;
     }
 }
@@ -592,20 +590,20 @@
     }
     this->d->closeCall(isFailure ? AttemptMark::Failed : AttemptMark::Answered, now);
     if (this->d->isAnswerBegun) {
-        this->d->endStream(now);
+        this->d->endStream();
     } else {
         this->d->passOnHeld(now);
     }
 }
 
-void GatewayExchange::Private::endStream(Millis /*now*/)
+void GatewayExchange::Private::endStream()
 {
     if (!this->cutter.rest().empty()) {
         this->caller.write(chunkOf(this->cutter.rest()));
     }
     this->caller.write(lastChunk);
     const bool closes = this->mustClose();
-    this->finish(Outcome::Complete, "answered", closes);
+    this->finish(Outcome::Complete, "answered");
     this->caller.finished(closes);
 }
 
@@ -635,7 +633,7 @@
     bytes += closes ? "Connection: close\r\n\r\n" : "\r\n";
     bytes += this->heldAnswer;
     this->caller.write(bytes);
-    this->finish(status >= firstFailure ? Outcome::Unknown : Outcome::Complete, "answered", closes);
+    this->finish(status >= firstFailure ? Outcome::Unknown : Outcome::Complete, "answered");
     this->caller.finished(closes);
 }
 
@@ -661,11 +659,11 @@
     }
     this->caller.write(ownAnswer(
         this->context.dialect, this->request, {status, reason, retryAfter, closes, this->head.method == "HEAD"}));
-    this->finish(outcome, this->reasonOfEnd, closes);
+    this->finish(outcome, this->reasonOfEnd);
     this->caller.finished(closes);
 }
 
-void GatewayExchange::Private::finish(Outcome outcome, std::string_view how, bool /*closes*/)
+void GatewayExchange::Private::finish(Outcome outcome, std::string_view how)
 {
     this->over = true;
     this->context.metrics.countOutcome(this->labels, outcome);
@@ -755,7 +753,7 @@
         return;
     }
     this->d->closeCall(AttemptMark::Neutral, Millis::monotonicNow());
-    this->d->finish(Outcome::Cancelled, "the caller left", true);
+    this->d->finish(Outcome::Cancelled, "the caller left");
 }
 
 bool GatewayExchange::isOver() const
--- a/sequoiausher/transport/gateway/targetpools.cpp
+++ b/sequoiausher/transport/gateway/targetpools.cpp
@@ -123,13 +123,6 @@
     this->stream->close();
 }
 
-void TargetConnection::connected()
-{
-    if (this->user != nullptr) {
-        this->user->opened();
-    }
-}
-
 void TargetConnection::bytesArrived()
 {
     if (this->user == nullptr) {
@@ -236,12 +229,6 @@
     pool->second.idle.clear();
 }
 
-std::size_t TargetPools::openCount(const TargetId &target) const
-{
-    const auto pool = this->d->pools.find(target);
-    return pool != this->d->pools.end() ? pool->second.open : 0;
-}
-
 std::uint64_t TargetPools::dialled() const
 {
     return this->d->dialled;
--- a/sequoiausher/transport/gateway/targetpools.h
+++ b/sequoiausher/transport/gateway/targetpools.h
@@ -26,7 +26,6 @@
 {
 public:
     virtual ~TargetConnectionUser() = default;
-    virtual void opened() = 0;
     /** The reader has read on. */
     virtual void answerGrew() = 0;
     /** The connection is over; reader() has what came before. */
@@ -69,7 +68,6 @@
     /** Closes it; the target stops what it does for the request. */
     void drop();
 
-    void connected() override;
     void bytesArrived() override;
     void ended(StreamEnd how) override;
 
@@ -105,7 +103,6 @@
     /** Closes the kept connections to a target that is gone. */
     void forget(const TargetId &target);
 
-    std::size_t openCount(const TargetId &target) const;
     std::uint64_t dialled() const;
 
 private:
