--- a/lab/fleet/labprocess.cpp
+++ b/lab/fleet/labprocess.cpp
@@ -98,6 +98,11 @@
     this->d->send(SIGCONT);
 }
 
+void LabProcess::requestReload()
+{
+    this->d->send(SIGHUP);
+}
+
 void LabProcess::requestStop()
 {
     this->d->send(SIGTERM);
--- a/lab/fleet/labprocess.h
+++ b/lab/fleet/labprocess.h
@@ -39,6 +39,8 @@
     void freeze();
     /** SIGCONT. */
     void thaw();
+    /** SIGHUP: it reads its settings again. */
+    void requestReload();
     /** SIGTERM; does not wait. */
     void requestStop();
     /** Runs the event loop until it ended by itself; its exit status, or nothing where it did not in time or crashed.
--- a/lab/relay/main.cpp
+++ b/lab/relay/main.cpp
@@ -2,7 +2,7 @@
 //
 //     lab-relay --port 7300 --map 127.0.0.1:7301=127.0.0.1:7201 --map 127.0.0.1:7302=127.0.0.1:7202
 //     ready relay 7300
-//     POST /lab/link {"listen": "127.0.0.1:7301", "mode": "pass|cut|silent|silent_open|delay", "ms": N}
+//     POST /lab/link {"listen": "127.0.0.1:7301", "mode": "pass|cut|silent|one_way|silent_open|delay", "ms": N}
 //     GET  /lab/links
 
 #include "lab/relay/relay.h"
--- a/lab/relay/relay.cpp
+++ b/lab/relay/relay.cpp
@@ -1,168 +1,167 @@
 #include "lab/relay/relay.h"
 
-#include "sequoiausher/base/error.h"
+#include "sequoiausher/transport/stream/bytestream.h"
+#include "sequoiausher/transport/stream/streamlistener.h"
 
-#include <QtCore/QPointer>
-#include <QtCore/QTimer>
-#include <QtNetwork/QHostAddress>
-#include <QtNetwork/QTcpServer>
-#include <QtNetwork/QTcpSocket>
+#include <QTimer>
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <deque>
+#include <utility>
+#include <vector>
 
 namespace Sequoiausher::Lab {
 
 namespace {
 
 /** Bytes taken from one end while the other cannot take them; beyond it the sender feels back-pressure. */
-constexpr qint64 maxUnsent = 1 << 20;
+constexpr std::size_t maxUnsent = 1UL << 20U;
 
 struct DelayedBytes
 {
     Millis due;
-    QByteArray bytes;
+    std::string bytes;
 };
 
-/** Carries what one socket receives to another. */
-class Direction : public QObject
+class Connection;
+
+/** One end of a connection, and what it sent on its way to the other end. */
+class End : public ByteStreamUser
 {
 public:
-    Direction(QTcpSocket *source, QTcpSocket *sink, const Link &relayLink, const bool &isSilenced)
-        : from(source)
-        , to(sink)
-        , link(relayLink)
-        , silenced(isSilenced)
+    explicit End(Connection &of) : connection(of)
     {
         this->timer.setSingleShot(true);
         this->timer.setTimerType(Qt::PreciseTimer);
-        QObject::connect(&this->timer, &QTimer::timeout, this, [this] { this->pump(); });
-        QObject::connect(source, &QTcpSocket::readyRead, this, [this] { this->pump(); });
-        QObject::connect(sink, &QTcpSocket::bytesWritten, this, [this] { this->pump(); });
-        QObject::connect(sink, &QTcpSocket::connected, this, [this] { this->pump(); });
-        QObject::connect(source, &QTcpSocket::disconnected, this, [this] {
-            this->ended = true;
-            this->pump();
-        });
+        QObject::connect(&this->timer, &QTimer::timeout, [this] { this->pump(); });
     }
-
-    void pump()
+    ~End() override
     {
-        if (this->silenced) {
-            this->from->readAll();
-            this->delayed.clear();
-            return;
-        }
-        if (this->to->state() != QAbstractSocket::ConnectedState) {
-            return;
-        }
-        this->take();
-        this->give();
-        if (this->ended && this->delayed.empty() && this->from->bytesAvailable() == 0) {
-            this->to->disconnectFromHost();
+        if (this->stream) {
+            this->stream->forgetUser();
+            this->stream->close();
         }
     }
+    void connected() override;
+    void bytesArrived() override;
+    void drained() override;
+    void ended(StreamEnd how) override;
+    /** Gives the other end what is due, and the end after it. */
+    void pump();
+
+    Connection &connection;
+    std::shared_ptr<ByteStream> stream;
+    End *other = nullptr;
+    /** What it sends is swallowed. */
+    bool isSilenced = false;
+    std::optional<StreamEnd> end;
 
 private:
-    void take()
-    {
-        if (this->to->bytesToWrite() >= maxUnsent || this->from->bytesAvailable() == 0) {
-            return;
-        }
-        const Millis delay = this->link.mode == LinkMode::Delay ? this->link.delay : Millis{0};
-        if (delay == Millis{0} && this->delayed.empty()) {
-            this->to->write(this->from->readAll());
-            return;
-        }
-        this->delayed.push_back({Millis::monotonicNow() + delay, this->from->readAll()});
-    }
-
-    void give()
-    {
-        const Millis now = Millis::monotonicNow();
-        while (!this->delayed.empty() && this->delayed.front().due <= now) {
-            this->to->write(this->delayed.front().bytes);
-            this->delayed.pop_front();
-        }
-        if (!this->delayed.empty()) {
-            this->timer.start(static_cast<int>((this->delayed.front().due - now).count));
-        }
-    }
-
-    QTcpSocket *from;
-    QTcpSocket *to;
-    const Link &link;
-    const bool &silenced;
-    QTimer timer;
     std::deque<DelayedBytes> delayed;
-    bool ended = false;
+    QTimer timer;
 };
 
 /** One accepted connection and the one made for it. */
-class Connection : public QObject
+class Connection
 {
 public:
-    Connection(QTcpSocket *incoming, const Endpoint &to, const Link &link, QObject *parent)
-        : QObject(parent)
-        , silenced(link.mode == LinkMode::Silent)
-        , accepted(incoming)
-        , made(new QTcpSocket(this))
-        , forth(incoming, this->made, link, this->silenced)
-        , back(this->made, incoming, link, this->silenced)
+    Connection(int descriptor, const Endpoint &to, const Link &relayLink)
+        : link(relayLink)
+        , accepted(*this)
+        , made(*this)
     {
-        incoming->setParent(this);
-        for (QTcpSocket *socket : {this->accepted, this->made}) {
-            socket->setReadBufferSize(maxUnsent);
-            socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-            QObject::connect(socket, &QTcpSocket::disconnected, this, [this] { this->endIfClosed(); });
-        }
-        QObject::connect(this->made, &QTcpSocket::connected, this, [this] {
-            this->everConnected = true;
-            this->made->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-        });
-        QObject::connect(this->made, &QTcpSocket::errorOccurred, this, [this](QAbstractSocket::SocketError) {
-            if (!this->silenced && !this->everConnected) {
-                this->accepted->abort();
-                this->deleteLater();
-            }
-        });
-        this->made->connectToHost(QString::fromStdString(to.address), to.port);
-    }
-
-    ~Connection() override
+        this->accepted.other = &this->made;
+        this->made.other = &this->accepted;
+        this->accepted.isSilenced = relayLink.mode == LinkMode::Silent;
+        this->made.isSilenced = relayLink.mode == LinkMode::Silent || relayLink.mode == LinkMode::OneWay;
+        this->accepted.stream = ByteStream::adopt(descriptor, &this->accepted);
+        this->made.stream = ByteStream::dial(toText(to), &this->made);
+    }
+
+    void silence(LinkMode mode)
     {
-        // The sockets' last signals must not reach the directions, which are destroyed before them.
-        this->accepted->disconnect();
-        this->made->disconnect();
-        this->accepted->abort();
-        this->made->abort();
+        this->accepted.isSilenced = this->accepted.isSilenced || mode != LinkMode::OneWay;
+        this->made.isSilenced = true;
     }
 
-    void silence()
+    void cut()
     {
-        this->silenced = true;
+        this->accepted.stream->reset();
+        this->made.stream->reset();
+        this->isOver = true;
     }
 
-private:
-    void endIfClosed()
+    bool isSilenced() const
     {
-        const bool acceptedOpen = this->accepted->state() != QAbstractSocket::UnconnectedState;
-        const bool madeOpen = this->made->state() != QAbstractSocket::UnconnectedState;
-        if (!acceptedOpen && (!madeOpen || this->silenced)) {
-            this->deleteLater();
-        }
+        return this->accepted.isSilenced || this->made.isSilenced;
     }
 
-    bool silenced;
-    bool everConnected = false;
-    QTcpSocket *accepted;
-    QTcpSocket *made;
-    Direction forth;
-    Direction back;
+    const Link &link;
+    End accepted;
+    End made;
+    bool isOver = false;
 };
 
+void End::connected()
+{
+    this->other->pump();
+}
+
+void End::bytesArrived()
+{
+    std::string bytes = std::exchange(this->stream->input(), std::string());
+    if (this->isSilenced) {
+        return;
+    }
+    const Link &link = this->connection.link;
+    const Millis delay = link.mode == LinkMode::Delay ? link.delay : Millis{0};
+    this->delayed.push_back({Millis::monotonicNow() + delay, std::move(bytes)});
+    this->pump();
+    if (this->other->stream->pendingBytes() > maxUnsent) {
+        this->stream->setReading(false);
+    }
+}
+
+void End::drained()
+{
+    this->other->stream->setReading(true);
+}
+
+void End::ended(StreamEnd how)
+{
+    this->end = how;
+    this->pump();
+}
+
+void End::pump()
+{
+    if (this->isSilenced) {
+        this->delayed.clear();
+        // A silenced connection is held until its own side is gone.
+        this->connection.isOver = this->connection.isOver || this->end.has_value();
+        return;
+    }
+    const Millis now = Millis::monotonicNow();
+    while (!this->delayed.empty() && this->delayed.front().due <= now) {
+        this->other->stream->write(this->delayed.front().bytes);
+        this->delayed.pop_front();
+    }
+    if (!this->delayed.empty()) {
+        this->timer.start(static_cast<int>((this->delayed.front().due - now).count));
+        return;
+    }
+    if (this->end && !this->connection.isOver) {
+        this->connection.isOver = true;
+        // A reset stays one: passed on as an orderly close, a cut answer without a length would look whole.
+        if (*this->end == StreamEnd::Finished) {
+            this->other->stream->closeGently();
+        } else {
+            this->other->stream->reset();
+        }
+    }
+}
+
 } // namespace
 
 std::optional<Endpoint> parseEndpoint(std::string_view text)
@@ -188,25 +187,29 @@
 class Relay::Private
 {
 public:
-    void acceptAll();
+    void accept(int descriptor)
+    {
+        std::erase_if(this->connections, [](const auto &connection) { return connection->isOver; });
+        this->connections.push_back(std::make_unique<Connection>(descriptor, this->to, this->link));
+        if (this->link.mode == LinkMode::Cut) {
+            this->connections.back()->cut();
+        }
+    }
 
-    Endpoint listen;
     Endpoint to;
     Link link;
-    QTcpServer server;
-    /** The parent of the open connections. */
-    QObject connections;
+    std::vector<std::unique_ptr<Connection>> connections;
+    std::unique_ptr<StreamListener> listener;
+    Endpoint listen;
 };
 
 Relay::Relay(const Endpoint &listen, const Endpoint &to) : d(std::make_unique<Private>())
 {
-    this->d->listen = listen;
     this->d->to = to;
-    QObject::connect(&this->d->server, &QTcpServer::newConnection, &this->d->server, [this] { this->d->acceptAll(); });
-    if (!this->d->server.listen(QHostAddress(QString::fromStdString(listen.address)), listen.port)) {
-        throw Error(Step::Listen, toText(listen), this->d->server.errorString().toStdString());
-    }
-    this->d->listen.port = this->d->server.serverPort();
+    this->d->listen = listen;
+    this->d->listener
+        = std::make_unique<StreamListener>(toText(listen), [this](int descriptor) { this->d->accept(descriptor); });
+    this->d->listen.port = this->d->listener->port();
 }
 
 Relay::~Relay() = default;
@@ -219,25 +222,14 @@
 void Relay::setLink(const Link &link)
 {
     this->d->link = link;
-    const bool silences = link.mode == LinkMode::Silent || link.mode == LinkMode::SilentOpen;
-    for (QObject *child : QObjectList(this->d->connections.children())) {
+    const bool silences
+        = link.mode == LinkMode::Silent || link.mode == LinkMode::SilentOpen || link.mode == LinkMode::OneWay;
+    for (const auto &connection : this->d->connections) {
         if (link.mode == LinkMode::Cut) {
-            delete child;
+            connection->cut();
         } else if (silences) {
-            static_cast<Connection *>(child)->silence();
-        }
-    }
-}
-
-void Relay::Private::acceptAll()
-{
-    while (QTcpSocket *accepted = this->server.nextPendingConnection()) {
-        if (this->link.mode == LinkMode::Cut) {
-            accepted->abort();
-            accepted->deleteLater();
-            continue;
+            connection->silence(link.mode);
         }
-        new Connection(accepted, this->to, this->link, &this->connections);
     }
 }
 
--- a/lab/relay/relay.h
+++ b/lab/relay/relay.h
@@ -25,6 +25,8 @@
     Cut,
     /** Every connection stays open and what is sent over it is swallowed, in both directions. */
     Silent,
+    /** The same for what comes back alone: what is sent arrives, and no answer does. */
+    OneWay,
     /** The connections open now go silent for good while new ones work. */
     SilentOpen,
     /** Bytes arrive later by the link's delay. */
@@ -83,6 +85,7 @@
     {Lab::LinkMode::Pass, "pass"},
     {Lab::LinkMode::Cut, "cut"},
     {Lab::LinkMode::Silent, "silent"},
+    {Lab::LinkMode::OneWay, "one_way"},
     {Lab::LinkMode::SilentOpen, "silent_open"},
     {Lab::LinkMode::Delay, "delay"},
 });
--- a/lab/relay/relaytest.cpp
+++ b/lab/relay/relaytest.cpp
@@ -1,5 +1,7 @@
 #include "lab/relay/relay.h"
 
+#include "sequoiausher/transport/stream/bytestream.h"
+
 #include <QtCore/QCoreApplication>
 #include <QtCore/QElapsedTimer>
 #include <QtNetwork/QTcpServer>
@@ -7,8 +9,11 @@
 #include <doctest/doctest.h>
 
 #include <functional>
+#include <optional>
 #include <vector>
 
+#include <sys/socket.h>
+
 using namespace Sequoiausher;
 using namespace Sequoiausher::Lab;
 
@@ -34,7 +39,12 @@
         this->server.listen(QHostAddress::LocalHost);
         QObject::connect(&this->server, &QTcpServer::newConnection, &this->server, [this] {
             QTcpSocket *socket = this->server.nextPendingConnection();
-            QObject::connect(socket, &QTcpSocket::readyRead, socket, [socket] { socket->write(socket->readAll()); });
+            this->sockets.push_back(socket);
+            QObject::connect(socket, &QTcpSocket::readyRead, socket, [this, socket] {
+                const QByteArray bytes = socket->readAll();
+                this->received += static_cast<std::size_t>(bytes.size());
+                socket->write(bytes);
+            });
         });
         this->relay
             = std::make_unique<Relay>(Endpoint{"127.0.0.1", 0}, Endpoint{"127.0.0.1", this->server.serverPort()});
@@ -54,10 +64,53 @@
         return came && socket.readAll() == "ping";
     }
 
+    std::size_t clients() const
+    {
+        return this->sockets.size();
+    }
+
+    /** The server ends the connection that it took last: by a reset, or in order. */
+    void endLast(bool isReset) const
+    {
+        if (isReset) {
+            const linger now{1, 0};
+            setsockopt(
+                static_cast<int>(this->sockets.back()->socketDescriptor()), SOL_SOCKET, SO_LINGER, &now, sizeof now);
+            this->sockets.back()->abort();
+        } else {
+            this->sockets.back()->disconnectFromHost();
+        }
+    }
+
     QTcpServer server;
+    std::vector<QTcpSocket *> sockets;
+    std::size_t received = 0;
     std::unique_ptr<Relay> relay;
 };
 
+/** A client that sees how its connection ends. */
+struct EndOf : ByteStreamUser
+{
+    explicit EndOf(const std::string &address) : stream(ByteStream::dial(address, this))
+    {
+    }
+    ~EndOf() override
+    {
+        this->stream->forgetUser();
+        this->stream->close();
+    }
+    void bytesArrived() override
+    {
+    }
+    void ended(StreamEnd end) override
+    {
+        this->how = end;
+    }
+
+    std::shared_ptr<ByteStream> stream;
+    std::optional<StreamEnd> how;
+};
+
 constexpr int silenceMs = 100;
 
 int argc = 0;
@@ -112,6 +165,34 @@
     CHECK(timer.elapsed() >= 79);
 }
 
+// Symptom: a caller took half an answer for a whole one, but only through the relay. Events: a target reset its
+// connection in the middle of an answer without a length. Cause: the relay passed the reset on as an orderly close.
+TEST_CASE("a reset comes out as a reset, and an orderly close as one")
+{
+    for (const bool isReset : {true, false}) {
+        CAPTURE(isReset);
+        const Echo echo;
+        const auto socket = echo.connect();
+        CHECK(Echo::echoes(*socket));
+        EndOf seen(toText(echo.relay->listening()));
+        CHECK(waitFor([&] { return seen.stream->isConnected() && echo.clients() == 2; }));
+        echo.endLast(isReset);
+        CHECK(waitFor([&] { return seen.how.has_value(); }));
+        CHECK(seen.how == (isReset ? StreamEnd::Reset : StreamEnd::Finished));
+    }
+}
+
+TEST_CASE("a link that is cut one way carries what is sent and swallows what comes back")
+{
+    const Echo echo;
+    const auto socket = echo.connect();
+    CHECK(Echo::echoes(*socket));
+    echo.relay->setLink({LinkMode::OneWay, Millis{0}});
+    const std::size_t before = echo.received;
+    CHECK(!Echo::echoes(*socket, silenceMs));
+    CHECK(echo.received == before + 4);
+}
+
 TEST_CASE("an address and port are read whole or not at all")
 {
     CHECK(parseEndpoint("127.0.0.1:7301") == Endpoint{"127.0.0.1", 7301});
--- /dev/null
+++ b/lab/soak/main.cpp
@@ -0,0 +1,68 @@
+// lab-soak: plays random faults against real gateways and holds them to their promises.
+//
+//     lab-soak --seed 17 --seeds 4 --folder /tmp/soak
+//     soak seed 17: passed, 812 of 903 calls served, 131 of 131 in the calm at the end
+//
+// Each seed leaves a folder with what every gateway wrote and the run's own log, taken away where the seed passed.
+
+#include "lab/soak/soakrun.h"
+#include "lab/support/labprogram.h"
+
+#include <QDir>
+
+#include <iostream>
+
+using namespace Sequoiausher;
+using namespace Sequoiausher::Lab;
+
+namespace {
+
+/** Plays one seed; whether every promise was kept. */
+bool play(const SoakOptions &options)
+{
+    SoakRun run(options);
+    const SoakResult result = run.play();
+    std::cout << "soak seed " << options.seed << ": " << (result.violations.empty() ? "passed" : "FAILED") << ", "
+              << result.served << " of " << result.sent << " calls served, " << result.lastServed << " of "
+              << result.lastSent << " in the calm at the end, longest own pause " << toText(result.longestPause)
+              << std::endl;
+    for (const SoakViolation &violation : result.violations) {
+        std::cout << "  " << violation.promise << ": " << violation.detail << std::endl;
+    }
+    return result.violations.empty();
+}
+
+int runSoak(QCoreApplication & /*application*/, const cxxopts::ParseResult &parsed)
+{
+    const std::string folder = textOption(parsed, "folder");
+    const auto first = static_cast<std::uint64_t>(integerOption(parsed, "seed"));
+    bool isGood = true;
+    for (std::uint64_t i = 0; i < static_cast<std::uint64_t>(integerOption(parsed, "seeds")); ++i) {
+        SoakOptions options;
+        options.seed = first + i;
+        options.gateways = static_cast<std::size_t>(integerOption(parsed, "gateways"));
+        options.callersEach = static_cast<std::size_t>(integerOption(parsed, "callers"));
+        options.faults = Millis{integerOption(parsed, "faults-ms")};
+        options.folder = folder + "/seed-" + std::to_string(options.seed);
+        const bool passed = play(options);
+        if (passed) {
+            QDir(QString::fromStdString(options.folder)).removeRecursively();
+        }
+        isGood = isGood && passed;
+    }
+    return isGood ? 0 : 1;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    cxxopts::Options options("lab-soak", "Random faults against real gateways, whose promises are checked meanwhile");
+    addIntegerOption(options, "seed", "The first seed", 1);
+    addIntegerOption(options, "seeds", "How many, one after the other", 1);
+    addIntegerOption(options, "gateways", "Gateways of the fleet", 5);
+    addIntegerOption(options, "callers", "Callers for each gateway", 3);
+    addIntegerOption(options, "faults-ms", "For how long faults begin", 12000);
+    addTextOption(options, "folder", "Where logs go", "/tmp/sequoiausher-soak");
+    return runProgram(argc, argv, std::move(options), runSoak);
+}
--- /dev/null
+++ b/lab/soak/soakgateway.cpp
@@ -0,0 +1,110 @@
+#include "lab/soak/soakgateway.h"
+
+#include <fstream>
+#include <utility>
+
+namespace Sequoiausher::Lab {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr std::uint32_t missesUntilOut = 2;
+constexpr const char *loopback = "127.0.0.1";
+
+std::string local(const ReservedPort &port)
+{
+    return std::string(loopback) + ":" + std::to_string(port.number());
+}
+
+} // namespace
+
+SoakGateway::SoakGateway(std::size_t given, std::string where, const Endpoint &store)
+    : number(given)
+    , folder(std::move(where))
+    , toStore(Endpoint{loopback, 0}, store)
+    , fromPeers(Endpoint{loopback, 0}, Endpoint{loopback, this->peerPort.number()})
+    , fromCallers(Endpoint{loopback, 0}, Endpoint{loopback, this->callerPort.number()})
+    , gateway("g" + std::to_string(given),
+              SEQUOIAUSHER_PROGRAM,
+              {"gateway", "--config", this->folder + "/g" + std::to_string(given) + ".ini"},
+              this->folder)
+{
+}
+
+void SoakGateway::configure(const std::vector<std::string> &seeds)
+{
+    std::ofstream file(this->folder + "/g" + std::to_string(this->number) + ".ini");
+    file << "[gateway]\nname = g" << this->number << "\ndata_centre = hall\naddress = " << local(this->callerPort)
+         << "\nready_address = " << local(this->readyPort) << "\npeer_address = " << this->peerAddress()
+         << "\npeer_listen_address = " << local(this->peerPort) << "\nrules = " << SEQUOIAUSHER_GATEWAY_RULES
+         << "\n[store]\naddress = " << toText(this->toStore.listening()) << "\n[peers]\nseeds = ";
+    for (std::size_t i = 0; i < seeds.size(); ++i) {
+        file << (i > 0 ? ", " : "") << seeds[i];
+    }
+    file << "\n[bounds]\nkey_freshness_ms = 5000\nrepeat_ratio = 0.2\nrepeat_slack = 54\nrepeat_window_s = 10\n"
+         << "[stop]\ngrace_s = 8\n[log]\nrepeats_per_interval = 1000\n";
+}
+
+std::string SoakGateway::peerAddress() const
+{
+    return toText(this->fromPeers.listening());
+}
+
+void SoakGateway::start()
+{
+    this->starts += 1;
+    this->isEndExpected = false;
+    this->gateway.start();
+}
+
+LabProcess &SoakGateway::process()
+{
+    return this->gateway;
+}
+
+std::uint64_t SoakGateway::life() const
+{
+    return this->starts;
+}
+
+Relay &SoakGateway::storeLink()
+{
+    return this->toStore;
+}
+
+Relay &SoakGateway::peerLink()
+{
+    return this->fromPeers;
+}
+
+Relay &SoakGateway::callerLink()
+{
+    return this->fromCallers;
+}
+
+void SoakGateway::judgePoll()
+{
+    const bool isGood = this->question && this->question->reply.status == statusOk;
+    this->misses = isGood ? 0 : this->misses + 1;
+}
+
+void SoakGateway::poll()
+{
+    if (this->question) {
+        this->judgePoll();
+    }
+    this->question = std::make_unique<FakeCaller>(local(this->readyPort));
+    this->question->send(StandInDialect::readinessRequest());
+}
+
+bool SoakGateway::isInRotation() const
+{
+    return this->misses < missesUntilOut;
+}
+
+SoakEntry SoakGateway::entry() const
+{
+    return {this->number, this->starts, toText(this->fromCallers.listening())};
+}
+
+} // namespace Sequoiausher::Lab
--- /dev/null
+++ b/lab/soak/soakgateway.h
@@ -0,0 +1,68 @@
+#pragma once
+
+// One real gateway of a soak: its process, its settings, and relays on its ways to the store, to peers and to callers.
+//
+//     SoakGateway gateway(0, folder, storeEndpoint);
+//     gateway.configure(seeds);
+//     gateway.start();
+//     gateway.storeLink().setLink({LinkMode::Silent, {}});
+
+#include "lab/fleet/labprocess.h"
+#include "lab/fleet/reservedport.h"
+#include "lab/relay/relay.h"
+#include "lab/soak/soakcaller.h"
+#include "sequoiausher/transport/stream/fakehttp.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Sequoiausher::Lab {
+
+/** See above. Needs a running event loop. */
+class SoakGateway
+{
+public:
+    SoakGateway(std::size_t number, std::string folder, const Endpoint &store);
+
+    /** Writes its settings file. */
+    void configure(const std::vector<std::string> &seeds);
+    std::string peerAddress() const;
+    void start();
+    LabProcess &process();
+    /** Counts the starts. */
+    std::uint64_t life() const;
+
+    Relay &storeLink();
+    Relay &peerLink();
+    Relay &callerLink();
+
+    /** Asks whether it is ready, as a balancer does: out after two misses, in after one good answer. */
+    void poll();
+    bool isInRotation() const;
+    SoakEntry entry() const;
+
+    /** It was told to stop, or is kept down: its end is expected. */
+    bool isEndExpected = false;
+    Millis stopAsked;
+
+private:
+    void judgePoll();
+
+    std::size_t number;
+    std::string folder;
+    ReservedPort callerPort;
+    ReservedPort readyPort;
+    ReservedPort peerPort;
+    Relay toStore;
+    Relay fromPeers;
+    Relay fromCallers;
+    LabProcess gateway;
+    std::uint64_t starts = 0;
+    std::unique_ptr<FakeCaller> question;
+    std::uint32_t misses = 2;
+};
+
+} // namespace Sequoiausher::Lab
--- /dev/null
+++ b/lab/soak/soakjudge.cpp
@@ -0,0 +1,609 @@
+#include "lab/soak/soakjudge.h"
+
+#include "lab/soak/streamcheck.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace Sequoiausher::Lab {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int firstFailure = 300;
+constexpr int statusUnauthorized = 401;
+constexpr int statusNotFound = 404;
+
+bool promisesNotRun(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+/** One published version. */
+struct Version
+{
+    GatewayConfiguration configuration;
+    Millis at;
+};
+
+struct Run
+{
+    std::string target;
+    Millis from;
+    std::optional<RunEnd> end;
+};
+
+struct CallState
+{
+    SoakCall call;
+    std::vector<Run> runs;
+    std::size_t arrivals = 0;
+    std::optional<Millis> answeredAt;
+    std::optional<Millis> leftAt;
+    bool isRefused = false;
+    bool isServed = false;
+    /** Overdue ends are reported once. */
+    bool isTimeChecked = false;
+    bool isLeaveChecked = false;
+    Millis timeout = Millis::never();
+};
+
+struct MadeAnswer
+{
+    int status = 0;
+    std::string body;
+};
+
+const GatewayRoute *routeOf(const GatewayConfiguration &configuration, const std::string &path)
+{
+    const GatewayRoute *best = nullptr;
+    for (const GatewayRoute &route : configuration.routes) {
+        const bool fits = path.compare(0, route.pathPrefix.size(), route.pathPrefix) == 0;
+        if (fits && (best == nullptr || route.pathPrefix.size() > best->pathPrefix.size())) {
+            best = &route;
+        }
+    }
+    return best;
+}
+
+const GatewayOrganisation *holderOf(const GatewayConfiguration &configuration, const std::string &key)
+{
+    for (const GatewayOrganisation &organisation : configuration.organisations) {
+        if (std::find(organisation.keys.begin(), organisation.keys.end(), key) != organisation.keys.end()) {
+            return &organisation;
+        }
+    }
+    return nullptr;
+}
+
+bool leadsTo(const GatewayRoute &route, const std::string &service)
+{
+    return std::any_of(route.services.begin(), route.services.end(), [&service](const ServiceShare &share) {
+        return share.service.value == service;
+    });
+}
+
+/** The version lets the call run at the service for the organisation. */
+bool allows(const Version &version, const SoakCall &call, const SoakArrival &arrival)
+{
+    const GatewayRoute *route = routeOf(version.configuration, call.path);
+    const GatewayOrganisation *holder = holderOf(version.configuration, call.key);
+    return route != nullptr && holder != nullptr && leadsTo(*route, arrival.service)
+        && holder->name.value == arrival.organisation;
+}
+
+} // namespace
+
+class SoakJudge::Private
+{
+public:
+    explicit Private(const SoakBounds &with) : bounds(with), disturbed(with.contact)
+    {
+    }
+
+    void broken(std::string promise, std::string detail, Millis at)
+    {
+        this->found.push_back({std::move(promise), std::move(detail), at});
+    }
+
+    Millis allowance(Millis from, Millis to) const;
+    bool isInTouch(std::size_t gateway, Millis from, Millis to) const;
+    std::size_t oldestAllowed(const CallState &state, Millis now) const;
+    void checkOrder(const CallState &state, const SoakArrival &arrival);
+    void checkConfiguration(const CallState &state, const SoakArrival &arrival);
+    void checkRevoked(const CallState &state, const SoakArrival &arrival);
+    void checkLeaving(const CallState &state, const SoakArrival &arrival);
+    void checkRuns(CallState &state, const SoakArrival &arrival);
+    void checkSuccess(const CallState &state, const SoakAnswer &answer, Millis at);
+    void checkDenied(const CallState &state, const SoakAnswer &answer, Millis at);
+    void checkLost(const CallState &state, Millis at);
+    void checkTime(CallState &state, Millis now);
+    void checkLeft(CallState &state, Millis now);
+    void checkRepeats();
+    bool isOwed(const CallState &state, Millis from) const;
+    Millis timeoutOf(const SoakCall &call) const;
+
+    struct Pause
+    {
+        Millis at;
+        Millis span;
+    };
+    struct Seen
+    {
+        std::size_t version = 0;
+        Millis at;
+    };
+
+    SoakBounds bounds;
+    Disturbances disturbed;
+    std::vector<Pause> pauses;
+    std::vector<Version> versions;
+    std::map<std::string, Millis> leaving;
+    std::map<std::string, CallState> calls;
+    /** Calls that still have a check in time ahead. */
+    std::set<std::string> open;
+    std::map<std::string, MadeAnswer> answers;
+    /** The newest version whose effect was seen, by gateway and life. */
+    std::map<std::pair<std::size_t, std::uint64_t>, Seen> effects;
+    std::map<std::string, std::vector<Millis>> requests;
+    std::map<std::string, std::vector<Millis>> repeats;
+    std::vector<SoakViolation> found;
+};
+
+SoakJudge::SoakJudge(const SoakBounds &bounds) : d(std::make_unique<Private>(bounds))
+{
+}
+
+SoakJudge::~SoakJudge() = default;
+
+Disturbances &SoakJudge::disturbances()
+{
+    return this->d->disturbed;
+}
+
+std::string SoakJudge::gatewaySubject(std::size_t gateway)
+{
+    return "gateway " + std::to_string(gateway);
+}
+
+std::string SoakJudge::targetSubject(const std::string &life)
+{
+    return "target " + life;
+}
+
+void SoakJudge::paused(Millis at, Millis span)
+{
+    this->d->pauses.push_back({at, span});
+}
+
+Millis SoakJudge::Private::allowance(Millis from, Millis to) const
+{
+    Millis sum = this->bounds.allowance;
+    for (const Pause &pause : this->pauses) {
+        if (pause.at >= from && pause.at - pause.span <= to) {
+            sum += pause.span;
+        }
+    }
+    return sum;
+}
+
+bool SoakJudge::Private::isInTouch(std::size_t gateway, Millis from, Millis to) const
+{
+    return this->disturbed.isCalm(gatewaySubject(gateway), from, to) && this->disturbed.isCalm(storeSubject, from, to);
+}
+
+void SoakJudge::configurationAcknowledged(const GatewayConfiguration &configuration, Millis at)
+{
+    this->d->versions.push_back({configuration, at});
+}
+
+void SoakJudge::leavingAcknowledged(const std::string &target, Millis at)
+{
+    this->d->leaving.emplace(target, at);
+}
+
+Millis SoakJudge::Private::timeoutOf(const SoakCall &call) const
+{
+    // The longest that any version allows: a change may be on its way.
+    Millis longest{0};
+    for (const Version &version : this->versions) {
+        const GatewayRoute *route = routeOf(version.configuration, call.path);
+        longest = route != nullptr ? std::max(longest, route->timeout) : longest;
+    }
+    return longest == Millis{0} ? Millis::never() : std::min(longest, call.timeLeft);
+}
+
+void SoakJudge::sent(const SoakCall &call)
+{
+    CallState &state = this->d->calls[call.id];
+    state.call = call;
+    state.timeout = this->d->timeoutOf(call);
+    this->d->open.insert(call.id);
+    std::set<std::string> services;
+    for (const Version &version : this->d->versions) {
+        if (const GatewayRoute *route = routeOf(version.configuration, call.path)) {
+            services.insert(route->services.front().service.value);
+        }
+    }
+    for (const std::string &service : services) {
+        this->d->requests[service].push_back(call.sentAt);
+    }
+}
+
+void SoakJudge::arrived(const SoakArrival &arrival)
+{
+    const auto found = this->d->calls.find(arrival.id);
+    if (found == this->d->calls.end()) {
+        this->d->broken("unasked", arrival.target + " got a request that nobody sent: " + arrival.id, arrival.at);
+        return;
+    }
+    CallState &state = found->second;
+    if (state.arrivals > 0) {
+        this->d->repeats[arrival.service].push_back(arrival.at);
+    }
+    state.arrivals += 1;
+    this->d->checkOrder(state, arrival);
+    this->d->checkLeaving(state, arrival);
+    if (arrival.runs) {
+        this->d->checkConfiguration(state, arrival);
+        this->d->checkRevoked(state, arrival);
+        this->d->checkRuns(state, arrival);
+        state.runs.push_back({arrival.target, arrival.at, std::nullopt});
+        this->d->open.insert(arrival.id);
+    }
+}
+
+void SoakJudge::Private::checkOrder(const CallState &state, const SoakArrival &arrival)
+{
+    const SoakCall &call = state.call;
+    if (arrival.method != call.method || arrival.path != call.path || arrival.body != call.body) {
+        this->broken("unasked", call.id + " reached " + arrival.target + " changed", arrival.at);
+    }
+    if (arrival.hasKey) {
+        this->broken("unasked", call.id + " reached " + arrival.target + " with its key", arrival.at);
+    }
+    if (arrival.hasForged) {
+        this->broken("unasked", call.id + " reached " + arrival.target + " with a forged field", arrival.at);
+    }
+    const Millis left = call.sentAt + call.timeLeft - arrival.at;
+    const Millis most = left + this->bounds.ending + this->allowance(call.sentAt, arrival.at);
+    // A gateway that stood still, or was sent the request late, cannot know how long it was on its way.
+    const bool isLate
+        = arrival.timeLeft && *arrival.timeLeft > most && this->isInTouch(call.gateway, call.sentAt, arrival.at);
+    if (!arrival.timeLeft || isLate) {
+        const std::string given = arrival.timeLeft ? toText(*arrival.timeLeft) : "no deadline";
+        this->broken(
+            "budget", call.id + " was passed on with " + given + ", " + toText(left) + " are left", arrival.at);
+    }
+    const Millis leftBound = this->bounds.ending + this->allowance(call.sentAt, arrival.at);
+    const bool isCalm = this->isInTouch(call.gateway, call.sentAt, arrival.at)
+        && this->disturbed.isCalm(targetSubject(arrival.target), call.sentAt, arrival.at);
+    if (state.leftAt && isCalm && arrival.at > *state.leftAt + leftBound) {
+        this->broken("gone", call.id + " was passed on after its caller had left", arrival.at);
+    }
+}
+
+std::size_t SoakJudge::Private::oldestAllowed(const CallState &state, Millis now) const
+{
+    const SoakCall &call = state.call;
+    std::size_t oldest = 0;
+    for (std::size_t i = 0; i < this->versions.size(); ++i) {
+        const Millis since = this->versions[i].at;
+        const Millis due = since + this->bounds.apply + this->allowance(since, now);
+        if (call.sentAt > due && this->isInTouch(call.gateway, call.sentAt, now)) {
+            oldest = i;
+        }
+    }
+    const auto seen = this->effects.find({call.gateway, call.gatewayLife});
+    if (seen != this->effects.end()) {
+        const Millis due = seen->second.at + this->bounds.rollback + this->allowance(seen->second.at, now);
+        if (call.sentAt > due) {
+            oldest = std::max(oldest, seen->second.version);
+        }
+    }
+    return oldest;
+}
+
+void SoakJudge::Private::checkConfiguration(const CallState &state, const SoakArrival &arrival)
+{
+    const std::size_t oldest = this->oldestAllowed(state, arrival.at);
+    std::optional<std::size_t> first;
+    bool isAllowedByOlder = false;
+    for (std::size_t i = 0; i < this->versions.size(); ++i) {
+        if (allows(this->versions[i], state.call, arrival)) {
+            isAllowedByOlder = isAllowedByOlder || i < oldest;
+            first = !first && i >= oldest ? i : first;
+        }
+    }
+    if (!first) {
+        const std::string what = state.call.id + " ran at " + arrival.target + " of " + arrival.service + " for '"
+            + arrival.organisation + "' through gateway " + std::to_string(state.call.gateway);
+        this->broken(isAllowedByOlder ? "config" : "route",
+                     what + (isAllowedByOlder ? ", as only an older version allows" : ", as no version allows"),
+                     arrival.at);
+        return;
+    }
+    Seen &seen = this->effects[{state.call.gateway, state.call.gatewayLife}];
+    // Where an older version than the first allowed one would have done the same, the effect says nothing new.
+    if (*first > seen.version) {
+        seen = {*first, arrival.at};
+    }
+}
+
+void SoakJudge::Private::checkRevoked(const CallState &state, const SoakArrival &arrival)
+{
+    const auto held = std::find_if(this->versions.rbegin(), this->versions.rend(), [&state](const Version &version) {
+        return holderOf(version.configuration, state.call.key) != nullptr;
+    });
+    if (held == this->versions.rbegin() || held == this->versions.rend()) {
+        return;
+    }
+    const Millis takenAt = std::prev(held)->at;
+    if (state.call.sentAt > takenAt + this->bounds.revocation) {
+        const Millis late = state.call.sentAt - takenAt;
+        this->broken("revoked", state.call.id + " ran " + toText(late) + " after its key was taken away", arrival.at);
+    }
+}
+
+void SoakJudge::Private::checkLeaving(const CallState &state, const SoakArrival &arrival)
+{
+    const auto left = this->leaving.find(arrival.target);
+    if (left == this->leaving.end()) {
+        return;
+    }
+    const Millis due = left->second + this->bounds.drain + this->allowance(left->second, arrival.at);
+    // The word counts from when the store took it in calm times.
+    const bool isBound = this->disturbed.isCalm(storeSubject, left->second, left->second)
+        && this->isInTouch(state.call.gateway, state.call.sentAt, arrival.at);
+    if (arrival.at > due && isBound) {
+        const Millis late = arrival.at - left->second;
+        this->broken("drain",
+                     state.call.id + " reached " + arrival.target + " " + toText(late) + " after its leave",
+                     arrival.at);
+    }
+}
+
+void SoakJudge::Private::checkRuns(CallState &state, const SoakArrival &arrival)
+{
+    const std::string &id = state.call.id;
+    if (!state.runs.empty() && !isIdempotent(state.call.kind)) {
+        this->broken("twice", id + " ran at " + state.runs.back().target + " and at " + arrival.target, arrival.at);
+    }
+    if (state.isRefused) {
+        this->broken("refused", id + " ran at " + arrival.target + " after its caller heard 'not run'", arrival.at);
+    }
+    if (state.runs.size() >= state.call.mostTargets) {
+        this->broken("budget", id + " ran at more targets than its route allows", arrival.at);
+    }
+}
+
+void SoakJudge::made(const std::string &signature, int status, const std::string &body)
+{
+    this->d->answers[signature] = {status, body};
+}
+
+void SoakJudge::runEnded(const std::string &id, const std::string &target, RunEnd how, Millis /*at*/)
+{
+    const auto found = this->d->calls.find(id);
+    if (found == this->d->calls.end()) {
+        return;
+    }
+    for (Run &run : found->second.runs) {
+        if (run.target == target && !run.end) {
+            run.end = how;
+            return;
+        }
+    }
+}
+
+void SoakJudge::answered(const std::string &id, const SoakAnswer &answer, Millis at)
+{
+    CallState &state = this->d->calls.at(id);
+    state.answeredAt = at;
+    if (!answer.isWhole && answer.status == 0) {
+        this->d->checkLost(state, at);
+        return;
+    }
+    if (answer.status < firstFailure || !answer.signature.empty()) {
+        this->d->checkSuccess(state, answer, at);
+    }
+    if (!answer.isWhole) {
+        this->d->checkLost(state, at);
+        return;
+    }
+    state.isServed = answer.status == statusOk;
+    if (promisesNotRun(answer.status)) {
+        state.isRefused = true;
+        if (!state.runs.empty()) {
+            this->d->broken("refused", id + " heard 'not run' and ran at " + state.runs.back().target, at);
+        }
+    }
+    if (answer.status == statusUnauthorized || answer.status == statusNotFound) {
+        this->d->checkDenied(state, answer, at);
+    }
+}
+
+void SoakJudge::Private::checkSuccess(const CallState &state, const SoakAnswer &answer, Millis at)
+{
+    const std::string &id = state.call.id;
+    const auto own = this->answers.find(answer.signature);
+    if (answer.attemptId != id || own == this->answers.end() || answer.signature.find(id) == std::string::npos) {
+        this->broken("mixed", id + " got an answer that is not its own: '" + answer.signature + "'", at);
+        return;
+    }
+    if (own->second.status != answer.status) {
+        this->broken("mixed", id + " got another status than its target gave", at);
+    }
+    if (isStream(state.call.kind) && answer.status == statusOk) {
+        if (const auto fault = streamFault(state.call, answer.body, answer.isWhole)) {
+            this->broken("order", id + ": " + *fault, at);
+        }
+    } else if (answer.isWhole && own->second.body != answer.body) {
+        this->broken("mixed", id + " got another body than its target gave", at);
+    }
+}
+
+void SoakJudge::Private::checkDenied(const CallState &state, const SoakAnswer &answer, Millis at)
+{
+    if (!answer.signature.empty()) {
+        return;
+    }
+    for (std::size_t i = this->oldestAllowed(state, at); i < this->versions.size(); ++i) {
+        const Version &version = this->versions[i];
+        const bool hasRoute = routeOf(version.configuration, state.call.path) != nullptr;
+        const bool hasKey = holderOf(version.configuration, state.call.key) != nullptr;
+        if (!hasRoute || !hasKey) {
+            return;
+        }
+    }
+    this->broken("denied",
+                 state.call.id + " got " + std::to_string(answer.status) + " though every version in force allows it",
+                 at);
+}
+
+void SoakJudge::Private::checkLost(const CallState &state, Millis at)
+{
+    const SoakCall &call = state.call;
+    const std::string subject = gatewaySubject(call.gateway) + unplannedSuffix;
+    if (state.runs.empty() || !this->disturbed.isUntouched(subject, call.sentAt - this->bounds.ending, at)) {
+        return;
+    }
+    const Millis due = call.sentAt + std::min(state.timeout, call.timeLeft) - this->bounds.ending;
+    if (at >= due) {
+        return;
+    }
+    const bool isTargetsFault = std::any_of(state.runs.begin(), state.runs.end(), [this, &call, at](const Run &run) {
+        return run.end == RunEnd::Spoilt
+            || !this->disturbed.isUntouched(targetSubject(run.target), call.sentAt - this->bounds.ending, at);
+    });
+    if (!isTargetsFault) {
+        this->broken("lost", call.id + " was passed on and its connection ended without an answer", at);
+    }
+}
+
+void SoakJudge::strayBytes(const std::string &caller, Millis at)
+{
+    this->d->broken("mixed", caller + " got bytes for which no request waited", at);
+}
+
+void SoakJudge::broken(const std::string &promise, const std::string &detail, Millis at)
+{
+    this->d->broken(promise, detail, at);
+}
+
+void SoakJudge::left(const std::string &id, Millis at)
+{
+    this->d->calls.at(id).leftAt = at;
+}
+
+void SoakJudge::tick(Millis now)
+{
+    for (auto id = this->d->open.begin(); id != this->d->open.end();) {
+        CallState &state = this->d->calls.at(*id);
+        this->d->checkTime(state, now);
+        this->d->checkLeft(state, now);
+        const bool isAtWork = std::any_of(state.runs.begin(), state.runs.end(), [](const Run &r) { return !r.end; });
+        const bool isOver = state.answeredAt || (state.leftAt && (state.isLeaveChecked || !isAtWork));
+        id = isOver ? this->d->open.erase(id) : std::next(id);
+    }
+}
+
+void SoakJudge::Private::checkTime(CallState &state, Millis now)
+{
+    if (state.answeredAt || state.leftAt || state.isTimeChecked || state.timeout == Millis::never()) {
+        return;
+    }
+    const SoakCall &call = state.call;
+    const Millis due = call.sentAt + state.timeout + this->bounds.ending + this->allowance(call.sentAt, now);
+    if (now <= due) {
+        return;
+    }
+    state.isTimeChecked = true;
+    if (this->isInTouch(call.gateway, call.sentAt, now)) {
+        this->broken("timeout", call.id + " has no answer after " + toText(now - call.sentAt), now);
+    }
+}
+
+void SoakJudge::Private::checkLeft(CallState &state, Millis now)
+{
+    if (!state.leftAt || state.isLeaveChecked) {
+        return;
+    }
+    const SoakCall &call = state.call;
+    if (now <= *state.leftAt + this->bounds.ending + this->allowance(*state.leftAt, now)) {
+        return;
+    }
+    state.isLeaveChecked = true;
+    for (const Run &run : state.runs) {
+        const bool isCalm = this->isInTouch(call.gateway, call.sentAt, now)
+            && this->disturbed.isCalm(targetSubject(run.target), call.sentAt, now);
+        if (!run.end && isCalm) {
+            this->broken("gone", run.target + " still works on " + call.id + " whose caller has left", now);
+        }
+    }
+}
+
+void SoakJudge::Private::checkRepeats()
+{
+    const Millis window = this->bounds.repeatWindow;
+    const auto countIn = [](const std::vector<Millis> &times, Millis from, Millis to) {
+        const auto begin = std::upper_bound(times.begin(), times.end(), from);
+        const auto end = std::upper_bound(times.begin(), times.end(), to);
+        return static_cast<double>(std::max<std::ptrdiff_t>(end - begin, 0));
+    };
+    for (auto &[service, times] : this->repeats) {
+        std::sort(times.begin(), times.end());
+        const std::vector<Millis> &asked = this->requests[service];
+        for (const Millis at : times) {
+            const double most = std::max({countIn(asked, at - window, at),
+                                          countIn(asked, at - window * 3 / 2, at - window / 2),
+                                          countIn(asked, at - window * 2, at - window)});
+            const double count = countIn(times, at - window, at);
+            if (count > most * this->bounds.repeatRatio + this->bounds.repeatSlack) {
+                this->broken("budget", service + " got " + std::to_string(count) + " repeats in a window", at);
+                return;
+            }
+        }
+    }
+}
+
+void SoakJudge::finish(Millis now)
+{
+    this->tick(now);
+    this->d->checkRepeats();
+}
+
+const std::vector<SoakViolation> &SoakJudge::violations() const
+{
+    return this->d->found;
+}
+
+bool SoakJudge::Private::isOwed(const CallState &state, Millis from) const
+{
+    if (state.call.sentAt < from || state.leftAt || !state.answeredAt || this->versions.empty()) {
+        return false;
+    }
+    const GatewayConfiguration &newest = this->versions.back().configuration;
+    return routeOf(newest, state.call.path) != nullptr && holderOf(newest, state.call.key) != nullptr;
+}
+
+std::size_t SoakJudge::sentSince(Millis from) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->d->calls.begin(), this->d->calls.end(), [this, from](const auto &entry) {
+            return this->d->isOwed(entry.second, from);
+        }));
+}
+
+std::size_t SoakJudge::servedSince(Millis from) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->d->calls.begin(), this->d->calls.end(), [this, from](const auto &entry) {
+            return this->d->isOwed(entry.second, from) && entry.second.isServed;
+        }));
+}
+
+} // namespace Sequoiausher::Lab
--- /dev/null
+++ b/lab/soak/soakjudge.h
@@ -0,0 +1,101 @@
+#pragma once
+
+// Holds what callers and targets saw against what the gateways promise, while a soak runs. It is told everything as it
+// happens and has no clock and no socket of its own, so its tests are rows of events.
+//
+//     SoakJudge judge(SoakBounds{});
+//     judge.configurationAcknowledged(configuration, now);
+//     judge.sent(call);
+//     judge.arrived(arrival);
+//     judge.answered(call.id, answer, now);
+//     for (const SoakViolation &violation : judge.violations()) { ... }
+
+#include "lab/soak/disturbances.h"
+#include "lab/soak/soakrecords.h"
+#include "sequoiausher/coordination/gateway/gatewayconfiguration.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Sequoiausher::Lab {
+
+/** What is promised, as the platform's bounds word it. */
+struct SoakBounds
+{
+    /** A target that leaves gets nothing new from so long after its word on. */
+    Millis drain{2000};
+    /** A configuration is in force so long after its publication. */
+    Millis apply{2000};
+    /** After an effect of a version was seen, an older one is not used from so long on. */
+    Millis rollback{250};
+    /** A key that was taken away opens nothing from so long on, at whichever gateway. */
+    Millis revocation{5000};
+    /** How long a gateway and the store must have been calm for a bound in time to hold. */
+    Millis contact{3000};
+    /** After a caller left, or its route's time was over, this much is left for the end. */
+    Millis ending{500};
+    double repeatRatio = 0.2;
+    double repeatSlack = 54;
+    Millis repeatWindow{10000};
+    /** Granted on every bound in time for the scheduling of dozens of processes on one machine. */
+    Millis allowance{300};
+};
+
+/** See above. */
+class SoakJudge
+{
+public:
+    explicit SoakJudge(const SoakBounds &bounds);
+    ~SoakJudge();
+    SoakJudge(const SoakJudge &) = delete;
+    SoakJudge &operator=(const SoakJudge &) = delete;
+
+    /** Subjects are gatewaySubject(n), targetSubject(life) and storeSubject. */
+    Disturbances &disturbances();
+    static std::string gatewaySubject(std::size_t gateway);
+    static std::string targetSubject(const std::string &life);
+    static constexpr const char *storeSubject = "store";
+    /** Marks the gateway's subject for disturbances that nobody planned: only these excuse a lost answer. */
+    static constexpr const char *unplannedSuffix = " unplanned";
+
+    /** This process itself stood still for so long up to at: granted on every bound that covers that time. */
+    void paused(Millis at, Millis span);
+
+    void configurationAcknowledged(const GatewayConfiguration &configuration, Millis at);
+    /** The store has taken the target's word that it leaves, or dropped its entry. */
+    void leavingAcknowledged(const std::string &target, Millis at);
+
+    void sent(const SoakCall &call);
+    /** The answer is over, whole or not. */
+    void answered(const std::string &id, const SoakAnswer &answer, Millis at);
+    /** The caller closed its connection before the end. */
+    void left(const std::string &id, Millis at);
+
+    /** Bytes came over a connection on which no request waited. */
+    void strayBytes(const std::string &caller, Millis at);
+    /** A promise broke that the run itself watches, such as a process that ended by itself. */
+    void broken(const std::string &promise, const std::string &detail, Millis at);
+
+    void arrived(const SoakArrival &arrival);
+    /** The plain answer that a target made for a run; what a stream holds follows from the call's id. */
+    void made(const std::string &signature, int status, const std::string &body);
+    void runEnded(const std::string &id, const std::string &target, RunEnd how, Millis at);
+
+    /** Looks for what is overdue. */
+    void tick(Millis now);
+    /** Looks at what can only be counted at the end. */
+    void finish(Millis now);
+
+    const std::vector<SoakViolation> &violations() const;
+    /** Calls sent from the time on that the newest version allows and that have ended, and those with a whole success.
+     */
+    std::size_t sentSince(Millis from) const;
+    std::size_t servedSince(Millis from) const;
+
+private:
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace Sequoiausher::Lab
--- /dev/null
+++ b/lab/soak/soakjudgetest.cpp
@@ -0,0 +1,310 @@
+#include "lab/soak/soakjudge.h"
+
+#include "lab/soak/streamcheck.h"
+
+#include <doctest/doctest.h>
+
+using namespace Sequoiausher;
+using namespace Sequoiausher::Lab;
+
+namespace {
+
+GatewayConfiguration version(Revision revision, const std::string &service, const std::string &key)
+{
+    GatewayConfiguration configuration;
+    configuration.revision = revision;
+    GatewayRoute route;
+    route.name = "job";
+    route.pathPrefix = "/job/";
+    route.timeout = Millis{1000};
+    route.services = {{PoolId{service}, 1}};
+    configuration.routes = {route};
+    configuration.organisations = {{OrganisationId{"garage"}, {key}, std::nullopt}};
+    return configuration;
+}
+
+/** A judge that knows one version, and shorthands for what callers and targets see. */
+struct Bench
+{
+    Bench()
+    {
+        this->judge.configurationAcknowledged(version(1, "desk", "k1"), Millis{0});
+    }
+
+    SoakCall call(const std::string &id, Millis at, CallKind kind = CallKind::Job) const
+    {
+        SoakCall one;
+        one.id = id;
+        one.kind = kind;
+        one.key = "k1";
+        one.method = "POST";
+        one.path = "/job/" + id;
+        one.sentAt = at;
+        one.timeLeft = Millis{2000};
+        return one;
+    }
+
+    void send(const std::string &id, Millis at, CallKind kind = CallKind::Job)
+    {
+        this->judge.sent(this->call(id, at, kind));
+    }
+
+    SoakArrival arrival(const std::string &id, const std::string &target, Millis at) const
+    {
+        SoakArrival one;
+        one.id = id;
+        one.target = target;
+        one.service = "desk";
+        one.at = at;
+        one.runs = true;
+        one.organisation = "garage";
+        one.method = "POST";
+        one.path = "/job/" + id;
+        one.timeLeft = Millis{1000};
+        return one;
+    }
+
+    void run(const std::string &id, const std::string &target, Millis at)
+    {
+        this->judge.arrived(this->arrival(id, target, at));
+    }
+
+    void answer(const std::string &id, int status, Millis at)
+    {
+        SoakAnswer one;
+        one.status = status;
+        one.isWhole = status != 0;
+        this->judge.answered(id, one, at);
+    }
+
+    std::string promises() const
+    {
+        std::string all;
+        for (const SoakViolation &violation : this->judge.violations()) {
+            all += violation.promise + " ";
+        }
+        return all;
+    }
+
+    SoakJudge judge{SoakBounds{}};
+};
+
+} // namespace
+
+TEST_CASE("a job that runs, is answered and ends breaks nothing")
+{
+    Bench bench;
+    bench.send("a", Millis{100});
+    bench.run("a", "t1", Millis{110});
+    bench.judge.made("t1.a", 200, "plate");
+    bench.judge.runEnded("a", "t1", RunEnd::Answered, Millis{150});
+    SoakAnswer answer{200, true, "a", "t1.a", "plate"};
+    bench.judge.answered("a", answer, Millis{151});
+    bench.judge.tick(Millis{60000});
+    bench.judge.finish(Millis{60000});
+    CHECK(bench.promises().empty());
+    CHECK(bench.judge.servedSince(Millis{0}) == 1);
+}
+
+TEST_CASE("what must run at most once is counted at the targets, and 'not run' is taken at its word")
+{
+    Bench bench;
+    bench.send("a", Millis{100});
+    bench.run("a", "t1", Millis{110});
+    bench.run("a", "t2", Millis{120});
+    CHECK(bench.promises() == "twice budget ");
+    bench.send("b", Millis{200});
+    bench.run("b", "t1", Millis{210});
+    bench.answer("b", 503, Millis{220});
+    CHECK(bench.promises() == "twice budget refused ");
+    bench.send("c", Millis{300});
+    bench.answer("c", 503, Millis{310});
+    bench.run("c", "t1", Millis{320});
+    CHECK(bench.promises() == "twice budget refused refused ");
+}
+
+TEST_CASE("an answer must be the call's own, as its target made it")
+{
+    Bench bench;
+    bench.judge.made("t1.a", 200, "plate");
+    const auto check = [&bench](const std::string &id, const SoakAnswer &answer) {
+        bench.send(id, Millis{100});
+        bench.judge.answered(id, answer, Millis{150});
+    };
+    check("a", {200, true, "a", "t1.a", "plat"});
+    CHECK(bench.promises() == "mixed ");
+    check("b", {200, true, "b", "t1.a", "plate"});
+    CHECK(bench.promises() == "mixed mixed ");
+    check("c", {200, true, "c", "", "plate"});
+    CHECK(bench.promises() == "mixed mixed mixed ");
+}
+
+TEST_CASE("a stream must be whole and in order, and of one run unless it may go on elsewhere")
+{
+    SoakCall call;
+    call.id = "s";
+    call.kind = CallKind::Note;
+    std::string whole;
+    for (std::uint32_t number = 1; number <= eventsOf("s"); ++number) {
+        whole += eventOf("s", number, "t1");
+    }
+    CHECK_FALSE(streamFault(call, whole, true));
+    CHECK(streamFault(call, whole.substr(0, whole.size() - 1), true));
+    CHECK(streamFault(call, eventOf("s", 1, "t1") + eventOf("s", 3, "t1"), false));
+    CHECK(streamFault(call, eventOf("s", 1, "t1") + eventOf("s", 1, "t1"), false));
+    CHECK(streamFault(call, eventOf("x", 1, "t1"), false));
+    const std::string joined = eventOf("s", 1, "t1") + eventOf("s", 2, "t2");
+    CHECK(streamFault(call, joined, false));
+    call.kind = CallKind::Chat;
+    CHECK_FALSE(streamFault(call, joined, false));
+}
+
+TEST_CASE("a request that reaches a target must be one that a caller sent, as it was sent")
+{
+    Bench bench;
+    bench.run("nobody", "t1", Millis{10});
+    CHECK(bench.promises() == "unasked ");
+    bench.send("a", Millis{100});
+    SoakArrival keyed = bench.arrival("a", "t1", Millis{110});
+    keyed.hasKey = true;
+    keyed.body = "more";
+    keyed.timeLeft = Millis{9000};
+    bench.judge.arrived(keyed);
+    CHECK(bench.promises() == "unasked unasked unasked budget ");
+}
+
+TEST_CASE("a version is in force after its time at gateways that were in touch, and never given up again")
+{
+    Bench bench;
+    bench.judge.configurationAcknowledged(version(2, "desk-b", "k1"), Millis{1000});
+    bench.send("early", Millis{2000});
+    bench.run("early", "t1", Millis{2010});
+    CHECK(bench.promises().empty());
+    SUBCASE("late at a calm gateway")
+    {
+        bench.send("late", Millis{9000});
+        bench.run("late", "t1", Millis{9010});
+        CHECK(bench.promises() == "config ");
+    }
+    SUBCASE("late at a gateway that was cut off")
+    {
+        bench.judge.disturbances().begin(SoakJudge::gatewaySubject(0), Millis{7000});
+        bench.send("late", Millis{9000});
+        bench.run("late", "t1", Millis{9010});
+        CHECK(bench.promises().empty());
+    }
+    SUBCASE("back to the old one, even where cut off")
+    {
+        bench.judge.disturbances().begin(SoakJudge::gatewaySubject(0), Millis{1000});
+        bench.send("new", Millis{2100});
+        SoakArrival moved = bench.arrival("new", "t9", Millis{2110});
+        moved.service = "desk-b";
+        bench.judge.arrived(moved);
+        bench.send("back", Millis{4000});
+        bench.run("back", "t1", Millis{4010});
+        CHECK(bench.promises() == "config ");
+    }
+    SUBCASE("a service that no version names")
+    {
+        bench.send("lost", Millis{2100});
+        SoakArrival other = bench.arrival("lost", "t9", Millis{2110});
+        other.service = "llm";
+        bench.judge.arrived(other);
+        CHECK(bench.promises() == "route ");
+    }
+}
+
+TEST_CASE("a key that was taken away opens nothing after its time, at whichever gateway")
+{
+    Bench bench;
+    bench.judge.configurationAcknowledged(version(2, "desk", "k2"), Millis{1000});
+    bench.judge.disturbances().begin(SoakJudge::gatewaySubject(0), Millis{0});
+    bench.send("soon", Millis{5900});
+    bench.run("soon", "t1", Millis{5910});
+    CHECK(bench.promises().empty());
+    bench.send("late", Millis{6100});
+    bench.run("late", "t1", Millis{6110});
+    CHECK(bench.promises() == "revoked ");
+}
+
+TEST_CASE("what every version in force allows must not be denied")
+{
+    Bench bench;
+    bench.send("a", Millis{100});
+    bench.answer("a", 401, Millis{110});
+    CHECK(bench.promises() == "denied ");
+    bench.judge.configurationAcknowledged(version(2, "desk", "k2"), Millis{1000});
+    bench.send("b", Millis{1100});
+    bench.answer("b", 401, Millis{1110});
+    CHECK(bench.promises() == "denied ");
+}
+
+TEST_CASE("a target that leaves gets nothing new after its time")
+{
+    Bench bench;
+    bench.judge.leavingAcknowledged("t1", Millis{4000});
+    bench.send("a", Millis{5000});
+    bench.run("a", "t1", Millis{5900});
+    CHECK(bench.promises().empty());
+    bench.send("b", Millis{7000});
+    bench.run("b", "t1", Millis{7010});
+    CHECK(bench.promises() == "drain ");
+}
+
+TEST_CASE("a request that was passed on is answered unless target or gateway was disturbed")
+{
+    Bench bench;
+    bench.send("a", Millis{100});
+    bench.run("a", "t1", Millis{110});
+    bench.answer("a", 0, Millis{200});
+    CHECK(bench.promises() == "lost ");
+    bench.send("b", Millis{1000});
+    bench.run("b", "t1", Millis{1010});
+    bench.judge.runEnded("b", "t1", RunEnd::Spoilt, Millis{1050});
+    bench.answer("b", 0, Millis{1100});
+    bench.send("c", Millis{2000});
+    bench.run("c", "t1", Millis{2010});
+    bench.judge.disturbances().begin(SoakJudge::gatewaySubject(0) + SoakJudge::unplannedSuffix, Millis{2050});
+    bench.answer("c", 0, Millis{2060});
+    CHECK(bench.promises() == "lost ");
+}
+
+TEST_CASE("the route's time is kept, and a caller that left is not worked for")
+{
+    Bench bench;
+    bench.send("a", Millis{5000});
+    bench.judge.tick(Millis{6700});
+    CHECK(bench.promises().empty());
+    bench.judge.tick(Millis{6900});
+    CHECK(bench.promises() == "timeout ");
+    bench.send("b", Millis{10000});
+    bench.run("b", "t1", Millis{10010});
+    bench.judge.left("b", Millis{10100});
+    bench.judge.tick(Millis{10800});
+    CHECK(bench.promises() == "timeout ");
+    bench.judge.tick(Millis{11000});
+    CHECK(bench.promises() == "timeout gone ");
+    SUBCASE("what this process slept through is granted")
+    {
+        bench.send("c", Millis{20000});
+        bench.judge.paused(Millis{21400}, Millis{1000});
+        bench.judge.tick(Millis{22000});
+        CHECK(bench.promises() == "timeout gone ");
+    }
+}
+
+TEST_CASE("repeats stay within their share of the requests")
+{
+    Bench bench;
+    for (int i = 0; i < 100; ++i) {
+        const std::string id = "r" + std::to_string(i);
+        SoakCall call = bench.call(id, Millis{1000 + i});
+        call.mostTargets = 3;
+        call.kind = CallKind::Look;
+        bench.judge.sent(call);
+        bench.run(id, "t1", Millis{1100 + i});
+        bench.run(id, "t2", Millis{1200 + i});
+    }
+    bench.judge.finish(Millis{2000});
+    CHECK(bench.promises().find("budget") != std::string::npos);
+}
--- /dev/null
+++ b/lab/soak/soakoperator.h
@@ -0,0 +1,47 @@
+#pragma once
+
+// The operator of a soak: publishes versions of the configuration, each a small change of the one before, and keeps
+// what callers may ask for in step.
+//
+//     SoakOperator operator_(store, judge);
+//     operator_.publishFirst();
+//     operator_.addRoute(Millis::monotonicNow());
+
+#include "lab/soak/soakcaller.h"
+#include "lab/soak/soakjudge.h"
+#include "lab/soak/soakstore.h"
+
+#include <cstdint>
+#include <string>
+
+namespace Sequoiausher::Lab {
+
+/** See above. */
+class SoakOperator
+{
+public:
+    SoakOperator(SoakStore &store, SoakJudge &judge);
+
+    void publishFirst();
+    void addRoute();
+    void dropRoute();
+    /** Moves the route of plain questions to the other plain service, or back. */
+    void moveRoute();
+    void changeTimeout(std::uint64_t choice);
+    /** Takes the oldest key of an organisation away and gives it another; callers go on with the old one for a while.
+     */
+    void revokeKey(std::uint64_t choice);
+
+    const SoakOffer &offer() const;
+
+private:
+    void publish();
+
+    SoakStore &store;
+    SoakJudge &judge;
+    GatewayConfiguration configuration;
+    SoakOffer offered;
+    std::uint32_t made = 0;
+};
+
+} // namespace Sequoiausher::Lab
--- /dev/null
+++ b/lab/soak/soakrecords.h
@@ -0,0 +1,121 @@
+#pragma once
+
+// What the soak's callers, targets and operator saw, as its judge takes it. Plain data, no sockets.
+//
+//     judge.sent(call, now);
+//     judge.arrived(arrival);
+//     judge.answered(call.id, answer, now);
+
+#include "sequoiausher/base/millis.h"
+#include "sequoiausher/base/nametable.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace Sequoiausher {
+
+namespace Lab {
+
+/** What callers ask for; each kind has a route of its own. */
+enum class CallKind {
+    /** Runs at most once. */
+    Job,
+    /** May run more than once. */
+    Look,
+    /** A stream that another target may go on with. */
+    Chat,
+    /** A stream that runs at most once. */
+    Note,
+};
+
+inline bool isIdempotent(CallKind kind)
+{
+    return kind == CallKind::Look || kind == CallKind::Chat;
+}
+
+inline bool isStream(CallKind kind)
+{
+    return kind == CallKind::Chat || kind == CallKind::Note;
+}
+
+/** One attempt of a caller. */
+struct SoakCall
+{
+    std::string id;
+    CallKind kind = CallKind::Job;
+    std::size_t gateway = 0;
+    /** Counts the starts of that gateway's process. */
+    std::uint64_t gatewayLife = 0;
+    std::string key;
+    std::string method;
+    std::string path;
+    std::string body;
+    Millis sentAt;
+    /** How long the caller said that it would wait. */
+    Millis timeLeft;
+    std::uint32_t mostTargets = 1;
+};
+
+/** The end of an attempt as its caller sees it. */
+struct SoakAnswer
+{
+    int status = 0;
+    /** The answer came with its end, as far as the caller can tell. */
+    bool isWhole = false;
+    /** The attempt that the answer names; empty for none. */
+    std::string attemptId;
+    /** Empty for an answer of a gateway's own. */
+    std::string signature;
+    std::string body;
+};
+
+/** A request at a target. */
+struct SoakArrival
+{
+    std::string id;
+    /** One life of the target. */
+    std::string target;
+    std::string service;
+    Millis at;
+    /** It was taken and runs from now on; otherwise the target said that it did not run it. */
+    bool runs = false;
+    std::string organisation;
+    std::string method;
+    std::string path;
+    std::string body;
+    std::optional<Millis> timeLeft;
+    bool hasKey = false;
+    bool hasForged = false;
+};
+
+/** How a run at a target ended. */
+enum class RunEnd {
+    /** The target sent its whole answer. */
+    Answered,
+    /** The gateway closed the connection. */
+    Cancelled,
+    /** The target broke off or sent something else, as its fault wanted. */
+    Spoilt,
+};
+
+/** A broken promise. */
+struct SoakViolation
+{
+    std::string promise;
+    std::string detail;
+    Millis at;
+};
+
+} // namespace Lab
+
+template<>
+inline constexpr auto nameTable<Lab::CallKind> = std::to_array<NameEntry<Lab::CallKind>>({
+    {Lab::CallKind::Job, "job"},
+    {Lab::CallKind::Look, "look"},
+    {Lab::CallKind::Chat, "chat"},
+    {Lab::CallKind::Note, "note"},
+});
+
+} // namespace Sequoiausher
--- /dev/null
+++ b/lab/soak/soakrun.cpp
@@ -0,0 +1,670 @@
+#include "lab/soak/soakrun.h"
+
+#include "lab/soak/soakcaller.h"
+#include "lab/soak/soakgateway.h"
+#include "lab/soak/soakjudge.h"
+#include "lab/soak/soakoperator.h"
+#include "lab/soak/soakstore.h"
+#include "lab/soak/soaktarget.h"
+#include "lab/support/labcall.h"
+#include "sequoiausher/base/error.h"
+
+#include <QDir>
+#include <QTimer>
+
+#include <algorithm>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <utility>
+
+namespace Sequoiausher::Lab {
+
+namespace {
+
+constexpr int tickMs = 10;
+constexpr Millis pollInterval{250};
+/** A tick that comes so late shows that this machine is busy; the bounds in time are stretched by it. */
+constexpr Millis lateTick{60};
+/** Before the faults: every gateway is ready and targets are known. After them: everything is back, then a calm time.
+ */
+constexpr Millis warmUp{1500};
+constexpr Millis catchUp{6000};
+constexpr Millis calm{3000};
+/** Of the calls of the calm time so many in a hundred are served at least. */
+constexpr std::size_t leastServedPercent = 95;
+/** A stopped gateway is gone so long after SIGTERM: its grace and what it takes to end. */
+constexpr Millis longestStop{9000};
+/** Longer than any wait here. */
+constexpr Millis endless{3600000};
+/** The pause before a process that ended is started again. */
+constexpr Millis restartPause{300};
+/** A target that leaves serves on for so long, and its end follows. */
+constexpr Millis leavingTime{3000};
+constexpr Millis reuseWait{2000};
+/** Entries that lapsed are written again so long after the store is back. */
+constexpr Millis lapseReturn{1200};
+constexpr Millis shortestLapse{2500};
+constexpr Millis stormGap{120};
+constexpr Millis linkDelay{150};
+constexpr std::uint64_t stormChanges = 10;
+
+/** What the targets serve at first. */
+constexpr auto firstServices = std::to_array<const char *>(
+    {"desk", "desk", "desk", "desk", "desk-b", "desk-b", "desk-b", "llm", "llm", "llm", "llm"});
+
+Endpoint endpointOf(const std::string &address)
+{
+    return parseEndpoint(address).value();
+}
+
+} // namespace
+
+class SoakRun::Private
+{
+public:
+    explicit Private(const SoakOptions &with);
+
+    struct TargetPlace
+    {
+        std::unique_ptr<SoakTarget> target;
+        std::unique_ptr<Relay> link;
+        /** Its entry stands in the store. */
+        bool isListed = false;
+    };
+
+    void setUp();
+    void tick();
+    void watchProcesses(Millis now);
+    void at(Millis when, std::function<void()> action);
+    void after(Millis span, std::function<void()> action);
+    /** Does begin now and end after the span, with the subjects disturbed meanwhile. */
+    void during(Millis span,
+                const std::vector<std::string> &subjects,
+                const std::function<void()> &begin,
+                const std::function<void()> &end);
+    void strike(const SoakFault &fault);
+    void strikeGateway(const SoakFault &fault, std::size_t gateway);
+    void strikeStore(const SoakFault &fault);
+    void strikeTarget(const SoakFault &fault, TargetPlace &place);
+    void operate(const SoakFault &fault);
+    void strikeLink(Relay &relay, const Link &link, Millis span, const std::vector<std::string> &subjects);
+    void killGateway(std::size_t number, Millis down);
+    void stopGateway(std::size_t number);
+    void startGateway(std::size_t number);
+    void startTarget(TargetPlace &place, const std::string &service);
+    void listTarget(TargetPlace &place, bool isLeaving);
+    void unlistTarget(TargetPlace &place);
+    void leaveTarget(TargetPlace &place);
+    void lapse(Millis span);
+    std::optional<SoakEntry> pick();
+    void note(const std::string &line);
+    static std::string unplanned(std::size_t gateway);
+    void finish(SoakResult &result, Millis calmFrom);
+
+    SoakOptions options;
+    std::mt19937_64 random;
+    SoakJudge judge;
+    SoakStore store;
+    SoakOperator administrator;
+    std::vector<std::unique_ptr<SoakGateway>> gateways;
+    std::vector<TargetPlace> places;
+    std::vector<std::unique_ptr<SoakCaller>> callers;
+    std::multimap<Millis, std::function<void()>> actions;
+    QTimer timer;
+    std::ofstream log;
+    Millis startedAt;
+    Millis lastTick;
+    Millis nextPoll;
+    Millis longestPause;
+    std::uint64_t picks = 0;
+    std::size_t faultsOpen = 0;
+};
+
+SoakRun::Private::Private(const SoakOptions &with)
+    : options(with)
+    , random(with.seed)
+    , judge(SoakBounds{})
+    , store(with.seed)
+    , administrator(this->store, this->judge)
+{
+    QDir().mkpath(QString::fromStdString(this->options.folder));
+    this->log.open(this->options.folder + "/soak.log");
+}
+
+SoakRun::SoakRun(const SoakOptions &options) : d(std::make_unique<Private>(options))
+{
+}
+
+SoakRun::~SoakRun() = default;
+
+std::string SoakRun::Private::unplanned(std::size_t gateway)
+{
+    return SoakJudge::gatewaySubject(gateway) + SoakJudge::unplannedSuffix;
+}
+
+void SoakRun::Private::note(const std::string &line)
+{
+    this->log << Millis::wallNow().count << " " << (Millis::monotonicNow() - this->startedAt).count << " " << line
+              << std::endl;
+}
+
+void SoakRun::Private::at(Millis when, std::function<void()> action)
+{
+    this->actions.emplace(when, std::move(action));
+}
+
+void SoakRun::Private::after(Millis span, std::function<void()> action)
+{
+    this->at(Millis::monotonicNow() + span, std::move(action));
+}
+
+void SoakRun::Private::during(Millis span,
+                              const std::vector<std::string> &subjects,
+                              const std::function<void()> &begin,
+                              const std::function<void()> &end)
+{
+    const Millis now = Millis::monotonicNow();
+    for (const std::string &subject : subjects) {
+        this->judge.disturbances().begin(subject, now);
+    }
+    begin();
+    this->after(span, [this, subjects, end] {
+        end();
+        for (const std::string &subject : subjects) {
+            this->judge.disturbances().end(subject, Millis::monotonicNow());
+        }
+    });
+}
+
+void SoakRun::Private::setUp()
+{
+    this->startedAt = Millis::monotonicNow();
+    for (const char *service : firstServices) {
+        TargetPlace &place = this->places.emplace_back();
+        const std::string name = "t" + std::to_string(this->places.size());
+        place.target = std::make_unique<SoakTarget>(name, this->judge, this->random());
+        place.link = std::make_unique<Relay>(Endpoint{"127.0.0.1", 0}, Endpoint{"127.0.0.1", place.target->port()});
+        this->startTarget(place, service);
+    }
+    this->administrator.publishFirst();
+    std::vector<std::string> seeds;
+    for (std::size_t i = 0; i < this->options.gateways; ++i) {
+        this->gateways.push_back(
+            std::make_unique<SoakGateway>(i, this->options.folder, endpointOf(this->store.address())));
+        if (seeds.size() < 3) {
+            seeds.push_back(this->gateways.back()->peerAddress());
+        }
+    }
+    for (std::size_t i = 0; i < this->gateways.size(); ++i) {
+        this->gateways[i]->configure(seeds);
+        this->judge.disturbances().begin(SoakJudge::gatewaySubject(i), this->startedAt);
+        this->startGateway(i);
+        this->judge.disturbances().end(SoakJudge::gatewaySubject(i), Millis::monotonicNow());
+    }
+    const std::size_t count = this->options.gateways * this->options.callersEach;
+    for (std::size_t i = 0; i < count; ++i) {
+        this->callers.push_back(std::make_unique<SoakCaller>(
+            static_cast<std::uint32_t>(i),
+            this->judge,
+            this->administrator.offer(),
+            [this] { return this->pick(); },
+            this->random()));
+    }
+    this->lastTick = Millis::monotonicNow();
+    QObject::connect(&this->timer, &QTimer::timeout, [this] { this->tick(); });
+    this->timer.setTimerType(Qt::PreciseTimer);
+    this->timer.start(tickMs);
+}
+
+void SoakRun::Private::tick()
+{
+    const Millis now = Millis::monotonicNow();
+    const Millis gap = now - this->lastTick;
+    this->lastTick = now;
+    this->longestPause = std::max(this->longestPause, gap);
+    if (gap > lateTick) {
+        this->judge.paused(now, gap);
+        this->note("this process stood still for " + toText(gap));
+    }
+    while (!this->actions.empty() && this->actions.begin()->first <= now) {
+        const auto action = std::move(this->actions.begin()->second);
+        this->actions.erase(this->actions.begin());
+        action();
+    }
+    if (now >= this->nextPoll) {
+        this->nextPoll = now + pollInterval;
+        for (const auto &gateway : this->gateways) {
+            gateway->poll();
+        }
+        this->watchProcesses(now);
+    }
+    for (const auto &caller : this->callers) {
+        caller->tick(now);
+    }
+    const std::size_t before = this->judge.violations().size();
+    this->judge.tick(now);
+    for (std::size_t i = before; i < this->judge.violations().size(); ++i) {
+        this->note("BROKEN " + this->judge.violations()[i].promise + ": " + this->judge.violations()[i].detail);
+    }
+}
+
+void SoakRun::Private::watchProcesses(Millis now)
+{
+    for (std::size_t i = 0; i < this->gateways.size(); ++i) {
+        SoakGateway &gateway = *this->gateways[i];
+        if (!gateway.process().isRunning() && !gateway.isEndExpected) {
+            this->judge.broken("process", "gateway " + std::to_string(i) + " ended by itself", now);
+            this->startGateway(i);
+        }
+    }
+}
+
+std::optional<SoakEntry> SoakRun::Private::pick()
+{
+    for (std::size_t i = 0; i < this->gateways.size(); ++i) {
+        const SoakGateway &gateway = *this->gateways[this->picks++ % this->gateways.size()];
+        if (gateway.isInRotation()) {
+            return gateway.entry();
+        }
+    }
+    return std::nullopt;
+}
+
+void SoakRun::Private::startGateway(std::size_t number)
+{
+    this->gateways[number]->start();
+    this->note("gateway " + std::to_string(number) + " started");
+}
+
+void SoakRun::Private::killGateway(std::size_t number, Millis down)
+{
+    SoakGateway &gateway = *this->gateways[number];
+    if (gateway.isEndExpected) {
+        return;
+    }
+    this->during(
+        down,
+        {SoakJudge::gatewaySubject(number), unplanned(number)},
+        [&gateway] {
+            gateway.isEndExpected = true;
+            gateway.process().kill();
+        },
+        [this, number] { this->startGateway(number); });
+}
+
+void SoakRun::Private::stopGateway(std::size_t number)
+{
+    SoakGateway &gateway = *this->gateways[number];
+    if (gateway.isEndExpected) {
+        return;
+    }
+    gateway.isEndExpected = true;
+    gateway.stopAsked = Millis::monotonicNow();
+    this->judge.disturbances().begin(SoakJudge::gatewaySubject(number), gateway.stopAsked);
+    gateway.process().requestStop();
+    // Looks again until it is gone.
+    const auto look = std::make_shared<std::function<void()>>();
+    *look = [this, number, &gateway, again = std::weak_ptr(look)] {
+        const Millis now = Millis::monotonicNow();
+        const std::string name = "gateway " + std::to_string(number);
+        if (gateway.process().isRunning() && now - gateway.stopAsked < longestStop) {
+            if (const auto next = again.lock()) {
+                this->after(pollInterval, [next] { (*next)(); });
+            }
+            return;
+        }
+        const std::optional<int> status = gateway.process().waitForExit(Millis{0});
+        const bool isUntouched
+            = this->judge.disturbances().isUntouched(unplanned(number), gateway.stopAsked - Millis{1}, now);
+        if (status != 0 && isUntouched) {
+            this->judge.broken("stop", name + " was not gone with status 0 after " + toText(longestStop), now);
+        }
+        gateway.process().kill();
+        this->after(restartPause, [this, number] {
+            this->startGateway(number);
+            this->judge.disturbances().end(SoakJudge::gatewaySubject(number), Millis::monotonicNow());
+        });
+    };
+    this->after(pollInterval, [look] { (*look)(); });
+}
+
+void SoakRun::Private::strikeLink(Relay &relay, const Link &link, Millis span, const std::vector<std::string> &subjects)
+{
+    this->during(
+        span, subjects, [&relay, link] { relay.setLink(link); }, [&relay] { relay.setLink({}); });
+}
+
+void SoakRun::Private::strikeGateway(const SoakFault &fault, std::size_t number)
+{
+    SoakGateway &gateway = *this->gateways[number];
+    const std::string subject = SoakJudge::gatewaySubject(number);
+    const std::vector<std::string> both{subject, unplanned(number)};
+    switch (fault.kind) {
+    case SoakFaultKind::KillGateway:
+        this->killGateway(number, fault.lasts);
+        return;
+    case SoakFaultKind::FreezeGateway:
+        this->during(
+            fault.lasts, both, [&gateway] { gateway.process().freeze(); }, [&gateway] { gateway.process().thaw(); });
+        return;
+    case SoakFaultKind::StopGateway:
+        this->stopGateway(number);
+        return;
+    case SoakFaultKind::ReloadGateway:
+        gateway.process().requestReload();
+        return;
+    case SoakFaultKind::CutPeers:
+        this->strikeLink(gateway.peerLink(), {LinkMode::Cut, {}}, fault.lasts, {subject});
+        return;
+    case SoakFaultKind::SilencePeers:
+        this->strikeLink(gateway.peerLink(), {LinkMode::Silent, {}}, fault.lasts, {subject});
+        return;
+    case SoakFaultKind::OneWayPeers:
+        this->strikeLink(gateway.peerLink(), {LinkMode::OneWay, {}}, fault.lasts, {subject});
+        return;
+    case SoakFaultKind::SilenceOpenPeers:
+        this->strikeLink(gateway.peerLink(), {LinkMode::SilentOpen, {}}, Millis{1}, {subject});
+        return;
+    case SoakFaultKind::DelayPeers:
+        this->strikeLink(gateway.peerLink(), {LinkMode::Delay, linkDelay}, fault.lasts, {subject});
+        return;
+    case SoakFaultKind::CutStore:
+        this->strikeLink(gateway.storeLink(), {LinkMode::Cut, {}}, fault.lasts, {subject});
+        return;
+    case SoakFaultKind::SilenceStore:
+        this->strikeLink(gateway.storeLink(), {LinkMode::Silent, {}}, fault.lasts, {subject});
+        return;
+    case SoakFaultKind::OneWayStore:
+        this->strikeLink(gateway.storeLink(), {LinkMode::OneWay, {}}, fault.lasts, {subject});
+        return;
+    case SoakFaultKind::SilenceOpenStore:
+        this->strikeLink(gateway.storeLink(), {LinkMode::SilentOpen, {}}, Millis{1}, {subject});
+        return;
+    case SoakFaultKind::CutCallers:
+        this->strikeLink(gateway.callerLink(), {LinkMode::Cut, {}}, fault.lasts / 4, both);
+        return;
+    case SoakFaultKind::DelayCallers:
+        this->strikeLink(gateway.callerLink(), {LinkMode::Delay, linkDelay}, fault.lasts, both);
+        return;
+    default:
+        return;
+    }
+}
+
+void SoakRun::Private::lapse(Millis span)
+{
+    const Millis down = std::max(span, shortestLapse);
+    this->during(
+        down,
+        {SoakJudge::storeSubject},
+        [this] { this->store.setMood(StoreMood::Silent); },
+        [this] {
+            std::vector<TargetPlace *> lapsed;
+            for (TargetPlace &place : this->places) {
+                if (place.isListed && place.target->isAlive()) {
+                    this->store.remove(StandInDialect::targetKey(TargetId{place.target->life()}));
+                    lapsed.push_back(&place);
+                }
+            }
+            this->store.setMood(StoreMood::Up);
+            this->after(lapseReturn, [this, lapsed] {
+                for (TargetPlace *place : lapsed) {
+                    if (place->isListed && place->target->isAlive()) {
+                        this->listTarget(*place, false);
+                    }
+                }
+            });
+        });
+}
+
+void SoakRun::Private::strikeStore(const SoakFault &fault)
+{
+    const auto inMood = [this, &fault](StoreMood mood) {
+        this->during(
+            fault.lasts,
+            {SoakJudge::storeSubject},
+            [this, mood] { this->store.setMood(mood); },
+            [this] { this->store.setMood(StoreMood::Up); });
+    };
+    switch (fault.kind) {
+    case SoakFaultKind::StoreSilent:
+        inMood(StoreMood::Silent);
+        return;
+    case SoakFaultKind::StoreBusy:
+        inMood(StoreMood::Busy);
+        return;
+    case SoakFaultKind::StoreReset:
+        inMood(StoreMood::Reset);
+        return;
+    case SoakFaultKind::StoreSlow:
+        inMood(StoreMood::Slow);
+        return;
+    case SoakFaultKind::StoreLosing:
+        inMood(StoreMood::Losing);
+        return;
+    case SoakFaultKind::StoreCompact:
+        this->during(
+            Millis{1}, {SoakJudge::storeSubject}, [this] { this->store.compact(); }, [] {});
+        return;
+    case SoakFaultKind::StoreLapse:
+        this->lapse(fault.lasts);
+        return;
+    default:
+        return;
+    }
+}
+
+void SoakRun::Private::listTarget(TargetPlace &place, bool isLeaving)
+{
+    GatewayTarget entry;
+    entry.id.value = place.target->life();
+    entry.service.value = place.target->service();
+    entry.address = toText(place.link->listening());
+    entry.dataCentre.value = "hall";
+    entry.slots = place.target->slots();
+    entry.isLeaving = isLeaving;
+    place.isListed = true;
+    this->store.write(StandInDialect::targetKey(entry.id), StandInDialect::targetText(entry));
+}
+
+void SoakRun::Private::unlistTarget(TargetPlace &place)
+{
+    place.isListed = false;
+    this->store.remove(StandInDialect::targetKey(TargetId{place.target->life()}));
+    this->judge.leavingAcknowledged(place.target->life(), Millis::monotonicNow());
+}
+
+void SoakRun::Private::startTarget(TargetPlace &place, const std::string &service)
+{
+    place.target->start(service);
+    this->listTarget(place, false);
+    this->note("target " + place.target->life() + " of " + service + " started");
+}
+
+void SoakRun::Private::leaveTarget(TargetPlace &place)
+{
+    const std::string life = place.target->life();
+    const std::string service = place.target->service();
+    this->listTarget(place, true);
+    this->judge.leavingAcknowledged(life, Millis::monotonicNow());
+    this->after(leavingTime, [this, &place, life, service] {
+        if (place.target->life() != life || !place.target->isAlive()) {
+            return;
+        }
+        this->unlistTarget(place);
+        this->judge.disturbances().begin(SoakJudge::targetSubject(life), Millis::monotonicNow());
+        place.target->crash();
+        this->after(reuseWait, [this, &place, service] { this->startTarget(place, service); });
+    });
+}
+
+void SoakRun::Private::strikeTarget(const SoakFault &fault, TargetPlace &place)
+{
+    const std::string life = place.target->life();
+    const std::string service = place.target->service();
+    if (!place.target->isAlive() || !place.isListed) {
+        return;
+    }
+    const std::string subject = SoakJudge::targetSubject(life);
+    const auto mood = static_cast<TargetMood>(1 + fault.detail % (nameTable<TargetMood>.size() - 1));
+    constexpr double halfOfThem = 0.5;
+    switch (fault.kind) {
+    case SoakFaultKind::CrashTarget:
+    case SoakFaultKind::ReuseAddress: {
+        // What dies says nothing; its entry goes after some silence, and another life has another id.
+        this->judge.disturbances().begin(subject, Millis::monotonicNow());
+        place.target->crash();
+        const bool isReused = fault.kind == SoakFaultKind::ReuseAddress;
+        const std::string next = !isReused ? service : service == "llm" ? "desk-b" : "llm";
+        this->after(fault.lasts, [this, &place] { this->unlistTarget(place); });
+        this->after(fault.lasts + reuseWait, [this, &place, next] { this->startTarget(place, next); });
+        return;
+    }
+    case SoakFaultKind::LeaveTarget:
+        this->leaveTarget(place);
+        return;
+    case SoakFaultKind::SilenceTarget:
+        this->strikeLink(*place.link, {LinkMode::Silent, {}}, fault.lasts, {subject});
+        return;
+    case SoakFaultKind::SilenceOpenTarget:
+        this->strikeLink(*place.link, {LinkMode::SilentOpen, {}}, Millis{1}, {subject});
+        return;
+    case SoakFaultKind::DelayTarget:
+        this->strikeLink(*place.link, {LinkMode::Delay, linkDelay}, fault.lasts, {subject});
+        return;
+    case SoakFaultKind::SpoilTarget:
+        this->note("target " + life + " is " + std::string(nameOf(mood)));
+        place.target->setMood(mood, halfOfThem);
+        this->after(fault.lasts, [&place] { place.target->setMood(TargetMood::Well, 0); });
+        return;
+    default:
+        return;
+    }
+}
+
+void SoakRun::Private::operate(const SoakFault &fault)
+{
+    switch (fault.kind) {
+    case SoakFaultKind::AddRoute:
+        this->administrator.addRoute();
+        return;
+    case SoakFaultKind::DropRoute:
+        this->administrator.dropRoute();
+        return;
+    case SoakFaultKind::MoveRoute:
+        this->administrator.moveRoute();
+        return;
+    case SoakFaultKind::ChangeTimeout:
+        this->administrator.changeTimeout(fault.detail);
+        return;
+    case SoakFaultKind::RevokeKey:
+        this->administrator.revokeKey(fault.detail);
+        return;
+    case SoakFaultKind::Storm:
+        for (std::uint64_t i = 0; i < stormChanges; ++i) {
+            this->after(stormGap * static_cast<std::int64_t>(i),
+                        [this, i] { i % 2 == 0 ? this->administrator.moveRoute() : this->administrator.addRoute(); });
+        }
+        return;
+    default:
+        return;
+    }
+}
+
+void SoakRun::Private::strike(const SoakFault &fault)
+{
+    this->note(toText(fault));
+    const std::size_t gateway = fault.subject % this->gateways.size();
+    TargetPlace &place = this->places[fault.subject % this->places.size()];
+    switch (fault.kind) {
+    case SoakFaultKind::KillAllGateways:
+        for (std::size_t i = 0; i < this->gateways.size(); ++i) {
+            this->killGateway(i, fault.lasts / 4);
+        }
+        return;
+    case SoakFaultKind::RollGateways:
+        for (std::size_t i = 0; i < this->gateways.size(); ++i) {
+            this->after(fault.lasts * static_cast<std::int64_t>(i) / 2, [this, i] { this->stopGateway(i); });
+        }
+        return;
+    case SoakFaultKind::SpoilService:
+        for (TargetPlace &one : this->places) {
+            if (one.target->service() == place.target->service()) {
+                SoakFault each = fault;
+                each.kind = SoakFaultKind::SpoilTarget;
+                this->strikeTarget(each, one);
+            }
+        }
+        return;
+    default:
+        break;
+    }
+    if (fault.kind < SoakFaultKind::StoreSilent || fault.kind == SoakFaultKind::CutCallers
+        || fault.kind == SoakFaultKind::DelayCallers) {
+        this->strikeGateway(fault, gateway);
+    } else if (fault.kind < SoakFaultKind::CutCallers) {
+        this->strikeStore(fault);
+    } else if (fault.kind < SoakFaultKind::AddRoute) {
+        this->strikeTarget(fault, place);
+    } else {
+        this->operate(fault);
+    }
+}
+
+void SoakRun::Private::finish(SoakResult &result, Millis calmFrom)
+{
+    const Millis now = Millis::monotonicNow();
+    this->judge.finish(now);
+    result.sent = this->judge.sentSince(Millis{0});
+    result.served = this->judge.servedSince(Millis{0});
+    result.lastSent = this->judge.sentSince(calmFrom);
+    result.lastServed = this->judge.servedSince(calmFrom);
+    result.longestPause = this->longestPause;
+    if (result.lastSent == 0 || result.lastServed * 100 < result.lastSent * leastServedPercent) {
+        this->judge.broken("recover",
+                           std::to_string(result.lastServed) + " of " + std::to_string(result.lastSent)
+                               + " calls were served in the calm at the end",
+                           now);
+    }
+    for (std::size_t i = 0; i < this->gateways.size(); ++i) {
+        if (!this->gateways[i]->isInRotation()) {
+            this->judge.broken("recover", "gateway " + std::to_string(i) + " is not ready in the calm at the end", now);
+        }
+    }
+    result.violations = this->judge.violations();
+    for (const SoakViolation &violation : result.violations) {
+        this->note("BROKEN at " + toText(violation.at - this->startedAt) + " " + violation.promise + ": "
+                   + violation.detail);
+    }
+}
+
+SoakResult SoakRun::play()
+{
+    this->d->setUp();
+    const Millis begin = Millis::monotonicNow() + warmUp;
+    const SoakFleet fleet{this->d->gateways.size(), this->d->places.size()};
+    Millis last = begin + this->d->options.faults;
+    for (const SoakFault &fault : planFaults(this->d->options.seed, this->d->options.faults, fleet)) {
+        this->d->at(begin + fault.at, [this, fault] { this->d->strike(fault); });
+        last = std::max(last, begin + fault.at + fault.lasts);
+    }
+    LabCaller::waitFor([last] { return Millis::monotonicNow() >= last; }, endless);
+    // What was begun ends by itself; then everything must be back.
+    const bool isQuiet = LabCaller::waitFor([this] { return this->d->actions.empty(); }, longestStop * 4);
+    if (!isQuiet) {
+        throw Error(Step::Report, "soak", "faults go on without an end");
+    }
+    const Millis calmFrom = Millis::monotonicNow() + catchUp;
+    LabCaller::waitFor([calmFrom] { return Millis::monotonicNow() >= calmFrom + calm; }, endless);
+    for (const auto &caller : this->d->callers) {
+        caller->rest();
+    }
+    LabCaller::waitFor([] { return false; }, Millis{500});
+    SoakResult result;
+    this->d->finish(result, calmFrom);
+    this->d->timer.stop();
+    return result;
+}
+
+} // namespace Sequoiausher::Lab
--- /dev/null
+++ b/lab/soak/soakrun.h
@@ -0,0 +1,60 @@
+#pragma once
+
+// One soak: real gateways, a store, targets and callers of its own, faults by a plan, and a judge over it all.
+//
+//     SoakRun run({.seed = 7});
+//     const SoakResult result = run.play();
+//     for (const SoakViolation &violation : result.violations) { ... }
+
+#include "lab/soak/soakplan.h"
+#include "lab/soak/soakrecords.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Sequoiausher::Lab {
+
+struct SoakOptions
+{
+    std::uint64_t seed = 1;
+    std::size_t gateways = 5;
+    std::size_t callersEach = 3;
+    /** How long faults begin; a warm-up before and a calm end come on top. */
+    Millis faults{12000};
+    /** Where settings and what the gateways write go; made where it is missing. */
+    std::string folder;
+};
+
+struct SoakResult
+{
+    std::vector<SoakViolation> violations;
+    std::size_t sent = 0;
+    std::size_t served = 0;
+    /** In the calm at the end. */
+    std::size_t lastSent = 0;
+    std::size_t lastServed = 0;
+    /** The longest that this process stood still: what the bounds in time were stretched by. */
+    Millis longestPause;
+};
+
+/** See above. Needs a QCoreApplication. */
+class SoakRun
+{
+public:
+    explicit SoakRun(const SoakOptions &options);
+    ~SoakRun();
+    SoakRun(const SoakRun &) = delete;
+    SoakRun &operator=(const SoakRun &) = delete;
+
+    /** Plays it to its end, in the event loop. */
+    SoakResult play();
+
+private:
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace Sequoiausher::Lab
--- /dev/null
+++ b/lab/soak/soakstore.cpp
@@ -0,0 +1,180 @@
+#include "lab/soak/soakstore.h"
+
+#include <QTimer>
+
+#include <utility>
+
+namespace Sequoiausher::Lab {
+
+namespace {
+
+/** A page of a list: small, so that a dozen targets already take two. */
+constexpr std::size_t pageItems = 8;
+constexpr int usualDelayMs = 4;
+constexpr int slowDelayMs = 300;
+/** The share of answers that a losing store loses. */
+constexpr double lostShare = 0.3;
+
+} // namespace
+
+SoakStore::SoakStore(std::uint64_t seed) : random(seed)
+{
+    this->server.isRecording = false;
+    this->server.answers = [this](FakeRequest &request) { this->handle(request); };
+}
+
+std::string SoakStore::address() const
+{
+    return this->server.address();
+}
+
+void SoakStore::write(const std::string &key, const std::string &value)
+{
+    this->changed({key, value, 0, false});
+}
+
+void SoakStore::remove(const std::string &key)
+{
+    if (this->items.contains(key)) {
+        this->changed({key, {}, 0, true});
+    }
+}
+
+void SoakStore::changed(StandInDialect::StoreItem item)
+{
+    this->revision += 1;
+    item.changedAt = this->revision;
+    if (item.isRemoved) {
+        this->items.erase(item.key);
+    } else {
+        this->items[item.key] = item;
+    }
+    this->history.push_back(std::move(item));
+    const auto waiting = std::exchange(this->watches, {});
+    for (const auto &[number, one] : waiting) {
+        this->reply(one.request, StandInDialect::watchAnswer(this->eventsAfter(one.after), this->revision));
+    }
+}
+
+void SoakStore::setMood(StoreMood to)
+{
+    this->mood = to;
+    if (to == StoreMood::Reset) {
+        for (const auto &[number, one] : std::exchange(this->watches, {})) {
+            one.request.reset();
+        }
+    }
+}
+
+void SoakStore::compact()
+{
+    this->forgotten = this->revision;
+    this->history.clear();
+    for (const auto &[number, one] : std::exchange(this->watches, {})) {
+        one.request.reset();
+    }
+}
+
+void SoakStore::handle(FakeRequest &request)
+{
+    if (this->mood == StoreMood::Silent) {
+        return;
+    }
+    if (this->mood == StoreMood::Reset) {
+        request.reset();
+        return;
+    }
+    if (this->mood == StoreMood::Busy) {
+        request.reply("503 Service Unavailable", "{}");
+        return;
+    }
+    const StandInDialect::StoreCall call = StandInDialect::readStoreCall(request.head.target);
+    switch (call.kind) {
+    case StandInDialect::StoreCall::Kind::Configuration: {
+        const auto item = this->items.find(StandInDialect::configurationKey());
+        if (item == this->items.end()) {
+            request.reply("404 Not Found", "{}");
+        } else {
+            this->reply(request, StandInDialect::itemAnswer(item->second, this->revision));
+        }
+        return;
+    }
+    case StandInDialect::StoreCall::Kind::Range:
+        this->reply(request, this->range(call));
+        return;
+    case StandInDialect::StoreCall::Kind::Watch:
+        this->watch(request, call);
+        return;
+    case StandInDialect::StoreCall::Kind::Unknown:
+        request.reply("400 Bad Request", "{}");
+        return;
+    }
+}
+
+void SoakStore::reply(const FakeRequest &request, const std::string &body)
+{
+    if (this->mood == StoreMood::Silent) {
+        return;
+    }
+    std::uniform_real_distribution<double> chance(0, 1);
+    if (this->mood == StoreMood::Losing && chance(this->random) < lostShare) {
+        return;
+    }
+    const int delay = this->mood == StoreMood::Slow ? slowDelayMs : usualDelayMs;
+    QTimer::singleShot(delay, [request, body] { request.reply("200 OK", body); });
+}
+
+std::string SoakStore::range(const StandInDialect::StoreCall &call) const
+{
+    std::vector<StandInDialect::StoreItem> page;
+    bool hasMore = false;
+    for (auto item = this->items.lower_bound(call.prefix); item != this->items.end(); ++item) {
+        if (item->first.compare(0, call.prefix.size(), call.prefix) != 0) {
+            break;
+        }
+        if (item->first <= call.afterKey) {
+            continue;
+        }
+        if (page.size() == pageItems) {
+            hasMore = true;
+            break;
+        }
+        page.push_back(item->second);
+    }
+    return StandInDialect::rangeAnswer(page, this->revision, hasMore);
+}
+
+std::vector<StandInDialect::StoreItem> SoakStore::eventsAfter(Revision after) const
+{
+    std::vector<StandInDialect::StoreItem> events;
+    for (const StandInDialect::StoreItem &item : this->history) {
+        if (item.changedAt > after) {
+            events.push_back(item);
+        }
+    }
+    return events;
+}
+
+void SoakStore::watch(const FakeRequest &request, const StandInDialect::StoreCall &call)
+{
+    if (call.after < this->forgotten) {
+        request.reply("410 Gone", "{}");
+        return;
+    }
+    if (call.after < this->revision) {
+        this->reply(request, StandInDialect::watchAnswer(this->eventsAfter(call.after), this->revision));
+        return;
+    }
+    const std::uint64_t number = this->nextWatch++;
+    this->watches.emplace(number, Watch{request, call.after});
+    QTimer::singleShot(static_cast<int>(call.wait.count), [this, number] {
+        const auto found = this->watches.find(number);
+        if (found != this->watches.end()) {
+            const Watch held = std::move(found->second);
+            this->watches.erase(found);
+            this->reply(held.request, StandInDialect::watchAnswer({}, this->revision));
+        }
+    });
+}
+
+} // namespace Sequoiausher::Lab
--- /dev/null
+++ b/lab/soak/soakstore.h
@@ -0,0 +1,89 @@
+#pragma once
+
+// A stand-in for the platform's store: lists, single values and watches, a history that can be forgotten, and moods in
+// which it fails its readers.
+//
+//     SoakStore store(seed);
+//     store.write(StandInDialect::configurationKey(), text);
+//     store.setMood(StoreMood::Busy);
+
+#include "platform/standindialect.h"
+#include "sequoiausher/transport/stream/fakehttp.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Sequoiausher {
+
+namespace Lab {
+
+/** How the store treats its readers. */
+enum class StoreMood {
+    Up,
+    /** Answers nothing and closes nothing. */
+    Silent,
+    /** Answers 503. */
+    Busy,
+    Reset,
+    /** Answers late. */
+    Slow,
+    /** Loses some answers; their connections say nothing more. */
+    Losing,
+};
+
+/** See above. Needs a running event loop. */
+class SoakStore
+{
+public:
+    explicit SoakStore(std::uint64_t seed);
+
+    std::string address() const;
+    void write(const std::string &key, const std::string &value);
+    void remove(const std::string &key);
+    void setMood(StoreMood mood);
+    /** Forgets the history and cuts the watches that wait. */
+    void compact();
+
+private:
+    struct Watch
+    {
+        FakeRequest request;
+        Revision after = 0;
+    };
+
+    void handle(FakeRequest &request);
+    void reply(const FakeRequest &request, const std::string &body);
+    void watch(const FakeRequest &request, const StandInDialect::StoreCall &call);
+    std::string range(const StandInDialect::StoreCall &call) const;
+    std::vector<StandInDialect::StoreItem> eventsAfter(Revision after) const;
+    void changed(StandInDialect::StoreItem item);
+
+    FakeServer server;
+    std::mt19937_64 random;
+    StoreMood mood = StoreMood::Up;
+    Revision revision = 1;
+    std::map<std::string, StandInDialect::StoreItem> items;
+    std::deque<StandInDialect::StoreItem> history;
+    /** Changes up to this one are forgotten. */
+    Revision forgotten = 0;
+    std::map<std::uint64_t, Watch> watches;
+    std::uint64_t nextWatch = 0;
+};
+
+} // namespace Lab
+
+template<>
+inline constexpr auto nameTable<Lab::StoreMood> = std::to_array<NameEntry<Lab::StoreMood>>({
+    {Lab::StoreMood::Up, "up"},
+    {Lab::StoreMood::Silent, "silent"},
+    {Lab::StoreMood::Busy, "busy"},
+    {Lab::StoreMood::Reset, "reset"},
+    {Lab::StoreMood::Slow, "slow"},
+    {Lab::StoreMood::Losing, "losing"},
+});
+
+} // namespace Sequoiausher
--- /dev/null
+++ b/lab/soak/soaktarget.cpp
@@ -0,0 +1,321 @@
+#include "lab/soak/soaktarget.h"
+
+#include "lab/soak/streamcheck.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Sequoiausher::Lab {
+
+namespace {
+
+constexpr int tickMs = 5;
+/** Requests that a target of a plain service, and of one that streams, runs at once. */
+constexpr std::uint32_t plainSlots = 6;
+constexpr std::uint32_t streamSlots = 16;
+constexpr const char *streamService = "llm";
+/** How long a plain request and the first event take, and the pause between events. */
+constexpr std::int64_t leastWorkMs = 15;
+constexpr std::int64_t mostWorkMs = 60;
+constexpr Millis eventPause{25};
+constexpr std::int64_t slowTimes = 12;
+constexpr Millis never{1LL << 40};
+
+bool isStreamPath(const std::string &path)
+{
+    return path.rfind("/chat/", 0) == 0 || path.rfind("/note/", 0) == 0;
+}
+
+std::string chunk(const std::string &bytes)
+{
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+    return size + bytes + "\r\n";
+}
+
+} // namespace
+
+struct SoakTarget::Work
+{
+    FakeRequest request;
+    StandInDialect::ReadOrder order;
+    TargetMood mood = TargetMood::Well;
+    bool isStream = false;
+    Millis nextAt;
+    Millis deadline;
+    /** The next event of a stream, and the one at which a spoilt one breaks. */
+    std::uint32_t nextEvent = 1;
+    std::uint32_t lastEvent = 0;
+    std::uint32_t breakAt = 0;
+    bool hasBegun = false;
+    bool isSilent = false;
+    /** The gateway has closed the connection. */
+    bool isGone = false;
+};
+
+SoakTarget::SoakTarget(std::string with, SoakJudge &by, std::uint64_t seed)
+    : name(std::move(with))
+    , judge(by)
+    , random(seed)
+{
+    QObject::connect(&this->timer, &QTimer::timeout, [this] { this->tick(Millis::monotonicNow()); });
+}
+
+SoakTarget::~SoakTarget()
+{
+    this->crash();
+}
+
+void SoakTarget::start(const std::string &forService)
+{
+    this->lives += 1;
+    this->currentLife = this->name + "-" + std::to_string(this->lives);
+    this->currentService = forService;
+    this->mood = TargetMood::Well;
+    this->server = std::make_unique<FakeServer>("127.0.0.1:" + std::to_string(this->reserved.number()));
+    this->server->isRecording = false;
+    this->server->answers = [this](FakeRequest &request) { this->handle(request); };
+    this->server->lost = [this](const FakeConnection &connection) { this->lost(connection); };
+    this->timer.start(tickMs);
+}
+
+void SoakTarget::crash()
+{
+    this->timer.stop();
+    this->works.clear();
+    this->server.reset();
+}
+
+bool SoakTarget::isAlive() const
+{
+    return this->server != nullptr;
+}
+
+const std::string &SoakTarget::life() const
+{
+    return this->currentLife;
+}
+
+const std::string &SoakTarget::service() const
+{
+    return this->currentService;
+}
+
+std::uint16_t SoakTarget::port() const
+{
+    return this->reserved.number();
+}
+
+std::uint32_t SoakTarget::slots() const
+{
+    return this->currentService == streamService ? streamSlots : plainSlots;
+}
+
+std::size_t SoakTarget::runningCount() const
+{
+    return this->works.size();
+}
+
+void SoakTarget::setMood(TargetMood to, double share)
+{
+    this->mood = to;
+    this->moodShare = share;
+}
+
+void SoakTarget::handle(const FakeRequest &request)
+{
+    const Millis now = Millis::monotonicNow();
+    auto work = std::make_unique<Work>();
+    work->request = request;
+    work->order = StandInDialect::readOrder(request.head);
+    if (work->order.expectedTarget != this->currentLife) {
+        request.reply("421 Misdirected Request", "");
+        return;
+    }
+    std::uniform_real_distribution<double> chance(0, 1);
+    work->mood = chance(this->random) < this->moodShare ? this->mood : TargetMood::Well;
+    SoakArrival arrival;
+    arrival.id = work->order.attemptId;
+    arrival.target = this->currentLife;
+    arrival.service = this->currentService;
+    arrival.at = now;
+    arrival.runs = this->works.size() < this->slots() && work->mood != TargetMood::Full;
+    arrival.organisation = work->order.organisation;
+    arrival.method = request.head.method;
+    arrival.path = request.head.target;
+    arrival.body = request.body;
+    arrival.timeLeft = work->order.timeLeft;
+    arrival.hasKey = work->order.hasKey;
+    arrival.hasForged = work->order.hasForged;
+    this->judge.arrived(arrival);
+    if (!arrival.runs) {
+        request.reply("503 Service Unavailable", "", StandInDialect::notRunField());
+        return;
+    }
+    work->isStream = isStreamPath(arrival.path);
+    std::uniform_int_distribution<std::int64_t> span(leastWorkMs, mostWorkMs);
+    const std::int64_t times = work->mood == TargetMood::Slow ? slowTimes : 1;
+    work->nextAt = now + Millis{span(this->random) * times};
+    work->deadline = now + work->order.timeLeft.value_or(never);
+    work->lastEvent = eventsOf(arrival.id);
+    if (!work->order.lastEventId.empty()) {
+        work->nextEvent = static_cast<std::uint32_t>(std::atoi(work->order.lastEventId.c_str())) + 1;
+    }
+    std::uniform_int_distribution<std::uint32_t> place(work->nextEvent, std::max(work->lastEvent, work->nextEvent));
+    work->breakAt = place(this->random);
+    this->works.push_back(std::move(work));
+}
+
+void SoakTarget::tick(Millis now)
+{
+    const auto over = std::stable_partition(
+        this->works.begin(), this->works.end(), [this, now](const auto &work) { return this->advance(*work, now); });
+    this->works.erase(over, this->works.end());
+}
+
+void SoakTarget::ended(const Work &work, RunEnd how)
+{
+    this->judge.runEnded(work.order.attemptId, this->currentLife, how, Millis::monotonicNow());
+}
+
+std::string SoakTarget::fieldsOf(const Work &work, int status)
+{
+    const std::string signature = this->currentLife + "." + work.order.attemptId + "." + std::to_string(status);
+    return StandInDialect::answerFields(work.order.attemptId, signature);
+}
+
+/** False once it is over. */
+bool SoakTarget::advance(Work &work, Millis now)
+{
+    if (work.isGone || work.isSilent) {
+        return !work.isGone && now < work.deadline;
+    }
+    if (now >= work.deadline) {
+        // It stops at the end of its time, and says so where it has said nothing yet.
+        this->ended(work, RunEnd::Spoilt);
+        if (work.hasBegun) {
+            work.request.reset();
+        } else {
+            this->judge.made(this->currentLife + "." + work.order.attemptId + ".504", 504, "");
+            work.request.reply("504 Gateway Timeout", "", this->fieldsOf(work, 504));
+        }
+        return false;
+    }
+    if (now < work.nextAt) {
+        return true;
+    }
+    if (work.mood == TargetMood::Mute && !work.isStream) {
+        work.isSilent = true;
+        this->ended(work, RunEnd::Spoilt);
+        return true;
+    }
+    if (work.isStream && work.mood != TargetMood::Failing) {
+        return this->advanceStream(work, now);
+    }
+    this->answer(work);
+    return false;
+}
+
+void SoakTarget::answer(Work &work)
+{
+    const std::string &id = work.order.attemptId;
+    const std::string body = "result of " + id + " by " + this->currentLife + std::string(200, '.');
+    const auto signature
+        = [this, &id](int status) { return this->currentLife + "." + id + "." + std::to_string(status); };
+    this->judge.made(signature(200), 200, body);
+    const std::string head = "HTTP/1.1 200 OK\r\n" + this->fieldsOf(work, 200);
+    const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    switch (work.mood) {
+    case TargetMood::Failing:
+        this->judge.made(signature(500), 500, "no");
+        this->ended(work, RunEnd::Answered);
+        work.request.reply("500 Internal Server Error", "no", this->fieldsOf(work, 500));
+        return;
+    case TargetMood::Reset:
+        this->ended(work, RunEnd::Spoilt);
+        work.request.reset();
+        return;
+    case TargetMood::BreakOff:
+        this->ended(work, RunEnd::Spoilt);
+        work.request.send(head + length + body.substr(0, body.size() / 2));
+        work.request.reset();
+        return;
+    case TargetMood::Unframed:
+        this->ended(work, RunEnd::Spoilt);
+        work.request.send(head + "Connection: close\r\n\r\n" + body.substr(0, body.size() / 2));
+        work.request.reset();
+        return;
+    case TargetMood::Foreign:
+        this->ended(work, RunEnd::Spoilt);
+        work.request.send("HTTP/1.1 200 OK\r\n" + StandInDialect::answerFields("other-" + id, "other." + id) + length
+                          + body);
+        return;
+    case TargetMood::Extra:
+        this->ended(work, RunEnd::Answered);
+        work.request.send(head + length + body + head + length + body);
+        return;
+    case TargetMood::Well:
+    case TargetMood::Slow:
+    case TargetMood::Full:
+    case TargetMood::Mute:
+        break;
+    }
+    this->ended(work, RunEnd::Answered);
+    work.request.send(head + length + body);
+}
+
+bool SoakTarget::advanceStream(Work &work, Millis now)
+{
+    if (!std::exchange(work.hasBegun, true)) {
+        this->judge.made(this->currentLife + "." + work.order.attemptId + ".200", 200, "");
+        work.request.send("HTTP/1.1 200 OK\r\n" + this->fieldsOf(work, 200)
+                          + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    }
+    const bool breaks = work.mood == TargetMood::Mute || work.mood == TargetMood::Reset
+        || work.mood == TargetMood::BreakOff || work.mood == TargetMood::Unframed;
+    if (breaks && work.nextEvent >= work.breakAt) {
+        this->spoil(work);
+        return work.isSilent;
+    }
+    if (work.nextEvent <= work.lastEvent) {
+        work.request.send(chunk(eventOf(work.order.attemptId, work.nextEvent, this->currentLife)));
+        work.nextEvent += 1;
+    }
+    if (work.nextEvent > work.lastEvent) {
+        this->ended(work, RunEnd::Answered);
+        work.request.send("0\r\n\r\n");
+        return false;
+    }
+    work.nextAt = now + eventPause * (work.mood == TargetMood::Slow ? slowTimes : 1);
+    return true;
+}
+
+void SoakTarget::spoil(Work &work)
+{
+    this->ended(work, RunEnd::Spoilt);
+    if (work.mood == TargetMood::Mute) {
+        work.isSilent = true;
+        return;
+    }
+    if (work.mood != TargetMood::Reset) {
+        const std::string event = eventOf(work.order.attemptId, work.nextEvent, this->currentLife);
+        work.request.send(chunk(event.substr(0, event.size() / 2)));
+    }
+    if (work.mood == TargetMood::Unframed) {
+        work.request.close();
+    } else {
+        work.request.reset();
+    }
+}
+
+void SoakTarget::lost(const FakeConnection &connection)
+{
+    // It may come in the middle of a tick: the work is taken out there.
+    for (const auto &work : this->works) {
+        if (work->request.connection.get() == &connection && !std::exchange(work->isGone, true)) {
+            this->ended(*work, RunEnd::Cancelled);
+        }
+    }
+}
+
+} // namespace Sequoiausher::Lab
--- /dev/null
+++ b/lab/soak/soaktarget.h
@@ -0,0 +1,114 @@
+#pragma once
+
+// A stand-in for one target: it runs requests for a while, says when it is full, and has moods in which it fails them.
+// Each start is another life under another id, at the same address.
+//
+//     SoakTarget target("t3", judge, seed);
+//     target.start("llm");
+//     target.setMood(TargetMood::BreakOff, 0.3);
+//     target.crash();
+
+#include "lab/fleet/reservedport.h"
+#include "lab/soak/soakjudge.h"
+#include "platform/standindialect.h"
+#include "sequoiausher/transport/stream/fakehttp.h"
+
+#include <QTimer>
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Sequoiausher {
+
+namespace Lab {
+
+/** What a target does with a part of its requests. */
+enum class TargetMood {
+    Well,
+    /** Takes many times as long. */
+    Slow,
+    /** Says that it is full, and did not run the request. */
+    Full,
+    /** Runs the request and says that it failed. */
+    Failing,
+    /** Runs the request and says nothing. */
+    Mute,
+    /** Runs the request and resets the connection. */
+    Reset,
+    /** Breaks off in the middle of its answer. */
+    BreakOff,
+    /** Closes in order in the middle of an answer that has no length, so that it looks like its end, then resets. */
+    Unframed,
+    /** Sends a second answer after the first. */
+    Extra,
+    /** Sends the answer to another request. */
+    Foreign,
+};
+
+/** See above. Needs a running event loop. */
+class SoakTarget
+{
+public:
+    SoakTarget(std::string name, SoakJudge &judge, std::uint64_t seed);
+    ~SoakTarget();
+
+    /** Begins a new life for the service. */
+    void start(const std::string &service);
+    /** Ends the life: every connection is cut, nothing listens. */
+    void crash();
+    /** Whether it is alive, and which life it is. */
+    bool isAlive() const;
+    const std::string &life() const;
+    const std::string &service() const;
+    std::uint16_t port() const;
+    std::uint32_t slots() const;
+    std::size_t runningCount() const;
+
+    void setMood(TargetMood mood, double share);
+
+private:
+    struct Work;
+
+    void handle(const FakeRequest &request);
+    void tick(Millis now);
+    bool advance(Work &work, Millis now);
+    bool advanceStream(Work &work, Millis now);
+    void spoil(Work &work);
+    void answer(Work &work);
+    void ended(const Work &work, RunEnd how);
+    void lost(const FakeConnection &connection);
+    std::string fieldsOf(const Work &work, int status);
+
+    std::string name;
+    SoakJudge &judge;
+    std::mt19937_64 random;
+    ReservedPort reserved;
+    std::string currentLife;
+    std::string currentService;
+    std::uint32_t lives = 0;
+    TargetMood mood = TargetMood::Well;
+    double moodShare = 0;
+    std::unique_ptr<FakeServer> server;
+    std::vector<std::unique_ptr<Work>> works;
+    QTimer timer;
+};
+
+} // namespace Lab
+
+template<>
+inline constexpr auto nameTable<Lab::TargetMood> = std::to_array<NameEntry<Lab::TargetMood>>({
+    {Lab::TargetMood::Well, "well"},
+    {Lab::TargetMood::Slow, "slow"},
+    {Lab::TargetMood::Full, "full"},
+    {Lab::TargetMood::Failing, "failing"},
+    {Lab::TargetMood::Mute, "mute"},
+    {Lab::TargetMood::Reset, "reset"},
+    {Lab::TargetMood::BreakOff, "break-off"},
+    {Lab::TargetMood::Unframed, "unframed"},
+    {Lab::TargetMood::Extra, "extra"},
+    {Lab::TargetMood::Foreign, "foreign"},
+});
+
+} // namespace Sequoiausher
--- a/sequoiausher/protocol/settings/gatewaysettings.cpp
+++ b/sequoiausher/protocol/settings/gatewaysettings.cpp
@@ -70,6 +70,7 @@
     settings.address = section.address("address").value_or("");
     settings.readyAddress = section.address("ready_address").value_or("");
     settings.peerAddress = section.address("peer_address").value_or("");
+    readAddress(section, "peer_listen_address", settings.peerListenAddress);
     readAddress(section, "metrics_address", settings.metricsAddress);
     constexpr double mostCores = 1024;
     constexpr double mostMbps = 1000000;
--- a/sequoiausher/protocol/settings/gatewaysettings.h
+++ b/sequoiausher/protocol/settings/gatewaysettings.h
@@ -51,8 +51,10 @@
     std::string address;
     /** IP number and port at which the platform asks whether this gateway is ready. */
     std::string readyAddress;
-    /** IP number and port for other gateways. */
+    /** IP number and port at which other gateways reach this one, and know it by. */
     std::string peerAddress;
+    /** Where it listens for them, where that is another address, as behind a forwarded port; empty for peerAddress. */
+    std::string peerListenAddress;
     /** IP number and port of the metrics page; empty for none. */
     std::string metricsAddress;
     /** The part of a core that the process has, and its link, in Mbit/s: what hubs are chosen by. */
--- a/sequoiausher/protocol/settings/gatewaysettingstest.cpp
+++ b/sequoiausher/protocol/settings/gatewaysettingstest.cpp
@@ -24,6 +24,11 @@
     CHECK(settings.stop.grace == Millis{8000});
     CHECK(settings.seeds == std::vector{InstanceId{"10.0.0.2:82"}, InstanceId{"10.0.0.3:82"}});
     CHECK(settings.metricsAddress.empty());
+    CHECK(settings.peerListenAddress.empty());
+    const std::string forwarded = "peer_address = 10.0.0.1:82\npeer_listen_address = 127.0.0.1:83";
+    std::string text = least;
+    text.replace(text.find("peer_address = 10.0.0.1:82"), std::string("peer_address = 10.0.0.1:82").size(), forwarded);
+    CHECK(parseGatewaySettings(text, "g.ini").peerListenAddress == "127.0.0.1:83");
 }
 
 TEST_CASE("every mistake is told with its place")
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -128,7 +128,9 @@
 
 void GatewayPeers::listen()
 {
-    this->d->mesh.listen(parsePeerAddress(this->d->context.settings.peerAddress));
+    const GatewaySettings &settings = this->d->context.settings;
+    const bool isForwarded = !settings.peerListenAddress.empty();
+    this->d->mesh.listen(parsePeerAddress(isForwarded ? settings.peerListenAddress : settings.peerAddress));
     this->d->followPeers();
 }
 
--- a/sequoiausher/transport/gateway/gatewaytestbed.cpp
+++ b/sequoiausher/transport/gateway/gatewaytestbed.cpp
@@ -5,7 +5,6 @@
 
 #include <QTimer>
 
-#include <sys/socket.h>
 #include <unistd.h>
 
 namespace Sequoiausher {
@@ -14,6 +13,12 @@
 
 constexpr const char *signatureField = "X-Signed: yes\r\n";
 
+/** What the dialect below takes for the mark of a target's own answer. */
+std::string signedFields(const FakeRequest &request)
+{
+    return "X-Id: " + request.header("X-Id") + "\r\n" + signatureField;
+}
+
 /**
  * An address that nobody listens at. Not one that the kernel gives: those it also gives to connections, which may take
  * it before the gateway does.
@@ -159,154 +164,6 @@
 
 } // namespace
 
-std::string FakeRequest::header(const std::string &name) const
-{
-    return std::string(this->head.headers.value(name));
-}
-
-void FakeRequest::send(const std::string &bytes) const
-{
-    this->connection->stream->write(bytes);
-}
-
-void FakeRequest::reply(const std::string &status, const std::string &content, const std::string &fields) const
-{
-    this->send("HTTP/1.1 " + status + "\r\nX-Id: " + this->header("X-Id") + "\r\n" + signatureField + fields
-               + "Content-Length: " + std::to_string(content.size()) + "\r\n\r\n" + content);
-}
-
-void FakeRequest::beginEvents() const
-{
-    this->send("HTTP/1.1 200 OK\r\nX-Id: " + this->header("X-Id") + "\r\n" + signatureField
-               + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
-}
-
-void FakeRequest::event(int id) const
-{
-    const std::string event = "id: " + std::to_string(id) + "\ndata: x\n\n";
-    std::ostringstream chunk;
-    chunk << std::hex << event.size() << "\r\n" << event << "\r\n";
-    this->send(chunk.str());
-}
-
-void FakeRequest::endEvents() const
-{
-    this->send("0\r\n\r\n");
-}
-
-void FakeRequest::close() const
-{
-    this->connection->stream->closeGently();
-}
-
-void FakeRequest::reset() const
-{
-    const linger now{1, 0};
-    setsockopt(this->connection->descriptor, SOL_SOCKET, SO_LINGER, &now, sizeof now);
-    this->connection->stream->close();
-}
-
-FakeServer::FakeServer()
-    : listener(std::make_unique<StreamListener>("127.0.0.1:0", [this](int descriptor) {
-        this->connections += 1;
-        this->open.push_back(std::make_shared<FakeConnection>(*this, descriptor));
-    }))
-{
-}
-
-FakeServer::~FakeServer()
-{
-    // A test's requests may hold their connections longer than this server lives.
-    for (const auto &connection : this->open) {
-        connection->server = nullptr;
-        connection->stream->forgetUser();
-        connection->stream->close();
-    }
-}
-
-std::string FakeServer::address() const
-{
-    return "127.0.0.1:" + std::to_string(this->listener->port());
-}
-
-FakeConnection::FakeConnection(FakeServer &to, int at)
-    : server(&to)
-    , descriptor(at)
-    , stream(ByteStream::adopt(at, this))
-    , reader(HttpReader::Kind::Request, {})
-{
-}
-
-FakeConnection::~FakeConnection()
-{
-    this->stream->forgetUser();
-}
-
-void FakeConnection::bytesArrived()
-{
-    this->reader.read(this->stream->input());
-    while (this->server != nullptr && this->reader.isComplete()) {
-        for (const auto &held : this->server->open) {
-            if (held.get() == this) {
-                this->server->seen.push_back({held, this->reader.head(), this->reader.takeBody()});
-            }
-        }
-        this->reader.restart();
-        FakeRequest request = this->server->seen.back();
-        if (this->server->answers) {
-            this->server->answers(request);
-        }
-        this->reader.read(this->stream->input());
-    }
-}
-
-void FakeConnection::ended(StreamEnd /*how*/)
-{
-    if (this->server != nullptr) {
-        this->server->closed += 1;
-    }
-}
-
-FakeCaller::FakeCaller(const std::string &address)
-    : stream(ByteStream::dial(address, this))
-    , reader(HttpReader::Kind::Answer, {65536, 1UL << 30U})
-{
-}
-
-FakeCaller::~FakeCaller()
-{
-    this->stream->forgetUser();
-    this->stream->close();
-}
-
-void FakeCaller::send(const std::string &bytes)
-{
-    this->reply = CallerReply();
-    this->reader.restart();
-    this->stream->write(bytes);
-}
-
-void FakeCaller::close()
-{
-    this->stream->forgetUser();
-    this->stream->close();
-}
-
-void FakeCaller::bytesArrived()
-{
-    this->reader.read(this->stream->input());
-    this->reply.body += this->reader.takeBody();
-    this->reply.head = this->reader.head();
-    this->reply.status = this->reader.head().status;
-    this->reply.isWhole = this->reader.isComplete();
-}
-
-void FakeCaller::ended(StreamEnd how)
-{
-    this->reply.end = how;
-    this->reply.hasEnded = true;
-}
-
 GatewayTestbed::GatewayTestbed() : application(Internal::testApplication()), dialect(std::make_unique<TestDialect>())
 {
     this->settings.name.value = "g1";
@@ -321,6 +178,7 @@
     this->settings.address = freeAddress();
     this->settings.readyAddress = freeAddress();
     this->settings.peerAddress = freeAddress();
+    this->store.ownFields = signedFields;
     this->store.answers = [this](FakeRequest &request) { this->answerStore(request); };
     this->log = std::make_unique<Log>(LogSettings(), this->logged, &Millis::wallNow);
 }
@@ -358,6 +216,7 @@
 FakeServer &GatewayTestbed::addTarget(const std::string &name, const std::string &service)
 {
     this->targets[name] = std::make_unique<FakeServer>();
+    this->targets[name]->ownFields = signedFields;
     this->services[name] = service;
     this->changed();
     return *this->targets[name];
--- a/sequoiausher/transport/gateway/gatewaytestbed.h
+++ b/sequoiausher/transport/gateway/gatewaytestbed.h
@@ -10,9 +10,7 @@
 
 #include "sequoiausher/base/log/log.h"
 #include "sequoiausher/transport/gateway/gatewaynode.h"
-#include "sequoiausher/transport/stream/bytestream.h"
-#include "sequoiausher/transport/stream/httpreader.h"
-#include "sequoiausher/transport/stream/streamlistener.h"
+#include "sequoiausher/transport/stream/fakehttp.h"
 
 #include <QCoreApplication>
 
@@ -25,97 +23,6 @@
 
 namespace Sequoiausher {
 
-class FakeConnection;
-
-/** A request at a fake target or store. */
-struct FakeRequest
-{
-    std::shared_ptr<FakeConnection> connection;
-    HttpHead head;
-    std::string body;
-
-    std::string header(const std::string &name) const;
-    /** Sends bytes as they are. */
-    void send(const std::string &bytes) const;
-    /** Sends a whole answer with the signature and the request's id. */
-    void reply(const std::string &status, const std::string &content, const std::string &fields = {}) const;
-    /** Begins a chunked stream of events. */
-    void beginEvents() const;
-    void event(int id) const;
-    void endEvents() const;
-    /** Closes the connection: in order, or by a reset. */
-    void close() const;
-    void reset() const;
-};
-
-/** Hears requests. */
-class FakeServer
-{
-public:
-    FakeServer();
-    ~FakeServer();
-    FakeServer(const FakeServer &) = delete;
-    FakeServer &operator=(const FakeServer &) = delete;
-
-    std::string address() const;
-
-    std::function<void(FakeRequest &request)> answers;
-    std::vector<FakeRequest> seen;
-    std::size_t connections = 0;
-    /** Connections that the other side closed. */
-    std::size_t closed = 0;
-
-private:
-    friend class FakeConnection;
-    std::unique_ptr<StreamListener> listener;
-    std::vector<std::shared_ptr<FakeConnection>> open;
-};
-
-/** One connection to a fake server. */
-class FakeConnection : public ByteStreamUser
-{
-public:
-    FakeConnection(FakeServer &server, int descriptor);
-    ~FakeConnection() override;
-    void bytesArrived() override;
-    void ended(StreamEnd how) override;
-
-    FakeServer *server;
-    int descriptor;
-    std::shared_ptr<ByteStream> stream;
-    HttpReader reader;
-};
-
-/** What a caller got. */
-struct CallerReply
-{
-    int status = 0;
-    HttpHead head;
-    std::string body;
-    /** The whole answer came, its end mark included. */
-    bool isWhole = false;
-    StreamEnd end = StreamEnd::Finished;
-    bool hasEnded = false;
-};
-
-/** A caller with one connection. */
-class FakeCaller : public ByteStreamUser
-{
-public:
-    explicit FakeCaller(const std::string &address);
-    ~FakeCaller() override;
-    void send(const std::string &bytes);
-    void close();
-    void bytesArrived() override;
-    void ended(StreamEnd how) override;
-
-    CallerReply reply;
-    std::shared_ptr<ByteStream> stream;
-
-private:
-    HttpReader reader;
-};
-
 /** Everything together. */
 class GatewayTestbed
 {
--- a/sequoiausher/transport/stream/bytestream.cpp
+++ b/sequoiausher/transport/stream/bytestream.cpp
@@ -321,4 +321,13 @@
     this->d->self.reset();
 }
 
+void ByteStream::reset()
+{
+    if (this->d->descriptor >= 0) {
+        const linger now{1, 0};
+        setsockopt(this->d->descriptor, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    }
+    this->close();
+}
+
 } // namespace Sequoiausher
--- a/sequoiausher/transport/stream/bytestream.h
+++ b/sequoiausher/transport/stream/bytestream.h
@@ -93,6 +93,8 @@
     void closeGently();
     /** Closes at once; pending bytes are lost. */
     void close();
+    /** The same by a reset, so that the other side cannot take what it got for the whole. */
+    void reset();
 
 private:
     class Private;
--- /dev/null
+++ b/sequoiausher/transport/stream/fakehttp.cpp
@@ -0,0 +1,181 @@
+#include "sequoiausher/transport/stream/fakehttp.h"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace Sequoiausher {
+
+std::string FakeRequest::header(const std::string &name) const
+{
+    return std::string(this->head.headers.value(name));
+}
+
+void FakeRequest::send(const std::string &bytes) const
+{
+    this->connection->stream->write(bytes);
+}
+
+void FakeRequest::reply(const std::string &status, const std::string &content, const std::string &fields) const
+{
+    this->send("HTTP/1.1 " + status + "\r\n" + this->ownFields() + fields
+               + "Content-Length: " + std::to_string(content.size()) + "\r\n\r\n" + content);
+}
+
+void FakeRequest::beginEvents() const
+{
+    this->send("HTTP/1.1 200 OK\r\n" + this->ownFields()
+               + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+}
+
+void FakeRequest::event(int id) const
+{
+    const std::string event = "id: " + std::to_string(id) + "\ndata: x\n\n";
+    std::ostringstream chunk;
+    chunk << std::hex << event.size() << "\r\n" << event << "\r\n";
+    this->send(chunk.str());
+}
+
+void FakeRequest::endEvents() const
+{
+    this->send("0\r\n\r\n");
+}
+
+void FakeRequest::close() const
+{
+    this->connection->stream->closeGently();
+}
+
+void FakeRequest::reset() const
+{
+    this->connection->stream->reset();
+}
+
+std::string FakeRequest::ownFields() const
+{
+    const FakeServer *server = this->connection->server;
+    return server != nullptr && server->ownFields ? server->ownFields(*this) : std::string();
+}
+
+FakeServer::FakeServer(const std::string &listenAt)
+    : listener(std::make_unique<StreamListener>(listenAt, [this](int descriptor) {
+        this->connections += 1;
+        this->ended.clear();
+        this->open.push_back(std::make_shared<FakeConnection>(*this, descriptor));
+    }))
+{
+}
+
+FakeServer::~FakeServer()
+{
+    // A test's requests may hold their connections longer than this server lives.
+    for (const auto &connection : this->open) {
+        connection->server = nullptr;
+        connection->stream->forgetUser();
+        connection->stream->close();
+    }
+}
+
+std::string FakeServer::address() const
+{
+    return "127.0.0.1:" + std::to_string(this->listener->port());
+}
+
+FakeConnection::FakeConnection(FakeServer &to, int at)
+    : server(&to)
+    , stream(ByteStream::adopt(at, this))
+    , reader(HttpReader::Kind::Request, {})
+{
+}
+
+FakeConnection::~FakeConnection()
+{
+    this->stream->forgetUser();
+}
+
+void FakeServer::forget(const FakeConnection &connection)
+{
+    const auto held = std::find_if(
+        this->open.begin(), this->open.end(), [&connection](const auto &one) { return one.get() == &connection; });
+    if (held != this->open.end()) {
+        (*held)->server = nullptr;
+        this->ended.push_back(std::move(*held));
+        this->open.erase(held);
+    }
+}
+
+void FakeConnection::bytesArrived()
+{
+    this->reader.read(this->stream->input());
+    while (this->server != nullptr && this->reader.isComplete()) {
+        FakeRequest request{this->shared_from_this(), this->reader.head(), this->reader.takeBody()};
+        if (this->server->isRecording) {
+            this->server->seen.push_back(request);
+        }
+        this->reader.restart();
+        if (this->server->answers) {
+            this->server->answers(request);
+        }
+        this->reader.read(this->stream->input());
+    }
+}
+
+void FakeConnection::ended(StreamEnd /*how*/)
+{
+    if (this->server == nullptr) {
+        return;
+    }
+    this->server->closed += 1;
+    if (this->server->lost) {
+        this->server->lost(*this);
+    }
+    this->server->forget(*this);
+}
+
+FakeCaller::FakeCaller(const std::string &address)
+    : stream(ByteStream::dial(address, this))
+    , reader(HttpReader::Kind::Answer, {65536, 1UL << 30U})
+{
+}
+
+FakeCaller::~FakeCaller()
+{
+    this->stream->forgetUser();
+    this->stream->close();
+}
+
+void FakeCaller::send(const std::string &bytes)
+{
+    this->reply = CallerReply();
+    this->reader.restart();
+    this->stream->write(bytes);
+}
+
+void FakeCaller::close()
+{
+    this->stream->forgetUser();
+    this->stream->close();
+}
+
+void FakeCaller::bytesArrived()
+{
+    this->reader.read(this->stream->input());
+    this->reply.body += this->reader.takeBody();
+    this->reply.head = this->reader.head();
+    this->reply.status = this->reader.head().status;
+    this->reply.isWhole = this->reader.isComplete();
+    if (this->changed) {
+        this->changed();
+    }
+}
+
+void FakeCaller::ended(StreamEnd how)
+{
+    this->reply.end = how;
+    this->reply.hasEnded = true;
+    if (this->changed) {
+        this->changed();
+    }
+}
+
+} // namespace Sequoiausher
--- /dev/null
+++ b/sequoiausher/transport/stream/fakehttp.h
@@ -0,0 +1,129 @@
+#pragma once
+
+// HTTP servers and callers of a test's own, on the test's event loop: each answer is the test's to write, byte by byte
+// where it must be a broken one.
+//
+//     FakeServer server;
+//     server.answers = [](FakeRequest &request) { request.reply("200 OK", "hello"); };
+//     FakeCaller caller(server.address());
+//     caller.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+
+#include "sequoiausher/transport/stream/bytestream.h"
+#include "sequoiausher/transport/stream/httpreader.h"
+#include "sequoiausher/transport/stream/streamlistener.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Sequoiausher {
+
+class FakeConnection;
+
+/** A request at a fake target or store. */
+struct FakeRequest
+{
+    std::shared_ptr<FakeConnection> connection;
+    HttpHead head;
+    std::string body;
+
+    std::string header(const std::string &name) const;
+    /** Sends bytes as they are. */
+    void send(const std::string &bytes) const;
+    /** Sends a whole answer with the server's own fields. */
+    void reply(const std::string &status, const std::string &content, const std::string &fields = {}) const;
+    /** Begins a chunked stream of events. */
+    void beginEvents() const;
+    void event(int id) const;
+    void endEvents() const;
+    /** Closes the connection: in order, or by a reset. */
+    void close() const;
+    void reset() const;
+
+private:
+    std::string ownFields() const;
+};
+
+/** Hears requests. */
+class FakeServer
+{
+public:
+    /** @param listenAt where it listens; port 0 takes a free one. */
+    explicit FakeServer(const std::string &listenAt = "127.0.0.1:0");
+    ~FakeServer();
+    FakeServer(const FakeServer &) = delete;
+    FakeServer &operator=(const FakeServer &) = delete;
+
+    std::string address() const;
+
+    /** Answers a request, at once or later. */
+    std::function<void(FakeRequest &request)> answers;
+    /** The fields that each of this server's own answers to a request bears, each with its line end. */
+    std::function<std::string(const FakeRequest &request)> ownFields;
+    /** The other side closed this connection. */
+    std::function<void(const FakeConnection &connection)> lost;
+    /** Whether requests are kept in seen. */
+    bool isRecording = true;
+    std::vector<FakeRequest> seen;
+    std::size_t connections = 0;
+    /** Connections that the other side closed. */
+    std::size_t closed = 0;
+
+private:
+    friend class FakeConnection;
+    void forget(const FakeConnection &connection);
+
+    std::unique_ptr<StreamListener> listener;
+    std::vector<std::shared_ptr<FakeConnection>> open;
+    /** Ended in the middle of their own calls; freed with the next connection. */
+    std::vector<std::shared_ptr<FakeConnection>> ended;
+};
+
+/** One connection to a fake server. */
+class FakeConnection : public ByteStreamUser, public std::enable_shared_from_this<FakeConnection>
+{
+public:
+    FakeConnection(FakeServer &server, int descriptor);
+    ~FakeConnection() override;
+    void bytesArrived() override;
+    void ended(StreamEnd how) override;
+
+    FakeServer *server;
+    std::shared_ptr<ByteStream> stream;
+    HttpReader reader;
+};
+
+/** What a caller got. */
+struct CallerReply
+{
+    int status = 0;
+    HttpHead head;
+    std::string body;
+    /** The whole answer came, its end mark included. */
+    bool isWhole = false;
+    StreamEnd end = StreamEnd::Finished;
+    bool hasEnded = false;
+};
+
+/** A caller with one connection. */
+class FakeCaller : public ByteStreamUser
+{
+public:
+    explicit FakeCaller(const std::string &address);
+    ~FakeCaller() override;
+    void send(const std::string &bytes);
+    void close();
+    void bytesArrived() override;
+    void ended(StreamEnd how) override;
+
+    CallerReply reply;
+    std::shared_ptr<ByteStream> stream;
+    /** Called after each change of the reply. */
+    std::function<void()> changed;
+
+private:
+    HttpReader reader;
+};
+
+} // namespace Sequoiausher
