--- a/sequoiausher/coordination/gateway/gatewayconfiguration.h
+++ b/sequoiausher/coordination/gateway/gatewayconfiguration.h
@@ -140,8 +140,6 @@
     /** Requests that it runs at once. */
     std::uint32_t slots = 1;
     bool isLeaving = false;
-    /** How much longer it is slow after its start, when it was listed. */
-    Millis coldFor;
 
     bool operator==(const GatewayTarget &) const = default;
 };
--- a/sequoiausher/coordination/gateway/peerbook.cpp
+++ b/sequoiausher/coordination/gateway/peerbook.cpp
@@ -38,15 +38,11 @@
         Millis newestSentAt;
         bool isHub = false;
         std::uint16_t strength = 0;
+        /** Of its name. */
+        std::uint64_t hash = 0;
     };
 
-    std::uint16_t strengthOf(const InstanceId &instance) const
-    {
-        const auto found = this->known.find(instance);
-        return found != this->known.end() ? found->second.strength : this->strength;
-    }
-
-    /** The hubs in the order that all share, worked out anew now and then: it takes a sort of all names. */
+    /** The hubs in the order that all share, worked out anew now and then: it takes a look at every name. */
     const std::vector<InstanceId> &hubs(Millis now)
     {
         if (!this->hubsKnown || now - this->hubsAt >= hubsLife) {
@@ -59,12 +55,20 @@
         return this->currentHubs;
     }
 
-    std::vector<InstanceId> live(Millis now) const
+    /** What hubs are chosen by, worked out once for each sort. */
+    struct Candidate
+    {
+        std::uint16_t strength = 0;
+        std::uint64_t hash = 0;
+        const InstanceId *instance = nullptr;
+    };
+
+    std::vector<Candidate> live(Millis now) const
     {
-        std::vector<InstanceId> all{this->self};
+        std::vector<Candidate> all{{this->strength, hash64(this->self.value), &this->self}};
         for (const auto &[peer, one] : this->known) {
             if (now - one.heardAt < memberLife) {
-                all.push_back(peer);
+                all.push_back({one.strength, one.hash, &peer});
             }
         }
         return all;
@@ -72,20 +76,31 @@
 
     std::vector<InstanceId> findHubs(Millis now) const
     {
-        std::vector<InstanceId> all = this->live(now);
+        std::vector<Candidate> all = this->live(now);
         if (all.size() <= smallFleet) {
             return {};
         }
         // So many that a hub answers about as many gateways as there are hubs, four times over.
         const auto root = static_cast<std::size_t>(std::lround(std::sqrt(static_cast<double>(all.size())) / 2));
-        const std::size_t count = std::max(fewestHubs, root);
-        std::sort(all.begin(), all.end(), [this](const InstanceId &a, const InstanceId &b) {
-            const std::uint16_t strengthA = this->strengthOf(a);
-            const std::uint16_t strengthB = this->strengthOf(b);
-            return strengthA != strengthB ? strengthA > strengthB : hash64(a.value) < hash64(b.value);
-        });
-        all.resize(std::min(count, all.size()));
-        return all;
+        const std::size_t count = std::min(std::max(fewestHubs, root), all.size());
+        const auto isBefore = [](const Candidate &a, const Candidate &b) {
+            return a.strength != b.strength ? a.strength > b.strength : a.hash < b.hash;
+        };
+        std::partial_sort(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(count), all.end(), isBefore);
+        std::vector<InstanceId> hubs;
+        for (std::size_t i = 0; i < count; ++i) {
+            hubs.push_back(*all[i].instance);
+        }
+        return hubs;
+    }
+
+    Known &entryOf(const InstanceId &peer)
+    {
+        const auto [entry, isNew] = this->known.try_emplace(peer);
+        if (isNew) {
+            entry->second.hash = hash64(peer.value);
+        }
+        return entry->second;
     }
 
     InstanceId self;
@@ -131,14 +146,14 @@
     if (peer == this->d->hub) {
         this->d->unanswered = 0;
     }
-    Private::Known &known = this->d->known[peer];
+    Private::Known &known = this->d->entryOf(peer);
     known.heardAt = now;
     known.newestSentAt = report.sentAt;
     known.isHub = report.isHub;
     known.strength = report.strength;
     for (const GatewayMember &member : report.members) {
         if (member.instance != this->d->self && member.age < memory) {
-            Private::Known &other = this->d->known[member.instance];
+            Private::Known &other = this->d->entryOf(member.instance);
             other.heardAt = std::max(other.heardAt, now - member.age);
             other.strength = member.strength;
         }
--- a/sequoiausher/coordination/gateway/targetboardtest.cpp
+++ b/sequoiausher/coordination/gateway/targetboardtest.cpp
@@ -23,8 +23,7 @@
                            "10.0.0." + std::to_string(i) + ":80",
                            DataCentreId{"a"},
                            64,
-                           false,
-                           Millis{0}});
+                           false});
     }
     return targets;
 }
--- a/sequoiausher/coordination/gateway/targetlist.cpp
+++ b/sequoiausher/coordination/gateway/targetlist.cpp
@@ -5,17 +5,36 @@
 
 namespace Sequoiausher {
 
+namespace {
+
+/** Targets that are gone are remembered for peers that still have them; beyond so many those get the whole list. */
+constexpr std::size_t mostGone = 4096;
+
+} // namespace
+
+void TargetList::write(const GatewayTarget &target, Revision at)
+{
+    Entry &entry = this->entries[target.id];
+    entry.missingSince.reset();
+    this->gone.erase(target.id);
+    if (entry.changedAt == 0 || !(entry.target == target)) {
+        entry.target = target;
+        entry.changedAt = at;
+        this->lastChange = std::max(this->lastChange, at);
+    }
+}
+
 void TargetList::replaceAll(const std::vector<GatewayTarget> &targets, Revision at, Millis now)
 {
     std::set<TargetId> listed;
     for (const GatewayTarget &target : targets) {
         listed.insert(target.id);
-        this->entries[target.id] = {target, std::nullopt};
+        this->write(target, at);
     }
     for (auto entry = this->entries.begin(); entry != this->entries.end();) {
         const auto next = std::next(entry);
         if (!listed.contains(entry->first)) {
-            this->drop(entry, now);
+            this->drop(entry, at, now);
         }
         entry = next;
     }
@@ -24,7 +43,7 @@
 
 void TargetList::put(const GatewayTarget &target, Revision at)
 {
-    this->entries[target.id] = {target, std::nullopt};
+    this->write(target, at);
     this->known = std::max(this->known, at);
 }
 
@@ -32,19 +51,34 @@
 {
     const auto entry = this->entries.find(target);
     if (entry != this->entries.end()) {
-        this->drop(entry, now);
+        this->drop(entry, at, now);
     }
     this->known = std::max(this->known, at);
 }
 
-void TargetList::drop(std::map<TargetId, Entry>::iterator entry, Millis now)
+void TargetList::drop(std::map<TargetId, Entry>::iterator entry, Revision at, Millis now)
 {
     // One that said it would leave has left, whatever the store went through.
     if (entry->second.target.isLeaving || this->isGraceOver(now)) {
+        this->noteGone(entry->first, at);
         this->entries.erase(entry);
     } else if (!entry->second.missingSince) {
         entry->second.missingSince = now;
+        this->missingCount += 1;
+    }
+}
+
+void TargetList::noteGone(const TargetId &target, Revision at)
+{
+    this->gone[target] = at;
+    this->lastChange = std::max(this->lastChange, at);
+    if (this->gone.size() <= mostGone) {
+        return;
     }
+    const auto oldest = std::min_element(
+        this->gone.begin(), this->gone.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
+    this->goneKnownSince = oldest->second + 1;
+    this->gone.erase(oldest);
 }
 
 bool TargetList::isGraceOver(Millis now) const
@@ -57,13 +91,68 @@
 
 void TargetList::adopt(const std::vector<GatewayTarget> &targets, Revision at)
 {
-    this->entries.clear();
+    std::set<TargetId> listed;
     for (const GatewayTarget &target : targets) {
-        this->entries[target.id] = {target, std::nullopt};
+        listed.insert(target.id);
+        this->write(target, at);
+    }
+    for (auto entry = this->entries.begin(); entry != this->entries.end();) {
+        const auto next = std::next(entry);
+        if (!listed.contains(entry->first)) {
+            this->noteGone(entry->first, at);
+            this->entries.erase(entry);
+        }
+        entry = next;
     }
     this->known = std::max(this->known, at);
 }
 
+std::optional<TargetChanges> TargetList::changesSince(Revision from) const
+{
+    if (from == 0 || from < this->goneKnownSince) {
+        return std::nullopt;
+    }
+    TargetChanges changes{from, this->known, {}, {}};
+    for (const auto &[id, entry] : this->entries) {
+        if (entry.changedAt > from) {
+            changes.written.push_back(entry.target);
+        }
+    }
+    for (const auto &[id, at] : this->gone) {
+        if (at >= from) {
+            changes.gone.push_back(id);
+        }
+    }
+    return changes;
+}
+
+bool TargetList::apply(const TargetChanges &changes)
+{
+    if (changes.from > this->known || changes.to < this->known) {
+        return false;
+    }
+    for (const TargetId &id : changes.gone) {
+        if (this->entries.erase(id) > 0) {
+            this->noteGone(id, changes.to);
+        }
+    }
+    for (const GatewayTarget &target : changes.written) {
+        this->write(target, changes.to);
+    }
+    this->known = changes.to;
+    return true;
+}
+
+Revision TargetList::changedAt() const
+{
+    return this->lastChange;
+}
+
+Millis TargetList::letGoAt() const
+{
+    return this->lastLetGo;
+}
+
 void TargetList::storeLost(Millis now)
 {
     this->lostAt = this->lostAt.value_or(now);
@@ -79,10 +168,21 @@
 
 bool TargetList::tick(Millis now)
 {
-    if (this->lostAt || !this->isGraceOver(now)) {
+    if (this->lostAt || this->missingCount == 0 || !this->isGraceOver(now)) {
         return false;
     }
-    return std::erase_if(this->entries, [](const auto &entry) { return entry.second.missingSince.has_value(); }) > 0;
+    this->missingCount = 0;
+    const std::size_t before = this->entries.size();
+    for (auto entry = this->entries.begin(); entry != this->entries.end();) {
+        const auto next = std::next(entry);
+        if (entry->second.missingSince) {
+            this->noteGone(entry->first, this->known);
+            this->entries.erase(entry);
+            this->lastLetGo = now;
+        }
+        entry = next;
+    }
+    return this->entries.size() < before;
 }
 
 Revision TargetList::revision() const
--- a/sequoiausher/coordination/gateway/targetlist.h
+++ b/sequoiausher/coordination/gateway/targetlist.h
@@ -11,6 +11,11 @@
 //     list.removed(TargetId{"i-1"}, revision, now);       // stays: the store was away
 //     list.storeReturned(now);
 //     list.tick(now + Millis{3000});                      // gone now
+//
+// Gateways that do not read the store learn it from one that does, by changes since the revision that they have:
+//
+//     if (const auto changes = list.changesSince(revisionOfPeer)) { send(*changes); }
+//     otherList.apply(changes);
 
 #include "sequoiausher/coordination/gateway/gatewayconfiguration.h"
 
@@ -28,6 +33,18 @@
 /** How long after the store's return an entry that lapsed may take to come back: two seconds, and a call's delay. */
 inline constexpr Millis lapsedEntryGrace{2300};
 
+/** What becomes of a list between two revisions of the store. */
+struct TargetChanges
+{
+    /** For lists that are complete up to here, or later. */
+    Revision from = 0;
+    Revision to = 0;
+    std::vector<GatewayTarget> written;
+    std::vector<TargetId> gone;
+
+    bool operator==(const TargetChanges &) const = default;
+};
+
 /** The list. Not thread-safe. */
 class TargetList
 {
@@ -42,6 +59,19 @@
     /** A peer that reaches the store says that this is all, where this gateway does not reach it. */
     void adopt(const std::vector<GatewayTarget> &targets, Revision at);
 
+    /**
+     * What a list that is complete up to from lacks; nothing where that cannot be told, since from is too long ago.
+     * What did not come back after an outage is gone at the revision that the list had then, so peers that have the
+     * same revision may lack it too.
+     */
+    std::optional<TargetChanges> changesSince(Revision from) const;
+    /** Takes over changes, unless they begin after what this list has or end before; whether it did. */
+    bool apply(const TargetChanges &changes);
+    /** The revision at which an entry was last written or removed. */
+    Revision changedAt() const;
+    /** When tick() last let entries go. */
+    Millis letGoAt() const;
+
     /** A call to the store failed. */
     void storeLost(Millis now);
     /** A call to the store was answered again. */
@@ -63,13 +93,25 @@
         GatewayTarget target;
         /** Since when the store does not list it any more. */
         std::optional<Millis> missingSince;
+        /** The store's revision at which this value was learnt. */
+        Revision changedAt = 0;
     };
 
     bool isGraceOver(Millis now) const;
-    void drop(std::map<TargetId, Entry>::iterator entry, Millis now);
+    void write(const GatewayTarget &target, Revision at);
+    void drop(std::map<TargetId, Entry>::iterator entry, Revision at, Millis now);
+    void noteGone(const TargetId &target, Revision at);
 
     std::map<TargetId, Entry> entries;
+    /** Targets that are gone, with the revision at which they went. */
+    std::map<TargetId, Revision> gone;
+    /** What went before this revision is forgotten. */
+    Revision goneKnownSince = 0;
+    /** At least as many entries as are missing; 0 spares tick() a look at all. */
+    std::size_t missingCount = 0;
     Revision known = 0;
+    Revision lastChange = 0;
+    Millis lastLetGo;
     std::optional<Millis> lostAt;
     std::optional<Millis> returnedAt;
 };
--- a/sequoiausher/coordination/gateway/targetlisttest.cpp
+++ b/sequoiausher/coordination/gateway/targetlisttest.cpp
@@ -8,7 +8,7 @@
 
 GatewayTarget targetOf(const std::string &name, bool leaving = false)
 {
-    return {TargetId{name}, PoolId{"desk"}, "10.0.0.1:80", DataCentreId{"a"}, 6, leaving, Millis{0}};
+    return {TargetId{name}, PoolId{"desk"}, "10.0.0.1:80", DataCentreId{"a"}, 6, leaving};
 }
 
 } // namespace
@@ -72,3 +72,57 @@
         CHECK(list.empty());
     }
 }
+
+TEST_CASE("a list that follows another by its changes is the same after each of them")
+{
+    TargetList first;
+    TargetList second;
+    first.replaceAll({targetOf("a"), targetOf("b")}, 5, Millis{0});
+    CHECK_FALSE(first.changesSince(0));
+    second.adopt(first.targets(), first.revision());
+    const auto follow = [&] {
+        const auto changes = first.changesSince(second.revision());
+        REQUIRE(changes);
+        CHECK(second.apply(*changes));
+        CHECK(second.targets() == first.targets());
+        CHECK(second.revision() == first.revision());
+        return changes->written.size() + changes->gone.size();
+    };
+    first.put(targetOf("c"), 6);
+    CHECK(follow() == 1);
+    first.put(targetOf("a", true), 7);
+    first.removed(TargetId{"b"}, 8, Millis{10});
+    CHECK(follow() == 2);
+    first.replaceAll({targetOf("c"), targetOf("d")}, 12, Millis{20});
+    // What went at the follower's own revision is told once more.
+    CHECK(follow() == 3);
+    // One that is removed and written again in the same answer of the store is there.
+    first.removed(TargetId{"d"}, 13, Millis{30});
+    first.put(targetOf("d"), 13);
+    follow();
+    CHECK(second.targets().size() == 2);
+    CHECK(first.changesSince(13)->gone.empty());
+    // Old and far changes are left alone.
+    CHECK_FALSE(second.apply({20, 21, {}, {}}));
+    CHECK_FALSE(second.apply({3, 12, {}, {TargetId{"c"}}}));
+    CHECK(second.targets().size() == 2);
+}
+
+// Symptom: gateways that rest while a hub reads the store went on sending to a dead target after an outage of the
+// store. Events: its entry lapses during the outage and is let go two seconds after the return, with no change in the
+// store. Cause: peers were told of changes by the store's revision alone, which had not moved.
+TEST_CASE("what does not come back after an outage is gone for peers too")
+{
+    TargetList first;
+    TargetList second;
+    first.replaceAll({targetOf("a"), targetOf("b")}, 5, Millis{0});
+    first.storeLost(Millis{1000});
+    first.storeReturned(Millis{5000});
+    first.removed(TargetId{"b"}, 6, Millis{5010});
+    second.adopt(first.targets(), first.revision());
+    CHECK(second.targets().size() == 2);
+    CHECK(first.tick(Millis{5000} + lapsedEntryGrace));
+    CHECK(first.letGoAt() == Millis{5000} + lapsedEntryGrace);
+    CHECK(second.apply(*first.changesSince(second.revision())));
+    CHECK(second.targets() == std::vector{targetOf("a")});
+}
--- a/sequoiausher/protocol/gateway/targetstext.cpp
+++ b/sequoiausher/protocol/gateway/targetstext.cpp
@@ -3,11 +3,14 @@
 #include "sequoiausher/base/ini/inidocument.h"
 #include "sequoiausher/base/ini/inireader.h"
 
+#include <limits>
+
 namespace Sequoiausher {
 
 namespace {
 
 constexpr std::int64_t mostSlots = 1000000;
+constexpr std::int64_t mostRevision = std::numeric_limits<std::int64_t>::max();
 
 GatewayTarget readTarget(SectionReader &section)
 {
@@ -23,6 +26,30 @@
     return target;
 }
 
+/** Between which revisions the changes lie. */
+void readSpan(IniReader &reader, TargetChanges &changes, const std::string &from)
+{
+    std::optional<SectionReader> span = reader.section("changes");
+    if (!span) {
+        throw Error(Step::Decode, from, "changes of targets without a section [changes]");
+    }
+    span->require("from", "a revision");
+    span->require("to", "a revision");
+    const IntegerRange range{0, mostRevision, "a revision"};
+    changes.from = static_cast<Revision>(span->integer("from", range).value_or(0));
+    changes.to = static_cast<Revision>(span->integer("to", range).value_or(0));
+    span->finish();
+}
+
+std::vector<GatewayTarget> readTargets(IniReader &reader)
+{
+    std::vector<GatewayTarget> targets;
+    for (SectionReader &section : reader.sectionsOf("target")) {
+        targets.push_back(readTarget(section));
+    }
+    return targets;
+}
+
 } // namespace
 
 std::string toText(const std::vector<GatewayTarget> &targets)
@@ -47,13 +74,40 @@
     Problems problems;
     const IniDocument document = parseIni(text, from, problems);
     IniReader reader(document, problems);
-    std::vector<GatewayTarget> targets;
-    for (SectionReader &section : reader.sectionsOf("target")) {
-        targets.push_back(readTarget(section));
-    }
+    std::vector<GatewayTarget> targets = readTargets(reader);
     reader.finish();
     throwOnErrors(Step::Decode, from, problems);
     return targets;
 }
 
+std::string toText(const TargetChanges &changes)
+{
+    std::string text
+        = "[changes]\nfrom = " + std::to_string(changes.from) + "\nto = " + std::to_string(changes.to) + "\n";
+    std::size_t number = 0;
+    for (const TargetId &gone : changes.gone) {
+        number += 1;
+        text += "[gone " + std::to_string(number) + "]\nid = " + gone.value + "\n";
+    }
+    return text + toText(changes.written);
+}
+
+TargetChanges parseTargetChanges(const std::string &text, const std::string &from)
+{
+    Problems problems;
+    const IniDocument document = parseIni(text, from, problems);
+    IniReader reader(document, problems);
+    TargetChanges changes;
+    readSpan(reader, changes, from);
+    for (SectionReader &section : reader.sectionsOf("gone")) {
+        section.require("id", "the target's id");
+        changes.gone.push_back(TargetId{section.text("id").value_or("")});
+        section.finish();
+    }
+    changes.written = readTargets(reader);
+    reader.finish();
+    throwOnErrors(Step::Decode, from, problems);
+    return changes;
+}
+
 } // namespace Sequoiausher
--- a/sequoiausher/protocol/gateway/targetstexttest.cpp
+++ b/sequoiausher/protocol/gateway/targetstexttest.cpp
@@ -9,12 +9,24 @@
 TEST_CASE("a list of targets comes back as it was written")
 {
     const std::vector<GatewayTarget> targets{
-        {TargetId{"i-7f3a"}, PoolId{"desk"}, "10.0.0.1:80", DataCentreId{"hall-a"}, 6, false, Millis{0}},
-        {TargetId{"i-02d9"}, PoolId{"llm"}, "10.0.0.2:80", DataCentreId{"hall-b"}, 64, true, Millis{0}}};
+        {TargetId{"i-7f3a"}, PoolId{"desk"}, "10.0.0.1:80", DataCentreId{"hall-a"}, 6, false},
+        {TargetId{"i-02d9"}, PoolId{"llm"}, "10.0.0.2:80", DataCentreId{"hall-b"}, 64, true}};
     CHECK(parseTargetsText(toText(targets), "p") == targets);
     CHECK(parseTargetsText("", "p").empty());
     const std::vector<GatewayTarget> odd{
-        {TargetId{"an id/with:marks"}, PoolId{"a service"}, "10.0.0.1:80", DataCentreId{}, 6, false, Millis{0}}};
+        {TargetId{"an id/with:marks"}, PoolId{"a service"}, "10.0.0.1:80", DataCentreId{}, 6, false}};
     CHECK(parseTargetsText(toText(odd), "p") == odd);
     CHECK_THROWS_AS(parseTargetsText("[target a]\naddress = x\n", "p"), ProblemsError);
 }
+
+TEST_CASE("changes of a list come back as they were written")
+{
+    const TargetChanges changes{7,
+                                12,
+                                {{TargetId{"i-7f3a"}, PoolId{"desk"}, "10.0.0.1:80", DataCentreId{"hall-a"}, 6, true}},
+                                {TargetId{"i-02d9"}, TargetId{"i-aa01"}}};
+    CHECK(parseTargetChanges(toText(changes), "p") == changes);
+    CHECK(parseTargetChanges(toText(TargetChanges{3, 3, {}, {}}), "p") == TargetChanges{3, 3, {}, {}});
+    CHECK_THROWS_AS(parseTargetChanges("", "p"), Error);
+    CHECK_THROWS_AS(parseTargetChanges("[changes]\nfrom = x\nto = 3\n", "p"), ProblemsError);
+}
--- /dev/null
+++ b/sequoiausher/transport/gateway/gatewayadmission.cpp
@@ -0,0 +1,176 @@
+#include "sequoiausher/transport/gateway/gatewayadmission.h"
+
+#include "sequoiausher/base/error.h"
+#include "sequoiausher/base/hashing.h"
+
+#include <algorithm>
+#include <cctype>
+#include <vector>
+
+namespace Sequoiausher {
+
+namespace {
+
+constexpr int statusBadRequest = 400;
+constexpr int statusUnauthorized = 401;
+constexpr int statusNotFound = 404;
+constexpr int statusUnavailable = 503;
+
+/** The last moment before the caller gives up: the answer takes this long to reach it. */
+constexpr Millis answerTravel{10};
+/** A configuration that was proven within so long may be gone by when it says that something does not exist. */
+constexpr Millis provenLately{1500};
+/** When to come back where the gateway has just started, or cannot prove its keys. */
+constexpr Millis retryWhenStarting{500};
+constexpr Millis retryWhenUnproved{700};
+
+RequestClass classOf(std::uint32_t priority)
+{
+    constexpr std::uint32_t backgroundFrom = 2;
+    if (priority == 0) {
+        return RequestClass::Urgent;
+    }
+    return priority < backgroundFrom ? RequestClass::Interactive : RequestClass::Background;
+}
+
+class Admission
+{
+public:
+    Admission(GatewayContext &shared, const HttpHead &given, Millis at, AdmittedRequest &filled)
+        : context(shared)
+        , head(given)
+        , receivedAt(at)
+        , admitted(filled)
+    {
+    }
+
+    std::optional<GatewayRefusal> admit();
+
+private:
+    std::optional<GatewayRefusal> findOrganisation();
+    std::optional<GatewayRefusal> decide();
+    RequestFacts facts() const;
+
+    GatewayContext &context;
+    const HttpHead &head;
+    Millis receivedAt;
+    AdmittedRequest &admitted;
+};
+
+std::optional<GatewayRefusal> Admission::admit()
+{
+    try {
+        this->admitted.request = this->context.dialect.readRequest(this->head);
+    } catch (const Error &error) {
+        return GatewayRefusal{statusBadRequest, error.reason(), std::nullopt, Outcome::RefusedInvalid};
+    }
+    if (!this->admitted.table) {
+        const Millis retry = this->context.spread(retryWhenStarting);
+        return GatewayRefusal{statusUnavailable, "no configuration is known yet", retry, Outcome::RefusedFull};
+    }
+    this->admitted.route = this->admitted.table->find(this->admitted.request.host, this->head.target);
+    const bool isProven = this->context.proofAge(this->receivedAt) <= provenLately;
+    if (this->admitted.route == nullptr) {
+        // Another version may have the route: only who surely has the newest may say that there is none.
+        if (isProven) {
+            return GatewayRefusal{statusNotFound, "no route leads here", std::nullopt, Outcome::RefusedInvalid};
+        }
+        const Millis retry = this->context.spread(retryWhenUnproved);
+        return GatewayRefusal{statusUnavailable, "the routes may be out of date", retry, Outcome::RefusedFull};
+    }
+    if (std::optional<GatewayRefusal> refusal = this->findOrganisation()) {
+        return refusal;
+    }
+    return this->decide();
+}
+
+std::optional<GatewayRefusal> Admission::findOrganisation()
+{
+    std::uint32_t priority = this->admitted.route->priority;
+    if (this->admitted.table->needsKeys() && !this->admitted.route->isPublic) {
+        const Millis age = this->context.proofAge(this->receivedAt);
+        const GatewayOrganisation *found = this->admitted.table->organisationOf(this->admitted.request.key);
+        if (found == nullptr && age <= provenLately) {
+            return GatewayRefusal{statusUnauthorized, "the key is not known", std::nullopt, Outcome::RefusedInvalid};
+        }
+        // A key may have been taken away since the last proof: after that long it opens nothing.
+        if (found == nullptr || age > this->context.settings.keyFreshness) {
+            const Millis retry = this->context.spread(retryWhenUnproved);
+            return GatewayRefusal{statusUnavailable, "the keys may be out of date", retry, Outcome::RefusedFull};
+        }
+        this->admitted.organisation = found->name;
+        priority = found->priority.value_or(priority);
+    }
+    this->admitted.requestClass = classOf(priority);
+    return std::nullopt;
+}
+
+RequestFacts Admission::facts() const
+{
+    RequestFacts facts;
+    facts.organisation = this->admitted.organisation;
+    facts.requestClass = this->admitted.requestClass;
+    facts.model = this->admitted.request.model;
+    facts.path = this->head.target.substr(0, this->head.target.find('?'));
+    facts.method = this->head.method;
+    facts.chatHash = this->admitted.partHash;
+    // Rules count four bytes a token; requests to plain services have none.
+    constexpr std::uint64_t bytesPerToken = 4;
+    facts.promptBytes = this->admitted.request.promptTokens * bytesPerToken;
+    for (const HttpHeader &header : this->head.headers.entries) {
+        RequestHeader &lower = facts.headers.emplace_back(RequestHeader{header.name, header.value});
+        std::transform(lower.name.begin(), lower.name.end(), lower.name.begin(), [](unsigned char c) {
+            return static_cast<char>(std::tolower(c));
+        });
+    }
+    facts.wallTime = Millis::wallNow();
+    const auto targets = static_cast<std::uint32_t>(this->context.board.targetCount(this->admitted.service));
+    const std::uint64_t inFlight = this->context.board.inFlight(this->admitted.service, this->receivedAt);
+    facts.pools = std::make_shared<const std::vector<PoolState>>(1, PoolState{PoolId{routedPool}, targets, inFlight});
+    return facts;
+}
+
+std::optional<GatewayRefusal> Admission::decide()
+{
+    this->admitted.service = RouteTable::serviceFor(*this->admitted.route, hash64(this->admitted.request.attemptId));
+    std::vector<std::uint64_t> hashes;
+    for (const PromptPart &part : this->admitted.request.parts) {
+        hashes.push_back(hash64(part.id));
+    }
+    this->admitted.parts = PromptParts(hashes);
+    this->admitted.partHash
+        = this->admitted.parts.empty() ? hash64(this->admitted.request.attemptId) : this->admitted.parts.last();
+    const std::optional<Decision> decided = this->context.rules->decide(this->facts());
+    this->admitted.labels = {this->admitted.organisation, this->admitted.requestClass, {}, {}};
+    if (!decided) {
+        return GatewayRefusal{statusNotFound, "no rule takes this request", std::nullopt, Outcome::RefusedInvalid};
+    }
+    this->admitted.decision = *decided;
+    this->admitted.labels.experiment = decided->experiment;
+    this->admitted.labels.arm = decided->arm;
+    if (decided->refusal) {
+        const auto seconds = decided->refusal->retryAfterSeconds;
+        constexpr std::int64_t secondMs = 1000;
+        return GatewayRefusal{static_cast<int>(decided->refusal->status),
+                              decided->refusal->text,
+                              seconds ? std::optional(Millis{*seconds * secondMs}) : std::nullopt,
+                              Outcome::RefusedLimit};
+    }
+    Millis time = this->admitted.route->timeout;
+    time = std::min(time, this->admitted.request.timeLeft.value_or(time) - answerTravel);
+    time = std::min(time, decided->deadline.value_or(time));
+    this->admitted.deadline = this->receivedAt + time;
+    this->context.repeats.countRequest(this->admitted.service, this->receivedAt);
+    return std::nullopt;
+}
+
+} // namespace
+
+std::optional<GatewayRefusal>
+admitRequest(GatewayContext &context, const HttpHead &head, Millis receivedAt, AdmittedRequest &admitted)
+{
+    admitted.table = context.table;
+    return Admission(context, head, receivedAt, admitted).admit();
+}
+
+} // namespace Sequoiausher
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -2,7 +2,7 @@
 
 #include "sequoiausher/base/error.h"
 #include "sequoiausher/base/hashing.h"
-#include "sequoiausher/coordination/gateway/promptparts.h"
+#include "sequoiausher/transport/gateway/gatewayadmission.h"
 #include "sequoiausher/transport/gateway/refusals.h"
 
 #include <algorithm>
@@ -15,9 +15,6 @@
 namespace {
 
 constexpr int statusOk = 200;
-constexpr int statusBadRequest = 400;
-constexpr int statusUnauthorized = 401;
-constexpr int statusNotFound = 404;
 constexpr int statusBadGateway = 502;
 constexpr int statusUnavailable = 503;
 constexpr int statusTimeout = 504;
@@ -40,13 +37,7 @@
 /** A stream that pauses for so many times what its route calls late has lost its target. */
 constexpr std::int64_t patientGaps = 4;
 constexpr Millis leastGapPatience{1200};
-/** The last moment before the caller gives up: the answer takes this long to reach it. */
-constexpr Millis answerTravel{10};
-/** A configuration that was proven within so long may be gone by when it says that something does not exist. */
-constexpr Millis provenLately{1500};
-/** When to come back where the gateway has just started, cannot prove its keys, or finds no free target. */
-constexpr Millis retryWhenStarting{500};
-constexpr Millis retryWhenUnproved{700};
+/** When to come back where no target is free. */
 constexpr Millis retryWhenFull{200};
 /** An answer of a plain service up to this size is held until it is whole, so that a broken one can be replaced. */
 constexpr std::size_t heldBytes = 1024UL * 1024;
@@ -56,15 +47,6 @@
 /** Log lines name a shared part by a number below this: enough to tell the parts of a day apart. */
 constexpr std::uint64_t partNames = 1000000;
 
-RequestClass classOf(std::uint32_t priority)
-{
-    constexpr std::uint32_t backgroundFrom = 2;
-    if (priority == 0) {
-        return RequestClass::Urgent;
-    }
-    return priority < backgroundFrom ? RequestClass::Interactive : RequestClass::Background;
-}
-
 /** One chunk of a chunked body. */
 std::string chunkOf(std::string_view bytes)
 {
@@ -94,14 +76,9 @@
         , head(std::move(given))
         , body(std::move(content))
         , receivedAt(at)
-        , table(shared.table)
     {
     }
 
-    bool admit();
-    bool findOrganisation();
-    bool decide();
-    RequestFacts facts() const;
     void attempt(Millis now);
     std::optional<ChosenTarget> chooseTarget(Millis now);
     std::string copySource(const ChosenTarget &target, Millis now);
@@ -132,19 +109,7 @@
     HttpHead head;
     std::string body;
     Millis receivedAt;
-    Millis deadline;
-    /** The configuration that it was routed by stays the same for as long as it takes. */
-    std::shared_ptr<const RouteTable> table;
-    CallerRequest request;
-    const GatewayRoute *route = nullptr;
-    OrganisationId organisation;
-    RequestClass requestClass = RequestClass::Interactive;
-    Decision decision;
-    PoolId service;
-    RequestLabels labels;
-    PromptParts parts;
-    /** Of the last shared part; of the request itself where it has none. */
-    std::uint64_t partHash = 0;
+    AdmittedRequest admitted;
 
     std::unique_ptr<GatewayCall> call;
     ChosenTarget chosen;
@@ -192,121 +157,14 @@
 
 void GatewayExchange::start()
 {
-    if (this->d->admit()) {
-        this->d->attempt(this->d->receivedAt);
-    }
-}
-
-bool GatewayExchange::Private::admit()
-{
-    try {
-        this->request = this->context.dialect.readRequest(this->head);
-    } catch (const Error &error) {
-        this->answerOwn(statusBadRequest, error.reason(), std::nullopt, Outcome::RefusedInvalid);
-        return false;
-    }
-    if (!this->table) {
-        const Millis retry = this->context.spread(retryWhenStarting);
-        this->answerOwn(statusUnavailable, "no configuration is known yet", retry, Outcome::RefusedFull);
-        return false;
-    }
-    this->route = this->table->find(this->request.host, this->head.target);
-    const bool isProven = this->context.proofAge(this->receivedAt) <= provenLately;
-    if (this->route == nullptr) {
-        // Another version may have the route: only who surely has the newest may say that there is none.
-        if (isProven) {
-            this->answerOwn(statusNotFound, "no route leads here", std::nullopt, Outcome::RefusedInvalid);
-        } else {
-            const Millis retry = this->context.spread(retryWhenUnproved);
-            this->answerOwn(statusUnavailable, "the routes may be out of date", retry, Outcome::RefusedFull);
-        }
-        return false;
+    const std::optional<GatewayRefusal> refusal
+        = admitRequest(this->d->context, this->d->head, this->d->receivedAt, this->d->admitted);
+    if (refusal) {
+        this->d->answerOwn(refusal->status, refusal->reason, refusal->retryAfter, refusal->outcome);
+        return;
     }
-    return this->findOrganisation() && this->decide();
-}
-
-bool GatewayExchange::Private::findOrganisation()
-{
-    std::uint32_t priority = this->route->priority;
-    if (this->table->needsKeys() && !this->route->isPublic) {
-        const Millis age = this->context.proofAge(this->receivedAt);
-        const GatewayOrganisation *found = this->table->organisationOf(this->request.key);
-        if (found == nullptr && age <= provenLately) {
-            this->answerOwn(statusUnauthorized, "the key is not known", std::nullopt, Outcome::RefusedInvalid);
-            return false;
-        }
-        // A key may have been taken away since the last proof: after that long it opens nothing.
-        if (found == nullptr || age > this->context.settings.keyFreshness) {
-            const Millis retry = this->context.spread(retryWhenUnproved);
-            this->answerOwn(statusUnavailable, "the keys may be out of date", retry, Outcome::RefusedFull);
-            return false;
-        }
-        this->organisation = found->name;
-        priority = found->priority.value_or(priority);
-    }
-    this->requestClass = classOf(priority);
-    return true;
-}
-
-RequestFacts GatewayExchange::Private::facts() const
-{
-    RequestFacts facts;
-    facts.organisation = this->organisation;
-    facts.requestClass = this->requestClass;
-    facts.model = this->request.model;
-    facts.path = this->head.target.substr(0, this->head.target.find('?'));
-    facts.method = this->head.method;
-    facts.chatHash = this->partHash;
-    // Rules count four bytes a token; requests to plain services have none.
-    constexpr std::uint64_t bytesPerToken = 4;
-    facts.promptBytes = this->request.promptTokens * bytesPerToken;
-    for (const HttpHeader &header : this->head.headers.entries) {
-        RequestHeader &lower = facts.headers.emplace_back(RequestHeader{header.name, header.value});
-        std::transform(lower.name.begin(), lower.name.end(), lower.name.begin(), [](unsigned char c) {
-            return static_cast<char>(std::tolower(c));
-        });
-    }
-    facts.wallTime = Millis::wallNow();
-    const auto targets = static_cast<std::uint32_t>(this->context.board.targetCount(this->service));
-    const std::uint64_t inFlight = this->context.board.inFlight(this->service, this->receivedAt);
-    facts.pools = std::make_shared<const std::vector<PoolState>>(1, PoolState{PoolId{routedPool}, targets, inFlight});
-    return facts;
-}
-
-bool GatewayExchange::Private::decide()
-{
-    this->service = RouteTable::serviceFor(*this->route, hash64(this->request.attemptId));
-    std::vector<std::uint64_t> hashes;
-    for (const PromptPart &part : this->request.parts) {
-        hashes.push_back(hash64(part.id));
-    }
-    this->parts = PromptParts(hashes);
-    this->partHash = this->parts.empty() ? hash64(this->request.attemptId) : this->parts.last();
-    const std::optional<Decision> decided = this->context.rules->decide(this->facts());
-    this->labels = {this->organisation, this->requestClass, {}, {}};
-    if (!decided) {
-        this->answerOwn(statusNotFound, "no rule takes this request", std::nullopt, Outcome::RefusedInvalid);
-        return false;
-    }
-    this->decision = *decided;
-    this->labels.experiment = decided->experiment;
-    this->labels.arm = decided->arm;
-    if (decided->refusal) {
-        const auto seconds = decided->refusal->retryAfterSeconds;
-        constexpr std::int64_t secondMs = 1000;
-        this->answerOwn(static_cast<int>(decided->refusal->status),
-                        decided->refusal->text,
-                        seconds ? std::optional(Millis{*seconds * secondMs}) : std::nullopt,
-                        Outcome::RefusedLimit);
-        return false;
-    }
-    Millis time = this->route->timeout;
-    time = std::min(time, this->request.timeLeft.value_or(time) - answerTravel);
-    time = std::min(time, decided->deadline.value_or(time));
-    this->deadline = this->receivedAt + time;
-    this->cutter = EventCutter(this->request.lastEventId);
-    this->context.repeats.countRequest(this->service, this->receivedAt);
-    return true;
+    this->d->cutter = EventCutter(this->d->admitted.request.lastEventId);
+    this->d->attempt(this->d->receivedAt);
 }
 
 void GatewayExchange::Private::attempt(Millis now)
@@ -331,38 +189,38 @@
 std::optional<ChosenTarget> GatewayExchange::Private::chooseTarget(Millis now)
 {
     TargetWish wish;
-    wish.service = this->service;
-    wish.policy = this->decision.policy;
+    wish.service = this->admitted.service;
+    wish.policy = this->admitted.decision.policy;
     constexpr std::uint32_t defaultBound = 150;
-    wish.boundPercent = this->decision.boundPercent.value_or(defaultBound);
-    wish.partHash = this->partHash;
-    wish.firstPartHash = this->parts.first();
-    wish.holders = this->parts.holders(this->context.parts, now);
-    wish.requestHash = hash64(this->request.attemptId, this->targetsUsed + 1);
+    wish.boundPercent = this->admitted.decision.boundPercent.value_or(defaultBound);
+    wish.partHash = this->admitted.partHash;
+    wish.firstPartHash = this->admitted.parts.first();
+    wish.holders = this->admitted.parts.holders(this->context.parts, now);
+    wish.requestHash = hash64(this->admitted.request.attemptId, this->targetsUsed + 1);
     wish.excluded = this->tried;
     return this->context.board.choose(wish, now);
 }
 
 std::string GatewayExchange::Private::copySource(const ChosenTarget &target, Millis now)
 {
-    if (this->decision.cacheMiss != CacheMiss::Copy) {
+    if (this->admitted.decision.cacheMiss != CacheMiss::Copy) {
         return {};
     }
     const std::optional<GatewayTarget> source
-        = this->parts.copySource(this->context.parts, this->context.board, target.target.id, now);
+        = this->admitted.parts.copySource(this->context.parts, this->context.board, target.target.id, now);
     return source ? source->address : std::string();
 }
 
 std::shared_ptr<TargetConnection> GatewayExchange::Private::connect(const ChosenTarget &target, Millis now)
 {
-    const GatewayService *described = this->table->service(this->service);
+    const GatewayService *described = this->admitted.table->service(this->admitted.service);
     const std::size_t gateways = std::max<std::size_t>(this->context.peers.fleetSize(now), 1);
     std::size_t limit = 0;
     if (described != nullptr && described->connectionLimit > 0) {
         // A part is left for gateways that are not known yet: beyond the limit a target resets connections.
         limit = std::max<std::size_t>(described->connectionLimit * 9 / (10 * gateways), 1);
     }
-    const Reuse reuse = this->route->isIdempotent() ? Reuse::Any : Reuse::Fresh;
+    const Reuse reuse = this->admitted.route->isIdempotent() ? Reuse::Any : Reuse::Fresh;
     try {
         return this->context.pools.take(target.target, limit, now, reuse);
     } catch (const Error &error) {
@@ -385,28 +243,28 @@
     this->cutter.begin();
     TargetOrder order;
     order.target = target.target.id;
-    order.timeLeft = this->deadline - now;
-    order.organisation = this->organisation;
-    order.priority = this->decision.priority;
+    order.timeLeft = this->admitted.deadline - now;
+    order.organisation = this->admitted.organisation;
+    order.priority = this->admitted.decision.priority;
     order.lastEventId = this->cutter.lastId();
     order.bodyBytes = this->body.size();
     order.copyFrom = this->copySource(target, now);
     this->copiedFrom = order.copyFrom;
     this->call = std::make_unique<GatewayCall>(
-        this->self, this->context.dialect, std::move(connection), this->request.attemptId);
+        this->self, this->context.dialect, std::move(connection), this->admitted.request.attemptId);
     this->context.board.started(target.target.id);
-    this->parts.sent(this->context.parts, target.target.id, now);
+    this->admitted.parts.sent(this->context.parts, target.target.id, now);
     this->targetsUsed += 1;
-    this->context.metrics.countDispatch(this->labels, target.target.id.value, this->targetsUsed > 1);
+    this->context.metrics.countDispatch(this->admitted.labels, target.target.id.value, this->targetsUsed > 1);
     if (this->targetsUsed > 1) {
         this->context.log.info(LogPart::Entry,
                                "request sent again",
-                               {{"request", this->request.attemptId},
+                               {{"request", this->admitted.request.attemptId},
                                 {"target", target.target.id.value},
                                 {"after_event", this->cutter.lastId()},
                                 {"left_ms", std::to_string(order.timeLeft.count)}});
     }
-    std::string bytes = this->context.dialect.targetRequestHead(this->head, this->request, order);
+    std::string bytes = this->context.dialect.targetRequestHead(this->head, this->admitted.request, order);
     bytes += this->body;
     this->call->send(bytes, this->head.method == "HEAD");
 }
@@ -431,7 +289,7 @@
     this->reasonOfEnd = std::string(nameOf(end));
     this->context.log.info(LogPart::Entry,
                            "attempt ended without an answer",
-                           {{"request", this->request.attemptId},
+                           {{"request", this->admitted.request.attemptId},
                             {"target", this->chosen.target.id.value},
                             {"how", std::string(nameOf(end))},
                             {"after_ms", std::to_string((now - this->sentAt).count)},
@@ -445,7 +303,8 @@
     if (std::exchange(this->isRepeatPaid, false)) {
         return true;
     }
-    const bool isPaid = this->context.repeats.tryRepeat(this->service, this->context.peers.fleetSize(now), now);
+    const bool isPaid
+        = this->context.repeats.tryRepeat(this->admitted.service, this->context.peers.fleetSize(now), now);
     this->context.metrics.add(isPaid ? "gateway_repeats_total" : "gateway_repeats_refused_total");
     return isPaid;
 }
@@ -453,14 +312,14 @@
 void GatewayExchange::Private::follow(AttemptEnd end, Millis now)
 {
     AttemptState state;
-    state.isIdempotent = this->route->isIdempotent();
+    state.isIdempotent = this->admitted.route->isIdempotent();
     state.mayHaveRun = this->mayHaveRun;
     state.isAnswerBegun = this->isAnswerBegun;
     state.targetsUsed = this->targetsUsed;
-    state.mostTargets = this->route->mostTargets;
-    state.timeLeft = this->deadline - now;
+    state.mostTargets = this->admitted.route->mostTargets;
+    state.timeLeft = this->admitted.deadline - now;
     const bool hasOther = this->chooseTarget(now).has_value();
-    state.isRepeatAllowed = hasOther && this->decision.retry != RetryMode::None;
+    state.isRepeatAllowed = hasOther && this->admitted.decision.retry != RetryMode::None;
     // The budget is asked last, since asking takes from it.
     if (afterAttempt(state, end) == NextStep::SendAgain && this->targetsUsed > 0) {
         state.isRepeatAllowed = this->payForRepeat(now);
@@ -501,7 +360,8 @@
 
 bool GatewayExchange::Private::isEventStream() const
 {
-    return this->route->kind == RouteKind::Stream && this->answer.isEventStream && this->answer.status == statusOk;
+    return this->admitted.route->kind == RouteKind::Stream && this->answer.isEventStream
+        && this->answer.status == statusOk;
 }
 
 void GatewayExchange::answerBegan(const HttpHead &head, const TargetAnswer &answer)
@@ -540,9 +400,9 @@
     }
     if (this->firstPartAt == Millis{0}) {
         this->firstPartAt = now;
-        this->context.firstAnswerTook(this->service, now - this->sentAt);
+        this->context.firstAnswerTook(this->admitted.service, now - this->sentAt);
         this->context.metrics.observe(
-            this->labels, Measure::FirstToken, static_cast<double>((now - this->receivedAt).count));
+            this->admitted.labels, Measure::FirstToken, static_cast<double>((now - this->receivedAt).count));
     }
     if (!this->isAnswerBegun) {
         this->beginStream();
@@ -595,7 +455,7 @@
         this->d->endAttempt(AttemptEnd::Failed, AttemptMark::Failed, now);
         return;
     }
-    if (isFailure && this->d->route->isIdempotent() && !this->d->isAnswerBegun) {
+    if (isFailure && this->d->admitted.route->isIdempotent() && !this->d->isAnswerBegun) {
         this->d->endAttempt(AttemptEnd::Failed, AttemptMark::Failed, now);
         return;
     }
@@ -633,9 +493,9 @@
     }
     if (this->firstPartAt == Millis{0}) {
         this->firstPartAt = now;
-        this->context.firstAnswerTook(this->service, now - this->sentAt);
+        this->context.firstAnswerTook(this->admitted.service, now - this->sentAt);
         this->context.metrics.observe(
-            this->labels, Measure::FirstToken, static_cast<double>((now - this->receivedAt).count));
+            this->admitted.labels, Measure::FirstToken, static_cast<double>((now - this->receivedAt).count));
     }
     const bool closes = this->mustClose();
     this->statusGiven = status;
@@ -668,8 +528,9 @@
     if (this->reasonOfEnd.empty()) {
         this->reasonOfEnd = reason;
     }
-    this->caller.write(ownAnswer(
-        this->context.dialect, this->request, {status, reason, retryAfter, closes, this->head.method == "HEAD"}));
+    this->caller.write(ownAnswer(this->context.dialect,
+                                 this->admitted.request,
+                                 {status, reason, retryAfter, closes, this->head.method == "HEAD"}));
     this->finish(outcome, this->reasonOfEnd);
     this->caller.finished(closes);
 }
@@ -677,7 +538,7 @@
 void GatewayExchange::Private::finish(Outcome outcome, std::string_view how)
 {
     this->over = true;
-    this->context.metrics.countOutcome(this->labels, outcome);
+    this->context.metrics.countOutcome(this->admitted.labels, outcome);
     this->log(nameOf(outcome), how, Millis::monotonicNow());
 }
 
@@ -687,23 +548,23 @@
     this->context.log.info(
         LogPart::Entry,
         "request ended",
-        {{"request", this->request.attemptId},
+        {{"request", this->admitted.request.attemptId},
          {"outcome", std::string(outcome)},
          {"status", std::to_string(this->statusGiven)},
          {"how", std::string(how)},
-         {"route", this->route != nullptr ? this->route->name : ""},
-         {"organisation", this->organisation.value},
-         {"class", std::string(nameOf(this->requestClass))},
-         {"rule", this->decision.rule},
-         {"service", this->service.value},
+         {"route", this->admitted.route != nullptr ? this->admitted.route->name : ""},
+         {"organisation", this->admitted.organisation.value},
+         {"class", std::string(nameOf(this->admitted.requestClass))},
+         {"rule", this->admitted.decision.rule},
+         {"service", this->admitted.service.value},
          {"target", this->chosen.target.id.value},
          {"targets_used", std::to_string(this->targetsUsed)},
-         {"prompt_part", std::to_string(this->partHash % partNames)},
+         {"prompt_part", std::to_string(this->admitted.partHash % partNames)},
          {"copied_from", this->copiedFrom},
          {"target_load", std::to_string(this->chosen.inFlight)},
          {"service_load", std::to_string(this->chosen.total)},
          {"usable", std::to_string(this->chosen.usable)},
-         {"configuration", std::to_string(this->table ? this->table->configuration().revision : 0)},
+         {"configuration", std::to_string(this->admitted.table ? this->admitted.table->configuration().revision : 0)},
          {"proof_age_ms", text(this->context.proofAge(now))},
          {"first_ms", this->firstPartAt == Millis{0} ? "none" : text(this->firstPartAt - this->receivedAt)},
          {"took_ms", text(now - this->receivedAt)}});
@@ -713,20 +574,20 @@
 {
     const bool isAtWork = this->context.board.lastHeard(this->chosen.target.id) > this->sentAt;
     const double share = isAtWork ? patientPartAtWork : patientPart;
-    const auto part = static_cast<std::int64_t>(static_cast<double>(this->route->latencyAim.count) * share);
-    return std::max(Millis{part}, this->context.usualFirstAnswer(this->service) * patientTimes);
+    const auto part = static_cast<std::int64_t>(static_cast<double>(this->admitted.route->latencyAim.count) * share);
+    return std::max(Millis{part}, this->context.usualFirstAnswer(this->admitted.service) * patientTimes);
 }
 
 void GatewayExchange::tick(Millis now)
 {
-    if (!this->d->over && this->d->route != nullptr) {
+    if (!this->d->over && this->d->admitted.route != nullptr) {
         this->d->checkTimes(now);
     }
 }
 
 void GatewayExchange::Private::checkTimes(Millis now)
 {
-    if (now >= this->deadline) {
+    if (now >= this->admitted.deadline) {
         this->endAttempt(AttemptEnd::TimeUp, this->hasAnswerHead ? AttemptMark::Neutral : AttemptMark::Lost, now);
         return;
     }
@@ -739,13 +600,13 @@
         }
         return;
     }
-    const bool mayGoElsewhere
-        = this->route->isIdempotent() && this->targetsUsed < this->route->mostTargets && !this->isReadingPaused;
+    const bool mayGoElsewhere = this->admitted.route->isIdempotent()
+        && this->targetsUsed < this->admitted.route->mostTargets && !this->isReadingPaused;
     if (!mayGoElsewhere) {
         return;
     }
     const bool hasParts = this->cutter.eventCount() > 0 && this->hasAnswerHead;
-    const Millis gapPatience = std::max(this->route->gapAim * patientGaps, leastGapPatience);
+    const Millis gapPatience = std::max(this->admitted.route->gapAim * patientGaps, leastGapPatience);
     const Millis patience = hasParts ? gapPatience : this->firstAnswerPatience();
     if (now - this->lastPartAt < patience || !this->chooseTarget(now)) {
         return;
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -31,6 +31,8 @@
 /** The part of the grace after which a planned stop cuts what is left, in sixteenths. */
 constexpr std::int64_t cutAfterParts = 15;
 constexpr std::int64_t graceParts = 16;
+/** A line about changed targets names so many of them: at the start of a large fleet thousands come together. */
+constexpr std::size_t mostNamed = 12;
 
 } // namespace
 
@@ -68,16 +70,20 @@
     std::string metricsPage();
     void install(const std::string &raw, GatewayConfiguration configuration, std::string_view from);
     void targetsChanged(std::string_view why);
+    /** What the next line about targets names, up to a few. */
+    void noteChange(const std::string &change);
 
     void configurationRead(const StoredConfiguration &stored, std::optional<Millis> readAt) override;
     void targetsRead(const std::vector<GatewayTarget> &targets, Revision at) override;
     void targetWritten(const GatewayTarget &target, Revision at) override;
     void targetRemoved(const TargetId &target, Revision at) override;
+    void targetChangesEnd() override;
     void storeAnswered() override;
     void storeLost(const std::string &problem) override;
     void storeReturned() override;
     void configurationOffered(const std::string &raw, Revision revision) override;
     void targetsOffered(const std::vector<GatewayTarget> &targets, Revision revision) override;
+    void targetChangesOffered(const TargetChanges &changes) override;
 
     const GatewayDialect &dialect;
     const Log &log;
@@ -85,7 +91,6 @@
     Incarnation incarnation;
     Metrics metrics;
     GatewayContext context;
-    TargetList list;
     FirstHand known;
     GatewayPeers peers;
     GatewayPages pages;
@@ -102,6 +107,8 @@
     bool wasReady = false;
     Millis nextSuppressedAt;
     std::uint64_t accepted = 0;
+    std::string changesNamed;
+    std::size_t changeCount = 0;
 };
 
 void GatewayNode::Private::start()
@@ -165,7 +172,7 @@
     this->watcher->setResting(this->peers.mayRest(now));
     this->watcher->tick(now, this->context.proofAge(now));
     this->peers.tick(now);
-    if (this->list.tick(now)) {
+    if (this->known.targets.tick(now)) {
         this->targetsChanged("missing entries did not come back");
     }
     // A tick may end connections and so change the map.
@@ -191,7 +198,7 @@
                        ready ? "ready" : "not ready",
                        {{"configuration", std::to_string(this->context.revision())},
                         {"proof_age_ms", age == Millis::never() ? "never" : std::to_string(age.count)},
-                        {"targets", std::to_string(this->list.targets().size())}});
+                        {"targets", std::to_string(this->known.targets.targets().size())}});
     }
     this->tickStop(now);
 }
@@ -249,7 +256,7 @@
 
 bool GatewayNode::Private::isReady() const
 {
-    if (this->stopBegunAt || !this->context.table || this->list.empty()) {
+    if (this->stopBegunAt || !this->context.table || this->known.targets.empty()) {
         return false;
     }
     const Millis age = this->context.proofAge(Millis::monotonicNow());
@@ -263,7 +270,7 @@
     this->metrics.set("gateway_ready", this->isReady() ? 1 : 0);
     this->metrics.set("gateway_configuration_revision", static_cast<double>(this->context.revision()));
     this->metrics.set("gateway_proof_age_ms", age == Millis::never() ? -1 : static_cast<double>(age.count));
-    this->metrics.set("gateway_targets", static_cast<double>(this->list.targets().size()));
+    this->metrics.set("gateway_targets", static_cast<double>(this->known.targets.targets().size()));
     this->metrics.set("gateway_peers", static_cast<double>(this->context.peers.members(now).size()));
     this->metrics.set("gateway_connections", static_cast<double>(this->callers.size()));
     this->metrics.set("gateway_accepted", static_cast<double>(this->accepted));
@@ -327,11 +334,8 @@
 
 void GatewayNode::Private::targetsChanged(std::string_view why)
 {
-    const std::vector<GatewayTarget> targets = this->list.targets();
+    const std::vector<GatewayTarget> targets = this->known.targets.targets();
     this->context.board.setTargets(targets, Millis::monotonicNow());
-    this->known.targets = targets;
-    this->known.targetsRevision = this->list.revision();
-    this->known.targetsChangedAt = this->list.revision();
     std::size_t leaving = 0;
     for (const GatewayTarget &target : targets) {
         leaving += target.isLeaving ? 1 : 0;
@@ -341,30 +345,47 @@
                    {{"why", std::string(why)},
                     {"count", std::to_string(targets.size())},
                     {"leaving", std::to_string(leaving)},
-                    {"revision", std::to_string(this->list.revision())}});
+                    {"revision", std::to_string(this->known.targets.revision())}});
 }
 
 void GatewayNode::Private::targetsRead(const std::vector<GatewayTarget> &targets, Revision at)
 {
     this->known.storeAnsweredAt = Millis::monotonicNow();
     // A peer may have told of later changes already.
-    if (at >= this->list.revision()) {
-        this->list.replaceAll(targets, at, Millis::monotonicNow());
+    if (at >= this->known.targets.revision()) {
+        this->known.targets.replaceAll(targets, at, Millis::monotonicNow());
         this->targetsChanged("list");
     }
 }
 
 void GatewayNode::Private::targetWritten(const GatewayTarget &target, Revision at)
 {
-    this->list.put(target, at);
-    this->targetsChanged(target.isLeaving ? target.id.value + " leaves" : target.id.value + " written");
+    this->known.targets.put(target, at);
+    this->noteChange(target.id.value + (target.isLeaving ? " leaves" : " written"));
 }
 
 void GatewayNode::Private::targetRemoved(const TargetId &target, Revision at)
 {
-    this->list.removed(target, at, Millis::monotonicNow());
+    this->known.targets.removed(target, at, Millis::monotonicNow());
     this->context.pools.forget(target);
-    this->targetsChanged(target.value + " removed");
+    this->noteChange(target.value + " removed");
+}
+
+void GatewayNode::Private::noteChange(const std::string &change)
+{
+    this->changeCount += 1;
+    if (this->changeCount <= mostNamed) {
+        this->changesNamed += (this->changesNamed.empty() ? "" : ", ") + change;
+    }
+}
+
+void GatewayNode::Private::targetChangesEnd()
+{
+    if (this->changeCount > mostNamed) {
+        this->changesNamed += " and " + std::to_string(this->changeCount - mostNamed) + " more";
+    }
+    this->targetsChanged(std::exchange(this->changesNamed, std::string()));
+    this->changeCount = 0;
 }
 
 void GatewayNode::Private::storeAnswered()
@@ -374,20 +395,36 @@
 
 void GatewayNode::Private::storeLost(const std::string & /*problem*/)
 {
-    this->list.storeLost(Millis::monotonicNow());
+    this->known.targets.storeLost(Millis::monotonicNow());
 }
 
 void GatewayNode::Private::storeReturned()
 {
-    this->list.storeReturned(Millis::monotonicNow());
+    this->known.targets.storeReturned(Millis::monotonicNow());
 }
 
 void GatewayNode::Private::targetsOffered(const std::vector<GatewayTarget> &targets, Revision revision)
 {
-    this->list.adopt(targets, revision);
+    this->known.targets.adopt(targets, revision);
     this->targetsChanged("peer");
 }
 
+void GatewayNode::Private::targetChangesOffered(const TargetChanges &changes)
+{
+    if (!this->known.targets.apply(changes)) {
+        return;
+    }
+    for (const TargetId &gone : changes.gone) {
+        this->context.pools.forget(gone);
+        this->noteChange(gone.value + " gone");
+    }
+    for (const GatewayTarget &target : changes.written) {
+        this->noteChange(target.id.value + (target.isLeaving ? " leaves" : " written"));
+    }
+    this->noteChange("by a peer");
+    this->targetChangesEnd();
+}
+
 GatewayNode::GatewayNode(const GatewayDialect &dialect,
                          const GatewaySettings &settings,
                          const Log &log,
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -16,6 +16,7 @@
 
 constexpr const char *configurationDocument = "gateway/configuration";
 constexpr const char *targetsDocument = "gateway/targets";
+constexpr const char *targetChangesDocument = "gateway/target-changes";
 /** A peer that is behind is sent the same revision again only after so long: the first may be on its way. */
 constexpr Millis pushInterval{600};
 /** And a newer one after so long: in a storm of changes the newest is sent, not each. */
@@ -26,6 +27,11 @@
 constexpr Millis storeIsThere{1400};
 /** A gateway reads the store itself where no hub has vouched for so long: three rounds, one of which may be lost. */
 constexpr Millis vouchLife{1300};
+/**
+ * A hub tells who there is in every so many rounds: at 300 gateways the list takes 12 KB of a report, and a member
+ * counts for four times as long after it was heard of.
+ */
+constexpr std::uint64_t membersEvery = 4;
 /** A link on which nothing is heard for so long has gone silent; reports come several times in it. */
 constexpr Millis linkSilence{1500};
 constexpr Millis longestRedial{800};
@@ -96,6 +102,9 @@
     GatewayReport reportFor(const InstanceId &peer, Millis now);
     bool mayRest(Millis now) const;
     void pushTo(const InstanceId &peer, const GatewayReport &report, Millis now);
+    void pushTargets(const InstanceId &peer, Revision has, Millis now);
+    /** What one lacks whose list is complete up to has: most lack the same, so it is written and packed once. */
+    const Document &targetsFrom(Revision has);
     void push(const InstanceId &peer, Document document, Millis now);
     Millis storeAge(Millis now) const;
     void followPeers();
@@ -114,7 +123,12 @@
     std::map<std::pair<InstanceId, std::string>, Pushed> pushed;
     Revision packedRevision = 0;
     std::string packedConfiguration;
+    /** By the revision from which each leads to the present list. */
+    std::map<Revision, Document> packedTargets;
+    Revision packedTargetsAt = 0;
+    Millis packedLetGoAt;
     Millis nextRoundAt;
+    std::uint64_t round = 0;
     /** When the report was sent that a hub with a fresh word of the store last answered. */
     Millis hubVouchedAt;
 };
@@ -181,6 +195,7 @@
         this->mesh.send(due.peer, std::move(report));
     }
     this->context.board.beginRound();
+    this->round += 1;
 }
 
 GatewayReport GatewayPeers::Private::reportFor(const InstanceId &peer, Millis now)
@@ -192,7 +207,7 @@
     report.configuration = this->context.revision();
     report.proofAge = this->context.proofAge(now);
     report.storeAge = this->storeAge(now);
-    report.targets = this->known.targetsRevision;
+    report.targets = this->known.targets.revision();
     report.leaving = this->context.isStopping;
     report.isHub = book.isHub(now);
     report.isResting = this->mayRest(now);
@@ -209,7 +224,9 @@
     without.push_back(peer);
     report.loads = this->context.board.loads(without, now);
     report.placements = this->context.parts.newsFor(peer, toHub ? NewsScope::Group : NewsScope::All);
-    report.members = book.members(now);
+    if (report.echo == Millis{0} || this->round % membersEvery == 0) {
+        report.members = book.members(now);
+    }
     return report;
 }
 
@@ -259,7 +276,9 @@
     if (this->context.peers.mustReply(from, report, now)) {
         GatewayReport reply = this->reportFor(from, now);
         reply.isReply = true;
-        reply.members = this->context.peers.members(now);
+        if (!reply.isHub) {
+            reply.members = this->context.peers.members(now);
+        }
         this->mesh.send(from, std::move(reply));
     }
 }
@@ -274,13 +293,41 @@
         this->push(peer, {configurationDocument, this->packedRevision, this->packedConfiguration, false}, now);
     }
     const bool readsNoStore = report.isResting || report.storeAge > storeIsSilent;
-    const bool needsTargets = readsNoStore && report.targets < this->known.targetsChangedAt;
     // One that starts while the store is away for all has no list at all: an old one is better than none.
     const bool hasNone = report.targets == 0 && !this->known.targets.empty();
-    if (hasNone || (needsTargets && this->storeAge(now) < storeIsThere)) {
-        this->push(
-            peer, {targetsDocument, this->known.targetsRevision, packed(toText(this->known.targets)), false}, now);
+    if (hasNone || (readsNoStore && this->storeAge(now) < storeIsThere)) {
+        this->pushTargets(peer, report.targets, now);
+    }
+}
+
+void GatewayPeers::Private::pushTargets(const InstanceId &peer, Revision has, Millis now)
+{
+    const TargetList &list = this->known.targets;
+    const Millis toldAt = this->pushed[{peer, targetChangesDocument}].at;
+    const bool isBehind = has < list.changedAt();
+    // Entries that did not come back after an outage go without a change in the store.
+    const bool lacksLetGo = has == list.revision() && list.letGoAt() > toldAt;
+    if (!isBehind && !lacksLetGo) {
+        return;
+    }
+    this->push(peer, this->targetsFrom(has), now);
+}
+
+const Document &GatewayPeers::Private::targetsFrom(Revision has)
+{
+    const TargetList &list = this->known.targets;
+    if (this->packedTargetsAt != list.revision() || this->packedLetGoAt != list.letGoAt()) {
+        this->packedTargetsAt = list.revision();
+        this->packedLetGoAt = list.letGoAt();
+        this->packedTargets.clear();
+    }
+    const auto [entry, isNew] = this->packedTargets.try_emplace(has);
+    if (isNew) {
+        const std::optional<TargetChanges> changes = list.changesSince(has);
+        const std::string text = changes ? toText(*changes) : toText(list.targets());
+        entry->second = {changes ? targetChangesDocument : targetsDocument, list.revision(), packed(text), false};
     }
+    return entry->second;
 }
 
 void GatewayPeers::Private::push(const InstanceId &peer, Document document, Millis now)
@@ -298,9 +345,14 @@
 {
     if (document.name == configurationDocument && document.revision > this->context.revision()) {
         this->news.configurationOffered(unpacked(document.body, "gateway " + from.value), document.revision);
-    } else if (document.name == targetsDocument && document.revision > this->known.targetsRevision) {
-        const std::string sender = "gateway " + from.value;
+        return;
+    }
+    const std::string sender = "gateway " + from.value;
+    const Revision has = this->known.targets.revision();
+    if (document.name == targetsDocument && document.revision > has) {
         this->news.targetsOffered(parseTargetsText(unpacked(document.body, sender), sender), document.revision);
+    } else if (document.name == targetChangesDocument && document.revision >= has) {
+        this->news.targetChangesOffered(parseTargetChanges(unpacked(document.body, sender), sender));
     }
 }
 
--- a/sequoiausher/transport/gateway/gatewaypeers.h
+++ b/sequoiausher/transport/gateway/gatewaypeers.h
@@ -7,6 +7,7 @@
 //     peers.listen();
 //     // every 40 ms: peers.tick(now)
 
+#include "sequoiausher/coordination/gateway/targetlist.h"
 #include "sequoiausher/transport/gateway/gatewaycontext.h"
 
 #include <memory>
@@ -23,6 +24,8 @@
     virtual void configurationOffered(const std::string &raw, Revision revision) = 0;
     /** A peer that reaches the store has this list, up to date to revision. */
     virtual void targetsOffered(const std::vector<GatewayTarget> &targets, Revision revision) = 0;
+    /** Its list has changed so. */
+    virtual void targetChangesOffered(const TargetChanges &changes) = 0;
 };
 
 /** What this gateway knows at first hand, and may carry to its peers. */
@@ -30,10 +33,7 @@
 {
     std::string configuration;
     Revision configurationRevision = 0;
-    std::vector<GatewayTarget> targets;
-    /** Up to date to here, and last changed there. */
-    Revision targetsRevision = 0;
-    Revision targetsChangedAt = 0;
+    TargetList targets;
     /** When the store last answered this gateway itself; 0 for never. */
     Millis storeAnsweredAt;
 };
--- a/sequoiausher/transport/gateway/storewatcher.cpp
+++ b/sequoiausher/transport/gateway/storewatcher.cpp
@@ -283,16 +283,23 @@
         this->log.warning(LogPart::Platform, "an entry cannot be read", {{"why", problem}});
     }
     const StoredConfiguration *newest = nullptr;
+    bool hasTargets = false;
     for (const StoreEvent &event : events.events) {
         if (event.configuration) {
             // Reading one takes milliseconds; of several in a row only the last one counts.
             newest = &*event.configuration;
-        } else if (event.target) {
+            continue;
+        }
+        hasTargets = true;
+        if (event.target) {
             this->listener.targetWritten(*event.target, events.storeRevision);
         } else if (!event.removedTarget.empty()) {
             this->listener.targetRemoved(event.removedTarget, events.storeRevision);
         }
     }
+    if (hasTargets) {
+        this->listener.targetChangesEnd();
+    }
     if (newest != nullptr) {
         this->listener.configurationRead(*newest, std::nullopt);
     }
--- a/sequoiausher/transport/gateway/storewatcher.h
+++ b/sequoiausher/transport/gateway/storewatcher.h
@@ -27,6 +27,8 @@
     virtual void targetsRead(const std::vector<GatewayTarget> &targets, Revision at) = 0;
     virtual void targetWritten(const GatewayTarget &target, Revision at) = 0;
     virtual void targetRemoved(const TargetId &target, Revision at) = 0;
+    /** All that one answer of a watch said of targets has been told. */
+    virtual void targetChangesEnd() = 0;
     /** A watch was answered, with or without changes. */
     virtual void storeAnswered() = 0;
     virtual void storeLost(const std::string &problem) = 0;
