Keep the proof of the version in force while a newer one is on its way

Ruled out: the store (its calls were answered), the proof interval (800 ms), a lost proof.

Change: Freshness keeps when each of the newest 32 versions was last proven to be the newest; one that is behind knows it: it denies nothing (no 404, no 401), reads the store at once, does not rest, and opens keys by its own version for 1.5 s after that version's last proof in place of 5 s, so that a newer one that is slow to come is not passed over beyond its bound.

The old test said that a version known to be older is never fresh. That is stricter than what is promised (nothing runs later than the bound after a key was taken away: the proof's own time keeps that) and cost callers; in its place stand the age by the version's own proof, that a newer proof does not renew it, and isBehind for what may be denied.

--- a/sequoiausher/coordination/gateway/freshness.cpp
+++ b/sequoiausher/coordination/gateway/freshness.cpp
@@ -1,16 +1,23 @@
 #include "sequoiausher/coordination/gateway/freshness.h"
 
+#include <algorithm>
+
 namespace Sequoiausher {
 
+namespace {
+
+/** A version that so many newer ones followed is in force nowhere: they come 50 ms apart at most. */
+constexpr std::size_t keptVersions = 32;
+
+} // namespace
+
 void Freshness::proven(Revision version, Millis at)
 {
-    // A later moment proves more, also with a version that this gateway does not have yet: then it knows that it is
-    // behind from that moment on at the latest, and its own version is proven for no time after the older proof.
-    if (version < this->newest || at <= this->newestAt) {
-        return;
+    Millis &last = this->proofs[version];
+    last = std::max(last, at);
+    if (this->proofs.size() > keptVersions) {
+        this->proofs.erase(this->proofs.begin());
     }
-    this->newest = version;
-    this->newestAt = at;
 }
 
 void Freshness::vouched(Revision version, Millis proofAge, Millis echo)
@@ -23,10 +30,13 @@
 
 Millis Freshness::age(Revision version, Millis now) const
 {
-    if (version == 0 || version < this->newest || this->newestAt == Millis{0}) {
-        return Millis::never();
-    }
-    return now - this->newestAt;
+    const auto proof = this->proofs.find(version);
+    return version == 0 || proof == this->proofs.end() ? Millis::never() : now - proof->second;
+}
+
+bool Freshness::isBehind(Revision version) const
+{
+    return !this->proofs.empty() && this->proofs.rbegin()->first > version;
 }
 
 } // namespace Sequoiausher
--- a/sequoiausher/coordination/gateway/freshness.h
+++ b/sequoiausher/coordination/gateway/freshness.h
@@ -16,9 +16,11 @@
 #include "sequoiausher/base/identifiers.h"
 #include "sequoiausher/base/millis.h"
 
+#include <map>
+
 namespace Sequoiausher {
 
-/** The newest proof. Not thread-safe. */
+/** The newest proof of each version of late. Not thread-safe. */
 class Freshness
 {
 public:
@@ -32,10 +34,15 @@
 
     /** How long ago version was surely the newest; never() where that was not proven. */
     Millis age(Revision version, Millis now) const;
+    /**
+     * A newer version is known to be published. What version says still holds for as long as its own last proof lets
+     * it, but nothing may be denied for want of a newer one's routes and keys.
+     */
+    bool isBehind(Revision version) const;
 
 private:
-    Revision newest = 0;
-    Millis newestAt;
+    /** When each of the newest versions was last proven to be the newest one. */
+    std::map<Revision, Millis> proofs;
 };
 
 } // namespace Sequoiausher
--- a/sequoiausher/transport/gateway/gatewayadmission.cpp
+++ b/sequoiausher/transport/gateway/gatewayadmission.cpp
@@ -47,6 +47,8 @@
     std::optional<GatewayRefusal> admit();
 
 private:
+    /** Surely no newer version has the route or the key. */
+    bool mayDeny() const;
     std::optional<GatewayRefusal> findOrganisation();
     std::optional<GatewayRefusal> decide();
     RequestFacts facts() const;
@@ -69,10 +71,9 @@
         return GatewayRefusal{statusUnavailable, "no configuration is known yet", retry, Outcome::RefusedFull};
     }
     this->admitted.route = this->admitted.table->find(this->admitted.request.host, this->head.target);
-    const bool isProven = this->context.proofAge(this->receivedAt) <= provenLately;
     if (this->admitted.route == nullptr) {
         // Another version may have the route: only who surely has the newest may say that there is none.
-        if (isProven) {
+        if (this->mayDeny()) {
             return GatewayRefusal{statusNotFound, "no route leads here", std::nullopt, Outcome::RefusedInvalid};
         }
         const Millis retry = this->context.spread(retryWhenUnproved);
@@ -84,17 +85,24 @@
     return this->decide();
 }
 
+bool Admission::mayDeny() const
+{
+    return !this->context.isBehind() && this->context.proofAge(this->receivedAt) <= provenLately;
+}
+
 std::optional<GatewayRefusal> Admission::findOrganisation()
 {
     std::uint32_t priority = this->admitted.route->priority;
     if (this->admitted.table->needsKeys() && !this->admitted.route->isPublic) {
         const Millis age = this->context.proofAge(this->receivedAt);
         const GatewayOrganisation *found = this->admitted.table->organisationOf(this->admitted.request.key);
-        if (found == nullptr && age <= provenLately) {
+        if (found == nullptr && this->mayDeny()) {
             return GatewayRefusal{statusUnauthorized, "the key is not known", std::nullopt, Outcome::RefusedInvalid};
         }
-        // A key may have been taken away since the last proof: after that long it opens nothing.
-        if (found == nullptr || age > this->context.settings.keyFreshness) {
+        // A key may have been taken away since the last proof: after that long it opens nothing. Where a newer version
+        // is known to be there, it is due here within two seconds of its publication, which came after that proof.
+        const Millis longest = this->context.isBehind() ? provenLately : this->context.settings.keyFreshness;
+        if (found == nullptr || age > longest) {
             const Millis retry = this->context.spread(retryWhenUnproved);
             return GatewayRefusal{statusUnavailable, "the keys may be out of date", retry, Outcome::RefusedFull};
         }
--- a/sequoiausher/transport/gateway/gatewaycontext.cpp
+++ b/sequoiausher/transport/gateway/gatewaycontext.cpp
@@ -33,6 +33,11 @@
     return this->freshness.age(this->revision(), now);
 }
 
+bool GatewayContext::isBehind() const
+{
+    return this->freshness.isBehind(this->revision());
+}
+
 Revision GatewayContext::revision() const
 {
     return this->table ? this->table->configuration().revision : 0;
--- a/sequoiausher/transport/gateway/gatewaycontext.h
+++ b/sequoiausher/transport/gateway/gatewaycontext.h
@@ -39,6 +39,8 @@
 
     /** How long ago the configuration in force was proven to be the newest. */
     Millis proofAge(Millis now) const;
+    /** A newer configuration than the one in force is known to be published. */
+    bool isBehind() const;
     /** The revision of the configuration in force; 0 before the first. */
     Revision revision() const;
     /** A span from least to twice least, so that those who were refused together do not return together. */
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -170,7 +170,8 @@
 {
     const Millis now = Millis::monotonicNow();
     this->watcher->setResting(this->peers.mayRest(now));
-    this->watcher->tick(now, this->context.proofAge(now));
+    // One that knows of a newer version than its own reads it without delay.
+    this->watcher->tick(now, this->context.isBehind() ? Millis::never() : this->context.proofAge(now));
     this->peers.tick(now);
     if (this->known.targets.tick(now)) {
         this->targetsChanged("missing entries did not come back");
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -239,7 +239,7 @@
 {
     const PeerBook &book = this->context.peers;
     return book.hasHubs(now) && !book.isHub(now) && now - this->hubVouchedAt < vouchLife
-        && this->context.proofAge(now) < vouchLife;
+        && this->context.proofAge(now) < vouchLife && !this->context.isBehind();
 }
 
 void GatewayPeers::Private::received(const InstanceId &from, Incarnation /*incarnation*/, PeerMessage message)
