Send the whole list of targets where not all of the way to it was seen

Ruled out: late news (all others dropped it within 350 ms), the watch, proofs.

Change: whoever takes a whole list at a later revision than its own cannot tell what came and went in between, and sends the whole list to those who are older; what peers say is gone is passed on also where it was never here.

Test first: three cases of targetlisttest failed before.

--- a/sequoiausher/coordination/gateway/targetlist.cpp
+++ b/sequoiausher/coordination/gateway/targetlist.cpp
@@ -38,6 +38,15 @@
         }
         entry = next;
     }
+    this->jumpedTo(at);
+}
+
+void TargetList::jumpedTo(Revision at)
+{
+    // A target that came and went in between was never seen here: whoever has it must get the whole list.
+    if (at > this->known) {
+        this->goneKnownSince = at;
+    }
     this->known = std::max(this->known, at);
 }
 
@@ -104,7 +113,7 @@
         }
         entry = next;
     }
-    this->known = std::max(this->known, at);
+    this->jumpedTo(at);
 }
 
 std::optional<TargetChanges> TargetList::changesSince(Revision from) const
@@ -132,9 +141,8 @@
         return false;
     }
     for (const TargetId &id : changes.gone) {
-        if (this->entries.erase(id) > 0) {
-            this->noteGone(id, changes.to);
-        }
+        this->entries.erase(id);
+        this->noteGone(id, changes.to);
     }
     for (const GatewayTarget &target : changes.written) {
         this->write(target, changes.to);
--- a/sequoiausher/coordination/gateway/targetlist.h
+++ b/sequoiausher/coordination/gateway/targetlist.h
@@ -101,6 +101,8 @@
     void write(const GatewayTarget &target, Revision at);
     void drop(std::map<TargetId, Entry>::iterator entry, Revision at, Millis now);
     void noteGone(const TargetId &target, Revision at);
+    /** The list is complete up to at, without what happened on the way. */
+    void jumpedTo(Revision at);
 
     std::map<TargetId, Entry> entries;
     /** Targets that are gone, with the revision at which they went. */
--- a/sequoiausher/coordination/gateway/targetlisttest.cpp
+++ b/sequoiausher/coordination/gateway/targetlisttest.cpp
@@ -93,7 +93,8 @@
     first.put(targetOf("a", true), 7);
     first.removed(TargetId{"b"}, 8, Millis{10});
     CHECK(follow() == 2);
-    first.replaceAll({targetOf("c"), targetOf("d")}, 12, Millis{20});
+    first.put(targetOf("d"), 12);
+    first.removed(TargetId{"a"}, 12, Millis{20});
     // What went at the follower's own revision is told once more.
     CHECK(follow() == 3);
     // One that is removed and written again in the same answer of the store is there.
@@ -126,3 +127,38 @@
     CHECK(second.apply(*first.changesSince(second.revision())));
     CHECK(second.targets() == std::vector{targetOf("a")});
 }
+
+// Symptom: a gateway sent requests to a target three seconds after it had gone, while all others had dropped it.
+// Events: the target goes; a hub that started after that, or missed a stretch of the store's history, tells a gateway
+// whose list is older what changed since. Cause: the hub had never seen the target, so it did not name it as gone.
+TEST_CASE("who did not see all of a stretch tells the whole list, not the changes in it")
+{
+    TargetList behind;
+    behind.replaceAll({targetOf("a"), targetOf("gone")}, 8, Millis{0});
+    SUBCASE("since it started after it")
+    {
+        TargetList fresh;
+        fresh.replaceAll({targetOf("a"), targetOf("new")}, 10, Millis{0});
+        CHECK_FALSE(fresh.changesSince(8));
+        CHECK(fresh.changesSince(10));
+    }
+    SUBCASE("since it read the list again")
+    {
+        TargetList jumped;
+        jumped.replaceAll({targetOf("a")}, 5, Millis{0});
+        jumped.replaceAll({targetOf("a"), targetOf("new")}, 10, Millis{0});
+        CHECK_FALSE(jumped.changesSince(8));
+        jumped.adopt({targetOf("a")}, 14);
+        CHECK_FALSE(jumped.changesSince(12));
+        CHECK(jumped.changesSince(14));
+    }
+    SUBCASE("but passes on what it was told of targets that it never had")
+    {
+        TargetList third;
+        third.replaceAll({targetOf("a")}, 5, Millis{0});
+        CHECK(third.apply({5, 10, {}, {TargetId{"gone"}}}));
+        REQUIRE(third.changesSince(8));
+        CHECK(behind.apply(*third.changesSince(8)));
+        CHECK(behind.targets() == std::vector{targetOf("a")});
+    }
+}
