--- a/lab/soak/main.cpp
+++ b/lab/soak/main.cpp
@@ -43,6 +43,7 @@
         options.gateways = static_cast<std::size_t>(integerOption(parsed, "gateways"));
         options.callersEach = static_cast<std::size_t>(integerOption(parsed, "callers"));
         options.faults = Millis{integerOption(parsed, "faults-ms")};
+        options.longest = Millis{integerOption(parsed, "longest-ms")};
         options.folder = folder + "/seed-" + std::to_string(options.seed);
         const bool passed = play(options);
         if (passed) {
@@ -63,6 +64,7 @@
     addIntegerOption(options, "gateways", "Gateways of the fleet", 5);
     addIntegerOption(options, "callers", "Callers for each gateway", 3);
     addIntegerOption(options, "faults-ms", "For how long faults begin", 12000);
+    addIntegerOption(options, "longest-ms", "How long one fault lasts at most", 4000);
     addTextOption(options, "folder", "Where logs go", "/tmp/sequoiausher-soak");
     return runProgram(argc, argv, std::move(options), runSoak);
 }
--- a/lab/soak/soakplan.cpp
+++ b/lab/soak/soakplan.cpp
@@ -10,7 +10,6 @@
 /** A fault begins each so often, on the average: several are in progress at most times. */
 constexpr std::int64_t usualGapMs = 900;
 constexpr std::int64_t shortestMs = 200;
-constexpr std::int64_t longestMs = 4000;
 /** One fault in so many strikes the same subject again a moment later. */
 constexpr std::uint64_t repeatOneIn = 4;
 constexpr std::int64_t repeatGapMs = 700;
@@ -29,7 +28,7 @@
         SoakFault fault;
         fault.kind = kinds[static_cast<std::size_t>(between(0, static_cast<std::int64_t>(kinds.size()) - 1))].value;
         fault.at = at;
-        fault.lasts = Millis{between(shortestMs, longestMs)};
+        fault.lasts = Millis{between(shortestMs, fleet.longest.count)};
         fault.subject
             = static_cast<std::size_t>(between(0, static_cast<std::int64_t>(fleet.gateways * fleet.targets) - 1));
         fault.detail = random();
--- a/lab/soak/soakplan.h
+++ b/lab/soak/soakplan.h
@@ -92,6 +92,8 @@
 {
     std::size_t gateways = 5;
     std::size_t targets = 10;
+    /** The longest that one fault lasts. */
+    Millis longest{4000};
 };
 
 /** The same plan for the same seed, in order of time. */
--- a/lab/soak/soakrun.cpp
+++ b/lab/soak/soakrun.cpp
@@ -643,7 +643,7 @@
 {
     this->d->setUp();
     const Millis begin = Millis::monotonicNow() + warmUp;
-    const SoakFleet fleet{this->d->gateways.size(), this->d->places.size()};
+    const SoakFleet fleet{this->d->gateways.size(), this->d->places.size(), this->d->options.longest};
     Millis last = begin + this->d->options.faults;
     for (const SoakFault &fault : planFaults(this->d->options.seed, this->d->options.faults, fleet)) {
         this->d->at(begin + fault.at, [this, fault] { this->d->strike(fault); });
--- a/lab/soak/soakrun.h
+++ b/lab/soak/soakrun.h
@@ -24,6 +24,9 @@
     std::size_t callersEach = 3;
     /** How long faults begin; a warm-up before and a calm end come on top. */
     Millis faults{12000};
+    /** The longest that one of them lasts: above the five seconds for which a key is good without a proof, the promise
+     * about keys that were taken away is put to the test. */
+    Millis longest{4000};
     /** Where settings and what the gateways write go; made where it is missing. */
     std::string folder;
 };
