--- a/sequoiausher/coordination/gateway/promptparts.cpp
+++ b/sequoiausher/coordination/gateway/promptparts.cpp
@@ -54,7 +54,8 @@
         if (contains(holding, to)) {
             return std::nullopt;
         }
-        if (const std::optional<GatewayTarget> source = board.copySource(holding, now)) {
+        std::optional<GatewayTarget> source = board.copySource(holding, now);
+        if (source) {
             return source;
         }
     }
