Tell nobody a list with entries that may be gone

Change: TargetList tells no changes while it holds such entries, and gives itself out as old to gateways without any list; a gateway that holds them does not vouch, so those that rest on it read the store themselves within 1.3 s.

Test: targetlisttest, "who keeps an entry that may be gone tells nothing".

--- a/sequoiausher/coordination/gateway/targetlist.cpp
+++ b/sequoiausher/coordination/gateway/targetlist.cpp
@@ -15,6 +15,7 @@
 void TargetList::write(const GatewayTarget &target, Revision at)
 {
     Entry &entry = this->entries[target.id];
+    this->missingCount -= entry.missingSince ? 1 : 0;
     entry.missingSince.reset();
     this->gone.erase(target.id);
     if (entry.changedAt == 0 || !(entry.target == target)) {
@@ -24,6 +25,13 @@
     }
 }
 
+void TargetList::erase(std::map<TargetId, Entry>::iterator entry, Revision at)
+{
+    this->missingCount -= entry->second.missingSince ? 1 : 0;
+    this->noteGone(entry->first, at);
+    this->entries.erase(entry);
+}
+
 void TargetList::replaceAll(const std::vector<GatewayTarget> &targets, Revision at, Millis now)
 {
     std::set<TargetId> listed;
@@ -69,8 +77,7 @@
 {
     // One that said it would leave has left, whatever the store went through.
     if (entry->second.target.isLeaving || this->isGraceOver(now)) {
-        this->noteGone(entry->first, at);
-        this->entries.erase(entry);
+        this->erase(entry, at);
     } else if (!entry->second.missingSince) {
         entry->second.missingSince = now;
         this->missingCount += 1;
@@ -108,8 +115,7 @@
     for (auto entry = this->entries.begin(); entry != this->entries.end();) {
         const auto next = std::next(entry);
         if (!listed.contains(entry->first)) {
-            this->noteGone(entry->first, at);
-            this->entries.erase(entry);
+            this->erase(entry, at);
         }
         entry = next;
     }
@@ -118,7 +124,7 @@
 
 std::optional<TargetChanges> TargetList::changesSince(Revision from) const
 {
-    if (from == 0 || from < this->goneKnownSince) {
+    if (from == 0 || from < this->goneKnownSince || this->hasMissing()) {
         return std::nullopt;
     }
     TargetChanges changes{from, this->known, {}, {}};
@@ -141,8 +147,12 @@
         return false;
     }
     for (const TargetId &id : changes.gone) {
-        this->entries.erase(id);
-        this->noteGone(id, changes.to);
+        const auto entry = this->entries.find(id);
+        if (entry != this->entries.end()) {
+            this->erase(entry, changes.to);
+        } else {
+            this->noteGone(id, changes.to);
+        }
     }
     for (const GatewayTarget &target : changes.written) {
         this->write(target, changes.to);
@@ -151,6 +161,12 @@
     return true;
 }
 
+Revision TargetList::revisionToTell() const
+{
+    constexpr Revision old = 1;
+    return this->hasMissing() ? old : this->known;
+}
+
 Revision TargetList::changedAt() const
 {
     return this->lastChange;
@@ -179,13 +195,11 @@
     if (this->lostAt || this->missingCount == 0 || !this->isGraceOver(now)) {
         return false;
     }
-    this->missingCount = 0;
     const std::size_t before = this->entries.size();
     for (auto entry = this->entries.begin(); entry != this->entries.end();) {
         const auto next = std::next(entry);
         if (entry->second.missingSince) {
-            this->noteGone(entry->first, this->known);
-            this->entries.erase(entry);
+            this->erase(entry, this->known);
             this->lastLetGo = now;
         }
         entry = next;
@@ -215,9 +229,7 @@
 
 bool TargetList::hasMissing() const
 {
-    return std::any_of(this->entries.begin(), this->entries.end(), [](const auto &entry) {
-        return entry.second.missingSince.has_value();
-    });
+    return this->missingCount > 0;
 }
 
 } // namespace Sequoiausher
--- a/sequoiausher/coordination/gateway/targetlist.h
+++ b/sequoiausher/coordination/gateway/targetlist.h
@@ -60,13 +60,19 @@
     void adopt(const std::vector<GatewayTarget> &targets, Revision at);
 
     /**
-     * What a list that is complete up to from lacks; nothing where that cannot be told, since from is too long ago.
-     * What did not come back after an outage is gone at the revision that the list had then, so peers that have the
+     * What a list that is complete up to from lacks; nothing where that cannot be told, since from is too long ago, or
+     * an entry is only kept since it may come back: a listener that had it and the present revision would keep it. What
+     * did not come back after an outage is gone at the revision that the list had then, so peers that have the
      * same revision may lack it too.
      */
     std::optional<TargetChanges> changesSince(Revision from) const;
     /** Takes over changes, unless they begin after what this list has or end before; whether it did. */
     bool apply(const TargetChanges &changes);
+    /**
+     * Up to which revision a gateway without any list may take this one for complete: an old one, which everybody
+     * else's replaces, where an entry is only kept since it may come back.
+     */
+    Revision revisionToTell() const;
     /** The revision at which an entry was last written or removed. */
     Revision changedAt() const;
     /** When tick() last let entries go. */
@@ -99,6 +105,7 @@
 
     bool isGraceOver(Millis now) const;
     void write(const GatewayTarget &target, Revision at);
+    void erase(std::map<TargetId, Entry>::iterator entry, Revision at);
     void drop(std::map<TargetId, Entry>::iterator entry, Revision at, Millis now);
     void noteGone(const TargetId &target, Revision at);
     /** The list is complete up to at, without what happened on the way. */
@@ -109,7 +116,7 @@
     std::map<TargetId, Revision> gone;
     /** What went before this revision is forgotten. */
     Revision goneKnownSince = 0;
-    /** At least as many entries as are missing; 0 spares tick() a look at all. */
+    /** Entries that are only kept since they may come back. */
     std::size_t missingCount = 0;
     Revision known = 0;
     Revision lastChange = 0;
--- a/sequoiausher/coordination/gateway/targetlisttest.cpp
+++ b/sequoiausher/coordination/gateway/targetlisttest.cpp
@@ -162,3 +162,34 @@
         CHECK(behind.targets() == std::vector{targetOf("a")});
     }
 }
+
+// Symptom: gateways that rest sent requests to a target for seconds after it had gone. Events: a hub comes back from a
+// cut; within its grace the target's entry is removed for good, and the hub keeps it, since it may only have lapsed. It
+// tells what changed up to the present revision. Cause: the listener was then as new as everybody, and was told no
+// more.
+TEST_CASE("who keeps an entry that may be gone tells nothing, but a list of old to those who have none")
+{
+    TargetList hub;
+    hub.replaceAll({targetOf("a"), targetOf("b")}, 5, Millis{0});
+    CHECK(hub.revisionToTell() == 5);
+    hub.storeLost(Millis{1000});
+    hub.storeReturned(Millis{5000});
+    hub.removed(TargetId{"b"}, 6, Millis{5010});
+    hub.put(targetOf("c"), 7);
+    CHECK(hub.hasMissing());
+    CHECK_FALSE(hub.changesSince(5));
+    CHECK(hub.revisionToTell() == 1);
+    SUBCASE("until it is let go")
+    {
+        CHECK(hub.tick(Millis{5000} + lapsedEntryGrace));
+        REQUIRE(hub.changesSince(5));
+        CHECK(hub.changesSince(5)->gone == std::vector{TargetId{"b"}});
+    }
+    SUBCASE("until it is back")
+    {
+        hub.put(targetOf("b"), 8);
+        CHECK_FALSE(hub.hasMissing());
+        CHECK(hub.changesSince(7));
+    }
+    CHECK(hub.revisionToTell() >= 7);
+}
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -206,7 +206,8 @@
     report.echo = book.newestFrom(peer);
     report.configuration = this->context.revision();
     report.proofAge = this->context.proofAge(now);
-    report.storeAge = this->storeAge(now);
+    // Who keeps entries that may be gone cannot vouch for the list: others then read the store themselves.
+    report.storeAge = this->known.targets.hasMissing() ? Millis::never() : this->storeAge(now);
     report.targets = this->known.targets.revision();
     report.leaving = this->context.isStopping;
     report.isHub = book.isHub(now);
@@ -307,7 +308,9 @@
     const bool isBehind = has < list.changedAt();
     // Entries that did not come back after an outage go without a change in the store.
     const bool lacksLetGo = has == list.revision() && list.letGoAt() > toldAt;
-    if (!isBehind && !lacksLetGo) {
+    // An entry that is only kept since it may come back must not be taken for one of the present revision.
+    const bool isUncertain = list.hasMissing() && has > 0;
+    if (isUncertain || (!isBehind && !lacksLetGo)) {
         return;
     }
     this->push(peer, this->targetsFrom(has), now);
@@ -316,8 +319,8 @@
 const Document &GatewayPeers::Private::targetsFrom(Revision has)
 {
     const TargetList &list = this->known.targets;
-    if (this->packedTargetsAt != list.revision() || this->packedLetGoAt != list.letGoAt()) {
-        this->packedTargetsAt = list.revision();
+    if (this->packedTargetsAt != list.revisionToTell() || this->packedLetGoAt != list.letGoAt()) {
+        this->packedTargetsAt = list.revisionToTell();
         this->packedLetGoAt = list.letGoAt();
         this->packedTargets.clear();
     }
@@ -325,7 +328,7 @@
     if (isNew) {
         const std::optional<TargetChanges> changes = list.changesSince(has);
         const std::string text = changes ? toText(*changes) : toText(list.targets());
-        entry->second = {changes ? targetChangesDocument : targetsDocument, list.revision(), packed(text), false};
+        entry->second = {changes ? targetChangesDocument : targetsDocument, list.revisionToTell(), packed(text), false};
     }
     return entry->second;
 }
