Write a whole list of targets in one place, and drop what nothing called

Cause: replaceAll and adopt held the same loops and differed in what becomes of entries that are not listed: one may keep them for their grace, the other lets them go. writeAll serves both now; the two loops are gone. SoakTarget::runningCount was never called. Behaviour is the same, no test changed.

Looked at and left: chooseTarget is asked once in follow() and again in attempt(); a push copies its packed document before the rate limit may drop it; TargetBoard::places, PartDirectory::dropped and ByteStream::setUser are called by tests alone or nobody.

--- a/lab/soak/soaktarget.cpp
+++ b/lab/soak/soaktarget.cpp
@@ -111,11 +111,6 @@
     return this->currentService == streamService ? streamSlots : plainSlots;
 }
 
-std::size_t SoakTarget::runningCount() const
-{
-    return this->works.size();
-}
-
 void SoakTarget::setMood(TargetMood to, double share)
 {
     this->mood = to;
--- a/lab/soak/soaktarget.h
+++ b/lab/soak/soaktarget.h
@@ -64,7 +64,6 @@
     const std::string &service() const;
     std::uint16_t port() const;
     std::uint32_t slots() const;
-    std::size_t runningCount() const;
 
     void setMood(TargetMood mood, double share);
 
--- a/sequoiausher/coordination/gateway/targetlist.cpp
+++ b/sequoiausher/coordination/gateway/targetlist.cpp
@@ -32,19 +32,27 @@
     this->entries.erase(entry);
 }
 
-void TargetList::replaceAll(const std::vector<GatewayTarget> &targets, Revision at, Millis now)
+std::vector<std::map<TargetId, TargetList::Entry>::iterator>
+TargetList::writeAll(const std::vector<GatewayTarget> &targets, Revision at)
 {
     std::set<TargetId> listed;
     for (const GatewayTarget &target : targets) {
         listed.insert(target.id);
         this->write(target, at);
     }
-    for (auto entry = this->entries.begin(); entry != this->entries.end();) {
-        const auto next = std::next(entry);
+    std::vector<std::map<TargetId, Entry>::iterator> others;
+    for (auto entry = this->entries.begin(); entry != this->entries.end(); ++entry) {
         if (!listed.contains(entry->first)) {
-            this->drop(entry, at, now);
+            others.push_back(entry);
         }
-        entry = next;
+    }
+    return others;
+}
+
+void TargetList::replaceAll(const std::vector<GatewayTarget> &targets, Revision at, Millis now)
+{
+    for (const auto &entry : this->writeAll(targets, at)) {
+        this->drop(entry, at, now);
     }
     this->jumpedTo(at);
 }
@@ -107,17 +115,8 @@
 
 void TargetList::adopt(const std::vector<GatewayTarget> &targets, Revision at)
 {
-    std::set<TargetId> listed;
-    for (const GatewayTarget &target : targets) {
-        listed.insert(target.id);
-        this->write(target, at);
-    }
-    for (auto entry = this->entries.begin(); entry != this->entries.end();) {
-        const auto next = std::next(entry);
-        if (!listed.contains(entry->first)) {
-            this->erase(entry, at);
-        }
-        entry = next;
+    for (const auto &entry : this->writeAll(targets, at)) {
+        this->erase(entry, at);
     }
     this->jumpedTo(at);
 }
--- a/sequoiausher/coordination/gateway/targetlist.h
+++ b/sequoiausher/coordination/gateway/targetlist.h
@@ -105,6 +105,8 @@
 
     bool isGraceOver(Millis now) const;
     void write(const GatewayTarget &target, Revision at);
+    /** Writes all of them; the entries that are not among them. */
+    std::vector<std::map<TargetId, Entry>::iterator> writeAll(const std::vector<GatewayTarget> &targets, Revision at);
     void erase(std::map<TargetId, Entry>::iterator entry, Revision at);
     void drop(std::map<TargetId, Entry>::iterator entry, Revision at, Millis now);
     void noteGone(const TargetId &target, Revision at);
