Give each life of a target an id of its own, and read what others write into the store entry by entry

Cause: a target may start again under the name that it had. Its entry was taken for a heartbeat of the known target, so its cache, load, health and connections were believed to go on; only the name could tell lives apart, and no longer does. An entry of another writer was handled in two ways: one that cannot be read left the good one in use when it came by the watch, and took it away when it came by a list; an item without a key cost the whole page or answer. Ruled out: comparing the birth where each thing is kept (board, pools, directory, health, peers' reports): five places that could each forget it. Change: the id of a target is of its life (name and birth), so what is said of an earlier life meets no target; the list is kept by names, a later birth takes the place, an earlier one changes nothing. An entry that lacks a field that every target writes, or has one of another type, or a state that is not known, names no target however it is learnt; all other items hold. Kept connections to what is not listed are closed in one place.

--- a/sequoiausher/coordination/gateway/gatewayconfiguration.h
+++ b/sequoiausher/coordination/gateway/gatewayconfiguration.h
@@ -132,7 +132,7 @@
 /** A target as the platform lists it. */
 struct GatewayTarget
 {
-    /** Of this life of the target: a restart has another one. */
+    /** Of this life of the target: a restart has another one, also where the platform lists it under the same name. */
     TargetId id;
     PoolId service;
     std::string address;
@@ -140,8 +140,28 @@
     /** Requests that it runs at once. */
     std::uint32_t slots = 1;
     bool isLeaving = false;
+    /** When this life began, by the target's own clock; 0 where it does not say. */
+    Millis bornAt;
 
     bool operator==(const GatewayTarget &) const = default;
 };
 
+/**
+ * The id of one life of the target that the platform lists as name. A target that starts again under its name holds
+ * nothing of before: had both lives one id, its cache, its load, its health and the connections to it would be believed
+ * to go on, and requests would be sent after prompts that it never read. With an id for each life, whatever is still
+ * said of an earlier one, by peers or late, meets no target.
+ */
+inline TargetId targetLife(const TargetId &name, Millis bornAt)
+{
+    return bornAt == Millis{0} ? name : TargetId{name.value + "~" + std::to_string(bornAt.count)};
+}
+
+/** The name under which the platform lists the target, the same for each of its lives. */
+inline TargetId listedName(const GatewayTarget &target)
+{
+    const TargetId suffix = targetLife({}, target.bornAt);
+    return TargetId{target.id.value.substr(0, target.id.value.size() - suffix.value.size())};
+}
+
 } // namespace Sequoiausher
--- a/sequoiausher/coordination/gateway/targetlist.cpp
+++ b/sequoiausher/coordination/gateway/targetlist.cpp
@@ -10,16 +10,37 @@
 /** Targets that are gone are remembered for peers that still have them; beyond so many those get the whole list. */
 constexpr std::size_t mostGone = 4096;
 
+bool isOfEarlierLife(const GatewayTarget &target, const GatewayTarget &known)
+{
+    return target.bornAt != Millis{0} && target.bornAt < known.bornAt;
+}
+
+/** The target as written, in the known life where it tells none. */
+GatewayTarget inKnownLife(const GatewayTarget &target, const GatewayTarget &known)
+{
+    GatewayTarget living = target;
+    if (target.bornAt == Millis{0} && known.bornAt != Millis{0}) {
+        living.bornAt = known.bornAt;
+        living.id = known.id;
+    }
+    return living;
+}
+
 } // namespace
 
 void TargetList::write(const GatewayTarget &target, Revision at)
 {
-    Entry &entry = this->entries[target.id];
+    const TargetId name = listedName(target);
+    Entry &entry = this->entries[name];
+    this->gone.erase(name);
+    if (isOfEarlierLife(target, entry.target)) {
+        return;
+    }
     this->missingCount -= entry.missingSince ? 1 : 0;
     entry.missingSince.reset();
-    this->gone.erase(target.id);
-    if (entry.changedAt == 0 || !(entry.target == target)) {
-        entry.target = target;
+    const GatewayTarget written = inKnownLife(target, entry.target);
+    if (entry.changedAt == 0 || !(entry.target == written)) {
+        entry.target = written;
         entry.changedAt = at;
         this->lastChange = std::max(this->lastChange, at);
     }
@@ -37,7 +58,7 @@
 {
     std::set<TargetId> listed;
     for (const GatewayTarget &target : targets) {
-        listed.insert(target.id);
+        listed.insert(listedName(target));
         this->write(target, at);
     }
     std::vector<std::map<TargetId, Entry>::iterator> others;
@@ -72,15 +93,24 @@
     this->known = std::max(this->known, at);
 }
 
-void TargetList::removed(const TargetId &target, Revision at, Millis now)
+void TargetList::removed(const TargetId &name, Revision at, Millis now)
 {
-    const auto entry = this->entries.find(target);
+    const auto entry = this->entries.find(name);
     if (entry != this->entries.end()) {
         this->drop(entry, at, now);
     }
     this->known = std::max(this->known, at);
 }
 
+void TargetList::unreadable(const TargetId &name, Revision at)
+{
+    const auto entry = this->entries.find(name);
+    if (entry != this->entries.end()) {
+        this->erase(entry, at);
+    }
+    this->known = std::max(this->known, at);
+}
+
 void TargetList::drop(std::map<TargetId, Entry>::iterator entry, Revision at, Millis now)
 {
     // One that said it would leave has left, whatever the store went through.
@@ -92,9 +122,9 @@
     }
 }
 
-void TargetList::noteGone(const TargetId &target, Revision at)
+void TargetList::noteGone(const TargetId &name, Revision at)
 {
-    this->gone[target] = at;
+    this->gone[name] = at;
     this->lastChange = std::max(this->lastChange, at);
     if (this->gone.size() <= mostGone) {
         return;
@@ -127,14 +157,14 @@
         return std::nullopt;
     }
     TargetChanges changes{from, this->known, {}, {}};
-    for (const auto &[id, entry] : this->entries) {
+    for (const auto &[name, entry] : this->entries) {
         if (entry.changedAt > from) {
             changes.written.push_back(entry.target);
         }
     }
-    for (const auto &[id, at] : this->gone) {
+    for (const auto &[name, at] : this->gone) {
         if (at >= from) {
-            changes.gone.push_back(id);
+            changes.gone.push_back(name);
         }
     }
     return changes;
@@ -145,12 +175,12 @@
     if (changes.from > this->known || changes.to < this->known) {
         return false;
     }
-    for (const TargetId &id : changes.gone) {
-        const auto entry = this->entries.find(id);
+    for (const TargetId &name : changes.gone) {
+        const auto entry = this->entries.find(name);
         if (entry != this->entries.end()) {
             this->erase(entry, changes.to);
         } else {
-            this->noteGone(id, changes.to);
+            this->noteGone(name, changes.to);
         }
     }
     for (const GatewayTarget &target : changes.written) {
@@ -215,7 +245,7 @@
 {
     std::vector<GatewayTarget> all;
     all.reserve(this->entries.size());
-    for (const auto &[id, entry] : this->entries) {
+    for (const auto &[name, entry] : this->entries) {
         all.push_back(entry.target);
     }
     return all;
--- a/sequoiausher/coordination/gateway/targetlist.h
+++ b/sequoiausher/coordination/gateway/targetlist.h
@@ -40,6 +40,7 @@
     Revision from = 0;
     Revision to = 0;
     std::vector<GatewayTarget> written;
+    /** By the names under which the platform listed them. */
     std::vector<TargetId> gone;
 
     bool operator==(const TargetChanges &) const = default;
@@ -51,10 +52,18 @@
 public:
     /** Everything that the store lists at revision. */
     void replaceAll(const std::vector<GatewayTarget> &targets, Revision at, Millis now);
-    /** An entry was written. */
+    /**
+     * An entry was written. One of an earlier life than the known one changes nothing: a target that starts again behind
+     * a cut has its old life's last words arrive after its own first. One that tells no life is of the known one.
+     */
     void put(const GatewayTarget &target, Revision at);
-    /** An entry was removed. */
-    void removed(const TargetId &target, Revision at, Millis now);
+    /** The entry of that name was removed. */
+    void removed(const TargetId &name, Revision at, Millis now);
+    /**
+     * What lies under that name cannot be read: it names no target. Unlike one that lapsed it is not kept during an
+     * outage, since the store had it written.
+     */
+    void unreadable(const TargetId &name, Revision at);
 
     /** A peer that reaches the store says that this is all, where this gateway does not reach it. */
     void adopt(const std::vector<GatewayTarget> &targets, Revision at);
@@ -109,12 +118,13 @@
     std::vector<std::map<TargetId, Entry>::iterator> writeAll(const std::vector<GatewayTarget> &targets, Revision at);
     void erase(std::map<TargetId, Entry>::iterator entry, Revision at);
     void drop(std::map<TargetId, Entry>::iterator entry, Revision at, Millis now);
-    void noteGone(const TargetId &target, Revision at);
+    void noteGone(const TargetId &name, Revision at);
     /** The list is complete up to at, without what happened on the way. */
     void jumpedTo(Revision at);
 
+    /** By the names under which the platform lists them. */
     std::map<TargetId, Entry> entries;
-    /** Targets that are gone, with the revision at which they went. */
+    /** Names of targets that are gone, with the revision at which they went. */
     std::map<TargetId, Revision> gone;
     /** What went before this revision is forgotten. */
     Revision goneKnownSince = 0;
--- a/sequoiausher/coordination/gateway/targetlisttest.cpp
+++ b/sequoiausher/coordination/gateway/targetlisttest.cpp
@@ -193,3 +193,85 @@
     }
     CHECK(hub.revisionToTell() >= 7);
 }
+
+namespace {
+
+GatewayTarget lifeOf(const std::string &name, std::int64_t bornAt, bool leaving = false)
+{
+    GatewayTarget target = targetOf(name, leaving);
+    target.bornAt = Millis{bornAt};
+    target.id = targetLife(TargetId{name}, target.bornAt);
+    return target;
+}
+
+} // namespace
+
+// Symptom: requests went to a restarted target as to one that holds their prompts, over connections of before.
+// Events: a target crashes behind a cut, starts again under its name, and writes its entry.
+// Cause: the entry was taken for a heartbeat of the target that was known.
+TEST_CASE("a later life takes the place of the one before it")
+{
+    TargetList list;
+    list.replaceAll({lifeOf("a", 100), targetOf("b")}, 5, Millis{0});
+    list.put(lifeOf("a", 200), 6);
+    CHECK(list.targets() == std::vector{lifeOf("a", 200), targetOf("b")});
+    CHECK(list.changesSince(5)->written == std::vector{lifeOf("a", 200)});
+}
+
+// Symptom: a target that had just started was passed over as leaving.
+// Events: a target says that it leaves behind a cut, dies, and starts again elsewhere; the cut heals, and what the old
+// life had written arrives after the new one's first entry.
+// Cause: the entry that was written last was believed, whichever life it was of.
+TEST_CASE("an earlier life's word that comes late changes nothing")
+{
+    TargetList list;
+    list.replaceAll({lifeOf("a", 200)}, 5, Millis{0});
+    list.put(lifeOf("a", 100, true), 6);
+    CHECK(list.targets() == std::vector{lifeOf("a", 200)});
+    list.replaceAll({lifeOf("a", 100, true)}, 7, Millis{10});
+    CHECK(list.targets() == std::vector{lifeOf("a", 200)});
+    list.adopt({lifeOf("a", 100)}, 8);
+    CHECK(list.targets() == std::vector{lifeOf("a", 200)});
+    CHECK(list.apply({8, 9, {lifeOf("a", 100)}, {}}));
+    CHECK(list.targets() == std::vector{lifeOf("a", 200)});
+    // The entry is removed: whoever writes there next is believed.
+    list.removed(TargetId{"a"}, 10, Millis{20});
+    CHECK(list.empty());
+    list.put(lifeOf("a", 100), 11);
+    CHECK(list.targets() == std::vector{lifeOf("a", 100)});
+}
+
+TEST_CASE("an entry that tells no life is of the known one")
+{
+    TargetList list;
+    list.replaceAll({lifeOf("a", 200)}, 5, Millis{0});
+    list.put(targetOf("a", true), 6);
+    CHECK(list.targets() == std::vector{lifeOf("a", 200, true)});
+    list.put(lifeOf("a", 300), 7);
+    CHECK(list.targets() == std::vector{lifeOf("a", 300)});
+}
+
+// Symptom: one gateway sent requests to an entry that another writer had spoilt, another one did not.
+// Events: a good entry is overwritten by one that cannot be read; the first gateway hears of it by its watch, the second
+// reads the list anew.
+// Cause: what could not be read was left out of a list, and ignored where it came as a change.
+TEST_CASE("an entry that cannot be read names no target, however it is learnt, and the others hold")
+{
+    TargetList watching;
+    watching.replaceAll({lifeOf("a", 200), targetOf("b")}, 5, Millis{0});
+    watching.unreadable(TargetId{"a"}, 6);
+    TargetList listing;
+    listing.replaceAll({lifeOf("a", 200), targetOf("b")}, 5, Millis{0});
+    // Also where entries that are missing are kept since the store was away.
+    listing.storeLost(Millis{1000});
+    listing.storeReturned(Millis{9000});
+    listing.replaceAll({targetOf("b")}, 6, Millis{9000});
+    CHECK(listing.hasMissing());
+    listing.unreadable(TargetId{"a"}, 6);
+    CHECK(watching.targets() == std::vector{targetOf("b")});
+    CHECK(listing.targets() == watching.targets());
+    CHECK_FALSE(listing.hasMissing());
+    CHECK(watching.changesSince(5)->gone == std::vector{TargetId{"a"}});
+    watching.put(lifeOf("a", 200), 7);
+    CHECK(watching.targets().size() == 2);
+}
--- a/sequoiausher/protocol/gateway/gatewaydialect.h
+++ b/sequoiausher/protocol/gateway/gatewaydialect.h
@@ -49,7 +49,7 @@
 /** What the gateway adds to a request on its way to a target. */
 struct TargetOrder
 {
-    /** The life of the target that is meant: another one refuses. */
+    /** The name of the target that is meant: another one refuses. */
     TargetId target;
     Millis timeLeft;
     /** Empty where the request needs no key. */
@@ -98,6 +98,8 @@
     /** Where the next part begins; empty after the last one. */
     std::string next;
     Revision storeRevision = 0;
+    /** Names under which something lies that cannot be read, and so names no target. */
+    std::vector<TargetId> unreadable;
     /** Entries that could not be read, each with its key and what is wrong. */
     std::vector<std::string> problems;
 };
@@ -109,8 +111,10 @@
     std::optional<StoredConfiguration> configuration;
     /** Present where a target's entry was written. */
     std::optional<GatewayTarget> target;
-    /** Not empty where a target's entry was removed. */
+    /** The name of a target whose entry was removed; empty for none. */
     TargetId removedTarget;
+    /** The name of a target whose entry was overwritten by one that cannot be read; empty for none. */
+    TargetId unreadableTarget;
 };
 
 /** What a watch heard. */
--- a/sequoiausher/protocol/gateway/targetstext.cpp
+++ b/sequoiausher/protocol/gateway/targetstext.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::int64_t mostSlots = 1000000;
+constexpr std::int64_t latestBirth = std::numeric_limits<std::int64_t>::max();
 constexpr std::int64_t mostRevision = std::numeric_limits<std::int64_t>::max();
 
 GatewayTarget readTarget(SectionReader &section)
@@ -22,6 +23,10 @@
     target.dataCentre.value = section.text("data_centre").value_or("");
     target.slots = static_cast<std::uint32_t>(section.integer("slots", {0, mostSlots, "requests"}).value_or(1));
     target.isLeaving = section.integer("leaving", {0, 1, ""}).value_or(0) != 0;
+    target.bornAt = Millis{section.integer("born_ms", {0, latestBirth, "ms"}).value_or(0)};
+    if (!target.id.value.ends_with(targetLife({}, target.bornAt).value)) {
+        throw Error(Step::Decode, target.id.value, "the id is not of the life that began at born_ms");
+    }
     section.finish();
     return target;
 }
@@ -64,7 +69,11 @@
         if (!target.dataCentre.empty()) {
             text += "\ndata_centre = " + target.dataCentre.value;
         }
-        text += "\nslots = " + std::to_string(target.slots) + "\nleaving = " + (target.isLeaving ? "1" : "0") + "\n";
+        text += "\nslots = " + std::to_string(target.slots) + "\nleaving = " + (target.isLeaving ? "1" : "0");
+        if (target.bornAt != Millis{0}) {
+            text += "\nborn_ms = " + std::to_string(target.bornAt.count);
+        }
+        text += "\n";
     }
     return text;
 }
--- a/sequoiausher/protocol/gateway/targetstexttest.cpp
+++ b/sequoiausher/protocol/gateway/targetstexttest.cpp
@@ -14,9 +14,14 @@
     CHECK(parseTargetsText(toText(targets), "p") == targets);
     CHECK(parseTargetsText("", "p").empty());
     const std::vector<GatewayTarget> odd{
-        {TargetId{"an id/with:marks"}, PoolId{"a service"}, "10.0.0.1:80", DataCentreId{}, 6, false}};
+        {TargetId{"an id/with:marks;and=#these"}, PoolId{"a service"}, "10.0.0.1:80", DataCentreId{}, 6, false}};
     CHECK(parseTargetsText(toText(odd), "p") == odd);
     CHECK_THROWS_AS(parseTargetsText("[target a]\naddress = x\n", "p"), ProblemsError);
+    const TargetId life = targetLife(TargetId{"i-7f3a"}, Millis{1764700000000});
+    const std::vector<GatewayTarget> reborn{
+        {life, PoolId{"desk"}, "10.0.0.1:80", DataCentreId{}, 6, false, Millis{1764700000000}}};
+    CHECK(parseTargetsText(toText(reborn), "p") == reborn);
+    CHECK_THROWS_AS(parseTargetsText("[target 1]\nid = i-7f3a\nborn_ms = 5\n", "p"), Error);
 }
 
 TEST_CASE("changes of a list come back as they were written")
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -242,7 +242,7 @@
     this->heldAnswer.clear();
     this->cutter.begin();
     TargetOrder order;
-    order.target = target.target.id;
+    order.target = listedName(target.target);
     order.timeLeft = this->admitted.deadline - now;
     order.organisation = this->admitted.organisation;
     order.priority = this->admitted.decision.priority;
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -14,6 +14,7 @@
 #include <QTimer>
 
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <utility>
 
@@ -74,9 +75,12 @@
     void noteChange(const std::string &change);
 
     void configurationRead(const StoredConfiguration &stored, std::optional<Millis> readAt) override;
-    void targetsRead(const std::vector<GatewayTarget> &targets, Revision at) override;
+    void targetsRead(const std::vector<GatewayTarget> &targets,
+                     const std::vector<TargetId> &unreadable,
+                     Revision at) override;
     void targetWritten(const GatewayTarget &target, Revision at) override;
-    void targetRemoved(const TargetId &target, Revision at) override;
+    void targetRemoved(const TargetId &name, Revision at) override;
+    void targetUnreadable(const TargetId &name, Revision at) override;
     void targetChangesEnd() override;
     void storeAnswered() override;
     void storeLost(const std::string &problem) override;
@@ -338,9 +342,13 @@
     const std::vector<GatewayTarget> targets = this->known.targets.targets();
     this->context.board.setTargets(targets, Millis::monotonicNow());
     std::size_t leaving = 0;
+    std::set<TargetId> listed;
     for (const GatewayTarget &target : targets) {
         leaving += target.isLeaving ? 1 : 0;
+        listed.insert(target.id);
     }
+    // Connections to a life that is over would carry requests into the void, or to whoever has the address now.
+    this->context.pools.keepOnly(listed);
     this->log.info(LogPart::Targets,
                    "targets changed",
                    {{"why", std::string(why)},
@@ -349,12 +357,17 @@
                     {"revision", std::to_string(this->known.targets.revision())}});
 }
 
-void GatewayNode::Private::targetsRead(const std::vector<GatewayTarget> &targets, Revision at)
+void GatewayNode::Private::targetsRead(const std::vector<GatewayTarget> &targets,
+                                       const std::vector<TargetId> &unreadable,
+                                       Revision at)
 {
     this->known.storeAnsweredAt = Millis::monotonicNow();
     // A peer may have told of later changes already.
     if (at >= this->known.targets.revision()) {
         this->known.targets.replaceAll(targets, at, Millis::monotonicNow());
+        for (const TargetId &name : unreadable) {
+            this->known.targets.unreadable(name, at);
+        }
         this->targetsChanged("list");
     }
 }
@@ -365,11 +378,16 @@
     this->noteChange(target.id.value + (target.isLeaving ? " leaves" : " written"));
 }
 
-void GatewayNode::Private::targetRemoved(const TargetId &target, Revision at)
+void GatewayNode::Private::targetRemoved(const TargetId &name, Revision at)
+{
+    this->known.targets.removed(name, at, Millis::monotonicNow());
+    this->noteChange(name.value + " removed");
+}
+
+void GatewayNode::Private::targetUnreadable(const TargetId &name, Revision at)
 {
-    this->known.targets.removed(target, at, Millis::monotonicNow());
-    this->context.pools.forget(target);
-    this->noteChange(target.value + " removed");
+    this->known.targets.unreadable(name, at);
+    this->noteChange(name.value + " unreadable");
 }
 
 void GatewayNode::Private::noteChange(const std::string &change)
@@ -416,7 +434,6 @@
         return;
     }
     for (const TargetId &gone : changes.gone) {
-        this->context.pools.forget(gone);
         this->noteChange(gone.value + " gone");
     }
     for (const GatewayTarget &target : changes.written) {
--- a/sequoiausher/transport/gateway/storewatcher.cpp
+++ b/sequoiausher/transport/gateway/storewatcher.cpp
@@ -84,6 +84,7 @@
     Millis proofInterval;
     bool isResting = false;
     std::vector<GatewayTarget> listed;
+    std::vector<TargetId> unreadable;
     Revision listedFrom = 0;
     bool isLost = false;
     std::uint64_t made = 0;
@@ -117,6 +118,7 @@
     if (!this->d->changes.calls.isBusy() && now >= this->d->changes.nextAt) {
         if (this->d->watchedFrom == 0) {
             this->d->listed.clear();
+            this->d->unreadable.clear();
             this->d->listedFrom = 0;
             this->d->listTargets({});
         } else {
@@ -221,6 +223,7 @@
             this->log.warning(LogPart::Platform, "an entry cannot be read", {{"why", problem}});
         }
         this->listed.insert(this->listed.end(), page.targets.begin(), page.targets.end());
+        this->unreadable.insert(this->unreadable.end(), page.unreadable.begin(), page.unreadable.end());
         // Pages are read one after the other: what changed since the first is in the watch that begins there.
         if (this->listedFrom == 0) {
             this->listedFrom = page.storeRevision;
@@ -230,7 +233,7 @@
             return;
         }
         this->watchedFrom = this->listedFrom;
-        this->listener.targetsRead(this->listed, this->listedFrom);
+        this->listener.targetsRead(this->listed, this->unreadable, this->listedFrom);
         if (!this->isResting) {
             this->watch();
         }
@@ -295,6 +298,8 @@
             this->listener.targetWritten(*event.target, events.storeRevision);
         } else if (!event.removedTarget.empty()) {
             this->listener.targetRemoved(event.removedTarget, events.storeRevision);
+        } else if (!event.unreadableTarget.empty()) {
+            this->listener.targetUnreadable(event.unreadableTarget, events.storeRevision);
         }
     }
     if (hasTargets) {
--- a/sequoiausher/transport/gateway/storewatcher.h
+++ b/sequoiausher/transport/gateway/storewatcher.h
@@ -24,9 +24,13 @@
     /** The configuration as it lies in the store. @param readAt present where it is surely the newest at that moment.
      */
     virtual void configurationRead(const StoredConfiguration &stored, std::optional<Millis> readAt) = 0;
-    virtual void targetsRead(const std::vector<GatewayTarget> &targets, Revision at) = 0;
+    /** @param unreadable names under which something lies that cannot be read. */
+    virtual void
+    targetsRead(const std::vector<GatewayTarget> &targets, const std::vector<TargetId> &unreadable, Revision at) = 0;
     virtual void targetWritten(const GatewayTarget &target, Revision at) = 0;
-    virtual void targetRemoved(const TargetId &target, Revision at) = 0;
+    virtual void targetRemoved(const TargetId &name, Revision at) = 0;
+    /** What lies under the target's name cannot be read. */
+    virtual void targetUnreadable(const TargetId &name, Revision at) = 0;
     /** All that one answer of a watch said of targets has been told. */
     virtual void targetChangesEnd() = 0;
     /** A watch was answered, with or without changes. */
--- a/sequoiausher/transport/gateway/targetpools.cpp
+++ b/sequoiausher/transport/gateway/targetpools.cpp
@@ -219,14 +219,14 @@
     last.clear();
 }
 
-void TargetPools::forget(const TargetId &target)
+void TargetPools::keepOnly(const std::set<TargetId> &targets)
 {
-    const auto pool = this->d->pools.find(target);
-    if (pool == this->d->pools.end()) {
-        return;
+    for (auto &[target, pool] : this->d->pools) {
+        if (!targets.contains(target)) {
+            std::move(pool.idle.begin(), pool.idle.end(), std::back_inserter(this->d->doomed));
+            pool.idle.clear();
+        }
     }
-    std::move(pool->second.idle.begin(), pool->second.idle.end(), std::back_inserter(this->d->doomed));
-    pool->second.idle.clear();
 }
 
 std::uint64_t TargetPools::dialled() const
--- a/sequoiausher/transport/gateway/targetpools.h
+++ b/sequoiausher/transport/gateway/targetpools.h
@@ -15,6 +15,7 @@
 #include <cstddef>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace Sequoiausher {
@@ -100,8 +101,8 @@
     std::shared_ptr<TargetConnection> take(const GatewayTarget &target, std::size_t limit, Millis now, Reuse reuse);
     /** Closes kept connections that are about to be closed by their targets. */
     void tick(Millis now);
-    /** Closes the kept connections to a target that is gone. */
-    void forget(const TargetId &target);
+    /** Closes the kept connections to all other targets: those that are gone, or in an earlier life. */
+    void keepOnly(const std::set<TargetId> &targets);
 
     std::uint64_t dialled() const;
 
