Let a proof of an older configuration hold for the newer one in hand

Cause: from each new version's arrival to its own proof, some 40 ms, a gateway had no proof at all and refused whatever needs a key. Argument: a proof dated T says that nothing newer than that version was published at T. Then nothing newer than the version now in hand was, so whatever took a key away that this one holds was published after T.

--- a/sequoiausher/coordination/gateway/freshness.cpp
+++ b/sequoiausher/coordination/gateway/freshness.cpp
@@ -1,6 +1,7 @@
 #include "sequoiausher/coordination/gateway/freshness.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace Sequoiausher {
 
@@ -16,7 +17,9 @@
     Millis &last = this->proofs[version];
     last = std::max(last, at);
     if (this->proofs.size() > keptVersions) {
+        const Millis oldest = this->proofs.begin()->second;
         this->proofs.erase(this->proofs.begin());
+        this->proofs.begin()->second = std::max(this->proofs.begin()->second, oldest);
     }
 }
 
@@ -30,8 +33,11 @@
 
 Millis Freshness::age(Revision version, Millis now) const
 {
-    const auto proof = this->proofs.find(version);
-    return version == 0 || proof == this->proofs.end() ? Millis::never() : now - proof->second;
+    std::optional<Millis> last;
+    for (auto proof = this->proofs.begin(); proof != this->proofs.end() && proof->first <= version; ++proof) {
+        last = std::max(last.value_or(proof->second), proof->second);
+    }
+    return version == 0 || !last ? Millis::never() : now - *last;
 }
 
 bool Freshness::isBehind(Revision version) const
--- a/sequoiausher/coordination/gateway/freshness.h
+++ b/sequoiausher/coordination/gateway/freshness.h
@@ -9,6 +9,10 @@
 // young as that. No clock is compared with another machine's, and a report that a partition held back proves nothing
 // more than what it echoes. Times are of a clock that goes on while the machine is suspended.
 //
+// A proof of a version holds for each newer one that is in hand: nothing newer than the older one was published at that
+// moment, so nothing newer than the newer one was. Whatever took a key away that the newer one still has was therefore
+// published later than that moment.
+//
 //     Freshness freshness;
 //     freshness.proven(version, callStartedAt);
 //     if (freshness.age(version, now) > longest) { refuse(); }
@@ -24,7 +28,7 @@
 class Freshness
 {
 public:
-    /** At the moment at, version was the newest one published. */
+    /** At the moment at, nothing newer than version was published. */
     void proven(Revision version, Millis at);
     /**
      * A peer's report. @param version what it has in force. @param proofAge its own age; never() for none.
@@ -32,7 +36,11 @@
      */
     void vouched(Revision version, Millis proofAge, Millis echo);
 
-    /** How long ago version was surely the newest; never() where that was not proven. */
+    /**
+     * How long ago nothing newer than version was surely published, by a proof of it or of an older one; never() where
+     * there is none. Were proofs of older ones thrown away, a storm of changes would leave a gateway without any proof
+     * for the 40 ms from each version's arrival to its own proof, in which it refuses all that need a key.
+     */
     Millis age(Revision version, Millis now) const;
     /**
      * A newer version is known to be published. What version says still holds for as long as its own last proof lets
@@ -41,7 +49,7 @@
     bool isBehind(Revision version) const;
 
 private:
-    /** When each of the newest versions was last proven to be the newest one. */
+    /** The last moment at which nothing newer than each of the newest versions was published. */
     std::map<Revision, Millis> proofs;
 };
 
