Choose targets of plain services by what is expected there now, and shed what cannot be in time

Hypothesis: a plain service of the grown fleet (3 targets of 6 places and 30 ms, some 400 requests a second, 75 gateways) is late by its own queues, not for want of places: gateways choose by sums that are 300 to 600 ms old, ten times as old as an answer takes, so all send to the target that was least loaded then; and under overload each target's queue of 24 stays full, 120 ms of waiting before an aim of 150. Change: policy 'least-expected': what a target had above the mean of its service falls away with its usual answer time; equal ones take turns. 'then.overload = shed': each gateway refuses a part of the requests by how long its own answers take, whoever is late already first, then by class (LoadShedder, CallerPatience). Overloads of a few percent for a second or two are still late: a gateway sees five answers a second.

--- a/lab/fuzz/storefuzz.cpp
+++ b/lab/fuzz/storefuzz.cpp
@@ -40,8 +40,7 @@
 
 void checkEvents(const GatewayDialect &dialect, const std::string &items)
 {
-    const StoreEvents heard
-        = dialect.readWatchAnswer(R"({"events":[)" + items + goodItem + R"(],"current_rev":7})");
+    const StoreEvents heard = dialect.readWatchAnswer(R"({"events":[)" + items + goodItem + R"(],"current_rev":7})");
     const bool hasGood = std::any_of(heard.events.begin(), heard.events.end(), [](const StoreEvent &event) {
         return event.target && isGood(*event.target);
     });
--- /dev/null
+++ b/sequoiausher/coordination/gateway/callerpatience.cpp
@@ -0,0 +1,26 @@
+#include "sequoiausher/coordination/gateway/callerpatience.h"
+
+#include <algorithm>
+
+namespace Sequoiausher {
+
+namespace {
+
+/** What was longest is forgotten after one to two of these: a route's callers change their patience rarely. */
+constexpr Millis windowLength{30000};
+
+} // namespace
+
+Millis CallerPatience::spent(const std::string &route, Millis timeLeft, Millis now)
+{
+    Longest &longest = this->routes[route];
+    if (now >= longest.since + windowLength * 2) {
+        longest = {Millis{0}, Millis{0}, now};
+    } else if (now >= longest.since + windowLength) {
+        longest = {Millis{0}, longest.present, now};
+    }
+    longest.present = std::max(longest.present, timeLeft);
+    return std::max(longest.present, longest.before) - timeLeft;
+}
+
+} // namespace Sequoiausher
--- a/sequoiausher/coordination/gateway/freshnesstest.cpp
+++ b/sequoiausher/coordination/gateway/freshnesstest.cpp
@@ -45,8 +45,8 @@
 }
 
 // Symptom: with each version of a storm all gateways refused keyed requests for some 40 ms, 226 in three seconds, while
-// others of them were killed. Events: a version arrives by a peer or a watch; its own proof takes a reading of the store
-// or a peer's report more. Cause: only proofs of the very version in force counted.
+// others of them were killed. Events: a version arrives by a peer or a watch; its own proof takes a reading of the
+// store or a peer's report more. Cause: only proofs of the very version in force counted.
 TEST_CASE("a proof of an older version holds for a newer one")
 {
     Freshness freshness;
@@ -214,15 +214,8 @@
         const Millis clock = now + gateway.clockOffset;
         if (this->oneIn(30)) {
             // The store answers by what it has now; the call began earlier.
-            this->underway.push_back({now + this->delay(60),
-                                      index,
-                                      true,
-                                      this->store.newest(now),
-                                      clock - this->upTo(40),
-                                      {},
-                                      {},
-                                      0,
-                                      {}});
+            this->underway.push_back(
+                {now + this->delay(60), index, true, this->store.newest(now), clock - this->upTo(40), {}, {}, 0, {}});
         }
         if (this->oneIn(10)) {
             const std::size_t peer = (index + 1 + this->random() % 2) % this->gateways.size();
--- a/sequoiausher/coordination/gateway/targetboard.cpp
+++ b/sequoiausher/coordination/gateway/targetboard.cpp
@@ -5,6 +5,7 @@
 #include "sequoiausher/coordination/policies/policy.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <unordered_map>
 #include <utility>
@@ -25,6 +26,12 @@
  * cached.
  */
 constexpr std::uint64_t boundSlack = 1;
+/** How old what peers said is on the average when it is used: a report, a hub's, and half of the time to the next. */
+constexpr double reportAgeMs = 450;
+/** What one more answer weighs in the usual time of a target's answers: some ten are remembered. */
+constexpr double answerTimeWeight = 0.1;
+/** Expectations are no better than to about a request. */
+constexpr double asGoodAsEqual = 0.7;
 
 struct BoardTarget
 {
@@ -35,6 +42,10 @@
     std::uint32_t peers = 0;
     /** Sent there by this gateway since its peers last heard of its loads, and so it of theirs. */
     std::uint32_t sinceReports = 0;
+    /** The number of the request that was last sent there; 0 for none. */
+    std::uint64_t sentOrder = 0;
+    /** How long its answers take; 0 before the first. */
+    double answerMs = 0;
     TargetHealthScore health;
     Millis fullUntil;
     Millis heardAt;
@@ -118,6 +129,52 @@
         return static_cast<std::uint32_t>((target.sinceReports - unremarkable) * this->otherGateways);
     }
 
+    /**
+     * What is in flight now, where peers' loads are older than the requests that they counted: of those as good as none
+     * is left, and as many others were sent since, to any target. What a target had above the mean falls away with its
+     * answers. Without this all gateways send to the target that was least loaded at the last reports, and the next
+     * reports find it overloaded: with three targets of 30 ms and reports of 300, a queue of 20 there while others
+     * idle.
+     */
+    static double expectedNow(const BoardTarget &target, double meanOfPeers)
+    {
+        const double left = target.answerMs > 0 ? std::exp(-reportAgeMs / target.answerMs) : 1;
+        return target.own + meanOfPeers + (static_cast<double>(target.peers) - meanOfPeers) * left;
+    }
+
+    /**
+     * The usable target where the fewest are expected; among those that are as good as equal the one that this gateway
+     * has sent nothing to for longest. Were the last hundredth to decide, all gateways would decide alike.
+     */
+    static std::optional<std::size_t> leastExpected(const std::vector<BoardTarget *> &candidates, const PoolLoad &load)
+    {
+        const double mean = meanOfPeers(candidates);
+        std::optional<std::size_t> best;
+        double least = 0;
+        for (std::size_t i = 0; i < candidates.size(); ++i) {
+            if (!load.targets[i].usable) {
+                continue;
+            }
+            const double expected = expectedNow(*candidates[i], mean);
+            const bool isEqual = best && std::abs(expected - least) < asGoodAsEqual;
+            const bool isLonger = isEqual && candidates[i]->sentOrder < candidates[*best]->sentOrder;
+            if (!best || isLonger || (!isEqual && expected < least)) {
+                best = i;
+                least = expected;
+            }
+        }
+        return best;
+    }
+
+    static double meanOfPeers(const std::vector<BoardTarget *> &candidates)
+    {
+        double sum = 0;
+        for (const BoardTarget *held : candidates) {
+            sum += held->peers;
+        }
+        return candidates.empty() ? 0 : sum / static_cast<double>(candidates.size());
+    }
+
     BoardTarget *find(const TargetId &id)
     {
         const auto found = this->targets.find(id);
@@ -139,6 +196,8 @@
     std::map<PoolId, std::vector<BoardTarget *>> byService;
     std::map<InstanceId, PeerLoads> peers;
     std::size_t otherGateways = 0;
+    /** Requests sent so far. */
+    std::uint64_t sent = 0;
     std::map<PolicyKind, std::unique_ptr<Policy>> policies;
 };
 
@@ -233,7 +292,9 @@
     }
     load.lowestBound = loadBound(wish.boundPercent, load.total, load.counted) + boundSlack;
     const Choice choice{wish.partHash, wish.boundPercent, holderBelowBound(wish, load), false, wish.firstPartHash};
-    std::optional<std::size_t> index = this->d->policy(wish.policy).choose(load, choice);
+    std::optional<std::size_t> index = wish.policy == PolicyKind::LeastExpected
+        ? Private::leastExpected(candidates, load)
+        : this->d->policy(wish.policy).choose(load, choice);
     if (!index && usable > 0) {
         index = this->d->policy(PolicyKind::LeastLoaded).choose(load, choice);
     }
@@ -262,6 +323,7 @@
     if (BoardTarget *held = this->d->find(target)) {
         held->own += 1;
         held->sinceReports += 1;
+        held->sentOrder = ++this->d->sent;
     }
 }
 
@@ -278,6 +340,14 @@
     return held != nullptr ? held->heardAt : Millis{0};
 }
 
+void TargetBoard::answerTook(const TargetId &target, Millis took)
+{
+    if (BoardTarget *held = this->d->find(target)) {
+        const auto given = static_cast<double>(took.count);
+        held->answerMs += held->answerMs > 0 ? (given - held->answerMs) * answerTimeWeight : given;
+    }
+}
+
 void TargetBoard::ended(const TargetId &target, AttemptMark mark, Millis now)
 {
     BoardTarget *held = this->d->find(target);
--- a/sequoiausher/coordination/gateway/targetboard.h
+++ b/sequoiausher/coordination/gateway/targetboard.h
@@ -89,6 +89,8 @@
     void heard(const TargetId &target, Millis now);
     /** When it last did; 0 for never. */
     Millis lastHeard(const TargetId &target) const;
+    /** A request that the target answered took so long there. */
+    void answerTook(const TargetId &target, Millis took);
     /** It is over there. */
     void ended(const TargetId &target, AttemptMark mark, Millis now);
 
--- a/sequoiausher/coordination/gateway/targetlist.h
+++ b/sequoiausher/coordination/gateway/targetlist.h
@@ -53,8 +53,9 @@
     /** Everything that the store lists at revision. */
     void replaceAll(const std::vector<GatewayTarget> &targets, Revision at, Millis now);
     /**
-     * An entry was written. One of an earlier life than the known one changes nothing: a target that starts again behind
-     * a cut has its old life's last words arrive after its own first. One that tells no life is of the known one.
+     * An entry was written. One of an earlier life than the known one changes nothing: a target that starts again
+     * behind a cut has its old life's last words arrive after its own first. One that tells no life is of the known
+     * one.
      */
     void put(const GatewayTarget &target, Revision at);
     /** The entry of that name was removed. */
--- a/sequoiausher/coordination/gateway/targetlisttest.cpp
+++ b/sequoiausher/coordination/gateway/targetlisttest.cpp
@@ -252,9 +252,9 @@
 }
 
 // Symptom: one gateway sent requests to an entry that another writer had spoilt, another one did not.
-// Events: a good entry is overwritten by one that cannot be read; the first gateway hears of it by its watch, the second
-// reads the list anew.
-// Cause: what could not be read was left out of a list, and ignored where it came as a change.
+// Events: a good entry is overwritten by one that cannot be read; the first gateway hears of it by its watch, the
+// second reads the list anew. Cause: what could not be read was left out of a list, and ignored where it came as a
+// change.
 TEST_CASE("an entry that cannot be read names no target, however it is learnt, and the others hold")
 {
     TargetList watching;
--- a/sequoiausher/coordination/messages/admissionmessages.h
+++ b/sequoiausher/coordination/messages/admissionmessages.h
@@ -23,6 +23,7 @@
     TwoChoices,
     LeastLoaded,
     PrefixRendezvous,
+    LeastExpected,
 };
 
 template<>
@@ -33,6 +34,7 @@
     {PolicyKind::TwoChoices, "two-choices"},
     {PolicyKind::LeastLoaded, "least-loaded"},
     {PolicyKind::PrefixRendezvous, "prefix-rendezvous"},
+    {PolicyKind::LeastExpected, "least-expected"},
 });
 
 /** What an owner answers to a reservation. */
--- a/sequoiausher/coordination/policies/policy.cpp
+++ b/sequoiausher/coordination/policies/policy.cpp
@@ -223,6 +223,8 @@
     case PolicyKind::TwoChoices:
         return std::make_unique<TwoChoicesPolicy>(seed);
     case PolicyKind::LeastLoaded:
+    // Who chooses counts what it expects to be in flight; where counts are exact, that is what is.
+    case PolicyKind::LeastExpected:
         return std::make_unique<LeastLoadedPolicy>();
     case PolicyKind::PrefixRendezvous:
         return std::make_unique<PrefixRendezvousPolicy>();
--- a/sequoiausher/coordination/rules/decision.h
+++ b/sequoiausher/coordination/rules/decision.h
@@ -65,6 +65,20 @@
     {CacheMiss::Copy, "copy"},
 });
 
+/** What becomes of requests to a service that is asked for more than it can do in time. */
+enum class Overload {
+    /** Its targets queue them, and reject what their queues do not hold. */
+    Queue,
+    /** As many are refused at once as it takes for the others to be answered in time. */
+    Shed,
+};
+
+template<>
+inline constexpr auto nameTable<Overload> = std::to_array<NameEntry<Overload>>({
+    {Overload::Queue, "queue"},
+    {Overload::Shed, "shed"},
+});
+
 /** What an organisation may take of the pool through this rule; absent means no limit of its own. */
 struct RuleLimits
 {
@@ -116,6 +130,8 @@
     ClaimMode claim = ClaimMode::Optional;
     /** Obeyed by gateways alone. */
     CacheMiss cacheMiss = CacheMiss::Read;
+    /** Obeyed by gateways alone. */
+    Overload overload = Overload::Queue;
     /** Both empty, or both set. */
     std::string experiment;
     std::string arm;
--- a/sequoiausher/coordination/rules/ruleaction.cpp
+++ b/sequoiausher/coordination/rules/ruleaction.cpp
@@ -34,6 +34,7 @@
                                       .value_or(decision.retryBudgetPercent);
     decision.claim = section.name<ClaimMode>("then.claim").value_or(decision.claim);
     decision.cacheMiss = section.name<CacheMiss>("then.cache_miss").value_or(decision.cacheMiss);
+    decision.overload = section.name<Overload>("then.overload").value_or(decision.overload);
     decision.experiment = section.plainName("then.experiment").value_or("");
     decision.arm = section.plainName("then.arm").value_or("");
 }
--- a/sequoiausher/transport/gateway/gatewayadmission.cpp
+++ b/sequoiausher/transport/gateway/gatewayadmission.cpp
@@ -23,6 +23,8 @@
 /** When to come back where the gateway has just started, or cannot prove its keys. */
 constexpr Millis retryWhenStarting{500};
 constexpr Millis retryWhenUnproved{700};
+/** When to come back where the service is overloaded: its aim has passed by then, so callers are spread out first. */
+constexpr Millis retryWhenShed{350};
 
 RequestClass classOf(std::uint32_t priority)
 {
@@ -51,6 +53,8 @@
     bool mayDeny() const;
     std::optional<GatewayRefusal> findOrganisation();
     std::optional<GatewayRefusal> decide();
+    /** Refuses a part of the requests to a service that cannot answer all in time. */
+    std::optional<GatewayRefusal> shed();
     RequestFacts facts() const;
 
     GatewayContext &context;
@@ -169,7 +173,21 @@
     time = std::min(time, decided->deadline.value_or(time));
     this->admitted.deadline = this->receivedAt + time;
     this->context.repeats.countRequest(this->admitted.service, this->receivedAt);
-    return std::nullopt;
+    return decided->overload == Overload::Shed ? this->shed() : std::nullopt;
+}
+
+std::optional<GatewayRefusal> Admission::shed()
+{
+    const GatewayRoute &route = *this->admitted.route;
+    const Millis left = this->admitted.request.timeLeft.value_or(route.timeout);
+    const Millis spent = this->context.patience.spent(route.name, left, this->receivedAt);
+    const SheddingRank rank{this->admitted.requestClass, spent >= route.latencyAim};
+    this->admitted.admittedPart = this->context.shedder.admittedPart(this->admitted.service, rank, this->receivedAt);
+    if (this->context.shedder.admits(this->admitted.service, rank, this->context.draw(), this->receivedAt)) {
+        return std::nullopt;
+    }
+    const Millis retry = this->context.spread(retryWhenShed);
+    return GatewayRefusal{statusUnavailable, "the service is overloaded", retry, Outcome::RefusedFull};
 }
 
 } // namespace
--- a/sequoiausher/transport/gateway/gatewayadmission.h
+++ b/sequoiausher/transport/gateway/gatewayadmission.h
@@ -30,6 +30,8 @@
     PoolId service;
     RequestLabels labels;
     PromptParts parts;
+    /** The part of such requests that went on, where the rule lets its service shed. */
+    double admittedPart = 1;
     /** Of the last shared part; of the request itself where it has none. */
     std::uint64_t partHash = 0;
     /** When its final answer is due. */
--- a/sequoiausher/transport/gateway/gatewaycontext.cpp
+++ b/sequoiausher/transport/gateway/gatewaycontext.cpp
@@ -49,6 +49,11 @@
     return least + Millis{extra(this->random)};
 }
 
+double GatewayContext::draw()
+{
+    return std::uniform_real_distribution<double>(0, 1)(this->random);
+}
+
 void GatewayContext::firstAnswerTook(const PoolId &service, Millis time)
 {
     const auto given = static_cast<double>(time.count);
--- a/sequoiausher/transport/gateway/gatewaycontext.h
+++ b/sequoiausher/transport/gateway/gatewaycontext.h
@@ -7,7 +7,9 @@
 
 #include "sequoiausher/base/log/log.h"
 #include "sequoiausher/base/metrics/metrics.h"
+#include "sequoiausher/coordination/gateway/callerpatience.h"
 #include "sequoiausher/coordination/gateway/freshness.h"
+#include "sequoiausher/coordination/gateway/loadshedder.h"
 #include "sequoiausher/coordination/gateway/partdirectory.h"
 #include "sequoiausher/coordination/gateway/peerbook.h"
 #include "sequoiausher/coordination/gateway/repeatshare.h"
@@ -45,6 +47,8 @@
     Revision revision() const;
     /** A span from least to twice least, so that those who were refused together do not return together. */
     Millis spread(Millis least);
+    /** At random, from 0 up to 1. */
+    double draw();
     /** Remembers how long a service took to begin an answer. */
     void firstAnswerTook(const PoolId &service, Millis time);
     /** About how long it takes; 0 before the first. */
@@ -62,6 +66,8 @@
     RepeatShare repeats;
     PeerBook peers;
     TargetBoard board;
+    LoadShedder shedder;
+    CallerPatience patience;
     PartDirectory parts;
     TargetPools pools;
     bool isStopping = false;
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -47,6 +47,8 @@
 /** Log lines name a shared part by a number below this: enough to tell the parts of a day apart. */
 constexpr std::uint64_t partNames = 1000000;
 
+constexpr double percent = 100;
+
 /** One chunk of a chunked body. */
 std::string chunkOf(std::string_view bytes)
 {
@@ -87,6 +89,8 @@
     void endAttempt(AttemptEnd end, AttemptMark mark, Millis now);
     void follow(AttemptEnd end, Millis now);
     void closeCall(AttemptMark mark, Millis now);
+    /** Learns from an answer how long the target takes, and whether its service is overloaded. */
+    void noteAnswerTime(Millis now);
     void passOnHeld(Millis now);
     void beginStream();
     void giveEvents(const std::string &events, Millis now);
@@ -279,6 +283,18 @@
     this->context.freeLater(std::shared_ptr<GatewayCall>(std::move(this->call)));
 }
 
+void GatewayExchange::Private::noteAnswerTime(Millis now)
+{
+    const Millis took = now - this->sentAt;
+    this->context.board.answerTook(this->chosen.target.id, took);
+    if (this->admitted.decision.overload != Overload::Shed) {
+        return;
+    }
+    const PoolId &service = this->admitted.service;
+    const bool isCrowded = this->context.board.inFlight(service, now) > this->context.board.places(service);
+    this->context.shedder.answered(service, {took, this->admitted.route->latencyAim, isCrowded}, now);
+}
+
 void GatewayExchange::Private::endAttempt(AttemptEnd end, AttemptMark mark, Millis now)
 {
     if (end == AttemptEnd::NotSent) {
@@ -294,6 +310,9 @@
                             {"how", std::string(nameOf(end))},
                             {"after_ms", std::to_string((now - this->sentAt).count)},
                             {"events", std::to_string(this->cutter.eventCount())}});
+    if (mark == AttemptMark::Full && this->admitted.decision.overload == Overload::Shed) {
+        this->context.shedder.rejected(this->admitted.service, now);
+    }
     this->closeCall(mark, now);
     this->follow(end, now);
 }
@@ -459,6 +478,7 @@
         this->d->endAttempt(AttemptEnd::Failed, AttemptMark::Failed, now);
         return;
     }
+    this->d->noteAnswerTime(now);
     this->d->closeCall(isFailure ? AttemptMark::Failed : AttemptMark::Answered, now);
     if (this->d->isAnswerBegun) {
         this->d->endStream();
@@ -564,6 +584,7 @@
          {"target_load", std::to_string(this->chosen.inFlight)},
          {"service_load", std::to_string(this->chosen.total)},
          {"usable", std::to_string(this->chosen.usable)},
+         {"admitted_percent", std::to_string(static_cast<int>(this->admitted.admittedPart * percent))},
          {"configuration", std::to_string(this->admitted.table ? this->admitted.table->configuration().revision : 0)},
          {"proof_age_ms", text(this->context.proofAge(now))},
          {"first_ms", this->firstPartAt == Millis{0} ? "none" : text(this->firstPartAt - this->receivedAt)},
