Let a large fleet call the store less: proofs by the strongest links, and longer pauses in an outage

In the outage of eight seconds all 75 tried two calls each 0.8 s. Ruled out: gateways that know of a newer version (no wake-up by it), lost hubs (none). Change: the pause after a reading goes by the gateway's own link; while a hub vouches for the list, an old proof brings one reading by one gateway after the other, no list and no watch; where hubs try, the others' pauses grow with the fleet to 4 s.

--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -136,7 +136,8 @@
 
 void GatewayNode::Private::watchStore()
 {
-    this->watcher = std::make_unique<StoreWatcher>(this->dialect, this->context.settings.store, this->log, *this);
+    const GatewaySettings &settings = this->context.settings;
+    this->watcher = std::make_unique<StoreWatcher>(this->dialect, settings.store, settings.linkMbps, this->log, *this);
     this->watcher->tick(Millis::monotonicNow(), Millis::never());
 }
 
@@ -174,6 +175,7 @@
 {
     const Millis now = Millis::monotonicNow();
     this->watcher->setResting(this->peers.mayRest(now));
+    this->watcher->setLongestPause(this->peers.longestStorePause(now));
     // One that knows of a newer version than its own reads it without delay.
     this->watcher->tick(now, this->context.isBehind() ? Millis::never() : this->context.proofAge(now));
     this->peers.tick(now);
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -34,6 +34,11 @@
 constexpr std::uint64_t membersEvery = 4;
 /** A link on which nothing is heard for so long has gone silent; reports come several times in it. */
 constexpr Millis linkSilence{1500};
+/** Pauses between calls to a store that does not answer: a fleet shall try some ten times a second in all. */
+constexpr Millis usualStorePause{800};
+constexpr Millis storePauseOfEach{100};
+/** A gateway that alone reaches the store, or alone lost its peers, must hear of a target that leaves in time. */
+constexpr Millis longestStorePauseOfAny{4000};
 constexpr Millis longestRedial{800};
 
 LinkSettings linkSettings(const GatewaySettings &settings, Incarnation incarnation)
@@ -239,8 +244,17 @@
 bool GatewayPeers::Private::mayRest(Millis now) const
 {
     const PeerBook &book = this->context.peers;
-    return book.hasHubs(now) && !book.isHub(now) && now - this->hubVouchedAt < vouchLife
-        && this->context.proofAge(now) < vouchLife && !this->context.isBehind();
+    return book.hasHubs(now) && !book.isHub(now) && now - this->hubVouchedAt < vouchLife;
+}
+
+Millis GatewayPeers::longestStorePause(Millis now) const
+{
+    const PeerBook &book = this->d->context.peers;
+    if (!book.hasHubs(now) || book.isHub(now)) {
+        return usualStorePause;
+    }
+    const Millis shared = storePauseOfEach * static_cast<std::int64_t>(book.fleetSize(now));
+    return std::clamp(shared, usualStorePause, longestStorePauseOfAny);
 }
 
 void GatewayPeers::Private::received(const InstanceId &from, Incarnation /*incarnation*/, PeerMessage message)
--- a/sequoiausher/transport/gateway/storewatcher.cpp
+++ b/sequoiausher/transport/gateway/storewatcher.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <random>
 #include <utility>
 
@@ -20,13 +21,18 @@
  */
 constexpr Millis gatherTime{150};
 /**
- * Bytes that a reading of the configuration may take in a millisecond, on the average: half of what a link of 10 Mbit/s
- * carries. A configuration of a megabyte, read as often as a small one, would leave such a link no room for callers.
+ * Bytes that readings of the configuration may take in a millisecond for each Mbit/s of the link, on the average: half
+ * of what it carries. A configuration of a megabyte, read as often as a small one, would leave a link of 10 Mbit/s no
+ * room for callers. The strongest instances, which read for the others, must not be slowed down by that: where the
+ * proofs that they pass on grew old, a fleet of 75 read everything by itself every two seconds, 200 calls each time.
  */
-constexpr std::int64_t slowestLink = 600;
+constexpr double bytesPerMbps = 62.5;
+/** While peers pass proofs on, one that is older than this is asked for here, by one gateway after the other. */
+constexpr Millis oldProof{1300};
+constexpr Millis oldProofSpread{1200};
 /** After a failed call the next one waits for so long; doubled each time up to the most, with jitter. */
 constexpr Millis firstPause{100};
-constexpr Millis longestPause{800};
+constexpr Millis usualLongestPause{800};
 
 /** One line of calls with its own pauses. */
 struct CallLine
@@ -45,7 +51,11 @@
 class StoreWatcher::Private
 {
 public:
-    Private(const GatewayDialect &speaks, const StoreSettings &with, const Log &writes, StoreListener &hears)
+    Private(const GatewayDialect &speaks,
+            const StoreSettings &with,
+            double linkMbps,
+            const Log &writes,
+            StoreListener &hears)
         : dialect(speaks)
         , settings(with)
         , log(writes)
@@ -53,11 +63,16 @@
         , proof(with.address)
         , changes(with.address)
         , proofInterval(with.proofInterval)
+        , bytesPerMs(std::max(linkMbps * bytesPerMbps, 1.0))
         , random(std::random_device{}())
     {
+        this->drawRestingProofAge();
     }
 
     void prove();
+    /** At which age of the proof a gateway whose peers pass proofs on reads the configuration itself. */
+    void drawRestingProofAge();
+    Millis dueProofAge() const;
     void listTargets(const std::string &next);
     void targetsListed(const StoreAnswer &answer);
     void watch();
@@ -82,6 +97,9 @@
     bool mustProve = true;
     /** As the settings say, and longer where the configuration is large. */
     Millis proofInterval;
+    double bytesPerMs;
+    Millis restingProofAge;
+    Millis longestPause = usualLongestPause;
     bool isResting = false;
     std::vector<GatewayTarget> listed;
     std::vector<TargetId> unreadable;
@@ -93,9 +111,10 @@
 
 StoreWatcher::StoreWatcher(const GatewayDialect &dialect,
                            const StoreSettings &settings,
+                           double linkMbps,
                            const Log &log,
                            StoreListener &listener)
-    : d(std::make_unique<Private>(dialect, settings, log, listener))
+    : d(std::make_unique<Private>(dialect, settings, linkMbps, log, listener))
 {
 }
 
@@ -105,16 +124,15 @@
 {
     this->d->proof.calls.tick(now);
     this->d->changes.calls.tick(now);
-    const bool hasRead = !this->d->mustProve && this->d->watchedFrom > 0;
-    if (this->d->isResting && hasRead) {
-        return;
-    }
     if (!this->d->proof.calls.isBusy() && now >= this->d->proof.nextAt) {
         // Peers vouch for each other's proofs, so in a fleet that is in touch a few readings serve all.
-        if (this->d->mustProve || proofAge >= this->d->proofInterval) {
+        if (this->d->mustProve || proofAge >= this->d->dueProofAge()) {
             this->d->prove();
         }
     }
+    if (this->d->isResting && this->d->watchedFrom > 0) {
+        return;
+    }
     if (!this->d->changes.calls.isBusy() && now >= this->d->changes.nextAt) {
         if (this->d->watchedFrom == 0) {
             this->d->listed.clear();
@@ -127,6 +145,22 @@
     }
 }
 
+void StoreWatcher::setLongestPause(Millis pause)
+{
+    this->d->longestPause = pause;
+}
+
+Millis StoreWatcher::Private::dueProofAge() const
+{
+    return this->isResting ? std::max(this->restingProofAge, this->proofInterval) : this->proofInterval;
+}
+
+void StoreWatcher::Private::drawRestingProofAge()
+{
+    std::uniform_int_distribution<std::int64_t> spread(0, oldProofSpread.count);
+    this->restingProofAge = oldProof + Millis{spread(this->random)};
+}
+
 void StoreWatcher::setResting(bool on)
 {
     if (on == this->d->isResting) {
@@ -154,7 +188,7 @@
 {
     std::uniform_int_distribution<std::int64_t> jitter(line.pause.count / 2, line.pause.count);
     line.nextAt = Millis::monotonicNow() + Millis{jitter(this->random)};
-    line.pause = std::min(line.pause * 2, longestPause);
+    line.pause = std::min(line.pause * 2, this->longestPause);
     if (!std::exchange(this->isLost, true)) {
         this->log.warning(LogPart::Platform, "store lost", {{"call", std::string(what)}, {"why", problem}});
         this->listener.storeLost(problem);
@@ -194,8 +228,9 @@
         try {
             const StoredConfiguration stored = this->dialect.readConfigurationAnswer(a.status, a.body);
             this->mustProve = false;
-            this->proofInterval
-                = this->settings.proofInterval + Millis{static_cast<std::int64_t>(a.body.size()) / slowestLink};
+            this->proofInterval = this->settings.proofInterval
+                + Millis{std::llround(static_cast<double>(a.body.size()) / this->bytesPerMs)};
+            this->drawRestingProofAge();
             // Not all at once: whoever is first spares the others theirs.
             std::uniform_int_distribution<std::int64_t> jitter(0, this->settings.proofInterval.count / 2);
             this->proof.nextAt = a.startedAt + Millis{jitter(this->random)};
--- a/sequoiausher/transport/gateway/storewatcher.h
+++ b/sequoiausher/transport/gateway/storewatcher.h
@@ -26,7 +26,8 @@
     virtual void configurationRead(const StoredConfiguration &stored, std::optional<Millis> readAt) = 0;
     /** @param unreadable names under which something lies that cannot be read. */
     virtual void
-    targetsRead(const std::vector<GatewayTarget> &targets, const std::vector<TargetId> &unreadable, Revision at) = 0;
+    targetsRead(const std::vector<GatewayTarget> &targets, const std::vector<TargetId> &unreadable, Revision at)
+        = 0;
     virtual void targetWritten(const GatewayTarget &target, Revision at) = 0;
     virtual void targetRemoved(const TargetId &name, Revision at) = 0;
     /** What lies under the target's name cannot be read. */
@@ -43,8 +44,12 @@
 class StoreWatcher
 {
 public:
-    /** All references outlive it. */
-    StoreWatcher(const GatewayDialect &dialect, const StoreSettings &settings, const Log &log, StoreListener &listener);
+    /** All references outlive it. @param linkMbps what the instance's link carries. */
+    StoreWatcher(const GatewayDialect &dialect,
+                 const StoreSettings &settings,
+                 double linkMbps,
+                 const Log &log,
+                 StoreListener &listener);
     ~StoreWatcher();
     StoreWatcher(const StoreWatcher &) = delete;
     StoreWatcher &operator=(const StoreWatcher &) = delete;
@@ -52,10 +57,13 @@
     /** @param proofAge how long ago the configuration in force was proven to be the newest, by whomever. */
     void tick(Millis now, Millis proofAge);
     /**
-     * Makes no calls while on, but for the first list and configuration: peers tell what the store says. Switched off,
-     * everything is read again, since what changed meanwhile may not be in the store's history.
+     * Neither lists nor watches while on, but for the first list and configuration: peers tell what the store says. It
+     * still reads the configuration where no proof comes by a peer. Switched off, everything is read again, since what
+     * changed meanwhile may not be in the store's history.
      */
     void setResting(bool on);
+    /** The longest pause between two calls that fail. */
+    void setLongestPause(Millis pause);
     /** Calls made so far. */
     std::uint64_t calls() const;
 
