Let requests wait for a gateway's start, and judge waits apart from the wire

Change: a request that comes before the gateway is ready for the first time waits for that, 0.3 s after the start at most, and is refused at once where a call to the store fails. No behaviour but one: when to give up, go elsewhere or go on is judged by judgeWait(), with a table of cases; the exchange obeys.

--- a/sequoiausher/coordination/gateway/targetboard.cpp
+++ b/sequoiausher/coordination/gateway/targetboard.cpp
@@ -194,6 +194,8 @@
     std::map<TargetId, BoardTarget> targets;
     /** The targets of each service, listed and not leaving. */
     std::map<PoolId, std::vector<BoardTarget *>> byService;
+    /** The present life of each listed target, by its name. */
+    std::unordered_map<TargetId, TargetId> lives;
     std::map<InstanceId, PeerLoads> peers;
     std::size_t otherGateways = 0;
     /** Requests sent so far. */
@@ -213,7 +215,9 @@
     for (auto &[id, held] : this->d->targets) {
         held.isListed = false;
     }
+    this->d->lives.clear();
     for (const GatewayTarget &target : targets) {
+        this->d->lives.emplace(listedName(target), target.id);
         BoardTarget &held = this->d->targets[target.id];
         held.target = target;
         held.hash = hash64(target.id.value);
@@ -420,6 +424,12 @@
     return all;
 }
 
+bool TargetBoard::isLifeOver(const GatewayTarget &target) const
+{
+    const auto present = this->d->lives.find(listedName(target));
+    return present != this->d->lives.end() && present->second != target.id;
+}
+
 bool TargetBoard::isUsable(const TargetId &target) const
 {
     const BoardTarget *held = this->d->find(target);
--- a/sequoiausher/coordination/gateway/targetboard.h
+++ b/sequoiausher/coordination/gateway/targetboard.h
@@ -100,6 +100,8 @@
     std::vector<GatewayLoad> ownLoads(Millis now) const;
     /** The same with what all peers but some have. */
     std::vector<GatewayLoad> loads(const std::vector<InstanceId> &without, Millis now);
+    /** The platform lists another life under the target's name: what this one was sent is lost. */
+    bool isLifeOver(const GatewayTarget &target) const;
     /** Listed and not leaving. */
     bool isUsable(const TargetId &target) const;
     std::size_t targetCount(const PoolId &service) const;
--- a/sequoiausher/coordination/gateway/targetboardtest.cpp
+++ b/sequoiausher/coordination/gateway/targetboardtest.cpp
@@ -163,3 +163,51 @@
     CHECK(board.inFlight(engines, Millis{2000}) == 0);
     CHECK(board.places(engines) == 12 * 64);
 }
+
+namespace {
+
+std::vector<GatewayTarget> oneLife(std::int64_t bornAt)
+{
+    GatewayTarget target = twelve().front();
+    target.bornAt = Millis{bornAt};
+    target.id = targetLife(target.id, target.bornAt);
+    return {target};
+}
+
+} // namespace
+
+// Symptom: a target that had just started was passed over for seconds, or taken for one that holds what it never read.
+// Events: it crashes with requests in flight, starts again under its name, and others' reports of before still arrive.
+// Cause: loads, failures and placements were kept by the name.
+TEST_CASE("nothing that is known of a life goes over to the next one")
+{
+    TargetBoard board(1);
+    board.setTargets(oneLife(100), Millis{0});
+    const GatewayTarget before = oneLife(100).front();
+    const GatewayTarget after = oneLife(200).front();
+    board.started(before.id);
+    board.started(before.id);
+    board.ended(before.id, AttemptMark::Lost, Millis{10});
+    board.ended(before.id, AttemptMark::Lost, Millis{10});
+    board.started(before.id);
+    board.peerReported(InstanceId{"p"}, {{before.id, 7, true}}, Millis{10});
+    CHECK_FALSE(board.isLifeOver(before));
+
+    board.setTargets(oneLife(200), Millis{20});
+    CHECK(board.isLifeOver(before));
+    CHECK_FALSE(board.isLifeOver(after));
+    // A report that was written before its sender heard of the new life, and one that comes out of order.
+    board.peerReported(InstanceId{"q"}, {{before.id, 5, true}}, Millis{20});
+    const auto chosen = board.choose(wishOf(1), Millis{20});
+    REQUIRE(chosen);
+    CHECK(chosen->target == after);
+    CHECK(chosen->inFlight == 0);
+    CHECK(chosen->total == 0);
+    // A part that the old life had read is held by nobody, and copied from nobody.
+    TargetWish wish = wishOf(1);
+    wish.holders = {before.id};
+    CHECK(board.choose(wish, Millis{20})->target == after);
+    CHECK_FALSE(board.copySource({before.id}, Millis{20}));
+    board.ended(before.id, AttemptMark::Neutral, Millis{30});
+    CHECK(board.ownLoads(Millis{30}).empty());
+}
--- a/sequoiausher/transport/gateway/gatewayadmission.cpp
+++ b/sequoiausher/transport/gateway/gatewayadmission.cpp
@@ -20,8 +20,9 @@
 constexpr Millis answerTravel{10};
 /** A configuration that was proven within so long may be gone by when it says that something does not exist. */
 constexpr Millis provenLately{1500};
-/** When to come back where the gateway has just started, or cannot prove its keys. */
-constexpr Millis retryWhenStarting{500};
+/** When to come back where the gateway has just started without the store: another one most likely has all it needs. */
+constexpr Millis retryWhenStarting{250};
+/** When to come back where it cannot prove its keys. */
 constexpr Millis retryWhenUnproved{700};
 /** When to come back where the service is overloaded: its aim has passed by then, so callers are spread out first. */
 constexpr Millis retryWhenShed{350};
--- a/sequoiausher/transport/gateway/gatewaycontext.h
+++ b/sequoiausher/transport/gateway/gatewaycontext.h
@@ -71,6 +71,10 @@
     PartDirectory parts;
     TargetPools pools;
     bool isStopping = false;
+    /** Not yet ready for the first time since its start. */
+    bool isStarting = true;
+    /** Requests that come while it starts wait until then at the most. */
+    Millis startsUntil;
     std::mt19937_64 random;
     std::vector<std::shared_ptr<void>> doomed;
 
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -23,20 +23,6 @@
 constexpr int statusRequestTimeout = 408;
 constexpr int statusMisdirected = 421;
 
-/** A target in the same region answers a connection within a few milliseconds; a dead one never does. */
-constexpr Millis connectPatience{400};
-/**
- * The part of the aim after which a request that may run twice is better off elsewhere: less where its target has said
- * nothing to anybody since it was sent, and is most likely dead; more where the target is at work and only slow, since
- * another one would have to read the prompt anew.
- */
-constexpr double patientPart = 0.7;
-constexpr double patientPartAtWork = 1.5;
-/** And how many times the usual time a target may take before that. */
-constexpr std::int64_t patientTimes = 4;
-/** A stream that pauses for so many times what its route calls late has lost its target. */
-constexpr std::int64_t patientGaps = 4;
-constexpr Millis leastGapPatience{1200};
 /** When to come back where no target is free. */
 constexpr Millis retryWhenFull{200};
 /** An answer of a plain service up to this size is held until it is whole, so that a broken one can be replaced. */
@@ -81,6 +67,8 @@
     {
     }
 
+    /** Admits the request and sends it, or refuses it. */
+    void begin();
     void attempt(Millis now);
     std::optional<ChosenTarget> chooseTarget(Millis now);
     std::string copySource(const ChosenTarget &target, Millis now);
@@ -100,12 +88,13 @@
     void log(std::string_view outcome, std::string_view how, Millis now) const;
     std::string headLine(const HttpHead &answer) const;
     bool mustClose() const;
-    Millis firstAnswerPatience() const;
+    WaitState waitState(Millis now) const;
     bool isEventStream() const;
     bool saysNotRun() const;
     AttemptMark markOfNotRun() const;
     bool payForRepeat(Millis now);
     void checkTimes(Millis now);
+    void goElsewhere(Millis now);
 
     GatewayExchange &self;
     GatewayContext &context;
@@ -138,6 +127,8 @@
     bool isReadingPaused = false;
     Millis firstPartAt;
     Millis lastPartAt;
+    /** It waits for the gateway's start. */
+    bool isHeld = false;
     bool over = false;
     std::string reasonOfEnd;
     int statusGiven = 0;
@@ -160,15 +151,23 @@
 }
 
 void GatewayExchange::start()
+{
+    this->d->isHeld = this->d->context.isStarting && this->d->receivedAt < this->d->context.startsUntil;
+    if (!this->d->isHeld) {
+        this->d->begin();
+    }
+}
+
+void GatewayExchange::Private::begin()
 {
     const std::optional<GatewayRefusal> refusal
-        = admitRequest(this->d->context, this->d->head, this->d->receivedAt, this->d->admitted);
+        = admitRequest(this->context, this->head, this->receivedAt, this->admitted);
     if (refusal) {
-        this->d->answerOwn(refusal->status, refusal->reason, refusal->retryAfter, refusal->outcome);
+        this->answerOwn(refusal->status, refusal->reason, refusal->retryAfter, refusal->outcome);
         return;
     }
-    this->d->cutter = EventCutter(this->d->admitted.request.lastEventId);
-    this->d->attempt(this->d->receivedAt);
+    this->cutter = EventCutter(this->admitted.request.lastEventId);
+    this->attempt(std::max(this->receivedAt, Millis::monotonicNow()));
 }
 
 void GatewayExchange::Private::attempt(Millis now)
@@ -591,16 +590,33 @@
          {"took_ms", text(now - this->receivedAt)}});
 }
 
-Millis GatewayExchange::Private::firstAnswerPatience() const
+WaitState GatewayExchange::Private::waitState(Millis now) const
 {
-    const bool isAtWork = this->context.board.lastHeard(this->chosen.target.id) > this->sentAt;
-    const double share = isAtWork ? patientPartAtWork : patientPart;
-    const auto part = static_cast<std::int64_t>(static_cast<double>(this->admitted.route->latencyAim.count) * share);
-    return std::max(Millis{part}, this->context.usualFirstAnswer(this->admitted.service) * patientTimes);
+    const GatewayRoute &route = *this->admitted.route;
+    WaitState state;
+    state.now = now;
+    state.deadline = this->admitted.deadline;
+    state.sentAt = this->sentAt;
+    state.lastPartAt = this->lastPartAt;
+    state.targetHeardAt = this->context.board.lastHeard(this->chosen.target.id);
+    state.isConnected = this->call && this->call->isConnected();
+    state.hasEvents = this->cutter.eventCount() > 0 && this->hasAnswerHead;
+    state.isReadingPaused = this->isReadingPaused;
+    state.isLifeOver = this->context.board.isLifeOver(this->chosen.target);
+    state.mayRunElsewhere = route.isIdempotent() && this->targetsUsed < route.mostTargets;
+    state.latencyAim = route.latencyAim;
+    state.gapAim = route.gapAim;
+    state.usualFirstAnswer = this->context.usualFirstAnswer(this->admitted.service);
+    return state;
 }
 
 void GatewayExchange::tick(Millis now)
 {
+    if (this->d->isHeld && (!this->d->context.isStarting || now >= this->d->context.startsUntil)) {
+        this->d->isHeld = false;
+        this->d->begin();
+        return;
+    }
     if (!this->d->over && this->d->admitted.route != nullptr) {
         this->d->checkTimes(now);
     }
@@ -608,28 +624,31 @@
 
 void GatewayExchange::Private::checkTimes(Millis now)
 {
-    if (now >= this->admitted.deadline) {
-        this->endAttempt(AttemptEnd::TimeUp, this->hasAnswerHead ? AttemptMark::Neutral : AttemptMark::Lost, now);
+    const bool isTimeUp = now >= this->admitted.deadline;
+    if (!this->call && !isTimeUp) {
         return;
     }
-    if (!this->call) {
+    switch (judgeWait(this->waitState(now))) {
+    case WaitVerdict::GoOn:
         return;
-    }
-    if (!this->call->isConnected()) {
-        if (now - this->sentAt >= connectPatience) {
-            this->endAttempt(AttemptEnd::NotSent, AttemptMark::Lost, now);
-        }
+    case WaitVerdict::TimeUp:
+        this->endAttempt(AttemptEnd::TimeUp, this->hasAnswerHead ? AttemptMark::Neutral : AttemptMark::Lost, now);
         return;
-    }
-    const bool mayGoElsewhere = this->admitted.route->isIdempotent()
-        && this->targetsUsed < this->admitted.route->mostTargets && !this->isReadingPaused;
-    if (!mayGoElsewhere) {
+    case WaitVerdict::NoConnection:
+        this->endAttempt(AttemptEnd::NotSent, AttemptMark::Lost, now);
+        return;
+    case WaitVerdict::Lost:
+        this->endAttempt(this->hasAnswerHead ? AttemptEnd::Broken : AttemptEnd::NoAnswer, AttemptMark::Neutral, now);
+        return;
+    case WaitVerdict::BetterElsewhere:
+        this->goElsewhere(now);
         return;
     }
-    const bool hasParts = this->cutter.eventCount() > 0 && this->hasAnswerHead;
-    const Millis gapPatience = std::max(this->admitted.route->gapAim * patientGaps, leastGapPatience);
-    const Millis patience = hasParts ? gapPatience : this->firstAnswerPatience();
-    if (now - this->lastPartAt < patience || !this->chooseTarget(now)) {
+}
+
+void GatewayExchange::Private::goElsewhere(Millis now)
+{
+    if (!this->chooseTarget(now)) {
         return;
     }
     // Without the budget for another target this one is the best chance that is left.
--- a/sequoiausher/transport/gateway/gatewayexchange.h
+++ b/sequoiausher/transport/gateway/gatewayexchange.h
@@ -7,6 +7,7 @@
 //     exchange.start();
 
 #include "sequoiausher/coordination/gateway/attemptfate.h"
+#include "sequoiausher/coordination/gateway/attemptpatience.h"
 #include "sequoiausher/protocol/gateway/eventcutter.h"
 #include "sequoiausher/transport/gateway/gatewaycall.h"
 #include "sequoiausher/transport/gateway/gatewaycontext.h"
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -22,6 +22,12 @@
 
 namespace {
 
+/**
+ * For so long after its start a gateway keeps requests that it cannot decide yet: it is ready within 50 ms where the
+ * store answers. After a crash of the whole fleet all callers are back within that time, and a refusal would send them
+ * away for ten times as long.
+ */
+constexpr Millis startGrace{300};
 /** How often the times of requests and connections are looked at: a request ends at most so much late. */
 constexpr int tickMs = 40;
 /** How often the counts of log lines that were held back are written. */
@@ -64,6 +70,8 @@
     void watchStore();
     void accept(int descriptor);
     void tick();
+    /** Lets requests go on that wait for the start, once it is ready. */
+    void endStart();
     void tickStop(Millis now);
     void beginStop();
     void finishStop(std::string_view how);
@@ -122,6 +130,7 @@
                                                       [this](int descriptor) { this->accept(descriptor); });
     this->peers.listen();
     this->pages.listen();
+    this->context.startsUntil = Millis::monotonicNow() + startGrace;
     this->watchStore();
     QObject::connect(&this->timer, &QTimer::timeout, [this] { this->tick(); });
     this->timer.start(tickMs);
@@ -197,6 +206,7 @@
         this->nextSuppressedAt = now + suppressedInterval;
         this->log.writeSuppressed();
     }
+    this->endStart();
     const bool ready = this->isReady();
     if (ready != this->wasReady) {
         this->wasReady = ready;
@@ -210,6 +220,22 @@
     this->tickStop(now);
 }
 
+void GatewayNode::Private::endStart()
+{
+    if (!this->context.isStarting || !this->isReady()) {
+        return;
+    }
+    this->context.isStarting = false;
+    const Millis now = Millis::monotonicNow();
+    std::vector<std::shared_ptr<CallerConnection>> all;
+    for (const auto &[raw, connection] : this->callers) {
+        all.push_back(connection);
+    }
+    for (const auto &connection : all) {
+        connection->tick(now);
+    }
+}
+
 void GatewayNode::Private::beginStop()
 {
     if (this->stopBegunAt) {
@@ -326,6 +352,7 @@
     if (readAt) {
         this->context.freshness.proven(this->readRevision, *readAt);
     }
+    this->endStart();
 }
 
 void GatewayNode::Private::configurationOffered(const std::string &raw, Revision revision)
@@ -357,6 +384,7 @@
                     {"count", std::to_string(targets.size())},
                     {"leaving", std::to_string(leaving)},
                     {"revision", std::to_string(this->known.targets.revision())}});
+    this->endStart();
 }
 
 void GatewayNode::Private::targetsRead(const std::vector<GatewayTarget> &targets,
--- a/sequoiausher/transport/gateway/gatewaynodetest.cpp
+++ b/sequoiausher/transport/gateway/gatewaynodetest.cpp
@@ -292,6 +292,46 @@
     CHECK(bed.call("GET", "/look/1").status == 200);
 }
 
+// Symptom: after a crash of the whole fleet dozens of callers were told to come back in half a second or more, by
+// gateways that were ready 40 ms later. Events: a gateway listens; callers that found nobody connect at once; the
+// store's answers are on their way. Cause: a request that could not be decided yet was refused.
+TEST_CASE("requests that come while a gateway starts wait for it, not for long")
+{
+    Bed bed;
+    FakeServer &target = bed.addTarget("t1", "desk");
+    target.answers = [](FakeRequest &request) { request.reply("200 OK", "ok"); };
+    bed.holdStore();
+    bed.startWithoutWaiting();
+    FakeCaller caller(bed.address());
+    caller.send(bed.request("GET", "/look/1"));
+    SUBCASE("it is ready soon")
+    {
+        GatewayTestbed::waitFor([&] { return caller.reply.isWhole; }, Millis{60});
+        CHECK_FALSE(caller.reply.isWhole);
+        bed.releaseStore();
+        CHECK(GatewayTestbed::waitFor([&] { return caller.reply.isWhole; }));
+        CHECK(caller.reply.status == 200);
+    }
+    SUBCASE("the store is away")
+    {
+        CHECK(GatewayTestbed::waitFor([&] { return caller.reply.isWhole; }, Millis{600}));
+        CHECK(caller.reply.status == 503);
+        CHECK(caller.reply.head.headers.has("Retry-After"));
+        // Later ones are told at once.
+        const Millis before = Millis::monotonicNow();
+        CHECK(bed.call("GET", "/look/1").status == 503);
+        CHECK(Millis::monotonicNow() - before < Millis{150});
+    }
+    SUBCASE("the caller leaves meanwhile")
+    {
+        caller.close();
+        bed.releaseStore();
+        CHECK(GatewayTestbed::waitFor([&] { return bed.node->isReady(); }));
+        CHECK(bed.call("GET", "/look/1").status == 200);
+        CHECK(target.seen.size() == 1);
+    }
+}
+
 TEST_CASE("a newer configuration is in force at once, an older one never again")
 {
     Bed bed;
--- a/sequoiausher/transport/gateway/gatewaytestbed.cpp
+++ b/sequoiausher/transport/gateway/gatewaytestbed.cpp
@@ -238,11 +238,28 @@
     return text;
 }
 
+void GatewayTestbed::holdStore()
+{
+    this->isStoreHeld = true;
+}
+
+void GatewayTestbed::releaseStore()
+{
+    this->isStoreHeld = false;
+    for (FakeRequest &request : std::exchange(this->heldCalls, {})) {
+        this->answerStore(request);
+    }
+}
+
 void GatewayTestbed::answerStore(FakeRequest &request)
 {
     if (this->isStoreSilent) {
         return;
     }
+    if (this->isStoreHeld) {
+        this->heldCalls.push_back(request);
+        return;
+    }
     if (request.head.target == "/configuration") {
         const std::string number = std::to_string(this->revision);
         request.reply(this->stored.empty() ? "404 Not Found" : "200 OK", number + " " + number + "\n" + this->stored);
@@ -259,11 +276,16 @@
     }
 }
 
-void GatewayTestbed::start()
+void GatewayTestbed::startWithoutWaiting()
 {
     this->node
         = std::make_unique<GatewayNode>(*this->dialect, this->settings, *this->log, [this] { this->isStopped = true; });
     this->node->start();
+}
+
+void GatewayTestbed::start()
+{
+    this->startWithoutWaiting();
     if (!this->stored.empty() && !waitFor([this] { return this->node->isReady(); })) {
         throw Error(Step::Report, "gateway", "it is not ready:\n" + this->logged.str());
     }
--- a/sequoiausher/transport/gateway/gatewaytestbed.h
+++ b/sequoiausher/transport/gateway/gatewaytestbed.h
@@ -38,6 +38,7 @@
     void publish(const std::string &configuration);
     /** Starts the gateway and waits until it is ready. */
     void start();
+    void startWithoutWaiting();
 
     std::string request(const std::string &method, const std::string &path, const std::string &fields = {}) const;
     /** Sends one request over a connection of its own and waits for the end of its answer. */
@@ -52,6 +53,9 @@
     FakeServer store;
     /** The store answers nothing any more. */
     bool isStoreSilent = false;
+    /** The store answers what it is asked from now on by releaseStore(). */
+    void holdStore();
+    void releaseStore();
     std::map<std::string, std::unique_ptr<FakeServer>> targets;
     std::ostringstream logged;
     std::unique_ptr<Log> log;
@@ -67,6 +71,8 @@
     std::map<std::string, std::string> services;
     int revision = 1;
     std::vector<std::pair<int, FakeRequest>> watches;
+    bool isStoreHeld = false;
+    std::vector<FakeRequest> heldCalls;
     void changed();
 };
 
