--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -13,6 +13,7 @@
 
 #include <QTimer>
 
+#include <algorithm>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -23,11 +24,11 @@
 namespace {
 
 /**
- * For so long after its start a gateway keeps requests that it cannot decide yet: it is ready within 50 ms where the
- * store answers. After a crash of the whole fleet all callers are back within that time, and a refusal would send them
- * away for ten times as long.
+ * For so long after its start a gateway keeps requests that it cannot decide yet, unless a call to the store fails. It is
+ * ready within 50 ms, or once a configuration of a megabyte has come over a link of 10 Mbit/s. After a crash of the whole
+ * fleet all callers are back within that time, and a refusal would send them away for longer.
  */
-constexpr Millis startGrace{300};
+constexpr Millis startGrace{1200};
 /** How often the times of requests and connections are looked at: a request ends at most so much late. */
 constexpr int tickMs = 40;
 /** How often the counts of log lines that were held back are written. */
@@ -444,7 +445,9 @@
 
 void GatewayNode::Private::storeLost(const std::string & /*problem*/)
 {
-    this->known.targets.storeLost(Millis::monotonicNow());
+    const Millis now = Millis::monotonicNow();
+    this->known.targets.storeLost(now);
+    this->context.startsUntil = std::min(this->context.startsUntil, now);
 }
 
 void GatewayNode::Private::storeReturned()
