--- a/lab/fuzz/fuzztargets.cpp
+++ b/lab/fuzz/fuzztargets.cpp
@@ -12,7 +12,6 @@
     {"request", feedRequest},
     {"stream", feedStream},
     {"load", feedLoad},
-    {"store", feedStore},
     {"settings", feedSettings},
     {"document", feedDocument},
     {"rules", feedRules},
--- a/lab/fuzz/fuzztargets.h
+++ b/lab/fuzz/fuzztargets.h
@@ -48,11 +48,6 @@
 void feedStream(std::string_view bytes);
 /** A target's report of its load. */
 void feedLoad(std::string_view bytes);
-/**
- * The body of an answer of the platform's store, or the items of one, each followed by a comma: a good item after them
- * must be read, whatever they are.
- */
-void feedStore(std::string_view bytes);
 /** A router's settings. */
 void feedSettings(std::string_view bytes);
 /** A document of the platform: a line with its name, then its body. What passes the check must compile. */
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -24,9 +24,9 @@
 namespace {
 
 /**
- * For so long after its start a gateway keeps requests that it cannot decide yet, unless a call to the store fails. It is
- * ready within 50 ms, or once a configuration of a megabyte has come over a link of 10 Mbit/s. After a crash of the whole
- * fleet all callers are back within that time, and a refusal would send them away for longer.
+ * For so long after its start a gateway keeps requests that it cannot decide yet, unless a call to the store fails. It
+ * is ready within 50 ms, or once a configuration of a megabyte has come over a link of 10 Mbit/s. After a crash of the
+ * whole fleet all callers are back within that time, and a refusal would send them away for longer.
  */
 constexpr Millis startGrace{1200};
 /** How often the times of requests and connections are looked at: a request ends at most so much late. */
