--- a/sequoiausher/coordination/gateway/attemptfate.cpp
+++ b/sequoiausher/coordination/gateway/attemptfate.cpp
@@ -11,7 +11,7 @@
 
 bool maySendAgain(const AttemptState &state, AttemptEnd end)
 {
-    if (end == AttemptEnd::TimeUp || !state.isRepeatAllowed || state.timeLeft < state.leastTime) {
+    if (end == AttemptEnd::TimeUp || !state.isRetryAllowed || state.timeLeft < state.leastTime) {
         return false;
     }
     if (state.targetsUsed >= state.mostTargets) {
--- a/sequoiausher/coordination/gateway/attemptfate.h
+++ b/sequoiausher/coordination/gateway/attemptfate.h
@@ -60,8 +60,8 @@
     Millis timeLeft;
     /** The least time in which another target can be of use. */
     Millis leastTime{30};
-    /** Another target is there, and the budget has a repeat left. */
-    bool isRepeatAllowed = false;
+    /** Another target is there, and the budget has a retry left. */
+    bool isRetryAllowed = false;
 };
 
 /** What follows. */
--- a/sequoiausher/coordination/gateway/attemptfatetest.cpp
+++ b/sequoiausher/coordination/gateway/attemptfatetest.cpp
@@ -60,9 +60,9 @@
 TEST_CASE("no repeat without budget or time")
 {
     AttemptState state = stateOf(true, true, false, 1, 2);
-    state.isRepeatAllowed = false;
+    state.isRetryAllowed = false;
     CHECK(afterAttempt(state, AttemptEnd::NoAnswer) == NextStep::SayUnknown);
-    state.isRepeatAllowed = true;
+    state.isRetryAllowed = true;
     state.timeLeft = Millis{20};
     CHECK(afterAttempt(state, AttemptEnd::NoAnswer) == NextStep::SayUnknown);
 }
@@ -74,7 +74,7 @@
     for (const auto &end : nameTable<AttemptEnd>) {
         for (int bits = 0; bits < 16; ++bits) {
             AttemptState state = stateOf(false, (bits & 1) != 0, (bits & 2) != 0, (bits & 4) != 0 ? 1 : 0, 3);
-            state.isRepeatAllowed = (bits & 8) != 0;
+            state.isRetryAllowed = (bits & 8) != 0;
             const bool ranMaybe = state.mayHaveRun
                 || (end.value != AttemptEnd::NotSent && end.value != AttemptEnd::NotRun
                     && end.value != AttemptEnd::TimeUp);
--- a/sequoiausher/coordination/gateway/attemptpatience.h
+++ b/sequoiausher/coordination/gateway/attemptpatience.h
@@ -52,7 +52,7 @@
     NoConnection,
     /** The answer will never come. */
     Lost,
-    /** Another target would most likely answer sooner, if there is one and the budget has a repeat left. */
+    /** Another target would most likely answer sooner, if there is one and the budget has a retry left. */
     BetterElsewhere,
 };
 
--- a/sequoiausher/coordination/gateway/repeatshare.cpp
+++ b/sequoiausher/coordination/gateway/retrybudgetshare.cpp
@@ -1,4 +1,4 @@
-#include "sequoiausher/coordination/gateway/repeatshare.h"
+#include "sequoiausher/coordination/gateway/retrybudgetshare.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -9,7 +9,7 @@
 
 namespace {
 
-/** Windows slide in steps of so many parts; repeats are kept a part longer, so that no span is undercounted. */
+/** Windows slide in steps of so many parts; retries are kept a part longer, so that no span is undercounted. */
 constexpr std::int64_t parts = 20;
 /**
  * The part of the ratio that is used. Arrivals at a target lie some milliseconds after the count here, and requests are
@@ -54,12 +54,12 @@
 struct Counts
 {
     SlidingCount requests;
-    SlidingCount repeats;
+    SlidingCount retries;
 };
 
 } // namespace
 
-class RepeatShare::Private
+class RetryBudgetShare::Private
 {
 public:
     std::int64_t partOf(Millis now) const
@@ -67,23 +67,23 @@
         return now.count / std::max<std::int64_t>(this->settings.window.count / parts, 1);
     }
 
-    RepeatShareSettings settings;
+    RetryBudgetShareSettings settings;
     std::unordered_map<PoolId, Counts> counts;
 };
 
-RepeatShare::RepeatShare(const RepeatShareSettings &settings) : d(std::make_unique<Private>())
+RetryBudgetShare::RetryBudgetShare(const RetryBudgetShareSettings &settings) : d(std::make_unique<Private>())
 {
     this->d->settings = settings;
 }
 
-RepeatShare::~RepeatShare() = default;
+RetryBudgetShare::~RetryBudgetShare() = default;
 
-void RepeatShare::setSettings(const RepeatShareSettings &settings)
+void RetryBudgetShare::setSettings(const RetryBudgetShareSettings &settings)
 {
     this->d->settings = settings;
 }
 
-void RepeatShare::countRequest(const PoolId &service, Millis now)
+void RetryBudgetShare::countRequest(const PoolId &service, Millis now)
 {
     const std::int64_t part = this->d->partOf(now);
     SlidingCount &requests = this->d->counts[service].requests;
@@ -91,17 +91,17 @@
     requests.sum(part, parts);
 }
 
-bool RepeatShare::tryRepeat(const PoolId &service, std::size_t gateways, Millis now)
+bool RetryBudgetShare::tryRetry(const PoolId &service, std::size_t gateways, Millis now)
 {
     const std::int64_t part = this->d->partOf(now);
     Counts &counts = this->d->counts[service];
     const double requests = counts.requests.sum(part, parts - 1);
-    const double repeats = counts.repeats.sum(part, parts + 1);
+    const double retries = counts.retries.sum(part, parts + 1);
     const double slack = this->d->settings.slack * usedSlack / static_cast<double>(std::max<std::size_t>(gateways, 1));
-    if (repeats + 1 > requests * this->d->settings.ratio * usedRatio + slack) {
+    if (retries + 1 > requests * this->d->settings.ratio * usedRatio + slack) {
         return false;
     }
-    counts.repeats.add(part);
+    counts.retries.add(part);
     return true;
 }
 
--- a/sequoiausher/coordination/gateway/repeatsharetest.cpp
+++ b/sequoiausher/coordination/gateway/retrybudgetsharetest.cpp
@@ -1,4 +1,4 @@
-#include "sequoiausher/coordination/gateway/repeatshare.h"
+#include "sequoiausher/coordination/gateway/retrybudgetshare.h"
 
 #include <doctest/doctest.h>
 
@@ -17,25 +17,25 @@
     constexpr double ratio = 0.2;
     constexpr double slack = 54;
     const PoolId service{"desk"};
-    std::deque<RepeatShare> fleet;
+    std::deque<RetryBudgetShare> fleet;
     for (std::size_t i = 0; i < gateways; ++i) {
-        fleet.emplace_back(RepeatShareSettings{ratio, slack, Millis{10000}});
+        fleet.emplace_back(RetryBudgetShareSettings{ratio, slack, Millis{10000}});
     }
     std::vector<std::int64_t> requests;
-    std::vector<std::int64_t> repeats;
+    std::vector<std::int64_t> retries;
     for (std::int64_t time = 0; time < 40000; time += 10) {
-        // Traffic that stops and starts again, where a window may hold the repeats of more requests than its own.
+        // Traffic that stops and starts again, where a window may hold the retries of more requests than its own.
         const bool quiet = time > 12000 && time < 20000;
-        RepeatShare &one = fleet[static_cast<std::size_t>(time / 10) % gateways];
+        RetryBudgetShare &one = fleet[static_cast<std::size_t>(time / 10) % gateways];
         if (!quiet) {
             one.countRequest(service, Millis{time});
             requests.push_back(time);
         }
-        if (one.tryRepeat(service, gateways, Millis{time})) {
-            repeats.push_back(time);
+        if (one.tryRetry(service, gateways, Millis{time})) {
+            retries.push_back(time);
         }
     }
-    CHECK(repeats.size() > requests.size() / 10);
+    CHECK(retries.size() > requests.size() / 10);
     const auto countIn = [](const std::vector<std::int64_t> &times, std::int64_t from) {
         std::size_t count = 0;
         for (const std::int64_t time : times) {
@@ -47,14 +47,14 @@
         CAPTURE(from);
         const double allowed
             = std::max({countIn(requests, from), countIn(requests, from - 5000), countIn(requests, from - 10000)});
-        CHECK(countIn(repeats, from) <= allowed * ratio + slack);
+        CHECK(countIn(retries, from) <= allowed * ratio + slack);
     }
 }
 
 TEST_CASE("services are counted apart")
 {
-    RepeatShare share({.ratio = 0.2, .slack = 2, .window = Millis{10000}});
-    CHECK(share.tryRepeat(PoolId{"a"}, 1, Millis{0}));
-    CHECK_FALSE(share.tryRepeat(PoolId{"a"}, 1, Millis{0}));
-    CHECK(share.tryRepeat(PoolId{"b"}, 1, Millis{0}));
+    RetryBudgetShare share({.ratio = 0.2, .slack = 2, .window = Millis{10000}});
+    CHECK(share.tryRetry(PoolId{"a"}, 1, Millis{0}));
+    CHECK_FALSE(share.tryRetry(PoolId{"a"}, 1, Millis{0}));
+    CHECK(share.tryRetry(PoolId{"b"}, 1, Millis{0}));
 }
--- a/sequoiausher/protocol/settings/gatewaysettings.h
+++ b/sequoiausher/protocol/settings/gatewaysettings.h
@@ -10,7 +10,7 @@
 #include "sequoiausher/base/ini/problem.h"
 #include "sequoiausher/base/log/log.h"
 #include "sequoiausher/base/millis.h"
-#include "sequoiausher/coordination/gateway/repeatshare.h"
+#include "sequoiausher/coordination/gateway/retrybudgetshare.h"
 
 #include <cstdint>
 #include <string>
@@ -67,7 +67,7 @@
     std::vector<InstanceId> seeds;
     /** How long after its publication a change of keys may take to be in force. */
     Millis keyFreshness{5000};
-    RepeatShareSettings repeats;
+    RetryBudgetShareSettings repeats;
     GatewayStopSettings stop;
     LogSettings log;
 };
--- a/sequoiausher/transport/gateway/gatewayadmission.cpp
+++ b/sequoiausher/transport/gateway/gatewayadmission.cpp
@@ -173,7 +173,7 @@
     time = std::min(time, this->admitted.request.timeLeft.value_or(time) - answerTravel);
     time = std::min(time, decided->deadline.value_or(time));
     this->admitted.deadline = this->receivedAt + time;
-    this->context.repeats.countRequest(this->admitted.service, this->receivedAt);
+    this->context.retryBudget.countRequest(this->admitted.service, this->receivedAt);
     return decided->overload == Overload::Shed ? this->shed() : std::nullopt;
 }
 
--- a/sequoiausher/transport/gateway/gatewayadmission.h
+++ b/sequoiausher/transport/gateway/gatewayadmission.h
@@ -47,7 +47,7 @@
     Outcome outcome = Outcome::RefusedInvalid;
 };
 
-/** Fills in admitted, and counts the request for the budget of repeats; the refusal where it may not go on. */
+/** Fills in admitted, and counts the request for the retry budget; the refusal where it may not go on. */
 std::optional<GatewayRefusal>
 admitRequest(GatewayContext &context, const HttpHead &head, Millis receivedAt, AdmittedRequest &admitted);
 
--- a/sequoiausher/transport/gateway/gatewaycontext.cpp
+++ b/sequoiausher/transport/gateway/gatewaycontext.cpp
@@ -21,7 +21,7 @@
     , log(writes)
     , metrics(counts)
     , settings(with)
-    , repeats(with.repeats)
+    , retryBudget(with.repeats)
     , peers(InstanceId{with.peerAddress}, with.seeds, seed)
     , board(seed)
     , random(seed)
--- a/sequoiausher/transport/gateway/gatewaycontext.h
+++ b/sequoiausher/transport/gateway/gatewaycontext.h
@@ -12,7 +12,7 @@
 #include "sequoiausher/coordination/gateway/loadshedder.h"
 #include "sequoiausher/coordination/gateway/partdirectory.h"
 #include "sequoiausher/coordination/gateway/peerbook.h"
-#include "sequoiausher/coordination/gateway/repeatshare.h"
+#include "sequoiausher/coordination/gateway/retrybudgetshare.h"
 #include "sequoiausher/coordination/gateway/routetable.h"
 #include "sequoiausher/coordination/gateway/targetboard.h"
 #include "sequoiausher/coordination/rules/ruleset.h"
@@ -63,7 +63,7 @@
     std::shared_ptr<const RouteTable> table;
     std::shared_ptr<const RuleSet> rules;
     Freshness freshness;
-    RepeatShare repeats;
+    RetryBudgetShare retryBudget;
     PeerBook peers;
     TargetBoard board;
     LoadShedder shedder;
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -92,7 +92,7 @@
     bool isEventStream() const;
     bool saysNotRun() const;
     AttemptMark markOfNotRun() const;
-    bool payForRepeat(Millis now);
+    bool payForRetry(Millis now);
     void checkTimes(Millis now);
     void goElsewhere(Millis now);
 
@@ -123,7 +123,7 @@
     /** A long answer that is no stream of events is given as it comes. */
     bool passesThrough = false;
     /** The budget has paid for the next try already. */
-    bool isRepeatPaid = false;
+    bool isRetryPaid = false;
     bool isReadingPaused = false;
     Millis firstPartAt;
     Millis lastPartAt;
@@ -316,13 +316,13 @@
     this->follow(end, now);
 }
 
-bool GatewayExchange::Private::payForRepeat(Millis now)
+bool GatewayExchange::Private::payForRetry(Millis now)
 {
-    if (std::exchange(this->isRepeatPaid, false)) {
+    if (std::exchange(this->isRetryPaid, false)) {
         return true;
     }
     const bool isPaid
-        = this->context.repeats.tryRepeat(this->admitted.service, this->context.peers.fleetSize(now), now);
+        = this->context.retryBudget.tryRetry(this->admitted.service, this->context.peers.fleetSize(now), now);
     this->context.metrics.add(isPaid ? "gateway_repeats_total" : "gateway_repeats_refused_total");
     return isPaid;
 }
@@ -337,10 +337,10 @@
     state.mostTargets = this->admitted.route->mostTargets;
     state.timeLeft = this->admitted.deadline - now;
     const bool hasOther = this->chooseTarget(now).has_value();
-    state.isRepeatAllowed = hasOther && this->admitted.decision.retry != RetryMode::None;
+    state.isRetryAllowed = hasOther && this->admitted.decision.retry != RetryMode::None;
     // The budget is asked last, since asking takes from it.
     if (afterAttempt(state, end) == NextStep::SendAgain && this->targetsUsed > 0) {
-        state.isRepeatAllowed = this->payForRepeat(now);
+        state.isRetryAllowed = this->payForRetry(now);
     }
     const Millis retry = this->context.spread(retryWhenFull);
     switch (afterAttempt(state, end)) {
@@ -652,11 +652,11 @@
         return;
     }
     // Without the budget for another target this one is the best chance that is left.
-    if (!this->payForRepeat(now)) {
+    if (!this->payForRetry(now)) {
         this->lastPartAt = now;
         return;
     }
-    this->isRepeatPaid = true;
+    this->isRetryPaid = true;
     this->endAttempt(AttemptEnd::Silent, AttemptMark::Lost, now);
 }
 
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -160,7 +160,7 @@
         this->log.error(LogPart::Config, "the last good rules stay in force", {{"why", error.what()}});
     }
     this->context.settings = settings;
-    this->context.repeats.setSettings(settings.repeats);
+    this->context.retryBudget.setSettings(settings.repeats);
     this->context.peers.setSeeds(settings.seeds);
     if (settings.store.address != storeBefore) {
         this->watchStore();
--- a/sequoiausher/transport/gateway/gatewayrules.cpp
+++ b/sequoiausher/transport/gateway/gatewayrules.cpp
@@ -56,7 +56,7 @@
             Problem problem = problemOf(list, rule, Severity::Error);
             problem.key = one.key;
             problem.found = "a key that routers alone obey";
-            problem.expected = "none: a gateway takes limits and the budget of repeats from its platform";
+            problem.expected = "none: a gateway takes limits and the retry budget from its platform";
             addProblem(problems, problem);
         }
     }
