--- a/lab/model/plainservicemodel.cpp
+++ b/lab/model/plainservicemodel.cpp
@@ -208,12 +208,12 @@
             this->refuse(request, shedReturnMs);
             return;
         }
-        TargetWish wish;
-        wish.service = service;
-        wish.policy = this->policy.choice;
-        wish.requestHash = this->random();
-        wish.partHash = wish.requestHash;
-        const auto chosen = gateway.board->choose(wish, this->clock());
+        TargetCriteria criteria;
+        criteria.service = service;
+        criteria.policy = this->policy.choice;
+        criteria.requestHash = this->random();
+        criteria.partHash = criteria.requestHash;
+        const auto chosen = gateway.board->choose(criteria, this->clock());
         if (!chosen) {
             this->refuse(request, leastReturnMs);
             return;
--- a/sequoiausher/coordination/gateway/promptparts.h
+++ b/sequoiausher/coordination/gateway/promptparts.h
@@ -4,7 +4,7 @@
 // which other target one that lacks a part should copy it.
 //
 //     const PromptParts parts({hash64("system"), hash64("manual"), hash64("own question")});
-//     wish.holders = parts.holders(directory, now);
+//     criteria.holders = parts.holders(directory, now);
 //     if (const auto source = parts.copySource(directory, board, target, now)) { order.copyFrom = source->address; }
 //     parts.sent(directory, target, now);
 
--- a/sequoiausher/coordination/gateway/targetboard.cpp
+++ b/sequoiausher/coordination/gateway/targetboard.cpp
@@ -57,11 +57,11 @@
  * use is held by several: were all gateways to take the first one with room, they would fill it together before any of
  * them hears of it.
  */
-std::optional<std::size_t> holderBelowBound(const TargetWish &wish, const PoolLoad &load)
+std::optional<std::size_t> holderBelowBound(const TargetCriteria &criteria, const PoolLoad &load)
 {
     std::vector<std::pair<std::size_t, std::uint64_t>> rooms;
     std::uint64_t total = 0;
-    for (const TargetId &holder : wish.holders) {
+    for (const TargetId &holder : criteria.holders) {
         const auto found = std::find_if(
             load.targets.begin(), load.targets.end(), [&holder](const TargetLoad &t) { return t.target == holder; });
         if (found != load.targets.end() && found->usable && found->inFlight < load.lowestBound) {
@@ -69,7 +69,7 @@
             total += rooms.back().second;
         }
     }
-    std::uint64_t place = total > 0 ? wish.requestHash % total : 0;
+    std::uint64_t place = total > 0 ? criteria.requestHash % total : 0;
     for (const auto &[index, room] : rooms) {
         if (place < room) {
             return index;
@@ -266,10 +266,10 @@
     this->d->otherGateways = count;
 }
 
-std::optional<ChosenTarget> TargetBoard::choose(const TargetWish &wish, Millis now)
+std::optional<ChosenTarget> TargetBoard::choose(const TargetCriteria &criteria, Millis now)
 {
     this->d->expire(now);
-    const std::vector<BoardTarget *> &candidates = this->d->byService[wish.service];
+    const std::vector<BoardTarget *> &candidates = this->d->byService[criteria.service];
     PoolLoad load;
     load.targets.reserve(candidates.size());
     std::size_t avoided = 0;
@@ -278,7 +278,8 @@
         load.total += inFlight;
         load.counted += 1;
         const TargetId &id = held->target.id;
-        const bool excluded = std::find(wish.excluded.begin(), wish.excluded.end(), id) != wish.excluded.end();
+        const bool excluded
+            = std::find(criteria.excluded.begin(), criteria.excluded.end(), id) != criteria.excluded.end();
         const bool isAvoided = held->health.isAvoided(now) || now < held->fullUntil;
         avoided += isAvoided ? 1 : 0;
         const std::uint32_t likely = inFlight + this->d->unheard(*held);
@@ -290,15 +291,16 @@
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         TargetLoad &target = load.targets[i];
         const bool excluded
-            = std::find(wish.excluded.begin(), wish.excluded.end(), target.target) != wish.excluded.end();
+            = std::find(criteria.excluded.begin(), criteria.excluded.end(), target.target) != criteria.excluded.end();
         target.usable = target.usable || (useAvoided && !excluded);
         usable += target.usable ? 1 : 0;
     }
-    load.lowestBound = loadBound(wish.boundPercent, load.total, load.counted) + boundSlack;
-    const Choice choice{wish.partHash, wish.boundPercent, holderBelowBound(wish, load), false, wish.firstPartHash};
-    std::optional<std::size_t> index = wish.policy == PolicyKind::LeastExpected
+    load.lowestBound = loadBound(criteria.boundPercent, load.total, load.counted) + boundSlack;
+    const Choice choice{
+        criteria.partHash, criteria.boundPercent, holderBelowBound(criteria, load), false, criteria.firstPartHash};
+    std::optional<std::size_t> index = criteria.policy == PolicyKind::LeastExpected
         ? Private::leastExpected(candidates, load)
-        : this->d->policy(wish.policy).choose(load, choice);
+        : this->d->policy(criteria.policy).choose(load, choice);
     if (!index && usable > 0) {
         index = this->d->policy(PolicyKind::LeastLoaded).choose(load, choice);
     }
--- a/sequoiausher/coordination/gateway/targetboard.h
+++ b/sequoiausher/coordination/gateway/targetboard.h
@@ -5,7 +5,7 @@
 //
 //     TargetBoard board(seed);
 //     board.setTargets(list.targets(), now);
-//     const auto chosen = board.choose(wish, now);
+//     const auto chosen = board.choose(criteria, now);
 //     board.started(chosen->target.id);
 //     board.ended(chosen->target.id, AttemptMark::Answered, now);
 
@@ -35,7 +35,7 @@
 };
 
 /** What a request needs of its target. */
-struct TargetWish
+struct TargetCriteria
 {
     PoolId service;
     PolicyKind policy = PolicyKind::BoundedRendezvous;
@@ -78,7 +78,7 @@
     void setOtherGateways(std::size_t count);
 
     /** A target for the request; none where the service has none that may be used. */
-    std::optional<ChosenTarget> choose(const TargetWish &wish, Millis now);
+    std::optional<ChosenTarget> choose(const TargetCriteria &criteria, Millis now);
 
     /** Of the targets that hold a part, a sound one with the fewest requests, to copy the part from. */
     std::optional<GatewayTarget> copySource(const std::vector<TargetId> &holders, Millis now);
--- a/sequoiausher/coordination/gateway/targetboardtest.cpp
+++ b/sequoiausher/coordination/gateway/targetboardtest.cpp
@@ -28,12 +28,12 @@
     return targets;
 }
 
-TargetWish wishOf(std::uint64_t part)
+TargetCriteria criteriaFor(std::uint64_t part)
 {
-    TargetWish wish;
-    wish.service = engines;
-    wish.partHash = part;
-    return wish;
+    TargetCriteria criteria;
+    criteria.service = engines;
+    criteria.partHash = part;
+    return criteria;
 }
 
 } // namespace
@@ -45,7 +45,8 @@
     one.setTargets(twelve(), Millis{0});
     other.setTargets(twelve(), Millis{0});
     for (std::uint64_t part = 1; part < 50; ++part) {
-        CHECK(one.choose(wishOf(part), Millis{0})->target.id == other.choose(wishOf(part), Millis{0})->target.id);
+        CHECK(one.choose(criteriaFor(part), Millis{0})->target.id
+              == other.choose(criteriaFor(part), Millis{0})->target.id);
     }
 }
 
@@ -78,7 +79,7 @@
         }
         const std::size_t by = random() % gatewayCount;
         const std::uint64_t part = random() % 3 == 0 ? 1 : 100 + random() % 80;
-        const auto chosen = gateways[by]->choose(wishOf(part), now);
+        const auto chosen = gateways[by]->choose(criteriaFor(part), now);
         REQUIRE(chosen);
         gateways[by]->started(chosen->target.id);
         held[chosen->target.id] += 1;
@@ -109,33 +110,33 @@
     std::vector<GatewayTarget> targets = twelve();
     targets.resize(3);
     board.setTargets(targets, Millis{0});
-    const TargetId first = board.choose(wishOf(7), Millis{0})->target.id;
-    TargetWish wish = wishOf(7);
-    wish.excluded = {first};
-    CHECK(board.choose(wish, Millis{0})->target.id != first);
+    const TargetId first = board.choose(criteriaFor(7), Millis{0})->target.id;
+    TargetCriteria criteria = criteriaFor(7);
+    criteria.excluded = {first};
+    CHECK(board.choose(criteria, Millis{0})->target.id != first);
 
     board.started(first);
     board.ended(first, AttemptMark::Full, Millis{0});
-    CHECK(board.choose(wishOf(7), Millis{100})->target.id != first);
-    CHECK(board.choose(wishOf(7), Millis{200})->target.id == first);
+    CHECK(board.choose(criteriaFor(7), Millis{100})->target.id != first);
+    CHECK(board.choose(criteriaFor(7), Millis{200})->target.id == first);
 
     for (int i = 0; i < 2; ++i) {
         board.started(first);
         board.ended(first, AttemptMark::Lost, Millis{200});
     }
-    CHECK(board.choose(wishOf(7), Millis{300})->target.id != first);
+    CHECK(board.choose(criteriaFor(7), Millis{300})->target.id != first);
     CHECK(board.ownLoads(Millis{300}).front().suspected);
 
     for (GatewayTarget &target : targets) {
         target.isLeaving = target.id != first;
     }
     board.setTargets(targets, Millis{300});
-    CHECK_FALSE(board.isUsable(board.choose(wishOf(7), Millis{300})->target.id == first ? TargetId{"x"} : first));
+    CHECK_FALSE(board.isUsable(board.choose(criteriaFor(7), Millis{300})->target.id == first ? TargetId{"x"} : first));
     for (GatewayTarget &target : targets) {
         target.isLeaving = true;
     }
     board.setTargets(targets, Millis{300});
-    CHECK_FALSE(board.choose(wishOf(7), Millis{300}));
+    CHECK_FALSE(board.choose(criteriaFor(7), Millis{300}));
 }
 
 TEST_CASE("a hub reports sums, to each without what it said itself")
@@ -198,15 +199,15 @@
     CHECK_FALSE(board.isLifeOver(after));
     // A report that was written before its sender heard of the new life, and one that comes out of order.
     board.peerReported(InstanceId{"q"}, {{before.id, 5, true}}, Millis{20});
-    const auto chosen = board.choose(wishOf(1), Millis{20});
+    const auto chosen = board.choose(criteriaFor(1), Millis{20});
     REQUIRE(chosen);
     CHECK(chosen->target == after);
     CHECK(chosen->inFlight == 0);
     CHECK(chosen->total == 0);
     // A part that the old life had read is held by nobody, and copied from nobody.
-    TargetWish wish = wishOf(1);
-    wish.holders = {before.id};
-    CHECK(board.choose(wish, Millis{20})->target == after);
+    TargetCriteria criteria = criteriaFor(1);
+    criteria.holders = {before.id};
+    CHECK(board.choose(criteria, Millis{20})->target == after);
     CHECK_FALSE(board.copySource({before.id}, Millis{20}));
     board.ended(before.id, AttemptMark::Neutral, Millis{30});
     CHECK(board.ownLoads(Millis{30}).empty());
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -191,17 +191,17 @@
 
 std::optional<ChosenTarget> GatewayExchange::Private::chooseTarget(Millis now)
 {
-    TargetWish wish;
-    wish.service = this->admitted.service;
-    wish.policy = this->admitted.decision.policy;
+    TargetCriteria criteria;
+    criteria.service = this->admitted.service;
+    criteria.policy = this->admitted.decision.policy;
     constexpr std::uint32_t defaultBound = 150;
-    wish.boundPercent = this->admitted.decision.boundPercent.value_or(defaultBound);
-    wish.partHash = this->admitted.partHash;
-    wish.firstPartHash = this->admitted.parts.first();
-    wish.holders = this->admitted.parts.holders(this->context.parts, now);
-    wish.requestHash = hash64(this->admitted.request.attemptId, this->targetsUsed + 1);
-    wish.excluded = this->tried;
-    return this->context.board.choose(wish, now);
+    criteria.boundPercent = this->admitted.decision.boundPercent.value_or(defaultBound);
+    criteria.partHash = this->admitted.partHash;
+    criteria.firstPartHash = this->admitted.parts.first();
+    criteria.holders = this->admitted.parts.holders(this->context.parts, now);
+    criteria.requestHash = hash64(this->admitted.request.attemptId, this->targetsUsed + 1);
+    criteria.excluded = this->tried;
+    return this->context.board.choose(criteria, now);
 }
 
 std::string GatewayExchange::Private::copySource(const ChosenTarget &target, Millis now)
