--- a/sequoiausher/coordination/gateway/partdirectory.cpp
+++ b/sequoiausher/coordination/gateway/prefixdirectory.cpp
@@ -1,4 +1,4 @@
-#include "sequoiausher/coordination/gateway/partdirectory.h"
+#include "sequoiausher/coordination/gateway/prefixdirectory.h"
 
 #include <algorithm>
 #include <deque>
@@ -43,7 +43,7 @@
 
 } // namespace
 
-class PartDirectory::Private
+class PrefixDirectory::Private
 {
 public:
     using Order = std::list<Entry>;
@@ -81,7 +81,7 @@
         return entry.holders.emplace_back(Holder{target, now, std::nullopt});
     }
 
-    PartDirectorySettings settings;
+    PrefixDirectorySettings settings;
     /** The part that was asked for last stands first. */
     Order order;
     std::unordered_map<std::uint64_t, Order::iterator> places;
@@ -101,14 +101,14 @@
     std::map<InstanceId, std::uint64_t> nextFor;
 };
 
-PartDirectory::PartDirectory(const PartDirectorySettings &settings) : d(std::make_unique<Private>())
+PrefixDirectory::PrefixDirectory(const PrefixDirectorySettings &settings) : d(std::make_unique<Private>())
 {
     this->d->settings = settings;
 }
 
-PartDirectory::~PartDirectory() = default;
+PrefixDirectory::~PrefixDirectory() = default;
 
-void PartDirectory::sent(std::uint64_t part, const TargetId &target, Millis now)
+void PrefixDirectory::sent(std::uint64_t part, const TargetId &target, Millis now)
 {
     Holder &holder = this->d->holderOf(this->d->touch(part), target, now);
     holder.usedAt = now;
@@ -119,7 +119,7 @@
     }
 }
 
-void PartDirectory::heard(const InstanceId &peer,
+void PrefixDirectory::heard(const InstanceId &peer,
                           std::uint64_t part,
                           const TargetId &target,
                           Millis now,
@@ -134,7 +134,7 @@
     }
 }
 
-void PartDirectory::dropped(std::uint64_t part, const TargetId &target)
+void PrefixDirectory::dropped(std::uint64_t part, const TargetId &target)
 {
     const auto found = this->d->places.find(part);
     if (found != this->d->places.end()) {
@@ -142,7 +142,7 @@
     }
 }
 
-std::vector<TargetId> PartDirectory::holders(std::uint64_t part, Millis now) const
+std::vector<TargetId> PrefixDirectory::holders(std::uint64_t part, Millis now) const
 {
     std::vector<TargetId> targets;
     const auto found = this->d->places.find(part);
@@ -157,7 +157,7 @@
     return targets;
 }
 
-std::vector<GatewayPlacement> PartDirectory::newsFor(const InstanceId &peer, NewsScope scope)
+std::vector<GatewayPlacement> PrefixDirectory::newsFor(const InstanceId &peer, NewsScope scope)
 {
     std::vector<GatewayPlacement> told;
     std::uint64_t &next = this->d->nextFor[peer];
@@ -172,7 +172,7 @@
     return told;
 }
 
-std::size_t PartDirectory::size() const
+std::size_t PrefixDirectory::size() const
 {
     return this->d->places.size();
 }
--- a/sequoiausher/coordination/gateway/partdirectory.h
+++ b/sequoiausher/coordination/gateway/prefixdirectory.h
@@ -4,7 +4,7 @@
 // part's requests stay where it was read: without this a new target, which by rendezvous order comes first for its
 // share of the parts, would read all of them again, and so would every target that a full one sends requests on to.
 //
-//     PartDirectory directory;
+//     PrefixDirectory directory;
 //     directory.sent(part, target, now);                 // by this gateway
 //     directory.heard(part, target, now);                // by a peer
 //     for (const TargetId &target : directory.holders(part, now)) { ... }
@@ -31,7 +31,7 @@
 };
 
 /** Bounds of the directory. */
-struct PartDirectorySettings
+struct PrefixDirectorySettings
 {
     /** A target has most likely dropped a part that nobody asked it for in so long. */
     Millis life{60000};
@@ -42,11 +42,11 @@
 };
 
 /** The directory. Not thread-safe. */
-class PartDirectory
+class PrefixDirectory
 {
 public:
-    explicit PartDirectory(const PartDirectorySettings &settings = {});
-    ~PartDirectory();
+    explicit PrefixDirectory(const PrefixDirectorySettings &settings = {});
+    ~PrefixDirectory();
 
     /** This gateway sends a request with the part to the target. */
     void sent(std::uint64_t part, const TargetId &target, Millis now);
--- a/sequoiausher/coordination/gateway/partdirectorytest.cpp
+++ b/sequoiausher/coordination/gateway/prefixdirectorytest.cpp
@@ -1,4 +1,4 @@
-#include "sequoiausher/coordination/gateway/partdirectory.h"
+#include "sequoiausher/coordination/gateway/prefixdirectory.h"
 
 #include <doctest/doctest.h>
 
@@ -14,7 +14,7 @@
 
 TEST_CASE("a part is where it was sent, the first place first, until nobody asks for it")
 {
-    PartDirectory directory;
+    PrefixDirectory directory;
     CHECK(directory.holders(1, Millis{0}).empty());
     directory.sent(1, a, Millis{0});
     directory.heard(peer, 1, b, Millis{10}, NewsScope::Own);
@@ -27,7 +27,7 @@
 
 TEST_CASE("peers hear of a placement once, and again while it stays in use")
 {
-    PartDirectory directory;
+    PrefixDirectory directory;
     directory.sent(1, a, Millis{0});
     directory.sent(1, a, Millis{100});
     CHECK(directory.newsFor(peer, NewsScope::Own) == std::vector{GatewayPlacement{1, a}});
@@ -42,7 +42,7 @@
 
 TEST_CASE("a hub passes on what it hears: from its gateways to all, from other hubs to its gateways")
 {
-    PartDirectory directory;
+    PrefixDirectory directory;
     const InstanceId gateway{"g"};
     const InstanceId hub{"h"};
     directory.heard(gateway, 1, a, Millis{0}, NewsScope::Group);
@@ -56,7 +56,7 @@
 
 TEST_CASE("what is remembered is bounded")
 {
-    PartDirectory directory({.life = Millis{60000}, .mostParts = 10, .mostHolders = 2});
+    PrefixDirectory directory({.life = Millis{60000}, .mostParts = 10, .mostHolders = 2});
     for (std::uint64_t part = 0; part < 100; ++part) {
         directory.sent(part, a, Millis{static_cast<std::int64_t>(part)});
     }
--- a/sequoiausher/coordination/gateway/promptparts.cpp
+++ b/sequoiausher/coordination/gateway/promptparts.cpp
@@ -41,13 +41,13 @@
     return this->shared.empty() ? 0 : this->shared.front();
 }
 
-std::vector<TargetId> PromptParts::holders(const PartDirectory &directory, Millis now) const
+std::vector<TargetId> PromptParts::holders(const PrefixDirectory &directory, Millis now) const
 {
     return this->shared.empty() ? std::vector<TargetId>() : directory.holders(this->shared.back(), now);
 }
 
 std::optional<GatewayTarget>
-PromptParts::copySource(const PartDirectory &directory, TargetBoard &board, const TargetId &to, Millis now) const
+PromptParts::copySource(const PrefixDirectory &directory, TargetBoard &board, const TargetId &to, Millis now) const
 {
     for (auto part = this->shared.rbegin(); part != this->shared.rend(); ++part) {
         const std::vector<TargetId> holding = directory.holders(*part, now);
@@ -62,7 +62,7 @@
     return std::nullopt;
 }
 
-void PromptParts::sent(PartDirectory &directory, const TargetId &to, Millis now) const
+void PromptParts::sent(PrefixDirectory &directory, const TargetId &to, Millis now) const
 {
     for (const std::uint64_t part : this->shared) {
         const std::vector<TargetId> holding = directory.holders(part, now);
--- a/sequoiausher/coordination/gateway/promptparts.h
+++ b/sequoiausher/coordination/gateway/promptparts.h
@@ -8,7 +8,7 @@
 //     if (const auto source = parts.copySource(directory, board, target, now)) { order.copyFrom = source->address; }
 //     parts.sent(directory, target, now);
 
-#include "sequoiausher/coordination/gateway/partdirectory.h"
+#include "sequoiausher/coordination/gateway/prefixdirectory.h"
 #include "sequoiausher/coordination/gateway/targetboard.h"
 
 #include <cstdint>
@@ -32,16 +32,16 @@
     std::uint64_t first() const;
 
     /** The targets that have the last shared part. */
-    std::vector<TargetId> holders(const PartDirectory &directory, Millis now) const;
+    std::vector<TargetId> holders(const PrefixDirectory &directory, Millis now) const;
     /**
      * A sound target from which to should copy the longest beginning of the prompt that any target has; none where to
      * has it itself, or nobody does. Copying a part of 1,000 tokens takes about a millisecond where reading it
      * takes 18.
      */
     std::optional<GatewayTarget>
-    copySource(const PartDirectory &directory, TargetBoard &board, const TargetId &to, Millis now) const;
+    copySource(const PrefixDirectory &directory, TargetBoard &board, const TargetId &to, Millis now) const;
     /** The prompt goes to the target, which will have its shared parts. */
-    void sent(PartDirectory &directory, const TargetId &to, Millis now) const;
+    void sent(PrefixDirectory &directory, const TargetId &to, Millis now) const;
 
 private:
     std::vector<std::uint64_t> shared;
--- a/sequoiausher/coordination/gateway/promptpartstest.cpp
+++ b/sequoiausher/coordination/gateway/promptpartstest.cpp
@@ -33,7 +33,7 @@
         return found ? found->address : "";
     }
 
-    PartDirectory directory;
+    PrefixDirectory directory;
     TargetBoard board{1};
 };
 
--- a/sequoiausher/transport/gateway/gatewaycontext.h
+++ b/sequoiausher/transport/gateway/gatewaycontext.h
@@ -10,7 +10,7 @@
 #include "sequoiausher/coordination/gateway/callerpatience.h"
 #include "sequoiausher/coordination/gateway/freshness.h"
 #include "sequoiausher/coordination/gateway/loadshedder.h"
-#include "sequoiausher/coordination/gateway/partdirectory.h"
+#include "sequoiausher/coordination/gateway/prefixdirectory.h"
 #include "sequoiausher/coordination/gateway/peerbook.h"
 #include "sequoiausher/coordination/gateway/retrybudgetshare.h"
 #include "sequoiausher/coordination/gateway/routetable.h"
@@ -68,7 +68,7 @@
     TargetBoard board;
     LoadShedder shedder;
     CallerPatience patience;
-    PartDirectory parts;
+    PrefixDirectory parts;
     TargetPools pools;
     bool isStopping = false;
     /** Not yet ready for the first time since its start. */
