--- a/sequoiausher/coordination/gateway/peerbook.cpp
+++ b/sequoiausher/coordination/gateway/peerdirectory.cpp
@@ -1,4 +1,4 @@
-#include "sequoiausher/coordination/gateway/peerbook.h"
+#include "sequoiausher/coordination/gateway/peerdirectory.h"
 
 #include "sequoiausher/base/hashing.h"
 
@@ -28,7 +28,7 @@
 
 } // namespace
 
-class PeerBook::Private
+class PeerDirectory::Private
 {
 public:
     struct Known
@@ -119,7 +119,7 @@
     Millis hubsAt;
 };
 
-PeerBook::PeerBook(InstanceId self, const std::vector<InstanceId> &seeds, std::uint64_t seed)
+PeerDirectory::PeerDirectory(InstanceId self, const std::vector<InstanceId> &seeds, std::uint64_t seed)
     : d(std::make_unique<Private>())
 {
     this->d->self = std::move(self);
@@ -127,20 +127,20 @@
     this->setSeeds(seeds);
 }
 
-PeerBook::~PeerBook() = default;
+PeerDirectory::~PeerDirectory() = default;
 
-void PeerBook::setSeeds(const std::vector<InstanceId> &seeds)
+void PeerDirectory::setSeeds(const std::vector<InstanceId> &seeds)
 {
     this->d->seeds = std::set<InstanceId>(seeds.begin(), seeds.end());
     this->d->seeds.erase(this->d->self);
 }
 
-void PeerBook::setStrength(std::uint16_t strength)
+void PeerDirectory::setStrength(std::uint16_t strength)
 {
     this->d->strength = strength;
 }
 
-void PeerBook::heardFrom(const InstanceId &peer, const GatewayReport &report, Millis now)
+void PeerDirectory::heardFrom(const InstanceId &peer, const GatewayReport &report, Millis now)
 {
     this->d->hasHeard = true;
     if (peer == this->d->hub) {
@@ -161,7 +161,7 @@
     std::erase_if(this->d->known, [now](const auto &entry) { return now - entry.second.heardAt > memory; });
 }
 
-std::vector<DueReport> PeerBook::due(Millis now)
+std::vector<DueReport> PeerDirectory::due(Millis now)
 {
     std::vector<DueReport> reports;
     std::vector<InstanceId> hubs = this->d->hubs(now);
@@ -191,7 +191,7 @@
     return {{this->d->hub, true}};
 }
 
-bool PeerBook::mustReply(const InstanceId &peer, const GatewayReport &report, Millis now) const
+bool PeerDirectory::mustReply(const InstanceId &peer, const GatewayReport &report, Millis now) const
 {
     // Two gateways that take each other for none of the hubs would answer each other's answers without an end.
     if (report.isReply || report.wantsReply) {
@@ -201,24 +201,24 @@
     return !hubs.empty() && std::find(hubs.begin(), hubs.end(), peer) == hubs.end();
 }
 
-bool PeerBook::hasHubs(Millis now) const
+bool PeerDirectory::hasHubs(Millis now) const
 {
     return !this->d->hubs(now).empty();
 }
 
-bool PeerBook::isHub(Millis now) const
+bool PeerDirectory::isHub(Millis now) const
 {
     this->d->hubs(now);
     return this->d->selfIsHub;
 }
 
-bool PeerBook::isHub(const InstanceId &peer) const
+bool PeerDirectory::isHub(const InstanceId &peer) const
 {
     const auto found = this->d->known.find(peer);
     return found != this->d->known.end() && found->second.isHub;
 }
 
-std::vector<InstanceId> PeerBook::hubPeers() const
+std::vector<InstanceId> PeerDirectory::hubPeers() const
 {
     std::vector<InstanceId> all;
     for (const auto &[peer, known] : this->d->known) {
@@ -229,7 +229,7 @@
     return all;
 }
 
-std::vector<InstanceId> PeerBook::peers() const
+std::vector<InstanceId> PeerDirectory::peers() const
 {
     std::set<InstanceId> all = this->d->seeds;
     for (const auto &[peer, known] : this->d->known) {
@@ -239,7 +239,7 @@
     return {all.begin(), all.end()};
 }
 
-std::vector<GatewayMember> PeerBook::members(Millis now) const
+std::vector<GatewayMember> PeerDirectory::members(Millis now) const
 {
     std::vector<GatewayMember> all;
     for (const auto &[peer, known] : this->d->known) {
@@ -250,13 +250,13 @@
     return all;
 }
 
-std::size_t PeerBook::fleetSize(Millis /*now*/) const
+std::size_t PeerDirectory::fleetSize(Millis /*now*/) const
 {
     const std::size_t known = this->d->known.size() + 1;
     return this->d->hasHeard ? known : std::max(known, unknownFleetSize);
 }
 
-Millis PeerBook::newestFrom(const InstanceId &peer) const
+Millis PeerDirectory::newestFrom(const InstanceId &peer) const
 {
     const auto found = this->d->known.find(peer);
     return found != this->d->known.end() ? found->second.newestSentAt : Millis{0};
--- a/sequoiausher/coordination/gateway/peerbook.h
+++ b/sequoiausher/coordination/gateway/peerdirectory.h
@@ -9,9 +9,9 @@
 // gateways share; nobody elects them, and whoever is asked for a reply gives one, so a difference between two lists
 // costs a little freshness and nothing else.
 //
-//     PeerBook book(self, seeds, seed);
-//     book.heardFrom(peer, report, now);
-//     for (const DueReport &due : book.due(now)) { send(due.peer, reportFor(due)); }
+//     PeerDirectory directory(self, seeds, seed);
+//     directory.heardFrom(peer, report, now);
+//     for (const DueReport &due : directory.due(now)) { send(due.peer, reportFor(due)); }
 
 #include "sequoiausher/base/identifiers.h"
 #include "sequoiausher/base/millis.h"
@@ -35,12 +35,12 @@
 };
 
 /** The known gateways. Not thread-safe. */
-class PeerBook
+class PeerDirectory
 {
 public:
     /** @param seed for the order in which this gateway prefers hubs. */
-    PeerBook(InstanceId self, const std::vector<InstanceId> &seeds, std::uint64_t seed);
-    ~PeerBook();
+    PeerDirectory(InstanceId self, const std::vector<InstanceId> &seeds, std::uint64_t seed);
+    ~PeerDirectory();
 
     void setSeeds(const std::vector<InstanceId> &seeds);
     /** How much this gateway can carry beside its callers' requests. */
--- a/sequoiausher/coordination/gateway/peerbooktest.cpp
+++ b/sequoiausher/coordination/gateway/peerdirectorytest.cpp
@@ -1,4 +1,4 @@
-#include "sequoiausher/coordination/gateway/peerbook.h"
+#include "sequoiausher/coordination/gateway/peerdirectory.h"
 
 #include <doctest/doctest.h>
 
@@ -24,8 +24,8 @@
     {
         const std::vector<InstanceId> seeds{nameOf(0), nameOf(1), nameOf(999)};
         for (std::size_t i = 0; i < size; ++i) {
-            this->books.emplace_back(nameOf(i), seeds, i);
-            this->books.back().setStrength(static_cast<std::uint16_t>(i % 7));
+            this->directories.emplace_back(nameOf(i), seeds, i);
+            this->directories.back().setStrength(static_cast<std::uint16_t>(i % 7));
             this->indexes[nameOf(i)] = i;
         }
     }
@@ -33,11 +33,11 @@
     void round(Millis now)
     {
         this->sent = 0;
-        for (std::size_t i = 0; i < this->books.size(); ++i) {
+        for (std::size_t i = 0; i < this->directories.size(); ++i) {
             if (this->dead.contains(i)) {
                 continue;
             }
-            for (const DueReport &due : this->books[i].due(now)) {
+            for (const DueReport &due : this->directories[i].due(now)) {
                 this->deliver(i, due.peer, due.wantsReply, now);
             }
         }
@@ -52,14 +52,14 @@
         }
         GatewayReport report;
         report.sentAt = now;
-        report.isHub = this->books[from].isHub(now);
+        report.isHub = this->directories[from].isHub(now);
         report.strength = static_cast<std::uint16_t>(from % 7);
         report.wantsReply = wantsReply;
         report.isReply = isReply;
-        if (isReply || report.isHub || !this->books[from].hasHubs(now)) {
-            report.members = this->books[from].members(now);
+        if (isReply || report.isHub || !this->directories[from].hasHubs(now)) {
+            report.members = this->directories[from].members(now);
         }
-        PeerBook &receiver = this->books[index->second];
+        PeerDirectory &receiver = this->directories[index->second];
         receiver.heardFrom(nameOf(from), report, now);
         if (receiver.mustReply(nameOf(from), report, now)) {
             this->deliver(index->second, nameOf(from), false, now, true);
@@ -69,13 +69,13 @@
     std::size_t hubCount(Millis now) const
     {
         std::size_t count = 0;
-        for (std::size_t i = 0; i < this->books.size(); ++i) {
-            count += !this->dead.contains(i) && this->books[i].isHub(now) ? 1 : 0;
+        for (std::size_t i = 0; i < this->directories.size(); ++i) {
+            count += !this->dead.contains(i) && this->directories[i].isHub(now) ? 1 : 0;
         }
         return count;
     }
 
-    std::deque<PeerBook> books;
+    std::deque<PeerDirectory> directories;
     std::map<InstanceId, std::size_t> indexes;
     std::set<std::size_t> dead;
     std::size_t sent = 0;
@@ -92,10 +92,10 @@
             fleet.round(Millis{round * 300});
         }
         const Millis now{12 * 300};
-        for (const PeerBook &book : fleet.books) {
-            CHECK(book.fleetSize(now) == size);
+        for (const PeerDirectory &directory : fleet.directories) {
+            CHECK(directory.fleetSize(now) == size);
         }
-        CHECK(fleet.books[0].hasHubs(now) == (size > 10));
+        CHECK(fleet.directories[0].hasHubs(now) == (size > 10));
     }
 }
 
@@ -119,7 +119,7 @@
         fleet.round(Millis{round * 300});
     }
     for (std::size_t i = 0; i < 66; ++i) {
-        CHECK((!fleet.books[i].isHub(Millis{3600}) || i % 7 == 6));
+        CHECK((!fleet.directories[i].isHub(Millis{3600}) || i % 7 == 6));
     }
 }
 
@@ -133,7 +133,7 @@
     }
     const Millis before{10 * 300};
     for (std::size_t i = 0; i < 66 && fleet.dead.empty(); ++i) {
-        if (fleet.books[i].isHub(before)) {
+        if (fleet.directories[i].isHub(before)) {
             fleet.dead.insert(i);
         }
     }
@@ -142,13 +142,13 @@
         const Millis now{round * 300};
         fleet.round(now);
         for (std::size_t i = 0; i < 66; ++i) {
-            for (const InstanceId &hub : fleet.books[i].hubPeers()) {
-                newest[i] = std::max(newest[i], fleet.books[i].newestFrom(hub));
+            for (const InstanceId &hub : fleet.directories[i].hubPeers()) {
+                newest[i] = std::max(newest[i], fleet.directories[i].newestFrom(hub));
             }
             if (!fleet.dead.contains(i)) {
                 CAPTURE(i);
                 CAPTURE(round);
-                CAPTURE(fleet.books[i].isHub(now));
+                CAPTURE(fleet.directories[i].isHub(now));
                 CHECK((now - newest[i]).count <= 900);
             }
         }
@@ -168,24 +168,24 @@
     }
     GatewayReport report;
     report.isReply = true;
-    for (const PeerBook &book : fleet.books) {
-        CHECK_FALSE(book.mustReply(nameOf(500), report, Millis{3600}));
+    for (const PeerDirectory &directory : fleet.directories) {
+        CHECK_FALSE(directory.mustReply(nameOf(500), report, Millis{3600}));
     }
 }
 
 TEST_CASE("one that is silent is no member soon, and is forgotten after a minute")
 {
-    PeerBook book(nameOf(0), {nameOf(1)}, 1);
-    CHECK(book.fleetSize(Millis{0}) == 12);
+    PeerDirectory directory(nameOf(0), {nameOf(1)}, 1);
+    CHECK(directory.fleetSize(Millis{0}) == 12);
     GatewayReport report;
     report.sentAt = Millis{77};
-    book.heardFrom(nameOf(1), report, Millis{1000});
-    book.heardFrom(nameOf(2), report, Millis{1000});
-    CHECK(book.members(Millis{2000}).size() == 2);
-    CHECK(book.newestFrom(nameOf(2)) == Millis{77});
-    CHECK(book.members(Millis{7000}).empty());
-    CHECK(book.fleetSize(Millis{7000}) == 3);
-    book.heardFrom(nameOf(1), report, Millis{62000});
-    CHECK(book.fleetSize(Millis{62000}) == 2);
-    CHECK(book.peers() == std::vector{nameOf(1)});
+    directory.heardFrom(nameOf(1), report, Millis{1000});
+    directory.heardFrom(nameOf(2), report, Millis{1000});
+    CHECK(directory.members(Millis{2000}).size() == 2);
+    CHECK(directory.newestFrom(nameOf(2)) == Millis{77});
+    CHECK(directory.members(Millis{7000}).empty());
+    CHECK(directory.fleetSize(Millis{7000}) == 3);
+    directory.heardFrom(nameOf(1), report, Millis{62000});
+    CHECK(directory.fleetSize(Millis{62000}) == 2);
+    CHECK(directory.peers() == std::vector{nameOf(1)});
 }
--- a/sequoiausher/coordination/gateway/prefixdirectory.cpp
+++ b/sequoiausher/coordination/gateway/prefixdirectory.cpp
@@ -120,10 +120,10 @@
 }
 
 void PrefixDirectory::heard(const InstanceId &peer,
-                          std::uint64_t part,
-                          const TargetId &target,
-                          Millis now,
-                          NewsScope isPassedOn)
+                            std::uint64_t part,
+                            const TargetId &target,
+                            Millis now,
+                            NewsScope isPassedOn)
 {
     Holder &holder = this->d->holderOf(this->d->touch(part), target, now);
     holder.usedAt = now;
--- a/sequoiausher/transport/gateway/gatewaycontext.h
+++ b/sequoiausher/transport/gateway/gatewaycontext.h
@@ -10,8 +10,8 @@
 #include "sequoiausher/coordination/gateway/callerpatience.h"
 #include "sequoiausher/coordination/gateway/freshness.h"
 #include "sequoiausher/coordination/gateway/loadshedder.h"
+#include "sequoiausher/coordination/gateway/peerdirectory.h"
 #include "sequoiausher/coordination/gateway/prefixdirectory.h"
-#include "sequoiausher/coordination/gateway/peerbook.h"
 #include "sequoiausher/coordination/gateway/retrybudgetshare.h"
 #include "sequoiausher/coordination/gateway/routetable.h"
 #include "sequoiausher/coordination/gateway/targetboard.h"
@@ -64,7 +64,7 @@
     std::shared_ptr<const RuleSet> rules;
     Freshness freshness;
     RetryBudgetShare retryBudget;
-    PeerBook peers;
+    PeerDirectory peers;
     TargetBoard board;
     LoadShedder shedder;
     CallerPatience patience;
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -205,33 +205,33 @@
 
 GatewayReport GatewayPeers::Private::reportFor(const InstanceId &peer, Millis now)
 {
-    const PeerBook &book = this->context.peers;
+    const PeerDirectory &directory = this->context.peers;
     GatewayReport report;
     report.sentAt = now;
-    report.echo = book.newestFrom(peer);
+    report.echo = directory.newestFrom(peer);
     report.configuration = this->context.revision();
     report.proofAge = this->context.proofAge(now);
     // Who keeps entries that may be gone cannot vouch for the list: others then read the store themselves.
     report.storeAge = this->known.targets.hasMissing() ? Millis::never() : this->storeAge(now);
     report.targets = this->known.targets.revision();
     report.leaving = this->context.isStopping;
-    report.isHub = book.isHub(now);
+    report.isHub = directory.isHub(now);
     report.isResting = this->mayRest(now);
     report.strength = strengthOf(this->context.settings);
     if (!report.isHub) {
         report.loads = this->context.board.ownLoads(now);
         report.placements = this->context.parts.newsFor(peer, NewsScope::Own);
-        report.members = book.hasHubs(now) ? std::vector<GatewayMember>() : book.members(now);
+        report.members = directory.hasHubs(now) ? std::vector<GatewayMember>() : directory.members(now);
         return report;
     }
     // Hubs hear of each other's gateways from each other; a gateway hears of all others from its hub.
-    const bool toHub = book.isHub(peer);
-    std::vector<InstanceId> without = toHub ? book.hubPeers() : std::vector<InstanceId>();
+    const bool toHub = directory.isHub(peer);
+    std::vector<InstanceId> without = toHub ? directory.hubPeers() : std::vector<InstanceId>();
     without.push_back(peer);
     report.loads = this->context.board.loads(without, now);
     report.placements = this->context.parts.newsFor(peer, toHub ? NewsScope::Group : NewsScope::All);
     if (report.echo == Millis{0} || this->round % membersEvery == 0) {
-        report.members = book.members(now);
+        report.members = directory.members(now);
     }
     return report;
 }
@@ -243,17 +243,17 @@
 
 bool GatewayPeers::Private::mayRest(Millis now) const
 {
-    const PeerBook &book = this->context.peers;
-    return book.hasHubs(now) && !book.isHub(now) && now - this->hubVouchedAt < vouchLife;
+    const PeerDirectory &directory = this->context.peers;
+    return directory.hasHubs(now) && !directory.isHub(now) && now - this->hubVouchedAt < vouchLife;
 }
 
 Millis GatewayPeers::longestStorePause(Millis now) const
 {
-    const PeerBook &book = this->d->context.peers;
-    if (!book.hasHubs(now) || book.isHub(now)) {
+    const PeerDirectory &directory = this->d->context.peers;
+    if (!directory.hasHubs(now) || directory.isHub(now)) {
         return usualStorePause;
     }
-    const Millis shared = storePauseOfEach * static_cast<std::int64_t>(book.fleetSize(now));
+    const Millis shared = storePauseOfEach * static_cast<std::int64_t>(directory.fleetSize(now));
     return std::clamp(shared, usualStorePause, longestStorePauseOfAny);
 }
 
