Tick callers in one place, and keep one figure for the pause before a silent store

Cause: the loop that ticks all callers stood in tick() and in endStart(), and the usual longest pause of 0.8 s in storewatcher.cpp and gatewaypeers.cpp, of which the gateway's tick always set the second. Change: tickCallers(); usualStorePause in storewatcher.h. No behaviour.

--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -71,6 +71,7 @@
     void watchStore();
     void accept(int descriptor);
     void tick();
+    void tickCallers(Millis now);
     /** Lets requests go on that wait for the start, once it is ready. */
     void endStart();
     void tickStop(Millis now);
@@ -192,15 +193,7 @@
     if (this->known.targets.tick(now)) {
         this->targetsChanged("missing entries did not come back");
     }
-    // A tick may end connections and so change the map.
-    std::vector<std::shared_ptr<CallerConnection>> all;
-    all.reserve(this->callers.size());
-    for (const auto &[raw, connection] : this->callers) {
-        all.push_back(connection);
-    }
-    for (const auto &connection : all) {
-        connection->tick(now);
-    }
+    this->tickCallers(now);
     this->context.pools.tick(now);
     this->context.doomed.clear();
     if (now >= this->nextSuppressedAt) {
@@ -221,14 +214,11 @@
     this->tickStop(now);
 }
 
-void GatewayNode::Private::endStart()
+void GatewayNode::Private::tickCallers(Millis now)
 {
-    if (!this->context.isStarting || !this->isReady()) {
-        return;
-    }
-    this->context.isStarting = false;
-    const Millis now = Millis::monotonicNow();
+    // A tick may end connections and so change the map.
     std::vector<std::shared_ptr<CallerConnection>> all;
+    all.reserve(this->callers.size());
     for (const auto &[raw, connection] : this->callers) {
         all.push_back(connection);
     }
@@ -237,6 +227,15 @@
     }
 }
 
+void GatewayNode::Private::endStart()
+{
+    if (!this->context.isStarting || !this->isReady()) {
+        return;
+    }
+    this->context.isStarting = false;
+    this->tickCallers(Millis::monotonicNow());
+}
+
 void GatewayNode::Private::beginStop()
 {
     if (this->stopBegunAt) {
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -2,6 +2,7 @@
 
 #include "sequoiausher/base/error.h"
 #include "sequoiausher/protocol/gateway/targetstext.h"
+#include "sequoiausher/transport/gateway/storewatcher.h"
 #include "sequoiausher/transport/peers/peermesh.h"
 
 #include <QByteArray>
@@ -34,8 +35,7 @@
 constexpr std::uint64_t membersEvery = 4;
 /** A link on which nothing is heard for so long has gone silent; reports come several times in it. */
 constexpr Millis linkSilence{1500};
-/** Pauses between calls to a store that does not answer: a fleet shall try some ten times a second in all. */
-constexpr Millis usualStorePause{800};
+/** A fleet shall call a store that does not answer some ten times a second in all. */
 constexpr Millis storePauseOfEach{100};
 /** A gateway that alone reaches the store, or alone lost its peers, must hear of a target that leaves in time. */
 constexpr Millis longestStorePauseOfAny{4000};
--- a/sequoiausher/transport/gateway/storewatcher.cpp
+++ b/sequoiausher/transport/gateway/storewatcher.cpp
@@ -32,7 +32,6 @@
 constexpr Millis oldProofSpread{1200};
 /** After a failed call the next one waits for so long; doubled each time up to the most, with jitter. */
 constexpr Millis firstPause{100};
-constexpr Millis usualLongestPause{800};
 
 /** One line of calls with its own pauses. */
 struct CallLine
@@ -99,7 +98,7 @@
     Millis proofInterval;
     double bytesPerMs;
     Millis restingProofAge;
-    Millis longestPause = usualLongestPause;
+    Millis longestPause = usualStorePause;
     bool isResting = false;
     std::vector<GatewayTarget> listed;
     std::vector<TargetId> unreadable;
--- a/sequoiausher/transport/gateway/storewatcher.h
+++ b/sequoiausher/transport/gateway/storewatcher.h
@@ -16,6 +16,9 @@
 
 namespace Sequoiausher {
 
+/** The longest pause between two calls that fail, where nobody says otherwise. */
+inline constexpr Millis usualStorePause{800};
+
 /** What a watcher hears. */
 class StoreListener
 {
