Tell in the log how each connection of a caller ended, and what was thrown away after it

Cause: a gateway that closes a connection reads on for two seconds and throws away what comes. Ruled out as a way to see it: the callers' side alone, which knows no more than that the connection was closed. Change: a line for each end of a connection (why, how long it had rested, bytes unread and unacknowledged at that moment), a warning and a metric for bytes thrown away after a close, and the connection's number in the line of each request's end. What outlives the gateway looks first whether it is still there. No decision is changed. The cost in processor time is not measured; it is one line for each connection beside one for each request.

--- a/sequoiausher/transport/gateway/callerconnection.cpp
+++ b/sequoiausher/transport/gateway/callerconnection.cpp
@@ -35,6 +35,7 @@
     , gone(std::move(whenGone))
     , stream(ByteStream::adopt(descriptor, this))
     , reader(HttpReader::Kind::Request, this->limits())
+    , number(++shared.connectionsAccepted)
     , since(Millis::monotonicNow())
 {
 }
@@ -92,6 +93,7 @@
     const Millis now = Millis::monotonicNow();
     this->hasBytes = false;
     this->hasContinued = false;
+    this->requests += 1;
     this->exchange
         = std::make_shared<GatewayExchange>(this->context, *this, this->reader.head(), this->reader.takeBody(), now);
     // The answer may be given in the call, and the exchange let go of.
@@ -105,8 +107,7 @@
         LogPart::Entry, "request refused unread", {{"status", std::to_string(status)}, {"why", reason}});
     this->context.metrics.add("gateway_unreadable_requests_total");
     this->stream->write(ownAnswer(this->context.dialect, CallerRequest(), {status, reason, std::nullopt, true, false}));
-    this->stream->closeGently();
-    this->over();
+    this->closeGently(CloseReason::Unreadable);
 }
 
 void CallerConnection::drained()
@@ -122,7 +123,7 @@
         this->exchange->callerGone();
         this->dropExchange();
     }
-    this->over();
+    this->over(CloseReason::CallerLeft);
 }
 
 void CallerConnection::write(std::string_view bytes)
@@ -140,8 +141,7 @@
     this->dropExchange();
     this->since = Millis::monotonicNow();
     if (closes) {
-        this->stream->closeGently();
-        this->over();
+        this->closeGently(CloseReason::Answered);
         return;
     }
     this->readRequests();
@@ -150,8 +150,13 @@
 void CallerConnection::cutOff()
 {
     this->dropExchange();
+    this->over(CloseReason::CutOff);
     this->stream->close();
-    this->over();
+}
+
+std::uint64_t CallerConnection::connectionNumber() const
+{
+    return this->number;
 }
 
 void CallerConnection::dropExchange()
@@ -160,11 +165,40 @@
     this->exchange.reset();
 }
 
-void CallerConnection::over()
+void CallerConnection::over(CloseReason why)
 {
-    if (!std::exchange(this->isOver, true)) {
-        this->gone(*this);
+    if (std::exchange(this->isOver, true)) {
+        return;
     }
+    // The counts tell a request that crossed the close, or waited unseen, from one that never came.
+    this->context.log.info(LogPart::Entry,
+                           "connection closed",
+                           {{"connection", std::to_string(this->number)},
+                            {"why", std::string(nameOf(why))},
+                            {"requests", std::to_string(this->requests)},
+                            {"idle_ms", std::to_string((Millis::monotonicNow() - this->since).count)},
+                            {"unread_bytes", std::to_string(this->stream->unreadBytes())},
+                            {"unacknowledged_bytes", std::to_string(this->stream->unacknowledgedBytes())}});
+    this->gone(*this);
+}
+
+void CallerConnection::closeGently(CloseReason why)
+{
+    this->over(why);
+    // The stream lingers on after this connection, and after the gateway where that ends meanwhile.
+    GatewayContext &shared = this->context;
+    const std::weak_ptr<const bool> life = shared.life;
+    this->stream->closeGently([&shared, life, closed = this->number, why](std::size_t bytes) {
+        if (life.expired()) {
+            return;
+        }
+        shared.log.warning(LogPart::Entry,
+                           "bytes thrown away after a close",
+                           {{"connection", std::to_string(closed)},
+                            {"why", std::string(nameOf(why))},
+                            {"bytes", std::to_string(bytes)}});
+        shared.metrics.add("gateway_discarded_bytes_total", bytes);
+    });
 }
 
 void CallerConnection::tick(Millis now)
@@ -181,7 +215,7 @@
     if (this->hasBytes && !this->reader.hasHead() && now - this->since >= given.headTime) {
         this->refuse(statusRequestTimeout, "the head took too long");
     } else if (now - this->since >= given.idleTime) {
-        this->closeGently();
+        this->closeGently(CloseReason::Idle);
     }
 }
 
@@ -195,10 +229,9 @@
     return this->hasBytes;
 }
 
-void CallerConnection::closeGently()
+void CallerConnection::closeForStop()
 {
-    this->stream->closeGently();
-    this->over();
+    this->closeGently(CloseReason::Stopping);
 }
 
 void CallerConnection::close()
@@ -207,8 +240,8 @@
         this->exchange->callerGone();
         this->dropExchange();
     }
+    this->over(CloseReason::Stopping);
     this->stream->close();
-    this->over();
 }
 
 } // namespace Sequoiausher
--- a/sequoiausher/transport/gateway/callerconnection.h
+++ b/sequoiausher/transport/gateway/callerconnection.h
@@ -4,15 +4,43 @@
 //
 //     auto connection = std::make_shared<CallerConnection>(context, descriptor, [](CallerConnection &gone) { ... });
 
+#include "sequoiausher/base/nametable.h"
 #include "sequoiausher/transport/gateway/gatewayexchange.h"
 #include "sequoiausher/transport/stream/bytestream.h"
 #include "sequoiausher/transport/stream/httpreader.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
 namespace Sequoiausher {
 
+/** Why a caller's connection ended. */
+enum class CloseReason {
+    /** It was not used for longer than the limit. */
+    Idle,
+    /** Unused while the gateway stops. */
+    Stopping,
+    /** Its last answer said that the connection closes after it. */
+    Answered,
+    /** A request could not be read. */
+    Unreadable,
+    /** An answer ended early. */
+    CutOff,
+    /** The caller closed it, or its link broke. */
+    CallerLeft,
+};
+
+template<>
+inline constexpr auto nameTable<CloseReason> = std::to_array<NameEntry<CloseReason>>({
+    {CloseReason::Idle, "idle"},
+    {CloseReason::Stopping, "stopping"},
+    {CloseReason::Answered, "answered"},
+    {CloseReason::Unreadable, "unreadable"},
+    {CloseReason::CutOff, "cut-off"},
+    {CloseReason::CallerLeft, "caller-left"},
+});
+
 /** A caller's connection. */
 class CallerConnection : public ByteStreamUser, public CallerSide
 {
@@ -32,8 +60,8 @@
     bool isBusy() const;
     /** Whether part of a request has come. */
     bool isReading() const;
-    /** Closes it in order: a request that crosses the close has not been read, so the caller may send it elsewhere. */
-    void closeGently();
+    /** Closes it while it is unused and the gateway stops. */
+    void closeForStop();
     /** Closes it at once. */
     void close();
 
@@ -45,13 +73,15 @@
     void finished(bool closes) override;
     void cutOff() override;
     std::size_t pendingBytes() const override;
+    std::uint64_t connectionNumber() const override;
 
 private:
     void readRequests();
     void takeRequest();
     void refuse(int status, const std::string &reason);
     void dropExchange();
-    void over();
+    void closeGently(CloseReason why);
+    void over(CloseReason why);
     HttpReaderLimits limits() const;
 
     GatewayContext &context;
@@ -59,6 +89,9 @@
     std::shared_ptr<ByteStream> stream;
     HttpReader reader;
     std::shared_ptr<GatewayExchange> exchange;
+    /** Its place in the order in which this gateway accepted connections: what log lines know it by. */
+    std::uint64_t number;
+    std::uint64_t requests = 0;
     /** Since when the connection is unused, or the first byte of a request is there. */
     Millis since;
     bool hasBytes = false;
--- a/sequoiausher/transport/gateway/gatewaycontext.h
+++ b/sequoiausher/transport/gateway/gatewaycontext.h
@@ -70,6 +70,7 @@
     CallerPatience patience;
     PrefixDirectory parts;
     TargetPools pools;
+    std::uint64_t connectionsAccepted = 0;
     bool isStopping = false;
     /** Not yet ready for the first time since its start. */
     bool isStarting = true;
@@ -77,6 +78,8 @@
     Millis startsUntil;
     std::mt19937_64 random;
     std::vector<std::shared_ptr<void>> doomed;
+    /** Expires with the context: what may outlive it looks here first. */
+    std::shared_ptr<const bool> life = std::make_shared<const bool>(true);
 
 private:
     std::map<PoolId, double> firstAnswers;
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -587,7 +587,8 @@
          {"configuration", std::to_string(this->admitted.table ? this->admitted.table->configuration().revision : 0)},
          {"proof_age_ms", text(this->context.proofAge(now))},
          {"first_ms", this->firstPartAt == Millis{0} ? "none" : text(this->firstPartAt - this->receivedAt)},
-         {"took_ms", text(now - this->receivedAt)}});
+         {"took_ms", text(now - this->receivedAt)},
+         {"connection", std::to_string(this->caller.connectionNumber())}});
 }
 
 WaitState GatewayExchange::Private::waitState(Millis now) const
--- a/sequoiausher/transport/gateway/gatewayexchange.h
+++ b/sequoiausher/transport/gateway/gatewayexchange.h
@@ -12,6 +12,7 @@
 #include "sequoiausher/transport/gateway/gatewaycall.h"
 #include "sequoiausher/transport/gateway/gatewaycontext.h"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -31,6 +32,8 @@
     /** The answer ends early: closes so that what was sent does not look whole. */
     virtual void cutOff() = 0;
     virtual std::size_t pendingBytes() const = 0;
+    /** What log lines know the connection by. */
+    virtual std::uint64_t connectionNumber() const = 0;
 };
 
 /** One request. */
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -120,7 +120,6 @@
     bool isStopped = false;
     bool wasReady = false;
     Millis nextSuppressedAt;
-    std::uint64_t accepted = 0;
     std::string changesNamed;
     std::size_t changeCount = 0;
 };
@@ -171,7 +170,6 @@
 
 void GatewayNode::Private::accept(int descriptor)
 {
-    this->accepted += 1;
     auto connection = std::make_shared<CallerConnection>(this->context, descriptor, [this](CallerConnection &gone) {
         const auto found = this->callers.find(&gone);
         if (found != this->callers.end()) {
@@ -268,7 +266,7 @@
         }
         // A request that crosses this close has not been read, so its caller may send it elsewhere.
         for (const auto &connection : idle) {
-            connection->closeGently();
+            connection->closeForStop();
         }
         if (busy == 0 && idle.empty()) {
             this->finishStop("all requests answered");
@@ -306,7 +304,7 @@
     this->metrics.set("gateway_targets", static_cast<double>(this->known.targets.targets().size()));
     this->metrics.set("gateway_peers", static_cast<double>(this->context.peers.members(now).size()));
     this->metrics.set("gateway_connections", static_cast<double>(this->callers.size()));
-    this->metrics.set("gateway_accepted", static_cast<double>(this->accepted));
+    this->metrics.set("gateway_accepted", static_cast<double>(this->context.connectionsAccepted));
     this->metrics.set("gateway_target_connections_opened", static_cast<double>(this->context.pools.dialled()));
     this->metrics.set("gateway_store_calls", static_cast<double>(this->watcher->calls()));
     this->metrics.set("gateway_resting", this->peers.mayRest(now) ? 1 : 0);
--- a/sequoiausher/transport/stream/bytestream.cpp
+++ b/sequoiausher/transport/stream/bytestream.cpp
@@ -9,10 +9,13 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <utility>
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -32,6 +35,16 @@
     setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
+/** A count that the kernel keeps for the socket; 0 where it does not tell. */
+std::size_t countOf(int descriptor, unsigned long which)
+{
+    int count = 0;
+    if (descriptor < 0 || ioctl(descriptor, which, &count) != 0) {
+        return 0;
+    }
+    return static_cast<std::size_t>(count);
+}
+
 } // namespace
 
 class ByteStream::Private
@@ -60,6 +73,8 @@
     /** Closed by this side: only waits until all is sent and the other side has closed. */
     bool lingering = false;
     bool writeShut = false;
+    std::size_t discardedBytes = 0;
+    Discarded discarded;
     std::string input;
     std::string output;
     std::unique_ptr<QSocketNotifier> reads;
@@ -97,6 +112,7 @@
         return;
     }
     if (this->lingering) {
+        this->discardedBytes += static_cast<std::size_t>(taken);
         return;
     }
     this->input.append(buffer.data(), static_cast<std::size_t>(taken));
@@ -189,6 +205,9 @@
     }
     ::close(this->descriptor);
     this->descriptor = -1;
+    if (this->discarded && this->discardedBytes > 0) {
+        std::exchange(this->discarded, nullptr)(this->discardedBytes);
+    }
 }
 
 ByteStream::ByteStream(std::unique_ptr<Private> with) : d(std::move(with))
@@ -261,6 +280,16 @@
     return this->d->output.size();
 }
 
+std::size_t ByteStream::unacknowledgedBytes() const
+{
+    return this->d->output.size() + countOf(this->d->descriptor, SIOCOUTQ);
+}
+
+std::size_t ByteStream::unreadBytes() const
+{
+    return countOf(this->d->descriptor, FIONREAD);
+}
+
 bool ByteStream::isConnected() const
 {
     return this->d->open && this->d->descriptor >= 0;
@@ -293,11 +322,13 @@
     this->d->user = user;
 }
 
-void ByteStream::closeGently()
+void ByteStream::closeGently(Discarded discarded)
 {
     if (this->d->descriptor < 0 || this->d->lingering) {
         return;
     }
+    this->d->discarded = std::move(discarded);
+    this->d->discardedBytes = this->d->input.size();
     this->d->user = nullptr;
     this->d->lingering = true;
     this->d->input.clear();
--- a/sequoiausher/transport/stream/bytestream.h
+++ b/sequoiausher/transport/stream/bytestream.h
@@ -11,6 +11,7 @@
 #include "sequoiausher/base/nametable.h"
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -58,6 +59,9 @@
 class ByteStream : public std::enable_shared_from_this<ByteStream>
 {
 public:
+    /** Told how many bytes arrived after a gentle close and were thrown away, where any were. */
+    using Discarded = std::function<void(std::size_t bytes)>;
+
     /**
      * Starts to connect. What is written before the connection is open waits for it.
      * Throws Error(Step::Connect, address, ...) where no socket can be had.
@@ -75,6 +79,10 @@
     void write(std::string_view bytes);
     /** Bytes written that the kernel has not taken. */
     std::size_t pendingBytes() const;
+    /** Bytes written that the other side has not acknowledged; the kernel's and pendingBytes(). 0 once closed. */
+    std::size_t unacknowledgedBytes() const;
+    /** Bytes that wait in the kernel and were not read yet; 0 once closed. */
+    std::size_t unreadBytes() const;
     bool isConnected() const;
     bool isOpen() const;
     /** Whether any written byte has left this process: before that, the other side surely knows nothing. */
@@ -88,9 +96,9 @@
     /**
      * Sends what is pending, then says that no more comes, and throws away what still arrives until the other side
      * closes or lingerMs are over. Closing at once with unread bytes would reset the connection, and the far side
-     * could lose the answer that it was just sent.
+     * could lose the answer that it was just sent. What was thrown away is told once, when the connection is over.
      */
-    void closeGently();
+    void closeGently(Discarded discarded = nullptr);
     /** Closes at once; pending bytes are lost. */
     void close();
     /** The same by a reset, so that the other side cannot take what it got for the whole. */
