Bring about a request without an answer, in a test that fails

A caller of its own (CrossingCaller) goes on writing after the gateway has closed, as one does whose request crosses the close, and asks its kernel whether the bytes were refused (nobody read them: it may send them again) or taken. A request that crosses the close of an idle connection, of one that is closed by a stop, or of one whose answer promised that it stays, is taken and never answered. A connection is closed 300 ms after its answer was handed to the kernel though its caller got it 200 ms later than that; 100 ms after a shrunk limit came into force, though 800 were promised. A body that stops coming ends without a word, one that comes slowly too.

--- a/sequoiausher/transport/gateway/gatewaytestbed.cpp
+++ b/sequoiausher/transport/gateway/gatewaytestbed.cpp
@@ -150,6 +150,8 @@
                 organisation.keys.emplace_back();
                 lines >> organisation.name.value >> organisation.keys.back();
                 configuration.organisations.push_back(organisation);
+            } else if (word == "idle") {
+                lines >> configuration.limits.idleTime.count;
             } else {
                 throw Error(Step::Decode, "configuration", "unknown word " + word);
             }
--- a/sequoiausher/transport/stream/fakehttp.cpp
+++ b/sequoiausher/transport/stream/fakehttp.cpp
@@ -1,9 +1,21 @@
 #include "sequoiausher/transport/stream/fakehttp.h"
 
+#include "sequoiausher/base/error.h"
+#include "sequoiausher/transport/peers/peeraddress.h"
+
 #include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstring>
 #include <sstream>
 #include <utility>
 
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 namespace Sequoiausher {
 
 std::string FakeRequest::header(const std::string &name) const
@@ -178,4 +190,71 @@
     }
 }
 
+CrossingCaller::CrossingCaller(const std::string &address, int receiveBytes)
+    : descriptor(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    , reader(HttpReader::Kind::Answer, {65536, 1UL << 30U})
+{
+    if (receiveBytes > 0) {
+        setsockopt(this->descriptor, SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof receiveBytes);
+    }
+    const PeerAddress parsed = parsePeerAddress(address);
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(parsed.port);
+    inet_pton(AF_INET, parsed.host.c_str(), &to.sin_addr);
+    if (::connect(this->descriptor, reinterpret_cast<const sockaddr *>(&to), sizeof to) != 0) {
+        ::close(this->descriptor);
+        throw Error(Step::Connect, address, std::strerror(errno));
+    }
+    fcntl(this->descriptor, F_SETFL, O_NONBLOCK);
+}
+
+CrossingCaller::~CrossingCaller()
+{
+    ::close(this->descriptor);
+}
+
+void CrossingCaller::send(const std::string &bytes)
+{
+    this->status = 0;
+    this->body.clear();
+    this->input.clear();
+    this->reader.restart();
+    ::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+}
+
+bool CrossingCaller::look()
+{
+    std::array<char, 65536> buffer{};
+    while (!this->hasEnd) {
+        const ssize_t taken = recv(this->descriptor, buffer.data(), buffer.size(), 0);
+        if (taken < 0) {
+            break;
+        }
+        this->hasEnd = taken == 0;
+        this->input.append(buffer.data(), static_cast<std::size_t>(taken));
+    }
+    this->reader.read(this->input);
+    this->body += this->reader.takeBody();
+    this->head = this->reader.head();
+    this->status = this->head.status;
+    return this->reader.isComplete();
+}
+
+bool CrossingCaller::isFinished()
+{
+    this->look();
+    return this->hasEnd;
+}
+
+bool CrossingCaller::isReset()
+{
+    int problem = 0;
+    socklen_t size = sizeof problem;
+    // The kernel tells it once.
+    getsockopt(this->descriptor, SOL_SOCKET, SO_ERROR, &problem, &size);
+    this->wasReset = this->wasReset || problem != 0;
+    return this->wasReset;
+}
+
 } // namespace Sequoiausher
--- a/sequoiausher/transport/stream/fakehttp.h
+++ b/sequoiausher/transport/stream/fakehttp.h
@@ -126,4 +126,38 @@
     HttpReader reader;
 };
 
+/**
+ * A caller that goes on writing after the other side has closed, as one does whose request crosses the close. No event
+ * loop: look() takes what has arrived.
+ */
+class CrossingCaller
+{
+public:
+    /** @param receiveBytes the kernel keeps about so many unread bytes for it; 0 for the usual size. */
+    explicit CrossingCaller(const std::string &address, int receiveBytes = 0);
+    ~CrossingCaller();
+    CrossingCaller(const CrossingCaller &) = delete;
+    CrossingCaller &operator=(const CrossingCaller &) = delete;
+
+    /** Sends, and forgets the answer before. */
+    void send(const std::string &bytes);
+    /** Takes what has arrived; true where the answer is whole. */
+    bool look();
+    /** The other side has said that nothing more comes. */
+    bool isFinished();
+    /** The other side's kernel refused bytes: no process there has read what was sent last. */
+    bool isReset();
+
+    int status = 0;
+    HttpHead head;
+    std::string body;
+
+private:
+    int descriptor;
+    bool hasEnd = false;
+    bool wasReset = false;
+    std::string input;
+    HttpReader reader;
+};
+
 } // namespace Sequoiausher
