Leave unread what crosses the close of an unused connection, and count idle time as its caller does

Cause: a connection was closed by its age alone, and by a close that reads on for two seconds to protect an answer that was just sent. On an unused connection there is no such answer: what the close read was the caller's next request, and it was thrown away. The caller got neither an answer nor a refusal, and may not send again what may run only once. Change: an unused connection is read once more and then closed at once, so that its caller's kernel says that nobody has read what comes later. The idle time counts from the caller's acknowledgement of the last answer, by the longest limit that was in force since (IdleClock). A body that stops is refused as not run (408); a slow one is read on. A stream whose head promised that the connection stays keeps it at a stop. Open here: whether connections should stay open for longer than the limit, so that fewer requests meet a close.

--- /dev/null
+++ b/sequoiausher/coordination/gateway/connectionpatience.h
@@ -0,0 +1,82 @@
+#pragma once
+
+// For how long a caller's connection on which no answer is under way stays open, and when a request that stops in the
+// middle is given up. No sockets and no clock: the connection asks now and then, and obeys.
+//
+//     IdleClock idle(now, limits.idleTime);
+//     idle.answered(now, limits.idleTime);            // an answer was handed to the kernel
+//     idle.observe(now, unacknowledgedBytes == 0);    // later, until it is taken
+//     if (idle.isOver(now, limits.idleTime)) { ... }
+//
+// What goes wrong without it: callers count their idle time from when they have an answer, and by the limit that they
+// know. A gateway that counts from when it wrote the answer, or by a limit that shrank meanwhile, closes connections
+// that are still in use, and the next request meets the close.
+
+#include "sequoiausher/base/millis.h"
+#include "sequoiausher/base/nametable.h"
+
+#include <optional>
+
+namespace Sequoiausher {
+
+/** Counts how long a connection has been idle as its caller counts it. */
+class IdleClock
+{
+public:
+    /** A connection that was just accepted. @param promised the idle limit in force. */
+    IdleClock(Millis now, Millis promised);
+
+    /** An answer was handed to the kernel; the connection is idle from when its caller has it. */
+    void answered(Millis now, Millis promised);
+    /** Whether the caller has acknowledged all that was sent. Need not be called again once isTaken(). */
+    void observe(Millis now, bool isAcknowledged);
+    /** The caller has the last answer. */
+    bool isTaken() const;
+
+    /**
+     * Since when the connection is idle. An answer that is not taken counts as taken after one limit, so that a caller
+     * that is gone without a word does not hold its connection for ever.
+     */
+    Millis since(Millis now) const;
+    /**
+     * Whether it may be closed: the longest limit that was in force since the answer is over.
+     * @param limit the one in force now.
+     */
+    bool isOver(Millis now, Millis limit);
+
+private:
+    Millis answeredAt;
+    std::optional<Millis> takenAt;
+    Millis promised;
+};
+
+/** A request of which a part has come. */
+struct PartialRequest
+{
+    /** When its first byte came. */
+    Millis begunAt;
+    /** When its last byte so far came. */
+    Millis heardAt;
+    bool hasHead = false;
+};
+
+/** What to do with it. */
+enum class PartialVerdict {
+    Wait,
+    /** The head takes longer than allowed. */
+    HeadTooSlow,
+    /** The head is there, and nothing of the body came for longer than a connection may be idle. */
+    BodyStopped,
+};
+
+template<>
+inline constexpr auto nameTable<PartialVerdict> = std::to_array<NameEntry<PartialVerdict>>({
+    {PartialVerdict::Wait, "wait"},
+    {PartialVerdict::HeadTooSlow, "the head took too long"},
+    {PartialVerdict::BodyStopped, "the body stopped"},
+});
+
+/** Judges one moment of it. */
+PartialVerdict judgePartial(const PartialRequest &request, Millis now, Millis headTime, Millis idleTime);
+
+} // namespace Sequoiausher
--- /dev/null
+++ b/sequoiausher/coordination/gateway/connectionpatiencetest.cpp
@@ -0,0 +1,101 @@
+#include "sequoiausher/coordination/gateway/connectionpatience.h"
+
+#include <doctest/doctest.h>
+
+using namespace Sequoiausher;
+
+namespace {
+
+constexpr Millis limit{15000};
+
+} // namespace
+
+TEST_CASE("a connection that was accepted and not used is idle from then on")
+{
+    IdleClock idle(Millis{1000}, limit);
+    CHECK_FALSE(idle.isOver(Millis{15999}, limit));
+    CHECK(idle.isOver(Millis{16000}, limit));
+}
+
+// Symptom: a connection was closed under its caller, who had it idle for two thirds of the limit. Events: an answer is
+// held up on its way for seconds. Cause: the idle time was counted from when the answer was written.
+TEST_CASE("a connection is idle from when its caller has the answer")
+{
+    IdleClock idle(Millis{0}, limit);
+    idle.answered(Millis{1000}, limit);
+    CHECK_FALSE(idle.isTaken());
+    idle.observe(Millis{1040}, false);
+    CHECK(idle.since(Millis{1040}) == Millis{1040});
+    idle.observe(Millis{6000}, true);
+    CHECK(idle.isTaken());
+    CHECK(idle.since(Millis{9000}) == Millis{6000});
+    SUBCASE("the first observation counts")
+    {
+        idle.observe(Millis{7000}, true);
+        CHECK(idle.since(Millis{9000}) == Millis{6000});
+    }
+    SUBCASE("an answer later it counts anew")
+    {
+        idle.answered(Millis{8000}, limit);
+        CHECK_FALSE(idle.isTaken());
+        CHECK(idle.since(Millis{8500}) == Millis{8500});
+    }
+    CHECK_FALSE(idle.isOver(Millis{20999}, limit));
+}
+
+TEST_CASE("an answer that nobody takes holds its connection for two limits")
+{
+    IdleClock idle(Millis{0}, limit);
+    idle.answered(Millis{1000}, limit);
+    CHECK_FALSE(idle.isOver(Millis{30999}, limit));
+    CHECK(idle.isOver(Millis{31000}, limit));
+}
+
+// Symptom: as above. Events: the limit shrinks while connections are idle. Cause: they were judged by a limit that
+// their callers did not know.
+TEST_CASE("the longest limit since the answer counts")
+{
+    IdleClock idle(Millis{0}, limit);
+    CHECK_FALSE(idle.isOver(Millis{6000}, Millis{5000}));
+    CHECK(idle.isOver(Millis{15000}, Millis{5000}));
+    SUBCASE("one that grows meanwhile too, and does not shrink again")
+    {
+        CHECK_FALSE(idle.isOver(Millis{15000}, Millis{20000}));
+        CHECK_FALSE(idle.isOver(Millis{19000}, Millis{5000}));
+        CHECK(idle.isOver(Millis{20000}, Millis{5000}));
+    }
+    SUBCASE("an answer under the new limit goes by that")
+    {
+        idle.answered(Millis{16000}, Millis{5000});
+        idle.observe(Millis{16010}, true);
+        CHECK(idle.isOver(Millis{21010}, Millis{5000}));
+    }
+}
+
+TEST_CASE("when a request that stops in the middle is given up")
+{
+    struct Case
+    {
+        const char *what;
+        PartialRequest request;
+        Millis now;
+        PartialVerdict verdict;
+    };
+    const Case cases[]{
+        {"a head on its way", {Millis{1000}, Millis{3900}, false}, Millis{3999}, PartialVerdict::Wait},
+        {"a head that takes too long, though bytes come",
+         {Millis{1000}, Millis{3999}, false},
+         Millis{4000},
+         PartialVerdict::HeadTooSlow},
+        {"a body that comes, for longer than a head may take",
+         {Millis{1000}, Millis{30000}, true},
+         Millis{31000},
+         PartialVerdict::Wait},
+        {"a body that stopped", {Millis{1000}, Millis{2000}, true}, Millis{17000}, PartialVerdict::BodyStopped},
+        {"a body that stopped a moment less", {Millis{1000}, Millis{2000}, true}, Millis{16999}, PartialVerdict::Wait},
+    };
+    for (const Case &each : cases) {
+        CAPTURE(each.what);
+        CHECK(judgePartial(each.request, each.now, Millis{3000}, limit) == each.verdict);
+    }
+}
--- a/sequoiausher/transport/gateway/callerconnection.cpp
+++ b/sequoiausher/transport/gateway/callerconnection.cpp
@@ -36,7 +36,7 @@
     , stream(ByteStream::adopt(descriptor, this))
     , reader(HttpReader::Kind::Request, this->limits())
     , number(++shared.connectionsAccepted)
-    , since(Millis::monotonicNow())
+    , idle(Millis::monotonicNow(), this->callerLimits().idleTime)
 {
 }
 
@@ -45,9 +45,14 @@
     this->stream->forgetUser();
 }
 
+CallerLimits CallerConnection::callerLimits() const
+{
+    return this->context.table ? this->context.table->configuration().limits : CallerLimits();
+}
+
 HttpReaderLimits CallerConnection::limits() const
 {
-    const CallerLimits given = this->context.table ? this->context.table->configuration().limits : CallerLimits();
+    const CallerLimits given = this->callerLimits();
     return {given.headBytes, given.bodyBytes};
 }
 
@@ -65,8 +70,10 @@
     }
     this->isReadingNow = true;
     while (!this->isOver && !this->exchange && !this->stream->input().empty()) {
+        const Millis now = Millis::monotonicNow();
+        this->partial.heardAt = now;
         if (!std::exchange(this->hasBytes, true)) {
-            this->since = Millis::monotonicNow();
+            this->partial.begunAt = now;
             this->reader.setLimits(this->limits());
             this->reader.restart();
         }
@@ -139,7 +146,7 @@
 void CallerConnection::finished(bool closes)
 {
     this->dropExchange();
-    this->since = Millis::monotonicNow();
+    this->idle.answered(Millis::monotonicNow(), this->callerLimits().idleTime);
     if (closes) {
         this->closeGently(CloseReason::Answered);
         return;
@@ -170,13 +177,14 @@
     if (std::exchange(this->isOver, true)) {
         return;
     }
+    const Millis now = Millis::monotonicNow();
     // The counts tell a request that crossed the close, or waited unseen, from one that never came.
     this->context.log.info(LogPart::Entry,
                            "connection closed",
                            {{"connection", std::to_string(this->number)},
                             {"why", std::string(nameOf(why))},
                             {"requests", std::to_string(this->requests)},
-                            {"idle_ms", std::to_string((Millis::monotonicNow() - this->since).count)},
+                            {"idle_ms", std::to_string((now - this->idle.since(now)).count)},
                             {"unread_bytes", std::to_string(this->stream->unreadBytes())},
                             {"unacknowledged_bytes", std::to_string(this->stream->unacknowledgedBytes())}});
     this->gone(*this);
@@ -211,11 +219,30 @@
         ticked->tick(now);
         return;
     }
-    const CallerLimits given = this->context.table ? this->context.table->configuration().limits : CallerLimits();
-    if (this->hasBytes && !this->reader.hasHead() && now - this->since >= given.headTime) {
-        this->refuse(statusRequestTimeout, "the head took too long");
-    } else if (now - this->since >= given.idleTime) {
-        this->closeGently(CloseReason::Idle);
+    if (this->hasBytes) {
+        this->tickPartial(now);
+    } else {
+        this->tickUnused(now);
+    }
+}
+
+void CallerConnection::tickPartial(Millis now)
+{
+    const CallerLimits given = this->callerLimits();
+    this->partial.hasHead = this->reader.hasHead();
+    const PartialVerdict verdict = judgePartial(this->partial, now, given.headTime, given.idleTime);
+    if (verdict != PartialVerdict::Wait) {
+        this->refuse(statusRequestTimeout, std::string(nameOf(verdict)));
+    }
+}
+
+void CallerConnection::tickUnused(Millis now)
+{
+    if (!this->idle.isTaken()) {
+        this->idle.observe(now, this->stream->unacknowledgedBytes() == 0);
+    }
+    if (this->idle.isOver(now, this->callerLimits().idleTime)) {
+        this->closeUnused(CloseReason::Idle);
     }
 }
 
@@ -231,7 +258,20 @@
 
 void CallerConnection::closeForStop()
 {
-    this->closeGently(CloseReason::Stopping);
+    this->closeUnused(CloseReason::Stopping);
+}
+
+void CallerConnection::closeUnused(CloseReason why)
+{
+    // A request that has come already is answered.
+    this->stream->readNow();
+    if (this->isOver || this->exchange || this->hasBytes) {
+        return;
+    }
+    // One that still comes must not be read: its caller would hear nothing, and could not send it again where it may
+    // run only once. Nothing is read after close(), so the caller's kernel is told that nobody has it.
+    this->over(why);
+    this->stream->close();
 }
 
 void CallerConnection::close()
--- a/sequoiausher/transport/gateway/callerconnection.h
+++ b/sequoiausher/transport/gateway/callerconnection.h
@@ -5,6 +5,7 @@
 //     auto connection = std::make_shared<CallerConnection>(context, descriptor, [](CallerConnection &gone) { ... });
 
 #include "sequoiausher/base/nametable.h"
+#include "sequoiausher/coordination/gateway/connectionpatience.h"
 #include "sequoiausher/transport/gateway/gatewayexchange.h"
 #include "sequoiausher/transport/stream/bytestream.h"
 #include "sequoiausher/transport/stream/httpreader.h"
@@ -60,7 +61,7 @@
     bool isBusy() const;
     /** Whether part of a request has come. */
     bool isReading() const;
-    /** Closes it while it is unused and the gateway stops. */
+    /** Closes it where it is unused, since the gateway stops. */
     void closeForStop();
     /** Closes it at once. */
     void close();
@@ -80,8 +81,14 @@
     void takeRequest();
     void refuse(int status, const std::string &reason);
     void dropExchange();
+    void tickUnused(Millis now);
+    void tickPartial(Millis now);
+    /** For a connection on which nothing is under way. */
+    void closeUnused(CloseReason why);
+    /** For a connection on which an answer was just given. */
     void closeGently(CloseReason why);
     void over(CloseReason why);
+    CallerLimits callerLimits() const;
     HttpReaderLimits limits() const;
 
     GatewayContext &context;
@@ -92,8 +99,9 @@
     /** Its place in the order in which this gateway accepted connections: what log lines know it by. */
     std::uint64_t number;
     std::uint64_t requests = 0;
-    /** Since when the connection is unused, or the first byte of a request is there. */
-    Millis since;
+    IdleClock idle;
+    /** The request of which a part is there, where hasBytes. */
+    PartialRequest partial;
     bool hasBytes = false;
     bool hasContinued = false;
     bool isOver = false;
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -120,6 +120,8 @@
     bool hasAnswerHead = false;
     /** The caller has the head of an answer. */
     bool isAnswerBegun = false;
+    /** The head of an answer that is given in parts said that the connection closes after it. */
+    bool saidClose = false;
     /** A long answer that is no stream of events is given as it comes. */
     bool passesThrough = false;
     /** The budget has paid for the next try already. */
@@ -456,7 +458,8 @@
     this->isAnswerBegun = true;
     this->statusGiven = this->answerHead.status;
     std::string bytes = this->headLine(this->answerHead) + "Transfer-Encoding: chunked\r\n";
-    bytes += this->mustClose() ? "Connection: close\r\n\r\n" : "\r\n";
+    this->saidClose = this->mustClose();
+    bytes += this->saidClose ? "Connection: close\r\n\r\n" : "\r\n";
     this->caller.write(bytes);
 }
 
@@ -492,9 +495,9 @@
         this->caller.write(chunkOf(this->cutter.rest()));
     }
     this->caller.write(lastChunk);
-    const bool closes = this->mustClose();
     this->finish(Outcome::Complete, "answered");
-    this->caller.finished(closes);
+    // A caller that was not told of a close may send its next request at once, and it would cross the close.
+    this->caller.finished(this->saidClose);
 }
 
 void GatewayExchange::Private::passOnHeld(Millis now)
--- a/sequoiausher/transport/stream/bytestream.cpp
+++ b/sequoiausher/transport/stream/bytestream.cpp
@@ -275,6 +275,14 @@
     this->d->writes->setEnabled(!this->d->output.empty());
 }
 
+void ByteStream::readNow()
+{
+    const auto keep = this->shared_from_this();
+    if (this->isConnected() && this->d->reads->isEnabled()) {
+        this->d->readable(*this);
+    }
+}
+
 std::size_t ByteStream::pendingBytes() const
 {
     return this->d->output.size();
--- a/sequoiausher/transport/stream/bytestream.h
+++ b/sequoiausher/transport/stream/bytestream.h
@@ -75,6 +75,8 @@
 
     /** What has arrived and was not yet used; the user erases what it took. */
     std::string &input();
+    /** Takes what has arrived now, as the event loop would at its next turn; the user is told as usual. */
+    void readNow();
     /** Sends, or keeps for later what the kernel does not take now. */
     void write(std::string_view bytes);
     /** Bytes written that the kernel has not taken. */
@@ -94,12 +96,16 @@
     void forgetUser();
     void setUser(ByteStreamUser *user);
     /**
-     * Sends what is pending, then says that no more comes, and throws away what still arrives until the other side
-     * closes or lingerMs are over. Closing at once with unread bytes would reset the connection, and the far side
-     * could lose the answer that it was just sent. What was thrown away is told once, when the connection is over.
+     * For a connection on which something was just sent: sends what is pending, then says that no more comes, and
+     * throws away what still arrives until the other side closes or some time is over. Closing at once with unread
+     * bytes would reset the connection, and the far side could lose what it was just sent. What was thrown away is told
+     * once, when the connection is over.
      */
     void closeGently(Discarded discarded = nullptr);
-    /** Closes at once; pending bytes are lost. */
+    /**
+     * Closes at once; pending bytes are lost. The other side's kernel is told with a reset that nobody has read what
+     * it sent meanwhile.
+     */
     void close();
     /** The same by a reset, so that the other side cannot take what it got for the whole. */
     void reset();
--- /dev/null
+++ b/sequoiausher/transport/stream/bytestreamtest.cpp
@@ -0,0 +1,105 @@
+#include "sequoiausher/transport/stream/bytestream.h"
+
+#include "sequoiausher/transport/http/testloop.h"
+#include "sequoiausher/transport/stream/fakehttp.h"
+#include "sequoiausher/transport/stream/streamlistener.h"
+
+#include <doctest/doctest.h>
+
+#include <sys/socket.h>
+
+using namespace Sequoiausher;
+using Internal::runFor;
+using Internal::runUntil;
+
+namespace {
+
+constexpr int smallBuffer = 4096;
+
+/** One connection: a stream of this side, and a plain caller on the other. */
+struct Pair : ByteStreamUser
+{
+    explicit Pair(int receiveBytes = 0)
+        : listener("127.0.0.1:0",
+                   [this](int descriptor) {
+                       setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &smallBuffer, sizeof smallBuffer);
+                       this->stream = ByteStream::adopt(descriptor, this);
+                   })
+        , caller("127.0.0.1:" + std::to_string(this->listener.port()), receiveBytes)
+    {
+        runUntil([this] { return this->stream != nullptr; });
+    }
+    ~Pair() override
+    {
+        this->stream->forgetUser();
+        this->stream->close();
+    }
+    Pair(const Pair &) = delete;
+    Pair &operator=(const Pair &) = delete;
+
+    void bytesArrived() override
+    {
+        this->arrivals += 1;
+    }
+    void ended(StreamEnd /*how*/) override
+    {
+    }
+
+    QCoreApplication &application = Internal::testApplication();
+    StreamListener listener;
+    CrossingCaller caller;
+    std::shared_ptr<ByteStream> stream;
+    int arrivals = 0;
+};
+
+std::string answerOf(std::size_t size)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n" + std::string(size, 'x');
+}
+
+} // namespace
+
+TEST_CASE("what comes after a gentle close is thrown away and told, with what had come and was not used")
+{
+    Pair pair;
+    std::size_t discarded = 0;
+    pair.caller.send("early");
+    REQUIRE(runUntil([&] { return pair.arrivals > 0; }));
+    pair.stream->closeGently([&discarded](std::size_t bytes) { discarded += bytes; });
+    REQUIRE(runUntil([&] { return pair.caller.isFinished(); }));
+    pair.caller.send("late");
+    CHECK(runUntil([&] { return discarded > 0; }));
+    CHECK(discarded == 9);
+    CHECK_FALSE(pair.caller.isReset());
+    CHECK(pair.arrivals == 1);
+}
+
+TEST_CASE("what comes after a close at once is refused by the kernel")
+{
+    Pair pair;
+    pair.stream->close();
+    REQUIRE(runUntil([&] { return pair.caller.isFinished(); }));
+    pair.caller.send("late");
+    CHECK(runUntil([&] { return pair.caller.isReset(); }));
+}
+
+TEST_CASE("bytes are unacknowledged until the other side's kernel has them, unread until this side has read them")
+{
+    Pair pair(smallBuffer);
+    pair.stream->write(answerOf(300000));
+    CHECK(pair.stream->unacknowledgedBytes() >= pair.stream->pendingBytes());
+    runFor(50);
+    CHECK(pair.stream->unacknowledgedBytes() > 0);
+    CHECK(runUntil([&] { return pair.caller.look(); }));
+    CHECK(runUntil([&] { return pair.stream->unacknowledgedBytes() == 0; }));
+    CHECK(pair.stream->unreadBytes() == 0);
+    pair.caller.send("four");
+    CHECK(pair.stream->unreadBytes() == 4);
+    SUBCASE("and can be read before the event loop's next turn")
+    {
+        pair.stream->readNow();
+        CHECK(pair.arrivals == 1);
+        CHECK(pair.stream->input() == "four");
+        CHECK(pair.stream->unreadBytes() == 0);
+    }
+}
