Deliver the whole of an answer on a connection that closes, also slowly and at a stop

Cause: a gentle close had one time for everything. Two seconds after an answer was handed over the connection was cut, also where its caller was still taking bytes; a stop did not count such connections, so the process could end with an answer in its hands; a stream that was cut was closed at once, and events that had been given but not sent were lost. Ruled out: that the kernel holds the rest in any case: with a small send buffer 290 KB of 300 KB wait in the process. Change: the two seconds count from when all has been sent; until then the caller has 15 s to take more, again and again. What is closed and still has bytes to send is counted as delivering, and a stop waits for it up to its grace. A stream that is cut ends by a gentle close: its missing end mark shows that it is not whole.

--- a/sequoiausher/transport/gateway/callerconnection.cpp
+++ b/sequoiausher/transport/gateway/callerconnection.cpp
@@ -157,8 +157,8 @@
 void CallerConnection::cutOff()
 {
     this->dropExchange();
-    this->over(CloseReason::CutOff);
-    this->stream->close();
+    // What was made is delivered; that its end mark is missing shows that it is not whole.
+    this->closeGently(CloseReason::CutOff);
 }
 
 std::uint64_t CallerConnection::connectionNumber() const
@@ -193,6 +193,9 @@
 void CallerConnection::closeGently(CloseReason why)
 {
     this->over(why);
+    if (this->stream->pendingBytes() > 0) {
+        this->context.delivering.push_back(this->stream);
+    }
     // The stream lingers on after this connection, and after the gateway where that ends meanwhile.
     GatewayContext &shared = this->context;
     const std::weak_ptr<const bool> life = shared.life;
@@ -248,7 +251,7 @@
 
 bool CallerConnection::isBusy() const
 {
-    return this->exchange != nullptr;
+    return this->exchange != nullptr || this->stream->pendingBytes() > 0;
 }
 
 bool CallerConnection::isReading() const
--- a/sequoiausher/transport/gateway/callerconnection.h
+++ b/sequoiausher/transport/gateway/callerconnection.h
@@ -57,7 +57,7 @@
 
     /** Looks at the times that are over. */
     void tick(Millis now);
-    /** Whether a request is being answered. */
+    /** Whether a request is being answered, or its answer has not left this process. */
     bool isBusy() const;
     /** Whether part of a request has come. */
     bool isReading() const;
--- a/sequoiausher/transport/gateway/callerconnectiontest.cpp
+++ b/sequoiausher/transport/gateway/callerconnectiontest.cpp
@@ -9,6 +9,8 @@
 
 #include <doctest/doctest.h>
 
+#include <sys/socket.h>
+
 // The incident that most of these tests tell parts of. Symptom: a caller sent a request that may run only once, and got
 // neither an answer nor a refusal: its connection was closed, and it may not send the request again, since for all that
 // it can know the request has run. Events: an answer reached its caller seconds after the gateway had handed it to its
@@ -174,6 +176,85 @@
     CHECK(GatewayTestbed::waitFor([&] { return bed.isStopped; }));
 }
 
+// Symptom: a caller on a slow link lost the end of an answer at a stop, or where it had asked for a close. Events: the
+// answer is whole, but its caller takes it slowly; the connection counts as closed; two seconds later it is cut, or the
+// process ends. Cause: a gentle close had one time for everything, and a stop did not count connections in it.
+TEST_CASE("an answer that its caller takes slowly is delivered whole, also by a gateway that stops")
+{
+    Bed bed(Millis{5000});
+    const std::string answer(900000, 'x');
+    bed.target.answers = [&answer](FakeRequest &request) { request.reply("200 OK", answer); };
+    constexpr int smallBuffer = 4096;
+    CrossingCaller caller(bed.address(), smallBuffer);
+    SUBCASE("the caller asked for a close")
+    {
+        caller.send(bed.request("GET", "/look/1", "Connection: close\r\n"));
+        GatewayTestbed::waitFor([] { return false; }, Millis{2500});
+    }
+    SUBCASE("the gateway stops")
+    {
+        caller.send(bed.request("GET", "/look/1"));
+        REQUIRE(GatewayTestbed::waitFor([&] { return bed.hasLogged("outcome=complete"); }));
+        bed.node->stop();
+        GatewayTestbed::waitFor([] { return false; }, Millis{400});
+    }
+    REQUIRE(bed.isAnswered(caller));
+    CHECK(caller.body == answer);
+}
+
+// The same where the kernel takes less than the answer, so that a part of it still waits in the process.
+TEST_CASE("a closed connection counts as delivering until all of its answer has left the process")
+{
+    GatewayTestbed bed;
+    Metrics metrics;
+    GatewayContext context(*bed.dialect, *bed.log, metrics, bed.settings, 1);
+    std::shared_ptr<CallerConnection> connection;
+    constexpr int smallBuffer = 4096;
+    StreamListener listener("127.0.0.1:0", [&](int descriptor) {
+        setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &smallBuffer, sizeof smallBuffer);
+        connection = std::make_shared<CallerConnection>(context, descriptor, [](CallerConnection &) {});
+    });
+    CrossingCaller caller("127.0.0.1:" + std::to_string(listener.port()), smallBuffer);
+    REQUIRE(GatewayTestbed::waitFor([&] { return connection != nullptr; }));
+    const std::string body(300000, 'x');
+    connection->write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    CHECK(connection->isBusy());
+    SUBCASE("of an answer that says that the connection closes")
+    {
+        connection->finished(true);
+    }
+    SUBCASE("of one that is cut")
+    {
+        connection->cutOff();
+    }
+    GatewayTestbed::waitFor([] { return false; }, Millis{300});
+    CHECK(context.isDelivering());
+    CHECK(GatewayTestbed::waitFor([&] { return caller.look(); }));
+    CHECK(caller.body == body);
+    CHECK_FALSE(context.isDelivering());
+}
+
+// Symptom: of a stream that was cut, its caller missed events that the gateway had given. Events: a target breaks off
+// while the caller has not taken all before. Cause: the connection was closed at once, with bytes still to be sent.
+TEST_CASE("what was given of a stream that is cut reaches its caller")
+{
+    Bed bed(Millis{5000});
+    const std::string event = "id: 1\ndata: " + std::string(200000, 'x') + "\n\n";
+    bed.addTarget("t2", "llm").answers = [&event](FakeRequest &request) {
+        request.beginEvents();
+        request.send("30d4e\r\n" + event + "\r\n");
+        QTimer::singleShot(100, [request] { request.reset(); });
+    };
+    REQUIRE(GatewayTestbed::waitFor([&] { return bed.hasLogged("count=2"); }));
+    constexpr int smallBuffer = 4096;
+    CrossingCaller caller(bed.address(), smallBuffer);
+    caller.send(bed.request("POST", "/once/1", "Content-Length: 0\r\n"));
+    REQUIRE(GatewayTestbed::waitFor([&] { return bed.hasLogged("how=cut-off"); }));
+    CHECK(GatewayTestbed::waitFor([&] { return caller.isFinished(); }, soon));
+    CHECK(caller.body == event);
+    CHECK_FALSE(caller.look());
+}
+
 // After an answer that said so, the connection is read on, or the answer could be lost by a reset. What comes then is
 // told.
 TEST_CASE("what is thrown away after an answer that closes its connection stands in the log and in a metric")
--- a/sequoiausher/transport/gateway/gatewaycontext.cpp
+++ b/sequoiausher/transport/gateway/gatewaycontext.cpp
@@ -67,6 +67,15 @@
     return Millis{found != this->firstAnswers.end() ? std::llround(found->second) : 0};
 }
 
+bool GatewayContext::isDelivering()
+{
+    std::erase_if(this->delivering, [](const std::weak_ptr<ByteStream> &held) {
+        const auto stream = held.lock();
+        return !stream || stream->pendingBytes() == 0;
+    });
+    return !this->delivering.empty();
+}
+
 void GatewayContext::freeLater(std::shared_ptr<void> object)
 {
     this->doomed.push_back(std::move(object));
--- a/sequoiausher/transport/gateway/gatewaycontext.h
+++ b/sequoiausher/transport/gateway/gatewaycontext.h
@@ -19,6 +19,7 @@
 #include "sequoiausher/protocol/gateway/gatewaydialect.h"
 #include "sequoiausher/protocol/settings/gatewaysettings.h"
 #include "sequoiausher/transport/gateway/targetpools.h"
+#include "sequoiausher/transport/stream/bytestream.h"
 
 #include <map>
 #include <memory>
@@ -53,6 +54,8 @@
     void firstAnswerTook(const PoolId &service, Millis time);
     /** About how long it takes; 0 before the first. */
     Millis usualFirstAnswer(const PoolId &service) const;
+    /** Whether a caller's last answer, on a connection that is closed, still waits to be sent. */
+    bool isDelivering();
     /** Frees what is let go of in the middle of its own calls at the next tick. */
     void freeLater(std::shared_ptr<void> object);
 
@@ -78,6 +81,8 @@
     Millis startsUntil;
     std::mt19937_64 random;
     std::vector<std::shared_ptr<void>> doomed;
+    /** Closed connections whose last answer has not left this process: it must not end before. */
+    std::vector<std::weak_ptr<ByteStream>> delivering;
     /** Expires with the context: what may outlive it looks here first. */
     std::shared_ptr<const bool> life = std::make_shared<const bool>(true);
 
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -268,7 +268,7 @@
         for (const auto &connection : idle) {
             connection->closeForStop();
         }
-        if (busy == 0 && idle.empty()) {
+        if (busy == 0 && idle.empty() && !this->context.isDelivering()) {
             this->finishStop("all requests answered");
             return;
         }
--- a/sequoiausher/transport/stream/bytestream.cpp
+++ b/sequoiausher/transport/stream/bytestream.cpp
@@ -27,6 +27,8 @@
 constexpr std::size_t readBytes = 16UL * 1024;
 /** How long a gently closed connection waits for the other side to close as well; callers close at once. */
 constexpr int lingerMs = 2000;
+/** How long it waits for the other side to take more of what is pending: longer than a link is usually cut. */
+constexpr int stalledMs = 15000;
 
 void setNoDelay(int descriptor)
 {
@@ -156,6 +158,9 @@
         }
         this->sent = true;
         this->output.erase(0, static_cast<std::size_t>(taken));
+        if (this->lingerTimer) {
+            this->lingerTimer->start(stalledMs);
+        }
     }
     this->writes->setEnabled(false);
     if (this->lingering) {
@@ -171,6 +176,7 @@
         return;
     }
     this->writeShut = true;
+    this->lingerTimer->start(lingerMs);
     ::shutdown(this->descriptor, SHUT_WR);
     this->self = stream.shared_from_this();
 }
@@ -348,7 +354,7 @@
         const auto keep = this->shared_from_this();
         this->d->end(*this, StreamEnd::Reset);
     });
-    this->d->lingerTimer->start(lingerMs);
+    this->d->lingerTimer->start(stalledMs);
     this->d->linger(*this);
 }
 
--- a/sequoiausher/transport/stream/bytestream.h
+++ b/sequoiausher/transport/stream/bytestream.h
@@ -96,10 +96,10 @@
     void forgetUser();
     void setUser(ByteStreamUser *user);
     /**
-     * For a connection on which something was just sent: sends what is pending, then says that no more comes, and
-     * throws away what still arrives until the other side closes or some time is over. Closing at once with unread
-     * bytes would reset the connection, and the far side could lose what it was just sent. What was thrown away is told
-     * once, when the connection is over.
+     * For a connection on which something was just sent: sends what is pending, however slowly the other side takes
+     * it, then says that no more comes, and throws away what still arrives until the other side closes or some time is
+     * over. Closing at once with unread bytes would reset the connection, and the far side could lose what it was just
+     * sent. What was thrown away is told once, when the connection is over.
      */
     void closeGently(Discarded discarded = nullptr);
     /**
--- a/sequoiausher/transport/stream/bytestreamtest.cpp
+++ b/sequoiausher/transport/stream/bytestreamtest.cpp
@@ -59,6 +59,21 @@
 
 } // namespace
 
+// Symptom: a large answer was cut on a slow link. Events: the connection closes gently with bytes still to send; its
+// other side takes some only after seconds. Cause: the time to wait for the other side's close counted meanwhile.
+TEST_CASE("a gentle close delivers what is pending, also to a side that takes it late")
+{
+    Pair pair(smallBuffer);
+    pair.stream->write(answerOf(300000));
+    REQUIRE(pair.stream->pendingBytes() > 0);
+    pair.stream->closeGently();
+    runFor(2500);
+    CHECK(runUntil([&] { return pair.caller.look(); }));
+    CHECK(pair.caller.body.size() == 300000);
+    CHECK(runUntil([&] { return pair.caller.isFinished(); }));
+    CHECK(pair.stream->pendingBytes() == 0);
+}
+
 TEST_CASE("what comes after a gentle close is thrown away and told, with what had come and was not used")
 {
     Pair pair;
