Read what arrived while the process was busy before any wait is judged

Cause: at one turn of the event loop sockets come first, timers second. While one socket's handler reads a large configuration, for 230 ms on a tenth of a core, requests and answers arrive; the tick that was due at that turn then judges connections, targets and the store by a clock that has run on, before anybody has looked at what is there. A connection with a request on it was closed as idle, and the close read the request away: the incident's 238 ms between a request and its close, where a link takes 6. A caller was told 504 while its answer lay in the kernel. Change: a tick that is 80 ms late or more takes its turn once the sockets have been looked at; how often is a metric. Not seen on the users' machines: that the incident's gateway was busy just then is what its times suggest, no more.

--- a/sequoiausher/transport/gateway/callerconnectiontest.cpp
+++ b/sequoiausher/transport/gateway/callerconnectiontest.cpp
@@ -85,6 +85,33 @@
     CHECK(caller.status == 200);
 }
 
+// Symptom: as above, and the connection was closed 238 ms after the request was sent, where a link takes 6. Events: a
+// large configuration arrives, and is read for longer than a tick; meanwhile a connection's time runs out, and
+// its next request arrives. The tick that was due at the same turn of the event loop comes before the next look at the
+// sockets: the connection is closed by a clock that has run on, and the close reads the request away. Proof: without
+// the last read before a close none of the three rounds is answered.
+TEST_CASE("a request that arrived while the process was busy is answered, though its connection's time is over")
+{
+    Bed bed(Millis{300});
+    const auto busyFor = [](int span) { std::this_thread::sleep_for(std::chrono::milliseconds(span)); };
+    for (int round = 0; round < 3; ++round) {
+        CAPTURE(round);
+        CrossingCaller caller(bed.address());
+        REQUIRE(bed.ask(caller));
+        GatewayTestbed::waitFor([] { return false; }, Millis{150});
+        // Both this and the tick are due once the loop turns again, and no socket is looked at between them.
+        bool isSent = false;
+        QTimer::singleShot(1, [&] {
+            caller.send(bed.request("GET", "/look/1"));
+            isSent = true;
+            busyFor(400);
+        });
+        busyFor(60);
+        CHECK(GatewayTestbed::waitFor([&] { return isSent && caller.look(); }, Millis{2000}));
+        CHECK(caller.status == 200);
+    }
+}
+
 TEST_CASE("the idle time of a connection counts from when the caller has its answer")
 {
     Bed bed(Millis{300});
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -31,6 +31,8 @@
 constexpr Millis startGrace{1200};
 /** How often the times of requests and connections are looked at: a request ends at most so much late. */
 constexpr int tickMs = 40;
+/** A tick that comes so late found the process busy with something else, such as a large configuration. */
+constexpr Millis lateTick{2L * tickMs};
 /** How often the counts of log lines that were held back are written. */
 constexpr Millis suppressedInterval{2000};
 /** A gateway whose keys are unproven for this part of the longest age sends its callers elsewhere. */
@@ -70,6 +72,7 @@
     void reload(const GatewaySettings &settings);
     void watchStore();
     void accept(int descriptor);
+    void timerFired();
     void tick();
     void tickCallers(Millis now);
     /** Lets requests go on that wait for the start, once it is ready. */
@@ -112,6 +115,10 @@
     std::unique_ptr<StreamListener> listener;
     std::unordered_map<CallerConnection *, std::shared_ptr<CallerConnection>> callers;
     QTimer timer;
+    /** Ticks once the sockets have been looked at. */
+    QTimer lateTimer;
+    /** When the timer last fired. */
+    Millis tickedAt;
     /** The store's revision of the configuration that was read last, so that it is not read twice. */
     Revision readChangedAt = 0;
     Revision readRevision = 0;
@@ -133,7 +140,10 @@
     this->pages.listen();
     this->context.startsUntil = Millis::monotonicNow() + startGrace;
     this->watchStore();
-    QObject::connect(&this->timer, &QTimer::timeout, [this] { this->tick(); });
+    QObject::connect(&this->timer, &QTimer::timeout, [this] { this->timerFired(); });
+    QObject::connect(&this->lateTimer, &QTimer::timeout, [this] { this->tick(); });
+    this->lateTimer.setSingleShot(true);
+    this->tickedAt = Millis::monotonicNow();
     this->timer.start(tickMs);
     this->log.info(LogPart::Main,
                    "gateway started",
@@ -180,6 +190,19 @@
     this->callers.emplace(connection.get(), connection);
 }
 
+void GatewayNode::Private::timerFired()
+{
+    const Millis now = Millis::monotonicNow();
+    if (now - std::exchange(this->tickedAt, now) < lateTick) {
+        this->tick();
+        return;
+    }
+    // What arrived meanwhile is still in the kernel. Judged now, answers that are there would count as missing, and
+    // connections with a request on them as unused. The event loop looks at its sockets before this timer's turn.
+    this->context.metrics.add("gateway_late_ticks_total");
+    this->lateTimer.start(0);
+}
+
 void GatewayNode::Private::tick()
 {
     const Millis now = Millis::monotonicNow();
--- a/sequoiausher/transport/gateway/gatewaynodetest.cpp
+++ b/sequoiausher/transport/gateway/gatewaynodetest.cpp
@@ -4,6 +4,9 @@
 
 #include <QTimer>
 
+#include <chrono>
+#include <thread>
+
 #include <doctest/doctest.h>
 
 using namespace Sequoiausher;
@@ -389,6 +392,36 @@
     }
 }
 
+// Symptom: a caller was told that its target gave no answer in time, right after a large configuration came. Events:
+// the answer arrives while the configuration is read, which takes longer than a tick; the tick that is due at the same
+// turn of the event loop judges all waits before the sockets are looked at. Cause: a wait was judged by the clock
+// alone, as if what the kernel holds had not come.
+TEST_CASE("what arrived while the process was busy is read before any wait is judged")
+{
+    Bed bed;
+    FakeServer &target = bed.addTarget("t1", "desk");
+    std::function<void()> answer;
+    target.answers = [&answer](FakeRequest &request) { answer = [request] { request.reply("200 OK", "late"); }; };
+    bed.start();
+    for (int round = 0; round < 3; ++round) {
+        CAPTURE(round);
+        answer = nullptr;
+        FakeCaller caller(bed.address());
+        caller.send(bed.request("POST", "/desk/1", "Content-Length: 0\r\n"));
+        REQUIRE(GatewayTestbed::waitFor([&] { return answer != nullptr; }));
+        const auto busyFor = [](int span) { std::this_thread::sleep_for(std::chrono::milliseconds(span)); };
+        // Both this and the tick are due once the loop turns again.
+        QTimer::singleShot(1, [&] {
+            answer();
+            busyFor(1100);
+        });
+        busyFor(60);
+        CHECK(GatewayTestbed::waitFor([&] { return caller.reply.isWhole; }));
+        CHECK(caller.reply.status == 200);
+        CHECK(caller.reply.body == "late");
+    }
+}
+
 TEST_CASE("a target that left gets nothing more")
 {
     Bed bed;
