Bring about a late answer of the store that undoes what a peer told, in a test that fails

Symptom, events and cause stand above the case in targetlisttest. While a gateway's watch waits, its peers tell it of a later change; then the answer of the watch comes, from before that change. The way there through StoreWatcher (a watch in flight when the gateway begins to rest, or when its store was silent for 1.5 s) was read in the code, not run.

--- a/sequoiausher/coordination/gateway/targetlisttest.cpp
+++ b/sequoiausher/coordination/gateway/targetlisttest.cpp
@@ -241,6 +241,36 @@
     CHECK(list.targets() == std::vector{lifeOf("a", 100)});
 }
 
+// Symptom: a gateway went on sending to a target that had left, and to its address after it, until it read the whole
+// list again; or it passed a target over that had long started anew. Events: its watch waits at the store when it
+// begins to follow a peer, or when its way to the store fails; the peer tells it of a later change; then the answer of
+// the watch arrives, from before that change. Cause: the later word was overwritten by the earlier one, under the later
+// one's revision, so no peer told it again.
+TEST_CASE("an answer of the store from before what a peer told changes nothing")
+{
+    TargetList list;
+    list.replaceAll({targetOf("a"), targetOf("b"), targetOf("c")}, 100, Millis{0});
+    REQUIRE(list.apply({100, 200, {targetOf("a", true), targetOf("d")}, {TargetId{"b"}}}));
+    const std::vector<GatewayTarget> told = list.targets();
+    SUBCASE("an entry that has left, or leaves")
+    {
+        list.put(targetOf("b"), 120);
+        list.put(targetOf("a"), 120);
+    }
+    SUBCASE("one that is written anew since")
+    {
+        list.removed(TargetId{"d"}, 120, Millis{10});
+        list.unreadable(TargetId{"d"}, 120);
+    }
+    CHECK(list.targets() == told);
+    CHECK(list.revision() == 200);
+    CHECK(list.changesSince(200)->written.empty());
+    // What the store says of the same revision, or of a later one, counts.
+    list.put(targetOf("b"), 200);
+    list.removed(TargetId{"c"}, 201, Millis{20});
+    CHECK(list.targets() == std::vector{targetOf("a", true), targetOf("b"), targetOf("d")});
+}
+
 TEST_CASE("an entry that tells no life is of the known one")
 {
     TargetList list;
