Let no answer of the store undo what a peer told since

Cause: what a watch hears was written into the list whatever the list knew by then. A gateway may hear of later changes from a peer while its own watch is in flight: when it begins to rest, or when its store was silent for 1.5 s. The late answer brought back what had gone, under the later revision; peers compare revisions, so none told it again until it read the whole list. Ruled out: that targetsRead has the same fault (it compares revisions already), and that answers of one watch may be older than the one before (each goes on where the last ended). Change: put(), removed() and unreadable() pass over an answer whose revision is below the list's. An answer of the same or a later revision counts as before. No message, timer or table more. Open: an answer that ends after a peer's word but begins before it is played whole; an entry that goes within it is kept as one that may come back for up to 2.3 s where the store was just away.

--- a/sequoiausher/coordination/gateway/targetlist.cpp
+++ b/sequoiausher/coordination/gateway/targetlist.cpp
@@ -87,28 +87,45 @@
     this->known = std::max(this->known, at);
 }
 
+// What goes wrong where an answer from before a peer's word is believed: an entry that went comes back, or a new one
+// goes, under the revision of the later word, and no peer tells of it again. It shows as one gateway that sends to a
+// target that has left long since.
+bool TargetList::isOutdated(Revision at) const
+{
+    return at < this->known;
+}
+
 void TargetList::put(const GatewayTarget &target, Revision at)
 {
+    if (this->isOutdated(at)) {
+        return;
+    }
     this->write(target, at);
-    this->known = std::max(this->known, at);
+    this->known = at;
 }
 
 void TargetList::removed(const TargetId &name, Revision at, Millis now)
 {
+    if (this->isOutdated(at)) {
+        return;
+    }
     const auto entry = this->entries.find(name);
     if (entry != this->entries.end()) {
         this->drop(entry, at, now);
     }
-    this->known = std::max(this->known, at);
+    this->known = at;
 }
 
 void TargetList::unreadable(const TargetId &name, Revision at)
 {
+    if (this->isOutdated(at)) {
+        return;
+    }
     const auto entry = this->entries.find(name);
     if (entry != this->entries.end()) {
         this->erase(entry, at);
     }
-    this->known = std::max(this->known, at);
+    this->known = at;
 }
 
 void TargetList::drop(std::map<TargetId, Entry>::iterator entry, Revision at, Millis now)
--- a/sequoiausher/coordination/gateway/targetlist.h
+++ b/sequoiausher/coordination/gateway/targetlist.h
@@ -53,9 +53,10 @@
     /** Everything that the store lists at revision. */
     void replaceAll(const std::vector<GatewayTarget> &targets, Revision at, Millis now);
     /**
-     * An entry was written. One of an earlier life than the known one changes nothing: a target that starts again
-     * behind a cut has its old life's last words arrive after its own first. One that tells no life is of the known
-     * one.
+     * An entry was written; at is the revision up to which the store's answer tells all. An answer from before what is
+     * known already, here or in the next two, changes nothing: a peer has told of later changes. One of an earlier life
+     * than the known one changes nothing: a target that starts again behind a cut has its old life's last words arrive
+     * after its own first. One that tells no life is of the known one.
      */
     void put(const GatewayTarget &target, Revision at);
     /** The entry of that name was removed. */
@@ -114,6 +115,7 @@
     };
 
     bool isGraceOver(Millis now) const;
+    bool isOutdated(Revision at) const;
     void write(const GatewayTarget &target, Revision at);
     /** Writes all of them; the entries that are not among them. */
     std::vector<std::map<TargetId, Entry>::iterator> writeAll(const std::vector<GatewayTarget> &targets, Revision at);
