Tell no peer as lost whose link was closed since nobody used it

Cause: a link that this side closes by its own clock (30 s without a message that way) was told to its owner like one that broke. Each direction has a connection of its own, so the peer may be in the middle of sending over the other one. The router then gives up whatever waits for that peer. At 7 routers other messages keep the links in use; at 1,300 most pairs have none. Ruled out: that frames are lost by the close itself: it comes 30 s after the last message, and one that is unacknowledged for 3 s has ended the link before. That the word was needed to learn of a peer's end in between: it is told at the next dial that fails, or that finds another life. Change: the owner is told once when the peer was first reached, and once when it was lost: its link broke or went silent, a dial failed after the close, another life answers, or it is wanted no more. Not run: a caller that follows an answer over such a pair for 30 s in a whole fleet.

--- a/sequoiausher/transport/peers/peerlink.cpp
+++ b/sequoiausher/transport/peers/peerlink.cpp
@@ -55,6 +55,7 @@
 private:
     void dial();
     void hangUp();
+    void tellLost();
     void fail();
     void onConnected();
     void onReadyRead();
@@ -85,6 +86,8 @@
     std::size_t queuedBytes = 0;
     bool flushPlanned = false;
     Incarnation incarnation = 0;
+    /** The owner was told that the peer is there; also while an unused link is closed. */
+    bool isToldUp = false;
     Millis redialWait;
     Millis lastSend;
     SentFrames sent;
@@ -119,6 +122,7 @@
 PeerLink::Private::~Private()
 {
     this->hangUp();
+    this->tellLost();
 }
 
 bool PeerLink::Private::send(PeerMessage message)
@@ -174,7 +178,15 @@
     this->socket->abort();
     this->socket.release()->deleteLater();
     this->sent.closed();
-    if (std::exchange(this->up, false)) {
+    this->up = false;
+}
+
+// Not told where a link is closed since nobody used it. It would be taken for the loss of the peer: whoever follows an
+// answer there would be cut off, though the answer's parts go on to come on the other direction's connection, and the
+// peer's shards would be passed over.
+void PeerLink::Private::tellLost()
+{
+    if (std::exchange(this->isToldUp, false)) {
         this->changed(this->peer, this->incarnation, false);
     }
 }
@@ -182,6 +194,7 @@
 void PeerLink::Private::fail()
 {
     this->hangUp();
+    this->tellLost();
     this->dropOld();
     if (this->queue.empty()) {
         return;
@@ -231,6 +244,10 @@
     if (hello.version != protocolVersion) {
         throw Error(Step::Connect, this->peer.value, "it speaks version " + std::to_string(hello.version));
     }
+    if (hello.incarnation != this->incarnation) {
+        // The life that was known ended while the link was closed.
+        this->tellLost();
+    }
     this->incarnation = hello.incarnation;
     this->acknowledges = hello.lastFrame != noFrame;
     if (this->acknowledges) {
@@ -238,7 +255,9 @@
     }
     this->up = true;
     this->redialWait = this->settings.redialFirst;
-    this->changed(this->peer, this->incarnation, true);
+    if (!std::exchange(this->isToldUp, true)) {
+        this->changed(this->peer, this->incarnation, true);
+    }
     this->flushSoon();
 }
 
--- a/sequoiausher/transport/peers/peerlink.h
+++ b/sequoiausher/transport/peers/peerlink.h
@@ -23,7 +23,11 @@
 class PeerLink
 {
 public:
-    /** Called with true when the link came up and with false when it went down. Must not destroy the link. */
+    /**
+     * Called with true when the peer answered first, and with false when it was lost after that: its link broke or went
+     * silent, it cannot be reached again, it began another life, or it is wanted no more. A link that is closed since
+     * nobody used it says nothing of the peer. Must not destroy the link.
+     */
     using Changed = std::function<void(const InstanceId &peer, Incarnation incarnation, bool up)>;
 
     /** settings, counters and received, which holds what came from the peer, outlive the link. Dials nothing yet. */
--- a/sequoiausher/transport/peers/peermesh.h
+++ b/sequoiausher/transport/peers/peermesh.h
@@ -27,7 +27,7 @@
 
     /** message arrived from the life incarnation of from. */
     virtual void received(const InstanceId &from, Incarnation incarnation, PeerMessage message) = 0;
-    /** The link on which this router sends to peer came up or went down. */
+    /** The link on which this router sends to peer came up, or broke; not where it is closed since nobody used it. */
     virtual void linkChanged(const InstanceId &peer, Incarnation incarnation, bool up) = 0;
 };
 
