Wait at a stop for answers on their way out and requests on their way in

Cause: a router's stop looked at requests that were not answered. An answer counted as given when it was handed to the connection, though megabytes of it may wait in the process; half a request counted as nothing. The process ended with both. HttpServer says how a stop is to wait (openConnections() is 0 as well); the worker did not. Ruled out: that the kernel holds the rest of an answer: of 16.8 MB 3.9 arrived. That idle connections now delay a stop: they are closed at each tick once no new ones are accepted. Change: once nothing new is accepted, a worker counts open connections. The grace bounds the wait as before; a caller that takes nothing for 30 s is cut off, a request that does not come whole is refused at its own limit.

--- a/sequoiausher/transport/router/worker.cpp
+++ b/sequoiausher/transport/router/worker.cpp
@@ -35,6 +35,8 @@
 
     void run() override;
     void serve();
+    /** What a stop waits for. */
+    std::size_t openOf(const Entry &entry) const;
 
     Node &node;
     const Log &log;
@@ -74,7 +76,7 @@
     QTimer timer;
     QObject::connect(&timer, &QTimer::timeout, &timer, [&] {
         entry.tick(Millis::monotonicNow());
-        this->open = std::max(entry.openSessions(), http.openExchanges());
+        this->open = this->openOf(entry);
         // Not before the notice is over: a caller that has not yet heard of the stop may be sending its next request
         // on such a connection, and would see it reset.
         if (this->closesIdle) {
@@ -87,6 +89,14 @@
     this->server = nullptr;
 }
 
+// Goes wrong where a stop looks at requests alone: the end of an answer that its caller takes slowly is lost with the
+// process, and a request of which a part has come ends without a word. Connections without either are closed meanwhile.
+std::size_t Worker::Private::openOf(const Entry &entry) const
+{
+    const std::size_t ofServer = this->closesIdle ? this->server->openConnections() : this->server->openExchanges();
+    return std::max(entry.openSessions(), ofServer);
+}
+
 Worker::Worker(Node &node, const Log &log, Metrics &metrics, const HttpServerOptions &options, std::uint64_t seed)
     : d(std::make_unique<Private>(node, log, metrics, options, seed))
 {
--- a/sequoiausher/transport/router/worker.h
+++ b/sequoiausher/transport/router/worker.h
@@ -31,7 +31,10 @@
     void stopAccepting();
     /** Ends the thread; what is in progress is broken off. A second call has no effect. */
     void stop();
-    /** Requests that are not over, whether or not their client is still there. */
+    /**
+     * Requests that are not over, whether or not their client is still there; once nothing new is accepted, connections
+     * too, since on one that is still open an answer is on its way out, or a request on its way in.
+     */
     std::size_t openRequests() const;
 
 private:
