Hold a connection for as long as its caller takes something of the last answer

Cause: of an answer that is not taken at once, the connection was closed two idle limits after it had been handed over, with what was pending, also under a caller that took more of it all the time. Ruled out: to have no limit at all; a caller that is gone without a word would hold its connection until the kernel gives up. Change: two limits without any progress end it, not two limits in all.

--- a/sequoiausher/coordination/gateway/connectionpatience.cpp
+++ b/sequoiausher/coordination/gateway/connectionpatience.cpp
@@ -12,22 +12,29 @@
     return limit * parts / partsOf;
 }
 
-IdleClock::IdleClock(Millis now, Millis limit) : answeredAt(now), takenAt(now), promised(limit)
+IdleClock::IdleClock(Millis now, Millis limit) : progressAt(now), takenAt(now), promised(limit)
 {
 }
 
 void IdleClock::answered(Millis now, Millis limit)
 {
-    this->answeredAt = now;
+    this->progressAt = now;
+    this->unacknowledged.reset();
     this->takenAt.reset();
     this->promised = limit;
 }
 
-void IdleClock::observe(Millis now, bool isAcknowledged)
+void IdleClock::observe(Millis now, std::size_t unacknowledgedBytes)
 {
-    if (isAcknowledged && !this->takenAt) {
+    if (this->takenAt) {
+        return;
+    }
+    if (unacknowledgedBytes == 0) {
         this->takenAt = now;
+    } else if (this->unacknowledged && unacknowledgedBytes < *this->unacknowledged) {
+        this->progressAt = now;
     }
+    this->unacknowledged = unacknowledgedBytes;
 }
 
 bool IdleClock::isTaken() const
@@ -37,7 +44,7 @@
 
 Millis IdleClock::since(Millis now) const
 {
-    return std::min(this->takenAt.value_or(now), this->answeredAt + this->promised);
+    return this->takenAt.value_or(std::min(now, this->progressAt + this->promised));
 }
 
 bool IdleClock::isOver(Millis now, Millis limit)
--- a/sequoiausher/coordination/gateway/connectionpatience.h
+++ b/sequoiausher/coordination/gateway/connectionpatience.h
@@ -5,7 +5,7 @@
 //
 //     IdleClock idle(now, limits.idleTime);
 //     idle.answered(now, limits.idleTime);            // an answer was handed to the kernel
-//     idle.observe(now, unacknowledgedBytes == 0);    // later, until it is taken
+//     idle.observe(now, unacknowledgedBytes);         // later, until it is taken
 //     if (idle.isOver(now, limits.idleTime)) { ... }
 //
 // What goes wrong without it: callers count their idle time from when they have an answer, and by the limit that they
@@ -15,6 +15,7 @@
 #include "sequoiausher/base/millis.h"
 #include "sequoiausher/base/nametable.h"
 
+#include <cstddef>
 #include <optional>
 
 namespace Sequoiausher {
@@ -34,14 +35,14 @@
 
     /** An answer was handed to the kernel; the connection is idle from when its caller has it. */
     void answered(Millis now, Millis promised);
-    /** Whether the caller has acknowledged all that was sent. Need not be called again once isTaken(). */
-    void observe(Millis now, bool isAcknowledged);
+    /** How much of it the caller has not acknowledged yet. Need not be called again once isTaken(). */
+    void observe(Millis now, std::size_t unacknowledgedBytes);
     /** The caller has the last answer. */
     bool isTaken() const;
 
     /**
-     * Since when the connection is idle. An answer that is not taken counts as taken after one limit, so that a caller
-     * that is gone without a word does not hold its connection for ever.
+     * Since when the connection is idle. An answer of which nothing was taken for one limit counts as taken, so that a
+     * caller that is gone without a word does not hold its connection for ever; one that takes it slowly gets it whole.
      */
     Millis since(Millis now) const;
     /**
@@ -51,7 +52,9 @@
     bool isOver(Millis now, Millis limit);
 
 private:
-    Millis answeredAt;
+    /** When the answer was handed over, or the caller last acknowledged a part of it. */
+    Millis progressAt;
+    std::optional<std::size_t> unacknowledged;
     std::optional<Millis> takenAt;
     Millis promised;
 };
--- a/sequoiausher/coordination/gateway/connectionpatiencetest.cpp
+++ b/sequoiausher/coordination/gateway/connectionpatiencetest.cpp
@@ -24,14 +24,14 @@
     IdleClock idle(Millis{0}, limit);
     idle.answered(Millis{1000}, limit);
     CHECK_FALSE(idle.isTaken());
-    idle.observe(Millis{1040}, false);
+    idle.observe(Millis{1040}, 800);
     CHECK(idle.since(Millis{1040}) == Millis{1040});
-    idle.observe(Millis{6000}, true);
+    idle.observe(Millis{6000}, 0);
     CHECK(idle.isTaken());
     CHECK(idle.since(Millis{9000}) == Millis{6000});
     SUBCASE("the first observation counts")
     {
-        idle.observe(Millis{7000}, true);
+        idle.observe(Millis{7000}, 0);
         CHECK(idle.since(Millis{9000}) == Millis{6000});
     }
     SUBCASE("an answer later it counts anew")
@@ -43,10 +43,29 @@
     CHECK_FALSE(idle.isOver(Millis{20999}, limit));
 }
 
+// Symptom: a long answer on a slow link was cut 30 s after it had been handed over, though its caller took more of it
+// all the time. Cause: the time that an answer may take was counted from its beginning.
+TEST_CASE("an answer that is taken slowly holds its connection for as long as something of it is taken")
+{
+    IdleClock idle(Millis{0}, limit);
+    idle.answered(Millis{1000}, limit);
+    std::size_t left = 2000;
+    for (Millis now{2000}; now < Millis{100000}; now = now + Millis{10000}) {
+        left -= 100;
+        idle.observe(now, left);
+        CHECK_FALSE(idle.isOver(now + Millis{9999}, limit));
+    }
+    // The last part of it was taken at 92 s.
+    CHECK_FALSE(idle.isOver(Millis{121999}, limit));
+    CHECK(idle.isOver(Millis{122000}, limit));
+}
+
 TEST_CASE("an answer that nobody takes holds its connection for two limits")
 {
     IdleClock idle(Millis{0}, limit);
     idle.answered(Millis{1000}, limit);
+    idle.observe(Millis{1040}, 1000);
+    idle.observe(Millis{9000}, 1000);
     CHECK_FALSE(idle.isOver(Millis{30999}, limit));
     CHECK(idle.isOver(Millis{31000}, limit));
 }
@@ -67,7 +86,7 @@
     SUBCASE("an answer under the new limit goes by that")
     {
         idle.answered(Millis{16000}, Millis{5000});
-        idle.observe(Millis{16010}, true);
+        idle.observe(Millis{16010}, 0);
         CHECK(idle.isOver(Millis{21010}, Millis{5000}));
     }
 }
--- a/sequoiausher/transport/gateway/callerconnection.cpp
+++ b/sequoiausher/transport/gateway/callerconnection.cpp
@@ -238,7 +238,7 @@
 void CallerConnection::tickUnused(Millis now)
 {
     if (!this->idle.isTaken()) {
-        this->idle.observe(now, this->stream->unacknowledgedBytes() == 0);
+        this->idle.observe(now, this->stream->unacknowledgedBytes());
     }
     if (this->idle.isOver(now, this->context.callerLimits().idleTime)) {
         this->closeUnused(CloseReason::Idle);
