Judge how an attempt ended in a component without sockets

Cause: what counts as not run, as failed or as lost was decided in four functions of the exchange, between writing and closing; only a whole gateway could test it. Ruled out: to put it into afterAttempt(), which says what follows an end and is asked also where no answer came. Change: attemptverdict judges a whole answer, a lost one and a wait that was given up, and says which status must not reach a caller. The exchange fills in what came and obeys. Nothing behaves otherwise.

--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -2,6 +2,7 @@
 
 #include "sequoiausher/base/error.h"
 #include "sequoiausher/base/hashing.h"
+#include "sequoiausher/coordination/gateway/attemptverdict.h"
 #include "sequoiausher/transport/gateway/gatewayadmission.h"
 #include "sequoiausher/transport/gateway/refusals.h"
 
@@ -19,9 +20,6 @@
 constexpr int statusUnavailable = 503;
 constexpr int statusTimeout = 504;
 constexpr int firstFailure = 500;
-constexpr int statusTooMany = 429;
-constexpr int statusRequestTimeout = 408;
-constexpr int statusMisdirected = 421;
 
 /** When to come back where no target is free. */
 constexpr Millis retryWhenFull{200};
@@ -74,7 +72,7 @@
     std::string copySource(const ChosenTarget &target, Millis now);
     std::shared_ptr<TargetConnection> connect(const ChosenTarget &chosen, Millis now);
     void send(const ChosenTarget &chosen, std::shared_ptr<TargetConnection> connection, Millis now);
-    void endAttempt(AttemptEnd end, AttemptMark mark, Millis now);
+    void endAttempt(const AttemptVerdict &verdict, Millis now);
     void follow(AttemptEnd end, Millis now);
     void closeCall(AttemptMark mark, Millis now);
     /** Learns from an answer how long the target takes, and whether its service is overloaded. */
@@ -90,11 +88,11 @@
     bool mustClose() const;
     WaitState waitState(Millis now) const;
     bool isEventStream() const;
-    bool saysNotRun() const;
-    AttemptMark markOfNotRun() const;
+    AnswerState answerState() const;
     bool payForRetry(Millis now);
     void checkTimes(Millis now);
-    void goElsewhere(Millis now);
+    /** Another target is there for a request that has waited too long, and the budget has paid for it. */
+    bool mayGoElsewhere(Millis now);
 
     GatewayExchange &self;
     GatewayContext &context;
@@ -296,8 +294,9 @@
     this->context.shedder.answered(service, {took, this->admitted.route->latencyAim, isCrowded}, now);
 }
 
-void GatewayExchange::Private::endAttempt(AttemptEnd end, AttemptMark mark, Millis now)
+void GatewayExchange::Private::endAttempt(const AttemptVerdict &verdict, Millis now)
 {
+    const auto [end, mark] = verdict;
     if (end == AttemptEnd::NotSent) {
         this->targetsUsed -= 1;
     } else if (end != AttemptEnd::NotRun) {
@@ -368,14 +367,17 @@
     }
 }
 
-bool GatewayExchange::Private::saysNotRun() const
+AnswerState GatewayExchange::Private::answerState() const
 {
-    return this->hasAnswerHead && (this->answer.didNotRun || this->answer.isMisdirected);
-}
-
-AttemptMark GatewayExchange::Private::markOfNotRun() const
-{
-    return this->answer.isMisdirected ? AttemptMark::Lost : AttemptMark::Full;
+    AnswerState state;
+    state.hasHead = this->hasAnswerHead;
+    state.status = this->answer.status;
+    state.didNotRun = this->answer.didNotRun;
+    state.isMisdirected = this->answer.isMisdirected;
+    state.isIdempotent = this->admitted.route->isIdempotent();
+    state.isAnswerBegun = this->isAnswerBegun;
+    state.isGivenAsItComes = this->passesThrough || this->isEventStream();
+    return state;
 }
 
 bool GatewayExchange::Private::isEventStream() const
@@ -466,22 +468,12 @@
 void GatewayExchange::answerComplete()
 {
     const Millis now = Millis::monotonicNow();
-    const bool isFailure = this->d->answer.status >= firstFailure;
-    if (this->d->saysNotRun()) {
-        this->d->endAttempt(AttemptEnd::NotRun, this->d->markOfNotRun(), now);
-        return;
-    }
-    if (this->d->isAnswerBegun && !this->d->passesThrough && !this->d->isEventStream()) {
-        // The target that was to go on with a stream gives no stream.
-        this->d->endAttempt(AttemptEnd::Failed, AttemptMark::Failed, now);
-        return;
-    }
-    if (isFailure && this->d->admitted.route->isIdempotent() && !this->d->isAnswerBegun) {
-        this->d->endAttempt(AttemptEnd::Failed, AttemptMark::Failed, now);
+    if (const std::optional<AttemptVerdict> verdict = judgeWhole(this->d->answerState())) {
+        this->d->endAttempt(*verdict, now);
         return;
     }
     this->d->noteAnswerTime(now);
-    this->d->closeCall(isFailure ? AttemptMark::Failed : AttemptMark::Answered, now);
+    this->d->closeCall(markOfAnswer(this->d->answer.status), now);
     if (this->d->isAnswerBegun) {
         this->d->endStream();
     } else {
@@ -503,10 +495,7 @@
 void GatewayExchange::Private::passOnHeld(Millis now)
 {
     const int status = this->answerHead.status;
-    // A target's own refusal without the word that it did not run promises more than is known.
-    const bool promises = status == statusTooMany || status == statusUnavailable || status == statusRequestTimeout
-        || status == statusMisdirected;
-    if (promises && !this->answer.didNotRun) {
+    if (promisesTooMuch(status, this->answer.didNotRun)) {
         this->answerOwn(statusBadGateway, "the target failed", std::nullopt, Outcome::Unknown);
         return;
     }
@@ -532,12 +521,7 @@
 
 void GatewayExchange::callFailed(AttemptEnd end)
 {
-    const Millis now = Millis::monotonicNow();
-    if (this->d->saysNotRun()) {
-        this->d->endAttempt(AttemptEnd::NotRun, this->d->markOfNotRun(), now);
-        return;
-    }
-    this->d->endAttempt(end, AttemptMark::Lost, now);
+    this->d->endAttempt(judgeLost(this->d->answerState(), end), Millis::monotonicNow());
 }
 
 void GatewayExchange::Private::answerOwn(int status,
@@ -632,36 +616,27 @@
     if (!this->call && !isTimeUp) {
         return;
     }
-    switch (judgeWait(this->waitState(now))) {
-    case WaitVerdict::GoOn:
-        return;
-    case WaitVerdict::TimeUp:
-        this->endAttempt(AttemptEnd::TimeUp, this->hasAnswerHead ? AttemptMark::Neutral : AttemptMark::Lost, now);
-        return;
-    case WaitVerdict::NoConnection:
-        this->endAttempt(AttemptEnd::NotSent, AttemptMark::Lost, now);
-        return;
-    case WaitVerdict::Lost:
-        this->endAttempt(this->hasAnswerHead ? AttemptEnd::Broken : AttemptEnd::NoAnswer, AttemptMark::Neutral, now);
-        return;
-    case WaitVerdict::BetterElsewhere:
-        this->goElsewhere(now);
+    const WaitVerdict wait = judgeWait(this->waitState(now));
+    if (wait == WaitVerdict::BetterElsewhere && !this->mayGoElsewhere(now)) {
         return;
     }
+    if (const std::optional<AttemptVerdict> verdict = judgeGivenUp(wait, this->hasAnswerHead)) {
+        this->endAttempt(*verdict, now);
+    }
 }
 
-void GatewayExchange::Private::goElsewhere(Millis now)
+bool GatewayExchange::Private::mayGoElsewhere(Millis now)
 {
     if (!this->chooseTarget(now)) {
-        return;
+        return false;
     }
     // Without the budget for another target this one is the best chance that is left.
     if (!this->payForRetry(now)) {
         this->lastPartAt = now;
-        return;
+        return false;
     }
     this->isRetryPaid = true;
-    this->endAttempt(AttemptEnd::Silent, AttemptMark::Lost, now);
+    return true;
 }
 
 void GatewayExchange::callerGone()
