Keep the account of a request's tries in a component without sockets

Cause: how many targets a request was sent to, whether it may have run, whether a retry is paid for, and in which order another target and the budget are asked stood in five members and four functions of the exchange, so that the bound on a second run could be tested for one try only, not for a request with all its tries. Ruled out: to hand afterAttempt() the budget: it stays a function of one state. Change: requestattempts holds the account and decides; the exchange reports what it did, and is asked for a target and for a retry. A target is looked for only where the request may be sent again. Nothing behaves otherwise, but that the policies that keep a position or draw (round robin, two choices) are asked once less where an attempt ends for good.

--- /dev/null
+++ b/sequoiausher/coordination/gateway/requestattempts.cpp
@@ -0,0 +1,75 @@
+#include "sequoiausher/coordination/gateway/requestattempts.h"
+
+#include <utility>
+
+namespace Sequoiausher {
+
+RequestAttempts::RequestAttempts(const AttemptBounds &given) : bounds(given)
+{
+}
+
+void RequestAttempts::chose(const TargetId &target)
+{
+    this->triedTargets.push_back(target);
+}
+
+void RequestAttempts::sent()
+{
+    this->used += 1;
+}
+
+void RequestAttempts::ended(AttemptEnd end, bool mayHaveArrived)
+{
+    if (end == AttemptEnd::NotSent) {
+        this->used -= 1;
+    } else if (end != AttemptEnd::NotRun) {
+        this->mayHaveRun = this->mayHaveRun || mayHaveArrived;
+    }
+}
+
+NextStep RequestAttempts::next(AttemptEnd end, bool isAnswerBegun, Millis now, RetrySource &source)
+{
+    AttemptState state;
+    state.isIdempotent = this->bounds.isIdempotent;
+    state.mayHaveRun = this->mayHaveRun;
+    state.isAnswerBegun = isAnswerBegun;
+    state.targetsUsed = this->used;
+    state.mostTargets = this->bounds.mostTargets;
+    state.timeLeft = this->bounds.deadline - now;
+    state.isRetryAllowed = this->bounds.mayRetry;
+    if (afterAttempt(state, end) == NextStep::SendAgain) {
+        state.isRetryAllowed = source.findTarget(now) && (this->used == 0 || this->pay(now, source));
+    }
+    return afterAttempt(state, end);
+}
+
+LeaveVerdict RequestAttempts::leave(Millis now, RetrySource &source)
+{
+    if (!source.findTarget(now)) {
+        return LeaveVerdict::NoTarget;
+    }
+    this->isRetryPaid = this->pay(now, source);
+    return this->isRetryPaid ? LeaveVerdict::Leave : LeaveVerdict::NoRetry;
+}
+
+bool RequestAttempts::pay(Millis now, RetrySource &source)
+{
+    return std::exchange(this->isRetryPaid, false) || source.takeRetry(now);
+}
+
+bool RequestAttempts::mayRunElsewhere() const
+{
+    return this->bounds.isIdempotent && this->used < this->bounds.mostTargets;
+}
+
+const std::vector<TargetId> &RequestAttempts::tried() const
+{
+    return this->triedTargets;
+}
+
+std::uint32_t RequestAttempts::targetsUsed() const
+{
+    return this->used;
+}
+
+} // namespace Sequoiausher
--- /dev/null
+++ b/sequoiausher/coordination/gateway/requestattemptstest.cpp
@@ -0,0 +1,306 @@
+#include "sequoiausher/coordination/gateway/requestattempts.h"
+
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+using namespace Sequoiausher;
+
+namespace {
+
+constexpr Millis now{10000};
+constexpr Millis later{13000};
+
+/** Offers what it is told to, and counts what is asked. */
+class CountingSource : public RetrySource
+{
+public:
+    bool findTarget(Millis /*now*/) override
+    {
+        this->targetsAsked += 1;
+        return this->hasTarget;
+    }
+    bool takeRetry(Millis /*now*/) override
+    {
+        this->retriesAsked += 1;
+        return this->hasRetry;
+    }
+
+    bool hasTarget = true;
+    bool hasRetry = true;
+    int targetsAsked = 0;
+    int retriesAsked = 0;
+};
+
+/** A try that was sent and ended so. */
+struct Try
+{
+    AttemptEnd end;
+    bool mayHaveArrived;
+};
+
+NextStep play(RequestAttempts &attempts, const std::vector<Try> &tries, RetrySource &source)
+{
+    NextStep step = NextStep::SendAgain;
+    for (const Try &given : tries) {
+        attempts.sent();
+        attempts.ended(given.end, given.mayHaveArrived);
+        step = attempts.next(given.end, false, now, source);
+    }
+    return step;
+}
+
+/** Every way in which a request may go on, up to so many tries, with everything that the source may offer. */
+class AllHistories
+{
+public:
+    using Check = std::function<void(const RequestAttempts &before,
+                                     const Try &last,
+                                     bool mayHaveRun,
+                                     const CountingSource &source,
+                                     bool isBegun,
+                                     NextStep step)>;
+
+    AllHistories(const AttemptBounds &given, Check look) : bounds(given), check(std::move(look))
+    {
+        this->goOn(RequestAttempts(given), false, 0);
+    }
+
+private:
+    static constexpr int mostTries = 4;
+
+    void goOn(const RequestAttempts &before, bool mayHaveRun, int tries)
+    {
+        for (const auto &end : nameTable<AttemptEnd>) {
+            for (unsigned bits = 0; bits < 16; ++bits) {
+                this->tryOnce(before, mayHaveRun, tries, {end.value, (bits & 1U) != 0}, bits);
+            }
+        }
+    }
+
+    void tryOnce(const RequestAttempts &before, bool mayHaveRun, int tries, const Try &given, unsigned bits)
+    {
+        CountingSource source;
+        source.hasTarget = (bits & 2U) != 0;
+        source.hasRetry = (bits & 4U) != 0;
+        const bool isBegun = (bits & 8U) != 0;
+        RequestAttempts attempts = before;
+        attempts.sent();
+        attempts.ended(given.end, given.mayHaveArrived);
+        const bool isNotRun = given.end == AttemptEnd::NotSent || given.end == AttemptEnd::NotRun;
+        const bool mayHaveRunNow = mayHaveRun || (!isNotRun && given.mayHaveArrived);
+        const NextStep step = attempts.next(given.end, isBegun, now, source);
+        this->check(attempts, given, mayHaveRunNow, source, isBegun, step);
+        if (step == NextStep::SendAgain && tries + 1 < mostTries) {
+            this->goOn(attempts, mayHaveRunNow, tries + 1);
+        }
+    }
+
+    AttemptBounds bounds;
+    Check check;
+};
+
+void forAllBounds(const std::function<void(const AttemptBounds &)> &run)
+{
+    for (unsigned bits = 0; bits < 4; ++bits) {
+        for (std::uint32_t most = 1; most <= 2; ++most) {
+            const AttemptBounds bounds{(bits & 1U) != 0, most, (bits & 2U) != 0, later};
+            CAPTURE(bounds.isIdempotent);
+            CAPTURE(bounds.mayRetry);
+            CAPTURE(most);
+            run(bounds);
+        }
+    }
+}
+
+} // namespace
+
+TEST_CASE("what follows the tries of a request")
+{
+    struct Case
+    {
+        const char *what;
+        AttemptBounds bounds;
+        std::vector<Try> tries;
+        NextStep step;
+        int retries;
+    };
+    const AttemptBounds once{false, 2, true, later};
+    const AttemptBounds again{true, 2, true, later};
+    const AttemptBounds fixed{true, 2, false, later};
+    const std::vector<Case> cases{
+        {"nothing was sent: the next is no retry", once, {{AttemptEnd::NotSent, false}}, NextStep::SendAgain, 0},
+        {"full: the next is a retry", once, {{AttemptEnd::NotRun, true}}, NextStep::SendAgain, 1},
+        {"lost, may run once", once, {{AttemptEnd::NoAnswer, true}}, NextStep::SayUnknown, 0},
+        {"lost, may run again", again, {{AttemptEnd::NoAnswer, true}}, NextStep::SendAgain, 1},
+        {"lost, may run again, but its rule forbids a retry",
+         fixed,
+         {{AttemptEnd::NoAnswer, true}},
+         NextStep::SayUnknown,
+         0},
+        {"lost twice", again, {{AttemptEnd::NoAnswer, true}, {AttemptEnd::NoAnswer, true}}, NextStep::SayUnknown, 1},
+        {"a target that nothing reached does not count",
+         again,
+         {{AttemptEnd::NotSent, false}, {AttemptEnd::NoAnswer, true}},
+         NextStep::SendAgain,
+         1},
+        {"full after one that may have run",
+         again,
+         {{AttemptEnd::NoAnswer, true}, {AttemptEnd::NotRun, true}},
+         NextStep::SayUnknown,
+         1},
+        {"full twice", once, {{AttemptEnd::NotRun, true}, {AttemptEnd::NotRun, true}}, NextStep::RefuseNotRun, 1},
+        {"its time is over", again, {{AttemptEnd::TimeUp, true}}, NextStep::SayTimeout, 0},
+        {"its time is over, and nothing has left", again, {{AttemptEnd::TimeUp, false}}, NextStep::RefuseNotRun, 0},
+    };
+    for (const Case &given : cases) {
+        CAPTURE(given.what);
+        RequestAttempts attempts(given.bounds);
+        CountingSource source;
+        CHECK(play(attempts, given.tries, source) == given.step);
+        CHECK(source.retriesAsked == given.retries);
+    }
+}
+
+TEST_CASE("where no target could be connected to, another one is tried for nothing")
+{
+    RequestAttempts attempts({false, 1, true, later});
+    CountingSource source;
+    attempts.chose(TargetId{"a"});
+    CHECK(attempts.next(AttemptEnd::NotSent, false, now, source) == NextStep::SendAgain);
+    CHECK(source.retriesAsked == 0);
+    source.hasTarget = false;
+    CHECK(attempts.next(AttemptEnd::NotSent, false, now, source) == NextStep::RefuseNotRun);
+    CHECK(attempts.tried() == std::vector<TargetId>{TargetId{"a"}});
+    CHECK(attempts.targetsUsed() == 0);
+}
+
+TEST_CASE("too late for another target")
+{
+    RequestAttempts attempts({true, 2, true, now + Millis{20}});
+    CountingSource source;
+    CHECK(play(attempts, {{AttemptEnd::NoAnswer, true}}, source) == NextStep::SayUnknown);
+    CHECK(source.targetsAsked == 0);
+    CHECK(source.retriesAsked == 0);
+}
+
+// Symptom: a request that leaves a silent target takes two retries from the budget.
+// Events: the budget is asked before the target is given up, since without it the request stays; then the end of the
+// try asks once more.
+// Cause: a retry that is paid for must be remembered until it is sent.
+TEST_CASE("a request that leaves its target pays once")
+{
+    RequestAttempts attempts({true, 2, true, later});
+    CountingSource source;
+    attempts.sent();
+    CHECK(attempts.mayRunElsewhere());
+    CHECK(attempts.leave(now, source) == LeaveVerdict::Leave);
+    attempts.ended(AttemptEnd::Silent, true);
+    source.hasRetry = false;
+    CHECK(attempts.next(AttemptEnd::Silent, false, now, source) == NextStep::SendAgain);
+    CHECK(source.retriesAsked == 1);
+    attempts.sent();
+    CHECK_FALSE(attempts.mayRunElsewhere());
+}
+
+TEST_CASE("what was paid for one retry does not pay for the next")
+{
+    RequestAttempts attempts({true, 3, true, later});
+    CountingSource source;
+    attempts.sent();
+    CHECK(attempts.leave(now, source) == LeaveVerdict::Leave);
+    attempts.ended(AttemptEnd::Silent, true);
+    CHECK(attempts.next(AttemptEnd::Silent, false, now, source) == NextStep::SendAgain);
+    source.hasRetry = false;
+    CHECK(play(attempts, {{AttemptEnd::NoAnswer, true}}, source) == NextStep::SayUnknown);
+    CHECK(source.retriesAsked == 2);
+}
+
+TEST_CASE("a request stays at its target without another one or without a retry")
+{
+    RequestAttempts attempts({true, 2, true, later});
+    CountingSource source;
+    attempts.sent();
+    source.hasTarget = false;
+    CHECK(attempts.leave(now, source) == LeaveVerdict::NoTarget);
+    CHECK(source.retriesAsked == 0);
+    source.hasTarget = true;
+    source.hasRetry = false;
+    CHECK(attempts.leave(now, source) == LeaveVerdict::NoRetry);
+    // What was refused is not held to be paid.
+    attempts.ended(AttemptEnd::Broken, true);
+    CHECK(attempts.next(AttemptEnd::Broken, false, now, source) == NextStep::SayUnknown);
+    CHECK(source.retriesAsked == 2);
+}
+
+TEST_CASE("what must run once may not run elsewhere")
+{
+    RequestAttempts attempts({false, 2, true, later});
+    attempts.sent();
+    CHECK_FALSE(attempts.mayRunElsewhere());
+}
+
+TEST_CASE("over all histories: what may have run is neither sent again, where it must run once, nor called not run")
+{
+    forAllBounds([](const AttemptBounds &bounds) {
+        AllHistories(bounds,
+                     [&bounds](const auto &, const Try &last, bool mayHaveRun, const auto &, bool, NextStep step) {
+                         CAPTURE(nameOf(last.end));
+                         if (mayHaveRun) {
+                             CHECK(step != NextStep::RefuseNotRun);
+                             CHECK((bounds.isIdempotent || step != NextStep::SendAgain));
+                         }
+                     });
+    });
+}
+
+TEST_CASE("over all histories: a retry is taken where one is sent, and nowhere else")
+{
+    forAllBounds([](const AttemptBounds &bounds) {
+        AllHistories(
+            bounds,
+            [&bounds](
+                const RequestAttempts &attempts, const Try &, bool, const CountingSource &source, bool, NextStep step) {
+                const bool isRetry = attempts.targetsUsed() > 0;
+                CHECK(source.targetsAsked <= 1);
+                CHECK(source.retriesAsked <= 1);
+                if (step == NextStep::SendAgain) {
+                    CHECK(bounds.mayRetry);
+                    CHECK(source.hasTarget);
+                    CHECK(attempts.targetsUsed() < bounds.mostTargets);
+                    CHECK(source.retriesAsked == (isRetry ? 1 : 0));
+                } else if (source.retriesAsked > 0) {
+                    CHECK(source.hasTarget);
+                    CHECK_FALSE(source.hasRetry);
+                }
+            });
+    });
+}
+
+// The naive version asks for everything before it decides. The real one asks for no more than it needs, and must decide
+// alike.
+TEST_CASE("over all histories: as decided where everything is known beforehand")
+{
+    forAllBounds([](const AttemptBounds &bounds) {
+        AllHistories(bounds,
+                     [&bounds](const RequestAttempts &attempts,
+                               const Try &last,
+                               bool mayHaveRun,
+                               const CountingSource &source,
+                               bool isBegun,
+                               NextStep step) {
+                         AttemptState state;
+                         state.isIdempotent = bounds.isIdempotent;
+                         state.mayHaveRun = mayHaveRun;
+                         state.isAnswerBegun = isBegun;
+                         state.targetsUsed = attempts.targetsUsed();
+                         state.mostTargets = bounds.mostTargets;
+                         state.timeLeft = bounds.deadline - now;
+                         const bool isPaid = attempts.targetsUsed() == 0 || source.hasRetry;
+                         state.isRetryAllowed = bounds.mayRetry && source.hasTarget && isPaid;
+                         CHECK(step == afterAttempt(state, last.end));
+                     });
+    });
+}
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -3,6 +3,7 @@
 #include "sequoiausher/base/error.h"
 #include "sequoiausher/base/hashing.h"
 #include "sequoiausher/coordination/gateway/attemptverdict.h"
+#include "sequoiausher/coordination/gateway/requestattempts.h"
 #include "sequoiausher/transport/gateway/gatewayadmission.h"
 #include "sequoiausher/transport/gateway/refusals.h"
 
@@ -47,7 +48,7 @@
 
 } // namespace
 
-class GatewayExchange::Private
+class GatewayExchange::Private : public RetrySource
 {
 public:
     Private(GatewayExchange &owner,
@@ -89,9 +90,10 @@
     WaitState waitState(Millis now) const;
     bool isEventStream() const;
     AnswerState answerState() const;
-    bool payForRetry(Millis now);
+    bool findTarget(Millis now) override;
+    bool takeRetry(Millis now) override;
     void checkTimes(Millis now);
-    /** Another target is there for a request that has waited too long, and the budget has paid for it. */
+    /** Whether a request that has waited too long is given to another target. */
     bool mayGoElsewhere(Millis now);
 
     GatewayExchange &self;
@@ -106,10 +108,8 @@
     ChosenTarget chosen;
     /** Address of the target from which the chosen one copies cached parts; empty for none. */
     std::string copiedFrom;
-    std::vector<TargetId> tried;
+    RequestAttempts attempts;
     Millis sentAt;
-    std::uint32_t targetsUsed = 0;
-    bool mayHaveRun = false;
 
     HttpHead answerHead;
     TargetAnswer answer;
@@ -122,8 +122,6 @@
     bool saidClose = false;
     /** A long answer that is no stream of events is given as it comes. */
     bool passesThrough = false;
-    /** The budget has paid for the next try already. */
-    bool isRetryPaid = false;
     bool isReadingPaused = false;
     Millis firstPartAt;
     Millis lastPartAt;
@@ -167,6 +165,9 @@
         return;
     }
     this->cutter = EventCutter(this->admitted.request.lastEventId);
+    const GatewayRoute &route = *this->admitted.route;
+    const bool mayRetry = this->admitted.decision.retry != RetryMode::None;
+    this->attempts = RequestAttempts({route.isIdempotent(), route.mostTargets, mayRetry, this->admitted.deadline});
     this->attempt(std::max(this->receivedAt, Millis::monotonicNow()));
 }
 
@@ -179,7 +180,7 @@
         if (!found) {
             break;
         }
-        this->tried.push_back(found->target.id);
+        this->attempts.chose(found->target.id);
         if (std::shared_ptr<TargetConnection> connection = this->connect(*found, now)) {
             this->send(*found, std::move(connection), now);
             return;
@@ -199,8 +200,8 @@
     criteria.partHash = this->admitted.partHash;
     criteria.firstPartHash = this->admitted.parts.first();
     criteria.holders = this->admitted.parts.holders(this->context.parts, now);
-    criteria.requestHash = hash64(this->admitted.request.attemptId, this->targetsUsed + 1);
-    criteria.excluded = this->tried;
+    criteria.requestHash = hash64(this->admitted.request.attemptId, this->attempts.targetsUsed() + 1);
+    criteria.excluded = this->attempts.tried();
     return this->context.board.choose(criteria, now);
 }
 
@@ -257,9 +258,10 @@
         this->self, this->context.dialect, std::move(connection), this->admitted.request.attemptId);
     this->context.board.started(target.target.id);
     this->admitted.parts.sent(this->context.parts, target.target.id, now);
-    this->targetsUsed += 1;
-    this->context.metrics.countDispatch(this->admitted.labels, target.target.id.value, this->targetsUsed > 1);
-    if (this->targetsUsed > 1) {
+    this->attempts.sent();
+    const bool isRetry = this->attempts.targetsUsed() > 1;
+    this->context.metrics.countDispatch(this->admitted.labels, target.target.id.value, isRetry);
+    if (isRetry) {
         this->context.log.info(LogPart::Entry,
                                "request sent again",
                                {{"request", this->admitted.request.attemptId},
@@ -297,11 +299,7 @@
 void GatewayExchange::Private::endAttempt(const AttemptVerdict &verdict, Millis now)
 {
     const auto [end, mark] = verdict;
-    if (end == AttemptEnd::NotSent) {
-        this->targetsUsed -= 1;
-    } else if (end != AttemptEnd::NotRun) {
-        this->mayHaveRun = this->mayHaveRun || (this->call && this->call->mayHaveArrived());
-    }
+    this->attempts.ended(end, this->call && this->call->mayHaveArrived());
     this->reasonOfEnd = std::string(nameOf(end));
     this->context.log.info(LogPart::Entry,
                            "attempt ended without an answer",
@@ -317,11 +315,13 @@
     this->follow(end, now);
 }
 
-bool GatewayExchange::Private::payForRetry(Millis now)
+bool GatewayExchange::Private::findTarget(Millis now)
+{
+    return this->chooseTarget(now).has_value();
+}
+
+bool GatewayExchange::Private::takeRetry(Millis now)
 {
-    if (std::exchange(this->isRetryPaid, false)) {
-        return true;
-    }
     const bool isPaid
         = this->context.retryBudget.tryRetry(this->admitted.service, this->context.peers.fleetSize(now), now);
     this->context.metrics.add(isPaid ? "gateway_repeats_total" : "gateway_repeats_refused_total");
@@ -330,21 +330,9 @@
 
 void GatewayExchange::Private::follow(AttemptEnd end, Millis now)
 {
-    AttemptState state;
-    state.isIdempotent = this->admitted.route->isIdempotent();
-    state.mayHaveRun = this->mayHaveRun;
-    state.isAnswerBegun = this->isAnswerBegun;
-    state.targetsUsed = this->targetsUsed;
-    state.mostTargets = this->admitted.route->mostTargets;
-    state.timeLeft = this->admitted.deadline - now;
-    const bool hasOther = this->chooseTarget(now).has_value();
-    state.isRetryAllowed = hasOther && this->admitted.decision.retry != RetryMode::None;
-    // The budget is asked last, since asking takes from it.
-    if (afterAttempt(state, end) == NextStep::SendAgain && this->targetsUsed > 0) {
-        state.isRetryAllowed = this->payForRetry(now);
-    }
+    const NextStep step = this->attempts.next(end, this->isAnswerBegun, now, *this);
     const Millis retry = this->context.spread(retryWhenFull);
-    switch (afterAttempt(state, end)) {
+    switch (step) {
     case NextStep::SendAgain:
         this->attempt(now);
         return;
@@ -564,7 +552,7 @@
          {"rule", this->admitted.decision.rule},
          {"service", this->admitted.service.value},
          {"target", this->chosen.target.id.value},
-         {"targets_used", std::to_string(this->targetsUsed)},
+         {"targets_used", std::to_string(this->attempts.targetsUsed())},
          {"prompt_part", std::to_string(this->admitted.partHash % partNames)},
          {"copied_from", this->copiedFrom},
          {"target_load", std::to_string(this->chosen.inFlight)},
@@ -591,7 +579,7 @@
     state.hasEvents = this->cutter.eventCount() > 0 && this->hasAnswerHead;
     state.isReadingPaused = this->isReadingPaused;
     state.isLifeOver = this->context.board.isLifeOver(this->chosen.target);
-    state.mayRunElsewhere = route.isIdempotent() && this->targetsUsed < route.mostTargets;
+    state.mayRunElsewhere = this->attempts.mayRunElsewhere();
     state.latencyAim = route.latencyAim;
     state.gapAim = route.gapAim;
     state.usualFirstAnswer = this->context.usualFirstAnswer(this->admitted.service);
@@ -627,16 +615,12 @@
 
 bool GatewayExchange::Private::mayGoElsewhere(Millis now)
 {
-    if (!this->chooseTarget(now)) {
-        return false;
-    }
-    // Without the budget for another target this one is the best chance that is left.
-    if (!this->payForRetry(now)) {
+    const LeaveVerdict verdict = this->attempts.leave(now, *this);
+    if (verdict == LeaveVerdict::NoRetry) {
+        // It is patient once more, before it asks the budget again.
         this->lastPartAt = now;
-        return false;
     }
-    this->isRetryPaid = true;
-    return true;
+    return verdict == LeaveVerdict::Leave;
 }
 
 void GatewayExchange::callerGone()
