Choose the target of a retry once

Cause: at the end of an attempt the exchange asked the board whether there is another target, threw the answer away, and asked again when it sent. A policy that keeps a position counted twice: by round robin the target after the one that failed lost its turn. Ruled out: to keep the choice by which a request leaves a silent target: the end of that attempt changes the board. Change: what was found where the retry was allowed is what is sent to. Policies without memory, among them both of the deployed rules, choose as before.

--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -68,7 +68,8 @@
 
     /** Admits the request and sends it, or refuses it. */
     void begin();
-    void attempt(Millis now);
+    /** Sends the request to the target that was found, or to another one where that has no free connection. */
+    void attempt(std::optional<ChosenTarget> found, Millis now);
     std::optional<ChosenTarget> chooseTarget(Millis now);
     std::string copySource(const ChosenTarget &target, Millis now);
     std::shared_ptr<TargetConnection> connect(const ChosenTarget &chosen, Millis now);
@@ -109,6 +110,8 @@
     /** Address of the target from which the chosen one copies cached parts; empty for none. */
     std::string copiedFrom;
     RequestAttempts attempts;
+    /** What was found when another target was last asked for. */
+    std::optional<ChosenTarget> candidate;
     Millis sentAt;
 
     HttpHead answerHead;
@@ -168,23 +171,21 @@
     const GatewayRoute &route = *this->admitted.route;
     const bool mayRetry = this->admitted.decision.retry != RetryMode::None;
     this->attempts = RequestAttempts({route.isIdempotent(), route.mostTargets, mayRetry, this->admitted.deadline});
-    this->attempt(std::max(this->receivedAt, Millis::monotonicNow()));
+    const Millis now = std::max(this->receivedAt, Millis::monotonicNow());
+    this->attempt(this->chooseTarget(now), now);
 }
 
-void GatewayExchange::Private::attempt(Millis now)
+void GatewayExchange::Private::attempt(std::optional<ChosenTarget> found, Millis now)
 {
     // A few choices, since a target may have no free connection; none of them sends anything.
     constexpr int mostChoices = 4;
-    for (int i = 0; i < mostChoices; ++i) {
-        const std::optional<ChosenTarget> found = this->chooseTarget(now);
-        if (!found) {
-            break;
-        }
+    for (int left = mostChoices; found && left > 0; --left) {
         this->attempts.chose(found->target.id);
         if (std::shared_ptr<TargetConnection> connection = this->connect(*found, now)) {
             this->send(*found, std::move(connection), now);
             return;
         }
+        found = left > 1 ? this->chooseTarget(now) : std::nullopt;
     }
     this->reasonOfEnd = "no-target";
     this->follow(AttemptEnd::NotSent, now);
@@ -317,7 +318,8 @@
 
 bool GatewayExchange::Private::findTarget(Millis now)
 {
-    return this->chooseTarget(now).has_value();
+    this->candidate = this->chooseTarget(now);
+    return this->candidate.has_value();
 }
 
 bool GatewayExchange::Private::takeRetry(Millis now)
@@ -334,7 +336,7 @@
     const Millis retry = this->context.spread(retryWhenFull);
     switch (step) {
     case NextStep::SendAgain:
-        this->attempt(now);
+        this->attempt(std::exchange(this->candidate, std::nullopt), now);
         return;
     case NextStep::RefuseNotRun:
         this->answerOwn(statusUnavailable, "no target could take the request", retry, Outcome::RefusedFull);
--- a/sequoiausher/transport/gateway/gatewaynodetest.cpp
+++ b/sequoiausher/transport/gateway/gatewaynodetest.cpp
@@ -6,6 +6,12 @@
 
 #include <doctest/doctest.h>
 
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+
+#include <unistd.h>
+
 using namespace Sequoiausher;
 
 namespace {
@@ -269,6 +275,25 @@
     CHECK(bed.call("GET", "/look/1").body == "ok");
 }
 
+// Symptom: by round robin, a target got nothing after each failure of the one before it. Events: a target fails, and
+// the request goes on to another one. Cause: the next target was asked for twice, first whether there is one, and then
+// which.
+TEST_CASE("a request that goes on to another target takes one turn")
+{
+    Bed bed;
+    const std::string file
+        = (std::filesystem::temp_directory_path() / ("gatewaynodetest" + std::to_string(getpid()))).string();
+    std::ofstream(file) << "[rule all]\nthen.pool = routed\nthen.policy = round-robin\n";
+    bed.settings.rulesFile = file;
+    bed.addTarget("t1", "desk").answers = [](FakeRequest &request) { request.reset(); };
+    bed.addTarget("t2", "desk").answers = [](FakeRequest &request) { request.reply("200 OK", "second"); };
+    bed.addTarget("t3", "desk").answers = [](FakeRequest &request) { request.reply("200 OK", "third"); };
+    bed.start();
+    std::remove(file.c_str());
+    CHECK(bed.call("GET", "/look/1").body == "second");
+    CHECK(bed.call("GET", "/look/2").body == "third");
+}
+
 // Symptom: a key that had been taken away opened a route. Events: the store falls silent for one gateway, and keys are
 // taken away meanwhile. Cause: the gateway went on by what it knew, however old.
 TEST_CASE("keys that nobody vouches for any more open nothing")
