Share a target's connections in a component of its own

Cause: a gateway's part of the connections that a target allows was worked out where connections are opened, and no test looked at it. Ruled out: to put it into targetpools, which sees sockets.

--- /dev/null
+++ b/sequoiausher/coordination/gateway/connectionsharetest.cpp
@@ -0,0 +1,44 @@
+#include "sequoiausher/coordination/gateway/connectionshare.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+using namespace Sequoiausher;
+
+TEST_CASE("a gateway's part of a target's connections")
+{
+    struct Case
+    {
+        const char *what;
+        std::size_t limit;
+        std::size_t gateways;
+        std::size_t share;
+    };
+    const std::vector<Case> cases{
+        {"no limit", 0, 7, 0},
+        {"alone", 100, 1, 90},
+        {"no gateway is known yet, not even this one", 100, 0, 90},
+        {"seven share", 100, 7, 12},
+        {"more gateways than connections", 4, 7, 1},
+        {"one connection", 1, 1, 1},
+    };
+    for (const Case &given : cases) {
+        CAPTURE(given.what);
+        CHECK(connectionShare(given.limit, given.gateways) == given.share);
+    }
+}
+
+TEST_CASE("all shares together stay below the limit, where there is one for each")
+{
+    constexpr std::size_t mostGateways = 40;
+    constexpr std::size_t mostLimit = 400;
+    for (std::size_t gateways = 1; gateways <= mostGateways; ++gateways) {
+        for (std::size_t limit = gateways; limit <= mostLimit; ++limit) {
+            CAPTURE(gateways);
+            CAPTURE(limit);
+            CHECK(connectionShare(limit, gateways) >= 1);
+            CHECK(connectionShare(limit, gateways) * gateways <= limit);
+        }
+    }
+}
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -3,6 +3,7 @@
 #include "sequoiausher/base/error.h"
 #include "sequoiausher/base/hashing.h"
 #include "sequoiausher/coordination/gateway/attemptverdict.h"
+#include "sequoiausher/coordination/gateway/connectionshare.h"
 #include "sequoiausher/coordination/gateway/requestattempts.h"
 #include "sequoiausher/transport/gateway/gatewayadmission.h"
 #include "sequoiausher/transport/gateway/refusals.h"
@@ -219,12 +220,8 @@
 std::shared_ptr<TargetConnection> GatewayExchange::Private::connect(const ChosenTarget &target, Millis now)
 {
     const GatewayService *described = this->admitted.table->service(this->admitted.service);
-    const std::size_t gateways = std::max<std::size_t>(this->context.peers.fleetSize(now), 1);
-    std::size_t limit = 0;
-    if (described != nullptr && described->connectionLimit > 0) {
-        // A part is left for gateways that are not known yet: beyond the limit a target resets connections.
-        limit = std::max<std::size_t>(described->connectionLimit * 9 / (10 * gateways), 1);
-    }
+    const std::size_t limit
+        = connectionShare(described != nullptr ? described->connectionLimit : 0, this->context.peers.fleetSize(now));
     const Reuse reuse = this->admitted.route->isIdempotent() ? Reuse::Any : Reuse::Fresh;
     try {
         return this->context.pools.take(target.target, limit, now, reuse);
