Work out the admitted part of a request once

Cause: the gateway asked the shedder for the part of such requests that go on, for its log, and the shedder worked it out anew to decide. Ruled out: to compare with the draw in the gateway, which would move the decision to where sockets are. Change: LoadShedder::judge() gives the verdict with the part, in place of admits(). The tests check the verdict as before, and that the part is the one that admittedPart() gives.

--- a/lab/model/plainservicemodel.cpp
+++ b/lab/model/plainservicemodel.cpp
@@ -203,8 +203,8 @@
         Gateway &gateway = this->gateways[index];
         const bool isLate = this->now - request.askedAt > static_cast<double>(this->day.aim.count);
         if (this->policy.sheds
-            && !gateway.shedder.admits(
-                service, {RequestClass::Background, isLate}, this->uniform(0, 1), this->clock())) {
+            && !gateway.shedder.judge(service, {RequestClass::Background, isLate}, this->uniform(0, 1), this->clock())
+                    .isAdmitted) {
             this->refuse(request, shedReturnMs);
             return;
         }
--- a/sequoiausher/coordination/gateway/loadshedder.cpp
+++ b/sequoiausher/coordination/gateway/loadshedder.cpp
@@ -95,9 +95,10 @@
     return std::max(1 - felt * (rank.isLate ? lateWeight : 1), leastPart);
 }
 
-bool LoadShedder::admits(const PoolId &service, SheddingRank rank, double draw, Millis now) const
+SheddingVerdict LoadShedder::judge(const PoolId &service, SheddingRank rank, double draw, Millis now) const
 {
-    return draw < this->admittedPart(service, rank, now);
+    const double part = this->admittedPart(service, rank, now);
+    return {draw < part, part};
 }
 
 } // namespace Sequoiausher
--- a/sequoiausher/coordination/gateway/loadshedder.h
+++ b/sequoiausher/coordination/gateway/loadshedder.h
@@ -10,7 +10,7 @@
 // settle on about the same part.
 //
 //     LoadShedder shedder;
-//     if (!shedder.admits(service, {RequestClass::Background, isLate}, random(), now)) { refuse(); }
+//     if (!shedder.judge(service, {RequestClass::Background, isLate}, random(), now).isAdmitted) { refuse(); }
 //     shedder.answered(service, {.took = took, .aim = aim, .isCrowded = inFlight > places}, now);
 
 #include "sequoiausher/base/identifiers.h"
@@ -39,12 +39,20 @@
     bool isLate = false;
 };
 
+/** What becomes of one request. */
+struct SheddingVerdict
+{
+    bool isAdmitted = true;
+    /** The part of such requests that go on, 0 to 1. */
+    double admittedPart = 1;
+};
+
 /** The part of the requests that each service gets. Not thread-safe. */
 class LoadShedder
 {
 public:
     /** Whether a request goes on. @param draw at random, from 0 up to 1. */
-    bool admits(const PoolId &service, SheddingRank rank, double draw, Millis now) const;
+    SheddingVerdict judge(const PoolId &service, SheddingRank rank, double draw, Millis now) const;
     /** An answer came back. */
     void answered(const PoolId &service, const AnswerTime &answer, Millis now);
     /** A target had no room for a request. */
--- a/sequoiausher/coordination/gateway/loadsheddertest.cpp
+++ b/sequoiausher/coordination/gateway/loadsheddertest.cpp
@@ -32,7 +32,7 @@
     // Its work takes that long: asking less would bring nothing.
     now = answer(shedder, 50, Millis{400}, false, now);
     CHECK(shedder.admittedPart(service, background, now) == 1);
-    CHECK(shedder.admits(service, background, 0.999, now));
+    CHECK(shedder.judge(service, background, 0.999, now).isAdmitted);
 }
 
 // Symptom: half of a service's answers came after 150 ms, the aim, while it worked without a pause.
@@ -52,7 +52,8 @@
         busy.answered(service, {Millis{150}, aim, true}, Millis{i * 10});
     }
     CHECK(busy.admittedPart(service, background, Millis{900}) == doctest::Approx(part).epsilon(0.3));
-    CHECK_FALSE(shedder.admits(service, background, 0.9, now));
+    CHECK_FALSE(shedder.judge(service, background, 0.9, now).isAdmitted);
+    CHECK(shedder.judge(service, background, 0.9, now).admittedPart == shedder.admittedPart(service, background, now));
     now = answer(shedder, 100, Millis{150}, true, now);
     // Some always go on: nobody starves, and the end of the overload is noticed.
     CHECK(shedder.admittedPart(service, background, now) == doctest::Approx(0.1));
--- a/sequoiausher/transport/gateway/gatewayadmission.cpp
+++ b/sequoiausher/transport/gateway/gatewayadmission.cpp
@@ -183,8 +183,10 @@
     const Millis left = this->admitted.request.timeLeft.value_or(route.timeout);
     const Millis spent = this->context.patience.spent(route.name, left, this->receivedAt);
     const SheddingRank rank{this->admitted.requestClass, spent >= route.latencyAim};
-    this->admitted.admittedPart = this->context.shedder.admittedPart(this->admitted.service, rank, this->receivedAt);
-    if (this->context.shedder.admits(this->admitted.service, rank, this->context.draw(), this->receivedAt)) {
+    const SheddingVerdict verdict
+        = this->context.shedder.judge(this->admitted.service, rank, this->context.draw(), this->receivedAt);
+    this->admitted.admittedPart = verdict.admittedPart;
+    if (verdict.isAdmitted) {
         return std::nullopt;
     }
     const Millis retry = this->context.spread(retryWhenShed);
