Ask the board which connections stay, in place of a set of all targets

Cause: at each change of the targets the gateway built a set of the ids of all of them, to look up the few that have pooled connections. Change: the pools ask the board for each of theirs.

--- a/sequoiausher/coordination/gateway/targetboard.cpp
+++ b/sequoiausher/coordination/gateway/targetboard.cpp
@@ -432,6 +432,12 @@
     return present != this->d->lives.end() && present->second != target.id;
 }
 
+bool TargetBoard::isListed(const TargetId &target) const
+{
+    const BoardTarget *held = this->d->find(target);
+    return held != nullptr && held->isListed;
+}
+
 bool TargetBoard::isUsable(const TargetId &target) const
 {
     const BoardTarget *held = this->d->find(target);
--- a/sequoiausher/coordination/gateway/targetboard.h
+++ b/sequoiausher/coordination/gateway/targetboard.h
@@ -102,6 +102,8 @@
     std::vector<GatewayLoad> loads(const std::vector<InstanceId> &without, Millis now);
     /** The platform lists another life under the target's name: what this one was sent is lost. */
     bool isLifeOver(const GatewayTarget &target) const;
+    /** The list has it, in this life; it may be leaving. */
+    bool isListed(const TargetId &target) const;
     /** Listed and not leaving. */
     bool isUsable(const TargetId &target) const;
     std::size_t targetCount(const PoolId &service) const;
--- a/sequoiausher/coordination/gateway/targetboardtest.cpp
+++ b/sequoiausher/coordination/gateway/targetboardtest.cpp
@@ -137,6 +137,7 @@
     }
     board.setTargets(targets, Millis{300});
     CHECK_FALSE(board.choose(criteriaFor(7), Millis{300}));
+    CHECK(board.isListed(first));
 }
 
 TEST_CASE("a hub reports sums, to each without what it said itself")
@@ -193,10 +194,14 @@
     board.started(before.id);
     board.peerReported(InstanceId{"p"}, {{before.id, 7, true}}, Millis{10});
     CHECK_FALSE(board.isLifeOver(before));
+    CHECK(board.isListed(before.id));
 
     board.setTargets(oneLife(200), Millis{20});
     CHECK(board.isLifeOver(before));
     CHECK_FALSE(board.isLifeOver(after));
+    CHECK_FALSE(board.isListed(before.id));
+    CHECK(board.isListed(after.id));
+    CHECK_FALSE(board.isListed(TargetId{"never"}));
     // A report that was written before its sender heard of the new life, and one that comes out of order.
     board.peerReported(InstanceId{"q"}, {{before.id, 5, true}}, Millis{20});
     const auto chosen = board.choose(criteriaFor(1), Millis{20});
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -15,7 +15,6 @@
 
 #include <algorithm>
 #include <optional>
-#include <set>
 #include <unordered_map>
 #include <utility>
 
@@ -369,13 +368,11 @@
     const std::vector<GatewayTarget> targets = this->known.targets.targets();
     this->context.board.setTargets(targets, Millis::monotonicNow());
     std::size_t leaving = 0;
-    std::set<TargetId> listed;
     for (const GatewayTarget &target : targets) {
         leaving += target.isLeaving ? 1 : 0;
-        listed.insert(target.id);
     }
     // Connections to a life that is over would carry requests into the void, or to whoever has the address now.
-    this->context.pools.keepOnly(listed);
+    this->context.pools.keepOnly([this](const TargetId &id) { return this->context.board.isListed(id); });
     this->log.info(LogPart::Targets,
                    "targets changed",
                    {{"why", std::string(why)},
--- a/sequoiausher/transport/gateway/targetpools.cpp
+++ b/sequoiausher/transport/gateway/targetpools.cpp
@@ -219,10 +219,10 @@
     last.clear();
 }
 
-void TargetPools::keepOnly(const std::set<TargetId> &targets)
+void TargetPools::keepOnly(const std::function<bool(const TargetId &)> &isListed)
 {
     for (auto &[target, pool] : this->d->pools) {
-        if (!targets.contains(target)) {
+        if (!isListed(target)) {
             std::move(pool.idle.begin(), pool.idle.end(), std::back_inserter(this->d->doomed));
             pool.idle.clear();
         }
--- a/sequoiausher/transport/gateway/targetpools.h
+++ b/sequoiausher/transport/gateway/targetpools.h
@@ -13,9 +13,9 @@
 #include "sequoiausher/transport/stream/httpreader.h"
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace Sequoiausher {
@@ -101,8 +101,8 @@
     std::shared_ptr<TargetConnection> take(const GatewayTarget &target, std::size_t limit, Millis now, Reuse reuse);
     /** Closes kept connections that are about to be closed by their targets. */
     void tick(Millis now);
-    /** Closes the kept connections to all other targets: those that are gone, or in an earlier life. */
-    void keepOnly(const std::set<TargetId> &targets);
+    /** Closes the kept connections to targets that are not listed: those that are gone, or in an earlier life. */
+    void keepOnly(const std::function<bool(const TargetId &)> &isListed);
 
     std::uint64_t dialled() const;
 
