Read what the [log] sections share in one place

Cause: routers and gateways each read the level, the format and the repeats of their logs. Ruled out: to share the interval too: a gateway takes milliseconds with a fraction and an empty value, a router neither, and its errors read otherwise. Change: logsection reads what is alike; each file reads its own interval.

--- a/sequoiausher/protocol/settings/gatewaysettings.cpp
+++ b/sequoiausher/protocol/settings/gatewaysettings.cpp
@@ -2,6 +2,7 @@
 
 #include "sequoiausher/base/ini/inidocument.h"
 #include "sequoiausher/base/ini/inireader.h"
+#include "sequoiausher/protocol/settings/logsection.h"
 
 #include <cmath>
 #include <cstdlib>
@@ -121,11 +122,7 @@
 void readLog(SectionReader &section, LogSettings &settings)
 {
     constexpr double hourMs = 3600000;
-    settings.lowest = section.name<LogLevel>("level").value_or(settings.lowest);
-    settings.format = section.name<LogFormat>("format").value_or(settings.format);
-    if (const auto repeats = section.integer("repeats_per_interval", {0, 1000000, "lines"})) {
-        settings.repeatsPerInterval = static_cast<std::uint32_t>(*repeats);
-    }
+    readLogSection(section, settings);
     readMillis(section, "repeat_interval_ms", 100, hourMs, settings.repeatInterval);
 }
 
--- a/sequoiausher/protocol/settings/routersettings.cpp
+++ b/sequoiausher/protocol/settings/routersettings.cpp
@@ -2,6 +2,7 @@
 
 #include "sequoiausher/base/ini/inidocument.h"
 #include "sequoiausher/base/ini/inireader.h"
+#include "sequoiausher/protocol/settings/logsection.h"
 
 namespace Sequoiausher {
 
@@ -121,9 +122,7 @@
 
 void readLog(SectionReader &section, LogSettings &settings)
 {
-    settings.lowest = section.name<LogLevel>("level").value_or(settings.lowest);
-    settings.format = section.name<LogFormat>("format").value_or(settings.format);
-    readInteger(section, "repeats_per_interval", {0, 1000000, "lines"}, settings.repeatsPerInterval);
+    readLogSection(section, settings);
     readDuration(section, "repeat_interval_ms", {100, hourMs, ""}, settings.repeatInterval);
 }
 
