Open IPv4 sockets in a component of its own

Cause: the listener and the stream that connects each read an address and opened a socket for it, in the same lines. Change: ipv4socket does it, with the step for its errors; the listener uses it. bytestream still has its own lines.

--- a/sequoiausher/transport/stream/streamlistener.cpp
+++ b/sequoiausher/transport/stream/streamlistener.cpp
@@ -1,14 +1,13 @@
 #include "sequoiausher/transport/stream/streamlistener.h"
 
 #include "sequoiausher/base/error.h"
-#include "sequoiausher/transport/peers/peeraddress.h"
+#include "sequoiausher/transport/stream/ipv4socket.h"
 
 #include <QSocketNotifier>
 
 #include <cerrno>
 #include <cstring>
 
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -22,20 +21,11 @@
 
 int openSocket(const std::string &address)
 {
-    const PeerAddress parsed = parsePeerAddress(address);
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    at.sin_port = htons(parsed.port);
-    if (inet_pton(AF_INET, parsed.host.c_str(), &at.sin_addr) != 1) {
-        throw Error(Step::Listen, address, "not an IPv4 address");
-    }
-    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (descriptor < 0) {
-        throw Error(Step::Listen, address, std::strerror(errno));
-    }
+    const Ipv4Socket opened = openIpv4Socket(address, Step::Listen);
+    const int descriptor = opened.descriptor;
     const int on = 1;
     setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    if (bind(descriptor, reinterpret_cast<const sockaddr *>(&at), sizeof at) != 0 || listen(descriptor, backlog) != 0) {
+    if (bind(descriptor, opened.address(), sizeof opened.at) != 0 || listen(descriptor, backlog) != 0) {
         const std::string reason = std::strerror(errno);
         ::close(descriptor);
         throw Error(Step::Listen, address, reason);
