Part what a caller is given from the tries of its request

Cause: the exchange held answers, cut streams, wrote heads and chunks and paused the target among choosing targets and ending tries; what a caller gets could be tested only through a whole gateway. Ruled out: to let the new component end the request: outcome, log and release of the connection stay in the exchange, in the order as before. Change: calleranswer has the head and the state of the answer, and writes; the exchange says what is given and when it ends, and lets the target be paused. beginStream(), passOnHeld(), endStream() and headLine() moved with their text. Nothing behaves otherwise.

--- /dev/null
+++ b/sequoiausher/transport/gateway/calleranswer.cpp
@@ -0,0 +1,212 @@
+#include "sequoiausher/transport/gateway/calleranswer.h"
+
+#include "sequoiausher/transport/gateway/refusals.h"
+
+#include <array>
+#include <cstdio>
+#include <utility>
+
+namespace Sequoiausher {
+
+namespace {
+
+constexpr int statusOk = 200;
+
+/** An answer of a plain service up to this size is held until it is whole, so that a broken one can be replaced. */
+constexpr std::size_t heldBytes = 1024UL * 1024;
+/** Beyond so much that the caller has not taken, the target is not read any more. */
+constexpr std::size_t pauseBytes = 256UL * 1024;
+
+/** One chunk of a chunked body. */
+std::string chunkOf(std::string_view bytes)
+{
+    std::array<char, 24> size{};
+    const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    std::string chunk(size.data(), static_cast<std::size_t>(length));
+    chunk += bytes;
+    return chunk += "\r\n";
+}
+
+constexpr std::string_view lastChunk = "0\r\n\r\n";
+
+} // namespace
+
+CallerAnswer::CallerAnswer(GatewayContext &shared, CallerSide &side, AnswerSource &from, const HttpHead &request)
+    : context(shared)
+    , caller(side)
+    , source(from)
+    , head(request)
+{
+}
+
+void CallerAnswer::expect(RouteKind of, const std::string &lastEventId)
+{
+    this->kind = of;
+    this->cutter = EventCutter(lastEventId);
+}
+
+void CallerAnswer::beginAttempt()
+{
+    this->hasAnswerHead = false;
+    this->heldAnswer.clear();
+    this->cutter.begin();
+}
+
+void CallerAnswer::began(const HttpHead &given, const TargetAnswer &said)
+{
+    this->answer = said;
+    this->hasAnswerHead = true;
+    this->answerHead = given;
+}
+
+bool CallerAnswer::add(std::string_view bytes)
+{
+    if (this->isEventStream()) {
+        this->part = this->cutter.feed(bytes);
+        return !this->part.empty();
+    }
+    this->heldAnswer += bytes;
+    if (this->heldAnswer.size() > heldBytes && !this->isAnswerBegun) {
+        this->passesThrough = true;
+    }
+    if (this->passesThrough) {
+        this->part = std::exchange(this->heldAnswer, std::string());
+    }
+    return this->passesThrough;
+}
+
+void CallerAnswer::give()
+{
+    if (!this->isAnswerBegun) {
+        this->beginStream();
+    }
+    this->caller.write(chunkOf(std::exchange(this->part, std::string())));
+    if (this->isEventStream() && this->caller.pendingBytes() > pauseBytes && !this->isPaused) {
+        this->isPaused = this->source.setReading(false);
+    }
+}
+
+void CallerAnswer::callerDrained()
+{
+    if (this->isPaused && this->source.setReading(true)) {
+        this->isPaused = false;
+    }
+}
+
+std::string CallerAnswer::headLine(const HttpHead &given) const
+{
+    return "HTTP/1.1 " + std::to_string(given.status) + " " + std::string(reasonOf(given.status)) + "\r\n"
+        + this->context.dialect.passedOnFields(given);
+}
+
+ConnectionFate CallerAnswer::connectionFate(bool closes) const
+{
+    return {closes, this->context.callerLimits().idleTime};
+}
+
+bool CallerAnswer::mustClose() const
+{
+    return this->context.isStopping || !this->head.keepAlive;
+}
+
+void CallerAnswer::beginStream()
+{
+    this->isAnswerBegun = true;
+    this->statusGiven = this->answerHead.status;
+    std::string bytes = this->headLine(this->answerHead) + "Transfer-Encoding: chunked\r\n";
+    this->saidClose = this->mustClose();
+    bytes += connectionFields(this->connectionFate(this->saidClose)) + "\r\n";
+    this->caller.write(bytes);
+}
+
+void CallerAnswer::endStream()
+{
+    if (!this->cutter.rest().empty()) {
+        this->caller.write(chunkOf(this->cutter.rest()));
+    }
+    this->caller.write(lastChunk);
+}
+
+void CallerAnswer::passOnHeld()
+{
+    if (this->isEventStream() && !this->cutter.rest().empty()) {
+        this->heldAnswer = this->cutter.rest();
+    }
+    this->saidClose = this->mustClose();
+    this->statusGiven = this->answerHead.status;
+    std::string bytes = this->headLine(this->answerHead);
+    bytes += "Content-Length: " + std::to_string(this->heldAnswer.size()) + "\r\n";
+    bytes += connectionFields(this->connectionFate(this->saidClose)) + "\r\n";
+    bytes += this->heldAnswer;
+    this->caller.write(bytes);
+}
+
+void CallerAnswer::answerOwn(const CallerRequest &request,
+                             int status,
+                             const std::string &reason,
+                             std::optional<Millis> retryAfter)
+{
+    this->saidClose = this->mustClose();
+    this->statusGiven = status;
+    this->caller.write(
+        ownAnswer(this->context.dialect,
+                  request,
+                  {status, reason, retryAfter, this->connectionFate(this->saidClose), this->head.method == "HEAD"}));
+}
+
+bool CallerAnswer::hasHead() const
+{
+    return this->hasAnswerHead;
+}
+
+bool CallerAnswer::isBegun() const
+{
+    return this->isAnswerBegun;
+}
+
+bool CallerAnswer::isEventStream() const
+{
+    return this->kind == RouteKind::Stream && this->answer.isEventStream && this->answer.status == statusOk;
+}
+
+bool CallerAnswer::isGivenAsItComes() const
+{
+    return this->passesThrough || this->isEventStream();
+}
+
+bool CallerAnswer::isReadingPaused() const
+{
+    return this->isPaused;
+}
+
+const HttpHead &CallerAnswer::targetHead() const
+{
+    return this->answerHead;
+}
+
+const TargetAnswer &CallerAnswer::targetAnswer() const
+{
+    return this->answer;
+}
+
+const std::string &CallerAnswer::lastEventId() const
+{
+    return this->cutter.lastId();
+}
+
+std::uint64_t CallerAnswer::eventCount() const
+{
+    return this->cutter.eventCount();
+}
+
+int CallerAnswer::status() const
+{
+    return this->statusGiven;
+}
+
+bool CallerAnswer::closes() const
+{
+    return this->saidClose;
+}
+
+} // namespace Sequoiausher
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -5,20 +5,15 @@
 #include "sequoiausher/coordination/gateway/attemptverdict.h"
 #include "sequoiausher/coordination/gateway/connectionshare.h"
 #include "sequoiausher/coordination/gateway/requestattempts.h"
-#include "sequoiausher/transport/gateway/connectionfields.h"
 #include "sequoiausher/transport/gateway/gatewayadmission.h"
-#include "sequoiausher/transport/gateway/refusals.h"
 
 #include <algorithm>
-#include <array>
-#include <cstdio>
 #include <utility>
 
 namespace Sequoiausher {
 
 namespace {
 
-constexpr int statusOk = 200;
 constexpr int statusBadGateway = 502;
 constexpr int statusUnavailable = 503;
 constexpr int statusTimeout = 504;
@@ -26,31 +21,14 @@
 
 /** When to come back where no target is free. */
 constexpr Millis retryWhenFull{200};
-/** An answer of a plain service up to this size is held until it is whole, so that a broken one can be replaced. */
-constexpr std::size_t heldBytes = 1024UL * 1024;
-/** Beyond so much that the caller has not taken, the target is not read any more. */
-constexpr std::size_t pauseBytes = 256UL * 1024;
-
 /** Log lines name a shared part by a number below this: enough to tell the parts of a day apart. */
 constexpr std::uint64_t partNames = 1000000;
 
 constexpr double percent = 100;
 
-/** One chunk of a chunked body. */
-std::string chunkOf(std::string_view bytes)
-{
-    std::array<char, 24> size{};
-    const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
-    std::string chunk(size.data(), static_cast<std::size_t>(length));
-    chunk += bytes;
-    return chunk += "\r\n";
-}
-
-constexpr std::string_view lastChunk = "0\r\n\r\n";
-
 } // namespace
 
-class GatewayExchange::Private : public RetrySource
+class GatewayExchange::Private : public RetrySource, public AnswerSource
 {
 public:
     Private(GatewayExchange &owner,
@@ -65,6 +43,7 @@
         , head(std::move(given))
         , body(std::move(content))
         , receivedAt(at)
+        , answer(shared, side, *this, this->head)
     {
     }
 
@@ -81,21 +60,18 @@
     void closeCall(AttemptMark mark, Millis now);
     /** Learns from an answer how long the target takes, and whether its service is overloaded. */
     void noteAnswerTime(Millis now);
+    /** Learns how long the service took to begin an answer. */
+    void noteFirstPart(Millis now);
     void passOnHeld(Millis now);
-    void beginStream();
-    void giveEvents(const std::string &events, Millis now);
     void endStream();
     void answerOwn(int status, const std::string &reason, std::optional<Millis> retryAfter, Outcome outcome);
     void finish(Outcome outcome, std::string_view how);
     void log(std::string_view outcome, std::string_view how, Millis now) const;
-    std::string headLine(const HttpHead &answer) const;
-    bool mustClose() const;
-    ConnectionFate connectionFate(bool closes) const;
     WaitState waitState(Millis now) const;
-    bool isEventStream() const;
     AnswerState answerState() const;
     bool findTarget(Millis now) override;
     bool takeRetry(Millis now) override;
+    bool setReading(bool on) override;
     void checkTimes(Millis now);
     /** Whether a request that has waited too long is given to another target. */
     bool mayGoElsewhere(Millis now);
@@ -117,25 +93,13 @@
     std::optional<ChosenTarget> candidate;
     Millis sentAt;
 
-    HttpHead answerHead;
-    TargetAnswer answer;
-    std::string heldAnswer;
-    EventCutter cutter;
-    bool hasAnswerHead = false;
-    /** The caller has the head of an answer. */
-    bool isAnswerBegun = false;
-    /** The head of an answer that is given in parts said that the connection closes after it. */
-    bool saidClose = false;
-    /** A long answer that is no stream of events is given as it comes. */
-    bool passesThrough = false;
-    bool isReadingPaused = false;
+    CallerAnswer answer;
     Millis firstPartAt;
     Millis lastPartAt;
     /** It waits for the gateway's start. */
     bool isHeld = false;
     bool over = false;
     std::string reasonOfEnd;
-    int statusGiven = 0;
 };
 
 GatewayExchange::GatewayExchange(GatewayContext &context,
@@ -170,8 +134,8 @@
         this->answerOwn(refusal->status, refusal->reason, refusal->retryAfter, refusal->outcome);
         return;
     }
-    this->cutter = EventCutter(this->admitted.request.lastEventId);
     const GatewayRoute &route = *this->admitted.route;
+    this->answer.expect(route.kind, this->admitted.request.lastEventId);
     const bool mayRetry = this->admitted.decision.retry != RetryMode::None;
     this->attempts = RequestAttempts({route.isIdempotent(), route.mostTargets, mayRetry, this->admitted.deadline});
     const Millis now = std::max(this->receivedAt, Millis::monotonicNow());
@@ -242,15 +206,13 @@
     this->chosen = target;
     this->sentAt = now;
     this->lastPartAt = now;
-    this->hasAnswerHead = false;
-    this->heldAnswer.clear();
-    this->cutter.begin();
+    this->answer.beginAttempt();
     TargetOrder order;
     order.target = listedName(target.target);
     order.timeLeft = this->admitted.deadline - now;
     order.organisation = this->admitted.organisation;
     order.priority = this->admitted.decision.priority;
-    order.lastEventId = this->cutter.lastId();
+    order.lastEventId = this->answer.lastEventId();
     order.bodyBytes = this->body.size();
     order.copyFrom = this->copySource(target, now);
     this->copiedFrom = order.copyFrom;
@@ -266,7 +228,7 @@
                                "request sent again",
                                {{"request", this->admitted.request.attemptId},
                                 {"target", target.target.id.value},
-                                {"after_event", this->cutter.lastId()},
+                                {"after_event", this->answer.lastEventId()},
                                 {"left_ms", std::to_string(order.timeLeft.count)}});
     }
     std::string bytes = this->context.dialect.targetRequestHead(this->head, this->admitted.request, order);
@@ -307,7 +269,7 @@
                             {"target", this->chosen.target.id.value},
                             {"how", std::string(nameOf(end))},
                             {"after_ms", std::to_string((now - this->sentAt).count)},
-                            {"events", std::to_string(this->cutter.eventCount())}});
+                            {"events", std::to_string(this->answer.eventCount())}});
     if (mark == AttemptMark::Full && this->admitted.decision.overload == Overload::Shed) {
         this->context.shedder.rejected(this->admitted.service, now);
     }
@@ -331,7 +293,7 @@
 
 void GatewayExchange::Private::follow(AttemptEnd end, Millis now)
 {
-    const NextStep step = this->attempts.next(end, this->isAnswerBegun, now, *this);
+    const NextStep step = this->attempts.next(end, this->answer.isBegun(), now, *this);
     const Millis retry = this->context.spread(retryWhenFull);
     switch (step) {
     case NextStep::SendAgain:
@@ -359,29 +321,21 @@
 AnswerState GatewayExchange::Private::answerState() const
 {
     AnswerState state;
-    state.hasHead = this->hasAnswerHead;
-    state.status = this->answer.status;
-    state.didNotRun = this->answer.didNotRun;
-    state.isMisdirected = this->answer.isMisdirected;
+    state.hasHead = this->answer.hasHead();
+    state.status = this->answer.targetAnswer().status;
+    state.didNotRun = this->answer.targetAnswer().didNotRun;
+    state.isMisdirected = this->answer.targetAnswer().isMisdirected;
     state.isIdempotent = this->admitted.route->isIdempotent();
-    state.isAnswerBegun = this->isAnswerBegun;
-    state.isGivenAsItComes = this->passesThrough || this->isEventStream();
+    state.isAnswerBegun = this->answer.isBegun();
+    state.isGivenAsItComes = this->answer.isGivenAsItComes();
     return state;
 }
 
-bool GatewayExchange::Private::isEventStream() const
-{
-    return this->admitted.route->kind == RouteKind::Stream && this->answer.isEventStream
-        && this->answer.status == statusOk;
-}
-
 void GatewayExchange::answerBegan(const HttpHead &head, const TargetAnswer &answer)
 {
     const Millis now = Millis::monotonicNow();
     this->d->context.board.heard(this->d->chosen.target.id, now);
-    this->d->answer = answer;
-    this->d->hasAnswerHead = true;
-    this->d->answerHead = head;
+    this->d->answer.began(head, answer);
     this->d->lastPartAt = now;
 }
 
@@ -390,73 +344,37 @@
     const Millis now = Millis::monotonicNow();
     this->d->lastPartAt = now;
     this->d->context.board.heard(this->d->chosen.target.id, now);
-    if (this->d->isEventStream()) {
-        this->d->giveEvents(this->d->cutter.feed(bytes), now);
+    if (!this->d->answer.add(bytes)) {
         return;
     }
-    this->d->heldAnswer += bytes;
-    if (this->d->heldAnswer.size() > heldBytes && !this->d->isAnswerBegun) {
-        this->d->passesThrough = true;
-        this->d->beginStream();
-    }
-    if (this->d->passesThrough) {
-        this->d->caller.write(chunkOf(std::exchange(this->d->heldAnswer, std::string())));
+    if (this->d->answer.isEventStream()) {
+        this->d->noteFirstPart(now);
     }
+    this->d->answer.give();
 }
 
-void GatewayExchange::Private::giveEvents(const std::string &events, Millis now)
+void GatewayExchange::Private::noteFirstPart(Millis now)
 {
-    if (events.empty()) {
+    if (this->firstPartAt != Millis{0}) {
         return;
     }
-    if (this->firstPartAt == Millis{0}) {
-        this->firstPartAt = now;
-        this->context.firstAnswerTook(this->admitted.service, now - this->sentAt);
-        this->context.metrics.observe(
-            this->admitted.labels, Measure::FirstToken, static_cast<double>((now - this->receivedAt).count));
-    }
-    if (!this->isAnswerBegun) {
-        this->beginStream();
-    }
-    this->caller.write(chunkOf(events));
-    if (this->call && this->caller.pendingBytes() > pauseBytes && !this->isReadingPaused) {
-        this->isReadingPaused = true;
-        this->call->setReading(false);
-    }
+    this->firstPartAt = now;
+    this->context.firstAnswerTook(this->admitted.service, now - this->sentAt);
+    this->context.metrics.observe(
+        this->admitted.labels, Measure::FirstToken, static_cast<double>((now - this->receivedAt).count));
 }
 
-void GatewayExchange::callerDrained()
+bool GatewayExchange::Private::setReading(bool on)
 {
-    if (this->d->isReadingPaused && this->d->call) {
-        this->d->isReadingPaused = false;
-        this->d->call->setReading(true);
+    if (this->call) {
+        this->call->setReading(on);
     }
+    return this->call != nullptr;
 }
 
-std::string GatewayExchange::Private::headLine(const HttpHead &given) const
-{
-    return "HTTP/1.1 " + std::to_string(given.status) + " " + std::string(reasonOf(given.status)) + "\r\n"
-        + this->context.dialect.passedOnFields(given);
-}
-
-ConnectionFate GatewayExchange::Private::connectionFate(bool closes) const
-{
-    return {closes, this->context.callerLimits().idleTime};
-}
-
-bool GatewayExchange::Private::mustClose() const
-{
-    return this->context.isStopping || !this->head.keepAlive;
-}
-
-void GatewayExchange::Private::beginStream()
+void GatewayExchange::callerDrained()
 {
-    this->isAnswerBegun = true;
-    this->statusGiven = this->answerHead.status;
-    std::string bytes = this->headLine(this->answerHead) + "Transfer-Encoding: chunked\r\n";
-    this->saidClose = this->mustClose();
-    bytes += connectionFields(this->connectionFate(this->saidClose)) + "\r\n";
-    this->caller.write(bytes);
+    this->d->answer.callerDrained();
 }
 
 void GatewayExchange::answerComplete()
@@ -467,8 +385,8 @@
         return;
     }
     this->d->noteAnswerTime(now);
-    this->d->closeCall(markOfAnswer(this->d->answer.status), now);
-    if (this->d->isAnswerBegun) {
+    this->d->closeCall(markOfAnswer(this->d->answer.targetAnswer().status), now);
+    if (this->d->answer.isBegun()) {
         this->d->endStream();
     } else {
         this->d->passOnHeld(now);
@@ -477,40 +395,23 @@
 
 void GatewayExchange::Private::endStream()
 {
-    if (!this->cutter.rest().empty()) {
-        this->caller.write(chunkOf(this->cutter.rest()));
-    }
-    this->caller.write(lastChunk);
+    this->answer.endStream();
     this->finish(Outcome::Complete, "answered");
     // A caller that was not told of a close may send its next request at once, and it would cross the close.
-    this->caller.finished(this->saidClose);
+    this->caller.finished(this->answer.closes());
 }
 
 void GatewayExchange::Private::passOnHeld(Millis now)
 {
-    const int status = this->answerHead.status;
-    if (promisesTooMuch(status, this->answer.didNotRun)) {
+    const int status = this->answer.targetHead().status;
+    if (promisesTooMuch(status, this->answer.targetAnswer().didNotRun)) {
         this->answerOwn(statusBadGateway, "the target failed", std::nullopt, Outcome::Unknown);
         return;
     }
-    if (this->isEventStream() && !this->cutter.rest().empty()) {
-        this->heldAnswer = this->cutter.rest();
-    }
-    if (this->firstPartAt == Millis{0}) {
-        this->firstPartAt = now;
-        this->context.firstAnswerTook(this->admitted.service, now - this->sentAt);
-        this->context.metrics.observe(
-            this->admitted.labels, Measure::FirstToken, static_cast<double>((now - this->receivedAt).count));
-    }
-    const bool closes = this->mustClose();
-    this->statusGiven = status;
-    std::string bytes = this->headLine(this->answerHead);
-    bytes += "Content-Length: " + std::to_string(this->heldAnswer.size()) + "\r\n";
-    bytes += connectionFields(this->connectionFate(closes)) + "\r\n";
-    bytes += this->heldAnswer;
-    this->caller.write(bytes);
+    this->noteFirstPart(now);
+    this->answer.passOnHeld();
     this->finish(status >= firstFailure ? Outcome::Unknown : Outcome::Complete, "answered");
-    this->caller.finished(closes);
+    this->caller.finished(this->answer.closes());
 }
 
 void GatewayExchange::callFailed(AttemptEnd end)
@@ -523,17 +424,12 @@
                                          std::optional<Millis> retryAfter,
                                          Outcome outcome)
 {
-    const bool closes = this->mustClose();
-    this->statusGiven = status;
     if (this->reasonOfEnd.empty()) {
         this->reasonOfEnd = reason;
     }
-    this->caller.write(
-        ownAnswer(this->context.dialect,
-                  this->admitted.request,
-                  {status, reason, retryAfter, this->connectionFate(closes), this->head.method == "HEAD"}));
+    this->answer.answerOwn(this->admitted.request, status, reason, retryAfter);
     this->finish(outcome, this->reasonOfEnd);
-    this->caller.finished(closes);
+    this->caller.finished(this->answer.closes());
 }
 
 void GatewayExchange::Private::finish(Outcome outcome, std::string_view how)
@@ -551,7 +447,7 @@
         "request ended",
         {{"request", this->admitted.request.attemptId},
          {"outcome", std::string(outcome)},
-         {"status", std::to_string(this->statusGiven)},
+         {"status", std::to_string(this->answer.status())},
          {"how", std::string(how)},
          {"route", this->admitted.route != nullptr ? this->admitted.route->name : ""},
          {"organisation", this->admitted.organisation.value},
@@ -583,8 +479,8 @@
     state.lastPartAt = this->lastPartAt;
     state.targetHeardAt = this->context.board.lastHeard(this->chosen.target.id);
     state.isConnected = this->call && this->call->isConnected();
-    state.hasEvents = this->cutter.eventCount() > 0 && this->hasAnswerHead;
-    state.isReadingPaused = this->isReadingPaused;
+    state.hasEvents = this->answer.eventCount() > 0 && this->answer.hasHead();
+    state.isReadingPaused = this->answer.isReadingPaused();
     state.isLifeOver = this->context.board.isLifeOver(this->chosen.target);
     state.mayRunElsewhere = this->attempts.mayRunElsewhere();
     state.latencyAim = route.latencyAim;
@@ -615,7 +511,7 @@
     if (wait == WaitVerdict::BetterElsewhere && !this->mayGoElsewhere(now)) {
         return;
     }
-    if (const std::optional<AttemptVerdict> verdict = judgeGivenUp(wait, this->hasAnswerHead)) {
+    if (const std::optional<AttemptVerdict> verdict = judgeGivenUp(wait, this->answer.hasHead())) {
         this->endAttempt(*verdict, now);
     }
 }
--- a/sequoiausher/transport/gateway/gatewayexchange.h
+++ b/sequoiausher/transport/gateway/gatewayexchange.h
@@ -8,7 +8,7 @@
 
 #include "sequoiausher/coordination/gateway/attemptfate.h"
 #include "sequoiausher/coordination/gateway/attemptpatience.h"
-#include "sequoiausher/protocol/gateway/eventcutter.h"
+#include "sequoiausher/transport/gateway/calleranswer.h"
 #include "sequoiausher/transport/gateway/gatewaycall.h"
 #include "sequoiausher/transport/gateway/gatewaycontext.h"
 
@@ -21,21 +21,6 @@
 
 namespace Sequoiausher {
 
-/** The caller's side of an exchange. */
-class CallerSide
-{
-public:
-    virtual ~CallerSide() = default;
-    virtual void write(std::string_view bytes) = 0;
-    /** The answer is whole; the connection may take the next request unless closes. */
-    virtual void finished(bool closes) = 0;
-    /** The answer ends early: closes so that what was sent does not look whole. */
-    virtual void cutOff() = 0;
-    virtual std::size_t pendingBytes() const = 0;
-    /** What log lines know the connection by. */
-    virtual std::uint64_t connectionNumber() const = 0;
-};
-
 /** One request. */
 class GatewayExchange : public GatewayCallUser
 {
