--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -2,55 +2,33 @@
 
 #include "sequoiausher/base/error.h"
 #include "sequoiausher/base/hashing.h"
-#include "sequoiausher/transport/gateway/connectionfields.h"
+#include "sequoiausher/coordination/gateway/attemptverdict.h"
+#include "sequoiausher/coordination/gateway/connectionshare.h"
+#include "sequoiausher/coordination/gateway/requestattempts.h"
 #include "sequoiausher/transport/gateway/gatewayadmission.h"
-#include "sequoiausher/transport/gateway/refusals.h"
 
 #include <algorithm>
-#include <array>
-#include <cstdio>
 #include <utility>
 
 namespace Sequoiausher {
 
 namespace {
 
-constexpr int statusOk = 200;
 constexpr int statusBadGateway = 502;
 constexpr int statusUnavailable = 503;
 constexpr int statusTimeout = 504;
 constexpr int firstFailure = 500;
-constexpr int statusTooMany = 429;
-constexpr int statusRequestTimeout = 408;
-constexpr int statusMisdirected = 421;
 
 /** When to come back where no target is free. */
 constexpr Millis retryWhenFull{200};
-/** An answer of a plain service up to this size is held until it is whole, so that a broken one can be replaced. */
-constexpr std::size_t heldBytes = 1024UL * 1024;
-/** Beyond so much that the caller has not taken, the target is not read any more. */
-constexpr std::size_t pauseBytes = 256UL * 1024;
-
 /** Log lines name a shared part by a number below this: enough to tell the parts of a day apart. */
 constexpr std::uint64_t partNames = 1000000;
 
 constexpr double percent = 100;
 
-/** One chunk of a chunked body. */
-std::string chunkOf(std::string_view bytes)
-{
-    std::array<char, 24> size{};
-    const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
-    std::string chunk(size.data(), static_cast<std::size_t>(length));
-    chunk += bytes;
-    return chunk += "\r\n";
-}
-
-constexpr std::string_view lastChunk = "0\r\n\r\n";
-
 } // namespace
 
-class GatewayExchange::Private
+class GatewayExchange::Private : public RetrySource, public AnswerSource
 {
 public:
     Private(GatewayExchange &owner,
@@ -65,38 +43,38 @@
         , head(std::move(given))
         , body(std::move(content))
         , receivedAt(at)
+        , answer(shared, side, *this, this->head)
     {
     }
 
     /** Admits the request and sends it, or refuses it. */
     void begin();
-    void attempt(Millis now);
+    /** Sends the request to the target that was found, or to another one where that has no free connection. */
+    void attempt(std::optional<ChosenTarget> found, Millis now);
     std::optional<ChosenTarget> chooseTarget(Millis now);
     std::string copySource(const ChosenTarget &target, Millis now);
     std::shared_ptr<TargetConnection> connect(const ChosenTarget &chosen, Millis now);
     void send(const ChosenTarget &chosen, std::shared_ptr<TargetConnection> connection, Millis now);
-    void endAttempt(AttemptEnd end, AttemptMark mark, Millis now);
+    void endAttempt(const AttemptVerdict &verdict, Millis now);
     void follow(AttemptEnd end, Millis now);
     void closeCall(AttemptMark mark, Millis now);
     /** Learns from an answer how long the target takes, and whether its service is overloaded. */
     void noteAnswerTime(Millis now);
+    /** Learns how long the service took to begin an answer. */
+    void noteFirstPart(Millis now);
     void passOnHeld(Millis now);
-    void beginStream();
-    void giveEvents(const std::string &events, Millis now);
     void endStream();
     void answerOwn(int status, const std::string &reason, std::optional<Millis> retryAfter, Outcome outcome);
     void finish(Outcome outcome, std::string_view how);
     void log(std::string_view outcome, std::string_view how, Millis now) const;
-    std::string headLine(const HttpHead &answer) const;
-    bool mustClose() const;
-    ConnectionFate connectionFate(bool closes) const;
     WaitState waitState(Millis now) const;
-    bool isEventStream() const;
-    bool saysNotRun() const;
-    AttemptMark markOfNotRun() const;
-    bool payForRetry(Millis now);
+    AnswerState answerState() const;
+    bool findTarget(Millis now) override;
+    bool takeRetry(Millis now) override;
+    bool setReading(bool on) override;
     void checkTimes(Millis now);
-    void goElsewhere(Millis now);
+    /** Whether a request that has waited too long is given to another target. */
+    bool mayGoElsewhere(Millis now);
 
     GatewayExchange &self;
     GatewayContext &context;
@@ -110,32 +88,18 @@
     ChosenTarget chosen;
     /** Address of the target from which the chosen one copies cached parts; empty for none. */
     std::string copiedFrom;
-    std::vector<TargetId> tried;
+    RequestAttempts attempts;
+    /** What was found when another target was last asked for. */
+    std::optional<ChosenTarget> candidate;
     Millis sentAt;
-    std::uint32_t targetsUsed = 0;
-    bool mayHaveRun = false;
-
-    HttpHead answerHead;
-    TargetAnswer answer;
-    std::string heldAnswer;
-    EventCutter cutter;
-    bool hasAnswerHead = false;
-    /** The caller has the head of an answer. */
-    bool isAnswerBegun = false;
-    /** The head of an answer that is given in parts said that the connection closes after it. */
-    bool saidClose = false;
-    /** A long answer that is no stream of events is given as it comes. */
-    bool passesThrough = false;
-    /** The budget has paid for the next try already. */
-    bool isRetryPaid = false;
-    bool isReadingPaused = false;
+
+    CallerAnswer answer;
     Millis firstPartAt;
     Millis lastPartAt;
     /** It waits for the gateway's start. */
     bool isHeld = false;
     bool over = false;
     std::string reasonOfEnd;
-    int statusGiven = 0;
 };
 
 GatewayExchange::GatewayExchange(GatewayContext &context,
@@ -170,24 +134,25 @@
         this->answerOwn(refusal->status, refusal->reason, refusal->retryAfter, refusal->outcome);
         return;
     }
-    this->cutter = EventCutter(this->admitted.request.lastEventId);
-    this->attempt(std::max(this->receivedAt, Millis::monotonicNow()));
+    const GatewayRoute &route = *this->admitted.route;
+    this->answer.expect(route.kind, this->admitted.request.lastEventId);
+    const bool mayRetry = this->admitted.decision.retry != RetryMode::None;
+    this->attempts = RequestAttempts({route.isIdempotent(), route.mostTargets, mayRetry, this->admitted.deadline});
+    const Millis now = std::max(this->receivedAt, Millis::monotonicNow());
+    this->attempt(this->chooseTarget(now), now);
 }
 
-void GatewayExchange::Private::attempt(Millis now)
+void GatewayExchange::Private::attempt(std::optional<ChosenTarget> found, Millis now)
 {
     // A few choices, since a target may have no free connection; none of them sends anything.
     constexpr int mostChoices = 4;
-    for (int i = 0; i < mostChoices; ++i) {
-        const std::optional<ChosenTarget> found = this->chooseTarget(now);
-        if (!found) {
-            break;
-        }
-        this->tried.push_back(found->target.id);
+    for (int left = mostChoices; found && left > 0; --left) {
+        this->attempts.chose(found->target.id);
         if (std::shared_ptr<TargetConnection> connection = this->connect(*found, now)) {
             this->send(*found, std::move(connection), now);
             return;
         }
+        found = left > 1 ? this->chooseTarget(now) : std::nullopt;
     }
     this->reasonOfEnd = "no-target";
     this->follow(AttemptEnd::NotSent, now);
@@ -203,8 +168,8 @@
     criteria.partHash = this->admitted.partHash;
     criteria.firstPartHash = this->admitted.parts.first();
     criteria.holders = this->admitted.parts.holders(this->context.parts, now);
-    criteria.requestHash = hash64(this->admitted.request.attemptId, this->targetsUsed + 1);
-    criteria.excluded = this->tried;
+    criteria.requestHash = hash64(this->admitted.request.attemptId, this->attempts.targetsUsed() + 1);
+    criteria.excluded = this->attempts.tried();
     return this->context.board.choose(criteria, now);
 }
 
@@ -221,12 +186,8 @@
 std::shared_ptr<TargetConnection> GatewayExchange::Private::connect(const ChosenTarget &target, Millis now)
 {
     const GatewayService *described = this->admitted.table->service(this->admitted.service);
-    const std::size_t gateways = std::max<std::size_t>(this->context.peers.fleetSize(now), 1);
-    std::size_t limit = 0;
-    if (described != nullptr && described->connectionLimit > 0) {
-        // A part is left for gateways that are not known yet: beyond the limit a target resets connections.
-        limit = std::max<std::size_t>(described->connectionLimit * 9 / (10 * gateways), 1);
-    }
+    const std::size_t limit
+        = connectionShare(described != nullptr ? described->connectionLimit : 0, this->context.peers.fleetSize(now));
     const Reuse reuse = this->admitted.route->isIdempotent() ? Reuse::Any : Reuse::Fresh;
     try {
         return this->context.pools.take(target.target, limit, now, reuse);
@@ -245,15 +206,13 @@
     this->chosen = target;
     this->sentAt = now;
     this->lastPartAt = now;
-    this->hasAnswerHead = false;
-    this->heldAnswer.clear();
-    this->cutter.begin();
+    this->answer.beginAttempt();
     TargetOrder order;
     order.target = listedName(target.target);
     order.timeLeft = this->admitted.deadline - now;
     order.organisation = this->admitted.organisation;
     order.priority = this->admitted.decision.priority;
-    order.lastEventId = this->cutter.lastId();
+    order.lastEventId = this->answer.lastEventId();
     order.bodyBytes = this->body.size();
     order.copyFrom = this->copySource(target, now);
     this->copiedFrom = order.copyFrom;
@@ -261,14 +220,15 @@
         this->self, this->context.dialect, std::move(connection), this->admitted.request.attemptId);
     this->context.board.started(target.target.id);
     this->admitted.parts.sent(this->context.parts, target.target.id, now);
-    this->targetsUsed += 1;
-    this->context.metrics.countDispatch(this->admitted.labels, target.target.id.value, this->targetsUsed > 1);
-    if (this->targetsUsed > 1) {
+    this->attempts.sent();
+    const bool isRetry = this->attempts.targetsUsed() > 1;
+    this->context.metrics.countDispatch(this->admitted.labels, target.target.id.value, isRetry);
+    if (isRetry) {
         this->context.log.info(LogPart::Entry,
                                "request sent again",
                                {{"request", this->admitted.request.attemptId},
                                 {"target", target.target.id.value},
-                                {"after_event", this->cutter.lastId()},
+                                {"after_event", this->answer.lastEventId()},
                                 {"left_ms", std::to_string(order.timeLeft.count)}});
     }
     std::string bytes = this->context.dialect.targetRequestHead(this->head, this->admitted.request, order);
@@ -298,13 +258,10 @@
     this->context.shedder.answered(service, {took, this->admitted.route->latencyAim, isCrowded}, now);
 }
 
-void GatewayExchange::Private::endAttempt(AttemptEnd end, AttemptMark mark, Millis now)
+void GatewayExchange::Private::endAttempt(const AttemptVerdict &verdict, Millis now)
 {
-    if (end == AttemptEnd::NotSent) {
-        this->targetsUsed -= 1;
-    } else if (end != AttemptEnd::NotRun) {
-        this->mayHaveRun = this->mayHaveRun || (this->call && this->call->mayHaveArrived());
-    }
+    const auto [end, mark] = verdict;
+    this->attempts.ended(end, this->call && this->call->mayHaveArrived());
     this->reasonOfEnd = std::string(nameOf(end));
     this->context.log.info(LogPart::Entry,
                            "attempt ended without an answer",
@@ -312,7 +269,7 @@
                             {"target", this->chosen.target.id.value},
                             {"how", std::string(nameOf(end))},
                             {"after_ms", std::to_string((now - this->sentAt).count)},
-                            {"events", std::to_string(this->cutter.eventCount())}});
+                            {"events", std::to_string(this->answer.eventCount())}});
     if (mark == AttemptMark::Full && this->admitted.decision.overload == Overload::Shed) {
         this->context.shedder.rejected(this->admitted.service, now);
     }
@@ -320,11 +277,14 @@
     this->follow(end, now);
 }
 
-bool GatewayExchange::Private::payForRetry(Millis now)
+bool GatewayExchange::Private::findTarget(Millis now)
+{
+    this->candidate = this->chooseTarget(now);
+    return this->candidate.has_value();
+}
+
+bool GatewayExchange::Private::takeRetry(Millis now)
 {
-    if (std::exchange(this->isRetryPaid, false)) {
-        return true;
-    }
     const bool isPaid
         = this->context.retryBudget.tryRetry(this->admitted.service, this->context.peers.fleetSize(now), now);
     this->context.metrics.add(isPaid ? "gateway_repeats_total" : "gateway_repeats_refused_total");
@@ -333,23 +293,11 @@
 
 void GatewayExchange::Private::follow(AttemptEnd end, Millis now)
 {
-    AttemptState state;
-    state.isIdempotent = this->admitted.route->isIdempotent();
-    state.mayHaveRun = this->mayHaveRun;
-    state.isAnswerBegun = this->isAnswerBegun;
-    state.targetsUsed = this->targetsUsed;
-    state.mostTargets = this->admitted.route->mostTargets;
-    state.timeLeft = this->admitted.deadline - now;
-    const bool hasOther = this->chooseTarget(now).has_value();
-    state.isRetryAllowed = hasOther && this->admitted.decision.retry != RetryMode::None;
-    // The budget is asked last, since asking takes from it.
-    if (afterAttempt(state, end) == NextStep::SendAgain && this->targetsUsed > 0) {
-        state.isRetryAllowed = this->payForRetry(now);
-    }
+    const NextStep step = this->attempts.next(end, this->answer.isBegun(), now, *this);
     const Millis retry = this->context.spread(retryWhenFull);
-    switch (afterAttempt(state, end)) {
+    switch (step) {
     case NextStep::SendAgain:
-        this->attempt(now);
+        this->attempt(std::exchange(this->candidate, std::nullopt), now);
         return;
     case NextStep::RefuseNotRun:
         this->answerOwn(statusUnavailable, "no target could take the request", retry, Outcome::RefusedFull);
@@ -370,29 +318,24 @@
     }
 }
 
-bool GatewayExchange::Private::saysNotRun() const
-{
-    return this->hasAnswerHead && (this->answer.didNotRun || this->answer.isMisdirected);
-}
-
-AttemptMark GatewayExchange::Private::markOfNotRun() const
-{
-    return this->answer.isMisdirected ? AttemptMark::Lost : AttemptMark::Full;
-}
-
-bool GatewayExchange::Private::isEventStream() const
+AnswerState GatewayExchange::Private::answerState() const
 {
-    return this->admitted.route->kind == RouteKind::Stream && this->answer.isEventStream
-        && this->answer.status == statusOk;
+    AnswerState state;
+    state.hasHead = this->answer.hasHead();
+    state.status = this->answer.targetAnswer().status;
+    state.didNotRun = this->answer.targetAnswer().didNotRun;
+    state.isMisdirected = this->answer.targetAnswer().isMisdirected;
+    state.isIdempotent = this->admitted.route->isIdempotent();
+    state.isAnswerBegun = this->answer.isBegun();
+    state.isGivenAsItComes = this->answer.isGivenAsItComes();
+    return state;
 }
 
 void GatewayExchange::answerBegan(const HttpHead &head, const TargetAnswer &answer)
 {
     const Millis now = Millis::monotonicNow();
     this->d->context.board.heard(this->d->chosen.target.id, now);
-    this->d->answer = answer;
-    this->d->hasAnswerHead = true;
-    this->d->answerHead = head;
+    this->d->answer.began(head, answer);
     this->d->lastPartAt = now;
 }
 
@@ -401,95 +344,49 @@
     const Millis now = Millis::monotonicNow();
     this->d->lastPartAt = now;
     this->d->context.board.heard(this->d->chosen.target.id, now);
-    if (this->d->isEventStream()) {
-        this->d->giveEvents(this->d->cutter.feed(bytes), now);
+    if (!this->d->answer.add(bytes)) {
         return;
     }
-    this->d->heldAnswer += bytes;
-    if (this->d->heldAnswer.size() > heldBytes && !this->d->isAnswerBegun) {
-        this->d->passesThrough = true;
-        this->d->beginStream();
-    }
-    if (this->d->passesThrough) {
-        this->d->caller.write(chunkOf(std::exchange(this->d->heldAnswer, std::string())));
+    if (this->d->answer.isEventStream()) {
+        this->d->noteFirstPart(now);
     }
+    this->d->answer.give();
 }
 
-void GatewayExchange::Private::giveEvents(const std::string &events, Millis now)
+void GatewayExchange::Private::noteFirstPart(Millis now)
 {
-    if (events.empty()) {
+    if (this->firstPartAt != Millis{0}) {
         return;
     }
-    if (this->firstPartAt == Millis{0}) {
-        this->firstPartAt = now;
-        this->context.firstAnswerTook(this->admitted.service, now - this->sentAt);
-        this->context.metrics.observe(
-            this->admitted.labels, Measure::FirstToken, static_cast<double>((now - this->receivedAt).count));
-    }
-    if (!this->isAnswerBegun) {
-        this->beginStream();
-    }
-    this->caller.write(chunkOf(events));
-    if (this->call && this->caller.pendingBytes() > pauseBytes && !this->isReadingPaused) {
-        this->isReadingPaused = true;
-        this->call->setReading(false);
-    }
+    this->firstPartAt = now;
+    this->context.firstAnswerTook(this->admitted.service, now - this->sentAt);
+    this->context.metrics.observe(
+        this->admitted.labels, Measure::FirstToken, static_cast<double>((now - this->receivedAt).count));
 }
 
-void GatewayExchange::callerDrained()
+bool GatewayExchange::Private::setReading(bool on)
 {
-    if (this->d->isReadingPaused && this->d->call) {
-        this->d->isReadingPaused = false;
-        this->d->call->setReading(true);
+    if (this->call) {
+        this->call->setReading(on);
     }
+    return this->call != nullptr;
 }
 
-std::string GatewayExchange::Private::headLine(const HttpHead &given) const
-{
-    return "HTTP/1.1 " + std::to_string(given.status) + " " + std::string(reasonOf(given.status)) + "\r\n"
-        + this->context.dialect.passedOnFields(given);
-}
-
-ConnectionFate GatewayExchange::Private::connectionFate(bool closes) const
-{
-    return {closes, this->context.callerLimits().idleTime};
-}
-
-bool GatewayExchange::Private::mustClose() const
-{
-    return this->context.isStopping || !this->head.keepAlive;
-}
-
-void GatewayExchange::Private::beginStream()
+void GatewayExchange::callerDrained()
 {
-    this->isAnswerBegun = true;
-    this->statusGiven = this->answerHead.status;
-    std::string bytes = this->headLine(this->answerHead) + "Transfer-Encoding: chunked\r\n";
-    this->saidClose = this->mustClose();
-    bytes += connectionFields(this->connectionFate(this->saidClose)) + "\r\n";
-    this->caller.write(bytes);
+    this->d->answer.callerDrained();
 }
 
 void GatewayExchange::answerComplete()
 {
     const Millis now = Millis::monotonicNow();
-    const bool isFailure = this->d->answer.status >= firstFailure;
-    if (this->d->saysNotRun()) {
-        this->d->endAttempt(AttemptEnd::NotRun, this->d->markOfNotRun(), now);
-        return;
-    }
-    if (this->d->isAnswerBegun && !this->d->passesThrough && !this->d->isEventStream()) {
-        // The target that was to go on with a stream gives no stream.
-        this->d->endAttempt(AttemptEnd::Failed, AttemptMark::Failed, now);
-        return;
-    }
-    if (isFailure && this->d->admitted.route->isIdempotent() && !this->d->isAnswerBegun) {
-        this->d->endAttempt(AttemptEnd::Failed, AttemptMark::Failed, now);
+    if (const std::optional<AttemptVerdict> verdict = judgeWhole(this->d->answerState())) {
+        this->d->endAttempt(*verdict, now);
         return;
     }
     this->d->noteAnswerTime(now);
-    this->d->closeCall(isFailure ? AttemptMark::Failed : AttemptMark::Answered, now);
-    if (this->d->isAnswerBegun) {
+    this->d->closeCall(markOfAnswer(this->d->answer.targetAnswer().status), now);
+    if (this->d->answer.isBegun()) {
         this->d->endStream();
     } else {
         this->d->passOnHeld(now);
@@ -498,53 +395,28 @@
 
 void GatewayExchange::Private::endStream()
 {
-    if (!this->cutter.rest().empty()) {
-        this->caller.write(chunkOf(this->cutter.rest()));
-    }
-    this->caller.write(lastChunk);
+    this->answer.endStream();
     this->finish(Outcome::Complete, "answered");
     // A caller that was not told of a close may send its next request at once, and it would cross the close.
-    this->caller.finished(this->saidClose);
+    this->caller.finished(this->answer.closes());
 }
 
 void GatewayExchange::Private::passOnHeld(Millis now)
 {
-    const int status = this->answerHead.status;
-    // A target's own refusal without the word that it did not run promises more than is known.
-    const bool promises = status == statusTooMany || status == statusUnavailable || status == statusRequestTimeout
-        || status == statusMisdirected;
-    if (promises && !this->answer.didNotRun) {
+    const int status = this->answer.targetHead().status;
+    if (promisesTooMuch(status, this->answer.targetAnswer().didNotRun)) {
         this->answerOwn(statusBadGateway, "the target failed", std::nullopt, Outcome::Unknown);
         return;
     }
-    if (this->isEventStream() && !this->cutter.rest().empty()) {
-        this->heldAnswer = this->cutter.rest();
-    }
-    if (this->firstPartAt == Millis{0}) {
-        this->firstPartAt = now;
-        this->context.firstAnswerTook(this->admitted.service, now - this->sentAt);
-        this->context.metrics.observe(
-            this->admitted.labels, Measure::FirstToken, static_cast<double>((now - this->receivedAt).count));
-    }
-    const bool closes = this->mustClose();
-    this->statusGiven = status;
-    std::string bytes = this->headLine(this->answerHead);
-    bytes += "Content-Length: " + std::to_string(this->heldAnswer.size()) + "\r\n";
-    bytes += connectionFields(this->connectionFate(closes)) + "\r\n";
-    bytes += this->heldAnswer;
-    this->caller.write(bytes);
+    this->noteFirstPart(now);
+    this->answer.passOnHeld();
     this->finish(status >= firstFailure ? Outcome::Unknown : Outcome::Complete, "answered");
-    this->caller.finished(closes);
+    this->caller.finished(this->answer.closes());
 }
 
 void GatewayExchange::callFailed(AttemptEnd end)
 {
-    const Millis now = Millis::monotonicNow();
-    if (this->d->saysNotRun()) {
-        this->d->endAttempt(AttemptEnd::NotRun, this->d->markOfNotRun(), now);
-        return;
-    }
-    this->d->endAttempt(end, AttemptMark::Lost, now);
+    this->d->endAttempt(judgeLost(this->d->answerState(), end), Millis::monotonicNow());
 }
 
 void GatewayExchange::Private::answerOwn(int status,
@@ -552,17 +424,12 @@
                                          std::optional<Millis> retryAfter,
                                          Outcome outcome)
 {
-    const bool closes = this->mustClose();
-    this->statusGiven = status;
     if (this->reasonOfEnd.empty()) {
         this->reasonOfEnd = reason;
     }
-    this->caller.write(
-        ownAnswer(this->context.dialect,
-                  this->admitted.request,
-                  {status, reason, retryAfter, this->connectionFate(closes), this->head.method == "HEAD"}));
+    this->answer.answerOwn(this->admitted.request, status, reason, retryAfter);
     this->finish(outcome, this->reasonOfEnd);
-    this->caller.finished(closes);
+    this->caller.finished(this->answer.closes());
 }
 
 void GatewayExchange::Private::finish(Outcome outcome, std::string_view how)
@@ -580,7 +447,7 @@
         "request ended",
         {{"request", this->admitted.request.attemptId},
          {"outcome", std::string(outcome)},
-         {"status", std::to_string(this->statusGiven)},
+         {"status", std::to_string(this->answer.status())},
          {"how", std::string(how)},
          {"route", this->admitted.route != nullptr ? this->admitted.route->name : ""},
          {"organisation", this->admitted.organisation.value},
@@ -588,7 +455,7 @@
          {"rule", this->admitted.decision.rule},
          {"service", this->admitted.service.value},
          {"target", this->chosen.target.id.value},
-         {"targets_used", std::to_string(this->targetsUsed)},
+         {"targets_used", std::to_string(this->attempts.targetsUsed())},
          {"prompt_part", std::to_string(this->admitted.partHash % partNames)},
          {"copied_from", this->copiedFrom},
          {"target_load", std::to_string(this->chosen.inFlight)},
@@ -612,10 +479,10 @@
     state.lastPartAt = this->lastPartAt;
     state.targetHeardAt = this->context.board.lastHeard(this->chosen.target.id);
     state.isConnected = this->call && this->call->isConnected();
-    state.hasEvents = this->cutter.eventCount() > 0 && this->hasAnswerHead;
-    state.isReadingPaused = this->isReadingPaused;
+    state.hasEvents = this->answer.eventCount() > 0 && this->answer.hasHead();
+    state.isReadingPaused = this->answer.isReadingPaused();
     state.isLifeOver = this->context.board.isLifeOver(this->chosen.target);
-    state.mayRunElsewhere = route.isIdempotent() && this->targetsUsed < route.mostTargets;
+    state.mayRunElsewhere = this->attempts.mayRunElsewhere();
     state.latencyAim = route.latencyAim;
     state.gapAim = route.gapAim;
     state.usualFirstAnswer = this->context.usualFirstAnswer(this->admitted.service);
@@ -640,36 +507,23 @@
     if (!this->call && !isTimeUp) {
         return;
     }
-    switch (judgeWait(this->waitState(now))) {
-    case WaitVerdict::GoOn:
-        return;
-    case WaitVerdict::TimeUp:
-        this->endAttempt(AttemptEnd::TimeUp, this->hasAnswerHead ? AttemptMark::Neutral : AttemptMark::Lost, now);
-        return;
-    case WaitVerdict::NoConnection:
-        this->endAttempt(AttemptEnd::NotSent, AttemptMark::Lost, now);
-        return;
-    case WaitVerdict::Lost:
-        this->endAttempt(this->hasAnswerHead ? AttemptEnd::Broken : AttemptEnd::NoAnswer, AttemptMark::Neutral, now);
-        return;
-    case WaitVerdict::BetterElsewhere:
-        this->goElsewhere(now);
+    const WaitVerdict wait = judgeWait(this->waitState(now));
+    if (wait == WaitVerdict::BetterElsewhere && !this->mayGoElsewhere(now)) {
         return;
     }
+    if (const std::optional<AttemptVerdict> verdict = judgeGivenUp(wait, this->answer.hasHead())) {
+        this->endAttempt(*verdict, now);
+    }
 }
 
-void GatewayExchange::Private::goElsewhere(Millis now)
+bool GatewayExchange::Private::mayGoElsewhere(Millis now)
 {
-    if (!this->chooseTarget(now)) {
-        return;
-    }
-    // Without the budget for another target this one is the best chance that is left.
-    if (!this->payForRetry(now)) {
+    const LeaveVerdict verdict = this->attempts.leave(now, *this);
+    if (verdict == LeaveVerdict::NoRetry) {
+        // It is patient once more, before it asks the budget again.
         this->lastPartAt = now;
-        return;
     }
-    this->isRetryPaid = true;
-    this->endAttempt(AttemptEnd::Silent, AttemptMark::Lost, now);
+    return verdict == LeaveVerdict::Leave;
 }
 
 void GatewayExchange::callerGone()
