--- a/sequoiausher/coordination/gateway/connectionpatience.cpp
+++ b/sequoiausher/coordination/gateway/connectionpatience.cpp
@@ -4,6 +4,16 @@
 
 namespace Sequoiausher {
 
+namespace {
+
+/**
+ * A body may take so many idle limits from the first byte of its request: a minute by the usual limit, enough for the
+ * usual 4 MB over a link of 1 Mbit/s. Without it one byte each few seconds would hold a connection for ever.
+ */
+constexpr std::int64_t mostBodyLimits = 4;
+
+} // namespace
+
 Millis announcedIdleTime(Millis limit)
 {
     // Four fifths, as callers are promised by the operators: 3 s less than the usual 15.
@@ -58,7 +68,10 @@
     if (!request.hasHead) {
         return now - request.begunAt >= headTime ? PartialVerdict::HeadTooSlow : PartialVerdict::Wait;
     }
-    return now - request.heardAt >= idleTime ? PartialVerdict::BodyStopped : PartialVerdict::Wait;
+    if (now - request.heardAt >= idleTime) {
+        return PartialVerdict::BodyStopped;
+    }
+    return now - request.begunAt >= idleTime * mostBodyLimits ? PartialVerdict::BodyTooSlow : PartialVerdict::Wait;
 }
 
 } // namespace Sequoiausher
--- a/sequoiausher/coordination/gateway/connectionpatience.h
+++ b/sequoiausher/coordination/gateway/connectionpatience.h
@@ -76,6 +76,8 @@
     HeadTooSlow,
     /** The head is there, and nothing of the body came for longer than a connection may be idle. */
     BodyStopped,
+    /** The body comes, but so slowly that it would hold its connection and memory for minutes. */
+    BodyTooSlow,
 };
 
 template<>
@@ -83,6 +85,7 @@
     {PartialVerdict::Wait, "wait"},
     {PartialVerdict::HeadTooSlow, "the head took too long"},
     {PartialVerdict::BodyStopped, "the body stopped"},
+    {PartialVerdict::BodyTooSlow, "the body took too long"},
 });
 
 /** Judges one moment of it. */
--- a/sequoiausher/coordination/gateway/connectionpatiencetest.cpp
+++ b/sequoiausher/coordination/gateway/connectionpatiencetest.cpp
@@ -117,6 +117,14 @@
          Millis{31000},
          PartialVerdict::Wait},
         {"a body that stopped", {Millis{1000}, Millis{2000}, true}, Millis{17000}, PartialVerdict::BodyStopped},
+        {"a body that comes byte by byte",
+         {Millis{1000}, Millis{60900}, true},
+         Millis{61000},
+         PartialVerdict::BodyTooSlow},
+        {"a body that comes byte by byte a moment less",
+         {Millis{1000}, Millis{60900}, true},
+         Millis{60999},
+         PartialVerdict::Wait},
         {"a body that stopped a moment less", {Millis{1000}, Millis{2000}, true}, Millis{16999}, PartialVerdict::Wait},
     };
     for (const Case &each : cases) {
--- a/sequoiausher/transport/gateway/callerconnection.cpp
+++ b/sequoiausher/transport/gateway/callerconnection.cpp
@@ -2,6 +2,7 @@
 
 #include "sequoiausher/transport/gateway/refusals.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Sequoiausher {
@@ -55,6 +56,9 @@
 {
     if (!this->exchange) {
         this->readRequests();
+    } else if (this->stream->input().size() > this->limits().headBytes) {
+        // The next requests wait in the kernel, so that a caller that only sends cannot fill this process.
+        this->stream->setReading(false);
     }
 }
 
@@ -96,6 +100,7 @@
     this->hasBytes = false;
     this->hasContinued = false;
     this->requests += 1;
+    this->longestLimit = this->context.callerLimits().idleTime;
     this->exchange
         = std::make_shared<GatewayExchange>(this->context, *this, this->reader.head(), this->reader.takeBody(), now);
     // The answer may be given in the call, and the exchange let go of.
@@ -106,7 +111,9 @@
 void CallerConnection::refuse(int status, const std::string &reason)
 {
     this->context.log.info(
-        LogPart::Entry, "request refused unread", {{"status", std::to_string(status)}, {"why", reason}});
+        LogPart::Entry,
+        "request refused unread",
+        {{"status", std::to_string(status)}, {"why", reason}, {"connection", std::to_string(this->number)}});
     this->context.metrics.add("gateway_unreadable_requests_total");
     this->stream->write(
         ownAnswer(this->context.dialect, CallerRequest(), {status, reason, std::nullopt, {.closes = true}, false}));
@@ -142,7 +149,8 @@
 void CallerConnection::finished(bool closes)
 {
     this->dropExchange();
-    this->idle.answered(Millis::monotonicNow(), this->context.callerLimits().idleTime);
+    this->idle.answered(Millis::monotonicNow(), this->longestLimit);
+    this->stream->setReading(true);
     if (closes) {
         this->closeGently(CloseReason::Answered);
         return;
@@ -189,9 +197,7 @@
 void CallerConnection::closeGently(CloseReason why)
 {
     this->over(why);
-    if (this->stream->pendingBytes() > 0) {
-        this->context.delivering.push_back(this->stream);
-    }
+    this->context.keepDelivering(this->stream);
     // The stream lingers on after this connection, and after the gateway where that ends meanwhile.
     GatewayContext &shared = this->context;
     const std::weak_ptr<const bool> life = shared.life;
@@ -214,6 +220,7 @@
         return;
     }
     if (this->exchange) {
+        this->longestLimit = std::max(this->longestLimit, this->context.callerLimits().idleTime);
         const auto ticked = this->exchange;
         ticked->tick(now);
         return;
@@ -260,6 +267,15 @@
     this->closeUnused(CloseReason::Stopping);
 }
 
+void CallerConnection::endForStop()
+{
+    if (const auto ended = this->exchange) {
+        ended->endForStop();
+    } else if (this->hasBytes && !this->isOver) {
+        this->refuse(statusRequestTimeout, "the gateway stops");
+    }
+}
+
 void CallerConnection::closeUnused(CloseReason why)
 {
     // A request that has come already is answered.
--- a/sequoiausher/transport/gateway/callerconnection.h
+++ b/sequoiausher/transport/gateway/callerconnection.h
@@ -63,6 +63,8 @@
     bool isReading() const;
     /** Closes it where it is unused, since the gateway stops. */
     void closeForStop();
+    /** Ends what is under way on it, since the gateway cannot wait any longer: its caller hears what is known. */
+    void endForStop();
     /** Closes it at once. */
     void close();
 
@@ -99,6 +101,8 @@
     std::uint64_t number;
     std::uint64_t requests = 0;
     IdleClock idle;
+    /** The longest idle limit in force since the request under way came: its answer's head may have announced it. */
+    Millis longestLimit;
     /** The request of which a part is there, where hasBytes. */
     PartialRequest partial;
     bool hasBytes = false;
--- a/sequoiausher/transport/gateway/gatewaycontext.cpp
+++ b/sequoiausher/transport/gateway/gatewaycontext.cpp
@@ -72,6 +72,15 @@
     return Millis{found != this->firstAnswers.end() ? std::llround(found->second) : 0};
 }
 
+void GatewayContext::keepDelivering(const std::shared_ptr<ByteStream> &closed)
+{
+    // Looked at here too, so that the list holds no more than what is under way.
+    this->isDelivering();
+    if (closed->pendingBytes() > 0) {
+        this->delivering.push_back(closed);
+    }
+}
+
 bool GatewayContext::isDelivering()
 {
     std::erase_if(this->delivering, [](const std::weak_ptr<ByteStream> &held) {
--- a/sequoiausher/transport/gateway/gatewaycontext.h
+++ b/sequoiausher/transport/gateway/gatewaycontext.h
@@ -56,6 +56,8 @@
     void firstAnswerTook(const PoolId &service, Millis time);
     /** About how long it takes; 0 before the first. */
     Millis usualFirstAnswer(const PoolId &service) const;
+    /** Remembers a closed connection until all of its answer has been sent. */
+    void keepDelivering(const std::shared_ptr<ByteStream> &closed);
     /** Whether a caller's last answer, on a connection that is closed, still waits to be sent. */
     bool isDelivering();
     /** Frees what is let go of in the middle of its own calls at the next tick. */
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -526,6 +526,19 @@
     return verdict == LeaveVerdict::Leave;
 }
 
+void GatewayExchange::endForStop()
+{
+    if (this->d->over) {
+        return;
+    }
+    if (!this->d->call) {
+        const Millis retry = this->d->context.spread(retryWhenFull);
+        this->d->answerOwn(statusUnavailable, "the gateway stops", retry, Outcome::RefusedFull);
+        return;
+    }
+    this->d->endAttempt({AttemptEnd::TimeUp, AttemptMark::Neutral}, Millis::monotonicNow());
+}
+
 void GatewayExchange::callerGone()
 {
     if (this->d->over) {
--- a/sequoiausher/transport/gateway/gatewayexchange.h
+++ b/sequoiausher/transport/gateway/gatewayexchange.h
@@ -34,6 +34,8 @@
     void start();
     /** Looks at the times that are over. */
     void tick(Millis now);
+    /** The gateway ends: the caller hears what is known of its request. */
+    void endForStop();
     /** The caller left: its target stops too. */
     void callerGone();
     /** The caller took what was written. */
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -30,14 +30,21 @@
 constexpr Millis startGrace{1200};
 /** How often the times of requests and connections are looked at: a request ends at most so much late. */
 constexpr int tickMs = 40;
-/** A tick that comes so late found the process busy with something else, such as a large configuration. */
+/** A tick that comes so long after the one before found the process busy, for instance with a large configuration. */
 constexpr Millis lateTick{2L * tickMs};
+/**
+ * A late tick gives way to so many turns of the event loop: the first may be held up as well, and of a long answer each
+ * turn brings what the other side's kernel could send meanwhile. Fewer where they take long, or it might never come.
+ */
+constexpr int fewestLateTurns = 2;
+constexpr int mostLateTurns = 8;
+constexpr Millis lateTurnsTime{100};
 /** How often the counts of log lines that were held back are written. */
 constexpr Millis suppressedInterval{2000};
 /** A gateway whose keys are unproven for this part of the longest age sends its callers elsewhere. */
 constexpr std::int64_t readyParts = 5;
 constexpr std::int64_t readyPartsOf = 3;
-/** The part of the grace after which a planned stop cuts what is left, in sixteenths. */
+/** The part of the grace after which a planned stop ends what is left, in sixteenths; the rest is for these answers. */
 constexpr std::int64_t cutAfterParts = 15;
 constexpr std::int64_t graceParts = 16;
 /** A line about changed targets names so many of them: at the start of a large fleet thousands come together. */
@@ -72,12 +79,18 @@
     void watchStore();
     void accept(int descriptor);
     void timerFired();
+    /** A late tick's turn, once the sockets have been looked at. */
+    void lateTurn();
     void tick();
     void tickCallers(Millis now);
+    /** A copy: what is done with a connection may end it and so change the map. */
+    std::vector<std::shared_ptr<CallerConnection>> allCallers() const;
     /** Lets requests go on that wait for the start, once it is ready. */
     void endStart();
     void tickStop(Millis now);
     void beginStop();
+    /** Gives each caller that still waits its last answer. */
+    void endRequests();
     void finishStop(std::string_view how);
     bool isReady() const;
     std::string metricsPage();
@@ -114,8 +127,11 @@
     std::unique_ptr<StreamListener> listener;
     std::unordered_map<CallerConnection *, std::shared_ptr<CallerConnection>> callers;
     QTimer timer;
-    /** Ticks once the sockets have been looked at. */
+    /** Fires once the sockets have been looked at. */
     QTimer lateTimer;
+    /** When the tick began to give way, and to how many turns it has. */
+    Millis lateSince;
+    int lateTurns = 0;
     /** When the timer last fired. */
     Millis tickedAt;
     /** The store's revision of the configuration that was read last, so that it is not read twice. */
@@ -123,6 +139,7 @@
     Revision readRevision = 0;
     std::optional<Millis> stopBegunAt;
     bool hasClosedIdle = false;
+    bool hasEndedRequests = false;
     bool isStopped = false;
     bool wasReady = false;
     Millis nextSuppressedAt;
@@ -140,7 +157,7 @@
     this->context.startsUntil = Millis::monotonicNow() + startGrace;
     this->watchStore();
     QObject::connect(&this->timer, &QTimer::timeout, [this] { this->timerFired(); });
-    QObject::connect(&this->lateTimer, &QTimer::timeout, [this] { this->tick(); });
+    QObject::connect(&this->lateTimer, &QTimer::timeout, [this] { this->lateTurn(); });
     this->lateTimer.setSingleShot(true);
     this->tickedAt = Millis::monotonicNow();
     this->timer.start(tickMs);
@@ -199,9 +216,22 @@
     // What arrived meanwhile is still in the kernel. Judged now, answers that are there would count as missing, and
     // connections with a request on them as unused. The event loop looks at its sockets before this timer's turn.
     this->context.metrics.add("gateway_late_ticks_total");
+    this->lateTurns = 0;
+    this->lateSince = now;
     this->lateTimer.start(0);
 }
 
+void GatewayNode::Private::lateTurn()
+{
+    this->lateTurns += 1;
+    const bool isShort = Millis::monotonicNow() - this->lateSince < lateTurnsTime;
+    if (this->lateTurns < (isShort ? mostLateTurns : fewestLateTurns)) {
+        this->lateTimer.start(0);
+        return;
+    }
+    this->tick();
+}
+
 void GatewayNode::Private::tick()
 {
     const Millis now = Millis::monotonicNow();
@@ -234,15 +264,19 @@
     this->tickStop(now);
 }
 
-void GatewayNode::Private::tickCallers(Millis now)
+std::vector<std::shared_ptr<CallerConnection>> GatewayNode::Private::allCallers() const
 {
-    // A tick may end connections and so change the map.
     std::vector<std::shared_ptr<CallerConnection>> all;
     all.reserve(this->callers.size());
     for (const auto &[raw, connection] : this->callers) {
         all.push_back(connection);
     }
-    for (const auto &connection : all) {
+    return all;
+}
+
+void GatewayNode::Private::tickCallers(Millis now)
+{
+    for (const auto &connection : this->allCallers()) {
         connection->tick(now);
     }
 }
@@ -295,9 +329,23 @@
             return;
         }
     }
-    if (since >= stop.grace * cutAfterParts / graceParts) {
-        this->finishStop(std::to_string(busy) + " requests cut at the end of the grace");
+    const Millis cutAfter = stop.grace * cutAfterParts / graceParts;
+    if (since >= cutAfter && !std::exchange(this->hasEndedRequests, true)) {
+        this->endRequests();
+    } else if (since >= cutAfter + (stop.grace - cutAfter) / 2) {
+        this->finishStop(std::to_string(busy) + " connections cut at the end of the grace");
+    }
+}
+
+void GatewayNode::Private::endRequests()
+{
+    // Cut without a word, a caller would not know that its request has not run, or may have.
+    std::size_t ended = 0;
+    for (const auto &connection : this->allCallers()) {
+        ended += connection->isBusy() || connection->isReading() ? 1 : 0;
+        connection->endForStop();
     }
+    this->log.info(LogPart::Main, "requests ended at the end of the grace", {{"count", std::to_string(ended)}});
 }
 
 void GatewayNode::Private::finishStop(std::string_view how)
--- a/sequoiausher/transport/gateway/gatewaynodetest.cpp
+++ b/sequoiausher/transport/gateway/gatewaynodetest.cpp
@@ -446,14 +446,15 @@
     }
 }
 
-// The same with an answer of more than one read. The event loop of the product looks at each socket once a turn
-// (QT_NO_GLIB), so that of a longer answer a part is still in the kernel when the late tick comes.
+// The same with an answer of more than one read, as long as the kernel of this side takes at once: what is still in the
+// other side's kernel has not arrived. The event loop of the product looks at each socket once a turn (QT_NO_GLIB), so
+// that of a longer answer a part is still in the kernel when the late tick comes.
 TEST_CASE("a long answer that arrived while the process was busy is read whole before any wait is judged")
 {
     Bed bed;
     FakeServer &target = bed.addTarget("t1", "desk");
     std::function<void()> answer;
-    const std::string body(200000, 'x');
+    const std::string body(60000, 'x');
     target.answers = [&](FakeRequest &request) { answer = [request, &body] { request.reply("200 OK", body); }; };
     bed.start();
     FakeCaller caller(bed.address());
@@ -510,3 +511,26 @@
     CHECK_FALSE(kept.reply.head.keepAlive);
     CHECK(GatewayTestbed::waitFor([&] { return bed.isStopped; }));
 }
+
+// Symptom: at a stop a caller's connection ended without a word, and the log said that the caller had left. Events: a
+// request, or a part of one, is still there when the grace ends. Cause: the process ended with its connections.
+TEST_CASE("what is left at the end of a stop's grace is answered by what is known of it")
+{
+    Bed bed;
+    bed.settings.stop = {Millis{900}, Millis{100}};
+    FakeServer &target = bed.addTarget("t1", "llm");
+    target.answers = [](FakeRequest & /*request*/) {};
+    bed.start();
+    FakeCaller waiting(bed.address());
+    waiting.send(bed.request("POST", "/once/1", "Content-Length: 0\r\n"));
+    FakeCaller partial(bed.address());
+    partial.send(bed.request("POST", "/once/1", "Content-Length: 9\r\n") + "abc");
+    REQUIRE(GatewayTestbed::waitFor([&] { return target.seen.size() == 1; }));
+    bed.node->stop();
+    CHECK(GatewayTestbed::waitFor([&] { return waiting.reply.isWhole && partial.reply.isWhole; }));
+    CHECK(waiting.reply.status == 504);
+    CHECK(partial.reply.status == 408);
+    CHECK(GatewayTestbed::waitFor([&] { return bed.isStopped; }));
+    CHECK(target.seen.size() == 1);
+    CHECK(bed.logged.str().find("the caller left") == std::string::npos);
+}
--- a/sequoiausher/transport/gateway/gatewaytestbed.cpp
+++ b/sequoiausher/transport/gateway/gatewaytestbed.cpp
@@ -40,6 +40,13 @@
     }
 }
 
+/** The event loop that gateways run on: Qt's own, which looks at timers and sockets in another order than GLib's. */
+QCoreApplication &productLoop()
+{
+    qputenv("QT_NO_GLIB", "1");
+    return Internal::testApplication();
+}
+
 /** A dialect of the test's own: text lines in the store, fields that begin with X-. */
 class TestDialect : public GatewayDialect
 {
@@ -166,7 +173,7 @@
 
 } // namespace
 
-GatewayTestbed::GatewayTestbed() : application(Internal::testApplication()), dialect(std::make_unique<TestDialect>())
+GatewayTestbed::GatewayTestbed() : application(productLoop()), dialect(std::make_unique<TestDialect>())
 {
     this->settings.name.value = "g1";
     this->settings.dataCentre.value = "a";
--- a/sequoiausher/transport/stream/bytestream.cpp
+++ b/sequoiausher/transport/stream/bytestream.cpp
@@ -3,6 +3,7 @@
 #include "sequoiausher/base/error.h"
 #include "sequoiausher/transport/peers/peeraddress.h"
 
+#include <QElapsedTimer>
 #include <QSocketNotifier>
 #include <QTimer>
 
@@ -29,6 +30,11 @@
 constexpr int lingerMs = 2000;
 /** How long it waits for the other side to take more of what is pending: longer than a link is usually cut. */
 constexpr int stalledMs = 15000;
+/** How long it takes in all: a megabyte over a link of 100 kbit/s. One that takes a byte now and then is cut. */
+constexpr qint64 deliveryMs = 90000;
+/** What has arrived is read at one turn of the event loop up to so much, so that one connection does not hold up
+ * others. */
+constexpr std::size_t readsAtOnce = 64;
 
 void setNoDelay(int descriptor)
 {
@@ -62,6 +68,8 @@
 
     void watch(ByteStream &stream);
     void readable(ByteStream &stream);
+    /** Reads once; whether more may be there. */
+    bool readOnce(ByteStream &stream);
     void writable(ByteStream &stream);
     void flush(ByteStream &stream);
     void end(ByteStream &stream, StreamEnd how);
@@ -84,6 +92,8 @@
     /** Keeps a lingering stream alive after its user dropped it. */
     std::shared_ptr<ByteStream> self;
     std::unique_ptr<QTimer> lingerTimer;
+    /** Since the gentle close. */
+    QElapsedTimer lingerClock;
 };
 
 void ByteStream::Private::watch(ByteStream &stream)
@@ -103,24 +113,36 @@
 }
 
 void ByteStream::Private::readable(ByteStream &stream)
+{
+    // A long message is read whole: after a turn that was held up, waits are judged by what has been read.
+    std::size_t left = readsAtOnce;
+    while (left > 0 && this->readOnce(stream)) {
+        left -= 1;
+    }
+}
+
+bool ByteStream::Private::readOnce(ByteStream &stream)
 {
     std::array<char, readBytes> buffer;
     const ssize_t taken = recv(this->descriptor, buffer.data(), buffer.size(), 0);
     if (taken < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
-        return;
+        return false;
     }
     if (taken <= 0) {
         this->end(stream, taken == 0 ? StreamEnd::Finished : StreamEnd::Reset);
-        return;
+        return false;
     }
     if (this->lingering) {
         this->discardedBytes += static_cast<std::size_t>(taken);
-        return;
-    }
-    this->input.append(buffer.data(), static_cast<std::size_t>(taken));
-    if (this->user != nullptr) {
-        this->user->bytesArrived();
+    } else {
+        this->input.append(buffer.data(), static_cast<std::size_t>(taken));
+        if (this->user != nullptr) {
+            this->user->bytesArrived();
+        }
     }
+    // The user may have closed the stream, or stopped reading.
+    const bool mayGoOn = this->descriptor >= 0 && this->reads && this->reads->isEnabled();
+    return mayGoOn && static_cast<std::size_t>(taken) == buffer.size();
 }
 
 void ByteStream::Private::writable(ByteStream &stream)
@@ -158,7 +180,7 @@
         }
         this->sent = true;
         this->output.erase(0, static_cast<std::size_t>(taken));
-        if (this->lingerTimer) {
+        if (this->lingerTimer && this->lingerClock.elapsed() < deliveryMs) {
             this->lingerTimer->start(stalledMs);
         }
     }
@@ -355,6 +377,7 @@
         this->d->end(*this, StreamEnd::Reset);
     });
     this->d->lingerTimer->start(stalledMs);
+    this->d->lingerClock.start();
     this->d->linger(*this);
 }
 
