Let the soak meet the close of kept connections, and judge requests that end with nothing

Cause: the soak missed the incident of a request without an answer. Its callers used connections for 2.5 s of 4 at most and went through a relay, whose own socket reads what crosses a close; its judge asked for an answer only where a target had run the call. Every second gateway has a notice of 0.8 s, or unused connections would all be over before a stop closes any. The judge: 'silent' where a direct call ended with nothing, excused by the caller's kernel (reset after send) or a kill alone; 'kept' where a connection closed in under four fifths of the limit; 'refused' where a call that counted as unread ran; no log line about bytes thrown away after a close with why=idle or stopping. Calls of SoakCaller use connections for four fifths of the limit, as callers do. CrossingCaller also takes a reset that recv or send told. No check was eased: an unread call on a kept connection does not count in the calm at the end, one that opens a connection does. Ruled out: that the relay's callers could tell it (the relay reads and throws away what crosses the close that it passes on).

--- /dev/null
+++ b/lab/soak/calldraw.h
@@ -0,0 +1,62 @@
+#pragma once
+
+// Draws what the soak's callers ask for, call by call, and words it as they send it.
+//
+//     CallDraw draw("c3-", offer, seed);
+//     const SoakCall call = draw.next(entry, now);
+//     connection.send(draw.wire(call));
+
+#include "lab/soak/soakrecords.h"
+
+#include <cstdint>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Sequoiausher::Lab {
+
+/** A gateway as callers reach it. */
+struct SoakEntry
+{
+    std::size_t gateway = 0;
+    std::uint64_t life = 0;
+    /** Through the relay by which a plan cuts and slows callers, and past it. */
+    std::string address;
+    std::string directAddress;
+};
+
+/** What callers may ask for at present, kept by the operator. */
+struct SoakOffer
+{
+    struct Key
+    {
+        std::string organisation;
+        std::string key;
+    };
+
+    std::vector<Key> keys;
+    /** Path prefixes of plain routes beside the four of the kinds. */
+    std::vector<std::string> extraRoutes;
+};
+
+/** See above. */
+class CallDraw
+{
+public:
+    /** @param prefix begins the ids of its calls; no other caller has it. */
+    CallDraw(std::string prefix, const SoakOffer &offer, std::uint64_t seed);
+
+    SoakCall next(const SoakEntry &entry, Millis now);
+    std::string wire(const SoakCall &call);
+    /** When the caller of a call sent at now closes its connection: early for some. */
+    Millis leaveTime(const SoakCall &call, Millis now);
+    std::int64_t between(std::int64_t least, std::int64_t most);
+
+private:
+    std::string prefix;
+    const SoakOffer &offer;
+    std::mt19937_64 random;
+    std::uint64_t calls = 0;
+};
+
+} // namespace Sequoiausher::Lab
--- a/lab/soak/main.cpp
+++ b/lab/soak/main.cpp
@@ -1,7 +1,7 @@
 // lab-soak: plays random faults against real gateways and holds them to their promises.
 //
 //     lab-soak --seed 17 --seeds 4 --folder /tmp/soak
-//     soak seed 17: passed, 812 of 903 calls served, 131 of 131 in the calm at the end
+//     soak seed 17: passed, 812 of 903 calls served, 131 of 131 in the calm at the end, 40 crossed a close unread
 //
 // Each seed leaves a folder with what every gateway wrote and the run's own log, taken away where the seed passed.
 
@@ -24,8 +24,8 @@
     const SoakResult result = run.play();
     std::cout << "soak seed " << options.seed << ": " << (result.violations.empty() ? "passed" : "FAILED") << ", "
               << result.served << " of " << result.sent << " calls served, " << result.lastServed << " of "
-              << result.lastSent << " in the calm at the end, longest own pause " << toText(result.longestPause)
-              << std::endl;
+              << result.lastSent << " in the calm at the end, " << result.unread
+              << " crossed a close unread, longest own pause " << toText(result.longestPause) << std::endl;
     for (const SoakViolation &violation : result.violations) {
         std::cout << "  " << violation.promise << ": " << violation.detail << std::endl;
     }
@@ -42,6 +42,8 @@
         options.seed = first + i;
         options.gateways = static_cast<std::size_t>(integerOption(parsed, "gateways"));
         options.callersEach = static_cast<std::size_t>(integerOption(parsed, "callers"));
+        options.lastingEach = static_cast<std::size_t>(integerOption(parsed, "lasting"));
+        options.program = textOption(parsed, "program");
         options.faults = Millis{integerOption(parsed, "faults-ms")};
         options.longest = Millis{integerOption(parsed, "longest-ms")};
         options.folder = folder + "/seed-" + std::to_string(options.seed);
@@ -63,8 +65,10 @@
     addIntegerOption(options, "seeds", "How many, one after the other", 1);
     addIntegerOption(options, "gateways", "Gateways of the fleet", 5);
     addIntegerOption(options, "callers", "Callers for each gateway", 3);
+    addIntegerOption(options, "lasting", "Callers for each gateway that keep their connections", 2);
     addIntegerOption(options, "faults-ms", "For how long faults begin", 12000);
     addIntegerOption(options, "longest-ms", "How long one fault lasts at most", 4000);
+    addTextOption(options, "program", "The gateway to play; empty for the one built with it", "");
     addTextOption(options, "folder", "Where logs go", "/tmp/sequoiausher-soak");
     return runProgram(argc, argv, std::move(options), runSoak);
 }
--- a/lab/soak/soakcaller.cpp
+++ b/lab/soak/soakcaller.cpp
@@ -1,5 +1,8 @@
 #include "lab/soak/soakcaller.h"
 
+#include "platform/standindialect.h"
+
+#include <string>
 #include <utility>
 
 namespace Sequoiausher::Lab {
@@ -9,18 +12,9 @@
 /** The pause between two calls of one caller, and how long a connection may be idle and still be used. */
 constexpr std::int64_t leastThinkMs = 20;
 constexpr std::int64_t mostThinkMs = 150;
-constexpr Millis longestIdle{2500};
-/** Of a hundred calls so many are given up early, and so many carry forged fields. */
-constexpr std::int64_t leavingPercent = 8;
-constexpr std::int64_t forgingPercent = 10;
+constexpr Millis longestIdle = soakIdleTime * 4 / 5;
 /** Of a hundred kept connections so many are left for a new one. */
 constexpr std::int64_t newConnectionPercent = 5;
-/** How long callers wait; the routes' own times are shorter. */
-constexpr Millis plainPatience{2500};
-constexpr Millis streamPatience{4000};
-constexpr std::uint32_t idempotentTargets = 2;
-constexpr std::size_t promptParts = 12;
-constexpr const char *host = "soak.example";
 
 } // namespace
 
@@ -31,17 +25,11 @@
                        std::uint64_t seed)
     : number(given)
     , judge(by)
-    , offer(offered)
     , pick(std::move(chosen))
-    , random(seed)
+    , draw("c" + std::to_string(given) + "-", offered, seed)
 {
 }
 
-std::int64_t SoakCaller::between(std::int64_t least, std::int64_t most)
-{
-    return std::uniform_int_distribution<std::int64_t>(least, most)(this->random);
-}
-
 void SoakCaller::rest()
 {
     this->isResting = true;
@@ -52,33 +40,10 @@
     this->connection.reset();
 }
 
-SoakCall SoakCaller::nextCall(Millis now)
-{
-    SoakCall call;
-    call.id = "c" + std::to_string(this->number) + "-" + std::to_string(this->calls++);
-    call.gateway = this->entry.gateway;
-    call.gatewayLife = this->entry.life;
-    call.kind = static_cast<CallKind>(this->between(0, 3));
-    const auto key = static_cast<std::size_t>(this->between(0, static_cast<std::int64_t>(this->offer.keys.size()) - 1));
-    call.key = this->offer.keys[key].key;
-    call.method = call.kind == CallKind::Look ? "GET" : "POST";
-    call.path = "/" + std::string(nameOf(call.kind)) + "/" + call.id;
-    constexpr std::int64_t extraOneIn = 6;
-    if (call.kind == CallKind::Look && !this->offer.extraRoutes.empty() && this->between(1, extraOneIn) == 1) {
-        const auto extra = this->between(0, static_cast<std::int64_t>(this->offer.extraRoutes.size()) - 1);
-        call.path = this->offer.extraRoutes[static_cast<std::size_t>(extra)] + call.id;
-    }
-    call.body = call.method == "POST" ? "question of " + call.id : "";
-    call.sentAt = now;
-    call.timeLeft = isStream(call.kind) ? streamPatience : plainPatience;
-    call.mostTargets = isIdempotent(call.kind) ? idempotentTargets : 1;
-    return call;
-}
-
 void SoakCaller::send(Millis now)
 {
     const bool isOld = now - this->idleSince > longestIdle;
-    if (this->connection && (isOld || this->between(1, 100) <= newConnectionPercent)) {
+    if (this->connection && (isOld || this->draw.between(1, 100) <= newConnectionPercent)) {
         this->drop();
     }
     if (!this->connection) {
@@ -90,27 +55,11 @@
         this->entry = *chosen;
         this->connection = std::make_unique<FakeCaller>(this->entry.address);
     }
-    this->current = this->nextCall(now);
-    const SoakCall &call = *this->current;
-    StandInDialect::CallerCall wire;
-    wire.method = call.method;
-    wire.path = call.path;
-    wire.host = host;
-    wire.attemptId = call.id;
-    wire.key = call.key;
-    wire.timeLeft = call.timeLeft;
-    wire.bodyBytes = call.body.size();
-    wire.forges = this->between(1, 100) <= forgingPercent;
-    if (isStream(call.kind)) {
-        wire.model = "m";
-        const auto part = this->between(1, promptParts);
-        wire.parts = "a0:500,b" + std::to_string(part) + ":400,c" + std::to_string(this->calls) + ":100";
-    }
-    const bool leaves = this->between(1, 100) <= leavingPercent;
-    constexpr std::int64_t mostLeaveMs = 300;
-    this->leaveAt = now + (leaves ? Millis{this->between(1, mostLeaveMs)} : call.timeLeft);
-    this->judge.sent(call);
-    this->connection->send(StandInDialect::callerHead(wire) + call.body);
+    this->current = this->draw.next(this->entry, now);
+    const std::string bytes = this->draw.wire(*this->current);
+    this->leaveAt = this->draw.leaveTime(*this->current, now);
+    this->judge.sent(*this->current);
+    this->connection->send(bytes);
 }
 
 void SoakCaller::finish(Millis now)
@@ -126,7 +75,7 @@
     this->judge.answered(this->current->id, answer, now);
     this->current.reset();
     this->idleSince = now;
-    this->nextAt = now + Millis{this->between(leastThinkMs, mostThinkMs)};
+    this->nextAt = now + Millis{this->draw.between(leastThinkMs, mostThinkMs)};
     // 'Not run' comes with a time to return.
     if (read.retryAfterSeconds) {
         constexpr double millisPerSecond = 1000;
--- a/lab/soak/soakgateway.cpp
+++ b/lab/soak/soakgateway.cpp
@@ -1,5 +1,7 @@
 #include "lab/soak/soakgateway.h"
 
+#include "platform/standindialect.h"
+
 #include <fstream>
 #include <utility>
 
@@ -10,6 +12,9 @@
 constexpr int statusOk = 200;
 constexpr std::uint32_t missesUntilOut = 2;
 constexpr const char *loopback = "127.0.0.1";
+/** Of every second gateway: with the usual notice, all unused connections have reached their idle limit before a stop
+ * closes any. Longer than the balancer takes to see that it leaves. */
+constexpr const char *shortNotice = "notice_ms = 800\n";
 
 std::string local(const ReservedPort &port)
 {
@@ -18,14 +23,14 @@
 
 } // namespace
 
-SoakGateway::SoakGateway(std::size_t given, std::string where, const Endpoint &store)
+SoakGateway::SoakGateway(std::size_t given, std::string where, const Endpoint &store, const std::string &program)
     : number(given)
     , folder(std::move(where))
     , toStore(Endpoint{loopback, 0}, store)
     , fromPeers(Endpoint{loopback, 0}, Endpoint{loopback, this->peerPort.number()})
     , fromCallers(Endpoint{loopback, 0}, Endpoint{loopback, this->callerPort.number()})
     , gateway("g" + std::to_string(given),
-              SEQUOIAUSHER_PROGRAM,
+              program.empty() ? SEQUOIAUSHER_PROGRAM : program,
               {"gateway", "--config", this->folder + "/g" + std::to_string(given) + ".ini"},
               this->folder)
 {
@@ -42,7 +47,8 @@
         file << (i > 0 ? ", " : "") << seeds[i];
     }
     file << "\n[bounds]\nkey_freshness_ms = 5000\nrepeat_ratio = 0.2\nrepeat_slack = 54\nrepeat_window_s = 10\n"
-         << "[stop]\ngrace_s = 8\n[log]\nrepeats_per_interval = 1000\n";
+         << "[stop]\ngrace_s = 8\n"
+         << (this->number % 2 == 0 ? shortNotice : "") << "[log]\nrepeats_per_interval = 1000\n";
 }
 
 std::string SoakGateway::peerAddress() const
@@ -104,7 +110,7 @@
 
 SoakEntry SoakGateway::entry() const
 {
-    return {this->number, this->starts, toText(this->fromCallers.listening())};
+    return {this->number, this->starts, toText(this->fromCallers.listening()), local(this->callerPort)};
 }
 
 } // namespace Sequoiausher::Lab
--- a/lab/soak/soakgateway.h
+++ b/lab/soak/soakgateway.h
@@ -10,7 +10,7 @@
 #include "lab/fleet/labprocess.h"
 #include "lab/fleet/reservedport.h"
 #include "lab/relay/relay.h"
-#include "lab/soak/soakcaller.h"
+#include "lab/soak/calldraw.h"
 #include "sequoiausher/transport/stream/fakehttp.h"
 
 #include <cstddef>
@@ -25,7 +25,8 @@
 class SoakGateway
 {
 public:
-    SoakGateway(std::size_t number, std::string folder, const Endpoint &store);
+    /** @param program the gateway to play; empty for the one that was built with the soak. */
+    SoakGateway(std::size_t number, std::string folder, const Endpoint &store, const std::string &program);
 
     /** Writes its settings file. */
     void configure(const std::vector<std::string> &seeds);
--- a/lab/soak/soakjudge.cpp
+++ b/lab/soak/soakjudge.cpp
@@ -16,6 +16,9 @@
 constexpr int firstFailure = 300;
 constexpr int statusUnauthorized = 401;
 constexpr int statusNotFound = 404;
+/** The part of the idle limit for which callers use an idle connection again. */
+constexpr std::int64_t usableParts = 4;
+constexpr std::int64_t usablePartsOf = 5;
 
 bool promisesNotRun(int status)
 {
@@ -45,6 +48,7 @@
     std::optional<Millis> leftAt;
     bool isRefused = false;
     bool isServed = false;
+    bool isUnread = false;
     /** Overdue ends are reported once. */
     bool isTimeChecked = false;
     bool isLeaveChecked = false;
@@ -120,6 +124,9 @@
     void checkSuccess(const CallState &state, const SoakAnswer &answer, Millis at);
     void checkDenied(const CallState &state, const SoakAnswer &answer, Millis at);
     void checkLost(const CallState &state, Millis at);
+    void checkSilent(const CallState &state, Millis at);
+    void checkUnread(CallState &state, Millis at);
+    Millis shortestIdleTime() const;
     void checkTime(CallState &state, Millis now);
     void checkLeft(CallState &state, Millis now);
     void checkRepeats();
@@ -403,7 +410,12 @@
 {
     CallState &state = this->d->calls.at(id);
     state.answeredAt = at;
+    if (answer.isUnread) {
+        this->d->checkUnread(state, at);
+        return;
+    }
     if (!answer.isWhole && answer.status == 0) {
+        this->d->checkSilent(state, at);
         this->d->checkLost(state, at);
         return;
     }
@@ -484,6 +496,54 @@
     }
 }
 
+// Symptom in the incident that this is for: a caller may send what runs at most once again only after a refusal, or
+// where its kernel was told that nobody read it. A gateway that reads a request and closes without a word takes both.
+void SoakJudge::Private::checkSilent(const CallState &state, Millis at)
+{
+    const SoakCall &call = state.call;
+    const std::string subject = gatewaySubject(call.gateway) + killedSuffix;
+    if (call.isDirect && this->disturbed.isUntouched(subject, call.sentAt - this->bounds.ending, at)) {
+        this->broken("silent",
+                     call.id + " was read by gateway " + std::to_string(call.gateway) + " after " + toText(call.idleFor)
+                         + " idle, and its connection ended with nothing",
+                     at);
+    }
+}
+
+void SoakJudge::Private::checkUnread(CallState &state, Millis at)
+{
+    const SoakCall &call = state.call;
+    state.isUnread = true;
+    state.isRefused = true;
+    if (!state.runs.empty()) {
+        this->broken("refused", call.id + " counted as unread and ran at " + state.runs.back().target, at);
+    }
+    // Callers are promised that a connection which was idle for less than four fifths of the limit still serves.
+    const bool isInTime = call.idleFor + this->allowance(call.sentAt - call.idleFor, at)
+        < this->shortestIdleTime() * usableParts / usablePartsOf;
+    if (isInTime && this->disturbed.isUntouched(gatewaySubject(call.gateway), call.sentAt - call.idleFor, at)) {
+        this->broken("kept", call.id + " met a closed connection after " + toText(call.idleFor) + " idle", at);
+    }
+}
+
+Millis SoakJudge::Private::shortestIdleTime() const
+{
+    Millis shortest = Millis::never();
+    for (const Version &version : this->versions) {
+        shortest = std::min(shortest, version.configuration.limits.idleTime);
+    }
+    return shortest;
+}
+
+void SoakJudge::logged(std::size_t gateway, const std::string &line, Millis at)
+{
+    const bool isThrownAway = line.find("bytes thrown away after a close") != std::string::npos;
+    const bool isUnused = line.find("why=idle") != std::string::npos || line.find("why=stopping") != std::string::npos;
+    if (isThrownAway && isUnused) {
+        this->d->broken("silent", gatewaySubject(gateway) + " wrote: " + line, at);
+    }
+}
+
 void SoakJudge::strayBytes(const std::string &caller, Millis at)
 {
     this->d->broken("mixed", caller + " got bytes for which no request waited", at);
@@ -586,6 +646,10 @@
     if (state.call.sentAt < from || state.leftAt || !state.answeredAt || this->versions.empty()) {
         return false;
     }
+    // It never came: its caller may send it again. One that opens a connection is owed the service.
+    if (state.isUnread && !state.call.isFirst) {
+        return false;
+    }
     const GatewayConfiguration &newest = this->versions.back().configuration;
     return routeOf(newest, state.call.path) != nullptr && holderOf(newest, state.call.key) != nullptr;
 }
@@ -606,4 +670,10 @@
         }));
 }
 
+std::size_t SoakJudge::unread() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        this->d->calls.begin(), this->d->calls.end(), [](const auto &entry) { return entry.second.isUnread; }));
+}
+
 } // namespace Sequoiausher::Lab
--- a/lab/soak/soakjudge.h
+++ b/lab/soak/soakjudge.h
@@ -58,6 +58,8 @@
     static constexpr const char *storeSubject = "store";
     /** Marks the gateway's subject for disturbances that nobody planned: only these excuse a lost answer. */
     static constexpr const char *unplannedSuffix = " unplanned";
+    /** Marks it while the process is killed: only this excuses a request that was read and got nothing at all. */
+    static constexpr const char *killedSuffix = " killed";
 
     /** This process itself stood still for so long up to at: granted on every bound that covers that time. */
     void paused(Millis at, Millis span);
@@ -72,6 +74,9 @@
     /** The caller closed its connection before the end. */
     void left(const std::string &id, Millis at);
 
+    /** A gateway wrote a line into its log. */
+    void logged(std::size_t gateway, const std::string &line, Millis at);
+
     /** Bytes came over a connection on which no request waited. */
     void strayBytes(const std::string &caller, Millis at);
     /** A promise broke that the run itself watches, such as a process that ended by itself. */
@@ -92,6 +97,8 @@
      */
     std::size_t sentSince(Millis from) const;
     std::size_t servedSince(Millis from) const;
+    /** Calls that crossed the close of their connection and were refused by the gateway's kernel. */
+    std::size_t unread() const;
 
 private:
     class Private;
--- a/lab/soak/soakjudgetest.cpp
+++ b/lab/soak/soakjudgetest.cpp
@@ -20,6 +20,7 @@
     route.services = {{PoolId{service}, 1}};
     configuration.routes = {route};
     configuration.organisations = {{OrganisationId{"garage"}, {key}, std::nullopt}};
+    configuration.limits.idleTime = Millis{1000};
     return configuration;
 }
 
@@ -308,3 +309,155 @@
     bench.judge.finish(Millis{2000});
     CHECK(bench.promises().find("budget") != std::string::npos);
 }
+
+namespace {
+
+/** A kept connection's request to a gateway's own socket. */
+SoakCall lastingCall(const Bench &bench, const std::string &id, Millis at, Millis idleFor)
+{
+    SoakCall call = bench.call(id, at);
+    call.isDirect = true;
+    call.idleFor = idleFor;
+    return call;
+}
+
+} // namespace
+
+// Symptom: of a fleet's requests that run at most once, one got nothing. Events: it crossed the close of its
+// connection; the gateway read it and threw it away. Cause: a close that reads on.
+TEST_CASE(
+    "a request that ends with nothing was read, unless its caller's kernel heard otherwise or the process was killed")
+{
+    Bench bench;
+    bench.judge.sent(lastingCall(bench, "a", Millis{5000}, Millis{1000}));
+    SUBCASE("read and thrown away")
+    {
+        bench.answer("a", 0, Millis{5200});
+        CHECK(bench.promises() == "silent ");
+    }
+    SUBCASE("also where the gateway was frozen, stopped or out of touch")
+    {
+        bench.judge.disturbances().begin(SoakJudge::gatewaySubject(0), Millis{5000});
+        bench.judge.disturbances().begin(SoakJudge::gatewaySubject(0) + SoakJudge::unplannedSuffix, Millis{5000});
+        bench.answer("a", 0, Millis{5200});
+        CHECK(bench.promises() == "silent ");
+    }
+    SUBCASE("also where a target's fault spoilt its run")
+    {
+        bench.run("a", "t1", Millis{5050});
+        bench.judge.runEnded("a", "t1", RunEnd::Spoilt, Millis{5100});
+        bench.answer("a", 0, Millis{5200});
+        CHECK(bench.promises() == "silent ");
+    }
+    SUBCASE("killed meanwhile")
+    {
+        bench.judge.disturbances().begin(SoakJudge::gatewaySubject(0) + SoakJudge::killedSuffix, Millis{5100});
+        bench.answer("a", 0, Millis{5200});
+        CHECK(bench.promises().empty());
+    }
+    SUBCASE("killed long before")
+    {
+        const std::string subject = SoakJudge::gatewaySubject(0) + SoakJudge::killedSuffix;
+        bench.judge.disturbances().begin(subject, Millis{3000});
+        bench.judge.disturbances().end(subject, Millis{4000});
+        bench.answer("a", 0, Millis{5200});
+        CHECK(bench.promises() == "silent ");
+    }
+    SUBCASE("refused by the gateway's kernel")
+    {
+        SoakAnswer unread;
+        unread.isUnread = true;
+        bench.judge.answered("a", unread, Millis{5200});
+        CHECK(bench.promises().empty());
+    }
+}
+
+TEST_CASE("a request that passed a relay may have been lost there")
+{
+    Bench bench;
+    bench.send("a", Millis{5000});
+    bench.answer("a", 0, Millis{5200});
+    CHECK(bench.promises().empty());
+}
+
+TEST_CASE("what a kernel refused has not run and never runs")
+{
+    Bench bench;
+    SoakAnswer unread;
+    unread.isUnread = true;
+    SUBCASE("before")
+    {
+        bench.judge.sent(lastingCall(bench, "a", Millis{5000}, Millis{1000}));
+        bench.run("a", "t1", Millis{5050});
+        bench.judge.answered("a", unread, Millis{5200});
+    }
+    SUBCASE("after")
+    {
+        bench.judge.sent(lastingCall(bench, "a", Millis{5000}, Millis{1000}));
+        bench.judge.answered("a", unread, Millis{5200});
+        bench.run("a", "t1", Millis{5250});
+    }
+    CHECK(bench.promises() == "refused ");
+}
+
+TEST_CASE("a connection that was idle for less than callers may leave it is not closed to them")
+{
+    Bench bench;
+    GatewayConfiguration longer = version(2, "desk", "k1");
+    longer.limits.idleTime = Millis{2000};
+    bench.judge.configurationAcknowledged(longer, Millis{10});
+    SoakAnswer unread;
+    unread.isUnread = true;
+    const auto meet = [&bench, &unread](const std::string &id, Millis idleFor) {
+        bench.judge.sent(lastingCall(bench, id, Millis{5000}, idleFor));
+        bench.judge.answered(id, unread, Millis{5010});
+    };
+    SUBCASE("too early, by more than what this machine's scheduling takes")
+    {
+        meet("a", Millis{490});
+        CHECK(bench.promises() == "kept ");
+    }
+    SUBCASE("near the limit")
+    {
+        meet("a", Millis{510});
+        CHECK(bench.promises().empty());
+    }
+    SUBCASE("at a gateway that stops")
+    {
+        bench.judge.disturbances().begin(SoakJudge::gatewaySubject(0), Millis{4900});
+        meet("a", Millis{100});
+        CHECK(bench.promises().empty());
+    }
+}
+
+TEST_CASE("an unread request was not served where it opened its connection, and does not count on a kept one")
+{
+    Bench bench;
+    SoakAnswer unread;
+    unread.isUnread = true;
+    const auto meet = [&bench, &unread](const std::string &id, bool isFirst) {
+        SoakCall call = lastingCall(bench, id, Millis{5000}, Millis{4000});
+        call.isFirst = isFirst;
+        bench.judge.sent(call);
+        bench.judge.answered(id, unread, Millis{5010});
+    };
+    meet("kept", false);
+    CHECK(bench.judge.sentSince(Millis{0}) == 0);
+    meet("first", true);
+    CHECK(bench.judge.unread() == 2);
+    CHECK(bench.judge.sentSince(Millis{0}) == 1);
+    CHECK(bench.judge.servedSince(Millis{0}) == 0);
+}
+
+TEST_CASE("no gateway writes that it threw bytes away after it closed an unused connection")
+{
+    Bench bench;
+    const std::string line = "warning part=entry bytes thrown away after a close connection=7 bytes=222 why=";
+    bench.judge.logged(0, line + "answered", Millis{100});
+    bench.judge.logged(0, line + "unreadable", Millis{100});
+    bench.judge.logged(0, "connection closed why=idle", Millis{100});
+    CHECK(bench.promises().empty());
+    bench.judge.logged(0, line + "idle", Millis{100});
+    bench.judge.logged(0, line + "stopping", Millis{100});
+    CHECK(bench.promises() == "silent silent ");
+}
--- a/lab/soak/soakoperator.cpp
+++ b/lab/soak/soakoperator.cpp
@@ -44,7 +44,7 @@
         this->configuration.organisations.push_back({OrganisationId{name}, {name + "-key-0"}, std::nullopt});
         this->offered.keys.push_back({name, name + "-key-0"});
     }
-    this->configuration.limits.idleTime = Millis{4000};
+    this->configuration.limits.idleTime = soakIdleTime;
 }
 
 void SoakOperator::publish()
--- a/lab/soak/soakoperator.h
+++ b/lab/soak/soakoperator.h
@@ -7,7 +7,7 @@
 //     operator_.publishFirst();
 //     operator_.addRoute(Millis::monotonicNow());
 
-#include "lab/soak/soakcaller.h"
+#include "lab/soak/calldraw.h"
 #include "lab/soak/soakjudge.h"
 #include "lab/soak/soakstore.h"
 
--- a/lab/soak/soakrecords.h
+++ b/lab/soak/soakrecords.h
@@ -18,6 +18,14 @@
 
 namespace Lab {
 
+/** How long a caller's connection may be idle: so short that a run of half a minute sees it end many times, and longer
+ * than the shorter notice of a stop, which then finds unused connections to close. */
+inline constexpr Millis soakIdleTime{2000};
+
+/** Plain answers to calls whose ids begin so are wide: their callers read slowly. */
+inline constexpr const char *widePrefix = "w";
+inline constexpr std::size_t wideBytes = 200000;
+
 /** What callers ask for; each kind has a route of its own. */
 enum class CallKind {
     /** Runs at most once. */
@@ -56,6 +64,12 @@
     /** How long the caller said that it would wait. */
     Millis timeLeft;
     std::uint32_t mostTargets = 1;
+    /** Sent to the gateway's own socket. What a relay between them read and lost is not the gateway's. */
+    bool isDirect = false;
+    /** The first on its connection. */
+    bool isFirst = false;
+    /** How long the connection had been idle, by the caller's count. */
+    Millis idleFor;
 };
 
 /** The end of an attempt as its caller sees it. */
@@ -69,6 +83,8 @@
     /** Empty for an answer of a gateway's own. */
     std::string signature;
     std::string body;
+    /** No byte of an answer came, and the gateway's kernel refused the request: no process has read it. */
+    bool isUnread = false;
 };
 
 /** A request at a target. */
--- a/lab/soak/soakrun.cpp
+++ b/lab/soak/soakrun.cpp
@@ -1,5 +1,6 @@
 #include "lab/soak/soakrun.h"
 
+#include "lab/soak/lastingcaller.h"
 #include "lab/soak/soakcaller.h"
 #include "lab/soak/soakgateway.h"
 #include "lab/soak/soakjudge.h"
@@ -16,6 +17,7 @@
 #include <fstream>
 #include <functional>
 #include <map>
+#include <sstream>
 #include <utility>
 
 namespace Sequoiausher::Lab {
@@ -35,6 +37,8 @@
 constexpr std::size_t leastServedPercent = 95;
 /** A stopped gateway is gone so long after SIGTERM: its grace and what it takes to end. */
 constexpr Millis longestStop{9000};
+/** Before this a gateway that stops cuts no request: a little less than the part of its grace after which it does. */
+constexpr Millis uncutStop{7300};
 /** Longer than any wait here. */
 constexpr Millis endless{3600000};
 /** The pause before a process that ended is started again. */
@@ -91,6 +95,7 @@
     void strikeLink(Relay &relay, const Link &link, Millis span, const std::vector<std::string> &subjects);
     void killGateway(std::size_t number, Millis down);
     void stopGateway(std::size_t number);
+    void mayCut(std::size_t number, std::uint64_t life);
     void startGateway(std::size_t number);
     void startTarget(TargetPlace &place, const std::string &service);
     void listTarget(TargetPlace &place, bool isLeaving);
@@ -100,6 +105,8 @@
     std::optional<SoakEntry> pick();
     void note(const std::string &line);
     static std::string unplanned(std::size_t gateway);
+    static std::string killed(std::size_t gateway);
+    void readLogs(Millis now);
     void finish(SoakResult &result, Millis calmFrom);
 
     SoakOptions options;
@@ -110,6 +117,7 @@
     std::vector<std::unique_ptr<SoakGateway>> gateways;
     std::vector<TargetPlace> places;
     std::vector<std::unique_ptr<SoakCaller>> callers;
+    std::vector<std::unique_ptr<LastingCaller>> lasting;
     std::multimap<Millis, std::function<void()>> actions;
     QTimer timer;
     std::ofstream log;
@@ -143,6 +151,11 @@
     return SoakJudge::gatewaySubject(gateway) + SoakJudge::unplannedSuffix;
 }
 
+std::string SoakRun::Private::killed(std::size_t gateway)
+{
+    return SoakJudge::gatewaySubject(gateway) + SoakJudge::killedSuffix;
+}
+
 void SoakRun::Private::note(const std::string &line)
 {
     this->log << Millis::wallNow().count << " " << (Millis::monotonicNow() - this->startedAt).count << " " << line
@@ -190,8 +203,8 @@
     this->administrator.publishFirst();
     std::vector<std::string> seeds;
     for (std::size_t i = 0; i < this->options.gateways; ++i) {
-        this->gateways.push_back(
-            std::make_unique<SoakGateway>(i, this->options.folder, endpointOf(this->store.address())));
+        this->gateways.push_back(std::make_unique<SoakGateway>(
+            i, this->options.folder, endpointOf(this->store.address()), this->options.program));
         if (seeds.size() < 3) {
             seeds.push_back(this->gateways.back()->peerAddress());
         }
@@ -211,6 +224,14 @@
             [this] { return this->pick(); },
             this->random()));
     }
+    for (std::size_t i = 0; i < this->options.gateways * this->options.lastingEach; ++i) {
+        this->lasting.push_back(std::make_unique<LastingCaller>(
+            static_cast<std::uint32_t>(i),
+            this->judge,
+            this->administrator.offer(),
+            [this] { return this->pick(); },
+            this->random()));
+    }
     this->lastTick = Millis::monotonicNow();
     QObject::connect(&this->timer, &QTimer::timeout, [this] { this->tick(); });
     this->timer.setTimerType(Qt::PreciseTimer);
@@ -242,6 +263,9 @@
     for (const auto &caller : this->callers) {
         caller->tick(now);
     }
+    for (const auto &caller : this->lasting) {
+        caller->tick(now);
+    }
     const std::size_t before = this->judge.violations().size();
     this->judge.tick(now);
     for (std::size_t i = before; i < this->judge.violations().size(); ++i) {
@@ -285,7 +309,7 @@
     }
     this->during(
         down,
-        {SoakJudge::gatewaySubject(number), unplanned(number)},
+        {SoakJudge::gatewaySubject(number), unplanned(number), killed(number)},
         [&gateway] {
             gateway.isEndExpected = true;
             gateway.process().kill();
@@ -323,10 +347,25 @@
         gateway.process().kill();
         this->after(restartPause, [this, number] {
             this->startGateway(number);
+            this->judge.disturbances().end(killed(number), Millis::monotonicNow());
             this->judge.disturbances().end(SoakJudge::gatewaySubject(number), Millis::monotonicNow());
         });
     };
     this->after(pollInterval, [look] { (*look)(); });
+    this->after(uncutStop, [this, number, life = gateway.life()] { this->mayCut(number, life); });
+}
+
+// At the end of its grace a gateway cuts what it has not answered. Every route's time is shorter, so it may have such
+// requests only where the plan made it stand still meanwhile.
+void SoakRun::Private::mayCut(std::size_t number, std::uint64_t life)
+{
+    const SoakGateway &gateway = *this->gateways[number];
+    const Millis now = Millis::monotonicNow();
+    const bool isUntouched
+        = this->judge.disturbances().isUntouched(unplanned(number), gateway.stopAsked - Millis{1}, now);
+    if (gateway.life() == life && gateway.isEndExpected && !isUntouched) {
+        this->judge.disturbances().begin(killed(number), now);
+    }
 }
 
 void SoakRun::Private::strikeLink(Relay &relay, const Link &link, Millis span, const std::vector<std::string> &subjects)
@@ -612,14 +651,26 @@
     }
 }
 
+void SoakRun::Private::readLogs(Millis now)
+{
+    for (std::size_t i = 0; i < this->gateways.size(); ++i) {
+        std::istringstream lines(this->gateways[i]->process().output());
+        for (std::string line; std::getline(lines, line);) {
+            this->judge.logged(i, line, now);
+        }
+    }
+}
+
 void SoakRun::Private::finish(SoakResult &result, Millis calmFrom)
 {
     const Millis now = Millis::monotonicNow();
+    this->readLogs(now);
     this->judge.finish(now);
     result.sent = this->judge.sentSince(Millis{0});
     result.served = this->judge.servedSince(Millis{0});
     result.lastSent = this->judge.sentSince(calmFrom);
     result.lastServed = this->judge.servedSince(calmFrom);
+    result.unread = this->judge.unread();
     result.longestPause = this->longestPause;
     if (result.lastSent == 0 || result.lastServed * 100 < result.lastSent * leastServedPercent) {
         this->judge.broken("recover",
@@ -660,6 +711,9 @@
     for (const auto &caller : this->d->callers) {
         caller->rest();
     }
+    for (const auto &caller : this->d->lasting) {
+        caller->rest();
+    }
     LabCaller::waitFor([] { return false; }, Millis{500});
     SoakResult result;
     this->d->finish(result, calmFrom);
--- a/lab/soak/soakrun.h
+++ b/lab/soak/soakrun.h
@@ -22,6 +22,8 @@
     std::uint64_t seed = 1;
     std::size_t gateways = 5;
     std::size_t callersEach = 3;
+    /** Callers for each gateway that keep their connections until they are closed to them. */
+    std::size_t lastingEach = 2;
     /** How long faults begin; a warm-up before and a calm end come on top. */
     Millis faults{12000};
     /** The longest that one of them lasts: above the five seconds for which a key is good without a proof, the promise
@@ -29,6 +31,8 @@
     Millis longest{4000};
     /** Where settings and what the gateways write go; made where it is missing. */
     std::string folder;
+    /** The gateway to play, such as an older one; empty for the one that was built with the soak. */
+    std::string program;
 };
 
 struct SoakResult
@@ -39,6 +43,8 @@
     /** In the calm at the end. */
     std::size_t lastSent = 0;
     std::size_t lastServed = 0;
+    /** Calls that crossed the close of their connection, and that nobody read. */
+    std::size_t unread = 0;
     /** The longest that this process stood still: what the bounds in time were stretched by. */
     Millis longestPause;
 };
--- a/lab/soak/soaktarget.cpp
+++ b/lab/soak/soaktarget.cpp
@@ -14,6 +14,7 @@
 constexpr std::uint32_t plainSlots = 6;
 constexpr std::uint32_t streamSlots = 16;
 constexpr const char *streamService = "llm";
+constexpr std::size_t usualPadding = 200;
 /** How long a plain request and the first event take, and the pause between events. */
 constexpr std::int64_t leastWorkMs = 15;
 constexpr std::int64_t mostWorkMs = 60;
@@ -214,7 +215,9 @@
 void SoakTarget::answer(Work &work)
 {
     const std::string &id = work.order.attemptId;
-    const std::string body = "result of " + id + " by " + this->currentLife + std::string(200, '.');
+    const bool isWide = id.rfind(widePrefix, 0) == 0 && work.mood == TargetMood::Well;
+    const std::size_t padding = isWide ? wideBytes : usualPadding;
+    const std::string body = "result of " + id + " by " + this->currentLife + std::string(padding, '.');
     const auto signature
         = [this, &id](int status) { return this->currentLife + "." + id + "." + std::to_string(status); };
     this->judge.made(signature(200), 200, body);
--- a/sequoiausher/transport/stream/fakehttp.cpp
+++ b/sequoiausher/transport/stream/fakehttp.cpp
@@ -220,7 +220,10 @@
     this->body.clear();
     this->input.clear();
     this->reader.restart();
-    ::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0) {
+        // What cannot be sent has been read by nobody.
+        this->wasReset = true;
+    }
 }
 
 bool CrossingCaller::look()
@@ -229,6 +232,8 @@
     while (!this->hasEnd) {
         const ssize_t taken = recv(this->descriptor, buffer.data(), buffer.size(), 0);
         if (taken < 0) {
+            // The kernel tells a reset once, to whichever call comes first.
+            this->wasReset = this->wasReset || (errno != EAGAIN && errno != EINTR);
             break;
         }
         this->hasEnd = taken == 0;
