Bring about a long answer with a part of it twice, in a test that fails

Symptom, events and cause stand above the case in gatewaynodetest. Found by reading, while the decisions were parted from the wire. Figures, on the code as it is: of an answer of 3,000,000 bytes that breaks off after 2,000,000 the caller gets 5,000,000 and takes them for whole.

--- a/sequoiausher/transport/gateway/gatewaynodetest.cpp
+++ b/sequoiausher/transport/gateway/gatewaynodetest.cpp
@@ -213,6 +213,34 @@
           == "id-1");
 }
 
+// Symptom: a long answer was longer than its target's, with a part of it twice. Events: an answer of over a megabyte is
+// given as it comes; its target breaks off; the request may run twice, so another target gets it and answers from the
+// beginning. Cause: only a stream of events says where another target goes on.
+TEST_CASE("a long answer that breaks off in the middle is cut, not gone on with from the beginning")
+{
+    Bed bed;
+    FakeServer &one = bed.addTarget("t1", "desk");
+    FakeServer &two = bed.addTarget("t2", "desk");
+    const std::string whole(3000000, 'x');
+    for (FakeServer *target : {&one, &two}) {
+        target->answers = [&](FakeRequest &request) {
+            if (one.seen.size() + two.seen.size() > 1) {
+                request.reply("200 OK", whole);
+                return;
+            }
+            request.send("HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Signed: yes\r\nContent-Length: 3000000\r\n\r\n"
+                         + whole.substr(0, 2000000));
+            QTimer::singleShot(200, [request] { request.reset(); });
+        };
+    }
+    bed.start();
+    const CallerReply reply = bed.call("GET", "/look/1");
+    CHECK_FALSE(reply.isWhole);
+    CHECK(reply.hasEnded);
+    CHECK(reply.body.size() <= 2000000);
+    CHECK(one.seen.size() + two.seen.size() == 1);
+}
+
 TEST_CASE("a stream that runs at most once is cut off where its target broke, and does not look whole")
 {
     Bed bed;
