Cut off an answer that nobody can go on with, in place of beginning it anew inside itself

Cause: an answer of over a megabyte that is no stream is given as it comes. Where its target broke off and the request may run twice, another target got it and answered from the beginning, after the part that the caller had; the end of the second looked like the end of the whole. Ruled out: streams of events, which go on after the last whole event, and answers that are held until whole. Change: once a part of such an answer is given, no try follows (AttemptState::isContinuable), nor is a target left for another one; the caller's connection is cut off. Nor is a target left where the rule forbids a retry, which ended in a 502 before.

--- a/sequoiausher/coordination/gateway/attemptfate.cpp
+++ b/sequoiausher/coordination/gateway/attemptfate.cpp
@@ -14,7 +14,7 @@
     if (end == AttemptEnd::TimeUp || !state.isRetryAllowed || state.timeLeft < state.leastTime) {
         return false;
     }
-    if (state.targetsUsed >= state.mostTargets) {
+    if (state.targetsUsed >= state.mostTargets || (state.isAnswerBegun && !state.isContinuable)) {
         return false;
     }
     return state.isIdempotent || (surelyDidNotRun(end) && !state.mayHaveRun);
--- a/sequoiausher/coordination/gateway/attemptfate.h
+++ b/sequoiausher/coordination/gateway/attemptfate.h
@@ -62,6 +62,11 @@
     Millis leastTime{30};
     /** Another target is there, and the budget has a retry left. */
     bool isRetryAllowed = false;
+    /**
+     * Another target could go on with an answer that is begun, as it could with a stream of events. Any other answer
+     * would come from its beginning once more, and look whole.
+     */
+    bool isContinuable = true;
 };
 
 /** What follows. */
--- a/sequoiausher/coordination/gateway/attemptfatetest.cpp
+++ b/sequoiausher/coordination/gateway/attemptfatetest.cpp
@@ -67,6 +67,18 @@
     CHECK(afterAttempt(state, AttemptEnd::NoAnswer) == NextStep::SayUnknown);
 }
 
+TEST_CASE("an answer that nobody can go on with is cut off, however the try ended")
+{
+    for (const auto &end : nameTable<AttemptEnd>) {
+        AttemptState state = stateOf(true, true, true, 1, 2);
+        state.isContinuable = false;
+        CAPTURE(nameOf(end.value));
+        CHECK(afterAttempt(state, end.value) == NextStep::CutOff);
+        state.isAnswerBegun = false;
+        CHECK(afterAttempt(state, end.value) != NextStep::CutOff);
+    }
+}
+
 // The bound that everything rests on, over all states: what may have run and must run once is neither sent again nor
 // called not run.
 TEST_CASE("in no state does a request run twice that must run once")
--- a/sequoiausher/coordination/gateway/requestattempts.cpp
+++ b/sequoiausher/coordination/gateway/requestattempts.cpp
@@ -18,6 +18,11 @@
     this->used += 1;
 }
 
+void RequestAttempts::gaveFixedPart()
+{
+    this->isContinuable = false;
+}
+
 void RequestAttempts::ended(AttemptEnd end, bool mayHaveArrived)
 {
     if (end == AttemptEnd::NotSent) {
@@ -37,6 +42,7 @@
     state.mostTargets = this->bounds.mostTargets;
     state.timeLeft = this->bounds.deadline - now;
     state.isRetryAllowed = this->bounds.mayRetry;
+    state.isContinuable = this->isContinuable;
     if (afterAttempt(state, end) == NextStep::SendAgain) {
         state.isRetryAllowed = source.findTarget(now) && (this->used == 0 || this->pay(now, source));
     }
@@ -59,7 +65,8 @@
 
 bool RequestAttempts::mayRunElsewhere() const
 {
-    return this->bounds.isIdempotent && this->used < this->bounds.mostTargets;
+    const bool hasTries = this->bounds.mayRetry && this->used < this->bounds.mostTargets;
+    return hasTries && this->bounds.isIdempotent && this->isContinuable;
 }
 
 const std::vector<TargetId> &RequestAttempts::tried() const
--- a/sequoiausher/coordination/gateway/requestattempts.h
+++ b/sequoiausher/coordination/gateway/requestattempts.h
@@ -69,6 +69,8 @@
     void chose(const TargetId &target);
     /** The request goes to the target that was chosen last. */
     void sent();
+    /** The caller has a part of an answer that no other target can go on with. */
+    void gaveFixedPart();
     /** The try that was sent last is over. @param mayHaveArrived whether its target may have any byte of it. */
     void ended(AttemptEnd end, bool mayHaveArrived);
 
@@ -93,6 +95,7 @@
     std::vector<TargetId> triedTargets;
     std::uint32_t used = 0;
     bool mayHaveRun = false;
+    bool isContinuable = true;
     /** The budget has paid for the next retry already. */
     bool isRetryPaid = false;
 };
--- a/sequoiausher/coordination/gateway/requestattemptstest.cpp
+++ b/sequoiausher/coordination/gateway/requestattemptstest.cpp
@@ -304,3 +304,21 @@
                      });
     });
 }
+
+// Symptom: a request whose rule forbids a retry was given up early and answered 502; a long answer was cut although its
+// target had only paused. Cause: a wait was judged as if another target could take the request.
+TEST_CASE("a request waits for its target where no other one can take it")
+{
+    RequestAttempts again({true, 2, true, later});
+    again.sent();
+    CHECK(again.mayRunElsewhere());
+    again.gaveFixedPart();
+    CHECK_FALSE(again.mayRunElsewhere());
+    CountingSource source;
+    again.ended(AttemptEnd::Broken, true);
+    CHECK(again.next(AttemptEnd::Broken, true, now, source) == NextStep::CutOff);
+    CHECK(source.retriesAsked == 0);
+    RequestAttempts fixed({true, 2, false, later});
+    fixed.sent();
+    CHECK_FALSE(fixed.mayRunElsewhere());
+}
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -349,6 +349,8 @@
     }
     if (this->d->answer.isEventStream()) {
         this->d->noteFirstPart(now);
+    } else {
+        this->d->attempts.gaveFixedPart();
     }
     this->d->answer.give();
 }
