Let one gateway of a fleet read the store for all, and each rest on words whose age it can count

Change: StoreDuty, a decision without network. A report's age of the store is now counted back from the report that it answers, so it goes on truly through hubs; the first hub reads, the second takes over after 0.7 s and a fifth of the bound for leaving targets, the other hubs a round later, others after a fifth more. A first reading counts as knowledge. A watch goes on from the revision that peers brought, in place of reading all again. A hub that leaves one report unanswered is asked beside the next one. Where a hub is in touch and knows nothing, gateways try in turn, ten a second in all. The bound for leaving targets is a setting (leave_ms). Calls are counted by reason on the metrics page, and each change between reading and resting is a line in the log. Ruled out: watch answers as proofs in place of readings of the configuration: in calm a watch waits for 1.4 s, and is as old by then; dated by its start it proves less than a reading.

The stand-in store of gatewaytestbed answered a watch from an old revision as if nothing had changed since; it now says that the history is gone, as the contract has it.

Figures: storedutytest plays 11 to 295 gateways: a start reads at most 1.5 times a gateway, ten calm seconds fewer than 30 times; the first hub dead, cut off or turned away; 88 of 295 cut off; the store away for all.

--- a/sequoiausher/coordination/gateway/peerdirectory.cpp
+++ b/sequoiausher/coordination/gateway/peerdirectory.cpp
@@ -49,8 +49,9 @@
             this->hubsKnown = true;
             this->hubsAt = now;
             this->currentHubs = this->findHubs(now);
-            this->selfIsHub
-                = std::find(this->currentHubs.begin(), this->currentHubs.end(), this->self) != this->currentHubs.end();
+            const auto found = std::find(this->currentHubs.begin(), this->currentHubs.end(), this->self);
+            this->selfIsHub = found != this->currentHubs.end();
+            this->selfRank = static_cast<std::size_t>(found - this->currentHubs.begin());
         }
         return this->currentHubs;
     }
@@ -63,6 +64,11 @@
         const InstanceId *instance = nullptr;
     };
 
+    static bool isBefore(const Candidate &a, const Candidate &b)
+    {
+        return a.strength != b.strength ? a.strength > b.strength : a.hash < b.hash;
+    }
+
     std::vector<Candidate> live(Millis now) const
     {
         std::vector<Candidate> all{{this->strength, hash64(this->self.value), &this->self}};
@@ -83,9 +89,6 @@
         // So many that a hub answers about as many gateways as there are hubs, four times over.
         const auto root = static_cast<std::size_t>(std::lround(std::sqrt(static_cast<double>(all.size())) / 2));
         const std::size_t count = std::min(std::max(fewestHubs, root), all.size());
-        const auto isBefore = [](const Candidate &a, const Candidate &b) {
-            return a.strength != b.strength ? a.strength > b.strength : a.hash < b.hash;
-        };
         std::partial_sort(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(count), all.end(), isBefore);
         std::vector<InstanceId> hubs;
         for (std::size_t i = 0; i < count; ++i) {
@@ -94,6 +97,19 @@
         return hubs;
     }
 
+    /** The hub to which this gateway turns where its own leaves it without an answer. */
+    const InstanceId &nextHub(const std::vector<InstanceId> &all) const
+    {
+        std::vector<const InstanceId *> others;
+        for (const InstanceId &each : all) {
+            if (each != this->hub) {
+                others.push_back(&each);
+            }
+        }
+        const std::uint64_t order = hash64(this->self.value, this->seed) + this->changes;
+        return others.empty() ? all.front() : *others[order % others.size()];
+    }
+
     Known &entryOf(const InstanceId &peer)
     {
         const auto [entry, isNew] = this->known.try_emplace(peer);
@@ -116,6 +132,7 @@
     std::vector<InstanceId> currentHubs;
     bool hubsKnown = false;
     bool selfIsHub = false;
+    std::size_t selfRank = 0;
     Millis hubsAt;
 };
 
@@ -164,7 +181,7 @@
 std::vector<DueReport> PeerDirectory::due(Millis now)
 {
     std::vector<DueReport> reports;
-    std::vector<InstanceId> hubs = this->d->hubs(now);
+    const std::vector<InstanceId> &hubs = this->d->hubs(now);
     if (hubs.empty()) {
         for (const InstanceId &peer : this->peers()) {
             reports.push_back({peer, !this->d->hasHeard});
@@ -181,14 +198,17 @@
     }
     const bool isGone = std::find(hubs.begin(), hubs.end(), this->d->hub) == hubs.end();
     if (isGone || this->d->unanswered >= mostUnanswered) {
+        this->d->hub = this->d->nextHub(hubs);
         this->d->changes += 1;
-        std::erase(hubs, this->d->hub);
-        const std::uint64_t order = hash64(this->d->self.value, this->d->seed) + this->d->changes;
-        this->d->hub = hubs[order % hubs.size()];
         this->d->unanswered = 0;
     }
+    reports.push_back({this->d->hub, true});
+    if (this->d->unanswered > 0 && hubs.size() > 1) {
+        // Where the hub is gone, the link to the next one is there once it is needed.
+        reports.push_back({this->d->nextHub(hubs), true});
+    }
     this->d->unanswered += 1;
-    return {{this->d->hub, true}};
+    return reports;
 }
 
 bool PeerDirectory::mustReply(const InstanceId &peer, const GatewayReport &report, Millis now) const
@@ -212,6 +232,19 @@
     return this->d->selfIsHub;
 }
 
+std::optional<std::size_t> PeerDirectory::hubRank(Millis now) const
+{
+    return this->isHub(now) ? std::optional(this->d->selfRank) : std::nullopt;
+}
+
+bool PeerDirectory::comesBefore(const InstanceId &peer) const
+{
+    const auto found = this->d->known.find(peer);
+    const Private::Candidate self{this->d->strength, hash64(this->d->self.value), &this->d->self};
+    return found != this->d->known.end()
+        && Private::isBefore({found->second.strength, found->second.hash, &peer}, self);
+}
+
 bool PeerDirectory::isHub(const InstanceId &peer) const
 {
     const auto found = this->d->known.find(peer);
@@ -239,6 +272,11 @@
     return {all.begin(), all.end()};
 }
 
+bool PeerDirectory::hasPeers() const
+{
+    return !this->d->seeds.empty() || !this->d->known.empty();
+}
+
 std::vector<GatewayMember> PeerDirectory::members(Millis now) const
 {
     std::vector<GatewayMember> all;
--- a/sequoiausher/coordination/gateway/peerdirectory.h
+++ b/sequoiausher/coordination/gateway/peerdirectory.h
@@ -19,6 +19,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace Sequoiausher {
@@ -59,6 +60,10 @@
     bool hasHubs(Millis now) const;
     /** Whether this gateway is one of them. */
     bool isHub(Millis now) const;
+    /** This gateway's place in the order of the hubs, 0 first; absent where it is none of them. */
+    std::optional<std::size_t> hubRank(Millis now) const;
+    /** Whether the peer comes before this gateway in the order by which hubs are chosen. */
+    bool comesBefore(const InstanceId &peer) const;
     /** Whether peer said that it is one. */
     bool isHub(const InstanceId &peer) const;
     /** Those peers that said so. */
@@ -66,6 +71,7 @@
 
     /** Those who may be sent to: seeds and whoever was heard of lately. */
     std::vector<InstanceId> peers() const;
+    bool hasPeers() const;
     /** Those heard of within a few seconds, without this gateway. */
     std::vector<GatewayMember> members(Millis now) const;
     /**
--- /dev/null
+++ b/sequoiausher/coordination/gateway/storeduty.h
@@ -0,0 +1,110 @@
+#pragma once
+
+// Whether a gateway reads the platform's store itself, or rests on what its peers read there. Every call to the store
+// is one that others do not get, and 300 gateways that all read it would make thousands of calls a second.
+//
+// In a fleet with hubs the first hub reads; the other hubs hear what it reads, and all others hear it from a hub. Each
+// report says how old its sender's knowledge of the store is at the most, counted back from the report that it answers:
+// so knowledge that goes around in a circle grows old, and whoever misses it reads for itself, the second hub soonest,
+// then the other hubs, then everybody. Nobody is elected: two that both take themselves for the first both read.
+//
+//     StoreDuty duty(settings, seed);
+//     duty.heard({report.storeAge, report.echo, isFromHub, isFirstHand, comesBefore}, now);
+//     watcher.setResting(duty.mayRest(role, now));
+
+#include "sequoiausher/base/millis.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+
+namespace Sequoiausher {
+
+/** The bounds that reading must keep. */
+struct StoreDutySettings
+{
+    /** So long after the store's word that a target leaves, no gateway may send it anything. */
+    Millis leaveBound{2000};
+    /** So long after a key was taken away it may open routes. */
+    Millis keyFreshness{5000};
+    /** How old the proof of the configuration may get where all read, before one of them reads it again. */
+    Millis proofInterval{800};
+};
+
+/** What a peer's report says of the store. */
+struct StoreWord
+{
+    /** How old the sender's knowledge is; never() where it has none. */
+    Millis age = Millis::never();
+    /** When the receiver sent the report that the sender had before; 0 for none. */
+    Millis echo;
+    bool isFromHub = false;
+    /** The sender reads the store itself. */
+    bool isFirstHand = false;
+    /** Among hubs the sender comes before the receiver. */
+    bool comesBefore = false;
+};
+
+/** What this gateway is to the fleet, as it sees it. */
+struct StoreRole
+{
+    /** There are others that it knows by name. */
+    bool hasPeers = false;
+    bool hasHubs = false;
+    /** This gateway's place among the hubs, 0 first; absent where it is none. */
+    std::optional<std::size_t> hubRank;
+    std::size_t fleetSize = 1;
+};
+
+/** The longest pause between two calls that fail, where nobody else tries. */
+inline constexpr Millis usualStorePause{800};
+
+/** One gateway's part in reading the store. Not thread-safe. */
+class StoreDuty
+{
+public:
+    /** @param seed of the generator by which gateways that must try do so one after the other. */
+    StoreDuty(const StoreDutySettings &settings, std::uint64_t seed);
+
+    void setSettings(const StoreDutySettings &with);
+    /** The store answered this gateway itself. */
+    void answered(Millis now);
+    /** This gateway has read all of it for the first time, beginning at the moment at. */
+    void readAll(Millis at);
+    void heard(const StoreWord &word, Millis now);
+
+    /** Whether this gateway lists and watches nothing for now. */
+    bool mayRest(const StoreRole &role, Millis now) const;
+    /** Whether the store answers this gateway itself. */
+    bool isFirstHand(Millis now) const;
+    /** How old this gateway's knowledge is, whoever read it; never() where it has none. */
+    Millis knowledgeAge(Millis now) const;
+    /** Whether it is young enough to be told to others. */
+    bool mayTell(Millis now) const;
+    /** How old the proof of the configuration may get before this gateway reads it. */
+    Millis longestProofAge(const StoreRole &role, Millis now) const;
+    /** The longest pause between two calls that fail: the fleet together shall not press a store that is away. */
+    Millis longestPause(const StoreRole &role) const;
+
+private:
+    Millis firstHubPatience() const;
+    Millis hubPatience() const;
+    Millis patience() const;
+    /** By how much this gateway tries later than the first one does, where a hub in touch does not reach the store. */
+    Millis turn(const StoreRole &role) const;
+    bool isHubInTouch(Millis now) const;
+
+    StoreDutySettings settings;
+    /** From 0 up to 1: this gateway's place in the order in which all try. */
+    double place = 0;
+    Millis answeredAt;
+    Millis readAllAt;
+    /** What is surely known of the store by peers' words: all up to that moment. */
+    Millis knownAt;
+    /** The same by hubs that come before this one and read the store themselves. */
+    Millis knownByBetterAt;
+    /** When the newest report was sent that a hub answered. */
+    Millis hubHeardAt;
+};
+
+} // namespace Sequoiausher
--- /dev/null
+++ b/sequoiausher/coordination/gateway/storedutytest.cpp
@@ -0,0 +1,335 @@
+#include "sequoiausher/coordination/gateway/storeduty.h"
+
+#include "sequoiausher/coordination/gateway/peerdirectory.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+#include <utility>
+
+using namespace Sequoiausher;
+
+namespace {
+
+constexpr Millis tick{50};
+constexpr Millis travel{10};
+constexpr StoreDutySettings settings{Millis{4000}, Millis{5000}, Millis{800}};
+
+InstanceId nameOf(std::size_t i)
+{
+    return InstanceId{"10.0.0." + std::to_string(i) + ":8229"};
+}
+
+/** A fleet whose gateways report to each other, and of which some read a store. All start at second 1. */
+class Fleet
+{
+public:
+    explicit Fleet(std::size_t size) : random(size)
+    {
+        for (std::size_t i = 0; i < size; ++i) {
+            const std::vector<InstanceId> seeds{nameOf(0), nameOf(1), nameOf(999)};
+            Gateway &gateway = this->gateways.emplace_back(nameOf(i), seeds, i);
+            gateway.directory.setStrength(static_cast<std::uint16_t>(i % 7));
+            gateway.nextRound = Millis{1000} + Millis{static_cast<std::int64_t>(this->random() % 300)};
+        }
+    }
+
+    /** Goes on for so long; the count of readings and of watches that were begun. */
+    std::size_t run(Millis time)
+    {
+        const std::size_t before = this->readings;
+        for (const Millis end = this->now + time; this->now < end; this->now = this->now + tick) {
+            this->deliver();
+            for (std::size_t i = 0; i < this->gateways.size(); ++i) {
+                if (!this->dead.contains(i)) {
+                    this->turn(i);
+                }
+            }
+        }
+        return this->readings - before;
+    }
+
+    /** The oldest knowledge that any gateway has which is alive and in touch with the others. */
+    Millis oldestKnowledge() const
+    {
+        Millis oldest;
+        for (std::size_t i = 0; i < this->gateways.size(); ++i) {
+            if (!this->dead.contains(i) && !this->apart.contains(i)) {
+                oldest = std::max(oldest, this->gateways[i].duty.knowledgeAge(this->now));
+            }
+        }
+        return oldest;
+    }
+
+    std::size_t readers() const
+    {
+        std::size_t count = 0;
+        for (std::size_t i = 0; i < this->gateways.size(); ++i) {
+            count += !this->dead.contains(i) && !this->gateways[i].duty.mayRest(this->roleOf(i), this->now) ? 1 : 0;
+        }
+        return count;
+    }
+
+    /** The first hub by everybody's order. */
+    std::size_t firstHub() const
+    {
+        for (std::size_t i = 0; i < this->gateways.size(); ++i) {
+            if (this->gateways[i].directory.hubRank(this->now) == std::size_t{0}) {
+                return i;
+            }
+        }
+        return 0;
+    }
+
+    std::set<std::size_t> dead;
+    /** Those that neither reach the others nor the store. */
+    std::set<std::size_t> apart;
+    /** Those that the store turns away. */
+    std::set<std::size_t> turnedAway;
+
+private:
+    struct Gateway
+    {
+        Gateway(const InstanceId &name, const std::vector<InstanceId> &seeds, std::uint64_t seed)
+            : directory(name, seeds, seed)
+            , duty(settings, seed)
+        {
+        }
+
+        PeerDirectory directory;
+        StoreDuty duty;
+        Millis nextRound;
+        Millis nextRead;
+        bool wasResting = false;
+    };
+
+    struct Message
+    {
+        Millis at;
+        std::size_t from = 0;
+        std::size_t to = 0;
+        GatewayReport report;
+    };
+
+    StoreRole roleOf(std::size_t i) const
+    {
+        const PeerDirectory &directory = this->gateways[i].directory;
+        return {true, directory.hasHubs(this->now), directory.hubRank(this->now), directory.fleetSize(this->now)};
+    }
+
+    void turn(std::size_t i)
+    {
+        Gateway &gateway = this->gateways[i];
+        const StoreRole role = this->roleOf(i);
+        const bool rests = gateway.duty.mayRest(role, this->now);
+        if (!rests && (this->now >= gateway.nextRead || gateway.wasResting)) {
+            this->read(gateway, i);
+            gateway.nextRead = this->now
+                + (this->reaches(i) ? gateway.duty.longestProofAge(role, this->now) : gateway.duty.longestPause(role));
+        }
+        gateway.wasResting = rests;
+        if (this->now >= gateway.nextRound) {
+            gateway.nextRound = this->now + reportInterval;
+            for (const DueReport &due : gateway.directory.due(this->now)) {
+                this->send(i, due.peer, due.wantsReply, false);
+            }
+        }
+    }
+
+    bool reaches(std::size_t i) const
+    {
+        return !this->apart.contains(i) && !this->turnedAway.contains(i);
+    }
+
+    void read(Gateway &gateway, std::size_t i)
+    {
+        // A call of one that is cut off reaches nobody.
+        this->readings += this->apart.contains(i) ? 0 : 1;
+        if (this->reaches(i)) {
+            gateway.duty.answered(this->now);
+            gateway.duty.readAll(this->now);
+        }
+    }
+
+    void send(std::size_t from, const InstanceId &to, bool wantsReply, bool isReply)
+    {
+        const Gateway &gateway = this->gateways[from];
+        for (std::size_t i = 0; i < this->gateways.size(); ++i) {
+            if (nameOf(i) == to) {
+                GatewayReport report;
+                report.sentAt = this->now;
+                report.echo = gateway.directory.newestFrom(to);
+                report.storeAge = gateway.duty.knowledgeAge(this->now);
+                report.isHub = gateway.directory.isHub(this->now);
+                report.isResting
+                    = gateway.duty.mayRest(this->roleOf(from), this->now) || !gateway.duty.isFirstHand(this->now);
+                report.strength = static_cast<std::uint16_t>(from % 7);
+                report.wantsReply = wantsReply;
+                report.isReply = isReply;
+                if (isReply || report.isHub || !gateway.directory.hasHubs(this->now)) {
+                    report.members = gateway.directory.members(this->now);
+                }
+                this->messages.push_back({this->now + travel, from, i, std::move(report)});
+            }
+        }
+    }
+
+    void deliver()
+    {
+        const std::deque<Message> due = std::exchange(this->messages, {});
+        for (const Message &message : due) {
+            const bool isLost = this->dead.contains(message.to) || this->dead.contains(message.from)
+                || this->apart.contains(message.to) || this->apart.contains(message.from);
+            if (!isLost) {
+                this->receive(message);
+            }
+        }
+    }
+
+    void receive(const Message &message)
+    {
+        Gateway &gateway = this->gateways[message.to];
+        const InstanceId from = nameOf(message.from);
+        const GatewayReport &report = message.report;
+        gateway.directory.heardFrom(from, report, this->now);
+        const bool comesBefore = gateway.directory.comesBefore(from);
+        gateway.duty.heard({report.storeAge, report.echo, report.isHub, !report.isResting, comesBefore}, this->now);
+        if (gateway.directory.mustReply(from, report, this->now)) {
+            this->send(message.to, from, false, true);
+        }
+    }
+
+    std::mt19937_64 random;
+    Millis now{1000};
+    mutable std::deque<Gateway> gateways;
+    std::deque<Message> messages;
+    std::size_t readings = 0;
+};
+
+} // namespace
+
+TEST_CASE("knowledge is as old as the report that it answers, and older by its sender's age")
+{
+    StoreDuty duty(settings, 1);
+    const StoreRole role{true, true, std::nullopt, 100};
+    CHECK(duty.knowledgeAge(Millis{10000}) == Millis::never());
+    CHECK_FALSE(duty.mayRest(role, Millis{10000}));
+    duty.heard({Millis{500}, Millis{0}, true, true, true}, Millis{10000});
+    duty.heard({Millis::never(), Millis{9900}, true, true, true}, Millis{10000});
+    CHECK(duty.knowledgeAge(Millis{10000}) == Millis::never());
+    duty.heard({Millis{500}, Millis{9900}, true, true, true}, Millis{10000});
+    CHECK(duty.knowledgeAge(Millis{10000}) == Millis{600});
+    CHECK(duty.mayRest(role, Millis{10000}));
+    CHECK(duty.mayTell(Millis{10000}));
+    CHECK_FALSE(duty.isFirstHand(Millis{10000}));
+    duty.answered(Millis{10000});
+    CHECK(duty.isFirstHand(Millis{10000}));
+    CHECK(duty.knowledgeAge(Millis{10000}) == Millis{0});
+}
+
+TEST_CASE("a gateway of a small fleet reads by itself, and a lone one at once")
+{
+    StoreDuty duty(settings, 1);
+    duty.readAll(Millis{1000});
+    CHECK(duty.mayRest({true, false, std::nullopt, 12}, Millis{1100}));
+    CHECK_FALSE(duty.mayRest({true, false, std::nullopt, 7}, Millis{2500}));
+    CHECK_FALSE(duty.mayRest({false, false, std::nullopt, 1}, Millis{1100}));
+    CHECK(duty.longestProofAge({true, false, std::nullopt, 7}, Millis{2500}) == settings.proofInterval);
+}
+
+// Symptom: 295 gateways that start together called the store 2,600 times, and nine hubs twice a second each after that.
+// Events: each reads, proves and watches by itself until it has found a hub; then every hub watches the same.
+// Cause: a gateway's own first reading did not count, and hubs did not count on each other.
+TEST_CASE("a fleet that starts together reads once each, and then one reads for all")
+{
+    for (const std::size_t size : {11UL, 18UL, 66UL, 295UL}) {
+        CAPTURE(size);
+        Fleet fleet(size);
+        CHECK(fleet.run(Millis{3000}) < size * 3 / 2 + 20);
+        CHECK(fleet.run(Millis{10000}) < 30);
+        CHECK(fleet.readers() == 1);
+        for (int step = 0; step < 40; ++step) {
+            fleet.run(Millis{70});
+            CHECK(fleet.oldestKnowledge() < Millis{2000});
+        }
+    }
+}
+
+// Symptom: a target that had left got requests from many gateways. Events: the first hub dies, is cut off or turned
+// away by the store, and a target leaves in that moment. Cause: nobody else read the store.
+TEST_CASE("where the first hub no longer reads, another one does within the bound, and not all")
+{
+    for (const std::size_t size : {18UL, 295UL}) {
+        CAPTURE(size);
+        Fleet fleet(size);
+        fleet.run(Millis{6000});
+        const std::size_t first = fleet.firstHub();
+        SUBCASE("it is dead")
+        {
+            fleet.dead.insert(first);
+        }
+        SUBCASE("it is cut off")
+        {
+            fleet.apart.insert(first);
+        }
+        SUBCASE("the store turns it away")
+        {
+            fleet.turnedAway.insert(first);
+        }
+        Millis oldest;
+        std::size_t readings = 0;
+        for (int step = 0; step < 100; ++step) {
+            readings += fleet.run(Millis{50});
+            oldest = std::max(oldest, fleet.oldestKnowledge());
+        }
+        CHECK(oldest < settings.leaveBound * 3 / 4);
+        CHECK(readings < 60);
+    }
+}
+
+// Symptom: while 88 gateways of 295 were cut off, the others called the store 3,000 times in eight seconds.
+// Events: a third of them loses its hub; finding another takes longer than a gateway waits before it reads everything.
+// Cause: the next hub was asked only once the old one had failed, and a rest ended with a reading of everything.
+TEST_CASE("gateways that lose their hub find another one before they read by themselves")
+{
+    Fleet fleet(295);
+    fleet.run(Millis{6000});
+    std::mt19937 random(1);
+    while (fleet.apart.size() < 88) {
+        fleet.apart.insert(random() % 295);
+    }
+    CHECK(fleet.run(Millis{8000}) < 150);
+    CHECK(fleet.oldestKnowledge() < settings.leaveBound * 3 / 4);
+}
+
+// Symptom: in an outage of 4.5 s a fleet of 295 made 2,000 calls. Cause: each tried by itself as soon as hubs knew
+// nothing, though these tried all the while.
+TEST_CASE("while the store is away for all, the fleet tries some ten times a second")
+{
+    Fleet fleet(295);
+    fleet.run(Millis{6000});
+    for (std::size_t i = 0; i < 295; ++i) {
+        fleet.turnedAway.insert(i);
+    }
+    CHECK(fleet.run(Millis{4500}) < 150);
+    fleet.turnedAway.clear();
+    fleet.run(Millis{1500});
+    CHECK(fleet.oldestKnowledge() < Millis{2000});
+}
+
+TEST_CASE("where the store turns away all hubs, what the others read reaches everybody")
+{
+    Fleet fleet(66);
+    fleet.run(Millis{6000});
+    for (std::size_t i = 0; i < 66; ++i) {
+        if (i % 7 >= 5) {
+            fleet.turnedAway.insert(i);
+        }
+    }
+    fleet.run(Millis{5000});
+    CHECK(fleet.oldestKnowledge() < settings.leaveBound);
+}
--- a/sequoiausher/coordination/gateway/targetboard.cpp
+++ b/sequoiausher/coordination/gateway/targetboard.cpp
@@ -262,6 +262,17 @@
     }
 }
 
+void TargetBoard::forgetPeersBut(const InstanceId &peer)
+{
+    std::erase_if(this->d->peers, [this, &peer](const auto &entry) {
+        const bool isOther = entry.first != peer;
+        if (isOther) {
+            this->d->forget(entry.second);
+        }
+        return isOther;
+    });
+}
+
 void TargetBoard::setOtherGateways(std::size_t count)
 {
     this->d->otherGateways = count;
--- a/sequoiausher/coordination/gateway/targetboard.h
+++ b/sequoiausher/coordination/gateway/targetboard.h
@@ -74,6 +74,9 @@
     /** What a peer has in flight; replaces what it said before. */
     void peerReported(const InstanceId &peer, const std::vector<GatewayLoad> &loads, Millis now);
 
+    /** Forgets what all other peers said: peer speaks for them from now on. */
+    void forgetPeersBut(const InstanceId &peer);
+
     /** How many gateways choose targets beside this one. */
     void setOtherGateways(std::size_t count);
 
--- a/sequoiausher/protocol/settings/gatewaysettings.cpp
+++ b/sequoiausher/protocol/settings/gatewaysettings.cpp
@@ -108,6 +108,7 @@
     constexpr double minuteMs = 60000;
     constexpr double mostRepeats = 1000000;
     readMillis(section, "key_freshness_ms", 100, minuteMs, settings.keyFreshness);
+    readMillis(section, "leave_ms", 500, minuteMs, settings.leaveBound);
     readNumber(section, "repeat_ratio", 0, 1, settings.repeats.ratio);
     readNumber(section, "repeat_slack", 0, mostRepeats, settings.repeats.slack);
     readSeconds(section, "repeat_window_s", 1, 600, settings.repeats.window);
--- a/sequoiausher/protocol/settings/gatewaysettings.h
+++ b/sequoiausher/protocol/settings/gatewaysettings.h
@@ -67,6 +67,8 @@
     std::vector<InstanceId> seeds;
     /** How long after its publication a change of keys may take to be in force. */
     Millis keyFreshness{5000};
+    /** How long after the store's word that a target leaves it may get requests. */
+    Millis leaveBound{2000};
     RetryBudgetShareSettings repeats;
     GatewayStopSettings stop;
     LogSettings log;
--- a/sequoiausher/transport/gateway/gatewaycontext.cpp
+++ b/sequoiausher/transport/gateway/gatewaycontext.cpp
@@ -12,6 +12,11 @@
 
 } // namespace
 
+StoreDutySettings storeDutyOf(const GatewaySettings &settings)
+{
+    return {settings.leaveBound, settings.keyFreshness, settings.store.proofInterval};
+}
+
 GatewayContext::GatewayContext(const GatewayDialect &speaks,
                                const Log &writes,
                                Metrics &counts,
@@ -23,11 +28,17 @@
     , settings(with)
     , retryBudget(with.repeats)
     , peers(InstanceId{with.peerAddress}, with.seeds, seed)
+    , duty(storeDutyOf(with), seed)
     , board(seed)
     , random(seed)
 {
 }
 
+StoreRole GatewayContext::storeRole(Millis now) const
+{
+    return {this->peers.hasPeers(), this->peers.hasHubs(now), this->peers.hubRank(now), this->peers.fleetSize(now)};
+}
+
 Millis GatewayContext::proofAge(Millis now) const
 {
     return this->freshness.age(this->revision(), now);
--- a/sequoiausher/transport/gateway/gatewaycontext.h
+++ b/sequoiausher/transport/gateway/gatewaycontext.h
@@ -14,6 +14,7 @@
 #include "sequoiausher/coordination/gateway/prefixdirectory.h"
 #include "sequoiausher/coordination/gateway/retrybudgetshare.h"
 #include "sequoiausher/coordination/gateway/routetable.h"
+#include "sequoiausher/coordination/gateway/storeduty.h"
 #include "sequoiausher/coordination/gateway/targetboard.h"
 #include "sequoiausher/coordination/rules/ruleset.h"
 #include "sequoiausher/protocol/gateway/gatewaydialect.h"
@@ -31,6 +32,9 @@
 /** The name under which a rule speaks of the service that the route of the request leads to. */
 inline constexpr const char *routedPool = "routed";
 
+/** The part of the settings that says when a gateway reads the store. */
+StoreDutySettings storeDutyOf(const GatewaySettings &settings);
+
 /** The shared state. */
 struct GatewayContext
 {
@@ -48,6 +52,8 @@
     CallerLimits callerLimits() const;
     /** The revision of the configuration in force; 0 before the first. */
     Revision revision() const;
+    /** What this gateway is to those who read the store. */
+    StoreRole storeRole(Millis now) const;
     /** A span from least to twice least, so that those who were refused together do not return together. */
     Millis spread(Millis least);
     /** At random, from 0 up to 1. */
@@ -72,6 +78,7 @@
     Freshness freshness;
     RetryBudgetShare retryBudget;
     PeerDirectory peers;
+    StoreDuty duty;
     TargetBoard board;
     LoadShedder shedder;
     CallerPatience patience;
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -82,6 +82,7 @@
     /** A late tick's turn, once the sockets have been looked at. */
     void lateTurn();
     void tick();
+    void tickStore(Millis now);
     void tickCallers(Millis now);
     /** A copy: what is done with a connection may end it and so change the map. */
     std::vector<std::shared_ptr<CallerConnection>> allCallers() const;
@@ -142,6 +143,7 @@
     bool hasEndedRequests = false;
     bool isStopped = false;
     bool wasReady = false;
+    bool wasResting = false;
     Millis nextSuppressedAt;
     std::string changesNamed;
     std::size_t changeCount = 0;
@@ -174,7 +176,7 @@
 {
     const GatewaySettings &settings = this->context.settings;
     this->watcher = std::make_unique<StoreWatcher>(this->dialect, settings.store, settings.linkMbps, this->log, *this);
-    this->watcher->tick(Millis::monotonicNow(), Millis::never());
+    this->watcher->tick(Millis::monotonicNow(), Millis::never(), Millis{0});
 }
 
 void GatewayNode::Private::reload(const GatewaySettings &settings)
@@ -187,6 +189,7 @@
     }
     this->context.settings = settings;
     this->context.retryBudget.setSettings(settings.repeats);
+    this->context.duty.setSettings(storeDutyOf(settings));
     this->context.peers.setSeeds(settings.seeds);
     if (settings.store.address != storeBefore) {
         this->watchStore();
@@ -235,10 +238,7 @@
 void GatewayNode::Private::tick()
 {
     const Millis now = Millis::monotonicNow();
-    this->watcher->setResting(this->peers.mayRest(now));
-    this->watcher->setLongestPause(this->peers.longestStorePause(now));
-    // One that knows of a newer version than its own reads it without delay.
-    this->watcher->tick(now, this->context.isBehind() ? Millis::never() : this->context.proofAge(now));
+    this->tickStore(now);
     this->peers.tick(now);
     if (this->known.targets.tick(now)) {
         this->targetsChanged("missing entries did not come back");
@@ -264,6 +264,26 @@
     this->tickStop(now);
 }
 
+void GatewayNode::Private::tickStore(Millis now)
+{
+    const StoreDuty &duty = this->context.duty;
+    const StoreRole role = this->context.storeRole(now);
+    const bool rests = duty.mayRest(role, now);
+    if (rests != std::exchange(this->wasResting, rests)) {
+        const Millis age = duty.knowledgeAge(now);
+        this->log.info(LogPart::Platform,
+                       rests ? "peers read the store" : "reads the store itself",
+                       {{"knowledge_age_ms", age == Millis::never() ? "never" : std::to_string(age.count)},
+                        {"hub_rank", role.hubRank ? std::to_string(*role.hubRank) : "none"},
+                        {"gateways", std::to_string(role.fleetSize)}});
+    }
+    this->watcher->setResting(rests, this->known.targets.revision());
+    this->watcher->setLongestPause(duty.longestPause(role));
+    // One that knows of a newer version than its own reads it without delay.
+    const Millis age = this->context.isBehind() ? Millis::never() : this->context.proofAge(now);
+    this->watcher->tick(now, age, duty.longestProofAge(role, now));
+}
+
 std::vector<std::shared_ptr<CallerConnection>> GatewayNode::Private::allCallers() const
 {
     std::vector<std::shared_ptr<CallerConnection>> all;
@@ -376,8 +396,11 @@
     this->metrics.set("gateway_connections", static_cast<double>(this->callers.size()));
     this->metrics.set("gateway_accepted", static_cast<double>(this->context.connectionsAccepted));
     this->metrics.set("gateway_target_connections_opened", static_cast<double>(this->context.pools.dialled()));
-    this->metrics.set("gateway_store_calls", static_cast<double>(this->watcher->calls()));
-    this->metrics.set("gateway_resting", this->peers.mayRest(now) ? 1 : 0);
+    for (const auto &entry : nameTable<StoreCallReason>) {
+        const auto count = static_cast<double>(this->watcher->calls(entry.value));
+        this->metrics.set("gateway_store_calls_" + std::string(entry.name), count);
+    }
+    this->metrics.set("gateway_resting", this->context.duty.mayRest(this->context.storeRole(now), now) ? 1 : 0);
     this->metrics.set("gateway_peer_bytes_sent", static_cast<double>(this->peers.sentBytes()));
     return toPrometheus(this->metrics.snapshot());
 }
@@ -399,7 +422,7 @@
 
 void GatewayNode::Private::configurationRead(const StoredConfiguration &stored, std::optional<Millis> readAt)
 {
-    this->known.storeAnsweredAt = Millis::monotonicNow();
+    this->context.duty.answered(Millis::monotonicNow());
     if (stored.changedAt != this->readChangedAt) {
         if (stored.changedAt < this->readChangedAt) {
             return;
@@ -419,6 +442,9 @@
     }
     if (readAt) {
         this->context.freshness.proven(this->readRevision, *readAt);
+        if (!this->known.targets.empty()) {
+            this->context.duty.readAll(*readAt);
+        }
     }
     this->endStart();
 }
@@ -457,7 +483,7 @@
                                        const std::vector<TargetId> &unreadable,
                                        Revision at)
 {
-    this->known.storeAnsweredAt = Millis::monotonicNow();
+    this->context.duty.answered(Millis::monotonicNow());
     // A peer may have told of later changes already.
     if (at >= this->known.targets.revision()) {
         this->known.targets.replaceAll(targets, at, Millis::monotonicNow());
@@ -466,6 +492,9 @@
         }
         this->targetsChanged("list");
     }
+    if (this->context.table) {
+        this->context.duty.readAll(Millis::monotonicNow());
+    }
 }
 
 void GatewayNode::Private::targetWritten(const GatewayTarget &target, Revision at)
@@ -505,7 +534,7 @@
 
 void GatewayNode::Private::storeAnswered()
 {
-    this->known.storeAnsweredAt = Millis::monotonicNow();
+    this->context.duty.answered(Millis::monotonicNow());
 }
 
 void GatewayNode::Private::storeLost(const std::string & /*problem*/)
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -2,7 +2,6 @@
 
 #include "sequoiausher/base/error.h"
 #include "sequoiausher/protocol/gateway/targetstext.h"
-#include "sequoiausher/transport/gateway/storewatcher.h"
 #include "sequoiausher/transport/peers/peermesh.h"
 
 #include <QByteArray>
@@ -22,12 +21,6 @@
 constexpr Millis pushInterval{600};
 /** And a newer one after so long: in a storm of changes the newest is sent, not each. */
 constexpr Millis newerPushInterval{250};
-/** A gateway whose store is silent for so long learns its targets from peers, and one with a younger word gives them.
- */
-constexpr Millis storeIsSilent{1500};
-constexpr Millis storeIsThere{1400};
-/** A gateway reads the store itself where no hub has vouched for so long: three rounds, one of which may be lost. */
-constexpr Millis vouchLife{1300};
 /**
  * A hub tells who there is in every so many rounds: at 300 gateways the list takes 12 KB of a report, and a member
  * counts for four times as long after it was heard of.
@@ -35,10 +28,6 @@
 constexpr std::uint64_t membersEvery = 4;
 /** A link on which nothing is heard for so long has gone silent; reports come several times in it. */
 constexpr Millis linkSilence{1500};
-/** A fleet shall call a store that does not answer some ten times a second in all. */
-constexpr Millis storePauseOfEach{100};
-/** A gateway that alone reaches the store, or alone lost its peers, must hear of a target that leaves in time. */
-constexpr Millis longestStorePauseOfAny{4000};
 constexpr Millis longestRedial{800};
 
 LinkSettings linkSettings(const GatewaySettings &settings, Incarnation incarnation)
@@ -105,13 +94,11 @@
     void receive(const Document &document, const InstanceId &from);
     void sendReports(Millis now);
     GatewayReport reportFor(const InstanceId &peer, Millis now);
-    bool mayRest(Millis now) const;
     void pushTo(const InstanceId &peer, const GatewayReport &report, Millis now);
     void pushTargets(const InstanceId &peer, Revision has, Millis now);
     /** What one lacks whose list is complete up to has: most lack the same, so it is written and packed once. */
     const Document &targetsFrom(Revision has);
     void push(const InstanceId &peer, Document document, Millis now);
-    Millis storeAge(Millis now) const;
     void followPeers();
 
     struct Pushed
@@ -134,8 +121,6 @@
     Millis packedLetGoAt;
     Millis nextRoundAt;
     std::uint64_t round = 0;
-    /** When the report was sent that a hub with a fresh word of the store last answered. */
-    Millis hubVouchedAt;
 };
 
 GatewayPeers::GatewayPeers(GatewayContext &context, Incarnation incarnation, FirstHand &known, PeerNews &news)
@@ -186,11 +171,6 @@
     this->context.log.info(LogPart::Peers, "peers changed", {{"count", std::to_string(this->wanted.size())}});
 }
 
-Millis GatewayPeers::Private::storeAge(Millis now) const
-{
-    return this->known.storeAnsweredAt == Millis{0} ? Millis::never() : now - this->known.storeAnsweredAt;
-}
-
 void GatewayPeers::Private::sendReports(Millis now)
 {
     this->context.board.setOtherGateways(this->context.peers.members(now).size());
@@ -212,11 +192,12 @@
     report.configuration = this->context.revision();
     report.proofAge = this->context.proofAge(now);
     // Who keeps entries that may be gone cannot vouch for the list: others then read the store themselves.
-    report.storeAge = this->known.targets.hasMissing() ? Millis::never() : this->storeAge(now);
+    report.storeAge = this->known.targets.hasMissing() ? Millis::never() : this->context.duty.knowledgeAge(now);
     report.targets = this->known.targets.revision();
     report.leaving = this->context.isStopping;
     report.isHub = directory.isHub(now);
-    report.isResting = this->mayRest(now);
+    report.isResting
+        = this->context.duty.mayRest(this->context.storeRole(now), now) || !this->context.duty.isFirstHand(now);
     report.strength = strengthOf(this->context.settings);
     if (!report.isHub) {
         report.loads = this->context.board.ownLoads(now);
@@ -236,27 +217,6 @@
     return report;
 }
 
-bool GatewayPeers::mayRest(Millis now) const
-{
-    return this->d->mayRest(now);
-}
-
-bool GatewayPeers::Private::mayRest(Millis now) const
-{
-    const PeerDirectory &directory = this->context.peers;
-    return directory.hasHubs(now) && !directory.isHub(now) && now - this->hubVouchedAt < vouchLife;
-}
-
-Millis GatewayPeers::longestStorePause(Millis now) const
-{
-    const PeerDirectory &directory = this->d->context.peers;
-    if (!directory.hasHubs(now) || directory.isHub(now)) {
-        return usualStorePause;
-    }
-    const Millis shared = storePauseOfEach * static_cast<std::int64_t>(directory.fleetSize(now));
-    return std::clamp(shared, usualStorePause, longestStorePauseOfAny);
-}
-
 void GatewayPeers::Private::received(const InstanceId &from, Incarnation /*incarnation*/, PeerMessage message)
 {
     try {
@@ -278,15 +238,18 @@
     const Millis now = Millis::monotonicNow();
     this->context.peers.heardFrom(from, report, now);
     this->context.freshness.vouched(report.configuration, report.proofAge, report.echo);
-    this->context.board.peerReported(from, report.loads, now);
     const bool isHub = this->context.peers.isHub(now);
+    if (report.isHub && !isHub) {
+        // Each hub says what all others have: of two, the older one's word would count everything twice.
+        this->context.board.forgetPeersBut(from);
+    }
+    this->context.board.peerReported(from, report.loads, now);
     const NewsScope scope = !isHub ? NewsScope::Own : report.isHub ? NewsScope::All : NewsScope::Group;
     for (const GatewayPlacement &placement : report.placements) {
         this->context.parts.heard(from, placement.part, placement.target, now, scope);
     }
-    if (report.isHub && report.storeAge < storeIsThere && report.echo > Millis{0}) {
-        this->hubVouchedAt = report.echo;
-    }
+    const bool comesBefore = this->context.peers.comesBefore(from);
+    this->context.duty.heard({report.storeAge, report.echo, report.isHub, !report.isResting, comesBefore}, now);
     this->pushTo(from, report, now);
     if (this->context.peers.mustReply(from, report, now)) {
         GatewayReport reply = this->reportFor(from, now);
@@ -307,10 +270,9 @@
         }
         this->push(peer, {configurationDocument, this->packedRevision, this->packedConfiguration, false}, now);
     }
-    const bool readsNoStore = report.isResting || report.storeAge > storeIsSilent;
     // One that starts while the store is away for all has no list at all: an old one is better than none.
     const bool hasNone = report.targets == 0 && !this->known.targets.empty();
-    if (hasNone || (readsNoStore && this->storeAge(now) < storeIsThere)) {
+    if (hasNone || (report.isResting && this->context.duty.mayTell(now))) {
         this->pushTargets(peer, report.targets, now);
     }
 }
--- a/sequoiausher/transport/gateway/gatewaypeers.h
+++ b/sequoiausher/transport/gateway/gatewaypeers.h
@@ -34,8 +34,6 @@
     std::string configuration;
     Revision configurationRevision = 0;
     TargetList targets;
-    /** When the store last answered this gateway itself; 0 for never. */
-    Millis storeAnsweredAt;
 };
 
 /** Speaks with all peers. */
@@ -51,14 +49,6 @@
     /** Throws Error(Step::Listen, address, ...). */
     void listen();
     void tick(Millis now);
-    /** Whether a hub tells this gateway of targets all that it would read in the store. */
-    bool mayRest(Millis now) const;
-    /**
-     * How long this gateway may leave a store alone that does not answer. Where hubs try often and tell all others,
-     * these need to try only for the case that the store answers some instances and not the hubs, and together they
-     * still try often enough: in an outage of eight seconds 75 gateways made 2,000 calls with pauses of 0.8 s.
-     */
-    Millis longestStorePause(Millis now) const;
     /** Bytes sent to peers so far. */
     std::uint64_t sentBytes() const;
 
--- a/sequoiausher/transport/gateway/gatewaytestbed.cpp
+++ b/sequoiausher/transport/gateway/gatewaytestbed.cpp
@@ -276,6 +276,8 @@
         request.reply(this->stored.empty() ? "404 Not Found" : "200 OK", number + " " + number + "\n" + this->stored);
     } else if (request.head.target == "/targets") {
         request.reply("200 OK", this->targetsText());
+    } else if (request.head.target != this->dialect->watchCall(this->revision, Millis{0})) {
+        request.reply("410 Gone", "");
     } else {
         this->watches.emplace_back(this->revision, request);
         QTimer::singleShot(static_cast<int>(this->settings.store.watchTime.count),
--- a/sequoiausher/transport/gateway/storewatcher.cpp
+++ b/sequoiausher/transport/gateway/storewatcher.cpp
@@ -1,11 +1,13 @@
 #include "sequoiausher/transport/gateway/storewatcher.h"
 
 #include "sequoiausher/base/error.h"
+#include "sequoiausher/coordination/gateway/storeduty.h"
 #include "sequoiausher/transport/gateway/storecall.h"
 
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <map>
 #include <random>
 #include <utility>
 
@@ -27,9 +29,6 @@
  * proofs that they pass on grew old, a fleet of 75 read everything by itself every two seconds, 200 calls each time.
  */
 constexpr double bytesPerMbps = 62.5;
-/** While peers pass proofs on, one that is older than this is asked for here, by one gateway after the other. */
-constexpr Millis oldProof{1300};
-constexpr Millis oldProofSpread{1200};
 /** After a failed call the next one waits for so long; doubled each time up to the most, with jitter. */
 constexpr Millis firstPause{100};
 
@@ -61,17 +60,12 @@
         , listener(hears)
         , proof(with.address)
         , changes(with.address)
-        , proofInterval(with.proofInterval)
         , bytesPerMs(std::max(linkMbps * bytesPerMbps, 1.0))
         , random(std::random_device{}())
     {
-        this->drawRestingProofAge();
     }
 
     void prove();
-    /** At which age of the proof a gateway whose peers pass proofs on reads the configuration itself. */
-    void drawRestingProofAge();
-    Millis dueProofAge() const;
     void listTargets(const std::string &next);
     void targetsListed(const StoreAnswer &answer);
     void watch();
@@ -80,7 +74,7 @@
     bool isGood(CallLine &line, const StoreAnswer &answer, std::string_view what);
     void failed(CallLine &line, std::string_view what, const std::string &problem);
     void succeeded(CallLine &line);
-    void get(CallLine &line, const std::string &target, Millis timeout, StoreCalls::Done done);
+    void get(CallLine &line, StoreCallReason reason, const std::string &target, Millis timeout, StoreCalls::Done done);
 
     const GatewayDialect &dialect;
     StoreSettings settings;
@@ -94,17 +88,19 @@
     Revision watchedFrom = 0;
     /** A proof is due whatever the age of the last one: the watch has lost its history. */
     bool mustProve = true;
-    /** As the settings say, and longer where the configuration is large. */
-    Millis proofInterval;
+    bool hasProven = false;
+    bool hasListed = false;
+    /** How much longer a proof lasts where the configuration is large. */
+    Millis readingTime;
     double bytesPerMs;
-    Millis restingProofAge;
     Millis longestPause = usualStorePause;
     bool isResting = false;
     std::vector<GatewayTarget> listed;
     std::vector<TargetId> unreadable;
     Revision listedFrom = 0;
     bool isLost = false;
-    std::uint64_t made = 0;
+    /** Calls by their reasons. */
+    std::map<StoreCallReason, std::uint64_t> made;
     std::mt19937_64 random;
 };
 
@@ -119,13 +115,13 @@
 
 StoreWatcher::~StoreWatcher() = default;
 
-void StoreWatcher::tick(Millis now, Millis proofAge)
+void StoreWatcher::tick(Millis now, Millis proofAge, Millis longestProofAge)
 {
     this->d->proof.calls.tick(now);
     this->d->changes.calls.tick(now);
     if (!this->d->proof.calls.isBusy() && now >= this->d->proof.nextAt) {
         // Peers vouch for each other's proofs, so in a fleet that is in touch a few readings serve all.
-        if (this->d->mustProve || proofAge >= this->d->dueProofAge()) {
+        if (this->d->mustProve || proofAge >= longestProofAge + this->d->readingTime) {
             this->d->prove();
         }
     }
@@ -149,37 +145,27 @@
     this->d->longestPause = pause;
 }
 
-Millis StoreWatcher::Private::dueProofAge() const
+void StoreWatcher::setResting(bool on, Revision heardUpTo)
 {
-    return this->isResting ? std::max(this->restingProofAge, this->proofInterval) : this->proofInterval;
-}
-
-void StoreWatcher::Private::drawRestingProofAge()
-{
-    std::uniform_int_distribution<std::int64_t> spread(0, oldProofSpread.count);
-    this->restingProofAge = oldProof + Millis{spread(this->random)};
-}
-
-void StoreWatcher::setResting(bool on)
-{
-    if (on == this->d->isResting) {
-        return;
+    if (this->d->isResting && !on && this->d->watchedFrom > 0) {
+        this->d->watchedFrom = heardUpTo;
     }
     this->d->isResting = on;
-    if (!on) {
-        this->d->watchedFrom = 0;
-        this->d->mustProve = true;
-    }
 }
 
-std::uint64_t StoreWatcher::calls() const
+std::uint64_t StoreWatcher::calls(StoreCallReason reason) const
 {
-    return this->d->made;
+    const auto found = this->d->made.find(reason);
+    return found != this->d->made.end() ? found->second : 0;
 }
 
-void StoreWatcher::Private::get(CallLine &line, const std::string &target, Millis timeout, StoreCalls::Done done)
+void StoreWatcher::Private::get(CallLine &line,
+                                StoreCallReason reason,
+                                const std::string &target,
+                                Millis timeout,
+                                StoreCalls::Done done)
 {
-    this->made += 1;
+    this->made[line.pause > firstPause ? StoreCallReason::Failure : reason] += 1;
     line.calls.get(target, timeout, std::move(done));
 }
 
@@ -215,7 +201,9 @@
 
 void StoreWatcher::Private::prove()
 {
-    this->get(this->proof, this->dialect.configurationCall(), this->settings.callTimeout, [this](const StoreAnswer &a) {
+    const StoreCallReason reason = this->hasProven ? StoreCallReason::Proof : StoreCallReason::Start;
+    const std::string call = this->dialect.configurationCall();
+    this->get(this->proof, reason, call, this->settings.callTimeout, [this](const StoreAnswer &a) {
         if (a.status == statusNotFound) {
             this->succeeded(this->proof);
             this->proof.nextAt = Millis::monotonicNow() + firstPause;
@@ -227,9 +215,8 @@
         try {
             const StoredConfiguration stored = this->dialect.readConfigurationAnswer(a.status, a.body);
             this->mustProve = false;
-            this->proofInterval = this->settings.proofInterval
-                + Millis{std::llround(static_cast<double>(a.body.size()) / this->bytesPerMs)};
-            this->drawRestingProofAge();
+            this->hasProven = true;
+            this->readingTime = Millis{std::llround(static_cast<double>(a.body.size()) / this->bytesPerMs)};
             // Not all at once: whoever is first spares the others theirs.
             std::uniform_int_distribution<std::int64_t> jitter(0, this->settings.proofInterval.count / 2);
             this->proof.nextAt = a.startedAt + Millis{jitter(this->random)};
@@ -242,7 +229,10 @@
 
 void StoreWatcher::Private::listTargets(const std::string &next)
 {
-    this->get(this->changes, this->dialect.targetsCall(next), this->settings.callTimeout, [this](const StoreAnswer &a) {
+    const StoreCallReason first = this->hasListed ? StoreCallReason::HistoryGone : StoreCallReason::Start;
+    const StoreCallReason reason = next.empty() ? first : StoreCallReason::Page;
+    const std::string call = this->dialect.targetsCall(next);
+    this->get(this->changes, reason, call, this->settings.callTimeout, [this](const StoreAnswer &a) {
         if (this->isGood(this->changes, a, "list targets")) {
             this->targetsListed(a);
         }
@@ -267,6 +257,7 @@
             return;
         }
         this->watchedFrom = this->listedFrom;
+        this->hasListed = true;
         this->listener.targetsRead(this->listed, this->unreadable, this->listedFrom);
         if (!this->isResting) {
             this->watch();
@@ -280,6 +271,7 @@
 {
     const Millis wait = this->settings.watchTime;
     this->get(this->changes,
+              StoreCallReason::Watch,
               this->dialect.watchCall(this->watchedFrom, wait),
               wait + this->settings.watchDelay,
               [this](const StoreAnswer &answer) { this->watched(answer); });
--- a/sequoiausher/transport/gateway/storewatcher.h
+++ b/sequoiausher/transport/gateway/storewatcher.h
@@ -9,15 +9,40 @@
 
 #include "sequoiausher/base/log/log.h"
 #include "sequoiausher/base/millis.h"
+#include "sequoiausher/base/nametable.h"
 #include "sequoiausher/protocol/gateway/gatewaydialect.h"
 #include "sequoiausher/protocol/settings/gatewaysettings.h"
 
+#include <cstdint>
 #include <memory>
 
 namespace Sequoiausher {
 
-/** The longest pause between two calls that fail, where nobody says otherwise. */
-inline constexpr Millis usualStorePause{800};
+/** Why a call to the store was made. */
+enum class StoreCallReason {
+    /** The first reading of the configuration and of the targets. */
+    Start,
+    /** The proof of the configuration in hand was old, or a newer one was known to be there. */
+    Proof,
+    /** To hear of changes, after an answer of the watch before or a rest. */
+    Watch,
+    /** The store had forgotten the changes since the last answer. */
+    HistoryGone,
+    /** A further part of a list. */
+    Page,
+    /** The call before failed. */
+    Failure,
+};
+
+template<>
+inline constexpr auto nameTable<StoreCallReason> = std::to_array<NameEntry<StoreCallReason>>({
+    {StoreCallReason::Start, "start"},
+    {StoreCallReason::Proof, "proof"},
+    {StoreCallReason::Watch, "watch"},
+    {StoreCallReason::HistoryGone, "history_gone"},
+    {StoreCallReason::Page, "page"},
+    {StoreCallReason::Failure, "failure"},
+});
 
 /** What a watcher hears. */
 class StoreListener
@@ -57,18 +82,21 @@
     StoreWatcher(const StoreWatcher &) = delete;
     StoreWatcher &operator=(const StoreWatcher &) = delete;
 
-    /** @param proofAge how long ago the configuration in force was proven to be the newest, by whomever. */
-    void tick(Millis now, Millis proofAge);
     /**
-     * Neither lists nor watches while on, but for the first list and configuration: peers tell what the store says. It
-     * still reads the configuration where no proof comes by a peer. Switched off, everything is read again, since what
-     * changed meanwhile may not be in the store's history.
+     * @param proofAge how long ago the configuration in force was proven to be the newest, by whomever.
+     * @param longestProofAge at which age this gateway reads it.
+     */
+    void tick(Millis now, Millis proofAge, Millis longestProofAge);
+    /**
+     * Neither lists nor watches while on, but for the first list and configuration: peers tell what the store says.
+     * @param heardUpTo the store's revision up to which the list of targets is complete: switched off, the watch goes
+     * on from there, or everything is read again where the store has forgotten what came since.
      */
-    void setResting(bool on);
+    void setResting(bool on, Revision heardUpTo);
     /** The longest pause between two calls that fail. */
     void setLongestPause(Millis pause);
-    /** Calls made so far. */
-    std::uint64_t calls() const;
+    /** Calls made so far for that reason. */
+    std::uint64_t calls(StoreCallReason reason) const;
 
 private:
     class Private;
