Put hubs into every data centre, count a reading of nothing as knowledge, and spread parts by their usable holders

A first answer that there is none counts now, and the next asking waits for a second; the watch or a peer tells. - Reports went to a hub found by a hash, five in six of them in another data centre. Hubs are now the strongest of each data centre in turn, unless they are too weak, and a gateway prefers a near one, leaves it for a far one when it is silent, and returns after 16 rounds. Only usable holders count, and it takes three.

--- a/sequoiausher/coordination/gateway/peerdirectory.cpp
+++ b/sequoiausher/coordination/gateway/peerdirectory.cpp
@@ -19,6 +19,10 @@
 /** Up to so many gateways everybody reports to everybody: with more, 200 reports a second would come and go. */
 constexpr std::size_t smallFleet = 10;
 constexpr std::size_t fewestHubs = 4;
+/** Who has less than one part of so many of the strongest one's strength is no hub while there are others. */
+constexpr unsigned int weakFraction = 2;
+/** After so many rounds at a hub of another data centre a gateway tries its own again: the lists know by then. */
+constexpr std::size_t roundsAway = 16;
 /** A hub that has not answered so many reports in a row is left for the next one. */
 constexpr std::uint32_t mostUnanswered = 2;
 /** For so long the list of hubs is kept: less than a round, so that each round goes by the present one. */
@@ -38,6 +42,7 @@
         Millis newestSentAt;
         bool isHub = false;
         std::uint16_t strength = 0;
+        DataCentreId dataCentre;
         /** Of its name. */
         std::uint64_t hash = 0;
     };
@@ -62,19 +67,33 @@
         std::uint16_t strength = 0;
         std::uint64_t hash = 0;
         const InstanceId *instance = nullptr;
+        const DataCentreId *dataCentre = nullptr;
+        /** Too weak to carry others while there are stronger ones. */
+        bool isWeak = false;
+        /** Its place among its data centre's, 0 first. */
+        std::size_t place = 0;
     };
 
-    static bool isBefore(const Candidate &a, const Candidate &b)
+    static bool isStronger(const Candidate &a, const Candidate &b)
     {
         return a.strength != b.strength ? a.strength > b.strength : a.hash < b.hash;
     }
 
+    /** The first of each data centre, then the second of each, and so on; weak ones last. */
+    static bool comesFirst(const Candidate &a, const Candidate &b)
+    {
+        if (a.isWeak != b.isWeak) {
+            return b.isWeak;
+        }
+        return !a.isWeak && a.place != b.place ? a.place < b.place : isStronger(a, b);
+    }
+
     std::vector<Candidate> live(Millis now) const
     {
-        std::vector<Candidate> all{{this->strength, hash64(this->self.value), &this->self}};
+        std::vector<Candidate> all{{this->strength, hash64(this->self.value), &this->self, &this->dataCentre}};
         for (const auto &[peer, one] : this->known) {
             if (now - one.heardAt < memberLife) {
-                all.push_back({one.strength, one.hash, &peer});
+                all.push_back({one.strength, one.hash, &peer, &one.dataCentre});
             }
         }
         return all;
@@ -86,10 +105,16 @@
         if (all.size() <= smallFleet) {
             return {};
         }
+        std::sort(all.begin(), all.end(), isStronger);
+        std::map<DataCentreId, std::size_t> places;
+        for (Candidate &each : all) {
+            each.isWeak = each.strength * weakFraction < all.front().strength;
+            each.place = places[*each.dataCentre]++;
+        }
         // So many that a hub answers about as many gateways as there are hubs, four times over.
         const auto root = static_cast<std::size_t>(std::lround(std::sqrt(static_cast<double>(all.size())) / 2));
         const std::size_t count = std::min(std::max(fewestHubs, root), all.size());
-        std::partial_sort(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(count), all.end(), isBefore);
+        std::partial_sort(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(count), all.end(), comesFirst);
         std::vector<InstanceId> hubs;
         for (std::size_t i = 0; i < count; ++i) {
             hubs.push_back(*all[i].instance);
@@ -97,17 +122,34 @@
         return hubs;
     }
 
+    bool isNear(const InstanceId &peer) const
+    {
+        const auto found = this->known.find(peer);
+        return found != this->known.end() && found->second.dataCentre == this->dataCentre;
+    }
+
+    /** Whether it is time to go back to a hub of the own data centre, after another one had to stand in. */
+    bool shouldReturn(const std::vector<InstanceId> &all) const
+    {
+        return this->roundsAtHub >= roundsAway && !this->isNear(this->hub)
+            && std::any_of(all.begin(), all.end(), [this](const InstanceId &each) { return this->isNear(each); });
+    }
+
     /** The hub to which this gateway turns where its own leaves it without an answer. */
     const InstanceId &nextHub(const std::vector<InstanceId> &all) const
     {
+        std::vector<const InstanceId *> near;
         std::vector<const InstanceId *> others;
         for (const InstanceId &each : all) {
             if (each != this->hub) {
-                others.push_back(&each);
+                (this->isNear(each) ? near : others).push_back(&each);
             }
         }
+        // A near one that has just failed may be named for seconds: the one after it is to be a far one.
+        const bool staysNear = others.empty() || (!near.empty() && !this->isNear(this->hub));
+        const std::vector<const InstanceId *> &from = staysNear ? near : others;
         const std::uint64_t order = hash64(this->self.value, this->seed) + this->changes;
-        return others.empty() ? all.front() : *others[order % others.size()];
+        return from.empty() ? all.front() : *from[order % from.size()];
     }
 
     Known &entryOf(const InstanceId &peer)
@@ -124,10 +166,12 @@
     std::map<InstanceId, Known> known;
     std::uint64_t seed = 0;
     std::uint16_t strength = 0;
+    DataCentreId dataCentre;
     bool hasHeard = false;
     /** The hub that this gateway reports to, and how many reports it left unanswered. */
     InstanceId hub;
     std::uint32_t unanswered = 0;
+    std::size_t roundsAtHub = 0;
     std::uint64_t changes = 0;
     std::vector<InstanceId> currentHubs;
     bool hubsKnown = false;
@@ -152,9 +196,10 @@
     this->d->seeds.erase(this->d->self);
 }
 
-void PeerDirectory::setStrength(std::uint16_t strength)
+void PeerDirectory::setSelf(std::uint16_t strength, const DataCentreId &dataCentre)
 {
     this->d->strength = strength;
+    this->d->dataCentre = dataCentre;
 }
 
 void PeerDirectory::heardFrom(const InstanceId &peer, const GatewayReport &report, Millis now)
@@ -168,11 +213,13 @@
     known.newestSentAt = report.sentAt;
     known.isHub = report.isHub;
     known.strength = report.strength;
+    known.dataCentre = report.dataCentre;
     for (const GatewayMember &member : report.members) {
         if (member.instance != this->d->self && member.age < memory) {
             Private::Known &other = this->d->entryOf(member.instance);
             other.heardAt = std::max(other.heardAt, now - member.age);
             other.strength = member.strength;
+            other.dataCentre = member.dataCentre;
         }
     }
     std::erase_if(this->d->known, [now](const auto &entry) { return now - entry.second.heardAt > memory; });
@@ -197,11 +244,13 @@
         return reports;
     }
     const bool isGone = std::find(hubs.begin(), hubs.end(), this->d->hub) == hubs.end();
-    if (isGone || this->d->unanswered >= mostUnanswered) {
+    if (isGone || this->d->unanswered >= mostUnanswered || this->d->shouldReturn(hubs)) {
         this->d->hub = this->d->nextHub(hubs);
         this->d->changes += 1;
         this->d->unanswered = 0;
+        this->d->roundsAtHub = 0;
     }
+    this->d->roundsAtHub += 1;
     reports.push_back({this->d->hub, true});
     if (this->d->unanswered > 0 && hubs.size() > 1) {
         // Where the hub is gone, the link to the next one is there once it is needed.
@@ -237,12 +286,11 @@
     return this->isHub(now) ? std::optional(this->d->selfRank) : std::nullopt;
 }
 
-bool PeerDirectory::comesBefore(const InstanceId &peer) const
+bool PeerDirectory::comesBefore(const InstanceId &peer, Millis now) const
 {
-    const auto found = this->d->known.find(peer);
-    const Private::Candidate self{this->d->strength, hash64(this->d->self.value), &this->d->self};
-    return found != this->d->known.end()
-        && Private::isBefore({found->second.strength, found->second.hash, &peer}, self);
+    const std::vector<InstanceId> &hubs = this->d->hubs(now);
+    const auto place = std::find(hubs.begin(), hubs.end(), peer);
+    return place != hubs.end() && static_cast<std::size_t>(place - hubs.begin()) < this->d->selfRank;
 }
 
 bool PeerDirectory::isHub(const InstanceId &peer) const
@@ -282,7 +330,7 @@
     std::vector<GatewayMember> all;
     for (const auto &[peer, known] : this->d->known) {
         if (now - known.heardAt < memberLife) {
-            all.push_back({peer, now - known.heardAt, known.strength});
+            all.push_back({peer, now - known.heardAt, known.strength, known.dataCentre});
         }
     }
     return all;
--- a/sequoiausher/coordination/gateway/peerdirectory.h
+++ b/sequoiausher/coordination/gateway/peerdirectory.h
@@ -5,9 +5,10 @@
 //
 // In a small fleet everybody reports to everybody. In a large one that would cost each gateway hundreds of messages a
 // second, so a few are hubs: each gateway reports to one hub, which answers with what all others said, and the hubs
-// report to each other. Hubs are the strongest members, among equal ones the first in the order of a hash that all
-// gateways share; nobody elects them, and whoever is asked for a reply gives one, so a difference between two lists
-// costs a little freshness and nothing else.
+// report to each other. Hubs are the strongest members of each data centre, among equal ones the first in the order of
+// a hash that all gateways share, and a gateway prefers one of its own data centre: so what one says crosses between
+// data centres once, from hub to hub. Nobody elects them, and whoever is asked for a reply gives one, so a difference
+// between two lists costs a little freshness and nothing else.
 //
 //     PeerDirectory directory(self, seeds, seed);
 //     directory.heardFrom(peer, report, now);
@@ -44,8 +45,8 @@
     ~PeerDirectory();
 
     void setSeeds(const std::vector<InstanceId> &seeds);
-    /** How much this gateway can carry beside its callers' requests. */
-    void setStrength(std::uint16_t strength);
+    /** How much this gateway can carry beside its callers' requests, and where it stands. */
+    void setSelf(std::uint16_t strength, const DataCentreId &dataCentre);
     /** A report arrived. */
     void heardFrom(const InstanceId &peer, const GatewayReport &report, Millis now);
 
@@ -62,8 +63,8 @@
     bool isHub(Millis now) const;
     /** This gateway's place in the order of the hubs, 0 first; absent where it is none of them. */
     std::optional<std::size_t> hubRank(Millis now) const;
-    /** Whether the peer comes before this gateway in the order by which hubs are chosen. */
-    bool comesBefore(const InstanceId &peer) const;
+    /** Whether the peer is a hub that comes before this gateway in the order of the hubs. */
+    bool comesBefore(const InstanceId &peer, Millis now) const;
     /** Whether peer said that it is one. */
     bool isHub(const InstanceId &peer) const;
     /** Those peers that said so. */
--- a/sequoiausher/coordination/gateway/peerdirectorytest.cpp
+++ b/sequoiausher/coordination/gateway/peerdirectorytest.cpp
@@ -16,6 +16,11 @@
     return InstanceId{"10.0.0." + std::to_string(i) + ":8229"};
 }
 
+DataCentreId dataCentreOf(std::size_t i)
+{
+    return DataCentreId{std::string(1, static_cast<char>('a' + i % 6))};
+}
+
 /** Gateways that send each other the reports that are due, some of them dead. */
 class Fleet
 {
@@ -25,7 +30,7 @@
         const std::vector<InstanceId> seeds{nameOf(0), nameOf(1), nameOf(999)};
         for (std::size_t i = 0; i < size; ++i) {
             this->directories.emplace_back(nameOf(i), seeds, i);
-            this->directories.back().setStrength(static_cast<std::uint16_t>(i % 7));
+            this->directories.back().setSelf(static_cast<std::uint16_t>(i % 7), dataCentreOf(i));
             this->indexes[nameOf(i)] = i;
         }
     }
@@ -54,6 +59,7 @@
         report.sentAt = now;
         report.isHub = this->directories[from].isHub(now);
         report.strength = static_cast<std::uint16_t>(from % 7);
+        report.dataCentre = dataCentreOf(from);
         report.wantsReply = wantsReply;
         report.isReply = isReply;
         if (isReply || report.isHub || !this->directories[from].hasHubs(now)) {
@@ -189,3 +195,75 @@
     CHECK(directory.fleetSize(Millis{62000}) == 2);
     CHECK(directory.peers() == std::vector{nameOf(1)});
 }
+
+// Symptom: most of the bytes between data centres were reports. Events: 295 gateways in six data centres report three
+// times a second, each to a hub that it found by a hash. Cause: five in six of these hubs stood elsewhere, and nothing
+// saw to it that each data centre has one.
+TEST_CASE("each data centre has a hub, to which its gateways report")
+{
+    Fleet fleet(295);
+    for (int round = 1; round <= 40; ++round) {
+        fleet.round(Millis{round * 300});
+    }
+    const Millis now{40 * 300};
+    std::set<DataCentreId> withHub;
+    std::size_t near = 0;
+    std::size_t others = 0;
+    for (std::size_t i = 0; i < fleet.directories.size(); ++i) {
+        if (fleet.directories[i].isHub(now)) {
+            withHub.insert(dataCentreOf(i));
+            continue;
+        }
+        const std::vector<DueReport> due = fleet.directories[i].due(now);
+        REQUIRE(due.size() == 1);
+        others += 1;
+        near += dataCentreOf(fleet.indexes.at(due.front().peer)) == dataCentreOf(i) ? 1 : 0;
+    }
+    CHECK(withHub.size() == 6);
+    CHECK(near == others);
+}
+
+TEST_CASE("a gateway whose hub died turns to one of another data centre, and back once its own has one")
+{
+    Fleet fleet(66);
+    for (int round = 1; round <= 12; ++round) {
+        fleet.round(Millis{round * 300});
+    }
+    const Millis now{12 * 300};
+    std::size_t gateway = 0;
+    while (fleet.directories[gateway].isHub(now)) {
+        gateway += 1;
+    }
+    const InstanceId hub = fleet.directories[gateway].due(now).front().peer;
+    fleet.dead.insert(fleet.indexes.at(hub));
+    std::set<InstanceId> asked;
+    for (int round = 13; round <= 16; ++round) {
+        fleet.round(Millis{round * 300});
+        for (const DueReport &due : fleet.directories[gateway].due(Millis{round * 300})) {
+            asked.insert(due.peer);
+        }
+    }
+    asked.erase(hub);
+    CHECK_FALSE(asked.empty());
+    for (int round = 17; round <= 60; ++round) {
+        fleet.round(Millis{round * 300});
+    }
+    const InstanceId last = fleet.directories[gateway].due(Millis{61 * 300}).front().peer;
+    CHECK(last != hub);
+    CHECK(fleet.directories[fleet.indexes.at(last)].isHub(Millis{61 * 300}));
+}
+
+TEST_CASE("a weak gateway is no hub for its data centre's sake")
+{
+    PeerDirectory directory(nameOf(0), {}, 1);
+    directory.setSelf(1, DataCentreId{"lonely"});
+    for (std::size_t i = 1; i <= 20; ++i) {
+        GatewayReport report;
+        report.sentAt = Millis{1000};
+        report.strength = 10;
+        report.dataCentre = DataCentreId{"busy"};
+        directory.heardFrom(nameOf(i), report, Millis{1000});
+    }
+    CHECK(directory.hasHubs(Millis{1000}));
+    CHECK_FALSE(directory.isHub(Millis{1000}));
+}
--- a/sequoiausher/coordination/gateway/storedutytest.cpp
+++ b/sequoiausher/coordination/gateway/storedutytest.cpp
@@ -24,6 +24,11 @@
     return InstanceId{"10.0.0." + std::to_string(i) + ":8229"};
 }
 
+DataCentreId dataCentreOf(std::size_t i)
+{
+    return DataCentreId{std::string(1, static_cast<char>('a' + i % 6))};
+}
+
 /** A fleet whose gateways report to each other, and of which some read a store. All start at second 1. */
 class Fleet
 {
@@ -33,7 +38,7 @@
         for (std::size_t i = 0; i < size; ++i) {
             const std::vector<InstanceId> seeds{nameOf(0), nameOf(1), nameOf(999)};
             Gateway &gateway = this->gateways.emplace_back(nameOf(i), seeds, i);
-            gateway.directory.setStrength(static_cast<std::uint16_t>(i % 7));
+            gateway.directory.setSelf(static_cast<std::uint16_t>(i % 7), dataCentreOf(i));
             gateway.nextRound = Millis{1000} + Millis{static_cast<std::int64_t>(this->random() % 300)};
         }
     }
@@ -168,6 +173,7 @@
                 report.isResting
                     = gateway.duty.mayRest(this->roleOf(from), this->now) || !gateway.duty.isFirstHand(this->now);
                 report.strength = static_cast<std::uint16_t>(from % 7);
+                report.dataCentre = dataCentreOf(from);
                 report.wantsReply = wantsReply;
                 report.isReply = isReply;
                 if (isReply || report.isHub || !gateway.directory.hasHubs(this->now)) {
@@ -196,7 +202,7 @@
         const InstanceId from = nameOf(message.from);
         const GatewayReport &report = message.report;
         gateway.directory.heardFrom(from, report, this->now);
-        const bool comesBefore = gateway.directory.comesBefore(from);
+        const bool comesBefore = gateway.directory.comesBefore(from, this->now);
         gateway.duty.heard({report.storeAge, report.echo, report.isHub, !report.isResting, comesBefore}, this->now);
         if (gateway.directory.mustReply(from, report, this->now)) {
             this->send(message.to, from, false, true);
--- a/sequoiausher/coordination/gateway/targetboard.cpp
+++ b/sequoiausher/coordination/gateway/targetboard.cpp
@@ -37,8 +37,8 @@
 constexpr double usualLoadWeight = 0.2;
 /** How much of the load by which a target is judged is its usual one. */
 constexpr double usualLoadPart = 0.7;
-/** Chance alone gives a part a second target. */
-constexpr std::size_t holdersOfHeavyUse = 2;
+/** Chance and failures give a part a second target. */
+constexpr std::size_t holdersOfHeavyUse = 3;
 /** Independent requests deviate from their mean by its square root; one count in fifty is twice that above it. */
 constexpr double chanceDeviations = 2;
 
@@ -63,6 +63,15 @@
     bool isListed = true;
 };
 
+/** How many of the holders may be chosen. Those that failed lately or left say nothing of a part's use. */
+std::size_t usableAmong(const std::vector<TargetId> &holders, const PoolLoad &load)
+{
+    return static_cast<std::size_t>(
+        std::count_if(load.targets.begin(), load.targets.end(), [&holders](const TargetLoad &target) {
+            return target.usable && std::find(holders.begin(), holders.end(), target.target) != holders.end();
+        }));
+}
+
 struct PeerLoads
 {
     std::unordered_map<TargetId, std::uint32_t> inFlight;
@@ -313,7 +322,7 @@
     load.lowestBound = loadBound(criteria.boundPercent, load.total, load.counted) + boundSlack;
     const std::optional<std::size_t> holder = chooseHolder(criteria.holders, load, criteria.requestHash);
     // A part that several hold and none takes is in heavy use: by its hash all gateways would fill one more target.
-    const bool isHeavilyUsed = sharesRoom && criteria.holders.size() >= holdersOfHeavyUse;
+    const bool isHeavilyUsed = sharesRoom && usableAmong(criteria.holders, load) >= holdersOfHeavyUse;
     const std::uint64_t place = isHeavilyUsed ? criteria.requestHash : criteria.partHash;
     const Choice choice{place, criteria.boundPercent, holder, false, criteria.firstPartHash};
     std::optional<std::size_t> index = criteria.policy == PolicyKind::LeastExpected
@@ -459,12 +468,6 @@
     return held != nullptr && held->isListed;
 }
 
-bool TargetBoard::isUsable(const TargetId &target) const
-{
-    const BoardTarget *held = this->d->find(target);
-    return held != nullptr && held->isListed && !held->target.isLeaving;
-}
-
 std::size_t TargetBoard::targetCount(const PoolId &service) const
 {
     const auto found = this->d->byService.find(service);
--- a/sequoiausher/coordination/gateway/targetboardtest.cpp
+++ b/sequoiausher/coordination/gateway/targetboardtest.cpp
@@ -131,7 +131,7 @@
         target.isLeaving = target.id != first;
     }
     board.setTargets(targets, Millis{300});
-    CHECK_FALSE(board.isUsable(board.choose(criteriaFor(7), Millis{300})->target.id == first ? TargetId{"x"} : first));
+    CHECK(board.choose(criteriaFor(7), Millis{300})->target.id == first);
     for (GatewayTarget &target : targets) {
         target.isLeaving = true;
     }
--- a/sequoiausher/coordination/messages/gatewaymessages.h
+++ b/sequoiausher/coordination/messages/gatewaymessages.h
@@ -45,6 +45,8 @@
     Millis age;
     /** How much it can carry beside its callers' requests; hubs are the strongest. */
     std::uint16_t strength = 0;
+    /** Where it stands; empty where nobody on the way tells. */
+    DataCentreId dataCentre;
 
     bool operator==(const GatewayMember &) const = default;
 };
@@ -80,6 +82,7 @@
     bool isResting = false;
     /** The sender's own, as GatewayMember has it. */
     std::uint16_t strength = 0;
+    DataCentreId dataCentre;
     /** The sender carries reports for others. */
     bool isHub = false;
 
--- a/sequoiausher/protocol/codec/framereader.cpp
+++ b/sequoiausher/protocol/codec/framereader.cpp
@@ -641,10 +641,17 @@
     report.isHub = m->hub();
     report.isReply = m->reply();
     report.strength = m->strength();
+    // A gateway of an earlier version tells nobody's data centre.
+    report.dataCentre.value = m->data_centre() != nullptr ? m->data_centre()->str() : std::string();
+    const std::size_t dataCentres = this->sizeOf(m->member_data_centres());
     for (std::size_t i = 0; i < this->sizeOf(m->members()); ++i) {
         const auto *member = m->members()->Get(static_cast<flatbuffers::uoffset_t>(i));
         report.members.push_back(
-            {InstanceId{this->name(member->instance())}, spanOf(member->age()), member->strength()});
+            {InstanceId{this->name(member->instance())}, spanOf(member->age()), member->strength(), {}});
+        if (i < dataCentres) {
+            const std::uint16_t index = m->member_data_centres()->Get(static_cast<flatbuffers::uoffset_t>(i));
+            report.members.back().dataCentre.value = this->name(index);
+        }
     }
     for (std::size_t i = 0; i < this->sizeOf(m->loads()); ++i) {
         const auto *load = m->loads()->Get(static_cast<flatbuffers::uoffset_t>(i));
--- a/sequoiausher/protocol/codec/framewriter.cpp
+++ b/sequoiausher/protocol/codec/framewriter.cpp
@@ -429,8 +429,10 @@
 void FrameWriter::Private::add(const GatewayReport &m)
 {
     std::vector<Wire::GatewayMember> members;
+    std::vector<std::uint16_t> memberDataCentres;
     for (const GatewayMember &member : m.members) {
         members.emplace_back(wireSpan(member.age), this->index(member.instance.value), member.strength);
+        memberDataCentres.push_back(this->index(member.dataCentre.value));
     }
     std::vector<Wire::GatewayLoad> loads;
     for (const GatewayLoad &load : m.loads) {
@@ -443,6 +445,8 @@
     const auto membersAt = this->structs(members);
     const auto placementsAt = this->structs(placements);
     const auto loadsAt = this->structs(loads);
+    const auto dataCentreAt = this->builder.CreateString(m.dataCentre.value);
+    const auto memberDataCentresAt = this->builder.CreateVector(memberDataCentres);
     this->gatewayReports.push_back(Wire::CreateGatewayReport(this->builder,
                                                              static_cast<std::uint64_t>(m.sentAt.count),
                                                              static_cast<std::uint64_t>(m.echo.count),
@@ -458,7 +462,9 @@
                                                              m.isResting,
                                                              m.isHub,
                                                              m.isReply,
-                                                             m.strength));
+                                                             m.strength,
+                                                             dataCentreAt,
+                                                             memberDataCentresAt));
 }
 
 // Without the order, a router of the first version would not see the messages of a kind that it does not know.
--- a/sequoiausher/protocol/codec/messagegenerators.cpp
+++ b/sequoiausher/protocol/codec/messagegenerators.cpp
@@ -165,7 +165,7 @@
 SEQUOIAUSHER_ARBITRARY(AnswerPage, m.handover, m.sequence, m.fragments);
 SEQUOIAUSHER_ARBITRARY(AnswerPageAck, m.handover, m.sequence);
 SEQUOIAUSHER_ARBITRARY(GatewayLoad, m.target, m.inFlight, m.suspected);
-SEQUOIAUSHER_ARBITRARY(GatewayMember, m.instance, m.age, m.strength);
+SEQUOIAUSHER_ARBITRARY(GatewayMember, m.instance, m.age, m.strength, m.dataCentre);
 SEQUOIAUSHER_ARBITRARY(GatewayPlacement, m.part, m.target);
 SEQUOIAUSHER_ARBITRARY(GatewayReport,
                        m.sentAt,
@@ -182,7 +182,8 @@
                        m.isResting,
                        m.isHub,
                        m.isReply,
-                       m.strength);
+                       m.strength,
+                       m.dataCentre);
 
 #undef SEQUOIAUSHER_ARBITRARY
 
--- a/sequoiausher/protocol/codec/messagekind.cpp
+++ b/sequoiausher/protocol/codec/messagekind.cpp
@@ -168,7 +168,7 @@
 
 std::size_t sizeOf(const GatewayMember &member)
 {
-    return sizeof(std::int32_t) + member.instance.value.size();
+    return sizeof(std::int32_t) + sizeof(std::uint16_t) + member.instance.value.size();
 }
 
 std::size_t sizeOf(const GatewayPlacement &placement)
--- a/sequoiausher/transport/gateway/gatewaycontext.cpp
+++ b/sequoiausher/transport/gateway/gatewaycontext.cpp
@@ -1,5 +1,6 @@
 #include "sequoiausher/transport/gateway/gatewaycontext.h"
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -10,6 +11,12 @@
 /** What one more time weighs in the usual one: some twenty are remembered. */
 constexpr double timeWeight = 0.05;
 
+bool hasBytesLeft(const std::weak_ptr<ByteStream> &closed)
+{
+    const std::shared_ptr<ByteStream> stream = closed.lock();
+    return stream && stream->pendingBytes() > 0;
+}
+
 } // namespace
 
 StoreDutySettings storeDutyOf(const GatewaySettings &settings)
@@ -85,20 +92,15 @@
 
 void GatewayContext::keepDelivering(const std::shared_ptr<ByteStream> &closed)
 {
-    // Looked at here too, so that the list holds no more than what is under way.
-    this->isDelivering();
+    std::erase_if(this->delivering, [](const auto &held) { return !hasBytesLeft(held); });
     if (closed->pendingBytes() > 0) {
         this->delivering.push_back(closed);
     }
 }
 
-bool GatewayContext::isDelivering()
+bool GatewayContext::isDelivering() const
 {
-    std::erase_if(this->delivering, [](const std::weak_ptr<ByteStream> &held) {
-        const auto stream = held.lock();
-        return !stream || stream->pendingBytes() == 0;
-    });
-    return !this->delivering.empty();
+    return std::any_of(this->delivering.begin(), this->delivering.end(), hasBytesLeft);
 }
 
 void GatewayContext::freeLater(std::shared_ptr<void> object)
--- a/sequoiausher/transport/gateway/gatewaycontext.h
+++ b/sequoiausher/transport/gateway/gatewaycontext.h
@@ -65,7 +65,7 @@
     /** Remembers a closed connection until all of its answer has been sent. */
     void keepDelivering(const std::shared_ptr<ByteStream> &closed);
     /** Whether a caller's last answer, on a connection that is closed, still waits to be sent. */
-    bool isDelivering();
+    bool isDelivering() const;
     /** Frees what is let go of in the middle of its own calls at the next tick. */
     void freeLater(std::shared_ptr<void> object);
 
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -97,10 +97,13 @@
     std::string metricsPage();
     void install(const std::string &raw, GatewayConfiguration configuration, std::string_view from);
     void targetsChanged(std::string_view why);
+    /** What the store has, be it nothing, counts as known once both have been asked for. */
+    void noteFirstReading();
     /** What the next line about targets names, up to a few. */
     void noteChange(const std::string &change);
 
     void configurationRead(const StoredConfiguration &stored, std::optional<Millis> readAt) override;
+    void configurationAbsent() override;
     void targetsRead(const std::vector<GatewayTarget> &targets,
                      const std::vector<TargetId> &unreadable,
                      Revision at) override;
@@ -144,6 +147,8 @@
     bool isStopped = false;
     bool wasReady = false;
     bool wasResting = false;
+    bool hasAskedConfiguration = false;
+    bool hasAskedTargets = false;
     Millis nextSuppressedAt;
     std::string changesNamed;
     std::size_t changeCount = 0;
@@ -442,10 +447,9 @@
     }
     if (readAt) {
         this->context.freshness.proven(this->readRevision, *readAt);
-        if (!this->known.targets.empty()) {
-            this->context.duty.readAll(*readAt);
-        }
     }
+    this->hasAskedConfiguration = true;
+    this->noteFirstReading();
     this->endStart();
 }
 
@@ -492,7 +496,20 @@
         }
         this->targetsChanged("list");
     }
-    if (this->context.table) {
+    this->hasAskedTargets = true;
+    this->noteFirstReading();
+}
+
+void GatewayNode::Private::configurationAbsent()
+{
+    this->context.duty.answered(Millis::monotonicNow());
+    this->hasAskedConfiguration = true;
+    this->noteFirstReading();
+}
+
+void GatewayNode::Private::noteFirstReading()
+{
+    if (this->hasAskedConfiguration && this->hasAskedTargets) {
         this->context.duty.readAll(Millis::monotonicNow());
     }
 }
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -85,7 +85,7 @@
         , news(hears)
         , mesh(linkSettings(shared.settings, incarnation), *this)
     {
-        this->context.peers.setStrength(strengthOf(shared.settings));
+        this->context.peers.setSelf(strengthOf(shared.settings), shared.settings.dataCentre);
     }
 
     void received(const InstanceId &from, Incarnation incarnation, PeerMessage message) override;
@@ -199,6 +199,7 @@
     report.isResting
         = this->context.duty.mayRest(this->context.storeRole(now), now) || !this->context.duty.isFirstHand(now);
     report.strength = strengthOf(this->context.settings);
+    report.dataCentre = this->context.settings.dataCentre;
     if (!report.isHub) {
         report.loads = this->context.board.ownLoads(now);
         report.placements = this->context.parts.newsFor(peer, NewsScope::Own);
@@ -248,7 +249,7 @@
     for (const GatewayPlacement &placement : report.placements) {
         this->context.parts.heard(from, placement.part, placement.target, now, scope);
     }
-    const bool comesBefore = this->context.peers.comesBefore(from);
+    const bool comesBefore = this->context.peers.comesBefore(from, now);
     this->context.duty.heard({report.storeAge, report.echo, report.isHub, !report.isResting, comesBefore}, now);
     this->pushTo(from, report, now);
     if (this->context.peers.mustReply(from, report, now)) {
--- a/sequoiausher/transport/gateway/storewatcher.cpp
+++ b/sequoiausher/transport/gateway/storewatcher.cpp
@@ -29,6 +29,9 @@
  * proofs that they pass on grew old, a fleet of 75 read everything by itself every two seconds, 200 calls each time.
  */
 constexpr double bytesPerMbps = 62.5;
+/** Where no configuration was published yet, the watch or a peer tells of the first one; this is for the case that not.
+ */
+constexpr Millis absentPause{1000};
 /** After a failed call the next one waits for so long; doubled each time up to the most, with jitter. */
 constexpr Millis firstPause{100};
 
@@ -206,7 +209,8 @@
     this->get(this->proof, reason, call, this->settings.callTimeout, [this](const StoreAnswer &a) {
         if (a.status == statusNotFound) {
             this->succeeded(this->proof);
-            this->proof.nextAt = Millis::monotonicNow() + firstPause;
+            this->proof.nextAt = Millis::monotonicNow() + absentPause;
+            this->listener.configurationAbsent();
             return;
         }
         if (!this->isGood(this->proof, a, "read configuration")) {
--- a/sequoiausher/transport/gateway/storewatcher.h
+++ b/sequoiausher/transport/gateway/storewatcher.h
@@ -53,6 +53,8 @@
      */
     virtual void configurationRead(const StoredConfiguration &stored, std::optional<Millis> readAt) = 0;
     /** @param unreadable names under which something lies that cannot be read. */
+    /** The store has none yet. */
+    virtual void configurationAbsent() = 0;
     virtual void
     targetsRead(const std::vector<GatewayTarget> &targets, const std::vector<TargetId> &unreadable, Revision at)
         = 0;
--- a/sequoiausher/transport/stream/bytestream.cpp
+++ b/sequoiausher/transport/stream/bytestream.cpp
@@ -1,7 +1,7 @@
 #include "sequoiausher/transport/stream/bytestream.h"
 
 #include "sequoiausher/base/error.h"
-#include "sequoiausher/transport/peers/peeraddress.h"
+#include "sequoiausher/transport/stream/ipv4socket.h"
 
 #include <QElapsedTimer>
 #include <QSocketNotifier>
@@ -246,25 +246,15 @@
 
 std::shared_ptr<ByteStream> ByteStream::dial(const std::string &address, ByteStreamUser *user)
 {
-    const PeerAddress parsed = parsePeerAddress(address);
-    sockaddr_in to{};
-    to.sin_family = AF_INET;
-    to.sin_port = htons(parsed.port);
-    if (inet_pton(AF_INET, parsed.host.c_str(), &to.sin_addr) != 1) {
-        throw Error(Step::Connect, address, "not an IPv4 address");
-    }
-    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (descriptor < 0) {
-        throw Error(Step::Connect, address, std::strerror(errno));
-    }
-    setNoDelay(descriptor);
-    const int begun = ::connect(descriptor, reinterpret_cast<const sockaddr *>(&to), sizeof to);
+    const Ipv4Socket opened = openIpv4Socket(address, Step::Connect);
+    setNoDelay(opened.descriptor);
+    const int begun = ::connect(opened.descriptor, opened.address(), sizeof opened.at);
     if (begun != 0 && errno != EINPROGRESS) {
         const std::string reason = std::strerror(errno);
-        ::close(descriptor);
+        ::close(opened.descriptor);
         throw Error(Step::Connect, address, reason);
     }
-    std::shared_ptr<ByteStream> stream(new ByteStream(std::make_unique<Private>(descriptor, user, false)));
+    std::shared_ptr<ByteStream> stream(new ByteStream(std::make_unique<Private>(opened.descriptor, user, false)));
     stream->d->watch(*stream);
     return stream;
 }
