--- a/sequoiausher/coordination/gateway/storeduty.h
+++ b/sequoiausher/coordination/gateway/storeduty.h
@@ -69,7 +69,7 @@
     void setSettings(const StoreDutySettings &with);
     /** The store answered this gateway itself. */
     void answered(Millis now);
-    /** This gateway has read all of it for the first time, beginning at the moment at. */
+    /** This gateway has asked for all of it, and was answered, for the first time. */
     void readAll(Millis at);
     void heard(const StoreWord &word, Millis now);
 
--- a/sequoiausher/coordination/gateway/targetboard.cpp
+++ b/sequoiausher/coordination/gateway/targetboard.cpp
@@ -325,9 +325,13 @@
     const bool isHeavilyUsed = sharesRoom && usableAmong(criteria.holders, load) >= holdersOfHeavyUse;
     const std::uint64_t place = isHeavilyUsed ? criteria.requestHash : criteria.partHash;
     const Choice choice{place, criteria.boundPercent, holder, false, criteria.firstPartHash};
-    std::optional<std::size_t> index = criteria.policy == PolicyKind::LeastExpected
+    // A part that nobody holds yet is read by the first one who gets it, and gateways hear of that late: until then
+    // they agree on a target only if they go by the hash alone.
+    const bool isUnread = sharesRoom && criteria.holders.empty();
+    const PolicyKind policy = isUnread ? PolicyKind::BoundedRendezvous : criteria.policy;
+    std::optional<std::size_t> index = policy == PolicyKind::LeastExpected
         ? Private::leastExpected(candidates, load)
-        : this->d->policy(criteria.policy).choose(load, choice);
+        : this->d->policy(policy).choose(load, choice);
     if (!index && usable > 0) {
         index = this->d->policy(PolicyKind::LeastLoaded).choose(load, choice);
     }
