Share the models' queue of events, and look for heavy use only where no holder takes the request

TargetBoard::choose counted a part's usable holders, a look at every target of the service, also for requests that a holder had taken already, where the count decides nothing.

Seen and left: StoreRole is put together, and mayRest asked, for each report and each tick; longestProofAge asks it twice; both fleets of storedutytest and peerdirectorytest deliver reports by hand; the repeated set-ups of earlier tests.

--- a/lab/model/engineservicemodel.cpp
+++ b/lab/model/engineservicemodel.cpp
@@ -1,5 +1,6 @@
 #include "lab/model/engineservicemodel.h"
 
+#include "lab/model/eventqueue.h"
 #include "sequoiausher/base/hashing.h"
 #include "sequoiausher/coordination/gateway/promptparts.h"
 #include "sequoiausher/coordination/gateway/targetboard.h"
@@ -8,10 +9,8 @@
 #include <array>
 #include <cmath>
 #include <deque>
-#include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <set>
 #include <string>
@@ -83,7 +82,7 @@
             Gateway &gateway = this->gateways.emplace_back();
             gateway.board = std::make_unique<TargetBoard>(this->day.seed * 1000 + i);
             gateway.board->setOtherGateways(this->day.gateways - 1);
-            gateway.board->setTargets(this->listed, this->clock());
+            gateway.board->setTargets(this->listed, this->events.clock());
             // Balancers that go by a hash of the caller give some gateways five times what others get.
             shares.push_back(this->uniform(0.3, 1.7));
         }
@@ -98,53 +97,25 @@
     EngineServiceResult run()
     {
         const double third = this->lengthMs() / 3;
-        this->at(third, [this] { this->join(); });
+        this->events.at(third, [this] { this->join(); });
         for (std::size_t step = 0; step < replacementSteps; ++step) {
             const double when = third + static_cast<double>(step) * replacementGapMs;
-            this->at(when, [this, step] { this->replace(step); });
+            this->events.at(when, [this, step] { this->replace(step); });
         }
         for (std::size_t i = 0; i < this->gateways.size(); ++i) {
-            this->at(this->uniform(0, this->reportMs()), [this, i] { this->report(i); });
-        }
-        this->at(0, [this] { this->arrive(); });
-        while (!this->events.empty()) {
-            const Event event = this->events.top();
-            this->events.pop();
-            this->now = event.at;
-            event.act();
+            this->events.at(this->uniform(0, this->reportMs()), [this, i] { this->report(i); });
         }
+        this->events.at(0, [this] { this->arrive(); });
+        this->events.run();
         return this->result;
     }
 
 private:
-    struct Event
-    {
-        double at = 0;
-        std::uint64_t order = 0;
-        std::function<void()> act;
-
-        bool operator<(const Event &other) const
-        {
-            return this->at != other.at ? this->at > other.at : this->order > other.order;
-        }
-    };
-
-    void at(double when, std::function<void()> act)
-    {
-        this->events.push({when, this->nextOrder++, std::move(act)});
-    }
-
     double uniform(double from, double to)
     {
         return std::uniform_real_distribution<double>(from, to)(this->random);
     }
 
-    Millis clock() const
-    {
-        // Times of 0 mean never.
-        return Millis{1000 + std::llround(this->now)};
-    }
-
     double reportMs() const
     {
         return static_cast<double>(this->day.reportInterval.count);
@@ -167,8 +138,8 @@
     {
         const auto list = std::make_shared<const std::vector<GatewayTarget>>(this->listed);
         for (Gateway &gateway : this->gateways) {
-            this->at(this->now + this->uniform(leastNewsMs, mostNewsMs),
-                     [this, &gateway, list] { gateway.board->setTargets(*list, this->clock()); });
+            this->events.at(this->events.now() + this->uniform(leastNewsMs, mostNewsMs),
+                            [this, &gateway, list] { gateway.board->setTargets(*list, this->events.clock()); });
         }
     }
 
@@ -185,7 +156,7 @@
         const std::size_t count = this->day.replaced / replacementSteps;
         for (std::size_t i = step * count; i < (step + 1) * count; ++i) {
             this->listed[i].isLeaving = true;
-            this->at(this->now + replacementMs, [this, i] {
+            this->events.at(this->events.now() + replacementMs, [this, i] {
                 const auto gone = this->engines.find(this->listed[i].id);
                 this->running -= gone->second.held;
                 this->engines.erase(gone);
@@ -200,13 +171,13 @@
     {
         Gateway &gateway = this->gateways[index];
         this->addToSums(gateway.passedOn, -1);
-        gateway.passedOn = std::exchange(gateway.told, gateway.board->ownLoads(this->clock()));
+        gateway.passedOn = std::exchange(gateway.told, gateway.board->ownLoads(this->events.clock()));
         this->addToSums(gateway.passedOn, 1);
         gateway.board->beginRound();
-        gateway.board->peerReported(hub, this->loadsOfOthers(index), this->clock());
+        gateway.board->peerReported(hub, this->loadsOfOthers(index), this->events.clock());
         this->hearPlacements(index);
-        if (this->now < this->lengthMs()) {
-            this->at(this->now + this->reportMs(), [this, index] { this->report(index); });
+        if (this->events.now() < this->lengthMs()) {
+            this->events.at(this->events.now() + this->reportMs(), [this, index] { this->report(index); });
         }
     }
 
@@ -233,19 +204,19 @@
     void hearPlacements(std::size_t index)
     {
         Gateway &gateway = this->gateways[index];
-        const double heardUpTo = this->now - this->reportMs();
+        const double heardUpTo = this->events.now() - this->reportMs();
         while (gateway.placementsHeard < this->placements.size()
                && this->placements[gateway.placementsHeard].at < heardUpTo) {
             const Placement &placement = this->placements[gateway.placementsHeard++];
             if (placement.gateway != index) {
-                gateway.parts.heard(hub, placement.part, placement.target, this->clock(), NewsScope::Own);
+                gateway.parts.heard(hub, placement.part, placement.target, this->events.clock(), NewsScope::Own);
             }
         }
     }
 
     void arrive()
     {
-        if (this->now >= this->lengthMs()) {
+        if (this->events.now() >= this->lengthMs()) {
             return;
         }
         const int count = std::geometric_distribution<int>(1 / this->day.together)(this->random) + 1;
@@ -255,7 +226,7 @@
         constexpr double msPerSecond = 1000;
         const double perMs = this->day.perSecond / this->day.together / msPerSecond;
         const double gap = std::exponential_distribution<double>(perMs)(this->random);
-        this->at(this->now + gap, [this] { this->arrive(); });
+        this->events.at(this->events.now() + gap, [this] { this->arrive(); });
     }
 
     std::size_t someKind()
@@ -271,7 +242,7 @@
 
     void ask()
     {
-        const bool isLastThird = this->now * 3 > this->lengthMs() * 2;
+        const bool isLastThird = this->events.now() * 3 > this->lengthMs() * 2;
         const bool isHeavyPart = isLastThird && this->uniform(0, 1) < this->day.heavyUse;
         const std::size_t kind = isHeavyPart ? longestKind : this->someKind();
         const std::size_t number = isHeavyPart ? this->day.partsOfKind : this->chosenPart(this->random);
@@ -290,12 +261,12 @@
         criteria.policy = this->policy;
         criteria.partHash = parts.last();
         criteria.firstPartHash = parts.first();
-        criteria.holders = parts.holders(gateway.parts, this->clock());
+        criteria.holders = parts.holders(gateway.parts, this->events.clock());
         criteria.requestHash = this->random();
-        const TargetId target = gateway.board->choose(criteria, this->clock())->target.id;
+        const TargetId target = gateway.board->choose(criteria, this->events.clock())->target.id;
         gateway.board->started(target);
-        parts.sent(gateway.parts, target, this->clock());
-        this->placements.push_back({this->now, index, parts.last(), target});
+        parts.sent(gateway.parts, target, this->events.clock());
+        this->placements.push_back({this->events.now(), index, parts.last(), target});
         this->work(index, kind, target, parts.last());
     }
 
@@ -304,7 +275,7 @@
         const auto engine = this->engines.find(target);
         if (engine == this->engines.end()) {
             // The gateway has not heard yet that it is gone.
-            this->gateways[gateway].board->ended(target, AttemptMark::Neutral, this->clock());
+            this->gateways[gateway].board->ended(target, AttemptMark::Neutral, this->events.clock());
             return;
         }
         this->count(engine->second);
@@ -312,8 +283,8 @@
         engine->second.held += 1;
         this->running += 1;
         const double took = kinds[kind].meanMs * this->uniform(0.5, 1.5);
-        this->at(this->now + took, [this, gateway, target] {
-            this->gateways[gateway].board->ended(target, AttemptMark::Answered, this->clock());
+        this->events.at(this->events.now() + took, [this, gateway, target] {
+            this->gateways[gateway].board->ended(target, AttemptMark::Answered, this->events.clock());
             const auto present = this->engines.find(target);
             if (present != this->engines.end()) {
                 present->second.held -= 1;
@@ -327,9 +298,9 @@
         const bool isAbove = engine.held * this->engines.size() > 2 * this->running + 3 * this->engines.size();
         this->result.sent += 1;
         this->result.sentAboveLimit += isAbove ? 1 : 0;
-        this->window.emplace_back(this->now, isAbove);
+        this->window.emplace_back(this->events.now(), isAbove);
         this->aboveInWindow += isAbove ? 1 : 0;
-        while (this->window.front().first < this->now - windowMs) {
+        while (this->window.front().first < this->events.now() - windowMs) {
             this->aboveInWindow -= this->window.front().second ? 1 : 0;
             this->window.pop_front();
         }
@@ -355,9 +326,7 @@
     std::vector<Placement> placements;
     std::deque<std::pair<double, bool>> window;
     std::size_t aboveInWindow = 0;
-    std::priority_queue<Event> events;
-    std::uint64_t nextOrder = 0;
-    double now = 0;
+    EventQueue events;
     EngineServiceResult result;
 };
 
--- a/lab/model/plainservicemodel.cpp
+++ b/lab/model/plainservicemodel.cpp
@@ -1,15 +1,14 @@
 #include "lab/model/plainservicemodel.h"
 
+#include "lab/model/eventqueue.h"
 #include "sequoiausher/coordination/gateway/loadshedder.h"
 #include "sequoiausher/coordination/gateway/targetboard.h"
 
 #include <algorithm>
 #include <cmath>
 #include <deque>
-#include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <string>
 #include <utility>
@@ -77,50 +76,22 @@
     PlainServiceResult run()
     {
         for (const TargetStep &change : this->day.changes) {
-            this->at(static_cast<double>(change.from.count), [this, change] { this->list(change.targets); });
+            this->events.at(static_cast<double>(change.from.count), [this, change] { this->list(change.targets); });
         }
         for (std::size_t i = 0; i < this->gateways.size(); ++i) {
-            this->at(this->uniform(0, this->reportMs()), [this, i] { this->report(i); });
-        }
-        this->at(0, [this] { this->arrive(); });
-        while (!this->events.empty()) {
-            const Event event = this->events.top();
-            this->events.pop();
-            this->now = event.at;
-            event.act();
+            this->events.at(this->uniform(0, this->reportMs()), [this, i] { this->report(i); });
         }
+        this->events.at(0, [this] { this->arrive(); });
+        this->events.run();
         return this->result;
     }
 
 private:
-    struct Event
-    {
-        double at = 0;
-        std::uint64_t order = 0;
-        std::function<void()> act;
-
-        bool operator<(const Event &other) const
-        {
-            return this->at != other.at ? this->at > other.at : this->order > other.order;
-        }
-    };
-
-    void at(double when, std::function<void()> act)
-    {
-        this->events.push({when, this->nextOrder++, std::move(act)});
-    }
-
     double uniform(double from, double to)
     {
         return std::uniform_real_distribution<double>(from, to)(this->random);
     }
 
-    Millis clock() const
-    {
-        // Times of 0 mean never.
-        return Millis{1000 + std::llround(this->now)};
-    }
-
     double reportMs() const
     {
         return static_cast<double>(this->day.reportInterval.count);
@@ -128,7 +99,7 @@
 
     bool isOver() const
     {
-        return this->now >= static_cast<double>(this->day.length.count);
+        return this->events.now() >= static_cast<double>(this->day.length.count);
     }
 
     void list(std::size_t count)
@@ -139,14 +110,14 @@
             all.push_back({this->targets[i].id, service, "10.0.0.1:80", DataCentreId{}, this->day.places, false});
         }
         for (Gateway &gateway : this->gateways) {
-            gateway.board->setTargets(all, this->clock());
+            gateway.board->setTargets(all, this->events.clock());
         }
     }
 
     void report(std::size_t index)
     {
         Gateway &gateway = this->gateways[index];
-        gateway.passedOn = std::exchange(gateway.told, gateway.board->ownLoads(this->clock()));
+        gateway.passedOn = std::exchange(gateway.told, gateway.board->ownLoads(this->events.clock()));
         gateway.board->beginRound();
         std::map<TargetId, std::uint32_t> sums;
         for (std::size_t i = 0; i < this->gateways.size(); ++i) {
@@ -158,9 +129,9 @@
         for (const auto &[target, inFlight] : sums) {
             heard.push_back({target, inFlight, false});
         }
-        gateway.board->peerReported(InstanceId{"hub"}, heard, this->clock());
+        gateway.board->peerReported(InstanceId{"hub"}, heard, this->events.clock());
         if (!this->isOver()) {
-            this->at(this->now + this->reportMs(), [this, index] { this->report(index); });
+            this->events.at(this->events.now() + this->reportMs(), [this, index] { this->report(index); });
         }
     }
 
@@ -171,17 +142,17 @@
         }
         double rate = 0;
         for (const LoadStep &step : this->day.load) {
-            rate = this->now >= static_cast<double>(step.from.count) ? step.perSecond : rate;
+            rate = this->events.now() >= static_cast<double>(step.from.count) ? step.perSecond : rate;
         }
         constexpr double msPerSecond = 1000;
         const auto count = std::geometric_distribution<int>(1 / this->day.together)(this->random) + 1;
         for (int i = 0; i < count; ++i) {
             this->result.asked += 1;
-            this->ask({this->now, false});
+            this->ask({this->events.now(), false});
         }
         const double perMs = rate / this->day.together / msPerSecond;
         const double gap = std::exponential_distribution<double>(perMs)(this->random);
-        this->at(this->now + gap, [this] { this->arrive(); });
+        this->events.at(this->events.now() + gap, [this] { this->arrive(); });
     }
 
     std::size_t someGateway()
@@ -201,9 +172,10 @@
         }
         const std::size_t index = this->someGateway();
         Gateway &gateway = this->gateways[index];
-        const bool isLate = this->now - request.askedAt > static_cast<double>(this->day.aim.count);
+        const bool isLate = this->events.now() - request.askedAt > static_cast<double>(this->day.aim.count);
         if (this->policy.sheds
-            && !gateway.shedder.judge(service, {RequestClass::Background, isLate}, this->uniform(0, 1), this->clock())
+            && !gateway.shedder
+                    .judge(service, {RequestClass::Background, isLate}, this->uniform(0, 1), this->events.clock())
                     .isAdmitted) {
             this->refuse(request, shedReturnMs);
             return;
@@ -213,7 +185,7 @@
         criteria.policy = this->policy.choice;
         criteria.requestHash = this->random();
         criteria.partHash = criteria.requestHash;
-        const auto chosen = gateway.board->choose(criteria, this->clock());
+        const auto chosen = gateway.board->choose(criteria, this->events.clock());
         if (!chosen) {
             this->refuse(request, leastReturnMs);
             return;
@@ -231,7 +203,7 @@
         }
         const double ahead = static_cast<double>(best->waiting.size()) + 1;
         const double wait = best->running < this->day.places ? 0 : ahead * this->day.workMs / this->day.places;
-        const double spent = this->now - request.askedAt;
+        const double spent = this->events.now() - request.askedAt;
         constexpr double safePart = 0.75;
         if (spent + wait + this->day.workMs > static_cast<double>(this->day.aim.count) * safePart) {
             this->refuse(request, leastReturnMs);
@@ -251,13 +223,13 @@
         if (target.running >= this->day.places && target.waiting.size() >= this->day.queue) {
             this->result.bounced += 1;
             if (!this->policy.knowsAll) {
-                this->gateways[gateway].board->ended(target.id, AttemptMark::Full, this->clock());
-                this->gateways[gateway].shedder.rejected(service, this->clock());
+                this->gateways[gateway].board->ended(target.id, AttemptMark::Full, this->events.clock());
+                this->gateways[gateway].shedder.rejected(service, this->events.clock());
             }
             this->refuse(request, leastReturnMs);
             return;
         }
-        target.waiting.push_back({request, gateway, this->now});
+        target.waiting.push_back({request, gateway, this->events.now()});
         this->work(target);
     }
 
@@ -271,7 +243,7 @@
             const double mean = std::log(this->day.workMs) - spread * spread / 2;
             double time = std::lognormal_distribution<double>(mean, spread)(this->random);
             time *= this->uniform(0, 1) < slowShare ? slowTimes : 1;
-            this->at(this->now + time, [this, &target, next] {
+            this->events.at(this->events.now() + time, [this, &target, next] {
                 target.running -= 1;
                 this->answered(target, next);
                 this->work(target);
@@ -281,7 +253,7 @@
 
     void answered(const Target &target, const Target::Waiting &done)
     {
-        const double took = this->now - done.request.askedAt + this->day.wayMs;
+        const double took = this->events.now() - done.request.askedAt + this->day.wayMs;
         const bool isInTime = took <= static_cast<double>(this->day.aim.count);
         this->result.inTime += isInTime ? 1 : 0;
         this->result.late += isInTime ? 0 : 1;
@@ -289,22 +261,22 @@
             return;
         }
         Gateway &gateway = this->gateways[done.gateway];
-        const bool isCrowded = gateway.board->inFlight(service, this->clock()) > gateway.board->places(service);
-        gateway.board->ended(target.id, AttemptMark::Answered, this->clock());
-        const Millis answerTime{std::llround(this->now - done.sentAt)};
+        const bool isCrowded = gateway.board->inFlight(service, this->events.clock()) > gateway.board->places(service);
+        gateway.board->ended(target.id, AttemptMark::Answered, this->events.clock());
+        const Millis answerTime{std::llround(this->events.now() - done.sentAt)};
         gateway.board->answerTook(target.id, answerTime);
-        gateway.shedder.answered(service, {answerTime, this->day.aim, isCrowded}, this->clock());
+        gateway.shedder.answered(service, {answerTime, this->day.aim, isCrowded}, this->events.clock());
     }
 
     void refuse(const Request &request, double returnMs)
     {
-        const double back = this->now + this->uniform(returnMs, 2 * returnMs);
+        const double back = this->events.now() + this->uniform(returnMs, 2 * returnMs);
         const bool hasTime = back - request.askedAt < static_cast<double>(this->day.patience.count);
         if (request.isSecondTry || !hasTime) {
             this->result.refused += 1;
             return;
         }
-        this->at(back, [this, request] { this->ask({request.askedAt, true}); });
+        this->events.at(back, [this, request] { this->ask({request.askedAt, true}); });
     }
 
     const PlainServiceDay &day;
@@ -313,9 +285,7 @@
     std::deque<Target> targets;
     std::deque<Gateway> gateways;
     std::size_t listed = 0;
-    std::priority_queue<Event> events;
-    std::uint64_t nextOrder = 0;
-    double now = 0;
+    EventQueue events;
     PlainServiceResult result;
 };
 
--- a/sequoiausher/coordination/gateway/targetboard.cpp
+++ b/sequoiausher/coordination/gateway/targetboard.cpp
@@ -322,7 +322,7 @@
     load.lowestBound = loadBound(criteria.boundPercent, load.total, load.counted) + boundSlack;
     const std::optional<std::size_t> holder = chooseHolder(criteria.holders, load, criteria.requestHash);
     // A part that several hold and none takes is in heavy use: by its hash all gateways would fill one more target.
-    const bool isHeavilyUsed = sharesRoom && usableAmong(criteria.holders, load) >= holdersOfHeavyUse;
+    const bool isHeavilyUsed = !holder && sharesRoom && usableAmong(criteria.holders, load) >= holdersOfHeavyUse;
     const std::uint64_t place = isHeavilyUsed ? criteria.requestHash : criteria.partHash;
     const Choice choice{place, criteria.boundPercent, holder, false, criteria.firstPartHash};
     // A part that nobody holds yet is read by the first one who gets it, and gateways hear of that late: until then
