Say when the store last told of targets, and list two tests of a dead watch that fail

Observability for the incident of the leaving target: its log could not tell whether a gateway's watch hung while its readings of the configuration were answered, or whether the waits of one line of calls added up. Now each failed call has a line with its kind, how long it took, when the next one comes and how old the word on targets is, and the metrics page has gateway_targets_heard_ms.

With one gateway whose store answers readings but loses answers of the watch, a leaving target is known after 4 s where two in a row are lost, and never where all are lost; the bound is 2 s. With one lost the case passes here by a few tens of milliseconds: 1.9 s until the watch is given up, a pause of 0.05 to 0.1 s, and ticks. With two gateways, the one whose own store tells it nothing more is told nothing by its peer either (within 4 s), since its readings are answered and so it counts as one that reads the store itself.

--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -405,6 +405,9 @@
         const auto count = static_cast<double>(this->watcher->calls(entry.value));
         this->metrics.set("gateway_store_calls_" + std::string(entry.name), count);
     }
+    const Millis heardAt = this->watcher->targetsHeardAt();
+    this->metrics.set("gateway_targets_heard_ms",
+                      heardAt == Millis{0} ? -1 : static_cast<double>((now - heardAt).count));
     this->metrics.set("gateway_resting", this->context.duty.mayRest(this->context.storeRole(now), now) ? 1 : 0);
     this->metrics.set("gateway_peer_bytes_sent", static_cast<double>(this->peers.sentBytes()));
     return toPrometheus(this->metrics.snapshot());
--- a/sequoiausher/transport/gateway/gatewaynodetest.cpp
+++ b/sequoiausher/transport/gateway/gatewaynodetest.cpp
@@ -525,6 +525,67 @@
     CHECK(one.seen.size() == before);
 }
 
+// Guards against a lost answer of a watch that hides a leaving target for longer than the bound.
+TEST_CASE("a target that leaves is known within the bound though answers of the watch are lost")
+{
+    Bed bed;
+    const std::string address = bed.settings.store.address;
+    bed.settings.store = StoreSettings();
+    bed.settings.store.address = address;
+    bed.addTarget("t1", "desk");
+    bed.addTarget("t2", "desk");
+    int lost = 0;
+    SUBCASE("one")
+    {
+        lost = 1;
+    }
+    SUBCASE("two in a row")
+    {
+        lost = 2;
+    }
+    SUBCASE("all of them")
+    {
+        lost = 1000;
+    }
+    bed.start();
+    const int begun = bed.watchesBegun;
+    REQUIRE(GatewayTestbed::waitFor([&] { return bed.watchesBegun > begun; }));
+    Internal::HeldUpTime heldUp;
+    const Millis before = Millis::monotonicNow();
+    bed.watchAnswersToLose = lost;
+    bed.removeTarget("t1");
+    CHECK(
+        GatewayTestbed::waitFor([&] { return bed.logged.str().find(" count=1 ") != std::string::npos; }, Millis{8000}));
+    CHECK(Millis::monotonicNow() - before < bed.settings.leaveBound + heldUpBy(heldUp));
+}
+
+// Guards against peers that tell nothing to a gateway whose readings are answered while its watch is dead.
+TEST_CASE("a gateway whose watch is dead hears from its peer that a target leaves")
+{
+    Bed one;
+    one.addTarget("t1", "desk");
+    one.addTarget("t2", "desk");
+    one.start();
+    Bed two;
+    const std::string address = two.settings.store.address;
+    two.settings.store = StoreSettings();
+    two.settings.store.address = address;
+    two.settings.seeds = {InstanceId{one.settings.peerAddress}};
+    two.addTarget("t1", "desk");
+    two.addTarget("t2", "desk");
+    two.start();
+    REQUIRE(GatewayTestbed::waitFor([&] { return two.logged.str().find("peer regained") != std::string::npos; }));
+    // At its start a gateway counts on its peers.
+    REQUIRE(
+        GatewayTestbed::waitFor([&] { return two.logged.str().find("reads the store itself") != std::string::npos; }));
+    Internal::HeldUpTime heldUp;
+    const Millis before = Millis::monotonicNow();
+    one.removeTarget("t1");
+    CHECK(
+        GatewayTestbed::waitFor([&] { return two.logged.str().find(" count=1 ") != std::string::npos; }, Millis{4000}));
+    CHECK(Millis::monotonicNow() - before < two.settings.leaveBound + heldUpBy(heldUp));
+}
+
 // Symptom: callers lost answers at each replacement of a gateway. Events: SIGTERM while a request runs; another one
 // comes on a kept connection. Cause: the process closed its connections and left.
 TEST_CASE("a planned stop answers what was read, takes no new work after it, and ends")
--- a/sequoiausher/transport/gateway/gatewaytestbed.cpp
+++ b/sequoiausher/transport/gateway/gatewaytestbed.cpp
@@ -220,10 +220,19 @@
     const auto waiting = std::move(this->watches);
     this->watches.clear();
     for (const auto &[after, request] : waiting) {
-        request.reply("410 Gone", "");
+        this->wakeWatch(request);
     }
 }
 
+void GatewayTestbed::wakeWatch(const FakeRequest &request)
+{
+    if (this->watchAnswersToLose > 0) {
+        this->watchAnswersToLose -= 1;
+        return;
+    }
+    request.reply("410 Gone", "");
+}
+
 FakeServer &GatewayTestbed::addTarget(const std::string &name, const std::string &service)
 {
     this->targets[name] = std::make_unique<FakeServer>();
@@ -277,8 +286,9 @@
     } else if (request.head.target == "/targets") {
         request.reply("200 OK", this->targetsText());
     } else if (request.head.target != this->dialect->watchCall(this->revision, Millis{0})) {
-        request.reply("410 Gone", "");
+        this->wakeWatch(request);
     } else {
+        this->watchesBegun += 1;
         this->watches.emplace_back(this->revision, request);
         QTimer::singleShot(static_cast<int>(this->settings.store.watchTime.count),
                            [this, request, at = this->revision] {
--- a/sequoiausher/transport/gateway/gatewaytestbed.h
+++ b/sequoiausher/transport/gateway/gatewaytestbed.h
@@ -53,6 +53,10 @@
     FakeServer store;
     /** The store answers nothing any more. */
     bool isStoreSilent = false;
+    /** So many answers of a watch that tell of a change are lost, and their connections stay open without a word. */
+    int watchAnswersToLose = 0;
+    /** Watches that were begun so far. */
+    int watchesBegun = 0;
     /** The store answers what it is asked from now on by releaseStore(). */
     void holdStore();
     void releaseStore();
@@ -65,6 +69,8 @@
 
 private:
     void answerStore(FakeRequest &request);
+    /** Tells a watch that something changed, unless that answer is to be lost. */
+    void wakeWatch(const FakeRequest &request);
     std::string targetsText() const;
 
     std::string stored;
--- a/sequoiausher/transport/gateway/storewatcher.cpp
+++ b/sequoiausher/transport/gateway/storewatcher.cpp
@@ -44,6 +44,8 @@
 
     StoreCalls calls;
     Millis nextAt;
+    /** When the running call began, or the last one. */
+    Millis begunAt;
     Millis pause = firstPause;
 };
 
@@ -102,6 +104,8 @@
     std::vector<TargetId> unreadable;
     Revision listedFrom = 0;
     bool isLost = false;
+    /** When the store last said how the targets are, by a list or a watch; 0 for never. */
+    Millis targetsHeardAt;
     /** Calls by their reasons. */
     std::map<StoreCallReason, std::uint64_t> made;
     std::mt19937_64 random;
@@ -162,6 +166,11 @@
     return found != this->d->made.end() ? found->second : 0;
 }
 
+Millis StoreWatcher::targetsHeardAt() const
+{
+    return this->d->targetsHeardAt;
+}
+
 void StoreWatcher::Private::get(CallLine &line,
                                 StoreCallReason reason,
                                 const std::string &target,
@@ -169,6 +178,7 @@
                                 StoreCalls::Done done)
 {
     this->made[line.pause > firstPause ? StoreCallReason::Failure : reason] += 1;
+    line.begunAt = Millis::monotonicNow();
     line.calls.get(target, timeout, std::move(done));
 }
 
@@ -177,6 +187,16 @@
     std::uniform_int_distribution<std::int64_t> jitter(line.pause.count / 2, line.pause.count);
     line.nextAt = Millis::monotonicNow() + Millis{jitter(this->random)};
     line.pause = std::min(line.pause * 2, this->longestPause);
+    const Millis now = Millis::monotonicNow();
+    this->log.info(
+        LogPart::Platform,
+        "a call to the store failed",
+        {{"call", std::string(what)},
+         {"why", problem},
+         {"took_ms", std::to_string((now - line.begunAt).count)},
+         {"next_in_ms", std::to_string((line.nextAt - now).count)},
+         {"targets_heard_ms",
+          this->targetsHeardAt == Millis{0} ? "never" : std::to_string((now - this->targetsHeardAt).count)}});
     if (!std::exchange(this->isLost, true)) {
         this->log.warning(LogPart::Platform, "store lost", {{"call", std::string(what)}, {"why", problem}});
         this->listener.storeLost(problem);
@@ -262,6 +282,7 @@
         }
         this->watchedFrom = this->listedFrom;
         this->hasListed = true;
+        this->targetsHeardAt = Millis::monotonicNow();
         this->listener.targetsRead(this->listed, this->unreadable, this->listedFrom);
         if (!this->isResting) {
             this->watch();
@@ -298,6 +319,7 @@
     try {
         const StoreEvents events = this->dialect.readWatchAnswer(answer.body);
         this->watchedFrom = std::max(this->watchedFrom, events.storeRevision);
+        this->targetsHeardAt = Millis::monotonicNow();
         this->listener.storeAnswered();
         this->apply(events);
         if (!events.events.empty()) {
--- a/sequoiausher/transport/gateway/storewatcher.h
+++ b/sequoiausher/transport/gateway/storewatcher.h
@@ -97,6 +97,8 @@
     void setResting(bool on, Revision heardUpTo);
     /** The longest pause between two calls that fail. */
     void setLongestPause(Millis pause);
+    /** When the store last told this gateway itself how the targets are; 0 for never. */
+    Millis targetsHeardAt() const;
     /** Calls made so far for that reason. */
     std::uint64_t calls(StoreCallReason reason) const;
 
