Notice a watch that should have told of a change, and tell late gateways also where their readings are answered

What callers saw: a request could go to a target seconds after it had said that it leaves, where one answer of a watch was lost.

Cause, two of one kind: the knowledge of targets was dated by any answer of the store. - Readings of the configuration go over another connection. While they were answered, a gateway counted as one that reads the store itself, so its peers told it nothing, and it vouched for a list of which it heard no more. - A watch that hears nothing looks like one whose answer is lost: it was given up after 1,900 ms, then came a pause, ticks and a list. The spans were constants and their sum passed the bound of 2,000 ms.

Ruled out: shorter watches alone (a call more for each gateway and second in calm), and a push of every change to every peer (six times the bytes in calm).

Change: StoreDuty takes a word on the store only for as far as the list has come, also of peers and of hubs that read for others. The spans of all calls follow from the bound (timesWithin), and a pause counts from the begin of the failed call.

--- a/sequoiausher/coordination/gateway/storeduty.cpp
+++ b/sequoiausher/coordination/gateway/storeduty.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/** A gateway whose store has not answered for so long hears of targets from its peers. */
+/** A gateway whom the store has not told of targets for so long hears of them from its peers. */
 constexpr Millis storeIsSilent{1500};
 /** After its first reading a gateway gives its peers so long to be found: four rounds of reports. */
 constexpr Millis startRest{1200};
@@ -29,6 +29,8 @@
 constexpr Millis shortestTurns{1200};
 /** A gateway that alone reaches the store, or alone lost its peers, must hear of a target that leaves in time. */
 constexpr Millis longestStorePauseOfAny{4000};
+/** Claims that wait for the list; in a storm of changes the oldest ones tell least. */
+constexpr std::size_t mostAhead = 32;
 
 Millis ageOf(Millis at, Millis now)
 {
@@ -48,9 +50,50 @@
     this->settings = with;
 }
 
-void StoreDuty::answered(Millis now)
+void StoreDuty::answered(Millis at)
 {
-    this->answeredAt = std::max(this->answeredAt, now);
+    this->answeredAt = std::max(this->answeredAt, at);
+}
+
+void StoreDuty::storeWasAt(Revision revision, Millis at)
+{
+    this->take({revision, at, Source::Store});
+}
+
+void StoreDuty::listReached(Revision revision)
+{
+    this->listed = std::max(this->listed, revision);
+    std::erase_if(this->ahead, [this](const Claim &claim) {
+        const bool isReached = claim.revision <= this->listed;
+        if (isReached) {
+            this->believe(claim);
+        }
+        return isReached;
+    });
+}
+
+void StoreDuty::take(const Claim &claim)
+{
+    if (claim.revision <= this->listed) {
+        this->believe(claim);
+        return;
+    }
+    this->ahead.push_back(claim);
+    if (this->ahead.size() > mostAhead) {
+        this->ahead.pop_front();
+    }
+}
+
+void StoreDuty::believe(const Claim &claim)
+{
+    if (claim.source == Source::Store) {
+        this->answered(claim.at);
+        return;
+    }
+    this->knownAt = std::max(this->knownAt, claim.at);
+    if (claim.source == Source::BetterHub) {
+        this->knownByBetterAt = std::max(this->knownByBetterAt, claim.at);
+    }
 }
 
 void StoreDuty::readAll(Millis at)
@@ -72,11 +115,8 @@
     if (!isTold || word.age >= word.echo) {
         return;
     }
-    const Millis known = word.echo - word.age;
-    this->knownAt = std::max(this->knownAt, known);
-    if (word.isFromHub && word.isFirstHand && word.comesBefore) {
-        this->knownByBetterAt = std::max(this->knownByBetterAt, known);
-    }
+    const bool isBetter = word.isFromHub && word.isFirstHand && word.comesBefore;
+    this->take({word.revision, word.echo - word.age, isBetter ? Source::BetterHub : Source::Peer});
 }
 
 Millis StoreDuty::firstHubPatience() const
--- a/sequoiausher/coordination/gateway/storeduty.h
+++ b/sequoiausher/coordination/gateway/storeduty.h
@@ -8,14 +8,20 @@
 // so knowledge that goes around in a circle grows old, and whoever misses it reads for itself, the second hub soonest,
 // then the other hubs, then everybody. Nobody is elected: two that both take themselves for the first both read.
 //
+// A word says how the store was; it tells how old this gateway's list of targets is only once that list has come as
+// far.
+//
 //     StoreDuty duty(settings, seed);
-//     duty.heard({report.storeAge, report.echo, isFromHub, isFirstHand, comesBefore}, now);
+//     duty.heard({report.storeAge, report.echo, isFromHub, isFirstHand, comesBefore, report.targets}, now);
+//     duty.listReached(list.revision());
 //     watcher.setResting(duty.mayRest(role, now));
 
+#include "sequoiausher/base/identifiers.h"
 #include "sequoiausher/base/millis.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
 
 namespace Sequoiausher {
@@ -43,6 +49,8 @@
     bool isFirstHand = false;
     /** Among hubs the sender comes before the receiver. */
     bool comesBefore = false;
+    /** The store's revision up to which the sender's list of targets is complete. */
+    Revision revision = 0;
 };
 
 /** What this gateway is to the fleet, as it sees it. */
@@ -67,15 +75,22 @@
     StoreDuty(const StoreDutySettings &settings, std::uint64_t seed);
 
     void setSettings(const StoreDutySettings &with);
-    /** The store answered this gateway itself. */
-    void answered(Millis now);
+    /** The store told this gateway itself of all targets, as they were at that moment or later. */
+    void answered(Millis at);
+    /**
+     * The store said itself that it was at revision at that moment or later. Where the list has not come as far, that
+     * proves nothing until it has.
+     */
+    void storeWasAt(Revision revision, Millis at);
+    /** The list of targets is complete up to that revision of the store, whoever told it. */
+    void listReached(Revision revision);
     /** This gateway has asked for all of it, and was answered, for the first time. */
     void readAll(Millis at);
     void heard(const StoreWord &word, Millis now);
 
     /** Whether this gateway lists and watches nothing for now. */
     bool mayRest(const StoreRole &role, Millis now) const;
-    /** Whether the store answers this gateway itself. */
+    /** Whether the store itself has lately told this gateway how the targets are. */
     bool isFirstHand(Millis now) const;
     /** How old this gateway's knowledge is, whoever read it; never() where it has none. */
     Millis knowledgeAge(Millis now) const;
@@ -94,9 +109,28 @@
     Millis turn(const StoreRole &role) const;
     bool isHubInTouch(Millis now) const;
 
+    enum class Source {
+        Store,
+        /** A hub that comes before this one and reads the store itself. */
+        BetterHub,
+        Peer,
+    };
+    /** At that moment the store was at revision, or further. */
+    struct Claim
+    {
+        Revision revision = 0;
+        Millis at;
+        Source source = Source::Store;
+    };
+    void take(const Claim &claim);
+    void believe(const Claim &claim);
+
     StoreDutySettings settings;
     /** From 0 up to 1: this gateway's place in the order in which all try. */
     double place = 0;
+    Revision listed = 0;
+    /** Claims that are ahead of the list, the oldest first. */
+    std::deque<Claim> ahead;
     Millis answeredAt;
     Millis readAllAt;
     /** What is surely known of the store by peers' words: all up to that moment. */
--- a/sequoiausher/coordination/gateway/storedutytest.cpp
+++ b/sequoiausher/coordination/gateway/storedutytest.cpp
@@ -237,6 +237,28 @@
     CHECK(duty.knowledgeAge(Millis{10000}) == Millis{0});
 }
 
+// Guards against knowledge of a list that has not come as far as the word on which it rests.
+TEST_CASE("a word that is ahead of the list counts once the list has come as far")
+{
+    StoreDuty duty(settings, 1);
+    const StoreRole role{true, true, std::nullopt, 100};
+    duty.listReached(7);
+    duty.heard({Millis{500}, Millis{9900}, true, true, true, 8}, Millis{10000});
+    CHECK(duty.knowledgeAge(Millis{10000}) == Millis::never());
+    CHECK_FALSE(duty.mayRest(role, Millis{10000}));
+    duty.storeWasAt(9, Millis{9950});
+    CHECK_FALSE(duty.isFirstHand(Millis{10000}));
+    duty.listReached(8);
+    CHECK(duty.knowledgeAge(Millis{10000}) == Millis{600});
+    CHECK(duty.mayRest(role, Millis{10000}));
+    CHECK_FALSE(duty.isFirstHand(Millis{10000}));
+    duty.listReached(9);
+    CHECK(duty.knowledgeAge(Millis{10000}) == Millis{50});
+    CHECK(duty.isFirstHand(Millis{10000}));
+    duty.storeWasAt(9, Millis{9990});
+    CHECK(duty.knowledgeAge(Millis{10000}) == Millis{10});
+}
+
 TEST_CASE("a gateway of a small fleet reads by itself, and a lone one at once")
 {
     StoreDuty duty(settings, 1);
--- /dev/null
+++ b/sequoiausher/coordination/gateway/watchpatiencetest.cpp
@@ -0,0 +1,133 @@
+#include "sequoiausher/coordination/gateway/watchpatience.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <optional>
+#include <set>
+
+using namespace Sequoiausher;
+
+namespace {
+
+constexpr Millis tick{40};
+constexpr Millis travel{4};
+
+/** Calls by the order in which they are begun after the change. */
+enum class Lost { Watch, WatchAndList, WatchAndReading };
+
+/**
+ * A gateway that nobody else tells anything: one line of calls reads the configuration, the other one watches. One
+ * change comes, and some of the calls that are under way then, or begin later, get no answer.
+ */
+class LoneGateway
+{
+public:
+    LoneGateway(const StoreTimes &with, Lost lost, Millis firstReading)
+        : times(with)
+        , patience(with)
+        , losesList(lost == Lost::WatchAndList)
+        , losesReading(lost == Lost::WatchAndReading)
+        , readingAt(firstReading)
+    {
+        this->patience.heardUpTo(1);
+    }
+
+    /** How long after the change the gateway hears of it. The watch begins at 0 and the change comes right after. */
+    Millis hears()
+    {
+        for (Millis now{0}; now < Millis{20000}; now = now + tick) {
+            this->read(now);
+            if (this->isListing && now >= this->callBegunAt + travel && !this->losesList) {
+                return now;
+            }
+            const Millis limit
+                = this->isListing ? this->times.callTimeout : this->times.watchTime + this->times.watchDelay;
+            if (this->patience.isOverdue(this->callBegunAt, now) || now - this->callBegunAt >= limit) {
+                this->patience.gaveUp();
+                this->losesList = this->losesList && !this->isListing;
+                this->isListing = true;
+                this->callBegunAt = now;
+            }
+        }
+        return Millis::never();
+    }
+
+private:
+    void read(Millis now)
+    {
+        if (this->readingBegunAt && this->losesReading && now - *this->readingBegunAt >= this->times.callTimeout) {
+            this->losesReading = false;
+            this->readingBegunAt.reset();
+            this->readingAt = now;
+        } else if (this->readingBegunAt && !this->losesReading && now >= *this->readingBegunAt + travel) {
+            this->patience.storeIsAt(2, travel, now);
+            this->readingBegunAt.reset();
+            this->readingAt = now + this->times.proofInterval;
+        }
+        if (!this->readingBegunAt && now >= this->readingAt) {
+            this->readingBegunAt = now;
+        }
+    }
+
+    StoreTimes times;
+    WatchPatience patience;
+    bool losesList = false;
+    bool losesReading = false;
+    bool isListing = false;
+    Millis callBegunAt;
+    Millis readingAt;
+    std::optional<Millis> readingBegunAt;
+};
+
+} // namespace
+
+// Guards against waits that add up to more than the bound where answers of the store are lost.
+TEST_CASE("a lone gateway hears of a change within the bound though any two calls in a row are lost")
+{
+    for (const std::int64_t bound : {500, 1000, 2000, 3000, 4000, 10000}) {
+        const StoreTimes times = timesWithin(StoreTimes(), Millis{bound});
+        for (const Lost lost : {Lost::Watch, Lost::WatchAndList, Lost::WatchAndReading}) {
+            for (Millis reading{0}; reading <= times.proofInterval; reading = reading + Millis{5}) {
+                CAPTURE(bound);
+                CAPTURE(static_cast<int>(lost));
+                CAPTURE(reading.count);
+                CHECK(LoneGateway(times, lost, reading).hears() < Millis{bound});
+            }
+        }
+    }
+}
+
+TEST_CASE("spans are those that are given, where the bound allows them")
+{
+    const StoreTimes given;
+    const StoreTimes times = timesWithin(given, Millis{4000});
+    CHECK(times.callTimeout == given.callTimeout);
+    CHECK(times.watchTime == given.watchTime);
+    CHECK(times.watchDelay == given.watchDelay);
+    CHECK(times.proofInterval == given.proofInterval);
+    CHECK(times.gatherTime == given.gatherTime);
+}
+
+// Guards against a store that is only slow and whose watches are given up before they can answer.
+TEST_CASE("a watch is overdue only after it had time to tell, and a slow store gets more")
+{
+    WatchPatience patience((StoreTimes()));
+    const Millis after = StoreTimes().overdueAfter;
+    patience.heardUpTo(5);
+    patience.storeIsAt(5, travel, Millis{1000});
+    CHECK_FALSE(patience.isOverdue(Millis{0}, Millis{9000}));
+    patience.storeIsAt(6, travel, Millis{1000});
+    patience.storeIsAt(7, travel, Millis{1100});
+    CHECK_FALSE(patience.isOverdue(Millis{0}, Millis{999} + after));
+    CHECK(patience.isOverdue(Millis{0}, Millis{1000} + after));
+    CHECK_FALSE(patience.isOverdue(Millis{1200}, Millis{1199} + after));
+    patience.gaveUp();
+    CHECK_FALSE(patience.isOverdue(Millis{0}, Millis{1000} + after));
+    CHECK(patience.isOverdue(Millis{0}, Millis{1000} + after * 2));
+    patience.heardUpTo(6);
+    CHECK_FALSE(patience.isOverdue(Millis{0}, Millis{9000}));
+    patience.storeIsAt(8, Millis{800}, Millis{9000});
+    CHECK_FALSE(patience.isOverdue(Millis{0}, Millis{10599}));
+    CHECK(patience.isOverdue(Millis{0}, Millis{10600}));
+}
--- a/sequoiausher/transport/gateway/gatewaycontext.cpp
+++ b/sequoiausher/transport/gateway/gatewaycontext.cpp
@@ -21,7 +21,17 @@
 
 StoreDutySettings storeDutyOf(const GatewaySettings &settings)
 {
-    return {settings.leaveBound, settings.keyFreshness, settings.store.proofInterval};
+    return {settings.leaveBound, settings.keyFreshness, storeTimesOf(settings).proofInterval};
+}
+
+StoreTimes storeTimesOf(const GatewaySettings &settings)
+{
+    StoreTimes longest;
+    longest.callTimeout = settings.store.callTimeout;
+    longest.watchTime = settings.store.watchTime;
+    longest.watchDelay = settings.store.watchDelay;
+    longest.proofInterval = settings.store.proofInterval;
+    return timesWithin(longest, settings.leaveBound);
 }
 
 GatewayContext::GatewayContext(const GatewayDialect &speaks,
--- a/sequoiausher/transport/gateway/gatewaycontext.h
+++ b/sequoiausher/transport/gateway/gatewaycontext.h
@@ -16,6 +16,7 @@
 #include "sequoiausher/coordination/gateway/routetable.h"
 #include "sequoiausher/coordination/gateway/storeduty.h"
 #include "sequoiausher/coordination/gateway/targetboard.h"
+#include "sequoiausher/coordination/gateway/watchpatience.h"
 #include "sequoiausher/coordination/rules/ruleset.h"
 #include "sequoiausher/protocol/gateway/gatewaydialect.h"
 #include "sequoiausher/protocol/settings/gatewaysettings.h"
@@ -34,6 +35,8 @@
 
 /** The part of the settings that says when a gateway reads the store. */
 StoreDutySettings storeDutyOf(const GatewaySettings &settings);
+/** The spans of its calls, within the bound for leaving targets. */
+StoreTimes storeTimesOf(const GatewaySettings &settings);
 
 /** The shared state. */
 struct GatewayContext
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -106,12 +106,13 @@
     void configurationAbsent() override;
     void targetsRead(const std::vector<GatewayTarget> &targets,
                      const std::vector<TargetId> &unreadable,
-                     Revision at) override;
+                     Revision at,
+                     Millis asOf) override;
     void targetWritten(const GatewayTarget &target, Revision at) override;
     void targetRemoved(const TargetId &name, Revision at) override;
     void targetUnreadable(const TargetId &name, Revision at) override;
     void targetChangesEnd() override;
-    void storeAnswered() override;
+    void watchAnswered(Revision upTo, Millis asOf) override;
     void storeLost(const std::string &problem) override;
     void storeReturned() override;
     void configurationOffered(const std::string &raw, Revision revision) override;
@@ -180,7 +181,8 @@
 void GatewayNode::Private::watchStore()
 {
     const GatewaySettings &settings = this->context.settings;
-    this->watcher = std::make_unique<StoreWatcher>(this->dialect, settings.store, settings.linkMbps, this->log, *this);
+    this->watcher = std::make_unique<StoreWatcher>(
+        this->dialect, settings.store.address, storeTimesOf(settings), settings.linkMbps, this->log, *this);
     this->watcher->tick(Millis::monotonicNow(), Millis::never(), Millis{0});
 }
 
@@ -195,6 +197,7 @@
     this->context.settings = settings;
     this->context.retryBudget.setSettings(settings.repeats);
     this->context.duty.setSettings(storeDutyOf(settings));
+    this->watcher->setTimes(storeTimesOf(settings));
     this->context.peers.setSeeds(settings.seeds);
     if (settings.store.address != storeBefore) {
         this->watchStore();
@@ -430,7 +433,9 @@
 
 void GatewayNode::Private::configurationRead(const StoredConfiguration &stored, std::optional<Millis> readAt)
 {
-    this->context.duty.answered(Millis::monotonicNow());
+    if (readAt) {
+        this->context.duty.storeWasAt(stored.storeRevision, *readAt);
+    }
     if (stored.changedAt != this->readChangedAt) {
         if (stored.changedAt < this->readChangedAt) {
             return;
@@ -488,9 +493,10 @@
 
 void GatewayNode::Private::targetsRead(const std::vector<GatewayTarget> &targets,
                                        const std::vector<TargetId> &unreadable,
-                                       Revision at)
+                                       Revision at,
+                                       Millis asOf)
 {
-    this->context.duty.answered(Millis::monotonicNow());
+    this->context.duty.storeWasAt(at, asOf);
     // A peer may have told of later changes already.
     if (at >= this->known.targets.revision()) {
         this->known.targets.replaceAll(targets, at, Millis::monotonicNow());
@@ -499,13 +505,13 @@
         }
         this->targetsChanged("list");
     }
+    this->context.duty.listReached(at);
     this->hasAskedTargets = true;
     this->noteFirstReading();
 }
 
 void GatewayNode::Private::configurationAbsent()
 {
-    this->context.duty.answered(Millis::monotonicNow());
     this->hasAskedConfiguration = true;
     this->noteFirstReading();
 }
@@ -552,9 +558,10 @@
     this->changeCount = 0;
 }
 
-void GatewayNode::Private::storeAnswered()
+void GatewayNode::Private::watchAnswered(Revision upTo, Millis asOf)
 {
-    this->context.duty.answered(Millis::monotonicNow());
+    this->context.duty.storeWasAt(upTo, asOf);
+    this->context.duty.listReached(upTo);
 }
 
 void GatewayNode::Private::storeLost(const std::string & /*problem*/)
@@ -572,6 +579,7 @@
 void GatewayNode::Private::targetsOffered(const std::vector<GatewayTarget> &targets, Revision revision)
 {
     this->known.targets.adopt(targets, revision);
+    this->context.duty.listReached(this->known.targets.revision());
     this->targetsChanged("peer");
 }
 
@@ -580,6 +588,7 @@
     if (!this->known.targets.apply(changes)) {
         return;
     }
+    this->context.duty.listReached(this->known.targets.revision());
     for (const TargetId &gone : changes.gone) {
         this->noteChange(gone.value + " gone");
     }
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -7,6 +7,7 @@
 #include <QByteArray>
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <utility>
 
@@ -100,7 +101,17 @@
     const Document &targetsFrom(Revision has);
     void push(const InstanceId &peer, Document document, Millis now);
     void followPeers();
+    /** Remembers since when this gateway knows of changes of targets. */
+    void noteChanges(Millis now);
+    /** Whether a peer whose list is complete up to has should have heard of the next change by now. */
+    bool isLate(Revision has, Millis now) const;
 
+    /** A change of targets, and since when it is known here. */
+    struct Learnt
+    {
+        Revision revision = 0;
+        Millis at;
+    };
     struct Pushed
     {
         Revision revision = 0;
@@ -119,6 +130,7 @@
     std::map<Revision, Document> packedTargets;
     Revision packedTargetsAt = 0;
     Millis packedLetGoAt;
+    std::deque<Learnt> learnt;
     Millis nextRoundAt;
     std::uint64_t round = 0;
 };
@@ -145,6 +157,7 @@
 
 void GatewayPeers::tick(Millis now)
 {
+    this->d->noteChanges(now);
     if (now >= this->d->nextRoundAt) {
         this->d->nextRoundAt = now + reportInterval;
         this->d->followPeers();
@@ -250,7 +263,8 @@
         this->context.parts.heard(from, placement.part, placement.target, now, scope);
     }
     const bool comesBefore = this->context.peers.comesBefore(from, now);
-    this->context.duty.heard({report.storeAge, report.echo, report.isHub, !report.isResting, comesBefore}, now);
+    this->context.duty.heard(
+        {report.storeAge, report.echo, report.isHub, !report.isResting, comesBefore, report.targets}, now);
     this->pushTo(from, report, now);
     if (this->context.peers.mustReply(from, report, now)) {
         GatewayReport reply = this->reportFor(from, now);
@@ -273,11 +287,32 @@
     }
     // One that starts while the store is away for all has no list at all: an old one is better than none.
     const bool hasNone = report.targets == 0 && !this->known.targets.empty();
-    if (hasNone || (report.isResting && this->context.duty.mayTell(now))) {
+    // One that reads the store itself hears of a change by itself, unless its own calls have got no answer.
+    const bool counts = report.isResting || this->isLate(report.targets, now);
+    if (hasNone || (counts && this->context.duty.mayTell(now))) {
         this->pushTargets(peer, report.targets, now);
     }
 }
 
+void GatewayPeers::Private::noteChanges(Millis now)
+{
+    constexpr std::size_t mostChanges = 64;
+    const Revision changedAt = this->known.targets.changedAt();
+    if (this->learnt.empty() || this->learnt.back().revision != changedAt) {
+        this->learnt.push_back({changedAt, now});
+    }
+    if (this->learnt.size() > mostChanges) {
+        this->learnt.pop_front();
+    }
+}
+
+bool GatewayPeers::Private::isLate(Revision has, Millis now) const
+{
+    const auto next = std::find_if(
+        this->learnt.begin(), this->learnt.end(), [has](const Learnt &each) { return each.revision > has; });
+    return next != this->learnt.end() && now - next->at >= storeTimesOf(this->context.settings).overdueAfter;
+}
+
 void GatewayPeers::Private::pushTargets(const InstanceId &peer, Revision has, Millis now)
 {
     const TargetList &list = this->known.targets;
--- a/sequoiausher/transport/gateway/storecall.cpp
+++ b/sequoiausher/transport/gateway/storecall.cpp
@@ -127,6 +127,12 @@
     return this->d->done != nullptr;
 }
 
+void StoreCalls::cancel()
+{
+    this->d->drop();
+    this->d->done = nullptr;
+}
+
 void StoreCalls::tick(Millis now)
 {
     if (!this->d->done) {
--- a/sequoiausher/transport/gateway/storecall.h
+++ b/sequoiausher/transport/gateway/storecall.h
@@ -40,6 +40,8 @@
     /** Sends GET target; done is called once, later. Must not be called while a call is on its way. */
     void get(const std::string &target, Millis timeout, Done done);
     bool isBusy() const;
+    /** Gives up the running call with its connection; its done is not called. */
+    void cancel();
     /** Ends a call whose time is over. */
     void tick(Millis now);
 
--- a/sequoiausher/transport/gateway/storewatcher.cpp
+++ b/sequoiausher/transport/gateway/storewatcher.cpp
@@ -17,11 +17,6 @@
 
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
-/**
- * Changes come in rows, and each answer of a watch is a call more for each gateway that watches: what comes within so
- * long after a change is heard with the next one. It delays news of a target that leaves by as much.
- */
-constexpr Millis gatherTime{150};
 /**
  * Bytes that readings of the configuration may take in a millisecond for each Mbit/s of the link, on the average: half
  * of what it carries. A configuration of a megabyte, read as often as a small one, would leave a link of 10 Mbit/s no
@@ -32,13 +27,10 @@
 /** Where no configuration was published yet, the watch or a peer tells of the first one; this is for the case that not.
  */
 constexpr Millis absentPause{1000};
-/** After a failed call the next one waits for so long; doubled each time up to the most, with jitter. */
-constexpr Millis firstPause{100};
-
 /** One line of calls with its own pauses. */
 struct CallLine
 {
-    explicit CallLine(const std::string &address) : calls(address)
+    CallLine(const std::string &address, Millis firstPause) : calls(address), pause(firstPause)
     {
     }
 
@@ -46,7 +38,8 @@
     Millis nextAt;
     /** When the running call began, or the last one. */
     Millis begunAt;
-    Millis pause = firstPause;
+    /** So long after the begin of a failed call the next one comes; doubled each time up to the most, with jitter. */
+    Millis pause;
 };
 
 } // namespace
@@ -55,16 +48,18 @@
 {
 public:
     Private(const GatewayDialect &speaks,
-            const StoreSettings &with,
+            const std::string &address,
+            const StoreTimes &with,
             double linkMbps,
             const Log &writes,
             StoreListener &hears)
         : dialect(speaks)
-        , settings(with)
+        , times(with)
         , log(writes)
         , listener(hears)
-        , proof(with.address)
-        , changes(with.address)
+        , proof(address, with.firstPause)
+        , changes(address, with.firstPause)
+        , patience(with)
         , bytesPerMs(std::max(linkMbps * bytesPerMbps, 1.0))
         , random(std::random_device{}())
     {
@@ -74,21 +69,25 @@
     void listTargets(const std::string &next);
     void targetsListed(const StoreAnswer &answer);
     void watch();
-    void watched(const StoreAnswer &answer);
+    void watched(const StoreAnswer &answer, Millis wait);
     void apply(const StoreEvents &events);
     bool isGood(CallLine &line, const StoreAnswer &answer, std::string_view what);
+    /** Gives up a call that should have told of what the store is known to have. */
+    void dropOverdue(Millis now);
     void failed(CallLine &line, std::string_view what, const std::string &problem);
     void succeeded(CallLine &line);
     void get(CallLine &line, StoreCallReason reason, const std::string &target, Millis timeout, StoreCalls::Done done);
 
     const GatewayDialect &dialect;
-    StoreSettings settings;
+    StoreTimes times;
     const Log &log;
     StoreListener &listener;
     /** Reads the configuration. */
     CallLine proof;
     /** Lists targets, then watches. */
     CallLine changes;
+    WatchPatience patience;
+    bool isOverdue = false;
     /** The watch goes on from here; 0 before the first list, or where the history is gone. */
     Revision watchedFrom = 0;
     /** A proof is due whatever the age of the last one: the watch has lost its history. */
@@ -103,6 +102,8 @@
     std::vector<GatewayTarget> listed;
     std::vector<TargetId> unreadable;
     Revision listedFrom = 0;
+    /** When the call for the first page began. */
+    Millis listedSince;
     bool isLost = false;
     /** When the store last said how the targets are, by a list or a watch; 0 for never. */
     Millis targetsHeardAt;
@@ -112,11 +113,12 @@
 };
 
 StoreWatcher::StoreWatcher(const GatewayDialect &dialect,
-                           const StoreSettings &settings,
+                           const std::string &address,
+                           const StoreTimes &times,
                            double linkMbps,
                            const Log &log,
                            StoreListener &listener)
-    : d(std::make_unique<Private>(dialect, settings, linkMbps, log, listener))
+    : d(std::make_unique<Private>(dialect, address, times, linkMbps, log, listener))
 {
 }
 
@@ -135,6 +137,7 @@
     if (this->d->isResting && this->d->watchedFrom > 0) {
         return;
     }
+    this->d->dropOverdue(now);
     if (!this->d->changes.calls.isBusy() && now >= this->d->changes.nextAt) {
         if (this->d->watchedFrom == 0) {
             this->d->listed.clear();
@@ -147,6 +150,27 @@
     }
 }
 
+void StoreWatcher::Private::dropOverdue(Millis now)
+{
+    if (!this->changes.calls.isBusy() || !this->patience.isOverdue(this->changes.begunAt, now)) {
+        return;
+    }
+    this->log.info(LogPart::Platform,
+                   "gave up a call that should have told of a change",
+                   {{"took_ms", std::to_string((now - this->changes.begunAt).count)},
+                    {"heard_up_to", std::to_string(this->watchedFrom)}});
+    this->changes.calls.cancel();
+    this->changes.nextAt = now;
+    this->patience.gaveUp();
+    this->watchedFrom = 0;
+    this->isOverdue = true;
+}
+
+void StoreWatcher::setTimes(const StoreTimes &times)
+{
+    this->d->times = times;
+}
+
 void StoreWatcher::setLongestPause(Millis pause)
 {
     this->d->longestPause = pause;
@@ -156,6 +180,7 @@
 {
     if (this->d->isResting && !on && this->d->watchedFrom > 0) {
         this->d->watchedFrom = heardUpTo;
+        this->d->patience.heardUpTo(heardUpTo);
     }
     this->d->isResting = on;
 }
@@ -177,7 +202,7 @@
                                 Millis timeout,
                                 StoreCalls::Done done)
 {
-    this->made[line.pause > firstPause ? StoreCallReason::Failure : reason] += 1;
+    this->made[line.pause > this->times.firstPause ? StoreCallReason::Failure : reason] += 1;
     line.begunAt = Millis::monotonicNow();
     line.calls.get(target, timeout, std::move(done));
 }
@@ -185,7 +210,8 @@
 void StoreWatcher::Private::failed(CallLine &line, std::string_view what, const std::string &problem)
 {
     std::uniform_int_distribution<std::int64_t> jitter(line.pause.count / 2, line.pause.count);
-    line.nextAt = Millis::monotonicNow() + Millis{jitter(this->random)};
+    // A call that has used its whole time was a pause in itself.
+    line.nextAt = line.begunAt + Millis{jitter(this->random)};
     line.pause = std::min(line.pause * 2, this->longestPause);
     const Millis now = Millis::monotonicNow();
     this->log.info(
@@ -194,7 +220,7 @@
         {{"call", std::string(what)},
          {"why", problem},
          {"took_ms", std::to_string((now - line.begunAt).count)},
-         {"next_in_ms", std::to_string((line.nextAt - now).count)},
+         {"next_in_ms", std::to_string(std::max(line.nextAt - now, Millis{0}).count)},
          {"targets_heard_ms",
           this->targetsHeardAt == Millis{0} ? "never" : std::to_string((now - this->targetsHeardAt).count)}});
     if (!std::exchange(this->isLost, true)) {
@@ -205,8 +231,13 @@
 
 void StoreWatcher::Private::succeeded(CallLine &line)
 {
-    line.pause = firstPause;
+    line.pause = this->times.firstPause;
     if (std::exchange(this->isLost, false)) {
+        // A store that answers one line of calls is there for the other one as well.
+        const Millis now = Millis::monotonicNow();
+        for (CallLine *each : {&this->proof, &this->changes}) {
+            each->nextAt = each->pause > this->times.firstPause ? now : each->nextAt;
+        }
         this->log.info(LogPart::Platform, "store regained");
         this->listener.storeReturned();
     }
@@ -226,7 +257,7 @@
 {
     const StoreCallReason reason = this->hasProven ? StoreCallReason::Proof : StoreCallReason::Start;
     const std::string call = this->dialect.configurationCall();
-    this->get(this->proof, reason, call, this->settings.callTimeout, [this](const StoreAnswer &a) {
+    this->get(this->proof, reason, call, this->times.callTimeout, [this](const StoreAnswer &a) {
         if (a.status == statusNotFound) {
             this->succeeded(this->proof);
             this->proof.nextAt = Millis::monotonicNow() + absentPause;
@@ -240,9 +271,11 @@
             const StoredConfiguration stored = this->dialect.readConfigurationAnswer(a.status, a.body);
             this->mustProve = false;
             this->hasProven = true;
+            const Millis now = Millis::monotonicNow();
+            this->patience.storeIsAt(stored.storeRevision, now - a.startedAt, now);
             this->readingTime = Millis{std::llround(static_cast<double>(a.body.size()) / this->bytesPerMs)};
             // Not all at once: whoever is first spares the others theirs.
-            std::uniform_int_distribution<std::int64_t> jitter(0, this->settings.proofInterval.count / 2);
+            std::uniform_int_distribution<std::int64_t> jitter(0, this->times.proofInterval.count / 2);
             this->proof.nextAt = a.startedAt + Millis{jitter(this->random)};
             this->listener.configurationRead(stored, a.startedAt);
         } catch (const Error &error) {
@@ -253,10 +286,11 @@
 
 void StoreWatcher::Private::listTargets(const std::string &next)
 {
-    const StoreCallReason first = this->hasListed ? StoreCallReason::HistoryGone : StoreCallReason::Start;
+    const StoreCallReason again = this->isOverdue ? StoreCallReason::Overdue : StoreCallReason::HistoryGone;
+    const StoreCallReason first = this->hasListed ? again : StoreCallReason::Start;
     const StoreCallReason reason = next.empty() ? first : StoreCallReason::Page;
     const std::string call = this->dialect.targetsCall(next);
-    this->get(this->changes, reason, call, this->settings.callTimeout, [this](const StoreAnswer &a) {
+    this->get(this->changes, reason, call, this->times.callTimeout, [this](const StoreAnswer &a) {
         if (this->isGood(this->changes, a, "list targets")) {
             this->targetsListed(a);
         }
@@ -275,6 +309,7 @@
         // Pages are read one after the other: what changed since the first is in the watch that begins there.
         if (this->listedFrom == 0) {
             this->listedFrom = page.storeRevision;
+            this->listedSince = answer.startedAt;
         }
         if (!page.next.empty()) {
             this->listTargets(page.next);
@@ -282,8 +317,10 @@
         }
         this->watchedFrom = this->listedFrom;
         this->hasListed = true;
+        this->isOverdue = false;
         this->targetsHeardAt = Millis::monotonicNow();
-        this->listener.targetsRead(this->listed, this->unreadable, this->listedFrom);
+        this->patience.heardUpTo(this->listedFrom);
+        this->listener.targetsRead(this->listed, this->unreadable, this->listedFrom, this->listedSince);
         if (!this->isResting) {
             this->watch();
         }
@@ -294,15 +331,15 @@
 
 void StoreWatcher::Private::watch()
 {
-    const Millis wait = this->settings.watchTime;
+    const Millis wait = this->times.watchTime;
     this->get(this->changes,
               StoreCallReason::Watch,
               this->dialect.watchCall(this->watchedFrom, wait),
-              wait + this->settings.watchDelay,
-              [this](const StoreAnswer &answer) { this->watched(answer); });
+              wait + this->times.watchDelay,
+              [this, wait](const StoreAnswer &answer) { this->watched(answer, wait); });
 }
 
-void StoreWatcher::Private::watched(const StoreAnswer &answer)
+void StoreWatcher::Private::watched(const StoreAnswer &answer, Millis wait)
 {
     if (this->dialect.isHistoryGone(answer.status)) {
         this->log.info(LogPart::Platform,
@@ -319,11 +356,15 @@
     try {
         const StoreEvents events = this->dialect.readWatchAnswer(answer.body);
         this->watchedFrom = std::max(this->watchedFrom, events.storeRevision);
-        this->targetsHeardAt = Millis::monotonicNow();
-        this->listener.storeAnswered();
+        const Millis now = Millis::monotonicNow();
+        this->targetsHeardAt = now;
+        this->patience.heardUpTo(this->watchedFrom);
         this->apply(events);
+        // A store that had nothing to tell has waited first.
+        const bool hasWaited = events.events.empty() && now - answer.startedAt >= wait;
+        this->listener.watchAnswered(this->watchedFrom, hasWaited ? answer.startedAt + wait : answer.startedAt);
         if (!events.events.empty()) {
-            this->changes.nextAt = Millis::monotonicNow() + gatherTime;
+            this->changes.nextAt = now + this->times.gatherTime;
         } else if (!this->isResting) {
             this->watch();
         }
--- a/sequoiausher/transport/gateway/storewatcher.h
+++ b/sequoiausher/transport/gateway/storewatcher.h
@@ -10,8 +10,8 @@
 #include "sequoiausher/base/log/log.h"
 #include "sequoiausher/base/millis.h"
 #include "sequoiausher/base/nametable.h"
+#include "sequoiausher/coordination/gateway/watchpatience.h"
 #include "sequoiausher/protocol/gateway/gatewaydialect.h"
-#include "sequoiausher/protocol/settings/gatewaysettings.h"
 
 #include <cstdint>
 #include <memory>
@@ -32,6 +32,8 @@
     Page,
     /** The call before failed. */
     Failure,
+    /** A watch had not told of what the store was known to have. */
+    Overdue,
 };
 
 template<>
@@ -42,6 +44,7 @@
     {StoreCallReason::HistoryGone, "history_gone"},
     {StoreCallReason::Page, "page"},
     {StoreCallReason::Failure, "failure"},
+    {StoreCallReason::Overdue, "overdue"},
 });
 
 /** What a watcher hears. */
@@ -52,11 +55,16 @@
     /** The configuration as it lies in the store. @param readAt present where it is surely the newest at that moment.
      */
     virtual void configurationRead(const StoredConfiguration &stored, std::optional<Millis> readAt) = 0;
-    /** @param unreadable names under which something lies that cannot be read. */
     /** The store has none yet. */
     virtual void configurationAbsent() = 0;
-    virtual void
-    targetsRead(const std::vector<GatewayTarget> &targets, const std::vector<TargetId> &unreadable, Revision at)
+    /**
+     * @param unreadable names under which something lies that cannot be read.
+     * @param asOf the list is not older than this.
+     */
+    virtual void targetsRead(const std::vector<GatewayTarget> &targets,
+                             const std::vector<TargetId> &unreadable,
+                             Revision at,
+                             Millis asOf)
         = 0;
     virtual void targetWritten(const GatewayTarget &target, Revision at) = 0;
     virtual void targetRemoved(const TargetId &name, Revision at) = 0;
@@ -64,8 +72,8 @@
     virtual void targetUnreadable(const TargetId &name, Revision at) = 0;
     /** All that one answer of a watch said of targets has been told. */
     virtual void targetChangesEnd() = 0;
-    /** A watch was answered, with or without changes. */
-    virtual void storeAnswered() = 0;
+    /** A watch was answered, with or without changes: all up to revision has been told, as it was then or later. */
+    virtual void watchAnswered(Revision upTo, Millis asOf) = 0;
     virtual void storeLost(const std::string &problem) = 0;
     virtual void storeReturned() = 0;
 };
@@ -76,7 +84,8 @@
 public:
     /** All references outlive it. @param linkMbps what the instance's link carries. */
     StoreWatcher(const GatewayDialect &dialect,
-                 const StoreSettings &settings,
+                 const std::string &address,
+                 const StoreTimes &times,
                  double linkMbps,
                  const Log &log,
                  StoreListener &listener);
@@ -95,6 +104,8 @@
      * on from there, or everything is read again where the store has forgotten what came since.
      */
     void setResting(bool on, Revision heardUpTo);
+    /** For calls from now on. */
+    void setTimes(const StoreTimes &times);
     /** The longest pause between two calls that fail. */
     void setLongestPause(Millis pause);
     /** When the store last told this gateway itself how the targets are; 0 for never. */
