--- a/sequoiausher/coordination/gateway/targetlisttest.cpp
+++ b/sequoiausher/coordination/gateway/targetlisttest.cpp
@@ -73,6 +73,26 @@
     }
 }
 
+// Guards against a gateway that was cut off and takes what leaves after its return for lapsed.
+TEST_CASE("an entry that is removed after the store's return is gone within the bound")
+{
+    constexpr Millis leaveBound{2000};
+    for (const std::int64_t after : {0, 100, 180, 400, 1200, 2200}) {
+        CAPTURE(after);
+        TargetList list;
+        list.replaceAll({targetOf("a"), targetOf("b")}, 5, Millis{0});
+        list.storeLost(Millis{1000});
+        list.storeReturned(Millis{13930});
+        list.replaceAll({targetOf("a"), targetOf("b")}, 20, Millis{13930});
+        const Millis removedAt = Millis{13930 + after};
+        list.removed(TargetId{"a"}, 22, removedAt);
+        for (Millis now = removedAt; now < removedAt + leaveBound - Millis{200}; now += Millis{40}) {
+            list.tick(now);
+        }
+        CHECK(list.targets() == std::vector{targetOf("b")});
+    }
+}
+
 TEST_CASE("a list that follows another by its changes is the same after each of them")
 {
     TargetList first;
