Take no own absence from the store for one of all, and keep what it removes after the return for half of the bound

Cause: entries lapse while the store is away, since targets cannot renew them, so a gateway keeps what is missing for 2.3 s after the store's return. Whether it was away, each gateway judged by its own calls alone: a cut of its own counted too. And what the store removed after its return was kept until the same moment, though it cannot have lapsed in the absence.

Keeping nothing after a return would bring back an outage's gap, in which all traffic goes to the few targets that are back first.

Change: what is removed by a later answer than the first after the return is kept for half of the bound for leaving targets at most. Each report says whether its sender was without the store lately; where one that was not answers a report sent after this gateway's return, and its list has come as far, nothing has lapsed and nothing is kept. A gateway that has started shortly before, or rests, does not say so.

--- a/sequoiausher/coordination/gateway/targetlist.cpp
+++ b/sequoiausher/coordination/gateway/targetlist.cpp
@@ -72,9 +72,11 @@
 
 void TargetList::replaceAll(const std::vector<GatewayTarget> &targets, Revision at, Millis now)
 {
+    this->firstReadAt = this->firstReadAt.value_or(now);
     for (const auto &entry : this->writeAll(targets, at)) {
         this->drop(entry, at, now);
     }
+    this->noteReturn(at);
     this->jumpedTo(at);
 }
 
@@ -100,6 +102,7 @@
     if (this->isOutdated(at)) {
         return;
     }
+    this->noteReturn(at);
     this->write(target, at);
     this->known = at;
 }
@@ -110,6 +113,8 @@
         return;
     }
     const auto entry = this->entries.find(name);
+    // All changes of one answer come with its revision.
+    this->noteReturn(at);
     if (entry != this->entries.end()) {
         this->drop(entry, at, now);
     }
@@ -135,10 +140,28 @@
         this->erase(entry, at);
     } else if (!entry->second.missingSince) {
         entry->second.missingSince = now;
+        entry->second.keptUntil = this->keptUntil(at, now);
         this->missingCount += 1;
     }
 }
 
+Millis TargetList::keptUntil(Revision at, Millis now) const
+{
+    if (this->lostAt || !this->returnedAt) {
+        return Millis::never();
+    }
+    const Millis settled = *this->returnedAt + lapsedEntryGrace;
+    const bool isLate = this->returnedWith != 0 && at > this->returnedWith;
+    return isLate ? std::min(settled, now + this->leaveBound / lateRemovalParts) : settled;
+}
+
+void TargetList::noteReturn(Revision at)
+{
+    if (this->returnedAt && this->returnedWith == 0) {
+        this->returnedWith = at;
+    }
+}
+
 void TargetList::noteGone(const TargetId &name, Revision at)
 {
     this->gone[name] = at;
@@ -232,19 +255,45 @@
 {
     if (this->lostAt && now >= *this->lostAt + shortestLapse) {
         this->returnedAt = now;
+        this->returnedWith = 0;
+        for (auto &[name, entry] : this->entries) {
+            entry.keptUntil = now + lapsedEntryGrace;
+        }
     }
     this->lostAt.reset();
 }
 
+void TargetList::setLeaveBound(Millis bound)
+{
+    this->leaveBound = bound;
+}
+
+void TargetList::peerIsSettled(Revision at, Millis askedAt)
+{
+    if (this->lostAt || !this->returnedAt || askedAt < *this->returnedAt || at < this->known) {
+        return;
+    }
+    this->returnedAt.reset();
+    for (auto &[name, entry] : this->entries) {
+        entry.keptUntil = Millis{0};
+    }
+}
+
+bool TargetList::isSettled(Millis now) const
+{
+    const bool isLongThere = this->firstReadAt && now >= *this->firstReadAt + lapsedEntryGrace;
+    return isLongThere && !this->lostAt && this->isGraceOver(now) && !this->hasMissing();
+}
+
 bool TargetList::tick(Millis now)
 {
-    if (this->lostAt || this->missingCount == 0 || !this->isGraceOver(now)) {
+    if (this->lostAt || this->missingCount == 0) {
         return false;
     }
     const std::size_t before = this->entries.size();
     for (auto entry = this->entries.begin(); entry != this->entries.end();) {
         const auto next = std::next(entry);
-        if (entry->second.missingSince) {
+        if (entry->second.missingSince && now >= entry->second.keptUntil) {
             this->erase(entry, this->known);
             this->lastLetGo = now;
         }
--- a/sequoiausher/coordination/gateway/targetlist.h
+++ b/sequoiausher/coordination/gateway/targetlist.h
@@ -3,7 +3,8 @@
 // The targets that the platform's store lists, as one gateway has them, kept up to date by a first list and events.
 // Entries lapse while the store is away, since targets cannot renew them, and come back about two seconds after its
 // return; a gateway that believed the gap would send all traffic to the few that were quick. So what is missing during
-// an outage or shortly after stays usable, and what is still missing then is gone.
+// an outage or shortly after stays usable, and what is still missing then is gone. What the store removes once it is
+// back leaves within the bound all the same, and where a peer reached the store all the while there was no outage.
 //
 //     TargetList list;
 //     list.replaceAll(targets, revision, now);
@@ -32,6 +33,8 @@
 inline constexpr Millis shortestLapse{2000};
 /** How long after the store's return an entry that lapsed may take to come back: two seconds, and a call's delay. */
 inline constexpr Millis lapsedEntryGrace{2300};
+/** The part of the bound for leaving targets for which an entry that the store removes after its return is kept. */
+inline constexpr std::int64_t lateRemovalParts = 2;
 
 /** What becomes of a list between two revisions of the store. */
 struct TargetChanges
@@ -89,6 +92,16 @@
     /** When tick() last let entries go. */
     Millis letGoAt() const;
 
+    /** Within so long after the store's word no leaving target may get anything. */
+    void setLeaveBound(Millis bound);
+    /**
+     * A peer whose list has been settled ever since vouches for it up to at, in a report that answers one of askedAt:
+     * the store was there, only this gateway did not reach it, so no entry has lapsed.
+     */
+    void peerIsSettled(Revision at, Millis askedAt);
+    /** Whether the store was never away lately, as far as this gateway knows: nothing is missing that may come back. */
+    bool isSettled(Millis now) const;
+
     /** A call to the store failed. */
     void storeLost(Millis now);
     /** A call to the store was answered again. */
@@ -110,16 +123,22 @@
         GatewayTarget target;
         /** Since when the store does not list it any more. */
         std::optional<Millis> missingSince;
+        /** Until when it may come back. */
+        Millis keptUntil;
         /** The store's revision at which this value was learnt. */
         Revision changedAt = 0;
     };
 
     bool isGraceOver(Millis now) const;
+    /** Until when an entry is kept that the store, at that revision, does not list any more. */
+    Millis keptUntil(Revision at, Millis now) const;
     bool isOutdated(Revision at) const;
     void write(const GatewayTarget &target, Revision at);
     /** Writes all of them; the entries that are not among them. */
     std::vector<std::map<TargetId, Entry>::iterator> writeAll(const std::vector<GatewayTarget> &targets, Revision at);
     void erase(std::map<TargetId, Entry>::iterator entry, Revision at);
+    /** An answer of the store that tells all up to at: the first one after its return tells of its absence. */
+    void noteReturn(Revision at);
     void drop(std::map<TargetId, Entry>::iterator entry, Revision at, Millis now);
     void noteGone(const TargetId &name, Revision at);
     /** The list is complete up to at, without what happened on the way. */
@@ -136,8 +155,13 @@
     Revision known = 0;
     Revision lastChange = 0;
     Millis lastLetGo;
+    Millis leaveBound{2000};
     std::optional<Millis> lostAt;
     std::optional<Millis> returnedAt;
+    /** What the first answer after the store's return told all up to; 0 before it. */
+    Revision returnedWith = 0;
+    /** When the store was first heard of. */
+    std::optional<Millis> firstReadAt;
 };
 
 } // namespace Sequoiausher
--- a/sequoiausher/coordination/gateway/targetlisttest.cpp
+++ b/sequoiausher/coordination/gateway/targetlisttest.cpp
@@ -93,6 +93,46 @@
     }
 }
 
+// Guards against entries that are kept as lapsed where only this gateway was without the store.
+TEST_CASE("a peer that had the store all the while ends the wait for entries that may come back")
+{
+    TargetList list;
+    list.replaceAll({targetOf("a"), targetOf("b")}, 5, Millis{0});
+    CHECK_FALSE(list.isSettled(Millis{2299}));
+    CHECK(list.isSettled(Millis{2300}));
+    list.storeLost(Millis{3000});
+    CHECK_FALSE(list.isSettled(Millis{4000}));
+    list.storeReturned(Millis{9000});
+    list.replaceAll({targetOf("b")}, 9, Millis{9000});
+    CHECK(list.targets() == std::vector{targetOf("a"), targetOf("b")});
+    CHECK_FALSE(list.isSettled(Millis{9100}));
+    SUBCASE("one whose list has not come as far does not")
+    {
+        list.peerIsSettled(8, Millis{9100});
+        CHECK_FALSE(list.tick(Millis{9200}));
+    }
+    SUBCASE("nor one whose word may be of before the return")
+    {
+        list.peerIsSettled(9, Millis{8900});
+        CHECK_FALSE(list.tick(Millis{9200}));
+    }
+    SUBCASE("nor any while this gateway is without the store again")
+    {
+        list.storeLost(Millis{9050});
+        list.peerIsSettled(9, Millis{9100});
+        list.storeReturned(Millis{9150});
+        CHECK_FALSE(list.tick(Millis{9200}));
+    }
+    SUBCASE("another one does")
+    {
+        list.peerIsSettled(9, Millis{9100});
+        CHECK(list.tick(Millis{9200}));
+        CHECK(list.targets() == std::vector{targetOf("b")});
+        list.removed(TargetId{"b"}, 10, Millis{9300});
+        CHECK(list.empty());
+    }
+}
+
 TEST_CASE("a list that follows another by its changes is the same after each of them")
 {
     TargetList first;
--- a/sequoiausher/coordination/messages/gatewaymessages.h
+++ b/sequoiausher/coordination/messages/gatewaymessages.h
@@ -85,6 +85,8 @@
     DataCentreId dataCentre;
     /** The sender carries reports for others. */
     bool isHub = false;
+    /** The sender reads the store itself and was not without it lately. */
+    bool isSettled = false;
 
     bool operator==(const GatewayReport &) const = default;
 };
--- a/sequoiausher/protocol/codec/framereader.cpp
+++ b/sequoiausher/protocol/codec/framereader.cpp
@@ -641,6 +641,7 @@
     report.isHub = m->hub();
     report.isReply = m->reply();
     report.strength = m->strength();
+    report.isSettled = m->settled();
     // A gateway of an earlier version tells nobody's data centre.
     report.dataCentre.value = m->data_centre() != nullptr ? m->data_centre()->str() : std::string();
     const std::size_t dataCentres = this->sizeOf(m->member_data_centres());
--- a/sequoiausher/protocol/codec/framewriter.cpp
+++ b/sequoiausher/protocol/codec/framewriter.cpp
@@ -464,7 +464,8 @@
                                                              m.isReply,
                                                              m.strength,
                                                              dataCentreAt,
-                                                             memberDataCentresAt));
+                                                             memberDataCentresAt,
+                                                             m.isSettled));
 }
 
 // Without the order, a router of the first version would not see the messages of a kind that it does not know.
--- a/sequoiausher/protocol/codec/messagegenerators.cpp
+++ b/sequoiausher/protocol/codec/messagegenerators.cpp
@@ -183,7 +183,8 @@
                        m.isHub,
                        m.isReply,
                        m.strength,
-                       m.dataCentre);
+                       m.dataCentre,
+                       m.isSettled);
 
 #undef SEQUOIAUSHER_ARBITRARY
 
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -157,6 +157,7 @@
 
 void GatewayNode::Private::start()
 {
+    this->known.targets.setLeaveBound(this->context.settings.leaveBound);
     this->context.rules = readGatewayRules(this->context.settings.rulesFile);
     this->listener = std::make_unique<StreamListener>(this->context.settings.address,
                                                       [this](int descriptor) { this->accept(descriptor); });
@@ -197,6 +198,7 @@
     this->context.settings = settings;
     this->context.retryBudget.setSettings(settings.repeats);
     this->context.duty.setSettings(storeDutyOf(settings));
+    this->known.targets.setLeaveBound(settings.leaveBound);
     this->watcher->setTimes(storeTimesOf(settings));
     this->context.peers.setSeeds(settings.seeds);
     if (settings.store.address != storeBefore) {
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -211,6 +211,7 @@
     report.isHub = directory.isHub(now);
     report.isResting
         = this->context.duty.mayRest(this->context.storeRole(now), now) || !this->context.duty.isFirstHand(now);
+    report.isSettled = !report.isResting && this->known.targets.isSettled(now);
     report.strength = strengthOf(this->context.settings);
     report.dataCentre = this->context.settings.dataCentre;
     if (!report.isHub) {
@@ -265,6 +266,9 @@
     const bool comesBefore = this->context.peers.comesBefore(from, now);
     this->context.duty.heard(
         {report.storeAge, report.echo, report.isHub, !report.isResting, comesBefore, report.targets}, now);
+    if (report.isSettled) {
+        this->known.targets.peerIsSettled(report.targets, report.echo);
+    }
     this->pushTo(from, report, now);
     if (this->context.peers.mustReply(from, report, now)) {
         GatewayReport reply = this->reportFor(from, now);
