Do not take time in which a link's process was held up for silence of the peer

What callers saw: messages between routers, or gateways, that were lost and a peer that counted as lost, after a moment in which a process did not run (a busy machine, a suspended one, a large configuration).

Cause: the look at what is unanswered goes by a timer alone. After a hold-up the timer fires before the sockets have been looked at, so an acknowledgement that waits in the kernel counts as missing and the link is closed with what it carries.

Change: a look that comes 20 ms or more after its time moves what is unanswered by as much; the peer then has what was left of its time, counted from when this process runs again.

--- a/sequoiausher/transport/peers/peerlink.cpp
+++ b/sequoiausher/transport/peers/peerlink.cpp
@@ -23,6 +23,8 @@
 // The peer answers with its hello and signs of life only.
 constexpr std::size_t largestAnswer = 4096;
 constexpr int looksPerIdleClose = 4;
+/** A look that comes so late found the process held up. */
+constexpr Millis lateLook{20};
 
 struct Queued
 {
@@ -79,6 +81,7 @@
     std::unique_ptr<FrameAssembler> assembler;
     /** Runs only while something is unanswered: at a thousand links an idle timer each would cost a core's percents. */
     QTimer lookTimer;
+    Millis lookDueAt;
     QTimer idleTimer;
     QTimer redialTimer;
     std::mt19937_64 generator;
@@ -266,7 +269,11 @@
 // whatever is sent must be followed by a sign of life, and a connection without one is given up.
 void PeerLink::Private::look()
 {
-    const LinkDue due = this->sent.due(Millis::monotonicNow());
+    const Millis now = Millis::monotonicNow();
+    if (now - this->lookDueAt >= lateLook) {
+        this->sent.heldUp(now - this->lookDueAt);
+    }
+    const LinkDue due = this->sent.due(now);
     if (due == LinkDue::GiveUp) {
         ++this->counters.silentLinks;
         this->fail();
@@ -286,7 +293,9 @@
 {
     const Millis deadline = this->sent.nextDeadline();
     if (deadline != Millis::never() && !this->lookTimer.isActive()) {
-        const Millis wait = deadline - Millis::monotonicNow();
+        const Millis now = Millis::monotonicNow();
+        const Millis wait = deadline - now;
+        this->lookDueAt = std::max(deadline, now);
         this->lookTimer.start(static_cast<int>(std::max(wait, Millis{1}).count));
     }
 }
--- a/sequoiausher/transport/peers/peermeshtest.cpp
+++ b/sequoiausher/transport/peers/peermeshtest.cpp
@@ -11,6 +11,9 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
+#include <thread>
+
 #include <functional>
 #include <thread>
 
@@ -455,6 +458,26 @@
     CHECK(a.changes == std::vector<std::string>{"b 1 up"});
 }
 
+// Guards against a link that is given up as silent while its acknowledgement waits in the kernel.
+TEST_CASE("a link stays up though the process was held up for longer than the silence limit")
+{
+    ensureApplication();
+    Router a("a", 1);
+    Router b("b", 1);
+    a.knows("b", b.mesh.port());
+    a.say("b", 0);
+    REQUIRE(waitUntil([&] { return b.messages.size() == 1; }));
+    for (std::uint64_t i = 1; i <= 8; ++i) {
+        a.say("b", i);
+        letPass(Millis{20 * static_cast<std::int64_t>(i)});
+        std::this_thread::sleep_for(std::chrono::milliseconds(350));
+    }
+    REQUIRE(waitUntil([&] { return b.messages.size() == 9; }));
+    letPass(Millis{100});
+    CHECK(a.mesh.counters().silentLinks == 0);
+    CHECK(a.mesh.counters().dials == 1);
+}
+
 // Symptom: a caller that followed an answer over another router was cut off in the middle, and requests passed over the
 // shards of a router that was well. Events: the answer's parts come in without a pause, so nothing is sent the other
 // way; after the idle time the link of that direction is closed. Cause: a close by this side's own clock was told as
--- a/sequoiausher/transport/peers/sentframes.cpp
+++ b/sequoiausher/transport/peers/sentframes.cpp
@@ -75,6 +75,13 @@
     this->isAsked = false;
 }
 
+void SentFrames::heldUp(Millis span)
+{
+    if (this->unansweredSince != Millis::never()) {
+        this->unansweredSince += span;
+    }
+}
+
 void SentFrames::closed()
 {
     this->settle();
--- a/sequoiausher/transport/peers/sentframes.h
+++ b/sequoiausher/transport/peers/sentframes.h
@@ -50,6 +50,12 @@
     /** A frame came on this connection, which acknowledges number, or with noFrame all that was sent. */
     void answered(Millis now, FrameNumber number);
 
+    /**
+     * This process was held up for so long beyond a deadline: what arrived meanwhile has not been read, so that time
+     * does not count as silence.
+     */
+    void heldUp(Millis span);
+
     /** The connection is over: nothing more is expected. */
     void closed();
 
--- a/sequoiausher/transport/peers/sentframestest.cpp
+++ b/sequoiausher/transport/peers/sentframestest.cpp
@@ -99,3 +99,16 @@
     sent.answered(Millis{2}, noFrame);
     CHECK(sent.due(Millis{3000}) == LinkDue::Nothing);
 }
+
+// Guards against time in which nothing was read being taken for silence of the peer.
+TEST_CASE("the time for which the process was held up does not count")
+{
+    SentFrames sent(silence);
+    sent.heldUp(Millis{500});
+    CHECK(sent.nextDeadline() == Millis::never());
+    sent.frame(Millis{1000});
+    sent.heldUp(Millis{4000});
+    CHECK(sent.due(Millis{7000 - 1}) == LinkDue::Nothing);
+    CHECK(sent.due(Millis{7000}) == LinkDue::Ask);
+    CHECK(sent.due(Millis{8000}) == LinkDue::GiveUp);
+}
