--- a/sequoiausher/coordination/gateway/freshness.cpp
+++ b/sequoiausher/coordination/gateway/freshness.cpp
@@ -42,7 +42,12 @@
 
 bool Freshness::isBehind(Revision version) const
 {
-    return !this->proofs.empty() && this->proofs.rbegin()->first > version;
+    return this->newest() > version;
+}
+
+Revision Freshness::newest() const
+{
+    return this->proofs.empty() ? 0 : this->proofs.rbegin()->first;
 }
 
 } // namespace Sequoiausher
--- a/sequoiausher/coordination/gateway/freshness.h
+++ b/sequoiausher/coordination/gateway/freshness.h
@@ -47,6 +47,8 @@
      * it, but nothing may be denied for want of a newer one's routes and keys.
      */
     bool isBehind(Revision version) const;
+    /** The newest version known to have been published; 0 before the first. */
+    Revision newest() const;
 
 private:
     /** The last moment at which nothing newer than each of the newest versions was published. */
--- /dev/null
+++ b/sequoiausher/coordination/gateway/storeposition.cpp
@@ -0,0 +1,19 @@
+#include "sequoiausher/coordination/gateway/storeposition.h"
+
+#include "sequoiausher/base/error.h"
+
+#include <string>
+
+namespace Sequoiausher {
+
+Revision storePosition(std::uint64_t era, Revision revision)
+{
+    if (era > latestEra || revision > latestRevision) {
+        throw Error(Step::Platform,
+                    "store",
+                    "era " + std::to_string(era) + " or revision " + std::to_string(revision) + " is out of range");
+    }
+    return (era << revisionBits) | revision;
+}
+
+} // namespace Sequoiausher
--- a/sequoiausher/coordination/gateway/targetlist.cpp
+++ b/sequoiausher/coordination/gateway/targetlist.cpp
@@ -1,5 +1,7 @@
 #include "sequoiausher/coordination/gateway/targetlist.h"
 
+#include "sequoiausher/coordination/gateway/storeposition.h"
+
 #include <algorithm>
 #include <set>
 
@@ -10,6 +12,9 @@
 /** Targets that are gone are remembered for peers that still have them; beyond so many those get the whole list. */
 constexpr std::size_t mostGone = 4096;
 
+/** The last life of a target of which no word told. */
+constexpr Millis anyLife = Millis::never();
+
 bool isOfEarlierLife(const GatewayTarget &target, const GatewayTarget &known)
 {
     return target.bornAt != Millis{0} && target.bornAt < known.bornAt;
@@ -38,6 +43,7 @@
     }
     this->missingCount -= entry.missingSince ? 1 : 0;
     entry.missingSince.reset();
+    entry.removedAt = 0;
     const GatewayTarget written = inKnownLife(target, entry.target);
     if (entry.changedAt == 0 || !(entry.target == written)) {
         entry.target = written;
@@ -46,10 +52,27 @@
     }
 }
 
+bool TargetList::isCopied(const GatewayTarget &target, Revision at) const
+{
+    const TargetId name = listedName(target);
+    const auto isOfLifeUpTo = [&target](Millis born) { return target.bornAt == Millis{0} || target.bornAt <= born; };
+    const auto left = this->gone.find(name);
+    if (left != this->gone.end()) {
+        return eraOf(at) > eraOf(left->second.at) && isOfLifeUpTo(left->second.bornAt);
+    }
+    const auto entry = this->entries.find(name);
+    if (entry == this->entries.end() || !isOfLifeUpTo(entry->second.target.bornAt)) {
+        return false;
+    }
+    const bool isRemoved = entry->second.removedAt != 0 && eraOf(at) > eraOf(entry->second.removedAt);
+    return isRemoved
+        || (entry->second.target.isLeaving && !target.isLeaving && eraOf(at) > eraOf(entry->second.changedAt));
+}
+
 void TargetList::erase(std::map<TargetId, Entry>::iterator entry, Revision at)
 {
     this->missingCount -= entry->second.missingSince ? 1 : 0;
-    this->noteGone(entry->first, at);
+    this->noteGone(entry->first, at, entry->second.target.bornAt);
     this->entries.erase(entry);
 }
 
@@ -59,7 +82,9 @@
     std::set<TargetId> listed;
     for (const GatewayTarget &target : targets) {
         listed.insert(listedName(target));
-        this->write(target, at);
+        if (!this->isCopied(target, at)) {
+            this->write(target, at);
+        }
     }
     std::vector<std::map<TargetId, Entry>::iterator> others;
     for (auto entry = this->entries.begin(); entry != this->entries.end(); ++entry) {
@@ -117,6 +142,9 @@
     this->noteReturn(at);
     if (entry != this->entries.end()) {
         this->drop(entry, at, now);
+    } else {
+        // It came and went between two answers; a copy of the store may still list it.
+        this->noteGone(name, at, anyLife);
     }
     this->known = at;
 }
@@ -140,19 +168,19 @@
         this->erase(entry, at);
     } else if (!entry->second.missingSince) {
         entry->second.missingSince = now;
-        entry->second.keptUntil = this->keptUntil(at, now);
+        entry->second.removedAt = this->isAfterReturn(at) ? at : 0;
+        const Millis settled = this->returnedAt ? *this->returnedAt + lapsedEntryGrace : Millis::never();
+        entry->second.keptUntil = this->lostAt ? Millis::never() : settled;
+        if (entry->second.removedAt != 0) {
+            entry->second.keptUntil = std::min(settled, now + this->leaveBound / lateRemovalParts);
+        }
         this->missingCount += 1;
     }
 }
 
-Millis TargetList::keptUntil(Revision at, Millis now) const
+bool TargetList::isAfterReturn(Revision at) const
 {
-    if (this->lostAt || !this->returnedAt) {
-        return Millis::never();
-    }
-    const Millis settled = *this->returnedAt + lapsedEntryGrace;
-    const bool isLate = this->returnedWith != 0 && at > this->returnedWith;
-    return isLate ? std::min(settled, now + this->leaveBound / lateRemovalParts) : settled;
+    return !this->lostAt && this->returnedAt && this->returnedWith != 0 && at > this->returnedWith;
 }
 
 void TargetList::noteReturn(Revision at)
@@ -162,16 +190,16 @@
     }
 }
 
-void TargetList::noteGone(const TargetId &name, Revision at)
+void TargetList::noteGone(const TargetId &name, Revision at, Millis bornAt)
 {
-    this->gone[name] = at;
+    this->gone[name] = {at, bornAt};
     this->lastChange = std::max(this->lastChange, at);
     if (this->gone.size() <= mostGone) {
         return;
     }
     const auto oldest = std::min_element(
-        this->gone.begin(), this->gone.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
-    this->goneKnownSince = oldest->second + 1;
+        this->gone.begin(), this->gone.end(), [](const auto &a, const auto &b) { return a.second.at < b.second.at; });
+    this->goneKnownSince = oldest->second.at + 1;
     this->gone.erase(oldest);
 }
 
@@ -202,8 +230,8 @@
             changes.written.push_back(entry.target);
         }
     }
-    for (const auto &[name, at] : this->gone) {
-        if (at >= from) {
+    for (const auto &[name, left] : this->gone) {
+        if (left.at >= from) {
             changes.gone.push_back(name);
         }
     }
@@ -220,7 +248,7 @@
         if (entry != this->entries.end()) {
             this->erase(entry, changes.to);
         } else {
-            this->noteGone(name, changes.to);
+            this->noteGone(name, changes.to, anyLife);
         }
     }
     for (const GatewayTarget &target : changes.written) {
@@ -254,13 +282,26 @@
 void TargetList::storeReturned(Millis now)
 {
     if (this->lostAt && now >= *this->lostAt + shortestLapse) {
-        this->returnedAt = now;
-        this->returnedWith = 0;
-        for (auto &[name, entry] : this->entries) {
+        this->beginGrace(now);
+    }
+    this->lostAt.reset();
+}
+
+void TargetList::beginGrace(Millis now)
+{
+    this->returnedAt = now;
+    this->returnedWith = 0;
+    for (auto &[name, entry] : this->entries) {
+        if (entry.removedAt == 0) {
             entry.keptUntil = now + lapsedEntryGrace;
         }
     }
+}
+
+void TargetList::storeRestored(Millis now)
+{
     this->lostAt.reset();
+    this->beginGrace(now);
 }
 
 void TargetList::setLeaveBound(Millis bound)
--- a/sequoiausher/coordination/gateway/targetlist.h
+++ b/sequoiausher/coordination/gateway/targetlist.h
@@ -13,6 +13,9 @@
 //     list.storeReturned(now);
 //     list.tick(now + Millis{3000});                      // gone now
 //
+// Revisions are positions of the store (storeposition.h). After a return from a copy the store lists targets as they
+// were when the copy was made: who has left since, or said so, stays out until it is written again.
+//
 // Gateways that do not read the store learn it from one that does, by changes since the revision that they have:
 //
 //     if (const auto changes = list.changesSince(revisionOfPeer)) { send(*changes); }
@@ -104,6 +107,8 @@
 
     /** A call to the store failed. */
     void storeLost(Millis now);
+    /** The store has come back from a copy: entries that it lacks may be written again, as after an outage. */
+    void storeRestored(Millis now);
     /** A call to the store was answered again. */
     void storeReturned(Millis now);
     /** Lets go of entries that did not come back in time; true where there were any. */
@@ -125,29 +130,40 @@
         std::optional<Millis> missingSince;
         /** Until when it may come back. */
         Millis keptUntil;
+        /** The store's revision at which it was removed though the store was there; 0 where it may have lapsed. */
+        Revision removedAt = 0;
         /** The store's revision at which this value was learnt. */
         Revision changedAt = 0;
     };
+    struct Gone
+    {
+        Revision at = 0;
+        Millis bornAt;
+    };
 
+    /** From now on entries that are missing may come back for a while. */
+    void beginGrace(Millis now);
     bool isGraceOver(Millis now) const;
-    /** Until when an entry is kept that the store, at that revision, does not list any more. */
-    Millis keptUntil(Revision at, Millis now) const;
+    /** Whether what is removed at that revision went after the store's return, and so cannot have lapsed before. */
+    bool isAfterReturn(Revision at) const;
     bool isOutdated(Revision at) const;
     void write(const GatewayTarget &target, Revision at);
+    /** Whether a list of a later era than the target's last word shows it as it was before. */
+    bool isCopied(const GatewayTarget &target, Revision at) const;
     /** Writes all of them; the entries that are not among them. */
     std::vector<std::map<TargetId, Entry>::iterator> writeAll(const std::vector<GatewayTarget> &targets, Revision at);
     void erase(std::map<TargetId, Entry>::iterator entry, Revision at);
     /** An answer of the store that tells all up to at: the first one after its return tells of its absence. */
     void noteReturn(Revision at);
     void drop(std::map<TargetId, Entry>::iterator entry, Revision at, Millis now);
-    void noteGone(const TargetId &name, Revision at);
+    void noteGone(const TargetId &name, Revision at, Millis bornAt);
     /** The list is complete up to at, without what happened on the way. */
     void jumpedTo(Revision at);
 
     /** By the names under which the platform lists them. */
     std::map<TargetId, Entry> entries;
-    /** Names of targets that are gone, with the revision at which they went. */
-    std::map<TargetId, Revision> gone;
+    /** Names of targets that are gone, with the revision at which they went and their last life. */
+    std::map<TargetId, Gone> gone;
     /** What went before this revision is forgotten. */
     Revision goneKnownSince = 0;
     /** Entries that are only kept since they may come back. */
--- a/sequoiausher/coordination/gateway/targetlisttest.cpp
+++ b/sequoiausher/coordination/gateway/targetlisttest.cpp
@@ -1,7 +1,14 @@
 #include "sequoiausher/coordination/gateway/targetlist.h"
 
+#include "sequoiausher/coordination/gateway/storeposition.h"
+
 #include <doctest/doctest.h>
 
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+
 using namespace Sequoiausher;
 
 namespace {
@@ -365,3 +372,243 @@
     watching.put(lifeOf("a", 200), 7);
     CHECK(watching.targets().size() == 2);
 }
+
+namespace {
+
+/** A store that may return from a copy, the targets that write to it, and two gateways: one reads it, one is told. */
+class RestoredFleet
+{
+public:
+    explicit RestoredFleet(unsigned int seed) : random(seed)
+    {
+        this->read();
+    }
+
+    void step()
+    {
+        this->now += Millis{40};
+        switch (this->random() % 12) {
+        case 0:
+        case 1:
+            this->write("t" + std::to_string(this->next++), false);
+            break;
+        case 2:
+            this->leave();
+            break;
+        case 3:
+            this->end();
+            break;
+        case 4:
+            this->copy = {this->content, this->revision};
+            break;
+        case 5:
+            if (this->random() % 4 == 0) {
+                this->restore();
+            }
+            break;
+        case 6:
+            this->tell();
+            break;
+        default:
+            this->watch();
+        }
+        this->hearLate();
+        this->reader.tick(this->now);
+        this->told.tick(this->now);
+        this->judge();
+    }
+
+    /** All that is lost is written again and heard, and nothing is kept any more. */
+    void calm()
+    {
+        this->rewrite();
+        this->watch();
+        for (int i = 0; i < 200; ++i) {
+            this->now += Millis{40};
+            this->reader.tick(this->now);
+            this->told.tick(this->now);
+            this->tell();
+            this->hearLate();
+        }
+        std::vector<GatewayTarget> expected;
+        for (const auto &[name, isLeaving] : this->alive) {
+            expected.push_back(targetOf(name, isLeaving));
+        }
+        CHECK(this->reader.targets() == expected);
+        CHECK(this->told.targets() == expected);
+        CHECK(this->told.revision() == this->reader.revision());
+    }
+
+private:
+    struct Word
+    {
+        Revision at = 0;
+        std::optional<TargetChanges> changes;
+        std::vector<GatewayTarget> all;
+    };
+
+    Revision position() const
+    {
+        return storePosition(this->era, this->revision);
+    }
+
+    void write(const std::string &name, bool isLeaving)
+    {
+        this->revision += 1;
+        this->content[name] = isLeaving;
+        this->alive[name] = isLeaving;
+        this->events[this->revision] = name;
+    }
+
+    void remove(const std::string &name)
+    {
+        this->revision += 1;
+        this->content.erase(name);
+        this->events[this->revision] = name;
+    }
+
+    std::string any() const
+    {
+        return this->alive.empty() ? "" : std::next(this->alive.begin(), this->revision % this->alive.size())->first;
+    }
+
+    void leave()
+    {
+        if (const std::string name = this->any(); !name.empty()) {
+            this->write(name, true);
+            this->left.insert(name);
+        }
+    }
+
+    void end()
+    {
+        if (const std::string name = this->any(); !name.empty()) {
+            this->alive.erase(name);
+            this->left.insert(name);
+            this->remove(name);
+        }
+    }
+
+    void restore()
+    {
+        std::tie(this->content, this->revision) = this->copy;
+        this->era += 1;
+        this->events.clear();
+        this->read();
+        this->rewrite();
+    }
+
+    /** Targets write their entries again where the copy has others, and entries that nobody renews are removed. */
+    void rewrite()
+    {
+        for (const auto &[name, isLeaving] : std::map(this->alive)) {
+            const auto found = this->content.find(name);
+            if (found == this->content.end() || found->second != isLeaving) {
+                this->write(name, isLeaving);
+            }
+        }
+        for (const auto &[name, isLeaving] : std::map(this->content)) {
+            if (!this->alive.contains(name)) {
+                this->remove(name);
+            }
+        }
+    }
+
+    void read()
+    {
+        std::vector<GatewayTarget> listed;
+        for (const auto &[name, isLeaving] : this->content) {
+            listed.push_back(targetOf(name, isLeaving));
+        }
+        if (this->era != eraOf(this->reader.revision())) {
+            this->reader.storeRestored(this->now);
+        }
+        this->reader.replaceAll(listed, this->position(), this->now);
+    }
+
+    void watch()
+    {
+        const auto first = this->events.upper_bound(revisionIn(this->reader.revision()));
+        for (auto event = first; event != this->events.end(); ++event) {
+            const auto found = this->content.find(event->second);
+            if (found == this->content.end()) {
+                this->reader.removed(TargetId{event->second}, this->position(), this->now);
+            } else {
+                this->reader.put(targetOf(event->second, found->second), this->position());
+            }
+        }
+        this->heardLeft = this->left;
+    }
+
+    /** A word of the reader to the other one; it may come late, twice or after a later one. */
+    void tell()
+    {
+        const auto changes = this->reader.changesSince(this->told.revision());
+        const bool hasAll = !changes && !this->reader.hasMissing();
+        if (changes || hasAll) {
+            this->words.push_back({this->reader.revision(), changes, this->reader.targets()});
+        }
+    }
+
+    void hearLate()
+    {
+        if (this->words.empty() || this->random() % 3 == 0) {
+            return;
+        }
+        const std::size_t which = this->random() % this->words.size();
+        const Word word = this->words[which];
+        if (this->random() % 4 != 0) {
+            this->words.erase(this->words.begin() + static_cast<std::ptrdiff_t>(which));
+        }
+        if (word.changes) {
+            this->told.apply(*word.changes);
+        } else if (word.at > this->told.revision()) {
+            this->told.adopt(word.all, word.at);
+        }
+    }
+
+    void judge()
+    {
+        CHECK(this->reader.revision() >= this->readerBefore);
+        CHECK(this->told.revision() >= this->toldBefore);
+        this->readerBefore = this->reader.revision();
+        this->toldBefore = this->told.revision();
+        for (const GatewayTarget &target : this->reader.targets()) {
+            const bool isKept = this->reader.hasMissing();
+            CHECK_FALSE((!target.isLeaving && !isKept && this->heardLeft.contains(target.id.value)));
+        }
+    }
+
+    std::mt19937 random;
+    Millis now{1000};
+    std::uint64_t era = 1;
+    Revision revision = 1;
+    /** Names, and whether each says that it leaves. */
+    std::map<std::string, bool> content;
+    std::pair<std::map<std::string, bool>, Revision> copy{{}, 1};
+    std::map<Revision, std::string> events;
+    std::map<std::string, bool> alive;
+    std::set<std::string> left;
+    std::set<std::string> heardLeft;
+    int next = 0;
+    TargetList reader;
+    TargetList told;
+    Revision readerBefore = 0;
+    Revision toldBefore = 0;
+    std::deque<Word> words;
+};
+
+} // namespace
+
+// Guards against lists that part, go back or bring back who left when the store returns from copies again and again.
+TEST_CASE("a list and one that is told of it agree with the targets after any series of returns from copies")
+{
+    for (unsigned int seed = 1; seed <= 200; ++seed) {
+        CAPTURE(seed);
+        RestoredFleet fleet(seed);
+        for (int i = 0; i < 400; ++i) {
+            fleet.step();
+        }
+        fleet.calm();
+    }
+}
--- a/sequoiausher/coordination/messages/gatewaymessages.h
+++ b/sequoiausher/coordination/messages/gatewaymessages.h
@@ -87,6 +87,8 @@
     bool isHub = false;
     /** The sender reads the store itself and was not without it lately. */
     bool isSettled = false;
+    /** The era of the store in which targets is a revision; 0 where the sender does not tell. */
+    std::uint64_t storeEra = 0;
 
     bool operator==(const GatewayReport &) const = default;
 };
--- a/sequoiausher/protocol/codec/framereader.cpp
+++ b/sequoiausher/protocol/codec/framereader.cpp
@@ -531,8 +531,11 @@
     push.hops = m->hops();
     for (std::size_t i = 0; i < this->sizeOf(m->documents()); ++i) {
         const auto *document = m->documents()->Get(static_cast<flatbuffers::uoffset_t>(i));
-        push.documents.push_back(
-            {textOf(document->name()), document->revision(), bytesOf(document->body()), document->deleted()});
+        push.documents.push_back({textOf(document->name()),
+                                  document->revision(),
+                                  bytesOf(document->body()),
+                                  document->deleted(),
+                                  document->era()});
     }
     return push;
 }
@@ -642,6 +645,7 @@
     report.isReply = m->reply();
     report.strength = m->strength();
     report.isSettled = m->settled();
+    report.storeEra = m->store_era();
     // A gateway of an earlier version tells nobody's data centre.
     report.dataCentre.value = m->data_centre() != nullptr ? m->data_centre()->str() : std::string();
     const std::size_t dataCentres = this->sizeOf(m->member_data_centres());
--- a/sequoiausher/protocol/codec/framewriter.cpp
+++ b/sequoiausher/protocol/codec/framewriter.cpp
@@ -329,7 +329,8 @@
     for (const Document &document : m.documents) {
         const auto name = this->builder.CreateString(document.name);
         const auto body = this->bytes(document.body);
-        documents.push_back(Wire::CreateDocument(this->builder, name, document.revision, body, document.deleted));
+        documents.push_back(
+            Wire::CreateDocument(this->builder, name, document.revision, body, document.deleted, document.era));
     }
     const auto documentsAt = this->tables(documents);
     this->documentPushes.push_back(Wire::CreateDocumentPush(this->builder, documentsAt, m.hops));
@@ -465,7 +466,8 @@
                                                              m.strength,
                                                              dataCentreAt,
                                                              memberDataCentresAt,
-                                                             m.isSettled));
+                                                             m.isSettled,
+                                                             m.storeEra));
 }
 
 // Without the order, a router of the first version would not see the messages of a kind that it does not know.
--- a/sequoiausher/protocol/codec/messagegenerators.cpp
+++ b/sequoiausher/protocol/codec/messagegenerators.cpp
@@ -108,7 +108,7 @@
                        m.serviceAge);
 SEQUOIAUSHER_ARBITRARY(Holding, m.request, m.target);
 SEQUOIAUSHER_ARBITRARY(ClaimRecord, m.key, m.attempt, m.round, m.bodyDigest, m.holder, m.age);
-SEQUOIAUSHER_ARBITRARY(Document, m.name, m.revision, m.body, m.deleted);
+SEQUOIAUSHER_ARBITRARY(Document, m.name, m.revision, m.body, m.deleted, m.era);
 SEQUOIAUSHER_ARBITRARY(DocumentVersion, m.name, m.revision);
 SEQUOIAUSHER_ARBITRARY(ClaimRequest, m.key, m.attempt, m.round, m.bodyDigest);
 SEQUOIAUSHER_ARBITRARY(ClaimVote, m.key, m.attempt, m.round, m.verdict, m.holder, m.heldBy, m.retryAfter);
@@ -184,7 +184,8 @@
                        m.isReply,
                        m.strength,
                        m.dataCentre,
-                       m.isSettled);
+                       m.isSettled,
+                       m.storeEra);
 
 #undef SEQUOIAUSHER_ARBITRARY
 
--- a/sequoiausher/protocol/gateway/gatewaydialect.h
+++ b/sequoiausher/protocol/gateway/gatewaydialect.h
@@ -153,6 +153,8 @@
     virtual StoreEvents readWatchAnswer(const std::string &body) const = 0;
     /** Whether a watch's answer with this status says that its history is gone. */
     virtual bool isHistoryGone(int status) const = 0;
+    /** The era of the store that answered: rises by one with each return from a copy; 0 where the answer tells none. */
+    virtual std::uint64_t storeEra(const HttpHead &answer) const = 0;
 
     /** Reads the configuration that lies in the store. */
     virtual GatewayConfiguration readConfiguration(const std::string &raw) const = 0;
--- a/sequoiausher/state/documents/document.h
+++ b/sequoiausher/state/documents/document.h
@@ -19,6 +19,8 @@
     std::string body;
     /** The document was taken away at this revision; body is empty. */
     bool deleted = false;
+    /** The era of the store whose revision it is, where the sender tells. */
+    std::uint64_t era = 0;
 
     bool operator==(const Document &) const = default;
 };
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -3,6 +3,8 @@
 #include "sequoiausher/base/error.h"
 #include "sequoiausher/base/hashing.h"
 #include "sequoiausher/base/metrics/prometheus.h"
+#include "sequoiausher/coordination/gateway/restoredstore.h"
+#include "sequoiausher/coordination/gateway/storeposition.h"
 #include "sequoiausher/coordination/gateway/targetlist.h"
 #include "sequoiausher/transport/gateway/callerconnection.h"
 #include "sequoiausher/transport/gateway/gatewaypages.h"
@@ -99,10 +101,12 @@
     void targetsChanged(std::string_view why);
     /** What the store has, be it nothing, counts as known once both have been asked for. */
     void noteFirstReading();
+    /** The store's era, as it or a peer says: a later one than before means that the store came back from a copy. */
+    void noteEra(std::uint64_t era, const std::string &from);
     /** What the next line about targets names, up to a few. */
     void noteChange(const std::string &change);
 
-    void configurationRead(const StoredConfiguration &stored, std::optional<Millis> readAt) override;
+    bool configurationRead(const StoredConfiguration &stored, std::optional<Millis> readAt) override;
     void configurationAbsent() override;
     void targetsRead(const std::vector<GatewayTarget> &targets,
                      const std::vector<TargetId> &unreadable,
@@ -113,11 +117,13 @@
     void targetUnreadable(const TargetId &name, Revision at) override;
     void targetChangesEnd() override;
     void watchAnswered(Revision upTo, Millis asOf) override;
+    void storeRestored(std::uint64_t era) override;
     void storeLost(const std::string &problem) override;
     void storeReturned() override;
     void configurationOffered(const std::string &raw, Revision revision) override;
     void targetsOffered(const std::vector<GatewayTarget> &targets, Revision revision) override;
     void targetChangesOffered(const TargetChanges &changes) override;
+    void eraOffered(std::uint64_t era, const InstanceId &by) override;
 
     const GatewayDialect &dialect;
     const Log &log;
@@ -142,6 +148,8 @@
     /** The store's revision of the configuration that was read last, so that it is not read twice. */
     Revision readChangedAt = 0;
     Revision readRevision = 0;
+    std::optional<std::uint64_t> storeEra;
+    RestoredStore restored;
     std::optional<Millis> stopBegunAt;
     bool hasClosedIdle = false;
     bool hasEndedRequests = false;
@@ -401,6 +409,7 @@
     this->metrics.set("gateway_ready", this->isReady() ? 1 : 0);
     this->metrics.set("gateway_configuration_revision", static_cast<double>(this->context.revision()));
     this->metrics.set("gateway_proof_age_ms", age == Millis::never() ? -1 : static_cast<double>(age.count));
+    this->metrics.set("gateway_store_era", static_cast<double>(this->storeEra.value_or(0)));
     this->metrics.set("gateway_targets", static_cast<double>(this->known.targets.targets().size()));
     this->metrics.set("gateway_peers", static_cast<double>(this->context.peers.members(now).size()));
     this->metrics.set("gateway_connections", static_cast<double>(this->callers.size()));
@@ -433,21 +442,59 @@
     this->known.configurationRevision = revision;
 }
 
-void GatewayNode::Private::configurationRead(const StoredConfiguration &stored, std::optional<Millis> readAt)
+void GatewayNode::Private::noteEra(std::uint64_t era, const std::string &from)
 {
+    if (this->storeEra && era <= *this->storeEra) {
+        return;
+    }
+    const std::optional<std::uint64_t> before = std::exchange(this->storeEra, era);
+    if (!before) {
+        return;
+    }
+    const Millis now = Millis::monotonicNow();
+    const Revision newest = std::max(this->context.revision(), this->context.freshness.newest());
+    const std::vector<GatewayTarget> targets = this->known.targets.targets();
+    const auto leaving
+        = std::count_if(targets.begin(), targets.end(), [](const GatewayTarget &target) { return target.isLeaving; });
+    this->log.warning(LogPart::Platform,
+                      "the store came back from a copy",
+                      {{"era", std::to_string(era)},
+                       {"before", std::to_string(*before)},
+                       {"from", from},
+                       {"targets_kept", std::to_string(targets.size())},
+                       {"leaving_kept", std::to_string(leaving)},
+                       {"unproven_until_revision", std::to_string(newest)}});
+    this->restored.returned(newest, now);
+    this->known.targets.storeRestored(now);
+    this->watcher->setEra(era);
+}
+
+void GatewayNode::Private::storeRestored(std::uint64_t era)
+{
+    this->noteEra(era, "store");
+}
+
+void GatewayNode::Private::eraOffered(std::uint64_t era, const InstanceId &by)
+{
+    this->noteEra(era, by.value);
+}
+
+bool GatewayNode::Private::configurationRead(const StoredConfiguration &stored, std::optional<Millis> readAt)
+{
+    this->noteEra(eraOf(stored.storeRevision), "store");
     if (readAt) {
         this->context.duty.storeWasAt(stored.storeRevision, *readAt);
     }
     if (stored.changedAt != this->readChangedAt) {
         if (stored.changedAt < this->readChangedAt) {
-            return;
+            return true;
         }
         GatewayConfiguration configuration;
         try {
             configuration = this->dialect.readConfiguration(stored.raw);
         } catch (const Error &error) {
             this->log.error(LogPart::Config, "the last good configuration stays in force", {{"why", error.what()}});
-            return;
+            return true;
         }
         this->readChangedAt = stored.changedAt;
         this->readRevision = configuration.revision;
@@ -455,12 +502,14 @@
             this->install(stored.raw, std::move(configuration), "store");
         }
     }
-    if (readAt) {
+    const bool proves = this->restored.proves(this->readRevision, stored.changedAt, Millis::monotonicNow());
+    if (readAt && proves) {
         this->context.freshness.proven(this->readRevision, *readAt);
     }
     this->hasAskedConfiguration = true;
     this->noteFirstReading();
     this->endStart();
+    return proves;
 }
 
 void GatewayNode::Private::configurationOffered(const std::string &raw, Revision revision)
--- a/sequoiausher/transport/gateway/gatewaynodetest.cpp
+++ b/sequoiausher/transport/gateway/gatewaynodetest.cpp
@@ -586,6 +586,85 @@
     CHECK(Millis::monotonicNow() - before < two.settings.leaveBound + heldUpBy(heldUp));
 }
 
+// Guards against keys that open routes again, or nothing that is ever proven again, after a return from a copy.
+TEST_CASE("a copy of the store gives no key back, and the operator's writing again proves the newest version")
+{
+    Bed bed;
+    bed.settings.keyFreshness = Millis{600};
+    FakeServer &target = bed.addTarget("t1", "desk");
+    target.answers = [](FakeRequest &request) { request.reply("200 OK", "ok"); };
+    const std::string newest = "5\nroute /look/ idempotent 0 2 1000 desk\nkey garage k2\n";
+    const auto look = [&bed](const std::string &key) {
+        FakeCaller caller(bed.address());
+        caller.send("GET /look/1 HTTP/1.1\r\nHost: x\r\nX-Id: i\r\nX-Key: " + key + "\r\n\r\n");
+        GatewayTestbed::waitFor([&caller] { return caller.reply.isWhole; });
+        return caller.reply.status;
+    };
+    bed.start();
+    bed.copyStore();
+    bed.publish(newest);
+    // Revisions go on, so that those after the return are below the ones before for a while.
+    for (int i = 0; i < 20; ++i) {
+        bed.rewriteTarget("t1");
+    }
+    REQUIRE(GatewayTestbed::waitFor([&] { return look("k2") == 200; }));
+    bed.restoreStore();
+    CHECK(GatewayTestbed::waitFor(
+        [&] { return bed.logged.str().find("the store came back from a copy") != std::string::npos; }));
+    CHECK(look("k1") != 200);
+    CHECK(GatewayTestbed::waitFor([&] { return look("k2") == 503; }, Millis{2000}));
+    CHECK(look("k1") != 200);
+    bed.publish(newest);
+    CHECK(GatewayTestbed::waitFor([&] { return look("k2") == 200; }, Millis{2000}));
+    CHECK(look("k1") == 401);
+}
+
+// Guards against news of targets that a gateway takes for old since revisions have gone back.
+TEST_CASE("what leaves after a return from a copy gets nothing more, and what left before stays out")
+{
+    Bed bed;
+    for (const char *name : {"t1", "t2", "t3"}) {
+        bed.addTarget(name, "desk").answers = [](FakeRequest &request) { request.reply("200 OK", "ok"); };
+    }
+    const auto served = [&bed](const std::string &name) {
+        const std::size_t before = bed.targets[name]->seen.size();
+        for (int i = 0; i < 12; ++i) {
+            CHECK(bed.call("GET", "/look/1").status == 200);
+        }
+        return bed.targets[name]->seen.size() > before;
+    };
+    bed.start();
+    bed.copyStore();
+    bed.removeTarget("t1");
+    for (int i = 0; i < 20; ++i) {
+        bed.rewriteTarget("t2");
+    }
+    REQUIRE(GatewayTestbed::waitFor([&] { return bed.logged.str().find(" count=2 ") != std::string::npos; }));
+    const std::size_t returned = bed.logged.str().size();
+    bed.restoreStore();
+    CHECK(GatewayTestbed::waitFor(
+        [&] { return bed.logged.str().find("the store came back from a copy") != std::string::npos; }));
+    GatewayTestbed::waitFor([] { return false; }, Millis{200});
+    CHECK_FALSE(served("t1"));
+    CHECK(bed.logged.str().find(" count=3 ", returned) == std::string::npos);
+    SUBCASE("until it is written again")
+    {
+        const int begun = bed.watchesBegun;
+        REQUIRE(GatewayTestbed::waitFor([&] { return bed.watchesBegun > begun; }));
+        const std::size_t before = bed.logged.str().size();
+        bed.rewriteTarget("t1");
+        CHECK(GatewayTestbed::waitFor([&] { return bed.logged.str().find(" count=3 ", before) != std::string::npos; },
+                                      Millis{2000}));
+    }
+    SUBCASE("and news of the new era is heard")
+    {
+        bed.removeTarget("t3");
+        GatewayTestbed::waitFor([] { return false; }, bed.settings.leaveBound - Millis{200});
+        CHECK_FALSE(served("t3"));
+        CHECK(served("t2"));
+    }
+}
+
 // Symptom: callers lost answers at each replacement of a gateway. Events: SIGTERM while a request runs; another one
 // comes on a kept connection. Cause: the process closed its connections and left.
 TEST_CASE("a planned stop answers what was read, takes no new work after it, and ends")
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -1,6 +1,7 @@
 #include "sequoiausher/transport/gateway/gatewaypeers.h"
 
 #include "sequoiausher/base/error.h"
+#include "sequoiausher/coordination/gateway/storeposition.h"
 #include "sequoiausher/protocol/gateway/targetstext.h"
 #include "sequoiausher/transport/peers/peermesh.h"
 
@@ -91,11 +92,14 @@
 
     void received(const InstanceId &from, Incarnation incarnation, PeerMessage message) override;
     void linkChanged(const InstanceId &peer, Incarnation incarnation, bool up) override;
+    /** The position of a revision that a peer tells; one that tells no era is taken to be in the present one. */
+    Revision positionOf(std::uint64_t era, Revision revision) const;
     void receive(const InstanceId &from, const GatewayReport &report);
     void receive(const Document &document, const InstanceId &from);
     void sendReports(Millis now);
     GatewayReport reportFor(const InstanceId &peer, Millis now);
-    void pushTo(const InstanceId &peer, const GatewayReport &report, Millis now);
+    /** @param has up to where the peer's list of targets is complete. */
+    void pushTo(const InstanceId &peer, const GatewayReport &report, Revision has, Millis now);
     void pushTargets(const InstanceId &peer, Revision has, Millis now);
     /** What one lacks whose list is complete up to has: most lack the same, so it is written and packed once. */
     const Document &targetsFrom(Revision has);
@@ -115,6 +119,7 @@
     struct Pushed
     {
         Revision revision = 0;
+        std::uint64_t era = 0;
         Millis at;
     };
 
@@ -206,7 +211,8 @@
     report.proofAge = this->context.proofAge(now);
     // Who keeps entries that may be gone cannot vouch for the list: others then read the store themselves.
     report.storeAge = this->known.targets.hasMissing() ? Millis::never() : this->context.duty.knowledgeAge(now);
-    report.targets = this->known.targets.revision();
+    report.targets = revisionIn(this->known.targets.revision());
+    report.storeEra = eraOf(this->known.targets.revision());
     report.leaving = this->context.isStopping;
     report.isHub = directory.isHub(now);
     report.isResting
@@ -251,6 +257,8 @@
 void GatewayPeers::Private::receive(const InstanceId &from, const GatewayReport &report)
 {
     const Millis now = Millis::monotonicNow();
+    this->news.eraOffered(report.storeEra, from);
+    const Revision targets = this->positionOf(report.storeEra, report.targets);
     this->context.peers.heardFrom(from, report, now);
     this->context.freshness.vouched(report.configuration, report.proofAge, report.echo);
     const bool isHub = this->context.peers.isHub(now);
@@ -264,12 +272,12 @@
         this->context.parts.heard(from, placement.part, placement.target, now, scope);
     }
     const bool comesBefore = this->context.peers.comesBefore(from, now);
-    this->context.duty.heard(
-        {report.storeAge, report.echo, report.isHub, !report.isResting, comesBefore, report.targets}, now);
+    this->context.duty.heard({report.storeAge, report.echo, report.isHub, !report.isResting, comesBefore, targets},
+                             now);
     if (report.isSettled) {
-        this->known.targets.peerIsSettled(report.targets, report.echo);
+        this->known.targets.peerIsSettled(targets, report.echo);
     }
-    this->pushTo(from, report, now);
+    this->pushTo(from, report, targets, now);
     if (this->context.peers.mustReply(from, report, now)) {
         GatewayReport reply = this->reportFor(from, now);
         reply.isReply = true;
@@ -280,7 +288,15 @@
     }
 }
 
-void GatewayPeers::Private::pushTo(const InstanceId &peer, const GatewayReport &report, Millis now)
+Revision GatewayPeers::Private::positionOf(std::uint64_t era, Revision revision) const
+{
+    if (revision == 0) {
+        return 0;
+    }
+    return storePosition(era != 0 ? era : eraOf(this->known.targets.revision()), revision);
+}
+
+void GatewayPeers::Private::pushTo(const InstanceId &peer, const GatewayReport &report, Revision has, Millis now)
 {
     if (report.configuration < this->known.configurationRevision) {
         if (this->packedRevision != this->known.configurationRevision) {
@@ -290,11 +306,11 @@
         this->push(peer, {configurationDocument, this->packedRevision, this->packedConfiguration, false}, now);
     }
     // One that starts while the store is away for all has no list at all: an old one is better than none.
-    const bool hasNone = report.targets == 0 && !this->known.targets.empty();
+    const bool hasNone = has == 0 && !this->known.targets.empty();
     // One that reads the store itself hears of a change by itself, unless its own calls have got no answer.
-    const bool counts = report.isResting || this->isLate(report.targets, now);
+    const bool counts = report.isResting || this->isLate(has, now);
     if (hasNone || (counts && this->context.duty.mayTell(now))) {
-        this->pushTargets(peer, report.targets, now);
+        this->pushTargets(peer, has, now);
     }
 }
 
@@ -343,8 +359,13 @@
     const auto [entry, isNew] = this->packedTargets.try_emplace(has);
     if (isNew) {
         const std::optional<TargetChanges> changes = list.changesSince(has);
-        const std::string text = changes ? toText(*changes) : toText(list.targets());
-        entry->second = {changes ? targetChangesDocument : targetsDocument, list.revisionToTell(), packed(text), false};
+        // Changes never lead from one era into another.
+        const std::string text = changes
+            ? toText({revisionIn(changes->from), revisionIn(changes->to), changes->written, changes->gone})
+            : toText(list.targets());
+        const Revision at = list.revisionToTell();
+        entry->second
+            = {changes ? targetChangesDocument : targetsDocument, revisionIn(at), packed(text), false, eraOf(at)};
     }
     return entry->second;
 }
@@ -352,11 +373,11 @@
 void GatewayPeers::Private::push(const InstanceId &peer, Document document, Millis now)
 {
     Pushed &last = this->pushed[{peer, document.name}];
-    const Millis wait = last.revision == document.revision ? pushInterval : newerPushInterval;
-    if (last.revision != 0 && now - last.at < wait) {
+    const bool isSame = last.revision == document.revision && last.era == document.era;
+    if (last.revision != 0 && now - last.at < (isSame ? pushInterval : newerPushInterval)) {
         return;
     }
-    last = {document.revision, now};
+    last = {document.revision, document.era, now};
     this->mesh.send(peer, DocumentPush{{std::move(document)}, 0});
 }
 
@@ -368,10 +389,14 @@
     }
     const std::string sender = "gateway " + from.value;
     const Revision has = this->known.targets.revision();
-    if (document.name == targetsDocument && document.revision > has) {
-        this->news.targetsOffered(parseTargetsText(unpacked(document.body, sender), sender), document.revision);
-    } else if (document.name == targetChangesDocument && document.revision >= has) {
-        this->news.targetChangesOffered(parseTargetChanges(unpacked(document.body, sender), sender));
+    const Revision at = this->positionOf(document.era, document.revision);
+    if (document.name == targetsDocument && at > has) {
+        this->news.targetsOffered(parseTargetsText(unpacked(document.body, sender), sender), at);
+    } else if (document.name == targetChangesDocument && at >= has) {
+        TargetChanges changes = parseTargetChanges(unpacked(document.body, sender), sender);
+        changes.from = this->positionOf(document.era, changes.from);
+        changes.to = at;
+        this->news.targetChangesOffered(changes);
     }
 }
 
--- a/sequoiausher/transport/gateway/gatewaypeers.h
+++ b/sequoiausher/transport/gateway/gatewaypeers.h
@@ -26,6 +26,8 @@
     virtual void targetsOffered(const std::vector<GatewayTarget> &targets, Revision revision) = 0;
     /** Its list has changed so. */
     virtual void targetChangesOffered(const TargetChanges &changes) = 0;
+    /** A peer knows of that era of the store; 0 where it does not tell. */
+    virtual void eraOffered(std::uint64_t era, const InstanceId &by) = 0;
 };
 
 /** What this gateway knows at first hand, and may carry to its peers. */
--- a/sequoiausher/transport/gateway/gatewaytestbed.cpp
+++ b/sequoiausher/transport/gateway/gatewaytestbed.cpp
@@ -126,14 +126,24 @@
     }
     StoreEvents readWatchAnswer(const std::string &body) const override
     {
+        std::istringstream lines(body);
         StoreEvents events;
-        events.storeRevision = std::stoull(body);
+        lines >> events.storeRevision;
+        GatewayTarget target;
+        while (lines >> target.id.value >> target.service.value >> target.address) {
+            events.events.emplace_back();
+            events.events.back().target = target;
+        }
         return events;
     }
     bool isHistoryGone(int status) const override
     {
         return status == 410;
     }
+    std::uint64_t storeEra(const HttpHead &answer) const override
+    {
+        return answer.headers.has("X-Era") ? std::stoull(std::string(answer.headers.value("X-Era"))) : 0;
+    }
     GatewayConfiguration readConfiguration(const std::string &raw) const override
     {
         GatewayConfiguration configuration;
@@ -209,13 +219,14 @@
 
 void GatewayTestbed::publish(const std::string &configuration)
 {
-    this->stored = configuration;
+    this->content.stored = configuration;
     this->changed();
+    this->content.storedAt = this->content.revision;
 }
 
 void GatewayTestbed::changed()
 {
-    this->revision += 1;
+    this->content.revision += 1;
     // The whole list again: a watch whose history is gone is answered so.
     const auto waiting = std::move(this->watches);
     this->watches.clear();
@@ -230,30 +241,61 @@
         this->watchAnswersToLose -= 1;
         return;
     }
-    request.reply("410 Gone", "");
+    this->reply(request, "410 Gone", "");
+}
+
+void GatewayTestbed::rewriteTarget(const std::string &name)
+{
+    this->content.revision += 1;
+    for (const auto &[after, request] : std::exchange(this->watches, {})) {
+        this->reply(request, "200 OK", std::to_string(this->content.revision) + "\n" + this->targetLine(name));
+    }
+}
+
+void GatewayTestbed::copyStore()
+{
+    this->copy = this->content;
+}
+
+void GatewayTestbed::restoreStore()
+{
+    this->content = this->copy;
+    this->era += 1;
+    for (const auto &[after, request] : std::exchange(this->watches, {})) {
+        this->reply(request, "410 Gone", "");
+    }
+}
+
+void GatewayTestbed::reply(const FakeRequest &request, const std::string &status, const std::string &body) const
+{
+    request.reply(status, body, "X-Era: " + std::to_string(this->era) + "\r\n");
+}
+
+std::string GatewayTestbed::targetLine(const std::string &name) const
+{
+    return name + " " + this->content.services.at(name) + " " + this->targets.at(name)->address() + "\n";
 }
 
 FakeServer &GatewayTestbed::addTarget(const std::string &name, const std::string &service)
 {
     this->targets[name] = std::make_unique<FakeServer>();
     this->targets[name]->ownFields = signedFields;
-    this->services[name] = service;
+    this->content.services[name] = service;
     this->changed();
     return *this->targets[name];
 }
 
 void GatewayTestbed::removeTarget(const std::string &name)
 {
-    this->services.erase(name);
+    this->content.services.erase(name);
     this->changed();
 }
 
 std::string GatewayTestbed::targetsText() const
 {
-    std::string text = std::to_string(this->revision) + "\n";
-    for (const auto &[name, service] : this->services) {
-        text.append(name).append(" ").append(service).append(" ");
-        text.append(this->targets.at(name)->address()).append("\n");
+    std::string text = std::to_string(this->content.revision) + "\n";
+    for (const auto &[name, service] : this->content.services) {
+        text += this->targetLine(name);
     }
     return text;
 }
@@ -281,19 +323,22 @@
         return;
     }
     if (request.head.target == "/configuration") {
-        const std::string number = std::to_string(this->revision);
-        request.reply(this->stored.empty() ? "404 Not Found" : "200 OK", number + " " + number + "\n" + this->stored);
+        const std::string number = std::to_string(this->content.revision);
+        const std::string written = std::to_string(this->content.storedAt);
+        this->reply(request,
+                    this->content.stored.empty() ? "404 Not Found" : "200 OK",
+                    number + " " + written + "\n" + this->content.stored);
     } else if (request.head.target == "/targets") {
-        request.reply("200 OK", this->targetsText());
-    } else if (request.head.target != this->dialect->watchCall(this->revision, Millis{0})) {
+        this->reply(request, "200 OK", this->targetsText());
+    } else if (request.head.target != this->dialect->watchCall(this->content.revision, Millis{0})) {
         this->wakeWatch(request);
     } else {
         this->watchesBegun += 1;
-        this->watches.emplace_back(this->revision, request);
+        this->watches.emplace_back(this->content.revision, request);
         QTimer::singleShot(static_cast<int>(this->settings.store.watchTime.count),
-                           [this, request, at = this->revision] {
-                               if (at == this->revision && !this->isStoreSilent) {
-                                   request.reply("200 OK", std::to_string(at));
+                           [this, request, at = this->content.revision] {
+                               if (at == this->content.revision && !this->isStoreSilent) {
+                                   this->reply(request, "200 OK", std::to_string(at));
                                }
                            });
     }
@@ -309,7 +354,7 @@
 void GatewayTestbed::start()
 {
     this->startWithoutWaiting();
-    if (!this->stored.empty() && !waitFor([this] { return this->node->isReady(); })) {
+    if (!this->content.stored.empty() && !waitFor([this] { return this->node->isReady(); })) {
         throw Error(Step::Report, "gateway", "it is not ready:\n" + this->logged.str());
     }
 }
--- a/sequoiausher/transport/gateway/gatewaytestbed.h
+++ b/sequoiausher/transport/gateway/gatewaytestbed.h
@@ -32,6 +32,13 @@
 
     FakeServer &addTarget(const std::string &name, const std::string &service);
     void removeTarget(const std::string &name);
+    /** The target writes its entry again: the watch that waits hears of that alone. */
+    void rewriteTarget(const std::string &name);
+    /** Keeps what the store has now, for a return. */
+    void copyStore();
+    /** The store returns from the copy: its revisions go back, its era rises, and watches are told that history is
+     * gone. */
+    void restoreStore();
     /** Routes /desk/ (at most once), /look/ (idempotent, two targets), /talk/ and /once/ (streams, the first resumes).
      */
     static std::string configuration(int revision = 1);
@@ -73,9 +80,21 @@
     void wakeWatch(const FakeRequest &request);
     std::string targetsText() const;
 
-    std::string stored;
-    std::map<std::string, std::string> services;
-    int revision = 1;
+    /** What the store has. */
+    struct Content
+    {
+        std::string stored;
+        std::map<std::string, std::string> services;
+        int revision = 1;
+        /** At which revision the configuration was written. */
+        int storedAt = 1;
+    };
+    void reply(const FakeRequest &request, const std::string &status, const std::string &body) const;
+    std::string targetLine(const std::string &name) const;
+
+    Content content;
+    Content copy;
+    int era = 1;
     std::vector<std::pair<int, FakeRequest>> watches;
     bool isStoreHeld = false;
     std::vector<FakeRequest> heldCalls;
--- a/sequoiausher/transport/gateway/storecall.cpp
+++ b/sequoiausher/transport/gateway/storecall.cpp
@@ -45,13 +45,14 @@
     {
         this->drop();
         if (Done told = std::exchange(this->done, nullptr)) {
-            told(StoreAnswer{0, {}, this->startedAt, problem});
+            told(StoreAnswer{0, {}, {}, this->startedAt, problem});
         }
     }
 
     void complete()
     {
-        StoreAnswer answer{this->reader.head().status, this->reader.takeBody(), this->startedAt, {}};
+        StoreAnswer answer{
+            this->reader.head().status, this->reader.head(), this->reader.takeBody(), this->startedAt, {}};
         // Bytes after an answer belong to no call; a connection that goes on after a lost one brings nothing more.
         if (!this->reader.head().keepAlive || !this->stream || !this->stream->input().empty()) {
             this->drop();
--- a/sequoiausher/transport/gateway/storecall.h
+++ b/sequoiausher/transport/gateway/storecall.h
@@ -7,6 +7,7 @@
 //     calls.get("/v1/items", timeout, [](const StoreAnswer &answer) { ... });
 
 #include "sequoiausher/base/millis.h"
+#include "sequoiausher/protocol/http/httpmessage.h"
 
 #include <functional>
 #include <memory>
@@ -19,6 +20,7 @@
 {
     /** 0 where there was no answer. */
     int status = 0;
+    HttpHead head;
     std::string body;
     /** When the call was sent: an answer tells of a moment that is not before it. */
     Millis startedAt;
--- a/sequoiausher/transport/gateway/storewatcher.cpp
+++ b/sequoiausher/transport/gateway/storewatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "sequoiausher/base/error.h"
 #include "sequoiausher/coordination/gateway/storeduty.h"
+#include "sequoiausher/coordination/gateway/storeposition.h"
 #include "sequoiausher/transport/gateway/storecall.h"
 
 #include <algorithm>
@@ -71,7 +72,12 @@
     void watch();
     void watched(const StoreAnswer &answer, Millis wait);
     void apply(const StoreEvents &events);
+    Revision position(Revision revision) const;
+    StoredConfiguration positioned(StoredConfiguration stored) const;
     bool isGood(CallLine &line, const StoreAnswer &answer, std::string_view what);
+    /** Whether the answer is of the present era or a later one, which then is the present one. */
+    bool isOfEra(const StoreAnswer &answer);
+    void beginEra(std::uint64_t of);
     /** Gives up a call that should have told of what the store is known to have. */
     void dropOverdue(Millis now);
     void failed(CallLine &line, std::string_view what, const std::string &problem);
@@ -88,6 +94,8 @@
     CallLine changes;
     WatchPatience patience;
     bool isOverdue = false;
+    /** The latest era of the store that is known of; absent before the first answer. */
+    std::optional<std::uint64_t> era;
     /** The watch goes on from here; 0 before the first list, or where the history is gone. */
     Revision watchedFrom = 0;
     /** A proof is due whatever the age of the last one: the watch has lost its history. */
@@ -243,14 +251,56 @@
     }
 }
 
+void StoreWatcher::setEra(std::uint64_t era)
+{
+    if (!this->d->era || era > *this->d->era) {
+        this->d->beginEra(era);
+    }
+}
+
+void StoreWatcher::Private::beginEra(std::uint64_t of)
+{
+    // What was watched for may be in the store again under the same revisions with other content.
+    const bool isRestored = this->era.has_value();
+    this->era = of;
+    if (isRestored) {
+        this->watchedFrom = 0;
+        this->mustProve = true;
+        this->changes.calls.cancel();
+        this->changes.nextAt = Millis{0};
+    }
+}
+
+bool StoreWatcher::Private::isOfEra(const StoreAnswer &answer)
+{
+    const std::uint64_t of = eraOf(storePosition(this->dialect.storeEra(answer.head), 0));
+    if (!this->era || of > *this->era) {
+        const bool isRestored = this->era.has_value();
+        this->beginEra(of);
+        if (isRestored) {
+            this->listener.storeRestored(of);
+        }
+    }
+    return of == *this->era;
+}
+
 bool StoreWatcher::Private::isGood(CallLine &line, const StoreAnswer &answer, std::string_view what)
 {
-    if (answer.status == statusOk) {
-        this->succeeded(line);
-        return true;
+    if (answer.status != statusOk) {
+        this->failed(line, what, answer.status == 0 ? answer.problem : "status " + std::to_string(answer.status));
+        return false;
     }
-    this->failed(line, what, answer.status == 0 ? answer.problem : "status " + std::to_string(answer.status));
-    return false;
+    try {
+        if (!this->isOfEra(answer)) {
+            this->failed(line, what, "an answer of an earlier era");
+            return false;
+        }
+    } catch (const Error &error) {
+        this->failed(line, what, error.what());
+        return false;
+    }
+    this->succeeded(line);
+    return true;
 }
 
 void StoreWatcher::Private::prove()
@@ -268,7 +318,8 @@
             return;
         }
         try {
-            const StoredConfiguration stored = this->dialect.readConfigurationAnswer(a.status, a.body);
+            const StoredConfiguration stored
+                = this->positioned(this->dialect.readConfigurationAnswer(a.status, a.body));
             this->mustProve = false;
             this->hasProven = true;
             const Millis now = Millis::monotonicNow();
@@ -277,7 +328,9 @@
             // Not all at once: whoever is first spares the others theirs.
             std::uniform_int_distribution<std::int64_t> jitter(0, this->times.proofInterval.count / 2);
             this->proof.nextAt = a.startedAt + Millis{jitter(this->random)};
-            this->listener.configurationRead(stored, a.startedAt);
+            if (!this->listener.configurationRead(stored, a.startedAt)) {
+                this->proof.nextAt = a.startedAt + this->longestPause;
+            }
         } catch (const Error &error) {
             this->failed(this->proof, "read configuration", error.what());
         }
@@ -300,12 +353,17 @@
 void StoreWatcher::Private::targetsListed(const StoreAnswer &answer)
 {
     try {
-        const StoredTargets page = this->dialect.readTargetsAnswer(answer.body);
+        StoredTargets page = this->dialect.readTargetsAnswer(answer.body);
+        page.storeRevision = this->position(page.storeRevision);
         for (const std::string &problem : page.problems) {
             this->log.warning(LogPart::Platform, "an entry cannot be read", {{"why", problem}});
         }
         this->listed.insert(this->listed.end(), page.targets.begin(), page.targets.end());
         this->unreadable.insert(this->unreadable.end(), page.unreadable.begin(), page.unreadable.end());
+        if (this->listedFrom != 0 && eraOf(this->listedFrom) != *this->era) {
+            // The store came back from a copy between two pages.
+            return;
+        }
         // Pages are read one after the other: what changed since the first is in the watch that begins there.
         if (this->listedFrom == 0) {
             this->listedFrom = page.storeRevision;
@@ -334,7 +392,7 @@
     const Millis wait = this->times.watchTime;
     this->get(this->changes,
               StoreCallReason::Watch,
-              this->dialect.watchCall(this->watchedFrom, wait),
+              this->dialect.watchCall(revisionIn(this->watchedFrom), wait),
               wait + this->times.watchDelay,
               [this, wait](const StoreAnswer &answer) { this->watched(answer, wait); });
 }
@@ -354,7 +412,12 @@
         return;
     }
     try {
-        const StoreEvents events = this->dialect.readWatchAnswer(answer.body);
+        if (this->watchedFrom == 0) {
+            // Its changes follow on a list of an earlier era.
+            return;
+        }
+        StoreEvents events = this->dialect.readWatchAnswer(answer.body);
+        events.storeRevision = this->position(events.storeRevision);
         this->watchedFrom = std::max(this->watchedFrom, events.storeRevision);
         const Millis now = Millis::monotonicNow();
         this->targetsHeardAt = now;
@@ -373,17 +436,29 @@
     }
 }
 
+Revision StoreWatcher::Private::position(Revision revision) const
+{
+    return storePosition(this->era.value_or(0), revision);
+}
+
+StoredConfiguration StoreWatcher::Private::positioned(StoredConfiguration stored) const
+{
+    stored.changedAt = this->position(stored.changedAt);
+    stored.storeRevision = this->position(stored.storeRevision);
+    return stored;
+}
+
 void StoreWatcher::Private::apply(const StoreEvents &events)
 {
     for (const std::string &problem : events.problems) {
         this->log.warning(LogPart::Platform, "an entry cannot be read", {{"why", problem}});
     }
-    const StoredConfiguration *newest = nullptr;
+    std::optional<StoredConfiguration> newest;
     bool hasTargets = false;
     for (const StoreEvent &event : events.events) {
         if (event.configuration) {
             // Reading one takes milliseconds; of several in a row only the last one counts.
-            newest = &*event.configuration;
+            newest = this->positioned(*event.configuration);
             continue;
         }
         hasTargets = true;
@@ -398,7 +473,7 @@
     if (hasTargets) {
         this->listener.targetChangesEnd();
     }
-    if (newest != nullptr) {
+    if (newest) {
         this->listener.configurationRead(*newest, std::nullopt);
     }
 }
--- a/sequoiausher/transport/gateway/storewatcher.h
+++ b/sequoiausher/transport/gateway/storewatcher.h
@@ -2,7 +2,8 @@
 
 // Follows the platform's store: reads configuration and targets, watches both, reads again where a watch's history is
 // gone, and reads the configuration at short intervals to prove that what is in force is the newest. A watch proves
-// nothing about now: it may have heard nothing for a while.
+// nothing about now: it may have heard nothing for a while. All revisions that it tells are positions of the store
+// (storeposition.h): after a return from a copy all is read again, and answers of the era before are not believed.
 //
 //     StoreWatcher watcher(dialect, settings, log, listener);
 //     // every 40 ms: watcher.tick(now, proofAge)
@@ -52,9 +53,11 @@
 {
 public:
     virtual ~StoreListener() = default;
-    /** The configuration as it lies in the store. @param readAt present where it is surely the newest at that moment.
+    /**
+     * The configuration as it lies in the store. @param readAt present where it was the newest there at that moment.
+     * @return whether that proves anything: where it does not, it is not asked for again at once.
      */
-    virtual void configurationRead(const StoredConfiguration &stored, std::optional<Millis> readAt) = 0;
+    virtual bool configurationRead(const StoredConfiguration &stored, std::optional<Millis> readAt) = 0;
     /** The store has none yet. */
     virtual void configurationAbsent() = 0;
     /**
@@ -74,6 +77,8 @@
     virtual void targetChangesEnd() = 0;
     /** A watch was answered, with or without changes: all up to revision has been told, as it was then or later. */
     virtual void watchAnswered(Revision upTo, Millis asOf) = 0;
+    /** The store has come back from a copy, as a later era of its answers says. */
+    virtual void storeRestored(std::uint64_t era) = 0;
     virtual void storeLost(const std::string &problem) = 0;
     virtual void storeReturned() = 0;
 };
@@ -104,6 +109,8 @@
      * on from there, or everything is read again where the store has forgotten what came since.
      */
     void setResting(bool on, Revision heardUpTo);
+    /** The store is known to have come as far as that era, whoever said so: earlier ones are not believed any more. */
+    void setEra(std::uint64_t era);
     /** For calls from now on. */
     void setTimes(const StoreTimes &times);
     /** The longest pause between two calls that fail. */
