Take no unknown era for the first one, keep patience with the settings, and log plain revisions

A change of settings now reaches the patience with watches as well, and log lines show revisions without the era.

--- a/sequoiausher/coordination/gateway/watchpatience.cpp
+++ b/sequoiausher/coordination/gateway/watchpatience.cpp
@@ -33,6 +33,11 @@
 {
 }
 
+void WatchPatience::setTimes(const StoreTimes &times)
+{
+    this->overdueAfter = times.overdueAfter;
+}
+
 void WatchPatience::storeIsAt(Revision revision, Millis took, Millis now)
 {
     if (revision > this->heard && !this->untold) {
--- a/sequoiausher/coordination/gateway/watchpatience.h
+++ b/sequoiausher/coordination/gateway/watchpatience.h
@@ -49,6 +49,8 @@
 public:
     explicit WatchPatience(const StoreTimes &times);
 
+    /** For changes that become known from now on. */
+    void setTimes(const StoreTimes &times);
     /** A reading that took so long said that the store is at revision. */
     void storeIsAt(Revision revision, Millis took, Millis now);
     /** The store told of all changes up to revision. */
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -101,7 +101,10 @@
     void targetsChanged(std::string_view why);
     /** What the store has, be it nothing, counts as known once both have been asked for. */
     void noteFirstReading();
-    /** The store's era, as it or a peer says: a later one than before means that the store came back from a copy. */
+    /**
+     * The store's era, as it or a peer says: a later one than before means that the store came back from a copy.
+     * @param era 0 where it is not told.
+     */
     void noteEra(std::uint64_t era, const std::string &from);
     /** What the next line about targets names, up to a few. */
     void noteChange(const std::string &change);
@@ -444,10 +447,11 @@
 
 void GatewayNode::Private::noteEra(std::uint64_t era, const std::string &from)
 {
-    if (this->storeEra && era <= *this->storeEra) {
+    if (era == 0 || (this->storeEra && era <= *this->storeEra)) {
         return;
     }
     const std::optional<std::uint64_t> before = std::exchange(this->storeEra, era);
+    this->watcher->setEra(era);
     if (!before) {
         return;
     }
@@ -466,7 +470,6 @@
                        {"unproven_until_revision", std::to_string(newest)}});
     this->restored.returned(newest, now);
     this->known.targets.storeRestored(now);
-    this->watcher->setEra(era);
 }
 
 void GatewayNode::Private::storeRestored(std::uint64_t era)
@@ -538,7 +541,7 @@
                    {{"why", std::string(why)},
                     {"count", std::to_string(targets.size())},
                     {"leaving", std::to_string(leaving)},
-                    {"revision", std::to_string(this->known.targets.revision())}});
+                    {"revision", std::to_string(revisionIn(this->known.targets.revision()))}});
     this->endStart();
 }
 
--- a/sequoiausher/transport/gateway/gatewaynodetest.cpp
+++ b/sequoiausher/transport/gateway/gatewaynodetest.cpp
@@ -619,6 +619,27 @@
     CHECK(look("k1") == 401);
 }
 
+// Guards against a start that takes the first era which it hears of for a return from a copy.
+TEST_CASE("a gateway that starts beside one that knows nothing yet does not take the store for restored")
+{
+    Bed one;
+    one.addTarget("t1", "desk");
+    one.holdStore();
+    one.startWithoutWaiting();
+    Bed two;
+    two.addTarget("t1", "desk");
+    two.settings.seeds = {InstanceId{one.settings.peerAddress}};
+    two.holdStore();
+    two.startWithoutWaiting();
+    CHECK(GatewayTestbed::waitFor([&] { return two.logged.str().find("peer regained") != std::string::npos; }));
+    GatewayTestbed::waitFor([] { return false; }, Millis{700});
+    two.releaseStore();
+    one.releaseStore();
+    CHECK(GatewayTestbed::waitFor([&] { return one.node->isReady() && two.node->isReady(); }));
+    CHECK(one.logged.str().find("came back from a copy") == std::string::npos);
+    CHECK(two.logged.str().find("came back from a copy") == std::string::npos);
+}
+
 // Guards against news of targets that a gateway takes for old since revisions have gone back.
 TEST_CASE("what leaves after a return from a copy gets nothing more, and what left before stays out")
 {
--- a/sequoiausher/transport/gateway/storewatcher.cpp
+++ b/sequoiausher/transport/gateway/storewatcher.cpp
@@ -166,7 +166,7 @@
     this->log.info(LogPart::Platform,
                    "gave up a call that should have told of a change",
                    {{"took_ms", std::to_string((now - this->changes.begunAt).count)},
-                    {"heard_up_to", std::to_string(this->watchedFrom)}});
+                    {"heard_up_to", std::to_string(revisionIn(this->watchedFrom))}});
     this->changes.calls.cancel();
     this->changes.nextAt = now;
     this->patience.gaveUp();
@@ -177,6 +177,7 @@
 void StoreWatcher::setTimes(const StoreTimes &times)
 {
     this->d->times = times;
+    this->d->patience.setTimes(times);
 }
 
 void StoreWatcher::setLongestPause(Millis pause)
@@ -402,7 +403,7 @@
     if (this->dialect.isHistoryGone(answer.status)) {
         this->log.info(LogPart::Platform,
                        "the store's history is gone, reading all again",
-                       {{"after", std::to_string(this->watchedFrom)}});
+                       {{"after", std::to_string(revisionIn(this->watchedFrom))}});
         this->succeeded(this->changes);
         this->watchedFrom = 0;
         this->mustProve = true;
