Let a listener without descriptors wait in place of spinning

What callers saw: a gateway or router at its limit of descriptors used a whole core for failing to accept, and was slow for all whose requests were under way.

Cause: a connection that cannot be accepted stays in the kernel's queue, so the notifier fires again at once, for as long as it lasts.

Change: where accepting fails for want of descriptors or memory, the next try comes 50 ms later.

--- a/sequoiausher/transport/stream/streamlistener.cpp
+++ b/sequoiausher/transport/stream/streamlistener.cpp
@@ -4,6 +4,7 @@
 #include "sequoiausher/transport/stream/ipv4socket.h"
 
 #include <QSocketNotifier>
+#include <QTimer>
 
 #include <cerrno>
 #include <cstring>
@@ -18,6 +19,13 @@
 
 /** Connections that may wait in the kernel: a full queue drops the opening packet, and the caller waits for seconds. */
 constexpr int backlog = 1024;
+/** How long connections wait in the kernel where this process has no descriptors or memory left for them. */
+constexpr int retryMs = 50;
+
+bool isOutOfResources(int problem)
+{
+    return problem == EMFILE || problem == ENFILE || problem == ENOBUFS || problem == ENOMEM;
+}
 
 int openSocket(const std::string &address)
 {
@@ -44,6 +52,11 @@
         , notifier(this->descriptor, QSocketNotifier::Read)
     {
         QObject::connect(&this->notifier, &QSocketNotifier::activated, &this->notifier, [this] { this->take(); });
+        this->retry.setSingleShot(true);
+        QObject::connect(&this->retry, &QTimer::timeout, &this->notifier, [this] {
+            this->notifier.setEnabled(this->descriptor >= 0);
+            this->take();
+        });
     }
     ~Private()
     {
@@ -55,6 +68,11 @@
         while (this->descriptor >= 0) {
             const int connection = accept4(this->descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
             if (connection < 0) {
+                if (isOutOfResources(errno)) {
+                    // The notifier would fire again at once, and the loop would do nothing else.
+                    this->notifier.setEnabled(false);
+                    this->retry.start(retryMs);
+                }
                 return;
             }
             this->accepted(connection);
@@ -65,6 +83,7 @@
     {
         if (this->descriptor >= 0) {
             this->notifier.setEnabled(false);
+            this->retry.stop();
             ::close(this->descriptor);
             this->descriptor = -1;
         }
@@ -73,6 +92,7 @@
     Accepted accepted;
     int descriptor = -1;
     QSocketNotifier notifier;
+    QTimer retry;
 };
 
 StreamListener::StreamListener(const std::string &address, Accepted accepted)
