--- a/lab/soak/main.cpp
+++ b/lab/soak/main.cpp
@@ -43,6 +43,7 @@
         options.gateways = static_cast<std::size_t>(integerOption(parsed, "gateways"));
         options.callersEach = static_cast<std::size_t>(integerOption(parsed, "callers"));
         options.lastingEach = static_cast<std::size_t>(integerOption(parsed, "lasting"));
+        options.returns = static_cast<std::size_t>(integerOption(parsed, "returns"));
         options.program = textOption(parsed, "program");
         options.faults = Millis{integerOption(parsed, "faults-ms")};
         options.longest = Millis{integerOption(parsed, "longest-ms")};
@@ -68,6 +69,7 @@
     addIntegerOption(options, "lasting", "Callers for each gateway that keep their connections", 2);
     addIntegerOption(options, "faults-ms", "For how long faults begin", 12000);
     addIntegerOption(options, "longest-ms", "How long one fault lasts at most", 4000);
+    addIntegerOption(options, "returns", "How often the store comes back from a copy meanwhile", 0);
     addTextOption(options, "program", "The gateway to play; empty for the one built with it", "");
     addTextOption(options, "folder", "Where logs go", "/tmp/sequoiausher-soak");
     return runProgram(argc, argv, std::move(options), runSoak);
--- a/lab/soak/soakoperator.cpp
+++ b/lab/soak/soakoperator.cpp
@@ -61,6 +61,11 @@
     this->publish();
 }
 
+void SoakOperator::publishAgain()
+{
+    this->store.write(StandInDialect::configurationKey(), StandInDialect::configurationText(this->configuration));
+}
+
 void SoakOperator::addRoute()
 {
     GatewayRoute extra = route(CallKind::Look, "desk-b");
--- a/lab/soak/soakoperator.h
+++ b/lab/soak/soakoperator.h
@@ -23,6 +23,8 @@
     SoakOperator(SoakStore &store, SoakJudge &judge);
 
     void publishFirst();
+    /** Writes the newest version once more: the store has lost it. */
+    void publishAgain();
     void addRoute();
     void dropRoute();
     /** Moves the route of plain questions to the other plain service, or back. */
--- a/lab/soak/soakrun.cpp
+++ b/lab/soak/soakrun.cpp
@@ -17,6 +17,7 @@
 #include <fstream>
 #include <functional>
 #include <map>
+#include <set>
 #include <sstream>
 #include <utility>
 
@@ -75,6 +76,7 @@
         std::unique_ptr<Relay> link;
         /** Its entry stands in the store. */
         bool isListed = false;
+        bool isLeaving = false;
     };
 
     void setUp();
@@ -102,6 +104,10 @@
     void unlistTarget(TargetPlace &place);
     void leaveTarget(TargetPlace &place);
     void lapse(Millis span);
+    /** The store is away from then on, and comes back from a copy made some time before. */
+    void planReturn(Millis at);
+    /** What the copy does not have is written again. */
+    void writeAgain();
     std::optional<SoakEntry> pick();
     void note(const std::string &line);
     static std::string unplanned(std::size_t gateway);
@@ -111,6 +117,8 @@
 
     SoakOptions options;
     std::mt19937_64 random;
+    /** For returns alone, so that a seed's other faults stay the same. */
+    std::mt19937_64 returns;
     SoakJudge judge;
     SoakStore store;
     SoakOperator administrator;
@@ -132,6 +140,7 @@
 SoakRun::Private::Private(const SoakOptions &with)
     : options(with)
     , random(with.seed)
+    , returns(with.seed)
     , judge(SoakBounds{})
     , store(with.seed)
     , administrator(this->store, this->judge)
@@ -457,6 +466,45 @@
         });
 }
 
+void SoakRun::Private::planReturn(Millis at)
+{
+    std::uniform_int_distribution<std::int64_t> age(200, 4000);
+    std::uniform_int_distribution<std::int64_t> absence(100, 1500);
+    std::uniform_int_distribution<std::int64_t> rewriting(50, 1500);
+    const Millis away{absence(this->returns)};
+    const Millis again{rewriting(this->returns)};
+    this->at(at - Millis{age(this->returns)}, [this] { this->store.copy(); });
+    this->at(at, [this, away, again] {
+        this->note("the store returns from a copy after " + toText(away) + ", written again after " + toText(again));
+        this->during(
+            away + again,
+            {SoakJudge::storeSubject},
+            [this] { this->store.setMood(StoreMood::Silent); },
+            [this] { this->writeAgain(); });
+        this->after(away, [this] {
+            this->store.restore();
+            this->store.setMood(StoreMood::Up);
+        });
+    });
+}
+
+void SoakRun::Private::writeAgain()
+{
+    this->administrator.publishAgain();
+    std::set<std::string> listed{StandInDialect::configurationKey()};
+    for (TargetPlace &place : this->places) {
+        if (place.isListed) {
+            listed.insert(StandInDialect::targetKey(TargetId{place.target->life()}));
+            this->listTarget(place, place.isLeaving);
+        }
+    }
+    for (const std::string &key : this->store.keys()) {
+        if (!listed.contains(key)) {
+            this->store.remove(key);
+        }
+    }
+}
+
 void SoakRun::Private::strikeStore(const SoakFault &fault)
 {
     const auto inMood = [this, &fault](StoreMood mood) {
@@ -504,6 +552,7 @@
     entry.slots = place.target->slots();
     entry.isLeaving = isLeaving;
     place.isListed = true;
+    place.isLeaving = isLeaving;
     this->store.write(StandInDialect::targetKey(entry.id), StandInDialect::targetText(entry));
 }
 
@@ -700,6 +749,10 @@
         this->d->at(begin + fault.at, [this, fault] { this->d->strike(fault); });
         last = std::max(last, begin + fault.at + fault.lasts);
     }
+    std::uniform_int_distribution<std::int64_t> moment(0, this->d->options.faults.count);
+    for (std::size_t i = 0; i < this->d->options.returns; ++i) {
+        this->d->planReturn(begin + Millis{moment(this->d->returns)});
+    }
     LabCaller::waitFor([last] { return Millis::monotonicNow() >= last; }, endless);
     // What was begun ends by itself; then everything must be back.
     const bool isQuiet = LabCaller::waitFor([this] { return this->d->actions.empty(); }, longestStop * 4);
--- a/lab/soak/soakrun.h
+++ b/lab/soak/soakrun.h
@@ -29,6 +29,8 @@
     /** The longest that one of them lasts: above the five seconds for which a key is good without a proof, the promise
      * about keys that were taken away is put to the test. */
     Millis longest{4000};
+    /** How often the store comes back from a copy, at moments of their own beside the other faults. */
+    std::size_t returns = 0;
     /** Where settings and what the gateways write go; made where it is missing. */
     std::string folder;
     /** The gateway to play, such as an older one; empty for the one that was built with the soak. */
--- a/lab/soak/soakstore.cpp
+++ b/lab/soak/soakstore.cpp
@@ -75,6 +75,34 @@
     }
 }
 
+void SoakStore::copy()
+{
+    this->copiedItems = this->items;
+    this->copiedRevision = this->revision;
+}
+
+void SoakStore::restore()
+{
+    this->items = this->copiedItems;
+    this->revision = this->copiedRevision;
+    this->era += 1;
+    this->compact();
+}
+
+std::vector<std::string> SoakStore::keys() const
+{
+    std::vector<std::string> all;
+    for (const auto &[key, item] : this->items) {
+        all.push_back(key);
+    }
+    return all;
+}
+
+void SoakStore::refuse(const FakeRequest &request, const std::string &status) const
+{
+    request.reply(status, "{}", StandInDialect::eraField(this->era));
+}
+
 void SoakStore::handle(FakeRequest &request)
 {
     if (this->mood == StoreMood::Silent) {
@@ -85,7 +113,7 @@
         return;
     }
     if (this->mood == StoreMood::Busy) {
-        request.reply("503 Service Unavailable", "{}");
+        this->refuse(request, "503 Service Unavailable");
         return;
     }
     const StandInDialect::StoreCall call = StandInDialect::readStoreCall(request.head.target);
@@ -93,7 +121,7 @@
     case StandInDialect::StoreCall::Kind::Configuration: {
         const auto item = this->items.find(StandInDialect::configurationKey());
         if (item == this->items.end()) {
-            request.reply("404 Not Found", "{}");
+            this->refuse(request, "404 Not Found");
         } else {
             this->reply(request, StandInDialect::itemAnswer(item->second, this->revision));
         }
@@ -106,7 +134,7 @@
         this->watch(request, call);
         return;
     case StandInDialect::StoreCall::Kind::Unknown:
-        request.reply("400 Bad Request", "{}");
+        this->refuse(request, "400 Bad Request");
         return;
     }
 }
@@ -121,7 +149,8 @@
         return;
     }
     const int delay = this->mood == StoreMood::Slow ? slowDelayMs : usualDelayMs;
-    QTimer::singleShot(delay, [request, body] { request.reply("200 OK", body); });
+    const std::string fields = StandInDialect::eraField(this->era);
+    QTimer::singleShot(delay, [request, body, fields] { request.reply("200 OK", body, fields); });
 }
 
 std::string SoakStore::range(const StandInDialect::StoreCall &call) const
@@ -157,8 +186,8 @@
 
 void SoakStore::watch(const FakeRequest &request, const StandInDialect::StoreCall &call)
 {
-    if (call.after < this->forgotten) {
-        request.reply("410 Gone", "{}");
+    if (call.after < this->forgotten || call.after > this->revision) {
+        this->refuse(request, "410 Gone");
         return;
     }
     if (call.after < this->revision) {
--- a/lab/soak/soakstore.h
+++ b/lab/soak/soakstore.h
@@ -47,6 +47,12 @@
     void setMood(StoreMood mood);
     /** Forgets the history and cuts the watches that wait. */
     void compact();
+    /** Keeps what the store has now, for a return. */
+    void copy();
+    /** Comes back from the copy: what was written since is lost, and its revisions are given out again. */
+    void restore();
+    /** The keys that the store has now. */
+    std::vector<std::string> keys() const;
 
 private:
     struct Watch
@@ -57,6 +63,7 @@
 
     void handle(FakeRequest &request);
     void reply(const FakeRequest &request, const std::string &body);
+    void refuse(const FakeRequest &request, const std::string &status) const;
     void watch(const FakeRequest &request, const StandInDialect::StoreCall &call);
     std::string range(const StandInDialect::StoreCall &call) const;
     std::vector<StandInDialect::StoreItem> eventsAfter(Revision after) const;
@@ -70,6 +77,9 @@
     std::deque<StandInDialect::StoreItem> history;
     /** Changes up to this one are forgotten. */
     Revision forgotten = 0;
+    std::map<std::string, StandInDialect::StoreItem> copiedItems;
+    Revision copiedRevision = 1;
+    std::uint64_t era = 1;
     std::map<std::uint64_t, Watch> watches;
     std::uint64_t nextWatch = 0;
 };
