--- a/sequoiausher/transport/gateway/storewatcher.cpp
+++ b/sequoiausher/transport/gateway/storewatcher.cpp
@@ -454,12 +454,12 @@
     for (const std::string &problem : events.problems) {
         this->log.warning(LogPart::Platform, "an entry cannot be read", {{"why", problem}});
     }
-    std::optional<StoredConfiguration> newest;
+    const StoredConfiguration *newest = nullptr;
     bool hasTargets = false;
     for (const StoreEvent &event : events.events) {
         if (event.configuration) {
             // Reading one takes milliseconds; of several in a row only the last one counts.
-            newest = this->positioned(*event.configuration);
+            newest = &*event.configuration;
             continue;
         }
         hasTargets = true;
@@ -474,8 +474,8 @@
     if (hasTargets) {
         this->listener.targetChangesEnd();
     }
-    if (newest) {
-        this->listener.configurationRead(*newest, std::nullopt);
+    if (newest != nullptr) {
+        this->listener.configurationRead(this->positioned(*newest), std::nullopt);
     }
 }
 
