Say in the log which requests are the same one

An incident (a request that crashes every target that runs it) cannot be read from the logs: no line says which requests are alike. The line of a request's end now bears a fingerprint of its caller's organisation, its path and its body, as the users say that such a request comes again.

--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -5,6 +5,7 @@
 #include "sequoiausher/coordination/gateway/attemptverdict.h"
 #include "sequoiausher/coordination/gateway/connectionshare.h"
 #include "sequoiausher/coordination/gateway/requestattempts.h"
+#include "sequoiausher/coordination/gateway/requestfingerprint.h"
 #include "sequoiausher/transport/gateway/gatewayadmission.h"
 
 #include <algorithm>
@@ -89,6 +90,7 @@
     /** Address of the target from which the chosen one copies cached parts; empty for none. */
     std::string copiedFrom;
     RequestAttempts attempts;
+    RequestFingerprint fingerprint;
     /** What was found when another target was last asked for. */
     std::optional<ChosenTarget> candidate;
     Millis sentAt;
@@ -134,6 +136,7 @@
         this->answerOwn(refusal->status, refusal->reason, refusal->retryAfter, refusal->outcome);
         return;
     }
+    this->fingerprint = fingerprintOf(this->admitted.organisation, this->head.target, this->body);
     const GatewayRoute &route = *this->admitted.route;
     this->answer.expect(route.kind, this->admitted.request.lastEventId);
     const bool mayRetry = this->admitted.decision.retry != RetryMode::None;
@@ -458,6 +461,7 @@
          {"service", this->admitted.service.value},
          {"target", this->chosen.target.id.value},
          {"targets_used", std::to_string(this->attempts.targetsUsed())},
+         {"fingerprint", toText(this->fingerprint)},
          {"prompt_part", std::to_string(this->admitted.partHash % partNames)},
          {"copied_from", this->copiedFrom},
          {"target_load", std::to_string(this->chosen.inFlight)},
