--- a/sequoiausher/transport/gateway/gatewaytestbed.cpp
+++ b/sequoiausher/transport/gateway/gatewaytestbed.cpp
@@ -273,13 +273,14 @@
 
 std::string GatewayTestbed::targetLine(const std::string &name) const
 {
-    return name + " " + this->content.services.at(name) + " " + this->targets.at(name)->address() + "\n";
+    return name + " " + this->content.services.at(name) + " " + this->addresses.at(name) + "\n";
 }
 
 FakeServer &GatewayTestbed::addTarget(const std::string &name, const std::string &service)
 {
     this->targets[name] = std::make_unique<FakeServer>();
     this->targets[name]->ownFields = signedFields;
+    this->addresses[name] = this->targets[name]->address();
     this->content.services[name] = service;
     this->changed();
     return *this->targets[name];
@@ -291,6 +292,22 @@
     this->changed();
 }
 
+void GatewayTestbed::crashTarget(const std::string &name)
+{
+    this->targets.erase(name);
+}
+
+GatewaySettings GatewayTestbed::settingsOfNeighbour() const
+{
+    GatewaySettings other = this->settings;
+    other.name.value = "g2";
+    other.address = freeAddress();
+    other.readyAddress = freeAddress();
+    other.peerAddress = freeAddress();
+    other.seeds = {InstanceId{this->settings.peerAddress}};
+    return other;
+}
+
 std::string GatewayTestbed::targetsText() const
 {
     std::string text = std::to_string(this->content.revision) + "\n";
--- a/sequoiausher/transport/gateway/gatewaytestbed.h
+++ b/sequoiausher/transport/gateway/gatewaytestbed.h
@@ -32,6 +32,8 @@
 
     FakeServer &addTarget(const std::string &name, const std::string &service);
     void removeTarget(const std::string &name);
+    /** The target's process ends: its connections break and nothing listens, while its entry stays. */
+    void crashTarget(const std::string &name);
     /** The target writes its entry again: the watch that waits hears of that alone. */
     void rewriteTarget(const std::string &name);
     /** Keeps what the store has now, for a return. */
@@ -53,6 +55,8 @@
     /** Runs the loop until done holds; false after the time. */
     static bool waitFor(const std::function<bool()> &done, Millis time = Millis{3000});
     std::string address() const;
+    /** The settings of one more gateway, which finds the first one by its address for peers. */
+    GatewaySettings settingsOfNeighbour() const;
 
     /** Made before anything that needs an event loop. */
     QCoreApplication &application;
@@ -92,6 +96,8 @@
     void reply(const FakeRequest &request, const std::string &status, const std::string &body) const;
     std::string targetLine(const std::string &name) const;
 
+    /** Where each target listens, or listened. */
+    std::map<std::string, std::string> addresses;
     Content content;
     Content copy;
     int era = 1;
