Refuse a request under which three targets have ended, on all gateways

Callers saw answers cut off all over a service: a request that crashes whatever runs it came again, with the same path, caller and body, and each gateway sent it on each time. The record has 15 further arrivals after the third crash and 19 targets ended.

Cause: what ends a try was held against its target alone; nothing in a gateway knew that two requests are the same one. Class: a judgement on one side of a failure where the other side may be at fault.

Change: RequestQuarantine. Where a target breaks the connection on which it has a request, the gateway dials it once; a refused connection means that the target ended, and that speaks against each request that it had. Reports carry it (an optional field); the sum of all gateways decides. At three the request is refused with 503, before any target is chosen, until nobody has asked for it for ten minutes; a gateway's own retry stops one earlier. Innocents: a whole answer acquits; targets that end in one moment count once; targets that end beside a refused request speak against nobody else; of requests with equal counts the quickest is judged first, and one that was refused beside the real one is released.

--- /dev/null
+++ b/sequoiausher/coordination/gateway/requestquarantine.h
@@ -0,0 +1,92 @@
+#pragma once
+
+// Requests under which several targets ended one after the other, and which therefore no further target gets. Each
+// gateway counts what it saw itself and what its peers tell; all that is told only adds up, in any order and any
+// number of times, so gateways agree without asking each other.
+//
+//     RequestQuarantine quarantine;
+//     quarantine.lost(fingerprint, target, sentAt, now);      // the connection on which the target had the request
+//     broke quarantine.targetEnded(target, now);                    // and nobody listens there any more if (const auto
+//     wait = quarantine.refusedFor(fingerprint, now)) { refuse(*wait); } report.crashes = quarantine.newsFor(peer,
+//     NewsScope::All, now);
+
+#include "sequoiausher/base/identifiers.h"
+#include "sequoiausher/base/millis.h"
+#include "sequoiausher/coordination/gateway/prefixdirectory.h"
+#include "sequoiausher/coordination/gateway/requestfingerprint.h"
+#include "sequoiausher/coordination/messages/gatewaymessages.h"
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace Sequoiausher {
+
+/** When a request counts as one that crashes targets, and for how long. */
+struct RequestQuarantineSettings
+{
+    /** So many targets ended under it. */
+    std::size_t mostCrashes = 3;
+    /**
+     * Targets that end within so long of each other, all with the request in hand, count as one: a loss of many at
+     * once, as of a whole rack, says little about any one request.
+     */
+    Millis sameMoment{100};
+    /** What a peer tells is dated so much too late at most: by its way, and by the work on both sides. */
+    Millis tellingDelay{30};
+    /** A lost connection whose target's fate is not known after so long is forgotten. */
+    Millis verdictTime{2000};
+    /** Such a connection's target is expected to be known to have ended, or not, within so long. */
+    Millis usualVerdictTime{250};
+    /** A request is refused until nobody has asked for it for so long. */
+    Millis life{600000};
+    /** A request that was answered whole lately crashes nobody; this is how long that is remembered. */
+    Millis answerLife{60000};
+    std::size_t mostAnswers = 8192;
+    /** Requests that are remembered; beyond them the one that was seen longest ago goes, refused ones last. */
+    std::size_t mostSuspects = 2048;
+    /** News are told again for so long, since reports may be lost. */
+    Millis toldFor{2000};
+};
+
+/** Not thread-safe. */
+class RequestQuarantine
+{
+public:
+    explicit RequestQuarantine(const RequestQuarantineSettings &settings = {});
+    ~RequestQuarantine();
+
+    /** The connection over which the target had the request is lost, and not by this gateway's doing. */
+    void lost(const RequestFingerprint &request, const TargetId &target, Millis sentAt, Millis now);
+    /** The target ended: what was lost there counts. @return the requests that are refused from now on. */
+    std::vector<RequestFingerprint> targetEnded(const TargetId &target, Millis now);
+    /** The target lives on: what was lost there says nothing of the requests. */
+    void targetLives(const TargetId &target);
+    /** The request was answered whole. */
+    void answered(const RequestFingerprint &request, Millis now);
+
+    /** A peer told of these. @param scope as for PrefixDirectory. @return the requests that are refused from now on. */
+    std::vector<RequestFingerprint>
+    heard(const InstanceId &peer, const std::vector<GatewayCrash> &crashes, Millis now, NewsScope scope);
+    /** What peer should hear: what is new, and from time to time all that is refused. */
+    std::vector<GatewayCrash> newsFor(const InstanceId &peer, NewsScope scope, Millis now);
+
+    /**
+     * How long the request is refused if nobody asks for it meanwhile; none where it may be sent. For a moment also
+     * where it is not known yet whether the last of its targets ended.
+     */
+    std::optional<Millis> refusedFor(const RequestFingerprint &request, Millis now);
+    /**
+     * Whether a gateway may send the request to a further target by itself. It stops one target before a caller's
+     * repeat is refused, and before it is known what became of the last target.
+     */
+    bool mayRetry(const RequestFingerprint &request, Millis now) const;
+    std::size_t refusedCount() const;
+
+private:
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace Sequoiausher
--- /dev/null
+++ b/sequoiausher/coordination/gateway/requestquarantinetest.cpp
@@ -0,0 +1,366 @@
+#include "sequoiausher/coordination/gateway/requestquarantine.h"
+
+#include <doctest/doctest.h>
+
+#include <deque>
+#include <random>
+#include <string>
+
+using namespace Sequoiausher;
+
+namespace {
+
+const RequestFingerprint culprit{1, 100};
+const RequestFingerprint innocent{1, 200};
+constexpr Millis runTime{60};
+
+TargetId target(int number)
+{
+    return {"t" + std::to_string(number)};
+}
+
+/** The request is at the target, which ends. */
+std::vector<RequestFingerprint>
+crash(RequestQuarantine &quarantine, const RequestFingerprint &request, int number, Millis at)
+{
+    quarantine.lost(request, target(number), at - runTime, at);
+    return quarantine.targetEnded(target(number), at + Millis{5});
+}
+
+/** Gateways that report to each other late, and lose some of their reports. */
+struct Fleet
+{
+    Fleet(std::size_t count, std::size_t hubCount, std::uint64_t seed) : gateways(count), hubs(hubCount), random(seed)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            this->nextReport.push_back(Millis{this->between(0, reportMs)});
+        }
+    }
+
+    std::int64_t between(std::int64_t least, std::int64_t most)
+    {
+        return std::uniform_int_distribution<std::int64_t>(least, most)(this->random);
+    }
+
+    bool reportsTo(std::size_t from, std::size_t to) const
+    {
+        if (this->hubs == 0 || (from < this->hubs && to < this->hubs)) {
+            return from != to;
+        }
+        return from < this->hubs ? to % this->hubs == from : from % this->hubs == to;
+    }
+
+    NewsScope scopeOf(std::size_t from, std::size_t to) const
+    {
+        if (this->hubs == 0 || from >= this->hubs) {
+            return NewsScope::Own;
+        }
+        return to < this->hubs ? NewsScope::Group : NewsScope::All;
+    }
+
+    NewsScope heardAs(std::size_t from, std::size_t at) const
+    {
+        if (this->hubs == 0 || at >= this->hubs) {
+            return NewsScope::Own;
+        }
+        return from < this->hubs ? NewsScope::All : NewsScope::Group;
+    }
+
+    static InstanceId name(std::size_t gateway)
+    {
+        return {"g" + std::to_string(gateway)};
+    }
+
+    void pass(Millis now)
+    {
+        constexpr std::int64_t lostPercent = 20;
+        for (std::size_t from = 0; from < this->gateways.size(); ++from) {
+            if (now < this->nextReport[from]) {
+                continue;
+            }
+            this->nextReport[from] = now + Millis{reportMs};
+            for (std::size_t to = 0; to < this->gateways.size(); ++to) {
+                if (!this->reportsTo(from, to)) {
+                    continue;
+                }
+                auto news = this->gateways[from].newsFor(name(to), this->scopeOf(from, to), now);
+                if (this->between(1, 100) > lostPercent) {
+                    this->under.push_back({now + Millis{this->between(1, 60)}, from, to, std::move(news)});
+                }
+            }
+        }
+        std::deque<Message> later;
+        for (Message &message : this->under) {
+            if (message.at > now) {
+                later.push_back(std::move(message));
+                continue;
+            }
+            this->gateways[message.to].heard(
+                name(message.from), message.news, now, this->heardAs(message.from, message.to));
+        }
+        this->under = std::move(later);
+    }
+
+    struct Message
+    {
+        Millis at;
+        std::size_t from = 0;
+        std::size_t to = 0;
+        std::vector<GatewayCrash> news;
+    };
+
+    static constexpr std::int64_t reportMs = 300;
+    std::vector<RequestQuarantine> gateways;
+    std::size_t hubs;
+    std::vector<Millis> nextReport;
+    std::deque<Message> under;
+    std::mt19937_64 random;
+};
+
+} // namespace
+
+TEST_CASE("a request is refused once three targets have ended under it, and for its whole life since")
+{
+    RequestQuarantine quarantine;
+    CHECK(crash(quarantine, culprit, 1, Millis{1000}).empty());
+    CHECK(quarantine.mayRetry(culprit, Millis{1500}));
+    CHECK(crash(quarantine, culprit, 2, Millis{2000}).empty());
+    CHECK_FALSE(quarantine.refusedFor(culprit, Millis{2500}));
+    CHECK_FALSE(quarantine.mayRetry(culprit, Millis{2500}));
+    CHECK(crash(quarantine, culprit, 3, Millis{3000}) == std::vector{culprit});
+    CHECK(quarantine.refusedFor(culprit, Millis{3100}) == Millis{600000});
+    CHECK(quarantine.refusedFor(culprit, Millis{500000}) == Millis{600000});
+    CHECK(quarantine.refusedFor(culprit, Millis{1000000}) == Millis{600000});
+    CHECK_FALSE(quarantine.refusedFor(culprit, Millis{1600001}));
+    CHECK_FALSE(quarantine.refusedFor(innocent, Millis{3100}));
+}
+
+TEST_CASE("while it is not known whether the third target ended, the request waits for a moment")
+{
+    RequestQuarantine quarantine;
+    for (int i = 0; i < 3; ++i) {
+        CHECK_FALSE(quarantine.refusedFor(culprit, Millis{i * 1000}));
+        quarantine.lost(culprit, target(i), Millis{i * 1000}, Millis{i * 1000 + 50});
+        if (i < 2) {
+            quarantine.targetEnded(target(i), Millis{i * 1000 + 60});
+        }
+    }
+    CHECK(quarantine.refusedFor(culprit, Millis{2060}) == Millis{250});
+    SUBCASE("it lives")
+    {
+        quarantine.targetLives(target(2));
+        CHECK_FALSE(quarantine.refusedFor(culprit, Millis{2070}));
+    }
+    SUBCASE("nobody can tell")
+    {
+        CHECK_FALSE(quarantine.refusedFor(culprit, Millis{4100}));
+    }
+}
+
+TEST_CASE("only what was at a target that ended counts, once for each target")
+{
+    RequestQuarantine quarantine;
+    SUBCASE("targets that live on")
+    {
+        for (int i = 0; i < 9; ++i) {
+            quarantine.lost(culprit, target(i), Millis{i * 1000}, Millis{i * 1000 + 50});
+            quarantine.targetLives(target(i));
+            CHECK(quarantine.targetEnded(target(i), Millis{i * 1000 + 200}).empty());
+        }
+    }
+    SUBCASE("a target that is found to have ended long after the connection was lost")
+    {
+        for (int i = 0; i < 9; ++i) {
+            const Millis at{i * 10000};
+            quarantine.lost(culprit, target(i), at, at);
+            quarantine.lost(innocent, target(100 + i), at + Millis{5000}, at + Millis{5000});
+            CHECK(quarantine.targetEnded(target(i), at + Millis{5001}).empty());
+        }
+    }
+    SUBCASE("one target at which it was several times")
+    {
+        for (int i = 0; i < 9; ++i) {
+            CHECK(crash(quarantine, culprit, 1, Millis{1000 + i * 500}).empty());
+        }
+    }
+    CHECK_FALSE(quarantine.refusedFor(culprit, Millis{90100}));
+}
+
+TEST_CASE("targets that end together count once, unless the request came to the one after the other had ended")
+{
+    RequestQuarantine quarantine;
+    const auto lose = [&quarantine](int number, std::int64_t sentAt, std::int64_t at) {
+        quarantine.lost(culprit, target(number), Millis{sentAt}, Millis{at});
+        return quarantine.targetEnded(target(number), Millis{at + 5}).size();
+    };
+    SUBCASE("a loss of a whole rack")
+    {
+        for (int i = 0; i < 9; ++i) {
+            CHECK(lose(i, 900 + i, 1000 + i) == 0);
+        }
+    }
+    SUBCASE("retries that end one target right after the other")
+    {
+        CHECK(lose(1, 990, 1000) == 0);
+        CHECK(lose(2, 1000, 1010) == 0);
+        CHECK(lose(3, 1010, 1020) == 1);
+    }
+}
+
+// Guards against refusing what many ask for because it was in hand at every target that ended.
+TEST_CASE("a whole answer acquits a request of what ended before it")
+{
+    RequestQuarantine quarantine;
+    crash(quarantine, innocent, 1, Millis{1000});
+    crash(quarantine, innocent, 2, Millis{2000});
+    SUBCASE("here")
+    {
+        quarantine.answered(innocent, Millis{2500});
+    }
+    SUBCASE("at a peer")
+    {
+        quarantine.heard(
+            {"g2"}, {{innocent.caller, innocent.content, {}, Millis{500}, Millis{0}}}, Millis{3000}, NewsScope::Own);
+    }
+    CHECK(quarantine.mayRetry(innocent, Millis{3000}));
+    CHECK(crash(quarantine, innocent, 3, Millis{4000}).empty());
+    CHECK(crash(quarantine, innocent, 4, Millis{5000}).empty());
+    CHECK(crash(quarantine, innocent, 5, Millis{6000}) == std::vector{innocent});
+}
+
+TEST_CASE("an answer here goes before a peer's blame for what ended earlier, and the peer is told")
+{
+    RequestQuarantine quarantine;
+    quarantine.answered(innocent, Millis{1000});
+    std::vector<GatewayCrash> blame;
+    for (int i = 0; i < 3; ++i) {
+        blame.push_back({innocent.caller, innocent.content, target(i), Millis{4000 - i * 1000}, runTime});
+    }
+    CHECK(quarantine.heard({"g2"}, blame, Millis{4500}, NewsScope::Own).empty());
+    const std::vector<GatewayCrash> news = quarantine.newsFor({"g2"}, NewsScope::Own, Millis{4600});
+    REQUIRE(news.size() == 1);
+    CHECK(news[0].target.value.empty());
+    CHECK(news[0].age == Millis{3600});
+}
+
+// Guards against refusing all that ran beside a request that crashes its targets.
+TEST_CASE("what ends beside a request that is refused already does not speak against others")
+{
+    RequestQuarantine quarantine;
+    for (int i = 0; i < 3; ++i) {
+        // The innocent one was there for longer each time.
+        const Millis at{1000 + i * 1000};
+        quarantine.lost(innocent, target(i), at - Millis{700}, at);
+        quarantine.lost(culprit, target(i), at - runTime, at);
+        const auto refused = quarantine.targetEnded(target(i), at);
+        CHECK(refused == (i < 2 ? std::vector<RequestFingerprint>() : std::vector{culprit}));
+    }
+    CHECK_FALSE(quarantine.refusedFor(innocent, Millis{4000}));
+}
+
+TEST_CASE("memory is bounded, and what is refused goes last")
+{
+    RequestQuarantineSettings settings;
+    settings.mostSuspects = 50;
+    settings.mostAnswers = 50;
+    RequestQuarantine quarantine(settings);
+    for (int i = 0; i < 3; ++i) {
+        crash(quarantine, culprit, i, Millis{i * 1000});
+    }
+    for (int i = 0; i < 1000; ++i) {
+        crash(quarantine, {7, static_cast<std::uint64_t>(i)}, 10 + i, Millis{5000 + i});
+        quarantine.answered({8, static_cast<std::uint64_t>(i)}, Millis{5000 + i});
+    }
+    CHECK(quarantine.refusedCount() == 1);
+    CHECK(quarantine.refusedFor(culprit, Millis{9000}));
+    CHECK(quarantine.newsFor({"g2"}, NewsScope::All, Millis{9000}).size() <= 256);
+}
+
+TEST_CASE("nonsense in a peer's report does no harm")
+{
+    RequestQuarantine quarantine;
+    for (int i = 0; i < 9; ++i) {
+        quarantine.heard(
+            {"g2"},
+            {{1, 2, target(i), Millis::never(), Millis::never()}, {1, 3, target(i), Millis{-5}, Millis{-9}}},
+            Millis{1000},
+            NewsScope::All);
+    }
+    CHECK_FALSE(quarantine.refusedFor({1, 2}, Millis{1000}));
+    CHECK_FALSE(quarantine.refusedFor({1, 3}, Millis{1000}));
+}
+
+// Guards against a fleet in which each gateway, or each that hears late, sends such a request on once more.
+TEST_CASE("a fleet sends a request that crashes its targets on at most three times after it has heard of the third")
+{
+    struct Size
+    {
+        std::size_t gateways;
+        std::size_t hubs;
+        Millis contact;
+    };
+    for (const Size size : {Size{3, 0, Millis{3000}}, Size{7, 0, Millis{3000}}, Size{300, 12, Millis{5000}}}) {
+        for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+            CAPTURE(size.gateways);
+            CAPTURE(seed);
+            Fleet fleet(size.gateways, size.hubs, seed);
+            const auto any = [&fleet] {
+                return static_cast<std::size_t>(fleet.between(0, static_cast<std::int64_t>(fleet.gateways.size()) - 1));
+            };
+            int ended = 0;
+            int lateArrivals = 0;
+            int innocentsAsked = 0;
+            int innocentsRefused = 0;
+            std::optional<Millis> third;
+            for (Millis now{0}; now < Millis{30000}; now += Millis{10}) {
+                fleet.pass(now);
+                constexpr std::int64_t innocents = 40;
+                if (fleet.between(1, 5) == 1) {
+                    // Others ask again and again, some for what has just been cut.
+                    const RequestFingerprint other{2, static_cast<std::uint64_t>(fleet.between(1, innocents))};
+                    RequestQuarantine &at = fleet.gateways[any()];
+                    innocentsAsked += 1;
+                    if (at.refusedFor(other, now)) {
+                        innocentsRefused += 1;
+                    } else if (fleet.between(1, 4) == 1) {
+                        at.answered(other, now);
+                    }
+                }
+                if (now.count % 250 != 0) {
+                    continue;
+                }
+                RequestQuarantine &at = fleet.gateways[any()];
+                if (at.refusedFor(culprit, now)) {
+                    continue;
+                }
+                ended += 1;
+                lateArrivals += third && now > *third + size.contact ? 1 : 0;
+                third = ended == 3 ? std::optional(now) : third;
+                crash(at, culprit, ended, now);
+                for (int beside = 0; beside < 10; ++beside) {
+                    const RequestFingerprint other{2, static_cast<std::uint64_t>(fleet.between(1, innocents))};
+                    RequestQuarantine &elsewhere = fleet.gateways[any()];
+                    elsewhere.lost(other, target(ended), now - Millis{fleet.between(50, 900)}, now);
+                    elsewhere.targetEnded(target(ended), now + Millis{5});
+                }
+            }
+            CHECK(third);
+            CHECK(lateArrivals <= 3);
+            // A third of a second to the next report, twice over the hubs, and every fifth report is lost.
+            CHECK(ended <= 12);
+            MESSAGE(size.gateways,
+                    " gateways, seed ",
+                    seed,
+                    ": ",
+                    ended,
+                    " targets ended, ",
+                    lateArrivals,
+                    " late arrivals, ",
+                    innocentsRefused,
+                    " of ",
+                    innocentsAsked,
+                    " other requests refused");
+            CHECK(innocentsRefused * 50 <= innocentsAsked);
+        }
+    }
+}
--- a/sequoiausher/coordination/gateway/targetboard.cpp
+++ b/sequoiausher/coordination/gateway/targetboard.cpp
@@ -472,6 +472,12 @@
     return held != nullptr && held->isListed;
 }
 
+bool TargetBoard::isOffered(const TargetId &target) const
+{
+    const BoardTarget *held = this->d->find(target);
+    return held != nullptr && held->isListed && !held->target.isLeaving;
+}
+
 std::size_t TargetBoard::targetCount(const PoolId &service) const
 {
     const auto found = this->d->byService.find(service);
--- a/sequoiausher/coordination/gateway/targetboard.h
+++ b/sequoiausher/coordination/gateway/targetboard.h
@@ -107,6 +107,8 @@
     bool isLifeOver(const GatewayTarget &target) const;
     /** The list has it, in this life; it may be leaving. */
     bool isListed(const TargetId &target) const;
+    /** The same, and it is not leaving. */
+    bool isOffered(const TargetId &target) const;
     std::size_t targetCount(const PoolId &service) const;
     /** Requests in flight at the service's targets, and the places that these have. */
     std::uint64_t inFlight(const PoolId &service, Millis now) const;
--- a/sequoiausher/coordination/messages/gatewaymessages.h
+++ b/sequoiausher/coordination/messages/gatewaymessages.h
@@ -36,6 +36,22 @@
     bool operator==(const GatewayPlacement &) const = default;
 };
 
+/** A target that ended while it had a request, or a whole answer to a request that was suspected of ending targets. */
+struct GatewayCrash
+{
+    /** The request's fingerprint. */
+    std::uint64_t caller = 0;
+    std::uint64_t content = 0;
+    /** Empty for a whole answer. */
+    TargetId target;
+    /** How long ago. */
+    Millis age;
+    /** How long the target had had the request. */
+    Millis ranFor;
+
+    bool operator==(const GatewayCrash &) const = default;
+};
+
 /** A gateway that the sender knows of. */
 struct GatewayMember
 {
@@ -89,6 +105,8 @@
     bool isSettled = false;
     /** The era of the store in which targets is a revision; 0 where the sender does not tell. */
     std::uint64_t storeEra = 0;
+    /** What ended under which request, where that is new or the request is refused everywhere. */
+    std::vector<GatewayCrash> crashes;
 
     bool operator==(const GatewayReport &) const = default;
 };
--- a/sequoiausher/protocol/codec/framereader.cpp
+++ b/sequoiausher/protocol/codec/framereader.cpp
@@ -666,6 +666,14 @@
         const auto *placement = m->placements()->Get(static_cast<flatbuffers::uoffset_t>(i));
         report.placements.push_back({placement->part(), TargetId{this->name(placement->target())}});
     }
+    for (std::size_t i = 0; i < this->sizeOf(m->crashes()); ++i) {
+        const auto *crash = m->crashes()->Get(static_cast<flatbuffers::uoffset_t>(i));
+        report.crashes.push_back({crash->caller(),
+                                  crash->content(),
+                                  TargetId{this->name(crash->target())},
+                                  spanOf(crash->age()),
+                                  spanOf(crash->ran_for())});
+    }
     return report;
 }
 
--- a/sequoiausher/protocol/codec/framewriter.cpp
+++ b/sequoiausher/protocol/codec/framewriter.cpp
@@ -443,6 +443,12 @@
     for (const GatewayPlacement &placement : m.placements) {
         placements.emplace_back(placement.part, this->index(placement.target.value));
     }
+    std::vector<Wire::GatewayCrash> crashes;
+    for (const GatewayCrash &crash : m.crashes) {
+        crashes.emplace_back(
+            crash.caller, crash.content, wireSpan(crash.age), wireSpan(crash.ranFor), this->index(crash.target.value));
+    }
+    const auto crashesAt = this->structs(crashes);
     const auto membersAt = this->structs(members);
     const auto placementsAt = this->structs(placements);
     const auto loadsAt = this->structs(loads);
@@ -467,7 +473,8 @@
                                                              dataCentreAt,
                                                              memberDataCentresAt,
                                                              m.isSettled,
-                                                             m.storeEra));
+                                                             m.storeEra,
+                                                             crashesAt));
 }
 
 // Without the order, a router of the first version would not see the messages of a kind that it does not know.
--- a/sequoiausher/protocol/codec/messagegenerators.cpp
+++ b/sequoiausher/protocol/codec/messagegenerators.cpp
@@ -167,6 +167,7 @@
 SEQUOIAUSHER_ARBITRARY(GatewayLoad, m.target, m.inFlight, m.suspected);
 SEQUOIAUSHER_ARBITRARY(GatewayMember, m.instance, m.age, m.strength, m.dataCentre);
 SEQUOIAUSHER_ARBITRARY(GatewayPlacement, m.part, m.target);
+SEQUOIAUSHER_ARBITRARY(GatewayCrash, m.caller, m.content, m.target, m.age, m.ranFor);
 SEQUOIAUSHER_ARBITRARY(GatewayReport,
                        m.sentAt,
                        m.echo,
@@ -185,7 +186,8 @@
                        m.strength,
                        m.dataCentre,
                        m.isSettled,
-                       m.storeEra);
+                       m.storeEra,
+                       m.crashes);
 
 #undef SEQUOIAUSHER_ARBITRARY
 
--- a/sequoiausher/transport/gateway/gatewaycall.cpp
+++ b/sequoiausher/transport/gateway/gatewaycall.cpp
@@ -42,6 +42,11 @@
     return this->connection->hasSent();
 }
 
+bool GatewayCall::hasLostConnection() const
+{
+    return this->lostConnection;
+}
+
 void GatewayCall::setReading(bool on)
 {
     this->connection->setReading(on);
@@ -121,6 +126,7 @@
         this->fail(AttemptEnd::NotSent);
         return;
     }
+    this->lostConnection = true;
     this->fail(this->hasHead ? AttemptEnd::Broken : AttemptEnd::NoAnswer);
 }
 
--- a/sequoiausher/transport/gateway/gatewaycall.h
+++ b/sequoiausher/transport/gateway/gatewaycall.h
@@ -47,6 +47,8 @@
     bool isConnected() const;
     /** Whether the target may have any byte of the request. */
     bool mayHaveArrived() const;
+    /** Whether the try ended because the other side broke the connection on which the request was. */
+    bool hasLostConnection() const;
     void setReading(bool on);
     /** Closes the connection; the target stops. Nothing is told after it. */
     void cancel();
@@ -66,6 +68,7 @@
     TargetAnswer answer;
     bool hasHead = false;
     bool isOver = false;
+    bool lostConnection = false;
 };
 
 } // namespace Sequoiausher
--- a/sequoiausher/transport/gateway/gatewaycontext.cpp
+++ b/sequoiausher/transport/gateway/gatewaycontext.cpp
@@ -47,10 +47,31 @@
     , peers(InstanceId{with.peerAddress}, with.seeds, seed)
     , duty(storeDutyOf(with), seed)
     , board(seed)
+    , lifeChecks(*this)
     , random(seed)
 {
 }
 
+void GatewayContext::targetEnded(const TargetId &target)
+{
+    this->log.info(LogPart::Targets, "target refuses connections", {{"target", target.value}});
+    this->requestsRefused(this->quarantine.targetEnded(target, Millis::monotonicNow()), "own");
+}
+
+void GatewayContext::targetLives(const TargetId &target)
+{
+    this->quarantine.targetLives(target);
+}
+
+void GatewayContext::requestsRefused(const std::vector<RequestFingerprint> &requests, const std::string &from)
+{
+    for (const RequestFingerprint &request : requests) {
+        this->log.warning(LogPart::Entry,
+                          "request crashes targets and is refused",
+                          {{"fingerprint", toText(request)}, {"from", from}});
+    }
+}
+
 StoreRole GatewayContext::storeRole(Millis now) const
 {
     return {this->peers.hasPeers(), this->peers.hasHubs(now), this->peers.hubRank(now), this->peers.fleetSize(now)};
--- a/sequoiausher/transport/gateway/gatewaycontext.h
+++ b/sequoiausher/transport/gateway/gatewaycontext.h
@@ -12,6 +12,7 @@
 #include "sequoiausher/coordination/gateway/loadshedder.h"
 #include "sequoiausher/coordination/gateway/peerdirectory.h"
 #include "sequoiausher/coordination/gateway/prefixdirectory.h"
+#include "sequoiausher/coordination/gateway/requestquarantine.h"
 #include "sequoiausher/coordination/gateway/retrybudgetshare.h"
 #include "sequoiausher/coordination/gateway/routetable.h"
 #include "sequoiausher/coordination/gateway/storeduty.h"
@@ -20,6 +21,7 @@
 #include "sequoiausher/coordination/rules/ruleset.h"
 #include "sequoiausher/protocol/gateway/gatewaydialect.h"
 #include "sequoiausher/protocol/settings/gatewaysettings.h"
+#include "sequoiausher/transport/gateway/targetlifechecks.h"
 #include "sequoiausher/transport/gateway/targetpools.h"
 #include "sequoiausher/transport/stream/bytestream.h"
 
@@ -39,7 +41,7 @@
 StoreTimes storeTimesOf(const GatewaySettings &settings);
 
 /** The shared state. */
-struct GatewayContext
+struct GatewayContext : public TargetLifeUser
 {
     GatewayContext(const GatewayDialect &speaks,
                    const Log &writes,
@@ -47,6 +49,11 @@
                    const GatewaySettings &with,
                    std::uint64_t seed);
 
+    /** Nobody listens at the target any more: what it was sent may have ended it. */
+    void targetEnded(const TargetId &target) override;
+    void targetLives(const TargetId &target) override;
+    /** Notes in the log which requests are refused from now on. @param from who told of it. */
+    void requestsRefused(const std::vector<RequestFingerprint> &requests, const std::string &from);
     /** How long ago the configuration in force was proven to be the newest. */
     Millis proofAge(Millis now) const;
     /** A newer configuration than the one in force is known to be published. */
@@ -87,6 +94,8 @@
     CallerPatience patience;
     PrefixDirectory parts;
     TargetPools pools;
+    RequestQuarantine quarantine;
+    TargetLifeChecks lifeChecks;
     std::uint64_t connectionsAccepted = 0;
     bool isStopping = false;
     /** Not yet ready for the first time since its start. */
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -63,6 +63,8 @@
     void noteAnswerTime(Millis now);
     /** Learns how long the service took to begin an answer. */
     void noteFirstPart(Millis now);
+    /** Finds out whether the target ended while it had the request. */
+    void noteLostConnection(Millis now);
     void passOnHeld(Millis now);
     void endStream();
     void answerOwn(int status, const std::string &reason, std::optional<Millis> retryAfter, Outcome outcome);
@@ -91,6 +93,8 @@
     std::string copiedFrom;
     RequestAttempts attempts;
     RequestFingerprint fingerprint;
+    /** The target that it was sent to last may have ended under it. */
+    bool hasLostTarget = false;
     /** What was found when another target was last asked for. */
     std::optional<ChosenTarget> candidate;
     Millis sentAt;
@@ -137,6 +141,11 @@
         return;
     }
     this->fingerprint = fingerprintOf(this->admitted.organisation, this->head.target, this->body);
+    if (const auto wait = this->context.quarantine.refusedFor(this->fingerprint, this->receivedAt)) {
+        this->context.metrics.add("gateway_quarantine_refusals_total");
+        this->answerOwn(statusUnavailable, "targets ended under this request", wait, Outcome::RefusedInvalid);
+        return;
+    }
     const GatewayRoute &route = *this->admitted.route;
     this->answer.expect(route.kind, this->admitted.request.lastEventId);
     const bool mayRetry = this->admitted.decision.retry != RetryMode::None;
@@ -209,6 +218,7 @@
     this->chosen = target;
     this->sentAt = now;
     this->lastPartAt = now;
+    this->hasLostTarget = false;
     this->answer.beginAttempt();
     TargetOrder order;
     order.target = listedName(target.target);
@@ -282,7 +292,8 @@
 
 bool GatewayExchange::Private::findTarget(Millis now)
 {
-    this->candidate = this->chooseTarget(now);
+    const bool mayRetry = !this->hasLostTarget || this->context.quarantine.mayRetry(this->fingerprint, now);
+    this->candidate = mayRetry ? this->chooseTarget(now) : std::nullopt;
     return this->candidate.has_value();
 }
 
@@ -390,6 +401,9 @@
         return;
     }
     this->d->noteAnswerTime(now);
+    if (this->d->answer.targetAnswer().status < firstFailure) {
+        this->d->context.quarantine.answered(this->d->fingerprint, now);
+    }
     this->d->closeCall(markOfAnswer(this->d->answer.targetAnswer().status), now);
     if (this->d->answer.isBegun()) {
         this->d->endStream();
@@ -421,7 +435,21 @@
 
 void GatewayExchange::callFailed(AttemptEnd end)
 {
-    this->d->endAttempt(judgeLost(this->d->answerState(), end), Millis::monotonicNow());
+    const Millis now = Millis::monotonicNow();
+    if (this->d->call->hasLostConnection()) {
+        this->d->noteLostConnection(now);
+    }
+    this->d->endAttempt(judgeLost(this->d->answerState(), end), now);
+}
+
+void GatewayExchange::Private::noteLostConnection(Millis now)
+{
+    // A target that leaves ends as planned, whatever it had in hand.
+    if (this->context.board.isOffered(this->chosen.target.id)) {
+        this->hasLostTarget = true;
+        this->context.quarantine.lost(this->fingerprint, this->chosen.target.id, this->sentAt, now);
+        this->context.lifeChecks.begin(this->chosen.target, now);
+    }
 }
 
 void GatewayExchange::Private::answerOwn(int status,
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -266,6 +266,7 @@
     }
     this->tickCallers(now);
     this->context.pools.tick(now);
+    this->context.lifeChecks.tick(now);
     this->context.doomed.clear();
     if (now >= this->nextSuppressedAt) {
         this->nextSuppressedAt = now + suppressedInterval;
@@ -414,6 +415,8 @@
     this->metrics.set("gateway_proof_age_ms", age == Millis::never() ? -1 : static_cast<double>(age.count));
     this->metrics.set("gateway_store_era", static_cast<double>(this->storeEra.value_or(0)));
     this->metrics.set("gateway_targets", static_cast<double>(this->known.targets.targets().size()));
+    this->metrics.set("gateway_requests_refused_for_crashes",
+                      static_cast<double>(this->context.quarantine.refusedCount()));
     this->metrics.set("gateway_peers", static_cast<double>(this->context.peers.members(now).size()));
     this->metrics.set("gateway_connections", static_cast<double>(this->callers.size()));
     this->metrics.set("gateway_accepted", static_cast<double>(this->context.connectionsAccepted));
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -220,18 +220,19 @@
     report.isSettled = !report.isResting && this->known.targets.isSettled(now);
     report.strength = strengthOf(this->context.settings);
     report.dataCentre = this->context.settings.dataCentre;
+    const bool isToHub = directory.isHub(peer);
+    const NewsScope scope = !report.isHub ? NewsScope::Own : isToHub ? NewsScope::Group : NewsScope::All;
+    report.crashes = this->context.quarantine.newsFor(peer, scope, now);
+    report.placements = this->context.parts.newsFor(peer, scope);
     if (!report.isHub) {
         report.loads = this->context.board.ownLoads(now);
-        report.placements = this->context.parts.newsFor(peer, NewsScope::Own);
         report.members = directory.hasHubs(now) ? std::vector<GatewayMember>() : directory.members(now);
         return report;
     }
     // Hubs hear of each other's gateways from each other; a gateway hears of all others from its hub.
-    const bool toHub = directory.isHub(peer);
-    std::vector<InstanceId> without = toHub ? directory.hubPeers() : std::vector<InstanceId>();
+    std::vector<InstanceId> without = isToHub ? directory.hubPeers() : std::vector<InstanceId>();
     without.push_back(peer);
     report.loads = this->context.board.loads(without, now);
-    report.placements = this->context.parts.newsFor(peer, toHub ? NewsScope::Group : NewsScope::All);
     if (report.echo == Millis{0} || this->round % membersEvery == 0) {
         report.members = directory.members(now);
     }
@@ -271,6 +272,7 @@
     for (const GatewayPlacement &placement : report.placements) {
         this->context.parts.heard(from, placement.part, placement.target, now, scope);
     }
+    this->context.requestsRefused(this->context.quarantine.heard(from, report.crashes, now, scope), from.value);
     const bool comesBefore = this->context.peers.comesBefore(from, now);
     this->context.duty.heard({report.storeAge, report.echo, report.isHub, !report.isResting, comesBefore, targets},
                              now);
--- /dev/null
+++ b/sequoiausher/transport/gateway/targetlifecheckstest.cpp
@@ -0,0 +1,72 @@
+#include "sequoiausher/transport/gateway/targetlifechecks.h"
+
+#include "sequoiausher/transport/http/testloop.h"
+#include "sequoiausher/transport/stream/fakehttp.h"
+
+#include <doctest/doctest.h>
+
+using namespace Sequoiausher;
+
+namespace {
+
+struct Heard : TargetLifeUser
+{
+    void targetEnded(const TargetId &target) override
+    {
+        this->ended.push_back(target);
+    }
+    void targetLives(const TargetId &target) override
+    {
+        this->lives.push_back(target);
+    }
+    bool waitFor(std::size_t count) const
+    {
+        return Internal::runUntil([this, count] { return this->ended.size() + this->lives.size() >= count; }, 2000);
+    }
+
+    std::vector<TargetId> ended;
+    std::vector<TargetId> lives;
+};
+
+} // namespace
+
+TEST_CASE("a target that listens lives, one that refuses connections has ended")
+{
+    Internal::testApplication();
+    Heard heard;
+    TargetLifeChecks checks(heard);
+    const FakeServer server;
+    GatewayTarget there;
+    there.id.value = "there";
+    there.address = server.address();
+    GatewayTarget gone;
+    gone.id.value = "gone";
+    {
+        const FakeServer before;
+        gone.address = before.address();
+    }
+    for (int i = 0; i < 3; ++i) {
+        checks.begin(there, Millis{0});
+        checks.begin(gone, Millis{0});
+    }
+    REQUIRE(heard.waitFor(2));
+    CHECK(heard.lives == std::vector{there.id});
+    CHECK(heard.ended == std::vector{gone.id});
+    checks.tick(Millis{10});
+    checks.begin(gone, Millis{20});
+    CHECK(heard.waitFor(3));
+}
+
+TEST_CASE("a check that takes too long is given up without a verdict")
+{
+    Internal::testApplication();
+    Heard heard;
+    TargetLifeChecks checks(heard);
+    const FakeServer server;
+    GatewayTarget there;
+    there.id.value = "there";
+    there.address = server.address();
+    checks.begin(there, Millis{0});
+    checks.tick(Millis{5000});
+    CHECK_FALSE(Internal::runUntil([&heard] { return !heard.lives.empty() || !heard.ended.empty(); }, 100));
+}
--- a/sequoiausher/transport/stream/bytestreamtest.cpp
+++ b/sequoiausher/transport/stream/bytestreamtest.cpp
@@ -118,3 +118,31 @@
         CHECK(pair.stream->unreadBytes() == 0);
     }
 }
+
+TEST_CASE("a connection that is refused ends as one that was never open")
+{
+    Internal::testApplication();
+    std::string address;
+    {
+        const StreamListener listener("127.0.0.1:0", [](int) {});
+        address = "127.0.0.1:" + std::to_string(listener.port());
+    }
+    struct User : ByteStreamUser
+    {
+        void bytesArrived() override
+        {
+        }
+        void ended(StreamEnd how) override
+        {
+            this->end = how;
+        }
+        std::optional<StreamEnd> end;
+    };
+    User user;
+    const std::shared_ptr<ByteStream> stream = ByteStream::dial(address, &user);
+    stream->write("x");
+    CHECK_FALSE(user.end);
+    REQUIRE(Internal::runUntil([&user] { return user.end.has_value(); }, 1000));
+    CHECK(user.end == StreamEnd::NotConnected);
+    CHECK_FALSE(stream->hasSent());
+}
