Read what targets say of themselves in their answers, and say it in the log

Both fields are decoded now and stand in the line of the request's end. Nothing is decided by them yet.

--- a/sequoiausher/protocol/gateway/gatewaydialect.h
+++ b/sequoiausher/protocol/gateway/gatewaydialect.h
@@ -78,6 +78,10 @@
     bool isEventStream = false;
     /** How long the target keeps an unused connection; absent where it does not say. */
     std::optional<Millis> idleTime;
+    /** The target that answered leaves: it wants no further request. */
+    bool isLeaving = false;
+    /** It turned the request away and wants none for so long. */
+    std::optional<Millis> restFor;
 };
 
 /** The value under which the store holds the configuration. */
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -63,6 +63,8 @@
     void noteAnswerTime(Millis now);
     /** Learns how long the service took to begin an answer. */
     void noteFirstPart(Millis now);
+    /** What an answer says of its target beside the request. */
+    void noteTargetsWord(const TargetAnswer &word);
     /** Finds out whether the target ended while it had the request. */
     void noteLostConnection(Millis now);
     void passOnHeld(Millis now);
@@ -106,6 +108,8 @@
     bool isHeld = false;
     bool over = false;
     std::string reasonOfEnd;
+    /** What the answers of its last target said of that target; for the log. */
+    std::string targetSays;
 };
 
 GatewayExchange::GatewayExchange(GatewayContext &context,
@@ -219,6 +223,7 @@
     this->sentAt = now;
     this->lastPartAt = now;
     this->hasLostTarget = false;
+    this->targetSays.clear();
     this->answer.beginAttempt();
     TargetOrder order;
     order.target = listedName(target.target);
@@ -351,6 +356,21 @@
     this->d->context.board.heard(this->d->chosen.target.id, now);
     this->d->answer.began(head, answer);
     this->d->lastPartAt = now;
+    this->d->noteTargetsWord(answer);
+}
+
+void GatewayExchange::Private::noteTargetsWord(const TargetAnswer &word)
+{
+    // Another target at the address speaks for itself alone.
+    if (word.isMisdirected) {
+        return;
+    }
+    if (word.isLeaving) {
+        this->targetSays = "leaves";
+    }
+    if (word.restFor) {
+        this->targetSays = "rests " + std::to_string(word.restFor->count);
+    }
 }
 
 void GatewayExchange::answerBytes(std::string bytes)
@@ -488,6 +508,7 @@
          {"rule", this->admitted.decision.rule},
          {"service", this->admitted.service.value},
          {"target", this->chosen.target.id.value},
+         {"target_says", this->targetSays},
          {"targets_used", std::to_string(this->attempts.targetsUsed())},
          {"fingerprint", toText(this->fingerprint)},
          {"prompt_part", std::to_string(this->admitted.partHash % partNames)},
--- a/sequoiausher/transport/gateway/gatewaytestbed.cpp
+++ b/sequoiausher/transport/gateway/gatewaytestbed.cpp
@@ -81,6 +81,10 @@
         answer.isMisdirected = head.status == 421;
         answer.isSigned = head.headers.has("X-Signed");
         answer.attemptId = std::string(head.headers.value("X-Id"));
+        answer.isLeaving = head.headers.has("X-Leaves");
+        if (head.headers.has("X-Rest")) {
+            answer.restFor = Millis{std::stoll(std::string(head.headers.value("X-Rest")))};
+        }
         answer.isEventStream = head.headers.value("Content-Type") == "text/event-stream";
         return answer;
     }
