Bring about a target whose answers say that it leaves in a test, failing

Two targets, one says in all its answers that it leaves; the store is silent, or lists it as it was, or drops it and lists it again.

--- a/sequoiausher/transport/gateway/gatewaytestbed.cpp
+++ b/sequoiausher/transport/gateway/gatewaytestbed.cpp
@@ -285,9 +285,14 @@
     this->targets[name] = std::make_unique<FakeServer>();
     this->targets[name]->ownFields = signedFields;
     this->addresses[name] = this->targets[name]->address();
+    this->listTarget(name, service);
+    return *this->targets[name];
+}
+
+void GatewayTestbed::listTarget(const std::string &name, const std::string &service)
+{
     this->content.services[name] = service;
     this->changed();
-    return *this->targets[name];
 }
 
 void GatewayTestbed::removeTarget(const std::string &name)
--- a/sequoiausher/transport/gateway/gatewaytestbed.h
+++ b/sequoiausher/transport/gateway/gatewaytestbed.h
@@ -32,6 +32,8 @@
 
     FakeServer &addTarget(const std::string &name, const std::string &service);
     void removeTarget(const std::string &name);
+    /** The store lists a target that was removed once more. */
+    void listTarget(const std::string &name, const std::string &service);
     /** The target's process ends: its connections break and nothing listens, while its entry stays. */
     void crashTarget(const std::string &name);
     /** The target writes its entry again: the watch that waits hears of that alone. */
