Send nothing more to a target whose answer said that it leaves

Callers' requests reached targets 10 to 11 s after an answer had told their gateway that the target leaves; 2 s are allowed.

Cause: a target's leaving was taken from the store alone. Where the store is away for 13 s, nobody hears of it, though each of the target's answers says so. Class: what a target says in its answers stays with the request that was answered, and never reaches what is believed of the target.

Change: TargetBoard::saysItLeaves. The word holds for that life of the target, outlives its entry in the list, and goes before whatever the store or a peer lists; another life under the name is another target; an answer by whoever has the address now (421) says nothing. The last target of a service is no exception: requests are refused at once then. Peers are not told: the rule is of each gateway, the target still serves what it gets, and each hears of it in the first answer.

--- a/sequoiausher/coordination/gateway/targetboard.cpp
+++ b/sequoiausher/coordination/gateway/targetboard.cpp
@@ -41,6 +41,8 @@
 constexpr std::size_t holdersOfHeavyUse = 3;
 /** Independent requests deviate from their mean by its square root; one count in fifty is twice that above it. */
 constexpr double chanceDeviations = 2;
+/** A target that says that it leaves is gone long before; its entry may come back until then with an older store. */
+constexpr Millis leavingLife{600000};
 
 struct BoardTarget
 {
@@ -185,6 +187,22 @@
         return candidates.empty() ? 0 : sum / static_cast<double>(candidates.size());
     }
 
+    /** The targets that may be chosen, by service. */
+    void sortByService()
+    {
+        this->byService.clear();
+        for (auto &[id, held] : this->targets) {
+            if (this->isOffered(held)) {
+                this->byService[held.target.service].push_back(&held);
+            }
+        }
+    }
+
+    bool isOffered(const BoardTarget &held) const
+    {
+        return held.isListed && !held.target.isLeaving && !this->saidLeaving.contains(held.target.id);
+    }
+
     BoardTarget *find(const TargetId &id)
     {
         const auto found = this->targets.find(id);
@@ -206,6 +224,9 @@
     std::map<PoolId, std::vector<BoardTarget *>> byService;
     /** The present life of each listed target, by its name. */
     std::unordered_map<TargetId, TargetId> lives;
+    /** Targets that said that they leave, and when they last did. They outlive the list's entries, which may come back.
+     */
+    std::map<TargetId, Millis> saidLeaving;
     std::map<InstanceId, PeerLoads> peers;
     std::size_t otherGateways = 0;
     /** Requests sent so far. */
@@ -220,8 +241,9 @@
 
 TargetBoard::~TargetBoard() = default;
 
-void TargetBoard::setTargets(const std::vector<GatewayTarget> &targets, Millis /*now*/)
+void TargetBoard::setTargets(const std::vector<GatewayTarget> &targets, Millis now)
 {
+    std::erase_if(this->d->saidLeaving, [now](const auto &entry) { return now - entry.second > leavingLife; });
     for (auto &[id, held] : this->d->targets) {
         held.isListed = false;
     }
@@ -234,13 +256,10 @@
         held.isListed = true;
     }
     std::erase_if(this->d->targets, [](const auto &entry) { return !entry.second.isListed && entry.second.own == 0; });
-    this->d->byService.clear();
     for (auto &[id, held] : this->d->targets) {
         held.peers = 0;
-        if (held.isListed && !held.target.isLeaving) {
-            this->d->byService[held.target.service].push_back(&held);
-        }
     }
+    this->d->sortByService();
     for (const auto &[peer, loads] : this->d->peers) {
         for (const auto &[id, inFlight] : loads.inFlight) {
             if (BoardTarget *held = this->d->find(id)) {
@@ -377,6 +396,15 @@
     return held != nullptr ? held->heardAt : Millis{0};
 }
 
+bool TargetBoard::saysItLeaves(const TargetId &target, Millis now)
+{
+    const auto [entry, isNew] = this->d->saidLeaving.insert_or_assign(target, now);
+    if (isNew) {
+        this->d->sortByService();
+    }
+    return isNew;
+}
+
 void TargetBoard::answerTook(const TargetId &target, Millis took)
 {
     if (BoardTarget *held = this->d->find(target)) {
@@ -475,7 +503,7 @@
 bool TargetBoard::isOffered(const TargetId &target) const
 {
     const BoardTarget *held = this->d->find(target);
-    return held != nullptr && held->isListed && !held->target.isLeaving;
+    return held != nullptr && this->d->isOffered(*held);
 }
 
 std::size_t TargetBoard::targetCount(const PoolId &service) const
--- a/sequoiausher/coordination/gateway/targetboard.h
+++ b/sequoiausher/coordination/gateway/targetboard.h
@@ -92,6 +92,11 @@
     void heard(const TargetId &target, Millis now);
     /** When it last did; 0 for never. */
     Millis lastHeard(const TargetId &target) const;
+    /**
+     * The target itself says that it leaves. That holds for this life of it whatever the store says: the store may be
+     * away, or behind. @return whether that is new.
+     */
+    bool saysItLeaves(const TargetId &target, Millis now);
     /** A request that the target answered took so long there. */
     void answerTook(const TargetId &target, Millis took);
     /** It is over there. */
@@ -107,7 +112,7 @@
     bool isLifeOver(const GatewayTarget &target) const;
     /** The list has it, in this life; it may be leaving. */
     bool isListed(const TargetId &target) const;
-    /** The same, and it is not leaving. */
+    /** The same, and neither the store nor the target says that it leaves. */
     bool isOffered(const TargetId &target) const;
     std::size_t targetCount(const PoolId &service) const;
     /** Requests in flight at the service's targets, and the places that these have. */
--- a/sequoiausher/coordination/gateway/targetboardtest.cpp
+++ b/sequoiausher/coordination/gateway/targetboardtest.cpp
@@ -217,3 +217,37 @@
     board.ended(before.id, AttemptMark::Neutral, Millis{30});
     CHECK(board.ownLoads(Millis{30}).empty());
 }
+
+// Guards against a list that lags behind, or was away, undoing what a target says of itself.
+TEST_CASE("a target that says that it leaves is not chosen again in that life, however it is listed")
+{
+    TargetBoard board(1);
+    std::vector<GatewayTarget> targets = twelve();
+    targets.resize(2);
+    board.setTargets(targets, Millis{0});
+    const auto isChosen = [&board](const TargetId &id, Millis now) {
+        for (std::uint64_t part = 1; part < 50; ++part) {
+            const auto chosen = board.choose(criteriaFor(part), now);
+            if (chosen && chosen->target.id == id) {
+                return true;
+            }
+        }
+        return false;
+    };
+    const TargetId leaving = targets[0].id;
+    CHECK(isChosen(leaving, Millis{10}));
+    board.started(leaving);
+    CHECK(board.saysItLeaves(leaving, Millis{20}));
+    CHECK_FALSE(board.saysItLeaves(leaving, Millis{30}));
+    CHECK_FALSE(isChosen(leaving, Millis{40}));
+    CHECK_FALSE(board.isOffered(leaving));
+    CHECK(board.targetCount(engines) == 1);
+    board.ended(leaving, AttemptMark::Answered, Millis{50});
+    board.setTargets({targets[1]}, Millis{60});
+    board.setTargets(targets, Millis{5000});
+    CHECK_FALSE(isChosen(leaving, Millis{5010}));
+    targets[0].bornAt = Millis{5500};
+    targets[0].id = targetLife(leaving, targets[0].bornAt);
+    board.setTargets(targets, Millis{6000});
+    CHECK(isChosen(targets[0].id, Millis{6010}));
+}
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -64,7 +64,7 @@
     /** Learns how long the service took to begin an answer. */
     void noteFirstPart(Millis now);
     /** What an answer says of its target beside the request. */
-    void noteTargetsWord(const TargetAnswer &word);
+    void noteTargetsWord(const TargetAnswer &word, Millis now);
     /** Finds out whether the target ended while it had the request. */
     void noteLostConnection(Millis now);
     void passOnHeld(Millis now);
@@ -356,10 +356,10 @@
     this->d->context.board.heard(this->d->chosen.target.id, now);
     this->d->answer.began(head, answer);
     this->d->lastPartAt = now;
-    this->d->noteTargetsWord(answer);
+    this->d->noteTargetsWord(answer, now);
 }
 
-void GatewayExchange::Private::noteTargetsWord(const TargetAnswer &word)
+void GatewayExchange::Private::noteTargetsWord(const TargetAnswer &word, Millis now)
 {
     // Another target at the address speaks for itself alone.
     if (word.isMisdirected) {
@@ -367,6 +367,10 @@
     }
     if (word.isLeaving) {
         this->targetSays = "leaves";
+        if (this->context.board.saysItLeaves(this->chosen.target.id, now)) {
+            this->context.log.info(
+                LogPart::Targets, "target says that it leaves", {{"target", this->chosen.target.id.value}});
+        }
     }
     if (word.restFor) {
         this->targetSays = "rests " + std::to_string(word.restFor->count);
