Leave targets that asked for rest alone until it is over

A target had turned a gateway's request away and asked for three seconds of rest, and got six requests from it in that time; two are allowed. Callers meanwhile lost their request to one or two such targets while six of nine engines took what they got.

Cause: a target's Retry-After was read nowhere. One that was full was passed over for 150 ms whatever it said, and where more than half of a service's targets are full or failing, all of them are used, those that rest among them. The class is that of the leaving targets.

Change: rest is a state of its own beside health (TargetBoard::asksForRest). Until its end nothing goes there; the longest word holds, an hour at the most; a good answer to an earlier request does not end it; it outlives the entry in the list. Where all targets of a service rest, requests are refused at once, with the least rest that is left and a spread on top, so that callers do not return together. Parts of prompts are not copied from a resting target. Peers are not told: the rest is asked of one gateway, and telling the others would starve a target that has room for them.

Ruled out: a longer pause for all that are full (most say nothing and have room after some milliseconds); counting a resting target as failing (it would be used where most fail).

--- a/sequoiausher/coordination/gateway/targetboard.cpp
+++ b/sequoiausher/coordination/gateway/targetboard.cpp
@@ -42,7 +42,8 @@
 /** Independent requests deviate from their mean by its square root; one count in fifty is twice that above it. */
 constexpr double chanceDeviations = 2;
 /** A target that says that it leaves is gone long before; its entry may come back until then with an older store. */
-constexpr Millis leavingLife{600000};
+constexpr Millis wordLife{600000};
+constexpr Millis longestRest{3600000};
 
 struct BoardTarget
 {
@@ -61,6 +62,8 @@
     std::optional<double> usualLoad;
     TargetHealthScore health;
     Millis fullUntil;
+    /** It wants no request until then. */
+    Millis restUntil;
     Millis heardAt;
     bool isListed = true;
 };
@@ -74,6 +77,14 @@
         }));
 }
 
+/** What a target said of itself in its answers. */
+struct TargetWord
+{
+    bool leaves = false;
+    Millis restUntil;
+    Millis saidAt;
+};
+
 struct PeerLoads
 {
     std::unordered_map<TargetId, std::uint32_t> inFlight;
@@ -200,7 +211,8 @@
 
     bool isOffered(const BoardTarget &held) const
     {
-        return held.isListed && !held.target.isLeaving && !this->saidLeaving.contains(held.target.id);
+        const auto word = this->words.find(held.target.id);
+        return held.isListed && !held.target.isLeaving && (word == this->words.end() || !word->second.leaves);
     }
 
     BoardTarget *find(const TargetId &id)
@@ -224,9 +236,8 @@
     std::map<PoolId, std::vector<BoardTarget *>> byService;
     /** The present life of each listed target, by its name. */
     std::unordered_map<TargetId, TargetId> lives;
-    /** Targets that said that they leave, and when they last did. They outlive the list's entries, which may come back.
-     */
-    std::map<TargetId, Millis> saidLeaving;
+    /** They outlive the list's entries, which may come back. */
+    std::map<TargetId, TargetWord> words;
     std::map<InstanceId, PeerLoads> peers;
     std::size_t otherGateways = 0;
     /** Requests sent so far. */
@@ -243,7 +254,9 @@
 
 void TargetBoard::setTargets(const std::vector<GatewayTarget> &targets, Millis now)
 {
-    std::erase_if(this->d->saidLeaving, [now](const auto &entry) { return now - entry.second > leavingLife; });
+    std::erase_if(this->d->words, [now](const auto &entry) {
+        return now - entry.second.saidAt > wordLife && now >= entry.second.restUntil;
+    });
     for (auto &[id, held] : this->d->targets) {
         held.isListed = false;
     }
@@ -254,6 +267,8 @@
         held.target = target;
         held.hash = hash64(target.id.value);
         held.isListed = true;
+        const auto word = this->d->words.find(target.id);
+        held.restUntil = word != this->d->words.end() ? word->second.restUntil : Millis{0};
     }
     std::erase_if(this->d->targets, [](const auto &entry) { return !entry.second.isListed && entry.second.own == 0; });
     for (auto &[id, held] : this->d->targets) {
@@ -316,6 +331,7 @@
     PoolLoad load;
     load.targets.reserve(candidates.size());
     std::size_t avoided = 0;
+    std::size_t resting = 0;
     for (const BoardTarget *held : candidates) {
         const std::uint32_t inFlight = Private::inFlight(*held);
         load.total += inFlight;
@@ -323,19 +339,21 @@
         const TargetId &id = held->target.id;
         const bool excluded
             = std::find(criteria.excluded.begin(), criteria.excluded.end(), id) != criteria.excluded.end();
-        const bool isAvoided = held->health.isAvoided(now) || now < held->fullUntil;
+        const bool isResting = now < held->restUntil;
+        const bool isAvoided = !isResting && (held->health.isAvoided(now) || now < held->fullUntil);
+        resting += isResting ? 1 : 0;
         avoided += isAvoided ? 1 : 0;
         const std::uint32_t likely = (sharesRoom ? Private::evenedOut(*held) : inFlight) + this->d->unheard(*held);
-        load.targets.push_back({id, held->hash, likely, inFlight, !excluded && !isAvoided});
+        load.targets.push_back({id, held->hash, likely, inFlight, !excluded && !isAvoided && !isResting});
     }
     // Where most targets fail, the fault is not theirs alone, and keeping away would press the rest: use all of them.
-    const bool useAvoided = avoided * 2 > candidates.size();
+    const bool useAvoided = avoided * 2 > candidates.size() - resting;
     std::size_t usable = 0;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         TargetLoad &target = load.targets[i];
         const bool excluded
             = std::find(criteria.excluded.begin(), criteria.excluded.end(), target.target) != criteria.excluded.end();
-        target.usable = target.usable || (useAvoided && !excluded);
+        target.usable = target.usable || (useAvoided && !excluded && now >= candidates[i]->restUntil);
         usable += target.usable ? 1 : 0;
     }
     load.lowestBound = loadBound(criteria.boundPercent, load.total, load.counted) + boundSlack;
@@ -366,7 +384,8 @@
     const BoardTarget *best = nullptr;
     for (const TargetId &holder : holders) {
         const BoardTarget *held = this->d->find(holder);
-        const bool isSound = held != nullptr && held->isListed && !held->health.isAvoided(now);
+        const bool isSound
+            = held != nullptr && held->isListed && !held->health.isAvoided(now) && now >= held->restUntil;
         if (isSound && (best == nullptr || Private::inFlight(*held) < Private::inFlight(*best))) {
             best = held;
         }
@@ -398,13 +417,38 @@
 
 bool TargetBoard::saysItLeaves(const TargetId &target, Millis now)
 {
-    const auto [entry, isNew] = this->d->saidLeaving.insert_or_assign(target, now);
+    TargetWord &word = this->d->words[target];
+    word.saidAt = now;
+    const bool isNew = !std::exchange(word.leaves, true);
     if (isNew) {
         this->d->sortByService();
     }
     return isNew;
 }
 
+void TargetBoard::asksForRest(const TargetId &target, Millis until, Millis now)
+{
+    TargetWord &word = this->d->words[target];
+    word.saidAt = now;
+    word.restUntil = std::max(word.restUntil, std::min(until, now + longestRest));
+    if (BoardTarget *held = this->d->find(target)) {
+        held->restUntil = word.restUntil;
+    }
+}
+
+std::optional<Millis> TargetBoard::restLeft(const PoolId &service, Millis now) const
+{
+    const auto found = this->d->byService.find(service);
+    if (found == this->d->byService.end() || found->second.empty()) {
+        return std::nullopt;
+    }
+    const auto first
+        = std::min_element(found->second.begin(), found->second.end(), [](const BoardTarget *a, const BoardTarget *b) {
+              return a->restUntil < b->restUntil;
+          });
+    return now < (*first)->restUntil ? std::optional((*first)->restUntil - now) : std::nullopt;
+}
+
 void TargetBoard::answerTook(const TargetId &target, Millis took)
 {
     if (BoardTarget *held = this->d->find(target)) {
--- a/sequoiausher/coordination/gateway/targetboard.h
+++ b/sequoiausher/coordination/gateway/targetboard.h
@@ -97,6 +97,13 @@
      * away, or behind. @return whether that is new.
      */
     bool saysItLeaves(const TargetId &target, Millis now);
+    /**
+     * The target turned a request away and wants none until then: it gets none, however few others there are. Of
+     * several such words the longest holds, up to an hour.
+     */
+    void asksForRest(const TargetId &target, Millis until, Millis now);
+    /** Where all targets of the service that may be chosen want no request: how long until the first does. */
+    std::optional<Millis> restLeft(const PoolId &service, Millis now) const;
     /** A request that the target answered took so long there. */
     void answerTook(const TargetId &target, Millis took);
     /** It is over there. */
--- a/sequoiausher/coordination/gateway/targetboardtest.cpp
+++ b/sequoiausher/coordination/gateway/targetboardtest.cpp
@@ -251,3 +251,43 @@
     board.setTargets(targets, Millis{6000});
     CHECK(isChosen(targets[0].id, Millis{6010}));
 }
+
+// Guards against asking targets that rest because most of the others fail, or because the list was read again.
+TEST_CASE("a target that asked for rest is not chosen before its end, whatever becomes of the others and the list")
+{
+    TargetBoard board(1);
+    std::vector<GatewayTarget> targets = twelve();
+    targets.resize(4);
+    board.setTargets(targets, Millis{0});
+    const TargetId resting = targets[0].id;
+    board.asksForRest(resting, Millis{3000}, Millis{0});
+    board.asksForRest(resting, Millis{500}, Millis{100});
+    const auto isChosen = [&board, &resting](Millis now) {
+        for (std::uint64_t part = 1; part < 50; ++part) {
+            const auto chosen = board.choose(criteriaFor(part), now);
+            if (chosen && chosen->target.id == resting) {
+                return true;
+            }
+        }
+        return false;
+    };
+    CHECK_FALSE(isChosen(Millis{200}));
+    for (std::size_t i = 1; i < targets.size(); ++i) {
+        board.started(targets[i].id);
+        board.ended(targets[i].id, AttemptMark::Full, Millis{290});
+    }
+    CHECK(board.choose(criteriaFor(1), Millis{300}));
+    CHECK_FALSE(isChosen(Millis{300}));
+    board.setTargets({targets[1]}, Millis{400});
+    board.setTargets(targets, Millis{500});
+    CHECK_FALSE(isChosen(Millis{2999}));
+    CHECK_FALSE(board.restLeft(engines, Millis{600}));
+    for (std::size_t i = 1; i < targets.size(); ++i) {
+        board.asksForRest(targets[i].id, Millis{5000}, Millis{600});
+    }
+    CHECK(board.restLeft(engines, Millis{1000}) == Millis{2000});
+    CHECK_FALSE(board.choose(criteriaFor(1), Millis{1000}));
+    CHECK(isChosen(Millis{3000}));
+    board.asksForRest(resting, Millis::never(), Millis{4000});
+    CHECK(isChosen(Millis{4000 + 3600000}));
+}
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -313,7 +313,8 @@
 void GatewayExchange::Private::follow(AttemptEnd end, Millis now)
 {
     const NextStep step = this->attempts.next(end, this->answer.isBegun(), now, *this);
-    const Millis retry = this->context.spread(retryWhenFull);
+    const Millis rest = this->context.board.restLeft(this->admitted.service, now).value_or(Millis{0});
+    const Millis retry = rest + this->context.spread(retryWhenFull);
     switch (step) {
     case NextStep::SendAgain:
         this->attempt(std::exchange(this->candidate, std::nullopt), now);
@@ -374,6 +375,8 @@
     }
     if (word.restFor) {
         this->targetSays = "rests " + std::to_string(word.restFor->count);
+        this->context.board.asksForRest(this->chosen.target.id, now + *word.restFor, now);
+        this->context.metrics.add("gateway_rests_asked_total");
     }
 }
 
