Send no request to a target whose caller has left by the time it is read

A target then runs what nobody waits for.

Change: once a request is whole, its connection is looked at for a close behind it; if there is one, nothing is sent. One call to the kernel for each request.

Evidence: a new case of callerconnectiontest, a caller that has sent and closed before the gateway's loop turns, failed before (the target saw the request).

--- a/sequoiausher/transport/gateway/callerconnection.cpp
+++ b/sequoiausher/transport/gateway/callerconnection.cpp
@@ -101,6 +101,10 @@
     this->hasContinued = false;
     this->requests += 1;
     this->longestLimit = this->context.callerLimits().idleTime;
+    if (this->stream->isLeft()) {
+        // The event loop tells of it at its next turn.
+        return;
+    }
     this->exchange
         = std::make_shared<GatewayExchange>(this->context, *this, this->reader.head(), this->reader.takeBody(), now);
     // The answer may be given in the call, and the exchange let go of.
--- a/sequoiausher/transport/gateway/callerconnectiontest.cpp
+++ b/sequoiausher/transport/gateway/callerconnectiontest.cpp
@@ -413,3 +413,26 @@
     // The last one lingers until its caller, which is gone, has closed.
     GatewayTestbed::waitFor([] { return false; }, Millis{100});
 }
+
+// Guards against running a request whose caller has left: a gateway that was held up finds the request and the close
+// behind it at the same moment.
+TEST_CASE("a request whose caller has closed the connection by the time it is read reaches no target")
+{
+    Bed bed(Millis{2000});
+    SUBCASE("on a new connection")
+    {
+        CrossingCaller caller(bed.address());
+        caller.send(bed.request("GET", "/look/1"));
+    }
+    SUBCASE("on a connection that was used before")
+    {
+        CrossingCaller caller(bed.address());
+        REQUIRE(bed.ask(caller));
+        caller.send(bed.request("GET", "/look/1"));
+    }
+    const std::size_t before = bed.target.seen.size();
+    CHECK_FALSE(GatewayTestbed::waitFor([&] { return bed.target.seen.size() > before; }, Millis{300}));
+    CHECK(bed.hasLogged("why=caller-left"));
+    CrossingCaller another(bed.address());
+    CHECK(bed.ask(another));
+}
--- a/sequoiausher/transport/stream/bytestream.cpp
+++ b/sequoiausher/transport/stream/bytestream.cpp
@@ -316,6 +316,16 @@
     return countOf(this->d->descriptor, FIONREAD);
 }
 
+bool ByteStream::isLeft() const
+{
+    if (this->d->descriptor < 0) {
+        return false;
+    }
+    char next = 0;
+    const ssize_t waiting = recv(this->d->descriptor, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
+    return waiting == 0 || (waiting < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 bool ByteStream::isConnected() const
 {
     return this->d->open && this->d->descriptor >= 0;
--- a/sequoiausher/transport/stream/bytestream.h
+++ b/sequoiausher/transport/stream/bytestream.h
@@ -85,6 +85,8 @@
     std::size_t unacknowledgedBytes() const;
     /** Bytes that wait in the kernel and were not read yet; 0 once closed. */
     std::size_t unreadBytes() const;
+    /** Whether the other side has closed and all that it sent was read, though the user has not been told yet. */
+    bool isLeft() const;
     bool isConnected() const;
     bool isOpen() const;
     /** Whether any written byte has left this process: before that, the other side surely knows nothing. */
