Hold signals back until a starting process can take them

Change: the commands that run until they are stopped hold SIGTERM, SIGINT and SIGHUP back first of all, and let them through once they are watched. What the loader does before the command's first line is not covered.

--- a/sequoiausher/cli/gatewaycommand.cpp
+++ b/sequoiausher/cli/gatewaycommand.cpp
@@ -38,6 +38,7 @@
 
 ExitCode GatewayCommand::run(const cxxopts::ParseResult &options, std::ostream & /*out*/, std::ostream &err) const
 {
+    holdSignals();
     if (options.count("config") == 0) {
         err << "gateway: found no --config, expected the settings file\n";
         return ExitCode::BadInput;
--- a/sequoiausher/cli/routercommand.cpp
+++ b/sequoiausher/cli/routercommand.cpp
@@ -26,6 +26,7 @@
 
 ExitCode RouterCommand::run(const cxxopts::ParseResult &options, std::ostream &out, std::ostream &err) const
 {
+    holdSignals();
     if (options.count("config") == 0) {
         err << "router: found no --config, expected the settings file\n";
         return ExitCode::BadInput;
--- a/sequoiausher/cli/signalwatch.cpp
+++ b/sequoiausher/cli/signalwatch.cpp
@@ -31,8 +31,24 @@
     return signalPipe[0];
 }
 
+sigset_t heldSignals()
+{
+    sigset_t set;
+    sigemptyset(&set);
+    for (const int signal : {SIGTERM, SIGINT, SIGHUP}) {
+        sigaddset(&set, signal);
+    }
+    return set;
+}
+
 } // namespace
 
+void holdSignals()
+{
+    const sigset_t set = heldSignals();
+    pthread_sigmask(SIG_BLOCK, &set, nullptr);
+}
+
 class SignalWatch::Private
 {
 public:
@@ -62,6 +78,8 @@
             this->d->arrived(mark);
         }
     });
+    const sigset_t set = heldSignals();
+    pthread_sigmask(SIG_UNBLOCK, &set, nullptr);
 }
 
 SignalWatch::~SignalWatch() = default;
--- a/sequoiausher/cli/signalwatch.h
+++ b/sequoiausher/cli/signalwatch.h
@@ -2,6 +2,7 @@
 
 // Turns signals into calls on the event loop.
 //
+//     holdSignals();
 //     SignalWatch watch({SIGTERM, SIGHUP}, [](int signal) { ... });
 
 #include <functional>
@@ -10,6 +11,12 @@
 
 namespace Sequoiausher {
 
+/**
+ * Holds SIGTERM, SIGINT and SIGHUP back until a watch is there. Without this one that comes while the process starts
+ * ends it on the spot. What the caller does before a watch must not take long.
+ */
+void holdSignals();
+
 /** Watches signals for as long as it lives; one at a time in a process. SIGPIPE is ignored. */
 class SignalWatch
 {
