Say in platformreadertest how long the machine held the program up

Two entries of KNOWN-RED.txt are bounds in time of that test, failed once each beside load and not traced. A failure now tells how long the program was held up, what was tried and why it failed.

--- a/sequoiausher/transport/platform/platformreadertest.cpp
+++ b/sequoiausher/transport/platform/platformreadertest.cpp
@@ -229,8 +229,17 @@
     working.answers["/v1/documents"] = {200, listing(5, fleetRow), "", false, false};
     working.answers["/v1/documents/rules/fleet"] = {200, "text", "5", false, false};
     Bench bench({broken.address(), working.address()});
+    HeldUpTime heldUp;
+    const Millis begun = Millis::monotonicNow();
     REQUIRE(bench.pokeUntil([&] { return bench.keeper.wholeReads == 1; }));
     CHECK(bench.keeper.known["rules/fleet"].body == "text");
+    INFO("held up for ", heldUp.totalMs(), " of ", (Millis::monotonicNow() - begun).count, " ms");
+    INFO("tries: ",
+         broken.asked.size(),
+         ", failures: ",
+         bench.keeper.failedAddresses.size(),
+         ", ",
+         bench.keeper.lastReason);
     CHECK(broken.count("/v1/documents") == 9);
     CHECK(bench.keeper.failedAddresses == std::vector<std::string>{broken.address()});
 }
@@ -242,7 +251,9 @@
     service.answers["/v1/documents"] = {200, listing(5, fleetRow), "", false, false};
     service.answers["/v1/documents/rules/fleet"] = {500, "", "", false, false};
     Bench bench({service.address()});
+    HeldUpTime heldUp;
     bench.pokeUntil([] { return false; }, 1000);
+    INFO("held up for ", heldUp.totalMs(), " of 1000 ms");
     // Pauses of 10 to 20, 20 to 40, then 40 to 80 ms; without growth there would be 50 rounds or more.
     CHECK(service.count("/v1/documents/rules") <= 27);
     CHECK(service.count("/v1/documents/rules") >= 5);
