Give one verdict on each target whose life is checked

Cause: a check of a target's life that had given its verdict still heard of its connection, and gave another one when that ended: the entry that it looked for was gone. Where something accepts a connection and closes it at once (there, the relay before a dead target), the loop of the process never came back.

Change: a check that is over hears nothing more.

--- a/sequoiausher/transport/gateway/targetlifechecks.cpp
+++ b/sequoiausher/transport/gateway/targetlifechecks.cpp
@@ -61,8 +61,9 @@
 
     void finish(const TargetId &target, bool lives)
     {
-        // The check is in the middle of its own call.
+        // The check is in the middle of its own call, and its connection may still end.
         const auto found = this->running.find(target);
+        found->second->stream->forgetUser();
         this->over.push_back(std::move(found->second));
         this->running.erase(found);
         if (lives) {
--- a/sequoiausher/transport/gateway/targetlifecheckstest.cpp
+++ b/sequoiausher/transport/gateway/targetlifecheckstest.cpp
@@ -2,9 +2,12 @@
 
 #include "sequoiausher/transport/http/testloop.h"
 #include "sequoiausher/transport/stream/fakehttp.h"
+#include "sequoiausher/transport/stream/streamlistener.h"
 
 #include <doctest/doctest.h>
 
+#include <unistd.h>
+
 using namespace Sequoiausher;
 
 namespace {
@@ -70,3 +73,20 @@
     checks.tick(Millis{5000});
     CHECK_FALSE(Internal::runUntil([&heard] { return !heard.lives.empty() || !heard.ended.empty(); }, 100));
 }
+
+// Guards against a second verdict, which was given on a check that was over: a gateway then stood still for good.
+TEST_CASE("a target that accepts a connection and closes it at once lives, and is told once")
+{
+    Internal::testApplication();
+    Heard heard;
+    TargetLifeChecks checks(heard);
+    const StreamListener listener("127.0.0.1:0", [](int descriptor) { ::close(descriptor); });
+    GatewayTarget target;
+    target.id.value = "closing";
+    target.address = "127.0.0.1:" + std::to_string(listener.port());
+    checks.begin(target, Millis{0});
+    REQUIRE(heard.waitFor(1));
+    Internal::runFor(100);
+    CHECK(heard.lives == std::vector{target.id});
+    CHECK(heard.ended.empty());
+}
