Let the soak's returns of the store fail a gateway that orders by revisions alone

Now 500 changes are lost of which all gateways have heard, and three targets leave once the store has been calm for long enough to count.

Beside it: what callers find after a tick's actions is dated by a later time than these.

--- a/lab/soak/soakrun.cpp
+++ b/lab/soak/soakrun.cpp
@@ -53,6 +53,15 @@
 constexpr Millis stormGap{120};
 constexpr Millis linkDelay{150};
 constexpr std::uint64_t stormChanges = 10;
+/**
+ * A return loses at least so many changes, of which all gateways have heard. A target leaves after it, at a revision
+ * that was given out before: gateways that order by the revision alone do not hear of it.
+ */
+constexpr int changesLost = 500;
+constexpr Millis changesLostBefore{300};
+constexpr Millis leavesAfterReturn{3300};
+constexpr int leavesOfReturn = 3;
+constexpr Millis leavesGap{400};
 
 /** What the targets serve at first. */
 constexpr auto firstServices = std::to_array<const char *>(
@@ -106,6 +115,8 @@
     void lapse(Millis span);
     /** The store is away from then on, and comes back from a copy made some time before. */
     void planReturn(Millis at);
+    /** One that is there says that it leaves. */
+    void leaveAnyTarget();
     /** What the copy does not have is written again. */
     void writeAgain();
     std::optional<SoakEntry> pick();
@@ -249,19 +260,21 @@
 
 void SoakRun::Private::tick()
 {
-    const Millis now = Millis::monotonicNow();
-    const Millis gap = now - this->lastTick;
-    this->lastTick = now;
+    const Millis begun = Millis::monotonicNow();
+    const Millis gap = begun - this->lastTick;
+    this->lastTick = begun;
     this->longestPause = std::max(this->longestPause, gap);
     if (gap > lateTick) {
-        this->judge.paused(now, gap);
+        this->judge.paused(begun, gap);
         this->note("this process stood still for " + toText(gap));
     }
-    while (!this->actions.empty() && this->actions.begin()->first <= now) {
+    while (!this->actions.empty() && this->actions.begin()->first <= begun) {
         const auto action = std::move(this->actions.begin()->second);
         this->actions.erase(this->actions.begin());
         action();
     }
+    // What the actions did is dated by their own time; what callers find afterwards must not be dated before it.
+    const Millis now = Millis::monotonicNow();
     if (now >= this->nextPoll) {
         this->nextPoll = now + pollInterval;
         for (const auto &gateway : this->gateways) {
@@ -473,8 +486,16 @@
     std::uniform_int_distribution<std::int64_t> rewriting(50, 1500);
     const Millis away{absence(this->returns)};
     const Millis again{rewriting(this->returns)};
-    this->at(at - Millis{age(this->returns)}, [this] { this->store.copy(); });
+    this->at(at - changesLostBefore * 2 - Millis{age(this->returns)}, [this] { this->store.copy(); });
+    this->at(at - changesLostBefore, [this] {
+        for (int i = 0; i < changesLost; ++i) {
+            this->store.write("lost", std::to_string(i));
+        }
+    });
     this->at(at, [this, away, again] {
+        for (int i = 0; i < leavesOfReturn; ++i) {
+            this->after(away + again + leavesAfterReturn + leavesGap * i, [this] { this->leaveAnyTarget(); });
+        }
         this->note("the store returns from a copy after " + toText(away) + ", written again after " + toText(again));
         this->during(
             away + again,
@@ -488,6 +509,19 @@
     });
 }
 
+void SoakRun::Private::leaveAnyTarget()
+{
+    const std::size_t first = this->returns() % this->places.size();
+    for (std::size_t i = 0; i < this->places.size(); ++i) {
+        TargetPlace &place = this->places[(first + i) % this->places.size()];
+        if (place.isListed && !place.isLeaving && place.target->isAlive()) {
+            this->note("target " + place.target->life() + " leaves after the store's return");
+            this->leaveTarget(place);
+            return;
+        }
+    }
+}
+
 void SoakRun::Private::writeAgain()
 {
     this->administrator.publishAgain();
