Take what a gateway knows of configuration and targets out of its node

gatewaynode.cpp had grown to 695 lines: its event loop, its stop, and beside them who is believed about configuration and targets. The latter stand in gatewayknowledge.cpp now (332 lines), the node has 449. No change of behaviour; 10 tests of the gateway pass.

--- /dev/null
+++ b/sequoiausher/transport/gateway/gatewayknowledge.cpp
@@ -0,0 +1,332 @@
+#include "sequoiausher/transport/gateway/gatewayknowledge.h"
+
+#include "sequoiausher/base/error.h"
+#include "sequoiausher/coordination/gateway/restoredstore.h"
+#include "sequoiausher/coordination/gateway/storeposition.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace Sequoiausher {
+
+namespace {
+
+/** A line about changed targets names so many of them: at the start of a large fleet thousands come together. */
+constexpr std::size_t mostNamed = 12;
+
+} // namespace
+
+class GatewayKnowledge::Private : public StoreListener, public PeerNews
+{
+public:
+    Private(GatewayContext &shared, KnowledgeUser &told) : context(shared), user(told)
+    {
+    }
+
+    void install(const std::string &raw, GatewayConfiguration configuration, std::string_view from);
+    void targetsChanged(std::string_view why);
+    /** What the store has, be it nothing, counts as known once both have been asked for. */
+    void noteFirstReading();
+    /**
+     * The store's era, as it or a peer says: a later one than before means that the store came back from a copy.
+     * @param era 0 where it is not told.
+     */
+    void noteEra(std::uint64_t era, const std::string &from);
+    /** What the next line about targets names, up to a few. */
+    void noteChange(const std::string &change);
+
+    bool configurationRead(const StoredConfiguration &stored, std::optional<Millis> readAt) override;
+    void configurationAbsent() override;
+    void targetsRead(const std::vector<GatewayTarget> &targets,
+                     const std::vector<TargetId> &unreadable,
+                     Revision at,
+                     Millis asOf) override;
+    void targetWritten(const GatewayTarget &target, Revision at) override;
+    void targetRemoved(const TargetId &name, Revision at) override;
+    void targetUnreadable(const TargetId &name, Revision at) override;
+    void targetChangesEnd() override;
+    void watchAnswered(Revision upTo, Millis asOf) override;
+    void storeRestored(std::uint64_t era) override;
+    void storeLost(const std::string &problem) override;
+    void storeReturned() override;
+    void configurationOffered(const std::string &raw, Revision revision) override;
+    void targetsOffered(const std::vector<GatewayTarget> &targets, Revision revision) override;
+    void targetChangesOffered(const TargetChanges &changes) override;
+    void eraOffered(std::uint64_t era, const InstanceId &by) override;
+
+    GatewayContext &context;
+    KnowledgeUser &user;
+    FirstHand known;
+    /** The store's revision of the configuration that was read last, so that it is not read twice. */
+    Revision readChangedAt = 0;
+    Revision readRevision = 0;
+    std::optional<std::uint64_t> storeEra;
+    RestoredStore restored;
+    bool hasAskedConfiguration = false;
+    bool hasAskedTargets = false;
+    std::string changesNamed;
+    std::size_t changeCount = 0;
+};
+
+GatewayKnowledge::GatewayKnowledge(GatewayContext &context, KnowledgeUser &user)
+    : d(std::make_unique<Private>(context, user))
+{
+}
+
+GatewayKnowledge::~GatewayKnowledge() = default;
+
+FirstHand &GatewayKnowledge::firstHand()
+{
+    return this->d->known;
+}
+
+StoreListener &GatewayKnowledge::storeListener()
+{
+    return *this->d;
+}
+
+PeerNews &GatewayKnowledge::peerNews()
+{
+    return *this->d;
+}
+
+void GatewayKnowledge::tick(Millis now)
+{
+    if (this->d->known.targets.tick(now)) {
+        this->d->targetsChanged("missing entries did not come back");
+    }
+}
+
+std::uint64_t GatewayKnowledge::storeEra() const
+{
+    return this->d->storeEra.value_or(0);
+}
+
+void GatewayKnowledge::Private::install(const std::string &raw,
+                                        GatewayConfiguration configuration,
+                                        std::string_view from)
+{
+    const Revision revision = configuration.revision;
+    this->context.log.info(LogPart::Config,
+                           "configuration in force",
+                           {{"revision", std::to_string(revision)},
+                            {"before", std::to_string(this->context.revision())},
+                            {"from", std::string(from)},
+                            {"routes", std::to_string(configuration.routes.size())},
+                            {"organisations", std::to_string(configuration.organisations.size())}});
+    this->context.table = std::make_shared<const RouteTable>(std::move(configuration));
+    this->known.configuration = raw;
+    this->known.configurationRevision = revision;
+}
+
+void GatewayKnowledge::Private::noteEra(std::uint64_t era, const std::string &from)
+{
+    if (era == 0 || (this->storeEra && era <= *this->storeEra)) {
+        return;
+    }
+    const std::optional<std::uint64_t> before = std::exchange(this->storeEra, era);
+    this->user.storeEraRose(era);
+    if (!before) {
+        return;
+    }
+    const Millis now = Millis::monotonicNow();
+    const Revision newest = std::max(this->context.revision(), this->context.freshness.newest());
+    const std::vector<GatewayTarget> targets = this->known.targets.targets();
+    const auto leaving
+        = std::count_if(targets.begin(), targets.end(), [](const GatewayTarget &target) { return target.isLeaving; });
+    this->context.log.warning(LogPart::Platform,
+                              "the store came back from a copy",
+                              {{"era", std::to_string(era)},
+                               {"before", std::to_string(*before)},
+                               {"from", from},
+                               {"targets_kept", std::to_string(targets.size())},
+                               {"leaving_kept", std::to_string(leaving)},
+                               {"unproven_until_revision", std::to_string(newest)}});
+    this->restored.returned(newest, now);
+    this->known.targets.storeRestored(now);
+}
+
+void GatewayKnowledge::Private::storeRestored(std::uint64_t era)
+{
+    this->noteEra(era, "store");
+}
+
+void GatewayKnowledge::Private::eraOffered(std::uint64_t era, const InstanceId &by)
+{
+    this->noteEra(era, by.value);
+}
+
+bool GatewayKnowledge::Private::configurationRead(const StoredConfiguration &stored, std::optional<Millis> readAt)
+{
+    this->noteEra(eraOf(stored.storeRevision), "store");
+    if (readAt) {
+        this->context.duty.storeWasAt(stored.storeRevision, *readAt);
+    }
+    if (stored.changedAt != this->readChangedAt) {
+        if (stored.changedAt < this->readChangedAt) {
+            return true;
+        }
+        GatewayConfiguration configuration;
+        try {
+            configuration = this->context.dialect.readConfiguration(stored.raw);
+        } catch (const Error &error) {
+            this->context.log.error(
+                LogPart::Config, "the last good configuration stays in force", {{"why", error.what()}});
+            return true;
+        }
+        this->readChangedAt = stored.changedAt;
+        this->readRevision = configuration.revision;
+        if (configuration.revision > this->context.revision()) {
+            this->install(stored.raw, std::move(configuration), "store");
+        }
+    }
+    const bool proves = this->restored.proves(this->readRevision, stored.changedAt, Millis::monotonicNow());
+    if (readAt && proves) {
+        this->context.freshness.proven(this->readRevision, *readAt);
+    }
+    this->hasAskedConfiguration = true;
+    this->noteFirstReading();
+    this->user.knowledgeGrew();
+    return proves;
+}
+
+void GatewayKnowledge::Private::configurationOffered(const std::string &raw, Revision revision)
+{
+    GatewayConfiguration configuration = this->context.dialect.readConfiguration(raw);
+    if (configuration.revision != revision) {
+        throw Error(Step::Decode, "configuration", "its revision is not the one that was announced");
+    }
+    if (configuration.revision > this->context.revision()) {
+        this->install(raw, std::move(configuration), "peer");
+    }
+}
+
+void GatewayKnowledge::Private::targetsChanged(std::string_view why)
+{
+    const std::vector<GatewayTarget> targets = this->known.targets.targets();
+    this->context.board.setTargets(targets, Millis::monotonicNow());
+    std::size_t leaving = 0;
+    for (const GatewayTarget &target : targets) {
+        leaving += target.isLeaving ? 1 : 0;
+    }
+    // Connections to a life that is over would carry requests into the void, or to whoever has the address now.
+    this->context.pools.keepOnly([this](const TargetId &id) { return this->context.board.isListed(id); });
+    this->context.log.info(LogPart::Targets,
+                           "targets changed",
+                           {{"why", std::string(why)},
+                            {"count", std::to_string(targets.size())},
+                            {"leaving", std::to_string(leaving)},
+                            {"revision", std::to_string(revisionIn(this->known.targets.revision()))}});
+    this->user.knowledgeGrew();
+}
+
+void GatewayKnowledge::Private::targetsRead(const std::vector<GatewayTarget> &targets,
+                                            const std::vector<TargetId> &unreadable,
+                                            Revision at,
+                                            Millis asOf)
+{
+    this->context.duty.storeWasAt(at, asOf);
+    // A peer may have told of later changes already.
+    if (at >= this->known.targets.revision()) {
+        this->known.targets.replaceAll(targets, at, Millis::monotonicNow());
+        for (const TargetId &name : unreadable) {
+            this->known.targets.unreadable(name, at);
+        }
+        this->targetsChanged("list");
+    }
+    this->context.duty.listReached(at);
+    this->hasAskedTargets = true;
+    this->noteFirstReading();
+}
+
+void GatewayKnowledge::Private::configurationAbsent()
+{
+    this->hasAskedConfiguration = true;
+    this->noteFirstReading();
+}
+
+void GatewayKnowledge::Private::noteFirstReading()
+{
+    if (this->hasAskedConfiguration && this->hasAskedTargets) {
+        this->context.duty.readAll(Millis::monotonicNow());
+    }
+}
+
+void GatewayKnowledge::Private::targetWritten(const GatewayTarget &target, Revision at)
+{
+    this->known.targets.put(target, at);
+    this->noteChange(target.id.value + (target.isLeaving ? " leaves" : " written"));
+}
+
+void GatewayKnowledge::Private::targetRemoved(const TargetId &name, Revision at)
+{
+    this->known.targets.removed(name, at, Millis::monotonicNow());
+    this->noteChange(name.value + " removed");
+}
+
+void GatewayKnowledge::Private::targetUnreadable(const TargetId &name, Revision at)
+{
+    this->known.targets.unreadable(name, at);
+    this->noteChange(name.value + " unreadable");
+}
+
+void GatewayKnowledge::Private::noteChange(const std::string &change)
+{
+    this->changeCount += 1;
+    if (this->changeCount <= mostNamed) {
+        this->changesNamed += (this->changesNamed.empty() ? "" : ", ") + change;
+    }
+}
+
+void GatewayKnowledge::Private::targetChangesEnd()
+{
+    if (this->changeCount > mostNamed) {
+        this->changesNamed += " and " + std::to_string(this->changeCount - mostNamed) + " more";
+    }
+    this->targetsChanged(std::exchange(this->changesNamed, std::string()));
+    this->changeCount = 0;
+}
+
+void GatewayKnowledge::Private::watchAnswered(Revision upTo, Millis asOf)
+{
+    this->context.duty.storeWasAt(upTo, asOf);
+    this->context.duty.listReached(upTo);
+}
+
+void GatewayKnowledge::Private::storeLost(const std::string & /*problem*/)
+{
+    const Millis now = Millis::monotonicNow();
+    this->known.targets.storeLost(now);
+    this->context.startsUntil = std::min(this->context.startsUntil, now);
+}
+
+void GatewayKnowledge::Private::storeReturned()
+{
+    this->known.targets.storeReturned(Millis::monotonicNow());
+}
+
+void GatewayKnowledge::Private::targetsOffered(const std::vector<GatewayTarget> &targets, Revision revision)
+{
+    this->known.targets.adopt(targets, revision);
+    this->context.duty.listReached(this->known.targets.revision());
+    this->targetsChanged("peer");
+}
+
+void GatewayKnowledge::Private::targetChangesOffered(const TargetChanges &changes)
+{
+    if (!this->known.targets.apply(changes)) {
+        return;
+    }
+    this->context.duty.listReached(this->known.targets.revision());
+    for (const TargetId &gone : changes.gone) {
+        this->noteChange(gone.value + " gone");
+    }
+    for (const GatewayTarget &target : changes.written) {
+        this->noteChange(target.id.value + (target.isLeaving ? " leaves" : " written"));
+    }
+    this->noteChange("by a peer");
+    this->targetChangesEnd();
+}
+
+} // namespace Sequoiausher
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -3,10 +3,8 @@
 #include "sequoiausher/base/error.h"
 #include "sequoiausher/base/hashing.h"
 #include "sequoiausher/base/metrics/prometheus.h"
-#include "sequoiausher/coordination/gateway/restoredstore.h"
-#include "sequoiausher/coordination/gateway/storeposition.h"
-#include "sequoiausher/coordination/gateway/targetlist.h"
 #include "sequoiausher/transport/gateway/callerconnection.h"
+#include "sequoiausher/transport/gateway/gatewayknowledge.h"
 #include "sequoiausher/transport/gateway/gatewaypages.h"
 #include "sequoiausher/transport/gateway/gatewaypeers.h"
 #include "sequoiausher/transport/gateway/gatewayrules.h"
@@ -49,12 +47,10 @@
 /** The part of the grace after which a planned stop ends what is left, in sixteenths; the rest is for these answers. */
 constexpr std::int64_t cutAfterParts = 15;
 constexpr std::int64_t graceParts = 16;
-/** A line about changed targets names so many of them: at the start of a large fleet thousands come together. */
-constexpr std::size_t mostNamed = 12;
 
 } // namespace
 
-class GatewayNode::Private : public StoreListener, public PeerNews
+class GatewayNode::Private : public KnowledgeUser
 {
 public:
     Private(const GatewayDialect &speaks,
@@ -66,7 +62,9 @@
         , onStopped(std::move(whenStopped))
         , incarnation(static_cast<Incarnation>(Millis::wallNow().count))
         , context(speaks, writes, this->metrics, with, hash64(with.peerAddress, this->incarnation))
-        , peers(this->context, this->incarnation, this->known, *this)
+        , knowledge(this->context, *this)
+        , known(this->knowledge.firstHand())
+        , peers(this->context, this->incarnation, this->known, this->knowledge.peerNews())
         , pages(
               with.readyAddress,
               speaks.readinessPath(),
@@ -97,36 +95,8 @@
     void finishStop(std::string_view how);
     bool isReady() const;
     std::string metricsPage();
-    void install(const std::string &raw, GatewayConfiguration configuration, std::string_view from);
-    void targetsChanged(std::string_view why);
-    /** What the store has, be it nothing, counts as known once both have been asked for. */
-    void noteFirstReading();
-    /**
-     * The store's era, as it or a peer says: a later one than before means that the store came back from a copy.
-     * @param era 0 where it is not told.
-     */
-    void noteEra(std::uint64_t era, const std::string &from);
-    /** What the next line about targets names, up to a few. */
-    void noteChange(const std::string &change);
-
-    bool configurationRead(const StoredConfiguration &stored, std::optional<Millis> readAt) override;
-    void configurationAbsent() override;
-    void targetsRead(const std::vector<GatewayTarget> &targets,
-                     const std::vector<TargetId> &unreadable,
-                     Revision at,
-                     Millis asOf) override;
-    void targetWritten(const GatewayTarget &target, Revision at) override;
-    void targetRemoved(const TargetId &name, Revision at) override;
-    void targetUnreadable(const TargetId &name, Revision at) override;
-    void targetChangesEnd() override;
-    void watchAnswered(Revision upTo, Millis asOf) override;
-    void storeRestored(std::uint64_t era) override;
-    void storeLost(const std::string &problem) override;
-    void storeReturned() override;
-    void configurationOffered(const std::string &raw, Revision revision) override;
-    void targetsOffered(const std::vector<GatewayTarget> &targets, Revision revision) override;
-    void targetChangesOffered(const TargetChanges &changes) override;
-    void eraOffered(std::uint64_t era, const InstanceId &by) override;
+    void knowledgeGrew() override;
+    void storeEraRose(std::uint64_t era) override;
 
     const GatewayDialect &dialect;
     const Log &log;
@@ -134,7 +104,8 @@
     Incarnation incarnation;
     Metrics metrics;
     GatewayContext context;
-    FirstHand known;
+    GatewayKnowledge knowledge;
+    FirstHand &known;
     GatewayPeers peers;
     GatewayPages pages;
     std::unique_ptr<StoreWatcher> watcher;
@@ -148,22 +119,13 @@
     int lateTurns = 0;
     /** When the timer last fired. */
     Millis tickedAt;
-    /** The store's revision of the configuration that was read last, so that it is not read twice. */
-    Revision readChangedAt = 0;
-    Revision readRevision = 0;
-    std::optional<std::uint64_t> storeEra;
-    RestoredStore restored;
     std::optional<Millis> stopBegunAt;
     bool hasClosedIdle = false;
     bool hasEndedRequests = false;
     bool isStopped = false;
     bool wasReady = false;
     bool wasResting = false;
-    bool hasAskedConfiguration = false;
-    bool hasAskedTargets = false;
     Millis nextSuppressedAt;
-    std::string changesNamed;
-    std::size_t changeCount = 0;
 };
 
 void GatewayNode::Private::start()
@@ -193,8 +155,12 @@
 void GatewayNode::Private::watchStore()
 {
     const GatewaySettings &settings = this->context.settings;
-    this->watcher = std::make_unique<StoreWatcher>(
-        this->dialect, settings.store.address, storeTimesOf(settings), settings.linkMbps, this->log, *this);
+    this->watcher = std::make_unique<StoreWatcher>(this->dialect,
+                                                   settings.store.address,
+                                                   storeTimesOf(settings),
+                                                   settings.linkMbps,
+                                                   this->log,
+                                                   this->knowledge.storeListener());
     this->watcher->tick(Millis::monotonicNow(), Millis::never(), Millis{0});
 }
 
@@ -261,9 +227,7 @@
     const Millis now = Millis::monotonicNow();
     this->tickStore(now);
     this->peers.tick(now);
-    if (this->known.targets.tick(now)) {
-        this->targetsChanged("missing entries did not come back");
-    }
+    this->knowledge.tick(now);
     this->tickCallers(now);
     this->context.pools.tick(now);
     this->context.lifeChecks.tick(now);
@@ -323,6 +287,16 @@
     }
 }
 
+void GatewayNode::Private::knowledgeGrew()
+{
+    this->endStart();
+}
+
+void GatewayNode::Private::storeEraRose(std::uint64_t era)
+{
+    this->watcher->setEra(era);
+}
+
 void GatewayNode::Private::endStart()
 {
     if (!this->context.isStarting || !this->isReady()) {
@@ -413,7 +387,7 @@
     this->metrics.set("gateway_ready", this->isReady() ? 1 : 0);
     this->metrics.set("gateway_configuration_revision", static_cast<double>(this->context.revision()));
     this->metrics.set("gateway_proof_age_ms", age == Millis::never() ? -1 : static_cast<double>(age.count));
-    this->metrics.set("gateway_store_era", static_cast<double>(this->storeEra.value_or(0)));
+    this->metrics.set("gateway_store_era", static_cast<double>(this->knowledge.storeEra()));
     this->metrics.set("gateway_targets", static_cast<double>(this->known.targets.targets().size()));
     this->metrics.set("gateway_requests_refused_for_crashes",
                       static_cast<double>(this->context.quarantine.refusedCount()));
@@ -433,229 +407,6 @@
     return toPrometheus(this->metrics.snapshot());
 }
 
-void GatewayNode::Private::install(const std::string &raw, GatewayConfiguration configuration, std::string_view from)
-{
-    const Revision revision = configuration.revision;
-    this->log.info(LogPart::Config,
-                   "configuration in force",
-                   {{"revision", std::to_string(revision)},
-                    {"before", std::to_string(this->context.revision())},
-                    {"from", std::string(from)},
-                    {"routes", std::to_string(configuration.routes.size())},
-                    {"organisations", std::to_string(configuration.organisations.size())}});
-    this->context.table = std::make_shared<const RouteTable>(std::move(configuration));
-    this->known.configuration = raw;
-    this->known.configurationRevision = revision;
-}
-
-void GatewayNode::Private::noteEra(std::uint64_t era, const std::string &from)
-{
-    if (era == 0 || (this->storeEra && era <= *this->storeEra)) {
-        return;
-    }
-    const std::optional<std::uint64_t> before = std::exchange(this->storeEra, era);
-    this->watcher->setEra(era);
-    if (!before) {
-        return;
-    }
-    const Millis now = Millis::monotonicNow();
-    const Revision newest = std::max(this->context.revision(), this->context.freshness.newest());
-    const std::vector<GatewayTarget> targets = this->known.targets.targets();
-    const auto leaving
-        = std::count_if(targets.begin(), targets.end(), [](const GatewayTarget &target) { return target.isLeaving; });
-    this->log.warning(LogPart::Platform,
-                      "the store came back from a copy",
-                      {{"era", std::to_string(era)},
-                       {"before", std::to_string(*before)},
-                       {"from", from},
-                       {"targets_kept", std::to_string(targets.size())},
-                       {"leaving_kept", std::to_string(leaving)},
-                       {"unproven_until_revision", std::to_string(newest)}});
-    this->restored.returned(newest, now);
-    this->known.targets.storeRestored(now);
-}
-
-void GatewayNode::Private::storeRestored(std::uint64_t era)
-{
-    this->noteEra(era, "store");
-}
-
-void GatewayNode::Private::eraOffered(std::uint64_t era, const InstanceId &by)
-{
-    this->noteEra(era, by.value);
-}
-
-bool GatewayNode::Private::configurationRead(const StoredConfiguration &stored, std::optional<Millis> readAt)
-{
-    this->noteEra(eraOf(stored.storeRevision), "store");
-    if (readAt) {
-        this->context.duty.storeWasAt(stored.storeRevision, *readAt);
-    }
-    if (stored.changedAt != this->readChangedAt) {
-        if (stored.changedAt < this->readChangedAt) {
-            return true;
-        }
-        GatewayConfiguration configuration;
-        try {
-            configuration = this->dialect.readConfiguration(stored.raw);
-        } catch (const Error &error) {
-            this->log.error(LogPart::Config, "the last good configuration stays in force", {{"why", error.what()}});
-            return true;
-        }
-        this->readChangedAt = stored.changedAt;
-        this->readRevision = configuration.revision;
-        if (configuration.revision > this->context.revision()) {
-            this->install(stored.raw, std::move(configuration), "store");
-        }
-    }
-    const bool proves = this->restored.proves(this->readRevision, stored.changedAt, Millis::monotonicNow());
-    if (readAt && proves) {
-        this->context.freshness.proven(this->readRevision, *readAt);
-    }
-    this->hasAskedConfiguration = true;
-    this->noteFirstReading();
-    this->endStart();
-    return proves;
-}
-
-void GatewayNode::Private::configurationOffered(const std::string &raw, Revision revision)
-{
-    GatewayConfiguration configuration = this->dialect.readConfiguration(raw);
-    if (configuration.revision != revision) {
-        throw Error(Step::Decode, "configuration", "its revision is not the one that was announced");
-    }
-    if (configuration.revision > this->context.revision()) {
-        this->install(raw, std::move(configuration), "peer");
-    }
-}
-
-void GatewayNode::Private::targetsChanged(std::string_view why)
-{
-    const std::vector<GatewayTarget> targets = this->known.targets.targets();
-    this->context.board.setTargets(targets, Millis::monotonicNow());
-    std::size_t leaving = 0;
-    for (const GatewayTarget &target : targets) {
-        leaving += target.isLeaving ? 1 : 0;
-    }
-    // Connections to a life that is over would carry requests into the void, or to whoever has the address now.
-    this->context.pools.keepOnly([this](const TargetId &id) { return this->context.board.isListed(id); });
-    this->log.info(LogPart::Targets,
-                   "targets changed",
-                   {{"why", std::string(why)},
-                    {"count", std::to_string(targets.size())},
-                    {"leaving", std::to_string(leaving)},
-                    {"revision", std::to_string(revisionIn(this->known.targets.revision()))}});
-    this->endStart();
-}
-
-void GatewayNode::Private::targetsRead(const std::vector<GatewayTarget> &targets,
-                                       const std::vector<TargetId> &unreadable,
-                                       Revision at,
-                                       Millis asOf)
-{
-    this->context.duty.storeWasAt(at, asOf);
-    // A peer may have told of later changes already.
-    if (at >= this->known.targets.revision()) {
-        this->known.targets.replaceAll(targets, at, Millis::monotonicNow());
-        for (const TargetId &name : unreadable) {
-            this->known.targets.unreadable(name, at);
-        }
-        this->targetsChanged("list");
-    }
-    this->context.duty.listReached(at);
-    this->hasAskedTargets = true;
-    this->noteFirstReading();
-}
-
-void GatewayNode::Private::configurationAbsent()
-{
-    this->hasAskedConfiguration = true;
-    this->noteFirstReading();
-}
-
-void GatewayNode::Private::noteFirstReading()
-{
-    if (this->hasAskedConfiguration && this->hasAskedTargets) {
-        this->context.duty.readAll(Millis::monotonicNow());
-    }
-}
-
-void GatewayNode::Private::targetWritten(const GatewayTarget &target, Revision at)
-{
-    this->known.targets.put(target, at);
-    this->noteChange(target.id.value + (target.isLeaving ? " leaves" : " written"));
-}
-
-void GatewayNode::Private::targetRemoved(const TargetId &name, Revision at)
-{
-    this->known.targets.removed(name, at, Millis::monotonicNow());
-    this->noteChange(name.value + " removed");
-}
-
-void GatewayNode::Private::targetUnreadable(const TargetId &name, Revision at)
-{
-    this->known.targets.unreadable(name, at);
-    this->noteChange(name.value + " unreadable");
-}
-
-void GatewayNode::Private::noteChange(const std::string &change)
-{
-    this->changeCount += 1;
-    if (this->changeCount <= mostNamed) {
-        this->changesNamed += (this->changesNamed.empty() ? "" : ", ") + change;
-    }
-}
-
-void GatewayNode::Private::targetChangesEnd()
-{
-    if (this->changeCount > mostNamed) {
-        this->changesNamed += " and " + std::to_string(this->changeCount - mostNamed) + " more";
-    }
-    this->targetsChanged(std::exchange(this->changesNamed, std::string()));
-    this->changeCount = 0;
-}
-
-void GatewayNode::Private::watchAnswered(Revision upTo, Millis asOf)
-{
-    this->context.duty.storeWasAt(upTo, asOf);
-    this->context.duty.listReached(upTo);
-}
-
-void GatewayNode::Private::storeLost(const std::string & /*problem*/)
-{
-    const Millis now = Millis::monotonicNow();
-    this->known.targets.storeLost(now);
-    this->context.startsUntil = std::min(this->context.startsUntil, now);
-}
-
-void GatewayNode::Private::storeReturned()
-{
-    this->known.targets.storeReturned(Millis::monotonicNow());
-}
-
-void GatewayNode::Private::targetsOffered(const std::vector<GatewayTarget> &targets, Revision revision)
-{
-    this->known.targets.adopt(targets, revision);
-    this->context.duty.listReached(this->known.targets.revision());
-    this->targetsChanged("peer");
-}
-
-void GatewayNode::Private::targetChangesOffered(const TargetChanges &changes)
-{
-    if (!this->known.targets.apply(changes)) {
-        return;
-    }
-    this->context.duty.listReached(this->known.targets.revision());
-    for (const TargetId &gone : changes.gone) {
-        this->noteChange(gone.value + " gone");
-    }
-    for (const GatewayTarget &target : changes.written) {
-        this->noteChange(target.id.value + (target.isLeaving ? " leaves" : " written"));
-    }
-    this->noteChange("by a peer");
-    this->targetChangesEnd();
-}
-
 GatewayNode::GatewayNode(const GatewayDialect &dialect,
                          const GatewaySettings &settings,
                          const Log &log,
--- a/sequoiausher/transport/gateway/gatewaytestbed.cpp
+++ b/sequoiausher/transport/gateway/gatewaytestbed.cpp
@@ -403,6 +403,15 @@
     return caller.reply;
 }
 
+CallerReply GatewayTestbed::callAnew()
+{
+    FakeCaller caller(this->address());
+    caller.send("GET /look/1 HTTP/1.1\r\nHost: x\r\nX-Key: k1\r\nX-Id: id-" + std::to_string(this->calls++)
+                + "\r\n\r\n");
+    waitFor([&caller] { return caller.reply.isWhole || caller.reply.hasEnded; });
+    return caller.reply;
+}
+
 bool GatewayTestbed::waitFor(const std::function<bool()> &done, Millis time)
 {
     return Internal::runUntil(done, static_cast<int>(time.count));
--- a/sequoiausher/transport/gateway/gatewaytestbed.h
+++ b/sequoiausher/transport/gateway/gatewaytestbed.h
@@ -54,6 +54,8 @@
     std::string request(const std::string &method, const std::string &path, const std::string &fields = {}) const;
     /** Sends one request over a connection of its own and waits for the end of its answer. */
     CallerReply call(const std::string &method, const std::string &path, const std::string &fields = {});
+    /** One call of /look/1 under an attempt id of its own, so that each may go to another target. */
+    CallerReply callAnew();
     /** Runs the loop until done holds; false after the time. */
     static bool waitFor(const std::function<bool()> &done, Millis time = Millis{3000});
     std::string address() const;
@@ -105,6 +107,7 @@
     int era = 1;
     std::vector<std::pair<int, FakeRequest>> watches;
     bool isStoreHeld = false;
+    int calls = 0;
     std::vector<FakeRequest> heldCalls;
     void changed();
 };
--- a/sequoiausher/transport/gateway/leavinganswertest.cpp
+++ b/sequoiausher/transport/gateway/leavinganswertest.cpp
@@ -18,21 +18,11 @@
         this->staying.answers = [](FakeRequest &request) { request.reply("200 OK", "well"); };
     }
 
-    /** One call, which another target may get than the call before. */
-    CallerReply callOnce()
-    {
-        FakeCaller caller(this->address());
-        caller.send("GET /look/1 HTTP/1.1\r\nHost: x\r\nX-Key: k1\r\nX-Id: id-" + std::to_string(this->calls++)
-                    + "\r\n\r\n");
-        waitFor([&caller] { return caller.reply.isWhole || caller.reply.hasEnded; });
-        return caller.reply;
-    }
-
     /** Calls until the leaving target has answered one. */
     void callUntilTold()
     {
         for (int i = 0; i < callCount && this->leaving.seen.empty(); ++i) {
-            CHECK(this->callOnce().status == 200);
+            CHECK(this->callAnew().status == 200);
         }
         REQUIRE(this->leaving.seen.size() == 1);
     }
@@ -40,14 +30,13 @@
     void checkLeftAlone()
     {
         for (int i = 0; i < callCount; ++i) {
-            CHECK(this->callOnce().status == 200);
+            CHECK(this->callAnew().status == 200);
         }
         CHECK(this->leaving.seen.size() == 1);
     }
 
     FakeServer &leaving;
     FakeServer &staying;
-    int calls = 0;
 };
 
 } // namespace
@@ -91,9 +80,9 @@
     bed.staying.answers = bed.leaving.answers;
     bed.start();
     for (int i = 0; i < callCount && (bed.leaving.seen.empty() || bed.staying.seen.empty()); ++i) {
-        bed.callOnce();
+        bed.callAnew();
     }
-    const CallerReply reply = bed.callOnce();
+    const CallerReply reply = bed.callAnew();
     CHECK(reply.status == 503);
     CHECK(reply.head.headers.has("Retry-After"));
     CHECK(bed.leaving.seen.size() + bed.staying.seen.size() == 2);
--- a/sequoiausher/transport/gateway/restingtargettest.cpp
+++ b/sequoiausher/transport/gateway/restingtargettest.cpp
@@ -36,22 +36,13 @@
         }
     }
 
-    CallerReply callOnce()
-    {
-        FakeCaller caller(this->address());
-        caller.send("GET /look/1 HTTP/1.1\r\nHost: x\r\nX-Key: k1\r\nX-Id: id-" + std::to_string(this->calls++)
-                    + "\r\n\r\n");
-        waitFor([&caller] { return caller.reply.isWhole || caller.reply.hasEnded; });
-        return caller.reply;
-    }
-
     /** Calls every few milliseconds; how many were served. */
     int callFor(Millis span)
     {
         int served = 0;
         const Millis end = Millis::monotonicNow() + span;
         while (Millis::monotonicNow() < end) {
-            served += this->callOnce().status == 200 ? 1 : 0;
+            served += this->callAnew().status == 200 ? 1 : 0;
             waitFor([] { return false; }, Millis{15});
         }
         return served;
@@ -71,7 +62,6 @@
     std::map<std::string, Millis> askedUntil;
     /** Requests that came before the end of the rest that their target had asked for. */
     int early = 0;
-    int calls = 0;
 };
 
 } // namespace
@@ -102,10 +92,10 @@
     RestBed bed(2, 0);
     bed.start();
     for (int i = 0; i < 4; ++i) {
-        bed.callOnce();
+        bed.callAnew();
     }
     CHECK(bed.restingSeen() == 2);
-    const CallerReply reply = bed.callOnce();
+    const CallerReply reply = bed.callAnew();
     CHECK(reply.status == 503);
     const double seconds = std::atof(std::string(reply.head.headers.value("Retry-After")).c_str());
     CHECK(seconds > 1.0);
--- a/sequoiausher/transport/gateway/targetlifecheckstest.cpp
+++ b/sequoiausher/transport/gateway/targetlifecheckstest.cpp
@@ -31,6 +31,14 @@
     std::vector<TargetId> lives;
 };
 
+GatewayTarget targetAt(const std::string &name, const std::string &address)
+{
+    GatewayTarget target;
+    target.id.value = name;
+    target.address = address;
+    return target;
+}
+
 } // namespace
 
 TEST_CASE("a target that listens lives, one that refuses connections has ended")
@@ -39,15 +47,8 @@
     Heard heard;
     TargetLifeChecks checks(heard);
     const FakeServer server;
-    GatewayTarget there;
-    there.id.value = "there";
-    there.address = server.address();
-    GatewayTarget gone;
-    gone.id.value = "gone";
-    {
-        const FakeServer before;
-        gone.address = before.address();
-    }
+    const GatewayTarget there = targetAt("there", server.address());
+    const GatewayTarget gone = targetAt("gone", FakeServer().address());
     for (int i = 0; i < 3; ++i) {
         checks.begin(there, Millis{0});
         checks.begin(gone, Millis{0});
@@ -66,9 +67,7 @@
     Heard heard;
     TargetLifeChecks checks(heard);
     const FakeServer server;
-    GatewayTarget there;
-    there.id.value = "there";
-    there.address = server.address();
+    const GatewayTarget there = targetAt("there", server.address());
     checks.begin(there, Millis{0});
     checks.tick(Millis{5000});
     CHECK_FALSE(Internal::runUntil([&heard] { return !heard.lives.empty() || !heard.ended.empty(); }, 100));
@@ -81,9 +80,7 @@
     Heard heard;
     TargetLifeChecks checks(heard);
     const StreamListener listener("127.0.0.1:0", [](int descriptor) { ::close(descriptor); });
-    GatewayTarget target;
-    target.id.value = "closing";
-    target.address = "127.0.0.1:" + std::to_string(listener.port());
+    const GatewayTarget target = targetAt("closing", "127.0.0.1:" + std::to_string(listener.port()));
     checks.begin(target, Millis{0});
     REQUIRE(heard.waitFor(1));
     Internal::runFor(100);
