Tell first of the requests under which most targets ended, and forget old ones once for each report

Seen in reading the change, not in a run: a report holds 256 entries, and a loss of many targets at once may bring more. They were told in the order of their fingerprints, the same ones in each report while they were new, so a request that crashes targets could go untold. And each entry that was heard looked through all that is remembered for what is too old. requestquarantinetest has the first.

--- a/sequoiausher/coordination/gateway/requestquarantine.cpp
+++ b/sequoiausher/coordination/gateway/requestquarantine.cpp
@@ -11,7 +11,7 @@
 
 /** All that is refused is told to a peer in every so many reports, so that one that starts anew hears of it. */
 constexpr std::uint64_t retellEvery = 4;
-/** The most entries in one report; the rest waits for the next. */
+/** The most entries in one report: requests under which most targets ended go first. */
 constexpr std::size_t mostNews = 256;
 
 /** A target that ended while it had the request. */
@@ -126,6 +126,7 @@
         }
         return loss.target == target;
     });
+    this->d->expire(now);
     for (const Loss &loss : known) {
         this->d->blame(loss.request, {target, loss.sentAt, loss.at, now, {}, NewsScope::Own}, now);
     }
@@ -159,6 +160,7 @@
 std::vector<RequestFingerprint>
 RequestQuarantine::heard(const InstanceId &peer, const std::vector<GatewayCrash> &crashes, Millis now, NewsScope scope)
 {
+    this->d->expire(now);
     for (const GatewayCrash &crash : crashes) {
         const RequestFingerprint request{crash.caller, crash.content};
         if (crash.age < Millis{0} || crash.ranFor < Millis{0}) {
@@ -177,7 +179,6 @@
 
 void RequestQuarantine::Private::blame(const RequestFingerprint &request, Crash crash, Millis now)
 {
-    this->expire(now);
     Suspect &suspect = this->suspects[request];
     const std::optional<Millis> own = this->answeredAt(request, now);
     if (own && (!suspect.answeredAt || *suspect.answeredAt < *own)) {
@@ -325,25 +326,30 @@
 
 std::vector<GatewayCrash> RequestQuarantine::newsFor(const InstanceId &peer, NewsScope scope, Millis now)
 {
-    std::vector<GatewayCrash> told;
+    std::vector<std::pair<std::size_t, GatewayCrash>> news;
     const bool tellsAll = this->d->reports[peer]++ % retellEvery == 0;
     const auto isNews = [this, &peer, scope, now](Millis learntAt, const InstanceId &from, NewsScope own) {
         return now - learntAt <= this->d->settings.toldFor && own <= scope && from != peer;
     };
     for (const auto &[request, suspect] : this->d->suspects) {
-        if (told.size() >= mostNews) {
-            break;
-        }
+        const std::size_t weight = suspect.crashes.size();
         if (suspect.answeredAt && isNews(suspect.answerLearntAt, suspect.answerFrom, suspect.answerScope)) {
-            told.push_back({request.caller, request.content, {}, now - *suspect.answeredAt, Millis{0}});
+            news.push_back({weight, {request.caller, request.content, {}, now - *suspect.answeredAt, Millis{0}}});
         }
         for (const Crash &crash : suspect.crashes) {
             if ((tellsAll && suspect.isRefused) || isNews(crash.learntAt, crash.from, crash.scope)) {
-                told.push_back(
-                    {request.caller, request.content, crash.target, now - crash.endedAt, crash.endedAt - crash.sentAt});
+                const Millis ranFor = crash.endedAt - crash.sentAt;
+                news.push_back({weight, {request.caller, request.content, crash.target, now - crash.endedAt, ranFor}});
             }
         }
     }
+    std::stable_sort(news.begin(), news.end(), [](const auto &a, const auto &b) { return a.first > b.first; });
+    news.resize(std::min(news.size(), mostNews));
+    std::vector<GatewayCrash> told;
+    told.reserve(news.size());
+    for (auto &[weight, crash] : news) {
+        told.push_back(std::move(crash));
+    }
     return told;
 }
 
--- a/sequoiausher/coordination/gateway/requestquarantinetest.cpp
+++ b/sequoiausher/coordination/gateway/requestquarantinetest.cpp
@@ -276,6 +276,23 @@
     CHECK(quarantine.newsFor({"g2"}, NewsScope::All, Millis{9000}).size() <= 256);
 }
 
+// Guards against a loss of many targets that fills reports and keeps a request that crashes targets out of them.
+TEST_CASE("what most targets ended under is told first")
+{
+    RequestQuarantine quarantine;
+    const RequestFingerprint last{~std::uint64_t{0}, 1};
+    for (int i = 0; i < 1000; ++i) {
+        crash(quarantine, {7, static_cast<std::uint64_t>(i)}, i, Millis{1000});
+    }
+    crash(quarantine, last, 1000, Millis{1000});
+    crash(quarantine, last, 1001, Millis{1200});
+    const std::vector<GatewayCrash> news = quarantine.newsFor({"g2"}, NewsScope::Own, Millis{1300});
+    CHECK(news.size() == 256);
+    REQUIRE(news.size() > 2);
+    CHECK(news[0].caller == last.caller);
+    CHECK(news[1].caller == last.caller);
+}
+
 TEST_CASE("nonsense in a peer's report does no harm")
 {
     RequestQuarantine quarantine;
