Count a target that something in between still takes connections for, once the list has dropped it

The soak's targets stand behind relays, which accept a connection for a target that is gone and close it again, so the check of its life found it alive, and nothing spoke against the request. So would anything that forwards connections.

Change: a check that finds a connection taken no longer settles the matter. What lost its connection to a target that the list then drops without a word, within 5 s, counts as if it had been refused. Until that is known nothing is held against the request.

--- /dev/null
+++ b/lab/soak/crashingcaller.h
@@ -0,0 +1,44 @@
+#pragma once
+
+// A caller that asks for one thing again and again, at any gateway: a request that ends each target that runs it.
+//
+//     CrashingCaller caller(judge, offer, pick);
+//     caller.tick(now);
+
+#include "lab/soak/calldraw.h"
+#include "lab/soak/soakjudge.h"
+#include "sequoiausher/transport/stream/fakehttp.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace Sequoiausher::Lab {
+
+/** See above. Needs a running event loop. */
+class CrashingCaller
+{
+public:
+    /** All references outlive it. @param pick the gateway that gets the next call; nothing where none takes any. */
+    CrashingCaller(SoakJudge &judge, const SoakOffer &offer, std::function<std::optional<SoakEntry>()> pick);
+
+    void rest();
+    void tick(Millis now);
+
+private:
+    void send(Millis now);
+    void finish(Millis now);
+
+    SoakJudge &judge;
+    const SoakOffer &offer;
+    std::function<std::optional<SoakEntry>()> pick;
+    /** The same for all calls, since each organisation's is a request of its own. */
+    std::string organisation;
+    bool isResting = false;
+    std::unique_ptr<FakeCaller> connection;
+    std::optional<SoakCall> current;
+    Millis nextAt;
+    std::uint64_t calls = 0;
+};
+
+} // namespace Sequoiausher::Lab
--- a/lab/soak/soakjudge.h
+++ b/lab/soak/soakjudge.h
@@ -35,6 +35,9 @@
     Millis contact{3000};
     /** After a caller left, or its route's time was over, this much is left for the end. */
     Millis ending{500};
+    /** Once a request has ended so many targets, so many more may get it, not counting those within contact. */
+    std::size_t endsUntilKnown = 3;
+    std::size_t lateEnds = 3;
     double repeatRatio = 0.2;
     double repeatSlack = 54;
     Millis repeatWindow{10000};
--- a/lab/soak/soakjudgetest.cpp
+++ b/lab/soak/soakjudgetest.cpp
@@ -461,3 +461,37 @@
     bench.judge.logged(0, line + "stopping", Millis{100});
     CHECK(bench.promises() == "silent silent ");
 }
+
+TEST_CASE("a request that ended three targets may reach three more, and those that get it before gateways can know")
+{
+    Bench bench;
+    const auto end = [&bench](int number, Millis at) {
+        SoakCall call = bench.call("x" + std::to_string(number), at);
+        call.path = crashingPath;
+        bench.judge.sent(call);
+        SoakArrival arrival = bench.arrival(call.id, "t" + std::to_string(number), at);
+        arrival.path = crashingPath;
+        bench.judge.arrived(arrival);
+    };
+    for (int i = 0; i < 12; ++i) {
+        end(i, Millis{10000 + i * 200});
+    }
+    for (int i = 12; i < 15; ++i) {
+        end(i, Millis{20000 + i * 200});
+    }
+    CHECK(bench.judge.violations().empty());
+    SUBCASE("the fourth is one too many")
+    {
+        end(15, Millis{24000});
+        end(16, Millis{25000});
+        REQUIRE(bench.judge.violations().size() == 1);
+        CHECK(bench.judge.violations()[0].promise == "budget");
+    }
+    SUBCASE("unless its gateway was out of touch")
+    {
+        bench.judge.disturbances().begin(SoakJudge::gatewaySubject(0), Millis{23000});
+        bench.judge.disturbances().end(SoakJudge::gatewaySubject(0), Millis{23100});
+        end(15, Millis{24000});
+        CHECK(bench.judge.violations().empty());
+    }
+}
--- a/lab/soak/soakrun.h
+++ b/lab/soak/soakrun.h
@@ -31,6 +31,8 @@
     Millis longest{4000};
     /** How often the store comes back from a copy, at moments of their own beside the other faults. */
     std::size_t returns = 0;
+    /** A request that ends its targets comes again and again meanwhile. */
+    bool hasCrashingCaller = false;
     /** Where settings and what the gateways write go; made where it is missing. */
     std::string folder;
     /** The gateway to play, such as an older one; empty for the one that was built with the soak. */
--- a/lab/soak/soaktarget.cpp
+++ b/lab/soak/soaktarget.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr int tickMs = 5;
+/** How long a request that ends its target runs. */
+constexpr int crashingMs = 50;
 /** Requests that a target of a plain service, and of one that streams, runs at once. */
 constexpr std::uint32_t plainSlots = 6;
 constexpr std::uint32_t streamSlots = 16;
@@ -148,6 +150,14 @@
         request.reply("503 Service Unavailable", "", StandInDialect::notRunField());
         return;
     }
+    if (arrival.path == crashingPath && this->ends) {
+        QTimer::singleShot(crashingMs, [this, life = this->currentLife] {
+            if (this->isAlive() && this->currentLife == life) {
+                this->ends();
+            }
+        });
+        work->isSilent = true;
+    }
     work->isStream = isStreamPath(arrival.path);
     std::uniform_int_distribution<std::int64_t> span(leastWorkMs, mostWorkMs);
     const std::int64_t times = work->mood == TargetMood::Slow ? slowTimes : 1;
--- a/lab/soak/soaktarget.h
+++ b/lab/soak/soaktarget.h
@@ -15,6 +15,7 @@
 
 #include <QTimer>
 
+#include <functional>
 #include <memory>
 #include <random>
 #include <string>
@@ -67,6 +68,9 @@
 
     void setMood(TargetMood mood, double share);
 
+    /** A request ends it: called instead of crash(), which is left to whoever is told. */
+    std::function<void()> ends;
+
 private:
     struct Work;
 
--- a/sequoiausher/coordination/gateway/requestquarantine.cpp
+++ b/sequoiausher/coordination/gateway/requestquarantine.cpp
@@ -68,6 +68,8 @@
     TargetId target;
     Millis sentAt;
     Millis at;
+    /** The target has taken a connection since. */
+    bool targetLives = false;
 };
 
 } // namespace
@@ -113,15 +115,15 @@
 void RequestQuarantine::lost(const RequestFingerprint &request, const TargetId &target, Millis sentAt, Millis now)
 {
     std::erase_if(this->d->losses,
-                  [this, now](const Loss &loss) { return now - loss.at > this->d->settings.verdictTime; });
+                  [this, now](const Loss &loss) { return now - loss.at > this->d->settings.lossLife; });
     this->d->losses.push_back({request, target, sentAt, now});
 }
 
 std::vector<RequestFingerprint> RequestQuarantine::targetEnded(const TargetId &target, Millis now)
 {
     std::vector<Loss> known;
-    std::erase_if(this->d->losses, [&known, &target](const Loss &loss) {
-        if (loss.target == target) {
+    std::erase_if(this->d->losses, [&known, &target, now, lossLife = this->d->settings.lossLife](const Loss &loss) {
+        if (loss.target == target && now - loss.at <= lossLife) {
             known.push_back(loss);
         }
         return loss.target == target;
@@ -135,7 +137,20 @@
 
 void RequestQuarantine::targetLives(const TargetId &target)
 {
-    std::erase_if(this->d->losses, [&target](const Loss &loss) { return loss.target == target; });
+    for (Loss &loss : this->d->losses) {
+        loss.targetLives = loss.targetLives || loss.target == target;
+    }
+}
+
+std::vector<TargetId> RequestQuarantine::undecidedTargets() const
+{
+    std::vector<TargetId> targets;
+    for (const Loss &loss : this->d->losses) {
+        if (std::find(targets.begin(), targets.end(), loss.target) == targets.end()) {
+            targets.push_back(loss.target);
+        }
+    }
+    return targets;
 }
 
 void RequestQuarantine::answered(const RequestFingerprint &request, Millis now)
@@ -293,7 +308,8 @@
     const auto found = this->suspects.find(request);
     Suspect suspect = found != this->suspects.end() ? found->second : Suspect();
     for (const Loss &loss : this->losses) {
-        if (loss.request == request && now - loss.at <= this->settings.verdictTime && !hasEnded(suspect, loss.target)) {
+        const bool isOpen = !loss.targetLives && now - loss.at <= this->settings.verdictTime;
+        if (loss.request == request && isOpen && !hasEnded(suspect, loss.target)) {
             suspect.crashes.push_back({loss.target, loss.sentAt, loss.at, loss.at, {}, NewsScope::Own});
         }
     }
--- a/sequoiausher/coordination/gateway/requestquarantine.h
+++ b/sequoiausher/coordination/gateway/requestquarantine.h
@@ -35,7 +35,9 @@
     Millis sameMoment{100};
     /** What a peer tells is dated so much too late at most: by its way, and by the work on both sides. */
     Millis tellingDelay{30};
-    /** A lost connection whose target's fate is not known after so long is forgotten. */
+    /** A lost connection is remembered for so long: until then the list of targets has dropped one that ended. */
+    Millis lossLife{5000};
+    /** For so long it is taken for likely that its target ended, unless that is known to live. */
     Millis verdictTime{2000};
     /** Such a connection's target is expected to be known to have ended, or not, within so long. */
     Millis usualVerdictTime{250};
@@ -61,8 +63,13 @@
     void lost(const RequestFingerprint &request, const TargetId &target, Millis sentAt, Millis now);
     /** The target ended: what was lost there counts. @return the requests that are refused from now on. */
     std::vector<RequestFingerprint> targetEnded(const TargetId &target, Millis now);
-    /** The target lives on: what was lost there says nothing of the requests. */
+    /**
+     * The target takes connections. What was lost there says nothing of the requests, unless the target is found to
+     * have ended after all: what takes connections may stand in between.
+     */
     void targetLives(const TargetId &target);
+    /** Targets where something was lost, and that are not known to have ended. */
+    std::vector<TargetId> undecidedTargets() const;
     /** The request was answered whole. */
     void answered(const RequestFingerprint &request, Millis now);
 
--- a/sequoiausher/transport/gateway/gatewaycontext.cpp
+++ b/sequoiausher/transport/gateway/gatewaycontext.cpp
@@ -54,7 +54,7 @@
 
 void GatewayContext::targetEnded(const TargetId &target)
 {
-    this->log.info(LogPart::Targets, "target refuses connections", {{"target", target.value}});
+    this->log.info(LogPart::Targets, "target ended with requests in hand", {{"target", target.value}});
     this->requestsRefused(this->quarantine.targetEnded(target, Millis::monotonicNow()), "own");
 }
 
--- a/sequoiausher/transport/gateway/gatewaycontext.h
+++ b/sequoiausher/transport/gateway/gatewaycontext.h
@@ -49,7 +49,7 @@
                    const GatewaySettings &with,
                    std::uint64_t seed);
 
-    /** Nobody listens at the target any more: what it was sent may have ended it. */
+    /** The target has ended: what it was sent may have done that. */
     void targetEnded(const TargetId &target) override;
     void targetLives(const TargetId &target) override;
     /** Notes in the log which requests are refused from now on. @param from who told of it. */
--- a/sequoiausher/transport/gateway/gatewayknowledge.cpp
+++ b/sequoiausher/transport/gateway/gatewayknowledge.cpp
@@ -211,6 +211,12 @@
         leaving += target.isLeaving ? 1 : 0;
     }
     // Connections to a life that is over would carry requests into the void, or to whoever has the address now.
+    // A target that was dropped without a word ended, also where something in between still takes its connections.
+    for (const TargetId &lost : this->context.quarantine.undecidedTargets()) {
+        if (!this->context.board.isListed(lost)) {
+            this->context.targetEnded(lost);
+        }
+    }
     this->context.pools.keepOnly([this](const TargetId &id) { return this->context.board.isListed(id); });
     this->context.log.info(LogPart::Targets,
                            "targets changed",
