Split what the soak's faults do from how its run goes

soakrun.cpp had grown to over 800 lines: set-up, clock, and 18 kinds of faults. The run's inside stands in soakrunprivate.h, its faults in soakrunprivate.cpp (517 lines), and soakrun.cpp (241) sets up, ticks and judges.

--- /dev/null
+++ b/lab/soak/soakrunprivate.cpp
@@ -0,0 +1,517 @@
+#include "lab/soak/soakrunprivate.h"
+
+#include <QDir>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace Sequoiausher::Lab {
+
+namespace {
+
+/** Before this a gateway that stops cuts no request: a little less than the part of its grace after which it does. */
+constexpr Millis uncutStop{7300};
+/** The pause before a process that ended is started again. */
+constexpr Millis restartPause{300};
+/** A target that leaves serves on for so long, and its end follows. */
+constexpr Millis leavingTime{3000};
+constexpr Millis reuseWait{2000};
+/** Entries that lapsed are written again so long after the store is back. */
+constexpr Millis lapseReturn{1200};
+constexpr Millis shortestLapse{2500};
+constexpr Millis stormGap{120};
+constexpr Millis linkDelay{150};
+constexpr std::uint64_t stormChanges = 10;
+/**
+ * A return loses at least so many changes, of which all gateways have heard. A target leaves after it, at a revision
+ * that was given out before: gateways that order by the revision alone do not hear of it.
+ */
+constexpr int changesLost = 500;
+constexpr Millis changesLostBefore{300};
+constexpr Millis leavesAfterReturn{3300};
+constexpr int leavesOfReturn = 3;
+constexpr Millis leavesGap{400};
+
+} // namespace
+
+SoakRun::Private::Private(const SoakOptions &with)
+    : options(with)
+    , random(with.seed)
+    , returns(with.seed)
+    , judge(SoakBounds{})
+    , store(with.seed)
+    , administrator(this->store, this->judge)
+{
+    QDir().mkpath(QString::fromStdString(this->options.folder));
+    this->log.open(this->options.folder + "/soak.log");
+}
+
+std::string SoakRun::Private::unplanned(std::size_t gateway)
+{
+    return SoakJudge::gatewaySubject(gateway) + SoakJudge::unplannedSuffix;
+}
+
+std::string SoakRun::Private::killed(std::size_t gateway)
+{
+    return SoakJudge::gatewaySubject(gateway) + SoakJudge::killedSuffix;
+}
+
+void SoakRun::Private::note(const std::string &line)
+{
+    this->log << Millis::wallNow().count << " " << (Millis::monotonicNow() - this->startedAt).count << " " << line
+              << std::endl;
+}
+
+void SoakRun::Private::at(Millis when, std::function<void()> action)
+{
+    this->actions.emplace(when, std::move(action));
+}
+
+void SoakRun::Private::after(Millis span, std::function<void()> action)
+{
+    this->at(Millis::monotonicNow() + span, std::move(action));
+}
+
+void SoakRun::Private::during(Millis span,
+                              const std::vector<std::string> &subjects,
+                              const std::function<void()> &begin,
+                              const std::function<void()> &end)
+{
+    const Millis now = Millis::monotonicNow();
+    for (const std::string &subject : subjects) {
+        this->judge.disturbances().begin(subject, now);
+    }
+    begin();
+    this->after(span, [this, subjects, end] {
+        end();
+        for (const std::string &subject : subjects) {
+            this->judge.disturbances().end(subject, Millis::monotonicNow());
+        }
+    });
+}
+
+void SoakRun::Private::startGateway(std::size_t number)
+{
+    this->gateways[number]->start();
+    this->note("gateway " + std::to_string(number) + " started");
+}
+
+void SoakRun::Private::killGateway(std::size_t number, Millis down)
+{
+    SoakGateway &gateway = *this->gateways[number];
+    if (gateway.isEndExpected) {
+        return;
+    }
+    this->during(
+        down,
+        {SoakJudge::gatewaySubject(number), unplanned(number), killed(number)},
+        [&gateway] {
+            gateway.isEndExpected = true;
+            gateway.process().kill();
+        },
+        [this, number] { this->startGateway(number); });
+}
+
+void SoakRun::Private::stopGateway(std::size_t number)
+{
+    SoakGateway &gateway = *this->gateways[number];
+    if (gateway.isEndExpected) {
+        return;
+    }
+    gateway.isEndExpected = true;
+    gateway.stopAsked = Millis::monotonicNow();
+    this->judge.disturbances().begin(SoakJudge::gatewaySubject(number), gateway.stopAsked);
+    gateway.process().requestStop();
+    // Looks again until it is gone.
+    const auto look = std::make_shared<std::function<void()>>();
+    *look = [this, number, &gateway, again = std::weak_ptr(look)] {
+        const Millis now = Millis::monotonicNow();
+        const std::string name = "gateway " + std::to_string(number);
+        if (gateway.process().isRunning() && now - gateway.stopAsked < longestStop) {
+            if (const auto next = again.lock()) {
+                this->after(pollInterval, [next] { (*next)(); });
+            }
+            return;
+        }
+        const std::optional<int> status = gateway.process().waitForExit(Millis{0});
+        const bool isUntouched
+            = this->judge.disturbances().isUntouched(unplanned(number), gateway.stopAsked - Millis{1}, now);
+        if (status != 0 && isUntouched) {
+            this->judge.broken("stop", name + " was not gone with status 0 after " + toText(longestStop), now);
+        }
+        gateway.process().kill();
+        this->after(restartPause, [this, number] {
+            this->startGateway(number);
+            this->judge.disturbances().end(killed(number), Millis::monotonicNow());
+            this->judge.disturbances().end(SoakJudge::gatewaySubject(number), Millis::monotonicNow());
+        });
+    };
+    this->after(pollInterval, [look] { (*look)(); });
+    this->after(uncutStop, [this, number, life = gateway.life()] { this->mayCut(number, life); });
+}
+
+// At the end of its grace a gateway cuts what it has not answered. Every route's time is shorter, so it may have such
+// requests only where the plan made it stand still meanwhile.
+void SoakRun::Private::mayCut(std::size_t number, std::uint64_t life)
+{
+    const SoakGateway &gateway = *this->gateways[number];
+    const Millis now = Millis::monotonicNow();
+    const bool isUntouched
+        = this->judge.disturbances().isUntouched(unplanned(number), gateway.stopAsked - Millis{1}, now);
+    if (gateway.life() == life && gateway.isEndExpected && !isUntouched) {
+        this->judge.disturbances().begin(killed(number), now);
+    }
+}
+
+void SoakRun::Private::strikeLink(Relay &relay, const Link &link, Millis span, const std::vector<std::string> &subjects)
+{
+    this->during(
+        span, subjects, [&relay, link] { relay.setLink(link); }, [&relay] { relay.setLink({}); });
+}
+
+void SoakRun::Private::strikeGateway(const SoakFault &fault, std::size_t number)
+{
+    SoakGateway &gateway = *this->gateways[number];
+    const std::string subject = SoakJudge::gatewaySubject(number);
+    const std::vector<std::string> both{subject, unplanned(number)};
+    switch (fault.kind) {
+    case SoakFaultKind::KillGateway:
+        this->killGateway(number, fault.lasts);
+        return;
+    case SoakFaultKind::FreezeGateway:
+        this->during(
+            fault.lasts, both, [&gateway] { gateway.process().freeze(); }, [&gateway] { gateway.process().thaw(); });
+        return;
+    case SoakFaultKind::StopGateway:
+        this->stopGateway(number);
+        return;
+    case SoakFaultKind::ReloadGateway:
+        gateway.process().requestReload();
+        return;
+    case SoakFaultKind::CutPeers:
+        this->strikeLink(gateway.peerLink(), {LinkMode::Cut, {}}, fault.lasts, {subject});
+        return;
+    case SoakFaultKind::SilencePeers:
+        this->strikeLink(gateway.peerLink(), {LinkMode::Silent, {}}, fault.lasts, {subject});
+        return;
+    case SoakFaultKind::OneWayPeers:
+        this->strikeLink(gateway.peerLink(), {LinkMode::OneWay, {}}, fault.lasts, {subject});
+        return;
+    case SoakFaultKind::SilenceOpenPeers:
+        this->strikeLink(gateway.peerLink(), {LinkMode::SilentOpen, {}}, Millis{1}, {subject});
+        return;
+    case SoakFaultKind::DelayPeers:
+        this->strikeLink(gateway.peerLink(), {LinkMode::Delay, linkDelay}, fault.lasts, {subject});
+        return;
+    case SoakFaultKind::CutStore:
+        this->strikeLink(gateway.storeLink(), {LinkMode::Cut, {}}, fault.lasts, {subject});
+        return;
+    case SoakFaultKind::SilenceStore:
+        this->strikeLink(gateway.storeLink(), {LinkMode::Silent, {}}, fault.lasts, {subject});
+        return;
+    case SoakFaultKind::OneWayStore:
+        this->strikeLink(gateway.storeLink(), {LinkMode::OneWay, {}}, fault.lasts, {subject});
+        return;
+    case SoakFaultKind::SilenceOpenStore:
+        this->strikeLink(gateway.storeLink(), {LinkMode::SilentOpen, {}}, Millis{1}, {subject});
+        return;
+    case SoakFaultKind::CutCallers:
+        this->strikeLink(gateway.callerLink(), {LinkMode::Cut, {}}, fault.lasts / 4, both);
+        return;
+    case SoakFaultKind::DelayCallers:
+        this->strikeLink(gateway.callerLink(), {LinkMode::Delay, linkDelay}, fault.lasts, both);
+        return;
+    default:
+        return;
+    }
+}
+
+void SoakRun::Private::lapse(Millis span)
+{
+    const Millis down = std::max(span, shortestLapse);
+    this->during(
+        down,
+        {SoakJudge::storeSubject},
+        [this] { this->store.setMood(StoreMood::Silent); },
+        [this] {
+            std::vector<TargetPlace *> lapsed;
+            for (TargetPlace &place : this->places) {
+                if (place.isListed && place.target->isAlive()) {
+                    this->store.remove(StandInDialect::targetKey(TargetId{place.target->life()}));
+                    lapsed.push_back(&place);
+                }
+            }
+            this->store.setMood(StoreMood::Up);
+            this->after(lapseReturn, [this, lapsed] {
+                for (TargetPlace *place : lapsed) {
+                    if (place->isListed && place->target->isAlive()) {
+                        this->listTarget(*place, false);
+                    }
+                }
+            });
+        });
+}
+
+void SoakRun::Private::planReturn(Millis at)
+{
+    std::uniform_int_distribution<std::int64_t> age(200, 4000);
+    std::uniform_int_distribution<std::int64_t> absence(100, 1500);
+    std::uniform_int_distribution<std::int64_t> rewriting(50, 1500);
+    const Millis away{absence(this->returns)};
+    const Millis again{rewriting(this->returns)};
+    this->at(at - changesLostBefore * 2 - Millis{age(this->returns)}, [this] { this->store.copy(); });
+    this->at(at - changesLostBefore, [this] {
+        for (int i = 0; i < changesLost; ++i) {
+            this->store.write("lost", std::to_string(i));
+        }
+    });
+    this->at(at, [this, away, again] {
+        for (int i = 0; i < leavesOfReturn; ++i) {
+            this->after(away + again + leavesAfterReturn + leavesGap * i, [this] { this->leaveAnyTarget(); });
+        }
+        this->note("the store returns from a copy after " + toText(away) + ", written again after " + toText(again));
+        this->during(
+            away + again,
+            {SoakJudge::storeSubject},
+            [this] { this->store.setMood(StoreMood::Silent); },
+            [this] { this->writeAgain(); });
+        this->after(away, [this] {
+            this->store.restore();
+            this->store.setMood(StoreMood::Up);
+        });
+    });
+}
+
+void SoakRun::Private::leaveAnyTarget()
+{
+    const std::size_t first = this->returns() % this->places.size();
+    for (std::size_t i = 0; i < this->places.size(); ++i) {
+        TargetPlace &place = this->places[(first + i) % this->places.size()];
+        if (place.isListed && !place.isLeaving && place.target->isAlive()) {
+            this->note("target " + place.target->life() + " leaves after the store's return");
+            this->leaveTarget(place);
+            return;
+        }
+    }
+}
+
+void SoakRun::Private::writeAgain()
+{
+    this->administrator.publishAgain();
+    std::set<std::string> listed{StandInDialect::configurationKey()};
+    for (TargetPlace &place : this->places) {
+        if (place.isListed) {
+            listed.insert(StandInDialect::targetKey(TargetId{place.target->life()}));
+            this->listTarget(place, place.isLeaving);
+        }
+    }
+    for (const std::string &key : this->store.keys()) {
+        if (!listed.contains(key)) {
+            this->store.remove(key);
+        }
+    }
+}
+
+void SoakRun::Private::strikeStore(const SoakFault &fault)
+{
+    const auto inMood = [this, &fault](StoreMood mood) {
+        this->during(
+            fault.lasts,
+            {SoakJudge::storeSubject},
+            [this, mood] { this->store.setMood(mood); },
+            [this] { this->store.setMood(StoreMood::Up); });
+    };
+    switch (fault.kind) {
+    case SoakFaultKind::StoreSilent:
+        inMood(StoreMood::Silent);
+        return;
+    case SoakFaultKind::StoreBusy:
+        inMood(StoreMood::Busy);
+        return;
+    case SoakFaultKind::StoreReset:
+        inMood(StoreMood::Reset);
+        return;
+    case SoakFaultKind::StoreSlow:
+        inMood(StoreMood::Slow);
+        return;
+    case SoakFaultKind::StoreLosing:
+        inMood(StoreMood::Losing);
+        return;
+    case SoakFaultKind::StoreCompact:
+        this->during(
+            Millis{1}, {SoakJudge::storeSubject}, [this] { this->store.compact(); }, [] {});
+        return;
+    case SoakFaultKind::StoreLapse:
+        this->lapse(fault.lasts);
+        return;
+    default:
+        return;
+    }
+}
+
+void SoakRun::Private::listTarget(TargetPlace &place, bool isLeaving)
+{
+    GatewayTarget entry;
+    entry.id.value = place.target->life();
+    entry.service.value = place.target->service();
+    entry.address = toText(place.link->listening());
+    entry.dataCentre.value = "hall";
+    entry.slots = place.target->slots();
+    entry.isLeaving = isLeaving;
+    place.isListed = true;
+    place.isLeaving = isLeaving;
+    this->store.write(StandInDialect::targetKey(entry.id), StandInDialect::targetText(entry));
+}
+
+void SoakRun::Private::unlistTarget(TargetPlace &place)
+{
+    place.isListed = false;
+    this->store.remove(StandInDialect::targetKey(TargetId{place.target->life()}));
+    this->judge.leavingAcknowledged(place.target->life(), Millis::monotonicNow());
+}
+
+void SoakRun::Private::startTarget(TargetPlace &place, const std::string &service)
+{
+    place.target->start(service);
+    this->listTarget(place, false);
+    this->note("target " + place.target->life() + " of " + service + " started");
+}
+
+void SoakRun::Private::leaveTarget(TargetPlace &place)
+{
+    const std::string life = place.target->life();
+    const std::string service = place.target->service();
+    this->listTarget(place, true);
+    this->judge.leavingAcknowledged(life, Millis::monotonicNow());
+    this->after(leavingTime, [this, &place, life, service] {
+        if (place.target->life() != life || !place.target->isAlive()) {
+            return;
+        }
+        this->unlistTarget(place);
+        this->judge.disturbances().begin(SoakJudge::targetSubject(life), Millis::monotonicNow());
+        place.target->crash();
+        this->after(reuseWait, [this, &place, service] { this->startTarget(place, service); });
+    });
+}
+
+void SoakRun::Private::crashTarget(TargetPlace &place, Millis listedFor, const std::string &next)
+{
+    // What dies says nothing; its entry goes after some silence, and another life has another id.
+    const std::string life = place.target->life();
+    this->note("target " + life + " crashes");
+    this->judge.disturbances().begin(SoakJudge::targetSubject(life), Millis::monotonicNow());
+    place.target->crash();
+    this->after(listedFor, [this, &place] { this->unlistTarget(place); });
+    this->after(listedFor + reuseWait, [this, &place, next] { this->startTarget(place, next); });
+}
+
+void SoakRun::Private::strikeTarget(const SoakFault &fault, TargetPlace &place)
+{
+    const std::string life = place.target->life();
+    const std::string service = place.target->service();
+    if (!place.target->isAlive() || !place.isListed) {
+        return;
+    }
+    const std::string subject = SoakJudge::targetSubject(life);
+    const auto mood = static_cast<TargetMood>(1 + fault.detail % (nameTable<TargetMood>.size() - 1));
+    constexpr double halfOfThem = 0.5;
+    switch (fault.kind) {
+    case SoakFaultKind::CrashTarget:
+    case SoakFaultKind::ReuseAddress: {
+        const bool isReused = fault.kind == SoakFaultKind::ReuseAddress;
+        this->crashTarget(place, fault.lasts, !isReused ? service : service == "llm" ? "desk-b" : "llm");
+        return;
+    }
+    case SoakFaultKind::LeaveTarget:
+        this->leaveTarget(place);
+        return;
+    case SoakFaultKind::SilenceTarget:
+        this->strikeLink(*place.link, {LinkMode::Silent, {}}, fault.lasts, {subject});
+        return;
+    case SoakFaultKind::SilenceOpenTarget:
+        this->strikeLink(*place.link, {LinkMode::SilentOpen, {}}, Millis{1}, {subject});
+        return;
+    case SoakFaultKind::DelayTarget:
+        this->strikeLink(*place.link, {LinkMode::Delay, linkDelay}, fault.lasts, {subject});
+        return;
+    case SoakFaultKind::SpoilTarget:
+        this->note("target " + life + " is " + std::string(nameOf(mood)));
+        place.target->setMood(mood, halfOfThem);
+        this->after(fault.lasts, [&place] { place.target->setMood(TargetMood::Well, 0); });
+        return;
+    default:
+        return;
+    }
+}
+
+void SoakRun::Private::operate(const SoakFault &fault)
+{
+    switch (fault.kind) {
+    case SoakFaultKind::AddRoute:
+        this->administrator.addRoute();
+        return;
+    case SoakFaultKind::DropRoute:
+        this->administrator.dropRoute();
+        return;
+    case SoakFaultKind::MoveRoute:
+        this->administrator.moveRoute();
+        return;
+    case SoakFaultKind::ChangeTimeout:
+        this->administrator.changeTimeout(fault.detail);
+        return;
+    case SoakFaultKind::RevokeKey:
+        this->administrator.revokeKey(fault.detail);
+        return;
+    case SoakFaultKind::Storm:
+        for (std::uint64_t i = 0; i < stormChanges; ++i) {
+            this->after(stormGap * static_cast<std::int64_t>(i),
+                        [this, i] { i % 2 == 0 ? this->administrator.moveRoute() : this->administrator.addRoute(); });
+        }
+        return;
+    default:
+        return;
+    }
+}
+
+void SoakRun::Private::strike(const SoakFault &fault)
+{
+    this->note(toText(fault));
+    const std::size_t gateway = fault.subject % this->gateways.size();
+    TargetPlace &place = this->places[fault.subject % this->places.size()];
+    switch (fault.kind) {
+    case SoakFaultKind::KillAllGateways:
+        for (std::size_t i = 0; i < this->gateways.size(); ++i) {
+            this->killGateway(i, fault.lasts / 4);
+        }
+        return;
+    case SoakFaultKind::RollGateways:
+        for (std::size_t i = 0; i < this->gateways.size(); ++i) {
+            this->after(fault.lasts * static_cast<std::int64_t>(i) / 2, [this, i] { this->stopGateway(i); });
+        }
+        return;
+    case SoakFaultKind::SpoilService:
+        for (TargetPlace &one : this->places) {
+            if (one.target->service() == place.target->service()) {
+                SoakFault each = fault;
+                each.kind = SoakFaultKind::SpoilTarget;
+                this->strikeTarget(each, one);
+            }
+        }
+        return;
+    default:
+        break;
+    }
+    if (fault.kind < SoakFaultKind::StoreSilent || fault.kind == SoakFaultKind::CutCallers
+        || fault.kind == SoakFaultKind::DelayCallers) {
+        this->strikeGateway(fault, gateway);
+    } else if (fault.kind < SoakFaultKind::CutCallers) {
+        this->strikeStore(fault);
+    } else if (fault.kind < SoakFaultKind::AddRoute) {
+        this->strikeTarget(fault, place);
+    } else {
+        this->operate(fault);
+    }
+}
+
+} // namespace Sequoiausher::Lab
--- /dev/null
+++ b/lab/soak/soakrunprivate.h
@@ -0,0 +1,113 @@
+#pragma once
+
+// The soak's run from within: its parts, the clock by which its actions go, and what its faults do to gateways, store,
+// links and targets.
+//
+//     run.during(span, {SoakJudge::storeSubject}, [&] { begin(); }, [&] { end(); });
+//     run.strike(fault);
+
+#include "lab/soak/crashingcaller.h"
+#include "lab/soak/lastingcaller.h"
+#include "lab/soak/soakcaller.h"
+#include "lab/soak/soakgateway.h"
+#include "lab/soak/soakjudge.h"
+#include "lab/soak/soakoperator.h"
+#include "lab/soak/soakrun.h"
+#include "lab/soak/soakstore.h"
+#include "lab/soak/soaktarget.h"
+
+#include <QTimer>
+
+#include <fstream>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Sequoiausher::Lab {
+
+inline constexpr Millis pollInterval{250};
+/** A stopped gateway is gone so long after SIGTERM: its grace and what it takes to end. */
+inline constexpr Millis longestStop{9000};
+
+class SoakRun::Private
+{
+public:
+    explicit Private(const SoakOptions &with);
+
+    struct TargetPlace
+    {
+        std::unique_ptr<SoakTarget> target;
+        std::unique_ptr<Relay> link;
+        /** Its entry stands in the store. */
+        bool isListed = false;
+        bool isLeaving = false;
+    };
+
+    void setUp();
+    void tick();
+    void watchProcesses(Millis now);
+    void at(Millis when, std::function<void()> action);
+    void after(Millis span, std::function<void()> action);
+    /** Does begin now and end after the span, with the subjects disturbed meanwhile. */
+    void during(Millis span,
+                const std::vector<std::string> &subjects,
+                const std::function<void()> &begin,
+                const std::function<void()> &end);
+    void strike(const SoakFault &fault);
+    void strikeGateway(const SoakFault &fault, std::size_t gateway);
+    void strikeStore(const SoakFault &fault);
+    void strikeTarget(const SoakFault &fault, TargetPlace &place);
+    void operate(const SoakFault &fault);
+    void strikeLink(Relay &relay, const Link &link, Millis span, const std::vector<std::string> &subjects);
+    void killGateway(std::size_t number, Millis down);
+    void stopGateway(std::size_t number);
+    void mayCut(std::size_t number, std::uint64_t life);
+    void startGateway(std::size_t number);
+    void startTarget(TargetPlace &place, const std::string &service);
+    void listTarget(TargetPlace &place, bool isLeaving);
+    void unlistTarget(TargetPlace &place);
+    void leaveTarget(TargetPlace &place);
+    /** @param listedFor how long its entry stays. @param next the service of its next life. */
+    void crashTarget(TargetPlace &place, Millis listedFor, const std::string &next);
+    void lapse(Millis span);
+    /** The store is away from then on, and comes back from a copy made some time before. */
+    void planReturn(Millis at);
+    /** One that is there says that it leaves. */
+    void leaveAnyTarget();
+    /** What the copy does not have is written again. */
+    void writeAgain();
+    std::optional<SoakEntry> pick();
+    void note(const std::string &line);
+    static std::string unplanned(std::size_t gateway);
+    static std::string killed(std::size_t gateway);
+    void readLogs(Millis now);
+    void finish(SoakResult &result, Millis calmFrom);
+
+    SoakOptions options;
+    std::mt19937_64 random;
+    /** For returns alone, so that a seed's other faults stay the same. */
+    std::mt19937_64 returns;
+    SoakJudge judge;
+    SoakStore store;
+    SoakOperator administrator;
+    std::vector<std::unique_ptr<SoakGateway>> gateways;
+    std::vector<TargetPlace> places;
+    std::vector<std::unique_ptr<SoakCaller>> callers;
+    std::vector<std::unique_ptr<LastingCaller>> lasting;
+    std::unique_ptr<CrashingCaller> crashing;
+    std::multimap<Millis, std::function<void()>> actions;
+    QTimer timer;
+    std::ofstream log;
+    Millis startedAt;
+    Millis lastTick;
+    Millis nextPoll;
+    Millis longestPause;
+    std::uint64_t picks = 0;
+    std::size_t faultsOpen = 0;
+};
+
+} // namespace Sequoiausher::Lab
