--- a/sequoiausher/coordination/gateway/requestquarantine.h
+++ b/sequoiausher/coordination/gateway/requestquarantine.h
@@ -1,14 +1,13 @@
 #pragma once
 
 // Requests under which several targets ended one after the other, and which therefore no further target gets. Each
-// gateway counts what it saw itself and what its peers tell; all that is told only adds up, in any order and any
-// number of times, so gateways agree without asking each other.
+// gateway counts what it saw itself and what its peers tell, in whichever order and however often it hears it, so
+// gateways come to the same verdict without asking each other.
 //
-//     RequestQuarantine quarantine;
-//     quarantine.lost(fingerprint, target, sentAt, now);      // the connection on which the target had the request
-//     broke quarantine.targetEnded(target, now);                    // and nobody listens there any more if (const auto
-//     wait = quarantine.refusedFor(fingerprint, now)) { refuse(*wait); } report.crashes = quarantine.newsFor(peer,
-//     NewsScope::All, now);
+//     quarantine.lost(fingerprint, target, sentAt, now);
+//     quarantine.targetEnded(target, now);
+//     const std::optional<Millis> wait = quarantine.refusedFor(fingerprint, now);
+//     report.crashes = quarantine.newsFor(peer, NewsScope::All, now);
 
 #include "sequoiausher/base/identifiers.h"
 #include "sequoiausher/base/millis.h"
