Forget lost connections in one place, also where nothing new is lost

Seen in reading the change: a lost connection was forgotten only when the next one was lost. Until then a target that left the list minutes later was logged as 'ended with requests in hand', though nothing was held against any request, and each admitted request looked through what was past deciding. One function forgets now, before each use. A comment had also come apart from its line.

--- a/sequoiausher/coordination/gateway/requestquarantine.cpp
+++ b/sequoiausher/coordination/gateway/requestquarantine.cpp
@@ -94,6 +94,8 @@
     std::optional<Millis> answeredAt(const RequestFingerprint &request, Millis now) const;
     void makeRoom();
     void expire(Millis now);
+    /** Of those that the list of targets cannot decide any more. */
+    void forgetLosses(Millis now);
 
     RequestQuarantineSettings settings;
     Suspects suspects;
@@ -114,16 +116,16 @@
 
 void RequestQuarantine::lost(const RequestFingerprint &request, const TargetId &target, Millis sentAt, Millis now)
 {
-    std::erase_if(this->d->losses,
-                  [this, now](const Loss &loss) { return now - loss.at > this->d->settings.lossLife; });
+    this->d->forgetLosses(now);
     this->d->losses.push_back({request, target, sentAt, now});
 }
 
 std::vector<RequestFingerprint> RequestQuarantine::targetEnded(const TargetId &target, Millis now)
 {
+    this->d->forgetLosses(now);
     std::vector<Loss> known;
-    std::erase_if(this->d->losses, [&known, &target, now, lossLife = this->d->settings.lossLife](const Loss &loss) {
-        if (loss.target == target && now - loss.at <= lossLife) {
+    std::erase_if(this->d->losses, [&known, &target](const Loss &loss) {
+        if (loss.target == target) {
             known.push_back(loss);
         }
         return loss.target == target;
@@ -142,8 +144,9 @@
     }
 }
 
-std::vector<TargetId> RequestQuarantine::undecidedTargets() const
+std::vector<TargetId> RequestQuarantine::undecidedTargets(Millis now)
 {
+    this->d->forgetLosses(now);
     std::vector<TargetId> targets;
     for (const Loss &loss : this->d->losses) {
         if (std::find(targets.begin(), targets.end(), loss.target) == targets.end()) {
@@ -340,6 +343,11 @@
                   [this, now](const auto &entry) { return now - entry.second.seenAt > this->settings.life; });
 }
 
+void RequestQuarantine::Private::forgetLosses(Millis now)
+{
+    std::erase_if(this->losses, [this, now](const Loss &loss) { return now - loss.at > this->settings.lossLife; });
+}
+
 std::vector<GatewayCrash> RequestQuarantine::newsFor(const InstanceId &peer, NewsScope scope, Millis now)
 {
     std::vector<std::pair<std::size_t, GatewayCrash>> news;
@@ -373,6 +381,7 @@
 {
     const auto found = this->d->suspects.find(request);
     if (found == this->d->suspects.end() || !found->second.isRefused) {
+        this->d->forgetLosses(now);
         if (this->d->losses.empty()) {
             return std::nullopt;
         }
--- a/sequoiausher/coordination/gateway/requestquarantine.h
+++ b/sequoiausher/coordination/gateway/requestquarantine.h
@@ -67,8 +67,8 @@
      * have ended after all: what takes connections may stand in between.
      */
     void targetLives(const TargetId &target);
-    /** Targets where something was lost, and that are not known to have ended. */
-    std::vector<TargetId> undecidedTargets() const;
+    /** Targets where something was lost lately, and that are not known to have ended. */
+    std::vector<TargetId> undecidedTargets(Millis now);
     /** The request was answered whole. */
     void answered(const RequestFingerprint &request, Millis now);
 
--- a/sequoiausher/coordination/gateway/requestquarantinetest.cpp
+++ b/sequoiausher/coordination/gateway/requestquarantinetest.cpp
@@ -169,6 +169,9 @@
         for (int i = 0; i < 9; ++i) {
             CHECK(quarantine.targetEnded(target(i), Millis{20000}).empty());
         }
+        quarantine.lost(culprit, target(9), Millis{30000}, Millis{30000});
+        CHECK(quarantine.undecidedTargets(Millis{35000}).size() == 1);
+        CHECK(quarantine.undecidedTargets(Millis{35001}).empty());
     }
     SUBCASE("a target that is found to have ended long after the connection was lost")
     {
@@ -196,10 +199,10 @@
         quarantine.lost(culprit, target(i), at - runTime, at);
         quarantine.targetLives(target(i));
         CHECK_FALSE(quarantine.refusedFor(culprit, at + Millis{100}));
-        CHECK(quarantine.undecidedTargets() == std::vector{target(i)});
+        CHECK(quarantine.undecidedTargets(at + Millis{100}) == std::vector{target(i)});
         const auto refused = quarantine.targetEnded(target(i), at + Millis{3400});
         CHECK(refused == (i < 2 ? std::vector<RequestFingerprint>() : std::vector{culprit}));
-        CHECK(quarantine.undecidedTargets().empty());
+        CHECK(quarantine.undecidedTargets(at + Millis{3400}).empty());
     }
 }
 
--- a/sequoiausher/transport/gateway/gatewayknowledge.cpp
+++ b/sequoiausher/transport/gateway/gatewayknowledge.cpp
@@ -205,18 +205,19 @@
 void GatewayKnowledge::Private::targetsChanged(std::string_view why)
 {
     const std::vector<GatewayTarget> targets = this->known.targets.targets();
-    this->context.board.setTargets(targets, Millis::monotonicNow());
+    const Millis now = Millis::monotonicNow();
+    this->context.board.setTargets(targets, now);
     std::size_t leaving = 0;
     for (const GatewayTarget &target : targets) {
         leaving += target.isLeaving ? 1 : 0;
     }
-    // Connections to a life that is over would carry requests into the void, or to whoever has the address now.
     // A target that was dropped without a word ended, also where something in between still takes its connections.
-    for (const TargetId &lost : this->context.quarantine.undecidedTargets()) {
+    for (const TargetId &lost : this->context.quarantine.undecidedTargets(now)) {
         if (!this->context.board.isListed(lost)) {
             this->context.targetEnded(lost);
         }
     }
+    // Connections to a life that is over would carry requests into the void, or to whoever has the address now.
     this->context.pools.keepOnly([this](const TargetId &id) { return this->context.board.isListed(id); });
     this->context.log.info(LogPart::Targets,
                            "targets changed",
