--- a/lab/soak/calldraw.cpp
+++ b/lab/soak/calldraw.cpp
@@ -1,7 +1,5 @@
 #include "lab/soak/calldraw.h"
 
-#include "platform/standindialect.h"
-
 #include <utility>
 
 namespace Sequoiausher::Lab {
@@ -19,6 +17,19 @@
 
 } // namespace
 
+StandInDialect::CallerCall wireOf(const SoakCall &call)
+{
+    StandInDialect::CallerCall wire;
+    wire.method = call.method;
+    wire.path = call.path;
+    wire.host = "soak.example";
+    wire.attemptId = call.id;
+    wire.key = call.key;
+    wire.timeLeft = call.timeLeft;
+    wire.bodyBytes = call.body.size();
+    return wire;
+}
+
 CallDraw::CallDraw(std::string with, const SoakOffer &offered, std::uint64_t seed)
     : prefix(std::move(with))
     , offer(offered)
@@ -56,14 +67,7 @@
 
 std::string CallDraw::wire(const SoakCall &call)
 {
-    StandInDialect::CallerCall wire;
-    wire.method = call.method;
-    wire.path = call.path;
-    wire.host = soakHost;
-    wire.attemptId = call.id;
-    wire.key = call.key;
-    wire.timeLeft = call.timeLeft;
-    wire.bodyBytes = call.body.size();
+    StandInDialect::CallerCall wire = wireOf(call);
     wire.forges = this->between(1, 100) <= forgingPercent;
     if (isStream(call.kind)) {
         wire.model = "m";
--- a/lab/soak/calldraw.h
+++ b/lab/soak/calldraw.h
@@ -7,6 +7,7 @@
 //     connection.send(draw.wire(call));
 
 #include "lab/soak/soakrecords.h"
+#include "platform/standindialect.h"
 
 #include <cstdint>
 #include <random>
@@ -39,6 +40,9 @@
     std::vector<std::string> extraRoutes;
 };
 
+/** What every call says on the wire; some say more. */
+StandInDialect::CallerCall wireOf(const SoakCall &call);
+
 /** See above. */
 class CallDraw
 {
--- a/lab/soak/crashingcaller.cpp
+++ b/lab/soak/crashingcaller.cpp
@@ -66,18 +66,10 @@
     call.body = "what ends its targets";
     call.sentAt = now;
     call.timeLeft = patience;
-    StandInDialect::CallerCall wire;
-    wire.method = call.method;
-    wire.path = call.path;
-    wire.host = soakHost;
-    wire.attemptId = call.id;
-    wire.key = call.key;
-    wire.timeLeft = call.timeLeft;
-    wire.bodyBytes = call.body.size();
     this->current = call;
     this->connection = std::make_unique<FakeCaller>(entry->address);
     this->judge.sent(call);
-    this->connection->send(StandInDialect::callerHead(wire) + call.body);
+    this->connection->send(StandInDialect::callerHead(wireOf(call)) + call.body);
 }
 
 void CrashingCaller::finish(Millis now)
--- a/lab/soak/soakrecords.h
+++ b/lab/soak/soakrecords.h
@@ -28,7 +28,6 @@
 
 /** A request with this path ends each target that runs it, a moment later. */
 inline constexpr const char *crashingPath = "/job/crash";
-inline constexpr const char *soakHost = "soak.example";
 
 /** What callers ask for; each kind has a route of its own. */
 enum class CallKind {
