--- a/sequoiausher/coordination/gateway/targetboard.h
+++ b/sequoiausher/coordination/gateway/targetboard.h
@@ -11,7 +11,7 @@
 //     board.recordEnd(chosen->target.id, TargetOutcome::Answered, now);
 
 #include "sequoiausher/coordination/gateway/gatewayconfiguration.h"
-#include "sequoiausher/coordination/gateway/targethealthscore.h"
+#include "sequoiausher/coordination/gateway/targeteligibility.h"
 #include "sequoiausher/coordination/messages/gatewaymessages.h"
 #include "sequoiausher/coordination/rules/decision.h"
 
@@ -62,6 +62,8 @@
     std::uint64_t totalInFlight = 0;
     /** The number of targets that could have been chosen. */
     std::size_t usableTargetCount = 0;
+    /** Why the others could not. */
+    IneligibilityCounts passedOver;
 };
 
 /** Loads and health of all targets. Not thread-safe. */
--- /dev/null
+++ b/sequoiausher/coordination/gateway/targeteligibility.cpp
@@ -0,0 +1,71 @@
+#include "sequoiausher/coordination/gateway/targeteligibility.h"
+
+#include <algorithm>
+
+namespace Sequoiausher {
+
+std::optional<Ineligibility> findLastingIneligibility(const TargetState &target)
+{
+    if (!target.isListed) {
+        return Ineligibility::Unlisted;
+    }
+    if (target.target.isLeaving || target.hasAnnouncedLeaving) {
+        return Ineligibility::Leaving;
+    }
+    return std::nullopt;
+}
+
+std::optional<Ineligibility>
+findIneligibility(const TargetState &target, const EligibilityCriteria &criteria, Millis now)
+{
+    if (const std::optional<Ineligibility> lasting = findLastingIneligibility(target)) {
+        return lasting;
+    }
+    const std::vector<TargetId> &excluded = criteria.excluded;
+    if (std::find(excluded.begin(), excluded.end(), target.target.id) != excluded.end()) {
+        return Ineligibility::Tried;
+    }
+    if (now < target.backoffUntil) {
+        return Ineligibility::Backoff;
+    }
+    if (target.health.isEjected(now)) {
+        return Ineligibility::Failing;
+    }
+    if (now < target.fullUntil) {
+        return Ineligibility::Full;
+    }
+    return std::nullopt;
+}
+
+bool isDoubtful(const TargetState &target, Millis now)
+{
+    return target.health.isEjected(now) || now < target.fullUntil;
+}
+
+bool isDisregardable(Ineligibility reason)
+{
+    return reason == Ineligibility::Failing || reason == Ineligibility::Full;
+}
+
+void IneligibilityCounts::add(Ineligibility reason)
+{
+    this->counts[static_cast<std::size_t>(reason)] += 1;
+}
+
+std::size_t IneligibilityCounts::count(Ineligibility reason) const
+{
+    return this->counts[static_cast<std::size_t>(reason)];
+}
+
+std::string IneligibilityCounts::text() const
+{
+    std::string all;
+    for (const auto &entry : nameTable<Ineligibility>) {
+        if (const std::size_t number = this->count(entry.value)) {
+            all += (all.empty() ? "" : " ") + std::string(entry.name) + ":" + std::to_string(number);
+        }
+    }
+    return all;
+}
+
+} // namespace Sequoiausher
--- /dev/null
+++ b/sequoiausher/coordination/gateway/targetstate.h
@@ -0,0 +1,46 @@
+#pragma once
+
+// What one gateway knows of one target: its entry, its load as this gateway and its peers count it, and its health.
+// TargetBoard keeps these; the components that decide about a target only read them.
+
+#include "sequoiausher/coordination/gateway/gatewayconfiguration.h"
+#include "sequoiausher/coordination/gateway/targethealthscore.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace Sequoiausher {
+
+/** The state of one target. */
+struct TargetState
+{
+    GatewayTarget target;
+    std::uint64_t hash = 0;
+    std::uint32_t ownInFlight = 0;
+    /** The sum of the peers' reported requests. */
+    std::uint32_t peersInFlight = 0;
+    /** Requests sent by this gateway since the last round of reports, in which gateways got each other's loads. */
+    std::uint32_t sentSinceReport = 0;
+    /** The sequence number of the last request sent to the target, among all requests of this gateway; 0 for none. */
+    std::uint64_t lastSentNumber = 0;
+    /** The moving average of the answer time; 0 before the first answer. */
+    double averageAnswerMs = 0;
+    /** The moving average of the load in the last rounds; absent before the first round. */
+    std::optional<double> averageLoad;
+    TargetHealthScore health;
+    Millis fullUntil;
+    /** No request is sent to the target before this time. */
+    Millis backoffUntil;
+    Millis lastActivityAt;
+    bool isListed = true;
+    /** The target itself announced that it leaves. */
+    bool hasAnnouncedLeaving = false;
+
+    /** Requests in flight of this gateway and, by their last reports, of its peers. */
+    std::uint32_t inFlight() const
+    {
+        return this->ownInFlight + this->peersInFlight;
+    }
+};
+
+} // namespace Sequoiausher
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -523,6 +523,7 @@
          {"target_load", std::to_string(this->chosen.inFlight)},
          {"service_load", std::to_string(this->chosen.totalInFlight)},
          {"usable", std::to_string(this->chosen.usableTargetCount)},
+         {"passed_over", this->chosen.passedOver.text()},
          {"admitted_percent", std::to_string(static_cast<int>(this->admitted.admittedPart * percent))},
          {"configuration", std::to_string(this->admitted.table ? this->admitted.table->configuration().revision : 0)},
          {"proof_age_ms", text(this->context.proofAge(now))},
