Send nothing to data centres under evacuation

What callers saw: requests went to targets in a data centre that the operator was emptying.

Cause: the operator's request lies in the store beside the configuration. Its event came with the watch and was dropped, the list did not ask for it, and nothing in the choice of targets knew of data centres.

Ruled out: a call of its own for the list (each start of each gateway would make one more, and calls are priced); sending evacuations with the documents of targets (gateways of the last release refuse documents with unknown sections).

Change: one list from the key after the configuration's on has evacuations and targets, so no call is added. EvacuationList keeps for each data centre the position of its last change, the later one holds; it is merged from lists, events and peers' reports in any order. Reports carry a digest always and the states where the digests differ, as optional fields. What a peer read of the store counts as knowledge only if both know the same evacuations, so a gateway beside peers of the last release reads the store itself. A watch goes on from the position up to which targets and evacuations are known. A gateway is ready once it knows. Where all data centres of a service are evacuated, callers are refused at once and told to come back after a second.

--- a/sequoiausher/coordination/gateway/targetboard.cpp
+++ b/sequoiausher/coordination/gateway/targetboard.cpp
@@ -96,8 +96,12 @@
     void groupByService()
     {
         this->byService.clear();
+        this->lastingCounts.clear();
         for (auto &[id, state] : this->targets) {
-            if (!findLastingIneligibility(state)) {
+            state.isEvacuated = this->evacuated.contains(state.target.dataCentre);
+            if (const std::optional<Ineligibility> reason = findLastingIneligibility(state)) {
+                this->lastingCounts[state.target.service].add(*reason);
+            } else {
                 this->byService[state.target.service].push_back(&state);
             }
         }
@@ -133,6 +137,9 @@
     std::map<TargetId, TargetState> targets;
     /** The targets of each service without a lasting reason to pass them over. */
     std::map<PoolId, std::vector<TargetState *>> byService;
+    /** The other targets of each service, by reason. */
+    std::map<PoolId, IneligibilityCounts> lastingCounts;
+    std::set<DataCentreId> evacuated;
     /** The current incarnation of each listed target, by the target's listed name. */
     std::unordered_map<TargetId, TargetId> currentIncarnations;
     /** Kept longer than the list's entries, because an entry may come back. */
@@ -186,6 +193,12 @@
     }
 }
 
+void TargetBoard::setEvacuated(std::set<DataCentreId> dataCentres)
+{
+    this->d->evacuated = std::move(dataCentres);
+    this->d->groupByService();
+}
+
 void TargetBoard::updatePeerLoads(const InstanceId &peer, const std::vector<GatewayLoad> &loads, Millis now)
 {
     this->d->expire(now);
@@ -270,7 +283,7 @@
     this->d->expire(now);
     const std::vector<TargetState *> &candidates = this->d->byService[criteria.service];
     TargetSelector &selector = this->d->selector(criteria.policy);
-    IneligibilityCounts passedOver;
+    IneligibilityCounts passedOver = this->d->lastingCounts[criteria.service];
     const PoolLoad load = this->d->loadOf(candidates, criteria, selector, passedOver, now);
     const auto usable = std::count_if(
         load.targets.begin(), load.targets.end(), [](const TargetLoad &target) { return target.usable; });
@@ -291,6 +304,19 @@
                         passedOver};
 }
 
+IneligibilityCounts TargetBoard::countIneligible(const TargetCriteria &criteria, Millis now) const
+{
+    IneligibilityCounts counts;
+    for (const auto &[id, state] : this->d->targets) {
+        if (state.target.service == criteria.service) {
+            if (const auto reason = findIneligibility(state, {criteria.excluded}, now)) {
+                counts.add(*reason);
+            }
+        }
+    }
+    return counts;
+}
+
 std::optional<GatewayTarget> TargetBoard::findCopySource(const std::vector<TargetId> &holders, Millis now)
 {
     this->d->expire(now);
@@ -459,10 +485,10 @@
     return state != nullptr && state->isListed;
 }
 
-bool TargetBoard::isEligible(const TargetId &target) const
+bool TargetBoard::isStaying(const TargetId &target) const
 {
     const TargetState *state = this->d->find(target);
-    return state != nullptr && !findLastingIneligibility(*state);
+    return state != nullptr && state->isListed && !state->target.isLeaving && !state->hasAnnouncedLeaving;
 }
 
 std::size_t TargetBoard::targetCount(const PoolId &service) const
--- a/sequoiausher/coordination/gateway/targetboard.h
+++ b/sequoiausher/coordination/gateway/targetboard.h
@@ -17,6 +17,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace Sequoiausher {
@@ -75,6 +76,8 @@
 
     /** Replaces the list of targets; the loads of targets that stay are kept. */
     void setTargets(const std::vector<GatewayTarget> &targets, Millis now);
+    /** Sets the data centres whose targets get no requests. */
+    void setEvacuated(std::set<DataCentreId> dataCentres);
     /** Replaces the loads that the peer reported before. */
     void updatePeerLoads(const InstanceId &peer, const std::vector<GatewayLoad> &loads, Millis now);
 
@@ -86,6 +89,8 @@
 
     /** Chooses a target for the request; none where the service has no usable target. */
     std::optional<ChosenTarget> choose(const TargetCriteria &criteria, Millis now);
+    /** Counts the targets of the service that the request cannot go to, by reason. */
+    IneligibilityCounts countIneligible(const TargetCriteria &criteria, Millis now) const;
 
     /**
      * Finds the target with the fewest requests in flight among the holders that are listed, not ejected and not in
@@ -132,7 +137,7 @@
     /** Whether this incarnation is listed; it may be leaving. */
     bool isListed(const TargetId &target) const;
     /** Whether this incarnation is listed, and neither the store nor the target itself has announced that it leaves. */
-    bool isEligible(const TargetId &target) const;
+    bool isStaying(const TargetId &target) const;
     std::size_t targetCount(const PoolId &service) const;
     /** Requests in flight at the eligible targets of the service. */
     std::uint64_t inFlight(const PoolId &service, Millis now) const;
--- a/sequoiausher/coordination/gateway/targetboardtest.cpp
+++ b/sequoiausher/coordination/gateway/targetboardtest.cpp
@@ -241,7 +241,7 @@
     CHECK(board.markLeaving(leaving, Millis{20}));
     CHECK_FALSE(board.markLeaving(leaving, Millis{30}));
     CHECK_FALSE(isChosen(leaving, Millis{40}));
-    CHECK_FALSE(board.isEligible(leaving));
+    CHECK_FALSE(board.isStaying(leaving));
     CHECK(board.targetCount(engines) == 1);
     board.recordEnd(leaving, TargetOutcome::Answered, Millis{50});
     board.setTargets({targets[1]}, Millis{60});
--- a/sequoiausher/coordination/gateway/targeteligibility.cpp
+++ b/sequoiausher/coordination/gateway/targeteligibility.cpp
@@ -12,6 +12,9 @@
     if (target.target.isLeaving || target.hasAnnouncedLeaving) {
         return Ineligibility::Leaving;
     }
+    if (target.isEvacuated) {
+        return Ineligibility::Evacuated;
+    }
     return std::nullopt;
 }
 
--- a/sequoiausher/coordination/gateway/targeteligibility.h
+++ b/sequoiausher/coordination/gateway/targeteligibility.h
@@ -23,6 +23,8 @@
     Unlisted,
     /** The store or the target itself announced that it leaves. */
     Leaving,
+    /** The target's data centre is under evacuation. */
+    Evacuated,
     /** The request was sent to the target before. */
     Tried,
     /** The target asked for no requests for a while. */
@@ -37,6 +39,7 @@
 inline constexpr auto nameTable<Ineligibility> = std::to_array<NameEntry<Ineligibility>>({
     {Ineligibility::Unlisted, "unlisted"},
     {Ineligibility::Leaving, "leaving"},
+    {Ineligibility::Evacuated, "evacuated"},
     {Ineligibility::Tried, "tried"},
     {Ineligibility::Backoff, "backoff"},
     {Ineligibility::Failing, "failing"},
@@ -51,8 +54,8 @@
 };
 
 /**
- * Finds the reason that holds for every request until the target's entry or announcement changes. Targets without one
- * make up the service that loads are compared within.
+ * Finds the reason that holds for every request until the target's entry, its announcement or an evacuation changes.
+ * Targets without one make up the service that loads are compared within.
  */
 std::optional<Ineligibility> findLastingIneligibility(const TargetState &target);
 
--- a/sequoiausher/coordination/gateway/targeteligibilitytest.cpp
+++ b/sequoiausher/coordination/gateway/targeteligibilitytest.cpp
@@ -31,6 +31,7 @@
         {Ineligibility::Unlisted, [](TargetState &state, EligibilityCriteria &) { state.isListed = false; }},
         {Ineligibility::Leaving, [](TargetState &state, EligibilityCriteria &) { state.target.isLeaving = true; }},
         {Ineligibility::Leaving, [](TargetState &state, EligibilityCriteria &) { state.hasAnnouncedLeaving = true; }},
+        {Ineligibility::Evacuated, [](TargetState &state, EligibilityCriteria &) { state.isEvacuated = true; }},
         {Ineligibility::Tried,
          [](TargetState &state, EligibilityCriteria &criteria) { criteria.excluded = {state.target.id}; }},
         {Ineligibility::Backoff,
--- a/sequoiausher/coordination/gateway/targetstate.h
+++ b/sequoiausher/coordination/gateway/targetstate.h
@@ -35,6 +35,8 @@
     bool isListed = true;
     /** The target itself announced that it leaves. */
     bool hasAnnouncedLeaving = false;
+    /** The target's data centre is under evacuation. */
+    bool isEvacuated = false;
 
     /** Requests in flight of this gateway and, by their last reports, of its peers. */
     std::uint32_t inFlight() const
--- a/sequoiausher/coordination/messages/gatewaymessages.h
+++ b/sequoiausher/coordination/messages/gatewaymessages.h
@@ -52,6 +52,16 @@
     bool operator==(const GatewayCrash &) const = default;
 };
 
+/** Whether a data centre is evacuated, and the position of the store at which that last changed. */
+struct GatewayEvacuation
+{
+    DataCentreId dataCentre;
+    Revision changedAt = 0;
+    bool isEvacuated = false;
+
+    bool operator==(const GatewayEvacuation &) const = default;
+};
+
 /** A gateway on the sender's list of gateways. */
 struct GatewayMember
 {
@@ -113,6 +123,10 @@
     std::uint64_t storeEra = 0;
     /** Crashes and whole answers that are new, and crashes of requests that are refused fleet-wide. */
     std::vector<GatewayCrash> crashes;
+    /** The digest of the sender's evacuations; 0 if it knows nothing of evacuations. */
+    std::uint64_t evacuationsDigest = 0;
+    /** All data centres that were ever evacuated; left out if the receiver reported the same digest. */
+    std::vector<GatewayEvacuation> evacuations;
 
     bool operator==(const GatewayReport &) const = default;
 };
--- a/sequoiausher/protocol/codec/framereader.cpp
+++ b/sequoiausher/protocol/codec/framereader.cpp
@@ -674,6 +674,12 @@
                                   spanOf(crash->age()),
                                   spanOf(crash->ran_for())});
     }
+    report.evacuationsDigest = m->evacuations_digest();
+    for (std::size_t i = 0; i < this->sizeOf(m->evacuations()); ++i) {
+        const auto *evacuation = m->evacuations()->Get(static_cast<flatbuffers::uoffset_t>(i));
+        report.evacuations.push_back(
+            {DataCentreId{this->name(evacuation->data_centre())}, evacuation->changed_at(), evacuation->evacuated()});
+    }
     return report;
 }
 
--- a/sequoiausher/protocol/codec/framewriter.cpp
+++ b/sequoiausher/protocol/codec/framewriter.cpp
@@ -448,7 +448,13 @@
         crashes.emplace_back(
             crash.caller, crash.content, wireSpan(crash.age), wireSpan(crash.ranFor), this->index(crash.target.value));
     }
+    std::vector<Wire::GatewayEvacuation> evacuations;
+    for (const GatewayEvacuation &evacuation : m.evacuations) {
+        evacuations.emplace_back(
+            evacuation.changedAt, this->index(evacuation.dataCentre.value), evacuation.isEvacuated);
+    }
     const auto crashesAt = this->structs(crashes);
+    const auto evacuationsAt = this->structs(evacuations);
     const auto membersAt = this->structs(members);
     const auto placementsAt = this->structs(placements);
     const auto loadsAt = this->structs(loads);
@@ -474,7 +480,9 @@
                                                              memberDataCentresAt,
                                                              m.isSettled,
                                                              m.storeEra,
-                                                             crashesAt));
+                                                             crashesAt,
+                                                             m.evacuationsDigest,
+                                                             evacuationsAt));
 }
 
 // Without the order, a router of the first version would not see the messages of a kind that it does not know.
--- a/sequoiausher/protocol/codec/messagegenerators.cpp
+++ b/sequoiausher/protocol/codec/messagegenerators.cpp
@@ -168,6 +168,7 @@
 SEQUOIAUSHER_ARBITRARY(GatewayMember, m.instance, m.age, m.strength, m.dataCentre);
 SEQUOIAUSHER_ARBITRARY(GatewayPlacement, m.part, m.target);
 SEQUOIAUSHER_ARBITRARY(GatewayCrash, m.caller, m.content, m.target, m.age, m.ranFor);
+SEQUOIAUSHER_ARBITRARY(GatewayEvacuation, m.dataCentre, m.changedAt, m.isEvacuated);
 SEQUOIAUSHER_ARBITRARY(GatewayReport,
                        m.sentAt,
                        m.echo,
@@ -187,7 +188,9 @@
                        m.dataCentre,
                        m.isSettled,
                        m.storeEra,
-                       m.crashes);
+                       m.crashes,
+                       m.evacuationsDigest,
+                       m.evacuations);
 
 #undef SEQUOIAUSHER_ARBITRARY
 
--- a/sequoiausher/protocol/gateway/gatewaydialect.h
+++ b/sequoiausher/protocol/gateway/gatewaydialect.h
@@ -10,6 +10,7 @@
 #include "sequoiausher/base/identifiers.h"
 #include "sequoiausher/base/millis.h"
 #include "sequoiausher/coordination/gateway/gatewayconfiguration.h"
+#include "sequoiausher/coordination/messages/gatewaymessages.h"
 #include "sequoiausher/protocol/http/httpmessage.h"
 
 #include <cstdint>
@@ -106,6 +107,8 @@
     std::vector<TargetId> unreadable;
     /** Entries that could not be read, each with its key and what is wrong. */
     std::vector<std::string> problems;
+    /** The evacuated data centres, each with the store's revision at which the operator requested it. */
+    std::vector<GatewayEvacuation> evacuations;
 };
 
 /** One change in the store. */
@@ -119,6 +122,8 @@
     TargetId removedTarget;
     /** The name of a target whose entry was overwritten by one that cannot be read; empty for none. */
     TargetId unreadableTarget;
+    /** Present where the operator requested an evacuation or took one back. */
+    std::optional<GatewayEvacuation> evacuation;
 };
 
 /** What a watch heard. */
@@ -150,9 +155,10 @@
     /** Method and path of the calls to the store, and their answers. */
     virtual std::string configurationCall() const = 0;
     virtual StoredConfiguration readConfigurationAnswer(int status, const std::string &body) const = 0;
+    /** Lists targets and evacuations. @param next where the page begins; empty for the first one. */
     virtual std::string targetsCall(const std::string &next) const = 0;
     virtual StoredTargets readTargetsAnswer(const std::string &body) const = 0;
-    /** Waits for changes of the configuration and of targets. */
+    /** Waits for changes of the configuration, of targets and of evacuations. */
     virtual std::string watchCall(Revision after, Millis wait) const = 0;
     virtual StoreEvents readWatchAnswer(const std::string &body) const = 0;
     /** Whether a watch's answer with this status says that its history is gone. */
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -22,6 +22,8 @@
 
 /** When to come back where no target is free. */
 constexpr Millis retryWhenFull{200};
+/** When to come back where no data centre may serve: an operator acts before that in seconds, not in milliseconds. */
+constexpr Millis retryWhenEvacuated{1000};
 /** Log lines name a shared part by a number below this: enough to tell the parts of a day apart. */
 constexpr std::uint64_t partNames = 1000000;
 
@@ -52,7 +54,10 @@
     void begin();
     /** Sends the request to the target that was found, or to another one where that has no free connection. */
     void attempt(std::optional<ChosenTarget> found, Millis now);
+    TargetCriteria criteria(Millis now) const;
     std::optional<ChosenTarget> chooseTarget(Millis now);
+    /** Refuses a request that no target can take, with the reason and the time to come back. */
+    void refuseNotRun(Millis now);
     std::string findCopySource(const ChosenTarget &target, Millis now);
     std::shared_ptr<TargetConnection> connect(const ChosenTarget &chosen, Millis now);
     void send(const ChosenTarget &chosen, std::shared_ptr<TargetConnection> connection, Millis now);
@@ -91,6 +96,8 @@
 
     std::unique_ptr<GatewayCall> call;
     ChosenTarget chosen;
+    /** How many targets could not be chosen, by reason; for the log. */
+    std::string passedOver;
     /** Address of the target from which the chosen one copies cached parts; empty for none. */
     std::string copiedFrom;
     RequestAttempts attempts;
@@ -174,7 +181,7 @@
     this->follow(AttemptEnd::NotSent, now);
 }
 
-std::optional<ChosenTarget> GatewayExchange::Private::chooseTarget(Millis now)
+TargetCriteria GatewayExchange::Private::criteria(Millis now) const
 {
     TargetCriteria criteria;
     criteria.service = this->admitted.service;
@@ -186,7 +193,12 @@
     criteria.holders = this->admitted.parts.holders(this->context.parts, now);
     criteria.requestHash = hash64(this->admitted.request.attemptId, this->attempts.targetsUsed() + 1);
     criteria.excluded = this->attempts.tried();
-    return this->context.board.choose(criteria, now);
+    return criteria;
+}
+
+std::optional<ChosenTarget> GatewayExchange::Private::chooseTarget(Millis now)
+{
+    return this->context.board.choose(this->criteria(now), now);
 }
 
 std::string GatewayExchange::Private::findCopySource(const ChosenTarget &target, Millis now)
@@ -220,6 +232,7 @@
                                     Millis now)
 {
     this->chosen = target;
+    this->passedOver = target.passedOver.text();
     this->sentAt = now;
     this->lastPartAt = now;
     this->hasLostTarget = false;
@@ -313,14 +326,12 @@
 void GatewayExchange::Private::follow(AttemptEnd end, Millis now)
 {
     const NextStep step = this->attempts.decideNext(end, this->answer.isBegun(), now, *this);
-    const Millis rest = this->context.board.remainingBackoff(this->admitted.service, now).value_or(Millis{0});
-    const Millis retry = rest + this->context.spread(retryWhenFull);
     switch (step) {
     case NextStep::SendAgain:
         this->attempt(std::exchange(this->candidate, std::nullopt), now);
         return;
     case NextStep::RefuseNotRun:
-        this->answerOwn(statusUnavailable, "no target could take the request", retry, Outcome::RefusedFull);
+        this->refuseNotRun(now);
         return;
     case NextStep::RespondUnknown:
         this->answerOwn(statusBadGateway, "the target gave no whole answer", std::nullopt, Outcome::Unknown);
@@ -338,6 +349,25 @@
     }
 }
 
+void GatewayExchange::Private::refuseNotRun(Millis now)
+{
+    const IneligibilityCounts counts = this->context.board.countIneligible(this->criteria(now), now);
+    this->passedOver = counts.text();
+    const std::size_t evacuated = counts.count(Ineligibility::Evacuated);
+    if (evacuated > 0 && this->context.board.targetCount(this->admitted.service) == 0) {
+        this->answerOwn(statusUnavailable,
+                        "all data centres of the service are evacuated",
+                        this->context.spread(retryWhenEvacuated),
+                        Outcome::RefusedFull);
+        return;
+    }
+    const Millis rest = this->context.board.remainingBackoff(this->admitted.service, now).value_or(Millis{0});
+    this->answerOwn(statusUnavailable,
+                    "no target could take the request",
+                    rest + this->context.spread(retryWhenFull),
+                    Outcome::RefusedFull);
+}
+
 AnswerState GatewayExchange::Private::answerState() const
 {
     AnswerState state;
@@ -472,7 +502,7 @@
 void GatewayExchange::Private::noteLostConnection(Millis now)
 {
     // A target that leaves ends as planned, whatever it had in hand.
-    if (this->context.board.isEligible(this->chosen.target.id)) {
+    if (this->context.board.isStaying(this->chosen.target.id)) {
         this->hasLostTarget = true;
         this->context.quarantine.recordLostConnection(this->fingerprint, this->chosen.target.id, this->sentAt, now);
         this->context.lifeChecks.begin(this->chosen.target, now);
@@ -523,7 +553,7 @@
          {"target_load", std::to_string(this->chosen.inFlight)},
          {"service_load", std::to_string(this->chosen.totalInFlight)},
          {"usable", std::to_string(this->chosen.usableTargetCount)},
-         {"passed_over", this->chosen.passedOver.text()},
+         {"passed_over", this->passedOver},
          {"admitted_percent", std::to_string(static_cast<int>(this->admitted.admittedPart * percent))},
          {"configuration", std::to_string(this->admitted.table ? this->admitted.table->configuration().revision : 0)},
          {"proof_age_ms", text(this->context.proofAge(now))},
--- a/sequoiausher/transport/gateway/gatewayknowledge.cpp
+++ b/sequoiausher/transport/gateway/gatewayknowledge.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <set>
 #include <utility>
 
 namespace Sequoiausher {
@@ -38,13 +39,11 @@
 
     bool configurationRead(const StoredConfiguration &stored, std::optional<Millis> readAt) override;
     void configurationAbsent() override;
-    void targetsRead(const std::vector<GatewayTarget> &targets,
-                     const std::vector<TargetId> &unreadable,
-                     Revision at,
-                     Millis asOf) override;
+    void listRead(const StoredTargets &list, Revision at, Millis asOf) override;
     void targetWritten(const GatewayTarget &target, Revision at) override;
     void targetRemoved(const TargetId &name, Revision at) override;
     void targetUnreadable(const TargetId &name, Revision at) override;
+    void evacuationChanged(const GatewayEvacuation &change) override;
     void targetChangesEnd() override;
     void watchAnswered(Revision upTo, Millis asOf) override;
     void storeRestored(std::uint64_t era) override;
@@ -54,6 +53,9 @@
     void targetsOffered(const std::vector<GatewayTarget> &targets, Revision revision) override;
     void targetChangesOffered(const TargetChanges &changes) override;
     void eraOffered(std::uint64_t era, const InstanceId &by) override;
+    void evacuationsOffered(const std::vector<GatewayEvacuation> &evacuations, const InstanceId &by) override;
+    /** Applies the evacuations that are known now to the choice of targets. */
+    void useEvacuations(const std::string &from);
 
     GatewayContext &context;
     KnowledgeUser &user;
@@ -67,6 +69,8 @@
     bool hasAskedTargets = false;
     std::string changesNamed;
     std::size_t changeCount = 0;
+    /** The evacuations in use. */
+    std::set<DataCentreId> evacuated;
 };
 
 GatewayKnowledge::GatewayKnowledge(GatewayContext &context, KnowledgeUser &user)
@@ -96,6 +100,8 @@
     if (this->d->known.targets.tick(now)) {
         this->d->targetsChanged("missing entries did not come back");
     }
+    this->d->known.evacuations.tick(now);
+    this->d->useEvacuations("store");
 }
 
 std::uint64_t GatewayKnowledge::storeEra() const
@@ -228,16 +234,15 @@
     this->user.knowledgeGrew();
 }
 
-void GatewayKnowledge::Private::targetsRead(const std::vector<GatewayTarget> &targets,
-                                            const std::vector<TargetId> &unreadable,
-                                            Revision at,
-                                            Millis asOf)
+void GatewayKnowledge::Private::listRead(const StoredTargets &list, Revision at, Millis asOf)
 {
     this->context.duty.recordStoreRevision(at, asOf);
+    this->known.evacuations.replaceAll(list.evacuations, at, Millis::monotonicNow());
+    this->useEvacuations("store");
     // A peer may have told of later changes already.
     if (at >= this->known.targets.revision()) {
-        this->known.targets.replaceAll(targets, at, Millis::monotonicNow());
-        for (const TargetId &name : unreadable) {
+        this->known.targets.replaceAll(list.targets, at, Millis::monotonicNow());
+        for (const TargetId &name : list.unreadable) {
             this->known.targets.removeUnreadable(name, at);
         }
         this->targetsChanged("list");
@@ -278,6 +283,35 @@
     this->noteChange(name.value + " unreadable");
 }
 
+void GatewayKnowledge::Private::evacuationChanged(const GatewayEvacuation &change)
+{
+    this->known.evacuations.write(change);
+    this->noteChange(change.dataCentre.value + (change.isEvacuated ? " evacuated" : " taken back"));
+}
+
+void GatewayKnowledge::Private::evacuationsOffered(const std::vector<GatewayEvacuation> &evacuations,
+                                                   const InstanceId &by)
+{
+    this->known.evacuations.merge(evacuations, Millis::monotonicNow());
+    this->useEvacuations(by.value);
+}
+
+void GatewayKnowledge::Private::useEvacuations(const std::string &from)
+{
+    std::set<DataCentreId> current = this->known.evacuations.evacuated();
+    if (current == this->evacuated) {
+        return;
+    }
+    this->evacuated = std::move(current);
+    this->context.board.setEvacuated(this->evacuated);
+    std::string names;
+    for (const DataCentreId &dataCentre : this->evacuated) {
+        names += (names.empty() ? "" : ", ") + dataCentre.value;
+    }
+    this->context.log.info(
+        LogPart::Targets, "evacuated data centres changed", {{"data_centres", names}, {"from", from}});
+}
+
 void GatewayKnowledge::Private::noteChange(const std::string &change)
 {
     this->changeCount += 1;
@@ -288,6 +322,7 @@
 
 void GatewayKnowledge::Private::targetChangesEnd()
 {
+    this->useEvacuations("store");
     if (this->changeCount > mostNamed) {
         this->changesNamed += " and " + std::to_string(this->changeCount - mostNamed) + " more";
     }
@@ -297,6 +332,7 @@
 
 void GatewayKnowledge::Private::watchAnswered(Revision upTo, Millis asOf)
 {
+    this->known.evacuations.setCompleteUpTo(upTo);
     this->context.duty.recordStoreRevision(upTo, asOf);
     this->context.duty.recordListRevision(upTo);
 }
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -263,7 +263,7 @@
                         {"hub_rank", role.hubRank ? std::to_string(*role.hubRank) : "none"},
                         {"gateways", std::to_string(role.fleetSize)}});
     }
-    this->watcher->setResting(rests, this->known.targets.revision());
+    this->watcher->setResting(rests, this->known.completeUpTo());
     this->watcher->setLongestPause(duty.maxRetryPause(role));
     // One that knows of a newer version than its own reads it without delay.
     const Millis age = this->context.isBehind() ? Millis::never() : this->context.proofAge(now);
@@ -376,7 +376,12 @@
     if (this->stopBegunAt || !this->context.table || this->known.targets.empty()) {
         return false;
     }
-    const Millis age = this->context.proofAge(Millis::monotonicNow());
+    const Millis now = Millis::monotonicNow();
+    // Peers of an earlier version report no evacuations, and the store may be away: then nobody can tell.
+    if (this->known.evacuations.completeUpTo() == 0 && now < this->context.startsUntil) {
+        return false;
+    }
+    const Millis age = this->context.proofAge(now);
     return age != Millis::never() && age * readyParts <= this->context.settings.keyFreshness * readyPartsOf;
 }
 
@@ -389,6 +394,8 @@
     this->metrics.set("gateway_proof_age_ms", age == Millis::never() ? -1 : static_cast<double>(age.count));
     this->metrics.set("gateway_store_era", static_cast<double>(this->knowledge.storeEra()));
     this->metrics.set("gateway_targets", static_cast<double>(this->known.targets.targets().size()));
+    this->metrics.set("gateway_evacuated_data_centres",
+                      static_cast<double>(this->known.evacuations.evacuated().size()));
     this->metrics.set("gateway_requests_refused_for_crashes",
                       static_cast<double>(this->context.quarantine.refusedCount()));
     this->metrics.set("gateway_peers", static_cast<double>(this->context.peers.members(now).size()));
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -98,6 +98,9 @@
     void receive(const Document &document, const InstanceId &from);
     void sendReports(Millis now);
     GatewayReport reportFor(const InstanceId &peer, Millis now);
+    void addEvacuations(GatewayReport &report, const InstanceId &peer) const;
+    /** @return whether the peer and this gateway now know the same evacuations. */
+    bool receiveEvacuations(const InstanceId &from, const GatewayReport &report, Revision at);
     /** @param has up to where the peer's list of targets is complete. */
     void pushTo(const InstanceId &peer, const GatewayReport &report, Revision has, Millis now);
     void pushTargets(const InstanceId &peer, Revision has, Millis now);
@@ -136,10 +139,17 @@
     Revision packedTargetsAt = 0;
     Millis packedLetGoAt;
     std::deque<Learnt> learnt;
+    /** The digest of each peer's evacuations, by its last report. */
+    std::map<InstanceId, std::uint64_t> evacuationDigests;
     Millis nextRoundAt;
     std::uint64_t round = 0;
 };
 
+Revision FirstHand::completeUpTo() const
+{
+    return std::min(this->targets.revision(), this->evacuations.completeUpTo());
+}
+
 GatewayPeers::GatewayPeers(GatewayContext &context, Incarnation incarnation, FirstHand &known, PeerNews &news)
     : d(std::make_unique<Private>(context, incarnation, known, news))
 {
@@ -224,6 +234,7 @@
     const UpdateScope scope = !report.isHub ? UpdateScope::Own : isToHub ? UpdateScope::Group : UpdateScope::All;
     report.crashes = this->context.quarantine.reportFor(peer, scope, now);
     report.placements = this->context.parts.takeUpdates(peer, scope);
+    this->addEvacuations(report, peer);
     if (!report.isHub) {
         report.loads = this->context.board.ownLoads(now);
         report.members = directory.hasHubs(now) ? std::vector<GatewayMember>() : directory.members(now);
@@ -239,6 +250,29 @@
     return report;
 }
 
+void GatewayPeers::Private::addEvacuations(GatewayReport &report, const InstanceId &peer) const
+{
+    const EvacuationList &evacuations = this->known.evacuations;
+    report.evacuationsDigest = evacuations.completeUpTo() > 0 ? evacuations.digest() : 0;
+    const auto reported = this->evacuationDigests.find(peer);
+    if (reported == this->evacuationDigests.end() || reported->second != evacuations.digest()) {
+        report.evacuations = evacuations.states();
+    }
+}
+
+bool GatewayPeers::Private::receiveEvacuations(const InstanceId &from, const GatewayReport &report, Revision at)
+{
+    this->evacuationDigests[from] = report.evacuationsDigest;
+    if (!report.evacuations.empty()) {
+        this->news.evacuationsOffered(report.evacuations, from);
+    }
+    const bool isSame = report.evacuationsDigest == this->known.evacuations.digest();
+    if (isSame) {
+        this->known.evacuations.setCompleteUpTo(at);
+    }
+    return isSame;
+}
+
 void GatewayPeers::Private::received(const InstanceId &from, Incarnation /*incarnation*/, PeerMessage message)
 {
     try {
@@ -260,6 +294,7 @@
     const Millis now = Millis::monotonicNow();
     this->news.eraOffered(report.storeEra, from);
     const Revision targets = this->positionOf(report.storeEra, report.targets);
+    const bool hasSameEvacuations = this->receiveEvacuations(from, report, targets);
     this->context.peers.recordReport(from, report, now);
     this->context.freshness.recordPeerProof(report.configuration, report.proofAge, report.echo);
     const bool isHub = this->context.peers.isHub(now);
@@ -274,8 +309,10 @@
     }
     this->context.requestsRefused(this->context.quarantine.mergeReport(from, report.crashes, now, scope), from.value);
     const bool comesBefore = this->context.peers.comesBefore(from, now);
-    this->context.duty.recordPeerReport(
-        {report.storeAge, report.echo, report.isHub, !report.isResting, comesBefore, targets}, now);
+    // What the peer read of the store counts here only if all of it has arrived.
+    const Millis storeAge = hasSameEvacuations ? report.storeAge : Millis::never();
+    this->context.duty.recordPeerReport({storeAge, report.echo, report.isHub, !report.isResting, comesBefore, targets},
+                                        now);
     if (report.isSettled) {
         this->known.targets.confirmSettledByPeer(targets, report.echo);
     }
--- a/sequoiausher/transport/gateway/gatewaypeers.h
+++ b/sequoiausher/transport/gateway/gatewaypeers.h
@@ -7,6 +7,7 @@
 //     peers.listen();
 //     // every 40 ms: peers.tick(now)
 
+#include "sequoiausher/coordination/gateway/evacuationlist.h"
 #include "sequoiausher/coordination/gateway/targetlist.h"
 #include "sequoiausher/transport/gateway/gatewaycontext.h"
 
@@ -28,6 +29,8 @@
     virtual void targetChangesOffered(const TargetChanges &changes) = 0;
     /** A peer knows of that era of the store; 0 where it does not tell. */
     virtual void eraOffered(std::uint64_t era, const InstanceId &by) = 0;
+    /** A peer's evacuations; they may be older than those of this gateway. */
+    virtual void evacuationsOffered(const std::vector<GatewayEvacuation> &evacuations, const InstanceId &by) = 0;
 };
 
 /** What this gateway knows at first hand, and may carry to its peers. */
@@ -36,6 +39,10 @@
     std::string configuration;
     Revision configurationRevision = 0;
     TargetList targets;
+    EvacuationList evacuations;
+
+    /** The position of the store up to which everything is known that a watch reports. */
+    Revision completeUpTo() const;
 };
 
 /** Speaks with all peers. */
--- a/sequoiausher/transport/gateway/gatewaytestbed.cpp
+++ b/sequoiausher/transport/gateway/gatewaytestbed.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr const char *signatureField = "X-Signed: yes\r\n";
+/** The first words of lines that do not name a target. */
+constexpr const char *evacuatedWord = "evacuated";
+constexpr const char *takenBackWord = "taken-back";
 
 /** What the dialect below takes for the mark of a target's own answer. */
 std::string signedFields(const FakeRequest &request)
@@ -49,6 +52,28 @@
     return Internal::testApplication();
 }
 
+/** Reads the next target or evacuation; false at the end. */
+bool readLine(std::istream &lines, StoreEvent &event)
+{
+    event = {};
+    std::string first;
+    if (!(lines >> first)) {
+        return false;
+    }
+    if (first == evacuatedWord || first == takenBackWord) {
+        GatewayEvacuation change;
+        lines >> change.dataCentre.value >> change.changedAt;
+        change.isEvacuated = first == evacuatedWord;
+        event.evacuation = change;
+    } else {
+        GatewayTarget target;
+        target.id.value = first;
+        lines >> target.service.value >> target.address >> target.dataCentre.value;
+        event.target = target;
+    }
+    return true;
+}
+
 /** A dialect of the test's own: text lines in the store, fields that begin with X-. */
 class TestDialect : public GatewayDialect
 {
@@ -118,9 +143,13 @@
         std::istringstream lines(body);
         StoredTargets stored;
         lines >> stored.storeRevision;
-        GatewayTarget target;
-        while (lines >> target.id.value >> target.service.value >> target.address) {
-            stored.targets.push_back(target);
+        StoreEvent entry;
+        while (readLine(lines, entry)) {
+            if (entry.evacuation) {
+                stored.evacuations.push_back(*entry.evacuation);
+            } else {
+                stored.targets.push_back(*entry.target);
+            }
         }
         return stored;
     }
@@ -133,10 +162,9 @@
         std::istringstream lines(body);
         StoreEvents events;
         lines >> events.storeRevision;
-        GatewayTarget target;
-        while (lines >> target.id.value >> target.service.value >> target.address) {
-            events.events.emplace_back();
-            events.events.back().target = target;
+        StoreEvent event;
+        while (readLine(lines, event)) {
+            events.events.push_back(event);
         }
         return events;
     }
@@ -251,11 +279,30 @@
 void GatewayTestbed::rewriteTarget(const std::string &name)
 {
     this->content.revision += 1;
+    this->tellWatches(this->targetLine(name));
+}
+
+void GatewayTestbed::tellWatches(const std::string &line)
+{
     for (const auto &[after, request] : std::exchange(this->watches, {})) {
-        this->reply(request, "200 OK", std::to_string(this->content.revision) + "\n" + this->targetLine(name));
+        this->reply(request, "200 OK", std::to_string(this->content.revision) + "\n" + line);
     }
 }
 
+void GatewayTestbed::evacuate(const std::string &dataCentre)
+{
+    this->content.revision += 1;
+    this->content.evacuations[dataCentre] = this->content.revision;
+    this->tellWatches(evacuatedWord + (" " + dataCentre + " " + std::to_string(this->content.revision) + "\n"));
+}
+
+void GatewayTestbed::takeBack(const std::string &dataCentre)
+{
+    this->content.revision += 1;
+    this->content.evacuations.erase(dataCentre);
+    this->tellWatches(takenBackWord + (" " + dataCentre + " " + std::to_string(this->content.revision) + "\n"));
+}
+
 void GatewayTestbed::copyStore()
 {
     this->copy = this->content;
@@ -277,11 +324,14 @@
 
 std::string GatewayTestbed::targetLine(const std::string &name) const
 {
-    return name + " " + this->content.services.at(name) + " " + this->addresses.at(name) + "\n";
+    return name + " " + this->content.services.at(name) + " " + this->addresses.at(name) + " "
+        + this->dataCentres.at(name) + "\n";
 }
 
-FakeServer &GatewayTestbed::addTarget(const std::string &name, const std::string &service)
+FakeServer &
+GatewayTestbed::addTarget(const std::string &name, const std::string &service, const std::string &dataCentre)
 {
+    this->dataCentres[name] = dataCentre;
     this->targets[name] = std::make_unique<FakeServer>();
     this->targets[name]->ownFields = signedFields;
     this->addresses[name] = this->targets[name]->address();
@@ -323,6 +373,9 @@
     for (const auto &[name, service] : this->content.services) {
         text += this->targetLine(name);
     }
+    for (const auto &[dataCentre, at] : this->content.evacuations) {
+        text += std::string(evacuatedWord) + " " + dataCentre + " " + std::to_string(at) + "\n";
+    }
     return text;
 }
 
--- a/sequoiausher/transport/gateway/gatewaytestbed.h
+++ b/sequoiausher/transport/gateway/gatewaytestbed.h
@@ -30,7 +30,7 @@
     GatewayTestbed();
     ~GatewayTestbed();
 
-    FakeServer &addTarget(const std::string &name, const std::string &service);
+    FakeServer &addTarget(const std::string &name, const std::string &service, const std::string &dataCentre = "a");
     void removeTarget(const std::string &name);
     /** The store lists a target that was removed once more. */
     void listTarget(const std::string &name, const std::string &service);
@@ -38,6 +38,9 @@
     void crashTarget(const std::string &name);
     /** The target writes its entry again: the watch that waits hears of that alone. */
     void rewriteTarget(const std::string &name);
+    /** The operator requests that the data centre be evacuated, or takes that back: the watch hears of that alone. */
+    void evacuate(const std::string &dataCentre);
+    void takeBack(const std::string &dataCentre);
     /** Keeps what the store has now, for a return. */
     void copyStore();
     /** The store returns from the copy: its revisions go back, its era rises, and watches are told that history is
@@ -93,15 +96,20 @@
     {
         std::string stored;
         std::map<std::string, std::string> services;
+        /** Evacuated data centres, each with the revision of the request. */
+        std::map<std::string, int> evacuations;
         int revision = 1;
         /** At which revision the configuration was written. */
         int storedAt = 1;
     };
     void reply(const FakeRequest &request, const std::string &status, const std::string &body) const;
     std::string targetLine(const std::string &name) const;
+    /** Writes one change, of which each watch hears. */
+    void tellWatches(const std::string &line);
 
     /** Where each target listens, or listened. */
     std::map<std::string, std::string> addresses;
+    std::map<std::string, std::string> dataCentres;
     Content content;
     Content copy;
     int era = 1;
--- a/sequoiausher/transport/gateway/storewatcher.cpp
+++ b/sequoiausher/transport/gateway/storewatcher.cpp
@@ -107,8 +107,8 @@
     double bytesPerMs;
     Millis longestPause = baseStorePause;
     bool isResting = false;
-    std::vector<GatewayTarget> listed;
-    std::vector<TargetId> unreadable;
+    /** What the pages read so far list. */
+    StoredTargets listed;
     Revision listedFrom = 0;
     /** When the call for the first page began. */
     Millis listedSince;
@@ -148,8 +148,7 @@
     this->d->dropOverdue(now);
     if (!this->d->changes.calls.isBusy() && now >= this->d->changes.nextAt) {
         if (this->d->watchedFrom == 0) {
-            this->d->listed.clear();
-            this->d->unreadable.clear();
+            this->d->listed = {};
             this->d->listedFrom = 0;
             this->d->listTargets({});
         } else {
@@ -359,8 +358,13 @@
         for (const std::string &problem : page.problems) {
             this->log.warning(LogPart::Platform, "an entry cannot be read", {{"why", problem}});
         }
-        this->listed.insert(this->listed.end(), page.targets.begin(), page.targets.end());
-        this->unreadable.insert(this->unreadable.end(), page.unreadable.begin(), page.unreadable.end());
+        StoredTargets &list = this->listed;
+        list.targets.insert(list.targets.end(), page.targets.begin(), page.targets.end());
+        list.unreadable.insert(list.unreadable.end(), page.unreadable.begin(), page.unreadable.end());
+        for (GatewayEvacuation evacuation : page.evacuations) {
+            evacuation.changedAt = this->position(evacuation.changedAt);
+            list.evacuations.push_back(evacuation);
+        }
         if (this->listedFrom != 0 && eraOf(this->listedFrom) != *this->era) {
             // The store came back from a copy between two pages.
             return;
@@ -379,7 +383,7 @@
         this->isOverdue = false;
         this->targetsHeardAt = Millis::monotonicNow();
         this->patience.recordReportedUpTo(this->listedFrom);
-        this->listener.targetsRead(this->listed, this->unreadable, this->listedFrom, this->listedSince);
+        this->listener.listRead(this->listed, this->listedFrom, this->listedSince);
         if (!this->isResting) {
             this->watch();
         }
@@ -463,7 +467,11 @@
             continue;
         }
         hasTargets = true;
-        if (event.target) {
+        if (event.evacuation) {
+            GatewayEvacuation change = *event.evacuation;
+            change.changedAt = this->position(change.changedAt);
+            this->listener.evacuationChanged(change);
+        } else if (event.target) {
             this->listener.targetWritten(*event.target, events.storeRevision);
         } else if (!event.removedTarget.empty()) {
             this->listener.targetRemoved(event.removedTarget, events.storeRevision);
--- a/sequoiausher/transport/gateway/storewatcher.h
+++ b/sequoiausher/transport/gateway/storewatcher.h
@@ -61,19 +61,18 @@
     /** The store has none yet. */
     virtual void configurationAbsent() = 0;
     /**
-     * @param unreadable names under which something lies that cannot be read.
+     * The whole list of targets and evacuations.
+     * @param at the position of the store at which the list was complete.
      * @param asOf the list is not older than this.
      */
-    virtual void targetsRead(const std::vector<GatewayTarget> &targets,
-                             const std::vector<TargetId> &unreadable,
-                             Revision at,
-                             Millis asOf)
-        = 0;
+    virtual void listRead(const StoredTargets &list, Revision at, Millis asOf) = 0;
     virtual void targetWritten(const GatewayTarget &target, Revision at) = 0;
     virtual void targetRemoved(const TargetId &name, Revision at) = 0;
     /** What lies under the target's name cannot be read. */
     virtual void targetUnreadable(const TargetId &name, Revision at) = 0;
-    /** All that one answer of a watch said of targets has been told. */
+    /** The operator requested an evacuation or took one back, at the position that the change states. */
+    virtual void evacuationChanged(const GatewayEvacuation &change) = 0;
+    /** All that one answer of a watch said of targets and evacuations has been told. */
     virtual void targetChangesEnd() = 0;
     /** A watch was answered, with or without changes: all up to revision has been told, as it was then or later. */
     virtual void watchAnswered(Revision upTo, Millis asOf) = 0;
