Share out the requests that cold targets bear

The emptiest targets have the most room, so a surge goes where least is borne, from all gateways at once.

Cause: an entry states how long its target stays cold; the gateway read that only to check the entry, and knew no limit.

Bound on paper: gateways know of each other's sends half a second late, when it is over. So what a target bears a second (L) is divided beforehand: L / N for each of N gateways, the remainder to the first L mod N in the rendezvous order of the target. With one list of gateways the sum is L in every sliding second, whatever N. A gateway that is cut off keeps counting others for a minute, so a fleet that splits stays at L; one that has just started sends nothing to cold targets for 2 s after its first report. Gateways that lack d others add at most d: L is 14 here, the rule allows 14 x 1.5 + 5 = 26.

Who is cold: by the entry; by peers' reports (optional field, while it lasts); a target that is new on a list of a peer, and the targets of a data centre that is taken back, are taken for cold until something else is known, since their entries state it up to a heartbeat later. Cold-Remaining-Ms in health answers would cost a probe and is not asked for.

Ruled out: a share for each gateway in proportion (0 for most from 15 gateways on), buckets with a random start (four standard deviations below the limit in a steady surge, but no bound where one begins), time slots (clocks step here).

Evidence: coldtargetlimittest (1 to 300 gateways, a split, restarts, missing gateways; the naive fleet breaks the limit), targetboardtest (a surge right after six of twelve targets came back cold), targeteligibilitytest.

--- a/lab/model/engineservicemodel.cpp
+++ b/lab/model/engineservicemodel.cpp
@@ -265,7 +265,7 @@
         criteria.holders = parts.holders(gateway.parts, this->events.clock());
         criteria.requestHash = this->random();
         const TargetId target = gateway.board->choose(criteria, this->events.clock())->target.id;
-        gateway.board->recordStart(target);
+        gateway.board->recordStart(target, this->events.clock());
         parts.recordSent(gateway.parts, target, this->events.clock());
         this->placements.push_back({this->events.now(), index, parts.lastShared(), target});
         this->work(index, kind, target, parts.lastShared());
--- a/lab/model/plainservicemodel.cpp
+++ b/lab/model/plainservicemodel.cpp
@@ -191,7 +191,7 @@
             this->refuse(request, leastReturnMs);
             return;
         }
-        gateway.board->recordStart(chosen->target.id);
+        gateway.board->recordStart(chosen->target.id, this->events.clock());
         this->send(request, index, this->targetOf(chosen->target.id));
     }
 
--- a/sequoiausher/coordination/gateway/gatewayconfiguration.h
+++ b/sequoiausher/coordination/gateway/gatewayconfiguration.h
@@ -91,6 +91,10 @@
     std::uint32_t slots = 0;
     /** The service is a model engine, which reads prompts and caches their parts. */
     bool isEngine = false;
+    /** How long a target stays cold after it started; 0 where targets of the service are never cold. */
+    Millis coldTime;
+    /** The number of requests per second that a cold target bears; 0 where there is no limit. */
+    std::uint32_t coldRequestsPerSecond = 0;
 
     bool operator==(const GatewayService &) const = default;
 };
@@ -144,6 +148,8 @@
     bool isLeaving = false;
     /** When this incarnation started, by the target's own clock; 0 where the entry does not state it. */
     Millis bornAt;
+    /** How much longer the target stayed cold when its entry was written; 0 for a warm target. */
+    Millis coldFor;
 
     bool operator==(const GatewayTarget &) const = default;
 };
--- a/sequoiausher/coordination/gateway/peerdirectory.cpp
+++ b/sequoiausher/coordination/gateway/peerdirectory.cpp
@@ -33,6 +33,8 @@
 constexpr std::uint32_t maxUnansweredReports = 2;
 /** How long the list of hubs is cached: less than one round, so that each round uses an up-to-date list. */
 constexpr Millis hubListTtl{250};
+/** The time after the first report in which a gateway learns of all others: a hub sends its list every few rounds. */
+constexpr Millis fleetDiscoveryTime{2000};
 /** The fleet size that is assumed before the first report. */
 constexpr std::size_t assumedFleetSize = 12;
 
@@ -184,6 +186,7 @@
     std::uint16_t strength = 0;
     DataCentreId dataCentre;
     bool hasReceivedReport = false;
+    std::optional<Millis> firstReportAt;
     /** The hub that this gateway reports to, and the number of its consecutive reports that the hub left unanswered. */
     InstanceId hub;
     std::uint32_t unansweredReports = 0;
@@ -221,6 +224,7 @@
 void PeerDirectory::recordReport(const InstanceId &peer, const GatewayReport &report, Millis now)
 {
     this->d->hasReceivedReport = true;
+    this->d->firstReportAt = this->d->firstReportAt.value_or(now);
     if (peer == this->d->hub) {
         this->d->unansweredReports = 0;
     }
@@ -358,6 +362,20 @@
     return this->d->hasReceivedReport ? known : std::max(known, assumedFleetSize);
 }
 
+bool PeerDirectory::knowsFleet(Millis now) const
+{
+    return !this->hasPeers() || (this->d->firstReportAt && now - *this->d->firstReportAt >= fleetDiscoveryTime);
+}
+
+std::size_t PeerDirectory::rendezvousRank(std::uint64_t key) const
+{
+    const std::uint64_t own = rendezvousWeight(hash64(this->d->self.value), key);
+    return static_cast<std::size_t>(
+        std::count_if(this->d->known.begin(), this->d->known.end(), [own, key](const auto &entry) {
+            return rendezvousWeight(entry.second.hash, key) > own;
+        }));
+}
+
 Millis PeerDirectory::newestReportFrom(const InstanceId &peer) const
 {
     const auto found = this->d->known.find(peer);
--- a/sequoiausher/coordination/gateway/peerdirectory.h
+++ b/sequoiausher/coordination/gateway/peerdirectory.h
@@ -85,6 +85,13 @@
      * gateways are assumed.
      */
     std::size_t fleetSize(Millis now) const;
+    /**
+     * Whether this gateway had time to hear of all others since its first report; true without peers. Until then the
+     * size of the fleet may be underestimated.
+     */
+    bool knowsFleet(Millis now) const;
+    /** How many gateways of fleetSize() come before this one in the rendezvous order of the key. */
+    std::size_t rendezvousRank(std::uint64_t key) const;
     /** sentAt of the newest report from the peer; 0 for none. */
     Millis newestReportFrom(const InstanceId &peer) const;
 
--- a/sequoiausher/coordination/gateway/promptpartstest.cpp
+++ b/sequoiausher/coordination/gateway/promptpartstest.cpp
@@ -62,13 +62,13 @@
     SUBCASE("from the least loaded of several")
     {
         parts.recordSent(fleet.directory, two, now);
-        fleet.board.recordStart(one);
+        fleet.board.recordStart(one, Millis{0});
         CHECK(fleet.source(parts, three) == "t2:80");
     }
     SUBCASE("not from a target that does not answer, or is gone")
     {
-        fleet.board.recordStart(one);
-        fleet.board.recordStart(one);
+        fleet.board.recordStart(one, Millis{0});
+        fleet.board.recordStart(one, Millis{0});
         fleet.board.recordEnd(one, TargetOutcome::Lost, now);
         fleet.board.recordEnd(one, TargetOutcome::Lost, now);
         CHECK(fleet.source(parts, two).empty());
--- a/sequoiausher/coordination/gateway/targetboard.cpp
+++ b/sequoiausher/coordination/gateway/targetboard.cpp
@@ -37,6 +37,9 @@
  */
 constexpr Millis announcementTtl{600000};
 constexpr Millis maxTargetBackoff{3600000};
+constexpr Millis maxColdTime{600000};
+/** The span within which the sends to a cold target are counted. */
+constexpr Millis coldLimitWindow{1000};
 
 /** What a target announced about itself in its answers. */
 struct TargetAnnouncement
@@ -107,6 +110,22 @@
         }
     }
 
+    void presumeCold(TargetState &target, Millis now) const
+    {
+        const auto time = this->coldTimes.find(target.target.service);
+        if (time != this->coldTimes.end()) {
+            target.presumedColdUntil = now + time->second;
+        }
+    }
+
+    void setCold(const TargetId &target, Millis until)
+    {
+        this->coldUntil[target] = until;
+        if (TargetState *state = this->find(target)) {
+            state->coldUntil = until;
+        }
+    }
+
     TargetState *find(const TargetId &id)
     {
         const auto found = this->targets.find(id);
@@ -127,6 +146,11 @@
      * and passing them over would overload the rest.
      */
     static bool isMajorityDoubtful(const std::vector<TargetState *> &candidates, Millis now);
+    /** Takes cold targets out of the choice if any other target is usable. */
+    static void passOverCold(const std::vector<TargetState *> &candidates,
+                             PoolLoad &load,
+                             IneligibilityCounts &passedOver,
+                             Millis now);
     PoolLoad loadOf(const std::vector<TargetState *> &candidates,
                     const TargetCriteria &criteria,
                     const TargetSelector &selector,
@@ -140,6 +164,12 @@
     /** The other targets of each service, by reason. */
     std::map<PoolId, IneligibilityCounts> lastingCounts;
     std::set<DataCentreId> evacuated;
+    std::map<PoolId, Millis> coldTimes;
+    ColdTargetLimit *coldLimit = nullptr;
+    /** Until when targets are cold; kept apart from their states, because this may be known before they are listed. */
+    std::map<TargetId, Millis> coldUntil;
+    /** Targets were set before: one that is new now has just started. */
+    bool hasTargets = false;
     /** The current incarnation of each listed target, by the target's listed name. */
     std::unordered_map<TargetId, TargetId> currentIncarnations;
     /** Kept longer than the list's entries, because an entry may come back. */
@@ -169,8 +199,16 @@
     this->d->currentIncarnations.clear();
     for (const GatewayTarget &target : targets) {
         this->d->currentIncarnations.emplace(listedName(target), target.id);
-        TargetState &state = this->d->targets[target.id];
+        const auto [found, isNew] = this->d->targets.try_emplace(target.id);
+        TargetState &state = found->second;
         state.target = target;
+        const auto cold = this->d->coldUntil.find(target.id);
+        if (cold != this->d->coldUntil.end()) {
+            state.coldUntil = cold->second;
+        } else if (isNew && this->d->hasTargets) {
+            // A peer's list may arrive a moment before the report that states which targets are cold.
+            this->d->presumeCold(state, now);
+        }
         state.hash = hash64(target.id.value);
         state.isListed = true;
         const auto announcement = this->d->announcements.find(target.id);
@@ -178,6 +216,10 @@
         state.backoffUntil = hasAnnounced ? announcement->second.backoffUntil : Millis{0};
         state.hasAnnouncedLeaving = hasAnnounced && announcement->second.hasAnnouncedLeaving;
     }
+    this->d->hasTargets = this->d->hasTargets || !targets.empty();
+    std::erase_if(this->d->coldUntil, [this, now](const auto &entry) {
+        return now >= entry.second && !this->d->targets.contains(entry.first);
+    });
     std::erase_if(this->d->targets,
                   [](const auto &entry) { return !entry.second.isListed && entry.second.ownInFlight == 0; });
     for (auto &[id, state] : this->d->targets) {
@@ -193,12 +235,54 @@
     }
 }
 
-void TargetBoard::setEvacuated(std::set<DataCentreId> dataCentres)
+void TargetBoard::setEvacuated(std::set<DataCentreId> dataCentres, Millis now)
 {
+    for (auto &[id, state] : this->d->targets) {
+        if (state.isEvacuated && !dataCentres.contains(state.target.dataCentre)) {
+            this->d->presumeCold(state, now);
+        }
+    }
     this->d->evacuated = std::move(dataCentres);
     this->d->groupByService();
 }
 
+void TargetBoard::setColdTimes(std::map<PoolId, Millis> times)
+{
+    this->d->coldTimes = std::move(times);
+}
+
+void TargetBoard::setColdLimit(ColdTargetLimit *limit)
+{
+    this->d->coldLimit = limit;
+}
+
+void TargetBoard::recordCold(const TargetId &target, Millis remaining, Millis now)
+{
+    this->d->setCold(target, now + std::min(remaining, maxColdTime));
+}
+
+void TargetBoard::recordPeerCold(const std::vector<GatewayColdTarget> &coldTargets, Millis now)
+{
+    for (const GatewayColdTarget &cold : coldTargets) {
+        const Millis until = now + std::min(cold.remaining, maxColdTime);
+        const auto known = this->d->coldUntil.find(cold.target);
+        if (known == this->d->coldUntil.end() || known->second < until) {
+            this->d->setCold(cold.target, until);
+        }
+    }
+}
+
+std::vector<GatewayColdTarget> TargetBoard::coldTargets(Millis now) const
+{
+    std::vector<GatewayColdTarget> all;
+    for (const auto &[target, until] : this->d->coldUntil) {
+        if (now < until) {
+            all.push_back({target, until - now});
+        }
+    }
+    return all;
+}
+
 void TargetBoard::updatePeerLoads(const InstanceId &peer, const std::vector<GatewayLoad> &loads, Millis now)
 {
     this->d->expire(now);
@@ -248,13 +332,37 @@
     return doubtful * 2 > accepting;
 }
 
+void TargetBoard::Private::passOverCold(const std::vector<TargetState *> &candidates,
+                                        PoolLoad &load,
+                                        IneligibilityCounts &passedOver,
+                                        Millis now)
+{
+    std::vector<TargetLoad *> cold;
+    bool isOtherUsable = false;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (load.targets[i].usable) {
+            const bool isCold = candidates[i]->isCold(now);
+            isOtherUsable = isOtherUsable || !isCold;
+            if (isCold) {
+                cold.push_back(&load.targets[i]);
+            }
+        }
+    }
+    for (TargetLoad *target : cold) {
+        target->usable = !isOtherUsable;
+        if (isOtherUsable) {
+            passedOver.add(Ineligibility::Cold);
+        }
+    }
+}
+
 PoolLoad TargetBoard::Private::loadOf(const std::vector<TargetState *> &candidates,
                                       const TargetCriteria &criteria,
                                       const TargetSelector &selector,
                                       IneligibilityCounts &passedOver,
                                       Millis now) const
 {
-    const EligibilityCriteria asked{criteria.excluded};
+    const EligibilityCriteria asked{criteria.excluded, this->coldLimit};
     PoolLoad load;
     load.targets.reserve(candidates.size());
     std::vector<std::optional<Ineligibility>> reasons;
@@ -274,6 +382,9 @@
             load.targets[i].usable = !reasons[i] || isDisregardable(*reasons[i]);
         }
     }
+    if (this->coldLimit != nullptr && this->coldLimit->isLastResort()) {
+        passOverCold(candidates, load, passedOver, now);
+    }
     load.minimumBound = loadBound(criteria.boundPercent, load.total, load.counted) + boundSlackRequests;
     return load;
 }
@@ -309,7 +420,7 @@
     IneligibilityCounts counts;
     for (const auto &[id, state] : this->d->targets) {
         if (state.target.service == criteria.service) {
-            if (const auto reason = findIneligibility(state, {criteria.excluded}, now)) {
+            if (const auto reason = findIneligibility(state, {criteria.excluded, this->d->coldLimit}, now)) {
                 counts.add(*reason);
             }
         }
@@ -332,9 +443,13 @@
     return best != nullptr ? std::optional(best->target) : std::nullopt;
 }
 
-void TargetBoard::recordStart(const TargetId &target)
+void TargetBoard::recordStart(const TargetId &target, Millis now)
 {
     if (TargetState *state = this->d->find(target)) {
+        while (!state->recentSends.empty() && state->recentSends.front() <= now - coldLimitWindow) {
+            state->recentSends.pop_front();
+        }
+        state->recentSends.push_back(now);
         state->ownInFlight += 1;
         state->sentSinceReport += 1;
         state->lastSentNumber = ++this->d->sentCount;
--- a/sequoiausher/coordination/gateway/targetboard.h
+++ b/sequoiausher/coordination/gateway/targetboard.h
@@ -15,6 +15,7 @@
 #include "sequoiausher/coordination/messages/gatewaymessages.h"
 #include "sequoiausher/coordination/rules/decision.h"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -76,8 +77,21 @@
 
     /** Replaces the list of targets; the loads of targets that stay are kept. */
     void setTargets(const std::vector<GatewayTarget> &targets, Millis now);
-    /** Sets the data centres whose targets get no requests. */
-    void setEvacuated(std::set<DataCentreId> dataCentres);
+    /**
+     * Sets the data centres whose targets get no requests. The targets of those that were in the set before count as
+     * cold for the cold time of their service.
+     */
+    void setEvacuated(std::set<DataCentreId> dataCentres, Millis now);
+    /** Sets how long a target of each service stays cold after it started, where targets of the service can be cold. */
+    void setColdTimes(std::map<PoolId, Millis> times);
+    /** Sets the limit for cold targets, which outlives this; none for no limit. */
+    void setColdLimit(ColdTargetLimit *limit);
+    /** Records what the store lists: how much longer the target stays cold, 0 for a warm one. */
+    void recordCold(const TargetId &target, Millis remaining, Millis now);
+    /** Records what a peer reported. The longest of several reported times holds. */
+    void recordPeerCold(const std::vector<GatewayColdTarget> &coldTargets, Millis now);
+    /** The targets that are cold, for peers. */
+    std::vector<GatewayColdTarget> coldTargets(Millis now) const;
     /** Replaces the loads that the peer reported before. */
     void updatePeerLoads(const InstanceId &peer, const std::vector<GatewayLoad> &loads, Millis now);
 
@@ -99,7 +113,7 @@
     std::optional<GatewayTarget> findCopySource(const std::vector<TargetId> &holders, Millis now);
 
     /** Records that a request is sent to the target. */
-    void recordStart(const TargetId &target);
+    void recordStart(const TargetId &target, Millis now);
     /** Records that the target sent data for any request. */
     void recordActivity(const TargetId &target, Millis now);
     /** When the target last sent data; 0 for never. */
--- a/sequoiausher/coordination/gateway/targetboardtest.cpp
+++ b/sequoiausher/coordination/gateway/targetboardtest.cpp
@@ -1,5 +1,8 @@
 #include "sequoiausher/coordination/gateway/targetboard.h"
 
+#include "sequoiausher/base/hashing.h"
+#include "sequoiausher/coordination/gateway/coldtargetlimit.h"
+
 #include <doctest/doctest.h>
 
 #include <algorithm>
@@ -81,7 +84,7 @@
         const std::uint64_t part = random() % 3 == 0 ? 1 : 100 + random() % 80;
         const auto chosen = gateways[by]->choose(criteriaFor(part), now);
         REQUIRE(chosen);
-        gateways[by]->recordStart(chosen->target.id);
+        gateways[by]->recordStart(chosen->target.id, now);
         inFlight[chosen->target.id] += 1;
         running.emplace_back(by, chosen->target.id);
         // Counts the requests of the last five seconds that went to a target with more than twice the mean plus three
@@ -116,13 +119,13 @@
     criteria.excluded = {first};
     CHECK(board.choose(criteria, Millis{0})->target.id != first);
 
-    board.recordStart(first);
+    board.recordStart(first, Millis{0});
     board.recordEnd(first, TargetOutcome::Full, Millis{0});
     CHECK(board.choose(criteriaFor(7), Millis{100})->target.id != first);
     CHECK(board.choose(criteriaFor(7), Millis{200})->target.id == first);
 
     for (int i = 0; i < 2; ++i) {
-        board.recordStart(first);
+        board.recordStart(first, Millis{0});
         board.recordEnd(first, TargetOutcome::Lost, Millis{200});
     }
     CHECK(board.choose(criteriaFor(7), Millis{300})->target.id != first);
@@ -145,7 +148,7 @@
 {
     TargetBoard board(1);
     board.setTargets(twelveTargets(), Millis{0});
-    board.recordStart(TargetId{"i-1"});
+    board.recordStart(TargetId{"i-1"}, Millis{0});
     board.updatePeerLoads(InstanceId{"p"}, {{TargetId{"i-1"}, 2, false}}, Millis{0});
     board.updatePeerLoads(InstanceId{"q"}, {{TargetId{"i-1"}, 3, false}, {TargetId{"i-2"}, 1, false}}, Millis{0});
     board.updatePeerLoads(InstanceId{"q"}, {{TargetId{"i-1"}, 4, false}, {TargetId{"i-2"}, 1, false}}, Millis{0});
@@ -188,11 +191,11 @@
     board.setTargets(incarnationStartedAt(100), Millis{0});
     const GatewayTarget before = incarnationStartedAt(100).front();
     const GatewayTarget after = incarnationStartedAt(200).front();
-    board.recordStart(before.id);
-    board.recordStart(before.id);
+    board.recordStart(before.id, Millis{0});
+    board.recordStart(before.id, Millis{0});
     board.recordEnd(before.id, TargetOutcome::Lost, Millis{10});
     board.recordEnd(before.id, TargetOutcome::Lost, Millis{10});
-    board.recordStart(before.id);
+    board.recordStart(before.id, Millis{0});
     board.updatePeerLoads(InstanceId{"p"}, {{before.id, 7, true}}, Millis{10});
     CHECK_FALSE(board.isReplaced(before));
     CHECK(board.isListed(before.id));
@@ -237,7 +240,7 @@
     };
     const TargetId leaving = targets[0].id;
     CHECK(isChosen(leaving, Millis{10}));
-    board.recordStart(leaving);
+    board.recordStart(leaving, Millis{0});
     CHECK(board.markLeaving(leaving, Millis{20}));
     CHECK_FALSE(board.markLeaving(leaving, Millis{30}));
     CHECK_FALSE(isChosen(leaving, Millis{40}));
@@ -274,7 +277,7 @@
     };
     CHECK_FALSE(isChosen(Millis{200}));
     for (std::size_t i = 1; i < targets.size(); ++i) {
-        board.recordStart(targets[i].id);
+        board.recordStart(targets[i].id, Millis{0});
         board.recordEnd(targets[i].id, TargetOutcome::Full, Millis{290});
     }
     CHECK(board.choose(criteriaFor(1), Millis{300}));
@@ -292,3 +295,197 @@
     board.setBackoff(backingOff, Millis::never(), Millis{4000});
     CHECK(isChosen(Millis{4000 + 3600000}));
 }
+
+namespace {
+
+/** What a cold target bears a second, and the limit of the rule, which it must not exceed in any second. */
+constexpr std::uint32_t bearable = 14;
+constexpr std::size_t ruleLimit = 26;
+
+/** A limit that is the same for each gateway and target. */
+class FixedLimit : public ColdTargetLimit
+{
+public:
+    explicit FixedLimit(std::uint32_t allowed, bool lastResort = false) : requests(allowed), isLast(lastResort)
+    {
+    }
+    std::uint32_t requestsPerSecond(const PoolId & /*service*/, std::uint64_t /*targetHash*/, Millis /*now*/) override
+    {
+        return this->requests;
+    }
+    bool isLastResort() const override
+    {
+        return this->isLast;
+    }
+
+private:
+    std::uint32_t requests;
+    bool isLast;
+};
+
+/** Sends count requests of different parts within a moment. @return how many the target got. */
+int sendTo(TargetBoard &board, const TargetId &counted, int count, Millis now)
+{
+    int got = 0;
+    for (int i = 0; i < count; ++i) {
+        if (const auto chosen = board.choose(criteriaFor(hash64(std::to_string(i))), now)) {
+            board.recordStart(chosen->target.id, now);
+            got += chosen->target.id == counted ? 1 : 0;
+        }
+    }
+    return got;
+}
+
+} // namespace
+
+TEST_CASE("a target that the store lists as cold gets its share until it is warm")
+{
+    FixedLimit limit(2);
+    TargetBoard board(1);
+    board.setColdLimit(&limit);
+    board.setTargets(twelveTargets(), Millis{0});
+    const TargetId cold{"i-3"};
+    board.recordCold(cold, Millis{3000}, Millis{0});
+    CHECK(sendTo(board, cold, 200, Millis{10}) == 2);
+    CHECK(sendTo(board, cold, 200, Millis{900}) == 0);
+    CHECK(sendTo(board, cold, 200, Millis{1010}) == 2);
+    CHECK(board.coldTargets(Millis{1010}) == std::vector<GatewayColdTarget>{{cold, Millis{1990}}});
+    board.recordCold(cold, Millis{0}, Millis{1200});
+    CHECK(sendTo(board, cold, 200, Millis{1200}) > 2);
+    CHECK(board.coldTargets(Millis{1200}).empty());
+}
+
+// Guards against a burst at a data centre that is taken back: its targets are cold by then, and their entries state so
+// only with their next heartbeat.
+TEST_CASE("targets of a data centre that was evacuated count as cold once it is taken back")
+{
+    FixedLimit limit(1);
+    TargetBoard board(1);
+    board.setColdLimit(&limit);
+    board.setColdTimes({{engines, Millis{3000}}});
+    std::vector<GatewayTarget> targets = twelveTargets();
+    targets[3].dataCentre = DataCentreId{"b"};
+    board.setTargets(targets, Millis{0});
+    board.setEvacuated({DataCentreId{"b"}}, Millis{0});
+    CHECK(sendTo(board, targets[3].id, 200, Millis{1000}) == 0);
+    board.setEvacuated({}, Millis{9000});
+    CHECK(sendTo(board, targets[3].id, 200, Millis{9000}) == 1);
+    // Written before the data centre was taken back, and read after it.
+    board.recordCold(targets[3].id, Millis{0}, Millis{9100});
+    CHECK(sendTo(board, targets[3].id, 200, Millis{9200}) == 0);
+    CHECK(sendTo(board, targets[3].id, 200, Millis{12000}) > 1);
+}
+
+// Guards against a burst at a target that has just started: a peer's list names it a moment before the report that
+// states that it is cold.
+TEST_CASE("a target that is new on the list counts as cold until something else is known")
+{
+    FixedLimit limit(1);
+    TargetBoard board(1);
+    board.setColdLimit(&limit);
+    board.setColdTimes({{engines, Millis{3000}}});
+    std::vector<GatewayTarget> targets = twelveTargets();
+    const GatewayTarget last = targets.back();
+    targets.pop_back();
+    board.setTargets(targets, Millis{0});
+    CHECK(board.coldTargets(Millis{0}).empty());
+    SUBCASE("a peer's list")
+    {
+        board.setTargets(twelveTargets(), Millis{5000});
+        CHECK(sendTo(board, last.id, 200, Millis{5000}) == 1);
+        CHECK(sendTo(board, last.id, 200, Millis{8000}) > 1);
+    }
+    SUBCASE("an entry of a target that was warm all the while, as after an outage of the store")
+    {
+        board.recordCold(last.id, Millis{0}, Millis{5000});
+        board.setTargets(twelveTargets(), Millis{5000});
+        CHECK(sendTo(board, last.id, 200, Millis{5000}) > 1);
+    }
+    SUBCASE("a peer's report that came first")
+    {
+        board.recordPeerCold({{last.id, Millis{400}}}, Millis{5000});
+        board.setTargets(twelveTargets(), Millis{5000});
+        CHECK(board.coldTargets(Millis{5000}) == std::vector<GatewayColdTarget>{{last.id, Millis{400}}});
+    }
+}
+
+TEST_CASE("as a last resort cold targets get requests only where no other target can")
+{
+    FixedLimit limit(5, true);
+    TargetBoard board(1);
+    board.setColdLimit(&limit);
+    std::vector<GatewayTarget> targets = twelveTargets();
+    targets.resize(3);
+    board.setTargets(targets, Millis{0});
+    const TargetId cold{"i-1"};
+    board.recordCold(cold, Millis{3000}, Millis{0});
+    CHECK(sendTo(board, cold, 100, Millis{0}) == 0);
+    for (GatewayTarget &target : targets) {
+        target.isLeaving = target.id != cold;
+    }
+    board.setTargets(targets, Millis{0});
+    CHECK(sendTo(board, cold, 100, Millis{0}) == 5);
+    CHECK_FALSE(board.choose(criteriaFor(7), Millis{0}));
+}
+
+// A data centre comes back cold just as callers press: 30 gateways know for half a second that six of twelve targets
+// are cold, and send as fast as they can. Without the limit, the cold ones have the most room and get most of it.
+TEST_CASE("a surge right after a data centre came back does not exceed what cold targets bear")
+{
+    constexpr std::size_t gatewayCount = 30;
+    for (const ColdTargetUse use : {ColdTargetUse::Share, ColdTargetUse::LastResort, ColdTargetUse::Unlimited}) {
+        struct Gateway
+        {
+            Gateway(std::size_t number, ColdTargetUse use)
+                : directory(InstanceId{"g-" + std::to_string(number)}, {InstanceId{"g-0"}}, number)
+                , limit(directory, use)
+                , board(number)
+            {
+                this->limit.setServiceLimits({{engines, bearable}});
+                this->board.setColdLimit(&this->limit);
+            }
+            PeerDirectory directory;
+            SharedColdTargetLimit limit;
+            TargetBoard board;
+        };
+        std::vector<std::unique_ptr<Gateway>> fleet;
+        for (std::size_t i = 0; i < gatewayCount; ++i) {
+            fleet.push_back(std::make_unique<Gateway>(i, use));
+            for (std::size_t other = 0; other < gatewayCount; ++other) {
+                if (other != i) {
+                    fleet[i]->directory.recordReport(InstanceId{"g-" + std::to_string(other)}, {}, Millis{0});
+                }
+            }
+            fleet[i]->board.setTargets(twelveTargets(), Millis{0});
+            for (int cold = 0; cold < 6; ++cold) {
+                fleet[i]->board.recordCold(TargetId{"i-" + std::to_string(cold)}, Millis{3000}, Millis{5000});
+            }
+        }
+        std::map<TargetId, std::deque<Millis>> arrivals;
+        std::size_t busiest = 0;
+        std::mt19937_64 random(1);
+        for (Millis now{5000}; now < Millis{8000}; now = now + Millis{2}) {
+            TargetBoard &board = fleet[random() % gatewayCount]->board;
+            TargetCriteria criteria = criteriaFor(random());
+            criteria.policy = PolicyKind::RoomRendezvous;
+            criteria.requestHash = random();
+            const auto chosen = board.choose(criteria, now);
+            REQUIRE(chosen);
+            board.recordStart(chosen->target.id, now);
+            board.recordEnd(chosen->target.id, TargetOutcome::Answered, now);
+            if (chosen->target.id < TargetId{"i-6"} && chosen->target.id.value.size() == 3) {
+                std::deque<Millis> &times = arrivals[chosen->target.id];
+                times.push_back(now);
+                while (times.front() <= now - Millis{1000}) {
+                    times.pop_front();
+                }
+                busiest = std::max(busiest, times.size());
+            }
+        }
+        if (use == ColdTargetUse::Unlimited) {
+            CHECK(busiest > ruleLimit);
+        } else {
+            CHECK(busiest <= bearable);
+        }
+    }
+}
--- a/sequoiausher/coordination/gateway/targeteligibility.cpp
+++ b/sequoiausher/coordination/gateway/targeteligibility.cpp
@@ -4,6 +4,20 @@
 
 namespace Sequoiausher {
 
+namespace {
+
+bool isOverColdLimit(const TargetState &target, const EligibilityCriteria &criteria, Millis now)
+{
+    if (criteria.coldLimit == nullptr || !target.isCold(now)) {
+        return false;
+    }
+    constexpr Millis second{1000};
+    return target.sentWithin(second, now)
+        >= criteria.coldLimit->requestsPerSecond(target.target.service, target.hash, now);
+}
+
+} // namespace
+
 std::optional<Ineligibility> findLastingIneligibility(const TargetState &target)
 {
     if (!target.isListed) {
@@ -31,6 +45,9 @@
     if (now < target.backoffUntil) {
         return Ineligibility::Backoff;
     }
+    if (isOverColdLimit(target, criteria, now)) {
+        return Ineligibility::Cold;
+    }
     if (target.health.isEjected(now)) {
         return Ineligibility::Failing;
     }
--- a/sequoiausher/coordination/gateway/targeteligibility.h
+++ b/sequoiausher/coordination/gateway/targeteligibility.h
@@ -6,6 +6,7 @@
 //     if (const auto reason = findIneligibility(state, criteria, now)) { counts.add(*reason); }
 
 #include "sequoiausher/base/nametable.h"
+#include "sequoiausher/coordination/gateway/coldtargetlimit.h"
 #include "sequoiausher/coordination/gateway/targetstate.h"
 
 #include <array>
@@ -29,6 +30,8 @@
     Tried,
     /** The target asked for no requests for a while. */
     Backoff,
+    /** The target is cold, and this gateway's share of the requests that it bears is used up. */
+    Cold,
     /** Too many requests failed at the target lately. */
     Failing,
     /** The target just reported itself full. */
@@ -42,6 +45,7 @@
     {Ineligibility::Evacuated, "evacuated"},
     {Ineligibility::Tried, "tried"},
     {Ineligibility::Backoff, "backoff"},
+    {Ineligibility::Cold, "cold"},
     {Ineligibility::Failing, "failing"},
     {Ineligibility::Full, "full"},
 });
@@ -51,6 +55,8 @@
 {
     /** Targets to which the request was sent before. */
     std::vector<TargetId> excluded;
+    /** How much a cold target may get; none for no limit. */
+    ColdTargetLimit *coldLimit = nullptr;
 };
 
 /**
--- a/sequoiausher/coordination/gateway/targeteligibilitytest.cpp
+++ b/sequoiausher/coordination/gateway/targeteligibilitytest.cpp
@@ -24,6 +24,22 @@
     std::function<void(TargetState &, EligibilityCriteria &)> apply;
 };
 
+/** A limit that allows one request a second. */
+class OnePerSecond : public ColdTargetLimit
+{
+public:
+    std::uint32_t requestsPerSecond(const PoolId & /*service*/, std::uint64_t /*targetHash*/, Millis /*now*/) override
+    {
+        return 1;
+    }
+    bool isLastResort() const override
+    {
+        return false;
+    }
+};
+
+OnePerSecond onePerSecond;
+
 /** In the order of Ineligibility. */
 std::vector<Fact> allFacts()
 {
@@ -36,6 +52,12 @@
          [](TargetState &state, EligibilityCriteria &criteria) { criteria.excluded = {state.target.id}; }},
         {Ineligibility::Backoff,
          [](TargetState &state, EligibilityCriteria &) { state.backoffUntil = now + Millis{1}; }},
+        {Ineligibility::Cold,
+         [](TargetState &state, EligibilityCriteria &criteria) {
+             criteria.coldLimit = &onePerSecond;
+             state.coldUntil = now + Millis{1};
+             state.recentSends = {now - Millis{999}};
+         }},
         {Ineligibility::Failing,
          [](TargetState &state, EligibilityCriteria &) {
              for (int i = 0; i < 3; ++i) {
@@ -82,6 +104,20 @@
     }
 }
 
+TEST_CASE("a cold target gets its share in each second, and a warm one is not limited")
+{
+    TargetState state = soundTarget();
+    const EligibilityCriteria criteria{{}, &onePerSecond};
+    state.coldUntil = now + Millis{500};
+    CHECK_FALSE(findIneligibility(state, criteria, now));
+    state.recentSends = {now};
+    CHECK(findIneligibility(state, criteria, now + Millis{499}) == Ineligibility::Cold);
+    CHECK_FALSE(findIneligibility(state, criteria, now + Millis{500}));
+    state.coldUntil = now + Millis{5000};
+    CHECK(findIneligibility(state, criteria, now + Millis{999}) == Ineligibility::Cold);
+    CHECK_FALSE(findIneligibility(state, criteria, now + Millis{1000}));
+}
+
 TEST_CASE("counts are written in the order of the reasons")
 {
     IneligibilityCounts counts;
--- a/sequoiausher/coordination/gateway/targetlist.cpp
+++ b/sequoiausher/coordination/gateway/targetlist.cpp
@@ -26,10 +26,14 @@
     return target.bornAt != Millis{0} && target.bornAt < current.bornAt;
 }
 
-/** Returns the target as written, with the current incarnation where the entry has none. */
-GatewayTarget withKnownIncarnation(const GatewayTarget &target, const GatewayTarget &current)
+/**
+ * Returns the target as written, with the current incarnation where the entry has none. How long it stays cold is left
+ * out: it changes with each heartbeat, and gateways report it to each other while it matters.
+ */
+GatewayTarget asListed(const GatewayTarget &target, const GatewayTarget &current)
 {
     GatewayTarget result = target;
+    result.coldFor = Millis{0};
     if (target.bornAt == Millis{0} && current.bornAt != Millis{0}) {
         result.bornAt = current.bornAt;
         result.id = current.id;
@@ -50,7 +54,7 @@
     this->missingEntryCount -= entry.missingSince ? 1 : 0;
     entry.missingSince.reset();
     entry.removedRevision = 0;
-    const GatewayTarget written = withKnownIncarnation(target, entry.target);
+    const GatewayTarget written = asListed(target, entry.target);
     if (entry.changedRevision == 0 || !(entry.target == written)) {
         entry.target = written;
         entry.changedRevision = at;
--- a/sequoiausher/coordination/gateway/targetstate.h
+++ b/sequoiausher/coordination/gateway/targetstate.h
@@ -6,7 +6,9 @@
 #include "sequoiausher/coordination/gateway/gatewayconfiguration.h"
 #include "sequoiausher/coordination/gateway/targethealthscore.h"
 
+#include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <optional>
 
 namespace Sequoiausher {
@@ -37,12 +39,28 @@
     bool hasAnnouncedLeaving = false;
     /** The target's data centre is under evacuation. */
     bool isEvacuated = false;
+    /** The target is cold before this time, by its entry or a peer's report. */
+    Millis coldUntil;
+    /** Before this time the target is taken for cold, because its entry may not state it yet. */
+    Millis presumedColdUntil;
+    /** When this gateway sent its last requests to the target, those of the last second at least, oldest first. */
+    std::deque<Millis> recentSends;
 
+    bool isCold(Millis now) const
+    {
+        return now < this->coldUntil || now < this->presumedColdUntil;
+    }
     /** Requests in flight of this gateway and, by their last reports, of its peers. */
     std::uint32_t inFlight() const
     {
         return this->ownInFlight + this->peersInFlight;
     }
+    /** Requests that this gateway sent to the target within the span before now. */
+    std::size_t sentWithin(Millis span, Millis now) const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            this->recentSends.begin(), this->recentSends.end(), [&](Millis at) { return at > now - span; }));
+    }
 };
 
 } // namespace Sequoiausher
--- a/sequoiausher/coordination/messages/gatewaymessages.h
+++ b/sequoiausher/coordination/messages/gatewaymessages.h
@@ -62,6 +62,16 @@
     bool operator==(const GatewayEvacuation &) const = default;
 };
 
+/** A target that is cold: it has just started, or lost what made it fast. */
+struct GatewayColdTarget
+{
+    TargetId target;
+    /** How much longer it stays cold. */
+    Millis remaining;
+
+    bool operator==(const GatewayColdTarget &) const = default;
+};
+
 /** A gateway on the sender's list of gateways. */
 struct GatewayMember
 {
@@ -127,6 +137,8 @@
     std::uint64_t evacuationsDigest = 0;
     /** All data centres that were ever evacuated; left out if the receiver reported the same digest. */
     std::vector<GatewayEvacuation> evacuations;
+    /** The targets that are cold as far as the sender knows. */
+    std::vector<GatewayColdTarget> coldTargets;
 
     bool operator==(const GatewayReport &) const = default;
 };
--- a/sequoiausher/protocol/codec/framereader.cpp
+++ b/sequoiausher/protocol/codec/framereader.cpp
@@ -680,6 +680,10 @@
         report.evacuations.push_back(
             {DataCentreId{this->name(evacuation->data_centre())}, evacuation->changed_at(), evacuation->evacuated()});
     }
+    for (std::size_t i = 0; i < this->sizeOf(m->cold_targets()); ++i) {
+        const auto *cold = m->cold_targets()->Get(static_cast<flatbuffers::uoffset_t>(i));
+        report.coldTargets.push_back({TargetId{this->name(cold->target())}, spanOf(cold->remaining())});
+    }
     return report;
 }
 
--- a/sequoiausher/protocol/codec/framewriter.cpp
+++ b/sequoiausher/protocol/codec/framewriter.cpp
@@ -454,7 +454,12 @@
             evacuation.changedAt, this->index(evacuation.dataCentre.value), evacuation.isEvacuated);
     }
     const auto crashesAt = this->structs(crashes);
+    std::vector<Wire::GatewayColdTarget> coldTargets;
+    for (const GatewayColdTarget &cold : m.coldTargets) {
+        coldTargets.emplace_back(wireSpan(cold.remaining), this->index(cold.target.value));
+    }
     const auto evacuationsAt = this->structs(evacuations);
+    const auto coldTargetsAt = this->structs(coldTargets);
     const auto membersAt = this->structs(members);
     const auto placementsAt = this->structs(placements);
     const auto loadsAt = this->structs(loads);
@@ -482,7 +487,8 @@
                                                              m.storeEra,
                                                              crashesAt,
                                                              m.evacuationsDigest,
-                                                             evacuationsAt));
+                                                             evacuationsAt,
+                                                             coldTargetsAt));
 }
 
 // Without the order, a router of the first version would not see the messages of a kind that it does not know.
--- a/sequoiausher/protocol/codec/messagegenerators.cpp
+++ b/sequoiausher/protocol/codec/messagegenerators.cpp
@@ -169,6 +169,7 @@
 SEQUOIAUSHER_ARBITRARY(GatewayPlacement, m.part, m.target);
 SEQUOIAUSHER_ARBITRARY(GatewayCrash, m.caller, m.content, m.target, m.age, m.ranFor);
 SEQUOIAUSHER_ARBITRARY(GatewayEvacuation, m.dataCentre, m.changedAt, m.isEvacuated);
+SEQUOIAUSHER_ARBITRARY(GatewayColdTarget, m.target, m.remaining);
 SEQUOIAUSHER_ARBITRARY(GatewayReport,
                        m.sentAt,
                        m.echo,
@@ -190,7 +191,8 @@
                        m.storeEra,
                        m.crashes,
                        m.evacuationsDigest,
-                       m.evacuations);
+                       m.evacuations,
+                       m.coldTargets);
 
 #undef SEQUOIAUSHER_ARBITRARY
 
--- a/sequoiausher/protocol/settings/gatewaysettings.cpp
+++ b/sequoiausher/protocol/settings/gatewaysettings.cpp
@@ -112,6 +112,7 @@
     readNumber(section, "repeat_ratio", 0, 1, settings.repeats.ratio);
     readNumber(section, "repeat_slack", 0, mostRepeats, settings.repeats.slack);
     readSeconds(section, "repeat_window_s", 1, 600, settings.repeats.window);
+    settings.coldTargets = section.name<ColdTargetUse>("cold_targets").value_or(settings.coldTargets);
 }
 
 void readStop(SectionReader &section, GatewayStopSettings &settings)
--- a/sequoiausher/protocol/settings/gatewaysettings.h
+++ b/sequoiausher/protocol/settings/gatewaysettings.h
@@ -10,6 +10,7 @@
 #include "sequoiausher/base/ini/problem.h"
 #include "sequoiausher/base/log/log.h"
 #include "sequoiausher/base/millis.h"
+#include "sequoiausher/coordination/gateway/coldtargetlimit.h"
 #include "sequoiausher/coordination/gateway/retrybudgetshare.h"
 
 #include <cstdint>
@@ -69,6 +70,8 @@
     Millis keyFreshness{5000};
     /** How long after the store's word that a target leaves it may get requests. */
     Millis leaveBound{2000};
+    /** Whether cold targets get requests like other targets. */
+    ColdTargetUse coldTargets = ColdTargetUse::Share;
     RetryBudgetShareSettings repeats;
     GatewayStopSettings stop;
     LogSettings log;
--- a/sequoiausher/transport/gateway/gatewaycontext.cpp
+++ b/sequoiausher/transport/gateway/gatewaycontext.cpp
@@ -46,10 +46,12 @@
     , retryBudget(with.repeats)
     , peers(InstanceId{with.peerAddress}, with.seeds, seed)
     , duty(storeDutyOf(with), seed)
+    , coldLimit(peers, with.coldTargets)
     , board(seed)
     , lifeChecks(*this)
     , random(seed)
 {
+    this->board.setColdLimit(&this->coldLimit);
 }
 
 void GatewayContext::targetEnded(const TargetId &target)
@@ -97,6 +99,20 @@
     return this->table ? this->table->configuration().revision : 0;
 }
 
+void GatewayContext::useColdLimits()
+{
+    std::map<PoolId, std::uint32_t> limits;
+    std::map<PoolId, Millis> times;
+    for (const GatewayService &service : this->table->configuration().services) {
+        if (service.coldRequestsPerSecond > 0) {
+            limits[service.name] = service.coldRequestsPerSecond;
+            times[service.name] = service.coldTime;
+        }
+    }
+    this->coldLimit.setServiceLimits(std::move(limits));
+    this->board.setColdTimes(std::move(times));
+}
+
 Millis GatewayContext::spread(Millis least)
 {
     std::uniform_int_distribution<std::int64_t> extra(0, least.count);
--- a/sequoiausher/transport/gateway/gatewaycontext.h
+++ b/sequoiausher/transport/gateway/gatewaycontext.h
@@ -8,6 +8,7 @@
 #include "sequoiausher/base/log/log.h"
 #include "sequoiausher/base/metrics/metrics.h"
 #include "sequoiausher/coordination/gateway/callerwaitestimator.h"
+#include "sequoiausher/coordination/gateway/coldtargetlimit.h"
 #include "sequoiausher/coordination/gateway/freshness.h"
 #include "sequoiausher/coordination/gateway/loadshedder.h"
 #include "sequoiausher/coordination/gateway/peerdirectory.h"
@@ -64,6 +65,8 @@
     Revision revision() const;
     /** What this gateway is to those who read the store. */
     StoreRole storeRole(Millis now) const;
+    /** Limits requests to cold targets as the configuration in force states. */
+    void useColdLimits();
     /** A span from least to twice least, so that those who were refused together do not return together. */
     Millis spread(Millis least);
     /** At random, from 0 up to 1. */
@@ -89,6 +92,7 @@
     RetryBudgetShare retryBudget;
     PeerDirectory peers;
     StoreDuty duty;
+    SharedColdTargetLimit coldLimit;
     TargetBoard board;
     LoadShedder shedder;
     CallerWaitEstimator patience;
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -249,7 +249,7 @@
     this->copiedFrom = order.copyFrom;
     this->call = std::make_unique<GatewayCall>(
         this->self, this->context.dialect, std::move(connection), this->admitted.request.attemptId);
-    this->context.board.recordStart(target.target.id);
+    this->context.board.recordStart(target.target.id, now);
     this->admitted.parts.recordSent(this->context.parts, target.target.id, now);
     this->attempts.recordSent();
     const bool isRetry = this->attempts.targetsUsed() > 1;
--- a/sequoiausher/transport/gateway/gatewayknowledge.cpp
+++ b/sequoiausher/transport/gateway/gatewayknowledge.cpp
@@ -122,6 +122,7 @@
                             {"routes", std::to_string(configuration.routes.size())},
                             {"organisations", std::to_string(configuration.organisations.size())}});
     this->context.table = std::make_shared<const RouteTable>(std::move(configuration));
+    this->context.useColdLimits();
     this->known.configuration = raw;
     this->known.configurationRevision = revision;
 }
@@ -241,6 +242,9 @@
     this->useEvacuations("store");
     // A peer may have told of later changes already.
     if (at >= this->known.targets.revision()) {
+        for (const GatewayTarget &target : list.targets) {
+            this->context.board.recordCold(target.id, target.coldFor, Millis::monotonicNow());
+        }
         this->known.targets.replaceAll(list.targets, at, Millis::monotonicNow());
         for (const TargetId &name : list.unreadable) {
             this->known.targets.removeUnreadable(name, at);
@@ -267,6 +271,7 @@
 
 void GatewayKnowledge::Private::targetWritten(const GatewayTarget &target, Revision at)
 {
+    this->context.board.recordCold(target.id, target.coldFor, Millis::monotonicNow());
     this->known.targets.put(target, at);
     this->noteChange(target.id.value + (target.isLeaving ? " leaves" : " written"));
 }
@@ -303,7 +308,7 @@
         return;
     }
     this->evacuated = std::move(current);
-    this->context.board.setEvacuated(this->evacuated);
+    this->context.board.setEvacuated(this->evacuated, Millis::monotonicNow());
     std::string names;
     for (const DataCentreId &dataCentre : this->evacuated) {
         names += (names.empty() ? "" : ", ") + dataCentre.value;
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -235,6 +235,7 @@
     report.crashes = this->context.quarantine.reportFor(peer, scope, now);
     report.placements = this->context.parts.takeUpdates(peer, scope);
     this->addEvacuations(report, peer);
+    report.coldTargets = this->context.board.coldTargets(now);
     if (!report.isHub) {
         report.loads = this->context.board.ownLoads(now);
         report.members = directory.hasHubs(now) ? std::vector<GatewayMember>() : directory.members(now);
@@ -294,6 +295,7 @@
     const Millis now = Millis::monotonicNow();
     this->news.eraOffered(report.storeEra, from);
     const Revision targets = this->positionOf(report.storeEra, report.targets);
+    this->context.board.recordPeerCold(report.coldTargets, now);
     const bool hasSameEvacuations = this->receiveEvacuations(from, report, targets);
     this->context.peers.recordReport(from, report, now);
     this->context.freshness.recordPeerProof(report.configuration, report.proofAge, report.echo);
