Keep requests within the regions of their route and organisation

What callers saw: nothing yet, as no site of theirs has two regions. A route or an organisation with allowed regions was served by any target (HOME).

Cause: the regions of the settings and allowed_regions of the configuration were read nowhere.

Change: allowedregions decides from route and organisation, both bind; the choice of targets passes others over with the reason 'region', and a copy of cached parts is not taken from another region either. A target whose data centre has no region in the settings gets no request that is bound. Where no target is left, the caller is refused at once with the reason and a time to come back; a second attempt obeys the same.

Ruled out: choosing the service by region (a route names its services); taking an unknown region for allowed.

--- a/sequoiausher/base/identifiers.h
+++ b/sequoiausher/base/identifiers.h
@@ -89,6 +89,8 @@
 using OrganisationId = NameOf<struct OrganisationTag>;
 /** A data centre. */
 using DataCentreId = NameOf<struct DataCentreTag>;
+/** Data centres between which data may move freely. */
+using RegionId = NameOf<struct RegionTag>;
 
 /** One request, from the client's connection to the target and back. */
 using RequestId = Number128<struct RequestTag>;
--- a/sequoiausher/coordination/gateway/gatewayconfiguration.h
+++ b/sequoiausher/coordination/gateway/gatewayconfiguration.h
@@ -70,6 +70,8 @@
     std::uint32_t mostTargets = 1;
     /** 0 is the highest priority. */
     std::uint32_t priority = 5;
+    /** The regions whose targets may get requests; empty for all. */
+    std::vector<RegionId> allowedRegions;
     std::vector<ServiceShare> services;
 
     bool operator==(const GatewayRoute &) const = default;
@@ -106,6 +108,8 @@
     std::vector<std::string> keys;
     /** Overrides the route's priority where it is set. */
     std::optional<std::uint32_t> priority;
+    /** The regions whose targets may get the organisation's requests; empty for all. */
+    std::vector<RegionId> allowedRegions;
 
     bool operator==(const GatewayOrganisation &) const = default;
 };
--- a/sequoiausher/coordination/gateway/promptparts.cpp
+++ b/sequoiausher/coordination/gateway/promptparts.cpp
@@ -47,15 +47,18 @@
     return this->shared.empty() ? std::vector<TargetId>() : directory.holders(this->shared.back(), now);
 }
 
-std::optional<GatewayTarget>
-PromptParts::findCopySource(const PrefixDirectory &directory, TargetBoard &board, const TargetId &to, Millis now) const
+std::optional<GatewayTarget> PromptParts::findCopySource(const PrefixDirectory &directory,
+                                                         TargetBoard &board,
+                                                         const TargetId &to,
+                                                         const AllowedRegions &allowedRegions,
+                                                         Millis now) const
 {
     for (auto part = this->shared.rbegin(); part != this->shared.rend(); ++part) {
         const std::vector<TargetId> currentHolders = directory.holders(*part, now);
         if (contains(currentHolders, to)) {
             return std::nullopt;
         }
-        std::optional<GatewayTarget> source = board.findCopySource(currentHolders, now);
+        std::optional<GatewayTarget> source = board.findCopySource(currentHolders, allowedRegions, now);
         if (source) {
             return source;
         }
--- a/sequoiausher/coordination/gateway/promptparts.h
+++ b/sequoiausher/coordination/gateway/promptparts.h
@@ -39,8 +39,11 @@
      * target holds (see TargetBoard::findCopySource). None if "to" holds that beginning or a longer one itself, or if
      * there is no such target. Copying a part of 1,000 tokens takes about a millisecond, whereas reading it takes 18.
      */
-    std::optional<GatewayTarget>
-    findCopySource(const PrefixDirectory &directory, TargetBoard &board, const TargetId &to, Millis now) const;
+    std::optional<GatewayTarget> findCopySource(const PrefixDirectory &directory,
+                                                TargetBoard &board,
+                                                const TargetId &to,
+                                                const AllowedRegions &allowedRegions,
+                                                Millis now) const;
     /** Records that the prompt goes to the target, which will hold its shared parts. */
     void recordSent(PrefixDirectory &directory, const TargetId &to, Millis now) const;
 
--- a/sequoiausher/coordination/gateway/promptpartstest.cpp
+++ b/sequoiausher/coordination/gateway/promptpartstest.cpp
@@ -29,7 +29,7 @@
 
     std::string source(const PromptParts &parts, const TargetId &to)
     {
-        const auto found = parts.findCopySource(this->directory, this->board, to, now);
+        const auto found = parts.findCopySource(this->directory, this->board, to, std::nullopt, now);
         return found ? found->address : "";
     }
 
--- a/sequoiausher/coordination/gateway/targetboard.cpp
+++ b/sequoiausher/coordination/gateway/targetboard.cpp
@@ -102,6 +102,8 @@
         this->lastingCounts.clear();
         for (auto &[id, state] : this->targets) {
             state.isEvacuated = this->evacuated.contains(state.target.dataCentre);
+            const auto region = this->regions.find(state.target.dataCentre);
+            state.region = region != this->regions.end() ? region->second : RegionId();
             if (const std::optional<Ineligibility> reason = findLastingIneligibility(state)) {
                 this->lastingCounts[state.target.service].add(*reason);
             } else {
@@ -164,6 +166,7 @@
     /** The other targets of each service, by reason. */
     std::map<PoolId, IneligibilityCounts> lastingCounts;
     std::set<DataCentreId> evacuated;
+    std::map<DataCentreId, RegionId> regions;
     std::map<PoolId, Millis> coldTimes;
     ColdTargetLimit *coldLimit = nullptr;
     /** Until when targets are cold; kept apart from their states, because this may be known before they are listed. */
@@ -235,6 +238,12 @@
     }
 }
 
+void TargetBoard::setRegions(std::map<DataCentreId, RegionId> regions)
+{
+    this->d->regions = std::move(regions);
+    this->d->groupByService();
+}
+
 void TargetBoard::setEvacuated(std::set<DataCentreId> dataCentres, Millis now)
 {
     for (auto &[id, state] : this->d->targets) {
@@ -362,7 +371,7 @@
                                       IneligibilityCounts &passedOver,
                                       Millis now) const
 {
-    const EligibilityCriteria asked{criteria.excluded, this->coldLimit};
+    const EligibilityCriteria asked{criteria.excluded, criteria.allowedRegions, this->coldLimit};
     PoolLoad load;
     load.targets.reserve(candidates.size());
     std::vector<std::optional<Ineligibility>> reasons;
@@ -417,10 +426,11 @@
 
 IneligibilityCounts TargetBoard::countIneligible(const TargetCriteria &criteria, Millis now) const
 {
+    const EligibilityCriteria asked{criteria.excluded, criteria.allowedRegions, this->d->coldLimit};
     IneligibilityCounts counts;
     for (const auto &[id, state] : this->d->targets) {
         if (state.target.service == criteria.service) {
-            if (const auto reason = findIneligibility(state, {criteria.excluded, this->d->coldLimit}, now)) {
+            if (const auto reason = findIneligibility(state, asked, now)) {
                 counts.add(*reason);
             }
         }
@@ -428,14 +438,15 @@
     return counts;
 }
 
-std::optional<GatewayTarget> TargetBoard::findCopySource(const std::vector<TargetId> &holders, Millis now)
+std::optional<GatewayTarget>
+TargetBoard::findCopySource(const std::vector<TargetId> &holders, const AllowedRegions &allowedRegions, Millis now)
 {
     this->d->expire(now);
     const TargetState *best = nullptr;
     for (const TargetId &holder : holders) {
         const TargetState *state = this->d->find(holder);
-        const bool isSound
-            = state != nullptr && state->isListed && !state->health.isEjected(now) && now >= state->backoffUntil;
+        const bool isSound = state != nullptr && state->isListed && !state->health.isEjected(now)
+            && now >= state->backoffUntil && isAllowed(allowedRegions, state->region);
         if (isSound && (best == nullptr || state->inFlight() < best->inFlight())) {
             best = state;
         }
--- a/sequoiausher/coordination/gateway/targetboard.h
+++ b/sequoiausher/coordination/gateway/targetboard.h
@@ -53,6 +53,7 @@
     std::uint64_t requestHash = 0;
     /** Targets to which the request was sent before. */
     std::vector<TargetId> excluded;
+    AllowedRegions allowedRegions;
 };
 
 /** A chosen target and the figures that decided the choice. */
@@ -77,6 +78,8 @@
 
     /** Replaces the list of targets; the loads of targets that stay are kept. */
     void setTargets(const std::vector<GatewayTarget> &targets, Millis now);
+    /** Sets the region of each data centre. */
+    void setRegions(std::map<DataCentreId, RegionId> regions);
     /**
      * Sets the data centres whose targets get no requests. The targets of those that were in the set before count as
      * cold for the cold time of their service.
@@ -107,10 +110,11 @@
     IneligibilityCounts countIneligible(const TargetCriteria &criteria, Millis now) const;
 
     /**
-     * Finds the target with the fewest requests in flight among the holders that are listed, not ejected and not in
-     * backoff, to copy the part from.
+     * Finds the target with the fewest requests in flight among the holders that are listed, not ejected, not in
+     * backoff and in an allowed region, to copy the part from.
      */
-    std::optional<GatewayTarget> findCopySource(const std::vector<TargetId> &holders, Millis now);
+    std::optional<GatewayTarget>
+    findCopySource(const std::vector<TargetId> &holders, const AllowedRegions &allowedRegions, Millis now);
 
     /** Records that a request is sent to the target. */
     void recordStart(const TargetId &target, Millis now);
--- a/sequoiausher/coordination/gateway/targetboardtest.cpp
+++ b/sequoiausher/coordination/gateway/targetboardtest.cpp
@@ -217,7 +217,7 @@
     TargetCriteria criteria = criteriaFor(1);
     criteria.holders = {before.id};
     CHECK(board.choose(criteria, Millis{20})->target == after);
-    CHECK_FALSE(board.findCopySource({before.id}, Millis{20}));
+    CHECK_FALSE(board.findCopySource({before.id}, std::nullopt, Millis{20}));
     board.recordEnd(before.id, TargetOutcome::Neutral, Millis{30});
     CHECK(board.ownLoads(Millis{30}).empty());
 }
--- a/sequoiausher/coordination/gateway/targeteligibility.cpp
+++ b/sequoiausher/coordination/gateway/targeteligibility.cpp
@@ -38,6 +38,9 @@
     if (const std::optional<Ineligibility> lasting = findLastingIneligibility(target)) {
         return lasting;
     }
+    if (!isAllowed(criteria.allowedRegions, target.region)) {
+        return Ineligibility::Region;
+    }
     const std::vector<TargetId> &excluded = criteria.excluded;
     if (std::find(excluded.begin(), excluded.end(), target.target.id) != excluded.end()) {
         return Ineligibility::Tried;
--- a/sequoiausher/coordination/gateway/targeteligibility.h
+++ b/sequoiausher/coordination/gateway/targeteligibility.h
@@ -6,6 +6,7 @@
 //     if (const auto reason = findIneligibility(state, criteria, now)) { counts.add(*reason); }
 
 #include "sequoiausher/base/nametable.h"
+#include "sequoiausher/coordination/gateway/allowedregions.h"
 #include "sequoiausher/coordination/gateway/coldtargetlimit.h"
 #include "sequoiausher/coordination/gateway/targetstate.h"
 
@@ -26,6 +27,8 @@
     Leaving,
     /** The target's data centre is under evacuation. */
     Evacuated,
+    /** The request must not leave its allowed regions, and the target is in another one. */
+    Region,
     /** The request was sent to the target before. */
     Tried,
     /** The target asked for no requests for a while. */
@@ -43,6 +46,7 @@
     {Ineligibility::Unlisted, "unlisted"},
     {Ineligibility::Leaving, "leaving"},
     {Ineligibility::Evacuated, "evacuated"},
+    {Ineligibility::Region, "region"},
     {Ineligibility::Tried, "tried"},
     {Ineligibility::Backoff, "backoff"},
     {Ineligibility::Cold, "cold"},
@@ -55,6 +59,7 @@
 {
     /** Targets to which the request was sent before. */
     std::vector<TargetId> excluded;
+    AllowedRegions allowedRegions;
     /** How much a cold target may get; none for no limit. */
     ColdTargetLimit *coldLimit = nullptr;
 };
--- a/sequoiausher/coordination/gateway/targeteligibilitytest.cpp
+++ b/sequoiausher/coordination/gateway/targeteligibilitytest.cpp
@@ -48,6 +48,11 @@
         {Ineligibility::Leaving, [](TargetState &state, EligibilityCriteria &) { state.target.isLeaving = true; }},
         {Ineligibility::Leaving, [](TargetState &state, EligibilityCriteria &) { state.hasAnnouncedLeaving = true; }},
         {Ineligibility::Evacuated, [](TargetState &state, EligibilityCriteria &) { state.isEvacuated = true; }},
+        {Ineligibility::Region,
+         [](TargetState &state, EligibilityCriteria &criteria) {
+             state.region = RegionId{"west"};
+             criteria.allowedRegions = {{RegionId{"north"}}};
+         }},
         {Ineligibility::Tried,
          [](TargetState &state, EligibilityCriteria &criteria) { criteria.excluded = {state.target.id}; }},
         {Ineligibility::Backoff,
@@ -107,7 +112,7 @@
 TEST_CASE("a cold target gets its share in each second, and a warm one is not limited")
 {
     TargetState state = soundTarget();
-    const EligibilityCriteria criteria{{}, &onePerSecond};
+    const EligibilityCriteria criteria{{}, {}, &onePerSecond};
     state.coldUntil = now + Millis{500};
     CHECK_FALSE(findIneligibility(state, criteria, now));
     state.recentSends = {now};
--- a/sequoiausher/coordination/gateway/targetstate.h
+++ b/sequoiausher/coordination/gateway/targetstate.h
@@ -37,6 +37,8 @@
     bool isListed = true;
     /** The target itself announced that it leaves. */
     bool hasAnnouncedLeaving = false;
+    /** The region of the target's data centre; empty if the settings do not state it. */
+    RegionId region;
     /** The target's data centre is under evacuation. */
     bool isEvacuated = false;
     /** The target is cold before this time, by its entry or a peer's report. */
--- a/sequoiausher/protocol/settings/gatewaysettings.cpp
+++ b/sequoiausher/protocol/settings/gatewaysettings.cpp
@@ -59,6 +59,23 @@
     }
 }
 
+/** Each part is the name of a data centre, a colon and that of its region. */
+void readRegions(SectionReader &section, std::map<DataCentreId, RegionId> &regions)
+{
+    const IniEntry *entry = filled(section, "regions");
+    if (entry == nullptr) {
+        return;
+    }
+    for (const std::string &part : section.list("regions").value_or(std::vector<std::string>())) {
+        const std::size_t colon = part.find(':');
+        const bool isPair = colon != std::string::npos && colon > 0 && colon + 1 < part.size();
+        if (!isPair || !regions.emplace(part.substr(0, colon), part.substr(colon + 1)).second) {
+            section.report(*entry, "each data centre once with its region, as in hall-a:north, hall-b:west");
+            return;
+        }
+    }
+}
+
 void readGateway(SectionReader &section, GatewaySettings &settings)
 {
     section.require("name", "the gateway's name");
@@ -76,6 +93,7 @@
     constexpr double mostCores = 1024;
     constexpr double mostMbps = 1000000;
     readNumber(section, "processor_share", 0, mostCores, settings.processorShare);
+    readRegions(section, settings.regions);
     readNumber(section, "link_mbps", 0, mostMbps, settings.linkMbps);
     if (const IniEntry *rules = filled(section, "rules")) {
         settings.rulesFile = rules->value;
--- a/sequoiausher/protocol/settings/gatewaysettings.h
+++ b/sequoiausher/protocol/settings/gatewaysettings.h
@@ -14,6 +14,7 @@
 #include "sequoiausher/coordination/gateway/retrybudgetshare.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -48,6 +49,8 @@
 {
     InstanceId name;
     DataCentreId dataCentre;
+    /** The region of each data centre; empty where no request is bound to regions. */
+    std::map<DataCentreId, RegionId> regions;
     /** IP number and port for callers. */
     std::string address;
     /** IP number and port at which the platform asks whether this gateway is ready. */
--- a/sequoiausher/protocol/settings/gatewaysettingstest.cpp
+++ b/sequoiausher/protocol/settings/gatewaysettingstest.cpp
@@ -27,6 +27,15 @@
     CHECK(settings.stop.grace == Millis{8000});
     CHECK(settings.seeds == std::vector{InstanceId{"10.0.0.2:82"}, InstanceId{"10.0.0.3:82"}});
     CHECK(settings.metricsAddress.empty());
+    CHECK(settings.regions.empty());
+    CHECK(parseGatewaySettings("[gateway]\nregions = a:north, b:west\n" + least.substr(least.find('\n') + 1), "g.ini")
+              .regions
+          == std::map<DataCentreId, RegionId>{{DataCentreId{"a"}, RegionId{"north"}},
+                                              {DataCentreId{"b"}, RegionId{"west"}}});
+    for (const char *bad : {"a", ":north", "a:", "a:north, a:west"}) {
+        CHECK_THROWS(parseGatewaySettings(
+            "[gateway]\nregions = " + std::string(bad) + "\n" + least.substr(least.find('\n') + 1), "g.ini"));
+    }
     CHECK(settings.peerListenAddress.empty());
     const std::string forwarded = "peer_address = 10.0.0.1:82\npeer_listen_address = 127.0.0.1:83";
     std::string text = least;
--- a/sequoiausher/transport/gateway/gatewayadmission.cpp
+++ b/sequoiausher/transport/gateway/gatewayadmission.cpp
@@ -98,6 +98,7 @@
 std::optional<GatewayRefusal> Admission::findOrganisation()
 {
     std::uint32_t priority = this->admitted.route->priority;
+    this->admitted.allowedRegions = findAllowedRegions(*this->admitted.route, nullptr);
     if (this->admitted.table->needsKeys() && !this->admitted.route->isPublic) {
         const Millis age = this->context.proofAge(this->receivedAt);
         const GatewayOrganisation *found = this->admitted.table->organisationOf(this->admitted.request.key);
@@ -112,6 +113,7 @@
             return GatewayRefusal{statusUnavailable, "the keys may be out of date", retry, Outcome::RefusedFull};
         }
         this->admitted.organisation = found->name;
+        this->admitted.allowedRegions = findAllowedRegions(*this->admitted.route, found);
         priority = found->priority.value_or(priority);
     }
     this->admitted.requestClass = classOf(priority);
--- a/sequoiausher/transport/gateway/gatewayadmission.h
+++ b/sequoiausher/transport/gateway/gatewayadmission.h
@@ -6,6 +6,7 @@
 //     AdmittedRequest admitted;
 //     if (const auto refusal = admitRequest(context, head, now, admitted)) { answer(*refusal); }
 
+#include "sequoiausher/coordination/gateway/allowedregions.h"
 #include "sequoiausher/coordination/gateway/promptparts.h"
 #include "sequoiausher/transport/gateway/gatewaycontext.h"
 
@@ -25,6 +26,8 @@
     const GatewayRoute *route = nullptr;
     /** Empty where the route needs no key. */
     OrganisationId organisation;
+    /** The regions whose targets may get the request. */
+    AllowedRegions allowedRegions;
     RequestClass requestClass = RequestClass::Interactive;
     Decision decision;
     PoolId service;
--- a/sequoiausher/transport/gateway/gatewaycontext.cpp
+++ b/sequoiausher/transport/gateway/gatewaycontext.cpp
@@ -52,6 +52,7 @@
     , random(seed)
 {
     this->board.setColdLimit(&this->coldLimit);
+    this->board.setRegions(with.regions);
 }
 
 void GatewayContext::targetEnded(const TargetId &target)
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -22,8 +22,8 @@
 
 /** When to come back where no target is free. */
 constexpr Millis retryWhenFull{200};
-/** When to come back where no data centre may serve: an operator acts before that in seconds, not in milliseconds. */
-constexpr Millis retryWhenEvacuated{1000};
+/** When to come back where no data centre may serve: an operator has to act before that changes. */
+constexpr Millis retryWhenNoDataCentre{1000};
 /** Log lines name a shared part by a number below this: enough to tell the parts of a day apart. */
 constexpr std::uint64_t partNames = 1000000;
 
@@ -193,6 +193,7 @@
     criteria.holders = this->admitted.parts.holders(this->context.parts, now);
     criteria.requestHash = hash64(this->admitted.request.attemptId, this->attempts.targetsUsed() + 1);
     criteria.excluded = this->attempts.tried();
+    criteria.allowedRegions = this->admitted.allowedRegions;
     return criteria;
 }
 
@@ -206,8 +207,8 @@
     if (this->admitted.decision.cacheMiss != CacheMiss::Copy) {
         return {};
     }
-    const std::optional<GatewayTarget> source
-        = this->admitted.parts.findCopySource(this->context.parts, this->context.board, target.target.id, now);
+    const std::optional<GatewayTarget> source = this->admitted.parts.findCopySource(
+        this->context.parts, this->context.board, target.target.id, this->admitted.allowedRegions, now);
     return source ? source->address : std::string();
 }
 
@@ -357,7 +358,15 @@
     if (evacuated > 0 && this->context.board.targetCount(this->admitted.service) == 0) {
         this->answerOwn(statusUnavailable,
                         "all data centres of the service are evacuated",
-                        this->context.spread(retryWhenEvacuated),
+                        this->context.spread(retryWhenNoDataCentre),
+                        Outcome::RefusedFull);
+        return;
+    }
+    if (counts.count(Ineligibility::Region) > 0
+        && counts.count(Ineligibility::Region) == this->context.board.targetCount(this->admitted.service)) {
+        this->answerOwn(statusUnavailable,
+                        "no target is in a region that the request may reach",
+                        this->context.spread(retryWhenNoDataCentre),
                         Outcome::RefusedFull);
         return;
     }
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -174,6 +174,7 @@
     }
     this->context.settings = settings;
     this->context.coldLimit.setUse(settings.coldTargets);
+    this->context.board.setRegions(settings.regions);
     this->context.retryBudget.setSettings(settings.repeats);
     this->context.duty.setSettings(storeDutyOf(settings));
     this->known.targets.setLeaveBound(settings.leaveBound);
--- a/sequoiausher/transport/gateway/gatewaytestbed.cpp
+++ b/sequoiausher/transport/gateway/gatewaytestbed.cpp
@@ -201,6 +201,18 @@
                 organisation.keys.emplace_back();
                 lines >> organisation.name.value >> organisation.keys.back();
                 configuration.organisations.push_back(organisation);
+            } else if (word == "route-region") {
+                std::string prefix;
+                std::string region;
+                lines >> prefix >> region;
+                for (GatewayRoute &route : configuration.routes) {
+                    if (route.pathPrefix == prefix) {
+                        route.allowedRegions.push_back(RegionId{region});
+                    }
+                }
+            } else if (word == "organisation-region") {
+                configuration.organisations.back().allowedRegions.emplace_back();
+                lines >> configuration.organisations.back().allowedRegions.back().value;
             } else if (word == "idle") {
                 lines >> configuration.limits.idleTime.count;
             } else {
