--- a/lab/soak/soakjudge.cpp
+++ b/lab/soak/soakjudge.cpp
@@ -120,6 +120,8 @@
     void checkConfiguration(const CallState &state, const SoakArrival &arrival);
     void checkRevoked(const CallState &state, const SoakArrival &arrival);
     void checkLeaving(const CallState &state, const SoakArrival &arrival);
+    void checkEvacuated(const CallState &state, const SoakArrival &arrival);
+    void checkCold(const SoakArrival &arrival);
     void checkRuns(CallState &state, const SoakArrival &arrival);
     void checkCrashing(const CallState &state, const SoakArrival &arrival);
     void checkSuccess(const CallState &state, const SoakAnswer &answer, Millis at);
@@ -150,6 +152,16 @@
     std::vector<Pause> pauses;
     std::vector<Version> versions;
     std::map<std::string, Millis> leaving;
+    std::map<std::string, DataCentreId> dataCentres;
+    /** Evacuated data centres, each with the time of the request. */
+    std::map<DataCentreId, Millis> evacuations;
+    struct ColdTarget
+    {
+        Millis until;
+        std::vector<Millis> arrivals;
+        bool isReported = false;
+    };
+    std::map<std::string, ColdTarget> coldTargets;
     std::map<std::string, CallState> calls;
     /** Calls that still have a check in time ahead. */
     std::set<std::string> open;
@@ -217,6 +229,27 @@
     this->d->leaving.emplace(target, at);
 }
 
+void SoakJudge::placed(const std::string &target, const DataCentreId &dataCentre)
+{
+    this->d->dataCentres[target] = dataCentre;
+}
+
+void SoakJudge::evacuationAcknowledged(const DataCentreId &dataCentre, Millis at)
+{
+    this->d->evacuations.emplace(dataCentre, at);
+}
+
+void SoakJudge::evacuationEnded(const DataCentreId &dataCentre)
+{
+    this->d->evacuations.erase(dataCentre);
+}
+
+void SoakJudge::cold(const std::string &target, Millis until)
+{
+    Private::ColdTarget &state = this->d->coldTargets[target];
+    state.until = std::max(state.until, until);
+}
+
 Millis SoakJudge::Private::timeoutOf(const SoakCall &call) const
 {
     // The longest that any version allows: a change may be on its way.
@@ -259,6 +292,8 @@
     state.arrivals += 1;
     this->d->checkOrder(state, arrival);
     this->d->checkLeaving(state, arrival);
+    this->d->checkEvacuated(state, arrival);
+    this->d->checkCold(arrival);
     if (arrival.runs) {
         this->d->checkConfiguration(state, arrival);
         this->d->checkRevoked(state, arrival);
@@ -379,6 +414,48 @@
     }
 }
 
+void SoakJudge::Private::checkEvacuated(const CallState &state, const SoakArrival &arrival)
+{
+    const auto placed = this->dataCentres.find(arrival.target);
+    const auto evacuation
+        = placed != this->dataCentres.end() ? this->evacuations.find(placed->second) : this->evacuations.end();
+    if (evacuation == this->evacuations.end()) {
+        return;
+    }
+    const Millis from = evacuation->second;
+    const Millis due = from + this->bounds.evacuation + this->allowance(from, arrival.at);
+    const bool isBound = this->disturbed.isCalm(storeSubject, from, from)
+        && this->isInTouch(state.call.gateway, state.call.sentAt, arrival.at);
+    if (arrival.at > due && isBound) {
+        this->broken("evacuation",
+                     state.call.id + " reached " + arrival.target + " in " + placed->second.value + " "
+                         + toText(arrival.at - from) + " after the request to evacuate it",
+                     arrival.at);
+    }
+}
+
+void SoakJudge::Private::checkCold(const SoakArrival &arrival)
+{
+    const auto cold = this->coldTargets.find(arrival.target);
+    if (cold == this->coldTargets.end() || arrival.at > cold->second.until) {
+        return;
+    }
+    constexpr Millis second{1000};
+    std::vector<Millis> &arrivals = cold->second.arrivals;
+    arrivals.push_back(arrival.at);
+    // What arrived while this process stood still is seen at once.
+    const Millis stretched = second - (this->allowance(arrival.at - second, arrival.at) - this->bounds.allowance);
+    std::erase_if(arrivals, [&arrival](Millis at) { return at <= arrival.at - second; });
+    const auto within = std::count_if(
+        arrivals.begin(), arrivals.end(), [&](Millis at) { return at > arrival.at - std::max(stretched, Millis{0}); });
+    const double most = this->bounds.coldPerSecond * this->bounds.coldOverrun + this->bounds.coldSlack;
+    if (static_cast<double>(within) > most && !std::exchange(cold->second.isReported, true)) {
+        this->broken("cold",
+                     arrival.target + " got " + std::to_string(within) + " requests in a second while it was cold",
+                     arrival.at);
+    }
+}
+
 void SoakJudge::Private::checkRuns(CallState &state, const SoakArrival &arrival)
 {
     const std::string &id = state.call.id;
--- a/lab/soak/soakjudge.h
+++ b/lab/soak/soakjudge.h
@@ -27,6 +27,12 @@
     Millis drain{2000};
     /** A configuration is in force so long after its publication. */
     Millis apply{2000};
+    /** The targets of an evacuated data centre get nothing new from so long after the operator's request on. */
+    Millis evacuation{5000};
+    /** A cold target gets no more arrivals in a second than coldPerSecond times coldOverrun plus coldSlack. */
+    double coldPerSecond = 2;
+    double coldOverrun = 1.5;
+    double coldSlack = 2;
     /** After an effect of a version was seen, an older one is not used from so long on. */
     Millis rollback{250};
     /** A key that was taken away opens nothing from so long on, at whichever gateway. */
@@ -71,6 +77,14 @@
     /** The store has taken the target's word that it leaves, or dropped its entry. */
     void leavingAcknowledged(const std::string &target, Millis at);
 
+    /** The store lists the target in the data centre. */
+    void placed(const std::string &target, const DataCentreId &dataCentre);
+    /** The store has taken the operator's request to evacuate the data centre, or its end. */
+    void evacuationAcknowledged(const DataCentreId &dataCentre, Millis at);
+    void evacuationEnded(const DataCentreId &dataCentre);
+    /** The target is cold from its start, or from the end of an evacuation, until the given time. */
+    void cold(const std::string &target, Millis until);
+
     void sent(const SoakCall &call);
     /** The answer is over, whole or not. */
     void answered(const std::string &id, const SoakAnswer &answer, Millis at);
--- a/lab/soak/soakjudgetest.cpp
+++ b/lab/soak/soakjudgetest.cpp
@@ -252,6 +252,50 @@
     CHECK(bench.promises() == "drain ");
 }
 
+TEST_CASE("an evacuated data centre gets nothing new after its time, until it is taken back")
+{
+    Bench bench;
+    bench.judge.placed("t1", DataCentreId{"a"});
+    bench.judge.placed("t2", DataCentreId{"b"});
+    bench.judge.evacuationAcknowledged(DataCentreId{"a"}, Millis{4000});
+    bench.send("a", Millis{8000});
+    bench.run("a", "t1", Millis{9200});
+    bench.send("b", Millis{9400});
+    bench.run("b", "t2", Millis{9410});
+    CHECK(bench.promises().empty());
+    bench.send("c", Millis{9400});
+    bench.run("c", "t1", Millis{9410});
+    CHECK(bench.promises() == "evacuation ");
+    bench.judge.evacuationEnded(DataCentreId{"a"});
+    bench.send("d", Millis{9500});
+    bench.run("d", "t1", Millis{9510});
+    CHECK(bench.promises() == "evacuation ");
+}
+
+TEST_CASE("a cold target gets few requests in any second, from gateways out of touch too")
+{
+    Bench bench;
+    bench.judge.cold("t1", Millis{5000});
+    bench.judge.disturbances().begin(SoakJudge::gatewaySubject(0), Millis{0});
+    const auto runAt = [&bench](const std::string &id, Millis at) {
+        bench.send(id, at);
+        bench.run(id, "t1", at);
+    };
+    for (int i = 0; i < 5; ++i) {
+        runAt("a" + std::to_string(i), Millis{1000 + i});
+    }
+    for (int i = 0; i < 5; ++i) {
+        runAt("b" + std::to_string(i), Millis{2004 + i});
+    }
+    CHECK(bench.promises().empty());
+    runAt("c", Millis{2900});
+    CHECK(bench.promises() == "cold ");
+    for (int i = 0; i < 9; ++i) {
+        runAt("d" + std::to_string(i), Millis{6000 + i});
+    }
+    CHECK(bench.promises() == "cold ");
+}
+
 TEST_CASE("a request that was passed on is answered unless target or gateway was disturbed")
 {
     Bench bench;
--- a/lab/soak/soakoperator.cpp
+++ b/lab/soak/soakoperator.cpp
@@ -56,6 +56,14 @@
     this->judge.configurationAcknowledged(this->configuration, Millis::monotonicNow());
 }
 
+void SoakOperator::limitCold(Millis coldTime, std::uint32_t requestsPerSecond)
+{
+    for (GatewayService &service : this->configuration.services) {
+        service.coldTime = coldTime;
+        service.coldRequestsPerSecond = requestsPerSecond;
+    }
+}
+
 void SoakOperator::publishFirst()
 {
     this->publish();
--- a/lab/soak/soakoperator.h
+++ b/lab/soak/soakoperator.h
@@ -22,6 +22,8 @@
 public:
     SoakOperator(SoakStore &store, SoakJudge &judge);
 
+    /** Has targets of all services bear so many requests a second while they are cold, in all later versions. */
+    void limitCold(Millis coldTime, std::uint32_t requestsPerSecond);
     void publishFirst();
     /** Writes the newest version once more: the store has lost it. */
     void publishAgain();
--- a/lab/soak/soakrun.cpp
+++ b/lab/soak/soakrun.cpp
@@ -50,6 +50,8 @@
     for (const char *service : firstServices) {
         TargetPlace &place = this->places.emplace_back();
         const std::string name = "t" + std::to_string(this->places.size());
+        place.dataCentre
+            = this->options.evacuations > 0 ? dataCentreOf(this->places.size()) : DataCentreId{"hall"};
         place.target = std::make_unique<SoakTarget>(name, this->judge, this->random());
         place.link = std::make_unique<Relay>(Endpoint{"127.0.0.1", 0}, Endpoint{"127.0.0.1", place.target->port()});
         this->startTarget(place, service);
@@ -57,6 +59,9 @@
     for (TargetPlace &place : this->places) {
         place.target->ends = [this, &place] { this->crashTarget(place, endedFor, place.target->service()); };
     }
+    if (this->options.hasColdTargets) {
+        this->administrator.limitCold(coldTime, static_cast<std::uint32_t>(SoakBounds{}.coldPerSecond));
+    }
     this->administrator.publishFirst();
     std::vector<std::string> seeds;
     for (std::size_t i = 0; i < this->options.gateways; ++i) {
@@ -214,6 +219,9 @@
     for (std::size_t i = 0; i < this->d->options.returns; ++i) {
         this->d->planReturn(begin + Millis{moment(this->d->returns)});
     }
+    for (std::size_t i = 0; i < this->d->options.evacuations; ++i) {
+        this->d->planEvacuation(begin + Millis{moment(this->d->evacuations)});
+    }
     LabCaller::waitFor([last] { return Millis::monotonicNow() >= last; }, endless);
     // What was begun ends by itself; then everything must be back.
     const bool isQuiet = LabCaller::waitFor([this] { return this->d->actions.empty(); }, longestStop * 4);
--- a/lab/soak/soakrun.h
+++ b/lab/soak/soakrun.h
@@ -31,6 +31,10 @@
     Millis longest{4000};
     /** How often the store comes back from a copy, at moments of their own beside the other faults. */
     std::size_t returns = 0;
+    /** How often the operator evacuates a data centre, at moments of their own beside the other faults. */
+    std::size_t evacuations = 0;
+    /** Targets are cold for some seconds after they were started anew, or after the end of an evacuation. */
+    bool hasColdTargets = false;
     /** A request that ends its targets comes again and again meanwhile. */
     bool hasCrashingCaller = false;
     /** Where settings and what the gateways write go; made where it is missing. */
--- a/lab/soak/soakrunprivate.cpp
+++ b/lab/soak/soakrunprivate.cpp
@@ -35,10 +35,17 @@
 
 } // namespace
 
+DataCentreId dataCentreOf(std::uint64_t number)
+{
+    constexpr std::uint64_t dataCentreCount = 3;
+    return DataCentreId{"hall-" + std::to_string(number % dataCentreCount)};
+}
+
 SoakRun::Private::Private(const SoakOptions &with)
     : options(with)
     , random(with.seed)
     , returns(with.seed)
+    , evacuations(with.seed)
     , judge(SoakBounds{})
     , store(with.seed)
     , administrator(this->store, this->judge)
@@ -300,6 +307,10 @@
 {
     this->administrator.publishAgain();
     std::set<std::string> listed{StandInDialect::configurationKey()};
+    for (const DataCentreId &dataCentre : this->evacuated) {
+        listed.insert(StandInDialect::evacuationKey(dataCentre));
+        this->store.write(StandInDialect::evacuationKey(dataCentre), "{}");
+    }
     for (TargetPlace &place : this->places) {
         if (place.isListed) {
             listed.insert(StandInDialect::targetKey(TargetId{place.target->life()}));
@@ -356,11 +367,13 @@
     entry.id.value = place.target->life();
     entry.service.value = place.target->service();
     entry.address = toText(place.link->listening());
-    entry.dataCentre.value = "hall";
+    entry.dataCentre = place.dataCentre;
     entry.slots = place.target->slots();
     entry.isLeaving = isLeaving;
+    entry.coldFor = std::max(place.coldUntil - Millis::monotonicNow(), Millis{0});
     place.isListed = true;
     place.isLeaving = isLeaving;
+    this->judge.placed(entry.id.value, entry.dataCentre);
     this->store.write(StandInDialect::targetKey(entry.id), StandInDialect::targetText(entry));
 }
 
@@ -374,10 +387,59 @@
 void SoakRun::Private::startTarget(TargetPlace &place, const std::string &service)
 {
     place.target->start(service);
-    this->listTarget(place, false);
+    place.coldUntil = Millis{0};
+    // At the start of the run the gateways start too, and nothing is cold.
+    if (this->options.hasColdTargets && !this->gateways.empty()) {
+        this->coolDown(place);
+    } else {
+        this->listTarget(place, false);
+    }
     this->note("target " + place.target->life() + " of " + service + " started");
 }
 
+void SoakRun::Private::coolDown(TargetPlace &place)
+{
+    const std::string life = place.target->life();
+    place.coldUntil = Millis::monotonicNow() + coldTime;
+    this->judge.cold(life, place.coldUntil);
+    this->listTarget(place, place.isLeaving);
+    this->after(coldTime, [this, &place, life] {
+        if (place.isListed && place.target->isAlive() && place.target->life() == life) {
+            this->listTarget(place, place.isLeaving);
+        }
+    });
+}
+
+void SoakRun::Private::planEvacuation(Millis at)
+{
+    std::uniform_int_distribution<std::int64_t> span(200, 9000);
+    const DataCentreId dataCentre = dataCentreOf(this->evacuations());
+    const Millis lasts{span(this->evacuations)};
+    this->at(at, [this, dataCentre, lasts] {
+        if (!this->evacuated.insert(dataCentre).second) {
+            return;
+        }
+        this->note("data centre " + dataCentre.value + " is evacuated for " + toText(lasts));
+        this->store.write(StandInDialect::evacuationKey(dataCentre), "{}");
+        this->judge.evacuationAcknowledged(dataCentre, Millis::monotonicNow());
+        this->after(lasts, [this, dataCentre] { this->endEvacuation(dataCentre); });
+    });
+}
+
+void SoakRun::Private::endEvacuation(const DataCentreId &dataCentre)
+{
+    this->evacuated.erase(dataCentre);
+    this->note("data centre " + dataCentre.value + " is taken back");
+    this->store.remove(StandInDialect::evacuationKey(dataCentre));
+    this->judge.evacuationEnded(dataCentre);
+    for (TargetPlace &place : this->places) {
+        if (this->options.hasColdTargets && place.dataCentre == dataCentre && place.isListed
+            && place.target->isAlive()) {
+            this->coolDown(place);
+        }
+    }
+}
+
 void SoakRun::Private::leaveTarget(TargetPlace &place)
 {
     const std::string life = place.target->life();
--- a/lab/soak/soakrunprivate.h
+++ b/lab/soak/soakrunprivate.h
@@ -24,6 +24,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,11 @@
 inline constexpr Millis pollInterval{250};
 /** A stopped gateway is gone so long after SIGTERM: its grace and what it takes to end. */
 inline constexpr Millis longestStop{9000};
+/** How long a target stays cold. */
+inline constexpr Millis coldTime{3000};
+
+/** One of three data centres. */
+DataCentreId dataCentreOf(std::uint64_t number);
 
 class SoakRun::Private
 {
@@ -45,6 +51,9 @@
         /** Its entry stands in the store. */
         bool isListed = false;
         bool isLeaving = false;
+        DataCentreId dataCentre;
+        /** Its life is cold until then. */
+        Millis coldUntil;
     };
 
     void setUp();
@@ -76,6 +85,11 @@
     void lapse(Millis span);
     /** The store is away from then on, and comes back from a copy made some time before. */
     void planReturn(Millis at);
+    /** Requests the evacuation of a data centre at that time, and takes it back later. */
+    void planEvacuation(Millis at);
+    void endEvacuation(const DataCentreId &dataCentre);
+    /** The present life of the target is cold from now on, as its entry states. */
+    void coolDown(TargetPlace &place);
     /** One that is there says that it leaves. */
     void leaveAnyTarget();
     /** What the copy does not have is written again. */
@@ -91,6 +105,9 @@
     std::mt19937_64 random;
     /** For returns alone, so that a seed's other faults stay the same. */
     std::mt19937_64 returns;
+    /** For evacuations alone. */
+    std::mt19937_64 evacuations;
+    std::set<DataCentreId> evacuated;
     SoakJudge judge;
     SoakStore store;
     SoakOperator administrator;
