--- a/lab/soak/soakjudge.cpp
+++ b/lab/soak/soakjudge.cpp
@@ -445,7 +445,7 @@
     arrivals.push_back(arrival.at);
     // What arrived while this process stood still is seen at once.
     const Millis stretched = second - (this->allowance(arrival.at - second, arrival.at) - this->bounds.allowance);
-    std::erase_if(arrivals, [&arrival](Millis at) { return at <= arrival.at - second; });
+    std::erase_if(arrivals, [&](Millis at) { return at <= arrival.at - second; });
     const auto within = std::count_if(
         arrivals.begin(), arrivals.end(), [&](Millis at) { return at > arrival.at - std::max(stretched, Millis{0}); });
     const double most = this->bounds.coldPerSecond * this->bounds.coldOverrun + this->bounds.coldSlack;
--- a/lab/soak/soakrun.cpp
+++ b/lab/soak/soakrun.cpp
@@ -50,8 +50,7 @@
     for (const char *service : firstServices) {
         TargetPlace &place = this->places.emplace_back();
         const std::string name = "t" + std::to_string(this->places.size());
-        place.dataCentre
-            = this->options.evacuations > 0 ? dataCentreOf(this->places.size()) : DataCentreId{"hall"};
+        place.dataCentre = this->options.evacuations > 0 ? dataCentreOf(this->places.size()) : DataCentreId{"hall"};
         place.target = std::make_unique<SoakTarget>(name, this->judge, this->random());
         place.link = std::make_unique<Relay>(Endpoint{"127.0.0.1", 0}, Endpoint{"127.0.0.1", place.target->port()});
         this->startTarget(place, service);
