Begin the first watch of a gateway with peers two rounds after its start

Cause: each gateway that starts makes three calls to the store: configuration, list, watch. In a large fleet the watch is dropped 0.3 s later, when a hub reports that it watches; at the start of a fleet and after all gateways were killed that is a call each.

Change: with peers, the first watch begins after two rounds of reports (600 ms). The list was read just before, so nothing is known later than a round of reports would tell; a gateway without peers watches at once.

Evidence: gatewaynodetest (a gateway alone and one beside a peer).

--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -40,6 +40,8 @@
 constexpr int minLateIterations = 2;
 constexpr int maxLateIterations = 8;
 constexpr Millis lateIterationsTime{100};
+/** Two rounds of reports: by then a gateway that has just started knows whether a peer watches the store. */
+constexpr Millis firstWatchDelay = reportInterval * 2;
 /** How often the counts of suppressed log lines are written. */
 constexpr Millis suppressedInterval{2000};
 /** A gateway is not ready if the age of its proof exceeds this fraction of the maximum age for keys. */
@@ -162,6 +164,9 @@
                                                    settings.linkMbps,
                                                    this->log,
                                                    this->knowledge.storeListener());
+    if (this->context.peers.hasPeers()) {
+        this->watcher->setFirstWatchDelay(firstWatchDelay);
+    }
     this->watcher->tick(Millis::monotonicNow(), Millis::never(), Millis{0});
 }
 
--- a/sequoiausher/transport/gateway/gatewaynodetest.cpp
+++ b/sequoiausher/transport/gateway/gatewaynodetest.cpp
@@ -623,6 +623,22 @@
     CHECK(look("k1") == 401);
 }
 
+// Guards against a call to the store by each gateway of a large fleet that starts at once: within two rounds of reports
+// most of them hear that a peer watches it.
+TEST_CASE("a gateway that has peers watches the store only after it had time to hear from them")
+{
+    Bed alone;
+    alone.addTarget("t1", "desk");
+    alone.start();
+    CHECK(GatewayTestbed::waitFor([&] { return alone.watchesBegun > 0; }, Millis{300}));
+    Bed other;
+    other.addTarget("t1", "desk");
+    other.settings.seeds = {InstanceId{alone.settings.peerAddress}};
+    other.start();
+    CHECK_FALSE(GatewayTestbed::waitFor([&] { return other.watchesBegun > 0; }, Millis{300}));
+    CHECK(GatewayTestbed::waitFor([&] { return other.watchesBegun > 0; }, Millis{1500}));
+}
+
 // Guards against a start that takes the first era which it hears of for a return from a copy.
 TEST_CASE("a gateway that starts beside one that knows nothing yet does not take the store for restored")
 {
--- a/sequoiausher/transport/gateway/storewatcher.cpp
+++ b/sequoiausher/transport/gateway/storewatcher.cpp
@@ -107,6 +107,7 @@
     Millis readingTime;
     double bytesPerMs;
     Millis longestPause = baseStorePause;
+    Millis firstWatchDelay;
     bool isResting = false;
     /** What the pages read so far list. */
     StoredTargets listed;
@@ -180,6 +181,11 @@
     this->d->deadline.setTimes(times);
 }
 
+void StoreWatcher::setFirstWatchDelay(Millis delay)
+{
+    this->d->firstWatchDelay = delay;
+}
+
 void StoreWatcher::setLongestPause(Millis pause)
 {
     this->d->longestPause = pause;
@@ -379,12 +385,15 @@
             return;
         }
         this->watchedFrom = this->listedFrom;
+        const Millis delay = this->hasListed ? Millis{0} : this->firstWatchDelay;
         this->hasListed = true;
         this->isOverdue = false;
         this->targetsReadAt = Millis::monotonicNow();
         this->deadline.recordReportedUpTo(this->listedFrom);
         this->listener.listRead(this->listed, this->listedFrom, this->listedSince);
-        if (!this->isResting) {
+        if (delay > Millis{0}) {
+            this->changes.nextAt = Millis::monotonicNow() + delay;
+        } else if (!this->isResting) {
             this->watch();
         }
     } catch (const Error &error) {
--- a/sequoiausher/transport/gateway/storewatcher.h
+++ b/sequoiausher/transport/gateway/storewatcher.h
@@ -113,6 +113,11 @@
     void setEra(std::uint64_t era);
     /** Sets the time limits for calls from now on. */
     void setTimes(const StoreTimes &times);
+    /**
+     * Sets how long after the first list the first watch begins. A gateway with peers waits until it can hear from
+     * them, because most gateways then rely on a peer's watch.
+     */
+    void setFirstWatchDelay(Millis delay);
     /** Sets the maximum pause after a failed call. */
     void setLongestPause(Millis pause);
     /** When this gateway itself last read the targets from the store; 0 for never. */
