Revert "Lower the bound on load while many targets are evacuated"

With sums of loads half a second old, chance alone puts more than 3 in 100 requests above the mean of the others and three.

--- a/sequoiausher/coordination/gateway/targetboard.cpp
+++ b/sequoiausher/coordination/gateway/targetboard.cpp
@@ -28,8 +28,6 @@
  * has none of its prompt cached.
  */
 constexpr std::uint64_t boundSlackRequests = 1;
-/** The same for a bound that was lowered to the cap; with less, nearly all targets would be at the bound by chance. */
-constexpr std::uint64_t cappedBoundSlackRequests = 2;
 /** The weight of one answer in the moving average of a target's answer times, which covers about ten answers. */
 constexpr double answerTimeWeight = 0.1;
 /** The weight of one round in the moving average of a target's load, which covers about five rounds. */
@@ -155,8 +153,6 @@
                              PoolLoad &load,
                              IneligibilityCounts &passedOver,
                              Millis now);
-    /** Returns the bound of the request, or less where the cap over all targets of the service is lower. */
-    std::uint32_t cappedBoundPercent(const TargetCriteria &criteria, std::size_t eligible) const;
     PoolLoad loadOf(const std::vector<TargetState *> &candidates,
                     const TargetCriteria &criteria,
                     const TargetSelector &selector,
@@ -170,7 +166,6 @@
     /** The other targets of each service, by reason. */
     std::map<PoolId, IneligibilityCounts> lastingCounts;
     std::set<DataCentreId> evacuated;
-    std::uint32_t loadCapPercent = 200;
     std::map<DataCentreId, RegionId> regions;
     std::map<PoolId, Millis> coldTimes;
     ColdTargetLimit *coldLimit = nullptr;
@@ -243,11 +238,6 @@
     }
 }
 
-void TargetBoard::setLoadCap(std::uint32_t percent)
-{
-    this->d->loadCapPercent = percent;
-}
-
 void TargetBoard::setRegions(std::map<DataCentreId, RegionId> regions)
 {
     this->d->regions = std::move(regions);
@@ -375,18 +365,6 @@
     }
 }
 
-std::uint32_t TargetBoard::Private::cappedBoundPercent(const TargetCriteria &criteria, std::size_t eligible) const
-{
-    const auto lasting = this->lastingCounts.find(criteria.service);
-    const std::size_t evacuatedCount
-        = lasting != this->lastingCounts.end() ? lasting->second.count(Ineligibility::Evacuated) : 0;
-    if (evacuatedCount == 0) {
-        return criteria.boundPercent;
-    }
-    const std::size_t capped = this->loadCapPercent * eligible / (eligible + evacuatedCount);
-    return std::min(criteria.boundPercent, static_cast<std::uint32_t>(capped));
-}
-
 PoolLoad TargetBoard::Private::loadOf(const std::vector<TargetState *> &candidates,
                                       const TargetCriteria &criteria,
                                       const TargetSelector &selector,
@@ -394,8 +372,6 @@
                                       Millis now) const
 {
     const EligibilityCriteria asked{criteria.excluded, criteria.allowedRegions, this->coldLimit};
-    const std::uint32_t boundPercent = this->cappedBoundPercent(criteria, candidates.size());
-    const bool isCapped = boundPercent < criteria.boundPercent;
     PoolLoad load;
     load.targets.reserve(candidates.size());
     std::vector<std::optional<Ineligibility>> reasons;
@@ -407,9 +383,7 @@
         }
         load.total += state->inFlight();
         load.counted += 1;
-        // A capped bound leaves no room for the deviations that smoothing evens out.
-        const std::uint32_t inFlight = isCapped ? state->inFlight() : selector.estimateInFlight(*state);
-        const std::uint32_t estimated = inFlight + this->estimateUnreportedRequests(*state);
+        const std::uint32_t estimated = selector.estimateInFlight(*state) + this->estimateUnreportedRequests(*state);
         load.targets.push_back({state->target.id, state->hash, estimated, state->inFlight(), !reason});
     }
     if (isMajorityDoubtful(candidates, now)) {
@@ -420,8 +394,7 @@
     if (this->coldLimit != nullptr && this->coldLimit->isLastResort()) {
         passOverCold(candidates, load, passedOver, now);
     }
-    load.minimumBound = loadBound(boundPercent, load.total, load.counted)
-        + (isCapped ? cappedBoundSlackRequests : boundSlackRequests);
+    load.minimumBound = loadBound(criteria.boundPercent, load.total, load.counted) + boundSlackRequests;
     return load;
 }
 
@@ -434,11 +407,8 @@
     const PoolLoad load = this->d->loadOf(candidates, criteria, selector, passedOver, now);
     const auto usable = std::count_if(
         load.targets.begin(), load.targets.end(), [](const TargetLoad &target) { return target.usable; });
-    const SelectionRequest request{this->d->cappedBoundPercent(criteria, candidates.size()),
-                                   criteria.partHash,
-                                   criteria.firstPartHash,
-                                   criteria.holders,
-                                   criteria.requestHash};
+    const SelectionRequest request{
+        criteria.boundPercent, criteria.partHash, criteria.firstPartHash, criteria.holders, criteria.requestHash};
     const SelectionInput input{candidates, load, request};
     std::optional<std::size_t> index = selector.select(input);
     if (!index && usable > 0) {
--- a/sequoiausher/coordination/gateway/targetboard.h
+++ b/sequoiausher/coordination/gateway/targetboard.h
@@ -78,11 +78,6 @@
 
     /** Replaces the list of targets; the loads of targets that stay are kept. */
     void setTargets(const std::vector<GatewayTarget> &targets, Millis now);
-    /**
-     * Sets the load that no target shall exceed, in percent of the mean over all targets of its service, those of
-     * evacuated data centres included. Where many targets are evacuated, this is less than the bound of the request.
-     */
-    void setLoadCap(std::uint32_t percent);
     /** Sets the region of each data centre. */
     void setRegions(std::map<DataCentreId, RegionId> regions);
     /**
--- a/sequoiausher/protocol/settings/gatewaysettings.cpp
+++ b/sequoiausher/protocol/settings/gatewaysettings.cpp
@@ -69,7 +69,7 @@
     for (const std::string &part : section.list("regions").value_or(std::vector<std::string>())) {
         const std::size_t colon = part.find(':');
         const bool isPair = colon != std::string::npos && colon > 0 && colon + 1 < part.size();
-        if (!isPair || !regions.emplace(DataCentreId{part.substr(0, colon)}, RegionId{part.substr(colon + 1)}).second) {
+        if (!isPair || !regions.emplace(part.substr(0, colon), part.substr(colon + 1)).second) {
             section.report(*entry, "each data centre once with its region, as in hall-a:north, hall-b:west");
             return;
         }
@@ -125,13 +125,11 @@
 {
     constexpr double minuteMs = 60000;
     constexpr double mostRepeats = 1000000;
-    constexpr double maxLoadCap = 1000;
     readMillis(section, "key_freshness_ms", 100, minuteMs, settings.keyFreshness);
     readMillis(section, "leave_ms", 500, minuteMs, settings.leaveBound);
     readNumber(section, "repeat_ratio", 0, 1, settings.repeats.ratio);
     readNumber(section, "repeat_slack", 0, mostRepeats, settings.repeats.slack);
     readSeconds(section, "repeat_window_s", 1, 600, settings.repeats.window);
-    readNumber(section, "load_cap", 1, maxLoadCap, settings.loadCap);
     settings.coldTargets = section.name<ColdTargetUse>("cold_targets").value_or(settings.coldTargets);
 }
 
--- a/sequoiausher/protocol/settings/gatewaysettings.h
+++ b/sequoiausher/protocol/settings/gatewaysettings.h
@@ -73,8 +73,6 @@
     Millis keyFreshness{5000};
     /** How long after the store's word that a target leaves it may get requests. */
     Millis leaveBound{2000};
-    /** The load that no target shall exceed, in multiples of the mean over all targets of its service. */
-    double loadCap = 2;
     /** Whether cold targets get requests like other targets. */
     ColdTargetUse coldTargets = ColdTargetUse::Share;
     RetryBudgetShareSettings repeats;
--- a/sequoiausher/protocol/settings/gatewaysettingstest.cpp
+++ b/sequoiausher/protocol/settings/gatewaysettingstest.cpp
@@ -16,14 +16,13 @@
     const GatewaySettings settings
         = parseGatewaySettings(least
                                    + "[bounds]\nrepeat_ratio =\nkey_freshness_ms = 4000\nrepeat_window_s = 8.5\n"
-                                     "cold_targets = last-resort\nload_cap = 2.5\n"
+                                     "cold_targets = last-resort\n"
                                      "[peers]\nseeds = 10.0.0.2:82, 10.0.0.3:82\n[stop]\ngrace_s = 8\n",
                                "g.ini");
     CHECK(settings.repeats.ratio == 0.2);
     CHECK(settings.keyFreshness == Millis{4000});
     CHECK(settings.repeats.window == Millis{8500});
     CHECK(settings.coldTargets == ColdTargetUse::LastResort);
-    CHECK(settings.loadCap == 2.5);
     CHECK(parseGatewaySettings(least, "g.ini").coldTargets == ColdTargetUse::Share);
     CHECK(settings.stop.grace == Millis{8000});
     CHECK(settings.seeds == std::vector{InstanceId{"10.0.0.2:82"}, InstanceId{"10.0.0.3:82"}});
--- a/sequoiausher/transport/gateway/gatewaycontext.cpp
+++ b/sequoiausher/transport/gateway/gatewaycontext.cpp
@@ -52,15 +52,7 @@
     , random(seed)
 {
     this->board.setColdLimit(&this->coldLimit);
-    this->useLoadSettings();
-}
-
-void GatewayContext::useLoadSettings()
-{
-    constexpr double percent = 100;
-    this->coldLimit.setUse(this->settings.coldTargets);
-    this->board.setRegions(this->settings.regions);
-    this->board.setLoadCap(static_cast<std::uint32_t>(std::lround(this->settings.loadCap * percent)));
+    this->board.setRegions(initialSettings.regions);
 }
 
 void GatewayContext::targetEnded(const TargetId &target)
--- a/sequoiausher/transport/gateway/gatewaycontext.h
+++ b/sequoiausher/transport/gateway/gatewaycontext.h
@@ -65,8 +65,6 @@
     Revision revision() const;
     /** The role of this gateway among those that read the store. */
     StoreRole storeRole(Millis now) const;
-    /** Applies the settings that bound the load of targets. */
-    void useLoadSettings();
     /** Limits requests to cold targets as the configuration in force states. */
     void useColdLimits();
     /** Returns a random time from min to twice min, so that callers who were refused together return at different
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -179,7 +179,8 @@
         this->log.error(LogPart::Config, "the last good rules stay in force", {{"why", error.what()}});
     }
     this->context.settings = settings;
-    this->context.useLoadSettings();
+    this->context.coldLimit.setUse(settings.coldTargets);
+    this->context.board.setRegions(settings.regions);
     this->context.retryBudget.setSettings(settings.repeats);
     this->context.duty.setSettings(storeDutyOf(settings));
     this->known.targets.setLeaveBound(settings.leaveBound);
