--- a/sequoiausher/protocol/settings/gatewaysettings.cpp
+++ b/sequoiausher/protocol/settings/gatewaysettings.cpp
@@ -69,7 +69,7 @@
     for (const std::string &part : section.list("regions").value_or(std::vector<std::string>())) {
         const std::size_t colon = part.find(':');
         const bool isPair = colon != std::string::npos && colon > 0 && colon + 1 < part.size();
-        if (!isPair || !regions.emplace(part.substr(0, colon), part.substr(colon + 1)).second) {
+        if (!isPair || !regions.emplace(DataCentreId{part.substr(0, colon)}, RegionId{part.substr(colon + 1)}).second) {
             section.report(*entry, "each data centre once with its region, as in hall-a:north, hall-b:west");
             return;
         }
