Report a digest of evacuations only where they are as new as the list of targets

Cause (found by reading the diff): a gateway whose list of targets came from a peer's document may lack an evacuation of an earlier position for one round. It reported the digest of its older evacuations beside the newer position, so another gateway with the same gap took the evacuations for complete up to there, and a watch begun from there would have missed the request for good.

Change: the digest is 0, which proves nothing, until the evacuations are complete up to the list's position. Beside it: the times of recent sends are a vector, which holds no memory while a target gets nothing (a deque holds half a kilobyte for each target).

--- a/sequoiausher/coordination/gateway/targetboard.cpp
+++ b/sequoiausher/coordination/gateway/targetboard.cpp
@@ -457,9 +457,7 @@
 void TargetBoard::recordStart(const TargetId &target, Millis now)
 {
     if (TargetState *state = this->d->find(target)) {
-        while (!state->recentSends.empty() && state->recentSends.front() <= now - coldLimitWindow) {
-            state->recentSends.pop_front();
-        }
+        std::erase_if(state->recentSends, [now](Millis at) { return at <= now - coldLimitWindow; });
         state->recentSends.push_back(now);
         state->ownInFlight += 1;
         state->sentSinceReport += 1;
--- a/sequoiausher/coordination/gateway/targetstate.h
+++ b/sequoiausher/coordination/gateway/targetstate.h
@@ -8,8 +8,8 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <deque>
 #include <optional>
+#include <vector>
 
 namespace Sequoiausher {
 
@@ -46,7 +46,7 @@
     /** Before this time the target is taken for cold, because its entry may not state it yet. */
     Millis presumedColdUntil;
     /** When this gateway sent its last requests to the target, those of the last second at least, oldest first. */
-    std::deque<Millis> recentSends;
+    std::vector<Millis> recentSends;
 
     bool isCold(Millis now) const
     {
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -258,7 +258,10 @@
 void GatewayPeers::Private::addEvacuations(GatewayReport &report, const InstanceId &peer) const
 {
     const EvacuationList &evacuations = this->known.evacuations;
-    report.evacuationsDigest = evacuations.completeUpTo() > 0 ? evacuations.digest() : 0;
+    // A list of targets from a peer may be ahead of the evacuations that this gateway knows.
+    const bool isComplete
+        = evacuations.completeUpTo() > 0 && evacuations.completeUpTo() >= this->known.targets.revision();
+    report.evacuationsDigest = isComplete ? evacuations.digest() : 0;
     const auto reported = this->evacuationDigests.find(peer);
     if (reported == this->evacuationDigests.end() || reported->second != evacuations.digest()) {
         report.evacuations = evacuations.states();
