Take evacuations for complete by reports of gateways that read the store alone

Change: the digest is reported again whenever evacuations are known. The gap that the digest was to close, a watch that begins behind an evacuation, is closed at the receiver: only reports of gateways that read the store move the position from which a watch begins.

--- a/sequoiausher/coordination/messages/gatewaymessages.h
+++ b/sequoiausher/coordination/messages/gatewaymessages.h
@@ -133,7 +133,7 @@
     std::uint64_t storeEra = 0;
     /** Crashes and whole answers that are new, and crashes of requests that are refused fleet-wide. */
     std::vector<GatewayCrash> crashes;
-    /** The digest of the sender's evacuations; 0 if they may lack changes up to the revision in targets. */
+    /** The digest of the sender's evacuations; 0 if it knows nothing of evacuations. */
     std::uint64_t evacuationsDigest = 0;
     /** All data centres that were ever evacuated; left out if the receiver reported the same digest. */
     std::vector<GatewayEvacuation> evacuations;
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -258,10 +258,7 @@
 void GatewayPeers::Private::addEvacuations(GatewayReport &report, const InstanceId &peer) const
 {
     const EvacuationList &evacuations = this->known.evacuations;
-    // A list of targets from a peer may be ahead of the evacuations that this gateway knows.
-    const bool isComplete
-        = evacuations.completeUpTo() > 0 && evacuations.completeUpTo() >= this->known.targets.revision();
-    report.evacuationsDigest = isComplete ? evacuations.digest() : 0;
+    report.evacuationsDigest = evacuations.completeUpTo() > 0 ? evacuations.digest() : 0;
     const auto reported = this->evacuationDigests.find(peer);
     if (reported == this->evacuationDigests.end() || reported->second != evacuations.digest()) {
         report.evacuations = evacuations.states();
@@ -276,7 +273,10 @@
     }
     const bool isSame = report.evacuationsDigest == this->known.evacuations.digest();
     if (isSame) {
-        this->known.evacuations.setCompleteUpTo(at);
+        // The list of targets of a peer that does not read the store itself may be ahead of its evacuations. Then they
+        // are known, but a watch has to begin at an earlier position.
+        constexpr Revision oldestPosition = 1;
+        this->known.evacuations.setCompleteUpTo(report.isResting ? oldestPosition : at);
     }
     return isSame;
 }
