Log how much of the retry budget is left, and among how many gateways it is divided

Whether a restarted gateway spends its share twice or takes too large a share could not be read from a log: neither the number of gateways that it assumed nor what its window left stood in any line. 'request sent again' now carries budget_left and budget_gateways.

--- a/sequoiausher/coordination/gateway/retrybudgetshare.cpp
+++ b/sequoiausher/coordination/gateway/retrybudgetshare.cpp
@@ -95,6 +95,15 @@
 }
 
 bool RetryBudgetShare::tryRetry(const PoolId &service, std::size_t gateways, Millis now)
+{
+    if (this->remaining(service, gateways, now) < 1) {
+        return false;
+    }
+    this->d->counts[service].retries.add(this->d->partNumberAt(now));
+    return true;
+}
+
+double RetryBudgetShare::remaining(const PoolId &service, std::size_t gateways, Millis now)
 {
     const std::int64_t part = this->d->partNumberAt(now);
     Counts &counts = this->d->counts[service];
@@ -102,11 +111,7 @@
     const double retries = counts.retries.sumRecent(part, partsPerWindow + 1);
     const double slack
         = this->d->settings.slack * usedSlackFraction / static_cast<double>(std::max<std::size_t>(gateways, 1));
-    if (retries + 1 > requests * this->d->settings.ratio * usedRatioFraction + slack) {
-        return false;
-    }
-    counts.retries.add(part);
-    return true;
+    return requests * this->d->settings.ratio * usedRatioFraction + slack - retries;
 }
 
 } // namespace Sequoiausher
--- a/sequoiausher/coordination/gateway/retrybudgetshare.h
+++ b/sequoiausher/coordination/gateway/retrybudgetshare.h
@@ -41,6 +41,8 @@
      * @param gateways number of gateways that share the slack.
      */
     bool tryRetry(const PoolId &service, std::size_t gateways, Millis now);
+    /** The number of retries that tryRetry() would allow at this time; may be a fraction, or negative. */
+    double remaining(const PoolId &service, std::size_t gateways, Millis now);
 
 private:
     class Private;
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -255,12 +255,16 @@
     const bool isRetry = this->attempts.targetsUsed() > 1;
     this->context.metrics.countDispatch(this->admitted.labels, target.target.id.value, isRetry);
     if (isRetry) {
+        const std::size_t gateways = this->context.peers.fleetSize(now);
+        const double budgetLeft = this->context.retryBudget.remaining(this->admitted.service, gateways, now);
         this->context.log.info(LogPart::Entry,
                                "request sent again",
                                {{"request", this->admitted.request.attemptId},
                                 {"target", target.target.id.value},
                                 {"after_event", this->answer.lastEventId()},
-                                {"left_ms", std::to_string(order.timeLeft.count)}});
+                                {"left_ms", std::to_string(order.timeLeft.count)},
+                                {"budget_left", std::to_string(budgetLeft)},
+                                {"budget_gateways", std::to_string(gateways)}});
     }
     std::string bytes = this->context.dialect.targetRequestHead(this->head, this->admitted.request, order);
     bytes += this->body;
