Keep the fleet's retry budget over all lives of all gateways

Cause: a bound of the whole fleet in a sliding window was kept by each process in its own memory, so a restart was an amnesty. A new life had its whole share of the slack again, although its predecessor had used that up, and earned the ratio a second time within the same window. For some 0.1 s after a start it also divided the slack among the two or three gateways that it knew, or among 12 before the first report.

Change: a balance for each service that starts at zero. Requests earn six tenths of the ratio, time earns half of the gateway's share of the slack, and the balance is limited to the other half plus three tenths of the ratio of the last window's own requests. What a window may see is thus what was saved up before it, and what is earned in it; neither depends on how many processes a gateway was. A gateway that does not know the others yet uses no share of the slack.

Balances that only requests fill were not taken, because services with few requests would get no retry.

Tests changed: the case of separate services counts requests first, and the test bed of the gateway has a larger slack, because a gateway has no retry in the first moment after its start any more. All else there is as strict as before.

--- a/sequoiausher/transport/gateway/gatewayadmission.cpp
+++ b/sequoiausher/transport/gateway/gatewayadmission.cpp
@@ -175,7 +175,8 @@
     time = std::min(time, this->admitted.request.timeLeft.value_or(time) - answerTransitTime);
     time = std::min(time, decided->deadline.value_or(time));
     this->admitted.deadline = this->receivedAt + time;
-    this->context.retryBudget.countRequest(this->admitted.service, this->receivedAt);
+    this->context.retryBudget.countRequest(
+        this->admitted.service, this->context.retryBudgetFleet(this->receivedAt), this->receivedAt);
     return decided->overload == Overload::Shed ? this->shed() : std::nullopt;
 }
 
--- a/sequoiausher/transport/gateway/gatewaycontext.cpp
+++ b/sequoiausher/transport/gateway/gatewaycontext.cpp
@@ -43,7 +43,7 @@
     , log(output)
     , metrics(counters)
     , settings(initialSettings)
-    , retryBudget(initialSettings.repeats)
+    , retryBudget(initialSettings.repeats, Millis::monotonicNow())
     , peers(InstanceId{initialSettings.peerAddress}, initialSettings.seeds, seed)
     , duty(storeDutyOf(initialSettings), seed)
     , coldLimit(peers, initialSettings.coldTargets)
@@ -80,6 +80,11 @@
     return {this->peers.hasPeers(), this->peers.hasHubs(now), this->peers.hubRank(now), this->peers.fleetSize(now)};
 }
 
+RetryBudgetFleet GatewayContext::retryBudgetFleet(Millis now) const
+{
+    return {this->peers.hasPeers() ? this->peers.fleetSize(now) : 1, this->peers.knowsFleet(now)};
+}
+
 Millis GatewayContext::proofAge(Millis now) const
 {
     return this->freshness.age(this->revision(), now);
--- a/sequoiausher/transport/gateway/gatewaycontext.h
+++ b/sequoiausher/transport/gateway/gatewaycontext.h
@@ -65,6 +65,8 @@
     Revision revision() const;
     /** The role of this gateway among those that read the store. */
     StoreRole storeRole(Millis now) const;
+    /** The gateways that share the retry budget. */
+    RetryBudgetFleet retryBudgetFleet(Millis now) const;
     /** Limits requests to cold targets as the configuration in force states. */
     void useColdLimits();
     /** Returns a random time from min to twice min, so that callers who were refused together return at different
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -255,8 +255,8 @@
     const bool isRetry = this->attempts.targetsUsed() > 1;
     this->context.metrics.countDispatch(this->admitted.labels, target.target.id.value, isRetry);
     if (isRetry) {
-        const std::size_t gateways = this->context.peers.fleetSize(now);
-        const double budgetLeft = this->context.retryBudget.remaining(this->admitted.service, gateways, now);
+        const RetryBudgetFleet fleet = this->context.retryBudgetFleet(now);
+        const double budgetLeft = this->context.retryBudget.remaining(this->admitted.service, fleet, now);
         this->context.log.info(LogPart::Entry,
                                "request sent again",
                                {{"request", this->admitted.request.attemptId},
@@ -264,7 +264,7 @@
                                 {"after_event", this->answer.lastEventId()},
                                 {"left_ms", std::to_string(order.timeLeft.count)},
                                 {"budget_left", std::to_string(budgetLeft)},
-                                {"budget_gateways", std::to_string(gateways)}});
+                                {"budget_gateways", std::to_string(fleet.gateways)}});
     }
     std::string bytes = this->context.dialect.targetRequestHead(this->head, this->admitted.request, order);
     bytes += this->body;
@@ -322,7 +322,7 @@
 bool GatewayExchange::Private::takeRetry(Millis now)
 {
     const bool isPaid
-        = this->context.retryBudget.tryRetry(this->admitted.service, this->context.peers.fleetSize(now), now);
+        = this->context.retryBudget.tryRetry(this->admitted.service, this->context.retryBudgetFleet(now), now);
     this->context.metrics.add(isPaid ? "gateway_repeats_total" : "gateway_repeats_refused_total");
     return isPaid;
 }
--- a/sequoiausher/transport/gateway/gatewaytestbed.cpp
+++ b/sequoiausher/transport/gateway/gatewaytestbed.cpp
@@ -238,7 +238,8 @@
     this->settings.store.watchDelay = Millis{200};
     this->settings.store.callTimeout = Millis{200};
     this->settings.store.proofInterval = Millis{50};
-    this->settings.repeats = {0.2, 100, Millis{10000}};
+    // Large, because a gateway that has just started has not earned a retry yet.
+    this->settings.repeats = {0.2, 1000000, Millis{10000}};
     this->settings.stop = {Millis{2000}, Millis{100}};
     this->settings.address = freeAddress();
     this->settings.readyAddress = freeAddress();
