--- a/lab/soak/soakrun.cpp
+++ b/lab/soak/soakrun.cpp
@@ -221,6 +221,9 @@
     for (std::size_t i = 0; i < this->d->options.evacuations; ++i) {
         this->d->planEvacuation(begin + Millis{moment(this->d->evacuations)});
     }
+    for (std::size_t i = 0; i < this->d->options.outages; ++i) {
+        this->d->planOutage(begin + Millis{moment(this->d->outages)});
+    }
     LabCaller::waitFor([last] { return Millis::monotonicNow() >= last; }, endless);
     // What was begun ends by itself; then everything must be back.
     const bool isQuiet = LabCaller::waitFor([this] { return this->d->actions.empty(); }, longestStop * 4);
--- a/lab/soak/soakrunprivate.cpp
+++ b/lab/soak/soakrunprivate.cpp
@@ -32,6 +32,9 @@
 constexpr Millis leavesAfterReturn{3300};
 constexpr int leavesOfReturn = 3;
 constexpr Millis leavesGap{400};
+/** An outage lasts for most of the window in which retries are counted. */
+constexpr Millis outageTime{9000};
+constexpr double outageShare = 0.95;
 
 } // namespace
 
@@ -46,6 +49,7 @@
     , random(with.seed)
     , returns(with.seed)
     , evacuations(with.seed)
+    , outages(with.seed)
     , judge(SoakBounds{})
     , store(with.seed)
     , administrator(this->store, this->judge)
@@ -440,6 +444,26 @@
     }
 }
 
+void SoakRun::Private::planOutage(Millis at)
+{
+    std::uniform_int_distribution<std::int64_t> gap(200, 1200);
+    const std::string service = this->outages() % 4 == 0 ? "desk-b" : "llm";
+    this->at(at, [this, service] {
+        this->note("service " + service + " rejects most requests for " + toText(outageTime));
+        for (TargetPlace &place : this->places) {
+            if (place.target->service() == service) {
+                place.target->setMood(TargetMood::Full, outageShare);
+                this->after(outageTime, [&place] { place.target->setMood(TargetMood::Well, 0); });
+            }
+        }
+    });
+    std::size_t next = this->outages() % this->gateways.size();
+    for (Millis offset{gap(this->outages)}; offset < outageTime; offset += Millis{gap(this->outages)}) {
+        this->at(at + offset, [this, number = next] { this->killGateway(number, restartPause); });
+        next = (next + 1) % this->gateways.size();
+    }
+}
+
 void SoakRun::Private::leaveTarget(TargetPlace &place)
 {
     const std::string life = place.target->life();
--- a/lab/soak/soakrunprivate.h
+++ b/lab/soak/soakrunprivate.h
@@ -88,6 +88,8 @@
     /** Requests the evacuation of a data centre at that time, and takes it back later. */
     void planEvacuation(Millis at);
     void endEvacuation(const DataCentreId &dataCentre);
+    /** From then on a service rejects most requests for some seconds, and gateways are killed one after the other. */
+    void planOutage(Millis at);
     /** The present life of the target is cold from now on, as its entry states. */
     void coolDown(TargetPlace &place);
     /** One that is there says that it leaves. */
@@ -107,6 +109,8 @@
     std::mt19937_64 returns;
     /** For evacuations alone. */
     std::mt19937_64 evacuations;
+    /** For outages alone. */
+    std::mt19937_64 outages;
     std::set<DataCentreId> evacuated;
     SoakJudge judge;
     SoakStore store;
