Ask again whether a target still takes requests when one is dispatched to it

What callers saw: nothing; operators saw a target get new work after every router showed that it leaves. A request that waited for its claim or for a place was sent to the target that it was given before, up to the time that claims and grants may take, although its router knew by then.

Cause: the target is looked up once more at dispatch, but only for its address; its state was not looked at.

Ruled out: connections (the client has no queue of its own; each call leases a connection at once).

Change: where the target does not live any more, nothing is sent and the request asks for another place without it. That takes no retry from the budget, because no target has received the request.

--- a/lab/scenarios/leavingscenariotest.cpp
+++ b/lab/scenarios/leavingscenariotest.cpp
@@ -93,11 +93,13 @@
     return caller.call("GET", "/lab/stats").json().value("in_flight").toInteger();
 }
 
-void setTarget(const Fleet &fleet, const std::string &state)
+void setTarget(const Fleet &fleet,
+               const std::string &state,
+               const std::string &pool = enginePool,
+               const std::string &target = "plate-1")
 {
     LabCaller caller(fleet.platformPort());
-    const std::string body
-        = R"({"pool": ")" + std::string(enginePool) + R"(", "name": "plate-1", "state": ")" + state + R"("})";
+    const std::string body = R"({"pool": ")" + pool + R"(", "name": ")" + target + R"(", "state": ")" + state + R"("})";
     REQUIRE(caller.call("POST", "/lab/target", body).status == 200);
 }
 
@@ -110,10 +112,10 @@
         text.find(line), line.size(), "incarnation = " + std::to_string(incarnation) + "\nstate = " + state + "\n");
 }
 
-FleetProbe::Condition showsLife(Incarnation incarnation, LifeState state)
+FleetProbe::Condition showsLife(Incarnation incarnation, LifeState state, const std::string &target = "plate-1")
 {
-    return [incarnation, state](const RouterSight &sight) {
-        const auto found = sight.targets.find("plate-1");
+    return [incarnation, state, target](const RouterSight &sight) {
+        const auto found = sight.targets.find(target);
         return found != sight.targets.end() && found->second.incarnation == incarnation && found->second.state == state;
     };
 }
@@ -168,6 +170,55 @@
     CHECK(probe.reversions() == 0);
 }
 
+// Guards against requests that a router sends to a target although it knows that the target leaves. This happens to a
+// request that got its place there before and then waits, here for claims that take four tenths of a second.
+TEST_CASE("a request that waits while its target starts to leave is sent to another target")
+{
+    FleetOptions options;
+    options.routers = 5;
+    options.engines = 0;
+    options.services = 2;
+    options.relays = true;
+    Fleet fleet(options);
+    fleet.start();
+    FleetProbe probe(fleet);
+    std::vector<std::unique_ptr<LabCaller>> callers;
+    std::vector<PendingAnswer> answers;
+    for (std::size_t i = 0; i < options.routers; ++i) {
+        fleet.setLink(i, Link{LinkMode::Delay, Millis{200}});
+        callers.push_back(std::make_unique<LabCaller>(fleet.routerPort(i)));
+    }
+    for (int i = 0; i < 60; ++i) {
+        LabCaller &caller = *callers[static_cast<std::size_t>(i) % callers.size()];
+        const std::string key = "waits-" + std::to_string(i);
+        answers.push_back(caller.start("POST", "/orders", "{}", headersWithDeadline(Millis{9000}, key), Millis{10000}));
+    }
+    LabCaller::waitFor([] { return false; }, Millis{50});
+    setTarget(fleet, "leaving", servicePool, "desk-1");
+    REQUIRE(probe.allWithin(showsLife(1, LifeState::Leaving, "desk-1"), leavingLimit));
+    const Millis known = Millis::monotonicNow();
+    LabCaller::waitFor(
+        [&answers] {
+            return std::all_of(answers.begin(), answers.end(), [](const PendingAnswer &answer) {
+                return answer->whole || answer->error.has_value();
+            });
+        },
+        Millis{10000});
+    const std::vector<TargetRun> runs = fleet.runs();
+    CHECK(runs.size() == answers.size());
+    for (const TargetRun &run : runs) {
+        CAPTURE(run.idempotencyKey);
+        CAPTURE(toText(run.at - known));
+        CHECK((run.target != "desk-1" || run.at < known));
+    }
+    CHECK(std::all_of(answers.begin(), answers.end(), [](const PendingAnswer &answer) {
+        return answer->whole && answer->status == 200;
+    }));
+    const auto isLate = [known](const TargetRun &run) { return run.at >= known; };
+    // Without requests that still waited the case would show nothing.
+    CHECK(std::any_of(runs.begin(), runs.end(), isLate));
+}
+
 TEST_CASE("with a list that lags, a leaving target still gets no new work three seconds after it says so")
 {
     Fleet fleet(enginesOnly());
--- a/sequoiausher/transport/router/requestsessionprivate.cpp
+++ b/sequoiausher/transport/router/requestsessionprivate.cpp
@@ -275,15 +275,22 @@
     }
     this->wasDispatched = true;
     this->target = action.target;
-    const std::string address = this->addressOf(action.target);
-    if (address.empty()) {
+    const std::optional<TargetView> found = node.target(this->order.decision.pool, action.target);
+    if (!found) {
         this->callFailed(TargetFailure::NeverSent);
         return;
     }
+    // The target may have started to leave while the request waited for its claim or for a place. Choosing another one
+    // takes no retry from the budget, since no target has received the request.
+    if (found->description.life.state != LifeState::Live) {
+        this->context.metrics.add("dispatches_withheld_total");
+        this->run(this->flow.targetFailed(Millis::monotonicNow(), TargetFailure::NeverSent, true));
+        return;
+    }
     node.targetTried(action.target);
     this->context.metrics.countDispatch(this->order.labels, action.target.value, this->dispatches > 0);
     ++this->dispatches;
-    this->call.dispatch(address, action.freshConnection);
+    this->call.dispatch(found->description.address, action.freshConnection);
 }
 
 bool RequestSession::Private::claimHolds()
