Tell a slow target from a late router in the check of leaving targets

The case counted the runs at the leaving target when all routers knew, and asked that no more began. A request that was sent before and was still unread in the target's socket counted as new work. That is what an engine without processor time looks like: with the engines' process stopped for the moment of the change, 5 of 28 calls that began 0.33 s before all routers knew ran 1 ms after it, and all was in order.

The check now takes each run from the engine's own record and the start of its call from the test. A run that begins after all routers know must be of a call from before (the trace above allows it), and must begin within the three seconds of the promise; runs of later calls are forbidden as before, and after 2.5 s no run may begin at all. Each late run is printed with both times, so a single failure explains itself. The new case plays the stopped engines; it would fail if no run were late.

--- a/lab/scenarios/leavingscenariotest.cpp
+++ b/lab/scenarios/leavingscenariotest.cpp
@@ -38,6 +38,7 @@
     {
         const std::string prompt = "chat" + std::to_string(this->answers.size());
         LabCaller &caller = *this->callers[this->answers.size() % this->callers.size()];
+        this->startTimes.push_back(Millis::monotonicNow());
         this->answers.push_back(
             caller.start("POST", chatPath, Fleet::chatBody(prompt, maxTokens, true), Fleet::headers(), Millis{15000}));
     }
@@ -76,11 +77,47 @@
         return this->answers.size();
     }
 
+    /** When the call with this request id was started. Only for calls that were answered. */
+    std::optional<Millis> startTime(const std::string &requestId) const
+    {
+        for (std::size_t i = 0; i < this->answers.size(); ++i) {
+            if (this->answers[i]->headers.value("X-Request-Id") == requestId) {
+                return this->startTimes[i];
+            }
+        }
+        return std::nullopt;
+    }
+
 private:
     std::vector<std::unique_ptr<LabCaller>> callers;
     std::vector<PendingAnswer> answers;
+    std::vector<Millis> startTimes;
 };
 
+/**
+ * Checks all runs at a target that leaves: none is of a call that started once all routers knew it, and none begins
+ * later than the limit. Returns how many began after all routers knew it.
+ */
+std::size_t checkRunsAtLeaving(const Fleet &fleet, const Traffic &traffic, Millis said, Millis known)
+{
+    std::size_t late = 0;
+    for (const TargetRun &run : fleet.runs()) {
+        if (run.target != "plate-1" || run.at <= known) {
+            continue;
+        }
+        ++late;
+        const std::optional<Millis> started = traffic.startTime(run.requestId);
+        CAPTURE(run.requestId);
+        CAPTURE(toText(run.at - known));
+        REQUIRE(started.has_value());
+        MESSAGE("run " << run.requestId << " began " << toText(run.at - known) << " after all routers knew, its call "
+                       << toText(known - *started) << " before that");
+        CHECK(*started < known);
+        CHECK(run.at < said + leavingLimit);
+    }
+    return late;
+}
+
 std::int64_t runsAt(std::uint16_t engine)
 {
     LabCaller caller(engine);
@@ -151,15 +188,18 @@
     LabCaller::waitFor([] { return false; }, Millis{300});
     const std::uint16_t leaving = fleet.enginePorts().front();
     REQUIRE(unfinishedAt(leaving) > 0);
+    const Millis said = Millis::monotonicNow();
     setTarget(fleet, "leaving");
     const auto times = probe.times(showsLife(1, LifeState::Leaving), leavingLimit);
     const std::string text = toText(times);
     MESSAGE("leaving known after: " << text);
     REQUIRE(longest(times).has_value());
-    const std::int64_t runs = runsAt(leaving);
+    const Millis known = Millis::monotonicNow();
     REQUIRE(unfinishedAt(leaving) > 0);
     const std::int64_t others = runsAt(fleet.enginePorts().back());
     traffic.runFor(Millis{2500});
+    const std::int64_t runs = runsAt(leaving);
+    traffic.runFor(Millis{500});
     CHECK(runsAt(leaving) == runs);
     CHECK(runsAt(fleet.enginePorts().back()) > others);
     traffic.finish();
@@ -167,9 +207,35 @@
     const std::size_t broken = traffic.broken();
     MESSAGE("calls: " << traffic.size() << ", not whole: " << broken);
     CHECK(broken == 0);
+    checkRunsAtLeaving(fleet, traffic, said, known);
     CHECK(probe.reversions() == 0);
 }
 
+// Guards against a check that takes a slow target for a late router. A target that stands still reads requests after
+// all routers know that it leaves, although they were sent before.
+TEST_CASE("requests that a leaving target reads late are of calls from before it left")
+{
+    Fleet fleet(enginesOnly());
+    fleet.start();
+    FleetProbe probe(fleet);
+    Traffic traffic(fleet);
+    traffic.runFor(Millis{300});
+    fleet.engines().freeze();
+    for (int i = 0; i < 28; ++i) {
+        traffic.start(10);
+    }
+    LabCaller::waitFor([] { return false; }, Millis{300});
+    const Millis said = Millis::monotonicNow();
+    setTarget(fleet, "leaving");
+    REQUIRE(probe.allWithin(showsLife(1, LifeState::Leaving), leavingLimit));
+    const Millis known = Millis::monotonicNow();
+    fleet.engines().thaw();
+    traffic.runFor(Millis{500});
+    traffic.finish();
+    CHECK(traffic.broken() == 0);
+    CHECK(checkRunsAtLeaving(fleet, traffic, said, known) > 0);
+}
+
 // Guards against requests that a router sends to a target although it knows that the target leaves. This happens to a
 // request that got its place there before and then waits, here for claims that take four tenths of a second.
 TEST_CASE("a request that waits while its target starts to leave is sent to another target")
