Reword what the gateway's tests guard against

transport/gateway: gatewaynodetest, calleranswertest, gatewayrulestest. Each comment names the failure and how it comes about, in one or two sentences, in place of symptom, events and cause. Comments alone.

--- a/sequoiausher/transport/gateway/calleranswertest.cpp
+++ b/sequoiausher/transport/gateway/calleranswertest.cpp
@@ -177,8 +177,7 @@
     CHECK_FALSE(given.answer.isEventStream());
 }
 
-// Symptom: the process grows by what a slow caller has not taken. Events: a target sends a stream faster than its
-// caller reads. Cause: the target was read on whatever waited.
+// Guards against a process that grows by what a slow caller has not read, because its target is read regardless.
 TEST_CASE("a target whose caller takes less than it is given is not read until it does")
 {
     Given given;
@@ -199,9 +198,8 @@
     CHECK(given.target.asked == 2);
 }
 
-// Symptom: a stream that went on at another target waited for it without an end. Events: its caller took little when
-// the first target broke off; the second is read, and falls silent. Cause: the stream still counted as paused, and
-// silence of a target that is not read means nothing.
+// Guards against a resumed stream that never times out. Its caller reads slowly when the first target breaks off, and
+// the silence of the second target is ignored because the stream still counts as paused.
 TEST_CASE("a stream that goes on at another target does not count as paused by the one before")
 {
     Given given;
--- a/sequoiausher/transport/gateway/gatewaynodetest.cpp
+++ b/sequoiausher/transport/gateway/gatewaynodetest.cpp
@@ -99,8 +99,8 @@
     CHECK(target.seen.empty());
 }
 
-// Symptom: two plates with one registration. Events: a target takes a job and its connection breaks before the answer.
-// Cause: the job was sent again, or its caller was told that it had not run.
+// Guards against a request that runs twice, or that is reported as not run although it ran, when its target's
+// connection breaks before the answer.
 TEST_CASE("a job whose fate is unknown is neither sent again nor called not run")
 {
     Bed bed;
@@ -153,9 +153,7 @@
     CHECK(bed.call("POST", "/desk/1", "Content-Length: 0\r\n").status == 502);
 }
 
-// Symptom: a caller got another caller's answer. Events: a target answers a request late, and its late answer arrives
-// where the next request on the connection waits. Cause: the first answer on a connection was taken for the one asked
-// for.
+// Guards against delivering a late answer to an earlier request as the answer to the next request on the connection.
 TEST_CASE("an answer to another request reaches nobody")
 {
     Bed bed;
@@ -180,8 +178,7 @@
     }
 }
 
-// Symptom: half a registration was taken for a whole one. Events: a target's answer has no length and ends with its
-// connection, which is reset on the way. Cause: a reset was taken for the end.
+// Guards against forwarding half an answer as a whole one when an answer without a length is reset on the way.
 TEST_CASE("an answer without a length is whole only where its connection was closed in order")
 {
     Bed bed;
@@ -197,8 +194,8 @@
     CHECK(bed.call("POST", "/desk/1", "Content-Length: 0\r\n").status == 502);
 }
 
-// Symptom: a dealer's stream stopped in the middle. Events: the engine dies after event 2, in the middle of event 3.
-// Cause: nobody went on where it stopped.
+// Guards against a stream that stops in the middle of an event when its target crashes, although another target could
+// resume it.
 TEST_CASE("a stream that may resume goes on at another target within one answer")
 {
     Bed bed;
@@ -227,9 +224,8 @@
           == "id-1");
 }
 
-// Symptom: a long answer was longer than its target's, with a part of it twice. Events: an answer of over a megabyte is
-// given as it comes; its target breaks off; the request may run twice, so another target gets it and answers from the
-// beginning. Cause: only a stream of events says where another target goes on.
+// Guards against an answer that contains a part twice. An answer of over a megabyte is forwarded as it arrives. If its
+// target breaks off, another target would answer from the beginning, since only a stream of events can be resumed.
 TEST_CASE("a long answer that breaks off in the middle is cut, not gone on with from the beginning")
 {
     Bed bed;
@@ -273,8 +269,7 @@
     CHECK(one.seen.size() + bed.targets["t2"]->seen.size() == 1);
 }
 
-// Symptom: engines were busy with answers that nobody waited for. Events: a caller leaves in the middle of a stream.
-// Cause: the target was left to finish.
+// Guards against targets that finish answers whose callers have left in the middle of a stream.
 TEST_CASE("a target stops when its caller leaves")
 {
     Bed bed;
@@ -302,8 +297,8 @@
     CHECK(std::stoi(bed.targets["t1"]->seen[0].header("X-Left")) <= 1000);
 }
 
-// Symptom: a caller waited out its time although another target was free. Events: a target takes the request and is
-// dead. Cause: silence was waited for.
+// Guards against waiting until the deadline for a target that has accepted a request and is dead, although another
+// target is free.
 TEST_CASE("a request that may run twice does not wait for a dead target")
 {
     Bed bed;
@@ -320,9 +315,8 @@
     CHECK(bed.call("GET", "/look/1").body == "ok");
 }
 
-// Symptom: by round robin, a target got nothing after each failure of the one before it. Events: a target fails, and
-// the request goes on to another one. Cause: the next target was asked for twice, first whether there is one, and then
-// which.
+// Guards against round robin that skips a target after each failure. This happens if the next target is chosen twice,
+// first to find out whether there is one and then to use it.
 TEST_CASE("a request that goes on to another target takes one turn")
 {
     Bed bed;
@@ -339,8 +333,8 @@
     CHECK(bed.call("GET", "/look/2").body == "third");
 }
 
-// Symptom: a key that had been taken away opened a route. Events: the store falls silent for one gateway, and keys are
-// taken away meanwhile. Cause: the gateway went on by what it knew, however old.
+// Guards against a revoked key that opens a route. The store falls silent for one gateway while keys are revoked, and
+// the gateway relies on its last information, however old it is.
 TEST_CASE("keys that nobody vouches for any more open nothing")
 {
     Bed bed;
@@ -362,9 +356,8 @@
     CHECK(bed.call("GET", "/look/1").status == 200);
 }
 
-// Symptom: after a crash of the whole fleet dozens of callers were told to come back in half a second or more, by
-// gateways that were ready 40 ms later. Events: a gateway listens; callers that found nobody connect at once; the
-// store's answers are on their way. Cause: a request that could not be decided yet was refused.
+// Guards against refusing requests that arrive shortly before a gateway is ready. After a crash of the whole fleet,
+// callers connect as soon as a gateway listens, while the store's answers are on their way.
 TEST_CASE("requests that come while a gateway starts wait for it, not for long")
 {
     Bed bed;
@@ -421,9 +414,8 @@
     CHECK(bed.logged.str().find("the last good configuration stays in force") != std::string::npos);
 }
 
-// Symptom: a machine that alone had lost the store refused everything, or went on with keys that were taken away.
-// Events: the store answers one gateway and not the other; a key is taken away; then the store is silent for both.
-// Cause: a gateway believed nobody but the store, or its peers' word without an age.
+// Guards against a gateway that refuses everything because it alone has lost the store, and against one that relies on
+// its peers' information without regard to its age, so that a revoked key stays usable.
 TEST_CASE("a gateway that does not reach the store serves by what its peer proves, and no longer")
 {
     Bed one;
@@ -462,10 +454,8 @@
     }
 }
 
-// Symptom: a caller was told that its target gave no answer in time, right after a large configuration came. Events:
-// the answer arrives while the configuration is read, which takes longer than a tick; the tick that is due at the same
-// turn of the event loop judges all waits before the sockets are looked at. Cause: a wait was judged by the clock
-// alone, as if what the kernel holds had not come.
+// Guards against timing out an answer that has already arrived. While a large configuration is read for longer than a
+// tick, the answer waits in the kernel, and the overdue tick comes before the sockets are read.
 TEST_CASE("what arrived while the process was busy is read before any wait is judged")
 {
     Bed bed;
@@ -706,8 +696,8 @@
     }
 }
 
-// Symptom: callers lost answers at each replacement of a gateway. Events: SIGTERM while a request runs; another one
-// comes on a kept connection. Cause: the process closed its connections and left.
+// Guards against answers that are lost at each replacement of a gateway, because SIGTERM closes connections while a
+// request runs or another one arrives on a kept connection.
 TEST_CASE("a planned stop answers what was read, takes no new work after it, and ends")
 {
     Bed bed;
@@ -731,8 +721,8 @@
     CHECK(GatewayTestbed::waitFor([&] { return bed.isStopped; }));
 }
 
-// Symptom: at a stop a caller's connection ended without a word, and the log said that the caller had left. Events: a
-// request, or a part of one, is still there when the grace ends. Cause: the process ended with its connections.
+// Guards against connections that end without an answer, and are logged as left by their callers, because a request or
+// a part of one is still there when the grace of a stop ends.
 TEST_CASE("what is left at the end of a stop's grace is answered by what is known of it")
 {
     Bed bed;
--- a/sequoiausher/transport/gateway/gatewayrulestest.cpp
+++ b/sequoiausher/transport/gateway/gatewayrulestest.cpp
@@ -46,8 +46,7 @@
     CHECK(readGatewayRules("")->decide(RequestFacts()));
 }
 
-// Symptom: an operator limited an organisation's rate, and nothing changed. Cause: a gateway read the key and ignored
-// it.
+// Guards against keys of a rule that a gateway accepts and ignores, such as a rate limit of an organisation.
 TEST_CASE("keys that only routers obey are refused")
 {
     for (const char *line : {"then.rate_per_second = 5",
