--- a/sequoiausher/transport/gateway/gatewaytestbed.cpp
+++ b/sequoiausher/transport/gateway/gatewaytestbed.cpp
@@ -238,8 +238,8 @@
     this->settings.store.watchDelay = Millis{200};
     this->settings.store.callTimeout = Millis{200};
     this->settings.store.proofInterval = Millis{50};
-    // Large, because a gateway that has just started has not earned a retry yet.
-    this->settings.repeats = {0.2, 1000000, Millis{10000}};
+    // Each request earns all retries that it may need, because a gateway that has just started has earned none yet.
+    this->settings.repeats = {4, 100, Millis{10000}};
     this->settings.stop = {Millis{2000}, Millis{100}};
     this->settings.address = freeAddress();
     this->settings.readyAddress = freeAddress();
