--- /dev/null
+++ b/sequoiausher/transport/gateway/fakepath.h
@@ -0,0 +1,69 @@
+#pragma once
+
+// A path to a fake target that a test can cut, as between one gateway and a target that others still reach.
+//
+//     FakePath path(target.address());
+//     path.cut(PathCut::Silent);
+//     path.heal();
+
+#include "sequoiausher/base/nametable.h"
+#include "sequoiausher/transport/stream/bytestream.h"
+#include "sequoiausher/transport/stream/streamlistener.h"
+
+#include <list>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Sequoiausher {
+
+/** What becomes of the connections over a path that is cut. */
+enum class PathCut {
+    /** Open connections carry nothing any more, and new ones are never accepted nor refused. */
+    Silent,
+    /** Open connections are reset, and new ones are refused. */
+    Reset,
+    /** Open connections live on, and new ones are refused. */
+    RefuseNew,
+};
+
+template<>
+inline constexpr auto nameTable<PathCut> = std::to_array<NameEntry<PathCut>>({
+    {PathCut::Silent, "silent"},
+    {PathCut::Reset, "reset"},
+    {PathCut::RefuseNew, "refuse-new"},
+});
+
+/** One path. Needs a running event loop. */
+class FakePath
+{
+public:
+    /** Listens at a free port and carries the connections to the address. */
+    explicit FakePath(std::string to);
+    ~FakePath();
+    FakePath(const FakePath &) = delete;
+    FakePath &operator=(const FakePath &) = delete;
+
+    std::string address() const;
+    void cut(PathCut how);
+    /** New connections pass again; those that were silenced stay silent. */
+    void heal();
+    /** Connections that were accepted so far. */
+    std::size_t accepted() const;
+
+private:
+    class Carried;
+    void listen();
+    /** Keeps the port without accepting anything, so that connections to it hang. */
+    void hang();
+    void stopHanging();
+
+    std::string to;
+    std::string listenAt;
+    std::unique_ptr<StreamListener> listener;
+    std::list<std::unique_ptr<Carried>> carried;
+    std::vector<int> hanging;
+    std::size_t acceptedCount = 0;
+};
+
+} // namespace Sequoiausher
--- a/sequoiausher/transport/gateway/gatewaytestbed.cpp
+++ b/sequoiausher/transport/gateway/gatewaytestbed.cpp
@@ -245,7 +245,9 @@
     this->settings.readyAddress = freeAddress();
     this->settings.peerAddress = freeAddress();
     this->store.ownFields = signedFields;
-    this->store.answers = [this](FakeRequest &request) { this->answerStore(request); };
+    this->store.answers = [this](FakeRequest &request) { this->answerStore({request, true}); };
+    this->neighboursStore.ownFields = signedFields;
+    this->neighboursStore.answers = [this](FakeRequest &request) { this->answerStore({request, false}); };
     this->log = std::make_unique<Log>(LogSettings(), this->logged, &Millis::wallNow);
 }
 
@@ -335,10 +337,12 @@
     request.reply(status, body, "X-Era: " + std::to_string(this->era) + "\r\n");
 }
 
-std::string GatewayTestbed::targetLine(const std::string &name) const
+std::string GatewayTestbed::targetLine(const std::string &name, bool forFirstGateway) const
 {
-    return name + " " + this->content.services.at(name) + " " + this->addresses.at(name) + " "
-        + this->dataCentres.at(name) + "\n";
+    const auto path = this->paths.find(name);
+    const bool isPath = forFirstGateway && path != this->paths.end();
+    return name + " " + this->content.services.at(name) + " "
+        + (isPath ? path->second->address() : this->addresses.at(name)) + " " + this->dataCentres.at(name) + "\n";
 }
 
 FakeServer &
@@ -352,6 +356,13 @@
     return *this->targets[name];
 }
 
+FakePath &GatewayTestbed::addPath(const std::string &name)
+{
+    this->paths[name] = std::make_unique<FakePath>(this->addresses.at(name));
+    this->changed();
+    return *this->paths[name];
+}
+
 void GatewayTestbed::listTarget(const std::string &name, const std::string &service)
 {
     this->content.services[name] = service;
@@ -375,16 +386,17 @@
     other.name.value = "g2";
     other.address = freeAddress();
     other.readyAddress = freeAddress();
-    other.peerAddress = freeAddress();
+    other.store.address = this->neighboursStore.address();
+    other.peerAddress = "127.0.0.2:" + freeAddress().substr(std::string("127.0.0.1:").size());
     other.seeds = {InstanceId{this->settings.peerAddress}};
     return other;
 }
 
-std::string GatewayTestbed::targetsText() const
+std::string GatewayTestbed::targetsText(bool forFirstGateway) const
 {
     std::string text = std::to_string(this->content.revision) + "\n";
     for (const auto &[name, service] : this->content.services) {
-        text += this->targetLine(name);
+        text += this->targetLine(name, forFirstGateway);
     }
     for (const auto &[dataCentre, at] : this->content.evacuations) {
         text += std::string(evacuatedWord) + " " + dataCentre + " " + std::to_string(at) + "\n";
@@ -400,18 +412,19 @@
 void GatewayTestbed::releaseStore()
 {
     this->isStoreHeld = false;
-    for (FakeRequest &request : std::exchange(this->heldCalls, {})) {
-        this->answerStore(request);
+    for (const StoreRequest &asked : std::exchange(this->heldCalls, {})) {
+        this->answerStore(asked);
     }
 }
 
-void GatewayTestbed::answerStore(FakeRequest &request)
+void GatewayTestbed::answerStore(const StoreRequest &asked)
 {
+    const FakeRequest &request = asked.request;
     if (this->isStoreSilent) {
         return;
     }
     if (this->isStoreHeld) {
-        this->heldCalls.push_back(request);
+        this->heldCalls.push_back(asked);
         return;
     }
     if (request.head.target == "/configuration") {
@@ -421,7 +434,7 @@
                     this->content.stored.empty() ? "404 Not Found" : "200 OK",
                     number + " " + written + "\n" + this->content.stored);
     } else if (request.head.target == "/targets") {
-        this->reply(request, "200 OK", this->targetsText());
+        this->reply(request, "200 OK", this->targetsText(asked.isFirstGateway));
     } else if (request.head.target != this->dialect->watchCall(this->content.revision, Millis{0})) {
         this->wakeWatch(request);
     } else {
--- a/sequoiausher/transport/gateway/gatewaytestbed.h
+++ b/sequoiausher/transport/gateway/gatewaytestbed.h
@@ -9,6 +9,7 @@
 //     const CallerReply reply = bed.call("GET", "/desk/1");
 
 #include "sequoiausher/base/log/log.h"
+#include "sequoiausher/transport/gateway/fakepath.h"
 #include "sequoiausher/transport/gateway/gatewaynode.h"
 #include "sequoiausher/transport/stream/fakehttp.h"
 
@@ -31,6 +32,8 @@
     ~GatewayTestbed();
 
     FakeServer &addTarget(const std::string &name, const std::string &service, const std::string &dataCentre = "a");
+    /** The first gateway reaches the target over a path that can be cut; its neighbour reaches it directly. */
+    FakePath &addPath(const std::string &name);
     void removeTarget(const std::string &name);
     /** The store lists a target that was removed once more. */
     void listTarget(const std::string &name, const std::string &service);
@@ -62,13 +65,18 @@
     /** Runs the loop until done holds; false after the time. */
     static bool waitFor(const std::function<bool()> &done, Millis time = Millis{3000});
     std::string address() const;
-    /** The settings of one more gateway, which finds the first one by its address for peers. */
+    /**
+     * The settings of one more gateway, which finds the first one by its address for peers, and whose store lists the
+     * targets themselves where the first gateway's lists paths.
+     */
     GatewaySettings settingsOfNeighbour() const;
 
     /** Made before anything that needs an event loop. */
     QCoreApplication &application;
     GatewaySettings settings;
     FakeServer store;
+    /** The same store as the neighbour sees it. */
+    FakeServer neighboursStore;
     /** The store answers nothing any more. */
     bool isStoreSilent = false;
     /** So many answers of a watch that tell of a change are lost, and their connections stay open without a word. */
@@ -79,6 +87,7 @@
     void holdStore();
     void releaseStore();
     std::map<std::string, std::unique_ptr<FakeServer>> targets;
+    std::map<std::string, std::unique_ptr<FakePath>> paths;
     std::ostringstream logged;
     std::unique_ptr<Log> log;
     std::unique_ptr<GatewayDialect> dialect;
@@ -86,10 +95,16 @@
     bool isStopped = false;
 
 private:
-    void answerStore(FakeRequest &request);
+    /** A call to the store, and whether it comes from the first gateway. */
+    struct StoreRequest
+    {
+        FakeRequest request;
+        bool isFirstGateway = true;
+    };
+    void answerStore(const StoreRequest &asked);
     /** Tells a watch that something changed, unless that answer is to be lost. */
     void wakeWatch(const FakeRequest &request);
-    std::string targetsText() const;
+    std::string targetsText(bool forFirstGateway) const;
 
     /** What the store has. */
     struct Content
@@ -103,7 +118,7 @@
         int storedAt = 1;
     };
     void reply(const FakeRequest &request, const std::string &status, const std::string &body) const;
-    std::string targetLine(const std::string &name) const;
+    std::string targetLine(const std::string &name, bool forFirstGateway = true) const;
     /** Writes one change, of which each watch hears. */
     void tellWatches(const std::string &line);
 
@@ -116,7 +131,7 @@
     std::vector<std::pair<int, FakeRequest>> watches;
     bool isStoreHeld = false;
     int calls = 0;
-    std::vector<FakeRequest> heldCalls;
+    std::vector<StoreRequest> heldCalls;
     void changed();
 };
 
