--- /dev/null
+++ b/sequoiausher/coordination/gateway/targetreachability.cpp
@@ -0,0 +1,161 @@
+#include "sequoiausher/coordination/gateway/targetreachability.h"
+
+#include <algorithm>
+
+namespace Sequoiausher {
+
+namespace {
+
+/**
+ * Bypassed connections without a direct one between them that show that a service is cut off. One may be a lost packet.
+ */
+constexpr std::size_t cutOffBypasses = 2;
+/** How long a target that was bypassed is reached through other gateways before it is tried directly again. */
+constexpr Millis bypassTime{2000};
+/** The interval between two probes of a service that is cut off, or out of reach. */
+constexpr Millis probeInterval{500};
+/** The interval between two probes of one target that is silent. */
+constexpr Millis silenceProbeInterval{1000};
+/** If so many targets cannot be reached one after the other, the others most likely cannot either. */
+constexpr std::size_t outOfReachTargets = 6;
+
+} // namespace
+
+void TargetReachability::setTargets(const std::map<PoolId, std::set<TargetId>> &targets)
+{
+    std::erase_if(this->services, [&targets](const auto &entry) { return !targets.contains(entry.first); });
+    for (const auto &[name, listed] : targets) {
+        Service &service = this->services[name];
+        service.targets = listed;
+        const auto isGone = [&listed](const TargetId &target) { return !listed.contains(target); };
+        std::erase_if(service.unreached, isGone);
+        std::erase_if(service.silent, isGone);
+    }
+    const auto isGone = [this](const auto &entry) {
+        return std::none_of(this->services.begin(), this->services.end(), [&entry](const auto &service) {
+            return service.second.targets.contains(entry.first);
+        });
+    };
+    std::erase_if(this->bypassedUntil, isGone);
+    std::erase_if(this->silenceProbedAt, isGone);
+}
+
+void TargetReachability::recordConnected(const PoolId &service, const TargetId &target, Millis /*now*/)
+{
+    const auto found = this->services.find(service);
+    if (found == this->services.end()) {
+        return;
+    }
+    found->second.bypasses = 0;
+    found->second.isCutOff = false;
+    found->second.unreached.clear();
+    this->bypassedUntil.erase(target);
+}
+
+void TargetReachability::recordBypassed(const PoolId &service, const TargetId &target, Millis now)
+{
+    const auto found = this->services.find(service);
+    if (found == this->services.end()) {
+        return;
+    }
+    found->second.bypasses += 1;
+    if (found->second.bypasses >= cutOffBypasses && !found->second.isCutOff) {
+        found->second.isCutOff = true;
+        found->second.lastProbeAt = now;
+    }
+    found->second.unreached.clear();
+    this->bypassedUntil[target] = now + bypassTime;
+}
+
+void TargetReachability::recordUnreached(const PoolId &service, const TargetId &target)
+{
+    const auto found = this->services.find(service);
+    if (found != this->services.end() && found->second.targets.contains(target)) {
+        found->second.unreached.insert(target);
+    }
+}
+
+void TargetReachability::recordAnswer(const PoolId &service)
+{
+    const auto found = this->services.find(service);
+    if (found != this->services.end()) {
+        found->second.unreached.clear();
+    }
+}
+
+void TargetReachability::recordSilence(const PoolId &service, const TargetId &target, Millis now)
+{
+    const auto found = this->services.find(service);
+    if (found == this->services.end() || found->second.isCutOff || !found->second.targets.contains(target)) {
+        return;
+    }
+    const auto probed = this->silenceProbedAt.find(target);
+    if (probed == this->silenceProbedAt.end() || now - probed->second >= silenceProbeInterval) {
+        this->silenceProbedAt[target] = now;
+        found->second.silent.insert(target);
+    }
+}
+
+bool TargetReachability::isDirect(const PoolId &service, const TargetId &target, Millis now) const
+{
+    if (this->isCutOff(service)) {
+        return false;
+    }
+    const auto bypassed = this->bypassedUntil.find(target);
+    return bypassed == this->bypassedUntil.end() || now >= bypassed->second;
+}
+
+bool TargetReachability::isCutOff(const PoolId &service) const
+{
+    const auto found = this->services.find(service);
+    return found != this->services.end() && found->second.isCutOff;
+}
+
+bool TargetReachability::isOutOfReach(const Service &service)
+{
+    return !service.targets.empty() && service.unreached.size() >= std::min(service.targets.size(), outOfReachTargets);
+}
+
+bool TargetReachability::isOutOfReach(const PoolId &service) const
+{
+    const auto found = this->services.find(service);
+    return found != this->services.end() && isOutOfReach(found->second);
+}
+
+std::vector<PoolId> TargetReachability::cutOffServices() const
+{
+    std::vector<PoolId> all;
+    for (const auto &[name, service] : this->services) {
+        if (service.isCutOff) {
+            all.push_back(name);
+        }
+    }
+    return all;
+}
+
+TargetId TargetReachability::nextProbed(const Service &service)
+{
+    const auto next = service.targets.upper_bound(service.lastProbed);
+    return next != service.targets.end() ? *next : *service.targets.begin();
+}
+
+std::vector<TargetReachability::Probe> TargetReachability::takeProbes(Millis now)
+{
+    std::vector<Probe> probes;
+    for (auto &[name, service] : this->services) {
+        const bool isDue = now - service.lastProbeAt >= probeInterval && !service.targets.empty();
+        if (isDue && (service.isCutOff || isOutOfReach(service))) {
+            service.lastProbeAt = now;
+            service.lastProbed = nextProbed(service);
+            // Where others reach the service, requests show that themselves.
+            probes.push_back({name, service.lastProbed, !isOutOfReach(service)});
+        }
+        for (const TargetId &target : service.silent) {
+            probes.push_back({name, target, false});
+        }
+        service.silent.clear();
+    }
+    return probes;
+}
+
+} // namespace Sequoiausher
