Reach targets through other gateways where the own path to them is cut

Cause: a gateway had one way to a target. It took its failed path for a failed target, tried the next one over the same path and refused, while its peers reached all targets.

Change: a connection is opened by the first way that works (TargetDial). The direct one comes first; where it fails, or is not open after 60 ms, another gateway is asked for a tunnel beside it. Nothing is sent to the target before a way is open, so this holds for requests that run at most once as well, and all decisions about a request stay at the gateway that took it. Two connections that were opened by a tunnel alone show that a service is cut off; from then on tunnels come first, idle direct connections are not used, and one direct connection each half second shows when the path is back. A direct connection that has been silent for longer than usual is checked in the same way, so that requests do not go into connections that a silent cut has left. Where nobody reaches a service, requests are refused at once.

--- a/sequoiausher/coordination/gateway/attempttimeout.cpp
+++ b/sequoiausher/coordination/gateway/attempttimeout.cpp
@@ -28,6 +28,8 @@
  * the old process sent has arrived, so an answer that was already sent is still delivered.
  */
 constexpr Millis restartGrace{400};
+/** The same for a path that was cut: what the target sent before the cut has arrived by then. */
+constexpr Millis cutPathGrace{250};
 
 Millis computeFirstAnswerTimeout(const WaitState &state)
 {
@@ -59,7 +61,7 @@
     if (state.isProcessGone && silence >= restartGrace) {
         return WaitDecision::Lost;
     }
-    const bool isOverdue = silence >= computeAnswerTimeout(state);
+    const bool isOverdue = silence >= (state.isPathCut ? cutPathGrace : computeAnswerTimeout(state));
     return isOverdue && state.mayRunElsewhere ? WaitDecision::RetryElsewhere : WaitDecision::KeepWaiting;
 }
 
--- a/sequoiausher/coordination/gateway/attempttimeout.h
+++ b/sequoiausher/coordination/gateway/attempttimeout.h
@@ -37,6 +37,8 @@
      * name.
      */
     bool isProcessGone = false;
+    /** The connection to the target goes over a path that has been cut since. */
+    bool isPathCut = false;
     /** The request may also run at another target, and has attempts left. */
     bool mayRunElsewhere = false;
     Millis latencyAim;
--- a/sequoiausher/coordination/gateway/targetboard.cpp
+++ b/sequoiausher/coordination/gateway/targetboard.cpp
@@ -615,6 +615,11 @@
     return state != nullptr && state->isListed && !state->target.isLeaving && !state->hasAnnouncedLeaving;
 }
 
+std::optional<GatewayTarget> TargetBoard::stayingTarget(const TargetId &target) const
+{
+    return this->isStaying(target) ? std::optional(this->d->find(target)->target) : std::nullopt;
+}
+
 std::size_t TargetBoard::targetCount(const PoolId &service) const
 {
     const auto found = this->d->byService.find(service);
--- a/sequoiausher/coordination/gateway/targetboard.h
+++ b/sequoiausher/coordination/gateway/targetboard.h
@@ -156,6 +156,8 @@
     bool isListed(const TargetId &target) const;
     /** Whether this incarnation is listed, and neither the store nor the target itself has announced that it leaves. */
     bool isStaying(const TargetId &target) const;
+    /** The entry of this incarnation, if it isStaying(). */
+    std::optional<GatewayTarget> stayingTarget(const TargetId &target) const;
     std::size_t targetCount(const PoolId &service) const;
     /** Requests in flight at the eligible targets of the service. */
     std::uint64_t inFlight(const PoolId &service, Millis now) const;
--- a/sequoiausher/protocol/settings/gatewaysettings.cpp
+++ b/sequoiausher/protocol/settings/gatewaysettings.cpp
@@ -59,6 +59,14 @@
     }
 }
 
+void readPort(SectionReader &section, std::string_view key, std::uint16_t &field)
+{
+    constexpr double mostPort = 65535;
+    double port = field;
+    readNumber(section, key, 0, mostPort, port);
+    field = static_cast<std::uint16_t>(port);
+}
+
 /** Each part is the name of a data centre, a colon and that of its region. */
 void readRegions(SectionReader &section, std::map<DataCentreId, RegionId> &regions)
 {
@@ -90,6 +98,7 @@
     settings.peerAddress = section.address("peer_address").value_or("");
     readAddress(section, "peer_listen_address", settings.peerListenAddress);
     readAddress(section, "metrics_address", settings.metricsAddress);
+    readPort(section, "tunnel_port", settings.tunnelPort);
     constexpr double mostCores = 1024;
     constexpr double mostMbps = 1000000;
     readNumber(section, "processor_share", 0, mostCores, settings.processorShare);
--- a/sequoiausher/protocol/settings/gatewaysettings.h
+++ b/sequoiausher/protocol/settings/gatewaysettings.h
@@ -59,6 +59,11 @@
     std::string peerAddress;
     /** Where it listens for them, where that is another address, as behind a forwarded port; empty for peerAddress. */
     std::string peerListenAddress;
+    /**
+     * The port of peerAddress's IP number at which other gateways open tunnels to targets, the same for all gateways of
+     * a fleet; 0 for no tunnels.
+     */
+    std::uint16_t tunnelPort = 0;
     /** IP number and port of the metrics page; empty for none. */
     std::string metricsAddress;
     /** The part of a core that the process has, and its link, in Mbit/s: what hubs are chosen by. */
--- a/sequoiausher/transport/gateway/gatewaycall.cpp
+++ b/sequoiausher/transport/gateway/gatewaycall.cpp
@@ -37,6 +37,11 @@
     return this->connection->isOpen();
 }
 
+const InstanceId &GatewayCall::through() const
+{
+    return this->connection->through();
+}
+
 bool GatewayCall::mayHaveArrived() const
 {
     return this->connection->hasSent();
--- a/sequoiausher/transport/gateway/gatewaycall.h
+++ b/sequoiausher/transport/gateway/gatewaycall.h
@@ -45,6 +45,8 @@
     void send(std::string_view bytes, bool isHead);
     /** Whether the connection is established; before that, nothing has reached the target. */
     bool isConnected() const;
+    /** The gateway that the connection goes through; empty for a direct one, or one that is not open yet. */
+    const InstanceId &through() const;
     /** Whether the target may have received any byte of the request. */
     bool mayHaveArrived() const;
     /** Whether the attempt ended because the target's side broke the connection that carried the request. */
--- a/sequoiausher/transport/gateway/gatewaycontext.cpp
+++ b/sequoiausher/transport/gateway/gatewaycontext.cpp
@@ -43,13 +43,16 @@
     , log(output)
     , metrics(counters)
     , settings(initialSettings)
+    , random(seed)
     , retryBudget(initialSettings.repeats, Millis::monotonicNow())
     , peers(InstanceId{initialSettings.peerAddress}, initialSettings.seeds, seed)
     , duty(storeDutyOf(initialSettings), seed)
     , coldLimit(peers, initialSettings.coldTargets)
     , board(seed)
+    , tunnels(this->peers, initialSettings.dataCentre)
+    , dialEnvironment{this->reachability, this->tunnels, this->settings, this->metrics, this->random}
+    , pools(this->dialEnvironment)
     , lifeChecks(*this)
-    , random(seed)
 {
     this->board.setColdLimit(&this->coldLimit);
     this->board.setRegions(initialSettings.regions);
--- a/sequoiausher/transport/gateway/gatewaycontext.h
+++ b/sequoiausher/transport/gateway/gatewaycontext.h
@@ -18,6 +18,8 @@
 #include "sequoiausher/coordination/gateway/routetable.h"
 #include "sequoiausher/coordination/gateway/storeduty.h"
 #include "sequoiausher/coordination/gateway/targetboard.h"
+#include "sequoiausher/coordination/gateway/targetreachability.h"
+#include "sequoiausher/coordination/gateway/tunnelpeers.h"
 #include "sequoiausher/coordination/gateway/watchdeadline.h"
 #include "sequoiausher/coordination/rules/ruleset.h"
 #include "sequoiausher/protocol/gateway/gatewaydialect.h"
@@ -89,6 +91,7 @@
     const Log &log;
     Metrics &metrics;
     GatewaySettings settings;
+    std::mt19937_64 random;
     std::shared_ptr<const RouteTable> table;
     std::shared_ptr<const RuleSet> rules;
     Freshness freshness;
@@ -100,6 +103,9 @@
     LoadShedder shedder;
     CallerWaitEstimator patience;
     PrefixDirectory parts;
+    TargetReachability reachability;
+    TunnelPeers tunnels;
+    DialEnvironment dialEnvironment;
     TargetPools pools;
     RequestQuarantine quarantine;
     TargetLifeChecks lifeChecks;
@@ -109,7 +115,6 @@
     bool isStarting = true;
     /** Requests that arrive during the start wait until this time at most. */
     Millis holdsRequestsUntil;
-    std::mt19937_64 random;
     std::vector<std::shared_ptr<void>> pendingDestruction;
     /** Closed connections whose last answer was not sent completely; the process must not end before that. */
     std::vector<std::weak_ptr<ByteStream>> delivering;
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -22,6 +22,8 @@
 
 /** When to come back where no target is free. */
 constexpr Millis retryWhenFull{200};
+/** When to come back where no gateway reaches the service: by then it was probed again. */
+constexpr Millis retryWhenOutOfReach{500};
 /** When to come back where no data centre may serve: an operator has to act before that changes. */
 constexpr Millis retryWhenNoDataCentre{1000};
 /** Log lines identify a shared part by a number below this, which is enough to distinguish the parts of a day. */
@@ -56,6 +58,8 @@
     void attempt(std::optional<ChosenTarget> found, Millis now);
     TargetCriteria criteria(Millis now) const;
     std::optional<ChosenTarget> chooseTarget(Millis now);
+    /** Refuses a request to a service that nobody reaches. */
+    void refuseOutOfReach();
     /** Refuses a request that no target can take, with the reason and the time to come back. */
     void refuseNotRun(Millis now);
     std::string findCopySource(const ChosenTarget &target, Millis now);
@@ -77,6 +81,10 @@
     void answerOwn(int status, const std::string &reason, std::optional<Millis> retryAfter, Outcome outcome);
     void finish(Outcome outcome, std::string_view how);
     void log(std::string_view outcome, std::string_view how, Millis now) const;
+    /** Notes a direct connection that has been silent for longer than usual. */
+    void checkSilence(Millis now);
+    /** Whether the call uses a direct connection to a target that this gateway no longer reaches. */
+    bool isPathCut(Millis now) const;
     WaitState waitState(Millis now) const;
     AnswerState answerState() const;
     bool findTarget(Millis now) override;
@@ -117,6 +125,8 @@
     std::string endReason;
     /** What the last target announced about itself; for the log. */
     std::string announcement;
+    /** The gateway through which the last target was reached; for the log. */
+    std::string reachedThrough;
 };
 
 GatewayExchange::GatewayExchange(GatewayContext &context,
@@ -162,9 +172,21 @@
     const bool mayRetry = this->admitted.decision.retry != RetryMode::None;
     this->attempts = RequestAttempts({route.isIdempotent(), route.mostTargets, mayRetry, this->admitted.deadline});
     const Millis now = std::max(this->receivedAt, Millis::monotonicNow());
+    if (this->context.reachability.isOutOfReach(this->admitted.service)) {
+        this->refuseOutOfReach();
+        return;
+    }
     this->attempt(this->chooseTarget(now), now);
 }
 
+void GatewayExchange::Private::refuseOutOfReach()
+{
+    this->answerOwn(statusUnavailable,
+                    "no gateway reaches a target of the service",
+                    this->context.spread(retryWhenOutOfReach),
+                    Outcome::RefusedFull);
+}
+
 void GatewayExchange::Private::attempt(std::optional<ChosenTarget> found, Millis now)
 {
     // A target may have no free connection, so others are tried; nothing is sent before one is found.
@@ -276,6 +298,7 @@
     if (!this->call) {
         return;
     }
+    this->reachedThrough = this->call->through().value;
     this->call->cancel();
     this->context.board.recordEnd(this->chosen.target.id, mark, now);
     this->context.destroyLater(std::shared_ptr<GatewayCall>(std::move(this->call)));
@@ -397,6 +420,7 @@
 {
     const Millis now = Millis::monotonicNow();
     this->d->context.board.recordActivity(this->d->chosen.target.id, now);
+    this->d->context.reachability.recordAnswer(this->d->admitted.service);
     this->d->answer.began(head, answer);
     this->d->lastPartAt = now;
     this->d->recordAnnouncements(answer, now);
@@ -558,6 +582,7 @@
          {"service", this->admitted.service.value},
          {"target", this->chosen.target.id.value},
          {"target_says", this->announcement},
+         {"through", this->reachedThrough},
          {"targets_used", std::to_string(this->attempts.targetsUsed())},
          {"fingerprint", toText(this->fingerprint)},
          {"prompt_part", std::to_string(this->admitted.partHash % loggedPartModulus)},
@@ -587,6 +612,7 @@
     state.hasEvents = this->answer.eventCount() > 0 && this->answer.hasHead();
     state.isReadingPaused = this->answer.isReadingPaused();
     state.isProcessGone = this->context.board.isReplaced(this->chosen.target);
+    state.isPathCut = this->isPathCut(now);
     state.mayRunElsewhere = this->attempts.mayRunElsewhere();
     state.latencyAim = route.latencyAim;
     state.gapAim = route.gapAim;
@@ -594,6 +620,31 @@
     return state;
 }
 
+bool GatewayExchange::Private::isPathCut(Millis now) const
+{
+    const GatewayTarget &target = this->chosen.target;
+    return this->call && this->call->isConnected() && this->call->through().value.empty()
+        && !this->context.reachability.isDirect(target.service, target.id, now);
+}
+
+void GatewayExchange::Private::checkSilence(Millis now)
+{
+    if (!this->call || !this->call->isConnected() || !this->call->through().value.empty()
+        || this->answer.isReadingPaused()) {
+        return;
+    }
+    constexpr Millis minSilence{200};
+    constexpr std::int64_t usualTimeFactor = 2;
+    const GatewayTarget &target = this->chosen.target;
+    const bool hasEvents = this->answer.eventCount() > 0;
+    const Millis usual
+        = hasEvents ? this->admitted.route->gapAim : this->context.usualFirstAnswer(target.service) * usualTimeFactor;
+    const bool isTargetActive = this->context.board.lastActivity(target.id) > this->lastPartAt;
+    if (!isTargetActive && now - this->lastPartAt >= std::max(usual, minSilence)) {
+        this->context.reachability.recordSilence(target.service, target.id, now);
+    }
+}
+
 void GatewayExchange::tick(Millis now)
 {
     if (this->d->isHeld && (!this->d->context.isStarting || now >= this->d->context.holdsRequestsUntil)) {
@@ -612,6 +663,7 @@
     if (!this->call && !isTimeUp) {
         return;
     }
+    this->checkSilence(now);
     const WaitDecision wait = checkWait(this->waitState(now));
     if (wait == WaitDecision::RetryElsewhere && !this->mayRetryElsewhere(now)) {
         return;
--- a/sequoiausher/transport/gateway/gatewayknowledge.cpp
+++ b/sequoiausher/transport/gateway/gatewayknowledge.cpp
@@ -5,6 +5,7 @@
 #include "sequoiausher/coordination/gateway/storeposition.h"
 
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <set>
 #include <utility>
@@ -215,9 +216,14 @@
     const Millis now = Millis::monotonicNow();
     this->context.board.setTargets(targets, now);
     std::size_t leaving = 0;
+    std::map<PoolId, std::set<TargetId>> staying;
     for (const GatewayTarget &target : targets) {
         leaving += target.isLeaving ? 1 : 0;
+        if (!target.isLeaving) {
+            staying[target.service].insert(target.id);
+        }
     }
+    this->context.reachability.setTargets(staying);
     // A target that was removed without announcing it has ended, even if something else accepts its connections.
     for (const TargetId &lost : this->context.quarantine.targetsToCheck(now)) {
         if (!this->context.board.isListed(lost)) {
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -9,6 +9,7 @@
 #include "sequoiausher/transport/gateway/gatewaypeers.h"
 #include "sequoiausher/transport/gateway/gatewayrules.h"
 #include "sequoiausher/transport/gateway/storewatcher.h"
+#include "sequoiausher/transport/gateway/tunnelserver.h"
 #include "sequoiausher/transport/stream/streamlistener.h"
 
 #include <QTimer>
@@ -86,6 +87,8 @@
     void lateIteration();
     void tick();
     void tickStore(Millis now);
+    /** Probes paths that were cut, and logs which services are cut off. */
+    void tickReachability(Millis now);
     void tickCallers(Millis now);
     /** Returns a copy, because a connection that ends removes itself from the map. */
     std::vector<std::shared_ptr<CallerConnection>> allCallers() const;
@@ -111,6 +114,7 @@
     SharedKnowledge &known;
     GatewayPeers peers;
     GatewayPages pages;
+    TunnelServer tunnelServer{this->context};
     std::unique_ptr<StoreWatcher> watcher;
     std::unique_ptr<StreamListener> listener;
     std::unordered_map<CallerConnection *, std::shared_ptr<CallerConnection>> callers;
@@ -129,6 +133,7 @@
     bool wasReady = false;
     bool wasResting = false;
     Millis nextSuppressedAt;
+    std::vector<PoolId> cutOffServices;
 };
 
 void GatewayNode::Private::start()
@@ -138,6 +143,7 @@
     this->listener = std::make_unique<StreamListener>(this->context.settings.address,
                                                       [this](int descriptor) { this->accept(descriptor); });
     this->peers.listen();
+    this->tunnelServer.listen();
     this->pages.listen();
     this->context.holdsRequestsUntil = Millis::monotonicNow() + startupHoldTime;
     this->watchStore();
@@ -238,7 +244,7 @@
     this->peers.tick(now);
     this->knowledge.tick(now);
     this->tickCallers(now);
-    this->context.pools.tick(now);
+    this->tickReachability(now);
     this->context.lifeChecks.tick(now);
     this->context.pendingDestruction.clear();
     if (now >= this->nextSuppressedAt) {
@@ -259,6 +265,27 @@
     this->tickStop(now);
 }
 
+void GatewayNode::Private::tickReachability(Millis now)
+{
+    for (const TargetReachability::Probe &probe : this->context.reachability.takeProbes(now)) {
+        if (const auto target = this->context.board.stayingTarget(probe.target)) {
+            this->context.pools.probe(*target, probe.isDirectOnly ? DialWays::Direct : DialWays::All, now);
+        }
+    }
+    this->context.pools.tick(now);
+    this->tunnelServer.tick(now);
+    std::vector<PoolId> cutOff = this->context.reachability.cutOffServices();
+    if (cutOff == this->cutOffServices) {
+        return;
+    }
+    std::string names;
+    for (const PoolId &service : cutOff) {
+        names += (names.empty() ? "" : " ") + service.value;
+    }
+    this->cutOffServices = std::move(cutOff);
+    this->log.warning(LogPart::Targets, "services reached only through other gateways", {{"services", names}});
+}
+
 void GatewayNode::Private::tickStore(Millis now)
 {
     const StoreDuty &duty = this->context.duty;
@@ -349,7 +376,9 @@
         for (const auto &connection : idle) {
             connection->closeForStop();
         }
-        if (busy == 0 && idle.empty() && !this->context.isDelivering()) {
+        this->tunnelServer.closeListener();
+        const bool isCarrying = this->tunnelServer.isBusy(now);
+        if (busy == 0 && idle.empty() && !isCarrying && !this->context.isDelivering()) {
             this->finishStop("all requests answered");
             return;
         }
@@ -409,6 +438,8 @@
     this->metrics.set("gateway_requests_refused_for_crashes",
                       static_cast<double>(this->context.quarantine.refusedCount()));
     this->metrics.set("gateway_peers", static_cast<double>(this->context.peers.members(now).size()));
+    this->metrics.set("gateway_services_cut_off", static_cast<double>(this->cutOffServices.size()));
+    this->metrics.set("gateway_tunnels_carried", static_cast<double>(this->tunnelServer.tunnelCount()));
     this->metrics.set("gateway_connections", static_cast<double>(this->callers.size()));
     this->metrics.set("gateway_accepted", static_cast<double>(this->context.connectionsAccepted));
     this->metrics.set("gateway_target_connections_opened", static_cast<double>(this->context.pools.dialled()));
--- a/sequoiausher/transport/gateway/gatewaytestbed.cpp
+++ b/sequoiausher/transport/gateway/gatewaytestbed.cpp
@@ -2,6 +2,7 @@
 
 #include "sequoiausher/base/error.h"
 #include "sequoiausher/transport/http/testloop.h"
+#include "sequoiausher/transport/peers/peeraddress.h"
 
 #include <QTimer>
 
@@ -244,6 +245,7 @@
     this->settings.address = freeAddress();
     this->settings.readyAddress = freeAddress();
     this->settings.peerAddress = freeAddress();
+    this->settings.tunnelPort = parsePeerAddress(freeAddress()).port;
     this->store.ownFields = signedFields;
     this->store.answers = [this](FakeRequest &request) { this->answerStore({request, true}); };
     this->neighboursStore.ownFields = signedFields;
--- a/sequoiausher/transport/gateway/targetpools.cpp
+++ b/sequoiausher/transport/gateway/targetpools.cpp
@@ -1,9 +1,11 @@
 #include "sequoiausher/transport/gateway/targetpools.h"
 
+#include "sequoiausher/base/error.h"
 #include "sequoiausher/coordination/gateway/connectiontimeouts.h"
 
 #include <algorithm>
 #include <limits>
+#include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -14,6 +16,8 @@
 
 /** The idle time of connections to targets that announce none. */
 constexpr Millis defaultIdleTime{4000};
+/** A probe that is not open after this time is given up. */
+constexpr Millis probeTimeout{400};
 /** Answers are streams of any length. */
 constexpr std::uint64_t maxAnswerBytes = std::numeric_limits<std::uint64_t>::max() / 2;
 constexpr std::uint32_t maxAnswerHeadBytes = 32768;
@@ -29,27 +33,55 @@
         std::vector<std::shared_ptr<TargetConnection>> idle;
         std::size_t open = 0;
     };
+    struct Probe
+    {
+        std::shared_ptr<TargetConnection> connection;
+        Millis begunAt;
+    };
+
+    explicit Private(DialEnvironment &with) : environment(with)
+    {
+    }
+
+    /** Whether a request may be sent over the idle connection, as far as its path is concerned. */
+    bool isUsable(const TargetConnection &connection, Millis now) const
+    {
+        const GatewayTarget &target = connection.target;
+        const bool isDirect = this->environment.reachability.isDirect(target.service, target.id, now);
+        if (connection.through().value.empty()) {
+            return isDirect;
+        }
+        // A tunnel costs the other gateway work, so it is used only as long as it is needed.
+        return !isDirect && this->environment.tunnels.isAlive(connection.through(), now);
+    }
+    void tickDials(Millis now);
+    void tickProbes(Millis now);
 
+    DialEnvironment &environment;
     std::unordered_map<TargetId, Pool> pools;
+    /** Connections that are not open yet. */
+    std::set<TargetConnection *> dialling;
+    std::vector<Probe> probes;
     /** Ended connections, destroyed at the next tick because they may be in the middle of their own calls. */
     std::vector<std::shared_ptr<TargetConnection>> retired;
+    /** The same for dials. */
+    std::vector<std::unique_ptr<TargetDial>> retiredDials;
     std::uint64_t dialled = 0;
 };
 
-TargetConnection::TargetConnection(TargetPools &with, TargetId id, const std::string &address)
-    : target(std::move(id))
+TargetConnection::TargetConnection(TargetPools &with, const GatewayTarget &to, DialWays ways)
+    : target(to)
     , pools(with)
-    , stream(ByteStream::dial(address, this))
+    , dialling(std::make_unique<TargetDial>(*this, with.d->environment, to, ways))
     , answer(HttpReader::Kind::Answer, {maxAnswerHeadBytes, maxAnswerBytes})
 {
-    this->pools.d->pools[this->target].open += 1;
+    this->pools.d->pools[this->target.id].open += 1;
 }
 
 TargetConnection::~TargetConnection()
 {
-    this->stream->forgetUser();
-    this->stream->close();
-    auto pool = this->pools.d->pools.find(this->target);
+    this->drop();
+    auto pool = this->pools.d->pools.find(this->target.id);
     if (pool != this->pools.d->pools.end()) {
         pool->second.open -= std::min<std::size_t>(pool->second.open, 1);
         if (pool->second.open == 0 && pool->second.idle.empty()) {
@@ -58,6 +90,42 @@
     }
 }
 
+void TargetConnection::dial(Millis now)
+{
+    this->pools.d->dialling.insert(this);
+    this->dialling->start(now);
+}
+
+void TargetConnection::tick(Millis now)
+{
+    if (this->dialling) {
+        this->dialling->tick(now);
+    }
+}
+
+void TargetConnection::dialled(DialledTarget opened)
+{
+    this->pools.d->dialling.erase(this);
+    this->pools.d->retiredDials.push_back(std::move(this->dialling));
+    this->stream = std::move(opened.stream);
+    this->tunnel = std::move(opened.tunnel);
+    this->throughPeer = std::move(opened.through);
+    this->stream->setUser(this);
+    if (this->user == nullptr) {
+        this->goIdle(defaultIdleTime, Millis::monotonicNow());
+        return;
+    }
+    this->hasWritten = true;
+    this->stream->write(std::exchange(this->unsent, {}));
+}
+
+void TargetConnection::dialFailed(DialFailure /*why*/)
+{
+    this->pools.d->dialling.erase(this);
+    this->pools.d->retiredDials.push_back(std::move(this->dialling));
+    this->ended(StreamEnd::NotConnected);
+}
+
 void TargetConnection::begin(TargetConnectionUser *by, std::string_view bytes, bool isHead)
 {
     this->user = by;
@@ -65,7 +133,22 @@
     if (isHead) {
         this->answer.expectNoBody();
     }
-    this->stream->write(bytes);
+    if (this->stream) {
+        this->hasWritten = true;
+        this->stream->write(bytes);
+    } else {
+        this->unsent = bytes;
+    }
+}
+
+std::string &TargetConnection::input()
+{
+    return this->tunnel ? this->tunnel->bytes() : this->stream->input();
+}
+
+const InstanceId &TargetConnection::through() const
+{
+    return this->throughPeer;
 }
 
 HttpReader &TargetConnection::reader()
@@ -75,23 +158,26 @@
 
 void TargetConnection::readOn()
 {
-    this->answer.read(this->stream->input());
+    this->answer.read(this->input());
 }
 
 bool TargetConnection::isOpen() const
 {
-    return this->stream->isConnected();
+    return this->stream && this->stream->isConnected();
 }
 
 bool TargetConnection::hasSent() const
 {
-    // On a reused connection, bytes of earlier requests cannot be told from those of this one.
-    return this->wasReused || this->stream->hasSent();
+    // On a reused connection, bytes of earlier requests cannot be told from those of this one, and on a tunnel, bytes
+    // that opened it.
+    return this->wasReused || (this->hasWritten && (this->tunnel || this->stream->hasSent()));
 }
 
 void TargetConnection::setReading(bool on)
 {
-    this->stream->setReading(on);
+    if (this->stream) {
+        this->stream->setReading(on);
+    }
 }
 
 void TargetConnection::release(std::optional<Millis> idleTime, Millis now)
@@ -99,47 +185,80 @@
     this->user = nullptr;
     // Bytes after the answer belong to no request, and a request that was answered before it was read whole would be
     // followed by its own rest.
-    const bool isClean = this->stream->input().empty() && this->stream->pendingBytes() == 0;
-    const bool keepsOpen = this->answer.head().keepAlive && this->stream->isOpen() && this->stream->isConnected();
+    const bool isClean = this->input().empty() && this->stream->input().empty() && this->stream->pendingBytes() == 0;
+    const bool isEnded = this->tunnel && this->tunnel->state() != TunnelState::Open;
+    const bool keepsOpen
+        = this->answer.head().keepAlive && this->stream->isOpen() && this->stream->isConnected() && !isEnded;
     if (!isClean || !keepsOpen) {
         this->drop();
         return;
     }
     this->wasReused = true;
-    this->idleSince = now;
-    this->idleUntil = now + usableIdleTime(idleTime.value_or(defaultIdleTime));
     this->answer.restart();
-    this->pools.d->pools[this->target].idle.push_back(this->shared_from_this());
+    this->goIdle(idleTime.value_or(defaultIdleTime), now);
+}
+
+void TargetConnection::goIdle(Millis idleTime, Millis now)
+{
+    this->idleSince = now;
+    this->idleUntil = now + usableIdleTime(idleTime);
+    this->pools.d->pools[this->target.id].idle.push_back(this->shared_from_this());
 }
 
 void TargetConnection::drop()
 {
     this->user = nullptr;
-    this->stream->close();
+    if (this->dialling) {
+        this->pools.d->dialling.erase(this);
+        this->dialling->giveUp(Millis::monotonicNow());
+        this->pools.d->retiredDials.push_back(std::move(this->dialling));
+    }
+    if (this->stream) {
+        this->stream->forgetUser();
+        this->stream->close();
+    }
 }
 
 void TargetConnection::bytesArrived()
 {
+    if (this->tunnel) {
+        try {
+            this->tunnel->read(this->stream->input());
+        } catch (const Error &) {
+            this->ended(StreamEnd::Reset);
+            return;
+        }
+    }
+    const bool isFinished = this->tunnel && this->tunnel->state() == TunnelState::Finished;
     if (this->user == nullptr) {
-        // Bytes that belong to no request.
+        // Bytes that belong to no request, or the end.
         this->ended(StreamEnd::Reset);
         return;
     }
     this->readOn();
+    const std::weak_ptr<TargetConnection> self = this->weak_from_this();
     this->user->answerGrew();
+    if (isFinished && !self.expired() && this->user != nullptr) {
+        this->ended(StreamEnd::Finished);
+    }
 }
 
 void TargetConnection::ended(StreamEnd how)
 {
     if (this->user != nullptr) {
-        if (how == StreamEnd::Finished) {
+        // The end of a tunnel is not the end of the target's connection, which the other gateway tells.
+        const bool isInOrder = !this->tunnel || this->tunnel->state() == TunnelState::Finished;
+        const StreamEnd end = how == StreamEnd::Finished && !isInOrder ? StreamEnd::Reset : how;
+        if (end == StreamEnd::Finished) {
             this->answer.finish();
         }
-        std::exchange(this->user, nullptr)->connectionEnded(how);
+        std::exchange(this->user, nullptr)->connectionEnded(end);
         return;
     }
-    this->stream->close();
-    const auto pool = this->pools.d->pools.find(this->target);
+    if (this->stream) {
+        this->stream->close();
+    }
+    const auto pool = this->pools.d->pools.find(this->target.id);
     if (pool == this->pools.d->pools.end()) {
         return;
     }
@@ -151,7 +270,7 @@
     }
 }
 
-TargetPools::TargetPools() : d(std::make_unique<Private>())
+TargetPools::TargetPools(DialEnvironment &environment) : d(std::make_unique<Private>(environment))
 {
 }
 
@@ -163,6 +282,9 @@
         std::move(pool.idle.begin(), pool.idle.end(), std::back_inserter(last));
         pool.idle.clear();
     }
+    for (Private::Probe &probe : this->d->probes) {
+        last.push_back(std::move(probe.connection));
+    }
     last.clear();
     this->d->retired.clear();
 }
@@ -177,9 +299,10 @@
             break;
         }
         pool.idle.pop_back();
-        if (last->isOpen()) {
+        if (last->isOpen() && this->d->isUsable(*last, now)) {
             return last;
         }
+        last->drop();
         this->d->retired.push_back(std::move(last));
     }
     if (limit > 0 && pool.open >= limit) {
@@ -192,14 +315,60 @@
         this->d->retired.back()->drop();
     }
     this->d->dialled += 1;
-    return std::make_shared<TargetConnection>(*this, target.id, target.address);
+    auto connection = std::make_shared<TargetConnection>(*this, target, DialWays::All);
+    connection->dial(now);
+    return connection;
+}
+
+void TargetPools::probe(const GatewayTarget &target, DialWays ways, Millis now)
+{
+    this->d->dialled += 1;
+    auto connection = std::make_shared<TargetConnection>(*this, target, ways);
+    try {
+        connection->dial(now);
+    } catch (const Error &) {
+        // Nothing could be started: the next probe tries again.
+        return;
+    }
+    this->d->probes.push_back({std::move(connection), now});
+}
+
+void TargetPools::Private::tickDials(Millis now)
+{
+    // A tick may end a dial, and with it the connection.
+    std::vector<std::shared_ptr<TargetConnection>> all;
+    for (TargetConnection *connection : this->dialling) {
+        all.push_back(connection->shared_from_this());
+    }
+    for (const auto &connection : all) {
+        connection->tick(now);
+    }
+}
+
+void TargetPools::Private::tickProbes(Millis now)
+{
+    std::erase_if(this->probes, [this, now](Probe &probe) {
+        const bool isDialling = this->dialling.contains(probe.connection.get());
+        const bool isOverdue = now - probe.begunAt >= probeTimeout;
+        if (isDialling && isOverdue) {
+            probe.connection->drop();
+        }
+        if (!isDialling || isOverdue) {
+            this->retired.push_back(std::move(probe.connection));
+        }
+        return !isDialling || isOverdue;
+    });
 }
 
 void TargetPools::tick(Millis now)
 {
+    this->d->retiredDials.clear();
+    this->d->tickDials(now);
+    this->d->tickProbes(now);
     for (auto &[target, pool] : this->d->pools) {
-        const auto old = std::stable_partition(
-            pool.idle.begin(), pool.idle.end(), [now](const auto &held) { return now < held->idleUntil; });
+        const auto old = std::stable_partition(pool.idle.begin(), pool.idle.end(), [this, now](const auto &held) {
+            return now < held->idleUntil && this->d->isUsable(*held, now);
+        });
         std::move(old, pool.idle.end(), std::back_inserter(this->d->retired));
         pool.idle.erase(old, pool.idle.end());
     }
--- a/sequoiausher/transport/gateway/targetpools.h
+++ b/sequoiausher/transport/gateway/targetpools.h
@@ -1,14 +1,17 @@
 #pragma once
 
-// Pools of connections to targets. An unused connection is kept for the next request to the same target, because each
-// new one costs the target time. The most recently used one is taken first, so that the others can time out.
+// Pools of connections to targets, direct ones and tunnels through other gateways. An unused connection is kept for the
+// next request to the same target, because each new one costs the target time. The most recently used one is taken
+// first, so that the others can time out. A connection over a path that is known to be cut is not used again.
 //
+//     TargetPools pools(environment);
 //     std::shared_ptr<TargetConnection> connection = pools.take(target, limit, now);
 //     connection->begin(user, bytes);
 
 #include "sequoiausher/base/identifiers.h"
 #include "sequoiausher/base/millis.h"
 #include "sequoiausher/coordination/gateway/gatewayconfiguration.h"
+#include "sequoiausher/transport/gateway/targetdial.h"
 #include "sequoiausher/transport/stream/bytestream.h"
 #include "sequoiausher/transport/stream/httpreader.h"
 
@@ -34,16 +37,22 @@
 };
 
 /** One connection to a target. */
-class TargetConnection : public ByteStreamUser, public std::enable_shared_from_this<TargetConnection>
+class TargetConnection : public ByteStreamUser,
+                         public TargetDialUser,
+                         public std::enable_shared_from_this<TargetConnection>
 {
 public:
-    /** Starts to connect. @throws Error(Step::Connect, ...) */
-    TargetConnection(TargetPools &pools, TargetId target, const std::string &address);
+    /** pools outlives this. */
+    TargetConnection(TargetPools &pools, const GatewayTarget &target, DialWays ways);
     ~TargetConnection() override;
     TargetConnection(const TargetConnection &) = delete;
     TargetConnection &operator=(const TargetConnection &) = delete;
 
-    /** Sends a request; user receives events until release() or drop(). */
+    /** Starts to connect. @throws Error(Step::Connect, ...) */
+    void dial(Millis now);
+    /** Adds a way to the target if connecting takes long. */
+    void tick(Millis now);
+    /** Sends a request, once the connection is open; user receives events until release() or drop(). */
     void begin(TargetConnectionUser *user, std::string_view bytes, bool isHead);
     HttpReader &reader();
     /** Has the reader read what has arrived already, after it was restarted. */
@@ -51,6 +60,8 @@
     bool isOpen() const;
     /** Whether any byte of the current request has left this process. */
     bool hasSent() const;
+    /** The gateway that the connection goes through; empty for a direct one, or one that is not open yet. */
+    const InstanceId &through() const;
     void setReading(bool on);
 
     /**
@@ -63,15 +74,28 @@
 
     void bytesArrived() override;
     void ended(StreamEnd how) override;
+    void dialled(DialledTarget opened) override;
+    void dialFailed(DialFailure why) override;
 
-    TargetId target;
+    GatewayTarget target;
     /** Since when the connection is idle, and until when it may be used. */
     Millis idleSince;
     Millis idleUntil;
 
 private:
+    /** What has arrived from the target and was not read yet. */
+    std::string &input();
+    void goIdle(Millis idleTime, Millis now);
+
     TargetPools &pools;
+    std::unique_ptr<TargetDial> dialling;
+    /** None before the connection is open. */
     std::shared_ptr<ByteStream> stream;
+    std::optional<TunnelReader> tunnel;
+    InstanceId throughPeer;
+    /** The request, before the connection is open. */
+    std::string unsent;
+    bool hasWritten = false;
     HttpReader answer;
     TargetConnectionUser *user = nullptr;
     bool wasReused = false;
@@ -81,7 +105,8 @@
 class TargetPools
 {
 public:
-    TargetPools();
+    /** The environment outlives this. */
+    explicit TargetPools(DialEnvironment &environment);
     ~TargetPools();
     TargetPools(const TargetPools &) = delete;
     TargetPools &operator=(const TargetPools &) = delete;
@@ -91,7 +116,9 @@
      * @return nullptr if the limit is reached. @throws Error(Step::Connect, ...)
      */
     std::shared_ptr<TargetConnection> take(const GatewayTarget &target, std::size_t limit, Millis now);
-    /** Closes idle connections that their targets are about to close. */
+    /** Opens a connection without a request; it becomes idle once it is open. */
+    void probe(const GatewayTarget &target, DialWays ways, Millis now);
+    /** Closes idle connections that their targets are about to close, or whose path is cut. */
     void tick(Millis now);
     /** Closes the idle connections to targets that are not listed, such as earlier incarnations. */
     void keepOnly(const std::function<bool(const TargetId &)> &isListed);
