Check whether a target lives by the same ways as requests reach it

Cause: a check whether a target still listens dialled it over the path that had failed. Ruled out: reports of peers alone, since the verdicts were 'own' at the gateways that were cut off.

Change: the check takes another gateway where its own connection is refused, and has no result where nobody reaches the target. Evidence: the new case of cutoffgatewaytest got 503 at both gateways before, 200 since; crashingrequesttest passes.

--- a/sequoiausher/transport/gateway/cutoffgatewaytest.cpp
+++ b/sequoiausher/transport/gateway/cutoffgatewaytest.cpp
@@ -128,3 +128,39 @@
         CHECK(during.whole * 50 >= during.sent * 49);
     }
 }
+
+// Guards against taking a path that resets all connections for targets that ended: the requests that were on it would
+// count as crashing their targets, and all gateways would refuse them.
+TEST_CASE("requests whose connections a cut path reset are served afterwards, at every gateway")
+{
+    CutOffBed bed;
+    bool isHeld = true;
+    std::size_t held = 0;
+    for (const auto &[name, target] : bed.targets) {
+        target->answers = [&isHeld, &held](FakeRequest &request) {
+            if (isHeld) {
+                held += 1;
+            } else {
+                request.reply("200 OK", "well");
+            }
+        };
+    }
+    bed.startBoth();
+    std::vector<std::unique_ptr<FakeCaller>> callers;
+    for (int i = 0; i < 4; ++i) {
+        callers.push_back(std::make_unique<FakeCaller>(bed.address()));
+        callers.back()->send("POST /desk/same HTTP/1.1\r\nHost: x\r\nX-Key: k1\r\nX-Id: id-" + std::to_string(i)
+                             + "\r\nContent-Length: 0\r\n\r\n");
+    }
+    REQUIRE(GatewayTestbed::waitFor([&held] { return held == 4; }));
+    isHeld = false;
+    bed.cut(PathCut::Reset);
+    CutOffBed::pause(Millis{1500});
+    for (const std::string &gateway : {bed.address(), bed.other.address}) {
+        CAPTURE(gateway);
+        FakeCaller caller(gateway);
+        caller.send("POST /desk/same HTTP/1.1\r\nHost: x\r\nX-Key: k1\r\nX-Id: id-9\r\nContent-Length: 0\r\n\r\n");
+        GatewayTestbed::waitFor([&caller] { return caller.reply.isWhole || caller.reply.hasEnded; });
+        CHECK(caller.reply.status == 200);
+    }
+}
--- a/sequoiausher/transport/gateway/gatewaycontext.cpp
+++ b/sequoiausher/transport/gateway/gatewaycontext.cpp
@@ -52,7 +52,7 @@
     , tunnels(this->peers, initialSettings.dataCentre)
     , dialEnvironment{this->reachability, this->tunnels, this->settings, this->metrics, this->random}
     , pools(this->dialEnvironment)
-    , lifeChecks(*this)
+    , lifeChecks(*this, this->dialEnvironment)
 {
     this->board.setColdLimit(&this->coldLimit);
     this->board.setRegions(initialSettings.regions);
--- a/sequoiausher/transport/gateway/targetlifechecks.cpp
+++ b/sequoiausher/transport/gateway/targetlifechecks.cpp
@@ -1,8 +1,6 @@
 #include "sequoiausher/transport/gateway/targetlifechecks.h"
 
 #include "sequoiausher/base/error.h"
-#include "sequoiausher/transport/stream/bytestream.h"
-
 #include <map>
 #include <utility>
 #include <vector>
@@ -19,66 +17,68 @@
 class TargetLifeChecks::Private
 {
 public:
-    class Check : public ByteStreamUser
+    enum class Verdict {
+        Lives,
+        Ended,
+        /** The target could not be reached. */
+        None,
+    };
+
+    class Check : public TargetDialUser
     {
     public:
         Check(Private &of, const GatewayTarget &target, Millis now)
             : owner(of)
             , id(target.id)
             , begunAt(now)
-            , stream(ByteStream::dial(target.address, this))
-        {
-        }
-        ~Check() override
+            , dial(*this, of.environment, target, DialWays::All)
         {
-            this->stream->forgetUser();
-            this->stream->close();
+            this->dial.start(Millis::monotonicNow());
         }
         Check(const Check &) = delete;
         Check &operator=(const Check &) = delete;
 
-        void connected() override
-        {
-            this->owner.finish(this->id, true);
-        }
-        void bytesArrived() override
+        void dialled(DialledTarget opened) override
         {
+            opened.stream->close();
+            this->owner.finish(this->id, Verdict::Lives);
         }
-        void ended(StreamEnd how) override
+        void dialFailed(DialFailure why) override
         {
-            this->owner.finish(this->id, how != StreamEnd::NotConnected);
+            this->owner.finish(this->id, why == DialFailure::Refused ? Verdict::Ended : Verdict::None);
         }
 
         Private &owner;
         TargetId id;
         Millis begunAt;
-        std::shared_ptr<ByteStream> stream;
+        TargetDial dial;
     };
 
-    explicit Private(TargetLifeUser &told) : user(told)
+    Private(TargetLifeUser &told, DialEnvironment &with) : user(told), environment(with)
     {
     }
 
-    void finish(const TargetId &target, bool lives)
+    void finish(const TargetId &target, Verdict verdict)
     {
         // The check must not be destroyed during its own call.
         const auto found = this->running.find(target);
-        found->second->stream->forgetUser();
         this->over.push_back(std::move(found->second));
         this->running.erase(found);
-        if (lives) {
+        if (verdict == Verdict::Lives) {
             this->user.targetLives(target);
-        } else {
+        } else if (verdict == Verdict::Ended) {
             this->user.targetEnded(target);
         }
     }
 
     TargetLifeUser &user;
+    DialEnvironment &environment;
     std::map<TargetId, std::unique_ptr<Check>> running;
     std::vector<std::unique_ptr<Check>> over;
 };
 
-TargetLifeChecks::TargetLifeChecks(TargetLifeUser &user) : d(std::make_unique<Private>(user))
+TargetLifeChecks::TargetLifeChecks(TargetLifeUser &user, DialEnvironment &environment)
+    : d(std::make_unique<Private>(user, environment))
 {
 }
 
@@ -101,6 +101,9 @@
 {
     this->d->over.clear();
     std::erase_if(this->d->running, [now](const auto &entry) { return now - entry.second->begunAt > longestCheck; });
+    for (const auto &[target, check] : this->d->running) {
+        check->dial.tick(now);
+    }
 }
 
 } // namespace Sequoiausher
--- a/sequoiausher/transport/gateway/targetlifechecks.h
+++ b/sequoiausher/transport/gateway/targetlifechecks.h
@@ -1,16 +1,17 @@
 #pragma once
 
 // Checks whether a target that lost a connection still listens, by opening a connection and closing it again. If the
-// target's process has ended, the connection is refused at once. If nothing comes back, the target may only be
-// unreachable, and there is no result.
+// target's process has ended, the connection is refused at once, also where another gateway opens it. If nothing comes
+// back, or the path to the target is cut, there is no result.
 //
-//     TargetLifeChecks checks(user);
+//     TargetLifeChecks checks(user, environment);
 //     checks.begin(target, now);
 //     // every 40 ms: checks.tick(now)
 
 #include "sequoiausher/base/identifiers.h"
 #include "sequoiausher/base/millis.h"
 #include "sequoiausher/coordination/gateway/gatewayconfiguration.h"
+#include "sequoiausher/transport/gateway/targetdial.h"
 
 #include <memory>
 
@@ -29,8 +30,8 @@
 class TargetLifeChecks
 {
 public:
-    /** user outlives this. */
-    explicit TargetLifeChecks(TargetLifeUser &user);
+    /** user and environment outlive this. */
+    TargetLifeChecks(TargetLifeUser &user, DialEnvironment &environment);
     ~TargetLifeChecks();
     TargetLifeChecks(const TargetLifeChecks &) = delete;
     TargetLifeChecks &operator=(const TargetLifeChecks &) = delete;
--- a/sequoiausher/transport/gateway/targetlifecheckstest.cpp
+++ b/sequoiausher/transport/gateway/targetlifecheckstest.cpp
@@ -31,6 +31,18 @@
     std::vector<TargetId> lives;
 };
 
+/** What dials need, for a gateway that knows no other one. */
+struct Alone
+{
+    TargetReachability reachability;
+    PeerDirectory directory{InstanceId{"127.0.0.1:1"}, {}, 1};
+    TunnelPeers tunnels{directory, DataCentreId{"a"}};
+    GatewaySettings settings;
+    Metrics metrics;
+    std::mt19937_64 random;
+    DialEnvironment environment{reachability, tunnels, settings, metrics, random};
+};
+
 GatewayTarget targetAt(const std::string &name, const std::string &address)
 {
     GatewayTarget target;
@@ -45,7 +57,8 @@
 {
     Internal::testApplication();
     Heard heard;
-    TargetLifeChecks checks(heard);
+    Alone alone;
+    TargetLifeChecks checks(heard, alone.environment);
     const FakeServer server;
     const GatewayTarget there = targetAt("there", server.address());
     const GatewayTarget gone = targetAt("gone", FakeServer().address());
@@ -65,7 +78,8 @@
 {
     Internal::testApplication();
     Heard heard;
-    TargetLifeChecks checks(heard);
+    Alone alone;
+    TargetLifeChecks checks(heard, alone.environment);
     const FakeServer server;
     const GatewayTarget there = targetAt("there", server.address());
     checks.begin(there, Millis{0});
@@ -78,7 +92,8 @@
 {
     Internal::testApplication();
     Heard heard;
-    TargetLifeChecks checks(heard);
+    Alone alone;
+    TargetLifeChecks checks(heard, alone.environment);
     const StreamListener listener("127.0.0.1:0", [](int descriptor) { ::close(descriptor); });
     const GatewayTarget target = targetAt("closing", "127.0.0.1:" + std::to_string(listener.port()));
     checks.begin(target, Millis{0});
