--- a/sequoiausher/coordination/gateway/targetreachability.cpp
+++ b/sequoiausher/coordination/gateway/targetreachability.cpp
@@ -14,8 +14,13 @@
 constexpr Millis bypassTime{2000};
 /** The interval between two probes of a service that is cut off, or out of reach. */
 constexpr Millis probeInterval{500};
-/** The interval between two probes of one target that is silent. */
-constexpr Millis silenceProbeInterval{1000};
+/** The interval between two probes of one suspected target. */
+constexpr Millis suspicionInterval{1000};
+/**
+ * If one target cannot be reached, the next one is probed at once, so that requests need not find out whether others can;
+ * if that cannot either, all others are.
+ */
+constexpr std::size_t suspiciousTargets = 2;
 /** If so many targets cannot be reached one after the other, the others most likely cannot either. */
 constexpr std::size_t outOfReachTargets = 6;
 
@@ -29,7 +34,7 @@
         service.targets = listed;
         const auto isGone = [&listed](const TargetId &target) { return !listed.contains(target); };
         std::erase_if(service.unreached, isGone);
-        std::erase_if(service.silent, isGone);
+        std::erase_if(service.suspected, isGone);
     }
     const auto isGone = [this](const auto &entry) {
         return std::none_of(this->services.begin(), this->services.end(), [&entry](const auto &service) {
@@ -37,7 +42,7 @@
         });
     };
     std::erase_if(this->bypassedUntil, isGone);
-    std::erase_if(this->silenceProbedAt, isGone);
+    std::erase_if(this->suspectedAt, isGone);
 }
 
 void TargetReachability::recordConnected(const PoolId &service, const TargetId &target, Millis /*now*/)
@@ -65,13 +70,26 @@
     }
     found->second.unreached.clear();
     this->bypassedUntil[target] = now + bypassTime;
+    if (!found->second.isCutOff && !found->second.targets.empty()) {
+        found->second.suspected.insert(nextTarget(found->second, target));
+    }
 }
 
-void TargetReachability::recordUnreached(const PoolId &service, const TargetId &target)
+void TargetReachability::recordUnreached(const PoolId &service, const TargetId &target, Millis now)
 {
     const auto found = this->services.find(service);
-    if (found != this->services.end() && found->second.targets.contains(target)) {
-        found->second.unreached.insert(target);
+    if (found == this->services.end() || !found->second.targets.contains(target)) {
+        return;
+    }
+    Service &known = found->second;
+    known.unreached.insert(target);
+    const std::size_t probes = known.unreached.size() >= suspiciousTargets ? outOfReachTargets : 1;
+    TargetId next = target;
+    for (std::size_t i = 0; i < probes; ++i) {
+        next = nextTarget(known, next);
+        if (!known.unreached.contains(next)) {
+            this->suspect(known, next, now);
+        }
     }
 }
 
@@ -89,10 +107,15 @@
     if (found == this->services.end() || found->second.isCutOff || !found->second.targets.contains(target)) {
         return;
     }
-    const auto probed = this->silenceProbedAt.find(target);
-    if (probed == this->silenceProbedAt.end() || now - probed->second >= silenceProbeInterval) {
-        this->silenceProbedAt[target] = now;
-        found->second.silent.insert(target);
+    this->suspect(found->second, target, now);
+}
+
+void TargetReachability::suspect(Service &service, const TargetId &target, Millis now)
+{
+    const auto before = this->suspectedAt.find(target);
+    if (before == this->suspectedAt.end() || now - before->second >= suspicionInterval) {
+        this->suspectedAt[target] = now;
+        service.suspected.insert(target);
     }
 }
 
@@ -133,9 +156,9 @@
     return all;
 }
 
-TargetId TargetReachability::nextProbed(const Service &service)
+TargetId TargetReachability::nextTarget(const Service &service, const TargetId &after)
 {
-    const auto next = service.targets.upper_bound(service.lastProbed);
+    const auto next = service.targets.upper_bound(after);
     return next != service.targets.end() ? *next : *service.targets.begin();
 }
 
@@ -146,14 +169,14 @@
         const bool isDue = now - service.lastProbeAt >= probeInterval && !service.targets.empty();
         if (isDue && (service.isCutOff || isOutOfReach(service))) {
             service.lastProbeAt = now;
-            service.lastProbed = nextProbed(service);
+            service.lastProbed = nextTarget(service, service.lastProbed);
             // Where others reach the service, requests show that themselves.
             probes.push_back({name, service.lastProbed, !isOutOfReach(service)});
         }
-        for (const TargetId &target : service.silent) {
+        for (const TargetId &target : service.suspected) {
             probes.push_back({name, target, false});
         }
-        service.silent.clear();
+        service.suspected.clear();
     }
     return probes;
 }
--- a/sequoiausher/coordination/gateway/targetreachability.h
+++ b/sequoiausher/coordination/gateway/targetreachability.h
@@ -11,9 +11,10 @@
 //     reachability.recordUnreached(service, target, now);      // nobody has
 //     if (!reachability.isDirect(service, target, now)) { connect through another gateway first; }
 //
-// Two bypassed connections without a direct one between them mean that the service is cut off from here; a direct
-// connection that is opened to find out ends that. No decision depends on what other gateways report about themselves,
-// which would be late: a gateway that is cut off as well says so when it is asked.
+// Two bypassed connections without a direct one between them mean that the service is cut off from here; the first one
+// has a second one opened at once, without a request. A direct connection that is opened to find out ends that. No
+// decision depends on what other gateways report about themselves, which would be late: a gateway that is cut off as
+// well says so when it is asked.
 
 #include "sequoiausher/base/identifiers.h"
 #include "sequoiausher/base/millis.h"
@@ -38,7 +39,7 @@
     /** Records that another gateway reached the target while this one did not. */
     void recordBypassed(const PoolId &service, const TargetId &target, Millis now);
     /** Records that neither this gateway nor any that it asked reached the target. */
-    void recordUnreached(const PoolId &service, const TargetId &target);
+    void recordUnreached(const PoolId &service, const TargetId &target, Millis now);
     /** Records that the target sent something, over any connection. */
     void recordAnswer(const PoolId &service);
     /**
@@ -79,17 +80,20 @@
         Millis lastProbeAt;
         /** The target of the last probe, so that the next one goes to another target. */
         TargetId lastProbed;
-        /** Silent targets that are due to be probed. */
-        std::set<TargetId> silent;
+        /** Targets that are due to be probed at once. */
+        std::set<TargetId> suspected;
     };
 
     static bool isOutOfReach(const Service &service);
-    static TargetId nextProbed(const Service &service);
+    /** The target after the given one, in turn. */
+    static TargetId nextTarget(const Service &service, const TargetId &after);
+    /** Has the target probed, unless it was lately. */
+    void suspect(Service &service, const TargetId &target, Millis now);
 
     std::map<PoolId, Service> services;
     /** Until when a target counts as bypassed. */
     std::map<TargetId, Millis> bypassedUntil;
-    std::map<TargetId, Millis> silenceProbedAt;
+    std::map<TargetId, Millis> suspectedAt;
 };
 
 } // namespace Sequoiausher
--- a/sequoiausher/coordination/gateway/targetreachabilitytest.cpp
+++ b/sequoiausher/coordination/gateway/targetreachabilitytest.cpp
@@ -55,6 +55,7 @@
     TargetReachability reachability = threeDesksAndAnEngine();
     reachability.recordBypassed(desk, a, Millis{1000});
     reachability.recordBypassed(desk, b, Millis{1000});
+    reachability.takeProbes(Millis{1000});
     CHECK(reachability.takeProbes(Millis{1400}).empty());
     std::set<TargetId> probed;
     for (std::int64_t at = 1500; at < 3000; at += 500) {
@@ -74,12 +75,13 @@
 TEST_CASE("a service is out of reach once nobody reached any of its targets, and until somebody reaches one")
 {
     TargetReachability reachability = threeDesksAndAnEngine();
-    reachability.recordUnreached(desk, a);
-    reachability.recordUnreached(desk, a);
-    reachability.recordUnreached(desk, b);
+    reachability.recordUnreached(desk, a, Millis{1000});
+    reachability.recordUnreached(desk, a, Millis{1000});
+    reachability.recordUnreached(desk, b, Millis{1000});
     CHECK_FALSE(reachability.isOutOfReach(desk));
-    reachability.recordUnreached(desk, c);
+    reachability.recordUnreached(desk, c, Millis{1000});
     CHECK(reachability.isOutOfReach(desk));
+    reachability.takeProbes(Millis{1000});
     const auto probes = reachability.takeProbes(Millis{5000});
     REQUIRE(probes.size() == 1);
     CHECK_FALSE(probes.front().isDirectOnly);
@@ -110,7 +112,7 @@
     int count = 0;
     for (const TargetId &target : many) {
         CHECK(reachability.isOutOfReach(desk) == (count >= 6));
-        reachability.recordUnreached(desk, target);
+        reachability.recordUnreached(desk, target, Millis{1000});
         count += 1;
     }
 }
@@ -134,15 +136,46 @@
 TEST_CASE("targets that are gone are forgotten")
 {
     TargetReachability reachability = threeDesksAndAnEngine();
-    reachability.recordUnreached(desk, a);
-    reachability.recordUnreached(desk, b);
+    reachability.recordUnreached(desk, a, Millis{1000});
+    reachability.recordUnreached(desk, b, Millis{1000});
     reachability.recordSilence(desk, c, Millis{1000});
     reachability.setTargets({{desk, {b}}});
     CHECK(reachability.isOutOfReach(desk));
-    CHECK(reachability.takeProbes(Millis{1000}).size() == 1);
+    reachability.takeProbes(Millis{5000});
+    CHECK(reachability.takeProbes(Millis{6000}).size() == 1);
     reachability.setTargets({});
     CHECK_FALSE(reachability.isOutOfReach(desk));
     CHECK(reachability.takeProbes(Millis{9000}).empty());
     reachability.recordBypassed(desk, b, Millis{9000});
     CHECK(reachability.cutOffServices().empty());
 }
+
+// Guards against a gateway that sends request after request into connections that a silent cut has left.
+TEST_CASE("a bypassed target has another target of its service probed at once")
+{
+    TargetReachability reachability = threeDesksAndAnEngine();
+    reachability.recordBypassed(desk, c, Millis{1000});
+    const auto probes = reachability.takeProbes(Millis{1000});
+    REQUIRE(probes.size() == 1);
+    CHECK(probes.front().service == desk);
+    CHECK(probes.front().target == a);
+    CHECK_FALSE(probes.front().isDirectOnly);
+    reachability.recordBypassed(desk, a, Millis{1080});
+    CHECK(reachability.isCutOff(desk));
+}
+
+TEST_CASE("a target that nobody reached has the next one probed at once, two have all others")
+{
+    TargetReachability reachability;
+    const TargetId d{"d"};
+    reachability.setTargets({{desk, {a, b, c, d}}});
+    reachability.recordUnreached(desk, a, Millis{10000});
+    const auto first = reachability.takeProbes(Millis{10000});
+    REQUIRE(first.size() == 1);
+    CHECK(first.front().target == b);
+    reachability.recordUnreached(desk, b, Millis{10400});
+    const auto others = reachability.takeProbes(Millis{10400});
+    REQUIRE(others.size() == 2);
+    CHECK(others.front().target == c);
+    CHECK(others.back().target == d);
+}
--- a/sequoiausher/transport/gateway/cutoffgatewaytest.cpp
+++ b/sequoiausher/transport/gateway/cutoffgatewaytest.cpp
@@ -1,115 +1,12 @@
-#include "sequoiausher/transport/gateway/gatewaytestbed.h"
+#include "sequoiausher/transport/gateway/cutoffbed.h"
 
 #include <doctest/doctest.h>
 
-#include <algorithm>
-#include <array>
+#include <cstdlib>
+#include <vector>
 
 using namespace Sequoiausher;
 
-namespace {
-
-/** By this time after a cut, callers at the gateway must be served again. */
-constexpr Millis detectionTime{3000};
-
-/** Two gateways that know each other, with targets of two services, and paths from the first gateway to all of them. */
-struct CutOffBed : GatewayTestbed
-{
-    CutOffBed()
-    {
-        this->publish(configuration());
-        for (int i = 0; i < 4; ++i) {
-            this->addServed("desk" + std::to_string(i), "desk");
-            this->addServed("llm" + std::to_string(i), "llm");
-        }
-    }
-    ~CutOffBed()
-    {
-        this->neighbour.reset();
-    }
-
-    void addServed(const std::string &name, const std::string &service)
-    {
-        FakeServer &target = this->addTarget(name, service);
-        target.isRecording = false;
-        target.answers = [this](FakeRequest &request) {
-            this->runs += 1;
-            if (request.head.target.starts_with("/once/") || request.head.target.starts_with("/talk/")) {
-                request.beginEvents();
-                request.event(1);
-                request.event(2);
-                request.endEvents();
-            } else {
-                request.reply("200 OK", "well");
-            }
-        };
-        this->addPath(name);
-    }
-
-    void startBoth()
-    {
-        this->start();
-        this->other = this->settingsOfNeighbour();
-        this->neighbour = std::make_unique<GatewayNode>(*this->dialect, this->other, *this->log, [] {});
-        this->neighbour->start();
-        REQUIRE(waitFor([this] { return this->neighbour->isReady(); }));
-        // Until each has a report of the other.
-        pause(Millis{1000});
-    }
-
-    static void pause(Millis time)
-    {
-        waitFor([] { return false; }, time);
-    }
-
-    void cut(PathCut how)
-    {
-        for (const auto &[name, path] : this->paths) {
-            path->cut(how);
-        }
-    }
-    void heal()
-    {
-        for (const auto &[name, path] : this->paths) {
-            path->heal();
-        }
-    }
-
-    struct Count
-    {
-        int sent = 0;
-        int whole = 0;
-        Millis longest;
-    };
-    /** Calls of all kinds, one after the other, at the first gateway. */
-    Count callFor(Millis span)
-    {
-        Count count;
-        const Millis end = Millis::monotonicNow() + span;
-        constexpr auto kinds = std::to_array({"/desk/1", "/look/1", "/once/1", "/talk/1"});
-        while (Millis::monotonicNow() < end) {
-            const char *path = kinds[static_cast<std::size_t>(count.sent) % kinds.size()];
-            const Millis begun = Millis::monotonicNow();
-            FakeCaller caller(this->address());
-            caller.send(std::string("POST ") + path + " HTTP/1.1\r\nHost: x\r\nX-Key: k1\r\nX-Id: id-"
-                        + std::to_string(this->calls++) + "\r\nContent-Length: 0\r\n\r\n");
-            waitFor([&caller] { return caller.reply.isWhole || caller.reply.hasEnded; });
-            count.sent += 1;
-            count.whole += caller.reply.status == 200 && caller.reply.isWhole ? 1 : 0;
-            count.longest = std::max(count.longest, Millis::monotonicNow() - begun);
-            pause(Millis{10});
-        }
-        return count;
-    }
-
-    int calls = 0;
-    int runs = 0;
-    GatewaySettings other;
-    std::unique_ptr<GatewayNode> neighbour;
-};
-
-} // namespace
-
 // Guards against a gateway that refuses all requests because its own paths to the targets are cut, while its peers
 // reach them.
 TEST_CASE("a gateway without a path to any target serves its callers through its peers")
@@ -121,7 +18,7 @@
         const auto before = bed.callFor(Millis{500});
         CHECK(before.whole == before.sent);
         bed.cut(how.value);
-        bed.callFor(detectionTime);
+        bed.callFor(CutOffBed::detectionTime);
         const auto during = bed.callFor(Millis{1500});
         CAPTURE(during.sent);
         CHECK(during.sent >= 10);
@@ -164,3 +61,81 @@
         CHECK(caller.reply.status == 200);
     }
 }
+
+// Guards against a refusal that takes as long as all ways to all targets together, where nobody reaches any of them.
+TEST_CASE("where no gateway reaches a service, its callers are refused at once and told when to come back")
+{
+    for (const auto &how : nameTable<PathCut>) {
+        if (how.value == PathCut::RefuseNew) {
+            // Connections from before the cut reach the targets.
+            continue;
+        }
+        CAPTURE(how.name);
+        CutOffBed bed;
+        bed.startBoth();
+        bed.callFor(Millis{200});
+        bed.cut(how.value);
+        for (const auto &[name, target] : bed.targets) {
+            bed.crashTarget(name);
+        }
+        bed.callFor(CutOffBed::detectionTime);
+        const auto during = bed.callFor(Millis{500});
+        CHECK(during.whole == 0);
+        CHECK(during.longest < Millis{100});
+        const CallerReply reply = bed.call("GET", "/look/1");
+        CHECK(reply.status == 503);
+        const double seconds = std::atof(std::string(reply.head.headers.value("Retry-After")).c_str());
+        CHECK(seconds >= 0.5);
+        CHECK(seconds <= 1);
+    }
+}
+
+// Guards against a gateway that goes on over its peers, or refuses, after its paths are back.
+TEST_CASE("a gateway uses its own paths again soon after they are back")
+{
+    for (const auto &how : nameTable<PathCut>) {
+        CAPTURE(how.name);
+        CutOffBed bed;
+        bed.startBoth();
+        bed.callFor(Millis{200});
+        bed.cut(how.value);
+        bed.callFor(Millis{1000});
+        bed.heal();
+        const auto after = bed.callFor(Millis{1500});
+        CHECK(after.whole * 50 >= after.sent * 49);
+        const std::size_t before = bed.acceptedByPaths();
+        const std::size_t tunnels = bed.tunnelsCarried();
+        bed.callFor(Millis{500});
+        CHECK(bed.tunnelsCarried() == tunnels);
+        CHECK(bed.acceptedByPaths() - before < 20);
+    }
+}
+
+// Guards against a service that is refused because its paths come and go.
+TEST_CASE("a gateway whose paths come and go every second serves nearly all its callers")
+{
+    CutOffBed bed;
+    bed.startBoth();
+    CutOffBed::Count all;
+    for (int i = 0; i < 3; ++i) {
+        bed.cut(PathCut::Reset);
+        const auto away = bed.callFor(Millis{1000});
+        bed.heal();
+        const auto back = bed.callFor(Millis{1000});
+        all.sent += away.sent + back.sent;
+        all.whole += away.whole + back.whole;
+    }
+    CHECK(all.whole * 10 >= all.sent * 9);
+}
+
+// Guards against taking a target that stands still for a second for a path that is cut.
+TEST_CASE("a target that pauses for a second does not send the other targets' requests through peers")
+{
+    CutOffBed bed;
+    bed.startBoth();
+    bed.callFor(Millis{200});
+    bed.targets.at("desk0")->answers = [](FakeRequest &) {};
+    bed.targets.at("llm0")->answers = [](FakeRequest &) {};
+    bed.callFor(Millis{1500});
+    CHECK(bed.tunnelsCarried() == 0);
+}
--- a/sequoiausher/transport/gateway/fakepath.cpp
+++ b/sequoiausher/transport/gateway/fakepath.cpp
@@ -3,6 +3,7 @@
 #include "sequoiausher/base/error.h"
 #include "sequoiausher/transport/stream/ipv4socket.h"
 
+#include <optional>
 #include <utility>
 
 #include <sys/socket.h>
@@ -35,9 +36,18 @@
     {
         this->isSilent = true;
     }
+    void resume()
+    {
+        this->isSilent = false;
+        for (End *each : {&this->nearEnd, &this->farEnd}) {
+            this->pass(*each);
+            if (const std::optional<StreamEnd> how = std::exchange(each->heldEnd, std::nullopt)) {
+                this->end(*each, *how);
+            }
+        }
+    }
     void reset()
     {
-        this->isSilent = true;
         for (const auto &stream : {this->nearStream, this->farStream}) {
             stream->forgetUser();
             stream->reset();
@@ -59,6 +69,8 @@
             this->owner.end(*this, how);
         }
         Carried &owner;
+        /** How the connection ended while the path was silent. */
+        std::optional<StreamEnd> heldEnd;
     };
 
     ByteStream &streamOf(const End &end)
@@ -71,15 +83,14 @@
     }
     void pass(const End &end)
     {
-        std::string &input = this->streamOf(end).input();
         if (!this->isSilent) {
-            this->otherOf(end).write(input);
+            this->otherOf(end).write(std::exchange(this->streamOf(end).input(), {}));
         }
-        input.clear();
     }
-    void end(const End &end, StreamEnd how)
+    void end(End &end, StreamEnd how)
     {
         if (this->isSilent) {
+            end.heldEnd = how;
             return;
         }
         if (how == StreamEnd::Finished) {
@@ -145,6 +156,9 @@
 {
     this->stopHanging();
     this->listen();
+    for (const auto &each : this->carried) {
+        each->resume();
+    }
 }
 
 void FakePath::hang()
--- a/sequoiausher/transport/gateway/fakepath.h
+++ b/sequoiausher/transport/gateway/fakepath.h
@@ -19,7 +19,7 @@
 
 /** What becomes of the connections over a path that is cut. */
 enum class PathCut {
-    /** Open connections carry nothing any more, and new ones are never accepted nor refused. */
+    /** Open connections carry nothing until the path is back, and new ones are never accepted nor refused. */
     Silent,
     /** Open connections are reset, and new ones are refused. */
     Reset,
@@ -46,7 +46,7 @@
 
     std::string address() const;
     void cut(PathCut how);
-    /** New connections pass again; those that were silenced stay silent. */
+    /** New connections pass again, and silenced ones carry what was sent meanwhile. */
     void heal();
     /** Connections that were accepted so far. */
     std::size_t accepted() const;
--- a/sequoiausher/transport/gateway/targetdial.cpp
+++ b/sequoiausher/transport/gateway/targetdial.cpp
@@ -230,7 +230,7 @@
 {
     this->closeAll();
     if (this->ways == DialWays::All) {
-        this->environment.reachability.recordUnreached(this->target.service, this->target.id);
+        this->environment.reachability.recordUnreached(this->target.service, this->target.id, Millis::monotonicNow());
     }
     const bool isRefused = this->askedPeers == 0 || this->refusals > 0;
     this->user.dialFailed(isRefused ? DialFailure::Refused : DialFailure::Unreached);
@@ -280,7 +280,7 @@
         return;
     }
     if (this->d->ways == DialWays::All && now - this->d->begunAt >= minUnreachedTime) {
-        this->d->environment.reachability.recordUnreached(this->d->target.service, this->d->target.id);
+        this->d->environment.reachability.recordUnreached(this->d->target.service, this->d->target.id, now);
     }
     this->d->closeAll();
 }
