Divide what brittle targets bear among the gateways beforehand

Targets of a service may announce in all their answers that they crash when they have to reject more than a number of requests in a second. Gateways ignored that: at twice a service's capacity each target rejects far more, each gateway a few.

Change: the places of such a target and the rejections that it bears are divided (FleetShares, taken out of the limit for cold targets). Within its places a gateway's requests find room whatever the others do; beyond them it may cause its share of the rejections. Reasons 'brittle' in passed_over.

--- a/sequoiausher/coordination/gateway/coldtargetlimit.cpp
+++ b/sequoiausher/coordination/gateway/coldtargetlimit.cpp
@@ -4,16 +4,9 @@
 
 namespace Sequoiausher {
 
-namespace {
-
-/** How long a computed share is used; gateways are learnt of about as late. */
-constexpr Millis shareTtl{1000};
-/** The shares of targets that are gone are dropped once there are this many. */
-constexpr std::size_t maxCachedShares = 4096;
-
-} // namespace
-
-SharedColdTargetLimit::SharedColdTargetLimit(const PeerDirectory &peers, ColdTargetUse of) : directory(peers), use(of)
+SharedColdTargetLimit::SharedColdTargetLimit(const PeerDirectory &directory, ColdTargetUse of)
+    : use(of)
+    , shares(directory)
 {
 }
 
@@ -24,10 +17,7 @@
 
 void SharedColdTargetLimit::setServiceLimits(std::map<PoolId, std::uint32_t> to)
 {
-    if (this->limits != to) {
-        this->limits = std::move(to);
-        this->shares.clear();
-    }
+    this->limits = std::move(to);
 }
 
 std::uint32_t SharedColdTargetLimit::requestsPerSecond(const PoolId &service, std::uint64_t targetHash, Millis now)
@@ -36,20 +26,7 @@
     if (this->use == ColdTargetUse::Unlimited || limit == this->limits.end()) {
         return ColdTargetLimit::unlimited;
     }
-    if (!this->directory.knowsFleet(now)) {
-        return 0;
-    }
-    if (this->shares.size() >= maxCachedShares) {
-        this->shares.clear();
-    }
-    const auto [entry, isNew] = this->shares.try_emplace(targetHash);
-    if (isNew || now - entry->second.computedAt >= shareTtl) {
-        const auto gateways
-            = this->directory.hasPeers() ? static_cast<std::uint32_t>(this->directory.fleetSize(now)) : 1;
-        const bool isAmongFirst = this->directory.rendezvousRank(targetHash) < limit->second % gateways;
-        entry->second = {limit->second / gateways + (isAmongFirst ? 1 : 0), now};
-    }
-    return entry->second.requests;
+    return this->shares.shareOf(limit->second, targetHash, now);
 }
 
 bool SharedColdTargetLimit::isLastResort() const
--- a/sequoiausher/coordination/gateway/coldtargetlimit.h
+++ b/sequoiausher/coordination/gateway/coldtargetlimit.h
@@ -5,13 +5,12 @@
 // cold again.
 //
 // The gateways know of each other's requests only half a second late, when a cold target may already have got too many.
-// So the requests a second that a service's targets bear are divided beforehand: each gateway gets the whole part, and
-// the remainder goes to those that come first in the rendezvous order of the target. In a fleet with more gateways than
-// requests a second, the first ones get one request a second each and the others none. Over all gateways the shares add
-// up to the limit exactly, as long as they know the same gateways. A gateway that is cut off keeps counting the others
-// for a minute, so the shares of a fleet that splits do not grow; one that has just started sends nothing to cold
-// targets until it has had time to hear of all others. The margin of the rule above the limit covers the rest: a
-// gateway that does not know d others may wrongly be among the first ones for as many targets as d of them would be.
+// So the requests a second that a service's targets bear are divided beforehand (FleetShares). In a fleet with more
+// gateways than requests a second, the first ones get one request a second each and the others none. A gateway that is
+// cut off keeps counting the others for a minute, so the shares of a fleet that splits do not grow; one that has just
+// started sends nothing to cold targets until it has had time to hear of all others. The margin of the rule above the
+// limit covers the rest: a gateway that does not know d others may wrongly be among the first ones for as many targets
+// as d of them would be.
 //
 //     SharedColdTargetLimit limit(directory, ColdTargetUse::Share);
 //     limit.setServiceLimits({{PoolId{"llm"}, 14}});
@@ -20,12 +19,11 @@
 #include "sequoiausher/base/identifiers.h"
 #include "sequoiausher/base/millis.h"
 #include "sequoiausher/base/nametable.h"
-#include "sequoiausher/coordination/gateway/peerdirectory.h"
+#include "sequoiausher/coordination/gateway/fleetshares.h"
 
 #include <cstdint>
 #include <limits>
 #include <map>
-#include <unordered_map>
 
 namespace Sequoiausher {
 
@@ -80,17 +78,9 @@
     bool isLastResort() const override;
 
 private:
-    struct Share
-    {
-        std::uint32_t requests = 0;
-        Millis computedAt;
-    };
-
-    const PeerDirectory &directory;
     ColdTargetUse use;
     std::map<PoolId, std::uint32_t> limits;
-    /** By target hash; computing a share visits every known gateway. */
-    std::unordered_map<std::uint64_t, Share> shares;
+    FleetShares shares;
 };
 
 } // namespace Sequoiausher
--- a/sequoiausher/coordination/gateway/targetboard.cpp
+++ b/sequoiausher/coordination/gateway/targetboard.cpp
@@ -38,6 +38,8 @@
 constexpr Millis announcementTtl{600000};
 constexpr Millis maxTargetBackoff{3600000};
 constexpr Millis maxColdTime{600000};
+/** How long rejections are remembered, a little longer than a target counts them. */
+constexpr Millis rejectionMemory{1500};
 /** The span within which the sends to a cold target are counted. */
 constexpr Millis coldLimitWindow{1000};
 
@@ -169,6 +171,7 @@
     std::map<DataCentreId, RegionId> regions;
     std::map<PoolId, Millis> coldTimes;
     ColdTargetLimit *coldLimit = nullptr;
+    BrittleTargetLimit *brittleLimit = nullptr;
     /** Until when targets are cold; kept apart from their states, because this may be known before they are listed. */
     std::map<TargetId, Millis> coldUntil;
     /** Targets were set before: one that is new now has just started. */
@@ -265,6 +268,11 @@
     this->d->coldLimit = limit;
 }
 
+void TargetBoard::setBrittleLimit(BrittleTargetLimit *limit)
+{
+    this->d->brittleLimit = limit;
+}
+
 void TargetBoard::recordCold(const TargetId &target, Millis remaining, Millis now)
 {
     this->d->setCold(target, now + std::min(remaining, maxColdTime));
@@ -371,7 +379,7 @@
                                       IneligibilityCounts &passedOver,
                                       Millis now) const
 {
-    const EligibilityCriteria asked{criteria.excluded, criteria.allowedRegions, this->coldLimit};
+    const EligibilityCriteria asked{criteria.excluded, criteria.allowedRegions, this->coldLimit, this->brittleLimit};
     PoolLoad load;
     load.targets.reserve(candidates.size());
     std::vector<std::optional<Ineligibility>> reasons;
@@ -426,7 +434,8 @@
 
 IneligibilityCounts TargetBoard::countIneligible(const TargetCriteria &criteria, Millis now) const
 {
-    const EligibilityCriteria asked{criteria.excluded, criteria.allowedRegions, this->d->coldLimit};
+    const EligibilityCriteria asked{
+        criteria.excluded, criteria.allowedRegions, this->d->coldLimit, this->d->brittleLimit};
     IneligibilityCounts counts;
     for (const auto &[id, state] : this->d->targets) {
         if (state.target.service == criteria.service) {
@@ -541,6 +550,8 @@
         break;
     case TargetOutcome::Full:
         state->fullUntil = now + fullTargetBackoff;
+        std::erase_if(state->recentRejections, [now](Millis at) { return at <= now - rejectionMemory; });
+        state->recentRejections.push_back(now);
         break;
     case TargetOutcome::Neutral:
         break;
--- a/sequoiausher/coordination/gateway/targetboard.h
+++ b/sequoiausher/coordination/gateway/targetboard.h
@@ -89,6 +89,8 @@
     void setColdTimes(std::map<PoolId, Millis> times);
     /** Sets the limit for cold targets, which outlives this; none for no limit. */
     void setColdLimit(ColdTargetLimit *limit);
+    /** Sets the limit for brittle targets, which outlives this; none for no limit. */
+    void setBrittleLimit(BrittleTargetLimit *limit);
     /** Records what the store lists: how much longer the target stays cold, 0 for a warm one. */
     void recordCold(const TargetId &target, Millis remaining, Millis now);
     /** Records what a peer reported. The longest of several reported times holds. */
--- a/sequoiausher/coordination/gateway/targeteligibility.cpp
+++ b/sequoiausher/coordination/gateway/targeteligibility.cpp
@@ -6,6 +6,28 @@
 
 namespace {
 
+/** The time in which a target accepts or rejects a request that it got; until then the request may be rejected. */
+constexpr Millis rejectionDelay{100};
+/** Rejections are counted for a little longer than a second, since the target counts them earlier than this gateway. */
+constexpr Millis rejectionWindow{1150};
+
+bool isOverBrittleLimit(const TargetState &target, const EligibilityCriteria &criteria, Millis now)
+{
+    if (criteria.brittleLimit == nullptr) {
+        return false;
+    }
+    const std::optional<BrittleTargetShare> share
+        = criteria.brittleLimit->shareOf(target.target.service, target.hash, target.target.slots, now);
+    if (!share) {
+        return false;
+    }
+    const std::size_t rejected = target.rejectedWithin(rejectionWindow, now);
+    if (target.ownInFlight < share->places) {
+        return rejected >= std::max<std::size_t>(share->rejectionsPerSecond, 1);
+    }
+    return rejected + target.sentWithin(rejectionDelay, now) >= share->rejectionsPerSecond;
+}
+
 bool isOverColdLimit(const TargetState &target, const EligibilityCriteria &criteria, Millis now)
 {
     if (criteria.coldLimit == nullptr || !target.isCold(now)) {
@@ -51,6 +73,9 @@
     if (isOverColdLimit(target, criteria, now)) {
         return Ineligibility::Cold;
     }
+    if (isOverBrittleLimit(target, criteria, now)) {
+        return Ineligibility::Brittle;
+    }
     if (target.health.isEjected(now)) {
         return Ineligibility::Failing;
     }
--- a/sequoiausher/coordination/gateway/targeteligibility.h
+++ b/sequoiausher/coordination/gateway/targeteligibility.h
@@ -7,6 +7,7 @@
 
 #include "sequoiausher/base/nametable.h"
 #include "sequoiausher/coordination/gateway/allowedregions.h"
+#include "sequoiausher/coordination/gateway/brittletargetlimit.h"
 #include "sequoiausher/coordination/gateway/coldtargetlimit.h"
 #include "sequoiausher/coordination/gateway/targetstate.h"
 
@@ -35,6 +36,8 @@
     Backoff,
     /** The target is cold, and this gateway's share of the requests that it bears is used up. */
     Cold,
+    /** The target crashes when it rejects too many requests, and this gateway's share of them is used up. */
+    Brittle,
     /** Too many requests failed at the target lately. */
     Failing,
     /** The target just reported itself full. */
@@ -50,6 +53,7 @@
     {Ineligibility::Tried, "tried"},
     {Ineligibility::Backoff, "backoff"},
     {Ineligibility::Cold, "cold"},
+    {Ineligibility::Brittle, "brittle"},
     {Ineligibility::Failing, "failing"},
     {Ineligibility::Full, "full"},
 });
@@ -62,6 +66,8 @@
     AllowedRegions allowedRegions;
     /** How much a cold target may get; none for no limit. */
     ColdTargetLimit *coldLimit = nullptr;
+    /** How many rejections a target bears; none for any number. */
+    BrittleTargetLimit *brittleLimit = nullptr;
 };
 
 /**
--- a/sequoiausher/coordination/gateway/targetreachability.cpp
+++ b/sequoiausher/coordination/gateway/targetreachability.cpp
@@ -17,8 +17,8 @@
 /** The interval between two probes of one suspected target. */
 constexpr Millis suspicionInterval{1000};
 /**
- * If one target cannot be reached, the next one is probed at once, so that requests need not find out whether others can;
- * if that cannot either, all others are.
+ * If one target cannot be reached, the next one is probed at once, so that requests need not find out whether others
+ * can; if that cannot either, all others are.
  */
 constexpr std::size_t suspiciousTargets = 2;
 /** If so many targets cannot be reached one after the other, the others most likely cannot either. */
--- a/sequoiausher/coordination/gateway/targetstate.h
+++ b/sequoiausher/coordination/gateway/targetstate.h
@@ -47,6 +47,8 @@
     Millis presumedColdUntil;
     /** When this gateway sent its last requests to the target, those of the last second at least, oldest first. */
     std::vector<Millis> recentSends;
+    /** When the target rejected requests of this gateway for want of room, those of the last second at least. */
+    std::vector<Millis> recentRejections;
 
     bool isCold(Millis now) const
     {
@@ -60,8 +62,18 @@
     /** Requests that this gateway sent to the target within the span before now. */
     std::size_t sentWithin(Millis span, Millis now) const
     {
-        return static_cast<std::size_t>(std::count_if(
-            this->recentSends.begin(), this->recentSends.end(), [&](Millis at) { return at > now - span; }));
+        return countSince(this->recentSends, now - span);
+    }
+    std::size_t rejectedWithin(Millis span, Millis now) const
+    {
+        return countSince(this->recentRejections, now - span);
+    }
+
+private:
+    static std::size_t countSince(const std::vector<Millis> &times, Millis since)
+    {
+        return static_cast<std::size_t>(
+            std::count_if(times.begin(), times.end(), [since](Millis at) { return at > since; }));
     }
 };
 
--- a/sequoiausher/protocol/gateway/gatewaydialect.h
+++ b/sequoiausher/protocol/gateway/gatewaydialect.h
@@ -83,6 +83,8 @@
     bool isLeaving = false;
     /** It turned the request away and wants none for so long. */
     std::optional<Millis> restFor;
+    /** It crashes when it has to reject more requests than this in a second for want of room. */
+    std::optional<std::uint32_t> mostRejections;
 };
 
 /** The value under which the store holds the configuration. */
--- a/sequoiausher/transport/gateway/gatewaycontext.cpp
+++ b/sequoiausher/transport/gateway/gatewaycontext.cpp
@@ -48,6 +48,7 @@
     , peers(InstanceId{initialSettings.peerAddress}, initialSettings.seeds, seed)
     , duty(storeDutyOf(initialSettings), seed)
     , coldLimit(peers, initialSettings.coldTargets)
+    , brittleLimit(peers)
     , board(seed)
     , tunnels(this->peers, initialSettings.dataCentre)
     , dialEnvironment{this->reachability, this->tunnels, this->settings, this->metrics, this->random}
@@ -55,6 +56,7 @@
     , lifeChecks(*this, this->dialEnvironment)
 {
     this->board.setColdLimit(&this->coldLimit);
+    this->board.setBrittleLimit(&this->brittleLimit);
     this->board.setRegions(initialSettings.regions);
 }
 
--- a/sequoiausher/transport/gateway/gatewaycontext.h
+++ b/sequoiausher/transport/gateway/gatewaycontext.h
@@ -7,6 +7,7 @@
 
 #include "sequoiausher/base/log/log.h"
 #include "sequoiausher/base/metrics/metrics.h"
+#include "sequoiausher/coordination/gateway/brittletargetlimit.h"
 #include "sequoiausher/coordination/gateway/callerwaitestimator.h"
 #include "sequoiausher/coordination/gateway/coldtargetlimit.h"
 #include "sequoiausher/coordination/gateway/freshness.h"
@@ -99,6 +100,7 @@
     PeerDirectory peers;
     StoreDuty duty;
     SharedColdTargetLimit coldLimit;
+    BrittleTargetLimit brittleLimit;
     TargetBoard board;
     LoadShedder shedder;
     CallerWaitEstimator patience;
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -432,6 +432,7 @@
     if (given.isMisdirected) {
         return;
     }
+    this->context.brittleLimit.recordAnnouncement(this->admitted.service, given.mostRejections, now);
     if (given.isLeaving) {
         this->announcement = "leaves";
         if (this->context.board.markLeaving(this->chosen.target.id, now)) {
