Leave a target that may only pause no sooner than a pause lasts

A sound target may stand still for a second or so and go on. A stream that had not begun after 0.35 s, or stopped for 1.2 s, went on at another target meanwhile, and the first one, once awake, still had it: two targets at work on one request.

Change: a request that must run at one target at a time leaves a target only if that has sent something within 0.15 s, so that it notices, or nothing for 1.5 s, or if the path to it is cut. Requests that may run twice leave as before.

Evidence: two cases of attempttimeouttest failed before.

--- a/sequoiausher/coordination/gateway/attempttimeout.cpp
+++ b/sequoiausher/coordination/gateway/attempttimeout.cpp
@@ -31,6 +31,20 @@
 /** The same for a path that was cut: what the target sent before the cut has arrived by then. */
 constexpr Millis cutPathGrace{250};
 
+/**
+ * A sound target may stand still for this long and then go on with all that it has. A request that must run at one
+ * target at a time does not go on elsewhere meanwhile. A target that sent something, to whomever, within activeTime
+ * does not stand still, and notices at once that the request leaves it.
+ */
+constexpr Millis longestPause{1500};
+constexpr Millis activeTime{150};
+
+bool mayStandStill(const WaitState &state)
+{
+    const Millis silence = state.now - std::max(state.targetActiveAt, std::max(state.sentAt, state.lastPartAt));
+    return silence >= activeTime && silence < longestPause;
+}
+
 Millis computeFirstAnswerTimeout(const WaitState &state)
 {
     const bool isTargetActive = state.targetActiveAt > state.sentAt;
@@ -61,6 +75,9 @@
     if (state.isProcessGone && silence >= restartGrace) {
         return WaitDecision::Lost;
     }
+    if (!state.mayRunTwiceAtOnce && !state.isPathCut && mayStandStill(state)) {
+        return WaitDecision::KeepWaiting;
+    }
     const bool isOverdue = silence >= (state.isPathCut ? cutPathGrace : computeAnswerTimeout(state));
     return isOverdue && state.mayRunElsewhere ? WaitDecision::RetryElsewhere : WaitDecision::KeepWaiting;
 }
--- a/sequoiausher/coordination/gateway/attempttimeout.h
+++ b/sequoiausher/coordination/gateway/attempttimeout.h
@@ -41,6 +41,8 @@
     bool isPathCut = false;
     /** The request may also run at another target, and has attempts left. */
     bool mayRunElsewhere = false;
+    /** The request may run at two targets at the same time. */
+    bool mayRunTwiceAtOnce = false;
     Millis latencyAim;
     /** The longest pause between two events that the route counts as on time. */
     Millis gapAim;
--- a/sequoiausher/coordination/gateway/attempttimeouttest.cpp
+++ b/sequoiausher/coordination/gateway/attempttimeouttest.cpp
@@ -20,6 +20,7 @@
     state.deadline = Millis{13000};
     state.isConnected = true;
     state.mayRunElsewhere = true;
+    state.mayRunTwiceAtOnce = true;
     state.latencyAim = Millis{500};
     state.gapAim = Millis{300};
     state.usualFirstAnswer = Millis{60};
@@ -91,6 +92,52 @@
              s.isReadingPaused = true;
          },
          WaitDecision::KeepWaiting},
+        {"slow, and the target may have paused with the request",
+         [](WaitState &s) {
+             s.now = Millis{11450};
+             s.targetActiveAt = Millis{9000};
+             s.mayRunTwiceAtOnce = false;
+         },
+         WaitDecision::KeepWaiting},
+        {"slow, and the target silent for longer than a pause",
+         [](WaitState &s) {
+             s.now = Millis{11500};
+             s.targetActiveAt = Millis{9000};
+             s.mayRunTwiceAtOnce = false;
+         },
+         WaitDecision::RetryElsewhere},
+        {"very slow, and the target active for others",
+         [](WaitState &s) {
+             s.now = Millis{10750};
+             s.targetActiveAt = Millis{10700};
+             s.mayRunTwiceAtOnce = false;
+         },
+         WaitDecision::RetryElsewhere},
+        {"stream has stopped, and the target may have paused with it",
+         [](WaitState &s) {
+             s.hasEvents = true;
+             s.now = Millis{11500};
+             s.lastPartAt = Millis{10050};
+             s.mayRunTwiceAtOnce = false;
+         },
+         WaitDecision::KeepWaiting},
+        {"stream has stopped for longer than a pause",
+         [](WaitState &s) {
+             s.hasEvents = true;
+             s.now = Millis{11550};
+             s.lastPartAt = Millis{10050};
+             s.mayRunTwiceAtOnce = false;
+         },
+         WaitDecision::RetryElsewhere},
+        {"stream has stopped since the path to its target was cut",
+         [](WaitState &s) {
+             s.hasEvents = true;
+             s.now = Millis{10350};
+             s.lastPartAt = Millis{10050};
+             s.mayRunTwiceAtOnce = false;
+             s.isPathCut = true;
+         },
+         WaitDecision::RetryElsewhere},
         {"target restarted just now", [](WaitState &s) { s.isProcessGone = true; }, WaitDecision::KeepWaiting},
         {"target restarted",
          [](WaitState &s) {
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -83,8 +83,8 @@
     void log(std::string_view outcome, std::string_view how, Millis now) const;
     /** Notes a direct connection that has been silent for longer than usual. */
     void checkSilence(Millis now);
-    /** Whether the call uses a direct connection to a target that this gateway no longer reaches. */
-    bool isPathCut(Millis now) const;
+    /** Whether the call uses a direct connection to a target of a service that is cut off from here. */
+    bool isPathCut() const;
     WaitState waitState(Millis now) const;
     AnswerState answerState() const;
     bool findTarget(Millis now) override;
@@ -613,19 +613,19 @@
     state.hasEvents = this->answer.eventCount() > 0 && this->answer.hasHead();
     state.isReadingPaused = this->answer.isReadingPaused();
     state.isProcessGone = this->context.board.isReplaced(this->chosen.target);
-    state.isPathCut = this->isPathCut(now);
+    state.isPathCut = this->isPathCut();
     state.mayRunElsewhere = this->attempts.mayRunElsewhere();
+    state.mayRunTwiceAtOnce = route.kind == RouteKind::Idempotent;
     state.latencyAim = route.latencyAim;
     state.gapAim = route.gapAim;
     state.usualFirstAnswer = this->context.usualFirstAnswer(this->admitted.service);
     return state;
 }
 
-bool GatewayExchange::Private::isPathCut(Millis now) const
+bool GatewayExchange::Private::isPathCut() const
 {
-    const GatewayTarget &target = this->chosen.target;
     return this->call && this->call->isConnected() && this->call->through().value.empty()
-        && !this->context.reachability.isDirect(target.service, target.id, now);
+        && this->context.reachability.isCutOff(this->chosen.target.service);
 }
 
 void GatewayExchange::Private::checkSilence(Millis now)
