Have the kernel find out that the machine at the other end of a tunnel is dead

A gateway that carries a tunnel only waits on it. If the opener's machine loses power, the tunnel, two descriptors and a connection of the target's limit stayed until the process ended; an opener's request waited for its deadline.

Change: both ends of a tunnel have keep-alive probes that give up after five seconds, and TCP_USER_TIMEOUT of the same time, since a user timeout that is set also decides when probes give up, whatever their count.

Evidence: the new case of bytestreamtest, for four times: probes and user timeout agree. Loss of power is not played in a test, since loopback connections cannot lose packets.

--- a/sequoiausher/transport/gateway/targetdial.cpp
+++ b/sequoiausher/transport/gateway/targetdial.cpp
@@ -35,6 +35,7 @@
         {
             if (!this->isDirect()) {
                 this->tunnel.emplace("gateway " + this->through.value);
+                this->stream->detectDeadPeer(tunnelDeadPeerTime);
                 this->stream->write(encodeTunnelRequest(this->dial.target.id));
             }
         }
--- a/sequoiausher/transport/gateway/targetdial.h
+++ b/sequoiausher/transport/gateway/targetdial.h
@@ -10,6 +10,7 @@
 
 #include "sequoiausher/base/identifiers.h"
 #include "sequoiausher/base/metrics/metrics.h"
+#include "sequoiausher/base/millis.h"
 #include "sequoiausher/base/nametable.h"
 #include "sequoiausher/coordination/gateway/gatewayconfiguration.h"
 #include "sequoiausher/coordination/gateway/targetreachability.h"
@@ -24,6 +25,9 @@
 
 namespace Sequoiausher {
 
+/** After this time without a sign of the other gateway's machine, both ends of a tunnel take it for dead. */
+inline constexpr Millis tunnelDeadPeerTime{5000};
+
 /** What all dials of one gateway share. */
 struct DialEnvironment
 {
--- a/sequoiausher/transport/gateway/tunnelserver.cpp
+++ b/sequoiausher/transport/gateway/tunnelserver.cpp
@@ -42,6 +42,7 @@
             , begunAt(now)
             , activeAt(now)
         {
+            this->opener->detectDeadPeer(tunnelDeadPeerTime);
         }
         ~Tunnel()
         {
--- a/sequoiausher/transport/stream/bytestream.cpp
+++ b/sequoiausher/transport/stream/bytestream.cpp
@@ -7,6 +7,7 @@
 #include <QSocketNotifier>
 #include <QTimer>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -348,6 +349,27 @@
     }
 }
 
+void ByteStream::detectDeadPeer(Millis after)
+{
+    if (this->d->descriptor < 0) {
+        return;
+    }
+    // Two probes after the idle time. The user timeout ends the wait for bytes that are not acknowledged, and where it
+    // is set, it also decides when probes give up, whatever their count, so both have to be the same.
+    constexpr int probes = 2;
+    constexpr int intervalSeconds = 1;
+    constexpr int secondMs = 1000;
+    const int seconds = static_cast<int>(std::max(after, minDeadPeerTime).count) / secondMs;
+    const int idleSeconds = seconds - probes * intervalSeconds;
+    const auto totalMs = static_cast<unsigned int>(seconds * secondMs);
+    const int on = 1;
+    setsockopt(this->d->descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    setsockopt(this->d->descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &idleSeconds, sizeof idleSeconds);
+    setsockopt(this->d->descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &intervalSeconds, sizeof intervalSeconds);
+    setsockopt(this->d->descriptor, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+    setsockopt(this->d->descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &totalMs, sizeof totalMs);
+}
+
 void ByteStream::forgetUser()
 {
     this->d->user = nullptr;
--- a/sequoiausher/transport/stream/bytestream.h
+++ b/sequoiausher/transport/stream/bytestream.h
@@ -8,6 +8,7 @@
 //     stream->write("GET / HTTP/1.1\r\n\r\n");
 //     // user.bytesArrived(): look at stream->input(), erase what was used
 
+#include "sequoiausher/base/millis.h"
 #include "sequoiausher/base/nametable.h"
 
 #include <cstddef>
@@ -94,6 +95,14 @@
     /** Stops or goes on taking bytes from the kernel, so that a slow reader on the far side slows the sender. */
     void setReading(bool on);
 
+    /**
+     * Has the kernel end the connection if the other side's machine has not answered for this long, rounded down to
+     * seconds and at least minDeadPeerTime, whether or not bytes are on their way to it. Without it a connection on
+     * which this side only waits outlives a machine that lost power.
+     */
+    void detectDeadPeer(Millis after);
+    static constexpr Millis minDeadPeerTime{3000};
+
     /** No more calls to the user; the connection stays as it is. */
     void forgetUser();
     void setUser(ByteStreamUser *user);
--- a/sequoiausher/transport/stream/bytestreamtest.cpp
+++ b/sequoiausher/transport/stream/bytestreamtest.cpp
@@ -6,7 +6,13 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <array>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 using namespace Sequoiausher;
 using Internal::runFor;
@@ -16,6 +22,31 @@
 
 constexpr int smallBuffer = 4096;
 
+int optionOf(int descriptor, int level, int option)
+{
+    int value = -1;
+    socklen_t size = sizeof value;
+    getsockopt(descriptor, level, option, &value, &size);
+    return value;
+}
+
+/** Connects two sockets over the loopback interface. */
+bool socketpairOverTcp(std::array<int, 2> &ends)
+{
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof at;
+    bool isDone = bind(listener, reinterpret_cast<const sockaddr *>(&at), sizeof at) == 0 && listen(listener, 1) == 0
+        && getsockname(listener, reinterpret_cast<sockaddr *>(&at), &size) == 0;
+    ends[1] = socket(AF_INET, SOCK_STREAM, 0);
+    isDone = isDone && connect(ends[1], reinterpret_cast<const sockaddr *>(&at), sizeof at) == 0;
+    ends[0] = accept(listener, nullptr, nullptr);
+    ::close(listener);
+    return isDone && ends[0] >= 0;
+}
+
 /** One connection: a stream of this side, and a plain caller on the other. */
 struct Pair : ByteStreamUser
 {
@@ -146,3 +177,25 @@
     CHECK(user.end == StreamEnd::NotConnected);
     CHECK_FALSE(stream->hasSent());
 }
+
+// Guards against connections that outlive a machine which lost power, and against a user timeout that has the kernel
+// give up sooner or later than the probes.
+TEST_CASE("a dead peer is found in the same time whether or not bytes are on their way to it")
+{
+    Internal::testApplication();
+    for (const int seconds : {1, 3, 5, 60}) {
+        CAPTURE(seconds);
+        std::array<int, 2> ends{};
+        REQUIRE(socketpairOverTcp(ends));
+        const auto stream = ByteStream::adopt(ends[0], nullptr);
+        stream->detectDeadPeer(Millis{seconds * 1000});
+        const int expected = std::max(seconds, static_cast<int>(ByteStream::minDeadPeerTime.count / 1000));
+        CHECK(optionOf(ends[0], SOL_SOCKET, SO_KEEPALIVE) == 1);
+        const int probing = optionOf(ends[0], IPPROTO_TCP, TCP_KEEPIDLE)
+            + optionOf(ends[0], IPPROTO_TCP, TCP_KEEPINTVL) * optionOf(ends[0], IPPROTO_TCP, TCP_KEEPCNT);
+        CHECK(probing == expected);
+        CHECK(optionOf(ends[0], IPPROTO_TCP, TCP_USER_TIMEOUT) == expected * 1000);
+        stream->close();
+        ::close(ends[1]);
+    }
+}
