--- a/lab/fuzz/fuzztargets.cpp
+++ b/lab/fuzz/fuzztargets.cpp
@@ -9,6 +9,7 @@
 constexpr auto targets = std::to_array<FuzzTarget>({
     {"frame", feedFrame},
     {"hello", feedHello},
+    {"tunnel", feedTunnel},
     {"request", feedRequest},
     {"stream", feedStream},
     {"load", feedLoad},
--- a/lab/fuzz/fuzztargets.h
+++ b/lab/fuzz/fuzztargets.h
@@ -39,6 +39,8 @@
 void feedFrame(std::string_view bytes);
 /** The first frame of a connection between routers. */
 void feedHello(std::string_view bytes);
+/** What another gateway sends to open a tunnel, and the frames that it gets: both are the same however they arrive. */
+void feedTunnel(std::string_view bytes);
 /** A caller's request: a line "METHOD PATH", header lines, an empty line, the body. */
 void feedRequest(std::string_view bytes);
 /**
