Cut the paths of gateways to all targets in the soak

The judge compares how calls were served at these gateways and at the others from three seconds on, by the users' own bound.

--- a/lab/soak/main.cpp
+++ b/lab/soak/main.cpp
@@ -45,6 +45,7 @@
         options.lastingEach = static_cast<std::size_t>(integerOption(parsed, "lasting"));
         options.returns = static_cast<std::size_t>(integerOption(parsed, "returns"));
         options.evacuations = static_cast<std::size_t>(integerOption(parsed, "evacuations"));
+        options.cuts = static_cast<std::size_t>(integerOption(parsed, "cuts"));
         options.outages = static_cast<std::size_t>(integerOption(parsed, "outages"));
         options.hasColdTargets = integerOption(parsed, "cold") > 0;
         options.hasCrashingCaller = integerOption(parsed, "crashing") > 0;
@@ -76,6 +77,7 @@
     addIntegerOption(options, "returns", "How often the store comes back from a copy meanwhile", 0);
     addIntegerOption(options, "evacuations", "How often a data centre is evacuated meanwhile", 0);
     addIntegerOption(options, "outages", "How often a service rejects requests while gateways are killed in series", 0);
+    addIntegerOption(options, "cuts", "How often gateways lose all paths to targets meanwhile", 0);
     addIntegerOption(options, "cold", "1: targets are cold after a start and after an evacuation", 0);
     addIntegerOption(options, "crashing", "1: a caller asks again and again for what ends its targets", 0);
     addTextOption(options, "program", "The gateway to play; empty for the one built with it", "");
--- a/lab/soak/soakgateway.cpp
+++ b/lab/soak/soakgateway.cpp
@@ -16,6 +16,13 @@
  * closes any. Longer than the balancer takes to see that it leaves. */
 constexpr const char *shortNotice = "notice_ms = 800\n";
 
+/** Gateways listen for tunnels at the same port, so each has an IP number of its own for that. */
+std::string ownAddress(std::size_t number)
+{
+    constexpr std::size_t perPart = 250;
+    return "127.0." + std::to_string(1 + number / perPart) + "." + std::to_string(1 + number % perPart);
+}
+
 std::string local(const ReservedPort &port)
 {
     return std::string(loopback) + ":" + std::to_string(port.number());
@@ -27,7 +34,7 @@
     : number(given)
     , folder(std::move(where))
     , toStore(Endpoint{loopback, 0}, store)
-    , fromPeers(Endpoint{loopback, 0}, Endpoint{loopback, this->peerPort.number()})
+    , fromPeers(Endpoint{ownAddress(given), 0}, Endpoint{loopback, this->peerPort.number()})
     , fromCallers(Endpoint{loopback, 0}, Endpoint{loopback, this->callerPort.number()})
     , gateway("g" + std::to_string(given),
               program.empty() ? SEQUOIAUSHER_PROGRAM : program,
@@ -36,13 +43,23 @@
 {
 }
 
+FakePath &SoakGateway::pathTo(const std::string &address)
+{
+    std::unique_ptr<FakePath> &path = this->paths[address];
+    if (!path) {
+        path = std::make_unique<FakePath>(address);
+    }
+    return *path;
+}
+
 void SoakGateway::configure(const std::vector<std::string> &seeds)
 {
     std::ofstream file(this->folder + "/g" + std::to_string(this->number) + ".ini");
     file << "[gateway]\nname = g" << this->number << "\ndata_centre = hall\naddress = " << local(this->callerPort)
          << "\nready_address = " << local(this->readyPort) << "\npeer_address = " << this->peerAddress()
-         << "\npeer_listen_address = " << local(this->peerPort) << "\nrules = " << SEQUOIAUSHER_GATEWAY_RULES
-         << "\n[store]\naddress = " << toText(this->toStore.listening()) << "\n[peers]\nseeds = ";
+         << "\ntunnel_port = " << this->tunnelPort << "\npeer_listen_address = " << local(this->peerPort)
+         << "\nrules = " << SEQUOIAUSHER_GATEWAY_RULES << "\n[store]\naddress = " << toText(this->toStore.listening())
+         << "\n[peers]\nseeds = ";
     for (std::size_t i = 0; i < seeds.size(); ++i) {
         file << (i > 0 ? ", " : "") << seeds[i];
     }
--- a/lab/soak/soakgateway.h
+++ b/lab/soak/soakgateway.h
@@ -11,10 +11,12 @@
 #include "lab/fleet/reservedport.h"
 #include "lab/relay/relay.h"
 #include "lab/soak/calldraw.h"
+#include "sequoiausher/transport/gateway/fakepath.h"
 #include "sequoiausher/transport/stream/fakehttp.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -27,6 +29,11 @@
 public:
     /** @param program the gateway to play; empty for the one that was built with the soak. */
     SoakGateway(std::size_t number, std::string folder, const Endpoint &store, const std::string &program);
+    /** Its path to the target at this address; made where there is none yet. */
+    FakePath &pathTo(const std::string &address);
+    std::map<std::string, std::unique_ptr<FakePath>> paths;
+    /** Gateways open tunnels through each other at this port; 0 for none. */
+    std::uint16_t tunnelPort = 0;
 
     /** Writes its settings file. */
     void configure(const std::vector<std::string> &seeds);
--- a/lab/soak/soakjudge.cpp
+++ b/lab/soak/soakjudge.cpp
@@ -55,6 +55,14 @@
     Millis timeout = Millis::never();
 };
 
+/** Gateways that reached no target by themselves, and when. */
+struct PathCutSpan
+{
+    std::set<std::size_t> gateways;
+    Millis from;
+    Millis to;
+};
+
 struct MadeAnswer
 {
     int status = 0;
@@ -126,6 +134,8 @@
     void checkCrashing(const CallState &state, const SoakArrival &arrival);
     void checkSuccess(const CallState &state, const SoakAnswer &answer, Millis at);
     void checkDenied(const CallState &state, const SoakAnswer &answer, Millis at);
+    /** Compares how calls were served at gateways without paths to targets and at the others. */
+    void checkPathCut(const PathCutSpan &cut, Millis now);
     void checkLost(const CallState &state, Millis at);
     void checkSilent(const CallState &state, Millis at);
     void checkUnread(CallState &state, Millis at);
@@ -166,6 +176,7 @@
     /** Calls that still have a check in time ahead. */
     std::set<std::string> open;
     std::map<std::string, MadeAnswer> answers;
+    std::vector<PathCutSpan> pathCuts;
     /** What became of the request that ends its targets. */
     std::set<std::string> ended;
     std::optional<Millis> endedEnoughAt;
@@ -739,6 +750,48 @@
 {
     this->tick(now);
     this->d->checkRepeats();
+    for (const PathCutSpan &cut : this->d->pathCuts) {
+        this->d->checkPathCut(cut, now);
+    }
+}
+
+void SoakJudge::pathsCut(const std::set<std::size_t> &gateways, Millis from, Millis to)
+{
+    this->d->pathCuts.push_back({gateways, from, to});
+}
+
+void SoakJudge::Private::checkPathCut(const PathCutSpan &cut, Millis now)
+{
+    struct Count
+    {
+        std::size_t sent = 0;
+        std::size_t served = 0;
+    };
+    Count without;
+    Count with;
+    const Millis from = cut.from + this->bounds.contact;
+    for (const auto &[id, state] : this->calls) {
+        const SoakCall &call = state.call;
+        if (call.sentAt < from || call.sentAt >= cut.to || !this->isOwed(state, from)) {
+            continue;
+        }
+        if (this->disturbed.isUntouched(
+                gatewaySubject(call.gateway), call.sentAt - this->bounds.contact, *state.answeredAt)) {
+            Count &count = cut.gateways.contains(call.gateway) ? without : with;
+            count.sent += 1;
+            count.served += state.isServed ? 1 : 0;
+        }
+    }
+    constexpr std::size_t freeFailures = 10;
+    constexpr std::size_t failuresPerCalls = 50;
+    const bool isFarWorse = without.served * 3 * with.sent < with.served * 2 * without.sent;
+    if (isFarWorse && without.sent - without.served > freeFailures + without.sent / failuresPerCalls) {
+        this->broken("recover",
+                     "gateways without paths to targets served " + std::to_string(without.served) + " of "
+                         + std::to_string(without.sent) + " calls, the others " + std::to_string(with.served) + " of "
+                         + std::to_string(with.sent),
+                     now);
+    }
 }
 
 const std::vector<SoakViolation> &SoakJudge::violations() const
--- a/lab/soak/soakjudge.h
+++ b/lab/soak/soakjudge.h
@@ -15,6 +15,7 @@
 #include "sequoiausher/coordination/gateway/gatewayconfiguration.h"
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -91,6 +92,9 @@
     /** The caller closed its connection before the end. */
     void left(const std::string &id, Millis at);
 
+    /** The gateways reached no target by themselves meanwhile; callers, store and peers reached them. */
+    void pathsCut(const std::set<std::size_t> &gateways, Millis from, Millis to);
+
     /** A gateway wrote a line into its log. */
     void logged(std::size_t gateway, const std::string &line, Millis at);
 
@@ -106,7 +110,7 @@
 
     /** Looks for what is overdue. */
     void tick(Millis now);
-    /** Looks at what can only be counted at the end. */
+    /** Looks at what can only be counted at the end, such as how calls at gateways without paths were served. */
     void finish(Millis now);
 
     const std::vector<SoakViolation> &violations() const;
--- a/lab/soak/soakrun.cpp
+++ b/lab/soak/soakrun.cpp
@@ -53,6 +53,7 @@
         place.dataCentre = this->options.evacuations > 0 ? dataCentreOf(this->places.size()) : DataCentreId{"hall"};
         place.target = std::make_unique<SoakTarget>(name, this->judge, this->random());
         place.link = std::make_unique<Relay>(Endpoint{"127.0.0.1", 0}, Endpoint{"127.0.0.1", place.target->port()});
+        this->store.addTargetAddress(toText(place.link->listening()));
         this->startTarget(place, service);
     }
     for (TargetPlace &place : this->places) {
@@ -62,10 +63,18 @@
         this->administrator.limitCold(coldTime, static_cast<std::uint32_t>(SoakBounds{}.coldPerSecond));
     }
     this->administrator.publishFirst();
+    const ReservedPort tunnels;
     std::vector<std::string> seeds;
     for (std::size_t i = 0; i < this->options.gateways; ++i) {
-        this->gateways.push_back(std::make_unique<SoakGateway>(
-            i, this->options.folder, endpointOf(this->store.address()), this->options.program));
+        const std::string reader = this->options.cuts == 0
+            ? this->store.address()
+            : this->store.addReader(
+                [this, i](const std::string &address) { return this->gateways[i]->pathTo(address).address(); });
+        this->gateways.push_back(
+            std::make_unique<SoakGateway>(i, this->options.folder, endpointOf(reader), this->options.program));
+        if (this->options.cuts > 0) {
+            this->gateways.back()->tunnelPort = tunnels.number();
+        }
         if (seeds.size() < 3) {
             seeds.push_back(this->gateways.back()->peerAddress());
         }
@@ -221,6 +230,9 @@
     for (std::size_t i = 0; i < this->d->options.evacuations; ++i) {
         this->d->planEvacuation(begin + Millis{moment(this->d->evacuations)});
     }
+    for (std::size_t i = 0; i < this->d->options.cuts; ++i) {
+        this->d->planCut(begin + Millis{moment(this->d->cuts)});
+    }
     for (std::size_t i = 0; i < this->d->options.outages; ++i) {
         this->d->planOutage(begin + Millis{moment(this->d->outages)});
     }
--- a/lab/soak/soakrun.h
+++ b/lab/soak/soakrun.h
@@ -35,6 +35,8 @@
     std::size_t evacuations = 0;
     /** How often a service rejects most requests while gateways are killed in series, at moments of their own. */
     std::size_t outages = 0;
+    /** How often some or all gateways lose all paths to targets, at moments of their own beside the other faults. */
+    std::size_t cuts = 0;
     /** Targets are cold for some seconds after they were started anew, or after the end of an evacuation. */
     bool hasColdTargets = false;
     /** A request that ends its targets comes again and again meanwhile. */
--- a/lab/soak/soakrunprivate.cpp
+++ b/lab/soak/soakrunprivate.cpp
@@ -50,6 +50,7 @@
     , returns(with.seed)
     , evacuations(with.seed)
     , outages(with.seed)
+    , cuts(with.seed)
     , judge(SoakBounds{})
     , store(with.seed)
     , administrator(this->store, this->judge)
@@ -464,6 +465,41 @@
     }
 }
 
+void SoakRun::Private::planCut(Millis at)
+{
+    constexpr std::int64_t shortestCutMs = 500;
+    std::uniform_int_distribution<std::int64_t> span(shortestCutMs, this->options.longest.count);
+    std::uniform_int_distribution<std::size_t> some(1, this->gateways.size());
+    const auto how = nameTable<PathCut>[this->cuts() % nameTable<PathCut>.size()];
+    const std::size_t first = this->cuts() % this->gateways.size();
+    const std::size_t count = some(this->cuts);
+    const Millis lasts{span(this->cuts)};
+    this->at(at, [this, first, count, how, lasts] {
+        std::set<std::size_t> struck;
+        for (std::size_t i = 0; i < count; ++i) {
+            struck.insert((first + i) % this->gateways.size());
+        }
+        this->note(std::to_string(count) + " gateways from " + std::to_string(first)
+                   + " on lose all paths to targets for " + toText(lasts) + ", " + std::string(how.name));
+        for (const std::size_t number : struck) {
+            // A stream whose connection is reset in its middle cannot be answered whole.
+            this->judge.disturbances().begin(unplanned(number), Millis::monotonicNow());
+            for (const auto &[address, path] : this->gateways[number]->paths) {
+                path->cut(how.value);
+            }
+        }
+        this->after(lasts, [this, struck, from = Millis::monotonicNow()] {
+            this->judge.pathsCut(struck, from, Millis::monotonicNow());
+            for (const std::size_t number : struck) {
+                for (const auto &[address, path] : this->gateways[number]->paths) {
+                    path->heal();
+                }
+                this->judge.disturbances().end(unplanned(number), Millis::monotonicNow());
+            }
+        });
+    });
+}
+
 void SoakRun::Private::leaveTarget(TargetPlace &place)
 {
     const std::string life = place.target->life();
--- a/lab/soak/soakrunprivate.h
+++ b/lab/soak/soakrunprivate.h
@@ -90,6 +90,8 @@
     void endEvacuation(const DataCentreId &dataCentre);
     /** From then on a service rejects most requests for some seconds, and gateways are killed one after the other. */
     void planOutage(Millis at);
+    /** From then on some or all gateways reach no target by themselves, for some seconds. */
+    void planCut(Millis at);
     /** The present life of the target is cold from now on, as its entry states. */
     void coolDown(TargetPlace &place);
     /** One that is there says that it leaves. */
@@ -111,6 +113,8 @@
     std::mt19937_64 evacuations;
     /** For outages alone. */
     std::mt19937_64 outages;
+    /** For cuts alone. */
+    std::mt19937_64 cuts;
     std::set<DataCentreId> evacuated;
     SoakJudge judge;
     SoakStore store;
--- a/sequoiausher/transport/gateway/fakepath.cpp
+++ b/sequoiausher/transport/gateway/fakepath.cpp
@@ -139,6 +139,9 @@
 
 void FakePath::cut(PathCut how)
 {
+    if (!this->listener) {
+        return;
+    }
     this->listener.reset();
     for (const auto &each : this->carried) {
         if (how == PathCut::Silent) {
@@ -154,6 +157,9 @@
 
 void FakePath::heal()
 {
+    if (this->listener) {
+        return;
+    }
     this->stopHanging();
     this->listen();
     for (const auto &each : this->carried) {
--- a/sequoiausher/transport/gateway/fakepath.h
+++ b/sequoiausher/transport/gateway/fakepath.h
@@ -45,6 +45,7 @@
     FakePath &operator=(const FakePath &) = delete;
 
     std::string address() const;
+    /** Nothing if the path is cut already. */
     void cut(PathCut how);
     /** New connections pass again, and silenced ones carry what was sent meanwhile. */
     void heal();
