--- a/sequoiausher/coordination/gateway/targetreachability.cpp
+++ b/sequoiausher/coordination/gateway/targetreachability.cpp
@@ -32,7 +32,8 @@
     for (const auto &[name, listed] : targets) {
         Service &service = this->services[name];
         service.targets = listed;
-        const auto isGone = [&listed](const TargetId &target) { return !listed.contains(target); };
+        const std::set<TargetId> &present = service.targets;
+        const auto isGone = [&present](const TargetId &target) { return !present.contains(target); };
         std::erase_if(service.unreached, isGone);
         std::erase_if(service.suspected, isGone);
     }
--- a/sequoiausher/transport/gateway/fakepath.cpp
+++ b/sequoiausher/transport/gateway/fakepath.cpp
@@ -180,7 +180,7 @@
     constexpr int fillers = 3;
     for (int i = 0; i < fillers; ++i) {
         const Ipv4Socket filler = openIpv4Socket(this->listenAt, Step::Connect);
-        ::connect(filler.descriptor, filler.address(), sizeof filler.at);
+        static_cast<void>(::connect(filler.descriptor, filler.address(), sizeof filler.at));
         this->hanging.push_back(filler.descriptor);
     }
 }
--- a/sequoiausher/transport/gateway/targetdial.cpp
+++ b/sequoiausher/transport/gateway/targetdial.cpp
@@ -27,7 +27,7 @@
     class Way : public ByteStreamUser
     {
     public:
-        Way(Private &of, std::string address, InstanceId peer, Millis now)
+        Way(Private &of, const std::string &address, InstanceId peer, Millis now)
             : dial(of)
             , through(std::move(peer))
             , begunAt(now)
--- a/sequoiausher/transport/gateway/tunnelserver.cpp
+++ b/sequoiausher/transport/gateway/tunnelserver.cpp
@@ -186,15 +186,15 @@
 
 void TunnelServer::Private::Tunnel::begin(const TargetId &id)
 {
-    GatewayContext &context = this->owner.context;
+    GatewayContext &shared = this->owner.context;
     const Millis now = Millis::monotonicNow();
-    const std::optional<GatewayTarget> listed = context.board.stayingTarget(id);
+    const std::optional<GatewayTarget> listed = shared.board.stayingTarget(id);
     if (!listed) {
         this->refuse(TunnelState::Refused);
         return;
     }
     this->goal = *listed;
-    if (!context.reachability.isDirect(this->goal.service, id, now)) {
+    if (!shared.reachability.isDirect(this->goal.service, id, now)) {
         this->refuse(TunnelState::Unreachable);
         return;
     }
