Look a peer up by name to find out whether its tunnels may be used

A gateway of a large fleet that is cut off copied the list of all gateways for each idle tunnel, 25 times a second. Read in the diff, not measured.

--- a/sequoiausher/coordination/gateway/peerdirectory.cpp
+++ b/sequoiausher/coordination/gateway/peerdirectory.cpp
@@ -376,6 +376,12 @@
         }));
 }
 
+Millis PeerDirectory::silence(const InstanceId &peer, Millis now) const
+{
+    const auto found = this->d->known.find(peer);
+    return found != this->d->known.end() ? now - found->second.lastSeenAt : Millis::never();
+}
+
 Millis PeerDirectory::newestReportFrom(const InstanceId &peer) const
 {
     const auto found = this->d->known.find(peer);
--- a/sequoiausher/coordination/gateway/peerdirectory.h
+++ b/sequoiausher/coordination/gateway/peerdirectory.h
@@ -92,6 +92,8 @@
     bool knowsFleet(Millis now) const;
     /** How many gateways of fleetSize() come before this one in the rendezvous order of the key. */
     std::size_t rendezvousRank(std::uint64_t key) const;
+    /** Time since any gateway received a report from the peer, as in GatewayMember; never() for an unknown peer. */
+    Millis silence(const InstanceId &peer, Millis now) const;
     /** sentAt of the newest report from the peer; 0 for none. */
     Millis newestReportFrom(const InstanceId &peer) const;
 
--- a/sequoiausher/coordination/gateway/tunnelpeers.cpp
+++ b/sequoiausher/coordination/gateway/tunnelpeers.cpp
@@ -30,7 +30,7 @@
                                                 Millis now) const
 {
     using Ranked = std::tuple<bool, std::uint64_t, InstanceId>;
-    const Millis longest = this->directory.hasHubs(now) ? maxSilenceWithHubs : maxSilence;
+    const Millis longest = this->longestSilence(now);
     std::vector<Ranked> ranked;
     for (const GatewayMember &member : this->directory.members(now)) {
         const auto failed = this->failedUntil.find(member.instance);
@@ -60,11 +60,12 @@
     if (failed != this->failedUntil.end() && now < failed->second) {
         return false;
     }
-    const Millis longest = this->directory.hasHubs(now) ? maxSilenceWithHubs : maxSilence;
-    const std::vector<GatewayMember> members = this->directory.members(now);
-    return std::any_of(members.begin(), members.end(), [&](const GatewayMember &member) {
-        return member.instance == peer && member.age <= longest;
-    });
+    return this->directory.silence(peer, now) <= this->longestSilence(now);
+}
+
+Millis TunnelPeers::longestSilence(Millis now) const
+{
+    return this->directory.hasHubs(now) ? maxSilenceWithHubs : maxSilence;
 }
 
 void TunnelPeers::recordUnreachable(const InstanceId &peer, const PoolId &service, Millis now)
--- a/sequoiausher/coordination/gateway/tunnelpeers.h
+++ b/sequoiausher/coordination/gateway/tunnelpeers.h
@@ -50,6 +50,9 @@
     static constexpr std::size_t maxCandidates = 16;
 
 private:
+    /** A gateway that was not seen for longer may be gone. */
+    Millis longestSilence(Millis now) const;
+
     const PeerDirectory &directory;
     DataCentreId self;
     std::map<std::pair<InstanceId, PoolId>, Millis> unreachableUntil;
