Log how an answer was framed and whether it stopped inside an event

The log of a request that its caller got broken off, framed as complete, could not tell whether the answer's own framing or the close of its connection marked its end, nor whether that came inside an event. Both lines of a request's end name the framing (length, chunks, close), the events given, and whether the answer stopped inside an event; 'attempt ended' lines too. No decision reads them yet.

eventcuttertest has the cuts at every byte of an event with both kinds of line ends.

--- a/sequoiausher/protocol/gateway/eventcutter.cpp
+++ b/sequoiausher/protocol/gateway/eventcutter.cpp
@@ -99,6 +99,11 @@
     return this->pending;
 }
 
+bool EventCutter::isInsideEvent() const
+{
+    return this->pending.find_first_not_of("\r\n") != std::string::npos;
+}
+
 const std::string &EventCutter::lastId() const
 {
     return this->last;
--- a/sequoiausher/protocol/gateway/eventcutter.h
+++ b/sequoiausher/protocol/gateway/eventcutter.h
@@ -25,6 +25,8 @@
     std::string feed(std::string_view bytes);
     /** What is left of an event that is not complete; dropped by begin(). */
     const std::string &rest() const;
+    /** Whether part of an event has arrived, and not its end. Line ends alone are no part of one. */
+    bool isInsideEvent() const;
     /** The id of the last event given out. */
     const std::string &lastId() const;
     std::uint64_t eventCount() const;
--- a/sequoiausher/protocol/gateway/eventcuttertest.cpp
+++ b/sequoiausher/protocol/gateway/eventcuttertest.cpp
@@ -30,6 +30,21 @@
     CHECK(out == "id: 1\n\nid: 2\n\nid: 3\ndata: c\n\n");
 }
 
+TEST_CASE("a cut inside an event is known from one between two")
+{
+    for (const std::string event : {"id: 1\ndata: a\n\n", "id: 1\r\ndata: a\r\n\r\n"}) {
+        for (std::size_t cut = 0; cut <= event.size(); ++cut) {
+            EventCutter cutter;
+            cutter.feed(event + event.substr(0, cut));
+            CAPTURE(cut);
+            CHECK(cutter.isInsideEvent() == (cut > 0 && cut < event.size()));
+        }
+        EventCutter cutter;
+        cutter.feed(event + "\n");
+        CHECK_FALSE(cutter.isInsideEvent());
+    }
+}
+
 TEST_CASE("a stream that the caller resumes begins after what it has")
 {
     EventCutter cutter("12");
--- a/sequoiausher/protocol/http/httpmessage.cpp
+++ b/sequoiausher/protocol/http/httpmessage.cpp
@@ -5,6 +5,14 @@
 
 namespace Sequoiausher {
 
+BodyFraming framingOf(const HttpHead &head)
+{
+    if (head.chunked) {
+        return BodyFraming::Chunks;
+    }
+    return head.contentLength ? BodyFraming::Length : BodyFraming::Close;
+}
+
 bool listHolds(std::string_view list, std::string_view word)
 {
     while (!list.empty()) {
--- a/sequoiausher/protocol/http/httpmessage.h
+++ b/sequoiausher/protocol/http/httpmessage.h
@@ -4,6 +4,7 @@
 //
 //     const std::string_view host = head.headers.value("host");
 
+#include "sequoiausher/base/nametable.h"
 #include "sequoiausher/protocol/http/httpheaders.h"
 
 #include <cstdint>
@@ -30,6 +31,24 @@
     std::optional<std::uint64_t> contentLength;
 };
 
+/** What marks the end of an answer's body. */
+enum class BodyFraming {
+    Length,
+    Chunks,
+    /** Nothing in the answer: the body ends with the connection. */
+    Close,
+};
+
+template<>
+inline constexpr auto nameTable<BodyFraming> = std::to_array<NameEntry<BodyFraming>>({
+    {BodyFraming::Length, "length"},
+    {BodyFraming::Chunks, "chunks"},
+    {BodyFraming::Close, "close"},
+});
+
+/** How an answer with this head frames its body, if it has one. */
+BodyFraming framingOf(const HttpHead &head);
+
 /** Whether a comma separated list, as in Connection, holds word, in whatever case. */
 bool listHolds(std::string_view list, std::string_view word);
 
--- a/sequoiausher/transport/gateway/calleranswer.cpp
+++ b/sequoiausher/transport/gateway/calleranswer.cpp
@@ -181,6 +181,11 @@
     return this->isPaused;
 }
 
+bool CallerAnswer::isInsideEvent() const
+{
+    return this->hasAnswerHead && this->isEventStream() && this->cutter.isInsideEvent();
+}
+
 const HttpHead &CallerAnswer::targetHead() const
 {
     return this->answerHead;
--- a/sequoiausher/transport/gateway/calleranswer.h
+++ b/sequoiausher/transport/gateway/calleranswer.h
@@ -85,6 +85,8 @@
     bool isForwardedAsItArrives() const;
     /** Whether reading from the target is paused because the caller reads too slowly. */
     bool isReadingPaused() const;
+    /** Whether the target's answer is a stream that has stopped inside an event so far. */
+    bool isInsideEvent() const;
     /** The head of the latest answer. */
     const HttpHead &targetHead() const;
     const TargetAnswer &targetAnswer() const;
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -81,6 +81,8 @@
     void answerOwn(int status, const std::string &reason, std::optional<Millis> retryAfter, Outcome outcome);
     void finish(Outcome outcome, std::string_view how);
     void log(std::string_view outcome, std::string_view how, Millis now) const;
+    /** How the last target frames its answer; "none" before its head. */
+    std::string framingText() const;
     /** Notes a direct connection that has been silent for longer than usual. */
     void checkSilence(Millis now);
     /** Whether the call uses a direct connection to a target of a service that is cut off from here. */
@@ -327,7 +329,9 @@
                             {"target", this->chosen.target.id.value},
                             {"how", std::string(nameOf(end))},
                             {"after_ms", std::to_string((now - this->sentAt).count)},
-                            {"events", std::to_string(this->answer.eventCount())}});
+                            {"events", std::to_string(this->answer.eventCount())},
+                            {"framing", this->framingText()},
+                            {"inside_event", this->answer.isInsideEvent() ? "yes" : "no"}});
     if (mark == TargetOutcome::Full && this->admitted.decision.overload == Overload::Shed) {
         this->context.shedder.recordRejection(this->admitted.service, now);
     }
@@ -588,6 +592,9 @@
          {"fingerprint", toText(this->fingerprint)},
          {"prompt_part", std::to_string(this->admitted.partHash % loggedPartModulus)},
          {"copied_from", this->copiedFrom},
+         {"events", std::to_string(this->answer.eventCount())},
+         {"framing", this->framingText()},
+         {"inside_event", this->answer.isInsideEvent() ? "yes" : "no"},
          {"target_load", std::to_string(this->chosen.inFlight)},
          {"service_load", std::to_string(this->chosen.totalInFlight)},
          {"usable", std::to_string(this->chosen.usableTargetCount)},
@@ -600,6 +607,11 @@
          {"connection", std::to_string(this->caller.connectionNumber())}});
 }
 
+std::string GatewayExchange::Private::framingText() const
+{
+    return this->answer.hasHead() ? std::string(nameOf(framingOf(this->answer.targetHead()))) : "none";
+}
+
 WaitState GatewayExchange::Private::waitState(Millis now) const
 {
     const GatewayRoute &route = *this->admitted.route;
