--- /dev/null
+++ b/sequoiausher/transport/gateway/brokenanswertest.cpp
@@ -0,0 +1,273 @@
+#include "sequoiausher/transport/gateway/cutoffbed.h"
+#include "sequoiausher/transport/gateway/gatewaytestbed.h"
+
+#include <QTimer>
+
+#include <doctest/doctest.h>
+
+#include <functional>
+
+using namespace Sequoiausher;
+
+namespace {
+
+constexpr int lastEvent = 3;
+
+/** How an answer tells where it ends. */
+enum class Framing {
+    /** It ends with its connection. */
+    Close,
+    Chunks,
+    Length,
+};
+
+std::string eventText(int id, const std::string &lineEnd)
+{
+    return "id: " + std::to_string(id) + lineEnd + "data: x" + lineEnd + lineEnd;
+}
+
+std::string events(int from, int to, const std::string &lineEnd = "\n")
+{
+    std::string text;
+    for (int id = from; id <= to; ++id) {
+        text += eventText(id, lineEnd);
+    }
+    return text;
+}
+
+/** How many whole events begin the text. */
+int wholeEvents(const std::string &text, const std::string &lineEnd)
+{
+    int count = 0;
+    while (count < lastEvent && text.size() >= events(1, count + 1, lineEnd).size()) {
+        count += 1;
+    }
+    return count;
+}
+
+std::string answerHead(const FakeRequest &request, const std::string &fields)
+{
+    return "HTTP/1.1 200 OK\r\nX-Id: " + request.header("X-Id") + "\r\nX-Signed: yes\r\n" + fields + "\r\n";
+}
+
+/** Sends the body as a whole one as far as its framing goes. */
+void sendStream(const FakeRequest &request, Framing framing, const std::string &body)
+{
+    const std::string type = "Content-Type: text/event-stream\r\n";
+    switch (framing) {
+    case Framing::Close:
+        request.send(answerHead(request, type + "Connection: close\r\n") + body);
+        // A gateway that has read the whole head before the close also learns of the close apart from it.
+        QTimer::singleShot(1, [request] { request.close(); });
+        return;
+    case Framing::Length:
+        request.send(answerHead(request, type + "Content-Length: " + std::to_string(body.size()) + "\r\n") + body);
+        return;
+    case Framing::Chunks:
+        break;
+    }
+    request.send(answerHead(request, type + "Transfer-Encoding: chunked\r\n"));
+    if (!body.empty()) {
+        std::ostringstream chunk;
+        chunk << std::hex << body.size() << "\r\n" << body << "\r\n";
+        request.send(chunk.str());
+    }
+    request.endEvents();
+}
+
+/** The first request of each call is answered by breaks, a further one with what is left of the stream. */
+struct BreakingBed : GatewayTestbed
+{
+    BreakingBed()
+    {
+        this->publish(configuration());
+        for (const char *name : {"t1", "t2"}) {
+            FakeServer &target = this->addTarget(name, "llm");
+            target.isRecording = false;
+            target.answers = [this, name = std::string(name)](FakeRequest &request) {
+                this->runs += 1;
+                if (this->runs == 1) {
+                    this->breaks(request, name);
+                    return;
+                }
+                const std::string after = request.header("X-After");
+                sendStream(request,
+                           Framing::Chunks,
+                           events(after.empty() ? 1 : std::stoi(after) + 1, lastEvent, this->lineEnd));
+            };
+        }
+    }
+
+    CallerReply callOnce(const std::string &route)
+    {
+        this->runs = 0;
+        // Each is a request of its own, which has not lost a target before.
+        this->calls += 1;
+        return this->call("POST", route + std::to_string(this->calls), "Content-Length: 0\r\n");
+    }
+
+    std::function<void(const FakeRequest &request, const std::string &name)> breaks;
+    std::string lineEnd = "\n";
+    int runs = 0;
+    int calls = 0;
+};
+
+} // namespace
+
+// Guards against a torn event that reaches its caller as the end of a whole answer, because its target, whose run
+// crashed, closed the connection in order or framed what it had.
+TEST_CASE("a stream that ends inside an event goes on at another target, wherever it was cut and however it is framed")
+{
+    BreakingBed bed;
+    bed.start();
+    for (const std::string lineEnd : {"\n", "\r\n"}) {
+        bed.lineEnd = lineEnd;
+        const std::string whole = events(1, lastEvent, lineEnd);
+        for (const Framing framing : {Framing::Close, Framing::Chunks, Framing::Length}) {
+            for (std::size_t cut = 1; cut < whole.size(); ++cut) {
+                const std::string body = whole.substr(0, cut);
+                const int given = wholeEvents(body, lineEnd);
+                if (body == events(1, given, lineEnd)) {
+                    continue;
+                }
+                CAPTURE(cut);
+                CAPTURE(static_cast<int>(framing));
+                bed.breaks
+                    = [&](const FakeRequest &request, const std::string &) { sendStream(request, framing, body); };
+                const CallerReply reply = bed.callOnce("/talk/");
+                CHECK(reply.isWhole);
+                CHECK(reply.body == whole);
+                CHECK(bed.runs == 2);
+            }
+        }
+    }
+}
+
+// Guards against the same where nothing may go on with the stream: its caller has to see that it is not whole.
+TEST_CASE("a stream that runs at most once and ends inside an event is cut off after its last whole event")
+{
+    BreakingBed bed;
+    bed.start();
+    const std::string whole = events(1, lastEvent);
+    for (const Framing framing : {Framing::Close, Framing::Chunks, Framing::Length}) {
+        for (std::size_t cut = 1; cut < whole.size(); ++cut) {
+            const std::string body = whole.substr(0, cut);
+            const int given = wholeEvents(body, "\n");
+            if (body == events(1, given)) {
+                continue;
+            }
+            CAPTURE(cut);
+            CAPTURE(static_cast<int>(framing));
+            bed.breaks = [&](const FakeRequest &request, const std::string &) { sendStream(request, framing, body); };
+            const CallerReply reply = bed.callOnce("/once/");
+            CHECK(bed.runs == 1);
+            if (given == 0) {
+                CHECK(reply.status == 502);
+            } else {
+                CHECK_FALSE(reply.isWhole);
+                CHECK(reply.body == events(1, given));
+            }
+        }
+    }
+}
+
+TEST_CASE("a stream that ends with its connection between two events is whole while its target lives")
+{
+    BreakingBed bed;
+    bed.start();
+    for (int given = 1; given <= lastEvent; ++given) {
+        bed.breaks = [&](const FakeRequest &request, const std::string &) {
+            sendStream(request, Framing::Close, events(1, given));
+        };
+        const CallerReply reply = bed.callOnce("/talk/");
+        CHECK(reply.isWhole);
+        CHECK(reply.body == events(1, given));
+        CHECK(bed.runs == 1);
+    }
+}
+
+// Guards against a stream without any event that counts as whole, because its target closed before it made the first.
+TEST_CASE("a stream that ends with its connection before its first event is none")
+{
+    BreakingBed bed;
+    bed.start();
+    bed.breaks = [](const FakeRequest &request, const std::string &) { sendStream(request, Framing::Close, ""); };
+    CHECK(bed.callOnce("/once/").status == 502);
+    const CallerReply reply = bed.callOnce("/talk/");
+    CHECK(reply.body == events(1, lastEvent));
+    CHECK(bed.runs == 2);
+}
+
+// Guards against a stream that looks whole because the process of its target ended between two events: the kernel
+// closes its connections in order.
+TEST_CASE("a stream whose target ends between two events goes on at another target, or is cut off")
+{
+    for (const std::string route : {"/talk/", "/once/"}) {
+        BreakingBed bed;
+        bed.start();
+        bed.breaks = [&bed](const FakeRequest &request, const std::string &name) {
+            const std::string type = "Content-Type: text/event-stream\r\nConnection: close\r\n";
+            request.send(answerHead(request, type) + events(1, 2));
+            QTimer::singleShot(20, [&bed, name] { bed.crashTarget(name); });
+        };
+        const CallerReply reply = bed.callOnce(route);
+        CHECK(reply.isWhole == (route == "/talk/"));
+        CHECK(reply.body == events(1, route == "/talk/" ? lastEvent : 2));
+    }
+}
+
+// Guards against half an answer of a plain service that passes for a whole one, because its target's process ended and
+// its kernel closed the connection in order.
+TEST_CASE("a plain answer without a length is whole only while its target lives")
+{
+    GatewayTestbed bed;
+    bed.publish(GatewayTestbed::configuration());
+    bool isFirst = true;
+    for (const char *name : {"t1", "t2"}) {
+        bed.addTarget(name, "desk").answers = [&bed, &isFirst, name = std::string(name)](FakeRequest &request) {
+            if (std::exchange(isFirst, false)) {
+                request.send(answerHead(request, "Connection: close\r\n") + "ha");
+                QTimer::singleShot(20, [&bed, name] { bed.crashTarget(name); });
+            } else {
+                request.reply("200 OK", "half");
+            }
+        };
+    }
+    bed.start();
+    SUBCASE("nothing of it reaches the caller of a request that runs at most once")
+    {
+        const CallerReply reply = bed.call("POST", "/desk/1", "Content-Length: 0\r\n");
+        CHECK(reply.status == 502);
+        CHECK(reply.body.find("ha") == std::string::npos);
+    }
+    SUBCASE("and one that may run twice is asked of another target")
+    {
+        CHECK(bed.call("GET", "/look/1").body == "half");
+    }
+}
+
+// Guards against the same over a tunnel, whose other end tells that the target closed in order.
+TEST_CASE("a stream that ends inside an event is not whole through another gateway either")
+{
+    CutOffBed bed;
+    int runs = 0;
+    for (const auto &[name, target] : bed.targets) {
+        target->answers = [&runs](FakeRequest &request) {
+            runs += 1;
+            const std::string after = request.header("X-After");
+            const std::string rest = events(after.empty() ? 1 : std::stoi(after) + 1, lastEvent);
+            const bool breaks = runs == 1;
+            sendStream(request, breaks ? Framing::Close : Framing::Chunks, rest.substr(0, breaks ? 20 : rest.size()));
+        };
+    }
+    bed.startBoth();
+    bed.cutAndNotice();
+    runs = 0;
+    const CallerReply resumed = bed.call("POST", "/talk/1", "Content-Length: 0\r\n");
+    CHECK(resumed.isWhole);
+    CHECK(resumed.body == events(1, lastEvent));
+    runs = 0;
+    const CallerReply cut = bed.call("POST", "/once/1", "Content-Length: 0\r\n");
+    CHECK_FALSE(cut.isWhole);
+    CHECK(cut.body == events(1, 1));
+}
