Take a stream that ends inside an event for a broken one, in each framing

Cause: the end of an answer was judged by its framing alone. A target whose run crashed ends its answer as it would end a whole one: it closes in order where the answer has no length. CallerAnswer::endStream() wrote the torn event and the last chunk.

Ruled out: a lost reset and a tunnel (the record's requests used one target and no tunnel, and answers that end by a reset were cut off or resumed all along); a joined answer of two targets (targets_used is 1).

Change: classifyCompleteAnswer() takes a stream that stopped inside an event for broken, so it is resumed after its last whole event where the route allows it, and otherwise cut off without an end mark, or answered with 502 where nothing was given yet. At most once is untouched: what follows is decided by decideNextStep() as after any other break.

Its bed has eight targets now: with two, both count as failing after some breaks, and no target is left to resume at. attemptoutcometest covers all states with the new member. What remains red is an answer whose target's process ended.

--- a/sequoiausher/coordination/gateway/attemptoutcome.cpp
+++ b/sequoiausher/coordination/gateway/attemptoutcome.cpp
@@ -27,6 +27,10 @@
     if (isDeclaredNotRun(state)) {
         return notRun(state);
     }
+    // A target whose run crashed ends its answer as it would end a whole one, in each framing.
+    if (state.isInsideEvent) {
+        return AttemptOutcome{AttemptEnd::Broken, TargetOutcome::Lost};
+    }
     const AttemptOutcome failed{AttemptEnd::Failed, TargetOutcome::Failed};
     if (state.isAnswerBegun) {
         // An answer that is not forwarded as it arrives cannot continue the stream that the caller has in part.
--- a/sequoiausher/coordination/gateway/attemptoutcome.h
+++ b/sequoiausher/coordination/gateway/attemptoutcome.h
@@ -35,6 +35,8 @@
     bool isAnswerBegun = false;
     /** The answer is forwarded while it arrives: a stream of events, or an answer too long to be buffered. */
     bool isForwardedAsItArrives = false;
+    /** The answer is a stream and has stopped inside an event. */
+    bool isInsideEvent = false;
 };
 
 /** How an attempt ended, and how that counts for the health of its target. */
--- a/sequoiausher/coordination/gateway/attemptoutcometest.cpp
+++ b/sequoiausher/coordination/gateway/attemptoutcometest.cpp
@@ -12,6 +12,7 @@
 constexpr AttemptOutcome full{AttemptEnd::NotRun, TargetOutcome::Full};
 constexpr AttemptOutcome misdirected{AttemptEnd::NotRun, TargetOutcome::Lost};
 constexpr AttemptOutcome failed{AttemptEnd::Failed, TargetOutcome::Failed};
+constexpr AttemptOutcome broken{AttemptEnd::Broken, TargetOutcome::Lost};
 
 /** The head of an answer with this status has arrived, and the caller has received nothing yet. */
 AnswerState answered(int status, bool isIdempotent)
@@ -31,6 +32,13 @@
     return state;
 }
 
+AnswerState torn(int status, bool isForwardedAsItArrives)
+{
+    AnswerState state = begun(status, isForwardedAsItArrives);
+    state.isInsideEvent = true;
+    return state;
+}
+
 AnswerState refused(int status, bool isMisdirected)
 {
     AnswerState state = answered(status, false);
@@ -44,7 +52,7 @@
 void forAllAnswers(const std::function<void(const AnswerState &)> &check)
 {
     for (const int status : statuses) {
-        for (unsigned bits = 0; bits < 64; ++bits) {
+        for (unsigned bits = 0; bits < 128; ++bits) {
             AnswerState state;
             state.hasHead = (bits & 1U) != 0;
             state.status = status;
@@ -53,6 +61,7 @@
             state.isIdempotent = (bits & 8U) != 0;
             state.isAnswerBegun = (bits & 16U) != 0;
             state.isForwardedAsItArrives = (bits & 32U) != 0;
+            state.isInsideEvent = (bits & 64U) != 0;
             CAPTURE(status);
             CAPTURE(bits);
             check(state);
@@ -81,6 +90,7 @@
         {"503 without that statement, may run again", answered(503, true), failed},
         {"429 without that statement", answered(429, true), std::nullopt},
         {"a stream that ended", begun(200, true), std::nullopt},
+        {"a stream that stopped inside an event", torn(200, true), broken},
         {"a stream that another target should have resumed", begun(200, false), failed},
         {"a stream that another target could not resume", begun(500, false), failed},
     };
@@ -137,7 +147,8 @@
         const bool hasStatement = state.hasHead && (state.didNotRun || state.isMisdirected);
         const std::optional<AttemptOutcome> whole = classifyCompleteAnswer(state);
         CHECK((whole && whole->end == AttemptEnd::NotRun) == hasStatement);
-        CHECK((!whole || whole->end == AttemptEnd::NotRun || whole->end == AttemptEnd::Failed));
+        CHECK((whole && whole->end == AttemptEnd::Broken) == (!hasStatement && state.isInsideEvent));
+        CHECK((!whole || whole->end == AttemptEnd::NotRun || whole->end == AttemptEnd::Failed || state.isInsideEvent));
         CHECK((classifyLostAnswer(state, AttemptEnd::NoAnswer).end == AttemptEnd::NotRun) == hasStatement);
         CHECK((classifyLostAnswer(state, AttemptEnd::Broken).end == AttemptEnd::NotRun) == hasStatement);
     });
--- a/sequoiausher/transport/gateway/brokenanswertest.cpp
+++ b/sequoiausher/transport/gateway/brokenanswertest.cpp
@@ -81,10 +81,13 @@
     BreakingBed()
     {
         this->publish(configuration());
-        for (const char *name : {"t1", "t2"}) {
+        // Half of all answers break off, so targets count as failing: enough of them for one that does not.
+        constexpr int targetCount = 8;
+        for (int number = 1; number <= targetCount; ++number) {
+            const std::string name = "t" + std::to_string(number);
             FakeServer &target = this->addTarget(name, "llm");
             target.isRecording = false;
-            target.answers = [this, name = std::string(name)](FakeRequest &request) {
+            target.answers = [this, name](FakeRequest &request) {
                 this->runs += 1;
                 if (this->runs == 1) {
                     this->breaks(request, name);
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -417,6 +417,7 @@
     state.isIdempotent = this->admitted.route->isIdempotent();
     state.isAnswerBegun = this->answer.isBegun();
     state.isForwardedAsItArrives = this->answer.isForwardedAsItArrives();
+    state.isInsideEvent = this->answer.isInsideEvent();
     return state;
 }
 
