Take an answer without a length for whole only if its target still listens

What callers saw: nothing yet in the users' record; found as the same cause elsewhere, by brokenanswertest. A target whose process ends between two events of a stream, or within a plain answer, has its connections closed in order by the kernel. Where the answer has neither a length nor chunks, that close looked like its end: the caller got an answer framed as complete.

Cause: an orderly close was taken for the target's own end of its answer, whoever caused it.

Change: after such a close the gateway opens a connection to the target (TargetPools::probe()). If the target accepts it, the close was the end, and the connection is kept for the next request, so it costs no further one. A stream that ends so before its first event is broken in any case. The argument is the order of events: the probe begins after the close arrived, and an address is not given to another target for seconds after its process ended. What is left is a live target that closes between two events without having finished; nothing in the answer tells.

--- a/sequoiausher/coordination/gateway/attemptoutcome.cpp
+++ b/sequoiausher/coordination/gateway/attemptoutcome.cpp
@@ -28,15 +28,16 @@
         return notRun(state);
     }
     // A target whose run crashed ends its answer as it would end a whole one, in each framing.
-    if (state.isInsideEvent) {
-        return AttemptOutcome{AttemptEnd::Broken, TargetOutcome::Lost};
+    const AttemptOutcome broken{AttemptEnd::Broken, TargetOutcome::Lost};
+    if (state.isInsideEvent || (state.isEmptyStream && state.end != AnswerEnd::Framing)) {
+        return broken;
     }
-    const AttemptOutcome failed{AttemptEnd::Failed, TargetOutcome::Failed};
-    if (state.isAnswerBegun) {
-        // An answer that is not forwarded as it arrives cannot continue the stream that the caller has in part.
-        return state.isForwardedAsItArrives ? std::nullopt : std::optional(failed);
+    // An answer that is not forwarded as it arrives cannot continue the stream that the caller has in part.
+    const bool isRetried = state.status >= firstServerError && state.isIdempotent;
+    if (state.isAnswerBegun ? !state.isForwardedAsItArrives : isRetried) {
+        return AttemptOutcome{AttemptEnd::Failed, TargetOutcome::Failed};
     }
-    return state.status >= firstServerError && state.isIdempotent ? std::optional(failed) : std::nullopt;
+    return state.end == AnswerEnd::UnconfirmedClose ? std::optional(broken) : std::nullopt;
 }
 
 AttemptOutcome classifyLostAnswer(const AnswerState &state, AttemptEnd how)
--- a/sequoiausher/coordination/gateway/attemptoutcome.h
+++ b/sequoiausher/coordination/gateway/attemptoutcome.h
@@ -9,6 +9,7 @@
 //     state.status = 503;
 //     if (const auto outcome = classifyCompleteAnswer(state)) { endAttempt(outcome->end, outcome->mark); }
 
+#include "sequoiausher/base/nametable.h"
 #include "sequoiausher/coordination/gateway/attempttimeout.h"
 #include "sequoiausher/coordination/gateway/retrydecision.h"
 #include "sequoiausher/coordination/gateway/targetboard.h"
@@ -17,6 +18,26 @@
 
 namespace Sequoiausher {
 
+/** What marks the end of an answer that is complete so far. */
+enum class AnswerEnd {
+    /** The answer itself: a length or chunks. */
+    Framing,
+    /** The close of its connection, in order, by a target that has accepted another connection since. */
+    Close,
+    /**
+     * The close of its connection alone. The kernel closes in order, too, if the target's process ended within the
+     * answer.
+     */
+    UnconfirmedClose,
+};
+
+template<>
+inline constexpr auto nameTable<AnswerEnd> = std::to_array<NameEntry<AnswerEnd>>({
+    {AnswerEnd::Framing, "framing"},
+    {AnswerEnd::Close, "close"},
+    {AnswerEnd::UnconfirmedClose, "unconfirmed-close"},
+});
+
 /**
  * What is known of a target's answer. The first four members describe the answer of the present attempt, whose head may
  * not have arrived yet.
@@ -37,6 +58,9 @@
     bool isForwardedAsItArrives = false;
     /** The answer is a stream and has stopped inside an event. */
     bool isInsideEvent = false;
+    /** The answer is a stream, and the caller has no event of it, from this attempt or an earlier one. */
+    bool isEmptyStream = false;
+    AnswerEnd end = AnswerEnd::Framing;
 };
 
 /** How an attempt ended, and how that counts for the health of its target. */
--- a/sequoiausher/coordination/gateway/attemptoutcometest.cpp
+++ b/sequoiausher/coordination/gateway/attemptoutcometest.cpp
@@ -39,6 +39,22 @@
     return state;
 }
 
+AnswerState closed(int status, bool isForwardedAsItArrives, AnswerEnd end)
+{
+    AnswerState state = answered(status, false);
+    state.isAnswerBegun = isForwardedAsItArrives;
+    state.isForwardedAsItArrives = isForwardedAsItArrives;
+    state.end = end;
+    return state;
+}
+
+AnswerState emptyStream(AnswerEnd end)
+{
+    AnswerState state = closed(200, false, end);
+    state.isEmptyStream = true;
+    return state;
+}
+
 AnswerState refused(int status, bool isMisdirected)
 {
     AnswerState state = answered(status, false);
@@ -52,7 +68,7 @@
 void forAllAnswers(const std::function<void(const AnswerState &)> &check)
 {
     for (const int status : statuses) {
-        for (unsigned bits = 0; bits < 128; ++bits) {
+        for (unsigned bits = 0; bits < 512; ++bits) {
             AnswerState state;
             state.hasHead = (bits & 1U) != 0;
             state.status = status;
@@ -62,6 +78,8 @@
             state.isAnswerBegun = (bits & 16U) != 0;
             state.isForwardedAsItArrives = (bits & 32U) != 0;
             state.isInsideEvent = (bits & 64U) != 0;
+            state.isEmptyStream = (bits & 128U) != 0;
+            state.end = (bits & 256U) != 0 ? AnswerEnd::UnconfirmedClose : AnswerEnd::Framing;
             CAPTURE(status);
             CAPTURE(bits);
             check(state);
@@ -90,6 +108,12 @@
         {"503 without that statement, may run again", answered(503, true), failed},
         {"429 without that statement", answered(429, true), std::nullopt},
         {"a stream that ended", begun(200, true), std::nullopt},
+        {"closed in order, by a target that lives", closed(200, false, AnswerEnd::Close), std::nullopt},
+        {"closed in order, maybe since its target ended", closed(200, false, AnswerEnd::UnconfirmedClose), broken},
+        {"a stream closed in order, by a target that lives", closed(200, true, AnswerEnd::Close), std::nullopt},
+        {"the same, maybe since its target ended", closed(200, true, AnswerEnd::UnconfirmedClose), broken},
+        {"an empty stream with an end mark", emptyStream(AnswerEnd::Framing), std::nullopt},
+        {"an empty stream without one", emptyStream(AnswerEnd::Close), broken},
         {"a stream that stopped inside an event", torn(200, true), broken},
         {"a stream that another target should have resumed", begun(200, false), failed},
         {"a stream that another target could not resume", begun(500, false), failed},
@@ -147,8 +171,12 @@
         const bool hasStatement = state.hasHead && (state.didNotRun || state.isMisdirected);
         const std::optional<AttemptOutcome> whole = classifyCompleteAnswer(state);
         CHECK((whole && whole->end == AttemptEnd::NotRun) == hasStatement);
-        CHECK((whole && whole->end == AttemptEnd::Broken) == (!hasStatement && state.isInsideEvent));
-        CHECK((!whole || whole->end == AttemptEnd::NotRun || whole->end == AttemptEnd::Failed || state.isInsideEvent));
+        const bool mayBeBroken = state.isInsideEvent || state.end == AnswerEnd::UnconfirmedClose;
+        const bool isBroken = whole && whole->end == AttemptEnd::Broken;
+        CHECK((!isBroken || (mayBeBroken && !hasStatement)));
+        CHECK((!mayBeBroken || whole));
+        CHECK((!state.isInsideEvent || isBroken || hasStatement));
+        CHECK((!whole || isBroken || whole->end == AttemptEnd::NotRun || whole->end == AttemptEnd::Failed));
         CHECK((classifyLostAnswer(state, AttemptEnd::NoAnswer).end == AttemptEnd::NotRun) == hasStatement);
         CHECK((classifyLostAnswer(state, AttemptEnd::Broken).end == AttemptEnd::NotRun) == hasStatement);
     });
--- a/sequoiausher/transport/gateway/gatewaycall.cpp
+++ b/sequoiausher/transport/gateway/gatewaycall.cpp
@@ -52,6 +52,11 @@
     return this->lostConnection;
 }
 
+bool GatewayCall::endedByClose() const
+{
+    return this->isEndedByClose;
+}
+
 void GatewayCall::setReading(bool on)
 {
     this->connection->setReading(on);
@@ -123,7 +128,7 @@
         return;
     }
     if (this->connection->reader().isComplete()) {
-        // The answer has no length and ends with its connection.
+        this->isEndedByClose = true;
         this->answerGrew();
         return;
     }
--- a/sequoiausher/transport/gateway/gatewaycall.h
+++ b/sequoiausher/transport/gateway/gatewaycall.h
@@ -49,6 +49,8 @@
     const InstanceId &through() const;
     /** Whether the target may have received any byte of the request. */
     bool mayHaveArrived() const;
+    /** Whether nothing but the close of the connection marked the end of the complete answer. */
+    bool endedByClose() const;
     /** Whether the attempt ended because the target's side broke the connection that carried the request. */
     bool hasLostConnection() const;
     void setReading(bool on);
@@ -71,6 +73,7 @@
     bool hasHead = false;
     bool isOver = false;
     bool lostConnection = false;
+    bool isEndedByClose = false;
 };
 
 } // namespace Sequoiausher
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -77,6 +77,13 @@
     /** Starts a check whether the target ended while it ran the request. */
     void checkLostTarget(Millis now);
     void forwardHeld(Millis now);
+    /**
+     * Finds out whether the target still accepts connections after it closed the one of its answer, which has no other
+     * end.
+     */
+    void confirmEnd(Millis now);
+    void finishConfirming(bool isAccepted);
+    void completeAnswer(Millis now);
     void endStream();
     void answerOwn(int status, const std::string &reason, std::optional<Millis> retryAfter, Outcome outcome);
     void finish(Outcome outcome, std::string_view how);
@@ -117,6 +124,12 @@
     /** The target that the last findTarget() chose. */
     std::optional<ChosenTarget> candidate;
     Millis sentAt;
+    /** What marks the end of the present answer. */
+    AnswerEnd answerEnd = AnswerEnd::Framing;
+    /** Counts the ends that were to be confirmed, so that a late result meets no later one. */
+    std::uint64_t confirmations = 0;
+    /** Expires with this, for callbacks that may outlive it. */
+    std::shared_ptr<const bool> life = std::make_shared<const bool>(true);
 
     CallerAnswer answer;
     Millis firstPartAt;
@@ -260,6 +273,7 @@
     this->sentAt = now;
     this->lastPartAt = now;
     this->hasLostTarget = false;
+    this->answerEnd = AnswerEnd::Framing;
     this->announcement.clear();
     this->answer.beginAttempt();
     TargetOrder order;
@@ -418,6 +432,9 @@
     state.isAnswerBegun = this->answer.isBegun();
     state.isForwardedAsItArrives = this->answer.isForwardedAsItArrives();
     state.isInsideEvent = this->answer.isInsideEvent();
+    state.isEmptyStream
+        = this->answer.isEventStream() && this->answer.lastEventId().empty() && this->answer.eventCount() == 0;
+    state.end = this->answerEnd;
     return state;
 }
 
@@ -495,19 +512,59 @@
 void GatewayExchange::answerComplete()
 {
     const Millis now = Millis::monotonicNow();
+    const bool isClosed = this->d->call->endedByClose();
+    this->d->answerEnd = isClosed ? AnswerEnd::Close : AnswerEnd::Framing;
     if (const std::optional<AttemptOutcome> outcome = classifyCompleteAnswer(this->d->answerState())) {
         this->d->endAttempt(*outcome, now);
+    } else if (isClosed) {
+        this->d->confirmEnd(now);
+    } else {
+        this->d->completeAnswer(now);
+    }
+}
+
+void GatewayExchange::Private::confirmEnd(Millis now)
+{
+    this->answerEnd = AnswerEnd::UnconfirmedClose;
+    this->confirmations += 1;
+    const auto probed = [this, alive = std::weak_ptr(this->life), number = this->confirmations](bool isAccepted) {
+        const bool isAwaited = !alive.expired() && number == this->confirmations && !this->isFinished
+            && this->answerEnd == AnswerEnd::UnconfirmedClose;
+        if (isAwaited) {
+            this->finishConfirming(isAccepted);
+        }
+    };
+    if (!this->context.pools.probe(this->chosen.target, DialWays::All, now, probed)) {
+        this->finishConfirming(false);
+    }
+}
+
+void GatewayExchange::Private::finishConfirming(bool isAccepted)
+{
+    const Millis now = Millis::monotonicNow();
+    if (isAccepted) {
+        this->answerEnd = AnswerEnd::Close;
+        this->completeAnswer(now);
         return;
     }
-    this->d->recordAnswerTime(now);
-    if (this->d->answer.targetAnswer().status < firstFailure) {
-        this->d->context.quarantine.recordAnswer(this->d->fingerprint, now);
+    this->checkLostTarget(now);
+    if (const std::optional<AttemptOutcome> outcome = classifyCompleteAnswer(this->answerState())) {
+        this->endAttempt(*outcome, now);
+    }
+}
+
+void GatewayExchange::Private::completeAnswer(Millis now)
+{
+    const int status = this->answer.targetAnswer().status;
+    this->recordAnswerTime(now);
+    if (status < firstFailure) {
+        this->context.quarantine.recordAnswer(this->fingerprint, now);
     }
-    this->d->closeCall(markForStatus(this->d->answer.targetAnswer().status), now);
-    if (this->d->answer.isBegun()) {
-        this->d->endStream();
+    this->closeCall(markForStatus(status), now);
+    if (this->answer.isBegun()) {
+        this->endStream();
     } else {
-        this->d->forwardHeld(now);
+        this->forwardHeld(now);
     }
 }
 
@@ -677,6 +734,12 @@
     if (!this->call && !isTimeUp) {
         return;
     }
+    if (this->answerEnd == AnswerEnd::UnconfirmedClose) {
+        if (isTimeUp) {
+            this->endAttempt({AttemptEnd::Broken, TargetOutcome::Neutral}, now);
+        }
+        return;
+    }
     this->checkSilence(now);
     const WaitDecision wait = checkWait(this->waitState(now));
     if (wait == WaitDecision::RetryElsewhere && !this->mayRetryElsewhere(now)) {
--- a/sequoiausher/transport/gateway/targetpools.cpp
+++ b/sequoiausher/transport/gateway/targetpools.cpp
@@ -113,6 +113,7 @@
     this->stream->setUser(this);
     if (this->user == nullptr) {
         this->goIdle(defaultIdleTime, Millis::monotonicNow());
+        this->reportProbe(true);
         return;
     }
     this->hasWritten = true;
@@ -124,6 +125,14 @@
     this->pools.d->dialling.erase(this);
     this->pools.d->retiredDials.push_back(std::move(this->dialling));
     this->ended(StreamEnd::NotConnected);
+    this->reportProbe(false);
+}
+
+void TargetConnection::reportProbe(bool isAccepted)
+{
+    if (const auto report = std::exchange(this->probed, nullptr)) {
+        report(isAccepted);
+    }
 }
 
 void TargetConnection::begin(TargetConnectionUser *by, std::string_view bytes, bool isHead)
@@ -320,7 +329,7 @@
     return connection;
 }
 
-void TargetPools::probe(const GatewayTarget &target, DialWays ways, Millis now)
+bool TargetPools::probe(const GatewayTarget &target, DialWays ways, Millis now, Probed probed)
 {
     this->d->dialled += 1;
     auto connection = std::make_shared<TargetConnection>(*this, target, ways);
@@ -328,9 +337,11 @@
         connection->dial(now);
     } catch (const Error &) {
         // Nothing could be started: the next probe tries again.
-        return;
+        return false;
     }
+    connection->probed = std::move(probed);
     this->d->probes.push_back({std::move(connection), now});
+    return true;
 }
 
 void TargetPools::Private::tickDials(Millis now)
@@ -347,17 +358,23 @@
 
 void TargetPools::Private::tickProbes(Millis now)
 {
-    std::erase_if(this->probes, [this, now](Probe &probe) {
+    std::vector<std::shared_ptr<TargetConnection>> overdue;
+    std::erase_if(this->probes, [this, now, &overdue](Probe &probe) {
         const bool isDialling = this->dialling.contains(probe.connection.get());
         const bool isOverdue = now - probe.begunAt >= probeTimeout;
         if (isDialling && isOverdue) {
             probe.connection->drop();
+            overdue.push_back(probe.connection);
         }
         if (!isDialling || isOverdue) {
             this->retired.push_back(std::move(probe.connection));
         }
         return !isDialling || isOverdue;
     });
+    // Whoever hears of it may start another probe.
+    for (const auto &connection : overdue) {
+        connection->reportProbe(false);
+    }
 }
 
 void TargetPools::tick(Millis now)
--- a/sequoiausher/transport/gateway/targetpools.h
+++ b/sequoiausher/transport/gateway/targetpools.h
@@ -83,9 +83,12 @@
     Millis idleUntil;
 
 private:
+    friend class TargetPools;
+
     /** What has arrived from the target and was not read yet. */
     std::string &input();
     void goIdle(Millis idleTime, Millis now);
+    void reportProbe(bool isAccepted);
 
     TargetPools &pools;
     std::unique_ptr<TargetDial> dialling;
@@ -98,6 +101,7 @@
     bool hasWritten = false;
     HttpReader answer;
     TargetConnectionUser *user = nullptr;
+    std::function<void(bool isAccepted)> probed;
     bool wasReused = false;
 };
 
@@ -105,6 +109,9 @@
 class TargetPools
 {
 public:
+    /** Receives whether the target accepted the connection in time. */
+    using Probed = std::function<void(bool isAccepted)>;
+
     /** The environment outlives this. */
     explicit TargetPools(DialEnvironment &environment);
     ~TargetPools();
@@ -116,8 +123,11 @@
      * @return nullptr if the limit is reached. @throws Error(Step::Connect, ...)
      */
     std::shared_ptr<TargetConnection> take(const GatewayTarget &target, std::size_t limit, Millis now);
-    /** Opens a connection without a request; it becomes idle once it is open. */
-    void probe(const GatewayTarget &target, DialWays ways, Millis now);
+    /**
+     * Opens a connection without a request; it becomes idle once it is open. @return whether that was started; if so,
+     * probed receives the result.
+     */
+    bool probe(const GatewayTarget &target, DialWays ways, Millis now, Probed probed = nullptr);
     /** Closes idle connections that their targets are about to close, or whose path is cut. */
     void tick(Millis now);
     /** Closes the idle connections to targets that are not listed, such as earlier incarnations. */
