--- a/lab/relay/relay.cpp
+++ b/lab/relay/relay.cpp
@@ -196,6 +196,13 @@
         }
     }
 
+    void startListening()
+    {
+        this->listener = std::make_unique<StreamListener>(toText(this->listen),
+                                                          [this](int descriptor) { this->accept(descriptor); });
+        this->listen.port = this->listener->port();
+    }
+
     Endpoint to;
     Link link;
     std::vector<std::unique_ptr<Connection>> connections;
@@ -207,9 +214,7 @@
 {
     this->d->to = to;
     this->d->listen = listen;
-    this->d->listener
-        = std::make_unique<StreamListener>(toText(listen), [this](int descriptor) { this->d->accept(descriptor); });
-    this->d->listen.port = this->d->listener->port();
+    this->d->startListening();
 }
 
 Relay::~Relay() = default;
@@ -219,6 +224,15 @@
     return this->d->listen;
 }
 
+void Relay::setListening(bool on)
+{
+    if (!on) {
+        this->d->listener.reset();
+    } else if (!this->d->listener) {
+        this->d->startListening();
+    }
+}
+
 void Relay::setLink(const Link &link)
 {
     this->d->link = link;
--- a/lab/relay/relay.h
+++ b/lab/relay/relay.h
@@ -73,6 +73,12 @@
      */
     void setLink(const Link &link);
 
+    /**
+     * Whether new connections are accepted; otherwise they are refused, as where nothing listens at the far end. Needs
+     * a port that stays reserved meanwhile. @throws Error(Step::Listen)
+     */
+    void setListening(bool on);
+
 private:
     class Private;
     std::unique_ptr<Private> d;
--- a/lab/relay/relaytest.cpp
+++ b/lab/relay/relaytest.cpp
@@ -153,6 +153,22 @@
     }
 }
 
+TEST_CASE("a relay that stops listening refuses new connections, keeps open ones, and listens again")
+{
+    const Echo echo;
+    const auto open = echo.connect();
+    CHECK(waitFor([&open] { return open->state() == QAbstractSocket::ConnectedState; }));
+    CHECK(Echo::echoes(*open));
+    echo.relay->setListening(false);
+    const auto refused = echo.connect();
+    CHECK(waitFor([&refused] { return refused->error() == QAbstractSocket::ConnectionRefusedError; }));
+    CHECK(Echo::echoes(*open));
+    echo.relay->setListening(true);
+    const auto again = echo.connect();
+    CHECK(waitFor([&again] { return again->state() == QAbstractSocket::ConnectedState; }));
+    CHECK(Echo::echoes(*again));
+}
+
 TEST_CASE("a delayed link carries everything, later")
 {
     const Echo echo;
--- a/lab/soak/main.cpp
+++ b/lab/soak/main.cpp
@@ -49,6 +49,7 @@
         options.outages = static_cast<std::size_t>(integerOption(parsed, "outages"));
         options.hasColdTargets = integerOption(parsed, "cold") > 0;
         options.hasCrashingCaller = integerOption(parsed, "crashing") > 0;
+        options.hasUnframedAnswers = integerOption(parsed, "unframed") > 0;
         options.program = textOption(parsed, "program");
         options.faults = Millis{integerOption(parsed, "faults-ms")};
         options.longest = Millis{integerOption(parsed, "longest-ms")};
@@ -80,6 +81,7 @@
     addIntegerOption(options, "cuts", "How often gateways lose all paths to targets meanwhile", 0);
     addIntegerOption(options, "cold", "1: targets are cold after a start and after an evacuation", 0);
     addIntegerOption(options, "crashing", "1: a caller asks again and again for what ends its targets", 0);
+    addIntegerOption(options, "unframed", "1: half of all answers have no length and end with their connection", 0);
     addTextOption(options, "program", "The gateway to play; empty for the one built with it", "");
     addTextOption(options, "folder", "Where logs go", "/tmp/sequoiausher-soak");
     return runProgram(argc, argv, std::move(options), runSoak);
--- a/lab/soak/soakrun.cpp
+++ b/lab/soak/soakrun.cpp
@@ -52,7 +52,10 @@
         const std::string name = "t" + std::to_string(this->places.size());
         place.dataCentre = this->options.evacuations > 0 ? dataCentreOf(this->places.size()) : DataCentreId{"hall"};
         place.target = std::make_unique<SoakTarget>(name, this->judge, this->random());
-        place.link = std::make_unique<Relay>(Endpoint{"127.0.0.1", 0}, Endpoint{"127.0.0.1", place.target->port()});
+        place.linkPort = std::make_unique<ReservedPort>();
+        place.target->setUnframed(this->options.hasUnframedAnswers);
+        place.link = std::make_unique<Relay>(Endpoint{"127.0.0.1", place.linkPort->number()},
+                                             Endpoint{"127.0.0.1", place.target->port()});
         this->store.addTargetAddress(toText(place.link->listening()));
         this->startTarget(place, service);
     }
--- a/lab/soak/soakrun.h
+++ b/lab/soak/soakrun.h
@@ -41,6 +41,8 @@
     bool hasColdTargets = false;
     /** A request that ends its targets comes again and again meanwhile. */
     bool hasCrashingCaller = false;
+    /** Half of all answers have neither a length nor chunks, and end with their connection. */
+    bool hasUnframedAnswers = false;
     /** Where settings and what the gateways write go; made where it is missing. */
     std::string folder;
     /** The gateway to play, such as an older one; empty for the one that was built with the soak. */
--- a/lab/soak/soakrunprivate.cpp
+++ b/lab/soak/soakrunprivate.cpp
@@ -392,6 +392,7 @@
 void SoakRun::Private::startTarget(TargetPlace &place, const std::string &service)
 {
     place.target->start(service);
+    place.link->setListening(true);
     place.coldUntil = Millis{0};
     // At the start of the run the gateways start too, and nothing is cold.
     if (this->options.hasColdTargets && !this->gateways.empty()) {
@@ -402,6 +403,13 @@
     this->note("target " + place.target->life() + " of " + service + " started");
 }
 
+void SoakRun::Private::endTarget(TargetPlace &place)
+{
+    place.target->crash();
+    // A link that accepts connections to a target that is gone would vouch for its answers.
+    place.link->setListening(!this->options.hasUnframedAnswers);
+}
+
 void SoakRun::Private::coolDown(TargetPlace &place)
 {
     const std::string life = place.target->life();
@@ -512,7 +520,7 @@
         }
         this->unlistTarget(place);
         this->judge.disturbances().begin(SoakJudge::targetSubject(life), Millis::monotonicNow());
-        place.target->crash();
+        this->endTarget(place);
         this->after(reuseWait, [this, &place, service] { this->startTarget(place, service); });
     });
 }
@@ -523,7 +531,7 @@
     const std::string life = place.target->life();
     this->note("target " + life + " crashes");
     this->judge.disturbances().begin(SoakJudge::targetSubject(life), Millis::monotonicNow());
-    place.target->crash();
+    this->endTarget(place);
     this->after(listedFor, [this, &place] { this->unlistTarget(place); });
     this->after(listedFor + reuseWait, [this, &place, next] { this->startTarget(place, next); });
 }
--- a/lab/soak/soakrunprivate.h
+++ b/lab/soak/soakrunprivate.h
@@ -6,6 +6,7 @@
 //     run.during(span, {SoakJudge::storeSubject}, [&] { begin(); }, [&] { end(); });
 //     run.strike(fault);
 
+#include "lab/fleet/reservedport.h"
 #include "lab/soak/crashingcaller.h"
 #include "lab/soak/lastingcaller.h"
 #include "lab/soak/soakcaller.h"
@@ -47,6 +48,8 @@
     struct TargetPlace
     {
         std::unique_ptr<SoakTarget> target;
+        /** The link's port while it refuses connections. */
+        std::unique_ptr<ReservedPort> linkPort;
         std::unique_ptr<Relay> link;
         /** Its entry stands in the store. */
         bool isListed = false;
@@ -77,6 +80,8 @@
     void mayCut(std::size_t number, std::uint64_t life);
     void startGateway(std::size_t number);
     void startTarget(TargetPlace &place, const std::string &service);
+    /** The target's process ends: it closes its connections in order, and new ones are refused. */
+    void endTarget(TargetPlace &place);
     void listTarget(TargetPlace &place, bool isLeaving);
     void unlistTarget(TargetPlace &place);
     void leaveTarget(TargetPlace &place);
--- a/lab/soak/soaktarget.cpp
+++ b/lab/soak/soaktarget.cpp
@@ -1,6 +1,7 @@
 #include "lab/soak/soaktarget.h"
 
 #include "lab/soak/streamcheck.h"
+#include "sequoiausher/base/hashing.h"
 
 #include <algorithm>
 #include <utility>
@@ -22,6 +23,7 @@
 constexpr std::int64_t mostWorkMs = 60;
 constexpr Millis eventPause{25};
 constexpr std::int64_t slowTimes = 12;
+constexpr const char *closeField = "Connection: close\r\n";
 constexpr Millis never{1LL << 40};
 
 bool isStreamPath(const std::string &path)
@@ -51,6 +53,8 @@
     std::uint32_t lastEvent = 0;
     std::uint32_t breakAt = 0;
     bool hasBegun = false;
+    /** Its answer has neither a length nor chunks. */
+    bool isUnframed = false;
     bool isSilent = false;
     /** The gateway has closed the connection. */
     bool isGone = false;
@@ -120,6 +124,11 @@
     this->moodShare = share;
 }
 
+void SoakTarget::setUnframed(bool on)
+{
+    this->hasUnframedAnswers = on;
+}
+
 void SoakTarget::handle(const FakeRequest &request)
 {
     const Millis now = Millis::monotonicNow();
@@ -159,6 +168,7 @@
         work->isSilent = true;
     }
     work->isStream = isStreamPath(arrival.path);
+    work->isUnframed = this->hasUnframedAnswers && hash64(arrival.id + this->currentLife) % 2 == 0;
     std::uniform_int_distribution<std::int64_t> span(leastWorkMs, mostWorkMs);
     const std::int64_t times = work->mood == TargetMood::Slow ? slowTimes : 1;
     work->nextAt = now + Millis{span(this->random) * times};
@@ -250,7 +260,7 @@
         return;
     case TargetMood::Unframed:
         this->ended(work, RunEnd::Spoilt);
-        work.request.send(head + "Connection: close\r\n\r\n" + body.substr(0, body.size() / 2));
+        work.request.send(head + closeField + "\r\n" + body.substr(0, body.size() / 2));
         work.request.reset();
         return;
     case TargetMood::Foreign:
@@ -269,15 +279,20 @@
         break;
     }
     this->ended(work, RunEnd::Answered);
-    work.request.send(head + length + body);
+    if (work.isUnframed) {
+        work.request.send(head + closeField + "\r\n" + body);
+        work.request.close();
+    } else {
+        work.request.send(head + length + body);
+    }
 }
 
 bool SoakTarget::advanceStream(Work &work, Millis now)
 {
     if (!std::exchange(work.hasBegun, true)) {
         this->judge.made(this->currentLife + "." + work.order.attemptId + ".200", 200, "");
-        work.request.send("HTTP/1.1 200 OK\r\n" + this->fieldsOf(work, 200)
-                          + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        work.request.send("HTTP/1.1 200 OK\r\n" + this->fieldsOf(work, 200) + "Content-Type: text/event-stream\r\n"
+                          + (work.isUnframed ? closeField : "Transfer-Encoding: chunked\r\n") + "\r\n");
     }
     const bool breaks = work.mood == TargetMood::Mute || work.mood == TargetMood::Reset
         || work.mood == TargetMood::BreakOff || work.mood == TargetMood::Unframed;
@@ -286,18 +301,27 @@
         return work.isSilent;
     }
     if (work.nextEvent <= work.lastEvent) {
-        work.request.send(chunk(eventOf(work.order.attemptId, work.nextEvent, this->currentLife)));
+        sendPart(work, eventOf(work.order.attemptId, work.nextEvent, this->currentLife));
         work.nextEvent += 1;
     }
     if (work.nextEvent > work.lastEvent) {
         this->ended(work, RunEnd::Answered);
-        work.request.send("0\r\n\r\n");
+        if (work.isUnframed) {
+            work.request.close();
+        } else {
+            work.request.send("0\r\n\r\n");
+        }
         return false;
     }
     work.nextAt = now + eventPause * (work.mood == TargetMood::Slow ? slowTimes : 1);
     return true;
 }
 
+void SoakTarget::sendPart(const Work &work, const std::string &bytes)
+{
+    work.request.send(work.isUnframed ? bytes : chunk(bytes));
+}
+
 void SoakTarget::spoil(Work &work)
 {
     this->ended(work, RunEnd::Spoilt);
@@ -307,9 +331,10 @@
     }
     if (work.mood != TargetMood::Reset) {
         const std::string event = eventOf(work.order.attemptId, work.nextEvent, this->currentLife);
-        work.request.send(chunk(event.substr(0, event.size() / 2)));
+        sendPart(work, event.substr(0, event.size() / 2));
     }
-    if (work.mood == TargetMood::Unframed) {
+    const bool closes = work.mood == TargetMood::Unframed || (work.isUnframed && work.mood == TargetMood::BreakOff);
+    if (closes) {
         work.request.close();
     } else {
         work.request.reset();
--- a/lab/soak/soaktarget.h
+++ b/lab/soak/soaktarget.h
@@ -67,6 +67,8 @@
     std::uint32_t slots() const;
 
     void setMood(TargetMood mood, double share);
+    /** Whether half of its answers have neither a length nor chunks, and end with their connection. */
+    void setUnframed(bool on);
 
     /** A request ends it: called instead of crash(), which is left to whoever is told. */
     std::function<void()> ends;
@@ -78,6 +80,8 @@
     void tick(Millis now);
     bool advance(Work &work, Millis now);
     bool advanceStream(Work &work, Millis now);
+    /** Sends a part of a stream as its framing wants it. */
+    static void sendPart(const Work &work, const std::string &bytes);
     void spoil(Work &work);
     void answer(Work &work);
     void ended(const Work &work, RunEnd how);
@@ -93,6 +97,7 @@
     std::uint32_t lives = 0;
     TargetMood mood = TargetMood::Well;
     double moodShare = 0;
+    bool hasUnframedAnswers = false;
     std::unique_ptr<FakeServer> server;
     std::vector<std::unique_ptr<Work>> works;
     QTimer timer;
