Give callers of HTTP/1.0 streams without chunks, and a reset where these break off

What callers saw: nothing in the users' record, whose callers speak HTTP/1.1; found while looking for the same cause elsewhere. A caller of HTTP/1.0 got the marks of chunks within its stream, and a broken stream ended by an orderly close, which for it is the end of a whole one.

Change: for such a caller the close of the connection is the end of a stream, announced with Connection: close; one that breaks off is reset (CallerSide::abort()). The tests' caller takes an orderly close for the end of an answer without a length, as a real one does, so that it cannot overlook such an answer.

Evidence: the new case of brokenanswertest failed before (chunks within the body, StreamEnd::Finished after a break) and passes; brokenanswertest, calleranswertest, callerconnectiontest, gatewaynodetest, cutoffgatewaytest and tunneltest pass. What is left: the end of the gateway's own process closes in order, which a caller of HTTP/1.0 cannot tell from an end.

--- a/sequoiausher/transport/gateway/brokenanswertest.cpp
+++ b/sequoiausher/transport/gateway/brokenanswertest.cpp
@@ -274,3 +274,33 @@
     CHECK_FALSE(cut.isWhole);
     CHECK(cut.body == events(1, 1));
 }
+
+// Guards against callers of HTTP/1.0, who know no chunks, that get the marks of chunks within a stream, or cannot tell
+// one that broke off: for them the close of the connection is the end.
+TEST_CASE("a caller of HTTP/1.0 gets a stream without chunks, and a reset where it breaks off")
+{
+    BreakingBed bed;
+    bed.start();
+    const auto call = [&bed](const std::string &path) {
+        bed.runs = 0;
+        FakeCaller caller(bed.address());
+        caller.send("POST " + path + " HTTP/1.0\r\nHost: x\r\nX-Key: k1\r\nX-Id: id-1\r\nContent-Length: 0\r\n\r\n");
+        CHECK(GatewayTestbed::waitFor([&caller] { return caller.reply.hasEnded; }));
+        return caller.reply;
+    };
+    bed.breaks = [](const FakeRequest &request, const std::string &) {
+        sendStream(request, Framing::Chunks, events(1, lastEvent));
+    };
+    const CallerReply whole = call("/once/1");
+    CHECK(whole.isWhole);
+    CHECK_FALSE(whole.head.chunked);
+    CHECK(whole.body == events(1, lastEvent));
+    bed.breaks = [](const FakeRequest &request, const std::string &) {
+        const std::string torn = events(1, 2);
+        sendStream(request, Framing::Close, torn.substr(0, torn.size() - 1));
+    };
+    const CallerReply broken = call("/once/2");
+    CHECK(broken.status == 200);
+    CHECK_FALSE(broken.isWhole);
+    CHECK(broken.end == StreamEnd::Reset);
+}
--- a/sequoiausher/transport/gateway/calleranswer.cpp
+++ b/sequoiausher/transport/gateway/calleranswer.cpp
@@ -82,12 +82,21 @@
     if (!this->isAnswerBegun) {
         this->beginStream();
     }
-    this->caller.write(chunkOf(std::exchange(this->part, std::string())));
+    this->writePart(std::exchange(this->part, std::string()));
     if (this->isEventStream() && this->caller.pendingBytes() > pauseBytes && !this->isPaused) {
         this->isPaused = this->source.setReading(false);
     }
 }
 
+void CallerAnswer::writePart(std::string_view bytes)
+{
+    if (this->endsWithConnection()) {
+        this->caller.write(bytes);
+    } else {
+        this->caller.write(chunkOf(bytes));
+    }
+}
+
 void CallerAnswer::callerDrained()
 {
     if (this->isPaused && this->source.setReading(true)) {
@@ -115,8 +124,11 @@
 {
     this->isAnswerBegun = true;
     this->statusGiven = this->answerHead.status;
-    std::string bytes = this->headLine(this->answerHead) + "Transfer-Encoding: chunked\r\n";
-    this->hasAnnouncedClose = this->mustClose();
+    std::string bytes = this->headLine(this->answerHead);
+    if (!this->endsWithConnection()) {
+        bytes += "Transfer-Encoding: chunked\r\n";
+    }
+    this->hasAnnouncedClose = this->mustClose() || this->endsWithConnection();
     bytes += connectionFields(this->connectionFate(this->hasAnnouncedClose)) + "\r\n";
     this->caller.write(bytes);
 }
@@ -124,9 +136,11 @@
 void CallerAnswer::endStream()
 {
     if (!this->cutter.rest().empty()) {
-        this->caller.write(chunkOf(this->cutter.rest()));
+        this->writePart(this->cutter.rest());
+    }
+    if (!this->endsWithConnection()) {
+        this->caller.write(lastChunk);
     }
-    this->caller.write(lastChunk);
 }
 
 void CallerAnswer::writeHeld()
@@ -206,6 +220,12 @@
     return this->cutter.eventCount();
 }
 
+bool CallerAnswer::endsWithConnection() const
+{
+    constexpr int firstVersionWithChunks = 11;
+    return this->head.version < firstVersionWithChunks;
+}
+
 int CallerAnswer::status() const
 {
     return this->statusGiven;
--- a/sequoiausher/transport/gateway/calleranswer.h
+++ b/sequoiausher/transport/gateway/calleranswer.h
@@ -33,6 +33,8 @@
     virtual void finished(bool closes) = 0;
     /** Closes the connection before the end of the answer, in such a way that the answer does not look complete. */
     virtual void cutOff() = 0;
+    /** The same for an answer whose end is the close of its connection: resets the connection. */
+    virtual void abort() = 0;
     virtual std::size_t pendingBytes() const = 0;
     /** The number of the connection in log lines. */
     virtual std::uint64_t connectionNumber() const = 0;
@@ -93,6 +95,8 @@
     /** The id of the last event that was written to the caller. */
     const std::string &lastEventId() const;
     std::uint64_t eventCount() const;
+    /** Whether the close of the caller's connection is the end of a stream, since the caller knows no chunks. */
+    bool endsWithConnection() const;
     /** The status that was written to the caller; 0 before the head. */
     int status() const;
     /** Whether the head that was written announced that the connection closes after the answer. */
@@ -100,6 +104,7 @@
 
 private:
     void beginStream();
+    void writePart(std::string_view bytes);
     std::string headLine(const HttpHead &given) const;
     bool mustClose() const;
     ConnectionFate connectionFate(bool closes) const;
--- a/sequoiausher/transport/gateway/calleranswertest.cpp
+++ b/sequoiausher/transport/gateway/calleranswertest.cpp
@@ -24,6 +24,9 @@
     void cutOff() override
     {
     }
+    void abort() override
+    {
+    }
     std::size_t pendingBytes() const override
     {
         return this->pending;
--- a/sequoiausher/transport/gateway/callerconnection.cpp
+++ b/sequoiausher/transport/gateway/callerconnection.cpp
@@ -169,6 +169,13 @@
     this->closeGently(CloseReason::CutOff);
 }
 
+void CallerConnection::abort()
+{
+    this->dropExchange();
+    this->over(CloseReason::CutOff);
+    this->stream->reset();
+}
+
 std::uint64_t CallerConnection::connectionNumber() const
 {
     return this->number;
--- a/sequoiausher/transport/gateway/callerconnection.h
+++ b/sequoiausher/transport/gateway/callerconnection.h
@@ -75,6 +75,7 @@
     void write(std::string_view bytes) override;
     void finished(bool closes) override;
     void cutOff() override;
+    void abort() override;
     std::size_t pendingBytes() const override;
     std::uint64_t connectionNumber() const override;
 
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -388,7 +388,11 @@
         this->forwardHeld(now);
         return;
     case NextStep::CutOff:
-        this->caller.cutOff();
+        if (this->answer.endsWithConnection()) {
+            this->caller.abort();
+        } else {
+            this->caller.cutOff();
+        }
         this->finish(Outcome::Broken, "cut-off");
         return;
     }
--- a/sequoiausher/transport/stream/fakehttp.cpp
+++ b/sequoiausher/transport/stream/fakehttp.cpp
@@ -183,6 +183,10 @@
 
 void FakeCaller::ended(StreamEnd how)
 {
+    if (how == StreamEnd::Finished) {
+        this->reader.finish();
+        this->reply.isWhole = this->reader.isComplete();
+    }
     this->reply.end = how;
     this->reply.hasEnded = true;
     if (this->changed) {
