Keep and log the software version of each target

Nothing of the gateway knew which software version a target runs: the platform's adapter read it and dropped it, so logs could not tell how many streams went on at another version, nor by which way.

Gateways tell each other versions with their lists. A gateway of the last release refuses a list with a key that it does not know, so the versions go only to gateways whose reports say that they read them (GatewayReport::readsVersions); targetstexttest has that case. No decision reads the version yet.

--- a/lab/soak/soakrunprivate.cpp
+++ b/lab/soak/soakrunprivate.cpp
@@ -372,6 +372,7 @@
     entry.id.value = place.target->life();
     entry.service.value = place.target->service();
     entry.address = toText(place.link->listening());
+    entry.softwareVersion = "v1";
     entry.dataCentre = place.dataCentre;
     entry.slots = place.target->slots();
     entry.isLeaving = isLeaving;
--- a/sequoiausher/coordination/gateway/gatewayconfiguration.h
+++ b/sequoiausher/coordination/gateway/gatewayconfiguration.h
@@ -154,6 +154,8 @@
     Millis bornAt;
     /** How much longer the target stayed cold when its entry was written; 0 for a warm target. */
     Millis coldFor;
+    /** The version of the software that this incarnation runs until its end; empty where it is not known. */
+    std::string softwareVersion;
 
     bool operator==(const GatewayTarget &) const = default;
 };
--- a/sequoiausher/coordination/messages/gatewaymessages.h
+++ b/sequoiausher/coordination/messages/gatewaymessages.h
@@ -139,6 +139,8 @@
     std::vector<GatewayEvacuation> evacuations;
     /** The targets that are cold as far as the sender knows. */
     std::vector<GatewayColdTarget> coldTargets;
+    /** The sender reads the software versions in lists of targets. */
+    bool readsVersions = false;
 
     bool operator==(const GatewayReport &) const = default;
 };
--- a/sequoiausher/protocol/codec/framereader.cpp
+++ b/sequoiausher/protocol/codec/framereader.cpp
@@ -646,6 +646,7 @@
     report.strength = m->strength();
     report.isSettled = m->settled();
     report.storeEra = m->store_era();
+    report.readsVersions = m->reads_versions();
     // A gateway of an earlier version tells nobody's data centre.
     report.dataCentre.value = m->data_centre() != nullptr ? m->data_centre()->str() : std::string();
     const std::size_t dataCentres = this->sizeOf(m->member_data_centres());
--- a/sequoiausher/protocol/codec/framewriter.cpp
+++ b/sequoiausher/protocol/codec/framewriter.cpp
@@ -488,7 +488,8 @@
                                                              crashesAt,
                                                              m.evacuationsDigest,
                                                              evacuationsAt,
-                                                             coldTargetsAt));
+                                                             coldTargetsAt,
+                                                             m.readsVersions));
 }
 
 // Without the order, a router of the first version would not see the messages of a kind that it does not know.
--- a/sequoiausher/protocol/codec/messagegenerators.cpp
+++ b/sequoiausher/protocol/codec/messagegenerators.cpp
@@ -192,7 +192,8 @@
                        m.crashes,
                        m.evacuationsDigest,
                        m.evacuations,
-                       m.coldTargets);
+                       m.coldTargets,
+                       m.readsVersions);
 
 #undef SEQUOIAUSHER_ARBITRARY
 
--- a/sequoiausher/protocol/gateway/targetstext.cpp
+++ b/sequoiausher/protocol/gateway/targetstext.cpp
@@ -23,6 +23,7 @@
     target.dataCentre.value = section.text("data_centre").value_or("");
     target.slots = static_cast<std::uint32_t>(section.integer("slots", {0, mostSlots, "requests"}).value_or(1));
     target.isLeaving = section.integer("leaving", {0, 1, ""}).value_or(0) != 0;
+    target.softwareVersion = section.text("version").value_or("");
     target.bornAt = Millis{section.integer("born_ms", {0, latestBirth, "ms"}).value_or(0)};
     if (!target.id.value.ends_with(incarnationId({}, target.bornAt).value)) {
         throw Error(Step::Decode, target.id.value, "the id is not of the life that began at born_ms");
@@ -57,7 +58,7 @@
 
 } // namespace
 
-std::string toText(const std::vector<GatewayTarget> &targets)
+std::string toText(const std::vector<GatewayTarget> &targets, TargetsFormat format)
 {
     std::string text;
     std::size_t number = 0;
@@ -73,6 +74,9 @@
         if (target.bornAt != Millis{0}) {
             text += "\nborn_ms = " + std::to_string(target.bornAt.count);
         }
+        if (format == TargetsFormat::Versioned && !target.softwareVersion.empty()) {
+            text += "\nversion = " + target.softwareVersion;
+        }
         text += "\n";
     }
     return text;
@@ -89,7 +93,7 @@
     return targets;
 }
 
-std::string toText(const TargetChanges &changes)
+std::string toText(const TargetChanges &changes, TargetsFormat format)
 {
     std::string text
         = "[changes]\nfrom = " + std::to_string(changes.from) + "\nto = " + std::to_string(changes.to) + "\n";
@@ -98,7 +102,7 @@
         number += 1;
         text += "[gone " + std::to_string(number) + "]\nid = " + gone.value + "\n";
     }
-    return text + toText(changes.written);
+    return text + toText(changes.written, format);
 }
 
 TargetChanges parseTargetChanges(const std::string &text, const std::string &from)
--- a/sequoiausher/protocol/gateway/targetstexttest.cpp
+++ b/sequoiausher/protocol/gateway/targetstexttest.cpp
@@ -24,6 +24,20 @@
     CHECK_THROWS_AS(parseTargetsText("[target 1]\nid = i-7f3a\nborn_ms = 5\n", "p"), Error);
 }
 
+// Guards against gateways of the last release, which read no list with a key that they do not know, and so would miss
+// that targets leave.
+TEST_CASE("software versions are written only for gateways that read them")
+{
+    std::vector<GatewayTarget> targets{
+        {TargetId{"i-7f3a"}, PoolId{"desk"}, "10.0.0.1:80", DataCentreId{"hall-a"}, 6, false}};
+    targets[0].softwareVersion = "v1.2";
+    CHECK(parseTargetsText(toText(targets), "p") == targets);
+    CHECK(toText(targets, TargetsFormat::Plain).find("version") == std::string::npos);
+    const TargetChanges changes{7, 12, targets, {}};
+    CHECK(parseTargetChanges(toText(changes), "p") == changes);
+    CHECK(toText(changes, TargetsFormat::Plain).find("version") == std::string::npos);
+}
+
 TEST_CASE("changes of a list come back as they were written")
 {
     const TargetChanges changes{7,
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -105,8 +105,11 @@
     /** @param has the position up to which the peer's list of targets is complete. */
     void pushTo(const InstanceId &peer, const GatewayReport &report, Revision has, Millis now);
     void pushTargets(const InstanceId &peer, Revision has, Millis now);
-    /** The document for peers whose lists are complete up to has; it is the same for most peers, so it is cached. */
-    const Document &targetsFrom(Revision has);
+    /**
+     * The document in the format for peers whose lists are complete up to has; it is the same for most peers, so it is
+     * cached.
+     */
+    const Document &targetsFrom(Revision has, TargetsFormat format);
     void push(const InstanceId &peer, Document document, Millis now);
     void followPeers();
     /** Records when this gateway learnt of changes of targets. */
@@ -135,8 +138,10 @@
     std::map<std::pair<InstanceId, std::string>, Pushed> pushed;
     Revision packedRevision = 0;
     std::string packedConfiguration;
-    /** By the position from which each document leads to the current list. */
-    std::map<Revision, Document> packedTargets;
+    /** By the position from which each document leads to the current list, and its format. */
+    std::map<std::pair<Revision, TargetsFormat>, Document> packedTargets;
+    /** What each peer reads, by its last report. */
+    std::map<InstanceId, TargetsFormat> formats;
     Revision packedTargetsAt = 0;
     Millis packedExpiryAt;
     std::deque<KnownChange> knownChanges;
@@ -240,6 +245,7 @@
     report.placements = this->context.parts.takeUpdates(peer, scope);
     this->addEvacuations(report, peer);
     report.coldTargets = this->context.board.coldTargets(now);
+    report.readsVersions = true;
     if (!report.isHub) {
         report.loads = this->context.board.ownLoads(now);
         report.members = directory.hasHubs(now) ? std::vector<GatewayMember>() : directory.members(now);
@@ -305,6 +311,7 @@
     this->context.board.recordPeerCold(report.coldTargets, now);
     const bool hasSameEvacuations = this->receiveEvacuations(from, report, targets);
     this->context.peers.recordReport(from, report, now);
+    this->formats[from] = report.readsVersions ? TargetsFormat::Versioned : TargetsFormat::Plain;
     this->context.freshness.recordPeerProof(report.configuration, report.proofAge, report.echo);
     const bool isHub = this->context.peers.isHub(now);
     if (report.isHub && !isHub) {
@@ -394,10 +401,10 @@
     if (isUncertain || (!isBehind && !lacksExpiry)) {
         return;
     }
-    this->push(peer, this->targetsFrom(has), now);
+    this->push(peer, this->targetsFrom(has, this->formats[peer]), now);
 }
 
-const Document &GatewayPeers::Private::targetsFrom(Revision has)
+const Document &GatewayPeers::Private::targetsFrom(Revision has, TargetsFormat format)
 {
     const TargetList &list = this->known.targets;
     if (this->packedTargetsAt != list.shareableRevision() || this->packedExpiryAt != list.lastExpiryAt()) {
@@ -405,13 +412,13 @@
         this->packedExpiryAt = list.lastExpiryAt();
         this->packedTargets.clear();
     }
-    const auto [entry, isNew] = this->packedTargets.try_emplace(has);
+    const auto [entry, isNew] = this->packedTargets.try_emplace({has, format});
     if (isNew) {
         const std::optional<TargetChanges> changes = list.findChangesSince(has);
         // Changes never lead from one era into another.
         const std::string text = changes
-            ? toText({revisionOf(changes->from), revisionOf(changes->to), changes->written, changes->gone})
-            : toText(list.targets());
+            ? toText({revisionOf(changes->from), revisionOf(changes->to), changes->written, changes->gone}, format)
+            : toText(list.targets(), format);
         const Revision at = list.shareableRevision();
         entry->second
             = {changes ? targetChangesDocument : targetsDocument, revisionOf(at), packed(text), false, eraOf(at)};
--- a/sequoiausher/transport/gateway/gatewaytestbed.cpp
+++ b/sequoiausher/transport/gateway/gatewaytestbed.cpp
@@ -69,7 +69,7 @@
     } else {
         GatewayTarget target;
         target.id.value = first;
-        lines >> target.service.value >> target.address >> target.dataCentre.value;
+        lines >> target.service.value >> target.address >> target.dataCentre.value >> target.softwareVersion;
         event.target = target;
     }
     return true;
@@ -344,13 +344,17 @@
     const auto path = this->paths.find(name);
     const bool isPath = forFirstGateway && path != this->paths.end();
     return name + " " + this->content.services.at(name) + " "
-        + (isPath ? path->second->address() : this->addresses.at(name)) + " " + this->dataCentres.at(name) + "\n";
+        + (isPath ? path->second->address() : this->addresses.at(name)) + " " + this->dataCentres.at(name) + " "
+        + this->versions.at(name) + "\n";
 }
 
-FakeServer &
-GatewayTestbed::addTarget(const std::string &name, const std::string &service, const std::string &dataCentre)
+FakeServer &GatewayTestbed::addTarget(const std::string &name,
+                                      const std::string &service,
+                                      const std::string &dataCentre,
+                                      const std::string &version)
 {
     this->dataCentres[name] = dataCentre;
+    this->versions[name] = version;
     this->targets[name] = std::make_unique<FakeServer>();
     this->targets[name]->ownFields = signedFields;
     this->addresses[name] = this->targets[name]->address();
--- a/sequoiausher/transport/gateway/gatewaytestbed.h
+++ b/sequoiausher/transport/gateway/gatewaytestbed.h
@@ -31,7 +31,10 @@
     GatewayTestbed();
     ~GatewayTestbed();
 
-    FakeServer &addTarget(const std::string &name, const std::string &service, const std::string &dataCentre = "a");
+    FakeServer &addTarget(const std::string &name,
+                          const std::string &service,
+                          const std::string &dataCentre = "a",
+                          const std::string &version = "v1");
     /** The first gateway reaches the target over a path that can be cut; its neighbour reaches it directly. */
     FakePath &addPath(const std::string &name);
     void removeTarget(const std::string &name);
@@ -125,6 +128,7 @@
     /** Where each target listens, or listened. */
     std::map<std::string, std::string> addresses;
     std::map<std::string, std::string> dataCentres;
+    std::map<std::string, std::string> versions;
     Content content;
     Content copy;
     int era = 1;
