Go on with a stream only at the software version that began it, within an answer

What callers saw: streams with events of two software versions. This is the first of two ways to it: a target breaks off, and the gateway goes on at another one within the same answer.

Cause: the choice of a target knew no versions.

Change: the version of the target that brought the first event is a criterion of each later choice (TargetCriteria::softwareVersion); others are passed over for the reason 'version'. A target's version is that of its entry, which holds for its whole life, so nothing can be out of date. Where no target of it is left, the answer is cut off as after any other break that nobody can mend. Targets that are only doubtful are used for a stream that has no others, where one of another version would not help it.

--- a/sequoiausher/coordination/gateway/targetboard.cpp
+++ b/sequoiausher/coordination/gateway/targetboard.cpp
@@ -145,11 +145,20 @@
         return *created;
     }
 
+    EligibilityCriteria eligibilityOf(const TargetCriteria &criteria) const
+    {
+        return {
+            criteria.excluded, criteria.allowedRegions, this->coldLimit, this->brittleLimit, criteria.softwareVersion};
+    }
+
+    using Reasons = std::vector<std::optional<Ineligibility>>;
     /**
      * Whether most of the targets that accept requests fail or are full. Then the cause is not in the targets alone,
-     * and passing them over would overload the rest.
+     * and passing them over would overload the rest. For a request that only one software version can serve, only the
+     * targets that it could still go to count, since it has no others.
      */
-    static bool isMajorityDoubtful(const std::vector<TargetState *> &candidates, Millis now);
+    static bool
+    isMajorityDoubtful(const std::vector<TargetState *> &candidates, const Reasons &reasons, bool isBound, Millis now);
     /** Takes cold targets out of the choice if any other target is usable. */
     static void passOverCold(const std::vector<TargetState *> &candidates,
                              PoolLoad &load,
@@ -337,14 +346,18 @@
     this->d->otherGateways = count;
 }
 
-bool TargetBoard::Private::isMajorityDoubtful(const std::vector<TargetState *> &candidates, Millis now)
+bool TargetBoard::Private::isMajorityDoubtful(const std::vector<TargetState *> &candidates,
+                                              const Reasons &reasons,
+                                              bool isBound,
+                                              Millis now)
 {
     std::size_t accepting = 0;
     std::size_t doubtful = 0;
-    for (const TargetState *state : candidates) {
-        const bool isAccepting = now >= state->backoffUntil;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const bool isCounted = !isBound || !reasons[i] || isDisregardable(*reasons[i]);
+        const bool isAccepting = now >= candidates[i]->backoffUntil && isCounted;
         accepting += isAccepting ? 1 : 0;
-        doubtful += isAccepting && isDoubtful(*state, now) ? 1 : 0;
+        doubtful += isAccepting && isDoubtful(*candidates[i], now) ? 1 : 0;
     }
     return doubtful * 2 > accepting;
 }
@@ -379,10 +392,10 @@
                                       IneligibilityCounts &passedOver,
                                       Millis now) const
 {
-    const EligibilityCriteria asked{criteria.excluded, criteria.allowedRegions, this->coldLimit, this->brittleLimit};
+    const EligibilityCriteria asked = this->eligibilityOf(criteria);
     PoolLoad load;
     load.targets.reserve(candidates.size());
-    std::vector<std::optional<Ineligibility>> reasons;
+    Reasons reasons;
     reasons.reserve(candidates.size());
     for (const TargetState *state : candidates) {
         const std::optional<Ineligibility> &reason = reasons.emplace_back(findIneligibility(*state, asked, now));
@@ -394,7 +407,7 @@
         const std::uint32_t estimated = selector.estimateInFlight(*state) + this->estimateUnreportedRequests(*state);
         load.targets.push_back({state->target.id, state->hash, estimated, state->inFlight(), !reason});
     }
-    if (isMajorityDoubtful(candidates, now)) {
+    if (isMajorityDoubtful(candidates, reasons, criteria.softwareVersion.has_value(), now)) {
         for (std::size_t i = 0; i < candidates.size(); ++i) {
             load.targets[i].usable = !reasons[i] || isDisregardable(*reasons[i]);
         }
@@ -434,8 +447,7 @@
 
 IneligibilityCounts TargetBoard::countIneligible(const TargetCriteria &criteria, Millis now) const
 {
-    const EligibilityCriteria asked{
-        criteria.excluded, criteria.allowedRegions, this->d->coldLimit, this->d->brittleLimit};
+    const EligibilityCriteria asked = this->d->eligibilityOf(criteria);
     IneligibilityCounts counts;
     for (const auto &[id, state] : this->d->targets) {
         if (state.target.service == criteria.service) {
--- a/sequoiausher/coordination/gateway/targetboard.h
+++ b/sequoiausher/coordination/gateway/targetboard.h
@@ -54,6 +54,8 @@
     /** Targets to which the request was sent before. */
     std::vector<TargetId> excluded;
     AllowedRegions allowedRegions;
+    /** The software version of the target, for a stream that it began; none for any. */
+    std::optional<std::string> softwareVersion;
 };
 
 /** A chosen target and the figures that decided the choice. */
--- a/sequoiausher/coordination/gateway/targetboardtest.cpp
+++ b/sequoiausher/coordination/gateway/targetboardtest.cpp
@@ -489,3 +489,34 @@
         }
     }
 }
+
+// Guards against a stream that is cut off although a target of its software version is there, since that target counts
+// as failing and others, which cannot go on with the stream, do not.
+TEST_CASE("a request bound to a software version goes to a target of it, also where only doubtful ones are left")
+{
+    std::vector<GatewayTarget> targets = twelveTargets();
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        targets[i].softwareVersion = i < 2 ? "v1" : "v2";
+    }
+    TargetBoard board(1);
+    const Millis now{1000};
+    board.setTargets(targets, now);
+    TargetCriteria criteria = criteriaFor(1);
+    criteria.softwareVersion = "v1";
+    for (int i = 0; i < 20; ++i) {
+        for (std::size_t failing = 0; failing < 2; ++failing) {
+            board.recordStart(targets[failing].id, now);
+            board.recordEnd(targets[failing].id, TargetOutcome::Lost, now);
+        }
+    }
+    for (std::uint64_t part = 1; part < 20; ++part) {
+        CHECK(board.choose(criteriaFor(part), now)->target.softwareVersion == "v2");
+    }
+    REQUIRE(board.choose(criteria, now));
+    CHECK(board.choose(criteria, now)->target.softwareVersion == "v1");
+    criteria.excluded = {targets[0].id};
+    REQUIRE(board.choose(criteria, now));
+    CHECK(board.choose(criteria, now)->target.id == targets[1].id);
+    criteria.excluded = {targets[0].id, targets[1].id};
+    CHECK_FALSE(board.choose(criteria, now));
+}
--- a/sequoiausher/coordination/gateway/targeteligibility.cpp
+++ b/sequoiausher/coordination/gateway/targeteligibility.cpp
@@ -63,6 +63,9 @@
     if (!isAllowed(criteria.allowedRegions, target.region)) {
         return Ineligibility::Region;
     }
+    if (criteria.softwareVersion && *criteria.softwareVersion != target.target.softwareVersion) {
+        return Ineligibility::Version;
+    }
     const std::vector<TargetId> &excluded = criteria.excluded;
     if (std::find(excluded.begin(), excluded.end(), target.target.id) != excluded.end()) {
         return Ineligibility::Tried;
--- a/sequoiausher/coordination/gateway/targeteligibility.h
+++ b/sequoiausher/coordination/gateway/targeteligibility.h
@@ -30,6 +30,8 @@
     Evacuated,
     /** The request must not leave its allowed regions, and the target is in another one. */
     Region,
+    /** The request goes on with a stream that another software version began. */
+    Version,
     /** The request was sent to the target before. */
     Tried,
     /** The target asked for no requests for a while. */
@@ -50,6 +52,7 @@
     {Ineligibility::Leaving, "leaving"},
     {Ineligibility::Evacuated, "evacuated"},
     {Ineligibility::Region, "region"},
+    {Ineligibility::Version, "version"},
     {Ineligibility::Tried, "tried"},
     {Ineligibility::Backoff, "backoff"},
     {Ineligibility::Cold, "cold"},
@@ -68,6 +71,8 @@
     ColdTargetLimit *coldLimit = nullptr;
     /** How many rejections a target bears; none for any number. */
     BrittleTargetLimit *brittleLimit = nullptr;
+    /** The software version of the target; none for any. */
+    std::optional<std::string> softwareVersion;
 };
 
 /**
--- a/sequoiausher/coordination/gateway/targeteligibilitytest.cpp
+++ b/sequoiausher/coordination/gateway/targeteligibilitytest.cpp
@@ -53,6 +53,7 @@
              state.region = RegionId{"west"};
              criteria.allowedRegions = {{RegionId{"north"}}};
          }},
+        {Ineligibility::Version, [](TargetState &, EligibilityCriteria &criteria) { criteria.softwareVersion = "v2"; }},
         {Ineligibility::Tried,
          [](TargetState &state, EligibilityCriteria &criteria) { criteria.excluded = {state.target.id}; }},
         {Ineligibility::Backoff,
@@ -109,6 +110,20 @@
     }
 }
 
+TEST_CASE("a target is asked for its software version only where one is required")
+{
+    TargetState state = soundTarget();
+    for (const char *version : {"v1", "v1.1", ""}) {
+        state.target.softwareVersion = version;
+        EligibilityCriteria criteria;
+        CHECK_FALSE(findIneligibility(state, criteria, now));
+        criteria.softwareVersion = version;
+        CHECK_FALSE(findIneligibility(state, criteria, now));
+        criteria.softwareVersion = "another";
+        CHECK(findIneligibility(state, criteria, now) == Ineligibility::Version);
+    }
+}
+
 TEST_CASE("a cold target gets its share in each second, and a warm one is not limited")
 {
     TargetState state = soundTarget();
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -132,6 +132,8 @@
     std::shared_ptr<const bool> life = std::make_shared<const bool>(true);
 
     CallerAnswer answer;
+    /** The software version that began the stream; none before its first event. */
+    std::optional<std::string> streamVersion;
     Millis firstPartAt;
     Millis lastPartAt;
     /** The request waits until the gateway is ready. */
@@ -231,6 +233,7 @@
     criteria.requestHash = hash64(this->admitted.request.attemptId, this->attempts.targetsUsed() + 1);
     criteria.excluded = this->attempts.tried();
     criteria.allowedRegions = this->admitted.allowedRegions;
+    criteria.softwareVersion = this->streamVersion;
     return criteria;
 }
 
@@ -484,6 +487,7 @@
     }
     if (this->d->answer.isEventStream()) {
         this->d->recordFirstPart(now);
+        this->d->streamVersion = this->d->chosen.target.softwareVersion;
     } else {
         this->d->attempts.markAnswerNotResumable();
     }
