Go on with a stream that its caller takes up only at the version that began it

What callers saw: streams with events of two software versions.

Cause: the named attempt was not read, and no gateway but the one that had the stream knew its target.

Change: StreamOrigins. With the first event the gateway records the service and the version of its target under the organisation and the attempt, and tells three other gateways, the first ones of the attempt's rendezvous order. Whoever is asked to go on with a stream looks there, or asks those that may have been told. An origin is told once, by who sent the first event, and never changes; so a copy is right for as long as it is kept, and what can be missing is a copy, which makes a refusal and never a mistake. Where nothing was recorded, the stream goes on only if all targets of the service have had one version for longer than the stream can be old, by the lists of this gateway and of those that answered, none of which has seen several (VersionHistory). Otherwise the caller is refused at once, not run, and told when to come back. Memory: an origin is kept for as long as its caller waits, 65,536 at most. Gateways of the last release skip the message, whose kind they do not know.

--- a/sequoiausher/coordination/messages/peermessage.h
+++ b/sequoiausher/coordination/messages/peermessage.h
@@ -14,6 +14,7 @@
 #include "sequoiausher/coordination/messages/documentmessages.h"
 #include "sequoiausher/coordination/messages/gatewaymessages.h"
 #include "sequoiausher/coordination/messages/membershipmessages.h"
+#include "sequoiausher/coordination/messages/streamoriginmessages.h"
 
 #include <variant>
 #include <vector>
@@ -44,7 +45,8 @@
                                  HoldingsAnswer,
                                  AnswerPage,
                                  AnswerPageAck,
-                                 GatewayReport>;
+                                 GatewayReport,
+                                 GatewayStreamOrigin>;
 
 /** A message to be sent to one instance. */
 struct Outgoing
--- a/sequoiausher/protocol/codec/framereader.cpp
+++ b/sequoiausher/protocol/codec/framereader.cpp
@@ -118,6 +118,7 @@
     std::optional<PeerMessage> answerPage();
     std::optional<PeerMessage> answerPageAck();
     std::optional<PeerMessage> gatewayReport();
+    std::optional<PeerMessage> gatewayStreamOrigin();
 
     [[noreturn]] void refuse(const std::string &reason) const;
     /** Refuses a vector whose items are not aligned; every other access to a vector comes after this one. */
@@ -286,7 +287,8 @@
                                                               &Private::holdingsAnswer,
                                                               &Private::answerPage,
                                                               &Private::answerPageAck,
-                                                              &Private::gatewayReport};
+                                                              &Private::gatewayReport,
+                                                              &Private::gatewayStreamOrigin};
     if (kind >= reads.size() || reads.at(kind) == nullptr) {
         return std::nullopt;
     }
@@ -688,6 +690,22 @@
     return report;
 }
 
+std::optional<PeerMessage> FrameReader::Private::gatewayStreamOrigin()
+{
+    const auto *m = this->take(MessageKind::GatewayStreamOrigin, this->frame.gateway_stream_origins());
+    const auto purpose = enumOf<StreamOriginPurpose>(m->purpose());
+    const auto kind = enumOf<OriginFindingKind>(m->kind());
+    if (!purpose.has_value() || !kind.has_value()) {
+        return std::nullopt;
+    }
+    GatewayStreamOrigin origin;
+    origin.purpose = *purpose;
+    origin.key = {m->caller(), m->attempt()};
+    origin.finding = {*kind, PoolId{this->name(m->service())}, this->name(m->version())};
+    origin.span = spanOf(m->span());
+    return origin;
+}
+
 FrameReader::FrameReader(const Wire::Frame &verified, std::string peer)
     : d(std::make_unique<Private>(verified, std::move(peer)))
 {
--- a/sequoiausher/protocol/codec/framewriter.cpp
+++ b/sequoiausher/protocol/codec/framewriter.cpp
@@ -72,6 +72,7 @@
     void add(const AnswerPage &m);
     void add(const AnswerPageAck &m);
     void add(const GatewayReport &m);
+    void add(const GatewayStreamOrigin &m);
 
     std::string finish();
 
@@ -123,6 +124,7 @@
     std::vector<Offset<Wire::AnswerPage>> answerPages;
     std::vector<Wire::AnswerPageAck> answerPageAcks;
     std::vector<Offset<Wire::GatewayReport>> gatewayReports;
+    std::vector<Wire::GatewayStreamOrigin> gatewayStreamOrigins;
 };
 
 std::uint16_t FrameWriter::Private::index(const std::string &name)
@@ -492,6 +494,17 @@
                                                              m.readsVersions));
 }
 
+void FrameWriter::Private::add(const GatewayStreamOrigin &m)
+{
+    this->gatewayStreamOrigins.emplace_back(m.key.caller,
+                                            m.key.attempt,
+                                            wireSpan(m.span),
+                                            this->index(m.finding.service.value),
+                                            this->index(m.finding.softwareVersion),
+                                            wireEnum(m.purpose),
+                                            wireEnum(m.finding.kind));
+}
+
 // Without the order, a router of the first version would not see the messages of a kind that it does not know.
 bool FrameWriter::Private::needsOrder() const
 {
@@ -536,6 +549,7 @@
         this->prefixHashes.begin(), this->prefixHashes.end(), [](std::uint64_t hash) { return hash != 0; });
     const auto prefixHashesAt = hasPrefixes ? this->scalars(this->prefixHashes) : 0;
     const auto gatewayReportsAt = this->tables(this->gatewayReports);
+    const auto gatewayStreamOriginsAt = this->structs(this->gatewayStreamOrigins);
     this->builder.Finish(Wire::CreateFrame(this->builder,
                                            claimRequestsAt,
                                            claimVotesAt,
@@ -567,7 +581,8 @@
                                            answerPagesAt,
                                            answerPageAcksAt,
                                            prefixHashesAt,
-                                           gatewayReportsAt));
+                                           gatewayReportsAt,
+                                           gatewayStreamOriginsAt));
     const auto *data = reinterpret_cast<const char *>(this->builder.GetBufferPointer());
     return {data, this->builder.GetSize()};
 }
--- a/sequoiausher/protocol/codec/messagegenerators.cpp
+++ b/sequoiausher/protocol/codec/messagegenerators.cpp
@@ -194,6 +194,9 @@
                        m.evacuations,
                        m.coldTargets,
                        m.readsVersions);
+SEQUOIAUSHER_ARBITRARY(StreamKey, m.caller, m.attempt);
+SEQUOIAUSHER_ARBITRARY(OriginFinding, m.kind, m.service, m.softwareVersion);
+SEQUOIAUSHER_ARBITRARY(GatewayStreamOrigin, m.purpose, m.key, m.finding, m.span);
 
 #undef SEQUOIAUSHER_ARBITRARY
 
--- a/sequoiausher/protocol/codec/messagekind.cpp
+++ b/sequoiausher/protocol/codec/messagekind.cpp
@@ -108,6 +108,10 @@
     {
         return MessageKind::GatewayReport;
     }
+    MessageKind operator()(const GatewayStreamOrigin & /*message*/) const
+    {
+        return MessageKind::GatewayStreamOrigin;
+    }
 };
 
 std::size_t sizeOf(const std::string &text)
@@ -275,6 +279,10 @@
     {
         return sizeOfAll(message.members) + sizeOfAll(message.loads) + sizeOfAll(message.placements);
     }
+    std::size_t operator()(const GatewayStreamOrigin &message) const
+    {
+        return sizeof message + message.finding.service.value.size() + message.finding.softwareVersion.size();
+    }
 };
 
 } // namespace
--- a/sequoiausher/protocol/codec/messagekind.h
+++ b/sequoiausher/protocol/codec/messagekind.h
@@ -40,6 +40,7 @@
     AnswerPage = 23,
     AnswerPageAck = 24,
     GatewayReport = 25,
+    GatewayStreamOrigin = 26,
 };
 
 template<>
@@ -56,11 +57,11 @@
     {MessageKind::AttachEnd, "attach-end"},           {MessageKind::AttachCancel, "attach-cancel"},
     {MessageKind::HoldingsDigest, "holdings-digest"}, {MessageKind::HoldingsAnswer, "holdings-answer"},
     {MessageKind::AnswerPage, "answer-page"},         {MessageKind::AnswerPageAck, "answer-page-ack"},
-    {MessageKind::GatewayReport, "gateway-report"},
+    {MessageKind::GatewayReport, "gateway-report"},   {MessageKind::GatewayStreamOrigin, "gateway-stream-origin"},
 });
 
 /** One more than the highest number of a kind: the size of a table indexed by kind. */
-inline constexpr std::size_t messageKindLimit = 26;
+inline constexpr std::size_t messageKindLimit = 27;
 
 /** The kind of message. */
 MessageKind kindOf(const PeerMessage &message);
--- a/sequoiausher/protocol/gateway/gatewaydialect.h
+++ b/sequoiausher/protocol/gateway/gatewaydialect.h
@@ -45,6 +45,9 @@
     std::vector<PromptPart> parts;
     /** The caller has the stream up to this event; empty for none. */
     std::string lastEventId;
+    /** The caller's attempt that brought the first event of the stream that is taken up; empty where it does not say.
+     */
+    std::string resumedAttempt;
 };
 
 /** What the gateway adds to a request on its way to a target. */
--- a/sequoiausher/transport/gateway/gatewaycontext.cpp
+++ b/sequoiausher/transport/gateway/gatewaycontext.cpp
@@ -50,6 +50,7 @@
     , coldLimit(peers, initialSettings.coldTargets)
     , brittleLimit(peers)
     , board(seed)
+    , origins(this->peers)
     , tunnels(this->peers, initialSettings.dataCentre)
     , dialEnvironment{this->reachability, this->tunnels, this->settings, this->metrics, this->random}
     , pools(this->dialEnvironment)
--- a/sequoiausher/transport/gateway/gatewaycontext.h
+++ b/sequoiausher/transport/gateway/gatewaycontext.h
@@ -18,6 +18,7 @@
 #include "sequoiausher/coordination/gateway/retrybudgetshare.h"
 #include "sequoiausher/coordination/gateway/routetable.h"
 #include "sequoiausher/coordination/gateway/storeduty.h"
+#include "sequoiausher/coordination/gateway/streamorigins.h"
 #include "sequoiausher/coordination/gateway/targetboard.h"
 #include "sequoiausher/coordination/gateway/targetreachability.h"
 #include "sequoiausher/coordination/gateway/tunnelpeers.h"
@@ -29,6 +30,7 @@
 #include "sequoiausher/transport/gateway/targetpools.h"
 #include "sequoiausher/transport/stream/bytestream.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -104,6 +106,9 @@
     TargetBoard board;
     LoadShedder shedder;
     CallerWaitEstimator patience;
+    StreamOrigins origins;
+    /** Sends messages to other gateways; drops them before the gateway listens for others. */
+    std::function<void(Outbox messages)> sendToPeers = [](const Outbox &) {};
     PrefixDirectory parts;
     TargetReachability reachability;
     TunnelPeers tunnels;
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -24,6 +24,13 @@
 constexpr Millis retryWhenFull{200};
 /** When to come back where no gateway reaches the service: by then it was probed again. */
 constexpr Millis retryWhenOutOfReach{500};
+/** When to come back where nobody knows which version began a stream: a gateway that does may answer again by then. */
+constexpr Millis retryWhenOriginUnknown{500};
+/** A caller takes a stream up no later than this after it began, or than some times the route's timeout. */
+constexpr Millis minOriginSpan{30000};
+constexpr std::int64_t originSpanTimeouts = 2;
+/** The origin of a stream is kept for so long beyond the time that its caller waits. */
+constexpr Millis originGrace{1000};
 /** When to come back where no data centre may serve: an operator has to act before that changes. */
 constexpr Millis retryWhenNoDataCentre{1000};
 /** Log lines identify a shared part by a number below this, which is enough to distinguish the parts of a day. */
@@ -58,6 +65,14 @@
     void attempt(std::optional<ChosenTarget> found, Millis now);
     TargetCriteria criteria(Millis now) const;
     std::optional<ChosenTarget> chooseTarget(Millis now);
+    /** Whether the caller has a part of a stream from an earlier attempt. */
+    bool isTakenUp() const;
+    /** Finds out which software version began the stream that the caller takes up, and goes on there. */
+    void findOrigin(Millis now);
+    void followOrigin(const OriginFinding &finding);
+    void recordOrigin(Millis now);
+    /** Sends the admitted request to a target, or refuses it. */
+    void dispatch(Millis now);
     /** Refuses a request to a service that nobody reaches. */
     void refuseOutOfReach();
     /** Refuses a request that no target can take, with the reason and the time to come back. */
@@ -134,6 +149,11 @@
     CallerAnswer answer;
     /** The software version that began the stream; none before its first event. */
     std::optional<std::string> streamVersion;
+    bool hasRecordedOrigin = false;
+    /** The request waits for other gateways to tell which version began its stream. */
+    bool isFindingOrigin = false;
+    /** How the version of a stream that was taken up is known; for the log. */
+    std::string originFinding;
     Millis firstPartAt;
     Millis lastPartAt;
     /** The request waits until the gateway is ready. */
@@ -189,6 +209,74 @@
     const bool mayRetry = this->admitted.decision.retry != RetryMode::None;
     this->attempts = RequestAttempts({route.isIdempotent(), route.mostTargets, mayRetry, this->admitted.deadline});
     const Millis now = std::max(this->receivedAt, Millis::monotonicNow());
+    if (this->isTakenUp()) {
+        this->findOrigin(now);
+    } else {
+        this->dispatch(now);
+    }
+}
+
+bool GatewayExchange::Private::isTakenUp() const
+{
+    return this->admitted.route->kind == RouteKind::Stream && !this->admitted.request.lastEventId.empty();
+}
+
+void GatewayExchange::Private::findOrigin(Millis now)
+{
+    const Millis span = std::max(minOriginSpan, this->admitted.route->timeout * originSpanTimeouts);
+    const std::string &attempt = this->admitted.request.resumedAttempt;
+    if (attempt.empty()) {
+        this->followOrigin(this->context.origins.findOnly(this->admitted.service, span, now));
+        return;
+    }
+    this->isFindingOrigin = true;
+    const auto found = [this, alive = std::weak_ptr(this->life)](const OriginFinding &finding) {
+        if (!alive.expired() && this->isFindingOrigin && !this->isFinished) {
+            this->followOrigin(finding);
+        }
+    };
+    const OriginQuestion question{streamKeyOf(this->admitted.organisation, attempt), this->admitted.service, span};
+    this->context.sendToPeers(this->context.origins.find(question, now, found));
+}
+
+void GatewayExchange::Private::followOrigin(const OriginFinding &finding)
+{
+    this->isFindingOrigin = false;
+    this->originFinding = std::string(nameOf(finding.kind));
+    if (finding.kind != OriginFindingKind::Recorded && finding.kind != OriginFindingKind::Only) {
+        this->context.metrics.add("gateway_unknown_stream_origins_total");
+        this->answerOwn(statusUnavailable,
+                        "it is not known which software version began the stream",
+                        this->context.spread(retryWhenOriginUnknown),
+                        Outcome::RefusedFull);
+        return;
+    }
+    const std::vector<ServiceShare> &services = this->admitted.route->services;
+    const bool isRouted = std::any_of(services.begin(), services.end(), [&finding](const ServiceShare &share) {
+        return share.service == finding.service;
+    });
+    // Where the route is divided among services, the stream stays at its own.
+    if (isRouted) {
+        this->admitted.service = finding.service;
+    }
+    this->streamVersion = finding.softwareVersion;
+    this->dispatch(Millis::monotonicNow());
+}
+
+void GatewayExchange::Private::recordOrigin(Millis now)
+{
+    const GatewayTarget &target = this->chosen.target;
+    this->streamVersion = target.softwareVersion;
+    if (target.softwareVersion.empty() || std::exchange(this->hasRecordedOrigin, true)) {
+        return;
+    }
+    const Millis ttl = this->admitted.request.timeLeft.value_or(this->admitted.route->timeout) + originGrace;
+    const StreamKey key = streamKeyOf(this->admitted.organisation, this->admitted.request.attemptId);
+    this->context.sendToPeers(this->context.origins.record(key, {target.service, target.softwareVersion}, ttl, now));
+}
+
+void GatewayExchange::Private::dispatch(Millis now)
+{
     if (this->context.reachability.isOutOfReach(this->admitted.service)) {
         this->refuseOutOfReach();
         return;
@@ -302,6 +390,7 @@
                                "request sent again",
                                {{"request", this->admitted.request.attemptId},
                                 {"target", target.target.id.value},
+                                {"origin", this->originFinding},
                                 {"target_version", target.target.softwareVersion},
                                 {"after_event", this->answer.lastEventId()},
                                 {"left_ms", std::to_string(order.timeLeft.count)},
@@ -487,7 +576,7 @@
     }
     if (this->d->answer.isEventStream()) {
         this->d->recordFirstPart(now);
-        this->d->streamVersion = this->d->chosen.target.softwareVersion;
+        this->d->recordOrigin(now);
     } else {
         this->d->attempts.markAnswerNotResumable();
     }
--- a/sequoiausher/transport/gateway/gatewayknowledge.cpp
+++ b/sequoiausher/transport/gateway/gatewayknowledge.cpp
@@ -215,6 +215,7 @@
     const std::vector<GatewayTarget> targets = this->known.targets.targets();
     const Millis now = Millis::monotonicNow();
     this->context.board.setTargets(targets, now);
+    this->context.origins.setTargets(targets, now);
     std::size_t leaving = 0;
     std::map<PoolId, std::set<TargetId>> staying;
     for (const GatewayTarget &target : targets) {
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -246,6 +246,7 @@
     this->tickCallers(now);
     this->tickReachability(now);
     this->context.lifeChecks.tick(now);
+    this->context.origins.tick(now);
     this->context.pendingDestruction.clear();
     if (now >= this->nextSuppressedAt) {
         this->nextSuppressedAt = now + suppressedInterval;
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -89,6 +89,20 @@
         , mesh(linkSettings(sharedContext.settings, incarnation), *this)
     {
         this->context.peers.setSelf(strengthOf(sharedContext.settings), sharedContext.settings.dataCentre);
+        this->context.sendToPeers = [this](Outbox messages) { this->send(std::move(messages)); };
+    }
+    ~Private() override
+    {
+        this->context.sendToPeers = [](const Outbox &) {};
+    }
+    Private(const Private &) = delete;
+    Private &operator=(const Private &) = delete;
+
+    void send(Outbox messages)
+    {
+        for (Outgoing &out : messages) {
+            this->mesh.send(out.to, std::move(out.message));
+        }
     }
 
     void received(const InstanceId &from, Incarnation incarnation, PeerMessage message) override;
@@ -296,6 +310,8 @@
             for (const Document &document : push->documents) {
                 this->receive(document, from);
             }
+        } else if (const auto *origin = std::get_if<GatewayStreamOrigin>(&message)) {
+            this->send(this->context.origins.receive(from, *origin, Millis::monotonicNow()));
         }
     } catch (const Error &error) {
         this->context.log.warning(
--- a/sequoiausher/transport/gateway/gatewaytestbed.cpp
+++ b/sequoiausher/transport/gateway/gatewaytestbed.cpp
@@ -86,6 +86,7 @@
         request.attemptId = std::string(head.headers.value("X-Id"));
         request.key = std::string(head.headers.value("X-Key"));
         request.lastEventId = std::string(head.headers.value("X-After"));
+        request.resumedAttempt = std::string(head.headers.value("X-Resumes"));
         if (head.headers.has("X-Left")) {
             request.timeLeft = Millis{std::stoll(std::string(head.headers.value("X-Left")))};
         }
--- a/sequoiausher/transport/router/nodemessages.cpp
+++ b/sequoiausher/transport/router/nodemessages.cpp
@@ -212,6 +212,10 @@
     {
         // Gateways and routers are fleets of their own; one that was given the other's seeds is told nothing.
     }
+    void operator()(const GatewayStreamOrigin & /*m*/) const
+    {
+        // The same.
+    }
 
 private:
     template<typename Message>
