Soak targets of several software versions, whose callers take streams up

Every target of the soak, and of the platform's stand-in, was of one version, and no caller came again for the rest of a stream: one reason why streams that went on at another version were missed.

The judge knows the version that made each event: events of two versions in one stream are a violation, in one answer or over attempts; and of 12 or more streams that are taken up at gateways in touch, while two targets of their version serve, at least half as many must go on as new ones begin. Without the option nothing changes.

--- a/lab/soak/calldraw.cpp
+++ b/lab/soak/calldraw.cpp
@@ -27,6 +27,10 @@
     wire.key = call.key;
     wire.timeLeft = call.timeLeft;
     wire.bodyBytes = call.body.size();
+    if (!call.takesUp.empty()) {
+        wire.resumedAttempt = call.takesUp;
+        wire.lastEventId = std::to_string(call.lastEvent);
+    }
     return wire;
 }
 
--- a/lab/soak/main.cpp
+++ b/lab/soak/main.cpp
@@ -25,7 +25,13 @@
     std::cout << "soak seed " << options.seed << ": " << (result.violations.empty() ? "passed" : "FAILED") << ", "
               << result.served << " of " << result.sent << " calls served, " << result.lastServed << " of "
               << result.lastSent << " in the calm at the end, " << result.unread
-              << " crossed a close unread, longest own pause " << toText(result.longestPause) << std::endl;
+              << " crossed a close unread, longest own pause " << toText(result.longestPause);
+    if (options.versions > 0) {
+        std::cout << ", " << result.streams.takenUpGoneOn << " of " << result.streams.takenUp
+                  << " streams taken up went on, " << result.streams.freshBegun << " of " << result.streams.fresh
+                  << " new ones began";
+    }
+    std::cout << std::endl;
     for (const SoakViolation &violation : result.violations) {
         std::cout << "  " << violation.promise << ": " << violation.detail << std::endl;
     }
@@ -50,6 +56,7 @@
         options.hasColdTargets = integerOption(parsed, "cold") > 0;
         options.hasCrashingCaller = integerOption(parsed, "crashing") > 0;
         options.hasUnframedAnswers = integerOption(parsed, "unframed") > 0;
+        options.versions = static_cast<std::size_t>(integerOption(parsed, "versions"));
         options.program = textOption(parsed, "program");
         options.faults = Millis{integerOption(parsed, "faults-ms")};
         options.longest = Millis{integerOption(parsed, "longest-ms")};
@@ -82,6 +89,7 @@
     addIntegerOption(options, "cold", "1: targets are cold after a start and after an evacuation", 0);
     addIntegerOption(options, "crashing", "1: a caller asks again and again for what ends its targets", 0);
     addIntegerOption(options, "unframed", "1: half of all answers have no length and end with their connection", 0);
+    addIntegerOption(options, "versions", "Software versions of the targets; callers take up broken streams", 0);
     addTextOption(options, "program", "The gateway to play; empty for the one built with it", "");
     addTextOption(options, "folder", "Where logs go", "/tmp/sequoiausher-soak");
     return runProgram(argc, argv, std::move(options), runSoak);
--- a/lab/soak/soakcaller.cpp
+++ b/lab/soak/soakcaller.cpp
@@ -1,5 +1,6 @@
 #include "lab/soak/soakcaller.h"
 
+#include "lab/soak/streamcheck.h"
 #include "platform/standindialect.h"
 
 #include <string>
@@ -15,6 +16,10 @@
 constexpr Millis longestIdle = soakIdleTime * 4 / 5;
 /** Of a hundred kept connections so many are left for a new one. */
 constexpr std::int64_t newConnectionPercent = 5;
+/** Attempts after the one that brought the first event. */
+constexpr int mostTakeUps = 3;
+/** A caller whose stream broke off comes again so soon. */
+constexpr Millis takeUpPause{5};
 
 } // namespace
 
@@ -30,6 +35,45 @@
 {
 }
 
+void SoakCaller::takeUpStreams()
+{
+    this->takesUp = true;
+}
+
+SoakCall SoakCaller::nextCall(Millis now)
+{
+    SoakCall call = this->draw.next(this->entry, now);
+    if (const std::optional<SoakCall> stream = std::exchange(this->broken, std::nullopt)) {
+        call.kind = CallKind::Chat;
+        call.method = stream->method;
+        call.path = "/chat/" + call.id;
+        call.body = "question of " + call.id;
+        call.key = stream->key;
+        call.timeLeft = stream->timeLeft;
+        call.mostTargets = stream->mostTargets;
+        call.takesUp = stream->takesUp;
+        call.lastEvent = stream->lastEvent;
+    }
+    return call;
+}
+
+void SoakCaller::noteBroken(const SoakAnswer &answer)
+{
+    constexpr int statusOk = 200;
+    const SoakCall &call = *this->current;
+    if (!this->takesUp || call.kind != CallKind::Chat || (answer.isWhole && answer.status == statusOk)) {
+        return;
+    }
+    SoakCall next = call;
+    next.lastEvent += answer.status == statusOk ? wholeEventsIn(answer.body) : 0;
+    this->triesLeft = call.takesUp.empty() ? mostTakeUps : this->triesLeft - 1;
+    if (next.lastEvent > 0 && next.lastEvent < eventsOf(streamIdOf(call)) && this->triesLeft > 0) {
+        next.takesUp = streamIdOf(call);
+        this->broken = next;
+        this->nextAt = std::min(this->nextAt, this->idleSince + takeUpPause);
+    }
+}
+
 void SoakCaller::rest()
 {
     this->isResting = true;
@@ -55,7 +99,7 @@
         this->entry = *chosen;
         this->connection = std::make_unique<FakeCaller>(this->entry.address);
     }
-    this->current = this->draw.next(this->entry, now);
+    this->current = this->nextCall(now);
     const std::string bytes = this->draw.wire(*this->current);
     this->leaveAt = this->draw.leaveTime(*this->current, now);
     this->judge.sent(*this->current);
@@ -73,9 +117,10 @@
     answer.signature = read.signature;
     answer.body = reply.body;
     this->judge.answered(this->current->id, answer, now);
-    this->current.reset();
     this->idleSince = now;
     this->nextAt = now + Millis{this->draw.between(leastThinkMs, mostThinkMs)};
+    this->noteBroken(answer);
+    this->current.reset();
     // 'Not run' comes with a time to return.
     if (read.retryAfterSeconds) {
         constexpr double millisPerSecond = 1000;
--- a/lab/soak/soakcaller.h
+++ b/lab/soak/soakcaller.h
@@ -28,11 +28,17 @@
                std::function<std::optional<SoakEntry>()> pick,
                std::uint64_t seed);
 
+    /** Takes streams that broke off up with further attempts. */
+    void takeUpStreams();
     /** Lets it send no more. */
     void rest();
     void tick(Millis now);
 
 private:
+    /** The next attempt: it takes up the stream that broke off last, or is a new request. */
+    SoakCall nextCall(Millis now);
+    /** Whether a stream broke off that a further attempt may take up. */
+    void noteBroken(const SoakAnswer &answer);
     void send(Millis now);
     void finish(Millis now);
     void drop();
@@ -42,6 +48,10 @@
     std::function<std::optional<SoakEntry>()> pick;
     CallDraw draw;
     bool isResting = false;
+    bool takesUp = false;
+    /** The stream to take up, as the attempt that does it. */
+    std::optional<SoakCall> broken;
+    int triesLeft = 0;
     SoakEntry entry;
     std::unique_ptr<FakeCaller> connection;
     /** The attempt in progress. */
--- a/lab/soak/soakjudge.cpp
+++ b/lab/soak/soakjudge.cpp
@@ -133,6 +133,11 @@
     void checkRuns(CallState &state, const SoakArrival &arrival);
     void checkCrashing(const CallState &state, const SoakArrival &arrival);
     void checkSuccess(const CallState &state, const SoakAnswer &answer, Millis at);
+    /** Looks for events of several software versions in one stream, over all attempts. */
+    void checkVersions(const CallState &state, const SoakAnswer &answer, Millis at);
+    void countStream(const CallState &state, const SoakAnswer &answer, Millis at);
+    void checkTakenUp(Millis now);
+    std::size_t servingTargets(const std::string &version) const;
     void checkDenied(const CallState &state, const SoakAnswer &answer, Millis at);
     /** Compares how calls were served at gateways without paths to targets and at the others. */
     void checkPathCut(const PathCutSpan &cut, Millis now);
@@ -176,6 +181,12 @@
     /** Calls that still have a check in time ahead. */
     std::set<std::string> open;
     std::map<std::string, MadeAnswer> answers;
+    /** The software version of each target, and the targets that take new requests. */
+    std::map<std::string, std::string> softwareVersions;
+    std::set<std::string> serving;
+    /** The version that began each stream, by the attempt that brought its first event. */
+    std::map<std::string, std::string> streamVersions;
+    StreamCounts streams;
     std::vector<PathCutSpan> pathCuts;
     /** What became of the request that ends its targets. */
     std::set<std::string> ended;
@@ -272,6 +283,25 @@
     return longest == Millis{0} ? Millis::never() : std::min(longest, call.timeLeft);
 }
 
+void SoakJudge::serves(const std::string &target, const std::string &version)
+{
+    this->d->softwareVersions[target] = version;
+    this->d->serving.insert(target);
+}
+
+void SoakJudge::servesNoMore(const std::string &target)
+{
+    this->d->serving.erase(target);
+}
+
+std::size_t SoakJudge::Private::servingTargets(const std::string &version) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->serving.begin(), this->serving.end(), [this, &version](const std::string &target) {
+            return this->softwareVersions.at(target) == version;
+        }));
+}
+
 void SoakJudge::sent(const SoakCall &call)
 {
     CallState &state = this->d->calls[call.id];
@@ -526,6 +556,7 @@
 {
     CallState &state = this->d->calls.at(id);
     state.answeredAt = at;
+    this->d->countStream(state, answer, at);
     if (answer.isUnread) {
         this->d->checkUnread(state, at);
         return;
@@ -569,11 +600,71 @@
         if (const auto fault = streamFault(state.call, answer.body, answer.isWhole)) {
             this->broken("order", id + ": " + *fault, at);
         }
+        this->checkVersions(state, answer, at);
     } else if (answer.isWhole && own->second.body != answer.body) {
         this->broken("mixed", id + " got another body than its target gave", at);
     }
 }
 
+void SoakJudge::Private::checkVersions(const CallState &state, const SoakAnswer &answer, Millis at)
+{
+    for (const std::string &target : targetsIn(answer.body)) {
+        const auto version = this->softwareVersions.find(target);
+        if (version == this->softwareVersions.end()) {
+            continue;
+        }
+        const auto [began, isFirst] = this->streamVersions.try_emplace(streamIdOf(state.call), version->second);
+        if (!isFirst && began->second != version->second) {
+            this->broken("version",
+                         state.call.id + ": the stream began at " + began->second + " and has events of "
+                             + version->second + " by " + target,
+                         at);
+        }
+    }
+}
+
+void SoakJudge::Private::countStream(const CallState &state, const SoakAnswer &answer, Millis at)
+{
+    const SoakCall &call = state.call;
+    const bool isInTouch = this->isInTouch(call.gateway, call.sentAt, at);
+    if (call.kind != CallKind::Chat || state.leftAt || answer.isUnread || !isInTouch) {
+        return;
+    }
+    constexpr int statusOfSuccess = 200;
+    const bool hasEvent = answer.status == statusOfSuccess && !targetsIn(answer.body).empty();
+    if (call.takesUp.empty()) {
+        this->streams.fresh += 1;
+        this->streams.freshBegun += hasEvent ? 1 : 0;
+        return;
+    }
+    const auto version = this->streamVersions.find(call.takesUp);
+    constexpr std::size_t enoughTargets = 2;
+    if (version != this->streamVersions.end() && this->servingTargets(version->second) >= enoughTargets) {
+        this->streams.takenUp += 1;
+        this->streams.takenUpGoneOn += hasEvent ? 1 : 0;
+    }
+}
+
+void SoakJudge::Private::checkTakenUp(Millis now)
+{
+    constexpr std::size_t fewestStreams = 12;
+    const StreamCounts &counts = this->streams;
+    // Under half of the share of new streams that begin.
+    if (counts.takenUp >= fewestStreams
+        && counts.takenUpGoneOn * 2 * counts.fresh < counts.freshBegun * counts.takenUp) {
+        this->broken("taken up",
+                     "of the streams that were taken up " + std::to_string(counts.takenUpGoneOn) + " of "
+                         + std::to_string(counts.takenUp) + " went on, of new ones " + std::to_string(counts.freshBegun)
+                         + " of " + std::to_string(counts.fresh) + " began",
+                     now);
+    }
+}
+
+StreamCounts SoakJudge::streams() const
+{
+    return this->d->streams;
+}
+
 void SoakJudge::Private::checkDenied(const CallState &state, const SoakAnswer &answer, Millis at)
 {
     if (!answer.signature.empty()) {
@@ -750,6 +841,7 @@
 {
     this->tick(now);
     this->d->checkRepeats();
+    this->d->checkTakenUp(now);
     for (const PathCutSpan &cut : this->d->pathCuts) {
         this->d->checkPathCut(cut, now);
     }
--- a/lab/soak/soakjudge.h
+++ b/lab/soak/soakjudge.h
@@ -86,6 +86,10 @@
     /** The target is cold from its start, or from the end of an evacuation, until the given time. */
     void cold(const std::string &target, Millis until);
 
+    /** The target, which is of the software version, takes new requests, or no longer does. */
+    void serves(const std::string &target, const std::string &version);
+    void servesNoMore(const std::string &target);
+
     void sent(const SoakCall &call);
     /** The answer is over, whole or not. */
     void answered(const std::string &id, const SoakAnswer &answer, Millis at);
@@ -120,6 +124,11 @@
     std::size_t servedSince(Millis from) const;
     /** Calls that crossed the close of their connection and were refused by the gateway's kernel. */
     std::size_t unread() const;
+    /**
+     * Streams at gateways in touch: new ones, and those that callers took up while two targets of their software
+     * version served; and how many of each got an event.
+     */
+    StreamCounts streams() const;
 
 private:
     class Private;
--- a/lab/soak/soakjudgetest.cpp
+++ b/lab/soak/soakjudgetest.cpp
@@ -158,6 +158,14 @@
     CHECK(streamFault(call, joined, false));
     call.kind = CallKind::Chat;
     CHECK_FALSE(streamFault(call, joined, false));
+    call.id = "t";
+    call.takesUp = "s";
+    call.lastEvent = 1;
+    CHECK_FALSE(streamFault(call, eventOf("s", 2, "t2"), false));
+    CHECK(streamFault(call, eventOf("s", 1, "t2"), false));
+    CHECK(streamFault(call, eventOf("t", 2, "t2"), false));
+    CHECK(wholeEventsIn(joined + "id: 3\n") == 2);
+    CHECK(targetsIn(joined) == std::set<std::string>{"t1", "t2"});
 }
 
 TEST_CASE("a request that reaches a target must be one that a caller sent, as it was sent")
@@ -539,3 +547,67 @@
         CHECK(bench.judge.violations().empty());
     }
 }
+
+// Guards against a judge that misses a stream with events of two software versions, in one answer or over attempts.
+TEST_CASE("a stream has events of one software version, over all attempts that take it up")
+{
+    Bench bench;
+    bench.judge.serves("a", "v1");
+    bench.judge.serves("b", "v2");
+    bench.judge.serves("c", "v1");
+    const auto send = [&bench](const std::string &id, const std::string &takesUp, std::uint32_t lastEvent) {
+        SoakCall call = bench.call(id, Millis{100}, CallKind::Chat);
+        call.takesUp = takesUp;
+        call.lastEvent = lastEvent;
+        bench.judge.sent(call);
+    };
+    const auto answer = [&bench](const std::string &id, const std::string &body) {
+        bench.judge.made("by." + id, 200, "");
+        SoakAnswer one;
+        one.status = 200;
+        one.attemptId = id;
+        one.signature = "by." + id;
+        one.body = body;
+        bench.judge.answered(id, one, Millis{300});
+    };
+    send("s", "", 0);
+    answer("s", eventOf("s", 1, "a") + eventOf("s", 2, "c"));
+    send("s-2", "s", 2);
+    answer("s-2", eventOf("s", 3, "c"));
+    CHECK(bench.promises().find("version") == std::string::npos);
+    send("s-3", "s", 3);
+    answer("s-3", eventOf("s", 4, "b"));
+    CHECK(bench.promises().find("version") != std::string::npos);
+}
+
+TEST_CASE("streams that are taken up must go on half as often as new ones begin, while two targets serve")
+{
+    for (const int goingOn : {4, 5}) {
+        Bench bench;
+        bench.judge.serves("a", "v1");
+        bench.judge.serves("c", "v1");
+        const auto play = [&bench](const std::string &id, const std::string &takesUp, bool hasEvent) {
+            SoakCall call = bench.call(id, Millis{10000}, CallKind::Chat);
+            call.takesUp = takesUp;
+            call.lastEvent = takesUp.empty() ? 0 : 1;
+            bench.judge.sent(call);
+            bench.judge.made("by." + id, 200, "");
+            SoakAnswer one;
+            one.status = hasEvent ? 200 : 503;
+            one.attemptId = id;
+            one.signature = hasEvent ? "by." + id : "";
+            one.body = hasEvent ? eventOf(takesUp.empty() ? id : takesUp, takesUp.empty() ? 1 : 2, "a") : "";
+            bench.judge.answered(id, one, Millis{10100});
+        };
+        constexpr int streams = 12;
+        for (int i = 0; i < streams; ++i) {
+            // Nine of twelve begin: half of that share is four and a half of twelve.
+            play("s" + std::to_string(i), "", i < 9);
+        }
+        for (int i = 0; i < streams; ++i) {
+            play("t" + std::to_string(i), "s" + std::to_string(i % 9), i < goingOn);
+        }
+        bench.judge.finish(Millis{11000});
+        CHECK((bench.promises().find("taken up") != std::string::npos) == (goingOn < 5));
+    }
+}
--- a/lab/soak/soakrecords.h
+++ b/lab/soak/soakrecords.h
@@ -63,6 +63,10 @@
     std::string method;
     std::string path;
     std::string body;
+    /** The attempt that brought the first event of the stream that this one takes up; empty for a new request. */
+    std::string takesUp;
+    /** The last event that the caller has of that stream. */
+    std::uint32_t lastEvent = 0;
     Millis sentAt;
     /** How long the caller said that it would wait. */
     Millis timeLeft;
@@ -75,6 +79,12 @@
     Millis idleFor;
 };
 
+/** The attempt that names the stream in its events. */
+inline const std::string &streamIdOf(const SoakCall &call)
+{
+    return call.takesUp.empty() ? call.id : call.takesUp;
+}
+
 /** The end of an attempt as its caller sees it. */
 struct SoakAnswer
 {
@@ -119,6 +129,15 @@
     Spoilt,
 };
 
+/** How many streams were asked for, and how many of them got an event. */
+struct StreamCounts
+{
+    std::size_t fresh = 0;
+    std::size_t freshBegun = 0;
+    std::size_t takenUp = 0;
+    std::size_t takenUpGoneOn = 0;
+};
+
 /** A broken promise. */
 struct SoakViolation
 {
--- a/lab/soak/soakrun.cpp
+++ b/lab/soak/soakrun.cpp
@@ -96,6 +96,9 @@
             this->administrator.offer(),
             [this] { return this->pick(); },
             this->random()));
+        if (this->options.versions > 0) {
+            this->callers.back()->takeUpStreams();
+        }
     }
     for (std::size_t i = 0; i < this->options.gateways * this->options.lastingEach; ++i) {
         this->lasting.push_back(std::make_unique<LastingCaller>(
@@ -197,6 +200,7 @@
     result.lastSent = this->judge.sentSince(calmFrom);
     result.lastServed = this->judge.servedSince(calmFrom);
     result.unread = this->judge.unread();
+    result.streams = this->judge.streams();
     result.longestPause = this->longestPause;
     if (result.lastSent == 0 || result.lastServed * 100 < result.lastSent * leastServedPercent) {
         this->judge.broken("recover",
--- a/lab/soak/soakrun.h
+++ b/lab/soak/soakrun.h
@@ -43,6 +43,9 @@
     bool hasCrashingCaller = false;
     /** Half of all answers have neither a length nor chunks, and end with their connection. */
     bool hasUnframedAnswers = false;
+    /** How many software versions the targets have, drawn anew for each life; callers take up streams that broke off. 0
+     * for one version, and callers that do not. */
+    std::size_t versions = 0;
     /** Where settings and what the gateways write go; made where it is missing. */
     std::string folder;
     /** The gateway to play, such as an older one; empty for the one that was built with the soak. */
@@ -59,6 +62,7 @@
     std::size_t lastServed = 0;
     /** Calls that crossed the close of their connection, and that nobody read. */
     std::size_t unread = 0;
+    StreamCounts streams;
     /** The longest that this process stood still: what the bounds in time were stretched by. */
     Millis longestPause;
 };
--- a/lab/soak/soakrunprivate.cpp
+++ b/lab/soak/soakrunprivate.cpp
@@ -51,6 +51,7 @@
     , evacuations(with.seed)
     , outages(with.seed)
     , cuts(with.seed)
+    , versions(with.seed)
     , judge(SoakBounds{})
     , store(with.seed)
     , administrator(this->store, this->judge)
@@ -372,7 +373,7 @@
     entry.id.value = place.target->life();
     entry.service.value = place.target->service();
     entry.address = toText(place.link->listening());
-    entry.softwareVersion = "v1";
+    entry.softwareVersion = place.version;
     entry.dataCentre = place.dataCentre;
     entry.slots = place.target->slots();
     entry.isLeaving = isLeaving;
@@ -380,12 +381,17 @@
     place.isListed = true;
     place.isLeaving = isLeaving;
     this->judge.placed(entry.id.value, entry.dataCentre);
+    this->judge.serves(entry.id.value, place.version);
+    if (isLeaving) {
+        this->judge.servesNoMore(entry.id.value);
+    }
     this->store.write(StandInDialect::targetKey(entry.id), StandInDialect::targetText(entry));
 }
 
 void SoakRun::Private::unlistTarget(TargetPlace &place)
 {
     place.isListed = false;
+    this->judge.servesNoMore(place.target->life());
     this->store.remove(StandInDialect::targetKey(TargetId{place.target->life()}));
     this->judge.leavingAcknowledged(place.target->life(), Millis::monotonicNow());
 }
@@ -393,6 +399,9 @@
 void SoakRun::Private::startTarget(TargetPlace &place, const std::string &service)
 {
     place.target->start(service);
+    if (this->options.versions > 0) {
+        place.version = "v" + std::to_string(1 + this->versions() % this->options.versions);
+    }
     place.link->setListening(true);
     place.coldUntil = Millis{0};
     // At the start of the run the gateways start too, and nothing is cold.
@@ -406,6 +415,7 @@
 
 void SoakRun::Private::endTarget(TargetPlace &place)
 {
+    this->judge.servesNoMore(place.target->life());
     place.target->crash();
     // A link that accepts connections to a target that is gone would vouch for its answers.
     place.link->setListening(!this->options.hasUnframedAnswers);
--- a/lab/soak/soakrunprivate.h
+++ b/lab/soak/soakrunprivate.h
@@ -55,6 +55,8 @@
         bool isListed = false;
         bool isLeaving = false;
         DataCentreId dataCentre;
+        /** The software version of its life. */
+        std::string version = "v1";
         /** Its life is cold until then. */
         Millis coldUntil;
     };
@@ -120,6 +122,8 @@
     std::mt19937_64 outages;
     /** For cuts alone. */
     std::mt19937_64 cuts;
+    /** For software versions alone. */
+    std::mt19937_64 versions;
     std::set<DataCentreId> evacuated;
     SoakJudge judge;
     SoakStore store;
--- a/lab/soak/soaktarget.cpp
+++ b/lab/soak/soaktarget.cpp
@@ -48,6 +48,8 @@
     bool isStream = false;
     Millis nextAt;
     Millis deadline;
+    /** The attempt that began the stream. */
+    std::string streamId;
     /** The next event of a stream, and the one at which a spoilt one breaks. */
     std::uint32_t nextEvent = 1;
     std::uint32_t lastEvent = 0;
@@ -173,7 +175,8 @@
     const std::int64_t times = work->mood == TargetMood::Slow ? slowTimes : 1;
     work->nextAt = now + Millis{span(this->random) * times};
     work->deadline = now + work->order.timeLeft.value_or(never);
-    work->lastEvent = eventsOf(arrival.id);
+    work->streamId = work->order.resumedAttempt.empty() ? arrival.id : work->order.resumedAttempt;
+    work->lastEvent = eventsOf(work->streamId);
     if (!work->order.lastEventId.empty()) {
         work->nextEvent = static_cast<std::uint32_t>(std::atoi(work->order.lastEventId.c_str())) + 1;
     }
@@ -301,7 +304,7 @@
         return work.isSilent;
     }
     if (work.nextEvent <= work.lastEvent) {
-        sendPart(work, eventOf(work.order.attemptId, work.nextEvent, this->currentLife));
+        sendPart(work, eventOf(work.streamId, work.nextEvent, this->currentLife));
         work.nextEvent += 1;
     }
     if (work.nextEvent > work.lastEvent) {
@@ -330,7 +333,7 @@
         return;
     }
     if (work.mood != TargetMood::Reset) {
-        const std::string event = eventOf(work.order.attemptId, work.nextEvent, this->currentLife);
+        const std::string event = eventOf(work.streamId, work.nextEvent, this->currentLife);
         sendPart(work, event.substr(0, event.size() / 2));
     }
     const bool closes = work.mood == TargetMood::Unframed || (work.isUnframed && work.mood == TargetMood::BreakOff);
--- a/lab/soak/streamcheck.cpp
+++ b/lab/soak/streamcheck.cpp
@@ -44,15 +44,38 @@
         + std::to_string(eventsOf(callId)) + " " + target + "\n\n";
 }
 
+std::uint32_t wholeEventsIn(const std::string &body)
+{
+    std::uint32_t count = 0;
+    for (std::size_t end = body.find("\n\n"); end != std::string::npos; end = body.find("\n\n", end + 2)) {
+        count += 1;
+    }
+    return count;
+}
+
+std::set<std::string> targetsIn(const std::string &body)
+{
+    std::set<std::string> targets;
+    std::size_t at = 0;
+    for (std::size_t end = body.find("\n\n"); end != std::string::npos; end = body.find("\n\n", at)) {
+        if (const std::optional<ReadEvent> event = readEvent(body.substr(at, end - at))) {
+            targets.insert(event->target);
+        }
+        at = end + 2;
+    }
+    return targets;
+}
+
 std::optional<std::string> streamFault(const SoakCall &call, const std::string &body, bool isWhole)
 {
-    std::uint32_t last = 0;
+    const std::string &streamId = streamIdOf(call);
+    std::uint32_t last = call.lastEvent;
     std::string first;
     std::size_t at = 0;
     for (std::size_t end = body.find("\n\n"); end != std::string::npos; end = body.find("\n\n", at)) {
         const std::optional<ReadEvent> event = readEvent(body.substr(at, end - at));
         at = end + 2;
-        if (!event || event->callId != call.id) {
+        if (!event || event->callId != streamId) {
             return "an event is not the call's own after event " + std::to_string(last);
         }
         if (event->id != last + 1) {
@@ -64,8 +87,8 @@
             return "events of " + first + " and of " + event->target + " are joined";
         }
     }
-    if (isWhole && (last != eventsOf(call.id) || at != body.size())) {
-        return "it ends as whole after event " + std::to_string(last) + " of " + std::to_string(eventsOf(call.id));
+    if (isWhole && (last != eventsOf(streamId) || at != body.size())) {
+        return "it ends as whole after event " + std::to_string(last) + " of " + std::to_string(eventsOf(streamId));
     }
     return std::nullopt;
 }
--- a/lab/soak/streamcheck.h
+++ b/lab/soak/streamcheck.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace Sequoiausher::Lab {
@@ -18,6 +19,11 @@
 /** One event as a target sends it, blank line included. */
 std::string eventOf(const std::string &callId, std::uint32_t number, const std::string &target);
 
+/** How many whole events the body has. */
+std::uint32_t wholeEventsIn(const std::string &body);
+/** The targets that made the whole events of the body. */
+std::set<std::string> targetsIn(const std::string &body);
+
 /** What is wrong with the body; std::nullopt where nothing is. @param isWhole it came with its end. */
 std::optional<std::string> streamFault(const SoakCall &call, const std::string &body, bool isWhole);
 
