Break streams off in the soak of answers without a length, and mend its links

Change: a silenced connection is not closed before its accepting side leaves (relaytest has a case, which failed before). And of the streams that end with their connection two in five break off inside an event, with an orderly close, until the calm at the end.

--- a/lab/relay/relay.cpp
+++ b/lab/relay/relay.cpp
@@ -138,8 +138,8 @@
 {
     if (this->isSilenced) {
         this->delayed.clear();
-        // A silenced connection is held until its own side is gone.
-        this->connection.isOver = this->connection.isOver || this->end.has_value();
+        // The accepting side must not learn that the far one has ended: what was sent before was swallowed.
+        this->connection.isOver = this->connection.isOver || this->connection.accepted.end.has_value();
         return;
     }
     const Millis now = Millis::monotonicNow();
--- a/lab/relay/relaytest.cpp
+++ b/lab/relay/relaytest.cpp
@@ -153,6 +153,23 @@
     }
 }
 
+// Guards against a connection that swallowed bytes and then ends in order, so that the rest of an answer without a
+// length looks whole.
+TEST_CASE("a silenced connection does not end where its far end closes")
+{
+    Echo echo;
+    const auto open = echo.connect();
+    CHECK(waitFor([&open] { return open->state() == QAbstractSocket::ConnectedState; }));
+    CHECK(Echo::echoes(*open));
+    echo.relay->setLink({LinkMode::SilentOpen, Millis{0}});
+    echo.sockets.at(0)->close();
+    CHECK(!waitFor([&open] { return open->state() == QAbstractSocket::UnconnectedState; }, silenceMs));
+    // Ended connections are dropped when the next one is accepted.
+    const auto fresh = echo.connect();
+    CHECK(waitFor([&fresh] { return fresh->state() == QAbstractSocket::ConnectedState; }));
+    CHECK(!waitFor([&open] { return open->state() == QAbstractSocket::UnconnectedState; }, silenceMs));
+}
+
 TEST_CASE("a relay that stops listening refuses new connections, keeps open ones, and listens again")
 {
     const Echo echo;
--- a/lab/soak/soakrun.cpp
+++ b/lab/soak/soakrun.cpp
@@ -249,6 +249,9 @@
     if (!isQuiet) {
         throw Error(Step::Report, "soak", "faults go on without an end");
     }
+    for (auto &place : this->d->places) {
+        place.target->stopBreaking();
+    }
     const Millis calmFrom = Millis::monotonicNow() + catchUp;
     LabCaller::waitFor([calmFrom] { return Millis::monotonicNow() >= calmFrom + calm; }, endless);
     for (const auto &caller : this->d->callers) {
--- a/lab/soak/soaktarget.cpp
+++ b/lab/soak/soaktarget.cpp
@@ -23,6 +23,8 @@
 constexpr std::int64_t mostWorkMs = 60;
 constexpr Millis eventPause{25};
 constexpr std::int64_t slowTimes = 12;
+/** Of the streams that end with their connection so many break off, whatever else is wrong with their target. */
+constexpr double brokenShare = 0.4;
 constexpr const char *closeField = "Connection: close\r\n";
 constexpr Millis never{1LL << 40};
 
@@ -129,6 +131,12 @@
 void SoakTarget::setUnframed(bool on)
 {
     this->hasUnframedAnswers = on;
+    this->breaksStreams = on;
+}
+
+void SoakTarget::stopBreaking()
+{
+    this->breaksStreams = false;
 }
 
 void SoakTarget::handle(const FakeRequest &request)
@@ -171,6 +179,9 @@
     }
     work->isStream = isStreamPath(arrival.path);
     work->isUnframed = this->hasUnframedAnswers && hash64(arrival.id + this->currentLife) % 2 == 0;
+    if (this->breaksStreams && work->isUnframed && work->isStream && chance(this->random) < brokenShare) {
+        work->mood = TargetMood::Unframed;
+    }
     std::uniform_int_distribution<std::int64_t> span(leastWorkMs, mostWorkMs);
     const std::int64_t times = work->mood == TargetMood::Slow ? slowTimes : 1;
     work->nextAt = now + Millis{span(this->random) * times};
--- a/lab/soak/soaktarget.h
+++ b/lab/soak/soaktarget.h
@@ -67,8 +67,12 @@
     std::uint32_t slots() const;
 
     void setMood(TargetMood mood, double share);
-    /** Whether half of its answers have neither a length nor chunks, and end with their connection. */
+    /**
+     * Whether half of its answers have neither a length nor chunks, and end with their connection. Of such streams many
+     * break off until stopBreaking().
+     */
     void setUnframed(bool on);
+    void stopBreaking();
 
     /** A request ends it: called instead of crash(), which is left to whoever is told. */
     std::function<void()> ends;
@@ -98,6 +102,7 @@
     TargetMood mood = TargetMood::Well;
     double moodShare = 0;
     bool hasUnframedAnswers = false;
+    bool breaksStreams = false;
     std::unique_ptr<FakeServer> server;
     std::vector<std::unique_ptr<Work>> works;
     QTimer timer;
