Tell a caller whose stream's version is gone so, and rely on no ambiguous origin

A caller that takes up a stream of whose software version no target is left was refused as if all targets were full, with 0.2 to 0.4 s to come back. It is told now that no target of the version is left, with one to two seconds: only the start of a target changes that. softwareversiontest has a case for both gateways, with the time and that nothing runs.

A gateway that was told two origins for one attempt asked the others, whose single copy could have decided; it says at once now that nothing is known.

--- a/sequoiausher/coordination/gateway/streamorigins.cpp
+++ b/sequoiausher/coordination/gateway/streamorigins.cpp
@@ -177,7 +177,8 @@
 Outbox StreamOrigins::find(const OriginQuestion &question, Millis now, Found found)
 {
     const OriginFinding own = this->d->findOwn(question, now);
-    if (own.kind == OriginFindingKind::Recorded) {
+    const auto kept = this->d->origins.find(question.key);
+    if (kept != this->d->origins.end() && now < kept->second.expiresAt) {
         found(own);
         return {};
     }
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -26,6 +26,8 @@
 constexpr Millis retryWhenOutOfReach{500};
 /** When to come back where nobody knows which version began a stream: a gateway that does may answer again by then. */
 constexpr Millis retryWhenOriginUnknown{500};
+/** When to come back where no target of the version is left: before a target of it starts, nothing can change. */
+constexpr Millis retryWhenVersionGone{1000};
 /** A caller takes a stream up no later than this after it began, or than some times the route's timeout. */
 constexpr Millis minOriginSpan{30000};
 constexpr std::int64_t originSpanTimeouts = 2;
@@ -255,7 +257,8 @@
     const bool isRouted = std::any_of(services.begin(), services.end(), [&finding](const ServiceShare &share) {
         return share.service == finding.service;
     });
-    // Where the route is divided among services, the stream stays at its own.
+    // Where the route is divided among services, the stream stays at its own. Where it has moved since, the version's
+    // name is all that says which targets may go on.
     if (isRouted) {
         this->admitted.service = finding.service;
     }
@@ -511,6 +514,14 @@
                         Outcome::RefusedFull);
         return;
     }
+    if (this->streamVersion && counts.count(Ineligibility::Version) > 0
+        && counts.count(Ineligibility::Version) == this->context.board.targetCount(this->admitted.service)) {
+        this->answerOwn(statusUnavailable,
+                        "no target of the software version that began the stream is left",
+                        this->context.spread(retryWhenVersionGone),
+                        Outcome::RefusedFull);
+        return;
+    }
     const Millis rest = this->context.board.remainingBackoff(this->admitted.service, now).value_or(Millis{0});
     this->answerOwn(statusUnavailable,
                     "no target could take the request",
--- a/sequoiausher/transport/gateway/softwareversiontest.cpp
+++ b/sequoiausher/transport/gateway/softwareversiontest.cpp
@@ -227,3 +227,24 @@
     }
     CHECK(bed.runs == 0);
 }
+
+// Guards against a caller that is sent to another version, or waits for its deadline, where its version is gone.
+TEST_CASE("a stream whose version has no target left is refused at once")
+{
+    VersionBed bed;
+    bed.addVersion("v1", 1);
+    bed.startBoth();
+    CHECK(bed.beginStream("s1") == "v1");
+    bed.addVersion("v2", 2);
+    bed.removeTarget("v1-0");
+    VersionBed::pause(Millis{300});
+    const int runs = bed.runs;
+    for (const std::string &at : {bed.address(), bed.other.address}) {
+        const Millis begun = Millis::monotonicNow();
+        const CallerReply reply = bed.attempt(at, "s1-again", VersionBed::takeUp("s1"));
+        CHECK(reply.status == 503);
+        CHECK(reply.head.headers.has("Retry-After"));
+        CHECK(Millis::monotonicNow() - begun < Millis{700});
+    }
+    CHECK(bed.runs == runs);
+}
