--- a/lab/relay/relaytest.cpp
+++ b/lab/relay/relaytest.cpp
@@ -198,8 +198,8 @@
     CHECK(timer.elapsed() >= 79);
 }
 
-// Symptom: a caller took half an answer for a whole one, but only through the relay. Events: a target reset its
-// connection in the middle of an answer without a length. Cause: the relay passed the reset on as an orderly close.
+// Guards against half an answer without a length that looks whole behind the relay, if a reset is forwarded as an
+// orderly close.
 TEST_CASE("a reset comes out as a reset, and an orderly close as one")
 {
     for (const bool isReset : {true, false}) {
--- a/lab/soak/soakjudge.cpp
+++ b/lab/soak/soakjudge.cpp
@@ -703,8 +703,8 @@
     }
 }
 
-// Symptom in the incident that this is for: a caller may send what runs at most once again only after a refusal, or
-// where its kernel was told that nobody read it. A gateway that reads a request and closes without a word takes both.
+// A caller may retry a request that runs at most once only after a refusal, or if the gateway's kernel reported that
+// nobody read it. A gateway that reads the request and closes without an answer leaves it neither.
 void SoakJudge::Private::checkSilent(const CallState &state, Millis at)
 {
     const SoakCall &call = state.call;
--- a/lab/soak/soakjudgetest.cpp
+++ b/lab/soak/soakjudgetest.cpp
@@ -375,8 +375,7 @@
 
 } // namespace
 
-// Symptom: of a fleet's requests that run at most once, one got nothing. Events: it crossed the close of its
-// connection; the gateway read it and threw it away. Cause: a close that reads on.
+// Guards against a gateway that reads a request which crosses the close of its connection, and discards it.
 TEST_CASE(
     "a request that ends with nothing was read, unless its caller's kernel heard otherwise or the process was killed")
 {
--- a/sequoiausher/protocol/gateway/eventcuttertest.cpp
+++ b/sequoiausher/protocol/gateway/eventcuttertest.cpp
@@ -18,9 +18,7 @@
     }
 }
 
-// Symptom: a caller got an event twice, or half an event before a whole one.
-// Events: a target stops in the middle of event 3; another one takes over after event 2, and sends event 2 again.
-// Cause: what arrives was passed on byte by byte.
+// Guards against a torn or repeated event in a resumed stream, which callers get if bytes are forwarded as they arrive.
 TEST_CASE("a stream goes on at another target without a gap, a repetition or a torn event")
 {
     EventCutter cutter;
