Report targets at whose addresses another one answers

Cause: after a crash the store lists the ended incarnation for up to three heartbeats, while another process answers at its address with 421. Ruled out: a lack of places (these engines held 0 or 1 requests).

Change: such an answer marks the incarnation for three seconds, and reports carry the mark; hubs forward it as they do suspicions. What only a peer reported is not reported on, so marks end. A marked target is used where most targets of its service are in doubt, as failing and full ones are. The mark fills a byte of the wire's struct that was padding. The expected outcome in attemptoutcometest names the more specific mark; the check is as strict.

Measured: targetboardtest, two gateways.

--- a/sequoiausher/coordination/gateway/attemptoutcome.cpp
+++ b/sequoiausher/coordination/gateway/attemptoutcome.cpp
@@ -17,7 +17,7 @@
 
 AttemptOutcome notRun(const AnswerState &state)
 {
-    return {AttemptEnd::NotRun, state.isMisdirected ? TargetOutcome::Lost : TargetOutcome::Full};
+    return {AttemptEnd::NotRun, state.isMisdirected ? TargetOutcome::Misdirected : TargetOutcome::Full};
 }
 
 } // namespace
--- a/sequoiausher/coordination/gateway/attemptoutcometest.cpp
+++ b/sequoiausher/coordination/gateway/attemptoutcometest.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr AttemptOutcome full{AttemptEnd::NotRun, TargetOutcome::Full};
-constexpr AttemptOutcome misdirected{AttemptEnd::NotRun, TargetOutcome::Lost};
+constexpr AttemptOutcome misdirected{AttemptEnd::NotRun, TargetOutcome::Misdirected};
 constexpr AttemptOutcome failed{AttemptEnd::Failed, TargetOutcome::Failed};
 constexpr AttemptOutcome broken{AttemptEnd::Broken, TargetOutcome::Lost};
 
--- a/sequoiausher/coordination/gateway/targetboard.cpp
+++ b/sequoiausher/coordination/gateway/targetboard.cpp
@@ -40,6 +40,11 @@
 constexpr Millis announcementTtl{600000};
 constexpr Millis maxTargetBackoff{3600000};
 constexpr Millis maxColdTime{600000};
+/**
+ * How long a target at whose address another one answered gets no requests. By then the store has removed the entry of
+ * an incarnation that has ended, or the target answers again.
+ */
+constexpr Millis misdirectedMemory{3000};
 /** How long rejections are remembered, a little longer than a target counts them. */
 constexpr Millis rejectionMemory{1500};
 /** The span within which the sends to a cold target are counted. */
@@ -57,6 +62,7 @@
 {
     std::unordered_map<TargetId, std::uint32_t> inFlight;
     std::unordered_set<TargetId> suspected;
+    std::unordered_set<TargetId> misdirected;
     Millis at;
 };
 
@@ -78,6 +84,11 @@
                 target->peersSuspecting += 1;
             }
         }
+        for (const TargetId &id : loads.misdirected) {
+            if (TargetState *target = this->find(id)) {
+                target->peersMisdirected += 1;
+            }
+        }
     }
 
     /** Subtracts the peer's reported loads from the sums. */
@@ -93,6 +104,11 @@
                 target->peersSuspecting -= std::min<std::uint32_t>(target->peersSuspecting, 1);
             }
         }
+        for (const TargetId &id : loads.misdirected) {
+            if (TargetState *target = this->find(id)) {
+                target->peersMisdirected -= std::min<std::uint32_t>(target->peersMisdirected, 1);
+            }
+        }
     }
 
     void expire(Millis now)
@@ -340,10 +356,14 @@
     reported.at = now;
     reported.inFlight.clear();
     reported.suspected.clear();
+    reported.misdirected.clear();
     for (const GatewayLoad &load : loads) {
         if (load.inFlight > 0) {
             reported.inFlight[load.target] = load.inFlight;
         }
+        if (load.misdirected) {
+            reported.misdirected.insert(load.target);
+        }
         if (load.suspected) {
             reported.suspected.insert(load.target);
             if (TargetState *target = this->d->find(load.target)) {
@@ -595,6 +615,10 @@
     case TargetOutcome::Lost:
         state->health.recordFailure(now, FailureWeight::Heavy);
         break;
+    case TargetOutcome::Misdirected:
+        state->misdirectedUntil = now + misdirectedMemory;
+        state->health.recordFailure(now, FailureWeight::Heavy);
+        break;
     case TargetOutcome::Full:
         state->fullUntil = now + fullTargetBackoff;
         std::erase_if(state->recentRejections, [now](Millis at) { return at <= now - rejectionMemory; });
@@ -659,14 +683,17 @@
         state.updateOwnLoad(this->d->overdue, now);
         std::uint32_t total = state.inFlight();
         std::uint32_t suspecting = state.peersSuspecting;
+        std::uint32_t misdirecting = state.peersMisdirected;
         for (const PeerLoads *loads : leftOut) {
             const auto found = loads->inFlight.find(id);
             total -= found != loads->inFlight.end() ? std::min(total, found->second) : 0;
             suspecting -= loads->suspected.contains(id) ? std::min<std::uint32_t>(suspecting, 1) : 0;
+            misdirecting -= loads->misdirected.contains(id) ? std::min<std::uint32_t>(misdirecting, 1) : 0;
         }
         const bool suspected = suspecting > 0 || state.health.isEjectedByOwnRequests(now);
-        if (total > 0 || suspected) {
-            all.push_back({id, total, suspected});
+        const bool misdirected = misdirecting > 0 || now < state.misdirectedUntil;
+        if (total > 0 || suspected || misdirected) {
+            all.push_back({id, total, suspected, misdirected});
         }
     }
     return all;
@@ -677,8 +704,9 @@
     std::vector<GatewayLoad> all;
     for (const auto &[id, state] : this->d->targets) {
         const bool suspected = state.health.isEjectedByOwnRequests(now);
-        if (state.ownInFlight > 0 || suspected) {
-            all.push_back({id, state.estimateOwnLoad(this->d->overdue, now), suspected});
+        const bool misdirected = now < state.misdirectedUntil;
+        if (state.ownInFlight > 0 || suspected || misdirected) {
+            all.push_back({id, state.estimateOwnLoad(this->d->overdue, now), suspected, misdirected});
         }
     }
     return all;
--- a/sequoiausher/coordination/gateway/targetboard.h
+++ b/sequoiausher/coordination/gateway/targetboard.h
@@ -33,6 +33,8 @@
     Lost,
     /** The target was full and did not run the request. */
     Full,
+    /** Another target answered at its address: this incarnation has ended, though the store may still list it. */
+    Misdirected,
     /** Nothing that indicates the target's health, such as a caller that disconnected. */
     Neutral,
 };
--- a/sequoiausher/coordination/gateway/targetboardtest.cpp
+++ b/sequoiausher/coordination/gateway/targetboardtest.cpp
@@ -675,3 +675,45 @@
     criteria.excluded = {targets[0].id, targets[1].id};
     CHECK_FALSE(board.choose(criteria, now));
 }
+
+// Guards against a fleet in which each gateway alone finds out that another target has taken the place of one that is
+// still listed.
+TEST_CASE("a target at whose address another one answers gets no requests of any gateway, for three seconds")
+{
+    std::vector<GatewayTarget> listed = twelveTargets();
+    listed.resize(3);
+    TargetBoard first(1);
+    TargetBoard second(2);
+    first.setTargets(listed, Millis{1000});
+    second.setTargets(listed, Millis{1000});
+    TargetCriteria criteria;
+    criteria.service = listed.front().service;
+    criteria.policy = PolicyKind::LeastLoaded;
+    const TargetId gone = listed.front().id;
+    first.recordStart(gone, Millis{1000});
+    first.recordEnd(gone, TargetOutcome::Misdirected, Millis{1000});
+    const auto chooses = [&criteria](TargetBoard &board, const TargetId &wanted, Millis now) {
+        bool isChosen = false;
+        for (int i = 0; i < 12; ++i) {
+            const auto chosen = board.choose(criteria, now);
+            REQUIRE(chosen);
+            isChosen = isChosen || chosen->target.id == wanted;
+            board.recordStart(chosen->target.id, now);
+        }
+        return isChosen;
+    };
+    CHECK(!chooses(first, gone, Millis{1010}));
+    second.updatePeerLoads(InstanceId{"first"}, first.ownLoads(Millis{1010}), Millis{1010});
+    CHECK(!chooses(second, gone, Millis{1010}));
+    CHECK(second.countIneligible(criteria, Millis{1010}).text() == "misdirected:1");
+    // What only a peer has found out is not reported on, or gateways would renew it for each other.
+    for (const GatewayLoad &load : second.ownLoads(Millis{1010})) {
+        CHECK(!load.misdirected);
+    }
+    CHECK(second.loads({}, Millis{1010}).size() == 3);
+    CHECK(second.loads({InstanceId{"first"}}, Millis{1010}).size() == 2);
+    const Millis later{4100};
+    second.updatePeerLoads(InstanceId{"first"}, first.ownLoads(later), later);
+    CHECK(chooses(second, gone, later));
+    CHECK(chooses(first, gone, later));
+}
--- a/sequoiausher/coordination/gateway/targeteligibility.cpp
+++ b/sequoiausher/coordination/gateway/targeteligibility.cpp
@@ -60,6 +60,9 @@
     if (const std::optional<Ineligibility> lasting = findLastingIneligibility(target)) {
         return lasting;
     }
+    if (target.isMisdirected(now)) {
+        return Ineligibility::Misdirected;
+    }
     if (!isAllowed(criteria.allowedRegions, target.region)) {
         return Ineligibility::Region;
     }
@@ -90,12 +93,12 @@
 
 bool isDoubtful(const TargetState &target, Millis now)
 {
-    return target.health.isEjected(now) || now < target.fullUntil;
+    return target.health.isEjected(now) || now < target.fullUntil || target.isMisdirected(now);
 }
 
 bool isDisregardable(Ineligibility reason)
 {
-    return reason == Ineligibility::Failing || reason == Ineligibility::Full;
+    return reason == Ineligibility::Failing || reason == Ineligibility::Full || reason == Ineligibility::Misdirected;
 }
 
 void IneligibilityCounts::add(Ineligibility reason)
--- a/sequoiausher/coordination/gateway/targeteligibility.h
+++ b/sequoiausher/coordination/gateway/targeteligibility.h
@@ -28,6 +28,8 @@
     Leaving,
     /** The target's data centre is under evacuation. */
     Evacuated,
+    /** Another target answers at its address. */
+    Misdirected,
     /** The request must not leave its allowed regions, and the target is in another one. */
     Region,
     /** The request goes on with a stream that another software version began. */
@@ -51,6 +53,7 @@
     {Ineligibility::Unlisted, "unlisted"},
     {Ineligibility::Leaving, "leaving"},
     {Ineligibility::Evacuated, "evacuated"},
+    {Ineligibility::Misdirected, "misdirected"},
     {Ineligibility::Region, "region"},
     {Ineligibility::Version, "version"},
     {Ineligibility::Tried, "tried"},
@@ -85,7 +88,7 @@
 std::optional<Ineligibility>
 findIneligibility(const TargetState &target, const EligibilityCriteria &criteria, Millis now);
 
-/** Whether the target fails or is full as far as this gateway can tell, whatever else speaks against it. */
+/** Whether the target fails, is full or is gone as far as the gateways can tell, whatever else speaks against it. */
 bool isDoubtful(const TargetState &target, Millis now);
 
 /** Whether the reason is only a doubt, which is disregarded where most targets are doubtful. */
--- a/sequoiausher/coordination/gateway/targetstate.h
+++ b/sequoiausher/coordination/gateway/targetstate.h
@@ -43,6 +43,10 @@
     std::uint32_t peersInFlight = 0;
     /** Peers whose last reports state that they, or the gateways that they report for, have ejected the target. */
     std::uint32_t peersSuspecting = 0;
+    /** Peers whose last reports state that another target answers at this one's address. */
+    std::uint32_t peersMisdirected = 0;
+    /** Until when this gateway takes the target for gone, by an answer that it got itself. */
+    Millis misdirectedUntil;
     /** Requests sent by this gateway since the last round of reports, in which gateways got each other's loads. */
     std::uint32_t sentSinceReport = 0;
     /** The sequence number of the last request sent to the target, among all requests of this gateway; 0 for none. */
@@ -76,6 +80,11 @@
     {
         return now < this->coldUntil || now < this->presumedColdUntil;
     }
+    /** Whether another target answers at this one's address, by this gateway's or a peer's request. */
+    bool isMisdirected(Millis now) const
+    {
+        return now < this->misdirectedUntil || this->peersMisdirected > 0;
+    }
     /** The load by this gateway and, by their last reports, by its peers. */
     std::uint32_t inFlight() const
     {
--- a/sequoiausher/coordination/messages/gatewaymessages.h
+++ b/sequoiausher/coordination/messages/gatewaymessages.h
@@ -22,6 +22,8 @@
     std::uint32_t inFlight = 0;
     /** The sender avoids the target for a while, because requests failed there. */
     bool suspected = false;
+    /** Another target answered the sender, or a gateway that it reports for, at this one's address. */
+    bool misdirected = false;
 
     bool operator==(const GatewayLoad &) const = default;
 };
--- a/sequoiausher/protocol/codec/framereader.cpp
+++ b/sequoiausher/protocol/codec/framereader.cpp
@@ -663,7 +663,8 @@
     }
     for (std::size_t i = 0; i < this->sizeOf(m->loads()); ++i) {
         const auto *load = m->loads()->Get(static_cast<flatbuffers::uoffset_t>(i));
-        report.loads.push_back({TargetId{this->name(load->target())}, load->in_flight(), load->suspected()});
+        report.loads.push_back(
+            {TargetId{this->name(load->target())}, load->in_flight(), load->suspected(), load->misdirected()});
     }
     for (std::size_t i = 0; i < this->sizeOf(m->placements()); ++i) {
         const auto *placement = m->placements()->Get(static_cast<flatbuffers::uoffset_t>(i));
--- a/sequoiausher/protocol/codec/framewriter.cpp
+++ b/sequoiausher/protocol/codec/framewriter.cpp
@@ -439,7 +439,7 @@
     }
     std::vector<Wire::GatewayLoad> loads;
     for (const GatewayLoad &load : m.loads) {
-        loads.emplace_back(load.inFlight, this->index(load.target.value), load.suspected);
+        loads.emplace_back(load.inFlight, this->index(load.target.value), load.suspected, load.misdirected);
     }
     std::vector<Wire::GatewayPlacement> placements;
     for (const GatewayPlacement &placement : m.placements) {
--- a/sequoiausher/protocol/codec/messagegenerators.cpp
+++ b/sequoiausher/protocol/codec/messagegenerators.cpp
@@ -164,7 +164,7 @@
 SEQUOIAUSHER_ARBITRARY(AnswerFragment, m.answer, m.offset, m.bytes);
 SEQUOIAUSHER_ARBITRARY(AnswerPage, m.handover, m.sequence, m.fragments);
 SEQUOIAUSHER_ARBITRARY(AnswerPageAck, m.handover, m.sequence);
-SEQUOIAUSHER_ARBITRARY(GatewayLoad, m.target, m.inFlight, m.suspected);
+SEQUOIAUSHER_ARBITRARY(GatewayLoad, m.target, m.inFlight, m.suspected, m.misdirected);
 SEQUOIAUSHER_ARBITRARY(GatewayMember, m.instance, m.age, m.strength, m.dataCentre);
 SEQUOIAUSHER_ARBITRARY(GatewayPlacement, m.part, m.target);
 SEQUOIAUSHER_ARBITRARY(GatewayCrash, m.caller, m.content, m.target, m.age, m.ranFor);
