--- a/sequoiausher/coordination/rules/condition.cpp
+++ b/sequoiausher/coordination/rules/condition.cpp
@@ -35,6 +35,7 @@
     ConditionKind::PromptBytes,
     ConditionKind::PromptTokens,
     ConditionKind::TimeOfDay,
+    ConditionKind::Gateways,
 };
 constexpr std::array poolKinds{
     ConditionKind::PoolTargets,
@@ -316,6 +317,8 @@
         return static_cast<std::int64_t>(estimatedTokens(facts.promptBytes));
     case ConditionKind::TimeOfDay:
         return facts.wallTime.count / msPerMinute % minutesPerDay;
+    case ConditionKind::Gateways:
+        return facts.gateways;
     case ConditionKind::PoolTargets:
         return poolOf(condition, facts).targets;
     case ConditionKind::PoolInFlight:
--- a/sequoiausher/coordination/rules/decision.h
+++ b/sequoiausher/coordination/rules/decision.h
@@ -73,12 +73,18 @@
     Queue,
     /** As many requests are refused immediately as needed for the others to be answered in time. */
     Shed,
+    /**
+     * As Shed, decided for the whole fleet by one gateway, the admission owner of the service. It also chooses the
+     * target, since it counts the requests at each one exactly.
+     */
+    Reserve,
 };
 
 template<>
 inline constexpr auto nameTable<Overload> = std::to_array<NameEntry<Overload>>({
     {Overload::Queue, "queue"},
     {Overload::Shed, "shed"},
+    {Overload::Reserve, "reserve"},
 });
 
 /** The limits of an organisation for requests that match this rule. An absent limit does not apply. */
@@ -135,6 +141,12 @@
     CacheMiss cacheMiss = CacheMiss::Read;
     /** Applied by gateways only. */
     Overload overload = Overload::Queue;
+    /**
+     * The limit for second copies of requests that are slow, in percent of the requests to the service within the
+     * window; 0 for none. Applied by gateways only, with Overload::Reserve.
+     */
+    std::uint32_t hedgePercent = 0;
+    Millis hedgeWindow{10000};
     /** The experiment and its arm; both empty or both set. */
     std::string experiment;
     std::string arm;
--- a/sequoiausher/coordination/rules/ruleaction.cpp
+++ b/sequoiausher/coordination/rules/ruleaction.cpp
@@ -21,6 +21,26 @@
     return value ? std::optional(static_cast<std::uint32_t>(*value)) : std::nullopt;
 }
 
+void readHedging(SectionReader &section, Decision &decision)
+{
+    constexpr std::int64_t maxHedgePercent = 50;
+    constexpr std::int64_t maxWindowSeconds = 600;
+    constexpr std::int64_t msPerSecond = 1000;
+    const auto percent = readNumber(section, "then.hedge_percent", {1, maxHedgePercent, "percent of the requests"});
+    const auto seconds = readNumber(section, "then.hedge_window_s", {1, maxWindowSeconds, "seconds"});
+    decision.hedgePercent = percent.value_or(0);
+    if (seconds) {
+        decision.hedgeWindow = Millis{*seconds * msPerSecond};
+    }
+    if (percent && decision.overload != Overload::Reserve) {
+        section.report(*section.entry("then.hedge_percent"),
+                       "then.overload = reserve beside it: the admission owner holds the limit");
+    }
+    if (seconds && !percent) {
+        section.report(*section.entry("then.hedge_window_s"), "then.hedge_percent beside it");
+    }
+}
+
 void readRouting(SectionReader &section, RuleAction &action)
 {
     Decision &decision = action.decision;
@@ -35,6 +55,7 @@
     decision.claim = section.name<ClaimMode>("then.claim").value_or(decision.claim);
     decision.cacheMiss = section.name<CacheMiss>("then.cache_miss").value_or(decision.cacheMiss);
     decision.overload = section.name<Overload>("then.overload").value_or(decision.overload);
+    readHedging(section, decision);
     decision.experiment = section.plainName("then.experiment").value_or("");
     decision.arm = section.plainName("then.arm").value_or("");
 }
