--- a/sequoiausher/coordination/gateway/admissionowner.cpp
+++ b/sequoiausher/coordination/gateway/admissionowner.cpp
@@ -22,8 +22,8 @@
  * answers that take longer than expected. The differences keep places for the more urgent classes.
  */
 constexpr double urgentAimFraction = 0.95;
-constexpr double interactiveAimFraction = 0.85;
-constexpr double backgroundAimFraction = 0.75;
+constexpr double interactiveAimFraction = 0.9;
+constexpr double backgroundAimFraction = 0.85;
 /** From this fraction of the limit of its class on, an organisation gets no more than its fair part. */
 constexpr double fairnessOnset = 0.5;
 /**
@@ -39,7 +39,7 @@
 constexpr double dominantShares = 2;
 /** A request that is late already has this limit in place of that of its class, so that it does not make others late.
  */
-constexpr double lateAimFraction = 0.3;
+constexpr double lateAimFraction = 0.5;
 /** This many requests a second of each organisation are admitted whatever its fair part is, so that none is starved. */
 constexpr double minFairRate = 1;
 /** The weight of one answer in the average service time of a target. */
