Let the soak's gateways reserve places and hedge requests

Cause: reservations and second copies add ways for a request to be sent, given up and refused; only real processes that are killed, frozen and cut off play them all.

--- a/lab/soak/soakgateway.cpp
+++ b/lab/soak/soakgateway.cpp
@@ -16,6 +16,14 @@
  * closes any. Longer than the balancer takes to see that it leaves. */
 constexpr const char *shortNotice = "notice_ms = 800\n";
 
+/** Every request asks an admission owner, and as many as possible are hedged. */
+constexpr const char *reservingRules = "[rule engines]\nwhen.prompt_tokens = >0\nthen.pool = routed\n"
+                                       "then.policy = room-rendezvous\nthen.bound_percent = 150\n"
+                                       "then.cache_miss = copy\n"
+                                       "[rule services]\nthen.pool = routed\nthen.policy = least-expected\n"
+                                       "then.overload = reserve\nthen.hedge_percent = 50\n"
+                                       "then.hedge_window_s = 600\n";
+
 std::string local(const ReservedPort &port)
 {
     return std::string(loopback) + ":" + std::to_string(port.number());
@@ -53,11 +61,16 @@
 
 void SoakGateway::configure(const std::vector<std::string> &seeds)
 {
+    std::string rules = SEQUOIAUSHER_GATEWAY_RULES;
+    if (this->reservesPlaces) {
+        rules = this->folder + "/rules.ini";
+        std::ofstream(rules) << reservingRules;
+    }
     std::ofstream file(this->folder + "/g" + std::to_string(this->number) + ".ini");
     file << "[gateway]\nname = g" << this->number << "\ndata_centre = hall\naddress = " << local(this->callerPort)
          << "\nready_address = " << local(this->readyPort) << "\npeer_address = " << this->peerAddress()
          << "\ntunnel_port = " << this->tunnelPort << "\npeer_listen_address = " << local(this->peerPort)
-         << "\nrules = " << SEQUOIAUSHER_GATEWAY_RULES << "\n[store]\naddress = " << toText(this->toStore.listening())
+         << "\nrules = " << rules << "\n[store]\naddress = " << toText(this->toStore.listening())
          << "\n[peers]\nseeds = ";
     for (std::size_t i = 0; i < seeds.size(); ++i) {
         file << (i > 0 ? ", " : "") << seeds[i];
--- a/lab/soak/soakgateway.h
+++ b/lab/soak/soakgateway.h
@@ -36,6 +36,8 @@
     std::map<std::string, std::unique_ptr<FakePath>> paths;
     /** Gateways open tunnels through each other at this port; 0 for none. */
     std::uint16_t tunnelPort = 0;
+    /** The rules reserve places at admission owners, in place of the shipped rules. */
+    bool reservesPlaces = false;
 
     /** Writes its settings file. */
     void configure(const std::vector<std::string> &seeds);
--- a/lab/soak/soakrun.cpp
+++ b/lab/soak/soakrun.cpp
@@ -93,6 +93,7 @@
         if (this->tunnelPort) {
             this->gateways.back()->tunnelPort = this->tunnelPort->number();
         }
+        this->gateways.back()->reservesPlaces = this->options.reservesPlaces;
         if (seeds.size() < 3) {
             seeds.push_back(this->gateways.back()->peerAddress());
         }
--- a/lab/soak/soakrun.h
+++ b/lab/soak/soakrun.h
@@ -46,6 +46,8 @@
     /** How many software versions the targets have, drawn anew for each life; callers take up streams that broke off. 0
      * for one version, and callers that do not. */
     std::size_t versions = 0;
+    /** Gateways reserve places at admission owners, and hedge slow requests. */
+    bool reservesPlaces = false;
     /** Where settings and what the gateways write go; made where it is missing. */
     std::string folder;
     /** The gateway to play, such as an older one; empty for the one that was built with the soak. */
