--- a/sequoiausher/coordination/gateway/admissionowner.cpp
+++ b/sequoiausher/coordination/gateway/admissionowner.cpp
@@ -40,7 +40,7 @@
 /** A request that is late already has this limit in place of that of its class, so that it does not make others late.
  */
 constexpr double lateAimFraction = 0.5;
-/** This many requests a second of each organisation are admitted whatever its fair part is, so that none is starved. */
+/** The fair part of an organisation is never below this rate, so that a wrong estimate of the capacity starves none. */
 constexpr double minFairRate = 1;
 /** The weight of one answer in the average service time of a target. */
 constexpr double answerWeight = 0.15;
@@ -82,6 +82,7 @@
 constexpr Millis targetsInterval{50};
 /** An owner that was not asked for this long starts anew, since another gateway has owned the service meanwhile. */
 constexpr Millis ownershipTtl{2000};
+/** How long a service is kept that no gateway asks about, so that names of services do not add up. */
 constexpr Millis unusedServiceTtl{60000};
 /** How often the fair part of each organisation is computed. */
 constexpr Millis levelInterval{50};
