Capture a name that the linter's compiler can capture

Cause: clang 14 refuses a structured binding in a lambda, which doctest's CAPTURE makes; g++ accepts it. The linter stopped there.

Change: a variable in its place. Measured: admissionownertest passes, the linter is clean over the file.

--- a/sequoiausher/coordination/gateway/admissionownertest.cpp
+++ b/sequoiausher/coordination/gateway/admissionownertest.cpp
@@ -188,7 +188,9 @@
             running.emplace(bed.now + elapsed, Running{reply, elapsed});
         }
     }
-    for (const auto &[organisation, counts] : granted) {
+    for (const auto &entry : granted) {
+        const std::uint32_t organisation = entry.first;
+        const std::pair<int, int> &counts = entry.second;
         CAPTURE(organisation);
         if (organisation == 1) {
             // What the service can do beyond the others' 100 a second.
