Let engines read short prompts first where a rule asks for it

Loads that differ: targets held 6 requests at the median and 16 at the 99th percentile.

Change: then.queue_order = shortest-first. Within its class, a request's priority follows the tokens that its target has to read, which the gateway estimates from what was read or is copied where. The log tells priority and tokens.

--- a/sequoiausher/coordination/gateway/promptparts.cpp
+++ b/sequoiausher/coordination/gateway/promptparts.cpp
@@ -20,10 +20,15 @@
 
 } // namespace
 
-PromptParts::PromptParts(const std::vector<std::uint64_t> &all) : shared(all)
+PromptParts::PromptParts(const std::vector<std::uint64_t> &all, const std::vector<std::uint32_t> &tokens)
+    : shared(all)
+    , sharedTokens(tokens)
 {
+    this->sharedTokens.resize(this->shared.size());
     if (this->shared.size() > 1) {
+        this->ownTokens = this->sharedTokens.back();
         this->shared.pop_back();
+        this->sharedTokens.pop_back();
     }
 }
 
@@ -47,25 +52,39 @@
     return this->shared.empty() ? std::vector<TargetId>() : directory.holders(this->shared.back(), now);
 }
 
-std::optional<GatewayTarget> PromptParts::findCopySource(const PrefixDirectory &directory,
-                                                         TargetBoard &board,
-                                                         const TargetId &to,
-                                                         const AllowedRegions &allowedRegions,
-                                                         Millis now) const
+std::optional<CopySource> PromptParts::findCopySource(const PrefixDirectory &directory,
+                                                      TargetBoard &board,
+                                                      const TargetId &to,
+                                                      const AllowedRegions &allowedRegions,
+                                                      Millis now) const
 {
-    for (auto part = this->shared.rbegin(); part != this->shared.rend(); ++part) {
-        const std::vector<TargetId> currentHolders = directory.holders(*part, now);
+    for (std::size_t count = this->shared.size(); count > 0; --count) {
+        const std::vector<TargetId> currentHolders = directory.holders(this->shared[count - 1], now);
         if (contains(currentHolders, to)) {
             return std::nullopt;
         }
-        std::optional<GatewayTarget> source = board.findCopySource(currentHolders, allowedRegions, now);
-        if (source) {
-            return source;
+        if (const std::optional<GatewayTarget> source = board.findCopySource(currentHolders, allowedRegions, now)) {
+            return CopySource{*source, count};
         }
     }
     return std::nullopt;
 }
 
+std::uint64_t
+PromptParts::tokensToRead(const PrefixDirectory &directory, const TargetId &to, std::size_t copied, Millis now) const
+{
+    std::uint64_t tokens = this->ownTokens;
+    for (std::size_t count = this->shared.size(); count > copied; --count) {
+        const std::vector<TargetId> currentHolders = directory.holders(this->shared[count - 1], now);
+        const bool isInWideUse = count < this->shared.size() && currentHolders.size() >= maxCopySources;
+        if (isInWideUse || contains(currentHolders, to)) {
+            break;
+        }
+        tokens += this->sharedTokens[count - 1];
+    }
+    return tokens;
+}
+
 void PromptParts::recordSent(PrefixDirectory &directory, const TargetId &to, Millis now) const
 {
     for (const std::uint64_t part : this->shared) {
--- a/sequoiausher/coordination/gateway/promptpartstest.cpp
+++ b/sequoiausher/coordination/gateway/promptpartstest.cpp
@@ -30,7 +30,7 @@
     std::string source(const PromptParts &parts, const TargetId &to)
     {
         const auto found = parts.findCopySource(this->directory, this->board, to, std::nullopt, now);
-        return found ? found->address : "";
+        return found ? found->target.address : "";
     }
 
     PrefixDirectory directory;
@@ -96,3 +96,30 @@
     CHECK(fleet.directory.holders(1, now).size() == 3);
     CHECK(fleet.directory.holders(60, now).size() == 5);
 }
+
+TEST_CASE("a target reads the parts that it neither has nor copies")
+{
+    Fleet fleet;
+    const PromptParts parts({1, 2, 3}, {2500, 6000, 580});
+    const PromptParts other({1, 4, 5}, {2500, 4000, 300});
+    CHECK(parts.tokensToRead(fleet.directory, one, 0, now) == 9080);
+    CHECK(parts.tokensToRead(fleet.directory, one, 1, now) == 6580);
+    CHECK(parts.tokensToRead(fleet.directory, one, 2, now) == 580);
+    other.recordSent(fleet.directory, one, now);
+    CHECK(parts.tokensToRead(fleet.directory, one, 0, now) == 6580);
+    CHECK(parts.tokensToRead(fleet.directory, two, 0, now) == 9080);
+    parts.recordSent(fleet.directory, one, now);
+    CHECK(parts.tokensToRead(fleet.directory, one, 0, now) == 580);
+}
+
+// The directory remembers few targets for a part that most of them have.
+TEST_CASE("a beginning in wide use counts as cached")
+{
+    Fleet fleet;
+    std::uint64_t last = 10;
+    for (const TargetId &target : {one, two, three}) {
+        PromptParts({1, ++last, 3}).recordSent(fleet.directory, target, now);
+    }
+    const PromptParts parts({1, 2, 3}, {2500, 6000, 580});
+    CHECK(parts.tokensToRead(fleet.directory, TargetId{"t4"}, 0, now) == 6580);
+}
--- a/sequoiausher/coordination/rules/decision.h
+++ b/sequoiausher/coordination/rules/decision.h
@@ -87,6 +87,20 @@
     {Overload::Reserve, "reserve"},
 });
 
+/** Which of the requests that wait at one model engine the engine reads first. */
+enum class QueueOrder {
+    /** By the priority of the rule or of the request's class; in order of arrival among equal ones. */
+    Class,
+    /** By the request's class, and within it by how many tokens the engine has to read for the request. */
+    ShortestFirst,
+};
+
+template<>
+inline constexpr auto nameTable<QueueOrder> = std::to_array<NameEntry<QueueOrder>>({
+    {QueueOrder::Class, "class"},
+    {QueueOrder::ShortestFirst, "shortest-first"},
+});
+
 /** The limits of an organisation for requests that match this rule. An absent limit does not apply. */
 struct RuleLimits
 {
@@ -128,8 +142,10 @@
     PolicyKind policy = PolicyKind::BoundedRendezvous;
     /** Percent of the mean load; if absent, the router's setting applies. */
     std::optional<std::uint32_t> boundPercent;
-    /** From 0 (first) to 9 (last). */
+    /** From 0 (first) to 9 (last); not used with QueueOrder::ShortestFirst. */
     std::uint32_t priority = 0;
+    /** Applied by gateways only. */
+    QueueOrder queueOrder = QueueOrder::Class;
     RuleLimits limits;
     /** If absent, the router's setting applies. A shorter deadline of the caller takes precedence. */
     std::optional<Millis> deadline;
--- a/sequoiausher/coordination/rules/ruleaction.cpp
+++ b/sequoiausher/coordination/rules/ruleaction.cpp
@@ -48,6 +48,7 @@
     decision.policy = section.name<PolicyKind>("then.policy").value_or(decision.policy);
     decision.boundPercent = readNumber(section, "then.bound_percent", {101, 1000, "percent of the mean load"});
     action.priority = readNumber(section, "then.priority", {0, 9, "0 first to 9 last"});
+    decision.queueOrder = section.name<QueueOrder>("then.queue_order").value_or(decision.queueOrder);
     decision.deadline = section.duration("then.deadline_ms", {1, msPerHour, ""});
     decision.retry = section.name<RetryMode>("then.retry").value_or(decision.retry);
     decision.retryBudgetPercent = readNumber(section, "then.retry_budget_percent", {0, 100, "percent of requests"})
@@ -118,6 +119,10 @@
     if (retry != nullptr && decision.retry == RetryMode::Idempotent && decision.claim == ClaimMode::Required) {
         section.report(*retry, "none or safe, since then.claim = required runs each request at most once");
     }
+    const IniEntry *priority = section.entry("then.priority");
+    if (priority != nullptr && decision.queueOrder == QueueOrder::ShortestFirst) {
+        section.report(*priority, "none with then.queue_order = shortest-first, which sets the priority");
+    }
     const IniEntry *experiment = section.entry("then.experiment");
     const IniEntry *arm = section.entry("then.arm");
     if (experiment != nullptr && arm == nullptr) {
--- a/sequoiausher/coordination/rules/rulesettest.cpp
+++ b/sequoiausher/coordination/rules/rulesettest.cpp
@@ -208,6 +208,16 @@
          "mean load)"},
         {"then.pool = p\nthen.priority = 10",
          "3:17: [rule r] then.priority: found '10', expected a whole number from 0 to 9 (0 first to 9 last)"},
+        {"then.pool = p\nthen.priority = 3\nthen.queue_order = shortest-first",
+         "3:17: [rule r] then.priority: found '3', expected none with then.queue_order = shortest-first, which sets "
+         "the "
+         "priority"},
+        {"then.pool = p\nthen.queue_order = shortest",
+         "3:20: [rule r] then.queue_order: found 'shortest', expected one of class, shortest-first"},
+        {"then.pool = p\nthen.hedge_percent = 3",
+         "3:22: [rule r] then.hedge_percent: found '3', expected then.overload = reserve beside it: the admission "
+         "owner "
+         "holds the limit"},
         {"then.pool = p\nthen.deadline_ms = 0",
          "3:20: [rule r] then.deadline_ms: found '0', expected a whole number from 1 to 3600000 (ms)"},
         {"then.pool = p\nthen.rate_per_second = 1.5",
--- a/sequoiausher/transport/gateway/exchangelog.cpp
+++ b/sequoiausher/transport/gateway/exchangelog.cpp
@@ -13,6 +13,12 @@
     return span == Millis::never() ? "never" : std::to_string(span.count);
 }
 
+template<typename Number>
+std::string textOf(const std::optional<Number> &number)
+{
+    return number ? std::to_string(*number) : "";
+}
+
 } // namespace
 
 ExchangeLog::ExchangeLog(const Log &output, const AdmittedRequest &request) : log(output), admitted(request)
@@ -63,6 +69,8 @@
          {"fingerprint", ending.fingerprint},
          {"prompt_part", loggedPart(request.partHash)},
          {"copied_from", this->kept.copiedFrom},
+         {"priority", textOf(this->kept.priority)},
+         {"tokens_to_read", textOf(this->kept.tokensToRead)},
          {"events", std::to_string(ending.answer.events)},
          {"framing", ending.answer.framing},
          {"inside_event", ending.answer.isInsideEvent ? "yes" : "no"},
--- a/sequoiausher/transport/gateway/exchangelog.h
+++ b/sequoiausher/transport/gateway/exchangelog.h
@@ -10,6 +10,8 @@
 #include "sequoiausher/transport/gateway/gatewayadmission.h"
 
 #include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -22,6 +24,10 @@
     std::string passedOver;
     /** Address of the target from which the chosen one copies cached parts; empty for none. */
     std::string copiedFrom;
+    /** The priority at the target, 0 first; absent before the request was sent. */
+    std::optional<std::uint32_t> priority;
+    /** Tokens of the prompt that the target had to read, as estimated; absent where the order does not depend on it. */
+    std::optional<std::uint64_t> tokensToRead;
     /** What the target announced about itself. */
     std::string announcement;
     /** The gateway through which the target was reached; empty for none. */
--- a/sequoiausher/transport/gateway/gatewayadmission.cpp
+++ b/sequoiausher/transport/gateway/gatewayadmission.cpp
@@ -148,10 +148,12 @@
 {
     this->admitted.service = RouteTable::chooseService(*this->admitted.route, hash64(this->admitted.request.attemptId));
     std::vector<std::uint64_t> hashes;
+    std::vector<std::uint32_t> tokens;
     for (const PromptPart &part : this->admitted.request.parts) {
         hashes.push_back(hash64(part.id));
+        tokens.push_back(part.tokens);
     }
-    this->admitted.parts = PromptParts(hashes);
+    this->admitted.parts = PromptParts(hashes, tokens);
     this->admitted.partHash
         = this->admitted.parts.empty() ? hash64(this->admitted.request.attemptId) : this->admitted.parts.lastShared();
     const std::optional<Decision> decided = this->context.rules->decide(this->facts());
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -4,6 +4,7 @@
 #include "sequoiausher/base/hashing.h"
 #include "sequoiausher/coordination/gateway/attemptoutcome.h"
 #include "sequoiausher/coordination/gateway/connectionshare.h"
+#include "sequoiausher/coordination/gateway/queueorder.h"
 #include "sequoiausher/coordination/gateway/requestattempts.h"
 #include "sequoiausher/transport/gateway/answerendcheck.h"
 #include "sequoiausher/transport/gateway/crashguard.h"
@@ -110,7 +111,9 @@
     void refuseOutOfReach();
     /** Refuses a request that no target can take, with the reason and the time to come back. */
     void refuseNotRun(Millis now);
-    std::string findCopySource(const ChosenTarget &target, Millis now);
+    std::optional<CopySource> findCopySource(const ChosenTarget &target, Millis now);
+    /** The priority of the request at the target. */
+    std::uint32_t priorityAt(const ChosenTarget &target, const std::optional<CopySource> &source, Millis now);
     std::shared_ptr<TargetConnection> connect(const ChosenTarget &chosen, Millis now);
     void send(const ChosenTarget &chosen, std::shared_ptr<TargetConnection> connection, Millis now);
     void endAttempt(const AttemptOutcome &outcome, Millis now);
@@ -534,14 +537,25 @@
     return this->context.board.choose(this->criteria(now), now);
 }
 
-std::string GatewayExchange::Private::findCopySource(const ChosenTarget &target, Millis now)
+std::optional<CopySource> GatewayExchange::Private::findCopySource(const ChosenTarget &target, Millis now)
 {
     if (this->admitted.decision.cacheMiss != CacheMiss::Copy) {
-        return {};
+        return std::nullopt;
     }
-    const std::optional<GatewayTarget> source = this->admitted.parts.findCopySource(
+    return this->admitted.parts.findCopySource(
         this->context.parts, this->context.board, target.target.id, this->admitted.allowedRegions, now);
-    return source ? source->address : std::string();
+}
+
+std::uint32_t
+GatewayExchange::Private::priorityAt(const ChosenTarget &target, const std::optional<CopySource> &source, Millis now)
+{
+    if (this->admitted.decision.queueOrder == QueueOrder::Class) {
+        return this->admitted.decision.priority;
+    }
+    const std::uint64_t tokens
+        = this->admitted.parts.tokensToRead(this->context.parts, target.target.id, source ? source->parts : 0, now);
+    this->lines.notes().tokensToRead = tokens;
+    return shortestFirstPriority(this->admitted.requestClass, tokens);
 }
 
 std::shared_ptr<TargetConnection> GatewayExchange::Private::connect(const ChosenTarget &target, Millis now)
@@ -578,11 +592,13 @@
     order.target = listedName(target.target);
     order.timeLeft = this->admitted.deadline - now;
     order.organisation = this->admitted.organisation;
-    order.priority = this->admitted.decision.priority;
     order.lastEventId = this->answer.lastEventId();
     order.bodyBytes = this->body.size();
-    order.copyFrom = this->findCopySource(target, now);
+    const std::optional<CopySource> source = this->findCopySource(target, now);
+    order.copyFrom = source ? source->target.address : "";
+    order.priority = this->priorityAt(target, source, now);
     this->lines.notes().copiedFrom = order.copyFrom;
+    this->lines.notes().priority = order.priority;
     this->call = std::make_unique<GatewayCall>(
         this->self, this->context.dialect, std::move(connection), this->admitted.request.attemptId);
     this->context.board.recordStart(target.target.id, now);
