Keep the places of an admission owner in a table of its own

Cause: a second kind of owner, for model engines, needs the same bookkeeping: places by gateway and request that expire with their deadlines.

Change: PlaceTable, taken out of AdmissionOwner. Nothing else changes; the tests of AdmissionOwner pass as they are.

--- a/sequoiausher/coordination/gateway/admissionowner.cpp
+++ b/sequoiausher/coordination/gateway/admissionowner.cpp
@@ -1,6 +1,7 @@
 #include "sequoiausher/coordination/gateway/admissionowner.h"
 
 #include "sequoiausher/coordination/gateway/answertimes.h"
+#include "sequoiausher/coordination/gateway/placetable.h"
 
 #include <algorithm>
 #include <array>
@@ -178,7 +179,6 @@
     std::uint32_t inFlightAtStart = 0;
     Millis grantedAt;
     bool isHedge = false;
-    Millis expiresAt;
 };
 
 struct Service
@@ -223,8 +223,6 @@
     }
 };
 
-using PlaceKey = std::pair<InstanceId, std::uint64_t>;
-
 double limitFraction(RequestClass requestClass)
 {
     switch (requestClass) {
@@ -459,9 +457,9 @@
     GatewayAdmissionReply decideHedge(const PlaceKey &key, const GatewayAdmissionRequest &request, Millis now)
     {
         GatewayAdmissionReply reply{request.id, AdmissionVerdict::NoHedge, {}, {}, {}};
-        const auto first = this->places.find({key.first, request.hedgeOf});
+        const Place *first = this->places.find({key.first, request.hedgeOf});
         const auto found = this->services.find(request.service);
-        if (first == this->places.end() || found == this->services.end()) {
+        if (first == nullptr || found == this->services.end()) {
             return reply;
         }
         Service &service = found->second;
@@ -469,14 +467,14 @@
             return reply;
         }
         std::vector<TargetId> excluded = request.excluded;
-        excluded.push_back(first->second.target);
+        excluded.push_back(first->target);
         Target *best = chooseTarget(service, excluded, now);
         const bool hasFreePlace
             = best != nullptr && now >= best->fullUntil && countInFlight(service, *best, now) < best->listed.slots;
         if (!hasFreePlace) {
             return reply;
         }
-        const Millis waited = now - first->second.grantedAt;
+        const Millis waited = now - first->grantedAt;
         const std::optional<Millis> remaining = service.answerTimes.meanRemaining(waited, now);
         if (!remaining || expectedMs(service, *best, now) > static_cast<double>(remaining->count) * hedgeGainFraction) {
             return reply;
@@ -495,16 +493,10 @@
         const std::pair organisation{request.requestClass, request.organisation};
         service.organisations[organisation].places += 1;
         target.inFlight += 1;
-        const Millis expiresAt = now + request.timeLeft + releaseGrace;
-        this->places.emplace(key,
-                             Place{request.service,
-                                   target.listed.id,
-                                   organisation,
-                                   target.inFlight,
-                                   now,
-                                   request.hedgeOf != 0,
-                                   expiresAt});
-        this->expiries.emplace(expiresAt, key);
+        this->places.add(
+            key,
+            Place{request.service, target.listed.id, organisation, target.inFlight, now, request.hedgeOf != 0},
+            now + request.timeLeft + releaseGrace);
     }
 
     static void recordAnswer(Service &service, Millis elapsed, Millis now)
@@ -531,22 +523,19 @@
 
     void expirePlaces(Millis now)
     {
-        while (!this->expiries.empty() && this->expiries.begin()->first <= now) {
-            this->drop(this->expiries.begin()->second);
+        while (const std::optional<PlaceKey> expired = this->places.firstExpired(now)) {
+            this->drop(*expired);
         }
     }
 
     /** Removes a place. @return what it was; none if it is not known. */
     std::optional<Place> drop(const PlaceKey &key)
     {
-        const auto found = this->places.find(key);
-        if (found == this->places.end()) {
+        std::optional<Place> dropped = this->places.take(key);
+        if (!dropped) {
             return std::nullopt;
         }
-        Place place = std::move(found->second);
-        this->places.erase(found);
-        const auto [first, last] = this->expiries.equal_range(place.expiresAt);
-        this->expiries.erase(std::find_if(first, last, [&key](const auto &entry) { return entry.second == key; }));
+        const Place &place = *dropped;
         if (Target *target = this->find(place.service, place.target)) {
             target->inFlight -= std::min<std::uint32_t>(target->inFlight, 1);
         }
@@ -556,7 +545,7 @@
                 organisation->second.places -= std::min<std::uint32_t>(organisation->second.places, 1);
             }
         }
-        return place;
+        return dropped;
     }
 
     Target *find(const PoolId &service, const TargetId &target)
@@ -570,8 +559,7 @@
     }
 
     std::unordered_map<PoolId, Service> services;
-    std::map<PlaceKey, Place> places;
-    std::multimap<Millis, PlaceKey> expiries;
+    PlaceTable<Place> places;
 };
 
 AdmissionOwner::AdmissionOwner() : d(std::make_unique<Private>())
@@ -613,9 +601,9 @@
     this->d->expirePlaces(now);
     GatewayAdmissionReply reply{request.id, AdmissionVerdict::NoTarget, {}, {}, {}};
     const PlaceKey key{from, request.id};
-    if (const auto known = this->d->places.find(key); known != this->d->places.end()) {
+    if (const Place *known = this->d->places.find(key)) {
         reply.verdict = AdmissionVerdict::Granted;
-        reply.target = known->second.target;
+        reply.target = known->target;
         return reply;
     }
     if (request.hedgeOf != 0) {
@@ -673,26 +661,14 @@
 
 void AdmissionOwner::releaseAll(const InstanceId &from)
 {
-    std::vector<PlaceKey> keys;
-    for (auto entry = this->d->places.lower_bound({from, 0});
-         entry != this->d->places.end() && entry->first.first == from;
-         ++entry) {
-        keys.push_back(entry->first);
-    }
-    for (const PlaceKey &key : keys) {
+    for (const PlaceKey &key : this->d->places.heldBy(from)) {
         this->d->drop(key);
     }
 }
 
 std::vector<InstanceId> AdmissionOwner::holders() const
 {
-    std::vector<InstanceId> all;
-    for (const auto &[key, place] : this->d->places) {
-        if (all.empty() || all.back() != key.first) {
-            all.push_back(key.first);
-        }
-    }
-    return all;
+    return this->d->places.holders();
 }
 
 OwnedServiceState AdmissionOwner::state(const PoolId &service, Millis now)
