Let one gateway place the prompts of a service of engines

Cause: with empty caches, prompts that take 0.1 to 0.5 s to read pile up at some engines while others are idle. 122 gateways choose by reports that are as old as that, and each sees an answer of an engine once in 20 s.

Ruled out: too few engines; they read at half of their rate.

Change: then.overload = reserve also holds for requests with a prompt. The admission owner (EngineOwner) counts waiting tokens, requests, and parts that are read or being read at each engine, heeds what engines say of their speed, and names the engine to copy from. The messages of admission carry the parts and tell the first event. A request that could only begin after its caller has left is refused.

--- /dev/null
+++ b/lab/model/promptreadingmodel.h
@@ -0,0 +1,81 @@
+#pragma once
+
+// A service of model engines in simulated time, without any network, whose caches are empty at first: engines that read
+// prompts one after the other, at speeds that differ and change, and many gateways that place requests by late reports
+// or ask one owner. The decisions are the shipped ones (TargetBoard, PromptParts, EngineOwner, shortestFirstPriority).
+//
+//     PromptReadingDay day;
+//     const PromptReadingResult result = playPromptReading(day, {QueueOrder::ShortestFirst, true});
+//
+// Where it differs from real engines: a prompt is read whole before the next one, running streams do not slow reading
+// down, caches have room for everything, nothing fails, and nobody comes back.
+
+#include "sequoiausher/base/millis.h"
+#include "sequoiausher/coordination/rules/decision.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace Sequoiausher {
+
+/** The load and what serves it. */
+struct PromptReadingDay
+{
+    std::size_t gateways = 122;
+    std::size_t targets = 90;
+    double perSecond = 565;
+    /** So many requests come together on the average: one user's page asks for several things. */
+    double together = 3;
+    double tokensPerMs = 44.2;
+    /** Work takes 1.3 times as long at every third target, and slowTimes as long for a share of the time. */
+    double slowShare = 0.15;
+    double slowTimes = 2.5;
+    double slowPeriodMs = 600;
+    Millis reportInterval{300};
+    /** The time that a message between a gateway and the owner takes. */
+    double ownerWayMs = 2;
+    /** The owner's process ends here, and another gateway owns the service from ownerBackAt on; 0 for never. */
+    double ownerEndsAt = 0;
+    double ownerBackAt = 0;
+    Millis length{4000};
+    std::uint64_t seed = 1;
+};
+
+/** How the gateways decide. */
+struct PromptReadingPolicy
+{
+    QueueOrder order = QueueOrder::Class;
+    bool asksOwner = false;
+    /** Targets tell how long work takes there at the moment, and the owner goes by it. */
+    bool tellsSpeed = true;
+};
+
+/** What became of the requests. */
+struct PromptReadingResult
+{
+    std::size_t sent = 0;
+    /** The first event came later than the aim of the request's kind. */
+    std::size_t late = 0;
+    /** The longest time to a first event, in ms. */
+    double longestMs = 0;
+    /** Sent to a target that held more than twice the mean of all and three. */
+    std::size_t sentAboveLimit = 0;
+    /** Tokens of shared parts that were read, and those of them that another target had read before. */
+    std::uint64_t sharedTokensRead = 0;
+    std::uint64_t readAgain = 0;
+    /** Tokens of shared parts that were copied from other targets. */
+    std::uint64_t copied = 0;
+
+    double shareLate() const
+    {
+        return this->sent == 0 ? 0 : static_cast<double>(this->late) / static_cast<double>(this->sent);
+    }
+    double shareAboveLimit() const
+    {
+        return this->sent == 0 ? 0 : static_cast<double>(this->sentAboveLimit) / static_cast<double>(this->sent);
+    }
+};
+
+PromptReadingResult playPromptReading(const PromptReadingDay &day, const PromptReadingPolicy &policy);
+
+} // namespace Sequoiausher
--- a/sequoiausher/coordination/gateway/admissionclient.cpp
+++ b/sequoiausher/coordination/gateway/admissionclient.cpp
@@ -64,6 +64,8 @@
         answer.place = {owner, reply.id};
         answer.target = reply.target;
         answer.hedgeAfter = reply.hedgeAfter;
+        answer.copyFrom = reply.copyFrom;
+        answer.tokensToRead = reply.tokensToRead;
         break;
     case AdmissionVerdict::Overloaded:
         answer.result = AdmissionResult::Overloaded;
@@ -80,7 +82,12 @@
 
 Outbox AdmissionClient::release(const AdmissionPlace &place, PlaceOutcome outcome, Millis elapsed)
 {
-    return {{place.owner, GatewayAdmissionRelease{place.id, outcome, elapsed}}};
+    return {{place.owner, GatewayAdmissionRelease{place.id, outcome, elapsed, 0}}};
+}
+
+Outbox AdmissionClient::reportBegun(const AdmissionPlace &place, Millis elapsed, std::uint16_t slownessPercent)
+{
+    return {{place.owner, GatewayAdmissionRelease{place.id, PlaceOutcome::Begun, elapsed, slownessPercent}}};
 }
 
 void AdmissionClient::tick(Millis now)
--- a/sequoiausher/coordination/gateway/admissionclient.h
+++ b/sequoiausher/coordination/gateway/admissionclient.h
@@ -61,6 +61,10 @@
     Millis retryAfter;
     /** When to ask for a second copy, if the request has no answer by then; 0 for never. */
     Millis hedgeAfter;
+    /** A target that has read parts of the prompt which the granted one lacks; empty for none. */
+    TargetId copyFrom;
+    /** Tokens of the prompt that the granted target has to read. */
+    std::uint32_t tokensToRead = 0;
 };
 
 /** The requests for places of one gateway. Not thread-safe. */
@@ -83,6 +87,8 @@
     static AdmissionAnswer toAnswer(const InstanceId &owner, const GatewayAdmissionReply &reply);
     /** Gives a place back. */
     static Outbox release(const AdmissionPlace &place, PlaceOutcome outcome, Millis elapsed);
+    /** Tells the owner that the first event of the place's request has come. */
+    static Outbox reportBegun(const AdmissionPlace &place, Millis elapsed, std::uint16_t slownessPercent);
     /** Gives up requests that were not answered in time. */
     void tick(Millis now);
     /** The link to the peer broke: gives up the requests to it and skips it for a while. */
--- a/sequoiausher/coordination/gateway/admissionowner.cpp
+++ b/sequoiausher/coordination/gateway/admissionowner.cpp
@@ -456,7 +456,7 @@
     /** Decides about a place for a second copy of the request that holds the given place. */
     GatewayAdmissionReply decideHedge(const PlaceKey &key, const GatewayAdmissionRequest &request, Millis now)
     {
-        GatewayAdmissionReply reply{request.id, AdmissionVerdict::NoHedge, {}, {}, {}};
+        GatewayAdmissionReply reply{request.id, AdmissionVerdict::NoHedge, {}, {}, {}, {}, 0};
         const Place *first = this->places.find({key.first, request.hedgeOf});
         const auto found = this->services.find(request.service);
         if (first == nullptr || found == this->services.end()) {
@@ -599,7 +599,7 @@
 GatewayAdmissionReply AdmissionOwner::decide(const InstanceId &from, const GatewayAdmissionRequest &request, Millis now)
 {
     this->d->expirePlaces(now);
-    GatewayAdmissionReply reply{request.id, AdmissionVerdict::NoTarget, {}, {}, {}};
+    GatewayAdmissionReply reply{request.id, AdmissionVerdict::NoTarget, {}, {}, {}, {}, 0};
     const PlaceKey key{from, request.id};
     if (const Place *known = this->d->places.find(key)) {
         reply.verdict = AdmissionVerdict::Granted;
--- a/sequoiausher/coordination/gateway/promptparts.cpp
+++ b/sequoiausher/coordination/gateway/promptparts.cpp
@@ -47,6 +47,20 @@
     return this->shared.empty() ? 0 : this->shared.front();
 }
 
+std::vector<AdmissionPart> PromptParts::sharedParts() const
+{
+    std::vector<AdmissionPart> parts;
+    for (std::size_t i = 0; i < this->shared.size(); ++i) {
+        parts.push_back({this->shared[i], this->sharedTokens[i]});
+    }
+    return parts;
+}
+
+std::uint32_t PromptParts::ownTokenCount() const
+{
+    return this->ownTokens;
+}
+
 std::vector<TargetId> PromptParts::holders(const PrefixDirectory &directory, Millis now) const
 {
     return this->shared.empty() ? std::vector<TargetId>() : directory.holders(this->shared.back(), now);
--- a/sequoiausher/coordination/gateway/promptparts.h
+++ b/sequoiausher/coordination/gateway/promptparts.h
@@ -11,6 +11,7 @@
 
 #include "sequoiausher/coordination/gateway/prefixdirectory.h"
 #include "sequoiausher/coordination/gateway/targetboard.h"
+#include "sequoiausher/coordination/messages/gatewayadmissionmessages.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -23,7 +24,7 @@
 struct CopySource
 {
     GatewayTarget target;
-    /** How many parts from the beginning of the prompt it holds. */
+    /** How many parts from the beginning of the prompt it holds; 0 if the admission owner named it. */
     std::size_t parts = 0;
 };
 
@@ -44,6 +45,11 @@
     /** The first part; 0 where there is none. */
     std::uint64_t first() const;
 
+    /** The shared parts with their lengths, in order. */
+    std::vector<AdmissionPart> sharedParts() const;
+    /** The length of the request's own part. */
+    std::uint32_t ownTokenCount() const;
+
     /** The targets that hold the last shared part. */
     std::vector<TargetId> holders(const PrefixDirectory &directory, Millis now) const;
     /**
--- a/sequoiausher/coordination/messages/gatewayadmissionmessages.h
+++ b/sequoiausher/coordination/messages/gatewayadmissionmessages.h
@@ -16,6 +16,38 @@
 
 namespace Sequoiausher {
 
+/** A part of a prompt that other prompts share. */
+struct AdmissionPart
+{
+    std::uint64_t hash = 0;
+    std::uint32_t tokens = 0;
+
+    bool operator==(const AdmissionPart &) const = default;
+};
+
+/** What the owner of a service of model engines uses of a request's prompt. */
+struct AdmissionPrompt
+{
+    /** The shared parts in order. */
+    std::vector<AdmissionPart> parts;
+    /** Tokens beside these parts. */
+    std::uint32_t ownTokens = 0;
+    /** The rule's bound on the requests at one target, in percent of the mean. */
+    std::uint16_t boundPercent = 0;
+    /** The priority at the target, 0 first; ignored if the order is shortest first. */
+    std::uint8_t priority = 0;
+    bool isShortestFirst = false;
+    /** A target that lacks parts copies them from another one. */
+    bool mayCopy = false;
+
+    bool operator==(const AdmissionPrompt &) const = default;
+
+    bool isEmpty() const
+    {
+        return this->parts.empty() && this->ownTokens == 0;
+    }
+};
+
 /** Asks the owner for a place at a target. */
 struct GatewayAdmissionRequest
 {
@@ -41,6 +73,8 @@
     Millis hedgeWindow;
     /** The id of the place at which the request runs already, if this one is for a second copy; 0 otherwise. */
     std::uint64_t hedgeOf = 0;
+    /** Empty for a request without a prompt. */
+    AdmissionPrompt prompt;
 
     bool operator==(const GatewayAdmissionRequest &) const = default;
 };
@@ -76,6 +110,10 @@
     Millis retryAfter;
     /** When to ask for a second copy, if the request has no answer by then; 0 for never. */
     Millis hedgeAfter;
+    /** A target that has read parts of the prompt which the chosen one lacks; empty for none. */
+    TargetId copyFrom = {};
+    /** Tokens of the prompt that the target has to read before its first event; 0 without a prompt. */
+    std::uint32_t tokensToRead = 0;
 
     bool operator==(const GatewayAdmissionReply &) const = default;
 };
@@ -90,6 +128,8 @@
     Unused,
     /** The request was given up without an answer, which would have taken longer than the elapsed time. */
     Abandoned,
+    /** The first event of a stream has come; the request keeps its place. */
+    Begun,
 };
 
 template<>
@@ -98,6 +138,7 @@
     {PlaceOutcome::Rejected, "rejected"},
     {PlaceOutcome::Unused, "unused"},
     {PlaceOutcome::Abandoned, "abandoned"},
+    {PlaceOutcome::Begun, "begun"},
 });
 
 /** Gives the place of a request back. */
@@ -105,8 +146,10 @@
 {
     std::uint64_t id = 0;
     PlaceOutcome outcome = PlaceOutcome::Unused;
-    /** The time since the request was sent; 0 unless it was answered or abandoned. */
+    /** The time since the request was sent; 0 unless it was answered, abandoned or begun. */
     Millis elapsed;
+    /** How long work takes at the target now, in percent of the usual time, as it announced; 0 if it did not. */
+    std::uint16_t slownessPercent = 0;
 
     bool operator==(const GatewayAdmissionRelease &) const = default;
 };
--- a/sequoiausher/protocol/codec/framereader.cpp
+++ b/sequoiausher/protocol/codec/framereader.cpp
@@ -150,6 +150,9 @@
     std::size_t refusalsTaken = 0;
     std::size_t excludedTaken = 0;
     std::size_t admissionExcludedTaken = 0;
+    std::size_t admissionPartsTaken = 0;
+    /** Reads the parts of the next request's prompt. */
+    std::vector<AdmissionPart> admissionParts(std::size_t count);
 };
 
 FrameReader::Private::Private(const Wire::Frame &verified, std::string from) : frame(verified), peer(std::move(from))
@@ -738,6 +741,12 @@
         const auto index = static_cast<flatbuffers::uoffset_t>(this->admissionExcludedTaken++);
         request.excluded.push_back(TargetId{this->name(this->frame.admission_excluded()->Get(index))});
     }
+    request.prompt.parts = this->admissionParts(m->parts_count());
+    request.prompt.ownTokens = m->own_tokens();
+    request.prompt.boundPercent = m->bound_percent();
+    request.prompt.priority = m->priority();
+    request.prompt.isShortestFirst = m->shortest_first();
+    request.prompt.mayCopy = m->may_copy();
     const auto requestClass = enumOf<RequestClass>(m->request_class());
     if (!requestClass.has_value()) {
         return std::nullopt;
@@ -746,6 +755,20 @@
     return request;
 }
 
+std::vector<AdmissionPart> FrameReader::Private::admissionParts(std::size_t count)
+{
+    if (count > this->sizeOf(this->frame.admission_parts()) - this->admissionPartsTaken) {
+        this->refuse("a part of a prompt is missing");
+    }
+    std::vector<AdmissionPart> parts;
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto index = static_cast<flatbuffers::uoffset_t>(this->admissionPartsTaken++);
+        const auto *part = this->frame.admission_parts()->Get(index);
+        parts.push_back({part->hash(), part->tokens()});
+    }
+    return parts;
+}
+
 std::optional<PeerMessage> FrameReader::Private::gatewayAdmissionReply()
 {
     const auto *m = this->take(MessageKind::GatewayAdmissionReply, this->frame.gateway_admission_replies());
@@ -753,8 +776,13 @@
     if (!verdict.has_value()) {
         return std::nullopt;
     }
-    return GatewayAdmissionReply{
-        m->id(), *verdict, TargetId{this->name(m->target())}, spanOf(m->retry_after()), spanOf(m->hedge_after())};
+    return GatewayAdmissionReply{m->id(),
+                                 *verdict,
+                                 TargetId{this->name(m->target())},
+                                 spanOf(m->retry_after()),
+                                 spanOf(m->hedge_after()),
+                                 TargetId{this->name(m->copy_from())},
+                                 m->tokens_to_read()};
 }
 
 std::optional<PeerMessage> FrameReader::Private::gatewayAdmissionRelease()
@@ -764,7 +792,7 @@
     if (!outcome.has_value()) {
         return std::nullopt;
     }
-    return GatewayAdmissionRelease{m->id(), *outcome, spanOf(m->elapsed())};
+    return GatewayAdmissionRelease{m->id(), *outcome, spanOf(m->elapsed()), m->slowness_percent()};
 }
 
 FrameReader::FrameReader(const Wire::Frame &verified, std::string peer)
--- a/sequoiausher/protocol/codec/framewriter.cpp
+++ b/sequoiausher/protocol/codec/framewriter.cpp
@@ -132,6 +132,7 @@
     std::vector<Wire::GatewayAdmissionReply> gatewayAdmissionReplies;
     std::vector<Wire::GatewayAdmissionRelease> gatewayAdmissionReleases;
     std::vector<std::uint16_t> admissionExcluded;
+    std::vector<Wire::AdmissionPart> admissionParts;
 };
 
 std::uint16_t FrameWriter::Private::index(const std::string &name)
@@ -522,12 +523,15 @@
 
 void FrameWriter::Private::add(const GatewayAdmissionRequest &m)
 {
-    if (m.excluded.size() > mostIndexes) {
-        refuse("more than 65535 targets excluded");
+    if (m.excluded.size() > mostIndexes || m.prompt.parts.size() > mostIndexes) {
+        refuse("more than 65535 targets excluded, or parts of a prompt");
     }
     for (const TargetId &target : m.excluded) {
         this->admissionExcluded.push_back(this->index(target.value));
     }
+    for (const AdmissionPart &part : m.prompt.parts) {
+        this->admissionParts.emplace_back(part.hash, part.tokens);
+    }
     this->gatewayAdmissionRequests.emplace_back(m.id,
                                                 m.hedgeOf,
                                                 m.organisation,
@@ -535,21 +539,32 @@
                                                 wireSpan(m.waited),
                                                 wireSpan(m.timeLeft),
                                                 wireSpan(m.hedgeWindow),
+                                                m.prompt.ownTokens,
                                                 this->index(m.service.value),
                                                 static_cast<std::uint16_t>(m.excluded.size()),
                                                 m.hedgePercent,
-                                                wireEnum(m.requestClass));
+                                                static_cast<std::uint16_t>(m.prompt.parts.size()),
+                                                m.prompt.boundPercent,
+                                                wireEnum(m.requestClass),
+                                                m.prompt.priority,
+                                                m.prompt.isShortestFirst,
+                                                m.prompt.mayCopy);
 }
 
 void FrameWriter::Private::add(const GatewayAdmissionReply &m)
 {
-    this->gatewayAdmissionReplies.emplace_back(
-        m.id, wireSpan(m.retryAfter), wireSpan(m.hedgeAfter), this->index(m.target.value), wireEnum(m.verdict));
+    this->gatewayAdmissionReplies.emplace_back(m.id,
+                                               wireSpan(m.retryAfter),
+                                               wireSpan(m.hedgeAfter),
+                                               m.tokensToRead,
+                                               this->index(m.target.value),
+                                               this->index(m.copyFrom.value),
+                                               wireEnum(m.verdict));
 }
 
 void FrameWriter::Private::add(const GatewayAdmissionRelease &m)
 {
-    this->gatewayAdmissionReleases.emplace_back(m.id, wireSpan(m.elapsed), wireEnum(m.outcome));
+    this->gatewayAdmissionReleases.emplace_back(m.id, wireSpan(m.elapsed), m.slownessPercent, wireEnum(m.outcome));
 }
 
 // Without the order, a router of the first version would not see the messages of a kind that it does not know.
@@ -601,6 +616,7 @@
     const auto gatewayAdmissionRepliesAt = this->structs(this->gatewayAdmissionReplies);
     const auto gatewayAdmissionReleasesAt = this->structs(this->gatewayAdmissionReleases);
     const auto admissionExcludedAt = this->scalars(this->admissionExcluded);
+    const auto admissionPartsAt = this->structs(this->admissionParts);
     this->builder.Finish(Wire::CreateFrame(this->builder,
                                            claimRequestsAt,
                                            claimVotesAt,
@@ -637,7 +653,8 @@
                                            gatewayAdmissionRequestsAt,
                                            gatewayAdmissionRepliesAt,
                                            gatewayAdmissionReleasesAt,
-                                           admissionExcludedAt));
+                                           admissionExcludedAt,
+                                           admissionPartsAt));
     const auto *data = reinterpret_cast<const char *>(this->builder.GetBufferPointer());
     return {data, this->builder.GetSize()};
 }
--- a/sequoiausher/protocol/codec/messagegenerators.cpp
+++ b/sequoiausher/protocol/codec/messagegenerators.cpp
@@ -198,6 +198,8 @@
 SEQUOIAUSHER_ARBITRARY(StreamKey, m.caller, m.attempt);
 SEQUOIAUSHER_ARBITRARY(OriginFinding, m.kind, m.service, m.softwareVersion);
 SEQUOIAUSHER_ARBITRARY(GatewayStreamOrigin, m.purpose, m.key, m.finding, m.span);
+SEQUOIAUSHER_ARBITRARY(AdmissionPart, m.hash, m.tokens);
+SEQUOIAUSHER_ARBITRARY(AdmissionPrompt, m.parts, m.ownTokens, m.boundPercent, m.priority, m.isShortestFirst, m.mayCopy);
 SEQUOIAUSHER_ARBITRARY(GatewayAdmissionRequest,
                        m.id,
                        m.service,
@@ -209,9 +211,17 @@
                        m.excluded,
                        m.hedgePercent,
                        m.hedgeWindow,
-                       m.hedgeOf);
-SEQUOIAUSHER_ARBITRARY(GatewayAdmissionReply, m.id, m.verdict, m.target, m.retryAfter, m.hedgeAfter);
-SEQUOIAUSHER_ARBITRARY(GatewayAdmissionRelease, m.id, m.outcome, m.elapsed);
+                       m.hedgeOf,
+                       m.prompt);
+SEQUOIAUSHER_ARBITRARY(GatewayAdmissionReply,
+                       m.id,
+                       m.verdict,
+                       m.target,
+                       m.retryAfter,
+                       m.hedgeAfter,
+                       m.copyFrom,
+                       m.tokensToRead);
+SEQUOIAUSHER_ARBITRARY(GatewayAdmissionRelease, m.id, m.outcome, m.elapsed, m.slownessPercent);
 
 #undef SEQUOIAUSHER_ARBITRARY
 
--- a/sequoiausher/protocol/codec/messagekind.cpp
+++ b/sequoiausher/protocol/codec/messagekind.cpp
@@ -297,7 +297,8 @@
     }
     std::size_t operator()(const GatewayAdmissionRequest &message) const
     {
-        return message.service.value.size() + sizeOfAll(message.excluded);
+        return message.service.value.size() + sizeOfAll(message.excluded)
+            + message.prompt.parts.size() * sizeof(AdmissionPart);
     }
     std::size_t operator()(const GatewayAdmissionReply &message) const
     {
--- a/sequoiausher/protocol/gateway/gatewaydialect.h
+++ b/sequoiausher/protocol/gateway/gatewaydialect.h
@@ -86,6 +86,8 @@
     bool isLeaving = false;
     /** It turned the request away and wants none for so long. */
     std::optional<Millis> restFor;
+    /** How long work takes there now, in percent of the usual time; absent where it does not say. */
+    std::optional<std::uint16_t> slownessPercent;
     /** It crashes when it has to reject more requests than this in a second for want of room. */
     std::optional<std::uint32_t> mostRejections;
 };
--- a/sequoiausher/transport/gateway/gatewaycontext.h
+++ b/sequoiausher/transport/gateway/gatewaycontext.h
@@ -12,6 +12,7 @@
 #include "sequoiausher/coordination/gateway/brittletargetlimit.h"
 #include "sequoiausher/coordination/gateway/callerwaitestimator.h"
 #include "sequoiausher/coordination/gateway/coldtargetlimit.h"
+#include "sequoiausher/coordination/gateway/engineowner.h"
 #include "sequoiausher/coordination/gateway/freshness.h"
 #include "sequoiausher/coordination/gateway/loadshedder.h"
 #include "sequoiausher/coordination/gateway/peerdirectory.h"
@@ -110,6 +111,7 @@
     CallerWaitEstimator patience;
     /** The services that this gateway owns, and its requests to the owners of the others. */
     AdmissionOwner admissionOwner;
+    EngineOwner engineOwner;
     AdmissionClient admissionClient;
     std::uint64_t lastOwnPlaceId = 0;
     StreamOrigins origins;
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -112,6 +112,10 @@
     /** Refuses a request that no target can take, with the reason and the time to come back. */
     void refuseNotRun(Millis now);
     std::optional<CopySource> findCopySource(const ChosenTarget &target, Millis now);
+    /** Whether the admission owner has placed the request's prompt at the target. */
+    bool isPlacedAt(const ChosenTarget &target) const;
+    /** Whether this gateway's own answers decide when requests to the service are refused. */
+    bool isShedByAnswers() const;
     /** The priority of the request at the target. */
     std::uint32_t priorityAt(const ChosenTarget &target, const std::optional<CopySource> &source, Millis now);
     std::shared_ptr<TargetConnection> connect(const ChosenTarget &chosen, Millis now);
@@ -167,6 +171,8 @@
     CallerAnswer answer;
     StreamOriginFinder origin;
     PlaceRequest place;
+    /** The last decision that granted a place. */
+    AdmissionAnswer placement;
     /** When to ask for a second copy; 0 for never. */
     Millis hedgeAt;
     /** The second copy, while it runs. */
@@ -304,6 +310,7 @@
     this->lines.notes().reservation = std::string(nameOf(decision.result));
     if (decision.result == AdmissionResult::Granted) {
         if (const auto granted = this->context.board.findUsable(this->criteria(now), decision.target, now)) {
+            this->placement = decision;
             this->hedgeAt = decision.hedgeAfter > Millis{0} ? now + decision.hedgeAfter : Millis{0};
             this->attempt(granted, now);
             return;
@@ -318,7 +325,7 @@
                         Outcome::RefusedFull);
         return;
     }
-    if (decision.result == AdmissionResult::NoReply && isFirst) {
+    if (decision.result == AdmissionResult::NoReply && isFirst && !hasPrompt(this->admitted)) {
         if (const auto refusal = shedByOwnAnswers(this->context, this->admitted, now)) {
             this->answerOwn(refusal->status, refusal->reason, refusal->retryAfter, refusal->outcome);
             return;
@@ -537,11 +544,31 @@
     return this->context.board.choose(this->criteria(now), now);
 }
 
+bool GatewayExchange::Private::isPlacedAt(const ChosenTarget &target) const
+{
+    return this->place.isGranted() && hasPrompt(this->admitted) && this->placement.target == target.target.id;
+}
+
+bool GatewayExchange::Private::isShedByAnswers() const
+{
+    // The time of a whole stream tells nothing of overload, so an admission owner goes by first events.
+    const Overload overload = this->admitted.decision.overload;
+    return overload == Overload::Shed || (overload == Overload::Reserve && !hasPrompt(this->admitted));
+}
+
 std::optional<CopySource> GatewayExchange::Private::findCopySource(const ChosenTarget &target, Millis now)
 {
     if (this->admitted.decision.cacheMiss != CacheMiss::Copy) {
         return std::nullopt;
     }
+    if (this->isPlacedAt(target) && !this->placement.copyFrom.empty()) {
+        const auto source
+            = this->context.board.findCopySource({this->placement.copyFrom}, this->admitted.allowedRegions, now);
+        if (source) {
+            return CopySource{*source, 0};
+        }
+    }
+    // The owner does not know of parts at targets that leave.
     return this->admitted.parts.findCopySource(
         this->context.parts, this->context.board, target.target.id, this->admitted.allowedRegions, now);
 }
@@ -552,8 +579,12 @@
     if (this->admitted.decision.queueOrder == QueueOrder::Class) {
         return this->admitted.decision.priority;
     }
-    const std::uint64_t tokens
-        = this->admitted.parts.tokensToRead(this->context.parts, target.target.id, source ? source->parts : 0, now);
+    // The owner knows which parts the target is still reading, but not of those that this gateway found elsewhere.
+    const bool isOwnSource = source && source->parts > 0;
+    const std::uint64_t tokens = this->isPlacedAt(target) && !isOwnSource
+        ? this->placement.tokensToRead
+        : this->admitted.parts.tokensToRead(
+            this->context.parts, target.target.id, isOwnSource ? source->parts : 0, now);
     this->lines.notes().tokensToRead = tokens;
     return shortestFirstPriority(this->admitted.requestClass, tokens);
 }
@@ -643,7 +674,7 @@
 {
     const Millis took = now - this->sentAt;
     this->context.board.recordAnswerTime(this->chosen.target.id, took);
-    if (this->admitted.decision.overload == Overload::Queue) {
+    if (!this->isShedByAnswers()) {
         return;
     }
     const PoolId &service = this->admitted.service;
@@ -660,7 +691,7 @@
         end, (this->call && this->call->mayHaveArrived()) || (isWithHedge && this->hedge->mayHaveArrived()));
     this->endReason = std::string(nameOf(end));
     this->lines.writeAttemptEnd(this->chosen.target.id, end, now - this->sentAt, this->loggedAnswer());
-    if (mark == TargetOutcome::Full && this->admitted.decision.overload != Overload::Queue) {
+    if (mark == TargetOutcome::Full && this->isShedByAnswers()) {
         this->context.shedder.recordRejection(this->admitted.service, now);
     }
     this->closeCall(mark, now);
@@ -818,6 +849,7 @@
     this->d->crashGuard.recordPart(now);
     if (this->d->answer.isEventStream()) {
         this->d->recordFirstPart(now);
+        this->d->place.reportBegun(now - this->d->sentAt, this->d->answer.targetAnswer().slownessPercent.value_or(0));
         this->d->origin.recordBeginning(this->d->admitted, this->d->chosen.target, now);
     } else {
         this->d->attempts.markAnswerNotResumable();
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -330,7 +330,7 @@
         } else if (const auto *reply = std::get_if<GatewayAdmissionReply>(&message)) {
             this->send(this->context.admissionClient.receive(from, *reply));
         } else if (const auto *release = std::get_if<GatewayAdmissionRelease>(&message)) {
-            this->context.admissionOwner.release(from, *release, Millis::monotonicNow());
+            releaseAsOwner(this->context, from, *release, Millis::monotonicNow());
         }
     } catch (const Error &error) {
         this->context.log.warning(
@@ -344,18 +344,18 @@
     if (!isNew && latest->second < sender) {
         // The earlier process ended with all of its requests.
         latest->second = sender;
-        this->context.admissionOwner.releaseAll(peer);
+        releaseAllAsOwner(this->context, peer);
     }
 }
 
 void GatewayPeers::Private::releaseLostPlaces(Millis now)
 {
-    for (const InstanceId &holder : this->context.admissionOwner.holders()) {
+    for (const InstanceId &holder : placeHolders(this->context)) {
         const bool isSelf = holder == InstanceId{this->context.settings.peerAddress};
         // A gateway that asks before its first report is not known yet.
         const Millis silence = this->context.peers.silence(holder, now);
         if (!isSelf && silence != Millis::never() && silence >= holderSilence) {
-            this->context.admissionOwner.releaseAll(holder);
+            releaseAllAsOwner(this->context, holder);
         }
     }
 }
--- a/sequoiausher/transport/gateway/placerequest.cpp
+++ b/sequoiausher/transport/gateway/placerequest.cpp
@@ -19,12 +19,39 @@
     return static_cast<std::uint32_t>(hash64(organisation.value));
 }
 
+std::vector<OwnedTarget> ownedTargets(GatewayContext &context, const PoolId &service, Millis now)
+{
+    TargetCriteria criteria;
+    criteria.service = service;
+    criteria.policy = PolicyKind::LeastExpected;
+    std::vector<OwnedTarget> owned;
+    for (const ServiceTarget &target : context.board.serviceTargets(criteria, now)) {
+        owned.push_back({target.id, target.slots, target.inFlight, target.isUsable});
+    }
+    return owned;
+}
+
+AdmissionPrompt promptOf(const AdmittedRequest &admitted)
+{
+    constexpr std::uint32_t defaultBound = 150;
+    constexpr std::uint32_t maxBound = 65535;
+    AdmissionPrompt prompt;
+    prompt.parts = admitted.parts.sharedParts();
+    prompt.ownTokens = admitted.parts.empty() ? admitted.request.promptTokens : admitted.parts.ownTokenCount();
+    prompt.boundPercent
+        = static_cast<std::uint16_t>(std::min(admitted.decision.boundPercent.value_or(defaultBound), maxBound));
+    prompt.priority = static_cast<std::uint8_t>(admitted.decision.priority);
+    prompt.isShortestFirst = admitted.decision.queueOrder == QueueOrder::ShortestFirst;
+    prompt.mayCopy = admitted.decision.cacheMiss == CacheMiss::Copy;
+    return prompt;
+}
+
 void sendAll(GatewayContext &context, Outbox messages)
 {
     for (const Outgoing &out : messages) {
         const auto *release = std::get_if<GatewayAdmissionRelease>(&out.message);
         if (release != nullptr && out.to == selfOf(context)) {
-            context.admissionOwner.release(out.to, *release, Millis::monotonicNow());
+            releaseAsOwner(context, out.to, *release, Millis::monotonicNow());
         }
     }
     std::erase_if(messages, [&context](const Outgoing &out) { return out.to == selfOf(context); });
@@ -36,22 +63,50 @@
 GatewayAdmissionReply
 decideAsOwner(GatewayContext &context, const InstanceId &from, const GatewayAdmissionRequest &request, Millis now)
 {
-    if (context.admissionOwner.needsTargets(request.service, now)) {
-        TargetCriteria criteria;
-        criteria.service = request.service;
-        criteria.policy = PolicyKind::LeastExpected;
-        std::vector<OwnedTarget> owned;
-        for (const ServiceTarget &target : context.board.serviceTargets(criteria, now)) {
-            owned.push_back({target.id, target.slots, target.inFlight, target.isUsable});
+    const bool isForEngine = !request.prompt.isEmpty();
+    const bool needsTargets = isForEngine ? context.engineOwner.needsTargets(request.service, now)
+                                          : context.admissionOwner.needsTargets(request.service, now);
+    if (needsTargets) {
+        const std::vector<OwnedTarget> owned = ownedTargets(context, request.service, now);
+        if (isForEngine) {
+            context.engineOwner.setTargets(request.service, owned, now);
+        } else {
+            context.admissionOwner.setTargets(request.service, owned, now);
         }
-        context.admissionOwner.setTargets(request.service, owned, now);
     }
-    GatewayAdmissionReply reply = context.admissionOwner.decide(from, request, now);
+    GatewayAdmissionReply reply = isForEngine ? context.engineOwner.decide(from, request, context.parts, now)
+                                              : context.admissionOwner.decide(from, request, now);
     context.metrics.add(reply.verdict == AdmissionVerdict::Granted ? "gateway_places_granted_total"
                                                                    : "gateway_places_refused_total");
     return reply;
 }
 
+void releaseAsOwner(GatewayContext &context, const InstanceId &from, const GatewayAdmissionRelease &release, Millis now)
+{
+    // Ids are unique among all requests of a gateway, so only one owner knows the place.
+    context.admissionOwner.release(from, release, now);
+    context.engineOwner.release(from, release, now);
+}
+
+void releaseAllAsOwner(GatewayContext &context, const InstanceId &from)
+{
+    context.admissionOwner.releaseAll(from);
+    context.engineOwner.releaseAll(from);
+}
+
+std::vector<InstanceId> placeHolders(const GatewayContext &context)
+{
+    std::vector<InstanceId> holders = context.admissionOwner.holders();
+    const std::vector<InstanceId> ofEngines = context.engineOwner.holders();
+    holders.insert(holders.end(), ofEngines.begin(), ofEngines.end());
+    return holders;
+}
+
+bool hasPrompt(const AdmittedRequest &admitted)
+{
+    return admitted.request.promptTokens > 0 || !admitted.parts.empty();
+}
+
 PlaceRequest::PlaceRequest(GatewayContext &shared) : context(shared)
 {
 }
@@ -75,6 +130,9 @@
             request.excluded.push_back(target.id);
         }
     }
+    if (hasPrompt(admitted)) {
+        request.prompt = promptOf(admitted);
+    }
     return request;
 }
 
@@ -112,6 +170,7 @@
                         const Answered &answered)
 {
     this->release(PlaceOutcome::Unused, Millis{0});
+    this->hasBegun = false;
     const InstanceId self = selfOf(this->context);
     if (this->context.admissionClient.chooseOwner(owners, now) == self) {
         request.id = ++this->context.lastOwnPlaceId;
@@ -145,6 +204,13 @@
     return this->place.id != 0;
 }
 
+void PlaceRequest::reportBegun(Millis elapsed, std::uint16_t slownessPercent)
+{
+    if (this->isGranted() && !std::exchange(this->hasBegun, true)) {
+        sendAll(this->context, AdmissionClient::reportBegun(this->place, elapsed, slownessPercent));
+    }
+}
+
 bool PlaceRequest::isAsking() const
 {
     return this->asking != nullptr;
--- a/sequoiausher/transport/gateway/placerequest.h
+++ b/sequoiausher/transport/gateway/placerequest.h
@@ -10,6 +10,7 @@
 #include "sequoiausher/coordination/gateway/admissionclient.h"
 #include "sequoiausher/transport/gateway/gatewayadmission.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -20,6 +21,18 @@
 GatewayAdmissionReply
 decideAsOwner(GatewayContext &context, const InstanceId &from, const GatewayAdmissionRequest &request, Millis now);
 
+/** Takes a place back, or notes that its request has begun, as the admission owner. */
+void releaseAsOwner(GatewayContext &context,
+                    const InstanceId &from,
+                    const GatewayAdmissionRelease &release,
+                    Millis now);
+/** Takes back all places of a gateway whose process has ended, as the admission owner. */
+void releaseAllAsOwner(GatewayContext &context, const InstanceId &from);
+/** The gateways that hold places which this one has granted. */
+std::vector<InstanceId> placeHolders(const GatewayContext &context);
+/** Whether the request has a prompt, so that its place is at a model engine. */
+bool hasPrompt(const AdmittedRequest &admitted);
+
 /** The place of one request. */
 class PlaceRequest
 {
@@ -49,6 +62,9 @@
                    const Answered &answered);
     /** Whether a place is held. */
     bool isGranted() const;
+    /** Tells the owner once that the first event has come. @param slownessPercent as the target announced; 0 for none
+     */
+    void reportBegun(Millis elapsed, std::uint16_t slownessPercent);
     /** Whether an answer is awaited. */
     bool isAsking() const;
     /** Stops waiting for the answer, and gives back a place that is granted all the same. */
@@ -64,6 +80,7 @@
 
     GatewayContext &context;
     AdmissionPlace place;
+    bool hasBegun = false;
     /** Expires when the answer is no longer awaited. */
     std::shared_ptr<const bool> asking;
 };
