Reword the comments of the command line

Comments alone, in the terms of the field. The description of a command's exit codes names the step platform too, which ends with Unreachable.

--- a/sequoiausher/cli/armreport.h
+++ b/sequoiausher/cli/armreport.h
@@ -1,13 +1,13 @@
 #pragma once
 
-// The arms of each experiment side by side: every figure with the difference to the first arm and its interval.
+// Compares the arms of each experiment: every figure with its difference to the first arm and the confidence interval.
 //
 //     for (const ExperimentReport &experiment : compareArms(merged)) {
 //         for (const FigureRow &row : experiment.rows) { ... }
 //     }
 //
-// Arms are ordered by name, and the first is the one that others are compared with. The intervals take the requests for
-// independent; turns of one chat are not quite, so a bare exclusion of zero is a hint, not a proof.
+// Arms are ordered by name; the others are compared with the first. The intervals assume independent requests. Turns of
+// one chat are not fully independent, so an interval that barely excludes zero does not prove a difference.
 
 #include "sequoiausher/base/metrics/intervals.h"
 #include "sequoiausher/base/metrics/metrics.h"
@@ -18,20 +18,20 @@
 
 namespace Sequoiausher {
 
-/** One arm's part in a row; what is not known is empty. */
+/** The figure of one arm in a row; unknown values are empty. */
 struct FigureCell
 {
     std::optional<double> value;
-    /** This arm less the first, and its interval of 95%. */
+    /** The difference to the first arm, and its 95% confidence interval. */
     std::optional<double> difference;
     std::optional<Interval> interval;
 };
 
-/** One figure over all arms. */
+/** One figure of all arms. */
 struct FigureRow
 {
     std::string name;
-    /** ms, %, or empty for plain numbers. */
+    /** The unit: ms, %, or empty for plain numbers. */
     std::string unit;
     std::vector<FigureCell> cells;
 };
@@ -52,9 +52,9 @@
 std::uint64_t refusals(const SeriesData &data);
 /** Dispatches to all targets. */
 std::uint64_t dispatchesOf(const SeriesData &data);
-/** Dispatches to the busiest target over the mean of all that had any; none without dispatches. */
+/** Dispatches to the busiest target divided by the mean of all targets that had any; absent without dispatches. */
 std::optional<double> skewOf(const SeriesData &data);
-/** Percent of part in whole; none where whole is 0. */
+/** The percentage of part in whole; absent if whole is 0. */
 std::optional<double> percentOf(std::uint64_t part, std::uint64_t whole);
 
 } // namespace Sequoiausher
--- a/sequoiausher/cli/checkcommand.h
+++ b/sequoiausher/cli/checkcommand.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// `sequoiausher check`: are a router's settings and the platform's documents good? It sees all documents at once, so
-// unknown pools and organisations are errors here.
+// `sequoiausher check`: checks a router's settings and the platform's documents. It has all documents at once, so
+// unknown pools and organisations are errors.
 //
 //     sequoiausher check --settings etc/router.ini --documents etc/documents
 
@@ -9,7 +9,7 @@
 
 namespace Sequoiausher {
 
-/** Ends with Ok where nothing is wrong but warnings, and BadInput otherwise. */
+/** Exits with Ok if there are no errors, and with BadInput otherwise; warnings do not count. */
 class CheckCommand : public Command
 {
 public:
--- a/sequoiausher/cli/commandline.h
+++ b/sequoiausher/cli/commandline.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// The subcommands of the one binary, and the table that finds them.
+// The subcommands of the program, and the table that finds them by name.
 //
 //     CommandLine line;
 //     line.add(std::make_unique<CheckCommand>());
@@ -17,14 +17,14 @@
 
 namespace Sequoiausher {
 
-/** What a command shows in its help beside its options. */
+/** The help text of a command, without its options. */
 struct CommandHelp
 {
-    /** The word on the command line. */
+    /** The name of the command on the command line. */
     std::string name;
     /** One sentence. */
     std::string summary;
-    /** Whole command lines that work. */
+    /** Complete command lines. */
     std::vector<std::string> examples;
 };
 
@@ -38,11 +38,11 @@
     virtual ~Command() = default;
 
     virtual CommandHelp help() const = 0;
-    /** Adds what the command takes. `--help` is there already. */
+    /** Adds the options of the command; `--help` is added for all commands. */
     virtual void addOptions(cxxopts::Options &options) const = 0;
     /**
-     * Runs with options that were read without a mistake. An Error thrown ends as a line on err: with BadInput at the
-     * steps settings and rules, with Unreachable at connect, and else with Failed.
+     * Runs the command with valid options. An Error that is thrown is written to err as one line; the exit code is
+     * BadInput for the steps settings and rules, Unreachable for connect and platform, and Failed otherwise.
      */
     virtual ExitCode run(const cxxopts::ParseResult &options, std::ostream &out, std::ostream &err) const = 0;
 };
@@ -58,7 +58,7 @@
 
     void add(std::unique_ptr<Command> command);
 
-    /** @param arguments without the program's own name. */
+    /** @param arguments without the program's name. */
     ExitCode run(const std::vector<std::string> &arguments, std::ostream &out, std::ostream &err) const;
 
 private:
--- a/sequoiausher/cli/documentfolder.h
+++ b/sequoiausher/cli/documentfolder.h
@@ -10,13 +10,13 @@
 
 namespace Sequoiausher {
 
-/** The whole content of a file. @throws Error at step Settings, with the file as its peer. */
+/** Returns the content of a file. @throws Error at step Settings, with the file as its peer. */
 std::string readFile(const std::string &path);
 
-/** Every .ini file below folder. @throws Error at step Settings where the folder or a file cannot be read. */
+/** Reads every .ini file below folder. @throws Error at step Settings if the folder or a file cannot be read. */
 DocumentSet readDocumentFolder(const std::string &folder);
 
-/** The file in folder from which readDocumentFolder() took the document. */
+/** Returns the path of the file in folder from which readDocumentFolder() reads the document. */
 std::string documentPath(const std::string &folder, const std::string &document);
 
 } // namespace Sequoiausher
--- a/sequoiausher/cli/draincommand.h
+++ b/sequoiausher/cli/draincommand.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// `sequoiausher drain`: orders one router to a planned stop, and waits for its end where asked.
+// `sequoiausher drain`: requests a planned stop of one router and optionally waits until it has stopped.
 //
 //     sequoiausher drain --router 127.0.0.1:7401 --wait
 
@@ -8,7 +8,7 @@
 
 namespace Sequoiausher {
 
-/** Ends with Ok where the order was taken (and, with --wait, the router stopped), and Failed where it was not. */
+/** Exits with Ok if the router accepted the request and, with --wait, has stopped; with Failed otherwise. */
 class DrainCommand : public Command
 {
 public:
--- a/sequoiausher/cli/exitcode.h
+++ b/sequoiausher/cli/exitcode.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// How the commands of the one binary end; scripts may rely on these numbers.
+// The exit statuses of all commands. Scripts rely on these numbers, so they do not change.
 //
 //     return toStatus(ExitCode::BadInput);   // 2
 
@@ -11,9 +11,9 @@
 /** The exit status of a command. */
 enum class ExitCode {
     Ok = 0,
-    /** The command ran and its answer is no, or it failed on the way. */
+    /** The command ran with a negative result, or failed while it ran. */
     Failed = 1,
-    /** The command line, the settings or the documents are wrong. */
+    /** The command line, the settings or the documents are invalid. */
     BadInput = 2,
     /** A router or the platform could not be reached. */
     Unreachable = 3,
--- a/sequoiausher/cli/explaincommand.h
+++ b/sequoiausher/cli/explaincommand.h
@@ -1,8 +1,8 @@
 #pragma once
 
-// `sequoiausher explain`: which rule decides for a request, why the earlier ones do not, and which target it gets. It
-// works on a folder of documents, so that a change can be tried before it is published, or on what is in force at a
-// router; with a router, targets are chosen by the present loads.
+// `sequoiausher explain`: shows which rule decides about a request, why the earlier ones do not match, and which target
+// is chosen. Uses a folder of documents, so that a change can be tried before it is published, or the documents in
+// force at a router; with a router, targets are chosen by the current loads.
 //
 //     sequoiausher explain --documents etc/documents --organisation kentekenlab --model plate-model --chat 42
 
@@ -10,7 +10,7 @@
 
 namespace Sequoiausher {
 
-/** Ends with Ok where a rule decides, Failed where none does, and BadInput where the documents have an error. */
+/** Exits with Ok if a rule decides, Failed if none does, and BadInput if the documents have an error. */
 class ExplainCommand : public Command
 {
 public:
--- a/sequoiausher/cli/explainrequestcommand.h
+++ b/sequoiausher/cli/explainrequestcommand.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// `sequoiausher explain-request ID`: what became of one request, from the log lines on standard input.
+// `sequoiausher explain-request ID`: shows how one request was handled, from the log lines on standard input.
 
 #include "sequoiausher/cli/commandline.h"
 
--- a/sequoiausher/cli/fleetoptions.h
+++ b/sequoiausher/cli/fleetoptions.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// The options by which a command is told whom to ask, the same for all commands that ask routers.
+// The options that select the routers to ask, shared by all commands that ask routers.
 //
 //     addFleetOptions(options);
 //     const FleetStatus fleet = readFleet(client, fleetAddresses(parsed));
--- a/sequoiausher/cli/fleetstatus.h
+++ b/sequoiausher/cli/fleetstatus.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// The state of the fleet, put together from the routers' /status pages: what `status`, `watch` and `report` go by.
+// The state of the fleet, collected from the routers' /status pages; used by `status`, `watch` and `report`.
 //
 //     OperatorClient client;
 //     const FleetStatus fleet = readFleet(client, {"127.0.0.1:7401"});
@@ -17,14 +17,14 @@
 
 namespace Sequoiausher {
 
-/** One target as one router lists it. */
+/** A target as listed by one router. */
 struct ListedTarget
 {
     std::string name;
     std::string state;
 };
 
-/** One pool as one router lists it. */
+/** A pool as listed by one router. */
 struct ListedPool
 {
     std::string name;
@@ -33,7 +33,7 @@
     std::vector<ListedTarget> targets;
 };
 
-/** What the owner of a target counts on it. */
+/** The requests that the owner of a target counts there. */
 struct CountedTarget
 {
     std::string name;
@@ -43,11 +43,11 @@
     std::optional<std::uint32_t> reported;
 };
 
-/** One router's page. */
+/** The status page of one router. */
 struct RouterStatus
 {
     std::string name;
-    /** Where it was asked. */
+    /** The address that was asked. */
     std::string address;
     std::uint64_t incarnation = 0;
     bool ready = false;
@@ -69,11 +69,11 @@
     std::vector<CountedTarget> targets;
     std::vector<ListedPool> pools;
     std::vector<InstanceDescription> instances;
-    /** The page itself, one JSON object. */
+    /** The page, a JSON object. */
     std::string page;
 };
 
-/** A router that gave no page. */
+/** A router that returned no page. */
 struct UnreachableRouter
 {
     std::string name;
@@ -89,7 +89,7 @@
     std::vector<UnreachableRouter> unreachable;
 };
 
-/** One pool over the whole fleet. */
+/** A pool, summed over the whole fleet. */
 struct PoolStatus
 {
     ListedPool pool;
@@ -97,7 +97,7 @@
     std::map<std::string, std::uint32_t> inFlight;
     std::uint64_t total = 0;
     std::uint32_t largest = 0;
-    /** Targets that take requests. */
+    /** Targets that accept requests. */
     std::size_t live = 0;
     /** The most that a target may carry by the settings' bound; 0 without live targets. */
     std::uint64_t bound = 0;
@@ -118,7 +118,7 @@
 /** The pools, by name, as the newest revision has them. */
 std::vector<PoolStatus> poolStatuses(const FleetStatus &fleet);
 
-/** What an operator should look at, one sentence each; empty where all is well. */
+/** Warnings for the operator, one sentence each; empty if there are none. */
 std::vector<std::string> fleetWarnings(const FleetStatus &fleet);
 
 /**
--- a/sequoiausher/cli/gatewaycommand.h
+++ b/sequoiausher/cli/gatewaycommand.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// `sequoiausher gateway`: runs one gateway on a platform that an adapter speaks for.
+// `sequoiausher gateway`: runs one gateway on a platform whose protocol an adapter implements.
 
 #include "sequoiausher/cli/commandline.h"
 #include "sequoiausher/protocol/gateway/gatewaydialect.h"
--- a/sequoiausher/cli/operatorclient.h
+++ b/sequoiausher/cli/operatorclient.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// Asks routers for their operators' pages, several at a time, and waits for the answers.
+// Requests the operators' pages of several routers at once and waits for the answers.
 //
 //     OperatorClient client;
 //     const std::vector<PageAnswer> answers = client.ask({"127.0.0.1:7401"}, {"GET", "/status", ""});
@@ -13,35 +13,35 @@
 
 namespace Sequoiausher {
 
-/** What is asked of each router. */
+/** The request that is sent to each router. */
 struct PageRequest
 {
     std::string method = "GET";
     std::string path;
-    /** Sent as Authorization: Bearer; none where empty. */
+    /** Sent as `Authorization: Bearer`; not sent if empty. */
     std::string token;
 };
 
-/** What came of it. */
+/** The answer of one router. */
 struct PageAnswer
 {
-    /** IP number and port that were asked. */
+    /** The IP address and port that were asked. */
     std::string address;
-    /** 0 where no answer came. */
+    /** The HTTP status; 0 if there was no answer. */
     int status = 0;
     std::string body;
-    /** Why no whole answer came; empty where one did. */
+    /** Why there is no complete answer; empty if there is one. */
     std::string failure;
 
     bool isGood() const
     {
         return this->failure.empty() && this->status / 100 == 2;
     }
-    /** Why it is not good. */
+    /** Why the answer is not usable. */
     std::string reason() const;
 };
 
-/** Waits with an event loop of its own; makes the application object where there is none. */
+/** Runs its own event loop while it waits; creates the application object if there is none. */
 class OperatorClient
 {
 public:
@@ -50,9 +50,9 @@
     OperatorClient(const OperatorClient &) = delete;
     OperatorClient &operator=(const OperatorClient &) = delete;
 
-    /** One answer for each address, in their order. */
+    /** Returns one answer for each address, in the same order. */
     std::vector<PageAnswer> ask(const std::vector<std::string> &addresses, const PageRequest &request);
-    /** The body of one router's page. @throws Error at step Connect, with the router as its peer. */
+    /** Returns the body of one router's page. @throws Error at step Connect, with the router as its peer. */
     std::string get(const std::string &address, const std::string &path);
 
 private:
@@ -60,7 +60,7 @@
     std::unique_ptr<Private> d;
 };
 
-/** How an error names a router that was asked. */
+/** Returns the name of a router in error messages. */
 std::string routerAt(const std::string &address);
 
 } // namespace Sequoiausher
--- a/sequoiausher/cli/reportcommand.h
+++ b/sequoiausher/cli/reportcommand.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// `sequoiausher report`: gathers the routers' metrics and shows the arms of each experiment side by side.
+// `sequoiausher report`: collects the routers' metrics and compares the arms of each experiment.
 //
 //     sequoiausher report --router 127.0.0.1:7401 --html report.html
 
@@ -8,7 +8,7 @@
 
 namespace Sequoiausher {
 
-/** Ends with Ok where every listed router gave its figures, and with Unreachable where one is missing from them. */
+/** Exits with Ok if every listed router returned its metrics, and with Unreachable otherwise. */
 class ReportCommand : public Command
 {
 public:
--- a/sequoiausher/cli/reporthtml.h
+++ b/sequoiausher/cli/reporthtml.h
@@ -10,7 +10,7 @@
 
 namespace Sequoiausher {
 
-/** @param source one line that says what the figures are from. */
+/** @param source one line that states where the figures come from. */
 std::string reportHtml(const std::vector<ExperimentReport> &experiments,
                        const MetricsSnapshot &snapshot,
                        const std::string &source);
--- a/sequoiausher/cli/reporttext.h
+++ b/sequoiausher/cli/reporttext.h
@@ -18,7 +18,7 @@
  */
 std::string reportCsv(const std::vector<ExperimentReport> &experiments, const MetricsSnapshot &snapshot);
 
-/** A value with its digits after the point: more for small ones. */
+/** Formats a value; small values have more decimal places. */
 std::string figureText(double value);
 std::string figureText(const std::optional<double> &value);
 std::string intervalText(const std::optional<Interval> &interval);
--- a/sequoiausher/cli/requeststory.h
+++ b/sequoiausher/cli/requeststory.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// The story of one request out of the log lines of all gateways: every line that names it, in the order of time, and
-// before it the last change of each belief by which it was decided.
+// The history of one request from the log lines of all gateways: every line that names it, ordered by time, preceded by
+// the last change of each piece of state on which the decisions about it were based.
 //
 //     const RequestStory story = readRequestStory(std::cin, "9c41d07be2a35f68");
 //     out << toText(story);
@@ -16,31 +16,31 @@
 /** One line of a log. */
 struct StoryLine
 {
-    /** As the log has it; texts of this form sort by time. */
+    /** The time as logged; such texts sort by time. */
     std::string time;
     std::string part;
     std::string message;
-    /** What else the line says, as name=value, in the order of names. */
+    /** The other fields of the line as name=value, ordered by name. */
     std::vector<std::string> fields;
-    /** Whatever stood in front of the line, such as the name of the machine; empty for nothing. */
+    /** Text in front of the JSON object, such as the name of the machine; empty if there is none. */
     std::string source;
 };
 
-/** All that is known of one request. */
+/** All log lines about one request. */
 struct RequestStory
 {
     std::string request;
     std::vector<StoryLine> lines;
     /** The last lines on configuration, targets, store and readiness before the request's last line. */
     std::vector<StoryLine> beliefs;
-    /** Lines that were no JSON object. */
+    /** The number of lines that are not JSON objects. */
     std::size_t unread = 0;
 };
 
-/** Reads lines of the format `json` until the end, with or without something in front of each object. */
+/** Reads lines of the log format `json` until the end of the stream, with or without text in front of each object. */
 RequestStory readRequestStory(std::istream &log, const std::string &request);
 
-/** The story as text; says so where no line names the request. */
+/** Returns the history as text; states if no line names the request. */
 std::string toText(const RequestStory &story);
 
 } // namespace Sequoiausher
--- a/sequoiausher/cli/routercommand.h
+++ b/sequoiausher/cli/routercommand.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// `sequoiausher router --config FILE`: the daemon.
+// `sequoiausher router --config FILE`: runs one router as a daemon.
 //
 //     line.add(std::make_unique<RouterCommand>());
 
@@ -8,7 +8,7 @@
 
 namespace Sequoiausher {
 
-/** Runs one router until SIGTERM or SIGINT has brought it to a planned stop. */
+/** Runs one router until a planned stop, which SIGTERM and SIGINT start. */
 class RouterCommand : public Command
 {
 public:
--- a/sequoiausher/cli/signalwatch.h
+++ b/sequoiausher/cli/signalwatch.h
@@ -12,16 +12,16 @@
 namespace Sequoiausher {
 
 /**
- * Holds SIGTERM, SIGINT and SIGHUP back until a watch is there. Without this one that comes while the process starts
- * ends it on the spot. What the caller does before a watch must not take long.
+ * Blocks SIGTERM, SIGINT and SIGHUP until a SignalWatch exists. Otherwise a signal that arrives while the process
+ * starts would end it immediately. The time until the watch exists should be short.
  */
 void holdSignals();
 
-/** Watches signals for as long as it lives; one at a time in a process. SIGPIPE is ignored. */
+/** Watches signals until it is destroyed; at most one per process. SIGPIPE is ignored. */
 class SignalWatch
 {
 public:
-    /** @throws Error(Step::Listen, ...) where no pipe can be had. */
+    /** @throws Error(Step::Listen, ...) if no pipe can be created. */
     SignalWatch(const std::vector<int> &signals, std::function<void(int signal)> arrived);
     ~SignalWatch();
 
--- a/sequoiausher/cli/statuscommand.h
+++ b/sequoiausher/cli/statuscommand.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// `sequoiausher status`: the fleet's routers, pools, targets and owners, and what is wrong with them.
+// `sequoiausher status`: shows the fleet's routers, pools, targets and owners, with warnings.
 //
 //     sequoiausher status --router 127.0.0.1:7401
 
@@ -8,7 +8,7 @@
 
 namespace Sequoiausher {
 
-/** Ends with Ok where all is well, Unreachable where a router was not reached, and Failed at any other warning. */
+/** Exits with Ok without warnings, Unreachable if a router was not reached, and Failed for any other warning. */
 class StatusCommand : public Command
 {
 public:
--- a/sequoiausher/cli/statustext.h
+++ b/sequoiausher/cli/statustext.h
@@ -13,10 +13,10 @@
 
 std::string statusText(const FleetStatus &fleet);
 
-/** Routers as their pages are, pools, unreachable routers and warnings. */
+/** The routers' pages, pools, unreachable routers and warnings. */
 std::string statusJsonOf(const FleetStatus &fleet);
 
-/** Unreachable where a router was not reached, Failed where there is another warning. */
+/** Returns Unreachable if a router was not reached, and Failed if there is another warning. */
 ExitCode exitCodeOf(const FleetStatus &fleet);
 
 } // namespace Sequoiausher
