Refuse a prompt only if no engine with room is expected in time

Cause, by reading: the owner of engines took the cheapest engine, and refused the request if that one was expected too late, though a dearer one could have begun in time. The reading rate was used from the first event on, so one slow engine made it far too low.

Change: among engines with room, those expected in time come first; the rate is a mean of the first twenty first events, and refuses nothing before.

--- a/sequoiausher/coordination/gateway/engineowner.cpp
+++ b/sequoiausher/coordination/gateway/engineowner.cpp
@@ -44,6 +44,8 @@
 constexpr std::uint64_t boundSlackRequests = 1;
 /** The weight of one first event in the average reading rate. */
 constexpr double rateWeight = 0.05;
+/** First events before the reading rate is used to refuse requests: one slow engine would make it far too low. */
+constexpr std::uint32_t minRateSamples = 20;
 /** Shorter prompts show more of other delays than of the reading rate. */
 constexpr std::uint64_t minTokensOfRate = 500;
 /** How long a place may be held beyond the deadline of its request, for a release that is on its way. */
@@ -95,6 +97,7 @@
     PartPlacements placements;
     /** The tokens that an engine reads in one ms; 0 before it is known. */
     double tokensPerMs = 0;
+    std::uint32_t rateSamples = 0;
     Millis ownedSince;
     Millis targetsSetAt;
 };
@@ -109,6 +112,7 @@
     std::uint64_t tokensToRead = 0;
     std::uint64_t ahead = 0;
     double expectedTokens = 0;
+    bool isInTime = true;
     double cost = std::numeric_limits<double>::infinity();
     std::uint64_t tieBreak = 0;
 };
@@ -318,12 +322,22 @@
                                : static_cast<double>(view.sharedTokens(0, request.prompt.parts.size()));
     }
 
-    /** Whether one is better than the other; targets with room before those without. */
+    /** Whether the first event is expected while the caller waits, as far as the reading rate is known. */
+    static bool isInTime(const Service &service, const GatewayAdmissionRequest &request, const Option &option)
+    {
+        return service.rateSamples < minRateSamples
+            || option.expectedTokens <= static_cast<double>(request.timeLeft.count) * service.tokensPerMs;
+    }
+
+    /** Whether one is better than the other: targets with room before those without, then those that are in time. */
     static bool isBetter(const Option &one, bool oneHasRoom, const Option &other, bool otherHasRoom)
     {
         if (oneHasRoom != otherHasRoom) {
             return oneHasRoom;
         }
+        if (one.isInTime != other.isInTime) {
+            return one.isInTime;
+        }
         return one.cost != other.cost ? one.cost < other.cost : one.tieBreak > other.tieBreak;
     }
 
@@ -342,6 +356,7 @@
             }
             const bool hasRoom = countInFlight(service, engine, now) < bound && now >= engine.fullUntil;
             Option option = optionAt(engine, service, request, view, now);
+            option.isInTime = isInTime(service, request, option);
             if (best.engine == nullptr || isBetter(option, hasRoom, best, bestHasRoom)) {
                 best = std::move(option);
                 bestHasRoom = hasRoom;
@@ -434,7 +449,9 @@
         // With nothing ahead the time until the first event is that of reading.
         if (place.ahead == 0 && place.work >= minTokensOfRate && release.elapsed > Millis{0}) {
             const double rate = static_cast<double>(place.work) / static_cast<double>(release.elapsed.count);
-            service->tokensPerMs += service->tokensPerMs > 0 ? (rate - service->tokensPerMs) * rateWeight : rate;
+            service->rateSamples += 1;
+            const double weight = std::max(rateWeight, 1.0 / service->rateSamples);
+            service->tokensPerMs += (rate - service->tokensPerMs) * weight;
         }
     }
 
@@ -514,11 +531,10 @@
     if (best.engine == nullptr) {
         return reply;
     }
-    const double expectedMs = service->tokensPerMs > 0 ? best.expectedTokens / service->tokensPerMs : 0;
-    const auto leftMs = static_cast<double>(request.timeLeft.count);
-    if (expectedMs > leftMs) {
+    if (!best.isInTime) {
         const Millis longest{request.timeLeft.count / honouredTimeDivisor / 2};
-        const Millis excess{std::llround(expectedMs - leftMs)};
+        const double expectedMs = best.expectedTokens / service->tokensPerMs;
+        const Millis excess{std::llround(expectedMs - static_cast<double>(request.timeLeft.count))};
         reply.verdict = AdmissionVerdict::Overloaded;
         reply.retryAfter = std::min(std::max(excess, minRetryAfter), longest);
         return reply;
