--- a/lab/model/promptreadingmodeltest.cpp
+++ b/lab/model/promptreadingmodeltest.cpp
@@ -51,7 +51,7 @@
     CHECK(one.readAgain == same.readAgain);
 }
 
-// Load: all caches are empty and long prompts come at half of what the engines can read, in groups, among short ones.
+// Load: all caches are empty, and long prompts come in groups, among short ones.
 // Guards against short prompts that are late because they wait behind long ones.
 TEST_CASE("with empty caches fewer requests are late if engines read short prompts first")
 {
@@ -103,7 +103,7 @@
     CHECK(after.aboveLimit <= 0.03);
 }
 
-// Load: the engines read at their limit for a while. Guards against long prompts that never get their turn.
+// Load: over two and a half times the usual traffic. Guards against long prompts that never get their turn.
 TEST_CASE("no prompt waits without end when short ones go first")
 {
     PromptReadingDay day;
--- a/sequoiausher/coordination/gateway/queueorder.h
+++ b/sequoiausher/coordination/gateway/queueorder.h
@@ -4,7 +4,7 @@
 // has to read some hundred tokens waits for one that reads ten thousand. Shortest first within a class keeps the number
 // of late answers low and delays the long ones little, since the short ones are little work.
 //
-//     order.priority = shortestFirstPriority(RequestClass::Interactive, parts.tokensToRead(directory, target, {},
+//     order.priority = shortestFirstPriority(RequestClass::Interactive, parts.tokensToRead(directory, target, 0,
 //     now));
 
 #include "sequoiausher/base/requestclass.h"
