--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 
@@ -31,7 +32,7 @@
     def __init__(self, path):
         self.file = open(path, "w")
 
-    def note(self, what, **fields):
+    def note(self, what, /, **fields):
         text = " ".join(f"{key}={value}" for key, value in fields.items())
         self.file.write(f"{now():9.1f} {what} {text}\n")
 
@@ -424,22 +425,29 @@
                        "idle_timeout_ms": 15000}, **changes}
 
 
+# Below the 120 seconds that a script may take.
+LIMIT_S = 110
+
+
 async def guarded(work):
-    """Lets a SIGTERM end the script as an error does, so that its processes end too."""
+    """Ends the work at the time limit, and at a SIGTERM or SIGINT, as an error does, so that its processes end too."""
     task = asyncio.ensure_future(work)
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    for one in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(one, task.cancel)
+    asyncio.get_running_loop().call_later(LIMIT_S, task.cancel)
     return await task
 
 
 def run(main, folder):
-    """Runs main(record, temporary folder, TROUBLE); exits with its result, or 2 where the case could not run."""
+    """Runs main(record, temporary folder, trouble); exits with its result, or 2 where the case could not run.
+    TROUBLE=0 leaves the disruption out and nothing else."""
+    trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(os.path.join(folder, "record.txt"))
+    record.note("begin", trouble=int(trouble))
+    loop = asyncio.new_event_loop()
     with tempfile.TemporaryDirectory() as temporary:
-        if os.environ.get("KEEP_LOGS"):
-            temporary = os.environ["KEEP_LOGS"]
-            os.makedirs(temporary, exist_ok=True)
         try:
-            result = asyncio.run(guarded(main(record, temporary, os.environ.get("TROUBLE", "1") != "0")))
+            result = loop.run_until_complete(guarded(main(record, temporary, trouble)))
         except (Exception, asyncio.CancelledError) as error:  # The case could not run.
             import traceback
             traceback.print_exc()
@@ -447,4 +455,7 @@
             result = 2
     record.note("result", exit=result)
     record.close()
-    raise SystemExit(result)
+    sys.stdout.flush()
+    sys.stderr.flush()
+    # Clients and servers that still wait for something must not keep the script from ending.
+    os._exit(result)
