--- a/lab/model/promptreadingmodel.cpp
+++ b/lab/model/promptreadingmodel.cpp
@@ -13,6 +13,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -53,6 +54,13 @@
 constexpr double copyFraction = 0.05;
 constexpr std::uint32_t boundPercent = 150;
 constexpr std::uint32_t defaultPriority = 4;
+/** Callers leave a stream without an event after this multiple of its aim, or after so long. */
+constexpr double patienceAims = 4;
+constexpr double minPatienceMs = 2400;
+constexpr double windowMs = 5000;
+constexpr std::size_t fewestInWindow = 20;
+/** The kind of the conversations. */
+constexpr std::size_t conversations = 2;
 
 struct Request
 {
@@ -65,13 +73,16 @@
     std::uint32_t priority = 0;
     TargetId target;
     TargetId copyFrom;
-    /** The owner knows of the request. */
-    bool isPlaced = false;
+    /** The owner that knows of the request; absent for none. */
+    std::optional<std::size_t> owner;
+    bool isLost = false;
 };
 
 struct Engine
 {
     TargetId id;
+    /** Its place among the targets; disruptions strike the first ones. */
+    std::size_t index = 0;
     double speed = 1;
     bool isSlow = false;
     std::size_t held = 0;
@@ -103,21 +114,22 @@
 public:
     Play(const PromptReadingDay &given, const PromptReadingPolicy &with) : day(given), policy(with), random(given.seed)
     {
-        std::vector<GatewayTarget> listed;
         for (std::size_t i = 0; i < this->day.targets; ++i) {
             const TargetId id{"t" + std::to_string(i)};
-            this->engines[id].id = id;
-            this->engines[id].speed = i % slowMachineEvery == 0 ? slowMachineTimes : 1;
-            listed.push_back({id, service, "10.0.0.1:80", DataCentreId{"a"}, 64, false});
-            this->owned.push_back({id, 64, 0, true});
+            Engine &engine = this->engines[id];
+            engine.id = id;
+            engine.index = i;
+            engine.speed = i % slowMachineEvery == 0 ? slowMachineTimes : 1;
         }
         for (std::size_t i = 0; i < this->day.gateways; ++i) {
             Gateway &gateway = this->gateways.emplace_back();
             gateway.board = std::make_unique<TargetBoard>(this->day.seed * 1000 + i);
             gateway.board->setOtherGateways(this->day.gateways - 1);
-            gateway.board->setTargets(listed, this->events.clock());
         }
-        this->owner = std::make_unique<EngineOwner>();
+        this->listTargets();
+        for (std::unique_ptr<EngineOwner> &owner : this->owners) {
+            owner = std::make_unique<EngineOwner>();
+        }
     }
 
     PromptReadingResult run()
@@ -129,8 +141,12 @@
             this->events.at(0, [this, &engine = engine] { this->drawSpeed(engine); });
         }
         if (this->day.ownerEndsAt > 0) {
-            this->events.at(this->day.ownerEndsAt, [this] { this->owner.reset(); });
-            this->events.at(this->day.ownerBackAt, [this] { this->owner = std::make_unique<EngineOwner>(); });
+            this->events.at(this->day.ownerEndsAt, [this] { this->owners.front().reset(); });
+            this->events.at(this->day.ownerBackAt, [this] { this->owners.front() = std::make_unique<EngineOwner>(); });
+        }
+        for (const ModelDisruption &change : {this->day.leaving, this->day.joining}) {
+            this->events.at(static_cast<double>(change.from.count), [this] { this->listTargets(); });
+            this->events.at(static_cast<double>(change.until.count), [this] { this->listTargets(); });
         }
         this->events.at(0, [this] { this->arrive(); });
         this->events.run();
@@ -153,6 +169,55 @@
         return this->events.now() >= static_cast<double>(this->day.length.count);
     }
 
+    bool isStruck(const ModelDisruption &disruption, std::size_t index, std::size_t count) const
+    {
+        return disruption.isOn(this->events.now())
+            && static_cast<double>(index) < disruption.share * static_cast<double>(count);
+    }
+
+    bool isStruck(const ModelDisruption &disruption, const Engine &engine) const
+    {
+        return this->isStruck(disruption, engine.index, this->day.targets);
+    }
+
+    /** Whether the target exists: it may be on no list any more. */
+    bool isThere(const Engine &engine) const
+    {
+        const bool isGone = this->events.now() >= static_cast<double>(this->day.leaving.until.count)
+            && static_cast<double>(engine.index) < this->day.leaving.share * static_cast<double>(this->day.targets);
+        const bool isNotYet = this->events.now() < static_cast<double>(this->day.joining.from.count)
+            && static_cast<double>(engine.index) < this->day.joining.share * static_cast<double>(this->day.targets);
+        return !isGone && !isNotYet;
+    }
+
+    void listTargets()
+    {
+        std::vector<GatewayTarget> listed;
+        for (const auto &[id, engine] : this->engines) {
+            if (this->isThere(engine)) {
+                const bool isLeaving = this->isStruck(this->day.leaving, engine);
+                listed.push_back({id, service, "10.0.0.1:80", DataCentreId{"a"}, 64, isLeaving});
+            }
+        }
+        for (Gateway &gateway : this->gateways) {
+            gateway.board->setTargets(listed, this->events.clock());
+        }
+    }
+
+    /** The targets as the gateway of the owner knows them. */
+    std::vector<OwnedTarget> ownedTargets()
+    {
+        TargetCriteria criteria;
+        criteria.service = service;
+        std::vector<OwnedTarget> owned;
+        for (const ServiceTarget &target :
+             this->gateways.front().board->serviceTargets(criteria, this->events.clock())) {
+            const bool isUnusable = this->isStruck(this->day.unusable, this->engines.at(target.id));
+            owned.push_back({target.id, target.slots, target.inFlight, target.isUsable && !isUnusable});
+        }
+        return owned;
+    }
+
     void drawSpeed(Engine &engine)
     {
         engine.isSlow = this->uniform(0, 1) < this->day.slowShare;
@@ -227,7 +292,10 @@
             draw -= kinds[request.kind++].share;
         }
         const Kind &kind = kinds[request.kind];
-        const auto document = static_cast<std::size_t>(this->uniform(0, static_cast<double>(kind.documents)));
+        auto document = static_cast<std::size_t>(this->uniform(0, static_cast<double>(kind.documents)));
+        if (request.kind == conversations && this->day.hotShare > 0 && this->uniform(0, 1) < this->day.hotShare) {
+            document = 0;
+        }
         const std::string name = std::to_string(request.kind) + "-";
         const std::uint64_t documentHash = hash64(name + std::to_string(document));
         // The same length for the same document.
@@ -244,7 +312,7 @@
 
     void ask(const Request &request)
     {
-        if (!this->policy.asksOwner) {
+        if (!this->policy.asksOwner || this->isStruck(this->day.alone, request.gateway, this->day.gateways)) {
             this->sendByReports(request);
             return;
         }
@@ -253,13 +321,15 @@
 
     void askOwner(Request request)
     {
-        if (!this->owner) {
+        const std::size_t number = this->isStruck(this->day.divided, request.gateway, this->day.gateways) ? 1 : 0;
+        const std::unique_ptr<EngineOwner> &owner = this->owners[number];
+        if (!owner) {
             this->sendByReports(request);
             return;
         }
         const Millis now = this->events.clock();
-        if (this->owner->needsTargets(service, now)) {
-            this->owner->setTargets(service, this->owned, now);
+        if (owner->needsTargets(service, now)) {
+            owner->setTargets(service, this->ownedTargets(), now);
         }
         const PromptParts parts(request.parts, request.tokens);
         GatewayAdmissionRequest asked;
@@ -274,14 +344,18 @@
                         this->policy.order == QueueOrder::ShortestFirst,
                         true};
         // The owner hears the reports of parts as any gateway does.
-        const GatewayAdmissionReply reply = this->owner->decide(hub, asked, this->gateways.front().parts, now);
+        const GatewayAdmissionReply reply = owner->decide(hub, asked, this->gateways.front().parts, now);
+        if (reply.verdict == AdmissionVerdict::Overloaded) {
+            this->result.refused += 1;
+            return;
+        }
         if (reply.verdict != AdmissionVerdict::Granted) {
             this->sendByReports(request);
             return;
         }
         request.target = reply.target;
         request.copyFrom = reply.copyFrom;
-        request.isPlaced = true;
+        request.owner = number;
         request.priority = this->priorityOf(reply.tokensToRead);
         this->events.at(this->events.now() + this->day.ownerWayMs, [this, request] { this->send(request); });
     }
@@ -313,7 +387,7 @@
         this->send(request);
     }
 
-    void send(const Request &request)
+    void send(Request request)
     {
         Gateway &gateway = this->gateways[request.gateway];
         gateway.board->recordStart(request.target, this->events.clock());
@@ -322,14 +396,39 @@
         this->placements.push_back({this->events.now(), request.gateway, parts.lastShared(), request.target});
         Engine &engine = this->engines.at(request.target);
         this->result.sent += 1;
-        const bool isAbove = engine.held * this->engines.size() > 2 * this->running + 3 * this->engines.size();
-        this->result.sentAboveLimit += isAbove ? 1 : 0;
+        this->judge(engine);
         engine.held += 1;
         this->running += 1;
+        request.isLost = this->isStruck(this->day.losing, engine) && this->uniform(0, 1) < this->day.lostShare;
+        if (request.isLost) {
+            const double patience = std::max(kinds[request.kind].aimMs * patienceAims, minPatienceMs);
+            this->events.at(this->events.now() + patience, [this, request] {
+                this->endAtGateway(request, TargetOutcome::Neutral, PlaceOutcome::Unused);
+            });
+        }
         engine.waiting.emplace(std::pair{request.priority, ++this->arrivals}, request);
         this->readNext(engine);
     }
 
+    /** Counts a request that reaches the target if the target holds over twice the mean and three. */
+    void judge(const Engine &engine)
+    {
+        const auto targets = static_cast<std::size_t>(std::count_if(
+            this->engines.begin(), this->engines.end(), [this](const auto &each) { return this->isThere(each.second); }));
+        const bool isAbove = engine.held * targets > 2 * this->running + 3 * targets;
+        this->result.sentAboveLimit += isAbove ? 1 : 0;
+        this->window.emplace_back(this->events.now(), isAbove);
+        this->aboveInWindow += isAbove ? 1 : 0;
+        while (this->window.front().first < this->events.now() - windowMs) {
+            this->aboveInWindow -= this->window.front().second ? 1 : 0;
+            this->window.pop_front();
+        }
+        if (this->aboveInWindow >= fewestInWindow) {
+            const double part = static_cast<double>(this->aboveInWindow) / static_cast<double>(this->window.size());
+            this->result.worstFiveSeconds = std::max(this->result.worstFiveSeconds, part);
+        }
+    }
+
     void readNext(Engine &engine)
     {
         if (engine.isReading || engine.waiting.empty()) {
@@ -375,24 +474,32 @@
         this->result.longestMs = std::max(this->result.longestMs, took);
         const double times = engine.isSlow ? this->day.slowTimes : 1;
         const auto percent = static_cast<std::uint16_t>(this->policy.tellsSpeed ? std::lround(times * 100) : 0);
-        this->tellOwner(request, PlaceOutcome::Begun, Millis{std::llround(took)}, percent);
+        if (!request.isLost) {
+            this->tellOwner(request, PlaceOutcome::Begun, Millis{std::llround(took)}, percent);
+        }
         this->events.at(this->events.now() + kinds[request.kind].streamMs, [this, &engine, request] {
             engine.held -= 1;
             this->running -= 1;
-            this->gateways[request.gateway].board->recordEnd(
-                request.target, TargetOutcome::Answered, this->events.clock());
-            this->tellOwner(request, PlaceOutcome::Answered, Millis{0}, 0);
+            if (!request.isLost) {
+                this->endAtGateway(request, TargetOutcome::Answered, PlaceOutcome::Answered);
+            }
         });
     }
 
+    void endAtGateway(const Request &request, TargetOutcome outcome, PlaceOutcome placeOutcome)
+    {
+        this->gateways[request.gateway].board->recordEnd(request.target, outcome, this->events.clock());
+        this->tellOwner(request, placeOutcome, Millis{0}, 0);
+    }
+
     void tellOwner(const Request &request, PlaceOutcome outcome, Millis elapsed, std::uint16_t slownessPercent)
     {
-        if (!request.isPlaced) {
+        if (!request.owner) {
             return;
         }
         this->events.at(this->events.now() + this->day.ownerWayMs, [this, request, outcome, elapsed, slownessPercent] {
-            if (this->owner) {
-                this->owner->release(hub, {request.id, outcome, elapsed, slownessPercent}, this->events.clock());
+            if (const std::unique_ptr<EngineOwner> &owner = this->owners[*request.owner]) {
+                owner->release(hub, {request.id, outcome, elapsed, slownessPercent}, this->events.clock());
             }
         });
     }
@@ -401,9 +508,12 @@
     PromptReadingPolicy policy;
     std::mt19937_64 random;
     std::map<TargetId, Engine> engines;
-    std::vector<OwnedTarget> owned;
     std::deque<Gateway> gateways;
-    std::unique_ptr<EngineOwner> owner;
+    /** The second one is asked only while the gateways are divided. */
+    std::array<std::unique_ptr<EngineOwner>, 2> owners;
+    /** When each request of the last five seconds was sent, and whether above the limit. */
+    std::deque<std::pair<double, bool>> window;
+    std::size_t aboveInWindow = 0;
     /** What hubs pass on, added up over all gateways. */
     std::map<TargetId, std::int64_t> passedOnSums;
     std::vector<Placement> placements;
--- a/lab/model/promptreadingmodel.h
+++ b/lab/model/promptreadingmodel.h
@@ -7,8 +7,11 @@
 //     PromptReadingDay day;
 //     const PromptReadingResult result = playPromptReading(day, {QueueOrder::ShortestFirst, true});
 //
+// Beside that, answers can be lost without a sign, gateways can decide alone for a time or ask a second owner, and
+// targets can join, leave, or count as unusable.
+//
 // Where it differs from real engines: a prompt is read whole before the next one, running streams do not slow reading
-// down, caches have room for everything, nothing fails, and nobody comes back.
+// down, caches have room for everything, and nobody comes back.
 
 #include "sequoiausher/base/millis.h"
 #include "sequoiausher/coordination/rules/decision.h"
@@ -18,6 +21,19 @@
 
 namespace Sequoiausher {
 
+/** Something that holds for a time, for a share of the gateways or targets. */
+struct ModelDisruption
+{
+    Millis from;
+    Millis until;
+    double share = 0;
+
+    bool isOn(double atMs) const
+    {
+        return atMs >= static_cast<double>(this->from.count) && atMs < static_cast<double>(this->until.count);
+    }
+};
+
 /** The load and what serves it. */
 struct PromptReadingDay
 {
@@ -37,6 +53,21 @@
     /** The owner's process ends here, and another gateway owns the service from ownerBackAt on; 0 for never. */
     double ownerEndsAt = 0;
     double ownerBackAt = 0;
+    /** This share of the conversations, which are the requests with the longest streams, is about one document. */
+    double hotShare = 0;
+    /** These targets lose lostShare of the answers; nothing is heard of those until the callers leave. */
+    ModelDisruption losing;
+    double lostShare = 0;
+    /** These gateways ask no owner. */
+    ModelDisruption alone;
+    /** These gateways ask another owner than the rest. */
+    ModelDisruption divided;
+    /** These targets are not usable for the owner, and go on with the requests that they have. */
+    ModelDisruption unusable;
+    /** These targets leave the list at the beginning, and go on with the requests that they have until the end. */
+    ModelDisruption leaving;
+    /** These targets are listed from the beginning on only. */
+    ModelDisruption joining;
     Millis length{4000};
     std::uint64_t seed = 1;
 };
@@ -60,6 +91,10 @@
     double longestMs = 0;
     /** Sent to a target that held more than twice the mean of all and three. */
     std::size_t sentAboveLimit = 0;
+    /** The largest part of the requests of five seconds that was sent above that limit. */
+    double worstFiveSeconds = 0;
+    /** Refused by the owner. */
+    std::size_t refused = 0;
     /** Tokens of shared parts that were read, and those of them that another target had read before. */
     std::uint64_t sharedTokensRead = 0;
     std::uint64_t readAgain = 0;
