Let all gateways of a large fleet take the same one for the owner of a service

Neither counted what the other granted.

Cause: the owner is the first of the strongest live gateways, and a gateway counted as live for 1.5 s after it was heard of. So the owner was dead between two lists, at each gateway at another time. For the same reason an owner took the places of live gateways back, after 2 s.

Change: a gateway is live for longer than anything known of it can be old (maxMemberAge). An owner learns from the link that a holder is gone, after half a second; from silence only after that time. A gateway that finds the owner dead skips it as before, by its link or the missing reply.

--- a/sequoiausher/coordination/gateway/peerdirectory.cpp
+++ b/sequoiausher/coordination/gateway/peerdirectory.cpp
@@ -33,11 +33,6 @@
 constexpr std::uint32_t maxUnansweredReports = 2;
 /** How long the list of hubs is cached: less than one round, so that each round uses an up-to-date list. */
 constexpr Millis hubListTtl{250};
-/**
- * A gateway that no other one has heard of for this long is not among the strongest. Hubs forward reports, so what is
- * known of a live gateway is up to 0.9 s old.
- */
-constexpr Millis strongestTtl{1500};
 /** The time after the first report in which a gateway learns of all others: a hub sends its list every few rounds. */
 constexpr Millis fleetDiscoveryTime{2000};
 /** The fleet size that is assumed before the first report. */
@@ -188,14 +183,14 @@
     {
         std::uint16_t most = this->strength;
         for (const auto &[peer, record] : this->known) {
-            most = now - record.lastSeenAt < strongestTtl ? std::max(most, record.strength) : most;
+            most = now - record.lastSeenAt < maxMemberAge ? std::max(most, record.strength) : most;
         }
         std::vector<std::pair<std::uint64_t, InstanceId>> ranked;
         if (this->strength * weakStrengthDivisor >= most) {
             ranked.emplace_back(rendezvousWeight(hash64(this->self.value), key), this->self);
         }
         for (const auto &[peer, record] : this->known) {
-            if (now - record.lastSeenAt < strongestTtl && record.strength * weakStrengthDivisor >= most) {
+            if (now - record.lastSeenAt < maxMemberAge && record.strength * weakStrengthDivisor >= most) {
                 ranked.emplace_back(rendezvousWeight(record.hash, key), peer);
             }
         }
--- a/sequoiausher/coordination/gateway/peerdirectory.h
+++ b/sequoiausher/coordination/gateway/peerdirectory.h
@@ -27,6 +27,17 @@
 
 /** The interval between two rounds of reports. */
 inline constexpr Millis reportInterval{300};
+/**
+ * A hub sends the list of members in each n-th round: with 300 gateways the list takes 12 KB of a report, and a member
+ * that was seen counts for much longer.
+ */
+inline constexpr std::uint64_t roundsPerMemberList = 4;
+/**
+ * What is known of a live gateway is younger than this. A gateway reports to its hub, the hub lists it for the other
+ * hubs, and these list it for their gateways: two lists and three reports, and one more report for each that comes
+ * late.
+ */
+inline constexpr Millis maxMemberAge = reportInterval * static_cast<std::int64_t>(2 * roundsPerMemberList + 6);
 
 /** One report of a round. */
 struct DueReport
--- a/sequoiausher/coordination/gateway/peerdirectorytest.cpp
+++ b/sequoiausher/coordination/gateway/peerdirectorytest.cpp
@@ -39,12 +39,35 @@
     {
         this->sent = 0;
         for (std::size_t i = 0; i < this->directories.size(); ++i) {
-            if (this->dead.contains(i)) {
-                continue;
-            }
-            for (const DueReport &due : this->directories[i].takeDueReports(now)) {
-                this->deliver(i, due.peer, due.wantsReply, now);
+            this->tick(i, now);
+        }
+    }
+
+    /** The round of one gateway. */
+    void tick(std::size_t i, Millis now)
+    {
+        if (this->dead.contains(i)) {
+            return;
+        }
+        for (const DueReport &due : this->directories[i].takeDueReports(now)) {
+            this->deliver(i, due.peer, due.wantsReply, now);
+        }
+        this->rounds[i] += 1;
+    }
+
+    /** Lets the gateways send their reports for some time, each in rounds of its own. */
+    void play(Millis from, Millis until, const std::function<void(Millis)> &check)
+    {
+        constexpr Millis step{10};
+        constexpr std::int64_t spread = 7;
+        for (Millis now = from; now < until; now += step) {
+            for (std::size_t i = 0; i < this->directories.size(); ++i) {
+                const std::int64_t phase = static_cast<std::int64_t>(i) * spread * step.count % reportInterval.count;
+                if (now.count % reportInterval.count == phase) {
+                    this->tick(i, now);
+                }
             }
+            check(now);
         }
     }
 
@@ -62,7 +85,8 @@
         report.dataCentre = dataCentreOf(from);
         report.wantsReply = wantsReply;
         report.isReply = isReply;
-        if (isReply || report.isHub || !this->directories[from].hasHubs(now)) {
+        const bool isListDue = !this->sparesLists || this->rounds[from] % roundsPerMemberList == 0;
+        if (report.isHub ? isListDue : isReply || !this->directories[from].hasHubs(now)) {
             report.members = this->directories[from].members(now);
         }
         PeerDirectory &receiver = this->directories[index->second];
@@ -84,6 +108,9 @@
     std::deque<PeerDirectory> directories;
     std::map<InstanceId, std::size_t> indexes;
     std::set<std::size_t> dead;
+    /** Hubs send their lists of members in some rounds only, as in GatewayPeers. */
+    bool sparesLists = false;
+    std::map<std::size_t, std::uint64_t> rounds;
     std::size_t sent = 0;
 };
 
@@ -165,6 +192,37 @@
 
 // Guards against endless replies. Two gateways know of a large fleet, and each considers the other no hub. When replies
 // were answered like reports, one report made them send each other thousands a second, and they did nothing else.
+// Guards against a live gateway that counts as silent between two lists of members, so that gateways differ about who
+// is the first of an order.
+TEST_CASE("the gateways of a large fleet agree at all times on the first of the strongest")
+{
+    for (const std::size_t size : {69UL, 83UL, 300UL}) {
+        CAPTURE(size);
+        Fleet fleet(size);
+        fleet.sparesLists = true;
+        const auto ignore = [](Millis /*now*/) {};
+        fleet.play(Millis{300}, Millis{6000}, ignore);
+        std::size_t differences = 0;
+        Millis oldest;
+        fleet.play(Millis{6000}, Millis{9000}, [&](Millis now) {
+            if (now.count % 100 != 0) {
+                return;
+            }
+            for (const std::uint64_t key : {1UL, 2UL, 3UL}) {
+                const InstanceId first = fleet.directories.front().strongestByRendezvous(key, now).front();
+                for (PeerDirectory &directory : fleet.directories) {
+                    differences += directory.strongestByRendezvous(key, now).front() == first ? 0 : 1;
+                }
+            }
+            for (std::size_t i = 1; i < size; ++i) {
+                oldest = std::max(oldest, fleet.directories.front().silence(nameOf(i), now));
+            }
+        });
+        CHECK(differences == 0);
+        CHECK(oldest < maxMemberAge);
+    }
+}
+
 TEST_CASE("a reply is never answered")
 {
     Fleet fleet(66);
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -24,16 +24,11 @@
 constexpr Millis resendInterval{600};
 /** The time after which a newer revision is sent, so that of many changes in a row only some are sent. */
 constexpr Millis newerPushInterval{250};
-/**
- * A hub sends the list of members in each n-th round: with 300 gateways the list takes 12 KB of a report, and a member
- * that was seen counts for four times as long.
- */
-constexpr std::uint64_t roundsPerMemberList = 4;
 /** A link on which nothing arrives for this long has failed; several reports are due in this time. */
 constexpr Millis linkSilence{1500};
 constexpr Millis maxRedialPause{800};
-/** A gateway that no other one has heard of for this long is gone, or cut off from its targets too. */
-constexpr Millis holderSilence{2000};
+/** A gateway whose link has been down for this long is gone, or cut off from its targets too. */
+constexpr Millis maxLinkOutage{500};
 
 LinkSettings linkSettings(const GatewaySettings &settings, Incarnation incarnation)
 {
@@ -131,7 +126,7 @@
     void followPeers();
     /** Takes back the places that an earlier process of the peer held. */
     void recordIncarnation(const InstanceId &peer, Incarnation sender);
-    /** Takes back the places of gateways that have been silent for long. */
+    /** Takes back the places of gateways that are gone. */
     void releaseLostPlaces(Millis now);
     /** Records when this gateway learnt of changes of targets. */
     void recordChanges(Millis now);
@@ -169,6 +164,8 @@
     /** The digest of each peer's evacuations, by its last report. */
     std::map<InstanceId, std::uint64_t> evacuationDigests;
     std::map<InstanceId, Incarnation> incarnations;
+    /** The peers whose links are down, and since when. */
+    std::map<InstanceId, Millis> lostLinks;
     Millis nextRoundAt;
     std::uint64_t round = 0;
 };
@@ -354,7 +351,10 @@
         const bool isSelf = holder == InstanceId{this->context.settings.peerAddress};
         // A gateway that asks before its first report is not known yet.
         const Millis silence = this->context.peers.silence(holder, now);
-        if (!isSelf && silence != Millis::never() && silence >= holderSilence) {
+        const auto lost = this->lostLinks.find(holder);
+        const bool isLinkDown = lost != this->lostLinks.end() && now - lost->second >= maxLinkOutage;
+        const bool isSilent = silence != Millis::never() && silence >= maxMemberAge;
+        if (!isSelf && (isLinkDown || isSilent)) {
             releaseAllAsOwner(this->context, holder);
         }
     }
@@ -521,7 +521,10 @@
     this->context.log.info(LogPart::Peers,
                            up ? "peer regained" : "peer lost",
                            {{"peer", peer.value}, {"incarnation", std::to_string(incarnation)}});
-    if (!up) {
+    if (up) {
+        this->lostLinks.erase(peer);
+    } else {
+        this->lostLinks[peer] = Millis::monotonicNow();
         this->context.admissionClient.recordLinkLost(peer, Millis::monotonicNow());
     }
 }
