Log who placed a request, and what it took the target to hold

Cause: request ended told the loads by the reports, by which an admission owner does not decide. Two owners at a time, and counts that differ from what engines hold, were in no line.

Change: request ended has owner, owner_load, owner_bound and announced_load. The owner states its figures in the reply (two fields that fill padding), the target states what it holds in its answer, and the gateway passes that on to the owner with the first event (a byte that was padding, always 0): old gateways read and write 0 there.

--- a/sequoiausher/coordination/gateway/admissionclient.cpp
+++ b/sequoiausher/coordination/gateway/admissionclient.cpp
@@ -1,5 +1,6 @@
 #include "sequoiausher/coordination/gateway/admissionclient.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Sequoiausher {
@@ -66,6 +67,8 @@
         answer.hedgeAfter = reply.hedgeAfter;
         answer.copyFrom = reply.copyFrom;
         answer.tokensToRead = reply.tokensToRead;
+        answer.held = reply.held;
+        answer.bound = reply.bound;
         break;
     case AdmissionVerdict::Overloaded:
         answer.result = AdmissionResult::Overloaded;
@@ -82,12 +85,17 @@
 
 Outbox AdmissionClient::release(const AdmissionPlace &place, PlaceOutcome outcome, Millis elapsed)
 {
-    return {{place.owner, GatewayAdmissionRelease{place.id, outcome, elapsed, 0}}};
+    return {{place.owner, GatewayAdmissionRelease{place.id, outcome, elapsed, 0, 0}}};
 }
 
-Outbox AdmissionClient::reportBegun(const AdmissionPlace &place, Millis elapsed, std::uint16_t slownessPercent)
+Outbox AdmissionClient::reportBegun(const AdmissionPlace &place,
+                                    Millis elapsed,
+                                    std::uint16_t slownessPercent,
+                                    std::uint32_t heldRequests)
 {
-    return {{place.owner, GatewayAdmissionRelease{place.id, PlaceOutcome::Begun, elapsed, slownessPercent}}};
+    constexpr std::uint32_t maxHeld = 255;
+    const auto held = static_cast<std::uint8_t>(std::min(heldRequests, maxHeld));
+    return {{place.owner, GatewayAdmissionRelease{place.id, PlaceOutcome::Begun, elapsed, slownessPercent, held}}};
 }
 
 void AdmissionClient::tick(Millis now)
--- a/sequoiausher/coordination/gateway/admissionclient.h
+++ b/sequoiausher/coordination/gateway/admissionclient.h
@@ -65,6 +65,9 @@
     TargetId copyFrom;
     /** Tokens of the prompt that the granted target has to read. */
     std::uint32_t tokensToRead = 0;
+    /** The requests that the target holds by the owner's estimate, and how many it may hold. */
+    std::uint16_t held = 0;
+    std::uint16_t bound = 0;
 };
 
 /** The requests for places of one gateway. Not thread-safe. */
@@ -87,8 +90,12 @@
     static AdmissionAnswer toAnswer(const InstanceId &owner, const GatewayAdmissionReply &reply);
     /** Gives a place back. */
     static Outbox release(const AdmissionPlace &place, PlaceOutcome outcome, Millis elapsed);
-    /** Tells the owner that the first event of the place's request has come. */
-    static Outbox reportBegun(const AdmissionPlace &place, Millis elapsed, std::uint16_t slownessPercent);
+    /**
+     * Tells the owner that the first event of the place's request has come, and what the target announced about itself:
+     * how long work takes there, and how many requests it holds; 0 for what it did not announce.
+     */
+    static Outbox
+    reportBegun(const AdmissionPlace &place, Millis elapsed, std::uint16_t slownessPercent, std::uint32_t heldRequests);
     /** Gives up requests that were not answered in time. */
     void tick(Millis now);
     /** The link to the peer broke: gives up the requests to it and skips it for a while. */
--- a/sequoiausher/coordination/messages/gatewayadmissionmessages.h
+++ b/sequoiausher/coordination/messages/gatewayadmissionmessages.h
@@ -114,6 +114,9 @@
     TargetId copyFrom = {};
     /** Tokens of the prompt that the target has to read before its first event; 0 without a prompt. */
     std::uint32_t tokensToRead = 0;
+    /** The requests that the target holds by the owner's estimate, and how many it may hold; for log lines. */
+    std::uint16_t held = 0;
+    std::uint16_t bound = 0;
 
     bool operator==(const GatewayAdmissionReply &) const = default;
 };
@@ -150,6 +153,11 @@
     Millis elapsed;
     /** How long work takes at the target now, in percent of the usual time, as it announced; 0 if it did not. */
     std::uint16_t slownessPercent = 0;
+    /**
+     * The requests that the target held when this answer began, as it announced, this one included; 255 for that many
+     * or more, 0 if it did not announce any.
+     */
+    std::uint8_t held = 0;
 
     bool operator==(const GatewayAdmissionRelease &) const = default;
 };
--- a/sequoiausher/protocol/codec/framereader.cpp
+++ b/sequoiausher/protocol/codec/framereader.cpp
@@ -782,7 +782,9 @@
                                  spanOf(m->retry_after()),
                                  spanOf(m->hedge_after()),
                                  TargetId{this->name(m->copy_from())},
-                                 m->tokens_to_read()};
+                                 m->tokens_to_read(),
+                                 m->held(),
+                                 m->bound()};
 }
 
 std::optional<PeerMessage> FrameReader::Private::gatewayAdmissionRelease()
@@ -792,7 +794,7 @@
     if (!outcome.has_value()) {
         return std::nullopt;
     }
-    return GatewayAdmissionRelease{m->id(), *outcome, spanOf(m->elapsed()), m->slowness_percent()};
+    return GatewayAdmissionRelease{m->id(), *outcome, spanOf(m->elapsed()), m->slowness_percent(), m->held()};
 }
 
 FrameReader::FrameReader(const Wire::Frame &verified, std::string peer)
--- a/sequoiausher/protocol/codec/framewriter.cpp
+++ b/sequoiausher/protocol/codec/framewriter.cpp
@@ -559,12 +559,15 @@
                                                m.tokensToRead,
                                                this->index(m.target.value),
                                                this->index(m.copyFrom.value),
-                                               wireEnum(m.verdict));
+                                               wireEnum(m.verdict),
+                                               m.held,
+                                               m.bound);
 }
 
 void FrameWriter::Private::add(const GatewayAdmissionRelease &m)
 {
-    this->gatewayAdmissionReleases.emplace_back(m.id, wireSpan(m.elapsed), m.slownessPercent, wireEnum(m.outcome));
+    this->gatewayAdmissionReleases.emplace_back(
+        m.id, wireSpan(m.elapsed), m.slownessPercent, wireEnum(m.outcome), m.held);
 }
 
 // Without the order, a router of the first version would not see the messages of a kind that it does not know.
--- a/sequoiausher/protocol/codec/messagegenerators.cpp
+++ b/sequoiausher/protocol/codec/messagegenerators.cpp
@@ -220,8 +220,10 @@
                        m.retryAfter,
                        m.hedgeAfter,
                        m.copyFrom,
-                       m.tokensToRead);
-SEQUOIAUSHER_ARBITRARY(GatewayAdmissionRelease, m.id, m.outcome, m.elapsed, m.slownessPercent);
+                       m.tokensToRead,
+                       m.held,
+                       m.bound);
+SEQUOIAUSHER_ARBITRARY(GatewayAdmissionRelease, m.id, m.outcome, m.elapsed, m.slownessPercent, m.held);
 
 #undef SEQUOIAUSHER_ARBITRARY
 
--- a/sequoiausher/protocol/gateway/gatewaydialect.h
+++ b/sequoiausher/protocol/gateway/gatewaydialect.h
@@ -88,6 +88,8 @@
     std::optional<Millis> restFor;
     /** How long work takes there now, in percent of the usual time; absent where it does not say. */
     std::optional<std::uint16_t> slownessPercent;
+    /** The requests that it runs or keeps waiting, this one included; absent where it does not say. */
+    std::optional<std::uint32_t> heldRequests;
     /** It crashes when it has to reject more requests than this in a second for want of room. */
     std::optional<std::uint32_t> mostRejections;
 };
--- a/sequoiausher/transport/gateway/exchangelog.h
+++ b/sequoiausher/transport/gateway/exchangelog.h
@@ -34,6 +34,12 @@
     std::string reachedThrough;
     /** What the admission owner answered; empty if it was not asked. */
     std::string reservation;
+    /** The owner that granted the place, what it took the target to hold, and how much it allowed there. */
+    std::string owner;
+    std::uint16_t heldByOwner = 0;
+    std::uint16_t boundByOwner = 0;
+    /** What the target announced that it holds; absent if it announced nothing. */
+    std::optional<std::uint32_t> announcedLoad;
     /** What became of the second copy; empty if none was asked for. */
     std::string hedge;
 };
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -308,6 +308,9 @@
 {
     const Millis now = Millis::monotonicNow();
     this->lines.notes().reservation = std::string(nameOf(decision.result));
+    this->lines.notes().owner = decision.place.owner.value;
+    this->lines.notes().heldByOwner = decision.held;
+    this->lines.notes().boundByOwner = decision.bound;
     if (decision.result == AdmissionResult::Granted) {
         if (const auto granted = this->context.board.findUsable(this->criteria(now), decision.target, now)) {
             this->placement = decision;
@@ -813,6 +816,7 @@
     this->d->context.reachability.recordAnswer(this->d->admitted.service);
     this->d->answer.began(head, answer);
     this->d->lastPartAt = now;
+    this->d->lines.notes().announcedLoad = answer.heldRequests;
     this->d->recordAnnouncements(answer, now);
 }
 
@@ -849,7 +853,9 @@
     this->d->crashGuard.recordPart(now);
     if (this->d->answer.isEventStream()) {
         this->d->recordFirstPart(now);
-        this->d->place.reportBegun(now - this->d->sentAt, this->d->answer.targetAnswer().slownessPercent.value_or(0));
+        const TargetAnswer &given = this->d->answer.targetAnswer();
+        this->d->place.reportBegun(
+            now - this->d->sentAt, given.slownessPercent.value_or(0), given.heldRequests.value_or(0));
         this->d->origin.recordBeginning(this->d->admitted, this->d->chosen.target, now);
     } else {
         this->d->attempts.markAnswerNotResumable();
--- a/sequoiausher/transport/gateway/placerequest.cpp
+++ b/sequoiausher/transport/gateway/placerequest.cpp
@@ -204,10 +204,10 @@
     return this->place.id != 0;
 }
 
-void PlaceRequest::reportBegun(Millis elapsed, std::uint16_t slownessPercent)
+void PlaceRequest::reportBegun(Millis elapsed, std::uint16_t slownessPercent, std::uint32_t heldRequests)
 {
     if (this->isGranted() && !std::exchange(this->hasBegun, true)) {
-        sendAll(this->context, AdmissionClient::reportBegun(this->place, elapsed, slownessPercent));
+        sendAll(this->context, AdmissionClient::reportBegun(this->place, elapsed, slownessPercent, heldRequests));
     }
 }
 
--- a/sequoiausher/transport/gateway/placerequest.h
+++ b/sequoiausher/transport/gateway/placerequest.h
@@ -62,9 +62,11 @@
                    const Answered &answered);
     /** Whether a place is held. */
     bool isGranted() const;
-    /** Tells the owner once that the first event has come. @param slownessPercent as the target announced; 0 for none
+    /**
+     * Tells the owner once that the first event has come, and what the target announced about itself; 0 for what it did
+     * not announce.
      */
-    void reportBegun(Millis elapsed, std::uint16_t slownessPercent);
+    void reportBegun(Millis elapsed, std::uint16_t slownessPercent, std::uint32_t heldRequests);
     /** Whether an answer is awaited. */
     bool isAsking() const;
     /** Stops waiting for the answer, and gives back a place that is granted all the same. */
