Let an owner of engines estimate what each engine holds, and bound it by the mean of all

Cause: the owner counted a request whose answer was lost without a sign until its gateway gave it up, seconds after the engine had finished it. So the mean was too high, and the engines that answer, which look emptier, got up to twice that. Besides, it divided by the usable engines alone, and did not count what other owners had granted or gateways had sent by themselves.

Change: TargetOccupancy. An engine announces in each answer what it holds; that corrects the count, downwards by overdue requests at most, so that an engine which understates its load gains nothing, and upwards by what others have sent. What engines announce of overdue requests also counts at those that announce nothing; others' requests are then estimated by the reports. The bound is a multiple of the mean of all listed engines, leaving and unusable ones too; the overdue requests are left out of it, and the four thirds of the rule's bound are allowed as far as counts are certain. Where so few engines can be used that this is below their own mean, the even load is the bound, so nobody is refused for it. Among engines without room the one that holds least is taken.

--- a/lab/model/promptreadingmodel.cpp
+++ b/lab/model/promptreadingmodel.cpp
@@ -61,6 +61,7 @@
 constexpr std::size_t fewestInWindow = 20;
 /** The kind of the conversations. */
 constexpr std::size_t conversations = 2;
+constexpr std::size_t maxAnnounced = 255;
 
 struct Request
 {
@@ -128,7 +129,7 @@
         }
         this->listTargets();
         for (std::unique_ptr<EngineOwner> &owner : this->owners) {
-            owner = std::make_unique<EngineOwner>();
+            owner = std::make_unique<EngineOwner>(this->policy.occupancy);
         }
     }
 
@@ -142,7 +143,8 @@
         }
         if (this->day.ownerEndsAt > 0) {
             this->events.at(this->day.ownerEndsAt, [this] { this->owners.front().reset(); });
-            this->events.at(this->day.ownerBackAt, [this] { this->owners.front() = std::make_unique<EngineOwner>(); });
+            this->events.at(this->day.ownerBackAt,
+                            [this] { this->owners.front() = std::make_unique<EngineOwner>(this->policy.occupancy); });
         }
         for (const ModelDisruption &change : {this->day.leaving, this->day.joining}) {
             this->events.at(static_cast<double>(change.from.count), [this] { this->listTargets(); });
@@ -215,6 +217,9 @@
             const bool isUnusable = this->isStruck(this->day.unusable, this->engines.at(target.id));
             owned.push_back({target.id, target.slots, target.inFlight, target.isUsable && !isUnusable});
         }
+        for (const ServiceTarget &target : this->gateways.front().board->idleTargets(service)) {
+            owned.push_back({target.id, target.slots, target.inFlight, false});
+        }
         return owned;
     }
 
@@ -413,8 +418,13 @@
     /** Counts a request that reaches the target if the target holds over twice the mean and three. */
     void judge(const Engine &engine)
     {
-        const auto targets = static_cast<std::size_t>(std::count_if(
-            this->engines.begin(), this->engines.end(), [this](const auto &each) { return this->isThere(each.second); }));
+        if (this->events.now() < static_cast<double>(this->day.judgedFrom.count)) {
+            return;
+        }
+        const auto targets = static_cast<std::size_t>(
+            std::count_if(this->engines.begin(), this->engines.end(), [this](const auto &each) {
+                return this->isThere(each.second);
+            }));
         const bool isAbove = engine.held * targets > 2 * this->running + 3 * targets;
         this->result.sentAboveLimit += isAbove ? 1 : 0;
         this->window.emplace_back(this->events.now(), isAbove);
@@ -475,7 +485,13 @@
         const double times = engine.isSlow ? this->day.slowTimes : 1;
         const auto percent = static_cast<std::uint16_t>(this->policy.tellsSpeed ? std::lround(times * 100) : 0);
         if (!request.isLost) {
-            this->tellOwner(request, PlaceOutcome::Begun, Millis{std::llround(took)}, percent);
+            const std::size_t held = this->policy.tellsLoad ? std::min<std::size_t>(engine.held, maxAnnounced) : 0;
+            this->tellOwner(request,
+                            {request.id,
+                             PlaceOutcome::Begun,
+                             Millis{std::llround(took)},
+                             percent,
+                             static_cast<std::uint8_t>(held)});
         }
         this->events.at(this->events.now() + kinds[request.kind].streamMs, [this, &engine, request] {
             engine.held -= 1;
@@ -489,17 +505,17 @@
     void endAtGateway(const Request &request, TargetOutcome outcome, PlaceOutcome placeOutcome)
     {
         this->gateways[request.gateway].board->recordEnd(request.target, outcome, this->events.clock());
-        this->tellOwner(request, placeOutcome, Millis{0}, 0);
+        this->tellOwner(request, {request.id, placeOutcome, Millis{0}, 0, 0});
     }
 
-    void tellOwner(const Request &request, PlaceOutcome outcome, Millis elapsed, std::uint16_t slownessPercent)
+    void tellOwner(const Request &request, const GatewayAdmissionRelease &release)
     {
         if (!request.owner) {
             return;
         }
-        this->events.at(this->events.now() + this->day.ownerWayMs, [this, request, outcome, elapsed, slownessPercent] {
-            if (const std::unique_ptr<EngineOwner> &owner = this->owners[*request.owner]) {
-                owner->release(hub, {request.id, outcome, elapsed, slownessPercent}, this->events.clock());
+        this->events.at(this->events.now() + this->day.ownerWayMs, [this, owner = *request.owner, release] {
+            if (this->owners[owner]) {
+                this->owners[owner]->release(hub, release, this->events.clock());
             }
         });
     }
--- a/lab/model/promptreadingmodel.h
+++ b/lab/model/promptreadingmodel.h
@@ -14,6 +14,7 @@
 // down, caches have room for everything, and nobody comes back.
 
 #include "sequoiausher/base/millis.h"
+#include "sequoiausher/coordination/gateway/targetoccupancy.h"
 #include "sequoiausher/coordination/rules/decision.h"
 
 #include <cstddef>
@@ -68,6 +69,8 @@
     ModelDisruption leaving;
     /** These targets are listed from the beginning on only. */
     ModelDisruption joining;
+    /** Requests count towards the limit from here on. */
+    Millis judgedFrom{0};
     Millis length{4000};
     std::uint64_t seed = 1;
 };
@@ -79,6 +82,10 @@
     bool asksOwner = false;
     /** Targets tell how long work takes there at the moment, and the owner goes by it. */
     bool tellsSpeed = true;
+    /** Targets tell how many requests they hold. */
+    bool tellsLoad = true;
+    /** How owners estimate what targets hold. */
+    OccupancySettings occupancy;
 };
 
 /** What became of the requests. */
--- a/sequoiausher/coordination/gateway/engineowner.cpp
+++ b/sequoiausher/coordination/gateway/engineowner.cpp
@@ -4,6 +4,7 @@
 #include "sequoiausher/coordination/gateway/partplacements.h"
 #include "sequoiausher/coordination/gateway/placetable.h"
 #include "sequoiausher/coordination/gateway/queueorder.h"
+#include "sequoiausher/coordination/gateway/targetoccupancy.h"
 #include "sequoiausher/coordination/policies/loadbound.h"
 
 #include <algorithm>
@@ -36,8 +37,9 @@
 /** A target's word on its speed counts up to this much, so that a wrong one does not shut the target off. */
 constexpr double maxSlowness = 4;
 /**
- * A rule's bound leaves a margin for counts that are half a second old. The owner's counts are exact, so a target may
- * hold this multiple of it; a target with chance peaks would otherwise lose requests whose parts it has.
+ * A rule's bound leaves a margin for counts that are half a second old. The owner's are not, so a target may hold this
+ * multiple of it while none of the counted requests is overdue; a target with chance peaks would otherwise lose
+ * requests whose parts it has.
  */
 constexpr double exactCountFactor = 4.0 / 3;
 /** Requests above the bound of the rule that are let through, as in TargetBoard. */
@@ -67,7 +69,7 @@
 struct Engine
 {
     OwnedTarget listed;
-    std::uint32_t inFlight = 0;
+    TargetOccupancy occupancy;
     /** Tokens of placed prompts that are still to be read, by priority. */
     std::array<std::uint64_t, enginePriorityCount> waitingTokens{};
     double slowness = 1;
@@ -81,12 +83,16 @@
     PoolId service;
     TargetId target;
     TargetId copyFrom;
+    Millis grantedAt;
     std::uint32_t priority = 0;
     /** Tokens that the target reads for this request, and those of the request's priority. */
     std::uint64_t work = 0;
     std::uint64_t tokensToRead = 0;
     /** Tokens that waited there before the request. */
     std::uint64_t ahead = 0;
+    /** What the reply stated of the target. */
+    std::uint16_t held = 0;
+    std::uint16_t bound = 0;
     bool hasBegun = false;
     std::vector<AdmissionPart> parts;
 };
@@ -95,6 +101,7 @@
 {
     std::map<TargetId, Engine> engines;
     PartPlacements placements;
+    OverdueEvidence overdue;
     /** The tokens that an engine reads in one ms; 0 before it is known. */
     double tokensPerMs = 0;
     std::uint32_t rateSamples = 0;
@@ -102,6 +109,11 @@
     Millis targetsSetAt;
 };
 
+std::uint16_t clampToWord(std::uint64_t count)
+{
+    return static_cast<std::uint16_t>(std::min<std::uint64_t>(count, std::numeric_limits<std::uint16_t>::max()));
+}
+
 /** One way to serve a request. */
 struct Option
 {
@@ -113,6 +125,9 @@
     std::uint64_t ahead = 0;
     double expectedTokens = 0;
     bool isInTime = true;
+    /** The requests that the target most likely holds, and how many it may hold. */
+    std::uint32_t held = 0;
+    std::uint64_t bound = 0;
     double cost = std::numeric_limits<double>::infinity();
     std::uint64_t tieBreak = 0;
 };
@@ -205,7 +220,8 @@
                     || this->stateAt(i, holder) != PartState::Read;
             });
             std::stable_sort(holders.begin(), holders.end(), [this](const TargetId &one, const TargetId &other) {
-                return this->service.engines.at(one).inFlight < this->service.engines.at(other).inFlight;
+                return this->service.engines.at(one).occupancy.counted()
+                    < this->service.engines.at(other).occupancy.counted();
             });
             this->sources.push_back(std::move(holders));
         }
@@ -253,23 +269,57 @@
         return 1 + (engine.slowness - 1) * std::exp(-age / slownessMemoryMs);
     }
 
-    static std::uint32_t countInFlight(const Service &service, const Engine &engine, Millis now)
+    static bool isNewOwner(const Service &service, Millis now)
+    {
+        return now - service.ownedSince < takeoverTime;
+    }
+
+    /** The requests that the target most likely holds. */
+    static std::uint32_t heldAt(const Service &service, const Engine &engine, Millis now)
+    {
+        const std::uint32_t estimated = engine.occupancy.estimate(service.overdue, now);
+        return isNewOwner(service, now) ? std::max(estimated, engine.listed.reportedInFlight) : estimated;
+    }
+
+    /** The least that the target holds, as far as is known. */
+    static std::uint32_t leastAt(const Service &service, const Engine &engine, Millis now)
+    {
+        const std::uint32_t least = engine.occupancy.least(now);
+        return isNewOwner(service, now) ? std::max(least, engine.listed.reportedInFlight) : least;
+    }
+
+    static bool mayTake(const Engine &engine, const GatewayAdmissionRequest &request)
     {
-        const bool isNewOwner = now - service.ownedSince < takeoverTime;
-        return isNewOwner ? std::max(engine.inFlight, engine.listed.reportedInFlight) : engine.inFlight;
+        return engine.listed.isUsable
+            && std::find(request.excluded.begin(), request.excluded.end(), engine.listed.id) == request.excluded.end();
     }
 
-    /** The most requests that a target may hold for a further one to be sent there. */
+    /**
+     * The most requests that a target may hold for a further one to be sent there: the rule's multiple of the mean of
+     * all targets, whether or not they can be used. Where so few can be used that this is below their own mean, an even
+     * load is all that is left.
+     */
     static std::uint64_t boundOf(const Service &service, const GatewayAdmissionRequest &request, Millis now)
     {
+        std::uint64_t least = 0;
         std::uint64_t total = 0;
-        std::uint64_t usable = 0;
+        std::uint64_t totalOfCandidates = 0;
+        std::uint64_t candidates = 0;
         for (const auto &[id, engine] : service.engines) {
-            total += countInFlight(service, engine, now);
-            usable += engine.listed.isUsable ? 1 : 0;
+            const std::uint32_t held = heldAt(service, engine, now);
+            const bool isCandidate = mayTake(engine, request);
+            least += leastAt(service, engine, now);
+            total += std::max(held, engine.occupancy.counted());
+            totalOfCandidates += isCandidate ? held : 0;
+            candidates += isCandidate ? 1 : 0;
         }
-        const auto percent = static_cast<std::uint32_t>(request.prompt.boundPercent * exactCountFactor);
-        return loadBound(percent, total, usable) + boundSlackRequests;
+        const double certainty = total > 0 ? static_cast<double>(least) / static_cast<double>(total) : 1;
+        const double factor = 1 + (exactCountFactor - 1) * std::min(certainty, 1.0);
+        const auto percent = static_cast<std::uint32_t>(request.prompt.boundPercent * factor);
+        // A mean that is too high would let the targets that answer be crowded, so the overdue requests are left out.
+        return std::max(loadBound(percent, least, service.engines.size()),
+                        loadBound(minimumBoundPercent, totalOfCandidates, candidates))
+            + boundSlackRequests;
     }
 
     static Option optionAt(Engine &engine,
@@ -329,12 +379,18 @@
             || option.expectedTokens <= static_cast<double>(request.timeLeft.count) * service.tokensPerMs;
     }
 
-    /** Whether one is better than the other: targets with room before those without, then those that are in time. */
+    /**
+     * Whether one is better than the other: targets with room before those without, among these the ones that hold the
+     * fewest requests, then those that are in time.
+     */
     static bool isBetter(const Option &one, bool oneHasRoom, const Option &other, bool otherHasRoom)
     {
         if (oneHasRoom != otherHasRoom) {
             return oneHasRoom;
         }
+        if (!oneHasRoom && one.held != other.held) {
+            return one.held < other.held;
+        }
         if (one.isInTime != other.isInTime) {
             return one.isInTime;
         }
@@ -349,13 +405,14 @@
         Option best;
         bool bestHasRoom = false;
         for (auto &[id, engine] : service.engines) {
-            const bool isExcluded
-                = std::find(request.excluded.begin(), request.excluded.end(), id) != request.excluded.end();
-            if (isExcluded || !engine.listed.isUsable) {
+            if (!mayTake(engine, request)) {
                 continue;
             }
-            const bool hasRoom = countInFlight(service, engine, now) < bound && now >= engine.fullUntil;
+            const std::uint32_t held = heldAt(service, engine, now);
+            const bool hasRoom = held < bound && now >= engine.fullUntil;
             Option option = optionAt(engine, service, request, view, now);
+            option.held = held;
+            option.bound = bound;
             option.isInTime = isInTime(service, request, option);
             if (best.engine == nullptr || isBetter(option, hasRoom, best, bestHasRoom)) {
                 best = std::move(option);
@@ -372,7 +429,7 @@
                    Millis now)
     {
         Engine &engine = *option.engine;
-        engine.inFlight += 1;
+        engine.occupancy.add(now);
         engine.waitingTokens[option.priority] += option.work;
         for (const AdmissionPart &part : request.prompt.parts) {
             service.placements.recordPlaced(part.hash, engine.listed.id, now);
@@ -380,10 +437,13 @@
         Place place{request.service,
                     engine.listed.id,
                     option.copyFrom,
+                    now,
                     option.priority,
                     option.work,
                     option.tokensToRead,
                     option.ahead,
+                    clampToWord(option.held),
+                    clampToWord(option.bound),
                     false,
                     request.prompt.parts};
         this->places.add(key, std::move(place), now + request.timeLeft + releaseGrace);
@@ -425,7 +485,7 @@
             }
         }
         if (Engine *engine = findEngine(*service, place->target)) {
-            engine->inFlight -= std::min<std::uint32_t>(engine->inFlight, 1);
+            engine->occupancy.remove(place->grantedAt, place->hasBegun);
         }
         return place;
     }
@@ -442,6 +502,12 @@
             service->placements.recordRead(part.hash, place.target, now);
         }
         Engine *engine = findEngine(*service, place.target);
+        if (engine != nullptr) {
+            engine->occupancy.recordBegun(place.grantedAt);
+        }
+        if (engine != nullptr && release.held > 0) {
+            engine->occupancy.recordAnnounced(release.held, service->overdue, now);
+        }
         if (engine != nullptr && release.slownessPercent > 0) {
             engine->slowness = std::clamp(release.slownessPercent / usualPercent, 1 / maxSlowness, maxSlowness);
             engine->slownessAt = now;
@@ -468,18 +534,20 @@
         std::erase_if(this->services, [now](const auto &entry) {
             const Service &service = entry.second;
             const bool isHeld = std::any_of(service.engines.begin(), service.engines.end(), [](const auto &engine) {
-                return engine.second.inFlight > 0;
+                return engine.second.occupancy.counted() > 0;
             });
             return !isHeld && now - service.targetsSetAt > unusedServiceTtl;
         });
     }
 
+    OccupancySettings occupancySettings;
     std::unordered_map<PoolId, Service> services;
     PlaceTable<Place> places;
 };
 
-EngineOwner::EngineOwner() : d(std::make_unique<Private>())
+EngineOwner::EngineOwner(const OccupancySettings &settings) : d(std::make_unique<Private>())
 {
+    this->d->occupancySettings = settings;
 }
 
 EngineOwner::~EngineOwner() = default;
@@ -497,15 +565,22 @@
     if (isNew || now - owned.targetsSetAt >= ownershipTtl) {
         owned.ownedSince = now;
         owned.placements = PartPlacements();
+        owned.overdue = OverdueEvidence(this->d->occupancySettings);
+        for (auto &[id, engine] : owned.engines) {
+            engine.occupancy.forgetOthers();
+        }
     }
     owned.targetsSetAt = now;
     this->d->dropUnusedServices(now);
     std::map<TargetId, Engine> kept;
     for (const OwnedTarget &listed : targets) {
         const auto before = owned.engines.find(listed.id);
-        Engine engine = before != owned.engines.end() ? before->second : Engine{};
+        Engine engine = before != owned.engines.end()
+            ? std::move(before->second)
+            : Engine{.occupancy = TargetOccupancy(this->d->occupancySettings)};
         engine.listed = listed;
-        kept.emplace(listed.id, engine);
+        engine.occupancy.recordReported(listed.reportedInFlight, now);
+        kept.emplace(listed.id, std::move(engine));
     }
     owned.engines = std::move(kept);
 }
@@ -524,6 +599,8 @@
         reply.target = known->target;
         reply.copyFrom = known->copyFrom;
         reply.tokensToRead = static_cast<std::uint32_t>(known->tokensToRead);
+        reply.held = known->held;
+        reply.bound = known->bound;
         return reply;
     }
     Service *service = this->d->find(request.service);
@@ -544,6 +621,8 @@
     reply.target = best.engine->listed.id;
     reply.copyFrom = best.copyFrom;
     reply.tokensToRead = static_cast<std::uint32_t>(best.tokensToRead);
+    reply.held = clampToWord(best.held);
+    reply.bound = clampToWord(best.bound);
     return reply;
 }
 
@@ -586,7 +665,7 @@
     state.targets = found->second.engines.size();
     state.tokensPerMs = found->second.tokensPerMs;
     for (const auto &[id, engine] : found->second.engines) {
-        state.placesTaken += engine.inFlight;
+        state.placesTaken += engine.occupancy.counted();
         for (const std::uint64_t tokens : engine.waitingTokens) {
             state.waitingTokens += tokens;
         }
--- a/sequoiausher/coordination/gateway/engineowner.h
+++ b/sequoiausher/coordination/gateway/engineowner.h
@@ -9,7 +9,8 @@
 // The expected time counts the tokens that wait at the engine before the request, those that it has to read for the
 // request, and how long work takes there at the moment by the engine's own word. Reading again what another engine has
 // read counts twice, since it also delays others. No engine gets more requests than the rule's bound, while others are
-// below it. A request whose first event is expected after its caller has left is refused.
+// below it; how many each one holds is estimated by TargetOccupancy. A request whose first event is expected after its
+// caller has left is refused.
 //
 // All of it is soft state, lost with the owner's process. The next owner starts from the loads and the placements of
 // parts that gateways report.
@@ -24,6 +25,7 @@
 #include "sequoiausher/base/millis.h"
 #include "sequoiausher/coordination/gateway/admissionowner.h"
 #include "sequoiausher/coordination/gateway/prefixdirectory.h"
+#include "sequoiausher/coordination/gateway/targetoccupancy.h"
 #include "sequoiausher/coordination/messages/gatewayadmissionmessages.h"
 
 #include <cstddef>
@@ -48,7 +50,7 @@
 class EngineOwner
 {
 public:
-    EngineOwner();
+    explicit EngineOwner(const OccupancySettings &settings = {});
     ~EngineOwner();
 
     /** Whether the targets of the service must be set before the next decision, because they are unknown or old. */
--- a/sequoiausher/coordination/gateway/targetboard.cpp
+++ b/sequoiausher/coordination/gateway/targetboard.cpp
@@ -529,6 +529,17 @@
     return all;
 }
 
+std::vector<ServiceTarget> TargetBoard::idleTargets(const PoolId &service)
+{
+    std::vector<ServiceTarget> all;
+    for (const auto &[id, state] : this->d->targets) {
+        if (state.isListed && state.target.service == service && findLastingIneligibility(state)) {
+            all.push_back({id, state.target.slots, state.inFlight(), false});
+        }
+    }
+    return all;
+}
+
 IneligibilityCounts TargetBoard::countIneligible(const TargetCriteria &criteria, Millis now) const
 {
     const EligibilityCriteria asked = this->d->eligibilityOf(criteria);
