Count what others have sent to targets of a plain service

Cause: as for engines, an owner of a plain service knows only its own grants from one second after it took the service over; what another owner grants, or gateways that decide alone send, fills places that it takes for free. Streams of a plain service also lost their places at the first event, since its message was taken for the end of the request.

Change: the owner uses TargetOccupancy. Plain targets announce nothing on the users' machines, so others' requests are estimated by the reports, compared with the count of the moment at which they were made. Overdue requests count in full: a request may wait in a target's queue for longer than that.

One check changes with the decision: a new owner counted reported loads for a second and then not at all, though they were still reported; now it goes by them as long as they are reported, and the test checks both sides of that.

--- a/sequoiausher/coordination/gateway/admissionowner.cpp
+++ b/sequoiausher/coordination/gateway/admissionowner.cpp
@@ -2,6 +2,7 @@
 
 #include "sequoiausher/coordination/gateway/answertimes.h"
 #include "sequoiausher/coordination/gateway/placetable.h"
+#include "sequoiausher/coordination/gateway/targetoccupancy.h"
 
 #include <algorithm>
 #include <array>
@@ -151,10 +152,16 @@
     std::uint32_t total = 0;
 };
 
+/**
+ * A request of a plain service may wait in a target's queue for longer than it takes to become overdue, so it counts
+ * unless the target announces that it is gone.
+ */
+constexpr OccupancySettings occupancySettings{.overdueWeight = 1};
+
 struct Target
 {
     OwnedTarget listed;
-    std::uint32_t inFlight = 0;
+    TargetOccupancy occupancy{occupancySettings};
     /** The average time for which a request occupies a place, in ms; 0 before the first answer. */
     double serviceMs = 0;
     Millis answeredAt;
@@ -176,9 +183,10 @@
     TargetId target;
     std::pair<RequestClass, std::uint32_t> organisation;
     /** Requests at the target when this one was added, itself included. */
-    std::uint32_t inFlightAtStart = 0;
+    std::uint32_t heldAtStart = 0;
     Millis grantedAt;
     bool isHedge = false;
+    bool hasBegun = false;
 };
 
 struct Service
@@ -186,6 +194,7 @@
     std::map<TargetId, Target> targets;
     std::map<std::pair<RequestClass, std::uint32_t>, Organisation> organisations;
     SlidingCount offered;
+    OverdueEvidence overdue{occupancySettings};
     AnswerTimes answerTimes;
     /** Moving averages of the answer times over some twenty and some five hundred answers, in ms. */
     double recentAnswerMs = 0;
@@ -213,12 +222,14 @@
         this->hedgeTime = Millis{0};
         this->hedgeBalance = 0;
         this->hedgeable = SlidingCount(this->hedgeable.counted());
+        this->overdue = OverdueEvidence(occupancySettings);
         this->answerTimes = AnswerTimes();
         this->recentAnswerMs = 0;
         this->usualAnswerMs = 0;
         this->answers = 0;
         for (auto &[id, target] : this->targets) {
             target.serviceMs = 0;
+            target.occupancy.forgetOthers();
         }
     }
 };
@@ -259,10 +270,12 @@
 class AdmissionOwner::Private
 {
 public:
-    static std::uint32_t countInFlight(const Service &service, const Target &target, Millis now)
+    /** The requests that the target most likely holds. */
+    static std::uint32_t heldAt(const Service &service, const Target &target, Millis now)
     {
+        const std::uint32_t estimated = target.occupancy.estimate(service.overdue, now);
         const bool isNewOwner = now - service.ownedSince < takeoverTime;
-        return isNewOwner ? std::max(target.inFlight, target.listed.reportedInFlight) : target.inFlight;
+        return isNewOwner ? std::max(estimated, target.listed.reportedInFlight) : estimated;
     }
 
     /** The mean service time of the targets that have answered. */
@@ -292,7 +305,7 @@
     static double expectedMs(const Service &service, const Target &target, Millis now)
     {
         const double slots = std::max<std::uint32_t>(target.listed.slots, 1);
-        const double rounds = std::max((countInFlight(service, target, now) + 1) / slots, 1.0);
+        const double rounds = std::max((heldAt(service, target, now) + 1) / slots, 1.0);
         return serviceMsOf(service, target, now) * rounds;
     }
 
@@ -341,7 +354,7 @@
                 continue;
             }
             // Before the first answer the number of requests decides.
-            const double expected = expectedMs(service, target, now) + countInFlight(service, target, now) * tieBreakMs
+            const double expected = expectedMs(service, target, now) + heldAt(service, target, now) * tieBreakMs
                 + (now < target.fullUntil ? fullPenaltyMs : 0);
             if (expected < least) {
                 best = &target;
@@ -356,7 +369,7 @@
     {
         std::uint32_t taken = 0;
         for (const auto &[id, target] : service.targets) {
-            taken += target.inFlight;
+            taken += target.occupancy.counted();
         }
         const auto organisations = static_cast<double>(std::max<std::size_t>(service.organisations.size(), 1));
         return organisations > 1 && organisation.places > dominantShares * taken / organisations + 1;
@@ -378,7 +391,7 @@
         const double limit = isOwed ? aim * urgentAimFraction
                                     : aim * own * (isDominant(service, organisation) ? dominantLimitFraction : 1);
         // A target without a queue takes the request even if its work alone takes longer than the limit.
-        const bool hasQueue = countInFlight(service, best, now) >= best.listed.slots;
+        const bool hasQueue = heldAt(service, best, now) >= best.listed.slots;
         if (hasQueue && expected > limit) {
             return true;
         }
@@ -470,7 +483,7 @@
         excluded.push_back(first->target);
         Target *best = chooseTarget(service, excluded, now);
         const bool hasFreePlace
-            = best != nullptr && now >= best->fullUntil && countInFlight(service, *best, now) < best->listed.slots;
+            = best != nullptr && now >= best->fullUntil && heldAt(service, *best, now) < best->listed.slots;
         if (!hasFreePlace) {
             return reply;
         }
@@ -492,11 +505,11 @@
     {
         const std::pair organisation{request.requestClass, request.organisation};
         service.organisations[organisation].places += 1;
-        target.inFlight += 1;
-        this->places.add(
-            key,
-            Place{request.service, target.listed.id, organisation, target.inFlight, now, request.hedgeOf != 0},
-            now + request.timeLeft + releaseGrace);
+        target.occupancy.add(now);
+        const std::uint32_t held = heldAt(service, target, now);
+        this->places.add(key,
+                         Place{request.service, target.listed.id, organisation, held, now, request.hedgeOf != 0},
+                         now + request.timeLeft + releaseGrace);
     }
 
     static void recordAnswer(Service &service, Millis elapsed, Millis now)
@@ -515,7 +528,7 @@
         std::erase_if(this->services, [now](const auto &entry) {
             const Service &service = entry.second;
             const bool isHeld = std::any_of(service.targets.begin(), service.targets.end(), [](const auto &target) {
-                return target.second.inFlight > 0;
+                return target.second.occupancy.counted() > 0;
             });
             return !isHeld && now - service.targetsSetAt > unusedServiceTtl;
         });
@@ -528,6 +541,19 @@
         }
     }
 
+    /** A stream of the place has begun; the request keeps its place. */
+    void recordBegun(Place &place, const GatewayAdmissionRelease &release, Millis now)
+    {
+        Target *target = this->find(place.service, place.target);
+        if (target == nullptr || std::exchange(place.hasBegun, true)) {
+            return;
+        }
+        target->occupancy.recordBegun(place.grantedAt);
+        if (release.held > 0) {
+            target->occupancy.recordAnnounced(release.held, this->services.at(place.service).overdue, now);
+        }
+    }
+
     /** Removes a place. @return what it was; none if it is not known. */
     std::optional<Place> drop(const PlaceKey &key)
     {
@@ -537,7 +563,7 @@
         }
         const Place &place = *dropped;
         if (Target *target = this->find(place.service, place.target)) {
-            target->inFlight -= std::min<std::uint32_t>(target->inFlight, 1);
+            target->occupancy.remove(place.grantedAt, place.hasBegun);
         }
         if (const auto service = this->services.find(place.service); service != this->services.end()) {
             const auto organisation = service->second.organisations.find(place.organisation);
@@ -589,9 +615,10 @@
     std::map<TargetId, Target> kept;
     for (const OwnedTarget &listed : targets) {
         const auto before = owned.targets.find(listed.id);
-        Target target = before != owned.targets.end() ? before->second : Target{};
+        Target target = before != owned.targets.end() ? std::move(before->second) : Target{};
         target.listed = listed;
-        kept.emplace(listed.id, target);
+        target.occupancy.recordReported(listed.reportedInFlight, now);
+        kept.emplace(listed.id, std::move(target));
     }
     owned.targets = std::move(kept);
 }
@@ -639,6 +666,12 @@
 
 void AdmissionOwner::release(const InstanceId &from, const GatewayAdmissionRelease &release, Millis now)
 {
+    if (release.outcome == PlaceOutcome::Begun) {
+        if (Place *begun = this->d->places.find({from, release.id})) {
+            this->d->recordBegun(*begun, release, now);
+        }
+        return;
+    }
     const std::optional<Place> place = this->d->drop({from, release.id});
     Target *target = place ? this->d->find(place->service, place->target) : nullptr;
     if (target == nullptr) {
@@ -649,7 +682,7 @@
         this->d->services.at(place->service).hedgeBalance += place->isHedge ? 1 : 0;
     }
     const double slots = std::max<std::uint32_t>(target->listed.slots, 1);
-    const double measured = static_cast<double>(release.elapsed.count) / std::max(place->inFlightAtStart / slots, 1.0);
+    const double measured = static_cast<double>(release.elapsed.count) / std::max(place->heldAtStart / slots, 1.0);
     // The time of an abandoned request is a lower bound, which says something only where it exceeds the average.
     const bool isSlower = release.outcome == PlaceOutcome::Abandoned && measured > target->serviceMs;
     if (release.outcome == PlaceOutcome::Answered || isSlower) {
@@ -681,7 +714,7 @@
     this->d->expirePlaces(now);
     state.targets = found->second.targets.size();
     for (const auto &[id, target] : found->second.targets) {
-        state.placesTaken += target.inFlight;
+        state.placesTaken += target.occupancy.counted();
     }
     state.capacityPerSecond = Private::capacityPerSecond(found->second, now);
     state.offeredPerSecond = found->second.offered.perSecond(now);
--- a/sequoiausher/coordination/gateway/admissionownertest.cpp
+++ b/sequoiausher/coordination/gateway/admissionownertest.cpp
@@ -235,8 +235,19 @@
     CHECK(bed.ask().verdict == AdmissionVerdict::Granted);
 }
 
+// Guards against streams that run at a target without a place, since their first events count as their ends.
+TEST_CASE("a request whose stream has begun keeps its place until it ends")
+{
+    Bed bed(1);
+    const GatewayAdmissionReply granted = bed.ask();
+    bed.owner.release(gateway, {granted.id, PlaceOutcome::Begun, Millis{20}}, bed.now);
+    CHECK(bed.owner.state(service, bed.now).placesTaken == 1);
+    bed.owner.release(gateway, {granted.id, PlaceOutcome::Answered, Millis{400}}, bed.now);
+    CHECK(bed.owner.state(service, bed.now).placesTaken == 0);
+}
+
 // Guards against a new owner that takes full targets for empty ones.
-TEST_CASE("a new owner counts the reported loads for its first second")
+TEST_CASE("a new owner counts the reported loads at once, and as long as they are reported")
 {
     AdmissionOwner owner;
     std::vector<OwnedTarget> loaded = targets(2);
@@ -245,9 +256,17 @@
     for (std::uint64_t id = 1; id <= 10; ++id) {
         CHECK(owner.decide(gateway, request(id), start).target == loaded.back().id);
     }
-    const Millis later = start + Millis{1100};
+    Millis later = start + Millis{1100};
     owner.setTargets(service, loaded, later);
-    CHECK(owner.decide(gateway, request(11), later).target == loaded.front().id);
+    CHECK(owner.decide(gateway, request(11), later).target == loaded.back().id);
+    loaded.front().reportedInFlight = 0;
+    loaded.back().reportedInFlight = 11;
+    constexpr int seconds = 2;
+    for (int i = 0; i < seconds * 20; ++i) {
+        later += Millis{50};
+        owner.setTargets(service, loaded, later);
+    }
+    CHECK(owner.decide(gateway, request(12), later).target == loaded.front().id);
 }
 
 TEST_CASE("excluded targets are not granted, a repeated request keeps its place, unknown services have no target")
