--- a/sequoiausher/coordination/rules/requestfacts.h
+++ b/sequoiausher/coordination/rules/requestfacts.h
@@ -53,7 +53,7 @@
     std::vector<RequestHeader> headers;
     /** Wall-clock time since 1970, UTC. */
     Millis wallTime;
-    /** The number of gateways in the fleet, as far as this one knows; 0 on a router. */
+    /** The number of gateways that were in the fleet within a minute, as far as this one knows; 0 on a router. */
     std::uint32_t gateways = 0;
     /** Shared between requests; a pool that is not in this list counts as empty. */
     std::shared_ptr<const std::vector<PoolState>> pools;
--- a/sequoiausher/transport/gateway/gatewayadmission.cpp
+++ b/sequoiausher/transport/gateway/gatewayadmission.cpp
@@ -139,7 +139,8 @@
     facts.wallTime = Millis::wallNow();
     const auto targets = static_cast<std::uint32_t>(this->context.board.targetCount(this->admitted.service));
     const std::uint64_t inFlight = this->context.board.inFlight(this->admitted.service, this->receivedAt);
-    facts.gateways = static_cast<std::uint32_t>(this->context.peers.liveCount(this->receivedAt));
+    // Gateways that restart or are cut off count on, so that all gateways go by the same rule meanwhile.
+    facts.gateways = static_cast<std::uint32_t>(this->context.peers.fleetSize(this->receivedAt));
     facts.pools = std::make_shared<const std::vector<PoolState>>(1, PoolState{PoolId{routedPool}, targets, inFlight});
     return facts;
 }
