Bound what a gateway holds of an answer that never ends

A body without end with the status 503 was passed on beyond 1 MB, so that a request that ran was told that it had not. An answer beyond 1 MB that its caller reads slowly was read on without a pause.

Cause: Beast's parser limits the head, not the line before a chunk or the fields after the last one. Nothing bounded an event, or the number of interim answers. Reading paused for streams of events alone.

Change: HttpReader refuses what stays unread beyond the head's limit, for targets, callers and the store alike. A call ends after 16 interim answers, an event or a held failure at 1 MB: the connection is reset, the target counts as failing, a request that may be repeated goes elsewhere, another one hears that its outcome is unknown. A status that states 'not run' is never passed on as it arrives. Reading pauses for all answers that a caller takes slowly.

Bounded before, by reading: heads (32 KB), the store's answers (16 MB and their time), frames of peers and tunnels, connections at rest and probes, which close at the first byte.

--- a/sequoiausher/transport/gateway/calleranswer.cpp
+++ b/sequoiausher/transport/gateway/calleranswer.cpp
@@ -1,5 +1,6 @@
 #include "sequoiausher/transport/gateway/calleranswer.h"
 
+#include "sequoiausher/coordination/gateway/attemptoutcome.h"
 #include "sequoiausher/transport/gateway/refusals.h"
 
 #include <array>
@@ -12,7 +13,10 @@
 
 constexpr int statusOk = 200;
 
-/** An answer of a plain service up to this size is held until it is whole, so that a broken one can be replaced. */
+/**
+ * An answer of a plain service up to this size is held until it is whole, so that a broken one can be replaced, and so
+ * is an event of a stream.
+ */
 constexpr std::size_t heldBytes = 1024UL * 1024;
 /** Beyond so much that the caller has not taken, the target is not read any more. */
 constexpr std::size_t pauseBytes = 256UL * 1024;
@@ -68,7 +72,8 @@
         return !this->part.empty();
     }
     this->heldAnswer += bytes;
-    if (this->heldAnswer.size() > heldBytes && !this->isAnswerBegun) {
+    const bool mayPass = !falselyImpliesNotRun(this->answer.status, false);
+    if (this->heldAnswer.size() > heldBytes && !this->isAnswerBegun && mayPass) {
         this->passesThrough = true;
     }
     if (this->passesThrough) {
@@ -77,13 +82,18 @@
     return this->passesThrough;
 }
 
+bool CallerAnswer::isTooLong() const
+{
+    return (this->isEventStream() ? this->cutter.rest().size() : this->heldAnswer.size()) > heldBytes;
+}
+
 void CallerAnswer::writeReady()
 {
     if (!this->isAnswerBegun) {
         this->beginStream();
     }
     this->writePart(std::exchange(this->part, std::string()));
-    if (this->isEventStream() && this->caller.pendingBytes() > pauseBytes && !this->isPaused) {
+    if (this->caller.pendingBytes() > pauseBytes && !this->isPaused) {
         this->isPaused = this->source.setReading(false);
     }
 }
--- a/sequoiausher/transport/gateway/calleranswer.h
+++ b/sequoiausher/transport/gateway/calleranswer.h
@@ -64,6 +64,11 @@
     void began(const HttpHead &head, const TargetAnswer &answer);
     /** Adds bytes of the answer. @return whether a part of it can be written now, by writeReady(). */
     bool add(std::string_view bytes);
+    /**
+     * Whether what must be held until it is whole is longer than any that is held: an event, or an answer whose status
+     * states that the request did not run. That status may be false, so it is not passed on as the answer arrives.
+     */
+    bool isTooLong() const;
     /** Writes what add() found ready. Pauses reading from the target if the caller reads too slowly. */
     void writeReady();
     /** The caller has read everything that was written. */
--- a/sequoiausher/transport/gateway/gatewaycall.cpp
+++ b/sequoiausher/transport/gateway/gatewaycall.cpp
@@ -8,6 +8,8 @@
 
 constexpr int firstFinalStatus = 200;
 constexpr int firstFailureStatus = 300;
+/** More interim answers than any target has a reason for: a target could hold the request up without an end. */
+constexpr std::uint32_t maxInterimAnswers = 16;
 
 } // namespace
 
@@ -75,6 +77,11 @@
     HttpReader &reader = this->connection->reader();
     while (reader.isComplete() && reader.head().status < firstFinalStatus) {
         // An interim answer: the final one follows.
+        this->interimAnswers += 1;
+        if (this->interimAnswers > maxInterimAnswers) {
+            this->fail(AttemptEnd::NoAnswer);
+            return;
+        }
         reader.restart();
         this->connection->readOn();
     }
--- a/sequoiausher/transport/gateway/gatewaycall.h
+++ b/sequoiausher/transport/gateway/gatewaycall.h
@@ -10,6 +10,7 @@
 #include "sequoiausher/protocol/gateway/gatewaydialect.h"
 #include "sequoiausher/transport/gateway/targetpools.h"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -71,6 +72,7 @@
     std::shared_ptr<TargetConnection> connection;
     std::string attemptId;
     TargetAnswer answer;
+    std::uint32_t interimAnswers = 0;
     bool hasHead = false;
     bool isOver = false;
     bool lostConnection = false;
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -846,7 +846,12 @@
     const Millis now = Millis::monotonicNow();
     this->d->lastPartAt = now;
     this->d->context.board.recordActivity(this->d->chosen.target.id, now);
-    if (!this->d->answer.add(bytes)) {
+    const bool hasPart = this->d->answer.add(bytes);
+    if (this->d->answer.isTooLong()) {
+        this->d->endAttempt(classifyLostAnswer(this->d->answerState(), AttemptEnd::Broken), now);
+        return;
+    }
+    if (!hasPart) {
         return;
     }
     this->d->cancelHedge("lost", now);
--- a/sequoiausher/transport/stream/httpreader.cpp
+++ b/sequoiausher/transport/stream/httpreader.cpp
@@ -147,7 +147,11 @@
                 = parser.put(boost::asio::const_buffer(bytes.data() + used, bytes.size() - used), code);
             used += taken;
             if (code == Http::error::need_more) {
-                // A head must be contiguous; available bytes of a body have been consumed.
+                // A head must be contiguous; available bytes of a body have been consumed. The parser limits only the
+                // head, not the line before a chunk or the fields after the last one.
+                if (bytes.size() - used > this->limits.headBytes) {
+                    this->fault = this->collected.hasHead ? HttpFault::Malformed : HttpFault::HeadTooLong;
+                }
                 break;
             }
             if (code) {
--- a/sequoiausher/transport/stream/httpreader.h
+++ b/sequoiausher/transport/stream/httpreader.h
@@ -37,6 +37,7 @@
 /** The size limits of a message. */
 struct HttpReaderLimits
 {
+    /** Of the head, and of each part between the chunks of a body: a chunk's line, the fields after the last one. */
     std::uint32_t headBytes = 16384;
     std::uint64_t bodyBytes = 4194304;
 };
--- a/sequoiausher/transport/stream/httpreadertest.cpp
+++ b/sequoiausher/transport/stream/httpreadertest.cpp
@@ -2,6 +2,10 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <string>
+#include <vector>
+
 using namespace Sequoiausher;
 
 namespace {
@@ -96,3 +100,44 @@
     reader.read(bytes);
     CHECK(reader.fault() == HttpFault::BodyTooLong);
 }
+
+// Guards against a sender that exhausts memory by bytes in which a line or a block of fields never ends.
+TEST_CASE(
+    "bytes that never reach the end of a head, a chunk's line or the trailers are refused within the head's limit")
+{
+    constexpr std::uint32_t limit = 4096;
+    constexpr std::size_t pieceBytes = 1000;
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    struct Case
+    {
+        std::string begin;
+        std::string piece;
+    };
+    const std::vector<Case> cases{
+        {"", std::string(pieceBytes, '\0')},
+        {"", std::string(pieceBytes, 'a')},
+        {"", std::string(pieceBytes, '\n')},
+        {"HTTP/1.1 200 ", std::string(pieceBytes, 'a')},
+        {"HTTP/1.1 200 OK\r\nX: ", std::string(pieceBytes, 'a')},
+        {"HTTP/1.1 200 OK\r\n", "X: " + std::string(pieceBytes, 'a') + "\r\n"},
+        {chunked, std::string(pieceBytes, '0')},
+        {chunked, std::string(pieceBytes, 'a')},
+        {chunked + "4;x=", std::string(pieceBytes, 'a')},
+        {chunked + "4\r\nabcd\r\n0\r\n", "X: " + std::string(pieceBytes, 'a') + "\r\n"},
+    };
+    for (const Case &each : cases) {
+        CAPTURE(each.begin);
+        CAPTURE(each.piece.substr(0, 4));
+        HttpReader reader(HttpReader::Kind::Answer, {.headBytes = limit, .bodyBytes = 1048576});
+        std::string bytes = each.begin;
+        std::size_t mostHeld = 0;
+        constexpr int pieces = 100;
+        for (int i = 0; i < pieces && reader.fault() == HttpFault::None; ++i) {
+            bytes += each.piece;
+            reader.read(bytes);
+            mostHeld = std::max(mostHeld, bytes.size());
+        }
+        CHECK(reader.fault() != HttpFault::None);
+        CHECK(mostHeld <= limit + 2 * pieceBytes);
+    }
+}
