Refuse an entry of the store that no list for peers can name

Cause: the entry was read as a target of a service without a name. Hubs pass the list on as a text, and its reader refused the whole list for that entry, at every gateway that does not read the store itself. The same held for an entry without an id, with a slot count above a million, or with a delete character in a name.

An entry that fails names no target; the others hold.

Not decided here: an empty list of tenants, the limits of 1 and 16 MiB on lists.

--- a/sequoiausher/protocol/gateway/targetstext.cpp
+++ b/sequoiausher/protocol/gateway/targetstext.cpp
@@ -3,6 +3,7 @@
 #include "sequoiausher/base/ini/inidocument.h"
 #include "sequoiausher/base/ini/inireader.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace Sequoiausher {
@@ -13,6 +14,24 @@
 constexpr std::int64_t latestBirth = std::numeric_limits<std::int64_t>::max();
 constexpr std::int64_t mostRevision = std::numeric_limits<std::int64_t>::max();
 
+bool isName(const std::string &name)
+{
+    constexpr char deleteCharacter = 0x7f;
+    const auto isControl = [](char c) { return static_cast<unsigned char>(c) < ' ' || c == deleteCharacter; };
+    const bool isBlankAtEnd = !name.empty() && (name.front() == ' ' || name.back() == ' ');
+    return !isBlankAtEnd && std::none_of(name.begin(), name.end(), isControl);
+}
+
+bool isReadable(const GatewayTarget &target)
+{
+    try {
+        checkTarget(target, target.id.value);
+    } catch (const Error &) {
+        return false;
+    }
+    return true;
+}
+
 GatewayTarget readTarget(SectionReader &section)
 {
     GatewayTarget target;
@@ -58,11 +77,31 @@
 
 } // namespace
 
+void checkTarget(const GatewayTarget &target, const std::string &from)
+{
+    if (target.id.empty() || target.service.empty()) {
+        throw Error(Step::Decode, from, "a target without an id or a service");
+    }
+    if (!isAddressAndPort(target.address)) {
+        throw Error(Step::Decode, from, "address: expected an address and a port, not " + target.address);
+    }
+    if (!isName(target.id.value) || !isName(target.service.value) || !isName(target.dataCentre.value)
+        || !isName(target.softwareVersion)) {
+        throw Error(Step::Decode, from, "a name with control characters or blanks at its ends");
+    }
+    if (target.slots > mostSlots || target.bornAt < Millis{0}) {
+        throw Error(Step::Decode, from, "more slots than any target has, or a start before all times");
+    }
+}
+
 std::string toText(const std::vector<GatewayTarget> &targets, TargetsFormat format)
 {
     std::string text;
     std::size_t number = 0;
     for (const GatewayTarget &target : targets) {
+        if (!isReadable(target)) {
+            continue;
+        }
         number += 1;
         // Ids are the platform's, and need not be names as sections have them.
         text += "[target " + std::to_string(number) + "]\nid = " + target.id.value;
--- a/sequoiausher/protocol/gateway/targetstext.h
+++ b/sequoiausher/protocol/gateway/targetstext.h
@@ -27,7 +27,14 @@
     {TargetsFormat::Versioned, "versioned"},
 });
 
-/** An INI text with a section [target NUMBER] for each. */
+/**
+ * Checks that a list with the target can be read: one entry that cannot would make the whole list unreadable.
+ * @param from names the entry in errors. @throws Error where the target has no id, address or service, a name with
+ * control characters or blanks at its ends, or more slots than any target has.
+ */
+void checkTarget(const GatewayTarget &target, const std::string &from);
+
+/** An INI text with a section [target NUMBER] for each; those that checkTarget() refuses are left out. */
 std::string toText(const std::vector<GatewayTarget> &targets, TargetsFormat format = TargetsFormat::Versioned);
 
 /** @param from names the sender in errors. @throws ProblemsError where the text is none that toText() writes. */
--- a/sequoiausher/protocol/gateway/targetstexttest.cpp
+++ b/sequoiausher/protocol/gateway/targetstexttest.cpp
@@ -24,6 +24,45 @@
     CHECK_THROWS_AS(parseTargetsText("[target 1]\nid = i-7f3a\nborn_ms = 5\n", "p"), Error);
 }
 
+// Guards against one entry of another writer that keeps gateways from learning that targets leave.
+TEST_CASE("a target that no list can name is refused, and never makes a list unreadable")
+{
+    const GatewayTarget good{TargetId{"i-7f3a"}, PoolId{"desk"}, "10.0.0.1:80", DataCentreId{"hall-a"}, 6, false};
+    CHECK_NOTHROW(checkTarget(good, "p"));
+    std::vector<GatewayTarget> bad(10, good);
+    bad[0].service = PoolId{};
+    bad[1].id = TargetId{};
+    bad[2].address = "";
+    bad[3].address = "somewhere";
+    bad[4].dataCentre = DataCentreId{" a"};
+    bad[5].service = PoolId{"a\nservice"};
+    bad[6].slots = 1000001;
+    bad[7].softwareVersion = "v1\t";
+    bad[8].bornAt = Millis{-1};
+    bad[9].service = PoolId{"desk\x7f"};
+    for (const GatewayTarget &each : bad) {
+        CAPTURE(toText({each}));
+        CHECK_THROWS_AS(checkTarget(each, "p"), Error);
+        CHECK(parseTargetsText(toText({each, good}), "p") == std::vector<GatewayTarget>{good});
+        const TargetChanges changes{3, 5, {each, good}, {}};
+        CHECK(parseTargetChanges(toText(changes), "p").written == std::vector<GatewayTarget>{good});
+    }
+}
+
+// Names as another writer may choose them. Guards against a check that lets a name pass which the list's reader
+// refuses.
+TEST_CASE("a list can be read with every target that the check allows")
+{
+    const std::vector<std::string> names{"#", ";", "=", "[", "]", "[x]", "a = b", "\"", "'", "a ; b", "\xc3\xa9", "0"};
+    for (const std::string &name : names) {
+        CAPTURE(name);
+        GatewayTarget target{TargetId{name}, PoolId{name}, "10.0.0.1:80", DataCentreId{name}, 6, false};
+        target.softwareVersion = name;
+        REQUIRE_NOTHROW(checkTarget(target, "p"));
+        CHECK(parseTargetsText(toText({target}), "p") == std::vector<GatewayTarget>{target});
+    }
+}
+
 // Guards against gateways of the last release, which read no list with a key that they do not know, and so would miss
 // that targets leave.
 TEST_CASE("software versions are written only for gateways that read them")
