Take an answer without an id for foreign where its connection's answers bear ids

A target had sent additional bytes after a complete answer, a refusal without an id, at the moment when the next request had been written to the connection.

Cause: an answer was foreign only if it bore another id. One without an id was believed on every connection.

Change: once an answer of a connection has borne its request's id, an answer there without one belongs to no request: the attempt has no answer, the connection is reset, a request that may be repeated goes elsewhere, another one hears that its outcome is unknown. On a connection without earlier answers, and at targets that echo no ids, a refusal without an id is believed as before; there a connection is not used if anything is to be read before the request is written.

By reading: health questions send no request; the store echoes no ids, and its connection is closed at bytes after an answer, so additional bytes that come after the next call was written are still believed there.

--- /dev/null
+++ b/sequoiausher/transport/gateway/foreignanswertest.cpp
@@ -0,0 +1,103 @@
+#include "sequoiausher/transport/gateway/gatewaytestbed.h"
+
+#include <QTimer>
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace Sequoiausher;
+
+namespace {
+
+const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+
+/** Targets that answer one request and then, before the answer to a later one, send a refusal that belongs to none. */
+struct ForeignBed : GatewayTestbed
+{
+    ForeignBed()
+    {
+        this->publish(configuration());
+        for (const std::string service : {"desk", "look"}) {
+            for (const std::string name : {"1", "2"}) {
+                FakeServer &target = this->addTarget(service + name, service);
+                target.isRecording = false;
+                target.answers = [this](FakeRequest &request) {
+                    this->runs += 1;
+                    if (this->runs > this->sound) {
+                        request.send(refusal);
+                    }
+                    request.reply("200 OK", "whole");
+                };
+            }
+        }
+        this->start();
+    }
+
+    /** Each call has an attempt id of its own. */
+    CallerReply callNext(const std::string &method, const std::string &route)
+    {
+        return this->call(method, route + std::to_string(++this->calls), "Content-Length: 0\r\n");
+    }
+
+    int runs = 0;
+    /** So many requests are answered without a refusal before. */
+    int sound = 1000;
+    int calls = 0;
+};
+
+} // namespace
+
+// Guards against "not run" for a request that runs, because bytes that belong to no request were taken for its answer.
+TEST_CASE("a refusal without an id is not believed where the answers of its connection bear ids")
+{
+    ForeignBed bed;
+    constexpr int kept = 8;
+    for (int i = 0; i < kept; ++i) {
+        REQUIRE(bed.callNext("POST", "/desk/").status == 200);
+    }
+    bed.sound = bed.runs;
+    const CallerReply reply = bed.callNext("POST", "/desk/");
+    CHECK(bed.runs == kept + 1);
+    CHECK(reply.status == 502);
+}
+
+// The same for a request that may be repeated, which another target answers.
+TEST_CASE("a request that may be repeated goes elsewhere where its connection has a foreign refusal")
+{
+    ForeignBed bed;
+    constexpr int kept = 8;
+    for (int i = 0; i < kept; ++i) {
+        REQUIRE(bed.callNext("GET", "/look/").status == 200);
+    }
+    bed.sound = bed.runs + 1;
+    CHECK(bed.callNext("GET", "/look/").status == 200);
+}
+
+// Guards against targets whose refusals are never believed, since they bear no ids at all.
+TEST_CASE("a refusal without an id is believed on a connection without earlier answers")
+{
+    GatewayTestbed bed;
+    bed.publish(GatewayTestbed::configuration());
+    FakeServer &target = bed.addTarget("desk1", "desk");
+    target.answers = [](FakeRequest &request) { request.send(refusal); };
+    bed.start();
+    CHECK(bed.call("POST", "/desk/1", "Content-Length: 0\r\n").status == 503);
+}
+
+// Guards against a request that is written to a connection with bytes that nobody asked for.
+TEST_CASE("a connection with bytes that belong to no request is not used again")
+{
+    GatewayTestbed bed;
+    bed.publish(GatewayTestbed::configuration());
+    FakeServer &target = bed.addTarget("desk1", "desk");
+    target.answers = [](FakeRequest &request) {
+        request.reply("200 OK", "whole");
+        QTimer::singleShot(1, [request] { request.send(refusal); });
+    };
+    bed.start();
+    constexpr int calls = 6;
+    for (int i = 1; i <= calls; ++i) {
+        CHECK(bed.call("POST", "/desk/" + std::to_string(i), "Content-Length: 0\r\n").status == 200);
+    }
+}
--- a/sequoiausher/transport/gateway/gatewaycall.cpp
+++ b/sequoiausher/transport/gateway/gatewaycall.cpp
@@ -104,14 +104,20 @@
 {
     const HttpHead &head = this->connection->reader().head();
     this->answer = this->dialect.readAnswer(head);
-    // A late answer to an earlier request, or a success without a target's signature, must reach no caller.
-    const bool isForeign = !this->answer.attemptId.empty() && this->answer.attemptId != this->attemptId;
+    // A late answer to an earlier request, or a success without a target's signature, must reach no caller. Where
+    // earlier answers of the connection bore ids, one without an id is not this request's own, whatever it states of
+    // it.
+    const bool isForeign
+        = this->answer.attemptId.empty() ? this->connection->hasEchoedIds() : this->answer.attemptId != this->attemptId;
     const bool isSuccess = head.status < firstFailureStatus;
     if (isForeign || (isSuccess && !this->answer.isSigned)) {
         this->fail(AttemptEnd::NoAnswer);
         return;
     }
     this->hasHead = true;
+    if (!this->answer.attemptId.empty()) {
+        this->connection->recordEchoedId();
+    }
     this->user.answerBegan(head, this->answer);
 }
 
--- a/sequoiausher/transport/gateway/targetpools.cpp
+++ b/sequoiausher/transport/gateway/targetpools.cpp
@@ -192,6 +192,21 @@
     }
 }
 
+void TargetConnection::recordEchoedId()
+{
+    this->echoesIds = true;
+}
+
+bool TargetConnection::hasEchoedIds() const
+{
+    return this->echoesIds;
+}
+
+bool TargetConnection::hasForeignBytes() const
+{
+    return this->stream && this->stream->unreadBytes() > 0;
+}
+
 void TargetConnection::release(std::optional<Millis> idleTime, Millis now)
 {
     this->user = nullptr;
@@ -321,7 +336,7 @@
             break;
         }
         pool.idle.pop_back();
-        if (last->isOpen() && this->d->isUsable(*last, now)) {
+        if (last->isOpen() && !last->hasForeignBytes() && this->d->isUsable(*last, now)) {
             return last;
         }
         last->drop();
--- a/sequoiausher/transport/gateway/targetpools.h
+++ b/sequoiausher/transport/gateway/targetpools.h
@@ -69,6 +69,10 @@
     /** The gateway that the connection goes through; empty for a direct one, or one that is not open yet. */
     const InstanceId &through() const;
     void setReading(bool on);
+    /** An answer on this connection bore the id of its request. */
+    void recordEchoedId();
+    /** Whether the answers on this connection bear the ids of their requests, as far as there were any. */
+    bool hasEchoedIds() const;
 
     /**
      * Returns the connection to its pool after a complete answer, if that is safe: the whole request was sent, nothing
@@ -94,6 +98,8 @@
     /** What has arrived from the target and was not read yet. */
     std::string &input();
     void goIdle(Millis idleTime, Millis now);
+    /** Whether bytes have arrived that belong to no request, though the event loop has not reported them yet. */
+    bool hasForeignBytes() const;
     void reportProbe(bool isAccepted);
 
     TargetPools &pools;
@@ -109,6 +115,7 @@
     TargetConnectionUser *user = nullptr;
     std::function<void(bool isAccepted)> probed;
     bool wasReused = false;
+    bool echoesIds = false;
     /** A request was sent, or is to be, and has no whole answer yet. */
     bool hasRequest = false;
 };
