--- a/lab/soak/lastingcaller.cpp
+++ b/lab/soak/lastingcaller.cpp
@@ -110,7 +110,8 @@
     answer.attemptId = read.attemptId;
     answer.signature = read.signature;
     answer.body = this->connection->body;
-    this->judge.answered(this->current->id, answer, now);
+    // A refusal is awaited after the close, but the answer ended with the close.
+    this->judge.answered(this->current->id, answer, this->endedAt.value_or(now));
     this->current.reset();
     this->idleSince = now;
     this->nextAt = now + this->pause();
--- a/lab/soak/soakrunprivate.cpp
+++ b/lab/soak/soakrunprivate.cpp
@@ -548,9 +548,10 @@
     }
     const Millis step = std::min(pollInterval, until - now);
     for (std::size_t number = 0; number < this->gateways.size(); ++number) {
-        // A gateway that learns of a target from a peer gets the address of the peer's path to it.
-        const bool usesPathsOfPeers
-            = this->gateways[number]->process().outputOfLastRun().find("targets changed why=peer") != std::string::npos;
+        // A gateway that learns of a target from a peer, by a list or by a change, gets the address of the peer's path.
+        const std::string output = this->gateways[number]->process().outputOfLastRun();
+        const bool usesPathsOfPeers = output.find("targets changed why=peer") != std::string::npos
+            || output.find(", by a peer\"") != std::string::npos;
         if (usesPathsOfPeers && !struck.contains(number)) {
             this->judge.disturbances().begin(unplanned(number), now);
             this->after(step,
