Clamp what an owner believes of a target that overstates its load

Cause, by reading: an engine that announces 255 requests raised the mean by 255 / 90, and with it the bound of all others by twice that. And a request that ended after its engine had been listed anew took a newer one out of the count, or left more overdue requests than counted ones, which made the estimate wrap round.

Change: beyond the owner's own count a target counts in the mean with four times the mean count and sixteen at most. A request that was granted before the target was listed anew ends without an effect, and the estimate is never below zero.

--- a/sequoiausher/coordination/gateway/engineowner.cpp
+++ b/sequoiausher/coordination/gateway/engineowner.cpp
@@ -44,6 +44,11 @@
 constexpr double exactCountFactor = 4.0 / 3;
 /** Requests above the bound of the rule that are let through, as in TargetBoard. */
 constexpr std::uint64_t boundSlackRequests = 1;
+/** A target counts in the mean with this multiple of the mean count at most, unless the owner has counted more there.
+ */
+constexpr std::uint64_t maxBelievableMeans = 4;
+/** The same in requests, added to the multiple, because a new owner has counted only a few. */
+constexpr std::uint64_t minBelievable = 16;
 /** The weight of one first event in the average reading rate. */
 constexpr double rateWeight = 0.05;
 /** First events before the reading rate is used to refuse requests: one slow engine would make it far too low. */
@@ -288,6 +293,19 @@
         return isNewOwner(service, now) ? std::max(least, engine.listed.reportedInFlight) : least;
     }
 
+    /**
+     * More than this at one target, by its announcement or the reports, counts as no more in the mean: a target that
+     * overstates its load would raise the bound of all others.
+     */
+    static std::uint64_t maxBelievable(const Service &service)
+    {
+        std::uint64_t counted = 0;
+        for (const auto &[id, engine] : service.engines) {
+            counted += engine.occupancy.counted();
+        }
+        return maxBelievableMeans * counted / std::max<std::uint64_t>(service.engines.size(), 1) + minBelievable;
+    }
+
     static bool mayTake(const Engine &engine, const GatewayAdmissionRequest &request)
     {
         return engine.listed.isUsable
@@ -305,12 +323,15 @@
         std::uint64_t total = 0;
         std::uint64_t totalOfCandidates = 0;
         std::uint64_t candidates = 0;
+        const std::uint64_t mostBelievable = maxBelievable(service);
         for (const auto &[id, engine] : service.engines) {
             const std::uint32_t held = heldAt(service, engine, now);
             const bool isCandidate = mayTake(engine, request);
-            least += leastAt(service, engine, now);
-            total += std::max(held, engine.occupancy.counted());
-            totalOfCandidates += isCandidate ? held : 0;
+            const std::uint64_t believed
+                = std::min<std::uint64_t>(held, std::max<std::uint64_t>(mostBelievable, engine.occupancy.counted()));
+            least += std::min<std::uint64_t>(leastAt(service, engine, now), believed);
+            total += std::max<std::uint64_t>(believed, engine.occupancy.counted());
+            totalOfCandidates += isCandidate ? believed : 0;
             candidates += isCandidate ? 1 : 0;
         }
         const double certainty = total > 0 ? static_cast<double>(least) / static_cast<double>(total) : 1;
--- a/sequoiausher/coordination/gateway/engineownertest.cpp
+++ b/sequoiausher/coordination/gateway/engineownertest.cpp
@@ -250,6 +250,60 @@
     CHECK(bed.ask(400, 100).verdict == AdmissionVerdict::Granted);
 }
 
+// Guards against engines that are crowded because another one announces that it holds far more than it does.
+TEST_CASE("an engine that overstates what it holds does not raise the bound of the others")
+{
+    constexpr std::size_t engines = 20;
+    Bed bed(engines);
+    for (std::uint64_t part = 100; part < 100 + 2 * engines; ++part) {
+        bed.begin(part);
+    }
+    const std::uint16_t bound = bed.ask(500).bound;
+    const GatewayAdmissionReply reply = bed.ask(501);
+    bed.owner.release(gateway, {reply.id, PlaceOutcome::Begun, Millis{180}, 0, 255}, bed.now);
+    const GatewayAdmissionReply next = bed.ask(502);
+    CHECK(next.bound <= bound + 3);
+    CHECK(next.target != reply.target);
+}
+
+// Guards against a bound that rises with the number of engines that cannot be used.
+TEST_CASE("the bound is a multiple of the mean of all engines, and of an even load among those that are left")
+{
+    constexpr std::size_t engines = 20;
+    Bed bed(engines);
+    for (std::uint64_t part = 100; part < 100 + 2 * engines; ++part) {
+        bed.begin(part);
+    }
+    const std::uint16_t bound = bed.ask(500).bound;
+    std::vector<OwnedTarget> some = targets(engines);
+    for (std::size_t i = 0; i < engines / 4; ++i) {
+        some[i].isUsable = false;
+    }
+    bed.owner.setTargets(service, some, bed.now);
+    CHECK(bed.ask(501).bound <= bound + 1);
+    GatewayAdmissionRequest asked = bed.request(502);
+    for (std::size_t i = 0; i + 1 < engines; ++i) {
+        asked.excluded.push_back(some[i].id);
+    }
+    const GatewayAdmissionReply last = bed.decide(asked);
+    CHECK(last.verdict == AdmissionVerdict::Granted);
+    CHECK(last.target == some.back().id);
+    CHECK(last.held < last.bound);
+}
+
+// Guards against engines that are crowded while requests whose answers were lost count as load.
+TEST_CASE("requests that the engines do not hold any more raise no bound")
+{
+    constexpr std::size_t engines = 20;
+    Bed bed(engines);
+    for (std::uint64_t part = 100; part < 100 + 6 * engines; ++part) {
+        bed.ask(part);
+    }
+    const std::uint16_t crowded = bed.ask(800).bound;
+    bed.now += Millis{1000};
+    CHECK(bed.ask(801).bound < crowded / 2);
+}
+
 TEST_CASE("a repeated request gets the same place, and engines that the gateway cannot use are left out")
 {
     Bed bed(3);
--- a/sequoiausher/coordination/gateway/targetoccupancy.cpp
+++ b/sequoiausher/coordination/gateway/targetoccupancy.cpp
@@ -59,10 +59,14 @@
 
 void TargetOccupancy::remove(Millis grantedAt, bool hasBegun)
 {
-    this->count -= std::min<std::uint32_t>(this->count, 1);
     if (!hasBegun) {
-        this->recordBegun(grantedAt);
+        const auto found = this->unanswered.find(grantedAt);
+        if (found == this->unanswered.end()) {
+            return;
+        }
+        this->unanswered.erase(found);
     }
+    this->count -= std::min<std::uint32_t>(this->count, 1);
 }
 
 void TargetOccupancy::recordAnnounced(std::uint32_t held, OverdueEvidence &evidence, Millis now)
@@ -134,13 +138,19 @@
 
 std::uint32_t TargetOccupancy::estimate(const OverdueEvidence &evidence, Millis now) const
 {
-    const double gone = this->overdue(now) * (this->isAnnounced(now) ? this->goneFraction : evidence.goneFraction());
-    return static_cast<std::uint32_t>(std::lround(this->count - gone + this->othersHeld(now)));
+    const double fraction = this->isAnnounced(now) ? this->goneFraction : evidence.goneFraction();
+    return this->correctedCount(this->overdue(now) * fraction, now);
 }
 
 std::uint32_t TargetOccupancy::least(Millis now) const
 {
-    return static_cast<std::uint32_t>(std::lround(this->count - this->overdue(now) + this->othersHeld(now)));
+    return this->correctedCount(this->overdue(now), now);
+}
+
+std::uint32_t TargetOccupancy::correctedCount(double gone, Millis now) const
+{
+    const double corrected = std::max(this->count - gone, 0.0) + this->othersHeld(now);
+    return static_cast<std::uint32_t>(std::lround(corrected));
 }
 
 } // namespace Sequoiausher
--- a/sequoiausher/coordination/gateway/targetoccupancy.h
+++ b/sequoiausher/coordination/gateway/targetoccupancy.h
@@ -1,13 +1,10 @@
 #pragma once
 
 // How many requests a target holds, as the admission owner of its service estimates it. The owner counts the requests
-// that it has granted, but a count goes wrong in two ways:
-//
-// - A request whose answer was lost without a sign stays counted until its gateway gives it up, seconds after the
-// target
-//   has finished it. Counted as load, it makes the other targets look empty.
-// - Requests that others have sent are not counted: those that an earlier owner granted, that another gateway which
-//   takes itself for the owner grants, or that gateways send without asking.
+// that it has granted, but a count goes wrong in two ways. A request whose answer was lost without a sign stays counted
+// until its gateway gives it up, seconds after the target has finished it; counted as load, it makes the other targets
+// look empty. And requests that others have sent are not counted: those that an earlier owner granted, that another
+// gateway which takes itself for the owner grants, or that gateways send without asking.
 //
 // Most targets announce what they hold at the beginning of each answer. The difference between the announcement and the
 // count at that moment corrects the count: downwards at most by the requests that are overdue, so that a target which
@@ -66,7 +63,10 @@
     void add(Millis now);
     /** The answer to a request that was granted at the given time has begun, so that the request is not overdue. */
     void recordBegun(Millis grantedAt);
-    /** A request has ended. @param hasBegun whether recordBegun() was called for it */
+    /**
+     * A request has ended. Ignored for one that was granted before the target was listed anew, as far as that shows.
+     * @param hasBegun whether recordBegun() was called for it
+     */
     void remove(Millis grantedAt, bool hasBegun);
     /** The target announced that it holds so many requests. */
     void recordAnnounced(std::uint32_t held, OverdueEvidence &evidence, Millis now);
@@ -84,6 +84,8 @@
 
 private:
     std::uint32_t overdue(Millis now) const;
+    /** The count without this many requests, and with those of others. */
+    std::uint32_t correctedCount(double gone, Millis now) const;
     /** The requests there that others have sent. */
     double othersHeld(Millis now) const;
     /** Whether the target has announced lately what it holds. */
--- a/sequoiausher/coordination/gateway/targetoccupancytest.cpp
+++ b/sequoiausher/coordination/gateway/targetoccupancytest.cpp
@@ -53,6 +53,19 @@
     CHECK(occupancy.estimate(evidence, Millis{2000}) == 10);
 }
 
+// Guards against a count below zero when requests end that were granted before the target was listed anew.
+TEST_CASE("requests of an earlier listing end without an effect on those of this one")
+{
+    OverdueEvidence evidence;
+    TargetOccupancy occupancy = withRequests(1, Millis{2000});
+    occupancy.remove(Millis{1000}, false);
+    CHECK(occupancy.counted() == 1);
+    occupancy.remove(Millis{1000}, true);
+    CHECK(occupancy.counted() == 0);
+    CHECK(occupancy.estimate(evidence, Millis{3000}) == 0);
+    CHECK(occupancy.least(Millis{3000}) == 0);
+}
+
 // Guards against targets that are crowded by requests which another gateway has granted.
 TEST_CASE("requests that were not granted here count by the target's announcement")
 {
