Take a long plain answer from its target at once again, up to 16 MB

Since a gateway bounds what it holds of an endless answer, reading paused for a plain answer beyond 256 KB that its caller had not taken; 8 MB were then cut off by the route's time, with 4.2 MB delivered.

Cause: such an answer is taken at once on purpose, so that the target is free and the caller may take it for longer than the route's time.

Change: reading pauses for a plain answer beyond 16 MB that are not taken, for a stream beyond 256 KB as before. calleranswertest has a case for the bound, and one for a refusal that is not passed on before it is whole.

--- a/sequoiausher/transport/gateway/calleranswer.cpp
+++ b/sequoiausher/transport/gateway/calleranswer.cpp
@@ -18,8 +18,13 @@
  * is an event of a stream.
  */
 constexpr std::size_t heldBytes = 1024UL * 1024;
-/** Beyond so much that the caller has not taken, the target is not read any more. */
+/** Beyond so much that the caller has not taken, the target of a stream is not read any more. */
 constexpr std::size_t pauseBytes = 256UL * 1024;
+/**
+ * The same for another answer. It is taken from its target at once, so that the target is free, and the caller may take
+ * it for longer than the route's time.
+ */
+constexpr std::size_t pauseBytesOfPlainAnswer = 16UL * 1024 * 1024;
 
 /** One chunk of a chunked body. */
 std::string chunkOf(std::string_view bytes)
@@ -93,7 +98,8 @@
         this->beginStream();
     }
     this->writePart(std::exchange(this->part, std::string()));
-    if (this->caller.pendingBytes() > pauseBytes && !this->isPaused) {
+    const std::size_t most = this->isEventStream() ? pauseBytes : pauseBytesOfPlainAnswer;
+    if (this->caller.pendingBytes() > most && !this->isPaused) {
         this->isPaused = this->source.setReading(false);
     }
 }
--- a/sequoiausher/transport/gateway/calleranswertest.cpp
+++ b/sequoiausher/transport/gateway/calleranswertest.cpp
@@ -167,6 +167,36 @@
     CHECK(given.caller.given == "2\r\ncc\r\n0\r\n\r\n");
 }
 
+// Guards against an answer without an end that fills the memory of a gateway while its caller takes none of it.
+TEST_CASE("of a plain answer that its caller does not take a bounded part is read")
+{
+    constexpr std::size_t mostHeld = 16UL * mebibyte;
+    Given given;
+    given.begin(RouteKind::Idempotent, false);
+    given.caller.pending = mostHeld;
+    given.add(std::string(mebibyte + 1, 'x'));
+    CHECK(given.target.isRead);
+    given.caller.pending += 1;
+    given.add("x");
+    CHECK_FALSE(given.target.isRead);
+    CHECK(given.answer.isReadingPaused());
+    given.caller.pending = 0;
+    given.answer.callerDrained();
+    CHECK(given.target.isRead);
+}
+
+// Guards against "not run" that a caller is told of a request that ran, by an answer that is passed on as it comes.
+TEST_CASE("an answer whose status states that nothing ran is not passed on before it is whole")
+{
+    Given given;
+    given.begin(RouteKind::AtMostOnce, false, 503);
+    given.add(std::string(mebibyte, 'x'));
+    CHECK_FALSE(given.answer.isTooLong());
+    given.add("x");
+    CHECK(given.answer.isTooLong());
+    CHECK(given.caller.given.empty());
+}
+
 TEST_CASE("what calls itself a stream is one only with success, on a route for streams")
 {
     Given given;
