Report a cut answer to the soak's judge when its connection closes

Cause: the caller waits after each close for the refusal of a request that may have crossed it. Where an answer has begun, the request was read, and none comes.

Change: the judge hears of such a close at once. Its bounds are unchanged.

--- a/lab/soak/lastingcaller.cpp
+++ b/lab/soak/lastingcaller.cpp
@@ -136,9 +136,11 @@
     } else if (this->connection->isReset()) {
         this->finish(now, this->connection->status == 0);
     } else if (this->connection->isFinished()) {
-        // The refusal of a request that crossed the close comes after the close itself.
+        // The refusal of a request that crossed the close comes after the close itself. A request whose answer has
+        // begun was read, so none is awaited, and the judge hears of the end in time.
         this->endedAt = this->endedAt.value_or(now);
-        if (now - *this->endedAt >= refusalTime) {
+        const bool hasBegun = this->connection->status != 0;
+        if (hasBegun || now - *this->endedAt >= refusalTime) {
             this->finish(now, false);
         }
     } else if (now >= this->leaveAt) {
