Ask for a key where the list of organisations is empty

Cause: whether keys are asked for was read from the number of organisations. The users' page says that a configuration which contains the list asks for keys.

Change: the configuration states whether there is a list.

Evidence: routetabletest fails before.

--- a/sequoiausher/coordination/gateway/gatewayconfiguration.h
+++ b/sequoiausher/coordination/gateway/gatewayconfiguration.h
@@ -134,6 +134,8 @@
     std::vector<GatewayRoute> routes;
     std::vector<GatewayService> services;
     std::vector<GatewayOrganisation> organisations;
+    /** Whether there is a list of organisations, be it empty; without one, requests need no key. */
+    bool listsOrganisations = false;
     CallerLimits limits;
 
     bool operator==(const GatewayConfiguration &) const = default;
--- a/sequoiausher/coordination/gateway/routetable.cpp
+++ b/sequoiausher/coordination/gateway/routetable.cpp
@@ -86,7 +86,7 @@
 
 bool RouteTable::needsKeys() const
 {
-    return !this->d->configuration.organisations.empty();
+    return this->d->configuration.listsOrganisations || !this->d->configuration.organisations.empty();
 }
 
 const GatewayService *RouteTable::service(const PoolId &name) const
--- a/sequoiausher/coordination/gateway/routetabletest.cpp
+++ b/sequoiausher/coordination/gateway/routetabletest.cpp
@@ -51,6 +51,11 @@
     CHECK(table.organisationOf("K2") == nullptr);
     CHECK(table.organisationOf("") == nullptr);
     CHECK(table.needsKeys());
+    CHECK_FALSE(RouteTable(GatewayConfiguration()).needsKeys());
+    // Guards against routes that open to everybody when the last organisation is removed.
+    GatewayConfiguration emptied;
+    emptied.listsOrganisations = true;
+    CHECK(RouteTable(emptied).needsKeys());
 
     const GatewayRoute route = routeOf("r", "h", "/");
     std::map<std::string, int> counts;
