Count a peer's report of a misdirecting target once, whatever lists follow

Seen in the review: each new list of targets added the reports of all peers again without resetting the sum, so a target that a peer had reported as misdirected while a list came was passed over for good.

Evidence: targetboardtest fails before (the target is not chosen again).

--- a/sequoiausher/coordination/gateway/targetboard.cpp
+++ b/sequoiausher/coordination/gateway/targetboard.cpp
@@ -282,6 +282,7 @@
     for (auto &[id, state] : this->d->targets) {
         state.peersInFlight = 0;
         state.peersSuspecting = 0;
+        state.peersMisdirected = 0;
     }
     this->d->groupByService();
     for (const auto &[peer, loads] : this->d->peers) {
--- a/sequoiausher/coordination/gateway/targetboardtest.cpp
+++ b/sequoiausher/coordination/gateway/targetboardtest.cpp
@@ -712,6 +712,10 @@
     }
     CHECK(second.loads({}, Millis{1010}).size() == 3);
     CHECK(second.loads({InstanceId{"first"}}, Millis{1010}).size() == 2);
+    // Guards against a target that stays passed over because each new list counts the peer's report once more.
+    second.setTargets(listed, Millis{1020});
+    second.setTargets(listed, Millis{1030});
+    CHECK(second.countIneligible(criteria, Millis{1030}).text() == "misdirected:1");
     const Millis later{4100};
     second.updatePeerLoads(InstanceId{"first"}, first.ownLoads(later), later);
     CHECK(chooses(second, gone, later));
