Read lists of targets from peers up to 16 MiB

Seen in the review: a list of more than 1 MiB, some 7,000 targets, was refused whole by every peer, since it is read by the parser of documents with its limit. The target size is 10,000 targets.

Change: the parser takes the limit; lists of targets have one of 16 MiB, the limit of what is read from the store.

Evidence: targetstexttest with 10,000 targets fails before.

--- a/sequoiausher/base/ini/inidocument.cpp
+++ b/sequoiausher/base/ini/inidocument.cpp
@@ -133,9 +133,9 @@
 
 } // namespace
 
-IniDocument parseIni(std::string_view text, const std::string &file, Problems &problems)
+IniDocument parseIni(std::string_view text, const std::string &file, Problems &problems, std::size_t maximumBytes)
 {
-    if (text.size() > maximumIniBytes) {
+    if (text.size() > maximumBytes) {
         addProblem(problems,
                    {Severity::Error,
                     file,
@@ -144,7 +144,7 @@
                     "",
                     "",
                     std::to_string(text.size()) + " bytes",
-                    "at most " + std::to_string(maximumIniBytes) + " bytes",
+                    "at most " + std::to_string(maximumBytes) + " bytes",
                     ""});
         return {file, {}};
     }
--- a/sequoiausher/base/ini/inidocument.h
+++ b/sequoiausher/base/ini/inidocument.h
@@ -23,7 +23,7 @@
 
 namespace Sequoiausher {
 
-/** The largest text that parseIni() reads: the largest document that the platform's service stores. */
+/** The largest document that the platform's service stores, and the largest text that parseIni() reads by default. */
 inline constexpr std::size_t maximumIniBytes = 1024UL * 1024UL;
 
 /** A key with its value. */
@@ -53,10 +53,13 @@
 };
 
 /**
- * Parses the whole text. Appends to problems: a text larger than maximumIniBytes, a section without its end, an empty
+ * Parses the whole text. Appends to problems: a text larger than maximumBytes, a section without its end, an empty
  * name, a key outside of any section, a line without '=', a duplicate key or section, and control characters. Returns
  * the valid part, so that further checks may find more problems.
  */
-IniDocument parseIni(std::string_view text, const std::string &file, Problems &problems);
+IniDocument parseIni(std::string_view text,
+                     const std::string &file,
+                     Problems &problems,
+                     std::size_t maximumBytes = maximumIniBytes);
 
 } // namespace Sequoiausher
--- a/sequoiausher/protocol/gateway/targetstext.cpp
+++ b/sequoiausher/protocol/gateway/targetstext.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr std::int64_t mostSlots = 1000000;
+/** The largest list, some 100,000 targets: one that a gateway has and its peers refuse keeps them from learning more.
+ */
+constexpr std::size_t maximumBytes = 16UL * 1024 * 1024;
 constexpr std::int64_t latestBirth = std::numeric_limits<std::int64_t>::max();
 constexpr std::int64_t mostRevision = std::numeric_limits<std::int64_t>::max();
 
@@ -124,7 +127,7 @@
 std::vector<GatewayTarget> parseTargetsText(const std::string &text, const std::string &from)
 {
     Problems problems;
-    const IniDocument document = parseIni(text, from, problems);
+    const IniDocument document = parseIni(text, from, problems, maximumBytes);
     IniReader reader(document, problems);
     std::vector<GatewayTarget> targets = readTargets(reader);
     reader.finish();
@@ -147,7 +150,7 @@
 TargetChanges parseTargetChanges(const std::string &text, const std::string &from)
 {
     Problems problems;
-    const IniDocument document = parseIni(text, from, problems);
+    const IniDocument document = parseIni(text, from, problems, maximumBytes);
     IniReader reader(document, problems);
     TargetChanges changes;
     readSpan(reader, changes, from);
--- a/sequoiausher/protocol/gateway/targetstexttest.cpp
+++ b/sequoiausher/protocol/gateway/targetstexttest.cpp
@@ -24,6 +24,23 @@
     CHECK_THROWS_AS(parseTargetsText("[target 1]\nid = i-7f3a\nborn_ms = 5\n", "p"), Error);
 }
 
+// Guards against a fleet whose gateways hear of no target by each other, since all of them together are too long.
+TEST_CASE("the targets of the largest fleet are read as one list")
+{
+    std::vector<GatewayTarget> targets;
+    for (int i = 0; i < 10000; ++i) {
+        const std::string number = std::to_string(i);
+        targets.push_back({TargetId{"i-0123456789abcdef" + number},
+                           PoolId{"a-service-with-a-long-name"},
+                           "10.120.130.140:18080",
+                           DataCentreId{"data-centre-" + std::to_string(i % 11)},
+                           64,
+                           false});
+    }
+    CHECK(parseTargetsText(toText(targets), "p") == targets);
+    CHECK(parseTargetChanges(toText(TargetChanges{3, 5, targets, {}}), "p").written == targets);
+}
+
 // Guards against one entry of another writer that keeps gateways from learning that targets leave.
 TEST_CASE("a target that no list can name is refused, and never makes a list unreadable")
 {
