Bound the memory of all requests and answers of a gateway together

Cause: limits held for one request each, and none for all. A body was held up to three times: by its request, as a copy joined to its head, and in the output of the target's connection, whose buffer stayed with the idle connection.

A body is reserved whole before it is read; what does not fit waits unread for a second at most or is refused with 503 and Retry-After, so 'not run' stays true. Small bodies and answers have parts of their own. Answers that nobody takes hold their targets back once memory is short. Connections share a body (OutputQueue) in place of copying it, and large blocks return to the system. Metrics and log lines for an operator.

--- a/sequoiausher/cli/gatewaycommand.cpp
+++ b/sequoiausher/cli/gatewaycommand.cpp
@@ -14,6 +14,7 @@
 #include <ostream>
 #include <utility>
 
+#include <malloc.h>
 #include <unistd.h>
 
 namespace Sequoiausher {
@@ -45,6 +46,10 @@
     }
     const auto file = options["config"].as<std::string>();
     const GatewaySettings settings = parseGatewaySettings(readFile(file), file);
+    // Otherwise the allocator raises the threshold with the first large body that is freed. Later ones then come from
+    // the heap, whose gaps between them the process keeps.
+    constexpr int largeBlockBytes = 256 * 1024;
+    mallopt(M_MMAP_THRESHOLD, largeBlockBytes);
     // One thread does everything: GLib's loop brings locks and allocations for others.
     qputenv("QT_NO_GLIB", "1");
     int argumentCount = 1;
--- a/sequoiausher/protocol/settings/gatewaysettings.cpp
+++ b/sequoiausher/protocol/settings/gatewaysettings.cpp
@@ -108,6 +108,10 @@
     double descriptors = 0;
     readNumber(section, "descriptors", 0, mostDescriptors, descriptors);
     settings.descriptors = static_cast<std::uint32_t>(descriptors);
+    constexpr double mostMemoryMb = 1000000;
+    double memoryMb = settings.memoryMb;
+    readNumber(section, "memory_mb", 0, mostMemoryMb, memoryMb);
+    settings.memoryMb = static_cast<std::uint32_t>(memoryMb);
     if (const IniEntry *rules = filled(section, "rules")) {
         settings.rulesFile = rules->value;
     }
--- a/sequoiausher/protocol/settings/gatewaysettings.h
+++ b/sequoiausher/protocol/settings/gatewaysettings.h
@@ -71,6 +71,8 @@
     double linkMbps = 1000;
     /** The most descriptors that the process may open; 0 for the limit of the operating system. */
     std::uint32_t descriptors = 0;
+    /** The most memory that the process may take, in units of 2^20 bytes; 0 for no limit. */
+    std::uint32_t memoryMb = 512;
     /** The file with the ordered rules; empty for the built-in ones. */
     std::string rulesFile;
     StoreSettings store;
--- a/sequoiausher/transport/gateway/calleranswer.cpp
+++ b/sequoiausher/transport/gateway/calleranswer.cpp
@@ -45,6 +45,7 @@
     , caller(side)
     , source(from)
     , head(request)
+    , counted(shared.memory.answerTotal())
 {
 }
 
@@ -59,6 +60,7 @@
     this->hasAnswerHead = false;
     this->heldAnswer.clear();
     this->cutter.begin();
+    this->countHeld();
     // The new target is read, whatever became of the one before.
     this->isPaused = false;
 }
@@ -74,22 +76,31 @@
 {
     if (this->isEventStream()) {
         this->part = this->cutter.feed(bytes);
+        this->countHeld();
         return !this->part.empty();
     }
     this->heldAnswer += bytes;
     const bool mayPass = !falselyImpliesNotRun(this->answer.status, false);
-    if (this->heldAnswer.size() > heldBytes && !this->isAnswerBegun && mayPass) {
+    const std::size_t most = this->context.memory.heldAnswerBound(heldBytes);
+    if (this->heldAnswer.size() > most && !this->isAnswerBegun && mayPass) {
         this->passesThrough = true;
     }
     if (this->passesThrough) {
         this->part = std::exchange(this->heldAnswer, std::string());
     }
+    this->countHeld();
     return this->passesThrough;
 }
 
 bool CallerAnswer::isTooLong() const
 {
-    return (this->isEventStream() ? this->cutter.rest().size() : this->heldAnswer.size()) > heldBytes;
+    const std::size_t held = this->isEventStream() ? this->cutter.rest().size() : this->heldAnswer.size();
+    return held > this->context.memory.heldAnswerBound(heldBytes);
+}
+
+void CallerAnswer::countHeld()
+{
+    this->counted.set(this->heldAnswer.size() + this->cutter.rest().size());
 }
 
 void CallerAnswer::writeReady()
@@ -98,8 +109,8 @@
         this->beginStream();
     }
     this->writePart(std::exchange(this->part, std::string()));
-    const std::size_t most = this->isEventStream() ? pauseBytes : pauseBytesOfPlainAnswer;
-    if (this->caller.pendingBytes() > most && !this->isPaused) {
+    const std::size_t usual = this->isEventStream() ? pauseBytes : pauseBytesOfPlainAnswer;
+    if (this->caller.pendingBytes() > this->context.memory.unsentBound(usual) && !this->isPaused) {
         this->isPaused = this->source.setReading(false);
     }
 }
@@ -169,7 +180,8 @@
     std::string bytes = this->headLine(this->answerHead);
     bytes += "Content-Length: " + std::to_string(this->heldAnswer.size()) + "\r\n";
     bytes += connectionFields(this->connectionFate(this->hasAnnouncedClose)) + "\r\n";
-    bytes += this->heldAnswer;
+    bytes += std::exchange(this->heldAnswer, std::string());
+    this->countHeld();
     this->caller.write(bytes);
 }
 
--- a/sequoiausher/transport/gateway/calleranswer.h
+++ b/sequoiausher/transport/gateway/calleranswer.h
@@ -11,6 +11,7 @@
 //     if (answer.add(bytes)) { answer.writeReady(); }
 //     answer.endStream();
 
+#include "sequoiausher/base/countedbytes.h"
 #include "sequoiausher/protocol/gateway/eventcutter.h"
 #include "sequoiausher/transport/gateway/connectionfields.h"
 #include "sequoiausher/transport/gateway/gatewaycontext.h"
@@ -113,6 +114,8 @@
     std::string headLine(const HttpHead &given) const;
     bool mustClose() const;
     ConnectionFate connectionFate(bool closes) const;
+    /** Counts what is held of the answer. */
+    void countHeld();
 
     GatewayContext &context;
     CallerSide &caller;
@@ -123,6 +126,7 @@
     HttpHead answerHead;
     TargetAnswer answer;
     std::string heldAnswer;
+    CountedBytes counted;
     EventCutter cutter;
     /** Bytes that can be written to the caller. */
     std::string part;
--- a/sequoiausher/transport/gateway/callerconnection.cpp
+++ b/sequoiausher/transport/gateway/callerconnection.cpp
@@ -1,5 +1,6 @@
 #include "sequoiausher/transport/gateway/callerconnection.h"
 
+#include "sequoiausher/base/error.h"
 #include "sequoiausher/transport/gateway/refusals.h"
 
 #include <algorithm>
@@ -13,6 +14,11 @@
 constexpr int statusRequestTimeout = 408;
 constexpr int statusTooLarge = 413;
 constexpr int statusHeadTooLarge = 431;
+constexpr int statusUnavailable = 503;
+/** When to come back where a body does not fit: by then, the bodies that are read now have been. */
+constexpr Millis retryWhenNoMemory{1000};
+/** How long nothing may arrive of a large body while others wait for its memory. */
+constexpr Millis stallTimeBeforeOthers{1000};
 constexpr std::string_view continueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
 int statusOf(HttpFault fault)
@@ -39,6 +45,7 @@
     , number(++shared.connectionsAccepted)
     , idle(Millis::monotonicNow(), this->context.callerLimits().idleTime)
 {
+    this->stream->countInto(shared.memory.answerTotal());
 }
 
 CallerConnection::~CallerConnection()
@@ -81,12 +88,11 @@
             this->refuse(statusOf(this->reader.fault()), std::string(nameOf(this->reader.fault())));
             break;
         }
+        if (this->reader.hasHead() && !this->admitBody()) {
+            break;
+        }
         if (!this->reader.isComplete()) {
-            const bool waits = this->reader.hasHead() && this->reader.bodySize() == 0
-                && sameHeaderName(this->reader.head().headers.value("expect"), "100-continue");
-            if (waits && !std::exchange(this->hasContinued, true)) {
-                this->stream->write(continueAnswer);
-            }
+            this->sendContinueIfAwaited();
             break;
         }
         this->takeRequest();
@@ -94,6 +100,84 @@
     this->isReadingNow = false;
 }
 
+std::size_t CallerConnection::bodyMemoryNeeded() const
+{
+    const HttpHead &head = this->reader.head();
+    if (!head.chunked) {
+        return head.contentLength.value_or(0);
+    }
+    // A body of unknown length asks for twice as much whenever it has used up what it has.
+    std::size_t needed = this->bodyMemory ? this->bodyMemory->bytes() : MemoryBudget::smallBodyBytes;
+    while (needed < this->reader.bodySize()) {
+        needed *= 2;
+    }
+    return needed;
+}
+
+bool CallerConnection::admitBody()
+{
+    const std::size_t needed = this->bodyMemoryNeeded();
+    if (needed == 0 || (this->bodyMemory && needed <= this->bodyMemory->bytes())) {
+        return true;
+    }
+    if (!this->bodyMemory) {
+        this->bodyMemory = std::make_unique<BodyReservation>(this->context.memory);
+    }
+    return this->followBodyAdmission(this->bodyMemory->reserve(needed, Millis::monotonicNow()));
+}
+
+bool CallerConnection::followBodyAdmission(BodyAdmission admission)
+{
+    const bool wasWaiting = std::exchange(this->isWaitingForMemory, admission == BodyAdmission::Waits);
+    switch (admission) {
+    case BodyAdmission::Granted:
+        this->reader.reserveBody(this->bodyMemory->bytes());
+        if (wasWaiting) {
+            this->partial.lastByteAt = Millis::monotonicNow();
+            this->stream->setReading(true);
+        }
+        return true;
+    case BodyAdmission::Waits:
+        // The rest stays in the kernel's buffer, which slows the caller down.
+        this->stream->setReading(false);
+        this->context.metrics.add("gateway_bodies_delayed_total");
+        return false;
+    case BodyAdmission::Refused:
+        this->context.metrics.add("gateway_bodies_refused_total");
+        this->refuse(
+            statusUnavailable, "the gateway has no memory for the body", this->context.spread(retryWhenNoMemory));
+        return false;
+    case BodyAdmission::TooLarge:
+        this->context.metrics.add("gateway_bodies_refused_total");
+        this->refuse(statusTooLarge, "the gateway can never hold the body");
+        return false;
+    }
+    return false;
+}
+
+void CallerConnection::tickWaitingBody(Millis now)
+{
+    const BodyAdmission admission = this->bodyMemory->check(now);
+    if (admission == BodyAdmission::Waits || !this->followBodyAdmission(admission)) {
+        return;
+    }
+    if (this->reader.isComplete()) {
+        this->takeRequest();
+    } else {
+        this->sendContinueIfAwaited();
+    }
+    this->readRequests();
+}
+
+void CallerConnection::sendContinueIfAwaited()
+{
+    const bool isAwaited = this->reader.hasHead() && this->reader.bodySize() == 0
+        && sameHeaderName(this->reader.head().headers.value("expect"), "100-continue");
+    if (isAwaited && !std::exchange(this->hasContinued, true)) {
+        this->stream->write(continueAnswer);
+    }
+}
+
 void CallerConnection::takeRequest()
 {
     const Millis now = Millis::monotonicNow();
@@ -105,22 +189,35 @@
         // The event loop reports the end of the connection in its next iteration.
         return;
     }
-    this->exchange
-        = std::make_shared<GatewayExchange>(this->context, *this, this->reader.head(), this->reader.takeBody(), now);
+    ReceivedBody body{this->reader.takeBody(), std::move(this->bodyMemory)};
+    this->exchange = std::make_shared<GatewayExchange>(this->context, *this, this->reader.head(), std::move(body), now);
     // The exchange may be answered and released during the call.
     const auto started = this->exchange;
     started->start();
 }
 
-void CallerConnection::refuse(int status, const std::string &reason)
+void CallerConnection::refuse(int status, const std::string &reason, std::optional<Millis> retryAfter)
 {
+    // A caller that sends for as long as this connection lingers needs no memory for it.
+    this->bodyMemory.reset();
+    this->isWaitingForMemory = false;
     this->context.log.info(
         LogPart::Entry,
         "request refused unread",
         {{"status", std::to_string(status)}, {"why", reason}, {"connection", std::to_string(this->number)}});
     this->context.metrics.add("gateway_unreadable_requests_total");
+    CallerRequest request;
+    bool isHead = false;
+    if (this->reader.hasHead()) {
+        try {
+            request = this->context.dialect.readRequest(this->reader.head());
+        } catch (const Error &) {
+            // The answer names no request then.
+        }
+        isHead = this->reader.head().method == "HEAD";
+    }
     this->stream->write(
-        ownAnswer(this->context.dialect, CallerRequest(), {status, reason, std::nullopt, {.closes = true}, false}));
+        ownAnswer(this->context.dialect, request, {status, reason, retryAfter, {.closes = true}, isHead}));
     this->closeGently(CloseReason::Unreadable);
 }
 
@@ -236,7 +333,9 @@
         ticked->tick(now);
         return;
     }
-    if (this->hasBytes) {
+    if (this->isWaitingForMemory) {
+        this->tickWaitingBody(now);
+    } else if (this->hasBytes) {
         this->tickPartial(now);
     } else {
         this->tickUnused(now);
@@ -250,6 +349,12 @@
     const PartialRequestDecision verdict = checkPartialRequest(this->partial, now, given.headTime, given.idleTime);
     if (verdict != PartialRequestDecision::Wait) {
         this->refuse(statusRequestTimeout, std::string(nameOf(verdict)));
+        return;
+    }
+    const bool holdsUpOthers = this->bodyMemory && this->bodyMemory->bytes() > MemoryBudget::smallBodyBytes
+        && this->context.memory.waitingBodies() > 0;
+    if (holdsUpOthers && now - this->partial.lastByteAt >= stallTimeBeforeOthers) {
+        this->refuse(statusRequestTimeout, "the body stopped while others waited for its memory");
     }
 }
 
--- a/sequoiausher/transport/gateway/callerconnection.h
+++ b/sequoiausher/transport/gateway/callerconnection.h
@@ -6,6 +6,7 @@
 
 #include "sequoiausher/base/nametable.h"
 #include "sequoiausher/coordination/gateway/connectiontimeouts.h"
+#include "sequoiausher/coordination/gateway/memorybudget.h"
 #include "sequoiausher/transport/gateway/gatewayexchange.h"
 #include "sequoiausher/transport/stream/bytestream.h"
 #include "sequoiausher/transport/stream/httpreader.h"
@@ -13,6 +14,8 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace Sequoiausher {
 
@@ -82,7 +85,15 @@
 private:
     void readRequests();
     void takeRequest();
-    void refuse(int status, const std::string &reason);
+    /** Asks for memory for the body whose head has been read. @return whether it may be read. */
+    bool admitBody();
+    /** Returns how much memory the body needs, as far as it is known. */
+    std::size_t bodyMemoryNeeded() const;
+    /** Follows the answer to a question for memory. @return whether the body may be read. */
+    bool followBodyAdmission(BodyAdmission admission);
+    void tickWaitingBody(Millis now);
+    void sendContinueIfAwaited();
+    void refuse(int status, const std::string &reason, std::optional<Millis> retryAfter = std::nullopt);
     void dropExchange();
     void tickUnused(Millis now);
     void tickPartial(Millis now);
@@ -97,6 +108,9 @@
     Gone gone;
     std::shared_ptr<ByteStream> stream;
     HttpReader reader;
+    /** The memory of the body that is being read; null for none. */
+    std::unique_ptr<BodyReservation> bodyMemory;
+    bool isWaitingForMemory = false;
     std::shared_ptr<GatewayExchange> exchange;
     /** The number in the order in which this gateway accepted connections; identifies the connection in log lines. */
     std::uint64_t number;
--- a/sequoiausher/transport/gateway/gatewaycontext.cpp
+++ b/sequoiausher/transport/gateway/gatewaycontext.cpp
@@ -19,6 +19,13 @@
 
 } // namespace
 
+std::size_t memoryBudgetOf(const GatewaySettings &settings)
+{
+    // The other half is for what the gateway knows, for the connections and for the memory allocator's gaps.
+    constexpr std::size_t megabyte = std::size_t{1} << 20U;
+    return settings.memoryMb * megabyte / 2;
+}
+
 StoreDutySettings storeDutyOf(const GatewaySettings &settings)
 {
     return {settings.leaveBound, settings.keyFreshness, storeTimesOf(settings).proofInterval};
@@ -44,6 +51,7 @@
     , metrics(counters)
     , settings(initialSettings)
     , random(seed)
+    , memory(memoryBudgetOf(initialSettings), seed)
     , retryBudget(initialSettings.repeats, Millis::monotonicNow())
     , peers(InstanceId{initialSettings.peerAddress}, initialSettings.seeds, seed)
     , duty(storeDutyOf(initialSettings), seed)
--- a/sequoiausher/transport/gateway/gatewaycontext.h
+++ b/sequoiausher/transport/gateway/gatewaycontext.h
@@ -15,6 +15,7 @@
 #include "sequoiausher/coordination/gateway/engineowner.h"
 #include "sequoiausher/coordination/gateway/freshness.h"
 #include "sequoiausher/coordination/gateway/loadshedder.h"
+#include "sequoiausher/coordination/gateway/memorybudget.h"
 #include "sequoiausher/coordination/gateway/peerdirectory.h"
 #include "sequoiausher/coordination/gateway/prefixdirectory.h"
 #include "sequoiausher/coordination/gateway/requestquarantine.h"
@@ -44,6 +45,8 @@
 /** The name by which rules refer to the service that the route of the request leads to. */
 inline constexpr const char *routedPool = "routed";
 
+/** The part of the process's memory that requests and answers may hold, in bytes; 0 for no limit. */
+std::size_t memoryBudgetOf(const GatewaySettings &settings);
 /** The settings that determine when a gateway reads the store. */
 StoreDutySettings storeDutyOf(const GatewaySettings &settings);
 /** The time limits of calls to the store, such that the bound for leaving targets holds. */
@@ -98,6 +101,7 @@
     Metrics &metrics;
     GatewaySettings settings;
     std::mt19937_64 random;
+    MemoryBudget memory;
     std::shared_ptr<const RouteTable> table;
     std::shared_ptr<const RuleSet> rules;
     Freshness freshness;
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -59,13 +59,14 @@
             GatewayContext &shared,
             CallerSide &side,
             HttpHead given,
-            std::string content,
+            ReceivedBody received,
             Millis at)
         : self(owner)
         , context(shared)
         , caller(side)
         , head(std::move(given))
-        , body(std::move(content))
+        , body(std::make_shared<const std::string>(std::move(received.bytes)))
+        , bodyMemory(std::move(received.memory))
         , receivedAt(at)
         , crashGuard(shared)
         , answerEnd(shared)
@@ -156,7 +157,10 @@
     GatewayContext &context;
     CallerSide &caller;
     HttpHead head;
-    std::string body;
+    /** Shared with the connections that send it. */
+    std::shared_ptr<const std::string> body;
+    /** Null for a request without a body. */
+    std::unique_ptr<BodyReservation> bodyMemory;
     Millis receivedAt;
     AdmittedRequest admitted;
 
@@ -194,7 +198,7 @@
 GatewayExchange::GatewayExchange(GatewayContext &context,
                                  CallerSide &caller,
                                  HttpHead head,
-                                 std::string body,
+                                 ReceivedBody body,
                                  Millis receivedAt)
     : d(std::make_unique<Private>(*this, context, caller, std::move(head), std::move(body), receivedAt))
 {
@@ -224,7 +228,7 @@
         this->answerOwn(refusal->status, refusal->reason, refusal->retryAfter, refusal->outcome);
         return;
     }
-    this->crashGuard.begin(this->admitted, this->head.target, this->body);
+    this->crashGuard.begin(this->admitted, this->head.target, *this->body);
     if (this->refuseCrashing(this->receivedAt)) {
         return;
     }
@@ -375,12 +379,12 @@
         this->hedgePlace.release(PlaceOutcome::Unused, Millis{0});
         return;
     }
-    this->hedgeGuard.begin(this->admitted, this->head.target, this->body);
+    this->hedgeGuard.begin(this->admitted, this->head.target, *this->body);
     this->hedgeGuard.recordSent(found->target, now);
     this->attempts.recordTarget(found->target.id);
     this->attempts.recordSent();
     this->hedge = std::make_shared<HedgedAttempt>(
-        *this, this->context.dialect, std::move(connection), this->admitted.request.attemptId, *found, now);
+        *this, this->context, std::move(connection), this->admitted.request.attemptId, *found, now);
     this->context.board.recordStart(found->target.id, now);
     this->context.metrics.countDispatch(this->admitted.labels, found->target.id.value, true);
     this->context.metrics.add("gateway_hedges_sent_total");
@@ -395,10 +399,11 @@
     order.target = listedName(found->target);
     order.organisation = this->admitted.organisation;
     order.priority = this->admitted.decision.priority;
-    order.bodyBytes = this->body.size();
+    order.bodyBytes = this->body->size();
     const auto write = [this, order]() mutable {
         order.timeLeft = std::max(this->admitted.deadline - Millis::monotonicNow(), Millis{0});
-        return this->context.dialect.targetRequestHead(this->head, this->admitted.request, order) + this->body;
+        return TargetConnection::OutgoingRequest{
+            this->context.dialect.targetRequestHead(this->head, this->admitted.request, order), this->body};
     };
     this->hedge->send(write, this->head.method == "HEAD");
 }
@@ -627,7 +632,7 @@
     order.timeLeft = this->admitted.deadline - now;
     order.organisation = this->admitted.organisation;
     order.lastEventId = this->answer.lastEventId();
-    order.bodyBytes = this->body.size();
+    order.bodyBytes = this->body->size();
     const std::optional<CopySource> source = this->findCopySource(target, now);
     order.copyFrom = source ? source->target.address : "";
     order.priority = this->priorityAt(target, source, now);
@@ -656,7 +661,8 @@
     }
     const auto write = [this, order]() mutable {
         order.timeLeft = std::max(this->admitted.deadline - Millis::monotonicNow(), Millis{0});
-        return this->context.dialect.targetRequestHead(this->head, this->admitted.request, order) + this->body;
+        return TargetConnection::OutgoingRequest{
+            this->context.dialect.targetRequestHead(this->head, this->admitted.request, order), this->body};
     };
     this->call->send(write, this->head.method == "HEAD");
 }
--- a/sequoiausher/transport/gateway/gatewayexchange.h
+++ b/sequoiausher/transport/gateway/gatewayexchange.h
@@ -21,12 +21,20 @@
 
 namespace Sequoiausher {
 
+/** The body of a request, with the memory that it holds. */
+struct ReceivedBody
+{
+    std::string bytes;
+    /** Null for a request without a body. */
+    std::unique_ptr<BodyReservation> memory;
+};
+
 /** One request. */
 class GatewayExchange : public GatewayCallUser
 {
 public:
     /** context and caller outlive this. @param receivedAt when the request was read. */
-    GatewayExchange(GatewayContext &context, CallerSide &caller, HttpHead head, std::string body, Millis receivedAt);
+    GatewayExchange(GatewayContext &context, CallerSide &caller, HttpHead head, ReceivedBody body, Millis receivedAt);
     ~GatewayExchange() override;
     GatewayExchange(const GatewayExchange &) = delete;
     GatewayExchange &operator=(const GatewayExchange &) = delete;
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -158,6 +158,8 @@
     bool wasReady = false;
     bool wasResting = false;
     Millis nextSuppressedAt;
+    /** Whether bodies wait for memory, or answers are held back by their callers. */
+    bool wasShortOfMemory = false;
     std::vector<PoolId> cutOffServices;
 };
 
@@ -213,6 +215,7 @@
         this->log.error(LogPart::Config, "the last good rules stay in force", {{"why", error.what()}});
     }
     this->context.settings = settings;
+    this->context.memory.setLimit(memoryBudgetOf(settings));
     this->context.coldLimit.setUse(settings.coldTargets);
     this->context.board.setRegions(settings.regions);
     this->context.retryBudget.setSettings(settings.repeats);
@@ -379,6 +382,16 @@
     for (const auto &connection : this->allCallers()) {
         connection->tick(now);
     }
+    const MemoryBudget &memory = this->context.memory;
+    const bool isShort = memory.waitingBodies() > 0 || memory.isTightForAnswers();
+    if (isShort != std::exchange(this->wasShortOfMemory, isShort)) {
+        this->log.warning(LogPart::Entry,
+                          isShort ? "memory for requests and answers is short" : "memory is free again",
+                          {{"limit", std::to_string(memory.limit())},
+                           {"body_bytes", std::to_string(memory.bodyBytes())},
+                           {"answer_bytes", std::to_string(memory.answerBytes())},
+                           {"waiting_bodies", std::to_string(memory.waitingBodies())}});
+    }
 }
 
 void GatewayNode::Private::knowledgeChanged()
@@ -502,6 +515,9 @@
     this->metrics.set("gateway_peers", static_cast<double>(this->context.peers.members(now).size()));
     this->metrics.set("gateway_services_cut_off", static_cast<double>(this->cutOffServices.size()));
     this->metrics.set("gateway_tunnels_carried", static_cast<double>(this->tunnelServer.tunnelCount()));
+    this->metrics.set("gateway_body_bytes", static_cast<double>(this->context.memory.bodyBytes()));
+    this->metrics.set("gateway_answer_bytes", static_cast<double>(this->context.memory.answerBytes()));
+    this->metrics.set("gateway_bodies_waiting", static_cast<double>(this->context.memory.waitingBodies()));
     this->metrics.set("gateway_connections", static_cast<double>(this->callers.size()));
     this->metrics.set("gateway_accepted", static_cast<double>(this->context.connectionsAccepted));
     this->metrics.set("gateway_target_connections_opened", static_cast<double>(this->context.pools.dialled()));
@@ -555,4 +571,10 @@
     return this->d->isReady();
 }
 
+HeldMemory GatewayNode::heldMemory() const
+{
+    const MemoryBudget &memory = this->d->context.memory;
+    return {memory.bodyBytes(), memory.answerBytes(), memory.waitingBodies()};
+}
+
 } // namespace Sequoiausher
--- a/sequoiausher/transport/gateway/gatewaynode.h
+++ b/sequoiausher/transport/gateway/gatewaynode.h
@@ -11,11 +11,21 @@
 #include "sequoiausher/protocol/gateway/gatewaydialect.h"
 #include "sequoiausher/protocol/settings/gatewaysettings.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 
 namespace Sequoiausher {
 
+/** The memory that the requests of a gateway hold. */
+struct HeldMemory
+{
+    /** In bytes. */
+    std::size_t bodies = 0;
+    std::size_t answers = 0;
+    std::size_t waitingBodies = 0;
+};
+
 /** One gateway. */
 class GatewayNode
 {
@@ -38,6 +48,8 @@
     void stop();
     /** Whether callers should be sent here. */
     bool isReady() const;
+    /** Returns what requests hold now. */
+    HeldMemory heldMemory() const;
 
 private:
     class Private;
--- a/sequoiausher/transport/gateway/hedgedattempt.cpp
+++ b/sequoiausher/transport/gateway/hedgedattempt.cpp
@@ -13,15 +13,17 @@
 } // namespace
 
 HedgedAttempt::HedgedAttempt(HedgedAttemptUser &by,
-                             const GatewayDialect &dialect,
+                             GatewayContext &shared,
                              std::shared_ptr<TargetConnection> connection,
                              const std::string &attemptId,
                              ChosenTarget target,
                              Millis now)
     : user(by)
-    , call(*this, dialect, std::move(connection), attemptId)
+    , context(shared)
+    , call(*this, shared.dialect, std::move(connection), attemptId)
     , chosen(std::move(target))
     , startedAt(now)
+    , counted(shared.memory.answerTotal())
     , partAt(now)
 {
 }
@@ -105,8 +107,9 @@
 void HedgedAttempt::answerBytes(std::string bytes)
 {
     this->content += bytes;
+    this->counted.set(this->content.size());
     this->partAt = Millis::monotonicNow();
-    if (this->content.size() > maxHeldBytes) {
+    if (this->content.size() > this->context.memory.heldAnswerBound(maxHeldBytes)) {
         this->givenUp = true;
         this->call.cancel();
         this->callFailed(AttemptEnd::Broken);
--- a/sequoiausher/transport/gateway/hedgedattempt.h
+++ b/sequoiausher/transport/gateway/hedgedattempt.h
@@ -3,9 +3,10 @@
 // The second copy of a request that is slow at its first target. Holds the copy's answer until it is whole, so that the
 // caller gets one target's answer and never parts of two.
 //
-//     HedgedAttempt hedge(user, dialect, connection, attemptId, target, now);
+//     HedgedAttempt hedge(user, context, connection, attemptId, target, now);
 //     hedge.send(write, isHead);
 
+#include "sequoiausher/base/countedbytes.h"
 #include "sequoiausher/transport/gateway/gatewaycall.h"
 #include "sequoiausher/transport/gateway/gatewaycontext.h"
 
@@ -27,9 +28,9 @@
 class HedgedAttempt : public GatewayCallUser
 {
 public:
-    /** user and dialect outlive this. */
+    /** user and context outlive this. */
     HedgedAttempt(HedgedAttemptUser &user,
-                  const GatewayDialect &dialect,
+                  GatewayContext &context,
                   std::shared_ptr<TargetConnection> connection,
                   const std::string &attemptId,
                   ChosenTarget target,
@@ -66,12 +67,14 @@
 
 private:
     HedgedAttemptUser &user;
+    GatewayContext &context;
     GatewayCall call;
     ChosenTarget chosen;
     Millis startedAt;
     HttpHead head;
     TargetAnswer answer;
     std::string content;
+    CountedBytes counted;
     bool isComplete = false;
     bool givenUp = false;
     Millis partAt;
--- a/sequoiausher/transport/gateway/targetpools.cpp
+++ b/sequoiausher/transport/gateway/targetpools.cpp
@@ -21,6 +21,8 @@
 /** Answers are streams of any length. */
 constexpr std::uint64_t maxAnswerBytes = std::numeric_limits<std::uint64_t>::max() / 2;
 constexpr std::uint32_t maxAnswerHeadBytes = 32768;
+/** A body up to this size is copied behind its head, which saves a call to the kernel. */
+constexpr std::size_t maxJoinedBytes = 16384;
 
 } // namespace
 
@@ -118,8 +120,7 @@
         this->reportProbe(true);
         return;
     }
-    this->hasWritten = true;
-    this->stream->write(std::exchange(this->unsent, nullptr)());
+    this->write(std::exchange(this->unsent, nullptr)());
 }
 
 void TargetConnection::dialFailed(DialFailure /*why*/)
@@ -146,13 +147,23 @@
         this->answer.expectNoBody();
     }
     if (this->stream) {
-        this->hasWritten = true;
-        this->stream->write(write());
+        this->write(write());
     } else {
         this->unsent = std::move(write);
     }
 }
 
+void TargetConnection::write(const OutgoingRequest &request)
+{
+    this->hasWritten = true;
+    if (request.body->size() <= maxJoinedBytes) {
+        this->stream->write(request.head + *request.body);
+    } else {
+        this->stream->write(request.head);
+        this->stream->write(request.body);
+    }
+}
+
 std::string &TargetConnection::input()
 {
     return this->tunnel ? this->tunnel->bytes() : this->stream->input();
--- a/sequoiausher/transport/gateway/targetpools.h
+++ b/sequoiausher/transport/gateway/targetpools.h
@@ -52,8 +52,14 @@
     void dial(Millis now);
     /** Adds a way to the target if connecting takes long. */
     void tick(Millis now);
+    /** A request as it is to be sent. */
+    struct OutgoingRequest
+    {
+        std::string head;
+        std::shared_ptr<const std::string> body;
+    };
     /** Writes a request as it is to be sent now. */
-    using RequestWriter = std::function<std::string()>;
+    using RequestWriter = std::function<OutgoingRequest()>;
 
     /**
      * Sends a request, once the connection is open; user receives events until release() or drop().
@@ -97,6 +103,7 @@
 
     /** What has arrived from the target and was not read yet. */
     std::string &input();
+    void write(const OutgoingRequest &request);
     void goIdle(Millis idleTime, Millis now);
     /** Whether bytes have arrived that belong to no request, though the event loop has not reported them yet. */
     bool hasForeignBytes() const;
--- a/sequoiausher/transport/gateway/tunnelserver.cpp
+++ b/sequoiausher/transport/gateway/tunnelserver.cpp
@@ -43,6 +43,7 @@
             , activeAt(now)
         {
             this->opener->detectDeadPeer(tunnelDeadPeerTime);
+            this->opener->countInto(of.context.memory.answerTotal());
         }
         ~Tunnel()
         {
@@ -179,7 +180,7 @@
     this->awaitsAnswer = true;
     this->activeAt = Millis::monotonicNow();
     this->target->write(std::exchange(this->opener->input(), {}));
-    if (this->target->pendingBytes() > maxPendingBytes) {
+    if (this->target->pendingBytes() > this->owner.context.memory.unsentBound(maxPendingBytes)) {
         this->opener->setReading(false);
     }
 }
@@ -201,6 +202,7 @@
     this->begunAt = now;
     try {
         this->target = ByteStream::dial(this->goal.address, &this->targetEnd);
+        this->target->countInto(shared.memory.answerTotal());
     } catch (const Error &) {
         this->refuse(TunnelState::Unreachable);
     }
@@ -223,7 +225,7 @@
     this->activeAt = Millis::monotonicNow();
     this->opener->write(encodeTunnelBytes(this->target->input()));
     this->target->input().clear();
-    if (this->opener->pendingBytes() > maxPendingBytes) {
+    if (this->opener->pendingBytes() > this->owner.context.memory.unsentBound(maxPendingBytes)) {
         this->target->setReading(false);
     }
 }
--- a/sequoiausher/transport/stream/bytestream.cpp
+++ b/sequoiausher/transport/stream/bytestream.cpp
@@ -1,7 +1,9 @@
 #include "sequoiausher/transport/stream/bytestream.h"
 
+#include "sequoiausher/base/countedbytes.h"
 #include "sequoiausher/base/error.h"
 #include "sequoiausher/transport/stream/ipv4socket.h"
+#include "sequoiausher/transport/stream/outputqueue.h"
 
 #include <QElapsedTimer>
 #include <QSocketNotifier>
@@ -72,6 +74,14 @@
     bool readOnce(ByteStream &stream);
     void writable(ByteStream &stream);
     void flush(ByteStream &stream);
+    /** Sends what was appended to the output after it had been empty or not. */
+    void sendAppended(bool wasEmpty);
+    /** Hands bytes to the kernel until it accepts no more. @return false if the connection is broken. */
+    bool sendOutput();
+    void count()
+    {
+        this->buffered.set(this->input.size() + this->output.ownBytes());
+    }
     void end(ByteStream &stream, StreamEnd how);
     void linger(ByteStream &stream);
     void shut();
@@ -86,7 +96,8 @@
     std::size_t discardedBytes = 0;
     Discarded discarded;
     std::string input;
-    std::string output;
+    OutputQueue output;
+    CountedBytes buffered;
     std::unique_ptr<QSocketNotifier> reads;
     std::unique_ptr<QSocketNotifier> writes;
     /** Keeps a lingering stream alive after its user has released it. */
@@ -139,6 +150,7 @@
         if (this->user != nullptr) {
             this->user->bytesArrived();
         }
+        this->count();
     }
     // The user may have closed the stream or paused reading.
     const bool mayGoOn = this->descriptor >= 0 && this->reads && this->reads->isEnabled();
@@ -165,26 +177,37 @@
     }
 }
 
-void ByteStream::Private::flush(ByteStream &stream)
+bool ByteStream::Private::sendOutput()
 {
     while (!this->output.empty()) {
-        const ssize_t taken = send(this->descriptor, this->output.data(), this->output.size(), MSG_NOSIGNAL);
-        if (taken < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
-            this->writes->setEnabled(true);
-            return;
-        }
+        const std::string_view next = this->output.front();
+        const ssize_t taken = send(this->descriptor, next.data(), next.size(), MSG_NOSIGNAL);
         if (taken < 0) {
-            // Bytes that arrived before the reset can still be read; then the read reports the end.
-            this->output.clear();
-            break;
+            return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
         }
-        this->sent = true;
-        this->output.erase(0, static_cast<std::size_t>(taken));
+        this->sent = this->sent || taken > 0;
+        this->output.consume(static_cast<std::size_t>(taken));
         if (this->lingerTimer && this->lingerClock.elapsed() < deliveryMs) {
             this->lingerTimer->start(stalledMs);
         }
+        if (static_cast<std::size_t>(taken) < next.size()) {
+            return true;
+        }
+    }
+    return true;
+}
+
+void ByteStream::Private::flush(ByteStream &stream)
+{
+    if (!this->sendOutput()) {
+        // Bytes that arrived before the reset can still be read; then the read reports the end.
+        this->output.clear();
+    }
+    this->count();
+    this->writes->setEnabled(!this->output.empty());
+    if (!this->output.empty()) {
+        return;
     }
-    this->writes->setEnabled(false);
     if (this->lingering) {
         this->linger(stream);
     } else if (this->user != nullptr) {
@@ -192,6 +215,18 @@
     }
 }
 
+void ByteStream::Private::sendAppended(bool wasEmpty)
+{
+    if (this->open && wasEmpty) {
+        if (!this->sendOutput()) {
+            // The next read reports the end, since the user is not called during its own write.
+            this->output.clear();
+        }
+        this->writes->setEnabled(!this->output.empty());
+    }
+    this->count();
+}
+
 void ByteStream::Private::linger(ByteStream &stream)
 {
     if (this->writeShut || !this->output.empty()) {
@@ -274,23 +309,26 @@
 
 void ByteStream::write(std::string_view bytes)
 {
-    if (this->d->descriptor < 0 || this->d->lingering) {
-        return;
+    if (this->d->descriptor >= 0 && !this->d->lingering) {
+        const bool wasEmpty = this->d->output.empty();
+        this->d->output.append(bytes);
+        this->d->sendAppended(wasEmpty);
     }
-    const bool idle = this->d->output.empty();
-    this->d->output += bytes;
-    if (!this->d->open || !idle) {
-        return;
-    }
-    const ssize_t taken = send(this->d->descriptor, this->d->output.data(), this->d->output.size(), MSG_NOSIGNAL);
-    if (taken > 0) {
-        this->d->sent = true;
-        this->d->output.erase(0, static_cast<std::size_t>(taken));
-    } else if (taken < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
-        // The next read reports the end, since the user is not called during its own write.
-        this->d->output.clear();
+}
+
+void ByteStream::write(std::shared_ptr<const std::string> bytes)
+{
+    if (this->d->descriptor >= 0 && !this->d->lingering) {
+        const bool wasEmpty = this->d->output.empty();
+        this->d->output.append(std::move(bytes));
+        this->d->sendAppended(wasEmpty);
     }
-    this->d->writes->setEnabled(!this->d->output.empty());
+}
+
+void ByteStream::countInto(std::shared_ptr<std::size_t> total)
+{
+    this->d->buffered.moveTo(std::move(total));
+    this->d->count();
 }
 
 void ByteStream::readNow()
@@ -389,6 +427,7 @@
     this->d->user = nullptr;
     this->d->lingering = true;
     this->d->input.clear();
+    this->d->count();
     this->d->reads->setEnabled(true);
     this->d->self = this->shared_from_this();
     this->d->lingerTimer = std::make_unique<QTimer>();
--- a/sequoiausher/transport/stream/bytestream.h
+++ b/sequoiausher/transport/stream/bytestream.h
@@ -80,6 +80,10 @@
     void readNow();
     /** Sends the bytes, and buffers what the kernel does not accept now. */
     void write(std::string_view bytes);
+    /** The same without copying the bytes, which must not be null. */
+    void write(std::shared_ptr<const std::string> bytes);
+    /** Counts the bytes that the stream buffers, without shared ones, into total as long as it exists. */
+    void countInto(std::shared_ptr<std::size_t> total);
     /** Returns the number of written bytes that were not passed to the kernel yet. */
     std::size_t pendingBytes() const;
     /** Returns the number of written bytes without acknowledgement, including pendingBytes(); 0 once closed. */
--- a/sequoiausher/transport/stream/httpreader.cpp
+++ b/sequoiausher/transport/stream/httpreader.cpp
@@ -248,6 +248,11 @@
     return this->d->collected.body.size();
 }
 
+void HttpReader::reserveBody(std::size_t bytes)
+{
+    this->d->collected.body.reserve(bytes);
+}
+
 void HttpReader::restart()
 {
     this->d->restart();
--- a/sequoiausher/transport/stream/httpreader.h
+++ b/sequoiausher/transport/stream/httpreader.h
@@ -73,6 +73,8 @@
     /** Returns the body so far, without chunk headers, and removes it from the reader. */
     std::string takeBody();
     std::size_t bodySize() const;
+    /** Reserves the memory of a body of so many bytes, which does not grow step by step then. */
+    void reserveBody(std::size_t bytes);
 
     /** Begins the next message. */
     void restart();
