Believe no bytes of the store that came before a call, and list anew after too many changes

Seen in the review: additional bytes of the store that arrived between two calls, before the event loop had looked, were taken for the next call's answer. An answer of a watch beyond 16 MiB was asked for again from the same revision.

Change: a connection with unread bytes is closed before a call is written. A watch whose answer is too large is answered by reading the list, in pages.

The new case of gatewaynodetest passes with and without the change: the list that is due without word of a change had covered it; it guards the time. Bytes that come after the call was written cannot be told from its answer, as before.

--- a/sequoiausher/transport/gateway/gatewaynodetest.cpp
+++ b/sequoiausher/transport/gateway/gatewaynodetest.cpp
@@ -524,7 +524,7 @@
 }
 
 // Guards against a lost answer of a watch that hides a leaving target for longer than the bound.
-TEST_CASE("a target that leaves is known within the bound though answers of the watch are lost")
+TEST_CASE("a target that leaves is known within the bound though answers of the watch are lost or too long")
 {
     Bed bed;
     bed.useUsualSpans();
@@ -543,6 +543,10 @@
     {
         lost = 1000;
     }
+    SUBCASE("none, but they are too long to be read")
+    {
+        bed.areWatchAnswersTooLong = true;
+    }
     bed.start();
     const int begun = bed.watchesBegun;
     REQUIRE(GatewayTestbed::waitFor([&] { return bed.watchesBegun > begun; }));
--- a/sequoiausher/transport/gateway/gatewaytestbed.cpp
+++ b/sequoiausher/transport/gateway/gatewaytestbed.cpp
@@ -295,6 +295,11 @@
         this->watchAnswersToLose -= 1;
         return;
     }
+    if (this->areWatchAnswersTooLong) {
+        constexpr std::size_t tooLong = std::size_t{17} << 20U;
+        this->reply(request, "200 OK", std::string(tooLong, '\n'));
+        return;
+    }
     this->reply(request, "410 Gone", "");
 }
 
--- a/sequoiausher/transport/gateway/gatewaytestbed.h
+++ b/sequoiausher/transport/gateway/gatewaytestbed.h
@@ -84,6 +84,8 @@
     bool isStoreSilent = false;
     /** So many answers of a watch that tell of a change are lost, and their connections stay open without a word. */
     int watchAnswersToLose = 0;
+    /** The answer of a watch that tells of a change is longer than any that a gateway reads. */
+    bool areWatchAnswersTooLong = false;
     /** Watches that were begun so far. */
     int watchesBegun = 0;
     /** The store answers what it is asked from now on by releaseStore(). */
--- a/sequoiausher/transport/gateway/storecall.cpp
+++ b/sequoiausher/transport/gateway/storecall.cpp
@@ -41,18 +41,18 @@
         }
     }
 
-    void fail(const std::string &problem)
+    void fail(const std::string &problem, bool isTooLarge = false)
     {
         this->drop();
         if (Done told = std::exchange(this->done, nullptr)) {
-            told(StoreAnswer{0, {}, {}, this->startedAt, problem});
+            told(StoreAnswer{0, {}, {}, this->startedAt, problem, isTooLarge});
         }
     }
 
     void complete()
     {
         StoreAnswer answer{
-            this->reader.head().status, this->reader.head(), this->reader.takeBody(), this->startedAt, {}};
+            this->reader.head().status, this->reader.head(), this->reader.takeBody(), this->startedAt, {}, false};
         // Bytes after an answer belong to no call, and a connection on which an answer was lost delivers nothing more.
         if (!this->reader.head().keepAlive || !this->stream || !this->stream->input().empty()) {
             this->drop();
@@ -70,7 +70,8 @@
         }
         this->reader.read(this->stream->input());
         if (this->reader.fault() != HttpFault::None) {
-            this->fail("the answer cannot be read");
+            const bool isTooLarge = this->reader.fault() == HttpFault::BodyTooLong;
+            this->fail(isTooLarge ? "the answer is too large" : "the answer cannot be read", isTooLarge);
         } else if (this->reader.isComplete()) {
             this->complete();
         }
@@ -110,6 +111,10 @@
     this->d->startedAt = Millis::monotonicNow();
     this->d->timeout = timeout;
     this->d->reader.restart();
+    // Bytes that came before the call was written belong to no call.
+    if (this->d->stream && (!this->d->stream->input().empty() || this->d->stream->unreadBytes() > 0)) {
+        this->d->drop();
+    }
     if (!this->d->stream || !this->d->stream->isOpen()) {
         try {
             this->d->stream = ByteStream::dial(this->d->address, this->d.get());
--- a/sequoiausher/transport/gateway/storecall.h
+++ b/sequoiausher/transport/gateway/storecall.h
@@ -26,6 +26,8 @@
     Millis startedAt;
     /** Why there was no answer. */
     std::string problem;
+    /** There was an answer, and it is larger than any that is read. */
+    bool isTooLarge = false;
 };
 
 /** A connection to the store. One call at a time. */
--- a/sequoiausher/transport/gateway/storewatcher.cpp
+++ b/sequoiausher/transport/gateway/storewatcher.cpp
@@ -413,9 +413,11 @@
 
 void StoreWatcher::Private::watched(const StoreAnswer &answer, Millis wait)
 {
-    if (this->dialect.isHistoryGone(answer.status)) {
+    // What changed since is too much for one answer, and would be again.
+    if (this->dialect.isHistoryGone(answer.status) || answer.isTooLarge) {
         this->log.info(LogPart::Platform,
-                       "the store's history is gone, reading all again",
+                       answer.isTooLarge ? "the store's changes are too many for one answer, reading all again"
+                                         : "the store's history is gone, reading all again",
                        {{"after", std::to_string(revisionOf(this->watchedFrom))}});
         this->succeeded(this->changes);
         this->watchedFrom = 0;
