--- a/lab/fleet/labprocess.cpp
+++ b/lab/fleet/labprocess.cpp
@@ -7,6 +7,9 @@
 #include <QtCore/QProcess>
 
 #include <csignal>
+#include <fstream>
+#include <string>
+
 #include <sys/prctl.h>
 
 namespace Sequoiausher::Lab {
@@ -134,6 +137,21 @@
     return isSignalled ? std::optional(this->d->process->exitCode()) : std::nullopt;
 }
 
+std::size_t LabProcess::memoryBytes() const
+{
+    if (!this->isRunning()) {
+        return 0;
+    }
+    std::ifstream status("/proc/" + std::to_string(this->d->process->processId()) + "/status");
+    for (std::string word; status >> word;) {
+        std::size_t kilobytes = 0;
+        if (word == "RssAnon:" && status >> kilobytes) {
+            return kilobytes * 1024;
+        }
+    }
+    return 0;
+}
+
 std::string LabProcess::output() const
 {
     QFile file(this->d->outputFile());
--- a/lab/soak/calldraw.cpp
+++ b/lab/soak/calldraw.cpp
@@ -1,11 +1,16 @@
 #include "lab/soak/calldraw.h"
 
+#include "sequoiausher/base/hashing.h"
+
 #include <utility>
 
 namespace Sequoiausher::Lab {
 
 namespace {
 
+/** Of the jobs one in so many is large, where some are. */
+constexpr std::uint64_t largeOneIn = 3;
+constexpr std::size_t largeBodyBytes = 3000000;
 /** Of a hundred calls so many are given up early, and so many carry forged fields. */
 constexpr std::int64_t leavingPercent = 8;
 constexpr std::int64_t forgingPercent = 10;
@@ -46,6 +51,11 @@
     return std::uniform_int_distribution<std::int64_t>(least, most)(this->random);
 }
 
+void CallDraw::drawLargeBodies()
+{
+    this->drawsLargeBodies = true;
+}
+
 SoakCall CallDraw::next(const SoakEntry &entry, Millis now)
 {
     SoakCall call;
@@ -63,6 +73,9 @@
         call.path = this->offer.extraRoutes[static_cast<std::size_t>(extra)] + call.id;
     }
     call.body = call.method == "POST" ? "question of " + call.id : "";
+    if (this->drawsLargeBodies && call.kind == CallKind::Job && hash64(call.id) % largeOneIn == 0) {
+        call.body.resize(largeBodyBytes, '.');
+    }
     call.sentAt = now;
     call.timeLeft = isStream(call.kind) ? streamPatience : plainPatience;
     call.mostTargets = isIdempotent(call.kind) ? idempotentTargets : 1;
--- a/lab/soak/calldraw.h
+++ b/lab/soak/calldraw.h
@@ -50,6 +50,8 @@
     /** @param prefix begins the ids of its calls; no other caller has it. */
     CallDraw(std::string prefix, const SoakOffer &offer, std::uint64_t seed);
 
+    /** Some jobs have large bodies from now on. The other draws of a seed stay the same. */
+    void drawLargeBodies();
     SoakCall next(const SoakEntry &entry, Millis now);
     std::string wire(const SoakCall &call);
     /** When the caller of a call sent at now closes its connection: early for some. */
@@ -61,6 +63,7 @@
     const SoakOffer &offer;
     std::mt19937_64 random;
     std::uint64_t calls = 0;
+    bool drawsLargeBodies = false;
 };
 
 } // namespace Sequoiausher::Lab
--- a/lab/soak/main.cpp
+++ b/lab/soak/main.cpp
@@ -59,6 +59,8 @@
             = static_cast<CrashingRequests>(std::clamp<std::int64_t>(integerOption(parsed, "crashing"), 0, 2));
         options.hasUnframedAnswers = integerOption(parsed, "unframed") > 0;
         options.versions = static_cast<std::size_t>(integerOption(parsed, "versions"));
+        options.hasLargeBodies = integerOption(parsed, "large") > 0;
+        options.foreign = static_cast<std::size_t>(integerOption(parsed, "foreign"));
         options.reservesPlaces = integerOption(parsed, "reserve") > 0;
         options.program = textOption(parsed, "program");
         options.faults = Millis{integerOption(parsed, "faults-ms")};
@@ -94,6 +96,9 @@
         options, "crashing", "Requests that end their targets. 1: one again and again; 2: a shared part", 0);
     addIntegerOption(options, "unframed", "1: half of all answers have no length and end with their connection", 0);
     addIntegerOption(options, "versions", "Software versions of the targets; callers take up broken streams", 0);
+    addIntegerOption(options, "large", "1: some jobs have bodies of megabytes, and gateways little memory", 0);
+    addIntegerOption(
+        options, "foreign", "How often a target sends unasked answers, and an entry names no service meanwhile", 0);
     addIntegerOption(options, "reserve", "1: places are reserved at admission owners, and slow requests hedged", 0);
     addTextOption(options, "program", "The gateway to play; empty for the one built with it", "");
     addTextOption(options, "folder", "Where logs go", "/tmp/sequoiausher-soak");
--- a/lab/soak/soakcaller.cpp
+++ b/lab/soak/soakcaller.cpp
@@ -40,6 +40,11 @@
     this->takesUp = true;
 }
 
+void SoakCaller::sendLargeBodies()
+{
+    this->draw.drawLargeBodies();
+}
+
 SoakCall SoakCaller::nextCall(Millis now)
 {
     SoakCall call = this->draw.next(this->entry, now);
--- a/lab/soak/soakcaller.h
+++ b/lab/soak/soakcaller.h
@@ -30,6 +30,8 @@
 
     /** Takes streams that broke off up with further attempts. */
     void takeUpStreams();
+    /** Sends large bodies at times. */
+    void sendLargeBodies();
     /** Lets it send no more. */
     void rest();
     void tick(Millis now);
--- a/lab/soak/soakgateway.cpp
+++ b/lab/soak/soakgateway.cpp
@@ -70,8 +70,8 @@
     file << "[gateway]\nname = g" << this->number << "\ndata_centre = hall\naddress = " << local(this->callerPort)
          << "\nready_address = " << local(this->readyPort) << "\npeer_address = " << this->peerAddress()
          << "\ntunnel_port = " << this->tunnelPort << "\npeer_listen_address = " << local(this->peerPort)
-         << "\nrules = " << rules << "\n[store]\naddress = " << toText(this->toStore.listening())
-         << "\n[peers]\nseeds = ";
+         << (this->memoryMb > 0 ? "\nmemory_mb = " + std::to_string(this->memoryMb) : "") << "\nrules = " << rules
+         << "\n[store]\naddress = " << toText(this->toStore.listening()) << "\n[peers]\nseeds = ";
     for (std::size_t i = 0; i < seeds.size(); ++i) {
         file << (i > 0 ? ", " : "") << seeds[i];
     }
--- a/lab/soak/soakgateway.h
+++ b/lab/soak/soakgateway.h
@@ -37,6 +37,8 @@
     /** Gateways open tunnels through each other at this port; 0 for none. */
     std::uint16_t tunnelPort = 0;
     /** The rules reserve places at admission owners, in place of the shipped rules. */
+    /** The most memory that it may take, in units of 2^20 bytes; 0 for its default. */
+    std::size_t memoryMb = 0;
     bool reservesPlaces = false;
 
     /** Writes its settings file. */
--- a/lab/soak/soakrun.cpp
+++ b/lab/soak/soakrun.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t leastServedPercent = 95;
 /** Longer than any wait here. */
 constexpr Millis endless{3600000};
+/** The memory of a gateway where some bodies are large: a few of them are half of it. */
+constexpr std::size_t memoryForLargeBodiesMb = 64;
 /** The entry of a target that a request has ended stays for so long. */
 constexpr Millis endedFor{1500};
 
@@ -93,6 +95,7 @@
         if (this->tunnelPort) {
             this->gateways.back()->tunnelPort = this->tunnelPort->number();
         }
+        this->gateways.back()->memoryMb = this->options.hasLargeBodies ? memoryForLargeBodiesMb : 0;
         this->gateways.back()->reservesPlaces = this->options.reservesPlaces;
         if (seeds.size() < 3) {
             seeds.push_back(this->gateways.back()->peerAddress());
@@ -115,6 +118,9 @@
         if (this->options.versions > 0) {
             this->callers.back()->takeUpStreams();
         }
+        if (this->options.hasLargeBodies) {
+            this->callers.back()->sendLargeBodies();
+        }
     }
     for (std::size_t i = 0; i < this->options.gateways * this->options.lastingEach; ++i) {
         this->lasting.push_back(std::make_unique<LastingCaller>(
@@ -185,6 +191,20 @@
                                now);
             this->startGateway(i);
         }
+        this->checkMemory(i, now);
+    }
+}
+
+void SoakRun::Private::checkMemory(std::size_t number, Millis now)
+{
+    SoakGateway &gateway = *this->gateways[number];
+    constexpr std::size_t megabyte = std::size_t{1} << 20U;
+    const std::size_t held = gateway.process().memoryBytes();
+    if (gateway.memoryMb > 0 && held > gateway.memoryMb * megabyte) {
+        this->judge.broken("memory",
+                           "gateway " + std::to_string(number) + " holds " + std::to_string(held / megabyte)
+                               + " MB, and may hold " + std::to_string(gateway.memoryMb),
+                           now);
     }
 }
 
@@ -259,6 +279,9 @@
     for (std::size_t i = 0; i < this->d->options.cuts; ++i) {
         this->d->planCut(begin + Millis{moment(this->d->cuts)});
     }
+    for (std::size_t i = 0; i < this->d->options.foreign; ++i) {
+        this->d->planForeign(begin + Millis{moment(this->d->foreign)});
+    }
     for (std::size_t i = 0; i < this->d->options.outages; ++i) {
         this->d->planOutage(begin + Millis{moment(this->d->outages)});
     }
--- a/lab/soak/soakrun.h
+++ b/lab/soak/soakrun.h
@@ -46,6 +46,10 @@
     /** How many software versions the targets have, drawn anew for each life; callers take up streams that broke off. 0
      * for one version, and callers that do not. */
     std::size_t versions = 0;
+    /** Some jobs have bodies of megabytes, and gateways little memory for them. */
+    bool hasLargeBodies = false;
+    /** How often a target sends answers that nobody asked for, and another writer an entry that names no service. */
+    std::size_t foreign = 0;
     /** Gateways reserve places at admission owners, and hedge slow requests. */
     bool reservesPlaces = false;
     /** Where settings and what the gateways write go; made where it is missing. */
--- a/lab/soak/soakrunprivate.cpp
+++ b/lab/soak/soakrunprivate.cpp
@@ -52,6 +52,7 @@
     , evacuations(with.seed)
     , outages(with.seed)
     , cuts(with.seed)
+    , foreign(with.seed)
     , versions(with.seed)
     , judge(SoakBounds{})
     , store(with.seed)
@@ -503,6 +504,28 @@
     }
 }
 
+void SoakRun::Private::planForeign(Millis at)
+{
+    std::uniform_int_distribution<std::int64_t> span(1000, 6000);
+    const std::size_t number = this->foreign() % this->places.size();
+    const Millis lasts{span(this->foreign)};
+    this->at(at, [this, number, lasts] {
+        TargetPlace &place = this->places[number];
+        this->note("target " + place.target->life() + " sends unasked answers, and an entry names no service, for "
+                   + toText(lasts));
+        GatewayTarget entry;
+        entry.id.value = "nobody-" + std::to_string(number);
+        entry.address = toText(place.link->listening());
+        const std::string key = StandInDialect::targetKey(entry.id);
+        this->store.write(key, StandInDialect::targetText(entry));
+        place.target->setUnasked(true);
+        this->after(lasts, [this, &place, key] {
+            place.target->setUnasked(false);
+            this->store.remove(key);
+        });
+    });
+}
+
 void SoakRun::Private::planCut(Millis at)
 {
     constexpr std::int64_t shortestCutMs = 500;
--- a/lab/soak/soakrunprivate.h
+++ b/lab/soak/soakrunprivate.h
@@ -64,6 +64,8 @@
     void setUp();
     void tick();
     void watchProcesses(Millis now);
+    /** Checks that the gateway keeps within its memory. */
+    void checkMemory(std::size_t number, Millis now);
     void at(Millis when, std::function<void()> action);
     void after(Millis span, std::function<void()> action);
     /** Does begin now and end after the span, with the subjects disturbed meanwhile. */
@@ -101,6 +103,8 @@
     void planOutage(Millis at);
     /** From then on some or all gateways reach no target by themselves, for some seconds. */
     void planCut(Millis at);
+    /** From then on a target sends answers that nobody asked for, and an entry names no service. */
+    void planForeign(Millis at);
     /** During a cut of the paths of struck gateways, notes others that may use these paths as disturbed. */
     void notePathsOfPeers(const std::set<std::size_t> &struck, Millis until);
     /** The present life of the target is cold from now on, as its entry states. */
@@ -126,6 +130,8 @@
     std::mt19937_64 outages;
     /** For cuts alone. */
     std::mt19937_64 cuts;
+    /** For bytes and entries of others alone. */
+    std::mt19937_64 foreign;
     /** For software versions alone. */
     std::mt19937_64 versions;
     std::set<DataCentreId> evacuated;
--- a/lab/soak/soaktarget.cpp
+++ b/lab/soak/soaktarget.cpp
@@ -139,6 +139,11 @@
     this->breaksStreams = false;
 }
 
+void SoakTarget::setUnasked(bool on)
+{
+    this->sendsUnasked = on;
+}
+
 void SoakTarget::handle(const FakeRequest &request)
 {
     const Millis now = Millis::monotonicNow();
@@ -301,6 +306,10 @@
         work.request.close();
     } else {
         work.request.send(head + length + body);
+        if (this->sendsUnasked) {
+            work.request.send("HTTP/1.1 503 Service Unavailable\r\n" + StandInDialect::notRunField()
+                              + "Content-Length: 0\r\n\r\n");
+        }
     }
 }
 
--- a/lab/soak/soaktarget.h
+++ b/lab/soak/soaktarget.h
@@ -73,6 +73,8 @@
      */
     void setUnframed(bool on);
     void stopBreaking();
+    /** Whether it sends, after each whole answer, one that belongs to no request and states that one did not run. */
+    void setUnasked(bool on);
 
     /** A request ends it: called instead of crash(), which is left to whoever is told. */
     std::function<void()> ends;
@@ -103,6 +105,7 @@
     double moodShare = 0;
     bool hasUnframedAnswers = false;
     bool breaksStreams = false;
+    bool sendsUnasked = false;
     std::unique_ptr<FakeServer> server;
     std::vector<std::unique_ptr<Work>> works;
     QTimer timer;
