--- a/lab/soak/soakrun.cpp
+++ b/lab/soak/soakrun.cpp
@@ -107,6 +107,15 @@
         this->startGateway(i);
         this->judge.disturbances().end(SoakJudge::gatewaySubject(i), Millis::monotonicNow());
     }
+    this->makeCallers();
+    this->lastTick = Millis::monotonicNow();
+    QObject::connect(&this->timer, &QTimer::timeout, [this] { this->tick(); });
+    this->timer.setTimerType(Qt::PreciseTimer);
+    this->timer.start(tickMs);
+}
+
+void SoakRun::Private::makeCallers()
+{
     const std::size_t count = this->options.gateways * this->options.callersEach;
     for (std::size_t i = 0; i < count; ++i) {
         this->callers.push_back(std::make_unique<SoakCaller>(
@@ -134,10 +143,6 @@
         this->crashing = std::make_unique<CrashingCaller>(
             this->judge, this->administrator.offer(), this->options.crashing, [this] { return this->pick(); });
     }
-    this->lastTick = Millis::monotonicNow();
-    QObject::connect(&this->timer, &QTimer::timeout, [this] { this->tick(); });
-    this->timer.setTimerType(Qt::PreciseTimer);
-    this->timer.start(tickMs);
 }
 
 void SoakRun::Private::tick()
--- a/lab/soak/soakrunprivate.h
+++ b/lab/soak/soakrunprivate.h
@@ -62,6 +62,7 @@
     };
 
     void setUp();
+    void makeCallers();
     void tick();
     void watchProcesses(Millis now);
     /** Checks that the gateway keeps within its memory. */
