--- a/sequoiausher/coordination/gateway/memorybudget.h
+++ b/sequoiausher/coordination/gateway/memorybudget.h
@@ -14,7 +14,7 @@
 //     MemoryBudget budget(64U << 20U, seed);
 //     BodyReservation body(budget);
 //     switch (body.reserve(contentLength, now)) { case BodyAdmission::Waits: ... body.check(later) ... }
-//     const std::size_t most = budget.answerBound(usualBytes);    // buffered for one caller before its target waits
+//     const std::size_t most = budget.unsentBound(usualBytes);    // buffered for one caller before its target waits
 
 #include "sequoiausher/base/millis.h"
 #include "sequoiausher/base/nametable.h"
