Reword the comments of transport/peers in the terms of the field

What a newcomer read: links that "tell", peers that "say who they are", "lives", "wanted" peers, frames that are "heard of"; tests that open with symptom, events and cause.

Cause: comments written as a story of messages in place of what is received, acknowledged, dropped or closed.

Each reason and bound is still there, in one or two plain sentences; incarnation for life, configured for wanted, acknowledge for tell. Tests of failures say what they guard against.

--- a/sequoiausher/transport/peers/acceptedlink.cpp
+++ b/sequoiausher/transport/peers/acceptedlink.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-// Answers that the peer has not read yet, in bytes.
+// The limit of replies that the peer has not read, in bytes.
 constexpr std::size_t mostUnread = 4096;
 
 } // namespace
@@ -73,9 +73,9 @@
     this->socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
     QObject::connect(this->socket.get(), &QTcpSocket::readyRead, this, [this] { this->onReadyRead(); });
     QObject::connect(this->socket.get(), &QTcpSocket::disconnected, this, [this] { this->end(); });
-    // A peer that died without a word leaves its connection open for good, and with 1,300 peers that are replaced every
-    // day the open files run out. The dialling side closes an idle link by itself, so one quiet for longer is dead; one
-    // that never said who it is is closed sooner.
+    // The connection of a peer whose machine failed would stay open for ever, and with 1,300 peers that are replaced
+    // every day the process would run out of descriptors. The side that connects closes an idle link itself, so one
+    // that is idle for longer is dead. A connection without a hello is closed sooner.
     QObject::connect(&this->quiet, &QTimer::timeout, this, [this] { this->end(); });
     this->quiet.setSingleShot(true);
     QObject::connect(&this->signTimer, &QTimer::timeout, this, [this] { this->sign(); });
@@ -164,8 +164,8 @@
     }
 }
 
-// Goes wrong without it: a peer whose messages need no answer asks for a sign of life after each of them, and among a
-// thousand peers questions and answers are more bytes than the messages.
+// Without this, a peer whose messages require no reply requests a sign of life after each of them. Between a thousand
+// peers these requests and replies would take more bytes than the messages.
 void AcceptedLink::Private::sign()
 {
     if (this->listener.framesOf(this->hello).tellBy(this->settings.silence) > Millis::monotonicNow()) {
@@ -179,7 +179,7 @@
 void AcceptedLink::Private::greet(const std::string &body)
 {
     const Hello said = decodeHello(body, this->socket->peerAddress().toString().toStdString());
-    // The answer goes out even to a peer that is refused, so that it sees with whom or with which version it talks.
+    // Also sent to a peer that is refused, so that its log shows the name and the version of this router.
     this->write(encodeHello({protocolVersion,
                              this->settings.self,
                              this->settings.incarnation,
--- a/sequoiausher/transport/peers/acceptedlink.h
+++ b/sequoiausher/transport/peers/acceptedlink.h
@@ -1,8 +1,8 @@
 #pragma once
 
-// A connection that a peer dialled to this router, and on which this router receives. Answers with its hello,
-// and with a sign of life when asked, or when nothing else went to the peer for a while that acknowledges its frames.
-// Lives in the thread that made it.
+// A connection that a peer opened to this router, on which this router receives. Replies with its hello, and sends a
+// sign of life when the peer requests one, or when no other frame has acknowledged the peer's frames for a while.
+// Belongs to the thread that created it.
 //
 //     AcceptedLink link(settings, socket, counters, listener);
 
@@ -22,20 +22,20 @@
 
 class AcceptedLink;
 
-/** What an accepted connection tells its owner. None of the calls may destroy the link itself. */
+/** Receives the events of an accepted connection. None of the functions may destroy the link. */
 class AcceptedLinkListener
 {
 public:
     virtual ~AcceptedLinkListener() = default;
 
-    /** The peer has said who it is; false refuses it. */
+    /** The hello of the peer has arrived. @return false to refuse the peer. */
     virtual bool greeted(AcceptedLink &link, const Hello &hello) = 0;
-    /** What the peer's frames are counted in; stays in place until the connection is over. */
+    /** Returns the record of the frames that the peer sent; valid until the connection has ended. */
     virtual ReceivedFrames &framesOf(const Hello &from) = 0;
-    /** The peer has this router's frames up to number. */
+    /** The peer has acknowledged this router's frames up to number. */
     virtual void acknowledged(const Hello &from, FrameNumber number) = 0;
     virtual void arrived(const Hello &from, PeerMessage message) = 0;
-    /** The connection is over; called once. */
+    /** The connection has ended; called once. */
     virtual void ended(AcceptedLink &link) = 0;
 };
 
@@ -43,17 +43,17 @@
 class AcceptedLink
 {
 public:
-    /** Takes the socket over. All references outlive the link. */
+    /** Takes ownership of the socket. All references outlive the link. */
     AcceptedLink(const LinkSettings &settings,
                  std::unique_ptr<QTcpSocket> socket,
                  PeerCounters &counters,
                  AcceptedLinkListener &listener);
     ~AcceptedLink();
 
-    /** Who dialled; without a name before the peer has said so. */
+    /** Returns the peer that opened the connection; without a name before its hello. */
     const Hello &hello() const;
 
-    /** Takes nothing more from the peer and ends. */
+    /** Stops receiving and closes the connection. */
     void close();
 
 private:
--- a/sequoiausher/transport/peers/framenumber.h
+++ b/sequoiausher/transport/peers/framenumber.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// Numbers of the frames that one router sends to another, by which the other acknowledges them.
+// The numbers of the frames that one router sends to another, which the other one acknowledges by them.
 //
 //     FrameNumber last = frameAfter(noFrame);       // 1
 //     framesFromTo(last, frameAfter(last));         // 1
@@ -9,22 +9,22 @@
 
 namespace Sequoiausher {
 
-/** 1 to 255, and then 1 again: what fits beside a frame's length. */
+/** From 1 to 255, followed by 1 again, so that it fits into one byte beside a frame's length. */
 using FrameNumber = std::uint8_t;
 
-/** No frame: what acknowledges nothing. */
+/** Stands for no frame; acknowledges nothing. */
 inline constexpr FrameNumber noFrame = 0;
 
-/** How many numbers there are. */
+/** The count of numbers. */
 inline constexpr unsigned frameNumbers = 255;
 
-/** The number that follows. */
+/** Returns the number after the given one. */
 constexpr FrameNumber frameAfter(FrameNumber number)
 {
     return number == frameNumbers ? FrameNumber{1} : static_cast<FrameNumber>(number + 1);
 }
 
-/** How many steps lead from one number to another, 0 to 254. Both are numbers of frames. */
+/** Returns the number of steps from one number to another, 0 to 254. Neither may be noFrame. */
 constexpr unsigned framesFromTo(FrameNumber from, FrameNumber to)
 {
     return (to + frameNumbers - from) % frameNumbers;
--- a/sequoiausher/transport/peers/framing.h
+++ b/sequoiausher/transport/peers/framing.h
@@ -1,9 +1,8 @@
 #pragma once
 
 // Frames on a byte stream between routers: a byte that acknowledges a frame of the other direction, three bytes of
-// length, most significant first, then the body. A body of no bytes is a sign of life. Routers of the first version
-// have a length of four bytes in its place, which for every frame that may be sent is the same with nothing
-// acknowledged.
+// length, most significant first, then the body. An empty body is a sign of life. Routers of the first version send a
+// length of four bytes instead. For every permitted length its first byte is 0, which acknowledges nothing.
 //
 //     FrameAssembler assembler("router r3");
 //     assembler.feed(bytes);
@@ -19,30 +18,30 @@
 
 namespace Sequoiausher {
 
-/** body with its length in front, and the acknowledged frame: noFrame towards a peer that knows no acknowledgements. */
+/** Returns the body after its header. @param acknowledged noFrame for a peer that does not support acknowledgements. */
 std::string framed(std::string_view body, FrameNumber acknowledged = noFrame);
 
-/** Cuts a stream of bytes into frames, however the bytes arrive. */
+/** Splits a stream of bytes into frames, whatever parts the bytes arrive in. */
 class FrameAssembler
 {
 public:
-    /** @param peer names the sender in errors. @param largest the longest body taken, in bytes. */
+    /** @param peer names the sender in errors. @param largest the largest accepted body, in bytes. */
     FrameAssembler(std::string peer, std::size_t largest);
     ~FrameAssembler();
 
-    /** From the next frame on, the other side acknowledges frames; before, a length has four bytes. */
+    /** The next frame and all later ones contain acknowledgements; earlier ones have a length of four bytes. */
     void expectAcknowledgements();
 
-    /** Takes bytes as they arrived. */
+    /** Appends received bytes. */
     void feed(std::string_view bytes);
 
     /**
-     * The next whole body; std::nullopt until more bytes come. Throws Error(Step::Read, peer, ...) as soon as a length
-     * above the largest is announced, before its body is awaited; nothing can be read after that.
+     * Returns the next complete body; std::nullopt if more bytes are needed. Throws Error(Step::Read, peer, ...) for a
+     * length above the largest, without waiting for its body; nothing can be read after that.
      */
     std::optional<std::string> next();
 
-    /** What the frame that next() gave last acknowledges, or noFrame. */
+    /** Returns the frame that the last result of next() acknowledges, or noFrame. */
     FrameNumber acknowledged() const;
 
 private:
--- a/sequoiausher/transport/peers/framingtest.cpp
+++ b/sequoiausher/transport/peers/framingtest.cpp
@@ -50,9 +50,8 @@
     CHECK_THROWS_AS(old.next(), Error);
 }
 
-// Symptom: a router's memory grows while one peer slowly sends a frame of four gigabytes.
-// Events: a stray program writes text to the peer port; its first four bytes are read as a length.
-// Cause: a reader that waits for whatever length is announced.
+// Guards against memory that grows because a program which is no router writes text to the peer port, whose first four
+// bytes are read as a length of gigabytes.
 TEST_CASE("a frame above the bound is refused as soon as it is announced")
 {
     FrameAssembler assembler("r1", 300);
--- a/sequoiausher/transport/peers/linksettings.h
+++ b/sequoiausher/transport/peers/linksettings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// Who this router is to its peers, and the limits of its links. The defaults fit peers within a region.
+// The identity of this router towards its peers, and the limits of its links. The defaults suit peers within a region.
 //
 //     LinkSettings settings{InstanceId{"r1"}, incarnation, DataCentreId{"brest-1"}};
 
@@ -11,26 +11,26 @@
 
 namespace Sequoiausher {
 
-/** What every link of one router shares. */
+/** The settings that all links of one router share. */
 struct LinkSettings
 {
     InstanceId self;
     Incarnation incarnation = 0;
     DataCentreId dataCentre;
-    /** A dialled connection on which something was sent and nothing heard for so long is silent: closed, redialled. */
+    /** A connection on which bytes were sent and none arrived for this time counts as silent and is replaced. */
     Millis silence{3000};
-    /** A link that nobody sent on for so long is closed; the next message dials again. */
+    /** A link without messages for this time is closed; the next message opens it again. */
     Millis idleClose{30000};
-    /** The wait before the first redial; it doubles up to redialMost, and each wait is drawn from its upper half. */
+    /** The delay before the first retry. It doubles up to redialMost; each delay is drawn from its upper half. */
     Millis redialFirst{100};
     Millis redialMost{2000};
-    /** A message that could not be sent for so long is dropped: whoever sent it has long gone on without it. */
+    /** A message that was not sent within this time is dropped: its sender has stopped waiting for a reply. */
     Millis messageLife{3000};
-    /** What may wait on one link, in bytes as roughSize() counts them and in the socket. */
+    /** The size limit of the queue of one link, in bytes by roughSize() and in the socket. */
     std::size_t queueBytes = std::size_t{4} * 1024 * 1024;
-    /** What may wait between post() and the control thread, in bytes, for all links together. */
+    /** The size limit of the messages between post() and the control thread, in bytes, for all links together. */
     std::size_t postedBytes = std::size_t{16} * 1024 * 1024;
-    /** Seeds the jitter of the waits. */
+    /** Seeds the jitter of the delays. */
     std::uint64_t seed = 1;
 };
 
--- a/sequoiausher/transport/peers/peeraddress.h
+++ b/sequoiausher/transport/peers/peeraddress.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// Where a router listens for its peers, as in peer_address of the platform's list.
+// The address at which a router listens for its peers, as in peer_address of the platform's list.
 //
 //     const PeerAddress address = parsePeerAddress("10.0.3.7:7103");
 
@@ -18,10 +18,10 @@
     bool operator==(const PeerAddress &) const = default;
 };
 
-/** Reads "10.0.3.7:7103" or "[fd00::7]:7103". Throws Error(Step::Membership, text, ...) for anything else. */
+/** Parses "10.0.3.7:7103" or "[fd00::7]:7103". Throws Error(Step::Membership, text, ...) for anything else. */
 PeerAddress parsePeerAddress(const std::string &text);
 
-/** The address as parsePeerAddress reads it. */
+/** Formats the address so that parsePeerAddress() can parse it. */
 std::string toText(const PeerAddress &address);
 
 } // namespace Sequoiausher
--- a/sequoiausher/transport/peers/peerlink.cpp
+++ b/sequoiausher/transport/peers/peerlink.cpp
@@ -20,10 +20,10 @@
 
 namespace {
 
-// The peer answers with its hello and signs of life only.
+// The peer sends only its hello and signs of life on this connection.
 constexpr std::size_t largestAnswer = 4096;
 constexpr int looksPerIdleClose = 4;
-/** A look that comes so late found the process held up. */
+/** A timer that fires this much late shows that the process was delayed. */
 constexpr Millis lateLook{20};
 
 struct Queued
@@ -79,7 +79,7 @@
     Changed changed;
     std::unique_ptr<QTcpSocket> socket;
     std::unique_ptr<FrameAssembler> assembler;
-    /** Runs only while something is unanswered: at a thousand links an idle timer each would cost a core's percents. */
+    /** Runs only while frames are unacknowledged: a thousand idle timers would take several percent of a core. */
     QTimer lookTimer;
     Millis lookDueAt;
     QTimer idleTimer;
@@ -89,12 +89,12 @@
     std::size_t queuedBytes = 0;
     bool flushPlanned = false;
     Incarnation incarnation = 0;
-    /** The owner was told that the peer is there; also while an unused link is closed. */
+    /** The owner was notified that the peer is there; remains set while an unused link is closed. */
     bool isToldUp = false;
     Millis redialWait;
     Millis lastSend;
     SentFrames sent;
-    /** The peer understands numbers of frames and tells them. */
+    /** The peer supports the numbers of frames and acknowledges them. */
     bool acknowledges = false;
 };
 
@@ -157,7 +157,7 @@
     QTcpSocket *fresh = this->socket.get();
     QObject::connect(fresh, &QTcpSocket::connected, this, [this] { this->onConnected(); });
     QObject::connect(fresh, &QTcpSocket::readyRead, this, [this] { this->onReadyRead(); });
-    // Queued, since the socket must not be destroyed inside its own signal.
+    // Queued, since the socket must not be destroyed during its own signal.
     const auto lost = [this, fresh] {
         if (this->socket.get() == fresh) {
             this->fail();
@@ -184,9 +184,9 @@
     this->up = false;
 }
 
-// Not told where a link is closed since nobody used it. It would be taken for the loss of the peer: whoever follows an
-// answer there would be cut off, though the answer's parts go on to come on the other direction's connection, and the
-// peer's shards would be passed over.
+// Not called when an unused link is closed. The owner would take that for the loss of the peer: a request that follows
+// an answer at the peer would be cut off, though the parts of the answer still arrive on the connection of the other
+// direction, and the peer's shards would not be used.
 void PeerLink::Private::tellLost()
 {
     if (std::exchange(this->isToldUp, false)) {
@@ -239,8 +239,8 @@
 void PeerLink::Private::takeHello(const std::string &body)
 {
     const Hello hello = decodeHello(body, this->peer.value);
-    // After churn another router may listen where the wanted one did. Were it not checked, claims would be counted
-    // at a router that is no witness of them, and one would notice votes from a router that was never asked.
+    // Another router may listen at the address of a replaced one. Without this check, claims would be counted at a
+    // router that is not a witness of them, and votes would arrive from a router that was not asked.
     if (hello.instance != this->peer) {
         throw Error(Step::Connect, this->peer.value, hello.instance.value + " answers at its address");
     }
@@ -248,7 +248,7 @@
         throw Error(Step::Connect, this->peer.value, "it speaks version " + std::to_string(hello.version));
     }
     if (hello.incarnation != this->incarnation) {
-        // The life that was known ended while the link was closed.
+        // The known incarnation ended while the link was closed.
         this->tellLost();
     }
     this->incarnation = hello.incarnation;
@@ -264,9 +264,9 @@
     this->flushSoon();
 }
 
-// What goes wrong: something between the two ends loses track of a connection, and what is written on it vanishes
-// without an error for many minutes, while a new connection would work. It shows as one peer that never answers. So
-// whatever is sent must be followed by a sign of life, and a connection without one is given up.
+// A device between the two ends may lose the state of a connection. What is written on it is then lost without an error
+// for many minutes, while a new connection would work, and the peer seems never to reply. So everything that is sent
+// must be followed by a sign of life, and a connection without one is closed.
 void PeerLink::Private::look()
 {
     const Millis now = Millis::monotonicNow();
@@ -378,7 +378,7 @@
         this->planLook();
         this->count(batch, body.size());
     } catch (const Error &) {
-        // A message that no frame can hold takes its batch along; both ends go on without it as after any loss.
+        // A message that exceeds the limit of a frame is dropped with its batch; both ends recover as after any loss.
         this->counters.droppedFull += batch.size();
     }
 }
--- a/sequoiausher/transport/peers/peerlink.h
+++ b/sequoiausher/transport/peers/peerlink.h
@@ -1,8 +1,8 @@
 #pragma once
 
-// The connection that this router dials to one peer, and on which it sends. Dials on demand, checks who answers,
-// redials with growing jittered waits, and finds a connection that went silent. Messages sent in one turn of the event
-// loop go in one frame. Lives in the thread that made it.
+// The connection that this router opens to one peer, on which it sends. Connects on demand, verifies the identity of
+// the peer, retries with an exponential, jittered delay, and detects a silent connection. The messages of one iteration
+// of the event loop share a frame. Belongs to the thread that created it.
 //
 //     PeerLink link(settings, InstanceId{"r3"}, parsePeerAddress("10.0.3.7:7103"), counters, changed);
 //     link.send(claimRequest);
@@ -24,13 +24,13 @@
 {
 public:
     /**
-     * Called with true when the peer answered first, and with false when it was lost after that: its link broke or went
-     * silent, it cannot be reached again, it began another life, or it is wanted no more. A link that is closed since
-     * nobody used it says nothing of the peer. Must not destroy the link.
+     * Called with true after the first hello of the peer, and with false when the peer is lost after that: its link
+     * broke or went silent, it cannot be reached again, it restarted, or it is no longer configured. Not called for a
+     * link that is closed because it is unused, which implies nothing about the peer. Must not destroy the link.
      */
     using Changed = std::function<void(const InstanceId &peer, Incarnation incarnation, bool up)>;
 
-    /** settings, counters and received, which holds what came from the peer, outlive the link. Dials nothing yet. */
+    /** The references outlive the link. Does not connect yet. @param received the record of the frames of the peer. */
     PeerLink(const LinkSettings &settings,
              InstanceId peer,
              PeerAddress address,
@@ -39,15 +39,15 @@
              Changed changed);
     ~PeerLink();
 
-    /** Takes message for sending; false where the queue has no room and message is dropped. Delivery is not certain. */
+    /** Queues the message. @return false if it was dropped because the queue is full. Does not guarantee delivery. */
     bool send(PeerMessage message);
 
-    /** The peer's life incarnation has this link's frames up to number. */
+    /** Records that the incarnation of the peer has acknowledged this link's frames up to number. */
     void acknowledged(Incarnation incarnation, FrameNumber number);
 
     const PeerAddress &address() const;
 
-    /** Whether the peer has answered on the present connection. */
+    /** Whether the hello of the peer has arrived on the current connection. */
     bool isUp() const;
 
 private:
--- a/sequoiausher/transport/peers/peermesh.cpp
+++ b/sequoiausher/transport/peers/peermesh.cpp
@@ -41,15 +41,15 @@
     PeerListener &listener;
     PeerCounters counters;
     QTcpServer server;
-    /** The mesh is being destroyed: its owner hears no more. */
+    /** The mesh is being destroyed: the listener is not called any more. */
     bool closing = false;
     PeerAddresses wanted;
-    /** What came from each peer; links hold references to their peer's. */
+    /** The received frames of each peer; links hold references to them. */
     std::map<InstanceId, ReceivedFrames> received;
     std::map<InstanceId, std::unique_ptr<PeerLink>> links;
     std::vector<std::unique_ptr<AcceptedLink>> accepted;
 
-    /** Guards what post() hands over; held for no other work. */
+    /** Guards the messages of post(); not held during other work. */
     std::mutex postedMutex;
     Outbox posted;
     std::size_t postedBytes = 0;
@@ -58,8 +58,9 @@
 
 bool PeerMesh::Private::greeted(AcceptedLink &link, const Hello &hello)
 {
-    // A process that slept, or a connection that hung, may bring an earlier life's messages after the present one
-    // spoke; they would be taken for news. The present life's connection stays, the earlier one's is refused.
+    // After a suspended process or a hung connection, messages of an earlier incarnation may arrive after those of the
+    // current one and would count as newer. The connection of the current incarnation stays, the earlier one is
+    // refused.
     for (const auto &other : this->accepted) {
         if (other.get() == &link || other->hello().instance != hello.instance) {
             continue;
@@ -97,7 +98,7 @@
 
 void PeerMesh::Private::closeLater(AcceptedLink &link)
 {
-    // The link may be in the middle of its own signal.
+    // The link may be emitting its own signal.
     const auto close = [this, doomed = &link] {
         std::erase_if(this->accepted, [doomed](const auto &held) { return held.get() == doomed; });
     };
@@ -112,7 +113,7 @@
     }
 }
 
-// Names come and go for as long as a router runs; without this it would remember each.
+// Names change for as long as a router runs; without this it would keep an entry for each.
 void PeerMesh::Private::forgetStrangers()
 {
     std::set<InstanceId> connected;
@@ -187,7 +188,7 @@
 void PeerMesh::setPeers(const PeerAddresses &peers)
 {
     this->d->wanted = peers;
-    // Moved out first: a closing link tells the listener, which may send, and that may make a link.
+    // Moved out first: a link that closes calls the listener, which may send and so create a link.
     std::vector<std::unique_ptr<PeerLink>> doomed;
     for (auto &[peer, link] : this->d->links) {
         const auto found = peers.find(peer);
--- a/sequoiausher/transport/peers/peermesh.h
+++ b/sequoiausher/transport/peers/peermesh.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// All links of one router: listens for peers, dials the wanted ones when there is something to send, and hands over
-// what arrives. Each direction between two routers has a connection of its own, dialled by the side that sends.
+// All links of one router: listens for peers, connects to the configured ones when there are messages to send, and
+// delivers what arrives. Each direction between two routers has its own connection, opened by the side that sends.
 //
 //     PeerMesh mesh(settings, listener);
 //     mesh.listen(parsePeerAddress("10.0.3.7:7103"));
@@ -18,23 +18,23 @@
 
 namespace Sequoiausher {
 
-/** What a mesh tells its owner, on the thread of the mesh. The calls must neither destroy the
+/** Receives the events of a mesh, on the thread of the mesh. The functions must neither destroy the
  *  mesh nor call setPeers(). */
 class PeerListener
 {
 public:
     virtual ~PeerListener() = default;
 
-    /** message arrived from the life incarnation of from. */
+    /** A message arrived from this incarnation of the peer. */
     virtual void received(const InstanceId &from, Incarnation incarnation, PeerMessage message) = 0;
-    /** The link on which this router sends to peer came up, or broke; not where it is closed since nobody used it. */
+    /** The link on which this router sends to the peer opened or broke; not called when an unused link is closed. */
     virtual void linkChanged(const InstanceId &peer, Incarnation incarnation, bool up) = 0;
 };
 
-/** The wanted peers by name. */
+/** The configured peers by name. */
 using PeerAddresses = std::map<InstanceId, PeerAddress>;
 
-/** Sends to and receives from the other routers. Every call but post() belongs on the thread that made the mesh. */
+/** Sends to and receives from the other routers. All functions but post() must be called on the thread of the mesh. */
 class PeerMesh
 {
 public:
@@ -42,24 +42,24 @@
     PeerMesh(LinkSettings settings, PeerListener &listener);
     ~PeerMesh();
 
-    /** Listens; port 0 takes a free one. Throws Error(Step::Listen, address, ...). */
+    /** Starts to listen; port 0 chooses a free one. Throws Error(Step::Listen, address, ...). */
     void listen(const PeerAddress &address);
-    /** The port in use after listen(). */
+    /** Returns the port in use after listen(). */
     std::uint16_t port() const;
 
-    /** Replaces the wanted peers. Links to others, and to peers with a new address, are closed. */
+    /** Replaces the configured peers. Links to others, and to peers with a new address, are closed. */
     void setPeers(const PeerAddresses &peers);
 
     /**
-     * Takes message for sending; false where peer is not wanted or its queue is full, and message is dropped. True
-     * promises no delivery: the sender of a control message repeats it or goes on without.
+     * Queues the message. @return false if it was dropped because the peer is not configured or its queue is full. True
+     * does not guarantee delivery: the sender of a control message repeats it or continues without a reply.
      */
     bool send(const InstanceId &peer, PeerMessage message);
 
-    /** Sends each message from any thread, soon. What finds no room is dropped and counted. */
+    /** Queues each message from any thread. Messages that do not fit are dropped and counted. */
     void post(Outbox outbox);
 
-    /** What was carried and lost so far. */
+    /** Returns the counts since the start. */
     const PeerCounters &counters() const;
 
 private:
--- a/sequoiausher/transport/peers/peermeshtest.cpp
+++ b/sequoiausher/transport/peers/peermeshtest.cpp
@@ -46,7 +46,7 @@
     waitUntil([] { return false; }, span);
 }
 
-/** One router's links, and what they told. */
+/** The links of one router, and the events that they reported. */
 class Router : public PeerListener
 {
 public:
@@ -91,7 +91,7 @@
     PeerMesh mesh;
 };
 
-/** Stands between a router that dials and one that is dialled; can lose track of the connections that it carries. */
+/** A relay between two routers that can drop the bytes of its connections. */
 class Passage
 {
 public:
@@ -106,7 +106,7 @@
         return this->server.serverPort();
     }
 
-    /** From now on nothing comes through on the connections that are open; new ones work. */
+    /** Drops all further bytes of the open connections; new ones work. */
     void swallow()
     {
         ++this->era;
@@ -186,9 +186,8 @@
     poster.join();
 }
 
-// Symptom: a restarted router hears nothing from its peers, or its messages count as those of its earlier life.
-// Events: a router stops, another process with the same name and a later incarnation takes its place.
-// Cause: a link that neither redials nor asks again who answers.
+// Guards against a link that neither reconnects nor verifies the peer again after another process with the same name
+// and a later incarnation has replaced it.
 TEST_CASE("a peer that restarts is reached again in its new life")
 {
     ensureApplication();
@@ -208,9 +207,8 @@
     CHECK(countOf(a.changes, "b 6 up") == 1);
 }
 
-// Symptom: a router takes another for the one it means.
-// Events: b is replaced; its address is given to c before a's list says so.
-// Cause: trusting an address to name a router.
+// Guards against taking an address for the identity of a router: b is replaced, and c gets its address before a has the
+// new list.
 TEST_CASE("a router that answers at another's address gets no message")
 {
     ensureApplication();
@@ -223,9 +221,8 @@
     CHECK(a.changes.empty());
 }
 
-// Symptom: messages of a router's earlier life are taken for news after its present life spoke.
-// Events: a process slept or its connection hung while its successor started; then it wakes and dials.
-// Cause: a receiver that does not compare lives.
+// Guards against accepting messages of an earlier incarnation, which was suspended while its successor started and then
+// connects.
 TEST_CASE("an earlier life is refused while the present one is connected")
 {
     ensureApplication();
@@ -242,9 +239,8 @@
     CHECK(b.messages.size() == 1);
 }
 
-// Symptom: one peer never hears this router any more, though it runs and others reach it.
-// Events: something between the two loses track of the connection; what is written on it vanishes without an error.
-// Cause: a sender that takes "no error" for "connected".
+// Guards against a peer that receives nothing any more because a device between the two has lost the state of the
+// connection, and what is written on it is lost without an error.
 TEST_CASE("a connection that swallows everything is given up and dialled again")
 {
     ensureApplication();
@@ -288,10 +284,8 @@
     CHECK(waitUntil([&] { return accepted >= 2; }));
 }
 
-// Symptom: one peer never hears this router any more, though it runs and this router hears it.
-// Events: something loses track of the connection of one direction while the other one goes on to carry messages both
-// ways of which each is taken for a sign. Cause: taking what a peer sends on its own connection for a sign that it
-// hears this router's.
+// Guards against a peer that receives nothing any more because only the connection of one direction is lost, and what
+// arrives on the other one is taken for a sign of life of the first.
 TEST_CASE("a connection that goes silent in use is found while the other direction works")
 {
     ensureApplication();
@@ -321,7 +315,7 @@
     CHECK(b.messages.size() == heard);
     CHECK(talkUntil([&] { return a.mesh.counters().silentLinks == 1; }, Millis{1500}));
     CHECK(talkUntil([&] { return b.messages.size() > heard + 20; }, Millis{5000}));
-    // b's acknowledgements did not ride on anything that a could hear for a while, and its link was not given up.
+    // b sent no frame that could contain its acknowledgements for a while, and its link stayed open.
     CHECK(b.mesh.counters().silentLinks == 0);
     CHECK(b.mesh.counters().dials == 1);
 }
@@ -458,7 +452,7 @@
     CHECK(a.changes == std::vector<std::string>{"b 1 up"});
 }
 
-// Guards against a link that is given up as silent while its acknowledgement waits in the kernel.
+// Guards against a link that is closed as silent while its acknowledgement waits in the kernel.
 TEST_CASE("a link stays up though the process was held up for longer than the silence limit")
 {
     ensureApplication();
@@ -478,10 +472,8 @@
     CHECK(a.mesh.counters().dials == 1);
 }
 
-// Symptom: a caller that followed an answer over another router was cut off in the middle, and requests passed over the
-// shards of a router that was well. Events: the answer's parts come in without a pause, so nothing is sent the other
-// way; after the idle time the link of that direction is closed. Cause: a close by this side's own clock was told as
-// the loss of the peer, and whatever waits for a lost peer is given up.
+// Guards against callers that are cut off, and shards that are not used, because the close of an unused link is
+// reported as the loss of the peer: while an answer streams in from the peer, nothing is sent in the other direction.
 TEST_CASE("a link that is closed since nobody used it says nothing of the peer")
 {
     ensureApplication();
@@ -527,9 +519,7 @@
     }
 }
 
-// Symptom: a router crashes or grows when something that is no router talks to its peer port.
-// Events: a port scan, a browser, a peer gone wrong.
-// Cause: trusting what arrives.
+// Guards against a crash or growing memory when a port scan, a browser or a faulty peer connects to the peer port.
 TEST_CASE("garbage closes the connection and nothing else")
 {
     ensureApplication();
@@ -565,9 +555,7 @@
     CHECK(waitUntil([&] { return b.messages.size() == 1; }));
 }
 
-// Symptom: a router's memory grows while a peer is away.
-// Events: a peer goes away or stalls; the others go on sending to it.
-// Cause: a queue without a bound, or one that keeps what nobody waits for.
+// Guards against memory that grows while a peer is unreachable or stalls and others continue to send to it.
 TEST_CASE("a queue for an absent peer is bounded in bytes and in time")
 {
     ensureApplication();
--- a/sequoiausher/transport/peers/receivedframes.cpp
+++ b/sequoiausher/transport/peers/receivedframes.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-// Past the numbers there are, one number would mean two frames; a busy peer is told long before.
+// Beyond the count of numbers, one number would stand for two frames; a busy peer gets an acknowledgement long before.
 constexpr unsigned mostUntold = 100;
 
 } // namespace
--- a/sequoiausher/transport/peers/receivedframes.h
+++ b/sequoiausher/transport/peers/receivedframes.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// What a router knows of the frames that one peer sent to it: which arrived, and which of them the peer was told of.
-// Any frame to the peer tells it, so a sign of life is due only where none went out for a while.
+// Records which frames of one peer arrived, and which of them were acknowledged. Every frame to the peer contains an
+// acknowledgement, so a sign of life is due only if none was sent for a while.
 //
 //     received.opened(hello.incarnation, hello.lastFrame);
 //     received.arrived(now);
@@ -14,34 +14,34 @@
 
 namespace Sequoiausher {
 
-/** How long a receiver waits for something to go to the peer before it sends a sign of life by itself. */
+/** How long a receiver waits for another frame to the peer before it sends a sign of life. */
 Millis acknowledgementDelay(Millis silence);
 
-/** The frames that arrived from one peer. */
+/** The frames received from one peer. */
 class ReceivedFrames
 {
 public:
-    /** The peer's life incarnation opened a connection; lastFrame is the number of the last frame that it wrote before,
-     *  or noFrame where it numbers none. */
+    /** This incarnation of the peer opened a connection. @param lastFrame the number of the last frame that it wrote
+     *  before, or noFrame if it does not number frames. */
     void opened(Incarnation incarnation, FrameNumber lastFrame);
 
-    /** A frame of messages arrived on the connection opened last. */
+    /** A frame of messages arrived on the most recently opened connection. */
     void arrived(Millis now);
 
-    /** The number that tells the peer of all that arrived; noFrame where it numbers none. It counts as told. */
+    /** Returns the number that acknowledges all received frames, which then count as acknowledged; noFrame if none. */
     FrameNumber tell();
 
-    /** When a sign of life is due; never() where the peer was told of all. */
+    /** Returns when a sign of life is due; never() if all frames were acknowledged. */
     Millis tellBy(Millis silence) const;
 
-    /** Whose frames these are. */
+    /** The incarnation of the peer that sent the frames. */
     Incarnation incarnation() const;
 
 private:
     Incarnation life = 0;
     FrameNumber last = noFrame;
     unsigned untold = 0;
-    /** When the first frame arrived that the peer was not told of. */
+    /** When the first frame arrived that was not acknowledged yet. */
     Millis untoldSince;
 };
 
--- a/sequoiausher/transport/peers/sentframes.cpp
+++ b/sequoiausher/transport/peers/sentframes.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-// The receiver tells by itself after half of the silence limit (acknowledgementDelay() in receivedframes.h); a third
-// of the limit remains for the answer to a question.
+// The receiver acknowledges by itself after half of the silence limit (acknowledgementDelay() in receivedframes.h); a
+// third of the limit remains for the reply to a request.
 Millis askAfter(Millis silence)
 {
     return Millis{silence.count * 2 / 3};
--- a/sequoiausher/transport/peers/sentframes.h
+++ b/sequoiausher/transport/peers/sentframes.h
@@ -1,11 +1,11 @@
 #pragma once
 
-// What the sending side of a link knows of its own frames: which are acknowledged, when to ask for a sign of life, and
-// when to give the connection up. A plain state machine; the link owns the clock and the socket.
+// Records which frames of the sending side of a link are acknowledged, and decides when to request a sign of life and
+// when to close the connection. A plain state machine; the link owns the clock and the socket.
 //
 //     SentFrames sent(settings.silence);
-//     sent.dialled(now);                             // something goes out that has no number
-//     const FrameNumber number = sent.frame(now);    // a frame of messages goes out
+//     sent.dialled(now);                             // a hello without a number is sent
+//     const FrameNumber number = sent.frame(now);    // a frame of messages is sent
 //     sent.acknowledged(now, heard);
 //     switch (sent.due(now)) { ... }
 
@@ -14,56 +14,56 @@
 
 namespace Sequoiausher {
 
-/** What a link has to do about frames that nothing was heard after. */
+/** The action for frames after which nothing arrived. */
 enum class LinkDue {
     Nothing,
-    /** Ask for a sign of life. */
+    /** Request a sign of life. */
     Ask,
     /** The connection is silent. */
     GiveUp,
 };
 
-/** The unacknowledged frames of one link. Numbers go on over its connections, so that no late acknowledgement of an
- *  earlier connection's frame is taken for one of the present connection's. */
+/** The unacknowledged frames of one link. The numbers continue across its connections, so that a late acknowledgement
+ *  of a frame of an earlier connection is not mistaken for one of the current connection. */
 class SentFrames
 {
 public:
-    /** @param silence how long a connection may stay without a sign that something sent on it arrived. */
+    /** @param silence how long a connection may stay without evidence that bytes sent on it arrived. */
     explicit SentFrames(Millis silence);
 
-    /** A connection is being dialled: its hello must be answered. */
+    /** A connection is being opened; its hello requires a reply. */
     void dialled(Millis now);
 
     /** A frame of messages is written. @return its number. */
     FrameNumber frame(Millis now);
 
-    /** A question for a sign of life is written. */
+    /** A request for a sign of life is written. */
     void asked();
 
     /**
-     * The peer says on its own connection that it has every frame up to number. What is not unacknowledged is passed
-     * over: it belongs to an earlier connection. So is all while so many frames are unacknowledged that a number could
-     * mean two of them; then only a frame on this connection settles it.
+     * The peer has acknowledged, on its own connection, every frame up to number. A number that is not unacknowledged
+     * is ignored, since it belongs to an earlier connection. All numbers are ignored while so many frames are
+     * unacknowledged that a number could stand for two of them; then only a frame on this connection is evidence.
      */
     void acknowledged(Millis now, FrameNumber number);
 
-    /** A frame came on this connection, which acknowledges number, or with noFrame all that was sent. */
+    /** A frame arrived on this connection. It acknowledges number, or everything that was sent if noFrame. */
     void answered(Millis now, FrameNumber number);
 
     /**
-     * This process was held up for so long beyond a deadline: what arrived meanwhile has not been read, so that time
-     * does not count as silence.
+     * This process was delayed for this time beyond a deadline. What arrived meanwhile was not read, so that time does
+     * not count as silence.
      */
     void heldUp(Millis span);
 
-    /** The connection is over: nothing more is expected. */
+    /** The connection has ended; nothing more is expected. */
     void closed();
 
     LinkDue due(Millis now) const;
-    /** When due() may say something else; never() where all is answered. */
+    /** Returns when the result of due() may change; never() if everything is acknowledged. */
     Millis nextDeadline() const;
 
-    /** The number of the last frame written, on this connection or an earlier one. */
+    /** Returns the number of the last written frame, on this connection or an earlier one. */
     FrameNumber last() const;
 
 private:
@@ -71,11 +71,11 @@
     bool isAmbiguous() const;
 
     Millis silence;
-    /** Where numbering starts; a life's first frame has the one after it. */
+    /** The number before that of the first frame of an incarnation. */
     FrameNumber lastFrame = 1;
     FrameNumber lastAcknowledged = 1;
     unsigned unacknowledged = 0;
-    /** Since when nothing shows that the connection works; never() where all is answered. */
+    /** Since when there is no evidence that the connection works; never() if everything is acknowledged. */
     Millis unansweredSince = Millis::never();
     bool isAsked = false;
 };
--- a/sequoiausher/transport/peers/sentframestest.cpp
+++ b/sequoiausher/transport/peers/sentframestest.cpp
@@ -42,10 +42,8 @@
     CHECK(sent.nextDeadline() == Millis::never());
 }
 
-// Symptom: a connection that swallows everything stays in use.
-// Events: a connection goes silent and is dialled anew; an acknowledgement of what the earlier one carried comes late,
-// or the same one is repeated by each frame of the other direction. Cause: taking any number that the peer says for a
-// sign of the present connection.
+// Guards against a silent connection that stays in use because a late or repeated acknowledgement of a frame of an
+// earlier connection is taken for a sign of life of the current one.
 TEST_CASE("an acknowledgement of anything but unacknowledged frames is no sign of life")
 {
     SentFrames sent(silence);
@@ -69,9 +67,8 @@
     }
 }
 
-// Symptom: as above, on a busy link.
-// Events: more frames than there are numbers vanish; the peer goes on to acknowledge the last one that it has.
-// Cause: the same number means two of the unacknowledged frames.
+// Guards against the same on a busy link: more frames than there are numbers are lost, so the last one that the peer
+// has acknowledges two of them.
 TEST_CASE("a number that could mean two frames is no sign of life, and a frame on the connection is")
 {
     SentFrames sent(silence);
@@ -100,7 +97,7 @@
     CHECK(sent.due(Millis{3000}) == LinkDue::Nothing);
 }
 
-// Guards against time in which nothing was read being taken for silence of the peer.
+// Guards against counting time in which this process read nothing as silence of the peer.
 TEST_CASE("the time for which the process was held up does not count")
 {
     SentFrames sent(silence);
