Reword the comments of transport/router's headers in the terms of the field

What a newcomer read: answers that are "read along" or "handed over", requests that "hear" or are "told", an answer that "is whole", functions described by fragments such as "Leaves." or "What is sent."

Cause: doc comments that name a thing by a pronoun or a picture in place of what the function returns, does or receives.

Change: the doc comments of the headers, and of six sources and tests beside them, 34 files. Contracts, threads, units and errors are as they were.

--- a/sequoiausher/transport/router/answerhandover.h
+++ b/sequoiausher/transport/router/answerhandover.h
@@ -1,7 +1,8 @@
 #pragma once
 
-// Both sides of handing kept answers over: on a planned stop this router's go to those that stay, and what other
-// routers hand over is kept here. Joins the decisions (coordination/answers) to the table of answers.
+// Transfers kept answers between routers: on a planned stop, those of this router go to the routers that stay, and
+// those that other routers transfer are kept here. Connects the decisions (coordination/answers) to the table of
+// answers.
 //
 //     AnswerHandover handover(answers, settings, number, log, metrics);
 //     handover.receive(now, from, page, outbox);           // another router stops
@@ -20,7 +21,7 @@
 class AnswerHandover : public AnswerBodySource
 {
 public:
-    /** @param number unique to this life of the router. @param answers, log and metrics outlive it. */
+    /** @param number unique to this incarnation of the router. @param answers, log and metrics outlive this. */
     AnswerHandover(AnswerTable &answers,
                    const AnswerHandoverSettings &settings,
                    std::uint64_t number,
@@ -29,15 +30,15 @@
 
     std::string bytesOf(const RequestId &attempt, std::uint64_t offset, std::size_t maxBytes) const override;
 
-    /** Hands over what is kept now. @param staying the live routers without this one. */
+    /** Starts to transfer the answers that are kept now. @param staying the live routers without this one. */
     void begin(Millis now, const InstanceList &staying, Outbox &outbox);
     void receive(Millis now, const InstanceId &from, const AnswerPage &page, Outbox &outbox);
     void receive(Millis now, const InstanceId &from, const AnswerPageAck &ack, Outbox &outbox);
     /** Nothing more can be sent to peer. */
     void peerLost(Millis now, const InstanceId &peer, Outbox &outbox);
-    /** Call it some times in a hundred milliseconds. */
+    /** To be called several times in 100 ms. */
     void tick(Millis now, Outbox &outbox);
-    /** Whether a hand-over that began has ended, by itself or by its time. */
+    /** Whether a transfer that was begun is complete, or its time is over. */
     bool isDone() const;
 
 private:
--- a/sequoiausher/transport/router/answerkeeper.h
+++ b/sequoiausher/transport/router/answerkeeper.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// One request's answer in the table of answers, from which a retry under the same key takes it. A request without a
-// key never begins one, and then nothing is kept.
+// Stores the answer to one request in the table of answers, from which a retry with the same key gets it. The answer to
+// a request without a key is not stored.
 //
 //     AnswerKeeper kept(answers, request);
 //     if (kept.start(now, key, bodyDigest).verdict == StartVerdict::Started) { ... run the request ... }
@@ -16,20 +16,20 @@
 
 namespace Sequoiausher {
 
-/** The answer that one attempt keeps for others. */
+/** The stored answer of one attempt. */
 class AnswerKeeper
 {
 public:
-    /** @param table outlives the answer. */
+    /** @param table outlives this. */
     AnswerKeeper(AnswerTable &table, const RequestId &request);
 
-    /** Begins to keep, where no other attempt of this router has the key. */
+    /** Begins to store the answer, unless another attempt of this router has the key. */
     StartResult start(Millis now, const ClaimKey &key, std::uint64_t bodyDigest);
     void setHead(int status, const std::string &contentType);
     void append(std::string_view bytes);
-    /** The answer was read along from another router: it is kept here, but not handed over. */
+    /** The answer was received from another router: it is kept here, but not transferred at a stop. */
     void setCopy();
-    /** @return whether the answer was kept until now. */
+    /** @return whether the answer was stored until now. */
     bool finish(Millis now, AnswerState state, const std::string &reason);
 
 private:
--- a/sequoiausher/transport/router/answerkeepertest.cpp
+++ b/sequoiausher/transport/router/answerkeepertest.cpp
@@ -43,7 +43,7 @@
     const StartResult joined = retry.start(now, key(), 7);
     CHECK(joined.verdict == StartVerdict::Joined);
     CHECK(joined.attempt == first);
-    // What the second attempt writes must never come into the first one's answer, nor end it.
+    // The second attempt must neither write to the first one's answer nor end it.
     retry.append("foreign");
     CHECK(!retry.finish(now, AnswerState::Broken, "gone"));
 
--- a/sequoiausher/transport/router/answerrelay.cpp
+++ b/sequoiausher/transport/router/answerrelay.cpp
@@ -11,7 +11,7 @@
 
 constexpr int firstErrorStatus = 400;
 constexpr int statusUnavailable = 503;
-/** A client that reads slowly: above the first the target is not read on, until the second is reached. */
+/** Reading from the target pauses above the first number of bytes that wait for the client, until the second. */
 constexpr std::size_t pauseAbove = std::size_t{1} << 20U;
 constexpr std::size_t resumeBelow = std::size_t{256} << 10U;
 
@@ -43,7 +43,7 @@
 
 void AnswerRelay::head(int status, const std::string &contentType, const TargetId &target)
 {
-    // A target that answers with an error does not say whether it ran the request.
+    // An error of a target does not state whether it ran the request.
     const Ran ran = status < firstErrorStatus ? Ran::Yes : Ran::Unknown;
     this->writer.head(status, contentType, this->order.parsed.streamed, ran, target);
     this->record.setHead(status, contentType);
@@ -66,7 +66,7 @@
 {
     this->writer.end();
     if (outcome == Outcome::Attached) {
-        // Not as soon as another attempt is followed: that may turn out not to have run, and this one runs then.
+        // Not as soon as another attempt is read: if that one turns out not to have run, this one runs.
         this->record.setCopy();
     }
     this->finishKept(AnswerState::Complete, "", mayHaveRun);
@@ -78,7 +78,7 @@
     if (answer) {
         this->writer.error(refusalError(refusal), refusal.ran, refusal.retryAfter);
     }
-    // A request that may have run here stays known as such; one that did not leaves its key to the next attempt.
+    // The record of a request that may have run is kept; the key of one that did not run is free for the next attempt.
     const AnswerState state = mayHaveRun ? AnswerState::Broken : AnswerState::NotRun;
     this->finishKept(state, std::string(nameOf(refusal.reason)), mayHaveRun);
     this->count(outcomeOf(refusal));
--- a/sequoiausher/transport/router/answerrelay.h
+++ b/sequoiausher/transport/router/answerrelay.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// What the caller of one request gets: the answer's head, parts and end, or an error in their place. The same goes into
-// the table of answers for retries, and into the metrics.
+// Writes the head, parts and end of the answer to the caller of one request, or an error instead. Records the same in
+// the table of answers for retries, and in the metrics.
 //
 //     AnswerRelay relay(context, order);
 //     relay.head(status, contentType, target);
@@ -23,32 +23,32 @@
 namespace Sequoiausher {
 
 /**
- * The answer of one request. Where an end has mayHaveRun, the request may have been run by a target, and its key stays
- * taken; else the key is free for the next attempt.
+ * The answer to one request. If its end is recorded with mayHaveRun, a target may have run the request, and its key
+ * stays in use; otherwise the key is free for the next attempt.
  */
 class AnswerRelay : public JoinedAnswerListener
 {
 public:
-    /** @param order outlives it. */
+    /** @param order outlives this. */
     AnswerRelay(const SessionContext &context, const SessionOrder &order);
 
     RequestTimes &times();
     AnswerKeeper &kept();
 
-    /** The answer is that of another attempt. */
+    /** The answer belongs to another attempt. */
     void attachedTo(const RequestId &attempt);
     void head(int status, const std::string &contentType, const TargetId &target);
-    /** @return whether the caller lags so far behind that no more should be read for it. */
+    /** @return whether so much is waiting for the caller that reading should pause. */
     bool part(std::string_view bytes);
-    /** Calls back once a caller that lagged has caught up. */
+    /** Calls back once the caller has read enough that reading may resume. */
     void whenDrained(std::function<void()> callback);
-    /** The answer is whole. With Outcome::Attached it came from another router, which has it too. */
+    /** The answer is complete. With Outcome::Attached it came from another router, which stores it too. */
     void complete(Outcome outcome, bool mayHaveRun);
-    /** @param answer whether the caller is told; not where a part of another answer has been told already. */
+    /** @param answer whether to write an error to the caller; not if it already has a part of another answer. */
     void refuse(const Refuse &refusal, bool mayHaveRun, bool answer);
     void breakOff(RefusalReason reason, bool mayHaveRun);
 
-    /** An answer that is read along, and not kept a second time. */
+    /** The answer of another attempt, which is not stored a second time. */
     void joinedHead(const AnswerHead &head) override;
     void joinedPart(std::string_view bytes) override;
     void completeJoined();
--- a/sequoiausher/transport/router/answerserver.cpp
+++ b/sequoiausher/transport/router/answerserver.cpp
@@ -47,20 +47,20 @@
 void AnswerServer::Private::begin(const InstanceId &from, const AttachRequest &request)
 {
     const RequestId id = request.attachment;
-    // The wake may come on any thread, and once more after the end.
+    // May be called on any thread, and once more after the end.
     const auto wake = [this, id] { this->post([this, id] { this->pump(id); }); };
     const std::optional<AnswerCursor> cursor = this->answers.attach(request.attempt, wake);
     if (!cursor) {
         this->send(from, AttachReply{id, AttachVerdict::Unknown, 0, {}});
         return;
     }
-    // Asked once more, the holder sends all of it again: something was lost on the way.
+    // A repeated request means that messages were lost, so the whole answer is sent again.
     this->end(id);
     this->attachments[id] = Attachment{from, *cursor};
     this->pump(id);
 }
 
-// The first message says what the client will be told; it waits until that is known.
+// The first message contains the head of the answer, so it is sent once that is known.
 bool AnswerServer::Private::sendHead(const RequestId &id, Attachment &attachment, const AnswerPart &part)
 {
     if (part.head) {
--- a/sequoiausher/transport/router/answerserver.h
+++ b/sequoiausher/transport/router/answerserver.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// Gives the answers that this router runs or keeps to other routers, whose retries attached to them.
+// Sends the answers that this router runs or stores to other routers whose retries have attached to them.
 //
 //     AnswerServer server(answers, send);
 //     server.attach(from, request);     // AttachReply, AttachChunk..., AttachEnd go to from
@@ -13,13 +13,13 @@
 
 namespace Sequoiausher {
 
-/** Lives on the thread that made it; attach, cancel and peerLost may be called from any. */
+/** Belongs to the thread that created it; attach, cancel and peerLost may be called from any thread. */
 class AnswerServer
 {
 public:
     using Send = std::function<void(const InstanceId &to, PeerMessage message)>;
 
-    /** @param answers outlives the server. @param send is called on the server's thread. */
+    /** @param answers outlives this. @param send is called on the server's thread. */
     AnswerServer(AnswerTable &answers, Send send);
     ~AnswerServer();
 
--- a/sequoiausher/transport/router/answerwriter.h
+++ b/sequoiausher/transport/router/answerwriter.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// The answer to one caller: head, parts and end, or an error in their place, with the headers that every answer has.
+// Formats the answer to one caller: head, parts and end, or an error instead, with the header fields of all answers.
 //
 //     AnswerWriter writer(exchange, request, router);
 //     writer.refuse(refusal);
@@ -14,21 +14,21 @@
 
 namespace Sequoiausher {
 
-/** Writes one answer; whatever comes after its end is ignored. */
+/** Writes one answer; calls after its end have no effect. */
 class AnswerWriter
 {
 public:
     AnswerWriter(std::shared_ptr<HttpExchange> exchange, const RequestId &request, const InstanceId &router);
 
-    /** The answer is that of an earlier attempt: it carries that attempt's id, as its chunks do. */
+    /** The answer belongs to an earlier attempt and has that attempt's id, as its chunks do. */
     void attachedTo(const RequestId &attempt);
-    /** Begins the answer. With streamed parts go out as they come; else they are gathered until the end. */
+    /** Begins the answer. If streamed, parts are written as they arrive; otherwise they are collected until the end. */
     void head(int status, const std::string &contentType, bool streamed, Ran ran, const TargetId &target);
     void part(std::string_view bytes);
     void end();
-    /** An error in place of an answer. @param retryAfter zero for none; rounded up to whole seconds. */
+    /** Writes an error instead of an answer. @param retryAfter zero for none; rounded up to whole seconds. */
     void error(const ApiError &error, Ran ran, Millis retryAfter);
-    /** An answer that began cannot be completed: an error event where it is a stream, and no end mark. */
+    /** Ends an incomplete answer: with an error event if it is a stream, and without an end mark. */
     void breakOff(const ApiError &error);
 
     HttpExchange &exchange();
@@ -46,7 +46,7 @@
     std::string whole;
 };
 
-/** What callers are told of the reason, as code and sentence. */
+/** The reason as it is written to callers: a code and a sentence. */
 ApiError refusalError(const Refuse &refuse);
 
 } // namespace Sequoiausher
--- a/sequoiausher/transport/router/attachedanswer.cpp
+++ b/sequoiausher/transport/router/attachedanswer.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-/** A holder that runs the request but has nothing to send yet is asked so often whether it still does. */
+/** The interval of requests to a holder that has nothing to send yet. */
 constexpr Millis askEvery{1000};
-/** Longer than two questions, so that one lost message ends nothing. */
+/** Longer than two intervals, so that the loss of one message has no effect. */
 constexpr Millis longestSilence{2500};
 
 } // namespace
--- a/sequoiausher/transport/router/attachedanswer.h
+++ b/sequoiausher/transport/router/attachedanswer.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// How far an answer has come that another router sends: what is new in each part, what is missing, and when the holder
-// has been silent for too long. Messages between routers may be lost, doubled and late.
+// Tracks an answer that another router sends: the new bytes of each part, what is missing, and whether the holder has
+// been silent for too long. Messages between routers may be lost, repeated and late.
 //
 //     AttachedAnswer attached;
 //     attached.begin(now, holder, heldBy);
@@ -15,42 +15,42 @@
 
 namespace Sequoiausher {
 
-/** What is to be done about the holder. */
+/** The next action towards the holder. */
 enum class AttachStep {
     Nothing,
-    /** Send the request once more: the holder starts anew, and what is known already is skipped. */
+    /** Send the request again: the holder starts from the beginning, and the known part is skipped. */
     AskAgain,
-    /** Nothing came for too long: the holder is dead, frozen or cut off. */
+    /** Nothing arrived for too long: the holder is dead, frozen or cut off. */
     GiveUp,
 };
 
-/** One answer that is followed at another router; a plain state machine. */
+/** One answer that is received from another router; a plain state machine. */
 class AttachedAnswer
 {
 public:
-    /** The request was sent to holder. Ends what was followed before. */
+    /** The request was sent to the holder. Stops tracking an earlier answer. */
     void begin(Millis now, const InstanceId &holder, const RequestId &attempt);
-    /** The request for the same attempt's answer was sent to another router; what is known already stays known. */
+    /** The request for the same attempt's answer was sent to another router; the known part is kept. */
     void redirect(Millis now, const InstanceId &holder);
-    /** Nothing is followed any more. */
+    /** Stops tracking. */
     void end();
 
     bool isFollowing() const;
-    /** Empty where nothing is followed. */
+    /** Returns the holder; empty if no answer is tracked. */
     const InstanceId &holder() const;
     const RequestId &attempt() const;
 
-    /** Something came from the holder. */
+    /** A message arrived from the holder. */
     void heard(Millis now);
     /**
-     * The part of chunk that is new, which may be empty; std::nullopt where something before it is missing, which
-     * tick() then asks for.
+     * Returns the new bytes of the chunk, which may be none; std::nullopt if bytes before it are missing, which tick()
+     * then requests.
      */
     std::optional<std::string_view> take(Millis now, const AttachChunk &chunk);
-    /** Whether every part came that belongs to a complete answer; else tick() asks for them. */
+    /** Whether all parts of a complete answer arrived; otherwise tick() requests them. */
     bool isWhole(Millis now, const AttachEnd &end);
 
-    /** Call it some times a second. */
+    /** To be called several times a second. */
     AttachStep tick(Millis now);
 
 private:
--- a/sequoiausher/transport/router/entry.h
+++ b/sequoiausher/transport/router/entry.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// What one worker does with the requests of callers: answers the fleet's own pages, finds organisation and rule, and
-// starts a session for what is routed.
+// Handles the requests of callers on one worker: answers those for the fleet's own pages, finds the organisation and
+// the rule of the others, and starts a session for those that are routed.
 //
 //     Entry entry(context, seed);
 //     HttpServer server(entry, options);
@@ -17,14 +17,14 @@
 class Entry : public HttpHandler
 {
 public:
-    /** @param seed of the generator of request ids: differs between workers and starts. */
+    /** @param seed of the generator of request ids; must differ between workers and starts. */
     Entry(const SessionContext &context, std::uint64_t seed);
     ~Entry() override;
 
     void handle(std::shared_ptr<HttpExchange> exchange) override;
-    /** Deadlines and silences of the running sessions; lets go those that are done. Call a few times a second. */
+    /** Checks the time limits of the running sessions, and releases ended ones. To be called several times a second. */
     void tick(Millis now);
-    /** Sessions that are not done, those whose client is gone included. */
+    /** The number of sessions that have not ended, including those whose client has disconnected. */
     std::size_t openSessions() const;
 
 private:
--- a/sequoiausher/transport/router/flowresults.h
+++ b/sequoiausher/transport/router/flowresults.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// The results of claims and reservations as a request's flow takes them, and how a refused request counts in the
+// Converts the results of claims and reservations into those of a request's flow, and refusals into outcomes for the
 // metrics.
 //
 //     flow.claimed(now, claimFindingOf(outcome));
@@ -13,13 +13,13 @@
 
 namespace Sequoiausher {
 
-/** What the flow learns of a claim that ended. */
+/** Returns the result of an ended claim for the flow. */
 ClaimFinding claimFindingOf(const ClaimOutcome &outcome);
 
-/** What the flow learns of a reservation that ended: a place is granted, there is no target, or no target has room. */
+/** Returns the result of an ended reservation for the flow: a place, no target, or no target with a free slot. */
 ReserveReply reserveReplyOf(const ReserveResult &result);
 
-/** What a refusal counts as. */
+/** Returns the outcome that a refusal counts as. */
 Outcome outcomeOf(const Refuse &refusal);
 
 } // namespace Sequoiausher
--- a/sequoiausher/transport/router/joinedanswer.cpp
+++ b/sequoiausher/transport/router/joinedanswer.cpp
@@ -14,7 +14,7 @@
 {
 }
 
-// Else the answer would keep the reader, and its bytes, and wake a loop that may be gone.
+// Otherwise the table would keep the reader and its bytes, and wake an event loop that may have ended.
 JoinedAnswer::~JoinedAnswer()
 {
     this->leave();
--- a/sequoiausher/transport/router/joinedanswer.h
+++ b/sequoiausher/transport/router/joinedanswer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// Reads along with an answer that another attempt of this router runs or has kept, from its first byte.
+// Reads an answer that another attempt of this router runs or has stored, from its first byte.
 //
 //     JoinedAnswer joined(answers, listener);
 //     if (joined.attach(attempt, wake)) {
@@ -14,13 +14,13 @@
 
 namespace Sequoiausher {
 
-/** Takes the answer that is read along. */
+/** Receives the answer. */
 class JoinedAnswerListener
 {
 public:
     virtual ~JoinedAnswerListener() = default;
 
-    /** The answer begins; told once, also where a second attempt is followed after a first. */
+    /** The answer has begun; called once, even if a second attempt is read after a first one. */
     virtual void joinedHead(const AnswerHead &head) = 0;
     virtual void joinedPart(std::string_view bytes) = 0;
 };
@@ -29,25 +29,25 @@
 class JoinedAnswer
 {
 public:
-    /** @param table and listener outlive it. */
+    /** @param table and listener outlive this. */
     JoinedAnswer(AnswerTable &table, JoinedAnswerListener &listener);
-    /** Leaves. */
+    /** Stops reading. */
     ~JoinedAnswer();
     JoinedAnswer(const JoinedAnswer &) = delete;
     JoinedAnswer &operator=(const JoinedAnswer &) = delete;
 
-    /** @return false where the answer is unknown to the table. */
+    /** @return false if the table does not have the answer. */
     bool attach(const RequestId &attempt, const AnswerTable::Wake &wake);
     /**
-     * Hands on all that is there. Returns Running where more will come or nothing is followed; any other state is the
-     * answer's end, after which nothing is followed any more. The listener may call leave().
+     * Passes all available bytes to the listener. Returns Running if more will follow or nothing is read; any other
+     * state is the end of the answer, and reading has stopped. The listener may call leave().
      */
     AnswerState pump();
-    /** Reads no further. */
+    /** Stops reading the answer. */
     void leave();
 
     bool isFollowing() const;
-    /** Whether the listener was told a head, so that an error can no longer take the answer's place. */
+    /** Whether the listener got a head, so that an error can no longer be written instead of the answer. */
     bool isHeadTold() const;
 
 private:
--- a/sequoiausher/transport/router/joinedanswertest.cpp
+++ b/sequoiausher/transport/router/joinedanswertest.cpp
@@ -12,7 +12,7 @@
 const RequestId first{1, 1};
 const RequestId second{2, 2};
 
-/** Collects; leaves after the first part where it is told to. */
+/** Collects the answer; may stop reading after the first part. */
 class Reader : public JoinedAnswerListener
 {
 public:
--- a/sequoiausher/transport/router/loadpoller.h
+++ b/sequoiausher/transport/router/loadpoller.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// Asks targets for their load: those of the shards that this router owns, and no others, so that a target is asked by
-// one router however many there are.
+// Requests the load of the targets in the shards that this router owns, so that each target is polled by one router,
+// however many there are.
 //
 //     LoadPoller poller(client, onLoad);
 //     poller.poll(now, targets);      // a few times a second
@@ -20,11 +20,11 @@
 public:
     using OnLoad = std::function<void(const TargetView &target, const ReportedLoad &load)>;
 
-    /** @param client outlives the poller. */
+    /** @param client outlives this. */
     LoadPoller(HttpClient &client, OnLoad onLoad);
     ~LoadPoller();
 
-    /** Asks those of targets whose turn it is. A target without /load, such as a plain service, is asked rarely. */
+    /** Polls the targets that are due. A target without /load, such as a plain service, is polled rarely. */
     void poll(Millis now, const std::vector<TargetView> &targets);
 
 private:
--- a/sequoiausher/transport/router/node.h
+++ b/sequoiausher/transport/router/node.h
@@ -1,14 +1,14 @@
 #pragma once
 
-// One router's part in the fleet: it joins the decisions (membership, spread of configuration, claims, admission,
-// limits) to the links between routers, to the platform's service and to the workers that carry requests.
+// One router's part in the fleet: connects the decisions (membership, distribution of the configuration, claims,
+// admission, limits) to the links between routers, the platform's service and the workers.
 //
 //     Node node(settings, incarnation, log, metrics);
 //     node.start();                                 // on the control thread
 //     node.claim(claim);                            // from any worker; the result comes to the request's RequestEar
 //
-// Locks follow LockRank (state/lockorder.h). Each decision is locked, asked, and unlocked; the messages and results
-// that come out are carried on without a lock. Messages of this router to itself come back as if from the wire.
+// Locks follow LockRank (state/lockorder.h). Each decision is locked only during the call; its messages and results are
+// delivered without a lock. Messages of this router to itself are delivered as if they had been received.
 
 #include "sequoiausher/base/log/log.h"
 #include "sequoiausher/base/metrics/metrics.h"
@@ -31,18 +31,18 @@
 
 namespace Sequoiausher {
 
-/** One target of an owned shard, as its owner counts. */
+/** One target of an owned shard, by the counts of its owner. */
 struct TargetLoadStatus
 {
     TargetId target;
     ShardId shard;
-    /** Reservations on it. */
+    /** The number of reservations on it. */
     std::uint32_t inFlight = 0;
-    /** What the target last said; none where it says nothing. */
+    /** The last load report of the target; none if it sends none. */
     std::optional<std::uint32_t> reported;
 };
 
-/** What an operator sees of one router; filled by Node::status(). */
+/** The status of one router for operators; filled by Node::status(). */
 struct NodeStatus
 {
     InstanceId instance;
@@ -59,7 +59,7 @@
     std::vector<std::shared_ptr<const PoolView>> pools;
     std::vector<ShardId> ownedShards;
     std::vector<TargetLoadStatus> ownedTargets;
-    /** As the document `instances` in force lists them. */
+    /** According to the document `instances` in force. */
     std::vector<InstanceDescription> instances;
     std::uint32_t boundPercent = 0;
     PeerCounters counters;
@@ -75,30 +75,31 @@
 class Node
 {
 public:
-    /** Made on the control thread, where its event loop runs. @param log and metrics outlive it. */
+    /** To be called on the control thread, where its event loop runs. @param log and metrics outlive this. */
     Node(const RouterSettings &settings, Incarnation incarnation, const Log &log, Metrics &metrics);
     ~Node();
     Node(const Node &) = delete;
     Node &operator=(const Node &) = delete;
 
-    /** Listens for peers and begins to read the configuration. Control thread. @throws Error (Step::Listen). */
+    /** Starts to listen for peers and to read the configuration. Control thread. @throws Error (Step::Listen). */
     void start();
 
     const RouterSettings &settings() const;
     const InstanceId &self() const;
     /** The configuration in force; null before the first. */
     std::shared_ptr<const FleetConfiguration> configuration() const;
-    /** The documents that it was made from, for operators; empty before the first. */
+    /** The documents of the configuration in force, for operators; empty before the first. */
     std::vector<DocumentPointer> documents() const;
-    /** Whether requests may be taken: a configuration is in force and was not slept over, and no stop is planned. */
+    /** Whether to accept requests: a configuration is in force, the process was not suspended since, and does not stop.
+     */
     bool isReady() const;
-    /** The same, but also true during a planned stop, in which what still arrives is served. */
+    /** The same, but also true during a planned stop, when requests that still arrive are served. */
     bool mayServe() const;
 
     RequestRegistry &requests();
     AnswerTable &answers();
 
-    /** Starts the claim of a request's key; ends in claimEnded. */
+    /** Starts the claim of a request's key; claimEnded follows. */
     void claim(const Claim &claim);
     /** See Claimant. */
     bool mayDispatch(const RequestId &attempt);
@@ -107,48 +108,50 @@
     void withdraw(const RequestId &attempt);
     void finished(const RequestId &attempt);
 
-    /** Starts a reservation; ends in reservationEnded. */
+    /** Starts a reservation; reservationEnded follows. */
     void reserve(const PlacementRequest &request);
     void release(const RequestId &request);
 
-    /** Whether the organisation may have one request more now by the rule that decided; a limit over the fleet. */
+    /** Whether the organisation may send one more request now by the rule, whose limit holds for the whole fleet. */
     LimitDecision takeRate(const OrganisationId &organisation, RequestClass requestClass, const Decision &decision);
-    /** Queues a request before what its rule lets the organisation have in flight; Queue ends in queueDecided. */
+    /** Queues a request at the rule's limit of requests in flight for the organisation. After Queue, queueDecided
+     * follows. */
     QueueDecision enqueueByRule(const RuleQueueKey &gate, const QueueEntry &entry);
     void dequeueByRule(const RuleQueueKey &gate, const RequestId &request);
-    /** Queues a request before its pool; Queue ends in queueDecided. */
+    /** Queues a request at its pool. After Queue, queueDecided follows. */
     QueueDecision enqueue(const PoolId &pool, const QueueEntry &entry);
     void requeue(const PoolId &pool, const RequestId &request, Millis retryAfter);
     void dequeue(const PoolId &pool, const RequestId &request);
 
-    /** Targets of the pool that this router leaves alone, beside those excluded; see PoolGuard. */
+    /** Returns the targets of the pool that this router avoids at present, beside those excluded; see PoolGuard. */
     std::vector<TargetId> leftAlone(const PoolId &pool, const std::vector<TargetId> &excluded) const;
     /** How this router's calls to targets go. */
     void targetTried(const TargetId &target);
     void targetAnswered(const TargetId &target);
     void targetFailed(const TargetId &target);
-    /** Counts a request that is sent to a pool for the first time, for the budget of resends. */
+    /** Counts the first attempt of a request to a pool, for the retry budget. */
     void countRequest(const PoolId &pool, std::uint32_t budgetPercent);
-    /** Whether a request may be sent once more; it is then paid for. */
+    /** Whether the retry budget allows another attempt, which it then counts. */
     bool mayResend(const PoolId &pool, std::uint32_t budgetPercent);
 
-    /** Where the answer of the key's earlier attempt is to be looked for, if the claim names that holder. */
+    /** Returns the router that should have the answer of the key's earlier attempt, if the claim names that holder. */
     HolderSearch searchFor(const ClaimKey &key, const InstanceId &holder) const;
     /** Sends a message about an attached answer to another router. */
     void send(const InstanceId &to, PeerMessage message);
 
-    /** The target, with its newest life; null where it is not known (any more). */
+    /** Returns the target with its newest incarnation; null if it is not known, or no longer. */
     std::optional<TargetView> target(const PoolId &pool, const TargetId &target) const;
-    /** What rules may ask about pools. */
+    /** Returns the facts about pools for the conditions of rules. */
     std::shared_ptr<const std::vector<PoolState>> poolStates() const;
 
-    /** A planned stop: tells the peers, hands over claims, refuses new requests. Control thread. */
+    /** Begins a planned stop: notifies the peers, transfers claims, refuses new requests. Control thread. */
     void beginLeaving();
-    /** Begins to hand kept answers to the routers that stay; to be called once no request is open. Control thread. */
+    /** Begins to transfer kept answers to the routers that stay; to be called once no request is open. Control thread.
+     */
     void handOverAnswers();
-    /** Whether that has ended, by itself or by its time. Control thread. */
+    /** Whether that transfer is complete, or its time is over. Control thread. */
     bool hasHandedOver() const;
-    /** The last words before the process ends. Control thread. */
+    /** Sends the last messages before the process ends. Control thread. */
     void endLeaving();
     bool isLeaving() const;
 
--- a/sequoiausher/transport/router/nodeprivate.h
+++ b/sequoiausher/transport/router/nodeprivate.h
@@ -1,8 +1,8 @@
 #pragma once
 
-// The inside of Node, for its own sources alone: node.cpp has what workers and the daemon call, nodeprivate.cpp the
-// ticks, nodemessages.cpp which decision each message is for, nodeconfiguration.cpp how a configuration is read and put
-// in force.
+// The implementation of Node, for its own sources only: node.cpp has the functions for workers and the daemon,
+// nodeprivate.cpp the ticks, nodemessages.cpp the dispatch of messages to decisions, nodeconfiguration.cpp the reading
+// and application of a configuration.
 //
 //     this->d->deliver(std::move(outbox));
 
@@ -32,7 +32,7 @@
 
 namespace Sequoiausher {
 
-/** What the links and the reader have counted; see Node::Private::traffic. */
+/** The counts of the links and the reader; see Node::Private::traffic. */
 struct ControlTraffic
 {
     PeerCounters counters;
@@ -44,7 +44,7 @@
 public:
     Private(const RouterSettings &theSettings, Incarnation theIncarnation, const Log &theLog, Metrics &theMetrics);
 
-    // What arrives from the links and from the platform's service.
+    // Events of the links and of the platform's service.
     void received(const InstanceId &from, Incarnation senderIncarnation, PeerMessage message) override;
     void linkChanged(const InstanceId &peer, Incarnation peerIncarnation, bool up) override;
     ReadPlan readPlan() override;
@@ -58,11 +58,11 @@
     void deliver(Outbox outbox);
     void tick();
     void tickSlowly(Millis now);
-    /** When something is due that a rest of the pacer would make late. */
+    /** The next deadline that the longest interval of the pacer would miss. */
     Millis nextDeadline(Millis now);
     void tellClaims(const std::vector<ClaimOutcome> &outcomes);
     void tellReservations(const std::vector<ReserveResult> &results);
-    /** What the queue of its pool knows of a request: whose it is, and until when a place is of use. */
+    /** Returns the entry of a request for the queue of its pool: the organisation, and until when a place is of use. */
     void addQueueFacts(PlacementRequest &wanted);
     void queuesGranted(const std::vector<ReserveResult> &results);
     void tellQueue(const std::vector<QueueAction> &actions);
@@ -117,31 +117,31 @@
     AnswerTable answers;
     RequestRegistry registry;
 
-    // The three below are replaced whole; readers keep the one that they loaded.
+    // The three below are replaced as a whole; readers keep the pointer that they loaded.
     Published<const FleetConfiguration> current;
     Published<const std::vector<PoolState>> pools;
     Published<const ControlTraffic> traffic;
     std::atomic<bool> leaving{false};
     std::atomic<bool> documentsReady{false};
-    /** The peers were told that this router is live; the control thread alone uses it. */
+    /** The peers were notified that this router is live; used by the control thread only. */
     bool joined = false;
     /** The end of the control thread's last tick, in milliseconds of Millis::monotonicNow(). */
     std::atomic<std::int64_t> tickedAt{0};
 
-    // Used on the control thread alone.
+    // Used on the control thread only.
     HttpClient client;
     PeerMesh mesh;
     PlatformReader reader;
     AnswerServer answerServer;
     AnswerHandover answerHandover;
     LoadPoller loadPoller;
-    /** Where queued calls to this node belong. */
+    /** The receiver of queued calls to this node. */
     QObject context;
-    /** Its wake() alone may be called on any thread. */
+    /** Only its wake() may be called from any thread. */
     TickPacer pacer;
     Millis poolStatesAt;
     bool membersKnown = false;
-    /** The views that shards was last told of. */
+    /** The views that shards was last updated with. */
     std::vector<std::shared_ptr<const PoolView>> toldPools;
 };
 
--- a/sequoiausher/transport/router/operatorpages.h
+++ b/sequoiausher/transport/router/operatorpages.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// The pages by which operators see one router: /status, /metrics and /report.
+// The pages of one router for operators: /status, /metrics and /report.
 //
 //     if (!answerOperatorPage(exchange, node, metrics)) { ... another page ... }
 
@@ -10,7 +10,7 @@
 
 namespace Sequoiausher {
 
-/** Answers where the path is one of these pages; returns whether it was. Any thread. */
+/** Answers if the path is one of these pages. @return whether it was. From any thread. */
 bool answerOperatorPage(HttpExchange &exchange, const Node &node, const Metrics &metrics);
 
 } // namespace Sequoiausher
--- a/sequoiausher/transport/router/operatorserver.h
+++ b/sequoiausher/transport/router/operatorserver.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// The listener for operators: the pages that callers must not reach, and the order to drain.
+// The listener for operators: the pages that callers must not reach, and the request to drain.
 //
 //     OperatorServer server(node, metrics, log, [&] { router.stop(); });
 //     server.listen();
@@ -23,7 +23,8 @@
 class OperatorServer
 {
 public:
-    /** Listens by node.settings().operators. @param onDrain called at each good order. All others outlive this. */
+    /** Uses node.settings().operators. @param onDrain called for each valid request to drain. The references outlive
+     * this. */
     OperatorServer(const Node &node, const Metrics &metrics, const Log &log, std::function<void()> onDrain);
     ~OperatorServer();
     OperatorServer(const OperatorServer &) = delete;
--- a/sequoiausher/transport/router/queueplace.h
+++ b/sequoiausher/transport/router/queueplace.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// A request's way through the queues before its target: first the gate of its rule, where the rule bounds what the
-// organisation has in flight, then the queue of the pool.
+// The queues that a request passes before its target: first the gate of its rule, if the rule limits the requests in
+// flight of the organisation, then the queue of the pool.
 //
 //     QueuePlace place(node, order);
 //     const QueueDecision decision = place.enter(begunAt);    // Dispatch: through both
@@ -18,19 +18,19 @@
 
 class Node;
 
-/** The places that one request has in queues. */
+/** The places of one request in queues. */
 class QueuePlace
 {
 public:
     /** @param node and order outlive it. */
     QueuePlace(Node &node, const SessionOrder &order);
 
-    /** Takes its place. With Queue the node's queueDecided() follows, for the queue in which it waits. */
+    /** Enters the first queue. After Queue, the node calls queueDecided() for the queue in which it waits. */
     QueueDecision enter(Millis begunAt);
     QueueDecision enterPool();
-    /** Whether the last decision was, or the next one is, that of the rule's gate. */
+    /** Whether the last decision was, or the next one will be, that of the rule's gate. */
     bool isAtGate() const;
-    /** Gives up what it has: it waits no longer, and others may go on in its place. */
+    /** Leaves its queues and releases its places for others. */
     void leave();
 
 private:
--- a/sequoiausher/transport/router/reportpage.h
+++ b/sequoiausher/transport/router/reportpage.h
@@ -1,6 +1,7 @@
 #pragma once
 
-// A snapshot of a router's metrics as JSON, written by the router at /report and read by `sequoiausher report`.
+// Formats and parses a snapshot of a router's metrics as JSON: the router's page /report, read by `sequoiausher
+// report`.
 //
 //     exchange.respond(200, headers, reportJson(metrics.snapshot()));
 //     all.merge(parseReport(body, "router at 127.0.0.1:7001"));
@@ -13,7 +14,7 @@
 
 std::string reportJson(const MetricsSnapshot &snapshot);
 
-/** @throws Error at step Decode, with peer, where text is not what reportJson() writes. */
+/** @throws Error(Step::Decode, peer, ...) if text is not in the format of reportJson(). */
 MetricsSnapshot parseReport(const std::string &text, const std::string &peer);
 
 } // namespace Sequoiausher
--- a/sequoiausher/transport/router/requestregistry.h
+++ b/sequoiausher/transport/router/requestregistry.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// Finds the request that a result belongs to, and tells it on the event loop of its own worker.
+// Finds the request that a result belongs to, and notifies it on the event loop of its own worker.
 //
 //     registry.add(request, loop, client);
 //     registry.tell(request, [outcome](RequestEar &ear) { ear.claimEnded(outcome); });
@@ -18,7 +18,7 @@
 
 namespace Sequoiausher {
 
-/** One request, as the node speaks to it; always on the thread of the request's worker. */
+/** Receives the events of one request, on the thread of the request's worker. */
 class RequestEar
 {
 public:
@@ -30,7 +30,7 @@
     virtual void attachReplied(const InstanceId &from, const AttachReply &reply) = 0;
     virtual void attachChunk(const AttachChunk &chunk) = 0;
     virtual void attachEnded(const AttachEnd &end) = 0;
-    /** The holder that this request is attached to cannot be reached. */
+    /** The holder of the answer to which this request is attached cannot be reached. */
     virtual void peerLost(const InstanceId &peer) = 0;
 };
 
@@ -43,10 +43,10 @@
     RequestRegistry();
     ~RequestRegistry();
 
-    /** @param loop an object of the worker's thread that outlives the worker's requests. */
+    /** @param loop an object on the worker's thread that outlives the worker's requests. */
     void add(const RequestId &request, QObject *loop, const std::shared_ptr<RequestEar> &ear);
     void remove(const RequestId &request);
-    /** Calls telling on the request's thread, soon; not at all where the request is over. From any thread. */
+    /** Queues the call on the request's thread; it is dropped if the request has ended. From any thread. */
     void tell(const RequestId &request, Telling telling) const;
     void tellAll(const Telling &telling) const;
     std::size_t size() const;
--- a/sequoiausher/transport/router/requestsession.h
+++ b/sequoiausher/transport/router/requestsession.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// Carries one request on its worker: does what the request's flow says, and tells the flow what came of it.
+// Executes one request on its worker: performs the actions of the request's flow and reports their results to it.
 //
 //     auto session = std::make_shared<RequestSession>(context, std::move(order));
 //     session->begin();
@@ -22,10 +22,10 @@
     RequestSession(const RequestSession &) = delete;
     RequestSession &operator=(const RequestSession &) = delete;
 
-    /** Joins a running answer of the same key, or queues, claims and reserves. */
+    /** Attaches to a running answer of the same key, or queues, claims and reserves. */
     void begin();
     void tick(Millis now);
-    /** Nothing is left to do: the worker lets the session go. */
+    /** Whether the session has ended, so that the worker may release it. */
     bool isDone() const;
 
     void claimEnded(const ClaimOutcome &outcome) override;
--- a/sequoiausher/transport/router/requestsessionprivate.h
+++ b/sequoiausher/transport/router/requestsessionprivate.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// The inside of RequestSession: what it holds, and how it carries out what the request's flow says.
+// The implementation of RequestSession: its state, and the actions of the request's flow.
 
 #include "sequoiausher/coordination/answers/holdersearch.h"
 #include "sequoiausher/coordination/flow/requestflow.h"
@@ -91,20 +91,20 @@
     QueuePlace place;
     TargetReservation reservation;
     AnswerRelay relay;
-    /** A running answer of this router that is read along. */
+    /** A running answer of this router that this request reads. */
     JoinedAnswer joined;
     /** An answer of another router. */
     AttachedAnswer attached;
-    /** Whom to ask for it. */
+    /** The router to request it from. */
     HolderSearch search;
     TargetCall call;
     std::weak_ptr<RequestSession> self;
     ClaimKey key;
     std::uint64_t bodyDigest = 0;
-    /** The flow has begun. */
+    /** Whether the flow has begun. */
     bool started = false;
     bool keyUnrun = false;
-    /** mayDispatch was asked and said yes: a further target is under its deadline. */
+    /** mayDispatch() has returned true: a further target has to keep its deadline. */
     bool wasDispatched = false;
     std::uint32_t dispatches = 0;
     bool done = false;
--- a/sequoiausher/transport/router/requesttimes.h
+++ b/sequoiausher/transport/router/requesttimes.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// Measures one request for the histograms of its organisation: how long it waited in queues, until its first part came,
+// Measures one request for the histograms of its organisation: the time in queues, until the first part of its answer,
 // and between parts.
 //
 //     RequestTimes times(metrics, labels);
@@ -17,7 +17,7 @@
 class RequestTimes
 {
 public:
-    /** @param metrics and labels outlive it. */
+    /** @param metrics and labels outlive this. */
     RequestTimes(Metrics &metrics, const RequestLabels &labels);
 
     void begin(Millis now);
--- a/sequoiausher/transport/router/router.h
+++ b/sequoiausher/transport/router/router.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// The daemon: a control thread with the node, a pool of workers that carry requests, and the planned stop.
+// The daemon: a control thread with the node, a pool of workers for requests, and the planned stop.
 //
 //     Router router(settings, log);
 //     router.start();                 // throws Error (Step::Listen)
@@ -19,13 +19,13 @@
 class Router
 {
 public:
-    /** @param log outlives the router. @param onStopped called once, when everything in progress has ended. */
+    /** @param log outlives this. @param onStopped called once, when everything in progress has ended. */
     Router(const RouterSettings &settings, const Log &log, std::function<void()> onStopped);
     ~Router();
     Router(const Router &) = delete;
     Router &operator=(const Router &) = delete;
 
-    /** Listens for callers and peers. @throws Error (Step::Listen) */
+    /** Starts to listen for callers and peers. @throws Error (Step::Listen) */
     void start();
     /** Begins the planned stop; a second call has no effect. */
     void stop();
--- a/sequoiausher/transport/router/sessioncontext.h
+++ b/sequoiausher/transport/router/sessioncontext.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// What a worker lends to the requests that it carries.
+// The objects of a worker that its requests share.
 
 class QObject;
 
@@ -11,12 +11,12 @@
 class Metrics;
 class Node;
 
-/** Outlives the requests. */
+/** Outlives the requests of the worker. */
 struct SessionContext
 {
     Node &node;
     HttpClient &client;
-    /** An object of the worker's thread, to post to. */
+    /** An object on the worker's thread, to post to. */
     QObject &loop;
     const Log &log;
     Metrics &metrics;
--- a/sequoiausher/transport/router/sessionorder.h
+++ b/sequoiausher/transport/router/sessionorder.h
@@ -1,7 +1,6 @@
 #pragma once
 
-// What a request brings to the worker that carries it, and what follows from it for the request's flow and for its call
-// to a target.
+// A request as a worker gets it, and what follows from it for the request's flow and its call to a target.
 //
 //     const SessionOrder order{request, exchange, parsed, decision, labels, chatHash, deadline};
 //     RequestFlow flow(flowFactsOf(order));
@@ -18,7 +17,7 @@
 
 namespace Sequoiausher {
 
-/** A request that the rules let through. */
+/** A request that the rules admitted. */
 struct SessionOrder
 {
     RequestId request;
@@ -28,17 +27,17 @@
     RequestLabels labels;
     std::uint64_t chatHash = 0;
     Millis deadline;
-    /** Of the prompt prefix that chats share; 0 where the rule's policy does not look at it. */
+    /** The hash of the prompt prefix that chats share; 0 if the rule's policy does not use it. */
     std::uint64_t prefixHash = 0;
 };
 
 /** Whether the request's idempotency key is claimed before the request is sent to a target. */
 bool claimsKey(const SessionOrder &order);
 
-/** What the request's flow must know. */
+/** Returns the facts for the request's flow. */
 FlowFacts flowFactsOf(const SessionOrder &order);
 
-/** The call to a target; order.exchange must be set. */
+/** Returns the request for a target; order.exchange must be set. */
 TargetRequest targetRequestOf(const SessionOrder &order, Millis firstByteTimeout);
 
 } // namespace Sequoiausher
--- a/sequoiausher/transport/router/statuspage.h
+++ b/sequoiausher/transport/router/statuspage.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// A router's status as JSON, as `sequoiausher status` and other tools read it from /status.
+// Formats a router's status as JSON, which `sequoiausher status` and other tools read from /status.
 //
 //     exchange.respond(200, headers, statusJson(node.status()));
 
@@ -10,10 +10,10 @@
 
 namespace Sequoiausher {
 
-/** The status as one JSON object. */
+/** Returns the status as one JSON object. */
 std::string statusJson(const NodeStatus &status);
 
-/** The documents in force, with revisions and bodies, as one JSON object. */
+/** Returns the documents in force, with revisions and bodies, as one JSON object. */
 std::string documentsJson(const std::vector<DocumentPointer> &documents);
 
 } // namespace Sequoiausher
--- a/sequoiausher/transport/router/targetcall.h
+++ b/sequoiausher/transport/router/targetcall.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// One request's call to its target: sends it, checks that what comes back is the whole answer to this very request,
-// and resumes a stream that broke.
+// Sends one request to its target, checks that the answer is complete and belongs to this request, and resumes a broken
+// stream.
 //
 //     TargetCall call(client, description, listener);
 //     call.dispatch(address, true);
@@ -16,36 +16,36 @@
 
 namespace Sequoiausher {
 
-/** What is told of a call, on the client's thread. */
+/** Receives the events of a call, on the client's thread. */
 class TargetCallListener
 {
 public:
     virtual ~TargetCallListener() = default;
 
-    /** The answer begins. For an answer that is not streamed it comes only once the whole was checked. */
+    /** The answer has begun. Called only after the check of the whole answer if it is not a stream. */
     virtual void targetHead(int status, const std::string &contentType) = 0;
     /** Checked bytes for the client. */
     virtual void targetPart(std::string_view bytes) = 0;
     /** The answer was whole. */
     virtual void targetComplete(const TokenUsage &usage) = 0;
-    /** The call ended otherwise; it may be resumed or sent to another target. */
+    /** The call ended without a complete answer; it may be resumed or sent to another target. */
     virtual void targetFailed(TargetFailure failure, const std::string &reason) = 0;
 };
 
-/** What is sent. */
+/** The request. */
 struct TargetRequest
 {
     RequestId request;
     std::string method;
-    /** With the query. */
+    /** Includes the query. */
     std::string path;
     HttpHeaders headers;
     std::string body;
-    /** An engine's chat completion: its stream is checked chunk by chunk, and can be resumed. */
+    /** The request is a chat completion: its stream is checked chunk by chunk and can be resumed. */
     bool isChat = false;
     bool streamed = false;
     Millis firstByteTimeout{10000};
-    /** Longest silence within a stream; beyond it the connection counts as lost. */
+    /** The longest silence within a stream, after which the connection counts as lost. */
     Millis streamSilence{5000};
     Millis deadline = Millis::never();
 };
@@ -56,20 +56,20 @@
 public:
     /** @param client and listener outlive the call. */
     TargetCall(HttpClient &client, const TargetRequest &request, TargetCallListener &listener);
-    /** Ends the call without a word to the target but the closed connection. */
+    /** Ends the call by closing the connection. */
     ~TargetCall();
     TargetCall(const TargetCall &) = delete;
     TargetCall &operator=(const TargetCall &) = delete;
 
-    /** Sends the request to address. @param fresh only over a connection known to work. */
+    /** Sends the request to the address. @param fresh whether to use only a connection that is known to work. */
     void dispatch(const std::string &address, bool fresh);
-    /** Asks address for the rest of the stream. */
+    /** Requests the rest of the stream from the address. */
     void resumeStream(const std::string &address);
-    /** Tells the target to stop, and closes the connection. */
+    /** Requests that the target stop, and closes the connection. */
     void cancel(const std::string &address);
-    /** Notices a connection that went silent. Call a few times a second. */
+    /** Detects a silent connection. To be called several times a second. */
     void tick(Millis now);
-    /** Stops and goes on reading, for a client that reads slowly. */
+    /** Pauses and resumes reading, for a client that reads slowly. */
     void setPaused(bool paused);
 
 private:
--- a/sequoiausher/transport/router/targetreservation.h
+++ b/sequoiausher/transport/router/targetreservation.h
@@ -1,7 +1,6 @@
 #pragma once
 
-// Asks for a place on a target of the request's pool, and leaves alone at first those that this router has had bad
-// answers from.
+// Reserves a place on a target of the request's pool. At first avoids the targets that failed requests of this router.
 //
 //     TargetReservation reservation(node, order);
 //     reservation.ask(excluded);                                // ends in reservationEnded of the request
@@ -15,18 +14,18 @@
 
 class Node;
 
-/** What one request asks of the owner of its chat's shard. */
+/** The reservation of one request at the owner of its chat's shard. */
 class TargetReservation
 {
 public:
     /** @param node and order outlive it. */
     TargetReservation(Node &node, const SessionOrder &order);
 
-    /** @param excluded targets that cannot take this request at all. */
+    /** @param excluded targets that cannot serve this request. */
     void ask(const std::vector<TargetId> &excluded);
     /**
-     * After "no target": asks once more where targets were left alone, since all that the chat's shard has may be
-     * paused here, and then one of them is tried all the same. False where none was.
+     * After "no target": repeats the request without avoiding targets, since all those of the chat's shard may be
+     * avoided here. @return false if none was avoided.
      */
     bool askAgainWithPaused();
 
--- a/sequoiausher/transport/router/tickpacer.h
+++ b/sequoiausher/transport/router/tickpacer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// Calls a tick often while something waits for a deadline, and seldom while nothing does.
+// Calls a tick function frequently while deadlines are pending, and rarely otherwise.
 //
 //     TickPacer pacer([this] { return this->tick(); });   // the tick returns its next deadline
 //     pacer.start();
@@ -14,27 +14,27 @@
 namespace Sequoiausher {
 
 /**
- * Goes wrong without wake(): a request begins while the pacer rests, and its time-out is noticed a tenth of a second
- * late. Waking costs an event at most once for each tick. Lives in the thread that made it.
+ * Without wake(), the timeout of a request that begins between two rare ticks would be noticed up to 100 ms late.
+ * wake() posts at most one event for each tick. Belongs to the thread that created it.
  */
 class TickPacer
 {
 public:
-    /** The shortest time between two ticks, and the longest. */
+    /** The shortest and the longest time between two ticks. */
     static constexpr Millis busyInterval{20};
     static constexpr Millis restInterval{100};
 
     /**
-     * @param tick does what is due and returns when something is due next, or Millis::never().
-     * @param rest the longest time between two ticks, where restInterval is too long.
+     * @param tick performs what is due and returns the next deadline, or Millis::never().
+     * @param rest the longest time between two ticks, if restInterval is too long.
      */
     explicit TickPacer(std::function<Millis()> tick, Millis rest = restInterval);
     ~TickPacer();
 
-    /** The first tick comes at once. */
+    /** Starts the timer; the first tick follows immediately. */
     void start();
 
-    /** Something may be due earlier than the last tick said: the next one comes after busyInterval at the latest. */
+    /** There may be an earlier deadline than the last tick returned: the next tick follows within busyInterval. */
     void wake();
 
 private:
--- a/sequoiausher/transport/router/worker.h
+++ b/sequoiausher/transport/router/worker.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// One worker of a router: a thread with an event loop of its own, a server for callers and a client to targets.
+// One worker of a router: a thread with an event loop, a server for callers and a client for targets.
 //
 //     Worker worker(node, log, metrics, {address, port}, seed);
 //     worker.start();
@@ -13,7 +13,7 @@
 
 namespace Sequoiausher {
 
-/** Belongs to the control thread; its server and client live on its own. */
+/** Belongs to the control thread; its server and client belong to its own thread. */
 class Worker
 {
 public:
@@ -23,17 +23,17 @@
     Worker(const Worker &) = delete;
     Worker &operator=(const Worker &) = delete;
 
-    /** Starts the thread, and returns when it listens. @throws Error (Step::Listen) */
+    /** Starts the thread, and returns once it listens. @throws Error (Step::Listen) */
     void start();
-    /** The port it listens on; known once start() has returned. */
+    /** Returns the port on which it listens, after start(). */
     std::uint16_t port() const;
-    /** Takes no new connections; requests in progress go on. */
+    /** Stops accepting connections; requests in progress continue. */
     void stopAccepting();
-    /** Ends the thread; what is in progress is broken off. A second call has no effect. */
+    /** Ends the thread and aborts what is in progress. A second call has no effect. */
     void stop();
     /**
-     * Requests that are not over, whether or not their client is still there; once nothing new is accepted, connections
-     * too, since on one that is still open an answer is on its way out, or a request on its way in.
+     * Returns the number of requests in progress, including those whose client has disconnected. After accepting has
+     * stopped, connections count too, since an answer may still be in transit on an open one, or a request.
      */
     std::size_t openRequests() const;
 
