Share the worst five seconds among the models, and name targets without new requests by what they are

Found by a second reading: three models had the same sliding window, and TargetBoard::idleTargets() returned targets that may hold requests. Names alone and the shared class; the models' tests are as they were.

--- a/lab/model/engineservicemodel.cpp
+++ b/lab/model/engineservicemodel.cpp
@@ -1,5 +1,6 @@
 #include "lab/model/engineservicemodel.h"
 
+#include "lab/model/crowdedsends.h"
 #include "lab/model/eventqueue.h"
 #include "sequoiausher/base/hashing.h"
 #include "sequoiausher/coordination/gateway/promptparts.h"
@@ -41,8 +42,6 @@
 constexpr double replacementMs = 3500;
 constexpr double replacementGapMs = 1500;
 constexpr std::size_t replacementSteps = 5;
-constexpr double windowMs = 5000;
-constexpr std::size_t fewestInWindow = 20;
 
 struct Gateway
 {
@@ -299,16 +298,8 @@
         const bool isAbove = engine.held * this->engines.size() > 2 * this->running + 3 * this->engines.size();
         this->result.sent += 1;
         this->result.sentAboveLimit += isAbove ? 1 : 0;
-        this->window.emplace_back(this->events.now(), isAbove);
-        this->aboveInWindow += isAbove ? 1 : 0;
-        while (this->window.front().first < this->events.now() - windowMs) {
-            this->aboveInWindow -= this->window.front().second ? 1 : 0;
-            this->window.pop_front();
-        }
-        if (this->aboveInWindow >= fewestInWindow) {
-            const double part = static_cast<double>(this->aboveInWindow) / static_cast<double>(this->window.size());
-            this->result.worstFiveSeconds = std::max(this->result.worstFiveSeconds, part);
-        }
+        this->crowded.record(this->events.now(), isAbove);
+        this->result.worstFiveSeconds = this->crowded.worstFiveSeconds();
     }
 
     const EngineServiceDay &day;
@@ -325,8 +316,7 @@
     std::size_t running = 0;
     std::size_t nextTarget = 0;
     std::vector<Placement> placements;
-    std::deque<std::pair<double, bool>> window;
-    std::size_t aboveInWindow = 0;
+    CrowdedSends crowded;
     EventQueue events;
     EngineServiceResult result;
 };
--- a/lab/model/lostanswersmodel.cpp
+++ b/lab/model/lostanswersmodel.cpp
@@ -1,5 +1,6 @@
 #include "lab/model/lostanswersmodel.h"
 
+#include "lab/model/crowdedsends.h"
 #include "lab/model/eventqueue.h"
 #include "sequoiausher/coordination/gateway/loadshedder.h"
 #include "sequoiausher/coordination/gateway/targetboard.h"
@@ -24,8 +25,6 @@
 constexpr double leastReturnMs = 350;
 /** What callers of this service are promised. */
 constexpr Millis aim{1000};
-constexpr double windowMs = 5000;
-constexpr std::size_t fewestInWindow = 20;
 /** Losses since the last answer by which a target counts as one that loses answers. */
 constexpr std::size_t fewestLosses = 2;
 constexpr double capSlack = 2;
@@ -305,16 +304,8 @@
         const auto targets = static_cast<double>(this->engines.size());
         const double limit = 2 * static_cast<double>(this->held) / targets + 3;
         const bool isAbove = static_cast<double>(engine.held()) > limit;
-        this->window.emplace_back(this->events.now(), isAbove);
-        this->aboveInWindow += isAbove ? 1 : 0;
-        while (this->window.front().first < this->events.now() - windowMs) {
-            this->aboveInWindow -= this->window.front().second ? 1 : 0;
-            this->window.pop_front();
-        }
-        if (this->aboveInWindow >= fewestInWindow) {
-            const double part = static_cast<double>(this->aboveInWindow) / static_cast<double>(this->window.size());
-            this->result.worstFiveSeconds = std::max(this->result.worstFiveSeconds, part);
-        }
+        this->crowded.record(this->events.now(), isAbove);
+        this->result.worstFiveSeconds = this->crowded.worstFiveSeconds();
     }
 
     const LostAnswersDay &day;
@@ -324,8 +315,7 @@
     std::deque<Engine> engines;
     /** Requests at all engines. */
     std::size_t held = 0;
-    std::deque<std::pair<double, bool>> window;
-    std::size_t aboveInWindow = 0;
+    CrowdedSends crowded;
     std::size_t answers = 0;
     EventQueue events;
     LostAnswersResult result;
--- a/lab/model/promptreadingmodel.cpp
+++ b/lab/model/promptreadingmodel.cpp
@@ -1,5 +1,6 @@
 #include "lab/model/promptreadingmodel.h"
 
+#include "lab/model/crowdedsends.h"
 #include "lab/model/eventqueue.h"
 #include "sequoiausher/base/hashing.h"
 #include "sequoiausher/coordination/gateway/engineowner.h"
@@ -57,8 +58,6 @@
 /** Callers leave a stream without an event after this multiple of its aim, or after so long. */
 constexpr double patienceAims = 4;
 constexpr double minPatienceMs = 2400;
-constexpr double windowMs = 5000;
-constexpr std::size_t fewestInWindow = 20;
 /** The kind of the conversations. */
 constexpr std::size_t conversations = 2;
 constexpr std::size_t maxAnnounced = 255;
@@ -217,7 +216,7 @@
             const bool isUnusable = this->isStruck(this->day.unusable, this->engines.at(target.id));
             owned.push_back({target.id, target.slots, target.inFlight, target.isUsable && !isUnusable});
         }
-        for (const ServiceTarget &target : this->gateways.front().board->idleTargets(service)) {
+        for (const ServiceTarget &target : this->gateways.front().board->targetsWithoutNewRequests(service)) {
             owned.push_back({target.id, target.slots, target.inFlight, false});
         }
         return owned;
@@ -427,16 +426,8 @@
             }));
         const bool isAbove = engine.held * targets > 2 * this->running + 3 * targets;
         this->result.sentAboveLimit += isAbove ? 1 : 0;
-        this->window.emplace_back(this->events.now(), isAbove);
-        this->aboveInWindow += isAbove ? 1 : 0;
-        while (this->window.front().first < this->events.now() - windowMs) {
-            this->aboveInWindow -= this->window.front().second ? 1 : 0;
-            this->window.pop_front();
-        }
-        if (this->aboveInWindow >= fewestInWindow) {
-            const double part = static_cast<double>(this->aboveInWindow) / static_cast<double>(this->window.size());
-            this->result.worstFiveSeconds = std::max(this->result.worstFiveSeconds, part);
-        }
+        this->crowded.record(this->events.now(), isAbove);
+        this->result.worstFiveSeconds = this->crowded.worstFiveSeconds();
     }
 
     void readNext(Engine &engine)
@@ -528,8 +519,7 @@
     /** The second one is asked only while the gateways are divided. */
     std::array<std::unique_ptr<EngineOwner>, 2> owners;
     /** When each request of the last five seconds was sent, and whether above the limit. */
-    std::deque<std::pair<double, bool>> window;
-    std::size_t aboveInWindow = 0;
+    CrowdedSends crowded;
     /** What hubs pass on, added up over all gateways. */
     std::map<TargetId, std::int64_t> passedOnSums;
     std::vector<Placement> placements;
--- a/sequoiausher/coordination/gateway/targetboard.cpp
+++ b/sequoiausher/coordination/gateway/targetboard.cpp
@@ -530,7 +530,7 @@
     return all;
 }
 
-std::vector<ServiceTarget> TargetBoard::idleTargets(const PoolId &service)
+std::vector<ServiceTarget> TargetBoard::targetsWithoutNewRequests(const PoolId &service)
 {
     std::vector<ServiceTarget> all;
     for (const auto &[id, state] : this->d->targets) {
--- a/sequoiausher/coordination/gateway/targetboard.h
+++ b/sequoiausher/coordination/gateway/targetboard.h
@@ -139,7 +139,7 @@
     /** The eligible targets of the service, for its admission owner. */
     std::vector<ServiceTarget> serviceTargets(const TargetCriteria &criteria, Millis now);
     /** The listed targets of the service that get no requests for a lasting reason, such as those that leave. */
-    std::vector<ServiceTarget> idleTargets(const PoolId &service);
+    std::vector<ServiceTarget> targetsWithoutNewRequests(const PoolId &service);
     /** Counts the targets of the service that the request cannot go to, by reason. */
     IneligibilityCounts countIneligible(const TargetCriteria &criteria, Millis now) const;
 
--- a/sequoiausher/transport/gateway/placerequest.cpp
+++ b/sequoiausher/transport/gateway/placerequest.cpp
@@ -29,7 +29,7 @@
         owned.push_back({target.id, target.slots, target.inFlight, target.isUsable});
     }
     // They get no requests, but the mean of the service is that of all its targets.
-    for (const ServiceTarget &target : context.board.idleTargets(service)) {
+    for (const ServiceTarget &target : context.board.targetsWithoutNewRequests(service)) {
         owned.push_back({target.id, target.slots, target.inFlight, false});
     }
     return owned;
