Have all callers of the soak send a large body at once

Now all callers send one at the same moment every 2.5 s, targets take longer over them, and gateways have 40 MB.

--- a/lab/soak/calldraw.cpp
+++ b/lab/soak/calldraw.cpp
@@ -10,7 +10,6 @@
 
 /** Of the jobs one in so many is large, where some are. */
 constexpr std::uint64_t largeOneIn = 3;
-constexpr std::size_t largeBodyBytes = 3000000;
 /** Of a hundred calls so many are given up early, and so many carry forged fields. */
 constexpr std::int64_t leavingPercent = 8;
 constexpr std::int64_t forgingPercent = 10;
@@ -56,6 +55,11 @@
     this->drawsLargeBodies = true;
 }
 
+void CallDraw::makeNextLarge()
+{
+    this->isNextLarge = true;
+}
+
 SoakCall CallDraw::next(const SoakEntry &entry, Millis now)
 {
     SoakCall call;
@@ -73,7 +77,15 @@
         call.path = this->offer.extraRoutes[static_cast<std::size_t>(extra)] + call.id;
     }
     call.body = call.method == "POST" ? "question of " + call.id : "";
-    if (this->drawsLargeBodies && call.kind == CallKind::Job && hash64(call.id) % largeOneIn == 0) {
+    const bool isWanted = std::exchange(this->isNextLarge, false);
+    if (isWanted) {
+        call.kind = CallKind::Job;
+        call.method = "POST";
+        call.path = "/" + std::string(nameOf(call.kind)) + "/" + call.id;
+        call.body = "question of " + call.id;
+    }
+    const bool isDrawn = this->drawsLargeBodies && call.kind == CallKind::Job && hash64(call.id) % largeOneIn == 0;
+    if (isWanted || isDrawn) {
         call.body.resize(largeBodyBytes, '.');
     }
     call.sentAt = now;
--- a/lab/soak/calldraw.h
+++ b/lab/soak/calldraw.h
@@ -52,6 +52,8 @@
 
     /** Some jobs have large bodies from now on. The other draws of a seed stay the same. */
     void drawLargeBodies();
+    /** The next call is a job with a large body. */
+    void makeNextLarge();
     SoakCall next(const SoakEntry &entry, Millis now);
     std::string wire(const SoakCall &call);
     /** When the caller of a call sent at now closes its connection: early for some. */
@@ -64,6 +66,7 @@
     std::mt19937_64 random;
     std::uint64_t calls = 0;
     bool drawsLargeBodies = false;
+    bool isNextLarge = false;
 };
 
 } // namespace Sequoiausher::Lab
--- a/lab/soak/soakcaller.cpp
+++ b/lab/soak/soakcaller.cpp
@@ -45,6 +45,12 @@
     this->draw.drawLargeBodies();
 }
 
+void SoakCaller::sendLargeBodySoon()
+{
+    this->draw.makeNextLarge();
+    this->nextAt = Millis{0};
+}
+
 SoakCall SoakCaller::nextCall(Millis now)
 {
     SoakCall call = this->draw.next(this->entry, now);
--- a/lab/soak/soakcaller.h
+++ b/lab/soak/soakcaller.h
@@ -32,6 +32,8 @@
     void takeUpStreams();
     /** Sends large bodies at times. */
     void sendLargeBodies();
+    /** Sends one soon. */
+    void sendLargeBodySoon();
     /** Lets it send no more. */
     void rest();
     void tick(Millis now);
--- a/lab/soak/soakrecords.h
+++ b/lab/soak/soakrecords.h
@@ -26,6 +26,9 @@
 inline constexpr const char *widePrefix = "w";
 inline constexpr std::size_t wideBytes = 200000;
 
+/** The size of a large body; targets take long over it. */
+inline constexpr std::size_t largeBodyBytes = 3000000;
+
 /** A request with this path, or with this part in its prompt, ends each target that runs it, a moment later. */
 inline constexpr const char *crashingPath = "/job/crash";
 inline constexpr const char *crashingPart = "x0";
--- a/lab/soak/soakrun.cpp
+++ b/lab/soak/soakrun.cpp
@@ -24,8 +24,10 @@
 constexpr std::size_t leastServedPercent = 95;
 /** Longer than any wait here. */
 constexpr Millis endless{3600000};
+/** So often all callers send a large body at the same moment. */
+constexpr Millis largeBodiesInterval{2500};
 /** The memory of a gateway where some bodies are large: a few of them are half of it. */
-constexpr std::size_t memoryForLargeBodiesMb = 64;
+constexpr std::size_t memoryForLargeBodiesMb = 40;
 /** The entry of a target that a request has ended stays for so long. */
 constexpr Millis endedFor{1500};
 
@@ -284,6 +286,13 @@
     for (std::size_t i = 0; i < this->d->options.cuts; ++i) {
         this->d->planCut(begin + Millis{moment(this->d->cuts)});
     }
+    for (Millis at{0}; this->d->options.hasLargeBodies && at < this->d->options.faults; at += largeBodiesInterval) {
+        this->d->at(begin + at, [this] {
+            for (const auto &caller : this->d->callers) {
+                caller->sendLargeBodySoon();
+            }
+        });
+    }
     for (std::size_t i = 0; i < this->d->options.foreign; ++i) {
         this->d->planForeign(begin + Millis{moment(this->d->foreign)});
     }
--- a/lab/soak/soaktarget.cpp
+++ b/lab/soak/soaktarget.cpp
@@ -191,7 +191,8 @@
         work->mood = TargetMood::Unframed;
     }
     std::uniform_int_distribution<std::int64_t> span(leastWorkMs, mostWorkMs);
-    const std::int64_t times = work->mood == TargetMood::Slow ? slowTimes : 1;
+    const bool isSlow = work->mood == TargetMood::Slow || request.body.size() >= largeBodyBytes;
+    const std::int64_t times = isSlow ? slowTimes : 1;
     work->nextAt = now + Millis{span(this->random) * times};
     work->deadline = now + work->order.timeLeft.value_or(never);
     work->streamId = work->order.resumedAttempt.empty() ? arrival.id : work->order.resumedAttempt;
