--- a/lab/model/promptreadingmodel.h
+++ b/lab/model/promptreadingmodel.h
@@ -56,7 +56,7 @@
     double ownerBackAt = 0;
     /** This share of the conversations, which are the requests with the longest streams, is about one document. */
     double hotShare = 0;
-    /** These targets lose lostShare of the answers; nothing is heard of those until the callers leave. */
+    /** These targets lose lostShare of the answers; gateways get no sign of that until the callers leave. */
     ModelDisruption losing;
     double lostShare = 0;
     /** These gateways ask no owner. */
@@ -82,7 +82,7 @@
     bool asksOwner = false;
     /** Targets tell how long work takes there at the moment, and the owner goes by it. */
     bool tellsSpeed = true;
-    /** Targets tell how many requests they hold. */
+    /** Targets announce how many requests they hold. */
     bool tellsLoad = true;
     /** How owners estimate what targets hold. */
     OccupancySettings occupancy;
--- a/sequoiausher/coordination/gateway/memorybudget.cpp
+++ b/sequoiausher/coordination/gateway/memorybudget.cpp
@@ -11,7 +11,7 @@
 constexpr std::size_t smallDenominator = 8;
 /** Bodies that would wait behind more than this part of the limit would not get their turn in time. */
 constexpr std::size_t waitingDenominator = 2;
-/** What one answer may hold, and what may wait for one receiver, once answers have used up their part. */
+/** The limits of one held answer and of the bytes that wait for one receiver, while isTightForAnswers(). */
 constexpr std::size_t tightHeldBytes = 65536;
 constexpr std::size_t tightUnsentBytes = 16384;
 
--- a/sequoiausher/transport/gateway/callerconnection.cpp
+++ b/sequoiausher/transport/gateway/callerconnection.cpp
@@ -15,10 +15,10 @@
 constexpr int statusTooLarge = 413;
 constexpr int statusHeadTooLarge = 431;
 constexpr int statusUnavailable = 503;
-/** When to come back where a body does not fit: by then, the bodies that are read now have been. */
+/** The shortest Retry-After of a body that does not fit; the longest is twice as long. */
 constexpr Millis retryWhenNoMemory{1000};
-/** How long nothing may arrive of a large body while others wait for its memory. */
-constexpr Millis stallTimeBeforeOthers{1000};
+/** The timeout between two parts of a large body while other bodies wait for memory. */
+constexpr Millis stallTimeoutWhileOthersWait{1000};
 constexpr std::string_view continueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
 int statusOf(HttpFault fault)
@@ -353,7 +353,7 @@
     }
     const bool holdsUpOthers = this->bodyMemory && this->bodyMemory->bytes() > MemoryBudget::smallBodyBytes
         && this->context.memory.waitingBodies() > 0;
-    if (holdsUpOthers && now - this->partial.lastByteAt >= stallTimeBeforeOthers) {
+    if (holdsUpOthers && now - this->partial.lastByteAt >= stallTimeoutWhileOthersWait) {
         this->refuse(statusRequestTimeout, "the body stopped while others waited for its memory");
     }
 }
--- a/sequoiausher/transport/stream/bytestream.cpp
+++ b/sequoiausher/transport/stream/bytestream.cpp
@@ -74,7 +74,7 @@
     bool readOnce(ByteStream &stream);
     void writable(ByteStream &stream);
     void flush(ByteStream &stream);
-    /** Sends what was appended to the output after it had been empty or not. */
+    /** Sends appended output. @param wasEmpty false if earlier output waits for the kernel; then flush() sends both. */
     void sendAppended(bool wasEmpty);
     /** Hands bytes to the kernel until it accepts no more. @return false if the connection is broken. */
     bool sendOutput();
