Test that a planned stop begins no streams that it would cut off, failing

Callers saw answers of status 200 without their end around the SIGTERM of their gateway. Two cases: a connection whose stream began before the stop is used again at once, and a body in chunks that ends late.

--- /dev/null
+++ b/sequoiausher/transport/gateway/plannedstoptest.cpp
@@ -0,0 +1,111 @@
+#include "sequoiausher/transport/gateway/gatewaytestbed.h"
+
+#include <QTimer>
+
+#include <doctest/doctest.h>
+
+#include <memory>
+
+using namespace Sequoiausher;
+
+namespace {
+
+constexpr Millis grace{2000};
+constexpr Millis notice{300};
+constexpr Millis eventInterval{50};
+constexpr Millis whole{4000};
+
+/** Sends an event at each interval until the request's time is over, then the end of the stream. */
+void sendEvents(const FakeRequest &request, int count, const std::shared_ptr<bool> &alive, int next = 1)
+{
+    if (!*alive) {
+        return;
+    }
+    if (next > count) {
+        request.endEvents();
+        return;
+    }
+    request.event(next);
+    QTimer::singleShot(static_cast<int>(eventInterval.count), [request, count, alive, next] {
+        sendEvents(request, count, alive, next + 1);
+    });
+}
+
+/** A gateway whose streams may take far longer than the grace of its stop, and requests to plain targets that do not. */
+struct StopBed : GatewayTestbed
+{
+    StopBed()
+    {
+        this->settings.stop = {grace, notice};
+        this->publish("1\nroute /desk/ at-most-once 0 1 300 desk\nroute /talk/ stream 1 2 15000 llm\n"
+                      "route /once/ stream 0 1 15000 llm\nkey garage k1\n");
+        FakeServer &target = this->addTarget("t1", "llm");
+        target.answers = [this](FakeRequest &request) {
+            request.beginEvents();
+            sendEvents(request, this->eventCount, this->alive);
+        };
+        this->addTarget("d1", "desk").answers = [](FakeRequest &request) { request.reply("200 OK", "plate"); };
+    }
+    ~StopBed()
+    {
+        *this->alive = false;
+    }
+
+    std::string stream(const std::string &fields = "Content-Length: 0\r\n") const
+    {
+        return this->request("POST", "/once/1", fields);
+    }
+    std::size_t streamsBegun()
+    {
+        return this->targets.at("t1")->seen.size();
+    }
+    /** Waits until the stop is over, and says whether the answer is whole or a refusal that came long before the end. */
+    static bool isRefused(const CallerReply &reply)
+    {
+        return reply.isWhole && reply.status == 503 && !reply.head.keepAlive && reply.head.headers.has("Retry-After");
+    }
+
+    int eventCount = 10;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace
+
+// Guards against a stream that is cut off by a planned stop because a gateway that is about to end begins it: its
+// caller uses the connection of a stream that had begun before the stop again at once.
+TEST_CASE("a stream that may outlast a stop is refused, not run, on a connection that the stop left open")
+{
+    StopBed bed;
+    bed.start();
+    FakeCaller caller(bed.address());
+    caller.send(bed.stream());
+    REQUIRE(GatewayTestbed::waitFor([&] { return caller.reply.status == 200; }));
+    bed.node->stop();
+    const Millis begun = Millis::monotonicNow();
+    REQUIRE(GatewayTestbed::waitFor([&] { return caller.reply.isWhole; }, whole));
+    CHECK(Millis::monotonicNow() - begun > notice);
+    bed.eventCount = 1000;
+    caller.send(bed.stream());
+    CHECK(GatewayTestbed::waitFor([&] { return caller.reply.isWhole || caller.reply.hasEnded; }, whole));
+    CHECK(StopBed::isRefused(caller.reply));
+    CHECK(bed.streamsBegun() == 1);
+    CHECK(GatewayTestbed::waitFor([&] { return bed.isStopped; }, whole));
+}
+
+// Guards against the same cut where a body that began before the stop ends late in it.
+TEST_CASE("a stream whose body arrives late in a stop is refused, not run")
+{
+    StopBed bed;
+    bed.eventCount = 1000;
+    bed.start();
+    FakeCaller caller(bed.address());
+    caller.send(bed.stream("Transfer-Encoding: chunked\r\n") + "4\r\nplat\r\n");
+    REQUIRE_FALSE(GatewayTestbed::waitFor([&] { return caller.reply.status != 0; }, Millis{100}));
+    bed.node->stop();
+    GatewayTestbed::waitFor([] { return false; }, notice * 2);
+    caller.send("1\r\ne\r\n0\r\n\r\n");
+    CHECK(GatewayTestbed::waitFor([&] { return caller.reply.isWhole || caller.reply.hasEnded; }, whole));
+    CHECK(StopBed::isRefused(caller.reply));
+    CHECK(bed.streamsBegun() == 0);
+    CHECK(GatewayTestbed::waitFor([&] { return bed.isStopped; }, whole));
+}
