Log which requests a planned stop ends, and when each was read

Each request that a stop ends gets a line with the time from the beginning of the stop until it was read, the time that it still had, and its target; 'request ended' has the first of these too, 'stop begun' how much is in hand.

StopSchedule holds the times of the stop, RouteDurations how long the requests of each route lasted lately, PeerDirectory who stated that it stops: until now each gateway reported that and no other one read it.

--- a/sequoiausher/coordination/gateway/peerdirectory.cpp
+++ b/sequoiausher/coordination/gateway/peerdirectory.cpp
@@ -51,6 +51,8 @@
         /** The peer has received a report since this gateway started. */
         bool isReached = false;
         bool isHub = false;
+        /** Its last own report stated that it stops; unknown of gateways that only others report. */
+        bool isLeaving = false;
         std::uint16_t strength = 0;
         DataCentreId dataCentre;
         /** The hash of the peer's name. */
@@ -271,6 +273,7 @@
     known.isReached = this->d->firstRoundAt && report.echo >= *this->d->firstRoundAt;
     this->d->hasReceivedReply = this->d->hasReceivedReply || known.isReached;
     known.isHub = report.isHub;
+    known.isLeaving = report.leaving;
     known.strength = report.strength;
     known.dataCentre = report.dataCentre;
     for (const GatewayMember &member : report.members) {
@@ -396,6 +399,19 @@
     return this->d->hasReceivedReply;
 }
 
+bool PeerDirectory::isLeaving(const InstanceId &peer) const
+{
+    const auto found = this->d->known.find(peer);
+    return found != this->d->known.end() && found->second.isLeaving;
+}
+
+bool PeerDirectory::hasStayingPeer(Millis now) const
+{
+    return std::any_of(this->d->known.begin(), this->d->known.end(), [now](const auto &entry) {
+        return now - entry.second.lastSeenAt < memberTtl && !entry.second.isLeaving;
+    });
+}
+
 std::vector<GatewayMember> PeerDirectory::members(Millis now) const
 {
     std::vector<GatewayMember> all;
--- a/sequoiausher/coordination/gateway/peerdirectory.h
+++ b/sequoiausher/coordination/gateway/peerdirectory.h
@@ -80,6 +80,10 @@
     std::optional<std::size_t> hubRank(Millis now) const;
     /** Whether the peer is a hub that comes before this gateway in the order of the hubs. */
     bool comesBefore(const InstanceId &peer, Millis now) const;
+    /** Whether the peer's last report stated that it is stopping. */
+    bool isLeaving(const InstanceId &peer) const;
+    /** Whether a gateway was seen within a few seconds that did not state that it is stopping. */
+    bool hasStayingPeer(Millis now) const;
     /** Whether the peer's last report stated that it is a hub. */
     bool statedHub(const InstanceId &peer) const;
     /** The peers whose last report stated that they are hubs. */
--- a/sequoiausher/coordination/gateway/peerdirectorytest.cpp
+++ b/sequoiausher/coordination/gateway/peerdirectorytest.cpp
@@ -346,3 +346,29 @@
     CHECK_FALSE(directory.hasReached(nameOf(1)));
     CHECK(directory.hasReceivedReply());
 }
+
+TEST_CASE("gateways that stop are known by their own reports, until they start again or are gone")
+{
+    constexpr Millis now{100000};
+    PeerDirectory directory(nameOf(0), {nameOf(1)}, 1);
+    CHECK_FALSE(directory.hasStayingPeer(now));
+    GatewayReport stops;
+    stops.leaving = true;
+    directory.recordReport(nameOf(1), stops, now);
+    CHECK(directory.isLeaving(nameOf(1)));
+    CHECK_FALSE(directory.isLeaving(nameOf(2)));
+    CHECK_FALSE(directory.hasStayingPeer(now));
+    SUBCASE("another gateway is known from a list alone")
+    {
+        stops.members = {{nameOf(2), Millis{10}, 1, dataCentreOf(2)}};
+        directory.recordReport(nameOf(1), stops, now);
+        CHECK(directory.hasStayingPeer(now));
+        CHECK_FALSE(directory.hasStayingPeer(now + Millis{10000}));
+    }
+    SUBCASE("it starts again")
+    {
+        directory.recordReport(nameOf(1), GatewayReport(), now + Millis{9000});
+        CHECK_FALSE(directory.isLeaving(nameOf(1)));
+        CHECK(directory.hasStayingPeer(now + Millis{9000}));
+    }
+}
--- /dev/null
+++ b/sequoiausher/coordination/gateway/stopschedule.cpp
@@ -0,0 +1,64 @@
+#include "sequoiausher/coordination/gateway/stopschedule.h"
+
+namespace Sequoiausher {
+
+namespace {
+
+/** The fraction of the grace after which the remaining requests are cut off. */
+constexpr std::int64_t cutAfterNumerator = 15;
+constexpr std::int64_t cutAfterDenominator = 16;
+/** The next request may last so many times as long as the longest lately. */
+constexpr std::int64_t durationMargin = 2;
+
+} // namespace
+
+void StopSchedule::begin(const StopTimes &given, Millis now)
+{
+    if (!this->begunAt) {
+        this->times = given;
+        this->begunAt = now;
+    }
+}
+
+bool StopSchedule::isBegun() const
+{
+    return this->begunAt.has_value();
+}
+
+std::optional<Millis> StopSchedule::timeInStop(Millis at) const
+{
+    return this->begunAt ? std::optional(at - *this->begunAt) : std::nullopt;
+}
+
+bool StopSchedule::isNoticeOver(Millis now) const
+{
+    return this->begunAt && now - *this->begunAt >= this->times.notice;
+}
+
+Millis StopSchedule::cutAt() const
+{
+    return this->begunAt ? *this->begunAt + this->times.grace * cutAfterNumerator / cutAfterDenominator
+                         : Millis::never();
+}
+
+Millis StopSchedule::endAt() const
+{
+    return this->begunAt ? this->cutAt() + (*this->begunAt + this->times.grace - this->cutAt()) / 2 : Millis::never();
+}
+
+bool StopSchedule::mayBegin(const ExpectedWork &work, bool hasSuccessor, Millis now) const
+{
+    if (!this->isBegun()) {
+        return true;
+    }
+    const Millis left = this->cutAt() - now;
+    if (work.timeLeft <= left) {
+        return true;
+    }
+    if (hasSuccessor && this->isNoticeOver(now)) {
+        return false;
+    }
+    return work.longestLately && *work.longestLately * durationMargin <= left;
+}
+
+} // namespace Sequoiausher
--- /dev/null
+++ b/sequoiausher/coordination/gateway/stopscheduletest.cpp
@@ -0,0 +1,86 @@
+#include "sequoiausher/coordination/gateway/stopschedule.h"
+
+#include <doctest/doctest.h>
+
+using namespace Sequoiausher;
+
+namespace {
+
+constexpr Millis grace{8000};
+constexpr Millis notice{3000};
+constexpr Millis begun{100000};
+
+StopSchedule begunStop()
+{
+    StopSchedule stop;
+    stop.begin({grace, notice}, begun);
+    return stop;
+}
+
+} // namespace
+
+TEST_CASE("before a stop everything may be begun")
+{
+    const StopSchedule stop;
+    CHECK(stop.mayBegin({Millis{600000}, std::nullopt}, true, begun));
+    CHECK_FALSE(stop.isBegun());
+    CHECK_FALSE(stop.isNoticeOver(begun));
+    CHECK(stop.cutAt() == Millis::never());
+    CHECK(stop.endAt() == Millis::never());
+    CHECK_FALSE(stop.timeInStop(begun));
+}
+
+TEST_CASE("the cut leaves a part of the grace for last bytes, and the process ends before the grace does")
+{
+    const StopSchedule stop = begunStop();
+    CHECK(stop.cutAt() == begun + Millis{7500});
+    CHECK(stop.endAt() == begun + Millis{7750});
+    CHECK(stop.timeInStop(begun + Millis{700}) == Millis{700});
+    CHECK(stop.timeInStop(begun - Millis{700}) == Millis{-700});
+}
+
+// Guards against an end that moves away with each further SIGTERM, while the platform counts from the first.
+TEST_CASE("a second request to stop changes nothing")
+{
+    StopSchedule stop = begunStop();
+    stop.begin({grace, notice}, begun + Millis{5000});
+    CHECK(stop.cutAt() == begun + Millis{7500});
+    CHECK(stop.isNoticeOver(begun + notice));
+}
+
+// Guards against requests that are cut off by a stop which was known when they were sent to a target.
+TEST_CASE("what may be begun depends on the time that is left and on where its caller can go")
+{
+    struct Case
+    {
+        const char *name;
+        Millis after;
+        Millis timeLeft;
+        std::optional<Millis> longestLately;
+        bool hasSuccessor;
+        bool isBegun;
+    };
+    const Case cases[] = {
+        {"a deadline before the cut, at once", Millis{0}, Millis{7500}, std::nullopt, true, true},
+        {"a deadline before the cut, late", Millis{7000}, Millis{500}, std::nullopt, true, true},
+        {"a deadline after the cut, nothing known", Millis{0}, Millis{7501}, std::nullopt, true, false},
+        {"nothing known, nobody else goes on", Millis{0}, Millis{15000}, std::nullopt, false, false},
+        {"usually short, in the notice", Millis{2900}, Millis{15000}, Millis{2300}, true, true},
+        {"usually too long, in the notice", Millis{2900}, Millis{15000}, Millis{2301}, true, false},
+        {"usually short, after the notice", Millis{3000}, Millis{15000}, Millis{100}, true, false},
+        {"usually short, after the notice, nobody else goes on",
+         Millis{3000},
+         Millis{15000},
+         Millis{2250},
+         false,
+         true},
+        {"usually too long, nobody else goes on", Millis{3000}, Millis{15000}, Millis{2251}, false, false},
+        {"after the cut", Millis{7600}, Millis{1}, Millis{0}, false, false},
+    };
+    const StopSchedule stop = begunStop();
+    for (const Case &each : cases) {
+        CAPTURE(each.name);
+        CHECK(stop.mayBegin({each.timeLeft, each.longestLately}, each.hasSuccessor, begun + each.after)
+              == each.isBegun);
+    }
+}
--- a/sequoiausher/transport/gateway/calleranswer.cpp
+++ b/sequoiausher/transport/gateway/calleranswer.cpp
@@ -144,7 +144,7 @@
 
 bool CallerAnswer::mustClose() const
 {
-    return this->context.isStopping || !this->context.mayKeepCallers || !this->head.keepAlive;
+    return this->context.stop.isBegun() || !this->context.mayKeepCallers || !this->head.keepAlive;
 }
 
 void CallerAnswer::beginStream()
--- a/sequoiausher/transport/gateway/calleranswertest.cpp
+++ b/sequoiausher/transport/gateway/calleranswertest.cpp
@@ -268,7 +268,7 @@
     {
         Given given;
         given.begin(RouteKind::Idempotent, false);
-        given.context.isStopping = true;
+        given.context.stop.begin({Millis{8000}, Millis{3000}}, Millis{1});
         given.answer.writeHeld();
         CHECK(given.hasGiven("Connection: close\r\n"));
         CHECK(given.answer.closes());
@@ -278,7 +278,7 @@
         Given given;
         given.begin(RouteKind::Stream, true);
         given.add("id: 1\n\n");
-        given.context.isStopping = true;
+        given.context.stop.begin({Millis{8000}, Millis{3000}}, Millis{1});
         given.answer.endStream();
         CHECK_FALSE(given.hasGiven("Connection: close"));
         CHECK_FALSE(given.answer.closes());
--- a/sequoiausher/transport/gateway/exchangelog.cpp
+++ b/sequoiausher/transport/gateway/exchangelog.cpp
@@ -46,6 +46,21 @@
                     {"inside_event", answer.isInsideEvent ? "yes" : "no"}});
 }
 
+void ExchangeLog::writeStopEnd(const TargetId &target,
+                               Millis receivedAfter,
+                               Millis timeLeft,
+                               const ExchangeAnswerState &answer) const
+{
+    this->log.info(LogPart::Entry,
+                   "request ended by the stop",
+                   {{"request", this->admitted.request.attemptId},
+                    {"route", this->admitted.route != nullptr ? this->admitted.route->name : ""},
+                    {"target", target.value},
+                    {"received_after_stop_ms", textOf(receivedAfter)},
+                    {"left_ms", textOf(timeLeft)},
+                    {"events", std::to_string(answer.events)}});
+}
+
 void ExchangeLog::writeEnd(const ExchangeEnding &ending, Millis now) const
 {
     const AdmittedRequest &request = this->admitted;
@@ -92,6 +107,7 @@
          {"proof_age_ms", textOf(ending.proofAge)},
          {"first_ms", ending.firstPartAt == Millis{0} ? "none" : textOf(ending.firstPartAt - ending.receivedAt)},
          {"took_ms", textOf(now - ending.receivedAt)},
+         {"received_after_stop_ms", ending.receivedAfterStop ? textOf(*ending.receivedAfterStop) : ""},
          {"connection", std::to_string(ending.connectionNumber)}});
 }
 
--- a/sequoiausher/transport/gateway/exchangelog.h
+++ b/sequoiausher/transport/gateway/exchangelog.h
@@ -65,6 +65,8 @@
     ExchangeAnswerState answer;
     Millis proofAge;
     Millis receivedAt;
+    /** From the beginning of the gateway's stop until the request was read; absent while it does not stop. */
+    std::optional<Millis> receivedAfterStop;
     /** 0 where no part of an answer came. */
     Millis firstPartAt;
     std::uint64_t connectionNumber = 0;
@@ -79,6 +81,15 @@
 
     ExchangeNotes &notes();
     void writeAttemptEnd(const TargetId &target, AttemptEnd end, Millis after, const ExchangeAnswerState &answer) const;
+    /**
+     * Writes that the stop of the gateway ends the request.
+     * @param receivedAfter from the beginning of the stop until the request was read; negative if it was read before.
+     * @param timeLeft until the request's deadline.
+     */
+    void writeStopEnd(const TargetId &target,
+                      Millis receivedAfter,
+                      Millis timeLeft,
+                      const ExchangeAnswerState &answer) const;
     void writeEnd(const ExchangeEnding &ending, Millis now) const;
 
 private:
--- a/sequoiausher/transport/gateway/gatewaycontext.cpp
+++ b/sequoiausher/transport/gateway/gatewaycontext.cpp
@@ -10,6 +10,10 @@
 
 /** The weight of one answer in the moving average, which covers about twenty answers. */
 constexpr double timeWeight = 0.05;
+/** Retry-After if this gateway stops: another one takes the caller at once. */
+constexpr Millis retryElsewhere{10};
+/** Retry-After if all gateways stop: the first of them may be back. */
+constexpr Millis retryWhenAllStop{1000};
 
 bool hasBytesLeft(const std::weak_ptr<ByteStream> &closed)
 {
@@ -116,6 +120,18 @@
     return this->freshness.isBehind(this->revision());
 }
 
+bool GatewayContext::mayBegin(const GatewayRoute &route, Millis timeLeft, Millis now) const
+{
+    return !this->stop.isBegun()
+        || this->stop.mayBegin(
+            {timeLeft, this->durations.longest(route.name, now)}, this->peers.hasStayingPeer(now), now);
+}
+
+Millis GatewayContext::retryAfterStop(Millis now)
+{
+    return this->spread(this->peers.hasStayingPeer(now) ? retryElsewhere : retryWhenAllStop);
+}
+
 CallerLimits GatewayContext::callerLimits() const
 {
     return this->table ? this->table->configuration().limits : CallerLimits();
--- a/sequoiausher/transport/gateway/gatewaycontext.h
+++ b/sequoiausher/transport/gateway/gatewaycontext.h
@@ -20,7 +20,9 @@
 #include "sequoiausher/coordination/gateway/prefixdirectory.h"
 #include "sequoiausher/coordination/gateway/requestquarantine.h"
 #include "sequoiausher/coordination/gateway/retrybudgetshare.h"
+#include "sequoiausher/coordination/gateway/routedurations.h"
 #include "sequoiausher/coordination/gateway/routetable.h"
+#include "sequoiausher/coordination/gateway/stopschedule.h"
 #include "sequoiausher/coordination/gateway/storeduty.h"
 #include "sequoiausher/coordination/gateway/streamorigins.h"
 #include "sequoiausher/coordination/gateway/targetboard.h"
@@ -70,6 +72,13 @@
     Millis proofAge(Millis now) const;
     /** Whether a newer configuration than the one in force is known to exist. */
     bool isBehind() const;
+    /**
+     * Whether a request of the route may be begun although this gateway may have to stop before the request ends;
+     * always true while it does not stop. @param timeLeft until the caller or the route gives the request up.
+     */
+    bool mayBegin(const GatewayRoute &route, Millis timeLeft, Millis now) const;
+    /** When a caller that is refused because of the stop shall come back. */
+    Millis retryAfterStop(Millis now);
     /** The limits for callers, by the configuration in force. */
     CallerLimits callerLimits() const;
     /** The revision of the configuration in force; 0 before the first. */
@@ -129,7 +138,8 @@
     RequestQuarantine quarantine;
     TargetLifeChecks lifeChecks;
     std::uint64_t connectionsAccepted = 0;
-    bool isStopping = false;
+    StopSchedule stop;
+    RouteDurations durations;
     /** Connections of callers may stay open after an answer. */
     bool mayKeepCallers = true;
     /** The gateway has not been ready since its start. */
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -644,6 +644,9 @@
     this->admitted.parts.recordSent(this->context.parts, target.target.id, now);
     this->attempts.recordSent();
     const bool isRetry = this->attempts.targetsUsed() > 1;
+    if (!isRetry) {
+        this->context.durations.begin(this->admitted.route->name, this->receivedAt);
+    }
     this->context.metrics.countDispatch(this->admitted.labels, target.target.id.value, isRetry);
     if (isRetry) {
         const RetryBudgetFleet fleet = this->context.retryBudgetFleet(now);
@@ -993,6 +996,9 @@
     this->place.release(PlaceOutcome::Unused, Millis{0});
     this->context.metrics.countOutcome(this->admitted.labels, outcome);
     const Millis now = Millis::monotonicNow();
+    if (this->attempts.targetsUsed() > 0) {
+        this->context.durations.end(this->admitted.route->name, this->receivedAt, outcome == Outcome::Complete, now);
+    }
     this->lines.writeEnd({nameOf(outcome),
                           how,
                           this->answer.status(),
@@ -1002,6 +1008,7 @@
                           this->loggedAnswer(),
                           this->context.proofAge(now),
                           this->receivedAt,
+                          this->context.stop.timeInStop(this->receivedAt),
                           this->firstPartAt,
                           this->caller.connectionNumber()},
                          now);
@@ -1112,12 +1119,18 @@
     if (this->d->isFinished) {
         return;
     }
+    const Millis now = Millis::monotonicNow();
+    this->d->lines.writeStopEnd(this->d->chosen.target.id,
+                                this->d->context.stop.timeInStop(this->d->receivedAt).value_or(Millis{0}),
+                                this->d->admitted.deadline - now,
+                                this->d->loggedAnswer());
+    this->d->context.metrics.add("gateway_requests_ended_by_stop_total");
     if (!this->d->call && !this->d->hedge && this->d->attempts.targetsUsed() == 0) {
-        const Millis retry = this->d->context.spread(retryWhenFull);
+        const Millis retry = this->d->context.retryAfterStop(now);
         this->d->answerOwn(statusUnavailable, "the gateway stops", retry, Outcome::RefusedFull);
         return;
     }
-    this->d->endAttempt({AttemptEnd::DeadlineExceeded, TargetOutcome::Neutral}, Millis::monotonicNow());
+    this->d->endAttempt({AttemptEnd::DeadlineExceeded, TargetOutcome::Neutral}, now);
 }
 
 void GatewayExchange::callerGone()
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -54,10 +54,6 @@
 /** A gateway is not ready if the age of its proof exceeds this fraction of the maximum age for keys. */
 constexpr std::int64_t readyProofAgeNumerator = 3;
 constexpr std::int64_t readyProofAgeDenominator = 5;
-/** The fraction of the grace after which a planned stop ends the remaining requests; the rest is for their answers. */
-constexpr std::int64_t cutAfterNumerator = 15;
-constexpr std::int64_t cutAfterDenominator = 16;
-
 /** Callers may hold one in so many descriptors; each of their requests needs one for its target. */
 constexpr std::size_t callerDescriptorDenominator = 2;
 
@@ -122,6 +118,8 @@
     void endRequests();
     void finishStop(std::string_view how);
     bool isReady() const;
+    /** Whether enough is known to admit requests; a gateway that stops admits some, but is not ready. */
+    bool canAdmit() const;
     std::string metricsPage();
     void knowledgeChanged() override;
     void storeEraChanged(std::uint64_t era) override;
@@ -151,7 +149,6 @@
     Millis tickedAt;
     /** A start waits for the first reply of a peer until this time. */
     Millis awaitsReplyUntil;
-    std::optional<Millis> stopBegunAt;
     bool hasClosedIdle = false;
     bool hasEndedRequests = false;
     bool isStopped = false;
@@ -406,7 +403,7 @@
 
 void GatewayNode::Private::endStart()
 {
-    if (!this->context.isStarting || !this->isReady()) {
+    if (!this->context.isStarting || !this->canAdmit()) {
         return;
     }
     this->context.isStarting = false;
@@ -415,21 +412,29 @@
 
 void GatewayNode::Private::beginStop()
 {
-    if (this->stopBegunAt) {
+    if (this->context.stop.isBegun()) {
         return;
     }
-    this->stopBegunAt = Millis::monotonicNow();
-    this->context.isStopping = true;
-    this->log.info(LogPart::Main, "stop begun", {{"connections", std::to_string(this->callers.size())}});
+    const GatewayStopSettings &stop = this->context.settings.stop;
+    this->context.stop.begin({stop.grace, stop.notice}, Millis::monotonicNow());
+    this->peers.reportSoon();
+    const auto busy = std::count_if(this->callers.begin(), this->callers.end(), [](const auto &entry) {
+        return entry.second->isBusy() || entry.second->isReading();
+    });
+    this->log.info(LogPart::Main,
+                   "stop begun",
+                   {{"connections", std::to_string(this->callers.size())},
+                    {"busy", std::to_string(busy)},
+                    {"tunnels", std::to_string(this->tunnelServer.tunnelCount())},
+                    {"was_starting", this->context.isStarting ? "yes" : "no"}});
 }
 
 void GatewayNode::Private::tickStop(Millis now)
 {
-    if (!this->stopBegunAt || this->isStopped) {
+    const StopSchedule &stop = this->context.stop;
+    if (!stop.isBegun() || this->isStopped) {
         return;
     }
-    const Millis since = now - *this->stopBegunAt;
-    const GatewayStopSettings &stop = this->context.settings.stop;
     std::vector<std::shared_ptr<CallerConnection>> idle;
     std::size_t busy = 0;
     for (const auto &[raw, connection] : this->callers) {
@@ -439,7 +444,7 @@
             idle.push_back(connection);
         }
     }
-    if (since >= stop.notice) {
+    if (stop.isNoticeOver(now)) {
         if (!std::exchange(this->hasClosedIdle, true)) {
             this->listener->close();
         }
@@ -454,10 +459,9 @@
             return;
         }
     }
-    const Millis cutAfter = stop.grace * cutAfterNumerator / cutAfterDenominator;
-    if (since >= cutAfter && !std::exchange(this->hasEndedRequests, true)) {
+    if (now >= stop.cutAt() && !std::exchange(this->hasEndedRequests, true)) {
         this->endRequests();
-    } else if (since >= cutAfter + (stop.grace - cutAfter) / 2) {
+    } else if (now >= stop.endAt()) {
         this->finishStop(std::to_string(busy) + " connections cut at the end of the grace");
     }
 }
@@ -482,7 +486,12 @@
 
 bool GatewayNode::Private::isReady() const
 {
-    if (this->stopBegunAt || !this->context.table || this->known.targets.empty()) {
+    return !this->context.stop.isBegun() && this->canAdmit();
+}
+
+bool GatewayNode::Private::canAdmit() const
+{
+    if (!this->context.table || this->known.targets.empty()) {
         return false;
     }
     const Millis now = Millis::monotonicNow();
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -198,6 +198,11 @@
     return this->d->mesh.counters().totalSent;
 }
 
+void GatewayPeers::reportSoon()
+{
+    this->d->nextRoundAt = Millis{0};
+}
+
 void GatewayPeers::tick(Millis now)
 {
     this->d->recordChanges(now);
@@ -253,7 +258,7 @@
     report.storeAge = this->known.targets.hasMissing() ? Millis::never() : this->context.duty.knowledgeAge(now);
     report.targets = revisionOf(this->known.targets.revision());
     report.storeEra = eraOf(this->known.targets.revision());
-    report.leaving = this->context.isStopping;
+    report.leaving = this->context.stop.isBegun();
     report.isHub = directory.isHub(now);
     report.isResting = this->context.duty.mayFollowPeers(this->context.storeRole(now), now)
         || !this->context.duty.hasRecentStoreAnswer(now);
--- a/sequoiausher/transport/gateway/gatewaypeers.h
+++ b/sequoiausher/transport/gateway/gatewaypeers.h
@@ -57,6 +57,8 @@
 
     /** @throws Error(Step::Listen, address, ...) */
     void listen();
+    /** Sends the next reports with the next tick, because something changed that peers act on. */
+    void reportSoon();
     void tick(Millis now);
     /** Bytes sent to peers so far. */
     std::uint64_t sentBytes() const;
