Begin no request that a planned stop would cut off

Cause: a gateway that was asked to stop went on to serve whatever came on connections that it had promised to keep, and in its notice on new ones, whatever time that may take. It cuts off what is left after 15/16 of its grace: 7.5 s, where a route allows 15. Nothing asked how much was left.

Ruled out: last words that are lost (the 504 and 408 at the end of a grace arrive, 'what is left at the end of a stop's grace ...'). A stop within a start delayed requests, and lost none.

Change: a request is begun if it must end before the cut by its deadline. Otherwise it may outlast the process, and is begun only where its caller could hardly go elsewhere (in the notice, or while all known gateways stop) and requests of its route have lately ended in half of the time that is left. The rest is refused at once: not run, close, come back in 10 to 20 ms, by when another gateway takes the caller. A body that is still on its way is refused as soon as its request could not end in time, not at the end of the grace.

Its second case writes the rest of its body past FakeCaller::send, which drops the answer that is there: the refusal now comes before that rest.

--- a/sequoiausher/transport/gateway/callerconnection.cpp
+++ b/sequoiausher/transport/gateway/callerconnection.cpp
@@ -88,7 +88,7 @@
             this->refuse(statusOf(this->reader.fault()), std::string(nameOf(this->reader.fault())));
             break;
         }
-        if (this->reader.hasHead() && !this->admitBody()) {
+        if (this->refuseForStop() || (this->reader.hasHead() && !this->admitBody())) {
             break;
         }
         if (!this->reader.isComplete()) {
@@ -169,6 +169,32 @@
     this->readRequests();
 }
 
+bool CallerConnection::refuseForStop()
+{
+    if (!this->context.stop.isBegun() || !this->context.table || !this->hasBytes || !this->reader.hasHead()
+        || this->reader.isComplete()) {
+        return false;
+    }
+    const Millis now = Millis::monotonicNow();
+    try {
+        const CallerRequest request = this->context.dialect.readRequest(this->reader.head());
+        const GatewayRoute *route = this->context.table->find(request.host, this->reader.head().target);
+        if (route == nullptr) {
+            return false;
+        }
+        const Millis timeLeft = std::min(route->timeout, request.timeLeft.value_or(route->timeout));
+        if (this->context.mayBegin(*route, timeLeft, now)) {
+            return false;
+        }
+    } catch (const Error &) {
+        // The request is answered as unreadable once it is complete.
+        return false;
+    }
+    this->context.metrics.add("gateway_requests_refused_for_stop_total");
+    this->refuse(statusUnavailable, "the gateway stops", this->context.retryAfterStop(now));
+    return true;
+}
+
 void CallerConnection::sendContinueIfAwaited()
 {
     const bool isAwaited = this->reader.hasHead() && this->reader.bodySize() == 0
@@ -333,6 +359,9 @@
         ticked->tick(now);
         return;
     }
+    if (this->refuseForStop()) {
+        return;
+    }
     if (this->isWaitingForMemory) {
         this->tickWaitingBody(now);
     } else if (this->hasBytes) {
--- a/sequoiausher/transport/gateway/callerconnection.h
+++ b/sequoiausher/transport/gateway/callerconnection.h
@@ -92,6 +92,11 @@
     /** Follows the answer to a question for memory. @return whether the body may be read. */
     bool followBodyAdmission(BodyAdmission admission);
     void tickWaitingBody(Millis now);
+    /**
+     * Refuses a request whose body has not arrived yet, if a stop leaves it too little time, so that its caller goes
+     * elsewhere while it has time. @return whether it was refused.
+     */
+    bool refuseForStop();
     void sendContinueIfAwaited();
     void refuse(int status, const std::string &reason, std::optional<Millis> retryAfter = std::nullopt);
     void dropExchange();
--- a/sequoiausher/transport/gateway/gatewayadmission.cpp
+++ b/sequoiausher/transport/gateway/gatewayadmission.cpp
@@ -177,6 +177,12 @@
     time = std::min(time, this->admitted.request.timeLeft.value_or(time) - answerTransitTime);
     time = std::min(time, decided->deadline.value_or(time));
     this->admitted.deadline = this->receivedAt + time;
+    const Millis now = std::max(this->receivedAt, Millis::monotonicNow());
+    if (!this->context.mayBegin(*this->admitted.route, this->admitted.deadline - now, now)) {
+        this->context.metrics.add("gateway_requests_refused_for_stop_total");
+        return GatewayRefusal{
+            statusUnavailable, "the gateway stops", this->context.retryAfterStop(now), Outcome::RefusedFull};
+    }
     this->context.retryBudget.countRequest(
         this->admitted.service, this->context.retryBudgetFleet(this->receivedAt), this->receivedAt);
     if (decided->overload != Overload::Shed) {
--- a/sequoiausher/transport/gateway/plannedstoptest.cpp
+++ b/sequoiausher/transport/gateway/plannedstoptest.cpp
@@ -26,12 +26,12 @@
         return;
     }
     request.event(next);
-    QTimer::singleShot(static_cast<int>(eventInterval.count), [request, count, alive, next] {
-        sendEvents(request, count, alive, next + 1);
-    });
+    QTimer::singleShot(static_cast<int>(eventInterval.count),
+                       [request, count, alive, next] { sendEvents(request, count, alive, next + 1); });
 }
 
-/** A gateway whose streams may take far longer than the grace of its stop, and requests to plain targets that do not. */
+/** A gateway whose streams may take far longer than the grace of its stop, and requests to plain targets that do not.
+ */
 struct StopBed : GatewayTestbed
 {
     StopBed()
@@ -59,7 +59,8 @@
     {
         return this->targets.at("t1")->seen.size();
     }
-    /** Waits until the stop is over, and says whether the answer is whole or a refusal that came long before the end. */
+    /** Waits until the stop is over, and says whether the answer is whole or a refusal that came long before the end.
+     */
     static bool isRefused(const CallerReply &reply)
     {
         return reply.isWhole && reply.status == 503 && !reply.head.keepAlive && reply.head.headers.has("Retry-After");
@@ -103,9 +104,97 @@
     REQUIRE_FALSE(GatewayTestbed::waitFor([&] { return caller.reply.status != 0; }, Millis{100}));
     bed.node->stop();
     GatewayTestbed::waitFor([] { return false; }, notice * 2);
-    caller.send("1\r\ne\r\n0\r\n\r\n");
+    caller.stream->write("1\r\ne\r\n0\r\n\r\n");
     CHECK(GatewayTestbed::waitFor([&] { return caller.reply.isWhole || caller.reply.hasEnded; }, whole));
     CHECK(StopBed::isRefused(caller.reply));
     CHECK(bed.streamsBegun() == 0);
     CHECK(GatewayTestbed::waitFor([&] { return bed.isStopped; }, whole));
 }
+
+// Guards against a caller that sends a slow body to the end, and only then hears that it is too late to go elsewhere.
+TEST_CASE("a slow body is refused as soon as its request cannot end before the stop does")
+{
+    StopBed bed;
+    bed.start();
+    FakeCaller caller(bed.address());
+    caller.send(bed.stream("Content-Length: 9\r\n") + "abc");
+    REQUIRE_FALSE(GatewayTestbed::waitFor([&] { return caller.reply.status != 0; }, Millis{100}));
+    bed.node->stop();
+    const Millis begun = Millis::monotonicNow();
+    CHECK(GatewayTestbed::waitFor([&] { return caller.reply.isWhole; }, whole));
+    CHECK(Millis::monotonicNow() - begun < notice);
+    CHECK(StopBed::isRefused(caller.reply));
+    CHECK(GatewayTestbed::waitFor([&] { return bed.isStopped; }, whole));
+    CHECK(bed.streamsBegun() == 0);
+}
+
+TEST_CASE("a caller that asks whether to send its body hears at once that the gateway stops")
+{
+    StopBed bed;
+    bed.start();
+    bed.node->stop();
+    FakeCaller caller(bed.address());
+    caller.send(bed.stream("Content-Length: 9\r\nExpect: 100-continue\r\n"));
+    CHECK(GatewayTestbed::waitFor([&] { return caller.reply.isWhole; }, notice));
+    CHECK(StopBed::isRefused(caller.reply));
+}
+
+// Guards against a stop that refuses what it could have served.
+TEST_CASE("a request that ends before the stop does is served late in it, and closes its connection")
+{
+    StopBed bed;
+    bed.start();
+    FakeCaller streaming(bed.address());
+    FakeCaller pipelining(bed.address());
+    streaming.send(bed.stream());
+    REQUIRE(GatewayTestbed::waitFor([&] { return streaming.reply.status == 200; }));
+    pipelining.send(bed.stream());
+    REQUIRE(GatewayTestbed::waitFor([&] { return pipelining.reply.status == 200; }));
+    bed.node->stop();
+    REQUIRE(GatewayTestbed::waitFor([&] { return streaming.reply.isWhole && pipelining.reply.isWhole; }, whole));
+    streaming.send(bed.request("POST", "/desk/1", "Content-Length: 0\r\n"));
+    CHECK(GatewayTestbed::waitFor([&] { return streaming.reply.isWhole; }, whole));
+    CHECK(streaming.reply.status == 200);
+    CHECK(streaming.reply.body == "plate");
+    CHECK_FALSE(streaming.reply.head.keepAlive);
+    CHECK(GatewayTestbed::waitFor([&] { return bed.isStopped; }, whole));
+}
+
+TEST_CASE("streams that have lately ended far sooner than the stop does are still begun where nobody else goes on")
+{
+    StopBed bed;
+    bed.eventCount = 2;
+    bed.start();
+    for (int i = 0; i < 10; ++i) {
+        FakeCaller caller(bed.address());
+        caller.send(bed.stream());
+        REQUIRE(GatewayTestbed::waitFor([&] { return caller.reply.isWhole; }));
+    }
+    FakeCaller early(bed.address());
+    bed.node->stop();
+    early.send(bed.stream());
+    CHECK(GatewayTestbed::waitFor([&] { return early.reply.isWhole; }, whole));
+    CHECK(early.reply.status == 200);
+    CHECK(GatewayTestbed::waitFor([&] { return bed.isStopped; }, whole));
+}
+
+// Guards against requests that wait in vain because a stop that comes during the start keeps the gateway from ever
+// being ready.
+TEST_CASE("what arrived during a start is served although the gateway was asked to stop before it was ready")
+{
+    StopBed bed;
+    bed.holdStore();
+    bed.startWithoutWaiting();
+    FakeCaller caller(bed.address());
+    caller.send(bed.request("POST", "/desk/1", "Content-Length: 0\r\n"));
+    REQUIRE_FALSE(GatewayTestbed::waitFor([&] { return caller.reply.status != 0; }, Millis{100}));
+    bed.node->stop();
+    bed.node->stop();
+    const Millis begun = Millis::monotonicNow();
+    bed.releaseStore();
+    CHECK(GatewayTestbed::waitFor([&] { return caller.reply.isWhole; }, whole));
+    CHECK(caller.reply.status == 200);
+    CHECK(Millis::monotonicNow() - begun < Millis{700});
+    CHECK_FALSE(bed.node->isReady());
+    CHECK(GatewayTestbed::waitFor([&] { return bed.isStopped; }, whole));
+}
