Ask gateways that stop last for tunnels, and open none through them

A gateway that is cut off from a service sends its requests through others. A tunnel ends with the process that carries it, and then breaks off an answer at a gateway that does not stop at all. The reports of a gateway that stops say so, and nobody read that. Its peers ask it last and send nothing more over open tunnels, and it opens no new one while another gateway goes on; where all stop, it is as before.

--- a/sequoiausher/coordination/gateway/tunnelpeers.cpp
+++ b/sequoiausher/coordination/gateway/tunnelpeers.cpp
@@ -29,7 +29,7 @@
                                                 std::uint64_t draw,
                                                 Millis now) const
 {
-    using Ranked = std::tuple<bool, std::uint64_t, InstanceId>;
+    using Ranked = std::tuple<bool, bool, std::uint64_t, InstanceId>;
     const Millis longest = this->longestSilence(now);
     std::vector<Ranked> ranked;
     for (const GatewayMember &member : this->directory.members(now)) {
@@ -41,7 +41,8 @@
             continue;
         }
         const bool isFar = member.dataCentre != this->self && member.dataCentre != targetDataCentre;
-        ranked.emplace_back(isFar, hash64(member.instance.value, draw), member.instance);
+        const bool isLeaving = this->directory.isLeaving(member.instance);
+        ranked.emplace_back(isLeaving, isFar, hash64(member.instance.value, draw), member.instance);
     }
     std::sort(ranked.begin(), ranked.end());
     std::vector<InstanceId> all;
@@ -60,6 +61,9 @@
     if (failed != this->failedUntil.end() && now < failed->second) {
         return false;
     }
+    if (this->directory.isLeaving(peer) && this->directory.hasStayingPeer(now)) {
+        return false;
+    }
     return this->directory.silence(peer, now) <= this->longestSilence(now);
 }
 
--- a/sequoiausher/coordination/gateway/tunnelpeers.h
+++ b/sequoiausher/coordination/gateway/tunnelpeers.h
@@ -5,6 +5,9 @@
 // equally near ones the order is random, so that the requests of a gateway that is cut off spread over all that can
 // help.
 //
+// A gateway that is stopping ends its tunnels with its process, so it comes last, and open tunnels through it take no
+// further requests while another gateway goes on.
+//
 // Gateways do not report what they reach. One that is asked answers within a round trip, and its answer is newer than
 // any report could be; one that does not reach a service is not asked again for a while.
 //
--- a/sequoiausher/coordination/gateway/tunnelpeerstest.cpp
+++ b/sequoiausher/coordination/gateway/tunnelpeerstest.cpp
@@ -22,10 +22,11 @@
 /** A directory of gateways that all reported just now. */
 struct Fleet
 {
-    void add(int number, const DataCentreId &dataCentre, Millis at = now)
+    void add(int number, const DataCentreId &dataCentre, Millis at = now, bool isLeaving = false)
     {
         GatewayReport report;
         report.dataCentre = dataCentre;
+        report.leaving = isLeaving;
         this->directory.recordReport(gateway(number), report, at);
     }
 
@@ -100,3 +101,31 @@
     }
     CHECK(asked.size() > 140);
 }
+
+// Guards against requests that are broken off at their own gateway because another one, whose planned stop was known,
+// carried them.
+TEST_CASE("a gateway that stops is asked last, and takes no further requests over open tunnels")
+{
+    constexpr bool isLeaving = true;
+    Fleet fleet;
+    fleet.add(2, here, now, isLeaving);
+    SUBCASE("another one goes on")
+    {
+        fleet.add(3, DataCentreId{"elsewhere"});
+        CHECK(fleet.tunnels.candidates(desk, there, 1, now) == std::vector<InstanceId>{gateway(3), gateway(2)});
+        CHECK_FALSE(fleet.tunnels.isAlive(gateway(2), now));
+        CHECK(fleet.tunnels.isAlive(gateway(3), now));
+    }
+    SUBCASE("all stop")
+    {
+        fleet.add(3, here, now, isLeaving);
+        CHECK(fleet.tunnels.candidates(desk, there, 1, now).size() == 2);
+        CHECK(fleet.tunnels.isAlive(gateway(2), now));
+    }
+    SUBCASE("it has started again")
+    {
+        fleet.add(3, here);
+        fleet.add(2, here);
+        CHECK(fleet.tunnels.isAlive(gateway(2), now));
+    }
+}
