Go on taking connections in a stop while no other gateway goes on

A gateway that still answers requests keeps its listener while it knows of no other one that goes on; what it takes then must end before the cut, or usually does by far. One that has nothing in hand ends at once, as before. The test failed without it by construction: the connection after the notice was refused.

--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -444,7 +444,9 @@
             idle.push_back(connection);
         }
     }
-    if (stop.isNoticeOver(now)) {
+    // While all gateways stop, a caller that finds this one closed finds none.
+    const bool isNeeded = busy > 0 && now < stop.cutAt() && !this->context.peers.hasStayingPeer(now);
+    if (stop.isNoticeOver(now) && (this->hasClosedIdle || !isNeeded)) {
         if (!std::exchange(this->hasClosedIdle, true)) {
             this->listener->close();
         }
--- a/sequoiausher/transport/gateway/plannedstoptest.cpp
+++ b/sequoiausher/transport/gateway/plannedstoptest.cpp
@@ -198,3 +198,21 @@
     CHECK_FALSE(bed.node->isReady());
     CHECK(GatewayTestbed::waitFor([&] { return bed.isStopped; }, whole));
 }
+
+// Guards against a fleet that refuses all connections for the rest of the grace, because each of its gateways was asked
+// to stop, still answers a stream, and takes it that others take the callers.
+TEST_CASE("new callers are served after the notice while a stream goes on and no other gateway does")
+{
+    StopBed bed;
+    bed.eventCount = 1000;
+    bed.start();
+    FakeCaller streaming(bed.address());
+    streaming.send(bed.stream());
+    REQUIRE(GatewayTestbed::waitFor([&] { return streaming.reply.status == 200; }));
+    bed.node->stop();
+    GatewayTestbed::waitFor([] { return false; }, notice * 2);
+    const CallerReply late = bed.call("POST", "/desk/1", "Content-Length: 0\r\n");
+    CHECK(late.status == 200);
+    CHECK_FALSE(late.head.keepAlive);
+    CHECK(GatewayTestbed::waitFor([&] { return bed.isStopped; }, whole));
+}
