Expect of a request in a stop what others of its route lately took

In the notice a request is begun now where at most a tenth of the recent ones of its route lasted longer than what is left, those counted that still run; a caller that is refused then may meet the next gateway that stops with its last attempt. After the notice nothing is begun that could be cut off, but while all gateways stop: then where none lately took half of what is left.

--- a/sequoiausher/coordination/gateway/routedurations.cpp
+++ b/sequoiausher/coordination/gateway/routedurations.cpp
@@ -1,64 +1,57 @@
 #include "sequoiausher/coordination/gateway/routedurations.h"
 
-#include <algorithm>
+#include <cstddef>
+#include <iterator>
 
 namespace Sequoiausher {
 
 namespace {
 
-/** A duration counts for one to two windows. */
-constexpr Millis windowLength{15000};
-/** Of fewer whole answers the longest says little about the next. */
-constexpr std::size_t minWholeAnswers = 8;
+/** How long a duration says something about the next one. */
+constexpr Millis durationTtl{30000};
+/** The latest durations of a route that are kept. */
+constexpr std::size_t maxDurations = 64;
+/** A share of fewer requests says little. */
+constexpr std::size_t minDurations = 8;
 
 } // namespace
 
-void RouteDurations::Route::advance(Millis now)
-{
-    if (now >= this->windowStart + windowLength * 2) {
-        this->previous = {};
-    } else if (now >= this->windowStart + windowLength) {
-        this->previous = this->current;
-    } else {
-        return;
-    }
-    this->current = {};
-    this->windowStart = now;
-}
-
 void RouteDurations::begin(const std::string &route, Millis now)
 {
-    Route &state = this->routes[route];
-    state.advance(now);
-    state.running.insert(now);
+    this->routes[route].running.insert(now);
 }
 
 void RouteDurations::end(const std::string &route, Millis begunAt, bool isWhole, Millis now)
 {
     Route &state = this->routes[route];
-    state.advance(now);
     const auto found = state.running.find(begunAt);
     if (found != state.running.end()) {
         state.running.erase(found);
     }
-    state.current.longest = std::max(state.current.longest, now - begunAt);
-    state.current.whole += isWhole ? 1 : 0;
+    state.ended.push_back({now, now - begunAt, isWhole});
+    if (state.ended.size() > maxDurations) {
+        state.ended.pop_front();
+    }
 }
 
-std::optional<Millis> RouteDurations::longest(const std::string &route, Millis now) const
+std::optional<double> RouteDurations::shareLongerThan(Millis limit, const std::string &route, Millis now) const
 {
     const auto found = this->routes.find(route);
     if (found == this->routes.end()) {
         return std::nullopt;
     }
-    Route state{found->second.current, found->second.previous, found->second.windowStart, {}};
-    state.advance(now);
-    if (state.current.whole + state.previous.whole < minWholeAnswers) {
-        return std::nullopt;
-    }
     const std::multiset<Millis> &running = found->second.running;
-    const Millis oldest = running.empty() ? Millis{0} : now - *running.begin();
-    return std::max({state.current.longest, state.previous.longest, oldest});
+    auto longer = static_cast<std::size_t>(std::distance(running.begin(), running.lower_bound(now - limit)));
+    std::size_t count = longer;
+    for (const Ended &each : found->second.ended) {
+        const bool isLonger = each.duration > limit;
+        if (now - each.at < durationTtl && (isLonger || each.isWhole)) {
+            count += 1;
+            longer += isLonger ? 1 : 0;
+        }
+    }
+    return count < minDurations ? std::nullopt
+                                : std::optional(static_cast<double>(longer) / static_cast<double>(count));
 }
 
 } // namespace Sequoiausher
--- a/sequoiausher/coordination/gateway/routedurations.h
+++ b/sequoiausher/coordination/gateway/routedurations.h
@@ -6,11 +6,11 @@
 //     RouteDurations durations;
 //     durations.begin("r-12", now);
 //     durations.end("r-12", begunAt, isWhole, now);
-//     const std::optional<Millis> longest = durations.longest("r-12", now);
+//     const std::optional<double> share = durations.shareLongerThan(left, "r-12", now);
 
 #include "sequoiausher/base/millis.h"
 
-#include <cstddef>
+#include <deque>
 #include <optional>
 #include <set>
 #include <string>
@@ -18,7 +18,7 @@
 
 namespace Sequoiausher {
 
-/** Keeps the longest recent duration of each route. Not thread-safe. */
+/** Keeps the recent durations of each route. Not thread-safe. */
 class RouteDurations
 {
 public:
@@ -26,30 +26,27 @@
     void begin(const std::string &route, Millis now);
     /**
      * Records the end of a request that began at begunAt.
-     * @param isWhole whether it got its whole answer: others may have ended early.
+     * @param isWhole whether it got its whole answer; another one might have lasted longer.
      */
     void end(const std::string &route, Millis begunAt, bool isWhole, Millis now);
     /**
-     * The longest time that a request of the route took in the last half minute, or that one has been running for;
-     * absent if too few got a whole answer to tell.
+     * The fraction of the route's recent requests that took longer than the limit, or have been running for longer;
+     * absent if too few are known to tell. A request that ended early, or still runs, within the limit does not count.
      */
-    std::optional<Millis> longest(const std::string &route, Millis now) const;
+    std::optional<double> shareLongerThan(Millis limit, const std::string &route, Millis now) const;
 
 private:
-    struct Window
+    struct Ended
     {
-        Millis longest;
-        std::size_t whole = 0;
+        Millis at;
+        Millis duration;
+        bool isWhole = false;
     };
     struct Route
     {
-        Window current;
-        Window previous;
-        Millis windowStart;
+        std::deque<Ended> ended;
+        /** When each request began that still runs. */
         std::multiset<Millis> running;
-
-        /** Begins a new window if the current one is over. */
-        void advance(Millis now);
     };
 
     std::unordered_map<std::string, Route> routes;
--- a/sequoiausher/coordination/gateway/stopschedule.cpp
+++ b/sequoiausher/coordination/gateway/stopschedule.cpp
@@ -7,7 +7,9 @@
 /** The fraction of the grace after which the remaining requests are cut off. */
 constexpr std::int64_t cutAfterNumerator = 15;
 constexpr std::int64_t cutAfterDenominator = 16;
-/** The next request may last so many times as long as the longest lately. */
+/** The fraction of the requests begun in the notice that may be cut off, if they last as others did lately. */
+constexpr double maxOverrunShare = 0.1;
+/** After the notice a request may last so many times as long as any lately. */
 constexpr std::int64_t durationMargin = 2;
 
 } // namespace
@@ -55,10 +57,12 @@
     if (work.timeLeft <= left) {
         return true;
     }
-    if (hasSuccessor && this->isNoticeOver(now)) {
+    if (left <= Millis{0} || (hasSuccessor && this->isNoticeOver(now))) {
         return false;
     }
-    return work.longestLately && *work.longestLately * durationMargin <= left;
+    const bool isInNotice = !this->isNoticeOver(now);
+    const std::optional<double> overrun = work.shareLongerThan(isInNotice ? left : left / durationMargin);
+    return overrun && *overrun <= (isInNotice ? maxOverrunShare : 0);
 }
 
 } // namespace Sequoiausher
--- a/sequoiausher/coordination/gateway/stopschedule.h
+++ b/sequoiausher/coordination/gateway/stopschedule.h
@@ -2,19 +2,25 @@
 
 // Decides which work a gateway may still begin after it was asked to stop. Its process ends with the grace, whatever is
 // in flight then is cut off, and its caller cannot tell whether it has run. A request that is refused before it was
-// sent costs its caller one more attempt at a gateway that goes on.
+// sent costs its caller one more attempt, at a gateway that goes on.
 //
 //     StopSchedule stop;
 //     stop.begin({grace, notice}, now);
-//     if (!stop.mayBegin({deadline - now, durations.longest(route, now)}, hasSuccessor, now)) { refuse(); }
+//     const auto longer = [&](Millis limit) { return durations.shareLongerThan(limit, route, now); };
+//     if (!stop.mayBegin({deadline - now, longer}, hasSuccessor, now)) { refuse(); }
 //
-// A request whose deadline comes before the cut cannot be cut off: it is always taken. Any other one may last for
-// longer than the process, and is taken only while its caller might meet this gateway again, or another one that stops:
-// for the notice, and where no other gateway goes on. Then it counts as fitting if requests of its route have lately
-// ended in half of the time that is left.
+// A request whose deadline comes before the cut cannot be cut off: it is always begun. Any other one may last for
+// longer than the process.
+//
+// - In the notice its caller may be sent here again, or to another gateway that stops as well, and a refusal may be its
+//   last attempt. It is begun where few requests of its route have lately lasted for longer than the time that is left.
+// - After the notice a caller that is refused finds another gateway at once, so nothing is left to chance.
+// - Where no other gateway goes on there is none to find. It is begun where no request of its route has lately lasted
+//   for half of the time that is left.
 
 #include "sequoiausher/base/millis.h"
 
+#include <functional>
 #include <optional>
 
 namespace Sequoiausher {
@@ -33,8 +39,8 @@
 {
     /** The time until its caller or its route gives it up. */
     Millis timeLeft;
-    /** The longest that a request of its route took lately; absent if too few are known. */
-    std::optional<Millis> longestLately;
+    /** Returns the fraction of such requests that lately lasted for longer than the limit; absent if unknown. */
+    std::function<std::optional<double>(Millis limit)> shareLongerThan;
 };
 
 /** A planned stop. Not thread-safe. */
--- a/sequoiausher/transport/gateway/gatewaycontext.cpp
+++ b/sequoiausher/transport/gateway/gatewaycontext.cpp
@@ -122,9 +122,9 @@
 
 bool GatewayContext::mayBegin(const GatewayRoute &route, Millis timeLeft, Millis now) const
 {
+    const auto shareLongerThan = [&](Millis limit) { return this->durations.shareLongerThan(limit, route.name, now); };
     return !this->stop.isBegun()
-        || this->stop.mayBegin(
-            {timeLeft, this->durations.longest(route.name, now)}, this->peers.hasStayingPeer(now), now);
+        || this->stop.mayBegin({timeLeft, shareLongerThan}, this->peers.hasStayingPeer(now), now);
 }
 
 Millis GatewayContext::retryAfterStop(Millis now)
