Forget the durations of routes without requests

Each configuration may bring new routes, and a process lives through many: what was kept of a route stayed for good. A route that has had no request for half a minute is dropped when another one gets its first.

--- a/sequoiausher/coordination/gateway/routedurations.cpp
+++ b/sequoiausher/coordination/gateway/routedurations.cpp
@@ -1,6 +1,5 @@
 #include "sequoiausher/coordination/gateway/routedurations.h"
 
-#include <cstddef>
 #include <iterator>
 
 namespace Sequoiausher {
@@ -18,9 +17,23 @@
 
 void RouteDurations::begin(const std::string &route, Millis now)
 {
+    const auto found = this->routes.find(route);
+    if (found != this->routes.end()) {
+        found->second.running.insert(now);
+        return;
+    }
+    this->forgetUnused(now);
     this->routes[route].running.insert(now);
 }
 
+void RouteDurations::forgetUnused(Millis now)
+{
+    std::erase_if(this->routes, [now](const auto &entry) {
+        const Route &route = entry.second;
+        return route.running.empty() && (route.ended.empty() || now - route.ended.back().at >= durationTtl);
+    });
+}
+
 void RouteDurations::end(const std::string &route, Millis begunAt, bool isWhole, Millis now)
 {
     Route &state = this->routes[route];
@@ -34,6 +47,11 @@
     }
 }
 
+std::size_t RouteDurations::size() const
+{
+    return this->routes.size();
+}
+
 std::optional<double> RouteDurations::shareLongerThan(Millis limit, const std::string &route, Millis now) const
 {
     const auto found = this->routes.find(route);
--- a/sequoiausher/coordination/gateway/routedurations.h
+++ b/sequoiausher/coordination/gateway/routedurations.h
@@ -10,6 +10,7 @@
 
 #include "sequoiausher/base/millis.h"
 
+#include <cstddef>
 #include <deque>
 #include <optional>
 #include <set>
@@ -34,6 +35,8 @@
      * absent if too few are known to tell. A request that ended early, or still runs, within the limit does not count.
      */
     std::optional<double> shareLongerThan(Millis limit, const std::string &route, Millis now) const;
+    /** The number of routes that are kept. */
+    std::size_t size() const;
 
 private:
     struct Ended
@@ -49,6 +52,9 @@
         std::multiset<Millis> running;
     };
 
+    /** Configurations bring new routes for as long as the process lives. */
+    void forgetUnused(Millis now);
+
     std::unordered_map<std::string, Route> routes;
 };
 
--- a/sequoiausher/coordination/gateway/routedurationstest.cpp
+++ b/sequoiausher/coordination/gateway/routedurationstest.cpp
@@ -66,3 +66,18 @@
     answer(durations, 64, Millis{200}, Millis{100000});
     CHECK(durations.shareLongerThan(Millis{1000}, "talk", Millis{100000}) == 0.0);
 }
+
+// Guards against memory that grows with each route that a configuration ever had.
+TEST_CASE("routes without requests are forgotten")
+{
+    RouteDurations durations;
+    for (int i = 0; i < 1000; ++i) {
+        const Millis now{i * 1000L};
+        durations.begin("r-" + std::to_string(i), now);
+        durations.end("r-" + std::to_string(i), now, true, now);
+    }
+    CHECK(durations.size() <= 31);
+    durations.begin("talk", Millis{2000000});
+    durations.begin("look", Millis{3000000});
+    CHECK(durations.size() == 2);
+}
