Send no request to another target late in a stop that may be refused

A target that rejects a request late in a stop had it sent to another one, and the cut then left its caller not knowing whether it had run. A request that is known not to have run is refused like one that arrives then; one that may have run is sent on as before, since an answer that may still come is worth more than none. The new case of plannedstoptest fails without it: two rejections in place of one.

--- a/sequoiausher/coordination/gateway/requestattempts.cpp
+++ b/sequoiausher/coordination/gateway/requestattempts.cpp
@@ -28,7 +28,7 @@
     if (end == AttemptEnd::NotSent) {
         this->used -= 1;
     } else if (end != AttemptEnd::NotRun) {
-        this->mayHaveRun = this->mayHaveRun || mayHaveArrived;
+        this->hasPerhapsRun = this->hasPerhapsRun || mayHaveArrived;
     }
 }
 
@@ -36,7 +36,7 @@
 {
     AttemptState state;
     state.isIdempotent = this->bounds.isIdempotent;
-    state.mayHaveRun = this->mayHaveRun;
+    state.mayHaveRun = this->hasPerhapsRun;
     state.isAnswerBegun = isAnswerBegun;
     state.targetsUsed = this->used;
     state.mostTargets = this->bounds.mostTargets;
@@ -63,6 +63,11 @@
     return std::exchange(this->hasTakenRetry, false) || source.takeRetry(now);
 }
 
+bool RequestAttempts::mayHaveRun() const
+{
+    return this->hasPerhapsRun;
+}
+
 bool RequestAttempts::mayRunElsewhere() const
 {
     const bool hasAttemptsLeft = this->bounds.mayRetry && this->used < this->bounds.mostTargets;
--- a/sequoiausher/coordination/gateway/requestattempts.h
+++ b/sequoiausher/coordination/gateway/requestattempts.h
@@ -85,6 +85,8 @@
 
     /** Whether the request may be sent to another target although it may have run. */
     bool mayRunElsewhere() const;
+    /** Whether an attempt that has ended may have run the request. */
+    bool mayHaveRun() const;
     const std::vector<TargetId> &tried() const;
     /** The number of targets that the request was sent to, without those that received nothing. */
     std::uint32_t targetsUsed() const;
@@ -95,7 +97,7 @@
     AttemptBounds bounds;
     std::vector<TargetId> triedTargets;
     std::uint32_t used = 0;
-    bool mayHaveRun = false;
+    bool hasPerhapsRun = false;
     bool canResumeAnswer = true;
     /** The next retry has already been taken from the budget. */
     bool hasTakenRetry = false;
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -146,6 +146,8 @@
     bool isPathCut() const;
     WaitState waitState(Millis now) const;
     AnswerState answerState() const;
+    /** Whether the request is not at a target, has not run, and may not be sent to one because the gateway stops. */
+    bool isOutOfTimeByStop(Millis now) const;
     bool findTarget(Millis now) override;
     bool takeRetry(Millis now) override;
     bool setReading(bool on) override;
@@ -710,9 +712,16 @@
     this->follow(end, now);
 }
 
+bool GatewayExchange::Private::isOutOfTimeByStop(Millis now) const
+{
+    const bool isUntouched = !this->call && !this->answer.isBegun() && !this->attempts.mayHaveRun();
+    return isUntouched && !this->context.mayBegin(*this->admitted.route, this->admitted.deadline - now, now);
+}
+
 bool GatewayExchange::Private::findTarget(Millis now)
 {
-    this->candidate = this->crashGuard.mayRetry(now) ? this->chooseTarget(now) : std::nullopt;
+    const bool mayRetry = this->crashGuard.mayRetry(now) && !this->isOutOfTimeByStop(now);
+    this->candidate = mayRetry ? this->chooseTarget(now) : std::nullopt;
     return this->candidate.has_value();
 }
 
@@ -768,6 +777,11 @@
     if (this->refuseCrashing(now)) {
         return;
     }
+    if (this->isOutOfTimeByStop(now)) {
+        this->answerOwn(
+            statusUnavailable, "the gateway stops", this->context.retryAfterStop(now), Outcome::RefusedFull);
+        return;
+    }
     const IneligibilityCounts counts = this->context.board.countIneligible(this->criteria(now), now);
     this->lines.notes().passedOver = counts.text();
     const std::size_t evacuated = counts.count(Ineligibility::Evacuated);
--- a/sequoiausher/transport/gateway/plannedstoptest.cpp
+++ b/sequoiausher/transport/gateway/plannedstoptest.cpp
@@ -216,3 +216,30 @@
     CHECK_FALSE(late.head.keepAlive);
     CHECK(GatewayTestbed::waitFor([&] { return bed.isStopped; }, whole));
 }
+
+// Guards against a retry that is cut off with the process: a target rejects a request late in a stop, which may still
+// be refused as not run.
+TEST_CASE("a request that its target rejects late in a stop goes to no other target")
+{
+    StopBed bed;
+    bed.start();
+    FakeServer &first = *bed.targets.at("t1");
+    FakeServer &second = bed.addTarget("t2", "llm");
+    int rejections = 0;
+    const auto reject = [&rejections](FakeRequest &request) {
+        QTimer::singleShot(static_cast<int>((notice * 2).count), [request, &rejections] {
+            rejections += 1;
+            request.reply("503 Service Unavailable", "full", "X-Not-Run: 1\r\n");
+        });
+    };
+    first.answers = reject;
+    second.answers = reject;
+    FakeCaller caller(bed.address());
+    caller.send(bed.request("POST", "/talk/1", "Content-Length: 0\r\n"));
+    REQUIRE(GatewayTestbed::waitFor([&] { return first.seen.size() + second.seen.size() == 1; }));
+    bed.node->stop();
+    CHECK(GatewayTestbed::waitFor([&] { return caller.reply.isWhole; }, whole));
+    CHECK(rejections == 1);
+    CHECK(first.seen.size() + second.seen.size() == 1);
+    CHECK(StopBed::isRefused(caller.reply));
+}
