--- a/sequoiausher/transport/gateway/foreignanswertest.cpp
+++ b/sequoiausher/transport/gateway/foreignanswertest.cpp
@@ -91,13 +91,19 @@
     GatewayTestbed bed;
     bed.publish(GatewayTestbed::configuration());
     FakeServer &target = bed.addTarget("desk1", "desk");
-    target.answers = [](FakeRequest &request) {
+    int unasked = 0;
+    target.answers = [&unasked](FakeRequest &request) {
         request.reply("200 OK", "whole");
-        QTimer::singleShot(1, [request] { request.send(refusal); });
+        QTimer::singleShot(1, [request, &unasked] {
+            request.send(refusal);
+            unasked += 1;
+        });
     };
     bed.start();
     constexpr int calls = 6;
     for (int i = 1; i <= calls; ++i) {
         CHECK(bed.call("POST", "/desk/" + std::to_string(i), "Content-Length: 0\r\n").status == 200);
+        // Bytes that come after the next request was written look like its answer.
+        REQUIRE(GatewayTestbed::waitFor([&unasked, i] { return unasked == i; }));
     }
 }
