Make the limits of a stop's overruns settings

What a gateway may begin in a stop although it may outlast the process was two constants. A model that compares other limits would have to copy the decision. The defaults are the constants; nothing else changes.

--- a/sequoiausher/coordination/gateway/stopschedule.cpp
+++ b/sequoiausher/coordination/gateway/stopschedule.cpp
@@ -7,13 +7,13 @@
 /** The fraction of the grace after which the remaining requests are cut off. */
 constexpr std::int64_t cutAfterNumerator = 15;
 constexpr std::int64_t cutAfterDenominator = 16;
-/** The fraction of the requests begun in the notice that may be cut off, if they last as others did lately. */
-constexpr double maxOverrunShare = 0.1;
-/** After the notice a request may last so many times as long as any lately. */
-constexpr std::int64_t durationMargin = 2;
 
 } // namespace
 
+StopSchedule::StopSchedule(const OverrunLimits &given) : limits(given)
+{
+}
+
 void StopSchedule::begin(const StopTimes &given, Millis now)
 {
     if (!this->begunAt) {
@@ -61,8 +61,10 @@
         return false;
     }
     const bool isInNotice = !this->isNoticeOver(now);
-    const std::optional<double> overrun = work.shareLongerThan(isInNotice ? left : left / durationMargin);
-    return overrun && *overrun <= (isInNotice ? maxOverrunShare : 0);
+    const std::int64_t margin = isInNotice ? this->limits.marginInNotice : this->limits.marginAlone;
+    const double maxShare = isInNotice ? this->limits.maxShareInNotice : this->limits.maxShareAlone;
+    const std::optional<double> overrun = work.shareLongerThan(left / margin);
+    return overrun && *overrun <= maxShare;
 }
 
 } // namespace Sequoiausher
--- a/sequoiausher/coordination/gateway/stopschedule.h
+++ b/sequoiausher/coordination/gateway/stopschedule.h
@@ -20,6 +20,7 @@
 
 #include "sequoiausher/base/millis.h"
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 
@@ -43,10 +44,25 @@
     std::function<std::optional<double>(Millis limit)> shareLongerThan;
 };
 
+/** What may be begun although it may last for longer than the process. */
+struct OverrunLimits
+{
+    /** The fraction of a route's recent requests that may have lasted for longer than what is left, in the notice. */
+    double maxShareInNotice = 0.1;
+    /** In the notice a request counts as so many times as long as it was. */
+    std::int64_t marginInNotice = 1;
+    /** The fraction after the notice, where no other gateway goes on. */
+    double maxShareAlone = 0;
+    /** After the notice a request counts as so many times as long as it was. */
+    std::int64_t marginAlone = 2;
+};
+
 /** A planned stop. Not thread-safe. */
 class StopSchedule
 {
 public:
+    explicit StopSchedule(const OverrunLimits &limits = {});
+
     /** Begins the stop; a stop that has begun stays as it is. */
     void begin(const StopTimes &times, Millis now);
     bool isBegun() const;
@@ -64,6 +80,7 @@
     bool mayBegin(const ExpectedWork &work, bool hasSuccessor, Millis now) const;
 
 private:
+    OverrunLimits limits;
     StopTimes times;
     std::optional<Millis> begunAt;
 };
--- a/sequoiausher/coordination/gateway/stopscheduletest.cpp
+++ b/sequoiausher/coordination/gateway/stopscheduletest.cpp
@@ -85,3 +85,19 @@
         CHECK(stop.mayBegin({each.timeLeft, longer}, each.hasSuccessor, begun + each.after) == each.isBegun);
     }
 }
+
+// A model compares the shipped limits with others.
+TEST_CASE("the limits are settings")
+{
+    OverrunLimits limits;
+    limits.maxShareInNotice = 0.5;
+    limits.marginInNotice = 3;
+    StopSchedule stop(limits);
+    stop.begin({grace, notice}, begun);
+    const auto half = [](Millis limit) {
+        CHECK(limit == Millis{2500});
+        return std::optional(0.5);
+    };
+    CHECK(stop.mayBegin({Millis{15000}, half}, true, begun));
+    CHECK_FALSE(begunStop().mayBegin({Millis{15000}, [](Millis) { return std::optional(0.5); }}, true, begun));
+}
