Tell callers that a stop refuses when others take them

A caller that was refused in a stop was told to come back in 10 to 20 ms, or in one to two seconds where all gateways stop. It then met the same gateway, or the next that stops, with its last attempt: the balancer goes on sending there until the notice is over where no other gateway of the data centre goes on, and nobody takes it before a restart where all stop.

Retry-After counts from the moment at which others take the caller now: at once, from the end of the notice, or from the end of the grace. Where no other gateway of the data centre goes on, half of the recent requests of a route may have lasted longer than what is left, in place of a tenth: no refused caller finds a gateway there.

--- a/lab/model/stopunservedlimittest.cpp
+++ b/lab/model/stopunservedlimittest.cpp
@@ -18,7 +18,7 @@
                                   "told-by-deadline",
                                   "told-share-50",
                                   "told-resumable",
-                                  "neighbour-resumable"};
+                                  "shipped-resumable"};
 
 bool isCompared(const NamedStopPolicy &way)
 {
--- a/sequoiausher/coordination/gateway/peerdirectory.cpp
+++ b/sequoiausher/coordination/gateway/peerdirectory.cpp
@@ -407,9 +407,22 @@
 
 bool PeerDirectory::hasStayingPeer(Millis now) const
 {
-    return std::any_of(this->d->known.begin(), this->d->known.end(), [now](const auto &entry) {
-        return now - entry.second.lastSeenAt < memberTtl && !entry.second.isLeaving;
-    });
+    return this->successor(now) != StopSuccessor::None;
+}
+
+StopSuccessor PeerDirectory::successor(Millis now) const
+{
+    StopSuccessor best = StopSuccessor::None;
+    for (const auto &[peer, record] : this->d->known) {
+        if (now - record.lastSeenAt >= memberTtl || record.isLeaving) {
+            continue;
+        }
+        if (record.dataCentre == this->d->dataCentre) {
+            return StopSuccessor::Neighbour;
+        }
+        best = StopSuccessor::Elsewhere;
+    }
+    return best;
 }
 
 std::vector<GatewayMember> PeerDirectory::members(Millis now) const
--- a/sequoiausher/coordination/gateway/peerdirectory.h
+++ b/sequoiausher/coordination/gateway/peerdirectory.h
@@ -16,6 +16,7 @@
 
 #include "sequoiausher/base/identifiers.h"
 #include "sequoiausher/base/millis.h"
+#include "sequoiausher/coordination/gateway/stopschedule.h"
 #include "sequoiausher/coordination/messages/gatewaymessages.h"
 
 #include <cstddef>
@@ -84,6 +85,8 @@
     bool isLeaving(const InstanceId &peer) const;
     /** Whether a gateway was seen within a few seconds that did not state that it is stopping. */
     bool hasStayingPeer(Millis now) const;
+    /** Which gateways that do not stop were seen within a few seconds. */
+    StopSuccessor successor(Millis now) const;
     /** Whether the peer's last report stated that it is a hub. */
     bool statedHub(const InstanceId &peer) const;
     /** The peers whose last report stated that they are hubs. */
--- a/sequoiausher/coordination/gateway/stopschedule.cpp
+++ b/sequoiausher/coordination/gateway/stopschedule.cpp
@@ -1,5 +1,7 @@
 #include "sequoiausher/coordination/gateway/stopschedule.h"
 
+#include <algorithm>
+
 namespace Sequoiausher {
 
 namespace {
@@ -48,7 +50,16 @@
     return this->begunAt ? this->cutAt() + (*this->begunAt + this->times.grace - this->cutAt()) / 2 : Millis::never();
 }
 
-bool StopSchedule::mayBegin(const ExpectedWork &work, bool hasSuccessor, Millis now) const
+Millis StopSchedule::timeUntilTaken(StopSuccessor successor, Millis now) const
+{
+    if (!this->begunAt || successor == StopSuccessor::Neighbour) {
+        return Millis{0};
+    }
+    const Millis span = successor == StopSuccessor::Elsewhere ? this->times.notice : this->times.grace;
+    return std::max(*this->begunAt + span - now, Millis{0});
+}
+
+bool StopSchedule::mayBegin(const ExpectedWork &work, StopSuccessor successor, Millis now) const
 {
     if (!this->isBegun()) {
         return true;
@@ -57,12 +68,16 @@
     if (work.timeLeft <= left) {
         return true;
     }
-    if (left <= Millis{0} || (hasSuccessor && this->isNoticeOver(now))) {
+    const bool isInNotice = !this->isNoticeOver(now);
+    if (left <= Millis{0} || (successor != StopSuccessor::None && !isInNotice)) {
         return false;
     }
-    const bool isInNotice = !this->isNoticeOver(now);
+    double maxShare = this->limits.maxShareAlone;
+    if (isInNotice) {
+        maxShare = successor == StopSuccessor::Neighbour ? this->limits.maxShareInNotice
+                                                         : this->limits.maxShareWithoutNeighbour;
+    }
     const std::int64_t margin = isInNotice ? this->limits.marginInNotice : this->limits.marginAlone;
-    const double maxShare = isInNotice ? this->limits.maxShareInNotice : this->limits.maxShareAlone;
     const std::optional<double> overrun = work.shareLongerThan(left / margin);
     return overrun && *overrun <= maxShare;
 }
--- a/sequoiausher/coordination/gateway/stopschedule.h
+++ b/sequoiausher/coordination/gateway/stopschedule.h
@@ -7,18 +7,20 @@
 //     StopSchedule stop;
 //     stop.begin({grace, notice}, now);
 //     const auto longer = [&](Millis limit) { return durations.shareLongerThan(limit, route, now); };
-//     if (!stop.mayBegin({deadline - now, longer}, hasSuccessor, now)) { refuse(); }
+//     if (!stop.mayBegin({deadline - now, longer}, StopSuccessor::Neighbour, now)) { refuse(); }
 //
 // A request whose deadline comes before the cut cannot be cut off: it is always begun. Any other one may last for
 // longer than the process.
 //
 // - In the notice its caller may be sent here again, or to another gateway that stops as well, and a refusal may be its
-//   last attempt. It is begun where few requests of its route have lately lasted for longer than the time that is left.
+//   last attempt. It is begun where few requests of its route have lately lasted for longer than the time that is left;
+//   not so few where no other gateway of the data centre goes on, since callers are sent to those that stop.
 // - After the notice a caller that is refused finds another gateway at once, so nothing is left to chance.
 // - Where no other gateway goes on there is none to find. It is begun where no request of its route has lately lasted
 //   for half of the time that is left.
 
 #include "sequoiausher/base/millis.h"
+#include "sequoiausher/base/nametable.h"
 
 #include <cstdint>
 #include <functional>
@@ -44,11 +46,29 @@
     std::function<std::optional<double>(Millis limit)> shareLongerThan;
 };
 
+/** Which gateways are known that do not stop. */
+enum class StopSuccessor {
+    /** One of the same data centre: callers are sent there. */
+    Neighbour,
+    /** One of another data centre: callers are sent there once the platform knows of the stop. */
+    Elsewhere,
+    None,
+};
+
+template<>
+inline constexpr auto nameTable<StopSuccessor> = std::to_array<NameEntry<StopSuccessor>>({
+    {StopSuccessor::Neighbour, "neighbour"},
+    {StopSuccessor::Elsewhere, "elsewhere"},
+    {StopSuccessor::None, "none"},
+});
+
 /** What may be begun although it may last for longer than the process. */
 struct OverrunLimits
 {
     /** The fraction of a route's recent requests that may have lasted for longer than what is left, in the notice. */
     double maxShareInNotice = 0.1;
+    /** The same where no other gateway of the data centre goes on. */
+    double maxShareWithoutNeighbour = 0.5;
     /** In the notice a request counts as so many times as long as it was. */
     std::int64_t marginInNotice = 1;
     /** The fraction after the notice, where no other gateway goes on. */
@@ -73,11 +93,13 @@
     Millis cutAt() const;
     /** When the process ends at the latest. */
     Millis endAt() const;
+    /** Whether the work may be begun; always true before the stop. */
+    bool mayBegin(const ExpectedWork &work, StopSuccessor successor, Millis now) const;
     /**
-     * Whether the work may be begun; always true before the stop.
-     * @param hasSuccessor whether another gateway is known that does not stop.
+     * How long a refused caller shall wait at least, until others take it: not at all, until the notice is over, or
+     * until this gateway may have started again.
      */
-    bool mayBegin(const ExpectedWork &work, bool hasSuccessor, Millis now) const;
+    Millis timeUntilTaken(StopSuccessor successor, Millis now) const;
 
 private:
     OverrunLimits limits;
--- a/sequoiausher/transport/gateway/gatewaycontext.cpp
+++ b/sequoiausher/transport/gateway/gatewaycontext.cpp
@@ -10,9 +10,9 @@
 
 /** The weight of one answer in the moving average, which covers about twenty answers. */
 constexpr double timeWeight = 0.05;
-/** Retry-After if this gateway stops: another one takes the caller at once. */
+/** Retry-After of a refusal in a stop, from the moment at which another gateway takes the caller. */
 constexpr Millis retryElsewhere{10};
-/** Retry-After if all gateways stop: the first of them may be back. */
+/** The same where all gateways stop, from the end of the grace: this one may be ready again. */
 constexpr Millis retryWhenAllStop{1000};
 
 bool hasBytesLeft(const std::weak_ptr<ByteStream> &closed)
@@ -123,13 +123,14 @@
 bool GatewayContext::mayBegin(const GatewayRoute &route, Millis timeLeft, Millis now) const
 {
     const auto shareLongerThan = [&](Millis limit) { return this->durations.shareLongerThan(limit, route.name, now); };
-    return !this->stop.isBegun()
-        || this->stop.mayBegin({timeLeft, shareLongerThan}, this->peers.hasStayingPeer(now), now);
+    return !this->stop.isBegun() || this->stop.mayBegin({timeLeft, shareLongerThan}, this->peers.successor(now), now);
 }
 
 Millis GatewayContext::retryAfterStop(Millis now)
 {
-    return this->spread(this->peers.hasStayingPeer(now) ? retryElsewhere : retryWhenAllStop);
+    const StopSuccessor successor = this->peers.successor(now);
+    return this->stop.timeUntilTaken(successor, now)
+        + this->spread(successor == StopSuccessor::None ? retryWhenAllStop : retryElsewhere);
 }
 
 CallerLimits GatewayContext::callerLimits() const
