Show that a gateway out of step takes an old version for the only one

What callers saw, by a report of other operators: while targets of a new version joined, streams that had begun at them broke, were taken up at a gateway that was cut off or had stood still, and went on at the old version.

The test plays it without sockets in fleets of 3, 7, 40 and 300: cut off from its peers and hearing the store late, standing still, reading a message that had waited, and reaching only gateways that are as late.

--- a/sequoiausher/coordination/gateway/streamoriginstest.cpp
+++ b/sequoiausher/coordination/gateway/streamoriginstest.cpp
@@ -52,6 +52,8 @@
     PeerDirectory peers;
     StreamOrigins origins;
     bool isAlive = true;
+    /** Messages from and to it are lost. */
+    bool isCutOff = false;
     /** It does not know the messages about origins, as gateways of the last release. */
     bool isOld = false;
 };
@@ -60,13 +62,16 @@
 class Fleet
 {
 public:
-    explicit Fleet(std::size_t size, const StreamOriginSettings &settings = {}) : with(settings)
+    explicit Fleet(std::size_t size,
+                   const StreamOriginSettings &settings = {},
+                   const std::vector<std::string> &versions = {"v1", "v2"})
+        : with(settings)
     {
         for (std::size_t i = 0; i < size; ++i) {
             this->add();
         }
         this->introduceAll();
-        this->setTargets({"v1", "v2"}, Millis{0});
+        this->setTargets(versions, Millis{0});
     }
 
     Gateway &add()
@@ -114,12 +119,27 @@
         return found != this->gateways.end() ? found->get() : nullptr;
     }
 
+    /** The gateway learns what the store listed at that moment; its list was complete up to then. */
+    void hear(Gateway &by, Millis /*asOf*/)
+    {
+        by.origins.recordContact(this->now);
+    }
+
+    void hearAll()
+    {
+        for (const auto &gateway : this->gateways) {
+            this->hear(*gateway, this->now);
+        }
+    }
+
     void deliver(const InstanceId &from, const Outbox &outbox)
     {
+        const Gateway *sender = this->find(from);
         for (const Outgoing &out : outbox) {
             this->sent += 1;
             Gateway *to = this->find(out.to);
-            if (to != nullptr && to->isAlive && !to->isOld) {
+            const bool isCut = to != nullptr && (to->isCutOff || (sender != nullptr && sender->isCutOff));
+            if (to != nullptr && to->isAlive && !to->isOld && !isCut) {
                 const Outbox replies = to->origins.receive(from, std::get<GatewayStreamOrigin>(out.message), this->now);
                 this->deliver(to->name, replies);
             }
@@ -331,6 +351,53 @@
     CHECK(fleet.ask(fresh, keyOf(1)) == only);
 }
 
+// Guards against a stream that goes on at another version, at a gateway that was out of step while targets of a new
+// version joined: nobody who has the record answers, and the gateway's own list is older than the stream.
+TEST_CASE("a gateway out of step takes no version for the only one while a new one joins")
+{
+    enum class OutOfStep {
+        /** Cut off from its peers; an answer of the store arrives whose call began before the new version joined. */
+        HearsStoreLate,
+        /** It stood still for less than two seconds, and nothing has arrived since. */
+        StoodStill,
+        /** It stood still, and reads a message that waited in its socket. */
+        ReadsQueuedMessage,
+        /** It hears the store late, and reaches gateways that are as late and were not told. */
+        AmongOthersAsLate,
+    };
+    for (const std::size_t size : {3, 7, 40, 300}) {
+        for (const OutOfStep how : {OutOfStep::HearsStoreLate,
+                                    OutOfStep::StoodStill,
+                                    OutOfStep::ReadsQueuedMessage,
+                                    OutOfStep::AmongOthersAsLate}) {
+            CAPTURE(size);
+            CAPTURE(static_cast<int>(how));
+            Fleet fleet(size, {}, {"v1"});
+            Gateway &late = *fleet.gateways[0];
+            Gateway &teller = *fleet.gateways[1];
+            fleet.hearAll();
+            late.isCutOff = true;
+            const Millis heardAt = fleet.now;
+            fleet.now += Millis{1000};
+            teller.origins.setTargets(targetsOf({"v1", "v2"}), fleet.now);
+            fleet.hear(teller, fleet.now);
+            const std::vector<InstanceId> told = fleet.record(teller, keyOf(1), "v2");
+            fleet.now += Millis{900};
+            if (how == OutOfStep::AmongOthersAsLate) {
+                late.isCutOff = false;
+                teller.isAlive = false;
+                for (const InstanceId &each : told) {
+                    fleet.find(each)->isAlive = fleet.find(each) == &late;
+                }
+            }
+            if (how != OutOfStep::StoodStill) {
+                fleet.hear(late, heardAt + Millis{500});
+            }
+            CHECK(fleet.ask(late, keyOf(1)).kind == OriginFindingKind::Unknown);
+        }
+    }
+}
+
 // Guards against another organisation that learns of a stream, or binds one, by naming its attempt.
 TEST_CASE("a stream is known to its own organisation only")
 {
