Take a version for the only one by a list proven up to the question

What callers saw: at a gateway out of step while targets of a new version joined, a stream that had begun at the new version went on at the old one, where nobody who had its record answered in 150 ms.

Cause: "only one version" was believed of a list of any age. Any message of a peer, and any answer of the store read within 1.5 s, counted as a proof at the moment at which it was read, whatever it rested on; one "only" of a peer outweighed all missing answers, undated. A stream is always younger than such a list can be.

Ruled out: hypothesis "only gateways out of step".

Change: a proof is a moment: the start of the store's answer, or our report that a peer echoes less the age of what it knows (StoreDuty has both, for positions that the list has reached). The list must be proven up to the question itself, since the stream began before it; that proof comes after the question, so the question waits for it, for a second at most, and a gateway that follows others asks the hubs meanwhile. After a gap of over two seconds between proofs, and after the store was restored from a copy, what is proven begins anew. A peer's "only" covers the time before a gateway started, up to the moment that the answer is dated for (its age goes in the span of the answer, which was unused; 0, as gateways of the last release say, proves nothing). A missing answer proves nothing either way. A target that one answer of the store writes and removes counts as seen. Services whose targets name no version go by a proof of the last two seconds, as before.

Tests that stated the unsafe rule are replaced. The table of answers let one undated "only" of a peer decide: now each of its cases is played with and without a proof of the asker's own list, and has four more rows.

--- a/sequoiausher/coordination/gateway/storeduty.cpp
+++ b/sequoiausher/coordination/gateway/storeduty.cpp
@@ -184,6 +184,11 @@
     return std::min(ageOf(this->storeAnsweredAt, now), ageOf(this->knownByPeersAt, now));
 }
 
+Millis StoreDuty::knownUpTo() const
+{
+    return std::max(this->storeAnsweredAt, this->knownByPeersAt);
+}
+
 bool StoreDuty::mayShareKnowledge(Millis now) const
 {
     return this->knowledgeAge(now) < this->followerMaxAge();
--- a/sequoiausher/coordination/gateway/storeduty.h
+++ b/sequoiausher/coordination/gateway/storeduty.h
@@ -102,6 +102,8 @@
     bool hasRecentStoreAnswer(Millis now) const;
     /** The age of this gateway's knowledge, whichever gateway read it; never() where it has none. */
     Millis knowledgeAge(Millis now) const;
+    /** The moment up to which the list is known to show all targets, whichever gateway read it; 0 without one. */
+    Millis knownUpTo() const;
     /** Whether the knowledge is young enough to be reported to others. */
     bool mayShareKnowledge(Millis now) const;
     /** The age of the proof that the configuration is up to date at which this gateway requests a new one. */
--- a/sequoiausher/coordination/gateway/streamorigins.cpp
+++ b/sequoiausher/coordination/gateway/streamorigins.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <map>
-#include <optional>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -16,6 +15,9 @@
 /** The key by whose rendezvous order the keepers of a large fleet are chosen. */
 constexpr std::uint64_t keeperKey = 0x6b656570657273;
 
+/** An older list is not told to others as one that shows a single version. */
+constexpr Millis maxSharedProofAge{2000};
+
 struct StreamKeyHash
 {
     std::size_t operator()(const StreamKey &key) const
@@ -51,8 +53,13 @@
         OriginQuestion asked;
         Found found;
         std::set<InstanceId> open;
-        Millis until;
-        OriginFinding best;
+        Millis at;
+        /** Versions that the lists of others have shown. */
+        std::set<std::string> versions;
+        /** Another gateway has seen several versions, or there are several records. */
+        bool hasSeveral = false;
+        /** Up to when the lists of others prove that there was one version; 0 for not at all. */
+        Millis provenUpTo;
     };
 
     Private(PeerDirectory &directory, const StreamOriginSettings &with) : peers(directory), settings(with)
@@ -64,9 +71,17 @@
     void keep(const StreamKey &key, const StreamOrigin &origin, Millis ttl, Millis now);
     void drop(std::unordered_map<StreamKey, Kept, StreamKeyHash>::iterator entry);
     OriginFinding findOwn(const OriginQuestion &question, Millis now) const;
-    /** Adds what another gateway found out to what is known. */
-    static void merge(OriginFinding &best, const OriginFinding &finding);
-    void finish(std::map<StreamKey, std::vector<Question>>::iterator entry, std::size_t index);
+    /** What is known by now: Unknown as long as a proof is missing. */
+    OriginFinding conclude(const Question &question, Millis now) const;
+    /** Whether lists show all versions since the first moment at which the stream may have begun. */
+    bool isCovered(const Question &question) const;
+    /** Whether nothing that may still arrive can help. */
+    bool isOver(const Question &question, const OriginFinding &finding, Millis now) const;
+    void ask(Question question, Millis now);
+    /** Ends the questions about a stream that are over. */
+    void finishOver(const StreamKey &key, Millis now);
+    void
+    finish(std::map<StreamKey, std::vector<Question>>::iterator entry, std::size_t index, const OriginFinding &finding);
 
     PeerDirectory &peers;
     StreamOriginSettings settings;
@@ -75,6 +90,11 @@
     std::set<std::pair<Millis, StreamKey>> expiries;
     /** Several attempts may ask about one stream. */
     std::map<StreamKey, std::vector<Question>> questions;
+    /**
+     * When others were first asked about a stream. An answer names no question, so it counts as the answer to the first
+     * one.
+     */
+    std::map<StreamKey, Millis> firstAskedAt;
 };
 
 std::vector<InstanceId> StreamOrigins::Private::others(const StreamKey &key, std::size_t count, Millis now) const
@@ -119,32 +139,72 @@
         }
         return {OriginFindingKind::Recorded, origin.service, origin.softwareVersion};
     }
-    return this->history.findOnly(question.service, question.span, now);
+    return this->history.findOnly(question.service, {now - question.span, now - maxSharedProofAge}, now);
 }
 
-void StreamOrigins::Private::merge(OriginFinding &best, const OriginFinding &finding)
+OriginFinding StreamOrigins::Private::conclude(const Question &question, Millis now) const
 {
-    if (best.kind == OriginFindingKind::Several || finding.kind == OriginFindingKind::Unknown) {
-        return;
+    const PoolId &service = question.asked.service;
+    const Millis from = question.at - question.asked.span;
+    std::set<std::string> versions = this->history.versionsSince(service, from);
+    versions.insert(question.versions.begin(), question.versions.end());
+    OriginFinding finding;
+    if (question.hasSeveral || versions.size() > 1) {
+        finding = {OriginFindingKind::Several, service, {}};
+    } else if (versions.size() == 1 && this->isCovered(question)
+               && this->history.isProvenUpTo(service, question.at, now)) {
+        finding = {OriginFindingKind::Only, service, *versions.begin()};
     }
-    const bool differs = best.kind == OriginFindingKind::Only && finding.kind == OriginFindingKind::Only
-        && best.softwareVersion != finding.softwareVersion;
-    if (differs) {
-        best.kind = OriginFindingKind::Several;
-        best.softwareVersion.clear();
-    } else {
-        best = finding;
+    return finding;
+}
+
+bool StreamOrigins::Private::isCovered(const Question &question) const
+{
+    // The list of a gateway that has just started shows what came after the time that another's list proves.
+    return this->history.isProvenSince(question.asked.service, question.at - question.asked.span)
+        || this->history.provenSince() <= question.provenUpTo;
+}
+
+bool StreamOrigins::Private::isOver(const Question &question, const OriginFinding &finding, Millis now) const
+{
+    const bool mayBeAnswered = !question.open.empty() && now < question.at + this->settings.answerTimeout;
+    const bool mayBeProven = finding.kind == OriginFindingKind::Unknown && this->isCovered(question)
+        && !this->history.isProvenUpTo(question.asked.service, question.at, now)
+        && now < question.at + this->settings.proofTimeout;
+    return !mayBeAnswered && !mayBeProven;
+}
+
+void StreamOrigins::Private::ask(Question question, Millis now)
+{
+    const StreamKey key = question.asked.key;
+    this->questions[key].push_back(std::move(question));
+    this->finishOver(key, now);
+}
+
+void StreamOrigins::Private::finishOver(const StreamKey &key, Millis now)
+{
+    auto entry = this->questions.find(key);
+    for (std::size_t i = 0; entry != this->questions.end() && i < entry->second.size();) {
+        const OriginFinding finding = this->conclude(entry->second[i], now);
+        if (this->isOver(entry->second[i], finding, now)) {
+            this->finish(entry, i, finding);
+            entry = this->questions.find(key);
+        } else {
+            ++i;
+        }
     }
 }
 
-void StreamOrigins::Private::finish(std::map<StreamKey, std::vector<Question>>::iterator entry, std::size_t index)
+void StreamOrigins::Private::finish(std::map<StreamKey, std::vector<Question>>::iterator entry,
+                                    std::size_t index,
+                                    const OriginFinding &finding)
 {
     const Question question = std::move(entry->second[index]);
     entry->second.erase(entry->second.begin() + static_cast<std::ptrdiff_t>(index));
     if (entry->second.empty()) {
         this->questions.erase(entry);
     }
-    question.found(question.best);
+    question.found(finding);
 }
 
 StreamOrigins::StreamOrigins(PeerDirectory &peers, const StreamOriginSettings &settings)
@@ -159,9 +219,19 @@
     this->d->history.setTargets(targets, now);
 }
 
-void StreamOrigins::recordContact(Millis now)
+void StreamOrigins::recordWritten(const GatewayTarget &target, Millis now)
+{
+    this->d->history.recordWritten(target, now);
+}
+
+void StreamOrigins::recordProof(Millis at)
 {
-    this->d->history.recordContact(now);
+    this->d->history.recordProof(at);
+}
+
+void StreamOrigins::recordRestore()
+{
+    this->d->history.recordRestore();
 }
 
 Outbox StreamOrigins::record(const StreamKey &key, const StreamOrigin &origin, Millis ttl, Millis now)
@@ -181,10 +251,9 @@
 
 Outbox StreamOrigins::find(const OriginQuestion &question, Millis now, Found found)
 {
-    const OriginFinding own = this->d->findOwn(question, now);
     const auto kept = this->d->origins.find(question.key);
     if (kept != this->d->origins.end() && now < kept->second.expiresAt) {
-        found(own);
+        found(this->d->findOwn(question, now));
         return {};
     }
     const bool asksAll = this->d->peers.members(now).size() < this->d->settings.askAllFleetSize;
@@ -199,10 +268,6 @@
             }
         }
     }
-    if (others.empty()) {
-        found(own);
-        return {};
-    }
     Outbox outbox;
     for (const InstanceId &other : others) {
         GatewayStreamOrigin message;
@@ -212,17 +277,22 @@
         message.span = question.span;
         outbox.push_back({other, message});
     }
-    this->d->questions[question.key].push_back({question,
-                                                std::move(found),
-                                                std::set<InstanceId>(others.begin(), others.end()),
-                                                now + this->d->settings.answerTimeout,
-                                                own});
+    if (!others.empty()) {
+        this->d->firstAskedAt.try_emplace(question.key, now);
+    }
+    this->d->ask({question, std::move(found), std::set<InstanceId>(others.begin(), others.end()), now, {}, false, {}},
+                 now);
     return outbox;
 }
 
-OriginFinding StreamOrigins::findOnly(const PoolId &service, Millis span, Millis now) const
+void StreamOrigins::findOnly(const PoolId &service, Millis span, Millis now, Found found)
+{
+    this->d->ask({{{}, service, span}, std::move(found), {}, now, {}, false, {}}, now);
+}
+
+bool StreamOrigins::awaitsProof() const
 {
-    return this->d->history.findOnly(service, span, now);
+    return !this->d->questions.empty();
 }
 
 Outbox StreamOrigins::receive(const InstanceId &from, const GatewayStreamOrigin &message, Millis now)
@@ -236,6 +306,11 @@
         answer.purpose = StreamOriginPurpose::Answer;
         answer.key = message.key;
         answer.finding = this->d->findOwn({message.key, message.finding.service, message.span}, now);
+        const Millis provenUpTo = this->d->history.provenUpTo();
+        if (answer.finding.kind == OriginFindingKind::Only && provenUpTo != Millis{0}) {
+            // One more than the age: gateways of the last release prove nothing, and say 0.
+            answer.span = now - provenUpTo + Millis{1};
+        }
         return {{from, answer}};
     }
     case StreamOriginPurpose::Answer:
@@ -245,28 +320,29 @@
     if (entry == this->d->questions.end()) {
         return {};
     }
-    const bool isRecorded = message.finding.kind == OriginFindingKind::Recorded;
-    std::vector<std::size_t> ended;
+    const OriginFinding &finding = message.finding;
+    const auto firstAskedAt = this->d->firstAskedAt.find(message.key);
     for (std::size_t i = 0; i < entry->second.size(); ++i) {
         Private::Question &question = entry->second[i];
         if (question.open.erase(from) == 0) {
             continue;
         }
-        if (isRecorded) {
-            question.best = message.finding;
-        } else {
-            Private::merge(question.best, message.finding);
-        }
-        if (isRecorded || question.open.empty()) {
-            ended.push_back(i);
-        }
-    }
-    for (auto index = ended.rbegin(); index != ended.rend(); ++index) {
-        const auto still = this->d->questions.find(message.key);
-        if (still != this->d->questions.end() && *index < still->second.size()) {
-            this->d->finish(still, *index);
+        if (finding.kind == OriginFindingKind::Several) {
+            question.hasSeveral = true;
+        } else if (finding.kind == OriginFindingKind::Only) {
+            question.versions.insert(finding.softwareVersion);
+            const bool isInTime = now < question.at + this->d->settings.proofTimeout;
+            if (isInTime && message.span > Millis{0} && firstAskedAt != this->d->firstAskedAt.end()) {
+                const Millis provenUpTo = firstAskedAt->second + Millis{1} - message.span;
+                question.provenUpTo = std::max(question.provenUpTo, provenUpTo);
+            }
+        } else if (finding.kind == OriginFindingKind::Recorded) {
+            this->d->finish(entry, i, finding);
+            // Each of the questions about this stream is answered by its record.
+            return this->receive(from, message, now);
         }
     }
+    this->d->finishOver(message.key, now);
     return {};
 }
 
@@ -275,23 +351,16 @@
     while (!this->d->expiries.empty() && this->d->expiries.begin()->first <= now) {
         this->d->drop(this->d->origins.find(this->d->expiries.begin()->second));
     }
-    std::vector<StreamKey> overdue;
-    for (const auto &[key, asked] : this->d->questions) {
-        if (std::any_of(asked.begin(), asked.end(), [now](const auto &one) { return now >= one.until; })) {
-            overdue.push_back(key);
-        }
+    std::vector<StreamKey> asked;
+    for (const auto &[key, questions] : this->d->questions) {
+        asked.push_back(key);
     }
-    for (const StreamKey &key : overdue) {
-        auto entry = this->d->questions.find(key);
-        for (std::size_t i = 0; entry != this->d->questions.end() && i < entry->second.size();) {
-            if (now >= entry->second[i].until) {
-                this->d->finish(entry, i);
-                entry = this->d->questions.find(key);
-            } else {
-                ++i;
-            }
-        }
+    for (const StreamKey &key : asked) {
+        this->d->finishOver(key, now);
     }
+    std::erase_if(this->d->firstAskedAt, [this, now](const auto &first) {
+        return now - first.second >= this->d->settings.maxTtl && !this->d->questions.contains(first.first);
+    });
 }
 
 std::size_t StreamOrigins::size() const
--- a/sequoiausher/coordination/gateway/streamorigins.h
+++ b/sequoiausher/coordination/gateway/streamorigins.h
@@ -8,6 +8,10 @@
 // kept, and no gateway has to be asked about an earlier word of another. What may be missing is a copy: then nobody
 // knows, and a stream whose version is not known does not go on unless there was only one.
 //
+// That there was only one is proven by this gateway's own list, once it is known to be complete up to the moment at
+// which the question was put: the stream began before it, at a target that was listed before. That proof always comes
+// later than the question, so the question waits for it for a while.
+//
 //     StreamOrigins origins(peers);
 //     send(origins.record(key, {service, "v1.2"}, timeLeft, now));          // with the first event
 //     send(origins.find({key, service, span}, now, [](const OriginFinding &finding) { ... }));
@@ -45,6 +49,8 @@
     std::size_t keepers = 32;
     /** Without all answers after this time, what is known by then decides. */
     Millis answerTimeout{150};
+    /** So long after the question the own list has to be proven complete up to the question. */
+    Millis proofTimeout{1000};
     /** No origin is kept for longer, whatever its teller says. */
     Millis maxTtl{120000};
     /** Beyond so many, the one that would be forgotten first is dropped. */
@@ -76,8 +82,12 @@
     ~StreamOrigins();
 
     void setTargets(const std::vector<GatewayTarget> &targets, Millis now);
-    /** Records that the store or a peer was heard; as in VersionHistory. */
-    void recordContact(Millis now);
+    /** A target was written, which may be removed before the next list; as in VersionHistory. */
+    void recordWritten(const GatewayTarget &target, Millis now);
+    /** Records that the list shows all targets that were written up to that moment; as in VersionHistory. */
+    void recordProof(Millis at);
+    /** Records that the store was restored from a copy. */
+    void recordRestore();
     /**
      * Records which service and version send the first event of a stream, for as long as its caller may take it up.
      * @return what to tell other gateways, before the caller gets the event.
@@ -85,8 +95,10 @@
     Outbox record(const StreamKey &key, const StreamOrigin &origin, Millis ttl, Millis now);
     /** Finds the origin; found is called once, maybe at once. @return what to ask other gateways. */
     Outbox find(const OriginQuestion &question, Millis now, Found found);
-    /** The only version that the service had within the span, by this gateway's own list. */
-    OriginFinding findOnly(const PoolId &service, Millis span, Millis now) const;
+    /** Finds the only version that the service had within the span, by this gateway's own list, maybe at once. */
+    void findOnly(const PoolId &service, Millis span, Millis now, Found found);
+    /** Whether a question waits for a proof of the list, so that other gateways should be asked for one. */
+    bool awaitsProof() const;
     /** Processes a message of another gateway. @return the answer to it, if it is a question. */
     Outbox receive(const InstanceId &from, const GatewayStreamOrigin &message, Millis now);
     /** Ends questions that were not answered in time, and forgets old origins. */
--- a/sequoiausher/coordination/gateway/streamoriginstest.cpp
+++ b/sequoiausher/coordination/gateway/streamoriginstest.cpp
@@ -72,6 +72,19 @@
         }
         this->introduceAll();
         this->setTargets(versions, Millis{0});
+        this->hearUntil(start);
+    }
+
+    /** All gateways hear the store, as often as they do with a calm one. */
+    void hearUntil(Millis until)
+    {
+        for (const auto &gateway : this->gateways) {
+            for (Millis at = this->heardAt; at < until; at += Millis{1000}) {
+                hear(*gateway, at);
+            }
+            hear(*gateway, until);
+        }
+        this->heardAt = until;
     }
 
     Gateway &add()
@@ -120,16 +133,9 @@
     }
 
     /** The gateway learns what the store listed at that moment; its list was complete up to then. */
-    void hear(Gateway &by, Millis /*asOf*/)
+    static void hear(Gateway &by, Millis asOf)
     {
-        by.origins.recordContact(this->now);
-    }
-
-    void hearAll()
-    {
-        for (const auto &gateway : this->gateways) {
-            this->hear(*gateway, this->now);
-        }
+        by.origins.recordProof(asOf);
     }
 
     void deliver(const InstanceId &from, const Outbox &outbox)
@@ -172,6 +178,12 @@
             CHECK_FALSE(result);
             by.origins.tick(this->now + Millis{150});
         }
+        if (!result) {
+            // Its list has not been proven up to the question.
+            by.origins.tick(this->now + Millis{999});
+            CHECK_FALSE(result);
+            by.origins.tick(this->now + Millis{1000});
+        }
         REQUIRE(result);
         return *result;
     }
@@ -183,6 +195,8 @@
 
     StreamOriginSettings with;
     Millis now = start;
+    /** Up to when all gateways have heard the store. */
+    Millis heardAt{1};
     std::vector<std::unique_ptr<Gateway>> gateways;
     std::size_t sent = 0;
     int waited = 0;
@@ -275,7 +289,8 @@
 }
 
 // Guards against a wrong word of a gateway whose list of targets is out of date: a record is right whatever such a list
-// shows, and who has seen several versions is not overruled by who has not.
+// shows, who has seen several versions is not overruled by who has not, and who has seen one proves nothing for the
+// time after its own proof, which only the list of the gateway that asks can show.
 TEST_CASE("a record decides before what lists show, and several versions before one")
 {
     const InstanceId stale{"s"};
@@ -284,10 +299,16 @@
         message.purpose = StreamOriginPurpose::Answer;
         message.key = keyOf(1);
         message.finding = {kind, engines, version};
+        // What it says is proven up to the question.
+        message.span = Millis{kind == OriginFindingKind::Only ? 1 : 0};
         return message;
     };
     const GatewayStreamOrigin recorded = answer(OriginFindingKind::Recorded, "v2");
     const GatewayStreamOrigin onlyOld = answer(OriginFindingKind::Only, "v1");
+    GatewayStreamOrigin onlyOldUndated = onlyOld;
+    onlyOldUndated.span = Millis{0};
+    GatewayStreamOrigin onlyOldBefore = onlyOld;
+    onlyOldBefore.span = Millis{502};
     const GatewayStreamOrigin onlyNew = answer(OriginFindingKind::Only, "v2");
     const GatewayStreamOrigin several = answer(OriginFindingKind::Several, "");
     const GatewayStreamOrigin unknown = answer(OriginFindingKind::Unknown, "");
@@ -310,25 +331,41 @@
         // Not all have answered when the time is over.
         {{onlyOld}, onlyOld.finding},
         {{}, {}},
+        // A gateway of the last release, and a list that was proven before the own one was known.
+        {{onlyOldUndated}, {}},
+        {{onlyOldUndated, onlyNew}, isSeveral},
+        {{onlyOldBefore}, {}},
+        {{onlyOldBefore, onlyOld}, onlyOld.finding},
     };
     for (const Case &one : cases) {
-        Fleet fleet(3);
-        Gateway &asker = *fleet.gateways[0];
-        StreamOrigins fresh(asker.peers);
-        std::optional<OriginFinding> result;
-        const Outbox asked
-            = fresh.find({keyOf(1), engines, span}, start, [&result](const OriginFinding &found) { result = found; });
-        REQUIRE(asked.size() == 2);
-        for (std::size_t i = 0; i < one.answers.size(); ++i) {
-            fresh.receive(asked[i].to, one.answers[i], start);
-            // An answer that comes twice, or from somebody who was not asked, counts for nothing.
-            fresh.receive(asked[i].to, onlyNew, start);
-            fresh.receive(stale, onlyNew, start);
+        for (const bool isProven : {true, false}) {
+            CAPTURE(isProven);
+            Fleet fleet(3);
+            Gateway &asker = *fleet.gateways[0];
+            StreamOrigins fresh(asker.peers);
+            // It has started half a second ago.
+            fresh.setTargets(targetsOf({"v1"}), start - Millis{500});
+            fresh.recordProof(start - Millis{500});
+            std::optional<OriginFinding> result;
+            const Outbox asked = fresh.find(
+                {keyOf(1), engines, span}, start, [&result](const OriginFinding &found) { result = found; });
+            REQUIRE(asked.size() == 2);
+            for (std::size_t i = 0; i < one.answers.size(); ++i) {
+                fresh.receive(asked[i].to, one.answers[i], start);
+                // An answer that comes twice, or from somebody who was not asked, counts for nothing.
+                fresh.receive(asked[i].to, onlyNew, start);
+                fresh.receive(stale, onlyNew, start);
+            }
+            fresh.tick(start + Millis{150});
+            const bool needsProof = one.result.kind == OriginFindingKind::Only;
+            REQUIRE(result.has_value() == !needsProof);
+            fresh.recordProof(isProven ? start : start - Millis{1});
+            fresh.tick(start + Millis{1000});
+            REQUIRE(result);
+            const OriginFinding expected = needsProof && !isProven ? OriginFinding{} : one.result;
+            CHECK(result->kind == expected.kind);
+            CHECK(result->softwareVersion == expected.softwareVersion);
         }
-        fresh.tick(start + Millis{150});
-        REQUIRE(result);
-        CHECK(result->kind == one.result.kind);
-        CHECK(result->softwareVersion == one.result.softwareVersion);
     }
 }
 
@@ -342,11 +379,13 @@
     CHECK(fleet.ask(*fleet.gateways[0], keyOf(1)).kind == OriginFindingKind::Several);
     fleet.now = start + span;
     fleet.introduceAll();
+    fleet.hearUntil(fleet.now);
     const OriginFinding only = fleet.ask(*fleet.gateways[0], keyOf(1));
     CHECK(only == OriginFinding{OriginFindingKind::Only, engines, "v2"});
     // A gateway that has just started is told by the others.
     Gateway &fresh = fleet.add();
     fresh.origins.setTargets(targetsOf({"v2"}), fleet.now);
+    Fleet::hear(fresh, fleet.now);
     fleet.introduceAll();
     CHECK(fleet.ask(fresh, keyOf(1)) == only);
 }
@@ -375,12 +414,11 @@
             Fleet fleet(size, {}, {"v1"});
             Gateway &late = *fleet.gateways[0];
             Gateway &teller = *fleet.gateways[1];
-            fleet.hearAll();
             late.isCutOff = true;
             const Millis heardAt = fleet.now;
             fleet.now += Millis{1000};
             teller.origins.setTargets(targetsOf({"v1", "v2"}), fleet.now);
-            fleet.hear(teller, fleet.now);
+            Fleet::hear(teller, fleet.now);
             const std::vector<InstanceId> told = fleet.record(teller, keyOf(1), "v2");
             fleet.now += Millis{900};
             if (how == OutOfStep::AmongOthersAsLate) {
@@ -391,13 +429,83 @@
                 }
             }
             if (how != OutOfStep::StoodStill) {
-                fleet.hear(late, heardAt + Millis{500});
+                Fleet::hear(late, heardAt + Millis{500});
             }
             CHECK(fleet.ask(late, keyOf(1)).kind == OriginFindingKind::Unknown);
         }
     }
 }
 
+// The proof that a list is complete up to a question comes after it: the question waits, and is answered with the
+// proof.
+TEST_CASE("with one version a stream goes on as soon as the list is proven up to the question")
+{
+    for (const std::size_t size : {1, 3, 7, 40, 300}) {
+        CAPTURE(size);
+        Fleet fleet(size, {}, {"v1"});
+        fleet.now = start + Millis{200};
+        Gateway &asker = *fleet.gateways[0];
+        std::optional<OriginFinding> result;
+        const auto found = [&result](const OriginFinding &finding) { result = finding; };
+        fleet.deliver(asker.name, asker.origins.find({keyOf(1), engines, span}, fleet.now, found));
+        asker.origins.tick(fleet.now + Millis{300});
+        CHECK_FALSE(result);
+        CHECK(asker.origins.awaitsProof());
+        Fleet::hear(asker, fleet.now - Millis{1});
+        asker.origins.tick(fleet.now + Millis{400});
+        CHECK_FALSE(result);
+        Fleet::hear(asker, fleet.now);
+        asker.origins.tick(fleet.now + Millis{500});
+        REQUIRE(result);
+        CHECK(*result == OriginFinding{OriginFindingKind::Only, engines, "v1"});
+        CHECK_FALSE(asker.origins.awaitsProof());
+    }
+}
+
+// Guards against a new version that shows in the list while a question waits for its proof.
+TEST_CASE("a version that joins before the list is proven counts")
+{
+    Fleet fleet(7, {}, {"v1"});
+    fleet.now = start + Millis{200};
+    Gateway &asker = *fleet.gateways[0];
+    std::optional<OriginFinding> result;
+    const auto found = [&result](const OriginFinding &finding) { result = finding; };
+    asker.origins.findOnly(engines, span, fleet.now, found);
+    CHECK_FALSE(result);
+    asker.origins.setTargets(targetsOf({"v1", "v2"}), fleet.now);
+    Fleet::hear(asker, fleet.now);
+    asker.origins.tick(fleet.now);
+    REQUIRE(result);
+    CHECK(result->kind == OriginFindingKind::Several);
+}
+
+// Guards against an answer that waited in a socket and counts for a later question about the same stream.
+TEST_CASE("an answer to an earlier question proves no more than it did then")
+{
+    Fleet fleet(3);
+    StreamOrigins fresh(fleet.gateways[0]->peers);
+    std::vector<OriginFinding> results;
+    const auto found = [&results](const OriginFinding &finding) { results.push_back(finding); };
+    const Outbox asked = fresh.find({keyOf(1), engines, span}, start, found);
+    REQUIRE(asked.size() == 2);
+    fresh.tick(start + Millis{1000});
+    REQUIRE(results.size() == 1);
+    fresh.setTargets(targetsOf({"v1"}), start + Millis{1500});
+    fresh.recordProof(start + Millis{1500});
+    const Millis later = start + Millis{2000};
+    CHECK(fresh.find({keyOf(1), engines, span}, later, found).size() == 2);
+    GatewayStreamOrigin answer;
+    answer.purpose = StreamOriginPurpose::Answer;
+    answer.key = keyOf(1);
+    answer.finding = {OriginFindingKind::Only, engines, "v1"};
+    answer.span = Millis{1};
+    fresh.receive(asked[0].to, answer, later);
+    fresh.recordProof(later);
+    fresh.tick(later + Millis{1000});
+    REQUIRE(results.size() == 2);
+    CHECK(results[1].kind == OriginFindingKind::Unknown);
+}
+
 // Guards against another organisation that learns of a stream, or binds one, by naming its attempt.
 TEST_CASE("a stream is known to its own organisation only")
 {
--- a/sequoiausher/coordination/gateway/versionhistory.cpp
+++ b/sequoiausher/coordination/gateway/versionhistory.cpp
@@ -1,13 +1,20 @@
 #include "sequoiausher/coordination/gateway/versionhistory.h"
 
+#include <algorithm>
+
 namespace Sequoiausher {
 
 namespace {
 
 /** A version that no target has had for so long is forgotten; no caller takes up a stream after that time. */
 constexpr Millis versionTtl{600000};
-/** After so long without contact, targets of a version that is not listed here may have begun streams. */
-constexpr Millis maxSilence{2000};
+/**
+ * Between two proofs that are further apart, a target may have joined and its entry lapsed; an entry that is not
+ * renewed stays for this long.
+ */
+constexpr Millis maxProofGap{2000};
+/** Where no target names a version, the list counts for so long after its proof. */
+constexpr Millis maxUnnamedProofAge{2000};
 
 } // namespace
 
@@ -33,31 +40,84 @@
     std::erase_if(this->services, [](const auto &entry) { return entry.second.empty(); });
 }
 
-void VersionHistory::recordContact(Millis now)
+void VersionHistory::recordWritten(const GatewayTarget &target, Millis now)
 {
-    this->contactAt = now;
+    Seen &seen = this->services[target.service][target.softwareVersion];
+    seen.until = now;
 }
 
-OriginFinding VersionHistory::findOnly(const PoolId &service, Millis span, Millis now) const
+void VersionHistory::recordProof(Millis at)
 {
-    const auto known = this->services.find(service);
-    OriginFinding finding;
-    finding.service = service;
-    if (known == this->services.end()) {
-        return finding;
+    if (at <= this->lastProofAt) {
+        return;
+    }
+    if (!this->firstProofAt || at - this->lastProofAt > maxProofGap) {
+        this->firstProofAt = at;
     }
-    std::vector<std::string> recent;
-    for (const auto &[version, seen] : known->second) {
-        if (seen.isListed || now - seen.until < span) {
-            recent.push_back(version);
+    this->lastProofAt = at;
+}
+
+void VersionHistory::recordRestore()
+{
+    this->firstProofAt.reset();
+}
+
+bool VersionHistory::hasNoNames(const PoolId &service) const
+{
+    const auto known = this->services.find(service);
+    return known != this->services.end()
+        && std::all_of(known->second.begin(), known->second.end(), [](const auto &seen) { return seen.first.empty(); });
+}
+
+std::set<std::string> VersionHistory::versionsSince(const PoolId &service, Millis from) const
+{
+    std::set<std::string> versions;
+    const auto known = this->services.find(service);
+    if (known != this->services.end()) {
+        for (const auto &[version, seen] : known->second) {
+            if (seen.isListed || seen.until > from) {
+                versions.insert(version);
+            }
         }
     }
-    if (recent.size() > 1) {
+    return versions;
+}
+
+bool VersionHistory::isProvenUpTo(const PoolId &service, Millis to, Millis now) const
+{
+    if (this->hasNoNames(service) && this->lastProofAt != Millis{0} && now - this->lastProofAt <= maxUnnamedProofAge) {
+        return true;
+    }
+    return this->firstProofAt && this->lastProofAt >= to;
+}
+
+bool VersionHistory::isProvenSince(const PoolId &service, Millis from) const
+{
+    const bool isKnown = this->knownSince && *this->knownSince <= from;
+    return isKnown && (this->hasNoNames(service) || this->provenSince() <= from);
+}
+
+Millis VersionHistory::provenSince() const
+{
+    return this->firstProofAt.value_or(Millis::never());
+}
+
+Millis VersionHistory::provenUpTo() const
+{
+    return this->firstProofAt ? this->lastProofAt : Millis{0};
+}
+
+OriginFinding VersionHistory::findOnly(const PoolId &service, const BeginTime &time, Millis now) const
+{
+    const std::set<std::string> versions = this->versionsSince(service, time.from);
+    OriginFinding finding;
+    finding.service = service;
+    if (versions.size() > 1) {
         finding.kind = OriginFindingKind::Several;
-    } else if (recent.size() == 1 && this->knownSince && now - *this->knownSince >= span
-               && (!this->contactAt || now - *this->contactAt <= maxSilence)) {
+    } else if (versions.size() == 1 && this->isProvenSince(service, time.from)
+               && this->isProvenUpTo(service, time.to, now)) {
         finding.kind = OriginFindingKind::Only;
-        finding.softwareVersion = recent.front();
+        finding.softwareVersion = *versions.begin();
     }
     return finding;
 }
--- a/sequoiausher/coordination/gateway/versionhistory.h
+++ b/sequoiausher/coordination/gateway/versionhistory.h
@@ -1,10 +1,16 @@
 #pragma once
 
-// Which software versions the targets of each service have had lately, as far as one gateway's list of targets shows.
+// Which software versions the targets of each service have had lately, as far as one gateway's list of targets shows,
+// and for which time the list is proven to show all of them.
+//
+// A proof is a moment up to which the list is complete: the start of the store's answer that it rests on, or the report
+// of this gateway that a peer's word answers, less the age of what the peer knows. When the proof arrives makes no
+// difference, so an answer that waited in a socket proves no more than one that was read at once.
 //
 //     VersionHistory history;
 //     history.setTargets(list.targets(), now);
-//     const OriginFinding finding = history.findOnly(service, Millis{30000}, now);
+//     history.recordProof(duty.knownUpTo());
+//     const OriginFinding finding = history.findOnly(service, {now - Millis{30000}, now}, now);
 
 #include "sequoiausher/base/identifiers.h"
 #include "sequoiausher/base/millis.h"
@@ -13,28 +19,49 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace Sequoiausher {
 
+/** A time in which a stream may have begun. */
+struct BeginTime
+{
+    Millis from;
+    Millis to;
+};
+
 /** Not thread-safe. */
 class VersionHistory
 {
 public:
     /** Replaces the list of targets. */
     void setTargets(const std::vector<GatewayTarget> &targets, Millis now);
+    /** A target was written; another change of the same answer may remove it before the list is replaced. */
+    void recordWritten(const GatewayTarget &target, Millis now);
     /**
-     * Records that the store or a peer was heard, so the list shows all targets up to then. Without it, as in a gateway
-     * that has neither, the list counts as up to date.
+     * Records that the list shows all targets that were written up to that moment. After a longer time without proof,
+     * targets may have come and gone unseen, so what is proven begins anew.
      */
-    void recordContact(Millis now);
+    void recordProof(Millis at);
+    /** Records that the store was restored from a copy, which may lack targets that serve. */
+    void recordRestore();
     /**
-     * Whether all targets that the service has had within the span had one version: Only with that version, Several, or
-     * Unknown if the list has been known for less than the
-     * span, or neither the store nor a peer was heard for some time: others may have a version that is not listed here.
+     * Whether all targets that can have begun a stream of the service in that time had one version: Only with that
+     * version, Several, or Unknown where the list is not proven for the whole time.
      */
-    OriginFinding findOnly(const PoolId &service, Millis span, Millis now) const;
+    OriginFinding findOnly(const PoolId &service, const BeginTime &time, Millis now) const;
+    /** The versions that the service's targets have had since then, as far as the list shows. */
+    std::set<std::string> versionsSince(const PoolId &service, Millis from) const;
+    /** Whether the list is proven up to that moment; a service without named versions needs a younger proof only. */
+    bool isProvenUpTo(const PoolId &service, Millis to, Millis now) const;
+    /** Whether the list is proven from that moment on. */
+    bool isProvenSince(const PoolId &service, Millis from) const;
+    /** Since when the list is proven without a gap; never() without a proof. */
+    Millis provenSince() const;
+    /** Up to when the list is proven; 0 without a proof. */
+    Millis provenUpTo() const;
 
 private:
     struct Seen
@@ -44,8 +71,12 @@
         Millis until;
     };
 
+    /** Whether no target of the service has named a version. */
+    bool hasNoNames(const PoolId &service) const;
+
     std::optional<Millis> knownSince;
-    std::optional<Millis> contactAt;
+    std::optional<Millis> firstProofAt;
+    Millis lastProofAt;
     std::map<PoolId, std::map<std::string, Seen>> services;
 };
 
--- a/sequoiausher/transport/gateway/gatewayknowledge.cpp
+++ b/sequoiausher/transport/gateway/gatewayknowledge.cpp
@@ -153,6 +153,7 @@
                                {"unproven_until_revision", std::to_string(newest)}});
     this->restored.recordRestore(newest, now);
     this->known.targets.storeRestored(now);
+    this->context.origins.recordRestore();
 }
 
 void GatewayKnowledge::Private::storeRestored(std::uint64_t era)
@@ -279,6 +280,7 @@
 void GatewayKnowledge::Private::targetWritten(const GatewayTarget &target, Revision at)
 {
     this->context.board.recordCold(target.id, target.coldFor, Millis::monotonicNow());
+    this->context.origins.recordWritten(target, Millis::monotonicNow());
     this->known.targets.put(target, at);
     this->noteChange(target.id.value + (target.isLeaving ? " leaves" : " written"));
 }
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -26,6 +26,8 @@
 constexpr Millis newerPushInterval{250};
 /** A link on which nothing arrives for this long has failed; several reports are due in this time. */
 constexpr Millis linkSilence{1500};
+/** How often the peers that read the store are asked while a taken-up stream waits for a proof. */
+constexpr Millis proofAskInterval{100};
 constexpr Millis maxRedialPause{800};
 /** A gateway whose link has been down for this long is gone, or cut off from its targets too. */
 constexpr Millis maxLinkOutage{500};
@@ -110,6 +112,8 @@
     void receive(const InstanceId &from, const GatewayReport &report);
     void receive(const Document &document, const InstanceId &from);
     void sendReports(Millis now);
+    /** Asks who reads the store how far it is known, where a taken-up stream waits for that. */
+    void askForProof(Millis now);
     GatewayReport reportFor(const InstanceId &peer, Millis now);
     void addEvacuations(GatewayReport &report, const InstanceId &peer) const;
     /** Merges the reported evacuations. @return whether the peer and this gateway now know the same ones. */
@@ -167,6 +171,7 @@
     /** The peers whose links are down, and since when. */
     std::map<InstanceId, Millis> lostLinks;
     Millis nextRoundAt;
+    Millis nextProofAskAt;
     std::uint64_t round = 0;
 };
 
@@ -207,6 +212,7 @@
 {
     this->d->recordChanges(now);
     this->d->context.admissionClient.tick(now);
+    this->d->askForProof(now);
     if (now >= this->d->nextRoundAt) {
         this->d->nextRoundAt = now + reportInterval;
         this->d->followPeers();
@@ -246,6 +252,21 @@
     this->round += 1;
 }
 
+void GatewayPeers::Private::askForProof(Millis now)
+{
+    if (now < this->nextProofAskAt || !this->context.origins.awaitsProof()
+        || this->context.duty.hasRecentStoreAnswer(now)) {
+        return;
+    }
+    this->nextProofAskAt = now + proofAskInterval;
+    const std::vector<InstanceId> hubs = this->context.peers.statedHubs();
+    for (const InstanceId &peer : hubs.empty() ? this->wanted : hubs) {
+        GatewayReport report = this->reportFor(peer, now);
+        report.wantsReply = true;
+        this->mesh.send(peer, std::move(report));
+    }
+}
+
 GatewayReport GatewayPeers::Private::reportFor(const InstanceId &peer, Millis now)
 {
     const PeerDirectory &directory = this->context.peers;
@@ -368,7 +389,6 @@
 void GatewayPeers::Private::receive(const InstanceId &from, const GatewayReport &report)
 {
     const Millis now = Millis::monotonicNow();
-    this->context.origins.recordContact(now);
     this->updates.eraOffered(report.storeEra, from);
     const Revision targets = this->positionOf(report.storeEra, report.targets);
     this->context.board.recordPeerCold(report.coldTargets, now);
--- a/sequoiausher/transport/gateway/streamoriginfinder.cpp
+++ b/sequoiausher/transport/gateway/streamoriginfinder.cpp
@@ -23,10 +23,6 @@
 {
     const Millis span = std::max(minOriginSpan, admitted.route->timeout * originSpanTimeouts);
     const std::string &attempt = admitted.request.resumedAttempt;
-    if (attempt.empty()) {
-        this->finish(this->context.origins.findOnly(admitted.service, span, now), found);
-        return;
-    }
     this->isFinding = true;
     const auto answered
         = [this, alive = std::weak_ptr(this->life), found = std::move(found)](const OriginFinding &finding) {
@@ -34,6 +30,10 @@
                   this->finish(finding, found);
               }
           };
+    if (attempt.empty()) {
+        this->context.origins.findOnly(admitted.service, span, now, answered);
+        return;
+    }
     const OriginQuestion question{streamKeyOf(admitted.organisation, attempt), admitted.service, span};
     this->context.sendToPeers(this->context.origins.find(question, now, answered));
 }
