Ask hubs for a proof only where nothing else is missing

A question counted as one that waits for a proof from its first moment, so a gateway that follows others could have asked its hubs for reports beside streams whose record was on its way. It counts now once the answers are in or 150 ms have passed, and hubs are asked each 150 ms. A request is held for a quarter of its remaining time at most. When others were first asked about a stream is forgotten in order, not by a search in each tick.

--- a/sequoiausher/coordination/gateway/streamorigins.cpp
+++ b/sequoiausher/coordination/gateway/streamorigins.cpp
@@ -3,6 +3,7 @@
 #include "sequoiausher/base/hashing.h"
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -75,8 +76,9 @@
     OriginFinding conclude(const Question &question, Millis now) const;
     /** Whether lists show all versions since the first moment at which the stream may have begun. */
     bool isCovered(const Question &question) const;
-    /** Whether nothing that may still arrive can help. */
-    bool isOver(const Question &question, const OriginFinding &finding, Millis now) const;
+    bool mayBeAnswered(const Question &question, Millis now) const;
+    /** Whether a proof of the own list is all that is missing, and may still come in time. */
+    bool mayBeProven(const Question &question, Millis now) const;
     void ask(Question question, Millis now);
     /** Ends the questions about a stream that are over. */
     void finishOver(const StreamKey &key, Millis now);
@@ -95,6 +97,8 @@
      * one.
      */
     std::map<StreamKey, Millis> firstAskedAt;
+    /** The same, the earliest first. */
+    std::deque<std::pair<Millis, StreamKey>> askedKeys;
 };
 
 std::vector<InstanceId> StreamOrigins::Private::others(const StreamKey &key, std::size_t count, Millis now) const
@@ -165,13 +169,16 @@
         || this->history.provenSince() <= question.provenUpTo;
 }
 
-bool StreamOrigins::Private::isOver(const Question &question, const OriginFinding &finding, Millis now) const
+bool StreamOrigins::Private::mayBeAnswered(const Question &question, Millis now) const
 {
-    const bool mayBeAnswered = !question.open.empty() && now < question.at + this->settings.answerTimeout;
-    const bool mayBeProven = finding.kind == OriginFindingKind::Unknown && this->isCovered(question)
-        && !this->history.isProvenUpTo(question.asked.service, question.at, now)
-        && now < question.at + this->settings.proofTimeout;
-    return !mayBeAnswered && !mayBeProven;
+    return !question.open.empty() && now < question.at + this->settings.answerTimeout;
+}
+
+bool StreamOrigins::Private::mayBeProven(const Question &question, Millis now) const
+{
+    const Millis mostHeld = std::min(this->settings.proofTimeout, question.asked.mostHeld);
+    return this->conclude(question, now).kind == OriginFindingKind::Unknown && this->isCovered(question)
+        && !this->history.isProvenUpTo(question.asked.service, question.at, now) && now < question.at + mostHeld;
 }
 
 void StreamOrigins::Private::ask(Question question, Millis now)
@@ -185,13 +192,12 @@
 {
     auto entry = this->questions.find(key);
     for (std::size_t i = 0; entry != this->questions.end() && i < entry->second.size();) {
-        const OriginFinding finding = this->conclude(entry->second[i], now);
-        if (this->isOver(entry->second[i], finding, now)) {
-            this->finish(entry, i, finding);
-            entry = this->questions.find(key);
-        } else {
+        if (this->mayBeAnswered(entry->second[i], now) || this->mayBeProven(entry->second[i], now)) {
             ++i;
+            continue;
         }
+        this->finish(entry, i, this->conclude(entry->second[i], now));
+        entry = this->questions.find(key);
     }
 }
 
@@ -229,9 +235,9 @@
     this->d->history.recordProof(at);
 }
 
-void StreamOrigins::recordRestore()
+void StreamOrigins::recordRestore(Millis now)
 {
-    this->d->history.recordRestore();
+    this->d->history.recordRestore(now);
 }
 
 Outbox StreamOrigins::record(const StreamKey &key, const StreamOrigin &origin, Millis ttl, Millis now)
@@ -277,22 +283,28 @@
         message.span = question.span;
         outbox.push_back({other, message});
     }
-    if (!others.empty()) {
-        this->d->firstAskedAt.try_emplace(question.key, now);
+    if (!others.empty() && this->d->firstAskedAt.try_emplace(question.key, now).second) {
+        this->d->askedKeys.emplace_back(now, question.key);
     }
     this->d->ask({question, std::move(found), std::set<InstanceId>(others.begin(), others.end()), now, {}, false, {}},
                  now);
     return outbox;
 }
 
-void StreamOrigins::findOnly(const PoolId &service, Millis span, Millis now, Found found)
+void StreamOrigins::findOnly(const OriginQuestion &question, Millis now, Found found)
 {
-    this->d->ask({{{}, service, span}, std::move(found), {}, now, {}, false, {}}, now);
+    OriginQuestion unnamed = question;
+    unnamed.key = {};
+    this->d->ask({unnamed, std::move(found), {}, now, {}, false, {}}, now);
 }
 
-bool StreamOrigins::awaitsProof() const
+bool StreamOrigins::awaitsProof(Millis now) const
 {
-    return !this->d->questions.empty();
+    return std::any_of(this->d->questions.begin(), this->d->questions.end(), [this, now](const auto &entry) {
+        return std::any_of(entry.second.begin(), entry.second.end(), [this, now](const auto &question) {
+            return !this->d->mayBeAnswered(question, now) && this->d->mayBeProven(question, now);
+        });
+    });
 }
 
 Outbox StreamOrigins::receive(const InstanceId &from, const GatewayStreamOrigin &message, Millis now)
@@ -358,9 +370,10 @@
     for (const StreamKey &key : asked) {
         this->d->finishOver(key, now);
     }
-    std::erase_if(this->d->firstAskedAt, [this, now](const auto &first) {
-        return now - first.second >= this->d->settings.maxTtl && !this->d->questions.contains(first.first);
-    });
+    while (!this->d->askedKeys.empty() && now - this->d->askedKeys.front().first >= this->d->settings.maxTtl) {
+        this->d->firstAskedAt.erase(this->d->askedKeys.front().second);
+        this->d->askedKeys.pop_front();
+    }
 }
 
 std::size_t StreamOrigins::size() const
--- a/sequoiausher/coordination/gateway/streamorigins.h
+++ b/sequoiausher/coordination/gateway/streamorigins.h
@@ -65,6 +65,8 @@
     PoolId service;
     /** The longest time since the stream began. */
     Millis span;
+    /** The question waits for no longer for a proof, if that is less than the settings allow. */
+    Millis mostHeld = Millis::never();
 };
 
 /** Computes the key of a stream. @param caller empty where the route needs no key. */
@@ -87,7 +89,7 @@
     /** Records that the list shows all targets that were written up to that moment; as in VersionHistory. */
     void recordProof(Millis at);
     /** Records that the store was restored from a copy. */
-    void recordRestore();
+    void recordRestore(Millis now);
     /**
      * Records which service and version send the first event of a stream, for as long as its caller may take it up.
      * @return what to tell other gateways, before the caller gets the event.
@@ -95,10 +97,13 @@
     Outbox record(const StreamKey &key, const StreamOrigin &origin, Millis ttl, Millis now);
     /** Finds the origin; found is called once, maybe at once. @return what to ask other gateways. */
     Outbox find(const OriginQuestion &question, Millis now, Found found);
-    /** Finds the only version that the service had within the span, by this gateway's own list, maybe at once. */
-    void findOnly(const PoolId &service, Millis span, Millis now, Found found);
-    /** Whether a question waits for a proof of the list, so that other gateways should be asked for one. */
-    bool awaitsProof() const;
+    /**
+     * Finds the only version that the service had within the span, by this gateway's own list, for a stream that its
+     * caller does not name; the question's key is not used.
+     */
+    void findOnly(const OriginQuestion &question, Millis now, Found found);
+    /** Whether a question waits for a proof of the list alone, so that other gateways should be asked for one. */
+    bool awaitsProof(Millis now) const;
     /** Processes a message of another gateway. @return the answer to it, if it is a question. */
     Outbox receive(const InstanceId &from, const GatewayStreamOrigin &message, Millis now);
     /** Ends questions that were not answered in time, and forgets old origins. */
--- a/sequoiausher/transport/gateway/gatewayknowledge.cpp
+++ b/sequoiausher/transport/gateway/gatewayknowledge.cpp
@@ -153,7 +153,7 @@
                                {"unproven_until_revision", std::to_string(newest)}});
     this->restored.recordRestore(newest, now);
     this->known.targets.storeRestored(now);
-    this->context.origins.recordRestore();
+    this->context.origins.recordRestore(now);
 }
 
 void GatewayKnowledge::Private::storeRestored(std::uint64_t era)
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -27,7 +27,7 @@
 /** A link on which nothing arrives for this long has failed; several reports are due in this time. */
 constexpr Millis linkSilence{1500};
 /** How often the peers that read the store are asked while a taken-up stream waits for a proof. */
-constexpr Millis proofAskInterval{100};
+constexpr Millis proofAskInterval{150};
 constexpr Millis maxRedialPause{800};
 /** A gateway whose link has been down for this long is gone, or cut off from its targets too. */
 constexpr Millis maxLinkOutage{500};
@@ -254,7 +254,7 @@
 
 void GatewayPeers::Private::askForProof(Millis now)
 {
-    if (now < this->nextProofAskAt || !this->context.origins.awaitsProof()
+    if (now < this->nextProofAskAt || !this->context.origins.awaitsProof(now)
         || this->context.duty.hasRecentStoreAnswer(now)) {
         return;
     }
--- a/sequoiausher/transport/gateway/streamoriginfinder.cpp
+++ b/sequoiausher/transport/gateway/streamoriginfinder.cpp
@@ -10,6 +10,8 @@
 /** A caller takes a stream up no later than this after it began, or than some times the route's timeout. */
 constexpr Millis minOriginSpan{30000};
 constexpr std::int64_t originSpanTimeouts = 2;
+/** A request waits for at most its remaining time divided by this until it is known that there was one version. */
+constexpr std::int64_t mostHeldDivisor = 4;
 /** The origin of a stream is kept for so long beyond the time that its caller waits. */
 constexpr Millis originGrace{1000};
 
@@ -30,11 +32,12 @@
                   this->finish(finding, found);
               }
           };
+    const Millis mostHeld = (admitted.deadline - now) / mostHeldDivisor;
+    const OriginQuestion question{streamKeyOf(admitted.organisation, attempt), admitted.service, span, mostHeld};
     if (attempt.empty()) {
-        this->context.origins.findOnly(admitted.service, span, now, answered);
+        this->context.origins.findOnly(question, now, answered);
         return;
     }
-    const OriginQuestion question{streamKeyOf(admitted.organisation, attempt), admitted.service, span};
     this->context.sendToPeers(this->context.origins.find(question, now, answered));
 }
 
