Play a stream that nobody knows at two gateways with one version

The gateway itself, with a store: a stream of which nobody has a record goes on within a second where there was one version for 31 s, whether its caller names it or not; with a silent store it is refused, not run.

--- a/sequoiausher/transport/gateway/softwareversiontest.cpp
+++ b/sequoiausher/transport/gateway/softwareversiontest.cpp
@@ -278,3 +278,28 @@
         CHECK(bed.runs == runs);
     }
 }
+
+// Guards against a gateway that is out of step and takes the version of its list for the only one: a new one may have
+// joined. With the store in reach it waits for its next answer, and the stream goes on.
+TEST_CASE("a stream of which nobody knows the version goes on at the only one while the store answers")
+{
+    constexpr Millis longestSpan{31000};
+    VersionBed bed;
+    bed.addVersion("v1", 2);
+    bed.startBoth();
+    VersionBed::pause(longestSpan);
+    for (const std::string &fields : {std::string("X-After: 2\r\n"), VersionBed::takeUp("never-sent")}) {
+        const Millis begun = Millis::monotonicNow();
+        CHECK(bed.attempt(bed.other.address, "a1", fields).status == 200);
+        CHECK(Millis::monotonicNow() - begun < Millis{1000});
+    }
+    CHECK(bed.lastVersion == "v1");
+    bed.isStoreSilent = true;
+    // An answer that is on its way may have begun later than the next request.
+    VersionBed::pause(Millis{300});
+    const int runs = bed.runs;
+    const CallerReply reply = bed.attempt(bed.other.address, "a2", VersionBed::takeUp("never-sent"));
+    CHECK(reply.status == 503);
+    CHECK(reply.head.headers.has("Retry-After"));
+    CHECK(bed.runs == runs);
+}
