Judge planned stops of the soak request by request

The judge excused all requests of a gateway that had stood still at any time of its planned stop, from 7.3 s of its grace on, and knew no stop otherwise: no route of the soak allowed longer than the grace, so whatever was cut off was lost. With longer routes it would count cuts that the platform's rule excuses (sent up to 3 s after SIGTERM, its target at work in the last sixth of the grace).

It is told of each SIGTERM and judges each request by itself. Lost is what was passed on and has no whole answer, as before, but for that excuse; and now also what was read whole at a gateway that stops, was not passed on, and ended more than 200 ms after its last byte. A request that got nothing at all is excused at the end of the grace only where its gateway stood still between one contact window before this request and that end. A body in parts counts from its last byte. Refusals of gateways that stop, their next attempts, and streams that a stop cut are counted, as figures.

--- a/lab/soak/soakjudge.cpp
+++ b/lab/soak/soakjudge.cpp
@@ -16,10 +16,14 @@
 constexpr int firstFailure = 300;
 constexpr int statusUnauthorized = 401;
 constexpr int statusNotFound = 404;
+constexpr int statusUnavailable = 503;
 /** The part of the idle limit for which callers use an idle connection again. */
 constexpr std::int64_t usableParts = 4;
 constexpr std::int64_t usablePartsOf = 5;
 
+/** Before this a gateway that stops cuts no request: a little less than the part of its grace after which it does. */
+constexpr Millis uncutStop{7300};
+
 bool promisesNotRun(int status)
 {
     return status == 408 || status == 421 || status == 429 || status == 503;
@@ -37,6 +41,7 @@
     std::string target;
     Millis from;
     std::optional<RunEnd> end;
+    Millis endedAt;
 };
 
 struct CallState
@@ -44,6 +49,8 @@
     SoakCall call;
     std::vector<Run> runs;
     std::size_t arrivals = 0;
+    /** When its last byte was sent. */
+    std::optional<Millis> wholeAt;
     std::optional<Millis> answeredAt;
     std::optional<Millis> leftAt;
     bool isRefused = false;
@@ -146,6 +153,13 @@
     /** Compares how calls were served at gateways without paths to targets and at the others. */
     void checkPathCut(const PathCutSpan &cut, Millis now);
     void checkLost(const CallState &state, Millis at);
+    void checkLostUnsent(const CallState &state, Millis at);
+    /** When the life of the gateway that got the call was asked to stop. */
+    std::optional<Millis> stopOf(const SoakCall &call) const;
+    /** Whether a planned stop may have cut the call off while its target worked on it. */
+    bool mayBeCut(const CallState &state, Millis at) const;
+    bool isTargetsFault(const CallState &state, Millis at) const;
+    void countStop(const CallState &state, const SoakAnswer &answer, Millis at);
     void checkSilent(const CallState &state, Millis at);
     void checkUnread(CallState &state, Millis at);
     Millis shortestIdleTime() const;
@@ -191,6 +205,10 @@
     /** The version that began each stream, by the attempt that brought its first event. */
     std::map<std::string, std::string> streamVersions;
     StreamCounts streams;
+    /** When each life of a gateway was first asked to stop. */
+    std::map<std::pair<std::size_t, std::uint64_t>, Millis> stopsAsked;
+    std::set<std::string> refusedByStop;
+    std::size_t streamsCut = 0;
     std::vector<PathCutSpan> pathCuts;
     /** What became of the request that ends its targets. */
     std::set<std::string> ended;
@@ -320,6 +338,7 @@
     CallState &state = this->d->calls[call.id];
     state.call = call;
     state.timeout = this->d->timeoutOf(call);
+    state.wholeAt = call.isInParts ? std::nullopt : std::optional(call.sentAt);
     this->d->open.insert(call.id);
     std::set<std::string> services;
     for (const Version &version : this->d->versions) {
@@ -332,6 +351,16 @@
     }
 }
 
+void SoakJudge::sentWhole(const std::string &id, Millis at)
+{
+    this->d->calls.at(id).wholeAt = at;
+}
+
+void SoakJudge::stopAsked(std::size_t gateway, std::uint64_t life, Millis at)
+{
+    this->d->stopsAsked.try_emplace({gateway, life}, at);
+}
+
 void SoakJudge::arrived(const SoakArrival &arrival)
 {
     const auto found = this->d->calls.find(arrival.id);
@@ -582,7 +611,7 @@
     this->d->answers[signature] = {status, body};
 }
 
-void SoakJudge::runEnded(const std::string &id, const std::string &target, RunEnd how, Millis /*at*/)
+void SoakJudge::runEnded(const std::string &id, const std::string &target, RunEnd how, Millis at)
 {
     const auto found = this->d->calls.find(id);
     if (found == this->d->calls.end()) {
@@ -591,6 +620,7 @@
     for (Run &run : found->second.runs) {
         if (run.target == target && !run.end) {
             run.end = how;
+            run.endedAt = at;
             return;
         }
     }
@@ -601,8 +631,10 @@
     CallState &state = this->d->calls.at(id);
     state.answeredAt = at;
     this->d->countStream(state, answer, at);
+    this->d->countStop(state, answer, at);
     if (answer.isUnread) {
         this->d->checkUnread(state, at);
+        this->d->checkLostUnsent(state, at);
         return;
     }
     if (!answer.isWhole && answer.status == 0) {
@@ -730,33 +762,122 @@
                  at);
 }
 
+std::optional<Millis> SoakJudge::Private::stopOf(const SoakCall &call) const
+{
+    const auto stop = this->stopsAsked.find({call.gateway, call.gatewayLife});
+    return stop != this->stopsAsked.end() ? std::optional(stop->second) : std::nullopt;
+}
+
+bool SoakJudge::Private::isTargetsFault(const CallState &state, Millis at) const
+{
+    const Millis from = state.call.sentAt - this->bounds.ending;
+    return std::any_of(state.runs.begin(), state.runs.end(), [this, from, at](const Run &run) {
+        return run.end == RunEnd::Spoilt || !this->disturbed.isUntouched(targetSubject(run.target), from, at);
+    });
+}
+
+bool SoakJudge::Private::mayBeCut(const CallState &state, Millis at) const
+{
+    const std::optional<Millis> stop = this->stopOf(state.call);
+    if (!stop || !state.wholeAt || *state.wholeAt > *stop + this->bounds.sentEarly) {
+        return false;
+    }
+    const auto isLate = [this, stop](Millis moment) { return (moment - *stop) * 6 >= this->bounds.grace * 5; };
+    return isLate(at) && std::any_of(state.runs.begin(), state.runs.end(), [&isLate](const Run &run) {
+               return run.end != RunEnd::Answered && (!run.end || isLate(run.endedAt));
+           });
+}
+
 void SoakJudge::Private::checkLost(const CallState &state, Millis at)
 {
     const SoakCall &call = state.call;
     const std::string subject = gatewaySubject(call.gateway) + unplannedSuffix;
-    if (state.runs.empty() || !this->disturbed.isUntouched(subject, call.sentAt - this->bounds.ending, at)) {
+    if (state.runs.empty()) {
+        this->checkLostUnsent(state, at);
+        return;
+    }
+    if (!this->disturbed.isUntouched(subject, call.sentAt - this->bounds.ending, at)) {
         return;
     }
     const Millis due = call.sentAt + std::min(state.timeout, call.timeLeft) - this->bounds.ending;
-    if (at >= due) {
+    if (at >= due || this->isTargetsFault(state, at) || this->mayBeCut(state, at)) {
         return;
     }
-    const bool isTargetsFault = std::any_of(state.runs.begin(), state.runs.end(), [this, &call, at](const Run &run) {
-        return run.end == RunEnd::Spoilt
-            || !this->disturbed.isUntouched(targetSubject(run.target), call.sentAt - this->bounds.ending, at);
-    });
-    if (!isTargetsFault) {
-        this->broken("lost", call.id + " was passed on and its connection ended without an answer", at);
+    const std::optional<Millis> stop = this->stopOf(call);
+    this->broken("lost",
+                 call.id + " was passed on and its connection ended without an answer"
+                     + (stop ? ", sent " + toText(*state.wholeAt - *stop) + " and ended " + toText(at - *stop)
+                                + " after the SIGTERM of gateway " + std::to_string(call.gateway)
+                             : ""),
+                 at);
+}
+
+// Around a planned stop a request that was not passed on is answered too, if there was time to read it. Behind a relay
+// nobody can tell whether it came.
+void SoakJudge::Private::checkLostUnsent(const CallState &state, Millis at)
+{
+    const SoakCall &call = state.call;
+    const std::optional<Millis> stop = this->stopOf(call);
+    if (!stop || !state.wholeAt || !call.isDirect || !state.runs.empty()) {
+        return;
+    }
+    const Millis late
+        = *state.wholeAt + this->bounds.lossSlack + this->allowance(*state.wholeAt, at) - this->bounds.allowance;
+    const bool isAround = at >= *stop && at <= *stop + this->bounds.grace + this->bounds.afterGrace;
+    const bool isOver = at >= call.sentAt + std::min(state.timeout, call.timeLeft) - this->bounds.ending;
+    const std::string subject = gatewaySubject(call.gateway) + unplannedSuffix;
+    if (isAround && at > late && !isOver && this->disturbed.isCalm(subject, call.sentAt, at)) {
+        this->broken("lost",
+                     call.id + " ended without an answer " + toText(at - *state.wholeAt) + " after its last byte and "
+                         + toText(at - *stop) + " after the SIGTERM of gateway " + std::to_string(call.gateway),
+                     at);
     }
 }
 
+void SoakJudge::Private::countStop(const CallState &state, const SoakAnswer &answer, Millis at)
+{
+    const std::optional<Millis> stop = this->stopOf(state.call);
+    if (!stop || at < *stop) {
+        return;
+    }
+    if (answer.isWhole && answer.status == statusUnavailable && answer.signature.empty()) {
+        this->refusedByStop.insert(state.call.id);
+    }
+    const bool isCut = isStream(state.call.kind) && !answer.isWhole && !state.runs.empty();
+    this->streamsCut += isCut && !this->isTargetsFault(state, at) ? 1 : 0;
+}
+
+StopCounts SoakJudge::stops() const
+{
+    StopCounts counts;
+    counts.refused = this->d->refusedByStop.size();
+    counts.streamsCut = this->d->streamsCut;
+    for (const auto &[id, state] : this->d->calls) {
+        const bool cameAgain = this->d->refusedByStop.contains(state.call.comesAgainFor);
+        counts.cameAgain += cameAgain && state.answeredAt ? 1 : 0;
+        counts.servedAgain += cameAgain && state.isServed ? 1 : 0;
+    }
+    return counts;
+}
+
 // A caller may retry a request that runs at most once only after a refusal, or if the gateway's kernel reported that
 // nobody read it. A gateway that reads the request and closes without an answer leaves it neither.
 void SoakJudge::Private::checkSilent(const CallState &state, Millis at)
 {
     const SoakCall &call = state.call;
     const std::string subject = gatewaySubject(call.gateway) + killedSuffix;
-    if (call.isDirect && this->disturbed.isUntouched(subject, call.sentAt - this->bounds.ending, at)) {
+    if (!call.isDirect || !state.wholeAt
+        || !this->disturbed.isUntouched(subject, call.sentAt - this->bounds.ending, at)) {
+        return;
+    }
+    // At the end of its grace a gateway cuts what it has not answered. Where the plan made it stand still meanwhile, it
+    // may have read the request too late.
+    const std::optional<Millis> stop = this->stopOf(call);
+    const bool isHeldUp = stop && at >= *stop + uncutStop
+        && !this->disturbed.isUntouched(gatewaySubject(call.gateway) + unplannedSuffix,
+                                        std::max(*stop, call.sentAt - this->bounds.contact),
+                                        *stop + uncutStop);
+    if (!isHeldUp) {
         this->broken("silent",
                      call.id + " was read by gateway " + std::to_string(call.gateway) + " after " + toText(call.idleFor)
                          + " idle, and its connection ended with nothing",
--- a/lab/soak/soakjudge.h
+++ b/lab/soak/soakjudge.h
@@ -49,6 +49,13 @@
     double repeatRatio = 0.2;
     double repeatSlack = 54;
     Millis repeatWindow{10000};
+    /** Of a planned stop: its grace, so much later nothing of it is left, and a request that was sent by then may be
+     * cut off in the last sixth of the grace while its target is at work. */
+    Millis grace{8000};
+    Millis afterGrace{1000};
+    Millis sentEarly{3000};
+    /** A request may cross the end of its connection for so long after its last byte. */
+    Millis lossSlack{200};
     /** Granted on every bound in time for the scheduling of dozens of processes on one machine. */
     Millis allowance{300};
 };
@@ -99,6 +106,11 @@
     /** The caller closed its connection before the end. */
     void left(const std::string &id, Millis at);
 
+    /** The body of a call that is sent in parts has been sent to its end. */
+    void sentWhole(const std::string &id, Millis at);
+    /** This life of the gateway was asked to stop. Asked again, it is bound by the first time. */
+    void stopAsked(std::size_t gateway, std::uint64_t life, Millis at);
+
     /** The gateways reached no target by themselves meanwhile; callers, store and peers reached them. */
     void pathsCut(const std::set<std::size_t> &gateways, Millis from, Millis to);
 
@@ -134,6 +146,7 @@
      * version served; and how many of each got an event.
      */
     StreamCounts streams() const;
+    StopCounts stops() const;
 
 private:
     class Private;
--- a/lab/soak/soakjudgetest.cpp
+++ b/lab/soak/soakjudgetest.cpp
@@ -322,6 +322,218 @@
     CHECK(bench.promises() == "lost ");
 }
 
+namespace {
+
+/** A gateway that is asked to stop at 10 s, and requests of a route that allows 15 s. */
+struct StopBench : Bench
+{
+    StopBench()
+    {
+        GatewayConfiguration longer = version(2, "desk", "k1");
+        longer.routes.front().timeout = Millis{15000};
+        this->judge.configurationAcknowledged(longer, Millis{1});
+        this->judge.stopAsked(0, 0, stop);
+        this->judge.disturbances().begin(SoakJudge::gatewaySubject(0), stop);
+    }
+
+    void send(const std::string &id, Millis at, CallKind kind = CallKind::Chat, bool isInParts = false)
+    {
+        SoakCall one = this->call(id, at, kind);
+        one.timeLeft = Millis{16000};
+        one.isDirect = true;
+        one.isInParts = isInParts;
+        this->judge.sent(one);
+    }
+
+    /** The connection ends in the middle of the answer. */
+    void cut(const std::string &id, Millis at)
+    {
+        SoakAnswer one;
+        one.status = 503;
+        this->judge.answered(id, one, at);
+    }
+
+    static constexpr Millis stop{10000};
+    static constexpr Millis cutAt{17500};
+};
+
+} // namespace
+
+TEST_CASE("a request that was sent late in a planned stop and passed on must be answered")
+{
+    StopBench bench;
+    bench.send("a", StopBench::stop + Millis{3001});
+    bench.run("a", "t1", StopBench::stop + Millis{3010});
+    bench.cut("a", StopBench::cutAt);
+    CHECK(bench.promises() == "lost ");
+    CHECK(bench.judge.stops().streamsCut == 1);
+}
+
+TEST_CASE("a stop may cut off what was sent early and is at work in the last sixth of the grace")
+{
+    StopBench bench;
+    for (const char *id : {"a", "b", "c", "d"}) {
+        bench.send(id, StopBench::stop + Millis{3000});
+        bench.run(id, "t1", StopBench::stop + Millis{3010});
+    }
+    bench.cut("a", StopBench::cutAt);
+    bench.judge.runEnded("b", "t1", RunEnd::Cancelled, StopBench::cutAt);
+    bench.cut("b", StopBench::cutAt);
+    CHECK(bench.promises().empty());
+    bench.judge.runEnded("c", "t1", RunEnd::Cancelled, StopBench::stop + Millis{6666});
+    bench.cut("c", StopBench::cutAt);
+    CHECK(bench.promises() == "lost ");
+    bench.judge.runEnded("d", "t1", RunEnd::Answered, StopBench::cutAt);
+    bench.cut("d", StopBench::cutAt);
+    CHECK(bench.promises() == "lost lost ");
+    CHECK(bench.judge.stops().streamsCut == 4);
+}
+
+TEST_CASE("a stop must not cut off what is at work before the last sixth of the grace")
+{
+    StopBench bench;
+    bench.send("a", StopBench::stop - Millis{500});
+    bench.run("a", "t1", StopBench::stop - Millis{490});
+    bench.cut("a", StopBench::stop + Millis{6666});
+    CHECK(bench.promises() == "lost ");
+}
+
+TEST_CASE("a process that was not asked to stop must not cut off anything")
+{
+    StopBench bench;
+    SoakCall next = bench.call("a", StopBench::stop);
+    next.gatewayLife = 1;
+    next.timeLeft = Millis{16000};
+    bench.judge.sent(next);
+    bench.run("a", "t1", StopBench::stop + Millis{10});
+    bench.cut("a", StopBench::cutAt);
+    CHECK(bench.promises() == "lost ");
+    CHECK(bench.judge.stops().streamsCut == 0);
+}
+
+TEST_CASE("a second request to stop excuses nothing that the first one does not")
+{
+    StopBench bench;
+    bench.judge.stopAsked(0, 0, StopBench::stop + Millis{2000});
+    bench.send("a", StopBench::stop + Millis{3001});
+    bench.run("a", "t1", StopBench::stop + Millis{3010});
+    bench.cut("a", StopBench::cutAt);
+    CHECK(bench.promises() == "lost ");
+}
+
+TEST_CASE("around a stop, a target that broke off and a deadline that was reached excuse the end of an answer")
+{
+    StopBench bench;
+    bench.send("a", StopBench::stop + Millis{4000});
+    bench.run("a", "t1", StopBench::stop + Millis{4010});
+    bench.judge.runEnded("a", "t1", RunEnd::Spoilt, StopBench::stop + Millis{5000});
+    bench.cut("a", StopBench::stop + Millis{5010});
+    bench.send("b", StopBench::cutAt - Millis{14500});
+    bench.run("b", "t1", StopBench::stop);
+    bench.cut("b", StopBench::cutAt);
+    CHECK(bench.promises().empty());
+    CHECK(bench.judge.stops().streamsCut == 1);
+}
+
+TEST_CASE("around a stop, an unplanned disturbance of the gateway excuses the end of an answer")
+{
+    StopBench bench;
+    const std::string unplanned = SoakJudge::gatewaySubject(0) + SoakJudge::unplannedSuffix;
+    bench.judge.disturbances().begin(unplanned, StopBench::stop + Millis{3500});
+    bench.judge.disturbances().end(unplanned, StopBench::stop + Millis{4000});
+    bench.send("a", StopBench::stop + Millis{4200});
+    bench.run("a", "t1", StopBench::stop + Millis{4210});
+    bench.cut("a", StopBench::cutAt);
+    bench.send("b", StopBench::stop + Millis{6900});
+    bench.cut("b", StopBench::cutAt);
+    CHECK(bench.promises().empty());
+    bench.send("c", StopBench::stop + Millis{7001});
+    bench.cut("c", StopBench::cutAt);
+    CHECK(bench.promises() == "lost ");
+}
+
+TEST_CASE("around a stop, a request that was not passed on is answered if there was time to read it")
+{
+    StopBench bench;
+    bench.send("a", StopBench::stop + Millis{100});
+    bench.cut("a", StopBench::stop + Millis{300});
+    CHECK(bench.promises().empty());
+    bench.send("b", StopBench::stop + Millis{100});
+    bench.cut("b", StopBench::stop + Millis{301});
+    CHECK(bench.promises() == "lost ");
+    SoakAnswer unread;
+    unread.isUnread = true;
+    bench.send("c", StopBench::stop + Millis{100});
+    bench.judge.answered("c", unread, StopBench::stop + Millis{300});
+    CHECK(bench.promises() == "lost ");
+    bench.send("d", StopBench::stop + Millis{100});
+    bench.judge.answered("d", unread, StopBench::stop + Millis{301});
+    CHECK(bench.promises() == "lost lost ");
+    bench.send("e", StopBench::stop + Millis{8000});
+    bench.cut("e", StopBench::stop + Millis{9001});
+    CHECK(bench.promises() == "lost lost ");
+}
+
+TEST_CASE("a body that comes in parts counts from its last byte, and not where that was never sent")
+{
+    StopBench bench;
+    bench.send("a", StopBench::stop, CallKind::Chat, true);
+    bench.cut("a", StopBench::stop + Millis{4000});
+    bench.send("b", StopBench::stop, CallKind::Chat, true);
+    bench.answer("b", 0, StopBench::stop + Millis{4000});
+    bench.send("c", StopBench::stop, CallKind::Chat, true);
+    bench.judge.sentWhole("c", StopBench::stop + Millis{3800});
+    bench.cut("c", StopBench::stop + Millis{4000});
+    CHECK(bench.promises().empty());
+    bench.send("d", StopBench::stop, CallKind::Chat, true);
+    bench.judge.sentWhole("d", StopBench::stop + Millis{3799});
+    bench.cut("d", StopBench::stop + Millis{4000});
+    CHECK(bench.promises() == "lost ");
+    bench.send("e", StopBench::stop, CallKind::Chat, true);
+    bench.judge.sentWhole("e", StopBench::stop + Millis{3001});
+    bench.run("e", "t1", StopBench::stop + Millis{3010});
+    bench.cut("e", StopBench::cutAt);
+    CHECK(bench.promises() == "lost lost ");
+}
+
+TEST_CASE("at the end of a stop, only what a disturbance held up may get nothing at all")
+{
+    StopBench bench;
+    const std::string unplanned = SoakJudge::gatewaySubject(0) + SoakJudge::unplannedSuffix;
+    bench.judge.disturbances().begin(unplanned, StopBench::stop + Millis{1000});
+    bench.judge.disturbances().end(unplanned, StopBench::stop + Millis{2000});
+    bench.send("a", StopBench::stop + Millis{4000});
+    bench.answer("a", 0, StopBench::cutAt);
+    CHECK(bench.promises().empty());
+    bench.send("b", StopBench::stop + Millis{4000});
+    bench.answer("b", 0, StopBench::stop + Millis{7000});
+    CHECK(bench.promises() == "silent ");
+    bench.send("c", StopBench::stop + Millis{5100});
+    bench.answer("c", 0, StopBench::cutAt);
+    CHECK(bench.promises() == "silent silent lost ");
+}
+
+TEST_CASE("what a gateway that stops has refused is counted with its next attempt")
+{
+    StopBench bench;
+    bench.judge.made("t1.b", 200, "plate");
+    bench.send("before", StopBench::stop - Millis{20});
+    bench.answer("before", 503, StopBench::stop - Millis{10});
+    for (const char *id : {"a", "c"}) {
+        bench.send(id, StopBench::stop + Millis{10});
+        bench.answer(id, 503, StopBench::stop + Millis{20});
+    }
+    SoakCall again = bench.call("b", StopBench::stop + Millis{30});
+    again.comesAgainFor = "a";
+    bench.judge.sent(again);
+    bench.run("b", "t1", StopBench::stop + Millis{35});
+    bench.judge.answered("b", {200, true, "b", "t1.b", "plate"}, StopBench::stop + Millis{40});
+    CHECK(bench.judge.stops().refused == 2);
+    CHECK(bench.judge.stops().cameAgain == 1);
+    CHECK(bench.judge.stops().servedAgain == 1);
+    CHECK(bench.promises().empty());
+}
+
 TEST_CASE("the route's time is kept, and a caller that left is not worked for")
 {
     Bench bench;
--- a/lab/soak/soakrecords.h
+++ b/lab/soak/soakrecords.h
@@ -29,6 +29,9 @@
 /** The size of a large body; targets take long over it. */
 inline constexpr std::size_t largeBodyBytes = 3000000;
 
+/** Paths of streams whose routes allow longer than the grace of a planned stop begin so. */
+inline constexpr const char *longPathPrefix = "/long-";
+
 /** A request with this path, or with this part in its prompt, ends each target that runs it, a moment later. */
 inline constexpr const char *crashingPath = "/job/crash";
 inline constexpr const char *crashingPart = "x0";
@@ -92,6 +95,10 @@
     Millis idleFor;
     /** It ends each target that runs it. */
     bool endsTargets = false;
+    /** Its body comes in parts, the last of which is told by sentWhole(). */
+    bool isInParts = false;
+    /** The refused attempt of which this one is the next; empty for a new request. */
+    std::string comesAgainFor;
 };
 
 /** The attempt that names the stream in its events. */
@@ -165,6 +172,17 @@
     std::size_t takenUpGoneOn = 0;
 };
 
+/** Requests at gateways that had been asked to stop. */
+struct StopCounts
+{
+    /** Refused with 503 by the gateway; of these, callers that come again did so, and were served by that attempt. */
+    std::size_t refused = 0;
+    std::size_t cameAgain = 0;
+    std::size_t servedAgain = 0;
+    /** Streams that were at work at a target and ended without their end, with or without an excuse. */
+    std::size_t streamsCut = 0;
+};
+
 /** A broken promise. */
 struct SoakViolation
 {
