Play series of planned stops beside streams that outlast the grace

Callers saw streams cut by planned stops that the soak could never show: each of its routes allowed less time than the grace of a stop, and its callers paused before they used a connection again.

Two more routes of streams allow 15 s, of whose streams some last longer than the grace of 8 s. Three further callers a gateway send the next call as soon as they have an answer, keep their connections until these are closed, send some bodies in parts over up to 5 s, with a length or in chunks, and come again when a gateway that stops refuses them; where no gateway is in rotation, to any that runs.

--- a/lab/soak/calldraw.cpp
+++ b/lab/soak/calldraw.cpp
@@ -16,6 +16,7 @@
 /** How long callers wait; the routes' own times are shorter. */
 constexpr Millis plainPatience{2500};
 constexpr Millis streamPatience{4000};
+constexpr Millis longPatience{16000};
 constexpr std::uint32_t idempotentTargets = 2;
 
 } // namespace
@@ -54,6 +55,11 @@
     this->drawsLargeBodies = true;
 }
 
+void CallDraw::drawLongStreams()
+{
+    this->drawsLongStreams = true;
+}
+
 void CallDraw::makeNextLarge()
 {
     this->isNextLarge = true;
@@ -93,7 +99,14 @@
         call.body.resize(largeBodyBytes, '.');
     }
     call.sentAt = now;
-    call.timeLeft = isStream(call.kind) ? streamPatience : plainPatience;
+    const bool isLong = this->drawsLongStreams && this->between(0, 1) == 0;
+    if (isLong) {
+        call.kind = this->between(0, 1) == 0 ? CallKind::Chat : CallKind::Note;
+        call.method = "POST";
+        call.path = longPathPrefix + std::string(nameOf(call.kind)) + "/" + call.id;
+        call.body = "question of " + call.id;
+    }
+    call.timeLeft = isLong ? longPatience : isStream(call.kind) ? streamPatience : plainPatience;
     call.mostTargets = isIdempotent(call.kind) ? idempotentTargets : 1;
     return call;
 }
--- a/lab/soak/calldraw.h
+++ b/lab/soak/calldraw.h
@@ -63,6 +63,8 @@
 
     /** Some jobs have large bodies from now on. The other draws of a seed stay the same. */
     void drawLargeBodies();
+    /** Half of the calls are streams of the routes that allow longer than the grace from now on. */
+    void drawLongStreams();
     /** The next call is a job with a large body. */
     void makeNextLarge();
     void setPrompts(const PromptDraw &prompts);
@@ -78,6 +80,7 @@
     std::mt19937_64 random;
     std::uint64_t calls = 0;
     bool drawsLargeBodies = false;
+    bool drawsLongStreams = false;
     bool isNextLarge = false;
     PromptDraw prompts;
 };
--- a/lab/soak/lastingcaller.cpp
+++ b/lab/soak/lastingcaller.cpp
@@ -4,6 +4,7 @@
 #include "sequoiausher/base/error.h"
 
 #include <algorithm>
+#include <sstream>
 #include <string>
 #include <utility>
 
@@ -11,6 +12,7 @@
 
 namespace {
 
+constexpr int statusUnavailable = 503;
 constexpr std::int64_t leastThinkMs = 20;
 constexpr std::int64_t mostThinkMs = 150;
 /** Around the idle limit by so much: a tick of the gateway, and what a slow link adds. */
@@ -28,6 +30,12 @@
  */
 constexpr int slowBuffer = 8192;
 constexpr Millis slowLook{20};
+/** Of the bodies of a busy caller one in so many comes in parts, for up to so long where the route is long or not. */
+constexpr std::int64_t partsOneIn = 4;
+constexpr std::int64_t fewestParts = 2;
+constexpr std::int64_t mostParts = 6;
+constexpr std::int64_t longBodyMs = 5000;
+constexpr std::int64_t shortBodyMs = 600;
 
 bool isSlow(std::uint32_t number)
 {
@@ -48,6 +56,12 @@
 {
 }
 
+void LastingCaller::becomeBusy()
+{
+    this->isBusy = true;
+    this->draw.drawLongStreams();
+}
+
 void LastingCaller::rest()
 {
     this->isResting = true;
@@ -55,6 +69,9 @@
 
 Millis LastingCaller::pause()
 {
+    if (this->isBusy) {
+        return Millis{0};
+    }
     if (this->draw.between(0, 1) == 0) {
         return Millis{this->draw.between(leastThinkMs, mostThinkMs)};
     }
@@ -80,6 +97,59 @@
     this->hearsLate = Millis{this->draw.between(0, mostLateMs)};
 }
 
+SoakCall LastingCaller::nextCall(Millis now)
+{
+    SoakCall call = this->draw.next(this->entry, now);
+    if (const std::optional<SoakCall> again = std::exchange(this->refused, std::nullopt)) {
+        call.kind = again->kind;
+        call.method = again->method;
+        call.path = again->path.substr(0, again->path.rfind('/') + 1) + call.id;
+        call.body = again->body.empty() ? "" : "question of " + call.id;
+        call.key = again->key;
+        call.timeLeft = again->timeLeft;
+        call.mostTargets = again->mostTargets;
+        call.comesAgainFor = again->id;
+    }
+    return call;
+}
+
+std::string LastingCaller::splitBody(SoakCall &call, const std::string &bytes, Millis now)
+{
+    if (!this->isBusy || call.body.empty() || this->draw.between(1, partsOneIn) != 1) {
+        return bytes;
+    }
+    call.isInParts = true;
+    const bool isChunked = this->draw.between(0, 1) == 0;
+    std::string head = bytes.substr(0, bytes.size() - call.body.size());
+    if (isChunked) {
+        const std::string length = "Content-Length: " + std::to_string(call.body.size());
+        head.replace(head.find(length), length.size(), "Transfer-Encoding: chunked");
+    }
+    const std::int64_t count = this->draw.between(fewestParts, mostParts);
+    const std::size_t size = call.body.size() / static_cast<std::size_t>(count);
+    const std::int64_t lasts = this->draw.between(1, call.path.starts_with(longPathPrefix) ? longBodyMs : shortBodyMs);
+    for (std::int64_t i = 0; i < count; ++i) {
+        const bool isLast = i + 1 == count;
+        const std::size_t begin = size * static_cast<std::size_t>(i);
+        const std::string part = call.body.substr(begin, isLast ? std::string::npos : size);
+        std::ostringstream framed;
+        framed << std::hex << part.size() << "\r\n" << part << "\r\n" << (isLast ? "0\r\n\r\n" : "");
+        this->parts.emplace_back(now + Millis{lasts * (i + 1) / count}, isChunked ? framed.str() : part);
+    }
+    return head;
+}
+
+void LastingCaller::sendParts(Millis now)
+{
+    while (!this->parts.empty() && now >= this->parts.front().first) {
+        this->connection->sendMore(this->parts.front().second);
+        this->parts.pop_front();
+        if (this->parts.empty()) {
+            this->judge.sentWhole(this->current->id, now);
+        }
+    }
+}
+
 void LastingCaller::send(Millis now)
 {
     if (!this->connection) {
@@ -89,15 +159,17 @@
         this->nextAt = now + Millis{mostThinkMs};
         return;
     }
-    SoakCall call = this->draw.next(this->entry, now);
+    SoakCall call = this->nextCall(now);
     call.isDirect = true;
     call.isFirst = !std::exchange(this->hasAsked, true);
     call.idleFor = now - this->idleSince;
-    this->current = call;
     this->leaveAt = this->draw.leaveTime(call, now);
     this->endedAt.reset();
+    this->parts.clear();
+    const std::string bytes = this->splitBody(call, this->draw.wire(call), now);
+    this->current = call;
     this->judge.sent(call);
-    this->connection->send(this->draw.wire(call));
+    this->connection->send(bytes);
 }
 
 void LastingCaller::finish(Millis now, bool isUnread)
@@ -112,6 +184,10 @@
     answer.body = this->connection->body;
     // A refusal is awaited after the close, but the answer ended with the close.
     this->judge.answered(this->current->id, answer, this->endedAt.value_or(now));
+    const bool wasSent = this->parts.empty();
+    if (this->isBusy && answer.status == statusUnavailable && answer.signature.empty()) {
+        this->refused = this->current;
+    }
     this->current.reset();
     this->idleSince = now;
     this->nextAt = now + this->pause();
@@ -120,7 +196,7 @@
         constexpr double millisPerSecond = 1000;
         this->nextAt = now + Millis{static_cast<std::int64_t>(*read.retryAfterSeconds * millisPerSecond)};
     }
-    if (!answer.isWhole || !this->connection->head.keepAlive) {
+    if (!answer.isWhole || !wasSent || !this->connection->head.keepAlive) {
         this->connection.reset();
     }
 }
@@ -131,6 +207,7 @@
         return;
     }
     this->nextLook = this->readsSlowly ? now + slowLook : now;
+    this->sendParts(now);
     if (this->connection->look()) {
         this->finish(now, false);
     } else if (this->connection->isReset()) {
@@ -173,7 +250,9 @@
 {
     if (this->current) {
         this->look(now);
-        return;
+        if (this->current || !this->isBusy) {
+            return;
+        }
     }
     if (this->connection) {
         this->lookIdle(now);
--- a/lab/soak/lastingcaller.h
+++ b/lab/soak/lastingcaller.h
@@ -13,9 +13,12 @@
 #include "sequoiausher/transport/stream/fakehttp.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
+#include <utility>
 
 namespace Sequoiausher::Lab {
 
@@ -33,6 +36,11 @@
                   std::function<std::optional<SoakEntry>()> pick,
                   std::uint64_t seed);
 
+    /**
+     * Has it send the next call as soon as the last one was answered, half of them long streams, and some bodies in
+     * parts. What a gateway that stops has refused comes again after the time that it states.
+     */
+    void becomeBusy();
     /** Lets it send no more. */
     void rest();
     void tick(Millis now);
@@ -41,6 +49,10 @@
     void look(Millis now);
     void lookIdle(Millis now);
     void connect(Millis now);
+    SoakCall nextCall(Millis now);
+    /** Plans the body of a call in parts. @return what is sent at once. */
+    std::string splitBody(SoakCall &call, const std::string &bytes, Millis now);
+    void sendParts(Millis now);
     void send(Millis now);
     void finish(Millis now, bool isUnread);
     Millis pause();
@@ -50,6 +62,11 @@
     CallDraw draw;
     bool readsSlowly;
     bool isResting = false;
+    bool isBusy = false;
+    /** What a gateway has refused, to be sent again. */
+    std::optional<SoakCall> refused;
+    /** What is left to send of a body, each part at its time. */
+    std::deque<std::pair<Millis, std::string>> parts;
     SoakEntry entry;
     std::unique_ptr<CrossingCaller> connection;
     bool hasAsked = false;
--- a/lab/soak/main.cpp
+++ b/lab/soak/main.cpp
@@ -32,6 +32,11 @@
                   << " streams taken up went on, " << result.streams.freshBegun << " of " << result.streams.fresh
                   << " new ones began";
     }
+    if (options.stops > 0) {
+        std::cout << ", " << result.stops.refused << " refused by gateways that stop, " << result.stops.servedAgain
+                  << " of " << result.stops.cameAgain << " next attempts of these served, " << result.stops.streamsCut
+                  << " streams cut by stops";
+    }
     for (const LimitWindow &window : result.worstWindows) {
         std::cout << ", " << window.above.size() << " of " << window.arrivals << " requests to " << window.service
                   << " above the limit in the worst five seconds";
@@ -57,6 +62,7 @@
         options.returns = static_cast<std::size_t>(integerOption(parsed, "returns"));
         options.evacuations = static_cast<std::size_t>(integerOption(parsed, "evacuations"));
         options.cuts = static_cast<std::size_t>(integerOption(parsed, "cuts"));
+        options.stops = static_cast<std::size_t>(integerOption(parsed, "stops"));
         options.outages = static_cast<std::size_t>(integerOption(parsed, "outages"));
         options.fleetKills = static_cast<std::size_t>(integerOption(parsed, "fleet-kills"));
         options.hasColdTargets = integerOption(parsed, "cold") > 0;
@@ -98,6 +104,7 @@
     addIntegerOption(options, "evacuations", "How often a data centre is evacuated meanwhile", 0);
     addIntegerOption(options, "outages", "How often a service rejects requests while gateways are killed in series", 0);
     addIntegerOption(options, "cuts", "How often gateways lose all paths to targets meanwhile", 0);
+    addIntegerOption(options, "stops", "Series of planned stops meanwhile, beside streams that outlast the grace", 0);
     addIntegerOption(options, "fleet-kills", "How often all gateways are killed at once meanwhile", 0);
     addIntegerOption(options, "cold", "1: targets are cold after a start and after an evacuation", 0);
     addIntegerOption(
--- a/lab/soak/soakgateway.h
+++ b/lab/soak/soakgateway.h
@@ -18,6 +18,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -63,6 +64,8 @@
     /** It was told to stop, or is kept down: its end is expected. */
     bool isEndExpected = false;
     Millis stopAsked;
+    /** It is asked to stop again so long after its next start. */
+    std::optional<Millis> stopsAfterStart;
 
 private:
     void judgePoll();
--- a/lab/soak/soakoperator.cpp
+++ b/lab/soak/soakoperator.cpp
@@ -8,6 +8,9 @@
 
 constexpr Millis plainTime{1500};
 constexpr Millis streamTime{3000};
+/** Longer than the grace of a planned stop. */
+constexpr Millis longStreamTime{15000};
+constexpr Millis longGapAim{1000};
 constexpr std::size_t organisationCount = 4;
 /** Callers use a key that was taken away for as long as it is among the last so many. */
 constexpr std::size_t offeredKeys = 8;
@@ -64,6 +67,19 @@
     }
 }
 
+void SoakOperator::addLongStreams()
+{
+    for (const CallKind kind : {CallKind::Chat, CallKind::Note}) {
+        GatewayRoute one = route(kind, "llm");
+        one.name = "long-" + one.name;
+        one.pathPrefix = longPathPrefix + std::string(nameOf(kind)) + "/";
+        one.timeout = longStreamTime;
+        one.gapAim = longGapAim;
+        this->configuration.routes.push_back(one);
+    }
+    this->lastingRoutes = this->configuration.routes.size();
+}
+
 void SoakOperator::publishFirst()
 {
     this->publish();
@@ -87,7 +103,7 @@
 void SoakOperator::dropRoute()
 {
     // Callers go on asking for it, and must hear that it is gone.
-    if (this->configuration.routes.size() > 4) {
+    if (this->configuration.routes.size() > this->lastingRoutes) {
         this->configuration.routes.pop_back();
         this->publish();
     }
--- a/lab/soak/soakoperator.h
+++ b/lab/soak/soakoperator.h
@@ -11,6 +11,7 @@
 #include "lab/soak/soakjudge.h"
 #include "lab/soak/soakstore.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -24,6 +25,8 @@
 
     /** Has targets of all services bear so many requests a second while they are cold, in all later versions. */
     void limitCold(Millis coldTime, std::uint32_t requestsPerSecond);
+    /** Adds routes of streams that allow longer than the grace of a planned stop, in all later versions. */
+    void addLongStreams();
     void publishFirst();
     /** Writes the newest version once more: the store has lost it. */
     void publishAgain();
@@ -44,6 +47,8 @@
     SoakStore &store;
     SoakJudge &judge;
     GatewayConfiguration configuration;
+    /** The first so many routes are never dropped. */
+    std::size_t lastingRoutes = 4;
     SoakOffer offered;
     std::uint32_t made = 0;
 };
--- a/lab/soak/soakrun.cpp
+++ b/lab/soak/soakrun.cpp
@@ -28,6 +28,8 @@
 constexpr Millis largeBodiesInterval{2500};
 /** The memory of a gateway where some bodies are large: a few of them are half of it. */
 constexpr std::size_t memoryForLargeBodiesMb = 40;
+/** Callers for each gateway that send one call after the other, beside planned stops in series. */
+constexpr std::size_t busyEach = 3;
 /** The entry of a target that a request has ended stays for so long. */
 constexpr Millis endedFor{1500};
 
@@ -110,6 +112,9 @@
     if (this->options.hasColdTargets) {
         this->administrator.limitCold(coldTime, static_cast<std::uint32_t>(SoakBounds{}.coldPerSecond));
     }
+    if (this->options.stops > 0) {
+        this->administrator.addLongStreams();
+    }
     this->administrator.publishFirst();
     if (this->options.cuts > 0) {
         std::vector<std::string> hosts;
@@ -195,6 +200,15 @@
             [this] { return this->pick(); },
             this->random()));
     }
+    for (std::size_t i = 0; this->options.stops > 0 && i < this->options.gateways * busyEach; ++i) {
+        this->lasting.push_back(std::make_unique<LastingCaller>(
+            static_cast<std::uint32_t>(this->options.gateways * this->options.lastingEach + i),
+            this->judge,
+            this->administrator.offer(),
+            [this] { return this->pickAny(); },
+            this->stops()));
+        this->lasting.back()->becomeBusy();
+    }
     if (this->options.crashing != CrashingRequests::None) {
         this->crashing = std::make_unique<CrashingCaller>(
             this->judge, this->administrator.offer(), this->options.crashing, [this] { return this->pick(); });
@@ -283,6 +297,15 @@
     return std::nullopt;
 }
 
+std::optional<SoakEntry> SoakRun::Private::pickAny()
+{
+    if (const std::optional<SoakEntry> ready = this->pick()) {
+        return ready;
+    }
+    SoakGateway &gateway = *this->gateways[this->picks++ % this->gateways.size()];
+    return gateway.process().isRunning() ? std::optional(gateway.entry()) : std::nullopt;
+}
+
 void SoakRun::Private::readLogs(Millis now)
 {
     for (std::size_t i = 0; i < this->gateways.size(); ++i) {
@@ -333,6 +356,7 @@
     result.lastServed = this->judge.servedSince(calmFrom);
     result.unread = this->judge.unread();
     result.streams = this->judge.streams();
+    result.stops = this->judge.stops();
     result.worstWindows = this->judge.worstWindows();
     result.longestPause = this->longestPause;
     if (result.lastSent == 0 || result.lastServed * 100 < result.lastSent * leastServedPercent) {
@@ -385,6 +409,9 @@
             }
         });
     }
+    for (std::size_t i = 0; i < this->options.stops; ++i) {
+        this->planStops(begin + Millis{moment(this->stops)});
+    }
     for (std::size_t i = 0; i < this->options.foreign; ++i) {
         this->planForeign(begin + Millis{moment(this->foreign)});
     }
--- a/lab/soak/soakrun.h
+++ b/lab/soak/soakrun.h
@@ -43,6 +43,11 @@
     std::size_t fleetKills = 0;
     /** How often some or all gateways lose all paths to targets, at moments of their own beside the other faults. */
     std::size_t cuts = 0;
+    /**
+     * How often gateways are asked to stop in series, at moments of their own; some streams are allowed longer than the
+     * grace then, and last for longer, and further callers send the next call as soon as they have an answer.
+     */
+    std::size_t stops = 0;
     /** Targets are cold for some seconds after they were started anew, or after the end of an evacuation. */
     bool hasColdTargets = false;
     /** A request that ends its targets comes again and again meanwhile. */
@@ -83,6 +88,7 @@
     /** Calls that crossed the close of their connection, and that nobody read. */
     std::size_t unread = 0;
     StreamCounts streams;
+    StopCounts stops;
     /** Of each service, the five seconds in which most requests reached targets above its limit. */
     std::vector<LimitWindow> worstWindows;
     /** The longest that this process stood still: what the bounds in time were stretched by. */
--- a/lab/soak/soakrunprivate.cpp
+++ b/lab/soak/soakrunprivate.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-/** Before this a gateway that stops cuts no request: a little less than the part of its grace after which it does. */
-constexpr Millis uncutStop{7300};
 /** The pause before a process that ended is started again. */
 constexpr Millis restartPause{300};
 /** A target that leaves serves on for so long, and its end follows. */
@@ -56,6 +54,7 @@
     , outages(with.seed)
     , fleetKills(with.seed)
     , cuts(with.seed)
+    , stops(with.seed)
     , foreign(with.seed)
     , versions(with.seed)
     , judge(SoakBounds{})
@@ -114,6 +113,9 @@
 {
     this->gateways[number]->start();
     this->note("gateway " + std::to_string(number) + " started");
+    if (const std::optional<Millis> again = std::exchange(this->gateways[number]->stopsAfterStart, std::nullopt)) {
+        this->after(*again, [this, number] { this->stopGateway(number); });
+    }
 }
 
 void SoakRun::Private::killGateway(std::size_t number, Millis down)
@@ -141,6 +143,7 @@
     gateway.isEndExpected = true;
     gateway.stopAsked = Millis::monotonicNow();
     this->judge.disturbances().begin(SoakJudge::gatewaySubject(number), gateway.stopAsked);
+    this->judge.stopAsked(number, gateway.life(), gateway.stopAsked);
     gateway.process().requestStop();
     // Looks again until it is gone.
     const auto look = std::make_shared<std::function<void()>>();
@@ -173,20 +176,6 @@
         });
     };
     this->after(pollInterval, [look] { (*look)(); });
-    this->after(uncutStop, [this, number, life = gateway.life()] { this->mayCut(number, life); });
-}
-
-// At the end of its grace a gateway cuts what it has not answered. Every route's time is shorter, so it may have such
-// requests only where the plan made it stand still meanwhile.
-void SoakRun::Private::mayCut(std::size_t number, std::uint64_t life)
-{
-    const SoakGateway &gateway = *this->gateways[number];
-    const Millis now = Millis::monotonicNow();
-    const bool isUntouched
-        = this->judge.disturbances().isUntouched(unplanned(number), gateway.stopAsked - Millis{1}, now);
-    if (gateway.life() == life && gateway.isEndExpected && !isUntouched) {
-        this->judge.disturbances().begin(killed(number), now);
-    }
 }
 
 void SoakRun::Private::strikeLink(Relay &relay, const Link &link, Millis span, const std::vector<std::string> &subjects)
@@ -613,6 +602,50 @@
     });
 }
 
+void SoakRun::Private::planStops(Millis at)
+{
+    constexpr std::int64_t mostGapMs = 2000;
+    constexpr std::int64_t mostAgainMs = 5000;
+    constexpr std::int64_t mostAfterStartMs = 3000;
+    const auto between = [this](std::int64_t least, std::int64_t most) {
+        return std::uniform_int_distribution<std::int64_t>(least, most)(this->stops);
+    };
+    const auto all = static_cast<std::int64_t>(this->gateways.size());
+    const std::int64_t first = between(0, all - 1);
+    const std::int64_t count = between(0, 2) == 0 ? all : between(1, all);
+    const Millis gap{between(0, 2) == 0 ? 0 : between(1, mostGapMs)};
+    for (std::int64_t i = 0; i < count; ++i) {
+        const auto number = static_cast<std::size_t>((first + i) % all);
+        const Millis moment = at + gap * i;
+        const std::int64_t how = between(0, 3);
+        const Millis again{between(1, mostAgainMs)};
+        const Millis afterStart{between(0, mostAfterStartMs)};
+        this->at(moment, [this, number, how, again, afterStart] {
+            SoakGateway &gateway = *this->gateways[number];
+            this->note("gateway " + std::to_string(number) + " is asked to stop"
+                       + (how == 1       ? ", and again after " + toText(again)
+                              : how == 2 ? ", and again " + toText(afterStart) + " after its next start"
+                              : how == 3 ? ", reloading"
+                                         : ""));
+            if (how == 2) {
+                gateway.stopsAfterStart = afterStart;
+            } else if (how == 3) {
+                gateway.process().requestReload();
+            }
+            this->stopGateway(number);
+            if (how == 3) {
+                gateway.process().requestReload();
+            } else if (how == 1) {
+                this->after(again, [&gateway, life = gateway.life()] {
+                    if (gateway.life() == life && gateway.process().isRunning()) {
+                        gateway.process().requestStop();
+                    }
+                });
+            }
+        });
+    }
+}
+
 void SoakRun::Private::notePathsOfPeers(const std::set<std::size_t> &struck, Millis until)
 {
     const Millis now = Millis::monotonicNow();
--- a/lab/soak/soakrunprivate.h
+++ b/lab/soak/soakrunprivate.h
@@ -105,7 +105,6 @@
     void strikeLink(Relay &relay, const Link &link, Millis span, const std::vector<std::string> &subjects);
     void killGateway(std::size_t number, Millis down);
     void stopGateway(std::size_t number);
-    void mayCut(std::size_t number, std::uint64_t life);
     void startGateway(std::size_t number);
     void startTarget(TargetPlace &place, const std::string &service);
     /** The target's process ends: it closes its connections in order, and new ones are refused. */
@@ -129,6 +128,11 @@
     void planOutage(Millis at);
     /** Then all gateways are killed, maybe after the targets of one software version have left. */
     void planFleetKill(Millis at, bool removesVersion);
+    /**
+     * From then on some or all gateways are asked to stop, one after the other or at once; some of them twice, beside a
+     * reload, or again a moment after their start.
+     */
+    void planStops(Millis at);
     /** From then on some or all gateways reach no target by themselves, for some seconds. */
     void planCut(Millis at);
     /** From then on a target sends answers that nobody asked for, and an entry names no service. */
@@ -144,6 +148,8 @@
     /** What the copy does not have is written again. */
     void writeAgain();
     std::optional<SoakEntry> pick();
+    /** One in rotation, or any whose process runs where none is. */
+    std::optional<SoakEntry> pickAny();
     void note(const std::string &line);
     static std::string unplanned(std::size_t gateway);
     static std::string killed(std::size_t gateway);
@@ -164,6 +170,8 @@
     std::mt19937_64 fleetKills;
     /** For cuts alone. */
     std::mt19937_64 cuts;
+    /** For series of planned stops alone. */
+    std::mt19937_64 stops;
     /** For bytes and entries of others alone. */
     std::mt19937_64 foreign;
     /** For software versions alone. */
--- a/lab/soak/soaktarget.cpp
+++ b/lab/soak/soaktarget.cpp
@@ -28,6 +28,10 @@
 constexpr std::int64_t leastWorkMs = 15;
 constexpr std::int64_t mostWorkMs = 60;
 constexpr Millis eventPause{25};
+/** The pause of two in three streams of a long route: with it some last longer than the grace of a planned stop. */
+constexpr std::uint64_t leastLongPauseMs = 100;
+constexpr std::uint64_t mostLongPauseMs = 550;
+constexpr std::uint64_t longPauseParts = 3;
 constexpr std::int64_t slowTimes = 12;
 /** Of the streams that end with their connection so many break off, whatever else is wrong with their target. */
 constexpr double brokenShare = 0.4;
@@ -36,7 +40,17 @@
 
 bool isStreamPath(const std::string &path)
 {
-    return path.rfind("/chat/", 0) == 0 || path.rfind("/note/", 0) == 0;
+    return path.starts_with("/chat/") || path.starts_with("/note/") || path.starts_with(longPathPrefix);
+}
+
+Millis pauseOf(const std::string &path, const std::string &streamId)
+{
+    const std::uint64_t draw = hash64("pause of " + streamId);
+    if (!path.starts_with(longPathPrefix) || draw % longPauseParts == 0) {
+        return eventPause;
+    }
+    const std::uint64_t spread = mostLongPauseMs + 1 - leastLongPauseMs;
+    return Millis{static_cast<std::int64_t>(leastLongPauseMs + draw / longPauseParts % spread)};
 }
 
 std::string chunk(const std::string &bytes)
@@ -387,7 +401,8 @@
         }
         return false;
     }
-    work.nextAt = now + eventPause * (work.mood == TargetMood::Slow ? slowTimes : 1);
+    work.nextAt
+        = now + pauseOf(work.request.head.target, work.streamId) * (work.mood == TargetMood::Slow ? slowTimes : 1);
     if (this->readsPrompts) {
         work.nextAt += Millis{eventPause.count * std::int64_t{this->held()} / streamsThatDouble};
     }
--- a/sequoiausher/transport/stream/fakehttp.cpp
+++ b/sequoiausher/transport/stream/fakehttp.cpp
@@ -224,6 +224,11 @@
     this->body.clear();
     this->input.clear();
     this->reader.restart();
+    this->sendMore(bytes);
+}
+
+void CrossingCaller::sendMore(const std::string &bytes)
+{
     if (::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0) {
         // Nobody has read what cannot be sent.
         this->wasReset = true;
--- a/sequoiausher/transport/stream/fakehttp.h
+++ b/sequoiausher/transport/stream/fakehttp.h
@@ -140,6 +140,8 @@
 
     /** Sends a request and discards the previous answer. */
     void send(const std::string &bytes);
+    /** Sends a further part of the request. */
+    void sendMore(const std::string &bytes);
     /** Reads what has arrived. @return whether the answer is complete. */
     bool look();
     /** Whether the other side has shut the connection down. */
