--- a/sequoiausher/transport/router/workertest.cpp
+++ b/sequoiausher/transport/router/workertest.cpp
@@ -2,105 +2,16 @@
 
 #include "sequoiausher/transport/http/httpclient.h"
 #include "sequoiausher/transport/http/testloop.h"
-
-#include <QHostAddress>
-#include <QTcpSocket>
+#include "sequoiausher/transport/router/testsurroundings.h"
 
 #include <doctest/doctest.h>
 
-#include <map>
-
 using namespace Sequoiausher;
 using namespace Sequoiausher::Internal;
 
 namespace {
 
 constexpr Incarnation firstLife = 5;
-// The key is "key-kentekenlab".
-const std::string organisations
-    = "[organisation kentekenlab]\nkey_sha256 = 00e747ae951e21afe189067c551bc41e2811281bcec6cb923d5c69b0eed6d8e1\n";
-const std::string instances
-    = "[instance r1]\naddress = 127.0.0.1:1\npeer_address = 127.0.0.1:2\ndata_centre = a\nfirst_start = 5\n";
-const std::string rules = "[rule all]\nthen.pool = plates\n";
-
-/** The configuration service and the one engine, on one port. */
-class Surroundings : public HttpHandler
-{
-public:
-    Surroundings() : server(*this, HttpServerOptions{})
-    {
-        testApplication();
-        this->server.listen();
-        this->documents = {{"instances", instances}, {"organisations", organisations}, {"rules/fleet", rules}};
-        this->documents["targets/plates"]
-            = "[pool]\nkind = engine\nmodel = m\n[target t1]\naddress = " + this->address() + "\ndata_centre = a\n";
-    }
-
-    void handle(std::shared_ptr<HttpExchange> exchange) override
-    {
-        const std::string prefix = "/v1/documents/";
-        if (exchange->path() == "/v1/documents") {
-            exchange->respond(200, {}, this->list());
-        } else if (exchange->path().starts_with(prefix)) {
-            exchange->respond(200, {{{"X-Revision", "1"}}}, this->documents[exchange->path().substr(prefix.size())]);
-        } else if (exchange->path() == "/v1/chat/completions" && this->wholeBytes > 0) {
-            const std::string id(exchange->headers().value("X-Request-Id"));
-            const std::string body = "chatcmpl-" + id + std::string(this->wholeBytes, '.');
-            exchange->respond(200, {{{"X-Request-Id", id}, {"Content-Type", "application/json"}}}, body);
-        } else if (exchange->path() == "/v1/chat/completions") {
-            this->answerOf = std::string(exchange->headers().value("X-Request-Id"));
-            exchange->startStream(200, {{{"X-Request-Id", this->answerOf}, {"Content-Type", "text/event-stream"}}});
-            this->stream = exchange;
-            this->writeToken(0);
-        } else if (exchange->path() == "/load") {
-            exchange->respond(404, {}, "");
-        } else {
-            this->held.push_back(exchange);
-        }
-    }
-
-    std::string list() const
-    {
-        std::string names;
-        for (const auto &document : this->documents) {
-            names += (names.empty() ? "" : ",") + std::string(R"({"revision":1,"name":")") + document.first + "\"}";
-        }
-        return R"({"revision":1,"documents":[)" + names + "]}";
-    }
-
-    void writeToken(int offset)
-    {
-        this->stream->writeChunk(R"(data: {"id":"chatcmpl-)" + this->answerOf + R"(","offset":)"
-                                 + std::to_string(offset) + R"(,"choices":[{"delta":{"content":"t"}}]})" + "\n\n");
-    }
-
-    std::string address() const
-    {
-        return "127.0.0.1:" + std::to_string(this->server.port());
-    }
-
-    std::map<std::string, std::string> documents;
-    std::shared_ptr<HttpExchange> stream;
-    /** Where set, chats are answered at once by a whole body of about so many bytes. */
-    std::size_t wholeBytes = 0;
-
-private:
-    HttpServer server;
-    std::string answerOf;
-    std::vector<std::shared_ptr<HttpExchange>> held;
-};
-
-RouterSettings settingsWith(const Surroundings &surroundings)
-{
-    RouterSettings settings;
-    settings.name = InstanceId{"r1"};
-    settings.dataCentre = DataCentreId{"a"};
-    settings.peerAddress = "127.0.0.1:0";
-    settings.platform.addresses = {surroundings.address()};
-    settings.claims.witnesses = 1;
-    settings.claims.quorum = 1;
-    return settings;
-}
 
 /** A client's streamed chat through one worker; counts the tokens that came. */
 class Caller
@@ -188,42 +99,6 @@
 
 namespace {
 
-/** A caller that takes its answer as slowly as the test wants, and may send its request in parts. */
-class PlainCaller
-{
-public:
-    explicit PlainCaller(const Worker &worker)
-    {
-        this->socket.connectToHost(QHostAddress::LocalHost, worker.port());
-        REQUIRE(runUntil([this] { return this->socket.state() == QAbstractSocket::ConnectedState; }));
-    }
-
-    static std::string request()
-    {
-        const std::string body = R"({"model":"m","messages":[{"role":"user","content":"x"}]})";
-        return "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-kentekenlab\r\n"
-               "Content-Length: "
-            + std::to_string(body.size()) + "\r\n\r\n" + body;
-    }
-    void send(const std::string &bytes)
-    {
-        this->socket.write(bytes.data(), static_cast<qint64>(bytes.size()));
-    }
-    /** Reads on to the end of the connection. */
-    std::string readAll()
-    {
-        std::string all;
-        this->socket.setReadBufferSize(0);
-        runUntil([&] {
-            all += this->socket.readAll().toStdString();
-            return this->socket.state() == QAbstractSocket::UnconnectedState;
-        });
-        return all + this->socket.readAll().toStdString();
-    }
-
-    QTcpSocket socket;
-};
-
 /** Stops a worker as a router does: no new connections, a look some time later, and the end once nothing is open. */
 bool stopsWithin(Worker &worker, int limitMs)
 {
@@ -253,7 +128,7 @@
     worker.start();
     REQUIRE(runUntil([&] { return node.isReady(); }));
 
-    PlainCaller caller(worker);
+    PlainCaller caller(worker.port());
     caller.socket.setReadBufferSize(1024);
     caller.send(PlainCaller::request());
     REQUIRE(runUntil([&] { return caller.socket.bytesAvailable() > 0; }));
@@ -279,8 +154,8 @@
     worker.start();
     REQUIRE(runUntil([&] { return node.isReady(); }));
 
-    PlainCaller unused(worker);
-    PlainCaller caller(worker);
+    PlainCaller unused(worker.port());
+    PlainCaller caller(worker.port());
     const std::string request = PlainCaller::request();
     caller.send(request.substr(0, request.size() - 1));
     runFor(100);
