Begin no request that a router's planned stop would cut off

Callers of a router that stopped had a connection that ended without an answer, or a stream without an end, where their request lasted longer than notice and grace.

Cause: nothing asked how long the router goes on. Requests of the notice, of connections whose body ended after it, and of the queues were sent whatever time they might take, and the process ended below what was left.

Change: the router's node has a StopSchedule and the RouteDurations of each pool and class, as the gateway has of each route. A request is looked at before it queues and again when it would be sent, so also a further target, and one that waited for a place or a claim. One that may outlast the stop gets 503 'stopping' with when to come back and 'Connection: close'. It says 'not run' without a key, or where the key was claimed and no other attempt had it; with a key that was not claimed it says 'unknown'. A retry whose answer is kept or running here is looked for first, and served. The schedule ends a sixteenth before the cut, which leaves that time for the last bytes.

At the end of the grace each request is ended as by its deadline: 'not run' or 'unknown' where no byte was sent, an error event and the end of the body in a stream; the target is told to stop. A partly read request gets 503. It says 'unknown', since its head may name a key. The router waits for these answers for a second at most, then hands its kept answers over.

The schedule stays as it is in coordination/gateway, with times that begin at the order to stop: notice and grace.

New cases of the flow, of the outcome's name and of the HTTP server.

--- a/sequoiausher/coordination/flow/requestflow.cpp
+++ b/sequoiausher/coordination/flow/requestflow.cpp
@@ -55,6 +55,7 @@
     void finishWith(FlowActions &actions, const FlowAction &last);
     void refuseNotRun(FlowActions &actions, int status, RefusalReason reason, Millis retryAfter);
     void endWithUnknownOutcome(FlowActions &actions, int status, RefusalReason reason);
+    void endEarly(FlowActions &actions, int status, RefusalReason reason);
     void dispatchIfReady(FlowActions &actions);
     bool canResume(TargetFailure failure) const;
     bool canResend(TargetFailure failure) const;
@@ -119,6 +120,19 @@
     }
 }
 
+// The end of a request whose target, holder or admission is still awaited.
+void RequestFlow::Private::endEarly(FlowActions &actions, int status, RefusalReason reason)
+{
+    if (this->stage == Stage::Dispatched || this->stage == Stage::Relaying) {
+        actions.emplace_back(CancelAtTarget{this->target});
+        this->endWithUnknownOutcome(actions, status, reason);
+    } else if (this->stage == Stage::Attached || this->mayHaveRun) {
+        this->endWithUnknownOutcome(actions, status, reason);
+    } else {
+        this->refuseNotRun(actions, status, reason, this->facts.retryAfter);
+    }
+}
+
 void RequestFlow::Private::dispatchIfReady(FlowActions &actions)
 {
     if (this->claim == HoldState::Awaited || this->reservation != HoldState::Held) {
@@ -295,6 +309,31 @@
     return actions;
 }
 
+FlowActions RequestFlow::dispatchWithheld(Millis now)
+{
+    FlowActions actions;
+    if (this->d->stage != Stage::Dispatched) {
+        return actions;
+    }
+    (void)now;
+    this->d->mayHaveRun = this->d->mayHaveRunEarlier;
+    if (this->d->mayHaveRun) {
+        this->d->endWithUnknownOutcome(actions, statusUnavailable, RefusalReason::Stopping);
+    } else {
+        this->d->refuseNotRun(actions, statusUnavailable, RefusalReason::Stopping, this->d->facts.retryAfter);
+    }
+    return actions;
+}
+
+FlowActions RequestFlow::cutOff(Millis now)
+{
+    FlowActions actions = this->tick(now);
+    if (this->d->stage != Stage::Done) {
+        this->d->endEarly(actions, statusUnavailable, RefusalReason::Stopping);
+    }
+    return actions;
+}
+
 FlowActions RequestFlow::headArrived(Millis now)
 {
     FlowActions actions = this->tick(now);
@@ -391,14 +430,7 @@
     if (this->d->stage == Stage::Done || now < this->d->facts.deadline) {
         return actions;
     }
-    if (this->d->stage == Stage::Dispatched || this->d->stage == Stage::Relaying) {
-        actions.emplace_back(CancelAtTarget{this->d->target});
-        this->d->endWithUnknownOutcome(actions, statusTimeout, RefusalReason::DeadlinePassed);
-    } else if (this->d->stage == Stage::Attached || this->d->mayHaveRun) {
-        this->d->endWithUnknownOutcome(actions, statusTimeout, RefusalReason::DeadlinePassed);
-    } else {
-        this->d->refuseNotRun(actions, statusTimeout, RefusalReason::DeadlinePassed, this->d->facts.retryAfter);
-    }
+    this->d->endEarly(actions, statusTimeout, RefusalReason::DeadlinePassed);
     return actions;
 }
 
--- a/sequoiausher/coordination/flow/requestflow.h
+++ b/sequoiausher/coordination/flow/requestflow.h
@@ -69,6 +69,12 @@
     /** The claim's time for dispatch had passed when Dispatch was executed; nothing was sent. */
     FlowActions dispatchTooLate(Millis now);
 
+    /** The router stops before the request may have ended, so Dispatch was not executed; nothing was sent. */
+    FlowActions dispatchWithheld(Millis now);
+
+    /** The router ends now. Ends the request, and reports whether it was run. */
+    FlowActions cutOff(Millis now);
+
     /** The answer of the target or holder began, and belongs to this request. */
     FlowActions headArrived(Millis now);
 
--- a/sequoiausher/coordination/flow/requestflowtest.cpp
+++ b/sequoiausher/coordination/flow/requestflowtest.cpp
@@ -313,6 +313,54 @@
     CHECK(!has<WithdrawClaim>(unknown));
 }
 
+TEST_CASE(
+    "a request that a stopping router does not send is reported as not run, as far as no earlier dispatch may have")
+{
+    const auto keyed = dispatched(claimedFacts());
+    const FlowActions withheld = keyed->dispatchWithheld(start);
+    REQUIRE(has<Refuse>(withheld));
+    CHECK(find<Refuse>(withheld)->ran == Ran::No);
+    CHECK(find<Refuse>(withheld)->reason == RefusalReason::Stopping);
+    CHECK(find<Refuse>(withheld)->retryAfter > Millis{0});
+    CHECK(has<WithdrawClaim>(withheld));
+    CHECK(has<ReleaseReservation>(withheld));
+    CHECK(keyed->isDone());
+    CHECK(keyed->dispatchWithheld(start).empty());
+
+    FlowFacts idempotent;
+    idempotent.idempotent = true;
+    const auto resent = dispatched(idempotent);
+    REQUIRE(has<Reserve>(resent->targetFailed(start, TargetFailure::NoHead)));
+    REQUIRE(has<Dispatch>(resent->reserved(start, granted(secondTarget))));
+    CHECK(find<Refuse>(resent->dispatchWithheld(start))->ran == Ran::Unknown);
+}
+
+// Guards against a connection that ends without a word at the end of a planned stop.
+TEST_CASE("a router that ends reports whether each request was run, as far as known")
+{
+    RequestFlow waiting(FlowFacts{});
+    waiting.start(start);
+    CHECK(find<Refuse>(waiting.cutOff(start))->ran == Ran::No);
+
+    RequestFlow claiming(claimedFacts());
+    claiming.start(start);
+    CHECK(find<Refuse>(claiming.cutOff(start))->ran == Ran::Unknown);
+
+    const auto sent = dispatched(claimedFacts());
+    const FlowActions cut = sent->cutOff(start);
+    REQUIRE(has<Refuse>(cut));
+    CHECK(find<Refuse>(cut)->ran == Ran::Unknown);
+    CHECK(find<Refuse>(cut)->reason == RefusalReason::Stopping);
+    CHECK(has<CancelAtTarget>(cut));
+    CHECK_FALSE(has<WithdrawClaim>(cut));
+    CHECK(sent->cutOff(start).empty());
+
+    const auto relaying = dispatched(FlowFacts{});
+    relaying->headArrived(start);
+    REQUIRE(has<AbortAnswer>(relaying->cutOff(start)));
+    CHECK(relaying->isDone());
+}
+
 TEST_CASE("a client that disconnects cancels its request, unless a retry may get the answer")
 {
     FlowFacts plain;
--- a/sequoiausher/transport/http/httpexchange.cpp
+++ b/sequoiausher/transport/http/httpexchange.cpp
@@ -255,6 +255,11 @@
     socket->closeGracefully();
 }
 
+void HttpExchange::closeAfterAnswer()
+{
+    this->d->closeAfterAnswer();
+}
+
 std::size_t HttpExchange::bytesToWrite() const
 {
     return this->d->canWrite() ? static_cast<std::size_t>(this->d->socket->bytesToWrite()) : 0;
--- a/sequoiausher/transport/http/httpexchange.h
+++ b/sequoiausher/transport/http/httpexchange.h
@@ -77,6 +77,9 @@
     /** Closes the connection without ending the body, so that the caller detects an incomplete answer. */
     void abortStream();
 
+    /** Closes the connection after the answer, whose head says so unless it was sent already. */
+    void closeAfterAnswer();
+
     /** Returns the number of bytes written but not yet passed to the kernel; large if the caller reads slowly. */
     std::size_t bytesToWrite() const;
     /** Returns whether the answer was completed or aborted. */
--- a/sequoiausher/transport/http/httpserver.cpp
+++ b/sequoiausher/transport/http/httpserver.cpp
@@ -194,6 +194,13 @@
     }
 }
 
+void HttpServer::refuseIncomplete()
+{
+    for (Internal::ServerSocket *socket : this->d->sockets()) {
+        socket->refuseIncomplete();
+    }
+}
+
 std::size_t HttpServer::openExchanges() const
 {
     return this->d->state->openExchanges;
--- a/sequoiausher/transport/http/httpserver.h
+++ b/sequoiausher/transport/http/httpserver.h
@@ -82,6 +82,8 @@
     void stopAccepting();
     /** Closes connections without an exchange or a partly read request, at the end of a graceful stop. */
     void closeIdleConnections();
+    /** Answers partly read requests with 503 and closes their connections, when a graceful stop can't wait for them. */
+    void refuseIncomplete();
     /** Returns the number of unfinished exchanges with a connected caller. */
     std::size_t openExchanges() const;
     /** Returns the number of open connections, including idle ones. */
--- a/sequoiausher/transport/http/httpservertest.cpp
+++ b/sequoiausher/transport/http/httpservertest.cpp
@@ -321,6 +321,26 @@
     CHECK(bench.keeper.kept.empty());
 }
 
+// Guards against a connection that ends without a word at the end of a stop, while its request is still on its way.
+TEST_CASE("a partly read request is refused when a stop can't wait for it")
+{
+    Bench bench;
+    bench.socket.write("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbo");
+    runFor(50);
+    bench.server.stopAccepting();
+    bench.server.closeIdleConnections();
+    bench.server.refuseIncomplete();
+    const std::string answer = bench.received();
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(answer.find("X-Ran: unknown\r\n") != std::string::npos);
+    CHECK(answer.find("Retry-After: ") != std::string::npos);
+    CHECK(answer.find("Connection: close\r\n") != std::string::npos);
+    // The rest is read and not handled, so that no reset takes the answer back.
+    bench.socket.write("dy");
+    CHECK(bench.closes());
+    CHECK(bench.keeper.kept.empty());
+}
+
 TEST_CASE("a connection without a request is closed, one with an exchange is kept")
 {
     // Guards against idle connections that hold descriptors and memory forever.
--- a/sequoiausher/transport/http/serversocket.cpp
+++ b/sequoiausher/transport/http/serversocket.cpp
@@ -69,9 +69,9 @@
     this->receivedBytes += static_cast<std::size_t>(this->bytesAvailable());
     // QHttpServer buffers requests of any length, so an endless one would fill the memory.
     if (this->receivedBytes > this->shared->maximumRequestBytes) {
-        this->refuse("413 Payload Too Large", "too_large", "the request is too large");
+        this->refuse({"413 Payload Too Large", "too_large", "the request is too large"});
     } else if (this->beyondLimit) {
-        this->refuse("503 Service Unavailable", "too_many_connections", "too many connections are open");
+        this->refuse({"503 Service Unavailable", "too_many_connections", "too many connections are open", "no", true});
     }
 }
 
@@ -88,14 +88,22 @@
         return;
     }
     if (this->receivedBytes > 0 && now - this->since >= requestTimeout) {
-        this->refuse("408 Request Timeout", "request_timeout", "the request did not arrive whole in time");
+        this->refuse({"408 Request Timeout", "request_timeout", "the request did not arrive whole in time"});
     } else if (this->receivedBytes == 0 && now - this->since >= idleTimeout) {
         this->closeGracefully();
     }
 }
 
+// Its head was not looked at: with an idempotency key, an earlier attempt may have run.
+void ServerSocket::refuseIncomplete()
+{
+    if (this->current.expired() && this->receivedBytes > 0 && !this->closing) {
+        this->refuse({"503 Service Unavailable", "stopping", "the server is stopping", "unknown", true});
+    }
+}
+
 // So QHttpServer is disconnected from the socket, further bytes are discarded, and the caller is informed.
-void ServerSocket::refuse(std::string_view status, std::string_view code, std::string_view message)
+void ServerSocket::refuse(const Refusal &refusal)
 {
     QObject::disconnect(this, &QTcpSocket::readyRead, nullptr, nullptr);
     QObject::connect(this, &QTcpSocket::readyRead, this, [this] { this->readAll(); });
@@ -104,10 +112,11 @@
     }
     this->readAll();
     if (this->current.expired()) {
-        std::string body = R"({"error":{"message":")" + std::string(message);
-        body += R"(","type":"invalid_request_error","code":")" + std::string(code) + R"(","param":null}})";
-        std::string answer = "HTTP/1.1 " + std::string(status) + "\r\nConnection: close\r\nX-Ran: no\r\n";
-        answer += this->beyondLimit ? "Retry-After: 1\r\n" : "";
+        std::string body = R"({"error":{"message":")" + std::string(refusal.message);
+        body += R"(","type":"invalid_request_error","code":")" + std::string(refusal.code) + R"(","param":null}})";
+        std::string answer = "HTTP/1.1 " + std::string(refusal.status) + "\r\nConnection: close\r\n";
+        answer += "X-Ran: " + std::string(refusal.ran) + "\r\n";
+        answer += refusal.mayRetry ? "Retry-After: 1\r\n" : "";
         answer += "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
         answer += body;
         this->write(answer.data(), static_cast<qint64>(answer.size()));
--- a/sequoiausher/transport/http/serversocket.h
+++ b/sequoiausher/transport/http/serversocket.h
@@ -69,6 +69,9 @@
      */
     void endIfUnused(Millis now, Millis requestTimeout, Millis idleTimeout);
 
+    /** Refuses a partly read request, since the server stops. */
+    void refuseIncomplete();
+
     bool isIdle() const
     {
         return this->current.expired() && this->receivedBytes == 0 && !this->closing;
@@ -80,7 +83,16 @@
 
 private:
     void countRead();
-    void refuse(std::string_view status, std::string_view code, std::string_view message);
+    /** An answer to a request that was not read whole. */
+    struct Refusal
+    {
+        std::string_view status;
+        std::string_view code;
+        std::string_view message;
+        std::string_view ran = "no";
+        bool mayRetry = false;
+    };
+    void refuse(const Refusal &refusal);
     void clientGone();
     void written();
 
--- a/sequoiausher/transport/router/entry.cpp
+++ b/sequoiausher/transport/router/entry.cpp
@@ -227,6 +227,13 @@
     }
 }
 
+void Entry::cutOff(Millis now)
+{
+    for (const std::shared_ptr<RequestSession> &session : this->d->sessions) {
+        session->cutOff(now);
+    }
+}
+
 std::size_t Entry::openSessions() const
 {
     return static_cast<std::size_t>(std::count_if(
--- a/sequoiausher/transport/router/entry.h
+++ b/sequoiausher/transport/router/entry.h
@@ -24,6 +24,8 @@
     void handle(std::shared_ptr<HttpExchange> exchange) override;
     /** Checks the time limits of the running sessions, and releases ended ones. To be called several times a second. */
     void tick(Millis now);
+    /** Ends all requests, each with an answer that says whether it was run. */
+    void cutOff(Millis now);
     /** The number of sessions that have not ended, including those whose client has disconnected. */
     std::size_t openSessions() const;
 
--- a/sequoiausher/transport/router/flowresults.cpp
+++ b/sequoiausher/transport/router/flowresults.cpp
@@ -65,8 +65,9 @@
     case RefusalReason::NoTarget:
     case RefusalReason::PoolFull:
     case RefusalReason::TargetUnreachable:
-    case RefusalReason::Stopping:
         break;
+    case RefusalReason::Stopping:
+        return refusal.ran == Ran::No ? Outcome::RefusedFull : Outcome::Unknown;
     }
     return Outcome::RefusedFull;
 }
--- a/sequoiausher/transport/router/flowresultstest.cpp
+++ b/sequoiausher/transport/router/flowresultstest.cpp
@@ -70,6 +70,7 @@
         {RefusalReason::PoolFull, Ran::No, Outcome::RefusedFull},
         {RefusalReason::TargetUnreachable, Ran::No, Outcome::RefusedFull},
         {RefusalReason::Stopping, Ran::No, Outcome::RefusedFull},
+        {RefusalReason::Stopping, Ran::Unknown, Outcome::Unknown},
         {RefusalReason::NoQuorum, Ran::No, Outcome::RefusedNoQuorum},
         {RefusalReason::RouterPaused, Ran::No, Outcome::RefusedNoQuorum},
         {RefusalReason::KeyReused, Ran::No, Outcome::RefusedInvalid},
--- a/sequoiausher/transport/router/node.cpp
+++ b/sequoiausher/transport/router/node.cpp
@@ -294,8 +294,43 @@
     return this->d->pools.load();
 }
 
+bool Node::mayBegin(const std::string &kind, Millis deadline) const
+{
+    if (!this->d->leaving) {
+        return true;
+    }
+    std::vector<InstanceId> staying;
+    {
+        const std::scoped_lock lock(this->d->membershipMutex);
+        staying = this->d->membership.live();
+    }
+    std::erase(staying, this->d->settings.name);
+    const Millis now = Millis::monotonicNow();
+    const std::scoped_lock lock(this->d->limitsMutex);
+    const auto longer = [&](Millis limit) { return this->d->durations.shareLongerThan(limit, kind, now); };
+    return this->d->stop.mayBegin({deadline - now, longer}, !staying.empty(), now);
+}
+
+void Node::workBegan(const std::string &kind, Millis at)
+{
+    const std::scoped_lock lock(this->d->limitsMutex);
+    this->d->durations.begin(kind, at);
+}
+
+void Node::workEnded(const std::string &kind, Millis begunAt, bool isWhole)
+{
+    const std::scoped_lock lock(this->d->limitsMutex);
+    this->d->durations.end(kind, begunAt, isWhole, Millis::monotonicNow());
+}
+
 void Node::beginLeaving()
 {
+    {
+        // A router's grace begins with the end of the notice.
+        const DrainSettings &drain = this->d->settings.drain;
+        const std::scoped_lock lock(this->d->limitsMutex);
+        this->d->stop.begin({drain.notice + drain.grace, drain.notice}, Millis::monotonicNow());
+    }
     this->d->leaving = true;
     Outbox outbox;
     {
--- a/sequoiausher/transport/router/node.h
+++ b/sequoiausher/transport/router/node.h
@@ -144,7 +144,16 @@
     /** Returns the facts about pools for the conditions of rules. */
     std::shared_ptr<const std::vector<PoolState>> poolStates() const;
 
-    /** Begins a planned stop: notifies the peers, transfers claims, refuses new requests. Control thread. */
+    /**
+     * Whether work of the kind may be sent to a target: in a planned stop only if it is expected to end in time, see
+     * StopSchedule.
+     */
+    bool mayBegin(const std::string &kind, Millis deadline) const;
+    /** Records how long work of the kind lasts at targets. @param isWhole see RouteDurations. */
+    void workBegan(const std::string &kind, Millis at);
+    void workEnded(const std::string &kind, Millis begunAt, bool isWhole);
+
+    /** Begins a planned stop: notifies the peers, transfers claims, and see mayBegin(). Control thread. */
     void beginLeaving();
     /** Begins to transfer kept answers to the routers that stay; to be called once no request is open. Control thread.
      */
--- a/sequoiausher/transport/router/nodeprivate.h
+++ b/sequoiausher/transport/router/nodeprivate.h
@@ -9,6 +9,8 @@
 #include "sequoiausher/base/published.h"
 #include "sequoiausher/coordination/admission/ownedshards.h"
 #include "sequoiausher/coordination/claims/witness.h"
+#include "sequoiausher/coordination/gateway/routedurations.h"
+#include "sequoiausher/coordination/gateway/stopschedule.h"
 #include "sequoiausher/coordination/limits/admissionqueue.h"
 #include "sequoiausher/coordination/limits/poolguard.h"
 #include "sequoiausher/coordination/membership/membership.h"
@@ -113,6 +115,8 @@
     std::map<PoolId, std::unique_ptr<AdmissionQueue>> queues;
     RuleQueues gates;
     PoolGuard guard;
+    StopSchedule stop;
+    RouteDurations durations;
 
     AnswerTable answers;
     RequestRegistry registry;
--- a/sequoiausher/transport/router/requestsession.cpp
+++ b/sequoiausher/transport/router/requestsession.cpp
@@ -43,6 +43,22 @@
     this->d->run(this->d->flow.tick(now));
 }
 
+void RequestSession::cutOff(Millis now)
+{
+    if (this->d->done) {
+        return;
+    }
+    if (this->d->joined.isFollowing()) {
+        this->d->joined.leave();
+        this->d->breakOffJoined(stoppingRefusal(Ran::Unknown));
+    } else if (!this->d->started) {
+        this->d->refuseStopping();
+    } else {
+        this->d->cancelAttached();
+        this->d->run(this->d->flow.cutOff(now));
+    }
+}
+
 bool RequestSession::isDone() const
 {
     return this->d->done;
--- a/sequoiausher/transport/router/requestsession.h
+++ b/sequoiausher/transport/router/requestsession.h
@@ -25,6 +25,8 @@
     /** Attaches to a running answer of the same key, or queues, claims and reserves. */
     void begin();
     void tick(Millis now);
+    /** Ends the request since the router ends, with an answer that says whether it was run. */
+    void cutOff(Millis now);
     /** Whether the session has ended, so that the worker may release it. */
     bool isDone() const;
 
--- a/sequoiausher/transport/router/requestsessionprivate.cpp
+++ b/sequoiausher/transport/router/requestsessionprivate.cpp
@@ -16,13 +16,24 @@
 constexpr int statusTooMany = 429;
 constexpr int statusTimeout = 504;
 constexpr Millis deadlineRetry{1000};
+constexpr Millis stoppingRetry{1000};
 constexpr int statusConflict = 409;
 constexpr int statusUnprocessable = 422;
 
 constexpr Refuse outcomeUnknown{statusConflict, Ran::Unknown, RefusalReason::OutcomeUnknown, Millis{0}};
 
+std::string kindOf(const SessionOrder &order)
+{
+    return order.decision.pool.value + "/" + std::string(nameOf(order.parsed.requestClass));
+}
+
 } // namespace
 
+Refuse stoppingRefusal(Ran ran)
+{
+    return Refuse{statusUnavailable, ran, RefusalReason::Stopping, stoppingRetry};
+}
+
 void RequestSession::Private::targetHead(int code, const std::string &type)
 {
     this->status = code;
@@ -79,6 +90,7 @@
     const Millis now = Millis::monotonicNow();
     this->relay.times().begin(now);
     this->watchClient();
+    this->kind = kindOf(this->order);
     if (this->claims) {
         this->key = claimKeyOf(this->order.labels.organisation, this->order.parsed.idempotencyKey);
         this->bodyDigest = hash64(this->order.exchange->body(), hash64(this->order.parsed.path));
@@ -168,8 +180,13 @@
     this->done = true;
 }
 
+// Not before a kept answer of the key was looked for: that one is served in a stop, too.
 void RequestSession::Private::queue()
 {
+    if (!this->mayBegin()) {
+        this->refuseStopping();
+        return;
+    }
     this->queueAnswered(this->place.enter(this->relay.times().begunAt()));
 }
 
@@ -200,6 +217,16 @@
     this->refuseAtOnce(Refuse{statusTimeout, ran, RefusalReason::DeadlinePassed, deadlineRetry});
 }
 
+bool RequestSession::Private::mayBegin() const
+{
+    return this->context.node.mayBegin(this->kind, this->order.deadline);
+}
+
+void RequestSession::Private::refuseStopping()
+{
+    this->refuseAtOnce(stoppingRefusal(this->claims ? Ran::Unknown : Ran::No));
+}
+
 void RequestSession::Private::startFlow()
 {
     this->started = true;
@@ -220,6 +247,10 @@
 void RequestSession::Private::end()
 {
     this->place.leave();
+    if (this->sentAt) {
+        this->context.node.workEnded(this->kind, *this->sentAt, this->isWhole);
+        this->sentAt.reset();
+    }
     this->done = true;
 }
 
@@ -269,6 +300,10 @@
     // The last moment at which a claim can be found too old, or a pause noticed in which the target may have left: from
     // here on the target may have the request.
     Node &node = this->context.node;
+    if (!this->mayBegin()) {
+        this->run(this->flow.dispatchWithheld(Millis::monotonicNow()));
+        return;
+    }
     const bool holds = this->claimHolds();
     if (!node.mayServe() || !holds) {
         this->run(this->flow.dispatchTooLate(Millis::monotonicNow()));
@@ -291,6 +326,10 @@
     node.targetTried(action.target);
     this->context.metrics.countDispatch(this->order.labels, action.target.value, this->dispatches > 0);
     ++this->dispatches;
+    if (!this->sentAt) {
+        this->sentAt = Millis::monotonicNow();
+        node.workBegan(this->kind, *this->sentAt);
+    }
     this->call.dispatch(found->description.address, action.freshConnection);
 }
 
@@ -330,6 +369,7 @@
 void RequestSession::Private::act(const RelayEnd &)
 {
     const Outcome outcome = this->attached.isFollowing() ? Outcome::Attached : Outcome::Complete;
+    this->isWhole = outcome == Outcome::Complete;
     this->relay.complete(outcome, this->flow.mayHaveRun());
 }
 
@@ -339,6 +379,9 @@
     if (this->claims && refusal.ran == Ran::No && refusal.reason != RefusalReason::KeyReused && !this->keyUnrun) {
         refusal.ran = Ran::Unknown;
     }
+    if (refusal.reason == RefusalReason::Stopping) {
+        this->order.exchange->closeAfterAnswer();
+    }
     this->relay.refuse(refusal, this->flow.mayHaveRun(), !this->joined.isHeadTold());
 }
 
@@ -392,6 +435,13 @@
     }
 }
 
+void RequestSession::Private::cancelAttached()
+{
+    if (this->attached.isFollowing()) {
+        this->context.node.send(this->attached.holder(), AttachCancel{this->order.request});
+    }
+}
+
 std::string RequestSession::Private::addressOf(const TargetId &wanted) const
 {
     const std::optional<TargetView> found = this->context.node.target(this->order.decision.pool, wanted);
@@ -414,9 +464,7 @@
         this->joined.leave();
         this->done = true;
     } else if (this->started) {
-        if (this->attached.isFollowing()) {
-            this->context.node.send(this->attached.holder(), AttachCancel{this->order.request});
-        }
+        this->cancelAttached();
         this->run(this->flow.clientGone(Millis::monotonicNow()));
     } else {
         this->refuseAtOnce(Refuse{statusUnavailable, Ran::No, RefusalReason::ClientGone, Millis{0}});
--- a/sequoiausher/transport/router/requestsessionprivate.h
+++ b/sequoiausher/transport/router/requestsessionprivate.h
@@ -14,11 +14,15 @@
 #include "sequoiausher/transport/router/targetreservation.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
 namespace Sequoiausher {
 
+/** The refusal of a request in a planned stop. */
+Refuse stoppingRefusal(Ran ran);
+
 class RequestSession::Private : public TargetCallListener
 {
 public:
@@ -54,6 +58,8 @@
     void queueAnswered(const QueueDecision &decision);
     void queueRefused(Millis retryAfter);
     void queuedLate();
+    bool mayBegin() const;
+    void refuseStopping();
     void startFlow();
 
     void run(const FlowActions &actions);
@@ -80,6 +86,7 @@
     void askHolder();
     void askElsewhere();
     void tickAttached(Millis now);
+    void cancelAttached();
     void watchClient();
     void clientGone();
     std::string addressOf(const TargetId &target) const;
@@ -101,6 +108,12 @@
     std::weak_ptr<RequestSession> self;
     ClaimKey key;
     std::uint64_t bodyDigest = 0;
+    /** The requests that are expected to last as long as this one. */
+    std::string kind;
+    /** When a target was first called. */
+    std::optional<Millis> sentAt;
+    /** Whether the target's answer was relayed whole. */
+    bool isWhole = false;
     /** Whether the flow has begun. */
     bool started = false;
     bool keyUnrun = false;
--- a/sequoiausher/transport/router/router.cpp
+++ b/sequoiausher/transport/router/router.cpp
@@ -20,6 +20,10 @@
 constexpr int suppressedEveryMillis = 3000;
 /** After the last request, so that the last messages leave and late callers find a closed door, not a reset. */
 constexpr int lastWordsMillis = 300;
+/** How long the answers may take that tell of the end of the grace. */
+constexpr Millis lastAnswersLimit{1000};
+/** Workers count again after this time at the latest. */
+constexpr int workersCountMillis = drainCheckMillis * 4;
 
 // Wall-clock milliseconds, which grow from start to start; no two lives of one name may share an incarnation, and
 // nothing else rests on the clock.
@@ -44,6 +48,8 @@
     std::size_t openRequests() const;
     void stopWorkers();
     void awaitEnd();
+    void cutOff(std::size_t open);
+    void awaitLastAnswers();
     void handOver();
     void awaitHandover();
     void finish();
@@ -77,7 +83,7 @@
     }
     this->stopAt = Millis::monotonicNow() + this->settings.drain.grace;
     // The first look comes only after the workers have counted what came with the last connections.
-    QTimer::singleShot(drainCheckMillis * 4, &this->timer, [this] { this->awaitEnd(); });
+    QTimer::singleShot(workersCountMillis, &this->timer, [this] { this->awaitEnd(); });
 }
 
 void Router::Private::awaitEnd()
@@ -89,8 +95,29 @@
         return;
     }
     if (open > 0) {
-        this->log.error(
-            LogPart::Main, "the grace time is over, requests are cut off", {{"open", std::to_string(open)}});
+        this->cutOff(open);
+    } else {
+        this->handOver();
+    }
+}
+
+// What is known of each request is told to its caller, who could not tell from a lost connection whether another
+// attempt is safe.
+void Router::Private::cutOff(std::size_t open)
+{
+    this->log.error(LogPart::Main, "the grace time is over, requests are cut off", {{"open", std::to_string(open)}});
+    for (const auto &worker : this->workers) {
+        worker->cutOff();
+    }
+    this->stopAt = Millis::monotonicNow() + lastAnswersLimit;
+    QTimer::singleShot(workersCountMillis, &this->timer, [this] { this->awaitLastAnswers(); });
+}
+
+void Router::Private::awaitLastAnswers()
+{
+    if (this->openRequests() > 0 && Millis::monotonicNow() < this->stopAt) {
+        QTimer::singleShot(drainCheckMillis, &this->timer, [this] { this->awaitLastAnswers(); });
+        return;
     }
     this->handOver();
 }
--- a/sequoiausher/transport/router/worker.cpp
+++ b/sequoiausher/transport/router/worker.cpp
@@ -53,6 +53,7 @@
     std::atomic<std::uint16_t> port{0};
     /** Set and used on this thread. */
     HttpServer *server = nullptr;
+    Entry *serving = nullptr;
     bool closesIdle = false;
 };
 
@@ -73,6 +74,7 @@
     http.listen();
     this->port = http.port();
     this->server = &http;
+    this->serving = &entry;
     QTimer timer;
     QObject::connect(&timer, &QTimer::timeout, &timer, [&] {
         entry.tick(Millis::monotonicNow());
@@ -87,6 +89,7 @@
     this->listening.set_value(std::nullopt);
     this->exec();
     this->server = nullptr;
+    this->serving = nullptr;
 }
 
 // Goes wrong where a stop looks at requests alone: the end of an answer that its caller takes slowly is lost with the
@@ -132,6 +135,17 @@
     QMetaObject::invokeMethod(&this->d->loop, close, Qt::QueuedConnection);
 }
 
+void Worker::cutOff()
+{
+    const auto cut = [this] {
+        if (this->d->server != nullptr) {
+            this->d->serving->cutOff(Millis::monotonicNow());
+            this->d->server->refuseIncomplete();
+        }
+    };
+    QMetaObject::invokeMethod(&this->d->loop, cut, Qt::QueuedConnection);
+}
+
 void Worker::stop()
 {
     this->d->quit();
--- a/sequoiausher/transport/router/worker.h
+++ b/sequoiausher/transport/router/worker.h
@@ -29,6 +29,8 @@
     std::uint16_t port() const;
     /** Stops accepting connections; requests in progress continue. */
     void stopAccepting();
+    /** Answers what is in progress with what is known of it, before the process ends. */
+    void cutOff();
     /** Ends the thread and aborts what is in progress. A second call has no effect. */
     void stop();
     /**
