--- a/lab/soak/main.cpp
+++ b/lab/soak/main.cpp
@@ -74,6 +74,8 @@
         options.foreign = static_cast<std::size_t>(integerOption(parsed, "foreign"));
         options.reservesPlaces = integerOption(parsed, "reserve") > 0;
         options.loadPerSecond = static_cast<std::size_t>(integerOption(parsed, "load"));
+        options.mayLoseAllAnswers = integerOption(parsed, "losing") > 0;
+        options.mayLeaveTogether = integerOption(parsed, "leaving") > 0;
         options.rules = textOption(parsed, "rules");
         options.program = textOption(parsed, "program");
         options.faults = Millis{integerOption(parsed, "faults-ms")};
@@ -120,6 +122,9 @@
         "load",
         "Requests a second of an open load, beside faults of gateways and links alone; 0 for other callers",
         0);
+    addIntegerOption(options, "losing", "1: beside an open load, up to all engines lose up to all of their answers", 0);
+    addIntegerOption(
+        options, "leaving", "1: beside an open load, up to half of the engines that serve leave at each fault", 0);
     addTextOption(options, "program", "The gateway to play; empty for the one built with it", "");
     addTextOption(options, "rules", "The rules of the gateways; empty for those that are shipped", "");
     addTextOption(options, "folder", "Where logs go", "/tmp/sequoiausher-soak");
--- a/lab/soak/soakrun.h
+++ b/lab/soak/soakrun.h
@@ -69,6 +69,11 @@
      * changes of the load. 0 for the other callers and faults.
      */
     std::size_t loadPerSecond = 0;
+    /** Beside an open load, up to all engines lose up to all of their answers. */
+    bool mayLoseAllAnswers = false;
+    /** Beside an open load, up to half of the engines that serve leave at each fault, whether others are leaving or
+     * not. */
+    bool mayLeaveTogether = false;
     /** Where settings and what the gateways write go; made where it is missing. */
     std::string folder;
     /** The rules of the gateways; empty for those that are shipped. */
--- a/lab/soak/soakrunprivate.cpp
+++ b/lab/soak/soakrunprivate.cpp
@@ -794,6 +794,9 @@
         listed += isCounted ? 1 : 0;
         leaving += isCounted && place.isLeaving ? 1 : 0;
     }
+    if (this->options.mayLeaveTogether) {
+        return (listed - leaving) / 2;
+    }
     const std::size_t most = listed > 0 ? (listed - 1) / 2 : 0;
     return most - std::min(leaving, most);
 }
@@ -827,9 +830,9 @@
 {
     constexpr std::uint64_t percent = 100;
     constexpr std::uint64_t leastLostPercent = 30;
-    constexpr std::uint64_t mostLostPercent = 70;
+    const std::uint64_t mostLostPercent = this->options.mayLoseAllAnswers ? percent : 70;
     constexpr std::uint64_t fewestStruckPercent = 50;
-    constexpr std::uint64_t mostStruckPercent = 75;
+    const std::uint64_t mostStruckPercent = this->options.mayLoseAllAnswers ? percent - 1 : 75;
     const double lost
         = static_cast<double>(leastLostPercent + fault.detail % (mostLostPercent + 1 - leastLostPercent)) / percent;
     std::vector<TargetPlace *> struck;
--- a/lab/soak/soakrunprivate.h
+++ b/lab/soak/soakrunprivate.h
@@ -95,7 +95,8 @@
     std::size_t joinSome(std::size_t count);
     /**
      * How many targets of the engines may leave now. Fewer than half are on their way out at any time: the others could
-     * not take all requests within the limit, which counts the mean of all.
+     * not take all requests within the limit, which counts the mean of all. With mayLeaveTogether it is half of those
+     * that are not on their way out.
      */
     std::size_t mayLeave() const;
     void loseAnswers(const FleetFault &fault);
