Take the time in which a body arrives off the time that its caller has left

A caller states its time left in the head. The router's node names the kind of successor that its stop has, as StopSchedule asks for it.

--- a/sequoiausher/transport/gateway/callerconnection.cpp
+++ b/sequoiausher/transport/gateway/callerconnection.cpp
@@ -80,6 +80,7 @@
         this->partial.lastByteAt = now;
         if (!std::exchange(this->hasBytes, true)) {
             this->partial.firstByteAt = now;
+            this->headAt.reset();
             this->reader.setLimits(this->limits());
             this->reader.restart();
         }
@@ -88,6 +89,9 @@
             this->refuse(statusOf(this->reader.fault()), std::string(nameOf(this->reader.fault())));
             break;
         }
+        if (this->reader.hasHead() && !this->headAt) {
+            this->headAt = now;
+        }
         if (this->refuseForStop() || (this->reader.hasHead() && !this->admitBody())) {
             break;
         }
@@ -182,7 +186,8 @@
         if (route == nullptr) {
             return false;
         }
-        const Millis timeLeft = std::min(route->timeout, request.timeLeft.value_or(route->timeout));
+        const Millis callersTime = request.timeLeft.value_or(route->timeout) - (now - this->headAt.value_or(now));
+        const Millis timeLeft = std::min(route->timeout, callersTime);
         if (this->context.mayBegin(*route, timeLeft, now)) {
             return false;
         }
@@ -215,7 +220,8 @@
         // The event loop reports the end of the connection in its next iteration.
         return;
     }
-    ReceivedBody body{this->reader.takeBody(), std::move(this->bodyMemory)};
+    const Millis transferTime = now - this->headAt.value_or(now);
+    ReceivedBody body{this->reader.takeBody(), std::move(this->bodyMemory), transferTime};
     this->exchange = std::make_shared<GatewayExchange>(this->context, *this, this->reader.head(), std::move(body), now);
     // The exchange may be answered and released during the call.
     const auto started = this->exchange;
--- a/sequoiausher/transport/gateway/callerconnection.h
+++ b/sequoiausher/transport/gateway/callerconnection.h
@@ -127,6 +127,8 @@
     PartialRequest partial;
     bool hasBytes = false;
     bool hasContinued = false;
+    /** When the head of the current request was read; absent before. */
+    std::optional<Millis> headAt;
     bool isOver = false;
     /** Set during readRequests(), so that a request which is answered at once does not start to read the next one. */
     bool isReadingNow = false;
--- a/sequoiausher/transport/gateway/gatewayadmission.cpp
+++ b/sequoiausher/transport/gateway/gatewayadmission.cpp
@@ -39,10 +39,14 @@
 class Admission
 {
 public:
-    Admission(GatewayContext &sharedContext, const HttpHead &requestHead, Millis readAt, AdmittedRequest &result)
+    Admission(GatewayContext &sharedContext,
+              const HttpHead &requestHead,
+              const RequestArrival &arrival,
+              AdmittedRequest &result)
         : context(sharedContext)
         , head(requestHead)
-        , receivedAt(readAt)
+        , receivedAt(arrival.receivedAt)
+        , transferTime(arrival.transferTime)
         , admitted(result)
     {
     }
@@ -59,6 +63,7 @@
     GatewayContext &context;
     const HttpHead &head;
     Millis receivedAt;
+    Millis transferTime;
     AdmittedRequest &admitted;
 };
 
@@ -69,6 +74,10 @@
     } catch (const Error &error) {
         return GatewayRefusal{statusBadRequest, error.reason(), std::nullopt, Outcome::RefusedInvalid};
     }
+    std::optional<Millis> &timeLeft = this->admitted.request.timeLeft;
+    if (timeLeft) {
+        timeLeft = std::max(*timeLeft - this->transferTime, Millis{0});
+    }
     if (!this->admitted.table) {
         const Millis retry = this->context.spread(retryWhenStarting);
         return GatewayRefusal{statusUnavailable, "no configuration is known yet", retry, Outcome::RefusedFull};
@@ -215,10 +224,10 @@
 }
 
 std::optional<GatewayRefusal>
-admitRequest(GatewayContext &context, const HttpHead &head, Millis receivedAt, AdmittedRequest &admitted)
+admitRequest(GatewayContext &context, const HttpHead &head, const RequestArrival &arrival, AdmittedRequest &admitted)
 {
     admitted.table = context.table;
-    return Admission(context, head, receivedAt, admitted).admit();
+    return Admission(context, head, arrival, admitted).admit();
 }
 
 } // namespace Sequoiausher
--- a/sequoiausher/transport/gateway/gatewayadmission.h
+++ b/sequoiausher/transport/gateway/gatewayadmission.h
@@ -4,7 +4,7 @@
 // rule that matches. A request that is not admitted gets a reason and, if a retry may succeed, the time to wait.
 //
 //     AdmittedRequest admitted;
-//     if (const auto refusal = admitRequest(context, head, now, admitted)) { answer(*refusal); }
+//     if (const auto refusal = admitRequest(context, head, {now, transferTime}, admitted)) { answer(*refusal); }
 
 #include "sequoiausher/coordination/gateway/allowedregions.h"
 #include "sequoiausher/coordination/gateway/promptparts.h"
@@ -59,9 +59,18 @@
 /** How long the caller has waited for an answer since its first attempt, as far as is known. */
 Millis estimateWaited(GatewayContext &context, const AdmittedRequest &admitted, Millis receivedAt);
 
+/** When a request arrived. */
+struct RequestArrival
+{
+    /** When its last byte was read. */
+    Millis receivedAt;
+    /** From its head, which states the time that its caller has left, to its last byte. */
+    Millis transferTime;
+};
+
 /** Fills in admitted and counts the request for the retry budget. @return the refusal, if the request is not admitted.
  */
 std::optional<GatewayRefusal>
-admitRequest(GatewayContext &context, const HttpHead &head, Millis receivedAt, AdmittedRequest &admitted);
+admitRequest(GatewayContext &context, const HttpHead &head, const RequestArrival &arrival, AdmittedRequest &admitted);
 
 } // namespace Sequoiausher
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -67,6 +67,7 @@
         , head(std::move(given))
         , body(std::make_shared<const std::string>(std::move(received.bytes)))
         , bodyMemory(std::move(received.memory))
+        , transferTime(received.transferTime)
         , receivedAt(at)
         , crashGuard(shared)
         , answerEnd(shared)
@@ -163,6 +164,7 @@
     std::shared_ptr<const std::string> body;
     /** Null for a request without a body. */
     std::unique_ptr<BodyReservation> bodyMemory;
+    Millis transferTime;
     Millis receivedAt;
     AdmittedRequest admitted;
 
@@ -225,7 +227,7 @@
 void GatewayExchange::Private::begin()
 {
     const std::optional<GatewayRefusal> refusal
-        = admitRequest(this->context, this->head, this->receivedAt, this->admitted);
+        = admitRequest(this->context, this->head, {this->receivedAt, this->transferTime}, this->admitted);
     if (refusal) {
         this->answerOwn(refusal->status, refusal->reason, refusal->retryAfter, refusal->outcome);
         return;
--- a/sequoiausher/transport/gateway/gatewayexchange.h
+++ b/sequoiausher/transport/gateway/gatewayexchange.h
@@ -27,6 +27,8 @@
     std::string bytes;
     /** Null for a request without a body. */
     std::unique_ptr<BodyReservation> memory;
+    /** From the head of the request to its last byte. */
+    Millis transferTime;
 };
 
 /** One request. */
--- a/sequoiausher/transport/gateway/gatewaynodetest.cpp
+++ b/sequoiausher/transport/gateway/gatewaynodetest.cpp
@@ -700,6 +700,38 @@
     }
 }
 
+// Guards against targets that work on for callers who have left, because the time that a caller states in the head is
+// counted from the last byte of a body that took long to arrive.
+TEST_CASE("the time in which a body arrives is taken off the time that its caller has left")
+{
+    Bed bed;
+    FakeServer &target = bed.addTarget("t1", "desk");
+    target.answers = [](FakeRequest &request) { request.reply("200 OK", "plate"); };
+    bed.start();
+    FakeCaller caller(bed.address());
+    constexpr Millis transferTime{400};
+    constexpr Millis tolerance{50};
+    SUBCASE("some is left")
+    {
+        caller.send(bed.request("POST", "/desk/1", "X-Left: 900\r\nContent-Length: 4\r\n") + "pl");
+        GatewayTestbed::waitFor([] { return false; }, transferTime);
+        caller.send("at");
+        REQUIRE(GatewayTestbed::waitFor([&] { return caller.reply.isWhole; }));
+        CHECK(caller.reply.status == 200);
+        REQUIRE(target.seen.size() == 1);
+        CHECK(Millis{std::stoll(target.seen[0].header("X-Left"))} <= Millis{900} - transferTime + tolerance);
+    }
+    SUBCASE("none is left")
+    {
+        caller.send(bed.request("POST", "/desk/1", "X-Left: 300\r\nContent-Length: 4\r\n") + "pl");
+        GatewayTestbed::waitFor([] { return false; }, transferTime);
+        caller.send("at");
+        REQUIRE(GatewayTestbed::waitFor([&] { return caller.reply.isWhole; }));
+        CHECK(caller.reply.status == 503);
+        CHECK(target.seen.empty());
+    }
+}
+
 // Guards against answers that are lost at each replacement of a gateway, because SIGTERM closes connections while a
 // request runs or another one arrives on a kept connection.
 TEST_CASE("a planned stop answers what was read, takes no new work after it, and ends")
--- a/sequoiausher/transport/router/node.cpp
+++ b/sequoiausher/transport/router/node.cpp
@@ -308,7 +308,8 @@
     const Millis now = Millis::monotonicNow();
     const std::scoped_lock lock(this->d->limitsMutex);
     const auto longer = [&](Millis limit) { return this->d->durations.shareLongerThan(limit, kind, now); };
-    return this->d->stop.mayBegin({deadline - now, longer}, !staying.empty(), now);
+    const StopSuccessor successor = staying.empty() ? StopSuccessor::None : StopSuccessor::Neighbour;
+    return this->d->stop.mayBegin({deadline - now, longer}, successor, now);
 }
 
 void Node::workBegan(const std::string &kind, Millis at)
