--- a/lab/soak/soakrun.cpp
+++ b/lab/soak/soakrun.cpp
@@ -299,7 +299,7 @@
 
 std::optional<SoakEntry> SoakRun::Private::pickAny()
 {
-    if (const std::optional<SoakEntry> ready = this->pick()) {
+    if (std::optional<SoakEntry> ready = this->pick()) {
         return ready;
     }
     SoakGateway &gateway = *this->gateways[this->picks++ % this->gateways.size()];
--- a/lab/soak/soakrunprivate.cpp
+++ b/lab/soak/soakrunprivate.cpp
@@ -171,7 +171,6 @@
         gateway.process().kill();
         this->after(restartPause, [this, number] {
             this->startGateway(number);
-            this->judge.disturbances().end(killed(number), Millis::monotonicNow());
             this->judge.disturbances().end(SoakJudge::gatewaySubject(number), Millis::monotonicNow());
         });
     };
