Let services without named versions go by any contact, as before

With the fix, a service whose targets name no version needed a proof of the last two seconds. Its streams are never recorded, since there is nothing to keep them at, so an outage of the store of two seconds would have refused each of them that its caller takes up. They go by having heard the store or a peer in the last two seconds, as before the fix. Seen by reading, played in versionhistorytest.

--- a/sequoiausher/coordination/gateway/streamorigins.cpp
+++ b/sequoiausher/coordination/gateway/streamorigins.cpp
@@ -164,6 +164,10 @@
 
 bool StreamOrigins::Private::isCovered(const Question &question) const
 {
+    const std::string unnamed;
+    if (question.versions.contains(unnamed) && this->history.hasNoNames(question.asked.service)) {
+        return true;
+    }
     // The list of a gateway that has just started shows what came after the time that another's list proves.
     return this->history.isProvenSince(question.asked.service, question.at - question.asked.span)
         || this->history.provenSince() <= question.provenUpTo;
@@ -235,6 +239,11 @@
     this->d->history.recordProof(at);
 }
 
+void StreamOrigins::recordContact(Millis now)
+{
+    this->d->history.recordContact(now);
+}
+
 void StreamOrigins::recordRestore(Millis now)
 {
     this->d->history.recordRestore(now);
--- a/sequoiausher/coordination/gateway/streamorigins.h
+++ b/sequoiausher/coordination/gateway/streamorigins.h
@@ -88,6 +88,8 @@
     void recordWritten(const GatewayTarget &target, Millis now);
     /** Records that the list shows all targets that were written up to that moment; as in VersionHistory. */
     void recordProof(Millis at);
+    /** Records that the store or a peer was heard; as in VersionHistory. */
+    void recordContact(Millis now);
     /** Records that the store was restored from a copy. */
     void recordRestore(Millis now);
     /**
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -300,6 +300,9 @@
     this->tickCallers(now);
     this->tickReachability(now);
     this->context.lifeChecks.tick(now);
+    if (this->context.duty.hasRecentStoreAnswer(now)) {
+        this->context.origins.recordContact(now);
+    }
     this->context.origins.recordProof(this->context.duty.knownUpTo());
     this->context.origins.tick(now);
     this->context.pendingDestruction.clear();
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -389,6 +389,7 @@
 void GatewayPeers::Private::receive(const InstanceId &from, const GatewayReport &report)
 {
     const Millis now = Millis::monotonicNow();
+    this->context.origins.recordContact(now);
     this->updates.eraOffered(report.storeEra, from);
     const Revision targets = this->positionOf(report.storeEra, report.targets);
     this->context.board.recordPeerCold(report.coldTargets, now);
