--- a/sequoiausher/transport/router/routertest.cpp
+++ b/sequoiausher/transport/router/routertest.cpp
@@ -175,7 +175,7 @@
 TEST_CASE("what ends before a planned stop does is served")
 {
     StoppingRouter router;
-    router.answer(8);
+    router.answer(1);
     const std::string keyed = PlainCaller::request(longerThanStop + "Idempotency-Key: k1\r\n");
     PlainCaller original(router.port);
     router.surroundings.wholeBytes = 1;
--- a/sequoiausher/transport/router/testsurroundings.h
+++ b/sequoiausher/transport/router/testsurroundings.h
@@ -44,18 +44,17 @@
     void handle(std::shared_ptr<HttpExchange> exchange) override
     {
         const std::string prefix = "/v1/documents/";
-        this->chats += exchange->path() == "/v1/chat/completions" ? 1 : 0;
+        const bool isChat = exchange->path() == "/v1/chat/completions";
+        this->chats += isChat ? 1 : 0;
         if (exchange->path() == "/v1/documents") {
             exchange->respond(200, {}, this->list());
         } else if (exchange->path().starts_with(prefix)) {
             exchange->respond(200, {{{"X-Revision", "1"}}}, this->documents[exchange->path().substr(prefix.size())]);
-        } else if (exchange->path() == "/v1/chat/completions" && this->holdsChats) {
-            this->held.push_back(exchange);
-        } else if (exchange->path() == "/v1/chat/completions" && this->wholeBytes > 0) {
+        } else if (isChat && !this->holdsChats && this->wholeBytes > 0) {
             const std::string id(exchange->headers().value("X-Request-Id"));
             const std::string body = "chatcmpl-" + id + std::string(this->wholeBytes, '.');
             exchange->respond(200, {{{"X-Request-Id", id}, {"Content-Type", "application/json"}}}, body);
-        } else if (exchange->path() == "/v1/chat/completions") {
+        } else if (isChat && !this->holdsChats) {
             this->answerOf = std::string(exchange->headers().value("X-Request-Id"));
             exchange->startStream(200, {{{"X-Request-Id", this->answerOf}, {"Content-Type", "text/event-stream"}}});
             this->stream = exchange;
