--- a/sequoiausher/transport/gateway/gatewayadmission.cpp
+++ b/sequoiausher/transport/gateway/gatewayadmission.cpp
@@ -187,6 +187,9 @@
     time = std::min(time, decided->deadline.value_or(time));
     this->admitted.deadline = this->receivedAt + time;
     const Millis now = std::max(this->receivedAt, Millis::monotonicNow());
+    if (this->admitted.deadline <= now) {
+        return GatewayRefusal{statusUnavailable, "the caller's time is over", std::nullopt, Outcome::RefusedFull};
+    }
     if (!this->context.mayBegin(*this->admitted.route, this->admitted.deadline - now, now)) {
         this->context.metrics.add("gateway_requests_refused_for_stop_total");
         return GatewayRefusal{
