Let what a gateway said of its stop lapse, and tell callers less of what is not known

A gateway that had said that it stops, started again and reported to another hub counted as stopping for as long as anybody saw it: the word lapses after five seconds without a report of its own now. A gateway that hears of no other one, since it has just started or is cut off, took it that all stop, and told callers to come back after a whole grace; they are told the end of the notice. A tunnel through a gateway that stops is refused after its notice only: its opener asks it last, so it may be the only way.

--- a/sequoiausher/coordination/gateway/peerdirectory.cpp
+++ b/sequoiausher/coordination/gateway/peerdirectory.cpp
@@ -51,12 +51,21 @@
         /** The peer has received a report since this gateway started. */
         bool isReached = false;
         bool isHub = false;
-        /** Its last own report stated that it stops; unknown of gateways that only others report. */
-        bool isLeaving = false;
+        /**
+         * When its last own report came that stated that it stops; absent if the last one did not. Unknown of gateways
+         * that only others report.
+         */
+        std::optional<Millis> leavingAt;
         std::uint16_t strength = 0;
         DataCentreId dataCentre;
         /** The hash of the peer's name. */
         std::uint64_t hash = 0;
+
+        /** A gateway that is seen after it fell silent itself has started again, and reports to another hub. */
+        bool isLeaving(Millis now) const
+        {
+            return this->leavingAt && now - *this->leavingAt < memberTtl;
+        }
     };
 
     /**
@@ -273,7 +282,7 @@
     known.isReached = this->d->firstRoundAt && report.echo >= *this->d->firstRoundAt;
     this->d->hasReceivedReply = this->d->hasReceivedReply || known.isReached;
     known.isHub = report.isHub;
-    known.isLeaving = report.leaving;
+    known.leavingAt = report.leaving ? std::optional(now) : std::nullopt;
     known.strength = report.strength;
     known.dataCentre = report.dataCentre;
     for (const GatewayMember &member : report.members) {
@@ -399,10 +408,10 @@
     return this->d->hasReceivedReply;
 }
 
-bool PeerDirectory::isLeaving(const InstanceId &peer) const
+bool PeerDirectory::isLeaving(const InstanceId &peer, Millis now) const
 {
     const auto found = this->d->known.find(peer);
-    return found != this->d->known.end() && found->second.isLeaving;
+    return found != this->d->known.end() && found->second.isLeaving(now);
 }
 
 bool PeerDirectory::hasStayingPeer(Millis now) const
@@ -414,7 +423,7 @@
 {
     StopSuccessor best = StopSuccessor::None;
     for (const auto &[peer, record] : this->d->known) {
-        if (now - record.lastSeenAt >= memberTtl || record.isLeaving) {
+        if (now - record.lastSeenAt >= memberTtl || record.isLeaving(now)) {
             continue;
         }
         if (record.dataCentre == this->d->dataCentre) {
--- a/sequoiausher/coordination/gateway/peerdirectory.h
+++ b/sequoiausher/coordination/gateway/peerdirectory.h
@@ -81,8 +81,8 @@
     std::optional<std::size_t> hubRank(Millis now) const;
     /** Whether the peer is a hub that comes before this gateway in the order of the hubs. */
     bool comesBefore(const InstanceId &peer, Millis now) const;
-    /** Whether the peer's last report stated that it is stopping. */
-    bool isLeaving(const InstanceId &peer) const;
+    /** Whether the peer's last report, a few seconds old at most, stated that it is stopping. */
+    bool isLeaving(const InstanceId &peer, Millis now) const;
     /** Whether a gateway was seen within a few seconds that did not state that it is stopping. */
     bool hasStayingPeer(Millis now) const;
     /** Which gateways that do not stop were seen within a few seconds. */
--- a/sequoiausher/coordination/gateway/peerdirectorytest.cpp
+++ b/sequoiausher/coordination/gateway/peerdirectorytest.cpp
@@ -355,8 +355,8 @@
     GatewayReport stops;
     stops.leaving = true;
     directory.recordReport(gatewayNamed(1), stops, now);
-    CHECK(directory.isLeaving(gatewayNamed(1)));
-    CHECK_FALSE(directory.isLeaving(gatewayNamed(2)));
+    CHECK(directory.isLeaving(gatewayNamed(1), now));
+    CHECK_FALSE(directory.isLeaving(gatewayNamed(2), now));
     CHECK_FALSE(directory.hasStayingPeer(now));
     SUBCASE("another gateway is known from a list alone")
     {
@@ -377,10 +377,17 @@
         CHECK(directory.successor(now) == StopSuccessor::Neighbour);
         CHECK(directory.successor(now + Millis{10000}) == StopSuccessor::None);
     }
+    SUBCASE("it starts again, and reports to another hub")
+    {
+        GatewayReport ofHub;
+        ofHub.members = {{gatewayNamed(1), Millis{10}, 1, dataCentreOf(1)}};
+        directory.recordReport(gatewayNamed(2), ofHub, now + Millis{9000});
+        CHECK_FALSE(directory.isLeaving(gatewayNamed(1), now + Millis{9000}));
+    }
     SUBCASE("it starts again")
     {
         directory.recordReport(gatewayNamed(1), GatewayReport(), now + Millis{9000});
-        CHECK_FALSE(directory.isLeaving(gatewayNamed(1)));
+        CHECK_FALSE(directory.isLeaving(gatewayNamed(1), now + Millis{9000}));
         CHECK(directory.hasStayingPeer(now + Millis{9000}));
     }
 }
--- a/sequoiausher/coordination/gateway/tunnelpeers.cpp
+++ b/sequoiausher/coordination/gateway/tunnelpeers.cpp
@@ -41,7 +41,7 @@
             continue;
         }
         const bool isFar = member.dataCentre != this->self && member.dataCentre != targetDataCentre;
-        const bool isLeaving = this->directory.isLeaving(member.instance);
+        const bool isLeaving = this->directory.isLeaving(member.instance, now);
         ranked.emplace_back(isLeaving, isFar, hash64(member.instance.value, draw), member.instance);
     }
     std::sort(ranked.begin(), ranked.end());
@@ -61,7 +61,7 @@
     if (failed != this->failedUntil.end() && now < failed->second) {
         return false;
     }
-    if (this->directory.isLeaving(peer) && this->directory.hasStayingPeer(now)) {
+    if (this->directory.isLeaving(peer, now) && this->directory.hasStayingPeer(now)) {
         return false;
     }
     return this->directory.silence(peer, now) <= this->longestSilence(now);
--- a/sequoiausher/transport/gateway/gatewaycontext.cpp
+++ b/sequoiausher/transport/gateway/gatewaycontext.cpp
@@ -128,7 +128,11 @@
 
 Millis GatewayContext::retryAfterStop(Millis now)
 {
-    const StopSuccessor successor = this->peers.successor(now);
+    StopSuccessor successor = this->peers.successor(now);
+    if (successor == StopSuccessor::None && this->peers.hasPeers() && this->peers.members(now).empty()) {
+        // A gateway that hears nobody knows of no stop of the others.
+        successor = StopSuccessor::Elsewhere;
+    }
     return this->stop.timeUntilTaken(successor, now)
         + this->spread(successor == StopSuccessor::None ? retryWhenAllStop : retryElsewhere);
 }
--- a/sequoiausher/transport/gateway/tunnelserver.cpp
+++ b/sequoiausher/transport/gateway/tunnelserver.cpp
@@ -190,7 +190,7 @@
     GatewayContext &shared = this->owner.context;
     const Millis now = Millis::monotonicNow();
     // A tunnel ends with this process, whatever is in it. The opener asks another gateway at once.
-    if (shared.stop.isBegun() && shared.peers.hasStayingPeer(now)) {
+    if (shared.stop.isNoticeOver(now) && shared.peers.hasStayingPeer(now)) {
         this->refuse(TunnelState::Unreachable);
         return;
     }
