Tell the beginning of a stream to gateways that go on

In a series of stops all that know which version began a stream may end within seconds, and the stream is then refused where there were several versions.

--- a/sequoiausher/coordination/gateway/streamorigins.cpp
+++ b/sequoiausher/coordination/gateway/streamorigins.cpp
@@ -69,6 +69,8 @@
 
     /** The others, the first of the stream's order first. */
     std::vector<InstanceId> others(const StreamKey &key, std::size_t count, Millis now) const;
+    /** The others that are told where a stream began: of those that may be asked, the ones that go on first. */
+    std::vector<InstanceId> keepersFor(const StreamKey &key, Millis now) const;
     void keep(const StreamKey &key, const StreamOrigin &origin, Millis ttl, Millis now);
     void drop(std::unordered_map<StreamKey, Kept, StreamKeyHash>::iterator entry);
     OriginFinding findOwn(const OriginQuestion &question, Millis now) const;
@@ -101,6 +103,17 @@
     std::deque<std::pair<Millis, StreamKey>> askedKeys;
 };
 
+std::vector<InstanceId> StreamOrigins::Private::keepersFor(const StreamKey &key, Millis now) const
+{
+    // What a gateway that stops is told ends with it. Who is asked later is asked beyond the first few in any case.
+    std::vector<InstanceId> chosen = this->others(key, this->settings.asked, now);
+    std::stable_partition(chosen.begin(), chosen.end(), [this, now](const InstanceId &peer) {
+        return !this->peers.isLeaving(peer, now);
+    });
+    chosen.resize(std::min(chosen.size(), this->settings.copies));
+    return chosen;
+}
+
 std::vector<InstanceId> StreamOrigins::Private::others(const StreamKey &key, std::size_t count, Millis now) const
 {
     std::vector<InstanceId> members;
@@ -253,7 +266,7 @@
 {
     this->d->keep(key, origin, ttl, now);
     Outbox outbox;
-    for (const InstanceId &other : this->d->others(key, this->d->settings.copies, now)) {
+    for (const InstanceId &other : this->d->keepersFor(key, now)) {
         GatewayStreamOrigin message;
         message.purpose = StreamOriginPurpose::Tell;
         message.key = key;
