Count running requests where a router knows few durations of a kind

By review: with fewer than eight requests of a kind the longest whole answer decided, though several that ran had taken longer, and a shorter answer did not renew it. RouteDurations tells the longest, with those that still run.

--- a/sequoiausher/coordination/gateway/routedurations.cpp
+++ b/sequoiausher/coordination/gateway/routedurations.cpp
@@ -1,5 +1,6 @@
 #include "sequoiausher/coordination/gateway/routedurations.h"
 
+#include <algorithm>
 #include <iterator>
 
 namespace Sequoiausher {
@@ -47,6 +48,24 @@
     }
 }
 
+std::optional<Millis> RouteDurations::longest(const std::string &route, Millis now) const
+{
+    const auto found = this->routes.find(route);
+    if (found == this->routes.end()) {
+        return std::nullopt;
+    }
+    const std::multiset<Millis> &running = found->second.running;
+    Millis longest = running.empty() ? Millis{0} : now - *running.begin();
+    bool isKnown = false;
+    for (const Ended &each : found->second.ended) {
+        if (now - each.at < durationTtl) {
+            longest = std::max(longest, each.duration);
+            isKnown = isKnown || each.isWhole;
+        }
+    }
+    return isKnown ? std::optional(longest) : std::nullopt;
+}
+
 std::size_t RouteDurations::size() const
 {
     return this->routes.size();
--- a/sequoiausher/coordination/gateway/routedurations.h
+++ b/sequoiausher/coordination/gateway/routedurations.h
@@ -35,6 +35,11 @@
      * absent if too few are known to tell. A request that ended early, or still runs, within the limit does not count.
      */
     std::optional<double> shareLongerThan(Millis limit, const std::string &route, Millis now) const;
+    /**
+     * The longest time that a recent request of the route took, or that one has been running for; absent without a
+     * recent whole answer. Says less than a share, but needs one answer only.
+     */
+    std::optional<Millis> longest(const std::string &route, Millis now) const;
     /** The number of routes that are kept. */
     std::size_t size() const;
 
--- a/sequoiausher/coordination/gateway/routedurationstest.cpp
+++ b/sequoiausher/coordination/gateway/routedurationstest.cpp
@@ -81,3 +81,16 @@
     durations.begin("look", Millis{3000000});
     CHECK(durations.size() == 2);
 }
+
+TEST_CASE("the longest counts from one whole answer on, and with those that still run")
+{
+    RouteDurations durations;
+    CHECK_FALSE(durations.longest("talk", Millis{0}));
+    durations.begin("talk", Millis{0});
+    CHECK_FALSE(durations.longest("talk", Millis{500}));
+    answer(durations, 1, Millis{200}, Millis{500});
+    CHECK(durations.longest("talk", Millis{500}) == Millis{500});
+    durations.end("talk", Millis{0}, false, Millis{600});
+    CHECK(durations.longest("talk", Millis{5000}) == Millis{600});
+    CHECK_FALSE(durations.longest("talk", Millis{40000}));
+}
--- a/sequoiausher/transport/router/node.cpp
+++ b/sequoiausher/transport/router/node.cpp
@@ -11,8 +11,6 @@
 constexpr Millis longestTickGap{2000};
 /** How long a queue whose pool is full waits at most before it asks again; a refused caller waits longer. */
 constexpr Millis longestQueuePause{50};
-/** How long the longest work of a kind says something about the next one. */
-constexpr Millis longestWorkTtl{30000};
 
 } // namespace
 
@@ -311,9 +309,9 @@
     const std::scoped_lock lock(this->d->limitsMutex);
     const auto longer = [&](Millis limit) {
         std::optional<double> share = this->d->durations.shareLongerThan(limit, kind, now);
-        const auto longest = this->d->longestWork.find(kind);
-        if (!share && longest != this->d->longestWork.end() && now - longest->second.at < longestWorkTtl) {
-            share = longest->second.duration > limit ? 1 : 0;
+        const std::optional<Millis> longest = this->d->durations.longest(kind, now);
+        if (!share && longest) {
+            share = *longest > limit ? 1 : 0;
         }
         return share;
     };
@@ -329,17 +327,8 @@
 
 void Node::workEnded(const std::string &kind, Millis begunAt, bool isWhole)
 {
-    const Millis now = Millis::monotonicNow();
     const std::scoped_lock lock(this->d->limitsMutex);
-    this->d->durations.end(kind, begunAt, isWhole, now);
-    if (!isWhole) {
-        return;
-    }
-    const auto [entry, isNew] = this->d->longestWork.try_emplace(kind);
-    Private::LongestWork &longest = entry->second;
-    if (isNew || now - begunAt >= longest.duration || now - longest.at >= longestWorkTtl) {
-        longest = {now, now - begunAt};
-    }
+    this->d->durations.end(kind, begunAt, isWhole, Millis::monotonicNow());
 }
 
 void Node::beginLeaving()
--- a/sequoiausher/transport/router/nodeprivate.h
+++ b/sequoiausher/transport/router/nodeprivate.h
@@ -119,13 +119,6 @@
     PoolGuard guard;
     StopSchedule stop;
     RouteDurations durations;
-    /** The longest whole answer of each kind of work lately, for kinds of which too few are known for a share. */
-    struct LongestWork
-    {
-        Millis at;
-        Millis duration;
-    };
-    std::unordered_map<std::string, LongestWork> longestWork;
 
     AnswerTable answers;
     RequestRegistry registry;
