Count each request once in the durations of its route, and look again before its first send

By review, by a trial of RouteDurations alone: a request whose connection could not be opened was begun twice and ended once, or never, and counted as one that runs for ever; after ten of them a stop decided by deadlines alone, and the route's entry was never dropped. A request that waited for its stream's version or a place is looked at again before it is sent, and one whose caller's time is over while its body comes may not be begun after the cut. No second copy is sent in a stop.

--- a/sequoiausher/coordination/gateway/stopschedule.cpp
+++ b/sequoiausher/coordination/gateway/stopschedule.cpp
@@ -66,7 +66,7 @@
     }
     const Millis left = this->cutAt() - now;
     if (work.timeLeft <= left) {
-        return true;
+        return left > Millis{0};
     }
     const bool isInNotice = !this->isNoticeOver(now);
     if (left <= Millis{0} || (successor != StopSuccessor::None && !isInNotice)) {
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -195,6 +195,8 @@
     Millis lastPartAt;
     /** The request waits until the gateway is ready. */
     bool isHeld = false;
+    /** The beginning of the request was recorded for the durations of its route. */
+    bool isTimed = false;
     bool isFinished = false;
     std::string endReason;
 };
@@ -349,7 +351,7 @@
 {
     const GatewayRoute &route = *this->admitted.route;
     const bool isAllowed = this->admitted.decision.hedgePercent > 0 && route.kind == RouteKind::Idempotent
-        && !route.carriesPrompt && this->attempts.mayRunElsewhere();
+        && !route.carriesPrompt && this->attempts.mayRunElsewhere() && !this->context.stop.isBegun();
     const bool isWaiting = this->call && this->call->isConnected() && !this->answer.hasHead();
     return isAllowed && isWaiting && this->place.isGranted() && !this->hedge && !this->hedgePlace.isAsking()
         && this->crashGuard.mayRetry(now);
@@ -518,6 +520,11 @@
 
 void GatewayExchange::Private::attempt(std::optional<ChosenTarget> found, Millis now)
 {
+    // It may have waited for a place or for its stream's version since it was admitted.
+    if (this->attempts.targetsUsed() == 0 && this->isOutOfTimeByStop(now)) {
+        this->refuseNotRun(now);
+        return;
+    }
     // A target may have no free connection, so others are tried; nothing is sent before one is found.
     constexpr int maxChoices = 4;
     for (int left = maxChoices; found && left > 0; --left) {
@@ -648,7 +655,7 @@
     this->admitted.parts.recordSent(this->context.parts, target.target.id, now);
     this->attempts.recordSent();
     const bool isRetry = this->attempts.targetsUsed() > 1;
-    if (!isRetry) {
+    if (!std::exchange(this->isTimed, true)) {
         this->context.durations.begin(this->admitted.route->name, this->receivedAt);
     }
     this->context.metrics.countDispatch(this->admitted.labels, target.target.id.value, isRetry);
@@ -1012,7 +1019,7 @@
     this->place.release(PlaceOutcome::Unused, Millis{0});
     this->context.metrics.countOutcome(this->admitted.labels, outcome);
     const Millis now = Millis::monotonicNow();
-    if (this->attempts.targetsUsed() > 0) {
+    if (this->isTimed) {
         this->context.durations.end(this->admitted.route->name, this->receivedAt, outcome == Outcome::Complete, now);
     }
     this->lines.writeEnd({nameOf(outcome),
--- a/sequoiausher/transport/gateway/gatewaynodetest.cpp
+++ b/sequoiausher/transport/gateway/gatewaynodetest.cpp
@@ -723,6 +723,9 @@
     }
     SUBCASE("none is left")
     {
+        // Its connection stays open for the next request.
+        REQUIRE(bed.call("POST", "/desk/0", "Content-Length: 0\r\n").status == 200);
+        target.seen.clear();
         caller.send(bed.request("POST", "/desk/1", "X-Left: 300\r\nContent-Length: 4\r\n") + "pl");
         GatewayTestbed::waitFor([] { return false; }, transferTime);
         caller.send("at");
--- a/sequoiausher/transport/gateway/plannedstoptest.cpp
+++ b/sequoiausher/transport/gateway/plannedstoptest.cpp
@@ -243,3 +243,25 @@
     CHECK(first.seen.size() + second.seen.size() == 1);
     CHECK(StopBed::isRefused(caller.reply));
 }
+
+// Guards against a stop that decides by deadlines alone, because each request whose target could not be reached counts
+// as one that runs for ever.
+TEST_CASE("requests whose connections could not be opened say nothing of how long others last")
+{
+    StopBed bed;
+    bed.eventCount = 2;
+    bed.addTarget("t2", "llm");
+    bed.start();
+    bed.crashTarget("t2");
+    for (int i = 0; i < 24; ++i) {
+        const CallerReply reply = bed.call("POST", "/talk/" + std::to_string(i), "Content-Length: 0\r\n");
+        CHECK(reply.status == 200);
+    }
+    // Longer than any request took, shorter than any that is forgotten has run.
+    GatewayTestbed::waitFor([] { return false; }, grace);
+    FakeCaller late(bed.address());
+    bed.node->stop();
+    late.send(bed.request("POST", "/talk/late", "Content-Length: 0\r\n"));
+    CHECK(GatewayTestbed::waitFor([&] { return late.reply.isWhole; }, whole));
+    CHECK(late.reply.status == 200);
+}
