--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -54,6 +54,7 @@
 /** A gateway is not ready if the age of its proof exceeds this fraction of the maximum age for keys. */
 constexpr std::int64_t readyProofAgeNumerator = 3;
 constexpr std::int64_t readyProofAgeDenominator = 5;
+
 /** Callers may hold one in so many descriptors; each of their requests needs one for its target. */
 constexpr std::size_t callerDescriptorDenominator = 2;
 
