--- a/lab/fleet/labprocess.cpp
+++ b/lab/fleet/labprocess.cpp
@@ -137,6 +137,11 @@
     return isSignalled ? std::optional(this->d->process->exitCode()) : std::nullopt;
 }
 
+std::int64_t LabProcess::processId() const
+{
+    return this->isRunning() ? this->d->process->processId() : 0;
+}
+
 std::size_t LabProcess::memoryBytes() const
 {
     if (!this->isRunning()) {
--- a/lab/fleet/labprocess.h
+++ b/lab/fleet/labprocess.h
@@ -50,6 +50,8 @@
     std::optional<int> stop(Millis limit);
     /** The signal that ended its last run; nothing where it runs or exited by itself. */
     std::optional<int> endingSignal() const;
+    /** 0 where it does not run. */
+    std::int64_t processId() const;
     /** The memory that it alone holds now, in bytes; 0 where it does not run. */
     std::size_t memoryBytes() const;
     /** What it wrote so far, over all its runs. */
