Read the next answer on a target's connection that a slow caller had paused

Ordinary callers got no answer while others took theirs slowly: their requests were sent over a connection to a target that nobody read, until their time was over.

Cause: an answer whose last part fills what may wait for its caller pauses the reading of its target and is complete at the same moment. The connection went back to its pool with its reading paused.

Ruled out: places at the target (181 asked, 181 granted), connections (61 of 200), answers that were given up (none).

--- a/sequoiausher/transport/gateway/targetpools.cpp
+++ b/sequoiausher/transport/gateway/targetpools.cpp
@@ -234,6 +234,8 @@
         this->drop();
         return;
     }
+    // A slow caller may have paused it; the next answer would never be read.
+    this->stream->setReading(true);
     this->wasReused = true;
     this->answer.restart();
     this->goIdle(idleTime.value_or(defaultIdleTime), now);
