Count the bytes of an answer before its bound is asked for

Cause: the bytes that make memory short were added to an answer that was held whole, with the bound of before, and counted after that. The check for answers that are too long to be held then saw the smaller bound of now, and gave the attempt up as broken. The trace: "attempt ended without an answer, how=broken" in the same millisecond as "memory for requests and answers is short".

--- a/sequoiausher/transport/gateway/calleranswer.cpp
+++ b/sequoiausher/transport/gateway/calleranswer.cpp
@@ -80,6 +80,8 @@
         return !this->part.empty();
     }
     this->heldAnswer += bytes;
+    // Before its bound is asked for: these bytes may be the ones by which memory gets short.
+    this->countHeld();
     const bool mayPass = !falselyImpliesNotRun(this->answer.status, false);
     const std::size_t most = this->context.memory.heldAnswerBound(heldBytes);
     if (this->heldAnswer.size() > most && !this->isAnswerBegun && mayPass) {
