Bound what a client that is no peer makes the peer port hold

Nothing counted the connections of clients that say nothing.

Before its hello a peer may send 4 KiB, and the kernel receives 8 KiB; after it frames are what they were, and the kernel receives 1 MiB before it is read. Of connections without a hello the oldest is closed when there are too many; the links that greeted have a limit too.

--- a/sequoiausher/transport/peers/acceptedlink.cpp
+++ b/sequoiausher/transport/peers/acceptedlink.cpp
@@ -18,6 +18,13 @@
 
 // The limit of replies that the peer has not read, in bytes.
 constexpr std::size_t mostUnread = 4096;
+// The limit of a hello, in bytes. A client that is no peer could otherwise announce the largest frame and send it
+// slowly.
+constexpr std::size_t largestHello = 4096;
+// The limit of the kernel's buffer before the hello, in bytes.
+constexpr int receiveBytesBeforeHello = 8192;
+// The same after it, enough for a large frame from a distant peer.
+constexpr int receiveBytes = 1048576;
 
 } // namespace
 
@@ -32,6 +39,10 @@
     ~Private() override;
 
     void end();
+    bool isOver() const
+    {
+        return this->over;
+    }
 
     Hello hello;
 
@@ -67,9 +78,10 @@
     , socket(std::move(accepted))
     , counters(counting)
     , listener(listening)
-    , assembler(this->socket->peerAddress().toString().toStdString(), largestFrame)
+    , assembler(this->socket->peerAddress().toString().toStdString(), largestHello)
 {
     this->socket->setParent(nullptr);
+    this->socket->setSocketOption(QAbstractSocket::ReceiveBufferSizeSocketOption, receiveBytesBeforeHello);
     this->socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
     QObject::connect(this->socket.get(), &QTcpSocket::readyRead, this, [this] { this->onReadyRead(); });
     QObject::connect(this->socket.get(), &QTcpSocket::disconnected, this, [this] { this->end(); });
@@ -192,6 +204,8 @@
         throw Error(Step::Connect, said.instance.value, "refused");
     }
     this->hello = said;
+    this->assembler.setLargest(largestFrame);
+    this->socket->setSocketOption(QAbstractSocket::ReceiveBufferSizeSocketOption, receiveBytes);
     this->listener.framesOf(said).opened(said.incarnation, said.lastFrame);
     if (said.lastFrame != noFrame) {
         this->assembler.expectAcknowledgements();
@@ -237,6 +251,11 @@
 
 AcceptedLink::~AcceptedLink() = default;
 
+bool AcceptedLink::isOpen() const
+{
+    return !this->d->isOver();
+}
+
 void AcceptedLink::close()
 {
     this->d->end();
--- a/sequoiausher/transport/peers/acceptedlink.h
+++ b/sequoiausher/transport/peers/acceptedlink.h
@@ -53,6 +53,9 @@
     /** Returns the peer that opened the connection; without a name before its hello. */
     const Hello &hello() const;
 
+    /** Whether the connection has not ended. */
+    bool isOpen() const;
+
     /** Stops receiving and closes the connection. */
     void close();
 
--- a/sequoiausher/transport/peers/framing.cpp
+++ b/sequoiausher/transport/peers/framing.cpp
@@ -52,6 +52,11 @@
     this->d->expectsAcknowledgements = true;
 }
 
+void FrameAssembler::setLargest(std::size_t bytes)
+{
+    this->d->largest = bytes;
+}
+
 void FrameAssembler::feed(std::string_view bytes)
 {
     this->d->bytes.erase(0, this->d->consumed);
--- a/sequoiausher/transport/peers/framing.h
+++ b/sequoiausher/transport/peers/framing.h
@@ -32,6 +32,9 @@
     /** The next frame and all later ones contain acknowledgements; earlier ones have a length of four bytes. */
     void expectAcknowledgements();
 
+    /** Changes the largest accepted body for the next frame and all later ones, in bytes. */
+    void setLargest(std::size_t bytes);
+
     /** Appends received bytes. */
     void feed(std::string_view bytes);
 
--- a/sequoiausher/transport/peers/linksettings.h
+++ b/sequoiausher/transport/peers/linksettings.h
@@ -30,6 +30,10 @@
     std::size_t queueBytes = std::size_t{4} * 1024 * 1024;
     /** The size limit of the messages between post() and the control thread, in bytes, for all links together. */
     std::size_t postedBytes = std::size_t{16} * 1024 * 1024;
+    /** Accepted connections whose peer has not said who it is, at a time; beyond it the oldest one is closed. */
+    std::size_t maxUnknownPeers = 256;
+    /** Accepted connections at a time; beyond it further ones are closed at once. */
+    std::size_t maxAccepted = 100000;
     /** Seeds the jitter of the delays. */
     std::uint64_t seed = 1;
 };
--- a/sequoiausher/transport/peers/peermesh.cpp
+++ b/sequoiausher/transport/peers/peermesh.cpp
@@ -31,6 +31,7 @@
     void ended(AcceptedLink &link) override;
 
     void accept();
+    void limitUnknownPeers();
     bool send(const InstanceId &peer, PeerMessage message);
     void drainPosted();
     void closeLater(AcceptedLink &link);
@@ -108,11 +109,35 @@
 void PeerMesh::Private::accept()
 {
     while (QTcpSocket *socket = this->server.nextPendingConnection()) {
+        if (this->accepted.size() >= this->settings.maxAccepted) {
+            ++this->counters.refusedLinks;
+            socket->abort();
+            socket->deleteLater();
+            continue;
+        }
+        this->limitUnknownPeers();
         this->accepted.push_back(
             std::make_unique<AcceptedLink>(this->settings, std::unique_ptr<QTcpSocket>(socket), this->counters, *this));
     }
 }
 
+// A client that opens connections and says nothing would otherwise use up the descriptors.
+void PeerMesh::Private::limitUnknownPeers()
+{
+    AcceptedLink *oldest = nullptr;
+    std::size_t unknown = 0;
+    for (const auto &link : this->accepted) {
+        if (link->hello().instance.empty() && link->isOpen()) {
+            oldest = oldest == nullptr ? link.get() : oldest;
+            unknown += 1;
+        }
+    }
+    if (oldest != nullptr && unknown >= this->settings.maxUnknownPeers) {
+        ++this->counters.refusedLinks;
+        oldest->close();
+    }
+}
+
 // Names change for as long as a router runs; without this it would keep an entry for each.
 void PeerMesh::Private::forgetStrangers()
 {
@@ -225,6 +250,11 @@
     }
 }
 
+std::size_t PeerMesh::connectionCount() const
+{
+    return this->d->accepted.size() + this->d->links.size();
+}
+
 const PeerCounters &PeerMesh::counters() const
 {
     return this->d->counters;
--- a/sequoiausher/transport/peers/peermesh.h
+++ b/sequoiausher/transport/peers/peermesh.h
@@ -60,6 +60,8 @@
     void post(Outbox outbox);
 
     /** Returns the counts since the start. */
+    /** Returns the number of connections to and from peers, those that are not open among them. */
+    std::size_t connectionCount() const;
     const PeerCounters &counters() const;
 
 private:
--- a/sequoiausher/transport/peers/peermeshtest.cpp
+++ b/sequoiausher/transport/peers/peermeshtest.cpp
@@ -51,7 +51,10 @@
 {
 public:
     Router(const std::string &name, Incarnation incarnation, std::uint16_t onPort = 0)
-        : mesh(settingsOf(name, incarnation), *this)
+        : Router(settingsOf(name, incarnation), onPort)
+    {
+    }
+    explicit Router(const LinkSettings &settings, std::uint16_t onPort = 0) : mesh(settings, *this)
     {
         this->mesh.listen({"127.0.0.1", onPort});
     }
@@ -555,6 +558,42 @@
     CHECK(waitUntil([&] { return b.messages.size() == 1; }));
 }
 
+// Guards against clients that open connections to the peer port and say nothing, until no descriptor is left.
+TEST_CASE("connections whose peers do not say who they are make room for others, the oldest first")
+{
+    ensureApplication();
+    LinkSettings settings = Router::settingsOf("b", 1);
+    settings.silence = Millis{5000};
+    settings.maxUnknownPeers = 3;
+    Router b(settings);
+    std::vector<std::unique_ptr<QTcpSocket>> silent;
+    for (int i = 0; i < 5; ++i) {
+        silent.push_back(std::make_unique<QTcpSocket>());
+        silent.back()->connectToHost(QHostAddress::LocalHost, b.mesh.port());
+        REQUIRE(waitUntil([&] { return silent.back()->state() == QAbstractSocket::ConnectedState; }));
+    }
+    CHECK(waitUntil([&] { return b.mesh.counters().refusedLinks == 2; }));
+    CHECK(waitUntil([&] { return silent[1]->state() == QAbstractSocket::UnconnectedState; }));
+    CHECK(silent[4]->state() == QAbstractSocket::ConnectedState);
+    Router a("a", 1);
+    a.knows("b", b.mesh.port());
+    a.say("b", 1);
+    CHECK(waitUntil([&] { return b.messages.size() == 1; }));
+}
+
+// Guards against memory for the largest frame on each connection of a client that is no peer.
+TEST_CASE("a frame larger than a hello is refused before the hello, and taken after it")
+{
+    ensureApplication();
+    Router b("b", 1);
+    QTcpSocket socket;
+    socket.connectToHost(QHostAddress::LocalHost, b.mesh.port());
+    REQUIRE(waitUntil([&] { return socket.state() == QAbstractSocket::ConnectedState; }));
+    socket.write("\x00\x00\x20\x00", 4);
+    CHECK(waitUntil([&] { return socket.state() == QAbstractSocket::UnconnectedState; }));
+    CHECK(b.mesh.counters().refusedLinks == 1);
+}
+
 // Guards against memory that grows while a peer is unreachable or stalls and others continue to send to it.
 TEST_CASE("a queue for an absent peer is bounded in bytes and in time")
 {
