Bound what all connections of an HTTP server hold together

Each was within the limit for one request.

Cause: QHttpServer keeps each request whole, twice, and nothing adds them up; Qt reads what the kernel has received at once. Answers wait without a bound where a caller asks again and again and reads none. At the most connections the newest is refused, who may be the only one that asks anything.

Parts of requests are counted together as they arrive (held_bytes of a router, 128 MiB, shared out to its workers). Beyond that the connections that hold most and have moved least are closed, after a 503 that says that the outcome is unknown where a part of a request was read. A caller that has not taken its last answer gets one more on its connection. At the most connections the one without a request that has not moved for longest makes room. The kernel's buffers are limited.

--- a/sequoiausher/base/countedbytes.h
+++ b/sequoiausher/base/countedbytes.h
@@ -33,8 +33,12 @@
     {
         if (this->total) {
             *this->total += bytes - this->counted;
-            this->counted = bytes;
         }
+        this->counted = bytes;
+    }
+    std::size_t bytes() const
+    {
+        return this->counted;
     }
     /** Leaves the present total and counts into another one. */
     void moveTo(std::shared_ptr<std::size_t> into)
--- a/sequoiausher/protocol/settings/routersettings.cpp
+++ b/sequoiausher/protocol/settings/routersettings.cpp
@@ -12,7 +12,8 @@
 constexpr std::int64_t minuteMs = 60 * secondMs;
 constexpr std::int64_t hourMs = 60 * minuteMs;
 constexpr std::int64_t kibibyte = 1024;
-constexpr std::int64_t gibibyte = 1024 * 1024 * kibibyte;
+constexpr std::int64_t mebibyte = 1024 * kibibyte;
+constexpr std::int64_t gibibyte = 1024 * mebibyte;
 
 /** Sets field to the key's value where the section has a good one; else its default stays. */
 template<typename Integer>
@@ -112,6 +113,7 @@
     readInteger(section, "max_body_bytes", {kibibyte, gibibyte, "bytes"}, settings.maxBodyBytes);
     readInteger(section, "max_header_bytes", {kibibyte, kibibyte * kibibyte, "bytes"}, settings.maxHeaderBytes);
     readInteger(section, "max_connections", {1, 1000000, "connections"}, settings.maxConnections);
+    readInteger(section, "held_bytes", {mebibyte, 64 * gibibyte, "bytes"}, settings.heldBytes);
     readInteger(section, "queue_length", {0, 1000000, "requests"}, settings.queueLength);
     readDuration(section, "queue_time_ms", {0, hourMs, ""}, settings.queueTime);
     readDuration(section, "default_deadline_ms", {1, hourMs, ""}, settings.defaultDeadline);
--- a/sequoiausher/protocol/settings/routersettings.h
+++ b/sequoiausher/protocol/settings/routersettings.h
@@ -66,6 +66,8 @@
     std::uint64_t maxBodyBytes = 4UL * 1024 * 1024;
     std::uint32_t maxHeaderBytes = 32UL * 1024;
     std::uint32_t maxConnections = 10000;
+    /** Parts of requests, and answers that callers have not taken, over all connections. */
+    std::uint64_t heldBytes = 128UL * 1024 * 1024;
     /** Requests that wait, over all organisations. */
     std::uint32_t queueLength = 2000;
     Millis queueTime{2000};
--- a/sequoiausher/transport/http/httpserver.cpp
+++ b/sequoiausher/transport/http/httpserver.cpp
@@ -19,6 +19,8 @@
 namespace {
 
 constexpr std::int64_t longestSweepMs = 1000;
+/** The same if the bytes that connections hold are limited. */
+constexpr std::int64_t longestSweepOfHeldBytesMs = 40;
 
 std::string toStd(const QByteArray &bytes)
 {
@@ -68,9 +70,13 @@
     {
         this->state->maximumRequestBytes = this->options.maximumRequestBytes;
         this->state->maximumConnections = this->options.maximumConnections;
+        this->state->maximumHeldBytes = this->options.maximumHeldBytes;
+        this->state->receiveBytes = this->options.receiveBytes;
         QObject::connect(&this->sweep, &QTimer::timeout, &this->sweep, [this] { this->endUnused(); });
         // QHttpServer owns it, as it does after bind().
         this->listener = new Internal::Listener(this->state, &this->server);
+        this->state->makeMemoryRoom
+            = [this](const Internal::ServerSocket *reading) { this->listener->limitHeldBytes(reading); };
         this->server.setMissingHandler([this](const QHttpServerRequest &request, QHttpServerResponder &&responder) {
             this->take(request, std::move(responder));
         });
@@ -81,6 +87,8 @@
         for (Internal::ServerSocket *socket : this->sockets()) {
             socket->silence();
         }
+        // Sockets and exchanges may outlive the listener.
+        this->state->makeMemoryRoom = [](const Internal::ServerSocket * /*reading*/) {};
     }
 
     Private(const Private &) = delete;
@@ -88,13 +96,7 @@
 
     std::vector<Internal::ServerSocket *> sockets() const
     {
-        std::vector<Internal::ServerSocket *> found;
-        for (QObject *child : this->listener->children()) {
-            if (auto *socket = dynamic_cast<Internal::ServerSocket *>(child)) {
-                found.push_back(socket);
-            }
-        }
-        return found;
+        return this->listener->sockets();
     }
 
     void endUnused() const
@@ -103,6 +105,7 @@
         for (Internal::ServerSocket *socket : this->sockets()) {
             socket->endIfUnused(now, this->options.requestTimeout, this->options.idleTimeout);
         }
+        this->listener->limitHeldBytes();
     }
 
     void take(const QHttpServerRequest &request, QHttpServerResponder &&responder)
@@ -120,7 +123,8 @@
         // latter must not be handled as a request that the caller never sent.
         const bool moreFollows = socket->bytesAvailable() > 0;
         ReceivedRequest received = receive(request, *socket);
-        const bool closeAfter = moreFollows || wantsClose(received.headers);
+        // A caller that has not taken its last answer gets no more than this one on the connection.
+        const bool closeAfter = moreFollows || wantsClose(received.headers) || socket->bytesToWrite() > 0;
         this->handler.handle(HttpExchange::make(std::move(received), std::move(responder), *socket, closeAfter));
     }
 
@@ -165,7 +169,8 @@
     this->d->server.bind(this->d->listener);
     this->d->port = this->d->listener->serverPort();
     const Millis shortest = std::min(this->d->options.requestTimeout, this->d->options.idleTimeout);
-    this->d->sweep.start(static_cast<int>(std::clamp<std::int64_t>(shortest.count / 4, 1, longestSweepMs)));
+    const std::int64_t longest = this->d->options.maximumHeldBytes > 0 ? longestSweepOfHeldBytesMs : longestSweepMs;
+    this->d->sweep.start(static_cast<int>(std::clamp<std::int64_t>(shortest.count / 4, 1, longest)));
 }
 
 std::uint16_t HttpServer::port() const
@@ -206,6 +211,11 @@
     return this->d->state->openExchanges;
 }
 
+std::size_t HttpServer::yieldedConnections() const
+{
+    return this->d->state->yielded;
+}
+
 std::size_t HttpServer::openConnections() const
 {
     return this->d->state->openConnections;
--- a/sequoiausher/transport/http/httpserver.h
+++ b/sequoiausher/transport/http/httpserver.h
@@ -50,8 +50,19 @@
     int backlog = 4096;
     /** The maximum size of a request, head and body. A larger one is answered with 413, and its connection closes. */
     std::size_t maximumRequestBytes = std::size_t{8} << 20U;
-    /** The maximum number of connections. On further ones the first request is answered with 503 and not handled. */
+    /**
+     * The maximum number of connections. Beyond it the one without an exchange that has not moved for the longest time
+     * is closed. If all have one, the first request on a further connection is answered with 503 and not handled.
+     */
     std::size_t maximumConnections = 1000000;
+    /**
+     * The maximum of all bytes that connections hold: parts of requests, and answers that callers have not taken; 0 for
+     * no limit. Beyond it those that hold most and have moved least are closed; a request of which a part has arrived
+     * is answered with 503 first.
+     */
+    std::size_t maximumHeldBytes = 0;
+    /** What the kernel receives on a connection before it is read, in bytes; 0 for its own limit. */
+    std::size_t receiveBytes = 65536;
     /** The time limit from the first to the last byte of a request. Then it gets 408, and its connection closes. */
     Millis requestTimeout{60000};
     /** The time limit for a connection without a request. */
@@ -88,6 +99,8 @@
     std::size_t openExchanges() const;
     /** Returns the number of open connections, including idle ones. */
     std::size_t openConnections() const;
+    /** Returns the number of connections that were closed because there was no room for them. */
+    std::size_t yieldedConnections() const;
 
 private:
     class Private;
--- a/sequoiausher/transport/http/httpservertest.cpp
+++ b/sequoiausher/transport/http/httpservertest.cpp
@@ -371,3 +371,53 @@
     CHECK(answer.find("Retry-After: 1") != std::string::npos);
     CHECK(bench.keeper.kept.size() == 1);
 }
+
+// Guards against clients that open connections and leave them: nobody else would get one.
+TEST_CASE("beyond the most connections the one that has not moved for longest makes room")
+{
+    Bench bench(HttpServerOptions{.maximumConnections = 2});
+    QTcpSocket second;
+    second.connectToHost(QHostAddress::LocalHost, bench.server.port());
+    REQUIRE(runUntil([&] { return bench.server.openConnections() == 2; }));
+    QTcpSocket third;
+    third.connectToHost(QHostAddress::LocalHost, bench.server.port());
+    third.write(get);
+    REQUIRE(runUntil([&] { return bench.keeper.kept.size() == 1; }));
+    CHECK(runUntil([&] { return bench.socket.state() == QAbstractSocket::UnconnectedState; }));
+    CHECK(second.state() == QAbstractSocket::ConnectedState);
+    CHECK(bench.server.yieldedConnections() == 1);
+}
+
+// Guards against a process that is killed for its memory since each of many requests is within the limit for one.
+TEST_CASE("parts of requests beyond the memory for all are refused, those that hold most and move least first")
+{
+    Bench bench(HttpServerOptions{.maximumHeldBytes = 300000});
+    bench.socket.write(QByteArray("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 200000\r\n\r\n")
+                       + QByteArray(100000, 'x'));
+    Internal::runFor(100);
+    QTcpSocket second;
+    second.connectToHost(QHostAddress::LocalHost, bench.server.port());
+    second.write(QByteArray("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 80000\r\n\r\n") + QByteArray(80000, 'x'));
+    REQUIRE(runUntil([&] { return bench.keeper.kept.size() == 1; }));
+    CHECK(runUntil([&] { return bench.socket.state() == QAbstractSocket::UnconnectedState; }));
+    const std::string answer = bench.socket.readAll().toStdString();
+    CHECK(answer.find("HTTP/1.1 503") == 0);
+    CHECK(answer.find("X-Ran: unknown") != std::string::npos);
+}
+
+// Guards against answers that pile up for a caller that reads none of them.
+TEST_CASE("a caller that has not taken its last answer gets one more, and no further one on the connection")
+{
+    Bench bench(HttpServerOptions{});
+    bench.socket.setReadBufferSize(1024);
+    bench.socket.setSocketOption(QAbstractSocket::ReceiveBufferSizeSocketOption, 4096);
+    bench.ask(get);
+    REQUIRE(runUntil([&] { return bench.keeper.kept.size() == 1; }));
+    bench.keeper.kept[0]->respond(200, {}, std::string(std::size_t{8} << 20U, 'a'));
+    bench.ask(get);
+    REQUIRE(runUntil([&] { return bench.keeper.kept.size() == 2; }));
+    bench.keeper.kept[1]->respond(200, {}, "second");
+    bench.socket.write(get);
+    Internal::runFor(200);
+    CHECK(bench.keeper.kept.size() == 2);
+}
--- a/sequoiausher/transport/http/serversocket.h
+++ b/sequoiausher/transport/http/serversocket.h
@@ -2,6 +2,7 @@
 
 // A connection of an HttpServer, and the listener that makes them. Internal to the HTTP server.
 
+#include "sequoiausher/base/countedbytes.h"
 #include "sequoiausher/base/millis.h"
 
 #include <QTcpServer>
@@ -9,11 +10,15 @@
 
 #include <array>
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string_view>
+#include <vector>
 
 namespace Sequoiausher::Internal {
 
+class ServerSocket;
+
 /** The state shared by a server, its connections and its exchanges. Outlives the server while exchanges exist. */
 struct ServerState
 {
@@ -22,6 +27,13 @@
     bool stopping = false;
     std::size_t maximumRequestBytes = 0;
     std::size_t maximumConnections = 0;
+    std::size_t maximumHeldBytes = 0;
+    std::size_t receiveBytes = 0;
+    std::size_t yielded = 0;
+    /** The parts of requests that all connections hold. */
+    std::shared_ptr<std::size_t> received = std::make_shared<std::size_t>(0);
+    /** Closes connections until they hold no more than they may, but not the one that is being read. */
+    std::function<void(const ServerSocket *reading)> makeMemoryRoom;
 };
 
 /** Receives the events of a connection; implemented by its current exchange. */
@@ -44,7 +56,8 @@
 class ServerSocket : public QTcpSocket
 {
 public:
-    ServerSocket(std::shared_ptr<ServerState> common, QObject *parent);
+    /** @param hasRoom whether there is room for the connection; otherwise its first request is refused. */
+    ServerSocket(std::shared_ptr<ServerState> common, QObject *parent, bool hasRoom);
     ~ServerSocket() override;
     ServerSocket(const ServerSocket &) = delete;
     ServerSocket &operator=(const ServerSocket &) = delete;
@@ -59,7 +72,7 @@
     /** Records that a complete request was read, so that the next byte belongs to another one. */
     void requestComplete()
     {
-        this->receivedBytes = 0;
+        this->received.set(0);
         this->since = Millis::monotonicNow();
     }
 
@@ -72,9 +85,24 @@
     /** Refuses a partly read request, since the server stops. */
     void refuseIncomplete();
 
+    /** Returns the bytes of a part of a request, and of answers that the caller has not taken. */
+    std::size_t heldBytes() const;
+    /** Returns when a request began, or when the caller last took a part of an answer, or sent a whole request. */
+    Millis movedAt() const
+    {
+        return this->since;
+    }
+    /** Whether an exchange is in progress. */
+    bool isInUse() const
+    {
+        return !this->current.expired();
+    }
+    /** Closes the connection for want of room; refuses a part of a request first. */
+    void yield();
+
     bool isIdle() const
     {
-        return this->current.expired() && this->receivedBytes == 0 && !this->closing;
+        return this->current.expired() && this->received.bytes() == 0 && !this->closing;
     }
 
     std::shared_ptr<ServerState> shared;
@@ -83,6 +111,8 @@
 
 private:
     void countRead();
+    /** Whether the parts of requests on all connections take more memory than they may. */
+    bool isBeyondMemory() const;
     /** An answer to a request that was not read whole. */
     struct Refusal
     {
@@ -93,14 +123,16 @@
         bool mayRetry = false;
     };
     void refuse(const Refusal &refusal);
+    void writeRefusal(const Refusal &refusal);
     void clientGone();
     void written();
 
-    std::size_t receivedBytes = 0;
+    /** A request of which a part has arrived. */
+    CountedBytes received;
     /** When the connection became idle, or when its current request began. */
     Millis since = Millis::monotonicNow();
     /** The number of connections exceeded the limit, so the first request is refused. */
-    bool beyondLimit = false;
+    bool beyondLimit;
     std::array<QMetaObject::Connection, 3> own;
 };
 
@@ -112,10 +144,17 @@
     {
     }
 
+    std::vector<ServerSocket *> sockets() const;
+    /** Closes connections until they hold no more than they may, but not the one that is being read. */
+    void limitHeldBytes(const ServerSocket *reading = nullptr) const;
+
 protected:
     void incomingConnection(qintptr descriptor) override;
 
 private:
+    /** Closes the connection that moves least among those without an exchange. @return whether there was one. */
+    bool makeRoom() const;
+
     std::shared_ptr<ServerState> shared;
 };
 
--- a/sequoiausher/transport/router/operatorserver.cpp
+++ b/sequoiausher/transport/router/operatorserver.cpp
@@ -18,12 +18,20 @@
 constexpr int statusWrongMethod = 405;
 constexpr std::string_view bearer = "Bearer ";
 
+/** Operators ask short questions, each over a connection of its own or one that is kept. */
+constexpr std::size_t maxQuestionBytes = 65536;
+constexpr std::size_t maxOperatorConnections = 256;
+constexpr std::size_t maxOperatorHeldBytes = std::size_t{16} << 20U;
+
 HttpServerOptions serverOptions(const Node &node)
 {
     const PeerAddress address = parsePeerAddress(node.settings().operators.address);
     HttpServerOptions options;
     options.address = address.host;
     options.port = address.port;
+    options.maximumRequestBytes = maxQuestionBytes;
+    options.maximumConnections = maxOperatorConnections;
+    options.maximumHeldBytes = maxOperatorHeldBytes;
     return options;
 }
 
--- a/sequoiausher/transport/router/router.cpp
+++ b/sequoiausher/transport/router/router.cpp
@@ -181,6 +181,7 @@
     // Each worker has a listener of its own, over which the kernel spreads the connections.
     const std::size_t workers = std::max<std::size_t>(this->d->settings.workers, 1);
     options.maximumConnections = (this->d->settings.limits.maxConnections + workers - 1) / workers;
+    options.maximumHeldBytes = this->d->settings.limits.heldBytes / workers;
     std::random_device entropy;
     for (std::uint32_t i = 0; i < this->d->settings.workers; ++i) {
         const std::uint64_t seed = (std::uint64_t{entropy()} << 32U) | entropy();
--- a/sequoiausher/transport/stream/ipv4socket.cpp
+++ b/sequoiausher/transport/stream/ipv4socket.cpp
@@ -2,10 +2,13 @@
 
 #include "sequoiausher/transport/peers/peeraddress.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <limits>
 
 #include <arpa/inet.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace Sequoiausher {
@@ -31,4 +34,18 @@
     return opened;
 }
 
+void limitUnsentBytes(int descriptor)
+{
+    constexpr int maxUnsentBytes = 131072;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &maxUnsentBytes, sizeof maxUnsentBytes);
+}
+
+void limitReceiveBuffer(int descriptor, std::size_t bytes)
+{
+    const int limit = static_cast<int>(std::min(bytes, std::size_t{std::numeric_limits<int>::max()} / 2));
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &limit, sizeof limit);
+    // The window of a connection that was accepted with a small buffer stays small without this.
+    setsockopt(descriptor, IPPROTO_TCP, TCP_WINDOW_CLAMP, &limit, sizeof limit);
+}
+
 } // namespace Sequoiausher
--- a/sequoiausher/transport/stream/ipv4socket.h
+++ b/sequoiausher/transport/stream/ipv4socket.h
@@ -7,6 +7,7 @@
 
 #include "sequoiausher/base/error.h"
 
+#include <cstddef>
 #include <string>
 
 #include <netinet/in.h>
@@ -30,4 +31,16 @@
  */
 Ipv4Socket openIpv4Socket(const std::string &address, Step step);
 
+/**
+ * Limits the bytes that the kernel receives before they are read. Connections that a listening socket accepts have its
+ * limit. Best effort: the kernel rounds, and holds a small multiple of it for its own records.
+ */
+void limitReceiveBuffer(int descriptor, std::size_t bytes);
+
+/**
+ * Limits the written bytes that the kernel keeps beyond those that it may send now. Without this limit it takes
+ * megabytes for a receiver that reads nothing. Does not slow down one that reads.
+ */
+void limitUnsentBytes(int descriptor);
+
 } // namespace Sequoiausher
