--- a/sequoiausher/coordination/gateway/connectionadmission.cpp
+++ b/sequoiausher/coordination/gateway/connectionadmission.cpp
@@ -64,9 +64,14 @@
     this->isCrowded = gateways > 1 && shareOfTraffic * static_cast<double>(gateways) > crowdedShares;
 }
 
+bool ConnectionAdmission::hasRoom(std::size_t open) const
+{
+    return this->settings.maxConnections == 0 || open < this->settings.maxConnections;
+}
+
 bool ConnectionAdmission::admit(std::size_t open)
 {
-    if (this->settings.maxConnections > 0 && open >= this->settings.maxConnections) {
+    if (!this->hasRoom(open)) {
         return false;
     }
     if (this->perSecond && this->credit <= 0) {
--- a/sequoiausher/coordination/gateway/connectionadmission.h
+++ b/sequoiausher/coordination/gateway/connectionadmission.h
@@ -9,6 +9,7 @@
 //     ConnectionAdmission admission({.maxConnections = 1900});
 //     admission.recordTick(lateness, now);
 //     admission.setCrowding(shareOfTraffic, peers.fleetSize(now));
+//     if (!admission.hasRoom(openConnections)) { makeRoom(); }
 //     if (!admission.admit(openConnections)) { close(descriptor); }
 //     const bool closes = !admission.mayKeepOpen(openConnections);
 
@@ -36,7 +37,9 @@
     void recordTick(Millis lateness, Millis now);
     /** @param shareOfTraffic the part of the fleet's requests in flight that this gateway has, 0 to 1. */
     void setCrowding(double shareOfTraffic, std::size_t gateways);
-    /** Whether to take a new connection. @param open connections of callers that are open. */
+    /** Whether one more connection is within the limit for all. @param open connections of callers that are open. */
+    bool hasRoom(std::size_t open) const;
+    /** Whether to take a new connection; one that is not taken at once counts as closed. */
     bool admit(std::size_t open);
     /** Whether a connection may stay open after an answer, for further requests. */
     bool mayKeepOpen(std::size_t open) const;
--- /dev/null
+++ b/sequoiausher/coordination/gateway/connectionledger.cpp
@@ -0,0 +1,127 @@
+#include "sequoiausher/coordination/gateway/connectionledger.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace Sequoiausher {
+
+namespace {
+
+/** Beyond this time what happened earlier counts half. */
+constexpr Millis memoryTime{4000};
+
+/** Returns for how long the caller would need for what its connection holds, in milliseconds. */
+double drainTime(const ConnectionAccount &account, Millis now)
+{
+    const Millis heldFor = account.heldFor + (now - account.updatedAt);
+    const auto held = static_cast<double>(account.held.total());
+    return held * static_cast<double>(heldFor.count) / static_cast<double>(account.takenBytes + 1);
+}
+
+} // namespace
+
+void ConnectionLedger::add(Number number, Millis now)
+{
+    const auto [added, isNew] = this->accounts.try_emplace(number);
+    if (isNew) {
+        added->second.usedSince = now;
+        added->second.updatedAt = now;
+        added->second.tookAt = now;
+        this->order.insert({{added->second.use, now}, number});
+    }
+}
+
+void ConnectionLedger::remove(Number number)
+{
+    const auto found = this->accounts.find(number);
+    if (found != this->accounts.end()) {
+        this->order.erase({{found->second.use, found->second.usedSince}, number});
+        this->accounts.erase(found);
+    }
+}
+
+void ConnectionLedger::setUse(Number number, ConnectionUse use, Millis now)
+{
+    const auto found = this->accounts.find(number);
+    if (found == this->accounts.end() || found->second.use == use) {
+        return;
+    }
+    ConnectionAccount &account = found->second;
+    this->order.erase({{account.use, account.usedSince}, number});
+    account.use = use;
+    account.usedSince = now;
+    this->order.insert({{use, now}, number});
+}
+
+void ConnectionLedger::setHeld(Number number, const HeldBytes &held, std::size_t taken, Millis now)
+{
+    const auto found = this->accounts.find(number);
+    if (found == this->accounts.end()) {
+        return;
+    }
+    ConnectionAccount &account = found->second;
+    if (account.held.total() > 0) {
+        account.heldFor = account.heldFor + (now - account.updatedAt);
+        account.takenBytes += taken;
+    } else {
+        account.heldFor = Millis{0};
+        account.takenBytes = 0;
+    }
+    if (account.heldFor > memoryTime) {
+        account.heldFor = Millis{account.heldFor.count / 2};
+        account.takenBytes /= 2;
+    }
+    if (taken > 0 || account.held.unread == 0) {
+        account.tookAt = now;
+    }
+    account.held = held;
+    account.updatedAt = now;
+}
+
+bool ConnectionLedger::hasStalled(Number number, Millis now) const
+{
+    const auto found = this->accounts.find(number);
+    return found != this->accounts.end() && found->second.held.unread > 0 && now - found->second.tookAt >= stalledTime;
+}
+
+std::size_t ConnectionLedger::size() const
+{
+    return this->accounts.size();
+}
+
+std::optional<ConnectionAccount> ConnectionLedger::account(Number number) const
+{
+    const auto found = this->accounts.find(number);
+    return found != this->accounts.end() ? std::optional(found->second) : std::nullopt;
+}
+
+std::optional<ConnectionLedger::Number> ConnectionLedger::yieldsDescriptor() const
+{
+    if (this->order.empty() || this->order.begin()->first.first == ConnectionUse::InUse) {
+        return std::nullopt;
+    }
+    return this->order.begin()->second;
+}
+
+std::vector<ConnectionLedger::Number> ConnectionLedger::yieldMemory(std::size_t bytes, Millis now) const
+{
+    std::vector<std::pair<double, Number>> holders;
+    for (const auto &[number, account] : this->accounts) {
+        if (account.held.total() > 0) {
+            holders.emplace_back(drainTime(account, now), number);
+        }
+    }
+    std::sort(holders.begin(), holders.end(), std::greater<>());
+    std::vector<Number> yielding;
+    std::size_t freed = 0;
+    for (const auto &[time, number] : holders) {
+        if (freed >= bytes) {
+            break;
+        }
+        freed += this->accounts.at(number).held.total();
+        yielding.push_back(number);
+    }
+    return yielding;
+}
+
+} // namespace Sequoiausher
--- /dev/null
+++ b/sequoiausher/coordination/gateway/connectionledgertest.cpp
@@ -0,0 +1,96 @@
+#include "sequoiausher/coordination/gateway/connectionledger.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+using namespace Sequoiausher;
+
+namespace {
+
+constexpr Millis second{1000};
+
+std::vector<ConnectionLedger::Number> descriptorOrder(ConnectionLedger &ledger)
+{
+    std::vector<ConnectionLedger::Number> order;
+    while (const auto yields = ledger.yieldsDescriptor()) {
+        order.push_back(*yields);
+        ledger.remove(*yields);
+    }
+    return order;
+}
+
+} // namespace
+
+TEST_CASE("connections give up descriptors in the order of their uses, and one in use does not")
+{
+    ConnectionLedger ledger;
+    const std::vector<ConnectionUse> uses{ConnectionUse::InUse,
+                                          ConnectionUse::Unread,
+                                          ConnectionUse::Kept,
+                                          ConnectionUse::Body,
+                                          ConnectionUse::Stalled,
+                                          ConnectionUse::Head,
+                                          ConnectionUse::Silent,
+                                          ConnectionUse::Closing};
+    for (std::size_t i = 0; i < uses.size(); ++i) {
+        ledger.add(i, second);
+        ledger.setUse(i, uses[i], second);
+    }
+    CHECK(descriptorOrder(ledger) == std::vector<ConnectionLedger::Number>{7, 6, 5, 4, 3, 2, 1});
+    CHECK(ledger.size() == 1);
+}
+
+// Guards against a client that keeps its place by sending its request byte by byte.
+TEST_CASE("among connections of one use the one that has had it for longest yields, however often that was told")
+{
+    ConnectionLedger ledger;
+    ledger.add(1, Millis{0});
+    ledger.add(2, Millis{0});
+    ledger.setUse(1, ConnectionUse::Head, Millis{10});
+    ledger.setUse(2, ConnectionUse::Head, Millis{20});
+    ledger.setUse(1, ConnectionUse::Head, Millis{500});
+    CHECK(ledger.yieldsDescriptor() == 1);
+    ledger.setUse(1, ConnectionUse::InUse, Millis{600});
+    CHECK(ledger.yieldsDescriptor() == 2);
+}
+
+// Guards against closing a caller that reads slowly in place of one that reads nothing.
+TEST_CASE("by memory the connection yields whose caller would need longest for what it holds")
+{
+    ConnectionLedger ledger;
+    for (const ConnectionLedger::Number number : {1, 2, 3}) {
+        ledger.add(number, Millis{0});
+        ledger.setHeld(number, {100000, 0}, 0, Millis{0});
+    }
+    for (Millis now = second; now < second * 10; now += second) {
+        ledger.setHeld(1, {100000, 0}, 50000, now);
+        ledger.setHeld(2, {100000, 0}, 160, now);
+        ledger.setHeld(3, {100000, 0}, 0, now);
+    }
+    CHECK(ledger.yieldMemory(1, second * 10) == std::vector<ConnectionLedger::Number>{3});
+    CHECK(ledger.yieldMemory(150000, second * 10) == std::vector<ConnectionLedger::Number>{3, 2});
+    CHECK(ledger.yieldMemory(1000000, second * 10).size() == 3);
+}
+
+TEST_CASE("a connection that holds nothing gives up no memory")
+{
+    ConnectionLedger ledger;
+    ledger.add(1, Millis{0});
+    CHECK(ledger.yieldMemory(1000, second).empty());
+    ledger.setHeld(1, {0, 40}, 0, Millis{0});
+    CHECK(ledger.yieldMemory(1000, second).size() == 1);
+}
+
+TEST_CASE("a caller has stalled once it has taken nothing of an answer for the stalled time")
+{
+    ConnectionLedger ledger;
+    ledger.add(1, Millis{0});
+    CHECK_FALSE(ledger.hasStalled(1, second * 5));
+    ledger.setHeld(1, {500, 0}, 0, second * 5);
+    CHECK_FALSE(ledger.hasStalled(1, second * 5));
+    CHECK(ledger.hasStalled(1, second * 5 + ConnectionLedger::stalledTime));
+    ledger.setHeld(1, {499, 0}, 1, second * 6);
+    CHECK_FALSE(ledger.hasStalled(1, second * 6));
+    CHECK_FALSE(ledger.hasStalled(2, second * 6));
+}
--- a/sequoiausher/coordination/gateway/memorybudget.cpp
+++ b/sequoiausher/coordination/gateway/memorybudget.cpp
@@ -11,6 +11,15 @@
 constexpr std::size_t smallDenominator = 8;
 /** Bodies that would wait behind more than this part of the limit would not get their turn in time. */
 constexpr std::size_t waitingDenominator = 2;
+/**
+ * Answers whose targets are held back may exceed the budget by this part of it: each of their connections still holds
+ * something.
+ */
+constexpr std::size_t overrunDenominator = 4;
+/** Sources are held back this part of the budget earlier, for what the kernel takes of their answers meanwhile. */
+constexpr std::size_t kernelDenominator = 16;
+/** A head up to this size is always taken. */
+constexpr std::size_t smallHeadBytes = 16384;
 /** The limits of one held answer and of the bytes that wait for one receiver, while isTightForAnswers(). */
 constexpr std::size_t tightHeldBytes = 65536;
 constexpr std::size_t tightUnsentBytes = 16384;
@@ -54,10 +63,28 @@
 
 bool MemoryBudget::isTightForAnswers() const
 {
-    const std::size_t reserved = std::max(this->bodyBytes(), this->smallPart());
+    const std::size_t reserved = std::max(this->bodyBytes(), this->smallPart()) + this->most / kernelDenominator;
     return this->most > 0 && *this->answers > this->answerPart() && *this->answers + reserved > this->most;
 }
 
+std::size_t MemoryBudget::answerLimit() const
+{
+    const std::size_t reserved = std::max(this->bodyBytes(), this->smallPart());
+    const std::size_t hardLimit = this->most + this->most / overrunDenominator;
+    return hardLimit - std::min(reserved, hardLimit);
+}
+
+std::size_t MemoryBudget::overrun() const
+{
+    const std::size_t limit = this->answerLimit();
+    return this->most > 0 && *this->answers > limit ? *this->answers - limit : 0;
+}
+
+bool MemoryBudget::hasRoomForHead(std::size_t bytes) const
+{
+    return this->most == 0 || bytes <= smallHeadBytes || *this->answers + bytes <= this->answerLimit();
+}
+
 std::size_t MemoryBudget::heldAnswerBound(std::size_t usual) const
 {
     return this->isTightForAnswers() ? std::min(usual, tightHeldBytes) : usual;
--- a/sequoiausher/coordination/gateway/memorybudget.h
+++ b/sequoiausher/coordination/gateway/memorybudget.h
@@ -9,7 +9,9 @@
 // one that was refused and returns at some other time. Small bodies do not wait, and have a part of the budget that
 // large ones cannot take; while a large one waits, they have no more, so that it gets its turn. Answers cannot be
 // refused: a part of the budget is theirs, and they may use what bodies leave. When that is used up, their targets are
-// read only as fast as their callers take them.
+// read only as fast as their callers take them. What connections hold beside them counts as answers: heads, requests
+// that were sent ahead, and bytes that the kernel has not delivered. A quarter beyond the budget, connections are
+// closed.
 //
 //     MemoryBudget budget(64U << 20U, seed);
 //     BodyReservation body(budget);
@@ -64,6 +66,10 @@
     const std::shared_ptr<std::size_t> &answerTotal() const;
     /** Whether answers have used up their part, and what bodies leave. */
     bool isTightForAnswers() const;
+    /** Returns by how many bytes answers exceed what they may hold at the most; then connections have to yield. */
+    std::size_t overrun() const;
+    /** Whether a request may hold so many bytes for its head. */
+    bool hasRoomForHead(std::size_t bytes) const;
     /** Returns how many bytes of one answer may be held before it is passed on. @param usual while there is room. */
     std::size_t heldAnswerBound(std::size_t usual) const;
     /** Returns how many bytes may wait for one receiver before their source is read no more. */
@@ -95,6 +101,8 @@
     std::size_t answerPart() const;
     std::size_t smallPart() const;
     std::size_t largePart() const;
+    /** Returns what answers may hold together with the bodies that there are. */
+    std::size_t answerLimit() const;
 
     std::size_t most;
     std::mt19937_64 random;
--- a/sequoiausher/protocol/http/httpmessage.cpp
+++ b/sequoiausher/protocol/http/httpmessage.cpp
@@ -5,6 +5,15 @@
 
 namespace Sequoiausher {
 
+std::size_t memoryOf(const HttpHeaders &headers)
+{
+    std::size_t bytes = headers.entries.capacity() * sizeof(HttpHeader);
+    for (const HttpHeader &header : headers.entries) {
+        bytes += header.name.size() + header.value.size();
+    }
+    return bytes;
+}
+
 BodyFraming framingOf(const HttpHead &head)
 {
     if (head.chunked) {
--- a/sequoiausher/protocol/http/httpmessage.h
+++ b/sequoiausher/protocol/http/httpmessage.h
@@ -7,6 +7,7 @@
 #include "sequoiausher/base/nametable.h"
 #include "sequoiausher/protocol/http/httpheaders.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -46,6 +47,9 @@
     {BodyFraming::Close, "close"},
 });
 
+/** Returns the memory that the fields of a message take, in bytes. Many short fields take many times their text. */
+std::size_t memoryOf(const HttpHeaders &headers);
+
 /** How an answer with this head frames its body, if it has one. */
 BodyFraming framingOf(const HttpHead &head);
 
--- a/sequoiausher/transport/gateway/callerconnection.cpp
+++ b/sequoiausher/transport/gateway/callerconnection.cpp
@@ -19,6 +19,15 @@
 constexpr Millis retryWhenNoMemory{1000};
 /** The timeout between two parts of a large body while other bodies wait for memory. */
 constexpr Millis stallTimeoutWhileOthersWait{1000};
+/** The shortest Retry-After of a request that is refused for want of room; the longest is twice as long. */
+constexpr Millis retryWhenNoRoom{500};
+/** The most requests of one connection that are taken before the other connections have their turn. */
+constexpr std::size_t maxRequestsInTurn = 16;
+/** What the kernel may receive of a body whose memory is reserved. */
+constexpr std::size_t bodyReceiveBytes = 65536;
+/** An estimate of unacknowledged bytes is checked once it is this large, or this old. */
+constexpr std::size_t checkedUnacknowledgedBytes = 16384;
+constexpr Millis checkInterval{500};
 constexpr std::string_view continueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
 int statusOf(HttpFault fault)
@@ -37,8 +46,9 @@
 
 } // namespace
 
-CallerConnection::CallerConnection(GatewayContext &shared, int descriptor, Gone whenGone)
+CallerConnection::CallerConnection(GatewayContext &shared, int descriptor, Gone whenGone, std::size_t mostReceivedBytes)
     : context(shared)
+    , receiveBytes(mostReceivedBytes)
     , gone(std::move(whenGone))
     , stream(ByteStream::adopt(descriptor, this))
     , reader(HttpReader::Kind::Request, this->limits())
@@ -46,10 +56,17 @@
     , idle(Millis::monotonicNow(), this->context.callerLimits().idleTime)
 {
     this->stream->countInto(shared.memory.answerTotal());
+    this->stream->countUnacknowledged();
+    this->headMemory.moveTo(shared.memory.answerTotal());
+    this->heldBack.moveTo(shared.memory.answerTotal());
+    shared.ledger.add(this->number, Millis::monotonicNow());
 }
 
 CallerConnection::~CallerConnection()
 {
+    if (!this->isOver) {
+        this->context.ledger.remove(this->number);
+    }
     this->stream->forgetUser();
 }
 
@@ -62,6 +79,9 @@
 void CallerConnection::bytesArrived()
 {
     if (!this->exchange) {
+        if (std::exchange(this->awaitsTurn, false)) {
+            this->requestsInTurn = 0;
+        }
         this->readRequests();
     } else if (this->stream->input().size() > this->limits().headBytes) {
         // Further requests stay in the kernel's buffer, so that a caller that only sends cannot exhaust memory.
@@ -69,6 +89,35 @@
     }
 }
 
+bool CallerConnection::mayReadNext()
+{
+    if (this->stream->pendingBytes() > 0) {
+        // Continues in drained(). What the caller sends meanwhile stays in the kernel, which slows it down.
+        this->stream->setReading(false);
+        return false;
+    }
+    if (this->requestsInTurn >= maxRequestsInTurn) {
+        this->awaitsTurn = true;
+        this->stream->readLater();
+        return false;
+    }
+    return true;
+}
+
+bool CallerConnection::admitHead()
+{
+    const std::size_t bytes = memoryOf(this->reader.head().headers);
+    this->headMemory.set(0);
+    if (!this->context.memory.hasRoomForHead(bytes)) {
+        this->context.metrics.add("gateway_bodies_refused_total");
+        this->refuse(
+            statusUnavailable, "the gateway has no memory for the head", this->context.spread(retryWhenNoMemory));
+        return false;
+    }
+    this->headMemory.set(bytes);
+    return true;
+}
+
 void CallerConnection::readRequests()
 {
     if (this->isReadingNow) {
@@ -76,9 +125,13 @@
     }
     this->isReadingNow = true;
     while (!this->isOver && !this->exchange && !this->stream->input().empty()) {
+        if (!this->hasBytes && !this->mayReadNext()) {
+            break;
+        }
         const Millis now = Millis::monotonicNow();
         this->partial.lastByteAt = now;
         if (!std::exchange(this->hasBytes, true)) {
+            this->context.ledger.setUse(this->number, ConnectionUse::Head, now);
             this->partial.firstByteAt = now;
             this->headAt.reset();
             this->reader.setLimits(this->limits());
@@ -91,6 +144,9 @@
         }
         if (this->reader.hasHead() && !this->headAt) {
             this->headAt = now;
+            if (!this->admitHead()) {
+                break;
+            }
         }
         if (this->refuseForStop() || (this->reader.hasHead() && !this->admitBody())) {
             break;
@@ -136,6 +192,11 @@
     switch (admission) {
     case BodyAdmission::Granted:
         this->reader.reserveBody(this->bodyMemory->bytes());
+        // Bytes of the body that wait in the kernel have their memory already.
+        if (this->receiveBytes > 0 && this->bodyMemory->bytes() > this->receiveBytes) {
+            this->hasWideWindow = true;
+            this->stream->limitReceiving(bodyReceiveBytes);
+        }
         if (wasWaiting) {
             this->partial.lastByteAt = Millis::monotonicNow();
             this->stream->setReading(true);
@@ -215,6 +276,7 @@
     this->hasBytes = false;
     this->hasContinued = false;
     this->requests += 1;
+    this->requestsInTurn += 1;
     this->longestLimit = this->context.callerLimits().idleTime;
     if (this->stream->isLeft()) {
         // The event loop reports the end of the connection in its next iteration.
@@ -222,7 +284,9 @@
     }
     const Millis transferTime = now - this->headAt.value_or(now);
     ReceivedBody body{this->reader.takeBody(), std::move(this->bodyMemory), transferTime};
-    this->exchange = std::make_shared<GatewayExchange>(this->context, *this, this->reader.head(), std::move(body), now);
+    this->context.ledger.setUse(this->number, ConnectionUse::InUse, now);
+    this->exchange
+        = std::make_shared<GatewayExchange>(this->context, *this, this->reader.takeHead(), std::move(body), now);
     // The exchange may be answered and released during the call.
     const auto started = this->exchange;
     started->start();
@@ -238,6 +302,12 @@
         "request refused unread",
         {{"status", std::to_string(status)}, {"why", reason}, {"connection", std::to_string(this->number)}});
     this->context.metrics.add("gateway_unreadable_requests_total");
+    this->writeRefusal(status, reason, retryAfter);
+    this->closeGently(CloseReason::Unreadable);
+}
+
+void CallerConnection::writeRefusal(int status, const std::string &reason, std::optional<Millis> retryAfter)
+{
     CallerRequest request;
     bool isHead = false;
     if (this->reader.hasHead()) {
@@ -250,13 +320,15 @@
     }
     this->stream->write(
         ownAnswer(this->context.dialect, request, {status, reason, retryAfter, {.closes = true}, isHead}));
-    this->closeGently(CloseReason::Unreadable);
 }
 
 void CallerConnection::drained()
 {
     if (this->exchange) {
         this->exchange->callerDrained();
+    } else if (!this->isOver && !this->isWaitingForMemory) {
+        this->stream->setReading(true);
+        this->readRequests();
     }
 }
 
@@ -281,8 +353,13 @@
 
 void CallerConnection::finished(bool closes)
 {
+    const Millis now = Millis::monotonicNow();
     this->dropExchange();
-    this->idle.recordAnswer(Millis::monotonicNow(), this->longestLimit);
+    this->idle.recordAnswer(now, this->longestLimit);
+    this->context.ledger.setUse(this->number, this->use(now), now);
+    if (std::exchange(this->hasWideWindow, false)) {
+        this->stream->limitReceiving(this->receiveBytes);
+    }
     this->stream->setReading(true);
     if (closes) {
         this->closeGently(CloseReason::Answered);
@@ -312,6 +389,8 @@
 
 void CallerConnection::dropExchange()
 {
+    this->headMemory.set(0);
+    this->heldBack.set(0);
     this->context.destroyLater(std::move(this->exchange));
     this->exchange.reset();
 }
@@ -321,6 +400,12 @@
     if (std::exchange(this->isOver, true)) {
         return;
     }
+    this->context.ledger.remove(this->number);
+    if (why == CloseReason::Yielded) {
+        // Logged by the gateway, which bounds these lines.
+        this->gone(*this);
+        return;
+    }
     const Millis now = Millis::monotonicNow();
     // With these counts, a request that crossed the close or was left unread can be told from one that never arrived.
     this->context.log.info(LogPart::Entry,
@@ -337,21 +422,28 @@
 void CallerConnection::closeGently(CloseReason why)
 {
     this->over(why);
-    this->context.keepDelivering(this->stream);
+    this->context.keepDelivering(this->number, this->stream);
     // The stream outlives this connection, and also the gateway if that ends first.
     GatewayContext &shared = this->context;
     const std::weak_ptr<const bool> life = shared.life;
-    this->stream->closeGently([&shared, life, closed = this->number, why](std::size_t bytes) {
+    const auto report = [&shared, life, closed = this->number, why](std::size_t bytes) {
         if (life.expired()) {
             return;
         }
+        shared.endDelivering(closed);
+        if (bytes == 0) {
+            return;
+        }
         shared.log.warning(LogPart::Entry,
                            "bytes thrown away after a close",
                            {{"connection", std::to_string(closed)},
                             {"why", std::string(nameOf(why))},
                             {"bytes", std::to_string(bytes)}});
         shared.metrics.add("gateway_discarded_bytes_total", bytes);
-    });
+    };
+    // The rest of a request within the limits is discarded, so that its caller gets the answer.
+    const HttpReaderLimits most = this->limits();
+    this->stream->closeGently(report, most.headBytes + most.bodyBytes);
 }
 
 void CallerConnection::tick(Millis now)
@@ -359,6 +451,10 @@
     if (this->isOver) {
         return;
     }
+    this->updateAccount(now);
+    if (!this->awaitsTurn) {
+        this->requestsInTurn = 0;
+    }
     if (this->exchange) {
         this->longestLimit = std::max(this->longestLimit, this->context.callerLimits().idleTime);
         const auto ticked = this->exchange;
@@ -396,13 +492,86 @@
 void CallerConnection::tickUnused(Millis now)
 {
     if (!this->idle.isAcknowledged()) {
-        this->idle.recordUnacknowledged(now, this->stream->unacknowledgedBytes());
+        this->idle.recordUnacknowledged(now, this->stream->pendingBytes() + this->stream->knownUnacknowledged());
     }
     if (this->idle.isOver(now, this->context.callerLimits().idleTime)) {
         this->closeUnused(CloseReason::Idle);
     }
 }
 
+ConnectionUse CallerConnection::use(Millis now) const
+{
+    const bool hasUnread = this->stream->pendingBytes() + this->stream->knownUnacknowledged() > 0;
+    if (hasUnread && this->context.ledger.hasStalled(this->number, now)) {
+        return ConnectionUse::Stalled;
+    }
+    if (this->exchange) {
+        return ConnectionUse::InUse;
+    }
+    if (this->hasBytes) {
+        return this->reader.hasHead() ? ConnectionUse::Body : ConnectionUse::Head;
+    }
+    if (hasUnread) {
+        return ConnectionUse::Unread;
+    }
+    return this->requests > 0 ? ConnectionUse::Kept : ConnectionUse::Silent;
+}
+
+void CallerConnection::updateAccount(Millis now)
+{
+    const bool mustAsk = !this->exchange || this->stream->knownUnacknowledged() >= checkedUnacknowledgedBytes
+        || now - this->askedAt >= checkInterval;
+    std::size_t taken = 0;
+    if (mustAsk) {
+        this->askedAt = now;
+        taken = this->stream->updateAcknowledged();
+    }
+    const std::size_t unread = this->stream->pendingBytes() + this->stream->knownUnacknowledged();
+    const std::size_t headBytes
+        = this->headMemory.bytes() + (this->hasBytes ? this->stream->input().size() : std::size_t{0});
+    this->heldBack.set(this->exchange ? this->exchange->heldBackBytes() : 0);
+    this->context.ledger.setHeld(this->number, {unread + this->heldBack.bytes(), headBytes}, taken, now);
+    this->context.ledger.setUse(this->number, this->use(now), now);
+}
+
+std::string CallerConnection::peerAddress() const
+{
+    return this->stream->peerAddress();
+}
+
+bool CallerConnection::yield()
+{
+    const bool hasUnread = this->stream->pendingBytes() + this->stream->knownUnacknowledged() > 0;
+    if (this->exchange || hasUnread) {
+        if (this->exchange) {
+            this->exchange->callerGone();
+            this->dropExchange();
+        }
+        this->over(CloseReason::Yielded);
+        this->stream->reset();
+        return true;
+    }
+    // A request that has arrived meanwhile is answered.
+    const std::uint64_t before = this->requests;
+    if (!this->isWaitingForMemory) {
+        this->stream->setReading(true);
+        this->stream->readNow();
+    }
+    if (this->isOver || this->exchange || this->requests != before) {
+        return this->isOver;
+    }
+    if (this->hasBytes) {
+        // The memory of a body goes to others at once.
+        this->bodyMemory.reset();
+        this->isWaitingForMemory = false;
+        this->writeRefusal(
+            statusUnavailable, "the gateway has no room for the request", this->context.spread(retryWhenNoRoom));
+    }
+    this->over(CloseReason::Yielded);
+    this->stream->close();
+    return true;
+}
+
 bool CallerConnection::isBusy() const
 {
     return this->exchange != nullptr || this->stream->pendingBytes() > 0;
@@ -410,7 +579,8 @@
 
 bool CallerConnection::isReading() const
 {
-    return this->hasBytes;
+    // Requests that were sent ahead wait for their turn.
+    return this->hasBytes || !this->stream->input().empty();
 }
 
 void CallerConnection::closeForStop()
--- a/sequoiausher/transport/gateway/callerconnection.h
+++ b/sequoiausher/transport/gateway/callerconnection.h
@@ -1,10 +1,14 @@
 #pragma once
 
-// One connection of a caller. Reads its requests one after the other and answers each.
+// One connection of a caller. Reads its requests one after the other and answers each. Reads no further request while
+// an answer waits for the caller, so that a caller that only sends cannot make the gateway hold more than one of them;
+// and few requests in one turn of the event loop, so that other connections get theirs.
 //
 //     auto connection = std::make_shared<CallerConnection>(context, descriptor, [](CallerConnection &gone) { ... });
 
+#include "sequoiausher/base/countedbytes.h"
 #include "sequoiausher/base/nametable.h"
+#include "sequoiausher/coordination/gateway/connectionledger.h"
 #include "sequoiausher/coordination/gateway/connectiontimeouts.h"
 #include "sequoiausher/coordination/gateway/memorybudget.h"
 #include "sequoiausher/transport/gateway/gatewayexchange.h"
@@ -33,6 +37,8 @@
     CutOff,
     /** The caller closed it, or its link broke. */
     CallerLeft,
+    /** There was no room for it. */
+    Yielded,
 };
 
 template<>
@@ -43,6 +49,7 @@
     {CloseReason::Unreadable, "unreadable"},
     {CloseReason::CutOff, "cut-off"},
     {CloseReason::CallerLeft, "caller-left"},
+    {CloseReason::Yielded, "yielded"},
 });
 
 /** A caller's connection. */
@@ -52,8 +59,11 @@
     /** Called once when the connection has ended. Must not destroy the connection during the call. */
     using Gone = std::function<void(CallerConnection &connection)>;
 
-    /** Takes ownership of the descriptor. context outlives this. */
-    CallerConnection(GatewayContext &context, int descriptor, Gone gone);
+    /**
+     * Takes ownership of the descriptor. context outlives this.
+     * @param receiveBytes the limit of what the kernel receives on it before it is read; 0 for none.
+     */
+    CallerConnection(GatewayContext &context, int descriptor, Gone gone, std::size_t receiveBytes = 0);
     ~CallerConnection() override;
     CallerConnection(const CallerConnection &) = delete;
     CallerConnection &operator=(const CallerConnection &) = delete;
@@ -70,6 +80,14 @@
     void endForStop();
     /** Closes the connection at once. */
     void close();
+    /**
+     * Closes the connection because there is no room for it. A request of which a part has arrived is refused; a
+     * caller that does not take its answer loses the rest of it.
+     * @return whether it is closed; not if a whole request has just arrived on a connection without one.
+     */
+    bool yield();
+    /** Returns the caller's address. */
+    std::string peerAddress() const;
 
     void bytesArrived() override;
     void drained() override;
@@ -99,6 +117,15 @@
     bool refuseForStop();
     void sendContinueIfAwaited();
     void refuse(int status, const std::string &reason, std::optional<Millis> retryAfter = std::nullopt);
+    /** Writes the refusal of a request of which a part has arrived. */
+    void writeRefusal(int status, const std::string &reason, std::optional<Millis> retryAfter);
+    /** Whether the next request may be read now; pauses reading if not. */
+    bool mayReadNext();
+    /** Counts the memory of the head that was read. @return whether there is room for it. */
+    bool admitHead();
+    /** Tells the ledger what the connection holds and what it is used for. */
+    void updateAccount(Millis now);
+    ConnectionUse use(Millis now) const;
     void dropExchange();
     void tickUnused(Millis now);
     void tickPartial(Millis now);
@@ -110,13 +137,26 @@
     HttpReaderLimits limits() const;
 
     GatewayContext &context;
+    std::size_t receiveBytes;
     Gone gone;
     std::shared_ptr<ByteStream> stream;
     HttpReader reader;
     /** The memory of the body that is being read; null for none. */
     std::unique_ptr<BodyReservation> bodyMemory;
     bool isWaitingForMemory = false;
+    /** The memory of the head of the request in progress. */
+    CountedBytes headMemory;
+    /** What the kernel has of the answer in progress and of its target, because the caller reads too slowly. */
+    CountedBytes heldBack;
     std::shared_ptr<GatewayExchange> exchange;
+    /** The requests that were taken in this turn of the event loop. */
+    std::size_t requestsInTurn = 0;
+    /** Further requests wait for the next turn. */
+    bool awaitsTurn = false;
+    /** The kernel may receive more than usual, for a body whose memory is reserved. */
+    bool hasWideWindow = false;
+    /** When the kernel was last asked what the caller has acknowledged. */
+    Millis askedAt;
     /** The number in the order in which this gateway accepted connections; identifies the connection in log lines. */
     std::uint64_t number;
     std::uint64_t requests = 0;
--- a/sequoiausher/transport/gateway/callerconnectiontest.cpp
+++ b/sequoiausher/transport/gateway/callerconnectiontest.cpp
@@ -466,3 +466,100 @@
     CrossingCaller another(bed.address());
     CHECK(bed.ask(another));
 }
+
+// Guards against a process that grows without bound since a caller sends requests ahead and reads no answer.
+TEST_CASE("a caller that sends requests ahead and reads slowly gets all answers in their order, one at a time")
+{
+    Bed bed(Millis{5000});
+    const std::string answer(200000, 'a');
+    bed.target.answers = [&answer](FakeRequest &request) { request.reply("200 OK", request.header("X-Id") + answer); };
+    constexpr int smallBuffer = 4096;
+    CrossingCaller caller(bed.address(), smallBuffer);
+    std::string ahead;
+    constexpr int count = 10;
+    for (int i = 0; i < count; ++i) {
+        ahead += "GET /look/1 HTTP/1.1\r\nHost: x\r\nX-Key: k1\r\nX-Id: id-" + std::to_string(i) + "\r\n\r\n";
+    }
+    caller.send(ahead);
+    GatewayTestbed::waitFor([] { return false; }, Millis{400});
+    // The first answer waits for its caller; the others have not been asked for.
+    CHECK(bed.target.seen.size() < 3);
+    CHECK(bed.node->heldMemory().answers < 3 * answer.size());
+    for (int i = 0; i < count; ++i) {
+        CAPTURE(i);
+        REQUIRE(GatewayTestbed::waitFor([&] { return caller.look(); }));
+        CHECK(caller.body == "id-" + std::to_string(i) + answer);
+        caller.next();
+    }
+}
+
+// Guards against one connection that takes whole turns of the event loop with requests that were sent ahead.
+TEST_CASE("many requests that were sent ahead are answered in parts, between those of other callers")
+{
+    Bed bed(Millis{5000});
+    CrossingCaller flood(bed.address());
+    std::string ahead;
+    constexpr int count = 400;
+    for (int i = 0; i < count; ++i) {
+        ahead += bed.request("GET", "/nowhere/1");
+    }
+    int answered = 0;
+    const auto countAnswers = [&] {
+        while (flood.look()) {
+            answered += 1;
+            flood.next();
+        }
+        return answered;
+    };
+    FakeCaller other(bed.address());
+    flood.send(ahead);
+    other.send(bed.request("GET", "/look/1"));
+    int answeredBefore = 0;
+    REQUIRE(GatewayTestbed::waitFor([&] {
+        answeredBefore = other.reply.isWhole ? answeredBefore : countAnswers();
+        return other.reply.isWhole;
+    }));
+    CHECK(other.reply.status == 200);
+    CHECK(answeredBefore < count);
+    CHECK(GatewayTestbed::waitFor([&] { return countAnswers() == count; }));
+}
+
+// Guards against a refusal for want of room that is not true, or that its caller never gets.
+TEST_CASE("a connection that yields refuses a part of a request, and leaves an unread one to the kernel")
+{
+    GatewayTestbed bed;
+    Metrics metrics;
+    GatewayContext context(*bed.dialect, *bed.log, metrics, bed.settings, 1);
+    std::shared_ptr<CallerConnection> connection;
+    StreamListener listener("127.0.0.1:0", [&](int descriptor) {
+        connection = std::make_shared<CallerConnection>(context, descriptor, [](CallerConnection &) {});
+    });
+    CrossingCaller caller("127.0.0.1:" + std::to_string(listener.port()));
+    REQUIRE(GatewayTestbed::waitFor([&] { return connection != nullptr; }));
+    SUBCASE("with a part of a head")
+    {
+        caller.send("GET /look/1 HTTP/1.1\r\nHost: x\r\n");
+        REQUIRE(GatewayTestbed::waitFor([&] { return connection->isReading(); }));
+        CHECK(connection->yield());
+        REQUIRE(GatewayTestbed::waitFor([&] { return caller.look(); }));
+        CHECK(caller.status == 503);
+        CHECK(caller.head.headers.has("Retry-After"));
+    }
+    SUBCASE("with a part of a body")
+    {
+        caller.send("POST /desk/1 HTTP/1.1\r\nHost: x\r\nX-Id: id-7\r\nContent-Length: 50\r\n\r\nxyz");
+        REQUIRE(GatewayTestbed::waitFor([&] { return connection->isReading(); }));
+        CHECK(connection->yield());
+        REQUIRE(GatewayTestbed::waitFor([&] { return caller.look(); }));
+        CHECK(caller.status == 503);
+        CHECK(caller.head.headers.value("X-Id") == "id-7");
+    }
+    SUBCASE("with nothing")
+    {
+        CHECK(connection->yield());
+        REQUIRE(GatewayTestbed::waitFor([&] { return caller.isFinished(); }));
+        caller.send("GET /look/1 HTTP/1.1\r\nHost: x\r\n\r\n");
+        CHECK(GatewayTestbed::waitFor([&] { return caller.isReset(); }));
+    }
+    CHECK(context.ledger.size() == 0);
+}
--- a/sequoiausher/transport/gateway/gatewaycall.cpp
+++ b/sequoiausher/transport/gateway/gatewaycall.cpp
@@ -64,6 +64,11 @@
     this->connection->setReading(on);
 }
 
+std::size_t GatewayCall::unreadBytes() const
+{
+    return this->connection->unreadBytes();
+}
+
 void GatewayCall::cancel()
 {
     if (!this->isOver) {
--- a/sequoiausher/transport/gateway/gatewaycall.h
+++ b/sequoiausher/transport/gateway/gatewaycall.h
@@ -56,6 +56,8 @@
     /** Whether the attempt ended because the target's side broke the connection that carried the request. */
     bool hasLostConnection() const;
     void setReading(bool on);
+    /** Returns the bytes of the answer that the kernel has received and that were not read. */
+    std::size_t unreadBytes() const;
     /** Closes the connection, so that the target stops. No further events follow. */
     void cancel();
 
--- a/sequoiausher/transport/gateway/gatewaycontext.cpp
+++ b/sequoiausher/transport/gateway/gatewaycontext.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include <sys/resource.h>
+
 namespace Sequoiausher {
 
 namespace {
@@ -68,6 +70,7 @@
     , pools(this->dialEnvironment)
     , lifeChecks(*this, this->dialEnvironment)
 {
+    this->dialEnvironment.openDescriptors = [this] { return this->openDescriptors(); };
     this->board.setColdLimit(&this->coldLimit);
     this->board.setBrittleLimit(&this->brittleLimit);
     this->board.setRegions(initialSettings.regions);
@@ -185,17 +188,72 @@
     return Millis{found != this->firstAnswers.end() ? std::llround(found->second) : 0};
 }
 
-void GatewayContext::keepDelivering(const std::shared_ptr<ByteStream> &closed)
+void GatewayContext::keepDelivering(ConnectionLedger::Number number, const std::shared_ptr<ByteStream> &closed)
 {
-    std::erase_if(this->delivering, [](const auto &held) { return !hasBytesLeft(held); });
-    if (closed->pendingBytes() > 0) {
-        this->delivering.push_back(closed);
+    this->delivering[number] = closed;
+    this->ledger.add(number, Millis::monotonicNow());
+}
+
+void GatewayContext::tickDelivering(Millis now)
+{
+    for (auto next = this->delivering.begin(); next != this->delivering.end();) {
+        const auto [number, weak] = *next;
+        const auto stream = weak.lock();
+        if (!stream || !stream->isConnected()) {
+            this->ledger.remove(number);
+            next = this->delivering.erase(next);
+            continue;
+        }
+        const std::size_t taken = stream->updateAcknowledged();
+        const std::size_t unread = stream->pendingBytes() + stream->knownUnacknowledged();
+        this->ledger.setHeld(number, {unread, 0}, taken, now);
+        const ConnectionUse use = unread == 0      ? ConnectionUse::Closing
+            : this->ledger.hasStalled(number, now) ? ConnectionUse::Stalled
+                                                   : ConnectionUse::Unread;
+        this->ledger.setUse(number, use, now);
+        ++next;
     }
 }
 
 bool GatewayContext::isDelivering() const
 {
-    return std::any_of(this->delivering.begin(), this->delivering.end(), hasBytesLeft);
+    return std::any_of(
+        this->delivering.begin(), this->delivering.end(), [](const auto &entry) { return hasBytesLeft(entry.second); });
+}
+
+std::size_t GatewayContext::closingCount() const
+{
+    return this->delivering.size();
+}
+
+std::shared_ptr<ByteStream> GatewayContext::endDelivering(ConnectionLedger::Number number)
+{
+    const auto found = this->delivering.find(number);
+    if (found == this->delivering.end()) {
+        return nullptr;
+    }
+    auto stream = found->second.lock();
+    this->delivering.erase(found);
+    this->ledger.remove(number);
+    return stream;
+}
+
+OpenDescriptors GatewayContext::openDescriptors() const
+{
+    return {
+        this->ledger.size(), this->dialEnvironment.openConnections + this->carryingConnections, this->peerConnections};
+}
+
+ConnectionMemory GatewayContext::connectionMemory() const
+{
+    constexpr std::size_t megabyte = std::size_t{1} << 20U;
+    ProcessLimits limits{this->settings.memoryMb * megabyte, this->settings.descriptors};
+    rlimit limit{};
+    const bool isLimited = getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY;
+    if (limits.descriptors == 0 && isLimited) {
+        limits.descriptors = limit.rlim_cur;
+    }
+    return ConnectionMemory(limits);
 }
 
 void GatewayContext::destroyLater(std::shared_ptr<void> object)
--- a/sequoiausher/transport/gateway/gatewaycontext.h
+++ b/sequoiausher/transport/gateway/gatewaycontext.h
@@ -12,6 +12,8 @@
 #include "sequoiausher/coordination/gateway/brittletargetlimit.h"
 #include "sequoiausher/coordination/gateway/callerwaitestimator.h"
 #include "sequoiausher/coordination/gateway/coldtargetlimit.h"
+#include "sequoiausher/coordination/gateway/connectionledger.h"
+#include "sequoiausher/coordination/gateway/connectionmemory.h"
 #include "sequoiausher/coordination/gateway/engineowner.h"
 #include "sequoiausher/coordination/gateway/freshness.h"
 #include "sequoiausher/coordination/gateway/loadshedder.h"
@@ -98,10 +100,21 @@
     void recordFirstAnswerTime(const PoolId &service, Millis time);
     /** The usual time until the service begins an answer; 0 before the first. */
     Millis usualFirstAnswer(const PoolId &service) const;
-    /** Keeps track of a closed connection until its whole answer was sent. */
-    void keepDelivering(const std::shared_ptr<ByteStream> &closed);
+    /** Keeps account of a connection that is closed gently until it has ended. @param number its number in the ledger.
+     */
+    void keepDelivering(ConnectionLedger::Number number, const std::shared_ptr<ByteStream> &closed);
+    /** Updates the account of closed connections. */
+    void tickDelivering(Millis now);
     /** Whether the last answer on a closed connection was not yet sent completely. */
     bool isDelivering() const;
+    /** The connections that were closed gently and have not ended. */
+    std::size_t closingCount() const;
+    /** Ends a connection that was closed gently. @return its stream; null if there is none of the number. */
+    std::shared_ptr<ByteStream> endDelivering(ConnectionLedger::Number number);
+    /** What the memory and the descriptors of the settings allow to connections. */
+    ConnectionMemory connectionMemory() const;
+    /** The descriptors of all connections. */
+    OpenDescriptors openDescriptors() const;
     /** Destroys the object at the next tick, because it may be in the middle of its own calls. */
     void destroyLater(std::shared_ptr<void> object);
 
@@ -111,6 +124,7 @@
     GatewaySettings settings;
     std::mt19937_64 random;
     MemoryBudget memory;
+    ConnectionLedger ledger;
     std::shared_ptr<const RouteTable> table;
     std::shared_ptr<const RuleSet> rules;
     Freshness freshness;
@@ -138,6 +152,9 @@
     RequestQuarantine quarantine;
     TargetLifeChecks lifeChecks;
     std::uint64_t connectionsAccepted = 0;
+    /** Connections to targets that carry tunnels, and connections to and from peers. */
+    std::size_t carryingConnections = 0;
+    std::size_t peerConnections = 0;
     StopSchedule stop;
     RouteDurations durations;
     /** Connections of callers may stay open after an answer. */
@@ -147,8 +164,8 @@
     /** Requests that arrive during the start wait until this time at most. */
     Millis holdsRequestsUntil;
     std::vector<std::shared_ptr<void>> pendingDestruction;
-    /** Closed connections whose last answer was not sent completely; the process must not end before that. */
-    std::vector<std::weak_ptr<ByteStream>> delivering;
+    /** Closed connections that have not ended; the process must not end before their answers were sent. */
+    std::map<ConnectionLedger::Number, std::weak_ptr<ByteStream>> delivering;
     /** Expires with the context, for callbacks that may outlive it. */
     std::shared_ptr<const bool> life = std::make_shared<const bool>(true);
 
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -1165,6 +1165,12 @@
     this->d->finish(Outcome::Cancelled, "the caller left");
 }
 
+std::size_t GatewayExchange::heldBackBytes() const
+{
+    const bool isHeldBack = this->d->call && this->d->answer.isReadingPaused();
+    return isHeldBack ? this->d->call->unreadBytes() : 0;
+}
+
 bool GatewayExchange::isOver() const
 {
     return this->d->isFinished;
--- a/sequoiausher/transport/gateway/gatewayexchange.h
+++ b/sequoiausher/transport/gateway/gatewayexchange.h
@@ -51,6 +51,8 @@
     /** The caller has read everything that was written. */
     void callerDrained();
     bool isOver() const;
+    /** Returns the bytes of the answer that the kernel keeps because the caller reads too slowly. */
+    std::size_t heldBackBytes() const;
 
     void answerBegan(const HttpHead &head, const TargetAnswer &answer) override;
     void answerBytes(std::string bytes) override;
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -3,6 +3,7 @@
 #include "sequoiausher/base/error.h"
 #include "sequoiausher/base/hashing.h"
 #include "sequoiausher/base/metrics/prometheus.h"
+#include "sequoiausher/base/nametable.h"
 #include "sequoiausher/coordination/gateway/connectionadmission.h"
 #include "sequoiausher/transport/gateway/callerconnection.h"
 #include "sequoiausher/transport/gateway/gatewayknowledge.h"
@@ -16,11 +17,12 @@
 #include <QTimer>
 
 #include <algorithm>
+#include <bit>
 #include <optional>
+#include <string>
 #include <unordered_map>
 #include <utility>
 
-#include <sys/resource.h>
 #include <unistd.h>
 
 namespace Sequoiausher {
@@ -55,22 +57,25 @@
 constexpr std::int64_t readyProofAgeNumerator = 3;
 constexpr std::int64_t readyProofAgeDenominator = 5;
 
-/** Callers may hold one in so many descriptors; each of their requests needs one for its target. */
-constexpr std::size_t callerDescriptorDenominator = 2;
-
-/** Returns the most connections of callers; 0 for no limit. */
-std::size_t callerConnectionLimit(const GatewaySettings &settings)
-{
-    if (settings.descriptors > 0) {
-        return settings.descriptors / callerDescriptorDenominator;
-    }
-    rlimit limit{};
-    const bool isLimited = getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY;
-    return isLimited ? limit.rlim_cur / callerDescriptorDenominator : 0;
-}
+/** How often a line is written of connections that were closed for want of room. */
+constexpr Millis yieldedInterval{1000};
+/** So many connections are asked to make room for one; a request may have arrived on each of them meanwhile. */
+constexpr std::size_t maxYieldsAtOnce = 4;
 
 } // namespace
 
+/** Why a connection was closed for want of room. */
+enum class YieldReason {
+    Descriptors,
+    Memory,
+};
+
+template<>
+inline constexpr auto nameTable<YieldReason> = std::to_array<NameEntry<YieldReason>>({
+    {YieldReason::Descriptors, "descriptors"},
+    {YieldReason::Memory, "memory"},
+});
+
 class GatewayNode::Private : public KnowledgeUser
 {
 public:
@@ -90,6 +95,7 @@
               with.readyAddress,
               speaks.readinessPath(),
               with.metricsAddress,
+              this->context.connectionMemory(),
               [this] { return this->isReady(); },
               [this] { return this->metricsPage(); })
     {
@@ -99,6 +105,18 @@
     void reload(const GatewaySettings &settings);
     void watchStore();
     void accept(int descriptor);
+    /** Makes room for one more connection of a caller. @return whether there is any. */
+    bool makeRoom();
+    bool hasRoom() const;
+    /** The connections of callers, closed ones among them that have not ended. */
+    std::size_t callerConnections() const;
+    /** Closes the connection for want of room. @return whether it is closed. */
+    bool yield(ConnectionLedger::Number number, YieldReason reason, Millis now);
+    /** Closes connections until callers hold no more memory and descriptors than they may. */
+    void tickRoom(Millis now);
+    void useLimits();
+    /** Has the kernel receive less on a further connection the more there are. */
+    void updateReceiveBytes();
     void timerFired();
     /** Counts an iteration of the event loop and runs the late tick after enough of them. */
     void lateIteration();
@@ -139,7 +157,14 @@
     TunnelServer tunnelServer{this->context};
     std::unique_ptr<StoreWatcher> watcher;
     std::unique_ptr<StreamListener> listener;
-    std::unordered_map<CallerConnection *, std::shared_ptr<CallerConnection>> callers;
+    /** By the numbers of their connections. */
+    std::unordered_map<ConnectionLedger::Number, std::shared_ptr<CallerConnection>> callers;
+    /** What the settings allow to connections. */
+    ConnectionMemory connectionMemory{{}};
+    std::size_t listenerReceiveBytes = 0;
+    /** Connections that were closed for want of room since the last line about them. */
+    std::size_t unreportedYields = 0;
+    Millis nextYieldLine;
     QTimer timer;
     /** Fires after the event loop has read its sockets. */
     QTimer lateTimer;
@@ -165,6 +190,7 @@
 {
     this->known.targets.setLeaveBound(this->context.settings.leaveBound);
     this->context.rules = readGatewayRules(this->context.settings.rulesFile);
+    this->useLimits();
     this->listener = std::make_unique<StreamListener>(this->context.settings.address,
                                                       [this](int descriptor) { this->accept(descriptor); });
     this->peers.listen();
@@ -173,7 +199,7 @@
     const Millis now = Millis::monotonicNow();
     this->context.holdsRequestsUntil = now + startupHoldTime;
     this->awaitsReplyUntil = now + firstReplyTime;
-    this->admission.setMaxConnections(callerConnectionLimit(this->context.settings));
+    this->updateReceiveBytes();
     this->watchStore();
     QObject::connect(&this->timer, &QTimer::timeout, [this] { this->timerFired(); });
     QObject::connect(&this->lateTimer, &QTimer::timeout, [this] { this->lateIteration(); });
@@ -214,6 +240,7 @@
     }
     this->context.settings = settings;
     this->context.memory.setLimit(memoryBudgetOf(settings));
+    this->useLimits();
     this->context.coldLimit.setUse(settings.coldTargets);
     this->context.board.setRegions(settings.regions);
     this->context.retryBudget.setSettings(settings.repeats);
@@ -227,23 +254,132 @@
     this->log.info(LogPart::Main, "settings reloaded", {{"rule_count", std::to_string(this->context.rules->size())}});
 }
 
+std::size_t GatewayNode::Private::callerConnections() const
+{
+    return this->callers.size() + this->context.closingCount();
+}
+
+bool GatewayNode::Private::hasRoom() const
+{
+    return this->admission.hasRoom(this->callerConnections())
+        && this->connectionMemory.hasDescriptorForClient(this->context.openDescriptors());
+}
+
+bool GatewayNode::Private::makeRoom()
+{
+    const Millis now = Millis::monotonicNow();
+    for (std::size_t i = 0; i < maxYieldsAtOnce && !this->hasRoom(); ++i) {
+        const std::optional<ConnectionLedger::Number> yielding = this->context.ledger.yieldsDescriptor();
+        if (!yielding) {
+            return false;
+        }
+        this->yield(*yielding, YieldReason::Descriptors, now);
+    }
+    return this->hasRoom();
+}
+
+bool GatewayNode::Private::yield(ConnectionLedger::Number number, YieldReason reason, Millis now)
+{
+    const ConnectionAccount account = this->context.ledger.account(number).value_or(ConnectionAccount{});
+    std::string peer;
+    if (const auto found = this->callers.find(number); found != this->callers.end()) {
+        const std::shared_ptr<CallerConnection> connection = found->second;
+        peer = connection->peerAddress();
+        if (!connection->yield()) {
+            return false;
+        }
+    } else if (const auto stream = this->context.endDelivering(number)) {
+        peer = stream->peerAddress();
+        if (account.held.unread > 0) {
+            stream->reset();
+        } else {
+            stream->close();
+        }
+    } else if (const std::optional<std::string> opener = this->tunnelServer.yield(number)) {
+        peer = *opener;
+    } else {
+        this->context.ledger.remove(number);
+        return false;
+    }
+    this->metrics.add("gateway_connections_closed_for_" + std::string(nameOf(reason)) + "_total");
+    this->unreportedYields += 1;
+    if (now >= this->nextYieldLine) {
+        this->nextYieldLine = now + yieldedInterval;
+        this->log.warning(LogPart::Entry,
+                          "closed connections for want of room",
+                          {{"why", std::string(nameOf(reason))},
+                           {"count", std::to_string(std::exchange(this->unreportedYields, 0))},
+                           {"last_connection", std::to_string(number)},
+                           {"last_peer", peer},
+                           {"last_use", std::string(nameOf(account.use))},
+                           {"held_bytes", std::to_string(account.held.total())},
+                           {"still_ms", std::to_string((now - account.usedSince).count)},
+                           {"connections", std::to_string(this->callerConnections())}});
+    }
+    return true;
+}
+
+void GatewayNode::Private::tickRoom(Millis now)
+{
+    this->context.tickDelivering(now);
+    std::size_t beyond = 0;
+    while (!this->admission.hasRoom(this->callerConnections() - std::min<std::size_t>(this->callerConnections(), 1))
+           && beyond < this->callers.size()) {
+        const std::optional<ConnectionLedger::Number> yielding = this->context.ledger.yieldsDescriptor();
+        if (!yielding) {
+            break;
+        }
+        this->yield(*yielding, YieldReason::Descriptors, now);
+        beyond += 1;
+    }
+    if (const std::size_t overrun = this->context.memory.overrun(); overrun > 0) {
+        for (const ConnectionLedger::Number number : this->context.ledger.yieldMemory(overrun, now)) {
+            this->yield(number, YieldReason::Memory, now);
+        }
+    }
+}
+
+void GatewayNode::Private::useLimits()
+{
+    this->connectionMemory = this->context.connectionMemory();
+    this->context.dialEnvironment.memory = this->connectionMemory;
+    this->admission.setMaxConnections(this->connectionMemory.maxConnections());
+}
+
 void GatewayNode::Private::accept(int descriptor)
 {
-    if (!this->admission.admit(this->callers.size())) {
+    if (!this->hasRoom() && !this->makeRoom()) {
         // Nothing was read, so the caller may send its request to another gateway.
         ::close(descriptor);
         this->metrics.add("gateway_connections_refused_total");
         return;
     }
-    auto connection = std::make_shared<CallerConnection>(this->context, descriptor, [this](CallerConnection &gone) {
-        const auto found = this->callers.find(&gone);
+    if (!this->admission.admit(this->callerConnections())) {
+        ::close(descriptor);
+        this->metrics.add("gateway_connections_refused_total");
+        return;
+    }
+    const auto gone = [this](CallerConnection &ended) {
+        const auto found = this->callers.find(ended.connectionNumber());
         if (found != this->callers.end()) {
             this->context.destroyLater(std::move(found->second));
             this->callers.erase(found);
         }
-    });
-    this->callers.emplace(connection.get(), connection);
-    this->context.mayKeepCallers = this->admission.mayKeepOpen(this->callers.size());
+    };
+    auto connection = std::make_shared<CallerConnection>(this->context, descriptor, gone, this->listenerReceiveBytes);
+    this->callers.emplace(connection->connectionNumber(), connection);
+    this->context.mayKeepCallers = this->admission.mayKeepOpen(this->callerConnections());
+    this->updateReceiveBytes();
+}
+
+void GatewayNode::Private::updateReceiveBytes()
+{
+    // In steps of two, so that the listener's limit seldom changes.
+    const std::size_t bytes = std::bit_floor(this->connectionMemory.receiveBytes(this->callerConnections()));
+    if (bytes != this->listenerReceiveBytes) {
+        this->listenerReceiveBytes = bytes;
+        this->listener->setReceiveBytes(bytes);
+    }
 }
 
 void GatewayNode::Private::updateAdmission(Millis interval, Millis now)
@@ -252,7 +388,7 @@
     const std::size_t gateways = this->context.peers.fleetSize(now);
     this->admission.setCrowding(this->context.board.shareOfAllTraffic(gateways), gateways);
     this->admission.recordTick(std::max(interval - Millis{tickMs}, Millis{0}), now);
-    this->context.mayKeepCallers = this->admission.mayKeepOpen(this->callers.size());
+    this->context.mayKeepCallers = this->admission.mayKeepOpen(this->callerConnections());
     const std::optional<double> limit = this->admission.limitPerSecond();
     if (limit.has_value() != wasLimited) {
         this->log.warning(LogPart::Entry,
@@ -381,6 +517,9 @@
     for (const auto &connection : this->allCallers()) {
         connection->tick(now);
     }
+    this->context.peerConnections = this->peers.connectionCount();
+    this->tickRoom(now);
+    this->updateReceiveBytes();
     const MemoryBudget &memory = this->context.memory;
     const bool isShort = memory.waitingBodies() > 0 || memory.isTightForAnswers();
     if (isShort != std::exchange(this->wasShortOfMemory, isShort)) {
@@ -532,6 +671,8 @@
     this->metrics.set("gateway_answer_bytes", static_cast<double>(this->context.memory.answerBytes()));
     this->metrics.set("gateway_bodies_waiting", static_cast<double>(this->context.memory.waitingBodies()));
     this->metrics.set("gateway_connections", static_cast<double>(this->callers.size()));
+    this->metrics.set("gateway_connections_closing", static_cast<double>(this->context.closingCount()));
+    this->metrics.set("gateway_page_connections_closed", static_cast<double>(this->pages.yieldedConnections()));
     this->metrics.set("gateway_accepted", static_cast<double>(this->context.connectionsAccepted));
     this->metrics.set("gateway_target_connections_opened", static_cast<double>(this->context.pools.dialled()));
     for (const auto &entry : nameTable<StoreCallReason>) {
--- a/sequoiausher/transport/gateway/gatewaypages.cpp
+++ b/sequoiausher/transport/gateway/gatewaypages.cpp
@@ -15,12 +15,23 @@
 constexpr int statusUnavailable = 503;
 constexpr const char *metricsPath = "/metrics";
 
-HttpServerOptions optionsOf(const std::string &address)
+/** A question for a page has a short head and no body, and comes at once. */
+constexpr std::size_t maxQuestionBytes = 16384;
+constexpr Millis questionTimeout{5000};
+constexpr Millis idleTimeout{30000};
+
+HttpServerOptions optionsOf(const std::string &address, const ConnectionMemory &memory)
 {
     const PeerAddress parsed = parsePeerAddress(address);
     HttpServerOptions options;
     options.address = parsed.host;
     options.port = parsed.port;
+    options.maximumRequestBytes = maxQuestionBytes;
+    options.maximumConnections = memory.maxPageConnections();
+    options.maximumHeldBytes = memory.pageBytes();
+    options.requestTimeout = questionTimeout;
+    options.idleTimeout = idleTimeout;
+    options.receiveBytes = maxQuestionBytes;
     return options;
 }
 
@@ -32,15 +43,16 @@
     Private(const std::string &readyAddress,
             std::string path,
             const std::string &metricsAddress,
+            const ConnectionMemory &memory,
             IsReady ready,
             MetricsPage page)
         : readinessPath(std::move(path))
         , isReady(std::move(ready))
         , metricsPage(std::move(page))
-        , readyServer(std::make_unique<HttpServer>(*this, optionsOf(readyAddress)))
+        , readyServer(std::make_unique<HttpServer>(*this, optionsOf(readyAddress, memory)))
     {
         if (!metricsAddress.empty()) {
-            this->metricsServer = std::make_unique<HttpServer>(*this, optionsOf(metricsAddress));
+            this->metricsServer = std::make_unique<HttpServer>(*this, optionsOf(metricsAddress, memory));
         }
     }
 
@@ -68,11 +80,13 @@
 GatewayPages::GatewayPages(const std::string &readyAddress,
                            const std::string &readinessPath,
                            const std::string &metricsAddress,
+                           const ConnectionMemory &memory,
                            IsReady isReady,
                            MetricsPage metricsPage)
     : d(std::make_unique<Private>(readyAddress,
                                   readinessPath,
                                   metricsAddress,
+                                  memory,
                                   std::move(isReady),
                                   std::move(metricsPage)))
 {
@@ -88,4 +102,10 @@
     }
 }
 
+std::size_t GatewayPages::yieldedConnections() const
+{
+    const HttpServer *metrics = this->d->metricsServer.get();
+    return this->d->readyServer->yieldedConnections() + (metrics != nullptr ? metrics->yieldedConnections() : 0);
+}
+
 } // namespace Sequoiausher
--- a/sequoiausher/transport/gateway/gatewaypages.h
+++ b/sequoiausher/transport/gateway/gatewaypages.h
@@ -2,9 +2,12 @@
 
 // Serves the readiness and the metrics page of a gateway.
 //
-//     GatewayPages pages(settings, dialect.readinessPath(), isReady, metricsPage);
-//     pages.listen();
+//     GatewayPages pages(settings.readyAddress, dialect.readinessPath(), settings.metricsAddress, memory, isReady,
+//     page); pages.listen();
 
+#include "sequoiausher/coordination/gateway/connectionmemory.h"
+
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -22,6 +25,7 @@
     GatewayPages(const std::string &readyAddress,
                  const std::string &readinessPath,
                  const std::string &metricsAddress,
+                 const ConnectionMemory &memory,
                  IsReady isReady,
                  MetricsPage metricsPage);
     ~GatewayPages();
@@ -30,6 +34,8 @@
 
     /** Throws Error(Step::Listen, address, ...). */
     void listen();
+    /** Returns the connections to both pages that were closed because there was no room for them. */
+    std::size_t yieldedConnections() const;
 
 private:
     class Private;
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -32,9 +32,12 @@
 /** A gateway whose link has been down for this long is gone, or cut off from its targets too. */
 constexpr Millis maxLinkOutage{500};
 
-LinkSettings linkSettings(const GatewaySettings &settings, Incarnation incarnation)
+LinkSettings linkSettings(const GatewayContext &context, Incarnation incarnation)
 {
+    const GatewaySettings &settings = context.settings;
     LinkSettings links;
+    links.maxUnknownPeers = context.connectionMemory().maxUnknownPeers();
+    links.maxAccepted = context.connectionMemory().maxPeers();
     links.self = InstanceId{settings.peerAddress};
     links.incarnation = incarnation;
     links.dataCentre = settings.dataCentre;
@@ -86,7 +89,7 @@
         : context(sharedContext)
         , known(knowledge)
         , updates(receiver)
-        , mesh(linkSettings(sharedContext.settings, incarnation), *this)
+        , mesh(linkSettings(sharedContext, incarnation), *this)
     {
         this->context.peers.setSelf(strengthOf(sharedContext.settings), sharedContext.settings.dataCentre);
         this->context.sendToPeers = [this](Outbox messages) { this->send(std::move(messages)); };
@@ -198,6 +201,11 @@
     this->d->followPeers();
 }
 
+std::size_t GatewayPeers::connectionCount() const
+{
+    return this->d->mesh.connectionCount();
+}
+
 std::uint64_t GatewayPeers::sentBytes() const
 {
     return this->d->mesh.counters().totalSent;
--- a/sequoiausher/transport/gateway/gatewaypeers.h
+++ b/sequoiausher/transport/gateway/gatewaypeers.h
@@ -62,6 +62,8 @@
     void tick(Millis now);
     /** Bytes sent to peers so far. */
     std::uint64_t sentBytes() const;
+    /** Returns the number of connections to and from peers. */
+    std::size_t connectionCount() const;
 
 private:
     class Private;
--- a/sequoiausher/transport/gateway/largerequeststest.cpp
+++ b/sequoiausher/transport/gateway/largerequeststest.cpp
@@ -188,6 +188,8 @@
             const bool isWhole = GatewayTestbed::waitFor([&] { return caller->look(); }, Millis{1500});
             whole += isWhole && caller->body.size() == answerBytes ? 1 : 0;
         }
+        CAPTURE(bed.logged.str().substr(bed.logged.str().size() > 2500 ? bed.logged.str().size() - 2500 : 0));
+        CAPTURE(most);
         CHECK(whole == manyCallers);
     }
 }
--- a/sequoiausher/transport/gateway/targetdial.cpp
+++ b/sequoiausher/transport/gateway/targetdial.cpp
@@ -13,6 +13,8 @@
 
 /** A way that is not open after this time gets another one beside it: a live target accepts within milliseconds. */
 constexpr Millis nextWayDelay{60};
+/** What the kernel receives from a target before it is read. */
+constexpr std::size_t maxReceivedBytes = 65536;
 /** A dial that was given up earlier does not show that the target cannot be reached. */
 constexpr Millis minUnreachedTime{300};
 /** The word of a single other gateway may be that of one that is cut off as well and does not know it yet. */
@@ -31,8 +33,10 @@
             : dial(of)
             , through(std::move(peer))
             , begunAt(now)
-            , stream(ByteStream::dial(address, this))
+            , stream(of.dial(address, this))
         {
+            // A target whose answer is held back would otherwise fill a buffer of megabytes in the kernel.
+            this->stream->limitReceiving(maxReceivedBytes);
             if (!this->isDirect()) {
                 this->tunnel.emplace("gateway " + this->through.value);
                 this->stream->detectDeadPeer(tunnelDeadPeerTime);
@@ -97,6 +101,8 @@
     {
     }
 
+    /** @throws Error(Step::Connect, address, ...) if no socket can be opened, or there is no descriptor for it. */
+    std::shared_ptr<ByteStream> dial(const std::string &address, ByteStreamUser *by) const;
     void opened(Way &way);
     /** @param why what the other gateway said; Opening if it said nothing. */
     void lost(Way &way, TunnelState why);
@@ -126,6 +132,14 @@
     Millis lastWayAt;
 };
 
+std::shared_ptr<ByteStream> TargetDial::Private::dial(const std::string &address, ByteStreamUser *by) const
+{
+    if (!this->environment.memory.hasDescriptorForTarget(this->environment.openDescriptors())) {
+        throw Error(Step::Connect, address, "too many descriptors are open");
+    }
+    return ByteStream::dial(address, by);
+}
+
 void TargetDial::Private::opened(Way &way)
 {
     const Millis now = Millis::monotonicNow();
--- a/sequoiausher/transport/gateway/targetdial.h
+++ b/sequoiausher/transport/gateway/targetdial.h
@@ -12,6 +12,7 @@
 #include "sequoiausher/base/metrics/metrics.h"
 #include "sequoiausher/base/millis.h"
 #include "sequoiausher/base/nametable.h"
+#include "sequoiausher/coordination/gateway/connectionmemory.h"
 #include "sequoiausher/coordination/gateway/gatewayconfiguration.h"
 #include "sequoiausher/coordination/gateway/targetreachability.h"
 #include "sequoiausher/coordination/gateway/tunnelpeers.h"
@@ -19,6 +20,7 @@
 #include "sequoiausher/protocol/tunnel/tunnelframes.h"
 #include "sequoiausher/transport/stream/bytestream.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
@@ -36,6 +38,12 @@
     const GatewaySettings &settings;
     Metrics &metrics;
     std::mt19937_64 &random;
+    /** What the memory and the descriptors of the settings allow. */
+    ConnectionMemory memory{{}};
+    /** Connections to targets, those that are being opened among them. */
+    std::size_t openConnections = 0;
+    /** Returns the descriptors of all connections of the gateway. */
+    std::function<OpenDescriptors()> openDescriptors = [] { return OpenDescriptors{}; };
 };
 
 /** The ways that a dial may take. */
--- a/sequoiausher/transport/gateway/targetpools.cpp
+++ b/sequoiausher/transport/gateway/targetpools.cpp
@@ -80,11 +80,13 @@
     , answer(HttpReader::Kind::Answer, {maxAnswerHeadBytes, maxAnswerBytes})
 {
     this->pools.d->pools[this->target.id].open += 1;
+    this->pools.d->environment.openConnections += 1;
 }
 
 TargetConnection::~TargetConnection()
 {
     this->drop();
+    this->pools.d->environment.openConnections -= 1;
     auto pool = this->pools.d->pools.find(this->target.id);
     if (pool != this->pools.d->pools.end()) {
         pool->second.open -= std::min<std::size_t>(pool->second.open, 1);
@@ -203,6 +205,11 @@
     }
 }
 
+std::size_t TargetConnection::unreadBytes() const
+{
+    return this->stream ? this->stream->unreadBytes() : 0;
+}
+
 void TargetConnection::recordEchoedId()
 {
     this->echoesIds = true;
--- a/sequoiausher/transport/gateway/targetpools.h
+++ b/sequoiausher/transport/gateway/targetpools.h
@@ -75,6 +75,8 @@
     /** The gateway that the connection goes through; empty for a direct one, or one that is not open yet. */
     const InstanceId &through() const;
     void setReading(bool on);
+    /** Returns the bytes that the kernel has received and that were not read; 0 before the connection is open. */
+    std::size_t unreadBytes() const;
     /** An answer on this connection bore the id of its request. */
     void recordEchoedId();
     /** Whether the answers on this connection bear the ids of their requests, as far as there were any. */
--- a/sequoiausher/transport/gateway/tunnelserver.cpp
+++ b/sequoiausher/transport/gateway/tunnelserver.cpp
@@ -1,5 +1,6 @@
 #include "sequoiausher/transport/gateway/tunnelserver.h"
 
+#include "sequoiausher/base/countedbytes.h"
 #include "sequoiausher/base/error.h"
 #include "sequoiausher/protocol/tunnel/tunnelframes.h"
 #include "sequoiausher/transport/peers/peeraddress.h"
@@ -11,6 +12,8 @@
 #include <utility>
 #include <vector>
 
+#include <unistd.h>
+
 namespace Sequoiausher {
 
 namespace {
@@ -21,8 +24,12 @@
 constexpr Millis requestTimeout{2000};
 /** Above this many bytes that one side has not taken, nothing more is read from the other side. */
 constexpr std::size_t maxPendingBytes = 256UL * 1024;
-/** Each tunnel takes two descriptors; callers and this gateway's own targets need the others. */
-constexpr std::size_t maxTunnels = 1000;
+/** The same before the tunnel is open; the opener needs no more for the head of a request. */
+constexpr std::size_t maxBytesBeforeOpen = 16384;
+/** What the kernel receives from an opener before it is read. */
+constexpr std::size_t openerReceiveBytes = 32768;
+/** Bytes of an opener that was refused a tunnel are discarded up to this many. */
+constexpr std::size_t maxDiscardedBytes = 65536;
 /** A tunnel whose target has answered and that was silent for this long has no request in progress. */
 constexpr Millis quietTime{1500};
 
@@ -36,6 +43,8 @@
     public:
         Tunnel(Private &of, int descriptor, Millis now)
             : owner(of)
+            , number(++of.context.connectionsAccepted)
+            , heldBack(of.context.memory.answerTotal())
             , openerEnd(*this)
             , targetEnd(*this)
             , opener(ByteStream::adopt(descriptor, &this->openerEnd))
@@ -44,10 +53,18 @@
         {
             this->opener->detectDeadPeer(tunnelDeadPeerTime);
             this->opener->countInto(of.context.memory.answerTotal());
+            this->opener->countUnacknowledged();
+            of.context.ledger.add(this->number, now);
+            // Callers and tunnels have limits of their own for their descriptors.
+            of.context.ledger.setUse(this->number, ConnectionUse::InUse, now);
         }
         ~Tunnel()
         {
+            if (!this->hasClosedOpener) {
+                this->owner.context.ledger.remove(this->number);
+            }
             this->close();
+            this->owner.context.carryingConnections -= this->target ? 1 : 0;
         }
         Tunnel(const Tunnel &) = delete;
         Tunnel &operator=(const Tunnel &) = delete;
@@ -57,7 +74,27 @@
             const Millis limit = this->target ? connectTimeout : requestTimeout;
             if (!this->isOpen && now - this->begunAt >= limit) {
                 this->refuse(TunnelState::Unreachable);
+                return;
             }
+            this->updateAccount(now);
+        }
+        /** Ends the tunnel because there is no room for it. */
+        void yield()
+        {
+            this->opener->reset();
+            this->end();
+        }
+        bool hasTarget() const
+        {
+            return this->target != nullptr;
+        }
+        ConnectionLedger::Number connectionNumber() const
+        {
+            return this->number;
+        }
+        std::string peerAddress() const
+        {
+            return this->opener->peerAddress();
         }
         bool isBusy(Millis now) const
         {
@@ -110,23 +147,52 @@
             Tunnel &tunnel;
         };
 
+        /** Tells the ledger what the tunnel holds. */
+        void updateAccount(Millis now)
+        {
+            const std::size_t taken = this->opener->updateAcknowledged();
+            const bool isHeldBack = this->target && !this->target->isReading();
+            this->heldBack.set(isHeldBack ? this->target->unreadBytes() : 0);
+            const std::size_t carried = (this->target ? this->target->heldBytes() : 0) + this->heldBack.bytes();
+            const std::size_t unread = this->opener->pendingBytes() + this->opener->knownUnacknowledged();
+            this->owner.context.ledger.setHeld(this->number, {unread, carried}, taken, now);
+        }
         void openerSent();
         void begin(const TargetId &id);
         void targetConnected();
         void targetSent();
         void targetEnded(StreamEnd how);
+        /** Lets the opener have what was written, in the account of connections that close. */
+        void closeOpener()
+        {
+            this->hasClosedOpener = true;
+            GatewayContext &shared = this->owner.context;
+            shared.keepDelivering(this->number, this->opener);
+            const std::weak_ptr<const bool> life = shared.life;
+            const auto ended = [&shared, life, closed = this->number](std::size_t /*bytes*/) {
+                if (!life.expired()) {
+                    shared.endDelivering(closed);
+                }
+            };
+            this->opener->closeGently(ended, maxDiscardedBytes);
+        }
         /** Tells the opener that there is no tunnel, and ends. */
         void refuse(TunnelState why);
         void end();
         void close();
 
         Private &owner;
+        ConnectionLedger::Number number;
+        /** What the kernel has of the target's bytes because the opener reads too slowly. */
+        CountedBytes heldBack;
         OpenerEnd openerEnd;
         TargetEnd targetEnd;
         std::shared_ptr<ByteStream> opener;
         std::shared_ptr<ByteStream> target;
         GatewayTarget goal;
         bool isOpen = false;
+        /** The context keeps account of the opener's end. */
+        bool hasClosedOpener = false;
         /** The opener has sent something since the target sent anything. */
         bool awaitsAnswer = false;
         Millis begunAt;
@@ -139,10 +205,27 @@
 
     void accept(int descriptor)
     {
-        auto tunnel = std::make_unique<Tunnel>(*this, descriptor, Millis::monotonicNow());
-        if (this->tunnels.size() < maxTunnels) {
-            this->tunnels.push_back(std::move(tunnel));
+        const ConnectionMemory memory = this->context.connectionMemory();
+        const bool hasDescriptor = memory.hasDescriptorForClient(this->context.openDescriptors());
+        const bool hasRoom = this->tunnels.size() < memory.maxTunnels();
+        if (!hasDescriptor || (!hasRoom && !this->makeRoom())) {
+            ::close(descriptor);
+            this->context.metrics.add("gateway_tunnels_refused_total");
+            return;
         }
+        this->tunnels.push_back(std::make_unique<Tunnel>(*this, descriptor, Millis::monotonicNow()));
+    }
+    /** Ends the oldest tunnel whose opener has not said where it leads. @return whether there was one. */
+    bool makeRoom()
+    {
+        const auto oldest = std::find_if(
+            this->tunnels.begin(), this->tunnels.end(), [](const auto &tunnel) { return !tunnel->hasTarget(); });
+        if (oldest == this->tunnels.end()) {
+            return false;
+        }
+        (*oldest)->yield();
+        this->context.metrics.add("gateway_tunnels_refused_total");
+        return true;
     }
     /** Keeps the tunnel until the next tick, because it may be in the middle of its own calls. */
     void retire(const Tunnel &tunnel)
@@ -175,6 +258,9 @@
         return;
     }
     if (!this->isOpen) {
+        if (this->opener->input().size() > maxBytesBeforeOpen) {
+            this->opener->setReading(false);
+        }
         return;
     }
     this->awaitsAnswer = true;
@@ -205,9 +291,14 @@
         return;
     }
     this->begunAt = now;
+    if (!shared.dialEnvironment.memory.hasDescriptorForTarget(shared.openDescriptors())) {
+        this->refuse(TunnelState::Unreachable);
+        return;
+    }
     try {
         this->target = ByteStream::dial(this->goal.address, &this->targetEnd);
         this->target->countInto(shared.memory.answerTotal());
+        shared.carryingConnections += 1;
     } catch (const Error &) {
         this->refuse(TunnelState::Unreachable);
     }
@@ -219,6 +310,7 @@
     this->owner.context.reachability.recordConnected(this->goal.service, this->goal.id, Millis::monotonicNow());
     this->owner.context.metrics.add("gateway_tunnels_carried_total");
     this->opener->write(encodeTunnelState(TunnelState::Open));
+    this->opener->setReading(true);
     if (!this->opener->input().empty()) {
         this->openerSent();
     }
@@ -243,7 +335,7 @@
     }
     if (how == StreamEnd::Finished) {
         this->opener->write(encodeTunnelState(TunnelState::Finished));
-        this->opener->closeGently();
+        this->closeOpener();
     } else {
         this->opener->reset();
     }
@@ -253,7 +345,7 @@
 void TunnelServer::Private::Tunnel::refuse(TunnelState why)
 {
     this->opener->write(encodeTunnelState(why));
-    this->opener->closeGently();
+    this->closeOpener();
     this->end();
 }
 
@@ -289,8 +381,8 @@
         return;
     }
     const PeerAddress address{parsePeerAddress(settings.peerAddress).host, settings.tunnelPort};
-    this->d->listener
-        = std::make_unique<StreamListener>(toText(address), [this](int descriptor) { this->d->accept(descriptor); });
+    this->d->listener = std::make_unique<StreamListener>(
+        toText(address), [this](int descriptor) { this->d->accept(descriptor); }, openerReceiveBytes);
 }
 
 void TunnelServer::tick(Millis now)
@@ -311,6 +403,19 @@
     this->d->listener.reset();
 }
 
+std::optional<std::string> TunnelServer::yield(ConnectionLedger::Number number)
+{
+    const auto found = std::find_if(this->d->tunnels.begin(), this->d->tunnels.end(), [number](const auto &tunnel) {
+        return tunnel->connectionNumber() == number;
+    });
+    if (found == this->d->tunnels.end()) {
+        return std::nullopt;
+    }
+    const std::string peer = (*found)->peerAddress();
+    (*found)->yield();
+    return peer;
+}
+
 bool TunnelServer::isBusy(Millis now) const
 {
     return std::any_of(
--- a/sequoiausher/transport/gateway/tunnelserver.h
+++ b/sequoiausher/transport/gateway/tunnelserver.h
@@ -15,6 +15,8 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace Sequoiausher {
 
@@ -37,6 +39,8 @@
     /** Whether a request may be in progress on any tunnel. */
     bool isBusy(Millis now) const;
     std::size_t tunnelCount() const;
+    /** Ends the tunnel for want of room. @return the address of its opener; none if there is no such tunnel. */
+    std::optional<std::string> yield(ConnectionLedger::Number number);
 
 private:
     class Private;
--- a/sequoiausher/transport/stream/bytestream.cpp
+++ b/sequoiausher/transport/stream/bytestream.cpp
@@ -37,6 +37,8 @@
 constexpr qint64 deliveryMs = 90000;
 /** The most bytes read from one connection per turn of the event loop, so that it does not delay others. */
 constexpr std::size_t readsAtOnce = 64;
+/** The same for a connection whose bytes are discarded. */
+constexpr std::size_t discardsAtOnce = 4;
 
 void setNoDelay(int descriptor)
 {
@@ -78,9 +80,14 @@
     void sendAppended(bool wasEmpty);
     /** Hands bytes to the kernel until it accepts no more. @return false if the connection is broken. */
     bool sendOutput();
+    std::size_t held() const
+    {
+        const std::size_t inKernel = this->countsUnacknowledged ? this->unacknowledged : 0;
+        return this->input.size() + this->output.ownBytes() + inKernel;
+    }
     void count()
     {
-        this->buffered.set(this->input.size() + this->output.ownBytes());
+        this->buffered.set(this->held());
     }
     void end(ByteStream &stream, StreamEnd how);
     void linger(ByteStream &stream);
@@ -94,7 +101,13 @@
     bool lingering = false;
     bool writeShut = false;
     std::size_t discardedBytes = 0;
+    std::size_t maxDiscardedBytes = 0;
     Discarded discarded;
+    bool countsUnacknowledged = false;
+    /** Bytes in the kernel that were not known to be acknowledged when they were last counted. */
+    std::size_t unacknowledged = 0;
+    /** A further turn of the event loop was asked for by readLater(). */
+    bool isLaterPlanned = false;
     std::string input;
     OutputQueue output;
     CountedBytes buffered;
@@ -126,7 +139,7 @@
 void ByteStream::Private::readable(ByteStream &stream)
 {
     // Reads a long message as a whole, since after a delay timeouts are checked against what has been read.
-    std::size_t left = readsAtOnce;
+    std::size_t left = this->lingering ? discardsAtOnce : readsAtOnce;
     while (left > 0 && this->readOnce(stream)) {
         left -= 1;
     }
@@ -145,6 +158,10 @@
     }
     if (this->lingering) {
         this->discardedBytes += static_cast<std::size_t>(taken);
+        if (this->discardedBytes > this->maxDiscardedBytes) {
+            this->end(stream, StreamEnd::Reset);
+            return false;
+        }
     } else {
         this->input.append(buffer.data(), static_cast<std::size_t>(taken));
         if (this->user != nullptr) {
@@ -186,6 +203,7 @@
             return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
         }
         this->sent = this->sent || taken > 0;
+        this->unacknowledged += static_cast<std::size_t>(taken);
         this->output.consume(static_cast<std::size_t>(taken));
         if (this->lingerTimer && this->lingerClock.elapsed() < deliveryMs) {
             this->lingerTimer->start(stalledMs);
@@ -268,7 +286,9 @@
     }
     ::close(this->descriptor);
     this->descriptor = -1;
-    if (this->discarded && this->discardedBytes > 0) {
+    this->unacknowledged = 0;
+    this->count();
+    if (this->discarded) {
         std::exchange(this->discarded, nullptr)(this->discardedBytes);
     }
 }
@@ -283,6 +303,7 @@
 {
     const Ipv4Socket opened = openIpv4Socket(address, Step::Connect);
     setNoDelay(opened.descriptor);
+    limitUnsentBytes(opened.descriptor);
     const int begun = ::connect(opened.descriptor, opened.address(), sizeof opened.at);
     if (begun != 0 && errno != EINPROGRESS) {
         const std::string reason = std::strerror(errno);
@@ -297,6 +318,7 @@
 std::shared_ptr<ByteStream> ByteStream::adopt(int descriptor, ByteStreamUser *user)
 {
     setNoDelay(descriptor);
+    limitUnsentBytes(descriptor);
     std::shared_ptr<ByteStream> stream(new ByteStream(std::make_unique<Private>(descriptor, user, true)));
     stream->d->watch(*stream);
     return stream;
@@ -331,6 +353,40 @@
     this->d->count();
 }
 
+void ByteStream::countUnacknowledged()
+{
+    this->d->countsUnacknowledged = true;
+    this->d->count();
+}
+
+std::size_t ByteStream::updateAcknowledged()
+{
+    if (this->d->unacknowledged == 0) {
+        return 0;
+    }
+    const std::size_t left = std::min(countOf(this->d->descriptor, SIOCOUTQ), this->d->unacknowledged);
+    const std::size_t acknowledged = std::exchange(this->d->unacknowledged, left) - left;
+    this->d->count();
+    return acknowledged;
+}
+
+std::size_t ByteStream::knownUnacknowledged() const
+{
+    return this->d->unacknowledged;
+}
+
+std::size_t ByteStream::heldBytes() const
+{
+    return this->d->held();
+}
+
+void ByteStream::limitReceiving(std::size_t bytes)
+{
+    if (this->d->descriptor >= 0) {
+        limitReceiveBuffer(this->d->descriptor, bytes);
+    }
+}
+
 void ByteStream::readNow()
 {
     const auto keep = this->shared_from_this();
@@ -386,6 +442,50 @@
     }
 }
 
+bool ByteStream::isReading() const
+{
+    return this->d->reads && this->d->reads->isEnabled();
+}
+
+void ByteStream::readLater()
+{
+    this->setReading(false);
+    if (std::exchange(this->d->isLaterPlanned, true)) {
+        return;
+    }
+    QTimer::singleShot(0, [weak = this->weak_from_this()] {
+        const auto stream = weak.lock();
+        if (!stream) {
+            return;
+        }
+        stream->d->isLaterPlanned = false;
+        if (stream->isOpen()) {
+            stream->setReading(true);
+            if (stream->d->user != nullptr) {
+                stream->d->user->bytesArrived();
+                stream->d->count();
+            }
+        }
+    });
+}
+
+bool ByteStream::awaitsOnlyClose() const
+{
+    return this->d->writeShut;
+}
+
+std::string ByteStream::peerAddress() const
+{
+    sockaddr_in at{};
+    socklen_t size = sizeof at;
+    if (this->d->descriptor < 0 || getpeername(this->d->descriptor, reinterpret_cast<sockaddr *>(&at), &size) != 0) {
+        return {};
+    }
+    std::array<char, INET_ADDRSTRLEN> text{};
+    inet_ntop(AF_INET, &at.sin_addr, text.data(), text.size());
+    return std::string(text.data()) + ":" + std::to_string(ntohs(at.sin_port));
+}
+
 void ByteStream::detectDeadPeer(Millis after)
 {
     if (this->d->descriptor < 0) {
@@ -417,13 +517,14 @@
     this->d->user = user;
 }
 
-void ByteStream::closeGently(Discarded discarded)
+void ByteStream::closeGently(Discarded discarded, std::size_t maxDiscardedBytes)
 {
     if (this->d->descriptor < 0 || this->d->lingering) {
         return;
     }
     this->d->discarded = std::move(discarded);
     this->d->discardedBytes = this->d->input.size();
+    this->d->maxDiscardedBytes = maxDiscardedBytes;
     this->d->user = nullptr;
     this->d->lingering = true;
     this->d->input.clear();
--- a/sequoiausher/transport/stream/bytestream.h
+++ b/sequoiausher/transport/stream/bytestream.h
@@ -13,6 +13,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -60,7 +61,7 @@
 class ByteStream : public std::enable_shared_from_this<ByteStream>
 {
 public:
-    /** Receives the number of bytes that arrived after a gentle close and were discarded, if there were any. */
+    /** Receives the number of bytes that arrived after a gentle close and were discarded, once the close is over. */
     using Discarded = std::function<void(std::size_t bytes)>;
 
     /**
@@ -82,8 +83,25 @@
     void write(std::string_view bytes);
     /** The same without copying the bytes, which must not be null. */
     void write(std::shared_ptr<const std::string> bytes);
-    /** Counts the bytes that the stream buffers, without shared ones, into total as long as it exists. */
+    /** Counts the bytes that the stream holds, without shared ones, into total as long as it exists. */
     void countInto(std::shared_ptr<std::size_t> total);
+    /**
+     * From now on bytes in the kernel that the other side has not acknowledged count as held. They are counted when
+     * they are written, and leave the count by updateAcknowledged().
+     */
+    void countUnacknowledged();
+    /** Asks the kernel what was acknowledged. @return the number of bytes since the last call. */
+    std::size_t updateAcknowledged();
+    /** Returns the bytes in the kernel without acknowledgement, as of the last updateAcknowledged() and later writes.
+     */
+    std::size_t knownUnacknowledged() const;
+    /** Returns the bytes that the stream holds: received, waiting to be sent, and those of countUnacknowledged(). */
+    std::size_t heldBytes() const;
+    /**
+     * Limits what the kernel receives before it is read. A limit of the listening socket applies from the first byte;
+     * the limit of an open connection should only grow, since bytes beyond a smaller one are dropped and sent again.
+     */
+    void limitReceiving(std::size_t bytes);
     /** Returns the number of written bytes that were not passed to the kernel yet. */
     std::size_t pendingBytes() const;
     /** Returns the number of written bytes without acknowledgement, including pendingBytes(); 0 once closed. */
@@ -98,6 +116,12 @@
     bool hasSent() const;
     /** Pauses or resumes reading; pausing slows the other side down. */
     void setReading(bool on);
+    bool isReading() const;
+    /**
+     * Pauses reading until the event loop has served the other connections, and calls bytesArrived() then, whether or
+     * not anything has arrived. For a user that has more input than it should process at once.
+     */
+    void readLater();
 
     /**
      * Makes the kernel end the connection if the other machine has not replied for this long, rounded down to seconds
@@ -115,8 +139,14 @@
      * discards further input until the other side closes or a timeout ends. Closing at once with unread bytes would
      * reset the connection, and the other side could lose what was just sent. The number of discarded bytes is reported
      * once, at the end.
+     * @param maxDiscardedBytes beyond so many the connection is closed at once.
      */
-    void closeGently(Discarded discarded = nullptr);
+    void closeGently(Discarded discarded = nullptr,
+                     std::size_t maxDiscardedBytes = std::numeric_limits<std::size_t>::max());
+    /** Returns whether the stream is closed gently and has nothing left to send. */
+    bool awaitsOnlyClose() const;
+    /** Returns the other side's address, such as "10.0.3.7:8080"; empty once closed. */
+    std::string peerAddress() const;
     /**
      * Closes at once; pending bytes are lost. If there are unread bytes, the other side gets a reset.
      */
--- a/sequoiausher/transport/stream/bytestreamtest.cpp
+++ b/sequoiausher/transport/stream/bytestreamtest.cpp
@@ -120,6 +120,54 @@
     CHECK(pair.arrivals == 1);
 }
 
+// Guards against a caller that goes on sending for as long as it likes after its request was refused.
+TEST_CASE("a gentle close ends once more has come than is thrown away")
+{
+    Pair pair;
+    bool isOver = false;
+    pair.stream->closeGently([&isOver](std::size_t /*bytes*/) { isOver = true; }, 1000);
+    pair.caller.send(std::string(900, 'x'));
+    runFor(50);
+    CHECK_FALSE(isOver);
+    pair.caller.send(std::string(900, 'x'));
+    CHECK(runUntil([&] { return isOver; }));
+    pair.caller.send("late");
+    CHECK(runUntil([&] { return pair.caller.isReset(); }));
+}
+
+// Guards against megabytes in the kernel for a receiver that reads nothing: they count against the process's memory.
+TEST_CASE("what the kernel keeps for a receiver that reads nothing is bounded, and counted from the write on")
+{
+    Pair pair(smallBuffer);
+    const auto total = std::make_shared<std::size_t>(0);
+    pair.stream->countInto(total);
+    pair.stream->countUnacknowledged();
+    const std::string answer = answerOf(std::size_t{4} << 20U);
+    pair.stream->write(answer);
+    constexpr std::size_t mostInKernel = std::size_t{512} << 10U;
+    CHECK(answer.size() - pair.stream->pendingBytes() <= mostInKernel);
+    CHECK(*total == answer.size());
+    runFor(50);
+    const std::size_t taken = pair.stream->updateAcknowledged();
+    CHECK(*total == pair.stream->heldBytes());
+    CHECK(*total <= answer.size() - taken);
+    CHECK(runUntil([&] { return pair.caller.look(); }));
+    CHECK(runUntil([&] { return pair.stream->updateAcknowledged() > 0 || *total == 0; }));
+}
+
+// Guards against one connection that keeps the event loop from the others.
+TEST_CASE("a user that puts its reading off is called again in a later turn, without new bytes")
+{
+    Pair pair;
+    pair.caller.send("some");
+    REQUIRE(runUntil([&] { return pair.arrivals == 1; }));
+    pair.stream->readLater();
+    CHECK_FALSE(pair.stream->isReading());
+    CHECK(pair.arrivals == 1);
+    CHECK(runUntil([&] { return pair.arrivals == 2; }));
+    CHECK(pair.stream->isReading());
+}
+
 TEST_CASE("what comes after a close at once is refused by the kernel")
 {
     Pair pair;
--- a/sequoiausher/transport/stream/fakehttp.cpp
+++ b/sequoiausher/transport/stream/fakehttp.cpp
@@ -227,6 +227,13 @@
     this->sendMore(bytes);
 }
 
+void CrossingCaller::next()
+{
+    this->status = 0;
+    this->body.clear();
+    this->reader.restart();
+}
+
 void CrossingCaller::sendMore(const std::string &bytes)
 {
     if (::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0) {
--- a/sequoiausher/transport/stream/fakehttp.h
+++ b/sequoiausher/transport/stream/fakehttp.h
@@ -140,6 +140,8 @@
 
     /** Sends a request and discards the previous answer. */
     void send(const std::string &bytes);
+    /** Discards the answer and expects a further one, of a request that was sent ahead. */
+    void next();
     /** Sends a further part of the request. */
     void sendMore(const std::string &bytes);
     /** Reads what has arrived. @return whether the answer is complete. */
--- a/sequoiausher/transport/stream/httpreader.cpp
+++ b/sequoiausher/transport/stream/httpreader.cpp
@@ -238,6 +238,11 @@
     return this->d->collected.head;
 }
 
+HttpHead HttpReader::takeHead()
+{
+    return std::exchange(this->d->collected.head, HttpHead());
+}
+
 std::string HttpReader::takeBody()
 {
     return std::exchange(this->d->collected.body, std::string());
--- a/sequoiausher/transport/stream/httpreader.h
+++ b/sequoiausher/transport/stream/httpreader.h
@@ -70,6 +70,8 @@
     bool isComplete() const;
     HttpFault fault() const;
     const HttpHead &head() const;
+    /** Returns the head of a complete message, and removes it from the reader. */
+    HttpHead takeHead();
     /** Returns the body so far, without chunk headers, and removes it from the reader. */
     std::string takeBody();
     std::size_t bodySize() const;
--- a/sequoiausher/transport/stream/streamlistener.cpp
+++ b/sequoiausher/transport/stream/streamlistener.cpp
@@ -27,12 +27,15 @@
     return problem == EMFILE || problem == ENFILE || problem == ENOBUFS || problem == ENOMEM;
 }
 
-int openSocket(const std::string &address)
+int openSocket(const std::string &address, std::size_t receiveBytes)
 {
     const Ipv4Socket opened = openIpv4Socket(address, Step::Listen);
     const int descriptor = opened.descriptor;
     const int on = 1;
     setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    if (receiveBytes > 0) {
+        limitReceiveBuffer(descriptor, receiveBytes);
+    }
     if (bind(descriptor, opened.address(), sizeof opened.at) != 0 || listen(descriptor, backlog) != 0) {
         const std::string reason = std::strerror(errno);
         ::close(descriptor);
@@ -46,9 +49,9 @@
 class StreamListener::Private
 {
 public:
-    Private(const std::string &address, Accepted with)
+    Private(const std::string &address, Accepted with, std::size_t receiveBytes)
         : accepted(std::move(with))
-        , descriptor(openSocket(address))
+        , descriptor(openSocket(address, receiveBytes))
         , notifier(this->descriptor, QSocketNotifier::Read)
     {
         QObject::connect(&this->notifier, &QSocketNotifier::activated, &this->notifier, [this] { this->take(); });
@@ -95,8 +98,8 @@
     QTimer retry;
 };
 
-StreamListener::StreamListener(const std::string &address, Accepted accepted)
-    : d(std::make_unique<Private>(address, std::move(accepted)))
+StreamListener::StreamListener(const std::string &address, Accepted accepted, std::size_t receiveBytes)
+    : d(std::make_unique<Private>(address, std::move(accepted), receiveBytes))
 {
 }
 
@@ -110,6 +113,13 @@
     return ntohs(at.sin_port);
 }
 
+void StreamListener::setReceiveBytes(std::size_t bytes)
+{
+    if (this->d->descriptor >= 0) {
+        limitReceiveBuffer(this->d->descriptor, bytes);
+    }
+}
+
 void StreamListener::close()
 {
     this->d->close();
