--- a/lab/hostile/clientcrowd.cpp
+++ b/lab/hostile/clientcrowd.cpp
@@ -4,6 +4,8 @@
 
 #include <array>
 #include <atomic>
+#include <cerrno>
+#include <chrono>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -78,7 +80,10 @@
         setsockopt(opened.descriptor, SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof receiveBytes);
     }
     client = Client{opened.descriptor, now, {}, now, now, 0, 0, this->plan.first.empty()};
-    ::connect(opened.descriptor, opened.address(), sizeof opened.at);
+    if (::connect(opened.descriptor, opened.address(), sizeof opened.at) != 0 && errno != EINPROGRESS) {
+        close(client, now);
+        return;
+    }
     this->opens += 1;
 }
 
--- a/lab/hostile/hostilebed.h
+++ b/lab/hostile/hostilebed.h
@@ -123,7 +123,6 @@
     std::unique_ptr<FakeCaller> besideQuestion;
     bool hasServedBeside = false;
     bool wasReadyBeside = false;
-    std::uint64_t requests = 0;
 };
 
 } // namespace Lab
--- a/lab/soak/main.cpp
+++ b/lab/soak/main.cpp
@@ -73,6 +73,7 @@
         options.hasLargeBodies = integerOption(parsed, "large") > 0;
         options.foreign = static_cast<std::size_t>(integerOption(parsed, "foreign"));
         options.reservesPlaces = integerOption(parsed, "reserve") > 0;
+        options.hasHostileClients = integerOption(parsed, "hostile") > 0;
         options.loadPerSecond = static_cast<std::size_t>(integerOption(parsed, "load"));
         options.mayLoseAllAnswers = integerOption(parsed, "losing") > 0;
         options.mayLeaveTogether = integerOption(parsed, "leaving") > 0;
@@ -117,6 +118,7 @@
     addIntegerOption(
         options, "foreign", "How often a target sends unasked answers, and an entry names no service meanwhile", 0);
     addIntegerOption(options, "reserve", "1: places are reserved at admission owners, and slow requests hedged", 0);
+    addIntegerOption(options, "hostile", "1: clients that do not behave keep connections to each gateway", 0);
     addIntegerOption(
         options,
         "load",
--- a/lab/soak/soakgateway.cpp
+++ b/lab/soak/soakgateway.cpp
@@ -70,8 +70,10 @@
     file << "[gateway]\nname = g" << this->number << "\ndata_centre = hall\naddress = " << local(this->callerPort)
          << "\nready_address = " << local(this->readyPort) << "\npeer_address = " << this->peerAddress()
          << "\ntunnel_port = " << this->tunnelPort << "\npeer_listen_address = " << local(this->peerPort)
-         << (this->memoryMb > 0 ? "\nmemory_mb = " + std::to_string(this->memoryMb) : "") << "\nrules = " << usedRules
-         << "\n[store]\naddress = " << toText(this->toStore.listening()) << "\n[peers]\nseeds = ";
+         << (this->memoryMb > 0 ? "\nmemory_mb = " + std::to_string(this->memoryMb) : "")
+         << (this->descriptors > 0 ? "\ndescriptors = " + std::to_string(this->descriptors) : "")
+         << "\nrules = " << usedRules << "\n[store]\naddress = " << toText(this->toStore.listening())
+         << "\n[peers]\nseeds = ";
     for (std::size_t i = 0; i < seeds.size(); ++i) {
         file << (i > 0 ? ", " : "") << seeds[i];
     }
@@ -85,6 +87,16 @@
     return toText(this->fromPeers.listening());
 }
 
+std::string SoakGateway::callerAddress() const
+{
+    return local(this->callerPort);
+}
+
+std::string SoakGateway::readyAddress() const
+{
+    return local(this->readyPort);
+}
+
 void SoakGateway::start()
 {
     this->starts += 1;
--- a/lab/soak/soakgateway.h
+++ b/lab/soak/soakgateway.h
@@ -40,6 +40,8 @@
     /** The rules reserve places at admission owners, in place of the shipped rules. */
     /** The most memory that it may take, in units of 2^20 bytes; 0 for its default. */
     std::size_t memoryMb = 0;
+    /** The most descriptors that it may open; 0 for its default. */
+    std::size_t descriptors = 0;
     bool reservesPlaces = false;
     /** The rules that it reads where it reserves none; empty for those that are shipped. */
     std::string rules;
@@ -47,6 +49,9 @@
     /** Writes its settings file. */
     void configure(const std::vector<std::string> &seeds);
     std::string peerAddress() const;
+    /** The addresses at which callers and the balancer reach it without a relay. */
+    std::string callerAddress() const;
+    std::string readyAddress() const;
     void start();
     LabProcess &process();
     /** Counts the starts. */
--- a/lab/soak/soakrun.cpp
+++ b/lab/soak/soakrun.cpp
@@ -1,5 +1,6 @@
 #include "lab/soak/soakrun.h"
 
+#include "lab/hostile/processusage.h"
 #include "lab/soak/soakrunprivate.h"
 #include "lab/support/labcall.h"
 #include "sequoiausher/base/error.h"
@@ -28,6 +29,9 @@
 constexpr Millis largeBodiesInterval{2500};
 /** The memory of a gateway where some bodies are large: a few of them are half of it. */
 constexpr std::size_t memoryForLargeBodiesMb = 40;
+/** The memory and the descriptors of a gateway beside clients that do not behave. */
+constexpr std::size_t memoryBesideHostileClientsMb = 64;
+constexpr std::size_t descriptorsBesideHostileClients = 400;
 /** Callers for each gateway that send one call after the other, beside planned stops in series. */
 constexpr std::size_t busyEach = 3;
 /** The entry of a target that a request has ended stays for so long. */
@@ -135,6 +139,10 @@
             this->gateways.back()->tunnelPort = this->tunnelPort->number();
         }
         this->gateways.back()->memoryMb = this->options.hasLargeBodies ? memoryForLargeBodiesMb : 0;
+        if (this->options.hasHostileClients) {
+            this->gateways.back()->memoryMb = memoryBesideHostileClientsMb;
+            this->gateways.back()->descriptors = descriptorsBesideHostileClients;
+        }
         this->gateways.back()->reservesPlaces = this->options.reservesPlaces;
         this->gateways.back()->rules = this->options.rules;
         if (seeds.size() < 3) {
@@ -148,6 +156,9 @@
         this->judge.disturbances().end(SoakJudge::gatewaySubject(i), Millis::monotonicNow());
     }
     this->makeCallers();
+    if (this->options.hasHostileClients) {
+        this->makeHostileClients();
+    }
     this->lastTick = Millis::monotonicNow();
     QObject::connect(&this->timer, &QTimer::timeout, [this] { this->tick(); });
     this->timer.setTimerType(Qt::PreciseTimer);
@@ -215,6 +226,29 @@
     }
 }
 
+void SoakRun::Private::makeHostileClients()
+{
+    const std::string noRoute = "GET /nowhere/1 HTTP/1.1\r\nHost: soak.example\r\n";
+    const std::string body = "POST /nowhere/1 HTTP/1.1\r\nHost: soak.example\r\nContent-Length: 3000000\r\n\r\n";
+    const std::string part(65536, 'x');
+    constexpr std::size_t mostOfBody = 2000000;
+    for (const auto &gateway : this->gateways) {
+        const std::vector<CrowdPlan> plans{
+            {.address = gateway->callerAddress(), .connections = 4, .repeated = noRoute + "\r\n"},
+            {.address = gateway->callerAddress(), .connections = 180, .first = noRoute},
+            {.address = gateway->callerAddress(),
+             .connections = 8,
+             .first = body,
+             .repeated = part,
+             .mostBytes = mostOfBody},
+            {.address = gateway->readyAddress(), .connections = 40}};
+        for (const CrowdPlan &plan : plans) {
+            this->hostile.push_back(std::make_unique<ClientCrowd>(plan));
+            this->hostile.back()->start();
+        }
+    }
+}
+
 void SoakRun::Private::tick()
 {
     const Millis begun = Millis::monotonicNow();
@@ -277,7 +311,15 @@
 {
     SoakGateway &gateway = *this->gateways[number];
     constexpr std::size_t megabyte = std::size_t{1} << 20U;
-    const std::size_t held = gateway.process().memoryBytes();
+    const ProcessUsage usage = gateway.descriptors > 0 ? readProcessUsage(gateway.process().processId())
+                                                       : ProcessUsage{.memoryBytes = gateway.process().memoryBytes()};
+    const std::size_t held = usage.total();
+    if (gateway.descriptors > 0 && usage.descriptors > gateway.descriptors) {
+        this->judge.broken("descriptors",
+                           "gateway " + std::to_string(number) + " has " + std::to_string(usage.descriptors)
+                               + " descriptors, and may have " + std::to_string(gateway.descriptors),
+                           now);
+    }
     if (gateway.memoryMb > 0 && held > gateway.memoryMb * megabyte) {
         this->judge.broken("memory",
                            "gateway " + std::to_string(number) + " holds " + std::to_string(held / megabyte)
--- a/lab/soak/soakrun.h
+++ b/lab/soak/soakrun.h
@@ -63,6 +63,11 @@
     std::size_t foreign = 0;
     /** Gateways reserve places at admission owners, and hedge slow requests. */
     bool reservesPlaces = false;
+    /**
+     * Clients that do not behave keep connections to each gateway from the start to the end: they read no answers, send
+     * parts of requests, or send nothing. Gateways have little memory and few descriptors.
+     */
+    bool hasHostileClients = false;
     /**
      * Requests a second of an open load, in place of the other callers: the service of engines has twelve targets that
      * read prompts, all targets stay whole, and faults strike gateways and links, beside planned changes of targets and
--- a/lab/soak/soakrunprivate.h
+++ b/lab/soak/soakrunprivate.h
@@ -7,6 +7,7 @@
 //     run.strike(fault);
 
 #include "lab/fleet/reservedport.h"
+#include "lab/hostile/clientcrowd.h"
 #include "lab/soak/crashingcaller.h"
 #include "lab/soak/fleetfaults.h"
 #include "lab/soak/lastingcaller.h"
@@ -68,6 +69,8 @@
     /** Plans all faults, which begin then. @return when the last one ends. */
     Millis planRun(Millis begin);
     void makeOpenLoad();
+    /** Starts the clients that do not behave. */
+    void makeHostileClients();
     /** Adds a target that has not started. @return its place. */
     TargetPlace &addPlace();
     /** What the living targets of a service hold. */
@@ -188,6 +191,7 @@
     std::vector<std::unique_ptr<SoakCaller>> callers;
     std::vector<std::unique_ptr<LastingCaller>> lasting;
     std::unique_ptr<CrashingCaller> crashing;
+    std::vector<std::unique_ptr<ClientCrowd>> hostile;
     std::unique_ptr<OpenLoad> load;
     PromptDraw prompts;
     std::multimap<Millis, std::function<void()>> actions;
