Let a connection that closes after its answer yield only once that was taken

Cause: a connection that was closed gently entered the ledger as a silent one, the second kind to yield, until the next tick looked at it. Now its account is made when it is closed: while any of the answer is not acknowledged, it yields after connections that were kept open.

The test has a part of a head on another connection; without the change the one with the answer is named.

--- a/sequoiausher/transport/gateway/callerconnectiontest.cpp
+++ b/sequoiausher/transport/gateway/callerconnectiontest.cpp
@@ -524,6 +524,35 @@
     CHECK(GatewayTestbed::waitFor([&] { return countAnswers() == count; }));
 }
 
+// Guards against an answer that is lost since its connection, which closes after it, is the first one to yield.
+TEST_CASE("a connection that closes yields only after others, as long as its caller has not taken the answer")
+{
+    GatewayTestbed bed;
+    Metrics metrics;
+    GatewayContext context(*bed.dialect, *bed.log, metrics, bed.settings, 1);
+    std::vector<std::shared_ptr<CallerConnection>> connections;
+    StreamListener listener("127.0.0.1:0", [&](int descriptor) {
+        connections.push_back(std::make_shared<CallerConnection>(context, descriptor, [](CallerConnection &) {}));
+    });
+    const std::string address = "127.0.0.1:" + std::to_string(listener.port());
+    constexpr int smallBuffer = 4096;
+    CrossingCaller served(address, smallBuffer);
+    REQUIRE(GatewayTestbed::waitFor([&] { return connections.size() == 1; }));
+    CrossingCaller slow(address);
+    slow.send("GET /look/1 HTTP/1.1\r\n");
+    REQUIRE(GatewayTestbed::waitFor([&] { return connections.size() == 2 && connections[1]->isReading(); }));
+    const std::string body(300000, 'x');
+    connections[0]->write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    connections[0]->finished(true);
+    CHECK(context.ledger.size() == 2);
+    CHECK(context.ledger.yieldsDescriptor() == connections[1]->connectionNumber());
+    CHECK(GatewayTestbed::waitFor([&] { return served.look(); }));
+    CHECK(served.body == body);
+    GatewayTestbed::waitFor([] { return false; }, Millis{50});
+    context.tickDelivering(Millis::monotonicNow());
+    CHECK(context.ledger.yieldsDescriptor() == connections[0]->connectionNumber());
+}
+
 // Guards against a refusal for want of room that is not true, or that its caller never gets.
 TEST_CASE("a connection that yields refuses a part of a request, and leaves an unread one to the kernel")
 {
--- a/sequoiausher/transport/gateway/gatewaycontext.cpp
+++ b/sequoiausher/transport/gateway/gatewaycontext.cpp
@@ -190,8 +190,23 @@
 
 void GatewayContext::keepDelivering(ConnectionLedger::Number number, const std::shared_ptr<ByteStream> &closed)
 {
+    const Millis now = Millis::monotonicNow();
     this->delivering[number] = closed;
-    this->ledger.add(number, Millis::monotonicNow());
+    this->ledger.add(number, now);
+    this->updateDelivering(number, *closed, now);
+}
+
+void GatewayContext::updateDelivering(ConnectionLedger::Number number, ByteStream &closed, Millis now)
+{
+    const std::size_t taken = closed.updateAcknowledged();
+    const std::size_t unread = closed.pendingBytes() + closed.knownUnacknowledged();
+    this->ledger.setHeld(number, {unread, 0}, taken, now);
+    if (unread == 0) {
+        this->ledger.setUse(number, ConnectionUse::Closing, now);
+        return;
+    }
+    const bool hasStalled = this->ledger.hasStalled(number, now);
+    this->ledger.setUse(number, hasStalled ? ConnectionUse::Stalled : ConnectionUse::Unread, now);
 }
 
 void GatewayContext::tickDelivering(Millis now)
@@ -204,13 +219,7 @@
             next = this->delivering.erase(next);
             continue;
         }
-        const std::size_t taken = stream->updateAcknowledged();
-        const std::size_t unread = stream->pendingBytes() + stream->knownUnacknowledged();
-        this->ledger.setHeld(number, {unread, 0}, taken, now);
-        const ConnectionUse use = unread == 0      ? ConnectionUse::Closing
-            : this->ledger.hasStalled(number, now) ? ConnectionUse::Stalled
-                                                   : ConnectionUse::Unread;
-        this->ledger.setUse(number, use, now);
+        this->updateDelivering(number, *stream, now);
         ++next;
     }
 }
--- a/sequoiausher/transport/gateway/gatewaycontext.h
+++ b/sequoiausher/transport/gateway/gatewaycontext.h
@@ -170,6 +170,9 @@
     std::shared_ptr<const bool> life = std::make_shared<const bool>(true);
 
 private:
+    /** Tells the ledger what the caller of a closed connection has not taken. */
+    void updateDelivering(ConnectionLedger::Number number, ByteStream &closed, Millis now);
+
     std::map<PoolId, double> firstAnswers;
 };
 
