Accept and discard a bounded amount in one turn of the event loop

Beside 400 clients that go on sending bodies that were refused, and a machine with more work than processors (load 14 on 8), neither an ordinary caller nor readiness was answered in 3 s: hostilecallerstest-callers-that-go-on-sending, in the run of all tests and once of three by hand.

Cause, by reading: connections that come as fast as they are accepted kept one turn of the loop going, and each of 200 closing connections had 64 KB discarded in a turn. Now 64 connections are accepted and 16 KB of each are discarded.

It is not shown which of the two did it.

--- a/sequoiausher/transport/stream/bytestream.cpp
+++ b/sequoiausher/transport/stream/bytestream.cpp
@@ -38,7 +38,7 @@
 /** The most bytes read from one connection per turn of the event loop, so that it does not delay others. */
 constexpr std::size_t readsAtOnce = 64;
 /** The same for a connection whose bytes are discarded. */
-constexpr std::size_t discardsAtOnce = 4;
+constexpr std::size_t discardsAtOnce = 1;
 
 void setNoDelay(int descriptor)
 {
--- a/sequoiausher/transport/stream/streamlistener.cpp
+++ b/sequoiausher/transport/stream/streamlistener.cpp
@@ -19,6 +19,8 @@
 
 /** The length of the accept queue. A full queue drops the opening packet, and the caller waits for seconds. */
 constexpr int backlog = 1024;
+/** The most connections accepted in one turn of the event loop. */
+constexpr int acceptsAtOnce = 64;
 /** The pause before connections are accepted again after the process ran out of descriptors or memory. */
 constexpr int retryMs = 50;
 
@@ -68,7 +70,8 @@
 
     void take()
     {
-        while (this->descriptor >= 0) {
+        // Connections that come as fast as they are accepted must not keep the event loop from the open ones.
+        for (int i = 0; i < acceptsAtOnce && this->descriptor >= 0; ++i) {
             const int connection = accept4(this->descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
             if (connection < 0) {
                 if (isOutOfResources(errno)) {
