Let no request that only waits for its target yield for memory

Found by reading: the time that a caller would need for what its connection holds grows with age, also where all that is held is the head of a request whose target is at work. 2 KB for some seconds ranked before 64 KB that were held for a quarter of a second, so callers that come and read nothing could have had a long request cut, with what it held no help. Heads have their room asked for when they are read.

Such a connection is left out; the test names the one with an answer that is not taken. What a tunnel carries counts as not taken, as it did by rank before.

--- a/sequoiausher/coordination/gateway/connectionledger.cpp
+++ b/sequoiausher/coordination/gateway/connectionledger.cpp
@@ -107,7 +107,8 @@
 {
     std::vector<std::pair<double, Number>> holders;
     for (const auto &[number, account] : this->accounts) {
-        if (account.held.total() > 0) {
+        const bool onlyWaits = account.use == ConnectionUse::InUse && account.held.unread == 0;
+        if (account.held.total() > 0 && !onlyWaits) {
             holders.emplace_back(drainTime(account, now), number);
         }
     }
--- a/sequoiausher/coordination/gateway/connectionledger.h
+++ b/sequoiausher/coordination/gateway/connectionledger.h
@@ -114,8 +114,8 @@
     /** Returns the connection that gives up its descriptor; none if all are in use. */
     std::optional<Number> yieldsDescriptor() const;
     /**
-     * Returns the connections that give up what they hold, so that at least bytes are free, or all that hold
-     * anything.
+     * Returns the connections that give up what they hold, so that at least bytes are free, or all that may. One
+     * whose request is in progress does not as long as its caller has nothing to take.
      */
     std::vector<Number> yieldMemory(std::size_t bytes, Millis now) const;
 
--- a/sequoiausher/coordination/gateway/connectionledgertest.cpp
+++ b/sequoiausher/coordination/gateway/connectionledgertest.cpp
@@ -82,6 +82,19 @@
     CHECK(ledger.yieldMemory(1000, second).size() == 1);
 }
 
+// Guards against cutting a request that runs for long in favour of callers that come and read nothing.
+TEST_CASE("a request that only waits for its target gives up no memory, an answer that is not taken does")
+{
+    ConnectionLedger ledger;
+    for (const ConnectionLedger::Number number : {1, 2}) {
+        ledger.add(number, Millis{0});
+        ledger.setUse(number, ConnectionUse::InUse, Millis{0});
+    }
+    ledger.setHeld(1, {0, 2000}, 0, Millis{0});
+    ledger.setHeld(2, {1000, 0}, 0, second * 9);
+    CHECK(ledger.yieldMemory(100000, second * 10) == std::vector<ConnectionLedger::Number>{2});
+}
+
 TEST_CASE("a caller has stalled once it has taken nothing of an answer for the stalled time")
 {
     ConnectionLedger ledger;
--- a/sequoiausher/transport/gateway/tunnelserver.cpp
+++ b/sequoiausher/transport/gateway/tunnelserver.cpp
@@ -155,7 +155,7 @@
             this->heldBack.set(isHeldBack ? this->target->unreadBytes() : 0);
             const std::size_t carried = (this->target ? this->target->heldBytes() : 0) + this->heldBack.bytes();
             const std::size_t unread = this->opener->pendingBytes() + this->opener->knownUnacknowledged();
-            this->owner.context.ledger.setHeld(this->number, {unread, carried}, taken, now);
+            this->owner.context.ledger.setHeld(this->number, {unread + carried, 0}, taken, now);
         }
         void openerSent();
         void begin(const TargetId &id);
