Reset a connection whose requests were read from the kernel and left

Found by reading: since answers that wait stop the reading of further requests, what was sent ahead may lie in the connection's input when it is closed, for its idle time, a stop or want of room. After an orderly close its caller can't tell whether it ran, and may not send an unsafe request again. A reset says that it was not looked at. A part of a request still gets its refusal and an orderly close.

--- a/sequoiausher/transport/gateway/callerconnection.cpp
+++ b/sequoiausher/transport/gateway/callerconnection.cpp
@@ -566,12 +566,24 @@
         this->isWaitingForMemory = false;
         this->writeRefusal(
             statusUnavailable, "the gateway has no room for the request", this->context.spread(retryWhenNoRoom));
+        this->over(CloseReason::Yielded);
+        this->stream->close();
+        return true;
     }
     this->over(CloseReason::Yielded);
-    this->stream->close();
+    this->closeStream();
     return true;
 }
 
+void CallerConnection::closeStream()
+{
+    if (this->stream->input().empty()) {
+        this->stream->close();
+    } else {
+        this->stream->reset();
+    }
+}
+
 bool CallerConnection::isBusy() const
 {
     return this->exchange != nullptr || this->stream->pendingBytes() > 0;
@@ -608,7 +620,7 @@
     // A request that still arrives must not be read: its caller would get no answer, and could not send it again if it
     // may run only once. Nothing is read after close(), so the caller's kernel reports that the request was not read.
     this->over(why);
-    this->stream->close();
+    this->closeStream();
 }
 
 void CallerConnection::close()
--- a/sequoiausher/transport/gateway/callerconnection.h
+++ b/sequoiausher/transport/gateway/callerconnection.h
@@ -131,6 +131,8 @@
     void tickPartial(Millis now);
     /** Closes a connection without a request in progress. */
     void closeUnused(CloseReason why);
+    /** Closes the stream; a caller that sent requests ahead learns by a reset that they were not looked at. */
+    void closeStream();
     /** Closes a connection after its last answer was written. */
     void closeGently(CloseReason why);
     void over(CloseReason why);
--- a/sequoiausher/transport/gateway/callerconnectiontest.cpp
+++ b/sequoiausher/transport/gateway/callerconnectiontest.cpp
@@ -553,6 +553,27 @@
     CHECK(context.ledger.yieldsDescriptor() == connections[0]->connectionNumber());
 }
 
+// Guards against requests that were taken from the kernel and left: after an orderly close their caller could not send
+// them again.
+TEST_CASE("a caller that sent requests ahead learns by a reset that they were left when its connection yielded")
+{
+    GatewayTestbed bed;
+    Metrics metrics;
+    GatewayContext context(*bed.dialect, *bed.log, metrics, bed.settings, 1);
+    std::shared_ptr<CallerConnection> connection;
+    StreamListener listener("127.0.0.1:0", [&](int descriptor) {
+        connection = std::make_shared<CallerConnection>(context, descriptor, [](CallerConnection &) {});
+    });
+    CrossingCaller caller("127.0.0.1:" + std::to_string(listener.port()), 4096);
+    REQUIRE(GatewayTestbed::waitFor([&] { return connection != nullptr; }));
+    connection->write(std::string(std::size_t{4} << 20U, 'x'));
+    connection->finished(false);
+    caller.send("GET /look/1 HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(GatewayTestbed::waitFor([&] { return connection->isReading(); }));
+    connection->closeForStop();
+    CHECK(GatewayTestbed::waitFor([&] { return caller.isReset(); }));
+}
+
 // Guards against a refusal for want of room that is not true, or that its caller never gets.
 TEST_CASE("a connection that yields refuses a part of a request, and leaves an unread one to the kernel")
 {
