--- a/sequoiausher/transport/stream/bytestream.cpp
+++ b/sequoiausher/transport/stream/bytestream.cpp
@@ -469,11 +469,6 @@
     });
 }
 
-bool ByteStream::awaitsOnlyClose() const
-{
-    return this->d->writeShut;
-}
-
 std::string ByteStream::peerAddress() const
 {
     sockaddr_in at{};
--- a/sequoiausher/transport/stream/bytestream.h
+++ b/sequoiausher/transport/stream/bytestream.h
@@ -143,8 +143,6 @@
      */
     void closeGently(Discarded discarded = nullptr,
                      std::size_t maxDiscardedBytes = std::numeric_limits<std::size_t>::max());
-    /** Returns whether the stream is closed gently and has nothing left to send. */
-    bool awaitsOnlyClose() const;
     /** Returns the other side's address, such as "10.0.3.7:8080"; empty once closed. */
     std::string peerAddress() const;
     /**
