--- a/sequoiausher/transport/gateway/callerconnectiontest.cpp
+++ b/sequoiausher/transport/gateway/callerconnectiontest.cpp
@@ -555,7 +555,7 @@
 
 // Guards against requests that were taken from the kernel and left: after an orderly close their caller could not send
 // them again.
-TEST_CASE("a caller that sent requests ahead learns by a reset that they were left when its connection yielded")
+TEST_CASE("a caller that sent requests ahead learns by a reset that they were left when its connection closes")
 {
     GatewayTestbed bed;
     Metrics metrics;
