Take the connections of a tenth of a second at once at a gateway with time

Cause: a gateway with more than twice its share of the traffic limits new connections once more than 100 a second come. That was judged by one tick of 10 ms, so two connections in it began the limit, and what the limit allowed in one tick was the most at once: one connection. Beside clients that come again and again, gateway 0, 0 ms late and with 16 connections while others stopped, closed ordinary callers unread for 2.3 s. What callers are told is true, but it had time for them.

Change: the limit begins by the average of the last ticks, and what it allows in a tenth of a second may come at once. Not changed: that connections of all clients count alike.

Evidence: two cases of connectionadmissiontest fail before (five connections each quarter of a second are closed; a limited gateway takes 2 of those of a tenth of a second).

--- a/sequoiausher/coordination/gateway/connectionadmission.cpp
+++ b/sequoiausher/coordination/gateway/connectionadmission.cpp
@@ -18,6 +18,8 @@
  * A crowded gateway takes more than this only step by step: how many it can serve shows only after it has taken them.
  */
 constexpr double firstLimit = 100;
+/** What the limit allows in this time may come at once. */
+constexpr Millis burstTime{100};
 constexpr double decrease = 0.85;
 constexpr double increase = 1.01;
 /** Some connections are always taken, since their requests show whether there is time again. */
@@ -51,14 +53,17 @@
     this->lateTicks = lateness > maxLateness ? this->lateTicks + 1 : 0;
     if (this->perSecond) {
         this->adapt(lateness, taken);
-    } else if (this->isCrowded && (taken > firstLimit || this->lateTicks >= minLateTicks)) {
+    } else if (this->isCrowded && (this->averagePerSecond > firstLimit || this->lateTicks >= minLateTicks)) {
         this->perSecond = std::max(this->averagePerSecond, firstLimit);
         this->ticksBelowLimit = 0;
     }
     if (this->perSecond) {
-        this->credit = std::min(this->credit, 0.0) + *this->perSecond * interval / millisPerSecond;
+        const double added = *this->perSecond * interval / millisPerSecond;
+        const double most = *this->perSecond * static_cast<double>(burstTime.count) / millisPerSecond;
+        this->credit = std::min(this->credit + added, std::max(most, added));
     }
 }
+
 void ConnectionAdmission::setCrowding(double shareOfTraffic, std::size_t gateways)
 {
     this->isCrowded = gateways > 1 && shareOfTraffic * static_cast<double>(gateways) > crowdedShares;
--- a/sequoiausher/coordination/gateway/connectionadmissiontest.cpp
+++ b/sequoiausher/coordination/gateway/connectionadmissiontest.cpp
@@ -141,6 +141,50 @@
     CHECK_FALSE(admission.limitPerSecond());
 }
 
+// Guards against closing callers at a gateway that has time, because two of them came within the same tick.
+TEST_CASE("connections that come together are taken where few come on average")
+{
+    constexpr std::int64_t tickMs = 10;
+    constexpr int ticksBetween = 25;
+    ConnectionAdmission admission({});
+    admission.setCrowding(0.9, 7);
+    std::size_t closed = 0;
+    for (int i = 1; i <= 300; ++i) {
+        for (std::size_t open = 0; i % ticksBetween == 0 && open < 5; ++open) {
+            closed += admission.admit(open) ? 0 : 1;
+        }
+        admission.recordTick(Millis{0}, Millis{i * tickMs});
+    }
+    CHECK(closed == 0);
+    CHECK_FALSE(admission.limitPerSecond());
+}
+
+TEST_CASE("a limited gateway takes connections that come together where fewer than its limit come on average")
+{
+    constexpr std::int64_t tickMs = 10;
+    constexpr int ticksBetween = 25;
+    ConnectionAdmission admission({});
+    admission.setCrowding(0.9, 7);
+    std::int64_t now = 0;
+    for (int i = 0; i < 3; ++i) {
+        now += 100;
+        admission.recordTick(Millis{90}, Millis{now});
+    }
+    REQUIRE(admission.limitPerSecond());
+    std::size_t taken = 0;
+    for (int i = 1; i <= ticksBetween; ++i) {
+        now += tickMs;
+        admission.recordTick(Millis{0}, Millis{now});
+    }
+    REQUIRE(admission.limitPerSecond());
+    for (std::size_t open = 0; open < 100; ++open) {
+        taken += admission.admit(open) ? 1 : 0;
+    }
+    // Of 100 a second, those of a tenth of a second.
+    CHECK(taken >= 9);
+    CHECK(taken <= 15);
+}
+
 // Guards against running out of descriptors for targets because callers hold all of them.
 TEST_CASE("connections beyond the limit are not taken, and beyond half of it they close after their answers")
 {
