Log also the last connections that were closed for want of room

The line about closed connections is written once a second at most, and told of later ones only when one more was closed after that second.

Change: the tick writes what is unreported once the second is over. No test of its own.

--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -112,6 +112,8 @@
     std::size_t callerConnections() const;
     /** Closes the connection for want of room. @return whether it is closed. */
     bool yield(ConnectionLedger::Number number, YieldReason reason, Millis now);
+    /** Logs the yields that no line has told of, at most once in yieldedInterval. */
+    void reportYields(Millis now);
     /** Closes connections until callers hold no more memory and descriptors than they may. */
     void tickRoom(Millis now);
     void useLimits();
@@ -163,7 +165,16 @@
     ConnectionMemory connectionMemory{{}};
     std::size_t listenerReceiveBytes = 0;
     /** Connections that were closed for want of room since the last line about them. */
-    std::size_t unreportedYields = 0;
+    struct Yields
+    {
+        std::size_t count = 0;
+        ConnectionLedger::Number lastNumber = 0;
+        YieldReason lastReason = YieldReason::Descriptors;
+        std::string lastPeer;
+        ConnectionAccount lastAccount;
+        Millis lastStill;
+    };
+    Yields unreportedYields;
     Millis nextYieldLine;
     QTimer timer;
     /** Fires after the event loop has read its sockets. */
@@ -302,26 +313,34 @@
         return false;
     }
     this->metrics.add("gateway_connections_closed_for_" + std::string(nameOf(reason)) + "_total");
-    this->unreportedYields += 1;
-    if (now >= this->nextYieldLine) {
-        this->nextYieldLine = now + yieldedInterval;
-        this->log.warning(LogPart::Entry,
-                          "closed connections for want of room",
-                          {{"why", std::string(nameOf(reason))},
-                           {"count", std::to_string(std::exchange(this->unreportedYields, 0))},
-                           {"last_connection", std::to_string(number)},
-                           {"last_peer", peer},
-                           {"last_use", std::string(nameOf(account.use))},
-                           {"held_bytes", std::to_string(account.held.total())},
-                           {"still_ms", std::to_string((now - account.usedSince).count)},
-                           {"connections", std::to_string(this->callerConnections())}});
-    }
+    this->unreportedYields = {this->unreportedYields.count + 1, number, reason, peer, account, now - account.usedSince};
+    this->reportYields(now);
     return true;
 }
 
+void GatewayNode::Private::reportYields(Millis now)
+{
+    if (this->unreportedYields.count == 0 || now < this->nextYieldLine) {
+        return;
+    }
+    this->nextYieldLine = now + yieldedInterval;
+    const Yields reported = std::exchange(this->unreportedYields, Yields{});
+    this->log.warning(LogPart::Entry,
+                      "closed connections for want of room",
+                      {{"why", std::string(nameOf(reported.lastReason))},
+                       {"count", std::to_string(reported.count)},
+                       {"last_connection", std::to_string(reported.lastNumber)},
+                       {"last_peer", reported.lastPeer},
+                       {"last_use", std::string(nameOf(reported.lastAccount.use))},
+                       {"held_bytes", std::to_string(reported.lastAccount.held.total())},
+                       {"still_ms", std::to_string(reported.lastStill.count)},
+                       {"connections", std::to_string(this->callerConnections())}});
+}
+
 void GatewayNode::Private::tickRoom(Millis now)
 {
     this->context.tickDelivering(now);
+    this->reportYields(now);
     std::size_t beyond = 0;
     while (!this->admission.hasRoom(this->callerConnections() - std::min<std::size_t>(this->callerConnections(), 1))
            && beyond < this->callers.size()) {
