Let connections that stand still yield before one whose request is on its way

Cause: connections gave up their descriptors by their use first, and nothing received came before a part of a head or of a body. So an ordinary caller's connection, in the milliseconds before its request arrived, was the first to yield, beside 180 parts of heads that stood for seconds.

Change: connections without a whole head and uploads that have not moved for a second yield first; of newer ones without a whole head the oldest. A body of which nothing came for a second counts as stalled, unless it waits for memory.

Two ways that were not built: pure age over all uses, by which long uploads would yield to a flood of new connections; a fixed order with parts of heads before new connections, which a flood of new ones would use against heads that are sent.

--- a/lab/hostile/hostilebed.cpp
+++ b/lab/hostile/hostilebed.cpp
@@ -278,6 +278,15 @@
     return false;
 }
 
+bool HostileBed::servesCallerAfter(Millis pause)
+{
+    FakeCaller caller(this->address(Door::Callers));
+    LabCaller::waitFor([&caller] { return caller.reply.hasEnded; }, pause);
+    caller.send(served());
+    LabCaller::waitFor([&caller] { return caller.reply.isWhole || caller.reply.hasEnded; }, answerLimit);
+    return caller.reply.isWhole && caller.reply.status == statusOk;
+}
+
 bool HostileBed::isReady()
 {
     const CallerReply reply = this->ask(this->address(Door::Readiness), StandInDialect::readinessRequest());
--- a/lab/hostile/hostilebed.h
+++ b/lab/hostile/hostilebed.h
@@ -92,6 +92,8 @@
     std::string lastLines() const;
     /** Whether a single request, sent again as it is told where it was refused, is answered by the target. */
     bool servesOrdinaryCaller();
+    /** Whether a single request that is sent so long after its connection was opened is answered by the target. */
+    bool servesCallerAfter(Millis pause);
     /** Whether the platform is told that the gateway is ready. */
     bool isReady();
     /** Whether the page of metrics comes whole. */
--- a/lab/hostile/hostilecallerstest.cpp
+++ b/lab/hostile/hostilecallerstest.cpp
@@ -66,6 +66,25 @@
         this->check();
     }
 
+    /** Has nearly all connections send this and no more, and some clients come again and again. */
+    void checkLateRequestsBeside(const std::string &part)
+    {
+        constexpr std::size_t nearlyAll = 195;
+        constexpr std::size_t comingAgain = 20;
+        constexpr int requests = 10;
+        CrowdPlan again = this->crowd(comingAgain, {});
+        again.closesAfter = Millis{50};
+        this->bed.begin(this->crowd(nearlyAll, part));
+        this->bed.begin(again);
+        this->bed.observe(Millis{1500});
+        int served = 0;
+        for (int i = 0; i < requests; ++i) {
+            served += this->bed.servesCallerAfter(Millis{100}) ? 1 : 0;
+        }
+        CHECK(served == requests);
+        this->checkBounds();
+    }
+
     /** Made before anything that needs an event loop. */
     QCoreApplication &application = Internal::testApplication();
     HostileBed bed;
@@ -241,6 +260,18 @@
     CHECK(bed.bed.servesOrdinaryCaller());
 }
 
+TEST_CASE("requests that come a moment after their connections, beside parts of heads")
+{
+    Bed bed;
+    bed.checkLateRequestsBeside(HostileBed::beginOfHead());
+}
+
+TEST_CASE("requests that come a moment after their connections, beside parts of bodies")
+{
+    Bed bed;
+    bed.checkLateRequestsBeside(bodyOf("1000") + "x");
+}
+
 TEST_CASE("callers that open and close as fast as they can")
 {
     Bed bed;
--- a/sequoiausher/coordination/gateway/connectionledger.cpp
+++ b/sequoiausher/coordination/gateway/connectionledger.cpp
@@ -1,7 +1,9 @@
 #include "sequoiausher/coordination/gateway/connectionledger.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <functional>
+#include <limits>
 
 namespace Sequoiausher {
 
@@ -95,12 +97,37 @@
     return found != this->accounts.end() ? std::optional(found->second) : std::nullopt;
 }
 
-std::optional<ConnectionLedger::Number> ConnectionLedger::yieldsDescriptor() const
+std::optional<ConnectionLedger::Place> ConnectionLedger::oldestOf(ConnectionUse use) const
 {
-    if (this->order.empty() || this->order.begin()->first.first == ConnectionUse::InUse) {
-        return std::nullopt;
+    const auto found = this->order.lower_bound({{use, Millis{std::numeric_limits<std::int64_t>::min()}}, 0});
+    return found != this->order.end() && found->first.first == use ? std::optional(*found) : std::nullopt;
+}
+
+std::optional<ConnectionLedger::Number> ConnectionLedger::yieldsDescriptor(Millis now) const
+{
+    for (const ConnectionUse use :
+         {ConnectionUse::Closing, ConnectionUse::Silent, ConnectionUse::Head, ConnectionUse::Stalled}) {
+        const std::optional<Place> oldest = this->oldestOf(use);
+        const bool mayMove = use == ConnectionUse::Silent || use == ConnectionUse::Head;
+        if (oldest && (!mayMove || now - oldest->first.second >= stalledTime)) {
+            return oldest->second;
+        }
+    }
+    // The rest of a request may be on its way, on a connection without any of it as well: the newest is the last.
+    const std::optional<Place> silent = this->oldestOf(ConnectionUse::Silent);
+    const std::optional<Place> head = this->oldestOf(ConnectionUse::Head);
+    if (silent && (!head || silent->first.second <= head->first.second)) {
+        return silent->second;
+    }
+    if (head) {
+        return head->second;
+    }
+    for (const ConnectionUse use : {ConnectionUse::Body, ConnectionUse::Kept, ConnectionUse::Unread}) {
+        if (const std::optional<Place> oldest = this->oldestOf(use)) {
+            return oldest->second;
+        }
     }
-    return this->order.begin()->second;
+    return std::nullopt;
 }
 
 std::vector<ConnectionLedger::Number> ConnectionLedger::yieldMemory(std::size_t bytes, Millis now) const
--- a/sequoiausher/coordination/gateway/connectionledger.h
+++ b/sequoiausher/coordination/gateway/connectionledger.h
@@ -4,15 +4,16 @@
 // there is no room: the one that costs most and moves least. Uses no sockets and no clock.
 //
 // A descriptor costs the same on every connection, so by descriptors a connection yields the sooner the less of a
-// request there is on it, and among equals the one that has not moved for the longest time. One with a request in
-// progress never does. By memory a connection yields the sooner the longer its caller would need for what it holds, at
+// request there is on it, and among equals the one that has not moved for the longest time. A new connection, whose
+// request may still be on its way, outlasts those that have stood still. One with a request in progress never yields.
+// By memory a connection yields the sooner the longer its caller would need for what it holds, at
 // the rate at which it has taken bytes. So a caller that reads slowly outlasts one that reads nothing.
 //
 //     ConnectionLedger ledger;
 //     ledger.add(number, now);
 //     ledger.setUse(number, ConnectionUse::Head, now);
 //     ledger.setHeld(number, {unsentBytes, headBytes}, takenBytes, now);
-//     if (const auto yields = ledger.yieldsDescriptor()) { close(*yields); }
+//     if (const auto yields = ledger.yieldsDescriptor(now)) { close(*yields); }
 //     for (const auto number : ledger.yieldMemory(overrun, now)) { close(number); }
 
 #include "sequoiausher/base/millis.h"
@@ -28,7 +29,7 @@
 
 namespace Sequoiausher {
 
-/** What a connection is used for, in the order in which connections give up their descriptors. */
+/** What a connection is used for, in the order in which connections that stand still give up their descriptors. */
 enum class ConnectionUse {
     /** Closed by this side, and its caller has taken all bytes, but has not closed it. */
     Closing,
@@ -36,7 +37,7 @@
     Silent,
     /** A part of a request's head has arrived. */
     Head,
-    /** Its caller takes nothing of what was written. */
+    /** Its caller takes nothing of what was written, or sends nothing of the body that it began. */
     Stalled,
     /** The head of a request and a part of its body have arrived. */
     Body,
@@ -112,7 +113,7 @@
     /** Returns what is known of a connection; none for one that was not added. */
     std::optional<ConnectionAccount> account(Number number) const;
     /** Returns the connection that gives up its descriptor; none if all are in use. */
-    std::optional<Number> yieldsDescriptor() const;
+    std::optional<Number> yieldsDescriptor(Millis now) const;
     /**
      * Returns the connections that give up what they hold, so that at least bytes are free, or all that may. One
      * whose request is in progress does not as long as its caller has nothing to take.
@@ -121,10 +122,14 @@
 
 private:
     using Rank = std::pair<ConnectionUse, Millis>;
+    using Place = std::pair<Rank, Number>;
+
+    /** Returns the connection that has had this use for longest. */
+    std::optional<Place> oldestOf(ConnectionUse use) const;
 
     std::unordered_map<Number, ConnectionAccount> accounts;
-    /** The connections in the order in which they give up their descriptors. */
-    std::set<std::pair<Rank, Number>> order;
+    /** The connections by use, and those of one use by age. */
+    std::set<Place> order;
 };
 
 } // namespace Sequoiausher
--- a/sequoiausher/coordination/gateway/connectionledgertest.cpp
+++ b/sequoiausher/coordination/gateway/connectionledgertest.cpp
@@ -10,10 +10,10 @@
 
 constexpr Millis second{1000};
 
-std::vector<ConnectionLedger::Number> descriptorOrder(ConnectionLedger &ledger)
+std::vector<ConnectionLedger::Number> descriptorOrder(ConnectionLedger &ledger, Millis now)
 {
     std::vector<ConnectionLedger::Number> order;
-    while (const auto yields = ledger.yieldsDescriptor()) {
+    while (const auto yields = ledger.yieldsDescriptor(now)) {
         order.push_back(*yields);
         ledger.remove(*yields);
     }
@@ -37,7 +37,7 @@
         ledger.add(i, second);
         ledger.setUse(i, uses[i], second);
     }
-    CHECK(descriptorOrder(ledger) == std::vector<ConnectionLedger::Number>{7, 6, 5, 4, 3, 2, 1});
+    CHECK(descriptorOrder(ledger, second * 3) == std::vector<ConnectionLedger::Number>{7, 6, 5, 4, 3, 2, 1});
     CHECK(ledger.size() == 1);
 }
 
@@ -50,9 +50,34 @@
     ledger.setUse(1, ConnectionUse::Head, Millis{10});
     ledger.setUse(2, ConnectionUse::Head, Millis{20});
     ledger.setUse(1, ConnectionUse::Head, Millis{500});
-    CHECK(ledger.yieldsDescriptor() == 1);
+    for (const Millis now : {Millis{600}, second * 3}) {
+        CHECK(ledger.yieldsDescriptor(now) == 1);
+    }
     ledger.setUse(1, ConnectionUse::InUse, Millis{600});
-    CHECK(ledger.yieldsDescriptor() == 2);
+    CHECK(ledger.yieldsDescriptor(Millis{600}) == 2);
+    CHECK(ledger.yieldsDescriptor(second * 3) == 2);
+}
+
+// Guards against closing an ordinary caller whose request is on its way, beside clients that hold parts of requests.
+TEST_CASE("a new connection outlasts those that stand still, and beside new ones the oldest yields")
+{
+    constexpr Millis now{5000};
+    ConnectionLedger ledger;
+    ledger.add(1, now - Millis{100});
+    ledger.add(2, now - Millis{300});
+    ledger.setUse(2, ConnectionUse::Head, now - Millis{300});
+    ledger.add(3, now - Millis{200});
+    ledger.add(4, now - second);
+    ledger.setUse(4, ConnectionUse::Head, now - second);
+    ledger.add(5, now);
+    ledger.setUse(5, ConnectionUse::Stalled, now);
+    ledger.add(6, now - second * 4);
+    ledger.setUse(6, ConnectionUse::Body, now - second * 4);
+    ledger.add(7, now - second * 4);
+    ledger.setUse(7, ConnectionUse::Kept, now - second * 4);
+    ledger.add(8, now);
+    ledger.setUse(8, ConnectionUse::Closing, now);
+    CHECK(descriptorOrder(ledger, now) == std::vector<ConnectionLedger::Number>{8, 4, 5, 2, 3, 1, 6, 7});
 }
 
 // Guards against closing a caller that reads slowly in place of one that reads nothing.
--- a/sequoiausher/transport/gateway/callerconnection.cpp
+++ b/sequoiausher/transport/gateway/callerconnection.cpp
@@ -508,8 +508,13 @@
     if (this->exchange) {
         return ConnectionUse::InUse;
     }
+    if (this->hasBytes && !this->reader.hasHead()) {
+        return ConnectionUse::Head;
+    }
     if (this->hasBytes) {
-        return this->reader.hasHead() ? ConnectionUse::Body : ConnectionUse::Head;
+        const bool mustSend = !this->isWaitingForMemory;
+        const bool isStill = now - this->partial.lastByteAt >= ConnectionLedger::stalledTime;
+        return mustSend && isStill ? ConnectionUse::Stalled : ConnectionUse::Body;
     }
     if (hasUnread) {
         return ConnectionUse::Unread;
--- a/sequoiausher/transport/gateway/callerconnectiontest.cpp
+++ b/sequoiausher/transport/gateway/callerconnectiontest.cpp
@@ -545,12 +545,12 @@
     connections[0]->write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     connections[0]->finished(true);
     CHECK(context.ledger.size() == 2);
-    CHECK(context.ledger.yieldsDescriptor() == connections[1]->connectionNumber());
+    CHECK(context.ledger.yieldsDescriptor(Millis::monotonicNow()) == connections[1]->connectionNumber());
     CHECK(GatewayTestbed::waitFor([&] { return served.look(); }));
     CHECK(served.body == body);
     GatewayTestbed::waitFor([] { return false; }, Millis{50});
     context.tickDelivering(Millis::monotonicNow());
-    CHECK(context.ledger.yieldsDescriptor() == connections[0]->connectionNumber());
+    CHECK(context.ledger.yieldsDescriptor(Millis::monotonicNow()) == connections[0]->connectionNumber());
 }
 
 // Guards against requests that were taken from the kernel and left: after an orderly close their caller could not send
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -280,7 +280,7 @@
 {
     const Millis now = Millis::monotonicNow();
     for (std::size_t i = 0; i < maxYieldsAtOnce && !this->hasRoom(); ++i) {
-        const std::optional<ConnectionLedger::Number> yielding = this->context.ledger.yieldsDescriptor();
+        const std::optional<ConnectionLedger::Number> yielding = this->context.ledger.yieldsDescriptor(now);
         if (!yielding) {
             return false;
         }
@@ -344,7 +344,7 @@
     std::size_t beyond = 0;
     while (!this->admission.hasRoom(this->callerConnections() - std::min<std::size_t>(this->callerConnections(), 1))
            && beyond < this->callers.size()) {
-        const std::optional<ConnectionLedger::Number> yielding = this->context.ledger.yieldsDescriptor();
+        const std::optional<ConnectionLedger::Number> yielding = this->context.ledger.yieldsDescriptor(now);
         if (!yielding) {
             break;
         }
