Give each gateway of a soak its own file of rules

Cause: all gateways of that soak shared one file of rules, which was written anew before each of them was started. Two read it while it was empty (rule_count=0 in their logs, 2 in the others').

Change: a file for each gateway.

--- a/lab/soak/soakgateway.cpp
+++ b/lab/soak/soakgateway.cpp
@@ -63,7 +63,8 @@
 {
     std::string usedRules = this->rules.empty() ? SEQUOIAUSHER_GATEWAY_RULES : this->rules;
     if (this->reservesPlaces) {
-        usedRules = this->folder + "/rules.ini";
+        // A gateway that starts may read its own while the next one's is written.
+        usedRules = this->folder + "/g" + std::to_string(this->number) + "-rules.ini";
         std::ofstream(usedRules) << reservingRules;
     }
     std::ofstream file(this->folder + "/g" + std::to_string(this->number) + ".ini");
