--- a/sequoiausher/transport/gateway/callerconnectiontest.cpp
+++ b/sequoiausher/transport/gateway/callerconnectiontest.cpp
@@ -553,6 +553,39 @@
     CHECK(context.ledger.yieldsDescriptor(Millis::monotonicNow()) == connections[0]->connectionNumber());
 }
 
+// Guards against a window that is made so much smaller after a body that the kernel of its sender only probes it.
+TEST_CASE("large bodies follow each other on one connection of a crowded gateway")
+{
+    GatewayTestbed bed;
+    Metrics metrics;
+    GatewayContext context(*bed.dialect, *bed.log, metrics, bed.settings, 1);
+    std::vector<std::shared_ptr<CallerConnection>> connections;
+    constexpr std::size_t receiveBytes = 8192;
+    StreamListener listener("127.0.0.1:0", [&](int descriptor) {
+        connections.push_back(std::make_shared<CallerConnection>(
+            context, descriptor, [](CallerConnection &) {}, receiveBytes));
+    });
+    listener.setReceiveBytes(receiveBytes);
+    CrossingCaller caller("127.0.0.1:" + std::to_string(listener.port()));
+    const std::string body(200000, 'x');
+    const std::string request = "POST /nowhere/1 HTTP/1.1\r\nHost: gateway.example\r\nContent-Length: "
+        + std::to_string(body.size()) + "\r\n\r\n" + body;
+    constexpr int count = 20;
+    int answered = 0;
+    caller.send(request);
+    GatewayTestbed::waitFor([&] {
+        if (caller.look()) {
+            answered += 1;
+            caller.next();
+            if (answered < count) {
+                caller.send(request);
+            }
+        }
+        return answered == count;
+    });
+    CHECK(answered == count);
+}
+
 // Guards against requests that were taken from the kernel and left: after an orderly close their caller could not send
 // them again.
 TEST_CASE("a caller that sent requests ahead learns by a reset that they were left when its connection closes")
