Never change what the kernel receives on a caller's connection

Cause: twice the usual window for a body, and the usual one after it, is still too close: with what the kernel needs for itself less than half of the largest window is left, and the sender probes.

It costs upload speed on a crowded gateway: one share, 1 to 32 KiB, in each round trip.

--- a/sequoiausher/transport/gateway/callerconnection.cpp
+++ b/sequoiausher/transport/gateway/callerconnection.cpp
@@ -2,7 +2,6 @@
 
 #include "sequoiausher/base/error.h"
 #include "sequoiausher/transport/gateway/refusals.h"
-#include "sequoiausher/transport/stream/ipv4socket.h"
 
 #include <algorithm>
 #include <utility>
@@ -24,11 +23,6 @@
 constexpr Millis retryWhenNoRoom{500};
 /** The most requests of one connection that are taken before the other connections have their turn. */
 constexpr std::size_t maxRequestsInTurn = 16;
-/**
- * What the kernel may receive of a body whose memory is reserved, as a multiple of the usual limit. A sender whose
- * window gets smaller than half of the largest that it had may only probe it, more and more seldom.
- */
-constexpr std::size_t bodyReceiveFactor = 2;
 /** An estimate of unacknowledged bytes is checked once it is this large, or this old. */
 constexpr std::size_t checkedUnacknowledgedBytes = 16384;
 constexpr Millis checkInterval{500};
@@ -50,10 +44,8 @@
 
 } // namespace
 
-CallerConnection::CallerConnection(GatewayContext &shared, int descriptor, Gone whenGone, std::size_t mostReceivedBytes)
+CallerConnection::CallerConnection(GatewayContext &shared, int descriptor, Gone whenGone)
     : context(shared)
-    // One that the kernel accepted earlier may have a larger window.
-    , receiveBytes(mostReceivedBytes > 0 ? std::max(mostReceivedBytes, receiveBufferLimit(descriptor)) : 0)
     , gone(std::move(whenGone))
     , stream(ByteStream::adopt(descriptor, this))
     , reader(HttpReader::Kind::Request, this->limits())
@@ -197,11 +189,6 @@
     switch (admission) {
     case BodyAdmission::Granted:
         this->reader.reserveBody(this->bodyMemory->bytes());
-        // Bytes of the body that wait in the kernel have their memory already.
-        if (this->receiveBytes > 0 && this->bodyMemory->bytes() > this->receiveBytes) {
-            this->hasWideWindow = true;
-            this->stream->limitReceiving(this->receiveBytes * bodyReceiveFactor);
-        }
         if (wasWaiting) {
             this->partial.lastByteAt = Millis::monotonicNow();
             this->stream->setReading(true);
@@ -362,9 +349,6 @@
     this->dropExchange();
     this->idle.recordAnswer(now, this->longestLimit);
     this->context.ledger.setUse(this->number, this->use(now), now);
-    if (std::exchange(this->hasWideWindow, false)) {
-        this->stream->limitReceiving(this->receiveBytes);
-    }
     this->stream->setReading(true);
     if (closes) {
         this->closeGently(CloseReason::Answered);
--- a/sequoiausher/transport/gateway/callerconnection.h
+++ b/sequoiausher/transport/gateway/callerconnection.h
@@ -59,11 +59,8 @@
     /** Called once when the connection has ended. Must not destroy the connection during the call. */
     using Gone = std::function<void(CallerConnection &connection)>;
 
-    /**
-     * Takes ownership of the descriptor. context outlives this.
-     * @param receiveBytes the limit of what the kernel receives on it before it is read; 0 for none.
-     */
-    CallerConnection(GatewayContext &context, int descriptor, Gone gone, std::size_t receiveBytes = 0);
+    /** Takes ownership of the descriptor. context outlives this. */
+    CallerConnection(GatewayContext &context, int descriptor, Gone gone);
     ~CallerConnection() override;
     CallerConnection(const CallerConnection &) = delete;
     CallerConnection &operator=(const CallerConnection &) = delete;
@@ -139,7 +136,6 @@
     HttpReaderLimits limits() const;
 
     GatewayContext &context;
-    std::size_t receiveBytes;
     Gone gone;
     std::shared_ptr<ByteStream> stream;
     HttpReader reader;
@@ -155,8 +151,6 @@
     std::size_t requestsInTurn = 0;
     /** Further requests wait for the next turn. */
     bool awaitsTurn = false;
-    /** The kernel may receive more than usual, for a body whose memory is reserved. */
-    bool hasWideWindow = false;
     /** When the kernel was last asked what the caller has acknowledged. */
     Millis askedAt;
     /** The number in the order in which this gateway accepted connections; identifies the connection in log lines. */
--- a/sequoiausher/transport/gateway/callerconnectiontest.cpp
+++ b/sequoiausher/transport/gateway/callerconnectiontest.cpp
@@ -562,8 +562,7 @@
     std::vector<std::shared_ptr<CallerConnection>> connections;
     constexpr std::size_t receiveBytes = 8192;
     StreamListener listener("127.0.0.1:0", [&](int descriptor) {
-        connections.push_back(std::make_shared<CallerConnection>(
-            context, descriptor, [](CallerConnection &) {}, receiveBytes));
+        connections.push_back(std::make_shared<CallerConnection>(context, descriptor, [](CallerConnection &) {}));
     });
     listener.setReceiveBytes(receiveBytes);
     CrossingCaller caller("127.0.0.1:" + std::to_string(listener.port()));
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -385,7 +385,7 @@
             this->callers.erase(found);
         }
     };
-    auto connection = std::make_shared<CallerConnection>(this->context, descriptor, gone, this->listenerReceiveBytes);
+    auto connection = std::make_shared<CallerConnection>(this->context, descriptor, gone);
     this->callers.emplace(connection->connectionNumber(), connection);
     this->context.mayKeepCallers = this->admission.mayKeepOpen(this->callerConnections());
     this->updateReceiveBytes();
--- a/sequoiausher/transport/stream/ipv4socket.cpp
+++ b/sequoiausher/transport/stream/ipv4socket.cpp
@@ -34,15 +34,6 @@
     return opened;
 }
 
-std::size_t receiveBufferLimit(int descriptor)
-{
-    int bytes = 0;
-    socklen_t size = sizeof bytes;
-    // The kernel doubles what is set.
-    const bool isKnown = ::getsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &bytes, &size) == 0;
-    return isKnown ? static_cast<std::size_t>(bytes) / 2 : 0;
-}
-
 void limitUnsentBytes(int descriptor)
 {
     constexpr int maxUnsentBytes = 131072;
--- a/sequoiausher/transport/stream/ipv4socket.h
+++ b/sequoiausher/transport/stream/ipv4socket.h
@@ -37,9 +37,6 @@
  */
 void limitReceiveBuffer(int descriptor, std::size_t bytes);
 
-/** Returns the limit that limitReceiveBuffer() set, on this socket or on the one that accepted it, in bytes. */
-std::size_t receiveBufferLimit(int descriptor);
-
 /**
  * Limits the written bytes that the kernel keeps beyond those that it may send now. Without this limit it takes
  * megabytes for a receiver that reads nothing. Does not slow down one that reads.
