--- a/sequoiausher/coordination/gateway/connectionledger.h
+++ b/sequoiausher/coordination/gateway/connectionledger.h
@@ -6,8 +6,8 @@
 // A descriptor costs the same on every connection, so by descriptors a connection yields the sooner the less of a
 // request there is on it, and among equals the one that has not moved for the longest time. A new connection, whose
 // request may still be on its way, outlasts those that have stood still. One with a request in progress never yields.
-// By memory a connection yields the sooner the longer its caller would need for what it holds, at
-// the rate at which it has taken bytes. So a caller that reads slowly outlasts one that reads nothing.
+// By memory a connection yields the sooner the longer its caller would need for what it holds, at the rate at which it
+// has taken bytes. So a caller that reads slowly outlasts one that reads nothing.
 //
 //     ConnectionLedger ledger;
 //     ledger.add(number, now);
--- a/sequoiausher/transport/stream/bytestream.h
+++ b/sequoiausher/transport/stream/bytestream.h
@@ -99,7 +99,8 @@
     std::size_t heldBytes() const;
     /**
      * Limits what the kernel receives before it is read. A limit of the listening socket applies from the first byte;
-     * the limit of an open connection should only grow, since bytes beyond a smaller one are dropped and sent again.
+     * the limit of an open connection should only grow. Bytes beyond a smaller one are dropped and sent again, and a
+     * sender whose window falls below half of its largest may only probe it, more and more seldom.
      */
     void limitReceiving(std::size_t bytes);
     /** Returns the number of written bytes that were not passed to the kernel yet. */
