--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -113,17 +113,24 @@
         self.revision = 10
         self.changed = asyncio.Event()
         self.modes = {}
-        self.servers = []
+        self.servers = {}
+        self.writers = {}
         self.delay = 0.004
         self.page = 500
         self.calls = []
 
     async def listen(self, address):
         server = await asyncio.start_server(lambda r, w: self.serve(address, r, w), address, 0)
-        self.servers.append(server)
+        self.servers[address] = server
         port = server.sockets[0].getsockname()[1]
         return f"{address}:{port}"
 
+    async def leave(self, address):
+        """Ends the service at the address; open connections are closed."""
+        self.servers[address].close()
+        for writer in self.writers.pop(address, set()):
+            writer.transport.abort()
+
     def write(self, key, value):
         if not isinstance(value, bytes):
             value = json.dumps(value).encode()
@@ -148,6 +155,7 @@
         self.changed = asyncio.Event()
 
     async def serve(self, address, reader, writer):
+        self.writers.setdefault(address, set()).add(writer)
         try:
             while True:
                 request = await read_request(reader)
@@ -172,6 +180,7 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            self.writers.get(address, set()).discard(writer)
             writer.close()
 
     async def answer(self, request):
