--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -117,10 +117,11 @@
         self.writers = {}
         self.delay = 0.004
         self.page = 500
-        self.calls = []
+        self.era = 1
+        self.forgotten = 0
 
-    async def listen(self, address):
-        server = await asyncio.start_server(lambda r, w: self.serve(address, r, w), address, 0)
+    async def listen(self, address, port=0):
+        server = await asyncio.start_server(lambda r, w: self.serve(address, r, w), address, port)
         self.servers[address] = server
         port = server.sockets[0].getsockname()[1]
         return f"{address}:{port}"
@@ -150,6 +151,16 @@
             self.record(f"store: {key} removed, revision {self.revision}")
             self.wake()
 
+    def copy(self):
+        return dict(self.items), self.revision
+
+    def restore(self, copy):
+        """Comes back from a copy: what was written since is lost, and its revisions are given out again."""
+        self.items, self.revision = dict(copy[0]), copy[1]
+        self.history, self.forgotten = [], self.revision
+        self.era += 1
+        self.record(f"store: back from a copy, era {self.era}, revision {self.revision}")
+
     def wake(self):
         self.changed.set()
         self.changed = asyncio.Event()
@@ -160,7 +171,6 @@
             while True:
                 request = await read_request(reader)
                 mode = self.modes.get(address, "up")
-                self.calls.append((self.record.now(), address, request.first))
                 if mode == "silent":
                     await asyncio.sleep(3600)
                 if mode == "reset":
@@ -174,8 +184,8 @@
                 if self.modes.get(address, "up") == "silent":
                     await asyncio.sleep(3600)
                 data = json.dumps(body).encode()
-                writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {len(data)}\r\n\r\n"
-                             .encode() + data)
+                writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: {self.era}\r\n"
+                             f"Content-Length: {len(data)}\r\n\r\n".encode() + data)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
@@ -202,6 +212,8 @@
             return "200", {"items": page, "has_more": len(page) < len(keys), "current_rev": self.revision}
         if parts.path == "/v1/kv-watch":
             after = int(query["after"])
+            if after > self.revision or after < self.forgotten:
+                return "410", {}
             until = time.monotonic() + int(query["wait_ms"]) / 1000
             while True:
                 events = [e for e in self.history if e["revision"] > after
@@ -349,7 +361,7 @@
     def __init__(self, rig, number, zone="z1"):
         self.rig = rig
         self.name = f"g{number}"
-        self.ip = f"127.0.1.{number}"
+        self.ip = f"{rig.network}.{number}"
         self.zone = zone
         self.process = None
         self.extra = {}
@@ -426,6 +438,8 @@
         self.store = Store(self.record)
         self.bounds = dict(BOUNDS)
         self.zones = ["z1", "z2"]
+        # Of this run alone, so that several can run side by side.
+        self.network = f"127.{1 + os.getpid() % 250}.{1 + os.getpid() // 250 % 250}"
         self.gateways = [Gateway(self, i + 1, self.zones[i % 2]) for i in range(gateways)]
         self.replicas = []
         self.number = 0
@@ -435,7 +449,7 @@
         ports = {}
         for name in ("front", "ready", "peer", "tunnel", "metrics"):
             while True:
-                port = free_port("127.0.0.1")
+                port = free_port(f"{self.network}.1")
                 if port not in ports.values():
                     break
             ports[name] = port
