--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -12,7 +12,6 @@
 import signal
 import socket
 import subprocess
-import sys
 import tempfile
 import time
 
@@ -194,7 +193,7 @@
             writer.close()
 
     async def answer(self, request):
-        from urllib.parse import urlsplit, parse_qs, unquote
+        from urllib.parse import parse_qs, urlsplit
         parts = urlsplit(request.first.split(" ")[1])
         query = {k: v[0] for k, v in parse_qs(parts.query, keep_blank_values=True).items()}
         if parts.path == "/v1/kv-key":
