Encode keys of the store in calls, and take no target under a name that none has

Cause: the key after which the next page of the list begins was put into the call as it is. Where such a key was the last one of a page, the call was malformed ("%zz", "#", a blank, CR LF) and refused with 400, or asked for another key ("&", "+", "%C3%A9"). A copy of a good entry under such a name was used as a target besides, and its name sent in a field.

Ruled out: the entry's value. It costs only its entry (foreignentriestest); the same values under plain names do no harm.

Change: keys are percent-encoded. The next page begins after the last key of the page that needs no encoding, if there is one, so that a store that decodes otherwise skips nothing either. An id of a target has letters, digits and - . _ ~ : alone.

Evidence: hostilestoretest, a real gateway and pages of eight. Program as found: not ready in 5 s, and with the good entry removed the copies under odd names are sent requests.

--- a/lab/hostile/hostilebed.cpp
+++ b/lab/hostile/hostilebed.cpp
@@ -70,7 +70,19 @@
          << "\nnotice_ms = 1000\n";
 }
 
-void HostileBed::start()
+std::string HostileBed::targetEntry() const
+{
+    GatewayTarget entry;
+    entry.id.value = targetId();
+    entry.service.value = "desk";
+    entry.address = this->desk.address();
+    entry.dataCentre.value = "hall";
+    entry.softwareVersion = "v1";
+    entry.slots = 1000;
+    return StandInDialect::targetText(entry);
+}
+
+void HostileBed::startWithoutWaiting()
 {
     GatewayConfiguration configuration;
     configuration.revision = 1;
@@ -89,14 +101,7 @@
     configuration.limits.idleTime = Millis{60000};
     configuration.organisations.push_back({OrganisationId{"org"}, {key}, std::nullopt});
     this->platformStore.write(StandInDialect::configurationKey(), StandInDialect::configurationText(configuration));
-    GatewayTarget entry;
-    entry.id.value = targetId();
-    entry.service.value = "desk";
-    entry.address = this->desk.address();
-    entry.dataCentre.value = "hall";
-    entry.softwareVersion = "v1";
-    entry.slots = 1000;
-    this->platformStore.write(StandInDialect::targetKey(entry.id), StandInDialect::targetText(entry));
+    this->platformStore.write(StandInDialect::targetKey(TargetId{targetId()}), this->targetEntry());
     this->configure(descriptors);
     this->process = std::make_unique<LabProcess>(
         "gateway",
@@ -104,6 +109,11 @@
         std::vector<std::string>{"gateway", "--config", this->folder.filePath("gateway.ini").toStdString()},
         this->folder.path().toStdString());
     this->process->start();
+}
+
+void HostileBed::start()
+{
+    this->startWithoutWaiting();
     if (!LabCaller::waitFor([this] { return this->isReady(); }, readyLimit)) {
         throw Error(Step::Report, "gateway", "it is not ready:\n" + this->process->output());
     }
--- a/lab/hostile/hostilebed.h
+++ b/lab/hostile/hostilebed.h
@@ -62,8 +62,11 @@
     LabProcess &gateway();
     FakeServer &target();
     SoakStore &store();
-    /** The id under which the store lists the target. */
+    /** The id under which the store lists the target, and what its entry says. */
     static const char *targetId();
+    std::string targetEntry() const;
+    /** Starts the gateway without waiting until it is ready. */
+    void startWithoutWaiting();
     /** Writes the settings with another number of descriptors, and has the gateway read them. */
     void reloadWith(std::size_t fewerDescriptors);
 
--- a/lab/soak/soakstore.cpp
+++ b/lab/soak/soakstore.cpp
@@ -136,6 +136,16 @@
     return all;
 }
 
+std::size_t SoakStore::listCalls() const
+{
+    return this->listCallCount;
+}
+
+std::size_t SoakStore::badCalls() const
+{
+    return this->badCallCount;
+}
+
 void SoakStore::refuse(const FakeRequest &request, const std::string &status) const
 {
     request.reply(status, "{}", StandInDialect::eraField(this->era));
@@ -166,12 +176,14 @@
         return;
     }
     case StandInDialect::StoreCall::Kind::Range:
+        this->listCallCount += 1;
         this->reply(request, this->range(request, call));
         return;
     case StandInDialect::StoreCall::Kind::Watch:
         this->watch(request, call);
         return;
     case StandInDialect::StoreCall::Kind::Unknown:
+        this->badCallCount += 1;
         this->refuse(request, "400 Bad Request");
         return;
     }
--- a/lab/soak/soakstore.h
+++ b/lab/soak/soakstore.h
@@ -62,6 +62,9 @@
     void restore();
     /** The keys that the store has now. */
     std::vector<std::string> keys() const;
+    /** The number of calls for a page of a list, and of calls that were refused as no proper ones. */
+    std::size_t listCalls() const;
+    std::size_t badCalls() const;
 
 private:
     struct Watch
@@ -102,6 +105,8 @@
     std::uint64_t era = 1;
     std::map<std::uint64_t, Watch> watches;
     std::uint64_t nextWatch = 0;
+    std::size_t listCallCount = 0;
+    std::size_t badCallCount = 0;
 };
 
 } // namespace Lab
--- a/sequoiausher/protocol/gateway/gatewaydialect.h
+++ b/sequoiausher/protocol/gateway/gatewaydialect.h
@@ -108,8 +108,11 @@
 /** A part of the store's list of targets. */
 struct StoredTargets
 {
+    /** Where parts overlap, an entry comes again; the later one is the newer one. */
     std::vector<GatewayTarget> targets;
-    /** Where the next part begins; empty after the last one. */
+    /** More follows after this part. */
+    bool hasMore = false;
+    /** The key after which the next part begins; empty after the last part, and where no entry's key can be read. */
     std::string next;
     Revision storeRevision = 0;
     /** Names under which something lies that cannot be read, and so names no target. */
@@ -164,7 +167,10 @@
     /** Method and path of the calls to the store, and their answers. */
     virtual std::string configurationCall() const = 0;
     virtual StoredConfiguration readConfigurationAnswer(int status, const std::string &body) const = 0;
-    /** Lists targets and evacuations. @param next where the page begins; empty for the first one. */
+    /**
+     * Lists targets and evacuations. @param next the key after which the page begins, which may hold any bytes; empty
+     * for the first page.
+     */
     virtual std::string targetsCall(const std::string &next) const = 0;
     virtual StoredTargets readTargetsAnswer(const std::string &body) const = 0;
     /** Waits for changes of the configuration, of targets and of evacuations. */
