Ask for a list that leads nowhere less and less often

What callers saw: gateways that could not read the store's list to its end asked for it 20 times a second each, which counts against the rate that a fleet shares; where no item of a page had a readable key, they took the page for the whole list and had no targets for good.

Cause: the first page of each try reset the pause between calls, though the list was never whole. A page's success was that of the list. A page that has more after it and no key to go on after looked like the last one. Besides, a call that the store refuses (400) was taken for a store that is lost, which changes how long removed targets are kept.

Ruled out: the rate limit itself (429 keeps its own pause, which grew).

Change: the pause grows until the list is read to its end. A page that repeats a key, has none, or is the 257th ends the reading. A status of the 400s other than 408 and 429 is an answer: the call is made again after the pause, and the store does not count as lost.

--- a/lab/hostile/hostilestoretest.cpp
+++ b/lab/hostile/hostilestoretest.cpp
@@ -114,3 +114,41 @@
     }
     CHECK(bed.store().badCalls() == 0);
 }
+
+// The calls of a fleet share one rate, so a list that leads nowhere must not use it up, nor fill the memory.
+TEST_CASE("a list that cannot be read to its end is asked for less and less often")
+{
+    for (const ListFault fault : {ListFault::Refused, ListFault::Repeated, ListFault::Unkeyed}) {
+        CAPTURE(nameOf(fault));
+        Bed test;
+        HostileBed &bed = test.bed;
+        test.writeForeign("a", "");
+        bed.store().setListFault(fault);
+        bed.startWithoutWaiting();
+        LabCaller::waitFor([&bed] { return bed.store().listCalls() > 0; });
+        const std::size_t before = bed.store().listCalls();
+        LabCaller::waitFor([] { return false; }, Millis{3000});
+        CAPTURE(bed.lastLines());
+        // After shorter pauses some of 0.4 to 0.8 s; each try takes two calls.
+        CHECK(bed.store().listCalls() - before <= 24);
+        CHECK_FALSE(bed.isReady());
+        bed.store().setListFault(ListFault::None);
+        CHECK(LabCaller::waitFor([&bed] { return bed.isReady(); }, Millis{3000}));
+        CHECK(bed.servesOrdinaryCaller());
+    }
+}
+
+TEST_CASE("a list without an end is given up, and read when it has one")
+{
+    Bed test;
+    HostileBed &bed = test.bed;
+    bed.store().setListFault(ListFault::Endless);
+    bed.startWithoutWaiting();
+    bed.observe(Millis{4000});
+    CHECK(bed.peakBytes() <= HostileBed::memoryBytes);
+    CHECK(bed.gateway().isRunning());
+    bed.store().setListFault(ListFault::None);
+    CAPTURE(bed.lastLines());
+    CHECK(LabCaller::waitFor([&bed] { return bed.isReady(); }, Millis{3000}));
+    CHECK(bed.servesOrdinaryCaller());
+}
--- a/lab/soak/soakstore.cpp
+++ b/lab/soak/soakstore.cpp
@@ -136,6 +136,11 @@
     return all;
 }
 
+void SoakStore::setListFault(ListFault fault)
+{
+    this->listFault = fault;
+}
+
 std::size_t SoakStore::listCalls() const
 {
     return this->listCallCount;
@@ -177,7 +182,14 @@
     }
     case StandInDialect::StoreCall::Kind::Range:
         this->listCallCount += 1;
-        this->reply(request, this->range(request, call));
+        if (this->listFault == ListFault::Refused && call.afterKey != StandInDialect::configurationKey()) {
+            this->refuse(request, "400 Bad Request");
+            return;
+        }
+        this->reply(request,
+                    this->listFault == ListFault::None || this->listFault == ListFault::Refused
+                        ? this->range(request, call)
+                        : this->faultyPage());
         return;
     case StandInDialect::StoreCall::Kind::Watch:
         this->watch(request, call);
@@ -223,6 +235,25 @@
     return StandInDialect::rangeAnswer(this->seenBy(request, std::move(page)), this->revision, hasMore);
 }
 
+std::string SoakStore::faultyPage() const
+{
+    const bool isEndless = this->listFault == ListFault::Endless;
+    // Each page of an endless list follows the one before, its last key being the number of the page.
+    const std::string prefix
+        = StandInDialect::targetKey(TargetId{isEndless ? std::to_string(this->listCallCount) : "a"});
+    std::vector<StandInDialect::StoreItem> page;
+    for (std::size_t i = 0; i < pageItems; ++i) {
+        page.push_back({prefix + "-" + std::to_string(i), "{}", this->revision, false});
+    }
+    std::string text = StandInDialect::rangeAnswer(page, this->revision, true);
+    if (this->listFault == ListFault::Unkeyed) {
+        for (std::size_t at = text.find("\"key\""); at != std::string::npos; at = text.find("\"key\"")) {
+            text.replace(at, 5, "\"kez\"");
+        }
+    }
+    return text;
+}
+
 std::vector<StandInDialect::StoreItem> SoakStore::eventsAfter(Revision after) const
 {
     std::vector<StandInDialect::StoreItem> events;
--- a/lab/soak/soakstore.h
+++ b/lab/soak/soakstore.h
@@ -37,6 +37,19 @@
     Losing,
 };
 
+/** What keeps a list of more than one page from being read to its end. */
+enum class ListFault {
+    None,
+    /** Each page but the first is refused as a bad call. */
+    Refused,
+    /** Each page is the first one. */
+    Repeated,
+    /** No item has a key that can be read. */
+    Unkeyed,
+    /** Further keys follow for ever. */
+    Endless,
+};
+
 /** See above. Needs a running event loop. */
 class SoakStore
 {
@@ -62,6 +75,7 @@
     void restore();
     /** The keys that the store has now. */
     std::vector<std::string> keys() const;
+    void setListFault(ListFault fault);
     /** The number of calls for a page of a list, and of calls that were refused as no proper ones. */
     std::size_t listCalls() const;
     std::size_t badCalls() const;
@@ -81,6 +95,8 @@
     void refuse(const FakeRequest &request, const std::string &status) const;
     void watch(const FakeRequest &request, const StandInDialect::StoreCall &call);
     std::string range(const FakeRequest &request, const StandInDialect::StoreCall &call) const;
+    /** A page that has what the fault says in place of the items. */
+    std::string faultyPage() const;
     std::vector<StandInDialect::StoreItem> eventsAfter(Revision after) const;
     void changed(StandInDialect::StoreItem item);
 
@@ -105,6 +121,7 @@
     std::uint64_t era = 1;
     std::map<std::uint64_t, Watch> watches;
     std::uint64_t nextWatch = 0;
+    ListFault listFault = ListFault::None;
     std::size_t listCallCount = 0;
     std::size_t badCallCount = 0;
 };
@@ -121,4 +138,13 @@
     {Lab::StoreMood::Losing, "losing"},
 });
 
+template<>
+inline constexpr auto nameTable<Lab::ListFault> = std::to_array<NameEntry<Lab::ListFault>>({
+    {Lab::ListFault::None, "none"},
+    {Lab::ListFault::Refused, "refused"},
+    {Lab::ListFault::Repeated, "repeated"},
+    {Lab::ListFault::Unkeyed, "unkeyed"},
+    {Lab::ListFault::Endless, "endless"},
+});
+
 } // namespace Sequoiausher
--- a/sequoiausher/transport/gateway/storewatcher.cpp
+++ b/sequoiausher/transport/gateway/storewatcher.cpp
@@ -10,6 +10,7 @@
 #include <cmath>
 #include <map>
 #include <random>
+#include <set>
 #include <utility>
 
 namespace Sequoiausher {
@@ -18,6 +19,10 @@
 
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
+constexpr int statusTimeout = 408;
+constexpr int statusTooMany = 429;
+constexpr int firstCallerError = 400;
+constexpr int firstServerError = 500;
 /**
  * The average number of bytes per millisecond and Mbit/s that reads of the configuration may take, which is half of the
  * link's capacity. A configuration of a megabyte that is read as often as a small one would leave callers no capacity
@@ -28,6 +33,16 @@
 /** The pause until the next read if there is no configuration yet; usually the watch or a peer reports the first one.
  */
 constexpr Millis absentPause{1000};
+/** Many times the entries of the largest fleet; a store that lists without an end must not fill the memory. */
+constexpr std::size_t maxPages = 256;
+
+/** Whether the store refuses the call itself, and so would refuse it again; it is neither down nor busy. */
+bool isCallRefused(int status)
+{
+    return status >= firstCallerError && status < firstServerError && status != statusTimeout
+        && status != statusTooMany;
+}
+
 /** A sequence of calls with its own pauses. */
 struct CallLine
 {
@@ -39,7 +54,10 @@
     Millis nextAt;
     /** When the running or the last call began. */
     Millis begunAt;
-    /** The time from the begin of a failed call to the next call, with jitter; doubled after each failure. */
+    /**
+     * The time from the begin of a failed call to the next call, with jitter; doubled after each failure until a whole
+     * answer is read, all of its pages included.
+     */
     Millis pause;
 };
 
@@ -80,8 +98,16 @@
     void beginEra(std::uint64_t of);
     /** Cancels a call that should have reported a change which the store is known to have. */
     void dropOverdue(Millis now);
+    /** Makes the next call of the line after a pause. */
+    void retryLater(CallLine &line, std::string_view what, const std::string &problem);
+    /** The same, and takes the store for lost. */
     void failed(CallLine &line, std::string_view what, const std::string &problem);
+    /** Records that the store answers. */
+    void answered();
+    /** Records that an answer was read as a whole. */
     void succeeded(CallLine &line);
+    /** Whether the list may be continued after the key, which each page has to move on. */
+    bool mayContinueAfter(const std::string &key) const;
     void get(CallLine &line, StoreCallReason reason, const std::string &target, Millis timeout, StoreCalls::Done done);
 
     const GatewayDialect &dialect;
@@ -111,6 +137,8 @@
     bool isResting = false;
     /** What the pages read so far list. */
     StoredTargets listed;
+    /** The keys after which pages of this list were asked for. */
+    std::set<std::string> continuedAfter;
     Revision listedFrom = 0;
     /** When the call for the first page began. */
     Millis listedSince;
@@ -151,6 +179,7 @@
     if (!this->d->changes.calls.isBusy() && now >= this->d->changes.nextAt) {
         if (this->d->watchedFrom == 0) {
             this->d->listed = {};
+            this->d->continuedAfter.clear();
             this->d->listedFrom = 0;
             this->d->listTargets({});
         } else {
@@ -222,7 +251,7 @@
     line.calls.get(target, timeout, std::move(done));
 }
 
-void StoreWatcher::Private::failed(CallLine &line, std::string_view what, const std::string &problem)
+void StoreWatcher::Private::retryLater(CallLine &line, std::string_view what, const std::string &problem)
 {
     std::uniform_int_distribution<std::int64_t> jitter(line.pause.count / 2, line.pause.count);
     // The pause counts from the begin of the call, because a call that timed out was a pause in itself.
@@ -237,6 +266,11 @@
                     {"next_in_ms", std::to_string(std::max(line.nextAt - now, Millis{0}).count)},
                     {"targets_heard_ms",
                      this->targetsReadAt == Millis{0} ? "never" : std::to_string((now - this->targetsReadAt).count)}});
+}
+
+void StoreWatcher::Private::failed(CallLine &line, std::string_view what, const std::string &problem)
+{
+    this->retryLater(line, what, problem);
     if (!std::exchange(this->isLost, true)) {
         this->log.warning(LogPart::Platform, "store lost", {{"call", std::string(what)}, {"why", problem}});
         this->listener.storeLost(problem);
@@ -245,7 +279,12 @@
 
 void StoreWatcher::Private::succeeded(CallLine &line)
 {
+    this->answered();
     line.pause = this->times.firstPause;
+}
+
+void StoreWatcher::Private::answered()
+{
     if (std::exchange(this->isLost, false)) {
         // A store that answers one sequence of calls is available for the other one too.
         const Millis now = Millis::monotonicNow();
@@ -292,6 +331,11 @@
 
 bool StoreWatcher::Private::isGood(CallLine &line, const StoreAnswer &answer, std::string_view what)
 {
+    if (isCallRefused(answer.status)) {
+        this->answered();
+        this->retryLater(line, what, "the store refuses the call with status " + std::to_string(answer.status));
+        return false;
+    }
     if (answer.status != statusOk) {
         this->failed(line, what, answer.status == 0 ? answer.problem : "status " + std::to_string(answer.status));
         return false;
@@ -305,7 +349,7 @@
         this->failed(line, what, error.what());
         return false;
     }
-    this->succeeded(line);
+    this->answered();
     return true;
 }
 
@@ -326,6 +370,7 @@
         try {
             const StoredConfiguration stored
                 = this->positioned(this->dialect.readConfigurationAnswer(a.status, a.body));
+            this->succeeded(this->proof);
             this->mustProve = false;
             this->hasProven = true;
             const Millis now = Millis::monotonicNow();
@@ -380,10 +425,16 @@
             this->listedFrom = page.storeRevision;
             this->listedSince = answer.startedAt;
         }
-        if (!page.next.empty()) {
+        if (page.hasMore) {
+            if (!this->mayContinueAfter(page.next)) {
+                this->retryLater(this->changes, "list targets", "a page of the list does not move on");
+                return;
+            }
+            this->continuedAfter.insert(page.next);
             this->listTargets(page.next);
             return;
         }
+        this->succeeded(this->changes);
         this->watchedFrom = this->listedFrom;
         const Millis delay = this->hasListed ? Millis{0} : this->firstWatchDelay;
         this->hasListed = true;
@@ -401,6 +452,11 @@
     }
 }
 
+bool StoreWatcher::Private::mayContinueAfter(const std::string &key) const
+{
+    return !key.empty() && !this->continuedAfter.contains(key) && this->continuedAfter.size() < maxPages;
+}
+
 void StoreWatcher::Private::watch()
 {
     const Millis wait = this->times.watchTime;
@@ -433,6 +489,7 @@
             return;
         }
         StoreEvents events = this->dialect.readWatchAnswer(answer.body);
+        this->succeeded(this->changes);
         events.storeRevision = this->position(events.storeRevision);
         this->watchedFrom = std::max(this->watchedFrom, events.storeRevision);
         const Millis now = Millis::monotonicNow();
