--- a/sequoiausher/transport/gateway/storewatcher.cpp
+++ b/sequoiausher/transport/gateway/storewatcher.cpp
@@ -506,6 +506,9 @@
         }
     } catch (const Error &error) {
         this->failed(this->changes, "watch", error.what());
+        // The same changes would come again, so what they lead to is listed.
+        this->watchedFrom = 0;
+        this->mustProve = true;
     }
 }
 
