Begin nothing on a guess after the notice of a planned stop

Cause: after the notice, where no other gateway is known to go on, a request with more time than is left was begun if none of its route had lately lasted for half of it. That says nothing of the one that is longer, and the rule excuses only what was sent in the first 3 s.

Ruled out: a larger margin (a stream longer by as much is lost again); the size that a request states (targets slow down, so it is no proof).

Change: after the notice, and in its last sixtieth (50 ms of 3 s, since the signal is read later than it is sent), only a deadline before the cut decides.

--- a/sequoiausher/coordination/gateway/stopschedule.cpp
+++ b/sequoiausher/coordination/gateway/stopschedule.cpp
@@ -9,6 +9,11 @@
 /** The fraction of the grace after which the remaining requests are cut off. */
 constexpr std::int64_t cutAfterNumerator = 15;
 constexpr std::int64_t cutAfterDenominator = 16;
+/**
+ * The fraction of the notice at its end in which nothing is begun on a guess. The notice counts from when the process
+ * reads the signal, which may be later than it was sent.
+ */
+constexpr std::int64_t signalDelayDivisor = 60;
 
 } // namespace
 
@@ -68,17 +73,13 @@
     if (work.timeLeft <= left) {
         return left > Millis{0};
     }
-    const bool isInNotice = !this->isNoticeOver(now);
-    if (left <= Millis{0} || (successor != StopSuccessor::None && !isInNotice)) {
+    const bool mayGuess = now - *this->begunAt < this->times.notice - this->times.notice / signalDelayDivisor;
+    if (left <= Millis{0} || !mayGuess) {
         return false;
     }
-    double maxShare = this->limits.maxShareAlone;
-    if (isInNotice) {
-        maxShare = successor == StopSuccessor::Neighbour ? this->limits.maxShareInNotice
-                                                         : this->limits.maxShareWithoutNeighbour;
-    }
-    const std::int64_t margin = isInNotice ? this->limits.marginInNotice : this->limits.marginAlone;
-    const std::optional<double> overrun = work.shareLongerThan(left / margin);
+    const double maxShare
+        = successor == StopSuccessor::Neighbour ? this->limits.maxShareInNotice : this->limits.maxShareWithoutNeighbour;
+    const std::optional<double> overrun = work.shareLongerThan(left / this->limits.marginInNotice);
     return overrun && *overrun <= maxShare;
 }
 
--- a/sequoiausher/coordination/gateway/stopschedule.h
+++ b/sequoiausher/coordination/gateway/stopschedule.h
@@ -15,9 +15,8 @@
 // - In the notice its caller may be sent here again, or to another gateway that stops as well, and a refusal may be its
 //   last attempt. It is begun where few requests of its route have lately lasted for longer than the time that is left;
 //   not so few where no other gateway of the data centre goes on, since callers are sent to those that stop.
-// - After the notice a caller that is refused finds another gateway at once, so nothing is left to chance.
-// - Where no other gateway goes on there is none to find. It is begun where no request of its route has lately lasted
-//   for half of the time that is left.
+// - Towards the end of the notice and after it, nothing is left to chance, whether or not another gateway goes on: a
+//   refused caller knows when to come back, and a process without work ends, and may start again, the sooner.
 
 #include "sequoiausher/base/millis.h"
 #include "sequoiausher/base/nametable.h"
@@ -62,19 +61,15 @@
     {StopSuccessor::None, "none"},
 });
 
-/** What may be begun although it may last for longer than the process. */
+/** What may be begun in the notice although it may last for longer than the process. */
 struct OverrunLimits
 {
-    /** The fraction of a route's recent requests that may have lasted for longer than what is left, in the notice. */
+    /** The fraction of a route's recent requests that may have lasted for longer than what is left. */
     double maxShareInNotice = 0.1;
     /** The same where no other gateway of the data centre goes on. */
     double maxShareWithoutNeighbour = 0.5;
-    /** In the notice a request counts as so many times as long as it was. */
+    /** A request counts as so many times as long as it was. */
     std::int64_t marginInNotice = 1;
-    /** The fraction after the notice, where no other gateway goes on. */
-    double maxShareAlone = 0;
-    /** After the notice a request counts as so many times as long as it was. */
-    std::int64_t marginAlone = 2;
 };
 
 /** A planned stop. Not thread-safe. */
--- a/sequoiausher/transport/gateway/plannedstoptest.cpp
+++ b/sequoiausher/transport/gateway/plannedstoptest.cpp
@@ -5,6 +5,8 @@
 #include <doctest/doctest.h>
 
 #include <memory>
+#include <string>
+#include <vector>
 
 using namespace Sequoiausher;
 
@@ -178,6 +180,41 @@
     CHECK(GatewayTestbed::waitFor([&] { return bed.isStopped; }, whole));
 }
 
+// Guards against a stream that is cut off because others of its route were shorter: where all gateways stop, callers
+// come to one that has little time left, and nothing tells how long their requests take.
+TEST_CASE("after the notice a request that may outlast the stop is refused, however short others were")
+{
+    StopBed bed;
+    bed.eventCount = 2;
+    FakeServer &desk = bed.addTarget("d2", "slow-desk");
+    desk.answers = [](FakeRequest &request) { request.reply("200 OK", "plate"); };
+    bed.publish("2\nroute /desk/ at-most-once 0 1 300 desk\nroute /slow/ at-most-once 0 1 15000 slow-desk\n"
+                "route /talk/ stream 1 2 15000 llm\nroute /once/ stream 0 1 15000 llm\nkey garage k1\n");
+    bed.start();
+    const std::vector<std::string> paths{"/once/1", "/talk/1", "/slow/1"};
+    for (int i = 0; i < 10; ++i) {
+        for (const std::string &path : paths) {
+            REQUIRE(bed.call("POST", path, "Content-Length: 0\r\n").status == 200);
+        }
+    }
+    bed.eventCount = 1000;
+    FakeCaller streaming(bed.address());
+    streaming.send(bed.stream());
+    REQUIRE(GatewayTestbed::waitFor([&] { return streaming.reply.status == 200; }));
+    const std::size_t begun = bed.streamsBegun();
+    bed.node->stop();
+    GatewayTestbed::waitFor([] { return false; }, notice + Millis{50});
+    const std::size_t atDesk = desk.seen.size();
+    for (const std::string &path : paths) {
+        CAPTURE(path);
+        const CallerReply late = bed.call("POST", path, "Content-Length: 0\r\n");
+        CHECK(StopBed::isRefused(late));
+    }
+    CHECK(bed.streamsBegun() == begun);
+    CHECK(desk.seen.size() == atDesk);
+    CHECK(GatewayTestbed::waitFor([&] { return bed.isStopped; }, whole));
+}
+
 // Guards against requests that wait in vain because a stop that comes during the start keeps the gateway from ever
 // being ready.
 TEST_CASE("what arrived during a start is served although the gateway was asked to stop before it was ready")
