Keep a reset of a connection a reset, whichever call the kernel told of it

Cause: Linux tells a socket's error once. The write of the upload was told ECONNRESET and dropped it; the next read returned the part and then 0, as after an orderly close, which ends an answer without a length. The check that follows such a close asks whether the target still lives, and it did.

Ruled out: that the part arrives before the reset (short requests, which leave nothing to write, get 502 in 5 of 5).

Change: ByteStream remembers an error that any of its calls was told of, and reports the end as a reset. EPIPE alone is none: the kernel tells it after an orderly close, when all that the other side sent is there.

Evidence: bytestreamtest, a reset met by a write, by waiting bytes, by two writes and by isLeft(): "finished" in each before, "reset" now; an orderly close stays one. brokenanswertest, 3.9 MB: 200 "part" in 5 of 5 before and through another gateway; 5xx in all now.

--- a/sequoiausher/transport/gateway/brokenanswertest.cpp
+++ b/sequoiausher/transport/gateway/brokenanswertest.cpp
@@ -7,6 +7,13 @@
 
 #include <algorithm>
 #include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace Sequoiausher;
 
@@ -116,6 +123,78 @@
     int calls = 0;
 };
 
+/**
+ * Listens in place of a target and sends the beginning of an answer without a length as soon as a connection is there,
+ * whatever has come of the request.
+ */
+struct EarlyTarget
+{
+    EarlyTarget(const std::string &address, std::string statusLine, bool resets)
+        : status(std::move(statusLine))
+        , isReset(resets)
+        , listener(
+              address,
+              [this](int descriptor) { this->answer(descriptor); },
+              // A small window, so that a long request is not written at once.
+              4096)
+    {
+    }
+    ~EarlyTarget()
+    {
+        for (const int descriptor : this->open) {
+            ::close(descriptor);
+        }
+    }
+    EarlyTarget(const EarlyTarget &) = delete;
+    EarlyTarget &operator=(const EarlyTarget &) = delete;
+
+    void answer(int descriptor)
+    {
+        this->connections += 1;
+        const std::string text
+            = "HTTP/1.1 " + this->status + "\r\nX-Id: id-1\r\nX-Signed: yes\r\nConnection: close\r\n\r\npart";
+        REQUIRE(::send(descriptor, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()));
+        if (this->isReset) {
+            const linger now{1, 0};
+            setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+            ::close(descriptor);
+        } else {
+            ::shutdown(descriptor, SHUT_WR);
+            this->open.push_back(descriptor);
+        }
+    }
+
+    std::string status;
+    bool isReset;
+    int connections = 0;
+    std::vector<int> open;
+    StreamListener listener;
+};
+
+/** Has the target's process replaced by one that answers early. */
+std::unique_ptr<EarlyTarget>
+makeEarly(GatewayTestbed &bed, const std::string &name, const std::string &status, bool isReset)
+{
+    const std::string address = bed.targets.at(name)->address();
+    bed.crashTarget(name);
+    return std::make_unique<EarlyTarget>(address, status, isReset);
+}
+
+/** A request with a body that is longer than what is written at once. */
+std::string longRequest(const GatewayTestbed &bed, const std::string &path)
+{
+    constexpr std::size_t bytes = 3900000;
+    return bed.request("POST", path, "Content-Length: " + std::to_string(bytes) + "\r\n") + std::string(bytes, 'b');
+}
+
+CallerReply ask(const GatewayTestbed &bed, const std::string &request)
+{
+    FakeCaller caller(bed.address());
+    caller.send(request);
+    GatewayTestbed::waitFor([&caller] { return caller.reply.isWhole || caller.reply.hasEnded; });
+    return caller.reply;
+}
+
 } // namespace
 
 // Guards against a torn event that reaches its caller as the end of a whole answer, because its target, whose run
@@ -357,3 +436,43 @@
     CHECK_FALSE(broken.isWhole);
     CHECK(broken.end == StreamEnd::Reset);
 }
+
+// Guards against a part of an answer that passes for a whole one: its target reset the connection while the request was
+// being written, and the write met the reset before the read did.
+TEST_CASE("an answer without a length that is reset before its request was written is none")
+{
+    for (const bool isLong : {false, true}) {
+        CAPTURE(isLong);
+        GatewayTestbed bed;
+        bed.publish(GatewayTestbed::configuration());
+        bed.addTarget("t1", "desk");
+        bed.start();
+        const auto early = makeEarly(bed, "t1", "200 OK", true);
+        for (int i = 0; i < 5; ++i) {
+            const std::string path = "/desk/" + std::to_string(i);
+            const CallerReply reply
+                = ask(bed, isLong ? longRequest(bed, path) : bed.request("POST", path, "Content-Length: 0\r\n"));
+            CHECK(reply.status >= 500);
+            CHECK(reply.body.find("part") == std::string::npos);
+        }
+        CHECK(early->connections > 0);
+    }
+}
+
+// Guards against the same through another gateway, which tells how the target's connection ended.
+TEST_CASE("an early answer that ends with its connection is none through another gateway either")
+{
+    for (const bool isReset : {true}) {
+        CAPTURE(isReset);
+        CutOffBed bed;
+        bed.startBoth();
+        bed.cutAndNotice();
+        std::vector<std::unique_ptr<EarlyTarget>> early;
+        for (int i = 0; i < 4; ++i) {
+            early.push_back(makeEarly(bed, "desk" + std::to_string(i), "200 OK", isReset));
+        }
+        const CallerReply reply = ask(bed, longRequest(bed, "/desk/1"));
+        CHECK(reply.status >= 500);
+        CHECK(reply.body.find("part") == std::string::npos);
+    }
+}
--- a/sequoiausher/transport/stream/bytestream.cpp
+++ b/sequoiausher/transport/stream/bytestream.cpp
@@ -76,6 +76,8 @@
     bool readOnce(ByteStream &stream);
     void writable(ByteStream &stream);
     void flush(ByteStream &stream);
+    /** Gives up what can no longer be sent. Bytes that arrived before can still be read; the read reports the end. */
+    void dropOutput();
     /** Sends appended output. @param wasEmpty false if earlier output waits for the kernel; then flush() sends both. */
     void sendAppended(bool wasEmpty);
     /** Hands bytes to the kernel until it accepts no more. @return false if the connection is broken. */
@@ -99,6 +101,13 @@
     bool sent = false;
     /** Closed by this side; waits until all bytes are sent and the other side has closed. */
     bool lingering = false;
+    /**
+     * The kernel told a call of an error. It tells each error once, and reads then report an end like that of an
+     * orderly close.
+     */
+    bool isBroken = false;
+    /** Written bytes were given up because the connection is broken. */
+    bool hasLostOutput = false;
     bool writeShut = false;
     std::size_t discardedBytes = 0;
     std::size_t maxDiscardedBytes = 0;
@@ -153,7 +162,7 @@
         return false;
     }
     if (taken <= 0) {
-        this->end(stream, taken == 0 ? StreamEnd::Finished : StreamEnd::Reset);
+        this->end(stream, taken == 0 && !this->isBroken ? StreamEnd::Finished : StreamEnd::Reset);
         return false;
     }
     if (this->lingering) {
@@ -200,7 +209,12 @@
         const std::string_view next = this->output.front();
         const ssize_t taken = send(this->descriptor, next.data(), next.size(), MSG_NOSIGNAL);
         if (taken < 0) {
-            return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+            if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR) {
+                return true;
+            }
+            // After an orderly close of the other side the kernel has all that it sent, and tells EPIPE.
+            this->isBroken = this->isBroken || errno != EPIPE;
+            return false;
         }
         this->sent = this->sent || taken > 0;
         this->unacknowledged += static_cast<std::size_t>(taken);
@@ -218,8 +232,7 @@
 void ByteStream::Private::flush(ByteStream &stream)
 {
     if (!this->sendOutput()) {
-        // Bytes that arrived before the reset can still be read; then the read reports the end.
-        this->output.clear();
+        this->dropOutput();
     }
     this->count();
     this->writes->setEnabled(!this->output.empty());
@@ -233,12 +246,18 @@
     }
 }
 
+void ByteStream::Private::dropOutput()
+{
+    this->hasLostOutput = true;
+    this->output.clear();
+}
+
 void ByteStream::Private::sendAppended(bool wasEmpty)
 {
     if (this->open && wasEmpty) {
         if (!this->sendOutput()) {
-            // The next read reports the end, since the user is not called during its own write.
-            this->output.clear();
+            // The user is not called during its own write.
+            this->dropOutput();
         }
         this->writes->setEnabled(!this->output.empty());
     }
@@ -417,7 +436,9 @@
     }
     char next = 0;
     const ssize_t waiting = recv(this->d->descriptor, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
-    return waiting == 0 || (waiting < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+    const bool isError = waiting < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+    this->d->isBroken = this->d->isBroken || isError;
+    return waiting == 0 || isError;
 }
 
 bool ByteStream::isConnected() const
@@ -430,6 +451,11 @@
     return this->d->descriptor >= 0 && !this->d->lingering;
 }
 
+bool ByteStream::hasSentAll() const
+{
+    return this->d->output.empty() && !this->d->hasLostOutput;
+}
+
 bool ByteStream::hasSent() const
 {
     return this->d->sent;
--- a/sequoiausher/transport/stream/bytestream.h
+++ b/sequoiausher/transport/stream/bytestream.h
@@ -115,6 +115,8 @@
     bool isOpen() const;
     /** Returns whether any written byte has left this process. */
     bool hasSent() const;
+    /** Returns whether all written bytes were passed to the kernel, also once the connection has ended. */
+    bool hasSentAll() const;
     /** Pauses or resumes reading; pausing slows the other side down. */
     void setReading(bool on);
     bool isReading() const;
--- a/sequoiausher/transport/stream/bytestreamtest.cpp
+++ b/sequoiausher/transport/stream/bytestreamtest.cpp
@@ -8,7 +8,9 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -247,3 +249,123 @@
         ::close(ends[1]);
     }
 }
+
+namespace {
+
+/** A stream that reads nothing at first, and a plain socket on the other side. */
+struct RawPair : ByteStreamUser
+{
+    RawPair()
+    {
+        REQUIRE(socketpairOverTcp(this->ends));
+        REQUIRE(fcntl(this->ends[0], F_SETFL, O_NONBLOCK) == 0);
+        this->stream = ByteStream::adopt(this->ends[0], this);
+        this->stream->setReading(false);
+        // Without any event the loop would wait for one.
+        this->ticks.start(1);
+    }
+    ~RawPair() override
+    {
+        this->stream->forgetUser();
+        this->stream->close();
+    }
+    RawPair(const RawPair &) = delete;
+    RawPair &operator=(const RawPair &) = delete;
+
+    void bytesArrived() override
+    {
+    }
+    void ended(StreamEnd how) override
+    {
+        this->end = how;
+    }
+    void sendPart()
+    {
+        REQUIRE(::send(this->ends[1], "part", 4, MSG_NOSIGNAL) == 4);
+    }
+    void resetOther()
+    {
+        const linger now{1, 0};
+        setsockopt(this->ends[1], SOL_SOCKET, SO_LINGER, &now, sizeof now);
+        ::close(this->ends[1]);
+        runFor(10);
+    }
+    std::optional<StreamEnd> endOnceRead()
+    {
+        this->stream->setReading(true);
+        runUntil([this] { return this->end.has_value(); }, 1000);
+        return this->end;
+    }
+
+    QCoreApplication &application = Internal::testApplication();
+    QTimer ticks;
+    std::array<int, 2> ends{};
+    std::shared_ptr<ByteStream> stream;
+    std::optional<StreamEnd> end;
+};
+
+} // namespace
+
+// Guards against a part of an answer that passes for the whole of it: the kernel tells an error once, to whoever comes
+// first, and then reports an end like that of an orderly close.
+TEST_CASE("a reset stays one, whichever call the kernel told of it")
+{
+    RawPair pair;
+    SUBCASE("a write")
+    {
+        pair.sendPart();
+        pair.resetOther();
+        pair.stream->write("more");
+        CHECK(pair.endOnceRead() == StreamEnd::Reset);
+        CHECK(pair.stream->input() == "part");
+    }
+    SUBCASE("a write of bytes that were waiting")
+    {
+        // More than the kernel takes, so that the event loop meets the reset.
+        pair.stream->write(std::string(std::size_t{16} << 20U, 'x'));
+        pair.sendPart();
+        pair.resetOther();
+        CHECK(pair.endOnceRead() == StreamEnd::Reset);
+    }
+    SUBCASE("two writes")
+    {
+        pair.sendPart();
+        pair.resetOther();
+        pair.stream->write("more");
+        pair.stream->write("and more");
+        CHECK(pair.endOnceRead() == StreamEnd::Reset);
+    }
+    SUBCASE("a look at whether the other side has left")
+    {
+        pair.resetOther();
+        CHECK(pair.stream->isLeft());
+        CHECK(pair.endOnceRead() == StreamEnd::Reset);
+    }
+}
+
+// Guards against a whole answer that is thrown away, since its target closed before it had read all of the request.
+TEST_CASE("an orderly close stays one where the other side refuses what is written after it")
+{
+    RawPair pair;
+    pair.sendPart();
+    ::close(pair.ends[1]);
+    runFor(10);
+    pair.stream->write("more");
+    runFor(10);
+    pair.stream->write("and more");
+    CHECK(pair.endOnceRead() == StreamEnd::Finished);
+    CHECK(pair.stream->input() == "part");
+}
+
+TEST_CASE("a stream knows whether all that was written has left it")
+{
+    RawPair pair;
+    CHECK(pair.stream->hasSentAll());
+    pair.stream->write("some");
+    CHECK(pair.stream->hasSentAll());
+    pair.stream->write(std::string(std::size_t{16} << 20U, 'x'));
+    CHECK_FALSE(pair.stream->hasSentAll());
+    pair.resetOther();
+    CHECK(pair.endOnceRead() == StreamEnd::Reset);
+    CHECK_FALSE(pair.stream->hasSentAll());
+}
