Take no success for whole that ends before its request was written

What callers would get: a part of an answer as a whole one. A target, or the kernel of one that crashed with nothing unread, closes in order while the upload is still being written; the answer has no length, so nothing but the close marks its end.

Ruled out: a check after the close. It can tell only that the target lives.

Change: a 2xx that ends with its connection is broken if its request was not written whole. A failure passes, since its reason may be why the target reads no further. A gateway that carries a tunnel tells of an orderly close only if the target had all that came for it.

--- a/sequoiausher/transport/gateway/brokenanswertest.cpp
+++ b/sequoiausher/transport/gateway/brokenanswertest.cpp
@@ -459,10 +459,41 @@
     }
 }
 
-// Guards against the same through another gateway, which tells how the target's connection ended.
+// Guards against the same where the target, or its kernel, closes in order: nothing else marks the end of the answer,
+// and the target has not had the request.
+TEST_CASE("a success without a length that ends before its request was written whole is none")
+{
+    GatewayTestbed bed;
+    bed.publish(GatewayTestbed::configuration());
+    bed.addTarget("t1", "desk");
+    bed.start();
+    SUBCASE("and its caller hears that the outcome is unknown")
+    {
+        const auto early = makeEarly(bed, "t1", "200 OK", false);
+        const CallerReply reply = ask(bed, longRequest(bed, "/desk/1"));
+        CHECK(reply.status == 502);
+        CHECK(early->connections > 0);
+    }
+    SUBCASE("but its caller gets a target's reason for not reading on")
+    {
+        const auto early = makeEarly(bed, "t1", "413 Payload Too Large", false);
+        const CallerReply reply = ask(bed, longRequest(bed, "/desk/1"));
+        CHECK(reply.status == 413);
+        CHECK(reply.body == "part");
+    }
+    SUBCASE("and a short request, which was written whole, has its answer")
+    {
+        const auto early = makeEarly(bed, "t1", "200 OK", false);
+        const CallerReply reply = ask(bed, bed.request("POST", "/desk/1", "Content-Length: 0\r\n"));
+        CHECK(reply.status == 200);
+        CHECK(reply.body == "part");
+    }
+}
+
+// Guards against both through another gateway, which tells how the target's connection ended.
 TEST_CASE("an early answer that ends with its connection is none through another gateway either")
 {
-    for (const bool isReset : {true}) {
+    for (const bool isReset : {true, false}) {
         CAPTURE(isReset);
         CutOffBed bed;
         bed.startBoth();
--- a/sequoiausher/transport/gateway/gatewaycall.cpp
+++ b/sequoiausher/transport/gateway/gatewaycall.cpp
@@ -146,6 +146,12 @@
         return;
     }
     if (this->connection->reader().isComplete()) {
+        const bool isSuccess = this->connection->reader().head().status < firstFailureStatus;
+        if (isSuccess && !this->connection->hasSentAll()) {
+            // Nothing but the close marks the end of the answer, and the target has not had the whole request.
+            this->fail(AttemptEnd::Broken);
+            return;
+        }
         this->isEndedByClose = true;
         this->answerGrew();
         return;
--- a/sequoiausher/transport/gateway/targetpools.cpp
+++ b/sequoiausher/transport/gateway/targetpools.cpp
@@ -198,6 +198,11 @@
     return this->wasReused || (this->hasWritten && (this->tunnel || this->stream->hasSent()));
 }
 
+bool TargetConnection::hasSentAll() const
+{
+    return this->hasWritten && this->stream->hasSentAll();
+}
+
 void TargetConnection::setReading(bool on)
 {
     if (this->stream) {
--- a/sequoiausher/transport/gateway/targetpools.h
+++ b/sequoiausher/transport/gateway/targetpools.h
@@ -72,6 +72,8 @@
     bool isOpen() const;
     /** Whether any byte of the current request has left this process. */
     bool hasSent() const;
+    /** Whether all bytes of the current request have left this process; also once the connection has ended. */
+    bool hasSentAll() const;
     /** The gateway that the connection goes through; empty for a direct one, or one that is not open yet. */
     const InstanceId &through() const;
     void setReading(bool on);
--- a/sequoiausher/transport/gateway/tunnelserver.cpp
+++ b/sequoiausher/transport/gateway/tunnelserver.cpp
@@ -162,6 +162,8 @@
         void targetConnected();
         void targetSent();
         void targetEnded(StreamEnd how);
+        /** Whether all that has come from the opener was sent to the target. */
+        bool hasPassedOnRequest() const;
         /** Lets the opener have what was written, in the account of connections that close. */
         void closeOpener()
         {
@@ -334,7 +336,10 @@
         return;
     }
     if (how == StreamEnd::Finished) {
-        this->opener->write(encodeTunnelState(TunnelState::Finished));
+        // Without this frame the opener takes the answer for cut off, unless its framing says that it is whole.
+        if (this->hasPassedOnRequest()) {
+            this->opener->write(encodeTunnelState(TunnelState::Finished));
+        }
         this->closeOpener();
     } else {
         this->opener->reset();
@@ -342,6 +347,11 @@
     this->end();
 }
 
+bool TunnelServer::Private::Tunnel::hasPassedOnRequest() const
+{
+    return this->target->hasSentAll() && this->opener->input().empty() && this->opener->unreadBytes() == 0;
+}
+
 void TunnelServer::Private::Tunnel::refuse(TunnelState why)
 {
     this->opener->write(encodeTunnelState(why));
