Refuse answers whose status is below 100 or above 599

What callers saw on other systems: an answer with the status 000. Here 600 and 999 were passed on as they are; 000 and 099 were taken for interim answers, so that an unsafe request got 504 at its deadline.

Cause: the parser takes any three digits for a status, and nothing checked them further.

Ruled out: names of fields with a blank or a control byte, and 13 other heads that are none; the parser refuses them, which httpreadertest holds now.

Change: the reader of answers takes such a status for malformed, for targets and the store alike. Safe requests are sent elsewhere, the others get 502 at once.

Evidence: httpreadertest and foreignanswertest failed before for 000, 001, 099, 600, 999 and pass now; each status from 100 to 599 is read.

--- a/sequoiausher/transport/gateway/foreignanswertest.cpp
+++ b/sequoiausher/transport/gateway/foreignanswertest.cpp
@@ -107,3 +107,37 @@
         REQUIRE(GatewayTestbed::waitFor([&unasked, i] { return unasked == i; }));
     }
 }
+
+// Guards against bytes of a target in trouble that its caller gets as an answer, and against "not run" for its request.
+TEST_CASE("a head that is none of an answer reaches no caller")
+{
+    for (const std::string line : {"HTTP/1.1 000 OK",
+                                   "HTTP/1.1 099 OK",
+                                   "HTTP/1.1 600 OK",
+                                   "HTTP/1.1 999 OK",
+                                   "HTTP/1.1 200 OK\r\nX Y: 1",
+                                   "HTTP/1.1 200 OK\r\nX\x01Y: 1",
+                                   "HTTP/1.1 200 OK\r\nX\t: 1"}) {
+        CAPTURE(line);
+        for (const bool isSafe : {false, true}) {
+            ForeignBed bed;
+            int spoilt = 0;
+            for (const auto &[name, target] : bed.targets) {
+                target->answers = [&](FakeRequest &request) {
+                    spoilt += 1;
+                    if (spoilt > 1) {
+                        request.reply("200 OK", "whole");
+                        return;
+                    }
+                    request.send(line + "\r\nX-Id: " + request.header("X-Id") + "\r\nX-Signed: yes\r\n"
+                                 + "Content-Length: 6\r\n\r\nspoilt");
+                };
+            }
+            const CallerReply reply = bed.callNext(isSafe ? "GET" : "POST", isSafe ? "/look/" : "/desk/");
+            CHECK(reply.isWhole);
+            CHECK(reply.status == (isSafe ? 200 : 502));
+            CHECK(reply.body.find("spoilt") == std::string::npos);
+            CHECK(spoilt == (isSafe ? 2 : 1));
+        }
+    }
+}
--- a/sequoiausher/transport/stream/httpreader.cpp
+++ b/sequoiausher/transport/stream/httpreader.cpp
@@ -14,6 +14,10 @@
 using ErrorCode = boost::beast::error_code;
 using View = boost::beast::string_view;
 
+/** The statuses that have a class (RFC 9110, 15). */
+constexpr int firstStatus = 100;
+constexpr int lastStatus = 599;
+
 /** The state of a parser. */
 struct Collected
 {
@@ -42,8 +46,12 @@
         this->collected.head.target = std::string(target);
         this->collected.head.version = version;
     }
-    void on_response_impl(int code, View /*reason*/, int version, ErrorCode & /*ec*/) override // NOLINT
+    void on_response_impl(int code, View /*reason*/, int version, ErrorCode &ec) override // NOLINT
     {
+        if (code < firstStatus || code > lastStatus) {
+            ec = Http::error::bad_status;
+            return;
+        }
         this->collected.head.status = code;
         this->collected.head.version = version;
     }
--- a/sequoiausher/transport/stream/httpreadertest.cpp
+++ b/sequoiausher/transport/stream/httpreadertest.cpp
@@ -141,3 +141,72 @@
         CHECK(mostHeld <= limit + 2 * pieceBytes);
     }
 }
+
+// Guards against an answer of a target in trouble that is passed on as one: with a status that callers know no meaning
+// of, or with a line that is no field.
+TEST_CASE("an answer whose head is none of HTTP is malformed, wherever it is cut")
+{
+    const std::string rest = "\r\nContent-Length: 2\r\n\r\nok";
+    std::vector<std::string> heads;
+    for (const char *line : {"HTTP/1.1 000 OK",
+                             "HTTP/1.1 001 OK",
+                             "HTTP/1.1 099 OK",
+                             "HTTP/1.1 600 OK",
+                             "HTTP/1.1 999 OK",
+                             "HTTP/1.1 20 OK",
+                             "HTTP/1.1 2000 OK",
+                             "HTTP/1.1 2x0 OK",
+                             "HTTP/1.1 +20 OK",
+                             "HTTP/1.1 -20 OK",
+                             "HTTP/1.1  200 OK",
+                             "HTTP/1.1",
+                             "HTTP/2.0 200 OK",
+                             "http/1.1 200 OK",
+                             " HTTP/1.1 200 OK"}) {
+        heads.push_back(line + rest);
+    }
+    for (const std::string field : {"X Y: 1",
+                                    "X\tY: 1",
+                                    "X\x01Y: 1",
+                                    "X\x7fY: 1",
+                                    "X\xe9Y: 1",
+                                    "X : 1",
+                                    ": 1",
+                                    "X",
+                                    "X\x1f: 1",
+                                    "X: a\x01",
+                                    "X: a\x7f"}) {
+        heads.push_back("HTTP/1.1 200 OK\r\n" + field + rest);
+    }
+    heads.push_back(std::string("HTTP/1.1 200 OK\r\nX\0Y: 1", 24) + rest);
+    heads.push_back(std::string("HTTP/1.1 200 OK\r\nX: \0", 21) + rest);
+    for (const std::string &head : heads) {
+        CAPTURE(head);
+        HttpReader reader(HttpReader::Kind::Answer, {});
+        std::string bytes = head;
+        reader.read(bytes);
+        CHECK(reader.fault() == HttpFault::Malformed);
+        CHECK_FALSE(reader.isComplete());
+        HttpReader slow(HttpReader::Kind::Answer, {});
+        std::string pending;
+        for (const char each : head) {
+            pending += each;
+            slow.read(pending);
+        }
+        slow.finish();
+        CHECK(slow.fault() == HttpFault::Malformed);
+        CHECK_FALSE(slow.hasHead());
+    }
+}
+
+TEST_CASE("each status from 100 to 599 is one")
+{
+    for (int status = 100; status < 600; ++status) {
+        HttpReader reader(HttpReader::Kind::Answer, {});
+        std::string bytes = "HTTP/1.1 " + std::to_string(status) + " Any\r\nContent-Length: 0\r\n\r\n";
+        reader.read(bytes);
+        CAPTURE(status);
+        CHECK(reader.isComplete());
+        CHECK(reader.head().status == status);
+    }
+}
