Count the heads of targets' answers against the memory of a gateway

What callers of other operators saw: a faulty replica sent bytes without an end; the machine that had called it ran out of memory, and the requests of others ended with it.

A whole head was not: 32,000 bytes of short fields take over 400 KB as fields, twice, and counted nowhere. With 75 answers of that kind in progress a gateway of 64 MB took 78.

Cause: the account of memory had the heads of requests and the bodies of answers.

What connections to targets hold unread or unsent counts too.

--- a/sequoiausher/coordination/gateway/memorybudget.h
+++ b/sequoiausher/coordination/gateway/memorybudget.h
@@ -70,6 +70,8 @@
     std::size_t overrun() const;
     /** Whether a request may hold so many bytes for its head. */
     bool hasRoomForHead(std::size_t bytes) const;
+    /** Whether so many bytes, which are counted already, may be held for the head of an answer. */
+    bool hasRoomForHeld(std::size_t bytes) const;
     /** Returns how many bytes of one answer may be held before it is passed on. @param usual while there is room. */
     std::size_t heldAnswerBound(std::size_t usual) const;
     /** Returns how many bytes may wait for one receiver before their source is read no more. */
--- a/sequoiausher/transport/gateway/calleranswer.h
+++ b/sequoiausher/transport/gateway/calleranswer.h
@@ -95,6 +95,8 @@
     bool isReadingPaused() const;
     /** Whether the target's answer is a stream that has stopped inside an event so far. */
     bool isInsideEvent() const;
+    /** The memory that the head of the latest answer takes, in bytes; 0 before it. */
+    std::size_t headMemory() const;
     /** The head of the latest answer. */
     const HttpHead &targetHead() const;
     const TargetAnswer &targetAnswer() const;
--- a/sequoiausher/transport/gateway/gatewaycontext.cpp
+++ b/sequoiausher/transport/gateway/gatewaycontext.cpp
@@ -70,6 +70,7 @@
     , pools(this->dialEnvironment)
     , lifeChecks(*this, this->dialEnvironment)
 {
+    this->dialEnvironment.heldTotal = this->memory.answerTotal();
     this->dialEnvironment.openDescriptors = [this] { return this->openDescriptors(); };
     this->board.setColdLimit(&this->coldLimit);
     this->board.setBrittleLimit(&this->brittleLimit);
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -848,6 +848,11 @@
     this->d->context.reachability.recordAnswer(this->d->admitted.service);
     this->d->answer.began(head, answer);
     this->d->lastPartAt = now;
+    if (!this->d->context.memory.hasRoomForHeld(this->d->answer.headMemory())) {
+        this->d->context.metrics.add("gateway_answer_heads_refused_total");
+        this->d->endAttempt(classifyLostAnswer(this->d->answerState(), AttemptEnd::Broken), now);
+        return;
+    }
     this->d->lines.notes().announcedLoad = answer.heldRequests;
     this->d->recordAnnouncements(answer, now);
 }
--- a/sequoiausher/transport/gateway/hedgedattempt.cpp
+++ b/sequoiausher/transport/gateway/hedgedattempt.cpp
@@ -102,17 +102,37 @@
 {
     this->head = given;
     this->answer = decoded;
+    this->countHeld();
+    if (!this->context.memory.hasRoomForHeld(this->headMemory())) {
+        this->giveUp();
+    }
+}
+
+std::size_t HedgedAttempt::headMemory() const
+{
+    // The reader of the target's connection has the head as well.
+    return 2 * memoryOf(this->head.headers);
+}
+
+void HedgedAttempt::countHeld()
+{
+    this->counted.set(this->headMemory() + this->content.size());
+}
+
+void HedgedAttempt::giveUp()
+{
+    this->givenUp = true;
+    this->call.cancel();
+    this->callFailed(AttemptEnd::Broken);
 }
 
 void HedgedAttempt::answerBytes(std::string bytes)
 {
     this->content += bytes;
-    this->counted.set(this->content.size());
+    this->countHeld();
     this->partAt = Millis::monotonicNow();
     if (this->content.size() > this->context.memory.heldAnswerBound(maxHeldBytes)) {
-        this->givenUp = true;
-        this->call.cancel();
-        this->callFailed(AttemptEnd::Broken);
+        this->giveUp();
     }
 }
 
--- a/sequoiausher/transport/gateway/hedgedattempt.h
+++ b/sequoiausher/transport/gateway/hedgedattempt.h
@@ -66,6 +66,12 @@
     void callFailed(AttemptEnd end) override;
 
 private:
+    std::size_t headMemory() const;
+    /** Counts what is held of the answer. */
+    void countHeld();
+    /** Ends the copy, for whose answer there is no room. */
+    void giveUp();
+
     HedgedAttemptUser &user;
     GatewayContext &context;
     GatewayCall call;
--- a/sequoiausher/transport/gateway/targetdial.h
+++ b/sequoiausher/transport/gateway/targetdial.h
@@ -42,6 +42,8 @@
     ConnectionMemory memory{{}};
     /** Connections to targets, those that are being opened among them. */
     std::size_t openConnections = 0;
+    /** The total into which the bytes of connections to targets count; null for none. */
+    std::shared_ptr<std::size_t> heldTotal;
     /** Returns the descriptors of all connections of the gateway. */
     std::function<OpenDescriptors()> openDescriptors = [] { return OpenDescriptors{}; };
 };
--- a/sequoiausher/transport/gateway/targetpools.cpp
+++ b/sequoiausher/transport/gateway/targetpools.cpp
@@ -114,6 +114,7 @@
     this->pools.d->dialling.erase(this);
     this->pools.d->retiredDials.push_back(std::move(this->dialling));
     this->stream = std::move(opened.stream);
+    this->stream->countInto(this->pools.d->environment.heldTotal);
     this->tunnel = std::move(opened.tunnel);
     this->throughPeer = std::move(opened.through);
     this->stream->setUser(this);
