Bound the store's answers by the memory of the gateway

What would happen: a store in trouble that sends answers without an end, to a gateway whose callers hold what they may, takes it beyond its memory.

Cause: an answer was read up to 16 MB whatever the settings say, twice at a time and up to twice that while it grows.

Change: the bound is a thirty-second of the memory, 2 MB at least and 16 MB at most. A list comes in pages of a megabyte; a watch with more changes than that leads to a list, as before.

--- a/lab/hostile/hostiletargetstest.cpp
+++ b/lab/hostile/hostiletargetstest.cpp
@@ -235,3 +235,24 @@
     bed.bed.play(plan);
     bed.check();
 }
+
+TEST_CASE("a store that sends answers without an end, beside targets that do")
+{
+    Bed bed([](const FakeRequest &request) {
+        return Pouring{answerHead(request, "Connection: close\r\n"), letters()};
+    });
+    CrowdPlan plan;
+    plan.address = bed.bed.address(Door::Callers);
+    plan.connections = manyConnections;
+    plan.first = Bed::crowdsRequest();
+    bed.bed.begin(plan);
+    for (const StoreMood mood : {StoreMood::PouringBody, StoreMood::PouringHead}) {
+        bed.bed.store().setMood(mood);
+        // Shorter than the time for which a proof of the configuration holds.
+        bed.bed.observe(Millis{2000});
+        bed.bed.store().setMood(StoreMood::Up);
+        bed.bed.observe(Millis{2000});
+    }
+    bed.bed.endCrowds();
+    bed.check();
+}
--- a/lab/soak/soakstore.cpp
+++ b/lab/soak/soakstore.cpp
@@ -169,6 +169,16 @@
         this->refuse(request, "503 Service Unavailable");
         return;
     }
+    if (this->mood == StoreMood::PouringBody) {
+        request.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        this->pour(request, "10000\r\n" + std::string(65536, ' ') + "\r\n");
+        return;
+    }
+    if (this->mood == StoreMood::PouringHead) {
+        request.send("HTTP/1.1 200 OK\r\n");
+        this->pour(request, "a:\r\n");
+        return;
+    }
     const StandInDialect::StoreCall call = StandInDialect::readStoreCall(request.head.target);
     switch (call.kind) {
     case StandInDialect::StoreCall::Kind::Configuration: {
@@ -201,6 +211,21 @@
     }
 }
 
+void SoakStore::pour(const FakeRequest &request, const std::string &piece)
+{
+    constexpr std::size_t mostPending = std::size_t{1} << 20U;
+    constexpr int piecesAtOnce = 16;
+    const bool isPouring = this->mood == StoreMood::PouringBody || this->mood == StoreMood::PouringHead;
+    if (!isPouring || !request.connection->stream->isOpen()) {
+        request.close();
+        return;
+    }
+    for (int i = 0; i < piecesAtOnce && request.connection->stream->pendingBytes() < mostPending; ++i) {
+        request.send(piece);
+    }
+    QTimer::singleShot(1, &this->timers, [this, request, piece] { this->pour(request, piece); });
+}
+
 void SoakStore::reply(const FakeRequest &request, const std::string &body)
 {
     if (this->mood == StoreMood::Silent) {
@@ -212,7 +237,7 @@
     }
     const int delay = this->mood == StoreMood::Slow ? slowDelayMs : usualDelayMs;
     const std::string fields = StandInDialect::eraField(this->era);
-    QTimer::singleShot(delay, [request, body, fields] { request.reply("200 OK", body, fields); });
+    QTimer::singleShot(delay, &this->timers, [request, body, fields] { request.reply("200 OK", body, fields); });
 }
 
 std::string SoakStore::range(const FakeRequest &request, const StandInDialect::StoreCall &call) const
@@ -278,7 +303,7 @@
     }
     const std::uint64_t number = this->nextWatch++;
     this->watches.emplace(number, Watch{request, call.after});
-    QTimer::singleShot(static_cast<int>(call.wait.count), [this, number] {
+    QTimer::singleShot(static_cast<int>(call.wait.count), &this->timers, [this, number] {
         const auto found = this->watches.find(number);
         if (found != this->watches.end()) {
             const Watch held = std::move(found->second);
--- a/lab/soak/soakstore.h
+++ b/lab/soak/soakstore.h
@@ -10,6 +10,8 @@
 #include "platform/standindialect.h"
 #include "sequoiausher/transport/stream/fakehttp.h"
 
+#include <QObject>
+
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -35,6 +37,9 @@
     Slow,
     /** Loses some answers; their connections say nothing more. */
     Losing,
+    /** Sends a body, or a head, without an end. */
+    PouringBody,
+    PouringHead,
 };
 
 /** What keeps a list of more than one page from being read to its end. */
@@ -88,6 +93,8 @@
     };
 
     void handle(FakeRequest &request);
+    /** Sends the piece again and again while the mood lasts. */
+    void pour(const FakeRequest &request, const std::string &piece);
     void reply(const FakeRequest &request, const std::string &body);
     /** The items as the reader who asked sees them. */
     std::vector<StandInDialect::StoreItem> seenBy(const FakeRequest &request,
@@ -106,6 +113,8 @@
         std::function<std::string(const std::string &address)> path;
     };
 
+    /** Timers that call this end with it. */
+    QObject timers;
     FakeServer server;
     std::vector<std::unique_ptr<Reader>> readers;
     std::vector<std::string> targetAddresses;
@@ -136,6 +145,8 @@
     {Lab::StoreMood::Reset, "reset"},
     {Lab::StoreMood::Slow, "slow"},
     {Lab::StoreMood::Losing, "losing"},
+    {Lab::StoreMood::PouringBody, "pouring-body"},
+    {Lab::StoreMood::PouringHead, "pouring-head"},
 });
 
 template<>
--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -233,6 +233,7 @@
                                                    settings.store.address,
                                                    storeTimesOf(settings),
                                                    settings.linkMbps,
+                                                   std::size_t{settings.memoryMb} << 20U,
                                                    this->log,
                                                    this->knowledge.storeListener());
     if (this->context.peers.hasPeers()) {
--- a/sequoiausher/transport/gateway/storecall.cpp
+++ b/sequoiausher/transport/gateway/storecall.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-/** Enough for a page of the store's list, and for a configuration of a megabyte in base64. */
-constexpr std::uint64_t longestAnswer = 16UL * 1024 * 1024;
 constexpr std::uint32_t longestHead = 32768;
 /** The store accepts connections within milliseconds, so one that is not open by then has failed. */
 constexpr Millis connectTime{700};
@@ -21,7 +19,7 @@
 class StoreCalls::Private : public ByteStreamUser
 {
 public:
-    explicit Private(std::string at)
+    Private(std::string at, std::uint64_t longestAnswer)
         : address(std::move(at))
         , reader(HttpReader::Kind::Answer, {longestHead, longestAnswer})
     {
@@ -99,7 +97,8 @@
     Millis timeout;
 };
 
-StoreCalls::StoreCalls(std::string address) : d(std::make_unique<Private>(std::move(address)))
+StoreCalls::StoreCalls(std::string address, std::uint64_t longestAnswer)
+    : d(std::make_unique<Private>(std::move(address), longestAnswer))
 {
 }
 
--- a/sequoiausher/transport/gateway/storecall.h
+++ b/sequoiausher/transport/gateway/storecall.h
@@ -9,6 +9,7 @@
 #include "sequoiausher/base/millis.h"
 #include "sequoiausher/protocol/http/httpmessage.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -36,7 +37,8 @@
 public:
     using Done = std::function<void(const StoreAnswer &answer)>;
 
-    explicit StoreCalls(std::string address);
+    /** @param longestAnswer the most bytes that the body of an answer may have. */
+    StoreCalls(std::string address, std::uint64_t longestAnswer);
     ~StoreCalls();
     StoreCalls(const StoreCalls &) = delete;
     StoreCalls &operator=(const StoreCalls &) = delete;
--- a/sequoiausher/transport/gateway/storecalltest.cpp
+++ b/sequoiausher/transport/gateway/storecalltest.cpp
@@ -25,7 +25,7 @@
     Bed()
     {
         this->server.answers = [this](FakeRequest &request) { request.reply("200 OK", this->body); };
-        this->calls = std::make_unique<StoreCalls>(this->server.address());
+        this->calls = std::make_unique<StoreCalls>(this->server.address(), std::uint64_t{16} << 20U);
     }
     StoreAnswer get()
     {
--- a/sequoiausher/transport/gateway/storewatcher.cpp
+++ b/sequoiausher/transport/gateway/storewatcher.cpp
@@ -43,10 +43,24 @@
         && status != statusTooMany;
 }
 
+/**
+ * The most bytes of one answer: many times a page of the list, or a configuration of a megabyte in base64, where there
+ * is memory for it. An answer takes up to twice its size while it grows, and there are two sequences of calls.
+ */
+std::uint64_t longestAnswerOf(std::size_t memory)
+{
+    constexpr std::uint64_t least = std::uint64_t{2} << 20U;
+    constexpr std::uint64_t most = std::uint64_t{16} << 20U;
+    constexpr std::size_t shareDenominator = 32;
+    return memory == 0 ? most : std::clamp<std::uint64_t>(memory / shareDenominator, least, most);
+}
+
 /** A sequence of calls with its own pauses. */
 struct CallLine
 {
-    CallLine(const std::string &address, Millis firstPause) : calls(address), pause(firstPause)
+    CallLine(const std::string &address, std::uint64_t longestAnswer, Millis firstPause)
+        : calls(address, longestAnswer)
+        , pause(firstPause)
     {
     }
 
@@ -70,14 +84,15 @@
             const std::string &address,
             const StoreTimes &storeTimes,
             double linkMbps,
+            std::uint64_t longestAnswer,
             const Log &output,
             StoreListener &receiver)
         : dialect(platformDialect)
         , times(storeTimes)
         , log(output)
         , listener(receiver)
-        , proof(address, storeTimes.firstPause)
-        , changes(address, storeTimes.firstPause)
+        , proof(address, longestAnswer, storeTimes.firstPause)
+        , changes(address, longestAnswer, storeTimes.firstPause)
         , deadline(storeTimes)
         , bytesPerMs(std::max(linkMbps * bytesPerMbps, 1.0))
         , random(std::random_device{}())
@@ -154,9 +169,10 @@
                            const std::string &address,
                            const StoreTimes &times,
                            double linkMbps,
+                           std::size_t memory,
                            const Log &log,
                            StoreListener &listener)
-    : d(std::make_unique<Private>(dialect, address, times, linkMbps, log, listener))
+    : d(std::make_unique<Private>(dialect, address, times, linkMbps, longestAnswerOf(memory), log, listener))
 {
 }
 
--- a/sequoiausher/transport/gateway/storewatcher.h
+++ b/sequoiausher/transport/gateway/storewatcher.h
@@ -87,11 +87,15 @@
 class StoreWatcher
 {
 public:
-    /** All references outlive this. @param linkMbps the capacity of the instance's link. */
+    /**
+     * All references outlive this. @param linkMbps the capacity of the instance's link. @param memory what the process
+     * may take, in bytes; 0 for no limit.
+     */
     StoreWatcher(const GatewayDialect &dialect,
                  const std::string &address,
                  const StoreTimes &times,
                  double linkMbps,
+                 std::size_t memory,
                  const Log &log,
                  StoreListener &listener);
     ~StoreWatcher();
