Keep entries under odd names in the store of every soak

A page and more of them stand before the targets' entries, also after the store's return from a copy, so each gateway that starts has to list past keys that cannot stand in a call as they are. The stand-in refuses malformed calls.

--- a/lab/soak/soakoperator.cpp
+++ b/lab/soak/soakoperator.cpp
@@ -85,6 +85,15 @@
     this->publish();
 }
 
+void SoakOperator::writeOddNames()
+{
+    // More than a page of the store: every list has to go on after some of them.
+    for (const char *name :
+         {"0%zz", "0&b=", "0+", "0#x", "0 x", "0%C3%A9", "0?x", "0\r\nX: y", "0/..", "0\"", "0\xC3\xA9", "0%00"}) {
+        this->store.write(StandInDialect::targetKey(TargetId{name}), "{}");
+    }
+}
+
 void SoakOperator::publishAgain()
 {
     this->store.write(StandInDialect::configurationKey(), StandInDialect::configurationText(this->configuration));
--- a/lab/soak/soakoperator.h
+++ b/lab/soak/soakoperator.h
@@ -28,6 +28,8 @@
     /** Adds routes of streams that allow longer than the grace of a planned stop, in all later versions. */
     void addLongStreams();
     void publishFirst();
+    /** Writes entries of another writer, under names that no target has, before those of all targets. */
+    void writeOddNames();
     /** Writes the newest version once more: the store has lost it. */
     void publishAgain();
     void addRoute();
--- a/lab/soak/soakrun.cpp
+++ b/lab/soak/soakrun.cpp
@@ -120,6 +120,7 @@
         this->administrator.addLongStreams();
     }
     this->administrator.publishFirst();
+    this->administrator.writeOddNames();
     if (this->options.cuts > 0) {
         std::vector<std::string> hosts;
         for (std::size_t i = 0; i < this->options.gateways; ++i) {
--- a/lab/soak/soakrunprivate.cpp
+++ b/lab/soak/soakrunprivate.cpp
@@ -328,6 +328,7 @@
             this->store.remove(key);
         }
     }
+    this->administrator.writeOddNames();
 }
 
 void SoakRun::Private::strikeStore(const SoakFault &fault)
