Tell the list of targets of the store's return at a new address

Cause: whether the store is lost is kept by the watcher and, told by it, by the list of targets. A new address makes a new watcher, which began as one that has the store, so its first success told the list nothing.

Ruled out: that the removal is not heard of (it is, and the entry is kept as one that may come back), and the grace after a return (2.3 s).

Change: the new watcher takes over what the one before it has told.

--- a/sequoiausher/transport/gateway/gatewaynode.cpp
+++ b/sequoiausher/transport/gateway/gatewaynode.cpp
@@ -229,6 +229,7 @@
 void GatewayNode::Private::watchStore()
 {
     const GatewaySettings &settings = this->context.settings;
+    const bool wasLost = this->watcher && this->watcher->isStoreLost();
     this->watcher = std::make_unique<StoreWatcher>(this->dialect,
                                                    settings.store.address,
                                                    storeTimesOf(settings),
@@ -236,6 +237,7 @@
                                                    std::size_t{settings.memoryMb} << 20U,
                                                    this->log,
                                                    this->knowledge.storeListener());
+    this->watcher->setStoreLost(wasLost);
     if (this->context.peers.hasPeers()) {
         this->watcher->setFirstWatchDelay(firstWatchDelay);
     }
--- a/sequoiausher/transport/gateway/gatewaynodetest.cpp
+++ b/sequoiausher/transport/gateway/gatewaynodetest.cpp
@@ -1,5 +1,6 @@
 #include "sequoiausher/transport/gateway/gatewaynode.h"
 
+#include "sequoiausher/coordination/gateway/targetlist.h"
 #include "sequoiausher/transport/gateway/gatewaytestbed.h"
 #include "sequoiausher/transport/http/testloop.h"
 
@@ -787,3 +788,31 @@
     CHECK(target.seen.size() == 1);
     CHECK(bed.logged.str().find("the caller left") == std::string::npos);
 }
+
+// Guards against targets that left and get requests for as long as a gateway lives: the store was lost when its address
+// changed, and its return at the new one was not noticed.
+TEST_CASE("a target that leaves after the store has moved gets no more requests")
+{
+    GatewayTestbed bed;
+    bed.publish(GatewayTestbed::configuration());
+    for (const char *name : {"t1", "t2"}) {
+        bed.addTarget(name, "desk").answers = [](FakeRequest &request) { request.reply("200 OK", "well"); };
+    }
+    bed.start();
+    bed.isStoreSilent = true;
+    GatewayTestbed::waitFor([] { return false; }, minStoreOutage + Millis{500});
+    bed.isStoreSilent = false;
+    GatewaySettings moved = bed.settings;
+    moved.store.address = bed.neighboursStore.address();
+    bed.node->reload(moved);
+    // Until entries that expired meanwhile would be back.
+    GatewayTestbed::waitFor([] { return false; }, expiredEntryGrace + Millis{500});
+    bed.removeTarget("t1");
+    GatewayTestbed::waitFor([] { return false; }, Millis{500});
+    bed.targets.at("t1")->seen.clear();
+    for (int i = 0; i < 20; ++i) {
+        CHECK(bed.callAnew().status == 200);
+    }
+    CHECK(bed.targets.at("t1")->seen.empty());
+    CHECK(bed.targets.at("t2")->seen.size() >= 20);
+}
--- a/sequoiausher/transport/gateway/storewatcher.cpp
+++ b/sequoiausher/transport/gateway/storewatcher.cpp
@@ -231,6 +231,16 @@
     this->d->firstWatchDelay = delay;
 }
 
+bool StoreWatcher::isStoreLost() const
+{
+    return this->d->isLost;
+}
+
+void StoreWatcher::setStoreLost(bool isLost)
+{
+    this->d->isLost = isLost;
+}
+
 void StoreWatcher::setLongestPause(Millis pause)
 {
     this->d->longestPause = pause;
--- a/sequoiausher/transport/gateway/storewatcher.h
+++ b/sequoiausher/transport/gateway/storewatcher.h
@@ -122,6 +122,10 @@
      * them, because most gateways then rely on a peer's watch.
      */
     void setFirstWatchDelay(Millis delay);
+    /** Whether the listener was told that the store is lost, and not yet that it returned. */
+    bool isStoreLost() const;
+    /** Takes over what the watcher of the store's earlier address has told the listener. */
+    void setStoreLost(bool isLost);
     /** Sets the maximum pause after a failed call. */
     void setLongestPause(Millis pause);
     /** When this gateway itself last read the targets from the store; 0 for never. */
