Use a peer's echo only if this process may have sent it

Cause: a proof in a peer's report is dated by when this gateway sent the report that the peer answers. After a loss of power the machine's clock begins anew, and an echo from before it lies in the future; the proof never grows old and is passed on.

Ruled out: the wall clock, which proofs do not use; the peers' own ages.

Change: PeerDirectory::ownEcho takes an echo from the first round of this process until now.

--- a/sequoiausher/coordination/gateway/peerdirectory.cpp
+++ b/sequoiausher/coordination/gateway/peerdirectory.cpp
@@ -268,6 +268,14 @@
     this->d->dataCentre = dataCentre;
 }
 
+Millis PeerDirectory::ownEcho(Millis echo, Millis now) const
+{
+    // An earlier one is of a report from before a restart of this gateway, a later one of a report from before its
+    // machine's clock began anew.
+    const bool isOwn = this->d->firstRoundAt && echo >= *this->d->firstRoundAt && echo <= now;
+    return isOwn ? echo : Millis{0};
+}
+
 void PeerDirectory::recordReport(const InstanceId &peer, const GatewayReport &report, Millis now)
 {
     this->d->hasReceivedReport = true;
@@ -278,8 +286,7 @@
     Private::PeerRecord &known = this->d->findOrAddRecord(peer);
     known.lastSeenAt = now;
     known.newestSentAt = report.sentAt;
-    // An earlier echo is of a report from before a restart of this gateway.
-    known.isReached = this->d->firstRoundAt && report.echo >= *this->d->firstRoundAt;
+    known.isReached = this->ownEcho(report.echo, now) != Millis{0};
     this->d->hasReceivedReply = this->d->hasReceivedReply || known.isReached;
     known.isHub = report.isHub;
     known.leavingAt = report.leaving ? std::optional(now) : std::nullopt;
--- a/sequoiausher/coordination/gateway/peerdirectory.h
+++ b/sequoiausher/coordination/gateway/peerdirectory.h
@@ -64,6 +64,11 @@
     void setSelf(std::uint16_t strength, const DataCentreId &dataCentre);
     /** Records a report from a peer. */
     void recordReport(const InstanceId &peer, const GatewayReport &report, Millis now);
+    /**
+     * When this process sent the report that a peer's report answers. @return 0 if the peer answers a report of an
+     * earlier process, or of this machine before its clock began anew: its time means nothing here.
+     */
+    Millis ownEcho(Millis echo, Millis now) const;
 
     /** Returns the peers that this round's reports go to, and counts the report to this gateway's hub as unanswered. */
     std::vector<DueReport> takeDueReports(Millis now);
--- a/sequoiausher/coordination/gateway/peerdirectorytest.cpp
+++ b/sequoiausher/coordination/gateway/peerdirectorytest.cpp
@@ -391,3 +391,28 @@
         CHECK(directory.hasStayingPeer(now + Millis{9000}));
     }
 }
+
+// Guards against knowledge that is dated hours ahead, and so never grows old: after a loss of power a machine's clock
+// begins anew, while its peers still answer a report from before it.
+TEST_CASE("an echo is used only if this process may have sent it")
+{
+    const InstanceId peer = gatewayNamed(1);
+    PeerDirectory directory(gatewayNamed(0), {peer}, 1);
+    GatewayReport report;
+    report.echo = Millis{3600000};
+    directory.recordReport(peer, report, Millis{900});
+    CHECK_FALSE(directory.hasReached(peer));
+    CHECK(directory.ownEcho(report.echo, Millis{900}) == Millis{0});
+    directory.takeDueReports(Millis{1000});
+    directory.recordReport(peer, report, Millis{1500});
+    CHECK_FALSE(directory.hasReached(peer));
+    for (const Millis echo : {Millis{0}, Millis{999}, Millis{1501}, report.echo}) {
+        CHECK(directory.ownEcho(echo, Millis{1500}) == Millis{0});
+    }
+    for (const Millis echo : {Millis{1000}, Millis{1500}}) {
+        CHECK(directory.ownEcho(echo, Millis{1500}) == echo);
+    }
+    report.echo = Millis{1200};
+    directory.recordReport(peer, report, Millis{1500});
+    CHECK(directory.hasReached(peer));
+}
--- a/sequoiausher/transport/gateway/gatewaypeers.cpp
+++ b/sequoiausher/transport/gateway/gatewaypeers.cpp
@@ -404,7 +404,8 @@
     const bool hasSameEvacuations = this->receiveEvacuations(from, report, targets);
     this->context.peers.recordReport(from, report, now);
     this->formats[from] = report.readsVersions ? TargetsFormat::Versioned : TargetsFormat::Plain;
-    this->context.freshness.recordPeerProof(report.configuration, report.proofAge, report.echo);
+    const Millis echo = this->context.peers.ownEcho(report.echo, now);
+    this->context.freshness.recordPeerProof(report.configuration, report.proofAge, echo);
     const bool isHub = this->context.peers.isHub(now);
     if (report.isHub && !isHub) {
         // Each hub reports the sums of all gateways, so the sums of a second hub would count everything twice.
@@ -421,10 +422,10 @@
     const bool comesBefore = this->context.peers.comesBefore(from, now);
     // What the peer read of the store counts here only if all of it has arrived.
     const Millis storeAge = hasSameEvacuations ? report.storeAge : Millis::never();
-    this->context.duty.recordPeerReport({storeAge, report.echo, report.isHub, !report.isResting, comesBefore, targets},
+    this->context.duty.recordPeerReport({storeAge, echo, report.isHub, !report.isResting, comesBefore, targets},
                                         now);
     if (report.isSettled) {
-        this->known.targets.confirmSettledByPeer(targets, report.echo);
+        this->known.targets.confirmSettledByPeer(targets, echo);
     }
     this->pushTo(from, report, targets, now);
     if (this->context.peers.mustReply(from, report, now)) {
