Ask for the memory of an answer's head before it is kept

What was wrong with: a head that found no room was copied before the question, and both copies stayed until the next tick, which a busy machine delays.

Change: the room is asked for first, and a connection that is given up frees what its reader holds at once. The size of a head is computed once for each answer, not for each of its parts.

--- a/sequoiausher/coordination/gateway/memorybudget.cpp
+++ b/sequoiausher/coordination/gateway/memorybudget.cpp
@@ -85,11 +85,6 @@
     return this->most == 0 || bytes <= smallHeadBytes || *this->answers + bytes <= this->answerLimit();
 }
 
-bool MemoryBudget::hasRoomForHeld(std::size_t bytes) const
-{
-    return this->most == 0 || bytes <= smallHeadBytes || *this->answers <= this->answerLimit();
-}
-
 std::size_t MemoryBudget::heldAnswerBound(std::size_t usual) const
 {
     return this->isTightForAnswers() ? std::min(usual, tightHeldBytes) : usual;
--- a/sequoiausher/coordination/gateway/memorybudget.h
+++ b/sequoiausher/coordination/gateway/memorybudget.h
@@ -68,10 +68,8 @@
     bool isTightForAnswers() const;
     /** Returns by how many bytes answers exceed what they may hold at the most; then connections have to yield. */
     std::size_t overrun() const;
-    /** Whether a request may hold so many bytes for its head. */
+    /** Whether a request, or an answer to one, may hold so many bytes for its head. */
     bool hasRoomForHead(std::size_t bytes) const;
-    /** Whether so many bytes, which are counted already, may be held for the head of an answer. */
-    bool hasRoomForHeld(std::size_t bytes) const;
     /** Returns how many bytes of one answer may be held before it is passed on. @param usual while there is room. */
     std::size_t heldAnswerBound(std::size_t usual) const;
     /** Returns how many bytes may wait for one receiver before their source is read no more. */
--- a/sequoiausher/protocol/http/httpmessage.cpp
+++ b/sequoiausher/protocol/http/httpmessage.cpp
@@ -14,6 +14,11 @@
     return bytes;
 }
 
+std::size_t memoryOfAnswerHead(const HttpHead &head)
+{
+    return 2 * memoryOf(head.headers);
+}
+
 BodyFraming framingOf(const HttpHead &head)
 {
     if (head.chunked) {
--- a/sequoiausher/protocol/http/httpmessage.h
+++ b/sequoiausher/protocol/http/httpmessage.h
@@ -50,6 +50,9 @@
 /** Returns the memory that the fields of a message take, in bytes. Many short fields take many times their text. */
 std::size_t memoryOf(const HttpHeaders &headers);
 
+/** The same for an answer, whose head its reader keeps beside who passes it on. */
+std::size_t memoryOfAnswerHead(const HttpHead &head);
+
 /** How an answer with this head frames its body, if it has one. */
 BodyFraming framingOf(const HttpHead &head);
 
--- a/sequoiausher/transport/gateway/calleranswer.cpp
+++ b/sequoiausher/transport/gateway/calleranswer.cpp
@@ -58,7 +58,6 @@
 void CallerAnswer::beginAttempt()
 {
     this->hasAnswerHead = false;
-    this->answerHead = {};
     this->heldAnswer.clear();
     this->cutter.begin();
     this->countHeld();
@@ -71,15 +70,10 @@
     this->answer = said;
     this->hasAnswerHead = true;
     this->answerHead = given;
+    this->headBytes = memoryOfAnswerHead(given);
     this->countHeld();
 }
 
-std::size_t CallerAnswer::headMemory() const
-{
-    // The reader of the target's connection has the head as well.
-    return 2 * memoryOf(this->answerHead.headers);
-}
-
 bool CallerAnswer::add(std::string_view bytes)
 {
     if (this->isEventStream()) {
@@ -110,7 +104,7 @@
 
 void CallerAnswer::countHeld()
 {
-    this->counted.set(this->headMemory() + this->heldAnswer.size() + this->cutter.rest().size());
+    this->counted.set(this->headBytes + this->heldAnswer.size() + this->cutter.rest().size());
 }
 
 void CallerAnswer::writeReady()
--- a/sequoiausher/transport/gateway/calleranswer.h
+++ b/sequoiausher/transport/gateway/calleranswer.h
@@ -95,8 +95,6 @@
     bool isReadingPaused() const;
     /** Whether the target's answer is a stream that has stopped inside an event so far. */
     bool isInsideEvent() const;
-    /** The memory that the head of the latest answer takes, in bytes; 0 before it. */
-    std::size_t headMemory() const;
     /** The head of the latest answer. */
     const HttpHead &targetHead() const;
     const TargetAnswer &targetAnswer() const;
@@ -126,6 +124,8 @@
     RouteKind kind = RouteKind::AtMostOnce;
 
     HttpHead answerHead;
+    /** The memory of the head. */
+    std::size_t headBytes = 0;
     TargetAnswer answer;
     std::string heldAnswer;
     CountedBytes counted;
--- a/sequoiausher/transport/gateway/gatewayexchange.cpp
+++ b/sequoiausher/transport/gateway/gatewayexchange.cpp
@@ -846,13 +846,17 @@
     const Millis now = Millis::monotonicNow();
     this->d->context.board.recordActivity(this->d->chosen.target.id, now);
     this->d->context.reachability.recordAnswer(this->d->admitted.service);
-    this->d->answer.began(head, answer);
     this->d->lastPartAt = now;
-    if (!this->d->context.memory.hasRoomForHeld(this->d->answer.headMemory())) {
+    if (!this->d->context.memory.hasRoomForHead(memoryOfAnswerHead(head))) {
         this->d->context.metrics.add("gateway_answer_heads_refused_total");
-        this->d->endAttempt(classifyLostAnswer(this->d->answerState(), AttemptEnd::Broken), now);
+        AnswerState state = this->d->answerState();
+        state.hasHead = true;
+        state.didNotRun = answer.didNotRun;
+        state.isMisdirected = answer.isMisdirected;
+        this->d->endAttempt(classifyLostAnswer(state, AttemptEnd::Broken), now);
         return;
     }
+    this->d->answer.began(head, answer);
     this->d->lines.notes().announcedLoad = answer.heldRequests;
     this->d->recordAnnouncements(answer, now);
 }
--- a/sequoiausher/transport/gateway/hedgedattempt.cpp
+++ b/sequoiausher/transport/gateway/hedgedattempt.cpp
@@ -100,23 +100,20 @@
 
 void HedgedAttempt::answerBegan(const HttpHead &given, const TargetAnswer &decoded)
 {
+    const std::size_t bytes = memoryOfAnswerHead(given);
+    if (!this->context.memory.hasRoomForHead(bytes)) {
+        this->giveUp();
+        return;
+    }
     this->head = given;
     this->answer = decoded;
+    this->headBytes = bytes;
     this->countHeld();
-    if (!this->context.memory.hasRoomForHeld(this->headMemory())) {
-        this->giveUp();
-    }
-}
-
-std::size_t HedgedAttempt::headMemory() const
-{
-    // The reader of the target's connection has the head as well.
-    return 2 * memoryOf(this->head.headers);
 }
 
 void HedgedAttempt::countHeld()
 {
-    this->counted.set(this->headMemory() + this->content.size());
+    this->counted.set(this->headBytes + this->content.size());
 }
 
 void HedgedAttempt::giveUp()
--- a/sequoiausher/transport/gateway/hedgedattempt.h
+++ b/sequoiausher/transport/gateway/hedgedattempt.h
@@ -66,7 +66,6 @@
     void callFailed(AttemptEnd end) override;
 
 private:
-    std::size_t headMemory() const;
     /** Counts what is held of the answer. */
     void countHeld();
     /** Ends the copy, for whose answer there is no room. */
@@ -79,6 +78,8 @@
     Millis startedAt;
     HttpHead head;
     TargetAnswer answer;
+    /** The memory of the head. */
+    std::size_t headBytes = 0;
     std::string content;
     CountedBytes counted;
     bool isComplete = false;
--- a/sequoiausher/transport/gateway/targetpools.cpp
+++ b/sequoiausher/transport/gateway/targetpools.cpp
@@ -270,6 +270,8 @@
         this->dialling->giveUp(Millis::monotonicNow());
         this->pools.d->retiredDials.push_back(std::move(this->dialling));
     }
+    // What was read of an answer that is given up; the connection itself is destroyed at a later tick.
+    this->answer.restart();
     if (this->stream) {
         this->stream->forgetUser();
         if (this->hasRequest) {
